--- /dev/null
+++ b/eslint.config.js
@@ -0,0 +1,30 @@
+import eslint from '@eslint/js';
+import tseslint from 'typescript-eslint';
+
+export default tseslint.config(
+  { ignores: ['dist/', 'node_modules/', 'reports/'] },
+  eslint.configs.recommended,
+  ...tseslint.configs.recommendedTypeChecked,
+  {
+    languageOptions: {
+      parserOptions: { projectService: { allowDefaultProject: ['eslint.config.js'] } },
+    },
+    rules: {
+      eqeqeq: 'error',
+      'no-console': 'error',
+      complexity: ['error', 15],
+      '@typescript-eslint/explicit-module-boundary-types': 'error',
+      '@typescript-eslint/switch-exhaustiveness-check': [
+        'error',
+        { considerDefaultExhaustiveForUnions: true },
+      ],
+      '@typescript-eslint/consistent-type-imports': 'error',
+      '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
+    },
+  },
+  {
+    files: ['test/**/*.ts'],
+    rules: { '@typescript-eslint/no-unused-expressions': 'off' },
+  },
+  { files: ['eslint.config.js'], ...tseslint.configs.disableTypeChecked },
+);
--- /dev/null
+++ b/src/membership/peer-identity.ts
@@ -0,0 +1,22 @@
+/** Who a node is to its peers. */
+
+/** Identity that a peer proves when a link is set up; see {@link ../wire/} for the handshake. */
+export interface PeerIdentity {
+  /** Machine identity; unique among machines, kept by a process that restarts on the machine. */
+  readonly id: string;
+  /** Rises with each start of the process on this machine: start time in milliseconds since 1970. */
+  readonly incarnation: number;
+  readonly address: string;
+  /** Port of the peer protocol. */
+  readonly controlPort: number;
+  /** Port for requests relayed by other nodes. */
+  readonly relayPort: number;
+  readonly zone: string;
+  readonly region: string;
+}
+
+/** An address at which some peer listens, before its identity is known. */
+export interface PeerAddress {
+  readonly address: string;
+  readonly controlPort: number;
+}
--- /dev/null
+++ b/src/model/machine.ts
@@ -0,0 +1,31 @@
+/** Machines: what the platform's lagging list says of the fleet. */
+import { z } from 'zod';
+import { nameSchema } from './resource.js';
+
+const portSchema = z.number().int().min(1).max(65_535);
+
+/** One machine on the platform's list; each runs one node. */
+export const machineSchema = z.strictObject({
+  /** Identity of the machine; a replacement machine has another. */
+  id: nameSchema,
+  address: z.union([z.ipv4(), z.ipv6()]),
+  /** Port of the node's peer protocol. */
+  controlPort: portSchema,
+  /** Port on which the node takes requests from other nodes. */
+  relayPort: portSchema,
+  zone: nameSchema,
+  region: nameSchema,
+  /** Rises with each machine that joins: a lower number is an older machine. */
+  seniority: z.number().int().min(0),
+  state: z.enum(['live', 'leaving']),
+});
+
+export type Machine = z.infer<typeof machineSchema>;
+
+/** The platform's list document. */
+export const machineListSchema = z.strictObject({
+  version: z.number().int().min(0),
+  machines: z.array(machineSchema).max(100_000),
+});
+
+export type MachineList = z.infer<typeof machineListSchema>;
--- /dev/null
+++ b/src/model/merge.ts
@@ -0,0 +1,128 @@
+/**
+ * Merges the configuration source's document with the operators' document into one snapshot, by one
+ * rule that every node computes alike: the source's resources first, then each operator entry in key
+ * order; an operator entry whose inclusion leaves a dangling reference is suspended, not applied.
+ */
+import type { ConfigurationFault } from './configuration-error.js';
+import { InvalidConfigurationError } from './configuration-error.js';
+import type { VersionedDocument } from './document.js';
+import { resourceKey, resourceSchema, type Resource, type ResourceKey } from './resource.js';
+import { buildSnapshot, findDanglingReferences, referencesOf, type Snapshot } from './snapshot.js';
+
+/** JSON text of an operator entry that deletes a resource of the source. */
+export const DELETED_JSON = 'null';
+
+/** A snapshot and the operator entries that could not be part of it. */
+export interface MergedConfiguration {
+  readonly snapshot: Snapshot;
+  readonly suspended: readonly ConfigurationFault[];
+}
+
+/** Parses a document's entry; throws {@link InvalidConfigurationError} with the entry's key. */
+export function parseEntry(key: string, json: string): Resource {
+  const parsed = resourceSchema.safeParse(parseJson(key, json));
+  if (!parsed.success) {
+    const faults = parsed.error.issues.map((issue) => ({
+      path: [key, ...issue.path].join('.'),
+      reason: issue.message,
+    }));
+    throw new InvalidConfigurationError(faults);
+  }
+  if (resourceKey(parsed.data) !== key) {
+    throw new InvalidConfigurationError([{ path: key, reason: 'key and resource differ' }]);
+  }
+  return parsed.data;
+}
+
+/**
+ * The snapshot of a pair of documents. Throws {@link InvalidConfigurationError} when the source's
+ * document by itself is not valid; an operator entry is never a reason to refuse the source.
+ */
+export function mergeDocuments(
+  source: VersionedDocument,
+  operator: VersionedDocument,
+): MergedConfiguration {
+  const resources = new Map<ResourceKey, Resource>();
+  for (const entry of source.entries.values()) {
+    const resource = parseEntry(entry.key, entry.json);
+    resources.set(resourceKey(resource), resource);
+  }
+  const version = { source: source.version, operator: operator.version };
+  const faults = findDanglingReferences(resources);
+  if (faults.length > 0) {
+    throw new InvalidConfigurationError(faults);
+  }
+  const suspended = overlay(resources, operator);
+  return { snapshot: buildSnapshot(version, [...resources.values()]), suspended };
+}
+
+/** Applies operator entries in place until no further one can be applied; returns the rest. */
+function overlay(
+  resources: Map<ResourceKey, Resource>,
+  operator: VersionedDocument,
+): ConfigurationFault[] {
+  let pending = [...operator.entries.values()].sort((left, right) =>
+    left.key < right.key ? -1 : 1,
+  );
+  let applied = true;
+  let faults: ConfigurationFault[] = [];
+  while (applied && pending.length > 0) {
+    applied = false;
+    faults = [];
+    const remaining: typeof pending = [];
+    for (const entry of pending) {
+      const reason = tryApply(resources, entry.key as ResourceKey, entry.json);
+      if (reason === undefined) {
+        applied = true;
+      } else {
+        remaining.push(entry);
+        faults.push({ path: entry.key, reason });
+      }
+    }
+    pending = remaining;
+  }
+  return faults;
+}
+
+/** Applies one operator entry, or says why it cannot be applied now. */
+function tryApply(
+  resources: Map<ResourceKey, Resource>,
+  key: ResourceKey,
+  json: string,
+): string | undefined {
+  if (json === DELETED_JSON) {
+    const dependant = findDependant(resources, key);
+    if (dependant !== undefined) {
+      return `still referred to by ${dependant}`;
+    }
+    resources.delete(key);
+    return undefined;
+  }
+  const resource = parseEntry(key, json);
+  const missing = referencesOf(resource).find((target) => !resources.has(target));
+  if (missing !== undefined) {
+    return `refers to missing ${missing}`;
+  }
+  resources.set(key, resource);
+  return undefined;
+}
+
+function findDependant(
+  resources: ReadonlyMap<ResourceKey, Resource>,
+  key: ResourceKey,
+): ResourceKey | undefined {
+  for (const resource of resources.values()) {
+    if (referencesOf(resource).includes(key)) {
+      return resourceKey(resource);
+    }
+  }
+  return undefined;
+}
+
+function parseJson(key: string, json: string): unknown {
+  try {
+    return JSON.parse(json);
+  } catch {
+    throw new InvalidConfigurationError([{ path: key, reason: 'expected JSON' }]);
+  }
+}
--- /dev/null
+++ b/src/model/resource.ts
@@ -0,0 +1,106 @@
+/**
+ * Resources: the unit operators create and the configuration source publishes.
+ * Shapes and bounds are checked by zod schemas; references between resources are
+ * checked by {@link ./snapshot.ts}.
+ */
+import { z } from 'zod';
+
+/** Longest resource name, in characters. */
+export const MAX_NAME_LENGTH = 128;
+/** Longest secret value, in characters. */
+export const MAX_SECRET_LENGTH = 8192;
+/** Longest time a service or route may give a request, in milliseconds. */
+export const MAX_REQUEST_TIMEOUT_MS = 600_000;
+/** Request time when neither route nor service names one, in milliseconds. */
+export const DEFAULT_REQUEST_TIMEOUT_MS = 5_000;
+
+/** Lower-case DNS-like names, so that a name is safe in a URL path and in a metric label. */
+export const nameSchema = z
+  .string()
+  .max(MAX_NAME_LENGTH)
+  .regex(/^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$/, 'expected lower-case letters, digits, ".", "_", "-"');
+
+const timeoutSchema = z.number().int().min(1).max(MAX_REQUEST_TIMEOUT_MS);
+
+/** A named group of interchangeable endpoints. */
+export const serviceSpecSchema = z.strictObject({
+  /** Time a request may take when the caller gives no deadline, in milliseconds. */
+  requestTimeoutMs: timeoutSchema.default(DEFAULT_REQUEST_TIMEOUT_MS),
+  /** Retries allowed, as a percentage of first attempts. */
+  retryBudgetPercent: z.number().min(0).max(100).default(20),
+});
+
+/** Adds a credential to every request of a route, from a secret. */
+export const credentialSchema = z.strictObject({
+  secret: nameSchema,
+  /** Request header that carries the secret's value to the endpoint. */
+  header: z.string().regex(/^[a-z0-9-]+$/, 'expected a lower-case header name'),
+});
+
+/** Which requests go to which service. The longest path prefix wins, then a named host. */
+export const routeSpecSchema = z.strictObject({
+  /** Host names matched exactly; empty matches every host. */
+  hosts: z.array(z.string().min(1).max(253)).max(64).default([]),
+  pathPrefix: z.string().startsWith('/').max(1024),
+  /** Upper-case methods; empty matches every method. */
+  methods: z
+    .array(z.string().regex(/^[A-Z]+$/))
+    .max(16)
+    .default([]),
+  service: nameSchema,
+  /** Whether a request may run more than once; absent means by method (GET, HEAD, OPTIONS may). */
+  repeatable: z.boolean().optional(),
+  timeoutMs: timeoutSchema.optional(),
+  credential: credentialSchema.optional(),
+});
+
+/** One back end of a service. */
+export const endpointSpecSchema = z.strictObject({
+  service: nameSchema,
+  address: z.union([z.ipv4(), z.ipv6()]),
+  port: z.number().int().min(1).max(65_535),
+  zone: nameSchema,
+  region: nameSchema,
+  /** Identity of the machine whose node runs beside this endpoint; absent when there is none. */
+  machine: nameSchema.optional(),
+  /** Requests the endpoint runs at once. */
+  slots: z.number().int().min(1).max(100_000),
+  /** Connections the endpoint accepts at once. */
+  maxConnections: z.number().int().min(1).max(100_000),
+  state: z.enum(['active', 'draining']).default('active'),
+});
+
+/** A value that routes depend on. It never appears in logs, metrics or lists. */
+export const secretSpecSchema = z.strictObject({
+  value: z.string().min(1).max(MAX_SECRET_LENGTH),
+});
+
+/** One resource of any kind, told apart by `kind`. */
+export const resourceSchema = z.discriminatedUnion('kind', [
+  z.strictObject({ kind: z.literal('service'), name: nameSchema, spec: serviceSpecSchema }),
+  z.strictObject({ kind: z.literal('route'), name: nameSchema, spec: routeSpecSchema }),
+  z.strictObject({ kind: z.literal('endpoint'), name: nameSchema, spec: endpointSpecSchema }),
+  z.strictObject({ kind: z.literal('secret'), name: nameSchema, spec: secretSpecSchema }),
+]);
+
+export type ServiceSpec = z.infer<typeof serviceSpecSchema>;
+export type RouteSpec = z.infer<typeof routeSpecSchema>;
+export type EndpointSpec = z.infer<typeof endpointSpecSchema>;
+export type SecretSpec = z.infer<typeof secretSpecSchema>;
+export type Resource = z.infer<typeof resourceSchema>;
+export type ResourceKind = Resource['kind'];
+export type Service = Extract<Resource, { kind: 'service' }>;
+export type Route = Extract<Resource, { kind: 'route' }>;
+export type Endpoint = Extract<Resource, { kind: 'endpoint' }>;
+export type Secret = Extract<Resource, { kind: 'secret' }>;
+
+/** Every kind, in the order in which references point: a kind refers only to others in this list. */
+export const RESOURCE_KINDS: readonly ResourceKind[] = ['service', 'secret', 'route', 'endpoint'];
+
+/** `kind/name`, unique in a configuration. */
+export type ResourceKey = `${ResourceKind}/${string}`;
+
+/** The key of a resource. */
+export function resourceKey(resource: Pick<Resource, 'kind' | 'name'>): ResourceKey {
+  return `${resource.kind}/${resource.name}`;
+}
--- /dev/null
+++ b/src/model/snapshot.ts
@@ -0,0 +1,122 @@
+/**
+ * The configuration that a node serves from: an immutable snapshot, validated whole before it is
+ * swapped in. A request keeps the snapshot that it started with.
+ */
+import { InvalidConfigurationError, type ConfigurationFault } from './configuration-error.js';
+import type { Endpoint, Resource, ResourceKey, Route, Secret, Service } from './resource.js';
+import { resourceKey } from './resource.js';
+import { NO_VERSION, type DocumentVersion } from './version.js';
+
+/** Resources in one snapshot at most. */
+export const MAX_RESOURCES = 100_000;
+
+/** The versions of the documents that a snapshot was merged from; each only rises on a node. */
+export interface SnapshotVersion {
+  /** Version of the configuration source's document. */
+  readonly source: DocumentVersion;
+  /** Version of the operators' document. */
+  readonly operator: DocumentVersion;
+}
+
+/** Version of a node that holds nothing. */
+export const NO_SNAPSHOT_VERSION: SnapshotVersion = { source: NO_VERSION, operator: NO_VERSION };
+
+/** One validated configuration. Build it with {@link buildSnapshot}. */
+export interface Snapshot {
+  readonly version: SnapshotVersion;
+  readonly resources: ReadonlyMap<ResourceKey, Resource>;
+  readonly services: ReadonlyMap<string, Service>;
+  readonly routes: readonly Route[];
+  readonly secrets: ReadonlyMap<string, Secret>;
+  /** Endpoints by the name of their service; every service has a list, perhaps an empty one. */
+  readonly endpointsByService: ReadonlyMap<string, readonly Endpoint[]>;
+}
+
+/**
+ * Validates `resources` as a whole and indexes them.
+ * Throws {@link InvalidConfigurationError} that lists every fault found.
+ */
+export function buildSnapshot(version: SnapshotVersion, resources: readonly Resource[]): Snapshot {
+  const byKey = new Map<ResourceKey, Resource>();
+  const faults: ConfigurationFault[] = [];
+  if (resources.length > MAX_RESOURCES) {
+    faults.push({ path: 'resources', reason: `expected at most ${MAX_RESOURCES}` });
+    throw new InvalidConfigurationError(faults);
+  }
+  for (const resource of resources) {
+    const key = resourceKey(resource);
+    if (byKey.has(key)) {
+      faults.push({ path: key, reason: 'name stands twice' });
+    }
+    byKey.set(key, resource);
+  }
+  faults.push(...findDanglingReferences(byKey));
+  if (faults.length > 0) {
+    throw new InvalidConfigurationError(faults);
+  }
+  return indexSnapshot(version, byKey);
+}
+
+/** Every reference to a resource that is not in `resources`. */
+export function findDanglingReferences(
+  resources: ReadonlyMap<ResourceKey, Resource>,
+): ConfigurationFault[] {
+  const faults: ConfigurationFault[] = [];
+  for (const resource of resources.values()) {
+    for (const target of referencesOf(resource)) {
+      if (!resources.has(target)) {
+        faults.push({ path: resourceKey(resource), reason: `refers to missing ${target}` });
+      }
+    }
+  }
+  return faults;
+}
+
+/** Keys of the resources that `resource` depends on. */
+export function referencesOf(resource: Resource): ResourceKey[] {
+  switch (resource.kind) {
+    case 'route': {
+      const { service, credential } = resource.spec;
+      const secrets: ResourceKey[] =
+        credential === undefined ? [] : [`secret/${credential.secret}`];
+      return [`service/${service}`, ...secrets];
+    }
+    case 'endpoint':
+      return [`service/${resource.spec.service}`];
+    case 'service':
+    case 'secret':
+      return [];
+  }
+}
+
+function indexSnapshot(
+  version: SnapshotVersion,
+  resources: ReadonlyMap<ResourceKey, Resource>,
+): Snapshot {
+  const services = new Map<string, Service>();
+  const routes: Route[] = [];
+  const secrets = new Map<string, Secret>();
+  const endpointsByService = new Map<string, Endpoint[]>();
+  for (const resource of resources.values()) {
+    if (resource.kind === 'service') {
+      services.set(resource.name, resource);
+      endpointsByService.set(resource.name, []);
+    }
+  }
+  for (const resource of resources.values()) {
+    switch (resource.kind) {
+      case 'route':
+        routes.push(resource);
+        break;
+      case 'secret':
+        secrets.set(resource.name, resource);
+        break;
+      case 'endpoint':
+        endpointsByService.get(resource.spec.service)?.push(resource);
+        break;
+      case 'service':
+        break;
+    }
+  }
+  return { version, resources, services, routes, secrets, endpointsByService };
+}
--- /dev/null
+++ b/src/model/source-document.ts
@@ -0,0 +1,36 @@
+/** The configuration source's document, as resources under one version number. */
+import { z } from 'zod';
+import { canonicalJson } from './canonical-json.js';
+import { InvalidConfigurationError } from './configuration-error.js';
+import { resourceKey, resourceSchema } from './resource.js';
+import { buildSnapshot, MAX_RESOURCES, NO_SNAPSHOT_VERSION } from './snapshot.js';
+
+/** Shape of a configuration document, at the source and in files. */
+export const sourceDocumentSchema = z.strictObject({
+  version: z.number().int().min(1).max(Number.MAX_SAFE_INTEGER),
+  resources: z.array(resourceSchema).max(MAX_RESOURCES),
+});
+
+export type SourceDocument = z.infer<typeof sourceDocumentSchema>;
+
+/**
+ * Checks shape, bounds, unique names and references of a parsed JSON or YAML value.
+ * Throws {@link InvalidConfigurationError}; a document is taken whole or not at all.
+ */
+export function parseSourceDocument(value: unknown): SourceDocument {
+  const parsed = sourceDocumentSchema.safeParse(value);
+  if (!parsed.success) {
+    throw new InvalidConfigurationError(
+      parsed.error.issues.map((issue) => ({ path: issue.path.join('.'), reason: issue.message })),
+    );
+  }
+  buildSnapshot(NO_SNAPSHOT_VERSION, parsed.data.resources);
+  return parsed.data;
+}
+
+/** The document's entries as keys and canonical JSON text. */
+export function sourceDocumentValues(document: SourceDocument): Map<string, string> {
+  return new Map(
+    document.resources.map((resource) => [resourceKey(resource), canonicalJson(resource)]),
+  );
+}
--- /dev/null
+++ b/src/wire/message.ts
@@ -0,0 +1,130 @@
+/**
+ * Messages of the peer protocol, after the handshake. Every message travels on a link between two
+ * nodes that have proved to each other that they hold the fleet key.
+ */
+import type { DocumentEntry } from '../model/document.js';
+import type { DocumentVersion } from '../model/version.js';
+import type { PeerIdentity } from '../membership/peer-identity.js';
+
+/** The documents that nodes replicate, each with a version of its own that only rises. */
+export const DOCUMENT_NAMES = ['source', 'operator', 'machines'] as const;
+/**
+ * - `source`: the configuration source's resources.
+ * - `operator`: what operators wrote through the resource API.
+ * - `machines`: the platform's machine list.
+ */
+export type DocumentName = (typeof DOCUMENT_NAMES)[number];
+
+/** Versions of all documents that a node holds. */
+export type HeldVersions = Readonly<Record<DocumentName, DocumentVersion>>;
+
+/** Sent on every overlay link at the heartbeat interval; also the anti-entropy probe. */
+export interface HeartbeatMessage {
+  readonly type: 'heartbeat';
+  /** Digest of {@link HeldVersions}, 16 hexadecimal digits; a difference is answered by `versions`. */
+  readonly versionsDigest: string;
+}
+
+/** Announces what the sender holds: on a new link, on a change, on a digest that differs. */
+export interface VersionsMessage {
+  readonly type: 'versions';
+  readonly versions: HeldVersions;
+}
+
+/** Asks for a document, as a delta from what the sender holds where possible. */
+export interface FetchMessage {
+  readonly type: 'fetch';
+  readonly document: DocumentName;
+  readonly have: DocumentVersion;
+}
+
+/** Answers `fetch`, or pushes a change to a neighbour known to hold `from`. */
+export interface DeltaMessage {
+  readonly type: 'delta';
+  readonly document: DocumentName;
+  readonly from: DocumentVersion;
+  readonly to: DocumentVersion;
+  readonly upserts: readonly DocumentEntry[];
+  readonly removals: readonly string[];
+}
+
+/** One part of a whole document; parts of one version arrive in order on one link. */
+export interface SnapshotChunkMessage {
+  readonly type: 'snapshot-chunk';
+  readonly document: DocumentName;
+  readonly version: DocumentVersion;
+  /** Position of this part, from 0. */
+  readonly index: number;
+  /** Parts in all; at least 1. */
+  readonly count: number;
+  readonly entries: readonly DocumentEntry[];
+}
+
+/** Refuses `fetch` for now: the sender serves as many snapshots as it may. */
+export interface FetchRefusedMessage {
+  readonly type: 'fetch-refused';
+  readonly document: DocumentName;
+  readonly retryAfterMs: number;
+}
+
+/** What is said of a member. `leaving` outranks the rest of its incarnation. */
+export type MemberStatus = 'alive' | 'suspect' | 'dead' | 'leaving';
+
+/** A claim about one member; a higher incarnation wins, then the stronger status. */
+export interface MemberUpdate {
+  readonly member: PeerIdentity;
+  readonly status: MemberStatus;
+}
+
+/** Claims about members, flooded over the overlay; each is passed on once by a node that learns of it. */
+export interface MembersMessage {
+  readonly type: 'members';
+  readonly updates: readonly MemberUpdate[];
+}
+
+/** Asks an elector for a reader lease, or renews it. */
+export interface LeaseRequestMessage {
+  readonly type: 'lease-request';
+  /** What is leased: `zone/index`. */
+  readonly slot: string;
+  /** Echoed in the answer; rises with each request of the sender. */
+  readonly round: number;
+  readonly durationMs: number;
+}
+
+/** An elector's answer. A grant binds the elector for the duration, from when it sent the answer. */
+export interface LeaseAnswerMessage {
+  readonly type: 'lease-answer';
+  readonly slot: string;
+  readonly round: number;
+  readonly granted: boolean;
+  /** When refused: how long until the elector may grant, in milliseconds. */
+  readonly retryAfterMs: number;
+}
+
+/** Gives a lease back before its end, on a planned stop. */
+export interface LeaseReleaseMessage {
+  readonly type: 'lease-release';
+  readonly slot: string;
+}
+
+/** A source version that was refused whole, so that every node's API can tell why. */
+export interface RejectionMessage {
+  readonly type: 'rejection';
+  readonly version: DocumentVersion;
+  readonly reason: string;
+}
+
+/** Every message of the peer protocol. */
+export type PeerMessage =
+  | HeartbeatMessage
+  | VersionsMessage
+  | FetchMessage
+  | DeltaMessage
+  | SnapshotChunkMessage
+  | FetchRefusedMessage
+  | MembersMessage
+  | LeaseRequestMessage
+  | LeaseAnswerMessage
+  | LeaseReleaseMessage
+  | RejectionMessage;
