Add the ports between control-plane components

Cause: the source reader and the operators' replication are built beside the document store and the membership, and need to agree on what they call. Change: PlatformDocumentSink, OperatorDocumentSink and ElectorateView, types only. Conclusion: no behaviour yet.

--- /dev/null
+++ b/src/control/control-ports.ts
@@ -0,0 +1,35 @@
+/**
+ * Ports between parts of the control plane: what the source reader and the replication of operators'
+ * writes need from the parts that hold documents and know members.
+ */
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import type { VersionedDocument } from '../model/document.js';
+import type { Machine } from '../model/machine.js';
+import type { ControlEffect, PlatformAnswer, PlatformDocument } from './control-event.js';
+
+/** Takes what a reader learned from the platform. */
+export interface PlatformDocumentSink {
+  /**
+   * Decides on a platform answer: a newer valid document is adopted and passed on; an older one, a
+   * different one under the held number and an invalid one are counted and not followed.
+   * Answers without a document change nothing. `nowMs` is the clock of `ControlComponent.handle`.
+   */
+  offer(document: PlatformDocument, answer: PlatformAnswer, nowMs: number): ControlEffect[];
+  /** Version number held, for a conditional read; 0 when none is held. */
+  heldNumber(document: PlatformDocument): number;
+}
+
+/** What is known of the machines that elect readers and voters. */
+export interface ElectorateView {
+  readonly identity: PeerIdentity;
+  /** Machines of the zone on the held list, oldest (lowest seniority) first. */
+  machinesInZone(zone: string): readonly Machine[];
+}
+
+/** Takes the operators' document that the replication holds as accepted. */
+export interface OperatorDocumentSink {
+  /** Adopts and passes on `document` when it is newer than the one held; else changes nothing. */
+  offerOperator(document: VersionedDocument, nowMs: number): ControlEffect[];
+  /** The operators' document in force on this node. */
+  operatorDocument(): VersionedDocument;
+}
