--- a/src/model/merge.ts
+++ b/src/model/merge.ts
@@ -5,13 +5,16 @@
  */
 import type { ConfigurationFault } from './configuration-error.js';
 import { InvalidConfigurationError } from './configuration-error.js';
-import type { VersionedDocument } from './document.js';
+import type { DocumentEntry, VersionedDocument } from './document.js';
 import { resourceKey, resourceSchema, type Resource, type ResourceKey } from './resource.js';
 import { buildSnapshot, findDanglingReferences, referencesOf, type Snapshot } from './snapshot.js';
 
 /** JSON text of an operator entry that deletes a resource of the source. */
 export const DELETED_JSON = 'null';
 
+/** Entries are immutable and kept from version to version, so each is parsed once. */
+const parsedEntries = new WeakMap<DocumentEntry, Resource>();
+
 /** A snapshot and the operator entries that could not be part of it. */
 export interface MergedConfiguration {
   readonly snapshot: Snapshot;
@@ -34,6 +37,16 @@
   return parsed.data;
 }
 
+function parseEntryOnce(entry: DocumentEntry): Resource {
+  const known = parsedEntries.get(entry);
+  if (known !== undefined) {
+    return known;
+  }
+  const resource = parseEntry(entry.key, entry.json);
+  parsedEntries.set(entry, resource);
+  return resource;
+}
+
 /**
  * The snapshot of a pair of documents. Throws {@link InvalidConfigurationError} when the source's
  * document by itself is not valid; an operator entry is never a reason to refuse the source.
@@ -44,7 +57,7 @@
 ): MergedConfiguration {
   const resources = new Map<ResourceKey, Resource>();
   for (const entry of source.entries.values()) {
-    const resource = parseEntry(entry.key, entry.json);
+    const resource = parseEntryOnce(entry);
     resources.set(resourceKey(resource), resource);
   }
   const version = { source: source.version, operator: operator.version };
@@ -71,7 +84,7 @@
     faults = [];
     const remaining: typeof pending = [];
     for (const entry of pending) {
-      const reason = tryApply(resources, entry.key as ResourceKey, entry.json);
+      const reason = tryApply(resources, entry);
       if (reason === undefined) {
         applied = true;
       } else {
@@ -85,25 +98,35 @@
 }
 
 /** Applies one operator entry, or says why it cannot be applied now. */
-function tryApply(
-  resources: Map<ResourceKey, Resource>,
-  key: ResourceKey,
-  json: string,
-): string | undefined {
-  if (json === DELETED_JSON) {
-    const dependant = findDependant(resources, key);
-    if (dependant !== undefined) {
-      return `still referred to by ${dependant}`;
+function tryApply(resources: Map<ResourceKey, Resource>, entry: DocumentEntry): string | undefined {
+  if (entry.json === DELETED_JSON) {
+    return tryDelete(resources, entry.key as ResourceKey);
+  }
+  try {
+    return tryPut(resources, parseEntryOnce(entry));
+  } catch (error) {
+    if (error instanceof InvalidConfigurationError) {
+      return error.message;
     }
-    resources.delete(key);
-    return undefined;
+    throw error;
+  }
+}
+
+function tryDelete(resources: Map<ResourceKey, Resource>, key: ResourceKey): string | undefined {
+  const dependant = findDependant(resources, key);
+  if (dependant !== undefined) {
+    return `still referred to by ${dependant}`;
   }
-  const resource = parseEntry(key, json);
+  resources.delete(key);
+  return undefined;
+}
+
+function tryPut(resources: Map<ResourceKey, Resource>, resource: Resource): string | undefined {
   const missing = referencesOf(resource).find((target) => !resources.has(target));
   if (missing !== undefined) {
     return `refers to missing ${missing}`;
   }
-  resources.set(key, resource);
+  resources.set(resourceKey(resource), resource);
   return undefined;
 }
 
