--- /dev/null
+++ b/test/ci/test-verdict.test.ts
@@ -0,0 +1,85 @@
+import { expect } from 'chai';
+import {
+  judgeTestRun,
+  KnownFailureListError,
+  parseKnownFailures,
+} from '../../tools/ci/test-verdict.js';
+
+const LISTED = { title: 'lease is late', cause: 'clock', issue: 'issue 4' };
+
+describe('test run verdict', () => {
+  const cases = [
+    {
+      name: 'all pass',
+      passed: ['a'],
+      failed: [],
+      known: [],
+      ok: true,
+      last: '1 passed, 0 failed',
+    },
+    { name: 'a failure', passed: ['a'], failed: ['b'], known: [], ok: false },
+    { name: 'a listed failure', passed: ['a'], failed: [LISTED.title], known: [LISTED], ok: true },
+    {
+      name: 'a listed test that passes',
+      passed: [LISTED.title],
+      failed: [],
+      known: [LISTED],
+      ok: false,
+    },
+    {
+      name: 'a listed test that did not run',
+      passed: ['a'],
+      failed: [],
+      known: [LISTED],
+      ok: false,
+    },
+    {
+      name: 'nothing ran',
+      passed: [],
+      failed: [],
+      known: [],
+      ok: false,
+      last: '0 passed, 0 failed',
+    },
+    {
+      name: 'a skipped test',
+      passed: ['a'],
+      failed: [],
+      skipped: ['s'],
+      known: [],
+      ok: true,
+      last: '1 passed, 0 failed, 1 skipped',
+    },
+  ];
+  for (const { name, ok, last, known, skipped = [], ...result } of cases) {
+    it(`${ok ? 'accepts' : 'refuses'} ${name}`, () => {
+      const verdict = judgeTestRun({ ...result, skipped }, known);
+      expect(verdict.ok).to.equal(ok);
+      expect(verdict.lines.at(-1)).to.match(/^\d+ passed, \d+ failed(, \d+ skipped)?$/);
+      if (last !== undefined) {
+        expect(verdict.lines.at(-1)).to.equal(last);
+      }
+    });
+  }
+
+  it('prints listed failures with their cause', () => {
+    const verdict = judgeTestRun({ passed: [], failed: [LISTED.title], skipped: [] }, [LISTED]);
+    expect(verdict.lines[0]).to.equal('known failure: lease is late (clock; issue 4)');
+  });
+});
+
+describe('list of known failures', () => {
+  it('reads one failure a line', () => {
+    expect(parseKnownFailures('\nlease is late | clock | issue 4\n')).to.deep.equal([LISTED]);
+  });
+  const malformed = {
+    'a line of two parts': 'title | cause',
+    'an empty part': 'title | | issue 1',
+    'more than three lines': 'a | b | c\n'.repeat(4),
+  };
+  for (const [name, text] of Object.entries(malformed)) {
+    it(`refuses ${name}`, () => {
+      expect(() => parseKnownFailures(text)).to.throw(KnownFailureListError);
+    });
+  }
+});
