--- /dev/null
+++ b/src/settings/default-settings.ts
@@ -0,0 +1,16 @@
+/** All defaults, as a document that an operator can start from. */
+import { settingsSchema } from './settings.js';
+
+/** Stands in place of each setting that has no default. */
+export const REQUIRED_VALUE = '(required)';
+
+/** Every setting with its default; required ones are marked, optional sections left out. */
+export function defaultSettings(): Record<string, unknown> {
+  const placeholder = {
+    machine: { id: 'id', address: '127.0.0.1', zone: 'zone', region: 'region' },
+    fleetKey: '0'.repeat(16),
+  };
+  const parsed = settingsSchema.parse(placeholder);
+  const required = Object.keys(placeholder.machine).map((name) => [name, REQUIRED_VALUE]);
+  return { ...parsed, machine: Object.fromEntries(required), fleetKey: REQUIRED_VALUE };
+}
