Add the peer protocol's codec

Ruled out: restructure's own String, Array and Struct decoders. String and Buffer come short in silence at the end of the input, Array trusts its count, and Struct keeps a hidden link from every entry to the message around it, so that a stored entry would keep its whole message alive. The field types here check bounds and decode to plain objects.

Change: frames of a 3-byte length, a head byte (3 bits version, 1 bit compressed, 4 bits type) and a payload. Digests as raw bytes, LEB128 numbers up to 2^53 - 1, IPv4 addresses in 5 bytes. The frame reader's memory follows the bytes that arrived.

Shown to fail first: the suite fails with each of these taken out: inflate bound, frame bound, version check, allocation by arrived bytes, trailing-byte check, UTF-8 check, part check, truncation check. Without the early check of a field's length the suite stays green: the check of the payload's end refuses the same input later.

--- /dev/null
+++ b/src/wire/codec.ts
@@ -0,0 +1,134 @@
+/**
+ * Codec of the peer protocol: messages to frames and back. A frame is a three-byte length, a head
+ * (`frame-head.ts`) and a payload laid out as `message-layouts.ts` says, compressed where that pays.
+ */
+import { DecodeStream, EncodeStream, type FieldType } from 'restructure';
+import { FrameError } from './frame-error.js';
+import { decodeHead, encodeHead, HEAD_BYTES } from './frame-head.js';
+import { FrameReader, LENGTH_PREFIX_BYTES, MAX_FRAME_BYTES } from './frame-reader.js';
+import type { PeerMessage } from './message.js';
+import {
+  MESSAGE_LAYOUTS,
+  MESSAGE_TYPE_NUMBERS,
+  MESSAGE_TYPES,
+  type PeerMessageType,
+} from './message-layouts.js';
+import {
+  COMPRESSION_THRESHOLD_BYTES,
+  compressPayload,
+  inflatePayload,
+} from './payload-compression.js';
+
+const FRAME_HEADER_BYTES = LENGTH_PREFIX_BYTES + HEAD_BYTES;
+
+/** The frame of a message. Throws {@link FrameError} `oversized`, or `malformed` for bad values. */
+export function encodeMessage(message: PeerMessage): Buffer {
+  const frame = encodeFrame(
+    MESSAGE_TYPE_NUMBERS[message.type],
+    MESSAGE_LAYOUTS[message.type] as FieldType<PeerMessage>,
+    message,
+  );
+  return isCompressible(message, frame.length) ? compressFrame(frame, message.type) : frame;
+}
+
+/** Bytes of {@link encodeMessage}'s frame; tags and records of the link's protection come on top. */
+export function encodedSize(message: PeerMessage): number {
+  const layout = MESSAGE_LAYOUTS[message.type] as FieldType<PeerMessage>;
+  const plainBytes = FRAME_HEADER_BYTES + layout.size(message);
+  return isCompressible(message, plainBytes) ? encodeMessage(message).length : plainBytes;
+}
+
+/** The message in a frame's body. Throws {@link FrameError}; the body's memory is not kept. */
+export function decodeMessage(body: Uint8Array): PeerMessage {
+  const head = decodeHead(body);
+  const type = MESSAGE_TYPES.find((name) => MESSAGE_TYPE_NUMBERS[name] === head.typeNumber);
+  if (type === undefined) {
+    throw new FrameError('unknown-type', `type number ${head.typeNumber}`);
+  }
+  const payload = body.subarray(HEAD_BYTES);
+  const plain = head.compressed ? inflatePayload(payload) : payload;
+  const layout = MESSAGE_LAYOUTS[type] as FieldType<object>;
+  const message = { type, ...decodeWhole(layout, plain) } as PeerMessage;
+  checkMessage(message);
+  return message;
+}
+
+/** A frame of any layout: length, head and the uncompressed payload. */
+export function encodeFrame<T>(typeNumber: number, layout: FieldType<T>, value: T): Buffer {
+  const bodyBytes = HEAD_BYTES + layout.size(value);
+  if (bodyBytes > MAX_FRAME_BYTES) {
+    throw new FrameError('oversized', `${bodyBytes} bytes, at most ${MAX_FRAME_BYTES}`);
+  }
+  const frame = Buffer.allocUnsafe(LENGTH_PREFIX_BYTES + bodyBytes);
+  writeHeader(frame, encodeHead({ typeNumber, compressed: false }));
+  layout.encode(new EncodeStream(frame.subarray(FRAME_HEADER_BYTES)), value);
+  return frame;
+}
+
+/** The value of a payload that must be used up to its last byte. Throws `malformed`. */
+export function decodeWhole<T>(layout: FieldType<T>, payload: Uint8Array): T {
+  const stream = new DecodeStream(payload);
+  let value: T;
+  try {
+    value = layout.decode(stream);
+  } catch (cause) {
+    if (cause instanceof FrameError) {
+      throw cause;
+    }
+    throw new FrameError('malformed', 'payload ends inside a field', { cause });
+  }
+  if (stream.pos !== stream.length) {
+    throw new FrameError('malformed', `${stream.length - stream.pos} bytes after the last field`);
+  }
+  return value;
+}
+
+/** Messages from a byte stream. After an error the stream can not be read on. */
+export class FrameDecoder {
+  private readonly reader = new FrameReader();
+
+  /** The messages that `chunk` completes. Throws {@link FrameError}. */
+  push(chunk: Buffer): PeerMessage[] {
+    this.reader.push(chunk);
+    const messages: PeerMessage[] = [];
+    for (let body = this.reader.next(); body !== undefined; body = this.reader.next()) {
+      messages.push(decodeMessage(body));
+    }
+    return messages;
+  }
+
+  /** To be called when the stream ends; throws {@link FrameError} `truncated` inside a frame. */
+  finish(): void {
+    this.reader.finish();
+  }
+}
+
+function isCompressible(message: PeerMessage, frameBytes: number): boolean {
+  return (
+    (message.type === 'delta' || message.type === 'snapshot-chunk') &&
+    frameBytes > COMPRESSION_THRESHOLD_BYTES
+  );
+}
+
+function compressFrame(frame: Buffer, type: PeerMessageType): Buffer {
+  const compressed = compressPayload(frame.subarray(FRAME_HEADER_BYTES));
+  if (compressed === undefined) {
+    return frame;
+  }
+  const smaller = Buffer.allocUnsafe(FRAME_HEADER_BYTES + compressed.length);
+  writeHeader(smaller, encodeHead({ typeNumber: MESSAGE_TYPE_NUMBERS[type], compressed: true }));
+  smaller.set(compressed, FRAME_HEADER_BYTES);
+  return smaller;
+}
+
+function writeHeader(frame: Buffer, head: number): void {
+  frame.writeUIntBE(frame.length - LENGTH_PREFIX_BYTES, 0, LENGTH_PREFIX_BYTES);
+  frame[LENGTH_PREFIX_BYTES] = head;
+}
+
+/** Rules that a layout can not express. */
+function checkMessage(message: PeerMessage): void {
+  if (message.type === 'snapshot-chunk' && message.index >= message.count) {
+    throw new FrameError('malformed', `part ${message.index} of ${message.count}`);
+  }
+}
--- /dev/null
+++ b/src/wire/field-types.ts
@@ -0,0 +1,231 @@
+/**
+ * Field types of the peer protocol's layouts, for `restructure`. Every decoder checks its bounds
+ * against the bytes that are there, and throws {@link FrameError} `malformed`.
+ */
+import { isUtf8 } from 'node:buffer';
+import { isIPv4 } from 'node:net';
+import { Struct, type DecodeStream, type EncodeStream, type FieldType } from 'restructure';
+import { FrameError } from './frame-error.js';
+
+/** Longest identity, zone, region or slot, in bytes. */
+export const MAX_SHORT_TEXT_BYTES = 255;
+
+/** Bits of a number that one byte of a varint carries, as a factor. */
+const VARINT_BASE = 128;
+/** Bytes of the varint of the largest safe integer. */
+const MAX_VARINT_BYTES = 8;
+const IPV4_BYTES = 4;
+
+function malformed(detail: string): FrameError {
+  return new FrameError('malformed', detail);
+}
+
+function requireInteger(value: number): void {
+  if (!Number.isSafeInteger(value) || value < 0) {
+    throw malformed(`${value} is not a safe integer from 0`);
+  }
+}
+
+function readBytes(stream: DecodeStream, length: number): Buffer {
+  if (length > stream.length - stream.pos) {
+    throw malformed(`${length} bytes announced, ${stream.length - stream.pos} left`);
+  }
+  const bytes = stream.buffer.subarray(stream.pos, stream.pos + length);
+  stream.pos += length;
+  return Buffer.from(bytes.buffer, bytes.byteOffset, length);
+}
+
+/** Integer from 0 to 2^53 - 1, seven bits a byte, lowest first (LEB128). */
+export const varint: FieldType<number> = {
+  size(value) {
+    requireInteger(value);
+    let bytes = 1;
+    for (let rest = value; rest >= VARINT_BASE; rest = Math.floor(rest / VARINT_BASE)) {
+      bytes += 1;
+    }
+    return bytes;
+  },
+  encode(stream, value) {
+    requireInteger(value);
+    let rest = value;
+    while (rest >= VARINT_BASE) {
+      stream.writeUInt8((rest % VARINT_BASE) + VARINT_BASE);
+      rest = Math.floor(rest / VARINT_BASE);
+    }
+    stream.writeUInt8(rest);
+  },
+  decode(stream) {
+    let value = 0;
+    let factor = 1;
+    for (let count = 0; count < MAX_VARINT_BYTES; count += 1) {
+      const byte = stream.readUInt8();
+      value += (byte % VARINT_BASE) * factor;
+      if (byte < VARINT_BASE) {
+        requireInteger(value);
+        return value;
+      }
+      factor *= VARINT_BASE;
+    }
+    throw malformed(`number longer than ${MAX_VARINT_BYTES} bytes`);
+  },
+};
+
+/** A duration in milliseconds; fractions are rounded up, so that a wait is never shortened. */
+export const durationMs: FieldType<number> = {
+  size: (value) => varint.size(Math.ceil(value)),
+  encode: (stream, value) => {
+    varint.encode(stream, Math.ceil(value));
+  },
+  decode: (stream) => varint.decode(stream),
+};
+
+/** UTF-8 text under its length in bytes, which is at most `maxBytes`. */
+export function text(maxBytes: number): FieldType<string> {
+  function lengthOf(value: string): number {
+    const length = Buffer.byteLength(value);
+    if (length > maxBytes) {
+      throw malformed(`text of ${length} bytes, at most ${maxBytes}`);
+    }
+    return length;
+  }
+  return {
+    size(value) {
+      const length = lengthOf(value);
+      return varint.size(length) + length;
+    },
+    encode(stream, value) {
+      varint.encode(stream, lengthOf(value));
+      writeText(stream, value);
+    },
+    decode: (stream) => readText(stream, varint.decode(stream), maxBytes),
+  };
+}
+
+function writeText(stream: EncodeStream, value: string): void {
+  const { buffer } = stream;
+  const target = Buffer.from(buffer.buffer, buffer.byteOffset, buffer.byteLength);
+  stream.pos += target.write(value, stream.pos);
+}
+
+function readText(stream: DecodeStream, length: number, maxBytes: number): string {
+  if (length > maxBytes) {
+    throw malformed(`text of ${length} bytes, at most ${maxBytes}`);
+  }
+  const bytes = readBytes(stream, length);
+  if (!isUtf8(bytes)) {
+    throw malformed('text is not UTF-8');
+  }
+  return bytes.toString('utf8');
+}
+
+/** An IPv4 address in five bytes; any other text as itself. A length of 0 stands for IPv4. */
+export const ipAddress: FieldType<string> = {
+  size: (value) => (isCanonicalIpv4(value) ? 1 + IPV4_BYTES : shortText.size(value)),
+  encode(stream, value) {
+    if (!isCanonicalIpv4(value)) {
+      if (value === '') {
+        throw malformed('empty address');
+      }
+      shortText.encode(stream, value);
+      return;
+    }
+    varint.encode(stream, 0);
+    stream.writeBuffer(Buffer.from(value.split('.').map(Number)));
+  },
+  decode(stream) {
+    const length = varint.decode(stream);
+    if (length === 0) {
+      return readBytes(stream, IPV4_BYTES).join('.');
+    }
+    return readText(stream, length, MAX_SHORT_TEXT_BYTES);
+  },
+};
+
+function isCanonicalIpv4(value: string): boolean {
+  return isIPv4(value) && value.split('.').map(Number).join('.') === value;
+}
+
+/** Text of an identity, a zone, a region or a slot. */
+export const shortText: FieldType<string> = text(MAX_SHORT_TEXT_BYTES);
+
+/** A digest of `length` bytes, in lower-case hexadecimal digits to the program. */
+export function hexDigest(length: number): FieldType<string> {
+  return {
+    size: () => length,
+    encode(stream, value) {
+      const bytes = Buffer.from(value, 'hex');
+      if (bytes.length !== length || value.length !== length * 2) {
+        throw malformed(`digest is not ${length * 2} hexadecimal digits`);
+      }
+      stream.writeBuffer(bytes);
+    },
+    decode: (stream) => readBytes(stream, length).toString('hex'),
+  };
+}
+
+/** Raw bytes of a fixed length. */
+export function fixedBytes(length: number): FieldType<Buffer> {
+  return {
+    size: () => length,
+    encode(stream, value) {
+      if (value.length !== length) {
+        throw malformed(`${value.length} bytes in place of ${length}`);
+      }
+      stream.writeBuffer(value);
+    },
+    decode: (stream) => Buffer.from(readBytes(stream, length)),
+  };
+}
+
+/** One of a few values, as its position in `values`; positions must never change. */
+export function oneOf<T extends string | boolean>(values: readonly T[]): FieldType<T> {
+  return {
+    size: () => 1,
+    encode(stream, value) {
+      const position = values.indexOf(value);
+      if (position < 0) {
+        throw malformed(`${value} is not one of ${values.join(', ')}`);
+      }
+      stream.writeUInt8(position);
+    },
+    decode(stream) {
+      const value = values[stream.readUInt8()];
+      if (value === undefined) {
+        throw malformed(`expected one of ${values.join(', ')}`);
+      }
+      return value;
+    },
+  };
+}
+
+/** Items under their count; the count must fit the bytes that are left. */
+export function list<T>(item: FieldType<T>): FieldType<readonly T[]> {
+  return {
+    size: (values) =>
+      values.reduce((sum, value) => sum + item.size(value), varint.size(values.length)),
+    encode(stream, values) {
+      varint.encode(stream, values.length);
+      for (const value of values) {
+        item.encode(stream, value);
+      }
+    },
+    decode(stream) {
+      const count = varint.decode(stream);
+      if (count > stream.length - stream.pos) {
+        throw malformed(`${count} items announced, ${stream.length - stream.pos} bytes left`);
+      }
+      const values: T[] = [];
+      while (values.length < count) {
+        values.push(item.decode(stream));
+      }
+      return values;
+    },
+  };
+}
+
+/** A struct that decodes to a plain object, without the library's hidden link to its parent. */
+export class PlainStruct<T extends object> extends Struct<T> {
+  override decode(stream: DecodeStream, context?: unknown): T {
+    return { ...super.decode(stream, context) };
+  }
+}
--- /dev/null
+++ b/src/wire/message-layouts.ts
@@ -0,0 +1,129 @@
+/** Binary layouts of the peer protocol's messages, one for each type, in the order of the fields. */
+import type { FieldType } from 'restructure';
+import { uint16 } from 'restructure';
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import type { DocumentEntry } from '../model/document.js';
+import type { DocumentVersion } from '../model/version.js';
+import {
+  durationMs,
+  hexDigest,
+  ipAddress,
+  list,
+  oneOf,
+  PlainStruct,
+  shortText,
+  text,
+  varint,
+} from './field-types.js';
+import { MAX_FRAME_BYTES } from './frame-reader.js';
+import {
+  DOCUMENT_NAMES,
+  type HeldVersions,
+  type MemberStatus,
+  type MemberUpdate,
+  type PeerMessage,
+} from './message.js';
+
+/** Bytes of a digest of one document. */
+const DOCUMENT_DIGEST_BYTES = 16;
+/** Bytes of the digest of all held versions, in a heartbeat. */
+const VERSIONS_DIGEST_BYTES = 8;
+/** Positions on the wire; append only. */
+const MEMBER_STATUSES: readonly MemberStatus[] = ['alive', 'suspect', 'dead', 'leaving'];
+
+/** The names of the messages. */
+export type PeerMessageType = PeerMessage['type'];
+
+/** A message of one type without the type, which travels in the frame's head. */
+export type MessageBody<T extends PeerMessageType> = Omit<
+  Extract<PeerMessage, { type: T }>,
+  'type'
+>;
+
+const longText = text(MAX_FRAME_BYTES);
+const documentName = oneOf(DOCUMENT_NAMES);
+
+const documentVersion = new PlainStruct<DocumentVersion>({
+  number: varint,
+  digest: hexDigest(DOCUMENT_DIGEST_BYTES),
+});
+
+const heldVersions = new PlainStruct<HeldVersions>({
+  source: documentVersion,
+  operator: documentVersion,
+  machines: documentVersion,
+});
+
+const documentEntry = new PlainStruct<DocumentEntry>({
+  key: longText,
+  json: longText,
+  changedAt: varint,
+});
+
+/** Layout of an identity; the handshake's proofs cover exactly these bytes. */
+export const peerIdentityLayout = new PlainStruct<PeerIdentity>({
+  id: shortText,
+  incarnation: varint,
+  address: ipAddress,
+  controlPort: uint16,
+  relayPort: uint16,
+  zone: shortText,
+  region: shortText,
+});
+
+const memberUpdate = new PlainStruct<MemberUpdate>({
+  member: peerIdentityLayout,
+  status: oneOf(MEMBER_STATUSES),
+});
+
+/** Layouts by type. */
+export const MESSAGE_LAYOUTS: {
+  readonly [T in PeerMessageType]: FieldType<MessageBody<T>>;
+} = {
+  heartbeat: new PlainStruct({ versionsDigest: hexDigest(VERSIONS_DIGEST_BYTES) }),
+  versions: new PlainStruct({ versions: heldVersions }),
+  fetch: new PlainStruct({ document: documentName, have: documentVersion }),
+  delta: new PlainStruct({
+    document: documentName,
+    from: documentVersion,
+    to: documentVersion,
+    upserts: list(documentEntry),
+    removals: list(longText),
+  }),
+  'snapshot-chunk': new PlainStruct({
+    document: documentName,
+    version: documentVersion,
+    index: varint,
+    count: varint,
+    entries: list(documentEntry),
+  }),
+  'fetch-refused': new PlainStruct({ document: documentName, retryAfterMs: durationMs }),
+  members: new PlainStruct({ updates: list(memberUpdate) }),
+  'lease-request': new PlainStruct({ slot: shortText, round: varint, durationMs }),
+  'lease-answer': new PlainStruct({
+    slot: shortText,
+    round: varint,
+    granted: oneOf([false, true]),
+    retryAfterMs: durationMs,
+  }),
+  'lease-release': new PlainStruct({ slot: shortText }),
+  rejection: new PlainStruct({ version: documentVersion, reason: longText }),
+};
+
+/** Type numbers on the wire, from 0 to 11; a number is never given to another type. */
+export const MESSAGE_TYPE_NUMBERS: Readonly<Record<PeerMessageType, number>> = {
+  heartbeat: 0,
+  versions: 1,
+  fetch: 2,
+  delta: 3,
+  'snapshot-chunk': 4,
+  'fetch-refused': 5,
+  members: 6,
+  'lease-request': 7,
+  'lease-answer': 8,
+  'lease-release': 9,
+  rejection: 10,
+};
+
+/** Every type of message. */
+export const MESSAGE_TYPES = Object.keys(MESSAGE_TYPE_NUMBERS) as readonly PeerMessageType[];
--- /dev/null
+++ b/test/wire/codec.test.ts
@@ -0,0 +1,207 @@
+import { deflateRawSync, inflateRawSync } from 'node:zlib';
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { decodeMessage, encodedSize, encodeMessage, FrameDecoder } from '../../src/wire/codec.js';
+import { FrameError, type FrameErrorCode } from '../../src/wire/frame-error.js';
+import { encodeHead } from '../../src/wire/frame-head.js';
+import { FrameReader, MAX_FRAME_BYTES } from '../../src/wire/frame-reader.js';
+import type { PeerMessage } from '../../src/wire/message.js';
+import { MESSAGE_TYPE_NUMBERS, MESSAGE_TYPES } from '../../src/wire/message-layouts.js';
+import { arbitraryMessage, HEARTBEAT, sampleChunk } from './message-arbitraries.js';
+
+const PROPERTY = { seed: 4_711, numRuns: 100 };
+
+function errorCode(action: () => unknown): FrameErrorCode | undefined {
+  try {
+    action();
+    return undefined;
+  } catch (error) {
+    if (error instanceof FrameError) {
+      return error.code;
+    }
+    throw error;
+  }
+}
+
+function frame(body: Buffer): Buffer {
+  const prefix = Buffer.alloc(3);
+  prefix.writeUIntBE(body.length, 0, 3);
+  return Buffer.concat([prefix, body]);
+}
+
+function head(type: number, compressed = false): Buffer {
+  return Buffer.from([encodeHead({ typeNumber: type, compressed })]);
+}
+
+function bodyOf(message: PeerMessage): Buffer {
+  return Buffer.from(encodeMessage(message).subarray(3));
+}
+
+describe('codec', () => {
+  for (const type of MESSAGE_TYPES) {
+    it(`gives back every ${type}, whole and cut anywhere, and knows its size`, () => {
+      fc.assert(
+        fc.property(arbitraryMessage(type), fc.infiniteStream(fc.nat(400)), (message, cuts) => {
+          const bytes = encodeMessage(message);
+          expect(encodedSize(message)).to.equal(bytes.length);
+          expect(decodeMessage(bytes.subarray(3))).to.deep.equal(message);
+          expect(decodeInPieces(Buffer.concat([bytes, bytes]), cuts)).to.deep.equal([
+            message,
+            message,
+          ]);
+        }),
+        PROPERTY,
+      );
+    });
+  }
+
+  it('never fails otherwise than by a FrameError, whatever the bytes', () => {
+    const damaged = fc
+      .tuple(fc.constantFrom(...MESSAGE_TYPES), fc.context())
+      .chain(([type]) => fc.tuple(arbitraryMessage(type), fc.nat(200), fc.nat(255)));
+    fc.assert(
+      fc.property(damaged, fc.uint8Array({ maxLength: 60 }), ([message, at, byte], noise) => {
+        const body = bodyOf(message);
+        body[at % body.length] = byte;
+        errorCode(() => decodeMessage(body));
+        errorCode(() => decodeMessage(body.subarray(0, at % body.length)));
+        errorCode(() => new FrameDecoder().push(Buffer.from(noise)));
+      }),
+      { ...PROPERTY, numRuns: 2_000 },
+    );
+  });
+
+  it('sends a heartbeat in 12 bytes', () => {
+    expect(encodeMessage(HEARTBEAT)).to.have.length(12);
+  });
+
+  it('compresses a large snapshot part', () => {
+    const plain = bodyOf({ ...sampleChunk(1), entries: [] } as PeerMessage);
+    const large = sampleChunk(100);
+    expect(plain[0]).to.equal(head(4)[0]);
+    expect(bodyOf(large)[0]).to.equal(head(4, true)[0]);
+    expect(encodedSize(large) * 4).to.be.below(JSON.stringify(large).length);
+  });
+
+  it('rounds a fraction of a millisecond up', () => {
+    const refusal = { type: 'fetch-refused', document: 'source', retryAfterMs: 1.2 } as const;
+    expect(decodeMessage(bodyOf(refusal))).to.deep.equal({ ...refusal, retryAfterMs: 2 });
+  });
+
+  const bomb = deflateRawSync(Buffer.alloc(MAX_FRAME_BYTES + 1));
+  const invalidUtf8 = Buffer.from([1, 0xff]);
+  const longNumber = Buffer.alloc(9, 0xff);
+  const unsafeNumber = Buffer.from([0, ...Buffer.alloc(7, 0xff), 0x7f]);
+  const identity = { id: 'a', incarnation: 1, address: '10.0.0.1', zone: 'z', region: 'r' };
+  const members: PeerMessage = {
+    type: 'members',
+    updates: [{ member: { ...identity, controlPort: 1, relayPort: 2 }, status: 'alive' }],
+  };
+  const badStatus = bodyOf(members);
+  badStatus[badStatus.length - 1] = 9;
+  const swappedPart = { ...sampleChunk(0), index: 0, count: 1 } as PeerMessage;
+  const badPart = bodyOf(swappedPart);
+  badPart[badPart.length - 3] = 1;
+
+  const faults: readonly [string, Buffer, FrameErrorCode][] = [
+    ['text of another protocol', Buffer.from('GET / HTTP/1.1\r\n\r\n'), 'oversized'],
+    ['frame one byte over the limit', Buffer.from([0x10, 0x00, 0x01]), 'oversized'],
+    ['longest possible length', Buffer.alloc(64, 0xff), 'oversized'],
+    ['empty frame', Buffer.alloc(3), 'malformed'],
+    ['version 0', frame(Buffer.from([0x00])), 'wrong-version'],
+    ['next version', frame(Buffer.from([0x40, ...Buffer.alloc(8)])), 'wrong-version'],
+    ['type without a message', frame(head(11)), 'unknown-type'],
+    ['last type number', frame(head(15)), 'unknown-type'],
+    ['payload cut short', frame(bodyOf(HEARTBEAT).subarray(0, 5)), 'malformed'],
+    ['payload too long', frame(Buffer.concat([bodyOf(HEARTBEAT), head(0)])), 'malformed'],
+    ['more items than bytes', frame(Buffer.concat([head(6), longNumber.fill(0x7f)])), 'malformed'],
+    ['number of nine bytes', frame(Buffer.concat([head(5), Buffer.alloc(10, 0x80)])), 'malformed'],
+    ['number above 2^53', frame(Buffer.concat([head(5), unsafeNumber])), 'malformed'],
+    ['text that is not UTF-8', frame(Buffer.concat([head(9), invalidUtf8])), 'malformed'],
+    ['unknown document', frame(Buffer.concat([head(5), Buffer.from([3, 0])])), 'malformed'],
+    ['unknown status', frame(badStatus), 'malformed'],
+    ['part beyond the count', frame(badPart), 'malformed'],
+    ['broken compression', frame(Buffer.concat([head(3, true), longNumber])), 'malformed'],
+    ['inflated over the limit', frame(Buffer.concat([head(3, true), bomb])), 'inflated-oversized'],
+  ];
+  for (const [name, bytes, code] of faults) {
+    it(`refuses: ${name}`, () => {
+      expect(errorCode(() => new FrameDecoder().push(bytes))).to.equal(code);
+    });
+  }
+
+  it('tells a stream that ends inside a frame', () => {
+    const whole = encodeMessage(HEARTBEAT);
+    for (let length = 0; length <= whole.length; length += 1) {
+      const decoder = new FrameDecoder();
+      decoder.push(whole.subarray(0, length));
+      const expected = length % whole.length === 0 ? undefined : 'truncated';
+      expect(
+        errorCode(() => {
+          decoder.finish();
+        }),
+      ).to.equal(expected);
+    }
+  });
+
+  const unencodable: readonly [string, PeerMessage, FrameErrorCode][] = [
+    ['too large', bigRejection(MAX_FRAME_BYTES), 'oversized'],
+    [
+      'negative number',
+      { type: 'lease-request', slot: 's', round: -1, durationMs: 1 },
+      'malformed',
+    ],
+    [
+      'endless wait',
+      { type: 'lease-request', slot: 's', round: 1, durationMs: Infinity },
+      'malformed',
+    ],
+    ['bad digest', { type: 'heartbeat', versionsDigest: 'xyz' }, 'malformed'],
+    ['long slot', { type: 'lease-release', slot: 's'.repeat(256) }, 'malformed'],
+  ];
+  for (const [name, message, code] of unencodable) {
+    it(`does not encode: ${name}`, () => {
+      expect(errorCode(() => encodeMessage(message))).to.equal(code);
+    });
+  }
+
+  it('needs the bound on inflating: without it the bomb gives more than a frame may hold', () => {
+    expect(inflateRawSync(bomb).length).to.be.above(MAX_FRAME_BYTES);
+    expect(bomb.length).to.be.below(MAX_FRAME_BYTES / 500);
+  });
+
+  it('keeps memory to what arrived when a long frame is announced', () => {
+    const before = process.memoryUsage().arrayBuffers;
+    const readers = Array.from({ length: 200 }, () => {
+      const reader = new FrameReader();
+      reader.push(Buffer.from([0x10, 0x00, 0x00]));
+      reader.push(Buffer.from([0x20]));
+      expect(reader.next()).to.equal(undefined);
+      return reader;
+    });
+    const grown = process.memoryUsage().arrayBuffers - before;
+    expect(grown).to.be.below(readers.length * 1_024);
+  });
+});
+
+function bigRejection(length: number): PeerMessage {
+  return {
+    type: 'rejection',
+    version: { number: 1, digest: '0'.repeat(32) },
+    reason: 'x'.repeat(length),
+  };
+}
+
+function decodeInPieces(bytes: Buffer, cuts: Iterator<number>): PeerMessage[] {
+  const decoder = new FrameDecoder();
+  const messages: PeerMessage[] = [];
+  let start = 0;
+  while (start < bytes.length) {
+    const end = start + 1 + Number(cuts.next().value);
+    messages.push(...decoder.push(Buffer.from(bytes.subarray(start, end))));
+    start = end;
+  }
+  decoder.finish();
+  expect(MESSAGE_TYPE_NUMBERS).to.have.any.keys(...messages.map((message) => message.type));
+  return messages;
+}
