--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -131,10 +131,10 @@
   maxBodyBytes: sizeBytes.default(65_536),
   /** Watches open at once. */
   maxWatchers: count.default(64),
-  /** Changes remembered for watches that resume. */
+  /** Changes remembered for watches; a watcher that falls further behind is dropped. */
   watchHistoryEvents: count.default(10_000),
-  /** Unsent data of one watch; a slower watcher is dropped. */
-  watcherBufferBytes: sizeBytes.default(1_048_576),
+  /** Size of the remembered changes. */
+  watchHistoryBytes: sizeBytes.default(16_777_216),
   /** Time that a write may wait for acceptance. */
   writeTimeoutMs: intervalMs.default(5_000),
 });
