Read the platform over one short connection at a time

Cause: nodes need the configuration and the machine list from a service that can only be read and that counts open connections as readers. Ruled out: a kept-alive connection. A process that is frozen or cut off between two reads would keep counting as a reader after its lease has passed on. Change: an adapter that serialises reads, each with a time limit that is checked again when the connection is up, since after a long stop the connection event can come before the timer. Answers are read whole, bounded, and judged by a pure function; a malformed text is never quoted, as it may hold a secret. Shown: 25 tests.

--- /dev/null
+++ b/test/source/platform-client.test.ts
@@ -0,0 +1,269 @@
+import { once } from 'node:events';
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import type { PlatformAnswer, PlatformDocument } from '../../src/control/control-event.js';
+import { MAX_RETRY_AFTER_MS } from '../../src/source/platform-answer.js';
+import { PlatformClient, type PlatformClientOptions } from '../../src/source/platform-client.js';
+
+type Handler = (request: IncomingMessage, response: ServerResponse) => void;
+
+const MAX_TEST_ANSWER_BYTES = 4_096;
+const LONG_MS = 30_000;
+const service = { kind: 'service', name: 'tiles', spec: {} };
+const danglingRoute = {
+  kind: 'route',
+  name: 'map',
+  spec: { pathPrefix: '/', service: 'absent' },
+};
+const machine = {
+  id: 'm1',
+  address: '10.0.0.1',
+  controlPort: 1,
+  relayPort: 2,
+  zone: 'a',
+  region: 'r',
+  seniority: 1,
+  state: 'live',
+};
+
+function sending(status: number, body: unknown, headers: Record<string, string> = {}): Handler {
+  const text = typeof body === 'string' ? body : JSON.stringify(body);
+  return (_request, response) => response.writeHead(status, headers).end(text);
+}
+
+/** A platform with one handler, which records its open connections. */
+class TestPlatform {
+  openConnections = 0;
+  mostConnections = 0;
+  requests = 0;
+  private constructor(private readonly server: Server) {}
+
+  static async start(handler: Handler): Promise<TestPlatform> {
+    const server = createServer(handler);
+    const platform = new TestPlatform(server);
+    server.on('request', () => (platform.requests += 1));
+    server.on('connection', (socket) => {
+      platform.openConnections += 1;
+      platform.mostConnections = Math.max(platform.mostConnections, platform.openConnections);
+      socket.once('close', () => (platform.openConnections -= 1));
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    return platform;
+  }
+
+  client(options: Partial<PlatformClientOptions> = {}): PlatformClient {
+    const origin = `http://127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    return new PlatformClient({
+      configurationUrl: `${origin}/configuration`,
+      machinesUrl: `${origin}/machines`,
+      maxAnswerBytes: MAX_TEST_ANSWER_BYTES,
+      ...options,
+    });
+  }
+
+  async stop(): Promise<void> {
+    this.server.closeAllConnections();
+    this.server.close();
+    await once(this.server, 'close');
+  }
+}
+
+interface AnswerCase {
+  readonly name: string;
+  readonly handler: Handler;
+  readonly document?: PlatformDocument;
+  readonly known?: number;
+  /** Outcome, number and first fault's path, as far as the answer has them. */
+  readonly expected: readonly unknown[];
+}
+
+const UNAVAILABLE = ['unavailable', undefined, undefined];
+const cases: readonly AnswerCase[] = [
+  {
+    name: 'a document',
+    handler: sending(200, { version: 7, resources: [service] }),
+    expected: ['document', 7, undefined],
+  },
+  {
+    name: 'a machine list',
+    document: 'machines',
+    handler: sending(200, { version: 3, machines: [machine] }),
+    expected: ['document', 3, undefined],
+  },
+  {
+    name: 'a machine twice',
+    document: 'machines',
+    handler: sending(200, { version: 3, machines: [machine, machine] }),
+    expected: ['invalid', 3, 'machine/m1'],
+  },
+  {
+    name: 'a bad machine',
+    document: 'machines',
+    handler: sending(200, { version: 3, machines: [{ ...machine, address: 'host' }] }),
+    expected: ['invalid', 3, 'machines.0.address'],
+  },
+  {
+    name: '304',
+    known: 4,
+    handler: sending(304, ''),
+    expected: ['not-modified', undefined, undefined],
+  },
+  { name: '304 to an unconditional read', handler: sending(304, ''), expected: UNAVAILABLE },
+  {
+    name: 'a dangling route',
+    handler: sending(200, { version: 8, resources: [danglingRoute] }),
+    expected: ['invalid', 8, 'route/map'],
+  },
+  {
+    name: 'an unknown key',
+    handler: sending(200, { version: 8, resources: [], extra: 1 }),
+    expected: ['invalid', 8, ''],
+  },
+  {
+    name: 'malformed JSON',
+    handler: sending(200, '{"version":'),
+    expected: ['invalid', 0, 'body'],
+  },
+  { name: 'JSON null', handler: sending(200, 'null'), expected: ['invalid', 0, ''] },
+  {
+    name: 'an oversized answer',
+    handler: sending(200, ' '.repeat(MAX_TEST_ANSWER_BYTES + 1)),
+    expected: ['invalid', 0, 'body'],
+  },
+  {
+    name: '503 with Retry-After',
+    handler: sending(503, '', { 'retry-after': '2' }),
+    expected: ['unavailable', 2_000, undefined],
+  },
+  {
+    name: '503 with an absurd Retry-After',
+    handler: sending(503, '', { 'retry-after': '99999999' }),
+    expected: ['unavailable', MAX_RETRY_AFTER_MS, undefined],
+  },
+  {
+    name: '503 with a malformed Retry-After',
+    handler: sending(503, '', { 'retry-after': 'soon' }),
+    expected: UNAVAILABLE,
+  },
+  { name: '500', handler: sending(500, 'x'), expected: UNAVAILABLE },
+  { name: 'a reset before the answer', handler: (r) => r.socket.destroy(), expected: UNAVAILABLE },
+  {
+    name: 'a body cut short',
+    handler: (_request, response) => {
+      response.writeHead(200, { 'content-length': '100' });
+      response.write('{"version":1,"resources":[]}');
+      setImmediate(() => response.destroy());
+    },
+    expected: UNAVAILABLE,
+  },
+  {
+    name: 'bytes that are no HTTP',
+    handler: (request) => request.socket.end('garbage\r\n\r\n'),
+    expected: UNAVAILABLE,
+  },
+];
+
+function summary(answer: PlatformAnswer): unknown[] {
+  switch (answer.outcome) {
+    case 'document':
+      return [answer.outcome, answer.number, undefined];
+    case 'invalid':
+      return [answer.outcome, answer.number, answer.faults[0]?.path];
+    case 'unavailable':
+      return [answer.outcome, answer.retryAfterMs, undefined];
+    case 'not-modified':
+      return [answer.outcome, undefined, undefined];
+  }
+}
+
+describe('platform client', () => {
+  for (const { name, handler, document, known, expected } of cases) {
+    it(`reads ${name}`, async () => {
+      const platform = await TestPlatform.start(handler);
+      const answer = await platform.client().read(document ?? 'source', known ?? 0, LONG_MS);
+      expect(summary(answer)).to.deep.equal(expected);
+      await platform.stop();
+    });
+  }
+
+  it('asks conditionally, at the URL of the document', async () => {
+    const seen: unknown[] = [];
+    const platform = await TestPlatform.start((request, response) => {
+      seen.push([request.url, request.headers['if-none-match']]);
+      response.writeHead(304).end();
+    });
+    const client = platform.client();
+    await client.read('source', 12, LONG_MS);
+    await client.read('machines', 0, LONG_MS);
+    expect(seen).to.deep.equal([
+      ['/configuration', '"12"'],
+      ['/machines', undefined],
+    ]);
+    await platform.stop();
+  });
+
+  it('never quotes the text of a malformed answer', async () => {
+    const platform = await TestPlatform.start(sending(200, 'hunter2 {'));
+    const answer = await platform.client().read('source', 0, LONG_MS);
+    expect(JSON.stringify(answer)).to.not.contain('hunter2');
+    await platform.stop();
+  });
+
+  it('opens one connection at a time, and keeps none', async () => {
+    const platform = await TestPlatform.start(sending(200, { version: 1, resources: [] }));
+    const client = platform.client();
+    const reads = Array.from({ length: 5 }, () => client.read('source', 0, LONG_MS));
+    const answers = await Promise.all(reads);
+    expect(answers.map((answer) => answer.outcome)).to.deep.equal(Array(5).fill('document'));
+    expect(platform.mostConnections).to.equal(1);
+    await platform.stop();
+  });
+
+  it('abandons a read at its time limit', async () => {
+    const platform = await TestPlatform.start(() => undefined);
+    const answer = await platform.client().read('source', 0, 50);
+    expect(answer.outcome).to.equal('unavailable');
+    await platform.stop();
+  });
+
+  it('close() ends the read that runs and those that wait; a later read works', async () => {
+    let hanging = true;
+    const platform = await TestPlatform.start((request, response) => {
+      if (hanging) {
+        client.close();
+        return;
+      }
+      sending(200, { version: 1, resources: [] })(request, response);
+    });
+    const client = platform.client();
+    const answers = await Promise.all([
+      client.read('source', 0, LONG_MS),
+      client.read('machines', 0, LONG_MS),
+    ]);
+    expect(answers.map((answer) => answer.outcome)).to.deep.equal(['unavailable', 'unavailable']);
+    expect(platform.requests).to.equal(1);
+    hanging = false;
+    expect((await client.read('source', 0, LONG_MS)).outcome).to.equal('document');
+    await platform.stop();
+  });
+
+  it('sends nothing when the time limit passed while the process was stopped', async () => {
+    const platform = await TestPlatform.start(sending(200, { version: 1, resources: [] }));
+    // The clock jumps after the request was made and before its connection is up.
+    const times = [0, 1];
+    const client = platform.client({ now: () => times.shift() ?? LONG_MS });
+    const answer = await client.read('source', 0, LONG_MS);
+    expect(answer.outcome).to.equal('unavailable');
+    expect(platform.requests).to.equal(0);
+    await platform.stop();
+  });
+
+  it('answers unavailable when nothing listens', async () => {
+    const platform = await TestPlatform.start(sending(200, ''));
+    const client = platform.client();
+    await platform.stop();
+    expect((await client.read('source', 0, LONG_MS)).outcome).to.equal('unavailable');
+  });
+});
