Carry the version of each entry's change with the entry

Cause: a write's precondition names the version at which the resource last changed. A node that caught up by a delta stamped every entry with the delta's newest number, and one that assembled parts would too, so two nodes told different versions of the same resource. Ruled out: a hash of the content as the version; it would tell of a secret's value in lists. Change: a delta's entries keep their own changedAt when applied; VersionedDocument.fromEntries does the same for a whole document. Keys under meta/ in the operators' document are no resources and are left out of the merge, for the voter configuration that travels with the document.

--- a/src/model/document.ts
+++ b/src/model/document.ts
@@ -14,7 +14,11 @@
 export interface DocumentEntry {
   readonly key: string;
   readonly json: string;
-  /** Version number at which this text was first held, or a later one. */
+  /**
+   * Version number at which this text was first held, or a later one. It travels with the entry, so
+   * that of a document with one writer (`operator`) it is the same on every node: the version of the
+   * resource that a write's precondition names.
+   */
   readonly changedAt: number;
 }
 
@@ -63,6 +67,17 @@
     return new VersionedDocument({ number, digest: digest.hex() }, entries, [], number);
   }
 
+  /** The document that a peer holds under `number`, from its entries; `changedAt` is kept. */
+  static fromEntries(number: number, entries: readonly DocumentEntry[]): VersionedDocument {
+    const byKey = new Map<string, DocumentEntry>();
+    const digest = new DigestAccumulator();
+    for (const entry of entries) {
+      byKey.set(entry.key, entry);
+      digest.toggle(entry.key, entry.json);
+    }
+    return new VersionedDocument({ number, digest: digest.hex() }, byKey, [], number);
+  }
+
   /**
    * The successor with whole content `values` under `number`: unchanged entries keep the version at
    * which they changed, so that the successor can serve deltas.
@@ -78,8 +93,17 @@
     return this.change(number, upserts, removals);
   }
 
-  /** The successor after `upserts` and `removals`, under `number`. */
+  /** The successor after `upserts`, all changed at `number`, and `removals`, under `number`. */
   change(
+    number: number,
+    upserts: readonly Pick<DocumentEntry, 'key' | 'json'>[],
+    removals: readonly string[],
+  ): VersionedDocument {
+    const stamped = upserts.map(({ key, json }) => ({ key, json, changedAt: number }));
+    return this.successor(number, stamped, removals);
+  }
+
+  private successor(
     number: number,
     upserts: readonly DocumentEntry[],
     removals: readonly string[],
@@ -93,7 +117,7 @@
     for (const entry of upserts) {
       toggleExisting(entries.get(entry.key), digest);
       digest.toggle(entry.key, entry.json);
-      entries.set(entry.key, { ...entry, changedAt: number });
+      entries.set(entry.key, entry);
     }
     const { tombstones, historyFrom } = this.tombstonesAfter(number, upserts, removals);
     return new VersionedDocument(
@@ -118,7 +142,7 @@
 
   /** Applies a delta; throws {@link DeltaMismatchError} when the result is not what it promises. */
   apply(delta: DocumentDelta): VersionedDocument {
-    const changed = this.change(delta.to.number, delta.upserts, delta.removals);
+    const changed = this.successor(delta.to.number, delta.upserts, delta.removals);
     if (changed.version.digest !== delta.to.digest) {
       throw new DeltaMismatchError(
         `delta ${delta.from.number}..${delta.to.number} does not give digest ${delta.to.digest}`,
--- a/src/model/merge.ts
+++ b/src/model/merge.ts
@@ -15,6 +15,14 @@
 /** Entries are immutable and kept from version to version, so each is parsed once. */
 const parsedEntries = new WeakMap<DocumentEntry, Resource>();
 
+/** Keys of the operators' document with this prefix are not resources, and not part of a snapshot. */
+export const RESERVED_KEY_PREFIX = 'meta/';
+
+/** Whether a key of the operators' document names a resource. */
+export function isResourceKey(key: string): key is ResourceKey {
+  return !key.startsWith(RESERVED_KEY_PREFIX);
+}
+
 /** A snapshot and the operator entries that could not be part of it. */
 export interface MergedConfiguration {
   readonly snapshot: Snapshot;
@@ -74,9 +82,9 @@
   resources: Map<ResourceKey, Resource>,
   operator: VersionedDocument,
 ): ConfigurationFault[] {
-  let pending = [...operator.entries.values()].sort((left, right) =>
-    left.key < right.key ? -1 : 1,
-  );
+  let pending = [...operator.entries.values()]
+    .filter((entry) => isResourceKey(entry.key))
+    .sort((left, right) => (left.key < right.key ? -1 : 1));
   let applied = true;
   let faults: ConfigurationFault[] = [];
   while (applied && pending.length > 0) {
--- a/test/model/document.test.ts
+++ b/test/model/document.test.ts
@@ -67,6 +67,19 @@
     expect(document.deltaFrom(document.version)).to.equal(undefined);
   });
 
+  it('keeps with each entry the version of its change, over deltas that skip versions', () => {
+    const first = VersionedDocument.empty().change(1, [{ key: 'a', json: '1' }], []);
+    const second = first.change(2, [{ key: 'b', json: '1' }], []);
+    const third = second.change(3, [{ key: 'c', json: '1' }], []);
+    const caughtUp = first.apply(third.deltaFrom(first.version) ?? expect.fail('no delta'));
+    const assembled = VersionedDocument.fromEntries(3, [...third.entries.values()]);
+    for (const copy of [caughtUp, assembled]) {
+      expect(copy.version).to.deep.equal(third.version);
+      expect([...copy.entries.values()].map((entry) => entry.changedAt)).to.deep.equal([1, 2, 3]);
+    }
+    expect(assembled.deltaFrom(second.version)).to.equal(undefined);
+  });
+
   it('bounds its tombstones and moves its history with them', () => {
     const many = new Map(Array.from({ length: MAX_TOMBSTONES + 1 }, (_, i) => [`k${i}`, '1']));
     const full = VersionedDocument.fromValues(1, many);
--- a/test/model/merge.test.ts
+++ b/test/model/merge.test.ts
@@ -152,6 +152,12 @@
     expect(merged.snapshot.routes.map((one) => one.name)).to.include('a');
   });
 
+  it('leaves reserved entries of the operators document out of the snapshot', () => {
+    const merged = mergeDocuments(sourceDocument, documentOf({ 'meta/voters': { epoch: 1 } }));
+    expect(merged.suspended).to.deep.equal([]);
+    expect([...merged.snapshot.resources.keys()]).to.have.length(whole.length);
+  });
+
   it('refuses a source that dangles, with the operators document as no excuse', () => {
     const dangling = documentOf({ 'route/tiles': route });
     const operator = documentOf({ 'service/tiles': service, 'secret/key': secret });
