Emulate the control plane's world under a virtual clock

Cause: convergence, herds, cuts and late wakes have to be tried at up to 1,800 nodes, repeatably, and with the classes that the product runs. Ruled out: fake timers over real sockets; neither repeatable nor cheap enough for an hour of 1,800 nodes.

--- /dev/null
+++ b/tools/emulator/emulated-platform.ts
@@ -0,0 +1,159 @@
+/**
+ * The platform: a configuration service that can only be read, with outages, staleness and a bound on
+ * readers at once, and a machine list that lags.
+ */
+import type { PlatformAnswer, PlatformDocument } from '../../src/control/control-event.js';
+import { canonicalJson } from '../../src/model/canonical-json.js';
+import { InvalidConfigurationError } from '../../src/model/configuration-error.js';
+import { VersionedDocument } from '../../src/model/document.js';
+import { parseSourceDocument, sourceDocumentValues } from '../../src/model/source-document.js';
+import type { DocumentVersion } from '../../src/model/version.js';
+import type { EmulatedProcess } from './emulated-process.js';
+
+/** Bytes of an answer without a document. */
+export const EMPTY_ANSWER_BYTES = 200;
+/** Bytes of a read request. */
+export const READ_REQUEST_BYTES = 200;
+
+/** `refusing` answers at once that it is unavailable; `hanging` never answers. */
+export type PlatformMode = 'up' | 'refusing' | 'hanging';
+
+/** An answer and its size. */
+export interface SizedAnswer {
+  readonly answer: PlatformAnswer;
+  readonly bytes: number;
+}
+
+/** Settings of the platform. */
+export interface PlatformOptions {
+  /** Readers it bears at once. */
+  readonly readerBound: number;
+  /**
+   * A reader counts until it closes, dies, or has read nothing for this long: the platform closes
+   * idle connections, as HTTP servers do.
+   */
+  readonly idleCloseMs: number;
+}
+
+/** Node's HTTP server closes a kept connection after this time. */
+export const DEFAULT_IDLE_CLOSE_MS = 5_000;
+
+interface Publication extends SizedAnswer {
+  readonly number: number;
+}
+
+/** The emulated platform. */
+export class EmulatedPlatform {
+  mode: PlatformMode = 'up';
+  /** Publications that the service is behind by: 0 serves the newest. */
+  staleBy = 0;
+  /** Most readers open at once so far. */
+  peakReaders = 0;
+  /** Reads refused because the bound was reached. */
+  refusedReads = 0;
+  reads = 0;
+  /** Every document that was ever published whole and valid, by digest. */
+  readonly publishedDigests = new Set<string>();
+  private readonly publications: Record<PlatformDocument, Publication[]> = {
+    source: [],
+    machines: [],
+  };
+  /** Open readers and the virtual time of each one's last read. */
+  private readonly readers = new Map<EmulatedProcess, number>();
+
+  constructor(readonly options: PlatformOptions) {}
+
+  /** Publishes a source document as the platform's adapter reads it: checked whole. */
+  publishSource(number: number, resources: readonly unknown[]): void {
+    const bytes = Buffer.byteLength(canonicalJson({ version: number, resources }));
+    this.publications.source.push({ number, bytes, answer: this.check(number, resources) });
+  }
+
+  /** Publishes a machine list. */
+  publishMachines(number: number, values: ReadonlyMap<string, string>): void {
+    const bytes = [...values.values()].reduce((sum, json) => sum + json.length, EMPTY_ANSWER_BYTES);
+    this.remember(number, values);
+    const answer: PlatformAnswer = { outcome: 'document', number, values };
+    this.publications.machines.push({ number, bytes, answer });
+  }
+
+  /** Forgets what was published: a service restarted from nothing. */
+  forgetSource(): void {
+    this.publications.source = [];
+  }
+
+  /** Version of the newest valid source document that the platform serves now. */
+  servedSourceVersion(): DocumentVersion | undefined {
+    const current = this.current('source');
+    return current?.answer.outcome === 'document'
+      ? VersionedDocument.fromValues(current.number, current.answer.values).version
+      : undefined;
+  }
+
+  /** Opens or keeps a reader's connection; false when the bound refuses it. */
+  admit(process: EmulatedProcess, nowMs: number): boolean {
+    this.reads += 1;
+    this.closeIdle(nowMs);
+    const admitted = this.readers.has(process) || this.readers.size < this.options.readerBound;
+    if (!admitted) {
+      this.refusedReads += 1;
+      this.peakReaders = Math.max(this.peakReaders, this.readers.size + 1);
+      return false;
+    }
+    this.readers.set(process, nowMs);
+    this.peakReaders = Math.max(this.peakReaders, this.readers.size);
+    return true;
+  }
+
+  close(process: EmulatedProcess): void {
+    this.readers.delete(process);
+  }
+
+  /** The answer to a read of a node that holds `knownNumber`; undefined: none comes. */
+  answer(document: PlatformDocument, knownNumber: number): SizedAnswer | undefined {
+    const current = this.current(document);
+    if (this.mode === 'hanging') {
+      return undefined;
+    }
+    if (this.mode === 'refusing' || current === undefined) {
+      return { answer: { outcome: 'unavailable' }, bytes: EMPTY_ANSWER_BYTES };
+    }
+    if (current.number === knownNumber) {
+      return { answer: { outcome: 'not-modified' }, bytes: EMPTY_ANSWER_BYTES };
+    }
+    return current;
+  }
+
+  private closeIdle(nowMs: number): void {
+    for (const [process, lastReadMs] of this.readers) {
+      if (nowMs - lastReadMs >= this.options.idleCloseMs) {
+        this.readers.delete(process);
+      }
+    }
+  }
+
+  private current(document: PlatformDocument): Publication | undefined {
+    const all = this.publications[document];
+    const behind = document === 'source' ? this.staleBy : 0;
+    return all[Math.max(0, all.length - 1 - behind)];
+  }
+
+  private check(number: number, resources: readonly unknown[]): PlatformAnswer {
+    try {
+      const document = parseSourceDocument({ version: number, resources });
+      const values = sourceDocumentValues(document);
+      this.remember(number, values);
+      return { outcome: 'document', number, values };
+    } catch (error) {
+      if (error instanceof InvalidConfigurationError) {
+        return { outcome: 'invalid', number, faults: error.faults };
+      }
+      throw error;
+    }
+  }
+
+  private remember(number: number, values: ReadonlyMap<string, string>): void {
+    const { version } = VersionedDocument.fromValues(number, values);
+    this.publishedDigests.add(`${version.number}:${version.digest}`);
+  }
+}
