--- /dev/null
+++ b/src/cli/help.ts
@@ -0,0 +1,37 @@
+/** The help text. */
+import { EXIT_CODE_HELP } from './exit-code.js';
+
+const USAGE = `
+  Usage
+    $ ferryspool node --settings FILE [flags]   run a node
+    $ ferryspool check FILE                     check settings or a configuration document
+    $ ferryspool check --print                  print all default settings
+
+  Flags of node (they win over the settings file)
+    --settings FILE          YAML or JSON settings file
+    --set PATH=VALUE         any setting, for example --set lease.durationMs=8000; repeatable
+    --machine-id ID          machine.id
+    --machine-address IP     machine.address
+    --zone ZONE              machine.zone
+    --region REGION          machine.region
+    --caller-port PORT       ports.caller, 0 for any free port
+    --relay-port PORT        ports.relay
+    --control-port PORT      ports.control
+    --admin-port PORT        ports.admin
+    --seed IP:PORT           a peer's control address; repeatable
+    --log-level LEVEL        error, warn, info or debug
+
+  Flags of check
+    --print                  print the complete document, secrets masked
+    --json                   print JSON
+
+  Signals to a node
+    SIGTERM, SIGINT          planned stop: nothing in flight is cut
+    SIGINT twice             stop by force
+`;
+
+/** Usage, flags and exit codes. */
+export function helpText(): string {
+  const codes = EXIT_CODE_HELP.map(([code, meaning]) => `    ${String(code).padEnd(4)} ${meaning}`);
+  return `${USAGE}\n  Exit codes\n${codes.join('\n')}\n`;
+}
--- a/src/model/machine.ts
+++ b/src/model/machine.ts
@@ -8,7 +8,7 @@
 export const machineSchema = z.strictObject({
   /** Identity of the machine; a replacement machine has another. */
   id: nameSchema,
-  address: z.union([z.ipv4(), z.ipv6()]),
+  address: z.union([z.ipv4(), z.ipv6()], { error: 'expected an IP number' }),
   /** Port of the node's peer protocol. */
   controlPort: portSchema,
   /** Port on which the node takes requests from other nodes. */
--- a/src/model/resource.ts
+++ b/src/model/resource.ts
@@ -57,7 +57,7 @@
 /** One back end of a service. */
 export const endpointSpecSchema = z.strictObject({
   service: nameSchema,
-  address: z.union([z.ipv4(), z.ipv6()]),
+  address: z.union([z.ipv4(), z.ipv6()], { error: 'expected an IP number' }),
   port: z.number().int().min(1).max(65_535),
   zone: nameSchema,
   region: nameSchema,
--- a/src/settings/load-settings.ts
+++ b/src/settings/load-settings.ts
@@ -4,13 +4,12 @@
 import type { z } from 'zod';
 import { DocumentSyntaxError, parseDocumentText } from './parse-document.js';
 import { isSecretPath } from './secret-settings.js';
+import { showValue, valueAt } from './shown-value.js';
 import { SettingsError, type SettingsFault } from './settings-error.js';
 import { completeSettings, settingsSchema, type Settings } from './settings.js';
 
 /** Largest settings file, in bytes. */
 export const MAX_SETTINGS_FILE_BYTES = 1_048_576;
-/** Longest value shown in a fault, in characters. */
-const MAX_SHOWN_VALUE_LENGTH = 80;
 /** Stands in place of a file name when there is none. */
 const NO_FILE = '(flags)';
 /** Text by which PEM is told from a file path. */
@@ -160,28 +159,10 @@
     }));
   }
   const path = issue.path.map(String).join('.');
-  const value = shownValue(path, valueAt(root, issue.path));
+  const value = isSecretPath(path) ? undefined : showValue(valueAt(root, issue.path));
   return [{ path, expected: issue.message, ...(value === undefined ? {} : { value }) }];
 }
 
-function shownValue(path: string, value: unknown): string | undefined {
-  if (value === undefined || isSecretPath(path)) {
-    return undefined;
-  }
-  const text = typeof value === 'object' ? undefined : JSON.stringify(value);
-  return text !== undefined && text.length > MAX_SHOWN_VALUE_LENGTH
-    ? `${text.slice(0, MAX_SHOWN_VALUE_LENGTH)}...`
-    : text;
-}
-
-function valueAt(root: unknown, path: readonly PropertyKey[]): unknown {
-  let value = root;
-  for (const name of path) {
-    value = typeof value === 'object' && value !== null ? Reflect.get(value, name) : undefined;
-  }
-  return value;
-}
-
 function isSection(value: unknown): value is Record<string, unknown> {
   return typeof value === 'object' && value !== null && !Array.isArray(value);
 }
--- a/test/settings/load-settings.test.ts
+++ b/test/settings/load-settings.test.ts
@@ -174,7 +174,13 @@
     const defaults = defaultSettings();
     expect(defaults['fleetKey']).to.equal(REQUIRED_VALUE);
     const machine = { id: 'm', address: '10.0.0.1', zone: 'z', region: 'r' };
-    const settings = load(JSON.stringify({ ...defaults, machine, fleetKey: SECRET }));
+    const platform = {
+      ...(defaults['platform'] as object),
+      configurationUrl: 'http://10.0.0.9/c',
+      machinesUrl: 'http://10.0.0.9/m',
+    };
+    const settings = load(JSON.stringify({ ...defaults, machine, platform, fleetKey: SECRET }));
+    expect(settings.platform).to.include({ pollIntervalMs: 500, requestTimeoutMs: 2000 });
     expect(settings.proxy).to.deep.equal(defaults['proxy']);
   });
 });
