--- /dev/null
+++ b/src/proxy/call.ts
@@ -0,0 +1,59 @@
+/** A request on its way through a node, and the attempts to get it answered. */
+import type { IncomingMessage } from 'node:http';
+import type { Endpoint } from '../model/resource.js';
+import type { HeaderList } from './headers.js';
+import type { RequestBody } from './request-body.js';
+import type { RequestError } from './request-error.js';
+
+/** One attempt's request, as sent to an endpoint or to its node. */
+export interface Call {
+  /** Unique for each attempt in the fleet; names the attempt in cancellations. */
+  readonly requestId: string;
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly target: string;
+  /** Headers of the message, without those of connections and nodes. */
+  readonly headers: HeaderList;
+  readonly body: RequestBody;
+  /** On the node's monotonic clock, in milliseconds. */
+  readonly deadlineAtMs: number;
+  /** Machine identity of the caller's node. */
+  readonly callerNode: string;
+  /** Attempts after the first that the receivers of this attempt may make among them. */
+  readonly retriesLeft: number;
+}
+
+/** What an endpoint, and the node that owns it, said of its load. */
+export interface LoadReport {
+  /** Requests that run or wait. */
+  readonly inFlight: number;
+  readonly slots: number;
+  readonly draining: boolean;
+}
+
+/** The head of an answer, with its body still to be read. */
+export interface Answer {
+  readonly status: number;
+  readonly headers: HeaderList;
+  readonly stream: IncomingMessage;
+  /** Declared length in bytes; undefined for a chunked body. */
+  readonly contentLength: number | undefined;
+  readonly load: LoadReport | undefined;
+}
+
+/** Gets the outcome of one attempt: exactly one of the two, once, unless the attempt is aborted. */
+export interface AttemptObserver {
+  answered(answer: Answer): void;
+  failed(error: RequestError, load?: LoadReport): void;
+}
+
+/** An attempt under way. */
+export interface Attempt {
+  /** Gives the attempt up: nothing more is reported, and the endpoint is told to cancel. */
+  abort(): void;
+}
+
+/** A way to an endpoint. */
+export interface EndpointPath {
+  submit(endpoint: Endpoint, call: Call, observer: AttemptObserver): Attempt;
+}
--- /dev/null
+++ b/src/proxy/caller-server.ts
@@ -0,0 +1,204 @@
+/**
+ * Takes requests from callers: the only place that knows their interface. A caller may send
+ * `x-deadline-ms` (time left, in milliseconds) and `ferryspool-retries` (attempts after the first
+ * that may still be made); every answer carries `ferryspool-verdict` and `ferryspool-request-id`.
+ */
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Duplex } from 'node:stream';
+import { VERDICT_HEADER, type Verdict } from '../model/verdict.js';
+import { passAnswer, type AnswerObserver } from './answer-relay.js';
+import type { Answer } from './call.js';
+import { errorBody, sendError } from './error-answer.js';
+import { headerValue, messageHeaders, parseMilliseconds, type HeaderList } from './headers.js';
+import type { ProxyLimits } from './proxy-limits.js';
+import { BadRequestError, type RequestError } from './request-error.js';
+
+const DEADLINE_HEADER = 'x-deadline-ms';
+const RETRIES_HEADER = 'ferryspool-retries';
+const REQUEST_ID_HEADER = 'ferryspool-request-id';
+/** Headers of the caller's that speak to the node, or that the node speaks to endpoints with. */
+const NODE_HEADERS: ReadonlySet<string> = new Set([DEADLINE_HEADER, 'x-request-id']);
+/** Time for a whole request head, in milliseconds. */
+const HEADERS_TIMEOUT_MS = 10_000;
+/** Idle connections of callers are kept for this time, in milliseconds. */
+const KEEP_ALIVE_MS = 60_000;
+
+/** A caller's request, apart from its body. */
+export interface CallerRequest {
+  readonly method: string;
+  /** Path and query as sent. */
+  readonly target: string;
+  /** Path without the query. */
+  readonly path: string;
+  readonly host: string;
+  readonly headers: HeaderList;
+  /** Time left by the caller's word, in milliseconds; undefined when it names none. */
+  readonly timeoutMs: number | undefined;
+  /** Attempts after the first by the caller's word; undefined when it names none. */
+  readonly retries: number | undefined;
+  /** The message, for its body. */
+  readonly message: IncomingMessage;
+}
+
+/** The caller's side of one exchange. */
+export class CallerResponse {
+  constructor(
+    private readonly response: ServerResponse,
+    private readonly request: IncomingMessage,
+  ) {}
+
+  /** Passes an endpoint's answer on; holds it whole where it has up to `holdBytes`. */
+  answer(answer: Answer, requestId: string, holdBytes: number, observer: AnswerObserver): void {
+    const headers = answer.headers.concat(VERDICT_HEADER, 'ran', REQUEST_ID_HEADER, requestId);
+    passAnswer(answer, this.response, headers, holdBytes, observer);
+  }
+
+  /** Reports an error. A body that is still arriving ends with the connection. */
+  fail(error: RequestError, verdict: Verdict, requestId: string): void {
+    if (this.response.headersSent || this.response.destroyed) {
+      this.response.destroy();
+      return;
+    }
+    if (!this.request.complete) {
+      this.response.shouldKeepAlive = false;
+    }
+    sendError(this.response, error, verdict, [REQUEST_ID_HEADER, requestId]);
+  }
+
+  /** Breaks the connection, so that the caller can't take the answer for a whole one. */
+  breakConnection(): void {
+    this.response.destroy();
+  }
+
+  /** Calls `action` once the exchange is over; `isWhole` when the answer went out in full. */
+  onClose(action: (isWhole: boolean) => void): void {
+    this.response.once('close', () => action(this.response.writableFinished));
+  }
+}
+
+/** What the server needs of its node. */
+export interface CallerServerOptions {
+  readonly limits: ProxyLimits;
+  /** Whether connections should be closed after their answer. */
+  readonly isStopping: () => boolean;
+  readonly handle: (request: CallerRequest, response: CallerResponse) => void;
+  /** A request that was refused before it reached `handle`. */
+  readonly nextRequestId: () => string;
+}
+
+/** Makes the server; the caller listens on it. */
+export function createCallerServer(options: CallerServerOptions): http.Server {
+  const server = http.createServer({
+    maxHeaderSize: options.limits.maxHeaderBytes,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    requestTimeout: 0,
+  });
+  const openRequests = new WeakMap<Duplex, number>();
+  const take = (request: IncomingMessage, response: ServerResponse): void => {
+    countOpen(openRequests, request, response);
+    handleRequest(options, request, response);
+  };
+  server.on('request', take);
+  server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+    response.writeContinue();
+    take(request, response);
+  });
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    answerMalformed(error, socket, (openRequests.get(socket) ?? 0) > 0);
+  });
+  return server;
+}
+
+function handleRequest(
+  options: CallerServerOptions,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  response.on('error', () => response.destroy());
+  if (options.isStopping()) {
+    response.shouldKeepAlive = false;
+  }
+  const callerResponse = new CallerResponse(response, request);
+  const fault = faultOf(request);
+  if (fault !== undefined) {
+    request.resume();
+    callerResponse.fail(fault, fault.verdict, options.nextRequestId());
+    return;
+  }
+  options.handle(readRequest(request), callerResponse);
+}
+
+/** What makes the request unfit to be passed on. */
+function faultOf(request: IncomingMessage): BadRequestError | undefined {
+  if (request.httpVersion !== '1.1') {
+    return new BadRequestError('expected HTTP/1.1', 505);
+  }
+  if (request.url?.startsWith('/') !== true) {
+    return new BadRequestError('expected a request target that is a path');
+  }
+  const deadline = headerValue(request.rawHeaders, DEADLINE_HEADER);
+  if (deadline !== undefined && parseMilliseconds(deadline) === undefined) {
+    return new BadRequestError(`expected whole milliseconds in ${DEADLINE_HEADER}`);
+  }
+  return undefined;
+}
+
+function readRequest(request: IncomingMessage): CallerRequest {
+  const { rawHeaders } = request;
+  const target = request.url ?? '/';
+  const queryAt = target.indexOf('?');
+  return {
+    method: request.method ?? '',
+    target,
+    path: queryAt < 0 ? target : target.slice(0, queryAt),
+    host: request.headers.host ?? '',
+    headers: messageHeaders(rawHeaders, NODE_HEADERS),
+    timeoutMs: parseMilliseconds(headerValue(rawHeaders, DEADLINE_HEADER)),
+    retries: parseMilliseconds(headerValue(rawHeaders, RETRIES_HEADER)),
+    message: request,
+  };
+}
+
+function countOpen(
+  openRequests: WeakMap<Duplex, number>,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  const { socket } = request;
+  openRequests.set(socket, (openRequests.get(socket) ?? 0) + 1);
+  response.once('close', () => openRequests.set(socket, (openRequests.get(socket) ?? 1) - 1));
+}
+
+/**
+ * Answers bytes that are not HTTP. While an earlier request of the connection is open, its caller
+ * would take the error for that request's answer, so the connection is only closed.
+ */
+function answerMalformed(
+  error: NodeJS.ErrnoException,
+  socket: Duplex,
+  hasOpenRequest: boolean,
+): void {
+  if (!socket.writable || hasOpenRequest || error.code === 'ECONNRESET') {
+    socket.destroy();
+    return;
+  }
+  const status = malformedStatus(error.code);
+  const body = errorBody('BAD_REQUEST', `the request is malformed: ${error.code ?? ''}`, 'not-run');
+  socket.end(
+    `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}\r\n` +
+      `${VERDICT_HEADER}: not-run\r\nContent-Type: application/json\r\n` +
+      `Content-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`,
+  );
+}
+
+function malformedStatus(code: string | undefined): number {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return 431;
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return 408;
+    default:
+      return 400;
+  }
+}
--- /dev/null
+++ b/src/proxy/endpoint-client.ts
@@ -0,0 +1,214 @@
+/**
+ * Client of endpoints: the only place that knows their header names, their refusal before a start
+ * and their cancellation.
+ */
+import type { IncomingMessage } from 'node:http';
+import type { Endpoint } from '../model/resource.js';
+import type { Answer, Call, LoadReport } from './call.js';
+import { messageHeaders, parseMilliseconds } from './headers.js';
+import {
+  ExchangeAgent,
+  startExchange,
+  type Exchange,
+  type ExchangeFailure,
+} from './http-exchange.js';
+import { EMPTY_BODY } from './request-body.js';
+
+const REQUEST_ID_HEADER = 'x-request-id';
+const DEADLINE_HEADER = 'x-deadline-ms';
+const RETRIES_HEADER = 'ferryspool-retries';
+const NOT_STARTED_HEADER = 'x-not-started';
+const LOAD_HEADER = 'x-load';
+const DRAINING_HEADER = 'x-draining';
+/** Headers of answers that are meant for the node alone. */
+const NODE_HEADERS: ReadonlySet<string> = new Set([
+  REQUEST_ID_HEADER,
+  NOT_STARTED_HEADER,
+  LOAD_HEADER,
+  DRAINING_HEADER,
+]);
+const REFUSED_STATUS = 503;
+const MAX_CANCEL_ANSWER_BYTES = 1_024;
+
+/** What an endpoint says of a cancelled request. */
+export type CancelOutcome =
+  /** It had not started and never will. */
+  | 'not-started'
+  /** It had started and was stopped without effect. */
+  | 'cancelled'
+  /** It had run to its end. */
+  | 'finished'
+  /** The endpoint does not know it; it will never start from now on. */
+  | 'unknown'
+  /** No confirmation could be had. */
+  | 'unconfirmed';
+
+/** Gets the endpoint's reaction: exactly one of the three, once, unless the exchange is aborted. */
+export interface EndpointObserver {
+  answered(answer: Answer): void;
+  /** The endpoint refused the request before it started. */
+  refused(load: LoadReport | undefined, retryAfterMs: number | undefined): void;
+  failed(failure: ExchangeFailure): void;
+}
+
+/** Connections to the endpoints that a node reaches itself. */
+export class EndpointClient {
+  private readonly agent = new ExchangeAgent();
+  /** Cancellations must not wait behind the requests that they cancel. */
+  private readonly cancelAgent = new ExchangeAgent();
+
+  constructor(private readonly connectTimeoutMs: number) {}
+
+  /** Sends `call`; `remainingMs` is the time left to the endpoint. */
+  send(endpoint: Endpoint, call: Call, remainingMs: number, observer: EndpointObserver): Exchange {
+    const headers = call.headers.concat(
+      REQUEST_ID_HEADER,
+      call.requestId,
+      DEADLINE_HEADER,
+      String(Math.max(1, Math.floor(remainingMs))),
+      RETRIES_HEADER,
+      String(call.retriesLeft),
+    );
+    const request = {
+      host: endpoint.spec.address,
+      port: endpoint.spec.port,
+      method: call.method,
+      target: call.target,
+      headers,
+      body: call.body,
+      connectTimeoutMs: this.connectTimeoutMs,
+    };
+    return startExchange(this.agent, request, {
+      answered: (message) => this.takeAnswer(message, call, observer),
+      failed: (failure) => observer.failed(failure),
+    });
+  }
+
+  /** Asks the endpoint to cancel; reports once, with `unconfirmed` after `timeoutMs`. */
+  cancel(
+    endpoint: Endpoint,
+    requestId: string,
+    timeoutMs: number,
+    report: (outcome: CancelOutcome) => void,
+  ): void {
+    const { address, port } = endpoint.spec;
+    const request = {
+      host: address,
+      port,
+      method: 'POST',
+      target: `/cancel/${encodeURIComponent(requestId)}`,
+      headers: ['Host', `${address}:${port}`, 'Content-Length', '0'],
+      body: EMPTY_BODY,
+      connectTimeoutMs: timeoutMs,
+    };
+    const settle = once((outcome: CancelOutcome) => {
+      clearTimeout(timer);
+      report(outcome);
+    });
+    const timer = setTimeout(() => {
+      exchange.abort();
+      settle('unconfirmed');
+    }, timeoutMs);
+    const exchange = startExchange(this.cancelAgent, request, {
+      answered: (message) => readCancelAnswer(message, settle),
+      failed: () => settle('unconfirmed'),
+    });
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.agent.destroy();
+    this.cancelAgent.destroy();
+  }
+
+  private takeAnswer(message: IncomingMessage, call: Call, observer: EndpointObserver): void {
+    const { headers } = message;
+    const answeredId = headers[REQUEST_ID_HEADER];
+    if (answeredId !== undefined && answeredId !== call.requestId) {
+      message.destroy();
+      observer.failed('malformed');
+      return;
+    }
+    const status = message.statusCode ?? 0;
+    const load = parseLoad(message);
+    if (status === REFUSED_STATUS && headers[NOT_STARTED_HEADER] === '1') {
+      message.resume();
+      observer.refused(load, parseRetryAfter(headers['retry-after']));
+      return;
+    }
+    observer.answered({
+      status,
+      headers: messageHeaders(message.rawHeaders, NODE_HEADERS),
+      stream: message,
+      contentLength: contentLengthOf(message),
+      load,
+    });
+  }
+}
+
+/** The declared length of an answer; undefined for a chunked one. */
+export function contentLengthOf(message: IncomingMessage): number | undefined {
+  const text = message.headers['content-length'];
+  return text === undefined ? undefined : Number(text);
+}
+
+/** `Retry-After` in milliseconds; dates are not taken. */
+export function parseRetryAfter(text: string | undefined): number | undefined {
+  const seconds = parseMilliseconds(text);
+  return seconds === undefined ? undefined : seconds * 1_000;
+}
+
+function parseLoad(message: IncomingMessage): LoadReport | undefined {
+  const { headers } = message;
+  const text = headers[LOAD_HEADER];
+  const draining = headers[DRAINING_HEADER] === '1';
+  const match = typeof text === 'string' ? /^([0-9]{1,9})\/([0-9]{1,9})$/.exec(text) : null;
+  if (match === null) {
+    return draining ? { inFlight: 0, slots: 0, draining } : undefined;
+  }
+  return { inFlight: Number(match[1]), slots: Number(match[2]), draining };
+}
+
+function readCancelAnswer(
+  message: IncomingMessage,
+  report: (outcome: CancelOutcome) => void,
+): void {
+  let text = '';
+  message.setEncoding('utf8');
+  message.on('data', (chunk: string) => {
+    text += chunk;
+    if (text.length > MAX_CANCEL_ANSWER_BYTES) {
+      message.destroy();
+    }
+  });
+  message.on('close', () => {
+    const isWhole = message.complete && message.statusCode === 200;
+    report(isWhole ? parseCancelOutcome(text) : 'unconfirmed');
+  });
+  message.on('error', () => report('unconfirmed'));
+}
+
+function parseCancelOutcome(text: string): CancelOutcome {
+  try {
+    const value = JSON.parse(text) as { outcome?: unknown } | null;
+    const outcome = value?.outcome;
+    const isKnown =
+      outcome === 'not-started' ||
+      outcome === 'cancelled' ||
+      outcome === 'finished' ||
+      outcome === 'unknown';
+    return isKnown ? outcome : 'unconfirmed';
+  } catch {
+    return 'unconfirmed';
+  }
+}
+
+function once<Argument>(action: (argument: Argument) => void): (argument: Argument) => void {
+  let isDone = false;
+  return (argument) => {
+    if (!isDone) {
+      isDone = true;
+      action(argument);
+    }
+  };
+}
--- /dev/null
+++ b/src/proxy/headers.ts
@@ -0,0 +1,88 @@
+/**
+ * Header lists as Node's `rawHeaders`: name, value, name, value. Lists are copied once per hop and
+ * never turned into objects.
+ */
+
+/** Prefix of headers between nodes; never taken from callers or endpoints. */
+export const INTERNAL_HEADER_PREFIX = 'ferryspool-';
+
+/** A flat list of names and values, alternating. */
+export type HeaderList = readonly string[];
+
+/** Headers of one connection, not of the message (RFC 9110, 7.6.1), and framing, which is set anew. */
+const CONNECTION_HEADERS: ReadonlySet<string> = new Set([
+  'connection',
+  'content-length',
+  'expect',
+  'keep-alive',
+  'proxy-authenticate',
+  'proxy-authorization',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+/**
+ * The headers that belong to the message: without those of the connection, those that `Connection`
+ * names, those between nodes, and those in `dropped` (lower-case names).
+ */
+export function messageHeaders(raw: HeaderList, dropped: ReadonlySet<string>): string[] {
+  const nominated = nominatedByConnection(raw);
+  const kept: string[] = [];
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index] ?? '';
+    const lowerName = name.toLowerCase();
+    const isDropped =
+      CONNECTION_HEADERS.has(lowerName) ||
+      dropped.has(lowerName) ||
+      lowerName.startsWith(INTERNAL_HEADER_PREFIX) ||
+      nominated?.has(lowerName) === true;
+    if (!isDropped) {
+      kept.push(name, raw[index + 1] ?? '');
+    }
+  }
+  return kept;
+}
+
+/** The first value of the header `lowerName`, or undefined. */
+export function headerValue(raw: HeaderList, lowerName: string): string | undefined {
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index] ?? '';
+    if (name.length === lowerName.length && name.toLowerCase() === lowerName) {
+      return raw[index + 1];
+    }
+  }
+  return undefined;
+}
+
+/** A whole number of milliseconds, not negative; undefined for anything else. */
+export function parseMilliseconds(text: string | undefined): number | undefined {
+  if (text === undefined || !/^[0-9]{1,12}$/.test(text)) {
+    return undefined;
+  }
+  return Number(text);
+}
+
+/** Names in `Connection`, but for `host`, which every request needs. */
+function nominatedByConnection(raw: HeaderList): Set<string> | undefined {
+  let nominated: Set<string> | undefined;
+  for (let index = 0; index + 1 < raw.length; index += 2) {
+    const name = raw[index] ?? '';
+    const value = raw[index + 1] ?? '';
+    if (name.length !== 10 || name.toLowerCase() !== 'connection' || isCommonOption(value)) {
+      continue;
+    }
+    nominated ??= new Set();
+    for (const option of value.split(',')) {
+      nominated.add(option.trim().toLowerCase());
+    }
+    nominated.delete('host');
+  }
+  return nominated;
+}
+
+function isCommonOption(value: string): boolean {
+  return value === 'keep-alive' || value === 'close';
+}
--- /dev/null
+++ b/src/proxy/http-exchange.ts
@@ -0,0 +1,191 @@
+/**
+ * One HTTP/1.1 request and its answer over a pooled connection, shared by the clients of endpoints
+ * and of peers. Tells apart a request of which nothing was sent from one that may have arrived.
+ */
+import http from 'node:http';
+import type { Socket } from 'node:net';
+import type { Duplex } from 'node:stream';
+import type { RequestBody } from './request-body.js';
+
+/** Idle connections are closed after this time, before usual servers close them, in milliseconds. */
+const IDLE_CONNECTION_MS = 4_000;
+/** Idle connections kept to one destination at most. */
+const MAX_IDLE_CONNECTIONS = 32;
+const MAX_ANSWER_HEADER_BYTES = 32 * 1024;
+
+/** How an exchange failed before its answer. */
+export type ExchangeFailure =
+  /** No connection was opened: not a byte was sent. */
+  | 'never-sent'
+  /** The connection died after it was opened. */
+  | 'lost'
+  /** The answer can't be parsed, or its end can't be checked. */
+  | 'malformed';
+
+/** Gets the outcome: one of the two, once. */
+export interface ExchangeObserver {
+  answered(message: http.IncomingMessage): void;
+  failed(failure: ExchangeFailure): void;
+}
+
+/** What is sent, and where. */
+export interface ExchangeRequest {
+  readonly host: string;
+  readonly port: number;
+  readonly method: string;
+  readonly target: string;
+  /** Names and values, alternating; framing headers are added here. */
+  readonly headers: string[];
+  readonly body: RequestBody;
+  readonly connectTimeoutMs: number;
+}
+
+/** An exchange under way. */
+export interface Exchange {
+  /** Whether the connection was open, so that bytes may have been sent. */
+  wasSent(): boolean;
+  /** Closes the connection; nothing more is reported. */
+  abort(): void;
+}
+
+/**
+ * Keeps connections for reuse. A connection on which bytes arrive while it is idle is closed: they
+ * could only be taken for the answer to a later request.
+ */
+export class ExchangeAgent extends http.Agent {
+  constructor() {
+    super({ keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, timeout: IDLE_CONNECTION_MS });
+  }
+
+  override keepSocketAlive(socket: Duplex): void {
+    socket.on('data', destroyConnection);
+    return super.keepSocketAlive(socket);
+  }
+
+  override reuseSocket(socket: Duplex, request: http.ClientRequest): void {
+    socket.off('data', destroyConnection);
+    super.reuseSocket(socket, request);
+  }
+}
+
+/** Starts an exchange. */
+export function startExchange(
+  agent: http.Agent,
+  exchange: ExchangeRequest,
+  observer: ExchangeObserver,
+): Exchange {
+  return new RunningExchange(agent, exchange, observer);
+}
+
+class RunningExchange implements Exchange {
+  private readonly request: http.ClientRequest;
+  private connected = false;
+  private settled = false;
+  private connectTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    agent: http.Agent,
+    exchange: ExchangeRequest,
+    private readonly observer: ExchangeObserver,
+  ) {
+    addFraming(exchange.headers, exchange.body);
+    this.request = http.request({
+      agent,
+      host: exchange.host,
+      port: exchange.port,
+      method: exchange.method,
+      path: exchange.target,
+      headers: exchange.headers,
+      maxHeaderSize: MAX_ANSWER_HEADER_BYTES,
+      setHost: false,
+    });
+    this.request.once('socket', (socket) => this.watchConnection(socket, exchange));
+    this.request.on('response', (message) => this.takeAnswer(message));
+    this.request.on('error', (error) => this.fail(error));
+    this.request.once('close', () => clearTimeout(this.connectTimer));
+  }
+
+  wasSent(): boolean {
+    return this.connected;
+  }
+
+  abort(): void {
+    this.settled = true;
+    this.request.destroy();
+  }
+
+  private watchConnection(socket: Socket, exchange: ExchangeRequest): void {
+    if (!socket.connecting) {
+      this.send(exchange.body);
+      return;
+    }
+    this.connectTimer = setTimeout(() => this.request.destroy(), exchange.connectTimeoutMs);
+    socket.once('connect', () => {
+      clearTimeout(this.connectTimer);
+      this.send(exchange.body);
+    });
+  }
+
+  private send(body: RequestBody): void {
+    if (!this.request.destroyed) {
+      this.connected = true;
+      body.sendTo(this.request);
+    }
+  }
+
+  private takeAnswer(message: http.IncomingMessage): void {
+    if (this.settled) {
+      message.destroy();
+      return;
+    }
+    if (!isEndCheckable(this.request.method, message)) {
+      this.settle('malformed');
+      message.destroy();
+      return;
+    }
+    this.settled = true;
+    message.once('end', () => {
+      if (!this.request.writableFinished) {
+        this.request.destroy();
+      }
+    });
+    this.observer.answered(message);
+  }
+
+  private fail(error: Error & { code?: string }): void {
+    if (!this.connected) {
+      this.settle('never-sent');
+    } else {
+      this.settle(error.code?.startsWith('HPE_') === true ? 'malformed' : 'lost');
+    }
+  }
+
+  private settle(failure: ExchangeFailure): void {
+    if (!this.settled) {
+      this.settled = true;
+      this.observer.failed(failure);
+    }
+  }
+}
+
+/** An answer that ends with its connection can't be told from a truncated one. */
+function isEndCheckable(method: string, message: http.IncomingMessage): boolean {
+  const status = message.statusCode ?? 0;
+  const hasNoBody = method === 'HEAD' || status === 204 || status === 304;
+  const isFramed =
+    message.headers['content-length'] !== undefined ||
+    message.headers['transfer-encoding'] !== undefined;
+  return hasNoBody || isFramed;
+}
+
+function addFraming(headers: string[], body: RequestBody): void {
+  if (body.length === undefined) {
+    headers.push('Transfer-Encoding', 'chunked');
+  } else if (body.isDeclared) {
+    headers.push('Content-Length', String(body.length));
+  }
+}
+
+function destroyConnection(this: Duplex): void {
+  this.destroy();
+}
--- /dev/null
+++ b/src/proxy/proxy-limits.ts
@@ -0,0 +1,39 @@
+/** Bounds of the request path, with defaults that fit small machines. */
+
+/** Bounds that an operator may set. */
+export interface ProxyLimits {
+  /** Largest request head, in bytes. */
+  readonly maxHeaderBytes: number;
+  /** Largest request body, in bytes. */
+  readonly maxBodyBytes: number;
+  /** Largest request body that is held so that it can be sent again, in bytes. */
+  readonly maxReplayBodyBytes: number;
+  /** Bytes of request bodies held by the node in all. */
+  readonly maxHeldBytes: number;
+  /** Largest answer that is held until it is whole before its first byte goes out, in bytes. */
+  readonly maxHeldAnswerBytes: number;
+  /** Callers' requests in flight at once; more are refused. */
+  readonly maxCallsInFlight: number;
+  /** Attempts after the first for one request at most. */
+  readonly maxRetries: number;
+  /** Time to open a connection, in milliseconds. */
+  readonly connectTimeoutMs: number;
+  /** Time that a planned stop waits for requests in flight, in milliseconds. */
+  readonly stopTimeoutMs: number;
+  /** Time without a new request after which a planned stop shuts the listeners, in milliseconds. */
+  readonly stopQuietMs: number;
+}
+
+/** Bounds where settings name none. */
+export const DEFAULT_PROXY_LIMITS: ProxyLimits = {
+  maxHeaderBytes: 16 * 1024,
+  maxBodyBytes: 64 * 1024 * 1024,
+  maxReplayBodyBytes: 64 * 1024,
+  maxHeldBytes: 32 * 1024 * 1024,
+  maxHeldAnswerBytes: 16 * 1024,
+  maxCallsInFlight: 4_096,
+  maxRetries: 2,
+  connectTimeoutMs: 1_000,
+  stopTimeoutMs: 30_000,
+  stopQuietMs: 300,
+};
--- /dev/null
+++ b/src/proxy/relay-client.ts
@@ -0,0 +1,151 @@
+/** Sends an attempt to the node beside the endpoint. */
+import type { IncomingMessage } from 'node:http';
+import type { Endpoint } from '../model/resource.js';
+import { isVerdict, VERDICT_HEADER } from '../model/verdict.js';
+import type { Attempt, AttemptObserver, Call, EndpointPath, LoadReport } from './call.js';
+import { contentLengthOf } from './endpoint-client.js';
+import { messageHeaders, parseMilliseconds } from './headers.js';
+import { ExchangeAgent, startExchange, type ExchangeFailure } from './http-exchange.js';
+import {
+  RELAY_CODE_HEADER,
+  RELAY_DEADLINE_HEADER,
+  RELAY_DRAINING_HEADER,
+  RELAY_ENDPOINT_HEADER,
+  RELAY_LOAD_HEADER,
+  RELAY_REQUEST_ID_HEADER,
+  RELAY_RETRIES_HEADER,
+  RELAY_RETRY_AFTER_HEADER,
+  RELAY_RETRYABLE_HEADER,
+  RELAY_TOKEN_HEADER,
+} from './relay-protocol.js';
+import {
+  ConnectionLostError,
+  MalformedAnswerError,
+  RelayedError,
+  UnreachableError,
+  type RequestError,
+} from './request-error.js';
+
+const NO_HEADERS: ReadonlySet<string> = new Set();
+
+/** Where a peer takes relayed requests. */
+export interface RelayAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** What the client needs of its node. */
+export interface RelayClientOptions {
+  readonly connectTimeoutMs: number;
+  readonly clock: () => number;
+  /** A token that is valid now. */
+  readonly token: () => string;
+  readonly addressOf: (endpoint: Endpoint) => RelayAddress | undefined;
+}
+
+/** Connections to the relay ports of peers. */
+export class RelayClient implements EndpointPath {
+  private readonly agent = new ExchangeAgent();
+
+  constructor(private readonly options: RelayClientOptions) {}
+
+  submit(endpoint: Endpoint, call: Call, observer: AttemptObserver): Attempt {
+    const address = this.options.addressOf(endpoint);
+    if (address === undefined) {
+      observer.failed(new UnreachableError(`the node of endpoint ${endpoint.name} is unknown`));
+      return { abort: () => undefined };
+    }
+    const request = {
+      host: address.address,
+      port: address.port,
+      method: call.method,
+      target: call.target,
+      headers: this.headersOf(endpoint, call),
+      body: call.body,
+      connectTimeoutMs: this.options.connectTimeoutMs,
+    };
+    return startExchange(this.agent, request, {
+      answered: (message) => takeAnswer(message, observer),
+      failed: (failure) => observer.failed(errorOf(failure, endpoint)),
+    });
+  }
+
+  /** Closes all connections. */
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private headersOf(endpoint: Endpoint, call: Call): string[] {
+    const remainingMs = Math.max(0, Math.floor(call.deadlineAtMs - this.options.clock()));
+    return call.headers.concat(
+      RELAY_TOKEN_HEADER,
+      this.options.token(),
+      RELAY_ENDPOINT_HEADER,
+      `${endpoint.spec.service}/${endpoint.name}`,
+      RELAY_REQUEST_ID_HEADER,
+      call.requestId,
+      RELAY_DEADLINE_HEADER,
+      String(remainingMs),
+      RELAY_RETRIES_HEADER,
+      String(call.retriesLeft),
+    );
+  }
+}
+
+function takeAnswer(message: IncomingMessage, observer: AttemptObserver): void {
+  const verdict = message.headers[VERDICT_HEADER];
+  const load = parseLoad(message);
+  if (!isVerdict(verdict)) {
+    message.destroy();
+    observer.failed(new MalformedAnswerError('the peer answered without a verdict'));
+    return;
+  }
+  const code = message.headers[RELAY_CODE_HEADER];
+  const status = message.statusCode ?? 0;
+  if (typeof code === 'string') {
+    message.resume();
+    const retryAfterMs = parseMilliseconds(headerText(message, RELAY_RETRY_AFTER_HEADER));
+    const retryable = message.headers[RELAY_RETRYABLE_HEADER] === '1';
+    const failure = {
+      code,
+      verdict,
+      retryable,
+      ...(retryAfterMs !== undefined && { retryAfterMs }),
+    };
+    observer.failed(new RelayedError(failure, status, `the endpoint's node reports ${code}`), load);
+    return;
+  }
+  observer.answered({
+    status,
+    headers: messageHeaders(message.rawHeaders, NO_HEADERS),
+    stream: message,
+    contentLength: contentLengthOf(message),
+    load,
+  });
+}
+
+function errorOf(failure: ExchangeFailure, endpoint: Endpoint): RequestError {
+  const node = `the node of endpoint ${endpoint.name}`;
+  switch (failure) {
+    case 'never-sent':
+      return new UnreachableError(`no connection to ${node}`);
+    case 'lost':
+      return new ConnectionLostError(`the connection to ${node} was lost`);
+    case 'malformed':
+      return new MalformedAnswerError(`the answer of ${node} is malformed`);
+  }
+}
+
+function parseLoad(message: IncomingMessage): LoadReport | undefined {
+  const match = /^([0-9]{1,9})\/([0-9]{1,9})$/.exec(headerText(message, RELAY_LOAD_HEADER) ?? '');
+  if (match === null) {
+    return undefined;
+  }
+  const draining = message.headers[RELAY_DRAINING_HEADER] === '1';
+  return { inFlight: Number(match[1]), slots: Number(match[2]), draining };
+}
+
+function headerText(message: IncomingMessage, lowerName: string): string | undefined {
+  const value = message.headers[lowerName];
+  return typeof value === 'string' ? value : undefined;
+}
--- /dev/null
+++ b/src/proxy/relay-server.ts
@@ -0,0 +1,204 @@
+/** Takes requests from other nodes for the endpoints that this node owns. */
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { CounterSink } from '../control/control-event.js';
+import type { Endpoint } from '../model/resource.js';
+import type { Snapshot } from '../model/snapshot.js';
+import { VERDICT_HEADER } from '../model/verdict.js';
+import { passAnswer } from './answer-relay.js';
+import type { Answer, Attempt, Call, EndpointPath, LoadReport } from './call.js';
+import { sendError } from './error-answer.js';
+import { headerValue, messageHeaders, parseMilliseconds } from './headers.js';
+import type { ProxyLimits } from './proxy-limits.js';
+import {
+  RELAY_CODE_HEADER,
+  RELAY_DEADLINE_HEADER,
+  RELAY_DRAINING_HEADER,
+  RELAY_ENDPOINT_HEADER,
+  RELAY_LOAD_HEADER,
+  RELAY_REQUEST_ID_HEADER,
+  RELAY_RETRIES_HEADER,
+  RELAY_RETRY_AFTER_HEADER,
+  RELAY_RETRYABLE_HEADER,
+  RELAY_TOKEN_HEADER,
+} from './relay-protocol.js';
+import { EMPTY_BODY, StreamedBody, type RequestBody } from './request-body.js';
+import { BadRequestError, UnknownEndpointError, type RequestError } from './request-error.js';
+
+const FORBIDDEN_STATUS = 403;
+const MAX_REQUEST_ID_LENGTH = 256;
+/** Room for the headers between nodes, above those of the caller, in bytes. */
+const RELAY_HEADER_BYTES = 4 * 1024;
+/** Idle connections of peers are kept for this time, longer than peers keep them, in milliseconds. */
+const KEEP_ALIVE_MS = 10_000;
+const NO_HEADERS: ReadonlySet<string> = new Set();
+
+/** What the server needs of its node. */
+export interface RelayServerOptions {
+  readonly machineId: string;
+  readonly limits: ProxyLimits;
+  readonly counters: CounterSink;
+  readonly clock: () => number;
+  /** The machine identity that a token proves, or undefined. */
+  readonly verifyToken: (token: string | undefined) => string | undefined;
+  readonly snapshot: () => Snapshot | undefined;
+  readonly endpoints: EndpointPath;
+  /** Whether connections should be closed after their answer. */
+  readonly isStopping: () => boolean;
+}
+
+/** Makes the server; the caller listens on it. */
+export function createRelayServer(options: RelayServerOptions): http.Server {
+  const server = http.createServer(
+    {
+      maxHeaderSize: options.limits.maxHeaderBytes + RELAY_HEADER_BYTES,
+      keepAliveTimeout: KEEP_ALIVE_MS,
+      requestTimeout: 0,
+    },
+    (request, response) => handleRelayed(options, request, response),
+  );
+  server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
+    handleRelayed(options, request, response);
+  });
+  server.on('clientError', (_error, socket) => socket.destroy());
+  return server;
+}
+
+function handleRelayed(
+  options: RelayServerOptions,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  response.on('error', () => response.destroy());
+  const sender = options.verifyToken(headerValue(request.rawHeaders, RELAY_TOKEN_HEADER));
+  if (sender === undefined) {
+    options.counters.add('ferryspool_relay_forbidden_total');
+    response.writeHead(FORBIDDEN_STATUS, { Connection: 'close', 'Content-Length': 0 });
+    response.end();
+    return;
+  }
+  if (options.isStopping()) {
+    response.shouldKeepAlive = false;
+  }
+  options.counters.add('ferryspool_relayed_requests_total');
+  const call = readCall(options, request, sender);
+  if (call === undefined) {
+    sendRelayError(response, new BadRequestError('malformed relay headers'), undefined);
+    return;
+  }
+  const endpoint = ownedEndpoint(options, headerValue(request.rawHeaders, RELAY_ENDPOINT_HEADER));
+  if (endpoint === undefined) {
+    sendRelayError(
+      response,
+      new UnknownEndpointError('the endpoint is not of this node'),
+      undefined,
+    );
+    return;
+  }
+  submit(options.endpoints, endpoint, call, response);
+}
+
+function submit(
+  endpoints: EndpointPath,
+  endpoint: Endpoint,
+  call: Call,
+  response: ServerResponse,
+): void {
+  let isOver = false;
+  const attempt: Attempt = endpoints.submit(endpoint, call, {
+    answered: (answer) => {
+      passAnswer(answer, response, answerHeaders(answer), 0, {
+        whole: () => {
+          isOver = true;
+        },
+        broken: () => {
+          isOver = true;
+          response.destroy();
+        },
+      });
+    },
+    failed: (error, load) => {
+      isOver = true;
+      sendRelayError(response, error, load);
+    },
+  });
+  response.once('close', () => {
+    if (!isOver) {
+      attempt.abort();
+    }
+  });
+}
+
+function readCall(
+  options: RelayServerOptions,
+  request: IncomingMessage,
+  sender: string,
+): Call | undefined {
+  const { rawHeaders } = request;
+  const requestId = headerValue(rawHeaders, RELAY_REQUEST_ID_HEADER);
+  const remainingMs = parseMilliseconds(headerValue(rawHeaders, RELAY_DEADLINE_HEADER));
+  const retries = parseMilliseconds(headerValue(rawHeaders, RELAY_RETRIES_HEADER));
+  const isValidId = requestId !== undefined && requestId.length <= MAX_REQUEST_ID_LENGTH;
+  if (!isValidId || remainingMs === undefined || retries === undefined) {
+    return undefined;
+  }
+  return {
+    requestId,
+    method: request.method ?? '',
+    target: request.url ?? '',
+    headers: messageHeaders(rawHeaders, NO_HEADERS),
+    body: relayedBody(request, options.limits.maxBodyBytes),
+    deadlineAtMs: options.clock() + remainingMs,
+    callerNode: sender,
+    retriesLeft: Math.min(retries, options.limits.maxRetries),
+  };
+}
+
+function relayedBody(request: IncomingMessage, maxBytes: number): RequestBody {
+  const lengthText = request.headers['content-length'];
+  if (lengthText !== undefined) {
+    return new StreamedBody(request, Number(lengthText), [], maxBytes);
+  }
+  const isChunked = request.headers['transfer-encoding'] !== undefined;
+  return isChunked ? new StreamedBody(request, undefined, [], maxBytes) : EMPTY_BODY;
+}
+
+function ownedEndpoint(
+  options: RelayServerOptions,
+  reference: string | undefined,
+): Endpoint | undefined {
+  const [service = '', name = ''] = (reference ?? '').split('/');
+  const endpoints = options.snapshot()?.endpointsByService.get(service);
+  return endpoints?.find(
+    (endpoint) => endpoint.name === name && endpoint.spec.machine === options.machineId,
+  );
+}
+
+function answerHeaders(answer: Answer): string[] {
+  return answer.headers.concat(VERDICT_HEADER, 'ran', loadHeaders(answer.load));
+}
+
+function sendRelayError(
+  response: ServerResponse,
+  error: RequestError,
+  load: LoadReport | undefined,
+): void {
+  if (response.headersSent || response.destroyed) {
+    return;
+  }
+  const headers = [RELAY_CODE_HEADER, error.code, ...loadHeaders(load)];
+  if (error.retryable) {
+    headers.push(RELAY_RETRYABLE_HEADER, '1');
+  }
+  if (error.retryAfterMs !== undefined) {
+    headers.push(RELAY_RETRY_AFTER_HEADER, String(Math.ceil(error.retryAfterMs)));
+  }
+  sendError(response, error, error.verdict, headers);
+}
+
+function loadHeaders(load: LoadReport | undefined): string[] {
+  if (load === undefined) {
+    return [];
+  }
+  const headers = [RELAY_LOAD_HEADER, `${load.inFlight}/${load.slots}`];
+  return load.draining ? [...headers, RELAY_DRAINING_HEADER, '1'] : headers;
+}
--- /dev/null
+++ b/src/proxy/request-lifecycle.ts
@@ -0,0 +1,204 @@
+/**
+ * Life of one caller's request at the caller's node: attempts, retries, the verdict over all
+ * attempts. Pure: events with the time in, effects out.
+ */
+import type { Verdict } from '../model/verdict.js';
+import type { RandomSource } from '../control/control-event.js';
+import type { RetryBudget } from '../routing/retry-budget.js';
+import type { RequestFailure } from './request-error.js';
+
+/** Upper bound of the first back-off, in milliseconds; doubles with each retry. */
+const FIRST_BACK_OFF_MS = 10;
+
+/** What the route, the caller and the node allow. */
+export interface RequestPolicy {
+  /** Whether the request may run more than once. */
+  readonly repeatable: boolean;
+  readonly deadlineAtMs: number;
+  /** Attempts after the first, those of the receivers included. */
+  readonly retries: number;
+  /** What the first attempt earns for the service's retry budget, in percent. */
+  readonly retryBudgetPercent: number;
+}
+
+/** Something that happened; `attempt` counts from 1, and events of a past attempt have no effect. */
+export type RequestEvent =
+  | { readonly type: 'start' }
+  /** The head of an answer arrived. */
+  | { readonly type: 'answered'; readonly attempt: number }
+  | { readonly type: 'answer-whole'; readonly attempt: number }
+  /** The answer ended too early; `canReplay` as for `failed`. */
+  | {
+      readonly type: 'answer-broken';
+      readonly attempt: number;
+      readonly failure: RequestFailure;
+      /** Whether the caller got a part of it. */
+      readonly wasPassedOn: boolean;
+      readonly canReplay: boolean;
+    }
+  | {
+      readonly type: 'failed';
+      readonly attempt: number;
+      readonly failure: RequestFailure;
+      /** Whether the body can be sent again. */
+      readonly canReplay: boolean;
+    }
+  /** No endpoint is left to try. */
+  | { readonly type: 'no-endpoint'; readonly attempt: number; readonly failure: RequestFailure }
+  | { readonly type: 'back-off-over' }
+  /** The deadline passed; `failure` says so. */
+  | { readonly type: 'deadline'; readonly failure: RequestFailure }
+  | { readonly type: 'caller-gone' };
+
+/** Something to be done. */
+export type RequestEffect =
+  | {
+      readonly type: 'begin-attempt';
+      readonly attempt: number;
+      /** Attempts after the first that the receivers of this attempt may make among them. */
+      readonly retriesLeft: number;
+    }
+  | { readonly type: 'back-off'; readonly delayMs: number }
+  | { readonly type: 'abort-attempt' }
+  | { readonly type: 'pass-answer' }
+  /** Tell the caller; `verdict` covers all attempts. */
+  | { readonly type: 'report'; readonly failure: RequestFailure; readonly verdict: Verdict }
+  /** Break the caller's connection: its answer can't be completed. */
+  | { readonly type: 'break-connection' };
+
+type State = 'new' | 'attempting' | 'answering' | 'backing-off' | 'over';
+
+/** One caller's request. */
+export class RequestLifecycle {
+  private state: State = 'new';
+  private attempt = 0;
+  private retriesLeft: number;
+  private lastFailure: RequestFailure | undefined;
+  /** Whether an attempt that is over may have run. */
+  private mayHaveRun = false;
+
+  constructor(
+    private readonly policy: RequestPolicy,
+    private readonly budget: RetryBudget,
+    private readonly random: RandomSource,
+  ) {
+    this.retriesLeft = policy.retries;
+  }
+
+  /** Whether the request has got its answer or error. */
+  get isOver(): boolean {
+    return this.state === 'over';
+  }
+
+  /** Takes an event; effects are to be executed in order. */
+  handle(event: RequestEvent, nowMs: number): RequestEffect[] {
+    if (this.state === 'over' || this.isPast(event)) {
+      return [];
+    }
+    switch (event.type) {
+      case 'start':
+        return this.start();
+      case 'answered':
+        this.state = 'answering';
+        return [{ type: 'pass-answer' }];
+      case 'answer-whole':
+        this.state = 'over';
+        return [];
+      case 'answer-broken':
+        return this.breakAnswer(event, nowMs);
+      case 'failed':
+        return this.fail(event.failure, event.canReplay, nowMs);
+      case 'no-endpoint':
+        return this.report(this.lastFailure ?? event.failure);
+      case 'back-off-over':
+        return this.state === 'backing-off' ? this.beginAttempt() : [];
+      case 'deadline':
+        return this.expire(event.failure);
+      case 'caller-gone':
+        return this.abandon();
+    }
+  }
+
+  private isPast(event: RequestEvent): boolean {
+    if (!('attempt' in event)) {
+      return false;
+    }
+    const isUnderWay = this.state === 'attempting' || this.state === 'answering';
+    return event.attempt !== this.attempt || !isUnderWay;
+  }
+
+  private start(): RequestEffect[] {
+    if (this.state !== 'new') {
+      return [];
+    }
+    this.budget.earn(this.policy.retryBudgetPercent);
+    return this.beginAttempt();
+  }
+
+  /**
+   * The retries left are split between the receivers of this attempt and later attempts, so that a
+   * chain of calls makes no more attempts in all than its first request allows.
+   */
+  private beginAttempt(): RequestEffect[] {
+    this.state = 'attempting';
+    this.attempt += 1;
+    const forReceivers = Math.floor(this.retriesLeft / 2);
+    this.retriesLeft -= forReceivers;
+    return [{ type: 'begin-attempt', attempt: this.attempt, retriesLeft: forReceivers }];
+  }
+
+  private fail(failure: RequestFailure, canReplay: boolean, nowMs: number): RequestEffect[] {
+    this.lastFailure = failure;
+    this.mayHaveRun ||= failure.verdict !== 'not-run';
+    if (!this.mayRetry(failure, canReplay)) {
+      return this.report(failure);
+    }
+    const delayMs = this.random() * FIRST_BACK_OFF_MS * 2 ** (this.attempt - 1);
+    if (nowMs + delayMs >= this.policy.deadlineAtMs || !this.budget.take()) {
+      return this.report(failure);
+    }
+    this.retriesLeft -= 1;
+    this.state = 'backing-off';
+    return [{ type: 'back-off', delayMs }];
+  }
+
+  private mayRetry(failure: RequestFailure, canReplay: boolean): boolean {
+    const isSafe = this.policy.repeatable || failure.verdict === 'not-run';
+    return failure.retryable && isSafe && canReplay && this.retriesLeft > 0;
+  }
+
+  private breakAnswer(
+    event: Extract<RequestEvent, { type: 'answer-broken' }>,
+    nowMs: number,
+  ): RequestEffect[] {
+    if (event.wasPassedOn) {
+      this.state = 'over';
+      return [{ type: 'break-connection' }];
+    }
+    return this.fail(event.failure, event.canReplay, nowMs);
+  }
+
+  /** An answer under way goes on: its head was in time. */
+  private expire(failure: RequestFailure): RequestEffect[] {
+    if (this.state === 'answering') {
+      return [];
+    }
+    if (this.state === 'backing-off' && this.lastFailure !== undefined) {
+      return this.report(this.lastFailure);
+    }
+    this.mayHaveRun ||= this.state === 'attempting';
+    return [{ type: 'abort-attempt' }, ...this.report(failure)];
+  }
+
+  private abandon(): RequestEffect[] {
+    const isUnderWay = this.state === 'attempting' || this.state === 'answering';
+    this.state = 'over';
+    return isUnderWay ? [{ type: 'abort-attempt' }] : [];
+  }
+
+  private report(failure: RequestFailure): RequestEffect[] {
+    this.state = 'over';
+    const verdict = this.mayHaveRun ? 'may-have-run' : failure.verdict;
+    return [{ type: 'report', failure, verdict }];
+  }
+}
--- /dev/null
+++ b/src/proxy/request-proxy.ts
@@ -0,0 +1,267 @@
+/** The request path of a node: callers' port, relay port and everything between. */
+import type http from 'node:http';
+import type { CounterSink, RandomSource } from '../control/control-event.js';
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import type { Snapshot } from '../model/snapshot.js';
+import { RouteTableCache, type RouteMatch } from '../routing/route-table.js';
+import { HeldBytes, receiveBody } from './body-receiver.js';
+import { createCallerServer, type CallerRequest, type CallerResponse } from './caller-server.js';
+import { EndpointClient } from './endpoint-client.js';
+import { EndpointGateway } from './endpoint-gateway.js';
+import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
+import { RelayClient } from './relay-client.js';
+import { createRelayServer } from './relay-server.js';
+import { RelayTokenIssuer, verifyRelayToken } from './relay-token.js';
+import {
+  DeadlinePassedError,
+  InternalError,
+  NotConfiguredError,
+  OverloadedError,
+  RequestError,
+  RouteNotFoundError,
+} from './request-error.js';
+import { RequestRunner } from './request-runner.js';
+import { RequestServices, type MemberDirectory } from './request-services.js';
+import { drainServers } from './server-drain.js';
+
+const NOT_CONFIGURED_RETRY_MS = 1_000;
+
+/** What the request path needs of its node. */
+export interface RequestProxyOptions {
+  readonly identity: PeerIdentity;
+  readonly snapshots: { current(): Snapshot | undefined };
+  readonly members: MemberDirectory;
+  readonly counters: CounterSink;
+  readonly random: RandomSource;
+  readonly limits?: Partial<ProxyLimits>;
+  /** Shared secret of the fleet. */
+  readonly fleetKey: Uint8Array;
+  /** Writes one line on a change of state. */
+  readonly logStateChange: (what: string, detail: string) => void;
+}
+
+/** The request path; its owner listens on the two servers. */
+export interface RequestProxy {
+  readonly callerServer: http.Server;
+  readonly relayServer: http.Server;
+  /** Planned stop: answers close their connections, requests in flight finish. */
+  stop(): Promise<void>;
+  /** Stop at once: connections are cut. */
+  abort(): void;
+}
+
+/** Makes the request path of a node. */
+export function createRequestProxy(options: RequestProxyOptions): RequestProxy {
+  return new NodeRequestProxy(options);
+}
+
+class NodeRequestProxy implements RequestProxy {
+  readonly callerServer: http.Server;
+  readonly relayServer: http.Server;
+  private readonly limits: ProxyLimits;
+  private readonly services: RequestServices;
+  private readonly endpointClient: EndpointClient;
+  private readonly relayClient: RelayClient;
+  private readonly routeTables = new RouteTableCache();
+  private readonly heldBytes: HeldBytes;
+  private readonly clock = (): number => performance.now();
+  private requestCount = 0;
+  private callsInFlight = 0;
+  private lastArrivalAtMs = 0;
+  private isStopping = false;
+  private isAborted = false;
+
+  constructor(private readonly options: RequestProxyOptions) {
+    this.limits = { ...DEFAULT_PROXY_LIMITS, ...options.limits };
+    this.heldBytes = new HeldBytes(this.limits.maxHeldBytes);
+    this.endpointClient = new EndpointClient(this.limits.connectTimeoutMs);
+    this.relayClient = this.makeRelayClient();
+    const gateway = new EndpointGateway(
+      this.endpointClient,
+      (endpoint) => endpoint.spec.slots,
+      options.counters,
+      this.clock,
+    );
+    this.services = new RequestServices({
+      ...options,
+      limits: this.limits,
+      clock: this.clock,
+      direct: gateway,
+      relay: this.relayClient,
+    });
+    this.callerServer = this.makeCallerServer();
+    this.relayServer = this.makeRelayServer(gateway);
+  }
+
+  async stop(): Promise<void> {
+    this.isStopping = true;
+    this.options.logStateChange('request-path', 'stopping');
+    await drainServers([this.callerServer, this.relayServer], {
+      quietMs: this.limits.stopQuietMs,
+      timeoutMs: this.limits.stopTimeoutMs,
+      lastArrivalAtMs: () => this.lastArrivalAtMs,
+      inFlight: () => this.callsInFlight,
+      clock: this.clock,
+    });
+    this.abort();
+  }
+
+  abort(): void {
+    if (this.isAborted) {
+      return;
+    }
+    this.isAborted = true;
+    this.isStopping = true;
+    for (const server of [this.callerServer, this.relayServer]) {
+      server.close();
+      server.closeAllConnections();
+    }
+    this.endpointClient.close();
+    this.relayClient.close();
+    this.options.logStateChange('request-path', 'stopped');
+  }
+
+  private makeRelayClient(): RelayClient {
+    const { members, fleetKey, identity } = this.options;
+    const tokens = new RelayTokenIssuer(fleetKey, identity.id);
+    return new RelayClient({
+      connectTimeoutMs: this.limits.connectTimeoutMs,
+      clock: this.clock,
+      token: () => tokens.current(Date.now()),
+      addressOf: ({ spec }) =>
+        spec.machine === undefined ? undefined : members.relayAddress(spec.machine),
+    });
+  }
+
+  private makeCallerServer(): http.Server {
+    return createCallerServer({
+      limits: this.limits,
+      isStopping: () => this.isStopping,
+      nextRequestId: () => this.nextRequestId(),
+      handle: (request, response) => this.handle(request, response),
+    });
+  }
+
+  private makeRelayServer(gateway: EndpointGateway): http.Server {
+    const server = createRelayServer({
+      machineId: this.options.identity.id,
+      limits: this.limits,
+      counters: this.options.counters,
+      clock: this.clock,
+      verifyToken: (token) => verifyRelayToken(this.options.fleetKey, token, Date.now()),
+      snapshot: () => this.options.snapshots.current(),
+      endpoints: gateway,
+      isStopping: () => this.isStopping,
+    });
+    server.prependListener('request', (_request, response: http.ServerResponse) => {
+      this.countCall(response);
+    });
+    return server;
+  }
+
+  /** Counts an open exchange of either server until it closes. */
+  private countCall(response: { once(event: 'close', listener: () => void): unknown }): void {
+    this.callsInFlight += 1;
+    this.lastArrivalAtMs = this.clock();
+    response.once('close', () => {
+      this.callsInFlight -= 1;
+    });
+  }
+
+  private handle(request: CallerRequest, response: CallerResponse): void {
+    const requestId = this.nextRequestId();
+    this.options.counters.add('ferryspool_requests_total');
+    const isFull = this.callsInFlight >= this.limits.maxCallsInFlight;
+    this.countCall({ once: (_event, listener) => response.onClose(listener) });
+    try {
+      if (isFull) {
+        throw new OverloadedError('the node has too many requests in flight');
+      }
+      this.run(request, response, requestId);
+    } catch (error) {
+      const refusal = this.asRequestError(error);
+      response.fail(refusal, refusal.verdict, requestId);
+    }
+  }
+
+  private run(request: CallerRequest, response: CallerResponse, requestId: string): void {
+    const snapshot = this.options.snapshots.current();
+    if (snapshot === undefined) {
+      throw new NotConfiguredError('the node holds no configuration', NOT_CONFIGURED_RETRY_MS);
+    }
+    const match = this.routeTables
+      .tableOf(snapshot)
+      .match(request.host, request.path, request.method);
+    if (match === undefined) {
+      throw new RouteNotFoundError('no route matches the request');
+    }
+    const timeoutMs = Math.min(match.timeoutMs, request.timeoutMs ?? Infinity);
+    if (timeoutMs <= 0) {
+      throw new DeadlinePassedError('the deadline has passed');
+    }
+    const runner = new RequestRunner({
+      services: this.services,
+      snapshot,
+      match,
+      request,
+      response,
+      headers: withCredential(request.headers, match, snapshot),
+      requestId,
+      deadlineAtMs: this.clock() + timeoutMs,
+    });
+    this.startWithBody(runner, request, response);
+  }
+
+  private startWithBody(
+    runner: RequestRunner,
+    request: CallerRequest,
+    response: CallerResponse,
+  ): void {
+    try {
+      const release = receiveBody(request.message, this.limits, this.heldBytes, (body) =>
+        runner.start(body),
+      );
+      response.onClose(release);
+    } catch (error) {
+      runner.refuse(this.asRequestError(error));
+    }
+  }
+
+  private asRequestError(error: unknown): RequestError {
+    if (error instanceof RequestError) {
+      return error;
+    }
+    this.options.logStateChange(
+      'request-fault',
+      error instanceof Error ? error.message : 'unknown',
+    );
+    return new InternalError('the node failed');
+  }
+
+  private nextRequestId(): string {
+    this.requestCount += 1;
+    const { id, incarnation } = this.options.identity;
+    return `${id}-${incarnation.toString(36)}-${this.requestCount.toString(36)}`;
+  }
+}
+
+/** Adds the route's credential, in place of one that the caller sent. */
+function withCredential(
+  headers: readonly string[],
+  match: RouteMatch,
+  snapshot: Snapshot,
+): readonly string[] {
+  const { credential } = match.route.spec;
+  const secret = credential && snapshot.secrets.get(credential.secret);
+  if (credential === undefined || secret === undefined) {
+    return headers;
+  }
+  const others: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index] ?? '';
+    if (name.toLowerCase() !== credential.header) {
+      others.push(name, headers[index + 1] ?? '');
+    }
+  }
+  return [...others, credential.header, secret.spec.value];
+}
--- /dev/null
+++ b/src/proxy/request-runner.ts
@@ -0,0 +1,237 @@
+/** Runs one caller's request: executes the effects of {@link RequestLifecycle}. */
+import type { Endpoint } from '../model/resource.js';
+import type { Snapshot } from '../model/snapshot.js';
+import type { AttemptOutcome } from '../routing/endpoint-record.js';
+import type { RouteMatch } from '../routing/route-table.js';
+import type { Answer, Attempt, Call, EndpointPath, LoadReport } from './call.js';
+import type { CallerRequest, CallerResponse } from './caller-server.js';
+import type { RequestBody } from './request-body.js';
+import {
+  BodyTooSlowError,
+  InternalError,
+  NoEndpointError,
+  RequestError,
+  TimedOutError,
+  TruncatedAnswerError,
+} from './request-error.js';
+import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
+import type { RequestServices } from './request-services.js';
+
+/** Answers from this status on report a fault of the endpoint. */
+const FAULT_STATUS = 500;
+
+/** What one request is run with. */
+export interface RequestContext {
+  readonly services: RequestServices;
+  /** The configuration that the request started with, and keeps. */
+  readonly snapshot: Snapshot;
+  readonly match: RouteMatch;
+  readonly request: CallerRequest;
+  readonly response: CallerResponse;
+  readonly headers: readonly string[];
+  readonly requestId: string;
+  readonly deadlineAtMs: number;
+}
+
+/** One caller's request under way. */
+export class RequestRunner {
+  private readonly lifecycle: RequestLifecycle;
+  private readonly tried = new Set<string>();
+  private attempt: Attempt | undefined;
+  private attemptNumber = 0;
+  private endpoint: Endpoint | undefined;
+  private answer: Answer | undefined;
+  private body: RequestBody | undefined;
+  private readonly deadlineTimer: NodeJS.Timeout;
+  private backOffTimer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly context: RequestContext) {
+    const { services, match, request, deadlineAtMs } = context;
+    const policy = {
+      repeatable: match.repeatable,
+      deadlineAtMs,
+      retries: Math.min(services.limits.maxRetries, request.retries ?? Infinity),
+      retryBudgetPercent: match.retryBudgetPercent,
+    };
+    const budget = services.retryBudgetOf(match.service);
+    this.lifecycle = new RequestLifecycle(policy, budget, services.random);
+    const remainingMs = deadlineAtMs - services.clock();
+    this.deadlineTimer = setTimeout(() => this.expire(), remainingMs);
+    context.response.onClose((isWhole) => this.close(isWhole));
+  }
+
+  /** Begins the first attempt, unless the request is over already. */
+  start(body: RequestBody): void {
+    this.body = body;
+    this.handle({ type: 'start' });
+  }
+
+  /** Ends the request before its first attempt. */
+  refuse(error: RequestError): void {
+    this.finish();
+    this.context.response.fail(error, error.verdict, this.context.requestId);
+  }
+
+  private handle(event: RequestEvent): void {
+    for (const effect of this.lifecycle.handle(event, this.context.services.clock())) {
+      this.execute(effect);
+    }
+  }
+
+  private execute(effect: RequestEffect): void {
+    switch (effect.type) {
+      case 'begin-attempt':
+        return this.beginAttempt(effect.attempt, effect.retriesLeft);
+      case 'back-off':
+        this.context.services.counters.add('ferryspool_retries_total');
+        this.backOffTimer = setTimeout(
+          () => this.handle({ type: 'back-off-over' }),
+          effect.delayMs,
+        );
+        return;
+      case 'abort-attempt':
+        this.attempt?.abort();
+        return this.endAttempt(this.answer === undefined ? 'abandoned' : 'answered');
+      case 'pass-answer':
+        return this.passAnswer();
+      case 'report':
+        this.finish();
+        return this.context.response.fail(
+          effect.failure instanceof RequestError ? effect.failure : new InternalError('no error'),
+          effect.verdict,
+          this.context.requestId,
+        );
+      case 'break-connection':
+        this.finish();
+        return this.context.response.breakConnection();
+    }
+  }
+
+  private beginAttempt(attempt: number, retriesLeft: number): void {
+    const { services, snapshot, match } = this.context;
+    this.attemptNumber = attempt;
+    const endpoint = services.chooseEndpoint(snapshot, match, this.tried);
+    if (endpoint === undefined || this.body === undefined) {
+      const failure = new NoEndpointError(`no endpoint of service ${match.service} takes new work`);
+      this.handle({ type: 'no-endpoint', attempt, failure });
+      return;
+    }
+    this.endpoint = endpoint;
+    this.answer = undefined;
+    this.tried.add(endpoint.name);
+    services.selector.began(endpoint, services.clock());
+    const call = this.callOf(this.body, attempt, retriesLeft);
+    const path: EndpointPath = services.pathTo(endpoint);
+    this.attempt = path.submit(endpoint, call, {
+      answered: (answer) => this.takeAnswer(attempt, answer),
+      failed: (error, load) => this.takeFailure(attempt, error, load),
+    });
+  }
+
+  private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
+    const { request, headers, requestId, deadlineAtMs, services } = this.context;
+    return {
+      requestId: `${requestId}.${attempt}`,
+      method: request.method,
+      target: request.target,
+      headers,
+      body,
+      deadlineAtMs,
+      callerNode: services.machineId,
+      retriesLeft,
+    };
+  }
+
+  private takeAnswer(attempt: number, answer: Answer): void {
+    this.answer = answer;
+    this.observeLoad(answer.load, undefined);
+    this.handle({ type: 'answered', attempt });
+  }
+
+  private takeFailure(attempt: number, error: RequestError, load: LoadReport | undefined): void {
+    this.observeLoad(load, error);
+    this.endAttempt(outcomeOf(error));
+    this.handle({ type: 'failed', attempt, failure: error, canReplay: this.canReplay() });
+  }
+
+  private passAnswer(): void {
+    const { answer, attemptNumber: attempt } = this;
+    if (answer === undefined) {
+      return;
+    }
+    const { response, requestId, services } = this.context;
+    response.answer(answer, requestId, services.limits.maxHeldAnswerBytes, {
+      whole: () => {
+        this.endAttempt(answer.status >= FAULT_STATUS ? 'failed' : 'answered');
+        this.handle({ type: 'answer-whole', attempt });
+        this.finish();
+      },
+      broken: (wasPassedOn) => {
+        this.endAttempt('failed');
+        const failure = new TruncatedAnswerError('the answer broke off');
+        const canReplay = this.canReplay();
+        this.handle({ type: 'answer-broken', attempt, failure, wasPassedOn, canReplay });
+      },
+    });
+  }
+
+  private observeLoad(load: LoadReport | undefined, error: RequestError | undefined): void {
+    const { services } = this.context;
+    if (this.endpoint === undefined) {
+      return;
+    }
+    const draining = load?.draining === true || error?.code === 'ENDPOINT_DRAINING';
+    if (load !== undefined || draining) {
+      const retryAfterMs = error?.status === 503 ? error.retryAfterMs : undefined;
+      services.selector.observedLoad(
+        this.endpoint,
+        {
+          inFlight: load?.inFlight ?? 0,
+          draining,
+          ...(retryAfterMs !== undefined && { retryAfterMs }),
+        },
+        services.clock(),
+      );
+    }
+  }
+
+  private endAttempt(outcome: AttemptOutcome): void {
+    const { services, snapshot, match } = this.context;
+    if (this.endpoint !== undefined) {
+      const peers = snapshot.endpointsByService.get(match.service) ?? [];
+      services.selector.ended(this.endpoint, outcome, peers, services.clock());
+      this.endpoint = undefined;
+    }
+  }
+
+  private canReplay(): boolean {
+    return this.body?.isReplayable() === true;
+  }
+
+  private expire(): void {
+    const failure =
+      this.body === undefined
+        ? new BodyTooSlowError('the body did not arrive before the deadline')
+        : new TimedOutError('no answer before the deadline');
+    this.handle({ type: 'deadline', failure });
+  }
+
+  private close(isWhole: boolean): void {
+    if (!isWhole) {
+      this.handle({ type: 'caller-gone' });
+    }
+    this.finish();
+  }
+
+  private finish(): void {
+    clearTimeout(this.deadlineTimer);
+    clearTimeout(this.backOffTimer);
+  }
+}
+
+function outcomeOf(error: RequestError): AttemptOutcome {
+  if (error.verdict !== 'not-run') {
+    return 'failed';
+  }
+  return error.code === 'UNREACHABLE' ? 'unreachable' : 'refused';
+}
--- /dev/null
+++ b/src/proxy/request-services.ts
@@ -0,0 +1,99 @@
+/** What the requests of a node share: choice of endpoints, ways to them, budgets. */
+import type { CounterSink, RandomSource } from '../control/control-event.js';
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import type { Endpoint } from '../model/resource.js';
+import type { Snapshot } from '../model/snapshot.js';
+import { EndpointSelector } from '../routing/endpoint-selector.js';
+import { RetryBudget } from '../routing/retry-budget.js';
+import type { RouteMatch } from '../routing/route-table.js';
+import type { MemberStatus } from '../wire/message.js';
+import type { EndpointPath } from './call.js';
+import type { ProxyLimits } from './proxy-limits.js';
+import type { RelayAddress } from './relay-client.js';
+
+/** What the node knows of its peers. */
+export interface MemberDirectory {
+  status(machineId: string): MemberStatus | 'unknown';
+  relayAddress(machineId: string): RelayAddress | undefined;
+  /** Members not known to be dead, this node among them. */
+  count(): number;
+}
+
+/** Parts that the requests of a node share. */
+export interface RequestServicesOptions {
+  readonly identity: PeerIdentity;
+  readonly members: MemberDirectory;
+  readonly counters: CounterSink;
+  readonly random: RandomSource;
+  readonly clock: () => number;
+  readonly limits: ProxyLimits;
+  /** The way to endpoints that this node reaches itself. */
+  readonly direct: EndpointPath;
+  /** The way over the node beside the endpoint. */
+  readonly relay: EndpointPath;
+}
+
+/** Shared by the requests of one node. */
+export class RequestServices {
+  readonly selector: EndpointSelector;
+  readonly limits: ProxyLimits;
+  readonly counters: CounterSink;
+  readonly random: RandomSource;
+  readonly clock: () => number;
+  readonly machineId: string;
+  private readonly budgets = new Map<string, RetryBudget>();
+
+  constructor(private readonly options: RequestServicesOptions) {
+    this.selector = new EndpointSelector(options.random);
+    this.limits = options.limits;
+    this.counters = options.counters;
+    this.random = options.random;
+    this.clock = options.clock;
+    this.machineId = options.identity.id;
+  }
+
+  /** The endpoint for the next attempt, or undefined. */
+  chooseEndpoint(
+    snapshot: Snapshot,
+    match: RouteMatch,
+    tried: ReadonlySet<string>,
+  ): Endpoint | undefined {
+    const { zone, region } = this.options.identity;
+    const context = {
+      zone,
+      region,
+      tried,
+      repeatable: match.repeatable,
+      mayReceive: (endpoint: Endpoint) => this.mayReceive(endpoint),
+    };
+    const endpoints = snapshot.endpointsByService.get(match.service) ?? [];
+    return this.selector.choose(endpoints, context, this.clock());
+  }
+
+  /** The way to an endpoint. */
+  pathTo(endpoint: Endpoint): EndpointPath {
+    const { machine } = endpoint.spec;
+    const isDirect = machine === undefined || machine === this.machineId;
+    return isDirect ? this.options.direct : this.options.relay;
+  }
+
+  retryBudgetOf(service: string): RetryBudget {
+    let budget = this.budgets.get(service);
+    if (budget === undefined) {
+      budget = new RetryBudget();
+      this.budgets.set(service, budget);
+    }
+    return budget;
+  }
+
+  /** New work goes only to endpoints whose node is not known to leave or to be gone. */
+  private mayReceive(endpoint: Endpoint): boolean {
+    const { machine } = endpoint.spec;
+    if (machine === undefined || machine === this.machineId) {
+      return true;
+    }
+    const status = this.options.members.status(machine);
+    const isLost = status === 'leaving' || status === 'dead';
+    return !isLost && this.options.members.relayAddress(machine) !== undefined;
+  }
+}
--- /dev/null
+++ b/src/routing/endpoint-record.ts
@@ -0,0 +1,151 @@
+/** What one node has seen of one endpoint: load, failures, draining. Evidence, not health reports. */
+
+/** Time over which a new endpoint's share of requests grows to the full one, in milliseconds. */
+const SLOW_START_MS = 10_000;
+/** Share of its slots that a new endpoint counts with at first. */
+const SLOW_START_SHARE = 0.1;
+/** A report of load loses half of its weight in this time, in milliseconds. */
+const LOAD_HALF_LIFE_MS = 1_000;
+/** Failures in a row after which an endpoint is ejected. */
+const FAILURES_TO_EJECT = 5;
+/** Failed connections in a row after which an endpoint is ejected. */
+const UNREACHABLE_TO_EJECT = 2;
+/** Time of a first ejection, in milliseconds; doubles with each failed probe. */
+const FIRST_EJECTION_MS = 1_000;
+const MAX_EJECTION_MS = 30_000;
+/** How long an endpoint that said that it is draining gets nothing, in milliseconds. */
+const DRAINING_HOLD_MS = 30_000;
+/** Added to the load of an endpoint that has refused, while it asked to be left alone. */
+const REFUSAL_PENALTY = 1;
+
+/**
+ * - `answered`: an answer that speaks for the endpoint.
+ * - `failed`: no answer, a broken one, or one that reports a fault of the endpoint.
+ * - `unreachable`: no connection.
+ * - `refused`: not started, for lack of room or because of a drain.
+ * - `abandoned`: given up by the caller; says nothing of the endpoint.
+ */
+export type AttemptOutcome = 'answered' | 'failed' | 'unreachable' | 'refused' | 'abandoned';
+
+/** Load as told by the endpoint or its node. */
+export interface LoadObservation {
+  /** Requests that run or wait there, of all senders. */
+  readonly inFlight: number;
+  readonly draining: boolean;
+  /** Time for which the endpoint asked to be left alone, in milliseconds. */
+  readonly retryAfterMs?: number;
+}
+
+/** The record of one endpoint. */
+export class EndpointRecord {
+  private inFlight = 0;
+  private othersInFlight = 0;
+  private observedAtMs = 0;
+  private busyUntilMs = 0;
+  private drainingUntilMs = 0;
+  private failures = 0;
+  private unreachable = 0;
+  private ejectedUntilMs: number | undefined;
+  private ejectionMs = FIRST_EJECTION_MS;
+  private startedAtMs: number;
+
+  /** `isCold` says that the endpoint has just appeared and gets few requests at first. */
+  constructor(nowMs: number, isCold: boolean) {
+    this.startedAtMs = isCold ? nowMs : -Infinity;
+  }
+
+  /** Whether nothing would be lost with the record. */
+  get isIdle(): boolean {
+    return this.inFlight === 0 && this.ejectedUntilMs === undefined;
+  }
+
+  /** Whether the endpoint is kept out for failing; see {@link isProbeDue}. */
+  get isEjected(): boolean {
+    return this.ejectedUntilMs !== undefined;
+  }
+
+  /** Whether the ejected endpoint may be tried with one request. */
+  isProbeDue(nowMs: number): boolean {
+    const isDue = this.ejectedUntilMs !== undefined && this.ejectedUntilMs <= nowMs;
+    return isDue && this.inFlight === 0;
+  }
+
+  /** Whether the endpoint said that it takes no new work. */
+  isDraining(nowMs: number): boolean {
+    return nowMs < this.drainingUntilMs;
+  }
+
+  /** Load as a share of the slots that count; a new endpoint counts with few. */
+  load(slots: number, nowMs: number): number {
+    const age = Math.max(0, nowMs - this.observedAtMs);
+    const others = this.othersInFlight * 0.5 ** (age / LOAD_HALF_LIFE_MS);
+    const penalty = nowMs < this.busyUntilMs ? REFUSAL_PENALTY : 0;
+    return (this.inFlight + others) / (slots * this.warmth(nowMs)) + penalty;
+  }
+
+  began(): void {
+    this.inFlight += 1;
+  }
+
+  ended(outcome: AttemptOutcome, nowMs: number): void {
+    this.inFlight -= 1;
+    switch (outcome) {
+      case 'answered':
+        return this.recover(nowMs);
+      case 'failed':
+        this.failures += 1;
+        return;
+      case 'unreachable':
+        this.failures += 1;
+        this.unreachable += 1;
+        return;
+      case 'refused':
+      case 'abandoned':
+        return;
+    }
+  }
+
+  observeLoad(load: LoadObservation, nowMs: number): void {
+    this.othersInFlight = Math.max(0, load.inFlight - this.inFlight);
+    this.observedAtMs = nowMs;
+    if (load.draining) {
+      this.drainingUntilMs = nowMs + DRAINING_HOLD_MS;
+    }
+    if (load.retryAfterMs !== undefined) {
+      this.busyUntilMs = nowMs + load.retryAfterMs;
+    }
+  }
+
+  /** Whether the failures in a row suffice; a failed probe is enough for an ejected endpoint. */
+  shouldEject(nowMs: number): boolean {
+    if (this.ejectedUntilMs !== undefined) {
+      return nowMs >= this.ejectedUntilMs && this.failures > 0;
+    }
+    return this.failures >= FAILURES_TO_EJECT || this.unreachable >= UNREACHABLE_TO_EJECT;
+  }
+
+  /** Keeps the endpoint out; for longer after each failed probe. */
+  eject(nowMs: number): void {
+    if (this.ejectedUntilMs !== undefined) {
+      this.ejectionMs = Math.min(MAX_EJECTION_MS, this.ejectionMs * 2);
+    }
+    this.ejectedUntilMs = nowMs + this.ejectionMs;
+    this.failures = 0;
+    this.unreachable = 0;
+  }
+
+  private recover(nowMs: number): void {
+    this.failures = 0;
+    this.unreachable = 0;
+    if (this.ejectedUntilMs !== undefined) {
+      this.ejectedUntilMs = undefined;
+      this.ejectionMs = FIRST_EJECTION_MS;
+      this.startedAtMs = nowMs;
+    }
+  }
+
+  private warmth(nowMs: number): number {
+    const grown = (nowMs - this.startedAtMs) / SLOW_START_MS;
+    return Math.min(1, Math.max(SLOW_START_SHARE, grown));
+  }
+}
--- /dev/null
+++ b/src/routing/endpoint-selector.ts
@@ -0,0 +1,179 @@
+/**
+ * Chooses the endpoint of an attempt: two random candidates, the less loaded wins; the own zone is
+ * preferred until it is nearly full. Pure: time and random numbers are passed in.
+ */
+import type { RandomSource } from '../control/control-event.js';
+import type { Endpoint } from '../model/resource.js';
+import { EndpointRecord } from './endpoint-record.js';
+import type { AttemptOutcome, LoadObservation } from './endpoint-record.js';
+
+/** Load from which requests spill over to other zones, as a share of the slots. */
+const SPILL_OVER_LOAD = 0.8;
+/** At most this share of a service's endpoints is ejected at once. */
+const MAX_EJECTED_SHARE = 0.5;
+/** Records of endpoints that are gone are dropped when this many are kept. */
+const MAX_RECORDS = 20_000;
+
+/** What a choice depends on besides the records. */
+export interface SelectionContext {
+  /** Zone and region of this node. */
+  readonly zone: string;
+  readonly region: string;
+  /** Names of endpoints that the request has tried. */
+  readonly tried: ReadonlySet<string>;
+  /** Whether the request may be used to probe an ejected endpoint. */
+  readonly repeatable: boolean;
+  /** Whether the node may send new work there, by what it knows of members. */
+  readonly mayReceive: (endpoint: Endpoint) => boolean;
+}
+
+/** What this node has seen of endpoints, and the choice among them. */
+export class EndpointSelector {
+  private readonly records = new Map<string, EndpointRecord>();
+
+  constructor(private readonly random: RandomSource) {}
+
+  /** The endpoint for the next attempt, or undefined when none takes new work. */
+  choose(
+    endpoints: readonly Endpoint[],
+    context: SelectionContext,
+    nowMs: number,
+  ): Endpoint | undefined {
+    this.meet(endpoints, nowMs);
+    const open = endpoints.filter((endpoint) => this.isOpen(endpoint, context, nowMs));
+    if (context.repeatable) {
+      const due = open.find((endpoint) => this.recordOf(endpoint, nowMs).isProbeDue(nowMs));
+      if (due !== undefined) {
+        return due;
+      }
+    }
+    const healthy = open.filter((endpoint) => !this.recordOf(endpoint, nowMs).isEjected);
+    return this.chooseByZone(healthy.length > 0 ? healthy : open, context, nowMs);
+  }
+
+  /** An attempt at `endpoint` begins. */
+  began(endpoint: Endpoint, nowMs: number): void {
+    this.recordOf(endpoint, nowMs).began();
+  }
+
+  /** An attempt at `endpoint` is over. `peers` are the endpoints of its service. */
+  ended(
+    endpoint: Endpoint,
+    outcome: AttemptOutcome,
+    peers: readonly Endpoint[],
+    nowMs: number,
+  ): void {
+    const record = this.recordOf(endpoint, nowMs);
+    record.ended(outcome, nowMs);
+    const mayEject = record.isEjected || this.mayEjectOneMore(peers, nowMs);
+    if (mayEject && record.shouldEject(nowMs)) {
+      record.eject(nowMs);
+    }
+  }
+
+  /** What an answer or a refusal said of the load. */
+  observedLoad(endpoint: Endpoint, load: LoadObservation, nowMs: number): void {
+    this.recordOf(endpoint, nowMs).observeLoad(load, nowMs);
+  }
+
+  /** Whether this node holds the endpoint for failing. */
+  isEjected(endpoint: Endpoint): boolean {
+    return this.records.get(recordKey(endpoint))?.isEjected === true;
+  }
+
+  /** Endpoints of a service that was not in use yet are taken as warm, later ones as cold. */
+  private meet(endpoints: readonly Endpoint[], nowMs: number): void {
+    const unknown = endpoints.filter((endpoint) => !this.records.has(recordKey(endpoint)));
+    if (unknown.length === 0) {
+      return;
+    }
+    const isCold = unknown.length < endpoints.length;
+    for (const endpoint of unknown) {
+      this.dropIdleRecords();
+      this.records.set(recordKey(endpoint), new EndpointRecord(nowMs, isCold));
+    }
+  }
+
+  private isOpen(endpoint: Endpoint, context: SelectionContext, nowMs: number): boolean {
+    return (
+      endpoint.spec.state === 'active' &&
+      !context.tried.has(endpoint.name) &&
+      !this.recordOf(endpoint, nowMs).isDraining(nowMs) &&
+      context.mayReceive(endpoint)
+    );
+  }
+
+  private chooseByZone(
+    endpoints: readonly Endpoint[],
+    context: SelectionContext,
+    nowMs: number,
+  ): Endpoint | undefined {
+    const near = endpoints.filter(({ spec }) => spec.zone === context.zone);
+    const nearest = this.chooseOfTwo(near, nowMs);
+    if (nearest !== undefined && this.loadOf(nearest, nowMs) < SPILL_OVER_LOAD) {
+      return nearest;
+    }
+    const inRegion = endpoints.filter(({ spec }) => spec.region === context.region);
+    const regional = this.chooseOfTwo(inRegion, nowMs);
+    if (regional !== undefined && this.loadOf(regional, nowMs) < SPILL_OVER_LOAD) {
+      return regional;
+    }
+    return this.lessLoaded(this.chooseOfTwo(endpoints, nowMs), nearest ?? regional, nowMs);
+  }
+
+  private chooseOfTwo(endpoints: readonly Endpoint[], nowMs: number): Endpoint | undefined {
+    if (endpoints.length < 2) {
+      return endpoints[0];
+    }
+    const first = Math.floor(this.random() * endpoints.length);
+    const step = 1 + Math.floor(this.random() * (endpoints.length - 1));
+    const second = (first + step) % endpoints.length;
+    return this.lessLoaded(endpoints[first], endpoints[second], nowMs);
+  }
+
+  private lessLoaded(
+    left: Endpoint | undefined,
+    right: Endpoint | undefined,
+    nowMs: number,
+  ): Endpoint | undefined {
+    if (left === undefined || right === undefined) {
+      return left ?? right;
+    }
+    return this.loadOf(right, nowMs) < this.loadOf(left, nowMs) ? right : left;
+  }
+
+  private loadOf(endpoint: Endpoint, nowMs: number): number {
+    return this.recordOf(endpoint, nowMs).load(endpoint.spec.slots, nowMs);
+  }
+
+  private mayEjectOneMore(peers: readonly Endpoint[], nowMs: number): boolean {
+    const ejected = peers.filter((peer) => this.recordOf(peer, nowMs).isEjected).length;
+    return ejected + 1 <= peers.length * MAX_EJECTED_SHARE;
+  }
+
+  private recordOf(endpoint: Endpoint, nowMs: number): EndpointRecord {
+    const key = recordKey(endpoint);
+    let record = this.records.get(key);
+    if (record === undefined) {
+      record = new EndpointRecord(nowMs, true);
+      this.records.set(key, record);
+    }
+    return record;
+  }
+
+  private dropIdleRecords(): void {
+    if (this.records.size < MAX_RECORDS) {
+      return;
+    }
+    for (const [key, record] of this.records) {
+      if (record.isIdle) {
+        this.records.delete(key);
+      }
+    }
+  }
+}
+
+/** An endpoint that moves is another one. */
+function recordKey(endpoint: Endpoint): string {
+  return `${endpoint.name} ${endpoint.spec.address}:${endpoint.spec.port}`;
+}
--- /dev/null
+++ b/src/routing/retry-budget.ts
@@ -0,0 +1,25 @@
+/** Bounds a service's retries to a share of its first attempts, so that retries can't multiply load. */
+
+/** Retries that may be saved up for a burst. */
+const MAX_SAVED_RETRIES = 20;
+/** Retries that a service without traffic may make. */
+const INITIAL_RETRIES = 3;
+
+/** The retries that one node may make towards one service. */
+export class RetryBudget {
+  private retries = INITIAL_RETRIES;
+
+  /** Counts a first attempt, which earns `percent` of a retry. */
+  earn(percent: number): void {
+    this.retries = Math.min(MAX_SAVED_RETRIES, this.retries + percent / 100);
+  }
+
+  /** Takes one retry, if there is one. */
+  take(): boolean {
+    if (this.retries < 1) {
+      return false;
+    }
+    this.retries -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/src/routing/route-table.ts
@@ -0,0 +1,89 @@
+/** Finds the route of a request: the longest path prefix wins, then a named host. */
+import { DEFAULT_REQUEST_TIMEOUT_MS, type Route } from '../model/resource.js';
+import type { Snapshot } from '../model/snapshot.js';
+
+const REPEATABLE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS']);
+
+/** What the route says of a request. */
+export interface RouteMatch {
+  readonly route: Route;
+  readonly service: string;
+  /** Whether the request may run more than once. */
+  readonly repeatable: boolean;
+  readonly timeoutMs: number;
+  /** Retries allowed, as a percentage of first attempts. */
+  readonly retryBudgetPercent: number;
+}
+
+/** The routes of one snapshot, most specific first. */
+export class RouteTable {
+  private readonly routes: readonly Route[];
+
+  constructor(private readonly snapshot: Snapshot) {
+    this.routes = [...snapshot.routes].sort(compareSpecificity);
+  }
+
+  /** `host` may carry a port; `path` has no query. */
+  match(host: string, path: string, method: string): RouteMatch | undefined {
+    const hostName = withoutPort(host);
+    const route = this.routes.find(
+      ({ spec }) =>
+        hasPrefix(path, spec.pathPrefix) &&
+        (spec.hosts.length === 0 || spec.hosts.includes(hostName)) &&
+        (spec.methods.length === 0 || spec.methods.includes(method)),
+    );
+    return route === undefined ? undefined : this.describe(route, method);
+  }
+
+  private describe(route: Route, method: string): RouteMatch {
+    const { spec } = route;
+    const service = this.snapshot.services.get(spec.service)?.spec;
+    return {
+      route,
+      service: spec.service,
+      repeatable: spec.repeatable ?? REPEATABLE_METHODS.has(method),
+      timeoutMs: spec.timeoutMs ?? service?.requestTimeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS,
+      retryBudgetPercent: service?.retryBudgetPercent ?? 0,
+    };
+  }
+}
+
+/** Builds each snapshot's table once. */
+export class RouteTableCache {
+  private readonly tables = new WeakMap<Snapshot, RouteTable>();
+
+  tableOf(snapshot: Snapshot): RouteTable {
+    let table = this.tables.get(snapshot);
+    if (table === undefined) {
+      table = new RouteTable(snapshot);
+      this.tables.set(snapshot, table);
+    }
+    return table;
+  }
+}
+
+/** Whether `prefix` covers `path` up to a path segment's end. */
+function hasPrefix(path: string, prefix: string): boolean {
+  if (!path.startsWith(prefix)) {
+    return false;
+  }
+  return path.length === prefix.length || prefix.endsWith('/') || path[prefix.length] === '/';
+}
+
+function withoutPort(host: string): string {
+  const match = /^(\[[^\]]*\]|[^:]*)(:[0-9]*)?$/.exec(host);
+  return (match?.[1] ?? host).toLowerCase();
+}
+
+function compareSpecificity(left: Route, right: Route): number {
+  const byPrefix = right.spec.pathPrefix.length - left.spec.pathPrefix.length;
+  if (byPrefix !== 0) {
+    return byPrefix;
+  }
+  const byHost = Number(left.spec.hosts.length === 0) - Number(right.spec.hosts.length === 0);
+  if (byHost !== 0) {
+    return byHost;
+  }
+  const byMethod = Number(left.spec.methods.length === 0) - Number(right.spec.methods.length === 0);
+  return byMethod !== 0 ? byMethod : left.name < right.name ? -1 : 1;
+}
--- /dev/null
+++ b/test/proxy/request-proxy.test.ts
@@ -0,0 +1,202 @@
+/** The request path over real sockets: caller, node, node beside the endpoint, endpoint. */
+import { expect } from 'chai';
+import { RelayTokenIssuer } from '../../src/proxy/relay-token.js';
+import {
+  call,
+  callRaw,
+  echoEndpoint,
+  echoService,
+  FLEET_KEY,
+  rawAnswer,
+  startRawEndpoint,
+  TestMesh,
+  type RawEndpoint,
+  type RawHandler,
+} from './rig.js';
+
+describe('request path', () => {
+  let mesh: TestMesh;
+  const endpoints: RawEndpoint[] = [];
+
+  beforeEach(() => {
+    mesh = new TestMesh();
+  });
+
+  afterEach(() => {
+    mesh.close();
+    endpoints.splice(0).forEach((endpoint) => endpoint.close());
+  });
+
+  async function endpoint(handle: RawHandler): Promise<RawEndpoint> {
+    const started = await startRawEndpoint(handle);
+    endpoints.push(started);
+    return started;
+  }
+
+  async function oneEndpoint(
+    machine: string | undefined,
+    handle: RawHandler,
+  ): Promise<RawEndpoint> {
+    const started = await endpoint(handle);
+    const spec = machine === undefined ? {} : { machine };
+    mesh.configure([...echoService(), echoEndpoint('e1', started.port, spec)]);
+    return started;
+  }
+
+  const places = [
+    { where: 'beside the node of the caller', machine: 'n1' },
+    { where: 'beside another node', machine: 'n2' },
+    { where: 'without a node', machine: undefined },
+  ];
+  for (const { where, machine } of places) {
+    it(`passes request and answer whole to an endpoint ${where}`, async () => {
+      const answer = 'x'.repeat(100_000);
+      const target = await oneEndpoint(machine, (socket) => {
+        socket.write(
+          rawAnswer(answer, 'X-Own: 1\r\nx-load: 1/20\r\nferryspool-verdict: not-run\r\n'),
+        );
+      });
+      const { callerPort } = await mesh.addNode('n1');
+      await mesh.addNode('n2');
+      const result = await call(callerPort, {
+        method: 'PUT',
+        path: '/a/b?c=d',
+        body: 'payload',
+        headers: {
+          'X-Kept': 'yes',
+          'Ferryspool-Endpoint': 'echo/other',
+          'x-request-id': 'forged',
+          Connection: 'keep-alive, x-hop',
+          'x-hop': '1',
+        },
+      });
+      expect(result.status).to.equal(200);
+      expect(result.body).to.equal(answer);
+      expect(result.headers['ferryspool-verdict']).to.equal('ran');
+      expect(result.headers['x-own']).to.equal('1');
+      expect(result.headers).to.not.have.property('x-load');
+      const [sent = ''] = target.received;
+      expect(sent).to.match(/^PUT \/a\/b\?c=d HTTP\/1.1\r\n/);
+      expect(sent).to.match(/\r\n\r\npayload$/);
+      expect(sent).to.include('X-Kept: yes');
+      expect(sent).to.match(/x-request-id: n1-/);
+      expect(sent).to.match(/x-deadline-ms: [0-9]+\r\n/);
+      expect(sent).to.not.match(/forged|x-hop|ferryspool-endpoint|ferryspool-relay-token/i);
+    });
+  }
+
+  it('answers a large chunked body piece by piece in both directions', async () => {
+    const target = await oneEndpoint('n2', (socket) => {
+      socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n');
+      socket.write('6\r\nsecond\r\n0\r\n\r\n');
+    });
+    const { callerPort } = await mesh.addNode('n1');
+    await mesh.addNode('n2');
+    const body = Buffer.alloc(300_000, 'b');
+    const result = await call(callerPort, { method: 'POST', body });
+    expect(result).to.include({ status: 200, body: 'firstsecond', isWhole: true });
+    expect(target.received[0]).to.have.length.greaterThan(300_000);
+  });
+
+  const refusals = [
+    {
+      name: 'no configuration',
+      configure: false,
+      headers: {},
+      status: 503,
+      code: 'NOT_CONFIGURED',
+    },
+    { name: 'an unknown route', path: '/none', status: 404, code: 'ROUTE_NOT_FOUND' },
+    {
+      name: 'a past deadline',
+      headers: { 'x-deadline-ms': '0' },
+      status: 504,
+      code: 'DEADLINE_PASSED',
+    },
+    { name: 'a malformed deadline', headers: { 'x-deadline-ms': '-5' }, status: 400 },
+    { name: 'no endpoint that takes work', state: 'draining', status: 503, code: 'NO_ENDPOINT' },
+    { name: 'a leaving node', leaving: true, status: 503, code: 'NO_ENDPOINT' },
+    { name: 'a body over the limit', body: 'x'.repeat(2_000), status: 413, code: 'BODY_TOO_LARGE' },
+  ];
+  for (const row of refusals) {
+    it(`refuses at once with not-run: ${row.name}`, async () => {
+      const target = await endpoint((socket) => socket.write(rawAnswer('ran')));
+      if (row.configure !== false) {
+        const spec = { machine: 'n2', state: row.state ?? 'active' };
+        const route = echoService({ pathPrefix: '/known' });
+        mesh.configure([...route, echoEndpoint('e1', target.port, spec)]);
+      }
+      const { callerPort } = await mesh.addNode('n1', { maxBodyBytes: 1_000 });
+      await mesh.addNode('n2');
+      if (row.leaving === true) {
+        mesh.statuses.set('n2', 'leaving');
+      }
+      const result = await call(callerPort, {
+        method: 'POST',
+        path: row.path ?? '/known',
+        headers: row.headers ?? {},
+        body: row.body ?? '',
+      });
+      expect(result.status).to.equal(row.status);
+      expect(result.headers['ferryspool-verdict']).to.equal('not-run');
+      const error = JSON.parse(result.body) as Record<string, string>;
+      expect(error).to.have.all.keys('code', 'message', 'verdict');
+      expect(error).to.include({ code: row.code ?? 'BAD_REQUEST', verdict: 'not-run' });
+      expect(result.headers['retry-after'] !== undefined).to.equal(row.status === 503);
+      expect(target.heads).to.have.length(0);
+    });
+  }
+
+  const validToken = new RelayTokenIssuer(FLEET_KEY, 'n9').current(Date.now());
+  const tokens = [
+    { name: 'no token', token: undefined },
+    { name: 'a malformed one', token: 'x' },
+    {
+      name: 'one of another key',
+      token: new RelayTokenIssuer(Buffer.alloc(32), 'n9').current(Date.now()),
+    },
+    { name: 'one for another machine', token: validToken.replace('n9', 'n8') },
+    { name: 'an expired one', token: new RelayTokenIssuer(FLEET_KEY, 'n9').current(1) },
+    {
+      name: 'one from the far future',
+      token: new RelayTokenIssuer(FLEET_KEY, 'n9').current(Date.now() + 1e9),
+    },
+    { name: 'a valid one', token: validToken, status: 200 },
+  ];
+  for (const { name, token, status = 403 } of tokens) {
+    it(`answers ${status} on the relay port to ${name}`, async () => {
+      const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
+      const { relayPort } = await mesh.addNode('n2');
+      const headers = {
+        'ferryspool-endpoint': 'echo/e1',
+        'ferryspool-request-id': 'r1',
+        'ferryspool-deadline-ms': '1000',
+        'ferryspool-retries': '0',
+        ...(token !== undefined && { 'ferryspool-relay-token': token }),
+      };
+      const result = await call(relayPort, { headers });
+      expect(result.status).to.equal(status);
+      expect(target.heads).to.have.length(status === 200 ? 1 : 0);
+    });
+  }
+
+  it('keeps pipelined answers in order', async () => {
+    const target = await oneEndpoint('n2', (socket, head) => {
+      const path = head.split(' ')[1] ?? '';
+      const delayMs = path === '/first' ? 30 : 0;
+      setTimeout(() => socket.write(rawAnswer(path)), delayMs);
+    });
+    const { callerPort } = await mesh.addNode('n1');
+    await mesh.addNode('n2');
+    const request = (path: string, extra = ''): string =>
+      `GET ${path} HTTP/1.1\r\nHost: a\r\n${extra}\r\n`;
+    const text = await callRaw(
+      callerPort,
+      request('/first') + request('/second') + request('/third', 'Connection: close\r\n'),
+    );
+    expect(text.match(/\r\n\r\n\/[a-z]+/g)).to.deep.equal(
+      ['/first', '/second', '/third'].map((path) => `\r\n\r\n${path}`),
+    );
+    expect(target.heads).to.have.length(3);
+  });
+});
