Add the control plane: documents, dissemination, membership and overlay

Cause: nodes had messages and a model, but no logic that spreads a version. Considered: announcing every change only (one more round trip for each hop) and pushing every change whole (bytes).

--- /dev/null
+++ b/src/dissemination/document-fetcher.ts
@@ -0,0 +1,253 @@
+/**
+ * Gets one document from neighbours that hold a newer version: one fetch at a time, near neighbours
+ * first, the next neighbour after a timeout or a refusal.
+ */
+import type { ControlEffect, CounterSink, RandomSource } from '../control/control-event.js';
+import { CONTROL_COUNTERS } from '../control/control-counters.js';
+import type { Distance } from '../membership/peer-identity.js';
+import type { DocumentEntry } from '../model/document.js';
+import { NO_VERSION, compareVersions, type DocumentVersion } from '../model/version.js';
+import type { DocumentName, SnapshotChunkMessage } from '../wire/message.js';
+import { versionKey } from './document-memo.js';
+import type { DocumentStore } from './document-store.js';
+import type { Neighbour } from './neighbour.js';
+
+/** Time without progress after which a fetch is given up, in milliseconds. */
+export const FETCH_TIMEOUT_MS = 3_000;
+/** How long a neighbour that let a fetch time out is passed over, in milliseconds. */
+export const FETCH_PENALTY_MS = 5_000;
+/** Entries of one document at most. */
+export const MAX_DOCUMENT_ENTRIES = 250_000;
+/** Longest wait before a fetch, so that a nearer neighbour may get the document first. */
+const MAX_FETCH_DELAY_MS: Record<Distance, number> = { zone: 0, region: 100, remote: 300 };
+const DISTANCE_RANK: Record<Distance, number> = { zone: 0, region: 1, remote: 2 };
+
+interface OutstandingFetch {
+  readonly peerId: string;
+  deadline: number;
+  assembly: Assembly | undefined;
+}
+
+interface Assembly {
+  readonly version: DocumentVersion;
+  readonly count: number;
+  readonly entries: DocumentEntry[];
+  nextIndex: number;
+}
+
+/** A whole document received, not yet checked against its digest. */
+export interface ReceivedDocument {
+  readonly version: DocumentVersion;
+  readonly entries: readonly DocumentEntry[];
+}
+
+/** The fetching side of one document. */
+export class DocumentFetcher {
+  private outstanding: OutstandingFetch | undefined;
+  /** Time of the next attempt; Infinity when none is planned. */
+  private attemptAt = Infinity;
+  /** Neighbours passed over, until when. */
+  private readonly passedOver = new Map<string, number>();
+  private wholeOnly = false;
+
+  constructor(
+    private readonly name: DocumentName,
+    private readonly store: DocumentStore,
+    private readonly neighbours: ReadonlyMap<string, Neighbour>,
+    private readonly random: RandomSource,
+    private readonly counters: CounterSink,
+  ) {}
+
+  /** Time of the next attempt or timeout, in milliseconds. */
+  nextWakeAt(): number {
+    return this.outstanding?.deadline ?? this.attemptAt;
+  }
+
+  /** Plans a fetch when a neighbour holds something newer; call it when that may have changed. */
+  consider(nowMs: number, effects: ControlEffect[]): void {
+    if (this.outstanding !== undefined) {
+      return;
+    }
+    const best = this.bestNeighbour(nowMs);
+    if (best === undefined) {
+      this.attemptAt = this.hasNewerNeighbour() ? this.earliestReturn(nowMs) : Infinity;
+      return;
+    }
+    const delay = this.random() * MAX_FETCH_DELAY_MS[best.distance];
+    this.attemptAt = Math.min(this.attemptAt, nowMs + delay);
+    if (this.attemptAt <= nowMs) {
+      this.start(best, nowMs, effects);
+    }
+  }
+
+  /** Acts on a timeout or a planned attempt that is due. */
+  wake(nowMs: number, effects: ControlEffect[]): void {
+    if (this.outstanding !== undefined && nowMs >= this.outstanding.deadline) {
+      this.counters.add(CONTROL_COUNTERS.fetchTimeouts);
+      this.passOver(this.outstanding.peerId, nowMs + FETCH_PENALTY_MS);
+      this.consider(nowMs, effects);
+    } else if (this.outstanding === undefined && nowMs >= this.attemptAt) {
+      this.attemptAt = Infinity;
+      const best = this.bestNeighbour(nowMs);
+      if (best === undefined) {
+        this.consider(nowMs, effects);
+      } else {
+        this.start(best, nowMs, effects);
+      }
+    }
+  }
+
+  /** The node was paused: what is outstanding gets its whole time again. */
+  grantGrace(nowMs: number): void {
+    if (this.outstanding !== undefined) {
+      this.outstanding.deadline = nowMs + FETCH_TIMEOUT_MS;
+    }
+  }
+
+  /** The neighbour answered, with or without what was asked for. */
+  answered(peerId: string): void {
+    if (this.outstanding?.peerId === peerId) {
+      this.outstanding = undefined;
+    }
+  }
+
+  /** Whether this node waits for an answer of the peer. */
+  isWaitingFor(peerId: string): boolean {
+    return this.outstanding?.peerId === peerId;
+  }
+
+  /** The neighbour refused for now. */
+  refused(peerId: string, retryAfterMs: number, nowMs: number): void {
+    if (this.outstanding?.peerId === peerId) {
+      this.passOver(peerId, nowMs + Math.min(retryAfterMs, FETCH_PENALTY_MS));
+    }
+  }
+
+  /** A delta did not fit what is held: the next fetch asks for the whole document. */
+  demandWhole(): void {
+    this.wholeOnly = true;
+  }
+
+  /** A newer version was adopted. */
+  adopted(): void {
+    this.wholeOnly = false;
+    this.passedOver.clear();
+  }
+
+  /** The neighbour is gone. */
+  removeNeighbour(peerId: string): void {
+    this.passedOver.delete(peerId);
+    this.answered(peerId);
+  }
+
+  /** The neighbour sent a document that does not have its digest. */
+  distrust(peerId: string, nowMs: number): void {
+    this.passOver(peerId, nowMs + FETCH_PENALTY_MS);
+  }
+
+  /** Takes a chunk; returns the document when it was the last one. Others are dropped. */
+  takeChunk(
+    peerId: string,
+    message: SnapshotChunkMessage,
+    nowMs: number,
+  ): ReceivedDocument | undefined {
+    const fetch = this.outstanding;
+    if (fetch?.peerId !== peerId || !this.store.wants(this.name, message.version)) {
+      this.counters.add(CONTROL_COUNTERS.chunksDropped);
+      return undefined;
+    }
+    if (message.index === 0) {
+      const { version, count } = message;
+      fetch.assembly = { version, count, entries: [], nextIndex: 0 };
+    }
+    const assembly = fetch.assembly;
+    if (assembly === undefined || !isNextChunk(assembly, message)) {
+      this.counters.add(CONTROL_COUNTERS.chunksDropped);
+      return undefined;
+    }
+    assembly.nextIndex += 1;
+    assembly.entries.push(...message.entries);
+    fetch.deadline = nowMs + FETCH_TIMEOUT_MS;
+    if (assembly.entries.length > MAX_DOCUMENT_ENTRIES) {
+      this.passOver(peerId, nowMs + FETCH_PENALTY_MS);
+      return undefined;
+    }
+    if (assembly.nextIndex < assembly.count) {
+      return undefined;
+    }
+    this.outstanding = undefined;
+    return assembly;
+  }
+
+  private start(neighbour: Neighbour, nowMs: number, effects: ControlEffect[]): void {
+    const peerId = neighbour.peer.id;
+    this.attemptAt = Infinity;
+    this.outstanding = { peerId, deadline: nowMs + FETCH_TIMEOUT_MS, assembly: undefined };
+    const have = this.wholeOnly ? NO_VERSION : this.store.held(this.name).version;
+    this.counters.add(CONTROL_COUNTERS.fetchesSent);
+    effects.push({
+      type: 'send',
+      to: peerId,
+      message: { type: 'fetch', document: this.name, have },
+    });
+  }
+
+  private passOver(peerId: string, untilMs: number): void {
+    this.passedOver.set(peerId, untilMs);
+    this.answered(peerId);
+  }
+
+  private hasNewer(neighbour: Neighbour): boolean {
+    return neighbour.known !== undefined && this.store.wants(this.name, neighbour.known[this.name]);
+  }
+
+  private hasNewerNeighbour(): boolean {
+    for (const neighbour of this.neighbours.values()) {
+      if (this.hasNewer(neighbour)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private bestNeighbour(nowMs: number): Neighbour | undefined {
+    let best: Neighbour | undefined;
+    for (const neighbour of this.neighbours.values()) {
+      const isUsable = (this.passedOver.get(neighbour.peer.id) ?? 0) <= nowMs;
+      if (isUsable && this.hasNewer(neighbour) && this.isBetter(neighbour, best)) {
+        best = neighbour;
+      }
+    }
+    return best;
+  }
+
+  private isBetter(candidate: Neighbour, best: Neighbour | undefined): boolean {
+    if (best?.known === undefined || candidate.known === undefined) {
+      return true;
+    }
+    const nearer = DISTANCE_RANK[best.distance] - DISTANCE_RANK[candidate.distance];
+    if (nearer !== 0) {
+      return nearer > 0;
+    }
+    const newer = compareVersions(candidate.known[this.name], best.known[this.name]);
+    return newer !== 0 ? newer > 0 : this.random() < 0.5;
+  }
+
+  private earliestReturn(nowMs: number): number {
+    let earliest = Infinity;
+    for (const until of this.passedOver.values()) {
+      if (until > nowMs) {
+        earliest = Math.min(earliest, until);
+      }
+    }
+    return earliest;
+  }
+}
+
+function isNextChunk(assembly: Assembly, message: SnapshotChunkMessage): boolean {
+  return (
+    message.index === assembly.nextIndex &&
+    message.count === assembly.count &&
+    versionKey(message.version) === versionKey(assembly.version)
+  );
+}
--- /dev/null
+++ b/src/dissemination/snapshot-server.ts
@@ -0,0 +1,137 @@
+/**
+ * Answers fetches: by a delta where history allows and it is smaller, else by the whole document in
+ * paced chunks. Only a few transfers run at once; further fetches are refused for a while.
+ */
+import type { ControlEffect, CounterSink, RandomSource } from '../control/control-event.js';
+import { CONTROL_COUNTERS } from '../control/control-counters.js';
+import type { DocumentEntry } from '../model/document.js';
+import { isNewer, type DocumentVersion } from '../model/version.js';
+import type { DocumentName, FetchMessage } from '../wire/message.js';
+import { MAX_CHUNK_BYTES } from './document-parts.js';
+import type { DocumentStore } from './document-store.js';
+
+/** Snapshot transfers served at once. */
+export const MAX_CONCURRENT_TRANSFERS = 4;
+/** Time between two chunks of one transfer, in milliseconds. */
+export const CHUNK_INTERVAL_MS = 50;
+/** Bounds of the time after which a refused peer may ask again, in milliseconds. */
+const MIN_RETRY_AFTER_MS = 100;
+const MAX_RETRY_AFTER_MS = 500;
+
+interface Transfer {
+  readonly peerId: string;
+  readonly document: DocumentName;
+  readonly version: DocumentVersion;
+  readonly chunks: readonly (readonly DocumentEntry[])[];
+  nextIndex: number;
+  dueAt: number;
+}
+
+/** The serving side of all documents. */
+export class SnapshotServer {
+  private transfers: Transfer[] = [];
+
+  constructor(
+    private readonly store: DocumentStore,
+    private readonly random: RandomSource,
+    private readonly counters: CounterSink,
+    private readonly maxTransfers = MAX_CONCURRENT_TRANSFERS,
+  ) {}
+
+  /** Transfers that run now. */
+  get activeTransfers(): number {
+    return this.transfers.length;
+  }
+
+  /** Time of the next chunk, in milliseconds. */
+  nextWakeAt(): number {
+    let earliest = Infinity;
+    for (const transfer of this.transfers) {
+      earliest = Math.min(earliest, transfer.dueAt);
+    }
+    return earliest;
+  }
+
+  /** Answers a fetch. */
+  serve(from: string, message: FetchMessage, nowMs: number, effects: ControlEffect[]): void {
+    const held = this.store.held(message.document);
+    if (!isNewer(held.version, message.have)) {
+      const versions = this.store.versions();
+      effects.push({ type: 'send', to: from, message: { type: 'versions', versions } });
+      return;
+    }
+    const parts = this.store.memo.partsOf(held);
+    const sized = this.store.memo.deltaFrom(held, message.have);
+    if (sized !== undefined && sized.bytes <= Math.min(MAX_CHUNK_BYTES, parts.bytes)) {
+      this.counters.add(CONTROL_COUNTERS.deltasServed);
+      const delta = { type: 'delta', document: message.document, ...sized.delta } as const;
+      effects.push({ type: 'send', to: from, message: delta });
+      return;
+    }
+    this.removeTransfers((one) => one.peerId === from && one.document === message.document);
+    if (this.transfers.length >= this.maxTransfers) {
+      this.refuse(from, message.document, effects);
+      return;
+    }
+    this.counters.add(CONTROL_COUNTERS.snapshotsServed);
+    const transfer: Transfer = {
+      peerId: from,
+      document: message.document,
+      version: held.version,
+      chunks: parts.chunks,
+      nextIndex: 0,
+      dueAt: nowMs,
+    };
+    this.transfers.push(transfer);
+    sendChunk(transfer, nowMs, effects);
+  }
+
+  /** Sends the chunks that are due; a transfer ends one interval after its last chunk. */
+  wake(nowMs: number, effects: ControlEffect[]): void {
+    for (const transfer of this.transfers) {
+      if (nowMs >= transfer.dueAt) {
+        sendChunk(transfer, nowMs, effects);
+      }
+    }
+    this.removeTransfers((one) => one.nextIndex > one.chunks.length);
+  }
+
+  /** Ends the transfers to a peer whose link closed. */
+  removePeer(peerId: string): void {
+    this.removeTransfers((one) => one.peerId === peerId);
+  }
+
+  private refuse(to: string, document: DocumentName, effects: ControlEffect[]): void {
+    this.counters.add(CONTROL_COUNTERS.snapshotsRefused);
+    const spread = MAX_RETRY_AFTER_MS - MIN_RETRY_AFTER_MS;
+    const retryAfterMs = Math.round(MIN_RETRY_AFTER_MS + this.random() * spread);
+    effects.push({ type: 'send', to, message: { type: 'fetch-refused', document, retryAfterMs } });
+  }
+
+  private removeTransfers(isOver: (transfer: Transfer) => boolean): void {
+    if (this.transfers.length > 0) {
+      this.transfers = this.transfers.filter((transfer) => !isOver(transfer));
+    }
+  }
+}
+
+/** Sends the next chunk; past the last one it only marks the transfer as over. */
+function sendChunk(transfer: Transfer, nowMs: number, effects: ControlEffect[]): void {
+  const entries = transfer.chunks[transfer.nextIndex];
+  if (entries !== undefined) {
+    effects.push({
+      type: 'send',
+      to: transfer.peerId,
+      message: {
+        type: 'snapshot-chunk',
+        document: transfer.document,
+        version: transfer.version,
+        index: transfer.nextIndex,
+        count: transfer.chunks.length,
+        entries,
+      },
+    });
+  }
+  transfer.nextIndex += 1;
+  transfer.dueAt = nowMs + CHUNK_INTERVAL_MS;
+}
--- /dev/null
+++ b/src/membership/dial-candidates.ts
@@ -0,0 +1,93 @@
+/** Picks whom to dial: by place from the machine list, else from members met and from seeds. */
+import type { RandomSource } from '../control/control-event.js';
+import type { MachineIndex } from './machine-index.js';
+import type { MemberTable } from './member-table.js';
+import type { PeerAddress, PeerIdentity } from './peer-identity.js';
+
+/** What a link is for: own zone, another zone of the region, another region, or any first contact. */
+export const LINK_PLACES = ['zone', 'region', 'remote', 'contact'] as const;
+export type LinkPlace = (typeof LINK_PLACES)[number];
+
+/** Candidates looked at in one pick, so that a pick costs the same in any fleet. */
+const MAX_CANDIDATES_PER_PICK = 16;
+
+/** Text form of an address, for keys of maps. */
+export function addressKey(target: PeerAddress): string {
+  return `${target.address}:${target.controlPort}`;
+}
+
+/** Someone to dial. `id` is absent for seeds. */
+export interface DialCandidate extends PeerAddress {
+  readonly id?: string;
+}
+
+/** Candidates by place. */
+export class DialCandidates {
+  constructor(
+    private readonly self: PeerIdentity,
+    private readonly seeds: readonly PeerAddress[],
+    private readonly members: MemberTable,
+    private readonly random: RandomSource,
+  ) {}
+
+  /**
+   * A random candidate for which `isFree` holds. Members held dead are taken only when no other was
+   * met: that is how the two sides of a healed partition find each other again.
+   */
+  pick(
+    place: LinkPlace,
+    machines: MachineIndex,
+    isFree: (candidate: DialCandidate) => boolean,
+  ): DialCandidate | undefined {
+    const pool = this.pool(place, machines);
+    const start = Math.floor(this.random() * pool.length);
+    const steps = Math.min(pool.length, MAX_CANDIDATES_PER_PICK);
+    let fallback: DialCandidate | undefined;
+    for (let step = 0; step < steps; step += 1) {
+      const candidate = pool[(start + step) % pool.length];
+      if (candidate === undefined || this.isSelf(candidate) || !isFree(candidate)) {
+        continue;
+      }
+      const status = candidate.id === undefined ? 'alive' : this.members.status(candidate.id);
+      if (status === 'alive' || status === undefined) {
+        return candidate;
+      }
+      if (status !== 'leaving') {
+        fallback ??= candidate;
+      }
+    }
+    return fallback;
+  }
+
+  private pool(place: LinkPlace, machines: MachineIndex): readonly DialCandidate[] {
+    const { zone, region } = this.self;
+    switch (place) {
+      case 'zone':
+        return machines.inZone(zone);
+      case 'region':
+        return machines.inZone(this.oneOf(otherThan(machines.zonesOf(region), zone)));
+      case 'remote':
+        return machines.inRegion(this.oneOf(otherThan(machines.regionNames(), region)));
+      case 'contact':
+        return this.contacts();
+    }
+  }
+
+  /** Seeds, and members met that are on no list. */
+  private contacts(): DialCandidate[] {
+    const met = [...this.members.all()].map((record) => record.identity);
+    return [...this.seeds, ...met];
+  }
+
+  private oneOf(names: readonly string[]): string {
+    return names[Math.floor(this.random() * names.length)] ?? '';
+  }
+
+  private isSelf(candidate: DialCandidate): boolean {
+    return candidate.id === this.self.id || addressKey(candidate) === addressKey(this.self);
+  }
+}
+
+function otherThan(names: readonly string[], own: string): readonly string[] {
+  return names.filter((name) => name !== own);
+}
--- /dev/null
+++ b/src/membership/dial-schedule.ts
@@ -0,0 +1,29 @@
+/** Jittered exponential back-off between dials. */
+import type { RandomSource } from '../control/control-event.js';
+
+/** Wait after a first failure, in milliseconds, before jitter. */
+export const BASE_DIAL_BACKOFF_MS = 500;
+/** Longest wait, in milliseconds, before jitter: the rate at which a healed partition is noticed. */
+export const MAX_DIAL_BACKOFF_MS = 10_000;
+
+/** When the next dial is due, after successes and failures. */
+export class DialSchedule {
+  /** Failures in a row. */
+  failures = 0;
+  /** Earliest time of the next dial, in milliseconds. */
+  nextDialAt = 0;
+
+  constructor(private readonly random: RandomSource) {}
+
+  /** A dial led to a neighbour. */
+  succeeded(): void {
+    this.failures = 0;
+  }
+
+  /** A dial failed, or there was nobody to dial. */
+  failed(nowMs: number): void {
+    this.failures += 1;
+    const backoff = Math.min(MAX_DIAL_BACKOFF_MS, BASE_DIAL_BACKOFF_MS * 2 ** this.failures);
+    this.nextDialAt = nowMs + backoff * (0.5 + this.random() * 0.5);
+  }
+}
--- /dev/null
+++ b/src/membership/machine-index.ts
@@ -0,0 +1,119 @@
+/** The machines document, parsed and indexed by place. Immutable; shared by all who hold it. */
+import { canonicalJson } from '../model/canonical-json.js';
+import {
+  InvalidConfigurationError,
+  type ConfigurationFault,
+} from '../model/configuration-error.js';
+import type { VersionedDocument } from '../model/document.js';
+import { machineSchema, type Machine } from '../model/machine.js';
+
+/** Key of a machine's entry in the machines document. */
+export function machineKey(machineId: string): string {
+  return `machine/${machineId}`;
+}
+
+/** Entries of a machines document: keys to canonical JSON text. */
+export function machineValues(machines: readonly Machine[]): Map<string, string> {
+  return new Map(machines.map((machine) => [machineKey(machine.id), canonicalJson(machine)]));
+}
+
+/** Machines by identity, zone and region. */
+export class MachineIndex {
+  /** Index of an empty list. */
+  static readonly EMPTY = new MachineIndex([]);
+
+  readonly byId: ReadonlyMap<string, Machine>;
+  private readonly zones = new Map<string, Machine[]>();
+  private readonly zoneNamesByRegion = new Map<string, string[]>();
+  private readonly regions = new Map<string, Machine[]>();
+
+  constructor(machines: readonly Machine[]) {
+    this.byId = new Map(machines.map((machine) => [machine.id, machine]));
+    for (const machine of [...machines].sort(bySeniority)) {
+      if (!this.zones.has(machine.zone)) {
+        append(this.zoneNamesByRegion, machine.region, machine.zone);
+      }
+      append(this.zones, machine.zone, machine);
+      append(this.regions, machine.region, machine);
+    }
+  }
+
+  /** Parses a machines document; throws {@link InvalidConfigurationError} that lists every fault. */
+  static parse(document: VersionedDocument): MachineIndex {
+    const faults: ConfigurationFault[] = [];
+    const machines: Machine[] = [];
+    for (const { key, json } of document.entries.values()) {
+      const machine = parseMachine(key, json, faults);
+      if (machine !== undefined) {
+        machines.push(machine);
+      }
+    }
+    if (faults.length > 0) {
+      throw new InvalidConfigurationError(faults);
+    }
+    return new MachineIndex(machines);
+  }
+
+  /** Machines of a zone, lowest seniority number first. */
+  inZone(zone: string): readonly Machine[] {
+    return this.zones.get(zone) ?? [];
+  }
+
+  /** Machines of a region, lowest seniority number first. */
+  inRegion(region: string): readonly Machine[] {
+    return this.regions.get(region) ?? [];
+  }
+
+  /** Names of a region's zones. */
+  zonesOf(region: string): readonly string[] {
+    return this.zoneNamesByRegion.get(region) ?? [];
+  }
+
+  /** Names of all regions. */
+  regionNames(): string[] {
+    return [...this.regions.keys()];
+  }
+}
+
+function parseMachine(
+  key: string,
+  json: string,
+  faults: ConfigurationFault[],
+): Machine | undefined {
+  const parsed = machineSchema.safeParse(parseJson(json));
+  if (!parsed.success) {
+    for (const issue of parsed.error.issues) {
+      faults.push({ path: [key, ...issue.path].join('.'), reason: issue.message });
+    }
+    return undefined;
+  }
+  if (machineKey(parsed.data.id) !== key) {
+    faults.push({ path: key, reason: 'key and machine differ' });
+    return undefined;
+  }
+  return parsed.data;
+}
+
+function parseJson(json: string): unknown {
+  try {
+    return JSON.parse(json);
+  } catch {
+    return undefined;
+  }
+}
+
+function bySeniority(left: Machine, right: Machine): number {
+  if (left.seniority !== right.seniority) {
+    return left.seniority - right.seniority;
+  }
+  return left.id < right.id ? -1 : 1;
+}
+
+function append<Key, Value>(map: Map<Key, Value[]>, key: Key, value: Value): void {
+  const list = map.get(key);
+  if (list === undefined) {
+    map.set(key, [value]);
+  } else {
+    list.push(value);
+  }
+}
--- /dev/null
+++ b/src/membership/overlay.ts
@@ -0,0 +1,348 @@
+/**
+ * Keeps a bounded number of overlay links: dials a few targets spread over zones and regions, accepts
+ * a bounded number, replaces those that are gone and now and then exchanges one.
+ */
+import type { ControlEffect, CounterSink, RandomSource } from '../control/control-event.js';
+import { CONTROL_COUNTERS } from '../control/control-counters.js';
+import {
+  DialCandidates,
+  LINK_PLACES,
+  addressKey,
+  type DialCandidate,
+  type LinkPlace,
+} from './dial-candidates.js';
+import { DialSchedule } from './dial-schedule.js';
+import type { MachineIndex } from './machine-index.js';
+import type { MemberTable } from './member-table.js';
+import { distanceBetween, type PeerAddress, type PeerIdentity } from './peer-identity.js';
+import type { PeerLink } from './peer-link.js';
+
+/** Time after which an unanswered dial counts as failed, in milliseconds. */
+export const DIAL_TIMEOUT_MS = 5_000;
+/** Longest wait before the first dials of a process, in milliseconds. */
+export const START_SPREAD_MS = 300;
+/** Mean time between two exchanges of a neighbour, in milliseconds. */
+export const RESHUFFLE_INTERVAL_MS = 600_000;
+/** Failures in a row after which a place's links are sought elsewhere, too. */
+const FAILURES_BEFORE_FALLBACK = 3;
+
+/** Numbers of the overlay. */
+export interface OverlayOptions {
+  readonly self: PeerIdentity;
+  readonly seeds: readonly PeerAddress[];
+  /** Links to dial. */
+  readonly neighbours: number;
+  /** Links to accept at most. */
+  readonly maxInbound: number;
+  readonly random: RandomSource;
+  readonly counters: CounterSink;
+}
+
+interface PendingDial {
+  readonly place: LinkPlace;
+  readonly deadline: number;
+  readonly replaces: string | undefined;
+}
+
+/** Decides on overlay links; `links` is shared with the membership that owns it. */
+export class Overlay {
+  private readonly candidates: DialCandidates;
+  private readonly schedules: Record<LinkPlace, DialSchedule>;
+  private readonly pending = new Map<string, PendingDial>();
+  private wanted: Record<LinkPlace, number>;
+  private maintainAt = Infinity;
+  private reshuffleAt = Infinity;
+  private isStopping = false;
+
+  constructor(
+    private readonly options: OverlayOptions,
+    private readonly links: ReadonlyMap<string, PeerLink>,
+    members: MemberTable,
+    private machines: MachineIndex,
+  ) {
+    const { self, seeds, random } = options;
+    this.candidates = new DialCandidates(self, seeds, members, random);
+    this.schedules = {
+      zone: new DialSchedule(random),
+      region: new DialSchedule(random),
+      remote: new DialSchedule(random),
+      contact: new DialSchedule(random),
+    };
+    this.wanted = this.quotas();
+  }
+
+  /** The process started: dial soon, but not all processes at the same moment. */
+  start(nowMs: number): void {
+    this.maintainAt = nowMs + this.options.random() * START_SPREAD_MS;
+    this.planReshuffle(nowMs);
+  }
+
+  /** A planned stop: no more dials. */
+  stop(): void {
+    this.isStopping = true;
+    this.maintainAt = Infinity;
+    this.reshuffleAt = Infinity;
+  }
+
+  /** Time at which {@link wake} has something to do, in milliseconds. */
+  nextWakeAt(): number {
+    return Math.min(this.maintainAt, this.reshuffleAt);
+  }
+
+  /** Acts on what is due. */
+  wake(nowMs: number, effects: ControlEffect[]): void {
+    if (nowMs >= this.reshuffleAt) {
+      this.reshuffle(nowMs, effects);
+    }
+    if (nowMs >= this.maintainAt) {
+      this.maintain(nowMs, effects);
+    }
+  }
+
+  /** A newer machine list came into force. */
+  setMachines(machines: MachineIndex, nowMs: number): void {
+    this.machines = machines;
+    this.wanted = this.quotas();
+    for (const link of this.links.values()) {
+      link.place =
+        this.wanted.contact > 0 ? link.place : distanceBetween(this.options.self, link.peer);
+    }
+    this.requestMaintenance(nowMs);
+  }
+
+  /** A neighbour beyond those wanted, to be given up; undefined when there is none. */
+  surplusLink(): PeerLink | undefined {
+    const surplus: Record<LinkPlace, number> = { zone: 0, region: 0, remote: 0, contact: 0 };
+    let outbound = 0;
+    for (const link of this.links.values()) {
+      if (link.role === 'outbound' && link.isConfirmed) {
+        surplus[link.place] += 1;
+        outbound += 1;
+      }
+    }
+    if (outbound <= this.options.neighbours) {
+      return undefined;
+    }
+    for (const link of this.links.values()) {
+      const isOver = surplus[link.place] > this.wanted[link.place];
+      if (link.role === 'outbound' && link.isConfirmed && isOver) {
+        return link;
+      }
+    }
+    return undefined;
+  }
+
+  /** A link opened: whether it was dialled for the overlay, and what for. */
+  claimLink(peer: PeerIdentity): { place: LinkPlace; replaces: string | undefined } | undefined {
+    const key = addressKey(peer);
+    const dial = this.pending.get(key);
+    this.pending.delete(key);
+    return dial;
+  }
+
+  /** Whether one more inbound link may be accepted. */
+  acceptsInbound(): boolean {
+    let inbound = 0;
+    for (const link of this.links.values()) {
+      inbound += link.role === 'inbound' ? 1 : 0;
+    }
+    return inbound < this.options.maxInbound;
+  }
+
+  /** The peer of an outbound link confirmed it. */
+  confirmed(link: PeerLink): void {
+    this.schedules[link.place].succeeded();
+  }
+
+  /** A link that counted towards a place closed; `wasConfirmed` tells loss from refusal. */
+  lost(link: PeerLink, wasConfirmed: boolean, nowMs: number): void {
+    if (link.role !== 'outbound') {
+      this.requestMaintenance(nowMs);
+      return;
+    }
+    if (!wasConfirmed) {
+      this.schedules[link.place].failed(nowMs);
+    }
+    this.requestMaintenance(nowMs);
+  }
+
+  /** A dial failed. Returns whether the overlay had asked for it. */
+  dialFailed(target: PeerAddress, nowMs: number): boolean {
+    const key = addressKey(target);
+    const dial = this.pending.get(key);
+    if (dial === undefined) {
+      return false;
+    }
+    this.pending.delete(key);
+    this.noteFailure(dial, nowMs);
+    return true;
+  }
+
+  private requestMaintenance(nowMs: number): void {
+    if (!this.isStopping) {
+      this.maintainAt = Math.min(this.maintainAt, nowMs);
+    }
+  }
+
+  private noteFailure(dial: PendingDial, nowMs: number): void {
+    this.options.counters.add(CONTROL_COUNTERS.dialFailures);
+    if (dial.replaces === undefined) {
+      this.schedules[dial.place].failed(nowMs);
+    }
+    this.requestMaintenance(nowMs);
+  }
+
+  /** Dials for every place that has too few links, and plans the next look. */
+  private maintain(nowMs: number, effects: ControlEffect[]): void {
+    this.expireDials(nowMs);
+    const missing = this.missingLinks();
+    this.maintainAt = this.earliestDialDeadline();
+    for (const place of LINK_PLACES) {
+      this.dialFor(place, missing[place], nowMs, effects);
+    }
+  }
+
+  private dialFor(
+    place: LinkPlace,
+    missing: number,
+    nowMs: number,
+    effects: ControlEffect[],
+  ): void {
+    const schedule = this.schedules[place];
+    for (let count = 0; count < missing && nowMs >= schedule.nextDialAt; count += 1) {
+      if (!this.dialOne(place, undefined, nowMs, effects)) {
+        schedule.failed(nowMs);
+      } else if (schedule.failures > 0) {
+        break;
+      }
+    }
+    if (missing > 0 && schedule.nextDialAt > nowMs) {
+      this.maintainAt = Math.min(this.maintainAt, schedule.nextDialAt);
+    }
+  }
+
+  private dialOne(
+    place: LinkPlace,
+    replaces: string | undefined,
+    nowMs: number,
+    effects: ControlEffect[],
+  ): boolean {
+    const target = this.candidates.pick(place, this.machines, (candidate) =>
+      this.isFree(candidate),
+    );
+    if (target === undefined) {
+      return false;
+    }
+    const deadline = nowMs + DIAL_TIMEOUT_MS;
+    this.pending.set(addressKey(target), { place, deadline, replaces });
+    this.maintainAt = Math.min(this.maintainAt, deadline);
+    this.options.counters.add(CONTROL_COUNTERS.dials);
+    const { address, controlPort } = target;
+    effects.push({ type: 'dial', target: { address, controlPort } });
+    return true;
+  }
+
+  /** Neither linked nor being dialled. */
+  private isFree(candidate: DialCandidate): boolean {
+    const key = addressKey(candidate);
+    if (this.pending.has(key)) {
+      return false;
+    }
+    for (const link of this.links.values()) {
+      if (link.peer.id === candidate.id || addressKey(link.peer) === key) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private expireDials(nowMs: number): void {
+    for (const [key, dial] of this.pending) {
+      if (nowMs >= dial.deadline) {
+        this.pending.delete(key);
+        this.noteFailure(dial, nowMs);
+      }
+    }
+  }
+
+  private earliestDialDeadline(): number {
+    let earliest = Infinity;
+    for (const dial of this.pending.values()) {
+      earliest = Math.min(earliest, dial.deadline);
+    }
+    return earliest;
+  }
+
+  /** Links wanted by place less those open or being dialled; failing places are made up for. */
+  private missingLinks(): Record<LinkPlace, number> {
+    const missing = { ...this.wanted };
+    let open = 0;
+    for (const link of this.links.values()) {
+      open += link.role === 'transient' ? 0 : 1;
+      if (link.role === 'outbound') {
+        missing[link.place] -= 1;
+      }
+    }
+    for (const dial of this.pending.values()) {
+      if (dial.replaces === undefined) {
+        missing[dial.place] -= 1;
+      }
+    }
+    if (open === 0) {
+      missing.contact += Math.max(0, 1 - this.wanted.contact);
+    }
+    this.addFallback(missing);
+    return missing;
+  }
+
+  private addFallback(missing: Record<LinkPlace, number>): void {
+    const failing = LINK_PLACES.filter(
+      (place) => this.schedules[place].failures >= FAILURES_BEFORE_FALLBACK,
+    );
+    const spare = failing.reduce((sum, place) => sum + Math.max(0, missing[place]), 0);
+    const substitute = LINK_PLACES.find(
+      (place) => this.wanted[place] > 0 && !failing.includes(place),
+    );
+    if (substitute !== undefined) {
+      missing[substitute] += spare;
+    }
+  }
+
+  /** How many links to dial in each place, by what the machine list offers. */
+  private quotas(): Record<LinkPlace, number> {
+    const { neighbours, self } = this.options;
+    const quotas: Record<LinkPlace, number> = { zone: 0, region: 0, remote: 0, contact: 0 };
+    const hasZone = this.machines.inZone(self.zone).some((machine) => machine.id !== self.id);
+    const hasRegion = this.machines.zonesOf(self.region).some((zone) => zone !== self.zone);
+    const hasRemote = this.machines.regionNames().some((region) => region !== self.region);
+    if (!hasZone && !hasRegion && !hasRemote) {
+      quotas.contact = neighbours;
+      return quotas;
+    }
+    quotas.remote = hasRemote ? Math.max(1, Math.floor(neighbours / 4)) : 0;
+    const rest = neighbours - quotas.remote;
+    const zone = hasRegion ? Math.ceil(neighbours / 2) : rest;
+    quotas.zone = hasZone ? Math.min(rest, zone) : 0;
+    quotas.region = hasRegion ? Math.max(1, rest - quotas.zone) : 0;
+    if (!hasZone && !hasRegion) {
+      quotas.remote = neighbours;
+    }
+    return quotas;
+  }
+
+  private planReshuffle(nowMs: number): void {
+    this.reshuffleAt = nowMs + RESHUFFLE_INTERVAL_MS * (0.5 + this.options.random());
+  }
+
+  /** Dials a substitute for one confirmed outbound neighbour; the old one goes when it is there. */
+  private reshuffle(nowMs: number, effects: ControlEffect[]): void {
+    this.planReshuffle(nowMs);
+    const outbound = [...this.links.values()].filter(
+      (link) => link.role === 'outbound' && link.isConfirmed,
+    );
+    const old = outbound[Math.floor(this.options.random() * outbound.length)];
+    if (old !== undefined) {
+      this.dialOne(old.place, old.peer.id, nowMs, effects);
+    }
+  }
+}
--- a/src/membership/peer-identity.ts
+++ b/src/membership/peer-identity.ts
@@ -20,3 +20,14 @@
   readonly address: string;
   readonly controlPort: number;
 }
+
+/** Network distance of a neighbour: same zone, same region, or further. */
+export type Distance = 'zone' | 'region' | 'remote';
+
+/** How far `peer` is from `self`. */
+export function distanceBetween(self: PeerIdentity, peer: PeerIdentity): Distance {
+  if (self.region !== peer.region) {
+    return 'remote';
+  }
+  return self.zone === peer.zone ? 'zone' : 'region';
+}
