Name the round in a lease release

Cause: a release that arrives late, over another link, after the same process has asked again would free the newer grant while its holder still counts on it. Change: a release names the last round that it gives back.

--- a/src/wire/message-layouts.ts
+++ b/src/wire/message-layouts.ts
@@ -106,7 +106,7 @@
     granted: oneOf([false, true]),
     retryAfterMs: durationMs,
   }),
-  'lease-release': new PlainStruct({ slot: shortText }),
+  'lease-release': new PlainStruct({ slot: shortText, round: varint }),
   rejection: new PlainStruct({ version: documentVersion, reason: longText }),
 };
 
--- a/src/wire/message.ts
+++ b/src/wire/message.ts
@@ -102,10 +102,12 @@
   readonly retryAfterMs: number;
 }
 
-/** Gives a lease back before its end, on a planned stop. */
+/** Gives a lease, or a grant that was of no use, back before its end. */
 export interface LeaseReleaseMessage {
   readonly type: 'lease-release';
   readonly slot: string;
+  /** Grants of this round and of earlier ones are given back; a late release frees no later grant. */
+  readonly round: number;
 }
 
 /** A source version that was refused whole, so that every node's API can tell why. */
--- a/test/wire/codec.test.ts
+++ b/test/wire/codec.test.ts
@@ -157,7 +157,7 @@
       'malformed',
     ],
     ['bad digest', { type: 'heartbeat', versionsDigest: 'xyz' }, 'malformed'],
-    ['long slot', { type: 'lease-release', slot: 's'.repeat(256) }, 'malformed'],
+    ['long slot', { type: 'lease-release', slot: 's'.repeat(256), round: 1 }, 'malformed'],
   ];
   for (const [name, message, code] of unencodable) {
     it(`does not encode: ${name}`, () => {
--- a/test/wire/message-arbitraries.ts
+++ b/test/wire/message-arbitraries.ts
@@ -73,7 +73,7 @@
     granted: fc.boolean(),
     retryAfterMs: integer,
   }),
-  'lease-release': fc.record({ slot: shortText }),
+  'lease-release': fc.record({ slot: shortText, round: integer }),
   rejection: fc.record({ version, reason: anyText }),
 };
 
