--- /dev/null
+++ b/standins/backend/execution-ledger.ts
@@ -0,0 +1,39 @@
+/** Every execution that the back end began: the truth that callers' answers are compared with. */
+
+/** `abandoned`: its deadline passed before its work was done. */
+export type ExecutionOutcome = 'running' | 'finished' | 'cancelled' | 'abandoned';
+
+/** One execution; two with one request id are a doubled request. */
+export interface Execution {
+  readonly requestId: string;
+  readonly idempotencyKey?: string;
+  /** Milliseconds since 1970. */
+  readonly startedAt: number;
+  readonly endedAt?: number;
+  readonly outcome: ExecutionOutcome;
+}
+
+/** Append-only list of executions. */
+export class ExecutionLedger {
+  private readonly executions: Execution[] = [];
+
+  /** Records a start; the result names the execution to {@link end}. */
+  start(requestId: string, idempotencyKey: string | undefined, nowMs: number): number {
+    const key = idempotencyKey === undefined ? {} : { idempotencyKey };
+    this.executions.push({ requestId, ...key, startedAt: nowMs, outcome: 'running' });
+    return this.executions.length - 1;
+  }
+
+  /** Records the end of a running execution. */
+  end(index: number, outcome: ExecutionOutcome, nowMs: number): void {
+    const execution = this.executions[index];
+    if (execution?.outcome !== 'running') {
+      throw new Error(`execution ${index} is not running`);
+    }
+    this.executions[index] = { ...execution, endedAt: nowMs, outcome };
+  }
+
+  entries(): readonly Execution[] {
+    return this.executions;
+  }
+}
--- a/standins/platform/platform-stand-in.ts
+++ b/standins/platform/platform-stand-in.ts
@@ -66,7 +66,7 @@
   static async start(options: Partial<PlatformOptions> = {}): Promise<PlatformStandIn> {
     const { host, port, controlPort, readerBound } = { ...DEFAULT_OPTIONS, ...options };
     const platform = new PlatformStandIn(readerBound);
-    const front = createSocketServer((socket) => {
+    const front = createSocketServer({ allowHalfOpen: true, noDelay: true }, (socket) => {
       platform.connect(socket);
     });
     platform.listeners = [
