--- a/test/emulator/flooding-component.ts
+++ b/test/emulator/flooding-component.ts
@@ -103,7 +103,7 @@
     return this.adopt(VersionedDocument.fromValues(message.version.number, values));
   }
 
-  private adopt(offered: VersionedDocument): ControlEffect[] {
+  protected adopt(offered: VersionedDocument): ControlEffect[] {
     if (!this.accepts(offered)) {
       return [];
     }
@@ -111,7 +111,7 @@
     return [...this.peers].map((peerId) => this.push(peerId));
   }
 
-  private push(to: string): ControlEffect {
+  protected push(to: string): ControlEffect {
     const { version, entries } = this.source;
     const message: PeerMessage = {
       type: 'snapshot-chunk',
