Add the peer transport: proved links over TCP or mutual TLS

Ruled out: the acceptor proving first (who merely connects would get a proof to guess the key from); an HMAC tag per frame, since AES-GCM with a tag of the same eight bytes also hides secrets from the path; swapping links in silence when two nodes dial each other at once, since messages on the lost link would be missed: a replaced link is told as peer-down, then peer-up.

Change: handshake by challenge and response without I/O (`handshake.ts`), frames sealed under session keys where there is no TLS, one link kept for each peer by a rule that both ends share, bounds on unproven connections, accepted links and waiting bytes, one timer for all handshakes of a transport, counters by message type and by refusal reason.

--- /dev/null
+++ b/src/transport/handshake-codec.ts
@@ -0,0 +1,84 @@
+/** Frames of the handshake. They share the frame format of the peer protocol, with types 12 to 15. */
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import { decodeWhole, encodeFrame } from '../wire/codec.js';
+import { fixedBytes, oneOf, PlainStruct } from '../wire/field-types.js';
+import { FrameError } from '../wire/frame-error.js';
+import { decodeHead, HEAD_BYTES } from '../wire/frame-head.js';
+import { peerIdentityLayout } from '../wire/message-layouts.js';
+import { TOLD_REFUSAL_REASONS, type ToldRefusalReason } from './handshake-error.js';
+import { NONCE_BYTES, PROOF_BYTES } from './handshake-proof.js';
+
+/** Longest body of a handshake frame: a proof with an identity of the longest texts. */
+export const MAX_HANDSHAKE_FRAME_BYTES = 1_280;
+
+/** The dialer's first frame. */
+export interface HelloFrame {
+  readonly type: 'hello';
+  readonly nonce: Buffer;
+}
+
+/** The acceptor's answer to `hello`. */
+export interface ChallengeFrame {
+  readonly type: 'challenge';
+  readonly nonce: Buffer;
+}
+
+/** Who the sender is, with the proof that it holds the fleet key; the acceptor's ends the handshake. */
+export interface ProofFrame {
+  readonly type: 'proof';
+  readonly identity: PeerIdentity;
+  readonly proof: Buffer;
+}
+
+/** The acceptor will not have this link. */
+export interface RefusalFrame {
+  readonly type: 'refusal';
+  readonly reason: ToldRefusalReason;
+}
+
+export type HandshakeFrame = HelloFrame | ChallengeFrame | ProofFrame | RefusalFrame;
+
+const TYPE_NUMBERS = { hello: 12, challenge: 13, proof: 14, refusal: 15 } as const;
+
+const nonceLayout = new PlainStruct<{ nonce: Buffer }>({ nonce: fixedBytes(NONCE_BYTES) });
+const proofLayout = new PlainStruct<Omit<ProofFrame, 'type'>>({
+  identity: peerIdentityLayout,
+  proof: fixedBytes(PROOF_BYTES),
+});
+const refusalLayout = new PlainStruct<Omit<RefusalFrame, 'type'>>({
+  reason: oneOf(TOLD_REFUSAL_REASONS),
+});
+
+/** The whole frame, with its length. */
+export function encodeHandshakeFrame(frame: HandshakeFrame): Buffer {
+  switch (frame.type) {
+    case 'hello':
+    case 'challenge':
+      return encodeFrame(TYPE_NUMBERS[frame.type], nonceLayout, frame);
+    case 'proof':
+      return encodeFrame(TYPE_NUMBERS.proof, proofLayout, frame);
+    case 'refusal':
+      return encodeFrame(TYPE_NUMBERS.refusal, refusalLayout, frame);
+  }
+}
+
+/** The frame in a body. Throws {@link FrameError}. */
+export function decodeHandshakeFrame(body: Uint8Array): HandshakeFrame {
+  const { typeNumber, compressed } = decodeHead(body);
+  const payload = body.subarray(HEAD_BYTES);
+  if (compressed) {
+    throw new FrameError('malformed', 'compressed handshake');
+  }
+  switch (typeNumber) {
+    case TYPE_NUMBERS.hello:
+      return { type: 'hello', ...decodeWhole(nonceLayout, payload) };
+    case TYPE_NUMBERS.challenge:
+      return { type: 'challenge', ...decodeWhole(nonceLayout, payload) };
+    case TYPE_NUMBERS.proof:
+      return { type: 'proof', ...decodeWhole(proofLayout, payload) };
+    case TYPE_NUMBERS.refusal:
+      return { type: 'refusal', ...decodeWhole(refusalLayout, payload) };
+    default:
+      throw new FrameError('unknown-type', `type number ${typeNumber} before the proof`);
+  }
+}
--- /dev/null
+++ b/src/transport/transport-counters.ts
@@ -0,0 +1,72 @@
+/** Counters of the peer protocol. Bytes are those of frames; TLS, TCP and IP come on top. */
+import type { CounterSink } from '../control/control-event.js';
+import type { FrameErrorCode } from '../wire/frame-error.js';
+import { MESSAGE_TYPES, type PeerMessageType } from '../wire/message-layouts.js';
+import type { RefusalReason } from './handshake-error.js';
+
+/** Names of the counters that have one name only. */
+export const TRANSPORT_COUNTERS = {
+  linksOpened: 'ferryspool_peer_links_opened_total',
+  linksClosed: 'ferryspool_peer_links_closed_total',
+  linksReplaced: 'ferryspool_peer_links_replaced_total',
+  /** Hung up, because more than the bound waited to be sent. */
+  linksSlow: 'ferryspool_peer_links_slow_total',
+  dials: 'ferryspool_peer_dials_total',
+  dialsFailed: 'ferryspool_peer_dials_failed_total',
+  /** Messages without an open link to their receiver. */
+  messagesDropped: 'ferryspool_peer_messages_dropped_total',
+  /** Messages that no frame can hold. */
+  messagesUnencodable: 'ferryspool_peer_messages_unencodable_total',
+  handshakeSentBytes: 'ferryspool_peer_sent_handshake_bytes_total',
+  handshakeReceivedBytes: 'ferryspool_peer_received_handshake_bytes_total',
+} as const;
+
+type Direction = 'sent' | 'received';
+
+/** Counter of the bytes of one type of message, such as `…_sent_heartbeat_bytes_total`. */
+export function messageBytesCounter(direction: Direction, type: PeerMessageType): string {
+  return `ferryspool_peer_${direction}_${metricName(type)}_bytes_total`;
+}
+
+/** Counter of the messages of one type. */
+export function messageCounter(direction: Direction, type: PeerMessageType): string {
+  return `ferryspool_peer_${direction}_${metricName(type)}_messages_total`;
+}
+
+/** Counter of the handshakes that ended for one reason. */
+export function refusedHandshakeCounter(reason: RefusalReason): string {
+  return `ferryspool_peer_handshakes_refused_${metricName(reason)}_total`;
+}
+
+/** Counter of the frames on open links that were refused for one reason. */
+export function refusedFrameCounter(code: FrameErrorCode): string {
+  return `ferryspool_peer_frames_refused_${metricName(code)}_total`;
+}
+
+function metricName(name: string): string {
+  return name.replaceAll('-', '_');
+}
+
+function namesByType(name: (type: PeerMessageType) => string): Map<PeerMessageType, string> {
+  return new Map(MESSAGE_TYPES.map((type) => [type, name(type)]));
+}
+
+const MESSAGE_NAMES = {
+  sent: namesByType((type) => messageCounter('sent', type)),
+  received: namesByType((type) => messageCounter('received', type)),
+};
+const BYTES_NAMES = {
+  sent: namesByType((type) => messageBytesCounter('sent', type)),
+  received: namesByType((type) => messageBytesCounter('received', type)),
+};
+
+/** Counts one message of `bytes` on the wire. */
+export function countMessage(
+  counters: CounterSink,
+  direction: Direction,
+  type: PeerMessageType,
+  bytes: number,
+): void {
+  counters.add(MESSAGE_NAMES[direction].get(type) ?? type);
+  counters.add(BYTES_NAMES[direction].get(type) ?? type, bytes);
+}
--- /dev/null
+++ b/test/transport/transport-helpers.ts
@@ -0,0 +1,251 @@
+/** Transports with recorded events, and hand-driven sockets that misbehave as told. */
+import { once } from 'node:events';
+import { readFileSync } from 'node:fs';
+import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import type { CounterSink } from '../../src/control/control-event.js';
+import type { PeerAddress, PeerIdentity } from '../../src/membership/peer-identity.js';
+import { Handshake, type HandshakeStep } from '../../src/transport/handshake.js';
+import { createPeerTransport } from '../../src/transport/peer-transport.js';
+import type {
+  PeerTransport,
+  TransportEvent,
+  TransportLimits,
+  TransportTls,
+} from '../../src/transport/transport-options.js';
+import { FrameReader } from '../../src/wire/frame-reader.js';
+import type { PeerMessage } from '../../src/wire/message.js';
+
+export const LOOPBACK = '127.0.0.1';
+export const FLEET_KEY = 'fleet key of the tests';
+
+export function identity(id: string, incarnation = 1): PeerIdentity {
+  const place = { zone: 'zone-1', region: 'region-1' };
+  return { id, incarnation, address: LOOPBACK, controlPort: 0, relayPort: 1, ...place };
+}
+
+export function lease(round: number): PeerMessage {
+  return { type: 'lease-request', slot: 'zone-1/0', round, durationMs: 1_000 };
+}
+
+export function certificates(family: '' | 'other-'): TransportTls {
+  const directory = new URL('../../../test/transport/certificates/', import.meta.url);
+  const read = (name: string): string => readFileSync(new URL(family + name, directory), 'utf8');
+  return {
+    certificatePem: read('node.pem'),
+    keyPem: read('node-key.pem'),
+    authorityPem: read('authority.pem'),
+  };
+}
+
+/** Checks waiting conditions again whenever something was recorded. */
+class Recorder {
+  private readonly waiting = new Set<() => void>();
+
+  changed(): void {
+    this.waiting.forEach((check) => {
+      check();
+    });
+  }
+
+  until(condition: () => boolean): Promise<void> {
+    return new Promise((resolve) => {
+      const check = (): void => {
+        if (condition()) {
+          this.waiting.delete(check);
+          resolve();
+        }
+      };
+      this.waiting.add(check);
+      check();
+    });
+  }
+}
+
+/** A transport under test with what it told and counted. */
+export class TestNode implements CounterSink {
+  readonly events: TransportEvent[] = [];
+  readonly counts = new Map<string, number>();
+  readonly recorder = new Recorder();
+  transport!: PeerTransport;
+
+  get address(): PeerAddress {
+    return { address: LOOPBACK, controlPort: this.transport.port };
+  }
+
+  add(name: string, by = 1): void {
+    this.counts.set(name, this.count(name) + by);
+    this.recorder.changed();
+  }
+
+  record(event: TransportEvent): void {
+    this.events.push(event);
+    this.recorder.changed();
+  }
+
+  count(name: string): number {
+    return this.counts.get(name) ?? 0;
+  }
+
+  refused(reason: string): number {
+    return this.count(`ferryspool_peer_handshakes_refused_${reason}_total`);
+  }
+
+  /** Events of one type, in order. */
+  of<T extends TransportEvent['type']>(type: T): Extract<TransportEvent, { type: T }>[] {
+    return this.events.filter((event) => event.type === type) as Extract<
+      TransportEvent,
+      { type: T }
+    >[];
+  }
+
+  /** The identities of the peers that came up and did not go down, as the events say it. */
+  up(): string[] {
+    const up: string[] = [];
+    for (const event of this.events) {
+      if (event.type === 'peer-up') {
+        up.push(event.peer.id);
+      } else if (event.type === 'peer-down') {
+        up.splice(up.indexOf(event.peer.id), 1);
+      }
+    }
+    return up;
+  }
+
+  until(condition: () => boolean): Promise<void> {
+    return this.recorder.until(condition);
+  }
+
+  /** Waits until messages with these rounds have come, in this order, at the end. */
+  async untilRounds(...rounds: number[]): Promise<void> {
+    await this.until(() => this.rounds().slice(-rounds.length).join() === rounds.join());
+  }
+
+  rounds(): number[] {
+    return this.of('message').map(({ message }) => ('round' in message ? message.round : -1));
+  }
+}
+
+/** What differs from a plain node. */
+export interface TestNodeOptions {
+  readonly incarnation?: number;
+  readonly fleetKey?: string;
+  readonly tls?: TransportTls;
+  readonly limits?: Partial<TransportLimits>;
+}
+
+/** Everything that a test started; `close` ends it. */
+export class Bench {
+  private readonly cleanups: (() => unknown)[] = [];
+
+  async node(id: string, options: TestNodeOptions = {}): Promise<TestNode> {
+    const node = new TestNode();
+    node.transport = await createPeerTransport({
+      identity: identity(id, options.incarnation),
+      fleetKey: options.fleetKey ?? FLEET_KEY,
+      tls: options.tls,
+      listen: { address: LOOPBACK, port: 0 },
+      onEvent: (event) => {
+        node.record(event);
+      },
+      counters: node,
+      limits: { stopFlushMs: 200, ...options.limits },
+    });
+    this.cleanups.push(() => node.transport.stop());
+    return node;
+  }
+
+  /** Two nodes, `a` having dialled `b`. */
+  async pair(limits: Partial<TransportLimits> = {}): Promise<[TestNode, TestNode]> {
+    const [a, b] = [await this.node('a', { limits }), await this.node('b', { limits })];
+    a.transport.dial(b.address);
+    await Promise.all([a.until(() => a.up().length === 1), b.until(() => b.up().length === 1)]);
+    return [a, b];
+  }
+
+  /** A client socket without any protocol. */
+  async rawClient(target: PeerAddress): Promise<RawPeer> {
+    const socket = connect(target.controlPort, target.address);
+    const peer = new RawPeer(socket);
+    this.cleanups.push(() => socket.destroy());
+    await once(socket, 'connect');
+    return peer;
+  }
+
+  /** A listener without any protocol; gives its address. */
+  async rawServer(onSocket: (socket: Socket) => void): Promise<PeerAddress> {
+    const server: Server = createServer((socket) => {
+      socket.on('error', () => undefined);
+      this.cleanups.push(() => socket.destroy());
+      onSocket(socket);
+    });
+    server.listen(0, LOOPBACK);
+    await once(server, 'listening');
+    this.cleanups.push(() => server.close());
+    return { address: LOOPBACK, controlPort: (server.address() as AddressInfo).port };
+  }
+
+  async close(): Promise<void> {
+    await Promise.all(this.cleanups.splice(0).map((cleanup) => cleanup()));
+  }
+}
+
+/** A socket that frames can be written to and read from by hand. */
+export class RawPeer {
+  readonly received: Buffer[] = [];
+  readonly recorder = new Recorder();
+  closed = false;
+  private readonly reader = new FrameReader();
+
+  constructor(readonly socket: Socket) {
+    socket.on('error', () => undefined);
+    socket.on('close', () => {
+      this.closed = true;
+      this.recorder.changed();
+    });
+    socket.on('data', (chunk: Buffer) => {
+      this.reader.push(chunk);
+      for (let body = this.reader.next(); body !== undefined; body = this.reader.next()) {
+        this.received.push(Buffer.from(body));
+      }
+      this.recorder.changed();
+    });
+  }
+
+  /** The body of the next frame, or undefined when the connection closes before it. */
+  async frame(): Promise<Buffer | undefined> {
+    await this.recorder.until(() => this.received.length > 0 || this.closed);
+    return this.received.shift();
+  }
+
+  async untilClosed(): Promise<void> {
+    await this.recorder.until(() => this.closed);
+  }
+
+  /** Does the dialer's part up to its proof, which is returned and not sent. */
+  async dialerProof(handshake: Handshake): Promise<Buffer> {
+    this.socket.write(handshake.hello());
+    const step = handshake.receive((await this.frame()) ?? Buffer.alloc(0));
+    return replyOf(step);
+  }
+
+  /** Does the dialer's whole part; the transport's proof is checked. */
+  async prove(handshake: Handshake): Promise<HandshakeStep> {
+    this.socket.write(await this.dialerProof(handshake));
+    return handshake.receive((await this.frame()) ?? Buffer.alloc(0));
+  }
+}
+
+/** A dialer's side, driven by hand. */
+export function dialerHandshake(id: string, incarnation = 1, fleetKey = FLEET_KEY): Handshake {
+  const nonce = Buffer.alloc(16, id.charCodeAt(0));
+  const empty = Buffer.alloc(0);
+  const who = identity(id, incarnation);
+  return new Handshake({ role: 'dialer', fleetKey, identity: who, nonce, channelBinding: empty });
+}
+
+export function replyOf(step: HandshakeStep): Buffer {
+  if (step.type !== 'reply') {
+    throw new Error('expected a reply');
+  }
+  return step.frame;
+}
