Ledger the caller's own call name and count abandoned work as run

The node names each attempt itself in x-request-id, so a ledger of attempts could not be compared with what a caller was told. Executions and answers now also carry x-call-id, which nodes pass through. Work abandoned at its deadline has had an effect, so a cancellation after it answers finished and not cancelled, which would count as proof of not run.

--- a/standins/backend/answer-fault.ts
+++ b/standins/backend/answer-fault.ts
@@ -53,6 +53,8 @@
 /** What the body of an answer says; `padding` fills it up to its size. */
 export interface AnswerContent {
   readonly requestId: string;
+  /** The caller's own name of its call, from `x-call-id`. */
+  readonly callId?: string;
   readonly backend: string;
   /** Bytes of the request's body that arrived. */
   readonly requestBytes: number;
--- a/standins/backend/backend-call.ts
+++ b/standins/backend/backend-call.ts
@@ -1,11 +1,11 @@
 /** A request as the back end reads it, and whether it may start. */
 import type { IncomingMessage } from 'node:http';
+import type { ExecutionNames } from './execution-ledger.js';
 import { drawWorkMs, type BackendSettings } from './backend-settings.js';
 
 /** What a request asks for. */
 export interface BackendCall {
-  readonly requestId: string;
-  readonly idempotencyKey: string | undefined;
+  readonly names: ExecutionNames;
   readonly workMs: number;
   readonly answerBytes: number;
   /** Time that was left when the request arrived; Infinity when none is named. */
@@ -52,14 +52,23 @@
   fallbackId: string,
 ): BackendCall {
   return {
-    requestId: textHeader(request, 'x-request-id') ?? fallbackId,
-    idempotencyKey: textHeader(request, 'idempotency-key'),
+    names: readNames(request, fallbackId),
     workMs: numberHeader(request, 'x-work-ms') ?? drawWorkMs(settings.work, random),
     answerBytes: numberHeader(request, 'x-answer-bytes') ?? settings.answerBytes,
     deadlineMs: numberHeader(request, 'x-deadline-ms') ?? Infinity,
   };
 }
 
+function readNames(request: IncomingMessage, fallbackId: string): ExecutionNames {
+  const callId = textHeader(request, 'x-call-id');
+  const idempotencyKey = textHeader(request, 'idempotency-key');
+  return {
+    requestId: textHeader(request, 'x-request-id') ?? fallbackId,
+    ...(callId !== undefined && { callId }),
+    ...(idempotencyKey !== undefined && { idempotencyKey }),
+  };
+}
+
 function textHeader(request: IncomingMessage, name: string): string | undefined {
   const value = request.headers[name];
   return typeof value === 'string' ? value : undefined;
--- a/standins/backend/backend-stand-in.ts
+++ b/standins/backend/backend-stand-in.ts
@@ -52,6 +52,8 @@
   readonly peakInFlight: number;
   /** Executions begun. */
   readonly started: number;
+  /** When the last request arrived, refused or not, in milliseconds since 1970. */
+  readonly lastArrivalAt?: number;
   /** Requests refused before they started, by reason. */
   readonly refused: Partial<Record<RefusalReason, number>>;
 }
@@ -108,11 +110,13 @@
   }
 
   counters(): BackendCounters {
+    const lastArrivalAt = this.requests.latestArrivalAt();
     return {
       ...this.connectionLimit.counters(),
       inFlight: this.requests.load.inFlight,
       peakInFlight: this.requests.load.peakInFlight,
       started: this.executions().length,
+      ...(lastArrivalAt !== undefined && { lastArrivalAt }),
       refused: this.requests.refused(),
     };
   }
--- a/standins/backend/execution-ledger.ts
+++ b/standins/backend/execution-ledger.ts
@@ -3,9 +3,14 @@
 /** `abandoned`: its deadline passed before its work was done. */
 export type ExecutionOutcome = 'running' | 'finished' | 'cancelled' | 'abandoned';
 
-/** One execution; two with one request id are a doubled request. */
+/** Which request an execution belongs to, by its headers. */
+export type ExecutionNames = Pick<Execution, 'requestId' | 'callId' | 'idempotencyKey'>;
+
+/** One execution; two with one call id are a doubled call. */
 export interface Execution {
   readonly requestId: string;
+  /** The caller's own name of its call, which survives retries. */
+  readonly callId?: string;
   readonly idempotencyKey?: string;
   /** Milliseconds since 1970. */
   readonly startedAt: number;
@@ -18,9 +23,8 @@
   private readonly executions: Execution[] = [];
 
   /** Records a start; the result names the execution to {@link end}. */
-  start(requestId: string, idempotencyKey: string | undefined, nowMs: number): number {
-    const key = idempotencyKey === undefined ? {} : { idempotencyKey };
-    this.executions.push({ requestId, ...key, startedAt: nowMs, outcome: 'running' });
+  start(names: ExecutionNames, nowMs: number): number {
+    this.executions.push({ ...names, startedAt: nowMs, outcome: 'running' });
     return this.executions.length - 1;
   }
 
--- a/standins/backend/request-server.ts
+++ b/standins/backend/request-server.ts
@@ -32,6 +32,7 @@
   private readonly shedder = new LoadShedder();
   private coldSinceMs = performance.now();
   private arrivals = 0;
+  private lastArrivalAt: number | undefined;
 
   constructor(
     private readonly name: string,
@@ -57,6 +58,11 @@
     this.coldSinceMs = performance.now();
   }
 
+  /** When the last request arrived, refused or not, in milliseconds since 1970. */
+  latestArrivalAt(): number | undefined {
+    return this.lastArrivalAt;
+  }
+
   /** Requests refused before they started, by reason. */
   refused(): Partial<Record<RefusalReason, number>> {
     return Object.fromEntries(this.refusals);
@@ -85,8 +91,9 @@
   private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
     const arrivedAtMs = performance.now();
     this.arrivals += 1;
+    this.lastArrivalAt = Date.now();
     const call = readCall(request, this.current, this.random, `unnamed-${this.arrivals}`);
-    this.registry.arrive(call.requestId);
+    this.registry.arrive(call.names.requestId);
     const waitMs = this.connectionLimit.waitMs(request.socket, arrivedAtMs);
     if (waitMs > 0) {
       await delay(waitMs);
@@ -117,7 +124,7 @@
     if (requestBytes === undefined || response.destroyed) {
       return;
     }
-    if (this.registry.isBarred(call.requestId)) {
+    if (this.registry.isBarred(call.names.requestId)) {
       this.refuse(call, 'cancelled', request, response);
       return;
     }
@@ -129,7 +136,7 @@
       draining: this.current.draining,
       inFlight: this.load.inFlight,
       slots: this.current.slots,
-      barred: this.registry.isBarred(call.requestId),
+      barred: this.registry.isBarred(call.names.requestId),
       shed: this.shedder.picks(this.current.shedPercent),
       deadlineMs: call.deadlineMs,
     });
@@ -142,7 +149,7 @@
     response: ServerResponse,
   ): void {
     this.refusals.set(reason, (this.refusals.get(reason) ?? 0) + 1);
-    this.registry.refuse(call.requestId);
+    this.registry.refuse(call.names.requestId);
     request.resume();
     const status = reason === 'deadline' ? 504 : 503;
     const headers = { 'x-not-started': '1', 'retry-after': '1' };
@@ -158,17 +165,19 @@
 
   private execute(admitted: AdmittedRequest, requestBytes: number): void {
     const { call, arrivedAtMs, response } = admitted;
-    const entry = this.ledger.start(call.requestId, call.idempotencyKey, Date.now());
+    const { requestId } = call.names;
+    const entry = this.ledger.start(call.names, Date.now());
     const leftMs = Math.max(0, call.deadlineMs - (performance.now() - arrivedAtMs));
     const execution = new RunningExecution(call.workMs * this.coldFactor(), leftMs, (end) => {
       this.ledger.end(entry, end, Date.now());
-      this.registry.end(call.requestId, end === 'finished' ? 'finished' : 'cancelled');
+      // Abandoned work has had an effect, so that a cancellation must not deny it.
+      this.registry.end(requestId, end === 'cancelled' ? 'cancelled' : 'finished');
       void this.answerEnd(end, admitted, requestBytes);
     });
     const cancel = (): void => {
       execution.cancel();
     };
-    this.registry.start(call.requestId, cancel);
+    this.registry.start(requestId, cancel);
     response.once('close', cancel);
   }
 
@@ -178,7 +187,7 @@
     requestBytes: number,
   ): Promise<void> {
     const { call, response, fault } = admitted;
-    const { requestId, answerBytes } = call;
+    const { requestId, callId } = call.names;
     if (end === 'abandoned') {
       this.sendJson(response, 504, { abandoned: requestId });
       return;
@@ -191,7 +200,13 @@
       await delay(fault?.delayMs);
     }
     const headers = { ...this.commonHeaders(), 'x-request-id': requestId };
-    const body = answerBody({ requestId, backend: this.name, requestBytes }, answerBytes);
+    const content = {
+      requestId,
+      ...(callId !== undefined && { callId }),
+      backend: this.name,
+      requestBytes,
+    };
+    const body = answerBody(content, call.answerBytes);
     await sendAnswer({ response, headers, body }, fault);
   }
 
--- a/test/standins/backend.test.ts
+++ b/test/standins/backend.test.ts
@@ -52,12 +52,21 @@
   };
 
   it('answers with its name, the request id and its load, at the size asked for', async () => {
-    const result = await send('a', { 'x-answer-bytes': '5000', 'idempotency-key': 'k' });
+    const result = await send('a', {
+      'x-answer-bytes': '5000',
+      'idempotency-key': 'k',
+      'x-call-id': 'c',
+    });
     const content = JSON.parse(result.text) as AnswerContent;
     expect(result.text).to.have.length(5000);
-    expect(content).to.include({ requestId: 'a', backend: 'tiles-1', requestBytes: 0 });
+    expect(content).to.include({
+      requestId: 'a',
+      callId: 'c',
+      backend: 'tiles-1',
+      requestBytes: 0,
+    });
     expect(result.headers).to.include({ 'x-request-id': 'a', 'x-load': '1/20' });
-    expect(backend.executions()[0]).to.include({ requestId: 'a', idempotencyKey: 'k' });
+    expect(backend.executions()[0]).to.include({ callId: 'c', idempotencyKey: 'k' });
     expect(outcomes()).to.deep.equal(['finished']);
   });
 
@@ -202,6 +211,7 @@
     expect(result.status).to.equal(504);
     expect(result.headers['x-not-started']).to.equal(undefined);
     expect(outcomes()).to.deep.equal(['abandoned']);
+    expect(await cancel('a')).to.deep.equal({ outcome: 'finished' });
   });
 
   const reports: { name: string; change: BackendChange; load: object; health: number }[] = [
