Split dissemination, membership and the control plane by job

Change: version announcements, adoption of documents, the flood of rejections, link quotas and the life of links have modules of their own; assembled documents keep each entry's changedAt. ControlPlane.heldDocuments() for tools that look at what a node holds. Shown: the control tests pass as before.

--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -5,80 +5,30 @@
 import { Dissemination } from '../dissemination/dissemination.js';
 import { DocumentMemo } from '../dissemination/document-memo.js';
 import { DocumentStore } from '../dissemination/document-store.js';
-import type { SourceRejection } from '../dissemination/rejection-log.js';
-import { Membership, type NeighbourListener } from '../membership/membership.js';
-import type { PeerAddress, PeerIdentity } from '../membership/peer-identity.js';
-import type { ConfigurationFault } from '../model/configuration-error.js';
+import { Membership } from '../membership/membership.js';
+import type { NeighbourListener } from '../membership/neighbour-links.js';
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import type { VersionedDocument } from '../model/document.js';
 import type { Machine } from '../model/machine.js';
 import type { Snapshot } from '../model/snapshot.js';
-import type { HeldVersions, MemberStatus, PeerMessage } from '../wire/message.js';
-import type {
-  ControlComponent,
-  ControlEffect,
-  ControlEvent,
-  CounterSink,
-  RandomSource,
-} from './control-event.js';
-import type {
-  ElectorateView,
-  OperatorDocumentSink,
-  PlatformDocumentSink,
-} from './control-ports.js';
-
-/** Numbers of a control plane where no others are given; times in milliseconds. */
-export const CONTROL_DEFAULTS = {
-  neighbours: 4,
-  maxInbound: 16,
-  heartbeatIntervalMs: 2_000,
-  suspectAfterMs: 6_000,
-  deadAfterMs: 12_000,
-} as const;
+import type { DocumentName, HeartbeatMessage, MemberStatus, PeerMessage } from '../wire/message.js';
+import type { ControlComponent, ControlEffect, ControlEvent } from './control-event.js';
+import {
+  CONTROL_DEFAULTS,
+  type ControlPlaneOptions,
+  type ControlStatus,
+  type DocumentSink,
+} from './control-options.js';
+import type { ElectorateView } from './control-ports.js';
+import { isForComponents, isOverlayTraffic } from './message-audience.js';
 
 /** A wake that comes this much late means that the process was paused, in milliseconds. */
 export const LATE_WAKE_MS = 2_000;
 
-/** Makes a component that runs beside dissemination and membership; called once. */
-export type ComponentFactory = (
-  documents: PlatformDocumentSink & OperatorDocumentSink,
-  electorate: ElectorateView,
-) => ControlComponent;
-
-/** How a control plane is made; numbers default to {@link CONTROL_DEFAULTS}. */
-export interface ControlPlaneOptions {
-  readonly identity: PeerIdentity;
-  readonly seeds: readonly PeerAddress[];
-  readonly random: RandomSource;
-  readonly counters: CounterSink;
-  readonly neighbours?: number;
-  readonly maxInbound?: number;
-  readonly heartbeatIntervalMs?: number;
-  readonly suspectAfterMs?: number;
-  readonly deadAfterMs?: number;
-  /** Shared by nodes of one process in an emulator; a node of its own needs none. */
-  readonly memo?: DocumentMemo;
-  /** The source reader, the operators' replication, and the like. */
-  readonly components?: readonly ComponentFactory[];
-}
-
-/** What a node says of itself. */
-export interface ControlStatus {
-  readonly identity: PeerIdentity;
-  readonly held: HeldVersions;
-  /** Digest of `held`: nodes with the same digest hold the same. */
-  readonly versionsDigest: string;
-  readonly neighbours: readonly PeerIdentity[];
-  readonly rejectedSource: SourceRejection | undefined;
-  /** Operators' entries that cannot be applied to the source's document now. */
-  readonly suspended: readonly ConfigurationFault[];
-  /** When the held source document was adopted, in milliseconds; undefined when none is held. */
-  readonly sourceAdoptedAtMs: number | undefined;
-  readonly machines: number;
-}
-
 /** One node's control plane. */
 export class ControlPlane implements ControlComponent, ElectorateView, NeighbourListener {
   readonly identity: PeerIdentity;
-  readonly documents: PlatformDocumentSink & OperatorDocumentSink;
+  readonly documents: DocumentSink;
   private readonly store: DocumentStore;
   private readonly dissemination: Dissemination;
   private readonly membership: Membership;
@@ -111,7 +61,7 @@
       this.dissemination.grantGrace(nowMs);
     }
     this.dispatch(event, nowMs, effects);
-    if (!isInternal(event)) {
+    if (isForComponents(event)) {
       this.handleInComponents(event, nowMs, effects);
     }
     this.wakeAt = this.earliestWake();
@@ -127,6 +77,11 @@
     return this.store.configuration().snapshot;
   }
 
+  /** The documents that are held. */
+  heldDocuments(): Readonly<Record<DocumentName, VersionedDocument>> {
+    return this.store.heldDocuments();
+  }
+
   /** Status of a machine; undefined when nothing is known of it. */
   memberStatus(machineId: string): MemberStatus | undefined {
     return this.membership.status(machineId);
@@ -149,10 +104,10 @@
       identity: this.identity,
       held: this.store.versions(),
       versionsDigest: this.store.versionsDigest(),
-      neighbours: this.membership.neighbours(),
+      neighbours: [...this.membership.links.neighbours()],
       rejectedSource: this.dissemination.rejectedSource(),
       suspended: this.store.configuration().suspended,
-      sourceAdoptedAtMs: this.dissemination.adoptedAtMs('source'),
+      sourceAdoptedAtMs: this.dissemination.documents.adoptedAtMs('source'),
       machines: this.store.machines().byId.size,
     };
   }
@@ -165,7 +120,7 @@
     this.dissemination.removeNeighbour(peerId, nowMs, effects);
   }
 
-  heartbeatMessage(): ReturnType<Dissemination['heartbeatMessage']> {
+  heartbeatMessage(): HeartbeatMessage {
     return this.dissemination.heartbeatMessage();
   }
 
@@ -207,7 +162,7 @@
     nowMs: number,
     effects: ControlEffect[],
   ): void {
-    this.membership.heard(from, isOverlayTraffic(message), nowMs);
+    this.membership.links.heard(from, isOverlayTraffic(message), nowMs);
     if (message.type === 'heartbeat') {
       this.membership.handleHeartbeat(from, nowMs, effects);
     } else if (message.type === 'members') {
@@ -239,11 +194,11 @@
 
   /** A component may not close a link that the overlay uses; links that it uses are kept. */
   private addComponentEffect(effect: ControlEffect, nowMs: number, effects: ControlEffect[]): void {
-    if (effect.type === 'hang-up' && this.membership.isOverlayPeer(effect.peerId)) {
+    if (effect.type === 'hang-up' && this.membership.links.isOverlayPeer(effect.peerId)) {
       return;
     }
     if (effect.type === 'send') {
-      this.membership.used(effect.to, nowMs);
+      this.membership.links.used(effect.to, nowMs);
     }
     effects.push(effect);
   }
@@ -257,54 +212,23 @@
   }
 
   /** The dissemination's sinks, with the machine list followed by the membership. */
-  private documentSink(): PlatformDocumentSink & OperatorDocumentSink {
-    const { dissemination } = this;
+  private documentSink(): DocumentSink {
+    const { documents } = this.dissemination;
     return {
       offer: (document, answer, nowMs) => {
         const machinesBefore = this.store.machines();
-        const effects = dissemination.offer(document, answer, nowMs);
+        const effects = documents.offer(document, answer, nowMs);
         this.followMachines(machinesBefore, nowMs);
         this.wakeAt = this.earliestWake();
         return effects;
       },
-      heldNumber: (document) => dissemination.heldNumber(document),
+      heldNumber: (document) => documents.heldNumber(document),
       offerOperator: (document, nowMs) => {
-        const effects = dissemination.offerOperator(document, nowMs);
+        const effects = documents.offerOperator(document, nowMs);
         this.wakeAt = this.earliestWake();
         return effects;
       },
-      operatorDocument: () => dissemination.operatorDocument(),
+      operatorDocument: () => documents.operatorDocument(),
     };
   }
 }
-
-/** Messages that belong to the overlay and its documents: they are of no use to components. */
-function isOverlayTraffic(message: PeerMessage): boolean {
-  switch (message.type) {
-    case 'heartbeat':
-    case 'versions':
-    case 'delta':
-    case 'members':
-    case 'rejection':
-      return true;
-    case 'fetch':
-    case 'snapshot-chunk':
-    case 'fetch-refused':
-    default:
-      return false;
-  }
-}
-
-function isInternal(event: ControlEvent): boolean {
-  if (event.type !== 'message') {
-    return false;
-  }
-  switch (event.message.type) {
-    case 'fetch':
-    case 'snapshot-chunk':
-    case 'fetch-refused':
-      return true;
-    default:
-      return isOverlayTraffic(event.message);
-  }
-}
--- a/src/dissemination/dissemination.ts
+++ b/src/dissemination/dissemination.ts
@@ -2,18 +2,10 @@
  * Spreads the three documents over the overlay: a small change is pushed as a delta, a larger one is
  * announced and fetched; the digest on heartbeats finds what was missed.
  */
-import type {
-  ControlEffect,
-  CounterSink,
-  PlatformAnswer,
-  PlatformDocument,
-  RandomSource,
-} from '../control/control-event.js';
+import type { ControlEffect, CounterSink, RandomSource } from '../control/control-event.js';
 import { CONTROL_COUNTERS } from '../control/control-counters.js';
-import type { OperatorDocumentSink, PlatformDocumentSink } from '../control/control-ports.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
-import { DeltaMismatchError, type VersionedDocument } from '../model/document.js';
-import { compareVersions, isNewer, type DocumentVersion } from '../model/version.js';
+import { DeltaMismatchError } from '../model/document.js';
 import {
   DOCUMENT_NAMES,
   type DeltaMessage,
@@ -21,19 +13,15 @@
   type HeartbeatMessage,
   type HeldVersions,
   type PeerMessage,
-  type RejectionMessage,
   type SnapshotChunkMessage,
 } from '../wire/message.js';
+import { DocumentAdopter } from './document-adopter.js';
 import { DocumentFetcher } from './document-fetcher.js';
-import { MAX_PUSHED_DELTA_BYTES } from './document-parts.js';
 import type { DocumentStore } from './document-store.js';
-import { newNeighbour, type Neighbour } from './neighbour.js';
-import { offerPlatformAnswer, type PlatformVerdict } from './platform-offer.js';
-import { RejectionLog, type SourceRejection } from './rejection-log.js';
+import { RejectionFlood } from './rejection-flood.js';
+import type { SourceRejection } from './rejection-log.js';
 import { SnapshotServer } from './snapshot-server.js';
-
-/** Heartbeats in a row with another digest before the versions are announced. */
-const DIFFERING_HEARTBEATS_BEFORE_ANNOUNCEMENT = 2;
+import { VersionAnnouncer } from './version-announcer.js';
 
 /** What dissemination needs. */
 export interface DisseminationOptions {
@@ -46,38 +34,37 @@
 }
 
 /** The replication of documents between overlay neighbours. */
-export class Dissemination implements PlatformDocumentSink, OperatorDocumentSink {
+export class Dissemination {
+  /** Where documents come into force. */
+  readonly documents: DocumentAdopter;
   private readonly store: DocumentStore;
   private readonly counters: CounterSink;
-  private readonly neighbours = new Map<string, Neighbour>();
+  private readonly announcer: VersionAnnouncer;
   private readonly fetchers: Record<DocumentName, DocumentFetcher>;
   private readonly server: SnapshotServer;
-  private readonly rejections = new RejectionLog();
-  private heartbeat: HeartbeatMessage;
-  private readonly adoptedAt: Record<DocumentName, number | undefined> = {
-    source: undefined,
-    operator: undefined,
-    machines: undefined,
-  };
+  private readonly rejections: RejectionFlood;
 
-  constructor(private readonly options: DisseminationOptions) {
-    const { store, random, counters } = options;
+  constructor(options: DisseminationOptions) {
+    const { self, store, random, counters } = options;
     this.store = store;
     this.counters = counters;
+    this.announcer = new VersionAnnouncer(self, store, counters, options.announcementIntervalMs);
+    const { neighbours } = this.announcer;
+    this.rejections = new RejectionFlood(() => neighbours.keys());
+    this.documents = new DocumentAdopter(store, this.announcer, this.rejections, counters);
     const fetcher = (name: DocumentName): DocumentFetcher =>
-      new DocumentFetcher(name, store, this.neighbours, random, counters);
+      new DocumentFetcher(name, store, neighbours, random, counters);
     this.fetchers = {
       source: fetcher('source'),
       operator: fetcher('operator'),
       machines: fetcher('machines'),
     };
     this.server = new SnapshotServer(store, random, counters);
-    this.heartbeat = { type: 'heartbeat', versionsDigest: store.versionsDigest() };
   }
 
   /** The heartbeat to send; the same object until a held version changes. */
   heartbeatMessage(): HeartbeatMessage {
-    return this.heartbeat;
+    return this.announcer.heartbeatMessage();
   }
 
   /** The newest source version that was refused and not overtaken, with the reason. */
@@ -85,11 +72,6 @@
     return this.rejections.current();
   }
 
-  /** When the held version was adopted, in milliseconds; undefined when nothing is held. */
-  adoptedAtMs(name: DocumentName): number | undefined {
-    return this.adoptedAt[name];
-  }
-
   /** Time of the next `wake` that is needed, in milliseconds. */
   nextWakeAt(): number {
     const { source, operator, machines } = this.fetchers;
@@ -118,18 +100,13 @@
 
   /** A neighbour was confirmed: tell it what is held here. */
   addNeighbour(peer: PeerIdentity, nowMs: number, effects: ControlEffect[]): void {
-    const neighbour = newNeighbour(this.options.self, peer);
-    this.neighbours.set(peer.id, neighbour);
-    this.announce(neighbour, nowMs, effects);
-    const rejection = this.rejections.current();
-    if (rejection !== undefined) {
-      effects.push({ type: 'send', to: peer.id, message: rejectionMessage(rejection) });
-    }
+    this.announcer.add(peer, nowMs, effects);
+    this.rejections.tell(peer.id, effects);
   }
 
   /** A neighbour is no longer one. */
   removeNeighbour(peerId: string, nowMs: number, effects: ControlEffect[]): void {
-    this.neighbours.delete(peerId);
+    this.announcer.neighbours.delete(peerId);
     this.server.removePeer(peerId);
     for (const name of DOCUMENT_NAMES) {
       const fetcher = this.fetchers[name];
@@ -150,7 +127,7 @@
   handleMessage(from: string, message: PeerMessage, nowMs: number, effects: ControlEffect[]): void {
     switch (message.type) {
       case 'heartbeat':
-        this.handleHeartbeat(from, message, nowMs, effects);
+        this.announcer.handleHeartbeat(from, message, nowMs, effects);
         break;
       case 'versions':
         this.handleVersions(from, message.versions, nowMs, effects);
@@ -169,110 +146,30 @@
         this.fetchers[message.document].consider(nowMs, effects);
         break;
       case 'rejection':
-        this.learnRejection(message.version, message.reason, from, effects);
+        this.documents.learnRejection(message.version, message.reason, from, effects);
         break;
       default:
         break;
     }
   }
 
-  offer(document: PlatformDocument, answer: PlatformAnswer, nowMs: number): ControlEffect[] {
-    const effects: ControlEffect[] = [];
-    const verdict = offerPlatformAnswer(this.store.held(document), answer);
-    this.followVerdict(document, verdict, nowMs, effects);
-    return effects;
-  }
-
-  heldNumber(document: PlatformDocument): number {
-    return this.store.held(document).version.number;
-  }
-
-  offerOperator(document: VersionedDocument, nowMs: number): ControlEffect[] {
-    const effects: ControlEffect[] = [];
-    this.adopt('operator', document, undefined, nowMs, effects);
-    return effects;
-  }
-
-  operatorDocument(): VersionedDocument {
-    return this.store.held('operator');
-  }
-
-  private followVerdict(
-    document: PlatformDocument,
-    verdict: PlatformVerdict,
-    nowMs: number,
-    effects: ControlEffect[],
-  ): void {
-    switch (verdict.outcome) {
-      case 'newer':
-        this.adopt(document, verdict.document, undefined, nowMs, effects);
-        break;
-      case 'stale':
-        this.counters.add(CONTROL_COUNTERS.staleSourceAnswers);
-        break;
-      case 'conflict':
-        this.counters.add(CONTROL_COUNTERS.conflictingSourceAnswers);
-        break;
-      case 'invalid':
-        this.counters.add(CONTROL_COUNTERS.invalidSourceAnswers);
-        if (document === 'source') {
-          this.learnRejection(verdict.version, verdict.reason, undefined, effects);
-        }
-        break;
-      case 'nothing':
-        break;
-    }
-  }
-
-  private handleHeartbeat(
-    from: string,
-    message: HeartbeatMessage,
-    nowMs: number,
-    effects: ControlEffect[],
-  ): void {
-    const neighbour = this.neighbours.get(from);
-    if (neighbour === undefined) {
-      return;
-    }
-    if (message.versionsDigest === this.heartbeat.versionsDigest) {
-      neighbour.differingHeartbeats = 0;
-      neighbour.known = this.store.versions();
-      return;
-    }
-    neighbour.differingHeartbeats += 1;
-    if (
-      neighbour.differingHeartbeats >= DIFFERING_HEARTBEATS_BEFORE_ANNOUNCEMENT &&
-      nowMs >= neighbour.nextAnnouncementAt
-    ) {
-      this.announce(neighbour, nowMs, effects);
-    }
-  }
-
   private handleVersions(
     from: string,
     versions: HeldVersions,
     nowMs: number,
     effects: ControlEffect[],
   ): void {
-    const neighbour = this.neighbours.get(from);
+    const neighbour = this.announcer.neighbours.get(from);
     if (neighbour === undefined) {
       return;
     }
-    neighbour.known = versions;
-    let isBehind = false;
+    this.announcer.handleVersions(neighbour, versions, nowMs, effects);
     for (const name of DOCUMENT_NAMES) {
       const fetcher = this.fetchers[name];
-      if (fetcher.isWaitingFor(from) && !this.store.wants(name, versions[name])) {
+      if (!this.store.wants(name, versions[name])) {
         fetcher.answered(from);
       }
-      if (isNewer(this.store.held(name).version, versions[name])) {
-        isBehind ||= !this.push(neighbour, name, effects);
-      } else if (this.store.wants(name, versions[name])) {
-        fetcher.consider(nowMs, effects);
-      }
-    }
-    if (isBehind && neighbour.announcedDigest !== this.heartbeat.versionsDigest) {
-      this.announce(neighbour, nowMs, effects);
+      fetcher.consider(nowMs, effects);
     }
   }
 
@@ -285,12 +182,12 @@
     const name = message.document;
     const fetcher = this.fetchers[name];
     const held = this.store.held(name);
-    this.noteKnown(from, name, message.to);
+    this.announcer.noteKnown(from, name, message.to);
     fetcher.answered(from);
     if (this.store.wants(name, message.to) && message.from.number <= held.version.number) {
       try {
         const document = this.store.memo.apply(name, held, message);
-        this.adopt(name, document, from, nowMs, effects);
+        this.documents.adopt(name, document, from, nowMs, effects);
       } catch (error) {
         if (!(error instanceof DeltaMismatchError)) {
           throw error;
@@ -316,8 +213,8 @@
     }
     try {
       const document = this.store.memo.assemble(name, received.version, received.entries);
-      this.noteKnown(from, name, received.version);
-      this.adopt(name, document, from, nowMs, effects);
+      this.announcer.noteKnown(from, name, received.version);
+      this.documents.adopt(name, document, from, nowMs, effects);
     } catch (error) {
       if (!(error instanceof DeltaMismatchError)) {
         throw error;
@@ -327,113 +224,4 @@
     }
     fetcher.consider(nowMs, effects);
   }
-
-  private adopt(
-    name: DocumentName,
-    document: VersionedDocument,
-    from: string | undefined,
-    nowMs: number,
-    effects: ControlEffect[],
-  ): void {
-    const adoption = this.store.adopt(name, document);
-    if (adoption.outcome === 'refused') {
-      const detail = `${name} ${document.version.number}: ${adoption.reason}`;
-      effects.push({ type: 'state-change', what: 'document-refused', detail });
-      if (name === 'source') {
-        this.learnRejection(document.version, adoption.reason, from, effects);
-      }
-      return;
-    }
-    if (adoption.outcome === 'not-newer') {
-      return;
-    }
-    this.adoptedAt[name] = nowMs;
-    this.heartbeat = { type: 'heartbeat', versionsDigest: this.store.versionsDigest() };
-    this.fetchers[name].adopted();
-    if (name === 'source') {
-      this.rejections.adopted(document.version.number);
-    }
-    if (name !== 'machines') {
-      effects.push({ type: 'snapshot-changed', snapshot: this.store.configuration().snapshot });
-    }
-    for (const neighbour of this.neighbours.values()) {
-      this.passOn(neighbour, name, nowMs, effects);
-    }
-  }
-
-  /** Tells a neighbour of a version that was just adopted. */
-  private passOn(
-    neighbour: Neighbour,
-    name: DocumentName,
-    nowMs: number,
-    effects: ControlEffect[],
-  ): void {
-    const known = neighbour.known?.[name];
-    const held = this.store.held(name).version;
-    if (known !== undefined && compareVersions(known, held) >= 0) {
-      return;
-    }
-    if (!this.push(neighbour, name, effects)) {
-      this.announce(neighbour, nowMs, effects);
-    }
-  }
-
-  /** Sends a small delta to a neighbour that is known to hold an older version of this history. */
-  private push(neighbour: Neighbour, name: DocumentName, effects: ControlEffect[]): boolean {
-    const known = neighbour.known;
-    const held = this.store.held(name);
-    if (known === undefined) {
-      return false;
-    }
-    const sized = this.store.memo.deltaFrom(held, known[name]);
-    if (sized === undefined || sized.bytes >= MAX_PUSHED_DELTA_BYTES) {
-      return false;
-    }
-    this.counters.add(CONTROL_COUNTERS.deltasPushed);
-    const message = { type: 'delta', document: name, ...sized.delta } as const;
-    effects.push({ type: 'send', to: neighbour.peer.id, message });
-    neighbour.known = { ...known, [name]: held.version };
-    return true;
-  }
-
-  private announce(neighbour: Neighbour, nowMs: number, effects: ControlEffect[]): void {
-    this.counters.add(CONTROL_COUNTERS.announcements);
-    neighbour.nextAnnouncementAt = nowMs + this.options.announcementIntervalMs;
-    neighbour.announcedDigest = this.heartbeat.versionsDigest;
-    neighbour.differingHeartbeats = 0;
-    const versions = this.store.versions();
-    effects.push({ type: 'send', to: neighbour.peer.id, message: { type: 'versions', versions } });
-  }
-
-  private noteKnown(from: string, name: DocumentName, version: DocumentVersion): void {
-    const neighbour = this.neighbours.get(from);
-    const known = neighbour?.known;
-    if (neighbour !== undefined && known !== undefined && isNewer(version, known[name])) {
-      neighbour.known = { ...known, [name]: version };
-    }
-  }
-
-  private learnRejection(
-    version: DocumentVersion,
-    reason: string,
-    from: string | undefined,
-    effects: ControlEffect[],
-  ): void {
-    const rejection = this.rejections.learn(version, reason, this.heldNumber('source'));
-    if (rejection === undefined) {
-      return;
-    }
-    const detail = `source ${version.number}: ${rejection.reason}`;
-    effects.push({ type: 'state-change', what: 'source-rejected', detail });
-    const message = rejectionMessage(rejection);
-    for (const id of this.neighbours.keys()) {
-      if (id !== from) {
-        effects.push({ type: 'send', to: id, message });
-      }
-    }
-  }
-}
-
-function rejectionMessage(rejection: SourceRejection): RejectionMessage {
-  return { type: 'rejection', version: rejection.version, reason: rejection.reason };
 }
--- a/src/dissemination/document-fetcher.ts
+++ b/src/dissemination/document-fetcher.ts
@@ -48,7 +48,8 @@
   private attemptAt = Infinity;
   /** Neighbours passed over, until when. */
   private readonly passedOver = new Map<string, number>();
-  private wholeOnly = false;
+  /** Held version that no delta fits: from it the whole document is asked for. */
+  private wholeFrom: DocumentVersion | undefined;
 
   constructor(
     private readonly name: DocumentName,
@@ -125,13 +126,7 @@
 
   /** A delta did not fit what is held: the next fetch asks for the whole document. */
   demandWhole(): void {
-    this.wholeOnly = true;
-  }
-
-  /** A newer version was adopted. */
-  adopted(): void {
-    this.wholeOnly = false;
-    this.passedOver.clear();
+    this.wholeFrom = this.store.held(this.name).version;
   }
 
   /** The neighbour is gone. */
@@ -183,7 +178,8 @@
     const peerId = neighbour.peer.id;
     this.attemptAt = Infinity;
     this.outstanding = { peerId, deadline: nowMs + FETCH_TIMEOUT_MS, assembly: undefined };
-    const have = this.wholeOnly ? NO_VERSION : this.store.held(this.name).version;
+    const held = this.store.held(this.name).version;
+    const have = held === this.wholeFrom ? NO_VERSION : held;
     this.counters.add(CONTROL_COUNTERS.fetchesSent);
     effects.push({
       type: 'send',
--- a/src/dissemination/document-memo.ts
+++ b/src/dissemination/document-memo.ts
@@ -62,8 +62,7 @@
     entries: readonly DocumentEntry[],
   ): VersionedDocument {
     return this.document(name, version, () => {
-      const values = new Map(entries.map((entry) => [entry.key, entry.json]));
-      const document = VersionedDocument.fromValues(version.number, values);
+      const document = VersionedDocument.fromEntries(version.number, entries);
       if (document.version.digest !== version.digest) {
         throw new DeltaMismatchError(`chunks do not give digest ${version.digest}`);
       }
--- a/src/dissemination/document-store.ts
+++ b/src/dissemination/document-store.ts
@@ -52,6 +52,11 @@
     return this.documents[name];
   }
 
+  /** All held documents, as they are now. */
+  heldDocuments(): Readonly<Record<DocumentName, VersionedDocument>> {
+    return { ...this.documents };
+  }
+
   /** Versions of all held documents; the same object until one changes. */
   versions(): HeldVersions {
     return this.heldVersions;
--- a/src/dissemination/platform-offer.ts
+++ b/src/dissemination/platform-verdict.ts
@@ -16,7 +16,7 @@
   | { readonly outcome: 'nothing' };
 
 /** Compares an answer with the held document. */
-export function offerPlatformAnswer(
+export function judgePlatformAnswer(
   held: VersionedDocument,
   answer: PlatformAnswer,
 ): PlatformVerdict {
--- /dev/null
+++ b/src/dissemination/version-announcer.ts
@@ -0,0 +1,140 @@
+/**
+ * Tells overlay neighbours what is held here: a small delta to a neighbour known to hold an older
+ * version of the same history, otherwise an announcement of all versions.
+ */
+import type { ControlEffect, CounterSink } from '../control/control-event.js';
+import { CONTROL_COUNTERS } from '../control/control-counters.js';
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import { compareVersions, isNewer, type DocumentVersion } from '../model/version.js';
+import {
+  DOCUMENT_NAMES,
+  type DocumentName,
+  type HeartbeatMessage,
+  type HeldVersions,
+} from '../wire/message.js';
+import { MAX_PUSHED_DELTA_BYTES } from './document-parts.js';
+import type { DocumentStore } from './document-store.js';
+import { newNeighbour, type Neighbour } from './neighbour.js';
+
+/** Heartbeats in a row with another digest before the versions are announced. */
+const DIFFERING_HEARTBEATS_BEFORE_ANNOUNCEMENT = 2;
+
+/** The neighbours and what each is known to hold. */
+export class VersionAnnouncer {
+  readonly neighbours = new Map<string, Neighbour>();
+  private heartbeat: HeartbeatMessage;
+
+  /** `announcementIntervalMs`: least time between two announcements without a change. */
+  constructor(
+    private readonly self: PeerIdentity,
+    private readonly store: DocumentStore,
+    private readonly counters: CounterSink,
+    private readonly announcementIntervalMs: number,
+  ) {
+    this.heartbeat = { type: 'heartbeat', versionsDigest: store.versionsDigest() };
+  }
+
+  /** The heartbeat to send; the same object until a held version changes. */
+  heartbeatMessage(): HeartbeatMessage {
+    if (this.heartbeat.versionsDigest !== this.store.versionsDigest()) {
+      this.heartbeat = { type: 'heartbeat', versionsDigest: this.store.versionsDigest() };
+    }
+    return this.heartbeat;
+  }
+
+  /** A neighbour was confirmed: it is told what is held here. */
+  add(peer: PeerIdentity, nowMs: number, effects: ControlEffect[]): void {
+    const neighbour = newNeighbour(this.self, peer);
+    this.neighbours.set(peer.id, neighbour);
+    this.announce(neighbour, nowMs, effects);
+  }
+
+  /** Compares digests; a difference that lasts is answered by an announcement. */
+  handleHeartbeat(
+    from: string,
+    message: HeartbeatMessage,
+    nowMs: number,
+    effects: ControlEffect[],
+  ): void {
+    const neighbour = this.neighbours.get(from);
+    if (neighbour === undefined) {
+      return;
+    }
+    if (message.versionsDigest === this.store.versionsDigest()) {
+      neighbour.differingHeartbeats = 0;
+      neighbour.known = this.store.versions();
+      return;
+    }
+    neighbour.differingHeartbeats += 1;
+    const isLasting = neighbour.differingHeartbeats >= DIFFERING_HEARTBEATS_BEFORE_ANNOUNCEMENT;
+    if (isLasting && nowMs >= neighbour.nextAnnouncementAt) {
+      this.announce(neighbour, nowMs, effects);
+    }
+  }
+
+  /** A neighbour said what it holds: it is helped along where it is behind. */
+  handleVersions(
+    neighbour: Neighbour,
+    versions: HeldVersions,
+    nowMs: number,
+    effects: ControlEffect[],
+  ): void {
+    neighbour.known = versions;
+    let mustAnnounce = false;
+    for (const name of DOCUMENT_NAMES) {
+      if (isNewer(this.store.held(name).version, versions[name])) {
+        mustAnnounce = !this.push(neighbour, name, effects) || mustAnnounce;
+      }
+    }
+    if (mustAnnounce && neighbour.announcedDigest !== this.store.versionsDigest()) {
+      this.announce(neighbour, nowMs, effects);
+    }
+  }
+
+  /** Tells every neighbour of a version that was just adopted, unless it is known to hold it. */
+  passOn(name: DocumentName, nowMs: number, effects: ControlEffect[]): void {
+    const held = this.store.held(name).version;
+    for (const neighbour of this.neighbours.values()) {
+      const known = neighbour.known?.[name];
+      const isHeldThere = known !== undefined && compareVersions(known, held) >= 0;
+      if (!isHeldThere && !this.push(neighbour, name, effects)) {
+        this.announce(neighbour, nowMs, effects);
+      }
+    }
+  }
+
+  /** A neighbour sent a version, so it holds it. */
+  noteKnown(from: string, name: DocumentName, version: DocumentVersion): void {
+    const neighbour = this.neighbours.get(from);
+    const known = neighbour?.known;
+    if (neighbour !== undefined && known !== undefined && isNewer(version, known[name])) {
+      neighbour.known = { ...known, [name]: version };
+    }
+  }
+
+  private push(neighbour: Neighbour, name: DocumentName, effects: ControlEffect[]): boolean {
+    const known = neighbour.known;
+    const held = this.store.held(name);
+    if (known === undefined) {
+      return false;
+    }
+    const sized = this.store.memo.deltaFrom(held, known[name]);
+    if (sized === undefined || sized.bytes >= MAX_PUSHED_DELTA_BYTES) {
+      return false;
+    }
+    this.counters.add(CONTROL_COUNTERS.deltasPushed);
+    const message = { type: 'delta', document: name, ...sized.delta } as const;
+    effects.push({ type: 'send', to: neighbour.peer.id, message });
+    neighbour.known = { ...known, [name]: held.version };
+    return true;
+  }
+
+  private announce(neighbour: Neighbour, nowMs: number, effects: ControlEffect[]): void {
+    this.counters.add(CONTROL_COUNTERS.announcements);
+    neighbour.nextAnnouncementAt = nowMs + this.announcementIntervalMs;
+    neighbour.announcedDigest = this.store.versionsDigest();
+    neighbour.differingHeartbeats = 0;
+    const versions = this.store.versions();
+    effects.push({ type: 'send', to: neighbour.peer.id, message: { type: 'versions', versions } });
+  }
+}
--- a/src/membership/overlay.ts
+++ b/src/membership/overlay.ts
@@ -12,6 +12,14 @@
   type LinkPlace,
 } from './dial-candidates.js';
 import { DialSchedule } from './dial-schedule.js';
+import {
+  missingLinks,
+  noLinks,
+  quotasFor,
+  surplusLink,
+  withFallback,
+  type LinkCounts,
+} from './link-quotas.js';
 import type { MachineIndex } from './machine-index.js';
 import type { MemberTable } from './member-table.js';
 import { distanceBetween, type PeerAddress, type PeerIdentity } from './peer-identity.js';
@@ -38,18 +46,23 @@
   readonly counters: CounterSink;
 }
 
-interface PendingDial {
+/** What a dial is for. */
+export interface DialPurpose {
   readonly place: LinkPlace;
-  readonly deadline: number;
+  /** Neighbour that is given up once the dialled one confirms. */
   readonly replaces: string | undefined;
 }
 
+interface PendingDial extends DialPurpose {
+  readonly deadline: number;
+}
+
 /** Decides on overlay links; `links` is shared with the membership that owns it. */
 export class Overlay {
   private readonly candidates: DialCandidates;
   private readonly schedules: Record<LinkPlace, DialSchedule>;
   private readonly pending = new Map<string, PendingDial>();
-  private wanted: Record<LinkPlace, number>;
+  private wanted: LinkCounts;
   private maintainAt = Infinity;
   private reshuffleAt = Infinity;
   private isStopping = false;
@@ -68,7 +81,7 @@
       remote: new DialSchedule(random),
       contact: new DialSchedule(random),
     };
-    this.wanted = this.quotas();
+    this.wanted = quotasFor(self, options.neighbours, machines);
   }
 
   /** The process started: dial soon, but not all processes at the same moment. */
@@ -99,41 +112,26 @@
     }
   }
 
-  /** A newer machine list came into force. */
+  /** A newer machine list came into force: links are counted by the places it names. */
   setMachines(machines: MachineIndex, nowMs: number): void {
+    const { self, neighbours } = this.options;
     this.machines = machines;
-    this.wanted = this.quotas();
-    for (const link of this.links.values()) {
-      link.place =
-        this.wanted.contact > 0 ? link.place : distanceBetween(this.options.self, link.peer);
+    this.wanted = quotasFor(self, neighbours, machines);
+    if (this.wanted.contact === 0) {
+      for (const link of this.links.values()) {
+        link.place = distanceBetween(self, link.peer);
+      }
     }
     this.requestMaintenance(nowMs);
   }
 
   /** A neighbour beyond those wanted, to be given up; undefined when there is none. */
   surplusLink(): PeerLink | undefined {
-    const surplus: Record<LinkPlace, number> = { zone: 0, region: 0, remote: 0, contact: 0 };
-    let outbound = 0;
-    for (const link of this.links.values()) {
-      if (link.role === 'outbound' && link.isConfirmed) {
-        surplus[link.place] += 1;
-        outbound += 1;
-      }
-    }
-    if (outbound <= this.options.neighbours) {
-      return undefined;
-    }
-    for (const link of this.links.values()) {
-      const isOver = surplus[link.place] > this.wanted[link.place];
-      if (link.role === 'outbound' && link.isConfirmed && isOver) {
-        return link;
-      }
-    }
-    return undefined;
+    return surplusLink(this.wanted, this.options.neighbours, this.links.values());
   }
 
-  /** A link opened: whether it was dialled for the overlay, and what for. */
-  claimLink(peer: PeerIdentity): { place: LinkPlace; replaces: string | undefined } | undefined {
+  /** A link opened: what it was dialled for, or undefined when the overlay did not dial it. */
+  claimLink(peer: PeerIdentity): DialPurpose | undefined {
     const key = addressKey(peer);
     const dial = this.pending.get(key);
     this.pending.delete(key);
@@ -154,28 +152,22 @@
     this.schedules[link.place].succeeded();
   }
 
-  /** A link that counted towards a place closed; `wasConfirmed` tells loss from refusal. */
-  lost(link: PeerLink, wasConfirmed: boolean, nowMs: number): void {
-    if (link.role !== 'outbound') {
-      this.requestMaintenance(nowMs);
-      return;
-    }
-    if (!wasConfirmed) {
+  /** A link closed; one that was never confirmed was refused. */
+  lost(link: PeerLink, nowMs: number): void {
+    if (link.role === 'outbound' && !link.isConfirmed) {
       this.schedules[link.place].failed(nowMs);
     }
     this.requestMaintenance(nowMs);
   }
 
-  /** A dial failed. Returns whether the overlay had asked for it. */
-  dialFailed(target: PeerAddress, nowMs: number): boolean {
+  /** A dial failed; dials of others are left alone. */
+  dialFailed(target: PeerAddress, nowMs: number): void {
     const key = addressKey(target);
     const dial = this.pending.get(key);
-    if (dial === undefined) {
-      return false;
+    if (dial !== undefined) {
+      this.pending.delete(key);
+      this.noteFailure(dial, nowMs);
     }
-    this.pending.delete(key);
-    this.noteFailure(dial, nowMs);
-    return true;
   }
 
   private requestMaintenance(nowMs: number): void {
@@ -195,7 +187,11 @@
   /** Dials for every place that has too few links, and plans the next look. */
   private maintain(nowMs: number, effects: ControlEffect[]): void {
     this.expireDials(nowMs);
-    const missing = this.missingLinks();
+    const missing = withFallback(
+      missingLinks(this.wanted, this.links.values(), this.pendingCounts()),
+      this.wanted,
+      (place) => this.schedules[place].failures >= FAILURES_BEFORE_FALLBACK,
+    );
     this.maintainAt = this.earliestDialDeadline();
     for (const place of LINK_PLACES) {
       this.dialFor(place, missing[place], nowMs, effects);
@@ -210,7 +206,7 @@
   ): void {
     const schedule = this.schedules[place];
     for (let count = 0; count < missing && nowMs >= schedule.nextDialAt; count += 1) {
-      if (!this.dialOne(place, undefined, nowMs, effects)) {
+      if (!this.dialOne({ place, replaces: undefined }, nowMs, effects)) {
         schedule.failed(nowMs);
       } else if (schedule.failures > 0) {
         break;
@@ -221,20 +217,14 @@
     }
   }
 
-  private dialOne(
-    place: LinkPlace,
-    replaces: string | undefined,
-    nowMs: number,
-    effects: ControlEffect[],
-  ): boolean {
-    const target = this.candidates.pick(place, this.machines, (candidate) =>
-      this.isFree(candidate),
-    );
+  private dialOne(purpose: DialPurpose, nowMs: number, effects: ControlEffect[]): boolean {
+    const isFree = (candidate: DialCandidate): boolean => this.isFree(candidate);
+    const target = this.candidates.pick(purpose.place, this.machines, isFree);
     if (target === undefined) {
       return false;
     }
     const deadline = nowMs + DIAL_TIMEOUT_MS;
-    this.pending.set(addressKey(target), { place, deadline, replaces });
+    this.pending.set(addressKey(target), { ...purpose, deadline });
     this.maintainAt = Math.min(this.maintainAt, deadline);
     this.options.counters.add(CONTROL_COUNTERS.dials);
     const { address, controlPort } = target;
@@ -273,61 +263,12 @@
     return earliest;
   }
 
-  /** Links wanted by place less those open or being dialled; failing places are made up for. */
-  private missingLinks(): Record<LinkPlace, number> {
-    const missing = { ...this.wanted };
-    let open = 0;
-    for (const link of this.links.values()) {
-      open += link.role === 'transient' ? 0 : 1;
-      if (link.role === 'outbound') {
-        missing[link.place] -= 1;
-      }
-    }
+  private pendingCounts(): LinkCounts {
+    const counts = noLinks();
     for (const dial of this.pending.values()) {
-      if (dial.replaces === undefined) {
-        missing[dial.place] -= 1;
-      }
-    }
-    if (open === 0) {
-      missing.contact += Math.max(0, 1 - this.wanted.contact);
-    }
-    this.addFallback(missing);
-    return missing;
-  }
-
-  private addFallback(missing: Record<LinkPlace, number>): void {
-    const failing = LINK_PLACES.filter(
-      (place) => this.schedules[place].failures >= FAILURES_BEFORE_FALLBACK,
-    );
-    const spare = failing.reduce((sum, place) => sum + Math.max(0, missing[place]), 0);
-    const substitute = LINK_PLACES.find(
-      (place) => this.wanted[place] > 0 && !failing.includes(place),
-    );
-    if (substitute !== undefined) {
-      missing[substitute] += spare;
-    }
-  }
-
-  /** How many links to dial in each place, by what the machine list offers. */
-  private quotas(): Record<LinkPlace, number> {
-    const { neighbours, self } = this.options;
-    const quotas: Record<LinkPlace, number> = { zone: 0, region: 0, remote: 0, contact: 0 };
-    const hasZone = this.machines.inZone(self.zone).some((machine) => machine.id !== self.id);
-    const hasRegion = this.machines.zonesOf(self.region).some((zone) => zone !== self.zone);
-    const hasRemote = this.machines.regionNames().some((region) => region !== self.region);
-    if (!hasZone && !hasRegion && !hasRemote) {
-      quotas.contact = neighbours;
-      return quotas;
-    }
-    quotas.remote = hasRemote ? Math.max(1, Math.floor(neighbours / 4)) : 0;
-    const rest = neighbours - quotas.remote;
-    const zone = hasRegion ? Math.ceil(neighbours / 2) : rest;
-    quotas.zone = hasZone ? Math.min(rest, zone) : 0;
-    quotas.region = hasRegion ? Math.max(1, rest - quotas.zone) : 0;
-    if (!hasZone && !hasRegion) {
-      quotas.remote = neighbours;
+      counts[dial.place] += dial.replaces === undefined ? 1 : 0;
     }
-    return quotas;
+    return counts;
   }
 
   private planReshuffle(nowMs: number): void {
@@ -342,7 +283,7 @@
     );
     const old = outbound[Math.floor(this.options.random() * outbound.length)];
     if (old !== undefined) {
-      this.dialOne(old.place, old.peer.id, nowMs, effects);
+      this.dialOne({ place: old.place, replaces: old.peer.id }, nowMs, effects);
     }
   }
 }
--- a/test/control/message-pump.ts
+++ b/test/control/message-pump.ts
@@ -1,6 +1,7 @@
 /** A tiny virtual network for tests: control planes, links with latency, cuts, kills and pauses. */
 import type { ControlEffect, ControlEvent, CounterSink } from '../../src/control/control-event.js';
-import { ControlPlane, type ControlPlaneOptions } from '../../src/control/control-plane.js';
+import type { ControlPlaneOptions } from '../../src/control/control-options.js';
+import { ControlPlane } from '../../src/control/control-plane.js';
 import { machineValues } from '../../src/membership/machine-index.js';
 import type { PeerAddress, PeerIdentity } from '../../src/membership/peer-identity.js';
 import { canonicalJson } from '../../src/model/canonical-json.js';
