Serve the resource API: list, get, watch, status, metrics, writes

Cause: operators drive the system through a resource API on every node. Change: AdminServer over the API's ports. Lists carry a cursor, watches go on from it (410 "list again" when the history does not reach back, 503 when the node lags behind it). Writes need a precondition and every failed one carries a verdict. Tokens are compared in constant time; without an adminToken reads are open and writes refused. Errors are typed JSON. Ruled out: a queue per watcher (memory times watchers), a sequence number of the node's own as cursor (worthless on another node), answering a secret's value by name (no read ever does).

--- /dev/null
+++ b/src/api/admin-handler.ts
@@ -0,0 +1,150 @@
+/** Answers requests to the resource API: finds out what is asked, checks access, acts. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { CounterSink } from '../control/control-event.js';
+import { VERDICT_HEADER, type Verdict } from '../model/verdict.js';
+import type { AccessCheck } from './access-check.js';
+import { ApiError } from './api-error.js';
+import { isWriteMethod, parseApiRequest, type ApiRequest } from './api-request.js';
+import { sendError, sendJson, sendList } from './api-response.js';
+import type { ConfigurationFeed } from './configuration-feed.js';
+import type { StatusProvider } from './node-status.js';
+import { readJsonBody } from './request-body.js';
+import { representResource } from './resource-representation.js';
+import { parseResourceBody, type ResourceWriter } from './resource-writer.js';
+import type { WatchRegistry } from './watch-registry.js';
+import type { WriteRequest } from './write-port.js';
+
+/** Gives metrics in text form. */
+export interface MetricsSource {
+  readonly contentType: string;
+  text(): Promise<string>;
+}
+
+/** What the handler acts on. */
+export interface AdminHandlerOptions {
+  readonly feed: ConfigurationFeed;
+  readonly watches: WatchRegistry;
+  readonly writer: ResourceWriter;
+  readonly status: StatusProvider;
+  readonly metrics: MetricsSource;
+  readonly counters: CounterSink;
+  readonly checkAccess: AccessCheck;
+  /** Body of one write, in bytes. */
+  readonly maxBodyBytes: number;
+  /** Told of a failure of the program itself. */
+  readonly onInternalError: (error: unknown) => void;
+}
+
+type WriteOrder = Extract<ApiRequest, { type: 'write' }>;
+
+/** Handles one request after another; holds no state of its own. */
+export class AdminHandler {
+  constructor(private readonly options: AdminHandlerOptions) {}
+
+  /** Answers `request`; never rejects. */
+  async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    this.options.counters.add('api_requests_total');
+    try {
+      await this.answer(request, response);
+    } catch (error) {
+      this.fail(request, response, error);
+    }
+  }
+
+  private async answer(request: IncomingMessage, response: ServerResponse): Promise<void> {
+    const { method = '', url = '', headers } = request;
+    if (url !== '/healthz') {
+      this.options.checkAccess(headers.authorization, isWriteMethod(method));
+    }
+    const order = parseApiRequest({ method, url, headers });
+    switch (order.type) {
+      case 'health':
+        sendJson(response, 200, { status: 'ok' });
+        return;
+      case 'metrics':
+        await this.sendMetrics(response);
+        return;
+      case 'status':
+        sendJson(response, 200, { cursor: this.options.feed.cursor, ...this.options.status() });
+        return;
+      case 'list':
+        await sendList(response, this.options.feed.cursor, this.options.feed.list(order.kind));
+        return;
+      case 'watch':
+        this.options.watches.start(order.kind, order.from, response);
+        return;
+      case 'get':
+        this.sendResource(response, order);
+        return;
+      case 'write':
+        await this.write(request, response, order);
+    }
+  }
+
+  private async sendMetrics(response: ServerResponse): Promise<void> {
+    const text = await this.options.metrics.text();
+    response.writeHead(200, { 'content-type': this.options.metrics.contentType });
+    response.end(text);
+  }
+
+  private sendResource(
+    response: ServerResponse,
+    { key }: Extract<ApiRequest, { type: 'get' }>,
+  ): void {
+    const found = this.options.feed.find(key);
+    if (found === undefined) {
+      throw new ApiError('NOT_FOUND', `no such resource: ${key}`);
+    }
+    const headers = { etag: `"${found.version}"` };
+    sendJson(response, 200, representResource(found.resource, found.version), headers);
+  }
+
+  private async write(
+    request: IncomingMessage,
+    response: ServerResponse,
+    order: WriteOrder,
+  ): Promise<void> {
+    const accepted = await this.options.writer.write(await this.readWrite(request, order));
+    this.options.counters.add('api_writes_accepted_total');
+    sendJson(response, 200, accepted, { [VERDICT_HEADER]: 'ran' });
+  }
+
+  private async readWrite(request: IncomingMessage, order: WriteOrder): Promise<WriteRequest> {
+    const { kind, name, deletes, precondition } = order;
+    if (deletes) {
+      return { key: `${kind}/${name}`, resource: undefined, precondition };
+    }
+    const body = await readJsonBody(request, this.options.maxBodyBytes);
+    const resource = parseResourceBody(kind, name, body);
+    return { key: `${kind}/${name}`, resource, precondition };
+  }
+
+  private fail(request: IncomingMessage, response: ServerResponse, error: unknown): void {
+    if (response.headersSent || response.destroyed) {
+      // The client left, or part of the answer is out: only cutting it tells that it is not whole.
+      response.destroy();
+      return;
+    }
+    const apiError = error instanceof ApiError ? error : this.internalError(error);
+    const isWrite = isWriteMethod(request.method ?? '');
+    const known = isWrite ? apiError.withVerdict(verdictOf(error)) : apiError;
+    this.options.counters.add(`api_errors_${known.code.toLowerCase()}_total`);
+    if (!request.complete) {
+      response.shouldKeepAlive = false;
+    }
+    sendError(response, known);
+  }
+
+  private internalError(error: unknown): ApiError {
+    this.options.onInternalError(error);
+    return new ApiError('INTERNAL_ERROR', 'the request failed inside the node');
+  }
+}
+
+/**
+ * Verdict of a failed write whose error carries none: errors of this API then come from before the
+ * write port was asked; anything else may come from after it.
+ */
+function verdictOf(error: unknown): Verdict {
+  return error instanceof ApiError ? 'not-run' : 'may-have-run';
+}
--- /dev/null
+++ b/src/api/admin-server.ts
@@ -0,0 +1,158 @@
+/** The admin listener: resource API, status, metrics and health over HTTP. */
+import { createServer, type Server } from 'node:http';
+import type { AddressInfo, Socket } from 'node:net';
+import type { Logger } from '../runtime/logger.js';
+import type { Metrics } from '../runtime/metrics.js';
+import type { Settings } from '../settings/settings.js';
+import { createAccessCheck } from './access-check.js';
+import { AdminHandler } from './admin-handler.js';
+import { ApiError } from './api-error.js';
+import { errorOfParser, sendErrorOnSocket } from './client-error.js';
+import { sendError } from './api-response.js';
+import { ConfigurationFeed } from './configuration-feed.js';
+import type { ConfigurationView } from './configuration-view.js';
+import type { StatusProvider } from './node-status.js';
+import { createResourceVersioner } from './resource-version.js';
+import { ResourceWriter } from './resource-writer.js';
+import { WatchRegistry } from './watch-registry.js';
+import type { WritePort } from './write-port.js';
+
+/** Request line and headers of one request, in bytes. */
+export const MAX_HEADER_BYTES = 16_384;
+/** Connections beyond the watches, at once. */
+export const MAX_PLAIN_CONNECTIONS = 256;
+const HEADERS_TIMEOUT_MS = 10_000;
+const REQUEST_TIMEOUT_MS = 30_000;
+const KEEP_ALIVE_TIMEOUT_MS = 5_000;
+/** Silence after which a connection is closed, unless it carries a watch. */
+const SOCKET_TIMEOUT_MS = 60_000;
+/** Silence after which TCP asks whether a watcher is still there, in milliseconds. */
+const TCP_KEEP_ALIVE_DELAY_MS = 30_000;
+
+/** What the listener is built over. */
+export interface AdminServerOptions {
+  readonly settings: Settings;
+  readonly view: ConfigurationView;
+  readonly status: StatusProvider;
+  readonly writePort: WritePort;
+  readonly metrics: Metrics;
+  readonly logger: Logger;
+}
+
+/** A listener that is open. */
+export class AdminServer {
+  private constructor(
+    private readonly server: Server,
+    private readonly feed: ConfigurationFeed,
+    private readonly watches: WatchRegistry,
+  ) {}
+
+  /** Opens the listener on `adminAddress` and `ports.admin`; rejects when that fails. */
+  static async open(options: AdminServerOptions): Promise<AdminServer> {
+    const { settings, metrics } = options;
+    const { api } = settings;
+    const feed = new ConfigurationFeed(options.view, createResourceVersioner(settings.fleetKey), {
+      maxEvents: api.watchHistoryEvents,
+      maxBytes: api.watchHistoryBytes,
+    });
+    const watches = new WatchRegistry({ feed, counters: metrics, maxWatchers: api.maxWatchers });
+    metrics.gauge('api_watches', 'Watches that are open', () => watches.size);
+    const server = createAdminServer(options, createHandler(options, feed, watches));
+    await listen(server, settings.adminAddress, settings.ports.admin);
+    return new AdminServer(server, feed, watches);
+  }
+
+  /** Port of the listener. */
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Takes no new requests, ends watches with a reason, lets answers in progress finish. */
+  async stop(): Promise<void> {
+    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
+    this.watches.stop();
+    this.server.closeIdleConnections();
+    await closed;
+    this.feed.close();
+  }
+
+  /** Cuts every connection. */
+  abort(): void {
+    this.feed.close();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
+
+function createHandler(
+  { settings, status, writePort, metrics, logger }: AdminServerOptions,
+  feed: ConfigurationFeed,
+  watches: WatchRegistry,
+): AdminHandler {
+  const versionOf = createResourceVersioner(settings.fleetKey);
+  return new AdminHandler({
+    feed,
+    watches,
+    writer: new ResourceWriter(writePort, versionOf, settings.api.writeTimeoutMs),
+    status,
+    metrics,
+    counters: metrics,
+    checkAccess: createAccessCheck(settings.adminToken),
+    maxBodyBytes: settings.api.maxBodyBytes,
+    onInternalError: (error) =>
+      logger.error('api-internal-error', {
+        reason: error instanceof Error ? error.stack : String(error),
+      }),
+  });
+}
+
+function createAdminServer(
+  { settings, metrics, logger }: AdminServerOptions,
+  handler: AdminHandler,
+): Server {
+  const server = createServer({
+    maxHeaderSize: MAX_HEADER_BYTES,
+    headersTimeout: HEADERS_TIMEOUT_MS,
+    requestTimeout: REQUEST_TIMEOUT_MS,
+    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    keepAlive: true,
+    keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS,
+  });
+  server.maxConnections = settings.api.maxWatchers + MAX_PLAIN_CONNECTIONS;
+  server.setTimeout(SOCKET_TIMEOUT_MS);
+  server.on('request', (request, response) => {
+    response.on('close', () => closeIdleWhenStopping(server));
+    void handler.handle(request, response);
+  });
+  server.on('checkExpectation', (_request, response) =>
+    sendError(response, new ApiError('EXPECTATION_FAILED', 'expected no Expect header')),
+  );
+  server.on('connect', (_request, socket) =>
+    sendErrorOnSocket(socket, new ApiError('METHOD_NOT_ALLOWED', 'expected no CONNECT')),
+  );
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    metrics.add('api_malformed_requests_total');
+    sendErrorOnSocket(socket, errorOfParser(error.code));
+  });
+  server.on('error', (error) => logger.error('api-listener-error', { reason: error.message }));
+  server.on('drop', () => metrics.add('api_connections_refused_total'));
+  server.on('connection', (socket: Socket) => socket.setNoDelay(true));
+  return server;
+}
+
+/** A kept-alive connection whose last answer went out after the stop began is idle from then on. */
+function closeIdleWhenStopping(server: Server): void {
+  if (!server.listening) {
+    setImmediate(() => server.closeIdleConnections());
+  }
+}
+
+function listen(server: Server, address: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, address, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
--- /dev/null
+++ b/src/api/api-request.ts
@@ -0,0 +1,156 @@
+/** Reads what a request to the resource API asks for. Pure; throws {@link ApiError}. */
+import { nameSchema, type ResourceKey, type ResourceKind } from '../model/resource.js';
+import { ApiError } from './api-error.js';
+import { parsePrecondition, type PreconditionHeaders } from './precondition-header.js';
+import type { WritePrecondition } from './write-port.js';
+
+/** Longest URL, in characters. */
+export const MAX_URL_LENGTH = 2_048;
+
+/** What a request asks for. */
+export type ApiRequest =
+  | { readonly type: 'health' }
+  | { readonly type: 'metrics' }
+  | { readonly type: 'status' }
+  | { readonly type: 'list'; readonly kind: ResourceKind }
+  | { readonly type: 'watch'; readonly kind: ResourceKind; readonly from: string | undefined }
+  | { readonly type: 'get'; readonly key: ResourceKey }
+  | {
+      readonly type: 'write';
+      readonly kind: ResourceKind;
+      readonly name: string;
+      readonly deletes: boolean;
+      readonly precondition: WritePrecondition;
+    };
+
+/** The parts of an HTTP request that matter here. */
+export interface RequestLine {
+  readonly method: string;
+  readonly url: string;
+  readonly headers: PreconditionHeaders;
+}
+
+/** Path segment of each kind. */
+export const KIND_PATHS = {
+  services: 'service',
+  routes: 'route',
+  endpoints: 'endpoint',
+  secrets: 'secret',
+} as const satisfies Record<string, ResourceKind>;
+
+/** Whether a method asks for a write, whatever its path. */
+export function isWriteMethod(method: string): boolean {
+  return method !== 'GET' && method !== 'HEAD' && method !== 'OPTIONS';
+}
+
+/** What `request` asks for. */
+export function parseApiRequest(request: RequestLine): ApiRequest {
+  if (request.url.length > MAX_URL_LENGTH) {
+    throw new ApiError('URL_TOO_LONG', `expected a URL of at most ${MAX_URL_LENGTH} characters`);
+  }
+  const { pathname, searchParams } = parseUrl(request.url);
+  const [first = '', second = '', third, ...rest] = pathname.slice(1).split('/');
+  if (rest.length > 0) {
+    throw notFound(pathname);
+  }
+  const fixed = fixedRequest(pathname);
+  if (fixed !== undefined) {
+    requireMethod(request.method, ['GET']);
+    requireParameters(searchParams, []);
+    return fixed;
+  }
+  const kind = first === 'v1' ? kindOf(second) : undefined;
+  if (kind === undefined) {
+    throw notFound(pathname);
+  }
+  return third === undefined
+    ? collectionRequest(request.method, kind, searchParams)
+    : resourceRequest(request, kind, third, searchParams);
+}
+
+function parseUrl(url: string): URL {
+  try {
+    return new URL(url, 'http://node');
+  } catch {
+    throw new ApiError('MALFORMED_REQUEST', 'expected a URL');
+  }
+}
+
+function fixedRequest(pathname: string): ApiRequest | undefined {
+  switch (pathname) {
+    case '/healthz':
+      return { type: 'health' };
+    case '/metrics':
+      return { type: 'metrics' };
+    case '/v1/status':
+      return { type: 'status' };
+    default:
+      return undefined;
+  }
+}
+
+function kindOf(segment: string): ResourceKind | undefined {
+  return Object.hasOwn(KIND_PATHS, segment)
+    ? KIND_PATHS[segment as keyof typeof KIND_PATHS]
+    : undefined;
+}
+
+function collectionRequest(
+  method: string,
+  kind: ResourceKind,
+  parameters: URLSearchParams,
+): ApiRequest {
+  requireMethod(method, ['GET']);
+  requireParameters(parameters, ['watch', 'from']);
+  const watch = parameters.get('watch');
+  const from = parameters.get('from') ?? undefined;
+  if (watch === null) {
+    if (from !== undefined) {
+      throw new ApiError('MALFORMED_REQUEST', 'from: expected only with watch=1');
+    }
+    return { type: 'list', kind };
+  }
+  if (watch !== '1') {
+    throw new ApiError('MALFORMED_REQUEST', 'watch: expected 1');
+  }
+  return { type: 'watch', kind, from };
+}
+
+function resourceRequest(
+  { method, headers }: RequestLine,
+  kind: ResourceKind,
+  name: string,
+  parameters: URLSearchParams,
+): ApiRequest {
+  requireMethod(method, ['GET', 'PUT', 'DELETE']);
+  requireParameters(parameters, []);
+  if (!nameSchema.safeParse(name).success) {
+    throw new ApiError('MALFORMED_REQUEST', 'name: expected lower-case letters, digits, . _ -');
+  }
+  if (method === 'GET') {
+    return { type: 'get', key: `${kind}/${name}` };
+  }
+  const precondition = parsePrecondition(headers);
+  return { type: 'write', kind, name, deletes: method === 'DELETE', precondition };
+}
+
+function requireMethod(method: string, allowedMethods: readonly string[]): void {
+  if (!allowedMethods.includes(method)) {
+    const message = `expected ${allowedMethods.join(', ')}`;
+    throw new ApiError('METHOD_NOT_ALLOWED', message, { allowedMethods });
+  }
+}
+
+function requireParameters(parameters: URLSearchParams, known: readonly string[]): void {
+  const names = [...parameters.keys()];
+  const wrong = names.find((name, index) => !known.includes(name) || names.indexOf(name) < index);
+  if (wrong !== undefined) {
+    const expected =
+      known.length === 0 ? 'expected none' : `expected ${known.join(', ')}, each once`;
+    throw new ApiError('MALFORMED_REQUEST', `query parameters: ${expected}`);
+  }
+}
+
+function notFound(pathname: string): ApiError {
+  return new ApiError('NOT_FOUND', `no such path: ${pathname}`);
+}
--- /dev/null
+++ b/src/api/precondition-header.ts
@@ -0,0 +1,44 @@
+/** Preconditions of writes, as HTTP headers. Pure; throws {@link ApiError}. */
+import { ApiError } from './api-error.js';
+import type { WritePrecondition } from './write-port.js';
+
+/** Headers that carry a precondition, as Node gives them. */
+export interface PreconditionHeaders {
+  readonly 'if-match'?: string | undefined;
+  readonly 'if-none-match'?: string | undefined;
+}
+
+const ENTITY_TAG_PATTERN = /^"?([0-9a-f]{1,64})"?$/;
+
+/**
+ * `If-None-Match: *` creates, `If-Match: *` replaces whatever there is, `If-Match: "VERSION"`
+ * replaces that version. A write without a precondition is refused.
+ */
+export function parsePrecondition(headers: PreconditionHeaders): WritePrecondition {
+  const ifMatch = headers['if-match'];
+  const ifNoneMatch = headers['if-none-match'];
+  if (ifMatch !== undefined && ifNoneMatch !== undefined) {
+    throw new ApiError('MALFORMED_REQUEST', 'expected If-Match or If-None-Match, not both');
+  }
+  if (ifNoneMatch !== undefined) {
+    return absence(ifNoneMatch);
+  }
+  if (ifMatch === undefined) {
+    throw new ApiError('PRECONDITION_REQUIRED', 'expected If-Match or If-None-Match: *');
+  }
+  if (ifMatch === '*') {
+    return { type: 'exists' };
+  }
+  const version = ENTITY_TAG_PATTERN.exec(ifMatch)?.[1];
+  if (version === undefined) {
+    throw new ApiError('MALFORMED_REQUEST', 'If-Match: expected * or one resource version');
+  }
+  return { type: 'version', version };
+}
+
+function absence(ifNoneMatch: string): WritePrecondition {
+  if (ifNoneMatch !== '*') {
+    throw new ApiError('MALFORMED_REQUEST', 'If-None-Match: expected *');
+  }
+  return { type: 'absent' };
+}
--- /dev/null
+++ b/src/api/resource-representation.ts
@@ -0,0 +1,18 @@
+/** Resources as the API shows them. A secret's value is never shown, by list, get or watch. */
+import type { Resource, ResourceKind } from '../model/resource.js';
+
+/** A resource with its version. */
+export interface ResourceRepresentation {
+  readonly kind: ResourceKind;
+  readonly name: string;
+  /** For `If-Match`; equal on every node that holds the same content. */
+  readonly version: string;
+  /** As in the configuration; empty for a secret. */
+  readonly spec: Exclude<Resource, { kind: 'secret' }>['spec'] | Record<string, never>;
+}
+
+/** What may be shown of `resource`. */
+export function representResource(resource: Resource, version: string): ResourceRepresentation {
+  const { kind, name } = resource;
+  return { kind, name, version, spec: resource.kind === 'secret' ? {} : resource.spec };
+}
--- /dev/null
+++ b/src/api/watch-event.ts
@@ -0,0 +1,47 @@
+/** Lines of a watch: newline-delimited JSON. */
+import type { ResourceKind } from '../model/resource.js';
+import { representResource, type ResourceRepresentation } from './resource-representation.js';
+import type { VersionedResource } from './snapshot-difference.js';
+
+/** A resource was created or changed. */
+export interface UpsertEvent extends ResourceRepresentation {
+  readonly type: 'upsert';
+}
+
+/** A resource was deleted. */
+export interface DeleteEvent {
+  readonly type: 'delete';
+  readonly kind: ResourceKind;
+  readonly name: string;
+}
+
+/** Every change up to `cursor` has been sent: the place to resume from. */
+export interface BookmarkEvent {
+  readonly type: 'bookmark';
+  readonly cursor: string;
+}
+
+/** Last line of a watch that the node ends. */
+export interface EndEvent {
+  readonly type: 'end';
+  /** `TOO_SLOW`: list again. `STOPPING`: the node stops; resume from the last bookmark elsewhere. */
+  readonly code: 'TOO_SLOW' | 'STOPPING';
+  readonly message: string;
+}
+
+export type WatchEvent = UpsertEvent | DeleteEvent | BookmarkEvent | EndEvent;
+
+/** The line of an event, with its line end. */
+export function watchLine(event: WatchEvent): string {
+  return `${JSON.stringify(event)}\n`;
+}
+
+/** The line that tells of a created or changed resource. */
+export function upsertLine({ resource, version }: VersionedResource): string {
+  return watchLine({ type: 'upsert', ...representResource(resource, version) });
+}
+
+/** The line that tells of a deleted resource. */
+export function deleteLine({ resource }: VersionedResource): string {
+  return watchLine({ type: 'delete', kind: resource.kind, name: resource.name });
+}
--- /dev/null
+++ b/src/api/watch-registry.ts
@@ -0,0 +1,98 @@
+/** The watches that are open on a node: admits, counts and ends them. */
+import type { ServerResponse } from 'node:http';
+import type { CounterSink } from '../control/control-event.js';
+import type { ResourceKind } from '../model/resource.js';
+import { ApiError } from './api-error.js';
+import type { ConfigurationFeed } from './configuration-feed.js';
+import { isAhead, parseCursor } from './cursor.js';
+import { WatchStream, type WatchEnd } from './watch-stream.js';
+
+/** Time after which a node that lags behind may be asked again, in milliseconds. */
+const LAGGING_RETRY_AFTER_MS = 1_000;
+/** Time after which a refused watch may be tried again, in milliseconds. */
+const TOO_MANY_RETRY_AFTER_MS = 5_000;
+
+const END_COUNTERS: Readonly<Record<WatchEnd, string>> = {
+  'closed-by-client': 'api_watches_closed_total',
+  'too-slow': 'api_watches_too_slow_total',
+  stopping: 'api_watches_stopped_total',
+};
+
+/** What a registry needs. */
+export interface WatchRegistryOptions {
+  readonly feed: ConfigurationFeed;
+  readonly counters: CounterSink;
+  /** Watches open at once. */
+  readonly maxWatchers: number;
+}
+
+/** All open watches of one node. */
+export class WatchRegistry {
+  private readonly open = new Set<WatchStream>();
+
+  constructor(private readonly options: WatchRegistryOptions) {}
+
+  /** Number of open watches. */
+  get size(): number {
+    return this.open.size;
+  }
+
+  /**
+   * Opens a watch on `response`, after the snapshot that `cursor` names or with the present state
+   * first. Throws {@link ApiError} before anything is written.
+   */
+  start(kind: ResourceKind, cursor: string | undefined, response: ServerResponse): void {
+    const { feed, counters, maxWatchers } = this.options;
+    const from = cursor === undefined ? undefined : this.positionOf(cursor);
+    if (this.open.size >= maxWatchers) {
+      counters.add('api_watches_refused_total');
+      const details = { retryAfterMs: TOO_MANY_RETRY_AFTER_MS };
+      throw new ApiError('TOO_MANY_WATCHERS', `at most ${maxWatchers} watches`, details);
+    }
+    response.writeHead(200, {
+      'content-type': 'application/x-ndjson',
+      'cache-control': 'no-store',
+    });
+    response.flushHeaders();
+    // A watch is silent while nothing changes.
+    response.socket?.setTimeout(0);
+    const watch: WatchStream = new WatchStream({
+      feed,
+      kind,
+      from,
+      response,
+      onEnd: (end) => {
+        this.open.delete(watch);
+        counters.add(END_COUNTERS[end]);
+      },
+    });
+    this.open.add(watch);
+    counters.add('api_watches_opened_total');
+    watch.start();
+  }
+
+  /** Ends every watch, because the node stops. */
+  stop(): void {
+    for (const watch of this.open) {
+      watch.stop();
+    }
+  }
+
+  private positionOf(cursor: string): number {
+    const version = parseCursor(cursor);
+    if (version === undefined) {
+      throw new ApiError('MALFORMED_REQUEST', 'from: expected the cursor of a list or bookmark');
+    }
+    const { feed, counters } = this.options;
+    const position = feed.log.positionOf(cursor);
+    if (position !== undefined) {
+      return position;
+    }
+    if (isAhead(version, feed.heldVersion)) {
+      const details = { retryAfterMs: LAGGING_RETRY_AFTER_MS };
+      throw new ApiError('NOT_HELD_YET', 'this node does not hold that version yet', details);
+    }
+    counters.add('api_watches_too_old_total');
+    throw new ApiError('LIST_AGAIN', 'the cursor is too old, or of another history: list again');
+  }
+}
--- /dev/null
+++ b/test/api/api-fixture.ts
@@ -0,0 +1,169 @@
+/** An admin server over a configuration that the test sets, and a client for it. */
+import { request, type IncomingHttpHeaders } from 'node:http';
+import { connect } from 'node:net';
+import { AdminServer } from '../../src/api/admin-server.js';
+import type { ConfigurationView, SnapshotListener } from '../../src/api/configuration-view.js';
+import type { NodeStatus } from '../../src/api/node-status.js';
+import type { WriteOutcome, WriteRequest } from '../../src/api/write-port.js';
+import { resourceSchema, type Resource } from '../../src/model/resource.js';
+import { buildSnapshot, NO_SNAPSHOT_VERSION, type Snapshot } from '../../src/model/snapshot.js';
+import { NO_VERSION } from '../../src/model/version.js';
+import { createLogger } from '../../src/runtime/logger.js';
+import { Metrics } from '../../src/runtime/metrics.js';
+import { parseSettings } from '../../src/settings/load-settings.js';
+
+export const FLEET_KEY = '0123456789abcdef';
+export const ADMIN_TOKEN = 'token-token-token';
+export const SECRET_VALUE = 'hunter2-hunter2';
+
+export const serviceOf = (name: string, requestTimeoutMs = 1_000): Resource =>
+  resourceSchema.parse({ kind: 'service', name, spec: { requestTimeoutMs } });
+export const secretOf = (name: string, value = SECRET_VALUE): Resource =>
+  resourceSchema.parse({ kind: 'secret', name, spec: { value } });
+export const routeOf = (name: string, service: string): Resource =>
+  resourceSchema.parse({ kind: 'route', name, spec: { pathPrefix: '/', service } });
+
+/** A snapshot under source version `number`. */
+export function snapshotOf(number: number, resources: readonly Resource[]): Snapshot {
+  const source = { number, digest: number.toString(16).padStart(32, '0') };
+  return buildSnapshot({ source, operator: NO_VERSION }, resources);
+}
+
+/** A view whose snapshot the test swaps. */
+export class SettableView implements ConfigurationView {
+  private snapshot = buildSnapshot(NO_SNAPSHOT_VERSION, []);
+  private readonly listeners = new Set<SnapshotListener>();
+
+  current(): Snapshot {
+    return this.snapshot;
+  }
+
+  subscribe(listener: SnapshotListener): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Swaps in a snapshot under source version `number`. */
+  set(number: number, ...resources: Resource[]): void {
+    this.snapshot = snapshotOf(number, resources);
+    this.listeners.forEach((listener) => listener(this.snapshot));
+  }
+}
+
+export const STATUS: NodeStatus = {
+  node: {
+    id: 'm1',
+    incarnation: 1,
+    address: '127.0.0.1',
+    controlPort: 1,
+    relayPort: 2,
+    zone: 'a',
+    region: 'r',
+  },
+  uptimeMs: 1,
+  held: { source: NO_VERSION, operator: NO_VERSION, machines: NO_VERSION },
+  source: {
+    isReader: false,
+    isStale: false,
+    rejected: { version: { number: 9, digest: 'f'.repeat(32) }, reason: 'route/r: dangling' },
+  },
+  suspended: [],
+  members: [],
+  endpoints: [],
+  convergence: { neighbours: 0, neighboursAtHeldVersions: 0 },
+};
+
+/** An open admin server and the parts that the test drives. */
+export interface ApiFixture {
+  readonly server: AdminServer;
+  readonly view: SettableView;
+  readonly metrics: Metrics;
+  readonly logLines: string[];
+  /** Writes that reached the port; `answer` decides on them. */
+  readonly writes: WriteRequest[];
+  answer: (request: WriteRequest) => Promise<WriteOutcome>;
+}
+
+/** Opens a server on a free port of the loopback address. */
+export async function openApi(options: {
+  readonly adminToken?: string;
+  readonly api?: Record<string, number>;
+}): Promise<ApiFixture> {
+  const settings = parseSettings('test', {
+    machine: { id: 'm1', address: '127.0.0.1', zone: 'a', region: 'r' },
+    ports: { admin: 0 },
+    fleetKey: FLEET_KEY,
+    ...options,
+  });
+  const view = new SettableView();
+  const metrics = new Metrics();
+  const logLines: string[] = [];
+  const writes: WriteRequest[] = [];
+  const fixture: Omit<ApiFixture, 'server'> = {
+    view,
+    metrics,
+    logLines,
+    writes,
+    answer: () => Promise.resolve({ outcome: 'accepted', operatorRevision: 1 }),
+  };
+  const server = await AdminServer.open({
+    settings,
+    view,
+    status: () => STATUS,
+    metrics,
+    logger: createLogger('info', {}, { write: (line) => logLines.push(line) }),
+    writePort: {
+      submitWrite: (write) => {
+        writes.push(write);
+        return fixture.answer(write);
+      },
+    },
+  });
+  return Object.assign(fixture, { server });
+}
+
+export interface ApiAnswer {
+  readonly status: number;
+  readonly headers: IncomingHttpHeaders;
+  readonly text: string;
+  readonly body: Record<string, unknown>;
+}
+
+/** One request on a connection of its own. */
+export function call(
+  { server }: ApiFixture,
+  method: string,
+  path: string,
+  headers: Record<string, string> = {},
+  body?: string,
+): Promise<ApiAnswer> {
+  const target = { host: '127.0.0.1', port: server.port, method, path, headers, agent: false };
+  return new Promise((resolve, reject) => {
+    const sent = request(target, (response) => {
+      let text = '';
+      response.setEncoding('utf8');
+      response.on('data', (chunk: string) => (text += chunk));
+      response.on('error', reject);
+      response.on('end', () => {
+        const isJson = response.headers['content-type']?.startsWith('application/json') ?? false;
+        const parsed = isJson && text !== '' ? (JSON.parse(text) as ApiAnswer['body']) : {};
+        const { statusCode: status = 0, headers: received } = response;
+        resolve({ status, headers: received, text, body: parsed });
+      });
+    });
+    sent.on('error', reject);
+    sent.end(body);
+  });
+}
+
+/** Sends raw bytes and resolves with everything that comes back until the end. */
+export function callRaw({ server }: ApiFixture, bytes: string): Promise<string> {
+  return new Promise((resolve) => {
+    let text = '';
+    const socket = connect(server.port, '127.0.0.1', () => socket.write(bytes));
+    socket.setEncoding('utf8');
+    socket.on('data', (chunk: string) => (text += chunk));
+    socket.on('error', () => undefined);
+    socket.on('close', () => resolve(text));
+  });
+}
--- /dev/null
+++ b/test/api/watch.test.ts
@@ -0,0 +1,242 @@
+import { request, type ClientRequest, type IncomingMessage } from 'node:http';
+import { expect } from 'chai';
+import type { WatchEvent } from '../../src/api/watch-event.js';
+import type { Resource } from '../../src/model/resource.js';
+import {
+  call,
+  openApi,
+  routeOf,
+  SECRET_VALUE,
+  secretOf,
+  serviceOf,
+  type ApiFixture,
+} from './api-fixture.js';
+
+/** A watch whose lines the test takes one by one. */
+class WatchClient {
+  readonly text: string[] = [];
+  private lines: string[] = [];
+  private rest = '';
+  private waiting: (() => void) | undefined;
+  private ended = false;
+
+  constructor(
+    private readonly sent: ClientRequest,
+    private readonly response: IncomingMessage,
+  ) {
+    response.setEncoding('utf8');
+    response.on('data', (chunk: string) => this.receive(chunk));
+    response.on('error', () => this.finish());
+    response.on('close', () => this.finish());
+  }
+
+  /** The next event; undefined at the end of the stream. */
+  async next(): Promise<WatchEvent | undefined> {
+    while (this.lines.length === 0 && !this.ended) {
+      await new Promise<void>((resolve) => (this.waiting = resolve));
+    }
+    const line = this.lines.shift();
+    return line === undefined ? undefined : (JSON.parse(line) as WatchEvent);
+  }
+
+  /** Events up to and with the next bookmark, as short words. */
+  async untilBookmark(): Promise<{ words: string[]; cursor: string }> {
+    const words: string[] = [];
+    for (;;) {
+      const event = await this.next();
+      if (event === undefined || event.type === 'end') {
+        throw new Error(`ended after ${words.join(' ')}`);
+      }
+      if (event.type === 'bookmark') {
+        return { words, cursor: event.cursor };
+      }
+      words.push(`${event.type === 'upsert' ? '+' : '-'}${event.name}`);
+    }
+  }
+
+  pause(): void {
+    this.response.pause();
+  }
+
+  resume(): void {
+    this.response.resume();
+  }
+
+  close(): void {
+    this.sent.destroy();
+  }
+
+  private receive(chunk: string): void {
+    this.text.push(chunk);
+    const parts = (this.rest + chunk).split('\n');
+    this.rest = parts.pop() ?? '';
+    this.lines.push(...parts);
+    this.waiting?.();
+  }
+
+  private finish(): void {
+    this.ended = true;
+    this.waiting?.();
+  }
+}
+
+function watch({ server }: ApiFixture, path: string): Promise<WatchClient> {
+  const target = { host: '127.0.0.1', port: server.port, path, agent: false };
+  return new Promise((resolve, reject) => {
+    const sent = request(target, (response) => resolve(new WatchClient(sent, response)));
+    sent.on('error', reject);
+    sent.end();
+  });
+}
+
+/** Waits until a counter has reached `value`, an event of the server that no client can see. */
+async function counterReaches({ metrics }: ApiFixture, name: string, value: number): Promise<void> {
+  while ((metrics.counterTotals().get(name) ?? 0) < value) {
+    await new Promise((resolve) => setImmediate(resolve));
+  }
+}
+
+describe('watches', () => {
+  let api: ApiFixture;
+
+  async function open(limits: Record<string, number> = {}): Promise<void> {
+    api = await openApi({ api: limits });
+    api.view.set(1, serviceOf('a'), serviceOf('b'));
+  }
+
+  afterEach(() => {
+    api.server.abort();
+  });
+
+  it('send the present state, a bookmark, then changes of their kind alone', async () => {
+    await open();
+    const client = await watch(api, '/v1/services?watch=1');
+    expect((await client.untilBookmark()).words).to.deep.equal(['+a', '+b']);
+    api.view.set(2, serviceOf('a', 7), serviceOf('c'), secretOf('s'), routeOf('r', 'a'));
+    expect((await client.untilBookmark()).words).to.deep.equal(['+a', '+c', '-b']);
+    api.view.set(3, serviceOf('a', 7), serviceOf('c'));
+    expect((await client.untilBookmark()).words).to.deep.equal([]);
+  });
+
+  it('go on from the cursor of a list', async () => {
+    await open();
+    const list = await call(api, 'GET', '/v1/services');
+    api.view.set(2, serviceOf('a'));
+    const client = await watch(api, `/v1/services?watch=1&from=${String(list.body['cursor'])}`);
+    expect((await client.untilBookmark()).words).to.deep.equal(['-b']);
+  });
+
+  it('go on from a bookmark after the connection broke, losing and doubling nothing', async () => {
+    await open();
+    const first = await watch(api, '/v1/services?watch=1');
+    const { cursor } = await first.untilBookmark();
+    first.close();
+    await counterReaches(api, 'api_watches_closed_total', 1);
+    api.view.set(2, serviceOf('b', 7));
+    api.view.set(3, serviceOf('b', 7), serviceOf('d'));
+    const second = await watch(api, `/v1/services?watch=1&from=${cursor}`);
+    expect((await second.untilBookmark()).words).to.deep.equal(['+b', '-a']);
+    expect((await second.untilBookmark()).words).to.deep.equal(['+d']);
+  });
+
+  it('go on at another node that holds the same version', async () => {
+    await open();
+    const { cursor } = await (await watch(api, '/v1/services?watch=1')).untilBookmark();
+    const other = await openApi({});
+    try {
+      other.view.set(1, serviceOf('a'), serviceOf('b'));
+      const client = await watch(other, `/v1/services?watch=1&from=${cursor}`);
+      other.view.set(2, serviceOf('a'));
+      expect((await client.untilBookmark()).words).to.deep.equal(['-b']);
+    } finally {
+      other.server.abort();
+    }
+  });
+
+  it('are told to list again when the history does not reach back', async () => {
+    await open({ watchHistoryEvents: 2 });
+    const list = await call(api, 'GET', '/v1/services');
+    api.view.set(2, serviceOf('a', 2), serviceOf('b', 2));
+    api.view.set(3, serviceOf('a', 3), serviceOf('b', 2));
+    const from = String(list.body['cursor']);
+    const answer = await call(api, 'GET', `/v1/services?watch=1&from=${from}`);
+    expect(answer.status).to.equal(410);
+    expect(answer.body['code']).to.equal('LIST_AGAIN');
+  });
+
+  it('are told to list again for another document under the held number', async () => {
+    await open();
+    const from = `1.${'0'.repeat(31)}0-0.${'0'.repeat(32)}`;
+    const answer = await call(api, 'GET', `/v1/services?watch=1&from=${from}`);
+    expect(answer.status).to.equal(410);
+  });
+
+  it('are told to wait when the node lags behind the cursor', async () => {
+    await open();
+    const from = `9.${'0'.repeat(32)}-0.${'0'.repeat(32)}`;
+    const answer = await call(api, 'GET', `/v1/services?watch=1&from=${from}`);
+    expect(answer.status).to.equal(503);
+    expect(answer.body['code']).to.equal('NOT_HELD_YET');
+    expect(answer.headers['retry-after']).to.equal('1');
+  });
+
+  it('never show a secret, but tell that it changed', async () => {
+    await open();
+    api.view.set(2, secretOf('s'));
+    const client = await watch(api, '/v1/secrets?watch=1');
+    await client.untilBookmark();
+    api.view.set(3, secretOf('s', `${SECRET_VALUE}-new`));
+    expect((await client.untilBookmark()).words).to.deep.equal(['+s']);
+    expect(client.text.join('')).not.to.contain(SECRET_VALUE);
+  });
+
+  it('are bounded in number', async () => {
+    await open({ maxWatchers: 1 });
+    const first = await watch(api, '/v1/services?watch=1');
+    const refused = await call(api, 'GET', '/v1/routes?watch=1');
+    expect(refused.status).to.equal(429);
+    expect(refused.headers['retry-after']).to.equal('5');
+    first.close();
+    await counterReaches(api, 'api_watches_closed_total', 1);
+    const second = await watch(api, '/v1/services?watch=1');
+    expect((await second.untilBookmark()).words).to.deep.equal(['+a', '+b']);
+  });
+
+  it('that read too slowly are dropped with a reason; others are unharmed', async () => {
+    await open({ watchHistoryEvents: 500 });
+    const slow = await watch(api, '/v1/services?watch=1');
+    await slow.untilBookmark();
+    slow.pause();
+    const quick = await watch(api, '/v1/routes?watch=1');
+    await quick.untilBookmark();
+    const wide = (round: number): Resource[] =>
+      Array.from({ length: 400 }, (_, index) => serviceOf(`${'n'.repeat(100)}${index}`, round + 1));
+    let round = 1;
+    const dropped = () => api.metrics.counterTotals().get('api_watches_too_slow_total') ?? 0;
+    // Socket buffers of the system take the first megabytes; the loop ends well before 400 rounds.
+    while (dropped() === 0 && round < 400) {
+      round += 1;
+      api.view.set(round, ...wide(round));
+      await quick.untilBookmark();
+    }
+    expect(dropped()).to.equal(1);
+    slow.resume();
+    let last: WatchEvent | undefined;
+    for (let event = await slow.next(); event !== undefined; event = await slow.next()) {
+      last = event;
+    }
+    expect(last).to.include({ type: 'end', code: 'TOO_SLOW' });
+    api.view.set(round + 1, serviceOf('a'), routeOf('r', 'a'));
+    expect((await quick.untilBookmark()).words).to.deep.equal(['+r']);
+  });
+
+  it('end with a reason when the node stops', async () => {
+    await open();
+    const client = await watch(api, '/v1/services?watch=1');
+    await client.untilBookmark();
+    const stopped = api.server.stop();
+    expect(await client.next()).to.include({ type: 'end', code: 'STOPPING' });
+    expect(await client.next()).to.equal(undefined);
+    await stopped;
+  });
+});
