--- a/tools/fuzz/invariant-oracle.ts
+++ b/tools/fuzz/invariant-oracle.ts
@@ -87,25 +87,33 @@
 
   /** Why the fleet has not settled at `expected` or newer; undefined when it has. */
   findDivergence(expected: DocumentVersion): Violation | undefined {
-    const versions = this.heldVersions('source');
-    const [first] = versions;
-    const oldest = versions.find((version) => compareVersions(version, expected) < 0);
+    const oldest = this.heldVersions('source').find(
+      (version) => compareVersions(version, expected) < 0,
+    );
     if (oldest !== undefined) {
       const detail = `a node holds ${describe(oldest)}, ${describe(expected)} was accepted`;
       return { invariant: 'accepted-undone', atMs: this.emulator.nowMs, detail };
     }
-    const other = versions.find((version) => version.digest !== first?.digest);
-    if (other !== undefined && first !== undefined) {
-      const detail = `nodes hold ${describe(first)} and ${describe(other)}`;
-      return { invariant: 'not-converged', atMs: this.emulator.nowMs, detail };
-    }
-    return undefined;
+    return this.findDifference('source') ?? this.findDifference('machines');
   }
 
   fail(invariant: Invariant, detail: string): never {
     throw new InvariantViolationError({ invariant, atMs: this.emulator.nowMs, detail });
   }
 
+  private findDifference(name: DocumentName): Violation | undefined {
+    const versions = this.heldVersions(name);
+    const [first] = versions;
+    const other = versions.find(
+      ({ number, digest }) => number !== first?.number || digest !== first.digest,
+    );
+    if (other === undefined || first === undefined) {
+      return undefined;
+    }
+    const detail = `${name}: nodes hold ${describe(first)} and ${describe(other)}`;
+    return { invariant: 'not-converged', atMs: this.emulator.nowMs, detail };
+  }
+
   private heldVersions(name: DocumentName): DocumentVersion[] {
     return this.emulator
       .liveProcesses()
--- a/tools/fuzz/script-runner.ts
+++ b/tools/fuzz/script-runner.ts
@@ -6,6 +6,7 @@
 import type { EmulatedMachine } from '../emulator/machine-registry.js';
 import { evenSites, isInGroup, type SiteGroup } from '../emulator/topology.js';
 import type { MessageSizer } from '../emulator/traffic-meter.js';
+import type { DocumentVersion } from '../../src/model/version.js';
 import {
   FUZZ_MACHINES,
   FUZZ_REGIONS,
@@ -92,13 +93,14 @@
 
   finish(commands: number): ScriptResult {
     const newestBefore = this.oracle.newestHeld();
+    const healedAtMs = this.emulator.nowMs;
     this.undoFaults();
     const served = this.emulator.platform.servedSourceVersion();
     const isAhead = served !== undefined && served.number > newestBefore.number;
-    const healedAfterMs = this.converge(isAhead ? served : newestBefore);
+    const healedAfterMs = this.converge(isAhead ? served : newestBefore, healedAtMs);
     this.publish(this.highestNumber + 1, validResources(this.highestNumber + 1));
     const published = this.emulator.platform.servedSourceVersion();
-    const publishedAfterMs = this.converge(published ?? newestBefore);
+    const publishedAfterMs = this.converge(published ?? newestBefore, this.emulator.nowMs);
     return {
       commands,
       eventsChecked: this.oracle.eventsChecked,
@@ -194,9 +196,8 @@
     this.startAll();
   }
 
-  /** Lets time pass until the fleet agrees; returns how long it took. */
-  private converge(expected: Parameters<InvariantOracle['findDivergence']>[0]): number {
-    const startedMs = this.emulator.nowMs;
+  /** Lets time pass until the fleet agrees; returns how long it took since `startedMs`. */
+  private converge(expected: DocumentVersion, startedMs: number): number {
     let divergence = this.oracle.findDivergence(expected);
     while (divergence !== undefined) {
       const elapsedMs = this.emulator.nowMs - startedMs;
