Apply a delta from nothing to nothing, not to the held document

A delta 1..2 does not fit, so they ask for the whole document; a peer whose history reaches back to nothing answers with a delta 0..2, which was applied to the held version 1 and never fitted. The nodes stayed at version 1 for good (2,676 mismatches in 90 s). Change: a delta from number 0 is applied to the empty document.

--- a/src/dissemination/document-memo.ts
+++ b/src/dissemination/document-memo.ts
@@ -52,7 +52,8 @@
 
   /** The document after `delta`; throws {@link DeltaMismatchError} when it is not what it promises. */
   apply(name: DocumentName, held: VersionedDocument, delta: DocumentDelta): VersionedDocument {
-    return this.document(name, delta.to, () => held.apply(delta));
+    const base = delta.from.number === 0 ? VersionedDocument.empty() : held;
+    return this.document(name, delta.to, () => base.apply(delta));
   }
 
   /** The document made of all its entries; throws {@link DeltaMismatchError} on another digest. */
