Prove whole answers and true verdicts with fault tables on real sockets

Cause: broken answers, lost connections and hostile callers were handled but not proved. The tables found these faults, mended here: a switch of protocols by the endpoint left the request without an answer; a request that waited for a slot until its deadline was told may-have-run although it had not been sent; a request without Host and one with an unknown expectation were answered by Node without a verdict; a relayed answer that broke before its first byte was reported as a lost connection.

Change: the above; a connection that dies before the answer is asked about by a cancellation, and proof that nothing started makes the request safe to send again (LOST_BEFORE_START).

Ruled out: taking the outcome "unknown" as proof of not run. An endpoint that restarted says the same of a request that it ran before.

--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -93,6 +93,8 @@
     headersTimeout: HEADERS_TIMEOUT_MS,
     keepAliveTimeout: KEEP_ALIVE_MS,
     requestTimeout: 0,
+    // Checked in `faultOf`, so that the answer carries a verdict.
+    requireHostHeader: false,
   });
   const openRequests = new WeakMap<Duplex, number>();
   const take = (request: IncomingMessage, response: ServerResponse): void => {
@@ -104,6 +106,7 @@
     response.writeContinue();
     take(request, response);
   });
+  server.on('checkExpectation', take);
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
     answerMalformed(error, socket, (openRequests.get(socket) ?? 0) > 0);
   });
@@ -134,6 +137,13 @@
   if (request.httpVersion !== '1.1') {
     return new BadRequestError('expected HTTP/1.1', 505);
   }
+  if (request.headers.host === undefined) {
+    return new BadRequestError('expected a Host header');
+  }
+  const { expect } = request.headers;
+  if (expect !== undefined && expect.toLowerCase() !== '100-continue') {
+    return new BadRequestError('expected no expectation but 100-continue', 417);
+  }
   if (request.url?.startsWith('/') !== true) {
     return new BadRequestError('expected a request target that is a path');
   }
--- a/src/proxy/endpoint-attempt.ts
+++ b/src/proxy/endpoint-attempt.ts
@@ -22,7 +22,16 @@
 
 /** What the waiting side is told. */
 export type AttemptReport =
-  'refused' | 'unreachable' | 'deadline-passed' | 'cancelled' | 'timed-out' | 'lost' | 'malformed';
+  | 'refused'
+  | 'unreachable'
+  | 'deadline-passed'
+  /** Cancelled with confirmation at the deadline. */
+  | 'cancelled'
+  /** Cancelled with confirmation after the connection died. */
+  | 'lost-before-start'
+  | 'timed-out'
+  | 'lost'
+  | 'malformed';
 
 /** Something to be done. */
 export type EndpointAttemptEffect =
@@ -136,10 +145,10 @@
       return [];
     }
     const isProof = outcome === 'not-started' || outcome === 'cancelled';
-    const report = isProof ? 'cancelled' : this.pendingReport;
     const effects: EndpointAttemptEffect[] = [{ type: 'close-exchange' }];
-    if (this.pendingReport !== undefined && report !== undefined) {
-      effects.push({ type: 'report', report });
+    if (this.pendingReport !== undefined) {
+      const proved = this.pendingReport === 'timed-out' ? 'cancelled' : 'lost-before-start';
+      effects.push({ type: 'report', report: isProof ? proved : this.pendingReport });
     }
     if (outcome === 'unconfirmed') {
       this.state = 'holding';
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -25,6 +25,7 @@
   DeadlinePassedError,
   EndpointDrainingError,
   EndpointRefusedError,
+  LostBeforeStartError,
   MalformedAnswerError,
   OverloadedError,
   TimedOutError,
@@ -187,7 +188,10 @@
   /** Refuses the request when it still waits at `latestStartAtMs`. */
   waitUntil(latestStartAtMs: number): void {
     if (this.attempt === undefined && !this.isOver) {
-      this.timer = setTimeout(() => this.expireWaiting(), latestStartAtMs - this.clock());
+      const nowMs = this.clock();
+      const lastMomentMs = this.call.deadlineAtMs - cancelLeadMs(this.call, nowMs);
+      const delayMs = Math.min(latestStartAtMs, lastMomentMs) - nowMs;
+      this.timer = setTimeout(() => this.expireWaiting(), delayMs);
     }
   }
 
@@ -202,8 +206,7 @@
     this.attempt = new EndpointAttempt();
     this.dispatchedAtMs = this.clock();
     const remainingMs = this.call.deadlineAtMs - this.dispatchedAtMs;
-    const lead = Math.min(MAX_CANCEL_LEAD_MS, remainingMs * CANCEL_LEAD_SHARE);
-    const workMs = remainingMs - lead;
+    const workMs = remainingMs - cancelLeadMs(this.call, this.dispatchedAtMs);
     this.timer = setTimeout(() => {
       this.handle({ type: 'deadline', wasSent: this.exchange?.wasSent() === true });
     }, workMs);
@@ -297,6 +300,8 @@
         return new DeadlinePassedError('the deadline passed before the request was sent');
       case 'cancelled':
         return new CancelledError('the deadline passed; the endpoint cancelled the request');
+      case 'lost-before-start':
+        return new LostBeforeStartError(`endpoint ${name} had not started the request`);
       case 'timed-out':
         return new TimedOutError(`endpoint ${name} did not answer before the deadline`);
       case 'lost':
@@ -314,6 +319,11 @@
   }
 }
 
+/** Part of the time left that is kept for a cancellation and the way back. */
+function cancelLeadMs(call: Call, nowMs: number): number {
+  return Math.min(MAX_CANCEL_LEAD_MS, (call.deadlineAtMs - nowMs) * CANCEL_LEAD_SHARE);
+}
+
 function refusalError(reason: RefusalReason, retryAfterMs: number): RequestError {
   switch (reason) {
     case 'queue-full':
--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -102,7 +102,14 @@
     this.request.once('socket', (socket) => this.watchConnection(socket, exchange));
     this.request.on('response', (message) => this.takeAnswer(message));
     this.request.on('error', (error) => this.fail(error));
-    this.request.once('close', () => clearTimeout(this.connectTimer));
+    this.request.on('upgrade', (_message, socket) => {
+      socket.destroy();
+      this.settle('malformed');
+    });
+    this.request.once('close', () => {
+      clearTimeout(this.connectTimer);
+      this.settle(this.connected ? 'lost' : 'never-sent');
+    });
   }
 
   wasSent(): boolean {
--- a/src/proxy/relay-server.ts
+++ b/src/proxy/relay-server.ts
@@ -22,7 +22,12 @@
   RELAY_TOKEN_HEADER,
 } from './relay-protocol.js';
 import { EMPTY_BODY, StreamedBody, type RequestBody } from './request-body.js';
-import { BadRequestError, UnknownEndpointError, type RequestError } from './request-error.js';
+import {
+  BadRequestError,
+  TruncatedAnswerError,
+  UnknownEndpointError,
+  type RequestError,
+} from './request-error.js';
 
 const FORBIDDEN_STATUS = 403;
 const MAX_REQUEST_ID_LENGTH = 256;
@@ -110,9 +115,13 @@
         whole: () => {
           isOver = true;
         },
-        broken: () => {
+        broken: (wasPassedOn) => {
           isOver = true;
-          response.destroy();
+          if (wasPassedOn) {
+            response.destroy();
+          } else {
+            sendRelayError(response, new TruncatedAnswerError('the answer broke off'), answer.load);
+          }
         },
       });
     },
--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -146,6 +146,13 @@
   override readonly status = 504;
 }
 
+/** The connection died, and the endpoint then confirmed that the request has not run and never will. */
+export class LostBeforeStartError extends NotRunError {
+  override readonly code = 'LOST_BEFORE_START';
+  override readonly status = 502;
+  override readonly retryable = true;
+}
+
 /** The deadline passed after the request was sent on. */
 export class TimedOutError extends MayHaveRunError {
   override readonly code = 'TIMED_OUT';
--- a/test/proxy/rig.ts
+++ b/test/proxy/rig.ts
@@ -46,17 +46,18 @@
       pending += chunk.toString('latin1');
       for (let end = pending.indexOf('\r\n\r\n'); end >= 0; end = pending.indexOf('\r\n\r\n')) {
         const head = pending.slice(0, end);
-        const length = Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
-        if (pending.length < end + 4 + length) {
+        const wholeLength = requestLength(pending, head);
+        if (wholeLength === undefined || pending.length < wholeLength) {
           break;
         }
         const cancel = /^POST \/cancel\/(\S+)/.exec(head);
-        received.push(cancel ? '' : pending.slice(0, end + 4 + length));
-        pending = pending.slice(end + 4 + length);
+        const request = pending.slice(0, wholeLength);
+        pending = pending.slice(wholeLength);
         if (cancel) {
           cancelled.push(cancel[1] ?? '');
           answerCancel(socket, cancelOutcome());
         } else {
+          received.push(request);
           heads.push(head);
           handle(socket, head, heads.length);
         }
@@ -82,6 +83,15 @@
   return rawAnswer('', `x-not-started: 1\r\n${headers}`, '503 Service Unavailable');
 }
 
+/** Length of the first request in `text`, or undefined while the end of its chunks is missing. */
+function requestLength(text: string, head: string): number | undefined {
+  if (/transfer-encoding: chunked/i.test(head)) {
+    const end = text.indexOf('\r\n0\r\n\r\n', head.length);
+    return end < 0 ? undefined : end + 7;
+  }
+  return head.length + 4 + Number(/content-length: (\d+)/i.exec(head)?.[1] ?? 0);
+}
+
 function answerCancel(socket: Socket, outcome: string | undefined): void {
   if (outcome !== undefined) {
     socket.write(rawAnswer(JSON.stringify({ outcome })));
