Count dials made together as one failure

Cause: a newcomer dials up to four full seeds at once; four refusals in a few milliseconds counted as four failures and put the next dial off by 3.2 s. Change: failures while the back-off runs do not lengthen it.

--- a/src/membership/dial-schedule.ts
+++ b/src/membership/dial-schedule.ts
@@ -20,8 +20,11 @@
     this.failures = 0;
   }
 
-  /** A dial failed, or there was nobody to dial. */
+  /** A dial failed, or there was nobody to dial. Dials made together count as one failure. */
   failed(nowMs: number): void {
+    if (nowMs < this.nextDialAt) {
+      return;
+    }
     this.failures += 1;
     const backoff = Math.min(MAX_DIAL_BACKOFF_MS, BASE_DIAL_BACKOFF_MS * 2 ** this.failures);
     this.nextDialAt = nowMs + backoff * (0.5 + this.random() * 0.5);
