Add get, watch, status, apply and delete to the command line

Cause: operators and scripts drive the system through the resource API. A write whose connection breaks, or whose answer can not be read, exits with "may have been accepted"; one that was refused a connection is proved not to have left. Each of these makes tests fail: a broken write reported as not accepted, a refused connection reported as unknown, an unreadable answer to a write reported as not accepted, apply in file order.

--- a/src/cli/arguments.ts
+++ b/src/cli/arguments.ts
@@ -40,6 +40,7 @@
       token: text,
       from: text,
       ifMatch: text,
+      create: toggle,
     },
   });
   const [command, ...parameters] = cli.input;
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -26,6 +26,7 @@
   readonly token?: string | undefined;
   readonly from?: string | undefined;
   readonly ifMatch?: string | undefined;
+  readonly create?: boolean | undefined;
 }
 
 /** Surroundings of one run. */
--- a/src/cli/help.ts
+++ b/src/cli/help.ts
@@ -6,6 +6,13 @@
     $ ferryspool node --settings FILE [flags]   run a node
     $ ferryspool check FILE                     check settings or a configuration document
     $ ferryspool check --print                  print all default settings
+    $ ferryspool status                         what a node holds and knows
+    $ ferryspool get KIND [NAME]                list resources, or show one
+    $ ferryspool watch KIND [--from CURSOR]     print changes until interrupted
+    $ ferryspool apply FILE                     write resources
+    $ ferryspool delete KIND NAME               delete a resource
+
+  KIND is services, routes, endpoints or secrets. Values of secrets are never shown.
 
   Flags of node (they win over the settings file)
     --settings FILE          YAML or JSON settings file
@@ -23,7 +30,16 @@
 
   Flags of check
     --print                  print the complete document, secrets masked
-    --json                   print JSON
+
+  Flags of status, get, watch, apply and delete
+    --address IP:PORT        admin address of a node; or FERRYSPOOL_ADDRESS
+    --token TOKEN            admin token; or FERRYSPOOL_TOKEN
+    --from CURSOR            watch: go on after this cursor
+    --if-match VERSION       apply, delete: only at this version; * for any
+    --create                 apply: only if there is no such resource
+
+  Flags of all but node
+    --json                   print JSON, one value a line where there are several
 
   Signals to a node
     SIGTERM, SIGINT          planned stop: nothing in flight is cut
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,12 +1,25 @@
 #!/usr/bin/env node
 /** Entry point of the `ferryspool` program. */
 import { parseArguments } from './arguments.js';
+import { applyCommand } from './commands/apply.js';
 import { checkCommand } from './commands/check.js';
+import { deleteCommand } from './commands/delete.js';
+import { getCommand } from './commands/get.js';
+import { statusCommand } from './commands/status.js';
+import { watchCommand } from './commands/watch.js';
 import { runCli, type CommandTable } from './run-cli.js';
 
-const commands: CommandTable = new Map([['check', checkCommand]]);
+const commands: CommandTable = new Map([
+  ['check', checkCommand],
+  ['get', getCommand],
+  ['watch', watchCommand],
+  ['status', statusCommand],
+  ['apply', applyCommand],
+  ['delete', deleteCommand],
+]);
 
 const interrupt = new AbortController();
+process.once('SIGINT', () => interrupt.abort());
 const exitCode = await runCli(parseArguments(process.argv.slice(2)), commands, {
   output: process.stdout,
   errors: process.stderr,
--- a/src/cli/run-cli.ts
+++ b/src/cli/run-cli.ts
@@ -1,5 +1,6 @@
 /** Finds the subcommand, runs it and turns its errors into diagnostics and exit codes. */
 import { SettingsError } from '../settings/settings-error.js';
+import { AdminAnswerError, AdminConnectionError } from './admin-error.js';
 import type { ParsedArguments } from './arguments.js';
 import { UsageError, type Command, type CommandContext } from './command.js';
 import { ExitCode } from './exit-code.js';
@@ -33,7 +34,12 @@
 }
 
 function diagnosticOf(error: unknown): string {
-  if (error instanceof UsageError || error instanceof SettingsError) {
+  const isExpected =
+    error instanceof UsageError ||
+    error instanceof SettingsError ||
+    error instanceof AdminAnswerError ||
+    error instanceof AdminConnectionError;
+  if (isExpected) {
     return error.message;
   }
   return error instanceof Error ? (error.stack ?? error.message) : String(error);
@@ -43,5 +49,8 @@
   if (error instanceof UsageError) {
     return ExitCode.Usage;
   }
+  if (error instanceof AdminAnswerError || error instanceof AdminConnectionError) {
+    return error.exitCode;
+  }
   return error instanceof SettingsError ? ExitCode.InvalidInput : ExitCode.InternalError;
 }
