--- a/tools/emulator/emulated-platform.ts
+++ b/tools/emulator/emulated-platform.ts
@@ -28,16 +28,8 @@
 export interface PlatformOptions {
   /** Readers it bears at once. */
   readonly readerBound: number;
-  /**
-   * A reader counts until it closes, dies, or has read nothing for this long: the platform closes
-   * idle connections, as HTTP servers do.
-   */
-  readonly idleCloseMs: number;
 }
 
-/** Node's HTTP server closes a kept connection after this time. */
-export const DEFAULT_IDLE_CLOSE_MS = 5_000;
-
 interface Publication extends SizedAnswer {
   readonly number: number;
 }
@@ -58,8 +50,7 @@
     source: [],
     machines: [],
   };
-  /** Open readers and the virtual time of each one's last read. */
-  private readonly readers = new Map<EmulatedProcess, number>();
+  private readonly readers = new Set<EmulatedProcess>();
 
   constructor(readonly options: PlatformOptions) {}
 
@@ -90,19 +81,29 @@
       : undefined;
   }
 
-  /** Opens or keeps a reader's connection; false when the bound refuses it. */
-  admit(process: EmulatedProcess, nowMs: number): boolean {
+  /**
+   * Admits a read; false when the bound refuses it. A process is a reader from its first read until
+   * it closes or dies. While it is frozen it does not count: it has a connection for each read, and
+   * the platform's answer ends the one that may be open.
+   */
+  admit(process: EmulatedProcess): boolean {
     this.reads += 1;
-    this.closeIdle(nowMs);
-    const admitted = this.readers.has(process) || this.readers.size < this.options.readerBound;
-    if (!admitted) {
-      this.refusedReads += 1;
-      this.peakReaders = Math.max(this.peakReaders, this.readers.size + 1);
-      return false;
+    this.readers.add(process);
+    if (this.countReaders() <= this.options.readerBound) {
+      return true;
+    }
+    this.refusedReads += 1;
+    return false;
+  }
+
+  /** Readers now; also remembers the peak. */
+  countReaders(): number {
+    let running = 0;
+    for (const process of this.readers) {
+      running += process.frozen ? 0 : 1;
     }
-    this.readers.set(process, nowMs);
-    this.peakReaders = Math.max(this.peakReaders, this.readers.size);
-    return true;
+    this.peakReaders = Math.max(this.peakReaders, running);
+    return running;
   }
 
   close(process: EmulatedProcess): void {
@@ -124,14 +125,6 @@
     return current;
   }
 
-  private closeIdle(nowMs: number): void {
-    for (const [process, lastReadMs] of this.readers) {
-      if (nowMs - lastReadMs >= this.options.idleCloseMs) {
-        this.readers.delete(process);
-      }
-    }
-  }
-
   private current(document: PlatformDocument): Publication | undefined {
     const all = this.publications[document];
     const behind = document === 'source' ? this.staleBy : 0;
--- a/tools/emulator/emulator.ts
+++ b/tools/emulator/emulator.ts
@@ -170,6 +170,7 @@
       this.deliver(process, event);
     }
     this.scheduleWake(process);
+    this.platform.countReaders();
   }
 
   /** Ends every cut; what stalled on links that still stand travels on. */
@@ -248,7 +249,7 @@
     const { document, readId } = read;
     this.meter.sentBytes(process.site.index, READ_REQUEST_BYTES);
     const reachable = !this.topology.isCutFromPlatform(process.site);
-    const admitted = reachable && this.platform.admit(process, this.nowMs);
+    const admitted = reachable && this.platform.admit(process);
     const answered = admitted ? this.platform.answer(document, read.knownNumber) : undefined;
     const roundTripMs = 2 * this.topology.platformTravelMs();
     const silent = !reachable || (admitted && answered === undefined);
--- a/tools/fuzz/script-runner.ts
+++ b/tools/fuzz/script-runner.ts
@@ -1,6 +1,5 @@
 /** Interprets a fuzzing script on an emulated fleet, with the oracle watching every event. */
 import { DEFAULT_NETWORK } from '../emulator/emulated-network.js';
-import { DEFAULT_IDLE_CLOSE_MS } from '../emulator/emulated-platform.js';
 import type { ComponentFactory } from '../emulator/emulated-process.js';
 import { Emulator } from '../emulator/emulator.js';
 import type { EmulatedMachine } from '../emulator/machine-registry.js';
@@ -71,7 +70,7 @@
       sites: evenSites(FUZZ_MACHINES, FUZZ_ZONES, FUZZ_REGIONS),
       factory: target.factory,
       sizer: target.sizer,
-      platform: { readerBound: target.readerBound, idleCloseMs: DEFAULT_IDLE_CLOSE_MS },
+      platform: { readerBound: target.readerBound },
     });
     this.oracle = new InvariantOracle(this.emulator);
     this.emulator.onHandled = (process, _event, effects) =>
