--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -57,8 +57,7 @@
   handle(event: ControlEvent, nowMs: number): ControlEffect[] {
     const effects: ControlEffect[] = [];
     if (nowMs - this.wakeAt >= LATE_WAKE_MS) {
-      this.membership.grantGrace(nowMs);
-      this.dissemination.grantGrace(nowMs);
+      this.grantGrace(nowMs);
     }
     this.dispatch(event, nowMs, effects);
     if (isForComponents(event)) {
@@ -124,6 +123,12 @@
     return this.dissemination.heartbeatMessage();
   }
 
+  /** The process was paused: what others did not do in that time is not held against them. */
+  protected grantGrace(nowMs: number): void {
+    this.membership.grantGrace(nowMs);
+    this.dissemination.grantGrace(nowMs);
+  }
+
   private dispatch(event: ControlEvent, nowMs: number, effects: ControlEffect[]): void {
     switch (event.type) {
       case 'start':
--- a/test/control/message-pump.ts
+++ b/test/control/message-pump.ts
@@ -101,7 +101,11 @@
     test: () => false,
   };
 
-  constructor(private readonly seed: number) {}
+  /** `planeClass` lets a test run a mutant of the control plane. */
+  constructor(
+    private readonly seed: number,
+    private readonly planeClass: typeof ControlPlane = ControlPlane,
+  ) {}
 
   /** Adds and starts a node. */
   add(identity: PeerIdentity, options: Partial<ControlPlaneOptions> = {}): PumpNode {
@@ -227,7 +231,7 @@
   ): ControlPlane {
     const index = Number(identity.id.split('-')[1]);
     const random = seededRandom(this.seed * 7_919 + index + identity.incarnation);
-    return new ControlPlane({ identity, seeds: [], random, counters, ...options });
+    return new this.planeClass({ identity, seeds: [], random, counters, ...options });
   }
 
   private nextTask(until: number): Task | undefined {
