Name API counters in one place and declare them at 0

Cause: the other areas name their counters whole, ferryspool_ included, so the registry's own prefix would have stood twice; and a counter that is missing until its first event makes an alert on it blind. Change: no prefix in the registry; the API's counters and their help in one module, declared when the listener opens.

--- a/src/api/admin-handler.ts
+++ b/src/api/admin-handler.ts
@@ -3,6 +3,7 @@
 import type { CounterSink } from '../control/control-event.js';
 import { VERDICT_HEADER, type Verdict } from '../model/verdict.js';
 import type { AccessCheck } from './access-check.js';
+import { API_COUNTERS, errorCounter } from './api-counters.js';
 import { ApiError } from './api-error.js';
 import { isWriteMethod, parseApiRequest, type ApiRequest } from './api-request.js';
 import { sendError, sendJson, sendList } from './api-response.js';
@@ -43,7 +44,7 @@
 
   /** Answers `request`; never rejects. */
   async handle(request: IncomingMessage, response: ServerResponse): Promise<void> {
-    this.options.counters.add('api_requests_total');
+    this.options.counters.add(API_COUNTERS.requests);
     try {
       await this.answer(request, response);
     } catch (error) {
@@ -105,7 +106,7 @@
     order: WriteOrder,
   ): Promise<void> {
     const accepted = await this.options.writer.write(await this.readWrite(request, order));
-    this.options.counters.add('api_writes_accepted_total');
+    this.options.counters.add(API_COUNTERS.writesAccepted);
     sendJson(response, 200, accepted, { [VERDICT_HEADER]: 'ran' });
   }
 
@@ -128,7 +129,7 @@
     const apiError = error instanceof ApiError ? error : this.internalError(error);
     const isWrite = isWriteMethod(request.method ?? '');
     const known = isWrite ? apiError.withVerdict(verdictOf(error)) : apiError;
-    this.options.counters.add(`api_errors_${known.code.toLowerCase()}_total`);
+    this.options.counters.add(errorCounter(known.code));
     if (!request.complete) {
       response.shouldKeepAlive = false;
     }
--- a/src/api/admin-server.ts
+++ b/src/api/admin-server.ts
@@ -6,6 +6,7 @@
 import type { Settings } from '../settings/settings.js';
 import { createAccessCheck } from './access-check.js';
 import { AdminHandler } from './admin-handler.js';
+import { API_COUNTERS, declareApiCounters } from './api-counters.js';
 import { ApiError } from './api-error.js';
 import { errorOfParser, sendErrorOnSocket } from './client-error.js';
 import { sendError } from './api-response.js';
@@ -51,12 +52,13 @@
   static async open(options: AdminServerOptions): Promise<AdminServer> {
     const { settings, metrics } = options;
     const { api } = settings;
+    declareApiCounters((name, help) => metrics.declareCounter(name, help));
     const feed = new ConfigurationFeed(options.view, createResourceVersioner(settings.fleetKey), {
       maxEvents: api.watchHistoryEvents,
       maxBytes: api.watchHistoryBytes,
     });
     const watches = new WatchRegistry({ feed, counters: metrics, maxWatchers: api.maxWatchers });
-    metrics.gauge('api_watches', 'Watches that are open', () => watches.size);
+    metrics.gauge('ferryspool_api_watches', 'Watches that are open', () => watches.size);
     const server = createAdminServer(options, createHandler(options, feed, watches));
     await listen(server, settings.adminAddress, settings.ports.admin);
     return new AdminServer(server, feed, watches);
@@ -131,11 +133,11 @@
     sendErrorOnSocket(socket, new ApiError('METHOD_NOT_ALLOWED', 'expected no CONNECT')),
   );
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    metrics.add('api_malformed_requests_total');
+    metrics.add(API_COUNTERS.malformedRequests);
     sendErrorOnSocket(socket, errorOfParser(error.code));
   });
   server.on('error', (error) => logger.error('api-listener-error', { reason: error.message }));
-  server.on('drop', () => metrics.add('api_connections_refused_total'));
+  server.on('drop', () => metrics.add(API_COUNTERS.connectionsRefused));
   server.on('connection', (socket: Socket) => socket.setNoDelay(true));
   return server;
 }
--- a/src/api/watch-registry.ts
+++ b/src/api/watch-registry.ts
@@ -2,6 +2,7 @@
 import type { ServerResponse } from 'node:http';
 import type { CounterSink } from '../control/control-event.js';
 import type { ResourceKind } from '../model/resource.js';
+import { API_COUNTERS } from './api-counters.js';
 import { ApiError } from './api-error.js';
 import type { ConfigurationFeed } from './configuration-feed.js';
 import { isAhead, parseCursor } from './cursor.js';
@@ -13,9 +14,9 @@
 const TOO_MANY_RETRY_AFTER_MS = 5_000;
 
 const END_COUNTERS: Readonly<Record<WatchEnd, string>> = {
-  'closed-by-client': 'api_watches_closed_total',
-  'too-slow': 'api_watches_too_slow_total',
-  stopping: 'api_watches_stopped_total',
+  'closed-by-client': API_COUNTERS.watchesClosed,
+  'too-slow': API_COUNTERS.watchesTooSlow,
+  stopping: API_COUNTERS.watchesStopped,
 };
 
 /** What a registry needs. */
@@ -45,7 +46,7 @@
     const { feed, counters, maxWatchers } = this.options;
     const from = cursor === undefined ? undefined : this.positionOf(cursor);
     if (this.open.size >= maxWatchers) {
-      counters.add('api_watches_refused_total');
+      counters.add(API_COUNTERS.watchesRefused);
       const details = { retryAfterMs: TOO_MANY_RETRY_AFTER_MS };
       throw new ApiError('TOO_MANY_WATCHERS', `at most ${maxWatchers} watches`, details);
     }
@@ -67,7 +68,7 @@
       },
     });
     this.open.add(watch);
-    counters.add('api_watches_opened_total');
+    counters.add(API_COUNTERS.watchesOpened);
     watch.start();
   }
 
@@ -92,7 +93,7 @@
       const details = { retryAfterMs: LAGGING_RETRY_AFTER_MS };
       throw new ApiError('NOT_HELD_YET', 'this node does not hold that version yet', details);
     }
-    counters.add('api_watches_too_old_total');
+    counters.add(API_COUNTERS.watchesTooOld);
     throw new ApiError('LIST_AGAIN', 'the cursor is too old, or of another history: list again');
   }
 }
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -18,13 +18,7 @@
   0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10,
 ];
 
-/** Stands before the name of every metric in the text. */
-const NAME_PREFIX = 'ferryspool_';
-
-/**
- * The metrics of one node; each has a registry of its own, so that nodes can share a process. Names
- * are given without the `ferryspool_` that the text puts before them.
- */
+/** The metrics of one node; each has a registry of its own, so that nodes can share a process. */
 export class Metrics implements CounterSink {
   private readonly registry = new Registry();
   private readonly counters = new Map<string, Counter>();
@@ -54,7 +48,7 @@
   /** A gauge whose value is read whenever the text is asked for. */
   gauge(name: string, help: string, read: () => number): void {
     const gauge: Gauge = new Gauge({
-      name: NAME_PREFIX + name,
+      name,
       help,
       registers: [this.registry],
       collect: () => gauge.set(read()),
@@ -69,7 +63,7 @@
     read: () => Iterable<LabelledValue>,
   ): void {
     const gauge: Gauge = new Gauge({
-      name: NAME_PREFIX + name,
+      name,
       help,
       labelNames: [...labelNames],
       registers: [this.registry],
@@ -89,7 +83,7 @@
     buckets: readonly number[] = DURATION_BUCKETS_SECONDS,
   ): Observer {
     return new Histogram({
-      name: NAME_PREFIX + name,
+      name,
       help,
       buckets: [...buckets],
       registers: [this.registry],
@@ -104,7 +98,7 @@
   private counter(name: string, help = name.replaceAll('_', ' ')): Counter {
     let counter = this.counters.get(name);
     if (counter === undefined) {
-      counter = new Counter({ name: NAME_PREFIX + name, help, registers: [this.registry] });
+      counter = new Counter({ name, help, registers: [this.registry] });
       this.counters.set(name, counter);
       this.totals.set(name, 0);
     }
--- a/test/api/watch.test.ts
+++ b/test/api/watch.test.ts
@@ -131,7 +131,7 @@
     const first = await watch(api, '/v1/services?watch=1');
     const { cursor } = await first.untilBookmark();
     first.close();
-    await counterReaches(api, 'api_watches_closed_total', 1);
+    await counterReaches(api, 'ferryspool_api_watches_closed_total', 1);
     api.view.set(2, serviceOf('b', 7));
     api.view.set(3, serviceOf('b', 7), serviceOf('d'));
     const second = await watch(api, `/v1/services?watch=1&from=${cursor}`);
@@ -197,7 +197,7 @@
     expect(refused.status).to.equal(429);
     expect(refused.headers['retry-after']).to.equal('5');
     first.close();
-    await counterReaches(api, 'api_watches_closed_total', 1);
+    await counterReaches(api, 'ferryspool_api_watches_closed_total', 1);
     const second = await watch(api, '/v1/services?watch=1');
     expect((await second.untilBookmark()).words).to.deep.equal(['+a', '+b']);
   });
@@ -212,7 +212,8 @@
     const wide = (round: number): Resource[] =>
       Array.from({ length: 400 }, (_, index) => serviceOf(`${'n'.repeat(100)}${index}`, round + 1));
     let round = 1;
-    const dropped = () => api.metrics.counterTotals().get('api_watches_too_slow_total') ?? 0;
+    const dropped = () =>
+      api.metrics.counterTotals().get('ferryspool_api_watches_too_slow_total') ?? 0;
     // Socket buffers of the system take the first megabytes; the loop ends well before 400 rounds.
     while (dropped() === 0 && round < 400) {
       round += 1;
