Lease the right to read the platform

Cause: the platform bears few readers, while nodes die in herds, wake late and are cut off. Change: readers are slots (a zone's shares, and one for recovery), each leased by a majority of electors: the zone's five oldest machines, or the seeds for recovery. The holder counts from when it asked, less a margin for drifting clocks, and closes its connection before anything else when it wakes too late. Electors that restarted or are new to the set wait out what may have been granted. Who asks is spread by rank, so that a herd's requests grow with the logarithm of its size. Ruled out: electing a cold fleet's reader by seeds within a zone, as nodes know different seeds and two majorities need not meet; hence one recovery slot, elected by all seeds. The settings' comment on readerShares says that the bound is their sum and one.

--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -166,8 +166,8 @@
   /** The platform; a node without it learns everything from its peers. */
   platform: platformSettingsSchema.optional(),
   /**
-   * Readers that each zone may have at the platform: zone to number. The sum is the platform's
-   * bound on readers, and every node is given the same map.
+   * Readers that each zone may have at the platform: zone to number, the same on every node. The
+   * platform must bear their sum and one more, which reads when a zone's electors are lost.
    */
   readerShares: z.record(nameSchema, z.number().int().min(0).max(1_000)).default({}),
   overlay: overlaySettingsSchema.prefault({}),
--- /dev/null
+++ b/src/source/lease-exchange.ts
@@ -0,0 +1,59 @@
+/** Carries requests, answers and releases between candidates, electors and this node's own elector. */
+import type { ControlEffect, CounterSink } from '../control/control-event.js';
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import type { LeaseAnswerMessage, LeaseRequestMessage } from '../wire/message.js';
+import type { Elector } from './elector.js';
+import { ElectorLinks } from './elector-links.js';
+import type { Electorate } from './electorate.js';
+import type { ElectorCommand, LeaseCandidate } from './lease-candidate.js';
+import { ROUND_TIMEOUT_MS } from './lease-terms.js';
+import { SOURCE_COUNTERS } from './source-counters.js';
+
+/** Sends what candidates say, and answers what other nodes ask. */
+export class LeaseExchange {
+  readonly links = new ElectorLinks();
+  private isStopped = false;
+
+  constructor(
+    private readonly identity: PeerIdentity,
+    private readonly electorate: Electorate,
+    private readonly elector: Elector,
+    private readonly counters: CounterSink,
+  ) {}
+
+  /** Grants nothing any more. */
+  stop(): void {
+    this.isStopped = true;
+  }
+
+  /** Answers a request as an elector. */
+  grant(from: PeerIdentity, request: LeaseRequestMessage, nowMs: number): LeaseAnswerMessage {
+    const guardedUntilMs = this.isStopped ? Infinity : this.electorate.guardedUntilMs(request.slot);
+    const answer = this.elector.request(from, request, guardedUntilMs, nowMs);
+    if (answer.granted) {
+      this.counters.add(SOURCE_COUNTERS.leaseGrants);
+    }
+    return answer;
+  }
+
+  /** Sends commands; those for this node itself are carried out here, with what follows. */
+  deliver(
+    candidate: LeaseCandidate,
+    commands: readonly ElectorCommand[],
+    nowMs: number,
+    effects: ControlEffect[],
+  ): void {
+    const queue = [...commands];
+    for (const { target, message } of queue) {
+      if (!this.electorate.isSelf(target)) {
+        this.counters.add(SOURCE_COUNTERS.leaseMessages);
+        effects.push(...this.links.send(target, message, nowMs + ROUND_TIMEOUT_MS));
+      } else if (message.type === 'lease-release') {
+        this.elector.release(this.identity, message, nowMs);
+      } else {
+        const answer = this.grant(this.identity, message, nowMs);
+        queue.push(...candidate.handleAnswer(this.identity, answer, nowMs));
+      }
+    }
+  }
+}
