Join the parts into a node: the whole path on real sockets

Cause: control plane, request path and admin listener existed side by side. Change: ControlNode (decision logic, peer transport, platform client) and the node that adds request path and resource API; planned stop in an order that tells the fleet first; a clock that also sees a suspended machine; the node command; an in-process fleet for end-to-end tests. Measured: nothing yet. Conclusion: requests are served through two nodes under configuration that came from the source; five end-to-end tests pass.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,6 @@
 #!/usr/bin/env node
 /** Entry point of the `ferryspool` program. */
+import { runNode } from '../runtime/node.js';
 import { parseArguments } from './arguments.js';
 import { applyCommand } from './commands/apply.js';
 import { checkCommand } from './commands/check.js';
@@ -7,6 +8,7 @@
 import { getCommand } from './commands/get.js';
 import { statusCommand } from './commands/status.js';
 import { watchCommand } from './commands/watch.js';
+import { createNodeCommand } from './commands/node.js';
 import { runCli, type CommandTable } from './run-cli.js';
 
 const commands: CommandTable = new Map([
@@ -16,6 +18,7 @@
   ['status', statusCommand],
   ['apply', applyCommand],
   ['delete', deleteCommand],
+  ['node', createNodeCommand(runNode, process)],
 ]);
 
 const interrupt = new AbortController();
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -11,7 +11,13 @@
 import type { VersionedDocument } from '../model/document.js';
 import type { Machine } from '../model/machine.js';
 import type { Snapshot } from '../model/snapshot.js';
-import type { DocumentName, HeartbeatMessage, MemberStatus, PeerMessage } from '../wire/message.js';
+import type {
+  DocumentName,
+  HeartbeatMessage,
+  MemberStatus,
+  MemberUpdate,
+  PeerMessage,
+} from '../wire/message.js';
 import type { ControlComponent, ControlEffect, ControlEvent } from './control-event.js';
 import {
   CONTROL_DEFAULTS,
@@ -86,6 +92,22 @@
     return this.membership.status(machineId);
   }
 
+  /** Every machine that is listed or known, with its status; this node is not among them. */
+  members(): MemberUpdate[] {
+    const byId = new Map<string, PeerIdentity>();
+    for (const machine of this.store.machines().byId.values()) {
+      byId.set(machine.id, { ...machine, incarnation: 0 });
+    }
+    for (const record of this.membership.members.all()) {
+      byId.set(record.identity.id, record.identity);
+    }
+    byId.delete(this.identity.id);
+    return [...byId.values()].map((member) => ({
+      member: onlyIdentity(member),
+      status: this.membership.status(member.id) ?? 'alive',
+    }));
+  }
+
   /** Where a machine's node takes requests of other nodes; undefined when it is not known. */
   relayAddress(machineId: string): { address: string; relayPort: number } | undefined {
     const machine = this.store.machines().byId.get(machineId);
@@ -237,3 +259,8 @@
     };
   }
 }
+
+function onlyIdentity(peer: PeerIdentity): PeerIdentity {
+  const { id, incarnation, address, controlPort, relayPort, zone, region } = peer;
+  return { id, incarnation, address, controlPort, relayPort, zone, region };
+}
--- a/src/runtime/control-runtime.ts
+++ b/src/runtime/control-runtime.ts
@@ -33,6 +33,7 @@
   private timer: NodeJS.Timeout | undefined;
   private wakeAt = Infinity;
   private closed = false;
+  private onStopProcessed: (() => void) | undefined;
 
   constructor(private readonly options: ControlRuntimeOptions) {}
 
@@ -54,7 +55,17 @@
     return accepted;
   }
 
-  /** Stops taking events and timers; the component gets no `stop` event from here. */
+  /** Hands the component its `stop` event, after the events before it; resolves when it is done. */
+  stop(): Promise<void> {
+    return new Promise((resolve) => {
+      this.onStopProcessed = resolve;
+      if (!this.offer({ type: 'stop' })) {
+        resolve();
+      }
+    });
+  }
+
+  /** Takes no more events and timers; the component gets no `stop` event from here. */
   close(): void {
     this.closed = true;
     clearTimeout(this.timer);
@@ -70,6 +81,9 @@
       this.options.counters.add('control_event_failures_total');
       this.options.onFailure(event, error);
     }
+    if (event.type === 'stop') {
+      this.onStopProcessed?.();
+    }
     this.scheduleWake();
   }
 
--- /dev/null
+++ b/src/runtime/node.ts
@@ -0,0 +1,247 @@
+/**
+ * One node: control plane, request path and admin listener, opened from settings and stopped in
+ * order. The same program runs on every machine.
+ */
+import type http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { AdminServer } from '../api/admin-server.js';
+import type { SnapshotListener } from '../api/configuration-view.js';
+import { refusingWritePort } from '../api/write-port.js';
+import type { DocumentSink } from '../control/control-options.js';
+import type { ElectorateView } from '../control/control-ports.js';
+import type { NodePorts, RunningNode } from '../cli/running-node.js';
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import { NO_SNAPSHOT_VERSION, buildSnapshot, type Snapshot } from '../model/snapshot.js';
+import { createRequestProxy, type RequestProxy } from '../proxy/request-proxy.js';
+import type { Settings } from '../settings/settings.js';
+import { PlatformClient } from '../source/platform-client.js';
+import { SourceReader } from '../source/source-reader.js';
+import { ControlNode } from './control-node.js';
+import { createElapsedClock } from './elapsed-clock.js';
+import { createLogger, type Logger } from './logger.js';
+import { Metrics } from './metrics.js';
+import { composeNodeStatus } from './node-status.js';
+
+/** Time between reads of the machine list, as a multiple of the time between configuration reads. */
+const MACHINES_INTERVAL_FACTOR = 5;
+
+/** Opens a node; rejects, with everything closed again, when a listener can not be opened. */
+export async function runNode(settings: Settings): Promise<RunningNode> {
+  const node = new Node(settings);
+  try {
+    await node.open();
+  } catch (error) {
+    node.abort();
+    throw error;
+  }
+  return node;
+}
+
+class Node implements RunningNode {
+  readonly stopped: Promise<void>;
+  /** Start of this process in milliseconds since 1970: it tells restarts of one machine apart. */
+  private readonly incarnation = Date.now();
+  private readonly logger: Logger;
+  private readonly metrics = new Metrics();
+  private readonly now = createElapsedClock();
+  private readonly startedAtMs = this.now();
+  private readonly listeners = new Set<SnapshotListener>();
+  private snapshot: Snapshot = buildSnapshot(NO_SNAPSHOT_VERSION, []);
+  private proxy: RequestProxy | undefined;
+  private control: ControlNode | undefined;
+  private reader: SourceReader | undefined;
+  private admin: AdminServer | undefined;
+  private stopping: Promise<void> | undefined;
+  private markStopped: () => void = () => undefined;
+
+  constructor(private readonly settings: Settings) {
+    this.logger = createLogger(settings.log.level, { machine: settings.machine.id });
+    this.stopped = new Promise((resolve) => {
+      this.markStopped = resolve;
+    });
+  }
+
+  get ports(): NodePorts {
+    return {
+      caller: portOf(this.proxy?.callerServer),
+      relay: portOf(this.proxy?.relayServer),
+      control: this.control?.port ?? 0,
+      admin: this.admin?.port ?? 0,
+    };
+  }
+
+  /** Opens the listeners, the relay port first: peers are told of it when they are met. */
+  async open(): Promise<void> {
+    const { settings } = this;
+    const proxy = this.createProxy();
+    this.proxy = proxy;
+    await listen(proxy.relayServer, settings.machine.address, settings.ports.relay);
+    this.control = await this.openControl();
+    this.admin = await this.openAdmin(this.control);
+    await listen(proxy.callerServer, settings.callerAddress, settings.ports.caller);
+  }
+
+  stop(): Promise<void> {
+    this.stopping ??= this.stopInOrder();
+    return this.stopping;
+  }
+
+  abort(): void {
+    this.proxy?.abort();
+    this.control?.abort();
+    this.admin?.abort();
+    this.markStopped();
+  }
+
+  /**
+   * The fleet is told first, so that no new work comes while the request path drains; the control
+   * port closes last, so that what is in flight is served under a current view of the fleet.
+   */
+  private async stopInOrder(): Promise<void> {
+    await this.control?.announceStop();
+    await this.proxy?.stop();
+    await this.control?.stop();
+    await this.admin?.stop();
+    this.markStopped();
+  }
+
+  /** Before the servers listen the identity has no relay port; nothing is sent before that. */
+  private identity(): PeerIdentity {
+    const { machine, ports } = this.settings;
+    return {
+      id: machine.id,
+      incarnation: this.incarnation,
+      address: machine.address,
+      controlPort: ports.control,
+      relayPort: portOf(this.proxy?.relayServer),
+      zone: machine.zone,
+      region: machine.region,
+    };
+  }
+
+  private createProxy(): RequestProxy {
+    return createRequestProxy({
+      identity: this.identity(),
+      snapshots: { current: () => this.servedSnapshot() },
+      members: {
+        status: (machineId) => this.control?.plane.memberStatus(machineId) ?? 'unknown',
+        relayAddress: (machineId) => this.relayAddress(machineId),
+        count: () => this.memberCount(),
+      },
+      counters: this.metrics,
+      random: Math.random,
+      limits: {
+        maxHeaderBytes: this.settings.proxy.maxHeaderBytes,
+        maxBodyBytes: this.settings.proxy.maxBodyBytes,
+        maxCallsInFlight: this.settings.proxy.maxPendingRequests,
+        stopTimeoutMs: this.settings.proxy.drainTimeoutMs,
+      },
+      fleetKey: Buffer.from(this.settings.fleetKey, 'utf8'),
+      logStateChange: (what, detail) => this.logger.info(what, { detail }),
+    });
+  }
+
+  private openControl(): Promise<ControlNode> {
+    const { settings } = this;
+    return ControlNode.open({
+      identity: this.identity(),
+      fleetKey: settings.fleetKey,
+      tls: settings.tls,
+      seeds: settings.seeds,
+      overlay: settings.overlay,
+      platform: settings.platform && new PlatformClient(settings.platform),
+      components: [(documents, electorate) => this.createReader(documents, electorate)],
+      counters: this.metrics,
+      random: Math.random,
+      now: this.now,
+      onSnapshot: (snapshot) => this.adopt(snapshot),
+      onStateChange: (what, detail) => this.logger.info(what, { detail }),
+    });
+  }
+
+  private createReader(documents: DocumentSink, electorate: ElectorateView): SourceReader {
+    const { platform, seeds, readerShares, lease } = this.settings;
+    this.reader = new SourceReader({
+      documents,
+      electorate,
+      seeds,
+      readerShares,
+      lease,
+      poll: platform && {
+        configurationIntervalMs: platform.pollIntervalMs,
+        machinesIntervalMs: MACHINES_INTERVAL_FACTOR * platform.pollIntervalMs,
+        requestTimeoutMs: platform.requestTimeoutMs,
+      },
+      random: Math.random,
+      counters: this.metrics,
+    });
+    return this.reader;
+  }
+
+  private openAdmin(control: ControlNode): Promise<AdminServer> {
+    return AdminServer.open({
+      settings: this.settings,
+      view: {
+        current: () => this.snapshot,
+        subscribe: (listener) => this.subscribe(listener),
+      },
+      status: () =>
+        composeNodeStatus({
+          plane: control.plane,
+          now: this.now,
+          startedAtMs: this.startedAtMs,
+          isReader: () => (this.reader?.heldSlots(this.now()) ?? []).length > 0,
+          endpoints: () => [],
+        }),
+      writePort: refusingWritePort,
+      metrics: this.metrics,
+      logger: this.logger,
+    });
+  }
+
+  private adopt(snapshot: Snapshot): void {
+    this.snapshot = snapshot;
+    const { source, operator } = snapshot.version;
+    this.logger.info('configuration-in-force', {
+      source: source.number,
+      operator: operator.number,
+    });
+    for (const listener of this.listeners) {
+      listener(snapshot);
+    }
+  }
+
+  private subscribe(listener: SnapshotListener): () => void {
+    this.listeners.add(listener);
+    return () => this.listeners.delete(listener);
+  }
+
+  /** Undefined before the first configuration, so that callers are refused rather than misrouted. */
+  private servedSnapshot(): Snapshot | undefined {
+    const { source, operator } = this.snapshot.version;
+    return source.number === 0 && operator.number === 0 ? undefined : this.snapshot;
+  }
+
+  private relayAddress(machineId: string): { address: string; port: number } | undefined {
+    const found = this.control?.plane.relayAddress(machineId);
+    return found && { address: found.address, port: found.relayPort };
+  }
+
+  private memberCount(): number {
+    return Math.max(1, this.control?.plane.status().machines ?? 1);
+  }
+}
+
+function portOf(server: http.Server | undefined): number {
+  return (server?.address() as AddressInfo | null | undefined)?.port ?? 0;
+}
+
+function listen(server: http.Server, address: string, port: number): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, address, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
--- a/test/runtime/control-runtime.test.ts
+++ b/test/runtime/control-runtime.test.ts
@@ -66,6 +66,16 @@
     expect(effects).to.deep.equal(component.seen);
   });
 
+  it('hands the stop event over before a stop is done', async () => {
+    const component = new RecordingComponent(0);
+    const { runtime } = runtimeOf(component, () => undefined);
+    runtime.start();
+    await runtime.stop();
+    expect(component.seen).to.deep.equal(['start', 'stop']);
+    runtime.close();
+    await runtime.stop();
+  });
+
   it('drops an event that the logic fails on and goes on with the next', async () => {
     const component = new RecordingComponent(0);
     const outcome = await new Promise<string[]>((resolve) => {
--- /dev/null
+++ b/test/runtime/node.test.ts
@@ -0,0 +1,67 @@
+import { expect } from 'chai';
+import { VERDICT_HEADER } from '../../src/model/verdict.js';
+import { call, eventually, LocalFleet, sourceVersion } from '../support/local-fleet.js';
+
+describe('runtime/node: the whole path', function () {
+  this.timeout(20_000);
+  let fleet: LocalFleet;
+
+  beforeEach(async () => {
+    fleet = await LocalFleet.start({ zones: ['a', 'b'], backendsPerZone: 1 });
+    await fleet.converged(1);
+  });
+
+  afterEach(() => fleet.stop());
+
+  it('serves a request from any node, through the node beside the endpoint', async () => {
+    for (const machine of fleet.machines) {
+      const response = await call(machine, '/tiles/7', { headers: { 'x-request-id': machine.id } });
+      expect(response.status, machine.id).to.equal(200);
+      expect(response.headers.get(VERDICT_HEADER)).to.equal('ran');
+      await response.arrayBuffer();
+    }
+    const runs = fleet.machines.flatMap(({ backend }) => backend?.executions() ?? []);
+    expect(runs).to.have.length(fleet.machines.length);
+  });
+
+  it('refuses an unknown route with proof that nothing ran', async () => {
+    const response = await call(fleet.machine('edge-a'), '/nowhere');
+    expect(response.status).to.equal(404);
+    expect(response.headers.get(VERDICT_HEADER)).to.equal('not-run');
+    await response.arrayBuffer();
+  });
+
+  it('brings a change to every node and refuses a bad version whole', async () => {
+    fleet.publish(2);
+    await fleet.converged(2);
+    fleet.platform.publish({ version: 3, raw: '{"version":3,"resources":[{"kind":"route"}]}' });
+    fleet.publish(4);
+    await fleet.converged(4);
+    expect(fleet.platform.counters().peakReaders).to.be.at.most(2);
+  });
+
+  it('never goes back when the source restarts from zero', async () => {
+    fleet.publish(5);
+    await fleet.converged(5);
+    fleet.platform.restartFromZero();
+    const readsBefore = fleet.platform.counters().reads;
+    await eventually(() => Promise.resolve(fleet.platform.counters().reads > readsBefore + 4));
+    for (const machine of fleet.machines) {
+      expect(await sourceVersion(machine)).to.equal(5);
+    }
+    fleet.publish(6);
+    await fleet.converged(6);
+  });
+
+  it('finishes a request in flight through a planned stop of its node', async () => {
+    const machine = fleet.machine('edge-a');
+    const answer = call(machine, '/tiles/slow', { headers: { 'x-work-ms': '300' } });
+    await eventually(() =>
+      Promise.resolve(fleet.machines.some(({ backend }) => backend?.counters().inFlight === 1)),
+    );
+    await machine.node.stop();
+    const response = await answer;
+    expect(response.status).to.equal(200);
+    expect((await response.arrayBuffer()).byteLength).to.be.greaterThan(0);
+  });
+});
--- /dev/null
+++ b/test/support/local-fleet.ts
@@ -0,0 +1,194 @@
+/** A fleet in one process for end-to-end tests: platform, back ends and real nodes on loopback. */
+import { createServer } from 'node:net';
+import { BackendStandIn } from '../../standins/backend/backend-stand-in.js';
+import { PlatformStandIn } from '../../standins/platform/platform-stand-in.js';
+import type { RunningNode } from '../../src/cli/running-node.js';
+import type { Machine } from '../../src/model/machine.js';
+import type { SourceDocument } from '../../src/model/source-document.js';
+import { runNode } from '../../src/runtime/node.js';
+import { parseSettings } from '../../src/settings/load-settings.js';
+
+const HOST = '127.0.0.1';
+const REGION = 'region-1';
+/** How often a condition is looked at, in milliseconds. */
+const POLL_MS = 10;
+
+/** One machine of the fleet. */
+export interface FleetMachine {
+  readonly id: string;
+  readonly zone: string;
+  readonly ports: { caller: number; relay: number; control: number; admin: number };
+  readonly node: RunningNode;
+  /** The back end beside the node; edge machines have none. */
+  readonly backend: BackendStandIn | undefined;
+}
+
+/** Shape of a fleet. */
+export interface FleetPlan {
+  readonly zones: readonly string[];
+  /** Back ends of the one service `tiles` in each zone. */
+  readonly backendsPerZone: number;
+}
+
+/** A running fleet; `stop` must be awaited in every test. */
+export class LocalFleet {
+  readonly machines: FleetMachine[] = [];
+  private seeds: { address: string; controlPort: number }[] = [];
+
+  private constructor(readonly platform: PlatformStandIn) {}
+
+  /** Starts everything: one edge machine in each zone besides those of the back ends. */
+  static async start(plan: FleetPlan): Promise<LocalFleet> {
+    const fleet = new LocalFleet(await PlatformStandIn.start({ readerBound: plan.zones.length }));
+    try {
+      for (const zone of plan.zones) {
+        await fleet.add(`edge-${zone}`, zone, plan, false);
+        for (let index = 0; index < plan.backendsPerZone; index += 1) {
+          await fleet.add(`tiles-${zone}-${index}`, zone, plan, true);
+        }
+      }
+      fleet.publish(1);
+      fleet.publishMachines(1);
+    } catch (error) {
+      await fleet.stop();
+      throw error;
+    }
+    return fleet;
+  }
+
+  /** Publishes the fleet's configuration under `version`, with `extra` resources. */
+  publish(version: number, extra: SourceDocument['resources'] = []): void {
+    const document: SourceDocument = { version, resources: [...this.resources(), ...extra] };
+    this.platform.publish({ document });
+  }
+
+  publishMachines(version: number): void {
+    const machines: Machine[] = this.machines.map(({ id, zone, ports }, index) => ({
+      id,
+      zone,
+      region: REGION,
+      address: HOST,
+      controlPort: ports.control,
+      relayPort: ports.relay,
+      seniority: index,
+      state: 'live',
+    }));
+    this.platform.publishMachines({ version, machines });
+  }
+
+  /** Waits until every running node holds `version` of the source. */
+  async converged(version: number, nodes = this.machines): Promise<void> {
+    for (const machine of nodes) {
+      await eventually(async () => (await sourceVersion(machine)) === version);
+    }
+  }
+
+  machine(id: string): FleetMachine {
+    const found = this.machines.find((machine) => machine.id === id);
+    if (found === undefined) {
+      throw new Error(`no machine ${id}`);
+    }
+    return found;
+  }
+
+  async stop(): Promise<void> {
+    for (const { node, backend } of this.machines) {
+      node.abort();
+      await backend?.stop();
+    }
+    await this.platform.stop();
+  }
+
+  private async add(id: string, zone: string, plan: FleetPlan, hasBackend: boolean): Promise<void> {
+    const control = await freePort();
+    if (this.seeds.length < plan.zones.length) {
+      this.seeds = [...this.seeds, { address: HOST, controlPort: control }];
+    }
+    const platformUrl = `http://${HOST}:${this.platform.ports.port}`;
+    const settings = parseSettings('test', {
+      machine: { id, address: HOST, zone, region: REGION },
+      ports: { caller: 0, relay: 0, control, admin: 0 },
+      fleetKey: 'a-fleet-key-for-tests-only',
+      seeds: this.seeds,
+      platform: {
+        configurationUrl: `${platformUrl}/v1/configuration`,
+        machinesUrl: `${platformUrl}/v1/machines`,
+        pollIntervalMs: 50,
+      },
+      readerShares: Object.fromEntries(plan.zones.map((name) => [name, 1])),
+      lease: { durationMs: 600, renewIntervalMs: 150 },
+      overlay: { heartbeatIntervalMs: 200, suspectAfterMs: 800, deadAfterMs: 1_600 },
+      log: { level: 'error' },
+    });
+    const backend = hasBackend ? await BackendStandIn.start({ name: id }) : undefined;
+    const node = await runNode(settings);
+    this.machines.push({ id, zone, ports: node.ports, node, backend });
+  }
+
+  private resources(): SourceDocument['resources'] {
+    const endpoints = this.machines.flatMap(({ id, zone, backend }) =>
+      backend === undefined
+        ? []
+        : [
+            {
+              kind: 'endpoint' as const,
+              name: id,
+              spec: {
+                service: 'tiles',
+                address: HOST,
+                port: backend.ports.port,
+                zone,
+                region: REGION,
+                machine: id,
+                slots: 20,
+                maxConnections: 130,
+                state: 'active' as const,
+              },
+            },
+          ],
+    );
+    return [
+      {
+        kind: 'service',
+        name: 'tiles',
+        spec: { requestTimeoutMs: 5_000, retryBudgetPercent: 20 },
+      },
+      {
+        kind: 'route',
+        name: 'tiles',
+        spec: { hosts: [], methods: [], pathPrefix: '/tiles', service: 'tiles' },
+      },
+      ...endpoints,
+    ];
+  }
+}
+
+/** Looks at `condition` until it holds; the test's own time limit bounds it. */
+export async function eventually(condition: () => Promise<boolean>): Promise<void> {
+  while (!(await condition())) {
+    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
+  }
+}
+
+/** Version number of the source's document that a node holds. */
+export async function sourceVersion(machine: FleetMachine): Promise<number> {
+  const response = await fetch(`http://${HOST}:${machine.ports.admin}/v1/status`);
+  const status = (await response.json()) as { held: { source: { number: number } } };
+  return status.held.source.number;
+}
+
+/** Sends a request to a node's caller port. */
+export function call(machine: FleetMachine, path: string, init?: RequestInit): Promise<Response> {
+  return fetch(`http://${HOST}:${machine.ports.caller}${path}`, init);
+}
+
+function freePort(): Promise<number> {
+  return new Promise((resolve, reject) => {
+    const server = createServer();
+    server.once('error', reject);
+    server.listen(0, HOST, () => {
+      const address = server.address();
+      server.close(() => resolve(typeof address === 'object' && address ? address.port : 0));
+    });
+  });
+}
--- a/tools/fuzz/control-plane-target.ts
+++ b/tools/fuzz/control-plane-target.ts
@@ -1,16 +1,28 @@
 /** What the fuzzer runs: the product's control plane as the product puts it together. */
 import { encodedSize } from '../../src/wire/codec.js';
-import { productFactory } from '../emulator/product-nodes.js';
-import { FUZZ_ZONES } from './fuzz-command.js';
+import { ControlPlaneNode } from '../emulator/control-plane-node.js';
+import { CONTROL_PORT } from '../emulator/machine-registry.js';
+import { siteAddress } from '../emulator/topology.js';
+import { FixedReader } from './fixed-reader.js';
 import type { FuzzTarget } from './script-runner.js';
 
-/** Readers that the source bears at once. */
+/** Machines that every node may dial first: one in each zone. */
+const SEED_INDEXES = [0, 1, 2, 3];
 const READER_BOUND = 4;
 
 /** The product's control plane. */
 export function controlPlaneTarget(): FuzzTarget {
+  const seeds = SEED_INDEXES.map((index) => ({
+    address: siteAddress(index),
+    controlPort: CONTROL_PORT,
+  }));
   return {
-    factory: productFactory(FUZZ_ZONES),
+    factory: (context) =>
+      new ControlPlaneNode(context, {
+        seeds,
+        parts: ({ site }) =>
+          SEED_INDEXES.includes(site.index) ? [(documents) => new FixedReader(documents)] : [],
+      }),
     sizer: encodedSize,
     readerBound: READER_BOUND,
   };
