Put the peer transport under fault tables; close silent TLS connections

Cause: the transport's guards against faulty dialers, listeners and whoever sits on the path had no proof. The new table found a real fault: Node's TLS server only tells of a handshake that ran out of time and leaves its socket open, so that silent connections stayed for ever, up to the listener's bound.

Change: the listener closes a connection whose TLS handshake failed.

--- a/src/transport/link-sockets.ts
+++ b/src/transport/link-sockets.ts
@@ -82,7 +82,11 @@
     handshakeTimeout: options.handshakeTimeoutMs,
   });
   server.on('secureConnection', options.onSocket);
-  server.on('tlsClientError', options.onTlsFailure);
+  server.on('tlsClientError', (_error: Error, socket: TLSSocket) => {
+    // The server leaves a socket open whose handshake ran out of time.
+    socket.destroy();
+    options.onTlsFailure();
+  });
   return server;
 }
 
--- a/test/transport/peer-transport.test.ts
+++ b/test/transport/peer-transport.test.ts
@@ -217,22 +217,43 @@
     });
 
     const refused = [
-      ['a certificate of another authority', good, foreign],
-      ['a dialer that trusts another authority', foreign, good],
-      ['a dialer without TLS', {}, good],
-      ['a listener without TLS', good, {}],
-      ['a good certificate without the fleet key', { ...good, fleetKey: 'x'.repeat(16) }, good],
+      ['a certificate of another authority', foreign, good, 'tls'],
+      ['to dial a listener of another authority', good, foreign, 'tls'],
+      ['a dialer without TLS', {}, good, 'tls'],
+      ['a listener without TLS', good, {}, 'malformed'],
+      [
+        'a certificate without the fleet key',
+        { ...good, fleetKey: 'x'.repeat(16) },
+        good,
+        'wrong_key',
+      ],
     ] as const;
-    for (const [name, dialerOptions, acceptorOptions] of refused) {
+    for (const [name, dialerOptions, acceptorOptions, reason] of refused) {
       it(`refuses ${name}`, async () => {
         const dialer = await bench.node('a', dialerOptions);
         const acceptor = await bench.node('b', acceptorOptions);
         dialer.transport.dial(acceptor.address);
         await dialer.until(() => dialer.of('dial-failed').length === 1);
+        await acceptor.until(() => acceptor.refused(reason) === 1);
         expect(acceptor.events).to.deep.equal([]);
         expect(dialer.events).to.have.length(1);
       });
     }
+
+    it('does not wait for a TLS handshake without end', async () => {
+      const node = await bench.node('a', { ...good, limits: { handshakeTimeoutMs: 100 } });
+      const raw = await bench.rawClient(node.address);
+      await raw.untilClosed();
+      await node.until(() => node.refused('tls') === 1);
+    });
+
+    it('refuses a relay that holds a certificate and passes the proofs on', async () => {
+      const [a, b] = [await bench.node('a', good), await bench.node('b', good)];
+      a.transport.dial(await bench.tlsRelay(good.tls, b.address));
+      await a.until(() => a.of('dial-failed').length === 1);
+      expect(b.refused('wrong_key')).to.equal(1);
+      expect(b.events).to.deep.equal([]);
+    });
   });
 });
 
--- a/test/transport/transport-helpers.ts
+++ b/test/transport/transport-helpers.ts
@@ -2,6 +2,7 @@
 import { once } from 'node:events';
 import { readFileSync } from 'node:fs';
 import { connect, createServer, type AddressInfo, type Server, type Socket } from 'node:net';
+import { connect as connectTls, createServer as createTlsServer } from 'node:tls';
 import type { CounterSink } from '../../src/control/control-event.js';
 import type { PeerAddress, PeerIdentity } from '../../src/membership/peer-identity.js';
 import { Handshake, type HandshakeStep } from '../../src/transport/handshake.js';
@@ -178,12 +179,31 @@
       this.cleanups.push(() => socket.destroy());
       onSocket(socket);
     });
+    return this.listen(server);
+  }
+
+  private async listen(server: Server): Promise<PeerAddress> {
     server.listen(0, LOOPBACK);
     await once(server, 'listening');
     this.cleanups.push(() => server.close());
     return { address: LOOPBACK, controlPort: (server.address() as AddressInfo).port };
   }
 
+  /** Ends TLS on both sides with good certificates and passes the bytes on; gives its address. */
+  async tlsRelay(tls: TransportTls, target: PeerAddress): Promise<PeerAddress> {
+    const pem = { cert: tls.certificatePem, key: tls.keyPem, ca: tls.authorityPem };
+    const server = createTlsServer({ ...pem, requestCert: true }, (inbound) => {
+      const trust = { ...pem, checkServerIdentity: () => undefined };
+      const outbound = connectTls({ ...trust, host: target.address, port: target.controlPort });
+      for (const socket of [inbound, outbound]) {
+        socket.on('error', () => undefined);
+        this.cleanups.push(() => socket.destroy());
+      }
+      inbound.pipe(outbound).pipe(inbound);
+    });
+    return this.listen(server);
+  }
+
   async close(): Promise<void> {
     await Promise.all(this.cleanups.splice(0).map((cleanup) => cleanup()));
   }
