Let an answer that meets its cancellation wait for the outcome

Cause: an endpoint that confirms a cancellation may also answer the cancelled request, and that answer was passed on as ran. Change: the answer waits for the outcome of the cancellation (bounded by the cancellation's time limit) and is passed on only when the outcome is no proof of not run. A refusal with status 504 (deadline too near) counts as a refusal, as 503 does.

--- a/src/proxy/endpoint-attempt.ts
+++ b/src/proxy/endpoint-attempt.ts
@@ -58,6 +58,8 @@
   private state: State = 'dispatched';
   /** What to report when a cancellation gives no better knowledge; undefined when nobody waits. */
   private pendingReport: AttemptReport | undefined;
+  /** Whether an answer waits for the outcome of the cancellation. */
+  private hasAnswer = false;
 
   /** Takes an event; effects are to be executed in order. Events out of place have none. */
   handle(event: EndpointAttemptEvent): EndpointAttemptEffect[] {
@@ -81,14 +83,22 @@
     }
   }
 
-  /** The answer is passed on while somebody waits for it, even when a cancellation is under way. */
+  /**
+   * An answer that meets the cancellation at the deadline waits for its outcome: it may only report
+   * that the request was cancelled.
+   */
   private takeAnswer(): EndpointAttemptEffect[] {
-    const isWanted =
-      this.state === 'dispatched' ||
-      (this.state === 'cancelling' && this.pendingReport === 'timed-out');
-    if (!isWanted) {
-      return [{ type: 'close-exchange' }];
+    if (this.state === 'dispatched') {
+      return this.passAnswer();
+    }
+    if (this.state === 'cancelling' && this.pendingReport === 'timed-out') {
+      this.hasAnswer = true;
+      return [];
     }
+    return [{ type: 'close-exchange' }];
+  }
+
+  private passAnswer(): EndpointAttemptEffect[] {
     this.state = 'answering';
     this.pendingReport = undefined;
     return [{ type: 'pass-answer' }];
@@ -145,6 +155,9 @@
       return [];
     }
     const isProof = outcome === 'not-started' || outcome === 'cancelled';
+    if (this.hasAnswer && this.pendingReport !== undefined && !isProof) {
+      return this.passAnswer();
+    }
     const effects: EndpointAttemptEffect[] = [{ type: 'close-exchange' }];
     if (this.pendingReport !== undefined) {
       const proved = this.pendingReport === 'timed-out' ? 'cancelled' : 'lost-before-start';
@@ -160,6 +173,7 @@
   /** A broken answer may leave the endpoint at work. */
   private endAnswer(isWhole: boolean): EndpointAttemptEffect[] {
     if (this.state !== 'answering') {
+      this.hasAnswer = false;
       return [];
     }
     return isWhole ? this.release(true) : this.cancel(undefined);
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -27,7 +27,8 @@
   LOAD_HEADER,
   DRAINING_HEADER,
 ]);
-const REFUSED_STATUS = 503;
+/** Statuses of refusals: no room or a drain, and a deadline that is too near. */
+const REFUSED_STATUSES: ReadonlySet<number> = new Set([503, 504]);
 const MAX_CANCEL_ANSWER_BYTES = 1_024;
 
 /** What an endpoint says of a cancelled request. */
@@ -131,7 +132,7 @@
     }
     const status = message.statusCode ?? 0;
     const load = parseLoad(message);
-    if (status === REFUSED_STATUS && headers[NOT_STARTED_HEADER] === '1') {
+    if (REFUSED_STATUSES.has(status) && headers[NOT_STARTED_HEADER] === '1') {
       message.resume();
       observer.refused(load, parseRetryAfter(headers['retry-after']));
       return;
