Keep new work from leaving endpoints, and share out endpoints without a node

Cause: an endpoint that drains by its own word, by configuration or with its node got new requests, or kept those that waited; an endpoint without a node, or with a dead one, could be given more than its slots by many nodes.

Endpoints without a node are divided evenly; one whose node is dead is used directly by about half as many nodes as it has slots, chosen by a hash, with one request each. An endpoint that refuses what it was sent gets less (multiplicative decrease, additive increase). A full queue displaces the newest request of the caller's node that has most in it.

--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -8,6 +8,8 @@
 const QUEUE_PER_SLOT = 2;
 /** Weight of a new measurement in the running mean of service time. */
 const SERVICE_TIME_WEIGHT = 0.1;
+/** What is left of the limit after the endpoint refused. */
+const REFUSAL_FACTOR = 0.9;
 /** Least time after which a refused caller is told to come back, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 50;
 
@@ -41,7 +43,12 @@
   private meanServiceMs: number | undefined;
   private draining = false;
 
-  constructor(private slots: number) {}
+  /** Requests that may run at once: at most the slots, fewer while the endpoint refuses. */
+  private limit: number;
+
+  constructor(private slots: number) {
+    this.limit = slots;
+  }
 
   /** Requests that run. */
   get runningCount(): number {
@@ -66,6 +73,7 @@
   /** Takes a change of the endpoint's slots; running requests are left alone. */
   setSlots(slots: number, nowMs: number): AdmissionEffect[] {
     this.slots = slots;
+    this.limit = slots;
     return this.fillSlots(nowMs);
   }
 
@@ -81,17 +89,29 @@
     return waiting.map((ticket) => this.refuse(ticket, 'draining'));
   }
 
+  /**
+   * The endpoint refused a request that it was sent: it has less room than its slots say, or others
+   * use it too. The limit falls by a part, and rises again by one with each full round of answers.
+   */
+  endpointRefused(): void {
+    this.limit = Math.max(1, this.limit * REFUSAL_FACTOR);
+  }
+
   /** A request arrives. */
   offer(ticket: AdmissionTicket, nowMs: number): AdmissionEffect[] {
     const reason = this.refusalOf(ticket, nowMs);
     if (reason !== undefined) {
       return [this.refuse(ticket, reason)];
     }
+    const displaced = this.displaceFor(ticket);
+    if (this.waiting >= this.queueBound) {
+      return [this.refuse(ticket, 'queue-full')];
+    }
     const queue = this.queues.get(ticket.callerNode) ?? [];
     queue.push(ticket);
     this.queues.set(ticket.callerNode, queue);
     this.waiting += 1;
-    return this.fillSlots(nowMs);
+    return [...displaced, ...this.fillSlots(nowMs)];
   }
 
   /**
@@ -104,6 +124,7 @@
     }
     if (serviceMs !== undefined) {
       this.measure(serviceMs);
+      this.limit = Math.min(this.slots, this.limit + 1 / this.limit);
     }
     return this.fillSlots(nowMs);
   }
@@ -123,6 +144,28 @@
     return true;
   }
 
+  private get queueBound(): number {
+    return this.slots * QUEUE_PER_SLOT;
+  }
+
+  /** Makes room in a full queue at the cost of the node that has the most requests in it. */
+  private displaceFor(ticket: AdmissionTicket): AdmissionEffect[] {
+    if (this.waiting < this.queueBound) {
+      return [];
+    }
+    const ownLength = this.queues.get(ticket.callerNode)?.length ?? 0;
+    let longest: AdmissionTicket[] = [];
+    for (const queue of this.queues.values()) {
+      longest = queue.length > longest.length ? queue : longest;
+    }
+    const newest = longest.length > ownLength + 1 ? longest.pop() : undefined;
+    if (newest === undefined) {
+      return [];
+    }
+    this.waiting -= 1;
+    return [this.refuse(newest, 'queue-full')];
+  }
+
   private refusalOf(ticket: AdmissionTicket, nowMs: number): RefusalReason | undefined {
     if (this.draining) {
       return 'draining';
@@ -130,9 +173,6 @@
     if (ticket.deadlineAtMs <= nowMs) {
       return 'deadline-passed';
     }
-    if (this.waiting >= this.slots * QUEUE_PER_SLOT) {
-      return 'queue-full';
-    }
     const startAtMs = nowMs + this.expectedWaitMs();
     return this.isTooLate(ticket, startAtMs) ? 'cannot-finish-in-time' : undefined;
   }
@@ -144,8 +184,8 @@
 
   /** Time until a request that arrives now gets a slot, at the measured pace. */
   private expectedWaitMs(): number {
-    const ahead = this.running.size + this.waiting - this.slots + 1;
-    return ahead <= 0 ? 0 : (ahead * (this.meanServiceMs ?? 0)) / this.slots;
+    const ahead = this.running.size + this.waiting - this.limit + 1;
+    return ahead <= 0 ? 0 : (ahead * (this.meanServiceMs ?? 0)) / this.limit;
   }
 
   private refuse(ticket: AdmissionTicket, reason: RefusalReason): AdmissionEffect {
@@ -155,7 +195,7 @@
 
   private fillSlots(nowMs: number): AdmissionEffect[] {
     const effects: AdmissionEffect[] = [];
-    while (this.running.size < this.slots) {
+    while (this.running.size < Math.floor(this.limit)) {
       const ticket = this.takeNext();
       if (ticket === undefined) {
         break;
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -45,10 +45,12 @@
   constructor(
     private readonly response: ServerResponse,
     private readonly request: IncomingMessage,
+    private readonly isStopping: () => boolean,
   ) {}
 
   /** Passes an endpoint's answer on; holds it whole where it has up to `holdBytes`. */
   answer(answer: Answer, requestId: string, holdBytes: number, observer: AnswerObserver): void {
+    this.closeWhenStopping();
     const headers = answer.headers.concat(VERDICT_HEADER, 'ran', REQUEST_ID_HEADER, requestId);
     passAnswer(answer, this.response, headers, holdBytes, observer);
   }
@@ -59,6 +61,7 @@
       this.response.destroy();
       return;
     }
+    this.closeWhenStopping();
     if (!this.request.complete) {
       this.response.shouldKeepAlive = false;
     }
@@ -70,6 +73,13 @@
     this.response.destroy();
   }
 
+  /** Hands the caller over: its next request goes to another node. */
+  private closeWhenStopping(): void {
+    if (this.isStopping()) {
+      this.response.shouldKeepAlive = false;
+    }
+  }
+
   /** Calls `action` once the exchange is over; `isWhole` when the answer went out in full. */
   onClose(action: (isWhole: boolean) => void): void {
     this.response.once('close', () => action(this.response.writableFinished));
@@ -119,10 +129,7 @@
   response: ServerResponse,
 ): void {
   response.on('error', () => response.destroy());
-  if (options.isStopping()) {
-    response.shouldKeepAlive = false;
-  }
-  const callerResponse = new CallerResponse(response, request);
+  const callerResponse = new CallerResponse(response, request, options.isStopping);
   const fault = faultOf(request);
   if (fault !== undefined) {
     request.resume();
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -16,6 +16,7 @@
 
 const REQUEST_ID_HEADER = 'x-request-id';
 const DEADLINE_HEADER = 'x-deadline-ms';
+const HEALTH_TARGET = '/health';
 const RETRIES_HEADER = 'ferryspool-retries';
 const NOT_STARTED_HEADER = 'x-not-started';
 const LOAD_HEADER = 'x-load';
@@ -29,6 +30,8 @@
 ]);
 /** Statuses of refusals: no room or a drain, and a deadline that is too near. */
 const REFUSED_STATUSES: ReadonlySet<number> = new Set([503, 504]);
+/** Connections to one endpoint for cancellations and health, besides those for requests. */
+const MAX_CONTROL_CONNECTIONS = 4;
 const MAX_CANCEL_ANSWER_BYTES = 1_024;
 
 /** What an endpoint says of a cancelled request. */
@@ -56,7 +59,7 @@
 export class EndpointClient {
   private readonly agent = new ExchangeAgent();
   /** Cancellations must not wait behind the requests that they cancel. */
-  private readonly cancelAgent = new ExchangeAgent();
+  private readonly controlAgent = new ExchangeAgent(MAX_CONTROL_CONNECTIONS);
 
   constructor(private readonly connectTimeoutMs: number) {}
 
@@ -110,16 +113,48 @@
       exchange.abort();
       settle('unconfirmed');
     }, timeoutMs);
-    const exchange = startExchange(this.cancelAgent, request, {
+    const exchange = startExchange(this.controlAgent, request, {
       answered: (message) => readCancelAnswer(message, settle),
       failed: () => settle('unconfirmed'),
     });
   }
 
+  /**
+   * Asks whether the endpoint still says that it drains; reports undefined without an answer. What
+   * it says of its health is not considered: requests show that.
+   */
+  probeDraining(endpoint: Endpoint, report: (isDraining: boolean | undefined) => void): void {
+    const { address, port } = endpoint.spec;
+    const request = {
+      host: address,
+      port,
+      method: 'GET',
+      target: HEALTH_TARGET,
+      headers: ['Host', `${address}:${port}`],
+      body: EMPTY_BODY,
+      connectTimeoutMs: this.connectTimeoutMs,
+    };
+    const exchange = startExchange(this.controlAgent, request, {
+      answered: (message) => {
+        clearTimeout(timer);
+        message.resume();
+        report(parseLoad(message)?.draining === true);
+      },
+      failed: () => {
+        clearTimeout(timer);
+        report(undefined);
+      },
+    });
+    const timer = setTimeout(() => {
+      exchange.abort();
+      report(undefined);
+    }, this.connectTimeoutMs);
+  }
+
   /** Closes all connections. */
   close(): void {
     this.agent.destroy();
-    this.cancelAgent.destroy();
+    this.controlAgent.destroy();
   }
 
   private takeAnswer(message: IncomingMessage, call: Call, observer: EndpointObserver): void {
--- /dev/null
+++ b/src/proxy/endpoint-gate.ts
@@ -0,0 +1,128 @@
+/** Admission to one endpoint. Executes the effects of {@link EndpointAdmission}. */
+import { EndpointAdmission, type AdmissionEffect } from '../admission/endpoint-admission.js';
+import type { CounterSink } from '../control/control-event.js';
+import type { Endpoint } from '../model/resource.js';
+import { admissionError } from './attempt-errors.js';
+import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
+import type { EndpointClient } from './endpoint-client.js';
+import { GatedCall, type CallGate } from './gated-call.js';
+
+/** What gates share. */
+export interface GateOptions {
+  readonly client: EndpointClient;
+  readonly counters: CounterSink;
+  readonly clock: () => number;
+  /** Writes one line on a change of state. */
+  readonly logStateChange: (what: string, detail: string) => void;
+}
+
+/** The slots of one endpoint and the requests for them. */
+export class EndpointGate implements CallGate {
+  private readonly admission: EndpointAdmission;
+  private readonly calls = new Map<string, GatedCall>();
+  private isProbing = false;
+  private isDrainedByEndpoint = false;
+  private isDrainedByConfiguration = false;
+
+  constructor(
+    readonly endpoint: Endpoint,
+    private slots: number,
+    private readonly options: GateOptions,
+  ) {
+    this.admission = new EndpointAdmission(slots);
+  }
+
+  /** Whether no request waits or runs. */
+  get isIdle(): boolean {
+    return this.calls.size === 0;
+  }
+
+  load(): LoadReport {
+    const inFlight = this.admission.runningCount + this.admission.waitingCount;
+    return { inFlight, slots: this.slots, draining: this.admission.isDraining };
+  }
+
+  submit(call: Call, observer: AttemptObserver): Attempt {
+    const { client, clock } = this.options;
+    const gated = new GatedCall(this, client, this.endpoint, call, observer, clock);
+    this.calls.set(call.requestId, gated);
+    this.execute(this.admission.offer(call, clock()));
+    gated.waitUntil(this.admission.latestStartAtMs(call.deadlineAtMs));
+    return gated;
+  }
+
+  withdraw(call: Call): boolean {
+    const wasWaiting = this.admission.withdraw(call.requestId, call.callerNode);
+    if (wasWaiting) {
+      this.calls.delete(call.requestId);
+    }
+    return wasWaiting;
+  }
+
+  release(call: Call, serviceMs: number | undefined): void {
+    this.calls.delete(call.requestId);
+    this.execute(this.admission.release(call.requestId, this.options.clock(), serviceMs));
+  }
+
+  takeLoad(load: LoadReport | undefined): void {
+    if (load?.draining === true && !this.isDrainedByEndpoint) {
+      this.isDrainedByEndpoint = true;
+      this.updateDraining();
+    }
+  }
+
+  takeRefusal(load: LoadReport | undefined): void {
+    this.takeLoad(load);
+    this.admission.endpointRefused();
+  }
+
+  /** Takes what the configuration says; `slots` is what this node may use. */
+  configure(slots: number, isDraining: boolean): void {
+    if (isDraining !== this.isDrainedByConfiguration) {
+      this.isDrainedByConfiguration = isDraining;
+      this.updateDraining();
+    }
+    if (slots !== this.slots) {
+      this.slots = slots;
+      this.execute(this.admission.setSlots(slots, this.options.clock()));
+    }
+  }
+
+  /** Asks an endpoint that said that it drains whether it still does. */
+  probeDraining(): void {
+    if (!this.isDrainedByEndpoint || this.isProbing) {
+      return;
+    }
+    this.isProbing = true;
+    this.options.client.probeDraining(this.endpoint, (isDraining) => {
+      this.isProbing = false;
+      if (isDraining === false) {
+        this.isDrainedByEndpoint = false;
+        this.updateDraining();
+      }
+    });
+  }
+
+  private updateDraining(): void {
+    const isDraining = this.isDrainedByEndpoint || this.isDrainedByConfiguration;
+    if (isDraining !== this.admission.isDraining) {
+      const detail = `${this.endpoint.name} ${isDraining ? 'draining' : 'open'}`;
+      this.options.logStateChange('endpoint', detail);
+      this.execute(this.admission.setDraining(isDraining));
+    }
+  }
+
+  private execute(effects: readonly AdmissionEffect[]): void {
+    for (const effect of effects) {
+      const gated = this.calls.get(effect.requestId);
+      if (effect.type === 'dispatch') {
+        this.options.counters.add('ferryspool_endpoint_dispatches_total');
+        gated?.dispatch();
+      } else {
+        this.options.counters.add('ferryspool_endpoint_refusals_total');
+        this.calls.delete(effect.requestId);
+        gated?.refuse(admissionError(effect.reason, effect.retryAfterMs));
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/proxy/gated-call.ts
@@ -0,0 +1,186 @@
+/**
+ * One request at the gate of its endpoint: waiting, then dispatched. Executes the effects of
+ * {@link EndpointAttempt}.
+ */
+import type { Endpoint } from '../model/resource.js';
+import { attemptError, DEFAULT_RETRY_AFTER_MS, endpointRefusedError } from './attempt-errors.js';
+import type { Answer, Attempt, AttemptObserver, Call, LoadReport } from './call.js';
+import {
+  EndpointAttempt,
+  type AttemptReport,
+  type EndpointAttemptEffect,
+  type EndpointAttemptEvent,
+} from './endpoint-attempt.js';
+import type { EndpointClient } from './endpoint-client.js';
+import type { Exchange } from './http-exchange.js';
+import { CannotFinishInTimeError, type RequestError } from './request-error.js';
+
+/** Part of the remaining time kept for a cancellation and the way back. */
+const CANCEL_LEAD_SHARE = 0.1;
+/** Most time kept for a cancellation and the way back, in milliseconds. */
+const MAX_CANCEL_LEAD_MS = 50;
+/** Least time that a cancellation is waited for, in milliseconds. */
+const MIN_CANCEL_TIMEOUT_MS = 20;
+/** A slot whose request can't be accounted for stays taken for this long past its deadline. */
+const ORPHAN_HOLD_MS = 1_000;
+
+/** What a request needs of its gate. */
+export interface CallGate {
+  load(): LoadReport;
+  /** The request is given up; true when it was still waiting. */
+  withdraw(call: Call): boolean;
+  /** A dispatched request no longer occupies the endpoint; with its time when it was answered. */
+  release(call: Call, serviceMs: number | undefined): void;
+  /** The endpoint answered and told its load. */
+  takeLoad(load: LoadReport | undefined): void;
+  /** The endpoint refused before the start. */
+  takeRefusal(load: LoadReport | undefined): void;
+}
+
+/** One request. */
+export class GatedCall implements Attempt {
+  private attempt: EndpointAttempt | undefined;
+  private exchange: Exchange | undefined;
+  private answer: Answer | undefined;
+  private timer: NodeJS.Timeout | undefined;
+  private dispatchedAtMs = 0;
+  private retryAfterMs: number | undefined;
+  private load: LoadReport | undefined;
+  private isOver = false;
+
+  constructor(
+    private readonly gate: CallGate,
+    private readonly client: EndpointClient,
+    private readonly endpoint: Endpoint,
+    private readonly call: Call,
+    private readonly observer: AttemptObserver,
+    private readonly clock: () => number,
+  ) {}
+
+  abort(): void {
+    if (this.attempt !== undefined) {
+      this.handle({ type: 'abandoned', wasSent: this.exchange?.wasSent() === true });
+    } else if (!this.isOver) {
+      this.isOver = true;
+      clearTimeout(this.timer);
+      this.gate.withdraw(this.call);
+    }
+  }
+
+  /** Refuses the request when it still waits at `latestStartAtMs`. */
+  waitUntil(latestStartAtMs: number): void {
+    if (this.attempt === undefined && !this.isOver) {
+      const nowMs = this.clock();
+      const lastMomentMs = this.call.deadlineAtMs - cancelLeadMs(this.call, nowMs);
+      const delayMs = Math.min(latestStartAtMs, lastMomentMs) - nowMs;
+      this.timer = setTimeout(() => this.expireWaiting(), delayMs);
+    }
+  }
+
+  refuse(error: RequestError): void {
+    this.isOver = true;
+    clearTimeout(this.timer);
+    this.observer.failed(error, this.gate.load());
+  }
+
+  dispatch(): void {
+    clearTimeout(this.timer);
+    this.attempt = new EndpointAttempt();
+    this.dispatchedAtMs = this.clock();
+    const remainingMs = this.call.deadlineAtMs - this.dispatchedAtMs;
+    const workMs = remainingMs - cancelLeadMs(this.call, this.dispatchedAtMs);
+    this.timer = setTimeout(() => {
+      this.handle({ type: 'deadline', wasSent: this.exchange?.wasSent() === true });
+    }, workMs);
+    this.exchange = this.client.send(this.endpoint, this.call, workMs, {
+      answered: (answer) => this.takeAnswer(answer),
+      refused: (load, retryAfterMs) => this.takeRefusal(load, retryAfterMs),
+      failed: (failure) => this.handle({ type: 'failed', failure }),
+    });
+  }
+
+  private expireWaiting(): void {
+    if (this.attempt === undefined && this.gate.withdraw(this.call)) {
+      this.refuse(new CannotFinishInTimeError('no slot came free in time', DEFAULT_RETRY_AFTER_MS));
+    }
+  }
+
+  private takeAnswer(answer: Answer): void {
+    this.answer = answer;
+    this.gate.takeLoad(answer.load);
+    answer.stream.once('close', () => {
+      this.handle({ type: 'answer-ended', isWhole: answer.stream.complete });
+    });
+    this.handle({ type: 'answered' });
+  }
+
+  private takeRefusal(load: LoadReport | undefined, retryAfterMs: number | undefined): void {
+    this.load = load;
+    this.retryAfterMs = retryAfterMs;
+    this.gate.takeRefusal(load);
+    this.handle({ type: 'refused' });
+  }
+
+  private handle(event: EndpointAttemptEvent): void {
+    for (const effect of this.attempt?.handle(event) ?? []) {
+      this.execute(effect);
+    }
+  }
+
+  private execute(effect: EndpointAttemptEffect): void {
+    switch (effect.type) {
+      case 'pass-answer':
+        return this.passAnswer();
+      case 'report':
+        return this.observer.failed(this.errorOf(effect.report), this.gate.load());
+      case 'send-cancel':
+        return this.sendCancel();
+      case 'close-exchange':
+        return this.exchange?.abort();
+      case 'hold-slot':
+        return this.holdSlot();
+      case 'release-slot':
+        return this.releaseSlot(effect.isMeasured);
+    }
+  }
+
+  private passAnswer(): void {
+    if (this.answer !== undefined) {
+      clearTimeout(this.timer);
+      const draining = this.answer.load?.draining === true;
+      this.observer.answered({ ...this.answer, load: { ...this.gate.load(), draining } });
+    }
+  }
+
+  private sendCancel(): void {
+    clearTimeout(this.timer);
+    const leftMs = this.call.deadlineAtMs - this.clock();
+    const timeoutMs = Math.max(MIN_CANCEL_TIMEOUT_MS, Math.min(MAX_CANCEL_LEAD_MS, leftMs));
+    this.client.cancel(this.endpoint, this.call.requestId, timeoutMs, (outcome) => {
+      this.handle({ type: 'cancel-answered', outcome });
+    });
+  }
+
+  private holdSlot(): void {
+    const holdMs = Math.max(0, this.call.deadlineAtMs - this.clock()) + ORPHAN_HOLD_MS;
+    this.timer = setTimeout(() => this.handle({ type: 'hold-over' }), holdMs);
+  }
+
+  private releaseSlot(isMeasured: boolean): void {
+    clearTimeout(this.timer);
+    const serviceMs = isMeasured ? this.clock() - this.dispatchedAtMs : undefined;
+    this.gate.release(this.call, serviceMs);
+  }
+
+  private errorOf(report: AttemptReport): RequestError {
+    const { name } = this.endpoint;
+    return report === 'refused'
+      ? endpointRefusedError(name, this.load?.draining === true, this.retryAfterMs)
+      : attemptError(report, name);
+  }
+}
+
+/** Part of the time left that is kept for a cancellation and the way back. */
+function cancelLeadMs(call: Call, nowMs: number): number {
+  return Math.min(MAX_CANCEL_LEAD_MS, (call.deadlineAtMs - nowMs) * CANCEL_LEAD_SHARE);
+}
--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -53,8 +53,14 @@
  * could only be taken for the answer to a later request.
  */
 export class ExchangeAgent extends http.Agent {
-  constructor() {
-    super({ keepAlive: true, maxFreeSockets: MAX_IDLE_CONNECTIONS, timeout: IDLE_CONNECTION_MS });
+  /** `maxConnections` bounds the connections to each destination; requests over it wait. */
+  constructor(maxConnections = Infinity) {
+    super({
+      keepAlive: true,
+      maxSockets: maxConnections,
+      maxFreeSockets: MAX_IDLE_CONNECTIONS,
+      timeout: IDLE_CONNECTION_MS,
+    });
   }
 
   override keepSocketAlive(socket: Duplex): void {
--- a/src/proxy/relay-server.ts
+++ b/src/proxy/relay-server.ts
@@ -81,9 +81,6 @@
     response.end();
     return;
   }
-  if (options.isStopping()) {
-    response.shouldKeepAlive = false;
-  }
   options.counters.add('ferryspool_relayed_requests_total');
   const call = readCall(options, request, sender);
   if (call === undefined) {
@@ -99,18 +96,19 @@
     );
     return;
   }
-  submit(options.endpoints, endpoint, call, response);
+  submit(options, endpoint, call, response);
 }
 
 function submit(
-  endpoints: EndpointPath,
+  options: RelayServerOptions,
   endpoint: Endpoint,
   call: Call,
   response: ServerResponse,
 ): void {
   let isOver = false;
-  const attempt: Attempt = endpoints.submit(endpoint, call, {
+  const attempt: Attempt = options.endpoints.submit(endpoint, call, {
     answered: (answer) => {
+      response.shouldKeepAlive &&= !options.isStopping();
       passAnswer(answer, response, answerHeaders(answer), 0, {
         whole: () => {
           isOver = true;
@@ -127,6 +125,7 @@
     },
     failed: (error, load) => {
       isOver = true;
+      response.shouldKeepAlive &&= !options.isStopping();
       sendRelayError(response, error, load);
     },
   });
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -60,6 +60,7 @@
   readonly relayServer: http.Server;
   private readonly limits: ProxyLimits;
   private readonly services: RequestServices;
+  private readonly gateway: EndpointGateway;
   private readonly endpointClient: EndpointClient;
   private readonly relayClient: RelayClient;
   private readonly routeTables = new RouteTableCache();
@@ -76,21 +77,23 @@
     this.heldBytes = new HeldBytes(this.limits.maxHeldBytes);
     this.endpointClient = new EndpointClient(this.limits.connectTimeoutMs);
     this.relayClient = this.makeRelayClient();
-    const gateway = new EndpointGateway(
-      this.endpointClient,
-      (endpoint) => endpoint.spec.slots,
-      options.counters,
-      this.clock,
-    );
+    this.gateway = new EndpointGateway({
+      client: this.endpointClient,
+      counters: options.counters,
+      clock: this.clock,
+      logStateChange: options.logStateChange,
+      snapshot: () => options.snapshots.current(),
+      slotsFor: (endpoint) => this.services.slotsFor(endpoint),
+    });
     this.services = new RequestServices({
       ...options,
       limits: this.limits,
       clock: this.clock,
-      direct: gateway,
+      direct: this.gateway,
       relay: this.relayClient,
     });
     this.callerServer = this.makeCallerServer();
-    this.relayServer = this.makeRelayServer(gateway);
+    this.relayServer = this.makeRelayServer();
   }
 
   async stop(): Promise<void> {
@@ -116,6 +119,7 @@
       server.close();
       server.closeAllConnections();
     }
+    this.gateway.close();
     this.endpointClient.close();
     this.relayClient.close();
     this.options.logStateChange('request-path', 'stopped');
@@ -142,7 +146,7 @@
     });
   }
 
-  private makeRelayServer(gateway: EndpointGateway): http.Server {
+  private makeRelayServer(): http.Server {
     const server = createRelayServer({
       machineId: this.options.identity.id,
       limits: this.limits,
@@ -150,7 +154,7 @@
       clock: this.clock,
       verifyToken: (token) => verifyRelayToken(this.options.fleetKey, token, Date.now()),
       snapshot: () => this.options.snapshots.current(),
-      endpoints: gateway,
+      endpoints: this.gateway,
       isStopping: () => this.isStopping,
     });
     server.prependListener('request', (_request, response: http.ServerResponse) => {
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -3,7 +3,7 @@
 import type { Snapshot } from '../model/snapshot.js';
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
 import type { RouteMatch } from '../routing/route-table.js';
-import type { Answer, Attempt, Call, EndpointPath, LoadReport } from './call.js';
+import type { Answer, Attempt, Call, LoadReport } from './call.js';
 import type { CallerRequest, CallerResponse } from './caller-server.js';
 import type { RequestBody } from './request-body.js';
 import {
@@ -111,7 +111,8 @@
     const { services, snapshot, match } = this.context;
     this.attemptNumber = attempt;
     const endpoint = services.chooseEndpoint(snapshot, match, this.tried);
-    if (endpoint === undefined || this.body === undefined) {
+    const path = endpoint && services.pathTo(endpoint);
+    if (endpoint === undefined || path === undefined || this.body === undefined) {
       const failure = new NoEndpointError(`no endpoint of service ${match.service} takes new work`);
       this.handle({ type: 'no-endpoint', attempt, failure });
       return;
@@ -121,7 +122,6 @@
     this.tried.add(endpoint.name);
     services.selector.began(endpoint, services.clock());
     const call = this.callOf(this.body, attempt, retriesLeft);
-    const path: EndpointPath = services.pathTo(endpoint);
     this.attempt = path.submit(endpoint, call, {
       answered: (answer) => this.takeAnswer(attempt, answer),
       failed: (error, load) => this.takeFailure(attempt, error, load),
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -3,6 +3,7 @@
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
+import { orphanSlots, ownedSlots, sharedSlots } from '../routing/direct-access.js';
 import { EndpointSelector } from '../routing/endpoint-selector.js';
 import { RetryBudget } from '../routing/retry-budget.js';
 import type { RouteMatch } from '../routing/route-table.js';
@@ -64,17 +65,39 @@
       region,
       tried,
       repeatable: match.repeatable,
-      mayReceive: (endpoint: Endpoint) => this.mayReceive(endpoint),
+      mayReceive: (endpoint: Endpoint) => this.pathTo(endpoint) !== undefined,
     };
     const endpoints = snapshot.endpointsByService.get(match.service) ?? [];
     return this.selector.choose(endpoints, context, this.clock());
   }
 
-  /** The way to an endpoint. */
-  pathTo(endpoint: Endpoint): EndpointPath {
+  /** The way to an endpoint, or undefined when it may get no new work from this node. */
+  pathTo(endpoint: Endpoint): EndpointPath | undefined {
     const { machine } = endpoint.spec;
-    const isDirect = machine === undefined || machine === this.machineId;
-    return isDirect ? this.options.direct : this.options.relay;
+    if (machine === undefined || machine === this.machineId) {
+      return this.options.direct;
+    }
+    const { members } = this.options;
+    const status = members.status(machine);
+    if (status === 'leaving') {
+      return undefined;
+    }
+    if (status !== 'dead' && members.relayAddress(machine) !== undefined) {
+      return this.options.relay;
+    }
+    return this.slotsFor(endpoint) > 0 ? this.options.direct : undefined;
+  }
+
+  /** Requests at once that this node may send to an endpoint itself. */
+  slotsFor(endpoint: Endpoint): number {
+    const { machine } = endpoint.spec;
+    if (machine === this.machineId) {
+      return ownedSlots(endpoint);
+    }
+    const nodeCount = this.options.members.count();
+    return machine === undefined
+      ? sharedSlots(endpoint, nodeCount)
+      : orphanSlots(endpoint, this.machineId, nodeCount);
   }
 
   retryBudgetOf(service: string): RetryBudget {
@@ -85,15 +108,4 @@
     }
     return budget;
   }
-
-  /** New work goes only to endpoints whose node is not known to leave or to be gone. */
-  private mayReceive(endpoint: Endpoint): boolean {
-    const { machine } = endpoint.spec;
-    if (machine === undefined || machine === this.machineId) {
-      return true;
-    }
-    const status = this.options.members.status(machine);
-    const isLost = status === 'leaving' || status === 'dead';
-    return !isLost && this.options.members.relayAddress(machine) !== undefined;
-  }
 }
--- a/test/proxy/rig.ts
+++ b/test/proxy/rig.ts
@@ -6,6 +6,7 @@
 import { resourceSchema } from '../../src/model/resource.js';
 import { buildSnapshot, NO_SNAPSHOT_VERSION, type Snapshot } from '../../src/model/snapshot.js';
 import type { ProxyLimits } from '../../src/proxy/proxy-limits.js';
+import { RelayTokenIssuer } from '../../src/proxy/relay-token.js';
 import { createRequestProxy, type RequestProxy } from '../../src/proxy/request-proxy.js';
 import type { PeerIdentity } from '../../src/membership/peer-identity.js';
 import type { MemberStatus } from '../../src/wire/message.js';
@@ -141,6 +142,11 @@
     return node;
   }
 
+  /** A valid relay token of the machine. */
+  tokenOf(machineId: string): string {
+    return new RelayTokenIssuer(FLEET_KEY, machineId).current(Date.now());
+  }
+
   close(): void {
     this.nodes.forEach((node) => node.proxy.abort());
   }
