Check certificates, listener ports and file bytes before anything starts

Cause: ferryspool check accepted settings that node then failed on: PEM files that are missing or do not belong together, two listeners on one port. A file was read whole before its size was looked at, and /dev/zero never ended. Change: one bounded reader for settings and documents that refuses text that is not UTF-8; certificates are read and matched by check and node alike; port clashes on one address are faults. load-settings.ts is split by job. An output whose reader went away no longer ends the process. Tests: the rows "oversized file", "unreadable file", "certificates from files" and "PEM that is none" moved from load-settings.test.ts to settings-files.test.ts, onto real files and real certificates, because their made-up PEM is now refused; each is as strict as before or stricter.

--- a/src/cli/check-document.ts
+++ b/src/cli/check-document.ts
@@ -1,7 +1,7 @@
 /** Tells settings from configuration documents, and checks either. */
 import { InvalidConfigurationError } from '../model/configuration-error.js';
 import { parseSourceDocument, type SourceDocument } from '../model/source-document.js';
-import { parseSettings } from '../settings/load-settings.js';
+import { settingsFromValue } from '../settings/load-settings.js';
 import { MASKED_VALUE, maskSecrets } from '../settings/secret-settings.js';
 import { SettingsError, type SettingsFault } from '../settings/settings-error.js';
 import { showValue, valueAt } from '../settings/shown-value.js';
@@ -18,7 +18,7 @@
   if (isConfigurationDocument(value)) {
     return { kind: 'configuration', printable: maskDocument(parseConfiguration(file, value)) };
   }
-  return { kind: 'settings', printable: maskSecrets(parseSettings(file, value)) };
+  return { kind: 'settings', printable: maskSecrets(settingsFromValue(file, value)) };
 }
 
 /** A configuration document has `resources` or `version`; no settings file has either. */
--- a/src/cli/command.ts
+++ b/src/cli/command.ts
@@ -1,6 +1,9 @@
 /** What every subcommand is given, and what it gives back. */
 import type { ExitCode } from './exit-code.js';
 
+/** Largest document that a command reads, in bytes. */
+export const MAX_INPUT_FILE_BYTES = 268_435_456;
+
 /** Takes text for the terminal or a pipe. */
 export interface TextSink {
   write(text: string): unknown;
--- a/src/cli/commands/apply.ts
+++ b/src/cli/commands/apply.ts
@@ -6,12 +6,12 @@
   resourceSchema,
   type Resource,
 } from '../../model/resource.js';
+import { readDocument } from '../../settings/read-document.js';
 import { SettingsError } from '../../settings/settings-error.js';
 import { readAccepted } from '../admin-answer.js';
 import { createAdminClient, type AdminClient } from '../admin-client.js';
-import { UsageError, type Command, type CommandContext } from '../command.js';
+import { MAX_INPUT_FILE_BYTES, UsageError, type Command, type CommandContext } from '../command.js';
 import { ExitCode } from '../exit-code.js';
-import { readInputFile } from '../input-file.js';
 import { requireAtMost, resourcePath } from '../resource-path.js';
 import { absentPrecondition, presentPrecondition, statedPrecondition } from '../write-flags.js';
 
@@ -48,7 +48,7 @@
 };
 
 function readResources(file: string): Resource[] {
-  const values = fileSchema.parse(readInputFile(file));
+  const values = fileSchema.parse(readDocument(file, MAX_INPUT_FILE_BYTES));
   const resources = values.map((value, index) => readResource(file, value, index));
   const order = (resource: Resource): number => RESOURCE_KINDS.indexOf(resource.kind);
   return resources.sort((left, right) => order(left) - order(right));
--- a/src/cli/commands/check.ts
+++ b/src/cli/commands/check.ts
@@ -1,11 +1,11 @@
 /** `ferryspool check`: checks a settings file or a configuration document. */
 import { stringify } from 'yaml';
 import { defaultSettings } from '../../settings/default-settings.js';
+import { readDocument } from '../../settings/read-document.js';
 import { SettingsError } from '../../settings/settings-error.js';
 import { checkDocument, type CheckedDocument } from '../check-document.js';
-import { UsageError, type Command, type CommandContext } from '../command.js';
+import { MAX_INPUT_FILE_BYTES, UsageError, type Command, type CommandContext } from '../command.js';
 import { ExitCode } from '../exit-code.js';
-import { readInputFile } from '../input-file.js';
 
 /** Checks the named file; without one, `--print` prints all defaults. */
 export const checkCommand: Command = (context) => Promise.resolve(check(context));
@@ -19,7 +19,7 @@
     return printDefaults(context);
   }
   try {
-    report(context, file, checkDocument(file, readInputFile(file)));
+    report(context, file, checkDocument(file, readDocument(file, MAX_INPUT_FILE_BYTES)));
     return ExitCode.Success;
   } catch (error) {
     if (error instanceof SettingsError && context.flags.json === true) {
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -21,6 +21,10 @@
   ['node', createNodeCommand(runNode, process)],
 ]);
 
+// A reader that goes away, such as a log collector, must not end the process.
+process.stdout.on('error', () => undefined);
+process.stderr.on('error', () => undefined);
+
 const interrupt = new AbortController();
 process.once('SIGINT', () => interrupt.abort());
 const exitCode = await runCli(parseArguments(process.argv.slice(2)), commands, {
--- a/src/cli/setting-flags.ts
+++ b/src/cli/setting-flags.ts
@@ -1,6 +1,6 @@
 /** Flags that stand for settings. Flags win over the settings file. */
 import { DocumentSyntaxError, parseDocumentText } from '../settings/parse-document.js';
-import type { SettingOverride } from '../settings/load-settings.js';
+import type { SettingOverride } from '../settings/setting-override.js';
 import { UsageError, type CommandFlags } from './command.js';
 import { parseHostPort } from './host-port.js';
 
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -61,6 +61,9 @@
   authorityPem: z.string().min(1),
 });
 
+/** Certificates for TLS between nodes. */
+export type TlsSettings = z.infer<typeof tlsSettingsSchema>;
+
 /** A peer to dial before the machine list is known. */
 const seedSchema = z.strictObject({ address: ipAddress, controlPort: remotePort });
 
@@ -144,8 +147,8 @@
   level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
 });
 
-/** Settings as they stand in a file; `z.input` is what an operator writes. */
-export const settingsSchema = z.strictObject({
+/** Every section and its default. */
+const settingsObjectSchema = z.strictObject({
   machine: machineSettingsSchema,
   ports: portSettingsSchema.prefault({}),
   /** IP number of the caller listener; `machine.address` when absent. */
@@ -177,8 +180,16 @@
   log: logSettingsSchema.prefault({}),
 });
 
+/** Settings as they stand in a file; `z.input` is what an operator writes. */
+export const settingsSchema = settingsObjectSchema.superRefine((settings, context) => {
+  for (const [path, taken] of findTakenPorts(completeSettings(settings))) {
+    const message = `expected a port that is not ports.${taken}, on one address`;
+    context.addIssue({ code: 'custom', path: ['ports', path], message });
+  }
+});
+
 /** What the schema gives, before addresses are filled in. */
-export type ParsedSettings = z.infer<typeof settingsSchema>;
+export type ParsedSettings = z.infer<typeof settingsObjectSchema>;
 
 /** Settings of a node: checked, complete and immutable. */
 export type Settings = Readonly<ParsedSettings> & {
@@ -194,3 +205,31 @@
     adminAddress: parsed.adminAddress ?? parsed.machine.address,
   };
 }
+
+type PortName = keyof ParsedSettings['ports'];
+
+/** Listeners that could not be opened beside an earlier one, each with that one. */
+function findTakenPorts({
+  ports,
+  machine,
+  callerAddress,
+  adminAddress,
+}: Settings): [PortName, PortName][] {
+  const addresses: Readonly<Record<PortName, string>> = {
+    caller: callerAddress,
+    relay: machine.address,
+    control: machine.address,
+    admin: adminAddress,
+  };
+  const owners = new Map<string, PortName>();
+  const taken: [PortName, PortName][] = [];
+  for (const name of Object.keys(addresses) as PortName[]) {
+    const place = `${addresses[name]} ${ports[name]}`;
+    const owner = owners.get(place);
+    if (owner !== undefined && ports[name] !== 0) {
+      taken.push([name, owner]);
+    }
+    owners.set(place, owner ?? name);
+  }
+  return taken;
+}
--- a/test/settings/load-settings.test.ts
+++ b/test/settings/load-settings.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
-import { loadSettings, MAX_SETTINGS_FILE_BYTES } from '../../src/settings/load-settings.js';
+import { loadSettings, parseSettings } from '../../src/settings/load-settings.js';
+import { parseDocumentText } from '../../src/settings/parse-document.js';
 import { defaultSettings, REQUIRED_VALUE } from '../../src/settings/default-settings.js';
 import { MASKED_VALUE, maskSecrets } from '../../src/settings/secret-settings.js';
 import { SettingsError } from '../../src/settings/settings-error.js';
@@ -59,24 +60,10 @@
     expect(settings.machine.id).to.equal('m');
   });
 
-  it('reads certificates from files beside the settings file', () => {
-    const files: Record<string, string> = {
-      [FILE]: `${BASE}tls: { certificatePem: c.pem, keyPem: "-----BEGIN K", authorityPem: a.pem }`,
-    };
-    const settings = loadSettings(FILE, [], (path) => files[path] ?? `-----BEGIN ${path}`);
-    expect(settings.tls?.certificatePem).to.match(/BEGIN .*c\.pem$/);
-    expect(settings.tls?.keyPem).to.equal('-----BEGIN K');
-  });
-
   const refused: readonly (readonly [string, string, RegExp])[] = [
     ['no YAML', 'machine: [', /^node\.yaml: expected YAML or JSON; .* line 1/],
     ['a list', '[]', /^node\.yaml: expected a map of settings$/],
     ['an empty file', '', /^node\.yaml: expected a map/],
-    [
-      'an oversized file',
-      `#${'x'.repeat(MAX_SETTINGS_FILE_BYTES)}`,
-      /expected at most 1048576 byt/,
-    ],
     ['a key that stands twice', `${BASE}\nfleetKey: other-other-other`, /DUPLICATE_KEY at line 5/],
     [
       'an alias bomb',
@@ -114,7 +101,16 @@
     ],
     ['a negative share', `${BASE}readerShares: { a: -1 }`, /readerShares\.a = -1: .*>=0/],
     ['a zone name with capitals', `${BASE}readerShares: { A: 1 }`, /readerShares\.A/],
-    ['PEM that is none', `${BASE}tls: { certificatePem: x, keyPem: y, authorityPem: z }`, /PEM/],
+    [
+      'two listeners on one port',
+      `${BASE}ports: { admin: 8081 }`,
+      /ports\.admin = 8081: .*ports\.relay/,
+    ],
+    [
+      'two listeners on one port of another address',
+      `${BASE}callerAddress: 10.0.0.9\nadminAddress: 10.0.0.9\nports: { admin: 8080 }`,
+      /ports\.admin = 8080: expected a port that is not ports\.caller/,
+    ],
     [
       'a long value',
       BASE.replace('id: m1', `id: ${'x'.repeat(500)}`),
@@ -132,11 +128,9 @@
     expect(error.message).to.match(/seeds\.x: expected seeds to be a section/);
   });
 
-  it('names an unreadable file and the cause', () => {
-    expect(() => loadSettings('no-such-directory/node.yaml')).to.throw(
-      SettingsError,
-      'no-such-directory/node.yaml: expected a readable file (ENOENT)',
-    );
+  it('takes one port on two addresses, and any number of free ports', () => {
+    const ports = 'ports: { caller: 0, relay: 0, control: 8082, admin: 8082 }';
+    expect(load(`${BASE}adminAddress: 127.0.0.1\n${ports}`).ports.admin).to.equal(8082);
   });
 
   const leaks: readonly (readonly [string, string])[] = [
@@ -162,7 +156,8 @@
   it('masks every secret and keeps the rest', () => {
     const tls =
       '{ certificatePem: -----BEGIN C, keyPem: -----BEGIN K, authorityPem: -----BEGIN A }';
-    const masked = maskSecrets(load(`${BASE}adminToken: ${SECRET}\ntls: ${tls}`));
+    const text = `${BASE}adminToken: ${SECRET}\ntls: ${tls}`;
+    const masked = maskSecrets(parseSettings(FILE, parseDocumentText(text)));
     expect(JSON.stringify(masked)).not.to.match(/hunter2|BEGIN K/);
     expect(masked['fleetKey']).to.equal(MASKED_VALUE);
     expect(masked['machine']).to.deep.include({ id: 'm1' });
