--- a/tools/emulator/emulated-platform.ts
+++ b/tools/emulator/emulated-platform.ts
@@ -3,6 +3,7 @@
  * readers at once, and a machine list that lags.
  */
 import type { PlatformAnswer, PlatformDocument } from '../../src/control/control-event.js';
+import { gzipSync } from 'node:zlib';
 import { canonicalJson } from '../../src/model/canonical-json.js';
 import { InvalidConfigurationError } from '../../src/model/configuration-error.js';
 import { VersionedDocument } from '../../src/model/document.js';
@@ -56,13 +57,13 @@
 
   /** Publishes a source document as the platform's adapter reads it: checked whole. */
   publishSource(number: number, resources: readonly unknown[]): void {
-    const bytes = Buffer.byteLength(canonicalJson({ version: number, resources }));
+    const bytes = answerBytes(canonicalJson({ version: number, resources }));
     this.publications.source.push({ number, bytes, answer: this.check(number, resources) });
   }
 
   /** Publishes a machine list. */
   publishMachines(number: number, values: ReadonlyMap<string, string>): void {
-    const bytes = [...values.values()].reduce((sum, json) => sum + json.length, EMPTY_ANSWER_BYTES);
+    const bytes = answerBytes([...values.values()].join(','));
     this.remember(number, values);
     const answer: PlatformAnswer = { outcome: 'document', number, values };
     this.publications.machines.push({ number, bytes, answer });
@@ -150,3 +151,8 @@
     this.publishedDigests.add(`${version.number}:${version.digest}`);
   }
 }
+
+/** Size of an answer with a document, compressed as HTTP allows. */
+function answerBytes(json: string): number {
+  return EMPTY_ANSWER_BYTES + gzipSync(json).length;
+}
