--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -16,6 +16,7 @@
 import type { Settings } from '../settings/settings.js';
 import { PlatformClient } from '../source/platform-client.js';
 import { SourceReader } from '../source/source-reader.js';
+import { declareTransportCounters } from '../transport/transport-counters.js';
 import { ControlNode } from './control-node.js';
 import { createElapsedClock } from './elapsed-clock.js';
 import { createLogger, type Logger } from './logger.js';
@@ -56,6 +57,7 @@
 
   constructor(private readonly settings: Settings) {
     this.logger = createLogger(settings.log.level, { machine: settings.machine.id });
+    declareTransportCounters((name, help) => this.metrics.declareCounter(name, help));
     this.stopped = new Promise((resolve) => {
       this.markStopped = resolve;
     });
--- a/src/transport/handshake-error.ts
+++ b/src/transport/handshake-error.ts
@@ -27,7 +27,16 @@
  * - `closed`: the connection failed or was closed by the other side.
  * - `tls`: TLS refused the certificate or failed.
  */
-export type RefusalReason = ToldRefusalReason | 'evicted' | 'timeout' | 'closed' | 'tls';
+export const REFUSAL_REASONS = [
+  ...TOLD_REFUSAL_REASONS,
+  'evicted',
+  'timeout',
+  'closed',
+  'tls',
+] as const;
+
+/** Why a handshake ended without a link; see {@link REFUSAL_REASONS}. */
+export type RefusalReason = (typeof REFUSAL_REASONS)[number];
 
 /** Whether a refusal for this reason is told to the dialer. */
 export function isTold(reason: RefusalReason): reason is ToldRefusalReason {
--- a/src/transport/transport-counters.ts
+++ b/src/transport/transport-counters.ts
@@ -1,27 +1,57 @@
 /** Counters of the peer protocol. Bytes are those of frames; TLS, TCP and IP come on top. */
 import type { CounterSink } from '../control/control-event.js';
-import type { FrameErrorCode } from '../wire/frame-error.js';
+import { FRAME_ERROR_CODES, type FrameErrorCode } from '../wire/frame-error.js';
 import { MESSAGE_TYPES, type PeerMessageType } from '../wire/message-layouts.js';
-import type { RefusalReason } from './handshake-error.js';
+import { REFUSAL_REASONS, type RefusalReason } from './handshake-error.js';
 
 /** Names of the counters that have one name only. */
 export const TRANSPORT_COUNTERS = {
   linksOpened: 'ferryspool_peer_links_opened_total',
   linksClosed: 'ferryspool_peer_links_closed_total',
   linksReplaced: 'ferryspool_peer_links_replaced_total',
-  /** Hung up, because more than the bound waited to be sent. */
   linksSlow: 'ferryspool_peer_links_slow_total',
   dials: 'ferryspool_peer_dials_total',
   dialsFailed: 'ferryspool_peer_dials_failed_total',
-  /** Messages without an open link to their receiver. */
   messagesDropped: 'ferryspool_peer_messages_dropped_total',
-  /** Messages that no frame can hold. */
   messagesUnencodable: 'ferryspool_peer_messages_unencodable_total',
   handshakeSentBytes: 'ferryspool_peer_sent_handshake_bytes_total',
   handshakeReceivedBytes: 'ferryspool_peer_received_handshake_bytes_total',
 } as const;
 
-type Direction = 'sent' | 'received';
+const COUNTER_HELP: Readonly<Record<keyof typeof TRANSPORT_COUNTERS, string>> = {
+  linksOpened: 'Links on which the peer proved itself',
+  linksClosed: 'Open links that ended, for whatever reason',
+  linksReplaced: 'Open links that gave way to another link to the same peer',
+  linksSlow: 'Links closed because more bytes than the bound waited to be sent',
+  dials: 'Links dialled',
+  dialsFailed: 'Dials that no link answered',
+  messagesDropped: 'Messages to a peer without an open link',
+  messagesUnencodable: 'Messages that no frame can hold',
+  handshakeSentBytes: 'Bytes of handshake frames sent',
+  handshakeReceivedBytes: 'Bytes of handshake frames received',
+};
+
+const DIRECTIONS = ['sent', 'received'] as const;
+type Direction = (typeof DIRECTIONS)[number];
+
+/** Tells `declare` of every counter, so that each can be shown before its first event. */
+export function declareTransportCounters(declare: (name: string, help: string) => void): void {
+  for (const [key, help] of Object.entries(COUNTER_HELP)) {
+    declare(TRANSPORT_COUNTERS[key as keyof typeof TRANSPORT_COUNTERS], help);
+  }
+  for (const reason of REFUSAL_REASONS) {
+    declare(refusedHandshakeCounter(reason), `Handshakes that ended without a link: ${reason}`);
+  }
+  for (const code of FRAME_ERROR_CODES) {
+    declare(refusedFrameCounter(code), `Frames on open links that were refused: ${code}`);
+  }
+  for (const direction of DIRECTIONS) {
+    for (const type of MESSAGE_TYPES) {
+      declare(messageCounter(direction, type), `Messages ${direction}: ${type}`);
+      declare(messageBytesCounter(direction, type), `Bytes of frames ${direction}: ${type}`);
+    }
+  }
+}
 
 /** Counter of the bytes of one type of message, such as `…_sent_heartbeat_bytes_total`. */
 export function messageBytesCounter(direction: Direction, type: PeerMessageType): string {
--- a/src/wire/frame-error.ts
+++ b/src/wire/frame-error.ts
@@ -9,14 +9,18 @@
  * - `inflated-oversized`: a compressed payload inflates past the limit.
  * - `forged`: the authentication tag of a frame does not match.
  */
-export type FrameErrorCode =
-  | 'oversized'
-  | 'truncated'
-  | 'wrong-version'
-  | 'unknown-type'
-  | 'malformed'
-  | 'inflated-oversized'
-  | 'forged';
+export const FRAME_ERROR_CODES = [
+  'oversized',
+  'truncated',
+  'wrong-version',
+  'unknown-type',
+  'malformed',
+  'inflated-oversized',
+  'forged',
+] as const;
+
+/** Why a frame can not be taken or sent; see {@link FRAME_ERROR_CODES}. */
+export type FrameErrorCode = (typeof FRAME_ERROR_CODES)[number];
 
 /** A frame that can not be taken, or a message that can not be sent as one. */
 export class FrameError extends Error {
--- a/test/transport/peer-transport.test.ts
+++ b/test/transport/peer-transport.test.ts
@@ -1,5 +1,6 @@
 import { expect } from 'chai';
 import { createPeerTransport } from '../../src/transport/peer-transport.js';
+import { declareTransportCounters } from '../../src/transport/transport-counters.js';
 import { TransportOptionsError } from '../../src/transport/transport-options.js';
 import { HEARTBEAT, sampleChunk } from '../wire/message-arbitraries.js';
 import {
@@ -190,6 +191,22 @@
     await b.untilRounds(1);
   });
 
+  it('declares every counter that it adds to', async () => {
+    const declared = new Set<string>();
+    declareTransportCounters((name) => declared.add(name));
+    const [a, b] = await bench.pair();
+    a.transport.send('b', HEARTBEAT);
+    a.transport.send('c', HEARTBEAT);
+    a.transport.dial(a.address);
+    (await bench.rawClient(b.address)).socket.write('noise');
+    await Promise.all([
+      b.until(() => b.refused('malformed') === 1),
+      a.until(() => a.events.length > 1),
+    ]);
+    expect([...declared]).to.include.members([...a.counts.keys(), ...b.counts.keys()]);
+    expect(declared.size).to.equal(72);
+  });
+
   it('refuses a short fleet key', async () => {
     const options = {
       identity: identity('a'),
