Give every node of the demo the same seeds

Cause: no node of the demo ever held a configuration. Each node's seeds left out the node itself, so the electors of the recovery slot differed from node to node and nobody gathered a majority. Ruled out: the platform (it was never read). Change: one list for all. Conclusion: the seeds must be the same everywhere, as docs/DESIGN.md says; a stopped node still does not end.

--- a/tools/demo/fleet-plan.ts
+++ b/tools/demo/fleet-plan.ts
@@ -79,12 +79,12 @@
 ): NodeSettings {
   const platform = `http://${plan.platformAddress}:${platformPort}`;
   const { id, address, zone, region } = machine;
-  const others = plan.machines.filter((other) => other.machine.id !== id).slice(0, SEEDS);
+  const seeds = plan.machines.slice(0, SEEDS);
   return {
     machine: { id, address, zone, region },
     ports: NODE_PORTS,
     fleetKey: plan.fleetKey,
-    seeds: others.map((other) => ({
+    seeds: seeds.map((other) => ({
       address: other.machine.address,
       controlPort: other.machine.controlPort,
     })),
