Show in the status what the source's answers meant and what neighbours hold

Cause: the status said 'not stale' and 'all neighbours at held versions' without knowing either. Change: the adopter remembers what this node's own reads showed; the status compares neighbours' known versions.

--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -129,6 +129,8 @@
       rejectedSource: this.dissemination.rejectedSource(),
       suspended: this.store.configuration().suspended,
       sourceAdoptedAtMs: this.dissemination.documents.adoptedAtMs('source'),
+      sourceEvidence: this.dissemination.documents.sourceEvidence(),
+      neighbourVersions: this.dissemination.neighbourVersions(),
       machines: this.store.machines().byId.size,
     };
   }
--- a/src/dissemination/dissemination.ts
+++ b/src/dissemination/dissemination.ts
@@ -72,6 +72,17 @@
     return this.rejections.current();
   }
 
+  /** What each neighbour is known to hold, by its id; neighbours that have not said are left out. */
+  neighbourVersions(): Map<string, HeldVersions> {
+    const versions = new Map<string, HeldVersions>();
+    for (const [id, { known }] of this.announcer.neighbours) {
+      if (known !== undefined) {
+        versions.set(id, known);
+      }
+    }
+    return versions;
+  }
+
   /** Time of the next `wake` that is needed, in milliseconds. */
   nextWakeAt(): number {
     const { source, operator, machines } = this.fetchers;
--- a/src/dissemination/document-adopter.ts
+++ b/src/dissemination/document-adopter.ts
@@ -18,9 +18,18 @@
 import type { RejectionFlood } from './rejection-flood.js';
 import type { VersionAnnouncer } from './version-announcer.js';
 
+/** What this node's own reads of the configuration source have shown; peers' reads are not in it. */
+export interface SourceEvidence {
+  /** When the source last answered a read of this node, in milliseconds; undefined if never. */
+  readonly lastAnswerAtMs: number | undefined;
+  /** Whether that answer was older than, or in conflict with, what was held. */
+  readonly isStale: boolean;
+}
+
 /** The one way in which a held document changes. */
 export class DocumentAdopter implements PlatformDocumentSink, OperatorDocumentSink {
   private readonly adoptedAt = new Map<DocumentName, number>();
+  private evidence: SourceEvidence = { lastAnswerAtMs: undefined, isStale: false };
 
   constructor(
     private readonly store: DocumentStore,
@@ -34,9 +43,18 @@
     return this.adoptedAt.get(name);
   }
 
+  /** What reads of the source by this node have shown. */
+  sourceEvidence(): SourceEvidence {
+    return this.evidence;
+  }
+
   offer(document: PlatformDocument, answer: PlatformAnswer, nowMs: number): ControlEffect[] {
     const effects: ControlEffect[] = [];
     const verdict = judgePlatformAnswer(this.store.held(document), answer);
+    if (document === 'source' && answer.outcome !== 'unavailable') {
+      const isStale = verdict.outcome === 'stale' || verdict.outcome === 'conflict';
+      this.evidence = { lastAnswerAtMs: nowMs, isStale };
+    }
     switch (verdict.outcome) {
       case 'newer':
         this.adopt(document, verdict.document, undefined, nowMs, effects);
--- a/src/runtime/node-status.ts
+++ b/src/runtime/node-status.ts
@@ -1,6 +1,8 @@
 /** Composes the status page of a node from what its parts know. */
 import type { ControlPlane } from '../control/control-plane.js';
-import type { EndpointReport, NodeStatus } from '../api/node-status.js';
+import type { EndpointReport, MemberReport, NodeStatus } from '../api/node-status.js';
+import { compareVersions } from '../model/version.js';
+import { DOCUMENT_NAMES, type HeldVersions, type MemberUpdate } from '../wire/message.js';
 
 /** Parts that know something of a node's state. */
 export interface StatusParts {
@@ -24,20 +26,36 @@
     held: status.held,
     source: {
       isReader: parts.isReader(),
-      isStale: false,
+      isStale: status.sourceEvidence.isStale,
+      ...sinceMember('sinceLastAnswerMs', now, status.sourceEvidence.lastAnswerAtMs),
       ...(status.rejectedSource && { rejected: status.rejectedSource }),
     },
     suspended: status.suspended,
-    members: plane.members(),
+    members: plane.members().map((update) => withVersions(update, status.neighbourVersions)),
     endpoints: parts.endpoints(),
     convergence: {
       neighbours: status.neighbours.length,
-      neighboursAtHeldVersions: status.neighbours.length,
+      neighboursAtHeldVersions: countAt(status.held, status.neighbourVersions),
       ...sinceMember('sinceLastChangeMs', now, status.sourceAdoptedAtMs),
     },
   };
 }
 
+function withVersions(
+  update: MemberUpdate,
+  versions: ReadonlyMap<string, HeldVersions>,
+): MemberReport {
+  const held = versions.get(update.member.id);
+  return held === undefined ? update : { ...update, held };
+}
+
+/** Neighbours known to hold exactly `held`. */
+function countAt(held: HeldVersions, versions: ReadonlyMap<string, HeldVersions>): number {
+  const isSame = (other: HeldVersions): boolean =>
+    DOCUMENT_NAMES.every((name) => compareVersions(held[name], other[name]) === 0);
+  return [...versions.values()].filter(isSame).length;
+}
+
 function sinceMember<Name extends string>(
   name: Name,
   now: number,
--- a/test/runtime/node.test.ts
+++ b/test/runtime/node.test.ts
@@ -1,6 +1,6 @@
 import { expect } from 'chai';
 import { VERDICT_HEADER } from '../../src/model/verdict.js';
-import { call, eventually, LocalFleet, sourceVersion } from '../support/local-fleet.js';
+import { call, eventually, LocalFleet, sourceVersion, statuses } from '../support/local-fleet.js';
 
 describe('runtime/node: the whole path', function () {
   this.timeout(20_000);
@@ -46,6 +46,7 @@
     fleet.platform.restartFromZero();
     const readsBefore = fleet.platform.counters().reads;
     await eventually(() => Promise.resolve(fleet.platform.counters().reads > readsBefore + 4));
+    await eventually(async () => (await statuses(fleet)).some(({ source }) => source.isStale));
     for (const machine of fleet.machines) {
       expect(await sourceVersion(machine)).to.equal(5);
     }
@@ -53,6 +54,26 @@
     await fleet.converged(6);
   });
 
+  it('shows in its status why a version was refused and that all hold the same', async () => {
+    const dangling = { kind: 'route', name: 'x', spec: { pathPrefix: '/', service: 'gone' } };
+    fleet.platform.publish({
+      version: 9,
+      raw: JSON.stringify({ version: 9, resources: [dangling] }),
+    });
+    await eventually(async () =>
+      (await statuses(fleet)).every(({ source }) =>
+        source.rejected?.reason.includes('refers to missing service/gone'),
+      ),
+    );
+    await eventually(async () =>
+      (await statuses(fleet)).every(
+        ({ convergence }) =>
+          convergence.neighbours === fleet.machines.length - 1 &&
+          convergence.neighboursAtHeldVersions === convergence.neighbours,
+      ),
+    );
+  });
+
   it('finishes a request in flight through a planned stop of its node', async () => {
     const machine = fleet.machine('edge-a');
     const answer = call(machine, '/tiles/slow', { headers: { 'x-work-ms': '300' } });
--- a/test/support/local-fleet.ts
+++ b/test/support/local-fleet.ts
@@ -2,6 +2,7 @@
 import { createServer } from 'node:net';
 import { BackendStandIn } from '../../standins/backend/backend-stand-in.js';
 import { PlatformStandIn } from '../../standins/platform/platform-stand-in.js';
+import type { NodeStatus } from '../../src/api/node-status.js';
 import type { RunningNode } from '../../src/cli/running-node.js';
 import type { Machine } from '../../src/model/machine.js';
 import type { SourceDocument } from '../../src/model/source-document.js';
@@ -170,11 +171,20 @@
   }
 }
 
+/** Status of one node, through its admin port. */
+export async function statusOf(machine: FleetMachine): Promise<NodeStatus> {
+  const response = await fetch(`http://${HOST}:${machine.ports.admin}/v1/status`);
+  return (await response.json()) as NodeStatus;
+}
+
+/** Status of every node of the fleet. */
+export function statuses(fleet: LocalFleet): Promise<NodeStatus[]> {
+  return Promise.all(fleet.machines.map(statusOf));
+}
+
 /** Version number of the source's document that a node holds. */
 export async function sourceVersion(machine: FleetMachine): Promise<number> {
-  const response = await fetch(`http://${HOST}:${machine.ports.admin}/v1/status`);
-  const status = (await response.json()) as { held: { source: { number: number } } };
-  return status.held.source.number;
+  return (await statusOf(machine)).held.source.number;
 }
 
 /** Sends a request to a node's caller port. */
