Run the request path on a scheduler, and distrust what arrives after a pause

Cause: the code between the pure logic and the sockets (runner, gate, gated call) used the machine's timers, so that it could not be fuzzed under a virtual clock. And a node that wakes from a pause dispatched relayed requests that their senders had given up: the closing of the connection is read only after the request.

Change: clock and timers come through `Scheduler`; endpoints and callers through the interfaces `EndpointPort` and `CallerReply`. For 50 ms after a pause of 400 ms or more, relayed requests wait 10 ms, until the closing of their connections shows.

Ruled out: waiting one turn of the event loop (setImmediate); the new test still saw the old request dispatched.

--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -12,6 +12,7 @@
 import { headerValue, messageHeaders, parseMilliseconds, type HeaderList } from './headers.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import { BadRequestError, type RequestError } from './request-error.js';
+import type { CallerReply } from './request-runner.js';
 
 const DEADLINE_HEADER = 'x-deadline-ms';
 const RETRIES_HEADER = 'ferryspool-retries';
@@ -41,7 +42,7 @@
 }
 
 /** The caller's side of one exchange. */
-export class CallerResponse {
+export class CallerResponse implements CallerReply {
   constructor(
     private readonly response: ServerResponse,
     private readonly request: IncomingMessage,
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -55,15 +55,32 @@
   failed(failure: ExchangeFailure): void;
 }
 
+/** What a node needs of endpoints. */
+export interface EndpointPort {
+  /** Sends `call`; `remainingMs` is the time left to the endpoint. */
+  send(endpoint: Endpoint, call: Call, remainingMs: number, observer: EndpointObserver): Exchange;
+  /** Asks the endpoint to cancel; reports once, with `unconfirmed` after `timeoutMs`. */
+  cancel(
+    endpoint: Endpoint,
+    requestId: string,
+    timeoutMs: number,
+    report: (outcome: CancelOutcome) => void,
+  ): void;
+  /**
+   * Asks whether the endpoint still says that it drains; reports undefined without an answer. What
+   * it says of its health is not considered: requests show that.
+   */
+  probeDraining(endpoint: Endpoint, report: (isDraining: boolean | undefined) => void): void;
+}
+
 /** Connections to the endpoints that a node reaches itself. */
-export class EndpointClient {
+export class EndpointClient implements EndpointPort {
   private readonly agent = new ExchangeAgent();
   /** Cancellations must not wait behind the requests that they cancel. */
   private readonly controlAgent = new ExchangeAgent(MAX_CONTROL_CONNECTIONS);
 
   constructor(private readonly connectTimeoutMs: number) {}
 
-  /** Sends `call`; `remainingMs` is the time left to the endpoint. */
   send(endpoint: Endpoint, call: Call, remainingMs: number, observer: EndpointObserver): Exchange {
     const headers = call.headers.concat(
       REQUEST_ID_HEADER,
@@ -88,7 +105,6 @@
     });
   }
 
-  /** Asks the endpoint to cancel; reports once, with `unconfirmed` after `timeoutMs`. */
   cancel(
     endpoint: Endpoint,
     requestId: string,
@@ -119,10 +135,6 @@
     });
   }
 
-  /**
-   * Asks whether the endpoint still says that it drains; reports undefined without an answer. What
-   * it says of its health is not considered: requests show that.
-   */
   probeDraining(endpoint: Endpoint, report: (isDraining: boolean | undefined) => void): void {
     const { address, port } = endpoint.spec;
     const request = {
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -4,14 +4,15 @@
 import type { Endpoint } from '../model/resource.js';
 import { admissionError } from './attempt-errors.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
-import type { EndpointClient } from './endpoint-client.js';
+import type { EndpointPort } from './endpoint-client.js';
 import { GatedCall, type CallGate } from './gated-call.js';
+import type { Scheduler } from './scheduler.js';
 
 /** What gates share. */
 export interface GateOptions {
-  readonly client: EndpointClient;
+  readonly client: EndpointPort;
   readonly counters: CounterSink;
-  readonly clock: () => number;
+  readonly scheduler: Scheduler;
   /** Writes one line on a change of state. */
   readonly logStateChange: (what: string, detail: string) => void;
 }
@@ -43,10 +44,10 @@
   }
 
   submit(call: Call, observer: AttemptObserver): Attempt {
-    const { client, clock } = this.options;
-    const gated = new GatedCall(this, client, this.endpoint, call, observer, clock);
+    const { client, scheduler } = this.options;
+    const gated = new GatedCall(this, client, this.endpoint, call, observer, scheduler);
     this.calls.set(call.requestId, gated);
-    this.execute(this.admission.offer(call, clock()));
+    this.execute(this.admission.offer(call, scheduler.now()));
     gated.waitUntil(this.admission.latestStartAtMs(call.deadlineAtMs));
     return gated;
   }
@@ -61,7 +62,7 @@
 
   release(call: Call, serviceMs: number | undefined): void {
     this.calls.delete(call.requestId);
-    this.execute(this.admission.release(call.requestId, this.options.clock(), serviceMs));
+    this.execute(this.admission.release(call.requestId, this.options.scheduler.now(), serviceMs));
   }
 
   takeLoad(load: LoadReport | undefined): void {
@@ -84,7 +85,7 @@
     }
     if (slots !== this.slots) {
       this.slots = slots;
-      this.execute(this.admission.setSlots(slots, this.options.clock()));
+      this.execute(this.admission.setSlots(slots, this.options.scheduler.now()));
     }
   }
 
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -19,11 +19,8 @@
 /** The gates of one node. */
 export class EndpointGateway implements EndpointPath {
   private readonly gates = new Map<string, EndpointGate>();
-  private readonly closed: Channel<boolean> = csp.chan();
 
-  constructor(private readonly options: EndpointGatewayOptions) {
-    csp.go(keepUp, [this, this.closed]);
-  }
+  constructor(private readonly options: EndpointGatewayOptions) {}
 
   submit(endpoint: Endpoint, call: Call, observer: AttemptObserver): Attempt {
     return this.gateOf(endpoint).submit(call, observer);
@@ -47,11 +44,6 @@
     }
   }
 
-  /** Ends the upkeep. */
-  close(): void {
-    this.closed.close();
-  }
-
   private gateOf(endpoint: Endpoint): EndpointGate {
     const key = endpointKey(endpoint);
     let gate = this.gates.get(key);
@@ -63,6 +55,13 @@
   }
 }
 
+/** Starts the process that keeps `gateway` up; closing the channel ends it. */
+export function startUpkeep(gateway: EndpointGateway): Channel<boolean> {
+  const closed: Channel<boolean> = csp.chan();
+  csp.go(keepUp, [gateway, closed]);
+  return closed;
+}
+
 function* keepUp(gateway: EndpointGateway, closed: Channel<boolean>): Generator<Instruction, void> {
   while (!closed.isClosed()) {
     yield csp.alts([closed, csp.timeout(UPKEEP_INTERVAL_MS)]);
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -11,8 +11,9 @@
   type EndpointAttemptEffect,
   type EndpointAttemptEvent,
 } from './endpoint-attempt.js';
-import type { EndpointClient } from './endpoint-client.js';
+import type { EndpointPort } from './endpoint-client.js';
 import type { Exchange } from './http-exchange.js';
+import type { CancelTimer, Scheduler } from './scheduler.js';
 import { CannotFinishInTimeError, type RequestError } from './request-error.js';
 
 /** Part of the remaining time kept for a cancellation and the way back. */
@@ -42,7 +43,7 @@
   private attempt: EndpointAttempt | undefined;
   private exchange: Exchange | undefined;
   private answer: Answer | undefined;
-  private timer: NodeJS.Timeout | undefined;
+  private cancelTimer: CancelTimer | undefined;
   private dispatchedAtMs = 0;
   private retryAfterMs: number | undefined;
   private load: LoadReport | undefined;
@@ -50,11 +51,11 @@
 
   constructor(
     private readonly gate: CallGate,
-    private readonly client: EndpointClient,
+    private readonly client: EndpointPort,
     private readonly endpoint: Endpoint,
     private readonly call: Call,
     private readonly observer: AttemptObserver,
-    private readonly clock: () => number,
+    private readonly scheduler: Scheduler,
   ) {}
 
   abort(): void {
@@ -62,7 +63,7 @@
       this.handle({ type: 'abandoned', wasSent: this.exchange?.wasSent() === true });
     } else if (!this.isOver) {
       this.isOver = true;
-      clearTimeout(this.timer);
+      this.cancelTimer?.();
       this.gate.withdraw(this.call);
     }
   }
@@ -70,28 +71,28 @@
   /** Refuses the request when it still waits at `latestStartAtMs`. */
   waitUntil(latestStartAtMs: number): void {
     if (this.attempt === undefined && !this.isOver) {
-      const nowMs = this.clock();
+      const nowMs = this.scheduler.now();
       const lastMomentMs = this.call.deadlineAtMs - cancelLeadMs(this.call, nowMs);
       const delayMs = Math.min(latestStartAtMs, lastMomentMs) - nowMs;
-      this.timer = setTimeout(() => this.expireWaiting(), delayMs);
+      this.cancelTimer = this.scheduler.schedule(delayMs, () => this.expireWaiting());
     }
   }
 
   refuse(error: RequestError): void {
     this.isOver = true;
-    clearTimeout(this.timer);
+    this.cancelTimer?.();
     this.observer.failed(error, this.gate.load());
   }
 
   dispatch(): void {
-    clearTimeout(this.timer);
+    this.cancelTimer?.();
     this.attempt = new EndpointAttempt();
-    this.dispatchedAtMs = this.clock();
+    this.dispatchedAtMs = this.scheduler.now();
     const remainingMs = this.call.deadlineAtMs - this.dispatchedAtMs;
     const workMs = remainingMs - cancelLeadMs(this.call, this.dispatchedAtMs);
-    this.timer = setTimeout(() => {
+    this.cancelTimer = this.scheduler.schedule(workMs, () => {
       this.handle({ type: 'deadline', wasSent: this.exchange?.wasSent() === true });
-    }, workMs);
+    });
     this.exchange = this.client.send(this.endpoint, this.call, workMs, {
       answered: (answer) => this.takeAnswer(answer),
       refused: (load, retryAfterMs) => this.takeRefusal(load, retryAfterMs),
@@ -146,15 +147,15 @@
 
   private passAnswer(): void {
     if (this.answer !== undefined) {
-      clearTimeout(this.timer);
+      this.cancelTimer?.();
       const draining = this.answer.load?.draining === true;
       this.observer.answered({ ...this.answer, load: { ...this.gate.load(), draining } });
     }
   }
 
   private sendCancel(): void {
-    clearTimeout(this.timer);
-    const leftMs = this.call.deadlineAtMs - this.clock();
+    this.cancelTimer?.();
+    const leftMs = this.call.deadlineAtMs - this.scheduler.now();
     const timeoutMs = Math.max(MIN_CANCEL_TIMEOUT_MS, Math.min(MAX_CANCEL_LEAD_MS, leftMs));
     this.client.cancel(this.endpoint, this.call.requestId, timeoutMs, (outcome) => {
       this.handle({ type: 'cancel-answered', outcome });
@@ -162,13 +163,13 @@
   }
 
   private holdSlot(): void {
-    const holdMs = Math.max(0, this.call.deadlineAtMs - this.clock()) + ORPHAN_HOLD_MS;
-    this.timer = setTimeout(() => this.handle({ type: 'hold-over' }), holdMs);
+    const holdMs = Math.max(0, this.call.deadlineAtMs - this.scheduler.now()) + ORPHAN_HOLD_MS;
+    this.cancelTimer = this.scheduler.schedule(holdMs, () => this.handle({ type: 'hold-over' }));
   }
 
   private releaseSlot(isMeasured: boolean): void {
-    clearTimeout(this.timer);
-    const serviceMs = isMeasured ? this.clock() - this.dispatchedAtMs : undefined;
+    this.cancelTimer?.();
+    const serviceMs = isMeasured ? this.scheduler.now() - this.dispatchedAtMs : undefined;
     this.gate.release(this.call, serviceMs);
   }
 
--- /dev/null
+++ b/src/proxy/pause-detector.ts
@@ -0,0 +1,32 @@
+/**
+ * Tells whether the process has just woken from a pause. What it then reads from its sockets may be
+ * old: its senders may have given up long ago, which shows only when their closing is read too.
+ */
+
+/** How often the detector looks at the clock, in milliseconds. */
+export const PAUSE_CHECK_INTERVAL_MS = 100;
+/** A gap between two looks that counts as a pause, in milliseconds. */
+const PAUSE_MS = 400;
+/** For this long after a pause, what arrives may be old, in milliseconds. */
+const WAKE_PERIOD_MS = 50;
+
+/** Decides from the times at which it was called. */
+export class PauseDetector {
+  private wokenAtMs = -Infinity;
+
+  constructor(private lastLookMs: number) {}
+
+  /** Looks at the clock; to be called at least every {@link PAUSE_CHECK_INTERVAL_MS}. */
+  look(nowMs: number): void {
+    if (nowMs - this.lastLookMs > PAUSE_MS) {
+      this.wokenAtMs = nowMs;
+    }
+    this.lastLookMs = nowMs;
+  }
+
+  /** Whether the process has just woken. */
+  hasJustWoken(nowMs: number): boolean {
+    this.look(nowMs);
+    return nowMs - this.wokenAtMs < WAKE_PERIOD_MS;
+  }
+}
--- a/src/proxy/relay-client.ts
+++ b/src/proxy/relay-client.ts
@@ -25,6 +25,7 @@
   UnreachableError,
   type RequestError,
 } from './request-error.js';
+import type { Scheduler } from './scheduler.js';
 
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
@@ -37,7 +38,7 @@
 /** What the client needs of its node. */
 export interface RelayClientOptions {
   readonly connectTimeoutMs: number;
-  readonly clock: () => number;
+  readonly scheduler: Scheduler;
   /** A token that is valid now. */
   readonly token: () => string;
   readonly addressOf: (endpoint: Endpoint) => RelayAddress | undefined;
@@ -76,7 +77,7 @@
   }
 
   private headersOf(endpoint: Endpoint, call: Call): string[] {
-    const remainingMs = Math.max(0, Math.floor(call.deadlineAtMs - this.options.clock()));
+    const remainingMs = Math.max(0, Math.floor(call.deadlineAtMs - this.options.scheduler.now()));
     return call.headers.concat(
       RELAY_TOKEN_HEADER,
       this.options.token(),
--- a/src/proxy/relay-server.ts
+++ b/src/proxy/relay-server.ts
@@ -28,6 +28,7 @@
   UnknownEndpointError,
   type RequestError,
 } from './request-error.js';
+import type { Scheduler } from './scheduler.js';
 
 const FORBIDDEN_STATUS = 403;
 const MAX_REQUEST_ID_LENGTH = 256;
@@ -35,6 +36,8 @@
 const RELAY_HEADER_BYTES = 4 * 1024;
 /** Idle connections of peers are kept for this time, longer than peers keep them, in milliseconds. */
 const KEEP_ALIVE_MS = 10_000;
+/** Time after a pause in which the closing of old connections is read, in milliseconds. */
+const WAKE_SETTLE_MS = 10;
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
 /** What the server needs of its node. */
@@ -42,11 +45,13 @@
   readonly machineId: string;
   readonly limits: ProxyLimits;
   readonly counters: CounterSink;
-  readonly clock: () => number;
+  readonly scheduler: Scheduler;
   /** The machine identity that a token proves, or undefined. */
   readonly verifyToken: (token: string | undefined) => string | undefined;
   readonly snapshot: () => Snapshot | undefined;
   readonly endpoints: EndpointPath;
+  /** Whether the process was paused until just now; see {@link ./pause-detector.ts}. */
+  readonly hasJustWoken: () => boolean;
   /** Whether connections should be closed after their answer. */
   readonly isStopping: () => boolean;
 }
@@ -59,15 +64,32 @@
       keepAliveTimeout: KEEP_ALIVE_MS,
       requestTimeout: 0,
     },
-    (request, response) => handleRelayed(options, request, response),
+    (request, response) => takeRelayed(options, request, response),
   );
   server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
-    handleRelayed(options, request, response);
+    takeRelayed(options, request, response);
   });
   server.on('clientError', (_error, socket) => socket.destroy());
   return server;
 }
 
+/** After a pause of the process, requests wait until the closing of their connections would show. */
+function takeRelayed(
+  options: RelayServerOptions,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  if (!options.hasJustWoken()) {
+    handleRelayed(options, request, response);
+    return;
+  }
+  options.scheduler.schedule(WAKE_SETTLE_MS, () => {
+    if (!request.destroyed && !response.destroyed) {
+      handleRelayed(options, request, response);
+    }
+  });
+}
+
 function handleRelayed(
   options: RelayServerOptions,
   request: IncomingMessage,
@@ -155,7 +177,7 @@
     target: request.url ?? '',
     headers: messageHeaders(rawHeaders, NO_HEADERS),
     body: relayedBody(request, options.limits.maxBodyBytes),
-    deadlineAtMs: options.clock() + remainingMs,
+    deadlineAtMs: options.scheduler.now() + remainingMs,
     callerNode: sender,
     retriesLeft: Math.min(retries, options.limits.maxRetries),
   };
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -1,5 +1,6 @@
 /** The request path of a node: callers' port, relay port and everything between. */
 import type http from 'node:http';
+import type { Channel } from 'js-csp';
 import type { CounterSink, RandomSource } from '../control/control-event.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { Snapshot } from '../model/snapshot.js';
@@ -7,7 +8,8 @@
 import { HeldBytes, receiveBody } from './body-receiver.js';
 import { createCallerServer, type CallerRequest, type CallerResponse } from './caller-server.js';
 import { EndpointClient } from './endpoint-client.js';
-import { EndpointGateway } from './endpoint-gateway.js';
+import { EndpointGateway, startUpkeep } from './endpoint-gateway.js';
+import { PAUSE_CHECK_INTERVAL_MS, PauseDetector } from './pause-detector.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
 import { RelayClient } from './relay-client.js';
 import { createRelayServer } from './relay-server.js';
@@ -22,6 +24,7 @@
 } from './request-error.js';
 import { RequestRunner } from './request-runner.js';
 import { RequestServices, type MemberDirectory } from './request-services.js';
+import { MACHINE_TIME } from './scheduler.js';
 import { drainServers } from './server-drain.js';
 
 const NOT_CONFIGURED_RETRY_MS = 1_000;
@@ -61,11 +64,13 @@
   private readonly limits: ProxyLimits;
   private readonly services: RequestServices;
   private readonly gateway: EndpointGateway;
+  private readonly upkeep: Channel<boolean>;
   private readonly endpointClient: EndpointClient;
   private readonly relayClient: RelayClient;
   private readonly routeTables = new RouteTableCache();
   private readonly heldBytes: HeldBytes;
-  private readonly clock = (): number => performance.now();
+  private readonly pauses = new PauseDetector(MACHINE_TIME.now());
+  private readonly pauseTimer: NodeJS.Timeout;
   private requestCount = 0;
   private callsInFlight = 0;
   private lastArrivalAtMs = 0;
@@ -80,18 +85,23 @@
     this.gateway = new EndpointGateway({
       client: this.endpointClient,
       counters: options.counters,
-      clock: this.clock,
+      scheduler: MACHINE_TIME,
       logStateChange: options.logStateChange,
       snapshot: () => options.snapshots.current(),
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
     });
+    this.upkeep = startUpkeep(this.gateway);
     this.services = new RequestServices({
       ...options,
       limits: this.limits,
-      clock: this.clock,
+      scheduler: MACHINE_TIME,
       direct: this.gateway,
       relay: this.relayClient,
     });
+    this.pauseTimer = setInterval(
+      () => this.pauses.look(MACHINE_TIME.now()),
+      PAUSE_CHECK_INTERVAL_MS,
+    );
     this.callerServer = this.makeCallerServer();
     this.relayServer = this.makeRelayServer();
   }
@@ -104,7 +114,7 @@
       timeoutMs: this.limits.stopTimeoutMs,
       lastArrivalAtMs: () => this.lastArrivalAtMs,
       inFlight: () => this.callsInFlight,
-      clock: this.clock,
+      clock: () => MACHINE_TIME.now(),
     });
     this.abort();
   }
@@ -119,7 +129,8 @@
       server.close();
       server.closeAllConnections();
     }
-    this.gateway.close();
+    clearInterval(this.pauseTimer);
+    this.upkeep.close();
     this.endpointClient.close();
     this.relayClient.close();
     this.options.logStateChange('request-path', 'stopped');
@@ -130,7 +141,7 @@
     const tokens = new RelayTokenIssuer(fleetKey, identity.id);
     return new RelayClient({
       connectTimeoutMs: this.limits.connectTimeoutMs,
-      clock: this.clock,
+      scheduler: MACHINE_TIME,
       token: () => tokens.current(Date.now()),
       addressOf: ({ spec }) =>
         spec.machine === undefined ? undefined : members.relayAddress(spec.machine),
@@ -151,10 +162,11 @@
       machineId: this.options.identity.id,
       limits: this.limits,
       counters: this.options.counters,
-      clock: this.clock,
+      scheduler: MACHINE_TIME,
       verifyToken: (token) => verifyRelayToken(this.options.fleetKey, token, Date.now()),
       snapshot: () => this.options.snapshots.current(),
       endpoints: this.gateway,
+      hasJustWoken: () => this.pauses.hasJustWoken(MACHINE_TIME.now()),
       isStopping: () => this.isStopping,
     });
     server.prependListener('request', (_request, response: http.ServerResponse) => {
@@ -166,7 +178,7 @@
   /** Counts an open exchange of either server until it closes. */
   private countCall(response: { once(event: 'close', listener: () => void): unknown }): void {
     this.callsInFlight += 1;
-    this.lastArrivalAtMs = this.clock();
+    this.lastArrivalAtMs = MACHINE_TIME.now();
     response.once('close', () => {
       this.callsInFlight -= 1;
     });
@@ -207,11 +219,13 @@
       services: this.services,
       snapshot,
       match,
-      request,
+      method: request.method,
+      target: request.target,
+      retries: request.retries,
       response,
       headers: withCredential(request.headers, match, snapshot),
       requestId,
-      deadlineAtMs: this.clock() + timeoutMs,
+      deadlineAtMs: MACHINE_TIME.now() + timeoutMs,
     });
     this.startWithBody(runner, request, response);
   }
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -1,10 +1,12 @@
 /** Runs one caller's request: executes the effects of {@link RequestLifecycle}. */
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
+import type { Verdict } from '../model/verdict.js';
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
 import type { RouteMatch } from '../routing/route-table.js';
 import type { Answer, Attempt, Call, LoadReport } from './call.js';
-import type { CallerRequest, CallerResponse } from './caller-server.js';
+import type { AnswerObserver } from './answer-relay.js';
+import type { HeaderList } from './headers.js';
 import type { RequestBody } from './request-body.js';
 import {
   BodyTooSlowError,
@@ -15,20 +17,38 @@
   TruncatedAnswerError,
 } from './request-error.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
+import type { CancelTimer } from './scheduler.js';
 import type { RequestServices } from './request-services.js';
 
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
 
+/** The caller's side of a request. */
+export interface CallerReply {
+  /** Passes an endpoint's answer on; holds it whole where it has up to `holdBytes`. */
+  answer(answer: Answer, requestId: string, holdBytes: number, observer: AnswerObserver): void;
+  /** Reports an error. */
+  fail(error: RequestError, verdict: Verdict, requestId: string): void;
+  /** Breaks the connection, so that the caller can't take the answer for a whole one. */
+  breakConnection(): void;
+  /** Calls `action` once the exchange is over; `isWhole` when the answer went out in full. */
+  onClose(action: (isWhole: boolean) => void): void;
+}
+
 /** What one request is run with. */
 export interface RequestContext {
   readonly services: RequestServices;
   /** The configuration that the request started with, and keeps. */
   readonly snapshot: Snapshot;
   readonly match: RouteMatch;
-  readonly request: CallerRequest;
-  readonly response: CallerResponse;
-  readonly headers: readonly string[];
+  readonly method: string;
+  /** Path and query as the caller sent them. */
+  readonly target: string;
+  /** Headers to send on, with the route's credential. */
+  readonly headers: HeaderList;
+  /** Attempts after the first by the caller's word; undefined when it names none. */
+  readonly retries: number | undefined;
+  readonly response: CallerReply;
   readonly requestId: string;
   readonly deadlineAtMs: number;
 }
@@ -42,21 +62,21 @@
   private endpoint: Endpoint | undefined;
   private answer: Answer | undefined;
   private body: RequestBody | undefined;
-  private readonly deadlineTimer: NodeJS.Timeout;
-  private backOffTimer: NodeJS.Timeout | undefined;
+  private readonly cancelDeadline: CancelTimer;
+  private cancelBackOff: CancelTimer | undefined;
 
   constructor(private readonly context: RequestContext) {
-    const { services, match, request, deadlineAtMs } = context;
+    const { services, match, retries, deadlineAtMs } = context;
     const policy = {
       repeatable: match.repeatable,
       deadlineAtMs,
-      retries: Math.min(services.limits.maxRetries, request.retries ?? Infinity),
+      retries: Math.min(services.limits.maxRetries, retries ?? Infinity),
       retryBudgetPercent: match.retryBudgetPercent,
     };
     const budget = services.retryBudgetOf(match.service);
     this.lifecycle = new RequestLifecycle(policy, budget, services.random);
-    const remainingMs = deadlineAtMs - services.clock();
-    this.deadlineTimer = setTimeout(() => this.expire(), remainingMs);
+    const remainingMs = deadlineAtMs - services.scheduler.now();
+    this.cancelDeadline = services.scheduler.schedule(remainingMs, () => this.expire());
     context.response.onClose((isWhole) => this.close(isWhole));
   }
 
@@ -73,7 +93,7 @@
   }
 
   private handle(event: RequestEvent): void {
-    for (const effect of this.lifecycle.handle(event, this.context.services.clock())) {
+    for (const effect of this.lifecycle.handle(event, this.context.services.scheduler.now())) {
       this.execute(effect);
     }
   }
@@ -83,12 +103,7 @@
       case 'begin-attempt':
         return this.beginAttempt(effect.attempt, effect.retriesLeft);
       case 'back-off':
-        this.context.services.counters.add('ferryspool_retries_total');
-        this.backOffTimer = setTimeout(
-          () => this.handle({ type: 'back-off-over' }),
-          effect.delayMs,
-        );
-        return;
+        return this.backOff(effect.delayMs);
       case 'abort-attempt':
         this.attempt?.abort();
         return this.endAttempt(this.answer === undefined ? 'abandoned' : 'answered');
@@ -107,6 +122,12 @@
     }
   }
 
+  private backOff(delayMs: number): void {
+    const { counters, scheduler } = this.context.services;
+    counters.add('ferryspool_retries_total');
+    this.cancelBackOff = scheduler.schedule(delayMs, () => this.handle({ type: 'back-off-over' }));
+  }
+
   private beginAttempt(attempt: number, retriesLeft: number): void {
     const { services, snapshot, match } = this.context;
     this.attemptNumber = attempt;
@@ -120,7 +141,7 @@
     this.endpoint = endpoint;
     this.answer = undefined;
     this.tried.add(endpoint.name);
-    services.selector.began(endpoint, services.clock());
+    services.selector.began(endpoint, services.scheduler.now());
     const call = this.callOf(this.body, attempt, retriesLeft);
     this.attempt = path.submit(endpoint, call, {
       answered: (answer) => this.takeAnswer(attempt, answer),
@@ -129,11 +150,11 @@
   }
 
   private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
-    const { request, headers, requestId, deadlineAtMs, services } = this.context;
+    const { method, target, headers, requestId, deadlineAtMs, services } = this.context;
     return {
       requestId: `${requestId}.${attempt}`,
-      method: request.method,
-      target: request.target,
+      method,
+      target,
       headers,
       body,
       deadlineAtMs,
@@ -190,7 +211,7 @@
           draining,
           ...(retryAfterMs !== undefined && { retryAfterMs }),
         },
-        services.clock(),
+        services.scheduler.now(),
       );
     }
   }
@@ -199,7 +220,7 @@
     const { services, snapshot, match } = this.context;
     if (this.endpoint !== undefined) {
       const peers = snapshot.endpointsByService.get(match.service) ?? [];
-      services.selector.ended(this.endpoint, outcome, peers, services.clock());
+      services.selector.ended(this.endpoint, outcome, peers, services.scheduler.now());
       this.endpoint = undefined;
     }
   }
@@ -224,8 +245,8 @@
   }
 
   private finish(): void {
-    clearTimeout(this.deadlineTimer);
-    clearTimeout(this.backOffTimer);
+    this.cancelDeadline();
+    this.cancelBackOff?.();
   }
 }
 
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -11,6 +11,7 @@
 import type { EndpointPath } from './call.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import type { RelayAddress } from './relay-client.js';
+import type { Scheduler } from './scheduler.js';
 
 /** What the node knows of its peers. */
 export interface MemberDirectory {
@@ -26,7 +27,7 @@
   readonly members: MemberDirectory;
   readonly counters: CounterSink;
   readonly random: RandomSource;
-  readonly clock: () => number;
+  readonly scheduler: Scheduler;
   readonly limits: ProxyLimits;
   /** The way to endpoints that this node reaches itself. */
   readonly direct: EndpointPath;
@@ -40,7 +41,7 @@
   readonly limits: ProxyLimits;
   readonly counters: CounterSink;
   readonly random: RandomSource;
-  readonly clock: () => number;
+  readonly scheduler: Scheduler;
   readonly machineId: string;
   private readonly budgets = new Map<string, RetryBudget>();
 
@@ -49,7 +50,7 @@
     this.limits = options.limits;
     this.counters = options.counters;
     this.random = options.random;
-    this.clock = options.clock;
+    this.scheduler = options.scheduler;
     this.machineId = options.identity.id;
   }
 
@@ -68,7 +69,7 @@
       mayReceive: (endpoint: Endpoint) => this.pathTo(endpoint) !== undefined,
     };
     const endpoints = snapshot.endpointsByService.get(match.service) ?? [];
-    return this.selector.choose(endpoints, context, this.clock());
+    return this.selector.choose(endpoints, context, this.scheduler.now());
   }
 
   /** The way to an endpoint, or undefined when it may get no new work from this node. */
--- a/src/proxy/server-drain.ts
+++ b/src/proxy/server-drain.ts
@@ -3,6 +3,7 @@
  * is in flight and nothing has arrived for a while, idle connections and listeners are shut.
  */
 import type http from 'node:http';
+import csp from 'js-csp';
 
 const POLL_MS = 20;
 
@@ -22,16 +23,23 @@
   servers: readonly http.Server[],
   options: DrainOptions,
 ): Promise<void> {
-  const startedAtMs = options.clock();
-  while (!isDrained(options, startedAtMs)) {
-    await new Promise((resolve) => setTimeout(resolve, POLL_MS));
-  }
+  await new Promise<void>((resolve) => {
+    csp.go(awaitDrained, [options, resolve]);
+  });
   for (const server of servers) {
     server.close();
     server.closeIdleConnections();
   }
 }
 
+function* awaitDrained(options: DrainOptions, done: () => void): Generator<unknown, void> {
+  const startedAtMs = options.clock();
+  while (!isDrained(options, startedAtMs)) {
+    yield csp.timeout(POLL_MS);
+  }
+  done();
+}
+
 function isDrained(options: DrainOptions, startedAtMs: number): boolean {
   const nowMs = options.clock();
   if (nowMs - startedAtMs >= options.timeoutMs) {
--- a/test/proxy/request-proxy.test.ts
+++ b/test/proxy/request-proxy.test.ts
@@ -1,4 +1,6 @@
 /** The request path over real sockets: caller, node, node beside the endpoint, endpoint. */
+import { once } from 'node:events';
+import net from 'node:net';
 import { expect } from 'chai';
 import { RelayTokenIssuer } from '../../src/proxy/relay-token.js';
 import {
@@ -180,6 +182,31 @@
     });
   }
 
+  it('does not run what its sender gave up while the process was paused', async () => {
+    const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
+    const { relayPort } = await mesh.addNode('n2');
+    const relayHeaders = {
+      'ferryspool-relay-token': validToken,
+      'ferryspool-endpoint': 'echo/e1',
+      'ferryspool-request-id': 'r0',
+      'ferryspool-deadline-ms': '1000',
+      'ferryspool-retries': '0',
+    };
+    await call(relayPort, { headers: relayHeaders });
+    const sender = net.connect(relayPort, '127.0.0.1');
+    await once(sender, 'connect');
+    sender.write(
+      `GET / HTTP/1.1\r\nHost: a\r\nferryspool-relay-token: ${validToken}\r\n` +
+        'ferryspool-endpoint: echo/e1\r\nferryspool-request-id: r1\r\n' +
+        'ferryspool-deadline-ms: 1000\r\nferryspool-retries: 0\r\n\r\n',
+    );
+    sender.destroy();
+    const wakeAtMs = performance.now() + 500;
+    while (performance.now() < wakeAtMs);
+    await call(relayPort, { headers: { ...relayHeaders, 'ferryspool-request-id': 'r2' } });
+    expect(target.heads.map((head) => /x-request-id: (\S+)/.exec(head)?.[1])).to.not.include('r1');
+  });
+
   it('keeps pipelined answers in order', async () => {
     const target = await oneEndpoint('n2', (socket, head) => {
       const path = head.split(' ')[1] ?? '';
