Mask document digests where operators see them

Cause: a document's digest is an unkeyed sum over all its entries, secrets included. Cursors and the status showed it, so that whoever could list the other resources could test guesses of a secret's value. Change: cursors and status carry a digest keyed by the fleet key, equal on all nodes. Whether a node lags behind a cursor is now told by the numbers alone. The bad-input table gains a write cut inside its body and connections beyond the listener's bound. Not covered: headers that arrive too slowly (408) rest on the HTTP library's timer, which a test could only show by waiting in real time. Without the mask, without its use in the status, or without the connection bound a test fails.

--- a/src/api/admin-server.ts
+++ b/src/api/admin-server.ts
@@ -12,6 +12,7 @@
 import { sendError } from './api-response.js';
 import { ConfigurationFeed } from './configuration-feed.js';
 import type { ConfigurationView } from './configuration-view.js';
+import { createDigestMask, maskStatus } from './digest-mask.js';
 import type { StatusProvider } from './node-status.js';
 import { createResourceVersioner } from './resource-version.js';
 import { ResourceWriter } from './resource-writer.js';
@@ -53,7 +54,9 @@
     const { settings, metrics } = options;
     const { api } = settings;
     declareApiCounters((name, help) => metrics.declareCounter(name, help));
-    const feed = new ConfigurationFeed(options.view, createResourceVersioner(settings.fleetKey), {
+    const { fleetKey } = settings;
+    const versionOf = createResourceVersioner(fleetKey);
+    const feed = new ConfigurationFeed(options.view, versionOf, createDigestMask(fleetKey), {
       maxEvents: api.watchHistoryEvents,
       maxBytes: api.watchHistoryBytes,
     });
@@ -92,11 +95,12 @@
   watches: WatchRegistry,
 ): AdminHandler {
   const versionOf = createResourceVersioner(settings.fleetKey);
+  const maskDigest = createDigestMask(settings.fleetKey);
   return new AdminHandler({
     feed,
     watches,
     writer: new ResourceWriter(writePort, versionOf, settings.api.writeTimeoutMs),
-    status,
+    status: () => maskStatus(status(), maskDigest),
     metrics,
     counters: metrics,
     checkAccess: createAccessCheck(settings.adminToken),
--- a/src/api/configuration-feed.ts
+++ b/src/api/configuration-feed.ts
@@ -4,6 +4,7 @@
 import { ChangeLog, type ChangeLogBounds, type LoggedChange } from './change-log.js';
 import type { ConfigurationView, Unsubscribe } from './configuration-view.js';
 import { formatCursor } from './cursor.js';
+import type { DigestMask } from './digest-mask.js';
 import type { ResourceVersioner } from './resource-version.js';
 import {
   differenceFrom,
@@ -24,12 +25,13 @@
   constructor(
     view: ConfigurationView,
     private readonly versionOf: ResourceVersioner,
+    private readonly maskDigest: DigestMask,
     bounds: ChangeLogBounds,
   ) {
     const snapshot = view.current();
     this.index = differenceFrom(new Map(), snapshot, versionOf).index;
     this.version = snapshot.version;
-    this.log = new ChangeLog(bounds, formatCursor(snapshot.version));
+    this.log = new ChangeLog(bounds, formatCursor(snapshot.version, maskDigest));
     this.unsubscribe = view.subscribe((next) => this.follow(next));
   }
 
@@ -40,7 +42,7 @@
 
   /** Cursor of the snapshot in force. */
   get cursor(): string {
-    return formatCursor(this.version);
+    return formatCursor(this.version, this.maskDigest);
   }
 
   /** The resource under `key`. */
--- a/src/api/cursor.ts
+++ b/src/api/cursor.ts
@@ -3,31 +3,33 @@
  * after that snapshot, on any node that passed through it.
  */
 import type { SnapshotVersion } from '../model/snapshot.js';
-import { isNewer, type DocumentVersion } from '../model/version.js';
+import type { DigestMask } from './digest-mask.js';
 
-const CURSOR_PATTERN = /^(\d{1,16})\.([0-9a-f]{32})-(\d{1,16})\.([0-9a-f]{32})$/;
+const CURSOR_PATTERN = /^(\d{1,16})\.[0-9a-f]{32}-(\d{1,16})\.[0-9a-f]{32}$/;
+
+/** The version numbers that a cursor names. */
+export interface CursorNumbers {
+  readonly source: number;
+  readonly operator: number;
+}
 
 /** The cursor of a snapshot. */
-export function formatCursor({ source, operator }: SnapshotVersion): string {
-  return `${source.number}.${source.digest}-${operator.number}.${operator.digest}`;
+export function formatCursor({ source, operator }: SnapshotVersion, mask: DigestMask): string {
+  const sourceText = `${source.number}.${mask(source.digest)}`;
+  return `${sourceText}-${operator.number}.${mask(operator.digest)}`;
 }
 
-/** The version that a cursor stands for; undefined when `text` is none. */
-export function parseCursor(text: string): SnapshotVersion | undefined {
+/** The numbers in a cursor; undefined when `text` is none. */
+export function parseCursor(text: string): CursorNumbers | undefined {
   const match = CURSOR_PATTERN.exec(text);
-  const source = versionOf(match?.[1], match?.[2]);
-  const operator = versionOf(match?.[3], match?.[4]);
-  return source === undefined || operator === undefined ? undefined : { source, operator };
+  const source = Number(match?.[1]);
+  const operator = Number(match?.[2]);
+  return Number.isSafeInteger(source) && Number.isSafeInteger(operator)
+    ? { source, operator }
+    : undefined;
 }
 
 /** Whether the cursor names something newer than what is held: this node lags behind another. */
-export function isAhead(cursor: SnapshotVersion, held: SnapshotVersion): boolean {
-  return isNewer(cursor.source, held.source) || isNewer(cursor.operator, held.operator);
-}
-
-function versionOf(number: string | undefined, digest?: string): DocumentVersion | undefined {
-  const parsed = Number(number);
-  return digest === undefined || !Number.isSafeInteger(parsed)
-    ? undefined
-    : { number: parsed, digest };
+export function isAhead(cursor: CursorNumbers, held: SnapshotVersion): boolean {
+  return cursor.source > held.source.number || cursor.operator > held.operator.number;
 }
--- a/src/api/watch-registry.ts
+++ b/src/api/watch-registry.ts
@@ -80,8 +80,8 @@
   }
 
   private positionOf(cursor: string): number {
-    const version = parseCursor(cursor);
-    if (version === undefined) {
+    const numbers = parseCursor(cursor);
+    if (numbers === undefined) {
       throw new ApiError('MALFORMED_REQUEST', 'from: expected the cursor of a list or bookmark');
     }
     const { feed, counters } = this.options;
@@ -89,7 +89,7 @@
     if (position !== undefined) {
       return position;
     }
-    if (isAhead(version, feed.heldVersion)) {
+    if (isAhead(numbers, feed.heldVersion)) {
       const details = { retryAfterMs: LAGGING_RETRY_AFTER_MS };
       throw new ApiError('NOT_HELD_YET', 'this node does not hold that version yet', details);
     }
--- a/test/api/admin-server.test.ts
+++ b/test/api/admin-server.test.ts
@@ -1,6 +1,9 @@
+import { once } from 'node:events';
+import { connect, type Socket } from 'node:net';
 import { expect } from 'chai';
 import { MAX_URL_LENGTH } from '../../src/api/api-request.js';
-import { MAX_HEADER_BYTES } from '../../src/api/admin-server.js';
+import { API_COUNTERS } from '../../src/api/api-counters.js';
+import { MAX_HEADER_BYTES, MAX_PLAIN_CONNECTIONS } from '../../src/api/admin-server.js';
 import { createResourceVersioner } from '../../src/api/resource-version.js';
 import type { WriteOutcome } from '../../src/api/write-port.js';
 import { VERDICT_HEADER } from '../../src/model/verdict.js';
@@ -14,6 +17,7 @@
   SECRET_VALUE,
   secretOf,
   serviceOf,
+  STATUS_DIGEST,
   type ApiFixture,
 } from './api-fixture.js';
 
@@ -22,6 +26,36 @@
 const MAX_BODY_BYTES = 2_048;
 const versionOf = createResourceVersioner(FLEET_KEY);
 
+/** Opens connections one after the other; resolves once the listener has refused one. */
+async function openConnections(port: number, count: number): Promise<Socket[]> {
+  const sockets: Socket[] = [];
+  for (let opened = 0; opened < count; opened += 1) {
+    const socket = connect(port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    sockets.push(socket);
+    await once(socket, 'connect');
+  }
+  await Promise.race(sockets.map((socket) => once(socket, 'close')));
+  return sockets;
+}
+
+async function closeSocket(socket: Socket): Promise<void> {
+  if (!socket.closed) {
+    socket.destroy();
+    await once(socket, 'close');
+  }
+}
+
+/** Resolves once the listener has noticed closed connections and answers a new one. */
+async function answersAgain(api: ApiFixture): Promise<void> {
+  for (;;) {
+    const answer = await call(api, 'GET', '/healthz').catch(() => undefined);
+    if (answer?.status === 200) {
+      return;
+    }
+  }
+}
+
 describe('the admin server', () => {
   let api: ApiFixture;
 
@@ -68,6 +102,15 @@
       expect(body).to.have.nested.property('source.rejected.reason', 'route/r: dangling');
       expect(body['cursor']).to.match(/^4\./);
       expect(body).to.have.nested.property('node.zone', 'a');
+      expect(body).to.have.nested.property('members[0].held.source.number', 4);
+    });
+
+    it('shows no digest of a document that has secrets, as it would let guesses be tested', async () => {
+      const digest = api.view.current().version.source.digest;
+      for (const path of ['/v1/status', '/v1/secrets', '/metrics']) {
+        const { text } = await call(api, 'GET', path, AUTHORIZED);
+        expect(text).not.to.contain(digest).and.not.to.contain(STATUS_DIGEST);
+      }
     });
 
     it('shows metrics as Prometheus text, without secrets', async () => {
@@ -311,6 +354,26 @@
         /^HTTP\/1\.1 405 .*"METHOD_NOT_ALLOWED"/s,
       ],
     ];
+    it('drops a write whose connection ends inside the body', async () => {
+      const head = `PUT /v1/services/a HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${ADMIN_TOKEN}`;
+      const rest = '\r\nif-none-match: *\r\ncontent-length: 100\r\n\r\n{"spec":{}';
+      expect(await callRaw(api, head + rest, true)).to.match(/^HTTP\/1\.1 400/);
+      expect(api.writes).to.deep.equal([]);
+    });
+
+    it('refuses connections beyond its bound, and takes new ones later', async () => {
+      const bounded = await openApi({ api: { maxWatchers: 1 } });
+      try {
+        const sockets = await openConnections(bounded.server.port, MAX_PLAIN_CONNECTIONS + 2);
+        const refused = bounded.metrics.counterTotals().get(API_COUNTERS.connectionsRefused);
+        expect(refused).to.equal(1);
+        await Promise.all(sockets.map(closeSocket));
+        await answersAgain(bounded);
+      } finally {
+        bounded.server.abort();
+      }
+    });
+
     for (const [what, bytes, expected] of raw) {
       it(`answers ${what} on the bare socket and closes it`, async () => {
         expect(await callRaw(api, bytes)).to.match(expected);
