Replicate operators' writes among voters that keep nothing

Cause: operators create resources, and no machine has a disk. A write may be called accepted only when it can not be lost with a minority of machines. Ruled out: the recovery protocol of Viewstamped Replication. A configuration names each voter with its incarnation, so a process that restarted is no voter and joins through a logged reconfiguration, which is needed anyway and asks for the same majority. A longer log: one operation at a time that is not committed makes log transfer and view change small, and a batch still costs one round trip. Change: src/replication: normal operation, view change, state transfer, reconfiguration, formation of a first group (every declared machine that has not left the platform's list must agree), validation of writes at the primary, and the client that accounts for every attempt, so that "not accepted" is said only on proof. Messages are JSON in one frame type (11); the codec's test of a type number without a message therefore takes 12 instead of 11, as strict. Not joined to the node yet: the API still refuses writes.

--- /dev/null
+++ b/src/replication/primary-writes.ts
@@ -0,0 +1,191 @@
+/** The primary's part of operators' writes: one after another, each checked, proposed and answered. */
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import { propose } from './normal-operation.js';
+import type { WriteOutcome } from './operator-write.js';
+import { Reconfiguration } from './reconfiguration.js';
+import type { ReplicaCore } from './replica-core.js';
+import type { LogOperation, NotPrimaryOutcome, WriteMessage } from './replication-message.js';
+import { resolveWrite } from './write-validation.js';
+
+/** Writes that wait at the primary at most. */
+export const MAX_QUEUED_WRITES = 64;
+/** Refused attempts remembered, so that a late duplicate of one is not proposed after all. */
+const MAX_REMEMBERED_REFUSALS = 4_096;
+
+/** What becomes of one attempt. */
+export type AttemptResult = WriteOutcome | NotPrimaryOutcome;
+
+/** Answers one attempt. */
+export type AnswerAttempt = (
+  from: PeerIdentity,
+  message: WriteMessage,
+  result: AttemptResult,
+) => void;
+
+interface Attempt {
+  readonly from: PeerIdentity;
+  readonly message: WriteMessage;
+}
+
+/** Writes that have come to this process as the primary. */
+export class PrimaryWrites {
+  private queue: Attempt[] = [];
+  /** Attempts whose request was proposed here, by the number of its operation. */
+  private readonly proposed = new Map<number, Attempt[]>();
+  private readonly refused = new Set<string>();
+  private readonly reconfiguration: Reconfiguration;
+
+  constructor(
+    private readonly core: ReplicaCore,
+    private readonly answer: AnswerAttempt,
+  ) {
+    this.reconfiguration = new Reconfiguration(core);
+  }
+
+  /** Takes an attempt: proposes it, or refuses it for good. */
+  onWrite(from: PeerIdentity, message: WriteMessage): void {
+    const { core } = this;
+    const attempt = { from, message };
+    if (this.refused.has(refusalKey(message)) || !this.mayPropose()) {
+      this.refuse(attempt, { outcome: 'not-primary', primaryId: this.primaryHint() });
+      return;
+    }
+    const revision = core.state?.requests.get(message.requestId);
+    if (revision !== undefined) {
+      this.answer(from, message, { outcome: 'accepted', revision });
+    } else if (message.baseRevision < (core.state?.requestsFrom ?? Infinity)) {
+      this.refuse(attempt, { outcome: 'not-accepted', reason: 'stale-base' });
+    } else if (!this.joinsKnownRequest(attempt)) {
+      this.enqueue(attempt);
+    }
+    this.proposeNext();
+  }
+
+  /** Proposes the next write, or a reconfiguration, when nothing is pending. */
+  proposeNext(): void {
+    const { core } = this;
+    while (core.pending === undefined && this.mayPropose()) {
+      const reconfiguration = this.reconfiguration.nextOperation();
+      if (reconfiguration !== undefined) {
+        propose(core, reconfiguration);
+        continue;
+      }
+      const next = this.queue.shift();
+      if (next === undefined) {
+        return;
+      }
+      this.proposeWrite(next);
+    }
+  }
+
+  /** Answers those that wait for the operation that was executed. */
+  onExecuted(operation: LogOperation): void {
+    const { number, requestId } = operation;
+    for (const attempt of this.proposed.get(number) ?? []) {
+      if (attempt.message.requestId === requestId) {
+        this.answer(attempt.from, attempt.message, { outcome: 'accepted', revision: number });
+      } else {
+        this.refuse(attempt, { outcome: 'not-accepted', reason: 'superseded' });
+      }
+    }
+    this.proposed.delete(number);
+  }
+
+  /** When this process is not the primary any more: what was not proposed never will be. */
+  onRoleChange(): void {
+    if (this.core.isPrimary) {
+      return;
+    }
+    const waiting = this.queue;
+    this.queue = [];
+    for (const attempt of waiting) {
+      this.refuse(attempt, { outcome: 'not-primary', primaryId: this.primaryHint() });
+    }
+    this.forgetPassed();
+  }
+
+  /** A primary that meets a revision beyond its own has been replaced without knowing it. */
+  private mayPropose(): boolean {
+    const { core } = this;
+    const held = core.options.documents.operatorDocument().version.number;
+    return core.isPrimary && core.hearsMajority() && held <= core.commitNumber;
+  }
+
+  private proposeWrite(attempt: Attempt): void {
+    const { core } = this;
+    const { documents } = core.options;
+    const revision = core.state?.requests.get(attempt.message.requestId);
+    if (revision !== undefined) {
+      this.answer(attempt.from, attempt.message, { outcome: 'accepted', revision });
+      return;
+    }
+    if (this.refused.has(refusalKey(attempt.message))) {
+      return;
+    }
+    const operator = core.state?.document ?? documents.operatorDocument();
+    const source = documents.sourceDocument();
+    const resolved = resolveWrite(attempt.message.write, {
+      source,
+      operator,
+      merge: (left, right) => documents.merge(left, right),
+      versionOf: (resource) => documents.versionOf(resource),
+    });
+    if (resolved.outcome !== 'valid') {
+      this.refuse(attempt, resolved);
+      return;
+    }
+    const { upserts, removals } = resolved;
+    const number = core.commitNumber + 1;
+    this.proposed.set(number, [attempt]);
+    propose(core, { number, requestId: attempt.message.requestId, upserts, removals });
+  }
+
+  /** Whether the same request waits or is pending; then the attempt shares its fate. */
+  private joinsKnownRequest(attempt: Attempt): boolean {
+    const { requestId } = attempt.message;
+    const { pending } = this.core;
+    if (pending?.requestId === requestId) {
+      const attempts = this.proposed.get(pending.number) ?? [];
+      this.proposed.set(pending.number, [...attempts, attempt]);
+      return true;
+    }
+    return this.queue.some((waiting) => waiting.message.requestId === requestId);
+  }
+
+  private enqueue(attempt: Attempt): void {
+    if (this.queue.length >= MAX_QUEUED_WRITES) {
+      this.refuse(attempt, { outcome: 'not-accepted', reason: 'overloaded' });
+      return;
+    }
+    this.queue.push(attempt);
+  }
+
+  private refuse(attempt: Attempt, result: AttemptResult): void {
+    this.refused.add(refusalKey(attempt.message));
+    for (const oldest of this.refused) {
+      if (this.refused.size <= MAX_REMEMBERED_REFUSALS) {
+        break;
+      }
+      this.refused.delete(oldest);
+    }
+    this.answer(attempt.from, attempt.message, result);
+  }
+
+  /** Operations that were passed over by a state transfer: their fate is not known here. */
+  private forgetPassed(): void {
+    for (const number of this.proposed.keys()) {
+      if (number <= this.core.commitNumber) {
+        this.proposed.delete(number);
+      }
+    }
+  }
+
+  private primaryHint(): string | undefined {
+    const primary = this.core.primary();
+    return primary?.id === this.core.options.self.id ? undefined : primary?.id;
+  }
+}
+
+function refusalKey(message: WriteMessage): string {
+  return `${message.requestId}/${message.attempt}`;
+}
--- /dev/null
+++ b/src/replication/view-change.ts
@@ -0,0 +1,135 @@
+/** View change: a majority leaves a view, and the next primary starts the new one from their logs. */
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import { commitIfHeld } from './normal-operation.js';
+import type { ReplicaCore } from './replica-core.js';
+import type {
+  DoViewChangeMessage,
+  StartViewChangeMessage,
+  StartViewMessage,
+} from './replication-message.js';
+import { requestState, sendState } from './state-transfer.js';
+import { majorityOf } from './voter-configuration.js';
+
+/** Leaves the current view for `view` and tells the other voters. */
+export function startViewChange(core: ReplicaCore, view: number): void {
+  core.leaveFor(view);
+  core.options.counters.add('replication_view_changes_total');
+  announceViewChange(core);
+  completeViewChange(core);
+}
+
+/** Says again that this replica has left for its view, for those that missed it. */
+export function announceViewChange(core: ReplicaCore): void {
+  core.broadcast({ type: 'start-view-change', ballot: core.ballot });
+  const primary = core.primary();
+  if (primary !== undefined) {
+    core.send(primary, ownLog(core));
+  }
+}
+
+/** Follows a voter into a later view. */
+export function onStartViewChange(
+  core: ReplicaCore,
+  from: PeerIdentity,
+  message: StartViewChangeMessage,
+): void {
+  const { view } = message.ballot;
+  if (view > core.view) {
+    startViewChange(core, view);
+  } else if (core.status === 'normal') {
+    sendState(core, from);
+  }
+}
+
+/** Next primary: collects the logs of a majority. */
+export function onDoViewChange(
+  core: ReplicaCore,
+  from: PeerIdentity,
+  message: DoViewChangeMessage,
+): void {
+  const { view } = message.ballot;
+  if (view < core.view) {
+    return;
+  }
+  if (view > core.view) {
+    startViewChange(core, view);
+  }
+  if (core.status === 'normal') {
+    sendState(core, from);
+    return;
+  }
+  core.collectedLogs.set(from.id, message);
+  completeViewChange(core);
+}
+
+/** Backup: takes the log with which the view starts. */
+export function onStartView(
+  core: ReplicaCore,
+  from: PeerIdentity,
+  message: StartViewMessage,
+): void {
+  const { view } = message.ballot;
+  if (view < core.view || (view === core.view && core.status === 'normal')) {
+    return;
+  }
+  if (core.commitNumber < message.commitNumber) {
+    requestState(core, from);
+    return;
+  }
+  core.becomeNormal(view, message.pending);
+  core.acknowledge(from);
+}
+
+/**
+ * Next primary: starts the view once a majority has sent its log. The log of the latest normal view,
+ * and of these the longest, holds every operation that may have been committed.
+ */
+export function completeViewChange(core: ReplicaCore): void {
+  const { state } = core;
+  if (core.status !== 'view-change' || core.primary()?.id !== core.options.self.id) {
+    return;
+  }
+  const logs = [ownLog(core), ...core.collectedLogs.values()];
+  if (state === undefined || logs.length < majorityOf(state.configuration)) {
+    return;
+  }
+  if (lacksCommitted(core)) {
+    return;
+  }
+  const best = logs.reduce((left, right) => (isLaterLog(right, left) ? right : left));
+  core.becomeNormal(core.view, best.pending);
+  const { ballot, commitNumber, pending } = core;
+  core.report('replication-view', `primary of view ${ballot.view} in epoch ${ballot.epoch}`);
+  core.broadcast({ type: 'start-view', ballot, commitNumber, pending });
+  commitIfHeld(core);
+}
+
+/** Whether another log has more committed operations; asks for them. */
+function lacksCommitted(core: ReplicaCore): boolean {
+  for (const [id, log] of core.collectedLogs) {
+    const link = core.links.get(id);
+    if (log.commitNumber > core.commitNumber) {
+      if (link !== undefined) {
+        requestState(core, link);
+      }
+      return true;
+    }
+  }
+  return false;
+}
+
+function isLaterLog(left: DoViewChangeMessage, right: DoViewChangeMessage): boolean {
+  if (left.lastNormalView !== right.lastNormalView) {
+    return left.lastNormalView > right.lastNormalView;
+  }
+  return operationNumberOf(left) > operationNumberOf(right);
+}
+
+function operationNumberOf(log: DoViewChangeMessage): number {
+  return log.pending?.number ?? log.commitNumber;
+}
+
+function ownLog(core: ReplicaCore): DoViewChangeMessage {
+  const { ballot, lastNormalView, commitNumber, pending } = core;
+  return { type: 'do-view-change', ballot, lastNormalView, commitNumber, pending };
+}
--- /dev/null
+++ b/src/replication/write-client.ts
@@ -0,0 +1,214 @@
+/**
+ * Carries operators' writes from the node that took them to the primary. Every attempt is accounted
+ * for: a write is called not accepted only when each attempt was refused for good.
+ */
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import type { NotAcceptedReason, OperatorWrite, WriteOutcome } from './operator-write.js';
+import type { ReplicaCore } from './replica-core.js';
+import type { NotPrimaryOutcome, WriteAnswerMessage, WriteMessage } from './replication-message.js';
+import type { Voter } from './voter-configuration.js';
+
+/** Time that a write is given, in milliseconds; enough for a change of the primary. */
+export const WRITE_TIMEOUT_MS = 10_000;
+/** Time after which an unanswered attempt is followed by another, in milliseconds. */
+export const ATTEMPT_TIMEOUT_MS = 2_000;
+/** Pause before another voter is tried after a refusal, in milliseconds. */
+export const REFUSED_RETRY_MS = 200;
+/** Writes under way at one node at most. */
+export const MAX_CLIENT_WRITES = 256;
+
+/** Told of the fate of one write, exactly once. */
+export type OnOutcome = (outcome: WriteOutcome) => void;
+
+interface ClientWrite {
+  readonly requestId: string;
+  readonly write: OperatorWrite;
+  readonly baseRevision: number;
+  readonly deadlineMs: number;
+  readonly onOutcome: OnOutcome;
+  /** Attempts that were sent and not answered. */
+  readonly unanswered: Set<number>;
+  attempts: number;
+  nextAttemptMs: number;
+  /** Machine to try next. */
+  targetId: string | undefined;
+  /** Machine to which a link was last asked for. */
+  dialedId: string | undefined;
+  refusal: NotAcceptedReason;
+}
+
+/** Hands an attempt to this node's own replica. */
+export type OfferLocally = (message: WriteMessage) => void;
+
+/** Writes that this node took from operators and that have no outcome yet. */
+export class WriteClient {
+  private readonly writes = new Map<string, ClientWrite>();
+  private submitted = 0;
+
+  constructor(
+    private readonly core: ReplicaCore,
+    private readonly offerLocally: OfferLocally,
+  ) {}
+
+  /** Starts a write; the outcome is told within {@link WRITE_TIMEOUT_MS}. */
+  submit(write: OperatorWrite, onOutcome: OnOutcome): void {
+    const { core } = this;
+    if (core.knownConfiguration() === undefined) {
+      onOutcome({ outcome: 'not-accepted', reason: 'no-voters' });
+      return;
+    }
+    if (this.writes.size >= MAX_CLIENT_WRITES) {
+      onOutcome({ outcome: 'not-accepted', reason: 'overloaded' });
+      return;
+    }
+    this.submitted += 1;
+    const { id, incarnation } = core.options.self;
+    const entry: ClientWrite = {
+      requestId: `${id}/${incarnation}/${this.submitted}`,
+      write,
+      baseRevision: this.heldRevision(),
+      deadlineMs: core.nowMs + WRITE_TIMEOUT_MS,
+      onOutcome,
+      unanswered: new Set(),
+      attempts: 0,
+      nextAttemptMs: core.nowMs,
+      targetId: core.primary()?.id,
+      dialedId: undefined,
+      refusal: 'no-majority',
+    };
+    this.writes.set(entry.requestId, entry);
+    this.tryAgain(entry);
+  }
+
+  /** Takes the answer to one attempt. */
+  onAnswer(answer: WriteAnswerMessage): void {
+    const entry = this.writes.get(answer.requestId);
+    if (entry?.unanswered.has(answer.attempt) !== true) {
+      return;
+    }
+    const { result } = answer;
+    if (result.outcome === 'accepted') {
+      this.finish(entry, result);
+      return;
+    }
+    entry.unanswered.delete(answer.attempt);
+    this.onRefusal(entry, result);
+  }
+
+  /** Retries and ends what is due. */
+  tick(): void {
+    const { nowMs } = this.core;
+    for (const entry of [...this.writes.values()]) {
+      if (nowMs >= entry.deadlineMs) {
+        this.finish(entry, endOf(entry));
+      } else if (nowMs >= entry.nextAttemptMs) {
+        this.tryAgain(entry);
+      }
+    }
+  }
+
+  /** When `tick` is needed next, in milliseconds; Infinity while no write is under way. */
+  nextWakeAt(): number {
+    let earliest = Infinity;
+    for (const entry of this.writes.values()) {
+      earliest = Math.min(earliest, entry.deadlineMs, entry.nextAttemptMs);
+    }
+    return earliest;
+  }
+
+  private onRefusal(entry: ClientWrite, result: WriteOutcome | NotPrimaryOutcome): void {
+    switch (result.outcome) {
+      case 'not-primary':
+        entry.targetId = result.primaryId ?? entry.targetId;
+        entry.nextAttemptMs = Math.min(entry.nextAttemptMs, this.core.nowMs + REFUSED_RETRY_MS);
+        break;
+      case 'not-accepted':
+        entry.refusal = result.reason;
+        if (result.reason !== 'superseded') {
+          this.finishIfSettled(entry, result);
+        }
+        break;
+      case 'conflict':
+      case 'invalid':
+        this.finishIfSettled(entry, result);
+        break;
+      case 'accepted':
+      case 'unknown':
+        break;
+    }
+  }
+
+  /** A refusal is the write's fate only if no other attempt may still be accepted. */
+  private finishIfSettled(entry: ClientWrite, outcome: WriteOutcome): void {
+    if (entry.unanswered.size === 0) {
+      this.finish(entry, outcome);
+    } else {
+      entry.nextAttemptMs = Infinity;
+    }
+  }
+
+  private tryAgain(entry: ClientWrite): void {
+    const { core } = this;
+    entry.nextAttemptMs = core.nowMs + REFUSED_RETRY_MS;
+    const target = this.voter(entry.targetId) ?? this.targetAfter(undefined);
+    if (target === undefined) {
+      return;
+    }
+    const next = this.targetAfter(target.id)?.id;
+    const isLocal = target.id === core.options.self.id;
+    if (!isLocal && core.links.get(target.id)?.incarnation !== target.incarnation) {
+      entry.targetId = entry.dialedId === target.id ? next : target.id;
+      entry.dialedId = target.id;
+      core.dial(target);
+      return;
+    }
+    entry.targetId = next;
+    entry.attempts += 1;
+    entry.unanswered.add(entry.attempts);
+    entry.nextAttemptMs = core.nowMs + ATTEMPT_TIMEOUT_MS;
+    const message = messageOf(entry);
+    if (isLocal) {
+      this.offerLocally(message);
+    } else {
+      core.send(target, message);
+    }
+  }
+
+  private finish(entry: ClientWrite, outcome: WriteOutcome): void {
+    this.writes.delete(entry.requestId);
+    entry.onOutcome(outcome);
+  }
+
+  private heldRevision(): number {
+    const { documents } = this.core.options;
+    return Math.max(this.core.commitNumber, documents.operatorDocument().version.number);
+  }
+
+  private voter(id: string | undefined): Voter | undefined {
+    return this.core.knownConfiguration()?.voters.find((voter) => voter.id === id);
+  }
+
+  /** The voter after `id` in the order of views; the first one when there is no such voter. */
+  private targetAfter(id: string | undefined): Voter | undefined {
+    const voters = this.core.knownConfiguration()?.voters ?? [];
+    const position = voters.findIndex((voter) => voter.id === id);
+    return voters[(position + 1) % Math.max(1, voters.length)];
+  }
+}
+
+function messageOf(entry: ClientWrite): WriteMessage {
+  const { requestId, attempts, baseRevision, write } = entry;
+  return { type: 'write', requestId, attempt: attempts, baseRevision, write };
+}
+
+/** The outcome at the deadline: what is unanswered may have been accepted, or may be yet. */
+function endOf(entry: ClientWrite): WriteOutcome {
+  return entry.unanswered.size > 0
+    ? { outcome: 'unknown' }
+    : { outcome: 'not-accepted', reason: entry.refusal };
+}
+
+/** The identity under which a node answers itself. */
+export function isFromSelf(core: ReplicaCore, from: PeerIdentity): boolean {
+  return from.id === core.options.self.id && from.incarnation === core.options.self.incarnation;
+}
--- a/src/wire/message-layouts.ts
+++ b/src/wire/message-layouts.ts
@@ -23,6 +23,7 @@
   type MemberUpdate,
   type PeerMessage,
 } from './message.js';
+import { replicationBody } from './replication-layout.js';
 
 /** Bytes of a digest of one document. */
 const DOCUMENT_DIGEST_BYTES = 16;
@@ -108,6 +109,7 @@
   }),
   'lease-release': new PlainStruct({ slot: shortText, round: varint }),
   rejection: new PlainStruct({ version: documentVersion, reason: longText }),
+  replication: new PlainStruct({ body: replicationBody }),
 };
 
 /** Type numbers on the wire, from 0 to 11; a number is never given to another type. */
@@ -123,6 +125,7 @@
   'lease-answer': 8,
   'lease-release': 9,
   rejection: 10,
+  replication: 11,
 };
 
 /** Every type of message. */
--- a/src/wire/message.ts
+++ b/src/wire/message.ts
@@ -5,6 +5,7 @@
 import type { DocumentEntry } from '../model/document.js';
 import type { DocumentVersion } from '../model/version.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
+import type { ReplicationMessage } from '../replication/replication-message.js';
 
 /** The documents that nodes replicate, each with a version of its own that only rises. */
 export const DOCUMENT_NAMES = ['source', 'operator', 'machines'] as const;
@@ -117,6 +118,12 @@
   readonly reason: string;
 }
 
+/** Carries a message of the replication of operators' writes; they are rare, and coded as JSON. */
+export interface ReplicationEnvelope {
+  readonly type: 'replication';
+  readonly body: ReplicationMessage;
+}
+
 /** Every message of the peer protocol. */
 export type PeerMessage =
   | HeartbeatMessage
@@ -129,4 +136,5 @@
   | LeaseRequestMessage
   | LeaseAnswerMessage
   | LeaseReleaseMessage
-  | RejectionMessage;
+  | RejectionMessage
+  | ReplicationEnvelope;
--- /dev/null
+++ b/test/replication/replica-fuzz.test.ts
@@ -0,0 +1,62 @@
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { MUTANTS, REGRESSIONS, type Mutant } from './replica-mutants.js';
+import { arbitraryScript, ScriptRun } from './write-script.js';
+
+const SEED = 4_001;
+const RUNS = 300;
+/** Scripts in which a deliberate fault must be caught. */
+const MUTANT_RUNS = 600;
+
+describe('replication/replica', () => {
+  it('keeps one line of accepted writes through failures', () => {
+    const totals = new Map<string, number>();
+    let steps = 0;
+    fc.assert(
+      fc.property(arbitraryScript, (script) => {
+        const summary = new ScriptRun(script).run();
+        steps += summary.steps;
+        for (const [outcome, count] of Object.entries(summary.outcomes)) {
+          totals.set(outcome, (totals.get(outcome) ?? 0) + count);
+        }
+      }),
+      { seed: SEED, numRuns: RUNS },
+    );
+    expect(steps).to.be.greaterThan(RUNS * 10);
+    for (const outcome of ['accepted', 'conflict', 'invalid', 'not-accepted', 'unknown']) {
+      expect(totals.get(outcome), outcome).to.be.greaterThan(50);
+    }
+  }).timeout(60_000);
+
+  REGRESSIONS.forEach((script, index) => {
+    it(`holds in regression script ${index + 1}`, () => {
+      expect(new ScriptRun(script).run().steps).to.equal(script.steps.length);
+    });
+  });
+
+  for (const mutant of MUTANTS) {
+    it(`is caught: ${mutant.name}`, () => {
+      expect(findViolation(mutant)).to.match(/OracleViolation/);
+    }).timeout(30_000);
+  }
+});
+
+/** The violation that a mutant causes; a directed script must pass without the mutant. */
+function findViolation({ caughtBy, sabotage, setting }: Mutant): string {
+  if (typeof caughtBy === 'number') {
+    const property = fc.property(arbitraryScript, (script) => {
+      new ScriptRun(script, sabotage).run();
+    });
+    const seed = caughtBy;
+    const result = fc.check(property, { seed, numRuns: MUTANT_RUNS, endOnFailure: true });
+    return String(result.errorInstance);
+  }
+  const script = { seed: 0, voters: 5, isWarm: true, ...setting, steps: caughtBy } as const;
+  new ScriptRun(script).run();
+  try {
+    new ScriptRun(script, sabotage).run();
+  } catch (error) {
+    return String(error);
+  }
+  return 'none';
+}
--- /dev/null
+++ b/test/replication/write-script.ts
@@ -0,0 +1,380 @@
+/** Scripts of operators' writes and of failures, and their run on the emulated network. */
+import fc from 'fast-check';
+import { compareVersions } from '../../src/model/version.js';
+import type {
+  OperatorWrite,
+  Precondition,
+  ResourceChange,
+} from '../../src/replication/operator-write.js';
+import type { Ballot } from '../../src/replication/replication-message.js';
+import {
+  configurationOf,
+  type VoterConfiguration,
+} from '../../src/replication/voter-configuration.js';
+import {
+  CALM,
+  ReplicationNetwork,
+  type NetworkFaults,
+  type Sabotage,
+} from './replication-network.js';
+import {
+  MARKER_KEY,
+  OracleViolation,
+  serviceJson,
+  versionIn,
+  WriteOracle,
+} from './write-oracle.js';
+
+const KEYS = 3;
+const FAULT_LEVELS: readonly NetworkFaults[] = [
+  CALM,
+  { lossPercent: 5, duplicatePercent: 10, slowPercent: 10, maxDelayMs: 30, slowDelayMs: 3_000 },
+  { lossPercent: 20, duplicatePercent: 20, slowPercent: 30, maxDelayMs: 100, slowDelayMs: 9_000 },
+];
+const WARM_UP_MS = 10_000;
+/** Time in which a healed network must have a working group again, in milliseconds. */
+const SETTLE_MS = 120_000;
+
+/** One step of a script; numbers choose among what there is when the step is run. */
+export type Step =
+  | {
+      readonly type: 'write';
+      readonly node: number;
+      readonly key: number;
+      readonly precondition: 'none' | 'absent' | 'held' | 'stale';
+      readonly isDeletion: boolean;
+    }
+  | { readonly type: 'kill' | 'replace'; readonly node: number }
+  | { readonly type: 'restart' | 'heal' }
+  | { readonly type: 'leave'; readonly node: number }
+  | { readonly type: 'pause'; readonly node: number; readonly durationMs: number }
+  | { readonly type: 'cut'; readonly mask: number; readonly isOneWay: boolean }
+  /** Cuts a node and the next `others` off from the rest. */
+  | { readonly type: 'isolate'; readonly node: number; readonly others: number }
+  | { readonly type: 'faults'; readonly level: number }
+  | { readonly type: 'wait'; readonly durationMs: number };
+
+/** Chooses the primary of the latest view, where there is one. */
+export const PRIMARY = 64;
+
+const node = fc.oneof(fc.constant(PRIMARY), fc.nat(PRIMARY - 1));
+const write = fc.record({
+  type: fc.constant('write' as const),
+  node,
+  key: fc.nat(KEYS - 1),
+  precondition: fc.constantFrom('none', 'absent', 'held', 'stale'),
+  isDeletion: fc.boolean(),
+});
+
+/** Any step; writes and short waits are the most frequent. */
+export const arbitraryStep: fc.Arbitrary<Step> = fc.oneof(
+  { weight: 10, arbitrary: write },
+  {
+    weight: 8,
+    arbitrary: fc.record({
+      type: fc.constant('wait' as const),
+      durationMs: fc.oneof(fc.nat(10), fc.nat(100), fc.nat(8_000)),
+    }),
+  },
+  { weight: 3, arbitrary: fc.record({ type: fc.constant('kill' as const), node }) },
+  {
+    weight: 3,
+    arbitrary: fc.record({ type: fc.constantFrom('restart' as const, 'heal' as const) }),
+  },
+  { weight: 1, arbitrary: fc.record({ type: fc.constantFrom('replace' as const), node }) },
+  { weight: 1, arbitrary: fc.record({ type: fc.constant('leave' as const), node }) },
+  {
+    weight: 2,
+    arbitrary: fc.record({ type: fc.constant('pause' as const), node, durationMs: fc.nat(20_000) }),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.record({
+      type: fc.constant('cut' as const),
+      mask: fc.nat(63),
+      isOneWay: fc.boolean(),
+    }),
+  },
+  {
+    weight: 3,
+    arbitrary: fc.record({ type: fc.constant('isolate' as const), node, others: fc.nat(2) }),
+  },
+  { weight: 2, arbitrary: fc.record({ type: fc.constant('faults' as const), level: fc.nat(2) }) },
+);
+
+/** A fleet and what happens to it. */
+export interface Script {
+  readonly seed: number;
+  readonly voters: 1 | 3 | 5;
+  /** Whether the group is formed before the first step. */
+  readonly isWarm: boolean;
+  readonly steps: readonly Step[];
+}
+
+export const arbitraryScript: fc.Arbitrary<Script> = fc.record({
+  seed: fc.integer(),
+  voters: fc.constantFrom(1, 3, 3, 5, 5, 5),
+  isWarm: fc.constantFrom(true, true, true, false),
+  steps: fc.array(arbitraryStep, { minLength: 5, maxLength: 40, size: 'max' }),
+});
+
+/** What a run saw, to show that scripts reach what they are for. */
+export interface RunSummary {
+  readonly steps: number;
+  readonly revisions: number;
+  readonly outcomes: Readonly<Record<string, number>>;
+}
+
+/** Runs scripts; `sabotage` is a deliberate fault. */
+export class ScriptRun {
+  readonly oracle = new WriteOracle();
+  readonly network: ReplicationNetwork;
+  private values = 0;
+  private replacements = 0;
+
+  constructor(
+    private readonly script: Script,
+    sabotage: Sabotage = {},
+  ) {
+    const count = script.voters === 1 ? 2 : script.voters + 2;
+    const machineIds = Array.from({ length: count }, (_, index) => `m${index}`);
+    this.network = new ReplicationNetwork({
+      machineIds,
+      initialVoterIds: machineIds.slice(0, script.voters),
+      targetVoterCount: script.voters,
+      seed: script.seed,
+      onCommitted: (document) => {
+        this.oracle.onCommitted(document);
+      },
+      sabotage,
+    });
+  }
+
+  /** Runs all steps, heals, and checks history, convergence and that writes are taken again. */
+  run(): RunSummary {
+    this.network.advance(this.script.isWarm ? WARM_UP_MS : 0);
+    for (const step of this.script.steps) {
+      this.execute(step);
+    }
+    this.settle();
+    this.oracle.check();
+    this.checkConverged();
+    const outcomes: Record<string, number> = {};
+    for (const { outcome } of this.oracle.outcomes()) {
+      outcomes[outcome] = (outcomes[outcome] ?? 0) + 1;
+    }
+    return { steps: this.script.steps.length, revisions: this.oracle.documents.size, outcomes };
+  }
+
+  private execute(step: Step): void {
+    const { network } = this;
+    switch (step.type) {
+      case 'write':
+        this.write(step);
+        break;
+      case 'wait':
+        network.advance(step.durationMs);
+        break;
+      case 'kill':
+        this.kill(this.chosen(step.node), (id) => {
+          network.kill(id);
+        });
+        break;
+      case 'replace':
+        this.kill(this.chosen(step.node), (id) => {
+          if (this.wouldLackDeclared(id)) {
+            return;
+          }
+          network.remove(id);
+          this.replacements += 1;
+          network.addMachine(`r${this.replacements}`);
+        });
+        break;
+      case 'leave':
+        this.leave(this.chosen(step.node));
+        break;
+      case 'restart':
+        this.restartAll();
+        break;
+      case 'heal':
+        network.cut(() => false);
+        break;
+      case 'pause':
+        network.pause(this.chosen(step.node), step.durationMs);
+        break;
+      case 'cut':
+        network.cut((from, to) => this.isApart(step.mask, step.isOneWay, from, to));
+        break;
+      case 'isolate':
+        this.isolate(step);
+        break;
+      case 'faults':
+        network.faults = FAULT_LEVELS[step.level] ?? CALM;
+        break;
+    }
+  }
+
+  private write(step: Extract<Step, { type: 'write' }>): void {
+    const { network, oracle } = this;
+    this.values += 1;
+    const id = this.chosen(step.node);
+    const key = `service/k${step.key}`;
+    const held = network.processOf(id)?.operator;
+    const version = (held && versionIn(held, key)) ?? '0';
+    const preconditions: Record<typeof step.precondition, Precondition | undefined> = {
+      none: undefined,
+      absent: { type: 'absent' },
+      held: { type: 'version', version },
+      stale: { type: 'version', version: `${Math.max(0, Number(version) - 1)}` },
+    };
+    const precondition = preconditions[step.precondition];
+    const change: ResourceChange = {
+      key,
+      json: step.isDeletion ? null : serviceJson(key, this.values),
+      precondition,
+    };
+    const marker = { key: MARKER_KEY, json: serviceJson(MARKER_KEY, this.values) };
+    const request: OperatorWrite = { changes: step.isDeletion ? [change, marker] : [change] };
+    network.write(id, request, oracle.submit(this.values, request, this.livesOf(id)));
+  }
+
+  /** Never more than a minority of the voters dies before it is replaced: that is the promise. */
+  private kill(id: string, kill: (id: string) => void): void {
+    const { network } = this;
+    const process = network.processOf(id);
+    const keptSeeds = this.script.voters === 1 && id === 'm0';
+    if (process === undefined || keptSeeds) {
+      return;
+    }
+    const isTooMuch = this.configurationsInUse().some((configuration) => {
+      const others = configuration.voters.filter((voter) => voter.id !== id);
+      const alive = others.filter(
+        (voter) => network.processOf(voter.id)?.identity.incarnation === voter.incarnation,
+      );
+      return alive.length < Math.floor(configuration.voters.length / 2) + 1;
+    });
+    if (!isTooMuch) {
+      kill(id);
+    }
+  }
+
+  /** Without a group, most declared machines must stay: otherwise the settings are to be changed. */
+  private wouldLackDeclared(id: string): boolean {
+    const { machines, options } = this.network;
+    const left = options.initialVoterIds.filter(
+      (one) => one !== id && machines.get(one)?.isGone !== true,
+    );
+    const hasGroup = this.oracle.newest.version.number > 0;
+    return !hasGroup && left.length * 2 <= options.initialVoterIds.length;
+  }
+
+  /** The newest configuration, and the one before until a majority of the newest has joined it. */
+  private configurationsInUse(): VoterConfiguration[] {
+    const { newest, documents } = this.oracle;
+    const current = configurationOf(newest);
+    if (current === undefined) {
+      return [];
+    }
+    const joined = current.voters.filter(
+      (voter) =>
+        this.network.processOf(voter.id)?.replica.standing().ballot.epoch === current.epoch,
+    );
+    if (joined.length * 2 > current.voters.length) {
+      return [current];
+    }
+    const earlier = [...documents.values()]
+      .map(configurationOf)
+      .filter((configuration) => configuration?.epoch === current.epoch - 1)
+      .slice(0, 1);
+    return [current, ...earlier.flatMap((configuration) => configuration ?? [])];
+  }
+
+  private isolate(step: Extract<Step, { type: 'isolate' }>): void {
+    const ids = [...this.network.machines.keys()];
+    const first = ids.indexOf(this.chosen(step.node));
+    const inside = new Set(
+      Array.from({ length: step.others + 1 }, (_, index) => ids[(first + index) % ids.length]),
+    );
+    this.network.cut((from, to) => inside.has(from) !== inside.has(to));
+  }
+
+  private leave(id: string): void {
+    const machine = this.network.machines.get(id);
+    const leaving = [...this.network.machines.values()].filter((one) => one.isLeaving).length;
+    if (machine !== undefined && leaving === 0) {
+      machine.isLeaving = true;
+    }
+  }
+
+  private settle(): void {
+    const { network } = this;
+    network.faults = CALM;
+    network.cut(() => false);
+    this.restartAll();
+    network.advance(SETTLE_MS);
+  }
+
+  private checkConverged(): void {
+    const { network, oracle } = this;
+    const value = this.values + 1;
+    const json = serviceJson(MARKER_KEY, value);
+    const request: OperatorWrite = { changes: [{ key: MARKER_KEY, json }] };
+    const id = this.chosen(value);
+    network.write(id, request, oracle.submit(value, request, this.livesOf(id)));
+    network.advance(20_000);
+    const last = oracle.outcomes().at(-1)?.outcome;
+    if (last !== 'accepted') {
+      const standings = network.processes().map(({ identity, replica }) => {
+        const { status, ballot, commitNumber } = replica.standing();
+        return `${identity.id}:${status}/${ballot.epoch}.${ballot.view}@${commitNumber}`;
+      });
+      throw new OracleViolation(`writes are not taken again: ${last}; ${standings.join(' ')}`);
+    }
+    for (const { identity, operator } of network.processes()) {
+      if (compareVersions(operator.version, oracle.newest.version) !== 0) {
+        throw new OracleViolation(`${identity.id} holds ${operator.version.number}`);
+      }
+    }
+  }
+
+  private livesOf(id: string): () => boolean {
+    const writer = this.network.processOf(id);
+    return () => writer === undefined || writer.isAlive;
+  }
+
+  private restartAll(): void {
+    for (const [id, machine] of this.network.machines) {
+      if (!machine.isGone) {
+        this.network.start(id);
+      }
+    }
+  }
+
+  private isApart(mask: number, isOneWay: boolean, from: string, to: string): boolean {
+    const ids = [...this.network.machines.keys()];
+    const side = (id: string): number => (mask >>> (ids.indexOf(id) % 6)) & 1;
+    return isOneWay ? side(from) > side(to) : side(from) !== side(to);
+  }
+
+  private chosen(choice: number): string {
+    const primary = choice === PRIMARY ? this.latestPrimary() : undefined;
+    if (primary !== undefined) {
+      return primary;
+    }
+    const ids = [...this.network.machines].filter(([, one]) => !one.isGone).map(([id]) => id);
+    return ids[choice % ids.length] ?? 'm0';
+  }
+
+  private latestPrimary(): string | undefined {
+    const primaries = this.network
+      .processes()
+      .map(({ identity, replica }) => ({ id: identity.id, standing: replica.standing() }))
+      .filter(({ standing }) => standing.isPrimary)
+      .sort(({ standing: left }, { standing: right }) => compareBallots(left.ballot, right.ballot));
+    return primaries.at(-1)?.id;
+  }
+}
+
+function compareBallots(left: Ballot, right: Ballot): number {
+  return left.epoch - right.epoch || left.view - right.view;
+}
--- a/test/wire/codec.test.ts
+++ b/test/wire/codec.test.ts
@@ -110,7 +110,7 @@
     ['empty frame', Buffer.alloc(3), 'malformed'],
     ['version 0', frame(Buffer.from([0x00])), 'wrong-version'],
     ['next version', frame(Buffer.from([0x40, ...Buffer.alloc(8)])), 'wrong-version'],
-    ['type without a message', frame(head(11)), 'unknown-type'],
+    ['type without a message', frame(head(12)), 'unknown-type'],
     ['last type number', frame(head(15)), 'unknown-type'],
     ['payload cut short', frame(bodyOf(HEARTBEAT).subarray(0, 5)), 'malformed'],
     ['payload too long', frame(Buffer.concat([bodyOf(HEARTBEAT), head(0)])), 'malformed'],
@@ -122,6 +122,16 @@
     ['unknown status', frame(badStatus), 'malformed'],
     ['part beyond the count', frame(badPart), 'malformed'],
     ['broken compression', frame(Buffer.concat([head(3, true), longNumber])), 'malformed'],
+    [
+      'replication without JSON',
+      frame(Buffer.concat([head(11), Buffer.from('\x01{')])),
+      'malformed',
+    ],
+    [
+      'replication of no type',
+      frame(Buffer.concat([head(11), Buffer.from('\x02{}')])),
+      'malformed',
+    ],
     ['inflated over the limit', frame(Buffer.concat([head(3, true), bomb])), 'inflated-oversized'],
   ];
   for (const [name, bytes, code] of faults) {
--- a/test/wire/message-arbitraries.ts
+++ b/test/wire/message-arbitraries.ts
@@ -10,6 +10,7 @@
   type PeerMessage,
 } from '../../src/wire/message.js';
 import type { MessageBody, PeerMessageType } from '../../src/wire/message-layouts.js';
+import { arbitraryReplicationMessage } from './replication-arbitraries.js';
 
 const integer = fc.oneof(fc.maxSafeNat(), fc.constantFrom(0, 127, 128, Number.MAX_SAFE_INTEGER));
 const anyText = fc.string({ unit: 'grapheme' });
@@ -75,6 +76,7 @@
   }),
   'lease-release': fc.record({ slot: shortText, round: integer }),
   rejection: fc.record({ version, reason: anyText }),
+  replication: fc.record({ body: arbitraryReplicationMessage }),
 };
 
 /** Arbitrary messages of one type. */
