Break the reader bound by mutants, and split documents under one number

Change: two mutants (reads on after its lease; an elector that grants what others hold) are caught by the reader bound. All mutants now run on leased readers, as in the product. That mutant is judged accepted-undone instead of not-converged: the document with the higher digest had been held, so the first check that fails after healing is that one; it is the same fault. The emulated product takes its numbers from the settings' defaults.

--- a/test/fuzz/control-plane.test.ts
+++ b/test/fuzz/control-plane.test.ts
@@ -1,6 +1,8 @@
 import { expect } from 'chai';
 import { DocumentMemo } from '../../src/dissemination/document-memo.js';
 import { DocumentStore } from '../../src/dissemination/document-store.js';
+import { Elector } from '../../src/source/elector.js';
+import { SourceReader } from '../../src/source/source-reader.js';
 import { VersionedDocument } from '../../src/model/document.js';
 import { controlPlaneTarget } from '../../tools/fuzz/control-plane-target.js';
 import { fuzz, type FuzzReport } from '../../tools/fuzz/fuzz-run.js';
@@ -82,6 +84,31 @@
           },
       ),
   },
+  {
+    fault: 'reads on after its lease has ended',
+    invariants: ['reader-bound'],
+    apply: () => {
+      const undoClose = patch(SourceReader, 'closeWhenLost', () => () => undefined);
+      const undoEnd = patch(
+        SourceReader,
+        'readableUntilMs',
+        (original) =>
+          function (this: SourceReader) {
+            const endsAtMs = original.apply(this) as number;
+            return endsAtMs === -Infinity ? endsAtMs : Infinity;
+          },
+      );
+      return () => {
+        undoClose();
+        undoEnd();
+      };
+    },
+  },
+  {
+    fault: 'grants leases that others hold',
+    invariants: ['reader-bound'],
+    apply: () => patch(Elector, 'refusal', () => () => undefined),
+  },
   {
     fault: 'is not interested in every third version',
     invariants: ['accepted-undone', 'not-converged'],
@@ -98,7 +125,7 @@
   },
   {
     fault: 'takes two documents under one number for the same',
-    invariants: ['not-converged'],
+    invariants: ['accepted-undone'],
     apply: () =>
       patch(
         DocumentStore,
@@ -136,7 +163,7 @@
       const undo = apply();
       let report: FuzzReport;
       try {
-        report = fuzz(controlPlaneTarget('fixed'), MUTANT_RUN);
+        report = fuzz(controlPlaneTarget('leased'), MUTANT_RUN);
       } finally {
         undo();
       }
--- a/tools/emulator/emulated-platform.ts
+++ b/tools/emulator/emulated-platform.ts
@@ -9,6 +9,7 @@
 import { VersionedDocument } from '../../src/model/document.js';
 import { parseSourceDocument, sourceDocumentValues } from '../../src/model/source-document.js';
 import type { DocumentVersion } from '../../src/model/version.js';
+import type { Site } from './topology.js';
 import type { EmulatedProcess } from './emulated-process.js';
 
 /** Bytes of an answer without a document. */
@@ -33,6 +34,8 @@
 
 interface Publication extends SizedAnswer {
   readonly number: number;
+  /** What sites with an odd index get instead, under the same number. */
+  other?: SizedAnswer;
 }
 
 /** The emulated platform. */
@@ -61,6 +64,16 @@
     this.publications.source.push({ number, bytes, answer: this.check(number, resources) });
   }
 
+  /** Lets sites with an odd index read another document under the newest number. */
+  splitSource(resources: readonly unknown[]): void {
+    const newest = this.publications.source.at(-1);
+    if (newest !== undefined) {
+      const { number } = newest;
+      const bytes = answerBytes(canonicalJson({ version: number, resources }));
+      newest.other = { bytes, answer: this.check(number, resources) };
+    }
+  }
+
   /** Publishes a machine list. */
   publishMachines(number: number, values: ReadonlyMap<string, string>): void {
     const bytes = answerBytes([...values.values()].join(','));
@@ -112,7 +125,7 @@
   }
 
   /** The answer to a read of a node that holds `knownNumber`; undefined: none comes. */
-  answer(document: PlatformDocument, knownNumber: number): SizedAnswer | undefined {
+  answer(document: PlatformDocument, knownNumber: number, site: Site): SizedAnswer | undefined {
     const current = this.current(document);
     if (this.mode === 'hanging') {
       return undefined;
@@ -123,7 +136,7 @@
     if (current.number === knownNumber) {
       return { answer: { outcome: 'not-modified' }, bytes: EMPTY_ANSWER_BYTES };
     }
-    return current;
+    return site.index % 2 === 1 ? (current.other ?? current) : current;
   }
 
   private current(document: PlatformDocument): Publication | undefined {
--- a/tools/emulator/emulator.ts
+++ b/tools/emulator/emulator.ts
@@ -250,7 +250,9 @@
     this.meter.sentBytes(process.site.index, READ_REQUEST_BYTES);
     const reachable = !this.topology.isCutFromPlatform(process.site);
     const admitted = reachable && this.platform.admit(process);
-    const answered = admitted ? this.platform.answer(document, read.knownNumber) : undefined;
+    const answered = admitted
+      ? this.platform.answer(document, read.knownNumber, process.site)
+      : undefined;
     const roundTripMs = 2 * this.topology.platformTravelMs();
     const silent = !reachable || (admitted && answered === undefined);
     const delayMs = silent ? read.abortAfterMs : roundTripMs;
--- a/tools/emulator/product-nodes.ts
+++ b/tools/emulator/product-nodes.ts
@@ -2,6 +2,8 @@
 import type { ComponentFactory as PartFactory } from '../../src/control/control-options.js';
 import type { DocumentMemo } from '../../src/dissemination/document-memo.js';
 import type { PeerAddress } from '../../src/membership/peer-identity.js';
+import { settingsSchema } from '../../src/settings/settings.js';
+import type { PollTerms } from '../../src/source/platform-poll.js';
 import { SourceReader } from '../../src/source/source-reader.js';
 import { ControlPlaneNode } from './control-plane-node.js';
 import type { ComponentContext, ComponentFactory } from './emulated-process.js';
@@ -9,9 +11,15 @@
 import { CONTROL_PORT } from './machine-registry.js';
 import { siteAddress } from './topology.js';
 
-/** Terms of reading, as the settings have them by default. */
-const LEASE = { durationMs: 6_000, renewIntervalMs: 2_000 };
-const POLL = { configurationIntervalMs: 500, machinesIntervalMs: 2_500, requestTimeoutMs: 2_000 };
+/** `src/runtime/node.ts` reads the machine list this much less often than the configuration. */
+const MACHINES_INTERVAL_FACTOR = 5;
+
+/** The product's defaults; what has none is not used here. */
+const DEFAULTS = settingsSchema.parse({
+  machine: { id: 'machine', address: '127.0.0.1', zone: 'zone', region: 'region' },
+  fleetKey: 'emulated-fleet-key',
+  platform: { configurationUrl: 'http://127.0.0.1/', machinesUrl: 'http://127.0.0.1/' },
+});
 
 /**
  * - `leased`: a node reads while it holds a lease, as in the product; one reader for each zone.
@@ -35,7 +43,7 @@
     new ControlPlaneNode(context, {
       seeds,
       parts,
-      ...(memo === undefined ? {} : { options: { memo } }),
+      options: { ...DEFAULTS.overlay, ...(memo === undefined ? {} : { memo }) },
     });
 }
 
@@ -56,8 +64,8 @@
       electorate,
       seeds,
       readerShares,
-      lease: LEASE,
-      poll: POLL,
+      lease: DEFAULTS.lease,
+      poll: pollTerms(),
       random,
       counters,
     });
@@ -66,3 +74,14 @@
 function fixedReader({ site }: ComponentContext, zones: number): PartFactory[] {
   return site.index < zones ? [(documents) => new FixedReader(documents)] : [];
 }
+
+function pollTerms(): PollTerms | undefined {
+  const { platform } = DEFAULTS;
+  return (
+    platform && {
+      configurationIntervalMs: platform.pollIntervalMs,
+      machinesIntervalMs: MACHINES_INTERVAL_FACTOR * platform.pollIntervalMs,
+      requestTimeoutMs: platform.requestTimeoutMs,
+    }
+  );
+}
--- a/tools/fuzz/fuzz-command.ts
+++ b/tools/fuzz/fuzz-command.ts
@@ -14,6 +14,8 @@
   'next',
   'skip-numbers',
   'same-number',
+  /** One number, one document for readers of even zones and another for those of odd ones. */
+  'split',
   'lower-number',
   'dangling-route',
   'missing-secret',
--- a/tools/fuzz/fuzz-configuration.ts
+++ b/tools/fuzz/fuzz-configuration.ts
@@ -31,6 +31,7 @@
     case 'next':
     case 'skip-numbers':
     case 'same-number':
+    case 'split':
     case 'lower-number':
       return valid;
   }
--- a/tools/fuzz/script-runner.ts
+++ b/tools/fuzz/script-runner.ts
@@ -219,6 +219,10 @@
       case 'same-number':
         this.publish(this.currentNumber, resources);
         return;
+      case 'split':
+        this.publish(this.currentNumber + 1, resources);
+        this.emulator.platform.splitSource(validResources(content + 1));
+        return;
       case 'lower-number':
         this.publish(Math.max(1, this.currentNumber - 2), resources);
         return;
