--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -138,8 +138,8 @@
   watchHistoryEvents: count.default(10_000),
   /** Size of the remembered changes. */
   watchHistoryBytes: sizeBytes.default(16_777_216),
-  /** Time that a write may wait for acceptance. */
-  writeTimeoutMs: intervalMs.default(5_000),
+  /** Time that a write may wait for an outcome; more than the replication itself gives it. */
+  writeTimeoutMs: intervalMs.default(12_000),
 });
 
 /** What is logged. */
