Fuzz the request path under a virtual clock against an oracle of executions

Cause: the crossings (cancel meets answer, refusal meets its own late dispatch, a node that wakes late, an endpoint that forgets) were proved one by one only.

Change: callers, three nodes and two endpoints run the product's own runner, gate, admission, lifecycle and selection; messages are late, cut and crossed, processes are killed, frozen and paused, endpoints drain, shed, break answers and lose their memory. After every step: at most one run with effect of what may run once; no false not-run; an answer only to its own request; no node over its share of slots; nothing sent after its deadline or to an endpoint drained for 300 ms; every call told once and by its deadline; at the end no slot still taken. A gate now takes a change of configuration with the next request instead of with the next upkeep.

Ten mutants, each caught within 5,000 scenarios.

--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -77,12 +77,14 @@
     this.admission.endpointRefused();
   }
 
-  /** Takes what the configuration says; `slots` is what this node may use. */
-  configure(slots: number, isDraining: boolean): void {
-    if (isDraining !== this.isDrainedByConfiguration) {
-      this.isDrainedByConfiguration = isDraining;
-      this.updateDraining();
-    }
+  /** Takes whether the configuration drains the endpoint. */
+  configureDraining(isDraining: boolean): void {
+    this.isDrainedByConfiguration = isDraining;
+    this.updateDraining();
+  }
+
+  /** Takes how many requests at once this node may send. */
+  configureSlots(slots: number): void {
     if (slots !== this.slots) {
       this.slots = slots;
       this.execute(this.admission.setSlots(slots, this.options.scheduler.now()));
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -19,11 +19,20 @@
 /** The gates of one node. */
 export class EndpointGateway implements EndpointPath {
   private readonly gates = new Map<string, EndpointGate>();
+  /** The configuration that each gate was last compared with. */
+  private readonly configuredFrom = new WeakMap<EndpointGate, Snapshot>();
 
   constructor(private readonly options: EndpointGatewayOptions) {}
 
   submit(endpoint: Endpoint, call: Call, observer: AttemptObserver): Attempt {
-    return this.gateOf(endpoint).submit(call, observer);
+    const gate = this.gateOf(endpoint);
+    this.configure(gate);
+    return gate.submit(call, observer);
+  }
+
+  /** Requests that wait or run, of all endpoints. */
+  get inFlight(): number {
+    return [...this.gates.values()].reduce((sum, gate) => sum + gate.load().inFlight, 0);
   }
 
   /** Compares every gate with the configuration, and asks draining endpoints whether they still are. */
@@ -33,17 +42,28 @@
       return;
     }
     for (const [key, gate] of this.gates) {
-      const current = currentEndpoint(snapshot, gate.endpoint);
-      if (current === undefined && gate.isIdle) {
+      if (gate.isIdle && currentEndpoint(snapshot, gate.endpoint) === undefined) {
         this.gates.delete(key);
         continue;
       }
-      const isDraining = current?.spec.state !== 'active';
-      gate.configure(this.options.slotsFor(current ?? gate.endpoint), isDraining);
+      this.configure(gate);
       gate.probeDraining();
     }
   }
 
+  /** Compares a gate with the configuration; an endpoint that is gone from it drains. */
+  private configure(gate: EndpointGate): void {
+    const snapshot = this.options.snapshot();
+    if (snapshot === undefined) {
+      return;
+    }
+    if (this.configuredFrom.get(gate) !== snapshot) {
+      this.configuredFrom.set(gate, snapshot);
+      gate.configureDraining(currentEndpoint(snapshot, gate.endpoint)?.spec.state !== 'active');
+    }
+    gate.configureSlots(this.options.slotsFor(gate.endpoint));
+  }
+
   private gateOf(endpoint: Endpoint): EndpointGate {
     const key = endpointKey(endpoint);
     let gate = this.gates.get(key);
--- /dev/null
+++ b/test/proxy/fuzz/request-world.ts
@@ -0,0 +1,306 @@
+/** Callers, nodes and endpoints under a virtual clock, run with the product's own request code. */
+import type { RandomSource } from '../../../src/control/control-event.js';
+import type { Verdict } from '../../../src/model/verdict.js';
+import type { Snapshot } from '../../../src/model/snapshot.js';
+import { buildSnapshot, NO_SNAPSHOT_VERSION } from '../../../src/model/snapshot.js';
+import { resourceSchema } from '../../../src/model/resource.js';
+import type { Answer, Call } from '../../../src/proxy/call.js';
+import type { AnswerObserver } from '../../../src/proxy/answer-relay.js';
+import { EndpointGateway } from '../../../src/proxy/endpoint-gateway.js';
+import { DEFAULT_PROXY_LIMITS } from '../../../src/proxy/proxy-limits.js';
+import { EMPTY_BODY } from '../../../src/proxy/request-body.js';
+import type { RequestError } from '../../../src/proxy/request-error.js';
+import { RequestRunner, type CallerReply } from '../../../src/proxy/request-runner.js';
+import { RequestServices } from '../../../src/proxy/request-services.js';
+import { RouteTable } from '../../../src/routing/route-table.js';
+import type { MemberStatus } from '../../../src/wire/message.js';
+import { VirtualScheduler } from '../../../tools/emulator/virtual-scheduler.js';
+import { echoEndpoint, echoService } from '../rig.js';
+import { VirtualEndpoint, type EndpointFaults, type Execution } from './virtual-endpoint.js';
+import { VirtualEndpointPort, VirtualRelay } from './virtual-paths.js';
+import { VirtualConnection, VirtualProcess } from './virtual-process.js';
+
+/** Slots of each endpoint. */
+export const SLOTS = 2;
+const NODE_NAMES = ['n0', 'n1', 'n2'];
+/** The first node has no endpoint beside it. */
+const ENDPOINT_NAMES = ['e1', 'e2'];
+const UPKEEP_INTERVAL_MS = 250;
+/** Time after which every node that runs must know of a drain, in milliseconds. */
+const DRAIN_GRACE_MS = 300;
+
+/** What a caller was told. */
+export type Told =
+  | { readonly kind: 'answer'; readonly content: string }
+  | { readonly kind: 'error'; readonly verdict: Verdict; readonly code: string }
+  | { readonly kind: 'broken' }
+  /** The caller left, or its node died. */
+  | { readonly kind: 'nothing' };
+
+/** One caller's request. */
+export interface CallRecord {
+  readonly id: string;
+  readonly repeatable: boolean;
+  readonly deadlineAtMs: number;
+  readonly node: VirtualNode;
+  readonly generation: number;
+  readonly told: Told[];
+  readonly close: (isWhole: boolean) => void;
+}
+
+/** One node; it gets a new life after each death. */
+export class VirtualNode {
+  readonly process: VirtualProcess;
+  gateway!: EndpointGateway;
+  services!: RequestServices;
+
+  constructor(
+    readonly name: string,
+    private readonly world: RequestWorld,
+  ) {
+    this.process = new VirtualProcess(world.clock);
+    this.start();
+  }
+
+  /** Name and life, as endpoints see their senders. */
+  get identity(): string {
+    return `${this.name}/${this.process.generation}`;
+  }
+
+  /** Begins a new life: nothing of the last one is kept. */
+  start(): void {
+    this.process.revive();
+    const { world, process: scheduler } = this;
+    const counters = { add: () => undefined };
+    this.gateway = new EndpointGateway({
+      client: new VirtualEndpointPort(world, this),
+      counters,
+      scheduler,
+      logStateChange: () => undefined,
+      snapshot: () => world.snapshot,
+      slotsFor: (endpoint) => this.services.slotsFor(endpoint),
+    });
+    this.services = new RequestServices({
+      identity: {
+        id: this.name,
+        incarnation: this.process.generation,
+        address: '127.0.0.1',
+        controlPort: 1,
+        relayPort: 1,
+        zone: 'z1',
+        region: 'r1',
+      },
+      members: {
+        status: (machineId) => world.statuses.get(machineId) ?? 'alive',
+        relayAddress: () => ({ address: '127.0.0.1', port: 1 }),
+        count: () => NODE_NAMES.length,
+      },
+      counters,
+      random: world.random,
+      scheduler,
+      limits: DEFAULT_PROXY_LIMITS,
+      direct: this.gateway,
+      relay: new VirtualRelay(world, this),
+    });
+    this.keepUp();
+  }
+
+  private keepUp(): void {
+    this.process.schedule(UPKEEP_INTERVAL_MS, () => {
+      this.gateway.upkeep();
+      this.keepUp();
+    });
+  }
+}
+
+/** Everything. */
+export class RequestWorld {
+  readonly clock = new VirtualScheduler();
+  readonly ledger: Execution[] = [];
+  readonly calls: CallRecord[] = [];
+  /** Promises that were broken at some moment. */
+  readonly violations: string[] = [];
+  readonly statuses = new Map<string, MemberStatus>();
+  readonly nodes: readonly VirtualNode[];
+  readonly endpoints: readonly VirtualEndpoint[];
+  snapshot: Snapshot;
+  private readonly drainedAtMs = new Map<string, number>();
+  private readonly connections = new Set<VirtualConnection>();
+
+  constructor(
+    private readonly faults: EndpointFaults,
+    readonly random: RandomSource,
+  ) {
+    this.snapshot = snapshotOf(new Set());
+    this.endpoints = ENDPOINT_NAMES.map(
+      () => new VirtualEndpoint(new VirtualProcess(this.clock), this.ledger, faults, random),
+    );
+    this.nodes = NODE_NAMES.map((name) => new VirtualNode(name, this));
+  }
+
+  /** Time on the way of one message: mostly short, now and then long enough to cross others. */
+  readonly delayMs = (): number => {
+    const isLate = this.random() < this.faults.late;
+    return isLate ? this.random() * 300 : 0.5 + this.random() * 3;
+  };
+
+  nodeOf(name: string): VirtualNode {
+    return this.nodes[NODE_NAMES.indexOf(name)] as VirtualNode;
+  }
+
+  endpoint(name: string): VirtualEndpoint {
+    return this.endpoints[ENDPOINT_NAMES.indexOf(name)] as VirtualEndpoint;
+  }
+
+  connect(
+    client: VirtualProcess,
+    server: VirtualProcess,
+    onLost: () => void,
+    onClosed: () => void,
+  ): VirtualConnection {
+    const connection = new VirtualConnection(
+      this.clock,
+      client,
+      server,
+      this.delayMs,
+      onLost,
+      onClosed,
+    );
+    this.connections.add(connection);
+    return connection;
+  }
+
+  /** A caller's request arrives at `node`. */
+  call(node: VirtualNode, repeatable: boolean, timeoutMs: number): void {
+    if (!node.process.isAlive || node.process.isFrozen) {
+      return;
+    }
+    const id = `c${this.calls.length}`;
+    const reply = new VirtualReply(this.random);
+    const { told, close } = reply;
+    const deadlineAtMs = this.clock.nowMs + timeoutMs;
+    const { generation } = node.process;
+    this.calls.push({ id, repeatable, deadlineAtMs, node, generation, told, close });
+    const { snapshot } = this;
+    const match = new RouteTable(snapshot).match('', '/', 'GET');
+    if (match === undefined) {
+      throw new Error('no route');
+    }
+    const runner = new RequestRunner({
+      services: node.services,
+      snapshot,
+      match: { ...match, repeatable },
+      method: 'GET',
+      target: '/',
+      headers: [],
+      retries: undefined,
+      response: reply,
+      requestId: id,
+      deadlineAtMs,
+    });
+    runner.start(EMPTY_BODY);
+  }
+
+  /** Every open connection of the process dies. */
+  cut(process: VirtualProcess, losesToServer: boolean, losesToClient: boolean): void {
+    for (const connection of this.connections) {
+      if (connection.client === process || connection.server === process) {
+        connection.cut(losesToServer, losesToClient);
+        this.connections.delete(connection);
+      }
+    }
+  }
+
+  killNode(node: VirtualNode): void {
+    this.cut(node.process, this.random() < 0.5, true);
+    node.process.kill();
+    for (const call of this.calls) {
+      if (call.node === node && call.told.length === 0) {
+        call.told.push({ kind: 'nothing' });
+      }
+    }
+  }
+
+  killEndpoint(endpoint: VirtualEndpoint): void {
+    this.cut(endpoint.process, this.random() < 0.5, true);
+    endpoint.kill();
+  }
+
+  /** What must hold whenever a node sends a request to an endpoint. */
+  checkDispatch(endpointName: string, call: Call, node: VirtualNode): void {
+    const nowMs = this.clock.nowMs;
+    if (call.deadlineAtMs <= nowMs) {
+      this.violations.push(`${call.requestId} was sent after its deadline`);
+    }
+    const drainedAtMs = this.drainedAtMs.get(endpointName) ?? Infinity;
+    const knownSinceMs = Math.max(drainedAtMs, node.process.thawedAtMs) + DRAIN_GRACE_MS;
+    if (nowMs > knownSinceMs) {
+      this.violations.push(`${call.requestId} was sent to ${endpointName}, which drains`);
+    }
+  }
+
+  configureDrain(names: ReadonlySet<string>): void {
+    for (const name of ENDPOINT_NAMES) {
+      const since = Math.min(this.drainedAtMs.get(name) ?? Infinity, this.clock.nowMs);
+      this.drainedAtMs.set(name, names.has(name) ? since : Infinity);
+    }
+    this.snapshot = snapshotOf(names);
+  }
+
+  advance(byMs: number): void {
+    this.clock.runUntil(this.clock.nowMs + byMs);
+  }
+}
+
+/** The caller's side; keeps what the caller was told. */
+class VirtualReply implements CallerReply {
+  readonly told: Told[] = [];
+  private readonly listeners: ((isWhole: boolean) => void)[] = [];
+
+  constructor(private readonly random: RandomSource) {}
+
+  readonly close = (isWhole: boolean): void => {
+    this.listeners.splice(0).forEach((listener) => listener(isWhole));
+  };
+
+  answer(answer: Answer, _requestId: string, _holdBytes: number, observer: AnswerObserver): void {
+    answer.stream.once('close', () => {
+      if (!answer.stream.complete) {
+        observer.broken(this.random() < 0.5);
+        return;
+      }
+      this.told.push({ kind: 'answer', content: answer.headers[1] ?? '' });
+      observer.whole();
+      this.close(true);
+    });
+  }
+
+  fail(error: RequestError, verdict: Verdict): void {
+    this.told.push({ kind: 'error', verdict, code: error.code });
+    this.close(true);
+  }
+
+  breakConnection(): void {
+    this.told.push({ kind: 'broken' });
+    this.close(false);
+  }
+
+  onClose(action: (isWhole: boolean) => void): void {
+    this.listeners.push(action);
+  }
+}
+
+function snapshotOf(draining: ReadonlySet<string>): Snapshot {
+  const endpoints = ENDPOINT_NAMES.map((name, index) =>
+    echoEndpoint(name, 1_000 + index, {
+      machine: `n${index + 1}`,
+      slots: SLOTS,
+      state: draining.has(name) ? 'draining' : 'active',
+    }),
+  );
+  const resources = [...echoService({}, { retryBudgetPercent: 100 }), ...endpoints];
+  return buildSnapshot(
+    NO_SNAPSHOT_VERSION,
+    resources.map((resource) => resourceSchema.parse(resource)),
+  );
+}
--- /dev/null
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -0,0 +1,235 @@
+/** Ways between virtual processes: to endpoints, and to the nodes beside them. */
+import { EventEmitter } from 'node:events';
+import type { IncomingMessage } from 'node:http';
+import type { Endpoint } from '../../../src/model/resource.js';
+import type {
+  Answer,
+  Attempt,
+  AttemptObserver,
+  Call,
+  EndpointPath,
+} from '../../../src/proxy/call.js';
+import type {
+  CancelOutcome,
+  EndpointObserver,
+  EndpointPort,
+} from '../../../src/proxy/endpoint-client.js';
+import type { Exchange } from '../../../src/proxy/http-exchange.js';
+import {
+  ConnectionLostError,
+  RelayedError,
+  UnreachableError,
+} from '../../../src/proxy/request-error.js';
+import type { RequestWorld, VirtualNode } from './request-world.js';
+
+/** An answer whose body ends when {@link end} is called. */
+export class VirtualAnswer {
+  readonly answer: Answer;
+  private readonly stream = new EventEmitter() as EventEmitter & { complete: boolean };
+
+  constructor(content: string) {
+    this.stream.complete = false;
+    this.answer = {
+      status: 200,
+      headers: ['content', content],
+      stream: this.stream as unknown as IncomingMessage,
+      contentLength: 1,
+      load: undefined,
+    };
+  }
+
+  end(isWhole: boolean): void {
+    this.stream.complete = isWhole;
+    this.stream.emit('close');
+  }
+}
+
+/** The endpoints as one node reaches them. */
+export class VirtualEndpointPort implements EndpointPort {
+  constructor(
+    private readonly world: RequestWorld,
+    private readonly node: VirtualNode,
+  ) {}
+
+  send(endpoint: Endpoint, call: Call, remainingMs: number, observer: EndpointObserver): Exchange {
+    const { world, node } = this;
+    world.checkDispatch(endpoint.name, call, node);
+    const target = world.endpoint(endpoint.name);
+    const answers: VirtualAnswer[] = [];
+    let state: 'connecting' | 'sent' | 'settled' = 'connecting';
+    let wasSent = false;
+    const settle = (action: () => void): void => {
+      if (state !== 'settled') {
+        state = 'settled';
+        action();
+      }
+    };
+    const connection = world.connect(
+      node.process,
+      target.process,
+      () => {
+        answers.forEach((answer) => answer.end(false));
+        settle(() => observer.failed('lost'));
+      },
+      () => target.closed(call.requestId),
+    );
+    const transmit = (): void => {
+      if (state === 'settled') {
+        return;
+      }
+      if (!target.process.isAlive) {
+        settle(() => observer.failed('never-sent'));
+        return;
+      }
+      wasSent = true;
+      const request = {
+        call: callOf(call),
+        attempt: call.requestId,
+        remainingMs,
+        sender: node.identity,
+      };
+      connection.toServer(() => {
+        target.receive(request, {
+          answer: (content) =>
+            connection.toClient(() => {
+              const answer = new VirtualAnswer(content);
+              answers.push(answer);
+              settle(() => observer.answered(answer.answer));
+            }),
+          endAnswer: (isWhole) => connection.toClient(() => answers[0]?.end(isWhole)),
+          refuse: (draining) =>
+            connection.toClient(() => {
+              settle(() => observer.refused({ inFlight: 0, slots: 0, draining }, undefined));
+            }),
+          lose: () => connection.cut(false, true),
+        });
+      });
+    };
+    if (world.random() < 0.7) {
+      transmit();
+    } else {
+      node.process.schedule(world.delayMs(), transmit);
+    }
+    return {
+      wasSent: () => wasSent,
+      abort: () => {
+        state = 'settled';
+        connection.close();
+        answers.forEach((answer) => answer.end(false));
+      },
+    };
+  }
+
+  cancel(
+    endpoint: Endpoint,
+    requestId: string,
+    timeoutMs: number,
+    report: (outcome: CancelOutcome) => void,
+  ): void {
+    const { world, node } = this;
+    const target = world.endpoint(endpoint.name);
+    let isReported = false;
+    const settle = (outcome: CancelOutcome): void => {
+      if (!isReported) {
+        isReported = true;
+        report(outcome);
+      }
+    };
+    node.process.schedule(timeoutMs, () => settle('unconfirmed'));
+    if (!target.process.isAlive) {
+      node.process.schedule(1, () => settle('unconfirmed'));
+      return;
+    }
+    const connection = world.connect(
+      node.process,
+      target.process,
+      () => settle('unconfirmed'),
+      () => undefined,
+    );
+    connection.toServer(() => {
+      const outcome = target.cancel(requestId);
+      connection.toClient(() => settle(outcome));
+    });
+  }
+
+  probeDraining(endpoint: Endpoint, report: (isDraining: boolean | undefined) => void): void {
+    const target = this.world.endpoint(endpoint.name);
+    const isAnswered = target.process.isAlive && !target.process.isFrozen;
+    this.node.process.schedule(1, () => report(isAnswered ? target.isDraining : undefined));
+  }
+}
+
+/** The nodes beside endpoints as one node reaches them. */
+export class VirtualRelay implements EndpointPath {
+  constructor(
+    private readonly world: RequestWorld,
+    private readonly node: VirtualNode,
+  ) {}
+
+  submit(endpoint: Endpoint, call: Call, observer: AttemptObserver): Attempt {
+    const { world, node } = this;
+    const peer = world.nodeOf(endpoint.spec.machine ?? '');
+    let passedOn: VirtualAnswer | undefined;
+    let isSettled = false;
+    let relayed: Attempt | undefined;
+    const settle = (action: () => void): void => {
+      if (!isSettled) {
+        isSettled = true;
+        action();
+      }
+    };
+    if (!peer.process.isAlive) {
+      node.process.schedule(1, () => settle(() => observer.failed(new UnreachableError('dead'))));
+      return { abort: () => settle(() => undefined) };
+    }
+    const connection = world.connect(
+      node.process,
+      peer.process,
+      () => {
+        passedOn?.end(false);
+        settle(() => observer.failed(new ConnectionLostError('lost')));
+      },
+      () => relayed?.abort(),
+    );
+    const remainingMs = call.deadlineAtMs - node.process.now();
+    connection.toServer(() => {
+      const deadlineAtMs = peer.process.now() + remainingMs;
+      relayed = peer.gateway.submit(
+        endpoint,
+        { ...call, deadlineAtMs },
+        {
+          answered: (answer) => {
+            connection.toClient(() => {
+              const copy = new VirtualAnswer(answer.headers[1] ?? '');
+              passedOn = copy;
+              settle(() => observer.answered({ ...copy.answer, load: answer.load }));
+            });
+            answer.stream.once('close', () => {
+              const { complete } = answer.stream;
+              connection.toClient(() => passedOn?.end(complete));
+            });
+          },
+          failed: (error, load) => {
+            connection.toClient(() => {
+              settle(() =>
+                observer.failed(new RelayedError(error, error.status, error.message), load),
+              );
+            });
+          },
+        },
+      );
+    });
+    return {
+      abort: () => {
+        isSettled = true;
+        connection.close();
+        passedOn?.end(false);
+      },
+    };
+  }
+}
+
+/** The caller's request that an attempt belongs to: its identity without the attempt's number. */
+export function callOf(call: Pick<Call, 'requestId'>): string {
+  return call.requestId.replace(/\.[0-9]+$/, '');
+}
--- /dev/null
+++ b/test/proxy/request-fuzz.test.ts
@@ -0,0 +1,330 @@
+/**
+ * Stateful fuzzing of the request path under a virtual clock: the product's own code from the
+ * caller's node to the endpoint, with kills, freezes, cuts, crossed and late messages, drains and
+ * shed load, against an oracle that knows every execution. A mutant per invariant must be caught.
+ */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { EndpointAdmission } from '../../src/admission/endpoint-admission.js';
+import { EndpointAttempt } from '../../src/proxy/endpoint-attempt.js';
+import { RequestLifecycle } from '../../src/proxy/request-lifecycle.js';
+import { seededRandom } from '../../tools/emulator/seeded-random.js';
+import { findUnsettled, findViolation } from './fuzz/request-oracle.js';
+import { RequestWorld } from './fuzz/request-world.js';
+
+const SEED = Number(process.env.FERRYSPOOL_FUZZ_SEED ?? 20_260_101);
+const RUNS = Number(process.env.FERRYSPOOL_FUZZ_RUNS ?? 600);
+/** A mutant is caught within so many runs. */
+const MUTANT_RUNS = 5_000;
+const MAX_COMMANDS = 60;
+/** Longer than any request, hold of a slot or late message. */
+const SETTLE_MS = 20_000;
+
+interface Command {
+  readonly name: string;
+  run(world: RequestWorld): void;
+}
+
+const index = fc.nat({ max: 2 });
+const flag = fc.boolean();
+
+const commandArbitrary: fc.Arbitrary<Command> = fc.oneof(
+  {
+    weight: 12,
+    arbitrary: fc
+      .record({
+        node: index,
+        repeatable: flag,
+        timeoutMs: fc.integer({ min: 20, max: 1_500 }),
+        count: fc.constantFrom(1, 1, 6),
+      })
+      .map(({ node, repeatable, timeoutMs, count }) =>
+        command(`${count} calls n${node} ${repeatable} ${timeoutMs}`, (world) => {
+          for (let made = 0; made < count; made += 1) {
+            world.call(at(world.nodes, node), repeatable, timeoutMs);
+          }
+        }),
+      ),
+  },
+  {
+    weight: 8,
+    arbitrary: fc
+      .integer({ min: 1, max: 400 })
+      .map((byMs) => command(`advance ${byMs}`, (world) => world.advance(byMs))),
+  },
+  {
+    weight: 2,
+    arbitrary: fc
+      .tuple(index, flag, flag)
+      .map(([node, toServer, toClient]) =>
+        command(`cut n${node}`, (world) =>
+          world.cut(at(world.nodes, node).process, toServer, toClient),
+        ),
+      ),
+  },
+  {
+    weight: 4,
+    arbitrary: index.map((node) =>
+      command(`kill or start n${node}`, (world) => {
+        const target = at(world.nodes, node);
+        if (target.process.isAlive) {
+          world.killNode(target);
+        } else {
+          target.start();
+        }
+      }),
+    ),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.nat({ max: 4 }).map((which) =>
+      command(`freeze or thaw ${which}`, (world) => {
+        const { process } = which < 3 ? at(world.nodes, which) : at(world.endpoints, which - 3);
+        if (process.isFrozen) {
+          process.thaw();
+        } else if (process.isAlive) {
+          process.freeze();
+        }
+      }),
+    ),
+  },
+  {
+    weight: 4,
+    arbitrary: fc.nat({ max: 1 }).map((which) =>
+      command(`kill or start e${which + 1}`, (world) => {
+        const endpoint = at(world.endpoints, which);
+        if (endpoint.process.isAlive) {
+          world.killEndpoint(endpoint);
+        } else {
+          endpoint.process.revive();
+        }
+      }),
+    ),
+  },
+  {
+    weight: 2,
+    arbitrary: fc
+      .tuple(fc.nat({ max: 4 }), fc.integer({ min: 10, max: 2_000 }))
+      .map(([which, forMs]) =>
+        command(`pause ${which} for ${forMs}`, (world) => {
+          const { process } = which < 3 ? at(world.nodes, which) : at(world.endpoints, which - 3);
+          process.freeze();
+          world.advance(forMs);
+          process.thaw();
+        }),
+      ),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.nat({ max: 1 }).map((which) =>
+      command(`restart e${which + 1}`, (world) => {
+        world.killEndpoint(at(world.endpoints, which));
+        at(world.endpoints, which).process.revive();
+      }),
+    ),
+  },
+  {
+    weight: 2,
+    arbitrary: fc.tuple(fc.nat({ max: 1 }), flag).map(([which, isDraining]) =>
+      command(`drain e${which + 1} ${isDraining}`, (world) => {
+        at(world.endpoints, which).isDraining = isDraining;
+      }),
+    ),
+  },
+  {
+    weight: 2,
+    arbitrary: fc
+      .subarray(['e1', 'e2'])
+      .map((names) =>
+        command(`configure drains ${names.join()}`, (world) =>
+          world.configureDrain(new Set(names)),
+        ),
+      ),
+  },
+  {
+    weight: 2,
+    arbitrary: fc
+      .tuple(index, fc.constantFrom('alive', 'suspect', 'dead', 'leaving'))
+      .map(([node, status]) =>
+        command(`n${node} seems ${status}`, (world) => world.statuses.set(`n${node}`, status)),
+      ),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.nat({ max: 50 }).map((call) =>
+      command(`caller ${call} leaves`, (world) => {
+        const record = world.calls[call];
+        if (record !== undefined && record.told.length === 0 && !record.node.process.isFrozen) {
+          record.told.push({ kind: 'nothing' });
+          record.close(false);
+        }
+      }),
+    ),
+  },
+);
+
+const scenarioArbitrary = fc.record({
+  seed: fc.nat(),
+  faults: fc.record({
+    shed: fc.constantFrom(0, 0.3),
+    lost: fc.constantFrom(0, 0.3),
+    broken: fc.constantFrom(0, 0.3),
+    slow: fc.constantFrom(0, 0.3, 0.9),
+    late: fc.constantFrom(0.05, 0.4),
+  }),
+  commands: fc.array(commandArbitrary, { minLength: 5, maxLength: MAX_COMMANDS }),
+});
+
+const property = fc.property(scenarioArbitrary, ({ seed, faults, commands }) => {
+  const world = new RequestWorld(faults, seededRandom(seed));
+  for (const step of commands) {
+    step.run(world);
+    world.advance(1);
+    failOn(findViolation(world), step.name);
+  }
+  for (const { process } of [...world.nodes, ...world.endpoints]) {
+    process.thaw();
+  }
+  for (let settled = 0; settled < SETTLE_MS; settled += 500) {
+    world.advance(500);
+    failOn(findViolation(world), 'settling');
+  }
+  failOn(findUnsettled(world), 'the end');
+});
+
+interface Mutant {
+  readonly name: string;
+  readonly target: object;
+  readonly method: string;
+  /** Makes what stands in place of the method. */
+  readonly replace: (original: (...inputs: unknown[]) => unknown) => unknown;
+}
+
+const mutants: readonly Mutant[] = [
+  {
+    name: 'requests that may run once are sent again without proof',
+    target: RequestLifecycle.prototype,
+    method: 'mayRetry',
+    replace: () =>
+      function (this: { retriesLeft: number }): boolean {
+        return this.retriesLeft > 0;
+      },
+  },
+  {
+    name: 'the last attempt alone gives the verdict',
+    target: RequestLifecycle.prototype,
+    method: 'report',
+    replace: (original) =>
+      function (this: { mayHaveRun: boolean }, failure: unknown): unknown {
+        this.mayHaveRun = false;
+        return original.call(this, failure);
+      },
+  },
+  {
+    name: 'a request that was sent counts as not sent at its deadline',
+    target: EndpointAttempt.prototype,
+    method: 'expire',
+    replace: (original) =>
+      function (this: unknown): unknown {
+        return original.call(this, false);
+      },
+  },
+  {
+    name: 'an endpoint that does not know a request proves that it has not run',
+    target: EndpointAttempt.prototype,
+    method: 'takeCancelOutcome',
+    replace: (original) =>
+      function (this: unknown, outcome: unknown): unknown {
+        return original.call(this, outcome === 'unknown' ? 'not-started' : outcome);
+      },
+  },
+  {
+    name: 'a slot is free although the cancellation is not confirmed',
+    target: EndpointAttempt.prototype,
+    method: 'takeCancelOutcome',
+    replace: (original) =>
+      function (this: unknown, outcome: unknown): unknown {
+        return original.call(this, outcome === 'unconfirmed' ? 'finished' : outcome);
+      },
+  },
+  {
+    name: 'a slot is free before the endpoint confirms',
+    target: EndpointAttempt.prototype,
+    method: 'cancel',
+    replace: (original) =>
+      function (this: unknown, report: unknown): unknown {
+        const effects = original.call(this, report) as unknown[];
+        return [...effects, { type: 'release-slot', isMeasured: false }];
+      },
+  },
+  {
+    name: 'the end of an answer is not looked at',
+    target: EndpointAttempt.prototype,
+    method: 'endAnswer',
+    replace: () => () => [],
+  },
+  {
+    name: 'slots are not counted',
+    target: EndpointAdmission.prototype,
+    method: 'dispatchOrRefuse',
+    replace: () => (ticket: { requestId: string }) => ({
+      type: 'dispatch',
+      requestId: ticket.requestId,
+    }),
+  },
+  {
+    name: 'the deadline is not checked when a slot comes free',
+    target: EndpointAdmission.prototype,
+    method: 'dispatchOrRefuse',
+    replace: () =>
+      function (this: { running: Set<string> }, ticket: { requestId: string }): unknown {
+        this.running.add(ticket.requestId);
+        return { type: 'dispatch', requestId: ticket.requestId };
+      },
+  },
+  {
+    name: 'a drain does not reach admission',
+    target: EndpointAdmission.prototype,
+    method: 'setDraining',
+    replace: () => () => [],
+  },
+];
+
+describe('fuzzing of the request path', function () {
+  this.timeout(600_000);
+
+  it('keeps every promise', () => {
+    fc.assert(property, { seed: SEED, numRuns: RUNS });
+  });
+
+  for (const mutant of mutants) {
+    it(`catches: ${mutant.name}`, () => {
+      const original = Reflect.get(mutant.target, mutant.method) as () => unknown;
+      expect(original).to.be.a('function');
+      Reflect.set(mutant.target, mutant.method, mutant.replace(original));
+      try {
+        const result = fc.check(property, { seed: SEED, numRuns: MUTANT_RUNS, endOnFailure: true });
+        expect(result.failed).to.equal(true);
+      } finally {
+        Reflect.set(mutant.target, mutant.method, original);
+      }
+    });
+  }
+});
+
+function command(
+  name: string,
+  run: (world: RequestWorld) => void,
+): Command & fc.WithToStringMethod {
+  return { name, run, [fc.toStringMethod]: () => name };
+}
+
+function at<Item>(items: readonly Item[], position: number): Item {
+  return items[position] as Item;
+}
+
+function failOn(violation: string | undefined, step: string): void {
+  if (violation !== undefined) {
+    throw new Error(`after ${step}: ${violation}`);
+  }
+}
