Add the scale run: hollow nodes beside real ones, npm run scale

Cause: the size of two years decides the design, and nothing measured what a node costs as the fleet grows. Change: hollow nodes (ControlNode with the source reader on real loopback sockets, at most 120 to a process), three real nodes with back ends and callers, one platform. Phases: cold start, quiet, changes, restarts, a zone that falls silent and dies, its return, a region cut without the platform, its heal. The cut loses messages without a word at both ends, as a dead network does. ControlNode takes an openTransport, so that the tool can put the cut in between. The JSON client of the tools takes a time limit, a child tells its process id. Ruled out: processes for all nodes (1,800 do not fit the machine); cuts by packet filters (need rights the tool should not have). Shown to fail: the tests fail when convergence ignores the time of publication, when a cut works one way only, when a process name holds a bracket and the first one is taken, and when costs scaled back may be negative (one run each).

--- a/src/runtime/control-node.ts
+++ b/src/runtime/control-node.ts
@@ -38,6 +38,8 @@
   >;
   /** Reads the platform; a node without it never reads. */
   readonly platform?: PlatformClient | undefined;
+  /** Opens the links to peers; {@link createPeerTransport} unless a tool puts faults in between. */
+  readonly openTransport?: typeof createPeerTransport | undefined;
   readonly components: readonly ComponentFactory[];
   readonly counters: CounterSink;
   readonly random: RandomSource;
@@ -79,7 +81,8 @@
   /** Opens the control port and starts; rejects when the port can not be opened. */
   static async open(options: ControlNodeOptions): Promise<ControlNode> {
     let deliver: (event: ControlEvent) => void = () => undefined;
-    const transport = await createPeerTransport({
+    const openTransport = options.openTransport ?? createPeerTransport;
+    const transport = await openTransport({
       identity: options.identity,
       fleetKey: options.fleetKey,
       tls: options.tls,
--- /dev/null
+++ b/tools/scale/hollow-node.ts
@@ -0,0 +1,100 @@
+/** A node without request path: the whole control plane on real sockets, many to a process. */
+import type { DocumentSink } from '../../src/control/control-options.js';
+import type { ElectorateView } from '../../src/control/control-ports.js';
+import type { Machine } from '../../src/model/machine.js';
+import { ControlNode } from '../../src/runtime/control-node.js';
+import { Metrics } from '../../src/runtime/metrics.js';
+import { parseSettings } from '../../src/settings/load-settings.js';
+import type { Settings } from '../../src/settings/settings.js';
+import { SourceReader } from '../../src/source/source-reader.js';
+import { declareTransportCounters } from '../../src/transport/transport-counters.js';
+import { CutPlatformClient, openCutTransport, type NetworkCut } from './network-cut.js';
+import type { NodeSettings } from './scale-plan.js';
+
+/** As in `src/runtime/node.ts`: reads of the machine list are rarer than of the configuration. */
+const MACHINES_INTERVAL_FACTOR = 5;
+
+/** What a hollow node is made from. */
+export interface HollowNodeOptions {
+  readonly machine: Machine;
+  readonly settings: NodeSettings;
+  readonly cut: NetworkCut;
+  readonly now: () => number;
+  /** Told of each source version that comes into force. */
+  readonly onVersion: (version: number) => void;
+}
+
+/** One machine with a hollow node; its counters go on over restarts. */
+export class HollowNode {
+  readonly metrics = new Metrics();
+  readonly machine: Machine;
+  private readonly settings: Settings;
+  private control: ControlNode | undefined;
+
+  constructor(private readonly options: HollowNodeOptions) {
+    this.machine = options.machine;
+    this.settings = parseSettings(options.machine.id, options.settings);
+    declareTransportCounters((name, help) => this.metrics.declareCounter(name, help));
+  }
+
+  get isRunning(): boolean {
+    return this.control !== undefined;
+  }
+
+  /** Overlay links; 0 when it does not run. */
+  get links(): number {
+    return this.control?.plane.status().neighbours.length ?? 0;
+  }
+
+  /** Starts a new process, as far as peers can tell. */
+  async start(): Promise<void> {
+    const { settings, options, metrics } = this;
+    const { cut, machine } = options;
+    const { id, address, controlPort, relayPort, zone, region } = machine;
+    this.control = await ControlNode.open({
+      identity: { id, incarnation: Date.now(), address, controlPort, relayPort, zone, region },
+      fleetKey: settings.fleetKey,
+      seeds: settings.seeds,
+      overlay: settings.overlay,
+      platform: settings.platform && new CutPlatformClient(cut, machine, settings.platform),
+      openTransport: (transport) => openCutTransport(cut, transport),
+      components: [(documents, electorate) => this.createReader(documents, electorate)],
+      counters: metrics,
+      random: Math.random,
+      now: options.now,
+      onSnapshot: (snapshot) => options.onVersion(snapshot.version.source.number),
+      onStateChange: () => undefined,
+    });
+  }
+
+  /** A planned stop. */
+  async stop(): Promise<void> {
+    const { control } = this;
+    this.control = undefined;
+    await control?.stop();
+  }
+
+  /** The process dies. */
+  kill(): void {
+    this.control?.abort();
+    this.control = undefined;
+  }
+
+  private createReader(documents: DocumentSink, electorate: ElectorateView): SourceReader {
+    const { platform, seeds, readerShares, lease } = this.settings;
+    return new SourceReader({
+      documents,
+      electorate,
+      seeds,
+      readerShares,
+      lease,
+      poll: platform && {
+        configurationIntervalMs: platform.pollIntervalMs,
+        machinesIntervalMs: MACHINES_INTERVAL_FACTOR * platform.pollIntervalMs,
+        requestTimeoutMs: platform.requestTimeoutMs,
+      },
+      random: Math.random,
+      counters: this.metrics,
+    });
+  }
+}
--- a/tools/shared/child-process.ts
+++ b/tools/shared/child-process.ts
@@ -40,6 +40,11 @@
     }
   }
 
+  /** Undefined when it could not be started. */
+  get processId(): number | undefined {
+    return this.process.pid;
+  }
+
   get isRunning(): boolean {
     return this.exit === undefined;
   }
