Test membership against a played fleet; serve chunks faster

A document that came by another way left a fetch outstanding until its timeout, which then blamed the neighbour. Change: a chunk every 20 ms, shorter waits after a refusal, and a fetch ends when its version is held already.

--- a/src/dissemination/document-fetcher.ts
+++ b/src/dissemination/document-fetcher.ts
@@ -66,6 +66,10 @@
 
   /** Plans a fetch when a neighbour holds something newer; call it when that may have changed. */
   consider(nowMs: number, effects: ControlEffect[]): void {
+    const assembly = this.outstanding?.assembly;
+    if (assembly !== undefined && !this.store.wants(this.name, assembly.version)) {
+      this.outstanding = undefined;
+    }
     if (this.outstanding !== undefined) {
       return;
     }
--- a/src/dissemination/snapshot-server.ts
+++ b/src/dissemination/snapshot-server.ts
@@ -13,10 +13,10 @@
 /** Snapshot transfers served at once. */
 export const MAX_CONCURRENT_TRANSFERS = 4;
 /** Time between two chunks of one transfer, in milliseconds. */
-export const CHUNK_INTERVAL_MS = 50;
+export const CHUNK_INTERVAL_MS = 20;
 /** Bounds of the time after which a refused peer may ask again, in milliseconds. */
-const MIN_RETRY_AFTER_MS = 100;
-const MAX_RETRY_AFTER_MS = 500;
+const MIN_RETRY_AFTER_MS = 50;
+const MAX_RETRY_AFTER_MS = 250;
 
 interface Transfer {
   readonly peerId: string;
--- a/test/control/control-plane.test.ts
+++ b/test/control/control-plane.test.ts
@@ -298,6 +298,23 @@
     }
   });
 
+  it('exchanges neighbours now and then without blaming those it leaves', () => {
+    const fleet = startFleet(20);
+    const peers = (): string[] =>
+      fleet.nodes.map((node) =>
+        node.plane
+          .status()
+          .neighbours.map((peer) => peer.id)
+          .join(),
+      );
+    const before = peers();
+    const suspicions = countOf(fleet, 'ferryspool_member_suspicions_total');
+    fleet.pump.run(3_600_000);
+    const changed = peers().filter((ids, index) => ids !== before[index]);
+    expect(changed).to.have.length.greaterThan(10);
+    expect(countOf(fleet, 'ferryspool_member_suspicions_total')).to.equal(suspicions);
+  });
+
   it('sends heartbeats alone in a quiet fleet', () => {
     const fleet = startFleet(20);
     fleet.pump.run(60_000);
--- a/test/dissemination/dissemination.test.ts
+++ b/test/dissemination/dissemination.test.ts
@@ -232,6 +232,17 @@
     });
   }
 
+  it('of a version that came from elsewhere meanwhile are dropped, and blame nobody', () => {
+    const bench = new Bench(0, [NEAR, REMOTE]);
+    bench.announce(NEAR, version(4).version);
+    bench.receive(NEAR, first);
+    bench.receive(REMOTE, deltaMessage(0, 4));
+    bench.receive(NEAR, ...rest);
+    expect(bench.held).to.equal(4);
+    expect(bench.counters.get('ferryspool_snapshot_chunks_dropped_total')).to.equal(rest.length);
+    expect(bench.dissemination.nextWakeAt()).to.equal(Infinity);
+  });
+
   it('that nobody asked for are dropped', () => {
     const bench = new Bench(0);
     bench.receive(NEAR, ...chunks);
@@ -393,6 +404,13 @@
     expect(sent(bench.receive(REMOTE, { ...rejection, reason: 'late' }))).to.deep.equal([]);
   });
 
+  it('of versions that are overtaken already are not passed on', () => {
+    const bench = new Bench(3, [NEAR, REMOTE]);
+    const rejection = { type: 'rejection', version: bad.version, reason: 'dangling' } as const;
+    expect(sent(bench.receive(NEAR, rejection))).to.deep.equal([]);
+    expect(bench.dissemination.rejectedSource()).to.equal(undefined);
+  });
+
   it('keep the version from being fetched', () => {
     const bench = new Bench(1);
     bench.dissemination.documents.offer('source', badAnswer, 0);
--- /dev/null
+++ b/test/membership/membership.test.ts
@@ -0,0 +1,247 @@
+import { expect } from 'chai';
+import type {
+  ControlComponent,
+  ControlEffect,
+  ControlEvent,
+} from '../../src/control/control-event.js';
+import type { ControlPlaneOptions } from '../../src/control/control-options.js';
+import { ControlPlane } from '../../src/control/control-plane.js';
+import { machineValues } from '../../src/membership/machine-index.js';
+import { TRANSIENT_IDLE_MS } from '../../src/membership/neighbour-links.js';
+import type { PeerIdentity } from '../../src/membership/peer-identity.js';
+import { NO_VERSION } from '../../src/model/version.js';
+import type { MemberStatus, PeerMessage } from '../../src/wire/message.js';
+import { NOTHING_HELD_DIGEST } from '../../src/wire/versions-digest.js';
+import { MapCounters, identityOf, machineOf, seededRandom } from '../control/message-pump.js';
+
+const SELF = identityOf(0);
+const PEER = identityOf(1);
+const OTHER = identityOf(2);
+const THIRD = identityOf(3);
+const HEARTBEAT: PeerMessage = { type: 'heartbeat', versionsDigest: NOTHING_HELD_DIGEST };
+const FULL_HEARTBEAT: PeerMessage = { type: 'heartbeat', versionsDigest: 'f'.repeat(16) };
+
+/** One control plane whose peers are played by the test. */
+class Bench {
+  nowMs = 0;
+  readonly plane: ControlPlane;
+
+  constructor(options: Partial<ControlPlaneOptions> = {}) {
+    const random = seededRandom(1);
+    const counters = new MapCounters();
+    this.plane = new ControlPlane({ identity: SELF, seeds: [], random, counters, ...options });
+    this.handle({ type: 'start' });
+  }
+
+  handle(event: ControlEvent): ControlEffect[] {
+    return this.plane.handle(event, this.nowMs);
+  }
+
+  receive(from: PeerIdentity, message: PeerMessage): ControlEffect[] {
+    return this.handle({ type: 'message', from, message });
+  }
+
+  claim(from: PeerIdentity, member: PeerIdentity, status: MemberStatus): ControlEffect[] {
+    return this.receive(from, { type: 'members', updates: [{ member, status }] });
+  }
+
+  /** The peer becomes an inbound neighbour. */
+  join(peer: PeerIdentity, heartbeat = HEARTBEAT): ControlEffect[] {
+    return [...this.handle({ type: 'peer-up', peer }), ...this.receive(peer, heartbeat)];
+  }
+
+  /** Wakes the plane whenever it asks for it, for a while. */
+  run(forMs: number): ControlEffect[] {
+    const until = this.nowMs + forMs;
+    const effects: ControlEffect[] = [];
+    while (this.plane.nextWakeAt() <= until) {
+      this.nowMs = Math.max(this.nowMs, this.plane.nextWakeAt());
+      effects.push(...this.handle({ type: 'wake' }));
+    }
+    this.nowMs = until;
+    return effects;
+  }
+}
+
+/** Effects in short: what is sent to whom, and links closed or dialled. */
+function brief(effects: readonly ControlEffect[]): string[] {
+  return effects.flatMap((effect) => {
+    switch (effect.type) {
+      case 'send':
+        return [`${effect.to} ${effect.message.type}`];
+      case 'hang-up':
+        return [`hang-up ${effect.peerId}`];
+      case 'dial':
+        return [`dial ${effect.target.address}`];
+      default:
+        return [];
+    }
+  });
+}
+
+/** Claims sent, as `to member status@incarnation`. */
+function claims(effects: readonly ControlEffect[]): string[] {
+  return effects.flatMap((effect) =>
+    effect.type === 'send' && effect.message.type === 'members'
+      ? effect.message.updates.map(
+          ({ member, status }) => `${effect.to} ${member.id} ${status}@${member.incarnation}`,
+        )
+      : [],
+  );
+}
+
+describe('inbound links', () => {
+  it('become neighbours with the first heartbeat, which is answered', () => {
+    const bench = new Bench();
+    expect(brief(bench.handle({ type: 'peer-up', peer: PEER }))).to.deep.equal([]);
+    expect(brief(bench.receive(PEER, HEARTBEAT))).to.deep.equal([
+      `${PEER.id} heartbeat`,
+      `${PEER.id} versions`,
+    ]);
+    expect(bench.plane.status().neighbours).to.deep.equal([PEER]);
+  });
+
+  for (const [name, heartbeat, expected] of [
+    [
+      'holds nothing: it is told of others',
+      HEARTBEAT,
+      [`${OTHER.id} members`, `hang-up ${OTHER.id}`],
+    ],
+    ['knows others', FULL_HEARTBEAT, [`hang-up ${OTHER.id}`]],
+  ] as const) {
+    it(`are refused beyond the bound; the peer ${name}`, () => {
+      const bench = new Bench({ maxInbound: 1 });
+      bench.join(PEER);
+      expect(brief(bench.join(OTHER, heartbeat))).to.deep.equal(expected);
+      expect(bench.plane.status().neighbours).to.deep.equal([PEER]);
+    });
+  }
+
+  it('are refused while the node stops', () => {
+    const bench = new Bench();
+    bench.handle({ type: 'stop' });
+    expect(brief(bench.join(PEER, FULL_HEARTBEAT))).to.deep.equal([`hang-up ${PEER.id}`]);
+  });
+
+  it('without a heartbeat are closed when idle, not before', () => {
+    const bench = new Bench();
+    bench.handle({ type: 'peer-up', peer: PEER });
+    bench.run(TRANSIENT_IDLE_MS / 2);
+    bench.receive(PEER, { type: 'fetch', document: 'source', have: NO_VERSION });
+    expect(brief(bench.run(TRANSIENT_IDLE_MS - 1))).to.deep.equal([]);
+    expect(brief(bench.run(4_000))).to.include(`hang-up ${PEER.id}`);
+  });
+});
+
+describe('evidence and claims', () => {
+  it('a lost neighbour is probed; only a failed probe is told to the fleet', () => {
+    for (const [answer, expected] of [
+      [{ type: 'peer-up', peer: PEER }, []],
+      [{ type: 'dial-failed', target: PEER }, [`${OTHER.id} ${PEER.id} suspect@1000`]],
+    ] as const) {
+      const bench = new Bench();
+      bench.join(PEER);
+      bench.join(OTHER);
+      bench.run(1_500);
+      const lost = bench.handle({ type: 'peer-down', peer: PEER });
+      expect(brief(lost)).to.deep.equal([`dial ${PEER.address}`]);
+      expect(bench.plane.memberStatus(PEER.id)).to.equal('suspect');
+      bench.handle(answer);
+      expect(claims(bench.run(1_500))).to.deep.equal(expected);
+    }
+  });
+
+  it('a silent neighbour is hung up on and told of', () => {
+    const bench = new Bench();
+    bench.join(PEER);
+    bench.join(OTHER);
+    bench.run(4_000);
+    bench.receive(OTHER, HEARTBEAT);
+    const effects = bench.run(4_000);
+    expect(brief(effects)).to.include(`hang-up ${PEER.id}`);
+    expect(claims(effects)).to.include(`${OTHER.id} ${PEER.id} suspect@1000`);
+  });
+
+  it('an accused node refutes at once to the accuser, neighbour or not, then to the fleet', () => {
+    const bench = new Bench();
+    bench.join(OTHER);
+    bench.handle({ type: 'peer-up', peer: PEER });
+    const refutation = `${SELF.id} alive@1001`;
+    expect(claims(bench.claim(PEER, SELF, 'dead'))).to.deep.equal([`${PEER.id} ${refutation}`]);
+    expect(claims(bench.run(1_000))).to.include(`${OTHER.id} ${refutation}`);
+  });
+
+  it('a peer that is accused here is told when its link opens', () => {
+    const bench = new Bench();
+    bench.join(OTHER);
+    bench.claim(OTHER, PEER, 'suspect');
+    const told = bench.handle({ type: 'peer-up', peer: PEER });
+    expect(claims(told)).to.deep.equal([`${PEER.id} ${PEER.id} suspect@1000`]);
+  });
+
+  it('a new neighbour is told who is leaving', () => {
+    const bench = new Bench();
+    bench.join(OTHER);
+    bench.claim(OTHER, PEER, 'leaving');
+    expect(claims(bench.join(THIRD))).to.deep.equal([`${THIRD.id} ${PEER.id} leaving@1000`]);
+  });
+
+  it('a claim is passed on once, and not to those it was heard from', () => {
+    const bench = new Bench();
+    [OTHER, THIRD, identityOf(4)].forEach((peer) => bench.join(peer));
+    bench.run(1_500);
+    bench.claim(OTHER, PEER, 'suspect');
+    bench.claim(THIRD, PEER, 'suspect');
+    expect(claims(bench.run(1_500))).to.deep.equal([`machine-4 ${PEER.id} suspect@1000`]);
+    bench.claim(THIRD, PEER, 'suspect');
+    expect(claims(bench.run(1_500))).to.deep.equal([]);
+  });
+});
+
+describe('components beside the overlay', () => {
+  class Hanger implements ControlComponent {
+    readonly seen: string[] = [];
+
+    handle(event: ControlEvent): ControlEffect[] {
+      this.seen.push(event.type === 'message' ? event.message.type : event.type);
+      return event.type === 'message' ? [{ type: 'hang-up', peerId: event.from.id }] : [];
+    }
+
+    nextWakeAt(): number {
+      return Infinity;
+    }
+  }
+  const release: PeerMessage = { type: 'lease-release', slot: 'zone-a/0', round: 1 };
+
+  for (const [name, joins, expected] of [
+    ['an overlay link stays open', true, []],
+    ['another link is closed', false, [`hang-up ${PEER.id}`]],
+  ] as const) {
+    it(`hang up: ${name}`, () => {
+      const hanger = new Hanger();
+      const bench = new Bench({ components: [() => hanger] });
+      bench.handle({ type: 'peer-up', peer: PEER });
+      if (joins) {
+        bench.receive(PEER, HEARTBEAT);
+      }
+      expect(brief(bench.receive(PEER, release))).to.deep.equal(expected);
+      expect(hanger.seen).to.deep.equal(['start', 'peer-up', 'lease-release']);
+    });
+  }
+
+  it('see the electorate, and find relay addresses by list or by evidence', () => {
+    const bench = new Bench();
+    const machines = [OTHER, PEER].map((peer) => machineOf(peer));
+    const answer = { outcome: 'document', number: 1, values: machineValues(machines) } as const;
+    bench.plane.documents.offer('machines', answer, 0);
+    expect(bench.plane.machinesInZone('zone-a').map(({ id }) => id)).to.deep.equal([
+      PEER.id,
+      OTHER.id,
+    ]);
+    bench.join(THIRD);
+    for (const { id, address, relayPort } of [PEER, THIRD]) {
+      expect(bench.plane.relayAddress(id)).to.deep.equal({ address, relayPort });
+    }
+    expect(bench.plane.relayAddress('machine-99')).to.equal(undefined);
+  });
+});
