Prove that slow requests are given up, and that watches outlast silence

Cause: headers and bodies that never end were bounded only by the HTTP library's check every 30 s, and no test showed it. A connection that says nothing gets 408 too, since the time for headers runs from its opening. Without the check interval the slow rows fail, without the silence bound or the watches' exemption the watch test does.

--- a/src/api/admin-server.ts
+++ b/src/api/admin-server.ts
@@ -13,24 +13,18 @@
 import { ConfigurationFeed } from './configuration-feed.js';
 import type { ConfigurationView } from './configuration-view.js';
 import { createDigestMask, maskStatus } from './digest-mask.js';
+import {
+  LISTENER_TIMEOUTS,
+  MAX_HEADER_BYTES,
+  MAX_PLAIN_CONNECTIONS,
+  type ListenerTimeouts,
+} from './listener-limits.js';
 import type { StatusProvider } from './node-status.js';
 import { createResourceVersioner } from './resource-version.js';
 import { ResourceWriter } from './resource-writer.js';
 import { WatchRegistry } from './watch-registry.js';
 import type { WritePort } from './write-port.js';
 
-/** Request line and headers of one request, in bytes. */
-export const MAX_HEADER_BYTES = 16_384;
-/** Connections beyond the watches, at once. */
-export const MAX_PLAIN_CONNECTIONS = 256;
-const HEADERS_TIMEOUT_MS = 10_000;
-const REQUEST_TIMEOUT_MS = 30_000;
-const KEEP_ALIVE_TIMEOUT_MS = 5_000;
-/** Silence after which a connection is closed, unless it carries a watch. */
-const SOCKET_TIMEOUT_MS = 60_000;
-/** Silence after which TCP asks whether a watcher is still there, in milliseconds. */
-const TCP_KEEP_ALIVE_DELAY_MS = 30_000;
-
 /** What the listener is built over. */
 export interface AdminServerOptions {
   readonly settings: Settings;
@@ -39,6 +33,8 @@
   readonly writePort: WritePort;
   readonly metrics: Metrics;
   readonly logger: Logger;
+  /** {@link LISTENER_TIMEOUTS} where absent. */
+  readonly timeouts?: Partial<ListenerTimeouts>;
 }
 
 /** A listener that is open. */
@@ -112,20 +108,20 @@
   });
 }
 
-function createAdminServer(
-  { settings, metrics, logger }: AdminServerOptions,
-  handler: AdminHandler,
-): Server {
+function createAdminServer(options: AdminServerOptions, handler: AdminHandler): Server {
+  const { settings, metrics, logger } = options;
+  const timeouts = { ...LISTENER_TIMEOUTS, ...options.timeouts };
   const server = createServer({
     maxHeaderSize: MAX_HEADER_BYTES,
-    headersTimeout: HEADERS_TIMEOUT_MS,
-    requestTimeout: REQUEST_TIMEOUT_MS,
-    keepAliveTimeout: KEEP_ALIVE_TIMEOUT_MS,
+    headersTimeout: timeouts.headersMs,
+    requestTimeout: timeouts.requestMs,
+    connectionsCheckingInterval: timeouts.checkIntervalMs,
+    keepAliveTimeout: timeouts.keepAliveMs,
     keepAlive: true,
-    keepAliveInitialDelay: TCP_KEEP_ALIVE_DELAY_MS,
+    keepAliveInitialDelay: timeouts.tcpKeepAliveMs,
   });
   server.maxConnections = settings.api.maxWatchers + MAX_PLAIN_CONNECTIONS;
-  server.setTimeout(SOCKET_TIMEOUT_MS);
+  server.setTimeout(timeouts.silenceMs);
   server.on('request', (request, response) => {
     response.on('close', () => closeIdleWhenStopping(server));
     void handler.handle(request, response);
--- a/test/api/api-fixture.ts
+++ b/test/api/api-fixture.ts
@@ -3,6 +3,7 @@
 import { connect } from 'node:net';
 import { AdminServer } from '../../src/api/admin-server.js';
 import type { ConfigurationView, SnapshotListener } from '../../src/api/configuration-view.js';
+import type { ListenerTimeouts } from '../../src/api/listener-limits.js';
 import type { NodeStatus } from '../../src/api/node-status.js';
 import type { WriteOutcome, WriteRequest } from '../../src/api/write-port.js';
 import { resourceSchema, type Resource } from '../../src/model/resource.js';
@@ -101,12 +102,14 @@
 export async function openApi(options: {
   readonly adminToken?: string;
   readonly api?: Record<string, number>;
+  readonly timeouts?: Partial<ListenerTimeouts>;
 }): Promise<ApiFixture> {
+  const { timeouts = {}, ...given } = options;
   const settings = parseSettings('test', {
     machine: { id: 'm1', address: '127.0.0.1', zone: 'a', region: 'r' },
     ports: { admin: 0 },
     fleetKey: FLEET_KEY,
-    ...options,
+    ...given,
   });
   const view = new SettableView();
   const metrics = new Metrics();
@@ -124,6 +127,7 @@
     view,
     status: () => STATUS,
     metrics,
+    timeouts,
     logger: createLogger('info', {}, { write: (line) => logLines.push(line) }),
     writePort: {
       submitWrite: (write) => {
--- a/test/api/bad-requests.test.ts
+++ b/test/api/bad-requests.test.ts
@@ -2,8 +2,8 @@
 import { connect, type Socket } from 'node:net';
 import { expect } from 'chai';
 import { API_COUNTERS } from '../../src/api/api-counters.js';
-import { MAX_HEADER_BYTES, MAX_PLAIN_CONNECTIONS } from '../../src/api/admin-server.js';
 import { MAX_URL_LENGTH } from '../../src/api/api-request.js';
+import { MAX_HEADER_BYTES, MAX_PLAIN_CONNECTIONS } from '../../src/api/listener-limits.js';
 import { VERDICT_HEADER } from '../../src/model/verdict.js';
 import { ADMIN_TOKEN, call, callRaw, openApi, serviceOf, type ApiFixture } from './api-fixture.js';
 
@@ -166,6 +166,29 @@
     expect(api.writes).to.deep.equal([]);
   });
 
+  const slow: readonly (readonly [string, string, RegExp])[] = [
+    ['headers that never end', 'GET /healthz HTTP/1.1\r\nhost: x\r\n', /^HTTP\/1\.1 408 /],
+    [
+      'a body that never ends',
+      `PUT /v1/services/a HTTP/1.1\r\nhost: x\r\nauthorization: Bearer ${ADMIN_TOKEN}\r\n` +
+        'if-none-match: *\r\ncontent-length: 100\r\n\r\n{"spec":{}',
+      /^HTTP\/1\.1 408 .*"REQUEST_TIMEOUT"/s,
+    ],
+    ['a connection that says nothing', '', /^HTTP\/1\.1 408 /],
+  ];
+  for (const [what, bytes, expected] of slow) {
+    it(`gives up ${what}`, async () => {
+      const timeouts = { headersMs: 50, requestMs: 100, checkIntervalMs: 20, silenceMs: 400 };
+      const impatient = await openApi({ adminToken: ADMIN_TOKEN, timeouts });
+      try {
+        expect(await callRaw(impatient, bytes)).to.match(expected);
+        expect(impatient.writes).to.deep.equal([]);
+      } finally {
+        impatient.server.abort();
+      }
+    });
+  }
+
   it('refuses connections beyond its bound, and takes new ones later', async () => {
     const bounded = await openApi({ api: { maxWatchers: 1 } });
     try {
--- a/test/api/watch.test.ts
+++ b/test/api/watch.test.ts
@@ -4,6 +4,7 @@
 import type { Resource } from '../../src/model/resource.js';
 import {
   call,
+  callRaw,
   openApi,
   routeOf,
   SECRET_VALUE,
@@ -231,6 +232,16 @@
     expect((await quick.untilBookmark()).words).to.deep.equal(['+r']);
   });
 
+  it('outlast the silence after which other connections are closed', async () => {
+    api = await openApi({ timeouts: { silenceMs: 50 } });
+    const client = await watch(api, '/v1/services?watch=1');
+    await client.untilBookmark();
+    // Opened after the watch fell silent, so that its end shows that the time has passed.
+    expect(await callRaw(api, '')).to.equal('');
+    api.view.set(1, serviceOf('a'));
+    expect((await client.untilBookmark()).words).to.deep.equal(['+a']);
+  });
+
   it('end with a reason when the node stops', async () => {
     await open();
     const client = await watch(api, '/v1/services?watch=1');
