--- a/test/scale/scale.test.ts
+++ b/test/scale/scale.test.ts
@@ -33,7 +33,7 @@
 });
 
 describe('scale plan', () => {
-  for (const nodes of [20, 123, 400, 1_800]) {
+  for (const nodes of [50, 123, 400, 1_800]) {
     it(`gives each of ${nodes} machines an address and one process, or a real node`, () => {
       const machines = planMachines(shapeOf(nodes));
       expect(new Set(machines.map(({ address }) => address)).size).to.equal(nodes);
@@ -104,7 +104,10 @@
       sentBytesByType: { delta: nodes.reduce((sum, node) => sum + node.sentBytes, 0) },
     },
   ],
-  real: [{ cpuMs, residentBytes: 80 * 2 ** 20 }],
+  real: [
+    { isElector: true, cpuMs, residentBytes: 80 * 2 ** 20 },
+    { isElector: false, cpuMs: cpuMs / 2, residentBytes: 70 * 2 ** 20 },
+  ],
   residentBytes: 0,
   peakReaders: 7,
   readersRefused: 0,
@@ -114,10 +117,10 @@
 
 describe('scale figures', () => {
   it('are rates for one node between two samples', () => {
-    const before = fleetSample(1_000, 500, [nodeTotals(0, { sentBytes: 100 }), nodeTotals(1, {})]);
+    const before = fleetSample(1_000, 500, [nodeTotals(0, { sentBytes: 100 }), nodeTotals(99, {})]);
     const after = fleetSample(11_000, 700, [
       nodeTotals(0, { sentBytes: 2_100, receivedBytes: 500, sentMessages: 20, links: 6 }),
-      nodeTotals(1, { sentBytes: 1_000, isRunning: false }),
+      nodeTotals(99, { sentBytes: 1_000, isRunning: false }),
     ]);
     expect(phaseFigures(before, after)).to.deep.include({
       seconds: 10,
@@ -128,8 +131,9 @@
       maxBytesPerSecond: 250,
       sentMessagesPerSecond: 1,
       meanLinks: 6,
-      realCpuPercent: 2,
-      realResidentMiB: 80,
+      electorBytesPerSecond: 250,
+      realElector: { cpuPercent: 2, residentMiB: 80 },
+      realOther: { cpuPercent: 1, residentMiB: 70 },
       hollowResidentMiB: 50,
       platformReadsPerSecond: 10,
       sentBytesPerSecondByType: { delta: 150 },
--- a/tools/scale/fleet-sample.ts
+++ b/tools/scale/fleet-sample.ts
@@ -1,6 +1,19 @@
 /** Figures of one phase: the difference of two samples of the whole fleet. */
 import type { HollowSample, NodeTotals } from './hollow-sample.js';
 import type { ProcessUsage } from './process-usage.js';
+import { ELECTOR_MACHINES } from './scale-plan.js';
+
+/** One real node. */
+export interface RealNodeUsage extends ProcessUsage {
+  /** Whether it is an elector of its zone, and so likely to be its reader too. */
+  readonly isElector: boolean;
+}
+
+/** Usage of real nodes of one sort, on average. */
+export interface RealNodeFigures {
+  readonly cpuPercent: number;
+  readonly residentMiB: number;
+}
 
 /** Everything at one moment. */
 export interface FleetSample {
@@ -8,7 +21,7 @@
   readonly at: number;
   readonly hollow: readonly HollowSample[];
   /** Real nodes. */
-  readonly real: readonly ProcessUsage[];
+  readonly real: readonly RealNodeUsage[];
   /** Resident memory of every process of the run. */
   readonly residentBytes: number;
   readonly peakReaders: number;
@@ -31,8 +44,10 @@
   readonly receivedMessagesPerSecond: number;
   readonly meanLinks: number;
   readonly maxLinks: number;
-  readonly realCpuPercent: number;
-  readonly realResidentMiB: number;
+  /** Sent and received, of the electors on average. */
+  readonly electorBytesPerSecond: number;
+  readonly realElector: RealNodeFigures;
+  readonly realOther: RealNodeFigures;
   /** Resident memory of the hollow processes, divided by their nodes. */
   readonly hollowResidentMiB: number;
   readonly loopDelayP99Ms: number;
@@ -58,9 +73,6 @@
     sum(nodes.map((node) => pick(node) - pickOr(earlier.get(node.index), pick))) / seconds / count;
   const bytes = nodes.map((node) => bytesOf(node) - pickOr(earlier.get(node.index), bytesOf));
   const cpuMs = totalCpuMs(after) - totalCpuMs(before);
-  const realCpuMs = after.real.map(
-    (usage, index) => usage.cpuMs - (before.real[index]?.cpuMs ?? 0),
-  );
   const resident = sum(after.hollow.map((sample) => sample.residentBytes));
   return {
     seconds: round(seconds),
@@ -73,8 +85,11 @@
     receivedMessagesPerSecond: round(rate((node) => node.receivedMessages)),
     meanLinks: round(sum(running.map((node) => node.links)) / Math.max(1, running.length)),
     maxLinks: Math.max(0, ...running.map((node) => node.links)),
-    realCpuPercent: round(mean(realCpuMs) / 10 / seconds, 3),
-    realResidentMiB: round(mean(after.real.map((usage) => usage.residentBytes)) / BYTES_PER_MIB),
+    electorBytesPerSecond: round(
+      mean(bytes.filter((_, position) => isElector(nodes[position]))) / seconds,
+    ),
+    realElector: realFigures(before, after, seconds, true),
+    realOther: realFigures(before, after, seconds, false),
     hollowResidentMiB: round(resident / BYTES_PER_MIB / count, 2),
     loopDelayP99Ms: round(Math.max(0, ...after.hollow.map((sample) => sample.loopDelayP99Ms))),
     loopDelayMaxMs: round(Math.max(0, ...after.hollow.map((sample) => sample.loopDelayMaxMs))),
@@ -86,6 +101,27 @@
   };
 }
 
+function isElector(node: NodeTotals | undefined): boolean {
+  return node !== undefined && node.index < ELECTOR_MACHINES;
+}
+
+function realFigures(
+  before: FleetSample,
+  after: FleetSample,
+  seconds: number,
+  electors: boolean,
+): RealNodeFigures {
+  const chosen = after.real.flatMap((usage, position) =>
+    usage.isElector === electors ? { usage, before: before.real[position] } : [],
+  );
+  const cpuMs = chosen.map(({ usage, before: earlier }) => usage.cpuMs - (earlier?.cpuMs ?? 0));
+  const resident = chosen.map(({ usage }) => usage.residentBytes);
+  return {
+    cpuPercent: round(mean(cpuMs) / 10 / seconds, 3),
+    residentMiB: round(mean(resident) / BYTES_PER_MIB),
+  };
+}
+
 function bytesByType(
   before: FleetSample,
   after: FleetSample,
--- a/tools/scale/main.ts
+++ b/tools/scale/main.ts
@@ -20,7 +20,7 @@
 const REPORT_FOLDER = 'reports';
 const FLEET_KEY_BYTES = 24;
 const BYTES_PER_MIB = 1_048_576;
-const MIN_NODES = 20;
+const MIN_NODES = 50;
 const MAX_NODES = 2_500;
 
 const cli = meow(
--- a/tools/scale/scale-fleet.ts
+++ b/tools/scale/scale-fleet.ts
@@ -9,7 +9,7 @@
 import type { CallTarget } from '../shared/call-client.js';
 import { ChildGroup, parseJsonLine, type Child } from '../shared/child-process.js';
 import { getJson, postJson } from '../shared/json-client.js';
-import type { FleetSample } from './fleet-sample.js';
+import type { FleetSample, RealNodeUsage } from './fleet-sample.js';
 import type { HollowProcessOptions } from './hollow-process.js';
 import {
   ADOPTIONS_PATH,
@@ -24,6 +24,7 @@
 import { processUsage, type ProcessUsage } from './process-usage.js';
 import { ScaleConfiguration } from './scale-configuration.js';
 import {
+  ELECTOR_MACHINES,
   NODE_PORTS,
   nodeSettings,
   planMachines,
@@ -54,7 +55,7 @@
   private readonly children = new ChildGroup();
   private readonly started: Child[] = [];
   private readonly hollow: HollowChild[] = [];
-  private readonly real: Child[] = [];
+  private readonly real: { readonly machine: Machine; readonly child: Child }[] = [];
   private readonly backends = new Map<string, CallTarget>();
   private platformPort = 0;
   private platformControl: CallTarget = { host: '', port: 0 };
@@ -139,7 +140,7 @@
     return {
       at: Date.now(),
       hollow,
-      real: usageOf(this.real),
+      real: this.realUsage(),
       residentBytes,
       peakReaders: platform.peakReaders,
       readersRefused: platform.readersRefused,
@@ -176,6 +177,13 @@
     }
   }
 
+  private realUsage(): RealNodeUsage[] {
+    return usageOf(this.real.map(({ child }) => child)).map((usage, position) => ({
+      ...usage,
+      isElector: (this.real[position]?.machine.seniority ?? 0) < ELECTOR_MACHINES,
+    }));
+  }
+
   private async command(
     command: HollowCommand,
     indices: readonly number[],
@@ -215,7 +223,7 @@
     const settings = nodeSettings(this.shape, this.machines, machine, this.platformPort);
     await writeFile(file, JSON.stringify(settings));
     const child = this.startChild(machine.id, NODE_PROGRAM, ['node', '--settings', file]);
-    this.real.push(child);
+    this.real.push({ machine, child });
     await child.waitForLine((line) => (line.includes(NODE_STARTED_MESSAGE) ? line : undefined));
   }
 
--- a/tools/scale/scale-plan.ts
+++ b/tools/scale/scale-plan.ts
@@ -33,8 +33,13 @@
 export const READER_BOUND = TARGET.zones * READERS_PER_ZONE + 1;
 /** Hollow nodes of one process at most. */
 export const NODES_PER_PROCESS = 120;
-/** Machines whose nodes run as real processes: all in region 0, which is never the one cut off. */
-export const REAL_INDICES: readonly number[] = [0, 2, 4];
+/** Machines that are electors of their zones: the oldest, five in each (`MAX_ELECTORS`). */
+export const ELECTOR_MACHINES = 5 * TARGET.zones;
+/**
+ * Machines whose nodes run as real processes: electors of three zones, and two that are none. All are
+ * in region 0, which is never the one cut off, and none in the zone that dies.
+ */
+export const REAL_INDICES: readonly number[] = [0, 2, 4, 42, 44];
 /** The zone that dies; no real node is there. */
 export const DYING_ZONE = zoneName(6);
 /** The region that is cut off. */
