--- a/test/proxy/request-fuzz.test.ts
+++ b/test/proxy/request-fuzz.test.ts
@@ -172,7 +172,7 @@
     slow: fc.constantFrom(0, 0.3, 0.9),
     late: fc.constantFrom(0.05, 0.4),
   }),
-  commands: fc.array(commandArbitrary, { minLength: 5, maxLength: MAX_COMMANDS }),
+  commands: fc.array(commandArbitrary, { minLength: 5, maxLength: MAX_COMMANDS, size: 'max' }),
 });
 
 const property = fc.property(scenarioArbitrary, ({ seed, faults, commands }) => {
--- /dev/null
+++ b/test/proxy/request-lifecycle.test.ts
@@ -0,0 +1,199 @@
+/** Retries, budgets and verdicts of one request, as tables of events and effects. */
+import { expect } from 'chai';
+import type { RequestFailure } from '../../src/proxy/request-error.js';
+import { RequestLifecycle, type RequestEvent } from '../../src/proxy/request-lifecycle.js';
+import { RetryBudget } from '../../src/routing/retry-budget.js';
+
+const notRun: RequestFailure = { code: 'REFUSED', verdict: 'not-run', retryable: true };
+const lost: RequestFailure = { code: 'LOST', verdict: 'may-have-run', retryable: true };
+const final: RequestFailure = { code: 'FINAL', verdict: 'not-run', retryable: false };
+const late: RequestFailure = { code: 'LATE', verdict: 'may-have-run', retryable: false };
+
+const START: RequestEvent = { type: 'start' };
+const AGAIN: RequestEvent = { type: 'back-off-over' };
+const failed = (attempt: number, failure: RequestFailure, canReplay = true): RequestEvent => ({
+  type: 'failed',
+  attempt,
+  failure,
+  canReplay,
+});
+const answered = (attempt: number): RequestEvent => ({ type: 'answered', attempt });
+const broken = (attempt: number, wasPassedOn: boolean): RequestEvent => ({
+  type: 'answer-broken',
+  attempt,
+  failure: lost,
+  wasPassedOn,
+  canReplay: true,
+});
+const DEADLINE: RequestEvent = { type: 'deadline', failure: late };
+
+interface Row {
+  readonly name: string;
+  readonly repeatable?: boolean;
+  readonly retries?: number;
+  readonly events: readonly RequestEvent[];
+  /** Last effects, as text. */
+  readonly expected: string;
+}
+
+const rows: readonly Row[] = [
+  { name: 'a refusal is sent elsewhere', events: [START, failed(1, notRun)], expected: 'back-off' },
+  {
+    name: 'a loss is not, when it may run once',
+    events: [START, failed(1, lost)],
+    expected: 'LOST may-have-run',
+  },
+  {
+    name: 'a loss is, when it may be repeated',
+    repeatable: true,
+    events: [START, failed(1, lost)],
+    expected: 'back-off',
+  },
+  {
+    name: 'not without its body',
+    repeatable: true,
+    events: [START, failed(1, notRun, false)],
+    expected: 'REFUSED not-run',
+  },
+  {
+    name: 'not without retries',
+    retries: 0,
+    events: [START, failed(1, notRun)],
+    expected: 'REFUSED not-run',
+  },
+  {
+    name: 'not when it would not help',
+    events: [START, failed(1, final)],
+    expected: 'FINAL not-run',
+  },
+  {
+    name: 'a later refusal does not unsay an earlier loss',
+    repeatable: true,
+    events: [START, failed(1, lost), AGAIN, failed(2, final)],
+    expected: 'FINAL may-have-run',
+  },
+  {
+    name: 'without another endpoint, the first failure is told',
+    events: [START, failed(1, notRun), AGAIN, { type: 'no-endpoint', attempt: 2, failure: final }],
+    expected: 'REFUSED not-run',
+  },
+  {
+    name: 'the deadline ends an attempt',
+    events: [START, DEADLINE],
+    expected: 'abort-attempt, LATE may-have-run',
+  },
+  {
+    name: 'the deadline during a back-off tells the failure',
+    events: [START, failed(1, notRun), DEADLINE],
+    expected: 'REFUSED not-run',
+  },
+  {
+    name: 'an answer under way outlives the deadline',
+    events: [START, answered(1), DEADLINE],
+    expected: '',
+  },
+  {
+    name: 'an answer of a past attempt is not passed on',
+    events: [START, failed(1, notRun), answered(1)],
+    expected: '',
+  },
+  {
+    name: 'a failure of a past attempt does not count',
+    events: [START, failed(1, notRun), AGAIN, failed(1, lost)],
+    expected: '',
+  },
+  {
+    name: 'a failure after the answer began does not count twice',
+    events: [START, DEADLINE, failed(1, lost)],
+    expected: '',
+  },
+  {
+    name: 'a broken answer that went out breaks the connection',
+    repeatable: true,
+    events: [START, answered(1), broken(1, true)],
+    expected: 'break-connection',
+  },
+  {
+    name: 'one that did not is tried again',
+    repeatable: true,
+    events: [START, answered(1), broken(1, false)],
+    expected: 'back-off',
+  },
+  {
+    name: 'but not when it may run once',
+    events: [START, answered(1), broken(1, false)],
+    expected: 'LOST may-have-run',
+  },
+  {
+    name: 'a caller that leaves ends the attempt',
+    events: [START, { type: 'caller-gone' }],
+    expected: 'abort-attempt',
+  },
+  {
+    name: 'nothing begins after the caller left',
+    events: [{ type: 'caller-gone' }, START],
+    expected: '',
+  },
+];
+
+describe('life of a request', () => {
+  for (const { name, repeatable = false, retries = 2, events, expected } of rows) {
+    it(name, () => {
+      const policy = { repeatable, deadlineAtMs: 1_000, retries, retryBudgetPercent: 100 };
+      const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
+      const effects = events.map((event) => lifecycle.handle(event, 0)).at(-1) ?? [];
+      const texts = effects.map((effect) =>
+        effect.type === 'report' ? `${effect.failure.code} ${effect.verdict}` : effect.type,
+      );
+      expect(texts.join(', ')).to.equal(expected);
+    });
+  }
+
+  it('does not back off past the deadline', () => {
+    const policy = { repeatable: true, deadlineAtMs: 10, retries: 2, retryBudgetPercent: 100 };
+    const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
+    lifecycle.handle(START, 0);
+    expect(lifecycle.handle(failed(1, notRun), 6)).to.have.nested.property('[0].type', 'report');
+  });
+
+  it('makes at most a share of the first attempts again', () => {
+    const budget = new RetryBudget();
+    let retries = 0;
+    for (let request = 0; request < 1_000; request += 1) {
+      const policy = { repeatable: true, deadlineAtMs: 1_000, retries: 2, retryBudgetPercent: 20 };
+      const lifecycle = new RequestLifecycle(policy, budget, () => 0.5);
+      lifecycle.handle(START, 0);
+      for (
+        let attempt = 1;
+        lifecycle.handle(failed(attempt, lost), 0)[0]?.type === 'back-off';
+        attempt += 1
+      ) {
+        retries += 1;
+        lifecycle.handle(AGAIN, 0);
+      }
+    }
+    expect(retries).to.be.within(190, 205);
+  });
+
+  it('makes no more attempts through calls eight deep than its first request allows', () => {
+    expect(attemptsOfChain(8, 2)).to.equal(3);
+    expect(attemptsOfChain(8, 5)).to.equal(6);
+  });
+});
+
+/** Attempts at the deepest endpoint of a chain in which every attempt fails. */
+function attemptsOfChain(depth: number, retries: number): number {
+  if (depth === 0) {
+    return 1;
+  }
+  const policy = { repeatable: true, deadlineAtMs: 1_000, retries, retryBudgetPercent: 100 };
+  const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
+  let attempts = 0;
+  let [effect] = lifecycle.handle(START, 0);
+  while (effect?.type === 'begin-attempt') {
+    attempts += attemptsOfChain(depth - 1, effect.retriesLeft);
+    const [next] = lifecycle.handle(failed(effect.attempt, lost), 0);
+    effect = next?.type === 'back-off' ? lifecycle.handle(AGAIN, 0)[0] : next;
+  }
+  return attempts;
+}
