--- a/tools/scale/fleet-slopes.ts
+++ b/tools/scale/fleet-slopes.ts
@@ -132,7 +132,7 @@
   {
     name: 'Messages, quiet',
     unit: '1/s',
-    of: (r) => {
+    of: (r: ScaleReport): number | undefined => {
       const figures = phaseOf(r, 'quiet')?.figures;
       return figures && figures.sentMessagesPerSecond + figures.receivedMessagesPerSecond;
     },
