Break answers in the demo, and count failed calls that may be repeated

After the kill, one back end of each deployment resets, cuts short, lengthens, delays and prefixes 24 of its answers, so that a node that trusts a broken answer, or repeats what may not be repeated, is seen. Whether a failed call could have been repeated is counted apart.

--- a/test/tools/call-audit.test.ts
+++ b/test/tools/call-audit.test.ts
@@ -123,13 +123,14 @@
       record('a', RAN),
       record('b', NOT_RUN),
       record('c', MAY_HAVE_RUN),
-      record('d', { type: 'broken' }),
+      record('d', { type: 'broken' }, { repeatable: true }),
     ];
     expect(auditCalls(records, [execution('a')])).to.include({
       calls: 4,
       served: 1,
       refused: 1,
       failed: 2,
+      failedRepeatable: 1,
     });
   });
 });
--- a/test/tools/demo-report.test.ts
+++ b/test/tools/demo-report.test.ts
@@ -12,6 +12,7 @@
     served: 8,
     refused: 1,
     failed: 1,
+    failedRepeatable: 0,
     doubled: [],
     falseNotRun: [],
     unbacked: [],
--- a/tools/demo/fleet.ts
+++ b/tools/demo/fleet.ts
@@ -4,6 +4,7 @@
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import type { NodeStatus } from '../../src/api/node-status.js';
+import type { AnswerFault } from '../../standins/backend/answer-fault.js';
 import type { BackendCounters, LedgerReport } from '../../standins/backend/backend-stand-in.js';
 import type { PlatformCounters } from '../../standins/platform/platform-stand-in.js';
 import type { CallTarget } from '../shared/call-client.js';
@@ -110,6 +111,13 @@
     await postJson(this.backend(id).control, '/settings', { draining: true });
   }
 
+  /** Breaks the next answers of a back end, `count` of them with each fault. */
+  async breakAnswers(id: string, faults: readonly AnswerFault[], count: number): Promise<void> {
+    for (const fault of faults) {
+      await postJson(this.backend(id).control, '/faults', { fault, count });
+    }
+  }
+
   /** Stops a drained back end, after keeping its ledger. */
   async stopBackend(id: string): Promise<ChildExit> {
     const backend = this.backend(id);
--- a/tools/demo/report.ts
+++ b/tools/demo/report.ts
@@ -17,6 +17,7 @@
   ['retried by nodes', (result) => String(result.retried)],
   ['refused (told "not run")', (result) => String(result.audit.refused)],
   ['failed (in doubt or broken)', (result) => String(result.audit.failed)],
+  ['  of them repeatable', (result) => String(result.audit.failedRepeatable)],
   ['cut by planned stops', (result) => String(result.cutByPlannedStops.length)],
   ['doubled', (result) => String(result.audit.doubled.length)],
   ['false "not run"', (result) => String(result.audit.falseNotRun.length)],
--- a/tools/demo/scenario.ts
+++ b/tools/demo/scenario.ts
@@ -1,5 +1,6 @@
 /** The story of one deployment: start, change, stops and a kill under traffic, then the audit. */
 import { setTimeout as delay } from 'node:timers/promises';
+import type { AnswerFault } from '../../standins/backend/answer-fault.js';
 import { auditCalls, type CallAudit } from '../shared/call-audit.js';
 import { CallClient } from '../shared/call-client.js';
 import type { CallRecord } from '../shared/call-record.js';
@@ -16,7 +17,20 @@
 const STEP_MS = 1_000;
 /** Time from a back end's drain to its end. */
 const DRAIN_MS = 3_000;
-const AFTER_KILL_MS = 2_000;
+const AFTER_KILL_MS = 1_000;
+/** What a back end does wrong, so often each, and the time that it takes over it. */
+const FAULTS: readonly AnswerFault[] = [
+  'reset-before-start',
+  'reset-before-answer',
+  'reset-before-body',
+  'reset-mid-body',
+  'short-body',
+  'extra-bytes',
+  'slow-body',
+  'informational-first',
+];
+const FAULT_COUNT = 3;
+const FAULTS_MS = 2_000;
 /** Traffic ends by itself after this time, whatever the steps do. */
 const MAX_TRAFFIC_MS = 40_000;
 const PEER_BYTES = /^ferryspool_peer_sent_.*_bytes_total$/;
@@ -95,6 +109,7 @@
     await this.killNode(`${this.services[1]}-3`);
     await this.publish(3, monitor);
     await delay(AFTER_KILL_MS);
+    await this.breakAnswers(`${this.services[0]}-1`);
 
     this.say('ending traffic, comparing callers with ledgers');
     const { dropped } = await traffic.finish();
@@ -204,6 +219,12 @@
     await node.child.exited;
   }
 
+  private async breakAnswers(id: string): Promise<void> {
+    this.say(`breaking ${FAULTS.length * FAULT_COUNT} answers of back end ${id}`);
+    await this.fleet.breakAnswers(id, FAULTS, FAULT_COUNT);
+    await delay(FAULTS_MS);
+  }
+
   private say(text: string): void {
     this.options.progress(`${this.title}: ${text}`);
   }
--- a/tools/shared/call-audit.ts
+++ b/tools/shared/call-audit.ts
@@ -10,6 +10,8 @@
   readonly refused: number;
   /** Neither served nor told "not run". */
   readonly failed: number;
+  /** Those of the failed calls that may run more than once. */
+  readonly failedRepeatable: number;
   /** Call ids or idempotency keys of requests that may run once and ran more often. */
   readonly doubled: readonly string[];
   /** Call ids that were told "not run" and ran. */
@@ -52,13 +54,13 @@
   const callIds = (test: (record: CallRecord) => boolean): string[] =>
     records.filter(test).map((record) => record.callId);
   const hasRun = (record: CallRecord): boolean => (ranCalls.get(record.callId) ?? 0) > 0;
-  const served = records.filter(isServed).length;
-  const refused = records.filter(isToldNotRun).length;
+  const failed = records.filter((record) => !isServed(record) && !isToldNotRun(record));
   return {
     calls: records.length,
-    served,
-    refused,
-    failed: records.length - served - refused,
+    served: records.filter(isServed).length,
+    refused: records.filter(isToldNotRun).length,
+    failed: failed.length,
+    failedRepeatable: failed.filter((record) => record.repeatable).length,
     doubled: findDoubled(records, ranCalls, ranKeys),
     falseNotRun: callIds((record) => isToldNotRun(record) && hasRun(record)),
     unbacked: callIds((record) => isServed(record) && !hasRun(record)),
