Drop a setting that nothing reads

Cause: proxy.queueLengthPerEndpoint had no effect: admission bounds a queue by the endpoint's slots. A setting without effect misleads who sets it. Shown: every other setting is read outside of src/settings; the tests of settings and command line pass.

--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -120,8 +120,6 @@
   maxHeaderBytes: sizeBytes.max(1_048_576).default(16_384),
   /** Body of one request. */
   maxBodyBytes: sizeBytes.default(16_777_216),
-  /** Requests that wait for a slot of one endpoint. */
-  queueLengthPerEndpoint: z.number().int().min(0).max(MAX_COUNT).default(64),
   /** Requests in flight on this node. */
   maxPendingRequests: count.default(4_096),
   /** Time that a planned stop gives to requests in flight. */
