--- a/tools/demo/fleet.ts
+++ b/tools/demo/fleet.ts
@@ -98,6 +98,11 @@
     return found;
   }
 
+  /** Where the back ends that run take requests. */
+  backendTargets(): CallTarget[] {
+    return [...this.backends.values()].map(({ serving }) => serving);
+  }
+
   backendCounters(id: string): Promise<BackendCounters> {
     return getJson<BackendCounters>(this.backend(id).control, '/counters');
   }
