Open a dialled link before what its acceptor sends arrives

Cause: what an acceptor sent on peer-up could reach the dialler at the very time at which its end opened, before it, and reset the link. Change: the opening is scheduled before the acceptor is told. Shown by: a test over 20 seeds, which fails without the change.

--- a/test/emulator/emulator.test.ts
+++ b/test/emulator/emulator.test.ts
@@ -210,6 +210,20 @@
     expect(world.count(1, 'peer-down')).to.equal(2);
   });
 
+  it('delivers what an acceptor sends as soon as its end of a link opens', () => {
+    for (let seed = 0; seed < 20; seed += 1) {
+      const world = new World(1, { seed, sites: evenSites(2, 2, 1) });
+      world.publish(1);
+      world.emulator.kill(world.machine(1), false);
+      world.emulator.advance(3_000);
+      world.emulator.start(world.machine(1));
+      world.emulator.advance(3_000);
+      expect(world.heldNumbers()).to.deep.equal([1, 1]);
+      expect(world.count(0, 'peer-up')).to.equal(world.count(0, 'peer-down') + 1);
+      expect(world.count(1, 'peer-down')).to.equal(0);
+    }
+  });
+
   it('keeps the order of one link, unless reordering is on', () => {
     const numbersSeen = (reorderChance: number): number[] => {
       const world = new World(2, { network: { ...DEFAULT_NETWORK, reorderChance } });
--- a/tools/emulator/emulated-network.ts
+++ b/tools/emulator/emulated-network.ts
@@ -157,8 +157,9 @@
     far.other = near;
     const openAtMs = this.scheduler.nowMs + travelMs;
     far.lastArrivalMs = openAtMs;
-    this.openEnd(far);
+    // Scheduled first, so that what the acceptor sends at once arrives on an open end.
     this.at(openAtMs, () => this.openDialled(near));
+    this.openEnd(far);
   }
 
   private openDialled(end: LinkEnd): void {
