Shrink a fuzzing failure within the invariant that broke first

Cause: a shorter script may break another invariant; the faulty component that takes older versions broke version-fell, and shrinking led to accepted-undone. Change: shrinking keeps to the first invariant.

--- a/tools/fuzz/fuzz-run.ts
+++ b/tools/fuzz/fuzz-run.ts
@@ -73,10 +73,13 @@
     try {
       this.count(runScript(this.target, worldSeed, script));
     } catch (error) {
-      if (error instanceof InvariantViolationError) {
+      if (!(error instanceof InvariantViolationError)) {
+        throw error;
+      }
+      if (this.isShrunkFurther(error.violation)) {
         this.noteFailure({ violation: error.violation, worldSeed, script });
+        throw error;
       }
-      throw error;
     }
   }
 
@@ -103,6 +106,12 @@
     this.options.onScript?.(result);
   }
 
+  /** Shrinking keeps to the invariant that broke first: a shorter script may break another one. */
+  private isShrunkFurther(violation: Violation): boolean {
+    const first = this.failure?.violation.invariant;
+    return first === undefined || first === violation.invariant;
+  }
+
   /** Shrinking goes on from each failing script, so the last one is the shortest. */
   private noteFailure(failure: FuzzFailure): void {
     if (this.failure === undefined) {
