--- a/src/runtime/control-runtime.ts
+++ b/src/runtime/control-runtime.ts
@@ -50,7 +50,7 @@
     }
     const accepted = csp.offer(this.events, event);
     if (!accepted) {
-      this.options.counters.add('control_events_dropped_total');
+      this.options.counters.add('ferryspool_control_events_dropped_total');
     }
     return accepted;
   }
@@ -79,7 +79,7 @@
         this.options.execute(effect, nowMs);
       }
     } catch (error) {
-      this.options.counters.add('control_event_failures_total');
+      this.options.counters.add('ferryspool_control_event_failures_total');
       this.options.onFailure(event, error);
     }
     if (event.type === 'stop') {
