Make the capacity page from the reports of scale runs: npm run capacity

Cause: a page whose figures are typed by hand drifts from the runs. Change: budget line by line, slopes with exponents, phases, roles and connections, from the reports of all sizes; sections that others write stay between their markers (request-path, distribution-compared).

--- /dev/null
+++ b/tools/scale/capacity-text.ts
@@ -0,0 +1,51 @@
+/** The prose of docs/CAPACITY.md: mechanisms, bounds and what was not measured. No figures of runs. */
+export const CAPACITY_TEXT = {
+  introduction: `# Capacity
+
+What a node costs at the size of two years from now: 1,800 nodes in 2 regions and 7 zones, 170
+services, 86,000 calls a second, 860 changes and 250 restarts a day. Figures come from
+\`npm run scale -- --nodes N\`, this page from \`npm run capacity\`, which reads the reports of all sizes.`,
+  runs: `All nodes of a run share one machine of 12 processors that other work used at the same time. Hollow
+nodes run the whole control plane (membership, dissemination, leases, reading, wire format, sealed
+links on real loopback sockets) and no request path; up to 120 share a process. Five real
+\`ferryspool node\` processes take part, with back ends and 30 calls a second from the end of the quiet
+phase on. Each node holds its own documents: nothing is shared between the nodes of a process. Event
+loops are called late where the p99 of their delay is above 100 ms: there, times tell of this machine.
+The sampling timer alone shows about 11 ms.`,
+  budget: `*An ordinary day* is quiet, and what changes and restarts cost above quiet, divided by how much
+faster they came in the run than in a day (one change in 2 s in place of one in 100 s; restarts in
+proportion). Bytes are those of frames; TCP and IP headers come on top (40 bytes for a message that
+travels alone).`,
+  phases: `Cold start: all nodes at once, from nothing. Changes: one endpoint drained or returned at a time.
+Restarts: half planned, half killed. The zone falls silent for 12 s first, as machines without power
+do, then its processes end; changes go on. The cut region loses the other one and the platform, with no
+closed connection to tell of it; 30 s stand for the hour (an hour of virtual time: see *Distribution
+compared*). *Missing* counts nodes that should have had a version by the end of the phase and had not.`,
+  roles: `A node of any kind may be elector, reader or voter; nobody is set aside. The processor time of a real
+process in quiet includes timers of the request path and of Node itself. Replication of operators'
+writes is not part of these runs.`,
+  connections: `## Connections
+
+| From | To | How many, at 1,800 nodes | Why no more |
+| --- | --- | --- | --- |
+| node, control port | nodes of its own zone, of another zone, of the other region | dials 4 (2, 1, 1), accepts 16 at most; the mean is 8 | \`overlay.neighbours\`, \`overlay.maxInbound\`: the same at any size |
+| asker of a lease | electors of its zone | 5 short links, closed after 30 s without use | the node of rank r asks about every 4 s × (r + 1) |
+| reader | platform | 1, only while it reads | lease; the platform must bear 8 |
+| caller's node, relay | node beside the chosen endpoint | one for each call in flight, kept idle for 4 s, 32 idle ones for each destination at most | a back end's node at 48 calls/s (86,000 / 1,800) hears about 190 calls in 4 s, so from at most about 180 of 1,800 nodes that choose at random: an estimate, not a measurement |
+| back end's node | its back end | its slots at most (20), never more than \`maxConnections\` less 6 (124 of 130) | only the node beside a back end connects to it, however many nodes there are |
+| nodes that miss a back end's node | that back end | about half its slots in all, one each | chosen by a hash; no place counts them |`,
+  limits: `## Where it breaks first
+
+1. **Cold start of all, and a returning zone**, as snapshots pass from node to node: each node serves 4
+   transfers at once, 48 KiB in 20 ms each, and the first holder waits 6 s for the recovery lease.
+   Nothing else depends on the fleet's size as much. Next: take parts from several neighbours at once.
+2. **Bursts of member claims** after a region heals or a zone dies: every claim reaches every node over
+   every link, so bytes of the burst grow with the number of machines concerned. Next: claims that a
+   newer machine list settles need not be flooded.
+3. **Memory for the documents**: every node holds every endpoint. Next: entries parsed on first use.
+4. **One machine list**: a list for 1,800 machines is read whole by 7 readers at each of its changes.
+
+What is extrapolated: every figure "from a fit" above, by the power law in the table of slopes; the
+connections of the request path; the hour of a cut. Not measured here: real networks (loopback has no
+latency and no loss), TLS between nodes, operators' writes, 86,000 calls a second.`,
+} as const;
--- a/tools/scale/fleet-slopes.ts
+++ b/tools/scale/fleet-slopes.ts
@@ -6,6 +6,10 @@
 /** A growth below this exponent is taken for none: it is within the scatter of the runs. */
 export const FLAT_EXPONENT = 0.15;
 
+/** Names that other tables look for. */
+export const LIVE_MEASURE = 'Live memory of a hollow node';
+export const RESIDENT_MEASURE = 'Resident memory of a whole process';
+
 /** One measure over all sizes. */
 export interface FleetMeasure {
   readonly name: string;
@@ -104,9 +108,9 @@
   { name: 'Processor, a day', unit: '% of a core', of: dayCpuPercent },
   { name: 'Processor, one change', unit: 'ms', of: cpuMsPerChange },
   { name: 'Processor, a cold start', unit: 'ms', of: coldStartCpuMs },
-  { name: 'Live memory of a hollow node', unit: 'MiB', of: (r) => r.liveMiBPerNode },
+  { name: LIVE_MEASURE, unit: 'MiB', of: (r) => r.liveMiBPerNode },
   {
-    name: 'Resident memory of a whole process',
+    name: RESIDENT_MEASURE,
     unit: 'MiB',
     of: (r) => phaseOf(r, 'region-heals')?.figures.realElector.residentMiB,
   },
