Bound the queue, and give up answers that stand still

Cause: an endpoint that stopped in the middle of an answer held its slot, and its caller, for ever; error answers were not counted by code; the queue of an endpoint with many slots had no bound but those.

Change: at most 64 requests wait for an endpoint, and never more than two for each slot; an answer without a byte for 60 s is broken off on both sides and cancelled; counters `request_errors_CODE`. Answers without a body (HEAD, 204, 304) are proved to pass.

--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -46,7 +46,11 @@
   /** Requests that may run at once: at most the slots, fewer while the endpoint refuses. */
   private limit: number;
 
-  constructor(private slots: number) {
+  /** `maxWaiting` bounds the queue besides the slots. */
+  constructor(
+    private slots: number,
+    private readonly maxWaiting = Infinity,
+  ) {
     this.limit = slots;
   }
 
@@ -104,7 +108,8 @@
       return [this.refuse(ticket, reason)];
     }
     const displaced = this.displaceFor(ticket);
-    if (this.waiting >= this.queueBound) {
+    const hasFreeSlot = this.waiting === 0 && this.running.size < Math.floor(this.limit);
+    if (this.waiting >= this.queueBound && !hasFreeSlot) {
       return [this.refuse(ticket, 'queue-full')];
     }
     const queue = this.queues.get(ticket.callerNode) ?? [];
@@ -145,7 +150,7 @@
   }
 
   private get queueBound(): number {
-    return this.slots * QUEUE_PER_SLOT;
+    return Math.min(this.maxWaiting, this.slots * QUEUE_PER_SLOT);
   }
 
   /** Makes room in a full queue at the cost of the node that has the most requests in it. */
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -46,7 +46,7 @@
   constructor(
     private readonly response: ServerResponse,
     private readonly request: IncomingMessage,
-    private readonly isStopping: () => boolean,
+    private readonly options: CallerServerOptions,
   ) {}
 
   /** Passes an endpoint's answer on; holds it whole where it has up to `holdBytes`. */
@@ -66,6 +66,7 @@
     if (!this.request.complete) {
       this.response.shouldKeepAlive = false;
     }
+    this.options.onError(error.code);
     sendError(this.response, error, verdict, [REQUEST_ID_HEADER, requestId]);
   }
 
@@ -76,7 +77,7 @@
 
   /** Hands the caller over: its next request goes to another node. */
   private closeWhenStopping(): void {
-    if (this.isStopping()) {
+    if (this.options.isStopping()) {
       this.response.shouldKeepAlive = false;
     }
   }
@@ -92,8 +93,10 @@
   readonly limits: ProxyLimits;
   /** Whether connections should be closed after their answer. */
   readonly isStopping: () => boolean;
+  /** Told the code of every error answer. */
+  readonly onError: (code: string) => void;
   readonly handle: (request: CallerRequest, response: CallerResponse) => void;
-  /** A request that was refused before it reached `handle`. */
+  /** The identity of a request that is refused before it reaches `handle`. */
   readonly nextRequestId: () => string;
 }
 
@@ -130,7 +133,7 @@
   response: ServerResponse,
 ): void {
   response.on('error', () => response.destroy());
-  const callerResponse = new CallerResponse(response, request, options.isStopping);
+  const callerResponse = new CallerResponse(response, request, options);
   const fault = faultOf(request);
   if (fault !== undefined) {
     request.resume();
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -11,6 +11,7 @@
   startExchange,
   type Exchange,
   type ExchangeFailure,
+  type ExchangeLimits,
 } from './http-exchange.js';
 import { EMPTY_BODY } from './request-body.js';
 
@@ -79,7 +80,7 @@
   /** Cancellations must not wait behind the requests that they cancel. */
   private readonly controlAgent = new ExchangeAgent(MAX_CONTROL_CONNECTIONS);
 
-  constructor(private readonly connectTimeoutMs: number) {}
+  constructor(private readonly limits: ExchangeLimits) {}
 
   send(endpoint: Endpoint, call: Call, remainingMs: number, observer: EndpointObserver): Exchange {
     const headers = call.headers.concat(
@@ -97,7 +98,7 @@
       target: call.target,
       headers,
       body: call.body,
-      connectTimeoutMs: this.connectTimeoutMs,
+      limits: this.limits,
     };
     return startExchange(this.agent, request, {
       answered: (message) => this.takeAnswer(message, call, observer),
@@ -119,7 +120,7 @@
       target: `/cancel/${encodeURIComponent(requestId)}`,
       headers: ['Host', `${address}:${port}`, 'Content-Length', '0'],
       body: EMPTY_BODY,
-      connectTimeoutMs: timeoutMs,
+      limits: { ...this.limits, connectTimeoutMs: timeoutMs },
     };
     const settle = once((outcome: CancelOutcome) => {
       clearTimeout(timer);
@@ -144,7 +145,7 @@
       target: HEALTH_TARGET,
       headers: ['Host', `${address}:${port}`],
       body: EMPTY_BODY,
-      connectTimeoutMs: this.connectTimeoutMs,
+      limits: this.limits,
     };
     const exchange = startExchange(this.controlAgent, request, {
       answered: (message) => {
@@ -160,7 +161,7 @@
     const timer = setTimeout(() => {
       exchange.abort();
       report(undefined);
-    }, this.connectTimeoutMs);
+    }, this.limits.connectTimeoutMs);
   }
 
   /** Closes all connections. */
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -13,6 +13,8 @@
   readonly client: EndpointPort;
   readonly counters: CounterSink;
   readonly scheduler: Scheduler;
+  /** Requests that wait for one endpoint at most. */
+  readonly maxQueuedPerEndpoint: number;
   /** Writes one line on a change of state. */
   readonly logStateChange: (what: string, detail: string) => void;
 }
@@ -30,7 +32,7 @@
     private slots: number,
     private readonly options: GateOptions,
   ) {
-    this.admission = new EndpointAdmission(slots);
+    this.admission = new EndpointAdmission(slots, options.maxQueuedPerEndpoint);
   }
 
   /** Whether no request waits or runs. */
--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -28,6 +28,14 @@
   failed(failure: ExchangeFailure): void;
 }
 
+/** Bounds of an exchange, in milliseconds. */
+export interface ExchangeLimits {
+  /** Time to open a connection. */
+  readonly connectTimeoutMs: number;
+  /** Time without a byte of the answer's body after which it is given up. */
+  readonly answerIdleTimeoutMs: number;
+}
+
 /** What is sent, and where. */
 export interface ExchangeRequest {
   readonly host: string;
@@ -37,7 +45,7 @@
   /** Names and values, alternating; framing headers are added here. */
   readonly headers: string[];
   readonly body: RequestBody;
-  readonly connectTimeoutMs: number;
+  readonly limits: ExchangeLimits;
 }
 
 /** An exchange under way. */
@@ -85,6 +93,7 @@
 
 class RunningExchange implements Exchange {
   private readonly request: http.ClientRequest;
+  private readonly answerIdleTimeoutMs: number;
   private connected = false;
   private settled = false;
   private connectTimer: NodeJS.Timeout | undefined;
@@ -94,6 +103,7 @@
     exchange: ExchangeRequest,
     private readonly observer: ExchangeObserver,
   ) {
+    this.answerIdleTimeoutMs = exchange.limits.answerIdleTimeoutMs;
     addFraming(exchange.headers, exchange.body);
     this.request = http.request({
       agent,
@@ -132,7 +142,7 @@
       this.send(exchange.body);
       return;
     }
-    this.connectTimer = setTimeout(() => this.request.destroy(), exchange.connectTimeoutMs);
+    this.connectTimer = setTimeout(() => this.request.destroy(), exchange.limits.connectTimeoutMs);
     socket.once('connect', () => {
       clearTimeout(this.connectTimer);
       this.send(exchange.body);
@@ -157,6 +167,7 @@
       return;
     }
     this.settled = true;
+    message.setTimeout(this.answerIdleTimeoutMs, () => message.destroy());
     message.once('end', () => {
       if (!this.request.writableFinished) {
         this.request.destroy();
--- a/src/proxy/proxy-limits.ts
+++ b/src/proxy/proxy-limits.ts
@@ -12,6 +12,10 @@
   readonly maxHeldBytes: number;
   /** Largest answer that is held until it is whole before its first byte goes out, in bytes. */
   readonly maxHeldAnswerBytes: number;
+  /** Requests that wait for one endpoint at most; never more than two for each of its slots. */
+  readonly maxQueuedPerEndpoint: number;
+  /** Time without a byte of an answer's body after which it is given up, in milliseconds. */
+  readonly answerIdleTimeoutMs: number;
   /** Callers' requests in flight at once; more are refused. */
   readonly maxCallsInFlight: number;
   /** Attempts after the first for one request at most. */
@@ -33,6 +37,8 @@
   maxReplayBodyBytes: 64 * 1024,
   maxHeldBytes: 32 * 1024 * 1024,
   maxHeldAnswerBytes: 16 * 1024,
+  maxQueuedPerEndpoint: 64,
+  answerIdleTimeoutMs: 60_000,
   maxCallsInFlight: 4_096,
   maxRetries: 2,
   connectTimeoutMs: 1_000,
--- a/src/proxy/relay-client.ts
+++ b/src/proxy/relay-client.ts
@@ -5,7 +5,12 @@
 import type { Attempt, AttemptObserver, Call, EndpointPath, LoadReport } from './call.js';
 import { contentLengthOf } from './endpoint-client.js';
 import { messageHeaders, parseMilliseconds } from './headers.js';
-import { ExchangeAgent, startExchange, type ExchangeFailure } from './http-exchange.js';
+import {
+  ExchangeAgent,
+  startExchange,
+  type ExchangeFailure,
+  type ExchangeLimits,
+} from './http-exchange.js';
 import {
   RELAY_CODE_HEADER,
   RELAY_DEADLINE_HEADER,
@@ -37,7 +42,7 @@
 
 /** What the client needs of its node. */
 export interface RelayClientOptions {
-  readonly connectTimeoutMs: number;
+  readonly limits: ExchangeLimits;
   readonly scheduler: Scheduler;
   /** A token that is valid now. */
   readonly token: () => string;
@@ -63,7 +68,7 @@
       target: call.target,
       headers: this.headersOf(endpoint, call),
       body: call.body,
-      connectTimeoutMs: this.options.connectTimeoutMs,
+      limits: this.options.limits,
     };
     return startExchange(this.agent, request, {
       answered: (message) => takeAnswer(message, observer),
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -80,13 +80,14 @@
   constructor(private readonly options: RequestProxyOptions) {
     this.limits = { ...DEFAULT_PROXY_LIMITS, ...options.limits };
     this.heldBytes = new HeldBytes(this.limits.maxHeldBytes);
-    this.endpointClient = new EndpointClient(this.limits.connectTimeoutMs);
+    this.endpointClient = new EndpointClient(this.limits);
     this.relayClient = this.makeRelayClient();
     this.gateway = new EndpointGateway({
       client: this.endpointClient,
       counters: options.counters,
       scheduler: MACHINE_TIME,
       logStateChange: options.logStateChange,
+      maxQueuedPerEndpoint: this.limits.maxQueuedPerEndpoint,
       snapshot: () => options.snapshots.current(),
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
     });
@@ -141,7 +142,7 @@
     const { members, fleetKey, identity } = this.options;
     const tokens = new RelayTokenIssuer(fleetKey, identity.id);
     return new RelayClient({
-      connectTimeoutMs: this.limits.connectTimeoutMs,
+      limits: this.limits,
       scheduler: MACHINE_TIME,
       token: () => tokens.current(Date.now()),
       addressOf: ({ spec }) =>
@@ -154,6 +155,9 @@
       limits: this.limits,
       isStopping: () => this.isStopping,
       nextRequestId: () => this.nextRequestId(),
+      onError: (code) => {
+        this.options.counters.add(`ferryspool_request_errors_${code.toLowerCase()}_total`);
+      },
       handle: (request, response) => this.handle(request, response),
     });
   }
--- a/test/proxy/fuzz/request-world.ts
+++ b/test/proxy/fuzz/request-world.ts
@@ -76,6 +76,7 @@
       client: new VirtualEndpointPort(world, this),
       counters,
       scheduler,
+      maxQueuedPerEndpoint: 64,
       logStateChange: () => undefined,
       snapshot: () => world.snapshot,
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
--- a/test/proxy/request-proxy.test.ts
+++ b/test/proxy/request-proxy.test.ts
@@ -87,6 +87,35 @@
     });
   }
 
+  const bodiless = [
+    { answer: 'to HEAD', method: 'HEAD', raw: 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n' },
+    {
+      answer: 'to HEAD, large',
+      method: 'HEAD',
+      raw: 'HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n',
+    },
+    { answer: '204', method: 'GET', raw: 'HTTP/1.1 204 No Content\r\n\r\n' },
+    { answer: '304', method: 'GET', raw: 'HTTP/1.1 304 Not Modified\r\nETag: x\r\n\r\n' },
+  ];
+  for (const { answer, method, raw } of bodiless) {
+    it(`passes an answer without a body on: ${answer}`, async () => {
+      await oneEndpoint('n2', (socket) => socket.write(raw));
+      const { callerPort } = await mesh.addNode('n1');
+      await mesh.addNode('n2');
+      const result = await call(callerPort, { method });
+      expect(result).to.include({ status: Number(raw.split(' ')[1]), body: '', isWhole: true });
+      expect(result.headers['content-length']).to.equal(/Length: (\d+)/.exec(raw)?.[1]);
+    });
+  }
+
+  it('gives up an answer that stands still, visibly', async () => {
+    const head = 'HTTP/1.1 200 OK\r\nContent-Length: 99999\r\n\r\n';
+    await oneEndpoint('n2', (socket) => socket.write(`${head}part`));
+    const { callerPort } = await mesh.addNode('n1', { answerIdleTimeoutMs: 50 });
+    await mesh.addNode('n2', { answerIdleTimeoutMs: 50 });
+    expect(await call(callerPort)).to.include({ body: 'part', isWhole: false });
+  });
+
   it('answers a large chunked body piece by piece in both directions', async () => {
     const target = await oneEndpoint('n2', (socket) => {
       socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nfirst\r\n');
