--- a/test/scale/capacity.test.ts
+++ b/test/scale/capacity.test.ts
@@ -2,9 +2,11 @@
 import { expect } from 'chai';
 import { capacityPage } from '../../tools/scale/capacity-page.js';
 import type { PhaseFigures } from '../../tools/scale/fleet-sample.js';
+import { estimateAt } from '../../tools/scale/fleet-slopes.js';
 import { beginMarker, endMarker, keptSection } from '../../tools/scale/kept-sections.js';
 import { figure } from '../../tools/scale/markdown.js';
 import { PHASE_NAMES, type PhaseReport, type ScaleReport } from '../../tools/scale/scale-report.js';
+import { fitPower } from '../../tools/scale/slope-fit.js';
 
 const figures = (nodes: number): PhaseFigures => ({
   seconds: 20,
@@ -93,6 +95,17 @@
     expect(lineOf(measured, 'Change in force everywhere, last')).to.match(/18,000 ms \| met \|/);
   });
 
+  it('takes what was measured at a size although the fit says otherwise', () => {
+    const values = [1, 5, 3].map((value, index) => ({
+      nodes: [100, 200, 1_800][index] ?? 0,
+      value,
+    }));
+    const measure = { name: 'any', unit: '', of: () => undefined };
+    const slope = { measure, values, fit: fitPower(values) };
+    expect(estimateAt(slope, 1_800)).to.deep.equal({ value: 3, isMeasured: true });
+    expect(estimateAt(slope, 400)?.isMeasured).to.equal(false);
+  });
+
   it('names what grows, with its exponent, and not what does not', () => {
     expect(page).to.match(/Grows with the fleet.*Control bytes, quiet \(N\^1\.00\)/);
     expect(page).to.not.match(/Grows with the fleet.*Links/);
