--- a/src/dissemination/dissemination.ts
+++ b/src/dissemination/dissemination.ts
@@ -204,12 +204,26 @@
           throw error;
         }
         this.counters.add(CONTROL_COUNTERS.deltaMismatches);
-        fetcher.demandWhole();
+        this.noteMismatch(fetcher, from, message.from.number === 0, nowMs);
       }
     }
     fetcher.consider(nowMs, effects);
   }
 
+  /** A change that did not fit is followed by a whole fetch; a whole that did not, by another peer. */
+  private noteMismatch(
+    fetcher: DocumentFetcher,
+    from: string,
+    isWhole: boolean,
+    nowMs: number,
+  ): void {
+    if (isWhole) {
+      fetcher.distrust(from, nowMs);
+    } else {
+      fetcher.demandWhole();
+    }
+  }
+
   private handleChunk(
     from: string,
     message: SnapshotChunkMessage,
--- a/src/model/document.ts
+++ b/src/model/document.ts
@@ -128,12 +128,18 @@
     );
   }
 
-  /** The delta from `from` to this document, or undefined when history does not reach back to it. */
+  /**
+   * The delta from `from` to this document, or undefined when history does not reach back to it. A
+   * delta from number 0 is from nothing and holds every entry, those of a document numbered 0, too.
+   */
   deltaFrom(from: DocumentVersion): DocumentDelta | undefined {
     if (from.number < this.historyFrom || from.number >= this.version.number) {
       return undefined;
     }
-    const upserts = [...this.entries.values()].filter((entry) => entry.changedAt > from.number);
+    const isWhole = from.number === 0;
+    const upserts = [...this.entries.values()].filter(
+      (entry) => isWhole || entry.changedAt > from.number,
+    );
     const removals = this.tombstones
       .filter((tombstone) => tombstone.deletedAt > from.number)
       .map((tombstone) => tombstone.key);
--- a/test/dissemination/dissemination.test.ts
+++ b/test/dissemination/dissemination.test.ts
@@ -186,6 +186,33 @@
     expect(bench.counters.get('ferryspool_delta_mismatches_total')).to.equal(1);
   });
 
+  it('from nothing replace a document of another history under the same number', () => {
+    const bench = new Bench(0);
+    const values = new Map([...sourceValues(9), ...sourceValues(8, 1)]);
+    bench.store.adopt('source', VersionedDocument.fromValues(2, values));
+    bench.announce(NEAR, version(2).version);
+    expect(fetchIn(bench.receive(NEAR, deltaMessage(2, 3)))).to.deep.equal(NO_VERSION);
+    bench.receive(NEAR, deltaMessage(0, 3));
+    expect(bench.store.held('source').version).to.deep.equal(version(3).version);
+  });
+
+  it('from nothing hold the entries of a document numbered 0, too', () => {
+    const zero = VersionedDocument.fromValues(0, sourceValues(9, 1));
+    const next = zero.next(1, sourceValues(10, 1));
+    const delta = next.deltaFrom(NO_VERSION);
+    expect(delta === undefined ? '' : VersionedDocument.empty().apply(delta).version).to.deep.equal(
+      next.version,
+    );
+  });
+
+  it('from nothing that are damaged are not asked for again at once', () => {
+    const bench = new Bench(0);
+    bench.announce(NEAR, version(3).version);
+    const effects = bench.receive(NEAR, { ...deltaMessage(0, 3), upserts: [] });
+    expect(sent(effects)).to.deep.equal([]);
+    expect(bench.dissemination.nextWakeAt()).to.be.greaterThan(1_000);
+  });
+
   for (const [known, change, expected] of [
     [1, 2, 'delta'],
     [1, 4, 'versions'],
@@ -232,6 +259,13 @@
     });
   }
 
+  it('of an older version, late, do not disturb the ones that are awaited', () => {
+    const bench = new Bench(3);
+    bench.announce(NEAR, version(4).version);
+    bench.receive(NEAR, first, ...chunkMessages(2), ...rest);
+    expect(bench.held).to.equal(4);
+  });
+
   it('of a version that came from elsewhere meanwhile are dropped, and blame nobody', () => {
     const bench = new Bench(0, [NEAR, REMOTE]);
     bench.announce(NEAR, version(4).version);
