Remove the demo's settings files on every way out

An interrupted demo left its folder of settings files, which hold the fleet key, in the temporary folder: only a run that came to its end removed it.

--- a/tools/demo/fleet.ts
+++ b/tools/demo/fleet.ts
@@ -1,5 +1,6 @@
 /** The processes of one deployment: platform, back ends and nodes, each started and ended by id. */
-import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { rmSync } from 'node:fs';
+import { mkdtemp, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { fileURLToPath } from 'node:url';
@@ -157,17 +158,21 @@
     return texts.reduce((sum, text) => sum + sumCounters(text, pattern), 0);
   }
 
-  /** Kills whatever still runs, without waiting; for the end of the process. */
+  /**
+   * Kills whatever still runs, without waiting, and removes the settings files, which hold the fleet
+   * key; for the end of the process.
+   */
   killAll(): void {
     this.children.killAll();
+    if (this.settingsFolder !== undefined) {
+      rmSync(this.settingsFolder, { recursive: true, force: true });
+    }
   }
 
   /** Kills whatever still runs and removes the settings files. */
   async end(): Promise<void> {
+    this.killAll();
     await this.children.end();
-    if (this.settingsFolder !== undefined) {
-      await rm(this.settingsFolder, { recursive: true, force: true });
-    }
   }
 
   private metrics(node: NodeProcess): Promise<string> {
