Judge the bound on resources alike on every node

Cause: the bound was checked after the merge only. A source near it was refused by nodes that held the operators' additions, and one beyond it was taken by nodes that held the operators' deletions, each remembering its refusal: the fleet could stay divided. Change: the source's own count is checked by itself; operator entries beyond the bound are suspended with that reason. Shown: two new tests, each of which fails without its guard.

--- a/src/model/merge.ts
+++ b/src/model/merge.ts
@@ -7,7 +7,13 @@
 import { InvalidConfigurationError } from './configuration-error.js';
 import type { DocumentEntry, VersionedDocument } from './document.js';
 import { resourceKey, resourceSchema, type Resource, type ResourceKey } from './resource.js';
-import { buildSnapshot, findDanglingReferences, referencesOf, type Snapshot } from './snapshot.js';
+import {
+  MAX_RESOURCES,
+  buildSnapshot,
+  findDanglingReferences,
+  referencesOf,
+  type Snapshot,
+} from './snapshot.js';
 
 /** JSON text of an operator entry that deletes a resource of the source. */
 export const DELETED_JSON = 'null';
@@ -57,11 +63,13 @@
 
 /**
  * The snapshot of a pair of documents. Throws {@link InvalidConfigurationError} when the source's
- * document by itself is not valid; an operator entry is never a reason to refuse the source.
+ * document by itself is not valid; an operator entry is never a reason to refuse the source, nor to
+ * take one: all nodes judge alike, whichever of the two documents they got first.
  */
 export function mergeDocuments(
   source: VersionedDocument,
   operator: VersionedDocument,
+  maxResources = MAX_RESOURCES,
 ): MergedConfiguration {
   const resources = new Map<ResourceKey, Resource>();
   for (const entry of source.entries.values()) {
@@ -70,10 +78,13 @@
   }
   const version = { source: source.version, operator: operator.version };
   const faults = findDanglingReferences(resources);
+  if (resources.size > maxResources) {
+    faults.push({ path: 'resources', reason: `expected at most ${maxResources}` });
+  }
   if (faults.length > 0) {
     throw new InvalidConfigurationError(faults);
   }
-  const suspended = overlay(resources, operator);
+  const suspended = overlay(resources, operator, maxResources);
   return { snapshot: buildSnapshot(version, [...resources.values()]), suspended };
 }
 
@@ -81,6 +92,7 @@
 function overlay(
   resources: Map<ResourceKey, Resource>,
   operator: VersionedDocument,
+  maxResources: number,
 ): ConfigurationFault[] {
   let pending = [...operator.entries.values()]
     .filter((entry) => isResourceKey(entry.key))
@@ -92,7 +104,7 @@
     faults = [];
     const remaining: typeof pending = [];
     for (const entry of pending) {
-      const reason = tryApply(resources, entry);
+      const reason = tryApply(resources, entry, maxResources);
       if (reason === undefined) {
         applied = true;
       } else {
@@ -106,12 +118,16 @@
 }
 
 /** Applies one operator entry, or says why it cannot be applied now. */
-function tryApply(resources: Map<ResourceKey, Resource>, entry: DocumentEntry): string | undefined {
+function tryApply(
+  resources: Map<ResourceKey, Resource>,
+  entry: DocumentEntry,
+  maxResources: number,
+): string | undefined {
   if (entry.json === DELETED_JSON) {
     return tryDelete(resources, entry.key as ResourceKey);
   }
   try {
-    return tryPut(resources, parseEntryOnce(entry));
+    return tryPut(resources, parseEntryOnce(entry), maxResources);
   } catch (error) {
     if (error instanceof InvalidConfigurationError) {
       return error.message;
@@ -129,7 +145,14 @@
   return undefined;
 }
 
-function tryPut(resources: Map<ResourceKey, Resource>, resource: Resource): string | undefined {
+function tryPut(
+  resources: Map<ResourceKey, Resource>,
+  resource: Resource,
+  maxResources: number,
+): string | undefined {
+  if (resources.size >= maxResources && !resources.has(resourceKey(resource))) {
+    return `more than ${maxResources} resources`;
+  }
   const missing = referencesOf(resource).find((target) => !resources.has(target));
   if (missing !== undefined) {
     return `refers to missing ${missing}`;
--- a/test/model/merge.test.ts
+++ b/test/model/merge.test.ts
@@ -163,4 +163,20 @@
     const operator = documentOf({ 'service/tiles': service, 'secret/key': secret });
     expect(() => mergeDocuments(dangling, operator)).to.throw(InvalidConfigurationError);
   });
+
+  it('suspends operator entries beyond the bound on resources, but not those in place', () => {
+    const operator = documentOf({
+      'service/another': { ...service, name: 'another' },
+      'service/tiles': { ...service, spec: { requestTimeoutMs: 7 } },
+    });
+    const merged = mergeDocuments(sourceDocument, operator, whole.length);
+    expect(merged.suspended.map((fault) => fault.path)).to.deep.equal(['service/another']);
+    expect(merged.snapshot.services.get('tiles')?.spec.requestTimeoutMs).to.equal(7);
+  });
+
+  it('refuses a source beyond the bound, whatever operators delete from it', () => {
+    const operator = documentOf({ 'endpoint/tiles-1': null });
+    const merge = (): unknown => mergeDocuments(sourceDocument, operator, whole.length - 1);
+    expect(merge).to.throw(InvalidConfigurationError, 'expected at most 3');
+  });
 });
