--- a/tools/scale/markdown.ts
+++ b/tools/scale/markdown.ts
@@ -6,10 +6,10 @@
   return [line(headings), line(headings.map(() => '---')), ...rows.map(line)].join('\n');
 }
 
-/** A number with as many digits as it deserves: three, and no fewer than before the point. */
+/** A number with three digits, or all those before the point. */
 export function figure(value: number): string {
   const size = Math.abs(value);
-  if (size >= 100 || value === 0) {
+  if (size >= 100 || Number.isInteger(value)) {
     return Math.round(value).toLocaleString('en-US');
   }
   const digits = size >= 10 ? 1 : size >= 1 ? 2 : 3;
