Join operators' writes to the node: settings, write port, documents of the fleet

Cause: the replication was proved by itself; the API still refused every write. Change: setting writes.initialVoters (none: no writes) and writes.voterCount; an operator-write event carries a write to the replica, a component beside the source reader; ReplicatedWritePort answers the resource API. FleetView gives components members, machine list, documents and the memoized merge. The control plane tells components of links that the membership hangs up: they were left with links that were not there, and sent into nothing. A fleet whose operators' document holds only its voters counts as not configured yet, so that callers are still refused as before the first configuration. Ruled out: a precondition on a revision number; the API's keyed version of the content is equal on every node, also for what the source publishes.

--- a/src/control/control-event.ts
+++ b/src/control/control-event.ts
@@ -5,6 +5,7 @@
 import type { ConfigurationFault } from '../model/configuration-error.js';
 import type { Snapshot } from '../model/snapshot.js';
 import type { PeerAddress, PeerIdentity } from '../membership/peer-identity.js';
+import type { OperatorWrite, WriteOutcome } from '../replication/operator-write.js';
 import type { DocumentName, PeerMessage } from '../wire/message.js';
 
 /** The two documents that the platform offers for reading. */
@@ -45,6 +46,12 @@
       readonly readId: number;
       readonly answer: PlatformAnswer;
     }
+  /** An operator's write came to this node; `onOutcome` is called exactly once, perhaps later. */
+  | {
+      readonly type: 'operator-write';
+      readonly write: OperatorWrite;
+      readonly onOutcome: (outcome: WriteOutcome) => void;
+    }
   /** A planned stop: tell the fleet, give leases back. */
   | { readonly type: 'stop' };
 
--- a/src/control/control-options.ts
+++ b/src/control/control-options.ts
@@ -6,11 +6,7 @@
 import type { ConfigurationFault } from '../model/configuration-error.js';
 import type { HeldVersions } from '../wire/message.js';
 import type { ControlComponent, CounterSink, RandomSource } from './control-event.js';
-import type {
-  ElectorateView,
-  OperatorDocumentSink,
-  PlatformDocumentSink,
-} from './control-ports.js';
+import type { FleetView, OperatorDocumentSink, PlatformDocumentSink } from './control-ports.js';
 
 /** Numbers of a control plane where no others are given; times in milliseconds. */
 export const CONTROL_DEFAULTS = {
@@ -25,10 +21,7 @@
 export type DocumentSink = PlatformDocumentSink & OperatorDocumentSink;
 
 /** Makes a component that runs beside dissemination and membership; called once. */
-export type ComponentFactory = (
-  documents: DocumentSink,
-  electorate: ElectorateView,
-) => ControlComponent;
+export type ComponentFactory = (documents: DocumentSink, fleet: FleetView) => ControlComponent;
 
 /** How a control plane is made; numbers default to {@link CONTROL_DEFAULTS}. */
 export interface ControlPlaneOptions {
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -10,6 +10,7 @@
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { VersionedDocument } from '../model/document.js';
 import type { Machine } from '../model/machine.js';
+import type { MergedConfiguration } from '../model/merge.js';
 import type { Snapshot } from '../model/snapshot.js';
 import type {
   DocumentName,
@@ -25,20 +26,22 @@
   type ControlStatus,
   type DocumentSink,
 } from './control-options.js';
-import type { ElectorateView } from './control-ports.js';
+import type { FleetView } from './control-ports.js';
 import { isForComponents, isOverlayTraffic } from './message-audience.js';
 
 /** A wake that comes this much late means that the process was paused, in milliseconds. */
 export const LATE_WAKE_MS = 2_000;
 
 /** One node's control plane. */
-export class ControlPlane implements ControlComponent, ElectorateView, NeighbourListener {
+export class ControlPlane implements ControlComponent, FleetView, NeighbourListener {
   readonly identity: PeerIdentity;
   readonly documents: DocumentSink;
   private readonly store: DocumentStore;
   private readonly dissemination: Dissemination;
   private readonly membership: Membership;
   private readonly components: readonly ControlComponent[];
+  /** Peers with an open link, by machine, as the components know them. */
+  private readonly linkedPeers = new Map<string, PeerIdentity>();
   /** When the node should next be woken, as last computed. */
   private wakeAt = Infinity;
 
@@ -66,9 +69,13 @@
       this.grantGrace(nowMs);
     }
     this.dispatch(event, nowMs, effects);
+    const closed = this.closedPeers(event, effects);
     if (isForComponents(event)) {
       this.handleInComponents(event, nowMs, effects);
     }
+    for (const peer of closed) {
+      this.handleInComponents({ type: 'peer-down', peer }, nowMs, effects);
+    }
     this.wakeAt = this.earliestWake();
     return effects;
   }
@@ -119,6 +126,14 @@
     return this.store.machines().inZone(zone);
   }
 
+  listedMachines(): ReadonlyMap<string, Machine> {
+    return this.store.machines().byId;
+  }
+
+  merge(source: VersionedDocument, operator: VersionedDocument): MergedConfiguration {
+    return this.store.memo.merge(source, operator);
+  }
+
   /** The summary for the status page and the resource API. */
   status(): ControlStatus {
     return {
@@ -181,6 +196,7 @@
         this.membership.stop(nowMs, effects);
         break;
       case 'platform-answer':
+      case 'operator-write':
         break;
     }
   }
@@ -210,6 +226,24 @@
     }
   }
 
+  /** Peers whose links the membership closes now: no `peer-down` event follows from outside. */
+  private closedPeers(event: ControlEvent, effects: readonly ControlEffect[]): PeerIdentity[] {
+    if (event.type === 'peer-up') {
+      this.linkedPeers.set(event.peer.id, event.peer);
+    } else if (event.type === 'peer-down') {
+      this.linkedPeers.delete(event.peer.id);
+    }
+    const closed: PeerIdentity[] = [];
+    for (const effect of effects) {
+      const peer = effect.type === 'hang-up' ? this.linkedPeers.get(effect.peerId) : undefined;
+      if (peer !== undefined) {
+        this.linkedPeers.delete(peer.id);
+        closed.push(peer);
+      }
+    }
+    return closed;
+  }
+
   private handleInComponents(event: ControlEvent, nowMs: number, effects: ControlEffect[]): void {
     for (const component of this.components) {
       if (event.type === 'wake' && nowMs < component.nextWakeAt()) {
--- a/src/control/control-ports.ts
+++ b/src/control/control-ports.ts
@@ -5,6 +5,8 @@
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { VersionedDocument } from '../model/document.js';
 import type { Machine } from '../model/machine.js';
+import type { MergedConfiguration } from '../model/merge.js';
+import type { DocumentName, MemberStatus, MemberUpdate } from '../wire/message.js';
 import type { ControlEffect, PlatformAnswer, PlatformDocument } from './control-event.js';
 
 /** Takes what a reader learned from the platform. */
@@ -26,6 +28,20 @@
   machinesInZone(zone: string): readonly Machine[];
 }
 
+/** What is known of the fleet and its documents, for the replication of operators' writes. */
+export interface FleetView extends ElectorateView {
+  /** Every machine that is listed or known; those that were only listed have incarnation 0. */
+  members(): MemberUpdate[];
+  /** Status of a machine; undefined when nothing is known of it. */
+  memberStatus(machineId: string): MemberStatus | undefined;
+  /** The held machine list, by machine id. */
+  listedMachines(): ReadonlyMap<string, Machine>;
+  /** The documents that are held. */
+  heldDocuments(): Readonly<Record<DocumentName, VersionedDocument>>;
+  /** `mergeDocuments`, with recent results remembered. */
+  merge(source: VersionedDocument, operator: VersionedDocument): MergedConfiguration;
+}
+
 /** Takes the operators' document that the replication holds as accepted. */
 export interface OperatorDocumentSink {
   /** Adopts and passes on `document` when it is newer than the one held; else changes nothing. */
--- a/src/replication/formation.ts
+++ b/src/replication/formation.ts
@@ -5,6 +5,7 @@
  * these must be a majority, so that one that remembers a group is enough to prevent a second one. Requests are first asked without
  * obligation; a binding yes is a promise to join no formation of an older round.
  */
+import { REPLICATION_COUNTERS } from './replication-counters.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import { VersionedDocument } from '../model/document.js';
 import { announceEpoch } from './normal-operation.js';
@@ -228,7 +229,7 @@
     const document = this.firstDocument(configuration, members);
     core.replaceState(ReplicatedState.fromDocument(document), 0);
     core.becomeNormal(0, undefined);
-    core.options.counters.add('replication_groups_formed_total');
+    core.options.counters.add(REPLICATION_COUNTERS.groupsFormed);
     announceEpoch(core);
   }
 
--- a/src/replication/operator-write.ts
+++ b/src/replication/operator-write.ts
@@ -55,16 +55,3 @@
   | { readonly outcome: 'not-accepted'; readonly reason: NotAcceptedReason }
   /** It may have been accepted, or may be yet: read before writing again. */
   | { readonly outcome: 'unknown' };
-
-/** The write port of the resource API. */
-export interface OperatorWritePort {
-  /** Starts a write; `onOutcome` is called exactly once, perhaps before this returns. */
-  submit(write: OperatorWrite, onOutcome: (outcome: WriteOutcome) => void): void;
-}
-
-/** Stands in where a node takes no writes: every write is refused, provably not accepted. */
-export class UnavailableWrites implements OperatorWritePort {
-  submit(_write: OperatorWrite, onOutcome: (outcome: WriteOutcome) => void): void {
-    onOutcome({ outcome: 'not-accepted', reason: 'no-voters' });
-  }
-}
--- a/src/replication/primary-writes.ts
+++ b/src/replication/primary-writes.ts
@@ -34,6 +34,7 @@
   private readonly proposed = new Map<number, Attempt[]>();
   private readonly refused = new Set<string>();
   private readonly reconfiguration: Reconfiguration;
+  private isReconfigurationDue = false;
 
   constructor(
     private readonly core: ReplicaCore,
@@ -61,13 +62,16 @@
     this.proposeNext();
   }
 
+  /** To be called at the heartbeat interval: voters that should be replaced come before writes. */
+  requestReconfiguration(): void {
+    this.isReconfigurationDue = true;
+  }
+
   /** Proposes the next write, or a reconfiguration, when nothing is pending. */
   proposeNext(): void {
     const { core } = this;
     while (core.pending === undefined && this.mayPropose()) {
-      const reconfiguration = this.reconfiguration.nextOperation();
-      if (reconfiguration !== undefined) {
-        propose(core, reconfiguration);
+      if (this.proposeReconfiguration()) {
         continue;
       }
       const next = this.queue.shift();
@@ -104,6 +108,18 @@
     this.forgetPassed();
   }
 
+  private proposeReconfiguration(): boolean {
+    if (!this.isReconfigurationDue) {
+      return false;
+    }
+    this.isReconfigurationDue = false;
+    const operation = this.reconfiguration.nextOperation();
+    if (operation !== undefined) {
+      propose(this.core, operation);
+    }
+    return operation !== undefined;
+  }
+
   /** A primary that meets a revision beyond its own has been replaced without knowing it. */
   private mayPropose(): boolean {
     const { core } = this;
--- a/src/replication/replica-core.ts
+++ b/src/replication/replica-core.ts
@@ -2,6 +2,7 @@
  * What one replica holds, and the few ways in which it changes. The protocol itself stands in
  * `normal-operation.ts`, `view-change.ts`, `state-transfer.ts` and `formation.ts`.
  */
+import { REPLICATION_COUNTERS } from './replication-counters.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import { PeerMessenger } from './peer-messenger.js';
 import type { ReplicaOptions } from './replica-options.js';
@@ -169,7 +170,7 @@
     if (this.epoch !== epochBefore) {
       this.enterEpoch(0, true);
     }
-    this.options.counters.add('replication_operations_executed_total');
+    this.options.counters.add(REPLICATION_COUNTERS.operationsExecuted);
     this.onExecuted(operation);
   }
 
--- a/src/replication/replica-options.ts
+++ b/src/replication/replica-options.ts
@@ -34,6 +34,8 @@
   readonly initialVoterIds: readonly string[];
   /** Voters to have, where the fleet has as many machines. */
   readonly targetVoterCount: number;
+  /** Time that a write is given, in milliseconds. */
+  readonly writeTimeoutMs: number;
   readonly fleet: ReplicationFleet;
   readonly documents: ReplicationDocuments;
   readonly counters: CounterSink;
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -7,7 +7,6 @@
 import { Formation } from './formation.js';
 import { onCommit, onPrepare, onPrepareOk, sendHeartbeat } from './normal-operation.js';
 import type { ReplicaOptions } from './replica-options.js';
-import type { OperatorWrite } from './operator-write.js';
 import { PrimaryWrites, type AttemptResult } from './primary-writes.js';
 import { HEARTBEAT_INTERVAL_MS, ReplicaCore, type ReplicaStatus } from './replica-core.js';
 import type {
@@ -26,7 +25,7 @@
   startViewChange,
 } from './view-change.js';
 import { isVoter } from './voter-configuration.js';
-import { isFromSelf, WriteClient, type OnOutcome } from './write-client.js';
+import { isFromSelf, WriteClient } from './write-client.js';
 
 /** Where a replica stands. */
 export interface ReplicaStanding {
@@ -84,6 +83,9 @@
           this.onMessage(event.from, event.message.body);
         }
         break;
+      case 'operator-write':
+        this.client.submit(event.write, event.onOutcome);
+        break;
       case 'wake':
       case 'dial-failed':
       case 'platform-answer':
@@ -100,13 +102,6 @@
     return Math.min(heartbeatAtMs, viewAtMs, this.client.nextWakeAt());
   }
 
-  /** Starts an operator's write; `onOutcome` is called once, perhaps before this returns. */
-  submit(write: OperatorWrite, nowMs: number, onOutcome: OnOutcome): ControlEffect[] {
-    this.core.nowMs = nowMs;
-    this.client.submit(write, onOutcome);
-    return this.settle();
-  }
-
   /** Where this replica stands, for status and metrics. */
   standing(): ReplicaStanding {
     const { status, ballot, commitNumber, isPrimary } = this.core;
@@ -219,6 +214,7 @@
       core.adoptDocument();
     }
     if (core.isPrimary) {
+      this.writes.requestReconfiguration();
       sendHeartbeat(core);
     } else if (core.status === 'view-change' && core.mayVote) {
       announceViewChange(core);
--- a/src/replication/state-transfer.ts
+++ b/src/replication/state-transfer.ts
@@ -1,4 +1,5 @@
 /** State transfer: a replica that lacks operations takes the committed state and the log of another. */
+import { REPLICATION_COUNTERS } from './replication-counters.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { ReplicaCore } from './replica-core.js';
 import { ReplicatedState } from './replicated-state.js';
@@ -36,7 +37,7 @@
 export function onNewState(core: ReplicaCore, from: PeerIdentity, message: NewStateMessage): void {
   const state = ReplicatedState.fromTransfer(message.state);
   if (state === undefined) {
-    core.options.counters.add('replication_malformed_states_total');
+    core.options.counters.add(REPLICATION_COUNTERS.malformedStates);
     return;
   }
   const { epoch } = state.configuration;
--- a/src/replication/view-change.ts
+++ b/src/replication/view-change.ts
@@ -1,4 +1,5 @@
 /** View change: a majority leaves a view, and the next primary starts the new one from their logs. */
+import { REPLICATION_COUNTERS } from './replication-counters.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import { commitIfHeld } from './normal-operation.js';
 import type { ReplicaCore } from './replica-core.js';
@@ -13,7 +14,7 @@
 /** Leaves the current view for `view` and tells the other voters. */
 export function startViewChange(core: ReplicaCore, view: number): void {
   core.leaveFor(view);
-  core.options.counters.add('replication_view_changes_total');
+  core.options.counters.add(REPLICATION_COUNTERS.viewChanges);
   announceViewChange(core);
   completeViewChange(core);
 }
--- a/src/replication/write-client.ts
+++ b/src/replication/write-client.ts
@@ -5,11 +5,10 @@
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { NotAcceptedReason, OperatorWrite, WriteOutcome } from './operator-write.js';
 import type { ReplicaCore } from './replica-core.js';
+import { REPLICATION_COUNTERS } from './replication-counters.js';
 import type { NotPrimaryOutcome, WriteAnswerMessage, WriteMessage } from './replication-message.js';
 import type { Voter } from './voter-configuration.js';
 
-/** Time that a write is given, in milliseconds; enough for a change of the primary. */
-export const WRITE_TIMEOUT_MS = 10_000;
 /** Time after which an unanswered attempt is followed by another, in milliseconds. */
 export const ATTEMPT_TIMEOUT_MS = 2_000;
 /** Pause before another voter is tried after a refusal, in milliseconds. */
@@ -17,6 +16,14 @@
 /** Writes under way at one node at most. */
 export const MAX_CLIENT_WRITES = 256;
 
+const OUTCOME_COUNTERS: Readonly<Record<WriteOutcome['outcome'], string>> = {
+  accepted: REPLICATION_COUNTERS.writesAccepted,
+  conflict: REPLICATION_COUNTERS.writesConflicting,
+  invalid: REPLICATION_COUNTERS.writesInvalid,
+  'not-accepted': REPLICATION_COUNTERS.writesNotAccepted,
+  unknown: REPLICATION_COUNTERS.writesUnknown,
+};
+
 /** Told of the fate of one write, exactly once. */
 export type OnOutcome = (outcome: WriteOutcome) => void;
 
@@ -50,7 +57,7 @@
     private readonly offerLocally: OfferLocally,
   ) {}
 
-  /** Starts a write; the outcome is told within {@link WRITE_TIMEOUT_MS}. */
+  /** Starts a write; the outcome is told within the time that a write is given. */
   submit(write: OperatorWrite, onOutcome: OnOutcome): void {
     const { core } = this;
     if (core.knownConfiguration() === undefined) {
@@ -67,7 +74,7 @@
       requestId: `${id}/${incarnation}/${this.submitted}`,
       write,
       baseRevision: this.heldRevision(),
-      deadlineMs: core.nowMs + WRITE_TIMEOUT_MS,
+      deadlineMs: core.nowMs + core.options.writeTimeoutMs,
       onOutcome,
       unanswered: new Set(),
       attempts: 0,
@@ -176,6 +183,7 @@
 
   private finish(entry: ClientWrite, outcome: WriteOutcome): void {
     this.writes.delete(entry.requestId);
+    this.core.options.counters.add(OUTCOME_COUNTERS[outcome.outcome]);
     entry.onOutcome(outcome);
   }
 
--- a/src/runtime/control-node.ts
+++ b/src/runtime/control-node.ts
@@ -101,6 +101,11 @@
     return this.transport.port;
   }
 
+  /** Queues an event for the decision logic; false when it can not be taken. */
+  offer(event: ControlEvent): boolean {
+    return this.runtime.offer(event);
+  }
+
   /** First half of a planned stop: the fleet is told, leases are given back; links stay open. */
   announceStop(): Promise<void> {
     this.announced ??= this.runtime.stop();
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -6,13 +6,16 @@
 import type { AddressInfo } from 'node:net';
 import { AdminServer } from '../api/admin-server.js';
 import type { SnapshotListener } from '../api/configuration-view.js';
-import { refusingWritePort } from '../api/write-port.js';
+import { createResourceVersioner } from '../api/resource-version.js';
 import type { DocumentSink } from '../control/control-options.js';
-import type { ElectorateView } from '../control/control-ports.js';
+import type { ElectorateView, FleetView } from '../control/control-ports.js';
 import type { NodePorts, RunningNode } from '../cli/running-node.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import { NO_SNAPSHOT_VERSION, buildSnapshot, type Snapshot } from '../model/snapshot.js';
 import { createRequestProxy, type RequestProxy } from '../proxy/request-proxy.js';
+import { FleetAdapter } from '../replication/fleet-adapter.js';
+import { Replica } from '../replication/replica.js';
+import { ReplicatedWritePort } from '../replication/replicated-write-port.js';
 import type { Settings } from '../settings/settings.js';
 import { PlatformClient } from '../source/platform-client.js';
 import { SourceReader } from '../source/source-reader.js';
@@ -26,6 +29,9 @@
 /** Time between reads of the machine list, as a multiple of the time between configuration reads. */
 const MACHINES_INTERVAL_FACTOR = 5;
 
+/** Time given to a write, as a part of the time that the API waits for its outcome. */
+const WRITE_TIMEOUT_FACTOR = 0.9;
+
 /** Opens a node; rejects, with everything closed again, when a listener can not be opened. */
 export async function runNode(settings: Settings): Promise<RunningNode> {
   const node = new Node(settings);
@@ -152,7 +158,10 @@
       seeds: settings.seeds,
       overlay: settings.overlay,
       platform: settings.platform && new PlatformClient({ ...settings.platform, now: this.now }),
-      components: [(documents, electorate) => this.createReader(documents, electorate)],
+      components: [
+        (documents, electorate) => this.createReader(documents, electorate),
+        (documents, fleet) => this.createReplica(documents, fleet),
+      ],
       counters: this.metrics,
       random: Math.random,
       now: this.now,
@@ -181,6 +190,26 @@
     return this.reader;
   }
 
+  private createReplica(documents: DocumentSink, fleet: FleetView): Replica {
+    const { writes, api, fleetKey } = this.settings;
+    const versionOf = createResourceVersioner(fleetKey);
+    return new Replica({
+      self: fleet.identity,
+      initialVoterIds: writes.initialVoters,
+      targetVoterCount: writes.voterCount,
+      writeTimeoutMs: WRITE_TIMEOUT_FACTOR * api.writeTimeoutMs,
+      fleet: new FleetAdapter(fleet),
+      documents: {
+        sourceDocument: () => fleet.heldDocuments().source,
+        operatorDocument: () => documents.operatorDocument(),
+        offerOperator: (document, nowMs) => documents.offerOperator(document, nowMs),
+        merge: (source, operator) => fleet.merge(source, operator),
+        versionOf,
+      },
+      counters: this.metrics,
+    });
+  }
+
   private openAdmin(control: ControlNode): Promise<AdminServer> {
     return AdminServer.open({
       settings: this.settings,
@@ -196,7 +225,7 @@
           isReader: () => (this.reader?.heldSlots(this.now()) ?? []).length > 0,
           endpoints: () => [],
         }),
-      writePort: refusingWritePort,
+      writePort: new ReplicatedWritePort((event) => control.offer(event)),
       metrics: this.metrics,
       logger: this.logger,
     });
@@ -221,8 +250,8 @@
 
   /** Undefined before the first configuration, so that callers are refused rather than misrouted. */
   private servedSnapshot(): Snapshot | undefined {
-    const { source, operator } = this.snapshot.version;
-    return source.number === 0 && operator.number === 0 ? undefined : this.snapshot;
+    const { version, resources } = this.snapshot;
+    return version.source.number === 0 && resources.size === 0 ? undefined : this.snapshot;
   }
 
   private relayAddress(machineId: string): { address: string; port: number } | undefined {
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -4,6 +4,7 @@
  */
 import { z } from 'zod';
 import { nameSchema } from '../model/resource.js';
+import { MAX_VOTERS } from '../replication/voter-configuration.js';
 
 /** Shortest fleet key and administration token, in characters. */
 export const MIN_KEY_LENGTH = 16;
@@ -140,6 +141,22 @@
   writeTimeoutMs: intervalMs.default(12_000),
 });
 
+/** Acceptance of operators' writes. */
+const writesSettingsSchema = z
+  .strictObject({
+    /**
+     * Machines that form the first group of voters of a fleet that holds nothing; the same list on
+     * every node, kept up to date as machines are replaced. Empty: the fleet takes no writes.
+     */
+    initialVoters: z.array(nameSchema).max(MAX_VOTERS).default([]),
+    /** Voters to have; a lost one is replaced by a live machine. */
+    voterCount: z.number().int().min(1).max(MAX_VOTERS).default(5),
+  })
+  .refine((writes) => new Set(writes.initialVoters).size === writes.initialVoters.length, {
+    path: ['initialVoters'],
+    error: 'expected each machine once',
+  });
+
 /** What is logged. */
 const logSettingsSchema = z.strictObject({
   level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
@@ -178,6 +195,7 @@
   lease: leaseSettingsSchema.prefault({}),
   proxy: proxySettingsSchema.prefault({}),
   api: apiSettingsSchema.prefault({}),
+  writes: writesSettingsSchema.prefault({}),
   log: logSettingsSchema.prefault({}),
 });
 
--- a/src/source/source-reader.ts
+++ b/src/source/source-reader.ts
@@ -120,6 +120,7 @@
         this.stop(nowMs, effects);
         break;
       case 'wake':
+      case 'operator-write':
         break;
     }
   }
--- /dev/null
+++ b/test/control/component-links.test.ts
@@ -0,0 +1,37 @@
+import { expect } from 'chai';
+import type { ControlEvent } from '../../src/control/control-event.js';
+import { ControlPlane } from '../../src/control/control-plane.js';
+import { TRANSIENT_IDLE_MS } from '../../src/membership/neighbour-links.js';
+import { identityOf } from './message-pump.js';
+
+describe('control plane: links of components', () => {
+  it('tells components of a link that the membership closes for being idle', () => {
+    const seen: ControlEvent[] = [];
+    const plane = new ControlPlane({
+      identity: identityOf(0),
+      seeds: [],
+      random: () => 0.5,
+      counters: { add: () => undefined },
+      components: [
+        () => ({
+          handle: (event) => {
+            seen.push(event);
+            return [];
+          },
+          nextWakeAt: () => Infinity,
+        }),
+      ],
+    });
+    const peer = identityOf(1);
+    plane.handle({ type: 'start' }, 0);
+    plane.handle({ type: 'peer-up', peer }, 1_000);
+    let closedAtMs = 0;
+    while (closedAtMs === 0 && plane.nextWakeAt() < 2 * TRANSIENT_IDLE_MS) {
+      const nowMs = plane.nextWakeAt();
+      const effects = plane.handle({ type: 'wake' }, nowMs);
+      closedAtMs = effects.some((effect) => effect.type === 'hang-up') ? nowMs : 0;
+    }
+    expect(closedAtMs).to.be.at.least(TRANSIENT_IDLE_MS);
+    expect(seen.at(-1)).to.deep.equal({ type: 'peer-down', peer });
+  });
+});
--- a/test/emulator/flooding-component.ts
+++ b/test/emulator/flooding-component.ts
@@ -54,6 +54,7 @@
           : [];
       }
       case 'dial-failed':
+      case 'operator-write':
       case 'stop':
         return [];
     }
--- a/test/replication/replication-network.ts
+++ b/test/replication/replication-network.ts
@@ -158,6 +158,7 @@
         self: identity,
         initialVoterIds: this.options.initialVoterIds,
         targetVoterCount: this.options.targetVoterCount,
+        writeTimeoutMs: 10_000,
         counters: { add: () => undefined },
         fleet: {
           liveMembers: () => this.liveMembers(),
@@ -230,7 +231,7 @@
     const listener = (outcome: WriteOutcome): void => {
       onOutcome(tell(outcome));
     };
-    this.execute(process, process.replica.submit(write, this.nowMs, listener));
+    this.offer(process, { type: 'operator-write', write, onOutcome: listener });
   }
 
   /** Lets virtual time pass. */
--- a/test/support/local-fleet.ts
+++ b/test/support/local-fleet.ts
@@ -29,6 +29,10 @@
   readonly zones: readonly string[];
   /** Back ends of the one service `tiles` in each zone. */
   readonly backendsPerZone: number;
+  /** Machines that form the first group of voters; none: no writes. */
+  readonly initialVoters?: readonly string[];
+  /** Secret of operators; without one writes are refused. */
+  readonly adminToken?: string;
 }
 
 /** A running fleet; `stop` must be awaited in every test. */
@@ -120,6 +124,9 @@
       lease: { durationMs: 600, renewIntervalMs: 150 },
       overlay: { heartbeatIntervalMs: 200, suspectAfterMs: 800, deadAfterMs: 1_600 },
       log: { level: 'error' },
+      api: { writeTimeoutMs: 5_000 },
+      writes: { initialVoters: plan.initialVoters ?? [] },
+      ...(plan.adminToken === undefined ? {} : { adminToken: plan.adminToken }),
     });
     const backend = hasBackend ? await BackendStandIn.start({ name: id }) : undefined;
     const node = await runNode(settings);
--- a/tools/emulator/baseline-nodes.ts
+++ b/tools/emulator/baseline-nodes.ts
@@ -128,6 +128,7 @@
       case 'message':
         return this.receive(event.message);
       case 'dial-failed':
+      case 'operator-write':
       case 'stop':
         return [];
     }
