Find routes and endpoints without a search of all

Cause: a request compared its path with every route, and a choice built a text key for every endpoint several times.

Change: routes are found by prefix, from the longest that ends with a segment; records are found by the configuration's objects.

--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -30,6 +30,8 @@
 /** What this node has seen of endpoints, and the choice among them. */
 export class EndpointSelector {
   private readonly records = new Map<string, EndpointRecord>();
+  /** The same records by the configuration's objects, so that a choice builds no keys. */
+  private readonly recordsOfObjects = new WeakMap<Endpoint, EndpointRecord>();
 
   constructor(private readonly random: RandomSource) {}
 
@@ -83,7 +85,8 @@
 
   /** Endpoints of a service that was not in use yet are taken as warm, later ones as cold. */
   private meet(endpoints: readonly Endpoint[], nowMs: number): void {
-    const unknown = endpoints.filter((endpoint) => !this.records.has(recordKey(endpoint)));
+    const unmet = endpoints.filter((endpoint) => !this.recordsOfObjects.has(endpoint));
+    const unknown = unmet.filter((endpoint) => !this.records.has(recordKey(endpoint)));
     if (unknown.length === 0) {
       return;
     }
@@ -152,11 +155,12 @@
   }
 
   private recordOf(endpoint: Endpoint, nowMs: number): EndpointRecord {
-    const key = recordKey(endpoint);
-    let record = this.records.get(key);
+    let record = this.recordsOfObjects.get(endpoint);
     if (record === undefined) {
-      record = new EndpointRecord(nowMs, true);
+      const key = recordKey(endpoint);
+      record = this.records.get(key) ?? new EndpointRecord(nowMs, true);
       this.records.set(key, record);
+      this.recordsOfObjects.set(endpoint, record);
     }
     return record;
   }
--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -15,24 +15,37 @@
   readonly retryBudgetPercent: number;
 }
 
-/** The routes of one snapshot, most specific first. */
+/** The routes of one snapshot, by path prefix and, within one prefix, the most specific first. */
 export class RouteTable {
-  private readonly routes: readonly Route[];
+  private readonly routesByPrefix = new Map<string, Route[]>();
 
   constructor(private readonly snapshot: Snapshot) {
-    this.routes = [...snapshot.routes].sort(compareSpecificity);
+    for (const route of [...snapshot.routes].sort(compareSpecificity)) {
+      const { pathPrefix } = route.spec;
+      const routes = this.routesByPrefix.get(pathPrefix);
+      if (routes === undefined) {
+        this.routesByPrefix.set(pathPrefix, [route]);
+      } else {
+        routes.push(route);
+      }
+    }
   }
 
   /** `host` may carry a port; `path` has no query. */
   match(host: string, path: string, method: string): RouteMatch | undefined {
     const hostName = withoutPort(host);
-    const route = this.routes.find(
-      ({ spec }) =>
-        hasPrefix(path, spec.pathPrefix) &&
-        (spec.hosts.length === 0 || spec.hosts.includes(hostName)) &&
-        (spec.methods.length === 0 || spec.methods.includes(method)),
-    );
-    return route === undefined ? undefined : this.describe(route, method);
+    for (let prefix = path; prefix !== ''; prefix = nextPrefix(prefix)) {
+      const routes = this.routesByPrefix.get(prefix);
+      const route = routes?.find(
+        ({ spec }) =>
+          (spec.hosts.length === 0 || spec.hosts.includes(hostName)) &&
+          (spec.methods.length === 0 || spec.methods.includes(method)),
+      );
+      if (route !== undefined) {
+        return this.describe(route, method);
+      }
+    }
+    return undefined;
   }
 
   private describe(route: Route, method: string): RouteMatch {
@@ -62,12 +75,12 @@
   }
 }
 
-/** Whether `prefix` covers `path` up to a path segment's end. */
-function hasPrefix(path: string, prefix: string): boolean {
-  if (!path.startsWith(prefix)) {
-    return false;
-  }
-  return path.length === prefix.length || prefix.endsWith('/') || path[prefix.length] === '/';
+/**
+ * The next shorter prefix that ends where a path segment ends, with its slash or without it: of
+ * `/a/b` these are `/a/`, `/a` and `/`. Empty when there is none.
+ */
+function nextPrefix(prefix: string): string {
+  return prefix.endsWith('/') ? prefix.slice(0, -1) : prefix.slice(0, prefix.lastIndexOf('/') + 1);
 }
 
 function withoutPort(host: string): string {
@@ -76,10 +89,6 @@
 }
 
 function compareSpecificity(left: Route, right: Route): number {
-  const byPrefix = right.spec.pathPrefix.length - left.spec.pathPrefix.length;
-  if (byPrefix !== 0) {
-    return byPrefix;
-  }
   const byHost = Number(left.spec.hosts.length === 0) - Number(right.spec.hosts.length === 0);
   if (byHost !== 0) {
     return byHost;
