Split the control plane's tests by subject

Change: fixtures, the message pump, a test fleet and a bench of their own; tests of receiving and fetching, of convergence and membership apart.

--- a/test/control/message-pump.ts
+++ b/test/control/message-pump.ts
@@ -4,72 +4,14 @@
 import { ControlPlane } from '../../src/control/control-plane.js';
 import { machineValues } from '../../src/membership/machine-index.js';
 import type { PeerAddress, PeerIdentity } from '../../src/membership/peer-identity.js';
-import { canonicalJson } from '../../src/model/canonical-json.js';
 import type { Machine } from '../../src/model/machine.js';
 import type { Snapshot } from '../../src/model/snapshot.js';
 import type { PeerMessage } from '../../src/wire/message.js';
+import { MapCounters, seededRandom } from './control-fixtures.js';
 
 /** One-way latency between any two nodes, in milliseconds. */
 const LATENCY_MS = 1;
 
-/** Counters in a map. */
-export class MapCounters implements CounterSink {
-  readonly values = new Map<string, number>();
-
-  add(name: string, by = 1): void {
-    this.values.set(name, this.get(name) + by);
-  }
-
-  get(name: string): number {
-    return this.values.get(name) ?? 0;
-  }
-}
-
-/** A seeded generator of numbers in [0, 1) (mulberry32). */
-export function seededRandom(seed: number): () => number {
-  let state = seed >>> 0;
-  return () => {
-    state = (state + 0x6d2b79f5) >>> 0;
-    let mixed = Math.imul(state ^ (state >>> 15), state | 1);
-    mixed ^= mixed + Math.imul(mixed ^ (mixed >>> 7), mixed | 61);
-    return ((mixed ^ (mixed >>> 14)) >>> 0) / 2 ** 32;
-  };
-}
-
-/** The identity of node `index`; zones and regions by name. */
-export function identityOf(index: number, zone = 'zone-a', region = 'region-1'): PeerIdentity {
-  return {
-    id: `machine-${index}`,
-    incarnation: 1_000,
-    address: `10.0.${index >> 8}.${index & 255}`,
-    controlPort: 7_000,
-    relayPort: 7_001,
-    zone,
-    region,
-  };
-}
-
-/** The platform's entry for a node. */
-export function machineOf(identity: PeerIdentity, state: Machine['state'] = 'live'): Machine {
-  const { id, address, controlPort, relayPort, zone, region } = identity;
-  const seniority = Number(id.split('-')[1]);
-  return { id, address, controlPort, relayPort, zone, region, seniority, state };
-}
-
-/** Values of a source document with one service and `padding` further services of some size. */
-export function sourceValues(timeoutMs: number, padding = 0): Map<string, string> {
-  const values = new Map<string, string>();
-  const service = (name: string, requestTimeoutMs: number): void => {
-    const spec = { requestTimeoutMs, retryBudgetPercent: 20 };
-    values.set(`service/${name}`, canonicalJson({ kind: 'service', name, spec }));
-  };
-  service('tiles', timeoutMs);
-  for (let index = 0; index < padding; index += 1) {
-    service(`service-${index}-${'x'.repeat(60)}`, 1_000);
-  }
-  return values;
-}
-
 interface Task {
   readonly at: number;
   readonly order: number;
--- a/test/dissemination/document-store.test.ts
+++ b/test/dissemination/document-store.test.ts
@@ -6,7 +6,7 @@
 import { VersionedDocument } from '../../src/model/document.js';
 import { NO_VERSION } from '../../src/model/version.js';
 import type { DocumentName } from '../../src/wire/message.js';
-import { MapCounters, identityOf, machineOf, sourceValues } from '../control/message-pump.js';
+import { MapCounters, identityOf, machineOf, sourceValues } from '../control/control-fixtures.js';
 
 const SERVICE_JSON =
   '{"kind":"service","name":"tiles","spec":{"requestTimeoutMs":5,"retryBudgetPercent":20}}';
--- a/test/membership/link-quotas.test.ts
+++ b/test/membership/link-quotas.test.ts
@@ -10,7 +10,7 @@
 import { MachineIndex } from '../../src/membership/machine-index.js';
 import type { PeerIdentity } from '../../src/membership/peer-identity.js';
 import type { PeerLink } from '../../src/membership/peer-link.js';
-import { identityOf, machineOf, seededRandom } from '../control/message-pump.js';
+import { identityOf, machineOf, seededRandom } from '../control/control-fixtures.js';
 
 const SELF = identityOf(0);
 const SAME_ZONE = identityOf(1);
--- a/test/membership/member-table.test.ts
+++ b/test/membership/member-table.test.ts
@@ -7,7 +7,7 @@
 } from '../../src/membership/member-table.js';
 import { SelfClaim } from '../../src/membership/self-claim.js';
 import type { MemberStatus, MemberUpdate } from '../../src/wire/message.js';
-import { identityOf, machineOf } from '../control/message-pump.js';
+import { identityOf, machineOf } from '../control/control-fixtures.js';
 
 const DEAD_AFTER_MS = 12_000;
 const LISTED = identityOf(1);
--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -12,7 +12,7 @@
 import { NO_VERSION } from '../../src/model/version.js';
 import type { MemberStatus, PeerMessage } from '../../src/wire/message.js';
 import { NOTHING_HELD_DIGEST } from '../../src/wire/versions-digest.js';
-import { MapCounters, identityOf, machineOf, seededRandom } from '../control/message-pump.js';
+import { MapCounters, identityOf, machineOf, seededRandom } from '../control/control-fixtures.js';
 
 const SELF = identityOf(0);
 const PEER = identityOf(1);
