Import the test fixtures from where they are now

Cause: a test that landed meanwhile took them from the message pump; the landing check did not stop at the compiler's error, and main did not compile for this one commit.

--- a/test/control/component-links.test.ts
+++ b/test/control/component-links.test.ts
@@ -2,7 +2,7 @@
 import type { ControlEvent } from '../../src/control/control-event.js';
 import { ControlPlane } from '../../src/control/control-plane.js';
 import { TRANSIENT_IDLE_MS } from '../../src/membership/neighbour-links.js';
-import { identityOf } from './message-pump.js';
+import { identityOf } from './control-fixtures.js';
 
 describe('control plane: links of components', () => {
   it('tells components of a link that the membership closes for being idle', () => {
