Show that a group is formed anew after a majority of voters died at once

Cause: the design says that the accepted document lives on with the other nodes when the log is lost; no test showed it. Change: six directed scripts in which all or most voters die at once and restart.

--- a/test/replication/replica-fuzz.test.ts
+++ b/test/replication/replica-fuzz.test.ts
@@ -1,6 +1,7 @@
 import { expect } from 'chai';
 import fc from 'fast-check';
-import { MUTANTS, REGRESSIONS, type Mutant } from './replica-mutants.js';
+import { LOST_MAJORITIES, MUTANTS, REGRESSIONS, type Mutant } from './replica-mutants.js';
+import { REVISION_STEP } from '../../src/replication/formation.js';
 import { arbitraryScript, ScriptRun } from './write-script.js';
 
 const SEED = 4_001;
@@ -34,6 +35,14 @@
     });
   });
 
+  for (const script of LOST_MAJORITIES) {
+    it(`forms a group anew and keeps what was accepted: ${script.name}`, () => {
+      const run = new ScriptRun(script);
+      expect(run.run().outcomes).to.deep.equal({ accepted: 2 });
+      expect(run.oracle.newest.version.number).to.be.greaterThan(REVISION_STEP);
+    });
+  }
+
   for (const mutant of MUTANTS) {
     it(`is caught: ${mutant.name}`, () => {
       expect(findViolation(mutant)).to.match(/OracleViolation/);
--- a/test/replication/replica-mutants.ts
+++ b/test/replication/replica-mutants.ts
@@ -148,6 +148,27 @@
   },
 ];
 
+const WARM_FIVE: Omit<Script, 'steps'> = { seed: 0, voters: 5, isWarm: true };
+
+/** A write, and then a herd of voters that dies at once. */
+function herd(...nodes: readonly number[]): readonly Step[] {
+  return [put(5), wait(3_000), { type: 'herd', nodes }, wait(2_000), { type: 'restart' }];
+}
+
+/** A majority of the voters is lost; the document lives on with the other nodes. */
+export const LOST_MAJORITIES: readonly (Script & { readonly name: string })[] = [
+  { ...WARM_FIVE, name: 'all voters', steps: herd(0, 1, 2, 3, 4) },
+  { ...WARM_FIVE, name: 'most voters', steps: herd(0, 1, 2) },
+  { ...WARM_FIVE, name: 'most voters, the primary lives', steps: herd(1, 2, 3) },
+  {
+    ...WARM_FIVE,
+    name: 'most voters, and one more for a while',
+    steps: [...herd(2, 3, 4), wait(30_000), { type: 'kill', node: 1 }, wait(9_000)],
+  },
+  { ...WARM_THREE, name: 'all of three voters', steps: herd(0, 1, 2) },
+  { ...WARM_THREE, voters: 1, name: 'the only voter', steps: herd(0) },
+];
+
 /** Every mutant must be caught. */
 export const MUTANTS: readonly Mutant[] = [
   {
--- a/test/replication/write-script.ts
+++ b/test/replication/write-script.ts
@@ -46,6 +46,8 @@
     }
   | { readonly type: 'kill' | 'replace'; readonly node: number }
   | { readonly type: 'restart' | 'heal' }
+  /** Kills nodes whatever becomes of the majority; only in directed scripts. */
+  | { readonly type: 'herd'; readonly nodes: readonly number[] }
   | { readonly type: 'leave'; readonly node: number }
   | { readonly type: 'pause'; readonly node: number; readonly durationMs: number }
   | { readonly type: 'cut'; readonly mask: number; readonly isOneWay: boolean }
@@ -190,6 +192,11 @@
           network.addMachine(`r${this.replacements}`);
         });
         break;
+      case 'herd':
+        for (const choice of step.nodes) {
+          network.kill(`m${choice}`);
+        }
+        break;
       case 'leave':
         this.leave(this.chosen(step.node));
         break;
