Test that a document is fetched from one neighbour at a time

Cause: of the deliberate faults put into the compiled logic one at a time, the one that sends a fetch while another is outstanding was not caught by the tests. Change: a second near neighbour announces the version during the fetch. Shown: the test fails with that fault.

--- a/test/dissemination/fetching.test.ts
+++ b/test/dissemination/fetching.test.ts
@@ -23,10 +23,12 @@
 
 describe('fetches', () => {
   it('go to one neighbour at a time, the nearest first', () => {
-    const bench = new Bench(0, [REMOTE, OTHER_ZONE, NEAR]);
+    const alsoNear = identityOf(9);
+    const bench = new Bench(0, [REMOTE, OTHER_ZONE, NEAR, alsoNear]);
     expect(sent(bench.announce(REMOTE, version(4).version))).to.deep.equal([]);
     expect(sent(bench.announce(OTHER_ZONE, version(4).version))).to.deep.equal([]);
     expect(sent(bench.announce(NEAR, version(4).version))).to.deep.equal([FETCH_NEAR]);
+    expect(sent(bench.announce(alsoNear, version(4).version))).to.deep.equal([]);
     expect(sent(bench.wakeAfter(1_000))).to.deep.equal([]);
   });
 
