--- a/test/scale/capacity.test.ts
+++ b/test/scale/capacity.test.ts
@@ -30,6 +30,7 @@
   peakReaders: 3,
   readersRefused: 0,
   sentBytesPerSecondByType: { heartbeat: 80 },
+  counterRises: {},
 });
 
 const phase = (name: PhaseReport['name'], nodes: number): PhaseReport => ({
--- a/test/scale/scale.test.ts
+++ b/test/scale/scale.test.ts
@@ -102,6 +102,7 @@
       loopDelayP99Ms: 12,
       loopDelayMaxMs: 20,
       sentBytesByType: { delta: nodes.reduce((sum, node) => sum + node.sentBytes, 0) },
+      counters: { dials: cpuMs, idle: 3 },
     },
   ],
   real: [
@@ -137,6 +138,7 @@
       hollowResidentMiB: 50,
       platformReadsPerSecond: 10,
       sentBytesPerSecondByType: { delta: 150 },
+      counterRises: { dials: 200 },
     });
   });
 
--- a/tools/scale/fleet-sample.ts
+++ b/tools/scale/fleet-sample.ts
@@ -58,6 +58,8 @@
   readonly readersRefused: number;
   /** Bytes sent a second by message type. */
   readonly sentBytesPerSecondByType: Readonly<Record<string, number>>;
+  /** What counters rose by in the phase, all hollow nodes together. */
+  readonly counterRises: Readonly<Record<string, number>>;
 }
 
 const BYTES_PER_MIB = 1_048_576;
@@ -98,6 +100,7 @@
     peakReaders: after.peakReaders,
     readersRefused: after.readersRefused - before.readersRefused,
     sentBytesPerSecondByType: bytesByType(before, after, seconds * count),
+    counterRises: counterRises(before, after),
   };
 }
 
@@ -136,6 +139,14 @@
   return Object.fromEntries(rates.filter(([, rate]) => rate > 0).sort((a, b) => b[1] - a[1]));
 }
 
+function counterRises(before: FleetSample, after: FleetSample): Record<string, number> {
+  const names = new Set(after.hollow.flatMap(({ counters }) => Object.keys(counters)));
+  const total = (sample: FleetSample, name: string): number =>
+    sum(sample.hollow.map(({ counters }) => counters[name] ?? 0));
+  const rises = [...names].map((name) => [name, total(after, name) - total(before, name)] as const);
+  return Object.fromEntries(rises.filter(([, rise]) => rise > 0).sort((a, b) => b[1] - a[1]));
+}
+
 function nodesOf(sample: FleetSample): NodeTotals[] {
   return sample.hollow.flatMap((hollow) => hollow.nodes);
 }
--- a/tools/scale/hollow-process.ts
+++ b/tools/scale/hollow-process.ts
@@ -139,6 +139,7 @@
       loopDelayP99Ms,
       loopDelayMaxMs,
       sentBytesByType: sumByType([...this.nodes.values()]),
+      counters: sumCounters([...this.nodes.values()]),
     };
   }
 }
@@ -177,6 +178,18 @@
   return sums;
 }
 
+function sumCounters(nodes: readonly HollowNode[]): Record<string, number> {
+  const sums: Record<string, number> = {};
+  for (const node of nodes) {
+    for (const [counter, value] of node.metrics.counterTotals()) {
+      if (value > 0 && !BYTES_NAME.test(counter) && !MESSAGES_NAME.test(counter)) {
+        sums[counter] = (sums[counter] ?? 0) + value;
+      }
+    }
+  }
+  return sums;
+}
+
 /** A node that can not start would spoil every figure: the process ends, and the run with it. */
 function fail(error: unknown): void {
   process.stderr.write(`${String(error)}\n`);
--- a/tools/scale/hollow-sample.ts
+++ b/tools/scale/hollow-sample.ts
@@ -34,6 +34,8 @@
   readonly loopDelayMaxMs: number;
   /** Bytes sent by message type, of all nodes. */
   readonly sentBytesByType: Readonly<Record<string, number>>;
+  /** Every other counter but those of messages by type, summed over the nodes. */
+  readonly counters: Readonly<Record<string, number>>;
 }
 
 /** Commands that a process takes. */
