Let hollow nodes of a process share documents, and end a run early

Each of 114 nodes of a process applies each change itself, 3 ms a change, one after the other: that tells of the machine. Ruled out: fewer nodes to a process, since all of them share the same processors. Conclusion: what a node costs is taken from runs without it, times at 800 and more from runs with it.

--- a/test/scale/capacity.test.ts
+++ b/test/scale/capacity.test.ts
@@ -48,6 +48,7 @@
   nodeVersion: 'v20.0.0',
   processors: 12,
   nodes,
+  sharesDocuments: false,
   hollowNodes: nodes - 5,
   realNodes: 5,
   processes: 13,
--- a/tools/scale/hollow-node.ts
+++ b/tools/scale/hollow-node.ts
@@ -1,6 +1,7 @@
 /** A node without request path: the whole control plane on real sockets, many to a process. */
 import type { DocumentSink } from '../../src/control/control-options.js';
 import type { ElectorateView } from '../../src/control/control-ports.js';
+import type { DocumentMemo } from '../../src/dissemination/document-memo.js';
 import type { Machine } from '../../src/model/machine.js';
 import { ControlNode } from '../../src/runtime/control-node.js';
 import { Metrics } from '../../src/runtime/metrics.js';
@@ -20,6 +21,8 @@
   readonly settings: NodeSettings;
   readonly cut: NetworkCut;
   readonly now: () => number;
+  /** Shared with other nodes of the process; undefined for one of its own. */
+  readonly memo: DocumentMemo | undefined;
   /** Told of each source version that comes into force. */
   readonly onVersion: (version: number) => void;
 }
@@ -55,7 +58,7 @@
       identity: { id, incarnation: Date.now(), address, controlPort, relayPort, zone, region },
       fleetKey: settings.fleetKey,
       seeds: settings.seeds,
-      overlay: settings.overlay,
+      overlay: { ...settings.overlay, ...(options.memo && { memo: options.memo }) },
       platform: settings.platform && new CutPlatformClient(cut, machine, settings.platform),
       openTransport: (transport) => openCutTransport(cut, transport),
       components: [(documents, electorate) => this.createReader(documents, electorate)],
--- a/tools/scale/hollow-process.ts
+++ b/tools/scale/hollow-process.ts
@@ -2,6 +2,7 @@
 import { monitorEventLoopDelay } from 'node:perf_hooks';
 import { setFlagsFromString } from 'node:v8';
 import { runInNewContext } from 'node:vm';
+import { DocumentMemo } from '../../src/dissemination/document-memo.js';
 import { createElapsedClock } from '../../src/runtime/elapsed-clock.js';
 import { startControlServer } from '../../standins/shared/control-server.js';
 import type { Listener } from '../../standins/shared/listener.js';
@@ -18,6 +19,8 @@
 import { NetworkCut } from './network-cut.js';
 import { nodeSettings, planMachines, type ScaleShape } from './scale-plan.js';
 
+/** Results kept of each sort where nodes share them. */
+const SHARED_DOCUMENTS = 64;
 const LOOP_RESOLUTION_MS = 10;
 const NANOSECONDS_PER_MS = 1e6;
 const MICROSECONDS_PER_MS = 1e3;
@@ -30,6 +33,8 @@
   /** Machines whose nodes it runs. */
   readonly indices: readonly number[];
   readonly platformPort: number;
+  /** Whether its nodes share documents: each is applied and merged once for all of them. */
+  readonly sharesDocuments: boolean;
   /** Address of its control port. */
   readonly host: string;
 }
@@ -44,7 +49,8 @@
   private control: Listener | undefined;
 
   private constructor(options: HollowProcessOptions) {
-    const { shape, platformPort } = options;
+    const { shape, platformPort, sharesDocuments } = options;
+    const memo = sharesDocuments ? new DocumentMemo(SHARED_DOCUMENTS) : undefined;
     const machines = planMachines(shape);
     const now = createElapsedClock();
     this.cut = new NetworkCut(machines);
@@ -55,7 +61,8 @@
         const onVersion = (version: number): void => {
           this.adoptions.push({ index, version, at: Date.now() });
         };
-        this.nodes.set(index, new HollowNode({ machine, settings, cut: this.cut, now, onVersion }));
+        const { cut } = this;
+        this.nodes.set(index, new HollowNode({ machine, settings, cut, now, memo, onVersion }));
       }
     }
     this.loopDelay.enable();
--- a/tools/scale/main.ts
+++ b/tools/scale/main.ts
@@ -14,9 +14,10 @@
 import { servicesFor } from './scale-configuration.js';
 import { ScaleFleet } from './scale-fleet.js';
 import { planProcesses, REAL_INDICES, type ScaleShape } from './scale-plan.js';
-import type { ScaleReport } from './scale-report.js';
+import { PHASE_NAMES, type PhaseName, type ScaleReport } from './scale-report.js';
 import { ScaleRun } from './scale-run.js';
 
+const LAST_PHASE: PhaseName = 'region-heals';
 const REPORT_FOLDER = 'reports';
 const FLEET_KEY_BYTES = 24;
 const BYTES_PER_MIB = 1_048_576;
@@ -31,10 +32,13 @@
   Options
     --nodes  Nodes of the fleet (default 100)
     --seed   Seed of the tool's choices (default 1)
+    --share-documents  Nodes of a process apply each change once for all: times are then less
+             those of this machine, processor time and memory of a node are not measured
+    --until  Last phase (default ${LAST_PHASE}): ${PHASE_NAMES.join(', ')}
 
   Starts hollow nodes, many to a process, beside a few real ones, and takes them through a cold start,
   quiet, changes, restarts, the death of a zone and a cut between regions. Writes
-  ${REPORT_FOLDER}/scale-N.json. Exit code: 0 when it ran, 2 when it could not.
+  ${REPORT_FOLDER}/scale-N.json, or scale-N-shared.json with shared documents. Exit code: 0 when it ran, 2 when it could not.
 `,
   {
     importMeta: import.meta,
@@ -42,6 +46,8 @@
     flags: {
       nodes: { type: 'number', default: 100 },
       seed: { type: 'number', default: 1 },
+      shareDocuments: { type: 'boolean', default: false },
+      until: { type: 'string', choices: [...PHASE_NAMES], default: LAST_PHASE },
     },
   },
 );
@@ -59,7 +65,7 @@
     throw new RangeError(`--nodes: expected a whole number from ${MIN_NODES} to ${MAX_NODES}`);
   }
   const processes = planProcesses(nodes).length + 2 * REAL_INDICES.length + 2;
-  checkFits(nodes, processes);
+  checkFits(nodes, processes, cli.flags.shareDocuments);
   const generator = xoroshiro128plus(cli.flags.seed);
   const random = (): number => uniformFloat64(generator);
   const shape: ScaleShape = {
@@ -67,11 +73,14 @@
     network: `127.${randomInt(16, 255)}`,
     fleetKey: randomBytes(FLEET_KEY_BYTES).toString('hex'),
   };
-  fleet = new ScaleFleet(shape);
+  fleet = new ScaleFleet(shape, cli.flags.shareDocuments);
   try {
     const report = await run(fleet, nodes, processes, random);
     mkdirSync(REPORT_FOLDER, { recursive: true });
-    const file = `${REPORT_FOLDER}/scale-${nodes}.json`;
+    const { until } = cli.flags;
+    const shared = cli.flags.shareDocuments ? '-shared' : '';
+    const early = until === LAST_PHASE ? '' : `-until-${until}`;
+    const file = `${REPORT_FOLDER}/scale-${nodes}${shared}${early}.json`;
     writeFileSync(file, `${JSON.stringify(report, undefined, 2)}\n`);
     print(`wrote ${file}`);
   } finally {
@@ -97,7 +106,7 @@
   };
   const options = { fleet: running, configuration, random, progress: print, startCallers };
   const scaleRun = new ScaleRun(options);
-  await scaleRun.execute();
+  await scaleRun.execute(cli.flags.until as PhaseName);
   const calls = await callers?.finish();
   const real = await running.realStatus();
   const hollowNodes = nodes - REAL_INDICES.length;
@@ -108,6 +117,7 @@
     nodeVersion: process.version,
     processors: cpus().length,
     nodes,
+    sharesDocuments: cli.flags.shareDocuments,
     hollowNodes,
     realNodes: REAL_INDICES.length,
     processes,
--- a/tools/scale/memory-budget.ts
+++ b/tools/scale/memory-budget.ts
@@ -20,9 +20,9 @@
 }
 
 /** Throws {@link RunTooLargeError} when a run of `nodes` in `processes` would not fit. */
-export function checkFits(nodes: number, processes: number): void {
-  const bytes =
-    processes * BASE_PROCESS_BYTES + nodes * (NODE_BYTES + nodes * NODE_BYTES_PER_MACHINE);
+export function checkFits(nodes: number, processes: number, sharesDocuments = false): void {
+  const perMachine = sharesDocuments ? 0 : NODE_BYTES_PER_MACHINE;
+  const bytes = processes * BASE_PROCESS_BYTES + nodes * (NODE_BYTES + nodes * perMachine);
   if (processes > MAX_PROCESSES) {
     throw new RunTooLargeError(`${processes} processes, at most ${MAX_PROCESSES}`);
   }
--- a/tools/scale/scale-fleet.ts
+++ b/tools/scale/scale-fleet.ts
@@ -61,7 +61,10 @@
   private platformControl: CallTarget = { host: '', port: 0 };
   private folder: string | undefined;
 
-  constructor(private readonly shape: ScaleShape) {
+  constructor(
+    private readonly shape: ScaleShape,
+    private readonly sharesDocuments: boolean,
+  ) {
     this.machines = planMachines(shape);
   }
 
@@ -212,8 +215,8 @@
 
   private async startHollowProcess(indices: readonly number[]): Promise<void> {
     const host = platformAddress(this.shape);
-    const { shape, platformPort } = this;
-    const options: HollowProcessOptions = { shape, indices, platformPort, host };
+    const { shape, platformPort, sharesDocuments } = this;
+    const options: HollowProcessOptions = { shape, indices, platformPort, sharesDocuments, host };
     const { controlPort } = await this.start('hollow', HOLLOW_PROGRAM, [JSON.stringify(options)]);
     this.hollow.push({ indices, control: { host, port: controlPort } });
   }
--- a/tools/scale/scale-report.ts
+++ b/tools/scale/scale-report.ts
@@ -37,6 +37,8 @@
   readonly nodeVersion: string;
   readonly processors: number;
   readonly nodes: number;
+  /** Whether nodes of a process shared documents: no processor time and memory of a node then. */
+  readonly sharesDocuments: boolean;
   readonly hollowNodes: number;
   readonly realNodes: number;
   readonly processes: number;
--- a/tools/scale/scale-run.ts
+++ b/tools/scale/scale-run.ts
@@ -6,7 +6,7 @@
 import type { ScaleConfiguration } from './scale-configuration.js';
 import type { ScaleFleet } from './scale-fleet.js';
 import { CUT_REGION, DYING_ZONE, REAL_INDICES } from './scale-plan.js';
-import type { PhaseName, PhaseReport } from './scale-report.js';
+import { PHASE_NAMES, type PhaseName, type PhaseReport } from './scale-report.js';
 
 const LOOK_INTERVAL_MS = 250;
 
@@ -38,18 +38,21 @@
       .filter((index) => !REAL_INDICES.includes(index));
   }
 
-  async execute(): Promise<void> {
-    await this.coldStart();
-    await delay(PHASE_TIMES.settleMs);
-    this.settled = await this.sample(true);
-    await this.quiet();
-    this.options.startCallers();
-    await this.changes();
-    await this.restarts();
-    await this.zoneDies();
-    await this.zoneReturns();
-    await this.regionCut();
-    await this.regionHeals();
+  /** Runs the phases up to and with `last`. */
+  async execute(last: PhaseName): Promise<void> {
+    const steps: Readonly<Record<PhaseName, () => Promise<void>>> = {
+      'cold-start': () => this.coldStart(),
+      quiet: () => this.quiet(),
+      changes: () => this.changes(),
+      restarts: () => this.restarts(),
+      'zone-dies': () => this.zoneDies(),
+      'zone-returns': () => this.zoneReturns(),
+      'region-cut': () => this.regionCut(),
+      'region-heals': () => this.regionHeals(),
+    };
+    for (const name of PHASE_NAMES.slice(0, PHASE_NAMES.indexOf(last) + 1)) {
+      await steps[name]();
+    }
   }
 
   private async coldStart(): Promise<void> {
@@ -66,12 +69,15 @@
   }
 
   private async quiet(): Promise<void> {
+    await delay(PHASE_TIMES.settleMs);
+    this.settled = await this.sample(true);
     const before = await this.sample(false);
     await delay(PHASE_TIMES.quietMs);
     await this.close('quiet', before, {});
   }
 
   private async changes(): Promise<void> {
+    this.options.startCallers();
     const before = await this.sample(false);
     const publications = await this.publishFor(PHASE_TIMES.changesMs);
     await this.close('changes', before, { publications, events: publications.length });
