Restart and freeze processes of a fleet of the demo, keep the ledger of a killed back end

Cause: runs with failures need nodes that come back on their machine, platform failures, and the executions of back ends that were killed, whose ledger died with them. Change: a back end prints each change of its ledger before what follows from it (--print-ledger); Fleet restarts nodes, and its back ends stand in backend-fleet.ts; the version log begins anew with each incarnation of a node; the version monitor waits for no frozen node; children know whether they were told to end. Ruled out: reading the ledger just before the kill, which leaves a gap that can't be judged.

--- a/standins/backend/backend-stand-in.ts
+++ b/standins/backend/backend-stand-in.ts
@@ -16,7 +16,7 @@
 } from './backend-settings.js';
 import type { RefusalReason } from './backend-call.js';
 import { ConnectionLimit } from './connection-limit.js';
-import type { Execution } from './execution-ledger.js';
+import type { Execution, LedgerListener } from './execution-ledger.js';
 import { RequestServer } from './request-server.js';
 
 /** How often a planned stop looks whether the last request has ended, in milliseconds. */
@@ -32,6 +32,8 @@
   readonly settings: BackendChange;
   /** Uniform in [0, 1); for work times. */
   readonly random: () => number;
+  /** Told of each change of the ledger before the work or the answer that follows from it. */
+  readonly ledgerListener?: LedgerListener;
 }
 
 const DEFAULT_OPTIONS: BackendOptions = {
@@ -75,8 +77,8 @@
 
   private constructor(private readonly options: BackendOptions) {
     const settings = changedSettings(DEFAULT_BACKEND_SETTINGS, options.settings);
-    const { name, random } = options;
-    this.requests = new RequestServer(name, settings, this.connectionLimit, random);
+    const { name, random, ledgerListener } = options;
+    this.requests = new RequestServer(name, settings, this.connectionLimit, random, ledgerListener);
     this.http.keepAliveTimeout = 0;
   }
 
--- a/standins/backend/execution-ledger.ts
+++ b/standins/backend/execution-ledger.ts
@@ -18,14 +18,20 @@
   readonly outcome: ExecutionOutcome;
 }
 
+/** Told of each change before anything follows from it; `index` names the execution. */
+export type LedgerListener = (index: number, execution: Execution) => void;
+
 /** Append-only list of executions. */
 export class ExecutionLedger {
   private readonly executions: Execution[] = [];
 
+  constructor(private readonly listener: LedgerListener = () => undefined) {}
+
   /** Records a start; the result names the execution to {@link end}. */
   start(names: ExecutionNames, nowMs: number): number {
-    this.executions.push({ ...names, startedAt: nowMs, outcome: 'running' });
-    return this.executions.length - 1;
+    const index = this.executions.length;
+    this.change(index, { ...names, startedAt: nowMs, outcome: 'running' });
+    return index;
   }
 
   /** Records the end of a running execution. */
@@ -34,10 +40,15 @@
     if (execution?.outcome !== 'running') {
       throw new Error(`execution ${index} is not running`);
     }
-    this.executions[index] = { ...execution, endedAt: nowMs, outcome };
+    this.change(index, { ...execution, endedAt: nowMs, outcome });
   }
 
   entries(): readonly Execution[] {
     return this.executions;
   }
+
+  private change(index: number, execution: Execution): void {
+    this.executions[index] = execution;
+    this.listener(index, execution);
+  }
 }
--- a/standins/backend/main.ts
+++ b/standins/backend/main.ts
@@ -1,7 +1,11 @@
 /** The back end stand-in as a program. */
 import meow from 'meow';
+import { writeSync } from 'node:fs';
 import { runProgram } from '../shared/run-program.js';
 import { BackendStandIn } from './backend-stand-in.js';
+import type { Execution } from './execution-ledger.js';
+
+const STANDARD_OUTPUT = 1;
 
 const HELP = `
   Usage
@@ -15,6 +19,7 @@
     --slots            Requests that run at once (default 20)
     --max-connections  Connections at once (default 130)
     --work-ms          Work time of a request that names none (default 2)
+    --print-ledger     Print each change of the ledger, before what follows from it, as a JSON line
     --drain-ms         Time for which SIGTERM refuses new requests at least (default 2000)
 
   Prints one JSON line with its ports once it listens. SIGTERM drains, then stops.
@@ -31,16 +36,24 @@
     slots: { type: 'number', default: 20 },
     maxConnections: { type: 'number', default: 130 },
     workMs: { type: 'number', default: 2 },
+    printLedger: { type: 'boolean', default: false },
     drainMs: { type: 'number', default: 2_000 },
   },
 });
 
-const { slots, maxConnections, workMs, drainMs, ...listening } = cli.flags;
+const { slots, maxConnections, workMs, drainMs, printLedger, ...listening } = cli.flags;
+
+/** Written at once: it outlives a killed process. */
+function printChange(index: number, execution: Execution): void {
+  writeSync(STANDARD_OUTPUT, `${JSON.stringify({ index, execution })}\n`);
+}
+
 const backend = await BackendStandIn.start({
   name: listening.name,
   host: listening.host,
   port: listening.port,
   controlPort: listening.controlPort,
+  ...(printLedger && { ledgerListener: printChange }),
   settings: { slots, maxConnections, work: { distribution: 'fixed', workMs } },
 });
 runProgram({ ports: backend.ports, stop: () => backend.drainAndStop(drainMs) });
--- a/standins/backend/request-server.ts
+++ b/standins/backend/request-server.ts
@@ -7,7 +7,7 @@
 import { CancellationRegistry } from './cancellation-registry.js';
 import type { ConnectionLimit } from './connection-limit.js';
 import { RunningExecution, type ExecutionEnd } from './execution.js';
-import { ExecutionLedger } from './execution-ledger.js';
+import { ExecutionLedger, type LedgerListener } from './execution-ledger.js';
 import { LoadGauge } from './load-gauge.js';
 import { LoadShedder } from './load-shedder.js';
 
@@ -23,7 +23,7 @@
 
 /** Answers every request of the serving port. */
 export class RequestServer {
-  readonly ledger = new ExecutionLedger();
+  readonly ledger: ExecutionLedger;
   readonly load = new LoadGauge();
   /** Faults due, one for each of the next admitted requests. */
   readonly faults: DueFault[] = [];
@@ -39,7 +39,9 @@
     private current: BackendSettings,
     private readonly connectionLimit: ConnectionLimit,
     private readonly random: () => number,
+    listener?: LedgerListener,
   ) {
+    this.ledger = new ExecutionLedger(listener);
     this.load.move(0, current.slots, performance.now());
   }
 
--- a/test/standins/programs.test.ts
+++ b/test/standins/programs.test.ts
@@ -1,4 +1,6 @@
 import { expect } from 'chai';
+import { LedgerJournal } from '../../tools/demo/ledger-journal.js';
+import { CallClient } from '../../tools/shared/call-client.js';
 import { ChildFailedError, ChildGroup, parseJsonLine } from '../../tools/shared/child-process.js';
 import { getJson } from '../../tools/shared/json-client.js';
 
@@ -33,6 +35,24 @@
     });
   }
 
+  it('back end: prints an execution before it answers, so that a kill does not lose it', async () => {
+    const { file, args } = PROGRAMS['back end'];
+    const child = children.start('back end', file, [...args, '--print-ledger']);
+    const journal = new LedgerJournal(child);
+    const { port } = await child.waitForLine(parseJsonLine);
+    const client = new CallClient(1);
+    const call = { callId: 'a', method: 'GET', path: '/', bodyBytes: 0, answerBytes: 100 } as const;
+    const times = { workMs: 1, deadlineMs: 10_000, giveUpMs: 15_000 };
+    const target = { host: '127.0.0.1', port: Number(port) };
+    const { end } = await client.send(target, { ...call, ...times });
+    child.signal('SIGKILL');
+    await journal.settle();
+    client.close();
+    expect(end).to.include({ type: 'answered', status: 200 });
+    const outcomes = journal.executions().map(({ callId, outcome }) => [callId, outcome]);
+    expect(outcomes).to.deep.equal([['a', 'finished']]);
+  });
+
   it('are killed, each by its id, when their group ends', async () => {
     const group = new ChildGroup();
     const child = group.start('platform', PROGRAMS.platform.file, []);
--- a/test/tools/demo-report.test.ts
+++ b/test/tools/demo-report.test.ts
@@ -108,6 +108,18 @@
     log.observe('a', 1, 20);
     expect(log.falls).to.deep.equal([{ node: 'a', from: 2, to: 1 }]);
   });
+
+  it('begins anew with each incarnation, and judges falls within it', () => {
+    const log = new VersionLog();
+    log.observe('a', 2, 10, 1);
+    log.observe('a', 1, 20, 2);
+    expect(log.falls).to.deep.equal([]);
+    expect(log.allReachedAtMs(['a'], 2)).to.equal(undefined);
+    log.observe('a', 2, 30, 1);
+    expect(log.heldBy('a')).to.equal(1);
+    log.observe('a', 0, 40, 2);
+    expect(log.falls).to.deep.equal([{ node: 'a', from: 1, to: 0 }]);
+  });
 });
 
 describe('metrics text', () => {
--- a/tools/demo/fleet-plan.ts
+++ b/tools/demo/fleet-plan.ts
@@ -72,6 +72,15 @@
   };
 }
 
+/** The machine named `id`. Throws when there is none. */
+export function machineOf(plan: FleetPlan, id: string): MachinePlan {
+  const found = plan.machines.find(({ machine }) => machine.id === id);
+  if (found === undefined) {
+    throw new Error(`no machine ${id}`);
+  }
+  return found;
+}
+
 /** The settings of one node; the platform listens on `platformPort`. */
 export function nodeSettings(
   plan: FleetPlan,
--- a/tools/demo/fleet.ts
+++ b/tools/demo/fleet.ts
@@ -3,16 +3,16 @@
 import { mkdtemp, writeFile } from 'node:fs/promises';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
-import { fileURLToPath } from 'node:url';
 import type { NodeStatus } from '../../src/api/node-status.js';
-import type { AnswerFault } from '../../standins/backend/answer-fault.js';
-import type { BackendCounters, LedgerReport } from '../../standins/backend/backend-stand-in.js';
+import type { PlatformSettings, Publication } from '../../standins/platform/control-commands.js';
 import type { PlatformCounters } from '../../standins/platform/platform-stand-in.js';
 import type { CallTarget } from '../shared/call-client.js';
-import { ChildGroup, parseJsonLine, type Child, type ChildExit } from '../shared/child-process.js';
+import { ChildGroup, type Child } from '../shared/child-process.js';
 import { getJson, getText, postJson } from '../shared/json-client.js';
+import { BackendFleet, DEFAULT_FLEET_OPTIONS, type FleetOptions } from './backend-fleet.js';
 import {
   machineList,
+  machineOf,
   nodeSettings,
   NODE_PORTS,
   sourceDocument,
@@ -20,19 +20,12 @@
   type MachinePlan,
 } from './fleet-plan.js';
 import { sumCounters } from './metrics-text.js';
+import { programPath, startStandIn, type StandInProcess } from './stand-in-process.js';
 
-const PLATFORM_PROGRAM = programPath('../../standins/platform/main.js');
-const BACKEND_PROGRAM = programPath('../../standins/backend/main.js');
-const NODE_PROGRAM = programPath('../../src/cli/main.js');
+const PLATFORM_PROGRAM = programPath(import.meta.url, '../../standins/platform/main.js');
+const NODE_PROGRAM = programPath(import.meta.url, '../../src/cli/main.js');
 const NODE_STARTED_MESSAGE = 'node-started';
 
-/** A stand-in that runs. */
-interface StandInProcess {
-  readonly child: Child;
-  readonly serving: CallTarget;
-  readonly control: CallTarget;
-}
-
 /** A node that was started. */
 export interface NodeProcess {
   readonly id: string;
@@ -45,15 +38,20 @@
 
 /** A deployment that runs. */
 export class Fleet {
+  /** Each node's newest process. */
   readonly nodes: NodeProcess[] = [];
+  readonly backends: BackendFleet;
   private readonly children = new ChildGroup();
-  private readonly backends = new Map<string, StandInProcess>();
-  private readonly ledgers: LedgerReport[] = [];
   private readonly keptMetrics: string[] = [];
   private platform: StandInProcess | undefined;
   private settingsFolder: string | undefined;
 
-  constructor(readonly plan: FleetPlan) {}
+  constructor(
+    readonly plan: FleetPlan,
+    options: FleetOptions = DEFAULT_FLEET_OPTIONS,
+  ) {
+    this.backends = new BackendFleet(plan, options, this.children);
+  }
 
   /** Starts the platform with its documents, and every back end. */
   async startOutside(): Promise<void> {
@@ -61,10 +59,16 @@
     const bound = ['--reader-bound', String(plan.readerBound)];
     const platformArguments = ['--host', plan.platformAddress, ...bound];
     const [platform] = await Promise.all([
-      this.startStandIn('platform', PLATFORM_PROGRAM, plan.platformAddress, platformArguments),
+      startStandIn(
+        this.children,
+        'platform',
+        PLATFORM_PROGRAM,
+        plan.platformAddress,
+        platformArguments,
+      ),
       ...plan.machines
         .filter((machine) => machine.service !== undefined)
-        .map((machine) => this.startBackend(machine)),
+        .map((machine) => this.backends.start(machine)),
     ]);
     this.platform = platform;
     await postJson(platform.control, '/machines', machineList(plan, 1));
@@ -78,11 +82,33 @@
     await Promise.all(this.plan.machines.map((machine) => this.startNode(machine, settingsFolder)));
   }
 
+  /** Starts a node that has ended again, on its machine. */
+  async restartNode(id: string): Promise<void> {
+    if (this.settingsFolder === undefined) {
+      throw new Error('the nodes have not been started');
+    }
+    await this.startNode(machineOf(this.plan, id), this.settingsFolder);
+  }
+
   /** Publishes a configuration at the platform. */
   async publish(version: number, extraRoutes: number): Promise<void> {
-    const ports = new Map([...this.backends].map(([id, { serving }]) => [id, serving.port]));
-    const document = sourceDocument(this.plan, version, ports, extraRoutes);
-    await postJson(this.platformControl(), '/configuration', { document });
+    const document = sourceDocument(this.plan, version, this.backends.ports, extraRoutes);
+    await this.publishPublication({ document });
+  }
+
+  /** Publishes anything at the platform. */
+  async publishPublication(publication: Publication): Promise<void> {
+    await postJson(this.platformControl(), '/configuration', publication);
+  }
+
+  /** Makes the platform fail, or ends that. */
+  async changePlatform(settings: PlatformSettings): Promise<void> {
+    await postJson(this.platformControl(), '/settings', settings);
+  }
+
+  /** The platform forgets its versions and counts from 1 again. */
+  async restartPlatformFromZero(): Promise<void> {
+    await postJson(this.platformControl(), '/restart-from-zero', {});
   }
 
   /** Nodes that have not ended. */
@@ -99,46 +125,13 @@
     return found;
   }
 
-  /** Where the back ends that run take requests. */
-  backendTargets(): CallTarget[] {
-    return [...this.backends.values()].map(({ serving }) => serving);
-  }
-
-  backendCounters(id: string): Promise<BackendCounters> {
-    return getJson<BackendCounters>(this.backend(id).control, '/counters');
-  }
-
   platformCounters(): Promise<PlatformCounters> {
     return getJson<PlatformCounters>(this.platformControl(), '/counters');
   }
 
-  /** Makes a back end refuse new work. */
-  async drainBackend(id: string): Promise<void> {
-    await postJson(this.backend(id).control, '/settings', { draining: true });
-  }
-
-  /** Breaks the next answers of a back end, `count` of them with each fault. */
-  async breakAnswers(id: string, faults: readonly AnswerFault[], count: number): Promise<void> {
-    for (const fault of faults) {
-      await postJson(this.backend(id).control, '/faults', { fault, count });
-    }
-  }
-
-  /** Stops a drained back end, after keeping its ledger. */
-  async stopBackend(id: string): Promise<ChildExit> {
-    const backend = this.backend(id);
-    this.ledgers.push(await getJson<LedgerReport>(backend.control, '/ledger'));
-    this.backends.delete(id);
-    backend.child.signal('SIGTERM');
-    return backend.child.exited;
-  }
-
-  /** The ledgers of all back ends, stopped ones too. */
-  async allLedgers(): Promise<LedgerReport[]> {
-    const running = [...this.backends.values()].map(({ control }) =>
-      getJson<LedgerReport>(control, '/ledger'),
-    );
-    return [...this.ledgers, ...(await Promise.all(running))];
+  /** Programs that ended although nobody told them to, with the end of their output. */
+  endedUnasked(): Child[] {
+    return this.children.endedUnasked();
   }
 
   /** The status of a node; undefined while it does not answer. */
@@ -179,55 +172,25 @@
     return getText(node.admin, '/metrics').catch(() => '');
   }
 
-  private async startBackend({ machine }: MachinePlan): Promise<void> {
-    const { slots, maxConnections } = this.plan.deployment;
-    const standIn = await this.startStandIn(machine.id, BACKEND_PROGRAM, machine.address, [
-      ...['--name', machine.id],
-      ...['--host', machine.address],
-      ...['--slots', String(slots)],
-      ...['--max-connections', String(maxConnections)],
-      ...['--drain-ms', '0'],
-    ]);
-    this.backends.set(machine.id, standIn);
-  }
-
-  private async startStandIn(
-    name: string,
-    program: string,
-    host: string,
-    programArguments: readonly string[],
-  ): Promise<StandInProcess> {
-    const child = this.children.start(name, program, programArguments);
-    const ports = await child.waitForLine(parseJsonLine);
-    const serving = { host, port: Number(ports.port) };
-    return { child, serving, control: { host, port: Number(ports.controlPort) } };
-  }
-
   private async startNode(plan: MachinePlan, settingsFolder: string): Promise<void> {
     const { id, address, zone } = plan.machine;
     const platformPort = this.platform?.serving.port ?? 0;
     const file = join(settingsFolder, `${id}.json`);
     await writeFile(file, JSON.stringify(nodeSettings(this.plan, plan, platformPort)));
     const child = this.children.start(id, NODE_PROGRAM, ['node', '--settings', file]);
-    this.nodes.push({
+    const started: NodeProcess = {
       id,
       zone,
       isEdge: plan.service === undefined,
       child,
       caller: { host: address, port: NODE_PORTS.caller },
       admin: { host: address, port: NODE_PORTS.admin },
-    });
+    };
+    const index = this.nodes.findIndex((node) => node.id === id);
+    this.nodes.splice(index < 0 ? this.nodes.length : index, index < 0 ? 0 : 1, started);
     await child.waitForLine((line) => (line.includes(NODE_STARTED_MESSAGE) ? line : undefined));
   }
 
-  private backend(id: string): StandInProcess {
-    const found = this.backends.get(id);
-    if (found === undefined) {
-      throw new Error(`no back end ${id}`);
-    }
-    return found;
-  }
-
   private platformControl(): CallTarget {
     if (this.platform === undefined) {
       throw new Error('the platform has not been started');
@@ -235,7 +198,3 @@
     return this.platform.control;
   }
 }
-
-function programPath(relative: string): string {
-  return fileURLToPath(new URL(relative, import.meta.url));
-}
--- a/tools/demo/scenario.ts
+++ b/tools/demo/scenario.ts
@@ -114,7 +114,7 @@
     this.say('ending traffic, comparing callers with ledgers');
     const { dropped } = await traffic.finish();
     await monitor.stop();
-    const ledgers = await fleet.allLedgers();
+    const ledgers = await fleet.backends.allLedgers();
     const executions = ledgers.flatMap((ledger) => ledger.executions);
     const platform = await fleet.platformCounters();
     const controlBytes = await fleet.sumOfCounters(PEER_BYTES);
@@ -190,13 +190,13 @@
   ): Promise<Pick<ScenarioResult, 'lastWorkAfterDrainMs' | 'backendExit'>> {
     const { fleet } = this;
     this.say(`draining back end ${id}`);
-    await fleet.drainBackend(id);
+    await fleet.backends.drain(id);
     const drainedAt = Date.now();
     await delay(DRAIN_MS);
-    const { lastArrivalAt = drainedAt } = await fleet.backendCounters(id);
+    const { lastArrivalAt = drainedAt } = await fleet.backends.counters(id);
     const lastWorkAfterDrainMs = Math.max(0, lastArrivalAt - drainedAt);
     this.say(`last request at ${id} came ${lastWorkAfterDrainMs} ms after the drain; stopping it`);
-    const backendExit = await withTimeout(fleet.stopBackend(id), EXIT_TIMEOUT_MS);
+    const backendExit = await withTimeout(fleet.backends.stop(id), EXIT_TIMEOUT_MS);
     return { lastWorkAfterDrainMs, backendExit };
   }
 
@@ -221,7 +221,7 @@
 
   private async breakAnswers(id: string): Promise<void> {
     this.say(`breaking ${FAULTS.length * FAULT_COUNT} answers of back end ${id}`);
-    await this.fleet.breakAnswers(id, FAULTS, FAULT_COUNT);
+    await this.fleet.backends.breakAnswers(id, FAULTS, FAULT_COUNT);
     await delay(FAULTS_MS);
   }
 
--- a/tools/demo/version-monitor.ts
+++ b/tools/demo/version-monitor.ts
@@ -1,6 +1,9 @@
-/** Asks every running node again and again which version it holds. */
+/**
+ * Asks every running node again and again which version it holds. One that does not answer delays
+ * nobody else's turn.
+ */
 import { setTimeout as delay } from 'node:timers/promises';
-import type { Fleet } from './fleet.js';
+import type { Fleet, NodeProcess } from './fleet.js';
 import { VersionLog } from './version-log.js';
 
 /** Time between two rounds, in milliseconds: the resolution of convergence times. */
@@ -9,6 +12,7 @@
 /** Polls until it is stopped. */
 export class VersionMonitor {
   readonly log = new VersionLog();
+  private readonly asked = new Map<string, Promise<void>>();
   private isStopped = false;
   private readonly rounds: Promise<void>;
 
@@ -43,15 +47,22 @@
 
   private async run(): Promise<void> {
     while (!this.isStopped) {
-      await Promise.all(
-        this.fleet.runningNodes().map(async (node) => {
-          const status = await this.fleet.status(node);
-          if (status !== undefined) {
-            this.log.observe(node.id, status.held.source.number, performance.now());
-          }
-        }),
-      );
+      for (const node of this.fleet.runningNodes()) {
+        if (!this.asked.has(node.id)) {
+          this.asked.set(node.id, this.ask(node));
+        }
+      }
       await delay(MONITOR_INTERVAL_MS);
     }
+    await Promise.all(this.asked.values());
+  }
+
+  private async ask(node: NodeProcess): Promise<void> {
+    const status = await this.fleet.status(node);
+    if (status !== undefined) {
+      const { number } = status.held.source;
+      this.log.observe(node.id, number, performance.now(), status.node.incarnation);
+    }
+    this.asked.delete(node.id);
   }
 }
--- a/tools/load/added-latency.ts
+++ b/tools/load/added-latency.ts
@@ -110,7 +110,7 @@
   const callers = (isEdge: boolean): CallTarget[] =>
     fleet.nodes.filter((node) => node.isEdge === isEdge).map((node) => node.caller);
   return {
-    straight: fleet.backendTargets(),
+    straight: fleet.backends.targets(),
     'one node': callers(false),
     'two nodes': callers(true),
   };
--- a/tools/load/overload.ts
+++ b/tools/load/overload.ts
@@ -137,7 +137,7 @@
 
 function senderOf(policy: Policy, fleet: Fleet, client: CallClient): Sender {
   const edges = fleet.nodes.filter((node) => node.isEdge).map((node) => node.caller);
-  const backends = fleet.backendTargets();
+  const backends = fleet.backends.targets();
   switch (policy) {
     case 'nodes':
       return inTurn(edges, (target, call) => client.send(target, call));
--- a/tools/shared/child-process.ts
+++ b/tools/shared/child-process.ts
@@ -23,7 +23,10 @@
   readonly exited: Promise<ChildExit>;
   private readonly lines: string[] = [];
   private readonly lineListeners = new Set<(line: string) => void>();
+  /** After the exit, once all of its output has been taken. */
+  readonly closed: Promise<void>;
   private exit: ChildExit | undefined;
+  private isToldToEnd = false;
 
   constructor(
     readonly name: string,
@@ -33,11 +36,20 @@
       this.exit = { code: code as number | null, signal: signal as NodeJS.Signals | null };
       return this.exit;
     });
+    const streams: Promise<unknown>[] = [];
     for (const stream of [process.stdout, process.stderr]) {
       if (stream !== null) {
-        createInterface({ input: stream }).on('line', (line) => this.takeLine(line));
+        const reader = createInterface({ input: stream });
+        reader.on('line', (line) => this.takeLine(line));
+        streams.push(once(reader, 'close'));
       }
     }
+    this.closed = Promise.all([this.exited, ...streams]).then(() => undefined);
+  }
+
+  /** Whether it ended although nobody told it to. */
+  get endedUnasked(): boolean {
+    return !this.isRunning && !this.isToldToEnd;
   }
 
   /** Undefined when it could not be started. */
@@ -57,10 +69,17 @@
   /** Sends a signal by process id; nothing happens when the child has ended. */
   signal(signal: NodeJS.Signals): void {
     if (this.isRunning) {
+      this.isToldToEnd ||= signal === 'SIGTERM' || signal === 'SIGKILL';
       this.process.kill(signal);
     }
   }
 
+  /** Tells `listener` of the last lines of its output and of every line from now on. */
+  onLine(listener: (line: string) => void): void {
+    this.lines.forEach(listener);
+    this.lineListeners.add(listener);
+  }
+
   /** The first line, past or to come, that `pick` makes something of. */
   async waitForLine<Result>(pick: (line: string) => Result | undefined): Promise<Result> {
     for (const line of this.lines) {
@@ -117,6 +136,11 @@
     return child;
   }
 
+  /** Those that ended although nobody told them to. */
+  endedUnasked(): Child[] {
+    return this.children.filter((child) => child.endedUnasked);
+  }
+
   /** Kills every child that still runs, without waiting. */
   killAll(): void {
     for (const child of this.children) {
