--- a/test/replication/replica-fuzz.test.ts
+++ b/test/replication/replica-fuzz.test.ts
@@ -2,7 +2,8 @@
 import fc from 'fast-check';
 import { LOST_MAJORITIES, MUTANTS, REGRESSIONS, type Mutant } from './replica-mutants.js';
 import { REVISION_STEP } from '../../src/replication/formation.js';
-import { arbitraryScript, ScriptRun } from './write-script.js';
+import { ScriptRun } from './script-run.js';
+import { arbitraryScript } from './write-steps.js';
 
 const SEED = 4_001;
 const RUNS = 300;
--- a/test/replication/replica-mutants.ts
+++ b/test/replication/replica-mutants.ts
@@ -1,7 +1,7 @@
 /** Deliberate faults in the logic, each made by altering what replicas see, and what catches it. */
 import type { ReplicationMessage } from '../../src/replication/replication-message.js';
-import type { Sabotage } from './replication-network.js';
-import { PRIMARY, type Script, type Step } from './write-script.js';
+import type { Sabotage } from './sabotage.js';
+import { PRIMARY, type Script, type Step } from './write-steps.js';
 
 const SEED = 4_001;
 
--- a/test/replication/replication-network.ts
+++ b/test/replication/replication-network.ts
@@ -7,71 +7,21 @@
 import type { ControlEffect, ControlEvent } from '../../src/control/control-event.js';
 import type { PeerIdentity } from '../../src/membership/peer-identity.js';
 import { VersionedDocument } from '../../src/model/document.js';
-import { mergeDocuments } from '../../src/model/merge.js';
-import type { Service } from '../../src/model/resource.js';
-import { isNewer } from '../../src/model/version.js';
 import type { OperatorWrite, WriteOutcome } from '../../src/replication/operator-write.js';
-import { Replica } from '../../src/replication/replica.js';
 import type { ReplicationMessage } from '../../src/replication/replication-message.js';
+import { VirtualScheduler } from '../../tools/emulator/virtual-scheduler.js';
+import { CALM, type NetworkFaults } from './network-faults.js';
+import { EmulatedLinks, type IsCut } from './emulated-links.js';
+import {
+  adoptDocument,
+  createProcess,
+  type OnCommitted,
+  type Process,
+} from './replication-process.js';
+import type { Sabotage } from './sabotage.js';
 
 const GOSSIP_INTERVAL_MS = 400;
 const LINK_INTERVAL_MS = 700;
-const LINK_LOSS_NOTICE_MS = 300;
-
-/** How unkind the network is. */
-export interface NetworkFaults {
-  readonly lossPercent: number;
-  readonly duplicatePercent: number;
-  readonly slowPercent: number;
-  readonly maxDelayMs: number;
-  readonly slowDelayMs: number;
-}
-
-export const CALM: NetworkFaults = {
-  lossPercent: 0,
-  duplicatePercent: 0,
-  slowPercent: 0,
-  maxDelayMs: 5,
-  slowDelayMs: 5,
-};
-
-/** A message that its named sender did not send. */
-export interface Forgery {
-  readonly from: PeerIdentity;
-  readonly message: ReplicationMessage;
-}
-
-/** Where a message came from and to whom, for {@link Sabotage.forge}. */
-export interface ForgeContext {
-  readonly from: PeerIdentity;
-  readonly to: Process;
-  readonly network: ReplicationNetwork;
-}
-
-/** Deliberate faults, to show that the checks catch what the logic prevents. */
-export interface Sabotage {
-  /** What the receiver sees instead of a message. */
-  readonly alter?: (message: ReplicationMessage, to: Process) => ReplicationMessage;
-  /** Messages that a receiver gets in addition, as if another process had sent them. */
-  readonly forge?: (message: ReplicationMessage, context: ForgeContext) => readonly Forgery[];
-  /** What a writer is told instead. */
-  readonly tell?: (outcome: WriteOutcome) => WriteOutcome;
-  readonly keepsIncarnation?: boolean;
-  readonly treatsUnlinkedAsGone?: boolean;
-}
-
-/** One run of a node's process on a machine. */
-export interface Process {
-  readonly identity: PeerIdentity;
-  readonly replica: Replica;
-  operator: VersionedDocument;
-  isAlive: boolean;
-  pausedUntilMs: number;
-  wakeAtMs: number;
-  readonly links: Set<string>;
-  /** Events not handled yet, because the process is paused. */
-  readonly backlog: ControlEvent[];
-}
 
 interface Machine {
   readonly id: string;
@@ -81,15 +31,7 @@
   isLeaving: boolean;
 }
 
-interface Timed {
-  readonly atMs: number;
-  readonly order: number;
-  readonly run: () => void;
-}
-
-/** Called whenever a replica says that a revision is accepted. */
-export type OnCommitted = (document: VersionedDocument) => void;
-
+/** How a network is made. */
 export interface NetworkOptions {
   readonly machineIds: readonly string[];
   readonly initialVoterIds: readonly string[];
@@ -101,15 +43,15 @@
 
 /** See the module's comment. */
 export class ReplicationNetwork {
-  nowMs = 0;
   faults: NetworkFaults = CALM;
   readonly machines = new Map<string, Machine>();
   readonly source = VersionedDocument.empty();
   private readonly random: ReturnType<typeof xoroshiro128plus>;
-  private queue: Timed[] = [];
-  private order = 0;
+  private readonly scheduler = new VirtualScheduler();
   private incarnations = 0;
-  private isCut: (left: string, right: string) => boolean = () => false;
+  private readonly links = new EmulatedLinks(this, this.scheduler, (process, event) => {
+    this.offer(process, event);
+  });
 
   constructor(readonly options: NetworkOptions) {
     this.random = xoroshiro128plus(options.seed);
@@ -120,10 +62,14 @@
       this.gossip();
     });
     this.every(LINK_INTERVAL_MS, () => {
-      this.openLinks();
+      this.links.openAll();
     });
   }
 
+  get nowMs(): number {
+    return this.scheduler.nowMs;
+  }
+
   /** Adds a machine and starts its process. */
   addMachine(id: string): void {
     const zone = `zone-${this.machines.size % 3}`;
@@ -146,39 +92,16 @@
       zone: machine.zone,
       region: 'region',
     };
-    const process: Process = {
-      identity,
-      operator: VersionedDocument.empty(),
-      isAlive: true,
-      pausedUntilMs: 0,
-      wakeAtMs: Infinity,
-      links: new Set(),
-      backlog: [],
-      replica: new Replica({
-        self: identity,
-        initialVoterIds: this.options.initialVoterIds,
-        targetVoterCount: this.options.targetVoterCount,
-        writeTimeoutMs: 10_000,
-        counters: { add: () => undefined },
-        fleet: {
-          liveMembers: () => this.liveMembers(),
-          addressOf: (other) => this.machines.get(other)?.process?.identity,
-          isGone: (other) => this.isGoneFor(process, other),
-          isLeaving: (other) => this.machines.get(other)?.isLeaving === true,
-        },
-        documents: {
-          sourceDocument: () => this.source,
-          operatorDocument: () => process.operator,
-          merge: mergeDocuments,
-          versionOf: (resource) => String((resource as Service).spec.requestTimeoutMs),
-          offerOperator: (document) => {
-            this.options.onCommitted(document);
-            this.adopt(process, document);
-            return [];
-          },
-        },
-      }),
-    };
+    const process = createProcess(identity, {
+      initialVoterIds: this.options.initialVoterIds,
+      targetVoterCount: this.options.targetVoterCount,
+      source: this.source,
+      liveMembers: () => this.liveMembers(),
+      addressOf: (other) => this.machines.get(other)?.process?.identity,
+      isGone: (other) => this.isGoneFor(process, other),
+      isLeaving: (other) => this.machines.get(other)?.isLeaving === true,
+      onCommitted: this.options.onCommitted,
+    });
     machine.process = process;
     this.offer(process, { type: 'start' });
   }
@@ -192,7 +115,7 @@
     process.isAlive = false;
     this.machine(id).process = undefined;
     for (const other of process.links) {
-      this.closeLink(process, other);
+      this.links.close(process, other);
     }
   }
 
@@ -210,15 +133,8 @@
   }
 
   /** Cuts every pair for which `isCut`; true both ways or one way. */
-  cut(isCut: (from: string, to: string) => boolean): void {
-    this.isCut = isCut;
-    for (const process of this.processes()) {
-      for (const other of process.links) {
-        if (isCut(process.identity.id, other) || isCut(other, process.identity.id)) {
-          this.closeLink(process, other);
-        }
-      }
-    }
+  cut(isCut: IsCut): void {
+    this.links.cut(isCut);
   }
 
   write(id: string, write: OperatorWrite, onOutcome: (outcome: WriteOutcome) => void): void {
@@ -236,12 +152,7 @@
 
   /** Lets virtual time pass. */
   advance(durationMs: number): void {
-    const endMs = this.nowMs + durationMs;
-    for (let next = this.takeNext(endMs); next !== undefined; next = this.takeNext(endMs)) {
-      this.nowMs = next.atMs;
-      next.run();
-    }
-    this.nowMs = endMs;
+    this.scheduler.runUntil(this.nowMs + durationMs);
   }
 
   processes(): Process[] {
@@ -342,7 +253,7 @@
     const slow = this.pick(100) < this.faults.slowPercent;
     const delayMs = 1 + this.pick(slow ? this.faults.slowDelayMs : this.faults.maxDelayMs);
     this.at(this.nowMs + delayMs, () => {
-      if (!this.isCut(from.id, receiver.identity.id)) {
+      if (!this.links.isCut(from.id, receiver.identity.id)) {
         this.receive(from, receiver, message);
       }
     });
@@ -362,67 +273,23 @@
     const target = [...this.machines.values()][controlPort - 1];
     if (target !== undefined) {
       this.at(this.nowMs + 2, () => {
-        this.openLink(process, target.process);
+        this.links.open(process, target.process);
       });
     }
   }
 
-  private openLinks(): void {
-    const processes = this.processes();
-    for (const left of processes) {
-      for (const right of processes) {
-        this.openLink(left, right);
-      }
-    }
-  }
-
-  private openLink(left: Process, right: Process | undefined): void {
-    if (right === undefined || left === right || !left.isAlive || !right.isAlive) {
-      return;
-    }
-    const [leftId, rightId] = [left.identity.id, right.identity.id];
-    const isCut = this.isCut(leftId, rightId) || this.isCut(rightId, leftId);
-    if (isCut || left.links.has(rightId) || right.links.has(leftId)) {
-      return;
-    }
-    left.links.add(rightId);
-    right.links.add(leftId);
-    this.offer(left, { type: 'peer-up', peer: right.identity });
-    this.offer(right, { type: 'peer-up', peer: left.identity });
-  }
-
-  private closeLink(process: Process, otherId: string): void {
-    const other = this.processOf(otherId);
-    process.links.delete(otherId);
-    other?.links.delete(process.identity.id);
-    this.at(this.nowMs + LINK_LOSS_NOTICE_MS, () => {
-      if (other !== undefined && !other.links.has(process.identity.id)) {
-        this.offer(other, { type: 'peer-down', peer: process.identity });
-      }
-      if (other !== undefined && !process.links.has(otherId)) {
-        this.offer(process, { type: 'peer-down', peer: other.identity });
-      }
-    });
-  }
-
   private gossip(): void {
     for (const process of this.processes()) {
       for (const id of process.links) {
         const other = this.processOf(id);
         const isPaused = Math.max(process.pausedUntilMs, other?.pausedUntilMs ?? 0) > this.nowMs;
         if (other !== undefined && !isPaused) {
-          this.adopt(other, process.operator);
+          adoptDocument(other, process.operator);
         }
       }
     }
   }
 
-  private adopt(process: Process, document: VersionedDocument): void {
-    if (isNewer(document.version, process.operator.version)) {
-      process.operator = document;
-    }
-  }
-
   private every(intervalMs: number, run: () => void): void {
     const again = (): void => {
       run();
@@ -432,22 +299,6 @@
   }
 
   private at(atMs: number, run: () => void): void {
-    this.order += 1;
-    const timed = { atMs, order: this.order, run };
-    let low = 0;
-    let high = this.queue.length;
-    while (low < high) {
-      const middle = (low + high) >>> 1;
-      if ((this.queue[middle]?.atMs ?? Infinity) <= atMs) {
-        low = middle + 1;
-      } else {
-        high = middle;
-      }
-    }
-    this.queue.splice(low, 0, timed);
-  }
-
-  private takeNext(endMs: number): Timed | undefined {
-    return (this.queue[0]?.atMs ?? Infinity) <= endMs ? this.queue.shift() : undefined;
+    this.scheduler.schedule(atMs, { run });
   }
 }
