--- a/src/control/control-event.ts
+++ b/src/control/control-event.ts
@@ -2,6 +2,7 @@
  * Events into and effects out of the control plane's decision logic. The logic does no I/O and reads
  * no clock: the runtime, the emulator and the fuzzer all drive it through these types.
  */
+import type { ClaimCommand } from '../claims/claim-command.js';
 import type { ConfigurationFault } from '../model/configuration-error.js';
 import type { Snapshot } from '../model/snapshot.js';
 import type { PeerAddress, PeerIdentity } from '../membership/peer-identity.js';
@@ -52,6 +53,8 @@
       readonly write: OperatorWrite;
       readonly onOutcome: (outcome: WriteOutcome) => void;
     }
+  /** The request path claims an idempotency key, or tells how a claimed request ended. */
+  | { readonly type: 'claim'; readonly command: ClaimCommand }
   /** A planned stop: tell the fleet, give leases back. */
   | { readonly type: 'stop' };
 
--- a/src/control/control-options.ts
+++ b/src/control/control-options.ts
@@ -6,7 +6,12 @@
 import type { ConfigurationFault } from '../model/configuration-error.js';
 import type { HeldVersions } from '../wire/message.js';
 import type { ControlComponent, CounterSink, RandomSource } from './control-event.js';
-import type { FleetView, OperatorDocumentSink, PlatformDocumentSink } from './control-ports.js';
+import type {
+  FleetView,
+  OldestMachinesView,
+  OperatorDocumentSink,
+  PlatformDocumentSink,
+} from './control-ports.js';
 
 /** Numbers of a control plane where no others are given; times in milliseconds. */
 export const CONTROL_DEFAULTS = {
@@ -21,7 +26,10 @@
 export type DocumentSink = PlatformDocumentSink & OperatorDocumentSink;
 
 /** Makes a component that runs beside dissemination and membership; called once. */
-export type ComponentFactory = (documents: DocumentSink, fleet: FleetView) => ControlComponent;
+export type ComponentFactory = (
+  documents: DocumentSink,
+  fleet: FleetView & OldestMachinesView,
+) => ControlComponent;
 
 /** How a control plane is made; numbers default to {@link CONTROL_DEFAULTS}. */
 export interface ControlPlaneOptions {
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -26,14 +26,16 @@
   type ControlStatus,
   type DocumentSink,
 } from './control-options.js';
-import type { FleetView } from './control-ports.js';
+import type { FleetView, OldestMachinesView } from './control-ports.js';
 import { isForComponents, isOverlayTraffic } from './message-audience.js';
 
 /** A wake that comes this much late means that the process was paused, in milliseconds. */
 export const LATE_WAKE_MS = 2_000;
 
 /** One node's control plane. */
-export class ControlPlane implements ControlComponent, FleetView, NeighbourListener {
+export class ControlPlane
+  implements ControlComponent, FleetView, OldestMachinesView, NeighbourListener
+{
   readonly identity: PeerIdentity;
   readonly documents: DocumentSink;
   private readonly store: DocumentStore;
@@ -134,6 +136,10 @@
     return this.store.memo.merge(source, operator);
   }
 
+  oldestMachines(): readonly Machine[] {
+    return this.store.machines().oldest;
+  }
+
   /** The summary for the status page and the resource API. */
   status(): ControlStatus {
     return {
@@ -197,6 +203,7 @@
         break;
       case 'platform-answer':
       case 'operator-write':
+      case 'claim':
         break;
     }
   }
--- a/src/control/control-ports.ts
+++ b/src/control/control-ports.ts
@@ -49,3 +49,13 @@
   /** The operators' document in force on this node. */
   operatorDocument(): VersionedDocument;
 }
+
+/** The machines that hold claims on idempotency keys. */
+export interface OldestMachinesView {
+  readonly identity: PeerIdentity;
+  /** The oldest machines of the held list (lowest seniority), `OLDEST_MACHINES` at most. */
+  oldestMachines(): readonly Machine[];
+}
+
+/** Machines that {@link OldestMachinesView} names at most. */
+export const OLDEST_MACHINES = 5;
--- a/src/membership/machine-index.ts
+++ b/src/membership/machine-index.ts
@@ -1,4 +1,5 @@
 /** The machines document, parsed and indexed by place. Immutable; shared by all who hold it. */
+import { OLDEST_MACHINES } from '../control/control-ports.js';
 import { canonicalJson } from '../model/canonical-json.js';
 import {
   InvalidConfigurationError,
@@ -23,13 +24,17 @@
   static readonly EMPTY = new MachineIndex([]);
 
   readonly byId: ReadonlyMap<string, Machine>;
+  /** The oldest machines, lowest seniority number first. */
+  readonly oldest: readonly Machine[];
   private readonly zones = new Map<string, Machine[]>();
   private readonly zoneNamesByRegion = new Map<string, string[]>();
   private readonly regions = new Map<string, Machine[]>();
 
   constructor(machines: readonly Machine[]) {
     this.byId = new Map(machines.map((machine) => [machine.id, machine]));
-    for (const machine of [...machines].sort(bySeniority)) {
+    const sorted = [...machines].sort(bySeniority);
+    this.oldest = sorted.slice(0, OLDEST_MACHINES);
+    for (const machine of sorted) {
       if (!this.zones.has(machine.zone)) {
         append(this.zoneNamesByRegion, machine.region, machine.zone);
       }
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -89,6 +89,7 @@
       case 'wake':
       case 'dial-failed':
       case 'platform-answer':
+      case 'claim':
       case 'stop':
         break;
     }
--- a/src/source/electorate.ts
+++ b/src/source/electorate.ts
@@ -9,7 +9,8 @@
  * The recovery slot: the seeds, which stand in the settings of every node.
  */
 import type { ElectorateView } from '../control/control-ports.js';
-import type { PeerAddress, PeerIdentity } from '../membership/peer-identity.js';
+import { addressKey, isTarget, type LinkTarget } from '../control/target-links.js';
+import type { PeerAddress } from '../membership/peer-identity.js';
 import type { Machine } from '../model/machine.js';
 import { MAX_ELECTORS, RECOVERY_SLOT, zoneSlots, type ReaderShares } from './lease-terms.js';
 
@@ -22,11 +23,9 @@
 const UNKNOWN_RANK = 32;
 
 /** One elector, and where it listens. */
-export interface ElectorTarget extends PeerAddress {
+export interface ElectorTarget extends LinkTarget {
   /** Names the elector in a round: the machine's identity, or the seed's address and port. */
   readonly key: string;
-  /** Identity of the machine; undefined for a seed. */
-  readonly id: string | undefined;
 }
 
 /** What the electorate is made from. */
@@ -130,19 +129,6 @@
   }
 }
 
-/** Whether `peer` is the elector: by machine identity, or by address for a seed. */
-export function isTarget(target: ElectorTarget, peer: PeerIdentity): boolean {
-  if (target.id !== undefined) {
-    return target.id === peer.id;
-  }
-  return target.address === peer.address && target.controlPort === peer.controlPort;
-}
-
-/** Text that names an address and port. */
-export function addressKey(address: PeerAddress): string {
-  return `${address.address}:${address.controlPort}`;
-}
-
 function seedTarget(seed: PeerAddress): ElectorTarget {
   const { address, controlPort } = seed;
   return { key: addressKey(seed), id: undefined, address, controlPort };
--- a/src/source/lease-candidate.ts
+++ b/src/source/lease-candidate.ts
@@ -4,9 +4,13 @@
  */
 import type { RandomSource } from '../control/control-event.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
-import type { LeaseAnswerMessage } from '../wire/message.js';
-import type { ElectorMessage } from './elector-links.js';
-import { isTarget, type ElectorTarget } from './electorate.js';
+import { isTarget } from '../control/target-links.js';
+import type {
+  LeaseAnswerMessage,
+  LeaseReleaseMessage,
+  LeaseRequestMessage,
+} from '../wire/message.js';
+import type { ElectorTarget } from './electorate.js';
 import { ROUND_TIMEOUT_MS, type LeaseTerms } from './lease-terms.js';
 import { ReaderLease, type RoundState } from './reader-lease.js';
 
@@ -28,7 +32,7 @@
 /** A message for an elector, which may be this node itself. */
 export interface ElectorCommand {
   readonly target: ElectorTarget;
-  readonly message: ElectorMessage;
+  readonly message: LeaseRequestMessage | LeaseReleaseMessage;
 }
 
 /** One candidate, later holder. Its user sends the commands that it returns. */
--- a/src/source/lease-exchange.ts
+++ b/src/source/lease-exchange.ts
@@ -1,9 +1,9 @@
 /** Carries requests, answers and releases between candidates, electors and this node's own elector. */
 import type { ControlEffect, CounterSink } from '../control/control-event.js';
+import { TargetLinks } from '../control/target-links.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { LeaseAnswerMessage, LeaseRequestMessage } from '../wire/message.js';
 import type { Elector } from './elector.js';
-import { ElectorLinks } from './elector-links.js';
 import type { Electorate } from './electorate.js';
 import type { ElectorCommand, LeaseCandidate } from './lease-candidate.js';
 import { ROUND_TIMEOUT_MS } from './lease-terms.js';
@@ -11,7 +11,7 @@
 
 /** Sends what candidates say, and answers what other nodes ask. */
 export class LeaseExchange {
-  readonly links = new ElectorLinks();
+  readonly links = new TargetLinks();
   private isStopped = false;
 
   constructor(
@@ -47,7 +47,9 @@
     for (const { target, message } of queue) {
       if (!this.electorate.isSelf(target)) {
         this.counters.add(SOURCE_COUNTERS.leaseMessages);
-        effects.push(...this.links.send(target, message, nowMs + ROUND_TIMEOUT_MS));
+        const wait = { key: message.slot, untilMs: nowMs + ROUND_TIMEOUT_MS };
+        const isRequest = message.type === 'lease-request';
+        effects.push(...this.links.send(target, message, isRequest ? wait : undefined));
       } else if (message.type === 'lease-release') {
         this.elector.release(this.identity, message, nowMs);
       } else {
--- a/src/source/source-reader.ts
+++ b/src/source/source-reader.ts
@@ -121,6 +121,7 @@
         break;
       case 'wake':
       case 'operator-write':
+      case 'claim':
         break;
     }
   }
--- a/src/wire/message-layouts.ts
+++ b/src/wire/message-layouts.ts
@@ -17,6 +17,9 @@
 } from './field-types.js';
 import { MAX_FRAME_BYTES } from './frame-reader.js';
 import {
+  CLAIM_MEMORIES,
+  CLAIM_STEPS,
+  type ClaimRecord,
   DOCUMENT_NAMES,
   type HeldVersions,
   type MemberStatus,
@@ -29,6 +32,8 @@
 const DOCUMENT_DIGEST_BYTES = 16;
 /** Bytes of the digest of all held versions, in a heartbeat. */
 const VERSIONS_DIGEST_BYTES = 8;
+/** Bytes of the digest of a claim. */
+const CLAIM_DIGEST_BYTES = 16;
 /** Positions on the wire; append only. */
 const MEMBER_STATUSES: readonly MemberStatus[] = ['alive', 'suspect', 'dead', 'leaving'];
 
@@ -55,6 +60,13 @@
   machines: documentVersion,
 });
 
+const claimRecord = new PlainStruct<ClaimRecord>({
+  claim: hexDigest(CLAIM_DIGEST_BYTES),
+  attempt: shortText,
+  isFinished: oneOf([false, true]),
+  remainingMs: durationMs,
+});
+
 const documentEntry = new PlainStruct<DocumentEntry>({
   key: longText,
   json: longText,
@@ -110,9 +122,22 @@
   'lease-release': new PlainStruct({ slot: shortText, round: varint }),
   rejection: new PlainStruct({ version: documentVersion, reason: longText }),
   replication: new PlainStruct({ body: replicationBody }),
+  claim: new PlainStruct({
+    step: oneOf(CLAIM_STEPS),
+    claim: hexDigest(CLAIM_DIGEST_BYTES),
+    attempt: shortText,
+  }),
+  'claim-sync-request': new PlainStruct({ round: varint }),
+  'claim-sync': new PlainStruct({
+    round: varint,
+    memory: oneOf(CLAIM_MEMORIES),
+    index: varint,
+    count: varint,
+    records: list(claimRecord),
+  }),
 };
 
-/** Type numbers on the wire, from 0 to 11; a number is never given to another type. */
+/** Type numbers on the wire, from 0 to 15; a number is never given to another type. */
 export const MESSAGE_TYPE_NUMBERS: Readonly<Record<PeerMessageType, number>> = {
   heartbeat: 0,
   versions: 1,
@@ -126,6 +151,9 @@
   'lease-release': 9,
   rejection: 10,
   replication: 11,
+  claim: 12,
+  'claim-sync-request': 13,
+  'claim-sync': 14,
 };
 
 /** Every type of message. */
--- a/src/wire/message.ts
+++ b/src/wire/message.ts
@@ -124,6 +124,71 @@
   readonly body: ReplicationMessage;
 }
 
+/** Steps of a claim on an idempotency key; positions on the wire, append only. */
+export const CLAIM_STEPS = [
+  'request',
+  'granted',
+  'claimed',
+  'finished',
+  'unready',
+  'finish',
+  'release',
+] as const;
+/**
+ * - `request`: asks a holder to record the attempt as the first of its key.
+ * - `granted`: it is recorded; `claimed`, `finished`: another attempt came first, and what is known
+ *   of it; `unready`: this holder cannot tell, or has no room.
+ * - `finish`: the attempt ran; `release`: it provably did not and will not run.
+ */
+export type ClaimStep = (typeof CLAIM_STEPS)[number];
+
+/** One step of a claim between the node of a request and a holder of claims. */
+export interface ClaimMessage {
+  readonly type: 'claim';
+  readonly step: ClaimStep;
+  /** Digest of service and key, 32 hexadecimal digits. */
+  readonly claim: string;
+  /** Names the attempt; never used twice in the fleet. */
+  readonly attempt: string;
+}
+
+/** What a holder remembers of one key. */
+export interface ClaimRecord {
+  readonly claim: string;
+  /** The attempt that is recorded; empty where holders recorded different ones. */
+  readonly attempt: string;
+  readonly isFinished: boolean;
+  /** How long it is still kept, in milliseconds. */
+  readonly remainingMs: number;
+}
+
+/** State of a holder's memory; positions on the wire, append only. */
+export const CLAIM_MEMORIES = ['recovered', 'fresh', 'new'] as const;
+/**
+ * - `recovered`: it knows every claim that may still count.
+ * - `fresh`: it started when every holder was new, and knows every claim since.
+ * - `new`: it may lack claims, and grants none.
+ */
+export type ClaimMemory = (typeof CLAIM_MEMORIES)[number];
+
+/** Asks a holder for all its claims. */
+export interface ClaimSyncRequestMessage {
+  readonly type: 'claim-sync-request';
+  /** Echoed in the parts of the answer. */
+  readonly round: number;
+}
+
+/** One part of a holder's claims; parts arrive in order on one link. */
+export interface ClaimSyncMessage {
+  readonly type: 'claim-sync';
+  readonly round: number;
+  readonly memory: ClaimMemory;
+  /** Position of this part, from 0, and parts in all. */
+  readonly index: number;
+  readonly count: number;
+  readonly records: readonly ClaimRecord[];
+}
+
 /** Every message of the peer protocol. */
 export type PeerMessage =
   | HeartbeatMessage
@@ -137,4 +202,7 @@
   | LeaseAnswerMessage
   | LeaseReleaseMessage
   | RejectionMessage
-  | ReplicationEnvelope;
+  | ReplicationEnvelope
+  | ClaimMessage
+  | ClaimSyncRequestMessage
+  | ClaimSyncMessage;
--- a/test/emulator/flooding-component.ts
+++ b/test/emulator/flooding-component.ts
@@ -55,6 +55,7 @@
       }
       case 'dial-failed':
       case 'operator-write':
+      case 'claim':
       case 'stop':
         return [];
     }
--- a/test/wire/message-arbitraries.ts
+++ b/test/wire/message-arbitraries.ts
@@ -4,6 +4,9 @@
 import type { DocumentEntry } from '../../src/model/document.js';
 import type { DocumentVersion } from '../../src/model/version.js';
 import {
+  CLAIM_MEMORIES,
+  CLAIM_STEPS,
+  type ClaimRecord,
   DOCUMENT_NAMES,
   type MemberStatus,
   type MemberUpdate,
@@ -46,6 +49,13 @@
     fc.record({ index: fc.constant(index), count: fc.integer({ min: index + 1, max: 2_000 }) }),
   );
 
+const claimRecord: fc.Arbitrary<ClaimRecord> = fc.record({
+  claim: hex(32),
+  attempt: shortText,
+  isFinished: fc.boolean(),
+  remainingMs: integer,
+});
+
 /** Arbitrary bodies by type. */
 export const ARBITRARY_BODIES: {
   readonly [T in PeerMessageType]: fc.Arbitrary<MessageBody<T>>;
@@ -77,6 +87,18 @@
   'lease-release': fc.record({ slot: shortText, round: integer }),
   rejection: fc.record({ version, reason: anyText }),
   replication: fc.record({ body: arbitraryReplicationMessage }),
+  claim: fc.record({ step: fc.constantFrom(...CLAIM_STEPS), claim: hex(32), attempt: shortText }),
+  'claim-sync-request': fc.record({ round: integer }),
+  'claim-sync': fc
+    .tuple(
+      fc.record({
+        round: integer,
+        memory: fc.constantFrom(...CLAIM_MEMORIES),
+        records: fc.array(claimRecord),
+      }),
+      part,
+    )
+    .map(([body, position]) => ({ ...body, ...position })),
 };
 
 /** Arbitrary messages of one type. */
--- a/tools/emulator/baseline-nodes.ts
+++ b/tools/emulator/baseline-nodes.ts
@@ -129,6 +129,7 @@
         return this.receive(event.message);
       case 'dial-failed':
       case 'operator-write':
+      case 'claim':
       case 'stop':
         return [];
     }
