--- a/test/membership/membership.test.ts
+++ b/test/membership/membership.test.ts
@@ -179,6 +179,20 @@
     expect(claims(told)).to.deep.equal([`${PEER.id} ${PEER.id} suspect@1000`]);
   });
 
+  it('a member held dead is dialled now and then, so that it may refute', () => {
+    const bench = new Bench({ neighbours: 0 });
+    const values = machineValues([PEER, OTHER].map((peer) => machineOf(peer)));
+    bench.plane.documents.offer('machines', { outcome: 'document', number: 1, values }, 0);
+    bench.join(OTHER);
+    bench.claim(OTHER, PEER, 'suspect');
+    const effects: ControlEffect[] = [];
+    for (let beat = 0; beat < 20; beat += 1) {
+      effects.push(...bench.run(2_000), ...bench.receive(OTHER, HEARTBEAT));
+    }
+    expect(bench.plane.memberStatus(PEER.id)).to.equal('dead');
+    expect(brief(effects)).to.include(`dial ${PEER.address}`);
+  });
+
   it('a new neighbour is told who is leaving', () => {
     const bench = new Bench();
     bench.join(OTHER);
