Show endpoints in the status as a node's requests find them

Cause: the status promised endpoint states and always listed none; its test failed before (state undefined). Change: the selector, the gates and the member directory say what they know; the status composes it. Conclusion: an operator sees why an endpoint gets no work.

--- a/src/api/node-status.ts
+++ b/src/api/node-status.ts
@@ -1,5 +1,6 @@
 /** What `GET /v1/status` shows: who this node is, what it holds and what it knows of the fleet. */
 import type { PeerIdentity } from '../membership/peer-identity.js';
+import type { EndpointStateReport } from '../proxy/endpoint-states.js';
 import type { ConfigurationFault } from '../model/configuration-error.js';
 import type { DocumentVersion } from '../model/version.js';
 import type { HeldVersions, MemberStatus } from '../wire/message.js';
@@ -30,18 +31,6 @@
   readonly held?: HeldVersions;
 }
 
-/** One endpoint as this node sees it. */
-export interface EndpointReport {
-  readonly name: string;
-  readonly service: string;
-  /** Whether it may receive new work, or why not, for example `ready`, `draining`, `unhealthy`. */
-  readonly state: string;
-  /** Requests of this node that run on it. */
-  readonly inFlight: number;
-  /** Requests of this node that wait for it. */
-  readonly queued: number;
-}
-
 /** Convergence, as far as one node can tell. */
 export interface ConvergenceReport {
   /** Direct neighbours whose versions are known. */
@@ -61,7 +50,8 @@
   /** Operator entries that are accepted but can not be in force now, with the reason. */
   readonly suspended: readonly ConfigurationFault[];
   readonly members: readonly MemberReport[];
-  readonly endpoints: readonly EndpointReport[];
+  /** Endpoints of the configuration in force, as this node sees them. */
+  readonly endpoints: readonly EndpointStateReport[];
   readonly convergence: ConvergenceReport;
 }
 
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -41,6 +41,11 @@
     return this.calls.size === 0;
   }
 
+  /** Requests that wait for a slot. */
+  get waitingCount(): number {
+    return this.admission.waitingCount;
+  }
+
   load(): LoadReport {
     const inFlight = this.admission.runningCount + this.admission.waitingCount;
     return { inFlight, slots: this.slots, draining: this.admission.isDraining };
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -35,6 +35,11 @@
     return [...this.gates.values()].reduce((sum, gate) => sum + gate.load().inFlight, 0);
   }
 
+  /** Requests that wait at this node for a slot of the endpoint. */
+  waitingFor(endpoint: Endpoint): number {
+    return this.gates.get(endpointKey(endpoint))?.waitingCount ?? 0;
+  }
+
   /** Compares every gate with the configuration, and asks draining endpoints whether they still are. */
   upkeep(): void {
     const snapshot = this.options.snapshot();
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -8,6 +8,7 @@
 import { HeldBytes, receiveBody } from './body-receiver.js';
 import { createCallerServer, type CallerRequest, type CallerResponse } from './caller-server.js';
 import { EndpointClient } from './endpoint-client.js';
+import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
 import { EndpointGateway, startUpkeep } from './endpoint-gateway.js';
 import { PAUSE_CHECK_INTERVAL_MS, PauseDetector } from './pause-detector.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
@@ -47,6 +48,8 @@
 export interface RequestProxy {
   readonly callerServer: http.Server;
   readonly relayServer: http.Server;
+  /** Every endpoint of the configuration in force, as this node sees it. */
+  endpointStates(): EndpointStateReport[];
   /** Planned stop: answers close their connections, requests in flight finish. */
   stop(): Promise<void>;
   /** Stop at once: connections are cut. */
@@ -108,6 +111,21 @@
     this.relayServer = this.makeRelayServer();
   }
 
+  endpointStates(): EndpointStateReport[] {
+    const snapshot = this.options.snapshots.current();
+    if (snapshot === undefined) {
+      return [];
+    }
+    const { members } = this.options;
+    return reportEndpointStates(snapshot, {
+      sightOf: (endpoint) => this.services.selector.sightOf(endpoint, MACHINE_TIME.now()),
+      isLeaving: ({ spec }) =>
+        spec.machine !== undefined && members.status(spec.machine) === 'leaving',
+      isReachable: (endpoint) => this.services.pathTo(endpoint) !== undefined,
+      waitingFor: (endpoint) => this.gateway.waitingFor(endpoint),
+    });
+  }
+
   async stop(): Promise<void> {
     this.isStopping = true;
     this.options.logStateChange('request-path', 'stopping');
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -54,6 +54,11 @@
     this.startedAtMs = isCold ? nowMs : -Infinity;
   }
 
+  /** Requests of this node that are under way at the endpoint. */
+  get requestsInFlight(): number {
+    return this.inFlight;
+  }
+
   /** Whether nothing would be lost with the record. */
   get isIdle(): boolean {
     return this.inFlight === 0 && this.ejectedUntilMs === undefined;
--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -27,6 +27,14 @@
   readonly mayReceive: (endpoint: Endpoint) => boolean;
 }
 
+/** One endpoint as this node's requests have found it. */
+export interface EndpointSight {
+  /** Requests of this node that are under way there. */
+  readonly inFlight: number;
+  readonly isEjected: boolean;
+  readonly isDraining: boolean;
+}
+
 /** What this node has seen of endpoints, and the choice among them. */
 export class EndpointSelector {
   private readonly records = new Map<string, EndpointRecord>();
@@ -83,6 +91,18 @@
     return this.records.get(recordKey(endpoint))?.isEjected === true;
   }
 
+  /** What this node has seen of the endpoint; undefined when it has not considered it yet. */
+  sightOf(endpoint: Endpoint, nowMs: number): EndpointSight | undefined {
+    const record = this.records.get(recordKey(endpoint));
+    return (
+      record && {
+        inFlight: record.requestsInFlight,
+        isEjected: record.isEjected,
+        isDraining: record.isDraining(nowMs),
+      }
+    );
+  }
+
   /** Endpoints of a service that was not in use yet are taken as warm, later ones as cold. */
   private meet(endpoints: readonly Endpoint[], nowMs: number): void {
     const unmet = endpoints.filter((endpoint) => !this.recordsOfObjects.has(endpoint));
--- a/src/runtime/node-status.ts
+++ b/src/runtime/node-status.ts
@@ -1,6 +1,7 @@
 /** Composes the status page of a node from what its parts know. */
 import type { ControlPlane } from '../control/control-plane.js';
-import type { EndpointReport, MemberReport, NodeStatus } from '../api/node-status.js';
+import type { EndpointStateReport } from '../proxy/endpoint-states.js';
+import type { MemberReport, NodeStatus } from '../api/node-status.js';
 import { compareVersions } from '../model/version.js';
 import { DOCUMENT_NAMES, type HeldVersions, type MemberUpdate } from '../wire/message.js';
 
@@ -12,7 +13,7 @@
   readonly startedAtMs: number;
   /** Whether this node holds a reader lease. */
   readonly isReader: () => boolean;
-  readonly endpoints: () => readonly EndpointReport[];
+  readonly endpoints: () => readonly EndpointStateReport[];
 }
 
 /** The status of now. */
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -223,7 +223,7 @@
           now: this.now,
           startedAtMs: this.startedAtMs,
           isReader: () => (this.reader?.heldSlots(this.now()) ?? []).length > 0,
-          endpoints: () => [],
+          endpoints: () => this.proxy?.endpointStates() ?? [],
         }),
       writePort: new ReplicatedWritePort((event) => control.offer(event)),
       metrics: this.metrics,
--- a/test/runtime/node.test.ts
+++ b/test/runtime/node.test.ts
@@ -1,6 +1,13 @@
 import { expect } from 'chai';
 import { VERDICT_HEADER } from '../../src/model/verdict.js';
-import { call, eventually, LocalFleet, sourceVersion, statuses } from '../support/local-fleet.js';
+import {
+  call,
+  eventually,
+  LocalFleet,
+  sourceVersion,
+  statuses,
+  statusOf,
+} from '../support/local-fleet.js';
 
 describe('runtime/node: the whole path', function () {
   this.timeout(20_000);
@@ -74,6 +81,17 @@
     );
   });
 
+  it('shows endpoints as its requests find them', async () => {
+    const stateOf = async (name: string): Promise<string | undefined> => {
+      const { endpoints } = await statusOf(fleet.machine('edge-a'));
+      return endpoints.find((endpoint) => endpoint.name === name)?.state;
+    };
+    expect(await stateOf('tiles-a-0')).to.equal('ready');
+    await fleet.machine('tiles-a-0').node.stop();
+    await eventually(async () => (await stateOf('tiles-a-0')) === 'draining');
+    expect(await stateOf('tiles-b-0')).to.equal('ready');
+  });
+
   it('finishes a request in flight through a planned stop of its node', async () => {
     const machine = fleet.machine('edge-a');
     const answer = call(machine, '/tiles/slow', { headers: { 'x-work-ms': '300' } });
