--- a/tools/demo/scenario.ts
+++ b/tools/demo/scenario.ts
@@ -2,11 +2,11 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import type { AnswerFault } from '../../standins/backend/answer-fault.js';
 import { auditCalls, type CallAudit } from '../shared/call-audit.js';
-import { CallClient } from '../shared/call-client.js';
 import type { CallRecord } from '../shared/call-record.js';
 import type { ChildExit } from '../shared/child-process.js';
 import { extraRoutePath } from './fleet-plan.js';
 import type { Fleet, NodeProcess } from './fleet.js';
+import { findNodesWithoutRoute } from './route-probe.js';
 import { Traffic } from './traffic.js';
 import type { VersionFall } from './version-log.js';
 import { VersionMonitor } from './version-monitor.js';
@@ -101,7 +101,11 @@
     await delay(STEP_MS);
 
     await this.publish(2, monitor);
-    const withoutNewRoute = await this.findEdgesWithoutRoute(edges, extraRoutePath(0));
+    const withoutNewRoute = await findNodesWithoutRoute(
+      fleet.plan.deployment.name,
+      edges,
+      extraRoutePath(0),
+    );
     const drained = await this.stopBackend(`${this.services[0]}-2`);
     const nodeExit = await this.stopNode(edges[1] ?? fleet.node(''));
     await delay(STEP_MS);
@@ -160,31 +164,6 @@
     this.say(`version ${version} published, in force on every node after ${milliseconds(tookMs)}`);
   }
 
-  private async findEdgesWithoutRoute(
-    edges: readonly NodeProcess[],
-    path: string,
-  ): Promise<string[]> {
-    const client = new CallClient(1);
-    const missing: string[] = [];
-    for (const edge of edges) {
-      const { end } = await client.send(edge.caller, {
-        callId: `${this.fleet.plan.deployment.name}-route-${edge.id}`,
-        method: 'GET',
-        path,
-        bodyBytes: 0,
-        workMs: 1,
-        answerBytes: 200,
-        deadlineMs: 2_000,
-        giveUpMs: 4_000,
-      });
-      if (end.type !== 'answered' || end.status !== 200) {
-        missing.push(edge.id);
-      }
-    }
-    client.close();
-    return missing;
-  }
-
   private async stopBackend(
     id: string,
   ): Promise<Pick<ScenarioResult, 'lastWorkAfterDrainMs' | 'backendExit'>> {
