Seek the recovery slot at once when its holder ends in a young fleet

Cause: once a machine list is held, nobody but its holder wanted the recovery slot, and the zones' electors grant nothing for two durations. A holder that stopped in that time, even with a release, left the fleet without a reader until they did. Change: a seed that is an elector of its zone and does not grant yet seeks the slot when a grant of it that this seed gave ended at most two durations ago. Who granted nothing, as a restarted elector of an old fleet, seeks nothing more than before. The slot is leased as before, so the bound on readers holds. Ruled out: shorter entry guards (they cover leases granted by the dead); seeking it whenever an elector is in its guard (each restart in a healthy fleet would add a reader).

--- a/src/source/candidate-policies.ts
+++ b/src/source/candidate-policies.ts
@@ -5,7 +5,7 @@
  */
 import type { RandomSource } from '../control/control-event.js';
 import type { Elector } from './elector.js';
-import type { Electorate, ElectorTarget } from './electorate.js';
+import { ENTRY_GUARD_DURATIONS, type Electorate, type ElectorTarget } from './electorate.js';
 import { RECOVERY_SLOT } from './lease-terms.js';
 import type { CandidatePolicy } from './lease-candidate.js';
 
@@ -130,8 +130,9 @@
 }
 
 /**
- * Seeks the recovery slot: while no machine list is held, and when the own zone's electors have
- * given no lease for long, as when most of them died at once.
+ * Seeks the recovery slot: while no machine list is held, when its holder ends before the own zone's
+ * electors grant anything, and when these have given no lease for long, as when most of them died at
+ * once.
  */
 export class RecoveryPolicy extends RankedPolicy {
   private keptUntilMs = -Infinity;
@@ -185,6 +186,17 @@
     if (electorate.slots.some((slot) => elector.isEstablished(slot, nowMs))) {
       return false;
     }
-    return this.evidence.isMissing(this.zoneFailures(), nowMs);
+    return this.isYoungFleet(nowMs) || this.evidence.isMissing(this.zoneFailures(), nowMs);
+  }
+
+  /**
+   * Whether the zone's electors do not grant yet, while the recovery slot, as this node knows from
+   * its own grants, was in use until now or until lately: its holder was the only reader.
+   */
+  private isYoungFleet(nowMs: number): boolean {
+    const { electorate, elector, durationMs } = this.context;
+    const grantedLatelyMs = ENTRY_GUARD_DURATIONS * durationMs;
+    const wasInUse = nowMs < elector.grantedUntilMs(RECOVERY_SLOT) + grantedLatelyMs;
+    return wasInUse && electorate.isEntering(nowMs);
   }
 }
--- a/src/source/electorate.ts
+++ b/src/source/electorate.ts
@@ -106,6 +106,12 @@
     return this.zoneElectors.some((target) => this.isSelf(target));
   }
 
+  /** Whether this node is an elector of its zone and was not long enough to grant anything. */
+  isEntering(nowMs: number): boolean {
+    const guardMs = ENTRY_GUARD_DURATIONS * this.options.durationMs;
+    return this.isZoneElector() && nowMs < this.electorSinceMs + guardMs;
+  }
+
   isRecoveryElector(): boolean {
     return this.recoveryElectors.some((target) => this.isSelf(target));
   }
--- a/test/source/source-reader.test.ts
+++ b/test/source/source-reader.test.ts
@@ -109,4 +109,29 @@
       expect(world.heldSlots().sort()).to.deep.equal(expected);
     });
   }
+
+  const gaps: [string, (world: ReaderWorld, index: number) => void, number][] = [
+    ['is stopped as planned', (world, index) => world.stop(index), 2_000],
+    ['dies', (world, index) => world.kill(index), 8_000],
+  ];
+  for (const [name, end, withinMs] of gaps) {
+    it(`a young fleet reads on when the one reader ${name}`, () => {
+      for (const seed of [1, 2, 3, 4, 5]) {
+        const world = new ReaderWorld({ ...OPTIONS, seed, isListed: false });
+        const advanceUntil = (isThere: () => boolean, endMs: number): void => {
+          while (!isThere() && world.nowMs < endMs) {
+            world.advance(100);
+            spreadLists(world);
+          }
+        };
+        const isListed = (): boolean => world.processes.every(({ heldList }) => heldList > 0);
+        advanceUntil(isListed, SETTLE_MS);
+        world.advance(500);
+        expect(world.heldSlots(), `seed ${seed}`).to.deep.equal(['recovery']);
+        holders(world).forEach((index) => end(world, index));
+        advanceUntil(() => world.heldSlots().length > 0, world.nowMs + withinMs);
+        expect(world.heldSlots(), `seed ${seed}`).to.deep.equal(['recovery']);
+      }
+    });
+  }
 });
