Claim idempotency keys before requests that may not be repeated are sent on

Cause: the claims existed and nothing used them: the same key at two nodes ran twice. Change: the request path claims, caps a claimed request at 60 s, and tells the claims what became of it; 409 with the verdict of the first attempt, 503 with proof of not run where no majority can tell; setting claims.openWhenAllAreNew. Ruled out: opening by default, since a fleet that lost all holders can not know what ran before. Conclusion: a key runs once while its claim is kept; the cost in round trips is not measured.

--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -1,10 +1,11 @@
 /**
  * Takes requests from callers: the only place that knows their interface. A caller may send
- * `x-deadline-ms` (time left, in milliseconds) and `ferryspool-retries` (attempts after the first
- * that may still be made); every answer carries `ferryspool-verdict` and `ferryspool-request-id`.
+ * `x-deadline-ms` (time left, in milliseconds), `ferryspool-retries` (attempts after the first that
+ * may still be made) and `idempotency-key`; every answer carries `ferryspool-verdict` and `ferryspool-request-id`.
  */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
+import { MAX_KEY_LENGTH } from '../claims/claim-terms.js';
 import { VERDICT_HEADER, type Verdict } from '../model/verdict.js';
 import { passAnswer, type AnswerObserver } from './answer-relay.js';
 import type { Answer } from './call.js';
@@ -16,6 +17,7 @@
 
 const DEADLINE_HEADER = 'x-deadline-ms';
 const RETRIES_HEADER = 'ferryspool-retries';
+const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
 const REQUEST_ID_HEADER = 'ferryspool-request-id';
 /** Headers of the caller's that speak to the node, or that the node speaks to endpoints with. */
 const NODE_HEADERS: ReadonlySet<string> = new Set([DEADLINE_HEADER, 'x-request-id']);
@@ -37,6 +39,8 @@
   readonly timeoutMs: number | undefined;
   /** Attempts after the first by the caller's word; undefined when it names none. */
   readonly retries: number | undefined;
+  /** The caller's idempotency key; undefined when it names none. */
+  readonly idempotencyKey: string | undefined;
   /** The message, for its body. */
   readonly message: IncomingMessage;
 }
@@ -162,6 +166,10 @@
   if (deadline !== undefined && parseMilliseconds(deadline) === undefined) {
     return new BadRequestError(`expected whole milliseconds in ${DEADLINE_HEADER}`);
   }
+  const keyLength = headerValue(request.rawHeaders, IDEMPOTENCY_KEY_HEADER)?.length ?? 1;
+  if (keyLength < 1 || keyLength > MAX_KEY_LENGTH) {
+    return new BadRequestError(`expected 1 to ${MAX_KEY_LENGTH} characters in idempotency-key`);
+  }
   return undefined;
 }
 
@@ -177,6 +185,7 @@
     headers: messageHeaders(rawHeaders, NODE_HEADERS),
     timeoutMs: parseMilliseconds(headerValue(rawHeaders, DEADLINE_HEADER)),
     retries: parseMilliseconds(headerValue(rawHeaders, RETRIES_HEADER)),
+    idempotencyKey: headerValue(rawHeaders, IDEMPOTENCY_KEY_HEADER),
     message: request,
   };
 }
--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -91,6 +91,26 @@
   override readonly status = 503;
 }
 
+/** Nobody could tell whether the idempotency key has been used: nothing was sent on. */
+export class ClaimUnavailableError extends NotRunError {
+  override readonly code = 'CLAIM_UNAVAILABLE';
+  override readonly status = 503;
+}
+
+/** Another request with the same idempotency key came first. */
+export class DuplicateRequestError extends RequestError {
+  override readonly code = 'DUPLICATE_REQUEST';
+  override readonly status = 409;
+
+  /** `verdict` is that of the request that came first. */
+  constructor(
+    message: string,
+    override readonly verdict: 'ran' | 'may-have-run',
+  ) {
+    super(message);
+  }
+}
+
 /** The endpoint's node does not know the endpoint, or does not own it. */
 export class UnknownEndpointError extends NotRunError {
   override readonly code = 'UNKNOWN_ENDPOINT';
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -5,8 +5,10 @@
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { Snapshot } from '../model/snapshot.js';
 import { RouteTableCache, type RouteMatch } from '../routing/route-table.js';
+import { MAX_CLAIMED_REQUEST_MS } from '../claims/claim-terms.js';
 import { HeldBytes, receiveBody } from './body-receiver.js';
 import { createCallerServer, type CallerRequest, type CallerResponse } from './caller-server.js';
+import { startWhenClaimed } from './claim-gate.js';
 import { EndpointClient } from './endpoint-client.js';
 import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
 import { EndpointGateway, startUpkeep } from './endpoint-gateway.js';
@@ -23,9 +25,11 @@
   RequestError,
   RouteNotFoundError,
 } from './request-error.js';
-import { RequestRunner } from './request-runner.js';
+import { RequestRunner, type CallerReply } from './request-runner.js';
 import { RequestServices, type MemberDirectory } from './request-services.js';
 import { MACHINE_TIME } from './scheduler.js';
+import type { ClaimedAttempt, IdempotencyClaims } from './idempotency-claims.js';
+import { withCredential } from './route-credential.js';
 import { drainServers } from './server-drain.js';
 
 const NOT_CONFIGURED_RETRY_MS = 1_000;
@@ -38,6 +42,8 @@
   readonly counters: CounterSink;
   readonly random: RandomSource;
   readonly limits?: Partial<ProxyLimits>;
+  /** Claims on idempotency keys; without them keys are passed on and mean nothing to the node. */
+  readonly claims?: IdempotencyClaims;
   /** Shared secret of the fleet. */
   readonly fleetKey: Uint8Array;
   /** Writes one line on a change of state. */
@@ -61,6 +67,15 @@
   return new NodeRequestProxy(options);
 }
 
+/** A request that has found its route. */
+interface RoutedRequest {
+  readonly request: CallerRequest;
+  readonly snapshot: Snapshot;
+  readonly match: RouteMatch;
+  readonly requestId: string;
+  readonly deadlineAtMs: number;
+}
+
 class NodeRequestProxy implements RequestProxy {
   readonly callerServer: http.Server;
   readonly relayServer: http.Server;
@@ -235,10 +250,31 @@
     if (match === undefined) {
       throw new RouteNotFoundError('no route matches the request');
     }
-    const timeoutMs = Math.min(match.timeoutMs, request.timeoutMs ?? Infinity);
-    if (timeoutMs <= 0) {
-      throw new DeadlinePassedError('the deadline has passed');
+    const attempt = this.attemptToClaim(request, match, requestId);
+    const deadlineAtMs = MACHINE_TIME.now() + timeLeftMs(request, match, attempt !== undefined);
+    const start = (reply: CallerReply): void => {
+      this.start({ request, snapshot, match, requestId, deadlineAtMs }, reply);
+    };
+    if (attempt === undefined || this.options.claims === undefined) {
+      start(response);
+    } else {
+      void startWhenClaimed(this.options.claims, attempt, response, start);
     }
+  }
+
+  /** What has to be claimed before the request may be sent on; undefined when nothing has to be. */
+  private attemptToClaim(
+    request: CallerRequest,
+    match: RouteMatch,
+    requestId: string,
+  ): ClaimedAttempt | undefined {
+    const { idempotencyKey: key } = request;
+    const isClaimed = key !== undefined && !match.repeatable && this.options.claims !== undefined;
+    return isClaimed ? { service: match.service, key, attempt: requestId } : undefined;
+  }
+
+  private start(routed: RoutedRequest, response: CallerReply): void {
+    const { request, snapshot, match, requestId, deadlineAtMs } = routed;
     const runner = new RequestRunner({
       services: this.services,
       snapshot,
@@ -249,7 +285,7 @@
       response,
       headers: withCredential(request.headers, match, snapshot),
       requestId,
-      deadlineAtMs: MACHINE_TIME.now() + timeoutMs,
+      deadlineAtMs,
     });
     this.startWithBody(runner, request, response);
   }
@@ -257,7 +293,7 @@
   private startWithBody(
     runner: RequestRunner,
     request: CallerRequest,
-    response: CallerResponse,
+    response: CallerReply,
   ): void {
     try {
       const release = receiveBody(request.message, this.limits, this.heldBytes, (body) =>
@@ -287,23 +323,12 @@
   }
 }
 
-/** Adds the route's credential, in place of one that the caller sent. */
-function withCredential(
-  headers: readonly string[],
-  match: RouteMatch,
-  snapshot: Snapshot,
-): readonly string[] {
-  const { credential } = match.route.spec;
-  const secret = credential && snapshot.secrets.get(credential.secret);
-  if (credential === undefined || secret === undefined) {
-    return headers;
-  }
-  const others: string[] = [];
-  for (let index = 0; index + 1 < headers.length; index += 2) {
-    const name = headers[index] ?? '';
-    if (name.toLowerCase() !== credential.header) {
-      others.push(name, headers[index + 1] ?? '');
-    }
+/** Time for the request from now on, in milliseconds; throws when none is left. */
+function timeLeftMs(request: CallerRequest, match: RouteMatch, isClaimed: boolean): number {
+  const mostMs = isClaimed ? MAX_CLAIMED_REQUEST_MS : Infinity;
+  const timeoutMs = Math.min(match.timeoutMs, request.timeoutMs ?? Infinity, mostMs);
+  if (timeoutMs <= 0) {
+    throw new DeadlinePassedError('the deadline has passed');
   }
-  return [...others, credential.header, secret.spec.value];
+  return timeoutMs;
 }
--- /dev/null
+++ b/src/proxy/route-credential.ts
@@ -0,0 +1,24 @@
+/** The credential that a route adds to its requests, from a secret. */
+import type { Snapshot } from '../model/snapshot.js';
+import type { RouteMatch } from '../routing/route-table.js';
+
+/** Adds the route's credential, in place of one that the caller sent. */
+export function withCredential(
+  headers: readonly string[],
+  match: RouteMatch,
+  snapshot: Snapshot,
+): readonly string[] {
+  const { credential } = match.route.spec;
+  const secret = credential && snapshot.secrets.get(credential.secret);
+  if (credential === undefined || secret === undefined) {
+    return headers;
+  }
+  const others: string[] = [];
+  for (let index = 0; index + 1 < headers.length; index += 2) {
+    const name = headers[index] ?? '';
+    if (name.toLowerCase() !== credential.header) {
+      others.push(name, headers[index + 1] ?? '');
+    }
+  }
+  return [...others, credential.header, secret.spec.value];
+}
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -7,8 +7,10 @@
 import { AdminServer } from '../api/admin-server.js';
 import type { SnapshotListener } from '../api/configuration-view.js';
 import { createResourceVersioner } from '../api/resource-version.js';
+import { ClaimComponent } from '../claims/claim-component.js';
+import { ControlPlaneClaims } from '../claims/control-plane-claims.js';
 import type { DocumentSink } from '../control/control-options.js';
-import type { ElectorateView, FleetView } from '../control/control-ports.js';
+import type { ElectorateView, FleetView, OldestMachinesView } from '../control/control-ports.js';
 import type { NodePorts, RunningNode } from '../cli/running-node.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import { NO_SNAPSHOT_VERSION, buildSnapshot, type Snapshot } from '../model/snapshot.js';
@@ -144,6 +146,7 @@
         maxCallsInFlight: this.settings.proxy.maxPendingRequests,
         stopTimeoutMs: this.settings.proxy.drainTimeoutMs,
       },
+      claims: new ControlPlaneClaims((event) => this.control?.offer(event) ?? false),
       fleetKey: Buffer.from(this.settings.fleetKey, 'utf8'),
       logStateChange: (what, detail) => this.logger.info(what, { detail }),
     });
@@ -161,6 +164,7 @@
       components: [
         (documents, electorate) => this.createReader(documents, electorate),
         (documents, fleet) => this.createReplica(documents, fleet),
+        (_documents, fleet) => this.createClaims(fleet),
       ],
       counters: this.metrics,
       random: Math.random,
@@ -190,6 +194,15 @@
     return this.reader;
   }
 
+  private createClaims(fleet: OldestMachinesView): ClaimComponent {
+    return new ClaimComponent({
+      fleet,
+      counters: this.metrics,
+      opensWhenAllAreNew: this.settings.claims.openWhenAllAreNew,
+      steadyNow: () => performance.now(),
+    });
+  }
+
   private createReplica(documents: DocumentSink, fleet: FleetView): Replica {
     const { writes, api, fleetKey } = this.settings;
     const versionOf = createResourceVersioner(fleetKey);
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -157,6 +157,15 @@
     error: 'expected each machine once',
   });
 
+/** Claims on idempotency keys. */
+const claimsSettingsSchema = z.strictObject({
+  /**
+   * Whether a fleet whose holders of claims are all new grants claims at once. Otherwise it grants
+   * none for five minutes, since a key may have been used before all of them were lost.
+   */
+  openWhenAllAreNew: z.boolean().default(false),
+});
+
 /** What is logged. */
 const logSettingsSchema = z.strictObject({
   level: z.enum(['error', 'warn', 'info', 'debug']).default('info'),
@@ -196,6 +205,7 @@
   proxy: proxySettingsSchema.prefault({}),
   api: apiSettingsSchema.prefault({}),
   writes: writesSettingsSchema.prefault({}),
+  claims: claimsSettingsSchema.prefault({}),
   log: logSettingsSchema.prefault({}),
 });
 
--- a/test/support/local-fleet.ts
+++ b/test/support/local-fleet.ts
@@ -33,6 +33,8 @@
   readonly initialVoters?: readonly string[];
   /** Secret of operators; without one writes are refused. */
   readonly adminToken?: string;
+  /** See the setting `claims.openWhenAllAreNew`. */
+  readonly claimsOpenWhenAllAreNew?: boolean;
 }
 
 /** A running fleet; `stop` must be awaited in every test. */
@@ -126,6 +128,7 @@
       log: { level: 'error' },
       api: { writeTimeoutMs: 5_000 },
       writes: { initialVoters: plan.initialVoters ?? [] },
+      claims: { openWhenAllAreNew: plan.claimsOpenWhenAllAreNew ?? false },
       ...(plan.adminToken === undefined ? {} : { adminToken: plan.adminToken }),
     });
     const backend = hasBackend ? await BackendStandIn.start({ name: id }) : undefined;
--- a/tools/demo/fleet-plan.ts
+++ b/tools/demo/fleet-plan.ts
@@ -102,6 +102,8 @@
       configurationUrl: `${platform}/v1/configuration`,
       machinesUrl: `${platform}/v1/machines`,
     },
+    // The fleet is new, and so are all keys.
+    claims: { openWhenAllAreNew: true },
     readerShares: Object.fromEntries(plan.deployment.zones.map((name) => [name, READERS_PER_ZONE])),
   };
 }
