--- a/test/scale/capacity.test.ts
+++ b/test/scale/capacity.test.ts
@@ -71,7 +71,7 @@
   page.split('\n').find((line) => line.startsWith(`| ${start}`)) ?? '';
 
 describe('capacity page', () => {
-  const page = capacityPage([report(400), report(100), report(200)], '');
+  const page = capacityPage([report(400), report(100), report(200)], '', undefined);
   const lines: readonly [start: string, expected: RegExp][] = [
     ['Processor, whole process in quiet, elector', /1\.70 % of a core \| \*\*missed\*\*/],
     ['Processor, whole process in quiet, any', /\| met \|/],
@@ -81,7 +81,7 @@
       /\| 3,600 bytes\/s \| \*\*missed\*\* \| power fit up to 400/,
     ],
     ['Change in force everywhere, last', /\| 18,000 ms \| 18,000 ms \|/],
-    ['Added to a call, p99', /not measured \| open/],
+    ['Added to a call over two nodes', /not measured \| open/],
     ['Control bytes, quiet', /\| 200 \| 400 \| 800 \| 1\.00 \| 1\.00 \|/],
     ['400', /`abc1234`/],
   ];
@@ -92,7 +92,7 @@
   }
 
   it('takes a run at the target’s size before a fit', () => {
-    const measured = capacityPage([report(100), report(1_800)], '');
+    const measured = capacityPage([report(100), report(1_800)], '', undefined);
     expect(lineOf(measured, 'Control bytes of an ordinary day')).to.match(/the run at this size/);
     expect(lineOf(measured, 'Change in force everywhere, last')).to.match(/18,000 ms \| met \|/);
   });
@@ -102,12 +102,20 @@
       nodes: [100, 200, 1_800][index] ?? 0,
       value,
     }));
-    const measure = { name: 'any', unit: '', of: () => undefined };
+    const measure = { name: 'any', kind: 'fleet' as const, unit: '', of: () => undefined };
     const slope = { measure, values, fit: fitPower(values) };
-    expect(estimateAt(slope, 1_800)).to.deep.equal({ value: 3, isMeasured: true });
+    expect(estimateAt(slope, 1_800)).to.deep.equal({ value: 3, isMeasured: true, largest: 1_800 });
     expect(estimateAt(slope, 400)?.isMeasured).to.equal(false);
   });
 
+  it('takes times from runs that share documents, and what a node costs from the others', () => {
+    const shared = { ...report(800), sharesDocuments: true, liveMiBPerNode: 0.01 };
+    const spoiled = { ...report(800), liveMiBPerNode: 0.9, phases: [] };
+    const mixed = capacityPage([report(100), spoiled, shared], '', undefined);
+    expect(lineOf(mixed, 'Change in force, last')).to.match(/\| 1,000 \| 8,000 \|/);
+    expect(lineOf(mixed, 'Live memory of a hollow node')).to.match(/\| 0.400 \| 0.900 \|/);
+  });
+
   it('names what grows, with its exponent, and not what does not', () => {
     expect(page).to.match(/Grows with the fleet.*Control bytes, quiet \(N\^1\.00\)/);
     expect(page).to.not.match(/Grows with the fleet.*Links/);
@@ -116,9 +124,9 @@
   it('keeps sections that others wrote, and only those', () => {
     const name = 'distribution-compared';
     const kept = `${beginMarker(name)}\n\nA table of mine.\n\n${endMarker(name)}`;
-    const again = capacityPage([report(100)], `Old words.\n\n${kept}\n\nMore.`);
+    const again = capacityPage([report(100)], `Old words.\n\n${kept}\n\nMore.`, undefined);
     expect(again).to.include(kept).and.not.include('Old words.');
-    expect(capacityPage([report(100)], again)).to.equal(again);
+    expect(capacityPage([report(100)], again, undefined)).to.equal(again);
     expect(keptSection(`${endMarker(name)}${beginMarker(name)}`, name, 'none')).to.include('none');
   });
 
--- a/tools/scale/budget-table.ts
+++ b/tools/scale/budget-table.ts
@@ -1,9 +1,11 @@
 /** The budget of a node at the target's size, line by line. */
+import type { LoadReport } from '../load/load-report.js';
 import {
   estimateAt,
+  linearEstimateAt,
   phaseOf,
-  residentAt,
   RESIDENT_MEASURE,
+  type Estimate,
   type FleetSlope,
 } from './fleet-slopes.js';
 import { figure, table } from './markdown.js';
@@ -28,12 +30,13 @@
 export function budgetTable(
   reports: readonly ScaleReport[],
   slopes: readonly FleetSlope[],
+  load: LoadReport | undefined,
 ): string {
   const lines = [
     ...processLines(reports),
-    memoryLine(reports, slopes),
+    memoryLine(slopes),
     ...controlLines(reports, slopes),
-    callLine(),
+    ...callLines(load),
   ];
   return table(
     ['What', 'Budget', `At ${figure(TARGET.nodes)} nodes`, 'Verdict', 'From'],
@@ -75,17 +78,15 @@
   ];
 }
 
-function memoryLine(reports: readonly ScaleReport[], slopes: readonly FleetSlope[]): BudgetLine {
-  const largest = reports.at(-1)?.nodes ?? 0;
-  const slope = slopes.find(({ measure }) => measure.name === RESIDENT_MEASURE);
+/** Memory at the end of a run, when everything has happened once. */
+function memoryLine(slopes: readonly FleetSlope[]): BudgetLine {
+  const slope = slopeNamed(slopes, RESIDENT_MEASURE);
+  const found = slope && linearEstimateAt(slope, TARGET.nodes);
   return {
-    what: 'Memory, resident, whole process',
+    what: 'Memory, resident, whole process, after all phases',
     ...MEMORY,
-    value: slope && residentAt(slope, TARGET.nodes),
-    from:
-      largest === TARGET.nodes
-        ? `real processes among ${figure(largest)} nodes`
-        : `line through real processes among up to ${figure(largest)} nodes`,
+    value: found?.value,
+    from: originOf(found, 'line'),
   };
 }
 
@@ -94,13 +95,10 @@
   slopes: readonly FleetSlope[],
 ): BudgetLine[] {
   const largest = reports.at(-1);
-  const from =
-    largest?.nodes === TARGET.nodes
-      ? 'the run at this size'
-      : `power fit up to ${figure(largest?.nodes ?? 0)} nodes`;
   const at = (name: string): { value: number | undefined; from: string } => {
-    const slope = slopes.find(({ measure }) => measure.name === name);
-    return { value: slope && estimateAt(slope, TARGET.nodes)?.value, from };
+    const slope = slopeNamed(slopes, name);
+    const found = slope && estimateAt(slope, TARGET.nodes);
+    return { value: found?.value, from: originOf(found, 'power fit') };
   };
   return [
     {
@@ -120,18 +118,37 @@
       from: `the run at ${figure(largest?.nodes ?? 0)} nodes`,
     },
     { what: 'Change in force everywhere, last node', ...TIME, ...at('Change in force, last') },
+    {
+      what: 'Change in force while a zone dies, last node',
+      ...TIME,
+      ...at('Change in force while a zone dies, last'),
+    },
     { what: 'Restarted node up to date, last', ...TIME, ...at('Restarted node up to date, last') },
     { what: 'Zone back, all up to date', ...TIME, ...at('Zone back, all up to date') },
     { what: 'Region healed, all up to date', ...TIME, ...at('Region healed, all up to date') },
   ];
 }
 
-function callLine(): BudgetLine {
-  return {
-    what: 'Added to a call, p99',
+function slopeNamed(slopes: readonly FleetSlope[], name: string): FleetSlope | undefined {
+  return slopes.find(({ measure }) => measure.name === name);
+}
+
+function originOf(found: Estimate | undefined, fit: string): string {
+  if (found === undefined) {
+    return 'no run';
+  }
+  return found.isMeasured ? 'the run at this size' : `${fit} up to ${figure(found.largest)} nodes`;
+}
+
+/** What nodes add to a call: from the load tool, where it was run. */
+function callLines(load: LoadReport | undefined): BudgetLine[] {
+  const ways = load?.added?.ways;
+  const line = (way: 'one node' | 'two nodes'): BudgetLine => ({
+    what: `Added to a call over ${way}, p99`,
     budget: BUDGET.addedLatencyP99Ms,
     unit: 'ms',
-    value: undefined,
-    from: 'see *Request path*',
-  };
+    value: ways && ways[way].p99Ms - ways.straight.p99Ms,
+    from: load === undefined ? 'see *Request path*' : `\`npm run load\` at \`${load.commit}\``,
+  });
+  return [line('one node'), line('two nodes')];
 }
--- a/tools/scale/capacity-page.ts
+++ b/tools/scale/capacity-page.ts
@@ -1,4 +1,5 @@
 /** The figures of docs/CAPACITY.md, made from the reports of scale runs. Pure. */
+import type { LoadReport } from '../load/load-report.js';
 import { budgetTable } from './budget-table.js';
 import { FLAT_EXPONENT, MEASURES, phaseOf, slopeOf, type FleetSlope } from './fleet-slopes.js';
 import { keptSection } from './kept-sections.js';
@@ -11,8 +12,15 @@
 const REQUEST_SECTION = 'request-path';
 
 /** The page; `previous` is what it was before, whose kept sections stay. */
-export function capacityPage(reports: readonly ScaleReport[], previous: string): string {
-  const sorted = [...reports].sort((left, right) => left.nodes - right.nodes);
+export function capacityPage(
+  reports: readonly ScaleReport[],
+  previous: string,
+  load: LoadReport | undefined,
+): string {
+  const sorted = [...reports].sort(
+    (left, right) =>
+      left.nodes - right.nodes || Number(left.sharesDocuments) - Number(right.sharesDocuments),
+  );
   const slopes = MEASURES.map((measure) => slopeOf(measure, sorted));
   const sections = [
     CAPACITY_TEXT.introduction,
@@ -20,7 +28,7 @@
     runsTable(sorted),
     CAPACITY_TEXT.runs,
     '## Against the budget',
-    budgetTable(sorted, slopes),
+    budgetTable(sorted, slopes, load),
     CAPACITY_TEXT.budget,
     '## What grows with the fleet',
     slopesTable(sorted, slopes),
@@ -55,26 +63,31 @@
     'Memory of the run, GiB',
   ];
   return table(
-    [...headings, 'Late event loops, p99 ms (quiet, worst)', 'Calls served'],
+    [...headings, 'Late event loops, p99 ms (quiet, worst)', 'Load (quiet, worst)', 'Calls served'],
     reports.map((report) => [
-      figure(report.nodes),
+      `${figure(report.nodes)}${report.sharesDocuments ? ', documents shared' : ''}`,
       `\`${report.commit}\`${report.isModified ? ' (modified)' : ''}`,
       report.startedAt.slice(0, 16).replace('T', ' '),
       figure(report.processes),
       figure(report.resources),
       figure(report.peakResidentMiB / 1_024),
       `${figure(phaseOf(report, 'quiet')?.figures.loopDelayP99Ms ?? 0)}, ${figure(worstDelay(report))}`,
+      `${figure(phaseOf(report, 'quiet')?.figures.loadAverage ?? 0)}, ${figure(worstLoad(report))}`,
       `${figure(report.calls.served)} of ${figure(report.calls.started)}`,
     ]),
   );
 }
 
+function worstLoad(report: ScaleReport): number {
+  return Math.max(...report.phases.map(({ figures }) => figures.loadAverage));
+}
+
 function worstDelay(report: ScaleReport): number {
   return Math.max(...report.phases.map(({ figures }) => figures.loopDelayP99Ms));
 }
 
 function slopesTable(reports: readonly ScaleReport[], slopes: readonly FleetSlope[]): string {
-  const sizes = reports.map(({ nodes }) => nodes);
+  const sizes = [...new Set(reports.map(({ nodes }) => nodes))];
   return table(
     ['For one node', 'Unit', ...sizes.map((nodes) => `N = ${figure(nodes)}`), 'Exponent', 'R²'],
     slopes.map(({ measure, values, fit }) => [
@@ -126,7 +139,7 @@
     topTypes(figures.sentBytesPerSecondByType),
   ]);
   const headings = ['Phase', 'Events', 'Seconds', 'Processor, %', 'Bytes/s, sent / received'];
-  return `The run at ${figure(report.nodes)} nodes, figures for one hollow node:\n\n${table(
+  return `The run at ${figure(report.nodes)} nodes, figures for one hollow node${report.sharesDocuments ? ' (documents shared: its processor time is not that of a node alone)' : ''}:\n\n${table(
     [
       ...headings,
       'Messages/s, sent / received',
--- a/tools/scale/capacity.ts
+++ b/tools/scale/capacity.ts
@@ -2,11 +2,13 @@
 import { existsSync, readdirSync, readFileSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import { format, resolveConfig } from 'prettier';
+import type { LoadReport } from '../load/load-report.js';
 import { capacityPage } from './capacity-page.js';
 import type { ScaleReport } from './scale-report.js';
 
 const REPORT_FOLDER = 'reports';
-const REPORT_NAME = /^scale-\d+\.json$/;
+const REPORT_NAME = /^scale-\d+(-shared)?\.json$/;
+const LOAD_REPORT = join(REPORT_FOLDER, 'load.json');
 const PAGE = 'docs/CAPACITY.md';
 
 const names = existsSync(REPORT_FOLDER)
@@ -19,7 +21,13 @@
 const reports = names.map(
   (name) => JSON.parse(readFileSync(join(REPORT_FOLDER, name), 'utf8')) as ScaleReport,
 );
+const load = existsSync(LOAD_REPORT)
+  ? (JSON.parse(readFileSync(LOAD_REPORT, 'utf8')) as LoadReport)
+  : undefined;
 const previous = existsSync(PAGE) ? readFileSync(PAGE, 'utf8') : '';
 const options = (await resolveConfig(PAGE)) ?? {};
-writeFileSync(PAGE, await format(capacityPage(reports, previous), { ...options, filepath: PAGE }));
+writeFileSync(
+  PAGE,
+  await format(capacityPage(reports, previous, load), { ...options, filepath: PAGE }),
+);
 process.stdout.write(`wrote ${PAGE} from ${names.length} reports\n`);
--- a/tools/scale/fleet-slopes.ts
+++ b/tools/scale/fleet-slopes.ts
@@ -13,6 +13,12 @@
 /** One measure over all sizes. */
 export interface FleetMeasure {
   readonly name: string;
+  /**
+   * `node` for processor time and memory of one node: not from runs that share documents. `fleet` for
+   * times and bytes: from the run that shares documents where a size was run both ways, since that
+   * one tells least of the machine.
+   */
+  readonly kind: 'node' | 'fleet';
   readonly unit: string;
   readonly of: (report: ScaleReport) => number | undefined;
 }
@@ -104,105 +110,167 @@
 
 /** Every measure, in the order of the page. */
 export const MEASURES: readonly FleetMeasure[] = [
-  { name: 'Processor, quiet', unit: '% of a core', of: (r) => cpuIn(r, 'quiet') },
-  { name: 'Processor, a day', unit: '% of a core', of: dayCpuPercent },
-  { name: 'Processor, one change', unit: 'ms', of: cpuMsPerChange },
-  { name: 'Processor, a cold start', unit: 'ms', of: coldStartCpuMs },
-  { name: LIVE_MEASURE, unit: 'MiB', of: (r) => r.liveMiBPerNode },
+  { name: 'Processor, quiet', kind: 'node', unit: '% of a core', of: (r) => cpuIn(r, 'quiet') },
+  { name: 'Processor, a day', kind: 'node', unit: '% of a core', of: dayCpuPercent },
+  { name: 'Processor, one change', kind: 'node', unit: 'ms', of: cpuMsPerChange },
+  { name: 'Processor, a cold start', kind: 'node', unit: 'ms', of: coldStartCpuMs },
+  { name: LIVE_MEASURE, kind: 'node', unit: 'MiB', of: (r) => r.liveMiBPerNode },
   {
     name: RESIDENT_MEASURE,
+    kind: 'fleet',
     unit: 'MiB',
     of: (r) => phaseOf(r, 'region-heals')?.figures.realElector.residentMiB,
   },
-  { name: 'Control bytes, quiet', unit: 'bytes/s', of: quietBytes },
-  { name: 'Control bytes, a day', unit: 'bytes/s', of: dayBytes },
-  { name: 'Control bytes, one change', unit: 'bytes', of: bytesPerChange },
-  { name: 'Control bytes, one restart', unit: 'bytes', of: (r) => bytesPerEvent(r, 'restarts') },
+  { name: 'Control bytes, quiet', kind: 'fleet', unit: 'bytes/s', of: quietBytes },
+  { name: 'Control bytes, a day', kind: 'fleet', unit: 'bytes/s', of: dayBytes },
+  { name: 'Control bytes, one change', kind: 'fleet', unit: 'bytes', of: bytesPerChange },
+  {
+    name: 'Control bytes, one restart',
+    kind: 'fleet',
+    unit: 'bytes',
+    of: (r) => bytesPerEvent(r, 'restarts'),
+  },
   {
     name: 'Control bytes, a zone dies (36 s)',
+    kind: 'fleet',
     unit: 'bytes',
     of: (r) => totalBytesIn(r, 'zone-dies'),
   },
   {
     name: 'Control bytes, a region heals (first 12 s)',
+    kind: 'fleet',
     unit: 'bytes',
     of: (r) => totalBytesIn(r, 'region-heals'),
   },
   {
     name: 'Control bytes, a cold start',
+    kind: 'fleet',
     unit: 'bytes',
     of: (r) => totalBytesIn(r, 'cold-start'),
   },
   {
     name: 'Messages, quiet',
+    kind: 'fleet',
     unit: '1/s',
     of: (r: ScaleReport): number | undefined => {
       const figures = phaseOf(r, 'quiet')?.figures;
       return figures && figures.sentMessagesPerSecond + figures.receivedMessagesPerSecond;
     },
   },
-  { name: 'Links, mean', unit: '', of: (r) => phaseOf(r, 'quiet')?.figures.meanLinks },
-  { name: 'Links, most', unit: '', of: (r) => phaseOf(r, 'quiet')?.figures.maxLinks },
-  { name: 'Change in force, p50', unit: 'ms', of: convergence('changes', 'p50Ms') },
-  { name: 'Change in force, p99', unit: 'ms', of: convergence('changes', 'p99Ms') },
-  { name: 'Change in force, last', unit: 'ms', of: convergence('changes', 'maxMs') },
+  {
+    name: 'Links, mean',
+    kind: 'fleet',
+    unit: '',
+    of: (r) => phaseOf(r, 'quiet')?.figures.meanLinks,
+  },
+  {
+    name: 'Links, most',
+    kind: 'fleet',
+    unit: '',
+    of: (r) => phaseOf(r, 'quiet')?.figures.maxLinks,
+  },
+  { name: 'Change in force, p50', kind: 'fleet', unit: 'ms', of: convergence('changes', 'p50Ms') },
+  { name: 'Change in force, p99', kind: 'fleet', unit: 'ms', of: convergence('changes', 'p99Ms') },
+  { name: 'Change in force, last', kind: 'fleet', unit: 'ms', of: convergence('changes', 'maxMs') },
   {
     name: 'Change in force while a zone dies, last',
+    kind: 'fleet',
     unit: 'ms',
     of: convergence('zone-dies', 'maxMs'),
   },
-  { name: 'Change in force in a cut, last', unit: 'ms', of: convergence('region-cut', 'maxMs') },
-  { name: 'Restarted node up to date, last', unit: 'ms', of: convergence('restarts', 'maxMs') },
+  {
+    name: 'Change in force in a cut, last',
+    kind: 'fleet',
+    unit: 'ms',
+    of: convergence('region-cut', 'maxMs'),
+  },
+  {
+    name: 'Restarted node up to date, last',
+    kind: 'fleet',
+    unit: 'ms',
+    of: convergence('restarts', 'maxMs'),
+  },
   {
     name: 'Zone back, all up to date',
+    kind: 'fleet',
     unit: 'ms',
     of: (r) => phaseOf(r, 'zone-returns')?.recoveryMs,
   },
   {
     name: 'Region healed, all up to date',
+    kind: 'fleet',
     unit: 'ms',
     of: (r) => phaseOf(r, 'region-heals')?.recoveryMs,
   },
-  { name: 'Cold start of all, last', unit: 'ms', of: convergence('cold-start', 'maxMs') },
+  {
+    name: 'Cold start of all, last',
+    kind: 'fleet',
+    unit: 'ms',
+    of: convergence('cold-start', 'maxMs'),
+  },
   {
     name: 'Readers at the platform, peak',
+    kind: 'fleet',
     unit: '',
     of: (r) => phaseOf(r, 'region-heals')?.figures.peakReaders,
   },
   {
     name: 'Reads of the platform',
+    kind: 'fleet',
     unit: '1/s',
     of: (r) => phaseOf(r, 'quiet')?.figures.platformReadsPerSecond,
   },
 ];
 
+/** The reports that a measure is taken from: one for each size. */
+function reportsFor(measure: FleetMeasure, reports: readonly ScaleReport[]): ScaleReport[] {
+  if (measure.kind === 'node') {
+    return reports.filter((report) => !report.sharesDocuments);
+  }
+  const shared = new Set(
+    reports.filter((report) => report.sharesDocuments).map(({ nodes }) => nodes),
+  );
+  return reports.filter((report) => report.sharesDocuments || !shared.has(report.nodes));
+}
+
 /** Fits one measure. */
 export function slopeOf(measure: FleetMeasure, reports: readonly ScaleReport[]): FleetSlope {
-  const values = reports.flatMap((report) => {
+  const values = reportsFor(measure, reports).flatMap((report) => {
     const value = measure.of(report);
     return value === undefined ? [] : [{ nodes: report.nodes, value }];
   });
   return { measure, values, fit: fitPower(values) };
 }
 
-/** The value at a size: measured where there is a run, else by the fit. */
-export function estimateAt(
-  slope: FleetSlope,
-  nodes: number,
-): { readonly value: number; readonly isMeasured: boolean } | undefined {
-  const measured = slope.values.find((value) => value.nodes === nodes);
-  if (measured !== undefined) {
-    return { value: measured.value, isMeasured: true };
-  }
-  if (slope.fit === undefined) {
-    return undefined;
-  }
-  return { value: valueAt(slope.fit, nodes), isMeasured: false };
+/** A value at a size that was run, or by a fit. */
+export interface Estimate {
+  readonly value: number;
+  readonly isMeasured: boolean;
+  /** The largest size that was run. */
+  readonly largest: number;
+}
+
+/** The value at a size: measured where there is a run, else by the power fit. */
+export function estimateAt(slope: FleetSlope, nodes: number): Estimate | undefined {
+  const { fit } = slope;
+  return estimate(slope, nodes, fit && valueAt(fit, nodes));
 }
 
-/** Resident memory by a line rather than a power: most of it is Node itself. */
-export function residentAt(slope: FleetSlope, nodes: number): number | undefined {
-  const measured = slope.values.find((value) => value.nodes === nodes);
+/** The same by a line: memory is a constant and a part for each machine. */
+export function linearEstimateAt(slope: FleetSlope, nodes: number): Estimate | undefined {
   const fit = fitLinear(slope.values);
-  return measured?.value ?? (fit && fit.base + fit.slope * nodes);
+  return estimate(slope, nodes, fit && fit.base + fit.slope * nodes);
+}
+
+function estimate(
+  { values }: FleetSlope,
+  nodes: number,
+  fitted: number | undefined,
+): Estimate | undefined {
+  const largest = Math.max(0, ...values.map((value) => value.nodes));
+  const measured = values.find((value) => value.nodes === nodes);
+  if (measured !== undefined) {
+    return { value: measured.value, isMeasured: true, largest };
+  }
+  return fitted === undefined ? undefined : { value: fitted, isMeasured: false, largest };
 }
--- a/tools/scale/roles-table.ts
+++ b/tools/scale/roles-table.ts
@@ -3,7 +3,7 @@
 import {
   dayBytes,
   dayCpuPercent,
-  estimateAt,
+  linearEstimateAt,
   LIVE_MEASURE,
   phaseOf,
   type FleetSlope,
@@ -32,7 +32,7 @@
     return 'No run.';
   }
   return table(HEADINGS, [
-    everyNode(largest, quiet, slopes),
+    everyNode(reports, largest, quiet, slopes),
     edgeNode(),
     backendNode(),
     elector(quiet),
@@ -42,12 +42,14 @@
 }
 
 function everyNode(
+  reports: readonly ScaleReport[],
   largest: ScaleReport,
   quiet: PhaseFigures,
   slopes: readonly FleetSlope[],
 ): string[] {
+  const alone = reports.filter((report) => !report.sharesDocuments).at(-1) ?? largest;
   const live = slopes.find(({ measure }) => measure.name === LIVE_MEASURE);
-  const liveMiB = live && estimateAt(live, TARGET.nodes)?.value;
+  const liveMiB = live && linearEstimateAt(live, TARGET.nodes)?.value;
   const documentKiB = figure(largest.documentBytes / 1_024);
   return [
     'every node, for control',
@@ -56,7 +58,7 @@
       `${figure(largest.nodes)} nodes), machine list, ${figure(quiet.meanLinks)} links`,
     `${figure(dayBytes(largest))} bytes/s on an ordinary day, ` +
       `${figure(quiet.sentMessagesPerSecond)} messages/s sent in quiet`,
-    `${figure(dayCpuPercent(largest))}% for control alone (hollow), ` +
+    `${figure(dayCpuPercent(alone))}% for control alone (hollow, at ${figure(alone.nodes)} nodes), ` +
       `${figure(quiet.realOther.cpuPercent)}% whole process in quiet`,
     `${figure(liveMiB ?? 0)} MiB live for control at ${figure(TARGET.nodes)} nodes, ` +
       `${figure(quiet.realOther.residentMiB)} MiB resident, whole process in quiet`,
