--- a/src/wire/field-types.ts
+++ b/src/wire/field-types.ts
@@ -3,7 +3,6 @@
  * against the bytes that are there, and throws {@link FrameError} `malformed`.
  */
 import { isUtf8 } from 'node:buffer';
-import { isIPv4 } from 'node:net';
 import { Struct, type DecodeStream, type EncodeStream, type FieldType } from 'restructure';
 import { FrameError } from './frame-error.js';
 
@@ -15,6 +14,9 @@
 /** Bytes of the varint of the largest safe integer. */
 const MAX_VARINT_BYTES = 8;
 const IPV4_BYTES = 4;
+/** Four numbers from 0 to 255 without leading zeros: what decoding gives back as it was. */
+const CANONICAL_IPV4 =
+  /^(?:(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)\.){3}(?:25[0-5]|2[0-4]\d|1\d\d|[1-9]?\d)$/;
 
 function malformed(detail: string): FrameError {
   return new FrameError('malformed', detail);
@@ -142,7 +144,7 @@
 };
 
 function isCanonicalIpv4(value: string): boolean {
-  return isIPv4(value) && value.split('.').map(Number).join('.') === value;
+  return CANONICAL_IPV4.test(value);
 }
 
 /** Text of an identity, a zone, a region or a slot. */
