Spread claims over groups of the fleet

Cause: the five oldest machines held every claim; at 1,800 nodes they would take part in each keyed request of the fleet. Ruled out: holders by rendezvous hashing for each key: a younger machine can then displace a live holder, and two majorities need not meet. Change: machines and keys fall into groups by hash, each with its own five oldest, for which the reasoning on lagging lists holds unchanged; a holder grants no claim of another group. Without that check two tests fail. Not measured. Conclusion: the load of claims is divided by the number of groups.

--- a/src/claims/claim-component.ts
+++ b/src/claims/claim-component.ts
@@ -11,12 +11,12 @@
 import type { OldestMachinesView } from '../control/control-ports.js';
 import { TargetLinks } from '../control/target-links.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
-import type { ClaimMessage, PeerMessage } from '../wire/message.js';
+import type { ClaimMessage, ClaimStep, PeerMessage } from '../wire/message.js';
 import type { ClaimCommand, ClaimOutcome } from './claim-command.js';
 import { ClaimHolder } from './claim-holder.js';
 import { ClaimRound } from './claim-round.js';
 import { CLAIM_ROUND_MS, MAX_OPEN_CLAIMS } from './claim-terms.js';
-import { HolderSet, type Holder } from './holder-set.js';
+import { HolderGroups, type Holder } from './holder-set.js';
 
 /** Names of the counters of claims. */
 export const CLAIM_COUNTERS = {
@@ -32,6 +32,11 @@
   readonly counters: CounterSink;
   /** See {@link ClaimHolder}. */
   readonly opensWhenAllAreNew: boolean;
+  /**
+   * Groups that machines and keys are divided into by hash, so that claims of a large fleet are
+   * spread over it; the same on every node. Default 1: the five oldest machines hold all claims.
+   */
+  readonly groups?: number;
   /** Claims kept at most; default `MAX_CLAIMS`. */
   readonly maxClaims?: number;
   /** A clock that the wall clock never advances; see `SourceReaderOptions.steadyNow`. */
@@ -47,7 +52,7 @@
 /** Holder and claimant of one node. */
 export class ClaimComponent implements ControlComponent {
   readonly holder: ClaimHolder;
-  private readonly set: HolderSet;
+  private readonly groups: HolderGroups;
   private readonly links = new TargetLinks();
   /** By attempt, in the order in which the rounds end. */
   private readonly open = new Map<string, OpenClaim>();
@@ -56,14 +61,14 @@
 
   constructor(private readonly options: ClaimOptions) {
     this.holder = new ClaimHolder(options.opensWhenAllAreNew, options.maxClaims);
-    this.set = new HolderSet(options.fleet);
+    this.groups = new HolderGroups(options.fleet, options.groups ?? 1);
   }
 
   handle(event: ControlEvent, nowMs: number): ControlEffect[] {
     const effects: ControlEffect[] = [];
     this.followClock(nowMs);
-    if (this.set.refresh()) {
-      this.holder.setMember(this.set.isMember() && !this.isStopped, nowMs);
+    if (this.groups.own.refresh()) {
+      this.holder.setMember(this.groups.own.isMember() && !this.isStopped, nowMs);
     }
     this.endRounds(nowMs, effects);
     this.dispatch(event, nowMs, effects);
@@ -108,7 +113,7 @@
       this.tellHolders(command.kind, claim, attempt, nowMs, effects);
       return;
     }
-    const { holders } = this.set;
+    const { holders } = this.groups.of(claim);
     if (holders.length === 0 || this.open.size >= MAX_OPEN_CLAIMS || this.open.has(attempt)) {
       this.options.counters.add(CLAIM_COUNTERS.unavailable);
       command.onOutcome({ outcome: 'unavailable' });
@@ -136,8 +141,8 @@
         }
         break;
       case 'claim-sync':
-        if (this.set.others().some((holder) => holder.id === from.id)) {
-          this.holder.takeSync(from.id, message, this.set.holders.length, nowMs);
+        if (this.groups.own.others().some((holder) => holder.id === from.id)) {
+          this.holder.takeSync(from.id, message, this.groups.own.holders.length, nowMs);
         }
         break;
       default:
@@ -158,7 +163,7 @@
       }
       return;
     }
-    const step = this.holder.handle(message, nowMs);
+    const step = this.holderStep(message, nowMs);
     if (step !== undefined) {
       effects.push({ type: 'send', to: from.id, message: { ...message, step } });
     }
@@ -203,8 +208,9 @@
   ): void {
     const message: ClaimMessage = { type: 'claim', step, claim, attempt };
     const wait = { key: `${step} ${attempt}`, untilMs: nowMs + CLAIM_ROUND_MS };
-    for (const holder of this.set.holders) {
-      if (this.set.isSelf(holder)) {
+    const set = this.groups.of(claim);
+    for (const holder of set.holders) {
+      if (set.isSelf(holder)) {
         this.tellSelf(holder, message, nowMs, effects);
       } else {
         this.options.counters.add(CLAIM_COUNTERS.messages);
@@ -219,7 +225,7 @@
     nowMs: number,
     effects: ControlEffect[],
   ): void {
-    const step = this.holder.handle(message, nowMs);
+    const step = this.holderStep(message, nowMs);
     const open = this.open.get(message.attempt);
     if (step !== undefined && open !== undefined) {
       this.take(message.attempt, open, self.id, { ...message, step }, nowMs, effects);
@@ -234,24 +240,33 @@
       }
       const silent = new Set(open.round.unanswered());
       this.settle(attempt, open, open.round.withoutMajority(), nowMs, effects);
-      this.set.holders
-        .filter((holder) => silent.has(holder.id))
+      this.groups
+        .of(open.claim)
+        .holders.filter((holder) => silent.has(holder.id))
         .forEach((holder) => this.links.unanswered(holder));
     }
   }
 
   /** Asks the other holders for their claims while this one is new. */
   private askOthers(nowMs: number, effects: ControlEffect[]): void {
-    const round = this.holder.syncDue(this.set.holders.length, nowMs);
+    const round = this.holder.syncDue(this.groups.own.holders.length, nowMs);
     if (round === undefined) {
       return;
     }
     const wait = { key: 'claim-sync-request', untilMs: nowMs + CLAIM_ROUND_MS };
-    for (const holder of this.set.others()) {
+    for (const holder of this.groups.own.others()) {
       effects.push(...this.links.send(holder, { type: 'claim-sync-request', round }, wait));
     }
   }
 
+  /** A claim of another group was sent by a node with another number of groups: never granted. */
+  private holderStep(message: ClaimMessage, nowMs: number): ClaimStep | undefined {
+    if (!this.groups.isOwn(message.claim)) {
+      return message.step === 'request' ? 'unready' : undefined;
+    }
+    return this.holder.handle(message, nowMs);
+  }
+
   private followClock(nowMs: number): void {
     const leadMs = nowMs - (this.options.steadyNow?.() ?? nowMs);
     const advancedMs = leadMs - (this.clockLeadMs ?? leadMs);
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -136,8 +136,8 @@
     return this.store.memo.merge(source, operator);
   }
 
-  oldestMachines(): readonly Machine[] {
-    return this.store.machines().oldest;
+  oldestMachines(group: number, groups: number): readonly Machine[] {
+    return this.store.machines().oldestOf(group, groups);
   }
 
   /** The summary for the status page and the resource API. */
--- a/src/control/control-ports.ts
+++ b/src/control/control-ports.ts
@@ -53,8 +53,11 @@
 /** The machines that hold claims on idempotency keys. */
 export interface OldestMachinesView {
   readonly identity: PeerIdentity;
-  /** The oldest machines of the held list (lowest seniority), `OLDEST_MACHINES` at most. */
-  oldestMachines(): readonly Machine[];
+  /**
+   * The oldest machines (lowest seniority) of a group of the held list, `OLDEST_MACHINES` at most;
+   * see `fleetGroupOf`. The same array until the list changes.
+   */
+  oldestMachines(group: number, groups: number): readonly Machine[];
 }
 
 /** Machines that {@link OldestMachinesView} names at most. */
--- a/src/membership/machine-index.ts
+++ b/src/membership/machine-index.ts
@@ -1,4 +1,5 @@
 /** The machines document, parsed and indexed by place. Immutable; shared by all who hold it. */
+import { fleetGroupOf } from '../control/fleet-group.js';
 import { OLDEST_MACHINES } from '../control/control-ports.js';
 import { canonicalJson } from '../model/canonical-json.js';
 import {
@@ -24,8 +25,10 @@
   static readonly EMPTY = new MachineIndex([]);
 
   readonly byId: ReadonlyMap<string, Machine>;
-  /** The oldest machines, lowest seniority number first. */
-  readonly oldest: readonly Machine[];
+  /** All machines, lowest seniority number first. */
+  private readonly bySeniority: readonly Machine[];
+  /** Oldest machines of each group, by the number of groups. */
+  private readonly oldestByGroups = new Map<number, readonly (readonly Machine[])[]>();
   private readonly zones = new Map<string, Machine[]>();
   private readonly zoneNamesByRegion = new Map<string, string[]>();
   private readonly regions = new Map<string, Machine[]>();
@@ -33,7 +36,7 @@
   constructor(machines: readonly Machine[]) {
     this.byId = new Map(machines.map((machine) => [machine.id, machine]));
     const sorted = [...machines].sort(bySeniority);
-    this.oldest = sorted.slice(0, OLDEST_MACHINES);
+    this.bySeniority = sorted;
     for (const machine of sorted) {
       if (!this.zones.has(machine.zone)) {
         append(this.zoneNamesByRegion, machine.region, machine.zone);
@@ -69,6 +72,27 @@
     return this.regions.get(region) ?? [];
   }
 
+  /** The oldest machines of a group, lowest seniority number first. */
+  oldestOf(group: number, groups: number): readonly Machine[] {
+    let oldest = this.oldestByGroups.get(groups);
+    if (oldest === undefined) {
+      oldest = this.findOldest(groups);
+      this.oldestByGroups.set(groups, oldest);
+    }
+    return oldest[group] ?? [];
+  }
+
+  private findOldest(groups: number): Machine[][] {
+    const oldest = Array.from({ length: groups }, (): Machine[] => []);
+    for (const machine of this.bySeniority) {
+      const members = oldest[fleetGroupOf(machine.id, groups)];
+      if (members !== undefined && members.length < OLDEST_MACHINES) {
+        members.push(machine);
+      }
+    }
+    return oldest;
+  }
+
   /** Names of a region's zones. */
   zonesOf(region: string): readonly string[] {
     return this.zoneNamesByRegion.get(region) ?? [];
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -199,6 +199,7 @@
       fleet,
       counters: this.metrics,
       opensWhenAllAreNew: this.settings.claims.openWhenAllAreNew,
+      groups: this.settings.claims.groups,
       steadyNow: () => performance.now(),
     });
   }
--- a/src/settings/settings.ts
+++ b/src/settings/settings.ts
@@ -164,6 +164,11 @@
    * none for five minutes, since a key may have been used before all of them were lost.
    */
   openWhenAllAreNew: z.boolean().default(false),
+  /**
+   * Groups that machines and keys are divided into, each with five holders of its own; the same on
+   * every node. A group should have ten machines or more; a change counts as the loss of all claims.
+   */
+  groups: z.number().int().min(1).max(1_000).default(1),
 });
 
 /** What is logged. */
--- a/test/claims/claim-component.test.ts
+++ b/test/claims/claim-component.test.ts
@@ -10,6 +10,8 @@
   SYNC_INTERVAL_MS,
 } from '../../src/claims/claim-terms.js';
 import type { ControlEffect } from '../../src/control/control-event.js';
+import { fleetGroupOf } from '../../src/control/fleet-group.js';
+import { MachineIndex } from '../../src/membership/machine-index.js';
 import type { PeerIdentity } from '../../src/membership/peer-identity.js';
 import type { Machine } from '../../src/model/machine.js';
 import type { ClaimStep } from '../../src/wire/message.js';
@@ -312,4 +314,59 @@
       expect(second?.fate).to.equal(expected);
     });
   }
+
+  describe('with groups', () => {
+    const GROUPS = 3;
+    const fleet = new MachineIndex(Array.from({ length: 30 }, (_, index) => machine(index)));
+    const grouped = (id: string): ClaimComponent =>
+      new ClaimComponent({
+        fleet: {
+          identity: identity(id),
+          oldestMachines: (group, groups) => fleet.oldestOf(group, groups),
+        },
+        counters: { add: () => undefined },
+        opensWhenAllAreNew: true,
+        groups: GROUPS,
+      });
+
+    it('asks the five oldest machines of the group of the key, and spreads keys over groups', () => {
+      const asked = new Set<string>();
+      for (let key = 0; key < 30; key += 1) {
+        const claim = claimDigest('payments', `charge-${key}`);
+        const node = grouped('edge');
+        const command = { kind: 'open', claim, attempt: 'a', onOutcome: () => undefined } as const;
+        const effects = node.handle({ type: 'claim', command }, 0);
+        const dialled = effects.flatMap((one) => (one.type === 'dial' ? [one.target.address] : []));
+        const group = fleet.oldestOf(fleetGroupOf(claim, GROUPS), GROUPS);
+        expect(dialled).to.deep.equal(group.map((holder) => holder.address));
+        dialled.forEach((address) => asked.add(address));
+      }
+      expect(asked.size).to.equal(GROUPS * 5);
+    });
+
+    it('grants claims of its own group only', () => {
+      const alone = new MachineIndex([machine(0)]);
+      const holder = new ClaimComponent({
+        fleet: {
+          identity: identity('m0'),
+          oldestMachines: (group, groups) => alone.oldestOf(group, groups),
+        },
+        counters: { add: () => undefined },
+        opensWhenAllAreNew: true,
+        groups: GROUPS,
+      });
+      holder.handle({ type: 'start' }, 0);
+      holder.handle({ type: 'wake' }, SETTLE_MS + SYNC_INTERVAL_MS);
+      const own = fleetGroupOf('m0', GROUPS);
+      for (let key = 0; key < 10; key += 1) {
+        const claim = claimDigest('payments', `k${key}`);
+        const message = { type: 'claim', step: 'request', claim, attempt: 'a' } as const;
+        const event = { type: 'message', from: identity('edge'), message } as const;
+        const effects = holder.handle(event, SETTLE_MS + SYNC_INTERVAL_MS);
+        const step = fleetGroupOf(claim, GROUPS) === own ? 'granted' : 'unready';
+        const answer = { type: 'send', to: 'edge', message: { ...message, step } };
+        expect(effects).to.deep.include(answer);
+      }
+    });
+  });
 });
