Count reads that a node left alone did not serve, in runs with failures

Cause: reads that fail at a node that was killed cannot be helped there; those that fail at another node show how well back ends and nodes that die are avoided. The table told them as one figure. Change: a row with how they ended; not judged, since no promise says that none may fail.

--- a/test/faults/fault-checks.test.ts
+++ b/test/faults/fault-checks.test.ts
@@ -3,7 +3,9 @@
 import type { CallEnd, CallRecord } from '../../tools/shared/call-record.js';
 import {
   findBroken,
+  countEnds,
   findCutWithoutFailure,
+  findUnservedByUntouched,
   RECOVERY_MS,
   type FaultRunResult,
 } from '../../tools/faults/fault-checks.js';
@@ -26,6 +28,7 @@
   audit: auditCalls([call(SERVED)], [EXECUTION]),
   dropped: 0,
   cutWithoutFailure: [],
+  unservedByUntouched: [],
   executions: 1,
   falls: [],
   versionsPublished: 5,
@@ -90,4 +93,21 @@
       expect(findCutWithoutFailure([record], [window])).to.deep.equal(isCut ? [record] : []);
     });
   }
+
+  const absence = { node: 'n', ...window };
+  const afterIt = window.untilMs + RECOVERY_MS + 1;
+  const reads: [string, Partial<CallRecord>, boolean][] = [
+    ['a read while its node was away', { end: inDoubt }, false],
+    ['a read while another node was away', { end: inDoubt, node: 'm' }, true],
+    ['a read after its node was back', { end: inDoubt, startedAt: afterIt }, true],
+    ['an order', { end: inDoubt, node: 'm', repeatable: false }, false],
+    ['a read that was served', { node: 'm' }, false],
+  ];
+  for (const [name, change, isCounted] of reads) {
+    it(`${isCounted ? 'count' : 'leave out'} ${name} among those unserved by untouched nodes`, () => {
+      const record = { ...call(SERVED), repeatable: true, ...change };
+      const counted = findUnservedByUntouched([record], [absence]);
+      expect(countEnds(counted)).to.equal(isCounted ? '1 504 may-have-run' : 'none');
+    });
+  }
 });
--- a/tools/faults/fault-checks.ts
+++ b/tools/faults/fault-checks.ts
@@ -1,7 +1,7 @@
 /** Judges a run with failures. Pure. */
 import type { VersionFall } from '../demo/version-log.js';
 import { BROKEN_PROMISES, type CallAudit } from '../shared/call-audit.js';
-import type { CallRecord } from '../shared/call-record.js';
+import { isServed, type CallRecord } from '../shared/call-record.js';
 
 /** For so long after an unplanned failure ended may calls be cut, in milliseconds. */
 export const RECOVERY_MS = 5_000;
@@ -16,6 +16,11 @@
   readonly untilMs: number;
 }
 
+/** A time in which an action stopped, killed or froze one node, until it ran again. */
+export interface NodeAbsence extends FailureWindow {
+  readonly node: string;
+}
+
 /** How a planned stop ended. */
 export interface PlannedExit {
   readonly name: string;
@@ -33,6 +38,8 @@
   readonly dropped: number;
   /** Calls left in doubt although no unplanned failure was near. */
   readonly cutWithoutFailure: readonly CallRecord[];
+  /** Repeatable calls that were not served although the node that was called ran all along. */
+  readonly unservedByUntouched: readonly CallRecord[];
   readonly executions: number;
   readonly falls: readonly VersionFall[];
   readonly versionsPublished: number;
@@ -78,6 +85,34 @@
   });
 }
 
+/**
+ * Repeatable calls that were not served although nothing was done to the node that was called, from
+ * before the call until after it.
+ */
+export function findUnservedByUntouched(
+  records: readonly CallRecord[],
+  absences: readonly NodeAbsence[],
+): CallRecord[] {
+  return records.filter((record) => {
+    const endedAt = record.startedAt + record.latencyMs;
+    const isTouched = absences.some(
+      ({ node, fromMs, untilMs }) =>
+        node === record.node && record.startedAt <= untilMs + RECOVERY_MS && endedAt >= fromMs,
+    );
+    return record.repeatable && !isServed(record) && !isTouched;
+  });
+}
+
+/** How many of the calls ended in which way, in words. */
+export function countEnds(records: readonly CallRecord[]): string {
+  const counts = new Map<string, number>();
+  for (const { end } of records) {
+    const name = end.type === 'answered' ? `${end.status} ${end.verdict ?? ''}` : end.type;
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return [...counts].map(([name, count]) => `${count} ${name}`).join(', ') || 'none';
+}
+
 /** Every promise that broke, in words; empty when none did. */
 export function findBroken(result: FaultRunResult): string[] {
   const broken: string[] = [];
--- a/tools/faults/fault-injector.ts
+++ b/tools/faults/fault-injector.ts
@@ -3,7 +3,7 @@
 import type { Fleet, NodeProcess } from '../demo/fleet.js';
 import type { Child } from '../shared/child-process.js';
 import { describeAction, isUnplanned, type FaultAction } from './fault-action.js';
-import type { FailureWindow, PlannedExit } from './fault-checks.js';
+import type { FailureWindow, NodeAbsence, PlannedExit } from './fault-checks.js';
 import type { Publications } from './publications.js';
 
 /** A planned stop must have ended by then, in milliseconds. */
@@ -12,10 +12,11 @@
 /** Performs actions, several at once; remembers what the checks need. */
 export class FaultInjector {
   readonly windows: FailureWindow[] = [];
+  readonly absences: NodeAbsence[] = [];
   readonly plannedExits: PlannedExit[] = [];
   performed = 0;
   /** Nodes that an action has stopped or frozen. */
-  private readonly heldNodes = new Set<string>();
+  private readonly heldNodes = new Map<string, { untilMs: number }>();
 
   constructor(
     private readonly fleet: Fleet,
@@ -154,12 +155,22 @@
   /** The nodes of `ids` that no other action holds, held from now on. */
   private hold(ids: readonly string[]): NodeProcess[] {
     const free = ids.filter((id) => !this.heldNodes.has(id));
-    free.forEach((id) => this.heldNodes.add(id));
+    for (const node of free) {
+      const absence = { node, fromMs: Date.now(), untilMs: Infinity };
+      this.absences.push(absence);
+      this.heldNodes.set(node, absence);
+    }
     return free.map((id) => this.fleet.node(id));
   }
 
   private release(nodes: readonly NodeProcess[]): void {
-    nodes.forEach(({ id }) => this.heldNodes.delete(id));
+    for (const { id } of nodes) {
+      const absence = this.heldNodes.get(id);
+      if (absence !== undefined) {
+        absence.untilMs = Date.now();
+      }
+      this.heldNodes.delete(id);
+    }
   }
 
   private notePlannedExit(name: string, exit: { code: number | null } | undefined): void {
--- a/tools/faults/fault-report.ts
+++ b/tools/faults/fault-report.ts
@@ -1,7 +1,7 @@
 /** The table of one run with failures. */
-import type { FaultRunResult } from './fault-checks.js';
+import { countEnds, type FaultRunResult } from './fault-checks.js';
 
-const LABEL_WIDTH = 38;
+const LABEL_WIDTH = 42;
 
 type Row = readonly [label: string, value: (result: FaultRunResult) => string | number];
 
@@ -15,6 +15,10 @@
   ['failed (in doubt, broken, not sent)', ({ audit }) => audit.failed],
   ['  of them repeatable', ({ audit }) => audit.failedRepeatable],
   ['  while nothing failed', ({ cutWithoutFailure }) => cutWithoutFailure.length],
+  [
+    'repeatable, unserved by untouched nodes',
+    ({ unservedByUntouched }) => countEnds(unservedByUntouched),
+  ],
   ['arrivals over the outstanding limit', ({ dropped }) => dropped],
   ['executions on back ends', ({ executions }) => executions],
   ['doubled', ({ audit }) => audit.doubled.length],
--- a/tools/faults/fault-run.ts
+++ b/tools/faults/fault-run.ts
@@ -10,6 +10,7 @@
 import {
   CONVERGENCE_BOUND_MS,
   findCutWithoutFailure,
+  findUnservedByUntouched,
   type FaultRunResult,
 } from './fault-checks.js';
 import { FaultInjector } from './fault-injector.js';
@@ -74,6 +75,7 @@
       audit,
       dropped,
       cutWithoutFailure,
+      unservedByUntouched: findUnservedByUntouched(records, injector.absences),
       executions: executions.length,
       falls: log.falls,
       versionsPublished: publications.newestVersion,
