Fuzz operators' writes together with the whole control plane

Cause: replication was fuzzed by itself; its document also travels by the dissemination, and a fleet may lose its voters. The oracle asks that an accepted write stands in every document of its revision, that a revision has one document, and that operators' documents converge and never fall back after healing.

--- a/tools/emulator/emulated-process.ts
+++ b/tools/emulator/emulated-process.ts
@@ -53,7 +53,8 @@
     readonly identity: PeerIdentity,
     readonly component: EmulatedComponent,
     private readonly clock: ClockSettings,
-    private readonly startedAtMs: number,
+    /** Virtual time of the start. */
+    readonly startedAtMs: number,
   ) {}
 
   /** The process's monotonic clock at a virtual time. */
--- a/tools/fuzz/control-plane-target.ts
+++ b/tools/fuzz/control-plane-target.ts
@@ -6,9 +6,10 @@
 import type { FuzzTarget } from './script-runner.js';
 
 /** The product's control plane, with readers of the kind. */
-export function controlPlaneTarget(readers: ReaderKind = 'leased'): FuzzTarget {
+export function controlPlaneTarget(readers: ReaderKind = 'leased', withWrites = false): FuzzTarget {
   return {
-    factory: productFactory(FUZZ_ZONES, undefined, readers),
+    factory: productFactory(FUZZ_ZONES, undefined, readers, withWrites),
+    withWrites,
     sizer: encodedSize,
     readerBound: readers === 'leased' ? mostReaders(evenShares(FUZZ_ZONES)) : FUZZ_ZONES,
   };
--- a/tools/fuzz/fuzz-command.ts
+++ b/tools/fuzz/fuzz-command.ts
@@ -9,6 +9,10 @@
 /** Longest time before one command, in milliseconds. */
 const LONGEST_PAUSE_MS = 40_000;
 
+/** How often a command is an operator's write, against all others. */
+const OPERATOR_WRITE_WEIGHT = 1;
+const OTHER_ACTIONS_WEIGHT = 8;
+
 /** What a publication of the source is. */
 export const PUBLICATIONS = [
   'next',
@@ -50,6 +54,14 @@
   | { readonly type: 'list-lag'; readonly lagMs: number }
   | { readonly type: 'leave'; readonly machine: number }
   | { readonly type: 'stress'; readonly duplicate: boolean; readonly reorder: boolean }
+  | {
+      readonly type: 'operator-write';
+      readonly machine: number;
+      /** Which of a few resources is written. */
+      readonly resource: number;
+      readonly isDeletion: boolean;
+      readonly precondition: 'none' | 'absent' | 'exists';
+    }
   | { readonly type: 'nothing' };
 
 /** One step of a script: time passes, then something happens. */
@@ -108,15 +120,29 @@
   only('nothing', {}, 2),
 );
 
+const operatorWrite: fc.WeightedArbitrary<FuzzAction> = only(
+  'operator-write',
+  {
+    machine: fc.nat({ max: FUZZ_MACHINES - 1 }),
+    resource: fc.nat({ max: 2 }),
+    isDeletion: fc.boolean(),
+    precondition: fc.constantFrom('none' as const, 'absent' as const, 'exists' as const),
+  },
+  OPERATOR_WRITE_WEIGHT,
+);
+
 const pause = fc.oneof(
   fc.integer({ min: 0, max: 100 }),
   fc.integer({ min: 0, max: 3_000 }),
   fc.integer({ min: 0, max: LONGEST_PAUSE_MS }),
 );
 
-/** Scripts of up to `maxCommands` commands. */
-export function fuzzScripts(maxCommands: number): fc.Arbitrary<FuzzCommand[]> {
-  return fc.array(fc.record({ afterMs: pause, action }), {
+/** Scripts of up to `maxCommands` commands, with operators' writes or without. */
+export function fuzzScripts(maxCommands: number, withWrites = false): fc.Arbitrary<FuzzCommand[]> {
+  const actions = withWrites
+    ? fc.oneof({ weight: OTHER_ACTIONS_WEIGHT, arbitrary: action }, operatorWrite)
+    : action;
+  return fc.array(fc.record({ afterMs: pause, action: actions }), {
     maxLength: maxCommands,
     size: 'max',
   });
--- a/tools/fuzz/fuzz-run.ts
+++ b/tools/fuzz/fuzz-run.ts
@@ -29,6 +29,8 @@
   readonly scripts: number;
   readonly commands: number;
   readonly eventsChecked: number;
+  /** Operators' writes that were accepted. */
+  readonly acceptedWrites: number;
   /** Slowest convergence seen, in milliseconds of virtual time. */
   readonly slowestHealMs: number;
   readonly slowestPublicationMs: number;
@@ -42,7 +44,7 @@
   const run = new FuzzRun(target, options);
   const property = fc.property(
     fc.noShrink(fc.integer()),
-    fuzzScripts(options.maxCommands),
+    fuzzScripts(options.maxCommands, target.withWrites === true),
     (worldSeed, script) => run.runOne(worldSeed, script),
   );
   const details = fc.check(property, { seed: options.seed, numRuns: options.runs });
@@ -56,6 +58,7 @@
   private scripts = 0;
   private commands = 0;
   private eventsChecked = 0;
+  private acceptedWrites = 0;
   private slowestHealMs = 0;
   private slowestPublicationMs = 0;
   private failure: FuzzFailure | undefined;
@@ -88,6 +91,7 @@
       scripts: this.scripts,
       commands: this.commands,
       eventsChecked: this.eventsChecked,
+      acceptedWrites: this.acceptedWrites,
       slowestHealMs: this.slowestHealMs,
       slowestPublicationMs: this.slowestPublicationMs,
       failure: this.failure,
@@ -101,6 +105,7 @@
     this.scripts += 1;
     this.commands += result.commands;
     this.eventsChecked += result.eventsChecked;
+    this.acceptedWrites += result.acceptedWrites;
     this.slowestHealMs = Math.max(this.slowestHealMs, result.healedAfterMs);
     this.slowestPublicationMs = Math.max(this.slowestPublicationMs, result.publishedAfterMs);
     this.options.onScript?.(result);
