Run every component of the control plane on hollow nodes

Cause: replicas of operators' writes and holders of claims joined the node while the scale run's hollow nodes had the source reader alone. Change: the components are made in src/runtime/control-components.ts, for the node and for hollow nodes; nothing in what they do.

--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -6,34 +6,25 @@
 import type { AddressInfo } from 'node:net';
 import { AdminServer } from '../api/admin-server.js';
 import type { SnapshotListener } from '../api/configuration-view.js';
-import { createResourceVersioner } from '../api/resource-version.js';
-import { ClaimComponent } from '../claims/claim-component.js';
 import { ControlPlaneClaims } from '../claims/control-plane-claims.js';
 import type { DocumentSink } from '../control/control-options.js';
-import type { ElectorateView, FleetView, OldestMachinesView } from '../control/control-ports.js';
+import type { ElectorateView } from '../control/control-ports.js';
 import type { NodePorts, RunningNode } from '../cli/running-node.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import { NO_SNAPSHOT_VERSION, buildSnapshot, type Snapshot } from '../model/snapshot.js';
 import { createRequestProxy, type RequestProxy } from '../proxy/request-proxy.js';
-import { FleetAdapter } from '../replication/fleet-adapter.js';
-import { Replica } from '../replication/replica.js';
 import { ReplicatedWritePort } from '../replication/replicated-write-port.js';
 import type { Settings } from '../settings/settings.js';
 import { PlatformClient } from '../source/platform-client.js';
-import { SourceReader } from '../source/source-reader.js';
+import type { SourceReader } from '../source/source-reader.js';
 import { declareTransportCounters } from '../transport/transport-counters.js';
+import { createClaims, createReader, createReplica } from './control-components.js';
 import { ControlNode } from './control-node.js';
 import { createElapsedClock } from './elapsed-clock.js';
 import { createLogger, type Logger } from './logger.js';
 import { Metrics } from './metrics.js';
 import { composeNodeStatus } from './node-status.js';
 
-/** Time between reads of the machine list, as a multiple of the time between configuration reads. */
-const MACHINES_INTERVAL_FACTOR = 5;
-
-/** Time given to a write, as a part of the time that the API waits for its outcome. */
-const WRITE_TIMEOUT_FACTOR = 0.9;
-
 /** Opens a node; rejects, with everything closed again, when a listener can not be opened. */
 export async function runNode(settings: Settings): Promise<RunningNode> {
   const node = new Node(settings);
@@ -162,9 +153,9 @@
       overlay: settings.overlay,
       platform: settings.platform && new PlatformClient({ ...settings.platform, now: this.now }),
       components: [
-        (documents, electorate) => this.createReader(documents, electorate),
-        (documents, fleet) => this.createReplica(documents, fleet),
-        (_documents, fleet) => this.createClaims(fleet),
+        (documents, electorate) => this.keepReader(documents, electorate),
+        (documents, fleet) => createReplica(settings, this.metrics, documents, fleet),
+        (_documents, fleet) => createClaims(settings, this.metrics, fleet),
       ],
       counters: this.metrics,
       random: Math.random,
@@ -174,56 +165,11 @@
     });
   }
 
-  private createReader(documents: DocumentSink, electorate: ElectorateView): SourceReader {
-    const { platform, seeds, readerShares, lease } = this.settings;
-    this.reader = new SourceReader({
-      documents,
-      electorate,
-      seeds,
-      readerShares,
-      lease,
-      poll: platform && {
-        configurationIntervalMs: platform.pollIntervalMs,
-        machinesIntervalMs: MACHINES_INTERVAL_FACTOR * platform.pollIntervalMs,
-        requestTimeoutMs: platform.requestTimeoutMs,
-      },
-      random: Math.random,
-      counters: this.metrics,
-      steadyNow: () => performance.now(),
-    });
+  private keepReader(documents: DocumentSink, electorate: ElectorateView): SourceReader {
+    this.reader = createReader(this.settings, this.metrics, documents, electorate);
     return this.reader;
   }
 
-  private createClaims(fleet: OldestMachinesView): ClaimComponent {
-    return new ClaimComponent({
-      fleet,
-      counters: this.metrics,
-      opensWhenAllAreNew: this.settings.claims.openWhenAllAreNew,
-      groups: this.settings.claims.groups,
-      steadyNow: () => performance.now(),
-    });
-  }
-
-  private createReplica(documents: DocumentSink, fleet: FleetView): Replica {
-    const { writes, api, fleetKey } = this.settings;
-    const versionOf = createResourceVersioner(fleetKey);
-    return new Replica({
-      self: fleet.identity,
-      initialVoterIds: writes.initialVoters,
-      targetVoterCount: writes.voterCount,
-      writeTimeoutMs: WRITE_TIMEOUT_FACTOR * api.writeTimeoutMs,
-      fleet: new FleetAdapter(fleet),
-      documents: {
-        sourceDocument: () => fleet.heldDocuments().source,
-        operatorDocument: () => documents.operatorDocument(),
-        offerOperator: (document, nowMs) => documents.offerOperator(document, nowMs),
-        merge: (source, operator) => fleet.merge(source, operator),
-        versionOf,
-      },
-      counters: this.metrics,
-    });
-  }
-
   private openAdmin(control: ControlNode): Promise<AdminServer> {
     return AdminServer.open({
       settings: this.settings,
--- a/tools/scale/hollow-node.ts
+++ b/tools/scale/hollow-node.ts
@@ -1,20 +1,15 @@
 /** A node without request path: the whole control plane on real sockets, many to a process. */
-import type { DocumentSink } from '../../src/control/control-options.js';
-import type { ElectorateView } from '../../src/control/control-ports.js';
 import type { DocumentMemo } from '../../src/dissemination/document-memo.js';
 import type { Machine } from '../../src/model/machine.js';
+import { createClaims, createReader, createReplica } from '../../src/runtime/control-components.js';
 import { ControlNode } from '../../src/runtime/control-node.js';
 import { Metrics } from '../../src/runtime/metrics.js';
 import { parseSettings } from '../../src/settings/load-settings.js';
 import type { Settings } from '../../src/settings/settings.js';
-import { SourceReader } from '../../src/source/source-reader.js';
 import { declareTransportCounters } from '../../src/transport/transport-counters.js';
 import { CutPlatformClient, openCutTransport, type NetworkCut } from './network-cut.js';
 import type { NodeSettings } from './scale-plan.js';
 
-/** As in `src/runtime/node.ts`: reads of the machine list are rarer than of the configuration. */
-const MACHINES_INTERVAL_FACTOR = 5;
-
 /** What a hollow node is made from. */
 export interface HollowNodeOptions {
   readonly machine: Machine;
@@ -61,7 +56,11 @@
       overlay: { ...settings.overlay, ...(options.memo && { memo: options.memo }) },
       platform: settings.platform && new CutPlatformClient(cut, machine, settings.platform),
       openTransport: (transport) => openCutTransport(cut, transport),
-      components: [(documents, electorate) => this.createReader(documents, electorate)],
+      components: [
+        (documents, electorate) => createReader(settings, metrics, documents, electorate),
+        (documents, fleet) => createReplica(settings, metrics, documents, fleet),
+        (_documents, fleet) => createClaims(settings, metrics, fleet),
+      ],
       counters: metrics,
       random: Math.random,
       now: options.now,
@@ -82,22 +81,4 @@
     this.control?.abort();
     this.control = undefined;
   }
-
-  private createReader(documents: DocumentSink, electorate: ElectorateView): SourceReader {
-    const { platform, seeds, readerShares, lease } = this.settings;
-    return new SourceReader({
-      documents,
-      electorate,
-      seeds,
-      readerShares,
-      lease,
-      poll: platform && {
-        configurationIntervalMs: platform.pollIntervalMs,
-        machinesIntervalMs: MACHINES_INTERVAL_FACTOR * platform.pollIntervalMs,
-        requestTimeoutMs: platform.requestTimeoutMs,
-      },
-      random: Math.random,
-      counters: this.metrics,
-    });
-  }
 }
