--- a/tools/demo/traffic.ts
+++ b/tools/demo/traffic.ts
@@ -14,6 +14,7 @@
 const DEADLINE_MS = 3_000;
 const GIVE_UP_MS = 6_000;
 const MAX_WORK_MS = 12;
+const MAX_SLOW_WORK_MS = 800;
 /** One answer in so many is large. */
 const LARGE_ANSWER_EVERY = 20;
 const LARGE_ANSWER_BYTES = 60_000;
@@ -32,6 +33,8 @@
   readonly ratePerSecond: number;
   readonly durationMs: number;
   readonly random: () => number;
+  /** Share of calls whose work is slow; none when absent. */
+  readonly slowShare?: number;
 }
 
 /** One thing that a caller wants, perhaps over several calls. */
@@ -82,11 +85,16 @@
       repeatable,
       ...(hasKey && { idempotencyKey: `order-${id}` }),
       home: Math.floor(random() * edges.length),
-      workMs: Math.ceil(random() * MAX_WORK_MS),
+      workMs: Math.ceil(random() * (this.drawSlow() ? MAX_SLOW_WORK_MS : MAX_WORK_MS)),
       answerBytes: index % LARGE_ANSWER_EVERY === 0 ? LARGE_ANSWER_BYTES : SMALL_ANSWER_BYTES,
     };
   }
 
+  private drawSlow(): boolean {
+    const { slowShare = 0, random } = this.options;
+    return slowShare > 0 && random() < slowShare;
+  }
+
   /** Calls until the wish is settled: an order with a key is asked for again after "not run". */
   private async pursue(wish: Wish): Promise<void> {
     for (let attempt = 1; attempt <= MAX_ORDER_ATTEMPTS; attempt += 1) {
--- a/tools/faults/fault-run.ts
+++ b/tools/faults/fault-run.ts
@@ -12,6 +12,7 @@
   findCutWithoutFailure,
   findUnservedByUntouched,
   type FaultRunResult,
+  type NodeAbsence,
 } from './fault-checks.js';
 import { FaultInjector } from './fault-injector.js';
 import type { ScheduledFault } from './fault-action.js';
@@ -20,6 +21,8 @@
 const START_TIMEOUT_MS = 30_000;
 /** Traffic before the first failure. */
 const WARM_UP_MS = 2_000;
+/** Share of calls that work for long, so that failures meet calls in flight. */
+const SLOW_SHARE = 0.3;
 /** Traffic after convergence. */
 const COOL_DOWN_MS = 3_000;
 /** Calls whose records and executions are printed when they broke a promise. */
@@ -32,6 +35,15 @@
   readonly ratePerSecond: number;
   readonly random: () => number;
   readonly say: (text: string) => void;
+  /** Takes everything that was judged, for a closer look. */
+  readonly trace?: (trace: FaultTrace) => void;
+}
+
+/** Calls, executions and absences of one run. */
+export interface FaultTrace {
+  readonly records: readonly CallRecord[];
+  readonly executions: readonly Execution[];
+  readonly absences: readonly NodeAbsence[];
 }
 
 /** Runs a fleet that has not been started; the caller ends it. */
@@ -52,7 +64,7 @@
   }
 
   async run(): Promise<FaultRunResult> {
-    const { fleet, injector, publications } = this;
+    const { fleet, injector, publications, options } = this;
     const monitor = await this.start();
     const traffic = this.startTraffic();
     await delay(WARM_UP_MS);
@@ -64,13 +76,14 @@
     const executions = await fleet.backends.printedExecutions();
     const { records } = traffic;
     const audit = auditCalls(records, executions);
+    options.trace?.({ records, executions, absences: injector.absences });
     const cutWithoutFailure = findCutWithoutFailure(records, injector.windows);
     this.explain(audit, cutWithoutFailure, records, executions);
     const platform = await fleet.platformCounters();
     const { log } = monitor;
     return {
       title: fleet.plan.deployment.title,
-      seed: this.options.seed,
+      seed: options.seed,
       failures: injector.performed,
       audit,
       dropped,
@@ -119,6 +132,7 @@
       ratePerSecond: options.ratePerSecond,
       durationMs: lastFaultMs + 4 * CONVERGENCE_BOUND_MS,
       random: options.random,
+      slowShare: SLOW_SHARE,
     });
   }
 
--- a/tools/faults/main.ts
+++ b/tools/faults/main.ts
@@ -1,6 +1,7 @@
 /** `npm run faults`: a deployment as real processes under traffic and a seeded schedule of failures. */
 import meow from 'meow';
 import { randomBytes, randomInt } from 'node:crypto';
+import { writeFileSync } from 'node:fs';
 import { uniformFloat64 } from 'pure-rand/distribution/uniformFloat64';
 import { xoroshiro128plus } from 'pure-rand/generator/xoroshiro128plus';
 import { DEPLOYMENTS } from '../demo/deployment.js';
@@ -8,7 +9,7 @@
 import { Fleet } from '../demo/fleet.js';
 import { findBroken } from './fault-checks.js';
 import { formatTable } from './fault-report.js';
-import { runFaults } from './fault-run.js';
+import { runFaults, type FaultTrace } from './fault-run.js';
 import { planFaults } from './fault-schedule.js';
 
 const FLEET_KEY_BYTES = 24;
@@ -27,6 +28,7 @@
     --deployment  solano or parkhaven (default parkhaven)
     --seconds     Time for which failures go on (default 90)
     --rate        Calls a second (default 100)
+    --trace       File for calls, executions and absences as JSON, for a closer look
     --seed        Seed of the failures and of the callers' random choices (default 1)
 
   Starts platform, back ends and nodes on loopback addresses and kills, freezes and stops them, and
@@ -46,6 +48,7 @@
       seconds: { type: 'number', default: 90 },
       rate: { type: 'number', default: 100 },
       seed: { type: 'number', default: 1 },
+      trace: { type: 'string' },
     },
   },
 );
@@ -63,6 +66,12 @@
   return () => uniformFloat64(generator);
 }
 
+function writeTrace(trace: FaultTrace): void {
+  if (cli.flags.trace !== undefined) {
+    writeFileSync(cli.flags.trace, JSON.stringify(trace));
+  }
+}
+
 async function main(): Promise<number> {
   const { seed, seconds, rate } = cli.flags;
   const deployment = DEPLOYMENTS.find(({ name }) => name === cli.flags.deployment);
@@ -83,7 +92,7 @@
   const fleet = new Fleet(plan, { printLedgers: true, backendDrainMs: BACKEND_DRAIN_MS });
   runningFleet = fleet;
   const random = randomOf(seed + 1);
-  const options = { seed, schedule, ratePerSecond: rate, random, say: print };
+  const options = { seed, schedule, ratePerSecond: rate, random, say: print, trace: writeTrace };
   try {
     const result = await runFaults(fleet, options);
     process.stdout.write(`\n${formatTable(result)}\n\n`);
