--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -36,7 +36,7 @@
 }
 
 function sourceText({ isReader, sinceLastAnswerMs, isStale, rejected }: Status['source']): string {
-  const parts = [isReader ? 'read by this node' : 'read by others'];
+  const parts = [isReader ? 'read by this node' : 'not read by this node'];
   if (sinceLastAnswerMs !== undefined) {
     parts.push(`last answer ${Math.floor(sinceLastAnswerMs / 1_000)} s ago`);
   }
