Let the platform stand-in take its time, and kill back ends more often in runs with failures

Cause: reads of some milliseconds hardly ever meet, so the peak of readers at the platform said little (1 of 4 in several runs). Change: answerDelayMs of the platform stand-in, 400 ms in npm run faults; more kills of back ends.

--- a/standins/platform/control-commands.ts
+++ b/standins/platform/control-commands.ts
@@ -26,6 +26,8 @@
   outage: z.enum(OUTAGE_MODES).optional(),
   /** Version to serve in place of the newest; null serves the newest again. */
   staleVersion: z.number().int().nullable().optional(),
+  /** Time from a read's arrival to its answer. */
+  answerDelayMs: z.number().min(0).optional(),
   machinesLagMs: z.number().min(0).optional(),
   readerBound: z.number().int().min(0).optional(),
 });
--- a/standins/platform/platform-stand-in.ts
+++ b/standins/platform/platform-stand-in.ts
@@ -50,9 +50,10 @@
   private readonly machines = new LaggingTexts();
   private readonly readerBound: ReaderBound;
   private readonly http = createServer((request, response) => {
-    this.answer(request, response);
+    this.answerInTime(request, response);
   });
   private outage: OutageMode = 'none';
+  private answerDelayMs = 0;
   private reads = 0;
   private notModified = 0;
   private listeners: readonly Listener[] = [];
@@ -103,6 +104,7 @@
       this.configuration.pin(settings.staleVersion ?? undefined);
     }
     this.outage = settings.outage ?? this.outage;
+    this.answerDelayMs = settings.answerDelayMs ?? this.answerDelayMs;
     if (settings.outage === 'refuse') {
       this.readerBound.disconnectAll();
     }
@@ -151,6 +153,14 @@
     }
   }
 
+  private answerInTime(request: IncomingMessage, response: ServerResponse): void {
+    if (this.answerDelayMs === 0) {
+      this.answer(request, response);
+      return;
+    }
+    setTimeout(() => this.answer(request, response), this.answerDelayMs).unref();
+  }
+
   private answer(request: IncomingMessage, response: ServerResponse): void {
     if (this.outage === 'hang') {
       return;
--- a/test/standins/platform.test.ts
+++ b/test/standins/platform.test.ts
@@ -136,6 +136,19 @@
     expect(failure).to.be.instanceOf(Error);
   });
 
+  it('answers after its delay: readers at once meet', async () => {
+    await control(controlPort, '/settings', { answerDelayMs: 1_000_000 });
+    const reader = connect(port);
+    reader.write(GET);
+    while (platform.counters().readers === 0) {
+      await new Promise(setImmediate);
+    }
+    await control(controlPort, '/settings', { answerDelayMs: 0 });
+    expect((await read()).status).to.equal(200);
+    expect(platform.counters()).to.include({ reads: 1, peakReaders: 2 });
+    reader.destroy();
+  });
+
   it('never answers while it hangs', async () => {
     await control(controlPort, '/settings', { outage: 'hang' });
     const reader = connect(port);
--- a/tools/faults/fault-run.ts
+++ b/tools/faults/fault-run.ts
@@ -19,6 +19,8 @@
 import { Publications } from './publications.js';
 
 const START_TIMEOUT_MS = 30_000;
+/** Time that the platform takes to answer, so that readers at once meet there. */
+const PLATFORM_DELAY_MS = 400;
 /** Traffic before the first failure. */
 const WARM_UP_MS = 2_000;
 /** Share of calls that work for long, so that failures meet calls in flight. */
@@ -110,6 +112,7 @@
     const { fleet, options } = this;
     options.say(`starting ${fleet.plan.machines.length} nodes, their back ends and the platform`);
     await fleet.startOutside();
+    await fleet.changePlatform({ answerDelayMs: PLATFORM_DELAY_MS });
     const startedAtMs = performance.now();
     await fleet.startNodes();
     const monitor = new VersionMonitor(fleet);
--- a/tools/faults/fault-schedule.ts
+++ b/tools/faults/fault-schedule.ts
@@ -101,29 +101,32 @@
 
   private drawFailure(): FaultAction | undefined {
     const { leaseDurationMs, random } = this.options;
-    switch (this.drawBelow(9)) {
+    switch (this.drawBelow(12)) {
       case 0:
       case 1:
         return this.drawHerd();
       case 2:
-      case 3: {
+      case 3:
+      case 4:
+      case 5: {
         const machine = this.take(this.options.backends);
         const restartAfterMs = this.drawBetween(500, 6_000);
         return machine === undefined
           ? undefined
           : { type: 'kill-backend', machine, withNode: random() < 0.4, restartAfterMs };
       }
-      case 4:
-      case 5: {
+      case 6:
+      case 7: {
         const node = this.take(this.options.nodes);
         const durationMs = this.drawBetween(1_000, 8_000);
         return node === undefined ? undefined : { type: 'freeze-node', node, durationMs };
       }
-      case 6: {
+      case 8:
+      case 9: {
         const beyondMs = this.drawBetween(BEYOND_LEASE_MS, 3_000);
         return { type: 'freeze-reader', durationMs: leaseDurationMs + beyondMs };
       }
-      case 7:
+      case 10:
         return this.drawPlanned();
       default:
         return this.drawOutage();
