Warm nodes up before added latency is measured

Cause: at 120 calls/s over eight nodes and four edges each process had seen some hundred calls; 4 ms of processor time a call went mostly into code that was not compiled yet. Ruled out: other work on the machine (load 1 in the run before). Change: 20 s at 1,200 calls/s before the measurement.

--- a/tools/load/added-latency.ts
+++ b/tools/load/added-latency.ts
@@ -18,8 +18,13 @@
 
 const MAX_OUTSTANDING = 200;
 const MAX_CONNECTIONS = 64;
-/** Calls before the measurement, so that code is compiled and connections are open. */
-const WARM_UP_MS = 4_000;
+/**
+ * Calls before the measurement: nodes run for days, and their code is compiled by then. Each of the
+ * processes has to see some thousands of calls for that.
+ */
+const WARM_UP_MS = 20_000;
+const WARM_UP_RATE_PER_SECOND = 1_200;
+const WARM_UP = { durationMs: WARM_UP_MS, ratePerSecond: WARM_UP_RATE_PER_SECOND };
 const SERVICE = 'tiles';
 const SHAPE: CallShape = { service: SERVICE, workMs: 2, answerBytes: 2_000, deadlineMs: 5_000 };
 
@@ -58,7 +63,7 @@
 export function measureAddedLatency(options: AddedLatencyOptions): Promise<AddedLatencyResult> {
   return withFleet(DEPLOYMENT, async (fleet) => {
     options.progress('warming up');
-    await runWays(fleet, { ...options, durationMs: WARM_UP_MS }, 'warm');
+    await runWays(fleet, { ...options, ...WARM_UP }, 'warm');
     options.progress(`measuring for ${options.durationMs / 1_000} s`);
     const cpuBefore = await totalUsage(fleet);
     const { samples, failed } = await runWays(fleet, options, 'run');
