Read the usage of processes in one place

Cause: the load tool and the scale run each read /proc in a module of their own. Change: one shared module; both tests keep their checks and expect the same values.

--- a/test/load/load-tool.test.ts
+++ b/test/load/load-tool.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import { FirstComeQueue } from '../../tools/load/first-come-queue.js';
 import { LatencySample } from '../../tools/load/latency-sample.js';
-import { cpuMsOf, residentBytesOf } from '../../tools/load/process-usage.js';
+import { parseUsage } from '../../tools/shared/process-usage.js';
 
 describe('tools/load', () => {
   it('tells percentiles of recorded latencies', () => {
@@ -18,8 +18,11 @@
 
   it('reads processor time and memory of a process whose name has spaces and brackets', () => {
     const fields = ['S', ...Array.from({ length: 10 }, () => '0'), '150', '50', '0'];
-    expect(cpuMsOf(`42 (a) b (c) ${fields.join(' ')}`)).to.equal(2_000);
-    expect(residentBytesOf('Name:\tx\nVmRSS:\t    2048 kB\nThreads:\t1\n')).to.equal(2_097_152);
+    const usage = parseUsage(
+      `42 (a) b (c) ${fields.join(' ')}`,
+      'Name:\tx\nVmRSS:\t    2048 kB\nThreads:\t1\n',
+    );
+    expect(usage).to.deep.equal({ cpuMs: 2_000, residentBytes: 2_097_152 });
   });
 
   it('runs tasks in order of arrival and never more than its slots on a target', async () => {
--- a/test/scale/scale.test.ts
+++ b/test/scale/scale.test.ts
@@ -11,7 +11,7 @@
 import { checkFits, RunTooLargeError } from '../../tools/scale/memory-budget.js';
 import { NetworkCut } from '../../tools/scale/network-cut.js';
 import { compressions, restartsFor, scaledBack } from '../../tools/scale/phase-plan.js';
-import { parseUsage } from '../../tools/scale/process-usage.js';
+import { parseUsage } from '../../tools/shared/process-usage.js';
 import { ScaleConfiguration, servicesFor } from '../../tools/scale/scale-configuration.js';
 import {
   CUT_REGION,
--- a/tools/load/added-latency.ts
+++ b/tools/load/added-latency.ts
@@ -7,10 +7,10 @@
 import type { Fleet, NodeProcess } from '../demo/fleet.js';
 import { CallClient, type CallTarget } from '../shared/call-client.js';
 import { startOpenLoop } from '../shared/open-loop.js';
+import { processUsage, type ProcessUsage } from '../shared/process-usage.js';
 import { planCall, type CallShape } from './call-plan.js';
 import { LatencySample, type LatencySummary } from './latency-sample.js';
 import { withFleet } from './load-fleet.js';
-import { readProcessUsage } from './process-usage.js';
 
 /** Ways of a call, in the order in which arrivals take them. */
 export const WAYS = ['straight', 'one node', 'two nodes'] as const;
@@ -65,9 +65,9 @@
     options.progress('warming up');
     await runWays(fleet, { ...options, ...WARM_UP }, 'warm');
     options.progress(`measuring for ${options.durationMs / 1_000} s`);
-    const cpuBefore = await totalUsage(fleet);
+    const cpuBefore = totalUsage(fleet);
     const { samples, failed } = await runWays(fleet, options, 'run');
-    const cpuAfter = await totalUsage(fleet);
+    const cpuAfter = totalUsage(fleet);
     const ways = summaries(samples);
     const nodeCalls = ways['one node'].calls + ways['two nodes'].calls;
     return {
@@ -121,16 +121,18 @@
   };
 }
 
-async function totalUsage(fleet: Fleet): Promise<{ cpuMs: number; maxResidentBytes: number }> {
-  const usages = await Promise.all(fleet.nodes.map(usageOf));
+function totalUsage(fleet: Fleet): { cpuMs: number; maxResidentBytes: number } {
+  const usages = fleet.nodes.flatMap((node) => usageOf(node));
   return {
     cpuMs: usages.reduce((sum, usage) => sum + usage.cpuMs, 0),
     maxResidentBytes: Math.max(...usages.map((usage) => usage.residentBytes)),
   };
 }
 
-function usageOf(node: NodeProcess): ReturnType<typeof readProcessUsage> {
-  return readProcessUsage(node.child.processId ?? 0);
+/** Usage of a node that runs; nothing of one that has ended. */
+function usageOf(node: NodeProcess): ProcessUsage[] {
+  const usage = processUsage(node.child.processId ?? 0);
+  return usage === undefined ? [] : [usage];
 }
 
 function summaries(samples: Record<Way, LatencySample>): Record<Way, LatencySummary> {
--- a/tools/scale/fleet-sample.ts
+++ b/tools/scale/fleet-sample.ts
@@ -1,6 +1,6 @@
 /** Figures of one phase: the difference of two samples of the whole fleet. */
 import type { HollowSample, NodeTotals } from './hollow-sample.js';
-import type { ProcessUsage } from './process-usage.js';
+import type { ProcessUsage } from '../shared/process-usage.js';
 import { ELECTOR_MACHINES } from './scale-plan.js';
 
 /** One real node. */
--- a/tools/scale/scale-fleet.ts
+++ b/tools/scale/scale-fleet.ts
@@ -21,7 +21,7 @@
 } from './hollow-sample.js';
 import { checkResident } from './memory-budget.js';
 import type { Cut } from './network-cut.js';
-import { processUsage, type ProcessUsage } from './process-usage.js';
+import { processUsage, type ProcessUsage } from '../shared/process-usage.js';
 import { ScaleConfiguration } from './scale-configuration.js';
 import {
   ELECTOR_MACHINES,
