--- a/tools/scale/capacity-text.ts
+++ b/tools/scale/capacity-text.ts
@@ -46,8 +46,8 @@
 compared*). *Missing* counts nodes that should have had a version by the end of the phase and had not.`,
   roles: `A node of any kind may be elector, reader or voter; nobody is set aside. The processor time of a real
 process in quiet includes timers of the request path and of Node itself. Operators' writes among voters
-and claims of idempotency keys are not part of these runs: hollow nodes do not run them, and no call
-carries a key.`,
+and claims of idempotency keys are not loaded in these runs: no voters are set and no call carries a
+key. Hollow nodes run both parts, idle, from \`00b46cd\` on, and neither before.`,
   connections: `## Connections
 
 | From | To | How many, at 1,800 nodes | Why no more |
--- a/tools/scale/roles-table.ts
+++ b/tools/scale/roles-table.ts
@@ -120,7 +120,7 @@
     'voter',
     'a small set',
     'operators’ document',
-    'none without writes',
+    'not in these runs',
     'not in these runs',
     'not in these runs',
     'replication by majority',
