--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tseslint from 'typescript-eslint';
 
 export default tseslint.config(
-  { ignores: ['dist/', 'node_modules/', 'reports/'] },
+  { ignores: ['dist/', 'node_modules/', 'reports/', 'target/', 'journal/'] },
   eslint.configs.recommended,
   ...tseslint.configs.recommendedTypeChecked,
   {
--- a/src/model/resource.ts
+++ b/src/model/resource.ts
@@ -4,6 +4,14 @@
  * checked by {@link ./snapshot.ts}.
  */
 import { z } from 'zod';
+import { DEFAULT_REQUEST_TIMEOUT_MS } from './resource-key.js';
+
+export {
+  DEFAULT_REQUEST_TIMEOUT_MS,
+  RESOURCE_KINDS,
+  resourceKey,
+  type ResourceKey,
+} from './resource-key.js';
 
 /** Longest resource name, in characters. */
 export const MAX_NAME_LENGTH = 128;
@@ -11,8 +19,6 @@
 export const MAX_SECRET_LENGTH = 8192;
 /** Longest time a service or route may give a request, in milliseconds. */
 export const MAX_REQUEST_TIMEOUT_MS = 600_000;
-/** Request time when neither route nor service names one, in milliseconds. */
-export const DEFAULT_REQUEST_TIMEOUT_MS = 5_000;
 
 /** Lower-case DNS-like names, so that a name is safe in a URL path and in a metric label. */
 export const nameSchema = z
@@ -20,6 +26,13 @@
   .max(MAX_NAME_LENGTH)
   .regex(/^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$/, 'expected lower-case letters, digits, ".", "_", "-"');
 
+/** Most targets of one route. */
+const MAX_ROUTE_TARGETS = 16;
+/** Largest rank of a route: the least urgent. */
+const MAX_PRIORITY = 100;
+/** Most endpoints that one request may be sent to. */
+const MAX_ATTEMPTS = 10;
+
 const timeoutSchema = z.number().int().min(1).max(MAX_REQUEST_TIMEOUT_MS);
 
 /** A named group of interchangeable endpoints. */
@@ -37,6 +50,13 @@
   header: z.string().regex(/^[a-z0-9-]+$/, 'expected a lower-case header name'),
 });
 
+/** A service that gets a share of a route's requests. */
+export const routeTargetSchema = z.strictObject({
+  service: nameSchema,
+  /** Share of the requests, in proportion to the other targets' weights. */
+  weight: z.number().min(0).max(1_000_000),
+});
+
 /** Which requests go to which service. The longest path prefix wins, then a named host. */
 export const routeSpecSchema = z.strictObject({
   /** Host names matched exactly; empty matches every host. */
@@ -47,10 +67,19 @@
     .array(z.string().regex(/^[A-Z]+$/))
     .max(16)
     .default([]),
+  /** Gets every request, unless `targets` divides them. */
   service: nameSchema,
+  /** Services that share the route's requests by weight; `service` is one of them. */
+  targets: z.array(routeTargetSchema).min(1).max(MAX_ROUTE_TARGETS).optional(),
   /** Whether a request may run more than once; absent means by method (GET, HEAD, OPTIONS may). */
   repeatable: z.boolean().optional(),
   timeoutMs: timeoutSchema.optional(),
+  /** Time within which an answer is worth most to the caller, in milliseconds. */
+  targetLatencyMs: timeoutSchema.optional(),
+  /** Rank among the requests that wait for one endpoint; 0 goes first. */
+  priority: z.number().int().min(0).max(MAX_PRIORITY).optional(),
+  /** Endpoints to which one request of a caller may be sent, the first included. */
+  maxAttempts: z.number().int().min(1).max(MAX_ATTEMPTS).optional(),
   credential: credentialSchema.optional(),
 });
 
@@ -84,6 +113,7 @@
 ]);
 
 export type ServiceSpec = z.infer<typeof serviceSpecSchema>;
+export type RouteTarget = z.infer<typeof routeTargetSchema>;
 export type RouteSpec = z.infer<typeof routeSpecSchema>;
 export type EndpointSpec = z.infer<typeof endpointSpecSchema>;
 export type SecretSpec = z.infer<typeof secretSpecSchema>;
@@ -93,14 +123,3 @@
 export type Route = Extract<Resource, { kind: 'route' }>;
 export type Endpoint = Extract<Resource, { kind: 'endpoint' }>;
 export type Secret = Extract<Resource, { kind: 'secret' }>;
-
-/** Every kind, in the order in which references point: a kind refers only to others in this list. */
-export const RESOURCE_KINDS: readonly ResourceKind[] = ['service', 'secret', 'route', 'endpoint'];
-
-/** `kind/name`, unique in a configuration. */
-export type ResourceKey = `${ResourceKind}/${string}`;
-
-/** The key of a resource. */
-export function resourceKey(resource: Pick<Resource, 'kind' | 'name'>): ResourceKey {
-  return `${resource.kind}/${resource.name}`;
-}
--- a/src/model/snapshot.ts
+++ b/src/model/snapshot.ts
@@ -3,8 +3,8 @@
  * swapped in. A request keeps the snapshot that it started with.
  */
 import { InvalidConfigurationError, type ConfigurationFault } from './configuration-error.js';
-import type { Endpoint, Resource, ResourceKey, Route, Secret, Service } from './resource.js';
-import { resourceKey } from './resource.js';
+import type { Endpoint, Resource, Route, Secret, Service } from './resource.js';
+import { resourceKey, type ResourceKey } from './resource-key.js';
 import { NO_VERSION, type DocumentVersion } from './version.js';
 
 /** Resources in one snapshot at most. */
@@ -21,6 +21,18 @@
 /** Version of a node that holds nothing. */
 export const NO_SNAPSHOT_VERSION: SnapshotVersion = { source: NO_VERSION, operator: NO_VERSION };
 
+/** What callers may send, and for how long their connections are kept. */
+export interface CallerLimits {
+  /** Request line and headers, in bytes. */
+  readonly maxHeaderBytes: number;
+  /** Body, in bytes. */
+  readonly maxBodyBytes: number;
+  /** Time for a whole request head, in milliseconds. */
+  readonly headerTimeoutMs: number;
+  /** Time for which an idle connection is kept, in milliseconds. */
+  readonly idleTimeoutMs: number;
+}
+
 /** One validated configuration. Build it with {@link buildSnapshot}. */
 export interface Snapshot {
   readonly version: SnapshotVersion;
@@ -30,13 +42,19 @@
   readonly secrets: ReadonlyMap<string, Secret>;
   /** Endpoints by the name of their service; every service has a list, perhaps an empty one. */
   readonly endpointsByService: ReadonlyMap<string, readonly Endpoint[]>;
+  /** Limits that the configuration sets; undefined where it leaves them to the node's settings. */
+  readonly callerLimits: CallerLimits | undefined;
 }
 
 /**
  * Validates `resources` as a whole and indexes them.
  * Throws {@link InvalidConfigurationError} that lists every fault found.
  */
-export function buildSnapshot(version: SnapshotVersion, resources: readonly Resource[]): Snapshot {
+export function buildSnapshot(
+  version: SnapshotVersion,
+  resources: readonly Resource[],
+  callerLimits?: CallerLimits,
+): Snapshot {
   const byKey = new Map<ResourceKey, Resource>();
   const faults: ConfigurationFault[] = [];
   if (resources.length > MAX_RESOURCES) {
@@ -54,7 +72,7 @@
   if (faults.length > 0) {
     throw new InvalidConfigurationError(faults);
   }
-  return indexSnapshot(version, byKey);
+  return { ...indexSnapshot(version, byKey), callerLimits };
 }
 
 /** Every reference to a resource that is not in `resources`. */
@@ -76,10 +94,11 @@
 export function referencesOf(resource: Resource): ResourceKey[] {
   switch (resource.kind) {
     case 'route': {
-      const { service, credential } = resource.spec;
+      const { service, targets = [], credential } = resource.spec;
       const secrets: ResourceKey[] =
         credential === undefined ? [] : [`secret/${credential.secret}`];
-      return [`service/${service}`, ...secrets];
+      const services = targets.map((target): ResourceKey => `service/${target.service}`);
+      return [`service/${service}`, ...services, ...secrets];
     }
     case 'endpoint':
       return [`service/${resource.spec.service}`];
@@ -92,7 +111,7 @@
 function indexSnapshot(
   version: SnapshotVersion,
   resources: ReadonlyMap<ResourceKey, Resource>,
-): Snapshot {
+): Omit<Snapshot, 'callerLimits'> {
   const services = new Map<string, Service>();
   const routes: Route[] = [];
   const secrets = new Map<string, Secret>();
--- a/src/proxy/answer-relay.ts
+++ b/src/proxy/answer-relay.ts
@@ -43,7 +43,7 @@
   stream.on('data', (chunk: Buffer) => chunks.push(chunk));
   stream.on('error', ignoreError);
   stream.once('close', () => {
-    if (!stream.complete) {
+    if (!answer.isWhole()) {
       observer.broken(false);
       return;
     }
@@ -78,7 +78,7 @@
   response.on('drain', resume);
   stream.once('close', () => {
     response.off('drain', resume);
-    if (!stream.complete) {
+    if (!answer.isWhole()) {
       observer.broken(response.headersSent);
       return;
     }
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -29,6 +29,8 @@
   readonly inFlight: number;
   readonly slots: number;
   readonly draining: boolean;
+  /** Whether the endpoint's node is about to stop; it comes back soon. */
+  readonly isNodeStopping?: boolean;
 }
 
 /** The head of an answer, with its body still to be read. */
@@ -36,6 +38,8 @@
   readonly status: number;
   readonly headers: HeaderList;
   readonly stream: IncomingMessage;
+  /** Whether the body arrived in full; to be asked once the stream has closed. */
+  readonly isWhole: () => boolean;
   /** Declared length in bytes; undefined for a chunked body. */
   readonly contentLength: number | undefined;
   readonly load: LoadReport | undefined;
--- /dev/null
+++ b/src/proxy/caller-connections.ts
@@ -0,0 +1,64 @@
+/**
+ * Callers' connections and the exchanges that are open on each. A caller may send further requests
+ * before the first is answered; Node tells only the response that is being written of the end of
+ * its connection, so the others are told here.
+ */
+import type { ServerResponse } from 'node:http';
+import type { Duplex } from 'node:stream';
+
+/** Told of the end of one exchange; `isWhole` when its answer went out in full. */
+type CloseListener = (isWhole: boolean) => void;
+
+/** The open exchanges of one connection. */
+type OpenExchanges = Map<ServerResponse, CloseListener[]>;
+
+/** The connections of one server. */
+export class CallerConnections {
+  private readonly exchangesOf = new WeakMap<Duplex, OpenExchanges>();
+
+  /** An exchange begins. */
+  began(socket: Duplex, response: ServerResponse): void {
+    this.openExchanges(socket).set(response, []);
+    response.once('close', () => this.end(socket, response));
+  }
+
+  /** Whether a request of the connection waits for its answer. */
+  hasOpenRequest(socket: Duplex): boolean {
+    return (this.exchangesOf.get(socket)?.size ?? 0) > 0;
+  }
+
+  /** Calls `action` once the exchange is over, whichever way it ends. */
+  onClose(socket: Duplex, response: ServerResponse, action: CloseListener): void {
+    const listeners = this.exchangesOf.get(socket)?.get(response);
+    if (listeners === undefined) {
+      action(response.writableFinished);
+    } else {
+      listeners.push(action);
+    }
+  }
+
+  private openExchanges(socket: Duplex): OpenExchanges {
+    let exchanges = this.exchangesOf.get(socket);
+    if (exchanges === undefined) {
+      exchanges = new Map();
+      this.exchangesOf.set(socket, exchanges);
+      socket.once('close', () => this.endAll(socket));
+    }
+    return exchanges;
+  }
+
+  private endAll(socket: Duplex): void {
+    for (const response of [...(this.exchangesOf.get(socket)?.keys() ?? [])]) {
+      this.end(socket, response);
+    }
+  }
+
+  private end(socket: Duplex, response: ServerResponse): void {
+    const exchanges = this.exchangesOf.get(socket);
+    const listeners = exchanges?.get(response) ?? [];
+    exchanges?.delete(response);
+    for (const listener of listeners) {
+      listener(response.writableFinished);
+    }
+  }
+}
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -1,26 +1,25 @@
 /**
- * Takes requests from callers: the only place that knows their interface. A caller may send
- * `x-deadline-ms` (time left, in milliseconds), `ferryspool-retries` (attempts after the first that
- * may still be made) and `idempotency-key`; every answer carries `ferryspool-verdict` and `ferryspool-request-id`.
+ * Takes requests from callers, in the words of a {@link CallerProtocol}. In the product's own, a
+ * caller may send `x-deadline-ms` (time left, in milliseconds), `ferryspool-retries` (attempts after
+ * the first that may still be made) and `idempotency-key`; every answer carries `ferryspool-verdict`
+ * and `ferryspool-request-id`.
  */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
 import { MAX_KEY_LENGTH } from '../claims/claim-terms.js';
 import { VERDICT_HEADER, type Verdict } from '../model/verdict.js';
+import { CallerConnections } from './caller-connections.js';
+import { errorBody, type CallerProtocol } from './caller-protocol.js';
 import { passAnswer, type AnswerObserver } from './answer-relay.js';
 import type { Answer } from './call.js';
-import { errorBody, sendError } from './error-answer.js';
+import { sendError } from './error-answer.js';
 import { headerValue, messageHeaders, parseMilliseconds, type HeaderList } from './headers.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import { BadRequestError, type RequestError } from './request-error.js';
 import type { CallerReply } from './request-runner.js';
 
-const DEADLINE_HEADER = 'x-deadline-ms';
-const RETRIES_HEADER = 'ferryspool-retries';
-const IDEMPOTENCY_KEY_HEADER = 'idempotency-key';
-const REQUEST_ID_HEADER = 'ferryspool-request-id';
-/** Headers of the caller's that speak to the node, or that the node speaks to endpoints with. */
-const NODE_HEADERS: ReadonlySet<string> = new Set([DEADLINE_HEADER, 'x-request-id']);
+/** Most time between two looks for connections that are over a time limit, in milliseconds. */
+const TIMEOUT_CHECK_INTERVAL_MS = 500;
 /** Time for a whole request head, in milliseconds. */
 const HEADERS_TIMEOUT_MS = 10_000;
 /** Idle connections of callers are kept for this time, in milliseconds. */
@@ -34,6 +33,8 @@
   /** Path without the query. */
   readonly path: string;
   readonly host: string;
+  /** The caller's name for the request; undefined where the protocol has none. */
+  readonly requestId: string | undefined;
   readonly headers: HeaderList;
   /** Time left by the caller's word, in milliseconds; undefined when it names none. */
   readonly timeoutMs: number | undefined;
@@ -51,12 +52,13 @@
     private readonly response: ServerResponse,
     private readonly request: IncomingMessage,
     private readonly options: CallerServerOptions,
+    private readonly connections: CallerConnections,
   ) {}
 
   /** Passes an endpoint's answer on; holds it whole where it has up to `holdBytes`. */
   answer(answer: Answer, requestId: string, holdBytes: number, observer: AnswerObserver): void {
     this.closeWhenStopping();
-    const headers = answer.headers.concat(VERDICT_HEADER, 'ran', REQUEST_ID_HEADER, requestId);
+    const headers = answer.headers.concat(this.options.protocol.answerHeaders(requestId));
     passAnswer(answer, this.response, headers, holdBytes, observer);
   }
 
@@ -71,7 +73,7 @@
       this.response.shouldKeepAlive = false;
     }
     this.options.onError(error.code);
-    sendError(this.response, error, verdict, [REQUEST_ID_HEADER, requestId]);
+    sendError(this.response, this.options.protocol.errorAnswer(error, verdict, requestId));
   }
 
   /** Breaks the connection, so that the caller can't take the answer for a whole one. */
@@ -88,12 +90,13 @@
 
   /** Calls `action` once the exchange is over; `isWhole` when the answer went out in full. */
   onClose(action: (isWhole: boolean) => void): void {
-    this.response.once('close', () => action(this.response.writableFinished));
+    this.connections.onClose(this.request.socket, this.response, action);
   }
 }
 
 /** What the server needs of its node. */
 export interface CallerServerOptions {
+  readonly protocol: CallerProtocol;
   readonly limits: ProxyLimits;
   /** Whether connections should be closed after their answer. */
   readonly isStopping: () => boolean;
@@ -111,13 +114,14 @@
     headersTimeout: HEADERS_TIMEOUT_MS,
     keepAliveTimeout: KEEP_ALIVE_MS,
     requestTimeout: 0,
+    connectionsCheckingInterval: TIMEOUT_CHECK_INTERVAL_MS,
     // Checked in `faultOf`, so that the answer carries a verdict.
     requireHostHeader: false,
   });
-  const openRequests = new WeakMap<Duplex, number>();
+  const connections = new CallerConnections();
   const take = (request: IncomingMessage, response: ServerResponse): void => {
-    countOpen(openRequests, request, response);
-    handleRequest(options, request, response);
+    connections.began(request.socket, response);
+    handleRequest(options, connections, request, response);
   };
   server.on('request', take);
   server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
@@ -126,29 +130,30 @@
   });
   server.on('checkExpectation', take);
   server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    answerMalformed(error, socket, (openRequests.get(socket) ?? 0) > 0);
+    answerMalformed(error, socket, connections.hasOpenRequest(socket));
   });
   return server;
 }
 
 function handleRequest(
   options: CallerServerOptions,
+  connections: CallerConnections,
   request: IncomingMessage,
   response: ServerResponse,
 ): void {
   response.on('error', () => response.destroy());
-  const callerResponse = new CallerResponse(response, request, options);
-  const fault = faultOf(request);
+  const callerResponse = new CallerResponse(response, request, options, connections);
+  const fault = faultOf(request, options.protocol);
   if (fault !== undefined) {
     request.resume();
     callerResponse.fail(fault, fault.verdict, options.nextRequestId());
     return;
   }
-  options.handle(readRequest(request), callerResponse);
+  options.handle(readRequest(request, options.protocol), callerResponse);
 }
 
 /** What makes the request unfit to be passed on. */
-function faultOf(request: IncomingMessage): BadRequestError | undefined {
+function faultOf(request: IncomingMessage, protocol: CallerProtocol): BadRequestError | undefined {
   if (request.httpVersion !== '1.1') {
     return new BadRequestError('expected HTTP/1.1', 505);
   }
@@ -162,18 +167,18 @@
   if (request.url?.startsWith('/') !== true) {
     return new BadRequestError('expected a request target that is a path');
   }
-  const deadline = headerValue(request.rawHeaders, DEADLINE_HEADER);
+  const deadline = headerValue(request.rawHeaders, protocol.deadlineHeader);
   if (deadline !== undefined && parseMilliseconds(deadline) === undefined) {
-    return new BadRequestError(`expected whole milliseconds in ${DEADLINE_HEADER}`);
+    return new BadRequestError(`expected whole milliseconds in ${protocol.deadlineHeader}`);
   }
-  const keyLength = headerValue(request.rawHeaders, IDEMPOTENCY_KEY_HEADER)?.length ?? 1;
+  const keyLength = optionalHeader(request, protocol.idempotencyKeyHeader)?.length ?? 1;
   if (keyLength < 1 || keyLength > MAX_KEY_LENGTH) {
     return new BadRequestError(`expected 1 to ${MAX_KEY_LENGTH} characters in idempotency-key`);
   }
   return undefined;
 }
 
-function readRequest(request: IncomingMessage): CallerRequest {
+function readRequest(request: IncomingMessage, protocol: CallerProtocol): CallerRequest {
   const { rawHeaders } = request;
   const target = request.url ?? '/';
   const queryAt = target.indexOf('?');
@@ -182,22 +187,17 @@
     target,
     path: queryAt < 0 ? target : target.slice(0, queryAt),
     host: request.headers.host ?? '',
-    headers: messageHeaders(rawHeaders, NODE_HEADERS),
-    timeoutMs: parseMilliseconds(headerValue(rawHeaders, DEADLINE_HEADER)),
-    retries: parseMilliseconds(headerValue(rawHeaders, RETRIES_HEADER)),
-    idempotencyKey: headerValue(rawHeaders, IDEMPOTENCY_KEY_HEADER),
+    requestId: optionalHeader(request, protocol.requestIdHeader),
+    headers: messageHeaders(rawHeaders, protocol.droppedHeaders).concat(protocol.addedHeaders),
+    timeoutMs: parseMilliseconds(headerValue(rawHeaders, protocol.deadlineHeader)),
+    retries: parseMilliseconds(optionalHeader(request, protocol.retriesHeader)),
+    idempotencyKey: optionalHeader(request, protocol.idempotencyKeyHeader),
     message: request,
   };
 }
 
-function countOpen(
-  openRequests: WeakMap<Duplex, number>,
-  request: IncomingMessage,
-  response: ServerResponse,
-): void {
-  const { socket } = request;
-  openRequests.set(socket, (openRequests.get(socket) ?? 0) + 1);
-  response.once('close', () => openRequests.set(socket, (openRequests.get(socket) ?? 1) - 1));
+function optionalHeader(request: IncomingMessage, name: string | undefined): string | undefined {
+  return name === undefined ? undefined : headerValue(request.rawHeaders, name);
 }
 
 /**
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -1,11 +1,8 @@
-/**
- * Client of endpoints: the only place that knows their header names, their refusal before a start
- * and their cancellation.
- */
+/** Client of endpoints, in the words of an {@link EndpointProtocol}. */
 import type { IncomingMessage } from 'node:http';
 import type { Endpoint } from '../model/resource.js';
 import type { Answer, Call, LoadReport } from './call.js';
-import { messageHeaders, parseMilliseconds } from './headers.js';
+import type { EndpointProtocol } from './endpoint-protocol.js';
 import {
   ExchangeAgent,
   startExchange,
@@ -15,22 +12,6 @@
 } from './http-exchange.js';
 import { EMPTY_BODY } from './request-body.js';
 
-const REQUEST_ID_HEADER = 'x-request-id';
-const DEADLINE_HEADER = 'x-deadline-ms';
-const HEALTH_TARGET = '/health';
-const RETRIES_HEADER = 'ferryspool-retries';
-const NOT_STARTED_HEADER = 'x-not-started';
-const LOAD_HEADER = 'x-load';
-const DRAINING_HEADER = 'x-draining';
-/** Headers of answers that are meant for the node alone. */
-const NODE_HEADERS: ReadonlySet<string> = new Set([
-  REQUEST_ID_HEADER,
-  NOT_STARTED_HEADER,
-  LOAD_HEADER,
-  DRAINING_HEADER,
-]);
-/** Statuses of refusals: no room or a drain, and a deadline that is too near. */
-const REFUSED_STATUSES: ReadonlySet<number> = new Set([503, 504]);
 /** Connections to one endpoint for cancellations and health, besides those for requests. */
 const MAX_CONTROL_CONNECTIONS = 4;
 const MAX_CANCEL_ANSWER_BYTES = 1_024;
@@ -80,28 +61,25 @@
   /** Cancellations must not wait behind the requests that they cancel. */
   private readonly controlAgent = new ExchangeAgent(MAX_CONTROL_CONNECTIONS);
 
-  constructor(private readonly limits: ExchangeLimits) {}
+  constructor(
+    private readonly limits: ExchangeLimits,
+    private readonly protocol: EndpointProtocol,
+  ) {}
 
   send(endpoint: Endpoint, call: Call, remainingMs: number, observer: EndpointObserver): Exchange {
-    const headers = call.headers.concat(
-      REQUEST_ID_HEADER,
-      call.requestId,
-      DEADLINE_HEADER,
-      String(Math.max(1, Math.floor(remainingMs))),
-      RETRIES_HEADER,
-      String(call.retriesLeft),
-    );
+    const added = this.protocol.requestHeaders(endpoint, call, remainingMs);
     const request = {
       host: endpoint.spec.address,
       port: endpoint.spec.port,
       method: call.method,
       target: call.target,
-      headers,
+      headers: call.headers.concat(added),
       body: call.body,
       limits: this.limits,
+      allowsUnframedAnswer: this.protocol.allowsUnframedAnswers,
     };
     return startExchange(this.agent, request, {
-      answered: (message) => this.takeAnswer(message, call, observer),
+      answered: (message, isWhole) => this.takeAnswer(message, isWhole, call, observer),
       failed: (failure) => observer.failed(failure),
     });
   }
@@ -112,12 +90,17 @@
     timeoutMs: number,
     report: (outcome: CancelOutcome) => void,
   ): void {
+    const target = this.protocol.cancelTarget(requestId);
+    if (target === undefined) {
+      report('unconfirmed');
+      return;
+    }
     const { address, port } = endpoint.spec;
     const request = {
       host: address,
       port,
       method: 'POST',
-      target: `/cancel/${encodeURIComponent(requestId)}`,
+      target,
       headers: ['Host', `${address}:${port}`, 'Content-Length', '0'],
       body: EMPTY_BODY,
       limits: { ...this.limits, connectTimeoutMs: timeoutMs },
@@ -137,12 +120,17 @@
   }
 
   probeDraining(endpoint: Endpoint, report: (isDraining: boolean | undefined) => void): void {
+    const target = this.protocol.drainProbeTarget;
+    if (target === undefined) {
+      report(undefined);
+      return;
+    }
     const { address, port } = endpoint.spec;
     const request = {
       host: address,
       port,
       method: 'GET',
-      target: HEALTH_TARGET,
+      target,
       headers: ['Host', `${address}:${port}`],
       body: EMPTY_BODY,
       limits: this.limits,
@@ -151,7 +139,7 @@
       answered: (message) => {
         clearTimeout(timer);
         message.resume();
-        report(parseLoad(message)?.draining === true);
+        report(this.protocol.readDraining(message));
       },
       failed: () => {
         clearTimeout(timer);
@@ -170,28 +158,32 @@
     this.controlAgent.destroy();
   }
 
-  private takeAnswer(message: IncomingMessage, call: Call, observer: EndpointObserver): void {
-    const { headers } = message;
-    const answeredId = headers[REQUEST_ID_HEADER];
-    if (answeredId !== undefined && answeredId !== call.requestId) {
-      message.destroy();
-      observer.failed('malformed');
-      return;
-    }
-    const status = message.statusCode ?? 0;
-    const load = parseLoad(message);
-    if (REFUSED_STATUSES.has(status) && headers[NOT_STARTED_HEADER] === '1') {
-      message.resume();
-      observer.refused(load, parseRetryAfter(headers['retry-after']));
-      return;
+  private takeAnswer(
+    message: IncomingMessage,
+    isWhole: () => boolean,
+    call: Call,
+    observer: EndpointObserver,
+  ): void {
+    const reading = this.protocol.readAnswer(message, call);
+    switch (reading.kind) {
+      case 'malformed':
+        message.destroy();
+        observer.failed('malformed');
+        return;
+      case 'refused':
+        message.resume();
+        observer.refused(reading.load, reading.retryAfterMs);
+        return;
+      case 'answer':
+        observer.answered({
+          status: message.statusCode ?? 0,
+          headers: reading.headers,
+          stream: message,
+          isWhole,
+          contentLength: contentLengthOf(message),
+          load: reading.load,
+        });
     }
-    observer.answered({
-      status,
-      headers: messageHeaders(message.rawHeaders, NODE_HEADERS),
-      stream: message,
-      contentLength: contentLengthOf(message),
-      load,
-    });
   }
 }
 
@@ -201,23 +193,6 @@
   return text === undefined ? undefined : Number(text);
 }
 
-/** `Retry-After` in milliseconds; dates are not taken. */
-export function parseRetryAfter(text: string | undefined): number | undefined {
-  const seconds = parseMilliseconds(text);
-  return seconds === undefined ? undefined : seconds * 1_000;
-}
-
-function parseLoad(message: IncomingMessage): LoadReport | undefined {
-  const { headers } = message;
-  const text = headers[LOAD_HEADER];
-  const draining = headers[DRAINING_HEADER] === '1';
-  const match = typeof text === 'string' ? /^([0-9]{1,9})\/([0-9]{1,9})$/.exec(text) : null;
-  if (match === null) {
-    return draining ? { inFlight: 0, slots: 0, draining } : undefined;
-  }
-  return { inFlight: Number(match[1]), slots: Number(match[2]), draining };
-}
-
 function readCancelAnswer(
   message: IncomingMessage,
   report: (outcome: CancelOutcome) => void,
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -21,12 +21,14 @@
 /** A slot whose request can't be accounted for stays taken for this long past its deadline. */
 const ORPHAN_HOLD_MS = 1_000;
 
-/** Time that is kept at the end of a request for its cancellation and the way back. */
+/** How requests are cancelled: the time that is kept for it at their end, and what it does. */
 export interface CancelLead {
   /** Part of the remaining time. */
   readonly cancelLeadShare: number;
   /** Most of it, in milliseconds. */
   readonly maxCancelLeadMs: number;
+  /** See {@link EndpointProtocol.slotFreedAfterCloseMs}. */
+  readonly slotFreedAfterCloseMs?: number | undefined;
 }
 
 /** What a request needs of its gate. */
@@ -115,7 +117,7 @@
     this.answer = answer;
     this.gate.takeLoad(answer.load);
     answer.stream.once('close', () => {
-      this.handle({ type: 'answer-ended', isWhole: answer.stream.complete });
+      this.handle({ type: 'answer-ended', isWhole: answer.isWhole() });
     });
     this.handle({ type: 'answered' });
   }
@@ -173,7 +175,8 @@
   }
 
   private holdSlot(): void {
-    const holdMs = Math.max(0, this.call.deadlineAtMs - this.scheduler.now()) + ORPHAN_HOLD_MS;
+    const untilDeadlineMs = Math.max(0, this.call.deadlineAtMs - this.scheduler.now());
+    const holdMs = this.lead.slotFreedAfterCloseMs ?? untilDeadlineMs + ORPHAN_HOLD_MS;
     this.cancelTimer = this.scheduler.schedule(holdMs, () => this.handle({ type: 'hold-over' }));
   }
 
--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -24,7 +24,8 @@
 
 /** Gets the outcome: one of the two, once. */
 export interface ExchangeObserver {
-  answered(message: http.IncomingMessage): void;
+  /** `isWhole` tells, once the message has closed, whether its body arrived in full. */
+  answered(message: http.IncomingMessage, isWhole: () => boolean): void;
   failed(failure: ExchangeFailure): void;
 }
 
@@ -46,6 +47,8 @@
   readonly headers: string[];
   readonly body: RequestBody;
   readonly limits: ExchangeLimits;
+  /** Whether an answer without a length may end with its connection; false when absent. */
+  readonly allowsUnframedAnswer?: boolean;
 }
 
 /** An exchange under way. */
@@ -93,17 +96,17 @@
 
 class RunningExchange implements Exchange {
   private readonly request: http.ClientRequest;
-  private readonly answerIdleTimeoutMs: number;
   private connected = false;
   private settled = false;
+  /** Whether the connection failed, at any time: an answer that ends with it is not whole. */
+  private hasFailed = false;
   private connectTimer: NodeJS.Timeout | undefined;
 
   constructor(
     agent: http.Agent,
-    exchange: ExchangeRequest,
+    private readonly exchange: ExchangeRequest,
     private readonly observer: ExchangeObserver,
   ) {
-    this.answerIdleTimeoutMs = exchange.limits.answerIdleTimeoutMs;
     addFraming(exchange.headers, exchange.body);
     this.request = http.request({
       agent,
@@ -161,22 +164,24 @@
       message.destroy();
       return;
     }
-    if (!isEndCheckable(this.request.method, message)) {
+    const isFramed = isEndCheckable(this.request.method, message);
+    if (!isFramed && this.exchange.allowsUnframedAnswer !== true) {
       this.settle('malformed');
       message.destroy();
       return;
     }
     this.settled = true;
-    message.setTimeout(this.answerIdleTimeoutMs, () => message.destroy());
+    message.setTimeout(this.exchange.limits.answerIdleTimeoutMs, () => message.destroy());
     message.once('end', () => {
       if (!this.request.writableFinished) {
         this.request.destroy();
       }
     });
-    this.observer.answered(message);
+    this.observer.answered(message, () => message.complete && (isFramed || !this.hasFailed));
   }
 
   private fail(error: Error & { code?: string }): void {
+    this.hasFailed = true;
     if (!this.connected) {
       this.settle('never-sent');
     } else {
--- a/src/proxy/proxy-limits.ts
+++ b/src/proxy/proxy-limits.ts
@@ -1,5 +1,6 @@
 /** Bounds of the request path, with defaults that fit small machines. */
 
+import { DEFAULT_MAX_SAVED_RETRIES } from '../routing/retry-budget.js';
 import type { CancelLead } from './gated-call.js';
 
 /** Bounds that an operator may set. */
@@ -22,6 +23,14 @@
   readonly maxCallsInFlight: number;
   /** Attempts after the first for one request at most. */
   readonly maxRetries: number;
+  /** Attempts after one that did not reach its endpoint, besides the retries. */
+  readonly maxRedirects: number;
+  /** Whether a repeatable request is sent again after an answer that reports the endpoint's fault. */
+  readonly retriesFaults: boolean;
+  /** Retries towards one service that may be saved up for a burst. */
+  readonly maxSavedRetries: number;
+  /** The same for all nodes together; each may save up its share. Unbounded when absent. */
+  readonly fleetSavedRetries?: number;
   /** Time to open a connection, in milliseconds. */
   readonly connectTimeoutMs: number;
   /** Time that a planned stop waits for requests in flight, in milliseconds. */
@@ -43,6 +52,9 @@
   answerIdleTimeoutMs: 60_000,
   maxCallsInFlight: 4_096,
   maxRetries: 2,
+  maxRedirects: 0,
+  retriesFaults: false,
+  maxSavedRetries: DEFAULT_MAX_SAVED_RETRIES,
   connectTimeoutMs: 1_000,
   stopTimeoutMs: 30_000,
   stopAcceptMs: 1_000,
--- a/src/proxy/relay-client.ts
+++ b/src/proxy/relay-client.ts
@@ -21,6 +21,7 @@
   RELAY_RETRIES_HEADER,
   RELAY_RETRY_AFTER_HEADER,
   RELAY_RETRYABLE_HEADER,
+  RELAY_STOPPING_HEADER,
   RELAY_TOKEN_HEADER,
 } from './relay-protocol.js';
 import {
@@ -44,8 +45,8 @@
 export interface RelayClientOptions {
   readonly limits: ExchangeLimits;
   readonly scheduler: Scheduler;
-  /** A token that is valid now. */
-  readonly token: () => string;
+  /** A token that is valid now; undefined where the fleet has no key. */
+  readonly token: () => string | undefined;
   readonly addressOf: (endpoint: Endpoint) => RelayAddress | undefined;
 }
 
@@ -71,7 +72,7 @@
       limits: this.options.limits,
     };
     return startExchange(this.agent, request, {
-      answered: (message) => takeAnswer(message, observer),
+      answered: (message, isWhole) => takeAnswer(message, isWhole, observer),
       failed: (failure) => observer.failed(errorOf(failure, endpoint)),
     });
   }
@@ -83,9 +84,9 @@
 
   private headersOf(endpoint: Endpoint, call: Call): string[] {
     const remainingMs = Math.max(0, Math.floor(call.deadlineAtMs - this.options.scheduler.now()));
+    const token = this.options.token();
     return call.headers.concat(
-      RELAY_TOKEN_HEADER,
-      this.options.token(),
+      token === undefined ? [] : [RELAY_TOKEN_HEADER, token],
       RELAY_ENDPOINT_HEADER,
       `${endpoint.spec.service}/${endpoint.name}`,
       RELAY_REQUEST_ID_HEADER,
@@ -98,7 +99,11 @@
   }
 }
 
-function takeAnswer(message: IncomingMessage, observer: AttemptObserver): void {
+function takeAnswer(
+  message: IncomingMessage,
+  isWhole: () => boolean,
+  observer: AttemptObserver,
+): void {
   const verdict = message.headers[VERDICT_HEADER];
   const load = parseLoad(message);
   if (!isVerdict(verdict)) {
@@ -125,6 +130,7 @@
     status,
     headers: messageHeaders(message.rawHeaders, NO_HEADERS),
     stream: message,
+    isWhole,
     contentLength: contentLengthOf(message),
     load,
   });
@@ -148,7 +154,8 @@
     return undefined;
   }
   const draining = message.headers[RELAY_DRAINING_HEADER] === '1';
-  return { inFlight: Number(match[1]), slots: Number(match[2]), draining };
+  const isNodeStopping = message.headers[RELAY_STOPPING_HEADER] === '1';
+  return { inFlight: Number(match[1]), slots: Number(match[2]), draining, isNodeStopping };
 }
 
 function headerText(message: IncomingMessage, lowerName: string): string | undefined {
--- a/src/proxy/relay-protocol.ts
+++ b/src/proxy/relay-protocol.ts
@@ -20,3 +20,5 @@
 export const RELAY_LOAD_HEADER = 'ferryspool-load';
 /** `1` when the endpoint takes no new work. */
 export const RELAY_DRAINING_HEADER = 'ferryspool-draining';
+/** `1` when the endpoint's node is about to stop. */
+export const RELAY_STOPPING_HEADER = 'ferryspool-stopping';
--- a/src/proxy/relay-server.ts
+++ b/src/proxy/relay-server.ts
@@ -6,6 +6,7 @@
 import { VERDICT_HEADER } from '../model/verdict.js';
 import { passAnswer } from './answer-relay.js';
 import type { Answer, Attempt, Call, EndpointPath, LoadReport } from './call.js';
+import { errorBody, nativeErrorHeaders } from './caller-protocol.js';
 import { sendError } from './error-answer.js';
 import { headerValue, messageHeaders, parseMilliseconds } from './headers.js';
 import type { ProxyLimits } from './proxy-limits.js';
@@ -19,6 +20,7 @@
   RELAY_RETRIES_HEADER,
   RELAY_RETRY_AFTER_HEADER,
   RELAY_RETRYABLE_HEADER,
+  RELAY_STOPPING_HEADER,
   RELAY_TOKEN_HEADER,
 } from './relay-protocol.js';
 import { EMPTY_BODY, StreamedBody, type RequestBody } from './request-body.js';
@@ -131,7 +133,7 @@
   const attempt: Attempt = options.endpoints.submit(endpoint, call, {
     answered: (answer) => {
       response.shouldKeepAlive &&= !options.isStopping();
-      passAnswer(answer, response, answerHeaders(answer), 0, {
+      passAnswer(answer, response, answerHeaders(answer, options.isStopping()), 0, {
         whole: () => {
           isOver = true;
         },
@@ -203,8 +205,9 @@
   );
 }
 
-function answerHeaders(answer: Answer): string[] {
-  return answer.headers.concat(VERDICT_HEADER, 'ran', loadHeaders(answer.load));
+function answerHeaders(answer: Answer, isStopping: boolean): string[] {
+  const stopping = isStopping ? [RELAY_STOPPING_HEADER, '1'] : [];
+  return answer.headers.concat(VERDICT_HEADER, 'ran', loadHeaders(answer.load), stopping);
 }
 
 function sendRelayError(
@@ -222,7 +225,11 @@
   if (error.retryAfterMs !== undefined) {
     headers.push(RELAY_RETRY_AFTER_HEADER, String(Math.ceil(error.retryAfterMs)));
   }
-  sendError(response, error, error.verdict, headers);
+  sendError(response, {
+    status: error.status,
+    headers: nativeErrorHeaders(error, error.verdict, headers),
+    body: errorBody(error.code, error.message, error.verdict),
+  });
 }
 
 function loadHeaders(load: LoadReport | undefined): string[] {
--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -200,6 +200,13 @@
   override readonly retryable = true;
 }
 
+/** The endpoint answered, and its answer reports a fault of its own. */
+export class EndpointFaultError extends MayHaveRunError {
+  override readonly code = 'ENDPOINT_FAULT';
+  override readonly status = 502;
+  override readonly retryable = true;
+}
+
 /** The caller went away before the answer. */
 export class CallerGoneError extends MayHaveRunError {
   override readonly code = 'CALLER_GONE';
@@ -229,3 +236,15 @@
     this.retryable = failure.retryable;
   }
 }
+
+/** Codes of failures after which nothing has run although the endpoint itself got the request. */
+const REFUSED_BY_ENDPOINT: ReadonlySet<string> = new Set([
+  'ENDPOINT_REFUSED',
+  'CANCELLED',
+  'LOST_BEFORE_START',
+]);
+
+/** Whether the endpoint itself may have got the request, so that another attempt adds to its load. */
+export function reachedEndpoint({ verdict, code }: RequestFailure): boolean {
+  return verdict !== 'not-run' || REFUSED_BY_ENDPOINT.has(code);
+}
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -5,7 +5,7 @@
 import type { Verdict } from '../model/verdict.js';
 import type { RandomSource } from '../control/control-event.js';
 import type { RetryBudget } from '../routing/retry-budget.js';
-import type { RequestFailure } from './request-error.js';
+import { reachedEndpoint, type RequestFailure } from './request-error.js';
 
 /** Upper bound of the first back-off, in milliseconds; doubles with each retry. */
 const FIRST_BACK_OFF_MS = 10;
@@ -19,13 +19,23 @@
   readonly retries: number;
   /** What the first attempt earns for the service's retry budget, in percent. */
   readonly retryBudgetPercent: number;
+  /**
+   * Further attempts that take nothing from the retries and their budget, since the failed one did
+   * not reach an endpoint.
+   */
+  readonly redirects: number;
 }
 
 /** Something that happened; `attempt` counts from 1, and events of a past attempt have no effect. */
 export type RequestEvent =
   | { readonly type: 'start' }
   /** The head of an answer arrived. */
-  | { readonly type: 'answered'; readonly attempt: number }
+  | {
+      readonly type: 'answered';
+      readonly attempt: number;
+      /** The failure that the answer reports, where another endpoint may do better. */
+      readonly fault?: RequestFailure;
+    }
   | { readonly type: 'answer-whole'; readonly attempt: number }
   /** The answer ended too early; `canReplay` as for `failed`. */
   | {
@@ -61,6 +71,8 @@
   | { readonly type: 'back-off'; readonly delayMs: number }
   | { readonly type: 'abort-attempt' }
   | { readonly type: 'pass-answer' }
+  /** The answer reports a fault, and the request is sent again. */
+  | { readonly type: 'discard-answer' }
   /** Tell the caller; `verdict` covers all attempts. */
   | { readonly type: 'report'; readonly failure: RequestFailure; readonly verdict: Verdict }
   /** Break the caller's connection: its answer can't be completed. */
@@ -73,6 +85,7 @@
   private state: State = 'new';
   private attempt = 0;
   private retriesLeft: number;
+  private redirectsLeft: number;
   private lastFailure: RequestFailure | undefined;
   /** Whether an attempt that is over may have run. */
   private mayHaveRun = false;
@@ -83,6 +96,7 @@
     private readonly random: RandomSource,
   ) {
     this.retriesLeft = policy.retries;
+    this.redirectsLeft = policy.redirects;
   }
 
   /** Whether the request has got its answer or error. */
@@ -99,8 +113,7 @@
       case 'start':
         return this.start();
       case 'answered':
-        this.state = 'answering';
-        return [{ type: 'pass-answer' }];
+        return this.takeAnswer(event.fault, nowMs);
       case 'answer-whole':
         this.state = 'over';
         return [];
@@ -147,19 +160,50 @@
     return [{ type: 'begin-attempt', attempt: this.attempt, retriesLeft: forReceivers }];
   }
 
+  /** An answer that reports a fault is passed on unless the request can be sent again. */
+  private takeAnswer(fault: RequestFailure | undefined, nowMs: number): RequestEffect[] {
+    const backOff = fault && this.retry(fault, true, nowMs);
+    if (fault === undefined || backOff === undefined) {
+      this.state = 'answering';
+      return [{ type: 'pass-answer' }];
+    }
+    this.lastFailure = fault;
+    this.mayHaveRun = true;
+    return [{ type: 'discard-answer' }, backOff];
+  }
+
   private fail(failure: RequestFailure, canReplay: boolean, nowMs: number): RequestEffect[] {
     this.lastFailure = failure;
     this.mayHaveRun ||= failure.verdict !== 'not-run';
+    if (this.mayRedirect(failure, canReplay)) {
+      this.redirectsLeft -= 1;
+      return this.beginAttempt();
+    }
+    const backOff = this.retry(failure, canReplay, nowMs);
+    return backOff === undefined ? this.report(failure) : [backOff];
+  }
+
+  private mayRedirect(failure: RequestFailure, canReplay: boolean): boolean {
+    const isFree = !reachedEndpoint(failure) && this.redirectsLeft > 0;
+    return isFree && failure.retryable && canReplay;
+  }
+
+  /** The pause before another attempt; undefined when none may be made. */
+  private retry(
+    failure: RequestFailure,
+    canReplay: boolean,
+    nowMs: number,
+  ): RequestEffect | undefined {
     if (!this.mayRetry(failure, canReplay)) {
-      return this.report(failure);
+      return undefined;
     }
     const delayMs = this.random() * FIRST_BACK_OFF_MS * 2 ** (this.attempt - 1);
     if (nowMs + delayMs >= this.policy.deadlineAtMs || !this.budget.take()) {
-      return this.report(failure);
+      return undefined;
     }
     this.retriesLeft -= 1;
     this.state = 'backing-off';
-    return [{ type: 'back-off', delayMs }];
+    return { type: 'back-off', delayMs };
   }
 
   private mayRetry(failure: RequestFailure, canReplay: boolean): boolean {
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -3,13 +3,15 @@
 import type { Channel } from 'js-csp';
 import type { CounterSink, RandomSource } from '../control/control-event.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
-import type { Snapshot } from '../model/snapshot.js';
+import type { CallerLimits, Snapshot } from '../model/snapshot.js';
 import { RouteTableCache, type RouteMatch } from '../routing/route-table.js';
 import { MAX_CLAIMED_REQUEST_MS } from '../claims/claim-terms.js';
 import { HeldBytes, receiveBody } from './body-receiver.js';
+import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
 import { createCallerServer, type CallerRequest, type CallerResponse } from './caller-server.js';
 import { startWhenClaimed } from './claim-gate.js';
 import { EndpointClient } from './endpoint-client.js';
+import { NATIVE_ENDPOINT_PROTOCOL, type EndpointProtocol } from './endpoint-protocol.js';
 import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
 import { EndpointGateway, startUpkeep } from './endpoint-gateway.js';
 import { PAUSE_CHECK_INTERVAL_MS, PauseDetector } from './pause-detector.js';
@@ -33,6 +35,11 @@
 import { drainServers } from './server-drain.js';
 
 const NOT_CONFIGURED_RETRY_MS = 1_000;
+/** Idle connections of callers are kept this much longer than the configuration says. */
+const IDLE_MARGIN = 1.25;
+const IDLE_MARGIN_MS = 1_000;
+/** Stands for the sender of a relayed request that proves no identity. */
+const UNNAMED_PEER = 'peer';
 
 /** What the request path needs of its node. */
 export interface RequestProxyOptions {
@@ -44,8 +51,12 @@
   readonly limits?: Partial<ProxyLimits>;
   /** Claims on idempotency keys; without them keys are passed on and mean nothing to the node. */
   readonly claims?: IdempotencyClaims;
-  /** Shared secret of the fleet. */
-  readonly fleetKey: Uint8Array;
+  /** Shared secret of the fleet; without one, whoever reaches the relay port may use it. */
+  readonly fleetKey?: Uint8Array;
+  /** How callers are spoken to; the product's own protocol when absent. */
+  readonly callerProtocol?: CallerProtocol;
+  /** How endpoints are spoken to; the product's own protocol when absent. */
+  readonly endpointProtocol?: EndpointProtocol;
   /** Writes one line on a change of state. */
   readonly logStateChange: (what: string, detail: string) => void;
 }
@@ -56,6 +67,8 @@
   readonly relayServer: http.Server;
   /** Every endpoint of the configuration in force, as this node sees it. */
   endpointStates(): EndpointStateReport[];
+  /** Takes the limits that the configuration sets; undefined leaves those of the node's settings. */
+  applyCallerLimits(limits: CallerLimits | undefined): void;
   /** Planned stop: answers close their connections, requests in flight finish. */
   stop(): Promise<void>;
   /** Stop at once: connections are cut. */
@@ -73,6 +86,7 @@
   readonly snapshot: Snapshot;
   readonly match: RouteMatch;
   readonly requestId: string;
+  readonly attemptPrefix: string;
   readonly deadlineAtMs: number;
 }
 
@@ -80,6 +94,8 @@
   readonly callerServer: http.Server;
   readonly relayServer: http.Server;
   private readonly limits: ProxyLimits;
+  private readonly callerProtocol: CallerProtocol;
+  private readonly endpointProtocol: EndpointProtocol;
   private readonly services: RequestServices;
   private readonly gateway: EndpointGateway;
   private readonly upkeep: Channel<boolean>;
@@ -98,7 +114,10 @@
   constructor(private readonly options: RequestProxyOptions) {
     this.limits = { ...DEFAULT_PROXY_LIMITS, ...options.limits };
     this.heldBytes = new HeldBytes(this.limits.maxHeldBytes);
-    this.endpointClient = new EndpointClient(this.limits);
+    const { callerProtocol, endpointProtocol } = options;
+    this.callerProtocol = callerProtocol ?? NATIVE_CALLER_PROTOCOL;
+    this.endpointProtocol = endpointProtocol ?? NATIVE_ENDPOINT_PROTOCOL;
+    this.endpointClient = new EndpointClient(this.limits, this.endpointProtocol);
     this.relayClient = this.makeRelayClient();
     this.gateway = new EndpointGateway({
       client: this.endpointClient,
@@ -106,7 +125,11 @@
       scheduler: MACHINE_TIME,
       logStateChange: options.logStateChange,
       maxQueuedPerEndpoint: this.limits.maxQueuedPerEndpoint,
-      cancelLead: this.limits,
+      cancelLead: {
+        cancelLeadShare: this.limits.cancelLeadShare,
+        maxCancelLeadMs: this.limits.maxCancelLeadMs,
+        slotFreedAfterCloseMs: this.endpointProtocol.slotFreedAfterCloseMs,
+      },
       snapshot: () => options.snapshots.current(),
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
     });
@@ -141,6 +164,18 @@
     });
   }
 
+  /**
+   * Idle connections are kept for longer than callers may use them, so that none is closed under a
+   * request; one that has sent nothing yet counts as idle.
+   */
+  applyCallerLimits(limits: CallerLimits | undefined): void {
+    if (limits !== undefined) {
+      const keptMs = limits.idleTimeoutMs * IDLE_MARGIN + IDLE_MARGIN_MS;
+      this.callerServer.keepAliveTimeout = Math.max(this.callerServer.keepAliveTimeout, keptMs);
+      this.callerServer.headersTimeout = Math.max(limits.headerTimeoutMs, keptMs);
+    }
+  }
+
   async stop(): Promise<void> {
     this.isStopping = true;
     this.options.logStateChange('request-path', 'stopping');
@@ -174,11 +209,11 @@
 
   private makeRelayClient(): RelayClient {
     const { members, fleetKey, identity } = this.options;
-    const tokens = new RelayTokenIssuer(fleetKey, identity.id);
+    const tokens = fleetKey && new RelayTokenIssuer(fleetKey, identity.id);
     return new RelayClient({
       limits: this.limits,
       scheduler: MACHINE_TIME,
-      token: () => tokens.current(Date.now()),
+      token: () => tokens?.current(Date.now()),
       addressOf: ({ spec }) =>
         spec.machine === undefined ? undefined : members.relayAddress(spec.machine),
     });
@@ -186,6 +221,7 @@
 
   private makeCallerServer(): http.Server {
     return createCallerServer({
+      protocol: this.callerProtocol,
       limits: this.limits,
       isStopping: () => this.isStopping,
       nextRequestId: () => this.nextRequestId(),
@@ -202,7 +238,7 @@
       limits: this.limits,
       counters: this.options.counters,
       scheduler: MACHINE_TIME,
-      verifyToken: (token) => verifyRelayToken(this.options.fleetKey, token, Date.now()),
+      verifyToken: (token) => this.verifyToken(token),
       snapshot: () => this.options.snapshots.current(),
       endpoints: this.gateway,
       hasJustWoken: () => this.pauses.hasJustWoken(MACHINE_TIME.now()),
@@ -214,6 +250,12 @@
     return server;
   }
 
+  /** The sender of a relayed request; any sender is taken where the fleet has no key. */
+  private verifyToken(token: string | undefined): string | undefined {
+    const { fleetKey } = this.options;
+    return fleetKey === undefined ? UNNAMED_PEER : verifyRelayToken(fleetKey, token, Date.now());
+  }
+
   /** Counts an open exchange of either server until it closes. */
   private countCall(response: { once(event: 'close', listener: () => void): unknown }): void {
     this.callsInFlight += 1;
@@ -224,7 +266,8 @@
   }
 
   private handle(request: CallerRequest, response: CallerResponse): void {
-    const requestId = this.nextRequestId();
+    const attemptPrefix = this.nextRequestId();
+    const requestId = request.requestId ?? attemptPrefix;
     this.options.counters.add('ferryspool_requests_total');
     const isFull = this.callsInFlight >= this.limits.maxCallsInFlight;
     this.countCall({ once: (_event, listener) => response.onClose(listener) });
@@ -232,28 +275,35 @@
       if (isFull) {
         throw new OverloadedError('the node has too many requests in flight');
       }
-      this.run(request, response, requestId);
+      this.run(request, response, requestId, attemptPrefix);
     } catch (error) {
       const refusal = this.asRequestError(error);
       response.fail(refusal, refusal.verdict, requestId);
     }
   }
 
-  private run(request: CallerRequest, response: CallerResponse, requestId: string): void {
+  private run(
+    request: CallerRequest,
+    response: CallerResponse,
+    requestId: string,
+    attemptPrefix: string,
+  ): void {
     const snapshot = this.options.snapshots.current();
     if (snapshot === undefined) {
       throw new NotConfiguredError('the node holds no configuration', NOT_CONFIGURED_RETRY_MS);
     }
     const match = this.routeTables
       .tableOf(snapshot)
-      .match(request.host, request.path, request.method);
+      .match(request.host, request.path, request.method, (route) =>
+        this.services.targets.next(route),
+      );
     if (match === undefined) {
       throw new RouteNotFoundError('no route matches the request');
     }
-    const attempt = this.attemptToClaim(request, match, requestId);
+    const attempt = this.attemptToClaim(request, match, attemptPrefix);
     const deadlineAtMs = MACHINE_TIME.now() + timeLeftMs(request, match, attempt !== undefined);
     const start = (reply: CallerReply): void => {
-      this.start({ request, snapshot, match, requestId, deadlineAtMs }, reply);
+      this.start({ request, snapshot, match, requestId, attemptPrefix, deadlineAtMs }, reply);
     };
     if (attempt === undefined || this.options.claims === undefined) {
       start(response);
@@ -274,7 +324,7 @@
   }
 
   private start(routed: RoutedRequest, response: CallerReply): void {
-    const { request, snapshot, match, requestId, deadlineAtMs } = routed;
+    const { request, snapshot, match, requestId, attemptPrefix, deadlineAtMs } = routed;
     const runner = new RequestRunner({
       services: this.services,
       snapshot,
@@ -285,18 +335,21 @@
       response,
       headers: withCredential(request.headers, match, snapshot),
       requestId,
+      attemptPrefix,
       deadlineAtMs,
     });
-    this.startWithBody(runner, request, response);
+    const { maxBodyBytes = this.limits.maxBodyBytes } = snapshot.callerLimits ?? {};
+    this.startWithBody(runner, request, response, { ...this.limits, maxBodyBytes });
   }
 
   private startWithBody(
     runner: RequestRunner,
     request: CallerRequest,
     response: CallerReply,
+    limits: ProxyLimits,
   ): void {
     try {
-      const release = receiveBody(request.message, this.limits, this.heldBytes, (body) =>
+      const release = receiveBody(request.message, limits, this.heldBytes, (body) =>
         runner.start(body),
       );
       response.onClose(release);
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -10,6 +10,7 @@
 import type { RequestBody } from './request-body.js';
 import {
   BodyTooSlowError,
+  EndpointFaultError,
   InternalError,
   NoEndpointError,
   RequestError,
@@ -49,7 +50,10 @@
   /** Attempts after the first by the caller's word; undefined when it names none. */
   readonly retries: number | undefined;
   readonly response: CallerReply;
+  /** Names the request to the caller. */
   readonly requestId: string;
+  /** Unique in the fleet; names the attempts of the request between nodes. */
+  readonly attemptPrefix: string;
   readonly deadlineAtMs: number;
 }
 
@@ -67,11 +71,13 @@
 
   constructor(private readonly context: RequestContext) {
     const { services, match, retries, deadlineAtMs } = context;
+    const { maxAttempts = Infinity } = match.route.spec;
     const policy = {
       repeatable: match.repeatable,
       deadlineAtMs,
-      retries: Math.min(services.limits.maxRetries, retries ?? Infinity),
+      retries: Math.min(services.limits.maxRetries, retries ?? Infinity, maxAttempts - 1),
       retryBudgetPercent: match.retryBudgetPercent,
+      redirects: services.limits.maxRedirects,
     };
     const budget = services.retryBudgetOf(match.service);
     this.lifecycle = new RequestLifecycle(policy, budget, services.random);
@@ -109,6 +115,8 @@
         return this.endAttempt(this.answer === undefined ? 'abandoned' : 'answered');
       case 'pass-answer':
         return this.passAnswer();
+      case 'discard-answer':
+        return this.discardAnswer();
       case 'report':
         this.finish();
         return this.context.response.fail(
@@ -150,9 +158,9 @@
   }
 
   private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
-    const { method, target, headers, requestId, deadlineAtMs, services } = this.context;
+    const { method, target, headers, attemptPrefix, deadlineAtMs, services } = this.context;
     return {
-      requestId: `${requestId}.${attempt}`,
+      requestId: `${attemptPrefix}.${attempt}`,
       method,
       target,
       headers,
@@ -166,7 +174,22 @@
   private takeAnswer(attempt: number, answer: Answer): void {
     this.answer = answer;
     this.observeLoad(answer.load, undefined);
-    this.handle({ type: 'answered', attempt });
+    const fault = this.faultOf(answer);
+    this.handle({ type: 'answered', attempt, ...(fault !== undefined && { fault }) });
+  }
+
+  private faultOf(answer: Answer): RequestError | undefined {
+    const isRetried = this.context.services.limits.retriesFaults && this.canReplay();
+    return isRetried && answer.status >= FAULT_STATUS
+      ? new EndpointFaultError(`the endpoint answered ${answer.status}`)
+      : undefined;
+  }
+
+  /** What is left of the answer is read, so that its connection can be used again. */
+  private discardAnswer(): void {
+    this.answer?.stream.on('error', () => undefined).resume();
+    this.answer = undefined;
+    this.endAttempt('failed');
   }
 
   private takeFailure(attempt: number, error: RequestError, load: LoadReport | undefined): void {
@@ -209,6 +232,7 @@
         {
           inFlight: load?.inFlight ?? 0,
           draining,
+          isNodeStopping: load?.isNodeStopping === true,
           ...(retryAfterMs !== undefined && { retryAfterMs }),
         },
         services.scheduler.now(),
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -7,12 +7,16 @@
 import { EndpointSelector } from '../routing/endpoint-selector.js';
 import { RetryBudget } from '../routing/retry-budget.js';
 import type { RouteMatch } from '../routing/route-table.js';
+import { WeightedTargets } from '../routing/weighted-targets.js';
 import type { MemberStatus } from '../wire/message.js';
 import type { EndpointPath } from './call.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import type { RelayAddress } from './relay-client.js';
 import type { Scheduler } from './scheduler.js';
 
+/** Part of the fleet's saved retries that is dealt out to the nodes that are known. */
+const SAVED_RETRIES_SHARE = 0.9;
+
 /** What the node knows of its peers. */
 export interface MemberDirectory {
   status(machineId: string): MemberStatus | 'unknown';
@@ -43,10 +47,12 @@
   readonly random: RandomSource;
   readonly scheduler: Scheduler;
   readonly machineId: string;
+  readonly targets: WeightedTargets;
   private readonly budgets = new Map<string, RetryBudget>();
 
   constructor(private readonly options: RequestServicesOptions) {
     this.selector = new EndpointSelector(options.random);
+    this.targets = new WeightedTargets(options.random);
     this.limits = options.limits;
     this.counters = options.counters;
     this.random = options.random;
@@ -101,10 +107,17 @@
       : orphanSlots(endpoint, this.machineId, nodeCount);
   }
 
+  /** This node's part of the retries that may be saved up; a tenth is kept for nodes that join. */
+  private savedRetries(): number {
+    const { maxSavedRetries, fleetSavedRetries = Infinity } = this.limits;
+    const share = (fleetSavedRetries * SAVED_RETRIES_SHARE) / this.options.members.count();
+    return Math.min(maxSavedRetries, Math.max(1, Math.floor(share)));
+  }
+
   retryBudgetOf(service: string): RetryBudget {
     let budget = this.budgets.get(service);
     if (budget === undefined) {
-      budget = new RetryBudget();
+      budget = new RetryBudget(this.savedRetries());
       this.budgets.set(service, budget);
     }
     return budget;
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -15,6 +15,8 @@
 const MAX_EJECTION_MS = 30_000;
 /** How long an endpoint that said that it is draining gets nothing, in milliseconds. */
 const DRAINING_HOLD_MS = 30_000;
+/** How long an endpoint whose node is about to stop gets nothing, in milliseconds. */
+const NODE_STOPPING_HOLD_MS = 2_000;
 /** Added to the load of an endpoint that has refused, while it asked to be left alone. */
 const REFUSAL_PENALTY = 1;
 
@@ -32,6 +34,8 @@
   /** Requests that run or wait there, of all senders. */
   readonly inFlight: number;
   readonly draining: boolean;
+  /** Whether the endpoint's node is about to stop. */
+  readonly isNodeStopping?: boolean;
   /** Time for which the endpoint asked to be left alone, in milliseconds. */
   readonly retryAfterMs?: number;
 }
@@ -115,6 +119,8 @@
     this.observedAtMs = nowMs;
     if (load.draining) {
       this.drainingUntilMs = nowMs + DRAINING_HOLD_MS;
+    } else if (load.isNodeStopping === true) {
+      this.drainingUntilMs = Math.max(this.drainingUntilMs, nowMs + NODE_STOPPING_HOLD_MS);
     }
     if (load.retryAfterMs !== undefined) {
       this.busyUntilMs = nowMs + load.retryAfterMs;
--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -1,5 +1,6 @@
 /** Finds the route of a request: the longest path prefix wins, then a named host. */
-import { DEFAULT_REQUEST_TIMEOUT_MS, type Route } from '../model/resource.js';
+import type { Route } from '../model/resource.js';
+import { DEFAULT_REQUEST_TIMEOUT_MS } from '../model/resource-key.js';
 import type { Snapshot } from '../model/snapshot.js';
 
 const REPEATABLE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD', 'OPTIONS']);
@@ -31,8 +32,16 @@
     }
   }
 
-  /** `host` may carry a port; `path` has no query. */
-  match(host: string, path: string, method: string): RouteMatch | undefined {
+  /**
+   * `host` may carry a port; `path` has no query. `chooseTarget` names the service that gets the
+   * request, of a route that divides its requests.
+   */
+  match(
+    host: string,
+    path: string,
+    method: string,
+    chooseTarget: (route: Route) => string = ({ spec }) => spec.service,
+  ): RouteMatch | undefined {
     const hostName = withoutPort(host);
     for (let prefix = path; prefix !== ''; prefix = nextPrefix(prefix)) {
       const routes = this.routesByPrefix.get(prefix);
@@ -42,18 +51,18 @@
           (spec.methods.length === 0 || spec.methods.includes(method)),
       );
       if (route !== undefined) {
-        return this.describe(route, method);
+        return this.describe(route, method, chooseTarget(route));
       }
     }
     return undefined;
   }
 
-  private describe(route: Route, method: string): RouteMatch {
+  private describe(route: Route, method: string, serviceName: string): RouteMatch {
     const { spec } = route;
-    const service = this.snapshot.services.get(spec.service)?.spec;
+    const service = this.snapshot.services.get(serviceName)?.spec;
     return {
       route,
-      service: spec.service,
+      service: serviceName,
       repeatable: spec.repeatable ?? REPEATABLE_METHODS.has(method),
       timeoutMs: spec.timeoutMs ?? service?.requestTimeoutMs ?? DEFAULT_REQUEST_TIMEOUT_MS,
       retryBudgetPercent: service?.retryBudgetPercent ?? 0,
--- /dev/null
+++ b/src/store/configuration-record.ts
@@ -0,0 +1,32 @@
+/** What the items of a store say, in the product's own terms; an adapter reads them. */
+import type { Endpoint, Resource } from '../model/resource.js';
+import type { CallerLimits } from '../model/snapshot.js';
+
+/** A whole configuration. */
+export interface ConfigurationRecord {
+  readonly kind: 'configuration';
+  /** Rises with each configuration. */
+  readonly number: number;
+  /** Services and routes. */
+  readonly resources: readonly Resource[];
+  readonly callerLimits: CallerLimits;
+}
+
+/** One endpoint. */
+export interface EndpointRecordOfStore {
+  readonly kind: 'endpoint';
+  readonly endpoint: Endpoint;
+}
+
+/** An item that the node does not use, or can't read. */
+export interface UnusedRecord {
+  readonly kind: 'unused';
+  /** Why the item can't be read; undefined when it is of no concern. */
+  readonly fault: string | undefined;
+}
+
+/** What one item says. */
+export type StoreRecord = ConfigurationRecord | EndpointRecordOfStore | UnusedRecord;
+
+/** Reads an item; never throws. */
+export type RecordReader = (key: string, value: string) => StoreRecord;
--- /dev/null
+++ b/src/store/key-value-store.ts
@@ -0,0 +1,54 @@
+/**
+ * What a node needs of a key-value store that it can only read: lists, and watches by revision. Every
+ * change of the store raises its one revision.
+ */
+
+/** An item as it was written, or its removal. */
+export interface StoreChange {
+  readonly key: string;
+  /** Revision of the store at which the item was written or removed. */
+  readonly revision: number;
+  /** Text of the item; undefined when it was removed. */
+  readonly value: string | undefined;
+}
+
+/** A page of a list; the pages of one list are not of one revision. */
+export interface ListPage {
+  readonly outcome: 'page';
+  readonly items: readonly StoreChange[];
+  readonly hasMore: boolean;
+  /** Revision of the store when the page was read. */
+  readonly revision: number;
+}
+
+/** What changed after the revision that a watch named, up to `revision`. */
+export interface WatchBatch {
+  readonly outcome: 'changes';
+  readonly changes: readonly StoreChange[];
+  readonly revision: number;
+}
+
+/** The store no longer knows what changed after the revision that a watch named. */
+export interface HistoryLost {
+  readonly outcome: 'history-lost';
+}
+
+/** The store could not be reached, was too slow, or turned the call away. */
+export interface StoreUnavailable {
+  readonly outcome: 'unavailable';
+  /** For the log. */
+  readonly reason: string;
+}
+
+/** A store, over its adapter. Calls never reject. */
+export interface KeyValueStore {
+  /** Items in the order of their keys, after `afterKey`. */
+  list(afterKey: string | undefined): Promise<ListPage | StoreUnavailable>;
+  /** Waits up to `waitMs` for a change after `afterRevision`. */
+  watch(
+    afterRevision: number,
+    waitMs: number,
+  ): Promise<WatchBatch | HistoryLost | StoreUnavailable>;
+  /** Closes all connections. */
+  close(): void;
+}
--- /dev/null
+++ b/src/store/snapshot-builder.ts
@@ -0,0 +1,110 @@
+/**
+ * Makes snapshots from the items of a replica: the newest configuration ever seen, with the endpoints
+ * that exist now. A configuration that can't be read or does not hold together is not put in force,
+ * and the one before stays. Pure.
+ */
+import { InvalidConfigurationError } from '../model/configuration-error.js';
+import type { Endpoint } from '../model/resource.js';
+import { buildSnapshot, type Snapshot } from '../model/snapshot.js';
+import { EMPTY_DIGEST, NO_VERSION } from '../model/version.js';
+import type { ConfigurationRecord, RecordReader, StoreRecord } from './configuration-record.js';
+import type { StoreChange } from './key-value-store.js';
+
+/** An item, read once. */
+interface ReadItem {
+  readonly revision: number;
+  readonly record: StoreRecord;
+}
+
+/** What came of the items. */
+export interface BuildResult {
+  /** Undefined while no configuration is known. */
+  readonly snapshot: Snapshot | undefined;
+  /** Faults that were met for the first time. */
+  readonly faults: readonly string[];
+}
+
+/** Builds the snapshots of one node. */
+export class SnapshotBuilder {
+  private readonly readItems = new Map<string, ReadItem>();
+  private configuration: ConfigurationRecord | undefined;
+
+  constructor(private readonly read: RecordReader) {}
+
+  /** The snapshot of `items`; the configuration in force never gets an older number. */
+  build(items: Iterable<StoreChange>): BuildResult {
+    const faults: string[] = [];
+    const endpoints: Endpoint[] = [];
+    const seen = new Set<string>();
+    for (const item of items) {
+      seen.add(item.key);
+      const record = this.recordOf(item, faults);
+      if (record.kind === 'endpoint') {
+        endpoints.push(record.endpoint);
+      } else if (record.kind === 'configuration') {
+        this.adopt(record, faults);
+      }
+    }
+    this.forgetExcept(seen);
+    return { snapshot: this.snapshotWith(endpoints), faults };
+  }
+
+  private recordOf({ key, revision, value = '' }: StoreChange, faults: string[]): StoreRecord {
+    const known = this.readItems.get(key);
+    if (known?.revision === revision) {
+      return known.record;
+    }
+    const record = this.read(key, value);
+    this.readItems.set(key, { revision, record });
+    if (record.kind === 'unused' && record.fault !== undefined) {
+      faults.push(`${key}: ${record.fault}`);
+    }
+    return record;
+  }
+
+  private adopt(candidate: ConfigurationRecord, faults: string[]): void {
+    if (candidate.number <= (this.configuration?.number ?? 0)) {
+      return;
+    }
+    try {
+      buildSnapshot(versionOf(candidate), candidate.resources);
+      this.configuration = candidate;
+    } catch (error) {
+      if (!(error instanceof InvalidConfigurationError)) {
+        throw error;
+      }
+      faults.push(`configuration ${candidate.number}: ${error.message}`);
+    }
+  }
+
+  private snapshotWith(endpoints: readonly Endpoint[]): Snapshot | undefined {
+    const { configuration } = this;
+    if (configuration === undefined) {
+      return undefined;
+    }
+    const services = new Set<string>();
+    for (const resource of configuration.resources) {
+      if (resource.kind === 'service') {
+        services.add(resource.name);
+      }
+    }
+    const usable = endpoints.filter(({ spec }) => services.has(spec.service));
+    return buildSnapshot(
+      versionOf(configuration),
+      [...configuration.resources, ...usable],
+      configuration.callerLimits,
+    );
+  }
+
+  private forgetExcept(keys: ReadonlySet<string>): void {
+    for (const key of [...this.readItems.keys()]) {
+      if (!keys.has(key)) {
+        this.readItems.delete(key);
+      }
+    }
+  }
+}
+
+function versionOf({ number }: ConfigurationRecord): Snapshot['version'] {
+  return { source: { number, digest: EMPTY_DIGEST }, operator: NO_VERSION };
+}
--- /dev/null
+++ b/src/store/store-follower.ts
@@ -0,0 +1,95 @@
+/** Follows a store: makes the calls that {@link StoreWatch} decides on and keeps a replica up to date. */
+import csp, { type Channel } from 'js-csp';
+import type { RandomSource } from '../control/control-event.js';
+import type { KeyValueStore } from './key-value-store.js';
+import type { StoreReplica } from './store-replica.js';
+import { StoreWatch, type StoreAnswer, type StoreCall, type StoreLearning } from './store-watch.js';
+
+/** What a follower needs of its node. */
+export interface StoreFollowerOptions {
+  readonly store: KeyValueStore;
+  readonly replica: StoreReplica;
+  readonly random: RandomSource;
+  /** Longest time that a watch waits for a change, in milliseconds. */
+  readonly watchWaitMs: number;
+  /** Called after each answer that taught something; `hasChanged` when an item changed. */
+  readonly onLearned: (hasChanged: boolean) => void;
+  /** Called when the store was lost or found again. */
+  readonly onConnection: (isConnected: boolean, reason: string) => void;
+}
+
+/** The process that follows the store. */
+export class StoreFollower {
+  private readonly watch: StoreWatch;
+  private readonly closed: Channel<boolean> = csp.chan();
+  private isConnected = true;
+
+  constructor(private readonly options: StoreFollowerOptions) {
+    this.watch = new StoreWatch(options.random);
+  }
+
+  /** Begins to follow. */
+  start(): void {
+    csp.go(follow, [this, this.watch.start(), this.closed]);
+  }
+
+  /** Ends following and closes the connections to the store. */
+  close(): void {
+    this.closed.close();
+    this.options.store.close();
+  }
+
+  /** Makes a call and gives its answer to the returned channel. */
+  call(call: StoreCall): Channel<StoreAnswer> {
+    const answers: Channel<StoreAnswer> = csp.chan(1);
+    const { store, watchWaitMs } = this.options;
+    const answer =
+      call.type === 'list'
+        ? store.list(call.afterKey)
+        : store.watch(call.afterRevision, watchWaitMs);
+    void answer.then((value) => csp.putAsync(answers, value));
+    return answers;
+  }
+
+  /** Takes an answer; gives the next call. */
+  take(answer: StoreAnswer): StoreCall {
+    const { call, learning } = this.watch.take(answer);
+    this.reportConnection(answer);
+    if (learning !== undefined) {
+      this.options.onLearned(this.learn(learning));
+    }
+    return call;
+  }
+
+  private learn(learning: StoreLearning): boolean {
+    const { replica } = this.options;
+    return learning.type === 'list'
+      ? replica.takeList(learning.items, learning.revision)
+      : replica.takeChanges(learning.changes, learning.revision);
+  }
+
+  private reportConnection(answer: StoreAnswer): void {
+    const isConnected = answer.outcome !== 'unavailable';
+    if (isConnected !== this.isConnected) {
+      this.isConnected = isConnected;
+      this.options.onConnection(isConnected, answer.outcome === 'unavailable' ? answer.reason : '');
+    }
+  }
+}
+
+function* follow(
+  follower: StoreFollower,
+  firstCall: StoreCall,
+  closed: Channel<boolean>,
+): Generator<unknown, void, never> {
+  let call = firstCall;
+  while (!closed.isClosed()) {
+    if (call.delayMs > 0) {
+      yield csp.timeout(call.delayMs);
+    }
+    const answer: StoreAnswer = yield csp.take(follower.call(call));
+    if (!closed.isClosed()) {
+      call = follower.take(answer);
+    }
+  }
+}
--- /dev/null
+++ b/src/store/store-replica.ts
@@ -0,0 +1,111 @@
+/**
+ * A node's replica of the store: the newest known state of each item, by revision. Changes may come
+ * from the store and from peers, in any order and more than once; the higher revision wins, so that
+ * no item ever goes back. Removals are remembered, so that an older peer can't bring an item back.
+ * Pure.
+ */
+import type { StoreChange } from './key-value-store.js';
+
+/** Removals remembered at most; beyond that, the oldest are forgotten. */
+const MAX_REMOVALS = 2_000;
+
+/** Changes that bring another replica up to `revision`. */
+export interface ReplicaDelta {
+  /** Revision that the receiver must hold; 0 where the delta is the whole state. */
+  readonly sinceRevision: number;
+  readonly revision: number;
+  readonly changes: readonly StoreChange[];
+}
+
+/** The replica. */
+export class StoreReplica {
+  private readonly changes = new Map<string, StoreChange>();
+  private completeUpTo = 0;
+  /** Deltas from before this revision would miss removals that were forgotten. */
+  private removalsKnownFrom = 0;
+
+  /** The replica holds every change up to this revision; 0 before the first list. */
+  get revision(): number {
+    return this.completeUpTo;
+  }
+
+  /** The items that exist. */
+  *items(): IterableIterator<StoreChange> {
+    for (const change of this.changes.values()) {
+      if (change.value !== undefined) {
+        yield change;
+      }
+    }
+  }
+
+  /** Takes a whole list that was begun at `revision`; true when an item changed. */
+  takeList(items: readonly StoreChange[], revision: number): boolean {
+    const listed = new Set(items.map(({ key }) => key));
+    let hasChanged = this.takeEach(items);
+    for (const { key, revision: heldRevision, value } of [...this.changes.values()]) {
+      const isRemoved = value !== undefined && !listed.has(key) && heldRevision <= revision;
+      if (isRemoved) {
+        this.changes.set(key, { key, revision, value: undefined });
+        hasChanged = true;
+      }
+    }
+    this.completeUpTo = Math.max(this.completeUpTo, revision);
+    return hasChanged;
+  }
+
+  /** Takes what a watch told; true when an item changed. */
+  takeChanges(changes: readonly StoreChange[], revision: number): boolean {
+    const hasChanged = this.takeEach(changes);
+    this.completeUpTo = Math.max(this.completeUpTo, revision);
+    this.forgetRemovals();
+    return hasChanged;
+  }
+
+  /** Takes what a peer told; true when an item changed. A delta with a gap before it is not taken. */
+  takeDelta(delta: ReplicaDelta): boolean {
+    if (delta.sinceRevision === 0) {
+      return delta.revision > this.completeUpTo && this.takeList(existing(delta), delta.revision);
+    }
+    return (
+      delta.sinceRevision <= this.completeUpTo && this.takeChanges(delta.changes, delta.revision)
+    );
+  }
+
+  /** What a replica that is complete up to `sinceRevision` lacks. */
+  deltaSince(sinceRevision: number): ReplicaDelta {
+    const isWhole = sinceRevision === 0 || sinceRevision < this.removalsKnownFrom;
+    const since = isWhole ? 0 : sinceRevision;
+    const changes = [...this.changes.values()].filter(
+      ({ revision, value }) => revision > since && (!isWhole || value !== undefined),
+    );
+    return { sinceRevision: since, revision: this.completeUpTo, changes };
+  }
+
+  private takeEach(changes: readonly StoreChange[]): boolean {
+    let hasChanged = false;
+    for (const change of changes) {
+      const held = this.changes.get(change.key);
+      if (held === undefined || held.revision < change.revision) {
+        this.changes.set(change.key, change);
+        hasChanged ||= held?.value !== change.value;
+      }
+    }
+    return hasChanged;
+  }
+
+  private forgetRemovals(): void {
+    const removals = [...this.changes.values()].filter(({ value }) => value === undefined);
+    if (removals.length <= MAX_REMOVALS) {
+      return;
+    }
+    removals.sort((left, right) => left.revision - right.revision);
+    for (const { key, revision } of removals.slice(0, removals.length / 2)) {
+      this.changes.delete(key);
+      this.removalsKnownFrom = Math.max(this.removalsKnownFrom, revision);
+    }
+  }
+}
+
+function existing(delta: ReplicaDelta): readonly StoreChange[] {
+  return delta.changes.filter(({ value }) => value !== undefined);
+}
--- /dev/null
+++ b/src/store/store-watch.ts
@@ -0,0 +1,125 @@
+/**
+ * Decides what a node asks of the store next: a list, page by page, then watches from the list's
+ * revision on; a list again when the store has forgotten what came after that. Pure: answers in,
+ * the next call out.
+ */
+import type { RandomSource } from '../control/control-event.js';
+import type {
+  HistoryLost,
+  ListPage,
+  StoreChange,
+  StoreUnavailable,
+  WatchBatch,
+} from './key-value-store.js';
+
+/** Pause after a failed call, in milliseconds; doubles with each further one. */
+const FIRST_BACK_OFF_MS = 100;
+/** Longest pause between two calls, in milliseconds. */
+const MAX_BACK_OFF_MS = 800;
+/** Pause between the answer of a watch and the next one, in milliseconds: changes gather meanwhile. */
+const GATHER_MS = 150;
+
+/** A call to the store, to be made after a pause. */
+export type StoreCall = { readonly delayMs: number } & (
+  | { readonly type: 'list'; readonly afterKey: string | undefined }
+  | { readonly type: 'watch'; readonly afterRevision: number }
+);
+
+/** What an answer taught. */
+export type StoreLearning =
+  /** The whole content, as of a list that was begun at `revision`. */
+  | {
+      readonly type: 'list';
+      readonly items: readonly StoreChange[];
+      readonly revision: number;
+    }
+  | {
+      readonly type: 'changes';
+      readonly changes: readonly StoreChange[];
+      readonly revision: number;
+    };
+
+/** An answer of the store. */
+export type StoreAnswer = ListPage | WatchBatch | HistoryLost | StoreUnavailable;
+
+/** The next call, and what the last answer taught. */
+export interface StoreStep {
+  readonly call: StoreCall;
+  readonly learning: StoreLearning | undefined;
+}
+
+/** Pages of a list that is under way. */
+interface PartialList {
+  readonly items: StoreChange[];
+  /** Revision of the first page: what changed since must be watched for. */
+  readonly revision: number;
+}
+
+/** One node's list and watches. */
+export class StoreWatch {
+  private partial: PartialList | undefined;
+  private revision: number | undefined;
+  private failures = 0;
+
+  constructor(private readonly random: RandomSource) {}
+
+  /** Whether the last call was answered. */
+  get isConnected(): boolean {
+    return this.failures === 0;
+  }
+
+  /** The first call. */
+  start(): StoreCall {
+    return { type: 'list', afterKey: undefined, delayMs: 0 };
+  }
+
+  /** Takes the answer to the last call. */
+  take(answer: StoreAnswer): StoreStep {
+    if (answer.outcome === 'unavailable') {
+      this.failures += 1;
+      this.partial = undefined;
+      return { call: this.nextCall(this.backOffMs()), learning: undefined };
+    }
+    this.failures = 0;
+    switch (answer.outcome) {
+      case 'page':
+        return this.takePage(answer);
+      case 'changes':
+        return this.takeChanges(answer);
+      case 'history-lost':
+        this.revision = undefined;
+        return { call: this.nextCall(0), learning: undefined };
+    }
+  }
+
+  private takePage(page: ListPage): StoreStep {
+    const partial = this.partial ?? { items: [], revision: page.revision };
+    partial.items.push(...page.items);
+    const lastKey = page.items.at(-1)?.key;
+    if (page.hasMore && lastKey !== undefined) {
+      this.partial = partial;
+      return { call: { type: 'list', afterKey: lastKey, delayMs: 0 }, learning: undefined };
+    }
+    this.partial = undefined;
+    this.revision = partial.revision;
+    return { call: this.nextCall(0), learning: { type: 'list', ...partial } };
+  }
+
+  private takeChanges({ changes, revision }: WatchBatch): StoreStep {
+    this.revision = Math.max(this.revision ?? 0, revision);
+    const delayMs = changes.length > 0 ? GATHER_MS : 0;
+    return { call: this.nextCall(delayMs), learning: { type: 'changes', changes, revision } };
+  }
+
+  private nextCall(delayMs: number): StoreCall {
+    return this.revision === undefined
+      ? { type: 'list', afterKey: undefined, delayMs }
+      : { type: 'watch', afterRevision: this.revision, delayMs };
+  }
+
+  /** Nodes that lost the store together come back spread out. */
+  private backOffMs(): number {
+    const longest = Math.min(MAX_BACK_OFF_MS, FIRST_BACK_OFF_MS * 2 ** (this.failures - 1));
+    return longest * (0.5 + this.random() / 2);
+  }
+}
--- a/test/proxy/fuzz/request-world.ts
+++ b/test/proxy/fuzz/request-world.ts
@@ -198,6 +198,7 @@
       retries: undefined,
       response: reply,
       requestId: id,
+      attemptPrefix: id,
       deadlineAtMs,
     });
     runner.start(EMPTY_BODY);
--- a/test/proxy/fuzz/virtual-paths.ts
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -33,6 +33,7 @@
       status: 200,
       headers: ['content', content],
       stream: this.stream as unknown as IncomingMessage,
+      isWhole: () => this.stream.complete,
       contentLength: 1,
       load: undefined,
     };
--- a/test/proxy/request-lifecycle.test.ts
+++ b/test/proxy/request-lifecycle.test.ts
@@ -139,7 +139,13 @@
 describe('life of a request', () => {
   for (const { name, repeatable = false, retries = 2, events, expected } of rows) {
     it(name, () => {
-      const policy = { repeatable, deadlineAtMs: 1_000, retries, retryBudgetPercent: 100 };
+      const policy = {
+        repeatable,
+        deadlineAtMs: 1_000,
+        retries,
+        retryBudgetPercent: 100,
+        redirects: 0,
+      };
       const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
       const effects = events.map((event) => lifecycle.handle(event, 0)).at(-1) ?? [];
       const texts = effects.map((effect) =>
@@ -150,7 +156,13 @@
   }
 
   it('does not back off past the deadline', () => {
-    const policy = { repeatable: true, deadlineAtMs: 10, retries: 2, retryBudgetPercent: 100 };
+    const policy = {
+      repeatable: true,
+      deadlineAtMs: 10,
+      retries: 2,
+      retryBudgetPercent: 100,
+      redirects: 0,
+    };
     const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
     lifecycle.handle(START, 0);
     expect(lifecycle.handle(failed(1, notRun), 6)).to.have.nested.property('[0].type', 'report');
@@ -160,7 +172,13 @@
     const budget = new RetryBudget();
     let retries = 0;
     for (let request = 0; request < 1_000; request += 1) {
-      const policy = { repeatable: true, deadlineAtMs: 1_000, retries: 2, retryBudgetPercent: 20 };
+      const policy = {
+        repeatable: true,
+        deadlineAtMs: 1_000,
+        retries: 2,
+        retryBudgetPercent: 20,
+        redirects: 0,
+      };
       const lifecycle = new RequestLifecycle(policy, budget, () => 0.5);
       lifecycle.handle(START, 0);
       for (
@@ -186,7 +204,13 @@
   if (depth === 0) {
     return 1;
   }
-  const policy = { repeatable: true, deadlineAtMs: 1_000, retries, retryBudgetPercent: 100 };
+  const policy = {
+    repeatable: true,
+    deadlineAtMs: 1_000,
+    retries,
+    retryBudgetPercent: 100,
+    redirects: 0,
+  };
   const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
   let attempts = 0;
   let [effect] = lifecycle.handle(START, 0);
