--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -1,26 +1,20 @@
 /**
  * Admission to one endpoint, at the one node that owns its slots: at most `slots` requests run at
- * once; a short queue waits for them, fair among the callers' nodes; a request that can't finish in
- * time is refused at once. Pure: time is passed in.
+ * once; a short queue waits for them, by rank and fair among the callers' nodes; a request that can't
+ * finish in time is refused at once. Pure: time is passed in.
  */
+import { AdmissionQueue, rankOf, type AdmissionTicket } from './admission-queue.js';
+import { ServiceTimes } from './service-times.js';
+
+export type { AdmissionTicket } from './admission-queue.js';
 
 /** Requests that may wait, as a multiple of the slots. */
 const QUEUE_PER_SLOT = 2;
-/** Weight of a new measurement in the running mean of service time. */
-const SERVICE_TIME_WEIGHT = 0.1;
 /** What is left of the limit after the endpoint refused. */
 const REFUSAL_FACTOR = 0.9;
 /** Least time after which a refused caller is told to come back, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 50;
 
-/** A request that asks for a slot. */
-export interface AdmissionTicket {
-  readonly requestId: string;
-  /** Machine identity of the caller's node: slots are shared fairly among these. */
-  readonly callerNode: string;
-  readonly deadlineAtMs: number;
-}
-
 /** Why a request is refused. Each is decided before the request is sent. */
 export type RefusalReason = 'queue-full' | 'cannot-finish-in-time' | 'deadline-passed' | 'draining';
 
@@ -36,11 +30,10 @@
 
 /** The slots and the queue of one endpoint. */
 export class EndpointAdmission {
-  /** Waiting requests of each caller's node, in order of arrival; nodes in order of their turn. */
-  private readonly queues = new Map<string, AdmissionTicket[]>();
-  private readonly running = new Set<string>();
-  private waiting = 0;
-  private meanServiceMs: number | undefined;
+  private readonly queue = new AdmissionQueue();
+  /** Classes of the requests that run. */
+  private readonly running = new Map<string, string | undefined>();
+  private readonly serviceTimes = new ServiceTimes();
   private draining = false;
 
   /** Requests that may run at once: at most the slots, fewer while the endpoint refuses. */
@@ -61,7 +54,7 @@
 
   /** Requests that wait. */
   get waitingCount(): number {
-    return this.waiting;
+    return this.queue.size;
   }
 
   /** Whether new work is refused. */
@@ -69,9 +62,11 @@
     return this.draining;
   }
 
-  /** The last moment at which a request with this deadline can start and still finish in time. */
-  latestStartAtMs(deadlineAtMs: number): number {
-    return deadlineAtMs - (this.meanServiceMs ?? 0);
+  /** The last moment at which a request can start and still finish in time. */
+  latestStartAtMs(ticket: AdmissionTicket): number {
+    const { deadlineAtMs, targetAtMs = Infinity, startByMs = Infinity, workClass } = ticket;
+    const finishByMs = Math.min(deadlineAtMs, targetAtMs);
+    return Math.min(startByMs, finishByMs - this.serviceTimes.meanMs(workClass));
   }
 
   /** Takes a change of the endpoint's slots; running requests are left alone. */
@@ -87,10 +82,7 @@
     if (!draining) {
       return [];
     }
-    const waiting = [...this.queues.values()].flat();
-    this.queues.clear();
-    this.waiting = 0;
-    return waiting.map((ticket) => this.refuse(ticket, 'draining'));
+    return this.queue.removeAll().map((ticket) => this.refuse(ticket, 'draining'));
   }
 
   /**
@@ -108,14 +100,11 @@
       return [this.refuse(ticket, reason)];
     }
     const displaced = this.displaceFor(ticket);
-    const hasFreeSlot = this.waiting === 0 && this.running.size < Math.floor(this.limit);
-    if (this.waiting >= this.queueBound && !hasFreeSlot) {
+    const hasFreeSlot = this.queue.size === 0 && this.running.size < Math.floor(this.limit);
+    if (this.queue.size >= this.queueBound && !hasFreeSlot) {
       return [this.refuse(ticket, 'queue-full')];
     }
-    const queue = this.queues.get(ticket.callerNode) ?? [];
-    queue.push(ticket);
-    this.queues.set(ticket.callerNode, queue);
-    this.waiting += 1;
+    this.queue.push(ticket);
     return [...displaced, ...this.fillSlots(nowMs)];
   }
 
@@ -124,11 +113,12 @@
    * as a measurement of the endpoint's pace.
    */
   release(requestId: string, nowMs: number, serviceMs?: number): AdmissionEffect[] {
+    const workClass = this.running.get(requestId);
     if (!this.running.delete(requestId)) {
       return [];
     }
     if (serviceMs !== undefined) {
-      this.measure(serviceMs);
+      this.serviceTimes.measure(workClass, serviceMs);
       this.limit = Math.min(this.slots, this.limit + 1 / this.limit);
     }
     return this.fillSlots(nowMs);
@@ -136,39 +126,18 @@
 
   /** Whether a waiting request was taken out: its caller gave up, and it will not be dispatched. */
   withdraw(requestId: string, callerNode: string): boolean {
-    const queue = this.queues.get(callerNode);
-    const index = queue?.findIndex((ticket) => ticket.requestId === requestId) ?? -1;
-    if (queue === undefined || index < 0) {
-      return false;
-    }
-    queue.splice(index, 1);
-    this.waiting -= 1;
-    if (queue.length === 0) {
-      this.queues.delete(callerNode);
-    }
-    return true;
+    return this.queue.remove(requestId, callerNode);
   }
 
   private get queueBound(): number {
     return Math.min(this.maxWaiting, this.slots * QUEUE_PER_SLOT);
   }
 
-  /** Makes room in a full queue at the cost of the node that has the most requests in it. */
+  /** Makes room in a full queue for a request that goes before one in it. */
   private displaceFor(ticket: AdmissionTicket): AdmissionEffect[] {
-    if (this.waiting < this.queueBound) {
-      return [];
-    }
-    const ownLength = this.queues.get(ticket.callerNode)?.length ?? 0;
-    let longest: AdmissionTicket[] = [];
-    for (const queue of this.queues.values()) {
-      longest = queue.length > longest.length ? queue : longest;
-    }
-    const newest = longest.length > ownLength + 1 ? longest.pop() : undefined;
-    if (newest === undefined) {
-      return [];
-    }
-    this.waiting -= 1;
-    return [this.refuse(newest, 'queue-full')];
+    const isFull = this.queue.size >= this.queueBound;
+    const displaced = isFull ? this.queue.displaceFor(ticket) : undefined;
+    return displaced === undefined ? [] : [this.refuse(displaced, 'queue-full')];
   }
 
   private refusalOf(ticket: AdmissionTicket, nowMs: number): RefusalReason | undefined {
@@ -178,30 +147,30 @@
     if (ticket.deadlineAtMs <= nowMs) {
       return 'deadline-passed';
     }
-    const startAtMs = nowMs + this.expectedWaitMs();
+    const startAtMs = nowMs + this.expectedWaitMs(rankOf(ticket));
     return this.isTooLate(ticket, startAtMs) ? 'cannot-finish-in-time' : undefined;
   }
 
   /** An idle endpoint gets the request all the same, so that its pace is measured anew. */
   private isTooLate(ticket: AdmissionTicket, startAtMs: number): boolean {
-    return this.running.size > 0 && startAtMs > this.latestStartAtMs(ticket.deadlineAtMs);
+    return this.running.size > 0 && startAtMs > this.latestStartAtMs(ticket);
   }
 
-  /** Time until a request that arrives now gets a slot, at the measured pace. */
-  private expectedWaitMs(): number {
-    const ahead = this.running.size + this.waiting - this.limit + 1;
-    return ahead <= 0 ? 0 : (ahead * (this.meanServiceMs ?? 0)) / this.limit;
+  /** Time until a request of the rank that arrives now gets a slot, at the measured pace. */
+  private expectedWaitMs(rank: number): number {
+    const ahead = this.running.size + this.queue.countUpTo(rank) - this.limit + 1;
+    return ahead <= 0 ? 0 : (ahead * this.serviceTimes.overallMs) / this.limit;
   }
 
   private refuse(ticket: AdmissionTicket, reason: RefusalReason): AdmissionEffect {
-    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs());
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(rankOf(ticket)));
     return { type: 'refuse', requestId: ticket.requestId, reason, retryAfterMs };
   }
 
   private fillSlots(nowMs: number): AdmissionEffect[] {
     const effects: AdmissionEffect[] = [];
     while (this.running.size < Math.floor(this.limit)) {
-      const ticket = this.takeNext();
+      const ticket = this.queue.takeNext();
       if (ticket === undefined) {
         break;
       }
@@ -218,28 +187,7 @@
     if (this.isTooLate(ticket, nowMs)) {
       return this.refuse(ticket, 'cannot-finish-in-time');
     }
-    this.running.add(ticket.requestId);
+    this.running.set(ticket.requestId, ticket.workClass);
     return { type: 'dispatch', requestId: ticket.requestId };
   }
-
-  /** Round-robin among the callers' nodes: the node whose turn it was goes to the end. */
-  private takeNext(): AdmissionTicket | undefined {
-    for (const [callerNode, queue] of this.queues) {
-      const ticket = queue.shift();
-      this.queues.delete(callerNode);
-      if (queue.length > 0) {
-        this.queues.set(callerNode, queue);
-      }
-      if (ticket !== undefined) {
-        this.waiting -= 1;
-        return ticket;
-      }
-    }
-    return undefined;
-  }
-
-  private measure(serviceMs: number): void {
-    const previous = this.meanServiceMs ?? serviceMs;
-    this.meanServiceMs = previous + (serviceMs - previous) * SERVICE_TIME_WEIGHT;
-  }
 }
--- /dev/null
+++ b/src/admission/service-times.ts
@@ -0,0 +1,39 @@
+/** Running means of the time that requests take at one endpoint, by class of work. Pure. */
+
+/** Weight of a new measurement in a running mean. */
+const MEASUREMENT_WEIGHT = 0.1;
+/** Classes remembered; beyond that, the one that was measured first is forgotten. */
+const MAX_CLASSES = 1_000;
+
+/** The times of one endpoint, in milliseconds. */
+export class ServiceTimes {
+  private readonly meanOfClasses = new Map<string, number>();
+  private meanOfAll: number | undefined;
+
+  /** Mean over all classes; 0 before the first measurement. */
+  get overallMs(): number {
+    return this.meanOfAll ?? 0;
+  }
+
+  /** Mean of a class; that of all classes while the class was not measured. */
+  meanMs(workClass: string | undefined): number {
+    return this.meanOfClasses.get(workClass ?? '') ?? this.overallMs;
+  }
+
+  /** Takes a measurement. */
+  measure(workClass: string | undefined, serviceMs: number): void {
+    this.meanOfAll = weigh(this.meanOfAll, serviceMs);
+    if (workClass === undefined) {
+      return;
+    }
+    this.meanOfClasses.set(workClass, weigh(this.meanOfClasses.get(workClass), serviceMs));
+    if (this.meanOfClasses.size > MAX_CLASSES) {
+      const [first = ''] = this.meanOfClasses.keys();
+      this.meanOfClasses.delete(first);
+    }
+  }
+}
+
+function weigh(previous: number | undefined, measured: number): number {
+  return previous === undefined ? measured : previous + (measured - previous) * MEASUREMENT_WEIGHT;
+}
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -21,6 +21,14 @@
   readonly callerNode: string;
   /** Attempts after the first that the receivers of this attempt may make among them. */
   readonly retriesLeft: number;
+  /** Rank among the requests that wait for the endpoint; 0 goes first. */
+  readonly priority: number;
+  /** Requests of one class take about equally long; the name of their route. */
+  readonly workClass: string;
+  /** Until when the answer should be there; the deadline when absent. On the node's clock. */
+  readonly targetAtMs?: number | undefined;
+  /** Until when the endpoint should have started. On the node's clock. */
+  readonly startByMs?: number | undefined;
 }
 
 /** What an endpoint, and the node that owns it, said of its load. */
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -6,6 +6,7 @@
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
 import type { EndpointPort } from './endpoint-client.js';
 import { GatedCall, type CallGate, type CancelLead } from './gated-call.js';
+import type { RequestLog } from './request-log.js';
 import type { Scheduler } from './scheduler.js';
 
 /** What gates share. */
@@ -16,6 +17,7 @@
   /** Requests that wait for one endpoint at most. */
   readonly maxQueuedPerEndpoint: number;
   readonly cancelLead: CancelLead;
+  readonly requestLog?: RequestLog;
   /** Writes one line on a change of state. */
   readonly logStateChange: (what: string, detail: string) => void;
 }
@@ -56,7 +58,7 @@
     const gated = new GatedCall(this, client, this.endpoint, call, observer, scheduler, cancelLead);
     this.calls.set(call.requestId, gated);
     this.execute(this.admission.offer(call, scheduler.now()));
-    gated.waitUntil(this.admission.latestStartAtMs(call.deadlineAtMs));
+    gated.waitUntil(this.admission.latestStartAtMs(call));
     return gated;
   }
 
@@ -123,6 +125,39 @@
     }
   }
 
+  private recordRefusal(
+    { requestId, reason, retryAfterMs }: Extract<AdmissionEffect, { type: 'refuse' }>,
+    gated: GatedCall | undefined,
+  ): void {
+    this.options.requestLog?.record({
+      event: 'attempt-refused',
+      request: requestId,
+      endpoint: this.endpoint.name,
+      code: reason,
+      retryAfterMs: Math.round(retryAfterMs),
+      ...(gated && {
+        deadlineLeftMs: Math.round(gated.deadlineAtMs - this.options.scheduler.now()),
+      }),
+      running: this.admission.runningCount,
+      waiting: this.admission.waitingCount,
+      slots: this.slots,
+    });
+  }
+
+  recordFailure(requestId: string, code: string, elapsedMs: number, detail: string): void {
+    this.options.requestLog?.record({
+      event: 'endpoint-failed',
+      request: requestId,
+      endpoint: this.endpoint.name,
+      code,
+      elapsedMs: Math.round(elapsedMs),
+      detail,
+      running: this.admission.runningCount,
+      waiting: this.admission.waitingCount,
+      slots: this.slots,
+    });
+  }
+
   private execute(effects: readonly AdmissionEffect[]): void {
     for (const effect of effects) {
       const gated = this.calls.get(effect.requestId);
@@ -131,6 +166,7 @@
         gated?.dispatch();
       } else {
         this.options.counters.add('ferryspool_endpoint_refusals_total');
+        this.recordRefusal(effect, gated);
         this.calls.delete(effect.requestId);
         gated?.refuse(admissionError(effect.reason, effect.retryAfterMs));
       }
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -40,6 +40,8 @@
   release(call: Call, serviceMs: number | undefined): void;
   /** The endpoint answered and told its load. */
   takeLoad(load: LoadReport | undefined): void;
+  /** The endpoint got the request and did not answer it; for the log. */
+  recordFailure(requestId: string, code: string, elapsedMs: number, detail: string): void;
   /** The endpoint refused before the start. */
   takeRefusal(load: LoadReport | undefined): void;
 }
@@ -65,6 +67,11 @@
     private readonly lead: CancelLead,
   ) {}
 
+  /** On the node's monotonic clock. */
+  get deadlineAtMs(): number {
+    return this.call.deadlineAtMs;
+  }
+
   abort(): void {
     if (this.attempt !== undefined) {
       this.handle({ type: 'abandoned', wasSent: this.exchange?.wasSent() === true });
@@ -140,7 +147,7 @@
       case 'pass-answer':
         return this.passAnswer();
       case 'report':
-        return this.observer.failed(this.errorOf(effect.report), this.gate.load());
+        return this.report(effect.report);
       case 'send-cancel':
         return this.sendCancel();
       case 'close-exchange':
@@ -152,6 +159,18 @@
     }
   }
 
+  private report(report: AttemptReport): void {
+    const error = this.errorOf(report);
+    const elapsedMs = this.scheduler.now() - this.dispatchedAtMs;
+    this.gate.recordFailure(this.call.requestId, error.code, elapsedMs, this.describeLoad());
+    this.observer.failed(error, this.gate.load());
+  }
+
+  /** The load that the endpoint told with its refusal. */
+  private describeLoad(): string {
+    return this.load === undefined ? '' : `load ${this.load.inFlight}/${this.load.slots}`;
+  }
+
   private passAnswer(): void {
     if (this.answer !== undefined) {
       this.cancelTimer?.();
--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -171,6 +171,9 @@
       return;
     }
     this.settled = true;
+    if (!isFramed) {
+      this.watchForReset(message.socket);
+    }
     message.setTimeout(this.exchange.limits.answerIdleTimeoutMs, () => message.destroy());
     message.once('end', () => {
       if (!this.request.writableFinished) {
@@ -180,6 +183,16 @@
     this.observer.answered(message, () => message.complete && (isFramed || !this.hasFailed));
   }
 
+  /**
+   * A reset that arrives together with the last bytes is reported as an orderly end. The two are told
+   * apart by the peer's address, which a socket that was reset no longer has.
+   */
+  private watchForReset(socket: Socket): void {
+    socket.prependOnceListener('end', () => {
+      this.hasFailed ||= socket.remoteAddress === undefined;
+    });
+  }
+
   private fail(error: Error & { code?: string }): void {
     this.hasFailed = true;
     if (!this.connected) {
--- a/src/proxy/relay-client.ts
+++ b/src/proxy/relay-client.ts
@@ -23,7 +23,9 @@
   RELAY_RETRYABLE_HEADER,
   RELAY_STOPPING_HEADER,
   RELAY_TOKEN_HEADER,
+  RELAY_WORK_HEADER,
 } from './relay-protocol.js';
+import { formatWork } from './relay-work.js';
 import {
   ConnectionLostError,
   MalformedAnswerError,
@@ -95,6 +97,8 @@
       String(remainingMs),
       RELAY_RETRIES_HEADER,
       String(call.retriesLeft),
+      RELAY_WORK_HEADER,
+      formatWork(call, this.options.scheduler.now()),
     );
   }
 }
--- a/src/proxy/relay-protocol.ts
+++ b/src/proxy/relay-protocol.ts
@@ -22,3 +22,5 @@
 export const RELAY_DRAINING_HEADER = 'ferryspool-draining';
 /** `1` when the endpoint's node is about to stop. */
 export const RELAY_STOPPING_HEADER = 'ferryspool-stopping';
+/** Rank, time left to the target and to the start in milliseconds (empty: none), class of work: `;` between. */
+export const RELAY_WORK_HEADER = 'ferryspool-work';
--- a/src/proxy/relay-server.ts
+++ b/src/proxy/relay-server.ts
@@ -22,10 +22,13 @@
   RELAY_RETRYABLE_HEADER,
   RELAY_STOPPING_HEADER,
   RELAY_TOKEN_HEADER,
+  RELAY_WORK_HEADER,
 } from './relay-protocol.js';
+import { parseWork } from './relay-work.js';
 import { EMPTY_BODY, StreamedBody, type RequestBody } from './request-body.js';
 import {
   BadRequestError,
+  NodeStoppingError,
   TruncatedAnswerError,
   UnknownEndpointError,
   type RequestError,
@@ -40,6 +43,8 @@
 const KEEP_ALIVE_MS = 10_000;
 /** Time after a pause in which the closing of old connections is read, in milliseconds. */
 const WAKE_SETTLE_MS = 10;
+/** What a node that takes no new work says of its endpoint. */
+const NO_LOAD: LoadReport = { inFlight: 0, slots: 0, draining: false };
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
 /** What the server needs of its node. */
@@ -56,6 +61,8 @@
   readonly hasJustWoken: () => boolean;
   /** Whether connections should be closed after their answer. */
   readonly isStopping: () => boolean;
+  /** Whether new requests are refused, since the node is about to stop. */
+  readonly refusesNewWork: () => boolean;
 }
 
 /** Makes the server; the caller listens on it. */
@@ -106,18 +113,18 @@
     return;
   }
   options.counters.add('ferryspool_relayed_requests_total');
+  if (options.refusesNewWork()) {
+    sendRelayError(response, new NodeStoppingError('the node is about to stop'), NO_LOAD, true);
+    return;
+  }
   const call = readCall(options, request, sender);
   if (call === undefined) {
-    sendRelayError(response, new BadRequestError('malformed relay headers'), undefined);
+    sendRelayError(response, new BadRequestError('malformed relay headers'));
     return;
   }
   const endpoint = ownedEndpoint(options, headerValue(request.rawHeaders, RELAY_ENDPOINT_HEADER));
   if (endpoint === undefined) {
-    sendRelayError(
-      response,
-      new UnknownEndpointError('the endpoint is not of this node'),
-      undefined,
-    );
+    sendRelayError(response, new UnknownEndpointError('the endpoint is not of this node'));
     return;
   }
   submit(options, endpoint, call, response);
@@ -142,7 +149,8 @@
           if (wasPassedOn) {
             response.destroy();
           } else {
-            sendRelayError(response, new TruncatedAnswerError('the answer broke off'), answer.load);
+            const error = new TruncatedAnswerError('the answer broke off');
+            sendRelayError(response, error, answer.load, options.isStopping());
           }
         },
       });
@@ -150,7 +158,7 @@
     failed: (error, load) => {
       isOver = true;
       response.shouldKeepAlive &&= !options.isStopping();
-      sendRelayError(response, error, load);
+      sendRelayError(response, error, load, options.isStopping());
     },
   });
   response.once('close', () => {
@@ -173,13 +181,15 @@
   if (!isValidId || remainingMs === undefined || retries === undefined) {
     return undefined;
   }
+  const nowMs = options.scheduler.now();
   return {
+    ...parseWork(headerValue(rawHeaders, RELAY_WORK_HEADER), nowMs),
     requestId,
     method: request.method ?? '',
     target: request.url ?? '',
     headers: messageHeaders(rawHeaders, NO_HEADERS),
     body: relayedBody(request, options.limits.maxBodyBytes),
-    deadlineAtMs: options.scheduler.now() + remainingMs,
+    deadlineAtMs: nowMs + remainingMs,
     callerNode: sender,
     retriesLeft: Math.min(retries, options.limits.maxRetries),
   };
@@ -206,19 +216,19 @@
 }
 
 function answerHeaders(answer: Answer, isStopping: boolean): string[] {
-  const stopping = isStopping ? [RELAY_STOPPING_HEADER, '1'] : [];
-  return answer.headers.concat(VERDICT_HEADER, 'ran', loadHeaders(answer.load), stopping);
+  return answer.headers.concat(VERDICT_HEADER, 'ran', loadHeaders(answer.load, isStopping));
 }
 
 function sendRelayError(
   response: ServerResponse,
   error: RequestError,
-  load: LoadReport | undefined,
+  load?: LoadReport,
+  isStopping = false,
 ): void {
   if (response.headersSent || response.destroyed) {
     return;
   }
-  const headers = [RELAY_CODE_HEADER, error.code, ...loadHeaders(load)];
+  const headers = [RELAY_CODE_HEADER, error.code, ...loadHeaders(load, isStopping)];
   if (error.retryable) {
     headers.push(RELAY_RETRYABLE_HEADER, '1');
   }
@@ -232,10 +242,12 @@
   });
 }
 
-function loadHeaders(load: LoadReport | undefined): string[] {
+function loadHeaders(load: LoadReport | undefined, isStopping: boolean): string[] {
   if (load === undefined) {
     return [];
   }
   const headers = [RELAY_LOAD_HEADER, `${load.inFlight}/${load.slots}`];
-  return load.draining ? [...headers, RELAY_DRAINING_HEADER, '1'] : headers;
+  const draining = load.draining ? [RELAY_DRAINING_HEADER, '1'] : [];
+  const stopping = isStopping ? [RELAY_STOPPING_HEADER, '1'] : [];
+  return headers.concat(draining, stopping);
 }
--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -85,6 +85,13 @@
   override readonly status = 504;
 }
 
+/** The node is about to stop and takes no new work. */
+export class NodeStoppingError extends NotRunError {
+  override readonly code = 'NODE_STOPPING';
+  override readonly status = 503;
+  override readonly retryable = true;
+}
+
 /** The service has no endpoint that takes new work. */
 export class NoEndpointError extends NotRunError {
   override readonly code = 'NO_ENDPOINT';
--- /dev/null
+++ b/src/proxy/request-log.ts
@@ -0,0 +1,52 @@
+/**
+ * Decisions that touch a request, for the log: what was decided, the inputs that decided it, and the
+ * outcome. Both nodes of a request's path name it alike, so that one search gives its whole path.
+ */
+
+/** What was decided. */
+export type RequestDecisionName =
+  /** An attempt did not bring an answer; `next` says what follows. */
+  | 'attempt-failed'
+  /** The caller was told an error. */
+  | 'request-failed'
+  /** The caller went away before its answer. */
+  | 'request-abandoned'
+  /** The node beside the endpoint did not send the attempt on. */
+  | 'attempt-refused'
+  /** The endpoint got the attempt and did not answer it. */
+  | 'endpoint-failed';
+
+/** One decision. Times are in milliseconds. */
+export interface RequestDecision {
+  readonly event: RequestDecisionName;
+  /** The request, or the attempt, whose name begins with that of its request. */
+  readonly request: string;
+  readonly service?: string;
+  readonly endpoint?: string;
+  readonly attempt?: number;
+  readonly code?: string;
+  readonly verdict?: string;
+  /** What follows: another attempt, or an answer to the caller. */
+  readonly next?: string;
+  readonly deadlineLeftMs?: number;
+  readonly elapsedMs?: number;
+  readonly retryAfterMs?: number;
+  /** Number of the configuration that the request was routed under. */
+  readonly configuration?: number;
+  /** Requests that ran and waited at the endpoint, and its slots. */
+  readonly running?: number;
+  readonly waiting?: number;
+  readonly slots?: number;
+  readonly detail?: string;
+}
+
+/** Takes decisions; must not block. */
+export interface RequestLog {
+  record(decision: RequestDecision): void;
+}
+
+/** Keeps nothing. */
+export const NO_REQUEST_LOG: RequestLog = { record: () => undefined };
+
+/** Separates the caller's name for a request from the node's name for an attempt at it. */
+export const ATTEMPT_SEPARATOR = '/';
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -22,11 +22,13 @@
 import {
   DeadlinePassedError,
   InternalError,
+  NodeStoppingError,
   NotConfiguredError,
   OverloadedError,
   RequestError,
   RouteNotFoundError,
 } from './request-error.js';
+import { ATTEMPT_SEPARATOR, NO_REQUEST_LOG, type RequestLog } from './request-log.js';
 import { RequestRunner, type CallerReply } from './request-runner.js';
 import { RequestServices, type MemberDirectory } from './request-services.js';
 import { MACHINE_TIME } from './scheduler.js';
@@ -35,6 +37,8 @@
 import { drainServers } from './server-drain.js';
 
 const NOT_CONFIGURED_RETRY_MS = 1_000;
+/** When to come back to a node that is about to stop; callers are sent to another one by then. */
+const STOPPING_RETRY_MS = 50;
 /** Idle connections of callers are kept this much longer than the configuration says. */
 const IDLE_MARGIN = 1.25;
 const IDLE_MARGIN_MS = 1_000;
@@ -59,6 +63,8 @@
   readonly endpointProtocol?: EndpointProtocol;
   /** Writes one line on a change of state. */
   readonly logStateChange: (what: string, detail: string) => void;
+  /** Takes decisions on requests; they are not kept when absent. */
+  readonly requestLog?: RequestLog;
 }
 
 /** The request path; its owner listens on the two servers. */
@@ -109,6 +115,8 @@
   private callsInFlight = 0;
   private lastArrivalAtMs = 0;
   private isStopping = false;
+  /** From when on a planned stop refuses new requests: their answers would come too late. */
+  private refusesFromMs = Infinity;
   private isAborted = false;
 
   constructor(private readonly options: RequestProxyOptions) {
@@ -124,6 +132,7 @@
       counters: options.counters,
       scheduler: MACHINE_TIME,
       logStateChange: options.logStateChange,
+      requestLog: options.requestLog ?? NO_REQUEST_LOG,
       maxQueuedPerEndpoint: this.limits.maxQueuedPerEndpoint,
       cancelLead: {
         cancelLeadShare: this.limits.cancelLeadShare,
@@ -136,6 +145,7 @@
     this.upkeep = startUpkeep(this.gateway);
     this.services = new RequestServices({
       ...options,
+      requestLog: options.requestLog ?? NO_REQUEST_LOG,
       limits: this.limits,
       scheduler: MACHINE_TIME,
       direct: this.gateway,
@@ -178,7 +188,8 @@
 
   async stop(): Promise<void> {
     this.isStopping = true;
-    this.options.logStateChange('request-path', 'stopping');
+    this.refusesFromMs = MACHINE_TIME.now() + this.limits.stopAcceptMs;
+    this.options.logStateChange('request-path', `stopping with ${this.callsInFlight} in flight`);
     await drainServers([this.callerServer, this.relayServer], {
       quietMs: this.limits.stopQuietMs,
       acceptMs: this.limits.stopAcceptMs,
@@ -187,6 +198,7 @@
       inFlight: () => this.callsInFlight,
       clock: () => MACHINE_TIME.now(),
     });
+    this.options.logStateChange('request-path', `drained to ${this.callsInFlight} in flight`);
     this.abort();
   }
 
@@ -243,6 +255,7 @@
       endpoints: this.gateway,
       hasJustWoken: () => this.pauses.hasJustWoken(MACHINE_TIME.now()),
       isStopping: () => this.isStopping,
+      refusesNewWork: () => this.refusesNewWork(),
     });
     server.prependListener('request', (_request, response: http.ServerResponse) => {
       this.countCall(response);
@@ -250,6 +263,10 @@
     return server;
   }
 
+  private refusesNewWork(): boolean {
+    return MACHINE_TIME.now() >= this.refusesFromMs;
+  }
+
   /** The sender of a relayed request; any sender is taken where the fleet has no key. */
   private verifyToken(token: string | undefined): string | undefined {
     const { fleetKey } = this.options;
@@ -266,18 +283,30 @@
   }
 
   private handle(request: CallerRequest, response: CallerResponse): void {
-    const attemptPrefix = this.nextRequestId();
-    const requestId = request.requestId ?? attemptPrefix;
+    const ownId = this.nextRequestId();
+    const requestId = request.requestId ?? ownId;
+    const isNamedByCaller = request.requestId !== undefined;
+    const attemptPrefix = isNamedByCaller ? `${requestId}${ATTEMPT_SEPARATOR}${ownId}` : ownId;
     this.options.counters.add('ferryspool_requests_total');
     const isFull = this.callsInFlight >= this.limits.maxCallsInFlight;
     this.countCall({ once: (_event, listener) => response.onClose(listener) });
     try {
+      if (this.refusesNewWork()) {
+        throw new NodeStoppingError('the node is about to stop', STOPPING_RETRY_MS);
+      }
       if (isFull) {
         throw new OverloadedError('the node has too many requests in flight');
       }
       this.run(request, response, requestId, attemptPrefix);
     } catch (error) {
       const refusal = this.asRequestError(error);
+      const { code, verdict } = refusal;
+      this.options.requestLog?.record({
+        event: 'request-failed',
+        request: requestId,
+        code,
+        verdict,
+      });
       response.fail(refusal, refusal.verdict, requestId);
     }
   }
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -7,20 +7,28 @@
 import type { Answer, Attempt, Call, LoadReport } from './call.js';
 import type { AnswerObserver } from './answer-relay.js';
 import type { HeaderList } from './headers.js';
+import type { CallWork } from './relay-work.js';
 import type { RequestBody } from './request-body.js';
 import {
   BodyTooSlowError,
+  CallerGoneError,
   EndpointFaultError,
   InternalError,
   NoEndpointError,
   RequestError,
   TimedOutError,
   TruncatedAnswerError,
+  type RequestFailure,
 } from './request-error.js';
+import type { RequestDecisionName } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import type { CancelTimer } from './scheduler.js';
 import type { RequestServices } from './request-services.js';
 
+/** Added to the rank of a request that will be answered late, so that it goes after all others. */
+const LATE_RANK_OFFSET = 1_000;
+/** Part of the target latency that such a request waits for a slot at most. */
+const LATE_START_SHARE = 0.2;
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
 
@@ -61,11 +69,17 @@
 export class RequestRunner {
   private readonly lifecycle: RequestLifecycle;
   private readonly tried = new Set<string>();
+  /** Endpoints whose node found that the request can't be answered within its target latency. */
+  private readonly refusers = new Set<string>();
+  private isLate = false;
+  private isExpired = false;
   private attempt: Attempt | undefined;
   private attemptNumber = 0;
   private endpoint: Endpoint | undefined;
   private answer: Answer | undefined;
   private body: RequestBody | undefined;
+  private readonly startedAtMs: number;
+  private attemptStartedAtMs = 0;
   private readonly cancelDeadline: CancelTimer;
   private cancelBackOff: CancelTimer | undefined;
 
@@ -80,6 +94,7 @@
       redirects: services.limits.maxRedirects,
     };
     const budget = services.retryBudgetOf(match.service);
+    this.startedAtMs = services.scheduler.now();
     this.lifecycle = new RequestLifecycle(policy, budget, services.random);
     const remainingMs = deadlineAtMs - services.scheduler.now();
     this.cancelDeadline = services.scheduler.schedule(remainingMs, () => this.expire());
@@ -112,13 +127,14 @@
         return this.backOff(effect.delayMs);
       case 'abort-attempt':
         this.attempt?.abort();
-        return this.endAttempt(this.answer === undefined ? 'abandoned' : 'answered');
+        return this.endAttempt(this.abortedOutcome());
       case 'pass-answer':
         return this.passAnswer();
       case 'discard-answer':
         return this.discardAnswer();
       case 'report':
         this.finish();
+        this.record('request-failed', effect.failure, effect.verdict);
         return this.context.response.fail(
           effect.failure instanceof RequestError ? effect.failure : new InternalError('no error'),
           effect.verdict,
@@ -137,9 +153,9 @@
   }
 
   private beginAttempt(attempt: number, retriesLeft: number): void {
-    const { services, snapshot, match } = this.context;
+    const { services, match } = this.context;
     this.attemptNumber = attempt;
-    const endpoint = services.chooseEndpoint(snapshot, match, this.tried);
+    const endpoint = this.chooseEndpoint();
     const path = endpoint && services.pathTo(endpoint);
     if (endpoint === undefined || path === undefined || this.body === undefined) {
       const failure = new NoEndpointError(`no endpoint of service ${match.service} takes new work`);
@@ -149,7 +165,8 @@
     this.endpoint = endpoint;
     this.answer = undefined;
     this.tried.add(endpoint.name);
-    services.selector.began(endpoint, services.scheduler.now());
+    this.attemptStartedAtMs = services.scheduler.now();
+    services.selector.began(endpoint, this.attemptStartedAtMs);
     const call = this.callOf(this.body, attempt, retriesLeft);
     this.attempt = path.submit(endpoint, call, {
       answered: (answer) => this.takeAnswer(attempt, answer),
@@ -157,9 +174,22 @@
     });
   }
 
+  /** An untried endpoint; once all have refused for lack of time, one of these again, for late work. */
+  private chooseEndpoint(): Endpoint | undefined {
+    const { services, snapshot, match } = this.context;
+    const endpoint = services.chooseEndpoint(snapshot, match, this.tried);
+    if (endpoint !== undefined || this.isLate || this.refusers.size === 0) {
+      return endpoint;
+    }
+    this.isLate = true;
+    this.refusers.forEach((name) => this.tried.delete(name));
+    return services.chooseEndpoint(snapshot, match, this.tried);
+  }
+
   private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
     const { method, target, headers, attemptPrefix, deadlineAtMs, services } = this.context;
     return {
+      ...this.work(),
       requestId: `${attemptPrefix}.${attempt}`,
       method,
       target,
@@ -171,9 +201,28 @@
     };
   }
 
+  /** When every endpoint has refused, a late answer is better than none, where there is room for it. */
+  private work(): CallWork {
+    const { priority = 0, targetLatencyMs } = this.context.match.route.spec;
+    const workClass = this.context.match.route.name;
+    if (targetLatencyMs === undefined) {
+      return { priority, workClass };
+    }
+    return this.isLate
+      ? {
+          priority: priority + LATE_RANK_OFFSET,
+          workClass,
+          startByMs: this.startedAtMs + targetLatencyMs * LATE_START_SHARE,
+        }
+      : { priority, workClass, targetAtMs: this.startedAtMs + targetLatencyMs };
+  }
+
   private takeAnswer(attempt: number, answer: Answer): void {
     this.answer = answer;
     this.observeLoad(answer.load, undefined);
+    if (answer.status < FAULT_STATUS) {
+      this.measureLatency();
+    }
     const fault = this.faultOf(answer);
     this.handle({ type: 'answered', attempt, ...(fault !== undefined && { fault }) });
   }
@@ -194,6 +243,10 @@
 
   private takeFailure(attempt: number, error: RequestError, load: LoadReport | undefined): void {
     this.observeLoad(load, error);
+    this.record('attempt-failed', error, error.verdict, load);
+    if (error.code === 'CANNOT_FINISH_IN_TIME' && this.endpoint !== undefined) {
+      this.refusers.add(this.endpoint.name);
+    }
     this.endAttempt(outcomeOf(error));
     this.handle({ type: 'failed', attempt, failure: error, canReplay: this.canReplay() });
   }
@@ -219,6 +272,15 @@
     });
   }
 
+  private measureLatency(): void {
+    const { services, match } = this.context;
+    const nowMs = services.scheduler.now();
+    if (this.endpoint !== undefined) {
+      const latencyMs = nowMs - this.attemptStartedAtMs;
+      services.selector.measured(this.endpoint, match.route.name, latencyMs, nowMs);
+    }
+  }
+
   private observeLoad(load: LoadReport | undefined, error: RequestError | undefined): void {
     const { services } = this.context;
     if (this.endpoint === undefined) {
@@ -240,6 +302,14 @@
     }
   }
 
+  /** An endpoint that let the deadline pass has failed; one that was given up before has not. */
+  private abortedOutcome(): AttemptOutcome {
+    if (this.answer !== undefined) {
+      return 'answered';
+    }
+    return this.isExpired ? 'failed' : 'abandoned';
+  }
+
   private endAttempt(outcome: AttemptOutcome): void {
     const { services, snapshot, match } = this.context;
     if (this.endpoint !== undefined) {
@@ -249,11 +319,37 @@
     }
   }
 
+  private record(
+    event: RequestDecisionName,
+    failure: RequestFailure,
+    verdict: Verdict,
+    load?: LoadReport,
+  ): void {
+    const { services, requestId, match, snapshot, deadlineAtMs } = this.context;
+    const nowMs = services.scheduler.now();
+    services.requestLog.record({
+      event,
+      request: requestId,
+      service: match.service,
+      attempt: this.attemptNumber,
+      ...(this.endpoint && { endpoint: this.endpoint.name }),
+      code: failure.code,
+      verdict,
+      elapsedMs: Math.round(nowMs - this.startedAtMs),
+      deadlineLeftMs: Math.round(deadlineAtMs - nowMs),
+      configuration: snapshot.version.source.number,
+      ...(failure.retryAfterMs !== undefined && { retryAfterMs: Math.round(failure.retryAfterMs) }),
+      ...(load && { running: load.inFlight, slots: load.slots }),
+    });
+  }
+
   private canReplay(): boolean {
     return this.body?.isReplayable() === true;
   }
 
   private expire(): void {
+    this.isExpired = true;
+    this.measureLatency();
     const failure =
       this.body === undefined
         ? new BodyTooSlowError('the body did not arrive before the deadline')
@@ -262,12 +358,18 @@
   }
 
   private close(isWhole: boolean): void {
-    if (!isWhole) {
+    if (!isWhole && !this.lifecycle.isOver) {
+      this.recordAbandoned();
       this.handle({ type: 'caller-gone' });
     }
     this.finish();
   }
 
+  private recordAbandoned(): void {
+    const error = new CallerGoneError('the caller went away');
+    this.record('request-abandoned', error, error.verdict);
+  }
+
   private finish(): void {
     this.cancelDeadline();
     this.cancelBackOff?.();
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -5,6 +5,7 @@
 import type { Snapshot } from '../model/snapshot.js';
 import { orphanSlots, ownedSlots, sharedSlots } from '../routing/direct-access.js';
 import { EndpointSelector } from '../routing/endpoint-selector.js';
+import type { WorkProfile } from '../routing/endpoint-strategy.js';
 import { RetryBudget } from '../routing/retry-budget.js';
 import type { RouteMatch } from '../routing/route-table.js';
 import { WeightedTargets } from '../routing/weighted-targets.js';
@@ -12,6 +13,7 @@
 import type { EndpointPath } from './call.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import type { RelayAddress } from './relay-client.js';
+import { NO_REQUEST_LOG, type RequestLog } from './request-log.js';
 import type { Scheduler } from './scheduler.js';
 
 /** Part of the fleet's saved retries that is dealt out to the nodes that are known. */
@@ -32,6 +34,7 @@
   readonly counters: CounterSink;
   readonly random: RandomSource;
   readonly scheduler: Scheduler;
+  readonly requestLog?: RequestLog;
   readonly limits: ProxyLimits;
   /** The way to endpoints that this node reaches itself. */
   readonly direct: EndpointPath;
@@ -47,12 +50,14 @@
   readonly random: RandomSource;
   readonly scheduler: Scheduler;
   readonly machineId: string;
+  readonly requestLog: RequestLog;
   readonly targets: WeightedTargets;
   private readonly budgets = new Map<string, RetryBudget>();
 
   constructor(private readonly options: RequestServicesOptions) {
     this.selector = new EndpointSelector(options.random);
     this.targets = new WeightedTargets(options.random);
+    this.requestLog = options.requestLog ?? NO_REQUEST_LOG;
     this.limits = options.limits;
     this.counters = options.counters;
     this.random = options.random;
@@ -72,6 +77,7 @@
       region,
       tried,
       repeatable: match.repeatable,
+      work: workOf(match),
       mayReceive: (endpoint: Endpoint) => this.pathTo(endpoint) !== undefined,
     };
     const endpoints = snapshot.endpointsByService.get(match.service) ?? [];
@@ -123,3 +129,8 @@
     return budget;
   }
 }
+
+function workOf({ route }: RouteMatch): WorkProfile | undefined {
+  const { targetLatencyMs } = route.spec;
+  return targetLatencyMs === undefined ? undefined : { workClass: route.name, targetLatencyMs };
+}
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -1,5 +1,7 @@
 /** What one node has seen of one endpoint: load, failures, draining. Evidence, not health reports. */
 
+import { LatencyEstimates } from './latency-estimates.js';
+
 /** Time over which a new endpoint's share of requests grows to the full one, in milliseconds. */
 const SLOW_START_MS = 10_000;
 /** Share of its slots that a new endpoint counts with at first. */
@@ -42,6 +44,7 @@
 
 /** The record of one endpoint. */
 export class EndpointRecord {
+  readonly latencies = new LatencyEstimates();
   private inFlight = 0;
   private othersInFlight = 0;
   private observedAtMs = 0;
--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -1,24 +1,22 @@
 /**
- * Chooses the endpoint of an attempt: two random candidates, the less loaded wins; the own zone is
- * preferred until it is nearly full. Pure: time and random numbers are passed in.
+ * Chooses the endpoint of an attempt out of those that may get it: by expected latency where the work
+ * is known, else by zone and load. Pure: time and random numbers are passed in.
  */
 import type { RandomSource } from '../control/control-event.js';
 import type { Endpoint } from '../model/resource.js';
 import { EndpointRecord } from './endpoint-record.js';
+import type { ChoiceContext, EndpointStrategy } from './endpoint-strategy.js';
+import { LeastLatencyStrategy } from './least-latency-strategy.js';
+import { ZoneFirstStrategy } from './zone-first-strategy.js';
 import type { AttemptOutcome, LoadObservation } from './endpoint-record.js';
 
-/** Load from which requests spill over to other zones, as a share of the slots. */
-const SPILL_OVER_LOAD = 0.8;
 /** At most this share of a service's endpoints is ejected at once. */
 const MAX_EJECTED_SHARE = 0.5;
 /** Records of endpoints that are gone are dropped when this many are kept. */
 const MAX_RECORDS = 20_000;
 
 /** What a choice depends on besides the records. */
-export interface SelectionContext {
-  /** Zone and region of this node. */
-  readonly zone: string;
-  readonly region: string;
+export interface SelectionContext extends ChoiceContext {
   /** Names of endpoints that the request has tried. */
   readonly tried: ReadonlySet<string>;
   /** Whether the request may be used to probe an ejected endpoint. */
@@ -41,7 +39,13 @@
   /** The same records by the configuration's objects, so that a choice builds no keys. */
   private readonly recordsOfObjects = new WeakMap<Endpoint, EndpointRecord>();
 
-  constructor(private readonly random: RandomSource) {}
+  private readonly zoneFirst: EndpointStrategy;
+  private readonly leastLatency: EndpointStrategy;
+
+  constructor(random: RandomSource) {
+    this.zoneFirst = new ZoneFirstStrategy(random);
+    this.leastLatency = new LeastLatencyStrategy(random);
+  }
 
   /** The endpoint for the next attempt, or undefined when none takes new work. */
   choose(
@@ -57,8 +61,14 @@
         return due;
       }
     }
-    const healthy = open.filter((endpoint) => !this.recordOf(endpoint, nowMs).isEjected);
-    return this.chooseByZone(healthy.length > 0 ? healthy : open, context, nowMs);
+    const candidates = open.map((endpoint) => ({
+      endpoint,
+      record: this.recordOf(endpoint, nowMs),
+    }));
+    const healthy = candidates.filter(({ record }) => !record.isEjected);
+    const strategy = context.work === undefined ? this.zoneFirst : this.leastLatency;
+    const chosen = strategy.choose(healthy.length > 0 ? healthy : candidates, context, nowMs);
+    return chosen?.endpoint;
   }
 
   /** An attempt at `endpoint` begins. */
@@ -81,6 +91,11 @@
     }
   }
 
+  /** An attempt was answered, or given up, after `latencyMs`. */
+  measured(endpoint: Endpoint, workClass: string, latencyMs: number, nowMs: number): void {
+    this.recordOf(endpoint, nowMs).latencies.measure(workClass, latencyMs, nowMs);
+  }
+
   /** What an answer or a refusal said of the load. */
   observedLoad(endpoint: Endpoint, load: LoadObservation, nowMs: number): void {
     this.recordOf(endpoint, nowMs).observeLoad(load, nowMs);
@@ -126,49 +141,6 @@
     );
   }
 
-  private chooseByZone(
-    endpoints: readonly Endpoint[],
-    context: SelectionContext,
-    nowMs: number,
-  ): Endpoint | undefined {
-    const near = endpoints.filter(({ spec }) => spec.zone === context.zone);
-    const nearest = this.chooseOfTwo(near, nowMs);
-    if (nearest !== undefined && this.loadOf(nearest, nowMs) < SPILL_OVER_LOAD) {
-      return nearest;
-    }
-    const inRegion = endpoints.filter(({ spec }) => spec.region === context.region);
-    const regional = this.chooseOfTwo(inRegion, nowMs);
-    if (regional !== undefined && this.loadOf(regional, nowMs) < SPILL_OVER_LOAD) {
-      return regional;
-    }
-    return this.lessLoaded(this.chooseOfTwo(endpoints, nowMs), nearest ?? regional, nowMs);
-  }
-
-  private chooseOfTwo(endpoints: readonly Endpoint[], nowMs: number): Endpoint | undefined {
-    if (endpoints.length < 2) {
-      return endpoints[0];
-    }
-    const first = Math.floor(this.random() * endpoints.length);
-    const step = 1 + Math.floor(this.random() * (endpoints.length - 1));
-    const second = (first + step) % endpoints.length;
-    return this.lessLoaded(endpoints[first], endpoints[second], nowMs);
-  }
-
-  private lessLoaded(
-    left: Endpoint | undefined,
-    right: Endpoint | undefined,
-    nowMs: number,
-  ): Endpoint | undefined {
-    if (left === undefined || right === undefined) {
-      return left ?? right;
-    }
-    return this.loadOf(right, nowMs) < this.loadOf(left, nowMs) ? right : left;
-  }
-
-  private loadOf(endpoint: Endpoint, nowMs: number): number {
-    return this.recordOf(endpoint, nowMs).load(endpoint.spec.slots, nowMs);
-  }
-
   private mayEjectOneMore(peers: readonly Endpoint[], nowMs: number): boolean {
     const ejected = peers.filter((peer) => this.recordOf(peer, nowMs).isEjected).length;
     return ejected + 1 <= peers.length * MAX_EJECTED_SHARE;
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -18,12 +18,13 @@
 import { Metrics } from './metrics.js';
 import { createMetricsServer } from './metrics-server.js';
 import { createReadinessServer } from './readiness-server.js';
+import { RequestLogger } from './request-logger.js';
 import type { SocketAddress, StoreNodeSettings } from './store-node-settings.js';
 
 /** Longest time that a watch of the store waits, in milliseconds: it bounds how late a lost one shows. */
 const WATCH_WAIT_MS = 2_500;
 /** Time of a planned stop that is kept for its last steps, in milliseconds. */
-const STOP_RESERVE_MS = 250;
+const STOP_RESERVE_MS = 400;
 /** Metrics are served on this port after the first internal one. */
 const METRICS_PORT_OFFSET = 1;
 
@@ -33,7 +34,7 @@
   maxRedirects: 3,
   retriesFaults: true,
   connectTimeoutMs: 300,
-  stopAcceptMs: 3_500,
+  stopAcceptMs: 2_800,
   stopQuietMs: 400,
   cancelLeadShare: 0,
 };
@@ -142,6 +143,7 @@
       callerProtocol,
       endpointProtocol,
       logStateChange: (what, detail) => logger.info(what, { detail }),
+      requestLog: new RequestLogger(logger),
     });
   }
 
--- a/src/store/key-value-store.ts
+++ b/src/store/key-value-store.ts
@@ -44,7 +44,10 @@
 export interface KeyValueStore {
   /** Items in the order of their keys, after `afterKey`. */
   list(afterKey: string | undefined): Promise<ListPage | StoreUnavailable>;
-  /** Waits up to `waitMs` for a change after `afterRevision`. */
+  /**
+   * Waits up to `waitMs` for a change after `afterRevision`. The answer may lag behind the store while
+   * it is disturbed; in return the call does not count against its limits.
+   */
   watch(
     afterRevision: number,
     waitMs: number,
--- a/test/admission/endpoint-admission.test.ts
+++ b/test/admission/endpoint-admission.test.ts
@@ -137,8 +137,11 @@
   {
     name: 'a late request is dispatched',
     method: 'dispatchOrRefuse',
-    broken(this: { running: Set<string> }, { requestId }: { requestId: string }): unknown {
-      this.running.add(requestId);
+    broken(
+      this: { running: Map<string, undefined> },
+      { requestId }: { requestId: string },
+    ): unknown {
+      this.running.set(requestId, undefined);
       return { type: 'dispatch', requestId };
     },
   },
