--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -12,6 +12,10 @@
 const QUEUE_PER_SLOT = 2;
 /** What is left of the limit after the endpoint refused. */
 const REFUSAL_FACTOR = 0.9;
+/** Requests by which a report may differ from the count here, since both are on the way. */
+const REPORT_TOLERANCE = 1;
+/** Time for which what an endpoint reported of its load counts, in milliseconds. */
+const REPORT_LIFETIME_MS = 500;
 /** Least time after which a refused caller is told to come back, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 50;
 
@@ -35,6 +39,9 @@
   private readonly running = new Map<string, string | undefined>();
   private readonly serviceTimes = new ServiceTimes();
   private draining = false;
+  /** Requests at the endpoint that are not counted here, by its last report. */
+  private hidden = 0;
+  private reportedAtMs = -Infinity;
 
   /** Requests that may run at once: at most the slots, fewer while the endpoint refuses. */
   private limit: number;
@@ -93,6 +100,15 @@
     this.limit = Math.max(1, this.limit * REFUSAL_FACTOR);
   }
 
+  /**
+   * The endpoint told how many requests run or wait there. What is not of this node, such as requests
+   * whose connections were closed and that it goes on with, takes slots too.
+   */
+  endpointReported(inFlight: number, nowMs: number): void {
+    this.hidden = Math.max(0, inFlight - this.running.size - REPORT_TOLERANCE);
+    this.reportedAtMs = nowMs;
+  }
+
   /** A request arrives. */
   offer(ticket: AdmissionTicket, nowMs: number): AdmissionEffect[] {
     const reason = this.refusalOf(ticket, nowMs);
@@ -100,7 +116,7 @@
       return [this.refuse(ticket, reason)];
     }
     const displaced = this.displaceFor(ticket);
-    const hasFreeSlot = this.queue.size === 0 && this.running.size < Math.floor(this.limit);
+    const hasFreeSlot = this.queue.size === 0 && this.running.size < this.limitAt(nowMs);
     if (this.queue.size >= this.queueBound && !hasFreeSlot) {
       return [this.refuse(ticket, 'queue-full')];
     }
@@ -129,6 +145,12 @@
     return this.queue.remove(requestId, callerNode);
   }
 
+  /** At least one request may run, so that the next report comes. */
+  private limitAt(nowMs: number): number {
+    const isRecent = nowMs - this.reportedAtMs < REPORT_LIFETIME_MS;
+    return Math.max(1, Math.floor(this.limit) - (isRecent ? this.hidden : 0));
+  }
+
   private get queueBound(): number {
     return Math.min(this.maxWaiting, this.slots * QUEUE_PER_SLOT);
   }
@@ -169,7 +191,7 @@
 
   private fillSlots(nowMs: number): AdmissionEffect[] {
     const effects: AdmissionEffect[] = [];
-    while (this.running.size < Math.floor(this.limit)) {
+    while (this.running.size < this.limitAt(nowMs)) {
       const ticket = this.queue.takeNext();
       if (ticket === undefined) {
         break;
--- /dev/null
+++ b/src/peers/peer-datagram.ts
@@ -0,0 +1,34 @@
+/**
+ * What nodes say to each other in datagrams: a ping and its acknowledgement, each with the revision
+ * up to which the sender's replica is complete. Lost datagrams are expected.
+ */
+import { DecodeStream, EncodeStream } from 'restructure';
+import { oneOf, PlainStruct, varint } from '../wire/field-types.js';
+
+/** One datagram. */
+export interface PeerDatagram {
+  readonly kind: 'ping' | 'acknowledgement';
+  /** Revision of the sender's replica. */
+  readonly revision: number;
+}
+
+const layout = new PlainStruct<PeerDatagram>({
+  kind: oneOf(['ping', 'acknowledgement']),
+  revision: varint,
+});
+
+/** The bytes of a datagram. */
+export function encodeDatagram(datagram: PeerDatagram): Buffer {
+  const bytes = Buffer.alloc(layout.size(datagram));
+  layout.encode(new EncodeStream(bytes), datagram);
+  return bytes;
+}
+
+/** Reads a datagram; undefined when it is not one. */
+export function decodeDatagram(bytes: Uint8Array): PeerDatagram | undefined {
+  try {
+    return layout.decode(new DecodeStream(bytes));
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/src/peers/peer-exchange.ts
@@ -0,0 +1,163 @@
+/** Executes what {@link PeerMonitor} decides: datagrams over UDP, changes over HTTP. */
+import dgram from 'node:dgram';
+import http from 'node:http';
+import type { RandomSource } from '../control/control-event.js';
+import type { ReplicaDelta, StoreReplica } from '../store/store-replica.js';
+import { decodeDatagram, encodeDatagram, type PeerDatagram } from './peer-datagram.js';
+import { PeerMonitor, type AwaitedPeer, type PeerEffect } from './peer-monitor.js';
+
+/** Time between two looks at the peers, in milliseconds. */
+const TICK_INTERVAL_MS = 75;
+/** Time after which a fetch is given up, in milliseconds. */
+const FETCH_TIMEOUT_MS = 800;
+const OK_STATUS = 200;
+/** Path of the changes since a revision, which follows it. */
+export const CHANGES_PATH = '/changes/';
+
+/** What the exchange needs of its node. */
+export interface PeerExchangeOptions {
+  /** IP number of this machine; the peers' datagrams come from theirs. */
+  readonly address: string;
+  /** Port of the datagrams, the same on every machine. */
+  readonly datagramPort: number;
+  /** Port that serves {@link CHANGES_PATH}, the same on every machine. */
+  readonly changesPort: number;
+  readonly replica: StoreReplica;
+  readonly random: RandomSource;
+  readonly awaited: () => Iterable<AwaitedPeer>;
+  /** Changes were taken from a peer. */
+  readonly onLearned: (from: string) => void;
+  /** Nothing is heard of a peer, or it was heard again. */
+  readonly onSilence: (peer: string, isSilent: boolean) => void;
+}
+
+/** The exchange of one node. */
+export class PeerExchange {
+  private readonly monitor: PeerMonitor;
+  private readonly socket = dgram.createSocket('udp4');
+  private timer: NodeJS.Timeout | undefined;
+  private isFetching = false;
+
+  constructor(private readonly options: PeerExchangeOptions) {
+    this.monitor = new PeerMonitor(options.random);
+    this.socket.on('error', () => undefined);
+    this.socket.on('message', (bytes, { address }) => this.receive(address, bytes));
+  }
+
+  /** Begins to speak and listen. */
+  open(): Promise<void> {
+    const { address, datagramPort } = this.options;
+    this.timer = setInterval(() => this.tick(), TICK_INTERVAL_MS);
+    return new Promise((resolve, reject) => {
+      this.socket.once('error', reject);
+      this.socket.bind(datagramPort, address, () => {
+        this.socket.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  close(): void {
+    clearInterval(this.timer);
+    this.socket.close();
+  }
+
+  /** Takes the addresses of all machines; this one's is left out. */
+  setMachines(machines: Iterable<string>): void {
+    this.monitor.setPeers([...machines].filter((machine) => machine !== this.options.address));
+  }
+
+  isSilent(peer: string): boolean {
+    return this.monitor.isSilent(peer);
+  }
+
+  /** The peer answered a request. */
+  heard(peer: string): void {
+    this.execute(this.monitor.heard(peer, performance.now()));
+  }
+
+  private tick(): void {
+    const { replica, awaited } = this.options;
+    this.execute(this.monitor.tick(performance.now(), replica.revision, awaited()));
+  }
+
+  private receive(from: string, bytes: Uint8Array): void {
+    const datagram = decodeDatagram(bytes);
+    if (datagram !== undefined) {
+      const { revision } = this.options.replica;
+      this.execute(this.monitor.receive(from, datagram, revision, performance.now()));
+    }
+  }
+
+  private execute(effects: readonly PeerEffect[]): void {
+    for (const effect of effects) {
+      switch (effect.type) {
+        case 'send':
+          this.send(effect.to, effect.datagram);
+          break;
+        case 'fetch':
+          void this.fetch(effect.from);
+          break;
+        case 'silent':
+          this.options.onSilence(effect.peer, true);
+          break;
+        case 'heard-again':
+          this.options.onSilence(effect.peer, false);
+          break;
+      }
+    }
+  }
+
+  private send(to: string, datagram: PeerDatagram): void {
+    this.socket.send(encodeDatagram(datagram), this.options.datagramPort, to, () => undefined);
+  }
+
+  private async fetch(from: string): Promise<void> {
+    if (this.isFetching) {
+      return;
+    }
+    this.isFetching = true;
+    const { replica, changesPort, onLearned } = this.options;
+    const delta = await fetchDelta(from, changesPort, replica.revision);
+    this.isFetching = false;
+    if (delta !== undefined && replica.takeDelta(delta)) {
+      onLearned(from);
+    }
+  }
+}
+
+/** The changes after `revision` at a peer; undefined when they can't be had. */
+function fetchDelta(
+  host: string,
+  port: number,
+  revision: number,
+): Promise<ReplicaDelta | undefined> {
+  return new Promise((resolve) => {
+    const path = `${CHANGES_PATH}${revision}`;
+    const request = http.get({ host, port, path, agent: false, timeout: FETCH_TIMEOUT_MS });
+    request.on('timeout', () => request.destroy());
+    request.on('error', () => resolve(undefined));
+    request.on('close', () => resolve(undefined));
+    request.on('response', (message) => {
+      let text = '';
+      message.setEncoding('utf8');
+      message.on('data', (chunk: string) => {
+        text += chunk;
+      });
+      message.on('error', () => resolve(undefined));
+      message.on('end', () => {
+        resolve(message.statusCode === OK_STATUS ? parseDelta(text) : undefined);
+      });
+    });
+  });
+}
+
+function parseDelta(text: string): ReplicaDelta | undefined {
+  try {
+    const delta = JSON.parse(text) as ReplicaDelta;
+    const isDelta = Number.isSafeInteger(delta.revision) && Array.isArray(delta.changes);
+    return isDelta ? delta : undefined;
+  } catch {
+    return undefined;
+  }
+}
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -33,7 +33,11 @@
 export interface EndpointObserver {
   answered(answer: Answer): void;
   /** The endpoint refused the request before it started. */
-  refused(load: LoadReport | undefined, retryAfterMs: number | undefined): void;
+  refused(
+    load: LoadReport | undefined,
+    retryAfterMs: number | undefined,
+    isOtherEndpoint: boolean,
+  ): void;
   failed(failure: ExchangeFailure): void;
 }
 
@@ -172,7 +176,7 @@
         return;
       case 'refused':
         message.resume();
-        observer.refused(reading.load, reading.retryAfterMs);
+        observer.refused(reading.load, reading.retryAfterMs, reading.isOtherEndpoint);
         return;
       case 'answer':
         observer.answered({
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -76,6 +76,9 @@
   }
 
   takeLoad(load: LoadReport | undefined): void {
+    if (load !== undefined && load.slots > 0) {
+      this.admission.endpointReported(load.inFlight, this.options.scheduler.now());
+    }
     if (load?.draining === true && !this.isDrainedByEndpoint) {
       this.isDrainedByEndpoint = true;
       this.updateDraining();
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -14,7 +14,7 @@
 import type { EndpointPort } from './endpoint-client.js';
 import type { Exchange } from './http-exchange.js';
 import type { CancelTimer, Scheduler } from './scheduler.js';
-import { CannotFinishInTimeError, type RequestError } from './request-error.js';
+import { CannotFinishInTimeError, EndpointGoneError, type RequestError } from './request-error.js';
 
 /** Least time that a cancellation is waited for, in milliseconds. */
 const MIN_CANCEL_TIMEOUT_MS = 20;
@@ -56,6 +56,7 @@
   private retryAfterMs: number | undefined;
   private load: LoadReport | undefined;
   private isOver = false;
+  private isEndpointGone = false;
 
   constructor(
     private readonly gate: CallGate,
@@ -109,7 +110,10 @@
     });
     this.exchange = this.client.send(this.endpoint, this.call, workMs, {
       answered: (answer) => this.takeAnswer(answer),
-      refused: (load, retryAfterMs) => this.takeRefusal(load, retryAfterMs),
+      refused: (load, retryAfterMs, isOtherEndpoint) => {
+        this.isEndpointGone = isOtherEndpoint;
+        this.takeRefusal(load, retryAfterMs);
+      },
       failed: (failure) => this.handle({ type: 'failed', failure }),
     });
   }
@@ -207,6 +211,9 @@
 
   private errorOf(report: AttemptReport): RequestError {
     const { name } = this.endpoint;
+    if (this.isEndpointGone) {
+      return new EndpointGoneError(`another process has the address of endpoint ${name}`);
+    }
     return report === 'refused'
       ? endpointRefusedError(name, this.load?.draining === true, this.retryAfterMs)
       : attemptError(report, name);
--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -153,6 +153,13 @@
   override readonly retryable = true;
 }
 
+/** Another process answers at the endpoint's address. */
+export class EndpointGoneError extends NotRunError {
+  override readonly code = 'ENDPOINT_GONE';
+  override readonly status = 503;
+  override readonly retryable = true;
+}
+
 /** No connection could be opened, so nothing was sent. */
 export class UnreachableError extends NotRunError {
   override readonly code = 'UNREACHABLE';
@@ -247,6 +254,7 @@
 /** Codes of failures after which nothing has run although the endpoint itself got the request. */
 const REFUSED_BY_ENDPOINT: ReadonlySet<string> = new Set([
   'ENDPOINT_REFUSED',
+  'ENDPOINT_GONE',
   'CANCELLED',
   'LOST_BEFORE_START',
 ]);
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -6,6 +6,7 @@
 import type { CallerLimits, Snapshot } from '../model/snapshot.js';
 import { RouteTableCache, type RouteMatch } from '../routing/route-table.js';
 import { MAX_CLAIMED_REQUEST_MS } from '../claims/claim-terms.js';
+import type { AwaitedMachine } from './awaited-attempts.js';
 import { HeldBytes, receiveBody } from './body-receiver.js';
 import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
 import { createCallerServer, type CallerRequest, type CallerResponse } from './caller-server.js';
@@ -75,6 +76,10 @@
   endpointStates(): EndpointStateReport[];
   /** Takes the limits that the configuration sets; undefined leaves those of the node's settings. */
   applyCallerLimits(limits: CallerLimits | undefined): void;
+  /** Machines whose nodes owe this one an answer. */
+  awaitedMachines(): Iterable<AwaitedMachine>;
+  /** Nothing is heard of a machine: what may be sent elsewhere is. */
+  machineIsSilent(machineId: string): void;
   /** Planned stop: answers close their connections, requests in flight finish. */
   stop(): Promise<void>;
   /** Stop at once: connections are cut. */
@@ -186,6 +191,14 @@
     }
   }
 
+  awaitedMachines(): Iterable<AwaitedMachine> {
+    return this.services.awaited.machines();
+  }
+
+  machineIsSilent(machineId: string): void {
+    this.services.awaited.machineIsSilent(machineId);
+  }
+
   async stop(): Promise<void> {
     this.isStopping = true;
     this.refusesFromMs = MACHINE_TIME.now() + this.limits.stopAcceptMs;
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -4,6 +4,7 @@
 import type { Verdict } from '../model/verdict.js';
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
 import type { RouteMatch } from '../routing/route-table.js';
+import type { AwaitedAttempt } from './awaited-attempts.js';
 import type { Answer, Attempt, Call, LoadReport } from './call.js';
 import type { AnswerObserver } from './answer-relay.js';
 import type { HeaderList } from './headers.js';
@@ -12,6 +13,7 @@
 import {
   BodyTooSlowError,
   CallerGoneError,
+  ConnectionLostError,
   EndpointFaultError,
   InternalError,
   NoEndpointError,
@@ -25,10 +27,14 @@
 import type { CancelTimer } from './scheduler.js';
 import type { RequestServices } from './request-services.js';
 
+/** When to come back after no endpoint had room, in milliseconds. */
+const NO_ENDPOINT_RETRY_MS = 200;
 /** Added to the rank of a request that will be answered late, so that it goes after all others. */
 const LATE_RANK_OFFSET = 1_000;
 /** Part of the target latency that such a request waits for a slot at most. */
 const LATE_START_SHARE = 0.2;
+/** Ends the class of work that is answered late; measured apart, since it waits longer. */
+const LATE_CLASS_SUFFIX = ' late';
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
 
@@ -66,7 +72,7 @@
 }
 
 /** One caller's request under way. */
-export class RequestRunner {
+export class RequestRunner implements AwaitedAttempt {
   private readonly lifecycle: RequestLifecycle;
   private readonly tried = new Set<string>();
   /** Endpoints whose node found that the request can't be answered within its target latency. */
@@ -76,6 +82,8 @@
   private attempt: Attempt | undefined;
   private attemptNumber = 0;
   private endpoint: Endpoint | undefined;
+  /** The machine whose node owes the answer of the attempt under way. */
+  private awaitedMachine: string | undefined;
   private answer: Answer | undefined;
   private body: RequestBody | undefined;
   private readonly startedAtMs: number;
@@ -113,6 +121,37 @@
     this.context.response.fail(error, error.verdict, this.context.requestId);
   }
 
+  /** A request that may run more than once is sent elsewhere; another one goes on waiting. */
+  peerIsSilent(): void {
+    if (this.context.match.repeatable && this.answer === undefined) {
+      this.attempt?.abort();
+      const error = new ConnectionLostError('nothing is heard of the node of the endpoint');
+      this.takeFailure(this.attemptNumber, error, undefined);
+    }
+  }
+
+  private awaitPeerOf(endpoint: Endpoint): void {
+    const { services } = this.context;
+    this.awaitedMachine = services.relayMachineOf(endpoint);
+    if (this.awaitedMachine !== undefined) {
+      services.awaited.began(this.awaitedMachine, this, this.attemptStartedAtMs);
+    }
+  }
+
+  private peerHasAnswered(): void {
+    if (this.awaitedMachine !== undefined) {
+      this.context.services.heard(this.awaitedMachine);
+    }
+    this.stopAwaiting();
+  }
+
+  private stopAwaiting(): void {
+    if (this.awaitedMachine !== undefined) {
+      this.context.services.awaited.ended(this.awaitedMachine, this);
+      this.awaitedMachine = undefined;
+    }
+  }
+
   private handle(event: RequestEvent): void {
     for (const effect of this.lifecycle.handle(event, this.context.services.scheduler.now())) {
       this.execute(effect);
@@ -158,7 +197,10 @@
     const endpoint = this.chooseEndpoint();
     const path = endpoint && services.pathTo(endpoint);
     if (endpoint === undefined || path === undefined || this.body === undefined) {
-      const failure = new NoEndpointError(`no endpoint of service ${match.service} takes new work`);
+      const failure = new NoEndpointError(
+        `no endpoint of service ${match.service} takes new work`,
+        NO_ENDPOINT_RETRY_MS,
+      );
       this.handle({ type: 'no-endpoint', attempt, failure });
       return;
     }
@@ -167,6 +209,7 @@
     this.tried.add(endpoint.name);
     this.attemptStartedAtMs = services.scheduler.now();
     services.selector.began(endpoint, this.attemptStartedAtMs);
+    this.awaitPeerOf(endpoint);
     const call = this.callOf(this.body, attempt, retriesLeft);
     this.attempt = path.submit(endpoint, call, {
       answered: (answer) => this.takeAnswer(attempt, answer),
@@ -177,13 +220,19 @@
   /** An untried endpoint; once all have refused for lack of time, one of these again, for late work. */
   private chooseEndpoint(): Endpoint | undefined {
     const { services, snapshot, match } = this.context;
-    const endpoint = services.chooseEndpoint(snapshot, match, this.tried);
-    if (endpoint !== undefined || this.isLate || this.refusers.size === 0) {
+    const endpoint = services.chooseEndpoint(snapshot, match, this.tried, this.workClass);
+    if (endpoint !== undefined || this.isLate) {
       return endpoint;
     }
     this.isLate = true;
     this.refusers.forEach((name) => this.tried.delete(name));
-    return services.chooseEndpoint(snapshot, match, this.tried);
+    return services.chooseEndpoint(snapshot, match, this.tried, this.workClass);
+  }
+
+  /** Late work is a class of its own: it has room where work in time has none. */
+  private get workClass(): string {
+    const { name } = this.context.match.route;
+    return this.isLate ? `${name}${LATE_CLASS_SUFFIX}` : name;
   }
 
   private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
@@ -219,6 +268,7 @@
 
   private takeAnswer(attempt: number, answer: Answer): void {
     this.answer = answer;
+    this.peerHasAnswered();
     this.observeLoad(answer.load, undefined);
     if (answer.status < FAULT_STATUS) {
       this.measureLatency();
@@ -243,14 +293,24 @@
 
   private takeFailure(attempt: number, error: RequestError, load: LoadReport | undefined): void {
     this.observeLoad(load, error);
-    this.record('attempt-failed', error, error.verdict, load);
-    if (error.code === 'CANNOT_FINISH_IN_TIME' && this.endpoint !== undefined) {
-      this.refusers.add(this.endpoint.name);
+    if (load !== undefined) {
+      this.peerHasAnswered();
     }
+    this.record('attempt-failed', error, error.verdict, load);
+    this.rememberRefusal(error);
     this.endAttempt(outcomeOf(error));
     this.handle({ type: 'failed', attempt, failure: error, canReplay: this.canReplay() });
   }
 
+  private rememberRefusal({ code, retryAfterMs = 0 }: RequestError): void {
+    const isForLackOfRoom = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
+    if (this.endpoint !== undefined && isForLackOfRoom) {
+      this.refusers.add(this.endpoint.name);
+      const { selector, scheduler } = this.context.services;
+      selector.refusedWork(this.endpoint, this.workClass, retryAfterMs, scheduler.now());
+    }
+  }
+
   private passAnswer(): void {
     const { answer, attemptNumber: attempt } = this;
     if (answer === undefined) {
@@ -273,11 +333,11 @@
   }
 
   private measureLatency(): void {
-    const { services, match } = this.context;
+    const { services } = this.context;
     const nowMs = services.scheduler.now();
     if (this.endpoint !== undefined) {
       const latencyMs = nowMs - this.attemptStartedAtMs;
-      services.selector.measured(this.endpoint, match.route.name, latencyMs, nowMs);
+      services.selector.measured(this.endpoint, this.workClass, latencyMs, nowMs);
     }
   }
 
@@ -312,6 +372,7 @@
 
   private endAttempt(outcome: AttemptOutcome): void {
     const { services, snapshot, match } = this.context;
+    this.stopAwaiting();
     if (this.endpoint !== undefined) {
       const peers = snapshot.endpointsByService.get(match.service) ?? [];
       services.selector.ended(this.endpoint, outcome, peers, services.scheduler.now());
@@ -371,6 +432,7 @@
   }
 
   private finish(): void {
+    this.stopAwaiting();
     this.cancelDeadline();
     this.cancelBackOff?.();
   }
@@ -380,5 +442,8 @@
   if (error.verdict !== 'not-run') {
     return 'failed';
   }
+  if (error.code === 'ENDPOINT_GONE') {
+    return 'gone';
+  }
   return error.code === 'UNREACHABLE' ? 'unreachable' : 'refused';
 }
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -10,6 +10,7 @@
 import type { RouteMatch } from '../routing/route-table.js';
 import { WeightedTargets } from '../routing/weighted-targets.js';
 import type { MemberStatus } from '../wire/message.js';
+import { AwaitedAttempts } from './awaited-attempts.js';
 import type { EndpointPath } from './call.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import type { RelayAddress } from './relay-client.js';
@@ -25,6 +26,8 @@
   relayAddress(machineId: string): RelayAddress | undefined;
   /** Members not known to be dead, this node among them. */
   count(): number;
+  /** The machine's node answered, if only with a refusal. */
+  heard?(machineId: string): void;
 }
 
 /** Parts that the requests of a node share. */
@@ -45,6 +48,7 @@
 /** Shared by the requests of one node. */
 export class RequestServices {
   readonly selector: EndpointSelector;
+  readonly awaited = new AwaitedAttempts();
   readonly limits: ProxyLimits;
   readonly counters: CounterSink;
   readonly random: RandomSource;
@@ -70,6 +74,7 @@
     snapshot: Snapshot,
     match: RouteMatch,
     tried: ReadonlySet<string>,
+    workClass: string,
   ): Endpoint | undefined {
     const { zone, region } = this.options.identity;
     const context = {
@@ -77,7 +82,7 @@
       region,
       tried,
       repeatable: match.repeatable,
-      work: workOf(match),
+      work: workOf(match, workClass),
       mayReceive: (endpoint: Endpoint) => this.pathTo(endpoint) !== undefined,
     };
     const endpoints = snapshot.endpointsByService.get(match.service) ?? [];
@@ -120,6 +125,16 @@
     return Math.min(maxSavedRetries, Math.max(1, Math.floor(share)));
   }
 
+  /** The machine whose node an attempt goes over; undefined for the endpoints beside this node. */
+  relayMachineOf({ spec }: Endpoint): string | undefined {
+    return spec.machine === this.machineId ? undefined : spec.machine;
+  }
+
+  /** The machine's node answered. */
+  heard(machineId: string): void {
+    this.options.members.heard?.(machineId);
+  }
+
   retryBudgetOf(service: string): RetryBudget {
     let budget = this.budgets.get(service);
     if (budget === undefined) {
@@ -130,7 +145,7 @@
   }
 }
 
-function workOf({ route }: RouteMatch): WorkProfile | undefined {
+function workOf({ route }: RouteMatch, workClass: string): WorkProfile | undefined {
   const { targetLatencyMs } = route.spec;
-  return targetLatencyMs === undefined ? undefined : { workClass: route.name, targetLatencyMs };
+  return targetLatencyMs === undefined ? undefined : { workClass, targetLatencyMs };
 }
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -15,6 +15,8 @@
 /** Time of a first ejection, in milliseconds; doubles with each failed probe. */
 const FIRST_EJECTION_MS = 1_000;
 const MAX_EJECTION_MS = 30_000;
+/** How long an endpoint that had no room for a class of work gets none of it, at most, in ms. */
+const MAX_REFUSAL_HOLD_MS = 150;
 /** How long an endpoint that said that it is draining gets nothing, in milliseconds. */
 const DRAINING_HOLD_MS = 30_000;
 /** How long an endpoint whose node is about to stop gets nothing, in milliseconds. */
@@ -26,10 +28,12 @@
  * - `answered`: an answer that speaks for the endpoint.
  * - `failed`: no answer, a broken one, or one that reports a fault of the endpoint.
  * - `unreachable`: no connection.
+ * - `gone`: another process answers at its address.
  * - `refused`: not started, for lack of room or because of a drain.
  * - `abandoned`: given up by the caller; says nothing of the endpoint.
  */
-export type AttemptOutcome = 'answered' | 'failed' | 'unreachable' | 'refused' | 'abandoned';
+export type AttemptOutcome =
+  'answered' | 'failed' | 'unreachable' | 'gone' | 'refused' | 'abandoned';
 
 /** Load as told by the endpoint or its node. */
 export interface LoadObservation {
@@ -50,6 +54,8 @@
   private observedAtMs = 0;
   private busyUntilMs = 0;
   private drainingUntilMs = 0;
+  /** Until when each class of work is turned away there. */
+  private readonly refusesUntilMs = new Map<string, number>();
   private failures = 0;
   private unreachable = 0;
   private ejectedUntilMs: number | undefined;
@@ -111,6 +117,10 @@
         this.failures += 1;
         this.unreachable += 1;
         return;
+      case 'gone':
+        this.failures += 1;
+        this.unreachable += UNREACHABLE_TO_EJECT;
+        return;
       case 'refused':
       case 'abandoned':
         return;
@@ -130,6 +140,16 @@
     }
   }
 
+  /** The endpoint's node had no room for the class of work. */
+  refusedWork(workClass: string, holdMs: number, nowMs: number): void {
+    this.refusesUntilMs.set(workClass, nowMs + Math.min(holdMs, MAX_REFUSAL_HOLD_MS));
+  }
+
+  /** Whether the class of work was turned away so lately that it would be again. */
+  isRefusing(workClass: string, nowMs: number): boolean {
+    return nowMs < (this.refusesUntilMs.get(workClass) ?? 0);
+  }
+
   /** Whether the failures in a row suffice; a failed probe is enough for an ejected endpoint. */
   shouldEject(nowMs: number): boolean {
     if (this.ejectedUntilMs !== undefined) {
--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -65,10 +65,14 @@
       endpoint,
       record: this.recordOf(endpoint, nowMs),
     }));
+    const { work } = context;
     const healthy = candidates.filter(({ record }) => !record.isEjected);
-    const strategy = context.work === undefined ? this.zoneFirst : this.leastLatency;
-    const chosen = strategy.choose(healthy.length > 0 ? healthy : candidates, context, nowMs);
-    return chosen?.endpoint;
+    const usable = healthy.length > 0 ? healthy : candidates;
+    if (work === undefined) {
+      return this.zoneFirst.choose(usable, context, nowMs)?.endpoint;
+    }
+    const willing = usable.filter(({ record }) => !record.isRefusing(work.workClass, nowMs));
+    return this.leastLatency.choose(willing, context, nowMs)?.endpoint;
   }
 
   /** An attempt at `endpoint` begins. */
@@ -96,6 +100,11 @@
     this.recordOf(endpoint, nowMs).latencies.measure(workClass, latencyMs, nowMs);
   }
 
+  /** The endpoint's node had no room for the class of work, and may have some after `holdMs`. */
+  refusedWork(endpoint: Endpoint, workClass: string, holdMs: number, nowMs: number): void {
+    this.recordOf(endpoint, nowMs).refusedWork(workClass, holdMs, nowMs);
+  }
+
   /** What an answer or a refusal said of the load. */
   observedLoad(endpoint: Endpoint, load: LoadObservation, nowMs: number): void {
     this.recordOf(endpoint, nowMs).observeLoad(load, nowMs);
--- a/src/routing/weighted-targets.ts
+++ b/src/routing/weighted-targets.ts
@@ -6,6 +6,9 @@
 import type { RandomSource } from '../control/control-event.js';
 import type { Route, RouteTarget } from '../model/resource.js';
 
+/** Turns that a node skips at its start, at most: as many as weights in percent need to come round. */
+const MAX_SKIPPED_TURNS = 100;
+
 /** The turn of each target of one route. */
 interface RouteTurns {
   readonly targets: readonly RouteTarget[];
@@ -34,7 +37,11 @@
     if (known !== undefined && isSameTargets(known.targets, targets)) {
       return known;
     }
-    const turns = { targets, credits: targets.map(({ weight }) => weight * this.random()) };
+    const turns = { targets, credits: targets.map(() => 0) };
+    const skippedTurns = Math.floor(this.random() * MAX_SKIPPED_TURNS);
+    for (let turn = 0; turn < skippedTurns; turn += 1) {
+      this.advance(turns);
+    }
     this.turnsOfRoutes.set(routeName, turns);
     return turns;
   }
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -4,6 +4,8 @@
  * nothing of the control plane runs here; see `docs/PLATFORM.md`.
  */
 import type http from 'node:http';
+import { PeerExchange } from '../peers/peer-exchange.js';
+import type { AwaitedPeer } from '../peers/peer-monitor.js';
 import type { CallerProtocol } from '../proxy/caller-protocol.js';
 import type { EndpointProtocol } from '../proxy/endpoint-protocol.js';
 import type { ProxyLimits } from '../proxy/proxy-limits.js';
@@ -16,7 +18,7 @@
 import { StoreReplica } from '../store/store-replica.js';
 import type { Logger } from './logger.js';
 import { Metrics } from './metrics.js';
-import { createMetricsServer } from './metrics-server.js';
+import { createInternalServer } from './internal-server.js';
 import { createReadinessServer } from './readiness-server.js';
 import { RequestLogger } from './request-logger.js';
 import type { SocketAddress, StoreNodeSettings } from './store-node-settings.js';
@@ -25,13 +27,13 @@
 const WATCH_WAIT_MS = 2_500;
 /** Time of a planned stop that is kept for its last steps, in milliseconds. */
 const STOP_RESERVE_MS = 400;
-/** Metrics are served on this port after the first internal one. */
-const METRICS_PORT_OFFSET = 1;
+/** Peers and monitoring read on this port after the first internal one, which takes datagrams. */
+const INTERNAL_SERVER_PORT_OFFSET = 1;
 
 const STORE_NODE_LIMITS: Partial<ProxyLimits> = {
   maxHeaderBytes: 64 * 1024,
   maxRetries: 3,
-  maxRedirects: 3,
+  maxRedirects: 2,
   retriesFaults: true,
   connectTimeoutMs: 300,
   stopAcceptMs: 2_800,
@@ -57,10 +59,12 @@
   private readonly follower: StoreFollower;
   private readonly proxy: RequestProxy;
   private readonly readiness: http.Server;
-  private readonly metricsServer: http.Server;
+  private readonly internalServer: http.Server;
+  private readonly peers: PeerExchange;
   private snapshot: Snapshot | undefined;
   private machineCount = 1;
   private isStopping = false;
+  private areServicesClosed = false;
   private stopped: Promise<void> | undefined;
 
   constructor(private readonly options: StoreNodeOptions) {
@@ -68,18 +72,19 @@
     this.follower = this.createFollower();
     this.proxy = this.createProxy();
     this.readiness = createReadinessServer(() => this.isReady);
-    this.metricsServer = createMetricsServer(this.metrics);
+    this.internalServer = createInternalServer(this.metrics, this.replica);
+    this.peers = this.createPeers();
   }
 
   /** Opens the listeners and begins to follow the store; rejects when a listener can't be opened. */
   async open(): Promise<void> {
-    const { caller, relay, readiness, machine, internalPorts } = this.options.settings;
+    const { caller, relay, readiness, machine } = this.options.settings;
     this.follower.start();
-    const metricsPort = internalPorts.first + METRICS_PORT_OFFSET;
     await listen(this.proxy.relayServer, relay);
     await listen(this.proxy.callerServer, caller);
     await listen(this.readiness, readiness);
-    await listen(this.metricsServer, { address: machine.address, port: metricsPort });
+    await listen(this.internalServer, { address: machine.address, port: this.internalPort });
+    await this.peers.open();
   }
 
   /** Planned stop: says that it is not ready, goes on serving, and finishes what is in flight. */
@@ -88,6 +93,13 @@
     return this.stopped;
   }
 
+  /** Stop at once: connections are cut. */
+  abort(): void {
+    this.isStopping = true;
+    this.proxy.abort();
+    this.closeServices();
+  }
+
   private get isReady(): boolean {
     return this.snapshot !== undefined && !this.isStopping;
   }
@@ -95,9 +107,54 @@
   private async stopInOrder(): Promise<void> {
     this.isStopping = true;
     await this.proxy.stop();
+    this.closeServices();
+  }
+
+  private closeServices(): void {
+    if (this.areServicesClosed) {
+      return;
+    }
+    this.areServicesClosed = true;
     this.follower.close();
-    this.readiness.close();
-    this.metricsServer.close();
+    this.peers.close();
+    for (const server of [this.readiness, this.internalServer]) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  private get internalPort(): number {
+    return this.options.settings.internalPorts.first + INTERNAL_SERVER_PORT_OFFSET;
+  }
+
+  private createPeers(): PeerExchange {
+    const { settings, logger } = this.options;
+    return new PeerExchange({
+      address: settings.machine.address,
+      datagramPort: settings.internalPorts.first,
+      changesPort: this.internalPort,
+      replica: this.replica,
+      random: Math.random,
+      awaited: () => this.awaitedPeers(),
+      onLearned: (from) => {
+        logger.info('changes-from-peer', { from, revision: this.replica.revision });
+        this.takeLearned(true);
+      },
+      onSilence: (peer, isSilent) => this.takeSilence(peer, isSilent),
+    });
+  }
+
+  private *awaitedPeers(): IterableIterator<AwaitedPeer> {
+    for (const { machineId, sinceMs } of this.proxy.awaitedMachines()) {
+      yield { peer: machineId, sinceMs };
+    }
+  }
+
+  private takeSilence(peer: string, isSilent: boolean): void {
+    this.options.logger.info(isSilent ? 'peer-silent' : 'peer-heard-again', { peer });
+    if (isSilent) {
+      this.proxy.machineIsSilent(peer);
+    }
   }
 
   private createFollower(): StoreFollower {
@@ -129,9 +186,10 @@
       },
       snapshots: { current: () => this.snapshot },
       members: {
-        status: () => 'unknown',
+        status: (address) => (this.peers.isSilent(address) ? 'leaving' : 'unknown'),
         relayAddress: (address) => ({ address, port: relay.port }),
         count: () => this.machineCount,
+        heard: (address) => this.peers.heard(address),
       },
       counters: this.metrics,
       random: Math.random,
@@ -164,7 +222,9 @@
     const before = this.snapshot?.version.source.number;
     const { number } = snapshot.version.source;
     this.snapshot = snapshot;
-    this.machineCount = countMachines(snapshot);
+    const machines = machinesOf(snapshot);
+    this.machineCount = Math.max(1, machines.size);
+    this.peers.setMachines(machines);
     this.proxy.applyCallerLimits(snapshot.callerLimits);
     if (before !== number) {
       const { revision } = this.replica;
@@ -173,14 +233,14 @@
   }
 }
 
-function countMachines(snapshot: Snapshot): number {
+function machinesOf(snapshot: Snapshot): ReadonlySet<string> {
   const machines = new Set<string>();
   for (const endpoints of snapshot.endpointsByService.values()) {
     for (const { spec } of endpoints) {
       machines.add(spec.machine ?? spec.address);
     }
   }
-  return Math.max(1, machines.size);
+  return machines;
 }
 
 function listen(server: http.Server, { address, port }: SocketAddress): Promise<void> {
--- a/src/store/store-replica.ts
+++ b/src/store/store-replica.ts
@@ -21,7 +21,7 @@
 export class StoreReplica {
   private readonly changes = new Map<string, StoreChange>();
   private completeUpTo = 0;
-  /** Deltas from before this revision would miss removals that were forgotten. */
+  /** Deltas from before this revision would miss removals that are not known, or were forgotten. */
   private removalsKnownFrom = 0;
 
   /** The replica holds every change up to this revision; 0 before the first list. */
@@ -38,7 +38,10 @@
     }
   }
 
-  /** Takes a whole list that was begun at `revision`; true when an item changed. */
+  /**
+   * Takes a whole list that was begun at `revision`; true when an item changed. A list does not tell
+   * what was removed before it, so peers that are older than it are given the whole state.
+   */
   takeList(items: readonly StoreChange[], revision: number): boolean {
     const listed = new Set(items.map(({ key }) => key));
     let hasChanged = this.takeEach(items);
@@ -50,6 +53,7 @@
       }
     }
     this.completeUpTo = Math.max(this.completeUpTo, revision);
+    this.removalsKnownFrom = Math.max(this.removalsKnownFrom, revision);
     return hasChanged;
   }
 
--- /dev/null
+++ b/test/peers/peer-monitor.test.ts
@@ -0,0 +1,132 @@
+/** Watch over peers: silence, signs of life, replicas that are ahead; datagrams. */
+import { expect } from 'chai';
+import { decodeDatagram, encodeDatagram } from '../../src/peers/peer-datagram.js';
+import { PeerMonitor, type PeerEffect } from '../../src/peers/peer-monitor.js';
+
+const TICK_MS = 50;
+const OWN_REVISION = 10;
+
+/** Ticks from `fromMs` to `toMs`; gives the effects with their times. */
+function run(
+  monitor: PeerMonitor,
+  fromMs: number,
+  toMs: number,
+  awaitedSinceMs?: number,
+): { atMs: number; effect: PeerEffect }[] {
+  const effects: { atMs: number; effect: PeerEffect }[] = [];
+  for (let nowMs = fromMs; nowMs <= toMs; nowMs += TICK_MS) {
+    const awaited = awaitedSinceMs === undefined ? [] : [{ peer: 'owes', sinceMs: awaitedSinceMs }];
+    for (const effect of monitor.tick(nowMs, OWN_REVISION, awaited)) {
+      effects.push({ atMs: nowMs, effect });
+    }
+  }
+  return effects;
+}
+
+function monitorOf(peers: readonly string[] = ['owes']): PeerMonitor {
+  const monitor = new PeerMonitor(() => 0);
+  monitor.setPeers(peers);
+  return monitor;
+}
+
+function firstOf(
+  effects: readonly { atMs: number; effect: PeerEffect }[],
+  type: PeerEffect['type'],
+): number | undefined {
+  return effects.find(({ effect }) => effect.type === type)?.atMs;
+}
+
+describe('watch over peers', () => {
+  it('finds a peer silent within a second when it owes an answer and gives no sign of life', () => {
+    const silentAtMs = firstOf(run(monitorOf(), 0, 2_000, 0), 'silent');
+    expect(silentAtMs).to.be.within(600, 1_000);
+  });
+
+  it('asks nothing of a peer that owes nothing, but for gossip', () => {
+    const effects = run(monitorOf(), 0, 2_000);
+    expect(firstOf(effects, 'silent')).to.equal(undefined);
+    expect(effects).to.have.length(3);
+  });
+
+  const signs = ['answer', 'acknowledgement', 'ping'] as const;
+  for (const sign of signs) {
+    it(`takes a peer for alive after its ${sign}, also one that was silent`, () => {
+      const monitor = monitorOf();
+      run(monitor, 0, 1_500, 0);
+      expect(monitor.isSilent('owes')).to.equal(true);
+      const effects =
+        sign === 'answer'
+          ? monitor.heard('owes', 1_600)
+          : monitor.receive('owes', { kind: sign, revision: 1 }, OWN_REVISION, 1_600);
+      expect(effects.map(({ type }) => type)).to.include('heard-again');
+      expect(monitor.isSilent('owes')).to.equal(false);
+    });
+  }
+
+  it('does not find a peer silent that answers its pings, however slow its work is', () => {
+    const monitor = monitorOf();
+    for (let nowMs = 0; nowMs <= 5_000; nowMs += TICK_MS) {
+      const effects = monitor.tick(nowMs, OWN_REVISION, [{ peer: 'owes', sinceMs: 0 }]);
+      expect(effects.map(({ type }) => type)).to.not.include('silent');
+      if (effects.some(({ type }) => type === 'send')) {
+        const sign = { kind: 'acknowledgement', revision: OWN_REVISION } as const;
+        monitor.receive('owes', sign, OWN_REVISION, nowMs + 1);
+      }
+    }
+  });
+
+  it('goes on asking a silent peer for a sign of life', () => {
+    const monitor = monitorOf([]);
+    run(monitor, 0, 1_500, 0);
+    const pings = run(monitor, 1_550, 3_550).filter(({ effect }) => effect.type === 'send');
+    expect(pings).to.have.length.within(4, 6);
+  });
+
+  it('acknowledges a ping with the revision of its own replica', () => {
+    const effects = monitorOf().receive('p', { kind: 'ping', revision: 3 }, OWN_REVISION, 0);
+    expect(effects).to.deep.equal([
+      {
+        type: 'send',
+        to: 'p',
+        datagram: { kind: 'acknowledgement', revision: OWN_REVISION },
+      },
+    ]);
+  });
+
+  it('fetches from a peer that stays ahead, not from one that it catches up with', () => {
+    const monitor = monitorOf([]);
+    monitor.receive('p', { kind: 'ping', revision: 12 }, OWN_REVISION, 0);
+    expect(firstOf(run(monitor, 50, 400), 'fetch')).to.equal(undefined);
+    expect(firstOf(run(monitor, 450, 1_000), 'fetch')).to.be.within(500, 550);
+    expect(monitor.tick(2_000, 12, [])).to.deep.equal([]);
+    expect(monitor.tick(2_500, 12, [])).to.deep.equal([]);
+  });
+
+  it('fetches at once when it holds nothing', () => {
+    const monitor = monitorOf([]);
+    monitor.receive('p', { kind: 'ping', revision: 12 }, 0, 0);
+    expect(monitor.tick(0, 0, [])).to.deep.equal([{ type: 'fetch', from: 'p' }]);
+  });
+
+  it('forgets machines that are gone', () => {
+    const monitor = monitorOf();
+    run(monitor, 0, 1_500, 0);
+    monitor.setPeers([]);
+    expect(monitor.isSilent('owes')).to.equal(false);
+  });
+});
+
+describe('datagrams between peers', () => {
+  it('reads what it writes, and nothing else', () => {
+    const datagram = { kind: 'ping', revision: 123_456_789 } as const;
+    const bytes = encodeDatagram(datagram);
+    expect(decodeDatagram(bytes)).to.deep.equal(datagram);
+    const foreign = [
+      Buffer.alloc(0),
+      bytes.subarray(0, 2),
+      Buffer.from([9, 1]),
+      Buffer.alloc(20, 255),
+    ];
+    foreign.forEach((text) => expect(decodeDatagram(text)).to.equal(undefined));
+  });
+});
--- /dev/null
+++ b/test/platform/backend-stand-in.ts
@@ -0,0 +1,85 @@
+/** A stand-in for a back end of the platform: signs its answers, counts its runs, and misbehaves. */
+import { once } from 'node:events';
+import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+
+/** One request that reached the back end. */
+export interface Arrival {
+  readonly requestId: string;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly method: string;
+  readonly target: string;
+  /** Whether its connection was closed before the answer. */
+  isCut: boolean;
+}
+
+/** What becomes of a request; the stand-in answers it when this is left out. */
+export type BackendBehaviour = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  arrival: Arrival,
+) => void;
+
+/** The back end. */
+export class BackendStandIn {
+  readonly arrivals: Arrival[] = [];
+  behaviour: BackendBehaviour = (_request, response, arrival) => {
+    answer(response, arrival.requestId);
+  };
+  private readonly server = http.createServer((request, response) => {
+    const arrival: Arrival = {
+      requestId: String(request.headers['request-id']),
+      headers: request.headers,
+      method: request.method ?? '',
+      target: request.url ?? '',
+      isCut: false,
+    };
+    response.on('close', () => {
+      arrival.isCut = !response.writableFinished;
+    });
+    response.on('error', () => undefined);
+    request.resume();
+    request.once('end', () => {
+      this.arrivals.push(arrival);
+      this.behaviour(request, response, arrival);
+    });
+  });
+
+  private constructor(
+    /** Identity of this start of the back end. */
+    readonly id: string,
+  ) {}
+
+  /** Starts a back end. */
+  static async start(id: string, address: string, port: number): Promise<BackendStandIn> {
+    const backend = new BackendStandIn(id);
+    backend.server.listen(port, address);
+    await once(backend.server, 'listening');
+    return backend;
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+}
+
+/** A whole, signed answer. */
+export function answer(
+  response: ServerResponse,
+  requestId: string,
+  body = `body ${requestId}`,
+): void {
+  response.writeHead(200, {
+    'Request-Id': requestId,
+    'Server-Signature': `signature ${requestId}`,
+    'Server-Load': '1,0,4',
+    'Content-Length': Buffer.byteLength(body),
+  });
+  response.end(body);
+}
+
+/** Says that the request was not run. */
+export function refuse(response: ServerResponse, requestId: string, status = 503): void {
+  response.writeHead(status, { 'Request-Id': requestId, 'Not-Executed': '1', 'Content-Length': 0 });
+  response.end();
+}
--- /dev/null
+++ b/test/platform/platform-fleet.ts
@@ -0,0 +1,208 @@
+/** Nodes on the platform, each beside its back end on a loopback address of its own, and one store. */
+import http from 'node:http';
+import { createCallerProtocol } from '../../platform/caller-protocol.js';
+import { ENDPOINT_PROTOCOL } from '../../platform/endpoint-protocol.js';
+import { createRecordReader } from '../../platform/records.js';
+import { StoreClient } from '../../platform/store-client.js';
+import { createLogger } from '../../src/runtime/logger.js';
+import { StoreNode } from '../../src/runtime/store-node.js';
+import { BackendStandIn } from './backend-stand-in.js';
+import { StoreStandIn } from './store-stand-in.js';
+
+const CALLER_PORT = 21_304;
+const RELAY_PORT = 21_300;
+const READY_PORT = 21_302;
+const BACKEND_PORT = 21_301;
+const FIRST_INTERNAL_PORT = 21_320;
+const HOST = 'h.example';
+
+/** What a route of the tests says besides its name, path and service. */
+export interface RouteFields {
+  readonly kind?: 'safe' | 'unsafe';
+  readonly timeoutS?: number;
+  readonly maxAttempts?: number;
+  readonly service?: string;
+  readonly pathPrefix?: string;
+}
+
+/** One machine. */
+export interface FleetMachine {
+  readonly address: string;
+  readonly node: StoreNode;
+  readonly backend: BackendStandIn;
+  /** Lines of the node's log. */
+  readonly log: string[];
+}
+
+/** What a client got. */
+export interface ClientResult {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  readonly isWhole: boolean;
+}
+
+/** A client's request. */
+export interface ClientCall {
+  readonly path?: string;
+  readonly method?: string;
+  readonly deadlineMs?: number;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly agent?: http.Agent;
+  readonly signal?: AbortSignal;
+}
+
+/** The machines of one test. */
+export class PlatformFleet {
+  readonly machines: FleetMachine[] = [];
+  private version = 1;
+  private requests = 0;
+
+  private constructor(readonly store: StoreStandIn) {}
+
+  /** Starts a store with a configuration of one route `/p/` to the service `a`. */
+  static async start(route: RouteFields = {}): Promise<PlatformFleet> {
+    const fleet = new PlatformFleet(await StoreStandIn.start());
+    fleet.configure([route]);
+    return fleet;
+  }
+
+  /** Writes a configuration with these routes, of the next version. */
+  configure(routes: readonly RouteFields[], version = this.version): void {
+    this.version = version + 2;
+    const paths = routes.map((route, index) => ({
+      name: `r${index}`,
+      pathPrefix: index === 0 ? '/p/' : `/p${index}/`,
+      kind: 'safe',
+      timeoutS: 2,
+      targetLatencyS: 0.5,
+      priority: 1,
+      maxAttempts: 2,
+      service: 'a',
+      ...route,
+    }));
+    this.store.put('op/config', {
+      version: version.toString(16).padStart(8, '0'),
+      services: [{ name: 'a' }, { name: 'b' }],
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutS: 3, idleTimeoutS: 15 },
+      virtualHosts: [{ hostname: HOST, paths }],
+    });
+  }
+
+  /** Starts a machine with a back end of `service`; waits until its node is ready. */
+  async addMachine(service = 'a'): Promise<FleetMachine> {
+    const address = `127.0.7.${this.machines.length + 1}`;
+    const id = `i-${this.machines.length + 1}`;
+    const backend = await BackendStandIn.start(id, address, BACKEND_PORT);
+    const log: string[] = [];
+    const node = this.createNode(address, service, log);
+    const machine = { address, node, backend, log };
+    this.machines.push(machine);
+    await node.open();
+    this.announce(machine, service, 'ready');
+    return machine;
+  }
+
+  /** A node for a machine that is there; not opened. */
+  createNode(address: string, service: string, log: string[]): StoreNode {
+    return new StoreNode({
+      settings: {
+        machine: { name: address, address, zone: 'z1', region: 'r1' },
+        caller: { address, port: CALLER_PORT },
+        relay: { address, port: RELAY_PORT },
+        readiness: { address, port: READY_PORT },
+        internalPorts: { first: FIRST_INTERNAL_PORT, last: FIRST_INTERNAL_PORT + 5 },
+        drainTimeoutMs: 6_000,
+        retry: { percent: 20, fleetBurst: 60 },
+      },
+      store: new StoreClient({ address: '127.0.0.1', port: this.store.port }),
+      readRecord: createRecordReader({ retryBudgetPercent: 20, regionOfZone: () => 'r1' }),
+      callerProtocol: createCallerProtocol(service),
+      endpointProtocol: ENDPOINT_PROTOCOL,
+      logger: createLogger('info', {}, { write: (line) => log.push(line) }),
+    });
+  }
+
+  /** Writes a back end's entry. */
+  announce({ address, backend }: FleetMachine, service: string, state: string): void {
+    this.store.put(`servers/${backend.id}`, {
+      address: `${address}:${BACKEND_PORT}`,
+      info: { service, version: 'v1', zone: 'z1', slots: 4 },
+      status: { state, sequence: 1, coldRemainingS: 0 },
+    });
+  }
+
+  /** One request of a client on the machine. */
+  call({ address }: FleetMachine, options: ClientCall = {}): Promise<ClientResult> {
+    this.requests += 1;
+    const {
+      path = '/p/x',
+      method = 'GET',
+      deadlineMs = 2_000,
+      headers = {},
+      agent,
+      signal,
+    } = options;
+    return new Promise((resolve) => {
+      const request = http.request({
+        host: address,
+        port: CALLER_PORT,
+        path,
+        method,
+        headers: {
+          Host: HOST,
+          'Request-Id': `c${this.requests}`,
+          'Deadline-Ms': String(deadlineMs),
+          ...headers,
+        },
+        agent: agent ?? false,
+        ...(signal !== undefined && { signal }),
+      });
+      request.on('error', () => resolve({ status: 0, headers: {}, body: '', isWhole: false }));
+      request.on('response', (message) => {
+        let body = '';
+        message.on('data', (chunk: Buffer) => {
+          body += chunk.toString('latin1');
+        });
+        message.on('error', () => undefined);
+        message.on('close', () => {
+          const { statusCode: status = 0, complete: isWhole } = message;
+          resolve({ status, headers: message.headers, body, isWhole });
+        });
+      });
+      request.end();
+    });
+  }
+
+  /** What the readiness address of the machine answers; 0 when it does not. */
+  readiness({ address }: FleetMachine): Promise<number> {
+    return new Promise((resolve) => {
+      const request = http.get({ host: address, port: READY_PORT, path: '/', agent: false });
+      request.on('error', () => resolve(0));
+      request.on('response', (message) => {
+        message.resume();
+        resolve(message.statusCode ?? 0);
+      });
+    });
+  }
+
+  /** Resolves once requests to the path are answered with the status; the test's timeout bounds it. */
+  async untilStatus(machine: FleetMachine, status: number, path = '/p/x'): Promise<void> {
+    while ((await this.call(machine, { path })).status !== status) {
+      await pause(10);
+    }
+  }
+
+  close(): void {
+    this.store.close();
+    for (const { node, backend } of this.machines) {
+      node.abort();
+      backend.close();
+    }
+  }
+}
+
+/** Resolves after `delayMs`. */
+export function pause(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
--- /dev/null
+++ b/test/platform/store-client.test.ts
@@ -0,0 +1,76 @@
+/** The adapter of the platform's store against a stand-in: calls, pages, watches, faults. */
+import { expect } from 'chai';
+import { StoreClient } from '../../platform/store-client.js';
+import { StoreStandIn, type StoreFault } from './store-stand-in.js';
+
+describe('client of the platform store', () => {
+  let store: StoreStandIn;
+  let client: StoreClient;
+
+  beforeEach(async () => {
+    store = await StoreStandIn.start();
+    client = new StoreClient({ address: '127.0.0.1', port: store.port });
+  });
+
+  afterEach(() => {
+    client.close();
+    store.close();
+  });
+
+  it('lists page by page, with the revision of each page', async () => {
+    store.pageSize = 2;
+    ['a', 'b', 'c'].forEach((key) => store.put(key, `value ${key}`));
+    const first = await client.list(undefined);
+    expect(first).to.deep.include({ outcome: 'page', hasMore: true, revision: 3 });
+    expect(first).to.have.nested.property('items[0].value', 'value a');
+    const second = await client.list('b');
+    expect(second).to.deep.include({ outcome: 'page', hasMore: false });
+    expect(second).to.have.nested.property('items[0].key', 'c');
+  });
+
+  it('is told of writes and removals as soon as they come', async () => {
+    store.put('a', '1');
+    const watch = client.watch(1, 5_000);
+    setTimeout(() => store.remove('a'), 20);
+    expect(await watch).to.deep.equal({
+      outcome: 'changes',
+      changes: [{ key: 'a', revision: 2, value: undefined }],
+      revision: 2,
+    });
+  });
+
+  it('gets an empty answer when nothing changes', async () => {
+    store.put('a', '1');
+    const answer = await client.watch(1, 10);
+    expect(answer).to.deep.equal({ outcome: 'changes', changes: [], revision: 1 });
+  });
+
+  it('is told when the history is lost', async () => {
+    store.put('a', '1');
+    store.put('a', '2');
+    store.compact();
+    expect(await client.watch(1, 10)).to.deep.equal({ outcome: 'history-lost' });
+  });
+
+  const faults: readonly { name: string; fault: StoreFault }[] = [
+    { name: 'refuses', fault: { type: 'status', status: 503 } },
+    { name: 'throttles', fault: { type: 'status', status: 429 } },
+    { name: 'never answers', fault: { type: 'silent' } },
+    { name: 'breaks off', fault: { type: 'reset' } },
+  ];
+  for (const { name, fault } of faults) {
+    it(`is unavailable while the store ${name}, and works again after`, async () => {
+      store.put('a', '1');
+      store.fault = fault;
+      expect((await client.list(undefined)).outcome).to.equal('unavailable');
+      expect((await client.watch(1, 10)).outcome).to.equal('unavailable');
+      store.fault = undefined;
+      expect((await client.list(undefined)).outcome).to.equal('page');
+    });
+  }
+
+  it('is unavailable where nothing listens', async () => {
+    store.close();
+    expect((await client.list(undefined)).outcome).to.equal('unavailable');
+  });
+});
--- /dev/null
+++ b/test/platform/store-stand-in.ts
@@ -0,0 +1,148 @@
+/** A stand-in for the platform's store: lists with pages, watches, lost history, and faults. */
+import { once } from 'node:events';
+import http, { type ServerResponse } from 'node:http';
+import type { AddressInfo } from 'node:net';
+
+/** How the store misbehaves. */
+export type StoreFault =
+  | { readonly type: 'status'; readonly status: number }
+  /** Calls are taken and never answered. */
+  | { readonly type: 'silent' }
+  /** Calls end with their connection. */
+  | { readonly type: 'reset' };
+
+interface StoredItem {
+  readonly key: string;
+  readonly value: string | undefined;
+  readonly revision: number;
+}
+
+interface WaitingWatch {
+  readonly after: number;
+  readonly response: ServerResponse;
+  readonly timer: NodeJS.Timeout;
+}
+
+/** The store. */
+export class StoreStandIn {
+  /** Targets of the calls that were made, in order. */
+  readonly calls: string[] = [];
+  fault: StoreFault | undefined;
+  /** Items on one page of a list. */
+  pageSize = 500;
+  private readonly items = new Map<string, StoredItem>();
+  private readonly watches = new Set<WaitingWatch>();
+  private revision = 0;
+  private historyFrom = 0;
+  private readonly server = http.createServer((request, response) => {
+    this.calls.push(request.url ?? '');
+    this.answer(new URL(request.url ?? '', 'http://store'), response);
+  });
+
+  /** Starts a store on `address`. */
+  static async start(address = '127.0.0.1'): Promise<StoreStandIn> {
+    const store = new StoreStandIn();
+    store.server.listen(0, address);
+    await once(store.server, 'listening');
+    return store;
+  }
+
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  /** Writes an item; objects are written as JSON. */
+  put(key: string, value: unknown): void {
+    this.change(key, typeof value === 'string' ? value : JSON.stringify(value));
+  }
+
+  remove(key: string): void {
+    this.change(key, undefined);
+  }
+
+  /** Forgets what changed so far, and cuts the watches that wait. */
+  compact(): void {
+    this.historyFrom = this.revision;
+    this.cutWatches();
+  }
+
+  /** Closes the connections of the watches that wait. */
+  cutWatches(): void {
+    for (const watch of this.watches) {
+      clearTimeout(watch.timer);
+      watch.response.destroy();
+    }
+    this.watches.clear();
+  }
+
+  close(): void {
+    this.cutWatches();
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private change(key: string, value: string | undefined): void {
+    this.revision += 1;
+    this.items.set(key, { key, value, revision: this.revision });
+    for (const watch of [...this.watches]) {
+      this.answerWatch(watch);
+    }
+  }
+
+  private answer(url: URL, response: ServerResponse): void {
+    if (this.fault !== undefined) {
+      this.misbehave(this.fault, response);
+    } else if (url.pathname === '/kv-range') {
+      this.answerList(url.searchParams.get('after') ?? '', response);
+    } else {
+      this.beginWatch(url.searchParams, response);
+    }
+  }
+
+  private misbehave(fault: StoreFault, response: ServerResponse): void {
+    if (fault.type === 'status') {
+      response.writeHead(fault.status).end('{}');
+    } else if (fault.type === 'reset') {
+      response.destroy();
+    }
+  }
+
+  private answerList(after: string, response: ServerResponse): void {
+    const existing = [...this.items.values()]
+      .filter(({ key, value }) => value !== undefined && key > after)
+      .sort((left, right) => (left.key < right.key ? -1 : 1));
+    const items = existing.slice(0, this.pageSize).map(itemBody);
+    const hasMore = existing.length > this.pageSize;
+    response.end(JSON.stringify({ items, hasMore, at: this.revision }));
+  }
+
+  private beginWatch(query: URLSearchParams, response: ServerResponse): void {
+    const after = Number(query.get('after'));
+    if (after < this.historyFrom) {
+      response.writeHead(410).end('{}');
+      return;
+    }
+    const timer = setTimeout(() => this.answerWatch(watch), Number(query.get('waitMs')));
+    const watch: WaitingWatch = { after, response, timer };
+    this.watches.add(watch);
+    if (this.revision > after) {
+      this.answerWatch(watch);
+    }
+  }
+
+  private answerWatch(watch: WaitingWatch): void {
+    clearTimeout(watch.timer);
+    this.watches.delete(watch);
+    const events = [...this.items.values()]
+      .filter(({ revision }) => revision > watch.after)
+      .sort((left, right) => left.revision - right.revision)
+      .map(itemBody);
+    watch.response.end(JSON.stringify({ events, at: this.revision }));
+  }
+}
+
+function itemBody({ key, value, revision }: StoredItem): Record<string, unknown> {
+  return value === undefined
+    ? { key, revision, gone: true }
+    : { key, revision, created: revision, lease: 0, value: Buffer.from(value).toString('base64') };
+}
--- a/test/proxy/fuzz/virtual-paths.ts
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -100,7 +100,7 @@
           endAnswer: (isWhole) => connection.toClient(() => answers[0]?.end(isWhole)),
           refuse: (draining) =>
             connection.toClient(() => {
-              settle(() => observer.refused({ inFlight: 0, slots: 0, draining }, undefined));
+              settle(() => observer.refused({ inFlight: 0, slots: 0, draining }, undefined, false));
             }),
           lose: () => connection.cut(false, true),
         });
--- /dev/null
+++ b/test/store/snapshot-builder.test.ts
@@ -0,0 +1,108 @@
+/** Snapshots from the items of a store: versions that only rise, faults, endpoints. */
+import { expect } from 'chai';
+import type { Resource } from '../../src/model/resource.js';
+import { resourceSchema } from '../../src/model/resource.js';
+import type { StoreRecord } from '../../src/store/configuration-record.js';
+import type { StoreChange } from '../../src/store/key-value-store.js';
+import { SnapshotBuilder } from '../../src/store/snapshot-builder.js';
+import { echoEndpoint, echoService } from '../proxy/rig.js';
+
+const CALLER_LIMITS = {
+  maxHeaderBytes: 1,
+  maxBodyBytes: 2,
+  headerTimeoutMs: 3,
+  idleTimeoutMs: 4,
+};
+
+function resources(raw: readonly unknown[]): Resource[] {
+  return raw.map((resource) => resourceSchema.parse(resource));
+}
+
+function configuration(number: number, raw: readonly unknown[] = echoService()): StoreRecord {
+  return {
+    kind: 'configuration',
+    number,
+    resources: resources(raw),
+    callerLimits: CALLER_LIMITS,
+  };
+}
+
+function endpoint(name: string, service = 'echo'): StoreRecord {
+  const [resource] = resources([echoEndpoint(name, 1, { service })]);
+  if (resource?.kind !== 'endpoint') {
+    throw new Error('not an endpoint');
+  }
+  return { kind: 'endpoint', endpoint: resource };
+}
+
+/** Items whose text is the name of a record. */
+class Items {
+  private readonly records = new Map<string, StoreRecord>();
+  private readonly items = new Map<string, StoreChange>();
+  private revision = 0;
+  readonly builder = new SnapshotBuilder((_key, value) => {
+    const record = this.records.get(value);
+    return record ?? { kind: 'unused', fault: 'unknown' };
+  });
+
+  put(key: string, record: StoreRecord): this {
+    this.revision += 1;
+    const value = `record ${this.revision}`;
+    this.records.set(value, record);
+    this.items.set(key, { key, revision: this.revision, value });
+    return this;
+  }
+
+  remove(key: string): this {
+    this.items.delete(key);
+    return this;
+  }
+
+  build(): ReturnType<SnapshotBuilder['build']> {
+    return this.builder.build(this.items.values());
+  }
+}
+
+describe('snapshots from a store', () => {
+  it('has none before the first configuration', () => {
+    expect(new Items().put('e', endpoint('e1')).build().snapshot).to.equal(undefined);
+  });
+
+  it('joins the configuration and the endpoints', () => {
+    const { snapshot } = new Items().put('c', configuration(3)).put('e', endpoint('e1')).build();
+    expect(snapshot?.version.source.number).to.equal(3);
+    expect(snapshot?.callerLimits).to.equal(CALLER_LIMITS);
+    expect(snapshot?.endpointsByService.get('echo')).to.have.length(1);
+  });
+
+  it('never goes back to an older configuration, nor to none', () => {
+    const items = new Items().put('c', configuration(3));
+    items.build();
+    const older = items.put('c', configuration(2)).build();
+    expect(older.snapshot?.version.source.number).to.equal(3);
+    expect(items.remove('c').build().snapshot?.version.source.number).to.equal(3);
+  });
+
+  it('keeps the configuration before one that does not hold together, and says so once', () => {
+    const dangling = [{ kind: 'route', name: 'r', spec: { pathPrefix: '/', service: 'none' } }];
+    const items = new Items().put('c', configuration(3));
+    items.build();
+    const { snapshot, faults } = items.put('c', configuration(4, dangling)).build();
+    expect(snapshot?.version.source.number).to.equal(3);
+    expect(faults).to.have.length(1);
+  });
+
+  it('says once why an item can not be read', () => {
+    const items = new Items().put('c', configuration(1));
+    items.put('x', { kind: 'unused', fault: 'no address' });
+    expect(items.build().faults).to.deep.equal(['x: no address']);
+    expect(items.build().faults).to.deep.equal([]);
+  });
+
+  it('leaves out endpoints of services that the configuration does not have, and those removed', () => {
+    const items = new Items().put('c', configuration(1));
+    items.put('e', endpoint('e1')).put('f', endpoint('f1', 'other'));
+    expect(items.build().snapshot?.resources.size).to.equal(3);
+    expect(items.remove('e').build().snapshot?.endpointsByService.get('echo')).to.have.length(0);
+  });
+});
--- /dev/null
+++ b/test/store/store-replica.test.ts
@@ -0,0 +1,101 @@
+/** The replica of a store: order, repetition, gaps, removals. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import type { StoreChange } from '../../src/store/key-value-store.js';
+import { StoreReplica } from '../../src/store/store-replica.js';
+
+const SEED = 20_261_202;
+
+function written(key: string, revision: number, value = `${key}@${revision}`): StoreChange {
+  return { key, revision, value };
+}
+
+function removed(key: string, revision: number): StoreChange {
+  return { key, revision, value: undefined };
+}
+
+function valuesOf(replica: StoreReplica): Record<string, string | undefined> {
+  return Object.fromEntries([...replica.items()].map(({ key, value }) => [key, value]));
+}
+
+describe('replica of a store', () => {
+  it('never goes back to an older revision of an item', () => {
+    const replica = new StoreReplica();
+    replica.takeChanges([written('a', 7)], 7);
+    expect(replica.takeChanges([written('a', 5)], 6)).to.equal(false);
+    expect(valuesOf(replica)).to.deep.equal({ a: 'a@7' });
+    expect(replica.revision).to.equal(7);
+  });
+
+  it('keeps a removal against an older write that comes later', () => {
+    const replica = new StoreReplica();
+    replica.takeChanges([removed('a', 9)], 9);
+    replica.takeChanges([written('a', 8)], 9);
+    expect(valuesOf(replica)).to.deep.equal({});
+  });
+
+  it('removes what a list does not hold, unless it was written after the list began', () => {
+    const replica = new StoreReplica();
+    replica.takeChanges([written('old', 3), written('new', 12)], 12);
+    replica.takeList([written('kept', 4)], 10);
+    expect(valuesOf(replica)).to.deep.equal({ new: 'new@12', kept: 'kept@4' });
+  });
+
+  it('does not take a delta that leaves a gap', () => {
+    const replica = new StoreReplica();
+    replica.takeChanges([written('a', 2)], 2);
+    const delta = { sinceRevision: 5, revision: 9, changes: [written('a', 9)] };
+    expect(replica.takeDelta(delta)).to.equal(false);
+    expect(replica.revision).to.equal(2);
+  });
+
+  it('gives the whole state to a replica that may have missed forgotten removals', () => {
+    const replica = new StoreReplica();
+    const revisions = Array.from({ length: 2_100 }, (_, index) => index + 1);
+    replica.takeChanges(
+      revisions.map((revision) => removed(`r${revision}`, revision)),
+      2_100,
+    );
+    expect(replica.deltaSince(1)).to.deep.include({ sinceRevision: 0, revision: 2_100 });
+    expect(replica.deltaSince(2_090).sinceRevision).to.equal(2_090);
+  });
+
+  it('converges with its peers whatever they were told, in whatever order', () => {
+    const change = fc.record({
+      key: fc.constantFrom('a', 'b', 'c'),
+      isRemoved: fc.boolean(),
+    });
+    const property = fc.property(
+      fc.array(change, { minLength: 1, maxLength: 30 }),
+      fc.array(fc.tuple(fc.nat(2), fc.nat(2)), { maxLength: 40 }),
+      fc.array(fc.nat(2), { minLength: 30, maxLength: 30 }),
+      (raw, exchanges, receivers) => {
+        const replicas = [new StoreReplica(), new StoreReplica(), new StoreReplica()];
+        const changes = raw.map(({ key, isRemoved }, index) =>
+          isRemoved ? removed(key, index + 1) : written(key, index + 1),
+        );
+        const told = [0, 0, 0];
+        receivers.slice(0, changes.length).forEach((receiver, index) => {
+          const since = told[receiver] ?? 0;
+          replicas[receiver]?.takeChanges(changes.slice(since, index + 1), index + 1);
+          told[receiver] = index + 1;
+        });
+        for (const [from, to] of exchanges) {
+          exchange(replicas[from], replicas[to]);
+        }
+        for (const to of [0, 1, 2, 0, 1, 2]) {
+          replicas.forEach((from) => exchange(from, replicas[to]));
+        }
+        const [first, ...others] = replicas.map(valuesOf);
+        others.forEach((other) => expect(other).to.deep.equal(first));
+      },
+    );
+    fc.assert(property, { seed: SEED, numRuns: 500 });
+  });
+});
+
+function exchange(from: StoreReplica | undefined, to: StoreReplica | undefined): void {
+  if (from !== undefined && to !== undefined && from !== to) {
+    to.takeDelta(from.deltaSince(to.revision));
+  }
+}
--- /dev/null
+++ b/test/store/store-watch.test.ts
@@ -0,0 +1,76 @@
+/** What a node asks of the store next: pages, watches, lost history, failures. */
+import { expect } from 'chai';
+import type { StoreChange } from '../../src/store/key-value-store.js';
+import { StoreWatch, type StoreAnswer, type StoreCall } from '../../src/store/store-watch.js';
+
+const ITEM: StoreChange = { key: 'a', revision: 4, value: '1' };
+const UNAVAILABLE: StoreAnswer = { outcome: 'unavailable', reason: 'status 503' };
+
+function page(revision: number, key: string, hasMore = false): StoreAnswer {
+  return { outcome: 'page', items: [{ key, revision, value: key }], hasMore, revision };
+}
+
+function changes(revision: number, items: readonly StoreChange[]): StoreAnswer {
+  return { outcome: 'changes', changes: items, revision };
+}
+
+function listed(revision = 10): StoreWatch {
+  const watch = new StoreWatch(() => 0.5);
+  watch.take(page(revision, 'a'));
+  return watch;
+}
+
+describe('list and watch of a store', () => {
+  it('begins with a list', () => {
+    const first: StoreCall = { type: 'list', afterKey: undefined, delayMs: 0 };
+    expect(new StoreWatch(() => 0.5).start()).to.deep.equal(first);
+  });
+
+  it('goes on after the last key, and watches from the first page on', () => {
+    const watch = new StoreWatch(() => 0.5);
+    const { call, learning } = watch.take(page(10, 'a', true));
+    expect(call).to.deep.equal({ type: 'list', afterKey: 'a', delayMs: 0 });
+    expect(learning).to.equal(undefined);
+    const last = watch.take(page(12, 'b'));
+    expect(last.call).to.deep.equal({ type: 'watch', afterRevision: 10, delayMs: 0 });
+    expect(last.learning).to.deep.include({ type: 'list', revision: 10 });
+  });
+
+  it('watches on from what it was told, after a pause in which changes gather', () => {
+    const { call, learning } = listed().take(changes(11, [ITEM]));
+    expect(call).to.deep.include({ type: 'watch', afterRevision: 11 });
+    expect(call.delayMs).to.be.greaterThan(0);
+    expect(learning).to.deep.include({ type: 'changes', revision: 11 });
+  });
+
+  it('watches at once again when nothing changed, and never from an older revision', () => {
+    const { call } = listed(10).take(changes(8, []));
+    expect(call).to.deep.equal({ type: 'watch', afterRevision: 10, delayMs: 0 });
+  });
+
+  it('lists again when the history is lost', () => {
+    const { call } = listed().take({ outcome: 'history-lost' });
+    expect(call).to.deep.equal({ type: 'list', afterKey: undefined, delayMs: 0 });
+  });
+
+  it('begins a list anew when one of its pages fails', () => {
+    const watch = new StoreWatch(() => 0.5);
+    watch.take(page(10, 'a', true));
+    const { call } = watch.take(UNAVAILABLE);
+    expect(call).to.deep.include({ type: 'list', afterKey: undefined });
+    const { learning } = watch.take(page(20, 'b'));
+    expect(learning).to.deep.include({ revision: 20 });
+    expect(learning).to.have.property('items').with.length(1);
+  });
+
+  it('backs off while the store fails, within a bound, and is connected again with an answer', () => {
+    const watch = listed();
+    const delays = Array.from({ length: 8 }, () => watch.take(UNAVAILABLE).call.delayMs);
+    expect(delays[0]).to.be.within(50, 100);
+    expect(delays[1]).to.be.greaterThan(delays[0] ?? 0);
+    expect(Math.max(...delays)).to.be.at.most(800);
+    expect(watch.isConnected).to.equal(false);
+    watch.take(changes(11, []));
+    expect(watch.isConnected).to.equal(true);
+  });
+});
