Let the shorter target latency go first among equal priorities; late work only where a target is set

The test 'holds the slot of a request that the endpoint may still run' failed in two full runs and passed alone: the late pass also began where a route has no target, when the random pause before a retry ended before the deadline. Change: ranks within a priority by target latency; no late pass without a target.

--- a/src/proxy/relay-work.ts
+++ b/src/proxy/relay-work.ts
@@ -26,7 +26,7 @@
   const targetAtMs = timeOf(target, nowMs);
   const startByMs = timeOf(startBy, nowMs);
   return {
-    priority: /^[0-9]{1,9}$/.test(priority) ? Number(priority) : 0,
+    priority: /^[0-9]{1,12}$/.test(priority) ? Number(priority) : 0,
     workClass: workClass.join(SEPARATOR).slice(0, MAX_CLASS_LENGTH),
     ...(targetAtMs !== undefined && { targetAtMs }),
     ...(startByMs !== undefined && { startByMs }),
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -29,8 +29,10 @@
 
 /** When to come back after no endpoint had room, in milliseconds. */
 const NO_ENDPOINT_RETRY_MS = 200;
+/** Ranks between two priorities: among equals, what has the shorter target latency goes first. */
+const RANKS_PER_PRIORITY = 1_000_000;
 /** Added to the rank of a request that will be answered late, so that it goes after all others. */
-const LATE_RANK_OFFSET = 1_000;
+const LATE_RANK_OFFSET = 1_000_000_000;
 /** Part of the target latency that such a request waits for a slot at most. */
 const LATE_START_SHARE = 0.2;
 /** Ends the class of work that is answered late; measured apart, since it waits longer. */
@@ -221,7 +223,8 @@
   private chooseEndpoint(): Endpoint | undefined {
     const { services, snapshot, match } = this.context;
     const endpoint = services.chooseEndpoint(snapshot, match, this.tried, this.workClass);
-    if (endpoint !== undefined || this.isLate) {
+    const hasTarget = match.route.spec.targetLatencyMs !== undefined;
+    if (endpoint !== undefined || this.isLate || !hasTarget) {
       return endpoint;
     }
     this.isLate = true;
@@ -257,13 +260,14 @@
     if (targetLatencyMs === undefined) {
       return { priority, workClass };
     }
+    const rank = priority * RANKS_PER_PRIORITY + Math.round(targetLatencyMs);
     return this.isLate
       ? {
-          priority: priority + LATE_RANK_OFFSET,
+          priority: rank + LATE_RANK_OFFSET,
           workClass,
           startByMs: this.startedAtMs + targetLatencyMs * LATE_START_SHARE,
         }
-      : { priority, workClass, targetAtMs: this.startedAtMs + targetLatencyMs };
+      : { priority: rank, workClass, targetAtMs: this.startedAtMs + targetLatencyMs };
   }
 
   private takeAnswer(attempt: number, answer: Answer): void {
