--- a/src/cli/help.ts
+++ b/src/cli/help.ts
@@ -11,6 +11,7 @@
     $ ferryspool watch KIND [--from CURSOR]     print changes until interrupted
     $ ferryspool apply FILE                     write resources
     $ ferryspool delete KIND NAME               delete a resource
+    $ ferryspool explain REQUEST-ID [FILE...]   what logs say of a request; reads standard input
 
   KIND is services, routes, endpoints or secrets. Values of secrets are never shown.
 
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -4,6 +4,7 @@
 import { parseArguments } from './arguments.js';
 import { applyCommand } from './commands/apply.js';
 import { checkCommand } from './commands/check.js';
+import { explainCommand } from './commands/explain.js';
 import { deleteCommand } from './commands/delete.js';
 import { getCommand } from './commands/get.js';
 import { statusCommand } from './commands/status.js';
@@ -18,6 +19,7 @@
   ['status', statusCommand],
   ['apply', applyCommand],
   ['delete', deleteCommand],
+  ['explain', explainCommand],
   ['node', createNodeCommand(runNode, process)],
 ]);
 
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -1,5 +1,5 @@
 /** Client of endpoints, in the words of an {@link EndpointProtocol}. */
-import type { IncomingMessage } from 'node:http';
+import http, { type IncomingMessage } from 'node:http';
 import type { Endpoint } from '../model/resource.js';
 import type { Answer, Call, LoadReport } from './call.js';
 import type { EndpointProtocol } from './endpoint-protocol.js';
@@ -12,6 +12,8 @@
 } from './http-exchange.js';
 import { EMPTY_BODY } from './request-body.js';
 
+/** How long an endpoint is distrusted after an answer that was not its request's, in milliseconds. */
+const DISTRUST_MS = 3_000;
 /** Connections to one endpoint for cancellations and health, besides those for requests. */
 const MAX_CONTROL_CONNECTIONS = 4;
 const MAX_CANCEL_ANSWER_BYTES = 1_024;
@@ -61,6 +63,9 @@
 
 /** Connections to the endpoints that a node reaches itself. */
 export class EndpointClient implements EndpointPort {
+  /** Until when each endpoint gets a new connection for each request, on the monotonic clock. */
+  private readonly distrustedUntilMs = new Map<string, number>();
+  private readonly unsharedAgent = new http.Agent({ keepAlive: false });
   private readonly agent = new ExchangeAgent();
   /** Cancellations must not wait behind the requests that they cancel. */
   private readonly controlAgent = new ExchangeAgent(MAX_CONTROL_CONNECTIONS);
@@ -82,8 +87,8 @@
       limits: this.limits,
       allowsUnframedAnswer: this.protocol.allowsUnframedAnswers,
     };
-    return startExchange(this.agent, request, {
-      answered: (message, isWhole) => this.takeAnswer(message, isWhole, call, observer),
+    return startExchange(this.agentFor(endpoint), request, {
+      answered: (message, isWhole) => this.takeAnswer(message, isWhole, endpoint, call, observer),
       failed: (failure) => observer.failed(failure),
     });
   }
@@ -156,8 +161,25 @@
     }, this.limits.connectTimeoutMs);
   }
 
+  /**
+   * An endpoint that gave an answer to another request may have more of them on the way: for a while,
+   * each of its requests gets a connection of its own.
+   */
+  private agentFor(endpoint: Endpoint): http.Agent {
+    const untilMs = this.distrustedUntilMs.get(endpoint.name);
+    if (untilMs === undefined) {
+      return this.agent;
+    }
+    if (performance.now() < untilMs) {
+      return this.unsharedAgent;
+    }
+    this.distrustedUntilMs.delete(endpoint.name);
+    return this.agent;
+  }
+
   /** Closes all connections. */
   close(): void {
+    this.unsharedAgent.destroy();
     this.agent.destroy();
     this.controlAgent.destroy();
   }
@@ -165,12 +187,14 @@
   private takeAnswer(
     message: IncomingMessage,
     isWhole: () => boolean,
+    endpoint: Endpoint,
     call: Call,
     observer: EndpointObserver,
   ): void {
     const reading = this.protocol.readAnswer(message, call);
     switch (reading.kind) {
       case 'malformed':
+        this.distrustedUntilMs.set(endpoint.name, performance.now() + DISTRUST_MS);
         message.destroy();
         observer.failed('malformed');
         return;
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -20,7 +20,7 @@
 /** How long an endpoint that said that it is draining gets nothing, in milliseconds. */
 const DRAINING_HOLD_MS = 30_000;
 /** How long an endpoint whose node is about to stop gets nothing, in milliseconds. */
-const NODE_STOPPING_HOLD_MS = 2_000;
+const NODE_STOPPING_HOLD_MS = 3_000;
 /** Added to the load of an endpoint that has refused, while it asked to be left alone. */
 const REFUSAL_PENALTY = 1;
 
--- a/src/routing/least-latency-strategy.ts
+++ b/src/routing/least-latency-strategy.ts
@@ -1,7 +1,7 @@
 /**
- * The candidate from which an answer is expected first, by what this node has measured of it for the
- * same class of work, the requests that are there, and the distance. Another zone has to be faster by
- * a part of the target latency, since its bytes cost more.
+ * The candidate that costs least, as a share of what an answer in time is worth: how likely its answer
+ * is late, by what this node has measured of it for the same class of work and the requests that are
+ * there, and its distance, since bytes between zones have a price.
  */
 import type { RandomSource } from '../control/control-event.js';
 import type {
@@ -11,10 +11,16 @@
   WorkProfile,
 } from './endpoint-strategy.js';
 
-/** Part of the target latency by which another zone has to be faster. */
-const ZONE_MARGIN = 0.25;
-/** The same for another region. */
-const REGION_MARGIN = 0.4;
+/** Cost of an answer that is late. */
+const LATE_COST = 0.7;
+/** How sharply the chance of a late answer rises where the expected latency nears the target. */
+const LATE_STEEPNESS = 6;
+/** Cost of an expected latency as long as the target, besides the chance of being late. */
+const LATENCY_COST = 0.08;
+/** Cost of the bytes to another zone. */
+const ZONE_COST = 0.11;
+/** Cost of the bytes to another region. */
+const REGION_COST = 0.4;
 /** Load, as a share of the slots, from which a request is expected to wait. */
 const WAITING_LOAD = 0.85;
 /** Costs differ by this share at random, so that nodes that know the same choose differently. */
@@ -41,7 +47,8 @@
     let bestCost = Infinity;
     for (const candidate of compared) {
       const expectedMs = this.expectedMs(candidate, work, fallbackMs, nowMs);
-      const cost = expectedMs + distanceCost(candidate, context, work);
+      const cost =
+        latencyCost(expectedMs / work.targetLatencyMs) + distanceCost(candidate, context);
       if (cost < bestCost) {
         bestCost = cost;
         best = candidate;
@@ -92,13 +99,15 @@
   return Number.isFinite(fastestMs) ? fastestMs : 0;
 }
 
-function distanceCost(
-  { endpoint }: Candidate,
-  { zone, region }: ChoiceContext,
-  { targetLatencyMs }: WorkProfile,
-): number {
+/** `ratio` is the expected latency as a share of the target. */
+function latencyCost(ratio: number): number {
+  const lateChance = 1 / (1 + Math.exp(LATE_STEEPNESS * (1 - ratio)));
+  return LATE_COST * lateChance + LATENCY_COST * ratio;
+}
+
+function distanceCost({ endpoint }: Candidate, { zone, region }: ChoiceContext): number {
   if (endpoint.spec.zone === zone) {
     return 0;
   }
-  return targetLatencyMs * (endpoint.spec.region === region ? ZONE_MARGIN : REGION_MARGIN);
+  return endpoint.spec.region === region ? ZONE_COST : REGION_COST;
 }
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -26,10 +26,21 @@
 /** Longest time that a watch of the store waits, in milliseconds: it bounds how late a lost one shows. */
 const WATCH_WAIT_MS = 2_500;
 /** Time of a planned stop that is kept for its last steps, in milliseconds. */
-const STOP_RESERVE_MS = 400;
+const STOP_RESERVE_MS = 700;
 /** Peers and monitoring read on this port after the first internal one, which takes datagrams. */
 const INTERNAL_SERVER_PORT_OFFSET = 1;
 
+/**
+ * Part of the fleet's bound on repeats that a node's own retries may use. The rest is left for the
+ * calls that repeated work makes, which count as repeats at the services that they go to.
+ */
+const OWN_RETRY_SHARE = 0.45;
+
+/** The share of a service's requests that a node may send again, in percent. */
+export function ownRetryPercent({ retry }: StoreNodeSettings): number {
+  return retry.percent * OWN_RETRY_SHARE;
+}
+
 const STORE_NODE_LIMITS: Partial<ProxyLimits> = {
   maxHeaderBytes: 64 * 1024,
   maxRetries: 3,
--- /dev/null
+++ b/test/routing/least-latency-strategy.test.ts
@@ -0,0 +1,111 @@
+/** Choice by expected latency, load, distance and refusals. */
+import { expect } from 'chai';
+import type { Endpoint } from '../../src/model/resource.js';
+import { resourceSchema } from '../../src/model/resource.js';
+import { EndpointSelector } from '../../src/routing/endpoint-selector.js';
+import { seededRandom } from '../../tools/emulator/seeded-random.js';
+import { echoEndpoint } from '../proxy/rig.js';
+
+const WORK = { workClass: 'r', targetLatencyMs: 500 };
+const CONTEXT = {
+  zone: 'z1',
+  region: 'r1',
+  tried: new Set<string>(),
+  repeatable: false,
+  mayReceive: () => true,
+  work: WORK,
+};
+
+function endpoint(name: string, zone = 'z1'): Endpoint {
+  return resourceSchema.parse(echoEndpoint(name, 1, { slots: 10, zone })) as Endpoint;
+}
+
+const near = endpoint('near');
+const other = endpoint('other');
+const far = endpoint('far', 'z2');
+
+/** Choices among `endpoints` with the latencies given, none left in flight. */
+function choices(latencies: ReadonlyMap<Endpoint, number>, nowMs = 0): Set<string | undefined> {
+  const selector = new EndpointSelector(seededRandom(1));
+  const endpoints = [...latencies.keys()];
+  selector.choose(endpoints, CONTEXT, 0);
+  for (const [target, latencyMs] of latencies) {
+    selector.measured(target, WORK.workClass, latencyMs, 0);
+  }
+  const chosen = new Set<string | undefined>();
+  for (let round = 0; round < 50; round += 1) {
+    chosen.add(selector.choose(endpoints, CONTEXT, nowMs)?.name);
+  }
+  return chosen;
+}
+
+describe('choice by expected latency', () => {
+  it('takes the faster of two in the zone', () => {
+    expect([
+      ...choices(
+        new Map([
+          [near, 300],
+          [other, 100],
+        ]),
+      ),
+    ]).to.deep.equal(['other']);
+  });
+
+  it('stays in the zone while its answers are well within the target', () => {
+    expect([
+      ...choices(
+        new Map([
+          [near, 200],
+          [far, 50],
+        ]),
+      ),
+    ]).to.deep.equal(['near']);
+  });
+
+  it('leaves the zone when its answers would be late', () => {
+    expect([
+      ...choices(
+        new Map([
+          [near, 600],
+          [far, 100],
+        ]),
+      ),
+    ]).to.deep.equal(['far']);
+  });
+
+  it('tries an endpoint that was slow again after a while', () => {
+    const latencies = new Map([
+      [near, 400],
+      [other, 100],
+    ]);
+    expect(choices(latencies, 60_000)).to.include('near');
+  });
+
+  it('spreads requests by their load', () => {
+    const selector = new EndpointSelector(seededRandom(1));
+    const counts = new Map<string, number>();
+    for (let request = 0; request < 24; request += 1) {
+      const chosen = selector.choose([near, other], CONTEXT, 0) ?? near;
+      selector.began(chosen, 0);
+      selector.measured(chosen, WORK.workClass, 200, 0);
+      counts.set(chosen.name, (counts.get(chosen.name) ?? 0) + 1);
+    }
+    [...counts.values()].forEach((count) => expect(count).to.be.within(9, 15));
+  });
+
+  it('holds back a class of work that was refused, and no other', () => {
+    const selector = new EndpointSelector(seededRandom(1));
+    selector.refusedWork(near, WORK.workClass, 100, 0);
+    expect(selector.choose([near], CONTEXT, 50)).to.equal(undefined);
+    const otherWork = { ...CONTEXT, work: { ...WORK, workClass: 'other' } };
+    expect(selector.choose([near], otherWork, 50)?.name).to.equal('near');
+    expect(selector.choose([near], CONTEXT, 101)?.name).to.equal('near');
+  });
+
+  it('sends nothing where another process answers, at once', () => {
+    const selector = new EndpointSelector(seededRandom(1));
+    selector.began(near, 0);
+    selector.ended(near, 'gone', [near, other], 0);
+    expect(selector.isEjected(near)).to.equal(true);
+  });
+});
