--- /dev/null
+++ b/test/platform/program.test.ts
@@ -0,0 +1,150 @@
+/** The platform's program as real processes: start, service, metrics, signals, refused settings. */
+import { spawn, type ChildProcess } from 'node:child_process';
+import { once } from 'node:events';
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import http from 'node:http';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { expect } from 'chai';
+import { BackendStandIn } from './backend-stand-in.js';
+import { platformConfiguration } from './fixtures.js';
+import { pause } from './platform-fleet.js';
+import { StoreStandIn } from './store-stand-in.js';
+
+const MAIN = new URL('../../platform/main.js', import.meta.url).pathname;
+const CALLER_PORT = 21_404;
+const RELAY_PORT = 21_400;
+const READY_PORT = 21_402;
+const BACKEND_PORT = 21_401;
+const FIRST_INTERNAL_PORT = 21_420;
+
+interface Program {
+  readonly address: string;
+  readonly process: ChildProcess;
+  /** What it wrote to standard output and standard error. */
+  readonly text: () => string;
+}
+
+function settingsText(address: string, storePort: number): string {
+  return [
+    `self.nodeName=${address}`,
+    `self.ip=${address}`,
+    'self.zone=z1',
+    'self.region=r1',
+    'self.service=b',
+    `network.listenAddrs.inbound=${address}:${RELAY_PORT}`,
+    `network.listenAddrs.outbound=${address}:${CALLER_PORT}`,
+    `network.listenAddrs.ready=${address}:${READY_PORT}`,
+    `network.internalPortRange=${FIRST_INTERNAL_PORT},${FIRST_INTERNAL_PORT + 9}`,
+    'network.zones.z1=r1',
+    `platform.platform.address=127.0.0.1:${storePort}`,
+    'terms.bounds.graceS=6',
+    'terms.bounds.retryBudgetRatio=0.2',
+    'terms.bounds.budgetMinRetries=60',
+  ].join('\n');
+}
+
+interface Answered {
+  readonly status: number;
+  readonly body: string;
+}
+
+function get(host: string, port: number, path: string, headers = {}): Promise<Answered> {
+  return new Promise((resolve) => {
+    const request = http.get({ host, port, path, headers, agent: false });
+    request.on('error', () => resolve({ status: 0, body: '' }));
+    request.on('response', (message) => {
+      let body = '';
+      message.on('data', (chunk: Buffer) => {
+        body += chunk.toString();
+      });
+      message.on('end', () => resolve({ status: message.statusCode ?? 0, body }));
+    });
+  });
+}
+
+describe('the platform program', () => {
+  let folder: string;
+  let store: StoreStandIn;
+  const programs: Program[] = [];
+  const backends: BackendStandIn[] = [];
+
+  beforeEach(async () => {
+    folder = mkdtempSync(join(tmpdir(), 'ferryspool-platform-'));
+    store = await StoreStandIn.start();
+    store.put('op/config', platformConfiguration('00000002'));
+  });
+
+  afterEach(() => {
+    programs.splice(0).forEach(({ process }) => process.kill('SIGKILL'));
+    backends.splice(0).forEach((backend) => backend.close());
+    store.close();
+    rmSync(folder, { recursive: true });
+  });
+
+  function start(address: string, text = settingsText(address, store.port)): Program {
+    const file = join(folder, `${address}.conf`);
+    writeFileSync(file, text);
+    const child = spawn(process.execPath, [MAIN], {
+      env: { ...process.env, FERRYSPOOL_CONFIG: file },
+      stdio: ['ignore', 'pipe', 'pipe'],
+    });
+    let output = '';
+    child.stdout.on('data', (chunk: Buffer) => {
+      output += chunk.toString();
+    });
+    child.stderr.on('data', (chunk: Buffer) => {
+      output += chunk.toString();
+    });
+    const program = { address, process: child, text: () => output };
+    programs.push(program);
+    return program;
+  }
+
+  async function startReady(address: string): Promise<Program> {
+    const program = start(address);
+    while ((await get(address, READY_PORT, '/')).status !== 200) {
+      await pause(20);
+    }
+    return program;
+  }
+
+  async function addBackend(address: string): Promise<void> {
+    const backend = await BackendStandIn.start(`i-${address}`, address, BACKEND_PORT);
+    backends.push(backend);
+    store.put(`servers/${backend.id}`, {
+      address: `${address}:${BACKEND_PORT}`,
+      info: { service: 'b', version: 'v1', zone: 'z1', slots: 4 },
+      status: { state: 'ready', sequence: 1, coldRemainingS: 0 },
+    });
+  }
+
+  it('serves over two processes, tells its metrics, reads its settings again, and stops as planned', async () => {
+    const [first, second] = [await startReady('127.0.8.1'), await startReady('127.0.8.2')];
+    await addBackend(second.address);
+    const headers = { Host: 'h2.example', 'Request-Id': 'q', 'Deadline-Ms': '1000' };
+    let answered = await get(first.address, CALLER_PORT, '/q/1', headers);
+    while (answered.status !== 200) {
+      await pause(20);
+      answered = await get(first.address, CALLER_PORT, '/q/1', headers);
+    }
+    expect(answered.body).to.equal('body q');
+    const metrics = await get(first.address, FIRST_INTERNAL_PORT + 1, '/metrics');
+    expect(metrics.body).to.include('ferryspool_requests_total');
+    first.process.kill('SIGHUP');
+    while (!first.text().includes('settings-read-again')) {
+      await pause(10);
+    }
+    first.process.kill('SIGTERM');
+    const [code] = (await once(first.process, 'exit')) as [number];
+    expect(code).to.equal(0);
+    expect(first.text()).to.include('node-stopping').and.include('node-stopped');
+  });
+
+  it('says what is wrong with its settings, and ends', async () => {
+    const program = start('127.0.8.3', 'self.ip=127.0.8.3');
+    const [code] = (await once(program.process, 'exit')) as [number];
+    expect(code).to.equal(1);
+    expect(program.text()).to.include('self.zone: expected a value');
+  });
+});
