--- a/tools/scale/capacity-page.ts
+++ b/tools/scale/capacity-page.ts
@@ -9,6 +9,7 @@
 import type { ScaleReport } from './scale-report.js';
 
 const DISTRIBUTION_SECTION = 'distribution-compared';
+const PLATFORM_SECTION = 'on-the-platform';
 const REQUEST_SECTION = 'request-path';
 
 /** The page; `previous` is what it was before, whose kept sections stay. */
@@ -49,6 +50,8 @@
       DISTRIBUTION_SECTION,
       'Not compared on this page yet: `npm run compare`.',
     ),
+    "## On the users' platform",
+    keptSection(previous, PLATFORM_SECTION, 'Not measured yet.'),
   ];
   return `${sections.join('\n\n')}\n`;
 }
