--- a/test/store/snapshot-builder.test.ts
+++ b/test/store/snapshot-builder.test.ts
@@ -99,6 +99,13 @@
     expect(items.build().faults).to.deep.equal([]);
   });
 
+  it('keeps only the endpoint written last of those that name one address', () => {
+    const items = new Items().put('c', configuration(1));
+    items.put('e', endpoint('before')).put('f', endpoint('now'));
+    const endpoints = items.build().snapshot?.endpointsByService.get('echo') ?? [];
+    expect(endpoints.map(({ name }) => name)).to.deep.equal(['now']);
+  });
+
   it('leaves out endpoints of services that the configuration does not have, and those removed', () => {
     const items = new Items().put('c', configuration(1));
     items.put('e', endpoint('e1')).put('f', endpoint('f1', 'other'));
