--- a/test/platform/backend-stand-in.ts
+++ b/test/platform/backend-stand-in.ts
@@ -83,3 +83,12 @@
   response.writeHead(status, { 'Request-Id': requestId, 'Not-Executed': '1', 'Content-Length': 0 });
   response.end();
 }
+
+/** The bytes of a whole, signed answer. */
+export function rawAnswer(requestId: string): string {
+  const body = `body ${requestId}`;
+  return (
+    `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nServer-Signature: s\r\n` +
+    `Content-Length: ${body.length}\r\n\r\n${body}`
+  );
+}
--- a/test/platform/mesh.test.ts
+++ b/test/platform/mesh.test.ts
@@ -3,7 +3,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import { expect } from 'chai';
-import { answer, refuse } from './backend-stand-in.js';
+import { answer, rawAnswer, refuse } from './backend-stand-in.js';
 import { pause, PlatformFleet, type FleetMachine } from './platform-fleet.js';
 
 describe('a mesh on the platform', () => {
@@ -169,6 +169,51 @@
     expect((await fleet.call(first)).status).to.equal(502);
   });
 
+  for (const delayMs of [0, 30]) {
+    it(`gives each caller its own answer when a back end answers twice, ${delayMs} ms apart`, async () => {
+      const [first, { backend }] = await twoMachines();
+      backend.behaviour = (_request, response, { requestId }) => {
+        const { socket } = response;
+        const text = rawAnswer(requestId);
+        socket?.write(delayMs === 0 ? `${text}${text}` : text);
+        if (delayMs > 0) {
+          setTimeout(() => socket?.write(text), delayMs);
+        }
+      };
+      for (let request = 0; request < 12; request += 1) {
+        const { status, body } = await fleet.call(first, {
+          headers: { 'Request-Id': `own${request}` },
+        });
+        expect(status === 200 ? body : 'none').to.be.oneOf([`body own${request}`, 'none']);
+        await pause(delayMs / 3);
+      }
+      expect(backend.arrivals.length).to.be.at.least(12);
+    });
+  }
+
+  it('leaves an address at once where another back end answers', async () => {
+    const [first, second] = await twoMachines();
+    const third = await fleet.addMachine('a');
+    await pause(300);
+    second.backend.behaviour = (_request, response, { requestId }) =>
+      refuse(response, requestId, 421);
+    second.backend.arrivals.length = 0;
+    for (let request = 0; request < 20; request += 1) {
+      expect((await fleet.call(first)).status).to.equal(200);
+    }
+    expect(second.backend.arrivals.length).to.be.at.most(1);
+    expect(third.backend.arrivals.length).to.be.at.least(19);
+  });
+
+  it('puts a configuration in force as soon as a store that lags tells it', async () => {
+    const [first] = await twoMachines();
+    fleet.store.watchLagMs = 300;
+    fleet.configure([{}, {}], 9);
+    await pause(100);
+    expect((await fleet.call(first, { path: '/p1/x' })).status).to.equal(404);
+    await fleet.untilStatus(first, 200, '/p1/x');
+  });
+
   it('finishes what is in flight in a planned stop, and refuses what comes too late for it', async () => {
     const [first, { backend }] = await twoMachines({ timeoutS: 5 });
     const agent = new http.Agent({ keepAlive: true });
--- a/test/platform/store-stand-in.ts
+++ b/test/platform/store-stand-in.ts
@@ -30,6 +30,8 @@
   fault: StoreFault | undefined;
   /** Items on one page of a list. */
   pageSize = 500;
+  /** Time by which watches are behind, in milliseconds. */
+  watchLagMs = 0;
   private readonly items = new Map<string, StoredItem>();
   private readonly watches = new Set<WaitingWatch>();
   private revision = 0;
@@ -85,7 +87,15 @@
     this.revision += 1;
     this.items.set(key, { key, value, revision: this.revision });
     for (const watch of [...this.watches]) {
+      this.answerLate(watch);
+    }
+  }
+
+  private answerLate(watch: WaitingWatch): void {
+    if (this.watchLagMs === 0) {
       this.answerWatch(watch);
+    } else {
+      setTimeout(() => this.watches.has(watch) && this.answerWatch(watch), this.watchLagMs);
     }
   }
 
@@ -126,7 +136,7 @@
     const watch: WaitingWatch = { after, response, timer };
     this.watches.add(watch);
     if (this.revision > after) {
-      this.answerWatch(watch);
+      this.answerLate(watch);
     }
   }
 
