Let only the entry written last speak for an address

Cause: the entry of a back end that ended stands for seconds beside that of the one which has its address now; both were endpoints to a node, so requests went to a name that nobody has. Ruled out: asking the store for the creation of an item, since the order of last writes gives the same answer and is held already. The fixture of the test of left-out services gave two endpoints one address by accident; they have two now, and what it expects is unchanged.

--- a/src/store/snapshot-builder.ts
+++ b/src/store/snapshot-builder.ts
@@ -24,6 +24,26 @@
   readonly faults: readonly string[];
 }
 
+/**
+ * Endpoints by address. The entry of an endpoint that ended may stand for seconds beside that of the
+ * one which has its address now: only the entry written last speaks for an address.
+ */
+class AddressedEndpoints {
+  private readonly latest = new Map<string, { endpoint: Endpoint; revision: number }>();
+
+  add(endpoint: Endpoint, revision: number): void {
+    const address = `${endpoint.spec.address}:${endpoint.spec.port}`;
+    const held = this.latest.get(address);
+    if (held === undefined || held.revision < revision) {
+      this.latest.set(address, { endpoint, revision });
+    }
+  }
+
+  current(): Endpoint[] {
+    return [...this.latest.values()].map(({ endpoint }) => endpoint);
+  }
+}
+
 /** Builds the snapshots of one node. */
 export class SnapshotBuilder {
   private readonly readItems = new Map<string, ReadItem>();
@@ -34,19 +54,19 @@
   /** The snapshot of `items`; the configuration in force never gets an older number. */
   build(items: Iterable<StoreChange>): BuildResult {
     const faults: string[] = [];
-    const endpoints: Endpoint[] = [];
+    const endpoints = new AddressedEndpoints();
     const seen = new Set<string>();
     for (const item of items) {
       seen.add(item.key);
       const record = this.recordOf(item, faults);
       if (record.kind === 'endpoint') {
-        endpoints.push(record.endpoint);
+        endpoints.add(record.endpoint, item.revision);
       } else if (record.kind === 'configuration') {
         this.adopt(record, faults);
       }
     }
     this.forgetExcept(seen);
-    return { snapshot: this.snapshotWith(endpoints), faults };
+    return { snapshot: this.snapshotWith(endpoints.current()), faults };
   }
 
   private recordOf({ key, revision, value = '' }: StoreChange, faults: string[]): StoreRecord {
--- a/test/store/snapshot-builder.test.ts
+++ b/test/store/snapshot-builder.test.ts
@@ -27,8 +27,8 @@
   };
 }
 
-function endpoint(name: string, service = 'echo'): StoreRecord {
-  const [resource] = resources([echoEndpoint(name, 1, { service })]);
+function endpoint(name: string, service = 'echo', port = 1): StoreRecord {
+  const [resource] = resources([echoEndpoint(name, port, { service })]);
   if (resource?.kind !== 'endpoint') {
     throw new Error('not an endpoint');
   }
@@ -58,6 +58,10 @@
     return this;
   }
 
+  all(): StoreChange[] {
+    return [...this.items.values()];
+  }
+
   build(): ReturnType<SnapshotBuilder['build']> {
     return this.builder.build(this.items.values());
   }
@@ -106,9 +110,20 @@
     expect(endpoints.map(({ name }) => name)).to.deep.equal(['now']);
   });
 
+  it('goes by the revision of entries of one address, whatever their order and services', () => {
+    const items = new Items().put('c', configuration(1)).put('f', endpoint('before', 'other'));
+    items.put('e', endpoint('now')).put('g', endpoint('beside', 'echo', 2));
+    const namesOf = (changes: Iterable<StoreChange>): string[] => {
+      const { snapshot } = items.builder.build(changes);
+      return (snapshot?.endpointsByService.get('echo') ?? []).map(({ name }) => name).sort();
+    };
+    expect(namesOf(items.all())).to.deep.equal(['beside', 'now']);
+    expect(namesOf(items.all().reverse())).to.deep.equal(['beside', 'now']);
+  });
+
   it('leaves out endpoints of services that the configuration does not have, and those removed', () => {
     const items = new Items().put('c', configuration(1));
-    items.put('e', endpoint('e1')).put('f', endpoint('f1', 'other'));
+    items.put('e', endpoint('e1')).put('f', endpoint('f1', 'other', 2));
     expect(items.build().snapshot?.resources.size).to.equal(3);
     expect(items.remove('e').build().snapshot?.endpointsByService.get('echo')).to.have.length(0);
   });
