--- a/test/platform/backend-stand-in.ts
+++ b/standins/store-platform/backend-stand-in.ts
@@ -8,6 +8,8 @@
   readonly headers: http.IncomingHttpHeaders;
   readonly method: string;
   readonly target: string;
+  /** As text of one byte a character. */
+  readonly body: string;
   /** Whether its connection was closed before the answer. */
   isCut: boolean;
 }
@@ -26,22 +28,12 @@
     answer(response, arrival.requestId);
   };
   private readonly server = http.createServer((request, response) => {
-    const arrival: Arrival = {
-      requestId: String(request.headers['request-id']),
-      headers: request.headers,
-      method: request.method ?? '',
-      target: request.url ?? '',
-      isCut: false,
-    };
-    response.on('close', () => {
-      arrival.isCut = !response.writableFinished;
+    let body = '';
+    request.on('data', (chunk: Buffer) => {
+      body += chunk.toString('latin1');
     });
     response.on('error', () => undefined);
-    request.resume();
-    request.once('end', () => {
-      this.arrivals.push(arrival);
-      this.behaviour(request, response, arrival);
-    });
+    request.once('end', () => this.take(request, response, body));
   });
 
   private constructor(
@@ -61,6 +53,22 @@
     this.server.close();
     this.server.closeAllConnections();
   }
+
+  private take(request: IncomingMessage, response: ServerResponse, body: string): void {
+    const arrival: Arrival = {
+      requestId: String(request.headers['request-id']),
+      headers: request.headers,
+      method: request.method ?? '',
+      target: request.url ?? '',
+      body,
+      isCut: response.destroyed,
+    };
+    response.on('close', () => {
+      arrival.isCut = !response.writableFinished;
+    });
+    this.arrivals.push(arrival);
+    this.behaviour(request, response, arrival);
+  }
 }
 
 /** A whole, signed answer. */
--- a/test/platform/mesh.test.ts
+++ b/test/platform/mesh.test.ts
@@ -3,7 +3,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import { expect } from 'chai';
-import { answer, rawAnswer, refuse } from './backend-stand-in.js';
+import { answer, rawAnswer, refuse } from '../../standins/store-platform/backend-stand-in.js';
 import { pause, PlatformFleet, type FleetMachine } from './platform-fleet.js';
 
 describe('a mesh on the platform', () => {
--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -6,8 +6,8 @@
 import { StoreClient } from '../../platform/store-client.js';
 import { createLogger } from '../../src/runtime/logger.js';
 import { StoreNode } from '../../src/runtime/store-node.js';
-import { BackendStandIn } from './backend-stand-in.js';
-import { StoreStandIn } from './store-stand-in.js';
+import { BackendStandIn } from '../../standins/store-platform/backend-stand-in.js';
+import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
 
 const CALLER_PORT = 21_304;
 const RELAY_PORT = 21_300;
--- a/test/platform/program.test.ts
+++ b/test/platform/program.test.ts
@@ -6,10 +6,10 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { expect } from 'chai';
-import { BackendStandIn } from './backend-stand-in.js';
+import { BackendStandIn } from '../../standins/store-platform/backend-stand-in.js';
 import { platformConfiguration } from './fixtures.js';
 import { pause } from './platform-fleet.js';
-import { StoreStandIn } from './store-stand-in.js';
+import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
 
 const MAIN = new URL('../../platform/main.js', import.meta.url).pathname;
 const CALLER_PORT = 21_404;
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -1,7 +1,7 @@
 /** The adapter of the platform's store against a stand-in: calls, pages, watches, faults. */
 import { expect } from 'chai';
 import { StoreClient } from '../../platform/store-client.js';
-import { StoreStandIn, type StoreFault } from './store-stand-in.js';
+import { StoreStandIn, type StoreFault } from '../../standins/store-platform/store-stand-in.js';
 
 describe('client of the platform store', () => {
   let store: StoreStandIn;
--- /dev/null
+++ b/test/soak/promises.test.ts
@@ -0,0 +1,196 @@
+/** The judge of soaks: each promise, broken once and held once. */
+import { expect } from 'chai';
+import {
+  judgeSoak,
+  type SoakArrival,
+  type SoakCall,
+  type SoakPromise,
+  type SoakRecord,
+} from '../../tools/soak/promises.js';
+
+const CALL: SoakCall = {
+  id: 'q1',
+  machine: 0,
+  life: 1,
+  isSafe: true,
+  target: '/reads/q1',
+  body: '',
+  addedBy: undefined,
+  sentAtMs: 20_000,
+  endedAtMs: 20_050,
+  deadlineMs: 1_000,
+  status: 200,
+  isWhole: true,
+  isSigned: true,
+  answer: 'body q1',
+  wasSent: true,
+  isGivenUp: false,
+};
+
+/** Calls that were served: the share of those in the calm end is judged too. */
+const OTHERS: readonly SoakCall[] = Array.from({ length: 19 }, (_, idx) => ({
+  ...CALL,
+  id: `o${idx}`,
+  answer: `body o${idx}`,
+}));
+
+const ARRIVAL: SoakArrival = {
+  id: 'q1',
+  backend: 'i-1',
+  machine: 1,
+  atMs: 20_010,
+  target: '/reads/q1',
+  method: 'GET',
+  body: '',
+  callerService: 'reads',
+  deadlineMs: 990,
+  hasRun: true,
+};
+
+const RECORD: SoakRecord = {
+  calls: [CALL],
+  arrivals: [ARRIVAL],
+  windows: [],
+  stops: [],
+  configuredAtMs: new Map([[1, 0]]),
+  drainedAtMs: new Map(),
+  serviceOfMachine: ['reads', 'orders'],
+  ownEnds: [],
+  calmFromMs: 1_000,
+  terms: {
+    contactMs: 3_000,
+    configApplyMs: 2_000,
+    rollbackSlackMs: 250,
+    drainMs: 2_000,
+    graceMs: 6_000,
+    routeTimeoutMs: 1_500,
+    recoveryMs: 5_000,
+    maxAttempts: 2,
+    routeLifeInConfigurations: 3,
+  },
+};
+
+function brokenIn(changes: Partial<SoakRecord>): SoakPromise[] {
+  return judgeSoak({ ...RECORD, ...changes }).map(({ promise }) => promise);
+}
+
+function withCall(call: Partial<SoakCall>, changes: Partial<SoakRecord> = {}): SoakPromise[] {
+  return brokenIn({
+    calls: [{ ...CALL, ...call }, ...OTHERS],
+    ...changes,
+  });
+}
+
+function withArrival(arrival: Partial<SoakArrival>): SoakPromise[] {
+  return brokenIn({ arrivals: [{ ...ARRIVAL, ...arrival }] });
+}
+
+const FROZEN = { kind: 'freeze', machines: [0], fromMs: 19_000, untilMs: 19_500 } as const;
+
+describe('the judge of soaks', () => {
+  it('finds nothing where all is well', () => {
+    expect(brokenIn({})).to.deep.equal([]);
+  });
+
+  it('finds what ran twice, unless it may', () => {
+    const arrivals = [ARRIVAL, { ...ARRIVAL, backend: 'i-2' }];
+    expect(brokenIn({ arrivals })).to.deep.equal([]);
+    const order = { isSafe: false };
+    const posted = arrivals.map((arrival) => ({ ...arrival, method: 'POST' }));
+    expect(withCall(order, { arrivals: posted })).to.deep.equal(['at-most-once']);
+    const refused = posted.map((arrival, idx) => ({ ...arrival, hasRun: idx > 0 }));
+    expect(withCall(order, { arrivals: refused })).to.deep.equal([]);
+  });
+
+  for (const status of [408, 421, 429, 503]) {
+    it(`finds a ${status} to a request that ran`, () => {
+      expect(withCall({ status })).to.deep.equal(['true-refusal']);
+      const arrivals = [{ ...ARRIVAL, hasRun: false }];
+      expect(withCall({ status }, { arrivals })).to.deep.equal([]);
+    });
+  }
+
+  it('finds a success that is unsigned, or of another request, but not one that broke off', () => {
+    expect(withCall({ isSigned: false })).to.deep.equal(['own-whole-answer']);
+    expect(withCall({ answer: 'body q7' })).to.deep.equal(['own-whole-answer']);
+    expect(withCall({ answer: 'bo', isWhole: false })).to.deep.equal([]);
+  });
+
+  it('finds what was altered on the way, and what nobody sent', () => {
+    expect(withArrival({ target: '/reads/q1?x' })).to.deep.equal(['unaltered']);
+    expect(withArrival({ method: 'POST' })).to.deep.equal(['unaltered']);
+    expect(withArrival({ body: 'x' })).to.deep.equal(['unaltered']);
+    expect(withArrival({ callerService: 'orders' })).to.deep.equal(['unaltered']);
+    expect(withArrival({ id: 'q9' })).to.deep.equal(['unaltered']);
+  });
+
+  it('finds attempts beyond the limit', () => {
+    const arrivals = ['i-1', 'i-2', 'i-3'].map((backend) => ({ ...ARRIVAL, backend }));
+    expect(brokenIn({ arrivals })).to.deep.equal(['attempt-limit']);
+  });
+
+  it('finds more time than is left, at machines in touch', () => {
+    expect(withArrival({ deadlineMs: 1_600 })).to.deep.equal(['deadline']);
+    const arrivals = [{ ...ARRIVAL, deadlineMs: 1_600 }];
+    expect(brokenIn({ arrivals, windows: [FROZEN] })).to.deep.equal([]);
+  });
+
+  it('finds a request without an answer at its time-out, at machines in touch', () => {
+    const late = { endedAtMs: 21_600, status: 0 };
+    expect(withCall(late)).to.deep.equal(['time-out']);
+    expect(withCall(late, { windows: [FROZEN] })).to.deep.equal([]);
+    expect(withCall({ ...late, isGivenUp: true })).to.deep.equal([]);
+    expect(withCall({ ...late, wasSent: false })).to.deep.equal([]);
+  });
+
+  it('finds a configuration that is not in force, by an added and by a dropped route', () => {
+    const configuredAtMs = new Map([1, 2, 3, 4].map((number) => [number, number * 4_000]));
+    const added = { addedBy: 2, status: 404, sentAtMs: 10_100, endedAtMs: 10_110 };
+    const changes = { configuredAtMs, arrivals: [] };
+    expect(withCall(added, changes)).to.deep.equal(['in-force']);
+    const soon = { ...added, sentAtMs: 9_900, endedAtMs: 9_950 };
+    expect(withCall(soon, changes)).to.deep.equal([]);
+    const dropped = { addedBy: 1, sentAtMs: 18_100, endedAtMs: 18_110 };
+    expect(withCall(dropped, changes)).to.deep.equal(['in-force']);
+  });
+
+  it('finds a node that goes back within one life', () => {
+    const configuredAtMs = new Map([1, 2].map((number) => [number, 20_000]));
+    const known = { ...CALL, addedBy: 2, sentAtMs: 20_100, endedAtMs: 20_110 };
+    const back = { ...known, id: 'q3', status: 404, sentAtMs: 20_500, endedAtMs: 20_510 };
+    const seen = { configuredAtMs, arrivals: [] };
+    const calls = [known, ...OTHERS];
+    expect(brokenIn({ ...seen, calls: [...calls, back] })).to.deep.equal(['never-back']);
+    expect(brokenIn({ ...seen, calls: [...calls, { ...back, life: 2 }] })).to.deep.equal([]);
+  });
+
+  it('finds work at a back end that has drained for too long', () => {
+    const drainedAtMs = new Map([['i-1', 17_000]]);
+    expect(brokenIn({ drainedAtMs })).to.deep.equal(['drain']);
+    expect(brokenIn({ drainedAtMs, windows: [FROZEN] })).to.deep.equal([]);
+    expect(brokenIn({ drainedAtMs: new Map([['i-1', 18_000]]) })).to.deep.equal([]);
+  });
+
+  it('finds a planned stop that fails, is slow, or cuts a request, unless a fault is near', () => {
+    const stop = { machine: 0, atMs: 20_020, tookMs: 900, code: 0 };
+    const stopWindow = { kind: 'stop', machines: [0], fromMs: 20_020, untilMs: 21_000 } as const;
+    const windows = [stopWindow];
+    expect(brokenIn({ windows, stops: [stop] })).to.deep.equal([]);
+    expect(brokenIn({ windows, stops: [{ ...stop, code: 1 }] })).to.deep.equal(['planned-stop']);
+    expect(brokenIn({ windows, stops: [{ ...stop, tookMs: 6_100 }] })).to.deep.equal([
+      'planned-stop',
+    ]);
+    const cut = { status: 0, isWhole: false };
+    expect(withCall(cut, { windows, stops: [stop] })).to.deep.equal(['planned-stop']);
+    expect(withCall(cut, { windows: [...windows, FROZEN], stops: [stop] })).to.deep.equal([]);
+  });
+
+  it('finds programs that ended by themselves', () => {
+    expect(brokenIn({ ownEnds: ['node 1'] })).to.deep.equal(['no-own-end']);
+  });
+
+  it('finds that requests are not served after the faults', () => {
+    expect(brokenIn({ calls: [{ ...CALL, status: 502 }] })).to.deep.equal(['recovery']);
+    expect(brokenIn({ calls: [], arrivals: [] })).to.deep.equal(['recovery']);
+  });
+});
--- a/tools/shared/child-process.ts
+++ b/tools/shared/child-process.ts
@@ -126,10 +126,16 @@
 export class ChildGroup {
   private readonly children: Child[] = [];
 
-  /** Starts a Node.js program. */
-  start(name: string, program: string, args: readonly string[]): Child {
+  /** Starts a Node.js program; `env` is added to this process's variables. */
+  start(
+    name: string,
+    program: string,
+    args: readonly string[],
+    env: Readonly<Record<string, string>> = {},
+  ): Child {
     const process_ = spawn(process.execPath, [program, ...args], {
       stdio: ['ignore', 'pipe', 'pipe'],
+      env: { ...process.env, ...env },
     });
     const child = new Child(name, process_);
     this.children.push(child);
--- /dev/null
+++ b/tools/soak/fault-injector.ts
@@ -0,0 +1,212 @@
+/** Carries out the faults of a soak on its fleet, and notes when each struck what. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { describeFault, type SoakFault, type StoreOutage } from './fault-plan.js';
+import type { FaultWindow, SoakStop } from './promises.js';
+import { SOAK_TERMS, type SoakFleet, type SoakMachine } from './soak-fleet.js';
+
+/** A stop that takes longer than its grace time is ended by force after this much more. */
+const STOP_MARGIN_MS = 1_000;
+/** How far behind watches are while the store lags, in milliseconds. */
+const STORE_LAG_MS = 1_500;
+/** A back end that drains serves for so long after the store knows it, in milliseconds. */
+const DRAIN_SERVES_MS = SOAK_TERMS.drainMs + 1_500;
+const BUSY_STATUS = 503;
+
+/** What the injector reports. */
+export interface InjectorParams {
+  readonly fleet: SoakFleet;
+  readonly nowMs: () => number;
+  readonly say: (text: string) => void;
+}
+
+/** The injector; faults may overlap, but a machine's process is held by one at a time. */
+export class SoakFaultInjector {
+  readonly windows: FaultWindow[] = [];
+  readonly stops: SoakStop[] = [];
+  /** Machines whose node or back end a fault holds. */
+  private readonly heldNodes = new Set<number>();
+  private readonly heldBackends = new Set<number>();
+  private readonly heldLinks = new Set<string>();
+  private isStoreHeld = false;
+
+  constructor(private readonly params: InjectorParams) {}
+
+  /** Performs a fault to its end: what was harmed is whole again. */
+  async perform(fault: SoakFault): Promise<void> {
+    this.params.say(describeFault(fault));
+    switch (fault.kind) {
+      case 'kill':
+        return this.endNodes(fault, 'SIGKILL');
+      case 'stop':
+        return this.endNodes(fault, 'SIGTERM');
+      case 'freeze':
+        return this.freeze(fault);
+      case 'relay-link':
+      case 'store-link':
+        return this.harmLinks(fault);
+      case 'store-outage':
+        return this.failStore(fault);
+      case 'store-compact':
+        this.params.fleet.store.compact();
+        return;
+      case 'backend-fault':
+        return this.failBackends(fault);
+      case 'backend-crash':
+        return this.replaceBackends(fault, false);
+      case 'backend-drain':
+        return this.replaceBackends(fault, true);
+      case 'configure':
+        this.params.fleet.configure();
+    }
+  }
+
+  private async endNodes(
+    fault: Extract<SoakFault, { kind: 'kill' | 'stop' }>,
+    signal: 'SIGKILL' | 'SIGTERM',
+  ): Promise<void> {
+    const machines = this.hold(this.heldNodes, fault.machines);
+    await this.during(fault, machines, async () => {
+      await Promise.all([
+        delay(fault.forMs),
+        ...machines.map((machine) => this.endNode(machine, signal)),
+      ]);
+      machines.forEach((machine) => this.params.fleet.restartNode(machine));
+    });
+    release(this.heldNodes, machines);
+  }
+
+  private async endNode(machine: SoakMachine, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
+    const { node, idx } = machine;
+    const atMs = this.params.nowMs();
+    node.signal(signal);
+    const force = setTimeout(() => node.signal('SIGKILL'), SOAK_TERMS.graceMs + STOP_MARGIN_MS);
+    const { code } = await node.exited;
+    clearTimeout(force);
+    if (signal === 'SIGTERM') {
+      this.stops.push({ machine: idx, atMs, tookMs: this.params.nowMs() - atMs, code });
+    }
+  }
+
+  private async freeze(fault: Extract<SoakFault, { kind: 'freeze' }>): Promise<void> {
+    const machines = this.hold(this.heldNodes, fault.machines);
+    await this.during(fault, machines, async () => {
+      machines.forEach(({ node }) => node.signal('SIGSTOP'));
+      await delay(fault.forMs);
+      machines.forEach(({ node }) => node.signal('SIGCONT'));
+    });
+    release(this.heldNodes, machines);
+  }
+
+  private async harmLinks(
+    fault: Extract<SoakFault, { kind: 'relay-link' | 'store-link' }>,
+  ): Promise<void> {
+    const { kind, state, delayMs } = fault;
+    const free = fault.machines.filter((idx) => !this.heldLinks.has(`${kind} ${idx}`));
+    free.forEach((idx) => this.heldLinks.add(`${kind} ${idx}`));
+    const machines = this.machinesOf(free);
+    const links = machines.map((machine) =>
+      kind === 'relay-link' ? machine.relayLink : machine.storeLink,
+    );
+    // A harmed link to one node is met by the callers of every other one.
+    await this.during(fault, kind === 'relay-link' ? undefined : machines, async () => {
+      links.forEach((link) => link.set(state, delayMs));
+      await delay(fault.forMs);
+      links.forEach((link) => link.set('open'));
+    });
+    free.forEach((idx) => this.heldLinks.delete(`${kind} ${idx}`));
+  }
+
+  private async failStore(fault: Extract<SoakFault, { kind: 'store-outage' }>): Promise<void> {
+    if (this.isStoreHeld) {
+      return;
+    }
+    this.isStoreHeld = true;
+    await this.during(fault, undefined, async () => {
+      this.setStore(fault.outage);
+      await delay(fault.forMs);
+      this.setStore(undefined);
+    });
+    this.isStoreHeld = false;
+  }
+
+  private setStore(outage: StoreOutage | undefined): void {
+    const { store } = this.params.fleet;
+    store.watchLagMs = outage === 'lag' ? STORE_LAG_MS : 0;
+    switch (outage) {
+      case 'busy':
+        store.fault = { type: 'status', status: BUSY_STATUS };
+        break;
+      case 'reset':
+      case 'silent':
+        store.fault = { type: outage };
+        store.cutWatches();
+        break;
+      default:
+        store.fault = undefined;
+    }
+  }
+
+  private async failBackends(fault: Extract<SoakFault, { kind: 'backend-fault' }>): Promise<void> {
+    const machines = this.hold(this.heldBackends, fault.machines);
+    await this.during(fault, machines, async () => {
+      machines.forEach(({ backend }) => backend.misbehave(fault.fault, fault.share));
+      await delay(fault.forMs);
+      machines.forEach(({ backend }) => backend.misbehave(undefined));
+    });
+    release(this.heldBackends, machines);
+  }
+
+  /** A planned end is announced and serves on for a while; a crash is neither. */
+  private async replaceBackends(
+    fault: Extract<SoakFault, { kind: 'backend-crash' | 'backend-drain' }>,
+    isPlanned: boolean,
+  ): Promise<void> {
+    const { fleet } = this.params;
+    const machines = this.hold(this.heldBackends, fault.machines);
+    await this.during(fault, machines, async () => {
+      if (isPlanned) {
+        machines.forEach((machine) => fleet.drainBackend(machine));
+        await delay(DRAIN_SERVES_MS);
+      }
+      machines.forEach(({ backend }) => backend.close());
+      await delay(fault.forMs);
+      machines.forEach((machine) => fleet.forgetBackend(machine));
+      await Promise.all(machines.map((machine) => fleet.restartBackend(machine)));
+    });
+    release(this.heldBackends, machines);
+  }
+
+  private async during(
+    { kind }: SoakFault,
+    machines: readonly SoakMachine[] | undefined,
+    act: () => Promise<void>,
+  ): Promise<void> {
+    const window = {
+      kind,
+      machines: machines?.map(({ idx }) => idx),
+      fromMs: this.params.nowMs(),
+      untilMs: Infinity,
+    };
+    this.windows.push(window);
+    try {
+      await act();
+    } finally {
+      window.untilMs = this.params.nowMs();
+    }
+  }
+
+  /** The machines that no other fault holds, held from now on. */
+  private hold(held: Set<number>, wanted: readonly number[]): SoakMachine[] {
+    const free = wanted.filter((idx) => !held.has(idx));
+    free.forEach((idx) => held.add(idx));
+    return this.machinesOf(free);
+  }
+
+  private machinesOf(indexes: readonly number[]): SoakMachine[] {
+    return this.params.fleet.machines.filter(({ idx }) => indexes.includes(idx));
+  }
+}
+
+function release(held: Set<number>, machines: readonly SoakMachine[]): void {
+  machines.forEach(({ idx }) => held.delete(idx));
+}
--- /dev/null
+++ b/tools/soak/fault-plan.ts
@@ -0,0 +1,160 @@
+/** Draws the faults of a soak from its seed. Pure: the same seed gives the same plan. */
+import type { RandomSource } from '../../src/control/control-event.js';
+import type { LinkState } from './link-proxy.js';
+
+/** How a back end misbehaves: by its answers, or not at all in time. */
+export type BackendFault = 'errors' | 'reset' | 'mute' | 'slow' | 'refuse' | 'cut-answer';
+
+/** How the store misbehaves towards all nodes. */
+export type StoreOutage = 'busy' | 'reset' | 'silent' | 'lag';
+
+/** One thing that is done to the deployment; it ends after `forMs` where that makes sense. */
+export type SoakFault =
+  | { readonly kind: 'kill'; readonly machines: readonly number[]; readonly forMs: number }
+  | { readonly kind: 'stop'; readonly machines: readonly number[]; readonly forMs: number }
+  | { readonly kind: 'freeze'; readonly machines: readonly number[]; readonly forMs: number }
+  | {
+      readonly kind: 'relay-link' | 'store-link';
+      readonly machines: readonly number[];
+      readonly state: LinkState;
+      readonly delayMs: number;
+      readonly forMs: number;
+    }
+  | { readonly kind: 'store-outage'; readonly outage: StoreOutage; readonly forMs: number }
+  | { readonly kind: 'store-compact'; readonly forMs: number }
+  | {
+      readonly kind: 'backend-fault';
+      readonly machines: readonly number[];
+      readonly fault: BackendFault;
+      readonly share: number;
+      readonly forMs: number;
+    }
+  | { readonly kind: 'backend-crash'; readonly machines: readonly number[]; readonly forMs: number }
+  | { readonly kind: 'backend-drain'; readonly machines: readonly number[]; readonly forMs: number }
+  | { readonly kind: 'configure'; readonly forMs: number };
+
+/** The kinds of faults. */
+export type SoakFaultKind = SoakFault['kind'];
+
+/** A fault and when it begins, after the first one may. */
+export interface PlannedFault {
+  readonly atMs: number;
+  readonly fault: SoakFault;
+}
+
+/** What a plan is drawn for. */
+export interface PlanParams {
+  readonly machines: number;
+  readonly durationMs: number;
+  readonly random: RandomSource;
+}
+
+/** Mean time between two faults. */
+const MEAN_GAP_MS = 1_100;
+const MIN_FAULT_MS = 400;
+const MAX_FAULT_MS = 4_000;
+const MAX_LINK_DELAY_MS = 400;
+/** Share of the machines that a fault of many strikes at most. */
+const MAX_STRUCK_SHARE = 0.5;
+
+const LINK_STATES: readonly LinkState[] = ['delay', 'silence', 'one-way', 'refuse'];
+const STORE_OUTAGES: readonly StoreOutage[] = ['busy', 'reset', 'silent', 'lag'];
+const BACKEND_FAULTS: readonly BackendFault[] = [
+  'errors',
+  'reset',
+  'mute',
+  'slow',
+  'refuse',
+  'cut-answer',
+];
+
+/** Kinds, each as often as it is to be drawn. */
+const DRAWN_KINDS: readonly SoakFaultKind[] = [
+  'kill',
+  'kill',
+  'stop',
+  'stop',
+  'freeze',
+  'relay-link',
+  'relay-link',
+  'store-link',
+  'store-link',
+  'store-outage',
+  'store-compact',
+  'backend-fault',
+  'backend-fault',
+  'backend-crash',
+  'backend-drain',
+  'backend-drain',
+  'configure',
+  'configure',
+  'configure',
+];
+
+/** Draws a plan; its faults are in the order of their times and may overlap. */
+export function planSoak(params: PlanParams): PlannedFault[] {
+  const plan: PlannedFault[] = [];
+  let atMs = 0;
+  while (atMs < params.durationMs) {
+    plan.push({ atMs, fault: drawFault(params) });
+    atMs += -Math.log(1 - params.random()) * MEAN_GAP_MS;
+  }
+  return plan;
+}
+
+/** One line of text. */
+export function describeFault(fault: SoakFault): string {
+  const { kind, forMs, ...rest } = fault;
+  return `${kind} ${JSON.stringify(rest)} for ${Math.round(forMs)} ms`;
+}
+
+function drawFault({ machines, random }: PlanParams): SoakFault {
+  const pick = <T>(items: readonly T[]): T => {
+    const item = items[Math.floor(random() * items.length)];
+    if (item === undefined) {
+      throw new RangeError('nothing to pick from');
+    }
+    return item;
+  };
+  const kind = pick(DRAWN_KINDS);
+  const forMs = MIN_FAULT_MS + random() * (MAX_FAULT_MS - MIN_FAULT_MS);
+  const one = [Math.floor(random() * machines)];
+  switch (kind) {
+    case 'kill':
+      return { kind, machines: drawMachines(machines, random), forMs };
+    case 'freeze':
+    case 'stop':
+    case 'backend-crash':
+    case 'backend-drain':
+      return { kind, machines: one, forMs };
+    case 'relay-link':
+    case 'store-link':
+      return {
+        kind,
+        machines: drawMachines(machines, random),
+        state: pick(LINK_STATES),
+        delayMs: random() * MAX_LINK_DELAY_MS,
+        forMs,
+      };
+    case 'store-outage':
+      return { kind, outage: pick(STORE_OUTAGES), forMs };
+    case 'backend-fault':
+      return { kind, machines: one, fault: pick(BACKEND_FAULTS), share: random(), forMs };
+    case 'store-compact':
+    case 'configure':
+      return { kind, forMs };
+  }
+}
+
+/** One machine mostly; now and then up to half of them, and seldom all. */
+function drawMachines(machines: number, random: RandomSource): number[] {
+  const all = Array.from({ length: machines }, (_, idx) => idx);
+  const dice = random();
+  const mostStruck = Math.max(1, Math.floor(machines * MAX_STRUCK_SHARE));
+  const count = dice < 0.7 ? 1 : dice < 0.95 ? 1 + Math.floor(random() * mostStruck) : machines;
+  for (let idx = 0; idx < count; idx += 1) {
+    const other = idx + Math.floor(random() * (machines - idx));
+    [all[idx], all[other]] = [all[other] ?? 0, all[idx] ?? 0];
+  }
+  return all.slice(0, count);
+}
--- /dev/null
+++ b/tools/soak/main.ts
@@ -0,0 +1,127 @@
+/** `npm run soak`: nodes as real processes under traffic and random faults from outside them. */
+import { randomInt } from 'node:crypto';
+import { mkdirSync, writeFileSync } from 'node:fs';
+import { join } from 'node:path';
+import meow from 'meow';
+import type { BrokenPromise, SoakCall, SoakRecord } from './promises.js';
+import type { SoakFleet } from './soak-fleet.js';
+import { runSoak } from './soak-run.js';
+
+const MS_PER_SECOND = 1_000;
+const MAX_SEED = 2 ** 31;
+const MAX_SHOWN = 20;
+/** Time beyond the faults after which the run is given up, in milliseconds. */
+const WATCHDOG_MARGIN_MS = 60_000;
+
+const cli = meow(
+  `
+  Usage
+    $ npm run soak -- [options]
+
+  Options
+    --seed      Seed of faults and traffic; drawn and printed when absent
+    --seconds   Time for which faults go on (default 60)
+    --machines  Nodes, each with a back end beside it (default 6)
+    --rate      Requests a second (default 150)
+    --keep      Folder for the logs and records of a run that broke a promise
+
+  Runs nodes on loopback addresses, delays, resets, silences and cuts their links through proxies,
+  kills, stops and freezes them by signals, and fails the store and the back ends. What callers and
+  back ends have seen is held against the promises.
+  Exit code: 0 when every promise held, 1 when one broke, 2 when it could not be run.
+`,
+  {
+    importMeta: import.meta,
+    allowUnknownFlags: false,
+    flags: {
+      seed: { type: 'number' },
+      seconds: { type: 'number', default: 60 },
+      machines: { type: 'number', default: 6 },
+      rate: { type: 'number', default: 150 },
+      keep: { type: 'string' },
+    },
+  },
+);
+
+let runningFleet: SoakFleet | undefined;
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+/** How many calls ended with which status. */
+function countStatuses(calls: readonly SoakCall[]): string {
+  const counts = new Map<string, number>();
+  for (const { status, isGivenUp } of calls) {
+    const name = isGivenUp ? 'left' : status === 0 ? 'no answer' : String(status);
+    counts.set(name, (counts.get(name) ?? 0) + 1);
+  }
+  return [...counts].map(([name, count]) => `${name}: ${count}`).join(', ');
+}
+
+function keep(
+  folder: string,
+  seed: number,
+  record: SoakRecord,
+  broken: readonly BrokenPromise[],
+  log: readonly string[],
+): void {
+  mkdirSync(folder, { recursive: true });
+  const maps = {
+    configuredAtMs: [...record.configuredAtMs],
+    drainedAtMs: [...record.drainedAtMs],
+  };
+  writeFileSync(
+    join(folder, `soak-${seed}.json`),
+    JSON.stringify({ seed, broken, ...record, ...maps }),
+  );
+  writeFileSync(join(folder, `soak-${seed}.log`), log.join('\n'));
+}
+
+async function main(): Promise<number> {
+  const { seconds, machines, rate, keep: folder } = cli.flags;
+  const seed = cli.flags.seed ?? randomInt(MAX_SEED);
+  const log: string[] = [];
+  print(`soak: seed ${seed}, ${machines} machines, faults for ${seconds} s`);
+  const { broken, record } = await runSoak({
+    seed,
+    machines,
+    faultsMs: seconds * MS_PER_SECOND,
+    perSecond: rate,
+    network: `127.${randomInt(16, 255)}`,
+    say: (text) => log.push(`soak ${text}`) && print(`  ${text}`),
+    onLogLine: (machine, line) => log.push(`${machine} ${line}`),
+    onFleet: (fleet) => {
+      runningFleet = fleet;
+    },
+  });
+  print(`${record.calls.length} requests (${countStatuses(record.calls)})`);
+  print(`${record.arrivals.length} arrivals at back ends, ${record.windows.length} faults`);
+  broken
+    .slice(0, MAX_SHOWN)
+    .forEach(({ promise, detail }) => print(`BROKEN ${promise}: ${detail}`));
+  if (broken.length > 0 && folder !== undefined) {
+    keep(folder, seed, record, broken, log);
+  }
+  print(broken.length === 0 ? 'Every promise held.' : `${broken.length} promises broke.`);
+  return broken.length === 0 ? 0 : 1;
+}
+
+process.once('exit', () => runningFleet?.killAll());
+process.once('SIGINT', () => process.exit(2));
+process.once('SIGTERM', () => process.exit(2));
+setTimeout(
+  () => {
+    process.stderr.write('the soak took too long and was given up\n');
+    process.exit(2);
+  },
+  cli.flags.seconds * MS_PER_SECOND + WATCHDOG_MARGIN_MS,
+).unref();
+
+main().then(
+  (code) => process.exit(code),
+  (err: unknown) => {
+    process.stderr.write(`${err instanceof Error ? (err.stack ?? err.message) : String(err)}\n`);
+    process.exit(2);
+  },
+);
--- /dev/null
+++ b/tools/soak/promises.ts
@@ -0,0 +1,359 @@
+/**
+ * Judges a soak by what callers and back ends have seen. Pure: records in, broken promises out. Times
+ * are in milliseconds on the clock of the soak.
+ */
+import type { SoakFaultKind } from './fault-plan.js';
+
+/** The promises that are checked. */
+export type SoakPromise =
+  /** What may not be repeated runs at most once. */
+  | 'at-most-once'
+  /** What is told not to have run has not run, and never does. */
+  | 'true-refusal'
+  /** A success is the whole answer of a back end to this very request. */
+  | 'own-whole-answer'
+  /** A back end gets what a caller sent, unaltered, under the service of the caller's machine. */
+  | 'unaltered'
+  /** A request is sent to no more back ends than its route allows. */
+  | 'attempt-limit'
+  /** A back end is given no more time than the caller has left. */
+  | 'deadline'
+  /** A configuration is in force on a machine in touch within its bound. */
+  | 'in-force'
+  /** No node goes back to an older configuration within one life. */
+  | 'never-back'
+  /** A back end that leaves gets nothing new after its bound. */
+  | 'drain'
+  /** A planned stop ends in time and cuts nothing. */
+  | 'planned-stop'
+  /** A request is answered at its route's time-out. */
+  | 'time-out'
+  /** No program ends by itself. */
+  | 'no-own-end'
+  /** After the faults, requests are served again. */
+  | 'recovery';
+
+/** A promise that broke, with what showed it. */
+export interface BrokenPromise {
+  readonly promise: SoakPromise;
+  readonly detail: string;
+}
+
+/** A caller's request and its end. */
+export interface SoakCall {
+  readonly id: string;
+  readonly machine: number;
+  /** Number of the node's process on that machine. */
+  readonly life: number;
+  readonly isSafe: boolean;
+  readonly target: string;
+  readonly body: string;
+  /** Configuration that the route came with; undefined for routes that all have. */
+  readonly addedBy: number | undefined;
+  readonly sentAtMs: number;
+  readonly endedAtMs: number;
+  readonly deadlineMs: number;
+  /** 0 where the connection ended without a head, or there was none. */
+  readonly status: number;
+  readonly isWhole: boolean;
+  readonly isSigned: boolean;
+  readonly answer: string;
+  /** Whether a connection was open, so that the node may have read the request. */
+  readonly wasSent: boolean;
+  /** Whether the caller left before the answer. */
+  readonly isGivenUp: boolean;
+}
+
+/** A request that reached a back end. */
+export interface SoakArrival {
+  readonly id: string;
+  readonly backend: string;
+  readonly machine: number;
+  readonly atMs: number;
+  readonly target: string;
+  readonly method: string;
+  readonly body: string;
+  readonly callerService: string;
+  readonly deadlineMs: number;
+  /** Whether the back end began to work on it. */
+  readonly hasRun: boolean;
+}
+
+/** A time in which a fault struck machines. */
+export interface FaultWindow {
+  readonly kind: SoakFaultKind;
+  /** Undefined when it struck all. */
+  readonly machines: readonly number[] | undefined;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** A planned stop of a node and how it ended. */
+export interface SoakStop {
+  readonly machine: number;
+  readonly atMs: number;
+  readonly tookMs: number;
+  readonly code: number | null | undefined;
+}
+
+/** All that a soak has seen. */
+export interface SoakRecord {
+  readonly calls: readonly SoakCall[];
+  readonly arrivals: readonly SoakArrival[];
+  readonly windows: readonly FaultWindow[];
+  readonly stops: readonly SoakStop[];
+  /** When each configuration was acknowledged, by its number; numbers rise by one. */
+  readonly configuredAtMs: ReadonlyMap<number, number>;
+  /** When the draining of each back end was acknowledged. */
+  readonly drainedAtMs: ReadonlyMap<string, number>;
+  readonly serviceOfMachine: readonly string[];
+  readonly ownEnds: readonly string[];
+  /** From when on nothing was harmed any more. */
+  readonly calmFromMs: number;
+  readonly terms: SoakTerms;
+}
+
+/** The bounds of the deployment, in milliseconds but for counts. */
+export interface SoakTerms {
+  readonly contactMs: number;
+  readonly configApplyMs: number;
+  readonly rollbackSlackMs: number;
+  readonly drainMs: number;
+  readonly graceMs: number;
+  readonly routeTimeoutMs: number;
+  readonly recoveryMs: number;
+  readonly maxAttempts: number;
+  /** Configurations after which a route that came with one is dropped. */
+  readonly routeLifeInConfigurations: number;
+}
+
+/** Statuses that promise that the request has not run and never will. */
+const PROMISES = new Set([408, 421, 429, 503]);
+const NOT_FOUND = 404;
+/** Room for the two sides' clocks and turns, in milliseconds. */
+const SLACK_MS = 500;
+/** Least share of the requests of the calm end that are served. */
+const CALM_SERVED_SHARE = 0.9;
+
+/** Every promise that broke. */
+export function judgeSoak(record: SoakRecord): BrokenPromise[] {
+  const arrivalsById = groupBy(record.arrivals, ({ id }) => id);
+  const callsById = new Map(record.calls.map((call) => [call.id, call]));
+  return [
+    ...record.calls.flatMap((call) => judgeCall(record, call, arrivalsById.get(call.id) ?? [])),
+    ...record.arrivals.flatMap((arrival) =>
+      judgeArrival(record, arrival, callsById.get(arrival.id)),
+    ),
+    ...judgeRegressions(record),
+    ...record.stops.flatMap((stop) => judgeStop(record, stop)),
+    ...record.ownEnds.map((detail): BrokenPromise => ({ promise: 'no-own-end', detail })),
+    ...judgeRecovery(record),
+  ];
+}
+
+function judgeCall(
+  record: SoakRecord,
+  call: SoakCall,
+  arrivals: readonly SoakArrival[],
+): BrokenPromise[] {
+  const broken: BrokenPromise[] = [];
+  const say = (promise: SoakPromise, detail: string): void => {
+    broken.push({ promise, detail: `${call.id} ${call.target}: ${detail}` });
+  };
+  const runs = arrivals.filter(({ hasRun }) => hasRun);
+  if (!call.isSafe && runs.length > 1) {
+    say('at-most-once', `ran ${runs.length} times`);
+  }
+  if (PROMISES.has(call.status) && runs.length > 0) {
+    say('true-refusal', `${call.status}, yet it ran at ${runs[0]?.backend}`);
+  }
+  if (call.status === 200 && !isOwnWholeAnswer(call)) {
+    say('own-whole-answer', `got ${JSON.stringify(call.answer)}`);
+  }
+  const backends = new Set(arrivals.map(({ backend }) => backend));
+  if (backends.size > record.terms.maxAttempts) {
+    say('attempt-limit', `reached ${[...backends].join(', ')}`);
+  }
+  if (isUnanswered(record, call)) {
+    say('time-out', `no answer after ${Math.round(call.endedAtMs - call.sentAtMs)} ms`);
+  }
+  if (isBehind(record, call)) {
+    say('in-force', `${call.status} at machine ${call.machine}, life ${call.life}`);
+  }
+  return broken;
+}
+
+/** An answer that was broken off does not look whole, so it deceives nobody. */
+function isOwnWholeAnswer(call: SoakCall): boolean {
+  return !call.isWhole || (call.isSigned && call.answer === `body ${call.id}`);
+}
+
+function isUnanswered(record: SoakRecord, call: SoakCall): boolean {
+  const tookMs = call.endedAtMs - call.sentAtMs;
+  const boundMs = Math.min(record.terms.routeTimeoutMs, call.deadlineMs) + SLACK_MS;
+  return (
+    call.wasSent &&
+    !call.isGivenUp &&
+    tookMs > boundMs &&
+    isInTouch(record, call.machine, call.sentAtMs, call.endedAtMs)
+  );
+}
+
+/** The node handled the request as only a configuration allows that should be replaced. */
+function isBehind(record: SoakRecord, call: SoakCall): boolean {
+  const { configuredAtMs, terms } = record;
+  const { addedBy, status, sentAtMs, endedAtMs, machine } = call;
+  if (addedBy === undefined || status === 0 || !isInTouch(record, machine, sentAtMs, endedAtMs)) {
+    return false;
+  }
+  const addedAtMs = configuredAtMs.get(addedBy) ?? Infinity;
+  const droppedAtMs = configuredAtMs.get(addedBy + terms.routeLifeInConfigurations) ?? Infinity;
+  const knowsAddition = sentAtMs > addedAtMs + terms.configApplyMs && endedAtMs < droppedAtMs;
+  const knowsDrop = sentAtMs > droppedAtMs + terms.configApplyMs;
+  const hasRoute = status !== NOT_FOUND;
+  return (knowsAddition && !hasRoute) || (knowsDrop && status === 200);
+}
+
+function judgeArrival(
+  record: SoakRecord,
+  arrival: SoakArrival,
+  call: SoakCall | undefined,
+): BrokenPromise[] {
+  const broken: BrokenPromise[] = [];
+  const say = (promise: SoakPromise, detail: string): void => {
+    broken.push({ promise, detail: `${arrival.id} at ${arrival.backend}: ${detail}` });
+  };
+  if (call === undefined) {
+    say('unaltered', 'nobody sent it');
+    return broken;
+  }
+  const service = record.serviceOfMachine[call.machine];
+  const isSame =
+    arrival.target === call.target &&
+    arrival.method === (call.isSafe ? 'GET' : 'POST') &&
+    arrival.body === call.body &&
+    arrival.callerService === service;
+  if (!isSame) {
+    say('unaltered', `${arrival.method} ${arrival.target} from ${arrival.callerService}`);
+  }
+  const isInTouchFrom = (fromMs: number): boolean =>
+    [call.machine, arrival.machine].every((idx) => isInTouch(record, idx, fromMs, arrival.atMs));
+  const leftMs = call.sentAtMs + call.deadlineMs - arrival.atMs;
+  if (arrival.deadlineMs > Math.max(0, leftMs) + SLACK_MS && isInTouchFrom(call.sentAtMs)) {
+    say('deadline', `${arrival.deadlineMs} ms were given, ${Math.round(leftMs)} were left`);
+  }
+  const drainedAtMs = record.drainedAtMs.get(arrival.backend) ?? Infinity;
+  const isLate = arrival.hasRun && arrival.atMs > drainedAtMs + record.terms.drainMs + SLACK_MS;
+  if (isLate && isInTouchFrom(drainedAtMs)) {
+    say('drain', `${Math.round(arrival.atMs - drainedAtMs)} ms after its draining was known`);
+  }
+  return broken;
+}
+
+/** Whether nothing but planned work touched the machine from shortly before until the end. */
+function isInTouch(record: SoakRecord, machine: number, fromMs: number, untilMs: number): boolean {
+  return !record.windows.some(
+    (window) =>
+      !isHarmless(window.kind) &&
+      (window.machines === undefined || window.machines.includes(machine)) &&
+      window.fromMs <= untilMs &&
+      window.untilMs + record.terms.contactMs >= fromMs,
+  );
+}
+
+/** Kinds that are planned work, or strike back ends alone. */
+function isHarmless(kind: SoakFaultKind): boolean {
+  return (
+    kind === 'configure' ||
+    kind === 'backend-drain' ||
+    kind === 'backend-fault' ||
+    kind === 'backend-crash'
+  );
+}
+
+/** Within one life, a route that was known is known until a later configuration drops it. */
+function judgeRegressions({ calls, configuredAtMs, terms }: SoakRecord): BrokenPromise[] {
+  const broken: BrokenPromise[] = [];
+  const probes = calls.filter(({ addedBy, status }) => addedBy !== undefined && status !== 0);
+  for (const [life, ofLife] of groupBy(probes, (call) => `${call.machine}/${call.life}`)) {
+    const known = ofLife.filter(({ status }) => status !== NOT_FOUND);
+    for (const call of ofLife.filter(({ status }) => status === NOT_FOUND)) {
+      const number = call.addedBy ?? 0;
+      const droppedAtMs = configuredAtMs.get(number + terms.routeLifeInConfigurations) ?? Infinity;
+      const newer = known.find(
+        ({ addedBy = 0, endedAtMs }) =>
+          addedBy >= number && endedAtMs + terms.rollbackSlackMs < call.sentAtMs,
+      );
+      if (newer !== undefined && call.endedAtMs < droppedAtMs) {
+        const detail = `${life}: ${call.id} got 404 on ${call.target} after ${newer.target} was known`;
+        broken.push({ promise: 'never-back', detail });
+      }
+    }
+  }
+  return broken;
+}
+
+function judgeStop(record: SoakRecord, stop: SoakStop): BrokenPromise[] {
+  const { graceMs } = record.terms;
+  const { machine, atMs, tookMs, code } = stop;
+  const isAlone = isTouchedOnlyBy(record, machine, atMs - record.terms.contactMs, atMs + tookMs);
+  if (!isAlone) {
+    return [];
+  }
+  const broken: BrokenPromise[] = [];
+  if (code !== 0 || tookMs > graceMs) {
+    const detail = `machine ${machine} ended with ${String(code)} after ${Math.round(tookMs)} ms`;
+    broken.push({ promise: 'planned-stop', detail });
+  }
+  for (const call of record.calls) {
+    const isCut = call.status === 0 && call.wasSent && !call.isGivenUp;
+    const isHere = call.machine === machine && call.endedAtMs >= atMs;
+    if (isCut && isHere && call.sentAtMs <= atMs + tookMs - SLACK_MS) {
+      broken.push({ promise: 'planned-stop', detail: `${call.id} was cut at machine ${machine}` });
+    }
+  }
+  return broken;
+}
+
+/** Whether no unplanned fault struck any machine or the store in the time. */
+function isTouchedOnlyBy(
+  record: SoakRecord,
+  machine: number,
+  fromMs: number,
+  untilMs: number,
+): boolean {
+  return !record.windows.some(
+    ({ kind, machines, ...window }) =>
+      kind !== 'configure' &&
+      kind !== 'backend-drain' &&
+      !(kind === 'stop' && machines?.includes(machine) === true) &&
+      window.fromMs <= untilMs &&
+      window.untilMs + record.terms.contactMs >= fromMs,
+  );
+}
+
+function judgeRecovery({ calls, calmFromMs, terms }: SoakRecord): BrokenPromise[] {
+  const late = calls.filter(
+    ({ addedBy, isGivenUp, sentAtMs }) =>
+      addedBy === undefined && !isGivenUp && sentAtMs > calmFromMs + terms.recoveryMs,
+  );
+  const served = late.filter(({ status }) => status === 200).length;
+  if (late.length > 0 && served >= late.length * CALM_SERVED_SHARE) {
+    return [];
+  }
+  return [{ promise: 'recovery', detail: `${served} of ${late.length} were served at the end` }];
+}
+
+function groupBy<T>(items: readonly T[], keyOf: (item: T) => string): Map<string, T[]> {
+  const groups = new Map<string, T[]>();
+  for (const item of items) {
+    const key = keyOf(item);
+    const group = groups.get(key);
+    if (group === undefined) {
+      groups.set(key, [item]);
+    } else {
+      group.push(item);
+    }
+  }
+  return groups;
+}
--- /dev/null
+++ b/tools/soak/soak-backend.ts
@@ -0,0 +1,144 @@
+/** A back end of the soak: slots, a short queue, a ledger of what reached it, and faults on demand. */
+import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { RandomSource } from '../../src/control/control-event.js';
+import {
+  answer,
+  BackendStandIn,
+  refuse,
+  type Arrival,
+} from '../../standins/store-platform/backend-stand-in.js';
+import type { BackendFault } from './fault-plan.js';
+import type { Place } from './link-proxy.js';
+import type { SoakArrival } from './promises.js';
+
+/** Requests that run at once. */
+export const BACKEND_SLOTS = 8;
+const MIN_WORK_MS = 5;
+const MAX_WORK_MS = 60;
+/** A slow back end takes so many times as long. */
+const SLOW_FACTOR = 8;
+const MISDIRECTED_STATUS = 421;
+const ERROR_STATUS = 500;
+
+/** What a back end is started with. */
+export interface SoakBackendParams {
+  readonly id: string;
+  readonly machine: number;
+  readonly place: Place;
+  readonly random: RandomSource;
+  readonly nowMs: () => number;
+  readonly onArrival: (arrival: SoakArrival) => void;
+}
+
+/** One start of a back end. */
+export class SoakBackend {
+  private running = 0;
+  private fault: BackendFault | undefined;
+  private faultShare = 0;
+
+  private constructor(
+    private readonly server: BackendStandIn,
+    private readonly params: SoakBackendParams,
+  ) {
+    server.behaviour = (request, response, arrival) => this.take(request, response, arrival);
+  }
+
+  /** Listens at its place. */
+  static async start(params: SoakBackendParams): Promise<SoakBackend> {
+    const { id, place } = params;
+    return new SoakBackend(await BackendStandIn.start(id, place.address, place.port), params);
+  }
+
+  get id(): string {
+    return this.params.id;
+  }
+
+  /** From now on a share of the requests meets the fault; none when it is undefined. */
+  misbehave(fault: BackendFault | undefined, share = 0): void {
+    this.fault = fault;
+    this.faultShare = share;
+  }
+
+  /** Ends at once: connections are cut. */
+  close(): void {
+    this.server.close();
+  }
+
+  private take(request: IncomingMessage, response: ServerResponse, arrival: Arrival): void {
+    const isOther = arrival.headers['target-instance'] !== this.id;
+    const isStruck = this.fault !== undefined && this.params.random() < this.faultShare;
+    const isFull = this.running >= BACKEND_SLOTS || (isStruck && this.fault === 'refuse');
+    const hasRun = !isOther && !isFull;
+    this.note(arrival, hasRun);
+    if (isOther) {
+      refuse(response, arrival.requestId, MISDIRECTED_STATUS);
+    } else if (isFull) {
+      refuse(response, arrival.requestId);
+    } else {
+      this.run(request, response, arrival.requestId, isStruck ? this.fault : undefined);
+    }
+  }
+
+  private run(
+    request: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+    fault: BackendFault | undefined,
+  ): void {
+    this.running += 1;
+    const workMs = MIN_WORK_MS + this.params.random() * (MAX_WORK_MS - MIN_WORK_MS);
+    const timer = setTimeout(
+      () => this.finish(request, response, id, fault),
+      fault === 'slow' ? workMs * SLOW_FACTOR : workMs,
+    );
+    response.once('close', () => {
+      clearTimeout(timer);
+      this.running -= 1;
+    });
+  }
+
+  private finish(
+    request: IncomingMessage,
+    response: ServerResponse,
+    id: string,
+    fault: BackendFault | undefined,
+  ): void {
+    switch (fault) {
+      case 'mute':
+        return;
+      case 'reset':
+        request.socket.resetAndDestroy();
+        return;
+      case 'cut-answer':
+        response.writeHead(200, {
+          'Request-Id': id,
+          'Server-Signature': 's',
+          'Content-Length': 99,
+        });
+        response.write('body');
+        setImmediate(() => request.socket.destroy());
+        return;
+      case 'errors':
+        response.writeHead(ERROR_STATUS, { 'Request-Id': id, 'Content-Length': 0 }).end();
+        return;
+      default:
+        answer(response, id);
+    }
+  }
+
+  private note({ requestId, headers, method, target, body }: Arrival, hasRun: boolean): void {
+    const { id: backend, machine, nowMs, onArrival } = this.params;
+    onArrival({
+      id: requestId,
+      backend,
+      machine,
+      atMs: nowMs(),
+      target,
+      method,
+      body,
+      callerService: String(headers['caller-service']),
+      deadlineMs: Number(headers['deadline-ms']),
+      hasRun,
+    });
+  }
+}
--- /dev/null
+++ b/tools/soak/soak-fleet.ts
@@ -0,0 +1,281 @@
+/**
+ * The deployment of a soak: a node process and a back end on each machine, one store, and a proxy on
+ * each link to a node and from a node to the store. A machine's identity is the address of the proxy
+ * in front of its node, so that all that peers say to it passes there.
+ */
+import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import type { RandomSource } from '../../src/control/control-event.js';
+import { LifeCycle } from '../../src/runtime/life-cycle.js';
+import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
+import { ChildGroup, type Child } from '../shared/child-process.js';
+import { LinkProxy, type Place } from './link-proxy.js';
+import type { SoakArrival, SoakTerms } from './promises.js';
+import { BACKEND_SLOTS, SoakBackend } from './soak-backend.js';
+
+const PROGRAM = new URL('../../platform/main.js', import.meta.url).pathname;
+const RELAY_PORT = 22_300;
+const BACKEND_PORT = 22_301;
+const READY_PORT = 22_302;
+const CALLER_PORT = 22_304;
+const STORE_PORT = 22_305;
+const FIRST_INTERNAL_PORT = 22_320;
+const INTERNAL_PORTS = 10;
+const MS_PER_SECOND = 1_000;
+const RETRY_RATIO = 0.2;
+const MIN_RETRIES = 60;
+const CONFIGURATION_STEP = 3;
+const VERSION_RADIX = 16;
+const VERSION_DIGITS = 8;
+
+/** Host of all routes. */
+export const SOAK_HOST = 'soak.example';
+/** Services of the machines, in turn. */
+export const SOAK_SERVICES = ['reads', 'orders'] as const;
+/** Paths of the routes that every configuration has. */
+export const SAFE_PREFIX = '/reads/';
+export const UNSAFE_PREFIX = '/orders/';
+
+/** The bounds that the soak holds its nodes to, as the users' pages set them. */
+export const SOAK_TERMS: SoakTerms = {
+  contactMs: 3_000,
+  configApplyMs: 2_000,
+  rollbackSlackMs: 250,
+  drainMs: 2_000,
+  graceMs: 6_000,
+  routeTimeoutMs: 1_500,
+  recoveryMs: 5_000,
+  maxAttempts: 2,
+  routeLifeInConfigurations: 3,
+};
+
+/** What a fleet is started with. */
+export interface SoakFleetParams {
+  /** The first two numbers of its loopback network. */
+  readonly network: string;
+  readonly machines: number;
+  readonly random: RandomSource;
+  readonly nowMs: () => number;
+  readonly onArrival: (arrival: SoakArrival) => void;
+  readonly onLogLine: (machine: number, line: string) => void;
+}
+
+/** One machine. */
+export interface SoakMachine {
+  readonly idx: number;
+  readonly service: string;
+  readonly caller: Place;
+  readonly relayLink: LinkProxy;
+  readonly storeLink: LinkProxy;
+  readonly settingsPath: string;
+  backend: SoakBackend;
+  node: Child;
+  /** Number of the node's process. */
+  life: number;
+  backends: number;
+}
+
+/** The deployment. */
+export class SoakFleet {
+  readonly machines: SoakMachine[] = [];
+  /** When each configuration was written, by its number. */
+  readonly configuredAtMs = new Map<number, number>();
+  readonly drainedAtMs = new Map<string, number>();
+  private readonly lifeCycle = new LifeCycle();
+  private readonly children: ChildGroup;
+  private readonly folder: string;
+  private configuration = 0;
+
+  private constructor(
+    readonly store: StoreStandIn,
+    private readonly params: SoakFleetParams,
+  ) {
+    this.lifeCycle.own('store', store, (one) => one.close());
+    const folder = mkdtempSync(join(tmpdir(), 'ferryspool-soak-'));
+    this.folder = this.lifeCycle.own('folder', folder, (one) => rmSync(one, { recursive: true }));
+    this.children = this.lifeCycle.own('processes', new ChildGroup(), (one) => one.end());
+  }
+
+  /** Starts everything; nodes may not be ready yet. */
+  static async start(params: SoakFleetParams): Promise<SoakFleet> {
+    const fleet = new SoakFleet(await StoreStandIn.start(), params);
+    fleet.configure();
+    for (let idx = 0; idx < params.machines; idx += 1) {
+      fleet.machines.push(await fleet.createMachine(idx));
+    }
+    return fleet;
+  }
+
+  /** Number of the newest configuration. */
+  get newestConfiguration(): number {
+    return this.configuration;
+  }
+
+  /** Programs that ended although nobody told them to. */
+  ownEnds(): string[] {
+    return this.children.endedUnasked().map(({ name, output }) => `${name}: ${output.join(' ')}`);
+  }
+
+  /** Writes the next configuration: it adds a route, and drops the one added three before. */
+  configure(): void {
+    this.configuration += 1;
+    const numbers = Array.from(
+      { length: SOAK_TERMS.routeLifeInConfigurations },
+      (_, idx) => this.configuration - idx,
+    ).filter((number) => number > 0);
+    const paths = [
+      route('reads', SAFE_PREFIX, 'safe', 'reads'),
+      route('orders', UNSAFE_PREFIX, 'unsafe', 'orders'),
+      ...numbers.map((number) => route(`added${number}`, addedPrefix(number), 'safe', 'reads')),
+    ];
+    this.store.put('op/config', {
+      version: (this.configuration * CONFIGURATION_STEP)
+        .toString(VERSION_RADIX)
+        .padStart(VERSION_DIGITS, '0'),
+      services: SOAK_SERVICES.map((name) => ({ name })),
+      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutS: 3, idleTimeoutS: 15 },
+      virtualHosts: [{ hostname: SOAK_HOST, paths }],
+    });
+    this.configuredAtMs.set(this.configuration, this.params.nowMs());
+  }
+
+  /** Starts a node again, once its process has ended. */
+  restartNode(machine: SoakMachine): void {
+    machine.life += 1;
+    machine.node = this.startNode(machine.idx, machine.life, machine.settingsPath);
+  }
+
+  /** Starts a back end anew, under an identity of its own, at the same address. */
+  async restartBackend(machine: SoakMachine): Promise<void> {
+    machine.backends += 1;
+    machine.backend = await this.startBackend(machine.idx, machine.backends);
+    this.announce(machine, 'ready');
+  }
+
+  /** Writes that the back end drains. */
+  drainBackend(machine: SoakMachine): void {
+    this.announce(machine, 'draining');
+    this.drainedAtMs.set(machine.backend.id, this.params.nowMs());
+  }
+
+  /** Removes the entry of a back end that has ended. */
+  forgetBackend({ backend }: SoakMachine): void {
+    this.store.remove(`servers/${backend.id}`);
+  }
+
+  /** Ends everything that was started. */
+  async close(): Promise<void> {
+    this.machines.forEach(({ backend }) => backend.close());
+    await this.lifeCycle.close();
+  }
+
+  /** Ends the processes without waiting. */
+  killAll(): void {
+    this.children.killAll();
+  }
+
+  private async createMachine(idx: number): Promise<SoakMachine> {
+    const host = this.addressOf(idx, 0);
+    const own = this.addressOf(idx, 1);
+    const relay = { address: own, port: RELAY_PORT };
+    const toStore = { address: own, port: STORE_PORT };
+    const storePlace = { address: '127.0.0.1', port: this.store.port };
+    const relayLink = await LinkProxy.start({ address: host, port: RELAY_PORT }, relay);
+    const storeLink = await LinkProxy.start(toStore, storePlace);
+    this.lifeCycle.own('relay link', relayLink, (link) => link.close());
+    this.lifeCycle.own('store link', storeLink, (link) => link.close());
+    const service = serviceOf(idx);
+    const settingsPath = join(this.folder, `${idx}.conf`);
+    writeFileSync(settingsPath, settingsText({ idx, host, relay, toStore, service }));
+    const machine: SoakMachine = {
+      idx,
+      service,
+      caller: { address: host, port: CALLER_PORT },
+      relayLink,
+      storeLink,
+      settingsPath,
+      backend: await this.startBackend(idx, 1),
+      node: this.startNode(idx, 1, settingsPath),
+      life: 1,
+      backends: 1,
+    };
+    this.announce(machine, 'ready');
+    return machine;
+  }
+
+  private startNode(idx: number, life: number, settingsPath: string): Child {
+    const env = { FERRYSPOOL_CONFIG: settingsPath };
+    const node = this.children.start(`node ${idx}, life ${life}`, PROGRAM, [], env);
+    node.onLine((line) => this.params.onLogLine(idx, line));
+    return node;
+  }
+
+  private startBackend(idx: number, count: number): Promise<SoakBackend> {
+    const { random, nowMs, onArrival } = this.params;
+    const place = { address: this.addressOf(idx, 0), port: BACKEND_PORT };
+    const id = `i-${idx}-${count}`;
+    return SoakBackend.start({ id, machine: idx, place, random, nowMs, onArrival });
+  }
+
+  private announce({ idx, service, backend }: SoakMachine, state: string): void {
+    this.store.put(`servers/${backend.id}`, {
+      address: `${this.addressOf(idx, 0)}:${BACKEND_PORT}`,
+      info: { service, version: 'v1', zone: 'z1', slots: BACKEND_SLOTS },
+      status: { state, sequence: 1, coldRemainingS: 0 },
+    });
+  }
+
+  /** `side` 0 is what others know of the machine, 1 what is behind its proxies. */
+  private addressOf(idx: number, side: number): string {
+    return `${this.params.network}.${side}.${idx + 1}`;
+  }
+}
+
+/** The service of a machine. */
+export function serviceOf(idx: number): string {
+  return SOAK_SERVICES[idx % SOAK_SERVICES.length] ?? SOAK_SERVICES[0];
+}
+
+/** Path of the route that came with a configuration. */
+export function addedPrefix(number: number): string {
+  return `/added${number}/`;
+}
+
+function route(name: string, pathPrefix: string, kind: string, service: string): unknown {
+  return {
+    ...{ name, pathPrefix, kind, service },
+    timeoutS: SOAK_TERMS.routeTimeoutMs / MS_PER_SECOND,
+    targetLatencyS: 0.5,
+    priority: 1,
+    maxAttempts: SOAK_TERMS.maxAttempts,
+  };
+}
+
+interface NodePlaces {
+  readonly idx: number;
+  readonly host: string;
+  readonly relay: Place;
+  readonly toStore: Place;
+  readonly service: string;
+}
+
+function settingsText({ idx, host, relay, toStore, service }: NodePlaces): string {
+  const lastInternalPort = FIRST_INTERNAL_PORT + INTERNAL_PORTS - 1;
+  return [
+    `self.nodeName=soak-${idx}`,
+    `self.ip=${host}`,
+    'self.zone=z1',
+    'self.region=r1',
+    `self.service=${service}`,
+    `network.listenAddrs.inbound=${relay.address}:${relay.port}`,
+    `network.listenAddrs.outbound=${host}:${CALLER_PORT}`,
+    `network.listenAddrs.ready=${host}:${READY_PORT}`,
+    `network.internalPortRange=${FIRST_INTERNAL_PORT},${lastInternalPort}`,
+    'network.zones.z1=r1',
+    `platform.platform.address=${toStore.address}:${toStore.port}`,
+    `terms.bounds.graceS=${SOAK_TERMS.graceMs / MS_PER_SECOND}`,
+    `terms.bounds.retryBudgetRatio=${RETRY_RATIO}`,
+    `terms.bounds.budgetMinRetries=${MIN_RETRIES}`,
+  ].join('\n');
+}
--- /dev/null
+++ b/tools/soak/soak-run.ts
@@ -0,0 +1,113 @@
+/** One soak: start, faults under traffic, a calm end, and the verdict. */
+import { setTimeout as delay } from 'node:timers/promises';
+import { seededRandom } from '../emulator/seeded-random.js';
+import { planSoak } from './fault-plan.js';
+import { SoakFaultInjector } from './fault-injector.js';
+import { judgeSoak, type BrokenPromise, type SoakArrival, type SoakRecord } from './promises.js';
+import { serviceOf, SOAK_TERMS, SoakFleet } from './soak-fleet.js';
+import { SoakTraffic } from './soak-traffic.js';
+
+/** Traffic before the first fault: the programs start meanwhile. */
+const WARM_UP_MS = 4_000;
+/** Traffic after the recovery from the last fault. */
+const CALM_MS = 3_000;
+/** Streams of random numbers under one seed. */
+const PLAN_STREAM = 0;
+const TRAFFIC_STREAM = 1;
+const BACKEND_STREAM = 2;
+
+/** How to run. */
+export interface SoakParams {
+  readonly seed: number;
+  readonly faultsMs: number;
+  readonly machines: number;
+  readonly perSecond: number;
+  /** The first two numbers of the loopback network. */
+  readonly network: string;
+  readonly say: (text: string) => void;
+  readonly onLogLine?: (machine: number, line: string) => void;
+  /** Gets the fleet once it is there, to end its processes in an emergency. */
+  readonly onFleet?: (fleet: SoakFleet) => void;
+}
+
+/** What a soak came to. */
+export interface SoakResult {
+  readonly broken: readonly BrokenPromise[];
+  readonly record: SoakRecord;
+}
+
+/** Runs a soak to its end; every process that it started has ended then. */
+export async function runSoak(params: SoakParams): Promise<SoakResult> {
+  const beganAtMs = performance.now();
+  const nowMs = (): number => performance.now() - beganAtMs;
+  const arrivals: SoakArrival[] = [];
+  const fleet = await SoakFleet.start({
+    network: params.network,
+    machines: params.machines,
+    random: seededRandom(params.seed, BACKEND_STREAM),
+    nowMs,
+    onArrival: (arrival) => arrivals.push(arrival),
+    onLogLine: params.onLogLine ?? (() => undefined),
+  });
+  params.onFleet?.(fleet);
+  try {
+    return await soakFleet(params, fleet, arrivals, nowMs);
+  } finally {
+    await fleet.close();
+  }
+}
+
+async function soakFleet(
+  params: SoakParams,
+  fleet: SoakFleet,
+  arrivals: readonly SoakArrival[],
+  nowMs: () => number,
+): Promise<SoakResult> {
+  const { seed, say, machines, perSecond } = params;
+  const random = seededRandom(seed, TRAFFIC_STREAM);
+  const injector = new SoakFaultInjector({ fleet, nowMs, say });
+  const traffic = new SoakTraffic({ fleet, random, nowMs, perSecond });
+  // Nodes that have just been started are no more in touch than those that start again.
+  const startWindow = {
+    kind: 'kill',
+    machines: undefined,
+    fromMs: 0,
+    untilMs: WARM_UP_MS,
+  } as const;
+  injector.windows.push(startWindow);
+  const sending = traffic.run();
+  await delay(WARM_UP_MS);
+  await performAll(params, injector);
+  const calmFromMs = nowMs();
+  say('nothing is harmed any more');
+  await delay(SOAK_TERMS.recoveryMs + CALM_MS);
+  await traffic.stop();
+  await sending;
+  const record: SoakRecord = {
+    calls: traffic.calls,
+    arrivals,
+    windows: injector.windows,
+    stops: injector.stops,
+    configuredAtMs: fleet.configuredAtMs,
+    drainedAtMs: fleet.drainedAtMs,
+    serviceOfMachine: Array.from({ length: machines }, (_, idx) => serviceOf(idx)),
+    ownEnds: fleet.ownEnds(),
+    calmFromMs,
+    terms: SOAK_TERMS,
+  };
+  return { record, broken: judgeSoak(record) };
+}
+
+async function performAll(
+  { seed, faultsMs, machines }: SoakParams,
+  injector: SoakFaultInjector,
+): Promise<void> {
+  const random = seededRandom(seed, PLAN_STREAM);
+  const beganAtMs = performance.now();
+  const underWay: Promise<void>[] = [];
+  for (const { atMs, fault } of planSoak({ machines, durationMs: faultsMs, random })) {
+    await delay(Math.max(0, atMs - (performance.now() - beganAtMs)));
+    underWay.push(injector.perform(fault));
+  }
+  await Promise.all(underWay);
+}
--- /dev/null
+++ b/tools/soak/soak-traffic.ts
@@ -0,0 +1,112 @@
+/** Callers of all machines of a soak, at a steady rate, and probes of the newest routes. */
+import http from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
+import type { RandomSource } from '../../src/control/control-event.js';
+import type { SoakCall } from './promises.js';
+import { sendCall, type SoakRequest } from './soak-client.js';
+import {
+  addedPrefix,
+  SAFE_PREFIX,
+  SOAK_HOST,
+  SOAK_TERMS,
+  UNSAFE_PREFIX,
+  type SoakFleet,
+  type SoakMachine,
+} from './soak-fleet.js';
+
+const MS_PER_SECOND = 1_000;
+const UNSAFE_SHARE = 0.3;
+const PROBE_SHARE = 0.25;
+const NEW_CONNECTION_SHARE = 0.3;
+const LEAVES_SHARE = 0.05;
+const MAX_LEAVES_AFTER_MS = 200;
+const DEADLINES_MS = [400, 1_000, 2_000, 3_000] as const;
+
+/** What the traffic is made with. */
+export interface TrafficParams {
+  readonly fleet: SoakFleet;
+  readonly random: RandomSource;
+  readonly nowMs: () => number;
+  /** Requests a second, of all machines together. */
+  readonly perSecond: number;
+}
+
+/** The traffic, from its start until it is stopped. */
+export class SoakTraffic {
+  readonly calls: SoakCall[] = [];
+  private readonly underWay = new Set<Promise<void>>();
+  private readonly agents = new Map<number, http.Agent>();
+  private isStopped = false;
+  private count = 0;
+
+  constructor(private readonly params: TrafficParams) {}
+
+  /** Sends until {@link stop}; arrivals are random and do not wait for answers. */
+  async run(): Promise<void> {
+    const { random, perSecond } = this.params;
+    let nextAtMs = this.params.nowMs();
+    while (!this.isStopped) {
+      nextAtMs += (-Math.log(1 - random()) * MS_PER_SECOND) / perSecond;
+      await delay(Math.max(0, nextAtMs - this.params.nowMs()));
+      this.sendOne();
+    }
+  }
+
+  /** Sends nothing more, and resolves when all that is under way is over. */
+  async stop(): Promise<void> {
+    this.isStopped = true;
+    await Promise.all(this.underWay);
+    this.agents.forEach((agent) => agent.destroy());
+  }
+
+  private sendOne(): void {
+    const { fleet, random } = this.params;
+    const machine = fleet.machines[Math.floor(random() * fleet.machines.length)];
+    if (machine === undefined) {
+      return;
+    }
+    const sent = sendCall(this.requestAt(machine)).then((call) => {
+      this.calls.push(call);
+      this.underWay.delete(sent);
+    });
+    this.underWay.add(sent);
+  }
+
+  private requestAt(machine: SoakMachine): SoakRequest {
+    const { random, nowMs } = this.params;
+    this.count += 1;
+    const id = `q${this.count}`;
+    const deadlineIdx = Math.floor(random() * DEADLINES_MS.length);
+    return {
+      ...this.drawRoute(id),
+      id,
+      machine: machine.idx,
+      life: machine.life,
+      place: machine.caller,
+      host: SOAK_HOST,
+      deadlineMs: DEADLINES_MS[deadlineIdx] ?? DEADLINES_MS[0],
+      agent: random() < NEW_CONNECTION_SHARE ? undefined : this.agentOf(machine.idx),
+      leavesAfterMs: random() < LEAVES_SHARE ? random() * MAX_LEAVES_AFTER_MS : Infinity,
+      nowMs,
+    };
+  }
+
+  private drawRoute(id: string): Pick<SoakRequest, 'isSafe' | 'target' | 'body' | 'addedBy'> {
+    const { fleet, random } = this.params;
+    if (random() < PROBE_SHARE) {
+      const back = Math.floor(random() * (SOAK_TERMS.routeLifeInConfigurations + 1));
+      const addedBy = Math.max(1, fleet.newestConfiguration - back);
+      return { isSafe: true, target: `${addedPrefix(addedBy)}${id}`, body: '', addedBy };
+    }
+    const isSafe = random() >= UNSAFE_SHARE;
+    const prefix = isSafe ? SAFE_PREFIX : UNSAFE_PREFIX;
+    const target = `${prefix}${id}?n=${Math.floor(random() * 10)}`;
+    return { isSafe, target, body: isSafe ? '' : `order of ${id}`, addedBy: undefined };
+  }
+
+  private agentOf(idx: number): http.Agent {
+    const agent = this.agents.get(idx) ?? new http.Agent({ keepAlive: true });
+    this.agents.set(idx, agent);
+    return agent;
+  }
+}
