Choose endpoints by their share of failures too, as the endpoint's own node has seen it

Cause: a back end that fails part of its requests is never ejected (five failures in a row are needed), and each of 71 nodes learns it alone, from a request every second or so. Ruled out: health checks, which may lie and are priced; ejection at a share, which would leave nothing when all fail. The tests fail with a cost of 0.

--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -39,6 +39,8 @@
   readonly draining: boolean;
   /** Whether the endpoint's node is about to stop; it comes back soon. */
   readonly isNodeStopping?: boolean;
+  /** Share of the latest requests that failed, from 0 to 1; by the endpoint's node. */
+  readonly failureShare?: number;
 }
 
 /** The head of an answer, with its body still to be read. */
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -2,6 +2,7 @@
 import { EndpointAdmission, type AdmissionEffect } from '../admission/endpoint-admission.js';
 import type { CounterSink } from '../control/control-event.js';
 import type { Endpoint } from '../model/resource.js';
+import { FailureShare } from '../routing/failure-share.js';
 import { admissionError } from './attempt-errors.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
 import type { EndpointPort } from './endpoint-client.js';
@@ -26,6 +27,7 @@
 export class EndpointGate implements CallGate {
   private readonly admission: EndpointAdmission;
   private readonly calls = new Map<string, GatedCall>();
+  private readonly failures = new FailureShare();
   private isProbing = false;
   private isDrainedByEndpoint = false;
   private isDrainedByConfiguration = false;
@@ -50,7 +52,12 @@
 
   load(): LoadReport {
     const inFlight = this.admission.runningCount + this.admission.waitingCount;
-    return { inFlight, slots: this.slots, draining: this.admission.isDraining };
+    return {
+      inFlight,
+      slots: this.slots,
+      draining: this.admission.isDraining,
+      failureShare: this.failures.at(this.options.scheduler.now()),
+    };
   }
 
   submit(call: Call, observer: AttemptObserver): Attempt {
@@ -85,6 +92,10 @@
     }
   }
 
+  takeOutcome(hasFailed: boolean): void {
+    this.failures.take(hasFailed, this.options.scheduler.now());
+  }
+
   takeRefusal(load: LoadReport | undefined): void {
     this.takeLoad(load);
     this.admission.endpointRefused();
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -21,6 +21,9 @@
 /** A slot whose request can't be accounted for stays taken for this long past its deadline. */
 const ORPHAN_HOLD_MS = 1_000;
 
+/** Answers from this status on report a fault of the endpoint. */
+const FAULT_STATUS = 500;
+
 /** How requests are cancelled: the time that is kept for it at their end, and what it does. */
 export interface CancelLead {
   /** Part of the remaining time. */
@@ -40,6 +43,8 @@
   release(call: Call, serviceMs: number | undefined): void;
   /** The endpoint answered and told its load. */
   takeLoad(load: LoadReport | undefined): void;
+  /** What a dispatched request came to, where that speaks for the endpoint. */
+  takeOutcome(hasFailed: boolean): void;
   /** The endpoint got the request and did not answer it; for the log. */
   recordFailure(requestId: string, code: string, elapsedMs: number, detail: string): void;
   /** The endpoint refused before the start. */
@@ -57,6 +62,7 @@
   private load: LoadReport | undefined;
   private isOver = false;
   private isEndpointGone = false;
+  private isAbandoned = false;
 
   constructor(
     private readonly gate: CallGate,
@@ -74,6 +80,7 @@
   }
 
   abort(): void {
+    this.isAbandoned = true;
     if (this.attempt !== undefined) {
       this.handle({ type: 'abandoned', wasSent: this.exchange?.wasSent() === true });
     } else if (!this.isOver) {
@@ -128,7 +135,11 @@
     this.answer = answer;
     this.gate.takeLoad(answer.load);
     answer.stream.once('close', () => {
-      this.handle({ type: 'answer-ended', isWhole: answer.isWhole() });
+      const isWhole = answer.isWhole();
+      if (!this.isAbandoned) {
+        this.gate.takeOutcome(!isWhole || answer.status >= FAULT_STATUS);
+      }
+      this.handle({ type: 'answer-ended', isWhole });
     });
     this.handle({ type: 'answered' });
   }
@@ -165,6 +176,9 @@
 
   private report(report: AttemptReport): void {
     const error = this.errorOf(report);
+    if (report !== 'refused') {
+      this.gate.takeOutcome(true);
+    }
     const elapsedMs = this.scheduler.now() - this.dispatchedAtMs;
     this.gate.recordFailure(this.call.requestId, error.code, elapsedMs, this.describeLoad());
     this.observer.failed(error, this.gate.load());
--- a/src/proxy/relay-client.ts
+++ b/src/proxy/relay-client.ts
@@ -16,6 +16,7 @@
   RELAY_DEADLINE_HEADER,
   RELAY_DRAINING_HEADER,
   RELAY_ENDPOINT_HEADER,
+  RELAY_FAILURES_HEADER,
   RELAY_LOAD_HEADER,
   RELAY_REQUEST_ID_HEADER,
   RELAY_RETRIES_HEADER,
@@ -36,6 +37,7 @@
 import type { Scheduler } from './scheduler.js';
 
 const NO_HEADERS: ReadonlySet<string> = new Set();
+const PERCENT = 100;
 
 /** Where a peer takes relayed requests. */
 export interface RelayAddress {
@@ -159,7 +161,10 @@
   }
   const draining = message.headers[RELAY_DRAINING_HEADER] === '1';
   const isNodeStopping = message.headers[RELAY_STOPPING_HEADER] === '1';
-  return { inFlight: Number(match[1]), slots: Number(match[2]), draining, isNodeStopping };
+  const failedPercent = Number(headerText(message, RELAY_FAILURES_HEADER) ?? 0);
+  const failureShare = failedPercent >= 0 ? Math.min(1, failedPercent / PERCENT) : 0;
+  const [, inFlight, slots] = match.map(Number);
+  return { inFlight: inFlight ?? 0, slots: slots ?? 0, draining, isNodeStopping, failureShare };
 }
 
 function headerText(message: IncomingMessage, lowerName: string): string | undefined {
--- a/src/proxy/relay-protocol.ts
+++ b/src/proxy/relay-protocol.ts
@@ -24,3 +24,5 @@
 export const RELAY_STOPPING_HEADER = 'ferryspool-stopping';
 /** Rank, time left to the target and to the start in milliseconds (empty: none), class of work: `;` between. */
 export const RELAY_WORK_HEADER = 'ferryspool-work';
+/** Share of the endpoint's latest requests that failed, in percent; left out when none did. */
+export const RELAY_FAILURES_HEADER = 'ferryspool-failures';
--- a/src/proxy/relay-server.ts
+++ b/src/proxy/relay-server.ts
@@ -15,6 +15,7 @@
   RELAY_DEADLINE_HEADER,
   RELAY_DRAINING_HEADER,
   RELAY_ENDPOINT_HEADER,
+  RELAY_FAILURES_HEADER,
   RELAY_LOAD_HEADER,
   RELAY_REQUEST_ID_HEADER,
   RELAY_RETRIES_HEADER,
@@ -45,6 +46,7 @@
 const WAKE_SETTLE_MS = 10;
 /** What a node that takes no new work says of its endpoint. */
 const NO_LOAD: LoadReport = { inFlight: 0, slots: 0, draining: false };
+const PERCENT = 100;
 const NO_HEADERS: ReadonlySet<string> = new Set();
 
 /** What the server needs of its node. */
@@ -249,5 +251,7 @@
   const headers = [RELAY_LOAD_HEADER, `${load.inFlight}/${load.slots}`];
   const draining = load.draining ? [RELAY_DRAINING_HEADER, '1'] : [];
   const stopping = isStopping ? [RELAY_STOPPING_HEADER, '1'] : [];
-  return headers.concat(draining, stopping);
+  const failedPercent = Math.round((load.failureShare ?? 0) * PERCENT);
+  const failures = failedPercent > 0 ? [RELAY_FAILURES_HEADER, String(failedPercent)] : [];
+  return headers.concat(draining, stopping, failures);
 }
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -359,6 +359,7 @@
           inFlight: load?.inFlight ?? 0,
           draining,
           isNodeStopping: load?.isNodeStopping === true,
+          ...(load?.failureShare !== undefined && { failureShare: load.failureShare }),
           ...(retryAfterMs !== undefined && { retryAfterMs }),
         },
         services.scheduler.now(),
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -1,5 +1,6 @@
 /** What one node has seen of one endpoint: load, failures, draining. Evidence, not health reports. */
 
+import { FailureShare } from './failure-share.js';
 import { LatencyEstimates } from './latency-estimates.js';
 
 /** Time over which a new endpoint's share of requests grows to the full one, in milliseconds. */
@@ -42,6 +43,8 @@
   readonly draining: boolean;
   /** Whether the endpoint's node is about to stop. */
   readonly isNodeStopping?: boolean;
+  /** Share of the endpoint's latest requests that failed, by its node, which sees them all. */
+  readonly failureShare?: number;
   /** Time for which the endpoint asked to be left alone, in milliseconds. */
   readonly retryAfterMs?: number;
 }
@@ -56,6 +59,10 @@
   private drainingUntilMs = 0;
   /** Until when each class of work is turned away there. */
   private readonly refusesUntilMs = new Map<string, number>();
+  /** What this node's own attempts came to. */
+  private readonly ownFailures = new FailureShare();
+  private readonly reportedFailures = new FailureShare();
+  /** Failures in a row. */
   private failures = 0;
   private unreachable = 0;
   private ejectedUntilMs: number | undefined;
@@ -101,12 +108,20 @@
     return (this.inFlight + others) / (slots * this.warmth(nowMs)) + penalty;
   }
 
+  /** Share of the endpoint's latest requests that failed, as far as is known. */
+  failureShare(nowMs: number): number {
+    return Math.max(this.ownFailures.at(nowMs), this.reportedFailures.at(nowMs));
+  }
+
   began(): void {
     this.inFlight += 1;
   }
 
   ended(outcome: AttemptOutcome, nowMs: number): void {
     this.inFlight -= 1;
+    if (outcome !== 'refused' && outcome !== 'abandoned') {
+      this.ownFailures.take(outcome !== 'answered', nowMs);
+    }
     switch (outcome) {
       case 'answered':
         return this.recover(nowMs);
@@ -130,6 +145,7 @@
   observeLoad(load: LoadObservation, nowMs: number): void {
     this.othersInFlight = Math.max(0, load.inFlight - this.inFlight);
     this.observedAtMs = nowMs;
+    this.reportedFailures.set(load.failureShare ?? 0, nowMs);
     if (load.draining) {
       this.drainingUntilMs = nowMs + DRAINING_HOLD_MS;
     } else if (load.isNodeStopping === true) {
--- a/src/routing/least-latency-strategy.ts
+++ b/src/routing/least-latency-strategy.ts
@@ -1,7 +1,7 @@
 /**
  * The candidate that costs least, as a share of what an answer in time is worth: how likely its answer
  * is late, by what this node has measured of it for the same class of work and the requests that are
- * there, and its distance, since bytes between zones have a price.
+ * there, how likely it fails, and its distance, since bytes between zones have a price.
  */
 import type { RandomSource } from '../control/control-event.js';
 import type {
@@ -21,6 +21,8 @@
 const ZONE_COST = 0.11;
 /** Cost of the bytes to another region. */
 const REGION_COST = 0.4;
+/** Cost of an attempt that fails: it is lost, or made again out of the retry budget. */
+const FAILURE_COST = 0.8;
 /** Load, as a share of the slots, from which a request is expected to wait. */
 const WAITING_LOAD = 0.85;
 /** Costs differ by this share at random, so that nodes that know the same choose differently. */
@@ -48,7 +50,9 @@
     for (const candidate of compared) {
       const expectedMs = this.expectedMs(candidate, work, fallbackMs, nowMs);
       const cost =
-        latencyCost(expectedMs / work.targetLatencyMs) + distanceCost(candidate, context);
+        latencyCost(expectedMs / work.targetLatencyMs) +
+        distanceCost(candidate, context) +
+        FAILURE_COST * candidate.record.failureShare(nowMs);
       if (cost < bestCost) {
         bestCost = cost;
         best = candidate;
--- a/test/platform/mesh.test.ts
+++ b/test/platform/mesh.test.ts
@@ -112,6 +112,35 @@
     expect(backend.arrivals).to.have.length(1);
   });
 
+  it('leaves a back end that fails part of its requests to itself, from the first answer that tells', async () => {
+    const [first, second] = await twoMachines({ kind: 'unsafe' });
+    const third = await fleet.addMachine('a');
+    let count = 0;
+    second.backend.behaviour = (_request, response, { requestId }) => {
+      count += 1;
+      if (count % 2 === 0) {
+        response.writeHead(500, { 'Request-Id': requestId, 'Content-Length': 0 }).end();
+      } else {
+        answer(response, requestId);
+      }
+    };
+    third.backend.behaviour = (_request, response, { requestId }) => {
+      setTimeout(() => answer(response, requestId), 30);
+    };
+    await pause(300);
+    for (let request = 0; request < 12; request += 1) {
+      await fleet.call(second, { method: 'POST' });
+    }
+    await fleet.call(first, { method: 'POST' });
+    second.backend.arrivals.length = 0;
+    third.backend.arrivals.length = 0;
+    for (let request = 0; request < 30; request += 1) {
+      await fleet.call(first, { method: 'POST' });
+    }
+    expect(second.backend.arrivals.length).to.be.at.most(4);
+    expect(third.backend.arrivals.length).to.be.at.least(26);
+  });
+
   it('loses no unsafe request to a back end that forgets idle connections', async () => {
     const [first, { backend }] = await twoMachines({ kind: 'unsafe' });
     backend.forgetsIdleAfterMs = 250;
--- a/test/routing/least-latency-strategy.test.ts
+++ b/test/routing/least-latency-strategy.test.ts
@@ -108,4 +108,36 @@
     selector.ended(near, 'gone', [near, other], 0);
     expect(selector.isEjected(near)).to.equal(true);
   });
+
+  it('turns away from an endpoint part of whose requests fail, and tries it again later', () => {
+    const selector = new EndpointSelector(seededRandom(1));
+    const endpoints = [near, other];
+    const countNear = (nowMs: number): number =>
+      Array.from({ length: 200 }, () => selector.choose(endpoints, CONTEXT, nowMs)).filter(
+        (chosen) => chosen === near,
+      ).length;
+    selector.choose(endpoints, CONTEXT, 0);
+    for (const one of endpoints) {
+      selector.measured(one, WORK.workClass, 100, 0);
+    }
+    for (let attempt = 0; attempt < 10; attempt += 1) {
+      selector.began(near, 0);
+      selector.ended(near, attempt % 2 === 0 ? 'failed' : 'answered', endpoints, 0);
+    }
+    expect(countNear(0)).to.equal(0);
+    expect(countNear(60_000)).to.be.greaterThan(20);
+  });
+
+  it('goes by the failures that the node of the endpoint has seen', () => {
+    const selector = new EndpointSelector(seededRandom(1));
+    const endpoints = [near, other];
+    selector.choose(endpoints, CONTEXT, 0);
+    for (const one of endpoints) {
+      selector.measured(one, WORK.workClass, 100, 0);
+    }
+    selector.observedLoad(near, { inFlight: 0, draining: false, failureShare: 0.4 }, 0);
+    for (let round = 0; round < 50; round += 1) {
+      expect(selector.choose(endpoints, CONTEXT, 0)).to.equal(other);
+    }
+  });
 });
--- a/tools/soak/soak-traffic.ts
+++ b/tools/soak/soak-traffic.ts
@@ -48,7 +48,9 @@
     while (!this.isStopped) {
       nextAtMs += (-Math.log(1 - random()) * MS_PER_SECOND) / perSecond;
       await delay(Math.max(0, nextAtMs - this.params.nowMs()));
-      this.sendOne();
+      if (!this.isStopped) {
+        this.sendOne();
+      }
     }
   }
 
