Serve latency histograms and gauges of the store and the configuration; let a life-cycle manager close a node's services

Requests (arrival to end) and the endpoint beside the node (whole answers) each have a histogram; gauges tell the configuration in force, the replica's revision and whether the store answers. The order of closing is now that of owning, reversed; what fails to close is logged.

--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -19,6 +19,8 @@
   readonly maxQueuedPerEndpoint: number;
   readonly cancelLead: CancelLead;
   readonly requestLog?: RequestLog;
+  /** Gets the time that an endpoint took for each whole answer, in milliseconds. */
+  readonly onEndpointMs?: (ms: number) => void;
   /** Writes one line on a change of state. */
   readonly logStateChange: (what: string, detail: string) => void;
 }
@@ -79,6 +81,9 @@
 
   release(call: Call, serviceMs: number | undefined): void {
     this.calls.delete(call.requestId);
+    if (serviceMs !== undefined) {
+      this.options.onEndpointMs?.(serviceMs);
+    }
     this.execute(this.admission.release(call.requestId, this.options.scheduler.now(), serviceMs));
   }
 
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -66,6 +66,10 @@
   readonly logStateChange: (what: string, detail: string) => void;
   /** Takes decisions on requests; they are not kept when absent. */
   readonly requestLog?: RequestLog;
+  /** Gets the time from the arrival of each caller's request to its end, in milliseconds. */
+  readonly onRequestMs?: (ms: number) => void;
+  /** Gets the time that an endpoint took for each whole answer, in milliseconds. */
+  readonly onEndpointMs?: (ms: number) => void;
 }
 
 /** The request path; its owner listens on the two servers. */
@@ -138,6 +142,7 @@
       scheduler: MACHINE_TIME,
       logStateChange: options.logStateChange,
       requestLog: options.requestLog ?? NO_REQUEST_LOG,
+      ...(options.onEndpointMs && { onEndpointMs: options.onEndpointMs }),
       maxQueuedPerEndpoint: this.limits.maxQueuedPerEndpoint,
       cancelLead: {
         cancelLeadShare: this.limits.cancelLeadShare,
@@ -295,6 +300,14 @@
     });
   }
 
+  private timeCall(response: CallerResponse): void {
+    const { onRequestMs } = this.options;
+    if (onRequestMs !== undefined) {
+      const startedAtMs = MACHINE_TIME.now();
+      response.onClose(() => onRequestMs(MACHINE_TIME.now() - startedAtMs));
+    }
+  }
+
   private handle(request: CallerRequest, response: CallerResponse): void {
     const ownId = this.nextRequestId();
     const requestId = request.requestId ?? ownId;
@@ -303,6 +316,7 @@
     this.options.counters.add('ferryspool_requests_total');
     const isFull = this.callsInFlight >= this.limits.maxCallsInFlight;
     this.countCall({ once: (_event, listener) => response.onClose(listener) });
+    this.timeCall(response);
     try {
       if (this.refusesNewWork()) {
         throw new NodeStoppingError('the node is about to stop', STOPPING_RETRY_MS);
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -16,6 +16,7 @@
 import { SnapshotBuilder } from '../store/snapshot-builder.js';
 import { StoreFollower } from '../store/store-follower.js';
 import { StoreReplica } from '../store/store-replica.js';
+import { LifeCycle } from './life-cycle.js';
 import type { Logger } from './logger.js';
 import { Metrics } from './metrics.js';
 import { createInternalServer } from './internal-server.js';
@@ -23,6 +24,7 @@
 import { RequestLogger } from './request-logger.js';
 import type { SocketAddress, StoreNodeSettings } from './store-node-settings.js';
 
+const MS_PER_SECOND = 1_000;
 /** Longest time that a watch of the store waits, in milliseconds: it bounds how late a lost one shows. */
 const WATCH_WAIT_MS = 2_500;
 /** Time of a planned stop that is kept for its last steps, in milliseconds. */
@@ -77,16 +79,24 @@
   private snapshot: Snapshot | undefined;
   private machineCount = 1;
   private isStopping = false;
-  private areServicesClosed = false;
+  private isStoreConnected = false;
   private stopped: Promise<void> | undefined;
+  /** What goes on while a planned stop drains the request path. */
+  private readonly services: LifeCycle;
 
   constructor(private readonly options: StoreNodeOptions) {
+    this.services = new LifeCycle((name, err) => {
+      options.logger.warn('close-failed', { name, reason: String(err) });
+    });
     this.builder = new SnapshotBuilder(options.readRecord);
-    this.follower = this.createFollower();
+    this.follower = this.services.own('store', this.createFollower(), (one) => one.close());
     this.proxy = this.createProxy();
-    this.readiness = createReadinessServer(() => this.isReady);
-    this.internalServer = createInternalServer(this.metrics, this.replica);
-    this.peers = this.createPeers();
+    const readiness = createReadinessServer(() => this.isReady);
+    this.readiness = this.services.own('readiness', readiness, closeServer);
+    const internalServer = createInternalServer(this.metrics, this.replica);
+    this.internalServer = this.services.own('internal server', internalServer, closeServer);
+    this.peers = this.services.own('peers', this.createPeers(), (one) => one.close());
+    this.defineGauges();
   }
 
   /** Opens the listeners and begins to follow the store; rejects when a listener can't be opened. */
@@ -110,7 +120,7 @@
   abort(): void {
     this.isStopping = true;
     this.proxy.abort();
-    this.closeServices();
+    void this.services.close();
   }
 
   private get isReady(): boolean {
@@ -120,19 +130,26 @@
   private async stopInOrder(): Promise<void> {
     this.isStopping = true;
     await this.proxy.stop();
-    this.closeServices();
+    await this.services.close();
   }
 
-  private closeServices(): void {
-    if (this.areServicesClosed) {
-      return;
-    }
-    this.areServicesClosed = true;
-    this.follower.close();
-    this.peers.close();
-    for (const server of [this.readiness, this.internalServer]) {
-      server.close();
-      server.closeAllConnections();
+  private defineGauges(): void {
+    const gauges: readonly [name: string, help: string, read: () => number][] = [
+      [
+        'configuration_number',
+        'Number of the configuration in force, 0 before the first',
+        () => this.snapshot?.version.source.number ?? 0,
+      ],
+      [
+        'store_revision',
+        'Revision up to which the replica is complete',
+        () => this.replica.revision,
+      ],
+      ['store_connected', '1 while the store answers', () => Number(this.isStoreConnected)],
+      ['machines', 'Machines that the endpoints name', () => this.machineCount],
+    ];
+    for (const [name, help, read] of gauges) {
+      this.metrics.gauge(`ferryspool_${name}`, help, read);
     }
   }
 
@@ -177,8 +194,12 @@
       replica: this.replica,
       random: Math.random,
       watchWaitMs: WATCH_WAIT_MS,
-      onLearned: (hasChanged) => this.takeLearned(hasChanged),
+      onLearned: (hasChanged) => {
+        this.isStoreConnected = true;
+        this.takeLearned(hasChanged);
+      },
       onConnection: (isConnected, reason) => {
+        this.isStoreConnected = isConnected;
         logger.info(isConnected ? 'store-regained' : 'store-lost', { reason });
       },
     });
@@ -215,9 +236,17 @@
       endpointProtocol,
       logStateChange: (what, detail) => logger.info(what, { detail }),
       requestLog: new RequestLogger(logger),
+      onRequestMs: this.timer('request', 'Time from the arrival of a request to its end'),
+      onEndpointMs: this.timer('endpoint', 'Time that the endpoint here took for a whole answer'),
     });
   }
 
+  /** Takes durations in milliseconds into a histogram. */
+  private timer(what: string, help: string): (ms: number) => void {
+    const histogram = this.metrics.histogram(`ferryspool_${what}_seconds`, help);
+    return (ms) => histogram.observe(ms / MS_PER_SECOND);
+  }
+
   private takeLearned(hasChanged: boolean): void {
     if (!hasChanged && this.snapshot !== undefined) {
       return;
@@ -246,6 +275,11 @@
   }
 }
 
+function closeServer(server: http.Server): void {
+  server.close();
+  server.closeAllConnections();
+}
+
 function machinesOf(snapshot: Snapshot): ReadonlySet<string> {
   const machines = new Set<string>();
   for (const endpoints of snapshot.endpointsByService.values()) {
--- a/test/platform/program.test.ts
+++ b/test/platform/program.test.ts
@@ -131,6 +131,11 @@
     expect(answered.body).to.equal('body q');
     const metrics = await get(first.address, FIRST_INTERNAL_PORT + 1, '/metrics');
     expect(metrics.body).to.include('ferryspool_requests_total');
+    expect(metrics.body).to.match(/^ferryspool_request_seconds_count [1-9]/m);
+    expect(metrics.body).to.match(/^ferryspool_configuration_number 2$/m);
+    expect(metrics.body).to.match(/^ferryspool_store_connected 1$/m);
+    const beside = await get(second.address, FIRST_INTERNAL_PORT + 1, '/metrics');
+    expect(beside.body).to.match(/^ferryspool_endpoint_seconds_count [1-9]/m);
     first.process.kill('SIGHUP');
     while (!first.text().includes('settings-read-again')) {
       await pause(10);
