--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -16,7 +16,7 @@
 import { headerValue, messageHeaders, parseMilliseconds, type HeaderList } from './headers.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import { BadRequestError, type RequestError } from './request-error.js';
-import type { CallerReply } from './request-runner.js';
+import type { CallerReply } from './request-context.js';
 
 /** Most time between two looks for connections that are over a time limit, in milliseconds. */
 const TIMEOUT_CHECK_INTERVAL_MS = 500;
--- a/src/proxy/claim-gate.ts
+++ b/src/proxy/claim-gate.ts
@@ -7,7 +7,7 @@
   DuplicateRequestError,
   type RequestError,
 } from './request-error.js';
-import type { CallerReply } from './request-runner.js';
+import type { CallerReply } from './request-context.js';
 
 /** When to come back after no majority could tell whether a key was used, in milliseconds. */
 const UNAVAILABLE_RETRY_MS = 2_000;
--- a/src/proxy/claimed-reply.ts
+++ b/src/proxy/claimed-reply.ts
@@ -4,7 +4,7 @@
 import type { Answer } from './call.js';
 import type { ClaimedAttempt, IdempotencyClaims } from './idempotency-claims.js';
 import type { RequestError } from './request-error.js';
-import type { CallerReply } from './request-runner.js';
+import type { CallerReply } from './request-context.js';
 
 /**
  * Passes everything to `reply`. An answer means that the attempt ran, `not-run` frees the key, and
--- /dev/null
+++ b/src/proxy/request-path.ts
@@ -0,0 +1,57 @@
+/** What the request path of a node needs, and what it offers. */
+import type http from 'node:http';
+import type { CounterSink, RandomSource } from '../control/control-event.js';
+import type { PeerIdentity } from '../membership/peer-identity.js';
+import type { CallerLimits, Snapshot } from '../model/snapshot.js';
+import type { AwaitedMachine } from './awaited-attempts.js';
+import type { CallerProtocol } from './caller-protocol.js';
+import type { EndpointProtocol } from './endpoint-protocol.js';
+import type { EndpointStateReport } from './endpoint-states.js';
+import type { IdempotencyClaims } from './idempotency-claims.js';
+import type { ProxyLimits } from './proxy-limits.js';
+import type { RequestLog } from './request-log.js';
+import type { MemberDirectory } from './request-services.js';
+
+/** What the request path needs of its node. */
+export interface RequestProxyOptions {
+  readonly identity: PeerIdentity;
+  readonly snapshots: { current(): Snapshot | undefined };
+  readonly members: MemberDirectory;
+  readonly counters: CounterSink;
+  readonly random: RandomSource;
+  readonly limits?: Partial<ProxyLimits>;
+  /** Claims on idempotency keys; without them keys are passed on and mean nothing to the node. */
+  readonly claims?: IdempotencyClaims;
+  /** Shared secret of the fleet; without one, whoever reaches the relay port may use it. */
+  readonly fleetKey?: Uint8Array;
+  /** How callers are spoken to; the product's own protocol when absent. */
+  readonly callerProtocol?: CallerProtocol;
+  /** How endpoints are spoken to; the product's own protocol when absent. */
+  readonly endpointProtocol?: EndpointProtocol;
+  /** Writes one line on a change of state. */
+  readonly logStateChange: (what: string, detail: string) => void;
+  /** Takes decisions on requests; they are not kept when absent. */
+  readonly requestLog?: RequestLog;
+  /** Gets the time from the arrival of each caller's request to its end, in milliseconds. */
+  readonly onRequestMs?: (ms: number) => void;
+  /** Gets the time that an endpoint took for each whole answer, in milliseconds. */
+  readonly onEndpointMs?: (ms: number) => void;
+}
+
+/** The request path; its owner listens on the two servers. */
+export interface RequestProxy {
+  readonly callerServer: http.Server;
+  readonly relayServer: http.Server;
+  /** Every endpoint of the configuration in force, as this node sees it. */
+  endpointStates(): EndpointStateReport[];
+  /** Takes the limits that the configuration sets; undefined leaves those of the node's settings. */
+  applyCallerLimits(limits: CallerLimits | undefined): void;
+  /** Machines whose nodes owe this one an answer. */
+  awaitedMachines(): Iterable<AwaitedMachine>;
+  /** Nothing is heard of a machine: what may be sent elsewhere is. */
+  machineIsSilent(machineId: string): void;
+  /** Planned stop: answers close their connections, requests in flight finish. */
+  stop(): Promise<void>;
+  /** Stop at once: connections are cut. */
+  abort(): void;
+}
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -1,8 +1,6 @@
 /** The request path of a node: callers' port, relay port and everything between. */
 import type http from 'node:http';
 import type { Channel } from 'js-csp';
-import type { CounterSink, RandomSource } from '../control/control-event.js';
-import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { CallerLimits, Snapshot } from '../model/snapshot.js';
 import { RouteTableCache, type RouteMatch } from '../routing/route-table.js';
 import { MAX_CLAIMED_REQUEST_MS } from '../claims/claim-terms.js';
@@ -10,6 +8,7 @@
 import { HeldBytes, receiveBody } from './body-receiver.js';
 import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
 import { createCallerServer, type CallerRequest, type CallerResponse } from './caller-server.js';
+import { CallMeter } from './call-meter.js';
 import { startWhenClaimed } from './claim-gate.js';
 import { EndpointClient } from './endpoint-client.js';
 import { NATIVE_ENDPOINT_PROTOCOL, type EndpointProtocol } from './endpoint-protocol.js';
@@ -29,11 +28,13 @@
   RequestError,
   RouteNotFoundError,
 } from './request-error.js';
-import { ATTEMPT_SEPARATOR, NO_REQUEST_LOG, type RequestLog } from './request-log.js';
-import { RequestRunner, type CallerReply } from './request-runner.js';
-import { RequestServices, type MemberDirectory } from './request-services.js';
+import { ATTEMPT_SEPARATOR, NO_REQUEST_LOG } from './request-log.js';
+import type { CallerReply } from './request-context.js';
+import type { RequestProxy, RequestProxyOptions } from './request-path.js';
+import { RequestRunner } from './request-runner.js';
+import { RequestServices } from './request-services.js';
 import { MACHINE_TIME } from './scheduler.js';
-import type { ClaimedAttempt, IdempotencyClaims } from './idempotency-claims.js';
+import type { ClaimedAttempt } from './idempotency-claims.js';
 import { withCredential } from './route-credential.js';
 import { drainServers } from './server-drain.js';
 
@@ -46,50 +47,6 @@
 /** Stands for the sender of a relayed request that proves no identity. */
 const UNNAMED_PEER = 'peer';
 
-/** What the request path needs of its node. */
-export interface RequestProxyOptions {
-  readonly identity: PeerIdentity;
-  readonly snapshots: { current(): Snapshot | undefined };
-  readonly members: MemberDirectory;
-  readonly counters: CounterSink;
-  readonly random: RandomSource;
-  readonly limits?: Partial<ProxyLimits>;
-  /** Claims on idempotency keys; without them keys are passed on and mean nothing to the node. */
-  readonly claims?: IdempotencyClaims;
-  /** Shared secret of the fleet; without one, whoever reaches the relay port may use it. */
-  readonly fleetKey?: Uint8Array;
-  /** How callers are spoken to; the product's own protocol when absent. */
-  readonly callerProtocol?: CallerProtocol;
-  /** How endpoints are spoken to; the product's own protocol when absent. */
-  readonly endpointProtocol?: EndpointProtocol;
-  /** Writes one line on a change of state. */
-  readonly logStateChange: (what: string, detail: string) => void;
-  /** Takes decisions on requests; they are not kept when absent. */
-  readonly requestLog?: RequestLog;
-  /** Gets the time from the arrival of each caller's request to its end, in milliseconds. */
-  readonly onRequestMs?: (ms: number) => void;
-  /** Gets the time that an endpoint took for each whole answer, in milliseconds. */
-  readonly onEndpointMs?: (ms: number) => void;
-}
-
-/** The request path; its owner listens on the two servers. */
-export interface RequestProxy {
-  readonly callerServer: http.Server;
-  readonly relayServer: http.Server;
-  /** Every endpoint of the configuration in force, as this node sees it. */
-  endpointStates(): EndpointStateReport[];
-  /** Takes the limits that the configuration sets; undefined leaves those of the node's settings. */
-  applyCallerLimits(limits: CallerLimits | undefined): void;
-  /** Machines whose nodes owe this one an answer. */
-  awaitedMachines(): Iterable<AwaitedMachine>;
-  /** Nothing is heard of a machine: what may be sent elsewhere is. */
-  machineIsSilent(machineId: string): void;
-  /** Planned stop: answers close their connections, requests in flight finish. */
-  stop(): Promise<void>;
-  /** Stop at once: connections are cut. */
-  abort(): void;
-}
-
 /** Makes the request path of a node. */
 export function createRequestProxy(options: RequestProxyOptions): RequestProxy {
   return new NodeRequestProxy(options);
@@ -121,8 +78,7 @@
   private readonly pauses = new PauseDetector(MACHINE_TIME.now());
   private readonly pauseTimer: NodeJS.Timeout;
   private requestCount = 0;
-  private callsInFlight = 0;
-  private lastArrivalAtMs = 0;
+  private readonly meter = new CallMeter(() => MACHINE_TIME.now());
   private isStopping = false;
   /** From when on a planned stop refuses new requests: their answers would come too late. */
   private refusesFromMs = Infinity;
@@ -207,16 +163,16 @@
   async stop(): Promise<void> {
     this.isStopping = true;
     this.refusesFromMs = MACHINE_TIME.now() + this.limits.stopAcceptMs;
-    this.options.logStateChange('request-path', `stopping with ${this.callsInFlight} in flight`);
+    this.options.logStateChange('request-path', `stopping with ${this.meter.inFlight} in flight`);
     await drainServers([this.callerServer, this.relayServer], {
       quietMs: this.limits.stopQuietMs,
       acceptMs: this.limits.stopAcceptMs,
       timeoutMs: this.limits.stopTimeoutMs,
-      lastArrivalAtMs: () => this.lastArrivalAtMs,
-      inFlight: () => this.callsInFlight,
+      lastArrivalAtMs: () => this.meter.lastArrivalAtMs,
+      inFlight: () => this.meter.inFlight,
       clock: () => MACHINE_TIME.now(),
     });
-    this.options.logStateChange('request-path', `drained to ${this.callsInFlight} in flight`);
+    this.options.logStateChange('request-path', `drained to ${this.meter.inFlight} in flight`);
     this.abort();
   }
 
@@ -276,7 +232,7 @@
       refusesNewWork: () => this.refusesNewWork(),
     });
     server.prependListener('request', (_request, response: http.ServerResponse) => {
-      this.countCall(response);
+      this.meter.count(response);
     });
     return server;
   }
@@ -291,32 +247,15 @@
     return fleetKey === undefined ? UNNAMED_PEER : verifyRelayToken(fleetKey, token, Date.now());
   }
 
-  /** Counts an open exchange of either server until it closes. */
-  private countCall(response: { once(event: 'close', listener: () => void): unknown }): void {
-    this.callsInFlight += 1;
-    this.lastArrivalAtMs = MACHINE_TIME.now();
-    response.once('close', () => {
-      this.callsInFlight -= 1;
-    });
-  }
-
-  private timeCall(response: CallerResponse): void {
-    const { onRequestMs } = this.options;
-    if (onRequestMs !== undefined) {
-      const startedAtMs = MACHINE_TIME.now();
-      response.onClose(() => onRequestMs(MACHINE_TIME.now() - startedAtMs));
-    }
-  }
-
   private handle(request: CallerRequest, response: CallerResponse): void {
     const ownId = this.nextRequestId();
     const requestId = request.requestId ?? ownId;
     const isNamedByCaller = request.requestId !== undefined;
     const attemptPrefix = isNamedByCaller ? `${requestId}${ATTEMPT_SEPARATOR}${ownId}` : ownId;
     this.options.counters.add('ferryspool_requests_total');
-    const isFull = this.callsInFlight >= this.limits.maxCallsInFlight;
-    this.countCall({ once: (_event, listener) => response.onClose(listener) });
-    this.timeCall(response);
+    const isFull = this.meter.inFlight >= this.limits.maxCallsInFlight;
+    const exchange = { once: (_event: 'close', end: () => void) => response.onClose(end) };
+    this.meter.count(exchange, this.options.onRequestMs);
     try {
       if (this.refusesNewWork()) {
         throw new NodeStoppingError('the node is about to stop', STOPPING_RETRY_MS);
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -1,14 +1,9 @@
 /** Runs one caller's request: executes the effects of {@link RequestLifecycle}. */
 import type { Endpoint } from '../model/resource.js';
-import type { Snapshot } from '../model/snapshot.js';
 import type { Verdict } from '../model/verdict.js';
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
-import type { RouteMatch } from '../routing/route-table.js';
 import type { AwaitedAttempt } from './awaited-attempts.js';
 import type { Answer, Attempt, Call, LoadReport } from './call.js';
-import type { AnswerObserver } from './answer-relay.js';
-import type { HeaderList } from './headers.js';
-import type { CallWork } from './relay-work.js';
 import type { RequestBody } from './request-body.js';
 import {
   BodyTooSlowError,
@@ -25,54 +20,14 @@
 import type { RequestDecisionName } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import type { CancelTimer } from './scheduler.js';
-import type { RequestServices } from './request-services.js';
+import { workClassOf, workOf } from './request-work.js';
+import type { RequestContext } from './request-context.js';
 
 /** When to come back after no endpoint had room, in milliseconds. */
 const NO_ENDPOINT_RETRY_MS = 200;
-/** Ranks between two priorities: among equals, what has the shorter target latency goes first. */
-const RANKS_PER_PRIORITY = 1_000_000;
-/** Added to the rank of a request that will be answered late, so that it goes after all others. */
-const LATE_RANK_OFFSET = 1_000_000_000;
-/** Part of the target latency that such a request waits for a slot at most. */
-const LATE_START_SHARE = 0.2;
-/** Ends the class of work that is answered late; measured apart, since it waits longer. */
-const LATE_CLASS_SUFFIX = ' late';
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
 
-/** The caller's side of a request. */
-export interface CallerReply {
-  /** Passes an endpoint's answer on; holds it whole where it has up to `holdBytes`. */
-  answer(answer: Answer, requestId: string, holdBytes: number, observer: AnswerObserver): void;
-  /** Reports an error. */
-  fail(error: RequestError, verdict: Verdict, requestId: string): void;
-  /** Breaks the connection, so that the caller can't take the answer for a whole one. */
-  breakConnection(): void;
-  /** Calls `action` once the exchange is over; `isWhole` when the answer went out in full. */
-  onClose(action: (isWhole: boolean) => void): void;
-}
-
-/** What one request is run with. */
-export interface RequestContext {
-  readonly services: RequestServices;
-  /** The configuration that the request started with, and keeps. */
-  readonly snapshot: Snapshot;
-  readonly match: RouteMatch;
-  readonly method: string;
-  /** Path and query as the caller sent them. */
-  readonly target: string;
-  /** Headers to send on, with the route's credential. */
-  readonly headers: HeaderList;
-  /** Attempts after the first by the caller's word; undefined when it names none. */
-  readonly retries: number | undefined;
-  readonly response: CallerReply;
-  /** Names the request to the caller. */
-  readonly requestId: string;
-  /** Unique in the fleet; names the attempts of the request between nodes. */
-  readonly attemptPrefix: string;
-  readonly deadlineAtMs: number;
-}
-
 /** One caller's request under way. */
 export class RequestRunner implements AwaitedAttempt {
   private readonly lifecycle: RequestLifecycle;
@@ -232,16 +187,14 @@
     return services.chooseEndpoint(snapshot, match, this.tried, this.workClass);
   }
 
-  /** Late work is a class of its own: it has room where work in time has none. */
   private get workClass(): string {
-    const { name } = this.context.match.route;
-    return this.isLate ? `${name}${LATE_CLASS_SUFFIX}` : name;
+    return workClassOf(this.context.match.route, this.isLate);
   }
 
   private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
-    const { method, target, headers, attemptPrefix, deadlineAtMs, services } = this.context;
+    const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = this.context;
     return {
-      ...this.work(),
+      ...workOf(match.route, this.startedAtMs, this.isLate),
       requestId: `${attemptPrefix}.${attempt}`,
       method,
       target,
@@ -253,23 +206,6 @@
     };
   }
 
-  /** When every endpoint has refused, a late answer is better than none, where there is room for it. */
-  private work(): CallWork {
-    const { priority = 0, targetLatencyMs } = this.context.match.route.spec;
-    const workClass = this.context.match.route.name;
-    if (targetLatencyMs === undefined) {
-      return { priority, workClass };
-    }
-    const rank = priority * RANKS_PER_PRIORITY + Math.round(targetLatencyMs);
-    return this.isLate
-      ? {
-          priority: rank + LATE_RANK_OFFSET,
-          workClass,
-          startByMs: this.startedAtMs + targetLatencyMs * LATE_START_SHARE,
-        }
-      : { priority: rank, workClass, targetAtMs: this.startedAtMs + targetLatencyMs };
-  }
-
   private takeAnswer(attempt: number, answer: Answer): void {
     this.answer = answer;
     this.peerHasAnswered();
--- a/test/proxy/claim-gate.test.ts
+++ b/test/proxy/claim-gate.test.ts
@@ -8,7 +8,7 @@
   TimedOutError,
   type RequestError,
 } from '../../src/proxy/request-error.js';
-import type { CallerReply } from '../../src/proxy/request-runner.js';
+import type { CallerReply } from '../../src/proxy/request-context.js';
 
 const ATTEMPT: ClaimedAttempt = { service: 'payments', key: 'k1', attempt: 'n1-1' };
 
