--- a/src/routing/failure-share.ts
+++ b/src/routing/failure-share.ts
@@ -1,7 +1,7 @@
 /** How many of the latest attempts at one endpoint failed. Pure: time is passed in. */
 
 /** Weight of one more outcome in the running share. */
-const OUTCOME_WEIGHT = 0.15;
+const OUTCOME_WEIGHT = 0.07;
 /** A share that is not renewed loses half of its weight in this time, so that it is tried again. */
 const HALF_LIFE_MS = 4_000;
 
--- a/src/routing/least-latency-strategy.ts
+++ b/src/routing/least-latency-strategy.ts
@@ -23,6 +23,8 @@
 const REGION_COST = 0.4;
 /** Cost of an attempt that fails: it is lost, or made again out of the retry budget. */
 const FAILURE_COST = 0.8;
+/** Share of failures that costs nothing: single ones are no reason to leave the zone. */
+const TOLERATED_FAILURE_SHARE = 0.1;
 /** Load, as a share of the slots, from which a request is expected to wait. */
 const WAITING_LOAD = 0.85;
 /** Costs differ by this share at random, so that nodes that know the same choose differently. */
@@ -52,7 +54,7 @@
       const cost =
         latencyCost(expectedMs / work.targetLatencyMs) +
         distanceCost(candidate, context) +
-        FAILURE_COST * candidate.record.failureShare(nowMs);
+        failureCost(candidate.record.failureShare(nowMs));
       if (cost < bestCost) {
         bestCost = cost;
         best = candidate;
@@ -109,6 +111,10 @@
   return LATE_COST * lateChance + LATENCY_COST * ratio;
 }
 
+function failureCost(share: number): number {
+  return FAILURE_COST * Math.max(0, share - TOLERATED_FAILURE_SHARE);
+}
+
 function distanceCost({ endpoint }: Candidate, { zone, region }: ChoiceContext): number {
   if (endpoint.spec.zone === zone) {
     return 0;
--- a/test/routing/least-latency-strategy.test.ts
+++ b/test/routing/least-latency-strategy.test.ts
@@ -140,4 +140,23 @@
       expect(selector.choose(endpoints, CONTEXT, 0)).to.equal(other);
     }
   });
+
+  it('stays in the zone after a single failure, and leaves it when many fail', () => {
+    const selector = new EndpointSelector(seededRandom(1));
+    const endpoints = [near, far];
+    selector.choose(endpoints, CONTEXT, 0);
+    for (const one of endpoints) {
+      selector.measured(one, WORK.workClass, 100, 0);
+    }
+    const outcomes = (['failed', 'answered', 'answered'] as const).concat(
+      Array<'answered'>(20).fill('answered'),
+    );
+    for (const outcome of outcomes) {
+      selector.began(near, 0);
+      selector.ended(near, outcome, endpoints, 0);
+      expect(selector.choose(endpoints, CONTEXT, 0)).to.equal(near);
+    }
+    selector.observedLoad(near, { inFlight: 0, draining: false, failureShare: 0.4 }, 0);
+    expect(selector.choose(endpoints, CONTEXT, 0)).to.equal(far);
+  });
 });
