--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -7,6 +7,7 @@
   type SoakPromise,
   type SoakRecord,
 } from '../../tools/soak/promises.js';
+import { SOAK_TERMS } from '../../tools/soak/soak-fleet.js';
 
 const CALL: SoakCall = {
   id: 'q1',
@@ -57,17 +58,7 @@
   serviceOfMachine: ['reads', 'orders'],
   ownEnds: [],
   calmFromMs: 1_000,
-  terms: {
-    contactMs: 3_000,
-    configApplyMs: 2_000,
-    rollbackSlackMs: 250,
-    drainMs: 2_000,
-    graceMs: 6_000,
-    routeTimeoutMs: 1_500,
-    recoveryMs: 5_000,
-    maxAttempts: 2,
-    routeLifeInConfigurations: 3,
-  },
+  terms: SOAK_TERMS,
 };
 
 function brokenIn(changes: Partial<SoakRecord>): SoakPromise[] {
