--- a/src/runtime/request-logger.ts
+++ b/src/runtime/request-logger.ts
@@ -10,12 +10,15 @@
 /** Lines that may be written at once after a quiet time. */
 const MAX_BURST_LINES = 400;
 const MS_PER_SECOND = 1_000;
+/** Least time between two lines that tell of dropped ones, in milliseconds. */
+const DROPPED_REPORT_INTERVAL_MS = 1_000;
 
 /** The log of decisions of one node. */
 export class RequestLogger implements RequestLog {
   private allowance = MAX_BURST_LINES;
   private countedAtMs: number;
   private droppedLines = 0;
+  private reportedAtMs = -Infinity;
 
   constructor(
     private readonly logger: Logger,
@@ -31,7 +34,7 @@
       return;
     }
     this.allowance -= 1;
-    this.reportDropped();
+    this.reportDropped(this.countedAtMs);
     this.logger.info(event, fields);
   }
 
@@ -42,8 +45,9 @@
     this.countedAtMs = nowMs;
   }
 
-  private reportDropped(): void {
-    if (this.droppedLines > 0) {
+  private reportDropped(nowMs: number): void {
+    if (this.droppedLines > 0 && nowMs - this.reportedAtMs >= DROPPED_REPORT_INTERVAL_MS) {
+      this.reportedAtMs = nowMs;
       this.logger.warn('log-lines-dropped', { lines: this.droppedLines, cause: 'rate' });
       this.droppedLines = 0;
     }
--- a/test/runtime/request-logger.test.ts
+++ b/test/runtime/request-logger.test.ts
@@ -48,6 +48,18 @@
   });
 });
 
+describe('log of decisions under lasting load', () => {
+  it('keeps to its rate with the lines that tell of dropped ones', () => {
+    const clock = new Clock();
+    const seconds = 10;
+    for (let tick = 0; tick < seconds * 100; tick += 1) {
+      clock.nowMs += 10;
+      clock.record(10);
+    }
+    expect(clock.lines.length).to.be.at.most(400 + seconds * 41);
+  });
+});
+
 describe('sink of log lines', () => {
   it('drops lines while its reader does not read, and says how many', () => {
     const written: string[] = [];
