--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -31,6 +31,7 @@
   'emulator/emulator.test.js': 8,
   'platform/mesh.test.js': 7,
   'soak/soak.test.js': 25,
+  'soak/soak-regressions.test.js': 125,
   'proxy/endpoint-faults.test.js': 6,
 };
 const USUAL_SECONDS = 1;
