Carry relayed requests as frames over one connection between two nodes

Ruled out: a cancel that queues behind bodies (no uploads were on those connections). Change: one upgraded connection to each peer, frames laid out with restructure, cancellations ahead of bodies, a window for each body, what was cancelled while it waited to be read is not run, and the time that a frame lost on its way is taken off the request's times. Tests that spoke HTTP to the relay port speak frames, as strict.

--- a/src/proxy/answer-relay.ts
+++ b/src/proxy/answer-relay.ts
@@ -2,8 +2,21 @@
  * Passes an answer on, with back-pressure. An answer is completed towards the receiver only when it
  * arrived whole; small ones are held until then, so that nothing of a broken one goes out.
  */
-import type { ServerResponse } from 'node:http';
-import type { Answer } from './call.js';
+import type { Answer, AnswerBody } from './call.js';
+
+/** Where an answer goes. */
+export interface AnswerSink {
+  readonly headersSent: boolean;
+  /** `contentLength` is the declared length of the body in bytes; undefined for a chunked one. */
+  writeHead(status: number, headers: string[], contentLength: number | undefined): void;
+  /** False when the receiver should be waited for, until `drain`. */
+  write(chunk: Buffer): boolean;
+  end(chunk?: Buffer): unknown;
+  on(event: 'drain', listener: () => void): unknown;
+  off(event: 'drain', listener: () => void): unknown;
+}
+
+type StreamedBody = Extract<AnswerBody, { kind: 'streamed' }>;
 
 /** Gets the end of the answer: one of the two, once. */
 export interface AnswerObserver {
@@ -13,56 +26,66 @@
   broken(wasPassedOn: boolean): void;
 }
 
-/** Passes `answer` to `response` with `headers`; holds it whole where it has up to `holdBytes`. */
+/** Passes `answer` to `sink` with `headers`; holds it whole where it has up to `holdBytes`. */
 export function passAnswer(
   answer: Answer,
-  response: ServerResponse,
+  sink: AnswerSink,
   headers: string[],
   holdBytes: number,
   observer: AnswerObserver,
 ): void {
-  if (answer.contentLength !== undefined) {
-    headers.push('Content-Length', String(answer.contentLength));
-  }
-  const isHeld = answer.contentLength !== undefined && answer.contentLength <= holdBytes;
-  if (isHeld) {
-    passHeld(answer, response, headers, observer);
+  const { body, contentLength, status } = answer;
+  const head = { status, headers, contentLength };
+  if (body.kind === 'held') {
+    sendWhole(sink, head, body.bytes);
+    observer.whole();
+  } else if (contentLength !== undefined && contentLength <= holdBytes) {
+    passHeld(body, sink, head, observer);
   } else {
-    passStreamed(answer, response, headers, observer);
+    passStreamed(body, sink, head, observer);
   }
 }
 
+interface AnswerHead {
+  readonly status: number;
+  readonly headers: string[];
+  readonly contentLength: number | undefined;
+}
+
+function sendWhole(sink: AnswerSink, head: AnswerHead, bytes: Buffer): void {
+  sink.writeHead(head.status, head.headers, head.contentLength);
+  sink.end(bytes);
+}
+
 function passHeld(
-  answer: Answer,
-  response: ServerResponse,
-  headers: string[],
+  { stream, isWhole }: StreamedBody,
+  sink: AnswerSink,
+  head: AnswerHead,
   observer: AnswerObserver,
 ): void {
-  const { stream } = answer;
   const chunks: Buffer[] = [];
   stream.on('data', (chunk: Buffer) => chunks.push(chunk));
   stream.on('error', ignoreError);
   stream.once('close', () => {
-    if (!answer.isWhole()) {
+    if (!isWhole()) {
       observer.broken(false);
       return;
     }
-    response.writeHead(answer.status, headers);
-    response.end(chunks.length === 1 ? chunks[0] : Buffer.concat(chunks));
+    const [first] = chunks;
+    sendWhole(sink, head, chunks.length === 1 && first ? first : Buffer.concat(chunks));
     observer.whole();
   });
 }
 
 function passStreamed(
-  answer: Answer,
-  response: ServerResponse,
-  headers: string[],
+  { stream, isWhole }: StreamedBody,
+  sink: AnswerSink,
+  { status, headers, contentLength }: AnswerHead,
   observer: AnswerObserver,
 ): void {
-  const { stream } = answer;
   const sendHead = (): void => {
-    if (!response.headersSent) {
-      response.writeHead(answer.status, headers);
+    if (!sink.headersSent) {
+      sink.writeHead(status, headers, contentLength);
     }
   };
   const resume = (): void => {
@@ -70,20 +93,20 @@
   };
   stream.on('data', (chunk: Buffer) => {
     sendHead();
-    if (!response.write(chunk)) {
+    if (!sink.write(chunk)) {
       stream.pause();
     }
   });
   stream.on('error', ignoreError);
-  response.on('drain', resume);
+  sink.on('drain', resume);
   stream.once('close', () => {
-    response.off('drain', resume);
-    if (!answer.isWhole()) {
-      observer.broken(response.headersSent);
+    sink.off('drain', resume);
+    if (!isWhole()) {
+      observer.broken(sink.headersSent);
       return;
     }
     sendHead();
-    response.end();
+    sink.end();
     observer.whole();
   });
 }
--- a/src/proxy/call-meter.ts
+++ b/src/proxy/call-meter.ts
@@ -24,12 +24,17 @@
 
   /** Counts an exchange until it closes; `onEnd` gets how long it was open. */
   count(exchange: Closing, onEnd?: (openMs: number) => void): void {
+    exchange.once('close', this.begin(onEnd));
+  }
+
+  /** Counts an exchange until the returned function is called, which must happen once. */
+  begin(onEnd?: (openMs: number) => void): () => void {
     const beganAtMs = this.nowMs();
     this.openCalls += 1;
     this.arrivedAtMs = beganAtMs;
-    exchange.once('close', () => {
+    return () => {
       this.openCalls -= 1;
       onEnd?.(this.nowMs() - beganAtMs);
-    });
+    };
   }
 }
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -1,5 +1,5 @@
 /** A request on its way through a node, and the attempts to get it answered. */
-import type { IncomingMessage } from 'node:http';
+import type { Readable } from 'node:stream';
 import type { Endpoint } from '../model/resource.js';
 import type { HeaderList } from './headers.js';
 import type { RequestBody } from './request-body.js';
@@ -43,13 +43,24 @@
   readonly failureShare?: number;
 }
 
-/** The head of an answer, with its body still to be read. */
+/**
+ * - `held`: the whole body is here.
+ * - `streamed`: the body is still to be read.
+ */
+export type AnswerBody =
+  | { readonly kind: 'held'; readonly bytes: Buffer }
+  | {
+      readonly kind: 'streamed';
+      readonly stream: Readable;
+      /** Whether the body arrived in full; to be asked once the stream has closed. */
+      readonly isWhole: () => boolean;
+    };
+
+/** An answer. */
 export interface Answer {
   readonly status: number;
   readonly headers: HeaderList;
-  readonly stream: IncomingMessage;
-  /** Whether the body arrived in full; to be asked once the stream has closed. */
-  readonly isWhole: () => boolean;
+  readonly body: AnswerBody;
   /** Declared length in bytes; undefined for a chunked body. */
   readonly contentLength: number | undefined;
   readonly load: LoadReport | undefined;
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -11,6 +11,7 @@
 import { CallerConnections } from './caller-connections.js';
 import { errorBody, type CallerProtocol } from './caller-protocol.js';
 import { passAnswer, type AnswerObserver } from './answer-relay.js';
+import { ResponseSink } from './response-sink.js';
 import type { Answer } from './call.js';
 import { sendError } from './error-answer.js';
 import { headerValue, messageHeaders, parseMilliseconds, type HeaderList } from './headers.js';
@@ -59,7 +60,7 @@
   answer(answer: Answer, requestId: string, holdBytes: number, observer: AnswerObserver): void {
     this.closeWhenStopping();
     const headers = answer.headers.concat(this.options.protocol.answerHeaders(requestId));
-    passAnswer(answer, this.response, headers, holdBytes, observer);
+    passAnswer(answer, new ResponseSink(this.response), headers, holdBytes, observer);
   }
 
   /** Reports an error. A body that is still arriving ends with the connection. */
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -224,8 +224,7 @@
         observer.answered({
           status: message.statusCode ?? 0,
           headers: reading.headers,
-          stream: message,
-          isWhole,
+          body: { kind: 'streamed', stream: message, isWhole },
           contentLength: contentLengthOf(message),
           load: reading.load,
         });
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -134,16 +134,23 @@
   private takeAnswer(answer: Answer): void {
     this.answer = answer;
     this.gate.takeLoad(answer.load);
-    answer.stream.once('close', () => {
-      const isWhole = answer.isWhole();
-      if (!this.isAbandoned) {
-        this.gate.takeOutcome(!isWhole || answer.status >= FAULT_STATUS);
-      }
-      this.handle({ type: 'answer-ended', isWhole });
-    });
+    const { body } = answer;
+    if (body.kind === 'held') {
+      this.handle({ type: 'answered' });
+      this.endAnswer(answer.status, true);
+      return;
+    }
+    body.stream.once('close', () => this.endAnswer(answer.status, body.isWhole()));
     this.handle({ type: 'answered' });
   }
 
+  private endAnswer(status: number, isWhole: boolean): void {
+    if (!this.isAbandoned) {
+      this.gate.takeOutcome(!isWhole || status >= FAULT_STATUS);
+    }
+    this.handle({ type: 'answer-ended', isWhole });
+  }
+
   private takeRefusal(load: LoadReport | undefined, retryAfterMs: number | undefined): void {
     this.load = load;
     this.retryAfterMs = retryAfterMs;
--- /dev/null
+++ b/src/proxy/relay/relay-body.ts
@@ -0,0 +1,90 @@
+/** Bodies that cross a relay connection in parts, each with a window of its own. */
+import { Readable, Writable } from 'node:stream';
+
+/** Bytes of one body that may be on their way or unread at the receiver. */
+export const BODY_WINDOW_BYTES = 64 * 1024;
+/** Bytes of one frame of a body at most: others get their turn in between. */
+const MAX_PART_BYTES = 16 * 1024;
+/** Bytes that are read before the sender is told that there is room. */
+const CREDIT_STEP_BYTES = 16 * 1024;
+
+/** Sends one part of a body. */
+export type SendPart = (bytes: Buffer, isLast: boolean) => void;
+
+/** The sending end. */
+export class RelayBodyWriter extends Writable {
+  private windowBytes = BODY_WINDOW_BYTES;
+  private waiting: (() => void) | undefined;
+
+  constructor(private readonly sendPart: SendPart) {
+    super({ highWaterMark: MAX_PART_BYTES });
+  }
+
+  /** The receiver has room for more. */
+  addCredit(bytes: number): void {
+    this.windowBytes += bytes;
+    const resume = this.waiting;
+    this.waiting = undefined;
+    resume?.();
+  }
+
+  override _write(chunk: Buffer, _encoding: BufferEncoding, done: () => void): void {
+    this.sendParts(chunk, done);
+  }
+
+  override _final(done: () => void): void {
+    this.sendPart(Buffer.alloc(0), true);
+    done();
+  }
+
+  private sendParts(chunk: Buffer, done: () => void): void {
+    let rest = chunk;
+    while (rest.length > 0 && this.windowBytes > 0) {
+      const part = rest.subarray(0, Math.min(MAX_PART_BYTES, this.windowBytes));
+      this.sendPart(part, false);
+      this.windowBytes -= part.length;
+      rest = rest.subarray(part.length);
+    }
+    if (rest.length === 0) {
+      done();
+    } else {
+      this.waiting = () => this.sendParts(rest, done);
+    }
+  }
+}
+
+/** The receiving end. */
+export class RelayBodyReader extends Readable {
+  private unreportedBytes = 0;
+  private isEnded = false;
+
+  /** `sendCredit` tells the sender that there is room for so many bytes more. */
+  constructor(private readonly sendCredit: (bytes: number) => void) {
+    super({ highWaterMark: BODY_WINDOW_BYTES });
+  }
+
+  /** Whether the body arrived in full. */
+  get complete(): boolean {
+    return this.isEnded;
+  }
+
+  /** Takes a part that arrived. */
+  receive(bytes: Buffer, isLast: boolean): void {
+    this.unreportedBytes += bytes.length;
+    if (bytes.length > 0) {
+      this.push(bytes);
+    }
+    if (isLast) {
+      this.isEnded = true;
+      this.push(null);
+    }
+  }
+
+  /** Called whenever there is room here again. */
+  override _read(): void {
+    if (this.unreportedBytes >= CREDIT_STEP_BYTES && !this.isEnded) {
+      this.sendCredit(this.unreportedBytes);
+      this.unreportedBytes = 0;
+    }
+  }
+}
--- /dev/null
+++ b/src/proxy/relay/relay-connection.ts
@@ -0,0 +1,111 @@
+/**
+ * One connection between two nodes, as frames. What is sent within one turn of the event loop goes out
+ * in one write, and frames of bodies wait behind all others, so that a cancellation or a refusal does
+ * not queue behind an upload.
+ */
+import type { Duplex } from 'node:stream';
+import { FrameError } from '../../wire/frame-error.js';
+import { FrameReader } from '../../wire/frame-reader.js';
+import { decodeRelayFrame, encodeRelayFrame, type RelayFrame } from './relay-frame.js';
+
+/** Bytes that the socket may hold before frames of bodies wait here. */
+const MAX_SOCKET_BACKLOG_BYTES = 64 * 1024;
+
+/** Gets what happens on a connection. */
+export interface RelayConnectionObserver {
+  /** Frames that arrived together, in their order. */
+  received(frames: readonly RelayFrame[]): void;
+  /** The connection is over; called once. */
+  closed(): void;
+}
+
+/** A connection. */
+export class RelayConnection {
+  private readonly reader = new FrameReader();
+  private urgent: Buffer[] = [];
+  private bodies: Buffer[] = [];
+  private isFlushDue = false;
+  private isClosed = false;
+
+  /** `head` is what was already read of the socket. */
+  constructor(
+    private readonly socket: Duplex,
+    head: Buffer,
+    private readonly observer: RelayConnectionObserver,
+  ) {
+    socket.on('data', (chunk: Buffer) => this.read(chunk));
+    socket.on('drain', () => this.flush());
+    socket.on('error', () => socket.destroy());
+    socket.on('end', () => socket.end());
+    socket.once('close', () => this.close());
+    if (head.length > 0) {
+      this.read(head);
+    }
+  }
+
+  /** Sends a frame with the others of this turn of the event loop. */
+  send(frame: RelayFrame): void {
+    if (this.isClosed) {
+      return;
+    }
+    const queue = frame.kind === 'body' ? this.bodies : this.urgent;
+    queue.push(encodeRelayFrame(frame));
+    if (!this.isFlushDue) {
+      this.isFlushDue = true;
+      setImmediate(() => this.flush());
+    }
+  }
+
+  /** Sends what waits, then closes. */
+  end(): void {
+    this.flush();
+    this.socket.end();
+  }
+
+  destroy(): void {
+    this.socket.destroy();
+  }
+
+  private flush(): void {
+    this.isFlushDue = false;
+    if (this.isClosed) {
+      return;
+    }
+    const due = this.urgent;
+    this.urgent = [];
+    let dueBytes = this.socket.writableLength + byteLengthOf(due);
+    while (this.bodies.length > 0 && dueBytes < MAX_SOCKET_BACKLOG_BYTES) {
+      const [next = Buffer.alloc(0)] = this.bodies.splice(0, 1);
+      due.push(next);
+      dueBytes += next.length;
+    }
+    if (due.length > 0) {
+      this.socket.write(due.length === 1 ? due[0] : Buffer.concat(due));
+    }
+  }
+
+  private read(chunk: Buffer): void {
+    const frames: RelayFrame[] = [];
+    try {
+      this.reader.push(chunk);
+      for (let body = this.reader.next(); body !== undefined; body = this.reader.next()) {
+        frames.push(decodeRelayFrame(body));
+      }
+    } catch (err) {
+      if (!(err instanceof FrameError)) {
+        throw err;
+      }
+      this.socket.destroy();
+    }
+    this.observer.received(frames);
+  }
+
+  private close(): void {
+    this.isClosed = true;
+    this.observer.closed();
+  }
+}
+
+function byteLengthOf(chunks: readonly Buffer[]): number {
+  return chunks.reduce((sum, { length }) => sum + length, 0);
+}
--- /dev/null
+++ b/src/proxy/relay/relay-load.ts
@@ -0,0 +1,23 @@
+/** Load of an endpoint as frames carry it. */
+import type { LoadReport } from '../call.js';
+import type { FrameLoad } from './relay-frame.js';
+
+const PERCENT = 100;
+
+/** What frames say of `load`. */
+export function frameLoadOf(load: LoadReport, isNodeStopping: boolean): FrameLoad {
+  return {
+    inFlight: Math.round(load.inFlight),
+    slots: Math.round(load.slots),
+    isDraining: load.draining,
+    isNodeStopping,
+    failedPercent: Math.round((load.failureShare ?? 0) * PERCENT),
+  };
+}
+
+/** What a frame says of the load. */
+export function loadOf(frame: FrameLoad): LoadReport {
+  const { inFlight, slots, isDraining: draining, isNodeStopping } = frame;
+  const failureShare = Math.min(1, frame.failedPercent / PERCENT);
+  return { inFlight, slots, draining, isNodeStopping, failureShare };
+}
--- /dev/null
+++ b/src/proxy/relay/relay-server.ts
@@ -0,0 +1,228 @@
+/** Takes attempts from other nodes for the endpoints that this node owns. */
+import http from 'node:http';
+import type { Duplex } from 'node:stream';
+import type { CounterSink } from '../../control/control-event.js';
+import type { Endpoint } from '../../model/resource.js';
+import type { Snapshot } from '../../model/snapshot.js';
+import type { Call, EndpointPath } from '../call.js';
+import { headerValue } from '../headers.js';
+import type { ProxyLimits } from '../proxy-limits.js';
+import { NodeStoppingError, UnknownEndpointError } from '../request-error.js';
+import type { Scheduler } from '../scheduler.js';
+import { RelayConnection } from './relay-connection.js';
+import type { RelayFrame, RequestFrame } from './relay-frame.js';
+import { RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
+import { RelayedRequest } from './relayed-request.js';
+import { TravelTime } from './travel-time.js';
+
+/** Time after a pause in which cancellations that came meanwhile are read, in milliseconds. */
+const WAKE_SETTLE_MS = 10;
+/** Time in which connections send what they still have at a planned stop, in milliseconds. */
+const CLOSE_TIMEOUT_MS = 300;
+const FORBIDDEN = 'HTTP/1.1 403 Forbidden\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+const UPGRADE_REQUIRED_STATUS = 426;
+const SWITCHED =
+  'HTTP/1.1 101 Switching Protocols\r\n' +
+  `Connection: Upgrade\r\nUpgrade: ${RELAY_PROTOCOL}\r\n\r\n`;
+
+/** What the server needs of its node. */
+export interface RelayServerOptions {
+  readonly machineId: string;
+  readonly limits: ProxyLimits;
+  readonly counters: CounterSink;
+  readonly scheduler: Scheduler;
+  /** The machine identity that a token proves, or undefined. */
+  readonly verifyToken: (token: string | undefined) => string | undefined;
+  readonly snapshot: () => Snapshot | undefined;
+  readonly endpoints: EndpointPath;
+  /** Whether the process was paused until just now; see {@link ../pause-detector.ts}. */
+  readonly hasJustWoken: () => boolean;
+  /** Whether peers are told that the node is about to stop. */
+  readonly isStopping: () => boolean;
+  /** Whether new requests are refused, since the node is about to stop. */
+  readonly refusesNewWork: () => boolean;
+  /** Counts a request until the returned function is called. */
+  readonly began: () => () => void;
+}
+
+/** The server and its connections. */
+export class RelayServer {
+  /** Its owner listens on it. */
+  readonly http: http.Server;
+  private readonly peers = new Set<RelayPeer>();
+
+  constructor(private readonly options: RelayServerOptions) {
+    this.http = http.createServer((_request, response) => {
+      response.writeHead(UPGRADE_REQUIRED_STATUS, { Upgrade: RELAY_PROTOCOL, Connection: 'close' });
+      response.end();
+    });
+    this.http.on('upgrade', (request, socket, head) => {
+      const token = headerValue(request.rawHeaders, RELAY_TOKEN_HEADER);
+      this.accept(options.verifyToken(token), socket, head);
+    });
+    this.http.on('clientError', (_error, socket) => socket.destroy());
+  }
+
+  /** Sends what waits and closes all connections; resolves when they are closed, or after a while. */
+  close(): Promise<void> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(resolve, CLOSE_TIMEOUT_MS);
+      const check = (): void => {
+        if (this.peers.size === 0) {
+          clearTimeout(timer);
+          resolve();
+        }
+      };
+      for (const peer of this.peers) {
+        peer.close(check);
+      }
+      check();
+    });
+  }
+
+  /** Cuts all connections. */
+  destroy(): void {
+    this.peers.forEach((peer) => peer.destroy());
+  }
+
+  private accept(sender: string | undefined, socket: Duplex, head: Buffer): void {
+    socket.on('error', () => socket.destroy());
+    if (sender === undefined) {
+      this.options.counters.add('ferryspool_relay_forbidden_total');
+      socket.end(FORBIDDEN);
+      return;
+    }
+    socket.write(SWITCHED);
+    const peer = new RelayPeer(sender, socket, head, this.options, () => this.peers.delete(peer));
+    this.peers.add(peer);
+  }
+}
+
+/** The connection of one peer, and its requests. */
+class RelayPeer {
+  private readonly requests = new Map<number, RelayedRequest>();
+  private readonly connection: RelayConnection;
+  private readonly travelTime = new TravelTime();
+  /** Requests that are not looked at yet, by stream. */
+  private readonly arrived = new Map<number, RequestFrame>();
+  private onClosed: () => void = () => undefined;
+
+  constructor(
+    private readonly sender: string,
+    socket: Duplex,
+    head: Buffer,
+    private readonly options: RelayServerOptions,
+    private readonly forget: () => void,
+  ) {
+    this.connection = new RelayConnection(socket, head, {
+      received: (frames) => this.receive(frames),
+      closed: () => this.end(),
+    });
+  }
+
+  close(onClosed: () => void): void {
+    this.onClosed = onClosed;
+    this.connection.end();
+  }
+
+  destroy(): void {
+    this.connection.destroy();
+  }
+
+  /**
+   * Requests are looked at once all that came with them is read: one that was cancelled meanwhile is
+   * not run. After a pause of the process, more may be waiting in the system.
+   */
+  private receive(frames: readonly RelayFrame[]): void {
+    frames.forEach((frame) => this.take(frame));
+    if (this.arrived.size === 0) {
+      return;
+    }
+    if (this.options.hasJustWoken()) {
+      this.options.scheduler.schedule(WAKE_SETTLE_MS, () => this.startArrived());
+    } else {
+      this.startArrived();
+    }
+  }
+
+  private take(frame: RelayFrame): void {
+    if (frame.kind === 'request') {
+      this.arrived.set(frame.streamId, frame);
+      return;
+    }
+    if (frame.kind === 'cancel' && this.arrived.delete(frame.streamId)) {
+      return;
+    }
+    if (frame.kind === 'body' && this.arrived.has(frame.streamId)) {
+      this.startArrived();
+    }
+    this.requests.get(frame.streamId)?.take(frame);
+  }
+
+  private startArrived(): void {
+    const frames = [...this.arrived.values()];
+    this.arrived.clear();
+    frames.forEach((frame) => this.start(frame));
+  }
+
+  private start(frame: RequestFrame): void {
+    const { options, connection } = this;
+    options.counters.add('ferryspool_relayed_requests_total');
+    const { streamId } = frame;
+    const ended = options.began();
+    const request = new RelayedRequest(frame, options.limits.maxBodyBytes, {
+      send: (sent) => connection.send(sent),
+      over: () => {
+        this.requests.delete(streamId);
+        ended();
+      },
+      isStopping: options.isStopping,
+    });
+    this.requests.set(streamId, request);
+    if (options.refusesNewWork()) {
+      request.failed(new NodeStoppingError('the node is about to stop'));
+      return;
+    }
+    const endpoint = this.ownedEndpoint(frame);
+    if (endpoint === undefined) {
+      request.failed(new UnknownEndpointError('the endpoint is not of this node'));
+      return;
+    }
+    request.submit(options.endpoints, endpoint, this.callOf(frame, request));
+  }
+
+  private callOf(frame: RequestFrame, request: RelayedRequest): Call {
+    const nowMs = this.options.scheduler.now();
+    const sentAtMs = nowMs - this.travelTime.lostMs(frame.sentAtMs, nowMs);
+    const { targetLeftMs, startLeftMs } = frame;
+    return {
+      requestId: frame.requestId,
+      method: frame.method,
+      target: frame.target,
+      headers: frame.headers,
+      body: request.body,
+      deadlineAtMs: sentAtMs + frame.remainingMs,
+      callerNode: this.sender,
+      retriesLeft: Math.min(frame.retriesLeft, this.options.limits.maxRetries),
+      priority: frame.priority,
+      workClass: frame.workClass,
+      ...(targetLeftMs !== undefined && { targetAtMs: sentAtMs + targetLeftMs }),
+      ...(startLeftMs !== undefined && { startByMs: sentAtMs + startLeftMs }),
+    };
+  }
+
+  private ownedEndpoint({ service, endpoint: name }: RequestFrame): Endpoint | undefined {
+    const { snapshot, machineId } = this.options;
+    const endpoints = snapshot()?.endpointsByService.get(service);
+    return endpoints?.find((one) => one.name === name && one.spec.machine === machineId);
+  }
+
+  private end(): void {
+    this.arrived.clear();
+    for (const request of [...this.requests.values()]) {
+      request.abandon();
+    }
+    this.forget();
+    this.onClosed();
+  }
+}
--- /dev/null
+++ b/src/proxy/relay/relayed-request.ts
@@ -0,0 +1,238 @@
+/** One request of a peer at the node that owns the endpoint. */
+import { EventEmitter } from 'node:events';
+import type { Endpoint } from '../../model/resource.js';
+import { passAnswer, type AnswerSink } from '../answer-relay.js';
+import type { Answer, Attempt, AttemptObserver, Call, EndpointPath, LoadReport } from '../call.js';
+import { EMPTY_BODY, HeldBody, StreamedBody, type RequestBody } from '../request-body.js';
+import { TruncatedAnswerError, type RequestError } from '../request-error.js';
+import { RelayBodyReader, RelayBodyWriter } from './relay-body.js';
+import type { RelayFrame, RequestFrame } from './relay-frame.js';
+import { frameLoadOf } from './relay-load.js';
+
+/** An answer of up to this length, in bytes, is sent as one frame where it is soon whole. */
+const MAX_HELD_ANSWER_BYTES = 16 * 1024;
+/** How long an answer's head waits for the rest at most, in milliseconds. */
+const MAX_HOLD_MS = 20;
+/** What is said of the load where nothing is known. */
+const NO_LOAD: LoadReport = { inFlight: 0, slots: 0, draining: false };
+
+/** What a request needs of its connection. */
+export interface RequestLink {
+  readonly send: (frame: RelayFrame) => void;
+  /** The request is over; called once. */
+  readonly over: () => void;
+  readonly isStopping: () => boolean;
+}
+
+/** The request. */
+export class RelayedRequest implements AttemptObserver {
+  readonly body: RequestBody;
+  private readonly reader: RelayBodyReader | undefined;
+  private readonly streamId: number;
+  private attempt: Attempt | undefined;
+  private sink: FrameSink | undefined;
+  private isOver = false;
+
+  constructor(
+    frame: RequestFrame,
+    maxBodyBytes: number,
+    private readonly link: RequestLink,
+  ) {
+    this.streamId = frame.streamId;
+    this.reader = isStreamed(frame) ? this.openReader() : undefined;
+    this.body = bodyOf(frame, this.reader, maxBodyBytes);
+  }
+
+  /** Gives the request to its endpoint. */
+  submit(path: EndpointPath, endpoint: Endpoint, call: Call): void {
+    const attempt = path.submit(endpoint, call, this);
+    if (!this.isOver) {
+      this.attempt = attempt;
+    }
+  }
+
+  /** Takes a frame of the sender. */
+  take(frame: RelayFrame): void {
+    switch (frame.kind) {
+      case 'body':
+        return this.reader?.receive(frame.bytes, frame.isLast);
+      case 'credit':
+        return this.sink?.addCredit(frame.creditBytes);
+      case 'cancel':
+        return this.abandon();
+      case 'request':
+      case 'answer':
+      case 'failure':
+        return;
+    }
+  }
+
+  /** Nobody waits for the answer any more. */
+  abandon(): void {
+    if (!this.isOver) {
+      this.end();
+      this.attempt?.abort();
+      this.sink?.destroy();
+    }
+  }
+
+  answered(answer: Answer): void {
+    if (this.isOver) {
+      return;
+    }
+    const sink = new FrameSink(this.streamId, answer, this.link);
+    this.sink = sink;
+    passAnswer(answer, sink, [...answer.headers], 0, {
+      whole: () => this.end(),
+      broken: (wasPassedOn) => {
+        sink.destroy();
+        this.breakAnswer(wasPassedOn, answer.load);
+      },
+    });
+  }
+
+  failed(error: RequestError, load?: LoadReport): void {
+    if (this.isOver) {
+      return;
+    }
+    this.end();
+    this.link.send({
+      kind: 'failure',
+      streamId: this.streamId,
+      code: error.code,
+      status: error.status,
+      verdict: error.verdict,
+      isRetryable: error.retryable,
+      retryAfterMs: error.retryAfterMs === undefined ? undefined : Math.ceil(error.retryAfterMs),
+      ...frameLoadOf(load ?? NO_LOAD, this.link.isStopping()),
+    });
+  }
+
+  private breakAnswer(wasPassedOn: boolean, load: LoadReport | undefined): void {
+    if (!wasPassedOn) {
+      this.failed(new TruncatedAnswerError('the answer broke off'), load);
+    } else if (!this.isOver) {
+      this.end();
+      this.link.send({ kind: 'cancel', streamId: this.streamId });
+    }
+  }
+
+  private openReader(): RelayBodyReader {
+    return new RelayBodyReader((creditBytes) => {
+      this.link.send({ kind: 'credit', streamId: this.streamId, creditBytes });
+    });
+  }
+
+  private end(): void {
+    if (!this.isOver) {
+      this.isOver = true;
+      if (this.reader?.complete === false) {
+        this.reader.destroy();
+      }
+      this.link.over();
+    }
+  }
+}
+
+/** An answer's way out as frames: one where it is small and soon whole, else a head and parts. */
+class FrameSink extends EventEmitter implements AnswerSink {
+  headersSent = false;
+  private heldChunks: Buffer[] = [];
+  private heldBytes = 0;
+  private readonly writer: RelayBodyWriter;
+  private readonly holdTimer: NodeJS.Timeout;
+
+  constructor(
+    private readonly streamId: number,
+    private readonly answer: Answer,
+    private readonly link: RequestLink,
+  ) {
+    super();
+    this.writer = new RelayBodyWriter((bytes, isLast) => {
+      link.send({ kind: 'body', streamId, bytes, isLast });
+    });
+    this.writer.on('drain', () => this.emit('drain'));
+    this.holdTimer = setTimeout(() => this.release(), MAX_HOLD_MS);
+  }
+
+  /** The head goes out with the first frame. */
+  writeHead(): void {
+    return;
+  }
+
+  write(chunk: Buffer): boolean {
+    if (this.headersSent) {
+      return this.writer.write(chunk);
+    }
+    this.heldChunks.push(chunk);
+    this.heldBytes += chunk.length;
+    return this.isHoldable || this.release();
+  }
+
+  end(chunk?: Buffer): void {
+    if (this.headersSent) {
+      this.writer.end(chunk);
+      return;
+    }
+    if (chunk !== undefined) {
+      this.heldChunks.push(chunk);
+    }
+    const [first] = this.heldChunks;
+    const isOne = this.heldChunks.length === 1 && first !== undefined;
+    this.sendHead(true, isOne ? first : Buffer.concat(this.heldChunks));
+  }
+
+  addCredit(bytes: number): void {
+    this.writer.addCredit(bytes);
+  }
+
+  destroy(): void {
+    clearTimeout(this.holdTimer);
+    this.writer.destroy();
+  }
+
+  /** An answer of unknown length is passed on as it comes. */
+  private get isHoldable(): boolean {
+    const isFramed = this.answer.contentLength !== undefined;
+    return isFramed && this.heldBytes <= MAX_HELD_ANSWER_BYTES;
+  }
+
+  /** Sends the head and what is held of the body; false when the receiver should be waited for. */
+  private release(): boolean {
+    this.sendHead(false, Buffer.alloc(0));
+    const held = Buffer.concat(this.heldChunks.splice(0));
+    return held.length === 0 || this.writer.write(held);
+  }
+
+  private sendHead(isHeld: boolean, bytes: Buffer): void {
+    clearTimeout(this.holdTimer);
+    this.headersSent = true;
+    const { status, headers, contentLength, load } = this.answer;
+    this.link.send({
+      kind: 'answer',
+      streamId: this.streamId,
+      status,
+      headers,
+      contentLengthBytes: contentLength,
+      ...frameLoadOf(load ?? NO_LOAD, this.link.isStopping()),
+      isHeld,
+      bytes,
+    });
+  }
+}
+
+function isStreamed({ bodyForm }: RequestFrame): boolean {
+  return bodyForm === 'sized' || bodyForm === 'chunked';
+}
+
+function bodyOf(
+  { bodyForm, bodyBytes, bytes }: RequestFrame,
+  reader: RelayBodyReader | undefined,
+  maxBodyBytes: number,
+): RequestBody {
+  if (reader !== undefined) {
+    const length = bodyForm === 'sized' ? bodyBytes : undefined;
+    return new StreamedBody(reader, length, [], maxBodyBytes);
+  }
+  return bodyForm === 'held' ? new HeldBody(bytes) : EMPTY_BODY;
+}
--- a/src/proxy/request-body.ts
+++ b/src/proxy/request-body.ts
@@ -1,6 +1,5 @@
 /** A request body: held whole where it is small, so that it can be sent again, else streamed once. */
-import type { IncomingMessage } from 'node:http';
-import type { Writable } from 'node:stream';
+import type { Readable, Writable } from 'node:stream';
 
 /** A body that attempts send on. */
 export interface RequestBody {
@@ -14,6 +13,12 @@
   sendTo(destination: Writable): void;
 }
 
+/** Where a streamed body comes from; Node's `IncomingMessage` is one. */
+export interface BodySource extends Readable {
+  /** Whether the body arrived in full. */
+  readonly complete: boolean;
+}
+
 /** No body. */
 export const EMPTY_BODY: RequestBody = {
   length: 0,
@@ -27,7 +32,7 @@
   readonly isDeclared = true;
   readonly length: number;
 
-  constructor(private readonly bytes: Buffer) {
+  constructor(readonly bytes: Buffer) {
     this.length = bytes.length;
   }
 
@@ -47,7 +52,7 @@
 
   /** `received` is what was already read of `source`; `maxBytes` bounds the whole body. */
   constructor(
-    private readonly source: IncomingMessage,
+    private readonly source: BodySource,
     readonly length: number | undefined,
     private readonly received: readonly Buffer[],
     private readonly maxBytes: number,
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -16,9 +16,9 @@
 import { EndpointGateway, startUpkeep } from './endpoint-gateway.js';
 import { PAUSE_CHECK_INTERVAL_MS, PauseDetector } from './pause-detector.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
-import { RelayClient } from './relay-client.js';
-import { createRelayServer } from './relay-server.js';
-import { RelayTokenIssuer, verifyRelayToken } from './relay-token.js';
+import { RelayClient } from './relay/relay-client.js';
+import { RelayServer } from './relay/relay-server.js';
+import { RelayTokenIssuer, verifyRelayToken } from './relay/relay-token.js';
 import {
   DeadlinePassedError,
   InternalError,
@@ -64,7 +64,7 @@
 
 class NodeRequestProxy implements RequestProxy {
   readonly callerServer: http.Server;
-  readonly relayServer: http.Server;
+  private readonly relay: RelayServer;
   private readonly limits: ProxyLimits;
   private readonly callerProtocol: CallerProtocol;
   private readonly endpointProtocol: EndpointProtocol;
@@ -122,7 +122,11 @@
       PAUSE_CHECK_INTERVAL_MS,
     );
     this.callerServer = this.makeCallerServer();
-    this.relayServer = this.makeRelayServer();
+    this.relay = this.makeRelayServer();
+  }
+
+  get relayServer(): http.Server {
+    return this.relay.http;
   }
 
   endpointStates(): EndpointStateReport[] {
@@ -157,6 +161,10 @@
   }
 
   machineIsSilent(machineId: string): void {
+    const address = this.options.members.relayAddress(machineId);
+    if (address !== undefined) {
+      this.relayClient.forget(address);
+    }
     this.services.awaited.machineIsSilent(machineId);
   }
 
@@ -173,6 +181,7 @@
       clock: () => MACHINE_TIME.now(),
     });
     this.options.logStateChange('request-path', `drained to ${this.meter.inFlight} in flight`);
+    await this.relay.close();
     this.abort();
   }
 
@@ -186,6 +195,7 @@
       server.close();
       server.closeAllConnections();
     }
+    this.relay.destroy();
     clearInterval(this.pauseTimer);
     this.upkeep.close();
     this.endpointClient.close();
@@ -197,7 +207,7 @@
     const { members, fleetKey, identity } = this.options;
     const tokens = fleetKey && new RelayTokenIssuer(fleetKey, identity.id);
     return new RelayClient({
-      limits: this.limits,
+      connectTimeoutMs: this.limits.connectTimeoutMs,
       scheduler: MACHINE_TIME,
       token: () => tokens?.current(Date.now()),
       addressOf: ({ spec }) =>
@@ -218,8 +228,8 @@
     });
   }
 
-  private makeRelayServer(): http.Server {
-    const server = createRelayServer({
+  private makeRelayServer(): RelayServer {
+    return new RelayServer({
       machineId: this.options.identity.id,
       limits: this.limits,
       counters: this.options.counters,
@@ -230,11 +240,8 @@
       hasJustWoken: () => this.pauses.hasJustWoken(MACHINE_TIME.now()),
       isStopping: () => this.isStopping,
       refusesNewWork: () => this.refusesNewWork(),
+      began: () => this.meter.begin(),
     });
-    server.prependListener('request', (_request, response: http.ServerResponse) => {
-      this.meter.count(response);
-    });
-    return server;
   }
 
   private refusesNewWork(): boolean {
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -226,7 +226,9 @@
 
   /** What is left of the answer is read, so that its connection can be used again. */
   private discardAnswer(): void {
-    this.answer?.stream.on('error', () => undefined).resume();
+    if (this.answer?.body.kind === 'streamed') {
+      this.answer.body.stream.on('error', () => undefined).resume();
+    }
     this.answer = undefined;
     this.endAttempt('failed');
   }
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -13,7 +13,7 @@
 import { AwaitedAttempts } from './awaited-attempts.js';
 import type { EndpointPath } from './call.js';
 import type { ProxyLimits } from './proxy-limits.js';
-import type { RelayAddress } from './relay-client.js';
+import type { RelayAddress } from './relay/relay-client.js';
 import { NO_REQUEST_LOG, type RequestLog } from './request-log.js';
 import type { Scheduler } from './scheduler.js';
 
--- a/src/proxy/request-work.ts
+++ b/src/proxy/request-work.ts
@@ -1,6 +1,9 @@
 /** Rank, class and times that admission goes by for a request of a route. Pure. */
 import type { Route } from '../model/resource.js';
-import type { CallWork } from './relay-work.js';
+import type { Call } from './call.js';
+
+/** The part of a call that admission goes by. */
+export type CallWork = Pick<Call, 'priority' | 'workClass' | 'targetAtMs' | 'startByMs'>;
 
 /** Ranks between two priorities: among equals, what has the shorter target latency goes first. */
 const RANKS_PER_PRIORITY = 1_000_000;
--- a/test/proxy/fuzz/request-world.ts
+++ b/test/proxy/fuzz/request-world.ts
@@ -18,7 +18,7 @@
 import { VirtualScheduler } from '../../../tools/emulator/virtual-scheduler.js';
 import { echoEndpoint, echoService } from '../rig.js';
 import { VirtualEndpoint, type EndpointFaults, type Execution } from './virtual-endpoint.js';
-import { VirtualEndpointPort, VirtualRelay } from './virtual-paths.js';
+import { onceWhole, VirtualEndpointPort, VirtualRelay } from './virtual-paths.js';
 import { VirtualConnection, VirtualProcess } from './virtual-process.js';
 
 /** Slots of each endpoint. */
@@ -268,8 +268,8 @@
   };
 
   answer(answer: Answer, _requestId: string, _holdBytes: number, observer: AnswerObserver): void {
-    answer.stream.once('close', () => {
-      if (!answer.stream.complete) {
+    onceWhole(answer, (isWhole) => {
+      if (!isWhole) {
         observer.broken(this.random() < 0.5);
         return;
       }
--- a/test/proxy/fuzz/virtual-paths.ts
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -1,6 +1,6 @@
 /** Ways between virtual processes: to endpoints, and to the nodes beside them. */
 import { EventEmitter } from 'node:events';
-import type { IncomingMessage } from 'node:http';
+import type { Readable } from 'node:stream';
 import type { Endpoint } from '../../../src/model/resource.js';
 import type {
   Answer,
@@ -32,8 +32,11 @@
     this.answer = {
       status: 200,
       headers: ['content', content],
-      stream: this.stream as unknown as IncomingMessage,
-      isWhole: () => this.stream.complete,
+      body: {
+        kind: 'streamed',
+        stream: this.stream as unknown as Readable,
+        isWhole: () => this.stream.complete,
+      },
       contentLength: 1,
       load: undefined,
     };
@@ -45,6 +48,15 @@
   }
 }
 
+/** Calls `action` at the end of the answer's body. */
+export function onceWhole({ body }: Answer, action: (isWhole: boolean) => void): void {
+  if (body.kind === 'held') {
+    action(true);
+  } else {
+    body.stream.once('close', () => action(body.isWhole()));
+  }
+}
+
 /** The endpoints as one node reaches them. */
 export class VirtualEndpointPort implements EndpointPort {
   constructor(
@@ -205,10 +217,7 @@
               passedOn = copy;
               settle(() => observer.answered({ ...copy.answer, load: answer.load }));
             });
-            answer.stream.once('close', () => {
-              const { complete } = answer.stream;
-              connection.toClient(() => passedOn?.end(complete));
-            });
+            onceWhole(answer, (isWhole) => connection.toClient(() => passedOn?.end(isWhole)));
           },
           failed: (error, load) => {
             connection.toClient(() => {
--- a/test/proxy/leaving.test.ts
+++ b/test/proxy/leaving.test.ts
@@ -2,6 +2,7 @@
 import http from 'node:http';
 import { expect } from 'chai';
 import { BackendStandIn } from '../../standins/backend/backend-stand-in.js';
+import { openRelay } from './relay-sender.js';
 import { call, echoEndpoint, echoService, TestMesh, until, type CallerResult } from './rig.js';
 
 describe('leaving', () => {
@@ -63,24 +64,22 @@
     const only = await backend();
     configure([{ machine: 'n2' }]);
     const { relayPort } = await mesh.addNode('n2');
-    const headers = {
-      'ferryspool-endpoint': 'echo/e0',
-      'ferryspool-deadline-ms': '1000',
-      'ferryspool-retries': '0',
-      'ferryspool-relay-token': mesh.tokenOf('n1'),
-    };
-    let count = 0;
-    const relay = (): Promise<CallerResult> =>
-      call(relayPort, { headers: { ...headers, 'ferryspool-request-id': `r${(count += 1)}` } });
+    const opening = await openRelay(relayPort, mesh.tokenOf('n1'));
+    if (opening.kind === 'refused') {
+      throw new Error(`refused with ${opening.status}`);
+    }
+    const { sender } = opening;
     only.change({ draining: true });
-    expect((await relay()).headers['ferryspool-code']).to.equal('ENDPOINT_DRAINING');
+    const refused = await sender.outcome(sender.request({ endpoint: 'e0' }));
+    expect(refused).to.include({ kind: 'failure', code: 'ENDPOINT_DRAINING' });
     only.change({ draining: false, reportedHealthy: false });
     let status = 0;
     while (status !== 200) {
-      status = (await relay()).status;
+      ({ status } = await sender.outcome(sender.request({ endpoint: 'e0' })));
       await new Promise((resolve) => setTimeout(resolve, 50));
     }
     expect(startedAt(0)).to.equal(1);
+    sender.destroy();
   });
 
   it('refuses what waits for an endpoint that the configuration drains', async () => {
--- a/test/proxy/request-proxy.test.ts
+++ b/test/proxy/request-proxy.test.ts
@@ -1,8 +1,7 @@
 /** The request path over real sockets: caller, node, node beside the endpoint, endpoint. */
-import { once } from 'node:events';
-import net from 'node:net';
 import { expect } from 'chai';
-import { RelayTokenIssuer } from '../../src/proxy/relay-token.js';
+import { RelayTokenIssuer } from '../../src/proxy/relay/relay-token.js';
+import { openRelay, type RelaySender } from './relay-sender.js';
 import {
   call,
   callRaw,
@@ -12,6 +11,7 @@
   rawAnswer,
   startRawEndpoint,
   TestMesh,
+  until,
   type RawEndpoint,
   type RawHandler,
 } from './rig.js';
@@ -179,6 +179,14 @@
   }
 
   const validToken = new RelayTokenIssuer(FLEET_KEY, 'n9').current(Date.now());
+  async function connectRelay(port: number): Promise<RelaySender> {
+    const opening = await openRelay(port, validToken);
+    if (opening.kind === 'refused') {
+      throw new Error(`refused with ${opening.status}`);
+    }
+    return opening.sender;
+  }
+
   const tokens = [
     { name: 'no token', token: undefined },
     { name: 'a malformed one', token: 'x' },
@@ -198,42 +206,70 @@
     it(`answers ${status} on the relay port to ${name}`, async () => {
       const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
       const { relayPort } = await mesh.addNode('n2');
-      const headers = {
-        'ferryspool-endpoint': 'echo/e1',
-        'ferryspool-request-id': 'r1',
-        'ferryspool-deadline-ms': '1000',
-        'ferryspool-retries': '0',
-        ...(token !== undefined && { 'ferryspool-relay-token': token }),
-      };
-      const result = await call(relayPort, { headers });
-      expect(result.status).to.equal(status);
+      const opening = await openRelay(relayPort, token);
+      const answered =
+        opening.kind === 'open' ? await opening.sender.outcome(opening.sender.request()) : opening;
+      expect(answered.status).to.equal(status);
       expect(target.heads).to.have.length(status === 200 ? 1 : 0);
+      if (opening.kind === 'open') {
+        opening.sender.destroy();
+      }
     });
   }
 
-  it('does not run what its sender gave up while the process was paused', async () => {
+  it('answers 426 on the relay port to a request that asks for no upgrade', async () => {
+    const { relayPort } = await mesh.addNode('n2');
+    const headers = { 'ferryspool-relay-token': validToken };
+    expect((await call(relayPort, { headers })).status).to.equal(426);
+  });
+
+  it('closes a relay connection on bytes that are no frame, and runs nothing of them', async () => {
     const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
     const { relayPort } = await mesh.addNode('n2');
-    const relayHeaders = {
-      'ferryspool-relay-token': validToken,
-      'ferryspool-endpoint': 'echo/e1',
-      'ferryspool-request-id': 'r0',
-      'ferryspool-deadline-ms': '1000',
-      'ferryspool-retries': '0',
-    };
-    await call(relayPort, { headers: relayHeaders });
-    const sender = net.connect(relayPort, '127.0.0.1');
-    await once(sender, 'connect');
-    sender.write(
-      `GET / HTTP/1.1\r\nHost: a\r\nferryspool-relay-token: ${validToken}\r\n` +
-        'ferryspool-endpoint: echo/e1\r\nferryspool-request-id: r1\r\n' +
-        'ferryspool-deadline-ms: 1000\r\nferryspool-retries: 0\r\n\r\n',
-    );
+    const sender = await connectRelay(relayPort);
+    sender.socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+    await until(() => sender.isClosed);
+    expect(target.heads).to.have.length(0);
+  });
+
+  it('does not run a request whose time was over before it was read', async () => {
+    const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
+    const { relayPort } = await mesh.addNode('n2');
+    const sender = await connectRelay(relayPort);
+    expect(await sender.outcome(sender.request())).to.include({ status: 200 });
+    const sentAtMs = Math.floor(performance.now()) - 700;
+    const late = sender.request({ sentAtMs, remainingMs: 500 });
+    expect(await sender.outcome(late)).to.include({ kind: 'failure', verdict: 'not-run' });
+    expect(target.heads).to.have.length(1);
     sender.destroy();
+  });
+
+  it('does not run what its sender gave up while the process was paused', async () => {
+    const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
+    const { relayPort } = await mesh.addNode('n2');
+    const sender = await connectRelay(relayPort);
+    await sender.outcome(sender.request({ requestId: 'r0' }));
+    sender.request({ requestId: 'r1' });
+    setImmediate(() => sender.destroy());
     const wakeAtMs = performance.now() + 500;
-    while (performance.now() < wakeAtMs);
-    await call(relayPort, { headers: { ...relayHeaders, 'ferryspool-request-id': 'r2' } });
+    setImmediate(() => {
+      while (performance.now() < wakeAtMs);
+    });
+    const other = await connectRelay(relayPort);
+    await other.outcome(other.request({ requestId: 'r2' }));
     expect(target.heads.map((head) => /x-request-id: (\S+)/.exec(head)?.[1])).to.not.include('r1');
+    other.destroy();
+  });
+
+  it('does not run what was cancelled before it was looked at', async () => {
+    const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
+    const { relayPort } = await mesh.addNode('n2');
+    const sender = await connectRelay(relayPort);
+    const streamId = sender.request({ requestId: 'r1' });
+    sender.send({ kind: 'cancel', streamId });
+    await sender.outcome(sender.request({ requestId: 'r2' }));
+    expect(target.heads.map((head) => /x-request-id: (\S+)/.exec(head)?.[1])).to.deep.equal(['r2']);
+    sender.destroy();
   });
 
   it('keeps pipelined answers in order', async () => {
--- a/test/proxy/rig.ts
+++ b/test/proxy/rig.ts
@@ -6,7 +6,7 @@
 import { resourceSchema } from '../../src/model/resource.js';
 import { buildSnapshot, NO_SNAPSHOT_VERSION, type Snapshot } from '../../src/model/snapshot.js';
 import type { ProxyLimits } from '../../src/proxy/proxy-limits.js';
-import { RelayTokenIssuer } from '../../src/proxy/relay-token.js';
+import { RelayTokenIssuer } from '../../src/proxy/relay/relay-token.js';
 import type { RequestProxy } from '../../src/proxy/request-path.js';
 import { createRequestProxy } from '../../src/proxy/request-proxy.js';
 import type { PeerIdentity } from '../../src/membership/peer-identity.js';
