Refuse a request that still waits shortly before its deadline, so that the promise arrives in time

Ruled out: a status that is derived wrongly; what is proved not to have run is answered 503 already. Change: the wait ends 30 ms, and at most a tenth of the time, before the deadline. Test: mesh.test.ts, promises that a request has not run which waited at the other node; failed first (504).

--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -21,6 +21,14 @@
 /** A slot whose request can't be accounted for stays taken for this long past its deadline. */
 const ORPHAN_HOLD_MS = 1_000;
 
+/**
+ * A request that still waits so long before its deadline is refused, in milliseconds, and at most in
+ * this share of its time: the refusal must reach the caller's node before the deadline does, or the
+ * caller is told that the request may have run.
+ */
+const REFUSAL_LEAD_MS = 30;
+const REFUSAL_LEAD_SHARE = 0.1;
+
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
 
@@ -94,7 +102,8 @@
   waitUntil(latestStartAtMs: number): void {
     if (this.attempt === undefined && !this.isOver) {
       const nowMs = this.scheduler.now();
-      const lastMomentMs = this.call.deadlineAtMs - this.cancelLeadMs(nowMs);
+      const leadMs = Math.max(this.cancelLeadMs(nowMs), this.refusalLeadMs(nowMs));
+      const lastMomentMs = this.call.deadlineAtMs - leadMs;
       const delayMs = Math.min(latestStartAtMs, lastMomentMs) - nowMs;
       this.cancelTimer = this.scheduler.schedule(delayMs, () => this.expireWaiting());
     }
@@ -218,6 +227,10 @@
     return Math.min(maxCancelLeadMs, (this.call.deadlineAtMs - nowMs) * cancelLeadShare);
   }
 
+  private refusalLeadMs(nowMs: number): number {
+    return Math.min(REFUSAL_LEAD_MS, (this.call.deadlineAtMs - nowMs) * REFUSAL_LEAD_SHARE);
+  }
+
   private holdSlot(): void {
     const untilDeadlineMs = Math.max(0, this.call.deadlineAtMs - this.scheduler.now());
     const holdMs = this.lead.slotFreedAfterCloseMs ?? untilDeadlineMs + ORPHAN_HOLD_MS;
--- a/test/platform/mesh.test.ts
+++ b/test/platform/mesh.test.ts
@@ -173,6 +173,22 @@
     expect(backend.arrivals[0]?.isCut).to.equal(true);
   });
 
+  it('promises that a request has not run which waited at the other node until its time was over', async () => {
+    const [first, { backend }] = await twoMachines({ kind: 'unsafe', timeoutS: 0.4 });
+    backend.behaviour = () => undefined;
+    const running = Array.from({ length: 4 }, () => fleet.call(first, { method: 'POST' }));
+    while (backend.arrivals.length < 4) {
+      await pause(5);
+    }
+    const waited = await fleet.call(first, { method: 'POST' });
+    expect(waited.status).to.equal(503);
+    expect(waited.headers).to.have.property('retry-after');
+    expect((await Promise.all(running)).map(({ status }) => status)).to.deep.equal([
+      504, 504, 504, 504,
+    ]);
+    expect(backend.arrivals).to.have.length(4);
+  });
+
   it('ends the work at the back end when the client leaves, also of requests behind the first', async () => {
     const [first, { backend }] = await twoMachines();
     backend.behaviour = () => undefined;
