--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -27,7 +27,6 @@
   'proxy/request-fuzz.test.js': 10,
   'replication/replica-fuzz.test.js': 15,
   'source/reader-fuzz.test.js': 15,
-  'emulator/comparison.test.js': 10,
   'emulator/emulator.test.js': 8,
   'platform/mesh.test.js': 7,
   'soak/soak.test.js': 25,
