--- /dev/null
+++ b/test/proxy/relay/relay-connection.test.ts
@@ -0,0 +1,109 @@
+/** A relay connection: what goes first, what bodies may take, how lost time is found. */
+import { PassThrough, Writable } from 'node:stream';
+import { finished } from 'node:stream/promises';
+import { expect } from 'chai';
+import {
+  BODY_WINDOW_BYTES,
+  RelayBodyReader,
+  RelayBodyWriter,
+} from '../../../src/proxy/relay/relay-body.js';
+import { RelayConnection } from '../../../src/proxy/relay/relay-connection.js';
+import { decodeRelayFrame, type RelayFrame } from '../../../src/proxy/relay/relay-frame.js';
+import { TravelTime } from '../../../src/proxy/relay/travel-time.js';
+import { FrameReader } from '../../../src/wire/frame-reader.js';
+
+const NOBODY = { received: () => undefined, closed: () => undefined };
+
+function endOfTurn(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+/** The frames in what was written. */
+function framesIn(chunks: readonly Buffer[]): RelayFrame[] {
+  const reader = new FrameReader();
+  reader.push(Buffer.concat(chunks));
+  const frames: RelayFrame[] = [];
+  for (let body = reader.next(); body !== undefined; body = reader.next()) {
+    frames.push(decodeRelayFrame(body));
+  }
+  return frames;
+}
+
+describe('a relay connection', () => {
+  it('sends what belongs to one turn in one write, a cancellation before bodies', async () => {
+    const socket = new PassThrough();
+    const chunks: Buffer[] = [];
+    socket.on('data', (chunk: Buffer) => chunks.push(chunk));
+    const connection = new RelayConnection(socket, Buffer.alloc(0), NOBODY);
+    const part = { kind: 'body', streamId: 1, isLast: false, bytes: Buffer.alloc(1_000) } as const;
+    connection.send(part);
+    connection.send(part);
+    connection.send({ kind: 'cancel', streamId: 2 });
+    await endOfTurn();
+    await endOfTurn();
+    expect(chunks).to.have.length(1);
+    expect(framesIn(chunks).map(({ kind }) => kind)).to.deep.equal(['cancel', 'body', 'body']);
+  });
+
+  it('holds bodies back while the socket is full, and still sends a cancellation at once', async () => {
+    const written: Buffer[] = [];
+    const stalled = new Writable({
+      highWaterMark: 1,
+      write: (chunk: Buffer) => {
+        written.push(chunk);
+      },
+    });
+    const socket = Object.assign(stalled, { resume: () => socket }) as unknown as PassThrough;
+    const connection = new RelayConnection(socket, Buffer.alloc(0), NOBODY);
+    for (let part = 0; part < 20; part += 1) {
+      connection.send({ kind: 'body', streamId: 1, isLast: false, bytes: Buffer.alloc(16_384) });
+    }
+    await endOfTurn();
+    const heldBytes = socket.writableLength;
+    connection.send({ kind: 'cancel', streamId: 1 });
+    await endOfTurn();
+    expect(heldBytes).to.be.within(64 * 1024, 96 * 1024);
+    expect(socket.writableLength - heldBytes).to.be.within(1, 10);
+  });
+});
+
+describe('a body in parts', () => {
+  it('arrives as it was sent, within its window, however slowly it is read', async () => {
+    const sent = Buffer.from(Array.from({ length: 300_000 }, (_, idx) => idx % 251));
+    let unreadBytes = 0;
+    let mostBytes = 0;
+    const received: Buffer[] = [];
+    const reader = new RelayBodyReader((bytes) => {
+      unreadBytes -= bytes;
+      setImmediate(() => writer.addCredit(bytes));
+    });
+    const writer = new RelayBodyWriter((bytes, isLast) => {
+      unreadBytes += bytes.length;
+      mostBytes = Math.max(mostBytes, unreadBytes);
+      const copy = Buffer.from(bytes);
+      setImmediate(() => reader.receive(copy, isLast));
+    });
+    writer.end(sent);
+    for await (const chunk of reader) {
+      received.push(chunk as Buffer);
+      await endOfTurn();
+    }
+    await finished(writer);
+    expect(Buffer.concat(received).equals(sent)).to.equal(true);
+    expect(reader.complete).to.equal(true);
+    expect(mostBytes).to.be.at.most(BODY_WINDOW_BYTES);
+  });
+});
+
+describe('the time that a frame lost', () => {
+  it('is what it took beyond the quickest frame, whatever the clocks say', () => {
+    const travelTime = new TravelTime();
+    const lost = [
+      [100, 5_105],
+      [200, 5_203],
+      [300, 5_900],
+      [400, 5_403],
+    ].map(([sentAtMs = 0, nowMs = 0]) => travelTime.lostMs(sentAtMs, nowMs));
+    expect(lost).to.deep.equal([0, 0, 597, 0]);
+  });
+});
--- /dev/null
+++ b/test/proxy/relay/relay-frame.test.ts
@@ -0,0 +1,118 @@
+/** Frames of the relay protocol: what is encoded is decoded alike, and nothing else is taken. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import {
+  decodeRelayFrame,
+  encodeRelayFrame,
+  type RelayFrame,
+} from '../../../src/proxy/relay/relay-frame.js';
+import { FrameError } from '../../../src/wire/frame-error.js';
+import { LENGTH_PREFIX_BYTES } from '../../../src/wire/frame-reader.js';
+
+const count = fc.nat();
+const shortText = fc.string({ maxLength: 60 });
+const bytes = fc.uint8Array({ maxLength: 200 }).map((list) => Buffer.from(list));
+const leftMs = fc.option(fc.integer({ min: -1e6, max: 1e6 }), { nil: undefined });
+const headers = fc.array(fc.stringMatching(/^[a-zA-Z0-9-]{1,12}$/), { minLength: 2, maxLength: 8 });
+const load = {
+  inFlight: count,
+  slots: count,
+  isDraining: fc.boolean(),
+  isNodeStopping: fc.boolean(),
+  failedPercent: fc.integer({ min: 0, max: 100 }),
+};
+
+const frames: fc.Arbitrary<RelayFrame> = fc.oneof(
+  fc.record({
+    kind: fc.constant('request' as const),
+    streamId: count,
+    sentAtMs: count,
+    requestId: shortText,
+    service: shortText,
+    endpoint: shortText,
+    method: shortText,
+    target: shortText,
+    headers,
+    remainingMs: count,
+    retriesLeft: count,
+    priority: count,
+    workClass: shortText,
+    targetLeftMs: leftMs,
+    startLeftMs: leftMs,
+    bodyForm: fc.constantFrom(
+      'none' as const,
+      'held' as const,
+      'sized' as const,
+      'chunked' as const,
+    ),
+    bodyBytes: count,
+    bytes,
+  }),
+  fc.record({
+    kind: fc.constant('answer' as const),
+    streamId: count,
+    status: count,
+    headers,
+    ...load,
+    contentLengthBytes: fc.option(count, { nil: undefined }),
+    isHeld: fc.boolean(),
+    bytes,
+  }),
+  fc.record({
+    kind: fc.constant('failure' as const),
+    streamId: count,
+    code: shortText,
+    status: count,
+    verdict: fc.constantFrom('not-run' as const, 'may-have-run' as const, 'ran' as const),
+    isRetryable: fc.boolean(),
+    retryAfterMs: fc.option(count, { nil: undefined }),
+    ...load,
+  }),
+  fc.record({
+    kind: fc.constant('body' as const),
+    streamId: count,
+    isLast: fc.boolean(),
+    bytes,
+  }),
+  fc.record({ kind: fc.constant('credit' as const), streamId: count, creditBytes: count }),
+  fc.record({ kind: fc.constant('cancel' as const), streamId: count }),
+);
+
+/** The frame without absent fields. */
+function defined(frame: RelayFrame): unknown {
+  return Object.fromEntries(Object.entries(frame).filter(([, value]) => value !== undefined));
+}
+
+describe('relay frames', () => {
+  it('are decoded as they were encoded', () => {
+    fc.assert(
+      fc.property(frames, (frame) => {
+        const encoded = encodeRelayFrame(frame);
+        expect(encoded.readUIntBE(0, LENGTH_PREFIX_BYTES)).to.equal(
+          encoded.length - LENGTH_PREFIX_BYTES,
+        );
+        expect(decodeRelayFrame(encoded.subarray(LENGTH_PREFIX_BYTES))).to.deep.equal(
+          defined(frame),
+        );
+      }),
+      { numRuns: 300, seed: 24 },
+    );
+  });
+
+  it('are refused when they end too early or are of no known kind', () => {
+    fc.assert(
+      fc.property(frames, fc.nat({ max: 400 }), (frame, cut) => {
+        const body = encodeRelayFrame(frame).subarray(LENGTH_PREFIX_BYTES);
+        const shortened = body.subarray(0, Math.min(cut, body.length));
+        try {
+          decodeRelayFrame(shortened);
+        } catch (err) {
+          expect(err).to.be.instanceOf(FrameError);
+        }
+      }),
+      { numRuns: 300, seed: 25 },
+    );
+    expect(() => decodeRelayFrame(Buffer.from([9]))).to.throw(FrameError);
+    expect(() => decodeRelayFrame(Buffer.alloc(0))).to.throw(FrameError);
+  });
+});
