Give the cancellation of a test its whole lead of 50 ms

Traced: with 100 ms of deadline the cancellation at the endpoint's side has a lead of 10 ms; a test process that is held up for longer lets the caller's node give up first, which is the careful verdict and no broken promise. With 1,000 ms the lead is the whole 50 ms of the product's default. What is asserted stays: the first answer, and that none is taken for another's.

--- a/test/proxy/endpoint-faults.test.ts
+++ b/test/proxy/endpoint-faults.test.ts
@@ -274,7 +274,7 @@
       (socket, head, index) => {
         const path = head.split(' ')[1] ?? '';
         if (index === 1) {
-          setTimeout(() => socket.write(rawAnswer('late')), 130);
+          setTimeout(() => socket.write(rawAnswer('late')), 1_030);
           return;
         }
         // A late answer whose first part comes while the connection is idle.
@@ -289,7 +289,7 @@
     );
     mesh.configure([...echoService(), echoEndpoint('only', target.port, { machine: 'n1' })]);
     const { callerPort } = await mesh.addNode('n1');
-    const first = await call(callerPort, { path: '/1', headers: { 'x-deadline-ms': 100 } });
+    const first = await call(callerPort, { path: '/1', headers: { 'x-deadline-ms': 1_000 } });
     expect(summaryOf(first)).to.equal('504 CANCELLED not-run');
     for (const path of ['/2', '/3', '/4']) {
       const result = await call(callerPort, { path });
