Redirect a refused request once, not twice

Hypothesis: where every endpoint is full, a second hop only to be refused costs both nodes processor time that binds.

--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -47,7 +47,7 @@
 const STORE_NODE_LIMITS: Partial<ProxyLimits> = {
   maxHeaderBytes: 64 * 1024,
   maxRetries: 3,
-  maxRedirects: 2,
+  maxRedirects: 1,
   retriesFaults: true,
   connectTimeoutMs: 300,
   // Endpoints may forget idle connections without a word after some hundred milliseconds.
