Count a hop to another node as a cost in the choice of an endpoint

Hypothesis: the endpoint beside the node needs half the processor time, so it should be taken among like ones. Test: least-latency-strategy.test.ts, takes the endpoint beside the node among like ones; it fails without the cost.

--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -80,6 +80,7 @@
     const context = {
       zone,
       region,
+      machineId: this.machineId,
       tried,
       repeatable: match.repeatable,
       work: workOf(match, workClass),
--- a/src/routing/endpoint-strategy.ts
+++ b/src/routing/endpoint-strategy.ts
@@ -21,6 +21,8 @@
   /** Zone and region of this node. */
   readonly zone: string;
   readonly region: string;
+  /** The machine that this node runs on; endpoints on others are a hop away. */
+  readonly machineId?: string;
   /** Undefined where nothing is known of the work. */
   readonly work?: WorkProfile | undefined;
 }
--- a/src/routing/least-latency-strategy.ts
+++ b/src/routing/least-latency-strategy.ts
@@ -1,7 +1,8 @@
 /**
  * The candidate that costs least, as a share of what an answer in time is worth: how likely its answer
  * is late, by what this node has measured of it for the same class of work and the requests that are
- * there, how likely it fails, and its distance, since bytes between zones have a price.
+ * there, how likely it fails, and its distance, since a hop costs two nodes' time and bytes between
+ * zones have a price.
  */
 import type { RandomSource } from '../control/control-event.js';
 import type {
@@ -17,6 +18,8 @@
 const LATE_STEEPNESS = 6;
 /** Cost of an expected latency as long as the target, besides the chance of being late. */
 const LATENCY_COST = 0.08;
+/** Cost of the way over another node: both nodes' processor time, besides the latency measured. */
+const HOP_COST = 0.04;
 /** Cost of the bytes to another zone. */
 const ZONE_COST = 0.11;
 /** Cost of the bytes to another region. */
@@ -115,9 +118,11 @@
   return FAILURE_COST * Math.max(0, share - TOLERATED_FAILURE_SHARE);
 }
 
-function distanceCost({ endpoint }: Candidate, { zone, region }: ChoiceContext): number {
-  if (endpoint.spec.zone === zone) {
-    return 0;
+function distanceCost({ endpoint }: Candidate, context: ChoiceContext): number {
+  const { machine, zone, region } = endpoint.spec;
+  const hopCost = machine === undefined || machine === context.machineId ? 0 : HOP_COST;
+  if (zone === context.zone) {
+    return hopCost;
   }
-  return endpoint.spec.region === region ? ZONE_COST : REGION_COST;
+  return hopCost + (region === context.region ? ZONE_COST : REGION_COST);
 }
--- a/test/routing/least-latency-strategy.test.ts
+++ b/test/routing/least-latency-strategy.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import type { Endpoint } from '../../src/model/resource.js';
 import { resourceSchema } from '../../src/model/resource.js';
-import { EndpointSelector } from '../../src/routing/endpoint-selector.js';
+import { EndpointSelector, type SelectionContext } from '../../src/routing/endpoint-selector.js';
 import { seededRandom } from '../../tools/emulator/seeded-random.js';
 import { echoEndpoint } from '../proxy/rig.js';
 
@@ -25,16 +25,20 @@
 const far = endpoint('far', 'z2');
 
 /** Choices among `endpoints` with the latencies given, none left in flight. */
-function choices(latencies: ReadonlyMap<Endpoint, number>, nowMs = 0): Set<string | undefined> {
+function choices(
+  latencies: ReadonlyMap<Endpoint, number>,
+  nowMs = 0,
+  context: SelectionContext = CONTEXT,
+): Set<string | undefined> {
   const selector = new EndpointSelector(seededRandom(1));
   const endpoints = [...latencies.keys()];
-  selector.choose(endpoints, CONTEXT, 0);
+  selector.choose(endpoints, context, 0);
   for (const [target, latencyMs] of latencies) {
     selector.measured(target, WORK.workClass, latencyMs, 0);
   }
   const chosen = new Set<string | undefined>();
   for (let round = 0; round < 50; round += 1) {
-    chosen.add(selector.choose(endpoints, CONTEXT, nowMs)?.name);
+    chosen.add(selector.choose(endpoints, context, nowMs)?.name);
   }
   return chosen;
 }
@@ -51,6 +55,20 @@
     ]).to.deep.equal(['other']);
   });
 
+  it('takes the endpoint beside the node among like ones, and another once that is slower', () => {
+    const beside = { ...near, spec: { ...near.spec, machine: 'n1' } };
+    const elsewhere = { ...other, spec: { ...other.spec, machine: 'n2' } };
+    const chosenAt = (besideMs: number): (string | undefined)[] => {
+      const latencies = new Map([
+        [beside, besideMs],
+        [elsewhere, 100],
+      ]);
+      return [...choices(latencies, 0, { ...CONTEXT, machineId: 'n1' })];
+    };
+    expect(chosenAt(105)).to.deep.equal(['near']);
+    expect(chosenAt(450)).to.deep.equal(['other']);
+  });
+
   it('stays in the zone while its answers are well within the target', () => {
     expect([
       ...choices(
