--- /dev/null
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -0,0 +1,209 @@
+/** One attempt of this node at the node of an endpoint. */
+import type { Endpoint } from '../../model/resource.js';
+import type { Answer, AnswerBody, Attempt, AttemptObserver, Call } from '../call.js';
+import { HeldBody, type RequestBody } from '../request-body.js';
+import {
+  ConnectionLostError,
+  MalformedAnswerError,
+  RelayedError,
+  TruncatedAnswerError,
+  UnreachableError,
+  type RequestError,
+} from '../request-error.js';
+import type { Scheduler } from '../scheduler.js';
+import { RelayBodyReader, RelayBodyWriter } from './relay-body.js';
+import type { AnswerFrame, BodyForm, FailureFrame, RelayFrame } from './relay-frame.js';
+import { loadOf } from './relay-load.js';
+
+/** What an attempt needs of its link. */
+export interface AttemptLink {
+  readonly send: (frame: RelayFrame) => void;
+  /** Nothing more is awaited. */
+  readonly over: () => void;
+}
+
+/** The attempt. */
+export class RelayedAttempt implements Attempt {
+  private isSent = false;
+  private isOver = false;
+  private writer: RelayBodyWriter | undefined;
+  private reader: RelayBodyReader | undefined;
+
+  constructor(
+    private readonly streamId: number,
+    private readonly endpoint: Endpoint,
+    private readonly call: Call,
+    private readonly observer: AttemptObserver,
+    private readonly scheduler: Scheduler,
+    private readonly link: AttemptLink,
+  ) {}
+
+  abort(): void {
+    if (!this.isOver) {
+      this.cancel();
+      this.end();
+      this.reader?.destroy();
+    }
+  }
+
+  /** Sends the request; the connection is open. */
+  send(): void {
+    this.isSent = true;
+    const { call, endpoint } = this;
+    const nowMs = this.scheduler.now();
+    const held = call.body instanceof HeldBody ? call.body.bytes : undefined;
+    this.link.send({
+      kind: 'request',
+      streamId: this.streamId,
+      sentAtMs: Math.floor(nowMs),
+      requestId: call.requestId,
+      service: endpoint.spec.service,
+      endpoint: endpoint.name,
+      method: call.method,
+      target: call.target,
+      headers: call.headers,
+      remainingMs: Math.max(0, Math.floor(call.deadlineAtMs - nowMs)),
+      retriesLeft: call.retriesLeft,
+      priority: call.priority,
+      workClass: call.workClass,
+      targetLeftMs: leftMs(call.targetAtMs, nowMs),
+      startLeftMs: leftMs(call.startByMs, nowMs),
+      bodyForm: formOf(call.body),
+      bodyBytes: held === undefined ? (call.body.length ?? 0) : 0,
+      bytes: held ?? Buffer.alloc(0),
+    });
+    if (held === undefined && call.body.isDeclared) {
+      this.streamBody();
+    }
+  }
+
+  take(frame: RelayFrame): void {
+    switch (frame.kind) {
+      case 'answer':
+        return this.takeAnswer(frame);
+      case 'failure':
+        return this.takeFailure(frame);
+      case 'body':
+        return this.takeBody(frame.bytes, frame.isLast);
+      case 'credit':
+        return this.writer?.addCredit(frame.creditBytes);
+      case 'cancel':
+        return this.breakAnswer();
+      case 'request':
+        return;
+    }
+  }
+
+  connectionClosed(cause: 'never-sent' | 'lost'): void {
+    if (this.reader !== undefined) {
+      this.breakAnswer();
+      return;
+    }
+    const node = `the node of endpoint ${this.endpoint.name}`;
+    this.fail(
+      cause === 'never-sent' || !this.isSent
+        ? new UnreachableError(`no connection to ${node}`)
+        : new ConnectionLostError(`the connection to ${node} was lost`),
+    );
+  }
+
+  /** A sender that breaks off leaves a request that can't be completed. */
+  private streamBody(): void {
+    const writer = new RelayBodyWriter((bytes, isLast) => {
+      this.link.send({ kind: 'body', streamId: this.streamId, bytes, isLast });
+    });
+    this.writer = writer;
+    writer.on('error', () => undefined);
+    writer.once('close', () => {
+      if (!writer.writableFinished && !this.isOver) {
+        this.cancel();
+        this.fail(new ConnectionLostError('the body broke off'));
+      }
+    });
+    this.call.body.sendTo(writer);
+  }
+
+  private takeAnswer(frame: AnswerFrame): void {
+    if (this.reader !== undefined) {
+      return;
+    }
+    const { status, headers, isHeld, bytes, contentLengthBytes: contentLength } = frame;
+    const body: AnswerBody = isHeld ? { kind: 'held', bytes } : this.openReader();
+    const answer: Answer = { status, headers, body, contentLength, load: loadOf(frame) };
+    if (isHeld) {
+      this.end();
+    }
+    this.observer.answered(answer);
+  }
+
+  private openReader(): AnswerBody {
+    const reader = new RelayBodyReader((creditBytes) => {
+      this.link.send({ kind: 'credit', streamId: this.streamId, creditBytes });
+    });
+    this.reader = reader;
+    return { kind: 'streamed', stream: reader, isWhole: () => reader.complete };
+  }
+
+  private takeBody(bytes: Buffer, isLast: boolean): void {
+    this.reader?.receive(bytes, isLast);
+    if (isLast) {
+      this.end();
+    }
+  }
+
+  private takeFailure(frame: FailureFrame): void {
+    const { code, verdict, isRetryable: retryable, retryAfterMs, status } = frame;
+    const failure = {
+      code,
+      verdict,
+      retryable,
+      ...(retryAfterMs !== undefined && { retryAfterMs }),
+    };
+    const error = new RelayedError(failure, status, `the endpoint's node reports ${code}`);
+    this.end();
+    this.observer.failed(error, loadOf(frame));
+  }
+
+  /** The rest of the answer will not come. */
+  private breakAnswer(): void {
+    if (this.reader === undefined) {
+      this.fail(new MalformedAnswerError('the peer gave the request up'));
+      return;
+    }
+    this.end();
+    this.reader.destroy(new TruncatedAnswerError('the answer broke off'));
+  }
+
+  private fail(error: RequestError): void {
+    if (!this.isOver) {
+      this.end();
+      this.observer.failed(error);
+    }
+  }
+
+  private cancel(): void {
+    if (this.isSent) {
+      this.link.send({ kind: 'cancel', streamId: this.streamId });
+    }
+  }
+
+  private end(): void {
+    this.isOver = true;
+    this.writer?.destroy();
+    this.link.over();
+  }
+}
+
+function formOf(body: RequestBody): BodyForm {
+  if (!body.isDeclared) {
+    return 'none';
+  }
+  if (body instanceof HeldBody) {
+    return 'held';
+  }
+  return body.length === undefined ? 'chunked' : 'sized';
+}
+
+function leftMs(atMs: number | undefined, nowMs: number): number | undefined {
+  return atMs === undefined ? undefined : Math.round(atMs - nowMs);
+}
