Send the rest of a large answer to a peer that makes room late; bear what is written after it was given up

Found by reading the diff: once an answer's source had ended, credits of its stream were no longer taken, so that a last part of under 16 KiB beyond the window never went out. An error of the writer had no listener and would end the process. Tests: request-proxy.test.ts, sends the rest of a large answer (failed first: nothing came after the window); mesh.test.ts, passes bodies on that are larger than what nodes hold.

--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -83,7 +83,7 @@
     const sink = new FrameSink(this.streamId, answer, this.link);
     this.sink = sink;
     passAnswer(answer, sink, [...answer.headers], 0, {
-      whole: () => this.end(),
+      whole: () => sink.whenSent(() => this.end()),
       broken: (wasPassedOn) => {
         sink.destroy();
         this.breakAnswer(wasPassedOn, answer.load);
@@ -152,6 +152,8 @@
       link.send({ kind: 'body', streamId, bytes, isLast });
     });
     this.writer.on('drain', () => this.emit('drain'));
+    // What the endpoint still sends after the answer was given up goes nowhere.
+    this.writer.on('error', () => undefined);
     this.holdTimer = setTimeout(() => this.release(), MAX_HOLD_MS);
   }
 
@@ -186,6 +188,15 @@
     this.writer.addCredit(bytes);
   }
 
+  /** Calls `action` once all of the ended answer is sent, which may take the receiver's credit. */
+  whenSent(action: () => void): void {
+    if (this.writer.writableEnded && !this.writer.writableFinished) {
+      this.writer.once('finish', action);
+    } else {
+      action();
+    }
+  }
+
   destroy(): void {
     clearTimeout(this.holdTimer);
     this.writer.destroy();
--- a/test/platform/mesh.test.ts
+++ b/test/platform/mesh.test.ts
@@ -105,6 +105,18 @@
     });
   }
 
+  it('passes bodies on that are larger than what nodes hold, both ways, as they are', async () => {
+    const [first, { backend }] = await twoMachines({ kind: 'unsafe' });
+    const body = 'abcdefghij'.repeat(60_000);
+    backend.behaviour = (_request, response, { requestId }) => answer(response, requestId, body);
+    for (const sent of [body.slice(0, 60_000), '']) {
+      const result = await fleet.call(first, { method: 'POST', body: sent });
+      expect([result.status, result.isWhole]).to.deep.equal([200, true]);
+      expect(result.body === body).to.equal(true);
+    }
+    expect(backend.arrivals[0]?.body).to.have.length(60_000);
+  });
+
   it('runs an unsafe request once when its answer is lost, and does not promise that it has not run', async () => {
     const [first, { backend }] = await twoMachines({ kind: 'unsafe' });
     backend.behaviour = (_request, response) => response.destroy();
--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -48,6 +48,7 @@
   readonly method?: string;
   readonly deadlineMs?: number;
   readonly headers?: http.OutgoingHttpHeaders;
+  readonly body?: string;
   readonly agent?: http.Agent;
   readonly signal?: AbortSignal;
 }
@@ -140,6 +141,7 @@
       method = 'GET',
       deadlineMs = 2_000,
       headers = {},
+      body = '',
       agent,
       signal,
     } = options;
@@ -153,6 +155,7 @@
           Host: HOST,
           'Request-Id': `c${this.requests}`,
           'Deadline-Ms': String(deadlineMs),
+          ...(body !== '' && { 'Content-Length': body.length }),
           ...headers,
         },
         agent: agent ?? false,
@@ -160,17 +163,17 @@
       });
       request.on('error', () => resolve({ status: 0, headers: {}, body: '', isWhole: false }));
       request.on('response', (message) => {
-        let body = '';
+        let received = '';
         message.on('data', (chunk: Buffer) => {
-          body += chunk.toString('latin1');
+          received += chunk.toString('latin1');
         });
         message.on('error', () => undefined);
         message.on('close', () => {
           const { statusCode: status = 0, complete: isWhole } = message;
-          resolve({ status, headers: message.headers, body, isWhole });
+          resolve({ status, headers: message.headers, body: received, isWhole });
         });
       });
-      request.end();
+      request.end(body);
     });
   }
 
--- a/test/proxy/request-proxy.test.ts
+++ b/test/proxy/request-proxy.test.ts
@@ -1,6 +1,7 @@
 /** The request path over real sockets: caller, node, node beside the endpoint, endpoint. */
 import { expect } from 'chai';
 import { RelayTokenIssuer } from '../../src/proxy/relay/relay-token.js';
+import { BODY_WINDOW_BYTES } from '../../src/proxy/relay/relay-body.js';
 import { openRelay, type RelaySender } from './relay-sender.js';
 import {
   call,
@@ -261,6 +262,28 @@
     other.destroy();
   });
 
+  it('sends the rest of a large answer whenever its receiver makes room', async () => {
+    const body = 'x'.repeat(BODY_WINDOW_BYTES + 3_000);
+    await oneEndpoint('n2', (socket) => socket.write(rawAnswer(body)));
+    const { relayPort } = await mesh.addNode('n2');
+    const sender = await connectRelay(relayPort);
+    const streamId = sender.request();
+    const receivedBytes = (): number =>
+      sender.received.reduce((sum, frame) => sum + ('bytes' in frame ? frame.bytes.length : 0), 0);
+    const isWhole = (): boolean =>
+      sender.received.some((frame) => frame.kind === 'body' && frame.isLast);
+    await until(() => receivedBytes() === BODY_WINDOW_BYTES);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    expect([receivedBytes(), isWhole()]).to.deep.equal([BODY_WINDOW_BYTES, false]);
+    for (let step = 0; step < 8; step += 1) {
+      sender.send({ kind: 'credit', streamId, creditBytes: 500 });
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    await until(isWhole);
+    expect(receivedBytes()).to.equal(body.length);
+    sender.destroy();
+  });
+
   it('does not run what was cancelled before it was looked at', async () => {
     const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
     const { relayPort } = await mesh.addNode('n2');
