--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -33,14 +33,14 @@
     head: Buffer,
     private readonly observer: RelayConnectionObserver,
   ) {
+    if (head.length > 0) {
+      socket.unshift(head);
+    }
     socket.on('data', (chunk: Buffer) => this.read(chunk));
     socket.on('drain', () => this.flush());
     socket.on('error', () => socket.destroy());
     socket.on('end', () => socket.end());
     socket.once('close', () => this.close());
-    if (head.length > 0) {
-      this.read(head);
-    }
   }
 
   /** Sends a frame with the others of this turn of the event loop. */
--- a/test/proxy/relay/relay-connection.test.ts
+++ b/test/proxy/relay/relay-connection.test.ts
@@ -8,7 +8,11 @@
   RelayBodyWriter,
 } from '../../../src/proxy/relay/relay-body.js';
 import { RelayConnection } from '../../../src/proxy/relay/relay-connection.js';
-import { decodeRelayFrame, type RelayFrame } from '../../../src/proxy/relay/relay-frame.js';
+import {
+  decodeRelayFrame,
+  encodeRelayFrame,
+  type RelayFrame,
+} from '../../../src/proxy/relay/relay-frame.js';
 import { TravelTime } from '../../../src/proxy/relay/travel-time.js';
 import { FrameReader } from '../../../src/wire/frame-reader.js';
 
@@ -45,6 +49,22 @@
     expect(framesIn(chunks).map(({ kind }) => kind)).to.deep.equal(['cancel', 'body', 'body']);
   });
 
+  it('reads what came with the opening only once its owner holds the connection', async () => {
+    const head = encodeRelayFrame({ kind: 'cancel', streamId: 7 });
+    const received: RelayFrame[] = [];
+    let isConstructed = false;
+    new RelayConnection(new PassThrough(), head, {
+      received: (frames) => {
+        expect(isConstructed).to.equal(true);
+        received.push(...frames);
+      },
+      closed: () => undefined,
+    });
+    isConstructed = true;
+    await endOfTurn();
+    expect(received).to.deep.equal([{ kind: 'cancel', streamId: 7 }]);
+  });
+
   it('holds bodies back while the socket is full, and still sends a cancellation at once', async () => {
     const written: Buffer[] = [];
     const stalled = new Writable({
