Bear heads, ids, lengths and retry times that do not fit a relay frame, a sender beyond its window, and a clock that stood still

Each has a test that failed first, two of them as an uncaught error that ends the process: a caller's head of 40 KB of bytes that take two in UTF-8, and a back end that refuses with Retry-After: Infinity (or 1e300).

--- a/src/proxy/caller-protocol.ts
+++ b/src/proxy/caller-protocol.ts
@@ -56,11 +56,7 @@
 };
 
 /** Headers of an error answer in the product's own protocol, with `others` after the verdict. */
-export function nativeErrorHeaders(
-  error: RequestError,
-  verdict: Verdict,
-  others: HeaderList,
-): HeaderList {
+function nativeErrorHeaders(error: RequestError, verdict: Verdict, others: HeaderList): HeaderList {
   const list = [VERDICT_HEADER, verdict, 'Content-Type', 'application/json', ...others];
   const retryAfterMs = retryAfterOf(error);
   if (retryAfterMs !== undefined) {
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -2,7 +2,7 @@
 import http, { type IncomingMessage } from 'node:http';
 import type { Endpoint } from '../model/resource.js';
 import type { Answer, Call, LoadReport } from './call.js';
-import type { EndpointProtocol } from './endpoint-protocol.js';
+import type { AnswerReading, EndpointProtocol } from './endpoint-protocol.js';
 import {
   ExchangeAgent,
   startExchange,
@@ -17,6 +17,8 @@
 /** Connections to one endpoint for cancellations and health, besides those for requests. */
 const MAX_CONTROL_CONNECTIONS = 4;
 const MAX_CANCEL_ANSWER_BYTES = 1_024;
+/** Longest answer that can be told to another node; a longer one is malformed. */
+const MAX_ANSWER_BYTES = 2 ** 50;
 
 /** What an endpoint says of a cancelled request. */
 export type CancelOutcome =
@@ -209,7 +211,11 @@
     call: Call,
     observer: EndpointObserver,
   ): void {
-    const reading = this.protocol.readAnswer(message, call);
+    const contentLength = contentLengthOf(message);
+    const isTooLong = contentLength !== undefined && contentLength > MAX_ANSWER_BYTES;
+    const reading: AnswerReading = isTooLong
+      ? { kind: 'malformed' }
+      : this.protocol.readAnswer(message, call);
     switch (reading.kind) {
       case 'malformed':
         this.distrust(endpoint);
@@ -225,7 +231,7 @@
           status: message.statusCode ?? 0,
           headers: reading.headers,
           body: { kind: 'streamed', stream: message, isWhole },
-          contentLength: contentLengthOf(message),
+          contentLength,
           load: reading.load,
         });
     }
@@ -233,7 +239,7 @@
 }
 
 /** The declared length of an answer; undefined for a chunked one. */
-export function contentLengthOf(message: IncomingMessage): number | undefined {
+function contentLengthOf(message: IncomingMessage): number | undefined {
   const text = message.headers['content-length'];
   return text === undefined ? undefined : Number(text);
 }
--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -1,6 +1,5 @@
 /**
- * One HTTP/1.1 request and its answer over a pooled connection, shared by the clients of endpoints
- * and of peers. Tells apart a request of which nothing was sent from one that may have arrived.
+ * One HTTP/1.1 request to an endpoint and its answer, over a pooled connection. Tells apart a request of which nothing was sent from one that may have arrived.
  */
 import http from 'node:http';
 import type { Socket } from 'node:net';
--- a/src/proxy/relay/relay-body.ts
+++ b/src/proxy/relay/relay-body.ts
@@ -68,9 +68,13 @@
     return this.isEnded;
   }
 
-  /** Takes a part that arrived. */
+  /** Takes a part that arrived. A sender that goes beyond its window breaks the body off. */
   receive(bytes: Buffer, isLast: boolean): void {
     this.unreportedBytes += bytes.length;
+    if (this.unreportedBytes > BODY_WINDOW_BYTES) {
+      this.destroy();
+      return;
+    }
     if (bytes.length > 0) {
       this.push(bytes);
     }
--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -43,17 +43,22 @@
     socket.once('close', () => this.close());
   }
 
-  /** Sends a frame with the others of this turn of the event loop. */
-  send(frame: RelayFrame): void {
-    if (this.isClosed) {
-      return;
+  /**
+   * Sends a frame with the others of this turn of the event loop. False when a value does not fit its
+   * field: nothing is sent then.
+   */
+  send(frame: RelayFrame): boolean {
+    const bytes = tryEncode(frame);
+    if (bytes === undefined) {
+      return false;
     }
     const queue = frame.kind === 'body' ? this.bodies : this.urgent;
-    queue.push(encodeRelayFrame(frame));
+    queue.push(bytes);
     if (!this.isFlushDue) {
       this.isFlushDue = true;
       setImmediate(() => this.flush());
     }
+    return true;
   }
 
   /** Sends what waits, then closes. */
@@ -75,7 +80,7 @@
     this.urgent = [];
     let dueBytes = this.socket.writableLength + byteLengthOf(due);
     while (this.bodies.length > 0 && dueBytes < MAX_SOCKET_BACKLOG_BYTES) {
-      const [next = Buffer.alloc(0)] = this.bodies.splice(0, 1);
+      const next = this.bodies.shift() ?? Buffer.alloc(0);
       due.push(next);
       dueBytes += next.length;
     }
@@ -106,6 +111,17 @@
   }
 }
 
+function tryEncode(frame: RelayFrame): Buffer | undefined {
+  try {
+    return encodeRelayFrame(frame);
+  } catch (err) {
+    if (err instanceof FrameError) {
+      return undefined;
+    }
+    throw err;
+  }
+}
+
 function byteLengthOf(chunks: readonly Buffer[]): number {
   return chunks.reduce((sum, { length }) => sum + length, 0);
 }
--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -105,7 +105,9 @@
 /** Kinds by their numbers on the wire; positions must never change. */
 const KINDS = ['request', 'answer', 'failure', 'body', 'credit', 'cancel'] as const;
 const KIND_BYTES = 1;
-const MAX_TEXT_BYTES = 64 * 1024;
+/** Room for a head of 64 KiB whose bytes each take two in UTF-8, and for what nodes add to it. */
+const MAX_TEXT_BYTES = 256 * 1024;
+const MAX_REQUEST_ID_BYTES = 256;
 /** Header names and values hold no line ends, so one separates them. */
 const HEADER_SEPARATOR = '\n';
 
@@ -173,7 +175,7 @@
   request: new PlainStruct({
     streamId: varint,
     sentAtMs: varint,
-    requestId: longText,
+    requestId: text(MAX_REQUEST_ID_BYTES),
     service: shortText,
     endpoint: shortText,
     method: shortText,
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -73,7 +73,7 @@
     this.lastStreamId += 1;
     const streamId = this.lastStreamId;
     const attempt = new RelayedAttempt(streamId, endpoint, call, observer, this.options.scheduler, {
-      send: (frame) => this.connection?.send(frame),
+      send: (frame) => this.connection?.send(frame) === true,
       over: () => this.streams.delete(streamId),
     });
     this.streams.set(streamId, attempt);
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -3,6 +3,7 @@
 import type { Answer, AnswerBody, Attempt, AttemptObserver, Call } from '../call.js';
 import { HeldBody, type RequestBody } from '../request-body.js';
 import {
+  BadRequestError,
   ConnectionLostError,
   MalformedAnswerError,
   RelayedError,
@@ -15,9 +16,12 @@
 import type { AnswerFrame, BodyForm, FailureFrame, RelayFrame } from './relay-frame.js';
 import { loadOf } from './relay-load.js';
 
+const HEAD_TOO_LARGE_STATUS = 431;
+
 /** What an attempt needs of its link. */
 export interface AttemptLink {
-  readonly send: (frame: RelayFrame) => void;
+  /** False when the frame can't be built, or there is no connection. */
+  readonly send: (frame: RelayFrame) => boolean;
   /** Nothing more is awaited. */
   readonly over: () => void;
 }
@@ -48,11 +52,10 @@
 
   /** Sends the request; the connection is open. */
   send(): void {
-    this.isSent = true;
     const { call, endpoint } = this;
     const nowMs = this.scheduler.now();
     const held = call.body instanceof HeldBody ? call.body.bytes : undefined;
-    this.link.send({
+    this.isSent = this.link.send({
       kind: 'request',
       streamId: this.streamId,
       sentAtMs: Math.floor(nowMs),
@@ -72,7 +75,9 @@
       bodyBytes: held === undefined ? (call.body.length ?? 0) : 0,
       bytes: held ?? Buffer.alloc(0),
     });
-    if (held === undefined && call.body.isDeclared) {
+    if (!this.isSent) {
+      this.fail(new BadRequestError('the head of the request is too large', HEAD_TOO_LARGE_STATUS));
+    } else if (held === undefined && call.body.isDeclared) {
       this.streamBody();
     }
   }
--- a/src/proxy/relay/travel-time.ts
+++ b/src/proxy/relay/travel-time.ts
@@ -3,15 +3,28 @@
  * until they were read: what a request's times have lost before it is looked at. Pure.
  */
 
+/**
+ * How long a difference between the clocks counts at least, in milliseconds, and at most twice that: a
+ * clock that stands still while its machine is suspended changes the difference for good.
+ */
+const WINDOW_MS = 10_000;
+
 /** Estimates from the sender's and the receiver's monotonic clocks, which need not agree. */
 export class TravelTime {
-  /** Least difference seen between the two clocks: that of a frame that waited nowhere. */
+  /** Least differences seen in this window and the one before: those of frames that waited nowhere. */
   private leastMs = Infinity;
+  private leastBeforeMs = Infinity;
+  private windowEndsAtMs = -Infinity;
 
   /** Time that a frame has lost, in milliseconds; `sentAtMs` is on the sender's clock. */
   lostMs(sentAtMs: number, nowMs: number): number {
+    if (nowMs >= this.windowEndsAtMs) {
+      this.leastBeforeMs = this.leastMs;
+      this.leastMs = Infinity;
+      this.windowEndsAtMs = nowMs + WINDOW_MS;
+    }
     const differenceMs = nowMs - sentAtMs;
     this.leastMs = Math.min(this.leastMs, differenceMs);
-    return differenceMs - this.leastMs;
+    return differenceMs - Math.min(this.leastMs, this.leastBeforeMs);
   }
 }
--- a/test/platform/mesh.test.ts
+++ b/test/platform/mesh.test.ts
@@ -117,6 +117,39 @@
     expect(backend.arrivals[0]?.body).to.have.length(60_000);
   });
 
+  it('goes on after an answer that announces more bytes than can be', async () => {
+    const [first, { backend }] = await twoMachines({ kind: 'unsafe' });
+    backend.behaviour = (_request, response, { requestId }) => {
+      response.socket?.end(
+        `HTTP/1.1 200 OK\r\nRequest-Id: ${requestId}\r\nServer-Signature: s\r\n` +
+          'Content-Length: 9007199254740993\r\n\r\nhalf of it',
+      );
+    };
+    expect((await fleet.call(first, { method: 'POST' })).isWhole).to.equal(true);
+    backend.behaviour = (_request, response, { requestId }) => answer(response, requestId);
+    await fleet.untilStatus(first, 200);
+  });
+
+  for (const text of ['Infinity', '1e300', '-1', 'soon']) {
+    it(`goes on after a back end refused with Retry-After: ${text}`, async () => {
+      const [first, { backend }] = await twoMachines();
+      backend.behaviour = (_request, response, { requestId }) => {
+        response.writeHead(503, {
+          'Request-Id': requestId,
+          'Not-Executed': '1',
+          'Retry-After': text,
+          'Content-Length': 0,
+        });
+        response.end();
+      };
+      const { status, headers } = await fleet.call(first);
+      expect(status).to.equal(503);
+      expect(Number(headers['retry-after'])).to.be.within(0, 3_600);
+      backend.behaviour = (_request, response, { requestId }) => answer(response, requestId);
+      await fleet.untilStatus(first, 200);
+    });
+  }
+
   it('runs an unsafe request once when its answer is lost, and does not promise that it has not run', async () => {
     const [first, { backend }] = await twoMachines({ kind: 'unsafe' });
     backend.behaviour = (_request, response) => response.destroy();
--- a/test/proxy/relay/relay-connection.test.ts
+++ b/test/proxy/relay/relay-connection.test.ts
@@ -115,6 +115,17 @@
   });
 });
 
+describe('a body whose sender ignores its window', () => {
+  it('is broken off, so that it takes no more memory than that', () => {
+    const reader = new RelayBodyReader(() => undefined);
+    for (let part = 0; part < 100; part += 1) {
+      reader.receive(Buffer.alloc(16 * 1024), false);
+    }
+    expect(reader.destroyed).to.equal(true);
+    expect(reader.readableLength).to.be.at.most(BODY_WINDOW_BYTES);
+  });
+});
+
 describe('the time that a frame lost', () => {
   it('is what it took beyond the quickest frame, whatever the clocks say', () => {
     const travelTime = new TravelTime();
@@ -126,4 +137,15 @@
     ].map(([sentAtMs = 0, nowMs = 0]) => travelTime.lostMs(sentAtMs, nowMs));
     expect(lost).to.deep.equal([0, 0, 597, 0]);
   });
+
+  it('is found again a while after one of the clocks was held up', () => {
+    const travelTime = new TravelTime();
+    travelTime.lostMs(0, 5_000);
+    const lost: number[] = [];
+    for (let nowMs = 16_000; nowMs <= 60_000; nowMs += 1_000) {
+      lost.push(travelTime.lostMs(nowMs - 15_000, nowMs));
+    }
+    expect(lost[0]).to.equal(10_000);
+    expect(lost.at(-1)).to.equal(0);
+  });
 });
--- a/test/proxy/relay/relay-frame.test.ts
+++ b/test/proxy/relay/relay-frame.test.ts
@@ -99,6 +99,17 @@
     );
   });
 
+  it('have no room for a request id of over 256 bytes', () => {
+    const [request] = fc.sample(
+      frames.filter(({ kind }) => kind === 'request'),
+      { numRuns: 1, seed: 1 },
+    );
+    const withId = (length: number): RelayFrame =>
+      ({ ...request, requestId: 'x'.repeat(length) }) as RelayFrame;
+    expect(() => encodeRelayFrame(withId(256))).to.not.throw();
+    expect(() => encodeRelayFrame(withId(257))).to.throw(FrameError);
+  });
+
   it('are refused when they end too early or are of no known kind', () => {
     fc.assert(
       fc.property(frames, fc.nat({ max: 400 }), (frame, cut) => {
--- a/test/proxy/request-proxy.test.ts
+++ b/test/proxy/request-proxy.test.ts
@@ -1,6 +1,7 @@
 /** The request path over real sockets: caller, node, node beside the endpoint, endpoint. */
 import { expect } from 'chai';
 import { RelayTokenIssuer } from '../../src/proxy/relay/relay-token.js';
+import { encodeRelayFrame } from '../../src/proxy/relay/relay-frame.js';
 import { BODY_WINDOW_BYTES } from '../../src/proxy/relay/relay-body.js';
 import { openRelay, type RelaySender } from './relay-sender.js';
 import {
@@ -284,6 +285,42 @@
     sender.destroy();
   });
 
+  it('does not run what was cancelled while the event loop was held up', async () => {
+    const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
+    const { relayPort } = await mesh.addNode('n2');
+    const sender = await connectRelay(relayPort);
+    await sender.outcome(sender.request({ requestId: 'r0' }));
+    const streamId = sender.request({ requestId: 'r1' });
+    // Less than what counts as a pause of the process; the request has just gone out.
+    setImmediate(() => {
+      sender.socket.write(encodeRelayFrame({ kind: 'cancel', streamId }));
+      const freeAtMs = performance.now() + 300;
+      while (performance.now() < freeAtMs);
+    });
+    await new Promise((resolve) => setTimeout(resolve, 10));
+    await sender.outcome(sender.request({ requestId: 'r2' }));
+    expect(target.heads.map((head) => /x-request-id: (\S+)/.exec(head)?.[1])).to.not.include('r1');
+    sender.destroy();
+  });
+
+  it('bears a head that does not fit the text fields of a frame', async () => {
+    await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
+    const { callerPort } = await mesh.addNode('n1', { maxHeaderBytes: 400 * 1024 });
+    await mesh.addNode('n2');
+    const sent = { headers: { 'x-long': '\u00e9'.repeat(300 * 1024) } };
+    expect((await call(callerPort, sent)).headers).to.include({ 'ferryspool-verdict': 'not-run' });
+    expect((await call(callerPort)).status).to.equal(200);
+  });
+
+  it('relays a head of 40 KB whose bytes each take two in a frame', async () => {
+    const value = '\u00e9'.repeat(40 * 1024);
+    const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
+    const { callerPort } = await mesh.addNode('n1', { maxHeaderBytes: 64 * 1024 });
+    await mesh.addNode('n2');
+    expect((await call(callerPort, { headers: { 'x-long': value } })).status).to.equal(200);
+    expect(target.heads[0]?.includes(value)).to.equal(true);
+  });
+
   it('does not run what was cancelled before it was looked at', async () => {
     const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
     const { relayPort } = await mesh.addNode('n2');
