--- a/src/model/snapshot.ts
+++ b/src/model/snapshot.ts
@@ -75,6 +75,65 @@
   return { ...indexSnapshot(version, byKey), callerLimits };
 }
 
+/**
+ * The snapshot `base`, which has no endpoints, with `endpoints`; those of unknown services are left
+ * out. `before` is an earlier snapshot: lists of endpoints that did not change are taken from it. Costs
+ * nothing for the routes, so that an endpoint that comes or goes is cheap whatever the configuration.
+ */
+export function withEndpoints(
+  base: Snapshot,
+  endpoints: readonly Endpoint[],
+  before?: Snapshot,
+): Snapshot {
+  const endpointsByService = new Map<string, readonly Endpoint[]>();
+  const lists = new Map<string, Endpoint[]>();
+  for (const service of base.services.keys()) {
+    lists.set(service, []);
+  }
+  for (const endpoint of endpoints) {
+    lists.get(endpoint.spec.service)?.push(endpoint);
+  }
+  for (const [service, list] of lists) {
+    const held = before?.endpointsByService.get(service);
+    endpointsByService.set(service, held !== undefined && isSameList(held, list) ? held : list);
+  }
+  return new SnapshotWithEndpoints(base, endpointsByService);
+}
+
+/** Joins the resources of both parts only when they are asked for. */
+class SnapshotWithEndpoints implements Snapshot {
+  readonly version: SnapshotVersion;
+  readonly services: ReadonlyMap<string, Service>;
+  readonly routes: readonly Route[];
+  readonly secrets: ReadonlyMap<string, Secret>;
+  readonly callerLimits: CallerLimits | undefined;
+
+  constructor(
+    private readonly base: Snapshot,
+    readonly endpointsByService: ReadonlyMap<string, readonly Endpoint[]>,
+  ) {
+    ({
+      version: this.version,
+      services: this.services,
+      routes: this.routes,
+      secrets: this.secrets,
+      callerLimits: this.callerLimits,
+    } = base);
+  }
+
+  get resources(): ReadonlyMap<ResourceKey, Resource> {
+    const resources = new Map(this.base.resources);
+    for (const endpoint of [...this.endpointsByService.values()].flat()) {
+      resources.set(resourceKey(endpoint), endpoint);
+    }
+    return resources;
+  }
+}
+
+function isSameList(left: readonly Endpoint[], right: readonly Endpoint[]): boolean {
+  return left.length === right.length && left.every((endpoint, index) => endpoint === right[index]);
+}
+
 /** Every reference to a resource that is not in `resources`. */
 export function findDanglingReferences(
   resources: ReadonlyMap<ResourceKey, Resource>,
--- /dev/null
+++ b/src/peers/feed-client.ts
@@ -0,0 +1,87 @@
+/** Follows the feed of one peer at a time. */
+import http, { type ClientRequest, type IncomingMessage } from 'node:http';
+import { decodeFeedMessage, type FeedMessage } from './feed-message.js';
+
+const OK_STATUS = 200;
+/** Path of a node's feed, after which the follower's revision follows. */
+export const FEED_PATH = '/feed/';
+/** Length of a line at most, in characters: beyond any whole state. */
+const MAX_LINE_LENGTH = 16 * 1024 * 1024;
+
+/** What a client needs of its node. */
+export interface FeedClientOptions {
+  /** Port that serves {@link FEED_PATH}, the same on every machine. */
+  readonly port: number;
+  readonly onMessage: (peer: string, message: FeedMessage) => void;
+  /** The feed could not be opened, or ended; not called after {@link FeedClient.close}. */
+  readonly onEnd: (peer: string, reason: string) => void;
+}
+
+/** The client of one node. */
+export class FeedClient {
+  private request: ClientRequest | undefined;
+
+  constructor(private readonly options: FeedClientOptions) {}
+
+  /** Opens the feed of `peer` in place of the one that is open. */
+  open(peer: string, revision: number): void {
+    this.close();
+    const { port } = this.options;
+    const path = `${FEED_PATH}${revision}`;
+    const request = http.get({ host: peer, port, path, agent: false });
+    this.request = request;
+    let reason = 'the peer closed it';
+    request.on('error', (error) => {
+      reason = error.message;
+    });
+    request.on('response', (message) => {
+      if (message.statusCode === OK_STATUS) {
+        this.follow(peer, request, message);
+      } else {
+        reason = `status ${message.statusCode ?? 0}`;
+        request.destroy();
+      }
+    });
+    request.on('close', () => {
+      if (this.request === request) {
+        this.request = undefined;
+        this.options.onEnd(peer, reason);
+      }
+    });
+  }
+
+  /** Closes the open feed. */
+  close(): void {
+    const { request } = this;
+    this.request = undefined;
+    request?.destroy();
+  }
+
+  private follow(peer: string, request: ClientRequest, message: IncomingMessage): void {
+    let rest = '';
+    message.setEncoding('utf8');
+    message.on('error', (error) => request.destroy(error));
+    message.on('data', (chunk: string) => {
+      const lines = (rest + chunk).split('\n');
+      rest = lines.pop() ?? '';
+      for (const line of lines) {
+        this.take(peer, request, line);
+      }
+      if (rest.length > MAX_LINE_LENGTH) {
+        request.destroy(new Error('a line of the feed is too long'));
+      }
+    });
+  }
+
+  private take(peer: string, request: ClientRequest, line: string): void {
+    if (this.request !== request) {
+      return;
+    }
+    const message = decodeFeedMessage(line);
+    if (message === undefined) {
+      request.destroy(new Error('a line of the feed can not be read'));
+    } else {
+      this.options.onMessage(peer, message);
+    }
+  }
+}
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -3,8 +3,14 @@
 import http from 'node:http';
 import type { RandomSource } from '../control/control-event.js';
 import type { ReplicaDelta, StoreReplica } from '../store/store-replica.js';
-import { decodeDatagram, encodeDatagram, type PeerDatagram } from './peer-datagram.js';
-import { PeerMonitor, type AwaitedPeer, type PeerEffect } from './peer-monitor.js';
+import { decodeDelta } from './feed-message.js';
+import { decodeDatagram, encodeDatagram, MAX_AGE_MS, type PeerDatagram } from './peer-datagram.js';
+import {
+  PeerMonitor,
+  type AwaitedPeer,
+  type PeerEffect,
+  type ReplicaState,
+} from './peer-monitor.js';
 
 /** Time between two looks at the peers, in milliseconds. */
 const TICK_INTERVAL_MS = 75;
@@ -24,7 +30,11 @@
   readonly changesPort: number;
   readonly replica: StoreReplica;
   readonly random: RandomSource;
+  /** Time since a reader of the store confirmed the replica, in milliseconds. */
+  readonly ageMs: () => number;
   readonly awaited: () => Iterable<AwaitedPeer>;
+  /** A datagram told how old the replica of a peer is. */
+  readonly onAge: (peer: string, ageMs: number) => void;
   /** Changes were taken from a peer. */
   readonly onLearned: (from: string) => void;
   /** Nothing is heard of a peer, or it was heard again. */
@@ -77,18 +87,23 @@
   }
 
   private tick(): void {
-    const { replica, awaited } = this.options;
-    this.execute(this.monitor.tick(performance.now(), replica.revision, awaited()));
+    const { awaited } = this.options;
+    this.execute(this.monitor.tick(performance.now(), this.ownState(), awaited()));
   }
 
   private receive(from: string, bytes: Uint8Array): void {
     const datagram = decodeDatagram(bytes);
     if (datagram !== undefined) {
-      const { revision } = this.options.replica;
-      this.execute(this.monitor.receive(from, datagram, revision, performance.now()));
+      this.options.onAge(from, datagram.ageMs);
+      this.execute(this.monitor.receive(from, datagram, this.ownState(), performance.now()));
     }
   }
 
+  private ownState(): ReplicaState {
+    const { replica, ageMs } = this.options;
+    return { revision: replica.revision, ageMs: Math.round(Math.min(ageMs(), MAX_AGE_MS)) };
+  }
+
   private execute(effects: readonly PeerEffect[]): void {
     for (const effect of effects) {
       switch (effect.type) {
@@ -146,18 +161,8 @@
       });
       message.on('error', () => resolve(undefined));
       message.on('end', () => {
-        resolve(message.statusCode === OK_STATUS ? parseDelta(text) : undefined);
+        resolve(message.statusCode === OK_STATUS ? decodeDelta(text) : undefined);
       });
     });
   });
 }
-
-function parseDelta(text: string): ReplicaDelta | undefined {
-  try {
-    const delta = JSON.parse(text) as ReplicaDelta;
-    const isDelta = Number.isSafeInteger(delta.revision) && Array.isArray(delta.changes);
-    return isDelta ? delta : undefined;
-  } catch {
-    return undefined;
-  }
-}
--- a/src/peers/peer-monitor.ts
+++ b/src/peers/peer-monitor.ts
@@ -31,6 +31,9 @@
   /** A silent peer was heard again. */
   | { readonly type: 'heard-again'; readonly peer: string };
 
+/** What a node tells of its replica. */
+export type ReplicaState = Pick<PeerDatagram, 'revision' | 'ageMs'>;
+
 /** A peer that owes this node an answer. */
 export interface AwaitedPeer {
   readonly peer: string;
@@ -56,6 +59,8 @@
 /** The peers of one node. */
 export class PeerMonitor {
   private readonly states = new Map<string, PeerState>();
+  /** Those of the silent peers, so that a tick does not look at all peers. */
+  private readonly silent = new Map<string, PeerState>();
   private peers: readonly string[] = [];
   private ahead: PeerAhead | undefined;
   private nextGossipAtMs = 0;
@@ -70,6 +75,7 @@
     for (const peer of [...this.states.keys()]) {
       if (!known.has(peer)) {
         this.states.delete(peer);
+        this.silent.delete(peer);
       }
     }
   }
@@ -86,34 +92,35 @@
     state.heardAtMs = nowMs;
     state.unansweredPings = 0;
     state.isSilent = false;
+    this.silent.delete(peer);
     return wasSilent ? [{ type: 'heard-again', peer }] : [];
   }
 
   /** A datagram arrived. */
-  receive(peer: string, datagram: PeerDatagram, ownRevision: number, nowMs: number): PeerEffect[] {
+  receive(peer: string, datagram: PeerDatagram, own: ReplicaState, nowMs: number): PeerEffect[] {
     const effects = this.heard(peer, nowMs);
-    this.compare(peer, datagram.revision, ownRevision, nowMs);
+    this.compare(peer, datagram.revision, own.revision, nowMs);
     if (datagram.kind === 'ping') {
-      const answer: PeerDatagram = { kind: 'acknowledgement', revision: ownRevision };
+      const answer: PeerDatagram = { kind: 'acknowledgement', ...own };
       effects.push({ type: 'send', to: peer, datagram: answer });
     }
     return effects;
   }
 
   /** To be called often; `awaited` are the peers that owe this node an answer. */
-  tick(nowMs: number, ownRevision: number, awaited: Iterable<AwaitedPeer>): PeerEffect[] {
-    const ping: PeerDatagram = { kind: 'ping', revision: ownRevision };
+  tick(nowMs: number, own: ReplicaState, awaited: Iterable<AwaitedPeer>): PeerEffect[] {
+    const ping: PeerDatagram = { kind: 'ping', ...own };
     const effects: PeerEffect[] = [];
     for (const { peer, sinceMs } of awaited) {
       effects.push(...this.probe(peer, sinceMs, ping, nowMs));
     }
-    for (const [peer, state] of this.states) {
-      if (state.isSilent && nowMs - state.pingedAtMs >= SILENT_PING_INTERVAL_MS) {
+    for (const [peer, state] of this.silent) {
+      if (nowMs - state.pingedAtMs >= SILENT_PING_INTERVAL_MS) {
         state.pingedAtMs = nowMs;
         effects.push({ type: 'send', to: peer, datagram: ping });
       }
     }
-    return [...effects, ...this.gossip(ping, nowMs), ...this.fetch(ownRevision, nowMs)];
+    return [...effects, ...this.gossip(ping, nowMs), ...this.fetch(own.revision, nowMs)];
   }
 
   private probe(peer: string, sinceMs: number, ping: PeerDatagram, nowMs: number): PeerEffect[] {
@@ -125,6 +132,7 @@
     }
     if (state.unansweredPings >= PINGS_TO_SILENCE) {
       state.isSilent = true;
+      this.silent.set(peer, state);
       return [{ type: 'silent', peer }];
     }
     state.unansweredPings += 1;
--- a/src/routing/direct-access.ts
+++ b/src/routing/direct-access.ts
@@ -4,13 +4,12 @@
  * place counts.
  */
 import type { Endpoint } from '../model/resource.js';
+import { hashFraction } from './hash-fraction.js';
 
 /** Connections of an endpoint kept free for cancellations and health. */
 const RESERVED_CONNECTIONS = 6;
 /** Part of the slots that the nodes chosen for an orphaned endpoint use in all, on average. */
 const ORPHAN_SLOT_SHARE = 0.5;
-const FNV_OFFSET = 0x811c9dc5;
-const FNV_PRIME = 0x01000193;
 
 /** Requests at once for the node beside the endpoint. */
 export function ownedSlots({ spec }: Endpoint): number {
@@ -32,14 +31,3 @@
   const chance = chosenNodes / Math.max(1, nodeCount);
   return hashFraction(`${machineId} ${endpoint.name}`) < chance ? 1 : 0;
 }
-
-/** A hash of `text`, uniform in [0, 1) (FNV-1a with a final mix). */
-function hashFraction(text: string): number {
-  let hash = FNV_OFFSET;
-  for (let index = 0; index < text.length; index += 1) {
-    hash = Math.imul(hash ^ text.charCodeAt(index), FNV_PRIME);
-  }
-  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
-  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
-  return ((hash ^ (hash >>> 16)) >>> 0) / 2 ** 32;
-}
--- a/src/routing/route-table.ts
+++ b/src/routing/route-table.ts
@@ -16,18 +16,20 @@
   readonly retryBudgetPercent: number;
 }
 
-/** The routes of one snapshot, by path prefix and, within one prefix, the most specific first. */
+/** The routes of one configuration, by path prefix and, within one prefix, the most specific first. */
 export class RouteTable {
   private readonly routesByPrefix = new Map<string, Route[]>();
+  private readonly services: Snapshot['services'];
 
-  constructor(private readonly snapshot: Snapshot) {
-    for (const route of [...snapshot.routes].sort(compareSpecificity)) {
+  constructor({ routes, services }: Pick<Snapshot, 'routes' | 'services'>) {
+    this.services = services;
+    for (const route of [...routes].sort(compareSpecificity)) {
       const { pathPrefix } = route.spec;
-      const routes = this.routesByPrefix.get(pathPrefix);
-      if (routes === undefined) {
+      const alike = this.routesByPrefix.get(pathPrefix);
+      if (alike === undefined) {
         this.routesByPrefix.set(pathPrefix, [route]);
       } else {
-        routes.push(route);
+        alike.push(route);
       }
     }
   }
@@ -59,7 +61,7 @@
 
   private describe(route: Route, method: string, serviceName: string): RouteMatch {
     const { spec } = route;
-    const service = this.snapshot.services.get(serviceName)?.spec;
+    const service = this.services.get(serviceName)?.spec;
     return {
       route,
       service: serviceName,
@@ -70,15 +72,15 @@
   }
 }
 
-/** Builds each snapshot's table once. */
+/** Builds the table of a list of routes once: snapshots that differ in endpoints alone share it. */
 export class RouteTableCache {
-  private readonly tables = new WeakMap<Snapshot, RouteTable>();
+  private readonly tables = new WeakMap<readonly Route[], RouteTable>();
 
   tableOf(snapshot: Snapshot): RouteTable {
-    let table = this.tables.get(snapshot);
+    let table = this.tables.get(snapshot.routes);
     if (table === undefined) {
       table = new RouteTable(snapshot);
-      this.tables.set(snapshot, table);
+      this.tables.set(snapshot.routes, table);
     }
     return table;
   }
--- /dev/null
+++ b/src/runtime/replica-source.ts
@@ -0,0 +1,173 @@
+/**
+ * Keeps a node's replica of the store up to date, from the store itself or from the feed of another
+ * node, and feeds the nodes that follow this one. {@link SourceChoice} decides; this carries it out.
+ */
+import type { RandomSource } from '../control/control-event.js';
+import { ChangeFeed } from '../peers/change-feed.js';
+import { FeedClient } from '../peers/feed-client.js';
+import type { FeedMessage } from '../peers/feed-message.js';
+import { ReaderOrder, type ReaderCandidate } from '../peers/reader-order.js';
+import { SourceChoice, type SourceEffect } from '../peers/source-choice.js';
+import type { KeyValueStore } from '../store/key-value-store.js';
+import { StoreFollower } from '../store/store-follower.js';
+import type { StoreReplica } from '../store/store-replica.js';
+import { LifeCycle } from './life-cycle.js';
+import type { Logger } from './logger.js';
+
+/**
+ * Longest time that a watch of the store waits, in milliseconds. Each answer confirms the replica of a
+ * reader and of all that follow it, so it bounds how late the loss of a reader shows.
+ */
+const WATCH_WAIT_MS = 600;
+/** Time between two looks at the sources, in milliseconds. */
+const TICK_INTERVAL_MS = 100;
+
+/** What a source needs of its node. */
+export interface ReplicaSourceOptions {
+  /** This machine. */
+  readonly machine: ReaderCandidate;
+  /** Port of the feeds, the same on every machine. */
+  readonly feedPort: number;
+  readonly store: KeyValueStore;
+  readonly replica: StoreReplica;
+  readonly random: RandomSource;
+  readonly logger: Logger;
+  /** The replica was confirmed; `hasChanged` when an item changed. */
+  readonly onLearned: (hasChanged: boolean) => void;
+}
+
+/** The sources of one node. */
+export class ReplicaSource {
+  readonly feed: ChangeFeed;
+  private readonly choice: SourceChoice;
+  private readonly order: ReaderOrder;
+  private readonly follower: StoreFollower;
+  private readonly client: FeedClient;
+  private readonly lifeCycle: LifeCycle;
+  private isStoreAnswering = false;
+
+  constructor(private readonly options: ReplicaSourceOptions) {
+    const { machine, replica, random, logger } = options;
+    this.lifeCycle = new LifeCycle((name, err) => {
+      logger.warn('close-failed', { name, reason: String(err) });
+    });
+    this.choice = new SourceChoice(machine.address, random, Date.now());
+    this.order = new ReaderOrder(machine);
+    const freshness = () => this.choice.freshness(performance.now());
+    const feed = new ChangeFeed({ replica, freshness });
+    this.feed = this.lifeCycle.own('feed', feed, (one) => one.close());
+    this.client = this.lifeCycle.own('feed client', this.createClient(), (one) => one.close());
+    this.follower = this.lifeCycle.own('store', this.createFollower(), (one) => one.close());
+  }
+
+  /** Begins to read. */
+  start(): void {
+    this.follower.start();
+    const timer = setInterval(() => {
+      this.execute(this.choice.tick(performance.now()));
+    }, TICK_INTERVAL_MS);
+    this.lifeCycle.own('ticks', timer, clearInterval);
+  }
+
+  close(): Promise<void> {
+    return this.lifeCycle.close();
+  }
+
+  /** Whether this node reads the store. */
+  get isReading(): boolean {
+    return this.choice.reads;
+  }
+
+  /** Whether the last call to the store was answered. */
+  get isStoreConnected(): boolean {
+    return this.isStoreAnswering;
+  }
+
+  /** Time since a reader confirmed the replica, in milliseconds; Infinity before the first time. */
+  get ageMs(): number {
+    return this.choice.freshness(performance.now()).ageMs;
+  }
+
+  /** Takes all machines that the endpoints name. */
+  setMachines(machines: Iterable<ReaderCandidate>): void {
+    this.choice.setPlace(this.order.placeAmong(machines));
+  }
+
+  /** A peer told how old its replica is. */
+  peerHeard(peer: string, ageMs: number): void {
+    this.choice.peerHeard(peer, ageMs, performance.now());
+  }
+
+  private createFollower(): StoreFollower {
+    const { store, replica, random, logger } = this.options;
+    return new StoreFollower({
+      store,
+      replica,
+      random,
+      watchWaitMs: WATCH_WAIT_MS,
+      onLearned: (hasChanged) => {
+        this.isStoreAnswering = true;
+        this.choice.storeAnswered(performance.now());
+        this.learned(hasChanged);
+      },
+      onFailed: () => this.execute(this.choice.storeFailed(performance.now())),
+      onConnection: (isConnected, reason) => {
+        this.isStoreAnswering = isConnected;
+        logger.info(isConnected ? 'store-regained' : 'store-lost', { reason });
+      },
+    });
+  }
+
+  private createClient(): FeedClient {
+    const { feedPort, logger } = this.options;
+    return new FeedClient({
+      port: feedPort,
+      onMessage: (peer, message) => this.takeFeed(peer, message),
+      onEnd: (peer, reason) => {
+        logger.info('feed-ended', { peer, reason });
+        this.choice.feedEnded(peer, performance.now());
+      },
+    });
+  }
+
+  private takeFeed(peer: string, message: FeedMessage): void {
+    const isConfirmed = this.choice.feedHeard(peer, message, performance.now());
+    const { delta } = message;
+    const { revision } = this.options.replica;
+    const hasChanged = delta !== undefined && this.options.replica.takeDelta(delta);
+    if (isConfirmed || hasChanged || this.options.replica.revision > revision) {
+      this.learned(hasChanged);
+    }
+  }
+
+  /** Followers are told first: what this node makes of a change takes longer. */
+  private learned(hasChanged: boolean): void {
+    this.feed.publish();
+    this.options.onLearned(hasChanged);
+  }
+
+  private execute(effects: readonly SourceEffect[]): void {
+    for (const effect of effects) {
+      switch (effect.type) {
+        case 'read':
+        case 'stop-reading':
+          this.setReading(effect.type === 'read');
+          break;
+        case 'follow':
+          this.options.logger.info('feed-opened', { peer: effect.peer });
+          this.client.open(effect.peer, this.options.replica.revision);
+          break;
+        case 'stop-following':
+          this.client.close();
+          break;
+      }
+    }
+  }
+
+  private setReading(isReading: boolean): void {
+    this.options.logger.info(isReading ? 'store-reading' : 'store-reading-ended', {
+      ageMs: Math.round(this.ageMs),
+    });
+    this.follower.setReading(isReading);
+  }
+}
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -15,10 +15,10 @@
 import type { RecordReader } from '../store/configuration-record.js';
 import type { KeyValueStore } from '../store/key-value-store.js';
 import { SnapshotBuilder } from '../store/snapshot-builder.js';
-import { StoreFollower } from '../store/store-follower.js';
 import { StoreReplica } from '../store/store-replica.js';
 import { LifeCycle } from './life-cycle.js';
 import type { Logger } from './logger.js';
+import { ReplicaSource } from './replica-source.js';
 import { Metrics } from './metrics.js';
 import { createInternalServer } from './internal-server.js';
 import { createReadinessServer } from './readiness-server.js';
@@ -26,8 +26,6 @@
 import type { SocketAddress, StoreNodeSettings } from './store-node-settings.js';
 
 const MS_PER_SECOND = 1_000;
-/** Longest time that a watch of the store waits, in milliseconds: it bounds how late a lost one shows. */
-const WATCH_WAIT_MS = 2_500;
 /** Time of a planned stop that is kept for its last steps, in milliseconds. */
 const STOP_RESERVE_MS = 700;
 /** Peers and monitoring read on this port after the first internal one, which takes datagrams. */
@@ -72,7 +70,7 @@
   private readonly metrics = new Metrics();
   private readonly replica = new StoreReplica();
   private readonly builder: SnapshotBuilder;
-  private readonly follower: StoreFollower;
+  private readonly source: ReplicaSource;
   private readonly proxy: RequestProxy;
   private readonly readiness: http.Server;
   private readonly internalServer: http.Server;
@@ -80,7 +78,6 @@
   private snapshot: Snapshot | undefined;
   private machineCount = 1;
   private isStopping = false;
-  private isStoreConnected = false;
   private stopped: Promise<void> | undefined;
   /** What goes on while a planned stop drains the request path. */
   private readonly services: LifeCycle;
@@ -90,11 +87,15 @@
       options.logger.warn('close-failed', { name, reason: String(err) });
     });
     this.builder = new SnapshotBuilder(options.readRecord);
-    this.follower = this.services.own('store', this.createFollower(), (one) => one.close());
+    this.source = this.services.own('store', this.createSource(), (one) => one.close());
     this.proxy = this.createProxy();
     const readiness = createReadinessServer(() => this.isReady);
     this.readiness = this.services.own('readiness', readiness, closeServer);
-    const internalServer = createInternalServer(this.metrics, this.replica);
+    const internalServer = createInternalServer({
+      metrics: this.metrics,
+      replica: this.replica,
+      feed: this.source.feed,
+    });
     this.internalServer = this.services.own('internal server', internalServer, closeServer);
     this.peers = this.services.own('peers', this.createPeers(), (one) => one.close());
     this.defineGauges();
@@ -103,7 +104,7 @@
   /** Opens the listeners and begins to follow the store; rejects when a listener can't be opened. */
   async open(): Promise<void> {
     const { caller, relay, readiness, machine } = this.options.settings;
-    this.follower.start();
+    this.source.start();
     await listen(this.proxy.relayServer, relay);
     await listen(this.proxy.callerServer, caller);
     await listen(this.readiness, readiness);
@@ -146,7 +147,18 @@
         'Revision up to which the replica is complete',
         () => this.replica.revision,
       ],
-      ['store_connected', '1 while the store answers', () => Number(this.isStoreConnected)],
+      ['store_connected', '1 while the store answers', () => Number(this.source.isStoreConnected)],
+      ['store_reading', '1 while this node reads the store', () => Number(this.source.isReading)],
+      [
+        'replica_age_seconds',
+        'Time since a reader of the store confirmed the replica',
+        () => this.source.ageMs / MS_PER_SECOND,
+      ],
+      [
+        'feed_followers',
+        'Nodes that follow the feed of this one',
+        () => this.source.feed.followerCount,
+      ],
       ['machines', 'Machines that the endpoints name', () => this.machineCount],
     ];
     for (const [name, help, read] of gauges) {
@@ -166,9 +178,12 @@
       changesPort: this.internalPort,
       replica: this.replica,
       random: Math.random,
+      ageMs: () => this.source.ageMs,
+      onAge: (peer, ageMs) => this.source.peerHeard(peer, ageMs),
       awaited: () => this.awaitedPeers(),
       onLearned: (from) => {
         logger.info('changes-from-peer', { from, revision: this.replica.revision });
+        this.source.feed.publish();
         this.takeLearned(true);
       },
       onSilence: (peer, isSilent) => this.takeSilence(peer, isSilent),
@@ -188,21 +203,17 @@
     }
   }
 
-  private createFollower(): StoreFollower {
-    const { store, logger } = this.options;
-    return new StoreFollower({
+  private createSource(): ReplicaSource {
+    const { settings, store, logger } = this.options;
+    const { address, zone } = settings.machine;
+    return new ReplicaSource({
+      machine: { address, zone },
+      feedPort: this.internalPort,
       store,
       replica: this.replica,
       random: Math.random,
-      watchWaitMs: WATCH_WAIT_MS,
-      onLearned: (hasChanged) => {
-        this.isStoreConnected = true;
-        this.takeLearned(hasChanged);
-      },
-      onConnection: (isConnected, reason) => {
-        this.isStoreConnected = isConnected;
-        logger.info(isConnected ? 'store-regained' : 'store-lost', { reason });
-      },
+      logger,
+      onLearned: (hasChanged) => this.takeLearned(hasChanged),
     });
   }
 
@@ -261,13 +272,20 @@
     }
   }
 
+  private adoptMachines(zones: ReadonlyMap<string, string>): void {
+    this.machineCount = Math.max(1, zones.size);
+    this.peers.setMachines(zones.keys());
+    this.source.setMachines([...zones].map(([address, zone]) => ({ address, zone })));
+  }
+
   private adopt(snapshot: Snapshot): void {
-    const before = this.snapshot?.version.source.number;
+    const held = this.snapshot;
+    const before = held?.version.source.number;
     const { number } = snapshot.version.source;
     this.snapshot = snapshot;
-    const machines = machinesOf(snapshot);
-    this.machineCount = Math.max(1, machines.size);
-    this.peers.setMachines(machines);
+    if (!hasSameEndpoints(snapshot, held)) {
+      this.adoptMachines(machinesOf(snapshot));
+    }
     this.proxy.applyCallerLimits(snapshot.callerLimits);
     if (before !== number) {
       const { revision } = this.replica;
@@ -276,19 +294,30 @@
   }
 }
 
+/** Lists of endpoints that did not change are the same objects in both snapshots. */
+function hasSameEndpoints(snapshot: Snapshot, held: Snapshot | undefined): boolean {
+  for (const [service, endpoints] of snapshot.endpointsByService) {
+    if (held?.endpointsByService.get(service) !== endpoints) {
+      return false;
+    }
+  }
+  return held?.endpointsByService.size === snapshot.endpointsByService.size;
+}
+
 function closeServer(server: http.Server): void {
   server.close();
   server.closeAllConnections();
 }
 
-function machinesOf(snapshot: Snapshot): ReadonlySet<string> {
-  const machines = new Set<string>();
+/** The zone of each machine that an endpoint names, by the machine's address. */
+function machinesOf(snapshot: Snapshot): ReadonlyMap<string, string> {
+  const zones = new Map<string, string>();
   for (const endpoints of snapshot.endpointsByService.values()) {
     for (const { spec } of endpoints) {
-      machines.add(spec.machine ?? spec.address);
+      zones.set(spec.machine ?? spec.address, spec.zone ?? '');
     }
   }
-  return machines;
+  return zones;
 }
 
 function listen(server: http.Server, { address, port }: SocketAddress): Promise<void> {
--- a/src/store/key-value-store.ts
+++ b/src/store/key-value-store.ts
@@ -12,6 +12,9 @@
   readonly value: string | undefined;
 }
 
+/** Whether a list has to hold all that the store has acknowledged. */
+export type ListFreshness = 'current' | 'lagging';
+
 /** A page of a list; the pages of one list are not of one revision. */
 export interface ListPage {
   readonly outcome: 'page';
@@ -42,8 +45,14 @@
 
 /** A store, over its adapter. Calls never reject. */
 export interface KeyValueStore {
-  /** Items in the order of their keys, after `afterKey`. */
-  list(afterKey: string | undefined): Promise<ListPage | StoreUnavailable>;
+  /**
+   * Items in the order of their keys, after `afterKey`. A `lagging` page may be seconds old, as a watch
+   * may, and costs the store a tenth.
+   */
+  list(
+    afterKey: string | undefined,
+    freshness: ListFreshness,
+  ): Promise<ListPage | StoreUnavailable>;
   /**
    * Waits up to `waitMs` for a change after `afterRevision`. The answer may lag behind the store while
    * it is disturbed; in return the call does not count against its limits.
--- a/src/store/snapshot-builder.ts
+++ b/src/store/snapshot-builder.ts
@@ -5,7 +5,7 @@
  */
 import { InvalidConfigurationError } from '../model/configuration-error.js';
 import type { Endpoint } from '../model/resource.js';
-import { buildSnapshot, type Snapshot } from '../model/snapshot.js';
+import { buildSnapshot, withEndpoints, type Snapshot } from '../model/snapshot.js';
 import { EMPTY_DIGEST, NO_VERSION } from '../model/version.js';
 import type { ConfigurationRecord, RecordReader, StoreRecord } from './configuration-record.js';
 import type { StoreChange } from './key-value-store.js';
@@ -47,7 +47,10 @@
 /** Builds the snapshots of one node. */
 export class SnapshotBuilder {
   private readonly readItems = new Map<string, ReadItem>();
-  private configuration: ConfigurationRecord | undefined;
+  /** The newest configuration, validated and indexed once, without endpoints. */
+  private configured: Snapshot | undefined;
+  private configuredNumber = 0;
+  private latest: Snapshot | undefined;
 
   constructor(private readonly read: RecordReader) {}
 
@@ -83,37 +86,27 @@
   }
 
   private adopt(candidate: ConfigurationRecord, faults: string[]): void {
-    if (candidate.number <= (this.configuration?.number ?? 0)) {
+    const { number, resources, callerLimits } = candidate;
+    if (number <= this.configuredNumber) {
       return;
     }
     try {
-      buildSnapshot(versionOf(candidate), candidate.resources);
-      this.configuration = candidate;
+      this.configured = buildSnapshot(versionOf(candidate), resources, callerLimits);
+      this.configuredNumber = number;
     } catch (error) {
       if (!(error instanceof InvalidConfigurationError)) {
         throw error;
       }
-      faults.push(`configuration ${candidate.number}: ${error.message}`);
+      faults.push(`configuration ${number}: ${error.message}`);
     }
   }
 
+  /** Endpoints of services that the configuration does not have are left out. */
   private snapshotWith(endpoints: readonly Endpoint[]): Snapshot | undefined {
-    const { configuration } = this;
-    if (configuration === undefined) {
-      return undefined;
+    if (this.configured !== undefined) {
+      this.latest = withEndpoints(this.configured, endpoints, this.latest);
     }
-    const services = new Set<string>();
-    for (const resource of configuration.resources) {
-      if (resource.kind === 'service') {
-        services.add(resource.name);
-      }
-    }
-    const usable = endpoints.filter(({ spec }) => services.has(spec.service));
-    return buildSnapshot(
-      versionOf(configuration),
-      [...configuration.resources, ...usable],
-      configuration.callerLimits,
-    );
+    return this.latest;
   }
 
   private forgetExcept(keys: ReadonlySet<string>): void {
--- a/src/store/store-follower.ts
+++ b/src/store/store-follower.ts
@@ -1,4 +1,7 @@
-/** Follows a store: makes the calls that {@link StoreWatch} decides on and keeps a replica up to date. */
+/**
+ * Follows a store: makes the calls that {@link StoreWatch} decides on and keeps a replica up to date.
+ * It can be paused while the replica is kept up to date by other means.
+ */
 import csp, { type Channel } from 'js-csp';
 import type { RandomSource } from '../control/control-event.js';
 import type { KeyValueStore } from './key-value-store.js';
@@ -14,6 +17,8 @@
   readonly watchWaitMs: number;
   /** Called after each answer that taught something; `hasChanged` when an item changed. */
   readonly onLearned: (hasChanged: boolean) => void;
+  /** Called after each call that failed. */
+  readonly onFailed: () => void;
   /** Called when the store was lost or found again. */
   readonly onConnection: (isConnected: boolean, reason: string) => void;
 }
@@ -22,7 +27,9 @@
 export class StoreFollower {
   private readonly watch: StoreWatch;
   private readonly closed: Channel<boolean> = csp.chan();
+  private readonly resumed: Channel<boolean> = csp.chan(csp.buffers.sliding(1));
   private isConnected = true;
+  private isReading = true;
 
   constructor(private readonly options: StoreFollowerOptions) {
     this.watch = new StoreWatch(options.random);
@@ -36,16 +43,39 @@
   /** Ends following and closes the connections to the store. */
   close(): void {
     this.closed.close();
+    this.resumed.close();
     this.options.store.close();
   }
 
+  /** Begins no further call, or goes on from what the replica holds by then. */
+  setReading(isReading: boolean): void {
+    this.isReading = isReading;
+    if (isReading) {
+      csp.putAsync(this.resumed, true);
+    }
+  }
+
+  get isPaused(): boolean {
+    return !this.isReading;
+  }
+
+  /** Waits for {@link setReading}, or the end. */
+  get whenResumed(): Channel<boolean> {
+    return this.resumed;
+  }
+
+  /** The first call after a pause. */
+  resume(): StoreCall {
+    return this.watch.resume(this.options.replica.revision);
+  }
+
   /** Makes a call and gives its answer to the returned channel. */
   call(call: StoreCall): Channel<StoreAnswer> {
     const answers: Channel<StoreAnswer> = csp.chan(1);
     const { store, watchWaitMs } = this.options;
     const answer =
       call.type === 'list'
-        ? store.list(call.afterKey)
+        ? store.list(call.afterKey, call.freshness)
         : store.watch(call.afterRevision, watchWaitMs);
     void answer.then((value) => csp.putAsync(answers, value));
     return answers;
@@ -55,6 +85,9 @@
   take(answer: StoreAnswer): StoreCall {
     const { call, learning } = this.watch.take(answer);
     this.reportConnection(answer);
+    if (answer.outcome === 'unavailable') {
+      this.options.onFailed();
+    }
     if (learning !== undefined) {
       this.options.onLearned(this.learn(learning));
     }
@@ -84,6 +117,11 @@
 ): Generator<unknown, void, never> {
   let call = firstCall;
   while (!closed.isClosed()) {
+    if (follower.isPaused) {
+      yield csp.take(follower.whenResumed);
+      call = follower.resume();
+      continue;
+    }
     if (call.delayMs > 0) {
       yield csp.timeout(call.delayMs);
     }
--- a/src/store/store-replica.ts
+++ b/src/store/store-replica.ts
@@ -4,6 +4,7 @@
  * no item ever goes back. Removals are remembered, so that an older peer can't bring an item back.
  * Pure.
  */
+import { ChangeLog } from './change-log.js';
 import type { StoreChange } from './key-value-store.js';
 
 /** Removals remembered at most; beyond that, the oldest are forgotten. */
@@ -20,6 +21,9 @@
 /** The replica. */
 export class StoreReplica {
   private readonly changes = new Map<string, StoreChange>();
+  /** The same changes by revision, so that a delta costs what it holds, not what the replica holds. */
+  private readonly log = new ChangeLog((change) => this.changes.get(change.key) === change);
+  private removalCount = 0;
   private completeUpTo = 0;
   /** Deltas from before this revision would miss removals that are not known, or were forgotten. */
   private removalsKnownFrom = 0;
@@ -44,11 +48,13 @@
    */
   takeList(items: readonly StoreChange[], revision: number): boolean {
     const listed = new Set(items.map(({ key }) => key));
-    let hasChanged = this.takeEach(items);
+    let hasChanged = this.takeEach(
+      [...items].sort((left, right) => left.revision - right.revision),
+    );
     for (const { key, revision: heldRevision, value } of [...this.changes.values()]) {
       const isRemoved = value !== undefined && !listed.has(key) && heldRevision <= revision;
       if (isRemoved) {
-        this.changes.set(key, { key, revision, value: undefined });
+        this.set({ key, revision, value: undefined });
         hasChanged = true;
       }
     }
@@ -78,11 +84,9 @@
   /** What a replica that is complete up to `sinceRevision` lacks. */
   deltaSince(sinceRevision: number): ReplicaDelta {
     const isWhole = sinceRevision === 0 || sinceRevision < this.removalsKnownFrom;
-    const since = isWhole ? 0 : sinceRevision;
-    const changes = [...this.changes.values()].filter(
-      ({ revision, value }) => revision > since && (!isWhole || value !== undefined),
-    );
-    return { sinceRevision: since, revision: this.completeUpTo, changes };
+    return isWhole
+      ? { sinceRevision: 0, revision: this.completeUpTo, changes: [...this.items()] }
+      : { sinceRevision, revision: this.completeUpTo, changes: this.log.since(sinceRevision) };
   }
 
   private takeEach(changes: readonly StoreChange[]): boolean {
@@ -90,26 +94,38 @@
     for (const change of changes) {
       const held = this.changes.get(change.key);
       if (held === undefined || held.revision < change.revision) {
-        this.changes.set(change.key, change);
+        this.set(change);
         hasChanged ||= held?.value !== change.value;
       }
     }
     return hasChanged;
   }
 
+  private set(change: StoreChange): void {
+    const held = this.changes.get(change.key);
+    this.removalCount += countRemoval(change) - countRemoval(held);
+    this.changes.set(change.key, change);
+    this.log.add(change, this.changes.size);
+  }
+
   private forgetRemovals(): void {
-    const removals = [...this.changes.values()].filter(({ value }) => value === undefined);
-    if (removals.length <= MAX_REMOVALS) {
+    if (this.removalCount <= MAX_REMOVALS) {
       return;
     }
+    const removals = [...this.changes.values()].filter(({ value }) => value === undefined);
     removals.sort((left, right) => left.revision - right.revision);
     for (const { key, revision } of removals.slice(0, removals.length / 2)) {
       this.changes.delete(key);
+      this.removalCount -= 1;
       this.removalsKnownFrom = Math.max(this.removalsKnownFrom, revision);
     }
   }
 }
 
+function countRemoval(change: StoreChange | undefined): number {
+  return change !== undefined && change.value === undefined ? 1 : 0;
+}
+
 function existing(delta: ReplicaDelta): readonly StoreChange[] {
   return delta.changes.filter(({ value }) => value !== undefined);
 }
--- a/src/store/store-watch.ts
+++ b/src/store/store-watch.ts
@@ -6,6 +6,7 @@
 import type { RandomSource } from '../control/control-event.js';
 import type {
   HistoryLost,
+  ListFreshness,
   ListPage,
   StoreChange,
   StoreUnavailable,
@@ -21,7 +22,11 @@
 
 /** A call to the store, to be made after a pause. */
 export type StoreCall = { readonly delayMs: number } & (
-  | { readonly type: 'list'; readonly afterKey: string | undefined }
+  | {
+      readonly type: 'list';
+      readonly afterKey: string | undefined;
+      readonly freshness: ListFreshness;
+    }
   | { readonly type: 'watch'; readonly afterRevision: number }
 );
 
@@ -51,14 +56,16 @@
 /** Pages of a list that is under way. */
 interface PartialList {
   readonly items: StoreChange[];
-  /** Revision of the first page: what changed since must be watched for. */
-  readonly revision: number;
+  /** Least revision of the pages so far: what changed since must be watched for. */
+  revision: number;
 }
 
 /** One node's list and watches. */
 export class StoreWatch {
   private partial: PartialList | undefined;
   private revision: number | undefined;
+  /** The first list may lag: the watch after it brings the rest. Not so when that had no history. */
+  private listFreshness: ListFreshness = 'lagging';
   private failures = 0;
 
   constructor(private readonly random: RandomSource) {}
@@ -70,7 +77,15 @@
 
   /** The first call. */
   start(): StoreCall {
-    return { type: 'list', afterKey: undefined, delayMs: 0 };
+    return this.nextCall(0);
+  }
+
+  /** The next call after a pause in which the replica came to `heldRevision` by other ways. */
+  resume(heldRevision: number): StoreCall {
+    if (this.revision !== undefined) {
+      this.revision = Math.max(this.revision, heldRevision);
+    }
+    return this.nextCall(0);
   }
 
   /** Takes the answer to the last call. */
@@ -88,6 +103,7 @@
         return this.takeChanges(answer);
       case 'history-lost':
         this.revision = undefined;
+        this.listFreshness = 'current';
         return { call: this.nextCall(0), learning: undefined };
     }
   }
@@ -95,10 +111,13 @@
   private takePage(page: ListPage): StoreStep {
     const partial = this.partial ?? { items: [], revision: page.revision };
     partial.items.push(...page.items);
+    partial.revision = Math.min(partial.revision, page.revision);
     const lastKey = page.items.at(-1)?.key;
     if (page.hasMore && lastKey !== undefined) {
       this.partial = partial;
-      return { call: { type: 'list', afterKey: lastKey, delayMs: 0 }, learning: undefined };
+      const { listFreshness: freshness } = this;
+      const call = { type: 'list', afterKey: lastKey, freshness, delayMs: 0 } as const;
+      return { call, learning: undefined };
     }
     this.partial = undefined;
     this.revision = partial.revision;
@@ -113,7 +132,7 @@
 
   private nextCall(delayMs: number): StoreCall {
     return this.revision === undefined
-      ? { type: 'list', afterKey: undefined, delayMs }
+      ? { type: 'list', afterKey: undefined, freshness: this.listFreshness, delayMs }
       : { type: 'watch', afterRevision: this.revision, delayMs };
   }
 
--- a/test/peers/peer-monitor.test.ts
+++ b/test/peers/peer-monitor.test.ts
@@ -4,7 +4,9 @@
 import { PeerMonitor, type PeerEffect } from '../../src/peers/peer-monitor.js';
 
 const TICK_MS = 50;
-const OWN_REVISION = 10;
+const OWN = { revision: 10, ageMs: 20 };
+const CAUGHT_UP = { revision: 12, ageMs: 0 };
+const NOTHING = { revision: 0, ageMs: 0 };
 
 /** Ticks from `fromMs` to `toMs`; gives the effects with their times. */
 function run(
@@ -16,7 +18,7 @@
   const effects: { atMs: number; effect: PeerEffect }[] = [];
   for (let nowMs = fromMs; nowMs <= toMs; nowMs += TICK_MS) {
     const awaited = awaitedSinceMs === undefined ? [] : [{ peer: 'owes', sinceMs: awaitedSinceMs }];
-    for (const effect of monitor.tick(nowMs, OWN_REVISION, awaited)) {
+    for (const effect of monitor.tick(nowMs, OWN, awaited)) {
       effects.push({ atMs: nowMs, effect });
     }
   }
@@ -57,7 +59,7 @@
       const effects =
         sign === 'answer'
           ? monitor.heard('owes', 1_600)
-          : monitor.receive('owes', { kind: sign, revision: 1 }, OWN_REVISION, 1_600);
+          : monitor.receive('owes', { kind: sign, revision: 1, ageMs: 0 }, OWN, 1_600);
       expect(effects.map(({ type }) => type)).to.include('heard-again');
       expect(monitor.isSilent('owes')).to.equal(false);
     });
@@ -66,11 +68,11 @@
   it('does not find a peer silent that answers its pings, however slow its work is', () => {
     const monitor = monitorOf();
     for (let nowMs = 0; nowMs <= 5_000; nowMs += TICK_MS) {
-      const effects = monitor.tick(nowMs, OWN_REVISION, [{ peer: 'owes', sinceMs: 0 }]);
+      const effects = monitor.tick(nowMs, OWN, [{ peer: 'owes', sinceMs: 0 }]);
       expect(effects.map(({ type }) => type)).to.not.include('silent');
       if (effects.some(({ type }) => type === 'send')) {
-        const sign = { kind: 'acknowledgement', revision: OWN_REVISION } as const;
-        monitor.receive('owes', sign, OWN_REVISION, nowMs + 1);
+        const sign = { kind: 'acknowledgement', ...OWN } as const;
+        monitor.receive('owes', sign, OWN, nowMs + 1);
       }
     }
   });
@@ -83,29 +85,29 @@
   });
 
   it('acknowledges a ping with the revision of its own replica', () => {
-    const effects = monitorOf().receive('p', { kind: 'ping', revision: 3 }, OWN_REVISION, 0);
+    const effects = monitorOf().receive('p', { kind: 'ping', revision: 3, ageMs: 0 }, OWN, 0);
     expect(effects).to.deep.equal([
       {
         type: 'send',
         to: 'p',
-        datagram: { kind: 'acknowledgement', revision: OWN_REVISION },
+        datagram: { kind: 'acknowledgement', ...OWN },
       },
     ]);
   });
 
   it('fetches from a peer that stays ahead, not from one that it catches up with', () => {
     const monitor = monitorOf([]);
-    monitor.receive('p', { kind: 'ping', revision: 12 }, OWN_REVISION, 0);
+    monitor.receive('p', { kind: 'ping', revision: 12, ageMs: 0 }, OWN, 0);
     expect(firstOf(run(monitor, 50, 400), 'fetch')).to.equal(undefined);
     expect(firstOf(run(monitor, 450, 1_000), 'fetch')).to.be.within(500, 550);
-    expect(monitor.tick(2_000, 12, [])).to.deep.equal([]);
-    expect(monitor.tick(2_500, 12, [])).to.deep.equal([]);
+    expect(monitor.tick(2_000, CAUGHT_UP, [])).to.deep.equal([]);
+    expect(monitor.tick(2_500, CAUGHT_UP, [])).to.deep.equal([]);
   });
 
   it('fetches at once when it holds nothing', () => {
     const monitor = monitorOf([]);
-    monitor.receive('p', { kind: 'ping', revision: 12 }, 0, 0);
-    expect(monitor.tick(0, 0, [])).to.deep.equal([{ type: 'fetch', from: 'p' }]);
+    monitor.receive('p', { kind: 'ping', revision: 12, ageMs: 0 }, NOTHING, 0);
+    expect(monitor.tick(0, NOTHING, [])).to.deep.equal([{ type: 'fetch', from: 'p' }]);
   });
 
   it('forgets machines that are gone', () => {
@@ -118,7 +120,7 @@
 
 describe('datagrams between peers', () => {
   it('reads what it writes, and nothing else', () => {
-    const datagram = { kind: 'ping', revision: 123_456_789 } as const;
+    const datagram = { kind: 'ping', revision: 123_456_789, ageMs: 1_500 } as const;
     const bytes = encodeDatagram(datagram);
     expect(decodeDatagram(bytes)).to.deep.equal(datagram);
     const foreign = [
--- /dev/null
+++ b/test/peers/source-world.ts
@@ -0,0 +1,249 @@
+/**
+ * A fleet of {@link SourceChoice} under a virtual clock: a store with faults, feeds, gossip and kills.
+ * A node's state is reduced to the revision up to which it is complete.
+ */
+import { PeerMonitor } from '../../src/peers/peer-monitor.js';
+import { ReaderOrder } from '../../src/peers/reader-order.js';
+import { SourceChoice, type SourceEffect } from '../../src/peers/source-choice.js';
+
+const STEP_MS = 20;
+const TICK_MS = 100;
+const WATCH_WAIT_MS = 600;
+const SILENT_STORE_MS = 1_800;
+const BACK_OFF_MS = 600;
+const MAX_FOLLOWERS = 16;
+
+/** How the store treats a node. */
+export type StoreState = 'serves' | 'refuses' | 'silent';
+
+interface FleetNode {
+  readonly address: string;
+  readonly zone: string;
+  choice: SourceChoice;
+  monitor: PeerMonitor;
+  isReading: boolean;
+  isAlive: boolean;
+  revision: number;
+  /** When the call that is under way began; undefined while none is. */
+  calledAtMs: number | undefined;
+  nextCallAtMs: number;
+  readonly followers: Set<FleetNode>;
+  follows: FleetNode | undefined;
+}
+
+export interface WorldParams {
+  readonly machines: number;
+  readonly zones: number;
+  readonly random: () => number;
+}
+
+/** The fleet. */
+export class SourceWorld {
+  readonly nodes: FleetNode[] = [];
+  revision = 1;
+  calls = 0;
+  /** How the store treats the node of an address. */
+  storeFor: (address: string) => StoreState = () => 'serves';
+  private readonly byAddress = new Map<string, FleetNode>();
+  private nowMs = 0;
+
+  constructor(private readonly params: WorldParams) {
+    for (let idx = 0; idx < params.machines; idx += 1) {
+      const address = `10.1.${Math.floor(idx / 250)}.${idx % 250}`;
+      this.add(address, `zone-${idx % params.zones}`);
+    }
+    this.nodes.forEach((node) => this.place(node));
+  }
+
+  /** Readers among the nodes that live. */
+  get readers(): FleetNode[] {
+    return this.nodes.filter(({ isAlive, isReading }) => isAlive && isReading);
+  }
+
+  /** Nodes that live and lack the newest revision. */
+  get behind(): number {
+    return this.nodes.filter(({ isAlive, revision }) => isAlive && revision < this.revision).length;
+  }
+
+  run(durationMs: number): void {
+    const endMs = this.nowMs + durationMs;
+    while (this.nowMs < endMs) {
+      this.nowMs += STEP_MS;
+      this.nodes.forEach((node, idx) => this.step(node, idx));
+    }
+  }
+
+  /** Writes to the store; runs until all know, or `limitMs` are over; gives the time that it took. */
+  change(limitMs: number): number {
+    this.revision += 1;
+    const startMs = this.nowMs;
+    while (this.behind > 0 && this.nowMs - startMs < limitMs) {
+      this.run(STEP_MS);
+    }
+    return this.nowMs - startMs;
+  }
+
+  /** Kills nodes. Their feeds end at once, or say nothing more (`dark`). */
+  kill(nodes: readonly FleetNode[], how: 'reset' | 'dark'): void {
+    for (const node of nodes) {
+      node.isAlive = false;
+      node.follows?.followers.delete(node);
+      for (const follower of how === 'reset' ? [...node.followers] : []) {
+        this.endFeed(follower);
+      }
+    }
+  }
+
+  /** Starts killed nodes anew. */
+  revive(nodes: readonly FleetNode[]): void {
+    for (const node of nodes) {
+      Object.assign(node, this.freshState(node.address));
+      node.followers.clear();
+      this.place(node);
+    }
+  }
+
+  private freshState(address: string) {
+    return {
+      choice: new SourceChoice(address, this.params.random, this.nowMs),
+      monitor: new PeerMonitor(this.params.random),
+      isReading: true,
+      isAlive: true,
+      revision: 0,
+      calledAtMs: undefined,
+      nextCallAtMs: this.nowMs,
+      follows: undefined,
+    };
+  }
+
+  private add(address: string, zone: string): void {
+    const node = { address, zone, followers: new Set<FleetNode>(), ...this.freshState(address) };
+    this.nodes.push(node);
+    this.byAddress.set(address, node);
+  }
+
+  private place(node: FleetNode): void {
+    node.choice.setPlace(new ReaderOrder(node).placeAmong(this.nodes));
+    node.monitor.setPeers(this.nodes.filter((one) => one !== node).map(({ address }) => address));
+  }
+
+  private step(node: FleetNode, idx: number): void {
+    if (!node.isAlive) {
+      return;
+    }
+    this.stepStore(node);
+    const isTick = (this.nowMs / STEP_MS + idx) % (TICK_MS / STEP_MS) === 0;
+    if (isTick) {
+      this.execute(node, node.choice.tick(this.nowMs));
+      this.gossip(node);
+    }
+  }
+
+  private stepStore(node: FleetNode): void {
+    if (node.calledAtMs === undefined) {
+      if (node.isReading && this.nowMs >= node.nextCallAtMs) {
+        this.calls += 1;
+        node.calledAtMs = this.nowMs;
+      }
+      return;
+    }
+    const state = this.storeFor(node.address);
+    const waitedMs = this.nowMs - node.calledAtMs;
+    if (state === 'serves') {
+      if (waitedMs >= WATCH_WAIT_MS || node.revision < this.revision) {
+        node.calledAtMs = undefined;
+        node.choice.storeAnswered(this.nowMs);
+        this.learn(node, this.revision, true);
+      }
+    } else if (state === 'refuses' || waitedMs >= SILENT_STORE_MS) {
+      node.calledAtMs = undefined;
+      node.nextCallAtMs = this.nowMs + BACK_OFF_MS * (0.5 + this.params.random());
+      this.execute(node, node.choice.storeFailed(this.nowMs));
+    }
+  }
+
+  private learn(node: FleetNode, revision: number, isConfirmed: boolean): void {
+    const isNews = isConfirmed || node.revision < revision;
+    node.revision = Math.max(node.revision, revision);
+    if (!isNews) {
+      return;
+    }
+    const freshness = node.choice.freshness(this.nowMs);
+    for (const follower of node.followers) {
+      if (follower.isAlive) {
+        const confirms = follower.choice.feedHeard(node.address, freshness, this.nowMs);
+        this.learn(follower, node.revision, confirms);
+      }
+    }
+  }
+
+  private gossip(node: FleetNode): void {
+    const state = { revision: node.revision, ageMs: node.choice.freshness(this.nowMs).ageMs };
+    for (const effect of node.monitor.tick(this.nowMs, state, [])) {
+      const peer = effect.type === 'send' ? this.byAddress.get(effect.to) : undefined;
+      if (effect.type === 'fetch') {
+        this.learn(node, this.byAddress.get(effect.from)?.revision ?? 0, false);
+      } else if (effect.type === 'send' && peer?.isAlive === true) {
+        this.datagram(node, peer);
+        this.datagram(peer, node);
+      }
+    }
+  }
+
+  private datagram(from: FleetNode, to: FleetNode): void {
+    const own = (node: FleetNode) => ({
+      revision: node.revision,
+      ageMs: node.choice.freshness(this.nowMs).ageMs,
+    });
+    to.choice.peerHeard(from.address, own(from).ageMs, this.nowMs);
+    to.monitor.receive(
+      from.address,
+      { kind: 'acknowledgement', ...own(from) },
+      own(to),
+      this.nowMs,
+    );
+  }
+
+  private execute(node: FleetNode, effects: readonly SourceEffect[]): void {
+    for (const effect of effects) {
+      switch (effect.type) {
+        case 'read':
+        case 'stop-reading':
+          node.isReading = effect.type === 'read';
+          break;
+        case 'follow':
+          this.follow(node, this.byAddress.get(effect.peer));
+          break;
+        case 'stop-following':
+          node.follows?.followers.delete(node);
+          node.follows = undefined;
+          break;
+      }
+    }
+  }
+
+  /** A peer that is dead says nothing, one that is full refuses. */
+  private follow(node: FleetNode, peer: FleetNode | undefined): void {
+    if (peer?.isAlive !== true) {
+      return;
+    }
+    if (peer.followers.size >= MAX_FOLLOWERS || peer.revision === 0) {
+      node.choice.feedEnded(peer.address, this.nowMs);
+      return;
+    }
+    node.follows = peer;
+    peer.followers.add(node);
+    const freshness = peer.choice.freshness(this.nowMs);
+    const isConfirmed = node.choice.feedHeard(peer.address, freshness, this.nowMs);
+    this.learn(node, peer.revision, isConfirmed);
+  }
+
+  private endFeed(node: FleetNode): void {
+    const peer = node.follows;
+    node.follows = undefined;
+    if (peer !== undefined) {
+      peer.followers.delete(node);
+      node.choice.feedEnded(peer.address, this.nowMs);
+    }
+  }
+}
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -20,10 +20,10 @@
   it('lists page by page, with the revision of each page', async () => {
     store.pageSize = 2;
     ['a', 'b', 'c'].forEach((key) => store.put(key, `value ${key}`));
-    const first = await client.list(undefined);
+    const first = await client.list(undefined, 'current');
     expect(first).to.deep.include({ outcome: 'page', hasMore: true, revision: 3 });
     expect(first).to.have.nested.property('items[0].value', 'value a');
-    const second = await client.list('b');
+    const second = await client.list('b', 'current');
     expect(second).to.deep.include({ outcome: 'page', hasMore: false });
     expect(second).to.have.nested.property('items[0].key', 'c');
   });
@@ -62,15 +62,15 @@
     it(`is unavailable while the store ${name}, and works again after`, async () => {
       store.put('a', '1');
       store.fault = fault;
-      expect((await client.list(undefined)).outcome).to.equal('unavailable');
+      expect((await client.list(undefined, 'current')).outcome).to.equal('unavailable');
       expect((await client.watch(1, 10)).outcome).to.equal('unavailable');
       store.fault = undefined;
-      expect((await client.list(undefined)).outcome).to.equal('page');
+      expect((await client.list(undefined, 'current')).outcome).to.equal('page');
     });
   }
 
   it('is unavailable where nothing listens', async () => {
     store.close();
-    expect((await client.list(undefined)).outcome).to.equal('unavailable');
+    expect((await client.list(undefined, 'current')).outcome).to.equal('unavailable');
   });
 });
--- a/test/store/store-watch.test.ts
+++ b/test/store/store-watch.test.ts
@@ -22,14 +22,19 @@
 
 describe('list and watch of a store', () => {
   it('begins with a list', () => {
-    const first: StoreCall = { type: 'list', afterKey: undefined, delayMs: 0 };
+    const first: StoreCall = {
+      type: 'list',
+      afterKey: undefined,
+      freshness: 'lagging',
+      delayMs: 0,
+    };
     expect(new StoreWatch(() => 0.5).start()).to.deep.equal(first);
   });
 
   it('goes on after the last key, and watches from the first page on', () => {
     const watch = new StoreWatch(() => 0.5);
     const { call, learning } = watch.take(page(10, 'a', true));
-    expect(call).to.deep.equal({ type: 'list', afterKey: 'a', delayMs: 0 });
+    expect(call).to.deep.include({ type: 'list', afterKey: 'a', delayMs: 0 });
     expect(learning).to.equal(undefined);
     const last = watch.take(page(12, 'b'));
     expect(last.call).to.deep.equal({ type: 'watch', afterRevision: 10, delayMs: 0 });
@@ -48,9 +53,28 @@
     expect(call).to.deep.equal({ type: 'watch', afterRevision: 10, delayMs: 0 });
   });
 
-  it('lists again when the history is lost', () => {
+  it('lists again when the history is lost, now all that the store has acknowledged', () => {
     const { call } = listed().take({ outcome: 'history-lost' });
-    expect(call).to.deep.equal({ type: 'list', afterKey: undefined, delayMs: 0 });
+    expect(call).to.deep.equal({
+      type: 'list',
+      afterKey: undefined,
+      freshness: 'current',
+      delayMs: 0,
+    });
+  });
+
+  it('watches from the oldest page of a list whose pages lag by different times', () => {
+    const watch = new StoreWatch(() => 0.5);
+    watch.take(page(10, 'a', true));
+    const { call, learning } = watch.take(page(7, 'b'));
+    expect(call).to.deep.include({ type: 'watch', afterRevision: 7 });
+    expect(learning).to.deep.include({ type: 'list', revision: 7 });
+  });
+
+  it('goes on after a pause from what the replica learned meanwhile', () => {
+    expect(listed(10).resume(25)).to.deep.equal({ type: 'watch', afterRevision: 25, delayMs: 0 });
+    expect(listed(10).resume(4)).to.deep.include({ type: 'watch', afterRevision: 10 });
+    expect(new StoreWatch(() => 0.5).resume(4)).to.deep.include({ type: 'list' });
   });
 
   it('begins a list anew when one of its pages fails', () => {
