--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -28,6 +28,7 @@
 /** One machine. */
 export interface FleetMachine {
   readonly address: string;
+  readonly zone: string;
   readonly node: StoreNode;
   readonly backend: BackendStandIn;
   /** Lines of the node's log. */
@@ -91,13 +92,13 @@
   }
 
   /** Starts a machine with a back end of `service`; waits until its node is ready. */
-  async addMachine(service = 'a'): Promise<FleetMachine> {
+  async addMachine(service = 'a', zone = 'z1'): Promise<FleetMachine> {
     const address = `127.0.7.${this.machines.length + 1}`;
     const id = `i-${this.machines.length + 1}`;
     const backend = await BackendStandIn.start(id, address, BACKEND_PORT);
     const log: string[] = [];
-    const node = this.createNode(address, service, log);
-    const machine = { address, node, backend, log };
+    const node = this.createNode(address, service, log, zone);
+    const machine = { address, zone, node, backend, log };
     this.machines.push(machine);
     await node.open();
     this.announce(machine, service, 'ready');
@@ -105,10 +106,10 @@
   }
 
   /** A node for a machine that is there; not opened. */
-  createNode(address: string, service: string, log: string[]): StoreNode {
+  createNode(address: string, service: string, log: string[], zone = 'z1'): StoreNode {
     return new StoreNode({
       settings: {
-        machine: { name: address, address, zone: 'z1', region: 'r1' },
+        machine: { name: address, address, zone, region: 'r1' },
         caller: { address, port: CALLER_PORT },
         relay: { address, port: RELAY_PORT },
         readiness: { address, port: READY_PORT },
@@ -125,10 +126,10 @@
   }
 
   /** Writes a back end's entry. */
-  announce({ address, backend }: FleetMachine, service: string, state: string): void {
+  announce({ address, zone, backend }: FleetMachine, service: string, state: string): void {
     this.store.put(`servers/${backend.id}`, {
       address: `${address}:${BACKEND_PORT}`,
-      info: { service, version: 'v1', zone: 'z1', slots: 4 },
+      info: { service, version: 'v1', zone, slots: 4 },
       status: { state, sequence: 1, coldRemainingS: 0 },
     });
   }
