Compare a sample of the endpoints in each choice, the node's own among them

Cause: each attempt looked at all endpoints of its service (52 to 78 on the large deployments) before it compared twelve; each end of an attempt counted the ejected ones among them.

Change: the sample is drawn first, and drawn on while it meets endpoints that take no new work; lists that were met are not walked again; ejections are counted only when one is due. The endpoint on the node's own machine is always compared: it needs no hop, and its load is known exactly (before, it was among the twelve by chance).

--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -4,8 +4,14 @@
  */
 import type { RandomSource } from '../control/control-event.js';
 import type { Endpoint } from '../model/resource.js';
+import { CandidateSample } from './candidate-sample.js';
 import { EndpointRecord } from './endpoint-record.js';
-import type { ChoiceContext, EndpointStrategy } from './endpoint-strategy.js';
+import type {
+  Candidate,
+  ChoiceContext,
+  EndpointStrategy,
+  WorkProfile,
+} from './endpoint-strategy.js';
 import { LeastLatencyStrategy } from './least-latency-strategy.js';
 import { ZoneFirstStrategy } from './zone-first-strategy.js';
 import type { AttemptOutcome, LoadObservation } from './endpoint-record.js';
@@ -38,11 +44,17 @@
   private readonly records = new Map<string, EndpointRecord>();
   /** The same records by the configuration's objects, so that a choice builds no keys. */
   private readonly recordsOfObjects = new WeakMap<Endpoint, EndpointRecord>();
+  /** Lists of endpoints that all have records. */
+  private readonly metLists = new WeakSet<readonly Endpoint[]>();
+  /** Records of endpoints that are ejected. */
+  private readonly ejected = new Set<EndpointRecord>();
+  private readonly sample: CandidateSample;
 
   private readonly zoneFirst: EndpointStrategy;
   private readonly leastLatency: EndpointStrategy;
 
   constructor(random: RandomSource) {
+    this.sample = new CandidateSample(random);
     this.zoneFirst = new ZoneFirstStrategy(random);
     this.leastLatency = new LeastLatencyStrategy(random);
   }
@@ -54,24 +66,16 @@
     nowMs: number,
   ): Endpoint | undefined {
     this.meet(endpoints, nowMs);
-    const open = endpoints.filter((endpoint) => this.isOpen(endpoint, context, nowMs));
-    if (context.repeatable) {
-      const due = open.find((endpoint) => this.recordOf(endpoint, nowMs).isProbeDue(nowMs));
-      if (due !== undefined) {
-        return due;
-      }
+    const due = this.dueForProbe(endpoints, context, nowMs);
+    if (due !== undefined) {
+      return due;
     }
-    const candidates = open.map((endpoint) => ({
-      endpoint,
-      record: this.recordOf(endpoint, nowMs),
-    }));
     const { work } = context;
-    const healthy = candidates.filter(({ record }) => !record.isEjected);
-    const usable = healthy.length > 0 ? healthy : candidates;
     if (work === undefined) {
-      return this.zoneFirst.choose(usable, context, nowMs)?.endpoint;
+      const open = this.openOf(endpoints, context, nowMs);
+      return this.zoneFirst.choose(healthyOf(open), context, nowMs)?.endpoint;
     }
-    const willing = usable.filter(({ record }) => !record.isRefusing(work.workClass, nowMs));
+    const willing = this.willingOf(endpoints, context, work, nowMs);
     return this.leastLatency.choose(willing, context, nowMs)?.endpoint;
   }
 
@@ -89,9 +93,12 @@
   ): void {
     const record = this.recordOf(endpoint, nowMs);
     record.ended(outcome, nowMs);
-    const mayEject = record.isEjected || this.mayEjectOneMore(peers, nowMs);
-    if (mayEject && record.shouldEject(nowMs)) {
+    if (!record.isEjected) {
+      this.ejected.delete(record);
+    }
+    if (record.shouldEject(nowMs) && (record.isEjected || this.mayEjectOneMore(peers, nowMs))) {
       record.eject(nowMs);
+      this.ejected.add(record);
     }
   }
 
@@ -127,8 +134,68 @@
     );
   }
 
+  /** An ejected endpoint that may be tried with this request. */
+  private dueForProbe(
+    endpoints: readonly Endpoint[],
+    context: SelectionContext,
+    nowMs: number,
+  ): Endpoint | undefined {
+    if (!context.repeatable || !this.hasDueProbe(nowMs)) {
+      return undefined;
+    }
+    return endpoints.find(
+      (endpoint) =>
+        this.recordOf(endpoint, nowMs).isProbeDue(nowMs) && this.isOpen(endpoint, context, nowMs),
+    );
+  }
+
+  private hasDueProbe(nowMs: number): boolean {
+    for (const record of this.ejected) {
+      if (record.isProbeDue(nowMs)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Endpoints to compare: a sample of those that would take the work; all that might, if it is empty. */
+  private willingOf(
+    endpoints: readonly Endpoint[],
+    context: SelectionContext,
+    { workClass }: WorkProfile,
+    nowMs: number,
+  ): readonly Candidate[] {
+    const drawn = this.sample.draw(endpoints, context, (endpoint) => {
+      const record = this.recordOf(endpoint, nowMs);
+      return (
+        !record.isEjected &&
+        !record.isRefusing(workClass, nowMs) &&
+        this.isOpen(endpoint, context, nowMs)
+      );
+    });
+    if (drawn.length > 0) {
+      return drawn.map((endpoint) => ({ endpoint, record: this.recordOf(endpoint, nowMs) }));
+    }
+    const usable = healthyOf(this.openOf(endpoints, context, nowMs));
+    return usable.filter(({ record }) => !record.isRefusing(workClass, nowMs));
+  }
+
+  private openOf(
+    endpoints: readonly Endpoint[],
+    context: SelectionContext,
+    nowMs: number,
+  ): readonly Candidate[] {
+    return endpoints
+      .filter((endpoint) => this.isOpen(endpoint, context, nowMs))
+      .map((endpoint) => ({ endpoint, record: this.recordOf(endpoint, nowMs) }));
+  }
+
   /** Endpoints of a service that was not in use yet are taken as warm, later ones as cold. */
   private meet(endpoints: readonly Endpoint[], nowMs: number): void {
+    if (this.metLists.has(endpoints)) {
+      return;
+    }
+    this.metLists.add(endpoints);
     const unmet = endpoints.filter((endpoint) => !this.recordsOfObjects.has(endpoint));
     const unknown = unmet.filter((endpoint) => !this.records.has(recordKey(endpoint)));
     if (unknown.length === 0) {
@@ -178,6 +245,12 @@
   }
 }
 
+/** The candidates that are not ejected; all of them where every one is. */
+function healthyOf(candidates: readonly Candidate[]): readonly Candidate[] {
+  const healthy = candidates.filter(({ record }) => !record.isEjected);
+  return healthy.length > 0 ? healthy : candidates;
+}
+
 /** An endpoint that moves is another one. */
 function recordKey(endpoint: Endpoint): string {
   return `${endpoint.name} ${endpoint.spec.address}:${endpoint.spec.port}`;
--- a/src/routing/least-latency-strategy.ts
+++ b/src/routing/least-latency-strategy.ts
@@ -32,8 +32,6 @@
 const WAITING_LOAD = 0.85;
 /** Costs differ by this share at random, so that nodes that know the same choose differently. */
 const JITTER = 0.1;
-/** Candidates that are compared at most. */
-const MAX_COMPARED = 12;
 
 /** The strategy. */
 export class LeastLatencyStrategy implements EndpointStrategy {
@@ -48,11 +46,10 @@
     if (work === undefined) {
       return candidates[0];
     }
-    const compared = this.sample(candidates, context.zone);
-    const fallbackMs = fastestKnown(compared, work);
+    const fallbackMs = fastestKnown(candidates, work);
     let best: Candidate | undefined;
     let bestCost = Infinity;
-    for (const candidate of compared) {
+    for (const candidate of candidates) {
       const expectedMs = this.expectedMs(candidate, work, fallbackMs, nowMs);
       const cost =
         latencyCost(expectedMs / work.targetLatencyMs) +
@@ -77,27 +74,6 @@
     const waiting = Math.max(0, record.load(slots, nowMs) + 1 / slots - WAITING_LOAD);
     return (latencyMs + waiting * Math.max(1, latencyMs)) * (1 + JITTER * this.random());
   }
-
-  /** All candidates where they are few; else some of the own zone and some of all. */
-  private sample(candidates: readonly Candidate[], zone: string): readonly Candidate[] {
-    if (candidates.length <= MAX_COMPARED) {
-      return candidates;
-    }
-    const near = candidates.filter(({ endpoint }) => endpoint.spec.zone === zone);
-    const half = MAX_COMPARED / 2;
-    return [...this.pick(near, half), ...this.pick(candidates, half)];
-  }
-
-  private pick(candidates: readonly Candidate[], count: number): readonly Candidate[] {
-    if (candidates.length <= count) {
-      return candidates;
-    }
-    const start = Math.floor(this.random() * candidates.length);
-    return Array.from({ length: count }, (_, index) => {
-      const step = Math.floor((index * candidates.length) / count);
-      return candidates[(start + step) % candidates.length];
-    }).filter((candidate) => candidate !== undefined);
-  }
 }
 
 function fastestKnown(candidates: readonly Candidate[], { workClass }: WorkProfile): number {
--- a/test/routing/least-latency-strategy.test.ts
+++ b/test/routing/least-latency-strategy.test.ts
@@ -177,4 +177,58 @@
     selector.observedLoad(near, { inFlight: 0, draining: false, failureShare: 0.4 }, 0);
     expect(selector.choose(endpoints, CONTEXT, 0)).to.equal(far);
   });
+
+  /** Endpoints of six zones, each on a machine of its own. */
+  function manyEndpoints(count: number): Endpoint[] {
+    return Array.from({ length: count }, (_, idx) => {
+      const one = endpoint(`e${idx}`, `z${(idx % 6) + 1}`);
+      return { ...one, spec: { ...one.spec, machine: `m${idx}` } };
+    });
+  }
+
+  for (const count of [78, 1_800]) {
+    it(`looks at few of ${count} endpoints for a choice`, () => {
+      const endpoints = manyEndpoints(count);
+      let looks = 0;
+      const mayReceive = () => {
+        looks += 1;
+        return true;
+      };
+      const selector = new EndpointSelector(seededRandom(1));
+      for (let round = 0; round < 100; round += 1) {
+        selector.choose(endpoints, { ...CONTEXT, repeatable: true, mayReceive }, round);
+      }
+      expect(looks / 100).to.be.at.most(20);
+    });
+  }
+
+  it('finds the one endpoint of many that takes new work', () => {
+    const endpoints = manyEndpoints(78);
+    const mayReceive = ({ name }: Endpoint) => name === 'e41';
+    const selector = new EndpointSelector(seededRandom(1));
+    const chosen = selector.choose(endpoints, { ...CONTEXT, mayReceive }, 0);
+    expect(chosen?.name).to.equal('e41');
+    expect(selector.choose(endpoints, { ...CONTEXT, mayReceive: () => false }, 0)).to.equal(
+      undefined,
+    );
+  });
+
+  it('always compares the endpoint on its own machine, and takes it while it has room', () => {
+    const endpoints = manyEndpoints(78);
+    const context = { ...CONTEXT, machineId: 'm6' };
+    const selector = new EndpointSelector(seededRandom(1));
+    for (let round = 0; round < 20; round += 1) {
+      expect(selector.choose(endpoints, context, 0)?.name).to.equal('e6');
+    }
+  });
+
+  it('spreads over all endpoints of its zone', () => {
+    const endpoints = manyEndpoints(78);
+    const selector = new EndpointSelector(seededRandom(1));
+    const chosen = new Set<string | undefined>();
+    for (let round = 0; round < 300; round += 1) {
+      chosen.add(selector.choose(endpoints, CONTEXT, 0)?.name);
+    }
+    expect(chosen.size).to.be.at.least(13);
+  });
 });
