Tell followers what changed of a long text, not the whole; deltas across a list; feeds of the own zone first

A configuration of 600 routes went whole over each link of the tree, up to eight at a time on 14 Mbit/s; a reader that listed gave whole states to all who followed it; a node whose feed fell silent turned to any zone, and stayed there.

Change: long texts go as patches to whoever holds the version before (two of 600 routes: under 2% of the text); a list for lost history hides removals only from peers whose revision lies within the gap; a node that looks for an up-to-date peer takes one of its zone first, and leaves a foreign feed after 5 s.

--- a/src/peers/change-feed.ts
+++ b/src/peers/change-feed.ts
@@ -1,6 +1,7 @@
 /** Serves a node's feed: each follower is told what it lacks as soon as this node learns of it. */
 import type { ServerResponse } from 'node:http';
 import type { StoreReplica } from '../store/store-replica.js';
+import { feedDeltaSince } from './feed-delta.js';
 import { encodeFeedMessage } from './feed-message.js';
 import { FOLLOWERS_PER_NODE } from './reader-order.js';
 import type { Freshness } from './source-choice.js';
@@ -85,7 +86,8 @@
 
   private lineFor(sinceRevision: number): string {
     const { replica, freshness } = this.options;
-    const delta = sinceRevision < replica.revision ? replica.deltaSince(sinceRevision) : undefined;
+    const isBehind = sinceRevision < replica.revision;
+    const delta = isBehind ? feedDeltaSince(replica, sinceRevision) : undefined;
     return encodeFeedMessage({ ...freshness(), delta });
   }
 }
--- a/src/peers/reader-order.ts
+++ b/src/peers/reader-order.ts
@@ -24,6 +24,8 @@
 export interface ReaderPlace {
   /** Machines of the zone that stand before this one, in order. */
   readonly ahead: readonly string[];
+  /** All other machines of the zone. */
+  readonly neighbours: ReadonlySet<string>;
   /** How many of the first machines read. */
   readonly readers: number;
   /** Machines of the zone, this one among them. */
@@ -42,18 +44,19 @@
   /** The place of this node among `machines`, whether it is one of them or not. */
   placeAmong(machines: Iterable<ReaderCandidate>): ReaderPlace {
     const zones = new Set([this.self.zone]);
-    const neighbours: string[] = [];
+    const neighbours = new Set<string>();
     for (const { address, zone } of machines) {
       zones.add(zone);
       if (zone === this.self.zone && address !== this.self.address) {
-        neighbours.push(address);
+        neighbours.add(address);
       }
     }
-    this.forgetExcept(new Set(neighbours));
+    this.forgetExcept(neighbours);
     return {
-      ahead: this.inOrder(neighbours),
+      ahead: this.inOrder([...neighbours]),
+      neighbours,
       readers: Math.max(MIN_ZONE_READERS, Math.ceil(FLEET_READERS / zones.size)),
-      zoneSize: neighbours.length + 1,
+      zoneSize: neighbours.size + 1,
     };
   }
 
--- a/src/peers/source-choice.ts
+++ b/src/peers/source-choice.ts
@@ -20,6 +20,8 @@
 const FEED_OPEN_MS = 450;
 /** Time for which a peer is not followed after its feed failed, in milliseconds. */
 const AVOID_MS = 2_000;
+/** Time after which a feed from another zone is given up for one of the own, in milliseconds. */
+const FOREIGN_FEED_MS = 5_000;
 /** A zone whose nodes have old state tries the store once in this time on average, in milliseconds. */
 const TRIAL_SPACING_MS = 300;
 /** A node that has just started follows nobody for up to this time, in milliseconds: feeds of a fleet
@@ -50,6 +52,7 @@
 
 interface Feed {
   readonly peer: string;
+  readonly openedAtMs: number;
   heardAtMs: number;
   /** When the reader behind the feed last heard from the store. */
   confirmedAtMs: number;
@@ -63,7 +66,7 @@
 }
 
 const NEVER_MS = -Infinity;
-const NO_PLACE: ReaderPlace = { ahead: [], readers: 1, zoneSize: 1 };
+const NO_PLACE: ReaderPlace = { ahead: [], neighbours: new Set(), readers: 1, zoneSize: 1 };
 
 /** The choice of one node. It reads until it has a feed. */
 export class SourceChoice {
@@ -203,7 +206,8 @@
     if (needsNone) {
       return this.stopFollowing();
     }
-    if (nowMs < this.followsFromMs || this.isFeedFresh(nowMs)) {
+    const hasFeed = this.isFeedFresh(nowMs) && !this.isForeignForLong(nowMs);
+    if (nowMs < this.followsFromMs || hasFeed) {
       return [];
     }
     const peer = (isStale ? this.freshestPeer(nowMs) : undefined) ?? this.peerByPlace(nowMs);
@@ -214,6 +218,7 @@
     const effects = this.stopFollowing();
     this.feed = {
       peer,
+      openedAtMs: nowMs,
       heardAtMs: nowMs,
       confirmedAtMs: NEVER_MS,
       reader: peer,
@@ -276,18 +281,31 @@
       : ahead.filter((peer) => nowMs >= (this.avoidedUntilMs.get(peer) ?? NEVER_MS));
   }
 
+  /** Peers of the own zone go first: bytes between zones cost more. */
   private freshestPeer(nowMs: number): string | undefined {
     let freshest: string | undefined;
-    let latestMs = nowMs - STALE_AGE_MS;
+    let freshestRank = -Infinity;
     for (const [peer, confirmedAtMs] of this.confirmedPeersAtMs) {
-      if (confirmedAtMs > latestMs && !this.avoidedUntilMs.has(peer)) {
+      const ageMs = nowMs - confirmedAtMs;
+      const rank = (this.place.neighbours.has(peer) ? STALE_AGE_MS : 0) - ageMs;
+      if (ageMs < STALE_AGE_MS && rank > freshestRank && !this.avoidedUntilMs.has(peer)) {
         freshest = peer;
-        latestMs = confirmedAtMs;
+        freshestRank = rank;
       }
     }
     return freshest;
   }
 
+  private isForeignForLong(nowMs: number): boolean {
+    const { feed } = this;
+    return (
+      feed !== undefined &&
+      !this.place.neighbours.has(feed.peer) &&
+      nowMs - feed.openedAtMs >= FOREIGN_FEED_MS &&
+      this.usableAhead(nowMs).length > 0
+    );
+  }
+
   /** A feed that goes back to this node's own reading proves nothing. */
   private isFeedFresh(nowMs: number): boolean {
     const { feed } = this;
--- a/src/runtime/replica-source.ts
+++ b/src/runtime/replica-source.ts
@@ -5,6 +5,7 @@
 import type { RandomSource } from '../control/control-event.js';
 import { ChangeFeed } from '../peers/change-feed.js';
 import { FeedClient } from '../peers/feed-client.js';
+import { resolveFeedDelta } from '../peers/feed-delta.js';
 import type { FeedMessage } from '../peers/feed-message.js';
 import { ReaderOrder, type ReaderCandidate } from '../peers/reader-order.js';
 import { SourceChoice, type SourceEffect } from '../peers/source-choice.js';
@@ -43,6 +44,8 @@
   private readonly client: FeedClient;
   private readonly lifeCycle: LifeCycle;
   private isStoreAnswering = false;
+  /** The next feed is to begin with the whole state: a patch did not fit. */
+  private needsWhole = false;
 
   constructor(private readonly options: ReplicaSourceOptions) {
     const { machine, replica, random, logger } = options;
@@ -130,11 +133,19 @@
   }
 
   private takeFeed(peer: string, message: FeedMessage): void {
+    const { replica, logger } = this.options;
+    const delta = message.delta && resolveFeedDelta(replica, message.delta);
+    if (message.delta !== undefined && delta === undefined) {
+      logger.warn('feed-patch-refused', { peer, revision: replica.revision });
+      this.needsWhole = true;
+      this.client.close();
+      this.choice.feedEnded(peer, performance.now());
+      return;
+    }
+    const { revision } = replica;
+    const hasChanged = delta !== undefined && replica.takeDelta(delta);
     const isConfirmed = this.choice.feedHeard(peer, message, performance.now());
-    const { delta } = message;
-    const { revision } = this.options.replica;
-    const hasChanged = delta !== undefined && this.options.replica.takeDelta(delta);
-    if (isConfirmed || hasChanged || this.options.replica.revision > revision) {
+    if (isConfirmed || hasChanged || replica.revision > revision) {
       this.learned(hasChanged);
     }
   }
@@ -153,8 +164,7 @@
           this.setReading(effect.type === 'read');
           break;
         case 'follow':
-          this.options.logger.info('feed-opened', { peer: effect.peer });
-          this.client.open(effect.peer, this.options.replica.revision);
+          this.openFeed(effect.peer);
           break;
         case 'stop-following':
           this.client.close();
@@ -163,6 +173,12 @@
     }
   }
 
+  private openFeed(peer: string): void {
+    this.options.logger.info('feed-opened', { peer });
+    this.client.open(peer, this.needsWhole ? 0 : this.options.replica.revision);
+    this.needsWhole = false;
+  }
+
   private setReading(isReading: boolean): void {
     this.options.logger.info(isReading ? 'store-reading' : 'store-reading-ended', {
       ageMs: Math.round(this.ageMs),
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -115,7 +115,11 @@
     await listen(this.readiness, readiness);
     await listen(this.internalServer, { address: machine.address, port: this.internalPort });
     await this.peers.open();
-    this.services.own('ticks', setInterval(() => this.tick(), TICK_INTERVAL_MS), clearInterval);
+    this.services.own(
+      'ticks',
+      setInterval(() => this.tick(), TICK_INTERVAL_MS),
+      clearInterval,
+    );
   }
 
   /** Planned stop: says that it is not ready, goes on serving, and finishes what is in flight. */
--- a/src/store/store-replica.ts
+++ b/src/store/store-replica.ts
@@ -9,6 +9,18 @@
 
 /** Removals remembered at most; beyond that, the oldest are forgotten. */
 const MAX_REMOVALS = 2_000;
+/** Gaps remembered at most; beyond that, the oldest bounds what deltas may begin with. */
+const MAX_GAPS = 16;
+/** Length from which the version before a text is kept, so that peers can be given a patch. */
+const LONG_TEXT_LENGTH = 4_096;
+
+/** Revisions of which removals may be unknown: those of a list that was taken for lost history. */
+interface Gap {
+  /** The replica knew everything up to this revision. */
+  readonly afterRevision: number;
+  /** Revision of the list. */
+  readonly revision: number;
+}
 
 /** Changes that bring another replica up to `revision`. */
 export interface ReplicaDelta {
@@ -27,6 +39,9 @@
   private completeUpTo = 0;
   /** Deltas from before this revision would miss removals that are not known, or were forgotten. */
   private removalsKnownFrom = 0;
+  private gaps: Gap[] = [];
+  /** The versions before the current ones of long texts, by key. */
+  private readonly before = new Map<string, StoreChange>();
 
   /** The replica holds every change up to this revision; 0 before the first list. */
   get revision(): number {
@@ -43,8 +58,9 @@
   }
 
   /**
-   * Takes a whole list that was begun at `revision`; true when an item changed. A list does not tell
-   * what was removed before it, so peers that are older than it are given the whole state.
+   * Takes a whole list that was begun at `revision`; true when an item changed. What was made and
+   * removed between the replica's revision and the list's stays unknown, so a peer that is complete up
+   * to a revision between the two is given the whole state.
    */
   takeList(items: readonly StoreChange[], revision: number): boolean {
     const listed = new Set(items.map(({ key }) => key));
@@ -58,8 +74,8 @@
         hasChanged = true;
       }
     }
+    this.noteGap({ afterRevision: this.completeUpTo, revision });
     this.completeUpTo = Math.max(this.completeUpTo, revision);
-    this.removalsKnownFrom = Math.max(this.removalsKnownFrom, revision);
     return hasChanged;
   }
 
@@ -83,12 +99,43 @@
 
   /** What a replica that is complete up to `sinceRevision` lacks. */
   deltaSince(sinceRevision: number): ReplicaDelta {
-    const isWhole = sinceRevision === 0 || sinceRevision < this.removalsKnownFrom;
-    return isWhole
+    return this.mayMissRemovals(sinceRevision)
       ? { sinceRevision: 0, revision: this.completeUpTo, changes: [...this.items()] }
       : { sinceRevision, revision: this.completeUpTo, changes: this.log.since(sinceRevision) };
   }
 
+  /** The item of `key` before its last change; undefined unless its text is long. */
+  versionBefore(key: string): StoreChange | undefined {
+    return this.before.get(key);
+  }
+
+  /** The item of `key`, or its removal. */
+  changeOf(key: string): StoreChange | undefined {
+    return this.changes.get(key);
+  }
+
+  private mayMissRemovals(sinceRevision: number): boolean {
+    return (
+      sinceRevision === 0 ||
+      sinceRevision < this.removalsKnownFrom ||
+      this.gaps.some(
+        ({ afterRevision, revision }) => afterRevision < sinceRevision && sinceRevision < revision,
+      )
+    );
+  }
+
+  private noteGap(gap: Gap): void {
+    if (gap.afterRevision === 0) {
+      this.removalsKnownFrom = Math.max(this.removalsKnownFrom, gap.revision);
+    } else if (gap.revision > gap.afterRevision) {
+      this.gaps.push(gap);
+    }
+    while (this.gaps.length > MAX_GAPS) {
+      const oldest = this.gaps.shift();
+      this.removalsKnownFrom = Math.max(this.removalsKnownFrom, oldest?.revision ?? 0);
+    }
+  }
+
   private takeEach(changes: readonly StoreChange[]): boolean {
     let hasChanged = false;
     for (const change of changes) {
@@ -104,10 +151,19 @@
   private set(change: StoreChange): void {
     const held = this.changes.get(change.key);
     this.removalCount += countRemoval(change) - countRemoval(held);
+    this.keepBefore(change.key, held);
     this.changes.set(change.key, change);
     this.log.add(change, this.changes.size);
   }
 
+  private keepBefore(key: string, held: StoreChange | undefined): void {
+    if (held?.value !== undefined && held.value.length >= LONG_TEXT_LENGTH) {
+      this.before.set(key, held);
+    } else {
+      this.before.delete(key);
+    }
+  }
+
   private forgetRemovals(): void {
     if (this.removalCount <= MAX_REMOVALS) {
       return;
--- /dev/null
+++ b/src/store/text-patch.ts
@@ -0,0 +1,83 @@
+/**
+ * Patches between two versions of a long text, such as a configuration in which one route changed: the
+ * new text as pieces of the old one and what is new. Pure.
+ */
+
+/** Texts are cut before this character, which begins each object of a JSON text. */
+const CUT = '{';
+
+/** A part of the new text: a range of the old one, or a text of its own. */
+export type PatchPart = readonly [start: number, end: number] | string;
+
+/** The parts of the new text, in order. */
+export type TextPatch = readonly PatchPart[];
+
+/** A patch that makes `newText` out of `oldText`. */
+export function createPatch(oldText: string, newText: string): TextPatch {
+  const startOf = new Map<string, number>();
+  let offset = 0;
+  for (const piece of piecesOf(oldText)) {
+    if (!startOf.has(piece)) {
+      startOf.set(piece, offset);
+    }
+    offset += piece.length;
+  }
+  const parts: PatchPart[] = [];
+  for (const piece of piecesOf(newText)) {
+    const goesOnAt = endOfRange(parts.at(-1));
+    const goesOn = goesOnAt !== undefined && oldText.startsWith(piece, goesOnAt);
+    append(parts, piece, goesOn ? goesOnAt : startOf.get(piece));
+  }
+  return parts;
+}
+
+/** The new text; undefined when the patch does not fit the old one. */
+export function applyPatch(oldText: string, patch: TextPatch): string | undefined {
+  let text = '';
+  for (const part of patch) {
+    if (typeof part === 'string') {
+      text += part;
+      continue;
+    }
+    const [start, end] = part;
+    if (!(start >= 0 && start <= end && end <= oldText.length)) {
+      return undefined;
+    }
+    text += oldText.slice(start, end);
+  }
+  return text;
+}
+
+/** Joins a piece to the last part where it goes on from there. */
+function append(parts: PatchPart[], piece: string, start: number | undefined): void {
+  const last = parts.at(-1);
+  if (start === undefined) {
+    if (typeof last === 'string') {
+      parts[parts.length - 1] = last + piece;
+    } else {
+      parts.push(piece);
+    }
+    return;
+  }
+  const end = start + piece.length;
+  if (last !== undefined && typeof last !== 'string' && last[1] === start) {
+    parts[parts.length - 1] = [last[0], end];
+  } else {
+    parts.push([start, end]);
+  }
+}
+
+/** Where the old text goes on after a range of it. */
+function endOfRange(part: PatchPart | undefined): number | undefined {
+  return part === undefined || typeof part === 'string' ? undefined : part[1];
+}
+
+function* piecesOf(text: string): IterableIterator<string> {
+  let start = 0;
+  while (start < text.length) {
+    const next = text.indexOf(CUT, start + 1);
+    const end = next < 0 ? text.length : next;
+    yield text.slice(start, end);
+    start = end;
+  }
+}
--- a/test/platform/change-feed.test.ts
+++ b/test/platform/change-feed.test.ts
@@ -28,9 +28,9 @@
     expect(line.indexOf('\n')).to.equal(line.length - 1);
     const read = decodeFeedMessage(line.trimEnd());
     expect(read).to.deep.include(FRESHNESS);
-    expect(read?.delta?.changes.map(({ key, value }) => [key, value])).to.deep.equal([
-      ['a', 'x\ny'],
-      ['b', undefined],
+    expect(read?.delta?.changes).to.deep.equal([
+      { key: 'a', revision: 3, value: 'x\ny' },
+      { key: 'b', revision: 4 },
     ]);
   });
 
--- a/test/store/store-replica.test.ts
+++ b/test/store/store-replica.test.ts
@@ -60,6 +60,21 @@
     expect(replica.deltaSince(2_090).sinceRevision).to.equal(2_090);
   });
 
+  it('gives a delta across a list to a peer that is older than what it knew before the list', () => {
+    const replica = new StoreReplica();
+    replica.takeList([written('a', 4), written('b', 5)], 10);
+    replica.takeChanges([written('c', 12)], 12);
+    replica.takeList([written('a', 4), written('d', 18)], 20);
+    expect(replica.deltaSince(12)).to.deep.equal({
+      sinceRevision: 12,
+      revision: 20,
+      changes: [written('d', 18), removed('b', 20), removed('c', 20)],
+    });
+    expect(replica.deltaSince(20).sinceRevision).to.equal(20);
+    expect(replica.deltaSince(15).sinceRevision).to.equal(0);
+    expect(replica.deltaSince(9).sinceRevision).to.equal(0);
+  });
+
   it('converges with its peers whatever they were told, in whatever order', () => {
     const change = fc.record({
       key: fc.constantFrom('a', 'b', 'c'),
@@ -69,7 +84,8 @@
       fc.array(change, { minLength: 1, maxLength: 30 }),
       fc.array(fc.tuple(fc.nat(2), fc.nat(2)), { maxLength: 40 }),
       fc.array(fc.nat(2), { minLength: 30, maxLength: 30 }),
-      (raw, exchanges, receivers) => {
+      fc.array(fc.boolean(), { minLength: 30, maxLength: 30 }),
+      (raw, exchanges, receivers, areLists) => {
         const replicas = [new StoreReplica(), new StoreReplica(), new StoreReplica()];
         const changes = raw.map(({ key, isRemoved }, index) =>
           isRemoved ? removed(key, index + 1) : written(key, index + 1),
@@ -77,7 +93,13 @@
         const told = [0, 0, 0];
         receivers.slice(0, changes.length).forEach((receiver, index) => {
           const since = told[receiver] ?? 0;
-          replicas[receiver]?.takeChanges(changes.slice(since, index + 1), index + 1);
+          const known = changes.slice(0, index + 1);
+          if (areLists[index] === true) {
+            replicas[receiver]?.takeList(itemsOf(known), index + 1);
+          } else {
+            replicas[receiver]?.takeChanges(known.slice(since), index + 1);
+          }
+          exchange(replicas[receiver], replicas[(receiver + 1) % 3]);
           told[receiver] = index + 1;
         });
         for (const [from, to] of exchanges) {
@@ -94,6 +116,12 @@
   });
 });
 
+/** What a store lists after these changes. */
+function itemsOf(changes: readonly StoreChange[]): StoreChange[] {
+  const items = new Map(changes.map((change) => [change.key, change]));
+  return [...items.values()].filter(({ value }) => value !== undefined);
+}
+
 function exchange(from: StoreReplica | undefined, to: StoreReplica | undefined): void {
   if (from !== undefined && to !== undefined && from !== to) {
     to.takeDelta(from.deltaSince(to.revision));
