Wait for a silent node during a planned stop where no attempt is left

Peers fall silent to pings when a link of 14 Mbit/s is full (configurations went whole over the feeds then).

Ruled out: a stop that closes relay connections (the services close after the drain).

Change: a request whose peer is silent is given up by a stopping node only where another attempt follows; else it waits, bounded by its deadline and the stop. The test got 502 without the change, 200 with it.

--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -104,6 +104,11 @@
     return this.state === 'over';
   }
 
+  /** Whether another attempt would follow if the one that is under way failed so now. */
+  wouldRetry(failure: RequestFailure, canReplay: boolean): boolean {
+    return this.mayRetry(failure, canReplay) && this.budget.hasRetry;
+  }
+
   /** Takes an event; effects are to be executed in order. */
   handle(event: RequestEvent, nowMs: number): RequestEffect[] {
     if (this.state === 'over' || this.isPast(event)) {
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -113,6 +113,7 @@
       ...options,
       requestLog: options.requestLog ?? NO_REQUEST_LOG,
       limits: this.limits,
+      isStopping: () => this.isStopping,
       scheduler: MACHINE_TIME,
       direct: this.gateway,
       relay: this.relayClient,
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -78,11 +78,19 @@
     this.context.response.fail(error, error.verdict, this.context.requestId);
   }
 
-  /** A request that may run more than once is sent elsewhere; another one goes on waiting. */
+  /**
+   * A request that may run more than once is sent elsewhere; another one goes on waiting. So does one
+   * that has no attempt left at a node that stops: its caller gets no second chance there, and the
+   * endpoint may be at work behind a link that is only full.
+   */
   peerIsSilent(): void {
-    if (this.context.match.repeatable && this.answer === undefined) {
+    if (!this.context.match.repeatable || this.answer !== undefined) {
+      return;
+    }
+    const error = new ConnectionLostError('nothing is heard of the node of the endpoint');
+    const hasAttempt = this.lifecycle.wouldRetry(error, this.canReplay());
+    if (hasAttempt || !this.context.services.isStopping()) {
       this.attempt?.abort();
-      const error = new ConnectionLostError('nothing is heard of the node of the endpoint');
       this.takeFailure(this.attemptNumber, error, undefined);
     }
   }
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -39,6 +39,8 @@
   readonly scheduler: Scheduler;
   readonly requestLog?: RequestLog;
   readonly limits: ProxyLimits;
+  /** Whether the node is in a planned stop. */
+  readonly isStopping?: () => boolean;
   /** The way to endpoints that this node reaches itself. */
   readonly direct: EndpointPath;
   /** The way over the node beside the endpoint. */
@@ -56,6 +58,7 @@
   readonly machineId: string;
   readonly requestLog: RequestLog;
   readonly targets: WeightedTargets;
+  readonly isStopping: () => boolean;
   private readonly budgets = new Map<string, RetryBudget>();
 
   constructor(private readonly options: RequestServicesOptions) {
@@ -63,6 +66,7 @@
     this.targets = new WeightedTargets(options.random);
     this.requestLog = options.requestLog ?? NO_REQUEST_LOG;
     this.limits = options.limits;
+    this.isStopping = options.isStopping ?? (() => false);
     this.counters = options.counters;
     this.random = options.random;
     this.scheduler = options.scheduler;
--- a/src/routing/retry-budget.ts
+++ b/src/routing/retry-budget.ts
@@ -19,9 +19,14 @@
     this.retries = Math.min(this.maxSaved, this.retries + percent / 100);
   }
 
+  /** Whether there is a retry to take. */
+  get hasRetry(): boolean {
+    return this.retries >= 1;
+  }
+
   /** Takes one retry, if there is one. */
   take(): boolean {
-    if (this.retries < 1) {
+    if (!this.hasRetry) {
       return false;
     }
     this.retries -= 1;
--- a/test/proxy/leaving.test.ts
+++ b/test/proxy/leaving.test.ts
@@ -45,6 +45,19 @@
     return results;
   }
 
+  it('waits for a silent node during a planned stop where no attempt is left', async () => {
+    await backend(300);
+    configure([{ machine: 'n2' }]);
+    const { callerPort, proxy } = await mesh.addNode('n1', { maxRetries: 0 });
+    await mesh.addNode('n2');
+    const answered = call(callerPort);
+    await until(() => startedAt(0) === 1);
+    const stopped = proxy.stop();
+    proxy.machineIsSilent('n2');
+    expect((await answered).status).to.equal(200);
+    await stopped;
+  });
+
   for (const machine of ['n1', 'n2']) {
     it(`sends nothing new to an endpoint that says it drains, until it stops saying so (${machine})`, async () => {
       const draining = await backend();
