Tell callers how long an endpoint takes, and choose by that

Hypothesis: in a fleet of 195 a node sends an endpoint a request each five seconds, and forgets half of what it measured in four; unmeasured endpoints counted as the fastest one known. So choices between endpoints whose speeds differ by 2.3 times were mostly blind.

Change: each answer and refusal tells the mean time of the request's class at the endpoint, as its own node measures it over all requests. It is what a node's own estimates age towards, and a measurement of its own weighs a fifth against it; an endpoint of which nothing is known counts with the mean of what was told of the others.

--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -69,6 +69,11 @@
     return this.draining;
   }
 
+  /** Mean time that the endpoint takes for a class of work; undefined before a measurement. */
+  serviceMs(workClass: string): number | undefined {
+    return this.serviceTimes.measuredMs(workClass);
+  }
+
   /** The last moment at which a request can start and still finish in time. */
   latestStartAtMs(ticket: AdmissionTicket): number {
     const { deadlineAtMs, targetAtMs = Infinity, startByMs = Infinity, workClass } = ticket;
--- a/src/admission/service-times.ts
+++ b/src/admission/service-times.ts
@@ -20,6 +20,11 @@
     return this.meanOfClasses.get(workClass ?? '') ?? this.overallMs;
   }
 
+  /** Mean of a class; undefined while the class was not measured. */
+  measuredMs(workClass: string): number | undefined {
+    return this.meanOfClasses.get(workClass);
+  }
+
   /** Takes a measurement. */
   measure(workClass: string | undefined, serviceMs: number): void {
     this.meanOfAll = weigh(this.meanOfAll, serviceMs);
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -41,6 +41,8 @@
   readonly isNodeStopping?: boolean;
   /** Share of the latest requests that failed, from 0 to 1; by the endpoint's node. */
   readonly failureShare?: number;
+  /** Mean time that the endpoint takes for the request's class of work, in milliseconds; by its node. */
+  readonly serviceMs?: number | undefined;
 }
 
 /**
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -52,13 +52,18 @@
     return this.admission.waitingCount;
   }
 
-  load(): LoadReport {
-    const inFlight = this.admission.runningCount + this.admission.waitingCount;
+  /** Requests that wait or run. */
+  get inFlight(): number {
+    return this.admission.runningCount + this.admission.waitingCount;
+  }
+
+  load(workClass: string): LoadReport {
     return {
-      inFlight,
+      inFlight: this.inFlight,
       slots: this.slots,
       draining: this.admission.isDraining,
       failureShare: this.failures.at(this.options.scheduler.now()),
+      serviceMs: this.admission.serviceMs(workClass),
     };
   }
 
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -35,7 +35,7 @@
 
   /** Requests that wait or run, of all endpoints. */
   get inFlight(): number {
-    return [...this.gates.values()].reduce((sum, gate) => sum + gate.load().inFlight, 0);
+    return [...this.gates.values()].reduce((sum, gate) => sum + gate.inFlight, 0);
   }
 
   /** Requests that wait at this node for a slot of the endpoint. */
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -44,7 +44,8 @@
 
 /** What a request needs of its gate. */
 export interface CallGate {
-  load(): LoadReport;
+  /** Load, with the time that the class of work takes. */
+  load(workClass: string): LoadReport;
   /** The request is given up; true when it was still waiting. */
   withdraw(call: Call): boolean;
   /** A dispatched request no longer occupies the endpoint; with its time when it was answered. */
@@ -112,7 +113,7 @@
   refuse(error: RequestError): void {
     this.isOver = true;
     this.cancelTimer?.();
-    this.observer.failed(error, this.gate.load());
+    this.observer.failed(error, this.gate.load(this.call.workClass));
   }
 
   dispatch(): void {
@@ -197,7 +198,7 @@
     }
     const elapsedMs = this.scheduler.now() - this.dispatchedAtMs;
     this.gate.recordFailure(this.call.requestId, error.code, elapsedMs, this.describeLoad());
-    this.observer.failed(error, this.gate.load());
+    this.observer.failed(error, this.gate.load(this.call.workClass));
   }
 
   /** The load that the endpoint told with its refusal. */
@@ -209,7 +210,8 @@
     if (this.answer !== undefined) {
       this.cancelTimer?.();
       const draining = this.answer.load?.draining === true;
-      this.observer.answered({ ...this.answer, load: { ...this.gate.load(), draining } });
+      const load = { ...this.gate.load(this.call.workClass), draining };
+      this.observer.answered({ ...this.answer, load });
     }
   }
 
--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -51,6 +51,8 @@
   readonly isDraining: boolean;
   readonly isNodeStopping: boolean;
   readonly failedPercent: number;
+  /** Mean time of the request's class of work at the endpoint; undefined before a measurement. */
+  readonly serviceMs: number | undefined;
 }
 
 /** The head of an answer, and its body where that is `held`. */
@@ -167,6 +169,7 @@
   isDraining: flag,
   isNodeStopping: flag,
   failedPercent: varint,
+  serviceMs: optionalInteger,
 };
 
 type Layout<F extends RelayFrame> = FieldType<Omit<F, 'kind'>>;
--- a/src/proxy/relay/relay-load.ts
+++ b/src/proxy/relay/relay-load.ts
@@ -12,12 +12,13 @@
     isDraining: load.draining,
     isNodeStopping,
     failedPercent: Math.round((load.failureShare ?? 0) * PERCENT),
+    serviceMs: load.serviceMs === undefined ? undefined : Math.round(load.serviceMs),
   };
 }
 
 /** What a frame says of the load. */
 export function loadOf(frame: FrameLoad): LoadReport {
-  const { inFlight, slots, isDraining: draining, isNodeStopping } = frame;
+  const { inFlight, slots, isDraining: draining, isNodeStopping, serviceMs } = frame;
   const failureShare = Math.min(1, frame.failedPercent / PERCENT);
-  return { inFlight, slots, draining, isNodeStopping, failureShare };
+  return { inFlight, slots, draining, isNodeStopping, failureShare, serviceMs };
 }
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -20,6 +20,7 @@
 import type { RequestDecisionName } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import type { CancelTimer } from './scheduler.js';
+import { loadObservationOf } from './load-observation.js';
 import { workClassOf, workOf } from './request-work.js';
 import type { RequestContext } from './request-context.js';
 
@@ -292,24 +293,10 @@
   }
 
   private observeLoad(load: LoadReport | undefined, error: RequestError | undefined): void {
-    const { services } = this.context;
-    if (this.endpoint === undefined) {
-      return;
-    }
-    const draining = load?.draining === true || error?.code === 'ENDPOINT_DRAINING';
-    if (load !== undefined || draining) {
-      const retryAfterMs = error?.status === 503 ? error.retryAfterMs : undefined;
-      services.selector.observedLoad(
-        this.endpoint,
-        {
-          inFlight: load?.inFlight ?? 0,
-          draining,
-          isNodeStopping: load?.isNodeStopping === true,
-          ...(load?.failureShare !== undefined && { failureShare: load.failureShare }),
-          ...(retryAfterMs !== undefined && { retryAfterMs }),
-        },
-        services.scheduler.now(),
-      );
+    const { selector, scheduler } = this.context.services;
+    const observation = loadObservationOf(load, error, this.workClass);
+    if (this.endpoint !== undefined && observation !== undefined) {
+      selector.observedLoad(this.endpoint, observation, scheduler.now());
     }
   }
 
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -45,6 +45,8 @@
   readonly isNodeStopping?: boolean;
   /** Share of the endpoint's latest requests that failed, by its node, which sees them all. */
   readonly failureShare?: number;
+  /** Mean time that a class of work takes there, in milliseconds, by its node. */
+  readonly serviceTime?: { readonly workClass: string; readonly meanMs: number };
   /** Time for which the endpoint asked to be left alone, in milliseconds. */
   readonly retryAfterMs?: number;
 }
@@ -146,6 +148,9 @@
     this.othersInFlight = Math.max(0, load.inFlight - this.inFlight);
     this.observedAtMs = nowMs;
     this.reportedFailures.set(load.failureShare ?? 0, nowMs);
+    if (load.serviceTime !== undefined) {
+      this.latencies.told(load.serviceTime.workClass, load.serviceTime.meanMs, nowMs);
+    }
     if (load.draining) {
       this.drainingUntilMs = nowMs + DRAINING_HOLD_MS;
     } else if (load.isNodeStopping === true) {
--- a/src/routing/least-latency-strategy.ts
+++ b/src/routing/least-latency-strategy.ts
@@ -46,7 +46,7 @@
     if (work === undefined) {
       return candidates[0];
     }
-    const fallbackMs = fastestKnown(candidates, work);
+    const fallbackMs = unmeasuredMs(candidates, work);
     let best: Candidate | undefined;
     let bestCost = Infinity;
     for (const candidate of candidates) {
@@ -76,10 +76,24 @@
   }
 }
 
-function fastestKnown(candidates: readonly Candidate[], { workClass }: WorkProfile): number {
+/**
+ * What is expected of an endpoint of which nothing is known: the mean of what nodes told of the others,
+ * so that it goes before those that are slower; the fastest measured where nothing was told.
+ */
+function unmeasuredMs(candidates: readonly Candidate[], { workClass }: WorkProfile): number {
   let fastestMs = Infinity;
+  let toldMs = 0;
+  let toldCount = 0;
   for (const { record } of candidates) {
     fastestMs = Math.min(fastestMs, record.latencies.lastMs(workClass) ?? Infinity);
+    const told = record.latencies.lastToldMs(workClass);
+    if (told !== undefined) {
+      toldMs += told;
+      toldCount += 1;
+    }
+  }
+  if (toldCount > 0) {
+    return toldMs / toldCount;
   }
   return Number.isFinite(fastestMs) ? fastestMs : 0;
 }
--- a/test/proxy/relay/relay-frame.test.ts
+++ b/test/proxy/relay/relay-frame.test.ts
@@ -20,6 +20,7 @@
   isDraining: fc.boolean(),
   isNodeStopping: fc.boolean(),
   failedPercent: fc.integer({ min: 0, max: 100 }),
+  serviceMs: fc.option(fc.integer({ min: 0, max: 1_000_000 }), { nil: undefined }),
 };
 
 const frames: fc.Arbitrary<RelayFrame> = fc.oneof(
--- a/test/routing/least-latency-strategy.test.ts
+++ b/test/routing/least-latency-strategy.test.ts
@@ -231,4 +231,45 @@
     }
     expect(chosen.size).to.be.at.least(13);
   });
+
+  /** Tells a selector the mean time of each endpoint: the slow ones take thrice as long. */
+  function tellTimes(selector: EndpointSelector, endpoints: readonly Endpoint[]): void {
+    endpoints.forEach((one, idx) => {
+      const meanMs = idx % 2 === 0 ? 450 : 150;
+      selector.observedLoad(
+        one,
+        { inFlight: 0, draining: false, serviceTime: { workClass: WORK.workClass, meanMs } },
+        0,
+      );
+    });
+  }
+
+  it('goes by what the nodes of the endpoints tell of their times, without a request of its own', () => {
+    const endpoints = manyEndpoints(78).map((one) => ({
+      ...one,
+      spec: { ...one.spec, zone: 'z1' },
+    }));
+    const selector = new EndpointSelector(seededRandom(1));
+    selector.choose(endpoints, CONTEXT, 0);
+    tellTimes(selector, endpoints);
+    let slow = 0;
+    for (let round = 0; round < 100; round += 1) {
+      const chosen = selector.choose(endpoints, CONTEXT, 0);
+      slow += endpoints.findIndex(({ name }) => name === chosen?.name) % 2 === 0 ? 1 : 0;
+    }
+    expect(slow).to.be.below(10);
+  });
+
+  it('does not leave an endpoint for one long answer where its node tells of short ones', () => {
+    const selector = new EndpointSelector(seededRandom(1));
+    const tell = (one: Endpoint, meanMs: number) => {
+      const serviceTime = { workClass: WORK.workClass, meanMs };
+      selector.observedLoad(one, { inFlight: 0, draining: false, serviceTime }, 0);
+    };
+    selector.choose([near, other], CONTEXT, 0);
+    tell(near, 100);
+    tell(other, 250);
+    selector.measured(near, WORK.workClass, 600, 0);
+    expect(selector.choose([near, other], CONTEXT, 0)?.name).to.equal('near');
+  });
 });
