--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -21,7 +21,7 @@
 /** The metrics of one node; each has a registry of its own, so that nodes can share a process. */
 export class Metrics implements CounterSink {
   private readonly registry = new Registry();
-  private readonly counters = new Map<string, Counter>();
+  /** Counts by name. They reach the library only when the text is asked for: requests count often. */
   private readonly totals = new Map<string, number>();
 
   /** Content type of {@link text}. */
@@ -31,13 +31,28 @@
 
   /** Adds to the counter `name`, which is made at its first use. */
   add(name: string, by = 1): void {
-    this.counter(name).inc(by);
-    this.totals.set(name, (this.totals.get(name) ?? 0) + by);
+    const total = this.totals.get(name);
+    if (total === undefined) {
+      this.declareCounter(name);
+    }
+    this.totals.set(name, (total ?? 0) + by);
   }
 
   /** Makes a counter known at 0, so that it is in the text before its first event. */
-  declareCounter(name: string, help: string): void {
-    this.counter(name, help);
+  declareCounter(name: string, help = name.replaceAll('_', ' ')): void {
+    if (this.totals.has(name)) {
+      return;
+    }
+    this.totals.set(name, 0);
+    const counter: Counter = new Counter({
+      name,
+      help,
+      registers: [this.registry],
+      collect: () => {
+        counter.reset();
+        counter.inc(this.totals.get(name) ?? 0);
+      },
+    });
   }
 
   /** All counters, for the status API. */
@@ -94,14 +109,4 @@
   text(): Promise<string> {
     return this.registry.metrics();
   }
-
-  private counter(name: string, help = name.replaceAll('_', ' ')): Counter {
-    let counter = this.counters.get(name);
-    if (counter === undefined) {
-      counter = new Counter({ name, help, registers: [this.registry] });
-      this.counters.set(name, counter);
-      this.totals.set(name, 0);
-    }
-    return counter;
-  }
 }
