--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -24,6 +24,7 @@
 const INTERNAL_PORTS = 10;
 const MS_PER_SECOND = 1_000;
 const RETRY_RATIO = 0.2;
+const MACHINES_OF_FIRST_ZONE = 4;
 const MIN_RETRIES = 60;
 const CONFIGURATION_STEP = 3;
 const VERSION_RADIX = 16;
@@ -221,7 +222,7 @@
   private announce({ idx, service, backend }: SoakMachine, state: string): void {
     this.store.put(`servers/${backend.id}`, {
       address: `${this.addressOf(idx, 0)}:${BACKEND_PORT}`,
-      info: { service, version: 'v1', zone: 'z1', slots: BACKEND_SLOTS },
+      info: { service, version: 'v1', zone: zoneOf(idx), slots: BACKEND_SLOTS },
       status: { state, sequence: 1, coldRemainingS: 0 },
     });
   }
@@ -252,6 +253,14 @@
   };
 }
 
+/**
+ * The zone of a machine: four machines in the first one, one in each further one. Nine machines so have
+ * six zones, two readers each, and two nodes that follow others.
+ */
+function zoneOf(idx: number): string {
+  return `z${Math.max(1, idx - MACHINES_OF_FIRST_ZONE + 2)}`;
+}
+
 interface NodePlaces {
   readonly idx: number;
   readonly host: string;
@@ -265,14 +274,14 @@
   return [
     `self.nodeName=soak-${idx}`,
     `self.ip=${host}`,
-    'self.zone=z1',
+    `self.zone=${zoneOf(idx)}`,
     'self.region=r1',
     `self.service=${service}`,
     `network.listenAddrs.inbound=${relay.address}:${relay.port}`,
     `network.listenAddrs.outbound=${host}:${CALLER_PORT}`,
     `network.listenAddrs.ready=${host}:${READY_PORT}`,
     `network.internalPortRange=${FIRST_INTERNAL_PORT},${lastInternalPort}`,
-    'network.zones.z1=r1',
+    `network.zones.${zoneOf(idx)}=r1`,
     `platform.platform.address=${toStore.address}:${toStore.port}`,
     `terms.bounds.graceS=${SOAK_TERMS.graceMs / MS_PER_SECOND}`,
     `terms.bounds.retryBudgetRatio=${RETRY_RATIO}`,
