Send what waits behind a full backlog once the write before it is out; a loopback network for each test process

Test files of platform nodes shared addresses across processes.

Ruled out: credit and parts of the body's writer (both parts left it).

--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -85,7 +85,15 @@
       dueBytes += next.length;
     }
     if (due.length > 0) {
-      this.socket.write(due.length === 1 ? due[0] : Buffer.concat(due));
+      const bytes = due.length === 1 ? due[0] : Buffer.concat(due);
+      this.socket.write(bytes, () => this.flushRest());
+    }
+  }
+
+  /** Bodies that did not fit go on once the bytes before them are out, whether or not a drain is told. */
+  private flushRest(): void {
+    if (this.bodies.length > 0) {
+      this.flush();
     }
   }
 
--- a/test/platform/mesh.test.ts
+++ b/test/platform/mesh.test.ts
@@ -4,7 +4,7 @@
 import net from 'node:net';
 import { expect } from 'chai';
 import { answer, rawAnswer, refuse } from '../../standins/store-platform/backend-stand-in.js';
-import { pause, PlatformFleet, type FleetMachine } from './platform-fleet.js';
+import { addressOf, pause, PlatformFleet, type FleetMachine } from './platform-fleet.js';
 
 describe('a mesh on the platform', () => {
   let fleet: PlatformFleet;
@@ -43,9 +43,9 @@
     expect((await fleet.call(first, { path: '/none/' })).status).to.equal(404);
     fleet.store.fault = { type: 'status', status: 503 };
     const log: string[] = [];
-    const fresh = fleet.createNode('127.0.7.9', 'a', log);
+    const fresh = fleet.createNode(addressOf(9), 'a', log);
     await fresh.open();
-    const machine = { ...first, address: '127.0.7.9' };
+    const machine = { ...first, address: addressOf(9) };
     expect(await fleet.readiness(machine)).to.equal(503);
     const { status, headers } = await fleet.call(machine);
     expect([status, Number(headers['retry-after']) > 0]).to.deep.equal([503, true]);
--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -15,6 +15,13 @@
 const BACKEND_PORT = 21_301;
 const FIRST_INTERNAL_PORT = 21_320;
 const HOST = 'h.example';
+/** Test files run in several processes at once: each has a loopback network of its own. */
+const NETWORK = `127.${1 + ((process.pid >> 8) % 200)}.${process.pid % 250}`;
+
+/** The loopback address of a machine, by its number from 1. */
+export function addressOf(machine: number): string {
+  return `${NETWORK}.${machine}`;
+}
 
 /** What a route of the tests says besides its name, path and service. */
 export interface RouteFields {
@@ -93,7 +100,7 @@
 
   /** Starts a machine with a back end of `service`; waits until its node is ready. */
   async addMachine(service = 'a', zone = 'z1'): Promise<FleetMachine> {
-    const address = `127.0.7.${this.machines.length + 1}`;
+    const address = addressOf(this.machines.length + 1);
     const id = `i-${this.machines.length + 1}`;
     const backend = await BackendStandIn.start(id, address, BACKEND_PORT);
     const log: string[] = [];
