--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -29,6 +29,8 @@
   readonly targetAtMs?: number | undefined;
   /** Until when the endpoint should have started. On the node's clock. */
   readonly startByMs?: number | undefined;
+  /** How much longer than usual the call was on its way to this node, in milliseconds. */
+  readonly travelLostMs?: number;
 }
 
 /** What an endpoint, and the node that owns it, said of its load. */
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -72,10 +72,14 @@
     const gated = new GatedCall(this, client, this.endpoint, call, observer, scheduler, cancelLead);
     this.calls.set(call.requestId, gated);
     this.execute(this.admission.offer(call, scheduler.now()));
-    gated.waitUntil(this.admission.latestStartAtMs(call));
+    gated.waitUntil(this.latestStartAtMs(call));
     return gated;
   }
 
+  latestStartAtMs(call: Call): number {
+    return this.admission.latestStartAtMs(call);
+  }
+
   withdraw(call: Call): boolean {
     const wasWaiting = this.admission.withdraw(call.requestId, call.callerNode);
     if (wasWaiting) {
@@ -161,6 +165,8 @@
       retryAfterMs: Math.round(retryAfterMs),
       ...(gated && {
         deadlineLeftMs: Math.round(gated.deadlineAtMs - this.options.scheduler.now()),
+        startLeftMs: Math.round(gated.startLeftMs()),
+        travelLostMs: Math.round(gated.travelLostMs),
       }),
       running: this.admission.runningCount,
       waiting: this.admission.waitingCount,
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -46,6 +46,8 @@
 export interface CallGate {
   /** Load, with the time that the class of work takes. */
   load(workClass: string): LoadReport;
+  /** The last moment at which the request can start and still finish in time. */
+  latestStartAtMs(call: Call): number;
   /** The request is given up; true when it was still waiting. */
   withdraw(call: Call): boolean;
   /** A dispatched request no longer occupies the endpoint; with its time when it was answered. */
@@ -88,6 +90,16 @@
     return this.call.deadlineAtMs;
   }
 
+  /** Time that the call lost on its way here, in milliseconds. */
+  get travelLostMs(): number {
+    return this.call.travelLostMs ?? 0;
+  }
+
+  /** Time left until the call would have to start, in milliseconds. */
+  startLeftMs(): number {
+    return this.gate.latestStartAtMs(this.call) - this.scheduler.now();
+  }
+
   abort(): void {
     this.isAbandoned = true;
     if (this.attempt !== undefined) {
--- a/src/proxy/pause-detector.ts
+++ b/src/proxy/pause-detector.ts
@@ -13,8 +13,20 @@
 /** Decides from the times at which it was called. */
 export class PauseDetector {
   private wokenAtMs = -Infinity;
+  private lastTickMs = Infinity;
 
-  constructor(private lastLookMs: number) {}
+  /** `onDelayMs` gets how late each look was, in milliseconds: other work kept the process busy. */
+  constructor(
+    private lastLookMs: number,
+    private readonly onDelayMs?: (delayMs: number) => void,
+  ) {}
+
+  /** The regular look. */
+  tick(nowMs: number): void {
+    this.onDelayMs?.(Math.max(0, nowMs - this.lastTickMs - PAUSE_CHECK_INTERVAL_MS));
+    this.lastTickMs = nowMs;
+    this.look(nowMs);
+  }
 
   /** Looks at the clock; to be called at least every {@link PAUSE_CHECK_INTERVAL_MS}. */
   look(nowMs: number): void {
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -23,6 +23,8 @@
   /** Time to open a connection. */
   readonly connectTimeoutMs: number;
   readonly scheduler: Scheduler;
+  /** Told how long a connection took to open, or to fail, in milliseconds. */
+  readonly onConnect?: (address: RelayAddress, connectMs: number, isOpen: boolean) => void;
   /** A token that is valid now; undefined where the fleet has no key. */
   readonly token: () => string | undefined;
 }
@@ -39,14 +41,16 @@
   private readonly streams = new Map<number, RelayedAttempt>();
   private readonly request: http.ClientRequest;
   private connection: RelayConnection | undefined;
+  private readonly beganAtMs: number;
   private lastStreamId = 0;
   private isOver = false;
 
   constructor(
-    address: RelayAddress,
+    private readonly address: RelayAddress,
     private readonly options: RelayLinkOptions,
     private readonly observer: RelayLinkObserver,
   ) {
+    this.beganAtMs = options.scheduler.now();
     this.request = http.request({
       host: address.address,
       port: address.port,
@@ -56,6 +60,7 @@
     const timer = setTimeout(() => this.request.destroy(), options.connectTimeoutMs);
     this.request.once('upgrade', (_message, socket, head) => {
       clearTimeout(timer);
+      this.reportConnect(true);
       this.open(socket, head);
     });
     this.request.once('response', () => this.request.destroy());
@@ -63,6 +68,7 @@
     this.request.once('close', () => {
       clearTimeout(timer);
       if (this.connection === undefined) {
+        this.reportConnect(false);
         this.end('never-sent');
       }
     });
@@ -88,6 +94,11 @@
     this.connection?.destroy();
   }
 
+  private reportConnect(isOpen: boolean): void {
+    const connectMs = this.options.scheduler.now() - this.beganAtMs;
+    this.options.onConnect?.(this.address, connectMs, isOpen);
+  }
+
   private upgradeHeaders(): http.OutgoingHttpHeaders {
     const token = this.options.token();
     return {
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -43,6 +43,8 @@
   readonly refusesNewWork: () => boolean;
   /** Counts a request until the returned function is called. */
   readonly began: () => () => void;
+  /** Gets how much longer than usual each request was on its way, in milliseconds. */
+  readonly onTravelLostMs?: ((ms: number) => void) | undefined;
 }
 
 /** The server and its connections. */
@@ -193,7 +195,9 @@
 
   private callOf(frame: RequestFrame, request: RelayedRequest): Call {
     const nowMs = this.options.scheduler.now();
-    const sentAtMs = nowMs - this.travelTime.lostMs(frame.sentAtMs, nowMs);
+    const travelLostMs = this.travelTime.lostMs(frame.sentAtMs, nowMs);
+    const sentAtMs = nowMs - travelLostMs;
+    this.options.onTravelLostMs?.(travelLostMs);
     const { targetLeftMs, startLeftMs } = frame;
     return {
       requestId: frame.requestId,
@@ -206,6 +210,7 @@
       retriesLeft: Math.min(frame.retriesLeft, this.options.limits.maxRetries),
       priority: frame.priority,
       workClass: frame.workClass,
+      travelLostMs,
       ...(targetLeftMs !== undefined && { targetAtMs: sentAtMs + targetLeftMs }),
       ...(startLeftMs !== undefined && { startByMs: sentAtMs + startLeftMs }),
     };
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -37,6 +37,14 @@
   readonly running?: number;
   readonly waiting?: number;
   readonly slots?: number;
+  /** Whether the request is late: it has failed to find room within its target latency. */
+  readonly isLate?: boolean;
+  /** Time that this attempt took. */
+  readonly attemptMs?: number;
+  /** Left until the request would have had to start; negative when that had passed. */
+  readonly startLeftMs?: number;
+  /** How much longer than usual the request was on its way between the nodes. */
+  readonly travelLostMs?: number;
   readonly detail?: string;
 }
 
--- a/src/proxy/request-path.ts
+++ b/src/proxy/request-path.ts
@@ -36,6 +36,12 @@
   readonly onRequestMs?: (ms: number) => void;
   /** Gets the time that an endpoint took for each whole answer, in milliseconds. */
   readonly onEndpointMs?: (ms: number) => void;
+  /** Gets how much longer than usual each relayed request was on its way, in milliseconds. */
+  readonly onTravelLostMs?: (ms: number) => void;
+  /** Gets the time that each connection to a peer took to open or to fail, in milliseconds. */
+  readonly onRelayConnectMs?: (ms: number) => void;
+  /** Gets how late the regular looks at the clock are, in milliseconds. */
+  readonly onLoopDelayMs?: (ms: number) => void;
 }
 
 /** The request path; its owner listens on the two servers. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -44,6 +44,8 @@
 /** Idle connections of callers are kept this much longer than the configuration says. */
 const IDLE_MARGIN = 1.25;
 const IDLE_MARGIN_MS = 1_000;
+/** A delay of the event loop that is told in the log, in milliseconds: half of a usual target. */
+const LOGGED_LOOP_DELAY_MS = 100;
 /** Stands for the sender of a relayed request that proves no identity. */
 const UNNAMED_PEER = 'peer';
 
@@ -75,7 +77,7 @@
   private readonly relayClient: RelayClient;
   private readonly routeTables = new RouteTableCache();
   private readonly heldBytes: HeldBytes;
-  private readonly pauses = new PauseDetector(MACHINE_TIME.now());
+  private readonly pauses: PauseDetector;
   private readonly pauseTimer: NodeJS.Timeout;
   private requestCount = 0;
   private readonly meter = new CallMeter(() => MACHINE_TIME.now());
@@ -118,8 +120,9 @@
       direct: this.gateway,
       relay: this.relayClient,
     });
+    this.pauses = new PauseDetector(MACHINE_TIME.now(), (ms) => this.takeLoopDelay(ms));
     this.pauseTimer = setInterval(
-      () => this.pauses.look(MACHINE_TIME.now()),
+      () => this.pauses.tick(MACHINE_TIME.now()),
       PAUSE_CHECK_INTERVAL_MS,
     );
     this.callerServer = this.makeCallerServer();
@@ -211,6 +214,13 @@
       connectTimeoutMs: this.limits.connectTimeoutMs,
       scheduler: MACHINE_TIME,
       token: () => tokens?.current(Date.now()),
+      onConnect: ({ address }, connectMs, isOpen) => {
+        this.options.onRelayConnectMs?.(connectMs);
+        if (!isOpen) {
+          const detail = `${address} after ${Math.round(connectMs)} ms`;
+          this.options.logStateChange('relay-not-connected', detail);
+        }
+      },
       addressOf: ({ spec }) =>
         spec.machine === undefined ? undefined : members.relayAddress(spec.machine),
     });
@@ -242,9 +252,17 @@
       isStopping: () => this.isStopping,
       refusesNewWork: () => this.refusesNewWork(),
       began: () => this.meter.begin(),
+      onTravelLostMs: this.options.onTravelLostMs,
     });
   }
 
+  private takeLoopDelay(delayMs: number): void {
+    this.options.onLoopDelayMs?.(delayMs);
+    if (delayMs >= LOGGED_LOOP_DELAY_MS) {
+      this.options.logStateChange('event-loop-late', `${Math.round(delayMs)} ms`);
+    }
+  }
+
   private refusesNewWork(): boolean {
     return MACHINE_TIME.now() >= this.refusesFromMs;
   }
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -335,6 +335,8 @@
       code: failure.code,
       verdict,
       elapsedMs: Math.round(nowMs - this.startedAtMs),
+      ...(event === 'attempt-failed' && { attemptMs: Math.round(nowMs - this.attemptStartedAtMs) }),
+      ...(this.isLate && { isLate: true }),
       deadlineLeftMs: Math.round(deadlineAtMs - nowMs),
       configuration: snapshot.version.source.number,
       ...(failure.retryAfterMs !== undefined && { retryAfterMs: Math.round(failure.retryAfterMs) }),
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -265,6 +265,12 @@
       requestLog: new RequestLogger(logger),
       onRequestMs: this.timer('request', 'Time from the arrival of a request to its end'),
       onEndpointMs: this.timer('endpoint', 'Time that the endpoint here took for a whole answer'),
+      onTravelLostMs: this.timer(
+        'relay_travel',
+        'Time that relayed requests lost on their way here',
+      ),
+      onRelayConnectMs: this.timer('relay_connect', 'Time that connections to peers took'),
+      onLoopDelayMs: this.timer('event_loop_delay', 'How late the event loop ran a timer'),
     });
   }
 
