--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -22,15 +22,17 @@
 /** Why a request is refused. Each is decided before the request is sent. */
 export type RefusalReason = 'queue-full' | 'cannot-finish-in-time' | 'deadline-passed' | 'draining';
 
+/** A request that is refused, and when to come back. */
+export interface Refusal {
+  readonly requestId: string;
+  readonly reason: RefusalReason;
+  readonly retryAfterMs: number;
+}
+
 /** What is to be done with a request. */
 export type AdmissionEffect =
   | { readonly type: 'dispatch'; readonly requestId: string }
-  | {
-      readonly type: 'refuse';
-      readonly requestId: string;
-      readonly reason: RefusalReason;
-      readonly retryAfterMs: number;
-    };
+  | ({ readonly type: 'refuse' } & Refusal);
 
 /** The slots and the queue of one endpoint. */
 export class EndpointAdmission {
@@ -114,6 +116,13 @@
     this.reportedAtMs = nowMs;
   }
 
+  /** How a request would be refused that arrives at `atMs`; undefined when it would be taken. */
+  refusalAt(ticket: AdmissionTicket, atMs: number): Refusal | undefined {
+    const isFull = this.queue.size >= this.queueBound;
+    const reason = this.refusalOf(ticket, atMs) ?? (isFull ? 'queue-full' : undefined);
+    return reason === undefined ? undefined : this.refusal(ticket, reason);
+  }
+
   /** A request arrives. */
   offer(ticket: AdmissionTicket, nowMs: number): AdmissionEffect[] {
     const reason = this.refusalOf(ticket, nowMs);
@@ -190,8 +199,12 @@
   }
 
   private refuse(ticket: AdmissionTicket, reason: RefusalReason): AdmissionEffect {
+    return { type: 'refuse', ...this.refusal(ticket, reason) };
+  }
+
+  private refusal(ticket: AdmissionTicket, reason: RefusalReason): Refusal {
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(rankOf(ticket)));
-    return { type: 'refuse', requestId: ticket.requestId, reason, retryAfterMs };
+    return { requestId: ticket.requestId, reason, retryAfterMs };
   }
 
   private fillSlots(nowMs: number): AdmissionEffect[] {
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -1,5 +1,9 @@
 /** Admission to one endpoint. Executes the effects of {@link EndpointAdmission}. */
-import { EndpointAdmission, type AdmissionEffect } from '../admission/endpoint-admission.js';
+import {
+  EndpointAdmission,
+  type AdmissionEffect,
+  type Refusal,
+} from '../admission/endpoint-admission.js';
 import type { CounterSink } from '../control/control-event.js';
 import type { Endpoint } from '../model/resource.js';
 import { FailureShare } from '../routing/failure-share.js';
@@ -7,6 +11,7 @@
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
 import type { EndpointPort } from './endpoint-client.js';
 import { GatedCall, type CallGate, type CancelLead } from './gated-call.js';
+import type { RequestError } from './request-error.js';
 import type { RequestLog } from './request-log.js';
 import type { Scheduler } from './scheduler.js';
 
@@ -72,12 +77,19 @@
     const gated = new GatedCall(this, client, this.endpoint, call, observer, scheduler, cancelLead);
     this.calls.set(call.requestId, gated);
     this.execute(this.admission.offer(call, scheduler.now()));
-    gated.waitUntil(this.latestStartAtMs(call));
+    gated.waitUntil(this.admission.latestStartAtMs(call));
     return gated;
   }
 
-  latestStartAtMs(call: Call): number {
-    return this.admission.latestStartAtMs(call);
+  /** Why a call that arrives at `atMs` would be refused, in the log too; undefined when it would be taken. */
+  refusalOf(call: Call, atMs: number): RequestError | undefined {
+    const refusal = this.admission.refusalAt(call, atMs);
+    if (refusal === undefined) {
+      return undefined;
+    }
+    this.options.counters.add('ferryspool_endpoint_refusals_total');
+    this.recordRefusal(refusal, call);
+    return admissionError(refusal.reason, refusal.retryAfterMs);
   }
 
   withdraw(call: Call): boolean {
@@ -154,19 +166,20 @@
   }
 
   private recordRefusal(
-    { requestId, reason, retryAfterMs }: Extract<AdmissionEffect, { type: 'refuse' }>,
-    gated: GatedCall | undefined,
+    { requestId, reason, retryAfterMs }: Refusal,
+    call: Call | undefined,
   ): void {
+    const nowMs = this.options.scheduler.now();
     this.options.requestLog?.record({
       event: 'attempt-refused',
       request: requestId,
       endpoint: this.endpoint.name,
       code: reason,
       retryAfterMs: Math.round(retryAfterMs),
-      ...(gated && {
-        deadlineLeftMs: Math.round(gated.deadlineAtMs - this.options.scheduler.now()),
-        startLeftMs: Math.round(gated.startLeftMs()),
-        travelLostMs: Math.round(gated.travelLostMs),
+      ...(call && {
+        deadlineLeftMs: Math.round(call.deadlineAtMs - nowMs),
+        startLeftMs: Math.round(this.admission.latestStartAtMs(call) - nowMs),
+        travelLostMs: Math.round(call.travelLostMs ?? 0),
       }),
       running: this.admission.runningCount,
       waiting: this.admission.waitingCount,
@@ -196,7 +209,7 @@
         gated?.dispatch();
       } else {
         this.options.counters.add('ferryspool_endpoint_refusals_total');
-        this.recordRefusal(effect, gated);
+        this.recordRefusal(effect, gated?.call);
         this.calls.delete(effect.requestId);
         gated?.refuse(admissionError(effect.reason, effect.retryAfterMs));
       }
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -3,8 +3,10 @@
 import type { Channel, Instruction } from 'js-csp';
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
-import type { Attempt, AttemptObserver, Call, EndpointPath } from './call.js';
+import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
 import { EndpointGate, type GateOptions } from './endpoint-gate.js';
+import type { OwnedEndpoints } from './relay/relayed-request.js';
+import type { RequestError } from './request-error.js';
 
 /**
  * How often gates are compared with the configuration, in milliseconds. A request that arrives compares
@@ -20,7 +22,7 @@
 }
 
 /** The gates of one node. */
-export class EndpointGateway implements EndpointPath {
+export class EndpointGateway implements OwnedEndpoints {
   private readonly gates = new Map<string, EndpointGate>();
   /** The configuration that each gate was last compared with. */
   private readonly configuredFrom = new WeakMap<EndpointGate, Snapshot>();
@@ -33,6 +35,16 @@
     return gate.submit(call, observer);
   }
 
+  refusalOf(endpoint: Endpoint, call: Call, atMs: number): RequestError | undefined {
+    const gate = this.gateOf(endpoint);
+    this.configure(gate);
+    return gate.refusalOf(call, atMs);
+  }
+
+  load(endpoint: Endpoint, workClass: string): LoadReport {
+    return this.gateOf(endpoint).load(workClass);
+  }
+
   /** Requests that wait or run, of all endpoints. */
   get inFlight(): number {
     return [...this.gates.values()].reduce((sum, gate) => sum + gate.inFlight, 0);
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -13,6 +13,7 @@
 } from './endpoint-attempt.js';
 import type { EndpointPort } from './endpoint-client.js';
 import type { Exchange } from './http-exchange.js';
+import { refusalLeadMs } from './refusal-lead.js';
 import type { CancelTimer, Scheduler } from './scheduler.js';
 import { CannotFinishInTimeError, EndpointGoneError, type RequestError } from './request-error.js';
 
@@ -21,14 +22,6 @@
 /** A slot whose request can't be accounted for stays taken for this long past its deadline. */
 const ORPHAN_HOLD_MS = 1_000;
 
-/**
- * A request that still waits so long before its deadline is refused, in milliseconds, and at most in
- * this share of its time: the refusal must reach the caller's node before the deadline does, or the
- * caller is told that the request may have run.
- */
-const REFUSAL_LEAD_MS = 60;
-const REFUSAL_LEAD_SHARE = 0.15;
-
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
 
@@ -46,8 +39,6 @@
 export interface CallGate {
   /** Load, with the time that the class of work takes. */
   load(workClass: string): LoadReport;
-  /** The last moment at which the request can start and still finish in time. */
-  latestStartAtMs(call: Call): number;
   /** The request is given up; true when it was still waiting. */
   withdraw(call: Call): boolean;
   /** A dispatched request no longer occupies the endpoint; with its time when it was answered. */
@@ -79,27 +70,12 @@
     private readonly gate: CallGate,
     private readonly client: EndpointPort,
     private readonly endpoint: Endpoint,
-    private readonly call: Call,
+    readonly call: Call,
     private readonly observer: AttemptObserver,
     private readonly scheduler: Scheduler,
     private readonly lead: CancelLead,
   ) {}
 
-  /** On the node's monotonic clock. */
-  get deadlineAtMs(): number {
-    return this.call.deadlineAtMs;
-  }
-
-  /** Time that the call lost on its way here, in milliseconds. */
-  get travelLostMs(): number {
-    return this.call.travelLostMs ?? 0;
-  }
-
-  /** Time left until the call would have to start, in milliseconds. */
-  startLeftMs(): number {
-    return this.gate.latestStartAtMs(this.call) - this.scheduler.now();
-  }
-
   abort(): void {
     this.isAbandoned = true;
     if (this.attempt !== undefined) {
@@ -115,7 +91,8 @@
   waitUntil(latestStartAtMs: number): void {
     if (this.attempt === undefined && !this.isOver) {
       const nowMs = this.scheduler.now();
-      const leadMs = Math.max(this.cancelLeadMs(nowMs), this.refusalLeadMs(nowMs));
+      const leftMs = this.call.deadlineAtMs - nowMs;
+      const leadMs = Math.max(this.cancelLeadMs(nowMs), refusalLeadMs(leftMs));
       const lastMomentMs = this.call.deadlineAtMs - leadMs;
       const delayMs = Math.min(latestStartAtMs, lastMomentMs) - nowMs;
       this.cancelTimer = this.scheduler.schedule(delayMs, () => this.expireWaiting());
@@ -241,10 +218,6 @@
     return Math.min(maxCancelLeadMs, (this.call.deadlineAtMs - nowMs) * cancelLeadShare);
   }
 
-  private refusalLeadMs(nowMs: number): number {
-    return Math.min(REFUSAL_LEAD_MS, (this.call.deadlineAtMs - nowMs) * REFUSAL_LEAD_SHARE);
-  }
-
   private holdSlot(): void {
     const untilDeadlineMs = Math.max(0, this.call.deadlineAtMs - this.scheduler.now());
     const holdMs = this.lead.slotFreedAfterCloseMs ?? untilDeadlineMs + ORPHAN_HOLD_MS;
--- /dev/null
+++ b/src/proxy/relay/arrival-rate.ts
@@ -0,0 +1,48 @@
+/**
+ * The pace at which bodies reach a node while more of them wait than may be under way: what its link, or
+ * the senders, carry at most. Pure.
+ */
+
+/** Time over which bytes are counted before they count as a measurement, in milliseconds. */
+const SAMPLE_MS = 100;
+/** Weight of a new measurement in the running mean. */
+const SAMPLE_WEIGHT = 0.3;
+
+/** The pace of one node. */
+export class ArrivalRate {
+  private bytesPerMs: number | undefined;
+  private sampleBytes = 0;
+  /** Since when bodies have been waiting without a break; undefined while none does. */
+  private sampledSinceMs: number | undefined;
+
+  /** Takes whether bodies wait; what arrives while none does says nothing of what would fit. */
+  setSaturated(isSaturated: boolean, nowMs: number): void {
+    if (!isSaturated) {
+      this.sampledSinceMs = undefined;
+    } else if (this.sampledSinceMs === undefined) {
+      this.sampledSinceMs = nowMs;
+      this.sampleBytes = 0;
+    }
+  }
+
+  arrived(bytes: number, nowMs: number): void {
+    if (this.sampledSinceMs === undefined) {
+      return;
+    }
+    this.sampleBytes += bytes;
+    const sampleMs = nowMs - this.sampledSinceMs;
+    if (sampleMs < SAMPLE_MS) {
+      return;
+    }
+    const measured = this.sampleBytes / sampleMs;
+    const previous = this.bytesPerMs ?? measured;
+    this.bytesPerMs = previous + (measured - previous) * SAMPLE_WEIGHT;
+    this.sampledSinceMs = nowMs;
+    this.sampleBytes = 0;
+  }
+
+  /** Time that so many bytes take; 0 before a measurement. */
+  msFor(bytes: number): number {
+    return this.bytesPerMs === undefined || this.bytesPerMs <= 0 ? 0 : bytes / this.bytesPerMs;
+  }
+}
--- a/src/proxy/relay/relay-body.ts
+++ b/src/proxy/relay/relay-body.ts
@@ -1,4 +1,7 @@
-/** Bodies that cross a relay connection in parts, each with a window of its own. */
+/**
+ * Bodies that cross a relay connection in parts, each with a window of its own. An answer's window is
+ * open from the start; a request's opens when its receiver gives credit.
+ */
 import { Readable, Writable } from 'node:stream';
 
 /** Bytes of one body that may be on their way or unread at the receiver. */
@@ -13,10 +16,13 @@
 
 /** The sending end. */
 export class RelayBodyWriter extends Writable {
-  private windowBytes = BODY_WINDOW_BYTES;
   private waiting: (() => void) | undefined;
 
-  constructor(private readonly sendPart: SendPart) {
+  /** `windowBytes` may be sent before the receiver gives credit. */
+  constructor(
+    private readonly sendPart: SendPart,
+    private windowBytes = BODY_WINDOW_BYTES,
+  ) {
     super({ highWaterMark: MAX_PART_BYTES });
   }
 
@@ -58,8 +64,14 @@
   private unreportedBytes = 0;
   private isEnded = false;
 
-  /** `sendCredit` tells the sender that there is room for so many bytes more. */
-  constructor(private readonly sendCredit: (bytes: number) => void) {
+  /**
+   * `sendCredit` tells the sender that there is room for so many bytes more; with `isOpen` false, also for
+   * the first ones, once somebody reads.
+   */
+  constructor(
+    private readonly sendCredit: (bytes: number) => void,
+    private isOpen = true,
+  ) {
     super({ highWaterMark: BODY_WINDOW_BYTES });
   }
 
@@ -86,6 +98,11 @@
 
   /** Called whenever there is room here again. */
   override _read(): void {
+    if (!this.isOpen) {
+      this.isOpen = true;
+      this.sendCredit(BODY_WINDOW_BYTES);
+      return;
+    }
     if (this.unreportedBytes >= CREDIT_STEP_BYTES && !this.isEnded) {
       this.sendCredit(this.unreportedBytes);
       this.unreportedBytes = 0;
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -4,7 +4,7 @@
 import type { CounterSink } from '../../control/control-event.js';
 import type { Endpoint } from '../../model/resource.js';
 import type { Snapshot } from '../../model/snapshot.js';
-import type { Call, EndpointPath } from '../call.js';
+import type { Call } from '../call.js';
 import { headerValue } from '../headers.js';
 import type { ProxyLimits } from '../proxy-limits.js';
 import { NodeStoppingError, UnknownEndpointError } from '../request-error.js';
@@ -12,7 +12,8 @@
 import { RelayConnection } from './relay-connection.js';
 import type { RelayFrame, RequestFrame } from './relay-frame.js';
 import { RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
-import { RelayedRequest } from './relayed-request.js';
+import { CreditPool } from './credit-pool.js';
+import { RelayedRequest, type OwnedEndpoints } from './relayed-request.js';
 import { TravelTime } from './travel-time.js';
 
 /** Time after a pause in which cancellations that came meanwhile are read, in milliseconds. */
@@ -34,7 +35,7 @@
   /** The machine identity that a token proves, or undefined. */
   readonly verifyToken: (token: string | undefined) => string | undefined;
   readonly snapshot: () => Snapshot | undefined;
-  readonly endpoints: EndpointPath;
+  readonly endpoints: OwnedEndpoints;
   /** Whether the process was paused until just now; see {@link ../pause-detector.ts}. */
   readonly hasJustWoken: () => boolean;
   /** Whether peers are told that the node is about to stop. */
@@ -52,8 +53,10 @@
   /** Its owner listens on it. */
   readonly http: http.Server;
   private readonly peers = new Set<RelayPeer>();
+  private readonly credits: CreditPool;
 
   constructor(private readonly options: RelayServerOptions) {
+    this.credits = new CreditPool(options.scheduler);
     this.http = http.createServer((_request, response) => {
       response.writeHead(UPGRADE_REQUIRED_STATUS, { Upgrade: RELAY_PROTOCOL, Connection: 'close' });
       response.end();
@@ -95,7 +98,8 @@
       return;
     }
     socket.write(SWITCHED);
-    const peer = new RelayPeer(sender, socket, head, this.options, () => this.peers.delete(peer));
+    const forget = (): unknown => this.peers.delete(peer);
+    const peer = new RelayPeer(sender, socket, head, this.options, this.credits, forget);
     this.peers.add(peer);
   }
 }
@@ -114,6 +118,7 @@
     socket: Duplex,
     head: Buffer,
     private readonly options: RelayServerOptions,
+    private readonly credits: CreditPool,
     private readonly forget: () => void,
   ) {
     this.connection = new RelayConnection(socket, head, {
@@ -172,14 +177,16 @@
     options.counters.add('ferryspool_relayed_requests_total');
     const { streamId } = frame;
     const ended = options.began();
-    const request = new RelayedRequest(frame, options.limits.maxBodyBytes, {
-      send: (sent) => connection.send(sent),
+    const link = {
+      send: (sent: RelayFrame) => connection.send(sent),
       over: () => {
         this.requests.delete(streamId);
         ended();
       },
       isStopping: options.isStopping,
-    });
+    };
+    const { limits, scheduler } = options;
+    const request = new RelayedRequest(frame, limits.maxBodyBytes, link, this.credits, scheduler);
     this.requests.set(streamId, request);
     if (options.refusesNewWork()) {
       request.failed(new NodeStoppingError('the node is about to stop'));
@@ -190,7 +197,7 @@
       request.failed(new UnknownEndpointError('the endpoint is not of this node'));
       return;
     }
-    request.submit(options.endpoints, endpoint, this.callOf(frame, request));
+    request.start(options.endpoints, endpoint, this.callOf(frame, request));
   }
 
   private callOf(frame: RequestFrame, request: RelayedRequest): Call {
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -12,11 +12,14 @@
   type RequestError,
 } from '../request-error.js';
 import type { Scheduler } from '../scheduler.js';
+import { MAX_COLLECTED_BODY_BYTES } from './collected-body.js';
 import { RelayBodyReader, RelayBodyWriter } from './relay-body.js';
 import type { AnswerFrame, BodyForm, FailureFrame, RelayFrame } from './relay-frame.js';
 import { loadOf } from './relay-load.js';
 
 const HEAD_TOO_LARGE_STATUS = 431;
+/** A body of up to this length, in bytes, goes with the head of its request: some three packets. */
+const MAX_INLINE_BODY_BYTES = 4 * 1024;
 
 /** What an attempt needs of its link. */
 export interface AttemptLink {
@@ -30,6 +33,8 @@
 export class RelayedAttempt implements Attempt {
   private isSent = false;
   private isOver = false;
+  /** Whether everything of the request has gone out, its body included. */
+  private isWholeSent = false;
   private writer: RelayBodyWriter | undefined;
   private reader: RelayBodyReader | undefined;
 
@@ -54,7 +59,7 @@
   send(): void {
     const { call, endpoint } = this;
     const nowMs = this.scheduler.now();
-    const held = call.body instanceof HeldBody ? call.body.bytes : undefined;
+    const inline = inlineBytesOf(call.body);
     this.isSent = this.link.send({
       kind: 'request',
       streamId: this.streamId,
@@ -72,13 +77,12 @@
       targetLeftMs: leftMs(call.targetAtMs, nowMs),
       startLeftMs: leftMs(call.startByMs, nowMs),
       bodyForm: formOf(call.body),
-      bodyBytes: held === undefined ? (call.body.length ?? 0) : 0,
-      bytes: held ?? Buffer.alloc(0),
+      bodyBytes: inline === undefined ? (call.body.length ?? 0) : 0,
+      bytes: inline ?? Buffer.alloc(0),
     });
+    this.isWholeSent = inline !== undefined || !call.body.isDeclared;
     if (!this.isSent) {
       this.fail(new BadRequestError('the head of the request is too large', HEAD_TOO_LARGE_STATUS));
-    } else if (held === undefined && call.body.isDeclared) {
-      this.streamBody();
     }
   }
 
@@ -91,7 +95,7 @@
       case 'body':
         return this.takeBody(frame.bytes, frame.isLast);
       case 'credit':
-        return this.writer?.addCredit(frame.creditBytes);
+        return this.takeCredit(frame.creditBytes);
       case 'cancel':
         return this.breakAnswer();
       case 'request':
@@ -106,18 +110,32 @@
     }
     const node = `the node of endpoint ${this.endpoint.name}`;
     this.fail(
-      cause === 'never-sent' || !this.isSent
+      cause === 'never-sent' || !this.mayHaveReachedEndpoint
         ? new UnreachableError(`no connection to ${node}`)
         : new ConnectionLostError(`the connection to ${node} was lost`),
     );
   }
 
+  /** The endpoint's node hands a body that it collects on only once it has all of it. */
+  private get mayHaveReachedEndpoint(): boolean {
+    const isCollected = (this.call.body.length ?? Infinity) <= MAX_COLLECTED_BODY_BYTES;
+    return this.isSent && (this.isWholeSent || !isCollected);
+  }
+
+  /** The first credit says that the endpoint's node has not refused the request by its head. */
+  private takeCredit(creditBytes: number): void {
+    if (!this.isOver) {
+      this.writer ??= this.streamBody();
+      this.writer.addCredit(creditBytes);
+    }
+  }
+
   /** A sender that breaks off leaves a request that can't be completed. */
-  private streamBody(): void {
+  private streamBody(): RelayBodyWriter {
     const writer = new RelayBodyWriter((bytes, isLast) => {
+      this.isWholeSent ||= isLast;
       this.link.send({ kind: 'body', streamId: this.streamId, bytes, isLast });
-    });
-    this.writer = writer;
+    }, 0);
     writer.on('error', () => undefined);
     writer.once('close', () => {
       if (!writer.writableFinished && !this.isOver) {
@@ -126,6 +144,7 @@
       }
     });
     this.call.body.sendTo(writer);
+    return writer;
   }
 
   private takeAnswer(frame: AnswerFrame): void {
@@ -199,11 +218,17 @@
   }
 }
 
+/** The body, where it goes with the head; undefined where it waits for credit. */
+function inlineBytesOf(body: RequestBody): Buffer | undefined {
+  const isInline = body instanceof HeldBody && body.length <= MAX_INLINE_BODY_BYTES;
+  return isInline ? body.bytes : undefined;
+}
+
 function formOf(body: RequestBody): BodyForm {
   if (!body.isDeclared) {
     return 'none';
   }
-  if (body instanceof HeldBody) {
+  if (inlineBytesOf(body) !== undefined) {
     return 'held';
   }
   return body.length === undefined ? 'chunked' : 'sized';
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -4,7 +4,11 @@
 import { passAnswer, type AnswerSink } from '../answer-relay.js';
 import type { Answer, Attempt, AttemptObserver, Call, EndpointPath, LoadReport } from '../call.js';
 import { EMPTY_BODY, HeldBody, StreamedBody, type RequestBody } from '../request-body.js';
-import { TruncatedAnswerError, type RequestError } from '../request-error.js';
+import { refusalLeadMs } from '../refusal-lead.js';
+import { DeadlinePassedError, TruncatedAnswerError, type RequestError } from '../request-error.js';
+import type { CancelTimer, Scheduler } from '../scheduler.js';
+import { collectBody, MAX_COLLECTED_BODY_BYTES } from './collected-body.js';
+import type { BodyCredit, CreditPool } from './credit-pool.js';
 import { RelayBodyReader, RelayBodyWriter } from './relay-body.js';
 import type { RelayFrame, RequestFrame } from './relay-frame.js';
 import { frameLoadOf } from './relay-load.js';
@@ -16,6 +20,13 @@
 /** What is said of the load where nothing is known. */
 const NO_LOAD: LoadReport = { inFlight: 0, slots: 0, draining: false };
 
+/** The endpoints of this node. */
+export interface OwnedEndpoints extends EndpointPath {
+  /** Why a request that arrives at `atMs` would be refused; undefined when it would be taken. */
+  refusalOf(endpoint: Endpoint, call: Call, atMs: number): RequestError | undefined;
+  load(endpoint: Endpoint, workClass: string): LoadReport;
+}
+
 /** What a request needs of its connection. */
 export interface RequestLink {
   readonly send: (frame: RelayFrame) => void;
@@ -28,7 +39,9 @@
 export class RelayedRequest implements AttemptObserver {
   readonly body: RequestBody;
   private readonly reader: RelayBodyReader | undefined;
+  private readonly credit: BodyCredit | undefined;
   private readonly streamId: number;
+  private cancelCollecting: CancelTimer | undefined;
   private attempt: Attempt | undefined;
   private sink: FrameSink | undefined;
   private isOver = false;
@@ -37,25 +50,63 @@
     frame: RequestFrame,
     maxBodyBytes: number,
     private readonly link: RequestLink,
+    private readonly credits: CreditPool,
+    private readonly scheduler: Scheduler,
   ) {
     this.streamId = frame.streamId;
-    this.reader = isStreamed(frame) ? this.openReader() : undefined;
+    if (isStreamed(frame)) {
+      this.credit = this.openCredit(frame);
+      this.reader = new RelayBodyReader((bytes) => this.credit?.want(bytes), false);
+    }
     this.body = bodyOf(frame, this.reader, maxBodyBytes);
   }
 
-  /** Gives the request to its endpoint. */
-  submit(path: EndpointPath, endpoint: Endpoint, call: Call): void {
+  /**
+   * Gives the request to its endpoint. One whose body is collected is refused by its head where that is
+   * possible, and takes a slot only once its body is here.
+   */
+  start(endpoints: OwnedEndpoints, endpoint: Endpoint, call: Call): void {
+    const { reader } = this;
+    const lengthBytes = this.body.length ?? Infinity;
+    if (reader === undefined || lengthBytes > MAX_COLLECTED_BODY_BYTES) {
+      this.submit(endpoints, endpoint, call);
+      return;
+    }
+    const arrivesAtMs = this.scheduler.now() + this.credits.expectedMs(call.priority, lengthBytes);
+    const refusal = endpoints.refusalOf(endpoint, call, arrivesAtMs);
+    if (refusal !== undefined) {
+      this.failed(refusal, endpoints.load(endpoint, call.workClass));
+      return;
+    }
+    this.refuseUnlessCollected(call, () => endpoints.load(endpoint, call.workClass));
+    collectBody(reader, (body) => {
+      this.cancelCollecting?.();
+      if (!this.isOver) {
+        this.submit(endpoints, endpoint, collectedCall(call, body, this.scheduler.now()));
+      }
+    });
+  }
+
+  private submit(path: EndpointPath, endpoint: Endpoint, call: Call): void {
     const attempt = path.submit(endpoint, call, this);
     if (!this.isOver) {
       this.attempt = attempt;
     }
   }
 
+  /** The refusal has to reach the caller's node before the deadline, which tells that it has not run. */
+  private refuseUnlessCollected({ deadlineAtMs }: Call, load: () => LoadReport): void {
+    const leftMs = deadlineAtMs - this.scheduler.now();
+    this.cancelCollecting = this.scheduler.schedule(leftMs - refusalLeadMs(leftMs), () => {
+      this.failed(new DeadlinePassedError('the body did not arrive in time'), load());
+    });
+  }
+
   /** Takes a frame of the sender. */
   take(frame: RelayFrame): void {
     switch (frame.kind) {
       case 'body':
-        return this.reader?.receive(frame.bytes, frame.isLast);
+        return this.takeBody(frame.bytes, frame.isLast);
       case 'credit':
         return this.sink?.addCredit(frame.creditBytes);
       case 'cancel':
@@ -117,15 +168,29 @@
     }
   }
 
-  private openReader(): RelayBodyReader {
-    return new RelayBodyReader((creditBytes) => {
-      this.link.send({ kind: 'credit', streamId: this.streamId, creditBytes });
+  private openCredit({ priority, bodyForm, bodyBytes }: RequestFrame): BodyCredit {
+    return this.credits.open({
+      rank: priority,
+      lengthBytes: bodyForm === 'sized' ? bodyBytes : undefined,
+      grant: (creditBytes) => {
+        this.link.send({ kind: 'credit', streamId: this.streamId, creditBytes });
+      },
     });
   }
 
+  private takeBody(bytes: Buffer, isLast: boolean): void {
+    this.credit?.arrived(bytes.length);
+    if (isLast) {
+      this.credit?.close();
+    }
+    this.reader?.receive(bytes, isLast);
+  }
+
   private end(): void {
     if (!this.isOver) {
       this.isOver = true;
+      this.cancelCollecting?.();
+      this.credit?.close();
       if (this.reader?.complete === false) {
         this.reader.destroy();
       }
@@ -232,6 +297,17 @@
   }
 }
 
+/**
+ * A body that is here is not sent to another endpoint for want of a slot: that would carry it over a link
+ * again. It waits for one until its target has passed, and then still takes one that is free.
+ */
+function collectedCall(call: Call, body: RequestBody, nowMs: number): Call {
+  const { targetAtMs, ...rest } = call;
+  return targetAtMs === undefined
+    ? { ...rest, body }
+    : { ...rest, body, startByMs: Math.max(targetAtMs, nowMs) };
+}
+
 function isStreamed({ bodyForm }: RequestFrame): boolean {
   return bodyForm === 'sized' || bodyForm === 'chunked';
 }
--- /dev/null
+++ b/test/proxy/relay/credit-pool.test.ts
@@ -0,0 +1,156 @@
+/** The credit that a node gives to the senders of bodies. */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { CreditPool, POOL_BYTES, type BodyCredit } from '../../../src/proxy/relay/credit-pool.js';
+import type { Scheduler } from '../../../src/proxy/scheduler.js';
+
+/** A clock that is moved by hand. */
+class ManualTime implements Scheduler {
+  private nowMs = 0;
+  private timers: { readonly atMs: number; readonly action: () => void }[] = [];
+
+  now(): number {
+    return this.nowMs;
+  }
+
+  schedule(delayMs: number, action: () => void): () => void {
+    const timer = { atMs: this.nowMs + delayMs, action };
+    this.timers.push(timer);
+    return () => {
+      this.timers = this.timers.filter((other) => other !== timer);
+    };
+  }
+
+  advance(ms: number): void {
+    this.nowMs += ms;
+    const due = this.timers.filter(({ atMs }) => atMs <= this.nowMs);
+    this.timers = this.timers.filter(({ atMs }) => atMs > this.nowMs);
+    due.forEach(({ action }) => action());
+  }
+}
+
+/** A sender that uses its credit when told to. */
+class Sender {
+  credit: BodyCredit | undefined;
+  grantedBytes = 0;
+  sentBytes = 0;
+
+  constructor(
+    pool: CreditPool,
+    readonly lengthBytes: number,
+    rank = 0,
+    isSized = true,
+  ) {
+    this.credit = pool.open({
+      rank,
+      lengthBytes: isSized ? lengthBytes : undefined,
+      grant: (bytes) => {
+        this.grantedBytes += bytes;
+      },
+    });
+    this.credit.want(64 * 1024);
+  }
+
+  get underWayBytes(): number {
+    return this.grantedBytes - this.sentBytes;
+  }
+
+  /** Sends what it may, up to `bytes`, and ends the body with its last byte. */
+  send(bytes = Infinity): void {
+    const sent = Math.min(bytes, this.underWayBytes, this.lengthBytes - this.sentBytes);
+    this.sentBytes += sent;
+    if (sent > 0) {
+      this.credit?.want(sent);
+      this.credit?.arrived(sent);
+    }
+    if (this.sentBytes === this.lengthBytes) {
+      this.credit?.close();
+    }
+  }
+}
+
+describe('the credit of a node for bodies', () => {
+  it('is never more than the pool for all of them, and carries each to its end', () => {
+    fc.assert(
+      fc.property(
+        fc.array(fc.tuple(fc.integer({ min: 1, max: 200_000 }), fc.nat(2)), {
+          minLength: 1,
+          maxLength: 12,
+        }),
+        fc.infiniteStream(fc.nat({ max: 1_000_000 })),
+        (bodies, choices) => {
+          const time = new ManualTime();
+          const pool = new CreditPool(time);
+          const senders = bodies.map(([lengthBytes, rank]) => new Sender(pool, lengthBytes, rank));
+          const isOpen = ({ sentBytes, lengthBytes }: Sender): boolean => sentBytes < lengthBytes;
+          for (let open = senders; open.length > 0; open = senders.filter(isOpen)) {
+            const underWay = senders.reduce((sum, sender) => sum + sender.underWayBytes, 0);
+            expect(underWay).to.be.within(1, POOL_BYTES);
+            const choice = Number(choices.next().value);
+            const ready = open.filter(({ underWayBytes }) => underWayBytes > 0);
+            ready[choice % ready.length]?.send(1 + (choice % 20_000));
+            time.advance(1);
+          }
+        },
+      ),
+      { numRuns: 100 },
+    );
+  });
+
+  it('goes to the urgent before the others, and within a rank to one body after the other', () => {
+    const pool = new CreditPool(new ManualTime());
+    const first = new Sender(pool, 60_000, 1);
+    const second = new Sender(pool, 60_000, 1);
+    const urgent = new Sender(pool, 60_000, 0);
+    const granted = (): number[] => [first, second, urgent].map((body) => body.grantedBytes);
+    expect(granted()).to.deep.equal([16_384, 16_384, 0]);
+    first.send();
+    second.send();
+    expect(granted()).to.deep.equal([32_768, 16_384, 16_384]);
+    urgent.send();
+    expect(granted()).to.deep.equal([32_768, 16_384, 32_768]);
+  });
+
+  it('passes on what a sender leaves unused, and bears many that send nothing', () => {
+    const time = new ManualTime();
+    const pool = new CreditPool(time);
+    const silent = Array.from({ length: 20 }, () => new Sender(pool, 60_000));
+    const ready = new Sender(pool, 60_000);
+    for (let step = 0; step < 40 && ready.sentBytes < ready.lengthBytes; step += 1) {
+      time.advance(50);
+      ready.send();
+    }
+    expect(ready.sentBytes).to.equal(ready.lengthBytes);
+    const waiting = silent.map(({ underWayBytes }) => underWayBytes);
+    expect(Math.max(...waiting)).to.be.at.most(POOL_BYTES);
+  });
+
+  it('takes a sender back that was slow once', () => {
+    const time = new ManualTime();
+    const pool = new CreditPool(time);
+    const sender = new Sender(pool, 400_000, 0, false);
+    new Sender(pool, 60_000);
+    time.advance(300);
+    sender.send();
+    sender.send();
+    time.advance(1);
+    sender.send();
+    expect(sender.underWayBytes).to.be.within(1, POOL_BYTES);
+    const underWay = new Sender(pool, 60_000, 5);
+    expect(underWay.grantedBytes).to.equal(0);
+  });
+
+  it('tells how long a body will take behind those that wait, once it has seen them arrive', () => {
+    const time = new ManualTime();
+    const pool = new CreditPool(time);
+    const lengthBytes = 65_536;
+    expect(pool.expectedMs(0, lengthBytes)).to.equal(0);
+    const senders = Array.from({ length: 10 }, () => new Sender(pool, lengthBytes));
+    for (let step = 0; step < 25; step += 1) {
+      time.advance(10);
+      senders.find(({ underWayBytes }) => underWayBytes > 0)?.send(8_192);
+    }
+    const aheadBytes = 10 * lengthBytes - 25 * 8_192;
+    expect(pool.expectedMs(0, lengthBytes)).to.be.closeTo((aheadBytes + lengthBytes) / 819.2, 60);
+  });
+});
