--- a/src/proxy/relay/credit-pool.ts
+++ b/src/proxy/relay/credit-pool.ts
@@ -8,10 +8,10 @@
 
 /**
  * Bytes of bodies on their way to a node at most. Keeps a link of 7 Mbit/s busy, and is carried by it in
- * 37 ms: a sixth of the target latency of the calls that share it. With windows for each body alone, ten
+ * 56 ms: a quarter of the target latency of the calls that share it. With windows for each body alone, ten
  * uploads of 60 KB held up ten calls for 742 ms on such a link (`upload-bodies.test.ts`).
  */
-export const POOL_BYTES = 32 * 1024;
+export const POOL_BYTES = 48 * 1024;
 /** Bytes that are granted at once, so that a body of 60 KB takes four grants. */
 const GRANT_BYTES = 16 * 1024;
 /**
@@ -32,6 +32,8 @@
 
 /** The credit of one body. */
 export interface BodyCredit {
+  /** Time until the body is here, at the measured pace, in milliseconds. */
+  expectedMs(): number;
   /** The receiver has room for so many bytes more. */
   want(bytes: number): void;
   arrived(bytes: number): void;
@@ -50,17 +52,23 @@
 
   /** A body is to be received; its sender gets credit once its receiver wants some. */
   open(request: CreditRequest): BodyCredit {
-    const body = new PooledCredit(request, (arrivedBytes) => this.changed(body, arrivedBytes));
+    const body: PooledCredit = new PooledCredit(request, {
+      changed: (arrivedBytes) => this.changed(body, arrivedBytes),
+      expectedMs: () => this.expectedMs(body),
+    });
     const after = this.bodies.findIndex((other) => other.rank > request.rank);
     this.bodies.splice(after < 0 ? this.bodies.length : after, 0, body);
     return body;
   }
 
-  /** Time until a body of the rank and length that is opened now is here, at the measured pace. */
-  expectedMs(rank: number, lengthBytes: number): number {
-    let bytes = lengthBytes;
-    for (const body of this.bodies) {
-      bytes += body.rank <= rank ? body.owedBytes : 0;
+  /** Bodies are carried in their order. */
+  private expectedMs(body: PooledCredit): number {
+    let bytes = 0;
+    for (const other of this.bodies) {
+      bytes += other.owedBytes;
+      if (other === body) {
+        break;
+      }
     }
     return this.rate.msFor(bytes);
   }
@@ -103,6 +111,12 @@
   }
 }
 
+/** What the credit of a body needs of its pool. */
+interface PoolLink {
+  readonly changed: (arrivedBytes: number) => void;
+  readonly expectedMs: () => number;
+}
+
 class PooledCredit implements BodyCredit {
   readonly rank: number;
   isClosed = false;
@@ -119,7 +133,7 @@
 
   constructor(
     private readonly request: CreditRequest,
-    private readonly changed: (arrivedBytes: number) => void,
+    private readonly pool: PoolLink,
   ) {
     this.rank = request.rank;
     this.ungrantedBytes = request.lengthBytes ?? Infinity;
@@ -161,20 +175,24 @@
     this.request.grant(bytes);
   }
 
+  expectedMs(): number {
+    return this.pool.expectedMs();
+  }
+
   want(bytes: number): void {
     this.wantedBytes += bytes;
-    this.changed(0);
+    this.pool.changed(0);
   }
 
   arrived(bytes: number): void {
     this.underWayBytes = Math.max(0, this.underWayBytes - bytes);
-    this.changed(bytes);
+    this.pool.changed(bytes);
   }
 
   close(): void {
     if (!this.isClosed) {
       this.isClosed = true;
-      this.changed(0);
+      this.pool.changed(0);
     }
   }
 }
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -50,12 +50,12 @@
     frame: RequestFrame,
     maxBodyBytes: number,
     private readonly link: RequestLink,
-    private readonly credits: CreditPool,
+    credits: CreditPool,
     private readonly scheduler: Scheduler,
   ) {
     this.streamId = frame.streamId;
     if (isStreamed(frame)) {
-      this.credit = this.openCredit(frame);
+      this.credit = this.openCredit(frame, credits);
       this.reader = new RelayBodyReader((bytes) => this.credit?.want(bytes), false);
     }
     this.body = bodyOf(frame, this.reader, maxBodyBytes);
@@ -66,13 +66,13 @@
    * possible, and takes a slot only once its body is here.
    */
   start(endpoints: OwnedEndpoints, endpoint: Endpoint, call: Call): void {
-    const { reader } = this;
-    const lengthBytes = this.body.length ?? Infinity;
-    if (reader === undefined || lengthBytes > MAX_COLLECTED_BODY_BYTES) {
+    const { reader, credit } = this;
+    const isLong = (this.body.length ?? Infinity) > MAX_COLLECTED_BODY_BYTES;
+    if (reader === undefined || credit === undefined || isLong) {
       this.submit(endpoints, endpoint, call);
       return;
     }
-    const arrivesAtMs = this.scheduler.now() + this.credits.expectedMs(call.priority, lengthBytes);
+    const arrivesAtMs = this.scheduler.now() + credit.expectedMs();
     const refusal = endpoints.refusalOf(endpoint, call, arrivesAtMs);
     if (refusal !== undefined) {
       this.failed(refusal, endpoints.load(endpoint, call.workClass));
@@ -168,8 +168,11 @@
     }
   }
 
-  private openCredit({ priority, bodyForm, bodyBytes }: RequestFrame): BodyCredit {
-    return this.credits.open({
+  private openCredit(
+    { priority, bodyForm, bodyBytes }: RequestFrame,
+    credits: CreditPool,
+  ): BodyCredit {
+    return credits.open({
       rank: priority,
       lengthBytes: bodyForm === 'sized' ? bodyBytes : undefined,
       grant: (creditBytes) => {
--- a/test/proxy/relay/credit-pool.test.ts
+++ b/test/proxy/relay/credit-pool.test.ts
@@ -99,16 +99,19 @@
 
   it('goes to the urgent before the others, and within a rank to one body after the other', () => {
     const pool = new CreditPool(new ManualTime());
-    const first = new Sender(pool, 60_000, 1);
-    const second = new Sender(pool, 60_000, 1);
+    const [first, second, third] = [60_000, 60_000, 60_000].map(
+      (lengthBytes) => new Sender(pool, lengthBytes, 1),
+    );
     const urgent = new Sender(pool, 60_000, 0);
-    const granted = (): number[] => [first, second, urgent].map((body) => body.grantedBytes);
-    expect(granted()).to.deep.equal([16_384, 16_384, 0]);
-    first.send();
-    second.send();
-    expect(granted()).to.deep.equal([32_768, 16_384, 16_384]);
+    const granted = (): number[] =>
+      [first, second, third, urgent].map((body) => body?.grantedBytes ?? 0);
+    expect(granted()).to.deep.equal([16_384, 16_384, 16_384, 0]);
+    first?.send();
+    expect(granted()).to.deep.equal([16_384, 16_384, 16_384, 16_384]);
+    second?.send();
+    expect(granted()).to.deep.equal([32_768, 16_384, 16_384, 16_384]);
     urgent.send();
-    expect(granted()).to.deep.equal([32_768, 16_384, 32_768]);
+    expect(granted()).to.deep.equal([32_768, 16_384, 16_384, 32_768]);
   });
 
   it('passes on what a sender leaves unused, and bears many that send nothing', () => {
@@ -144,13 +147,16 @@
     const time = new ManualTime();
     const pool = new CreditPool(time);
     const lengthBytes = 65_536;
-    expect(pool.expectedMs(0, lengthBytes)).to.equal(0);
     const senders = Array.from({ length: 10 }, () => new Sender(pool, lengthBytes));
+    expect(senders[9]?.credit?.expectedMs()).to.equal(0);
     for (let step = 0; step < 25; step += 1) {
       time.advance(10);
       senders.find(({ underWayBytes }) => underWayBytes > 0)?.send(8_192);
     }
-    const aheadBytes = 10 * lengthBytes - 25 * 8_192;
-    expect(pool.expectedMs(0, lengthBytes)).to.be.closeTo((aheadBytes + lengthBytes) / 819.2, 60);
+    const owedBytes = 11 * lengthBytes - 25 * 8_192;
+    const last = new Sender(pool, lengthBytes);
+    expect(last.credit?.expectedMs()).to.be.closeTo(owedBytes / 819.2, 60);
+    const urgent = new Sender(pool, 8_192, -1);
+    expect(urgent.credit?.expectedMs()).to.be.closeTo(10, 5);
   });
 });
