--- a/src/proxy/answer-relay.ts
+++ b/src/proxy/answer-relay.ts
@@ -67,7 +67,8 @@
   stream.on('data', (chunk: Buffer) => chunks.push(chunk));
   stream.on('error', ignoreError);
   stream.once('close', () => {
-    if (!isWhole()) {
+    // A request that was given up meanwhile has its answer.
+    if (!isWhole() || sink.headersSent) {
       observer.broken(false);
       return;
     }
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -80,6 +80,8 @@
 export interface Attempt {
   /** Gives the attempt up: nothing more is reported, and the endpoint is told to cancel. */
   abort(): void;
+  /** Whether nothing of the request has left this node, so that it has provably not run. */
+  isUnsent(): boolean;
 }
 
 /** A way to an endpoint. */
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -74,7 +74,12 @@
       this.response.shouldKeepAlive = false;
     }
     this.options.onError(error.code);
-    sendError(this.response, this.options.protocol.errorAnswer(error, verdict, requestId));
+    const answer = this.options.protocol.errorAnswer(error, verdict, requestId);
+    sendError(this.response, this.request, answer);
+  }
+
+  hasBegun(): boolean {
+    return this.response.headersSent;
   }
 
   /** Breaks the connection, so that the caller can't take the answer for a whole one. */
--- a/src/proxy/claimed-reply.ts
+++ b/src/proxy/claimed-reply.ts
@@ -22,6 +22,10 @@
     this.reply.answer(answer, requestId, holdBytes, observer);
   }
 
+  hasBegun(): boolean {
+    return this.reply.hasBegun();
+  }
+
   fail(error: RequestError, verdict: Verdict, requestId: string): void {
     if (verdict === 'not-run') {
       this.claims.release(this.attempt);
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -111,6 +111,10 @@
     }
   }
 
+  isUnsent(): boolean {
+    return this.attempt === undefined || this.exchange?.wasSent() === false;
+  }
+
   /** Refuses the request when it still waits at `latestStartAtMs`. */
   waitUntil(latestStartAtMs: number): void {
     if (this.attempt === undefined && !this.isOver) {
--- a/src/proxy/proxy-limits.ts
+++ b/src/proxy/proxy-limits.ts
@@ -3,9 +3,10 @@
 import { DEFAULT_MAX_SAVED_RETRIES } from '../routing/retry-budget.js';
 import type { CancelLead } from './gated-call.js';
 import { DEFAULT_IDLE_CONNECTION_MS } from './http-exchange.js';
+import type { StopLimits } from './stop-times.js';
 
 /** Bounds that an operator may set. */
-export interface ProxyLimits extends CancelLead {
+export interface ProxyLimits extends CancelLead, StopLimits {
   /** Largest request head, in bytes. */
   readonly maxHeaderBytes: number;
   /** Largest request body, in bytes. */
@@ -36,10 +37,6 @@
   readonly maxIdleEndpointConnectionMs: number;
   /** Time to open a connection, in milliseconds. */
   readonly connectTimeoutMs: number;
-  /** Time that a planned stop waits for requests in flight, in milliseconds. */
-  readonly stopTimeoutMs: number;
-  /** Time for which a planned stop goes on accepting connections at most, in milliseconds. */
-  readonly stopAcceptMs: number;
   /** Time without a new request after which a planned stop is over, in milliseconds. */
   readonly stopQuietMs: number;
 }
@@ -61,6 +58,7 @@
   maxIdleEndpointConnectionMs: DEFAULT_IDLE_CONNECTION_MS,
   connectTimeoutMs: 1_000,
   stopTimeoutMs: 30_000,
+  stopAnswerMs: 250,
   stopAcceptMs: 1_000,
   stopQuietMs: 300,
   cancelLeadShare: 0.1,
--- a/src/proxy/relay/relay-client.ts
+++ b/src/proxy/relay/relay-client.ts
@@ -24,7 +24,7 @@
     const address = this.options.addressOf(endpoint);
     if (address === undefined) {
       observer.failed(new UnreachableError(`the node of endpoint ${endpoint.name} is unknown`));
-      return { abort: () => undefined };
+      return { abort: () => undefined, isUnsent: () => true };
     }
     return this.linkTo(address).submit(endpoint, call, observer);
   }
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -8,6 +8,7 @@
 import { headerValue } from '../headers.js';
 import type { ProxyLimits } from '../proxy-limits.js';
 import { NodeStoppingError, UnknownEndpointError } from '../request-error.js';
+import type { RequestLog } from '../request-log.js';
 import type { Scheduler } from '../scheduler.js';
 import { RelayConnection } from './relay-connection.js';
 import type { RelayFrame, RequestFrame } from './relay-frame.js';
@@ -18,7 +19,7 @@
 /** Time after a pause in which cancellations that came meanwhile are read, in milliseconds. */
 const WAKE_SETTLE_MS = 10;
 /** Time in which connections send what they still have at a planned stop, in milliseconds. */
-const CLOSE_TIMEOUT_MS = 300;
+export const RELAY_CLOSE_TIMEOUT_MS = 200;
 const FORBIDDEN = 'HTTP/1.1 403 Forbidden\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 const UPGRADE_REQUIRED_STATUS = 426;
 const SWITCHED =
@@ -41,6 +42,9 @@
   readonly isStopping: () => boolean;
   /** Whether new requests are refused, since the node is about to stop. */
   readonly refusesNewWork: () => boolean;
+  /** The deadline of a new request that has this one, given that the node may be about to stop. */
+  readonly deadlineWithin: (deadlineAtMs: number) => number;
+  readonly requestLog: RequestLog;
   /** Counts a request until the returned function is called. */
   readonly began: () => () => void;
   /** Gets how much longer than usual each request was on its way, in milliseconds. */
@@ -65,10 +69,15 @@
     this.http.on('clientError', (_error, socket) => socket.destroy());
   }
 
+  /** Tells peers the final failure of every request that has no answer yet; gives their number. */
+  giveUp(): number {
+    return [...this.peers].reduce((count, peer) => count + peer.giveUp(), 0);
+  }
+
   /** Sends what waits and closes all connections; resolves when they are closed, or after a while. */
   close(): Promise<void> {
     return new Promise((resolve) => {
-      const timer = setTimeout(resolve, CLOSE_TIMEOUT_MS);
+      const timer = setTimeout(resolve, RELAY_CLOSE_TIMEOUT_MS);
       const check = (): void => {
         if (this.peers.size === 0) {
           clearTimeout(timer);
@@ -131,6 +140,11 @@
     this.connection.destroy();
   }
 
+  giveUp(): number {
+    const { requestLog } = this.options;
+    return [...this.requests.values()].filter((request) => request.giveUp(requestLog)).length;
+  }
+
   /**
    * Requests are looked at once all that came with them is read: one that was cancelled meanwhile is
    * not run. After a pause of the process, more may be waiting in the system.
@@ -205,7 +219,7 @@
       target: frame.target,
       headers: frame.headers,
       body: request.body,
-      deadlineAtMs: sentAtMs + frame.remainingMs,
+      deadlineAtMs: this.options.deadlineWithin(sentAtMs + frame.remainingMs),
       callerNode: this.sender,
       retriesLeft: Math.min(frame.retriesLeft, this.options.limits.maxRetries),
       priority: frame.priority,
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -50,6 +50,10 @@
     }
   }
 
+  isUnsent(): boolean {
+    return !this.isSent;
+  }
+
   /** Sends the request; the connection is open. */
   send(): void {
     const { call, endpoint } = this;
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -4,7 +4,13 @@
 import { passAnswer, type AnswerSink } from '../answer-relay.js';
 import type { Answer, Attempt, AttemptObserver, Call, EndpointPath, LoadReport } from '../call.js';
 import { EMPTY_BODY, HeldBody, StreamedBody, type RequestBody } from '../request-body.js';
-import { TruncatedAnswerError, type RequestError } from '../request-error.js';
+import {
+  NodeStoppingError,
+  StoppedBeforeAnswerError,
+  TruncatedAnswerError,
+  type RequestError,
+} from '../request-error.js';
+import type { AwaitedThing, RequestLog } from '../request-log.js';
 import { RelayBodyReader, RelayBodyWriter } from './relay-body.js';
 import type { RelayFrame, RequestFrame } from './relay-frame.js';
 import { frameLoadOf } from './relay-load.js';
@@ -29,6 +35,8 @@
   readonly body: RequestBody;
   private readonly reader: RelayBodyReader | undefined;
   private readonly streamId: number;
+  private readonly requestId: string;
+  private readonly arrivedAtMs = performance.now();
   private attempt: Attempt | undefined;
   private sink: FrameSink | undefined;
   private isOver = false;
@@ -39,6 +47,7 @@
     private readonly link: RequestLink,
   ) {
     this.streamId = frame.streamId;
+    this.requestId = frame.requestId;
     this.reader = isStreamed(frame) ? this.openReader() : undefined;
     this.body = bodyOf(frame, this.reader, maxBodyBytes);
   }
@@ -76,6 +85,36 @@
     }
   }
 
+  /** The node stops: the peer is told what is known. False when the answer has begun to go out. */
+  giveUp(log: RequestLog): boolean {
+    if (this.isOver || this.sink?.headersSent === true) {
+      return false;
+    }
+    const isUnsent = this.attempt === undefined || this.attempt.isUnsent();
+    const error = isUnsent
+      ? new NodeStoppingError('the node stops before the request was sent on')
+      : new StoppedBeforeAnswerError('the node stops before the answer');
+    log.record({
+      event: 'request-given-up',
+      request: this.requestId,
+      code: error.code,
+      verdict: error.verdict,
+      waitedFor: this.awaitedThing(isUnsent),
+      elapsedMs: Math.round(performance.now() - this.arrivedAtMs),
+    });
+    this.failed(error);
+    this.attempt?.abort();
+    this.sink?.destroy();
+    return true;
+  }
+
+  private awaitedThing(isUnsent: boolean): AwaitedThing {
+    if (!this.body.isWhole()) {
+      return 'body';
+    }
+    return isUnsent ? 'slot' : 'endpoint';
+  }
+
   answered(answer: Answer): void {
     if (this.isOver) {
       return;
--- a/src/proxy/request-body.ts
+++ b/src/proxy/request-body.ts
@@ -9,6 +9,8 @@
   readonly isDeclared: boolean;
   /** Whether the body can still be sent in whole. */
   isReplayable(): boolean;
+  /** Whether it has arrived in full. */
+  isWhole(): boolean;
   /** Writes the body and ends `destination`; destroys it when the sender fails. */
   sendTo(destination: Writable): void;
 }
@@ -24,6 +26,7 @@
   length: 0,
   isDeclared: false,
   isReplayable: () => true,
+  isWhole: () => true,
   sendTo: (destination) => destination.end(),
 };
 
@@ -40,6 +43,10 @@
     return true;
   }
 
+  isWhole(): boolean {
+    return true;
+  }
+
   sendTo(destination: Writable): void {
     destination.end(this.bytes);
   }
@@ -62,6 +69,10 @@
     return !this.wasSent;
   }
 
+  isWhole(): boolean {
+    return this.source.complete;
+  }
+
   sendTo(destination: Writable): void {
     this.wasSent = true;
     const { source } = this;
--- a/src/proxy/request-context.ts
+++ b/src/proxy/request-context.ts
@@ -12,6 +12,8 @@
 export interface CallerReply {
   /** Passes an endpoint's answer on; holds it whole where it has up to `holdBytes`. */
   answer(answer: Answer, requestId: string, holdBytes: number, observer: AnswerObserver): void;
+  /** Whether a part of an answer went out. */
+  hasBegun(): boolean;
   /** Reports an error. */
   fail(error: RequestError, verdict: Verdict, requestId: string): void;
   /** Breaks the connection, so that the caller can't take the answer for a whole one. */
--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -200,6 +200,13 @@
   override readonly retryable = true;
 }
 
+/** The node had to stop before the answer to a request that it had sent on. */
+export class StoppedBeforeAnswerError extends MayHaveRunError {
+  override readonly code = 'STOPPED_BEFORE_ANSWER';
+  override readonly status = 502;
+  override readonly retryable = true;
+}
+
 /** The answer is not valid HTTP, or its end can't be checked. */
 export class MalformedAnswerError extends MayHaveRunError {
   override readonly code = 'MALFORMED_ANSWER';
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -58,6 +58,15 @@
   | { readonly type: 'back-off-over' }
   /** The deadline passed; `failure` says so. */
   | { readonly type: 'deadline'; readonly failure: RequestFailure }
+  /** The node stops: nothing more can be awaited. */
+  | {
+      readonly type: 'give-up';
+      readonly failure: RequestFailure;
+      /** Whether the attempt under way has provably not left the node. */
+      readonly isUnsent: boolean;
+      /** Whether the caller got a part of the answer. */
+      readonly wasPassedOn: boolean;
+    }
   | { readonly type: 'caller-gone' };
 
 /** Something to be done. */
@@ -132,6 +141,8 @@
         return this.state === 'backing-off' ? this.beginAttempt() : [];
       case 'deadline':
         return this.expire(event.failure);
+      case 'give-up':
+        return this.giveUp(event);
       case 'caller-gone':
         return this.abandon();
     }
@@ -141,8 +152,11 @@
     if (!('attempt' in event)) {
       return false;
     }
-    const isUnderWay = this.state === 'attempting' || this.state === 'answering';
-    return event.attempt !== this.attempt || !isUnderWay;
+    return event.attempt !== this.attempt || !this.isUnderWay;
+  }
+
+  private get isUnderWay(): boolean {
+    return this.state === 'attempting' || this.state === 'answering';
   }
 
   private start(): RequestEffect[] {
@@ -239,8 +253,23 @@
     return [{ type: 'abort-attempt' }, ...this.report(failure)];
   }
 
+  /** An answer that has begun to go out can't be replaced; it goes on while its connection is open. */
+  private giveUp(event: Extract<RequestEvent, { type: 'give-up' }>): RequestEffect[] {
+    const { failure, isUnsent, wasPassedOn } = event;
+    if (this.state === 'answering' && wasPassedOn) {
+      return [];
+    }
+    if (this.state === 'backing-off') {
+      return this.report(this.lastFailure ?? failure);
+    }
+    const isUnderWay = this.isUnderWay;
+    this.mayHaveRun ||= isUnderWay && !isUnsent;
+    const aborts: RequestEffect[] = isUnderWay ? [{ type: 'abort-attempt' }] : [];
+    return [...aborts, ...this.report(failure)];
+  }
+
   private abandon(): RequestEffect[] {
-    const isUnderWay = this.state === 'attempting' || this.state === 'answering';
+    const { isUnderWay } = this;
     this.state = 'over';
     return isUnderWay ? [{ type: 'abort-attempt' }] : [];
   }
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -9,6 +9,8 @@
   | 'attempt-failed'
   /** The caller was told an error. */
   | 'request-failed'
+  /** The planned stop of the node gave the request up. */
+  | 'request-given-up'
   /** The caller went away before its answer. */
   | 'request-abandoned'
   /** The node beside the endpoint did not send the attempt on. */
@@ -16,6 +18,12 @@
   /** The endpoint got the attempt and did not answer it. */
   | 'endpoint-failed';
 
+/**
+ * What a request waits for: the rest of its `body`, a `slot` of an endpoint or a connection, the
+ * `peer` beside the endpoint, the `endpoint`, or a pause before the next attempt (`back-off`).
+ */
+export type AwaitedThing = 'body' | 'slot' | 'peer' | 'endpoint' | 'back-off';
+
 /** One decision. Times are in milliseconds. */
 export interface RequestDecision {
   readonly event: RequestDecisionName;
@@ -45,6 +53,8 @@
   readonly startLeftMs?: number;
   /** How much longer than usual the request was on its way between the nodes. */
   readonly travelLostMs?: number;
+  /** What the request waited for. */
+  readonly waitedFor?: AwaitedThing;
   readonly detail?: string;
 }
 
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -37,6 +37,7 @@
 import type { ClaimedAttempt } from './idempotency-claims.js';
 import { withCredential } from './route-credential.js';
 import { drainServers } from './server-drain.js';
+import { deadlineWithin, NO_STOP, stopTimes } from './stop-times.js';
 
 const NOT_CONFIGURED_RETRY_MS = 1_000;
 /** When to come back to a node that is about to stop; callers are sent to another one by then. */
@@ -82,8 +83,9 @@
   private requestCount = 0;
   private readonly meter = new CallMeter(() => MACHINE_TIME.now());
   private isStopping = false;
-  /** From when on a planned stop refuses new requests: their answers would come too late. */
-  private refusesFromMs = Infinity;
+  private stopTimes = NO_STOP;
+  /** Callers' requests under way. */
+  private readonly runners = new Set<RequestRunner>();
   private isAborted = false;
 
   constructor(private readonly options: RequestProxyOptions) {
@@ -174,17 +176,24 @@
 
   async stop(): Promise<void> {
     this.isStopping = true;
-    this.refusesFromMs = MACHINE_TIME.now() + this.limits.stopAcceptMs;
+    const startedAtMs = MACHINE_TIME.now();
+    this.stopTimes = stopTimes(startedAtMs, this.limits);
+    let givenUp = 0;
+    const cancelGiveUp = MACHINE_TIME.schedule(this.limits.stopTimeoutMs, () => {
+      givenUp = this.giveUpAll();
+    });
     this.options.logStateChange('request-path', `stopping with ${this.meter.inFlight} in flight`);
     await drainServers([this.callerServer, this.relayServer], {
       quietMs: this.limits.stopQuietMs,
       acceptMs: this.limits.stopAcceptMs,
-      timeoutMs: this.limits.stopTimeoutMs,
+      timeoutMs: this.stopTimes.closesAtMs - startedAtMs,
       lastArrivalAtMs: () => this.meter.lastArrivalAtMs,
       inFlight: () => this.meter.inFlight,
       clock: () => MACHINE_TIME.now(),
     });
-    this.options.logStateChange('request-path', `drained to ${this.meter.inFlight} in flight`);
+    cancelGiveUp();
+    const outcome = `drained to ${this.meter.inFlight} in flight, ${givenUp} given up`;
+    this.options.logStateChange('request-path', outcome);
     await this.relay.close();
     this.abort();
   }
@@ -207,6 +216,17 @@
     this.options.logStateChange('request-path', 'stopped');
   }
 
+  /**
+   * Gives every request under way its final answer while there is time for it to go out: closed
+   * connections would leave callers and peers without one. Returns how many there were.
+   */
+  private giveUpAll(): number {
+    const callers = [...this.runners].filter((runner) => runner.giveUp()).length;
+    const givenUp = callers + this.relay.giveUp();
+    this.options.counters.add('ferryspool_requests_given_up_total', givenUp);
+    return givenUp;
+  }
+
   private makeRelayClient(): RelayClient {
     const { members, fleetKey, identity } = this.options;
     const tokens = fleetKey && new RelayTokenIssuer(fleetKey, identity.id);
@@ -251,6 +271,8 @@
       hasJustWoken: () => this.pauses.hasJustWoken(MACHINE_TIME.now()),
       isStopping: () => this.isStopping,
       refusesNewWork: () => this.refusesNewWork(),
+      deadlineWithin: (deadlineAtMs) => deadlineWithin(deadlineAtMs, this.stopTimes),
+      requestLog: this.options.requestLog ?? NO_REQUEST_LOG,
       began: () => this.meter.begin(),
       onTravelLostMs: this.options.onTravelLostMs,
     });
@@ -264,7 +286,7 @@
   }
 
   private refusesNewWork(): boolean {
-    return MACHINE_TIME.now() >= this.refusesFromMs;
+    return MACHINE_TIME.now() >= this.stopTimes.refusesFromMs;
   }
 
   /** The sender of a relayed request; any sender is taken where the fleet has no key. */
@@ -322,7 +344,8 @@
       throw new RouteNotFoundError('no route matches the request');
     }
     const attempt = this.attemptToClaim(request, match, attemptPrefix);
-    const deadlineAtMs = MACHINE_TIME.now() + timeLeftMs(request, match, attempt !== undefined);
+    const ownDeadlineAtMs = MACHINE_TIME.now() + timeLeftMs(request, match, attempt !== undefined);
+    const deadlineAtMs = deadlineWithin(ownDeadlineAtMs, this.stopTimes);
     const start = (reply: CallerReply): void => {
       this.start({ request, snapshot, match, requestId, attemptPrefix, deadlineAtMs }, reply);
     };
@@ -359,6 +382,12 @@
       attemptPrefix,
       deadlineAtMs,
     });
+    this.runners.add(runner);
+    response.onClose(() => this.runners.delete(runner));
+    if (MACHINE_TIME.now() >= this.stopTimes.givesUpAtMs) {
+      runner.giveUp();
+      return;
+    }
     const { maxBodyBytes = this.limits.maxBodyBytes } = snapshot.callerLimits ?? {};
     this.startWithBody(runner, request, response, { ...this.limits, maxBodyBytes });
   }
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -11,13 +11,15 @@
   ConnectionLostError,
   EndpointFaultError,
   InternalError,
+  NodeStoppingError,
   NoEndpointError,
   RequestError,
+  StoppedBeforeAnswerError,
   TimedOutError,
   TruncatedAnswerError,
   type RequestFailure,
 } from './request-error.js';
-import type { RequestDecisionName } from './request-log.js';
+import type { AwaitedThing, RequestDecisionName } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import type { CancelTimer } from './scheduler.js';
 import { loadObservationOf } from './load-observation.js';
@@ -26,6 +28,8 @@
 
 /** When to come back after no endpoint had room, in milliseconds. */
 const NO_ENDPOINT_RETRY_MS = 200;
+/** When to come back after a node has given the request up, in milliseconds: it has ended by then. */
+const STOPPED_RETRY_MS = 500;
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
 
@@ -96,6 +100,35 @@
     }
   }
 
+  /** The node stops: the caller is told what is known. False when the answer has begun to go out. */
+  giveUp(): boolean {
+    const { response } = this.context;
+    const wasPassedOn = response.hasBegun();
+    if (this.lifecycle.isOver || wasPassedOn) {
+      return false;
+    }
+    const isUnsent = this.attempt === undefined || this.attempt.isUnsent();
+    const failure = isUnsent
+      ? new NodeStoppingError('the node stops before the request was sent on', STOPPED_RETRY_MS)
+      : new StoppedBeforeAnswerError('the node stops before the answer');
+    this.record('request-given-up', failure, failure.verdict, undefined, this.awaitedThing());
+    this.handle({ type: 'give-up', failure, isUnsent, wasPassedOn });
+    return true;
+  }
+
+  private awaitedThing(): AwaitedThing {
+    if (this.body?.isWhole() !== true) {
+      return 'body';
+    }
+    if (this.endpoint === undefined) {
+      return 'back-off';
+    }
+    if (this.attempt?.isUnsent() === true) {
+      return 'slot';
+    }
+    return this.awaitedMachine === undefined ? 'endpoint' : 'peer';
+  }
+
   private awaitPeerOf(endpoint: Endpoint): void {
     const { services } = this.context;
     this.awaitedMachine = services.relayMachineOf(endpoint);
@@ -323,6 +356,7 @@
     failure: RequestFailure,
     verdict: Verdict,
     load?: LoadReport,
+    waitedFor?: AwaitedThing,
   ): void {
     const { services, requestId, match, snapshot, deadlineAtMs } = this.context;
     const nowMs = services.scheduler.now();
@@ -340,6 +374,7 @@
       deadlineLeftMs: Math.round(deadlineAtMs - nowMs),
       configuration: snapshot.version.source.number,
       ...(failure.retryAfterMs !== undefined && { retryAfterMs: Math.round(failure.retryAfterMs) }),
+      ...(waitedFor && { waitedFor }),
       ...(load && { running: load.inFlight, slots: load.slots }),
     });
   }
--- a/src/proxy/server-drain.ts
+++ b/src/proxy/server-drain.ts
@@ -20,7 +20,7 @@
   readonly quietMs: number;
   /** Time after which the listeners are shut although requests go on arriving. */
   readonly acceptMs: number;
-  /** Time after which requests in flight are cut. */
+  /** Time after which connections are closed whatever is in flight; requests are given up before. */
   readonly timeoutMs: number;
 }
 
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -9,6 +9,7 @@
 import type { CallerProtocol } from '../proxy/caller-protocol.js';
 import type { EndpointProtocol } from '../proxy/endpoint-protocol.js';
 import type { ProxyLimits } from '../proxy/proxy-limits.js';
+import { RELAY_CLOSE_TIMEOUT_MS } from '../proxy/relay/relay-server.js';
 import type { RequestProxy } from '../proxy/request-path.js';
 import { createRequestProxy } from '../proxy/request-proxy.js';
 import type { Snapshot } from '../model/snapshot.js';
@@ -31,8 +32,16 @@
  * this pace; each look wakes the process, which costs an idle fleet more than anything else.
  */
 const TICK_INTERVAL_MS = 150;
-/** Time of a planned stop that is kept for its last steps, in milliseconds. */
-const STOP_RESERVE_MS = 700;
+/** Time of a planned stop in which the answers to what it gives up go out, in milliseconds. */
+const STOP_ANSWER_MS = 250;
+/** Time that is kept for the end of the process, in milliseconds: it may be late on a busy machine. */
+const STOP_EXIT_MS = 300;
+/**
+ * The end of a planned stop, in milliseconds: answers, connections to peers, the process. Requests are
+ * given up as late as these allow, well into the last sixth of 6 s: an endpoint may be at work on
+ * them, and its answer is worth more than the node's.
+ */
+const STOP_RESERVE_MS = STOP_ANSWER_MS + RELAY_CLOSE_TIMEOUT_MS + STOP_EXIT_MS;
 /** Peers and monitoring read on this port after the first internal one, which takes datagrams. */
 const INTERNAL_SERVER_PORT_OFFSET = 1;
 
@@ -56,6 +65,7 @@
   // Endpoints may forget idle connections without a word after some hundred milliseconds.
   maxIdleEndpointConnectionMs: 200,
   stopAcceptMs: 2_800,
+  stopAnswerMs: STOP_ANSWER_MS,
   stopQuietMs: 400,
   cancelLeadShare: 0,
 };
--- a/test/proxy/claim-gate.test.ts
+++ b/test/proxy/claim-gate.test.ts
@@ -27,6 +27,7 @@
   const reply: CallerReply = {
     answer: () => void told.push('answer'),
     fail: ({ code }: RequestError, verdict) => void told.push(`${code} ${verdict}`),
+    hasBegun: () => false,
     breakConnection: () => void told.push('break'),
     onClose: (action) => (isCallerGone ? action(false) : undefined),
   };
--- a/test/proxy/fuzz/request-world.ts
+++ b/test/proxy/fuzz/request-world.ts
@@ -47,6 +47,7 @@
   readonly generation: number;
   readonly told: Told[];
   readonly close: (isWhole: boolean) => void;
+  giveUp: () => void;
 }
 
 /** One node; it gets a new life after each death. */
@@ -183,7 +184,18 @@
     const { told, close } = reply;
     const deadlineAtMs = this.clock.nowMs + timeoutMs;
     const { generation } = node.process;
-    this.calls.push({ id, repeatable, deadlineAtMs, node, generation, told, close });
+    const giveUp = (): void => undefined;
+    const record: CallRecord = {
+      id,
+      repeatable,
+      deadlineAtMs,
+      node,
+      generation,
+      told,
+      close,
+      giveUp,
+    };
+    this.calls.push(record);
     const { snapshot } = this;
     const match = new RouteTable(snapshot).match('', '/', 'GET');
     if (match === undefined) {
@@ -202,9 +214,20 @@
       attemptPrefix: id,
       deadlineAtMs,
     });
+    record.giveUp = () => void runner.giveUp();
     runner.start(EMPTY_BODY);
   }
 
+  /** The node's planned stop is over: it gives up what its callers wait for. */
+  giveUp(node: VirtualNode): void {
+    const { isAlive, isFrozen, generation } = node.process;
+    for (const call of this.calls) {
+      if (call.node === node && call.generation === generation && isAlive && !isFrozen) {
+        call.giveUp();
+      }
+    }
+  }
+
   /** Every open connection of the process dies. */
   cut(process: VirtualProcess, losesToServer: boolean, losesToClient: boolean): void {
     for (const connection of this.connections) {
@@ -269,6 +292,10 @@
 
   answer(answer: Answer, _requestId: string, _holdBytes: number, observer: AnswerObserver): void {
     onceWhole(answer, (isWhole) => {
+      if (this.hasBegun()) {
+        observer.broken(false);
+        return;
+      }
       if (!isWhole) {
         observer.broken(this.random() < 0.5);
         return;
@@ -284,6 +311,10 @@
     this.close(true);
   }
 
+  hasBegun(): boolean {
+    return this.told.length > 0;
+  }
+
   breakConnection(): void {
     this.told.push({ kind: 'broken' });
     this.close(false);
--- a/test/proxy/fuzz/virtual-paths.ts
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -193,7 +193,7 @@
     };
     if (!peer.process.isAlive) {
       node.process.schedule(1, () => settle(() => observer.failed(new UnreachableError('dead'))));
-      return { abort: () => settle(() => undefined) };
+      return { abort: () => settle(() => undefined), isUnsent: () => true };
     }
     const connection = world.connect(
       node.process,
@@ -235,6 +235,7 @@
         connection.close();
         passedOn?.end(false);
       },
+      isUnsent: () => false,
     };
   }
 }
--- a/test/proxy/request-fuzz.test.ts
+++ b/test/proxy/request-fuzz.test.ts
@@ -7,6 +7,7 @@
 import fc from 'fast-check';
 import { EndpointAdmission } from '../../src/admission/endpoint-admission.js';
 import { EndpointAttempt } from '../../src/proxy/endpoint-attempt.js';
+import { GatedCall } from '../../src/proxy/gated-call.js';
 import { RequestLifecycle } from '../../src/proxy/request-lifecycle.js';
 import { seededRandom } from '../../tools/emulator/seeded-random.js';
 import { findUnsettled, findViolation } from './fuzz/request-oracle.js';
@@ -62,6 +63,12 @@
         ),
       ),
   },
+  {
+    weight: 1,
+    arbitrary: index.map((node) =>
+      command(`give up at n${node}`, (world) => world.giveUp(at(world.nodes, node))),
+    ),
+  },
   {
     weight: 4,
     arbitrary: index.map((node) =>
@@ -229,6 +236,12 @@
         return original.call(this, false);
       },
   },
+  {
+    name: 'a request that was sent counts as not sent when it is given up',
+    target: GatedCall.prototype,
+    method: 'isUnsent',
+    replace: () => () => true,
+  },
   {
     name: 'an endpoint that does not know a request proves that it has not run',
     target: EndpointAttempt.prototype,
--- a/test/proxy/request-lifecycle.test.ts
+++ b/test/proxy/request-lifecycle.test.ts
@@ -27,6 +27,13 @@
 });
 const DEADLINE: RequestEvent = { type: 'deadline', failure: late };
 
+const giveUp = (isUnsent: boolean, wasPassedOn = false): RequestEvent => ({
+  type: 'give-up',
+  failure: isUnsent ? final : late,
+  isUnsent,
+  wasPassedOn,
+});
+
 interface Row {
   readonly name: string;
   readonly repeatable?: boolean;
@@ -129,6 +136,42 @@
     events: [START, { type: 'caller-gone' }],
     expected: 'abort-attempt',
   },
+  {
+    name: 'a request without its body is given up without a doubt',
+    events: [giveUp(true)],
+    expected: 'FINAL not-run',
+  },
+  {
+    name: 'so is one that has not been sent',
+    events: [START, giveUp(true)],
+    expected: 'abort-attempt, FINAL not-run',
+  },
+  {
+    name: 'one that has been sent may have run',
+    events: [START, giveUp(false)],
+    expected: 'abort-attempt, LATE may-have-run',
+  },
+  {
+    name: 'an attempt that was not sent does not unsay an earlier loss',
+    repeatable: true,
+    events: [START, failed(1, lost), AGAIN, giveUp(true)],
+    expected: 'abort-attempt, FINAL may-have-run',
+  },
+  {
+    name: 'one that is given up during a back-off tells the failure',
+    events: [START, failed(1, notRun), giveUp(true)],
+    expected: 'REFUSED not-run',
+  },
+  {
+    name: 'an answer of which nothing went out is replaced',
+    events: [START, answered(1), giveUp(false)],
+    expected: 'abort-attempt, LATE may-have-run',
+  },
+  {
+    name: 'an answer under way is not given up',
+    events: [START, answered(1), giveUp(false, true)],
+    expected: '',
+  },
   {
     name: 'nothing begins after the caller left',
     events: [{ type: 'caller-gone' }, START],
@@ -136,6 +179,14 @@
   },
 ];
 
+const ONCE_AGAIN = {
+  repeatable: true,
+  deadlineAtMs: 1_000,
+  retries: 1,
+  retryBudgetPercent: 100,
+  redirects: 0,
+};
+
 describe('life of a request', () => {
   for (const { name, repeatable = false, retries = 2, events, expected } of rows) {
     it(name, () => {
@@ -155,6 +206,31 @@
     });
   }
 
+  it('ends with one answer in every order of events, and always when it is given up', () => {
+    const whole: RequestEvent = { type: 'answer-whole', attempt: 1 };
+    const noEndpoint: RequestEvent = { type: 'no-endpoint', attempt: 2, failure: final };
+    const gone: RequestEvent = { type: 'caller-gone' };
+    const firstTry = [START, answered(1), whole, broken(1, false), failed(1, lost)];
+    const secondTry = [AGAIN, failed(2, notRun), answered(2), noEndpoint];
+    const ends = [DEADLINE, gone, giveUp(true), giveUp(false)];
+    const events = [...firstTry, ...secondTry, ...ends];
+    for (const order of ordersOf(events, 4)) {
+      const lifecycle = new RequestLifecycle(ONCE_AGAIN, new RetryBudget(), () => 0.5);
+      let ended = 0;
+      for (const event of order) {
+        const wasOver = lifecycle.isOver;
+        const effects = lifecycle.handle(event, 0);
+        ended += effects.filter(({ type }) => type === 'report').length;
+        expect(wasOver && effects.length > 0, describeOrder(order)).to.equal(false);
+        expect(event.type !== 'give-up' || lifecycle.isOver, describeOrder(order)).to.equal(true);
+      }
+      expect(ended, describeOrder(order)).to.be.at.most(1);
+      const isSettled = order.some((event) => event === whole || event === gone);
+      const isGivenUp = order.some(({ type }) => type === 'give-up');
+      expect(isSettled || !isGivenUp || ended === 1, describeOrder(order)).to.equal(true);
+    }
+  });
+
   it('does not back off past the deadline', () => {
     const policy = {
       repeatable: true,
@@ -221,3 +297,20 @@
   }
   return attempts;
 }
+
+/** Every sequence of `length` of the events, with repetitions. */
+function* ordersOf(events: readonly RequestEvent[], length: number): Generator<RequestEvent[]> {
+  if (length === 0) {
+    yield [];
+    return;
+  }
+  for (const rest of ordersOf(events, length - 1)) {
+    for (const event of events) {
+      yield [event, ...rest];
+    }
+  }
+}
+
+function describeOrder(order: readonly RequestEvent[]): string {
+  return order.map(({ type }) => type).join(', ');
+}
