--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -25,6 +25,7 @@
   private urgent: Buffer[] = [];
   private bodies: Buffer[] = [];
   private isFlushDue = false;
+  private isEnding = false;
   private isClosed = false;
 
   /** `head` is what was already read of the socket. */
@@ -61,10 +62,10 @@
     return true;
   }
 
-  /** Sends what waits, then closes. */
+  /** Sends what waits, then closes; takes as long as the peer needs to read it. */
   end(): void {
+    this.isEnding = true;
     this.flush();
-    this.socket.end();
   }
 
   destroy(): void {
@@ -73,7 +74,7 @@
 
   private flush(): void {
     this.isFlushDue = false;
-    if (this.isClosed) {
+    if (this.isClosed || this.socket.writableEnded) {
       return;
     }
     const due = this.urgent;
@@ -88,6 +89,9 @@
       const bytes = due.length === 1 ? due[0] : Buffer.concat(due);
       this.socket.write(bytes, () => this.flushRest());
     }
+    if (this.isEnding && this.bodies.length === 0) {
+      this.socket.end();
+    }
   }
 
   /** Bodies that did not fit go on once the bytes before them are out, whether or not a drain is told. */
--- a/test/proxy/relay/relay-connection.test.ts
+++ b/test/proxy/relay/relay-connection.test.ts
@@ -85,6 +85,28 @@
     expect(heldBytes).to.be.within(64 * 1024, 96 * 1024);
     expect(socket.writableLength - heldBytes).to.be.within(1, 10);
   });
+
+  /**
+   * A node that stops ends its connections with answers of its peers still waiting in them. What did
+   * not fit into the socket at that moment was dropped, and what came later broke the connection off
+   * with all that it held: peers got halves of answers that had been counted as given.
+   */
+  it('sends all that waits before it closes, and is not broken off by what comes later', async () => {
+    const socket = new PassThrough({ highWaterMark: 1 });
+    const chunks: Buffer[] = [];
+    socket.on('data', (chunk: Buffer) => chunks.push(chunk));
+    const connection = new RelayConnection(socket, Buffer.alloc(0), NOBODY);
+    const bytes = Buffer.alloc(16_384);
+    for (let part = 0; part < 20; part += 1) {
+      connection.send({ kind: 'body', streamId: 1, isLast: part === 19, bytes });
+    }
+    connection.end();
+    await finished(socket);
+    connection.send({ kind: 'cancel', streamId: 2 });
+    await endOfTurn();
+    expect(framesIn(chunks)).to.have.length(20);
+    expect(socket.errored).to.equal(null);
+  });
 });
 
 describe('a body in parts', () => {
