--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -11,6 +11,7 @@
 import { once } from 'node:events';
 import type { Socket } from 'node:net';
 import { expect } from 'chai';
+import { answer } from '../../standins/store-platform/backend-stand-in.js';
 import { pause, PlatformFleet, type ClientResult, type FleetMachine } from './platform-fleet.js';
 
 /** The grace time of the fleet's settings, in milliseconds. */
@@ -130,6 +131,25 @@
     expect(await answered).to.match(/^HTTP\/1.1 503 [^]*not-run/);
     await stopped;
   });
+
+  /**
+   * The first answer after the beginning of a stop closed its connection although requests behind it
+   * were under way: endpoints ran them, and their callers got nothing.
+   */
+  it('answers all requests of a connection, in their order, before it closes it', async () => {
+    const [first] = await twoMachines();
+    first.backend.behaviour = (_request, response, { requestId }) => {
+      setTimeout(() => answer(response, requestId), 200);
+    };
+    const socket = fleet.beginUpload(first, 10, 10);
+    const answered = readWhole(socket);
+    await untilArrivals(first, 1);
+    fleet.sendUpload(socket, 10, 10);
+    fleet.sendUpload(socket, 10, 10);
+    await untilArrivals(first, 3);
+    await stop(first);
+    expect((await answered).match(/HTTP\/1.1 200 /g)).to.have.length(3);
+  });
 });
 
 /** Everything that the socket receives until it is closed. */
--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -189,14 +189,19 @@
 
   /** A client that has sent the head of an upload of `bodyBytes`, and `sentBytes` of its body. */
   beginUpload({ address }: FleetMachine, bodyBytes: number, sentBytes: number): Socket {
-    this.requests += 1;
     const socket = connect({ host: address, port: CALLER_PORT });
     socket.on('error', () => undefined);
+    this.sendUpload(socket, bodyBytes, sentBytes);
+    return socket;
+  }
+
+  /** The client sends another one, behind those before. */
+  sendUpload(socket: Socket, bodyBytes: number, sentBytes: number): void {
+    this.requests += 1;
     socket.write(
       `POST /p/x HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: c${this.requests}\r\n` +
         `Deadline-Ms: 9000\r\nContent-Length: ${bodyBytes}\r\n\r\n${'x'.repeat(sentBytes)}`,
     );
-    return socket;
   }
 
   /** What the readiness address of the machine answers; 0 when it does not. */
