--- a/src/proxy/caller-connections.ts
+++ b/src/proxy/caller-connections.ts
@@ -15,6 +15,7 @@
 /** The connections of one server. */
 export class CallerConnections {
   private readonly exchangesOf = new WeakMap<Duplex, OpenExchanges>();
+  private readonly closing = new WeakSet<Duplex>();
 
   /** An exchange begins. */
   began(socket: Duplex, response: ServerResponse): void {
@@ -27,6 +28,22 @@
     return (this.exchangesOf.get(socket)?.size ?? 0) > 0;
   }
 
+  /** Whether a request that came behind that of `response` waits for its answer. */
+  hasRequestBehind(socket: Duplex, response: ServerResponse): boolean {
+    const responses = [...(this.exchangesOf.get(socket)?.keys() ?? [])];
+    return responses.length > 0 && responses.at(-1) !== response;
+  }
+
+  /** The answer under way is the last one of the connection. */
+  closesAfterAnswer(socket: Duplex): void {
+    this.closing.add(socket);
+  }
+
+  /** Whether no further request of the connection can be answered. */
+  isClosing(socket: Duplex): boolean {
+    return this.closing.has(socket);
+  }
+
   /** Calls `action` once the exchange is over, whichever way it ends. */
   onClose(socket: Duplex, response: ServerResponse, action: CloseListener): void {
     const listeners = this.exchangesOf.get(socket)?.get(response);
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -71,7 +71,7 @@
     }
     this.closeWhenStopping();
     if (!this.request.complete) {
-      this.response.shouldKeepAlive = false;
+      this.closeAfterAnswer();
     }
     this.options.onError(error.code);
     const answer = this.options.protocol.errorAnswer(error, verdict, requestId);
@@ -87,13 +87,22 @@
     this.response.destroy();
   }
 
-  /** Hands the caller over: its next request goes to another node. */
+  /**
+   * Hands the caller over: its next request goes to another node. Requests that came behind this one
+   * are answered first: the connection would close under them.
+   */
   private closeWhenStopping(): void {
-    if (this.options.isStopping()) {
-      this.response.shouldKeepAlive = false;
+    const { request, response, connections } = this;
+    if (this.options.isStopping() && !connections.hasRequestBehind(request.socket, response)) {
+      this.closeAfterAnswer();
     }
   }
 
+  private closeAfterAnswer(): void {
+    this.response.shouldKeepAlive = false;
+    this.connections.closesAfterAnswer(this.request.socket);
+  }
+
   /** Calls `action` once the exchange is over; `isWhole` when the answer went out in full. */
   onClose(action: (isWhole: boolean) => void): void {
     this.connections.onClose(this.request.socket, this.response, action);
@@ -126,6 +135,11 @@
   });
   const connections = new CallerConnections();
   const take = (request: IncomingMessage, response: ServerResponse): void => {
+    if (connections.isClosing(request.socket)) {
+      // It must not run: nobody could be told.
+      request.resume();
+      return;
+    }
     connections.began(request.socket, response);
     handleRequest(options, connections, request, response);
   };
