--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -80,6 +80,8 @@
 export interface Attempt {
   /** Gives the attempt up: nothing more is reported, and the endpoint is told to cancel. */
   abort(): void;
+  /** Whether the endpoint has provably not got the request; it never will once the attempt is aborted. */
+  isUnsent(): boolean;
 }
 
 /** A way to an endpoint. */
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -55,6 +55,10 @@
     }
   }
 
+  isUnsent(): boolean {
+    return !this.mayHaveReachedEndpoint;
+  }
+
   /** Sends the request; the connection is open. */
   send(): void {
     const { call, endpoint } = this;
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -5,7 +5,14 @@
 import type { Answer, Attempt, AttemptObserver, Call, EndpointPath, LoadReport } from '../call.js';
 import { EMPTY_BODY, HeldBody, StreamedBody, type RequestBody } from '../request-body.js';
 import { refusalLeadMs } from '../refusal-lead.js';
-import { DeadlinePassedError, TruncatedAnswerError, type RequestError } from '../request-error.js';
+import {
+  DeadlinePassedError,
+  NodeStoppingError,
+  StoppedBeforeAnswerError,
+  TruncatedAnswerError,
+  type RequestError,
+} from '../request-error.js';
+import type { AwaitedThing, RequestLog } from '../request-log.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
 import { collectBody, MAX_COLLECTED_BODY_BYTES } from './collected-body.js';
 import type { BodyCredit, CreditPool } from './credit-pool.js';
@@ -42,6 +49,8 @@
   private readonly credit: BodyCredit | undefined;
   private readonly streamId: number;
   private cancelCollecting: CancelTimer | undefined;
+  private readonly requestId: string;
+  private readonly arrivedAtMs: number;
   private attempt: Attempt | undefined;
   private sink: FrameSink | undefined;
   private isOver = false;
@@ -54,6 +63,8 @@
     private readonly scheduler: Scheduler,
   ) {
     this.streamId = frame.streamId;
+    this.requestId = frame.requestId;
+    this.arrivedAtMs = scheduler.now();
     if (isStreamed(frame)) {
       this.credit = this.openCredit(frame, credits);
       this.reader = new RelayBodyReader((bytes) => this.credit?.want(bytes), false);
@@ -127,6 +138,36 @@
     }
   }
 
+  /** The node stops: the peer is told what is known. False when the answer has begun to go out. */
+  giveUp(log: RequestLog): boolean {
+    if (this.isOver || this.sink?.headersSent === true) {
+      return false;
+    }
+    const isUnsent = this.attempt === undefined || this.attempt.isUnsent();
+    const error = isUnsent
+      ? new NodeStoppingError('the node stops before the request was sent on')
+      : new StoppedBeforeAnswerError('the node stops before the answer');
+    log.record({
+      event: 'request-given-up',
+      request: this.requestId,
+      code: error.code,
+      verdict: error.verdict,
+      waitedFor: this.awaitedThing(isUnsent),
+      elapsedMs: Math.round(this.scheduler.now() - this.arrivedAtMs),
+    });
+    this.failed(error);
+    this.attempt?.abort();
+    this.sink?.destroy();
+    return true;
+  }
+
+  private awaitedThing(isUnsent: boolean): AwaitedThing {
+    if (!this.body.isWhole()) {
+      return 'body';
+    }
+    return isUnsent ? 'slot' : 'endpoint';
+  }
+
   answered(answer: Answer): void {
     if (this.isOver) {
       return;
