--- a/test/admission/ranked-admission.test.ts
+++ b/test/admission/ranked-admission.test.ts
@@ -80,4 +80,13 @@
     ]);
     expect(admission.latestStartAtMs(impatient)).to.equal(50);
   });
+
+  it('gives a free slot to what may not wait any longer, until its deadline', () => {
+    const admission = busy({ work: 100 }, 2);
+    admission.release('running-0', 0);
+    const late = { workClass: 'work', startByMs: 50, deadlineAtMs: 500 };
+    const tooLate = admission.offer(ticket('too late', late), 401);
+    expect(outcomeOf(tooLate)).to.deep.equal(['too late: cannot-finish-in-time']);
+    expect(outcomeOf(admission.offer(ticket('late', late), 399))).to.deep.equal(['late']);
+  });
 });
