--- a/src/admission/admission-queue.ts
+++ b/src/admission/admission-queue.ts
@@ -15,7 +15,7 @@
   readonly workClass?: string;
   /** Until when the answer should be there; the deadline when absent. */
   readonly targetAtMs?: number | undefined;
-  /** Until when the request should have started; when it can still be in time if absent. */
+  /** Until when the request waits for a slot; while it can still be in time if absent. */
   readonly startByMs?: number | undefined;
 }
 
--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -74,11 +74,10 @@
     return this.serviceTimes.measuredMs(workClass);
   }
 
-  /** The last moment at which a request can start and still finish in time. */
+  /** Until when a request may wait for a slot. */
   latestStartAtMs(ticket: AdmissionTicket): number {
-    const { deadlineAtMs, targetAtMs = Infinity, startByMs = Infinity, workClass } = ticket;
-    const finishByMs = Math.min(deadlineAtMs, targetAtMs);
-    return Math.min(startByMs, finishByMs - this.serviceTimes.meanMs(workClass));
+    const { startByMs = Infinity } = ticket;
+    return Math.min(startByMs, this.lastUsefulStartMs(ticket));
   }
 
   /** Takes a change of the endpoint's slots; running requests are left alone. */
@@ -174,13 +173,25 @@
     if (ticket.deadlineAtMs <= nowMs) {
       return 'deadline-passed';
     }
-    const startAtMs = nowMs + this.expectedWaitMs(rankOf(ticket));
-    return this.isTooLate(ticket, startAtMs) ? 'cannot-finish-in-time' : undefined;
+    const waitMs = this.expectedWaitMs(rankOf(ticket));
+    const waitsTooLong = waitMs > 0 && nowMs + waitMs > (ticket.startByMs ?? Infinity);
+    return waitsTooLong || this.isTooLate(ticket, nowMs + waitMs)
+      ? 'cannot-finish-in-time'
+      : undefined;
+  }
+
+  /** The last moment at which a request can start and still finish in time. */
+  private lastUsefulStartMs(ticket: AdmissionTicket): number {
+    const { deadlineAtMs, targetAtMs = Infinity, workClass } = ticket;
+    return Math.min(deadlineAtMs, targetAtMs) - this.serviceTimes.meanMs(workClass);
   }
 
-  /** An idle endpoint gets the request all the same, so that its pace is measured anew. */
+  /**
+   * An idle endpoint gets the request all the same, so that its pace is measured anew. How long the
+   * request may wait is no reason to leave a slot free that it can have at once.
+   */
   private isTooLate(ticket: AdmissionTicket, startAtMs: number): boolean {
-    return this.running.size > 0 && startAtMs > this.latestStartAtMs(ticket);
+    return this.running.size > 0 && startAtMs > this.lastUsefulStartMs(ticket);
   }
 
   /** Time until a request of the rank that arrives now gets a slot, at the measured pace. */
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -27,7 +27,7 @@
   readonly workClass: string;
   /** Until when the answer should be there; the deadline when absent. On the node's clock. */
   readonly targetAtMs?: number | undefined;
-  /** Until when the endpoint should have started. On the node's clock. */
+  /** Until when the request waits for a slot of the endpoint. On the node's clock. */
   readonly startByMs?: number | undefined;
   /** How much longer than usual the call was on its way to this node, in milliseconds. */
   readonly travelLostMs?: number;
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -24,6 +24,8 @@
    * not reach an endpoint.
    */
   readonly redirects: number;
+  /** The same, from when the request can only be answered late: so many at least are left then. */
+  readonly lateRedirects?: number;
 }
 
 /** Something that happened; `attempt` counts from 1, and events of a past attempt have no effect. */
@@ -56,6 +58,8 @@
   /** No endpoint is left to try. */
   | { readonly type: 'no-endpoint'; readonly attempt: number; readonly failure: RequestFailure }
   | { readonly type: 'back-off-over' }
+  /** The request can't be answered within its target latency any more, but before its deadline. */
+  | { readonly type: 'target-missed' }
   /** The deadline passed; `failure` says so. */
   | { readonly type: 'deadline'; readonly failure: RequestFailure }
   | { readonly type: 'caller-gone' };
@@ -128,6 +132,8 @@
         return this.fail(event.failure, event.canReplay, nowMs);
       case 'no-endpoint':
         return this.report(this.lastFailure ?? event.failure);
+      case 'target-missed':
+        return this.missTarget();
       case 'back-off-over':
         return this.state === 'backing-off' ? this.beginAttempt() : [];
       case 'deadline':
@@ -165,6 +171,12 @@
     return [{ type: 'begin-attempt', attempt: this.attempt, retriesLeft: forReceivers }];
   }
 
+  /** What nodes refused for the sake of the target is no reason to refuse late work. */
+  private missTarget(): RequestEffect[] {
+    this.redirectsLeft = Math.max(this.redirectsLeft, this.policy.lateRedirects ?? 0);
+    return [];
+  }
+
   /** An answer that reports a fault is passed on unless the request can be sent again. */
   private takeAnswer(fault: RequestFailure | undefined, nowMs: number): RequestEffect[] {
     const backOff = fault && this.retry(fault, true, nowMs);
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -28,6 +28,12 @@
 const NO_ENDPOINT_RETRY_MS = 200;
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
+/**
+ * Attempts that a request has left at least when it turns late, where these do not reach an endpoint:
+ * without one, a request that spent its attempts on nodes that could not answer within its target fails
+ * beside endpoints with free slots.
+ */
+const LATE_REDIRECTS = 1;
 
 /** One caller's request under way. */
 export class RequestRunner implements AwaitedAttempt {
@@ -35,7 +41,10 @@
   private readonly tried = new Set<string>();
   /** Endpoints whose node found that the request can't be answered within its target latency. */
   private readonly refusers = new Set<string>();
+  /** Whether attempts ask for an answer before the deadline, since none is expected in time. */
   private isLate = false;
+  /** Least time that an endpoint's node told for this class of work, in milliseconds. */
+  private leastServiceMs: number | undefined;
   private isExpired = false;
   private attempt: Attempt | undefined;
   private attemptNumber = 0;
@@ -58,6 +67,7 @@
       retries: Math.min(services.limits.maxRetries, retries ?? Infinity, maxAttempts - 1),
       retryBudgetPercent: match.retryBudgetPercent,
       redirects: services.limits.maxRedirects,
+      lateRedirects: Math.min(services.limits.maxRedirects, LATE_REDIRECTS),
     };
     const budget = services.retryBudgetOf(match.service);
     this.startedAtMs = services.scheduler.now();
@@ -186,14 +196,33 @@
   /** An untried endpoint; once all have refused for lack of time, one of these again, for late work. */
   private chooseEndpoint(): Endpoint | undefined {
     const { services, snapshot, match } = this.context;
+    this.checkTarget();
     const endpoint = services.chooseEndpoint(snapshot, match, this.tried, this.workClass);
     const hasTarget = match.route.spec.targetLatencyMs !== undefined;
     if (endpoint !== undefined || this.isLate || !hasTarget) {
       return endpoint;
     }
+    this.becomeLate();
+    return services.chooseEndpoint(snapshot, match, this.tried, this.workClass);
+  }
+
+  /** Turns the request late as soon as no endpoint is expected to answer it within its target. */
+  private checkTarget(): void {
+    const { targetLatencyMs } = this.context.match.route.spec;
+    if (this.isLate || targetLatencyMs === undefined) {
+      return;
+    }
+    const finishAtMs = this.context.services.scheduler.now() + (this.leastServiceMs ?? 0);
+    if (finishAtMs >= this.startedAtMs + targetLatencyMs) {
+      this.becomeLate();
+    }
+  }
+
+  /** From now on attempts ask for late service, also of nodes that could not answer in time. */
+  private becomeLate(): void {
     this.isLate = true;
     this.refusers.forEach((name) => this.tried.delete(name));
-    return services.chooseEndpoint(snapshot, match, this.tried, this.workClass);
+    this.handle({ type: 'target-missed' });
   }
 
   private get workClass(): string {
@@ -203,7 +232,7 @@
   private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
     const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = this.context;
     return {
-      ...workOf(match.route, this.startedAtMs, this.isLate),
+      ...workOf(match.route, this.startedAtMs, this.attemptStartedAtMs, this.isLate),
       requestId: `${attemptPrefix}.${attempt}`,
       method,
       target,
@@ -250,9 +279,17 @@
     this.record('attempt-failed', error, error.verdict, load);
     this.rememberRefusal(error);
     this.endAttempt(outcomeOf(error));
+    this.noteServiceMs(load);
+    this.checkTarget();
     this.handle({ type: 'failed', attempt, failure: error, canReplay: this.canReplay() });
   }
 
+  private noteServiceMs(load: LoadReport | undefined): void {
+    if (load?.serviceMs !== undefined) {
+      this.leastServiceMs = Math.min(this.leastServiceMs ?? Infinity, load.serviceMs);
+    }
+  }
+
   private rememberRefusal({ code, retryAfterMs = 0 }: RequestError): void {
     const isForLackOfRoom = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
     if (this.endpoint !== undefined && isForLackOfRoom) {
--- a/src/proxy/request-work.ts
+++ b/src/proxy/request-work.ts
@@ -9,8 +9,11 @@
 const RANKS_PER_PRIORITY = 1_000_000;
 /** Added to the rank of a request that will be answered late, so that it goes after all others. */
 const LATE_RANK_OFFSET = 1_000_000_000;
-/** Part of the target latency that such a request waits for a slot at most. */
-const LATE_START_SHARE = 0.2;
+/**
+ * How long such a request waits for a slot at one endpoint at most, in milliseconds: two turns of an
+ * endpoint with 8 slots and 200 ms of work. It takes a slot that is free without regard to this bound.
+ */
+const LATE_WAIT_MS = 50;
 /** Ends the class of work that is answered late; measured apart, since it waits longer. */
 const LATE_CLASS_SUFFIX = ' late';
 
@@ -19,18 +22,23 @@
   return isLate ? `${name}${LATE_CLASS_SUFFIX}` : name;
 }
 
-/** `isLate` when every endpoint has refused: a late answer is better than none, where there is room. */
-export function workOf({ name, spec }: Route, startedAtMs: number, isLate: boolean): CallWork {
+/**
+ * What admission goes by for an attempt that begins now. The target latency decides the order of work,
+ * and whether an attempt is made for an answer in time; one that `isLate` is refused by its deadline
+ * only, or for lack of a slot.
+ */
+export function workOf(
+  { name, spec }: Route,
+  startedAtMs: number,
+  nowMs: number,
+  isLate: boolean,
+): CallWork {
   const { priority = 0, targetLatencyMs } = spec;
   if (targetLatencyMs === undefined) {
     return { priority, workClass: name };
   }
   const rank = priority * RANKS_PER_PRIORITY + Math.round(targetLatencyMs);
   return isLate
-    ? {
-        priority: rank + LATE_RANK_OFFSET,
-        workClass: name,
-        startByMs: startedAtMs + targetLatencyMs * LATE_START_SHARE,
-      }
+    ? { priority: rank + LATE_RANK_OFFSET, workClass: name, startByMs: nowMs + LATE_WAIT_MS }
     : { priority: rank, workClass: name, targetAtMs: startedAtMs + targetLatencyMs };
 }
