--- a/test/proxy/late-requests.test.ts
+++ b/test/proxy/late-requests.test.ts
@@ -35,7 +35,7 @@
 const FAR_MS = 1e9;
 /** Way to a node and back over a link that is not slow. */
 const LINK_MS = 2;
-/** More than one request is sent to. */
+/** The first is in the zone of the caller's node. */
 const ENDPOINT_NAMES = ['e1', 'e2', 'e3', 'e4'];
 /** Begins the names of requests that an endpoint never ends. */
 const ENDLESS = 'endless';
@@ -227,7 +227,11 @@
 
 function snapshotOf(maxAttempts: number): Snapshot {
   const endpoints = ENDPOINT_NAMES.map((name, idx) =>
-    echoEndpoint(name, 1_000 + idx, { machine: `m-${name}`, slots: SLOTS }),
+    echoEndpoint(name, 1_000 + idx, {
+      machine: `m-${name}`,
+      slots: SLOTS,
+      zone: idx === 0 ? 'z1' : 'z2',
+    }),
   );
   const route = { targetLatencyMs: TARGET_MS, maxAttempts };
   const resources = [...echoService(route, { retryBudgetPercent: 100 }), ...endpoints];
@@ -260,6 +264,15 @@
     ]);
   });
 
+  it('go where a slot may be free, and not again to the nearest endpoint that is known to be full', () => {
+    const world = new LateWorld(2);
+    world.occupy('e1', SLOTS);
+    world.travelMs.push(217);
+    const { what } = world.call();
+    expect(what, world.attempts.join(', ')).to.equal('200');
+    expect(world.attempts).to.deep.equal(['e1: CANNOT_FINISH_IN_TIME', 'e2: started']);
+  });
+
   it('are refused soon after their target where no slot comes free', () => {
     const world = new LateWorld(2);
     ENDPOINT_NAMES.forEach((name) => world.occupy(name, SLOTS - 1));
