--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -21,7 +21,7 @@
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import type { CancelTimer } from './scheduler.js';
 import { loadObservationOf } from './load-observation.js';
-import { workClassOf, workOf } from './request-work.js';
+import { refusalClassOf, workOf } from './request-work.js';
 import type { RequestContext } from './request-context.js';
 
 /** When to come back after no endpoint had room, in milliseconds. */
@@ -197,13 +197,13 @@
   private chooseEndpoint(): Endpoint | undefined {
     const { services, snapshot, match } = this.context;
     this.checkTarget();
-    const endpoint = services.chooseEndpoint(snapshot, match, this.tried, this.workClass);
+    const endpoint = services.chooseEndpoint(snapshot, match, this.tried, this.isLate);
     const hasTarget = match.route.spec.targetLatencyMs !== undefined;
     if (endpoint !== undefined || this.isLate || !hasTarget) {
       return endpoint;
     }
     this.becomeLate();
-    return services.chooseEndpoint(snapshot, match, this.tried, this.workClass);
+    return services.chooseEndpoint(snapshot, match, this.tried, this.isLate);
   }
 
   /** Turns the request late as soon as no endpoint is expected to answer it within its target. */
@@ -226,7 +226,7 @@
   }
 
   private get workClass(): string {
-    return workClassOf(this.context.match.route, this.isLate);
+    return this.context.match.route.name;
   }
 
   private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
@@ -294,8 +294,10 @@
     const isForLackOfRoom = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
     if (this.endpoint !== undefined && isForLackOfRoom) {
       this.refusers.add(this.endpoint.name);
-      const { selector, scheduler } = this.context.services;
-      selector.refusedWork(this.endpoint, this.workClass, retryAfterMs, scheduler.now());
+      const { services, match } = this.context;
+      const refusalClass = refusalClassOf(match.route, this.isLate);
+      const nowMs = services.scheduler.now();
+      services.selector.refusedWork(this.endpoint, refusalClass, retryAfterMs, nowMs);
     }
   }
 
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -5,7 +5,6 @@
 import type { Snapshot } from '../model/snapshot.js';
 import { orphanSlots, ownedSlots, sharedSlots } from '../routing/direct-access.js';
 import { EndpointSelector } from '../routing/endpoint-selector.js';
-import type { WorkProfile } from '../routing/endpoint-strategy.js';
 import { RetryBudget } from '../routing/retry-budget.js';
 import type { RouteMatch } from '../routing/route-table.js';
 import { WeightedTargets } from '../routing/weighted-targets.js';
@@ -15,6 +14,7 @@
 import type { ProxyLimits } from './proxy-limits.js';
 import type { RelayAddress } from './relay/relay-client.js';
 import { NO_REQUEST_LOG, type RequestLog } from './request-log.js';
+import { workProfileOf } from './request-work.js';
 import type { Scheduler } from './scheduler.js';
 
 /** Part of the fleet's saved retries that is dealt out to the nodes that are known. */
@@ -78,7 +78,7 @@
     snapshot: Snapshot,
     match: RouteMatch,
     tried: ReadonlySet<string>,
-    workClass: string,
+    isLate: boolean,
   ): Endpoint | undefined {
     const { zone, region } = this.options.identity;
     const context = {
@@ -87,7 +87,7 @@
       machineId: this.machineId,
       tried,
       repeatable: match.repeatable,
-      work: workOf(match, workClass),
+      work: workProfileOf(match.route, isLate),
       mayReceive: (endpoint: Endpoint) => this.pathTo(endpoint) !== undefined,
     };
     const endpoints = snapshot.endpointsByService.get(match.service) ?? [];
@@ -149,8 +149,3 @@
     return budget;
   }
 }
-
-function workOf({ route }: RouteMatch, workClass: string): WorkProfile | undefined {
-  const { targetLatencyMs } = route.spec;
-  return targetLatencyMs === undefined ? undefined : { workClass, targetLatencyMs };
-}
--- a/src/proxy/request-work.ts
+++ b/src/proxy/request-work.ts
@@ -1,5 +1,6 @@
 /** Rank, class and times that admission goes by for a request of a route. Pure. */
 import type { Route } from '../model/resource.js';
+import type { WorkProfile } from '../routing/endpoint-strategy.js';
 import type { Call } from './call.js';
 
 /** The part of a call that admission goes by. */
@@ -14,14 +15,27 @@
  * endpoint with 8 slots and 200 ms of work. It takes a slot that is free without regard to this bound.
  */
 const LATE_WAIT_MS = 50;
-/** Ends the class of work that is answered late; measured apart, since it waits longer. */
+/** Ends the name by which endpoints turn late work away: it has room where work in time has none. */
 const LATE_CLASS_SUFFIX = ' late';
 
-/** The class of work; late work is one of its own, since it has room where work in time has none. */
-export function workClassOf({ name }: Route, isLate: boolean): string {
+/** The class by which endpoints turn work of the route away. */
+export function refusalClassOf({ name }: Route, isLate: boolean): string {
   return isLate ? `${name}${LATE_CLASS_SUFFIX}` : name;
 }
 
+/** What the choice of an endpoint goes by; undefined for a route without a target. */
+export function workProfileOf(route: Route, isLate: boolean): WorkProfile | undefined {
+  const { targetLatencyMs } = route.spec;
+  return targetLatencyMs === undefined
+    ? undefined
+    : {
+        workClass: route.name,
+        targetLatencyMs,
+        refusalClass: refusalClassOf(route, isLate),
+        isLate,
+      };
+}
+
 /**
  * What admission goes by for an attempt that begins now. The target latency decides the order of work,
  * and whether an attempt is made for an answer in time; one that `isLate` is refused by its deadline
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -110,6 +110,11 @@
     return (this.inFlight + others) / (slots * this.warmth(nowMs)) + penalty;
   }
 
+  /** Whether one more request may find a free slot, as far as is known. */
+  mayHaveFreeSlot(slots: number, nowMs: number): boolean {
+    return this.load(slots, nowMs) + 1 / slots <= 1;
+  }
+
   /** Share of the endpoint's latest requests that failed, as far as is known. */
   failureShare(nowMs: number): number {
     return Math.max(this.ownFailures.at(nowMs), this.reportedFailures.at(nowMs));
--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -158,26 +158,33 @@
     return false;
   }
 
-  /** Endpoints to compare: a sample of those that would take the work; all that might, if it is empty. */
+  /**
+   * Endpoints to compare: a sample of those that would take the work; all that might, if it is empty.
+   * Late work waits behind all other: it goes to an endpoint with a free slot where one is known,
+   * however near a full one is.
+   */
   private willingOf(
     endpoints: readonly Endpoint[],
     context: SelectionContext,
-    { workClass }: WorkProfile,
+    work: WorkProfile,
     nowMs: number,
   ): readonly Candidate[] {
-    const drawn = this.sample.draw(endpoints, context, (endpoint) => {
+    const { workClass, refusalClass = workClass, isLate = false } = work;
+    const isWilling = (endpoint: Endpoint): boolean => {
       const record = this.recordOf(endpoint, nowMs);
       return (
         !record.isEjected &&
-        !record.isRefusing(workClass, nowMs) &&
+        !record.isRefusing(refusalClass, nowMs) &&
+        (!isLate || record.mayHaveFreeSlot(endpoint.spec.slots, nowMs)) &&
         this.isOpen(endpoint, context, nowMs)
       );
-    });
+    };
+    const drawn = this.sample.draw(endpoints, context, isWilling);
     if (drawn.length > 0) {
       return drawn.map((endpoint) => ({ endpoint, record: this.recordOf(endpoint, nowMs) }));
     }
     const usable = healthyOf(this.openOf(endpoints, context, nowMs));
-    return usable.filter(({ record }) => !record.isRefusing(workClass, nowMs));
+    return usable.filter(({ record }) => !record.isRefusing(refusalClass, nowMs));
   }
 
   private openOf(
--- a/src/routing/endpoint-strategy.ts
+++ b/src/routing/endpoint-strategy.ts
@@ -14,6 +14,10 @@
   readonly workClass: string;
   /** Time within which an answer is worth most, in milliseconds. */
   readonly targetLatencyMs: number;
+  /** Class by which endpoints turn such work away; the class of work when absent. */
+  readonly refusalClass?: string;
+  /** Whether the work waits behind all other, so that it goes where a slot may be free. */
+  readonly isLate?: boolean;
 }
 
 /** What a choice depends on besides the candidates. */
