--- a/test/admission/ranked-admission.test.ts
+++ b/test/admission/ranked-admission.test.ts
@@ -89,4 +89,20 @@
     expect(outcomeOf(tooLate)).to.deep.equal(['too late: cannot-finish-in-time']);
     expect(outcomeOf(admission.offer(ticket('late', late), 399))).to.deep.equal(['late']);
   });
+
+  it('gives a free slot to what missed its target on its way, where nothing waits', () => {
+    const admission = busy({ work: 100 }, 2);
+    const missed = { workClass: 'work', targetAtMs: 150, deadlineAtMs: 500 };
+    expect(outcomeOf(admission.offer(ticket('no slot', missed), 200))).to.deep.equal([
+      'no slot: cannot-finish-in-time',
+    ]);
+    admission.release('running-0', 200);
+    expect(outcomeOf(admission.offer(ticket('elsewhere', missed), 140))).to.deep.equal([
+      'elsewhere: cannot-finish-in-time',
+    ]);
+    expect(outcomeOf(admission.offer(ticket('too late', missed), 401))).to.deep.equal([
+      'too late: cannot-finish-in-time',
+    ]);
+    expect(outcomeOf(admission.offer(ticket('missed', missed), 200))).to.deep.equal(['missed']);
+  });
 });
