--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -114,14 +114,14 @@
   }
 
   /** A request arrives. */
-  offer(ticket: AdmissionTicket, nowMs: number): AdmissionEffect[] {
+  offer(offered: AdmissionTicket, nowMs: number): AdmissionEffect[] {
+    const ticket = this.withoutMissedTarget(offered, nowMs);
     const reason = this.refusalOf(ticket, nowMs);
     if (reason !== undefined) {
       return [this.refuse(ticket, reason)];
     }
     const displaced = this.displaceFor(ticket);
-    const hasFreeSlot = this.queue.size === 0 && this.running.size < this.limitAt(nowMs);
-    if (this.queue.size >= this.queueBound && !hasFreeSlot) {
+    if (this.queue.size >= this.queueBound && !this.hasFreeSlot(nowMs)) {
       return [this.refuse(ticket, 'queue-full')];
     }
     this.queue.push(ticket);
@@ -155,6 +155,22 @@
     return Math.max(1, Math.floor(this.limit) - (isRecent ? this.hidden : 0));
   }
 
+  /** Whether a request could start at once, and none waits. */
+  private hasFreeSlot(nowMs: number): boolean {
+    return this.queue.size === 0 && this.running.size < this.limitAt(nowMs);
+  }
+
+  /**
+   * A target that has passed can't be met anywhere: where a slot is free, only the deadline counts, so
+   * that the request need not travel again over the link that made it late.
+   */
+  private withoutMissedTarget(ticket: AdmissionTicket, nowMs: number): AdmissionTicket {
+    const { targetAtMs = Infinity } = ticket;
+    return targetAtMs <= nowMs && this.hasFreeSlot(nowMs)
+      ? { ...ticket, targetAtMs: undefined }
+      : ticket;
+  }
+
   private get queueBound(): number {
     return Math.min(this.maxWaiting, this.slots * QUEUE_PER_SLOT);
   }
