--- a/test/proxy/late-requests.test.ts
+++ b/test/proxy/late-requests.test.ts
@@ -12,7 +12,7 @@
  * waiting, 394 ms before their deadline in the median.
  */
 import { expect } from 'chai';
-import type { Endpoint } from '../../src/model/resource.js';
+import type { Endpoint, Route } from '../../src/model/resource.js';
 import { resourceSchema } from '../../src/model/resource.js';
 import { buildSnapshot, NO_SNAPSHOT_VERSION, type Snapshot } from '../../src/model/snapshot.js';
 import type { Attempt, AttemptObserver, Call, EndpointPath } from '../../src/proxy/call.js';
@@ -22,6 +22,7 @@
 import { EMPTY_BODY } from '../../src/proxy/request-body.js';
 import { RequestRunner } from '../../src/proxy/request-runner.js';
 import { RequestServices } from '../../src/proxy/request-services.js';
+import { workOf } from '../../src/proxy/request-work.js';
 import type { Scheduler } from '../../src/proxy/scheduler.js';
 import { RouteTable } from '../../src/routing/route-table.js';
 import { VirtualScheduler } from '../../tools/emulator/virtual-scheduler.js';
@@ -241,6 +242,11 @@
   );
 }
 
+function routeOf(spec: Record<string, unknown>): Route {
+  const [, route] = echoService(spec);
+  return resourceSchema.parse(route) as Route;
+}
+
 describe('requests that can only be answered late', () => {
   it('get a free slot before their deadline when the first attempt has used up their target', () => {
     const world = new LateWorld(2);
@@ -281,4 +287,13 @@
     expect(what).to.equal('CANNOT_FINISH_IN_TIME not-run');
     expect(atMs).to.be.lessThan(TARGET_MS + 200);
   });
+
+  it('rank behind all work that can be in time, and wait for a bounded time from each attempt', () => {
+    const nowMs = 10_000;
+    const late = workOf(routeOf({ priority: 0, targetLatencyMs: 1 }), 0, nowMs, true);
+    const last = workOf(routeOf({ priority: 100, targetLatencyMs: 600_000 }), 0, nowMs, false);
+    expect(late.priority).to.be.greaterThan(last.priority);
+    expect(late.targetAtMs).to.equal(undefined);
+    expect(late.startByMs).to.be.within(nowMs + 1, nowMs + 100);
+  });
 });
