--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -118,7 +118,8 @@
   /** How a request would be refused that arrives at `atMs`; undefined when it would be taken. */
   refusalAt(ticket: AdmissionTicket, atMs: number): Refusal | undefined {
     const isFull = this.queue.size >= this.queueBound;
-    const reason = this.refusalOf(ticket, atMs) ?? (isFull ? 'queue-full' : undefined);
+    const offered = this.withoutMissedTarget(ticket, atMs);
+    const reason = this.refusalOf(offered, atMs) ?? (isFull ? 'queue-full' : undefined);
     return reason === undefined ? undefined : this.refusal(ticket, reason);
   }
 
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -24,6 +24,8 @@
 const MAX_HELD_ANSWER_BYTES = 16 * 1024;
 /** How long an answer's head waits for the rest at most, in milliseconds. */
 const MAX_HOLD_MS = 20;
+/** How long a collected request waits for a slot at least, in milliseconds: the work of one upload. */
+const COLLECTED_WAIT_MS = 250;
 /** What is said of the load where nothing is known. */
 const NO_LOAD: LoadReport = { inFlight: 0, slots: 0, draining: false };
 
@@ -343,13 +345,13 @@
 
 /**
  * A body that is here is not sent to another endpoint for want of a slot: that would carry it over a link
- * again. It waits for one until its target has passed, and then still takes one that is free.
+ * again. It waits for one until its target has passed, and then still takes one that comes free soon.
  */
-function collectedCall(call: Call, body: RequestBody, nowMs: number): Call {
-  const { targetAtMs, ...rest } = call;
-  return targetAtMs === undefined
-    ? { ...rest, body }
-    : { ...rest, body, startByMs: Math.max(targetAtMs, nowMs) };
+function collectedCall({ targetAtMs, ...call }: Call, body: RequestBody, nowMs: number): Call {
+  const waitsUntilMs = targetAtMs ?? call.startByMs;
+  return waitsUntilMs === undefined
+    ? { ...call, body }
+    : { ...call, body, startByMs: Math.max(waitsUntilMs, nowMs + COLLECTED_WAIT_MS) };
 }
 
 function isStreamed({ bodyForm }: RequestFrame): boolean {
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -60,7 +60,7 @@
   | { readonly type: 'back-off-over' }
   /** The request can't be answered within its target latency any more, but before its deadline. */
   | { readonly type: 'target-missed' }
-  /** The deadline passed; `failure` says so. */
+  /** The deadline passed; `failure` says so, and what is known of the attempt under way. */
   | { readonly type: 'deadline'; readonly failure: RequestFailure }
   /** The node stops: nothing more can be awaited. */
   | {
@@ -73,6 +73,9 @@
     }
   | { readonly type: 'caller-gone' };
 
+/** The events that tell of one attempt. */
+type AttemptEvent = Extract<RequestEvent, { attempt: number }>;
+
 /** Something to be done. */
 export type RequestEffect =
   | {
@@ -124,12 +127,18 @@
 
   /** Takes an event; effects are to be executed in order. */
   handle(event: RequestEvent, nowMs: number): RequestEffect[] {
-    if (this.state === 'over' || this.isPast(event)) {
+    if (this.state === 'over') {
+      return [];
+    }
+    return 'attempt' in event ? this.handleAttempt(event, nowMs) : this.handleRequest(event);
+  }
+
+  /** Takes what an attempt came to; nothing of one that is past counts. */
+  private handleAttempt(event: AttemptEvent, nowMs: number): RequestEffect[] {
+    if (event.attempt !== this.attempt || !this.isUnderWay) {
       return [];
     }
     switch (event.type) {
-      case 'start':
-        return this.start();
       case 'answered':
         return this.takeAnswer(event.fault, nowMs);
       case 'answer-whole':
@@ -141,6 +150,13 @@
         return this.fail(event.failure, event.canReplay, nowMs);
       case 'no-endpoint':
         return this.report(this.lastFailure ?? event.failure);
+    }
+  }
+
+  private handleRequest(event: Exclude<RequestEvent, AttemptEvent>): RequestEffect[] {
+    switch (event.type) {
+      case 'start':
+        return this.start();
       case 'target-missed':
         return this.missTarget();
       case 'back-off-over':
@@ -154,13 +170,6 @@
     }
   }
 
-  private isPast(event: RequestEvent): boolean {
-    if (!('attempt' in event)) {
-      return false;
-    }
-    return event.attempt !== this.attempt || !this.isUnderWay;
-  }
-
   private get isUnderWay(): boolean {
     return this.state === 'attempting' || this.state === 'answering';
   }
@@ -261,7 +270,7 @@
     if (this.state === 'backing-off' && this.lastFailure !== undefined) {
       return this.report(this.lastFailure);
     }
-    this.mayHaveRun ||= this.state === 'attempting';
+    this.mayHaveRun ||= this.state === 'attempting' && failure.verdict !== 'not-run';
     return [{ type: 'abort-attempt' }, ...this.report(failure)];
   }
 
--- a/test/proxy/late-requests.test.ts
+++ b/test/proxy/late-requests.test.ts
@@ -103,6 +103,7 @@
         answer: ({ status }) => tell(`${status}`),
         fail: ({ code }, verdict) => tell(`${code} ${verdict}`),
         breakConnection: () => tell('broken'),
+        hasBegun: () => false,
         onClose: () => undefined,
       },
       requestId: 'call',
@@ -145,6 +146,7 @@
         cancel();
         attempt?.abort();
       },
+      isUnsent: () => attempt === undefined,
     };
   }
 
