--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -9,6 +9,7 @@
   BodyTooSlowError,
   CallerGoneError,
   ConnectionLostError,
+  DeadlinePassedError,
   EndpointFaultError,
   InternalError,
   NodeStoppingError,
@@ -425,11 +426,16 @@
   private expire(): void {
     this.isExpired = true;
     this.measureLatency();
-    const failure =
-      this.body === undefined
-        ? new BodyTooSlowError('the body did not arrive before the deadline')
-        : new TimedOutError('no answer before the deadline');
-    this.handle({ type: 'deadline', failure });
+    this.handle({ type: 'deadline', failure: this.expiryFailure() });
+  }
+
+  private expiryFailure(): RequestError {
+    if (this.body === undefined) {
+      return new BodyTooSlowError('the body did not arrive before the deadline');
+    }
+    return this.attempt?.isUnsent() === true
+      ? new DeadlinePassedError('the deadline passed before the request was sent on')
+      : new TimedOutError('no answer before the deadline');
   }
 
   private close(isWhole: boolean): void {
