--- a/src/proxy/relay/credit-pool.ts
+++ b/src/proxy/relay/credit-pool.ts
@@ -52,7 +52,11 @@
   private cancelStallTimer: CancelTimer | undefined;
   private meanMs: number | undefined;
 
-  constructor(private readonly scheduler: Scheduler) {}
+  /** `onBodyMs` gets the time that each whole body took, in milliseconds. */
+  constructor(
+    private readonly scheduler: Scheduler,
+    private readonly onBodyMs?: (bodyMs: number) => void,
+  ) {}
 
   /** Mean time from the head of a request to the end of its body, in milliseconds; 0 before a body. */
   get meanBodyMs(): number {
@@ -85,6 +89,7 @@
   }
 
   private measure(bodyMs: number): void {
+    this.onBodyMs?.(bodyMs);
     const previous = this.meanMs ?? bodyMs;
     this.meanMs = previous + (bodyMs - previous) * COLLECT_WEIGHT;
   }
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -50,6 +50,8 @@
   readonly began: () => () => void;
   /** Gets how much longer than usual each request was on its way, in milliseconds. */
   readonly onTravelLostMs?: ((ms: number) => void) | undefined;
+  /** Gets the time from the head of each request to the end of its body, in milliseconds. */
+  readonly onBodyMs?: ((ms: number) => void) | undefined;
 }
 
 /** The server and its connections. */
@@ -60,7 +62,7 @@
   private readonly credits: CreditPool;
 
   constructor(private readonly options: RelayServerOptions) {
-    this.credits = new CreditPool(options.scheduler);
+    this.credits = new CreditPool(options.scheduler, options.onBodyMs);
     this.http = http.createServer((_request, response) => {
       response.writeHead(UPGRADE_REQUIRED_STATUS, { Upgrade: RELAY_PROTOCOL, Connection: 'close' });
       response.end();
--- a/src/proxy/request-path.ts
+++ b/src/proxy/request-path.ts
@@ -38,6 +38,10 @@
   readonly onEndpointMs?: (ms: number) => void;
   /** Gets how much longer than usual each relayed request was on its way, in milliseconds. */
   readonly onTravelLostMs?: (ms: number) => void;
+  /** Gets the time from the head of each relayed request to the end of its body, in milliseconds. */
+  readonly onBodyMs?: (ms: number) => void;
+  /** Gets how long each request was held that was told an error, in milliseconds. */
+  readonly onFailureMs?: (ms: number) => void;
   /** Gets the time that each connection to a peer took to open or to fail, in milliseconds. */
   readonly onRelayConnectMs?: (ms: number) => void;
   /** Gets how late the regular looks at the clock are, in milliseconds. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -275,6 +275,7 @@
       requestLog: this.options.requestLog ?? NO_REQUEST_LOG,
       began: () => this.meter.begin(),
       onTravelLostMs: this.options.onTravelLostMs,
+      onBodyMs: this.options.onBodyMs,
     });
   }
 
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -184,6 +184,7 @@
       case 'report':
         this.finish();
         this.record('request-failed', effect.failure, effect.verdict);
+        this.context.services.onFailureMs(this.context.services.scheduler.now() - this.startedAtMs);
         return this.context.response.fail(
           effect.failure instanceof RequestError ? effect.failure : new InternalError('no error'),
           effect.verdict,
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -39,6 +39,8 @@
   readonly scheduler: Scheduler;
   readonly requestLog?: RequestLog;
   readonly limits: ProxyLimits;
+  /** Gets how long each request was held that was told an error, in milliseconds. */
+  readonly onFailureMs?: (ms: number) => void;
   /** Whether the node is in a planned stop. */
   readonly isStopping?: () => boolean;
   /** The way to endpoints that this node reaches itself. */
@@ -59,6 +61,7 @@
   readonly requestLog: RequestLog;
   readonly targets: WeightedTargets;
   readonly isStopping: () => boolean;
+  readonly onFailureMs: (ms: number) => void;
   private readonly budgets = new Map<string, RetryBudget>();
 
   constructor(private readonly options: RequestServicesOptions) {
@@ -67,6 +70,7 @@
     this.requestLog = options.requestLog ?? NO_REQUEST_LOG;
     this.limits = options.limits;
     this.isStopping = options.isStopping ?? (() => false);
+    this.onFailureMs = options.onFailureMs ?? (() => undefined);
     this.counters = options.counters;
     this.random = options.random;
     this.scheduler = options.scheduler;
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -278,6 +278,14 @@
       requestLog: new RequestLogger(logger),
       onRequestMs: this.timer('request', 'Time from the arrival of a request to its end'),
       onEndpointMs: this.timer('endpoint', 'Time that the endpoint here took for a whole answer'),
+      onBodyMs: this.timer(
+        'relay_body',
+        'Time from the head of a relayed request to its whole body',
+      ),
+      onFailureMs: this.timer(
+        'failure',
+        'Time for which requests were held that were told an error',
+      ),
       onTravelLostMs: this.timer(
         'relay_travel',
         'Time that relayed requests lost on their way here',
--- a/test/platform/program.test.ts
+++ b/test/platform/program.test.ts
@@ -136,6 +136,10 @@
     expect(metrics.body).to.match(/^ferryspool_store_connected 1$/m);
     const beside = await get(second.address, FIRST_INTERNAL_PORT + 1, '/metrics');
     expect(beside.body).to.match(/^ferryspool_endpoint_seconds_count [1-9]/m);
+    expect(beside.body).to.match(/^ferryspool_relay_travel_seconds_count [1-9]/m);
+    expect(metrics.body).to.match(/^ferryspool_relay_connect_seconds_count [1-9]/m);
+    expect(metrics.body).to.match(/^ferryspool_event_loop_delay_seconds_count [1-9]/m);
+    expect(metrics.body).to.match(/^ferryspool_(failure|relay_body)_seconds_count 0$/m);
     first.process.kill('SIGHUP');
     while (!first.text().includes('settings-read-again')) {
       await pause(10);
