--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -29,6 +29,12 @@
   readonly retryAfterMs: number;
 }
 
+/** When the body of a request is expected, at the pace of the bodies before it. */
+export interface BodyArrival {
+  readonly beginsAtMs: number;
+  readonly endsAtMs: number;
+}
+
 /** What is to be done with a request. */
 export type AdmissionEffect =
   | { readonly type: 'dispatch'; readonly requestId: string }
@@ -115,12 +121,24 @@
     this.reportedAtMs = nowMs;
   }
 
-  /** How a request would be refused that arrives at `atMs`; undefined when it would be taken. */
-  refusalAt(ticket: AdmissionTicket, atMs: number): Refusal | undefined {
+  /**
+   * How a request would be refused whose body arrives as foreseen; undefined when it would be taken. What
+   * may not wait for a slot may not wait for its body to begin either.
+   */
+  refusalOfArriving(
+    ticket: AdmissionTicket,
+    arrival: BodyArrival,
+    nowMs: number,
+  ): Refusal | undefined {
+    const { beginsAtMs, endsAtMs } = arrival;
+    if (beginsAtMs > nowMs && beginsAtMs > (ticket.startByMs ?? Infinity)) {
+      return this.refusal(ticket, 'cannot-finish-in-time', beginsAtMs - nowMs);
+    }
     const isFull = this.queue.size >= this.queueBound;
-    const offered = this.withoutMissedTarget(ticket, atMs);
-    const reason = this.refusalOf(offered, atMs) ?? (isFull ? 'queue-full' : undefined);
-    return reason === undefined ? undefined : this.refusal(ticket, reason);
+    const offered = this.withoutMissedTarget(ticket, nowMs);
+    const reason = this.refusalOf(offered, endsAtMs) ?? (isFull ? 'queue-full' : undefined);
+    const lateByMs = endsAtMs - this.latestStartAtMs(offered);
+    return reason === undefined ? undefined : this.refusal(ticket, reason, lateByMs);
   }
 
   /** A request arrives. */
@@ -230,8 +248,10 @@
     return { type: 'refuse', ...this.refusal(ticket, reason) };
   }
 
-  private refusal(ticket: AdmissionTicket, reason: RefusalReason): Refusal {
-    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, this.expectedWaitMs(rankOf(ticket)));
+  /** `bodyWaitMs` is how much sooner the body would have to arrive. */
+  private refusal(ticket: AdmissionTicket, reason: RefusalReason, bodyWaitMs = 0): Refusal {
+    const slotWaitMs = this.expectedWaitMs(rankOf(ticket));
+    const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, slotWaitMs, bodyWaitMs);
     return { requestId: ticket.requestId, reason, retryAfterMs };
   }
 
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -2,6 +2,7 @@
 import {
   EndpointAdmission,
   type AdmissionEffect,
+  type BodyArrival,
   type Refusal,
 } from '../admission/endpoint-admission.js';
 import type { CounterSink } from '../control/control-event.js';
@@ -81,9 +82,10 @@
     return gated;
   }
 
-  /** Why a call that arrives at `atMs` would be refused, in the log too; undefined when it would be taken. */
-  refusalOf(call: Call, atMs: number): RequestError | undefined {
-    const refusal = this.admission.refusalAt(call, atMs);
+  /** Why a call whose body arrives so would be refused, in the log too; undefined when it would be taken. */
+  refusalOf(call: Call, arrival: BodyArrival): RequestError | undefined {
+    const nowMs = this.options.scheduler.now();
+    const refusal = this.admission.refusalOfArriving(call, arrival, nowMs);
     if (refusal === undefined) {
       return undefined;
     }
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -1,6 +1,7 @@
 /** The way to endpoints that this node reaches itself: a gate for each, kept up with configuration. */
 import csp from 'js-csp';
 import type { Channel, Instruction } from 'js-csp';
+import type { BodyArrival } from '../admission/endpoint-admission.js';
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
@@ -35,10 +36,10 @@
     return gate.submit(call, observer);
   }
 
-  refusalOf(endpoint: Endpoint, call: Call, atMs: number): RequestError | undefined {
+  refusalOf(endpoint: Endpoint, call: Call, arrival: BodyArrival): RequestError | undefined {
     const gate = this.gateOf(endpoint);
     this.configure(gate);
-    return gate.refusalOf(call, atMs);
+    return gate.refusalOf(call, arrival);
   }
 
   load(endpoint: Endpoint, workClass: string): LoadReport {
--- a/src/proxy/relay/credit-pool.ts
+++ b/src/proxy/relay/credit-pool.ts
@@ -3,6 +3,7 @@
  * to the node are bounded, so that a link of few bytes a second does not fill with bodies: what is urgent
  * waits behind {@link POOL_BYTES} at most, whatever the number of bodies and of connections.
  */
+import type { BodyArrival } from '../../admission/endpoint-admission.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
 import { ArrivalRate } from './arrival-rate.js';
 
@@ -35,8 +36,8 @@
 
 /** The credit of one body. */
 export interface BodyCredit {
-  /** Time until the body is here, at the measured pace, in milliseconds. */
-  expectedMs(): number;
+  /** When the body will be here, at the measured pace; now before a measurement. */
+  expectedArrival(): BodyArrival;
   /** The receiver has room for so many bytes more. */
   want(bytes: number): void;
   arrived(bytes: number): void;
@@ -69,7 +70,7 @@
     const body: PooledCredit = new PooledCredit(request, {
       whole: () => this.measure(this.scheduler.now() - openedAtMs),
       changed: (arrivedBytes) => this.changed(body, arrivedBytes),
-      expectedMs: () => this.expectedMs(body),
+      expectedArrival: () => this.expectedArrival(body),
     });
     const after = this.bodies.findIndex((other) => other.rank > request.rank);
     this.bodies.splice(after < 0 ? this.bodies.length : after, 0, body);
@@ -77,15 +78,14 @@
   }
 
   /** Bodies are carried in their order. */
-  private expectedMs(body: PooledCredit): number {
-    let bytes = 0;
-    for (const other of this.bodies) {
-      bytes += other.owedBytes;
-      if (other === body) {
-        break;
-      }
-    }
-    return this.rate.msFor(bytes);
+  private expectedArrival(body: PooledCredit): BodyArrival {
+    const ahead = this.bodies.slice(0, this.bodies.indexOf(body));
+    const aheadBytes = ahead.reduce((bytes, other) => bytes + other.owedBytes, 0);
+    const nowMs = this.scheduler.now();
+    return {
+      beginsAtMs: nowMs + this.rate.msFor(Math.max(0, aheadBytes - POOL_BYTES)),
+      endsAtMs: nowMs + this.rate.msFor(aheadBytes + body.owedBytes),
+    };
   }
 
   private measure(bodyMs: number): void {
@@ -137,7 +137,7 @@
   /** The body arrived in full. */
   readonly whole: () => void;
   readonly changed: (arrivedBytes: number) => void;
-  readonly expectedMs: () => number;
+  readonly expectedArrival: () => BodyArrival;
 }
 
 class PooledCredit implements BodyCredit {
@@ -198,8 +198,8 @@
     this.request.grant(bytes);
   }
 
-  expectedMs(): number {
-    return this.pool.expectedMs();
+  expectedArrival(): BodyArrival {
+    return this.pool.expectedArrival();
   }
 
   want(bytes: number): void {
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -1,5 +1,6 @@
 /** One request of a peer at the node that owns the endpoint. */
 import { EventEmitter } from 'node:events';
+import type { BodyArrival } from '../../admission/endpoint-admission.js';
 import type { Endpoint } from '../../model/resource.js';
 import { passAnswer, type AnswerSink } from '../answer-relay.js';
 import type { Answer, Attempt, AttemptObserver, Call, EndpointPath, LoadReport } from '../call.js';
@@ -13,6 +14,7 @@
   type RequestError,
 } from '../request-error.js';
 import type { AwaitedThing, RequestLog } from '../request-log.js';
+import { rankInTime } from '../request-work.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
 import { collectBody, MAX_COLLECTED_BODY_BYTES } from './collected-body.js';
 import type { BodyCredit, CreditPool } from './credit-pool.js';
@@ -31,8 +33,8 @@
 
 /** The endpoints of this node. */
 export interface OwnedEndpoints extends EndpointPath {
-  /** Why a request that arrives at `atMs` would be refused; undefined when it would be taken. */
-  refusalOf(endpoint: Endpoint, call: Call, atMs: number): RequestError | undefined;
+  /** Why a request whose body arrives so would be refused; undefined when it would be taken. */
+  refusalOf(endpoint: Endpoint, call: Call, arrival: BodyArrival): RequestError | undefined;
   load(endpoint: Endpoint, workClass: string): LoadReport;
 }
 
@@ -85,8 +87,7 @@
       this.submit(endpoints, endpoint, call);
       return;
     }
-    const arrivesAtMs = this.scheduler.now() + credit.expectedMs();
-    const refusal = endpoints.refusalOf(endpoint, call, arrivesAtMs);
+    const refusal = endpoints.refusalOf(endpoint, call, credit.expectedArrival());
     if (refusal !== undefined) {
       this.failed(refusal, endpoints.load(endpoint, call.workClass));
       return;
@@ -229,7 +230,7 @@
 
   private openCredit({ priority, bodyForm, bodyBytes }: RequestFrame): BodyCredit {
     return this.credits.open({
-      rank: priority,
+      rank: rankInTime(priority),
       lengthBytes: bodyForm === 'sized' ? bodyBytes : undefined,
       grant: (creditBytes) => {
         this.link.send({ kind: 'credit', streamId: this.streamId, creditBytes });
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -360,7 +360,8 @@
   private measureLatency(): void {
     const { services } = this.context;
     const nowMs = services.scheduler.now();
-    if (this.endpoint !== undefined) {
+    // Late work waits behind all other: its time says nothing of what work in time would take.
+    if (this.endpoint !== undefined && !this.isLate) {
       const latencyMs = nowMs - this.attemptStartedAtMs;
       services.selector.measured(this.endpoint, this.workClass, latencyMs, nowMs);
     }
--- a/src/proxy/request-work.ts
+++ b/src/proxy/request-work.ts
@@ -18,6 +18,11 @@
 /** Ends the name by which endpoints turn late work away: it has room where work in time has none. */
 const LATE_CLASS_SUFFIX = ' late';
 
+/** The rank that a request would have if it were not late. */
+export function rankInTime(rank: number): number {
+  return rank % LATE_RANK_OFFSET;
+}
+
 /** The class by which endpoints turn work of the route away. */
 export function refusalClassOf({ name }: Route, isLate: boolean): string {
   return isLate ? `${name}${LATE_CLASS_SUFFIX}` : name;
--- a/test/admission/ranked-admission.test.ts
+++ b/test/admission/ranked-admission.test.ts
@@ -105,4 +105,23 @@
     ]);
     expect(outcomeOf(admission.offer(ticket('missed', missed), 200))).to.deep.equal(['missed']);
   });
+
+  it('refuses ahead of its body what would arrive too late, and late work whose body has to wait', () => {
+    const admission = busy({ work: 100 }, 2);
+    const inTime = ticket('in time', { workClass: 'work', targetAtMs: 400, deadlineAtMs: 2_000 });
+    const refusal = (one: AdmissionTicket, beginsAtMs: number, endsAtMs: number): unknown =>
+      admission.refusalOfArriving(one, { beginsAtMs, endsAtMs }, 0);
+    admission.release('running-0', 0);
+    expect(refusal(inTime, 100, 250)).to.equal(undefined);
+    expect(refusal(inTime, 100, 450)).to.include({
+      reason: 'cannot-finish-in-time',
+      retryAfterMs: 150,
+    });
+    const late = ticket('late', { workClass: 'work', startByMs: 50, deadlineAtMs: 2_000 });
+    expect(refusal(late, 0, 700)).to.equal(undefined);
+    expect(refusal(late, 600, 700)).to.include({
+      reason: 'cannot-finish-in-time',
+      retryAfterMs: 600,
+    });
+  });
 });
--- a/test/proxy/relay/credit-pool.test.ts
+++ b/test/proxy/relay/credit-pool.test.ts
@@ -148,16 +148,19 @@
     const pool = new CreditPool(time);
     const lengthBytes = 65_536;
     const senders = Array.from({ length: 10 }, () => new Sender(pool, lengthBytes));
-    expect(senders[9]?.credit?.expectedMs()).to.equal(0);
+    expect(senders[9]?.credit?.expectedArrival()).to.deep.equal({ beginsAtMs: 0, endsAtMs: 0 });
     for (let step = 0; step < 25; step += 1) {
       time.advance(10);
       senders.find(({ underWayBytes }) => underWayBytes > 0)?.send(8_192);
     }
     const owedBytes = 11 * lengthBytes - 25 * 8_192;
     const last = new Sender(pool, lengthBytes);
-    expect(last.credit?.expectedMs()).to.be.closeTo(owedBytes / 819.2, 60);
+    const { beginsAtMs = 0, endsAtMs = 0 } = last.credit?.expectedArrival() ?? {};
+    expect(endsAtMs - time.now()).to.be.closeTo(owedBytes / 819.2, 60);
+    const sooner = owedBytes - lengthBytes - POOL_BYTES;
+    expect(beginsAtMs - time.now()).to.be.closeTo(sooner / 819.2, 60);
     const urgent = new Sender(pool, 8_192, -1);
-    expect(urgent.credit?.expectedMs()).to.be.closeTo(10, 5);
+    expect((urgent.credit?.expectedArrival().endsAtMs ?? 0) - time.now()).to.be.closeTo(10, 5);
   });
 
   it('tells the mean time of whole bodies; one that was given up does not count', () => {
