--- a/standins/store-platform/backend-stand-in.ts
+++ b/standins/store-platform/backend-stand-in.ts
@@ -10,6 +10,8 @@
   readonly target: string;
   /** As text of one byte a character. */
   readonly body: string;
+  /** Time from its head to the end of its body, in milliseconds. */
+  readonly readForMs: number;
   /** Whether its connection was closed before the answer. */
   isCut: boolean;
 }
@@ -38,12 +40,13 @@
       return;
     }
     response.once('finish', () => this.restingSinceMs.set(socket, performance.now()));
+    const headAtMs = performance.now();
     let body = '';
     request.on('data', (chunk: Buffer) => {
       body += chunk.toString('latin1');
     });
     response.on('error', () => undefined);
-    request.once('end', () => this.take(request, response, body));
+    request.once('end', () => this.take(request, response, body, headAtMs));
   });
 
   private constructor(
@@ -64,13 +67,19 @@
     this.server.closeAllConnections();
   }
 
-  private take(request: IncomingMessage, response: ServerResponse, body: string): void {
+  private take(
+    request: IncomingMessage,
+    response: ServerResponse,
+    body: string,
+    headAtMs: number,
+  ): void {
     const arrival: Arrival = {
       requestId: String(request.headers['request-id']),
       headers: request.headers,
       method: request.method ?? '',
       target: request.url ?? '',
       body,
+      readForMs: performance.now() - headAtMs,
       isCut: response.destroyed,
     };
     response.on('close', () => {
--- a/test/soak/link-proxy.test.ts
+++ b/test/soak/link-proxy.test.ts
@@ -95,6 +95,61 @@
     });
   }
 
+  for (const state of ['open-silence', 'open-one-way'] as const) {
+    it(`silences open connections for good in ${state}, and lets new ones work`, async () => {
+      const silent = client;
+      proxy.set(state);
+      client.write('a');
+      client = await connect();
+      client.write('b');
+      await untilReceived('b');
+      proxy.set('open');
+      silent.write('c');
+      await delay(SHORT_MS);
+      expect(received).to.equal('b');
+      silent.destroy();
+    });
+  }
+
+  it('lets bytes of the dialling side pass in open-one-way', async () => {
+    const heard: string[] = [];
+    server.on('connection', (socket) => socket.on('data', (bytes) => heard.push(String(bytes))));
+    client = await connect();
+    proxy.set('open-one-way');
+    client.write('a');
+    await delay(SHORT_MS);
+    expect(heard).to.deep.equal(['a']);
+    expect(received).to.equal('');
+  });
+
+  it('passes so many bytes a second, of all connections together', async () => {
+    proxy.setBandwidth(1_000_000);
+    const other = await connect();
+    const sentAtMs = performance.now();
+    client.write('a'.repeat(100_000));
+    other.write('b'.repeat(100_000));
+    while (received.length < 200_000) {
+      await delay(1);
+    }
+    expect(performance.now() - sentAtMs).to.be.at.least(195);
+    other.destroy();
+  });
+
+  it('keeps bytes in order when it is healed and when its bound changes', async () => {
+    const text = Array.from({ length: 20_000 }, (_, idx) => `${idx},`).join('');
+    const third = Math.ceil(text.length / 3);
+    proxy.set('delay', SHORT_MS);
+    client.write(text.slice(0, third));
+    await delay(SHORT_MS / 2);
+    proxy.set('open');
+    proxy.setBandwidth(1_000_000);
+    client.write(text.slice(third, 2 * third));
+    await delay(SHORT_MS / 2);
+    proxy.setBandwidth(Infinity);
+    client.write(text.slice(2 * third));
+    await untilReceived(text);
+  });
+
   it('resets connections and new ones when it refuses', async () => {
     proxy.set('refuse');
     await closed(client);
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -1,13 +1,13 @@
 /** The judge of soaks: each promise, broken once and held once. */
 import { expect } from 'chai';
-import {
-  judgeSoak,
-  type SoakArrival,
-  type SoakCall,
-  type SoakPromise,
-  type SoakRecord,
-} from '../../tools/soak/promises.js';
+import { judgeSoak, type SoakPromise } from '../../tools/soak/promises.js';
 import { SOAK_TERMS } from '../../tools/soak/soak-fleet.js';
+import type {
+  FaultWindow,
+  SoakArrival,
+  SoakCall,
+  SoakRecord,
+} from '../../tools/soak/soak-record.js';
 
 const CALL: SoakCall = {
   id: 'q1',
@@ -20,6 +20,8 @@
   sentAtMs: 20_000,
   endedAtMs: 20_050,
   deadlineMs: 1_000,
+  timeoutMs: 1_500,
+  sentWholeAtMs: 20_001,
   status: 200,
   isWhole: true,
   isSigned: true,
@@ -39,6 +41,7 @@
   id: 'q1',
   backend: 'i-1',
   machine: 1,
+  headAtMs: 20_010,
   atMs: 20_010,
   target: '/reads/q1',
   method: 'GET',
@@ -46,6 +49,8 @@
   callerService: 'reads',
   deadlineMs: 990,
   hasRun: true,
+  brokeOff: false,
+  endedAtMs: 20_040,
 };
 
 const RECORD: SoakRecord = {
@@ -53,6 +58,7 @@
   arrivals: [ARRIVAL],
   windows: [],
   stops: [],
+  reloads: [],
   configuredAtMs: new Map([[1, 0]]),
   drainedAtMs: new Map(),
   serviceOfMachine: ['reads', 'orders'],
@@ -132,6 +138,11 @@
     expect(withCall(late, { windows: [FROZEN] })).to.deep.equal([]);
     expect(withCall({ ...late, isGivenUp: true })).to.deep.equal([]);
     expect(withCall({ ...late, wasSent: false })).to.deep.equal([]);
+    const upload = { ...late, deadlineMs: 8_000, timeoutMs: 8_000 };
+    expect(withCall(upload)).to.deep.equal([]);
+    expect(withCall({ ...upload, endedAtMs: 28_600 })).to.deep.equal(['time-out']);
+    const unsent = { ...upload, endedAtMs: 28_600, sentWholeAtMs: Infinity };
+    expect(withCall(unsent)).to.deep.equal([]);
   });
 
   it('finds a configuration that is not in force, by an added and by a dropped route', () => {
@@ -163,9 +174,14 @@
   });
 
   it('finds a planned stop that fails, is slow, or cuts a request, unless a fault is near', () => {
-    const stop = { machine: 0, atMs: 20_020, tookMs: 900, code: 0 };
+    const stop = { machine: 0, atMs: 20_020, tookMs: 900, code: 0, hadStarted: true };
     const stopWindow = { kind: 'stop', machines: [0], fromMs: 20_020, untilMs: 21_000 } as const;
     const windows = [stopWindow];
+    const withStop = (changes: Partial<SoakRecord> = {}): Partial<SoakRecord> => ({
+      windows,
+      stops: [stop],
+      ...changes,
+    });
     expect(brokenIn({ windows, stops: [stop] })).to.deep.equal([]);
     expect(brokenIn({ windows, stops: [{ ...stop, code: 1 }] })).to.deep.equal(['planned-stop']);
     expect(brokenIn({ windows, stops: [{ ...stop, tookMs: 6_100 }] })).to.deep.equal([
@@ -174,6 +190,67 @@
     const cut = { status: 0, isWhole: false };
     expect(withCall(cut, { windows, stops: [stop] })).to.deep.equal(['planned-stop']);
     expect(withCall(cut, { windows: [...windows, FROZEN], stops: [stop] })).to.deep.equal([]);
+    expect(brokenIn(withStop({ stops: [{ ...stop, code: 1, hadStarted: false }] }))).to.be.empty;
+    expect(withCall({ ...cut, status: 200 }, withStop())).to.deep.equal(['planned-stop']);
+    expect(withCall({ ...cut, isGivenUp: true }, withStop())).to.be.empty;
+    expect(withCall({ ...cut, timeoutMs: 40 }, withStop())).to.be.empty;
+    expect(withCall({ ...cut, endedAtMs: 21_500 }, withStop())).to.be.empty;
+    expect(withCall({ ...cut, machine: 1 }, withStop({ arrivals: [] }))).to.be.empty;
+  });
+
+  it('finds a cut of what was read whole before, reached a back end or not', () => {
+    const stop = { machine: 0, atMs: 20_020, tookMs: 5_600, code: 0, hadStarted: true };
+    const upload = { timeoutMs: 8_000, deadlineMs: 8_000, status: 0, isWhole: false };
+    const cut = { ...upload, sentAtMs: 21_000, sentWholeAtMs: 24_000, endedAtMs: 25_620 };
+    const unread = { stops: [stop], arrivals: [] };
+    expect(withCall(cut, unread)).to.deep.equal(['planned-stop']);
+    expect(withCall({ ...cut, sentWholeAtMs: 25_500 }, unread)).to.be.empty;
+    expect(withCall({ ...cut, sentWholeAtMs: Infinity }, unread)).to.be.empty;
+    expect(withCall({ ...cut, status: 503, isWhole: true }, unread)).to.be.empty;
+  });
+
+  it('finds a cut at a stop whatever befalls others, unless the back end broke off', () => {
+    const stop = { machine: 0, atMs: 20_020, tookMs: 900, code: 0, hadStarted: true };
+    const cut = { status: 0, isWhole: false };
+    const during = { fromMs: 19_000, untilMs: 21_000 };
+    const others: readonly FaultWindow[] = [
+      { kind: 'kill', machines: [1], ...during },
+      { kind: 'relay-link', machines: undefined, linksOf: [1], ...during },
+      { kind: 'store-link', machines: [0], linksOf: [0], ...during },
+      { kind: 'store-outage', machines: undefined, ...during },
+      { kind: 'backend-fault', machines: [0], ...during },
+    ];
+    for (const window of others) {
+      const changes = { stops: [stop], windows: [window] };
+      expect(withCall(cut, changes), window.kind).to.deep.equal(['planned-stop']);
+    }
+    for (const kind of ['relay-link', 'backend-link', 'narrow'] as const) {
+      const own = { kind, machines: undefined, linksOf: [0], ...during };
+      expect(withCall(cut, { stops: [stop], windows: [own] }), kind).to.be.empty;
+    }
+    const arrivals = [{ ...ARRIVAL, brokeOff: true }];
+    expect(withCall(cut, { stops: [stop], arrivals })).to.be.empty;
+  });
+
+  it('finds a stop that takes too long, whatever befalls the machine', () => {
+    const stop = { machine: 0, atMs: 20_020, tookMs: 6_100, code: 0, hadStarted: true };
+    const links = { kind: 'relay-link', machines: undefined, linksOf: [0] } as const;
+    const windows = [{ ...links, fromMs: 19_000, untilMs: 22_000 }];
+    expect(brokenIn({ windows, stops: [stop] })).to.deep.equal(['planned-stop']);
+  });
+
+  it('finds a cut beside a reload', () => {
+    const cut = { status: 0, isWhole: false };
+    expect(withCall(cut, { reloads: [{ machine: 0, atMs: 20_020 }] })).to.deep.equal(['reload']);
+    expect(withCall(cut, { reloads: [{ machine: 1, atMs: 20_020 }] })).to.be.empty;
+    expect(withCall(cut, { reloads: [{ machine: 0, atMs: 18_000 }] })).to.be.empty;
+  });
+
+  it('goes by the head for the time given on and for the drain', () => {
+    const slow = { headAtMs: 20_010, atMs: 23_000 };
+    expect(withArrival({ ...slow, deadlineMs: 990 })).to.deep.equal([]);
+    const drainedAtMs = new Map([['i-1', 18_000]]);
+    expect(brokenIn({ drainedAtMs, arrivals: [{ ...ARRIVAL, ...slow }] })).to.deep.equal([]);
   });
 
   it('finds programs that ended by themselves', () => {
--- a/test/soak/soak-case.ts
+++ b/test/soak/soak-case.ts
@@ -1,22 +1,29 @@
 /** One short soak as a test. */
 import { expect } from 'chai';
-import { runSoak } from '../../tools/soak/soak-run.js';
+import { runSoak, type SoakPlan } from '../../tools/soak/soak-run.js';
 
 const FAULTS_MS = 10_000;
 const MACHINES = 4;
 const CALLS_PER_SECOND = 80;
+const UPLOADS_PER_SECOND = 15;
 const LEAST_CALLS = 500;
 
 /** How long such a test may take, in milliseconds. */
 export const SOAK_TEST_TIMEOUT_MS = 60_000;
 
 /** Runs a soak on a loopback network of its own; every promise must hold. */
-export async function expectPromisesKept(seed: number, network: string): Promise<void> {
+export async function expectPromisesKept(
+  seed: number,
+  network: string,
+  plan: SoakPlan,
+): Promise<void> {
   const { broken, record } = await runSoak({
     seed,
     machines: MACHINES,
     faultsMs: FAULTS_MS,
     perSecond: CALLS_PER_SECOND,
+    plan,
+    uploadsPerSecond: UPLOADS_PER_SECOND,
     network,
     say: () => undefined,
   });
--- a/test/soak/soak-regressions.test.ts
+++ b/test/soak/soak-regressions.test.ts
@@ -14,7 +14,7 @@
 describe('seeds of soaks that once failed', () => {
   SEEDS.forEach(({ seed, cause }, idx) => {
     it(`keep every promise: ${seed} (${cause})`, async () => {
-      await expectPromisesKept(seed, `127.${210 + idx}`);
+      await expectPromisesKept(seed, `127.${210 + idx}`, 'faults');
     }).timeout(SOAK_TEST_TIMEOUT_MS);
   });
 });
--- a/tools/soak/fault-injector.ts
+++ b/tools/soak/fault-injector.ts
@@ -1,7 +1,13 @@
 /** Carries out the faults of a soak on its fleet, and notes when each struck what. */
 import { setTimeout as delay } from 'node:timers/promises';
-import { describeFault, type SoakFault, type StoreOutage } from './fault-plan.js';
-import type { FaultWindow, SoakStop } from './promises.js';
+import {
+  describeFault,
+  type LinkFaultKind,
+  type SoakFault,
+  type StoreOutage,
+} from './fault-plan.js';
+import type { LinkProxy } from './link-proxy.js';
+import type { FaultWindow, SoakReload, SoakStop } from './soak-record.js';
 import { SOAK_TERMS, type SoakFleet, type SoakMachine } from './soak-fleet.js';
 
 /** A stop that takes longer than its grace time is ended by force after this much more. */
@@ -23,6 +29,7 @@
 export class SoakFaultInjector {
   readonly windows: FaultWindow[] = [];
   readonly stops: SoakStop[] = [];
+  readonly reloads: SoakReload[] = [];
   /** Machines whose node or back end a fault holds. */
   private readonly heldNodes = new Set<number>();
   private readonly heldBackends = new Set<number>();
@@ -41,9 +48,15 @@
         return this.endNodes(fault, 'SIGTERM');
       case 'freeze':
         return this.freeze(fault);
+      case 'reload':
+        this.reload(fault);
+        return;
       case 'relay-link':
       case 'store-link':
+      case 'backend-link':
         return this.harmLinks(fault);
+      case 'narrow':
+        return this.narrowLinks(fault);
       case 'store-outage':
         return this.failStore(fault);
       case 'store-compact':
@@ -78,12 +91,22 @@
   private async endNode(machine: SoakMachine, signal: 'SIGKILL' | 'SIGTERM'): Promise<void> {
     const { node, idx } = machine;
     const atMs = this.params.nowMs();
+    const hadStarted = this.params.fleet.hasStarted(machine);
     node.signal(signal);
     const force = setTimeout(() => node.signal('SIGKILL'), SOAK_TERMS.graceMs + STOP_MARGIN_MS);
     const { code } = await node.exited;
     clearTimeout(force);
     if (signal === 'SIGTERM') {
-      this.stops.push({ machine: idx, atMs, tookMs: this.params.nowMs() - atMs, code });
+      this.stops.push({ machine: idx, atMs, tookMs: this.params.nowMs() - atMs, code, hadStarted });
+    }
+  }
+
+  /** A process that is not up yet would be ended by the signal. */
+  private reload({ machines }: Extract<SoakFault, { kind: 'reload' }>): void {
+    const { fleet, nowMs } = this.params;
+    for (const machine of this.machinesOf(machines).filter((one) => fleet.hasStarted(one))) {
+      this.reloads.push({ machine: machine.idx, atMs: nowMs() });
+      machine.node.signal('SIGHUP');
     }
   }
 
@@ -97,23 +120,41 @@
     release(this.heldNodes, machines);
   }
 
-  private async harmLinks(
-    fault: Extract<SoakFault, { kind: 'relay-link' | 'store-link' }>,
-  ): Promise<void> {
+  private async harmLinks(fault: Extract<SoakFault, { kind: LinkFaultKind }>): Promise<void> {
     const { kind, state, delayMs } = fault;
-    const free = fault.machines.filter((idx) => !this.heldLinks.has(`${kind} ${idx}`));
-    free.forEach((idx) => this.heldLinks.add(`${kind} ${idx}`));
-    const machines = this.machinesOf(free);
-    const links = machines.map((machine) =>
-      kind === 'relay-link' ? machine.relayLink : machine.storeLink,
-    );
+    const machines = this.holdLinks(kind, fault.machines);
+    const links = machines.flatMap((machine) => linkOf(machine, kind) ?? []);
     // A harmed link to one node is met by the callers of every other one.
-    await this.during(fault, kind === 'relay-link' ? undefined : machines, async () => {
+    const struck = kind === 'relay-link' ? undefined : machines;
+    const act = async (): Promise<void> => {
       links.forEach((link) => link.set(state, delayMs));
       await delay(fault.forMs);
       links.forEach((link) => link.set('open'));
-    });
-    free.forEach((idx) => this.heldLinks.delete(`${kind} ${idx}`));
+    };
+    await this.during(fault, struck, act, machines);
+    this.releaseLinks(kind, machines);
+  }
+
+  private async narrowLinks(fault: Extract<SoakFault, { kind: 'narrow' }>): Promise<void> {
+    const { fleet } = this.params;
+    const machines = this.holdLinks('narrow', fault.machines);
+    const act = async (): Promise<void> => {
+      machines.forEach(({ relayLink }) => relayLink.setBandwidth(fault.bytesPerS));
+      await delay(fault.forMs);
+      machines.forEach(({ relayLink }) => relayLink.setBandwidth(fleet.linkBytesPerS));
+    };
+    await this.during(fault, undefined, act, machines);
+    this.releaseLinks('narrow', machines);
+  }
+
+  private holdLinks(kind: string, wanted: readonly number[]): SoakMachine[] {
+    const free = wanted.filter((idx) => !this.heldLinks.has(`${kind} ${idx}`));
+    free.forEach((idx) => this.heldLinks.add(`${kind} ${idx}`));
+    return this.machinesOf(free);
+  }
+
+  private releaseLinks(kind: string, machines: readonly SoakMachine[]): void {
+    machines.forEach(({ idx }) => this.heldLinks.delete(`${kind} ${idx}`));
   }
 
   private async failStore(fault: Extract<SoakFault, { kind: 'store-outage' }>): Promise<void> {
@@ -180,10 +221,12 @@
     { kind }: SoakFault,
     machines: readonly SoakMachine[] | undefined,
     act: () => Promise<void>,
+    linksOf: readonly SoakMachine[] = [],
   ): Promise<void> {
     const window = {
       kind,
       machines: machines?.map(({ idx }) => idx),
+      ...(linksOf.length > 0 && { linksOf: linksOf.map(({ idx }) => idx) }),
       fromMs: this.params.nowMs(),
       untilMs: Infinity,
     };
@@ -210,3 +253,14 @@
 function release(held: Set<number>, machines: readonly SoakMachine[]): void {
   machines.forEach(({ idx }) => held.delete(idx));
 }
+
+function linkOf(machine: SoakMachine, kind: LinkFaultKind): LinkProxy | undefined {
+  switch (kind) {
+    case 'relay-link':
+      return machine.relayLink;
+    case 'store-link':
+      return machine.storeLink;
+    case 'backend-link':
+      return machine.backendLink;
+  }
+}
--- a/tools/soak/fault-plan.ts
+++ b/tools/soak/fault-plan.ts
@@ -8,18 +8,28 @@
 /** How the store misbehaves towards all nodes. */
 export type StoreOutage = 'busy' | 'reset' | 'silent' | 'lag';
 
+/** Links that can be harmed: from other nodes, to the store, and to a back end where it has one. */
+export type LinkFaultKind = 'relay-link' | 'store-link' | 'backend-link';
+
 /** One thing that is done to the deployment; it ends after `forMs` where that makes sense. */
 export type SoakFault =
   | { readonly kind: 'kill'; readonly machines: readonly number[]; readonly forMs: number }
   | { readonly kind: 'stop'; readonly machines: readonly number[]; readonly forMs: number }
   | { readonly kind: 'freeze'; readonly machines: readonly number[]; readonly forMs: number }
+  | { readonly kind: 'reload'; readonly machines: readonly number[]; readonly forMs: number }
   | {
-      readonly kind: 'relay-link' | 'store-link';
+      readonly kind: LinkFaultKind;
       readonly machines: readonly number[];
       readonly state: LinkState;
       readonly delayMs: number;
       readonly forMs: number;
     }
+  | {
+      readonly kind: 'narrow';
+      readonly machines: readonly number[];
+      readonly bytesPerS: number;
+      readonly forMs: number;
+    }
   | { readonly kind: 'store-outage'; readonly outage: StoreOutage; readonly forMs: number }
   | { readonly kind: 'store-compact'; readonly forMs: number }
   | {
@@ -69,7 +79,7 @@
 ];
 
 /** Kinds, each as often as it is to be drawn. */
-const DRAWN_KINDS: readonly SoakFaultKind[] = [
+const DRAWN_KINDS = [
   'kill',
   'kill',
   'stop',
@@ -89,7 +99,7 @@
   'configure',
   'configure',
   'configure',
-];
+] as const satisfies readonly SoakFaultKind[];
 
 /** Draws a plan; its faults are in the order of their times and may overlap. */
 export function planSoak(params: PlanParams): PlannedFault[] {
@@ -147,7 +157,7 @@
 }
 
 /** One machine mostly; now and then up to half of them, and seldom all. */
-function drawMachines(machines: number, random: RandomSource): number[] {
+export function drawMachines(machines: number, random: RandomSource): number[] {
   const all = Array.from({ length: machines }, (_, idx) => idx);
   const dice = random();
   const mostStruck = Math.max(1, Math.floor(machines * MAX_STRUCK_SHARE));
--- a/tools/soak/link-proxy.ts
+++ b/tools/soak/link-proxy.ts
@@ -1,6 +1,7 @@
 /** A loopback TCP proxy that carries the bytes of a link, and harms it on demand. */
 import { once } from 'node:events';
 import net, { type Socket } from 'node:net';
+import { LinkDirection, LinkLane } from './link-direction.js';
 
 /**
  * - `open`: bytes pass.
@@ -8,8 +9,11 @@
  * - `silence`: nothing passes, and connections stay open.
  * - `one-way`: what the dialled side says is held back.
  * - `refuse`: connections are reset, and new ones too.
+ * - `open-silence`: connections that are open stay so and are silent for good; new ones work.
+ * - `open-one-way`: the same, for what the dialled side says.
  */
-export type LinkState = 'open' | 'delay' | 'silence' | 'one-way' | 'refuse';
+export type LinkState =
+  'open' | 'delay' | 'silence' | 'one-way' | 'refuse' | 'open-silence' | 'open-one-way';
 
 /** An address and a port. */
 export interface Place {
@@ -21,6 +25,12 @@
 interface Pair {
   readonly near: Socket;
   readonly far: Socket;
+  /** What the dialling side says. */
+  readonly there: LinkDirection;
+  /** What the dialled side says. */
+  readonly back: LinkDirection;
+  /** What is held back for good, whatever becomes of the link. */
+  lost: 'nothing' | 'back' | 'both';
 }
 
 /** The proxy in front of `target`. */
@@ -28,6 +38,8 @@
   private state: LinkState = 'open';
   private delayMs = 0;
   private readonly pairs = new Set<Pair>();
+  private readonly laneThere = new LinkLane();
+  private readonly laneBack = new LinkLane();
   private readonly server = net.createServer((near) => this.accept(near));
 
   private constructor(private readonly target: Place) {}
@@ -48,11 +60,18 @@
       if (state === 'refuse') {
         reset(pair);
       } else {
+        this.silence(pair);
         this.apply(pair);
       }
     }
   }
 
+  /** Bounds what passes each way from now on, of all connections together; Infinity for no bound. */
+  setBandwidth(bytesPerS: number): void {
+    this.laneThere.bytesPerS = bytesPerS;
+    this.laneBack.bytesPerS = bytesPerS;
+  }
+
   close(): void {
     this.server.close();
     this.pairs.forEach(reset);
@@ -65,40 +84,31 @@
       return;
     }
     const far = net.connect({ host: this.target.address, port: this.target.port });
-    const pair = { near, far };
+    const there = new LinkDirection(near, far, this.laneThere);
+    const back = new LinkDirection(far, near, this.laneBack);
+    const pair: Pair = { near, far, there, back, lost: 'nothing' };
     this.pairs.add(pair);
-    this.carry(near, far);
-    this.carry(far, near);
     far.on('error', () => reset(pair));
     near.on('error', () => reset(pair));
     far.once('close', () => this.pairs.delete(pair));
     this.apply(pair);
   }
 
-  private carry(from: Socket, to: Socket): void {
-    from.on('data', (chunk: Buffer) => this.later(() => !to.destroyed && to.write(chunk)));
-    from.on('end', () => this.later(() => to.end()));
-  }
-
-  private later(act: () => void): void {
-    if (this.state === 'delay') {
-      setTimeout(act, this.delayMs);
-    } else {
-      act();
+  /** Marks what an open connection never gets again. */
+  private silence(pair: Pair): void {
+    if (this.state === 'open-silence') {
+      pair.lost = 'both';
+    } else if (this.state === 'open-one-way' && pair.lost === 'nothing') {
+      pair.lost = 'back';
     }
   }
 
-  private apply({ near, far }: Pair): void {
-    toggle(near, this.state !== 'silence');
-    toggle(far, this.state !== 'silence' && this.state !== 'one-way');
-  }
-}
-
-function toggle(socket: Socket, isFlowing: boolean): void {
-  if (isFlowing) {
-    socket.resume();
-  } else {
-    socket.pause();
+  private apply({ there, back, lost }: Pair): void {
+    const delayMs = this.state === 'delay' ? this.delayMs : 0;
+    there.delayMs = delayMs;
+    back.delayMs = delayMs;
+    there.hold(this.state === 'silence' || lost === 'both');
+    back.hold(this.state === 'silence' || this.state === 'one-way' || lost !== 'nothing');
   }
 }
 
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -3,9 +3,10 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import meow from 'meow';
-import type { BrokenPromise, SoakCall, SoakRecord } from './promises.js';
+import type { BrokenPromise } from './promises.js';
 import type { SoakFleet } from './soak-fleet.js';
-import { runSoak } from './soak-run.js';
+import type { SoakCall, SoakRecord } from './soak-record.js';
+import { runSoak, SOAK_PLANS, type SoakPlan } from './soak-run.js';
 
 const MS_PER_SECOND = 1_000;
 const MAX_SEED = 2 ** 31;
@@ -23,6 +24,9 @@
     --seconds   Time for which faults go on (default 60)
     --machines  Nodes, each with a back end beside it (default 6)
     --rate      Requests a second (default 150)
+    --plan      What happens: 'faults' are single ones, 'series' (default) also has rolling stops,
+                releases, silent connections, narrow links, uploads and kept connections
+    --uploads   Uploads a second, for 'series' (default 20)
     --keep      Folder for the logs and records of a run that broke a promise
 
   Runs nodes on loopback addresses, delays, resets, silences and cuts their links through proxies,
@@ -38,6 +42,8 @@
       seconds: { type: 'number', default: 60 },
       machines: { type: 'number', default: 6 },
       rate: { type: 'number', default: 150 },
+      plan: { type: 'string', choices: [...SOAK_PLANS], default: 'series' },
+      uploads: { type: 'number', default: 20 },
       keep: { type: 'string' },
     },
   },
@@ -79,15 +85,17 @@
 }
 
 async function main(): Promise<number> {
-  const { seconds, machines, rate, keep: folder } = cli.flags;
+  const { seconds, machines, rate, plan, uploads, keep: folder } = cli.flags;
   const seed = cli.flags.seed ?? randomInt(MAX_SEED);
   const log: string[] = [];
-  print(`soak: seed ${seed}, ${machines} machines, faults for ${seconds} s`);
+  print(`soak: seed ${seed}, plan ${plan}, ${machines} machines, faults for ${seconds} s`);
   const { broken, record } = await runSoak({
     seed,
     machines,
     faultsMs: seconds * MS_PER_SECOND,
     perSecond: rate,
+    plan: plan as SoakPlan,
+    uploadsPerSecond: uploads,
     network: `127.${randomInt(16, 255)}`,
     say: (text) => log.push(`soak ${text}`) && print(`  ${text}`),
     onLogLine: (machine, line) => log.push(`${machine} ${line}`),
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -3,6 +3,8 @@
  * are in milliseconds on the clock of the soak.
  */
 import type { SoakFaultKind } from './fault-plan.js';
+import type { SoakArrival, SoakCall, SoakRecord } from './soak-record.js';
+import { judgeReloads, judgeStops } from './stop-promises.js';
 
 /** The promises that are checked. */
 export type SoakPromise =
@@ -24,8 +26,10 @@
   | 'never-back'
   /** A back end that leaves gets nothing new after its bound. */
   | 'drain'
-  /** A planned stop ends in time and cuts nothing. */
+  /** A planned stop ends in time, and what the node had read gets a whole answer. */
   | 'planned-stop'
+  /** What a node had read gets a whole answer although it reads its settings again. */
+  | 'reload'
   /** A request is answered at its route's time-out. */
   | 'time-out'
   /** No program ends by itself. */
@@ -39,94 +43,6 @@
   readonly detail: string;
 }
 
-/** A caller's request and its end. */
-export interface SoakCall {
-  readonly id: string;
-  readonly machine: number;
-  /** Number of the node's process on that machine. */
-  readonly life: number;
-  readonly isSafe: boolean;
-  readonly target: string;
-  readonly body: string;
-  /** Configuration that the route came with; undefined for routes that all have. */
-  readonly addedBy: number | undefined;
-  readonly sentAtMs: number;
-  readonly endedAtMs: number;
-  readonly deadlineMs: number;
-  /** 0 where the connection ended without a head, or there was none. */
-  readonly status: number;
-  readonly isWhole: boolean;
-  readonly isSigned: boolean;
-  readonly answer: string;
-  /** Whether a connection was open, so that the node may have read the request. */
-  readonly wasSent: boolean;
-  /** Whether the caller left before the answer. */
-  readonly isGivenUp: boolean;
-}
-
-/** A request that reached a back end. */
-export interface SoakArrival {
-  readonly id: string;
-  readonly backend: string;
-  readonly machine: number;
-  readonly atMs: number;
-  readonly target: string;
-  readonly method: string;
-  readonly body: string;
-  readonly callerService: string;
-  readonly deadlineMs: number;
-  /** Whether the back end began to work on it. */
-  readonly hasRun: boolean;
-}
-
-/** A time in which a fault struck machines. */
-export interface FaultWindow {
-  readonly kind: SoakFaultKind;
-  /** Undefined when it struck all. */
-  readonly machines: readonly number[] | undefined;
-  readonly fromMs: number;
-  readonly untilMs: number;
-}
-
-/** A planned stop of a node and how it ended. */
-export interface SoakStop {
-  readonly machine: number;
-  readonly atMs: number;
-  readonly tookMs: number;
-  readonly code: number | null | undefined;
-}
-
-/** All that a soak has seen. */
-export interface SoakRecord {
-  readonly calls: readonly SoakCall[];
-  readonly arrivals: readonly SoakArrival[];
-  readonly windows: readonly FaultWindow[];
-  readonly stops: readonly SoakStop[];
-  /** When each configuration was acknowledged, by its number; numbers rise by one. */
-  readonly configuredAtMs: ReadonlyMap<number, number>;
-  /** When the draining of each back end was acknowledged. */
-  readonly drainedAtMs: ReadonlyMap<string, number>;
-  readonly serviceOfMachine: readonly string[];
-  readonly ownEnds: readonly string[];
-  /** From when on nothing was harmed any more. */
-  readonly calmFromMs: number;
-  readonly terms: SoakTerms;
-}
-
-/** The bounds of the deployment, in milliseconds but for counts. */
-export interface SoakTerms {
-  readonly contactMs: number;
-  readonly configApplyMs: number;
-  readonly rollbackSlackMs: number;
-  readonly drainMs: number;
-  readonly graceMs: number;
-  readonly routeTimeoutMs: number;
-  readonly recoveryMs: number;
-  readonly maxAttempts: number;
-  /** Configurations after which a route that came with one is dropped. */
-  readonly routeLifeInConfigurations: number;
-}
-
 /** Statuses that promise that the request has not run and never will. */
 const PROMISES = new Set([408, 421, 429, 503]);
 const NOT_FOUND = 404;
@@ -145,7 +61,8 @@
       judgeArrival(record, arrival, callsById.get(arrival.id)),
     ),
     ...judgeRegressions(record),
-    ...record.stops.flatMap((stop) => judgeStop(record, stop)),
+    ...judgeStops(record, arrivalsById),
+    ...judgeReloads(record, arrivalsById),
     ...record.ownEnds.map((detail): BrokenPromise => ({ promise: 'no-own-end', detail })),
     ...judgeRecovery(record),
   ];
@@ -189,12 +106,12 @@
 }
 
 function isUnanswered(record: SoakRecord, call: SoakCall): boolean {
-  const tookMs = call.endedAtMs - call.sentAtMs;
-  const boundMs = Math.min(record.terms.routeTimeoutMs, call.deadlineMs) + SLACK_MS;
+  const dueAtMs = call.sentAtMs + Math.min(call.timeoutMs, call.deadlineMs);
   return (
     call.wasSent &&
     !call.isGivenUp &&
-    tookMs > boundMs &&
+    call.sentWholeAtMs <= dueAtMs &&
+    call.endedAtMs > dueAtMs + SLACK_MS &&
     isInTouch(record, call.machine, call.sentAtMs, call.endedAtMs)
   );
 }
@@ -237,15 +154,17 @@
     say('unaltered', `${arrival.method} ${arrival.target} from ${arrival.callerService}`);
   }
   const isInTouchFrom = (fromMs: number): boolean =>
-    [call.machine, arrival.machine].every((idx) => isInTouch(record, idx, fromMs, arrival.atMs));
-  const leftMs = call.sentAtMs + call.deadlineMs - arrival.atMs;
+    [call.machine, arrival.machine].every((idx) =>
+      isInTouch(record, idx, fromMs, arrival.headAtMs),
+    );
+  const leftMs = call.sentAtMs + call.deadlineMs - arrival.headAtMs;
   if (arrival.deadlineMs > Math.max(0, leftMs) + SLACK_MS && isInTouchFrom(call.sentAtMs)) {
     say('deadline', `${arrival.deadlineMs} ms were given, ${Math.round(leftMs)} were left`);
   }
   const drainedAtMs = record.drainedAtMs.get(arrival.backend) ?? Infinity;
-  const isLate = arrival.hasRun && arrival.atMs > drainedAtMs + record.terms.drainMs + SLACK_MS;
+  const isLate = arrival.hasRun && arrival.headAtMs > drainedAtMs + record.terms.drainMs + SLACK_MS;
   if (isLate && isInTouchFrom(drainedAtMs)) {
-    say('drain', `${Math.round(arrival.atMs - drainedAtMs)} ms after its draining was known`);
+    say('drain', `${Math.round(arrival.headAtMs - drainedAtMs)} ms after its draining was known`);
   }
   return broken;
 }
@@ -265,6 +184,7 @@
 function isHarmless(kind: SoakFaultKind): boolean {
   return (
     kind === 'configure' ||
+    kind === 'reload' ||
     kind === 'backend-drain' ||
     kind === 'backend-fault' ||
     kind === 'backend-crash'
@@ -293,45 +213,6 @@
   return broken;
 }
 
-function judgeStop(record: SoakRecord, stop: SoakStop): BrokenPromise[] {
-  const { graceMs } = record.terms;
-  const { machine, atMs, tookMs, code } = stop;
-  const isAlone = isTouchedOnlyBy(record, machine, atMs - record.terms.contactMs, atMs + tookMs);
-  if (!isAlone) {
-    return [];
-  }
-  const broken: BrokenPromise[] = [];
-  if (code !== 0 || tookMs > graceMs) {
-    const detail = `machine ${machine} ended with ${String(code)} after ${Math.round(tookMs)} ms`;
-    broken.push({ promise: 'planned-stop', detail });
-  }
-  for (const call of record.calls) {
-    const isCut = call.status === 0 && call.wasSent && !call.isGivenUp;
-    const isHere = call.machine === machine && call.endedAtMs >= atMs;
-    if (isCut && isHere && call.sentAtMs <= atMs + tookMs - SLACK_MS) {
-      broken.push({ promise: 'planned-stop', detail: `${call.id} was cut at machine ${machine}` });
-    }
-  }
-  return broken;
-}
-
-/** Whether no unplanned fault struck any machine or the store in the time. */
-function isTouchedOnlyBy(
-  record: SoakRecord,
-  machine: number,
-  fromMs: number,
-  untilMs: number,
-): boolean {
-  return !record.windows.some(
-    ({ kind, machines, ...window }) =>
-      kind !== 'configure' &&
-      kind !== 'backend-drain' &&
-      !(kind === 'stop' && machines?.includes(machine) === true) &&
-      window.fromMs <= untilMs &&
-      window.untilMs + record.terms.contactMs >= fromMs,
-  );
-}
-
 function judgeRecovery({ calls, calmFromMs, terms }: SoakRecord): BrokenPromise[] {
   const late = calls.filter(
     ({ addedBy, isGivenUp, sentAtMs }) =>
--- a/tools/soak/soak-backend.ts
+++ b/tools/soak/soak-backend.ts
@@ -1,5 +1,6 @@
 /** A back end of the soak: slots, a short queue, a ledger of what reached it, and faults on demand. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { RandomSource } from '../../src/control/control-event.js';
 import {
   answer,
@@ -9,12 +10,16 @@
 } from '../../standins/store-platform/backend-stand-in.js';
 import type { BackendFault } from './fault-plan.js';
 import type { Place } from './link-proxy.js';
-import type { SoakArrival } from './promises.js';
+import { markBody } from './body-mark.js';
+import type { SoakArrival } from './soak-record.js';
 
 /** Requests that run at once. */
 export const BACKEND_SLOTS = 8;
 const MIN_WORK_MS = 5;
 const MAX_WORK_MS = 60;
+/** An upload's work, in milliseconds. */
+const MIN_UPLOAD_WORK_MS = 100;
+const MAX_UPLOAD_WORK_MS = 400;
 /** A slow back end takes so many times as long. */
 const SLOW_FACTOR = 8;
 const MISDIRECTED_STATUS = 421;
@@ -28,13 +33,17 @@
   readonly random: RandomSource;
   readonly nowMs: () => number;
   readonly onArrival: (arrival: SoakArrival) => void;
+  readonly isUpload: (target: string) => boolean;
 }
 
 /** One start of a back end. */
 export class SoakBackend {
   private running = 0;
+  private isClosed = false;
   private fault: BackendFault | undefined;
   private faultShare = 0;
+  /** Connections that a fault ended. */
+  private readonly cut = new WeakSet<Socket>();
 
   private constructor(
     private readonly server: BackendStandIn,
@@ -61,6 +70,7 @@
 
   /** Ends at once: connections are cut. */
   close(): void {
+    this.isClosed = true;
     this.server.close();
   }
 
@@ -69,26 +79,26 @@
     const isStruck = this.fault !== undefined && this.params.random() < this.faultShare;
     const isFull = this.running >= BACKEND_SLOTS || (isStruck && this.fault === 'refuse');
     const hasRun = !isOther && !isFull;
-    this.note(arrival, hasRun);
+    this.note(arrival, response, hasRun);
     if (isOther) {
       refuse(response, arrival.requestId, MISDIRECTED_STATUS);
     } else if (isFull) {
       refuse(response, arrival.requestId);
     } else {
-      this.run(request, response, arrival.requestId, isStruck ? this.fault : undefined);
+      this.run(request, response, arrival, isStruck ? this.fault : undefined);
     }
   }
 
   private run(
     request: IncomingMessage,
     response: ServerResponse,
-    id: string,
+    { requestId, target }: Arrival,
     fault: BackendFault | undefined,
   ): void {
     this.running += 1;
-    const workMs = MIN_WORK_MS + this.params.random() * (MAX_WORK_MS - MIN_WORK_MS);
+    const workMs = this.drawWorkMs(target);
     const timer = setTimeout(
-      () => this.finish(request, response, id, fault),
+      () => this.finish(request, response, requestId, fault),
       fault === 'slow' ? workMs * SLOW_FACTOR : workMs,
     );
     response.once('close', () => {
@@ -97,6 +107,13 @@
     });
   }
 
+  private drawWorkMs(target: string): number {
+    const [least, most] = this.params.isUpload(target)
+      ? [MIN_UPLOAD_WORK_MS, MAX_UPLOAD_WORK_MS]
+      : [MIN_WORK_MS, MAX_WORK_MS];
+    return least + this.params.random() * (most - least);
+  }
+
   private finish(
     request: IncomingMessage,
     response: ServerResponse,
@@ -107,7 +124,7 @@
       case 'mute':
         return;
       case 'reset':
-        request.socket.resetAndDestroy();
+        this.cutOff(request.socket, () => request.socket.resetAndDestroy());
         return;
       case 'cut-answer':
         response.writeHead(200, {
@@ -116,7 +133,7 @@
           'Content-Length': 99,
         });
         response.write('body');
-        setImmediate(() => request.socket.destroy());
+        setImmediate(() => this.cutOff(request.socket, () => request.socket.destroy()));
         return;
       case 'errors':
         response.writeHead(ERROR_STATUS, { 'Request-Id': id, 'Content-Length': 0 }).end();
@@ -126,19 +143,42 @@
     }
   }
 
-  private note({ requestId, headers, method, target, body }: Arrival, hasRun: boolean): void {
+  private note(
+    { requestId, headers, method, target, body, readForMs }: Arrival,
+    response: ServerResponse,
+    hasRun: boolean,
+  ): void {
     const { id: backend, machine, nowMs, onArrival } = this.params;
-    onArrival({
+    const noted: SoakArrival = {
       id: requestId,
       backend,
       machine,
+      headAtMs: nowMs() - readForMs,
       atMs: nowMs(),
       target,
       method,
-      body,
+      body: markBody(body),
       callerService: String(headers['caller-service']),
       deadlineMs: Number(headers['deadline-ms']),
       hasRun,
+      brokeOff: false,
+      endedAtMs: Infinity,
+    };
+    onArrival(noted);
+    const { socket } = response;
+    response.once('close', () => {
+      noted.endedAtMs = nowMs();
+      noted.brokeOff = !response.writableFinished && this.hasBrokenOff(socket);
     });
   }
+
+  /** Whether the connection was ended here, and not by the node. */
+  private hasBrokenOff(socket: Socket | null): boolean {
+    return this.isClosed || (socket !== null && this.cut.has(socket));
+  }
+
+  private cutOff(socket: Socket, act: () => void): void {
+    this.cut.add(socket);
+    act();
+  }
 }
--- a/tools/soak/soak-client.ts
+++ b/tools/soak/soak-client.ts
@@ -1,13 +1,17 @@
 /** Callers of the soak: each sends one request, and notes what it got. */
 import http, { type IncomingMessage } from 'node:http';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { Place } from './link-proxy.js';
-import type { SoakCall } from './promises.js';
+import { markBody } from './body-mark.js';
+import type { SoakCall } from './soak-record.js';
 
 /** A request to be sent. */
 export interface SoakRequest extends Pick<
   SoakCall,
-  'id' | 'machine' | 'life' | 'isSafe' | 'target' | 'body' | 'addedBy' | 'deadlineMs'
+  'id' | 'machine' | 'life' | 'isSafe' | 'target' | 'body' | 'addedBy' | 'deadlineMs' | 'timeoutMs'
 > {
+  /** How the body goes out; at once when it is absent. */
+  readonly pace?: SendingPace;
   readonly place: Place;
   readonly host: string;
   /** Keeps the connection; a new one is opened when it is absent. */
@@ -17,6 +21,14 @@
   readonly nowMs: () => number;
 }
 
+/** A body that is sent in pieces. */
+export interface SendingPace {
+  readonly pieceBytes: number;
+  readonly gapMs: number;
+  /** Pieces after which the caller sends no more and keeps its connection; Infinity when it goes on. */
+  readonly stallsAfter: number;
+}
+
 /** Time past the deadline after which a caller stops listening, in milliseconds. */
 const LISTEN_MARGIN_MS = 1_500;
 
@@ -32,6 +44,7 @@
   private response: IncomingMessage | undefined;
   private answer = '';
   private wasSent = false;
+  private sentWholeAtMs = Infinity;
   private isGivenUp = false;
   private isOver = false;
 
@@ -73,13 +86,41 @@
         this.wasSent = true;
       }
     });
+    message.on('finish', () => {
+      this.sentWholeAtMs = this.request.nowMs();
+    });
     message.on('response', (response) => this.read(response));
     message.on('error', () => this.end());
     message.on('close', () => this.response === undefined && this.end());
-    message.end(body);
+    this.send(message, body);
     return message;
   }
 
+  private send(message: http.ClientRequest, body: string): void {
+    const { pace } = this.request;
+    if (pace === undefined) {
+      message.end(body);
+    } else {
+      message.flushHeaders();
+      void this.sendPieces(message, body, pace);
+    }
+  }
+
+  private async sendPieces(
+    message: http.ClientRequest,
+    body: string,
+    { pieceBytes, gapMs, stallsAfter }: SendingPace,
+  ): Promise<void> {
+    const lastIdx = Math.ceil(body.length / pieceBytes) - 1;
+    for (let idx = 0; idx < Math.min(lastIdx, stallsAfter) && !this.isOver; idx += 1) {
+      message.write(body.slice(idx * pieceBytes, (idx + 1) * pieceBytes));
+      await delay(gapMs);
+    }
+    if (lastIdx < stallsAfter && !this.isOver) {
+      message.end(body.slice(lastIdx * pieceBytes));
+    }
+  }
+
   private read(response: IncomingMessage): void {
     this.response = response;
     response.on('data', (chunk: Buffer) => {
@@ -95,11 +136,13 @@
     }
     this.isOver = true;
     clearTimeout(this.timer);
-    const { id, machine, life, isSafe, target, body, addedBy, deadlineMs, nowMs } = this.request;
+    const { id, machine, life, isSafe, target, addedBy, deadlineMs, timeoutMs } = this.request;
     this.resolve({
-      ...{ id, machine, life, isSafe, target, body, addedBy, deadlineMs },
+      ...{ id, machine, life, isSafe, target, addedBy, deadlineMs, timeoutMs },
+      body: markBody(this.request.body),
       sentAtMs: this.sentAtMs,
-      endedAtMs: nowMs(),
+      sentWholeAtMs: this.sentWholeAtMs,
+      endedAtMs: this.request.nowMs(),
       status: this.response?.statusCode ?? 0,
       isWhole: this.response?.complete === true,
       isSigned: this.response?.headers['server-signature'] !== undefined,
--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -11,7 +11,7 @@
 import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
 import { ChildGroup, type Child } from '../shared/child-process.js';
 import { LinkProxy, type Place } from './link-proxy.js';
-import type { SoakArrival, SoakTerms } from './promises.js';
+import type { SoakArrival, SoakTerms } from './soak-record.js';
 import { BACKEND_SLOTS, SoakBackend } from './soak-backend.js';
 
 const PROGRAM = new URL('../../platform/main.js', import.meta.url).pathname;
@@ -19,6 +19,10 @@
 const BACKEND_PORT = 22_301;
 const READY_PORT = 22_302;
 const CALLER_PORT = 22_304;
+/** Of so many machines in a row, half have a link before their back end: one of each service. */
+const BACKEND_LINK_CYCLE = 4;
+/** What a node logs once it is up. */
+const STARTED_LINE = 'node-started';
 const STORE_PORT = 22_305;
 const FIRST_INTERNAL_PORT = 22_320;
 const INTERNAL_PORTS = 10;
@@ -38,6 +42,17 @@
 export const SAFE_PREFIX = '/reads/';
 export const UNSAFE_PREFIX = '/orders/';
 
+/** Path of the route for long bodies. */
+export const UPLOAD_PREFIX = '/uploads/';
+
+/** Time-outs of the routes, in milliseconds. */
+export const ROUTE_TIMEOUT_MS = 1_500;
+export const UPLOAD_TIMEOUT_MS = 8_000;
+const TARGET_LATENCY_MS = 500;
+const UPLOAD_TARGET_LATENCY_MS = 1_200;
+/** Largest body that a node takes: above the largest upload. */
+const MAX_BODY_BYTES = 512 * 1_024;
+
 /** The bounds that the soak holds its nodes to, as the users' pages set them. */
 export const SOAK_TERMS: SoakTerms = {
   contactMs: 3_000,
@@ -45,7 +60,7 @@
   rollbackSlackMs: 250,
   drainMs: 2_000,
   graceMs: 6_000,
-  routeTimeoutMs: 1_500,
+  lossSlackMs: 200,
   recoveryMs: 5_000,
   maxAttempts: 2,
   routeLifeInConfigurations: 3,
@@ -56,6 +71,10 @@
   /** The first two numbers of its loopback network. */
   readonly network: string;
   readonly machines: number;
+  /** What the link from other nodes to each node passes each way; Infinity for no bound. */
+  readonly linkBytesPerS: number;
+  /** Whether some back ends are behind a link that can be harmed. */
+  readonly hasBackendLinks: boolean;
   readonly random: RandomSource;
   readonly nowMs: () => number;
   readonly onArrival: (arrival: SoakArrival) => void;
@@ -69,6 +88,8 @@
   readonly caller: Place;
   readonly relayLink: LinkProxy;
   readonly storeLink: LinkProxy;
+  /** The link to its back end, where it can be harmed. */
+  readonly backendLink: LinkProxy | undefined;
   readonly settingsPath: string;
   backend: SoakBackend;
   node: Child;
@@ -83,6 +104,7 @@
   /** When each configuration was written, by its number. */
   readonly configuredAtMs = new Map<number, number>();
   readonly drainedAtMs = new Map<string, number>();
+  private readonly startedLives = new Set<string>();
   private readonly lifeCycle = new LifeCycle();
   private readonly children: ChildGroup;
   private readonly folder: string;
@@ -108,11 +130,21 @@
     return fleet;
   }
 
+  /** What the link from other nodes to each node passes each way; Infinity for no bound. */
+  get linkBytesPerS(): number {
+    return this.params.linkBytesPerS;
+  }
+
   /** Number of the newest configuration. */
   get newestConfiguration(): number {
     return this.configuration;
   }
 
+  /** Whether the node's process has said that it is up. */
+  hasStarted({ idx, life }: SoakMachine): boolean {
+    return this.startedLives.has(lifeName(idx, life));
+  }
+
   /** Programs that ended although nobody told them to. */
   ownEnds(): string[] {
     return this.children.endedUnasked().map(({ name, output }) => `${name}: ${output.join(' ')}`);
@@ -128,6 +160,7 @@
     const paths = [
       route('reads', SAFE_PREFIX, 'safe', 'reads'),
       route('orders', UNSAFE_PREFIX, 'unsafe', 'orders'),
+      UPLOAD_ROUTE,
       ...numbers.map((number) => route(`added${number}`, addedPrefix(number), 'safe', 'reads')),
     ];
     this.store.put('op/config', {
@@ -135,7 +168,12 @@
         .toString(VERSION_RADIX)
         .padStart(VERSION_DIGITS, '0'),
       services: SOAK_SERVICES.map((name) => ({ name })),
-      limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutS: 3, idleTimeoutS: 15 },
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: MAX_BODY_BYTES,
+        headerTimeoutS: 3,
+        idleTimeoutS: 15,
+      },
       virtualHosts: [{ hostname: SOAK_HOST, paths }],
     });
     this.configuredAtMs.set(this.configuration, this.params.nowMs());
@@ -184,17 +222,20 @@
     const storePlace = { address: '127.0.0.1', port: this.store.port };
     const relayLink = await LinkProxy.start({ address: host, port: RELAY_PORT }, relay);
     const storeLink = await LinkProxy.start(toStore, storePlace);
+    relayLink.setBandwidth(this.params.linkBytesPerS);
     this.lifeCycle.own('relay link', relayLink, (link) => link.close());
     this.lifeCycle.own('store link', storeLink, (link) => link.close());
     const service = serviceOf(idx);
     const settingsPath = join(this.folder, `${idx}.conf`);
     writeFileSync(settingsPath, settingsText({ idx, host, relay, toStore, service }));
+    const backendLink = await this.startBackendLink(idx);
     const machine: SoakMachine = {
       idx,
       service,
       caller: { address: host, port: CALLER_PORT },
       relayLink,
       storeLink,
+      backendLink,
       settingsPath,
       backend: await this.startBackend(idx, 1),
       node: this.startNode(idx, 1, settingsPath),
@@ -208,15 +249,36 @@
   private startNode(idx: number, life: number, settingsPath: string): Child {
     const env = { FERRYSPOOL_CONFIG: settingsPath };
     const node = this.children.start(`node ${idx}, life ${life}`, PROGRAM, [], env);
-    node.onLine((line) => this.params.onLogLine(idx, line));
+    node.onLine((line) => {
+      if (line.includes(STARTED_LINE)) {
+        this.startedLives.add(lifeName(idx, life));
+      }
+      this.params.onLogLine(idx, line);
+    });
     return node;
   }
 
+  /** Some back ends only: a process that is gone refuses connections, the link to one resets them. */
+  private async startBackendLink(idx: number): Promise<LinkProxy | undefined> {
+    if (!this.isBackendLinked(idx)) {
+      return undefined;
+    }
+    const place = { address: this.addressOf(idx, 0), port: BACKEND_PORT };
+    const link = await LinkProxy.start(place, { ...place, address: this.addressOf(idx, 1) });
+    return this.lifeCycle.own('back end link', link, (one) => one.close());
+  }
+
+  private isBackendLinked(idx: number): boolean {
+    return this.params.hasBackendLinks && idx % BACKEND_LINK_CYCLE >= BACKEND_LINK_CYCLE / 2;
+  }
+
   private startBackend(idx: number, count: number): Promise<SoakBackend> {
     const { random, nowMs, onArrival } = this.params;
-    const place = { address: this.addressOf(idx, 0), port: BACKEND_PORT };
+    const address = this.addressOf(idx, this.isBackendLinked(idx) ? 1 : 0);
+    const place = { address, port: BACKEND_PORT };
     const id = `i-${idx}-${count}`;
-    return SoakBackend.start({ id, machine: idx, place, random, nowMs, onArrival });
+    const isUpload = (target: string): boolean => target.startsWith(UPLOAD_PREFIX);
+    return SoakBackend.start({ id, machine: idx, place, random, nowMs, onArrival, isUpload });
   }
 
   private announce({ idx, service, backend }: SoakMachine, state: string): void {
@@ -243,16 +305,26 @@
   return `/added${number}/`;
 }
 
-function route(name: string, pathPrefix: string, kind: string, service: string): unknown {
+function lifeName(idx: number, life: number): string {
+  return `${idx}/${life}`;
+}
+
+function route(name: string, pathPrefix: string, kind: string, service: string): object {
   return {
     ...{ name, pathPrefix, kind, service },
-    timeoutS: SOAK_TERMS.routeTimeoutMs / MS_PER_SECOND,
-    targetLatencyS: 0.5,
+    timeoutS: ROUTE_TIMEOUT_MS / MS_PER_SECOND,
+    targetLatencyS: TARGET_LATENCY_MS / MS_PER_SECOND,
     priority: 1,
     maxAttempts: SOAK_TERMS.maxAttempts,
   };
 }
 
+const UPLOAD_ROUTE = {
+  ...route('uploads', UPLOAD_PREFIX, 'unsafe', 'orders'),
+  timeoutS: UPLOAD_TIMEOUT_MS / MS_PER_SECOND,
+  targetLatencyS: UPLOAD_TARGET_LATENCY_MS / MS_PER_SECOND,
+};
+
 /**
  * The zone of a machine: four machines in the first one, one in each further one. Nine machines so have
  * six zones, two readers each, and two nodes that follow others.
--- /dev/null
+++ b/tools/soak/soak-record.ts
@@ -0,0 +1,116 @@
+/**
+ * What a soak has seen: callers' requests, arrivals at back ends, faults and planned work. Times are in
+ * milliseconds on the clock of the soak.
+ */
+import type { SoakFaultKind } from './fault-plan.js';
+
+/** A caller's request and its end. */
+export interface SoakCall {
+  readonly id: string;
+  readonly machine: number;
+  /** Number of the node's process on that machine. */
+  readonly life: number;
+  readonly isSafe: boolean;
+  readonly target: string;
+  readonly body: string;
+  /** Configuration that the route came with; undefined for routes that all have. */
+  readonly addedBy: number | undefined;
+  readonly sentAtMs: number;
+  readonly endedAtMs: number;
+  readonly deadlineMs: number;
+  /** The time-out of its route. */
+  readonly timeoutMs: number;
+  /** When its last byte had been handed to the connection; Infinity when that never happened. */
+  readonly sentWholeAtMs: number;
+  /** 0 where the connection ended without a head, or there was none. */
+  readonly status: number;
+  readonly isWhole: boolean;
+  readonly isSigned: boolean;
+  readonly answer: string;
+  /** Whether a connection was open, so that the node may have read the request. */
+  readonly wasSent: boolean;
+  /** Whether the caller left before the answer. */
+  readonly isGivenUp: boolean;
+}
+
+/** A request that reached a back end. */
+export interface SoakArrival {
+  readonly id: string;
+  readonly backend: string;
+  readonly machine: number;
+  /** When its head was there, which tells the time it has. */
+  readonly headAtMs: number;
+  /** When it was there whole. */
+  readonly atMs: number;
+  readonly target: string;
+  readonly method: string;
+  readonly body: string;
+  readonly callerService: string;
+  readonly deadlineMs: number;
+  /** Whether the back end began to work on it. */
+  readonly hasRun: boolean;
+  /** Whether the back end ended its connection without a whole answer. */
+  brokeOff: boolean;
+  /** When its exchange with the back end ended; Infinity while it has not. */
+  endedAtMs: number;
+}
+
+/** A time in which a fault struck machines. */
+export interface FaultWindow {
+  readonly kind: SoakFaultKind;
+  /** Machines that are not in touch for it; undefined when none is. */
+  readonly machines: readonly number[] | undefined;
+  /** Machines whose own links it harmed; none when absent. */
+  readonly linksOf?: readonly number[];
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** A planned stop of a node and how it ended. */
+export interface SoakStop {
+  readonly machine: number;
+  readonly atMs: number;
+  readonly tookMs: number;
+  readonly code: number | null | undefined;
+  /** Whether the process had said that it is up; before, it may not know of the signal yet. */
+  readonly hadStarted: boolean;
+}
+
+/** A node was told to read its settings again. */
+export interface SoakReload {
+  readonly machine: number;
+  readonly atMs: number;
+}
+
+/** All that a soak has seen. */
+export interface SoakRecord {
+  readonly calls: readonly SoakCall[];
+  readonly arrivals: readonly SoakArrival[];
+  readonly windows: readonly FaultWindow[];
+  readonly stops: readonly SoakStop[];
+  readonly reloads: readonly SoakReload[];
+  /** When each configuration was acknowledged, by its number; numbers rise by one. */
+  readonly configuredAtMs: ReadonlyMap<number, number>;
+  /** When the draining of each back end was acknowledged. */
+  readonly drainedAtMs: ReadonlyMap<string, number>;
+  readonly serviceOfMachine: readonly string[];
+  readonly ownEnds: readonly string[];
+  /** From when on nothing was harmed any more. */
+  readonly calmFromMs: number;
+  readonly terms: SoakTerms;
+}
+
+/** The bounds of the deployment, in milliseconds but for counts. */
+export interface SoakTerms {
+  readonly contactMs: number;
+  readonly configApplyMs: number;
+  readonly rollbackSlackMs: number;
+  readonly drainMs: number;
+  readonly graceMs: number;
+  /** Time from a request's last byte within which a connection may end as if it had not been read. */
+  readonly lossSlackMs: number;
+  readonly recoveryMs: number;
+  readonly maxAttempts: number;
+  /** Configurations after which a route that came with one is dropped. */
+  readonly routeLifeInConfigurations: number;
+}
--- a/tools/soak/soak-run.ts
+++ b/tools/soak/soak-run.ts
@@ -1,11 +1,14 @@
 /** One soak: start, faults under traffic, a calm end, and the verdict. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { seededRandom } from '../emulator/seeded-random.js';
-import { planSoak } from './fault-plan.js';
+import { planSoak, type PlannedFault } from './fault-plan.js';
 import { SoakFaultInjector } from './fault-injector.js';
-import { judgeSoak, type BrokenPromise, type SoakArrival, type SoakRecord } from './promises.js';
+import { judgeSoak, type BrokenPromise } from './promises.js';
+import { planSeries } from './series-plan.js';
 import { serviceOf, SOAK_TERMS, SoakFleet } from './soak-fleet.js';
+import type { SoakArrival, SoakRecord } from './soak-record.js';
 import { SoakTraffic } from './soak-traffic.js';
+import { UploadTraffic } from './upload-traffic.js';
 
 /** Traffic before the first fault: the programs start meanwhile. */
 const WARM_UP_MS = 4_000;
@@ -15,6 +18,22 @@
 const PLAN_STREAM = 0;
 const TRAFFIC_STREAM = 1;
 const BACKEND_STREAM = 2;
+const SERIES_STREAM = 3;
+const UPLOAD_STREAM = 4;
+/** What the link to a node passes each way: 7 Mbit/s, as machines of the users' deployments have. */
+const LINK_BYTES_PER_S = 875_000;
+
+/**
+ * What happens in a soak:
+ *
+ * - `faults`: single faults, under short requests.
+ * - `series`: the same faults, and beside them what comes in series, under uploads and callers that keep
+ *   their connections too, over links that pass only so much.
+ */
+export const SOAK_PLANS = ['faults', 'series'] as const;
+
+/** What happens in a soak. */
+export type SoakPlan = (typeof SOAK_PLANS)[number];
 
 /** How to run. */
 export interface SoakParams {
@@ -22,6 +41,9 @@
   readonly faultsMs: number;
   readonly machines: number;
   readonly perSecond: number;
+  readonly plan: SoakPlan;
+  /** Uploads a second, of all machines together, in a soak with series. */
+  readonly uploadsPerSecond: number;
   /** The first two numbers of the loopback network. */
   readonly network: string;
   readonly say: (text: string) => void;
@@ -44,6 +66,8 @@
   const fleet = await SoakFleet.start({
     network: params.network,
     machines: params.machines,
+    linkBytesPerS: params.plan === 'series' ? LINK_BYTES_PER_S : Infinity,
+    hasBackendLinks: params.plan === 'series',
     random: seededRandom(params.seed, BACKEND_STREAM),
     nowMs,
     onArrival: (arrival) => arrivals.push(arrival),
@@ -67,6 +91,10 @@
   const random = seededRandom(seed, TRAFFIC_STREAM);
   const injector = new SoakFaultInjector({ fleet, nowMs, say });
   const traffic = new SoakTraffic({ fleet, random, nowMs, perSecond });
+  const uploads = new UploadTraffic({
+    ...{ fleet, nowMs, perSecond: params.uploadsPerSecond },
+    random: seededRandom(seed, UPLOAD_STREAM),
+  });
   // Nodes that have just been started are no more in touch than those that start again.
   const startWindow = {
     kind: 'kill',
@@ -75,19 +103,20 @@
     untilMs: WARM_UP_MS,
   } as const;
   injector.windows.push(startWindow);
-  const sending = traffic.run();
+  const sending = [traffic.run(), ...(params.plan === 'series' ? [uploads.run()] : [])];
   await delay(WARM_UP_MS);
   await performAll(params, injector);
   const calmFromMs = nowMs();
   say('nothing is harmed any more');
   await delay(SOAK_TERMS.recoveryMs + CALM_MS);
-  await traffic.stop();
-  await sending;
+  await Promise.all([traffic.stop(), uploads.stop()]);
+  await Promise.all(sending);
   const record: SoakRecord = {
-    calls: traffic.calls,
+    calls: [...traffic.calls, ...uploads.calls],
     arrivals,
     windows: injector.windows,
     stops: injector.stops,
+    reloads: injector.reloads,
     configuredAtMs: fleet.configuredAtMs,
     drainedAtMs: fleet.drainedAtMs,
     serviceOfMachine: Array.from({ length: machines }, (_, idx) => serviceOf(idx)),
@@ -98,16 +127,22 @@
   return { record, broken: judgeSoak(record) };
 }
 
-async function performAll(
-  { seed, faultsMs, machines }: SoakParams,
-  injector: SoakFaultInjector,
-): Promise<void> {
-  const random = seededRandom(seed, PLAN_STREAM);
+async function performAll(params: SoakParams, injector: SoakFaultInjector): Promise<void> {
   const beganAtMs = performance.now();
   const underWay: Promise<void>[] = [];
-  for (const { atMs, fault } of planSoak({ machines, durationMs: faultsMs, random })) {
+  for (const { atMs, fault } of planFaults(params)) {
     await delay(Math.max(0, atMs - (performance.now() - beganAtMs)));
     underWay.push(injector.perform(fault));
   }
   await Promise.all(underWay);
 }
+
+function planFaults({ seed, faultsMs, machines, plan }: SoakParams): PlannedFault[] {
+  const common = { machines, durationMs: faultsMs };
+  const single = planSoak({ ...common, random: seededRandom(seed, PLAN_STREAM) });
+  if (plan === 'faults') {
+    return single;
+  }
+  const series = planSeries({ ...common, random: seededRandom(seed, SERIES_STREAM) });
+  return [...single, ...series].sort((left, right) => left.atMs - right.atMs);
+}
--- a/tools/soak/soak-traffic.ts
+++ b/tools/soak/soak-traffic.ts
@@ -2,10 +2,11 @@
 import http from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { RandomSource } from '../../src/control/control-event.js';
-import type { SoakCall } from './promises.js';
+import type { SoakCall } from './soak-record.js';
 import { sendCall, type SoakRequest } from './soak-client.js';
 import {
   addedPrefix,
+  ROUTE_TIMEOUT_MS,
   SAFE_PREFIX,
   SOAK_HOST,
   SOAK_TERMS,
@@ -87,6 +88,7 @@
       place: machine.caller,
       host: SOAK_HOST,
       deadlineMs: DEADLINES_MS[deadlineIdx] ?? DEADLINES_MS[0],
+      timeoutMs: ROUTE_TIMEOUT_MS,
       agent: random() < NEW_CONNECTION_SHARE ? undefined : this.agentOf(machine.idx),
       leavesAfterMs: random() < LEAVES_SHARE ? random() * MAX_LEAVES_AFTER_MS : Infinity,
       nowMs,
--- /dev/null
+++ b/tools/soak/stop-promises.ts
@@ -0,0 +1,113 @@
+/**
+ * Judges planned stops and reloads: a node ends by itself within its grace time, and a request that it
+ * has read gets a whole answer, whatever other machines and the store suffer meanwhile. Pure.
+ */
+import type { SoakFaultKind } from './fault-plan.js';
+import type { BrokenPromise } from './promises.js';
+import type { SoakArrival, SoakCall, SoakRecord, SoakStop } from './soak-record.js';
+
+/** Room for the end of a process to be seen by its callers, in milliseconds. */
+const SLACK_MS = 500;
+/**
+ * Kinds that end or halt a process, or harm its links. A disturbed store is none: what a node has read
+ * does not wait for it.
+ */
+const EXCUSES = new Set<SoakFaultKind>(['kill', 'freeze', 'relay-link', 'backend-link', 'narrow']);
+
+type ArrivalsById = ReadonlyMap<string, readonly SoakArrival[]>;
+
+/** Planned work on a machine, and the time within which it may cut nothing. */
+interface PlannedWork {
+  readonly promise: 'planned-stop' | 'reload';
+  readonly machine: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** What the planned stops of a soak broke. */
+export function judgeStops(record: SoakRecord, arrivals: ArrivalsById): BrokenPromise[] {
+  return record.stops.flatMap((stop) => [
+    ...judgeEnd(record, stop),
+    ...findCuts(record, arrivals, {
+      promise: 'planned-stop',
+      machine: stop.machine,
+      fromMs: stop.atMs,
+      untilMs: stop.atMs + stop.tookMs + SLACK_MS,
+    }),
+  ]);
+}
+
+/** What the reloads of a soak broke. */
+export function judgeReloads(record: SoakRecord, arrivals: ArrivalsById): BrokenPromise[] {
+  return record.reloads.flatMap(({ machine, atMs }) => {
+    const untilMs = atMs + record.terms.configApplyMs;
+    return findCuts(record, arrivals, { promise: 'reload', machine, fromMs: atMs, untilMs });
+  });
+}
+
+function judgeEnd({ terms }: SoakRecord, stop: SoakStop): BrokenPromise[] {
+  const { machine, tookMs, code, hadStarted } = stop;
+  const hasFailed = hadStarted && code !== 0;
+  if (!hasFailed && tookMs <= terms.graceMs) {
+    return [];
+  }
+  const detail = `machine ${machine} ended with ${String(code)} after ${Math.round(tookMs)} ms`;
+  return [{ promise: 'planned-stop', detail }];
+}
+
+function findCuts(
+  record: SoakRecord,
+  arrivals: ArrivalsById,
+  { promise, machine, fromMs, untilMs }: PlannedWork,
+): BrokenPromise[] {
+  const isAround = (call: SoakCall): boolean =>
+    call.machine === machine && call.endedAtMs >= fromMs && call.endedAtMs <= untilMs;
+  return record.calls
+    .filter((call) => isAround(call) && isCut(record, call, arrivals.get(call.id) ?? []))
+    .map((call) => ({ promise, detail: describeCut(call, fromMs, arrivals.get(call.id) ?? []) }));
+}
+
+/** Whether a request that its node had read got no whole answer, with nothing to excuse it. */
+function isCut(record: SoakRecord, call: SoakCall, arrivals: readonly SoakArrival[]): boolean {
+  const { sentAtMs, sentWholeAtMs, endedAtMs, deadlineMs, timeoutMs } = call;
+  const wasRead = arrivals.length > 0 || sentWholeAtMs + record.terms.lossSlackMs < endedAtMs;
+  const hadTime = endedAtMs < sentAtMs + Math.min(deadlineMs, timeoutMs);
+  return (
+    call.wasSent &&
+    !call.isWhole &&
+    !call.isGivenUp &&
+    wasRead &&
+    hadTime &&
+    !arrivals.some(({ brokeOff }) => brokeOff) &&
+    !isExcused(record, call)
+  );
+}
+
+/** Whether the process was ended or halted by force, or its own links were harmed. */
+function isExcused({ windows, terms }: SoakRecord, call: SoakCall): boolean {
+  return windows.some(
+    ({ kind, machines, linksOf, fromMs, untilMs }) =>
+      EXCUSES.has(kind) &&
+      (linksOf ?? machines ?? [call.machine]).includes(call.machine) &&
+      fromMs <= call.endedAtMs &&
+      untilMs + terms.contactMs >= call.sentAtMs,
+  );
+}
+
+function describeCut(call: SoakCall, fromMs: number, arrivals: readonly SoakArrival[]): string {
+  const [sentMs, wholeMs, endedMs] = [call.sentAtMs, call.sentWholeAtMs, call.endedAtMs].map(
+    (atMs) => Math.round(atMs - fromMs),
+  );
+  const reached = arrivals.map((arrival) => describeArrival(arrival, call.endedAtMs));
+  return (
+    `${call.id} ${call.target} was cut at machine ${call.machine}: sent ${sentMs}, whole ${wholeMs}, ` +
+    `cut ${endedMs} ms after the signal, reached ${reached.join(', ') || 'no back end'}`
+  );
+}
+
+function describeArrival({ backend, hasRun, endedAtMs }: SoakArrival, cutAtMs: number): string {
+  if (!hasRun) {
+    return `${backend} (refused)`;
+  }
+  return endedAtMs >= cutAtMs ? `${backend} (at work)` : `${backend} (over)`;
+}
