--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -164,6 +164,10 @@
     const calls = [known, ...OTHERS];
     expect(brokenIn({ ...seen, calls: [...calls, back] })).to.deep.equal(['never-back']);
     expect(brokenIn({ ...seen, calls: [...calls, { ...back, life: 2 }] })).to.deep.equal([]);
+    const failed = [{ ...known, status: 504 }, ...OTHERS, back];
+    expect(brokenIn({ ...seen, calls: failed })).to.deep.equal(['never-back']);
+    const unknown = [{ ...known, status: 503 }, ...OTHERS, back];
+    expect(brokenIn({ ...seen, calls: unknown })).to.deep.equal([]);
   });
 
   it('finds work at a back end that has drained for too long', () => {
@@ -244,6 +248,11 @@
     expect(withCall(cut, { reloads: [{ machine: 0, atMs: 20_020 }] })).to.deep.equal(['reload']);
     expect(withCall(cut, { reloads: [{ machine: 1, atMs: 20_020 }] })).to.be.empty;
     expect(withCall(cut, { reloads: [{ machine: 0, atMs: 18_000 }] })).to.be.empty;
+    const reloads = [{ machine: 0, atMs: 20_030 }];
+    const stop = { machine: 0, atMs: 20_020, tookMs: 900, code: 0, hadStarted: true };
+    expect(withCall(cut, { reloads, stops: [stop] })).to.deep.equal(['planned-stop']);
+    const later = { ...stop, atMs: 20_060 };
+    expect(withCall(cut, { reloads, stops: [later] })).to.deep.equal(['reload']);
   });
 
   it('goes by the head for the time given on and for the drain', () => {
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -46,6 +46,8 @@
 /** Statuses that promise that the request has not run and never will. */
 const PROMISES = new Set([408, 421, 429, 503]);
 const NOT_FOUND = 404;
+/** Also what a node says that holds no configuration, so that it tells nothing of a route. */
+const UNAVAILABLE = 503;
 /** Room for the two sides' clocks and turns, in milliseconds. */
 const SLACK_MS = 500;
 /** Least share of the requests of the calm end that are served. */
@@ -196,7 +198,7 @@
   const broken: BrokenPromise[] = [];
   const probes = calls.filter(({ addedBy, status }) => addedBy !== undefined && status !== 0);
   for (const [life, ofLife] of groupBy(probes, (call) => `${call.machine}/${call.life}`)) {
-    const known = ofLife.filter(({ status }) => status !== NOT_FOUND);
+    const known = ofLife.filter(({ status }) => status !== NOT_FOUND && status !== UNAVAILABLE);
     for (const call of ofLife.filter(({ status }) => status === NOT_FOUND)) {
       const number = call.addedBy ?? 0;
       const droppedAtMs = configuredAtMs.get(number + terms.routeLifeInConfigurations) ?? Infinity;
--- a/tools/soak/stop-promises.ts
+++ b/tools/soak/stop-promises.ts
@@ -32,19 +32,25 @@
       promise: 'planned-stop',
       machine: stop.machine,
       fromMs: stop.atMs,
-      untilMs: stop.atMs + stop.tookMs + SLACK_MS,
+      untilMs: endOf(stop),
     }),
   ]);
 }
 
-/** What the reloads of a soak broke. */
+/** What the reloads of a soak broke; a cut at a machine that stops meanwhile is told of the stop. */
 export function judgeReloads(record: SoakRecord, arrivals: ArrivalsById): BrokenPromise[] {
   return record.reloads.flatMap(({ machine, atMs }) => {
-    const untilMs = atMs + record.terms.configApplyMs;
+    const stop = record.stops.find((one) => one.machine === machine && endOf(one) >= atMs);
+    const untilMs = Math.min(atMs + record.terms.configApplyMs, stop?.atMs ?? Infinity);
     return findCuts(record, arrivals, { promise: 'reload', machine, fromMs: atMs, untilMs });
   });
 }
 
+/** Until when a cut belongs to a stop. */
+function endOf({ atMs, tookMs }: SoakStop): number {
+  return atMs + tookMs + SLACK_MS;
+}
+
 function judgeEnd({ terms }: SoakRecord, stop: SoakStop): BrokenPromise[] {
   const { machine, tookMs, code, hadStarted } = stop;
   const hasFailed = hadStarted && code !== 0;
