--- a/test/soak/link-proxy.test.ts
+++ b/test/soak/link-proxy.test.ts
@@ -107,6 +107,10 @@
       silent.write('c');
       await delay(SHORT_MS);
       expect(received).to.equal('b');
+      expect(proxy.silences).to.have.length(1);
+      const { sinceMs, firstUseMs = 0, lastUseMs = 0 } = proxy.silences[0] ?? { sinceMs: 0 };
+      expect(firstUseMs).to.be.at.least(sinceMs);
+      expect(lastUseMs).to.be.greaterThan(firstUseMs);
       silent.destroy();
     });
   }
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -59,6 +59,7 @@
   windows: [],
   stops: [],
   reloads: [],
+  silences: [],
   configuredAtMs: new Map([[1, 0]]),
   drainedAtMs: new Map(),
   serviceOfMachine: ['reads', 'orders'],
@@ -262,6 +263,12 @@
     expect(brokenIn({ drainedAtMs, arrivals: [{ ...ARRIVAL, ...slow }] })).to.deep.equal([]);
   });
 
+  it('finds a connection that is used on although it is silent', () => {
+    const silence = { link: 'relay-link 1', atMs: 10_000, usedForMs: 5_100 };
+    expect(brokenIn({ silences: [silence] })).to.deep.equal(['silence-noticed']);
+    expect(brokenIn({ silences: [{ ...silence, usedForMs: 4_900 }] })).to.deep.equal([]);
+  });
+
   it('finds programs that ended by themselves', () => {
     expect(brokenIn({ ownEnds: ['node 1'] })).to.deep.equal(['no-own-end']);
   });
--- a/tools/soak/link-direction.ts
+++ b/tools/soak/link-direction.ts
@@ -30,17 +30,26 @@
   private readonly pieces: Piece[] = [];
   private timer: NodeJS.Timeout | undefined;
   private isHeld = false;
+  private isLost = false;
 
   constructor(
     private readonly from: Socket,
     private readonly to: Socket,
     private readonly lane: LinkLane,
+    private readonly onBytes: (nowMs: number) => void = () => undefined,
   ) {
     from.on('data', (bytes: Buffer) => this.take(bytes));
     from.on('end', () => this.take(undefined));
     to.once('close', () => clearTimeout(this.timer));
   }
 
+  /** Takes all from now on, and passes nothing: neither bytes nor the end. */
+  lose(): void {
+    this.isLost = true;
+    this.pieces.length = 0;
+    this.pump();
+  }
+
   /** Holds back all that has not passed yet, or lets it pass. */
   hold(isHeld: boolean): void {
     this.isHeld = isHeld;
@@ -49,6 +58,12 @@
 
   private take(bytes: Buffer | undefined): void {
     const nowMs = performance.now();
+    if (bytes !== undefined) {
+      this.onBytes(nowMs);
+    }
+    if (this.isLost) {
+      return;
+    }
     const passedAtMs = this.lane.passedAtMs(bytes?.length ?? 0, nowMs);
     const lastDueAtMs = this.pieces.at(-1)?.dueAtMs ?? 0;
     this.pieces.push({ bytes, dueAtMs: Math.max(lastDueAtMs, passedAtMs + this.delayMs) });
@@ -81,7 +96,7 @@
   /** A connection has one piece on a bounded link at a time, so that its sender feels the bound. */
   private readOrRest(): void {
     const isFull = this.lane.bytesPerS !== Infinity && this.pieces.length > 0;
-    if (this.isHeld || isFull) {
+    if (!this.isLost && (this.isHeld || isFull)) {
       this.from.pause();
     } else {
       this.from.resume();
--- a/tools/soak/link-proxy.ts
+++ b/tools/soak/link-proxy.ts
@@ -29,14 +29,24 @@
   readonly there: LinkDirection;
   /** What the dialled side says. */
   readonly back: LinkDirection;
-  /** What is held back for good, whatever becomes of the link. */
-  lost: 'nothing' | 'back' | 'both';
+  /** Set once it is silent for good. */
+  silence: SilentConnection | undefined;
+}
+
+/** A connection that is silent for good, and whether its dialler goes on using it. */
+export interface SilentConnection {
+  readonly sinceMs: number;
+  /** First and last bytes of its dialler since then; undefined while there are none. */
+  firstUseMs: number | undefined;
+  lastUseMs: number | undefined;
 }
 
 /** The proxy in front of `target`. */
 export class LinkProxy {
   private state: LinkState = 'open';
   private delayMs = 0;
+  /** Connections that went silent for good, on the clock of `performance.now`. */
+  readonly silences: SilentConnection[] = [];
   private readonly pairs = new Set<Pair>();
   private readonly laneThere = new LinkLane();
   private readonly laneBack = new LinkLane();
@@ -60,8 +70,8 @@
       if (state === 'refuse') {
         reset(pair);
       } else {
-        this.silence(pair);
         this.apply(pair);
+        this.silence(pair);
       }
     }
   }
@@ -84,31 +94,45 @@
       return;
     }
     const far = net.connect({ host: this.target.address, port: this.target.port });
-    const there = new LinkDirection(near, far, this.laneThere);
+    const there = new LinkDirection(near, far, this.laneThere, (nowMs) => noteUse(pair, nowMs));
     const back = new LinkDirection(far, near, this.laneBack);
-    const pair: Pair = { near, far, there, back, lost: 'nothing' };
+    const pair: Pair = { near, far, there, back, silence: undefined };
     this.pairs.add(pair);
     far.on('error', () => reset(pair));
     near.on('error', () => reset(pair));
-    far.once('close', () => this.pairs.delete(pair));
+    for (const socket of [near, far]) {
+      socket.once('close', () => near.closed && far.closed && this.pairs.delete(pair));
+    }
     this.apply(pair);
   }
 
-  /** Marks what an open connection never gets again. */
   private silence(pair: Pair): void {
+    if (this.state !== 'open-silence' && this.state !== 'open-one-way') {
+      return;
+    }
     if (this.state === 'open-silence') {
-      pair.lost = 'both';
-    } else if (this.state === 'open-one-way' && pair.lost === 'nothing') {
-      pair.lost = 'back';
+      pair.there.lose();
+    }
+    pair.back.lose();
+    if (pair.silence === undefined) {
+      pair.silence = { sinceMs: performance.now(), firstUseMs: undefined, lastUseMs: undefined };
+      this.silences.push(pair.silence);
     }
   }
 
-  private apply({ there, back, lost }: Pair): void {
+  private apply({ there, back }: Pair): void {
     const delayMs = this.state === 'delay' ? this.delayMs : 0;
     there.delayMs = delayMs;
     back.delayMs = delayMs;
-    there.hold(this.state === 'silence' || lost === 'both');
-    back.hold(this.state === 'silence' || this.state === 'one-way' || lost !== 'nothing');
+    there.hold(this.state === 'silence');
+    back.hold(this.state === 'silence' || this.state === 'one-way');
+  }
+}
+
+function noteUse({ silence }: Pair, nowMs: number): void {
+  if (silence !== undefined) {
+    silence.firstUseMs ??= nowMs;
+    silence.lastUseMs = nowMs;
   }
 }
 
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -3,6 +3,7 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import meow from 'meow';
+import { claimNetwork } from './loopback-network.js';
 import type { BrokenPromise } from './promises.js';
 import type { SoakFleet } from './soak-fleet.js';
 import type { SoakCall, SoakRecord } from './soak-record.js';
@@ -96,7 +97,7 @@
     perSecond: rate,
     plan: plan as SoakPlan,
     uploadsPerSecond: uploads,
-    network: `127.${randomInt(16, 255)}`,
+    network: await claimNetwork(randomInt(MAX_SEED)),
     say: (text) => log.push(`soak ${text}`) && print(`  ${text}`),
     onLogLine: (machine, line) => log.push(`${machine} ${line}`),
     onFleet: (fleet) => {
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -3,7 +3,7 @@
  * are in milliseconds on the clock of the soak.
  */
 import type { SoakFaultKind } from './fault-plan.js';
-import type { SoakArrival, SoakCall, SoakRecord } from './soak-record.js';
+import type { SoakArrival, SoakCall, SoakRecord, SoakSilence } from './soak-record.js';
 import { judgeReloads, judgeStops } from './stop-promises.js';
 
 /** The promises that are checked. */
@@ -32,6 +32,8 @@
   | 'reload'
   /** A request is answered at its route's time-out. */
   | 'time-out'
+  /** A connection that went silent for good is given up by who uses it. */
+  | 'silence-noticed'
   /** No program ends by itself. */
   | 'no-own-end'
   /** After the faults, requests are served again. */
@@ -50,6 +52,11 @@
 const UNAVAILABLE = 503;
 /** Room for the two sides' clocks and turns, in milliseconds. */
 const SLACK_MS = 500;
+/**
+ * Longest use of a connection that is silent for good: the time in which a machine is in touch again, and
+ * one request that goes unanswered until its time-out.
+ */
+const SILENCE_NOTICED_MS = 5_000;
 /** Least share of the requests of the calm end that are served. */
 const CALM_SERVED_SHARE = 0.9;
 
@@ -65,6 +72,7 @@
     ...judgeRegressions(record),
     ...judgeStops(record, arrivalsById),
     ...judgeReloads(record, arrivalsById),
+    ...record.silences.flatMap(judgeSilence),
     ...record.ownEnds.map((detail): BrokenPromise => ({ promise: 'no-own-end', detail })),
     ...judgeRecovery(record),
   ];
@@ -215,6 +223,15 @@
   return broken;
 }
 
+function judgeSilence({ link, atMs, usedForMs }: SoakSilence): BrokenPromise[] {
+  if (usedForMs <= SILENCE_NOTICED_MS) {
+    return [];
+  }
+  const [at, used] = [atMs, usedForMs].map((timeMs) => Math.round(timeMs));
+  const detail = `${link}: a connection that fell silent at ${at} was used for ${used} ms more`;
+  return [{ promise: 'silence-noticed', detail }];
+}
+
 function judgeRecovery({ calls, calmFromMs, terms }: SoakRecord): BrokenPromise[] {
   const late = calls.filter(
     ({ addedBy, isGivenUp, sentAtMs }) =>
--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -11,7 +11,7 @@
 import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
 import { ChildGroup, type Child } from '../shared/child-process.js';
 import { LinkProxy, type Place } from './link-proxy.js';
-import type { SoakArrival, SoakTerms } from './soak-record.js';
+import type { SoakArrival, SoakSilence, SoakTerms } from './soak-record.js';
 import { BACKEND_SLOTS, SoakBackend } from './soak-backend.js';
 
 const PROGRAM = new URL('../../platform/main.js', import.meta.url).pathname;
@@ -145,6 +145,25 @@
     return this.startedLives.has(lifeName(idx, life));
   }
 
+  /** Connections through the links that went silent for good. */
+  silences(): SoakSilence[] {
+    const offsetMs = this.params.nowMs() - performance.now();
+    return this.machines.flatMap(({ idx, relayLink, storeLink, backendLink }) => {
+      const links = {
+        'relay-link': relayLink,
+        'store-link': storeLink,
+        'backend-link': backendLink,
+      };
+      return Object.entries(links).flatMap(([kind, link]) =>
+        (link?.silences ?? []).map(({ sinceMs, firstUseMs = 0, lastUseMs = 0 }) => ({
+          link: `${kind} ${idx}`,
+          atMs: sinceMs + offsetMs,
+          usedForMs: lastUseMs - firstUseMs,
+        })),
+      );
+    });
+  }
+
   /** Programs that ended although nobody told them to. */
   ownEnds(): string[] {
     return this.children.endedUnasked().map(({ name, output }) => `${name}: ${output.join(' ')}`);
--- a/tools/soak/soak-record.ts
+++ b/tools/soak/soak-record.ts
@@ -82,6 +82,15 @@
   readonly atMs: number;
 }
 
+/** A connection through a link that went silent for good while new ones worked. */
+export interface SoakSilence {
+  /** The link, by its kind and its machine. */
+  readonly link: string;
+  readonly atMs: number;
+  /** Time from the first to the last bytes of its dialler since then. */
+  readonly usedForMs: number;
+}
+
 /** All that a soak has seen. */
 export interface SoakRecord {
   readonly calls: readonly SoakCall[];
@@ -94,6 +103,7 @@
   /** When the draining of each back end was acknowledged. */
   readonly drainedAtMs: ReadonlyMap<string, number>;
   readonly serviceOfMachine: readonly string[];
+  readonly silences: readonly SoakSilence[];
   readonly ownEnds: readonly string[];
   /** From when on nothing was harmed any more. */
   readonly calmFromMs: number;
--- a/tools/soak/soak-run.ts
+++ b/tools/soak/soak-run.ts
@@ -120,6 +120,7 @@
     configuredAtMs: fleet.configuredAtMs,
     drainedAtMs: fleet.drainedAtMs,
     serviceOfMachine: Array.from({ length: machines }, (_, idx) => serviceOf(idx)),
+    silences: fleet.silences(),
     ownEnds: fleet.ownEnds(),
     calmFromMs,
     terms: SOAK_TERMS,
