--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -24,6 +24,8 @@
    * not reach an endpoint.
    */
   readonly redirects: number;
+  /** The same, from when the request can only be answered late: so many at least are left then. */
+  readonly lateRedirects?: number;
 }
 
 /** Something that happened; `attempt` counts from 1, and events of a past attempt have no effect. */
@@ -56,8 +58,19 @@
   /** No endpoint is left to try. */
   | { readonly type: 'no-endpoint'; readonly attempt: number; readonly failure: RequestFailure }
   | { readonly type: 'back-off-over' }
+  /** The request can't be answered within its target latency any more, but before its deadline. */
+  | { readonly type: 'target-missed' }
   /** The deadline passed; `failure` says so. */
   | { readonly type: 'deadline'; readonly failure: RequestFailure }
+  /** The node stops: nothing more can be awaited. */
+  | {
+      readonly type: 'give-up';
+      readonly failure: RequestFailure;
+      /** Whether the attempt under way has provably not left the node. */
+      readonly isUnsent: boolean;
+      /** Whether the caller got a part of the answer. */
+      readonly wasPassedOn: boolean;
+    }
   | { readonly type: 'caller-gone' };
 
 /** Something to be done. */
@@ -128,10 +141,14 @@
         return this.fail(event.failure, event.canReplay, nowMs);
       case 'no-endpoint':
         return this.report(this.lastFailure ?? event.failure);
+      case 'target-missed':
+        return this.missTarget();
       case 'back-off-over':
         return this.state === 'backing-off' ? this.beginAttempt() : [];
       case 'deadline':
         return this.expire(event.failure);
+      case 'give-up':
+        return this.giveUp(event);
       case 'caller-gone':
         return this.abandon();
     }
@@ -141,8 +158,11 @@
     if (!('attempt' in event)) {
       return false;
     }
-    const isUnderWay = this.state === 'attempting' || this.state === 'answering';
-    return event.attempt !== this.attempt || !isUnderWay;
+    return event.attempt !== this.attempt || !this.isUnderWay;
+  }
+
+  private get isUnderWay(): boolean {
+    return this.state === 'attempting' || this.state === 'answering';
   }
 
   private start(): RequestEffect[] {
@@ -165,6 +185,12 @@
     return [{ type: 'begin-attempt', attempt: this.attempt, retriesLeft: forReceivers }];
   }
 
+  /** What nodes refused for the sake of the target is no reason to refuse late work. */
+  private missTarget(): RequestEffect[] {
+    this.redirectsLeft = Math.max(this.redirectsLeft, this.policy.lateRedirects ?? 0);
+    return [];
+  }
+
   /** An answer that reports a fault is passed on unless the request can be sent again. */
   private takeAnswer(fault: RequestFailure | undefined, nowMs: number): RequestEffect[] {
     const backOff = fault && this.retry(fault, true, nowMs);
@@ -239,8 +265,23 @@
     return [{ type: 'abort-attempt' }, ...this.report(failure)];
   }
 
+  /** An answer that has begun to go out can't be replaced; it goes on while its connection is open. */
+  private giveUp(event: Extract<RequestEvent, { type: 'give-up' }>): RequestEffect[] {
+    const { failure, isUnsent, wasPassedOn } = event;
+    if (this.state === 'answering' && wasPassedOn) {
+      return [];
+    }
+    if (this.state === 'backing-off') {
+      return this.report(this.lastFailure ?? failure);
+    }
+    const isUnderWay = this.isUnderWay;
+    this.mayHaveRun ||= isUnderWay && !isUnsent;
+    const aborts: RequestEffect[] = isUnderWay ? [{ type: 'abort-attempt' }] : [];
+    return [...aborts, ...this.report(failure)];
+  }
+
   private abandon(): RequestEffect[] {
-    const isUnderWay = this.state === 'attempting' || this.state === 'answering';
+    const { isUnderWay } = this;
     this.state = 'over';
     return isUnderWay ? [{ type: 'abort-attempt' }] : [];
   }
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -11,23 +11,33 @@
   ConnectionLostError,
   EndpointFaultError,
   InternalError,
+  NodeStoppingError,
   NoEndpointError,
   RequestError,
+  StoppedBeforeAnswerError,
   TimedOutError,
   TruncatedAnswerError,
   type RequestFailure,
 } from './request-error.js';
-import type { RequestDecisionName } from './request-log.js';
+import type { AwaitedThing, RequestDecisionName } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import type { CancelTimer } from './scheduler.js';
 import { loadObservationOf } from './load-observation.js';
-import { workClassOf, workOf } from './request-work.js';
+import { refusalClassOf, workOf } from './request-work.js';
 import type { RequestContext } from './request-context.js';
 
 /** When to come back after no endpoint had room, in milliseconds. */
 const NO_ENDPOINT_RETRY_MS = 200;
+/** When to come back after a node has given the request up, in milliseconds: it has ended by then. */
+const STOPPED_RETRY_MS = 500;
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
+/**
+ * Attempts that a request has left at least when it turns late, where these do not reach an endpoint:
+ * without one, a request that spent its attempts on nodes that could not answer within its target fails
+ * beside endpoints with free slots.
+ */
+const LATE_REDIRECTS = 1;
 
 /** One caller's request under way. */
 export class RequestRunner implements AwaitedAttempt {
@@ -35,7 +45,10 @@
   private readonly tried = new Set<string>();
   /** Endpoints whose node found that the request can't be answered within its target latency. */
   private readonly refusers = new Set<string>();
+  /** Whether attempts ask for an answer before the deadline, since none is expected in time. */
   private isLate = false;
+  /** Least time that an endpoint's node told for this class of work, in milliseconds. */
+  private leastServiceMs: number | undefined;
   private isExpired = false;
   private attempt: Attempt | undefined;
   private attemptNumber = 0;
@@ -58,6 +71,7 @@
       retries: Math.min(services.limits.maxRetries, retries ?? Infinity, maxAttempts - 1),
       retryBudgetPercent: match.retryBudgetPercent,
       redirects: services.limits.maxRedirects,
+      lateRedirects: Math.min(services.limits.maxRedirects, LATE_REDIRECTS),
     };
     const budget = services.retryBudgetOf(match.service);
     this.startedAtMs = services.scheduler.now();
@@ -96,6 +110,35 @@
     }
   }
 
+  /** The node stops: the caller is told what is known. False when the answer has begun to go out. */
+  giveUp(): boolean {
+    const { response } = this.context;
+    const wasPassedOn = response.hasBegun();
+    if (this.lifecycle.isOver || wasPassedOn) {
+      return false;
+    }
+    const isUnsent = this.attempt === undefined || this.attempt.isUnsent();
+    const failure = isUnsent
+      ? new NodeStoppingError('the node stops before the request was sent on', STOPPED_RETRY_MS)
+      : new StoppedBeforeAnswerError('the node stops before the answer');
+    this.record('request-given-up', failure, failure.verdict, undefined, this.awaitedThing());
+    this.handle({ type: 'give-up', failure, isUnsent, wasPassedOn });
+    return true;
+  }
+
+  private awaitedThing(): AwaitedThing {
+    if (this.body?.isWhole() !== true) {
+      return 'body';
+    }
+    if (this.endpoint === undefined) {
+      return 'back-off';
+    }
+    if (this.attempt?.isUnsent() === true) {
+      return 'slot';
+    }
+    return this.awaitedMachine === undefined ? 'endpoint' : 'peer';
+  }
+
   private awaitPeerOf(endpoint: Endpoint): void {
     const { services } = this.context;
     this.awaitedMachine = services.relayMachineOf(endpoint);
@@ -186,24 +229,43 @@
   /** An untried endpoint; once all have refused for lack of time, one of these again, for late work. */
   private chooseEndpoint(): Endpoint | undefined {
     const { services, snapshot, match } = this.context;
-    const endpoint = services.chooseEndpoint(snapshot, match, this.tried, this.workClass);
+    this.checkTarget();
+    const endpoint = services.chooseEndpoint(snapshot, match, this.tried, this.isLate);
     const hasTarget = match.route.spec.targetLatencyMs !== undefined;
     if (endpoint !== undefined || this.isLate || !hasTarget) {
       return endpoint;
     }
+    this.becomeLate();
+    return services.chooseEndpoint(snapshot, match, this.tried, this.isLate);
+  }
+
+  /** Turns the request late as soon as no endpoint is expected to answer it within its target. */
+  private checkTarget(): void {
+    const { targetLatencyMs } = this.context.match.route.spec;
+    if (this.isLate || targetLatencyMs === undefined) {
+      return;
+    }
+    const finishAtMs = this.context.services.scheduler.now() + (this.leastServiceMs ?? 0);
+    if (finishAtMs >= this.startedAtMs + targetLatencyMs) {
+      this.becomeLate();
+    }
+  }
+
+  /** From now on attempts ask for late service, also of nodes that could not answer in time. */
+  private becomeLate(): void {
     this.isLate = true;
     this.refusers.forEach((name) => this.tried.delete(name));
-    return services.chooseEndpoint(snapshot, match, this.tried, this.workClass);
+    this.handle({ type: 'target-missed' });
   }
 
   private get workClass(): string {
-    return workClassOf(this.context.match.route, this.isLate);
+    return this.context.match.route.name;
   }
 
   private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
     const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = this.context;
     return {
-      ...workOf(match.route, this.startedAtMs, this.isLate),
+      ...workOf(match.route, this.startedAtMs, this.attemptStartedAtMs, this.isLate),
       requestId: `${attemptPrefix}.${attempt}`,
       method,
       target,
@@ -250,15 +312,25 @@
     this.record('attempt-failed', error, error.verdict, load);
     this.rememberRefusal(error);
     this.endAttempt(outcomeOf(error));
+    this.noteServiceMs(load);
+    this.checkTarget();
     this.handle({ type: 'failed', attempt, failure: error, canReplay: this.canReplay() });
   }
 
+  private noteServiceMs(load: LoadReport | undefined): void {
+    if (load?.serviceMs !== undefined) {
+      this.leastServiceMs = Math.min(this.leastServiceMs ?? Infinity, load.serviceMs);
+    }
+  }
+
   private rememberRefusal({ code, retryAfterMs = 0 }: RequestError): void {
     const isForLackOfRoom = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
     if (this.endpoint !== undefined && isForLackOfRoom) {
       this.refusers.add(this.endpoint.name);
-      const { selector, scheduler } = this.context.services;
-      selector.refusedWork(this.endpoint, this.workClass, retryAfterMs, scheduler.now());
+      const { services, match } = this.context;
+      const refusalClass = refusalClassOf(match.route, this.isLate);
+      const nowMs = services.scheduler.now();
+      services.selector.refusedWork(this.endpoint, refusalClass, retryAfterMs, nowMs);
     }
   }
 
@@ -323,6 +395,7 @@
     failure: RequestFailure,
     verdict: Verdict,
     load?: LoadReport,
+    waitedFor?: AwaitedThing,
   ): void {
     const { services, requestId, match, snapshot, deadlineAtMs } = this.context;
     const nowMs = services.scheduler.now();
@@ -340,6 +413,7 @@
       deadlineLeftMs: Math.round(deadlineAtMs - nowMs),
       configuration: snapshot.version.source.number,
       ...(failure.retryAfterMs !== undefined && { retryAfterMs: Math.round(failure.retryAfterMs) }),
+      ...(waitedFor && { waitedFor }),
       ...(load && { running: load.inFlight, slots: load.slots }),
     });
   }
