--- a/test/soak/soak-regressions.test.ts
+++ b/test/soak/soak-regressions.test.ts
@@ -1,20 +1,33 @@
 /** Seeds of soaks that once broke a promise, each with its cause. */
+import type { SoakPlan } from '../../tools/soak/soak-run.js';
 import { expectPromisesKept, SOAK_TEST_TIMEOUT_MS } from './soak-case.js';
 
 const SENT_AFTER_ITS_STOP = 'the harness sent one request after it had stopped counting';
 
-const SEEDS: readonly { readonly seed: number; readonly cause: string }[] = [
+interface Regression {
+  readonly seed: number;
+  readonly cause: string;
+  /** The plan under which it failed; single faults alone where there was no other yet. */
+  readonly plan?: SoakPlan;
+}
+
+const SEEDS: readonly Regression[] = [
   { seed: 1, cause: 'the judge held frozen nodes to the deadline of what they passed on' },
   { seed: 1_814_231_033, cause: SENT_AFTER_ITS_STOP },
   { seed: 408_737_209, cause: SENT_AFTER_ITS_STOP },
   { seed: 908_788_153, cause: SENT_AFTER_ITS_STOP },
   { seed: 1_660_163_644, cause: SENT_AFTER_ITS_STOP },
+  {
+    seed: 28,
+    cause: 'a planned stop closed the connections of uploads that waited for an endpoint',
+    plan: 'series',
+  },
 ];
 
 describe('seeds of soaks that once failed', () => {
-  SEEDS.forEach(({ seed, cause }, idx) => {
+  SEEDS.forEach(({ seed, cause, plan = 'faults' }, idx) => {
     it(`keep every promise: ${seed} (${cause})`, async () => {
-      await expectPromisesKept(seed, `127.${210 + idx}`, 'faults');
+      await expectPromisesKept(seed, `127.${210 + idx}`, plan);
     }).timeout(SOAK_TEST_TIMEOUT_MS);
   });
 });
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,8 +1,12 @@
-/** A short soak of real processes in every build. */
+/** Short soaks of real processes in every build: one of single faults, one with series and uploads. */
 import { expectPromisesKept, SOAK_TEST_TIMEOUT_MS } from './soak-case.js';
 
 describe('a soak of real processes', () => {
   it('keeps every promise', async () => {
     await expectPromisesKept(11, '127.200', 'faults');
   }).timeout(SOAK_TEST_TIMEOUT_MS);
+
+  it('keeps every promise when stops and other faults come in series, beside uploads', async () => {
+    await expectPromisesKept(23, '127.201', 'series');
+  }).timeout(SOAK_TEST_TIMEOUT_MS);
 });
--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -30,8 +30,8 @@
   'emulator/emulator.test.js': 8,
   'platform/mesh.test.js': 7,
   'platform/planned-stop.test.js': 17,
-  'soak/soak.test.js': 25,
-  'soak/soak-regressions.test.js': 125,
+  'soak/soak.test.js': 50,
+  'soak/soak-regressions.test.js': 150,
   'proxy/endpoint-faults.test.js': 6,
 };
 const USUAL_SECONDS = 1;
