--- a/tools/soak/link-proxy.ts
+++ b/tools/soak/link-proxy.ts
@@ -1,6 +1,7 @@
 /** A loopback TCP proxy that carries the bytes of a link, and harms it on demand. */
 import { once } from 'node:events';
 import net, { type Socket } from 'node:net';
+import { LinkDirection, LinkLane } from './link-direction.js';
 
 /**
  * - `open`: bytes pass.
@@ -8,8 +9,11 @@
  * - `silence`: nothing passes, and connections stay open.
  * - `one-way`: what the dialled side says is held back.
  * - `refuse`: connections are reset, and new ones too.
+ * - `open-silence`: connections that are open stay so and are silent for good; new ones work.
+ * - `open-one-way`: the same, for what the dialled side says.
  */
-export type LinkState = 'open' | 'delay' | 'silence' | 'one-way' | 'refuse';
+export type LinkState =
+  'open' | 'delay' | 'silence' | 'one-way' | 'refuse' | 'open-silence' | 'open-one-way';
 
 /** An address and a port. */
 export interface Place {
@@ -21,13 +25,31 @@
 interface Pair {
   readonly near: Socket;
   readonly far: Socket;
+  /** What the dialling side says. */
+  readonly there: LinkDirection;
+  /** What the dialled side says. */
+  readonly back: LinkDirection;
+  /** Set once it is silent for good. */
+  silence: SilentConnection | undefined;
+}
+
+/** A connection that is silent for good, and whether its dialler goes on using it. */
+export interface SilentConnection {
+  readonly sinceMs: number;
+  /** First and last bytes of its dialler since then; undefined while there are none. */
+  firstUseMs: number | undefined;
+  lastUseMs: number | undefined;
 }
 
 /** The proxy in front of `target`. */
 export class LinkProxy {
   private state: LinkState = 'open';
   private delayMs = 0;
+  /** Connections that went silent for good, on the clock of `performance.now`. */
+  readonly silences: SilentConnection[] = [];
   private readonly pairs = new Set<Pair>();
+  private readonly laneThere = new LinkLane();
+  private readonly laneBack = new LinkLane();
   private readonly server = net.createServer((near) => this.accept(near));
 
   private constructor(private readonly target: Place) {}
@@ -49,10 +71,17 @@
         reset(pair);
       } else {
         this.apply(pair);
+        this.silence(pair);
       }
     }
   }
 
+  /** Bounds what passes each way from now on, of all connections together; Infinity for no bound. */
+  setBandwidth(bytesPerS: number): void {
+    this.laneThere.bytesPerS = bytesPerS;
+    this.laneBack.bytesPerS = bytesPerS;
+  }
+
   close(): void {
     this.server.close();
     this.pairs.forEach(reset);
@@ -65,40 +94,45 @@
       return;
     }
     const far = net.connect({ host: this.target.address, port: this.target.port });
-    const pair = { near, far };
+    const there = new LinkDirection(near, far, this.laneThere, (nowMs) => noteUse(pair, nowMs));
+    const back = new LinkDirection(far, near, this.laneBack);
+    const pair: Pair = { near, far, there, back, silence: undefined };
     this.pairs.add(pair);
-    this.carry(near, far);
-    this.carry(far, near);
     far.on('error', () => reset(pair));
     near.on('error', () => reset(pair));
-    far.once('close', () => this.pairs.delete(pair));
+    for (const socket of [near, far]) {
+      socket.once('close', () => near.closed && far.closed && this.pairs.delete(pair));
+    }
     this.apply(pair);
   }
 
-  private carry(from: Socket, to: Socket): void {
-    from.on('data', (chunk: Buffer) => this.later(() => !to.destroyed && to.write(chunk)));
-    from.on('end', () => this.later(() => to.end()));
-  }
-
-  private later(act: () => void): void {
-    if (this.state === 'delay') {
-      setTimeout(act, this.delayMs);
-    } else {
-      act();
+  private silence(pair: Pair): void {
+    if (this.state !== 'open-silence' && this.state !== 'open-one-way') {
+      return;
+    }
+    if (this.state === 'open-silence') {
+      pair.there.lose();
+    }
+    pair.back.lose();
+    if (pair.silence === undefined) {
+      pair.silence = { sinceMs: performance.now(), firstUseMs: undefined, lastUseMs: undefined };
+      this.silences.push(pair.silence);
     }
   }
 
-  private apply({ near, far }: Pair): void {
-    toggle(near, this.state !== 'silence');
-    toggle(far, this.state !== 'silence' && this.state !== 'one-way');
+  private apply({ there, back }: Pair): void {
+    const delayMs = this.state === 'delay' ? this.delayMs : 0;
+    there.delayMs = delayMs;
+    back.delayMs = delayMs;
+    there.hold(this.state === 'silence');
+    back.hold(this.state === 'silence' || this.state === 'one-way');
   }
 }
 
-function toggle(socket: Socket, isFlowing: boolean): void {
-  if (isFlowing) {
-    socket.resume();
-  } else {
-    socket.pause();
+function noteUse({ silence }: Pair, nowMs: number): void {
+  if (silence !== undefined) {
+    silence.firstUseMs ??= nowMs;
+    silence.lastUseMs = nowMs;
   }
 }
 
