--- /dev/null
+++ b/test/admission/refusal-ahead.test.ts
@@ -0,0 +1,45 @@
+/**
+ * Whether admission says the same of a request ahead of its body as on its arrival.
+ *
+ * What happens: the refusal ahead of a body knows a full queue only. A request that would take the place
+ * of a less urgent one, or a free slot beside a queue that may hold nothing, is refused by its head.
+ */
+import { expect } from 'chai';
+import fc from 'fast-check';
+import { EndpointAdmission, type AdmissionTicket } from '../../src/admission/endpoint-admission.js';
+
+const FAR_MS = 1e9;
+
+function ticket(requestId: string, priority: number, callerNode = 'n'): AdmissionTicket {
+  return { requestId, callerNode, priority, deadlineAtMs: FAR_MS };
+}
+
+describe('admission asked ahead of a body', () => {
+  it('takes an urgent request that goes before one in a full queue', () => {
+    const admission = new EndpointAdmission(1);
+    ['running', 'a', 'b'].forEach((id) => admission.offer(ticket(id, 2), 0));
+    expect(admission.refusalAt(ticket('urgent', 0), 0)).to.equal(undefined);
+  });
+
+  it('refuses what it would refuse on arrival, and nothing else', () => {
+    const arrival = fc.record({ priority: fc.nat(2), node: fc.constantFrom('n', 'm') });
+    fc.assert(
+      fc.property(
+        fc.nat(3),
+        fc.array(arrival, { maxLength: 12 }),
+        arrival,
+        (most, before, last) => {
+          const admission = new EndpointAdmission(2, most);
+          before.forEach(({ priority, node }, at) => {
+            admission.offer(ticket(`r${at}`, priority, node), 0);
+          });
+          const asked = ticket('asked', last.priority, last.node);
+          const ahead = admission.refusalAt(asked, 0)?.reason;
+          const effects = admission.offer(asked, 0);
+          const refusal = effects.find((effect) => effect.requestId === 'asked');
+          expect(ahead).to.equal(refusal?.type === 'refuse' ? refusal.reason : undefined);
+        },
+      ),
+    );
+  });
+});
--- /dev/null
+++ b/test/proxy/relay/credit-pool-limits.test.ts
@@ -0,0 +1,148 @@
+/**
+ * Where the credit of a node for bodies does not hold what it says.
+ *
+ * - A pace that was measured while the link was narrow, or the process paused, is kept for good: every
+ *   upload is then refused by its head for the time that it is expected to take, no body comes, and so
+ *   the pace is never measured again.
+ * - On a link that takes longer than 150 ms for the pool every sender counts as stalled, and its credit is
+ *   given to the next: what is under way grows with the number of bodies.
+ * - A long body keeps the whole pool to itself until it is over.
+ */
+import { expect } from 'chai';
+import { CreditPool, POOL_BYTES, type BodyCredit } from '../../../src/proxy/relay/credit-pool.js';
+import type { Scheduler } from '../../../src/proxy/scheduler.js';
+import { VirtualScheduler } from '../../../tools/emulator/virtual-scheduler.js';
+
+const UPLOAD_BYTES = 60_000;
+const FRAME_BYTES = 16 * 1024;
+
+/** A clock and one link into the node, which carries frames in the order of their credit. */
+class Link implements Scheduler {
+  readonly pool = new CreditPool(this);
+  /** Bytes that were granted and have not arrived, now and at most. */
+  underWayBytes = 0;
+  mostUnderWayBytes = 0;
+  private readonly clock = new VirtualScheduler();
+  private freeAtMs = 0;
+  private pausedMs = 0;
+
+  constructor(public bytesPerMs: number) {}
+
+  now(): number {
+    return this.clock.nowMs + this.pausedMs;
+  }
+
+  schedule(delayMs: number, action: () => void): () => void {
+    let isCancelled = false;
+    const run = (): void => (isCancelled ? undefined : action());
+    this.clock.schedule(this.clock.nowMs + delayMs, { run });
+    return () => {
+      isCancelled = true;
+    };
+  }
+
+  advance(ms: number): void {
+    this.clock.runUntil(this.clock.nowMs + ms);
+  }
+
+  /** The process does not run: what was due comes late, and at once. */
+  pause(ms: number): void {
+    this.pausedMs += ms;
+  }
+
+  /** A body whose sender uses all credit at once; its receiver reads at once. */
+  upload(lengthBytes: number, rank = 0): Body {
+    const body = new Body(this, lengthBytes, rank);
+    body.credit.want(64 * 1024);
+    return body;
+  }
+
+  carry(bytes: number, arrived: () => void): void {
+    this.underWayBytes += bytes;
+    this.mostUnderWayBytes = Math.max(this.mostUnderWayBytes, this.underWayBytes);
+    this.freeAtMs = Math.max(this.freeAtMs, this.now()) + bytes / this.bytesPerMs;
+    this.schedule(this.freeAtMs - this.now(), () => {
+      this.underWayBytes -= bytes;
+      arrived();
+    });
+  }
+}
+
+class Body {
+  arrivedBytes = 0;
+  grantedBytes = 0;
+  readonly credit: BodyCredit;
+
+  constructor(link: Link, lengthBytes: number, rank: number) {
+    this.credit = link.pool.open({
+      rank,
+      lengthBytes,
+      grant: (bytes) => {
+        this.grantedBytes += bytes;
+        for (let left = bytes; left > 0; left -= FRAME_BYTES) {
+          const part = Math.min(left, FRAME_BYTES);
+          link.carry(part, () => {
+            this.arrivedBytes += part;
+            this.credit.want(part);
+            this.credit.arrived(part);
+            if (this.arrivedBytes === lengthBytes) {
+              this.credit.close();
+            }
+          });
+        }
+      },
+    });
+  }
+}
+
+describe('the credit of a node for bodies, at its limits', () => {
+  /** What becomes of one upload a second that has 2 s left and is refused by its head if they do not do. */
+  function outcomesOf(link: Link, count: number): Set<string> {
+    const outcomes = new Set<string>();
+    for (let second = 0; second < count; second += 1) {
+      const body = link.upload(UPLOAD_BYTES);
+      const isRefused = body.credit.expectedMs() > 2_000;
+      outcomes.add(isRefused ? 'refused' : 'taken');
+      if (isRefused) {
+        body.credit.close();
+      }
+      link.advance(1_000);
+    }
+    return outcomes;
+  }
+
+  it('takes uploads again once a link that was narrow for a while is wide', () => {
+    const link = new Link(20);
+    Array.from({ length: 60 }, () => link.upload(UPLOAD_BYTES));
+    link.advance(300_000);
+    expect(link.underWayBytes).to.equal(0);
+    link.bytesPerMs = 875;
+    expect([...outcomesOf(link, 60)]).to.include('taken');
+  });
+
+  it('takes uploads again after a pause of the process', () => {
+    const link = new Link(875);
+    Array.from({ length: 10 }, () => link.upload(UPLOAD_BYTES));
+    link.pause(5_000);
+    link.advance(10_000);
+    expect(link.underWayBytes).to.equal(0);
+    expect([...outcomesOf(link, 60)]).to.include('taken');
+  });
+
+  it('has no more than the pool under way on a link of 1 Mbit/s', () => {
+    const link = new Link(125);
+    Array.from({ length: 60 }, () => link.upload(UPLOAD_BYTES));
+    link.advance(5_000);
+    expect(link.mostUnderWayBytes).to.be.at.most(2 * POOL_BYTES);
+  });
+
+  it('lets a short body pass while a long one of its rank is under way', () => {
+    const link = new Link(875);
+    const long = link.upload(20_000_000);
+    link.advance(100);
+    const short = link.upload(UPLOAD_BYTES);
+    link.advance(2_000);
+    expect(long.arrivedBytes).to.be.greaterThan(0);
+    expect(short.arrivedBytes).to.equal(UPLOAD_BYTES);
+  });
+});
--- a/test/proxy/relay/narrow-link.ts
+++ b/test/proxy/relay/narrow-link.ts
@@ -43,6 +43,11 @@
     this.sockets.forEach((socket) => socket.destroy());
   }
 
+  /** Cuts the connections that are open; new ones work. */
+  cut(): void {
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+
   private accept(near: Socket): void {
     const far = net.connect(this.targetPort, HOST);
     for (const [socket, other] of [
--- /dev/null
+++ b/test/proxy/relay/relay-version.test.ts
@@ -0,0 +1,98 @@
+/**
+ * Nodes of different versions of the relay protocol, as during a rolling upgrade.
+ *
+ * What happens: the version that an upgrade names is checked at neither end. A sender that waits for
+ * credit and a receiver of the version before, which gives none before the first bytes, wait for each
+ * other until the deadline; and the sender then says that the request has not run, though a receiver of
+ * that version passes its head on at once.
+ */
+import { once } from 'node:events';
+import http from 'node:http';
+import net, { type AddressInfo, type Socket } from 'node:net';
+import { expect } from 'chai';
+import { RelayClient } from '../../../src/proxy/relay/relay-client.js';
+import { EMPTY_BODY } from '../../../src/proxy/request-body.js';
+import { MACHINE_TIME } from '../../../src/proxy/scheduler.js';
+import { echoEndpoint, echoService, TestMesh } from '../rig.js';
+
+describe('relay connections between versions', () => {
+  const mesh = new TestMesh();
+  const sockets: Socket[] = [];
+  const servers: net.Server[] = [];
+
+  afterEach(() => {
+    sockets.splice(0).forEach((socket) => socket.destroy());
+    servers.splice(0).forEach((server) => server.close());
+    mesh.close();
+    mesh.nodes.length = 0;
+  });
+
+  it('are refused to a peer that asks for another version', async () => {
+    const { relayPort } = await mesh.addNode('n1');
+    const request = http.request({
+      port: relayPort,
+      host: '127.0.0.1',
+      headers: {
+        Connection: 'Upgrade',
+        Upgrade: 'ferryspool-relay/1',
+        'ferryspool-relay-token': mesh.tokenOf('n2'),
+      },
+    });
+    const status = new Promise<number | undefined>((resolve) => {
+      request.once('response', ({ statusCode }) => resolve(statusCode));
+      request.once('upgrade', ({ statusCode }, socket) => {
+        socket.destroy();
+        resolve(statusCode);
+      });
+    });
+    request.end();
+    expect(await status).to.equal(426);
+  });
+
+  it('are not used when the peer switches to another version', async () => {
+    const server = net.createServer((socket) => {
+      sockets.push(socket);
+      socket.on('error', () => socket.destroy());
+      socket.once('data', () => {
+        socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n');
+        socket.write('Upgrade: ferryspool-relay/1\r\n\r\n');
+      });
+    });
+    servers.push(server);
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const { port } = server.address() as AddressInfo;
+    mesh.configure([...echoService(), echoEndpoint('e1', 1, { machine: 'n2' })]);
+    const [endpoint] = mesh.snapshot?.endpointsByService.get('echo') ?? [];
+    if (endpoint === undefined) {
+      throw new Error('no endpoint');
+    }
+    const client = new RelayClient({
+      connectTimeoutMs: 500,
+      scheduler: MACHINE_TIME,
+      token: () => undefined,
+      addressOf: () => ({ address: '127.0.0.1', port }),
+    });
+    const outcome = await new Promise<string>((resolve) => {
+      const call = {
+        requestId: 'r',
+        method: 'POST',
+        target: '/',
+        headers: ['Host', 'a'],
+        body: EMPTY_BODY,
+        deadlineAtMs: performance.now() + 1_000,
+        callerNode: 'n1',
+        retriesLeft: 0,
+        priority: 0,
+        workClass: 'all',
+      };
+      client.submit(endpoint, call, {
+        answered: () => resolve('answered'),
+        failed: ({ code }) => resolve(code),
+      });
+      setTimeout(() => resolve('nothing'), 1_500);
+    });
+    client.close();
+    expect(outcome).to.equal('UNREACHABLE');
+  });
+});
--- /dev/null
+++ b/test/proxy/relay/relayed-bodies.test.ts
@@ -0,0 +1,243 @@
+/**
+ * Bodies of many lengths that cross relay connections while requests are aborted, connections die and
+ * senders are slow. Each request gets one outcome, its body reaches the endpoint unchanged and at most
+ * once, what is said not to have run has not been begun, and no credit is left behind.
+ *
+ * The last test shows what happens to bodies that come together: admission by the head does not count
+ * those that are on their way, so all are carried, and all but a few are refused after that.
+ */
+import { createHash } from 'node:crypto';
+import { once } from 'node:events';
+import http from 'node:http';
+import type { AddressInfo } from 'node:net';
+import { PassThrough } from 'node:stream';
+import { expect } from 'chai';
+import type { Endpoint } from '../../../src/model/resource.js';
+import type { Attempt, Call } from '../../../src/proxy/call.js';
+import { RelayClient } from '../../../src/proxy/relay/relay-client.js';
+import { HeldBody, StreamedBody, type RequestBody } from '../../../src/proxy/request-body.js';
+import { MACHINE_TIME } from '../../../src/proxy/scheduler.js';
+import { echoEndpoint, echoService, seededRandom, TestMesh, type TestNode } from '../rig.js';
+import { NarrowLink } from './narrow-link.js';
+
+const LENGTHS = [
+  0, 1, 4_095, 4_096, 4_097, 16_384, 60_000, 65_535, 65_536, 65_537, 262_143, 262_144, 262_145,
+  400_000,
+];
+const REQUESTS = 60;
+const MAX_BYTES = 64 * 1024 * 1024;
+
+type Form = 'held' | 'sized' | 'chunked' | 'short' | 'stalled';
+const FORMS: readonly Form[] = ['held', 'held', 'sized', 'sized', 'chunked', 'short', 'stalled'];
+
+interface Run {
+  readonly id: string;
+  readonly form: Form;
+  readonly bytes: Buffer;
+  readonly outcomes: string[];
+  attempt?: Attempt;
+  isAborted: boolean;
+  wasUnsentAtAbort: boolean;
+}
+
+/** A body that comes from a slow sender, which may break off or stop sending. */
+function slowBody(form: Form, bytes: Buffer, random: () => number): RequestBody {
+  const source = Object.assign(new PassThrough(), { complete: false });
+  const sentBytes =
+    form === 'short' || form === 'stalled' ? Math.floor(bytes.length / 2) : bytes.length;
+  let at = 0;
+  const timer = setInterval(() => {
+    const part = bytes.subarray(at, Math.min(sentBytes, at + 1 + Math.floor(random() * 40_000)));
+    at += part.length;
+    if (part.length > 0) {
+      source.write(part);
+      return;
+    }
+    clearInterval(timer);
+    if (form === 'short') {
+      source.destroy();
+    } else if (form !== 'stalled') {
+      source.complete = true;
+      source.end();
+    }
+  }, 3);
+  source.on('error', () => undefined);
+  source.pause();
+  return new StreamedBody(source, form === 'chunked' ? undefined : bytes.length, [], MAX_BYTES);
+}
+
+describe('bodies that cross relay connections', () => {
+  const mesh = new TestMesh();
+  const clients: RelayClient[] = [];
+  const links: NarrowLink[] = [];
+  /** Digests of the bodies that the endpoint got whole, and requests that it began, by name. */
+  const whole = new Map<string, string[]>();
+  const begun = new Map<string, number>();
+  let isSilent = false;
+  let node: TestNode;
+  let server: http.Server;
+
+  beforeEach(async () => {
+    isSilent = false;
+    whole.clear();
+    begun.clear();
+    server = http.createServer((request, response) => {
+      const id = String(request.headers['x-id']);
+      begun.set(id, (begun.get(id) ?? 0) + 1);
+      const hash = createHash('sha1');
+      request.on('data', (chunk: Buffer) => hash.update(chunk));
+      request.on('end', () => {
+        whole.set(id, [...(whole.get(id) ?? []), hash.digest('hex')]);
+        if (!isSilent) {
+          setTimeout(() => response.end('ran'), 5);
+        }
+      });
+      request.on('error', () => undefined);
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    node = await mesh.addNode('n2');
+  });
+
+  afterEach(() => {
+    clients.splice(0).forEach((client) => client.close());
+    links.splice(0).forEach((link) => link.close());
+    mesh.close();
+    mesh.nodes.length = 0;
+    server.closeAllConnections();
+    server.close();
+  });
+
+  function configure(slots: number): Endpoint {
+    const { port } = server.address() as AddressInfo;
+    mesh.configure([...echoService(), echoEndpoint('e1', port, { machine: 'n2', slots })]);
+    const [endpoint] = mesh.snapshot?.endpointsByService.get('echo') ?? [];
+    if (endpoint === undefined) {
+      throw new Error('no endpoint');
+    }
+    return endpoint;
+  }
+
+  async function addPeer(name: string, bytesPerMs: number): Promise<[RelayClient, NarrowLink]> {
+    const link = await NarrowLink.start(node.relayPort, bytesPerMs);
+    const client = new RelayClient({
+      connectTimeoutMs: 2_000,
+      scheduler: MACHINE_TIME,
+      token: () => mesh.tokenOf(name),
+      addressOf: () => ({ address: '127.0.0.1', port: link.port }),
+    });
+    links.push(link);
+    clients.push(client);
+    return [client, link];
+  }
+
+  function callOf(id: string, body: RequestBody, leftMs: number): Call {
+    return {
+      requestId: id,
+      method: 'POST',
+      target: '/',
+      headers: ['Host', 'a', 'x-id', id],
+      body,
+      deadlineAtMs: performance.now() + leftMs,
+      callerNode: 'n1',
+      retriesLeft: 0,
+      priority: Number(id.length % 2),
+      workClass: 'upload',
+    };
+  }
+
+  /** What is wrong with the end of a request. */
+  function faultsOf(run: Run): string[] {
+    const name = `${run.id} ${run.form} ${run.bytes.length} [${run.outcomes.join()}]`;
+    const digest = createHash('sha1').update(run.bytes).digest('hex');
+    const got = whole.get(run.id) ?? [];
+    const faults: string[] = [];
+    if (run.outcomes.length !== (run.isAborted ? 0 : 1)) {
+      faults.push(`${name}: ${run.isAborted ? 'aborted, ' : ''}${run.outcomes.length} outcomes`);
+    }
+    if (got.length > 1 || got.some((one) => one !== digest)) {
+      faults.push(`${name}: body came ${got.length} times or changed`);
+    }
+    const isToldNotRun = run.outcomes.some((outcome) => outcome.endsWith(' not-run'));
+    if ((isToldNotRun || run.wasUnsentAtAbort) && begun.has(run.id)) {
+      faults.push(`${name}: was begun`);
+    }
+    return faults;
+  }
+
+  function openBodies(): number {
+    const { relay } = node.proxy as unknown as { relay: { credits: { bodies: unknown[] } } };
+    return relay.credits.bodies.length;
+  }
+
+  for (const seed of [1, 2]) {
+    it(`have one true outcome each, seed ${seed}`, async () => {
+      const random = seededRandom(seed);
+      const pick = <T>(values: readonly T[]): T =>
+        values[Math.floor(random() * values.length)] as T;
+      const endpoint = configure(8);
+      const peers: [RelayClient, NarrowLink][] = [];
+      for (let count = 0; count < 4; count += 1) {
+        peers.push(await addPeer(`p${count}`, 2_000));
+      }
+      const runs: Run[] = [];
+      for (let count = 0; count < REQUESTS; count += 1) {
+        const bytes = Buffer.alloc(pick(LENGTHS), `${count}-`);
+        const form = bytes.length === 0 ? 'held' : pick(FORMS);
+        const body = form === 'held' ? new HeldBody(bytes) : slowBody(form, bytes, random);
+        const run: Run = {
+          id: `r${seed}-${count}`,
+          form,
+          bytes,
+          outcomes: [],
+          isAborted: false,
+          wasUnsentAtAbort: false,
+        };
+        runs.push(run);
+        const [client, link] = pick(peers);
+        run.attempt = client.submit(endpoint, callOf(run.id, body, 1_500), {
+          answered: (answer) => {
+            run.outcomes.push(`${answer.status}`);
+            if (answer.body.kind === 'streamed') {
+              answer.body.stream.on('error', () => undefined).resume();
+            }
+          },
+          failed: (error) => run.outcomes.push(`${error.code} ${error.verdict}`),
+        });
+        const act = random();
+        setTimeout(() => {
+          if (act < 0.25 && run.outcomes.length === 0) {
+            run.isAborted = true;
+            run.wasUnsentAtAbort = run.attempt?.isUnsent() === true;
+            run.attempt?.abort();
+          } else if (act > 0.97) {
+            link.cut();
+          }
+        }, random() * 300);
+        await new Promise((resolve) => setTimeout(resolve, random() * 10));
+      }
+      await new Promise((resolve) => setTimeout(resolve, 2_500));
+      const faults = runs.flatMap((run) => faultsOf(run));
+      expect(faults).to.deep.equal([]);
+      runs.forEach((run) => run.attempt?.abort());
+      await new Promise((resolve) => setTimeout(resolve, 200));
+      expect(openBodies()).to.equal(0);
+    });
+  }
+
+  it('are not carried when they come together for an endpoint that has no room for them', async () => {
+    isSilent = true;
+    const endpoint = configure(1);
+    const [client, link] = await addPeer('p', 875);
+    const outcomes: string[] = [];
+    for (let count = 0; count < 20; count += 1) {
+      client.submit(endpoint, callOf(`u${count}`, new HeldBody(Buffer.alloc(60_000)), 3_000), {
+        answered: () => outcomes.push('answered'),
+        failed: ({ code, verdict }) => outcomes.push(`${code} ${verdict}`),
+      });
+    }
+    await new Promise((resolve) => setTimeout(resolve, 2_500));
+    // One slot and two places to wait; a few more may be on their way.
+    expect(link.carriedBytes, outcomes.join()).to.be.lessThan(8 * 60_000);
+  });
+});
--- /dev/null
+++ b/test/proxy/stop-window.test.ts
@@ -0,0 +1,70 @@
+/**
+ * A caller that sends its request between the end of the drain and the end of a planned stop.
+ *
+ * What happens: once nothing has been in flight for a while, the drain is over; the node then waits up to
+ * 200 ms for the connections to its peers to close. A caller's connection that was open and had sent
+ * nothing yet counts as no idle one and stays open meanwhile; what comes on it is run, as the time from
+ * which requests are refused is seconds away, and is cut with the connection when the wait is over.
+ */
+import { once } from 'node:events';
+import http from 'node:http';
+import net from 'node:net';
+import { expect } from 'chai';
+import {
+  echoEndpoint,
+  echoService,
+  rawAnswer,
+  startRawEndpoint,
+  TestMesh,
+  type RawEndpoint,
+} from './rig.js';
+
+const QUIET_MS = 30;
+
+describe('a planned stop whose drain is over', () => {
+  const mesh = new TestMesh();
+  let target: RawEndpoint;
+
+  afterEach(() => {
+    mesh.close();
+    mesh.nodes.length = 0;
+    target.close();
+  });
+
+  it('answers a request that comes while it waits for its peers', async () => {
+    target = await startRawEndpoint((socket) => {
+      setTimeout(() => socket.write(rawAnswer('ran')), 300);
+    });
+    const node = await mesh.addNode('n1', { stopQuietMs: QUIET_MS });
+    mesh.configure([...echoService(), echoEndpoint('e1', target.port, { machine: 'n1' })]);
+
+    // A peer whose end of the connection stays open, as over a slow link.
+    const upgrade = http.request({
+      port: node.relayPort,
+      host: '127.0.0.1',
+      headers: {
+        Connection: 'Upgrade',
+        Upgrade: 'ferryspool-relay/2',
+        'ferryspool-relay-token': mesh.tokenOf('n2'),
+      },
+    });
+    upgrade.end();
+    const [, peer] = (await once(upgrade, 'upgrade')) as [unknown, net.Socket];
+    peer.allowHalfOpen = true;
+    peer.on('error', () => undefined);
+
+    const caller = net.connect(node.callerPort, '127.0.0.1');
+    caller.on('error', () => undefined);
+    await once(caller, 'connect');
+    let received = '';
+    caller.on('data', (chunk: Buffer) => (received += chunk.toString()));
+    const stopped = node.proxy.stop();
+    await new Promise((resolve) => setTimeout(resolve, QUIET_MS + 90));
+    caller.write('POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi');
+    await stopped;
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    peer.destroy();
+    const wasRun = target.heads.length > 0;
+    expect([wasRun, received.startsWith('HTTP/1.1 ')]).to.not.deep.equal([true, false]);
+  });
+});
