--- a/src/admission/admission-queue.ts
+++ b/src/admission/admission-queue.ts
@@ -22,6 +22,13 @@
 /** Tickets of one rank by caller's node, the nodes in the order of their turns. */
 type Rank = Map<string, AdmissionTicket[]>;
 
+/** Where a ticket can be taken out for another one. */
+interface Displaceable {
+  readonly rank: number;
+  readonly queues: Rank;
+  readonly tickets: AdmissionTicket[];
+}
+
 /** The rank of a ticket. */
 export function rankOf({ priority = 0 }: AdmissionTicket): number {
   return priority;
@@ -103,28 +110,39 @@
     return tickets;
   }
 
+  /** Whether a ticket would have to make room for `ticket`. */
+  canDisplaceFor(ticket: AdmissionTicket): boolean {
+    return this.displaceableBy(ticket) !== undefined;
+  }
+
   /**
    * Takes out the newest ticket that has to make room for `ticket`: one of a less urgent rank, or of
    * the node that has the most tickets of the same rank.
    */
   displaceFor(ticket: AdmissionTicket): AdmissionTicket | undefined {
+    const found = this.displaceableBy(ticket);
+    const displaced = found?.tickets.pop();
+    if (found !== undefined && displaced !== undefined) {
+      this.dropEmptyNode(found.rank, found.queues, displaced.callerNode);
+      this.count -= 1;
+    }
+    return displaced;
+  }
+
+  /** The tickets of which the last has to make room for `ticket`; never empty. */
+  private displaceableBy(ticket: AdmissionTicket): Displaceable | undefined {
     const rank = this.extremeRank(Math.max);
     const queues = rank === undefined ? undefined : this.ranks.get(rank);
     if (queues === undefined || rank === undefined || rank < rankOf(ticket)) {
       return undefined;
     }
-    let longest: AdmissionTicket[] = [];
-    for (const tickets of queues.values()) {
-      longest = tickets.length > longest.length ? tickets : longest;
+    let tickets: AdmissionTicket[] = [];
+    for (const others of queues.values()) {
+      tickets = others.length > tickets.length ? others : tickets;
     }
     const ownLength = queues.get(ticket.callerNode)?.length ?? 0;
     const isLessUrgent = rank > rankOf(ticket);
-    const displaced = isLessUrgent || longest.length > ownLength + 1 ? longest.pop() : undefined;
-    if (displaced !== undefined) {
-      this.dropEmptyNode(rank, queues, displaced.callerNode);
-      this.count -= 1;
-    }
-    return displaced;
+    return isLessUrgent || tickets.length > ownLength + 1 ? { rank, queues, tickets } : undefined;
   }
 
   private extremeRank(pick: (...ranks: number[]) => number): number | undefined {
--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -45,6 +45,8 @@
   private readonly queue = new AdmissionQueue();
   /** Classes of the requests that run. */
   private readonly running = new Map<string, string | undefined>();
+  /** Requests whose bodies are on their way, and that have a place in the queue or a slot. */
+  private readonly reserved = new Set<string>();
   private readonly serviceTimes = new ServiceTimes();
   private draining = false;
   /** Requests at the endpoint that are not counted here, by its last report. */
@@ -122,36 +124,39 @@
   }
 
   /**
-   * How a request would be refused whose body arrives as foreseen; undefined when it would be taken. What
-   * may not wait for a slot may not wait for its body to begin either.
+   * A request arrives whose body is still to come. It is refused as it would be once its body is here, by
+   * when that is foreseen, or gets a place that is kept until it is offered, or given up. What may not
+   * wait for a slot may not wait for its body to begin either.
    */
-  refusalOfArriving(
-    ticket: AdmissionTicket,
-    arrival: BodyArrival,
-    nowMs: number,
-  ): Refusal | undefined {
+  reserve(ticket: AdmissionTicket, arrival: BodyArrival, nowMs: number): Refusal | undefined {
     const { beginsAtMs, endsAtMs } = arrival;
     if (beginsAtMs > nowMs && beginsAtMs > (ticket.startByMs ?? Infinity)) {
       return this.refusal(ticket, 'cannot-finish-in-time', beginsAtMs - nowMs);
     }
-    const isFull = this.queue.size >= this.queueBound;
     const offered = this.withoutMissedTarget(ticket, nowMs);
-    const reason = this.refusalOf(offered, endsAtMs) ?? (isFull ? 'queue-full' : undefined);
-    const lateByMs = endsAtMs - this.latestStartAtMs(offered);
-    return reason === undefined ? undefined : this.refusal(ticket, reason, lateByMs);
+    const reason = this.refusalOf(offered, endsAtMs) ?? this.lackOfRoom(offered, nowMs);
+    if (reason === undefined) {
+      this.reserved.add(ticket.requestId);
+      return undefined;
+    }
+    return this.refusal(ticket, reason, endsAtMs - this.latestStartAtMs(offered));
+  }
+
+  /** The place that was kept for a request is free. */
+  unreserve(requestId: string): void {
+    this.reserved.delete(requestId);
   }
 
   /** A request arrives. */
   offer(offered: AdmissionTicket, nowMs: number): AdmissionEffect[] {
+    const hadPlace = this.reserved.delete(offered.requestId);
     const ticket = this.withoutMissedTarget(offered, nowMs);
-    const reason = this.refusalOf(ticket, nowMs);
+    const reason =
+      this.refusalOf(ticket, nowMs) ?? (hadPlace ? undefined : this.lackOfRoom(ticket, nowMs));
     if (reason !== undefined) {
       return [this.refuse(ticket, reason)];
     }
     const displaced = this.displaceFor(ticket);
-    if (this.queue.size >= this.queueBound && !this.hasFreeSlot(nowMs)) {
-      return [this.refuse(ticket, 'queue-full')];
-    }
     this.queue.push(ticket);
     return [...displaced, ...this.fillSlots(nowMs)];
   }
@@ -199,6 +204,14 @@
       : ticket;
   }
 
+  /** A full queue has no place for what goes before nothing in it, unless a slot is free. */
+  private lackOfRoom(ticket: AdmissionTicket, nowMs: number): RefusalReason | undefined {
+    const freeSlots = Math.max(0, this.limitAt(nowMs) - this.running.size);
+    const taken = this.queue.size + this.reserved.size;
+    const hasRoom = taken < this.queueBound + freeSlots || this.queue.canDisplaceFor(ticket);
+    return hasRoom ? undefined : 'queue-full';
+  }
+
   private get queueBound(): number {
     return Math.min(this.maxWaiting, this.slots * QUEUE_PER_SLOT);
   }
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -82,10 +82,9 @@
     return gated;
   }
 
-  /** Why a call whose body arrives so would be refused, in the log too; undefined when it would be taken. */
-  refusalOf(call: Call, arrival: BodyArrival): RequestError | undefined {
-    const nowMs = this.options.scheduler.now();
-    const refusal = this.admission.refusalOfArriving(call, arrival, nowMs);
+  /** Keeps a place for a call whose body is to come; the error, and a line in the log, when it has none. */
+  reserve(call: Call, arrival: BodyArrival): RequestError | undefined {
+    const refusal = this.admission.reserve(call, arrival, this.options.scheduler.now());
     if (refusal === undefined) {
       return undefined;
     }
@@ -94,6 +93,10 @@
     return admissionError(refusal.reason, refusal.retryAfterMs);
   }
 
+  unreserve(call: Call): void {
+    this.admission.unreserve(call.requestId);
+  }
+
   withdraw(call: Call): boolean {
     const wasWaiting = this.admission.withdraw(call.requestId, call.callerNode);
     if (wasWaiting) {
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -36,10 +36,14 @@
     return gate.submit(call, observer);
   }
 
-  refusalOf(endpoint: Endpoint, call: Call, arrival: BodyArrival): RequestError | undefined {
+  reserve(endpoint: Endpoint, call: Call, arrival: BodyArrival): RequestError | undefined {
     const gate = this.gateOf(endpoint);
     this.configure(gate);
-    return gate.refusalOf(call, arrival);
+    return gate.reserve(call, arrival);
+  }
+
+  unreserve(endpoint: Endpoint, call: Call): void {
+    this.gates.get(endpointKey(endpoint))?.unreserve(call);
   }
 
   load(endpoint: Endpoint, workClass: string): LoadReport {
--- a/src/proxy/relay/arrival-rate.ts
+++ b/src/proxy/relay/arrival-rate.ts
@@ -7,10 +7,13 @@
 const SAMPLE_MS = 100;
 /** Weight of a new measurement in the running mean. */
 const SAMPLE_WEIGHT = 0.3;
+/** A pace that is not measured again counts as twice as fast after this time, in milliseconds. */
+const DOUBLING_MS = 2_000;
 
 /** The pace of one node. */
 export class ArrivalRate {
   private bytesPerMs: number | undefined;
+  private measuredAtMs = 0;
   private sampleBytes = 0;
   /** Since when bodies have been waiting without a break; undefined while none does. */
   private sampledSinceMs: number | undefined;
@@ -37,12 +40,17 @@
     const measured = this.sampleBytes / sampleMs;
     const previous = this.bytesPerMs ?? measured;
     this.bytesPerMs = previous + (measured - previous) * SAMPLE_WEIGHT;
+    this.measuredAtMs = nowMs;
     this.sampledSinceMs = nowMs;
     this.sampleBytes = 0;
   }
 
-  /** Time that so many bytes take; 0 before a measurement. */
-  msFor(bytes: number): number {
-    return this.bytesPerMs === undefined || this.bytesPerMs <= 0 ? 0 : bytes / this.bytesPerMs;
+  /** Time that so many bytes take, in milliseconds; 0 before a measurement. */
+  msFor(bytes: number, nowMs: number): number {
+    if (this.bytesPerMs === undefined || this.bytesPerMs <= 0) {
+      return 0;
+    }
+    const hope = 2 ** ((nowMs - this.measuredAtMs) / DOUBLING_MS);
+    return bytes / (this.bytesPerMs * hope);
   }
 }
--- a/src/proxy/relay/credit-pool.ts
+++ b/src/proxy/relay/credit-pool.ts
@@ -6,6 +6,7 @@
 import type { BodyArrival } from '../../admission/endpoint-admission.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
 import { ArrivalRate } from './arrival-rate.js';
+import { MAX_COLLECTED_BODY_BYTES } from './collected-body.js';
 
 /**
  * Bytes of bodies on their way to a node at most. Keeps a link of 7 Mbit/s busy, and is carried by it in
@@ -16,11 +17,14 @@
 /** Bytes that are granted at once, so that a body of 60 KB takes four grants. */
 const GRANT_BYTES = 16 * 1024;
 /**
- * A sender that has not used its credit for this long, in milliseconds, no longer holds up the others: it
- * has nothing to send, or nothing is heard of it. Several times what a narrow link takes for the pool.
+ * A sender that leaves its credit unused no longer holds up the others: it has nothing to send, or nothing
+ * is heard of it. That is so once others, who were given theirs later, have sent so many bytes, ...
  */
+const OVERTAKEN_BYTES = 2 * POOL_BYTES;
+/** ... or once nothing has arrived of anybody for this long, in milliseconds, ... */
 const STALL_MS = 150;
-
+/** ... and for so many times as long as the pool takes at the measured pace. */
+const STALL_POOL_TIMES = 4;
 /** Weight of a new measurement in the running mean of the time that bodies take. */
 const COLLECT_WEIGHT = 0.2;
 
@@ -52,6 +56,9 @@
   private readonly rate = new ArrivalRate();
   private cancelStallTimer: CancelTimer | undefined;
   private meanMs: number | undefined;
+  /** Bytes that have arrived of all bodies. */
+  private arrivedBytes = 0;
+  private lastArrivalAtMs = -Infinity;
 
   /** `onBodyMs` gets the time that each whole body took, in milliseconds. */
   constructor(
@@ -72,19 +79,36 @@
       changed: (arrivedBytes) => this.changed(body, arrivedBytes),
       expectedArrival: () => this.expectedArrival(body),
     });
-    const after = this.bodies.findIndex((other) => other.rank > request.rank);
-    this.bodies.splice(after < 0 ? this.bodies.length : after, 0, body);
+    this.enqueue(body);
     return body;
   }
 
-  /** Bodies are carried in their order. */
+  /** Puts a body behind those of its rank. */
+  private enqueue(body: PooledCredit): void {
+    const after = this.bodies.findIndex((other) => other.rank > body.rank);
+    this.bodies.splice(after < 0 ? this.bodies.length : after, 0, body);
+  }
+
+  private dequeue(body: PooledCredit): void {
+    const at = this.bodies.indexOf(body);
+    this.bodies.splice(at, at < 0 ? 0 : 1);
+  }
+
+  /**
+   * Bodies are carried in their order. Where nothing is ahead nothing is foreseen, so that a pace that was
+   * measured on a link in trouble does not turn bodies away once it is well.
+   */
   private expectedArrival(body: PooledCredit): BodyArrival {
+    const nowMs = this.scheduler.now();
     const ahead = this.bodies.slice(0, this.bodies.indexOf(body));
     const aheadBytes = ahead.reduce((bytes, other) => bytes + other.owedBytes, 0);
-    const nowMs = this.scheduler.now();
+    if (aheadBytes === 0) {
+      return { beginsAtMs: nowMs, endsAtMs: nowMs };
+    }
+    const beginBytes = Math.max(0, aheadBytes - POOL_BYTES);
     return {
-      beginsAtMs: nowMs + this.rate.msFor(Math.max(0, aheadBytes - POOL_BYTES)),
-      endsAtMs: nowMs + this.rate.msFor(aheadBytes + body.owedBytes),
+      beginsAtMs: nowMs + this.rate.msFor(beginBytes, nowMs),
+      endsAtMs: nowMs + this.rate.msFor(aheadBytes + body.owedBytes, nowMs),
     };
   }
 
@@ -97,37 +121,59 @@
   private changed(body: PooledCredit, arrivedBytes: number): void {
     const nowMs = this.scheduler.now();
     if (arrivedBytes > 0) {
-      body.moved(nowMs);
+      this.arrivedBytes += arrivedBytes;
+      this.lastArrivalAtMs = nowMs;
+      body.moved(this.arrivedBytes, nowMs);
       this.rate.arrived(arrivedBytes, nowMs);
     }
     if (body.isClosed) {
-      const at = this.bodies.indexOf(body);
-      this.bodies.splice(at, at < 0 ? 0 : 1);
+      this.dequeue(body);
     }
     this.grantInOrder(nowMs);
   }
 
-  /** A body that waits is not overtaken by those behind it. */
+  /** A body that waits is not overtaken by those behind it; long ones take turns with the others. */
   private grantInOrder(nowMs: number): void {
-    let freeBytes = POOL_BYTES;
-    for (const body of this.bodies) {
-      freeBytes -= body.heldBytes(nowMs);
-    }
-    const waiting = this.bodies.filter((body) => body.nextGrantBytes > 0);
-    let next = waiting.shift();
+    let freeBytes = POOL_BYTES - this.heldBytes(nowMs);
+    let next = this.nextWaiting();
     while (next !== undefined && next.nextGrantBytes <= freeBytes) {
       freeBytes -= next.nextGrantBytes;
-      next.grantNext(nowMs);
-      next = next.nextGrantBytes > 0 ? next : waiting.shift();
+      next.grantNext(this.arrivedBytes, nowMs);
+      if (next.isLong) {
+        this.dequeue(next);
+        this.enqueue(next);
+      }
+      next = this.nextWaiting();
     }
     this.rate.setSaturated(next !== undefined, nowMs);
     this.watchForStall(next !== undefined);
   }
 
+  private nextWaiting(): PooledCredit | undefined {
+    return this.bodies.find((body) => body.nextGrantBytes > 0);
+  }
+
+  /** Bytes of the pool that are granted and not used, but for those of senders that leave them unused. */
+  private heldBytes(nowMs: number): number {
+    const stalledSinceMs = nowMs - this.stallMs(nowMs);
+    const isStalled = this.lastArrivalAtMs <= stalledSinceMs;
+    let bytes = 0;
+    for (const body of this.bodies) {
+      body.judge(this.arrivedBytes, isStalled ? stalledSinceMs : -Infinity);
+      bytes += body.isSlow ? 0 : body.underWayBytes;
+    }
+    return bytes;
+  }
+
+  private stallMs(nowMs: number): number {
+    return Math.max(STALL_MS, STALL_POOL_TIMES * this.rate.msFor(POOL_BYTES, nowMs));
+  }
+
   private watchForStall(isWaited: boolean): void {
     this.cancelStallTimer?.();
+    const nowMs = this.scheduler.now();
     this.cancelStallTimer = isWaited
-      ? this.scheduler.schedule(STALL_MS, () => this.grantInOrder(this.scheduler.now()))
+      ? this.scheduler.schedule(this.stallMs(nowMs), () => this.grantInOrder(this.scheduler.now()))
       : undefined;
   }
 }
@@ -142,15 +188,18 @@
 
 class PooledCredit implements BodyCredit {
   readonly rank: number;
+  /** Whether it takes turns with others of its rank; its length may be unknown. */
+  readonly isLong: boolean;
   isClosed = false;
+  /** Whether its sender left credit unused; it then gets one grant at a time, apart from the pool. */
+  isSlow = false;
   /** Granted and not arrived yet. */
-  private underWayBytes = 0;
-  /** When credit was last granted or used. */
+  underWayBytes = 0;
+  /** When credit was last granted or used, and what had arrived of all bodies by then. */
   private movedAtMs = 0;
+  private movedAtBytes = 0;
   /** Whether its sender has sent something; until then it gets one grant. */
   private hasMoved = false;
-  /** Whether its sender left credit unused; it then gets one grant at a time, apart from the pool. */
-  private isSlow = false;
   private wantedBytes = 0;
   private ungrantedBytes: number;
 
@@ -160,38 +209,43 @@
   ) {
     this.rank = request.rank;
     this.ungrantedBytes = request.lengthBytes ?? Infinity;
+    this.isLong = this.ungrantedBytes > MAX_COLLECTED_BODY_BYTES;
   }
 
-  /** What is still to come, as far as it is known. */
+  /** What is still to come before its turn is over. */
   get owedBytes(): number {
-    const isSized = Number.isFinite(this.ungrantedBytes);
-    return this.underWayBytes + (isSized ? this.ungrantedBytes : this.wantedBytes);
+    const toGrant = this.isLong
+      ? Math.min(this.wantedBytes, this.ungrantedBytes, GRANT_BYTES)
+      : this.ungrantedBytes;
+    return this.underWayBytes + toGrant;
   }
 
   get nextGrantBytes(): number {
-    if ((this.isSlow || !this.hasMoved) && this.underWayBytes > 0) {
+    const isAlone = this.isSlow || this.isLong || !this.hasMoved;
+    if (isAlone && this.underWayBytes > 0) {
       return 0;
     }
     return Math.min(GRANT_BYTES, this.wantedBytes, this.ungrantedBytes);
   }
 
-  /** Bytes of the pool that its credit takes. */
-  heldBytes(nowMs: number): number {
-    this.isSlow ||= this.underWayBytes > 0 && nowMs - this.movedAtMs >= STALL_MS;
-    return this.isSlow ? 0 : this.underWayBytes;
+  /** Takes whether its sender leaves credit unused that it got before `stalledSinceMs`. */
+  judge(arrivedBytes: number, stalledSinceMs: number): void {
+    const isOvertaken = arrivedBytes - this.movedAtBytes >= OVERTAKEN_BYTES;
+    const isStalled = this.movedAtMs <= stalledSinceMs;
+    this.isSlow ||= this.underWayBytes > 0 && (isOvertaken || isStalled);
   }
 
-  /** Bytes arrived. */
-  moved(nowMs: number): void {
-    const wasInTime = nowMs - this.movedAtMs < STALL_MS;
+  /** Bytes arrived; a sender that has used its credit before others overtook it is not slow any more. */
+  moved(arrivedBytes: number, nowMs: number): void {
+    const wasInTime = arrivedBytes - this.movedAtBytes < OVERTAKEN_BYTES;
     this.isSlow &&= !(wasInTime && this.underWayBytes === 0);
-    this.movedAtMs = nowMs;
+    this.mark(arrivedBytes, nowMs);
     this.hasMoved = true;
   }
 
-  grantNext(nowMs: number): void {
+  grantNext(arrivedBytes: number, nowMs: number): void {
     const bytes = this.nextGrantBytes;
-    this.movedAtMs = nowMs;
+    this.mark(arrivedBytes, nowMs);
     this.wantedBytes -= bytes;
     this.ungrantedBytes -= bytes;
     this.underWayBytes += bytes;
@@ -221,4 +275,9 @@
       this.pool.changed(0);
     }
   }
+
+  private mark(arrivedBytes: number, nowMs: number): void {
+    this.movedAtBytes = arrivedBytes;
+    this.movedAtMs = nowMs;
+  }
 }
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -58,8 +58,12 @@
       headers: this.upgradeHeaders(),
     });
     const timer = setTimeout(() => this.request.destroy(), options.connectTimeoutMs);
-    this.request.once('upgrade', (_message, socket, head) => {
+    this.request.once('upgrade', (message, socket, head) => {
       clearTimeout(timer);
+      if (message.headers.upgrade !== RELAY_PROTOCOL) {
+        socket.destroy();
+        return;
+      }
       this.reportConnect(true);
       this.open(socket, head);
     });
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -23,6 +23,9 @@
 export const RELAY_CLOSE_TIMEOUT_MS = 200;
 const FORBIDDEN = 'HTTP/1.1 403 Forbidden\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 const UPGRADE_REQUIRED_STATUS = 426;
+const UPGRADE_REQUIRED =
+  `HTTP/1.1 ${UPGRADE_REQUIRED_STATUS} Upgrade Required\r\nUpgrade: ${RELAY_PROTOCOL}\r\n` +
+  'Connection: close\r\nContent-Length: 0\r\n\r\n';
 const SWITCHED =
   'HTTP/1.1 101 Switching Protocols\r\n' +
   `Connection: Upgrade\r\nUpgrade: ${RELAY_PROTOCOL}\r\n\r\n`;
@@ -68,6 +71,10 @@
       response.end();
     });
     this.http.on('upgrade', (request, socket, head) => {
+      if (request.headers.upgrade !== RELAY_PROTOCOL) {
+        socket.end(UPGRADE_REQUIRED);
+        return;
+      }
       const token = headerValue(request.rawHeaders, RELAY_TOKEN_HEADER);
       this.accept(options.verifyToken(token), socket, head);
     });
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -33,8 +33,10 @@
 
 /** The endpoints of this node. */
 export interface OwnedEndpoints extends EndpointPath {
-  /** Why a request whose body arrives so would be refused; undefined when it would be taken. */
-  refusalOf(endpoint: Endpoint, call: Call, arrival: BodyArrival): RequestError | undefined;
+  /** Keeps a place for a request whose body is to come; the error when there is none. */
+  reserve(endpoint: Endpoint, call: Call, arrival: BodyArrival): RequestError | undefined;
+  /** Gives a place up that was kept for a request which is not submitted. */
+  unreserve(endpoint: Endpoint, call: Call): void;
   load(endpoint: Endpoint, workClass: string): LoadReport;
 }
 
@@ -53,6 +55,7 @@
   private readonly credit: BodyCredit | undefined;
   private readonly streamId: number;
   private cancelCollecting: CancelTimer | undefined;
+  private unreserve: () => void = () => undefined;
   private readonly requestId: string;
   private readonly arrivedAtMs: number;
   private attempt: Attempt | undefined;
@@ -87,11 +90,12 @@
       this.submit(endpoints, endpoint, call);
       return;
     }
-    const refusal = endpoints.refusalOf(endpoint, call, credit.expectedArrival());
+    const refusal = endpoints.reserve(endpoint, call, credit.expectedArrival());
     if (refusal !== undefined) {
       this.failed(refusal, endpoints.load(endpoint, call.workClass));
       return;
     }
+    this.unreserve = () => endpoints.unreserve(endpoint, call);
     this.refuseUnlessCollected(call, () => endpoints.load(endpoint, call.workClass));
     collectBody(reader, (body) => {
       this.cancelCollecting?.();
@@ -250,6 +254,7 @@
     if (!this.isOver) {
       this.isOver = true;
       this.cancelCollecting?.();
+      this.unreserve();
       this.credit?.close();
       if (this.reader?.complete === false) {
         this.reader.destroy();
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -192,6 +192,8 @@
       clock: () => MACHINE_TIME.now(),
     });
     cancelGiveUp();
+    // A caller that was connected and had sent nothing yet may still send: nobody would wait for its answer.
+    this.stopTimes = { ...this.stopTimes, refusesFromMs: MACHINE_TIME.now() };
     const outcome = `drained to ${this.meter.inFlight} in flight, ${givenUp} given up`;
     this.options.logStateChange('request-path', outcome);
     await this.relay.close();
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -222,10 +222,14 @@
     services.selector.began(endpoint, this.attemptStartedAtMs);
     this.awaitPeerOf(endpoint);
     const call = this.callOf(this.body, attempt, retriesLeft);
-    this.attempt = path.submit(endpoint, call, {
+    const submitted = path.submit(endpoint, call, {
       answered: (answer) => this.takeAnswer(attempt, answer),
       failed: (error, load) => this.takeFailure(attempt, error, load),
     });
+    // An endpoint of this node may refuse before it returns: another attempt is under way then.
+    if (attempt === this.attemptNumber) {
+      this.attempt = submitted;
+    }
   }
 
   /** An untried endpoint; once all have refused for lack of time, one of these again, for late work. */
--- a/test/admission/ranked-admission.test.ts
+++ b/test/admission/ranked-admission.test.ts
@@ -110,7 +110,7 @@
     const admission = busy({ work: 100 }, 2);
     const inTime = ticket('in time', { workClass: 'work', targetAtMs: 400, deadlineAtMs: 2_000 });
     const refusal = (one: AdmissionTicket, beginsAtMs: number, endsAtMs: number): unknown =>
-      admission.refusalOfArriving(one, { beginsAtMs, endsAtMs }, 0);
+      admission.reserve(one, { beginsAtMs, endsAtMs }, 0);
     admission.release('running-0', 0);
     expect(refusal(inTime, 100, 250)).to.equal(undefined);
     expect(refusal(inTime, 100, 450)).to.include({
--- a/test/admission/refusal-ahead.test.ts
+++ b/test/admission/refusal-ahead.test.ts
@@ -9,6 +9,8 @@
 import { EndpointAdmission, type AdmissionTicket } from '../../src/admission/endpoint-admission.js';
 
 const FAR_MS = 1e9;
+/** A body that is here. */
+const HERE = { beginsAtMs: 0, endsAtMs: 0 };
 
 function ticket(requestId: string, priority: number, callerNode = 'n'): AdmissionTicket {
   return { requestId, callerNode, priority, deadlineAtMs: FAR_MS };
@@ -18,7 +20,7 @@
   it('takes an urgent request that goes before one in a full queue', () => {
     const admission = new EndpointAdmission(1);
     ['running', 'a', 'b'].forEach((id) => admission.offer(ticket(id, 2), 0));
-    expect(admission.refusalAt(ticket('urgent', 0), 0)).to.equal(undefined);
+    expect(admission.reserve(ticket('urgent', 0), HERE, 0)).to.equal(undefined);
   });
 
   it('refuses what it would refuse on arrival, and nothing else', () => {
@@ -34,7 +36,8 @@
             admission.offer(ticket(`r${at}`, priority, node), 0);
           });
           const asked = ticket('asked', last.priority, last.node);
-          const ahead = admission.refusalAt(asked, 0)?.reason;
+          const ahead = admission.reserve(asked, HERE, 0)?.reason;
+          admission.unreserve(asked.requestId);
           const effects = admission.offer(asked, 0);
           const refusal = effects.find((effect) => effect.requestId === 'asked');
           expect(ahead).to.equal(refusal?.type === 'refuse' ? refusal.reason : undefined);
--- a/test/proxy/relay/credit-pool-limits.test.ts
+++ b/test/proxy/relay/credit-pool-limits.test.ts
@@ -101,7 +101,7 @@
     const outcomes = new Set<string>();
     for (let second = 0; second < count; second += 1) {
       const body = link.upload(UPLOAD_BYTES);
-      const isRefused = body.credit.expectedMs() > 2_000;
+      const isRefused = body.credit.expectedArrival().endsAtMs - link.now() > 2_000;
       outcomes.add(isRefused ? 'refused' : 'taken');
       if (isRefused) {
         body.credit.close();
--- a/test/proxy/relay/credit-pool.test.ts
+++ b/test/proxy/relay/credit-pool.test.ts
@@ -70,29 +70,61 @@
 }
 
 describe('the credit of a node for bodies', () => {
+  /** Carries bodies to their ends, by senders that `pick` takes from; calls `look` before each step. */
+  function carry(
+    bodies: readonly [number, number][],
+    choices: Iterator<number>,
+    pick: (ready: readonly Sender[], choice: number) => Sender | undefined,
+    look: (underWayBytes: number) => void,
+  ): void {
+    const time = new ManualTime();
+    const pool = new CreditPool(time);
+    const senders = bodies.map(([lengthBytes, rank]) => new Sender(pool, lengthBytes, rank));
+    const isOpen = ({ sentBytes, lengthBytes }: Sender): boolean => sentBytes < lengthBytes;
+    for (let open = senders; open.length > 0; open = senders.filter(isOpen)) {
+      look(senders.reduce((sum, sender) => sum + sender.underWayBytes, 0));
+      const choice = Number(choices.next().value);
+      const ready = open.filter(({ underWayBytes }) => underWayBytes > 0);
+      pick(ready, choice)?.send(1 + (choice % 20_000));
+      time.advance(1);
+    }
+  }
+
+  const anyBodies = fc.array(fc.tuple(fc.integer({ min: 1, max: 200_000 }), fc.nat(2)), {
+    minLength: 1,
+    maxLength: 12,
+  });
+  const anyChoices = fc.infiniteStream(fc.nat({ max: 1_000_000 }));
+
   it('is never more than the pool for all of them, and carries each to its end', () => {
     fc.assert(
-      fc.property(
-        fc.array(fc.tuple(fc.integer({ min: 1, max: 200_000 }), fc.nat(2)), {
-          minLength: 1,
-          maxLength: 12,
-        }),
-        fc.infiniteStream(fc.nat({ max: 1_000_000 })),
-        (bodies, choices) => {
-          const time = new ManualTime();
-          const pool = new CreditPool(time);
-          const senders = bodies.map(([lengthBytes, rank]) => new Sender(pool, lengthBytes, rank));
-          const isOpen = ({ sentBytes, lengthBytes }: Sender): boolean => sentBytes < lengthBytes;
-          for (let open = senders; open.length > 0; open = senders.filter(isOpen)) {
-            const underWay = senders.reduce((sum, sender) => sum + sender.underWayBytes, 0);
-            expect(underWay).to.be.within(1, POOL_BYTES);
-            const choice = Number(choices.next().value);
-            const ready = open.filter(({ underWayBytes }) => underWayBytes > 0);
-            ready[choice % ready.length]?.send(1 + (choice % 20_000));
-            time.advance(1);
-          }
-        },
-      ),
+      fc.property(anyBodies, anyChoices, (bodies, choices) => {
+        const waited = new Map<Sender, number>();
+        let step = 0;
+        const longestWaiting = (ready: readonly Sender[]): Sender | undefined => {
+          step += 1;
+          const [first] = [...ready].sort(
+            (left, right) => (waited.get(left) ?? 0) - (waited.get(right) ?? 0),
+          );
+          return first && waited.set(first, step) && first;
+        };
+        carry(bodies, choices, longestWaiting, (underWayBytes) => {
+          expect(underWayBytes).to.be.within(1, POOL_BYTES);
+        });
+      }),
+      { numRuns: 100 },
+    );
+  });
+
+  it('is one grant more at most for each that others overtake, and carries each to its end', () => {
+    fc.assert(
+      fc.property(anyBodies, anyChoices, (bodies, choices) => {
+        const anyOf = (ready: readonly Sender[], choice: number): Sender | undefined =>
+          ready[choice % ready.length];
+        carry(bodies, choices, anyOf, (underWayBytes) => {
+          expect(underWayBytes).to.be.within(1, POOL_BYTES + bodies.length * 16_384);
+        });
+      }),
       { numRuns: 100 },
     );
   });
@@ -128,19 +160,20 @@
     expect(Math.max(...waiting)).to.be.at.most(POOL_BYTES);
   });
 
-  it('takes a sender back that was slow once', () => {
+  it('takes a sender back that others had overtaken once', () => {
     const time = new ManualTime();
     const pool = new CreditPool(time);
-    const sender = new Sender(pool, 400_000, 0, false);
-    new Sender(pool, 60_000);
-    time.advance(300);
-    sender.send();
-    sender.send();
-    time.advance(1);
-    sender.send();
-    expect(sender.underWayBytes).to.be.within(1, POOL_BYTES);
-    const underWay = new Sender(pool, 60_000, 5);
-    expect(underWay.grantedBytes).to.equal(0);
+    const slow = new Sender(pool, 250_000);
+    const quick = new Sender(pool, 250_000);
+    for (let sent = 0; sent < 4 && quick.sentBytes < 2 * POOL_BYTES; sent += 1) {
+      quick.send();
+    }
+    slow.send();
+    quick.send();
+    expect(slow.underWayBytes).to.equal(16_384);
+    slow.send();
+    quick.send();
+    expect(slow.underWayBytes).to.equal(POOL_BYTES);
   });
 
   it('tells how long a body will take behind those that wait, once it has seen them arrive', () => {
@@ -160,7 +193,9 @@
     const sooner = owedBytes - lengthBytes - POOL_BYTES;
     expect(beginsAtMs - time.now()).to.be.closeTo(sooner / 819.2, 60);
     const urgent = new Sender(pool, 8_192, -1);
-    expect((urgent.credit?.expectedArrival().endsAtMs ?? 0) - time.now()).to.be.closeTo(10, 5);
+    expect(urgent.credit?.expectedArrival().endsAtMs).to.equal(time.now());
+    const second = new Sender(pool, 8_192, -1);
+    expect((second.credit?.expectedArrival().endsAtMs ?? 0) - time.now()).to.be.closeTo(20, 5);
   });
 
   it('tells the mean time of whole bodies; one that was given up does not count', () => {
--- a/test/proxy/stop-window.test.ts
+++ b/test/proxy/stop-window.test.ts
@@ -10,6 +10,7 @@
 import http from 'node:http';
 import net from 'node:net';
 import { expect } from 'chai';
+import { RELAY_PROTOCOL } from '../../src/proxy/relay/relay-protocol.js';
 import {
   echoEndpoint,
   echoService,
@@ -44,7 +45,7 @@
       host: '127.0.0.1',
       headers: {
         Connection: 'Upgrade',
-        Upgrade: 'ferryspool-relay/2',
+        Upgrade: RELAY_PROTOCOL,
         'ferryspool-relay-token': mesh.tokenOf('n2'),
       },
     });
--- a/test/proxy/unsent-at-deadline.test.ts
+++ b/test/proxy/unsent-at-deadline.test.ts
@@ -8,6 +8,7 @@
 import { once } from 'node:events';
 import net, { type AddressInfo, type Socket } from 'node:net';
 import { expect } from 'chai';
+import { RELAY_PROTOCOL } from '../../src/proxy/relay/relay-protocol.js';
 import { call, echoEndpoint, echoService, TestMesh, type TestNode } from './rig.js';
 
 const UPLOAD_BYTES = 60_000;
@@ -53,7 +54,7 @@
     const { callerPort } = await nodeBeside((socket) => {
       socket.once('data', () => {
         socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n');
-        socket.write('Upgrade: ferryspool-relay/2\r\n\r\n');
+        socket.write(`Upgrade: ${RELAY_PROTOCOL}\r\n\r\n`);
       });
     });
     const { headers } = await call(callerPort, {
@@ -68,7 +69,7 @@
     const { callerPort } = await nodeBeside((socket) => {
       socket.once('data', () => {
         socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n');
-        socket.write('Upgrade: ferryspool-relay/2\r\n\r\n');
+        socket.write(`Upgrade: ${RELAY_PROTOCOL}\r\n\r\n`);
       });
     });
     const { headers } = await call(callerPort, {
