--- /dev/null
+++ b/test/proxy/relay/silent-connections.test.ts
@@ -0,0 +1,163 @@
+/**
+ * Connections between two nodes that go silent for good, without a reset, while new ones work.
+ *
+ * What happened: the datagrams between the two machines passed, so that neither was taken for silent.
+ * Each request on the silent connection waited until its deadline, and each later one took the same
+ * connection.
+ */
+import { expect } from 'chai';
+import {
+  call,
+  echoEndpoint,
+  echoService,
+  rawAnswer,
+  startRawEndpoint,
+  TestMesh,
+  until,
+  type CallerResult,
+  type RawEndpoint,
+  type TestNode,
+} from '../rig.js';
+import { openRelay } from '../relay-sender.js';
+import { SilentLink, type Silence } from './silent-link.js';
+
+/** Silence after which what may be repeated is sent elsewhere, with room for a busy machine. */
+const REPEATED_WITHIN_MS = 1_000;
+/** Silence after which the other requests get their final answer, likewise. */
+const GIVEN_UP_WITHIN_MS = 1_800;
+/** Silence after which the endpoint's node lets go of what a peer sent it, likewise. */
+const LET_GO_WITHIN_MS = 2_500;
+const DEADLINE_MS = 8_000;
+
+const SILENCES: readonly Silence[] = ['both', 'towards', 'from'];
+
+describe('a connection between two nodes that goes silent', () => {
+  const mesh = new TestMesh();
+  let link: SilentLink;
+  let target: RawEndpoint;
+  let caller: TestNode;
+  let owner: TestNode;
+  /** Answers of the endpoint are held back while set. */
+  let isHeld = false;
+  /** Answers begin, and do not end, while set. */
+  let isStreamed = false;
+  const release: (() => void)[] = [];
+
+  beforeEach(async () => {
+    isHeld = false;
+    isStreamed = false;
+    release.length = 0;
+    target = await startRawEndpoint((socket) => {
+      const answer = (): unknown => socket.write(rawAnswer('ran'));
+      if (isStreamed) {
+        socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n');
+      } else if (isHeld) {
+        release.push(answer);
+      } else {
+        answer();
+      }
+    });
+    owner = await mesh.addNode('n2');
+    link = await SilentLink.start(owner.relayPort);
+    mesh.nodes[0] = { ...owner, relayPort: link.port };
+    caller = await mesh.addNode('n1');
+  });
+
+  afterEach(() => {
+    mesh.close();
+    mesh.nodes.length = 0;
+    link.close();
+    target.close();
+  });
+
+  function configure(kind: 'safe' | 'unsafe'): void {
+    mesh.configure([
+      ...echoService({ timeoutMs: DEADLINE_MS, repeatable: kind === 'safe' }),
+      echoEndpoint('e1', target.port, { machine: 'n2' }),
+      echoEndpoint('e2', target.port, { machine: 'n2' }),
+    ]);
+  }
+
+  function send(kind: 'safe' | 'unsafe'): Promise<CallerResult> {
+    return call(caller.callerPort, { method: kind === 'safe' ? 'GET' : 'POST' });
+  }
+
+  /** A request that is at the endpoint when its connection goes silent, and the time to its answer. */
+  async function interrupt(kind: 'safe' | 'unsafe', silence: Silence) {
+    configure(kind);
+    expect((await send(kind)).status).to.equal(200);
+    isHeld = true;
+    const before = target.heads.length;
+    const answer = send(kind);
+    await until(() => target.heads.length > before);
+    isHeld = false;
+    link.silence(silence);
+    const silentFromMs = performance.now();
+    release.splice(0).forEach((answerNow) => answerNow());
+    const result = await answer;
+    return { result, tookMs: performance.now() - silentFromMs, runs: target.heads.length - before };
+  }
+
+  it('loses no request that may be repeated, and serves later ones at once', async () => {
+    for (const silence of SILENCES) {
+      const { result, tookMs } = await interrupt('safe', silence);
+      expect(result, silence).to.include({ status: 200, body: 'ran' });
+      expect(tookMs, silence).to.be.below(REPEATED_WITHIN_MS);
+      // Where answers still pass, it is this one that finds out.
+      const nextAtMs = performance.now();
+      expect((await send('safe')).status, silence).to.equal(200);
+      expect(performance.now() - nextAtMs, silence).to.be.below(REPEATED_WITHIN_MS);
+      const laterAtMs = performance.now();
+      expect((await send('safe')).status, silence).to.equal(200);
+      expect(performance.now() - laterAtMs, silence).to.be.below(300);
+    }
+    expect(link.openedCount).to.equal(1 + SILENCES.length);
+  });
+
+  it('ends what may have run long before its deadline, and runs it once', async () => {
+    for (const silence of ['both', 'from'] as const) {
+      const { result, tookMs, runs } = await interrupt('unsafe', silence);
+      expect(result.status, silence).to.equal(502);
+      expect(tookMs, silence).to.be.below(GIVEN_UP_WITHIN_MS);
+      expect(runs, silence).to.equal(1);
+    }
+    const before = target.heads.length;
+    link.silence('towards');
+    const sentAtMs = performance.now();
+    expect((await send('unsafe')).status).to.equal(502);
+    expect(performance.now() - sentAtMs).to.be.below(GIVEN_UP_WITHIN_MS);
+    expect(target.heads).to.have.length(before);
+    await breaksOffTheAnswerUnderWay();
+  });
+
+  async function breaksOffTheAnswerUnderWay(): Promise<void> {
+    isStreamed = true;
+    const answer = send('unsafe');
+    const before = target.heads.length;
+    await until(() => target.heads.length > before);
+    await new Promise((resolve) => setTimeout(resolve, 100));
+    link.silence('from');
+    const silentFromMs = performance.now();
+    const result = await answer;
+    expect(result).to.include({ status: 200, body: 'half', isWhole: false });
+    expect(performance.now() - silentFromMs).to.be.below(GIVEN_UP_WITHIN_MS);
+  }
+
+  it('lets go of what a peer had begun to send, and of the slot that it took', async () => {
+    configure('unsafe');
+    const opening = await openRelay(link.port, mesh.tokenOf('n3'));
+    if (opening.kind !== 'open') {
+      throw new Error('refused');
+    }
+    isHeld = true;
+    opening.sender.request({ remainingMs: DEADLINE_MS });
+    opening.sender.request({ remainingMs: DEADLINE_MS, bodyForm: 'sized', bodyBytes: 60_000 });
+    await until(() => target.heads.length === 1);
+    link.silence('both');
+    const silentFromMs = performance.now();
+    await until(() => target.cancelled.length === 1);
+    expect(performance.now() - silentFromMs).to.be.below(LET_GO_WITHIN_MS);
+    await until(() => owner.counters.get('ferryspool_relay_silent_total') === 1);
+    opening.sender.destroy();
+  });
+});
