--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -23,6 +23,8 @@
   readonly retriesLeft: number;
   /** Rank among the requests that wait for the endpoint; 0 goes first. */
   readonly priority: number;
+  /** Whether the attempt may run again elsewhere, though it may have run; false when absent. */
+  readonly isRepeatable?: boolean;
   /** Requests of one class take about equally long; the name of their route. */
   readonly workClass: string;
   /** Until when the answer should be there; the deadline when absent. On the node's clock. */
--- a/src/proxy/relay/relay-client.ts
+++ b/src/proxy/relay/relay-client.ts
@@ -2,7 +2,7 @@
 import type { Endpoint } from '../../model/resource.js';
 import type { Attempt, AttemptObserver, Call, EndpointPath } from '../call.js';
 import { UnreachableError } from '../request-error.js';
-import { RelayLink, type RelayAddress, type RelayLinkOptions } from './relay-link.js';
+import { keyOf, RelayLink, type RelayAddress, type RelayLinkOptions } from './relay-link.js';
 
 export type { RelayAddress } from './relay-link.js';
 
@@ -29,9 +29,14 @@
     return this.linkTo(address).submit(endpoint, call, observer);
   }
 
+  /** Looks whether connections on which something is awaited are silent; to be called now and then. */
+  look(): void {
+    this.open.forEach((link) => link.look());
+  }
+
   /** New attempts get a new connection; what is awaited on the one there is goes on. */
-  forget({ address, port }: RelayAddress): void {
-    this.links.delete(`${address}:${port}`);
+  forget(address: RelayAddress): void {
+    this.links.delete(keyOf(address));
   }
 
   /** Closes all connections. */
@@ -46,17 +51,31 @@
   }
 
   private linkTo(address: RelayAddress): RelayLink {
-    const key = `${address.address}:${address.port}`;
+    const key = keyOf(address);
     const known = this.links.get(key);
     if (known !== undefined) {
       return known;
     }
     const link = new RelayLink(address, this.options, {
       retired: () => this.retire(key, link),
+      suspect: () => {
+        this.retire(key, link);
+        this.linkTo(address);
+      },
+      opened: () => this.proveAlive(key, link),
       closed: () => this.open.delete(link),
     });
     this.links.set(key, link);
     this.open.add(link);
     return link;
   }
+
+  /** A new connection works: older ones to the same address that say nothing are silent. */
+  private proveAlive(key: string, opened: RelayLink): void {
+    for (const link of this.open) {
+      if (link !== opened && link.key === key) {
+        link.isProvenAlive();
+      }
+    }
+  }
 }
--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -6,7 +6,14 @@
 import type { Duplex } from 'node:stream';
 import { FrameError } from '../../wire/frame-error.js';
 import { FrameReader } from '../../wire/frame-reader.js';
-import { decodeRelayFrame, encodeRelayFrame, type RelayFrame } from './relay-frame.js';
+import type { CancelTimer, Scheduler } from '../scheduler.js';
+import type { LinkPulse } from './link-pulse.js';
+import {
+  decodeRelayFrame,
+  encodeRelayFrame,
+  type RelayFrame,
+  type StreamFrame,
+} from './relay-frame.js';
 
 /** Bytes that the socket may hold before frames of bodies wait here. */
 const MAX_SOCKET_BACKLOG_BYTES = 64 * 1024;
@@ -14,11 +21,19 @@
 /** Gets what happens on a connection. */
 export interface RelayConnectionObserver {
   /** Frames that arrived together, in their order. */
-  received(frames: readonly RelayFrame[]): void;
+  received(frames: readonly StreamFrame[]): void;
   /** The connection is over; called once. */
   closed(): void;
 }
 
+/** Watches over a connection whose peer answers pings. */
+export interface ConnectionWatch {
+  readonly pulse: LinkPulse;
+  readonly scheduler: Scheduler;
+  /** Told of each step once; see {@link ./link-pulse.ts}. */
+  readonly onSilence: (step: 'suspect' | 'silent' | 'lost', quietMs: number) => void;
+}
+
 /** A connection. */
 export class RelayConnection {
   private readonly reader = new FrameReader();
@@ -27,12 +42,14 @@
   private isFlushDue = false;
   private isEnding = false;
   private isClosed = false;
+  private cancelLook: CancelTimer | undefined;
 
   /** `head` is what was already read of the socket. */
   constructor(
     private readonly socket: Duplex,
     head: Buffer,
     private readonly observer: RelayConnectionObserver,
+    private readonly watch?: ConnectionWatch,
   ) {
     if (head.length > 0) {
       socket.unshift(head);
@@ -62,6 +79,32 @@
     return true;
   }
 
+  /** To be called now and then; `isOwed` is whether anything is awaited on the connection. */
+  look(isOwed: boolean): void {
+    if (this.watch === undefined || this.isClosed) {
+      return;
+    }
+    const { pulse, scheduler, onSilence } = this.watch;
+    const nowMs = scheduler.now();
+    const step = pulse.look(isOwed, nowMs);
+    if (step === 'ask') {
+      this.send({ kind: 'ping', askedAtMs: Math.floor(nowMs) });
+      this.flush();
+    }
+    this.lookAgainInTime(this.watch);
+    if (step !== 'ask' && step !== 'none') {
+      onSilence(step, pulse.quietForMs(nowMs));
+    }
+  }
+
+  /** Another connection to, or from, the same process was opened. */
+  isProvenAlive(): void {
+    if (this.watch !== undefined) {
+      this.watch.pulse.proven(this.watch.scheduler.now());
+      this.lookAgainInTime(this.watch);
+    }
+  }
+
   /** Sends what waits, then closes; takes as long as the peer needs to read it. */
   end(): void {
     this.isEnding = true;
@@ -72,6 +115,16 @@
     this.socket.destroy();
   }
 
+  /** What arrived meanwhile is read before the look. */
+  private lookAgainInTime({ pulse, scheduler }: ConnectionWatch): void {
+    this.cancelLook?.();
+    const delayMs = this.isClosed ? undefined : pulse.msToNextLook(scheduler.now());
+    this.cancelLook =
+      delayMs === undefined
+        ? undefined
+        : scheduler.schedule(Math.ceil(delayMs), () => setImmediate(() => this.look(false)));
+  }
+
   private flush(): void {
     this.isFlushDue = false;
     if (this.isClosed || this.socket.writableEnded) {
@@ -102,11 +155,19 @@
   }
 
   private read(chunk: Buffer): void {
-    const frames: RelayFrame[] = [];
+    const frames: StreamFrame[] = [];
+    this.watch?.pulse.heard(this.watch.scheduler.now());
     try {
       this.reader.push(chunk);
       for (let body = this.reader.next(); body !== undefined; body = this.reader.next()) {
-        frames.push(decodeRelayFrame(body));
+        const frame = decodeRelayFrame(body);
+        if (frame.kind === 'ping') {
+          this.send({ kind: 'acknowledgement', askedAtMs: frame.askedAtMs });
+        } else if (frame.kind === 'acknowledgement') {
+          this.takeAcknowledgement(frame.askedAtMs);
+        } else {
+          frames.push(frame);
+        }
       }
     } catch (err) {
       if (!(err instanceof FrameError)) {
@@ -117,8 +178,16 @@
     this.observer.received(frames);
   }
 
+  private takeAcknowledgement(askedAtMs: number): void {
+    if (this.watch !== undefined) {
+      this.watch.pulse.answered(askedAtMs, this.watch.scheduler.now());
+      this.lookAgainInTime(this.watch);
+    }
+  }
+
   private close(): void {
     this.isClosed = true;
+    this.cancelLook?.();
     this.observer.closed();
   }
 }
--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -100,12 +100,37 @@
   readonly streamId: number;
 }
 
-/** One frame. */
-export type RelayFrame =
+/** Asks for a sign of life, which is given at once. */
+export interface PingFrame {
+  readonly kind: 'ping';
+  /** On the sender's monotonic clock, in whole milliseconds; given back in the answer. */
+  readonly askedAtMs: number;
+}
+
+/** Answers a {@link PingFrame}. */
+export interface AcknowledgementFrame {
+  readonly kind: 'acknowledgement';
+  readonly askedAtMs: number;
+}
+
+/** A frame of one request. */
+export type StreamFrame =
   RequestFrame | AnswerFrame | FailureFrame | BodyFrame | CreditFrame | CancelFrame;
 
+/** One frame. */
+export type RelayFrame = StreamFrame | PingFrame | AcknowledgementFrame;
+
 /** Kinds by their numbers on the wire; positions must never change. */
-const KINDS = ['request', 'answer', 'failure', 'body', 'credit', 'cancel'] as const;
+const KINDS = [
+  'request',
+  'answer',
+  'failure',
+  'body',
+  'credit',
+  'cancel',
+  'ping',
+  'acknowledgement',
+] as const;
 const KIND_BYTES = 1;
 /** Room for a head of 64 KiB whose bytes each take two in UTF-8, and for what nodes add to it. */
 const MAX_TEXT_BYTES = 256 * 1024;
@@ -215,6 +240,8 @@
   body: new PlainStruct({ streamId: varint, isLast: flag, bytes: remainingBytes }),
   credit: new PlainStruct({ streamId: varint, creditBytes: varint }),
   cancel: new PlainStruct({ streamId: varint }),
+  ping: new PlainStruct({ askedAtMs: varint }),
+  acknowledgement: new PlainStruct({ askedAtMs: varint }),
 };
 
 /** The bytes of a frame, its length among them. Throws {@link FrameError} for bad values. */
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -4,14 +4,22 @@
 import type { Endpoint } from '../../model/resource.js';
 import type { Attempt, AttemptObserver, Call } from '../call.js';
 import type { Scheduler } from '../scheduler.js';
+import { LinkPulse, type PulseLimits } from './link-pulse.js';
 import { RelayConnection } from './relay-connection.js';
-import type { RelayFrame } from './relay-frame.js';
+import type { StreamFrame } from './relay-frame.js';
 import { RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
 import { RelayedAttempt } from './relayed-attempt.js';
 
 /** A connection on which nothing is awaited is closed after this time, in milliseconds. */
 const IDLE_CONNECTION_MS = 30_000;
 
+/**
+ * A sender asks after a short quiet: a call that waits on a silent connection has some hundred
+ * milliseconds. Without proof that the peer lives, what may have run waits until its deadline: the
+ * machine may only stand still.
+ */
+const SENDER_PULSE: PulseLimits = { quietMs: 100, unprovenLossMs: Infinity };
+
 /** Where a peer takes relayed requests. */
 export interface RelayAddress {
   readonly address: string;
@@ -25,31 +33,53 @@
   readonly scheduler: Scheduler;
   /** Told how long a connection took to open, or to fail, in milliseconds. */
   readonly onConnect?: (address: RelayAddress, connectMs: number, isOpen: boolean) => void;
+  /** Told that a connection is silent though a new one works, with what is awaited on it. */
+  readonly onSilence?: (address: RelayAddress, silence: LinkSilence) => void;
   /** A token that is valid now; undefined where the fleet has no key. */
   readonly token: () => string | undefined;
 }
 
+/** What is known of a silent connection. */
+export interface LinkSilence {
+  /** Requests that were under way on it. */
+  readonly awaitedCount: number;
+  /** Time since anything arrived on it, in milliseconds. */
+  readonly quietMs: number;
+}
+
 /** Told of the end of a link. */
 export interface RelayLinkObserver {
   /** It takes no new attempts. */
   readonly retired: () => void;
+  /** It takes no new attempts; another connection is to show whether the peer is alive. */
+  readonly suspect: () => void;
+  /** It is open. */
+  readonly opened: () => void;
   readonly closed: () => void;
 }
 
+/** Tells addresses apart. */
+export function keyOf({ address, port }: RelayAddress): string {
+  return `${address}:${port}`;
+}
+
 /** The connection, and the attempts on it. */
 export class RelayLink {
+  readonly key: string;
   private readonly streams = new Map<number, RelayedAttempt>();
   private readonly request: http.ClientRequest;
   private connection: RelayConnection | undefined;
   private readonly beganAtMs: number;
   private lastStreamId = 0;
   private isOver = false;
+  private isSuspect = false;
 
   constructor(
     private readonly address: RelayAddress,
     private readonly options: RelayLinkOptions,
     private readonly observer: RelayLinkObserver,
   ) {
+    this.key = keyOf(address);
     this.beganAtMs = options.scheduler.now();
     this.request = http.request({
       host: address.address,
@@ -58,10 +88,10 @@
       headers: this.upgradeHeaders(),
     });
     const timer = setTimeout(() => this.request.destroy(), options.connectTimeoutMs);
-    this.request.once('upgrade', (_message, socket, head) => {
+    this.request.once('upgrade', (message, socket, head) => {
       clearTimeout(timer);
       this.reportConnect(true);
-      this.open(socket, head);
+      this.open(socket, head, message.headers.upgrade === RELAY_PROTOCOL);
     });
     this.request.once('response', () => this.request.destroy());
     this.request.on('error', () => undefined);
@@ -80,7 +110,7 @@
     const streamId = this.lastStreamId;
     const attempt = new RelayedAttempt(streamId, endpoint, call, observer, this.options.scheduler, {
       send: (frame) => this.connection?.send(frame) === true,
-      over: () => this.streams.delete(streamId),
+      over: () => this.streamIsOver(streamId),
     });
     this.streams.set(streamId, attempt);
     if (this.connection !== undefined) {
@@ -89,6 +119,19 @@
     return attempt;
   }
 
+  /** To be called now and then. */
+  look(): void {
+    this.connection?.look(this.streams.size > 0);
+    if (this.isSuspect && this.streams.size > 0) {
+      this.observer.suspect();
+    }
+  }
+
+  /** Another connection to the peer was opened. */
+  isProvenAlive(): void {
+    this.connection?.isProvenAlive();
+  }
+
   destroy(): void {
     this.request.destroy();
     this.connection?.destroy();
@@ -108,16 +151,47 @@
     };
   }
 
-  private open(socket: Socket, head: Buffer): void {
+  private open(socket: Socket, head: Buffer, answersPings: boolean): void {
     socket.setNoDelay();
     socket.setTimeout(IDLE_CONNECTION_MS, () => this.closeIdle());
-    this.connection = new RelayConnection(socket, head, {
-      received: (frames) => frames.forEach((frame) => this.take(frame)),
+    const { scheduler } = this.options;
+    const nowMs = scheduler.now();
+    const watch = {
+      pulse: new LinkPulse(SENDER_PULSE, nowMs - this.beganAtMs, nowMs),
+      scheduler,
+      onSilence: (step: 'suspect' | 'silent' | 'lost', quietMs: number) =>
+        this.takeSilence(step, quietMs),
+    };
+    const observer = {
+      received: (frames: readonly StreamFrame[]) => frames.forEach((frame) => this.take(frame)),
       closed: () => this.end('lost'),
-    });
+    };
+    this.connection = new RelayConnection(socket, head, observer, answersPings ? watch : undefined);
+    this.observer.opened();
     this.streams.forEach((attempt) => attempt.send());
   }
 
+  /** What may be sent again is given up first, the rest when nothing can be awaited any more. */
+  private takeSilence(step: 'suspect' | 'silent' | 'lost', quietMs: number): void {
+    if (step === 'suspect') {
+      this.isSuspect = true;
+      this.observer.suspect();
+    } else if (step === 'silent') {
+      this.options.onSilence?.(this.address, { awaitedCount: this.streams.size, quietMs });
+      [...this.streams.values()].forEach((attempt) => attempt.connectionIsSilent());
+    } else {
+      this.connection?.destroy();
+    }
+  }
+
+  /** A suspect connection gets no new attempts: it is of no use once its last one is over. */
+  private streamIsOver(streamId: number): void {
+    this.streams.delete(streamId);
+    if (this.isSuspect && this.streams.size === 0) {
+      this.connection?.end();
+    }
+  }
+
   private closeIdle(): void {
     if (this.streams.size === 0) {
       this.observer.retired();
@@ -125,7 +199,7 @@
     }
   }
 
-  private take(frame: RelayFrame): void {
+  private take(frame: StreamFrame): void {
     this.streams.get(frame.streamId)?.take(frame);
   }
 
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -10,10 +10,12 @@
 import { NodeStoppingError, UnknownEndpointError } from '../request-error.js';
 import type { RequestLog } from '../request-log.js';
 import type { Scheduler } from '../scheduler.js';
+import { LinkPulse, type PulseLimits } from './link-pulse.js';
 import { RelayConnection } from './relay-connection.js';
-import type { RelayFrame, RequestFrame } from './relay-frame.js';
+import type { RequestFrame, StreamFrame } from './relay-frame.js';
 import { RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
 import { CreditPool } from './credit-pool.js';
+import type { LinkSilence } from './relay-link.js';
 import { RelayedRequest, type OwnedEndpoints } from './relayed-request.js';
 import { TravelTime } from './travel-time.js';
 
@@ -21,6 +23,12 @@
 const WAKE_SETTLE_MS = 10;
 /** Time in which connections send what they still have at a planned stop, in milliseconds. */
 export const RELAY_CLOSE_TIMEOUT_MS = 200;
+/**
+ * A receiver asks later than senders do, whose questions are signs of life, and lets go later than they:
+ * nobody awaits what it gives up. Without a new connection of the peer it waits for longer, since the
+ * peer may only stand still.
+ */
+const RECEIVER_PULSE: PulseLimits = { quietMs: 500, unprovenLossMs: 5_000 };
 const FORBIDDEN = 'HTTP/1.1 403 Forbidden\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 const UPGRADE_REQUIRED_STATUS = 426;
 const SWITCHED =
@@ -48,6 +56,8 @@
   readonly requestLog: RequestLog;
   /** Counts a request until the returned function is called. */
   readonly began: () => () => void;
+  /** Told that a peer's connection was given up, since nothing arrived on it. */
+  readonly onSilence?: (from: string, silence: LinkSilence) => void;
   /** Gets how much longer than usual each request was on its way, in milliseconds. */
   readonly onTravelLostMs?: ((ms: number) => void) | undefined;
 }
@@ -67,7 +77,9 @@
     });
     this.http.on('upgrade', (request, socket, head) => {
       const token = headerValue(request.rawHeaders, RELAY_TOKEN_HEADER);
-      this.accept(options.verifyToken(token), socket, head);
+      const answersPings = request.headers.upgrade === RELAY_PROTOCOL;
+      const place = request.socket.remoteAddress;
+      this.accept(options.verifyToken(token), { socket, head, place, answersPings });
     });
     this.http.on('clientError', (_error, socket) => socket.destroy());
   }
@@ -77,6 +89,11 @@
     return [...this.peers].reduce((count, peer) => count + peer.giveUp(), 0);
   }
 
+  /** Looks whether peers whose requests are under way are silent; to be called now and then. */
+  look(): void {
+    this.peers.forEach((peer) => peer.look());
+  }
+
   /** Sends what waits and closes all connections; resolves when they are closed, or after a while. */
   close(): Promise<void> {
     return new Promise((resolve) => {
@@ -99,7 +116,8 @@
     this.peers.forEach((peer) => peer.destroy());
   }
 
-  private accept(sender: string | undefined, socket: Duplex, head: Buffer): void {
+  private accept(sender: string | undefined, opening: PeerOpening): void {
+    const { socket, place } = opening;
     socket.on('error', () => socket.destroy());
     if (sender === undefined) {
       this.options.counters.add('ferryspool_relay_forbidden_total');
@@ -108,13 +126,28 @@
     }
     socket.write(SWITCHED);
     const forget = (): unknown => this.peers.delete(peer);
-    const peer = new RelayPeer(sender, socket, head, this.options, this.credits, forget);
+    const peer = new RelayPeer(sender, opening, this.options, this.credits, forget);
+    for (const other of this.peers) {
+      if (other.place === place) {
+        other.isProvenAlive();
+      }
+    }
     this.peers.add(peer);
   }
 }
 
+/** A connection that a peer has opened. */
+interface PeerOpening {
+  readonly socket: Duplex;
+  readonly head: Buffer;
+  /** IP number of the peer's machine. */
+  readonly place: string | undefined;
+  readonly answersPings: boolean;
+}
+
 /** The connection of one peer, and its requests. */
 class RelayPeer {
+  readonly place: string | undefined;
   private readonly requests = new Map<number, RelayedRequest>();
   private readonly connection: RelayConnection;
   private readonly travelTime = new TravelTime();
@@ -124,16 +157,48 @@
 
   constructor(
     private readonly sender: string,
-    socket: Duplex,
-    head: Buffer,
+    { socket, head, place, answersPings }: PeerOpening,
     private readonly options: RelayServerOptions,
     private readonly credits: CreditPool,
     private readonly forget: () => void,
   ) {
-    this.connection = new RelayConnection(socket, head, {
-      received: (frames) => this.receive(frames),
+    this.place = place;
+    const { scheduler } = options;
+    const watch = {
+      pulse: new LinkPulse(RECEIVER_PULSE, 0, scheduler.now()),
+      scheduler,
+      onSilence: (step: 'suspect' | 'silent' | 'lost', quietMs: number) =>
+        this.takeSilence(step, quietMs),
+    };
+    const observer = {
+      received: (frames: readonly StreamFrame[]) => this.receive(frames),
       closed: () => this.end(),
-    });
+    };
+    this.connection = new RelayConnection(socket, head, observer, answersPings ? watch : undefined);
+  }
+
+  look(): void {
+    this.connection.look(this.owedCount > 0);
+  }
+
+  /** The peer opened another connection. */
+  isProvenAlive(): void {
+    this.connection.isProvenAlive();
+  }
+
+  private get owedCount(): number {
+    return this.requests.size + this.arrived.size;
+  }
+
+  /** The slots and the credit of requests whose sender is gone are needed by others. */
+  private takeSilence(step: 'suspect' | 'silent' | 'lost', quietMs: number): void {
+    if (step === 'lost') {
+      this.options.onSilence?.(this.place ?? this.sender, {
+        awaitedCount: this.owedCount,
+        quietMs,
+      });
+      this.connection.destroy();
+    }
   }
 
   close(onClosed: () => void): void {
@@ -154,7 +219,7 @@
    * Requests are looked at once all that came with them is read: one that was cancelled meanwhile is
    * not run. After a pause of the process, more may be waiting in the system.
    */
-  private receive(frames: readonly RelayFrame[]): void {
+  private receive(frames: readonly StreamFrame[]): void {
     frames.forEach((frame) => this.take(frame));
     if (this.arrived.size === 0) {
       return;
@@ -166,7 +231,7 @@
     }
   }
 
-  private take(frame: RelayFrame): void {
+  private take(frame: StreamFrame): void {
     if (frame.kind === 'request') {
       this.arrived.set(frame.streamId, frame);
       return;
@@ -192,7 +257,7 @@
     const { streamId } = frame;
     const ended = options.began();
     const link = {
-      send: (sent: RelayFrame) => connection.send(sent),
+      send: (sent: StreamFrame) => connection.send(sent),
       over: () => {
         this.requests.delete(streamId);
         ended();
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -14,7 +14,7 @@
 import type { Scheduler } from '../scheduler.js';
 import { MAX_COLLECTED_BODY_BYTES } from './collected-body.js';
 import { RelayBodyReader, RelayBodyWriter } from './relay-body.js';
-import type { AnswerFrame, BodyForm, FailureFrame, RelayFrame } from './relay-frame.js';
+import type { AnswerFrame, BodyForm, FailureFrame, StreamFrame } from './relay-frame.js';
 import { loadOf } from './relay-load.js';
 
 const HEAD_TOO_LARGE_STATUS = 431;
@@ -24,7 +24,7 @@
 /** What an attempt needs of its link. */
 export interface AttemptLink {
   /** False when the frame can't be built, or there is no connection. */
-  readonly send: (frame: RelayFrame) => boolean;
+  readonly send: (frame: StreamFrame) => boolean;
   /** Nothing more is awaited. */
   readonly over: () => void;
 }
@@ -90,7 +90,7 @@
     }
   }
 
-  take(frame: RelayFrame): void {
+  take(frame: StreamFrame): void {
     switch (frame.kind) {
       case 'answer':
         return this.takeAnswer(frame);
@@ -107,6 +107,18 @@
     }
   }
 
+  /**
+   * Nothing arrives on the connection. What may run again is sent elsewhere, and so is what has provably
+   * not reached its endpoint; the rest may still be answered until the connection is closed.
+   */
+  connectionIsSilent(): void {
+    const isSafe = this.call.isRepeatable === true || !this.mayHaveReachedEndpoint;
+    if (this.reader === undefined && isSafe && !this.isOver) {
+      this.cancel();
+      this.connectionClosed('lost');
+    }
+  }
+
   connectionClosed(cause: 'never-sent' | 'lost'): void {
     if (this.reader !== undefined) {
       this.breakAnswer();
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -17,7 +17,7 @@
 import { collectBody, MAX_COLLECTED_BODY_BYTES } from './collected-body.js';
 import type { BodyCredit, CreditPool } from './credit-pool.js';
 import { RelayBodyReader, RelayBodyWriter } from './relay-body.js';
-import type { RelayFrame, RequestFrame } from './relay-frame.js';
+import type { RequestFrame, StreamFrame } from './relay-frame.js';
 import { frameLoadOf } from './relay-load.js';
 
 /** An answer of up to this length, in bytes, is sent as one frame where it is soon whole. */
@@ -38,7 +38,7 @@
 
 /** What a request needs of its connection. */
 export interface RequestLink {
-  readonly send: (frame: RelayFrame) => void;
+  readonly send: (frame: StreamFrame) => void;
   /** The request is over; called once. */
   readonly over: () => void;
   readonly isStopping: () => boolean;
@@ -116,7 +116,7 @@
   }
 
   /** Takes a frame of the sender. */
-  take(frame: RelayFrame): void {
+  take(frame: StreamFrame): void {
     switch (frame.kind) {
       case 'body':
         return this.takeBody(frame.bytes, frame.isLast);
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -17,6 +17,7 @@
 import { PAUSE_CHECK_INTERVAL_MS, PauseDetector } from './pause-detector.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
 import { RelayClient } from './relay/relay-client.js';
+import type { LinkSilence } from './relay/relay-link.js';
 import { RelayServer } from './relay/relay-server.js';
 import { RelayTokenIssuer, verifyRelayToken } from './relay/relay-token.js';
 import {
@@ -123,10 +124,7 @@
       relay: this.relayClient,
     });
     this.pauses = new PauseDetector(MACHINE_TIME.now(), (ms) => this.takeLoopDelay(ms));
-    this.pauseTimer = setInterval(
-      () => this.pauses.tick(MACHINE_TIME.now()),
-      PAUSE_CHECK_INTERVAL_MS,
-    );
+    this.pauseTimer = setInterval(() => this.tick(), PAUSE_CHECK_INTERVAL_MS);
     this.callerServer = this.makeCallerServer();
     this.relay = this.makeRelayServer();
   }
@@ -227,6 +225,18 @@
     return givenUp;
   }
 
+  private tick(): void {
+    this.pauses.tick(MACHINE_TIME.now());
+    this.relayClient.look();
+    this.relay.look();
+  }
+
+  private takeRelaySilence(where: string, { awaitedCount, quietMs }: LinkSilence): void {
+    this.options.counters.add('ferryspool_relay_silent_total');
+    const detail = `${where}: ${awaitedCount} requests, nothing heard for ${Math.round(quietMs)} ms`;
+    this.options.logStateChange('relay-silent', detail);
+  }
+
   private makeRelayClient(): RelayClient {
     const { members, fleetKey, identity } = this.options;
     const tokens = fleetKey && new RelayTokenIssuer(fleetKey, identity.id);
@@ -241,6 +251,7 @@
           this.options.logStateChange('relay-not-connected', detail);
         }
       },
+      onSilence: ({ address }, silence) => this.takeRelaySilence(`to ${address}`, silence),
       addressOf: ({ spec }) =>
         spec.machine === undefined ? undefined : members.relayAddress(spec.machine),
     });
@@ -273,6 +284,7 @@
       refusesNewWork: () => this.refusesNewWork(),
       deadlineWithin: (deadlineAtMs) => deadlineWithin(deadlineAtMs, this.stopTimes),
       requestLog: this.options.requestLog ?? NO_REQUEST_LOG,
+      onSilence: (from, silence) => this.takeRelaySilence(`from ${from}`, silence),
       began: () => this.meter.begin(),
       onTravelLostMs: this.options.onTravelLostMs,
     });
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -274,6 +274,7 @@
       body,
       deadlineAtMs,
       callerNode: services.machineId,
+      isRepeatable: match.repeatable,
       retriesLeft,
     };
   }
--- a/test/proxy/relay/relay-frame.test.ts
+++ b/test/proxy/relay/relay-frame.test.ts
@@ -77,6 +77,10 @@
   }),
   fc.record({ kind: fc.constant('credit' as const), streamId: count, creditBytes: count }),
   fc.record({ kind: fc.constant('cancel' as const), streamId: count }),
+  fc.record({
+    kind: fc.constantFrom('ping' as const, 'acknowledgement' as const),
+    askedAtMs: count,
+  }),
 );
 
 /** The frame without absent fields. */
--- a/test/proxy/relay/silent-link.ts
+++ b/test/proxy/relay/silent-link.ts
@@ -17,6 +17,7 @@
 export class SilentLink {
   /** Connections that were opened through the link. */
   openedCount = 0;
+  private isHeld = false;
   private readonly pairs = new Set<Pair>();
   private readonly server = net.createServer({ allowHalfOpen: true }, (near) => this.accept(near));
 
@@ -40,6 +41,16 @@
     });
   }
 
+  /** Nothing passes for so long, on new connections either: as if the target's process was held up. */
+  hold(heldMs: number): void {
+    this.isHeld = true;
+    this.pairs.forEach((pair) => this.toggle(pair));
+    setTimeout(() => {
+      this.isHeld = false;
+      this.pairs.forEach((pair) => this.toggle(pair));
+    }, heldMs);
+  }
+
   close(): void {
     this.server.close();
     this.pairs.forEach(({ near, far }) => {
@@ -55,6 +66,17 @@
     this.pairs.add(pair);
     this.carry(pair, near, far, 'towards');
     this.carry(pair, far, near, 'from');
+    this.toggle(pair);
+  }
+
+  private toggle({ near, far }: Pair): void {
+    for (const socket of [near, far]) {
+      if (this.isHeld) {
+        socket.pause();
+      } else {
+        socket.resume();
+      }
+    }
   }
 
   private carry(pair: Pair, from: Socket, to: Socket, way: Silence): void {
--- a/test/proxy/relay/upload-bodies.test.ts
+++ b/test/proxy/relay/upload-bodies.test.ts
@@ -18,6 +18,7 @@
 import type { Endpoint } from '../../../src/model/resource.js';
 import type { Answer, Call } from '../../../src/proxy/call.js';
 import { RelayClient } from '../../../src/proxy/relay/relay-client.js';
+import type { LinkSilence } from '../../../src/proxy/relay/relay-link.js';
 import { EMPTY_BODY, HeldBody } from '../../../src/proxy/request-body.js';
 import type { RequestError } from '../../../src/proxy/request-error.js';
 import { MACHINE_TIME } from '../../../src/proxy/scheduler.js';
@@ -42,8 +43,12 @@
   let link: NarrowLink;
   let target: RawEndpoint;
   let count = 0;
+  let openedCount = 0;
+  const silences: LinkSilence[] = [];
 
   beforeEach(async () => {
+    openedCount = 0;
+    silences.length = 0;
     target = await startRawEndpoint((socket) => socket.write(rawAnswer('ran')));
     const { relayPort } = await mesh.addNode('n2');
     link = await NarrowLink.start(relayPort, LINK_BYTES_PER_MS);
@@ -73,6 +78,10 @@
   function addPeer(name: string): RelayClient {
     const client = new RelayClient({
       connectTimeoutMs: 2_000,
+      onConnect: () => {
+        openedCount += 1;
+      },
+      onSilence: (_address, silence) => silences.push(silence),
       scheduler: MACHINE_TIME,
       token: () => mesh.tokenOf(name),
       addressOf: () => ({ address: '127.0.0.1', port: link.port }),
@@ -107,6 +116,19 @@
     expect(link.carriedBytes).to.be.lessThan(4_096);
   });
 
+  it('do not let the connection that they fill be taken for silent', async () => {
+    const endpoint = configure();
+    const peers = Array.from({ length: 4 }, (_none, index) => addPeer(`p${index}`));
+    const looks = setInterval(() => peers.forEach((peer) => peer.look()), 20);
+    await Promise.all(peers.map((peer) => submit(peer, endpoint, undefined)));
+    const body = Buffer.alloc(600_000, 'u');
+    const ends = await Promise.all(peers.map((peer) => submit(peer, endpoint, body)));
+    clearInterval(looks);
+    expect(ends.every((answer) => 'body' in answer && answer.status === 200)).to.equal(true);
+    expect(silences).to.deep.equal([]);
+    expect(openedCount).to.equal(peers.length);
+  });
+
   it('leave room on a narrow link for calls that come while many of them are under way', async () => {
     const endpoint = configure();
     const peers = Array.from({ length: 10 }, (_none, index) => addPeer(`p${index}`));
