--- /dev/null
+++ b/test/peers/slow-feeds.test.ts
@@ -0,0 +1,107 @@
+/**
+ * Feeds that are slow to begin, and feeds that go silent.
+ *
+ * What happened: nodes whose links were full of uploads went from feed to feed, with state that was up to
+ * 20 s old. Each feed was given up before it had begun, since the link's queue took longer than the
+ * time to open it, and a try of the store itself is drawn from a time that grows with the zone.
+ */
+import { expect } from 'chai';
+import { SourceChoice, type SourceEffect } from '../../src/peers/source-choice.js';
+
+const SELF = '10.0.0.99';
+const STEP_MS = 10;
+const TICK_MS = 150;
+const ROUND_MS = 600;
+const PEERS = Array.from({ length: 16 }, (_none, idx) => `10.0.0.${idx}`);
+
+/** One node that may follow any of its peers; what they say takes `lateMs` to arrive. */
+class Follower {
+  readonly choice = new SourceChoice(SELF, () => 0.9, 1);
+  readonly followed: string[] = [];
+  oldestMs = 0;
+  lateMs = STEP_MS;
+  /** Feeds opened before this time say nothing more. */
+  silentBeforeMs = -Infinity;
+  private nowMs = 0;
+  private confirmation = 0;
+  private feed: { peer: string; openedAtMs: number } | undefined;
+
+  constructor() {
+    const place = { ahead: PEERS, neighbours: new Set(PEERS), readers: 4, zoneSize: 24 };
+    this.choice.setPlace(place);
+    this.choice.storeAnswered(0);
+  }
+
+  get openedAtMs(): number {
+    return this.feed?.openedAtMs ?? Infinity;
+  }
+
+  run(durationMs: number): void {
+    const endMs = this.nowMs + durationMs;
+    while (this.nowMs < endMs) {
+      this.nowMs += STEP_MS;
+      this.step();
+    }
+  }
+
+  private step(): void {
+    const { nowMs, choice } = this;
+    if (nowMs % 700 === 0) {
+      choice.peerHeard(PEERS[(nowMs / 700) % PEERS.length] ?? '', 300, nowMs);
+    }
+    this.hearFeed();
+    if (choice.reads && nowMs < 2_000 && nowMs % ROUND_MS === 0) {
+      choice.storeAnswered(nowMs);
+    }
+    if (nowMs % TICK_MS === 0) {
+      choice.tick(nowMs).forEach((effect) => this.execute(effect));
+      this.oldestMs = Math.max(this.oldestMs, choice.freshness(nowMs).ageMs);
+    }
+  }
+
+  /** The first message comes after a round trip to open the connection and one for the feed. */
+  private hearFeed(): void {
+    if (this.feed === undefined || this.feed.openedAtMs < this.silentBeforeMs) {
+      return;
+    }
+    const sinceMs = this.nowMs - this.feed.openedAtMs - this.lateMs;
+    if (sinceMs >= 0 && sinceMs % ROUND_MS === 0) {
+      this.confirmation += 1;
+      const told = { ageMs: 50, reader: '10.0.0.0', confirmation: this.confirmation };
+      this.choice.feedHeard(this.feed.peer, told, this.nowMs);
+    }
+  }
+
+  private execute(effect: SourceEffect): void {
+    if (effect.type === 'follow') {
+      this.followed.push(effect.peer);
+      this.feed = { peer: effect.peer, openedAtMs: this.nowMs };
+    } else if (effect.type === 'stop-following') {
+      this.feed = undefined;
+    }
+  }
+}
+
+describe('a node whose feeds are slow to begin', () => {
+  for (const lateMs of [300, 600, 1_200]) {
+    it(`waits for one of them, and its state stays young (${lateMs} ms)`, () => {
+      const follower = new Follower();
+      follower.run(5_000);
+      expect(follower.followed.length).to.be.below(3);
+      follower.lateMs = lateMs;
+      follower.silentBeforeMs = 5_000;
+      follower.run(30_000);
+      expect(follower.oldestMs).to.be.below(6_000);
+      expect(follower.followed.length).to.be.below(6);
+    });
+  }
+
+  it('leaves a feed that goes silent for another one in time for a configuration', () => {
+    const follower = new Follower();
+    follower.run(5_000);
+    follower.silentBeforeMs = 5_000;
+    follower.run(10_000);
+    expect(follower.oldestMs).to.be.below(2_000);
+    expect(follower.openedAtMs - 5_000).to.be.below(1_500);
+  });
+});
