--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -1,19 +1,27 @@
 /** The adapter of the platform's store against a stand-in: calls, pages, watches, faults. */
 import { expect } from 'chai';
 import { StoreClient } from '../../platform/store-client.js';
+import { SilentLink } from '../proxy/relay/silent-link.js';
 import { StoreStandIn, type StoreFault } from '../../standins/store-platform/store-stand-in.js';
 
 describe('client of the platform store', () => {
   let store: StoreStandIn;
   let client: StoreClient;
+  /** Stands before the store, with a client of its own. */
+  let link: SilentLink;
+  let linked: StoreClient;
 
   beforeEach(async () => {
     store = await StoreStandIn.start();
     client = new StoreClient({ address: '127.0.0.1', port: store.port });
+    link = await SilentLink.start(store.port);
+    linked = new StoreClient({ address: '127.0.0.1', port: link.port });
   });
 
   afterEach(() => {
     client.close();
+    linked.close();
+    link.close();
     store.close();
   });
 
@@ -69,6 +77,18 @@
     });
   }
 
+  it('leaves a watch whose connection is silent soon, and works on a new one at once', async () => {
+    store.put('a', '1');
+    expect((await linked.watch(1, 100)).outcome).to.equal('changes');
+    link.silence('both');
+    const silentFromMs = performance.now();
+    store.put('a', '2');
+    expect((await linked.watch(1, 600)).outcome).to.equal('unavailable');
+    expect(performance.now() - silentFromMs).to.be.below(1_350);
+    expect(await linked.watch(1, 600)).to.have.nested.property('changes[0].value', '2');
+    expect(performance.now() - silentFromMs).to.be.below(1_500);
+  });
+
   it('is unavailable where nothing listens', async () => {
     store.close();
     expect((await client.list(undefined, 'current')).outcome).to.equal('unavailable');
--- /dev/null
+++ b/test/proxy/silent-endpoint.test.ts
@@ -0,0 +1,48 @@
+/** Kept connections to an endpoint that go silent for good, while new ones work. */
+import { expect } from 'chai';
+import {
+  call,
+  echoEndpoint,
+  echoService,
+  rawAnswer,
+  startRawEndpoint,
+  TestMesh,
+  type RawEndpoint,
+} from './rig.js';
+import { SilentLink } from './relay/silent-link.js';
+
+const IDLE_MS = 200;
+const DEADLINE_MS = 700;
+
+describe('kept connections to an endpoint that go silent', () => {
+  const mesh = new TestMesh();
+  let target: RawEndpoint;
+  let link: SilentLink;
+
+  beforeEach(async () => {
+    target = await startRawEndpoint((socket) => socket.write(rawAnswer('ran')));
+    link = await SilentLink.start(target.port);
+  });
+
+  afterEach(() => {
+    mesh.close();
+    mesh.nodes.length = 0;
+    link.close();
+    target.close();
+  });
+
+  it('take one request each at most, and none once they have been idle for their time', async () => {
+    const { callerPort } = await mesh.addNode('n1', { maxIdleEndpointConnectionMs: IDLE_MS });
+    mesh.configure([
+      ...echoService({ timeoutMs: DEADLINE_MS, repeatable: false }),
+      echoEndpoint('e1', link.port),
+    ]);
+    const send = async (): Promise<number> => (await call(callerPort, { method: 'POST' })).status;
+    const before = await Promise.all([send(), send(), send()]);
+    expect(before).to.deep.equal([200, 200, 200]);
+    link.silence('both');
+    expect(await send()).to.equal(504);
+    const after = await Promise.all([send(), send(), send(), send()]);
+    expect(after).to.deep.equal([200, 200, 200, 200]);
+  });
+});
