--- a/src/peers/feed-client.ts
+++ b/src/peers/feed-client.ts
@@ -20,9 +20,15 @@
 /** The client of one node. */
 export class FeedClient {
   private request: ClientRequest | undefined;
+  private openPeer: string | undefined;
 
   constructor(private readonly options: FeedClientOptions) {}
 
+  /** The peer whose feed was opened last; undefined once it is closed. */
+  get peer(): string | undefined {
+    return this.openPeer;
+  }
+
   /** Opens the feed of `peer` in place of the one that is open. */
   open(peer: string, revision: number): void {
     this.close();
@@ -30,6 +36,7 @@
     const path = `${FEED_PATH}${revision}`;
     const request = http.get({ host: peer, port, path, agent: false });
     this.request = request;
+    this.openPeer = peer;
     let reason = 'the peer closed it';
     request.on('error', (error) => {
       reason = error.message;
@@ -54,6 +61,7 @@
   close(): void {
     const { request } = this;
     this.request = undefined;
+    this.openPeer = undefined;
     request?.destroy();
   }
 
--- a/src/peers/source-choice.ts
+++ b/src/peers/source-choice.ts
@@ -18,6 +18,14 @@
 const FEED_SILENCE_MS = 1_100;
 /** Time in which a feed has to begin, in milliseconds: two nodes are a few away from each other. */
 const FEED_OPEN_MS = 450;
+/**
+ * How much longer each feed gets to begin than the one before, after feeds that said nothing in their
+ * time, and how often at most: a link that is full delays every feed, and the next one is no better.
+ */
+const PATIENCE_FACTOR = 2;
+const MAX_PATIENCE_STEPS = 2;
+/** Time for which a feed has to go on until those after it get no more than the usual time again. */
+const PATIENCE_ENDS_MS = 10_000;
 /** Time for which a peer is not followed after its feed failed, in milliseconds. */
 const AVOID_MS = 2_000;
 /** Time after which a feed from another zone is given up for one of the own, in milliseconds. */
@@ -38,7 +46,8 @@
   | { readonly type: 'stop-reading' }
   /** Open the feed of a peer; there is none open. */
   | { readonly type: 'follow'; readonly peer: string }
-  | { readonly type: 'stop-following' };
+  /** Close the feed; with `silentMs` where it said nothing for so long. */
+  | { readonly type: 'stop-following'; readonly silentMs?: number };
 
 /** How up to date a node's state is: which answer of the store to which reader confirmed it. */
 export interface Freshness {
@@ -83,6 +92,8 @@
   /** By reader. What was told before confirms nothing, so that no circle of feeds keeps itself fresh. */
   private readonly confirmations = new Map<string, Confirmation>();
   private followsFromMs = Infinity;
+  /** Feeds in a row that said nothing in their time. */
+  private silentFeeds = 0;
   private trialAtMs: number | undefined;
   private lastTickMs = NEVER_MS;
 
@@ -191,13 +202,28 @@
     if (this.feed === undefined) {
       return [];
     }
-    const limitMs = this.feed.confirmedAtMs === NEVER_MS ? FEED_OPEN_MS : FEED_SILENCE_MS;
-    if (nowMs - this.feed.heardAtMs < limitMs) {
+    const silentMs = nowMs - this.feed.heardAtMs;
+    if (silentMs < this.feedPatienceMs(this.feed)) {
+      this.endPatience(this.feed, nowMs);
       return [];
     }
     this.avoid(this.feed.peer, nowMs);
     this.feed = undefined;
-    return [{ type: 'stop-following' }];
+    this.silentFeeds = Math.min(MAX_PATIENCE_STEPS, this.silentFeeds + 1);
+    return [{ type: 'stop-following', silentMs }];
+  }
+
+  /** How long a feed may say nothing, in milliseconds. */
+  private feedPatienceMs({ confirmedAtMs }: Feed): number {
+    return confirmedAtMs === NEVER_MS
+      ? FEED_OPEN_MS * PATIENCE_FACTOR ** this.silentFeeds
+      : FEED_SILENCE_MS;
+  }
+
+  private endPatience({ openedAtMs, confirmedAtMs }: Feed, nowMs: number): void {
+    if (confirmedAtMs !== NEVER_MS && nowMs - openedAtMs >= PATIENCE_ENDS_MS) {
+      this.silentFeeds = 0;
+    }
   }
 
   private chooseFeed(nowMs: number): SourceEffect[] {
--- a/src/runtime/replica-source.ts
+++ b/src/runtime/replica-source.ts
@@ -2,7 +2,7 @@
  * Keeps a node's replica of the store up to date, from the store itself or from the feed of another
  * node, and feeds the nodes that follow this one. {@link SourceChoice} decides; this carries it out.
  */
-import type { RandomSource } from '../control/control-event.js';
+import type { CounterSink, RandomSource } from '../control/control-event.js';
 import { ChangeFeed } from '../peers/change-feed.js';
 import { FeedClient } from '../peers/feed-client.js';
 import { resolveFeedDelta } from '../peers/feed-delta.js';
@@ -31,6 +31,7 @@
   readonly replica: StoreReplica;
   readonly random: RandomSource;
   readonly logger: Logger;
+  readonly counters: CounterSink;
   /** The replica was confirmed; `hasChanged` when an item changed. */
   readonly onLearned: (hasChanged: boolean) => void;
 }
@@ -167,12 +168,22 @@
           this.openFeed(effect.peer);
           break;
         case 'stop-following':
-          this.client.close();
+          this.closeFeed(effect.silentMs);
           break;
       }
     }
   }
 
+  private closeFeed(silentMs: number | undefined): void {
+    const { peer } = this.client;
+    if (silentMs !== undefined) {
+      const ageMs = Math.round(this.ageMs);
+      this.options.counters.add('ferryspool_feed_silent_total');
+      this.options.logger.info('feed-silent', { peer, silentMs: Math.round(silentMs), ageMs });
+    }
+    this.client.close();
+  }
+
   private openFeed(peer: string): void {
     this.options.logger.info('feed-opened', { peer });
     this.client.open(peer, this.needsWhole ? 0 : this.options.replica.revision);
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -241,6 +241,7 @@
       replica: this.replica,
       random: Math.random,
       logger,
+      counters: this.metrics,
       onLearned: (hasChanged) => this.takeLearned(hasChanged),
     });
   }
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import { StoreClient } from '../../platform/store-client.js';
 import { SilentLink } from '../proxy/relay/silent-link.js';
+import { pause } from './platform-fleet.js';
 import { StoreStandIn, type StoreFault } from '../../standins/store-platform/store-stand-in.js';
 
 describe('client of the platform store', () => {
@@ -89,6 +90,18 @@
     expect(performance.now() - silentFromMs).to.be.below(1_500);
   });
 
+  it('waits for a store that has become slow, after one call that it gave up', async () => {
+    store.put('a', '1');
+    expect((await linked.watch(1, 10)).outcome).to.equal('changes');
+    const outcomes: string[] = [];
+    for (let round = 0; round < 4; round += 1) {
+      link.hold(900);
+      outcomes.push((await linked.watch(1, 10)).outcome);
+      await pause(400);
+    }
+    expect(outcomes).to.deep.equal(['unavailable', 'changes', 'changes', 'changes']);
+  });
+
   it('is unavailable where nothing listens', async () => {
     store.close();
     expect((await client.list(undefined, 'current')).outcome).to.equal('unavailable');
