--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -279,6 +279,7 @@
       body,
       deadlineAtMs,
       callerNode: services.machineId,
+      isRepeatable: match.repeatable,
       retriesLeft,
     };
   }
