--- a/src/proxy/attempt-errors.ts
+++ b/src/proxy/attempt-errors.ts
@@ -1,5 +1,6 @@
 /** Errors for what admission and endpoints did with a request. */
 import type { RefusalReason } from '../admission/endpoint-admission.js';
+import type { AttemptOutcome } from '../routing/endpoint-record.js';
 import type { AttemptReport } from './endpoint-attempt.js';
 import {
   CancelledError,
@@ -66,3 +67,14 @@
       return new EndpointDrainingError('the endpoint is draining', retryAfterMs);
   }
 }
+
+/** What a failed attempt says of its endpoint. */
+export function outcomeOf(error: RequestError): AttemptOutcome {
+  if (error.verdict !== 'not-run') {
+    return 'failed';
+  }
+  if (error.code === 'ENDPOINT_GONE') {
+    return 'gone';
+  }
+  return error.code === 'UNREACHABLE' ? 'unreachable' : 'refused';
+}
--- a/src/proxy/relay/collected-body.ts
+++ b/src/proxy/relay/collected-body.ts
@@ -8,6 +8,14 @@
  */
 export const MAX_COLLECTED_BODY_BYTES = 256 * 1024;
 
+/**
+ * Whether the endpoint's node hands a body of the length on only once it has all of it; both ends of a
+ * relay connection go by this, the sender for its proof that a request has not run.
+ */
+export function isCollected(lengthBytes: number | undefined): boolean {
+  return lengthBytes !== undefined && lengthBytes <= MAX_COLLECTED_BODY_BYTES;
+}
+
 /** Calls `take` once the body is whole; not at all when it breaks off. */
 export function collectBody(reader: RelayBodyReader, take: (body: HeldBody) => void): void {
   const chunks: Buffer[] = [];
--- a/src/proxy/relay/credit-pool.ts
+++ b/src/proxy/relay/credit-pool.ts
@@ -6,7 +6,7 @@
 import type { BodyArrival } from '../../admission/endpoint-admission.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
 import { ArrivalRate } from './arrival-rate.js';
-import { MAX_COLLECTED_BODY_BYTES } from './collected-body.js';
+import { isCollected } from './collected-body.js';
 
 /**
  * Bytes of bodies on their way to a node at most. Keeps a link of 7 Mbit/s busy, and is carried by it in
@@ -209,7 +209,7 @@
   ) {
     this.rank = request.rank;
     this.ungrantedBytes = request.lengthBytes ?? Infinity;
-    this.isLong = this.ungrantedBytes > MAX_COLLECTED_BODY_BYTES;
+    this.isLong = !isCollected(request.lengthBytes);
   }
 
   /** What is still to come before its turn is over. */
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -95,7 +95,7 @@
         return;
       }
       this.reportConnect(true);
-      this.open(socket, head, message.headers.upgrade === RELAY_PROTOCOL);
+      this.open(socket, head);
     });
     this.request.once('response', () => this.request.destroy());
     this.request.on('error', () => undefined);
@@ -155,7 +155,7 @@
     };
   }
 
-  private open(socket: Socket, head: Buffer, answersPings: boolean): void {
+  private open(socket: Socket, head: Buffer): void {
     socket.setNoDelay();
     socket.setTimeout(IDLE_CONNECTION_MS, () => this.closeIdle());
     const { scheduler } = this.options;
@@ -170,7 +170,7 @@
       received: (frames: readonly StreamFrame[]) => frames.forEach((frame) => this.take(frame)),
       closed: () => this.end('lost'),
     };
-    this.connection = new RelayConnection(socket, head, observer, answersPings ? watch : undefined);
+    this.connection = new RelayConnection(socket, head, observer, watch);
     this.observer.opened();
     this.streams.forEach((attempt) => attempt.send());
   }
--- a/src/proxy/relay/relay-load.ts
+++ b/src/proxy/relay/relay-load.ts
@@ -3,6 +3,8 @@
 import type { FrameLoad } from './relay-frame.js';
 
 const PERCENT = 100;
+/** What is said of the load where nothing is known. */
+export const NO_LOAD: LoadReport = { inFlight: 0, slots: 0, draining: false };
 
 /** What frames say of `load`. */
 export function frameLoadOf(load: LoadReport, isNodeStopping: boolean): FrameLoad {
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -86,9 +86,8 @@
         return;
       }
       const token = headerValue(request.rawHeaders, RELAY_TOKEN_HEADER);
-      const answersPings = request.headers.upgrade === RELAY_PROTOCOL;
       const place = request.socket.remoteAddress;
-      this.accept(options.verifyToken(token), { socket, head, place, answersPings });
+      this.accept(options.verifyToken(token), { socket, head, place });
     });
     this.http.on('clientError', (_error, socket) => socket.destroy());
   }
@@ -151,7 +150,6 @@
   readonly head: Buffer;
   /** IP number of the peer's machine. */
   readonly place: string | undefined;
-  readonly answersPings: boolean;
 }
 
 /** The connection of one peer, and its requests. */
@@ -166,7 +164,7 @@
 
   constructor(
     private readonly sender: string,
-    { socket, head, place, answersPings }: PeerOpening,
+    { socket, head, place }: PeerOpening,
     private readonly options: RelayServerOptions,
     private readonly credits: CreditPool,
     private readonly forget: () => void,
@@ -183,7 +181,7 @@
       received: (frames: readonly StreamFrame[]) => this.receive(frames),
       closed: () => this.end(),
     };
-    this.connection = new RelayConnection(socket, head, observer, answersPings ? watch : undefined);
+    this.connection = new RelayConnection(socket, head, observer, watch);
   }
 
   look(): void {
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -12,7 +12,7 @@
   type RequestError,
 } from '../request-error.js';
 import type { Scheduler } from '../scheduler.js';
-import { MAX_COLLECTED_BODY_BYTES } from './collected-body.js';
+import { isCollected } from './collected-body.js';
 import { RelayBodyReader, RelayBodyWriter } from './relay-body.js';
 import type { AnswerFrame, BodyForm, FailureFrame, StreamFrame } from './relay-frame.js';
 import { loadOf } from './relay-load.js';
@@ -134,8 +134,7 @@
 
   /** The endpoint's node hands a body that it collects on only once it has all of it. */
   private get mayHaveReachedEndpoint(): boolean {
-    const isCollected = (this.call.body.length ?? Infinity) <= MAX_COLLECTED_BODY_BYTES;
-    return this.isSent && (this.isWholeSent || !isCollected);
+    return this.isSent && (this.isWholeSent || !isCollected(this.call.body.length));
   }
 
   /** The first credit says that the endpoint's node has not refused the request by its head. */
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -1,35 +1,25 @@
 /** One request of a peer at the node that owns the endpoint. */
-import { EventEmitter } from 'node:events';
 import type { BodyArrival } from '../../admission/endpoint-admission.js';
 import type { Endpoint } from '../../model/resource.js';
-import { passAnswer, type AnswerSink } from '../answer-relay.js';
+import { passAnswer } from '../answer-relay.js';
 import type { Answer, Attempt, AttemptObserver, Call, EndpointPath, LoadReport } from '../call.js';
 import { EMPTY_BODY, HeldBody, StreamedBody, type RequestBody } from '../request-body.js';
 import { refusalLeadMs } from '../refusal-lead.js';
-import {
-  DeadlinePassedError,
-  NodeStoppingError,
-  StoppedBeforeAnswerError,
-  TruncatedAnswerError,
-  type RequestError,
-} from '../request-error.js';
+import { DeadlinePassedError, TruncatedAnswerError, type RequestError } from '../request-error.js';
 import type { AwaitedThing, RequestLog } from '../request-log.js';
 import { rankInTime } from '../request-work.js';
+import { stopFailure } from '../stop-failure.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
-import { collectBody, MAX_COLLECTED_BODY_BYTES } from './collected-body.js';
+import { collectBody, isCollected } from './collected-body.js';
 import type { BodyCredit, CreditPool } from './credit-pool.js';
-import { RelayBodyReader, RelayBodyWriter } from './relay-body.js';
+import { FrameSink } from './frame-sink.js';
+import { RelayBodyReader } from './relay-body.js';
 import type { RequestFrame, StreamFrame } from './relay-frame.js';
-import { frameLoadOf } from './relay-load.js';
+import { frameLoadOf, NO_LOAD } from './relay-load.js';
+import type { RequestLink } from './request-link.js';
 
-/** An answer of up to this length, in bytes, is sent as one frame where it is soon whole. */
-const MAX_HELD_ANSWER_BYTES = 16 * 1024;
-/** How long an answer's head waits for the rest at most, in milliseconds. */
-const MAX_HOLD_MS = 20;
 /** How long a collected request waits for a slot at least, in milliseconds: the work of one upload. */
 const COLLECTED_WAIT_MS = 250;
-/** What is said of the load where nothing is known. */
-const NO_LOAD: LoadReport = { inFlight: 0, slots: 0, draining: false };
 
 /** The endpoints of this node. */
 export interface OwnedEndpoints extends EndpointPath {
@@ -40,14 +30,6 @@
   load(endpoint: Endpoint, workClass: string): LoadReport;
 }
 
-/** What a request needs of its connection. */
-export interface RequestLink {
-  readonly send: (frame: StreamFrame) => void;
-  /** The request is over; called once. */
-  readonly over: () => void;
-  readonly isStopping: () => boolean;
-}
-
 /** The request. */
 export class RelayedRequest implements AttemptObserver {
   readonly body: RequestBody;
@@ -85,8 +67,7 @@
    */
   start(endpoints: OwnedEndpoints, endpoint: Endpoint, call: Call): void {
     const { reader, credit } = this;
-    const isLong = (this.body.length ?? Infinity) > MAX_COLLECTED_BODY_BYTES;
-    if (reader === undefined || credit === undefined || isLong) {
+    if (reader === undefined || credit === undefined || !isCollected(this.body.length)) {
       this.submit(endpoints, endpoint, call);
       return;
     }
@@ -151,9 +132,7 @@
       return false;
     }
     const isUnsent = this.attempt === undefined || this.attempt.isUnsent();
-    const error = isUnsent
-      ? new NodeStoppingError('the node stops before the request was sent on')
-      : new StoppedBeforeAnswerError('the node stops before the answer');
+    const error = stopFailure(isUnsent);
     log.record({
       event: 'request-given-up',
       request: this.requestId,
@@ -264,104 +243,6 @@
   }
 }
 
-/** An answer's way out as frames: one where it is small and soon whole, else a head and parts. */
-class FrameSink extends EventEmitter implements AnswerSink {
-  headersSent = false;
-  private heldChunks: Buffer[] = [];
-  private heldBytes = 0;
-  private readonly writer: RelayBodyWriter;
-  private readonly holdTimer: NodeJS.Timeout;
-
-  constructor(
-    private readonly streamId: number,
-    private readonly answer: Answer,
-    private readonly link: RequestLink,
-  ) {
-    super();
-    this.writer = new RelayBodyWriter((bytes, isLast) => {
-      link.send({ kind: 'body', streamId, bytes, isLast });
-    });
-    this.writer.on('drain', () => this.emit('drain'));
-    // What the endpoint still sends after the answer was given up goes nowhere.
-    this.writer.on('error', () => undefined);
-    this.holdTimer = setTimeout(() => this.release(), MAX_HOLD_MS);
-  }
-
-  /** The head goes out with the first frame. */
-  writeHead(): void {
-    return;
-  }
-
-  write(chunk: Buffer): boolean {
-    if (this.headersSent) {
-      return this.writer.write(chunk);
-    }
-    this.heldChunks.push(chunk);
-    this.heldBytes += chunk.length;
-    return this.isHoldable || this.release();
-  }
-
-  end(chunk?: Buffer): void {
-    if (this.headersSent) {
-      this.writer.end(chunk);
-      return;
-    }
-    if (chunk !== undefined) {
-      this.heldChunks.push(chunk);
-    }
-    const [first] = this.heldChunks;
-    const isOne = this.heldChunks.length === 1 && first !== undefined;
-    this.sendHead(true, isOne ? first : Buffer.concat(this.heldChunks));
-  }
-
-  addCredit(bytes: number): void {
-    this.writer.addCredit(bytes);
-  }
-
-  /** Calls `action` once all of the ended answer is sent, which may take the receiver's credit. */
-  whenSent(action: () => void): void {
-    if (this.writer.writableEnded && !this.writer.writableFinished) {
-      this.writer.once('finish', action);
-    } else {
-      action();
-    }
-  }
-
-  destroy(): void {
-    clearTimeout(this.holdTimer);
-    this.writer.destroy();
-  }
-
-  /** An answer of unknown length is passed on as it comes. */
-  private get isHoldable(): boolean {
-    const isFramed = this.answer.contentLength !== undefined;
-    return isFramed && this.heldBytes <= MAX_HELD_ANSWER_BYTES;
-  }
-
-  /** Sends the head and what is held of the body; false when the receiver should be waited for. */
-  private release(): boolean {
-    this.sendHead(false, Buffer.alloc(0));
-    const held = Buffer.concat(this.heldChunks.splice(0));
-    return held.length === 0 || this.writer.write(held);
-  }
-
-  private sendHead(isHeld: boolean, bytes: Buffer): void {
-    clearTimeout(this.holdTimer);
-    this.headersSent = true;
-    const { status, headers, contentLength, load } = this.answer;
-    this.link.send({
-      kind: 'answer',
-      streamId: this.streamId,
-      status,
-      headers,
-      contentLengthBytes: contentLength,
-      ...frameLoadOf(load ?? NO_LOAD, this.link.isStopping()),
-      isHeld,
-      bytes,
-    });
-  }
-}
-
 /**
  * A body that is here is not sent to another endpoint for want of a slot: that would carry it over a link
  * again. It waits for one until its target has passed, and then still takes one that comes free soon.
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -2,6 +2,7 @@
 import type { Endpoint } from '../model/resource.js';
 import type { Verdict } from '../model/verdict.js';
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
+import { outcomeOf } from './attempt-errors.js';
 import type { AwaitedAttempt } from './awaited-attempts.js';
 import type { Answer, Attempt, Call, LoadReport } from './call.js';
 import type { RequestBody } from './request-body.js';
@@ -12,10 +13,8 @@
   DeadlinePassedError,
   EndpointFaultError,
   InternalError,
-  NodeStoppingError,
   NoEndpointError,
   RequestError,
-  StoppedBeforeAnswerError,
   TimedOutError,
   TruncatedAnswerError,
   type RequestFailure,
@@ -25,12 +24,12 @@
 import type { CancelTimer } from './scheduler.js';
 import { loadObservationOf } from './load-observation.js';
 import { refusalClassOf, workOf } from './request-work.js';
+import { stopFailure } from './stop-failure.js';
 import type { RequestContext } from './request-context.js';
+import { requestDecision, type DecisionDetails } from './request-decision.js';
 
 /** When to come back after no endpoint had room, in milliseconds. */
 const NO_ENDPOINT_RETRY_MS = 200;
-/** When to come back after a node has given the request up, in milliseconds: it has ended by then. */
-const STOPPED_RETRY_MS = 500;
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
 /**
@@ -119,10 +118,8 @@
       return false;
     }
     const isUnsent = this.attempt === undefined || this.attempt.isUnsent();
-    const failure = isUnsent
-      ? new NodeStoppingError('the node stops before the request was sent on', STOPPED_RETRY_MS)
-      : new StoppedBeforeAnswerError('the node stops before the answer');
-    this.record('request-given-up', failure, failure.verdict, undefined, this.awaitedThing());
+    const failure = stopFailure(isUnsent);
+    this.record('request-given-up', failure, failure.verdict, { waitedFor: this.awaitedThing() });
     this.handle({ type: 'give-up', failure, isUnsent, wasPassedOn });
     return true;
   }
@@ -316,7 +313,7 @@
     if (load !== undefined) {
       this.peerHasAnswered();
     }
-    this.record('attempt-failed', error, error.verdict, load);
+    this.record('attempt-failed', error, error.verdict, { load });
     this.rememberRefusal(error);
     this.endAttempt(outcomeOf(error));
     this.noteServiceMs(load);
@@ -402,28 +399,22 @@
     event: RequestDecisionName,
     failure: RequestFailure,
     verdict: Verdict,
-    load?: LoadReport,
-    waitedFor?: AwaitedThing,
+    details: DecisionDetails = {},
   ): void {
-    const { services, requestId, match, snapshot, deadlineAtMs } = this.context;
+    const { startedAtMs, attemptStartedAtMs, isLate } = this;
+    const { services } = this.context;
     const nowMs = services.scheduler.now();
-    services.requestLog.record({
-      event,
-      request: requestId,
-      service: match.service,
+    const progress = {
       attempt: this.attemptNumber,
-      ...(this.endpoint && { endpoint: this.endpoint.name }),
-      code: failure.code,
-      verdict,
-      elapsedMs: Math.round(nowMs - this.startedAtMs),
-      ...(event === 'attempt-failed' && { attemptMs: Math.round(nowMs - this.attemptStartedAtMs) }),
-      ...(this.isLate && { isLate: true }),
-      deadlineLeftMs: Math.round(deadlineAtMs - nowMs),
-      configuration: snapshot.version.source.number,
-      ...(failure.retryAfterMs !== undefined && { retryAfterMs: Math.round(failure.retryAfterMs) }),
-      ...(waitedFor && { waitedFor }),
-      ...(load && { running: load.inFlight, slots: load.slots }),
-    });
+      endpoint: this.endpoint?.name,
+      startedAtMs,
+      attemptStartedAtMs,
+      isLate,
+      nowMs,
+    };
+    services.requestLog.record(
+      requestDecision(this.context, progress, { event, failure, verdict, ...details }),
+    );
   }
 
   private canReplay(): boolean {
@@ -464,13 +455,3 @@
     this.cancelBackOff?.();
   }
 }
-
-function outcomeOf(error: RequestError): AttemptOutcome {
-  if (error.verdict !== 'not-run') {
-    return 'failed';
-  }
-  if (error.code === 'ENDPOINT_GONE') {
-    return 'gone';
-  }
-  return error.code === 'UNREACHABLE' ? 'unreachable' : 'refused';
-}
