--- a/test/proxy/unsent-at-deadline.test.ts
+++ b/test/proxy/unsent-at-deadline.test.ts
@@ -13,6 +13,13 @@
 
 const UPLOAD_BYTES = 60_000;
 
+function openRelayAndSayNoMore(socket: Socket): void {
+  socket.once('data', () => {
+    socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n');
+    socket.write(`Upgrade: ${RELAY_PROTOCOL}\r\n\r\n`);
+  });
+}
+
 describe('a deadline that passes', () => {
   const mesh = new TestMesh();
   const sockets = new Set<Socket>();
@@ -51,12 +58,7 @@
   });
 
   it('before the peer asked for the body says that the request has not run', async () => {
-    const { callerPort } = await nodeBeside((socket) => {
-      socket.once('data', () => {
-        socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n');
-        socket.write(`Upgrade: ${RELAY_PROTOCOL}\r\n\r\n`);
-      });
-    });
+    const { callerPort } = await nodeBeside(openRelayAndSayNoMore);
     const { headers } = await call(callerPort, {
       method: 'POST',
       headers: { 'x-deadline-ms': 150, 'Content-Length': UPLOAD_BYTES },
@@ -66,12 +68,7 @@
   });
 
   it('after the request went to the peer says that it may have run', async () => {
-    const { callerPort } = await nodeBeside((socket) => {
-      socket.once('data', () => {
-        socket.write('HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\n');
-        socket.write(`Upgrade: ${RELAY_PROTOCOL}\r\n\r\n`);
-      });
-    });
+    const { callerPort } = await nodeBeside(openRelayAndSayNoMore);
     const { headers } = await call(callerPort, {
       method: 'POST',
       headers: { 'x-deadline-ms': 150 },
