--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -5,6 +5,7 @@
 import { outcomeOf } from './attempt-errors.js';
 import type { AwaitedAttempt } from './awaited-attempts.js';
 import type { Answer, Attempt, Call, LoadReport } from './call.js';
+import { EndpointChoice } from './endpoint-choice.js';
 import type { RequestBody } from './request-body.js';
 import {
   BodyTooSlowError,
@@ -42,13 +43,7 @@
 /** One caller's request under way. */
 export class RequestRunner implements AwaitedAttempt {
   private readonly lifecycle: RequestLifecycle;
-  private readonly tried = new Set<string>();
-  /** Endpoints whose node found that the request can't be answered within its target latency. */
-  private readonly refusers = new Set<string>();
-  /** Whether attempts ask for an answer before the deadline, since none is expected in time. */
-  private isLate = false;
-  /** Least time that an endpoint's node told for this class of work, in milliseconds. */
-  private leastServiceMs: number | undefined;
+  private readonly choice: EndpointChoice;
   private isExpired = false;
   private attempt: Attempt | undefined;
   private attemptNumber = 0;
@@ -76,6 +71,10 @@
     const budget = services.retryBudgetOf(match.service);
     this.startedAtMs = services.scheduler.now();
     this.lifecycle = new RequestLifecycle(policy, budget, services.random);
+    const { targetLatencyMs } = match.route.spec;
+    const targetAtMs =
+      targetLatencyMs === undefined ? undefined : this.startedAtMs + targetLatencyMs;
+    this.choice = new EndpointChoice(targetAtMs, () => this.handle({ type: 'target-missed' }));
     const remainingMs = deadlineAtMs - services.scheduler.now();
     this.cancelDeadline = services.scheduler.schedule(remainingMs, () => this.expire());
     context.response.onClose((isWhole) => this.close(isWhole));
@@ -214,7 +213,7 @@
     }
     this.endpoint = endpoint;
     this.answer = undefined;
-    this.tried.add(endpoint.name);
+    this.choice.began(endpoint.name);
     this.attemptStartedAtMs = services.scheduler.now();
     services.selector.began(endpoint, this.attemptStartedAtMs);
     this.awaitPeerOf(endpoint);
@@ -229,36 +228,11 @@
     }
   }
 
-  /** An untried endpoint; once all have refused for lack of time, one of these again, for late work. */
   private chooseEndpoint(): Endpoint | undefined {
     const { services, snapshot, match } = this.context;
-    this.checkTarget();
-    const endpoint = services.chooseEndpoint(snapshot, match, this.tried, this.isLate);
-    const hasTarget = match.route.spec.targetLatencyMs !== undefined;
-    if (endpoint !== undefined || this.isLate || !hasTarget) {
-      return endpoint;
-    }
-    this.becomeLate();
-    return services.chooseEndpoint(snapshot, match, this.tried, this.isLate);
-  }
-
-  /** Turns the request late as soon as no endpoint is expected to answer it within its target. */
-  private checkTarget(): void {
-    const { targetLatencyMs } = this.context.match.route.spec;
-    if (this.isLate || targetLatencyMs === undefined) {
-      return;
-    }
-    const finishAtMs = this.context.services.scheduler.now() + (this.leastServiceMs ?? 0);
-    if (finishAtMs >= this.startedAtMs + targetLatencyMs) {
-      this.becomeLate();
-    }
-  }
-
-  /** From now on attempts ask for late service, also of nodes that could not answer in time. */
-  private becomeLate(): void {
-    this.isLate = true;
-    this.refusers.forEach((name) => this.tried.delete(name));
-    this.handle({ type: 'target-missed' });
+    return this.choice.next(services.scheduler.now(), (tried, isLate) =>
+      services.chooseEndpoint(snapshot, match, tried, isLate),
+    );
   }
 
   private get workClass(): string {
@@ -268,7 +242,7 @@
   private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
     const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = this.context;
     return {
-      ...workOf(match.route, this.startedAtMs, this.attemptStartedAtMs, this.isLate),
+      ...workOf(match.route, this.startedAtMs, this.attemptStartedAtMs, this.choice.isLate),
       requestId: `${attemptPrefix}.${attempt}`,
       method,
       target,
@@ -316,23 +290,19 @@
     this.record('attempt-failed', error, error.verdict, { load });
     this.rememberRefusal(error);
     this.endAttempt(outcomeOf(error));
-    this.noteServiceMs(load);
-    this.checkTarget();
-    this.handle({ type: 'failed', attempt, failure: error, canReplay: this.canReplay() });
-  }
-
-  private noteServiceMs(load: LoadReport | undefined): void {
     if (load?.serviceMs !== undefined) {
-      this.leastServiceMs = Math.min(this.leastServiceMs ?? Infinity, load.serviceMs);
+      this.choice.noteServiceMs(load.serviceMs);
     }
+    this.choice.checkTarget(this.context.services.scheduler.now());
+    this.handle({ type: 'failed', attempt, failure: error, canReplay: this.canReplay() });
   }
 
   private rememberRefusal({ code, retryAfterMs = 0 }: RequestError): void {
     const isForLackOfRoom = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
     if (this.endpoint !== undefined && isForLackOfRoom) {
-      this.refusers.add(this.endpoint.name);
+      this.choice.refusedBy(this.endpoint.name);
       const { services, match } = this.context;
-      const refusalClass = refusalClassOf(match.route, this.isLate);
+      const refusalClass = refusalClassOf(match.route, this.choice.isLate);
       const nowMs = services.scheduler.now();
       services.selector.refusedWork(this.endpoint, refusalClass, retryAfterMs, nowMs);
     }
@@ -363,7 +333,7 @@
     const { services } = this.context;
     const nowMs = services.scheduler.now();
     // Late work waits behind all other: its time says nothing of what work in time would take.
-    if (this.endpoint !== undefined && !this.isLate) {
+    if (this.endpoint !== undefined && !this.choice.isLate) {
       const latencyMs = nowMs - this.attemptStartedAtMs;
       services.selector.measured(this.endpoint, this.workClass, latencyMs, nowMs);
     }
@@ -401,7 +371,7 @@
     verdict: Verdict,
     details: DecisionDetails = {},
   ): void {
-    const { startedAtMs, attemptStartedAtMs, isLate } = this;
+    const { startedAtMs, attemptStartedAtMs } = this;
     const { services } = this.context;
     const nowMs = services.scheduler.now();
     const progress = {
@@ -409,7 +379,7 @@
       endpoint: this.endpoint?.name,
       startedAtMs,
       attemptStartedAtMs,
-      isLate,
+      isLate: this.choice.isLate,
       nowMs,
     };
     services.requestLog.record(
