--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -3,7 +3,9 @@
 import type { Verdict } from '../model/verdict.js';
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
 import { outcomeOf } from './attempt-errors.js';
+import { AttemptedEndpoint } from './attempted-endpoint.js';
 import type { AwaitedAttempt } from './awaited-attempts.js';
+import { AwaitedPeer } from './awaited-peer.js';
 import type { Answer, Attempt, Call, LoadReport } from './call.js';
 import { EndpointChoice } from './endpoint-choice.js';
 import type { RequestBody } from './request-body.js';
@@ -23,8 +25,7 @@
 import type { AwaitedThing, RequestDecisionName } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import type { CancelTimer } from './scheduler.js';
-import { loadObservationOf } from './load-observation.js';
-import { refusalClassOf, workOf } from './request-work.js';
+import { workOf } from './request-work.js';
 import { stopFailure } from './stop-failure.js';
 import type { RequestContext } from './request-context.js';
 import { requestDecision, type DecisionDetails } from './request-decision.js';
@@ -47,13 +48,11 @@
   private isExpired = false;
   private attempt: Attempt | undefined;
   private attemptNumber = 0;
-  private endpoint: Endpoint | undefined;
-  /** The machine whose node owes the answer of the attempt under way. */
-  private awaitedMachine: string | undefined;
+  private readonly endpoint: AttemptedEndpoint;
+  private readonly peer: AwaitedPeer;
   private answer: Answer | undefined;
   private body: RequestBody | undefined;
   private readonly startedAtMs: number;
-  private attemptStartedAtMs = 0;
   private readonly cancelDeadline: CancelTimer;
   private cancelBackOff: CancelTimer | undefined;
 
@@ -68,6 +67,8 @@
       redirects: services.limits.maxRedirects,
       lateRedirects: Math.min(services.limits.maxRedirects, LATE_REDIRECTS),
     };
+    this.endpoint = new AttemptedEndpoint(context);
+    this.peer = new AwaitedPeer(services, this);
     const budget = services.retryBudgetOf(match.service);
     this.startedAtMs = services.scheduler.now();
     this.lifecycle = new RequestLifecycle(policy, budget, services.random);
@@ -127,35 +128,13 @@
     if (this.body?.isWhole() !== true) {
       return 'body';
     }
-    if (this.endpoint === undefined) {
+    if (this.endpoint.name === undefined) {
       return 'back-off';
     }
     if (this.attempt?.isUnsent() === true) {
       return 'slot';
     }
-    return this.awaitedMachine === undefined ? 'endpoint' : 'peer';
-  }
-
-  private awaitPeerOf(endpoint: Endpoint): void {
-    const { services } = this.context;
-    this.awaitedMachine = services.relayMachineOf(endpoint);
-    if (this.awaitedMachine !== undefined) {
-      services.awaited.began(this.awaitedMachine, this, this.attemptStartedAtMs);
-    }
-  }
-
-  private peerHasAnswered(): void {
-    if (this.awaitedMachine !== undefined) {
-      this.context.services.heard(this.awaitedMachine);
-    }
-    this.stopAwaiting();
-  }
-
-  private stopAwaiting(): void {
-    if (this.awaitedMachine !== undefined) {
-      this.context.services.awaited.ended(this.awaitedMachine, this);
-      this.awaitedMachine = undefined;
-    }
+    return this.peer.isAwaited ? 'peer' : 'endpoint';
   }
 
   private handle(event: RequestEvent): void {
@@ -211,12 +190,10 @@
       this.handle({ type: 'no-endpoint', attempt, failure });
       return;
     }
-    this.endpoint = endpoint;
     this.answer = undefined;
     this.choice.began(endpoint.name);
-    this.attemptStartedAtMs = services.scheduler.now();
-    services.selector.began(endpoint, this.attemptStartedAtMs);
-    this.awaitPeerOf(endpoint);
+    this.endpoint.began(endpoint);
+    this.peer.awaitFor(endpoint, this.endpoint.startedAtMs);
     const call = this.callOf(this.body, attempt, retriesLeft);
     const submitted = path.submit(endpoint, call, {
       answered: (answer) => this.takeAnswer(attempt, answer),
@@ -235,14 +212,10 @@
     );
   }
 
-  private get workClass(): string {
-    return this.context.match.route.name;
-  }
-
   private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
     const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = this.context;
     return {
-      ...workOf(match.route, this.startedAtMs, this.attemptStartedAtMs, this.choice.isLate),
+      ...workOf(match.route, this.startedAtMs, this.endpoint.startedAtMs, this.choice.isLate),
       requestId: `${attemptPrefix}.${attempt}`,
       method,
       target,
@@ -257,10 +230,10 @@
 
   private takeAnswer(attempt: number, answer: Answer): void {
     this.answer = answer;
-    this.peerHasAnswered();
-    this.observeLoad(answer.load, undefined);
+    this.peer.hasAnswered();
+    this.endpoint.observeLoad(answer.load, undefined);
     if (answer.status < FAULT_STATUS) {
-      this.measureLatency();
+      this.endpoint.measureLatency(this.choice.isLate);
     }
     const fault = this.faultOf(answer);
     this.handle({ type: 'answered', attempt, ...(fault !== undefined && { fault }) });
@@ -283,9 +256,9 @@
   }
 
   private takeFailure(attempt: number, error: RequestError, load: LoadReport | undefined): void {
-    this.observeLoad(load, error);
+    this.endpoint.observeLoad(load, error);
     if (load !== undefined) {
-      this.peerHasAnswered();
+      this.peer.hasAnswered();
     }
     this.record('attempt-failed', error, error.verdict, { load });
     this.rememberRefusal(error);
@@ -297,14 +270,12 @@
     this.handle({ type: 'failed', attempt, failure: error, canReplay: this.canReplay() });
   }
 
-  private rememberRefusal({ code, retryAfterMs = 0 }: RequestError): void {
+  private rememberRefusal(error: RequestError): void {
+    const { code } = error;
     const isForLackOfRoom = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
-    if (this.endpoint !== undefined && isForLackOfRoom) {
+    if (this.endpoint.name !== undefined && isForLackOfRoom) {
       this.choice.refusedBy(this.endpoint.name);
-      const { services, match } = this.context;
-      const refusalClass = refusalClassOf(match.route, this.choice.isLate);
-      const nowMs = services.scheduler.now();
-      services.selector.refusedWork(this.endpoint, refusalClass, retryAfterMs, nowMs);
+      this.endpoint.refused(error, this.choice.isLate);
     }
   }
 
@@ -329,24 +300,6 @@
     });
   }
 
-  private measureLatency(): void {
-    const { services } = this.context;
-    const nowMs = services.scheduler.now();
-    // Late work waits behind all other: its time says nothing of what work in time would take.
-    if (this.endpoint !== undefined && !this.choice.isLate) {
-      const latencyMs = nowMs - this.attemptStartedAtMs;
-      services.selector.measured(this.endpoint, this.workClass, latencyMs, nowMs);
-    }
-  }
-
-  private observeLoad(load: LoadReport | undefined, error: RequestError | undefined): void {
-    const { selector, scheduler } = this.context.services;
-    const observation = loadObservationOf(load, error, this.workClass);
-    if (this.endpoint !== undefined && observation !== undefined) {
-      selector.observedLoad(this.endpoint, observation, scheduler.now());
-    }
-  }
-
   /** An endpoint that let the deadline pass has failed; one that was given up before has not. */
   private abortedOutcome(): AttemptOutcome {
     if (this.answer !== undefined) {
@@ -356,13 +309,8 @@
   }
 
   private endAttempt(outcome: AttemptOutcome): void {
-    const { services, snapshot, match } = this.context;
-    this.stopAwaiting();
-    if (this.endpoint !== undefined) {
-      const peers = snapshot.endpointsByService.get(match.service) ?? [];
-      services.selector.ended(this.endpoint, outcome, peers, services.scheduler.now());
-      this.endpoint = undefined;
-    }
+    this.peer.stop();
+    this.endpoint.ended(outcome);
   }
 
   private record(
@@ -371,16 +319,14 @@
     verdict: Verdict,
     details: DecisionDetails = {},
   ): void {
-    const { startedAtMs, attemptStartedAtMs } = this;
     const { services } = this.context;
-    const nowMs = services.scheduler.now();
     const progress = {
       attempt: this.attemptNumber,
-      endpoint: this.endpoint?.name,
-      startedAtMs,
-      attemptStartedAtMs,
+      endpoint: this.endpoint.name,
+      startedAtMs: this.startedAtMs,
+      attemptStartedAtMs: this.endpoint.startedAtMs,
       isLate: this.choice.isLate,
-      nowMs,
+      nowMs: services.scheduler.now(),
     };
     services.requestLog.record(
       requestDecision(this.context, progress, { event, failure, verdict, ...details }),
@@ -393,7 +339,7 @@
 
   private expire(): void {
     this.isExpired = true;
-    this.measureLatency();
+    this.endpoint.measureLatency(this.choice.isLate);
     this.handle({ type: 'deadline', failure: this.expiryFailure() });
   }
 
@@ -420,7 +366,7 @@
   }
 
   private finish(): void {
-    this.stopAwaiting();
+    this.peer.stop();
     this.cancelDeadline();
     this.cancelBackOff?.();
   }
