--- /dev/null
+++ b/src/proxy/request-policy.ts
@@ -0,0 +1,24 @@
+/** How often a request may be sent, by its route, its caller and its node. Pure. */
+import type { RequestContext } from './request-context.js';
+import type { RequestPolicy } from './request-lifecycle.js';
+
+/**
+ * Attempts that a request has left at least when it turns late, where these do not reach an endpoint:
+ * without one, a request that spent its attempts on nodes that could not answer within its target fails
+ * beside endpoints with free slots.
+ */
+const LATE_REDIRECTS = 1;
+
+/** The policy that a request's life goes by. */
+export function requestPolicyOf(context: RequestContext): RequestPolicy {
+  const { services, match, retries, deadlineAtMs } = context;
+  const { maxAttempts = Infinity } = match.route.spec;
+  return {
+    repeatable: match.repeatable,
+    deadlineAtMs,
+    retries: Math.min(services.limits.maxRetries, retries ?? Infinity, maxAttempts - 1),
+    retryBudgetPercent: match.retryBudgetPercent,
+    redirects: services.limits.maxRedirects,
+    lateRedirects: Math.min(services.limits.maxRedirects, LATE_REDIRECTS),
+  };
+}
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -2,30 +2,29 @@
 import type { Endpoint } from '../model/resource.js';
 import type { Verdict } from '../model/verdict.js';
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
+import { callOf } from './attempt-call.js';
 import { outcomeOf } from './attempt-errors.js';
 import { AttemptedEndpoint } from './attempted-endpoint.js';
 import type { AwaitedAttempt } from './awaited-attempts.js';
 import { AwaitedPeer } from './awaited-peer.js';
-import type { Answer, Attempt, Call, LoadReport } from './call.js';
+import type { Answer, Attempt, LoadReport } from './call.js';
 import { EndpointChoice } from './endpoint-choice.js';
+import { expiryFailure } from './expiry-failure.js';
 import type { RequestBody } from './request-body.js';
 import {
-  BodyTooSlowError,
   CallerGoneError,
   ConnectionLostError,
-  DeadlinePassedError,
   EndpointFaultError,
   InternalError,
   NoEndpointError,
   RequestError,
-  TimedOutError,
   TruncatedAnswerError,
   type RequestFailure,
 } from './request-error.js';
 import type { AwaitedThing, RequestDecisionName } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
+import { requestPolicyOf } from './request-policy.js';
 import type { CancelTimer } from './scheduler.js';
-import { workOf } from './request-work.js';
 import { stopFailure } from './stop-failure.js';
 import type { RequestContext } from './request-context.js';
 import { requestDecision, type DecisionDetails } from './request-decision.js';
@@ -34,12 +33,6 @@
 const NO_ENDPOINT_RETRY_MS = 200;
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
-/**
- * Attempts that a request has left at least when it turns late, where these do not reach an endpoint:
- * without one, a request that spent its attempts on nodes that could not answer within its target fails
- * beside endpoints with free slots.
- */
-const LATE_REDIRECTS = 1;
 
 /** One caller's request under way. */
 export class RequestRunner implements AwaitedAttempt {
@@ -57,21 +50,12 @@
   private cancelBackOff: CancelTimer | undefined;
 
   constructor(private readonly context: RequestContext) {
-    const { services, match, retries, deadlineAtMs } = context;
-    const { maxAttempts = Infinity } = match.route.spec;
-    const policy = {
-      repeatable: match.repeatable,
-      deadlineAtMs,
-      retries: Math.min(services.limits.maxRetries, retries ?? Infinity, maxAttempts - 1),
-      retryBudgetPercent: match.retryBudgetPercent,
-      redirects: services.limits.maxRedirects,
-      lateRedirects: Math.min(services.limits.maxRedirects, LATE_REDIRECTS),
-    };
+    const { services, match, deadlineAtMs } = context;
     this.endpoint = new AttemptedEndpoint(context);
     this.peer = new AwaitedPeer(services, this);
     const budget = services.retryBudgetOf(match.service);
     this.startedAtMs = services.scheduler.now();
-    this.lifecycle = new RequestLifecycle(policy, budget, services.random);
+    this.lifecycle = new RequestLifecycle(requestPolicyOf(context), budget, services.random);
     const { targetLatencyMs } = match.route.spec;
     const targetAtMs =
       targetLatencyMs === undefined ? undefined : this.startedAtMs + targetLatencyMs;
@@ -194,7 +178,13 @@
     this.choice.began(endpoint.name);
     this.endpoint.began(endpoint);
     this.peer.awaitFor(endpoint, this.endpoint.startedAtMs);
-    const call = this.callOf(this.body, attempt, retriesLeft);
+    const call = callOf(this.context, this.body, {
+      attempt,
+      retriesLeft,
+      startedAtMs: this.startedAtMs,
+      attemptStartedAtMs: this.endpoint.startedAtMs,
+      isLate: this.choice.isLate,
+    });
     const submitted = path.submit(endpoint, call, {
       answered: (answer) => this.takeAnswer(attempt, answer),
       failed: (error, load) => this.takeFailure(attempt, error, load),
@@ -212,22 +202,6 @@
     );
   }
 
-  private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
-    const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = this.context;
-    return {
-      ...workOf(match.route, this.startedAtMs, this.endpoint.startedAtMs, this.choice.isLate),
-      requestId: `${attemptPrefix}.${attempt}`,
-      method,
-      target,
-      headers,
-      body,
-      deadlineAtMs,
-      callerNode: services.machineId,
-      isRepeatable: match.repeatable,
-      retriesLeft,
-    };
-  }
-
   private takeAnswer(attempt: number, answer: Answer): void {
     this.answer = answer;
     this.peer.hasAnswered();
@@ -340,16 +314,8 @@
   private expire(): void {
     this.isExpired = true;
     this.endpoint.measureLatency(this.choice.isLate);
-    this.handle({ type: 'deadline', failure: this.expiryFailure() });
-  }
-
-  private expiryFailure(): RequestError {
-    if (this.body === undefined) {
-      return new BodyTooSlowError('the body did not arrive before the deadline');
-    }
-    return this.attempt?.isUnsent() === true
-      ? new DeadlinePassedError('the deadline passed before the request was sent on')
-      : new TimedOutError('no answer before the deadline');
+    const failure = expiryFailure(this.body !== undefined, this.attempt?.isUnsent() === true);
+    this.handle({ type: 'deadline', failure });
   }
 
   private close(isWhole: boolean): void {
