--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -15,6 +15,7 @@
 import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
 import { EndpointGateway, startUpkeep } from './endpoint-gateway.js';
 import { PAUSE_CHECK_INTERVAL_MS, PauseDetector } from './pause-detector.js';
+import { PlannedStop } from './planned-stop.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
 import { RelayClient } from './relay/relay-client.js';
 import type { LinkSilence } from './relay/relay-link.js';
@@ -37,8 +38,6 @@
 import { MACHINE_TIME } from './scheduler.js';
 import type { ClaimedAttempt } from './idempotency-claims.js';
 import { withCredential } from './route-credential.js';
-import { drainServers } from './server-drain.js';
-import { deadlineWithin, NO_STOP, stopTimes } from './stop-times.js';
 
 const NOT_CONFIGURED_RETRY_MS = 1_000;
 /** When to come back to a node that is about to stop; callers are sent to another one by then. */
@@ -83,8 +82,7 @@
   private readonly pauseTimer: NodeJS.Timeout;
   private requestCount = 0;
   private readonly meter = new CallMeter(() => MACHINE_TIME.now());
-  private isStopping = false;
-  private stopTimes = NO_STOP;
+  private readonly plannedStop: PlannedStop;
   /** Callers' requests under way. */
   private readonly runners = new Set<RequestRunner>();
   private isAborted = false;
@@ -92,6 +90,12 @@
   constructor(private readonly options: RequestProxyOptions) {
     this.limits = { ...DEFAULT_PROXY_LIMITS, ...options.limits };
     this.heldBytes = new HeldBytes(this.limits.maxHeldBytes);
+    this.plannedStop = new PlannedStop({
+      limits: this.limits,
+      meter: this.meter,
+      giveUpAll: () => this.giveUpAll(),
+      logStateChange: options.logStateChange,
+    });
     const { callerProtocol, endpointProtocol } = options;
     this.callerProtocol = callerProtocol ?? NATIVE_CALLER_PROTOCOL;
     this.endpointProtocol = endpointProtocol ?? NATIVE_ENDPOINT_PROTOCOL;
@@ -118,7 +122,7 @@
       ...options,
       requestLog: options.requestLog ?? NO_REQUEST_LOG,
       limits: this.limits,
-      isStopping: () => this.isStopping,
+      isStopping: () => this.plannedStop.isStopping,
       scheduler: MACHINE_TIME,
       direct: this.gateway,
       relay: this.relayClient,
@@ -173,27 +177,7 @@
   }
 
   async stop(): Promise<void> {
-    this.isStopping = true;
-    const startedAtMs = MACHINE_TIME.now();
-    this.stopTimes = stopTimes(startedAtMs, this.limits);
-    let givenUp = 0;
-    const cancelGiveUp = MACHINE_TIME.schedule(this.limits.stopTimeoutMs, () => {
-      givenUp = this.giveUpAll();
-    });
-    this.options.logStateChange('request-path', `stopping with ${this.meter.inFlight} in flight`);
-    await drainServers([this.callerServer, this.relayServer], {
-      quietMs: this.limits.stopQuietMs,
-      acceptMs: this.limits.stopAcceptMs,
-      timeoutMs: this.stopTimes.closesAtMs - startedAtMs,
-      lastArrivalAtMs: () => this.meter.lastArrivalAtMs,
-      inFlight: () => this.meter.inFlight,
-      clock: () => MACHINE_TIME.now(),
-    });
-    cancelGiveUp();
-    // A caller that was connected and had sent nothing yet may still send: nobody would wait for its answer.
-    this.stopTimes = { ...this.stopTimes, refusesFromMs: MACHINE_TIME.now() };
-    const outcome = `drained to ${this.meter.inFlight} in flight, ${givenUp} given up`;
-    this.options.logStateChange('request-path', outcome);
+    await this.plannedStop.drain([this.callerServer, this.relayServer]);
     await this.relay.close();
     this.abort();
   }
@@ -203,7 +187,7 @@
       return;
     }
     this.isAborted = true;
-    this.isStopping = true;
+    this.plannedStop.begin();
     for (const server of [this.callerServer, this.relayServer]) {
       server.close();
       server.closeAllConnections();
@@ -216,10 +200,6 @@
     this.options.logStateChange('request-path', 'stopped');
   }
 
-  /**
-   * Gives every request under way its final answer while there is time for it to go out: closed
-   * connections would leave callers and peers without one. Returns how many there were.
-   */
   private giveUpAll(): number {
     const callers = [...this.runners].filter((runner) => runner.giveUp()).length;
     const givenUp = callers + this.relay.giveUp();
@@ -263,7 +243,7 @@
     return createCallerServer({
       protocol: this.callerProtocol,
       limits: this.limits,
-      isStopping: () => this.isStopping,
+      isStopping: () => this.plannedStop.isStopping,
       nextRequestId: () => this.nextRequestId(),
       onError: (code) => {
         this.options.counters.add(`ferryspool_request_errors_${code.toLowerCase()}_total`);
@@ -282,9 +262,9 @@
       snapshot: () => this.options.snapshots.current(),
       endpoints: this.gateway,
       hasJustWoken: () => this.pauses.hasJustWoken(MACHINE_TIME.now()),
-      isStopping: () => this.isStopping,
-      refusesNewWork: () => this.refusesNewWork(),
-      deadlineWithin: (deadlineAtMs) => deadlineWithin(deadlineAtMs, this.stopTimes),
+      isStopping: () => this.plannedStop.isStopping,
+      refusesNewWork: () => this.plannedStop.refusesNewWork(),
+      deadlineWithin: (deadlineAtMs) => this.plannedStop.deadlineWithin(deadlineAtMs),
       requestLog: this.options.requestLog ?? NO_REQUEST_LOG,
       onSilence: (from, silence) => this.takeRelaySilence(`from ${from}`, silence),
       began: () => this.meter.begin(),
@@ -300,10 +280,6 @@
     }
   }
 
-  private refusesNewWork(): boolean {
-    return MACHINE_TIME.now() >= this.stopTimes.refusesFromMs;
-  }
-
   /** The sender of a relayed request; any sender is taken where the fleet has no key. */
   private verifyToken(token: string | undefined): string | undefined {
     const { fleetKey } = this.options;
@@ -320,7 +296,7 @@
     const exchange = { once: (_event: 'close', end: () => void) => response.onClose(end) };
     this.meter.count(exchange, this.options.onRequestMs);
     try {
-      if (this.refusesNewWork()) {
+      if (this.plannedStop.refusesNewWork()) {
         throw new NodeStoppingError('the node is about to stop', STOPPING_RETRY_MS);
       }
       if (isFull) {
@@ -360,7 +336,7 @@
     }
     const attempt = this.attemptToClaim(request, match, attemptPrefix);
     const ownDeadlineAtMs = MACHINE_TIME.now() + timeLeftMs(request, match, attempt !== undefined);
-    const deadlineAtMs = deadlineWithin(ownDeadlineAtMs, this.stopTimes);
+    const deadlineAtMs = this.plannedStop.deadlineWithin(ownDeadlineAtMs);
     const start = (reply: CallerReply): void => {
       this.start({ request, snapshot, match, requestId, attemptPrefix, deadlineAtMs }, reply);
     };
@@ -399,7 +375,7 @@
     });
     this.runners.add(runner);
     response.onClose(() => this.runners.delete(runner));
-    if (MACHINE_TIME.now() >= this.stopTimes.givesUpAtMs) {
+    if (this.plannedStop.givesUpRequests()) {
       runner.giveUp();
       return;
     }
