--- /dev/null
+++ b/src/proxy/request-intake.ts
@@ -0,0 +1,212 @@
+/** The way of a caller's request into the node, up to its first attempt. */
+import type { Snapshot } from '../model/snapshot.js';
+import { RouteTableCache, type RouteMatch } from '../routing/route-table.js';
+import { MAX_CLAIMED_REQUEST_MS } from '../claims/claim-terms.js';
+import { HeldBytes, receiveBody } from './body-receiver.js';
+import type { CallMeter } from './call-meter.js';
+import type { CallerRequest, CallerResponse } from './caller-server.js';
+import { startWhenClaimed } from './claim-gate.js';
+import type { ClaimedAttempt } from './idempotency-claims.js';
+import type { PlannedStop } from './planned-stop.js';
+import type { ProxyLimits } from './proxy-limits.js';
+import type { CallerReply } from './request-context.js';
+import {
+  DeadlinePassedError,
+  InternalError,
+  NodeStoppingError,
+  NotConfiguredError,
+  OverloadedError,
+  RequestError,
+  RouteNotFoundError,
+} from './request-error.js';
+import { ATTEMPT_SEPARATOR } from './request-log.js';
+import type { RequestProxyOptions } from './request-path.js';
+import { RequestRunner } from './request-runner.js';
+import type { RequestServices } from './request-services.js';
+import { withCredential } from './route-credential.js';
+import { MACHINE_TIME } from './scheduler.js';
+
+const NOT_CONFIGURED_RETRY_MS = 1_000;
+/** When to come back to a node that is about to stop; callers are sent to another one by then. */
+const STOPPING_RETRY_MS = 50;
+
+/** What the intake needs of its node. */
+export interface RequestIntakeOptions {
+  readonly node: RequestProxyOptions;
+  readonly limits: ProxyLimits;
+  readonly services: RequestServices;
+  /** Counts the requests in flight, those of other nodes included. */
+  readonly meter: CallMeter;
+  readonly stop: PlannedStop;
+}
+
+/** A request that has found its route. */
+interface RoutedRequest {
+  readonly request: CallerRequest;
+  readonly snapshot: Snapshot;
+  readonly match: RouteMatch;
+  readonly requestId: string;
+  readonly attemptPrefix: string;
+  readonly deadlineAtMs: number;
+}
+
+/** The intake of one node. */
+export class RequestIntake {
+  private readonly routeTables = new RouteTableCache();
+  private readonly heldBytes: HeldBytes;
+  private requestCount = 0;
+  /** Callers' requests under way. */
+  private readonly runners = new Set<RequestRunner>();
+
+  constructor(private readonly options: RequestIntakeOptions) {
+    this.heldBytes = new HeldBytes(options.limits.maxHeldBytes);
+  }
+
+  /** Gives every caller's request under way its final answer. Returns how many there were. */
+  giveUp(): number {
+    return [...this.runners].filter((runner) => runner.giveUp()).length;
+  }
+
+  /** Unique in the fleet. */
+  nextRequestId(): string {
+    this.requestCount += 1;
+    const { id, incarnation } = this.options.node.identity;
+    return `${id}-${incarnation.toString(36)}-${this.requestCount.toString(36)}`;
+  }
+
+  /** Takes a request from its caller; every one gets an answer or an error. */
+  handle(request: CallerRequest, response: CallerResponse): void {
+    const ownId = this.nextRequestId();
+    const requestId = request.requestId ?? ownId;
+    const isNamedByCaller = request.requestId !== undefined;
+    const attemptPrefix = isNamedByCaller ? `${requestId}${ATTEMPT_SEPARATOR}${ownId}` : ownId;
+    this.options.node.counters.add('ferryspool_requests_total');
+    const isFull = this.options.meter.inFlight >= this.options.limits.maxCallsInFlight;
+    const exchange = { once: (_event: 'close', end: () => void) => response.onClose(end) };
+    this.options.meter.count(exchange, this.options.node.onRequestMs);
+    try {
+      if (this.options.stop.refusesNewWork()) {
+        throw new NodeStoppingError('the node is about to stop', STOPPING_RETRY_MS);
+      }
+      if (isFull) {
+        throw new OverloadedError('the node has too many requests in flight');
+      }
+      this.run(request, response, requestId, attemptPrefix);
+    } catch (error) {
+      const refusal = this.asRequestError(error);
+      const { code, verdict } = refusal;
+      this.options.node.requestLog?.record({
+        event: 'request-failed',
+        request: requestId,
+        code,
+        verdict,
+      });
+      response.fail(refusal, refusal.verdict, requestId);
+    }
+  }
+
+  private run(
+    request: CallerRequest,
+    response: CallerResponse,
+    requestId: string,
+    attemptPrefix: string,
+  ): void {
+    const snapshot = this.options.node.snapshots.current();
+    if (snapshot === undefined) {
+      throw new NotConfiguredError('the node holds no configuration', NOT_CONFIGURED_RETRY_MS);
+    }
+    const match = this.routeTables
+      .tableOf(snapshot)
+      .match(request.host, request.path, request.method, (route) =>
+        this.options.services.targets.next(route),
+      );
+    if (match === undefined) {
+      throw new RouteNotFoundError('no route matches the request');
+    }
+    const attempt = this.attemptToClaim(request, match, attemptPrefix);
+    const ownDeadlineAtMs = MACHINE_TIME.now() + timeLeftMs(request, match, attempt !== undefined);
+    const deadlineAtMs = this.options.stop.deadlineWithin(ownDeadlineAtMs);
+    const start = (reply: CallerReply): void => {
+      this.start({ request, snapshot, match, requestId, attemptPrefix, deadlineAtMs }, reply);
+    };
+    if (attempt === undefined || this.options.node.claims === undefined) {
+      start(response);
+    } else {
+      void startWhenClaimed(this.options.node.claims, attempt, response, start);
+    }
+  }
+
+  /** What has to be claimed before the request may be sent on; undefined when nothing has to be. */
+  private attemptToClaim(
+    request: CallerRequest,
+    match: RouteMatch,
+    requestId: string,
+  ): ClaimedAttempt | undefined {
+    const { idempotencyKey: key } = request;
+    const isClaimed =
+      key !== undefined && !match.repeatable && this.options.node.claims !== undefined;
+    return isClaimed ? { service: match.service, key, attempt: requestId } : undefined;
+  }
+
+  private start(routed: RoutedRequest, response: CallerReply): void {
+    const { request, snapshot, match, requestId, attemptPrefix, deadlineAtMs } = routed;
+    const runner = new RequestRunner({
+      services: this.options.services,
+      snapshot,
+      match,
+      method: request.method,
+      target: request.target,
+      retries: request.retries,
+      response,
+      headers: withCredential(request.headers, match, snapshot),
+      requestId,
+      attemptPrefix,
+      deadlineAtMs,
+    });
+    this.runners.add(runner);
+    response.onClose(() => this.runners.delete(runner));
+    if (this.options.stop.givesUpRequests()) {
+      runner.giveUp();
+      return;
+    }
+    const { maxBodyBytes = this.options.limits.maxBodyBytes } = snapshot.callerLimits ?? {};
+    this.startWithBody(runner, request, response, { ...this.options.limits, maxBodyBytes });
+  }
+
+  private startWithBody(
+    runner: RequestRunner,
+    request: CallerRequest,
+    response: CallerReply,
+    limits: ProxyLimits,
+  ): void {
+    try {
+      const release = receiveBody(request.message, limits, this.heldBytes, (body) =>
+        runner.start(body),
+      );
+      response.onClose(release);
+    } catch (error) {
+      runner.refuse(this.asRequestError(error));
+    }
+  }
+
+  private asRequestError(error: unknown): RequestError {
+    if (error instanceof RequestError) {
+      return error;
+    }
+    this.options.node.logStateChange(
+      'request-fault',
+      error instanceof Error ? error.message : 'unknown',
+    );
+    return new InternalError('the node failed');
+  }
+}
+
+/** Time for the request from now on, in milliseconds; throws when none is left. */
+function timeLeftMs(request: CallerRequest, match: RouteMatch, isClaimed: boolean): number {
+  const mostMs = isClaimed ? MAX_CLAIMED_REQUEST_MS : Infinity;
+  const timeoutMs = Math.min(match.timeoutMs, request.timeoutMs ?? Infinity, mostMs);
+  if (timeoutMs <= 0) {
+    throw new DeadlinePassedError('the deadline has passed');
+  }
+  return timeoutMs;
+}
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -1,47 +1,28 @@
 /** The request path of a node: callers' port, relay port and everything between. */
 import type http from 'node:http';
 import type { Channel } from 'js-csp';
-import type { CallerLimits, Snapshot } from '../model/snapshot.js';
-import { RouteTableCache, type RouteMatch } from '../routing/route-table.js';
-import { MAX_CLAIMED_REQUEST_MS } from '../claims/claim-terms.js';
+import type { CallerLimits } from '../model/snapshot.js';
 import type { AwaitedMachine } from './awaited-attempts.js';
-import { HeldBytes, receiveBody } from './body-receiver.js';
 import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
-import { createCallerServer, type CallerRequest, type CallerResponse } from './caller-server.js';
+import { createCallerServer } from './caller-server.js';
 import { CallMeter } from './call-meter.js';
-import { startWhenClaimed } from './claim-gate.js';
 import { EndpointClient } from './endpoint-client.js';
 import { NATIVE_ENDPOINT_PROTOCOL, type EndpointProtocol } from './endpoint-protocol.js';
 import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
 import { EndpointGateway, startUpkeep } from './endpoint-gateway.js';
 import { PAUSE_CHECK_INTERVAL_MS, PauseDetector } from './pause-detector.js';
-import { PlannedStop } from './planned-stop.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
 import { RelayClient } from './relay/relay-client.js';
 import type { LinkSilence } from './relay/relay-link.js';
 import { RelayServer } from './relay/relay-server.js';
 import { RelayTokenIssuer, verifyRelayToken } from './relay/relay-token.js';
-import {
-  DeadlinePassedError,
-  InternalError,
-  NodeStoppingError,
-  NotConfiguredError,
-  OverloadedError,
-  RequestError,
-  RouteNotFoundError,
-} from './request-error.js';
-import { ATTEMPT_SEPARATOR, NO_REQUEST_LOG } from './request-log.js';
-import type { CallerReply } from './request-context.js';
+import { NO_REQUEST_LOG } from './request-log.js';
+import { PlannedStop } from './planned-stop.js';
+import { RequestIntake } from './request-intake.js';
 import type { RequestProxy, RequestProxyOptions } from './request-path.js';
-import { RequestRunner } from './request-runner.js';
 import { RequestServices } from './request-services.js';
 import { MACHINE_TIME } from './scheduler.js';
-import type { ClaimedAttempt } from './idempotency-claims.js';
-import { withCredential } from './route-credential.js';
 
-const NOT_CONFIGURED_RETRY_MS = 1_000;
-/** When to come back to a node that is about to stop; callers are sent to another one by then. */
-const STOPPING_RETRY_MS = 50;
 /** Idle connections of callers are kept this much longer than the configuration says. */
 const IDLE_MARGIN = 1.25;
 const IDLE_MARGIN_MS = 1_000;
@@ -55,16 +36,6 @@
   return new NodeRequestProxy(options);
 }
 
-/** A request that has found its route. */
-interface RoutedRequest {
-  readonly request: CallerRequest;
-  readonly snapshot: Snapshot;
-  readonly match: RouteMatch;
-  readonly requestId: string;
-  readonly attemptPrefix: string;
-  readonly deadlineAtMs: number;
-}
-
 class NodeRequestProxy implements RequestProxy {
   readonly callerServer: http.Server;
   private readonly relay: RelayServer;
@@ -76,20 +47,15 @@
   private readonly upkeep: Channel<boolean>;
   private readonly endpointClient: EndpointClient;
   private readonly relayClient: RelayClient;
-  private readonly routeTables = new RouteTableCache();
-  private readonly heldBytes: HeldBytes;
   private readonly pauses: PauseDetector;
   private readonly pauseTimer: NodeJS.Timeout;
-  private requestCount = 0;
   private readonly meter = new CallMeter(() => MACHINE_TIME.now());
   private readonly plannedStop: PlannedStop;
-  /** Callers' requests under way. */
-  private readonly runners = new Set<RequestRunner>();
+  private readonly intake: RequestIntake;
   private isAborted = false;
 
   constructor(private readonly options: RequestProxyOptions) {
     this.limits = { ...DEFAULT_PROXY_LIMITS, ...options.limits };
-    this.heldBytes = new HeldBytes(this.limits.maxHeldBytes);
     this.plannedStop = new PlannedStop({
       limits: this.limits,
       meter: this.meter,
@@ -127,6 +93,13 @@
       direct: this.gateway,
       relay: this.relayClient,
     });
+    this.intake = new RequestIntake({
+      node: options,
+      limits: this.limits,
+      services: this.services,
+      meter: this.meter,
+      stop: this.plannedStop,
+    });
     this.pauses = new PauseDetector(MACHINE_TIME.now(), (ms) => this.takeLoopDelay(ms));
     this.pauseTimer = setInterval(() => this.tick(), PAUSE_CHECK_INTERVAL_MS);
     this.callerServer = this.makeCallerServer();
@@ -201,8 +174,7 @@
   }
 
   private giveUpAll(): number {
-    const callers = [...this.runners].filter((runner) => runner.giveUp()).length;
-    const givenUp = callers + this.relay.giveUp();
+    const givenUp = this.intake.giveUp() + this.relay.giveUp();
     this.options.counters.add('ferryspool_requests_given_up_total', givenUp);
     return givenUp;
   }
@@ -244,11 +216,11 @@
       protocol: this.callerProtocol,
       limits: this.limits,
       isStopping: () => this.plannedStop.isStopping,
-      nextRequestId: () => this.nextRequestId(),
+      nextRequestId: () => this.intake.nextRequestId(),
       onError: (code) => {
         this.options.counters.add(`ferryspool_request_errors_${code.toLowerCase()}_total`);
       },
-      handle: (request, response) => this.handle(request, response),
+      handle: (request, response) => this.intake.handle(request, response),
     });
   }
 
@@ -285,144 +257,4 @@
     const { fleetKey } = this.options;
     return fleetKey === undefined ? UNNAMED_PEER : verifyRelayToken(fleetKey, token, Date.now());
   }
-
-  private handle(request: CallerRequest, response: CallerResponse): void {
-    const ownId = this.nextRequestId();
-    const requestId = request.requestId ?? ownId;
-    const isNamedByCaller = request.requestId !== undefined;
-    const attemptPrefix = isNamedByCaller ? `${requestId}${ATTEMPT_SEPARATOR}${ownId}` : ownId;
-    this.options.counters.add('ferryspool_requests_total');
-    const isFull = this.meter.inFlight >= this.limits.maxCallsInFlight;
-    const exchange = { once: (_event: 'close', end: () => void) => response.onClose(end) };
-    this.meter.count(exchange, this.options.onRequestMs);
-    try {
-      if (this.plannedStop.refusesNewWork()) {
-        throw new NodeStoppingError('the node is about to stop', STOPPING_RETRY_MS);
-      }
-      if (isFull) {
-        throw new OverloadedError('the node has too many requests in flight');
-      }
-      this.run(request, response, requestId, attemptPrefix);
-    } catch (error) {
-      const refusal = this.asRequestError(error);
-      const { code, verdict } = refusal;
-      this.options.requestLog?.record({
-        event: 'request-failed',
-        request: requestId,
-        code,
-        verdict,
-      });
-      response.fail(refusal, refusal.verdict, requestId);
-    }
-  }
-
-  private run(
-    request: CallerRequest,
-    response: CallerResponse,
-    requestId: string,
-    attemptPrefix: string,
-  ): void {
-    const snapshot = this.options.snapshots.current();
-    if (snapshot === undefined) {
-      throw new NotConfiguredError('the node holds no configuration', NOT_CONFIGURED_RETRY_MS);
-    }
-    const match = this.routeTables
-      .tableOf(snapshot)
-      .match(request.host, request.path, request.method, (route) =>
-        this.services.targets.next(route),
-      );
-    if (match === undefined) {
-      throw new RouteNotFoundError('no route matches the request');
-    }
-    const attempt = this.attemptToClaim(request, match, attemptPrefix);
-    const ownDeadlineAtMs = MACHINE_TIME.now() + timeLeftMs(request, match, attempt !== undefined);
-    const deadlineAtMs = this.plannedStop.deadlineWithin(ownDeadlineAtMs);
-    const start = (reply: CallerReply): void => {
-      this.start({ request, snapshot, match, requestId, attemptPrefix, deadlineAtMs }, reply);
-    };
-    if (attempt === undefined || this.options.claims === undefined) {
-      start(response);
-    } else {
-      void startWhenClaimed(this.options.claims, attempt, response, start);
-    }
-  }
-
-  /** What has to be claimed before the request may be sent on; undefined when nothing has to be. */
-  private attemptToClaim(
-    request: CallerRequest,
-    match: RouteMatch,
-    requestId: string,
-  ): ClaimedAttempt | undefined {
-    const { idempotencyKey: key } = request;
-    const isClaimed = key !== undefined && !match.repeatable && this.options.claims !== undefined;
-    return isClaimed ? { service: match.service, key, attempt: requestId } : undefined;
-  }
-
-  private start(routed: RoutedRequest, response: CallerReply): void {
-    const { request, snapshot, match, requestId, attemptPrefix, deadlineAtMs } = routed;
-    const runner = new RequestRunner({
-      services: this.services,
-      snapshot,
-      match,
-      method: request.method,
-      target: request.target,
-      retries: request.retries,
-      response,
-      headers: withCredential(request.headers, match, snapshot),
-      requestId,
-      attemptPrefix,
-      deadlineAtMs,
-    });
-    this.runners.add(runner);
-    response.onClose(() => this.runners.delete(runner));
-    if (this.plannedStop.givesUpRequests()) {
-      runner.giveUp();
-      return;
-    }
-    const { maxBodyBytes = this.limits.maxBodyBytes } = snapshot.callerLimits ?? {};
-    this.startWithBody(runner, request, response, { ...this.limits, maxBodyBytes });
-  }
-
-  private startWithBody(
-    runner: RequestRunner,
-    request: CallerRequest,
-    response: CallerReply,
-    limits: ProxyLimits,
-  ): void {
-    try {
-      const release = receiveBody(request.message, limits, this.heldBytes, (body) =>
-        runner.start(body),
-      );
-      response.onClose(release);
-    } catch (error) {
-      runner.refuse(this.asRequestError(error));
-    }
-  }
-
-  private asRequestError(error: unknown): RequestError {
-    if (error instanceof RequestError) {
-      return error;
-    }
-    this.options.logStateChange(
-      'request-fault',
-      error instanceof Error ? error.message : 'unknown',
-    );
-    return new InternalError('the node failed');
-  }
-
-  private nextRequestId(): string {
-    this.requestCount += 1;
-    const { id, incarnation } = this.options.identity;
-    return `${id}-${incarnation.toString(36)}-${this.requestCount.toString(36)}`;
-  }
-}
-
-/** Time for the request from now on, in milliseconds; throws when none is left. */
-function timeLeftMs(request: CallerRequest, match: RouteMatch, isClaimed: boolean): number {
-  const mostMs = isClaimed ? MAX_CLAIMED_REQUEST_MS : Infinity;
-  const timeoutMs = Math.min(match.timeoutMs, request.timeoutMs ?? Infinity, mostMs);
-  if (timeoutMs <= 0) {
-    throw new DeadlinePassedError('the deadline has passed');
-  }
-  return timeoutMs;
 }
