--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -2,28 +2,29 @@
 import type { Endpoint } from '../model/resource.js';
 import type { Verdict } from '../model/verdict.js';
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
+import { callOf } from './attempt-call.js';
 import { outcomeOf } from './attempt-errors.js';
+import { AttemptedEndpoint } from './attempted-endpoint.js';
 import type { AwaitedAttempt } from './awaited-attempts.js';
-import type { Answer, Attempt, Call, LoadReport } from './call.js';
+import { AwaitedPeer } from './awaited-peer.js';
+import type { Answer, Attempt, LoadReport } from './call.js';
+import { EndpointChoice } from './endpoint-choice.js';
+import { expiryFailure } from './expiry-failure.js';
 import type { RequestBody } from './request-body.js';
 import {
-  BodyTooSlowError,
   CallerGoneError,
   ConnectionLostError,
-  DeadlinePassedError,
   EndpointFaultError,
   InternalError,
   NoEndpointError,
   RequestError,
-  TimedOutError,
   TruncatedAnswerError,
   type RequestFailure,
 } from './request-error.js';
 import type { AwaitedThing, RequestDecisionName } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
+import { requestPolicyOf } from './request-policy.js';
 import type { CancelTimer } from './scheduler.js';
-import { loadObservationOf } from './load-observation.js';
-import { refusalClassOf, workOf } from './request-work.js';
 import { stopFailure } from './stop-failure.js';
 import type { RequestContext } from './request-context.js';
 import { requestDecision, type DecisionDetails } from './request-decision.js';
@@ -32,50 +33,33 @@
 const NO_ENDPOINT_RETRY_MS = 200;
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
-/**
- * Attempts that a request has left at least when it turns late, where these do not reach an endpoint:
- * without one, a request that spent its attempts on nodes that could not answer within its target fails
- * beside endpoints with free slots.
- */
-const LATE_REDIRECTS = 1;
 
 /** One caller's request under way. */
 export class RequestRunner implements AwaitedAttempt {
   private readonly lifecycle: RequestLifecycle;
-  private readonly tried = new Set<string>();
-  /** Endpoints whose node found that the request can't be answered within its target latency. */
-  private readonly refusers = new Set<string>();
-  /** Whether attempts ask for an answer before the deadline, since none is expected in time. */
-  private isLate = false;
-  /** Least time that an endpoint's node told for this class of work, in milliseconds. */
-  private leastServiceMs: number | undefined;
+  private readonly choice: EndpointChoice;
   private isExpired = false;
   private attempt: Attempt | undefined;
   private attemptNumber = 0;
-  private endpoint: Endpoint | undefined;
-  /** The machine whose node owes the answer of the attempt under way. */
-  private awaitedMachine: string | undefined;
+  private readonly endpoint: AttemptedEndpoint;
+  private readonly peer: AwaitedPeer;
   private answer: Answer | undefined;
   private body: RequestBody | undefined;
   private readonly startedAtMs: number;
-  private attemptStartedAtMs = 0;
   private readonly cancelDeadline: CancelTimer;
   private cancelBackOff: CancelTimer | undefined;
 
   constructor(private readonly context: RequestContext) {
-    const { services, match, retries, deadlineAtMs } = context;
-    const { maxAttempts = Infinity } = match.route.spec;
-    const policy = {
-      repeatable: match.repeatable,
-      deadlineAtMs,
-      retries: Math.min(services.limits.maxRetries, retries ?? Infinity, maxAttempts - 1),
-      retryBudgetPercent: match.retryBudgetPercent,
-      redirects: services.limits.maxRedirects,
-      lateRedirects: Math.min(services.limits.maxRedirects, LATE_REDIRECTS),
-    };
+    const { services, match, deadlineAtMs } = context;
+    this.endpoint = new AttemptedEndpoint(context);
+    this.peer = new AwaitedPeer(services, this);
     const budget = services.retryBudgetOf(match.service);
     this.startedAtMs = services.scheduler.now();
-    this.lifecycle = new RequestLifecycle(policy, budget, services.random);
+    this.lifecycle = new RequestLifecycle(requestPolicyOf(context), budget, services.random);
+    const { targetLatencyMs } = match.route.spec;
+    const targetAtMs =
+      targetLatencyMs === undefined ? undefined : this.startedAtMs + targetLatencyMs;
+    this.choice = new EndpointChoice(targetAtMs, () => this.handle({ type: 'target-missed' }));
     const remainingMs = deadlineAtMs - services.scheduler.now();
     this.cancelDeadline = services.scheduler.schedule(remainingMs, () => this.expire());
     context.response.onClose((isWhole) => this.close(isWhole));
@@ -128,35 +112,13 @@
     if (this.body?.isWhole() !== true) {
       return 'body';
     }
-    if (this.endpoint === undefined) {
+    if (this.endpoint.name === undefined) {
       return 'back-off';
     }
     if (this.attempt?.isUnsent() === true) {
       return 'slot';
     }
-    return this.awaitedMachine === undefined ? 'endpoint' : 'peer';
-  }
-
-  private awaitPeerOf(endpoint: Endpoint): void {
-    const { services } = this.context;
-    this.awaitedMachine = services.relayMachineOf(endpoint);
-    if (this.awaitedMachine !== undefined) {
-      services.awaited.began(this.awaitedMachine, this, this.attemptStartedAtMs);
-    }
-  }
-
-  private peerHasAnswered(): void {
-    if (this.awaitedMachine !== undefined) {
-      this.context.services.heard(this.awaitedMachine);
-    }
-    this.stopAwaiting();
-  }
-
-  private stopAwaiting(): void {
-    if (this.awaitedMachine !== undefined) {
-      this.context.services.awaited.ended(this.awaitedMachine, this);
-      this.awaitedMachine = undefined;
-    }
+    return this.peer.isAwaited ? 'peer' : 'endpoint';
   }
 
   private handle(event: RequestEvent): void {
@@ -212,13 +174,17 @@
       this.handle({ type: 'no-endpoint', attempt, failure });
       return;
     }
-    this.endpoint = endpoint;
     this.answer = undefined;
-    this.tried.add(endpoint.name);
-    this.attemptStartedAtMs = services.scheduler.now();
-    services.selector.began(endpoint, this.attemptStartedAtMs);
-    this.awaitPeerOf(endpoint);
-    const call = this.callOf(this.body, attempt, retriesLeft);
+    this.choice.began(endpoint.name);
+    this.endpoint.began(endpoint);
+    this.peer.awaitFor(endpoint, this.endpoint.startedAtMs);
+    const call = callOf(this.context, this.body, {
+      attempt,
+      retriesLeft,
+      startedAtMs: this.startedAtMs,
+      attemptStartedAtMs: this.endpoint.startedAtMs,
+      isLate: this.choice.isLate,
+    });
     const submitted = path.submit(endpoint, call, {
       answered: (answer) => this.takeAnswer(attempt, answer),
       failed: (error, load) => this.takeFailure(attempt, error, load),
@@ -229,64 +195,19 @@
     }
   }
 
-  /** An untried endpoint; once all have refused for lack of time, one of these again, for late work. */
   private chooseEndpoint(): Endpoint | undefined {
     const { services, snapshot, match } = this.context;
-    this.checkTarget();
-    const endpoint = services.chooseEndpoint(snapshot, match, this.tried, this.isLate);
-    const hasTarget = match.route.spec.targetLatencyMs !== undefined;
-    if (endpoint !== undefined || this.isLate || !hasTarget) {
-      return endpoint;
-    }
-    this.becomeLate();
-    return services.chooseEndpoint(snapshot, match, this.tried, this.isLate);
-  }
-
-  /** Turns the request late as soon as no endpoint is expected to answer it within its target. */
-  private checkTarget(): void {
-    const { targetLatencyMs } = this.context.match.route.spec;
-    if (this.isLate || targetLatencyMs === undefined) {
-      return;
-    }
-    const finishAtMs = this.context.services.scheduler.now() + (this.leastServiceMs ?? 0);
-    if (finishAtMs >= this.startedAtMs + targetLatencyMs) {
-      this.becomeLate();
-    }
-  }
-
-  /** From now on attempts ask for late service, also of nodes that could not answer in time. */
-  private becomeLate(): void {
-    this.isLate = true;
-    this.refusers.forEach((name) => this.tried.delete(name));
-    this.handle({ type: 'target-missed' });
-  }
-
-  private get workClass(): string {
-    return this.context.match.route.name;
-  }
-
-  private callOf(body: RequestBody, attempt: number, retriesLeft: number): Call {
-    const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = this.context;
-    return {
-      ...workOf(match.route, this.startedAtMs, this.attemptStartedAtMs, this.isLate),
-      requestId: `${attemptPrefix}.${attempt}`,
-      method,
-      target,
-      headers,
-      body,
-      deadlineAtMs,
-      callerNode: services.machineId,
-      isRepeatable: match.repeatable,
-      retriesLeft,
-    };
+    return this.choice.next(services.scheduler.now(), (tried, isLate) =>
+      services.chooseEndpoint(snapshot, match, tried, isLate),
+    );
   }
 
   private takeAnswer(attempt: number, answer: Answer): void {
     this.answer = answer;
-    this.peerHasAnswered();
-    this.observeLoad(answer.load, undefined);
+    this.peer.hasAnswered();
+    this.endpoint.observeLoad(answer.load, undefined);
     if (answer.status < FAULT_STATUS) {
-      this.measureLatency();
+      this.endpoint.measureLatency(this.choice.isLate);
     }
     const fault = this.faultOf(answer);
     this.handle({ type: 'answered', attempt, ...(fault !== undefined && { fault }) });
@@ -309,32 +230,26 @@
   }
 
   private takeFailure(attempt: number, error: RequestError, load: LoadReport | undefined): void {
-    this.observeLoad(load, error);
+    this.endpoint.observeLoad(load, error);
     if (load !== undefined) {
-      this.peerHasAnswered();
+      this.peer.hasAnswered();
     }
     this.record('attempt-failed', error, error.verdict, { load });
     this.rememberRefusal(error);
     this.endAttempt(outcomeOf(error));
-    this.noteServiceMs(load);
-    this.checkTarget();
-    this.handle({ type: 'failed', attempt, failure: error, canReplay: this.canReplay() });
-  }
-
-  private noteServiceMs(load: LoadReport | undefined): void {
     if (load?.serviceMs !== undefined) {
-      this.leastServiceMs = Math.min(this.leastServiceMs ?? Infinity, load.serviceMs);
+      this.choice.noteServiceMs(load.serviceMs);
     }
+    this.choice.checkTarget(this.context.services.scheduler.now());
+    this.handle({ type: 'failed', attempt, failure: error, canReplay: this.canReplay() });
   }
 
-  private rememberRefusal({ code, retryAfterMs = 0 }: RequestError): void {
+  private rememberRefusal(error: RequestError): void {
+    const { code } = error;
     const isForLackOfRoom = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
-    if (this.endpoint !== undefined && isForLackOfRoom) {
-      this.refusers.add(this.endpoint.name);
-      const { services, match } = this.context;
-      const refusalClass = refusalClassOf(match.route, this.isLate);
-      const nowMs = services.scheduler.now();
-      services.selector.refusedWork(this.endpoint, refusalClass, retryAfterMs, nowMs);
+    if (this.endpoint.name !== undefined && isForLackOfRoom) {
+      this.choice.refusedBy(this.endpoint.name);
+      this.endpoint.refused(error, this.choice.isLate);
     }
   }
 
@@ -359,24 +274,6 @@
     });
   }
 
-  private measureLatency(): void {
-    const { services } = this.context;
-    const nowMs = services.scheduler.now();
-    // Late work waits behind all other: its time says nothing of what work in time would take.
-    if (this.endpoint !== undefined && !this.isLate) {
-      const latencyMs = nowMs - this.attemptStartedAtMs;
-      services.selector.measured(this.endpoint, this.workClass, latencyMs, nowMs);
-    }
-  }
-
-  private observeLoad(load: LoadReport | undefined, error: RequestError | undefined): void {
-    const { selector, scheduler } = this.context.services;
-    const observation = loadObservationOf(load, error, this.workClass);
-    if (this.endpoint !== undefined && observation !== undefined) {
-      selector.observedLoad(this.endpoint, observation, scheduler.now());
-    }
-  }
-
   /** An endpoint that let the deadline pass has failed; one that was given up before has not. */
   private abortedOutcome(): AttemptOutcome {
     if (this.answer !== undefined) {
@@ -386,13 +283,8 @@
   }
 
   private endAttempt(outcome: AttemptOutcome): void {
-    const { services, snapshot, match } = this.context;
-    this.stopAwaiting();
-    if (this.endpoint !== undefined) {
-      const peers = snapshot.endpointsByService.get(match.service) ?? [];
-      services.selector.ended(this.endpoint, outcome, peers, services.scheduler.now());
-      this.endpoint = undefined;
-    }
+    this.peer.stop();
+    this.endpoint.ended(outcome);
   }
 
   private record(
@@ -401,16 +293,14 @@
     verdict: Verdict,
     details: DecisionDetails = {},
   ): void {
-    const { startedAtMs, attemptStartedAtMs, isLate } = this;
     const { services } = this.context;
-    const nowMs = services.scheduler.now();
     const progress = {
       attempt: this.attemptNumber,
-      endpoint: this.endpoint?.name,
-      startedAtMs,
-      attemptStartedAtMs,
-      isLate,
-      nowMs,
+      endpoint: this.endpoint.name,
+      startedAtMs: this.startedAtMs,
+      attemptStartedAtMs: this.endpoint.startedAtMs,
+      isLate: this.choice.isLate,
+      nowMs: services.scheduler.now(),
     };
     services.requestLog.record(
       requestDecision(this.context, progress, { event, failure, verdict, ...details }),
@@ -423,17 +313,9 @@
 
   private expire(): void {
     this.isExpired = true;
-    this.measureLatency();
-    this.handle({ type: 'deadline', failure: this.expiryFailure() });
-  }
-
-  private expiryFailure(): RequestError {
-    if (this.body === undefined) {
-      return new BodyTooSlowError('the body did not arrive before the deadline');
-    }
-    return this.attempt?.isUnsent() === true
-      ? new DeadlinePassedError('the deadline passed before the request was sent on')
-      : new TimedOutError('no answer before the deadline');
+    this.endpoint.measureLatency(this.choice.isLate);
+    const failure = expiryFailure(this.body !== undefined, this.attempt?.isUnsent() === true);
+    this.handle({ type: 'deadline', failure });
   }
 
   private close(isWhole: boolean): void {
@@ -450,7 +332,7 @@
   }
 
   private finish(): void {
-    this.stopAwaiting();
+    this.peer.stop();
     this.cancelDeadline();
     this.cancelBackOff?.();
   }
