--- a/test/admission/refusal-ahead.test.ts
+++ b/test/admission/refusal-ahead.test.ts
@@ -45,4 +45,35 @@
       ),
     );
   });
+
+  it('takes what can start at once beside bodies that are on their way', () => {
+    const admission = new EndpointAdmission(1);
+    ['a', 'b', 'c'].forEach((id) => admission.reserve(ticket(id, 2), HERE, 0));
+    const effects = admission.offer(ticket('call', 3), 0);
+    expect(effects).to.deep.equal([{ type: 'dispatch', requestId: 'call' }]);
+  });
+
+  it('keeps no place for a body before one that is more urgent', () => {
+    const admission = new EndpointAdmission(1);
+    admission.offer(ticket('running', 0), 0);
+    ['a', 'b'].forEach((id) => admission.reserve(ticket(id, 2), HERE, 0));
+    expect(admission.offer(ticket('urgent', 1), 0)).to.deep.equal([]);
+    expect(admission.waitingCount).to.equal(1);
+  });
+
+  it('carries no more bodies than there are places for beside less urgent requests', () => {
+    const admission = new EndpointAdmission(1);
+    ['running', 'a', 'b'].forEach((id) => admission.offer(ticket(id, 2), 0));
+    const asked = Array.from({ length: 20 }, (_, at) => ticket(`upload${at}`, 0));
+    const taken = asked.filter((one) => admission.reserve(one, HERE, 0) === undefined);
+    expect(taken).to.have.lengthOf(2);
+  });
+
+  it('carries no more bodies of a node than it may take places of another', () => {
+    const admission = new EndpointAdmission(1);
+    ['running', 'a', 'b'].forEach((id) => admission.offer(ticket(id, 0, 'n'), 0));
+    const asked = Array.from({ length: 20 }, (_, at) => ticket(`upload${at}`, 0, 'm'));
+    const taken = asked.filter((one) => admission.reserve(one, HERE, 0) === undefined);
+    expect(taken).to.have.lengthOf(1);
+  });
 });
