--- a/src/admission/admission-queue.ts
+++ b/src/admission/admission-queue.ts
@@ -110,9 +110,10 @@
     return tickets;
   }
 
-  /** Whether a ticket would have to make room for `ticket`. */
-  canDisplaceFor(ticket: AdmissionTicket): boolean {
-    return this.displaceableBy(ticket) !== undefined;
+  /** Whether a ticket of the same rank would have to make room for `ticket` after `ahead` others. */
+  canDisplacePeerFor(ticket: AdmissionTicket, ahead: number): boolean {
+    const found = this.displaceableBy(ticket, ahead);
+    return found?.rank === rankOf(ticket);
   }
 
   /**
@@ -129,8 +130,11 @@
     return displaced;
   }
 
-  /** The tickets of which the last has to make room for `ticket`; never empty. */
-  private displaceableBy(ticket: AdmissionTicket): Displaceable | undefined {
+  /**
+   * The tickets of which the last has to make room for `ticket`, where its node gets `ahead` places before;
+   * never empty.
+   */
+  private displaceableBy(ticket: AdmissionTicket, ahead = 0): Displaceable | undefined {
     const rank = this.extremeRank(Math.max);
     const queues = rank === undefined ? undefined : this.ranks.get(rank);
     if (queues === undefined || rank === undefined || rank < rankOf(ticket)) {
@@ -140,7 +144,7 @@
     for (const others of queues.values()) {
       tickets = others.length > tickets.length ? others : tickets;
     }
-    const ownLength = queues.get(ticket.callerNode)?.length ?? 0;
+    const ownLength = ahead + (queues.get(ticket.callerNode)?.length ?? 0);
     const isLessUrgent = rank > rankOf(ticket);
     return isLessUrgent || tickets.length > ownLength + 1 ? { rank, queues, tickets } : undefined;
   }
--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -45,8 +45,8 @@
   private readonly queue = new AdmissionQueue();
   /** Classes of the requests that run. */
   private readonly running = new Map<string, string | undefined>();
-  /** Requests whose bodies are on their way, and that have a place in the queue or a slot. */
-  private readonly reserved = new Set<string>();
+  /** Ranks of the requests whose bodies are on their way, and that have a place in the queue or a slot. */
+  private readonly reserved = new Map<string, number>();
   private readonly serviceTimes = new ServiceTimes();
   private draining = false;
   /** Requests at the endpoint that are not counted here, by its last report. */
@@ -136,7 +136,7 @@
     const offered = this.withoutMissedTarget(ticket, nowMs);
     const reason = this.refusalOf(offered, endsAtMs) ?? this.lackOfRoom(offered, nowMs);
     if (reason === undefined) {
-      this.reserved.add(ticket.requestId);
+      this.reserved.set(ticket.requestId, rankOf(ticket));
       return undefined;
     }
     return this.refusal(ticket, reason, endsAtMs - this.latestStartAtMs(offered));
@@ -151,8 +151,9 @@
   offer(offered: AdmissionTicket, nowMs: number): AdmissionEffect[] {
     const hadPlace = this.reserved.delete(offered.requestId);
     const ticket = this.withoutMissedTarget(offered, nowMs);
+    const hasPlace = hadPlace || this.hasFreeSlot(nowMs);
     const reason =
-      this.refusalOf(ticket, nowMs) ?? (hadPlace ? undefined : this.lackOfRoom(ticket, nowMs));
+      this.refusalOf(ticket, nowMs) ?? (hasPlace ? undefined : this.lackOfRoom(ticket, nowMs));
     if (reason !== undefined) {
       return [this.refuse(ticket, reason)];
     }
@@ -204,11 +205,18 @@
       : ticket;
   }
 
-  /** A full queue has no place for what goes before nothing in it, unless a slot is free. */
+  /**
+   * A full queue has no place for what goes before nothing in it, unless a slot is free. Places that are
+   * kept for bodies count as those of the queue do: they keep out nothing more urgent, and take no more
+   * places of others than there are.
+   */
   private lackOfRoom(ticket: AdmissionTicket, nowMs: number): RefusalReason | undefined {
     const freeSlots = Math.max(0, this.limitAt(nowMs) - this.running.size);
-    const taken = this.queue.size + this.reserved.size;
-    const hasRoom = taken < this.queueBound + freeSlots || this.queue.canDisplaceFor(ticket);
+    const rank = rankOf(ticket);
+    const keptAhead = [...this.reserved.values()].filter((other) => other <= rank).length;
+    const taken = this.queue.countUpTo(rank) + keptAhead;
+    const hasRoom =
+      taken < this.queueBound + freeSlots || this.queue.canDisplacePeerFor(ticket, keptAhead);
     return hasRoom ? undefined : 'queue-full';
   }
 
