--- a/test/platform/program.test.ts
+++ b/test/platform/program.test.ts
@@ -150,6 +150,17 @@
     expect(first.text()).to.include('node-stopping').and.include('node-stopped');
   });
 
+  it('goes on with its planned stop when it is told to stop again', async () => {
+    const program = await startReady('127.0.8.4');
+    program.process.kill('SIGTERM');
+    while (!program.text().includes('node-stopping')) {
+      await pause(5);
+    }
+    program.process.kill('SIGTERM');
+    const [code] = (await once(program.process, 'exit')) as [number | null];
+    expect([code, program.text().includes('node-stopped')]).to.deep.equal([0, true]);
+  });
+
   it('says what is wrong with its settings, and ends', async () => {
     const program = start('127.0.8.3', 'self.ip=127.0.8.3');
     const [code] = (await once(program.process, 'exit')) as [number];
