--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -122,7 +122,8 @@
 
   /** Whether another attempt would follow if the one that is under way failed so now. */
   wouldRetry(failure: RequestFailure, canReplay: boolean): boolean {
-    return this.mayRetry(failure, canReplay) && this.budget.hasRetry;
+    const isRetried = this.mayRetry(failure, canReplay) && this.budget.hasRetry;
+    return isRetried || this.mayRedirect(failure, canReplay);
   }
 
   /** Takes an event; effects are to be executed in order. */
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -17,6 +17,7 @@
   RequestError,
   TimedOutError,
   TruncatedAnswerError,
+  UnreachableError,
   type RequestFailure,
 } from './request-error.js';
 import type { AwaitedThing, RequestDecisionName } from './request-log.js';
@@ -94,15 +95,17 @@
   }
 
   /**
-   * A request that may run more than once is sent elsewhere; another one goes on waiting. So does one
-   * that has no attempt left at a node that stops: its caller gets no second chance there, and the
-   * endpoint may be at work behind a link that is only full.
+   * A request that may run more than once is sent elsewhere, and so is one that has provably not reached
+   * its endpoint; another one goes on waiting. So does one that has no attempt left at a node that stops:
+   * its caller gets no second chance there, and the endpoint may be at work behind a link that is only
+   * full.
    */
   peerIsSilent(): void {
-    if (!this.context.match.repeatable || this.answer !== undefined) {
+    const isUnsent = this.attempt?.isUnsent() === true;
+    if ((!this.context.match.repeatable && !isUnsent) || this.answer !== undefined) {
       return;
     }
-    const error = new ConnectionLostError('nothing is heard of the node of the endpoint');
+    const error = silenceError(isUnsent);
     const hasAttempt = this.lifecycle.wouldRetry(error, this.canReplay());
     if (hasAttempt || !this.context.services.isStopping()) {
       this.attempt?.abort();
@@ -455,3 +458,8 @@
     this.cancelBackOff?.();
   }
 }
+
+function silenceError(isUnsent: boolean): RequestError {
+  const message = 'nothing is heard of the node of the endpoint';
+  return isUnsent ? new UnreachableError(message) : new ConnectionLostError(message);
+}
