--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -9,7 +9,6 @@
 import type { CallerProtocol } from '../proxy/caller-protocol.js';
 import type { EndpointProtocol } from '../proxy/endpoint-protocol.js';
 import type { ProxyLimits } from '../proxy/proxy-limits.js';
-import { MAX_COLLECTED_BODY_BYTES } from '../proxy/relay/collected-body.js';
 import { RELAY_CLOSE_TIMEOUT_MS } from '../proxy/relay/relay-server.js';
 import type { RequestProxy } from '../proxy/request-path.js';
 import { createRequestProxy } from '../proxy/request-proxy.js';
@@ -59,8 +58,6 @@
 
 const STORE_NODE_LIMITS: Partial<ProxyLimits> = {
   maxHeaderBytes: 64 * 1024,
-  // Bodies that another node collects are sent at its pace, not at that of a slow caller.
-  maxReplayBodyBytes: MAX_COLLECTED_BODY_BYTES,
   maxRetries: 3,
   maxRedirects: 1,
   retriesFaults: true,
