--- a/test/proxy/relay/relay-version.test.ts
+++ b/test/proxy/relay/relay-version.test.ts
@@ -11,10 +11,15 @@
 import net, { type AddressInfo, type Socket } from 'node:net';
 import { expect } from 'chai';
 import { RelayClient } from '../../../src/proxy/relay/relay-client.js';
+import { RELAY_PROTOCOL } from '../../../src/proxy/relay/relay-protocol.js';
 import { EMPTY_BODY } from '../../../src/proxy/request-body.js';
 import { MACHINE_TIME } from '../../../src/proxy/scheduler.js';
 import { echoEndpoint, echoService, TestMesh } from '../rig.js';
 
+const REFUSED_COUNT = 20;
+/** Time in which a node lets go of what its peers have closed, in milliseconds. */
+const SETTLE_MS = 300;
+
 describe('relay connections between versions', () => {
   const mesh = new TestMesh();
   const sockets: Socket[] = [];
@@ -49,6 +54,38 @@
     expect(await status).to.equal(426);
   });
 
+  const refusals = [
+    { what: 'another version', upgrade: 'ferryspool-relay/1', tokenOf: 'n2' },
+    { what: 'no valid token', upgrade: RELAY_PROTOCOL, tokenOf: undefined },
+  ] as const;
+  for (const { what, upgrade, tokenOf } of refusals) {
+    for (const end of ['closes', 'resets'] as const) {
+      it(`leave nothing open at a node that refused one for ${what} when the peer ${end} it`, async () => {
+        const { relayPort, proxy } = await mesh.addNode('n1');
+        const token = tokenOf === undefined ? '' : mesh.tokenOf(tokenOf);
+        for (let count = 0; count < REFUSED_COUNT; count += 1) {
+          const socket = net.connect(relayPort, '127.0.0.1');
+          sockets.push(socket);
+          socket.write(
+            `GET / HTTP/1.1\r\nHost: a\r\nConnection: Upgrade\r\nUpgrade: ${upgrade}\r\n` +
+              `ferryspool-relay-token: ${token}\r\n\r\n`,
+          );
+          await once(socket, 'data');
+          if (end === 'closes') {
+            socket.destroy();
+          } else {
+            socket.resetAndDestroy();
+          }
+        }
+        await new Promise((resolve) => setTimeout(resolve, SETTLE_MS));
+        const open = await new Promise<number>((resolve) => {
+          proxy.relayServer.getConnections((_err, openCount) => resolve(openCount));
+        });
+        expect(open).to.equal(0);
+      });
+    }
+  }
+
   it('are not used when the peer switches to another version', async () => {
     const server = net.createServer((socket) => {
       sockets.push(socket);
