--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -81,6 +81,8 @@
       response.end();
     });
     this.http.on('upgrade', (request, socket, head) => {
+      // Node leaves the socket to its new owner: a reset would end the process.
+      socket.on('error', () => socket.destroy());
       if (request.headers.upgrade !== RELAY_PROTOCOL) {
         socket.end(UPGRADE_REQUIRED);
         return;
@@ -126,7 +128,6 @@
 
   private accept(sender: string | undefined, opening: PeerOpening): void {
     const { socket, place } = opening;
-    socket.on('error', () => socket.destroy());
     if (sender === undefined) {
       this.options.counters.add('ferryspool_relay_forbidden_total');
       socket.end(FORBIDDEN);
