--- a/test/platform/program.test.ts
+++ b/test/platform/program.test.ts
@@ -10,6 +10,7 @@
 import { platformConfiguration } from './fixtures.js';
 import { pause } from './platform-fleet.js';
 import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
+import { claimNetwork } from '../../tools/soak/loopback-network.js';
 
 const MAIN = new URL('../../platform/main.js', import.meta.url).pathname;
 const CALLER_PORT = 21_404;
@@ -64,11 +65,17 @@
 }
 
 describe('the platform program', () => {
+  /** The first two bytes of the addresses: other checkouts may run this test at the same time. */
+  let network: string;
   let folder: string;
   let store: StoreStandIn;
   const programs: Program[] = [];
   const backends: BackendStandIn[] = [];
 
+  before(async () => {
+    network = await claimNetwork(process.pid);
+  });
+
   beforeEach(async () => {
     folder = mkdtempSync(join(tmpdir(), 'ferryspool-platform-'));
     store = await StoreStandIn.start();
@@ -120,7 +127,10 @@
   }
 
   it('serves over two processes, tells its metrics, reads its settings again, and stops as planned', async () => {
-    const [first, second] = [await startReady('127.0.8.1'), await startReady('127.0.8.2')];
+    const [first, second] = [
+      await startReady(`${network}.8.1`),
+      await startReady(`${network}.8.2`),
+    ];
     await addBackend(second.address);
     const headers = { Host: 'h2.example', 'Request-Id': 'q', 'Deadline-Ms': '1000' };
     let answered = await get(first.address, CALLER_PORT, '/q/1', headers);
@@ -151,7 +161,7 @@
   });
 
   it('goes on with its planned stop when it is told to stop again', async () => {
-    const program = await startReady('127.0.8.4');
+    const program = await startReady(`${network}.8.4`);
     program.process.kill('SIGTERM');
     while (!program.text().includes('node-stopping')) {
       await pause(5);
@@ -162,7 +172,7 @@
   });
 
   it('says what is wrong with its settings, and ends', async () => {
-    const program = start('127.0.8.3', 'self.ip=127.0.8.3');
+    const program = start(`${network}.8.3`, `self.ip=${network}.8.3`);
     const [code] = (await once(program.process, 'exit')) as [number];
     expect(code).to.equal(1);
     expect(program.text()).to.include('self.zone: expected a value');
