--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -17,7 +17,7 @@
 const FIRST_INTERNAL_PORT = 21_320;
 const HOST = 'h.example';
 /** Test files run in several processes at once: each has a loopback network of its own. */
-const NETWORK = `127.${1 + ((process.pid >> 8) % 200)}.${process.pid % 250}`;
+const NETWORK = `127.${1 + ((process.pid >> 8) % 200)}.${process.pid % 256}`;
 
 /** The loopback address of a machine, by its number from 1. */
 export function addressOf(machine: number): string {
--- a/test/platform/program.test.ts
+++ b/test/platform/program.test.ts
@@ -8,7 +8,7 @@
 import { expect } from 'chai';
 import { BackendStandIn } from '../../standins/store-platform/backend-stand-in.js';
 import { platformConfiguration } from './fixtures.js';
-import { pause } from './platform-fleet.js';
+import { addressOf, pause } from './platform-fleet.js';
 import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
 
 const MAIN = new URL('../../platform/main.js', import.meta.url).pathname;
@@ -17,6 +17,8 @@
 const READY_PORT = 21_402;
 const BACKEND_PORT = 21_401;
 const FIRST_INTERNAL_PORT = 21_420;
+/** Time for an answer, in milliseconds. */
+const ANSWER_MS = 5_000;
 
 interface Program {
   readonly address: string;
@@ -49,16 +51,21 @@
   readonly body: string;
 }
 
+/** Status 0 without a whole answer. */
 function get(host: string, port: number, path: string, headers = {}): Promise<Answered> {
   return new Promise((resolve) => {
-    const request = http.get({ host, port, path, headers, agent: false });
+    const signal = AbortSignal.timeout(ANSWER_MS);
+    const request = http.get({ host, port, path, headers, agent: false, signal });
     request.on('error', () => resolve({ status: 0, body: '' }));
     request.on('response', (message) => {
       let body = '';
       message.on('data', (chunk: Buffer) => {
         body += chunk.toString();
       });
-      message.on('end', () => resolve({ status: message.statusCode ?? 0, body }));
+      message.on('error', () => undefined);
+      message.on('close', () => {
+        resolve({ status: message.complete ? (message.statusCode ?? 0) : 0, body });
+      });
     });
   });
 }
@@ -101,8 +108,19 @@
     return program;
   }
 
+  /** Resolves once it is so; rejects with what the program wrote when the program ends before. */
+  async function until({ process, text }: Program, isSo: () => boolean): Promise<void> {
+    while (!isSo()) {
+      if (process.exitCode !== null || process.signalCode !== null) {
+        throw new Error(`the program ended: ${text()}`);
+      }
+      await pause(10);
+    }
+  }
+
   async function startReady(address: string): Promise<Program> {
     const program = start(address);
+    await until(program, () => program.text().includes('"node-started"'));
     while ((await get(address, READY_PORT, '/')).status !== 200) {
       await pause(20);
     }
@@ -120,7 +138,7 @@
   }
 
   it('serves over two processes, tells its metrics, reads its settings again, and stops as planned', async () => {
-    const [first, second] = [await startReady('127.0.8.1'), await startReady('127.0.8.2')];
+    const [first, second] = [await startReady(addressOf(1)), await startReady(addressOf(2))];
     await addBackend(second.address);
     const headers = { Host: 'h2.example', 'Request-Id': 'q', 'Deadline-Ms': '1000' };
     let answered = await get(first.address, CALLER_PORT, '/q/1', headers);
@@ -141,18 +159,16 @@
     expect(metrics.body).to.match(/^ferryspool_event_loop_delay_seconds_count [1-9]/m);
     expect(metrics.body).to.match(/^ferryspool_(failure|relay_body)_seconds_count 0$/m);
     first.process.kill('SIGHUP');
-    while (!first.text().includes('settings-read-again')) {
-      await pause(10);
-    }
+    await until(first, () => first.text().includes('settings-read-again'));
     first.process.kill('SIGTERM');
-    const [code] = (await once(first.process, 'exit')) as [number];
+    const [code] = (await once(first.process, 'close')) as [number];
     expect(code).to.equal(0);
     expect(first.text()).to.include('node-stopping').and.include('node-stopped');
   });
 
   it('says what is wrong with its settings, and ends', async () => {
-    const program = start('127.0.8.3', 'self.ip=127.0.8.3');
-    const [code] = (await once(program.process, 'exit')) as [number];
+    const program = start(addressOf(3), `self.ip=${addressOf(3)}`);
+    const [code] = (await once(program.process, 'close')) as [number];
     expect(code).to.equal(1);
     expect(program.text()).to.include('self.zone: expected a value');
   });
