--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -20,6 +20,11 @@
 const EXIT_MS = 200;
 /** From here on a request at which an endpoint is at work may be ended, in milliseconds. */
 const LAST_SIXTH_MS = 5_000;
+/**
+ * So long after the beginning of a stop a caller may go on sending, in milliseconds: its request is given
+ * up 750 ms before the grace time is over, and what it sends is read for 150 ms more.
+ */
+const SENDS_UNTIL_MS = 5_380;
 /** Requests that a back end of the fleet runs at once. */
 const SLOTS = 4;
 const SLOW_ROUTE = { kind: 'unsafe', timeoutS: 9, targetLatencyS: 9, maxAttempts: 1 } as const;
@@ -119,11 +124,13 @@
   it('does not take its answer back from a caller who goes on sending the body', async () => {
     const [first] = await twoMachines();
     const socket = fleet.beginUpload(first, 60_000, 10);
+    const beganAtMs = performance.now();
     const stopped = stop(first);
     await pause(LAST_SIXTH_MS);
     const answered = readWhole(socket);
     socket.pause();
-    for (let part = 0; part < 14; part += 1) {
+    // What is sent once the node has closed the connection ends the client's side at once.
+    while (performance.now() - beganAtMs < SENDS_UNTIL_MS) {
       socket.write('x'.repeat(100));
       await pause(30);
     }
