--- a/test/platform/mesh.test.ts
+++ b/test/platform/mesh.test.ts
@@ -332,17 +332,19 @@
     expect((await fleet.call(first, { agent })).status).to.equal(200);
     backend.arrivals.length = 0;
     backend.behaviour = (_request, response, { requestId }) => {
-      setTimeout(() => answer(response, requestId), 3_200);
+      setTimeout(() => answer(response, requestId), 4_000);
     };
     const inFlight = fleet.call(first, { deadlineMs: 5_000 });
     while (backend.arrivals.length === 0) {
       await pause(5);
     }
+    const beganAtMs = performance.now();
     const stopped = first.node.stop();
     expect(await fleet.readiness(first)).to.equal(503);
     const whileStopping = await fleet.call(first, { deadlineMs: 200 });
     expect(whileStopping.headers.connection).to.equal('close');
-    await pause(2_900);
+    // Between the moment from which the node refuses and the answer after which it has stopped.
+    await pause(2_900 - (performance.now() - beganAtMs));
     const tooLate = await fleet.call(first, { agent });
     expect([tooLate.status, Number(tooLate.headers['retry-after']) > 0]).to.deep.equal([503, true]);
     expect((await inFlight).status).to.equal(200);
