--- a/test/platform/mesh.test.ts
+++ b/test/platform/mesh.test.ts
@@ -220,8 +220,17 @@
 
   it('promises that a request has not run which waited at the other node until its time was over', async () => {
     const [first, { backend }] = await twoMachines({ kind: 'unsafe', timeoutS: 0.4 });
+    fleet.configure([
+      { kind: 'unsafe', timeoutS: 0.4 },
+      { kind: 'unsafe', timeoutS: 1.5 },
+    ]);
+    await fleet.untilStatus(first, 200, '/p1/x');
+    backend.arrivals.length = 0;
     backend.behaviour = () => undefined;
-    const running = Array.from({ length: 4 }, () => fleet.call(first, { method: 'POST' }));
+    // They outlast the request that waits for one of their slots, whenever it comes.
+    const running = Array.from({ length: 4 }, () =>
+      fleet.call(first, { path: '/p1/x', method: 'POST' }),
+    );
     while (backend.arrivals.length < 4) {
       await pause(5);
     }
