--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -26,6 +26,8 @@
   readonly redirects: number;
   /** The same, from when the request can only be answered late: so many at least are left then. */
   readonly lateRedirects?: number;
+  /** Until when an attempt may begin whose refusal is still heard of before the deadline; no bound if absent. */
+  readonly refusableUntilMs?: number;
 }
 
 /** Something that happened; `attempt` counts from 1, and events of a past attempt have no effect. */
--- a/test/proxy/request-lifecycle.test.ts
+++ b/test/proxy/request-lifecycle.test.ts
@@ -1,7 +1,11 @@
 /** Retries, budgets and verdicts of one request, as tables of events and effects. */
 import { expect } from 'chai';
 import type { RequestFailure } from '../../src/proxy/request-error.js';
-import { RequestLifecycle, type RequestEvent } from '../../src/proxy/request-lifecycle.js';
+import {
+  RequestLifecycle,
+  type RequestEffect,
+  type RequestEvent,
+} from '../../src/proxy/request-lifecycle.js';
 import { RetryBudget } from '../../src/routing/retry-budget.js';
 
 const notRun: RequestFailure = { code: 'REFUSED', verdict: 'not-run', retryable: true };
@@ -199,10 +203,7 @@
       };
       const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
       const effects = events.map((event) => lifecycle.handle(event, 0)).at(-1) ?? [];
-      const texts = effects.map((effect) =>
-        effect.type === 'report' ? `${effect.failure.code} ${effect.verdict}` : effect.type,
-      );
-      expect(texts.join(', ')).to.equal(expected);
+      expect(effects.map(describeEffect).join(', ')).to.equal(expected);
     });
   }
 
@@ -244,6 +245,39 @@
     expect(lifecycle.handle(failed(1, notRun), 6)).to.have.nested.property('[0].type', 'report');
   });
 
+  it('lets a proof that the request has not run stand where another refusal would come too late', () => {
+    const policy = {
+      repeatable: false,
+      deadlineAtMs: 1_000,
+      refusableUntilMs: 900,
+      retries: 2,
+      retryBudgetPercent: 100,
+      redirects: 1,
+    };
+    const outcomeAt = (nowMs: number): string[] => {
+      const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
+      lifecycle.handle(START, 0);
+      lifecycle.handle({ type: 'target-missed' }, nowMs);
+      return lifecycle.handle(failed(1, notRun), nowMs).map(describeEffect);
+    };
+    expect(outcomeAt(900)).to.deep.equal(['begin-attempt']);
+    expect(outcomeAt(901)).to.deep.equal(['REFUSED not-run']);
+  });
+
+  it('tries again until the deadline what may have run anyway', () => {
+    const policy = {
+      repeatable: true,
+      deadlineAtMs: 1_000,
+      refusableUntilMs: 900,
+      retries: 2,
+      retryBudgetPercent: 100,
+      redirects: 1,
+    };
+    const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
+    lifecycle.handle(START, 0);
+    expect(lifecycle.handle(failed(1, lost), 950).map(describeEffect)).to.deep.equal(['back-off']);
+  });
+
   it('makes at most a share of the first attempts again', () => {
     const budget = new RetryBudget();
     let retries = 0;
@@ -311,6 +345,10 @@
   }
 }
 
+function describeEffect(effect: RequestEffect): string {
+  return effect.type === 'report' ? `${effect.failure.code} ${effect.verdict}` : effect.type;
+}
+
 function describeOrder(order: readonly RequestEvent[]): string {
   return order.map(({ type }) => type).join(', ');
 }
