--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -123,9 +123,9 @@
   }
 
   /** Whether another attempt would follow if the one that is under way failed so now. */
-  wouldRetry(failure: RequestFailure, canReplay: boolean): boolean {
+  wouldRetry(failure: RequestFailure, canReplay: boolean, nowMs: number): boolean {
     const isRetried = this.mayRetry(failure, canReplay) && this.budget.hasRetry;
-    return isRetried || this.mayRedirect(failure, canReplay);
+    return !this.isBestTold(failure, nowMs) && (isRetried || this.mayRedirect(failure, canReplay));
   }
 
   /** Takes an event; effects are to be executed in order. */
@@ -218,6 +218,9 @@
   private fail(failure: RequestFailure, canReplay: boolean, nowMs: number): RequestEffect[] {
     this.lastFailure = failure;
     this.mayHaveRun ||= failure.verdict !== 'not-run';
+    if (this.isBestTold(failure, nowMs)) {
+      return this.report(failure);
+    }
     if (this.mayRedirect(failure, canReplay)) {
       this.redirectsLeft -= 1;
       return this.beginAttempt();
@@ -226,6 +229,15 @@
     return backOff === undefined ? this.report(failure) : [backOff];
   }
 
+  /**
+   * Whether the request has provably not run, and another attempt might leave that in doubt at its deadline:
+   * nobody would be told of its refusal in time.
+   */
+  private isBestTold(failure: RequestFailure, nowMs: number): boolean {
+    const { refusableUntilMs = Infinity } = this.policy;
+    return !this.mayHaveRun && failure.verdict === 'not-run' && nowMs > refusableUntilMs;
+  }
+
   private mayRedirect(failure: RequestFailure, canReplay: boolean): boolean {
     const isFree = !reachedEndpoint(failure) && this.redirectsLeft > 0;
     return isFree && failure.retryable && canReplay;
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -90,7 +90,8 @@
       return;
     }
     const error = silenceError(isUnsent);
-    const hasAttempt = this.lifecycle.wouldRetry(error, this.canReplay());
+    const nowMs = this.context.services.scheduler.now();
+    const hasAttempt = this.lifecycle.wouldRetry(error, this.canReplay(), nowMs);
     if (hasAttempt || !this.context.services.isStopping()) {
       this.attempt?.abort();
       this.takeFailure(this.attemptNumber, error, undefined);
