--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -8,11 +8,15 @@
  * whose body never comes, to one that waits for a slot, and to those of peers, which took the lost
  * connection for a request that may have run.
  */
-import { once } from 'node:events';
-import type { Socket } from 'node:net';
 import { expect } from 'chai';
 import { answer } from '../../standins/store-platform/backend-stand-in.js';
-import { pause, PlatformFleet, type ClientResult, type FleetMachine } from './platform-fleet.js';
+import {
+  pause,
+  PlatformFleet,
+  readWhole,
+  type ClientResult,
+  type FleetMachine,
+} from './platform-fleet.js';
 
 /** The grace time of the fleet's settings, in milliseconds. */
 const GRACE_MS = 6_000;
@@ -151,13 +155,3 @@
     expect((await answered).match(/HTTP\/1.1 200 /g)).to.have.length(3);
   });
 });
-
-/** Everything that the socket receives until it is closed. */
-async function readWhole(socket: Socket): Promise<string> {
-  let text = '';
-  socket.on('data', (chunk: Buffer) => {
-    text += chunk.toString('latin1');
-  });
-  await once(socket, 'close');
-  return text;
-}
--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -10,7 +10,7 @@
 import { BackendStandIn } from '../../standins/store-platform/backend-stand-in.js';
 import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
 
-const CALLER_PORT = 21_304;
+export const CALLER_PORT = 21_304;
 const RELAY_PORT = 21_300;
 const READY_PORT = 21_302;
 const BACKEND_PORT = 21_301;
@@ -188,22 +188,33 @@
   }
 
   /** A client that has sent the head of an upload of `bodyBytes`, and `sentBytes` of its body. */
-  beginUpload({ address }: FleetMachine, bodyBytes: number, sentBytes: number): Socket {
-    const socket = connect({ host: address, port: CALLER_PORT });
-    socket.on('error', () => undefined);
+  beginUpload(machine: FleetMachine, bodyBytes: number, sentBytes: number): Socket {
+    const socket = this.connect(machine);
     this.sendUpload(socket, bodyBytes, sentBytes);
     return socket;
   }
 
   /** The client sends another one, behind those before. */
   sendUpload(socket: Socket, bodyBytes: number, sentBytes: number): void {
+    socket.write(this.uploadText(bodyBytes, sentBytes));
+  }
+
+  /** The bytes of an upload of `bodyBytes`, of whose body `sentBytes` are there. */
+  uploadText(bodyBytes: number, sentBytes: number): string {
     this.requests += 1;
-    socket.write(
+    return (
       `POST /p/x HTTP/1.1\r\nHost: ${HOST}\r\nRequest-Id: c${this.requests}\r\n` +
-        `Deadline-Ms: 9000\r\nContent-Length: ${bodyBytes}\r\n\r\n${'x'.repeat(sentBytes)}`,
+      `Deadline-Ms: 9000\r\nContent-Length: ${bodyBytes}\r\n\r\n${'x'.repeat(sentBytes)}`
     );
   }
 
+  /** A client that has sent nothing yet. */
+  connect({ address }: FleetMachine): Socket {
+    const socket = connect({ host: address, port: CALLER_PORT });
+    socket.on('error', () => undefined);
+    return socket;
+  }
+
   /** What the readiness address of the machine answers; 0 when it does not. */
   readiness({ address }: FleetMachine): Promise<number> {
     return new Promise((resolve) => {
@@ -236,3 +247,13 @@
 export function pause(delayMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, delayMs));
 }
+
+/** Everything that the socket receives until it is closed or breaks. */
+export async function readWhole(socket: Socket): Promise<string> {
+  let text = '';
+  socket.on('data', (chunk: Buffer) => {
+    text += chunk.toString('latin1');
+  });
+  await new Promise((resolve) => socket.once('close', resolve));
+  return text;
+}
--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -30,6 +30,7 @@
   'emulator/emulator.test.js': 8,
   'platform/mesh.test.js': 7,
   'platform/planned-stop.test.js': 17,
+  'platform/stop-last-moment.test.js': 9,
   'soak/soak.test.js': 50,
   'soak/soak-regressions.test.js': 150,
   'proxy/endpoint-faults.test.js': 6,
