--- /dev/null
+++ b/src/proxy/planned-stop.ts
@@ -0,0 +1,199 @@
+/**
+ * Decisions of a planned stop: what is taken, refused, given up and closed, and when. Pure: events with the
+ * time in, effects out. `server-drain.ts` carries the effects out.
+ *
+ * A connection is closed only when nothing that was read on it waits for an answer, or at the bound.
+ */
+import {
+  deadlineWithin,
+  NO_STOP,
+  stopTimes,
+  type StopLimits,
+  type StopTimes,
+} from './stop-times.js';
+
+/**
+ * - `serving`: no stop has begun.
+ * - `taking`: new requests are taken, answers close their connections; callers learn to go elsewhere.
+ * - `refusing`: the listeners are shut and new requests are refused; those under way are waited for.
+ * - `answering`: every request under way has been given its final answer, which goes out.
+ * - `closing`: idle connections are closed; what was refused last goes out.
+ * - `closed`: nothing is open any more.
+ */
+export type StopState = 'serving' | 'taking' | 'refusing' | 'answering' | 'closing' | 'closed';
+
+/** Bounds of a planned stop, in milliseconds. */
+export interface PlannedStopLimits extends StopLimits {
+  /** Time without a new request after which a stop ends early. */
+  readonly stopQuietMs: number;
+  /** Time for connections to close in, after all other bounds. */
+  readonly stopCloseMs: number;
+}
+
+/** Something that happened. */
+export type StopEvent =
+  | { readonly type: 'stop' }
+  /** A regular look, after what waited in the system has been read. */
+  | {
+      readonly type: 'look';
+      /** Requests that wait for their answer, or whose answer is going out. */
+      readonly inFlight: number;
+      readonly lastArrivalAtMs: number;
+    }
+  /** The listeners are shut; so many connections that waited were taken before. */
+  | { readonly type: 'listeners-shut'; readonly takenCount: number }
+  | { readonly type: 'peers-closed' }
+  /** Everything ends at once. */
+  | { readonly type: 'abort' };
+
+/** Something to be done. */
+export type StopEffect = 'shut-listeners' | 'give-up' | 'close-idle' | 'close-peers' | 'close-all';
+
+type Look = Extract<StopEvent, { type: 'look' }>;
+
+/** The planned stop of one node. */
+export class PlannedStop {
+  private current: StopState = 'serving';
+  private times: StopTimes = NO_STOP;
+  private startedAtMs = -Infinity;
+  private closesByMs = Infinity;
+  private areListenersShut = false;
+  private arePeersClosed = false;
+  /** When connections that waited were taken last: their requests are still to come. */
+  private tookWaitingAtMs = -Infinity;
+
+  constructor(private readonly limits: PlannedStopLimits) {}
+
+  get state(): StopState {
+    return this.current;
+  }
+
+  /** Whether answers close their connections, and peers are told to go elsewhere. */
+  get isStopping(): boolean {
+    return this.current !== 'serving';
+  }
+
+  /** Whether a request that arrives is refused: its answer would come too late. */
+  refusesNewWork(nowMs: number): boolean {
+    const isTaking = this.current === 'serving' || this.current === 'taking';
+    return !isTaking || nowMs >= this.times.refusesFromMs;
+  }
+
+  /** Whether a request that only starts now is given up at once. */
+  givesUp(nowMs: number): boolean {
+    return nowMs >= this.times.givesUpAtMs;
+  }
+
+  /** The deadline of a request that arrives. */
+  deadlineWithin(deadlineAtMs: number): number {
+    return deadlineWithin(deadlineAtMs, this.times);
+  }
+
+  /** Time to the next moment at which something is due whatever happens, in milliseconds. */
+  msToNextBound(nowMs: number): number {
+    return Math.max(0, this.nextBoundMs() - nowMs);
+  }
+
+  /** Takes an event; effects are to be executed in order. */
+  handle(event: StopEvent, nowMs: number): StopEffect[] {
+    switch (event.type) {
+      case 'stop':
+        this.begin(nowMs);
+        return [];
+      case 'look':
+        return this.look(event, nowMs);
+      case 'listeners-shut':
+        this.areListenersShut = true;
+        this.tookWaitingAtMs = event.takenCount > 0 ? nowMs : -Infinity;
+        return [];
+      case 'peers-closed':
+        this.arePeersClosed = true;
+        return [];
+      case 'abort':
+        return this.close();
+    }
+  }
+
+  private begin(nowMs: number): void {
+    if (this.current === 'serving') {
+      this.current = 'taking';
+      this.startedAtMs = nowMs;
+      this.times = stopTimes(nowMs, this.limits);
+    }
+  }
+
+  private nextBoundMs(): number {
+    switch (this.current) {
+      case 'taking':
+        return this.times.refusesFromMs;
+      case 'refusing':
+        return this.times.givesUpAtMs;
+      case 'answering':
+        return this.times.closesAtMs;
+      case 'closing':
+        return this.closesByMs;
+      case 'serving':
+      case 'closed':
+        return Infinity;
+    }
+  }
+
+  /** Passes one bound at most: answers that were just given go out before the next. */
+  private look(seen: Look, nowMs: number): StopEffect[] {
+    const isDue = nowMs >= this.nextBoundMs();
+    switch (this.current) {
+      case 'taking':
+        return isDue || this.isQuiet(seen, nowMs) ? this.shut() : [];
+      case 'refusing':
+        return this.wait(seen, nowMs, isDue);
+      case 'answering':
+        return isDue || this.isDrained(seen, nowMs) ? this.beginClosing(nowMs) : [];
+      case 'closing':
+        return isDue || this.isEmpty(seen) ? this.close() : [];
+      case 'serving':
+      case 'closed':
+        return [];
+    }
+  }
+
+  private shut(): StopEffect[] {
+    return this.enter('refusing', ['shut-listeners']);
+  }
+
+  private wait(seen: Look, nowMs: number, isDue: boolean): StopEffect[] {
+    if (this.isDrained(seen, nowMs)) {
+      return this.beginClosing(nowMs);
+    }
+    return isDue ? this.enter('answering', ['give-up']) : [];
+  }
+
+  /** Nothing is in flight and nothing has arrived for a while. */
+  private isQuiet({ inFlight, lastArrivalAtMs }: Look, nowMs: number): boolean {
+    const lastAtMs = Math.max(this.startedAtMs, lastArrivalAtMs, this.tookWaitingAtMs);
+    return inFlight === 0 && nowMs - lastAtMs >= this.limits.stopQuietMs;
+  }
+
+  /** Quiet, and no connection waits to be taken. */
+  private isDrained(seen: Look, nowMs: number): boolean {
+    return this.areListenersShut && this.isQuiet(seen, nowMs);
+  }
+
+  /** The last refusals have gone out, and peers' connections are closed. */
+  private isEmpty({ inFlight }: Look): boolean {
+    return this.arePeersClosed && inFlight === 0;
+  }
+
+  private beginClosing(nowMs: number): StopEffect[] {
+    this.closesByMs = Math.min(nowMs, this.times.closesAtMs) + this.limits.stopCloseMs;
+    return this.enter('closing', ['close-idle', 'close-peers']);
+  }
+
+  private close(): StopEffect[] {
+    return this.current === 'closed' ? [] : this.enter('closed', ['close-all']);
+  }
+
+  private enter(state: StopState, effects: StopEffect[]): StopEffect[] {
+    this.current = state;
+    return effects;
+  }
+}
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -97,6 +97,11 @@
     return [...this.peers].reduce((count, peer) => count + peer.giveUp(), 0);
   }
 
+  /** Requests that were read and are not looked at yet: a planned stop waits for them too. */
+  get unstartedCount(): number {
+    return [...this.peers].reduce((count, peer) => count + peer.unstartedCount, 0);
+  }
+
   /** Looks whether peers whose requests are under way are silent; to be called now and then. */
   look(): void {
     this.peers.forEach((peer) => peer.look());
@@ -193,6 +198,10 @@
     this.connection.isProvenAlive();
   }
 
+  get unstartedCount(): number {
+    return this.arrived.size;
+  }
+
   private get owedCount(): number {
     return this.requests.size + this.arrived.size;
   }
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -15,10 +15,11 @@
 import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
 import { EndpointGateway, startUpkeep } from './endpoint-gateway.js';
 import { PAUSE_CHECK_INTERVAL_MS, PauseDetector } from './pause-detector.js';
+import { PlannedStop } from './planned-stop.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
 import { RelayClient } from './relay/relay-client.js';
 import type { LinkSilence } from './relay/relay-link.js';
-import { RelayServer } from './relay/relay-server.js';
+import { RELAY_CLOSE_TIMEOUT_MS, RelayServer } from './relay/relay-server.js';
 import { RelayTokenIssuer, verifyRelayToken } from './relay/relay-token.js';
 import {
   DeadlinePassedError,
@@ -38,7 +39,6 @@
 import type { ClaimedAttempt } from './idempotency-claims.js';
 import { withCredential } from './route-credential.js';
 import { drainServers } from './server-drain.js';
-import { deadlineWithin, NO_STOP, stopTimes } from './stop-times.js';
 
 const NOT_CONFIGURED_RETRY_MS = 1_000;
 /** When to come back to a node that is about to stop; callers are sent to another one by then. */
@@ -83,14 +83,14 @@
   private readonly pauseTimer: NodeJS.Timeout;
   private requestCount = 0;
   private readonly meter = new CallMeter(() => MACHINE_TIME.now());
-  private isStopping = false;
-  private stopTimes = NO_STOP;
+  private readonly plannedStop: PlannedStop;
   /** Callers' requests under way. */
   private readonly runners = new Set<RequestRunner>();
   private isAborted = false;
 
   constructor(private readonly options: RequestProxyOptions) {
     this.limits = { ...DEFAULT_PROXY_LIMITS, ...options.limits };
+    this.plannedStop = new PlannedStop({ ...this.limits, stopCloseMs: RELAY_CLOSE_TIMEOUT_MS });
     this.heldBytes = new HeldBytes(this.limits.maxHeldBytes);
     const { callerProtocol, endpointProtocol } = options;
     this.callerProtocol = callerProtocol ?? NATIVE_CALLER_PROTOCOL;
@@ -118,7 +118,7 @@
       ...options,
       requestLog: options.requestLog ?? NO_REQUEST_LOG,
       limits: this.limits,
-      isStopping: () => this.isStopping,
+      isStopping: () => this.plannedStop.isStopping,
       scheduler: MACHINE_TIME,
       direct: this.gateway,
       relay: this.relayClient,
@@ -173,29 +173,24 @@
   }
 
   async stop(): Promise<void> {
-    this.isStopping = true;
-    const startedAtMs = MACHINE_TIME.now();
-    this.stopTimes = stopTimes(startedAtMs, this.limits);
+    const { logStateChange } = this.options;
     let givenUp = 0;
-    const cancelGiveUp = MACHINE_TIME.schedule(this.limits.stopTimeoutMs, () => {
-      givenUp = this.giveUpAll();
-    });
-    this.options.logStateChange('request-path', `stopping with ${this.meter.inFlight} in flight`);
+    logStateChange('request-path', `stopping with ${this.meter.inFlight} in flight`);
     await drainServers([this.callerServer, this.relayServer], {
-      quietMs: this.limits.stopQuietMs,
-      acceptMs: this.limits.stopAcceptMs,
-      timeoutMs: this.stopTimes.closesAtMs - startedAtMs,
+      stop: this.plannedStop,
       lastArrivalAtMs: () => this.meter.lastArrivalAtMs,
-      inFlight: () => this.meter.inFlight,
+      inFlight: () => this.meter.inFlight + this.relay.unstartedCount,
       clock: () => MACHINE_TIME.now(),
+      giveUp: () => {
+        givenUp = this.giveUpAll();
+      },
+      closePeers: () => {
+        const outcome = `drained to ${this.meter.inFlight} in flight, ${givenUp} given up`;
+        logStateChange('request-path', outcome);
+        return this.relay.close();
+      },
+      closeAll: () => this.abort(),
     });
-    cancelGiveUp();
-    // A caller that was connected and had sent nothing yet may still send: nobody would wait for its answer.
-    this.stopTimes = { ...this.stopTimes, refusesFromMs: MACHINE_TIME.now() };
-    const outcome = `drained to ${this.meter.inFlight} in flight, ${givenUp} given up`;
-    this.options.logStateChange('request-path', outcome);
-    await this.relay.close();
-    this.abort();
   }
 
   abort(): void {
@@ -203,7 +198,7 @@
       return;
     }
     this.isAborted = true;
-    this.isStopping = true;
+    this.plannedStop.handle({ type: 'abort' }, MACHINE_TIME.now());
     for (const server of [this.callerServer, this.relayServer]) {
       server.close();
       server.closeAllConnections();
@@ -263,7 +258,7 @@
     return createCallerServer({
       protocol: this.callerProtocol,
       limits: this.limits,
-      isStopping: () => this.isStopping,
+      isStopping: () => this.plannedStop.isStopping,
       nextRequestId: () => this.nextRequestId(),
       onError: (code) => {
         this.options.counters.add(`ferryspool_request_errors_${code.toLowerCase()}_total`);
@@ -282,9 +277,9 @@
       snapshot: () => this.options.snapshots.current(),
       endpoints: this.gateway,
       hasJustWoken: () => this.pauses.hasJustWoken(MACHINE_TIME.now()),
-      isStopping: () => this.isStopping,
+      isStopping: () => this.plannedStop.isStopping,
       refusesNewWork: () => this.refusesNewWork(),
-      deadlineWithin: (deadlineAtMs) => deadlineWithin(deadlineAtMs, this.stopTimes),
+      deadlineWithin: (deadlineAtMs) => this.plannedStop.deadlineWithin(deadlineAtMs),
       requestLog: this.options.requestLog ?? NO_REQUEST_LOG,
       onSilence: (from, silence) => this.takeRelaySilence(`from ${from}`, silence),
       began: () => this.meter.begin(),
@@ -301,7 +296,7 @@
   }
 
   private refusesNewWork(): boolean {
-    return MACHINE_TIME.now() >= this.stopTimes.refusesFromMs;
+    return this.plannedStop.refusesNewWork(MACHINE_TIME.now());
   }
 
   /** The sender of a relayed request; any sender is taken where the fleet has no key. */
@@ -360,7 +355,7 @@
     }
     const attempt = this.attemptToClaim(request, match, attemptPrefix);
     const ownDeadlineAtMs = MACHINE_TIME.now() + timeLeftMs(request, match, attempt !== undefined);
-    const deadlineAtMs = deadlineWithin(ownDeadlineAtMs, this.stopTimes);
+    const deadlineAtMs = this.plannedStop.deadlineWithin(ownDeadlineAtMs);
     const start = (reply: CallerReply): void => {
       this.start({ request, snapshot, match, requestId, attemptPrefix, deadlineAtMs }, reply);
     };
@@ -399,7 +394,7 @@
     });
     this.runners.add(runner);
     response.onClose(() => this.runners.delete(runner));
-    if (MACHINE_TIME.now() >= this.stopTimes.givesUpAtMs) {
+    if (this.plannedStop.givesUp(MACHINE_TIME.now())) {
       runner.giveUp();
       return;
     }
--- a/src/proxy/server-drain.ts
+++ b/src/proxy/server-drain.ts
@@ -1,117 +1,119 @@
 /**
- * Planned stop of servers, in phases, so that no request in flight is cut:
- *
- * 1. `accepting`: answers close their connections. Callers that know of the stop go elsewhere.
- * 2. `handing-over`: the listeners are shut, so that callers that go on connecting are refused before
- *    they have sent anything. Open connections are still served, each for one more answer.
- * 3. `drained`: nothing is in flight and nothing has arrived for a while, or the time is over.
+ * Carries a planned stop out on servers: looks again and again at what is in flight, gives it to
+ * {@link PlannedStop}, and does what that decides.
  */
 import type http from 'node:http';
 import { Server as SocketServer } from 'node:net';
 import csp from 'js-csp';
+import type { PlannedStop, StopEffect, StopEvent } from './planned-stop.js';
 
 const POLL_MS = 20;
 /** Connections that are taken from the system before a listener is shut, at most. */
 const MAX_ACCEPT_TURNS = 1_000;
 
-/** Bounds of a planned stop, in milliseconds. */
-export interface DrainLimits {
-  /** Time without a new request after which a phase ends early. */
-  readonly quietMs: number;
-  /** Time after which the listeners are shut although requests go on arriving. */
-  readonly acceptMs: number;
-  /** Time after which connections are closed whatever is in flight; requests are given up before. */
-  readonly timeoutMs: number;
-}
-
-/** What the next phase depends on; times since the stop began, in milliseconds. */
-export interface DrainState {
-  readonly elapsedMs: number;
-  /** Time since the last request arrived, or since the stop began where that is less. */
-  readonly quietForMs: number;
-  readonly inFlight: number;
-}
-
-/** A phase of a planned stop. */
-export type DrainPhase = 'accepting' | 'handing-over' | 'drained';
-
-/** What a planned stop needs to know of its servers. */
-export interface DrainOptions extends DrainLimits {
+/** What a planned stop needs to know of its servers, and does beside them. */
+export interface DrainOptions {
+  readonly stop: PlannedStop;
   readonly lastArrivalAtMs: () => number;
   readonly inFlight: () => number;
   readonly clock: () => number;
+  /** Gives every request under way its final answer. */
+  readonly giveUp: () => void;
+  /** Resolves once connections to peers have sent what they had and are closed. */
+  readonly closePeers: () => Promise<void>;
+  /** Closes what is still open. */
+  readonly closeAll: () => void;
 }
 
-/** The phase that a planned stop is in. */
-export function drainPhase(state: DrainState, limits: DrainLimits): DrainPhase {
-  const isQuiet = state.inFlight === 0 && state.quietForMs >= limits.quietMs;
-  if (isQuiet || state.elapsedMs >= limits.timeoutMs) {
-    return 'drained';
-  }
-  return state.elapsedMs >= limits.acceptMs ? 'handing-over' : 'accepting';
-}
-
-/** Resolves when nothing is in flight any more, or after the timeout. */
-export async function drainServers(
+/** Resolves when the stop is over: when nothing is in flight any more, or at its bound. */
+export function drainServers(
   servers: readonly http.Server[],
   options: DrainOptions,
 ): Promise<void> {
-  await new Promise<void>((resolve) => {
-    csp.go(runPhases, [servers, options, resolve]);
+  return new Promise((resolve) => {
+    csp.go(runStop, [servers, options, resolve]);
   });
-  for (const server of servers) {
-    server.close();
-    server.closeIdleConnections();
-  }
 }
 
-function* runPhases(
+function* runStop(
   servers: readonly http.Server[],
   options: DrainOptions,
   done: () => void,
 ): Generator<unknown, void> {
-  const startedAtMs = options.clock();
-  let phase = currentPhase(options, startedAtMs);
-  while (phase !== 'drained') {
-    if (phase === 'handing-over') {
-      const shut = csp.chan<true>(csp.buffers.fixed(1));
-      void shutListeners(servers).then(() => csp.offer(shut, true));
-      yield shut;
+  const { stop, clock, inFlight, lastArrivalAtMs } = options;
+  const handle = (event: StopEvent): void => {
+    for (const effect of stop.handle(event, clock())) {
+      execute(effect, servers, options, handle);
     }
-    yield csp.timeout(POLL_MS);
-    phase = currentPhase(options, startedAtMs);
+  };
+  handle({ type: 'stop' });
+  while (stop.state !== 'closed') {
+    yield csp.timeout(Math.min(POLL_MS, Math.ceil(stop.msToNextBound(clock()))));
+    // Timers run before what waits in the system is read: without this, a stop ends under a request that
+    // came while the process was busy.
+    yield afterPolling();
+    handle({ type: 'look', inFlight: inFlight(), lastArrivalAtMs: lastArrivalAtMs() });
   }
   done();
 }
 
-function currentPhase(options: DrainOptions, startedAtMs: number): DrainPhase {
-  const nowMs = options.clock();
-  const state = {
-    elapsedMs: nowMs - startedAtMs,
-    quietForMs: nowMs - Math.max(startedAtMs, options.lastArrivalAtMs()),
-    inFlight: options.inFlight(),
-  };
-  return drainPhase(state, options);
+function execute(
+  effect: StopEffect,
+  servers: readonly http.Server[],
+  options: DrainOptions,
+  handle: (event: StopEvent) => void,
+): void {
+  switch (effect) {
+    case 'shut-listeners':
+      void shutListeners(servers).then((takenCount) =>
+        handle({ type: 'listeners-shut', takenCount }),
+      );
+      return;
+    case 'give-up':
+      return options.giveUp();
+    case 'close-idle':
+      servers.forEach((server) => {
+        server.close();
+        server.closeIdleConnections();
+      });
+      return;
+    case 'close-peers':
+      void options.closePeers().then(() => handle({ type: 'peers-closed' }));
+      return;
+    case 'close-all':
+      return options.closeAll();
+  }
+}
+
+/** A channel that gets a value once the event loop has polled in a whole turn. */
+function afterPolling(): unknown {
+  const polled = csp.chan<true>(csp.buffers.fixed(1));
+  void endOfTurn()
+    .then(endOfTurn)
+    .then(() => csp.offer(polled, true));
+  return polled;
 }
 
 /**
  * Shuts listeners alone. `http.Server.close` would close idle connections too, and with them a
- * request that a caller is just sending.
+ * request that a caller is just sending. Resolves with the connections that were taken before.
  */
-async function shutListeners(servers: readonly http.Server[]): Promise<void> {
+async function shutListeners(servers: readonly http.Server[]): Promise<number> {
+  let takenCount = 0;
   for (const server of servers) {
     if (server.listening) {
-      await takeWaitingConnections(server);
+      takenCount += await takeWaitingConnections(server);
       SocketServer.prototype.close.call(server);
     }
   }
+  return takenCount;
 }
 
 /**
  * Takes the connections that the system has set up and that wait to be accepted: it would reset them
  * with the listener. At least one is accepted in each whole turn of the event loop while any waits.
  */
-async function takeWaitingConnections(server: http.Server): Promise<void> {
+async function takeWaitingConnections(server: http.Server): Promise<number> {
   let accepted = 0;
   const count = (): void => {
     accepted += 1;
@@ -126,6 +128,7 @@
     turns += 1;
   } while (accepted > acceptedBefore && turns < MAX_ACCEPT_TURNS);
   server.off('connection', count);
+  return accepted;
 }
 
 /** Resolves after the event loop has polled; after a second call, it has polled in a whole turn. */
--- a/test/proxy/server-drain.test.ts
+++ b/test/proxy/server-drain.test.ts
@@ -2,37 +2,49 @@
 import { Agent, createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
-import { drainPhase, drainServers } from '../../src/proxy/server-drain.js';
+import { PlannedStop } from '../../src/proxy/planned-stop.js';
+import { drainServers } from '../../src/proxy/server-drain.js';
 import { call, connect, readUntilClose } from '../standins/http-client.js';
 
-const LIMITS = { quietMs: 300, acceptMs: 1_000, timeoutMs: 30_000 };
+const LIMITS = {
+  stopQuietMs: 300,
+  stopAcceptMs: 1_000,
+  stopTimeoutMs: 29_750,
+  stopAnswerMs: 250,
+  stopCloseMs: 200,
+};
+const QUIET_MS = 50;
 const CONNECTIONS = 40;
 
 describe('planned stop of servers', () => {
   const cases = [
-    { name: 'begins', elapsedMs: 0, quietForMs: 0, inFlight: 0, phase: 'accepting' },
-    { name: 'is quiet', elapsedMs: 300, quietForMs: 300, inFlight: 0, phase: 'drained' },
-    { name: 'is quiet but busy', elapsedMs: 300, quietForMs: 300, inFlight: 1, phase: 'accepting' },
-    {
-      name: 'never gets quiet',
-      elapsedMs: 1_000,
-      quietForMs: 5,
-      inFlight: 0,
-      phase: 'handing-over',
-    },
-    {
-      name: 'still serves',
-      elapsedMs: 9_000,
-      quietForMs: 8_000,
-      inFlight: 1,
-      phase: 'handing-over',
-    },
-    { name: 'gets quiet late', elapsedMs: 1_400, quietForMs: 300, inFlight: 0, phase: 'drained' },
-    { name: 'is over its time', elapsedMs: 30_000, quietForMs: 0, inFlight: 9, phase: 'drained' },
+    { name: 'begins', elapsedMs: 0, quietForMs: 0, inFlight: 0, state: 'taking' },
+    { name: 'is quiet', elapsedMs: 300, quietForMs: 300, inFlight: 0, state: 'closed' },
+    { name: 'is quiet but busy', elapsedMs: 300, quietForMs: 300, inFlight: 1, state: 'taking' },
+    { name: 'never gets quiet', elapsedMs: 1_000, quietForMs: 5, inFlight: 0, state: 'refusing' },
+    { name: 'still serves', elapsedMs: 9_000, quietForMs: 8_000, inFlight: 1, state: 'refusing' },
+    { name: 'gets quiet late', elapsedMs: 1_400, quietForMs: 300, inFlight: 0, state: 'closed' },
+    { name: 'has given up', elapsedMs: 29_800, quietForMs: 0, inFlight: 9, state: 'answering' },
+    { name: 'is over its time', elapsedMs: 30_000, quietForMs: 0, inFlight: 9, state: 'closing' },
+    { name: 'is over all bounds', elapsedMs: 30_200, quietForMs: 0, inFlight: 9, state: 'closed' },
   ];
-  for (const { name, phase, ...state } of cases) {
-    it(`is ${phase} when it ${name}`, () => {
-      expect(drainPhase(state, LIMITS)).to.equal(phase);
+  for (const { name, state, elapsedMs, quietForMs, inFlight } of cases) {
+    it(`is ${state} when it ${name}`, () => {
+      const stop = new PlannedStop(LIMITS);
+      stop.handle({ type: 'stop' }, 0);
+      const look = { type: 'look', inFlight, lastArrivalAtMs: elapsedMs - quietForMs } as const;
+      const effects = [1, 2, 3, 4, 5].flatMap(() => {
+        const due = stop.handle(look, elapsedMs);
+        if (due.includes('shut-listeners')) {
+          stop.handle({ type: 'listeners-shut', takenCount: 0 }, elapsedMs);
+        }
+        if (due.includes('close-peers')) {
+          stop.handle({ type: 'peers-closed' }, elapsedMs);
+        }
+        return due;
+      });
+      expect(stop.state).to.equal(state);
+      expect(effects).to.deep.equal([...new Set(effects)]);
     });
   }
 
@@ -65,12 +77,18 @@
     const drain = (acceptMs: number): Promise<void> => {
       isStopping = true;
       return drainServers([server], {
-        quietMs: 50,
-        acceptMs,
-        timeoutMs: 3_600_000,
+        stop: new PlannedStop({
+          ...LIMITS,
+          stopQuietMs: QUIET_MS,
+          stopAcceptMs: acceptMs,
+          stopTimeoutMs: 3_600_000,
+        }),
         lastArrivalAtMs: () => lastArrivalAtMs,
         inFlight: () => inFlight,
         clock: () => performance.now(),
+        giveUp: () => undefined,
+        closePeers: () => Promise.resolve(),
+        closeAll: () => server.closeAllConnections(),
       });
     };
 
