--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -34,6 +34,7 @@
   'soak/soak.test.js': 50,
   'soak/soak-regressions.test.js': 150,
   'proxy/endpoint-faults.test.js': 6,
+  'proxy/planned-stop-model.test.js': 8,
 };
 const USUAL_SECONDS = 1;
 
