--- a/src/proxy/request-intake.ts
+++ b/src/proxy/request-intake.ts
@@ -85,7 +85,7 @@
     const exchange = { once: (_event: 'close', end: () => void) => response.onClose(end) };
     this.options.meter.count(exchange, this.options.node.onRequestMs);
     try {
-      if (this.options.stop.refusesNewWork()) {
+      if (this.options.stop.refusesNewWork(MACHINE_TIME.now())) {
         throw new NodeStoppingError('the node is about to stop', STOPPING_RETRY_MS);
       }
       if (isFull) {
@@ -165,7 +165,7 @@
     });
     this.runners.add(runner);
     response.onClose(() => this.runners.delete(runner));
-    if (this.options.stop.givesUpRequests()) {
+    if (this.options.stop.givesUp(MACHINE_TIME.now())) {
       runner.giveUp();
       return;
     }
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -14,7 +14,7 @@
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
 import { RelayClient } from './relay/relay-client.js';
 import type { LinkSilence } from './relay/relay-link.js';
-import { RelayServer } from './relay/relay-server.js';
+import { RELAY_CLOSE_TIMEOUT_MS, RelayServer } from './relay/relay-server.js';
 import { RelayTokenIssuer, verifyRelayToken } from './relay/relay-token.js';
 import { NO_REQUEST_LOG } from './request-log.js';
 import { PlannedStop } from './planned-stop.js';
@@ -22,6 +22,7 @@
 import type { RequestProxy, RequestProxyOptions } from './request-path.js';
 import { RequestServices } from './request-services.js';
 import { MACHINE_TIME } from './scheduler.js';
+import { drainServers } from './server-drain.js';
 
 /** Idle connections of callers are kept this much longer than the configuration says. */
 const IDLE_MARGIN = 1.25;
@@ -56,12 +57,7 @@
 
   constructor(private readonly options: RequestProxyOptions) {
     this.limits = { ...DEFAULT_PROXY_LIMITS, ...options.limits };
-    this.plannedStop = new PlannedStop({
-      limits: this.limits,
-      meter: this.meter,
-      giveUpAll: () => this.giveUpAll(),
-      logStateChange: options.logStateChange,
-    });
+    this.plannedStop = new PlannedStop({ ...this.limits, stopCloseMs: RELAY_CLOSE_TIMEOUT_MS });
     const { callerProtocol, endpointProtocol } = options;
     this.callerProtocol = callerProtocol ?? NATIVE_CALLER_PROTOCOL;
     this.endpointProtocol = endpointProtocol ?? NATIVE_ENDPOINT_PROTOCOL;
@@ -150,9 +146,24 @@
   }
 
   async stop(): Promise<void> {
-    await this.plannedStop.drain([this.callerServer, this.relayServer]);
-    await this.relay.close();
-    this.abort();
+    const { logStateChange } = this.options;
+    let givenUp = 0;
+    logStateChange('request-path', `stopping with ${this.meter.inFlight} in flight`);
+    await drainServers([this.callerServer, this.relayServer], {
+      stop: this.plannedStop,
+      lastArrivalAtMs: () => this.meter.lastArrivalAtMs,
+      inFlight: () => this.meter.inFlight + this.relay.unstartedCount,
+      clock: () => MACHINE_TIME.now(),
+      giveUp: () => {
+        givenUp = this.giveUpAll();
+      },
+      closePeers: () => {
+        const outcome = `drained to ${this.meter.inFlight} in flight, ${givenUp} given up`;
+        logStateChange('request-path', outcome);
+        return this.relay.close();
+      },
+      closeAll: () => this.abort(),
+    });
   }
 
   abort(): void {
@@ -160,7 +171,7 @@
       return;
     }
     this.isAborted = true;
-    this.plannedStop.begin();
+    this.plannedStop.handle({ type: 'abort' }, MACHINE_TIME.now());
     for (const server of [this.callerServer, this.relayServer]) {
       server.close();
       server.closeAllConnections();
@@ -235,7 +246,7 @@
       endpoints: this.gateway,
       hasJustWoken: () => this.pauses.hasJustWoken(MACHINE_TIME.now()),
       isStopping: () => this.plannedStop.isStopping,
-      refusesNewWork: () => this.plannedStop.refusesNewWork(),
+      refusesNewWork: () => this.plannedStop.refusesNewWork(MACHINE_TIME.now()),
       deadlineWithin: (deadlineAtMs) => this.plannedStop.deadlineWithin(deadlineAtMs),
       requestLog: this.options.requestLog ?? NO_REQUEST_LOG,
       onSilence: (from, silence) => this.takeRelaySilence(`from ${from}`, silence),
--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -31,9 +31,11 @@
   'platform/mesh.test.js': 7,
   'platform/planned-stop.test.js': 17,
   'platform/redirected-request.test.js': 15,
+  'platform/stop-last-moment.test.js': 9,
   'soak/soak.test.js': 50,
   'soak/soak-regressions.test.js': 150,
   'proxy/endpoint-faults.test.js': 6,
+  'proxy/planned-stop-model.test.js': 8,
 };
 const USUAL_SECONDS = 1;
 
