--- a/test/proxy/fuzz/request-world.ts
+++ b/test/proxy/fuzz/request-world.ts
@@ -19,7 +19,7 @@
 import { echoEndpoint, echoService } from '../rig.js';
 import { VirtualEndpoint, type EndpointFaults, type Execution } from './virtual-endpoint.js';
 import { onceWhole, VirtualEndpointPort, VirtualRelay } from './virtual-paths.js';
-import { VirtualConnection, VirtualProcess } from './virtual-process.js';
+import { VirtualConnection, VirtualProcess } from '../../../tools/emulator/virtual-process.js';
 
 /** Slots of each endpoint. */
 export const SLOTS = 2;
--- a/test/proxy/fuzz/virtual-endpoint.ts
+++ b/test/proxy/fuzz/virtual-endpoint.ts
@@ -2,7 +2,7 @@
 import type { RandomSource } from '../../../src/control/control-event.js';
 import type { CancelOutcome } from '../../../src/proxy/endpoint-client.js';
 import type { CancelTimer } from '../../../src/proxy/scheduler.js';
-import type { VirtualProcess } from './virtual-process.js';
+import type { VirtualProcess } from '../../../tools/emulator/virtual-process.js';
 
 /** Chances of faults, from 0 to 1. */
 export interface EndpointFaults {
--- a/test/proxy/fuzz/virtual-process.ts
+++ b/tools/emulator/virtual-process.ts
@@ -1,6 +1,6 @@
 /** Processes under a virtual clock that can be frozen and killed, and connections between them. */
-import type { CancelTimer, Scheduler } from '../../../src/proxy/scheduler.js';
-import type { VirtualScheduler } from '../../../tools/emulator/virtual-scheduler.js';
+import type { CancelTimer, Scheduler } from '../../src/proxy/scheduler.js';
+import type { VirtualScheduler } from './virtual-scheduler.js';
 
 /** A process: while it is frozen, what happens to it waits; when it is dead, it is lost. */
 export class VirtualProcess implements Scheduler {
