--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -8,8 +8,8 @@
 
 export type { AdmissionTicket } from './admission-queue.js';
 
-/** Requests that may wait, as a multiple of the slots. */
-const QUEUE_PER_SLOT = 2;
+/** Requests that may wait, as a multiple of the slots, where nothing else is said. */
+export const DEFAULT_QUEUED_PER_SLOT = 2;
 /** What is left of the limit after the endpoint refused. */
 const REFUSAL_FACTOR = 0.9;
 /** Requests by which a report may differ from the count here, since both are on the way. */
@@ -56,10 +56,11 @@
   /** Requests that may run at once: at most the slots, fewer while the endpoint refuses. */
   private limit: number;
 
-  /** `maxWaiting` bounds the queue besides the slots. */
+  /** `maxWaiting` bounds the queue besides the slots, of which each counts `queuedPerSlot` times. */
   constructor(
     private slots: number,
     private readonly maxWaiting = Infinity,
+    private readonly queuedPerSlot = DEFAULT_QUEUED_PER_SLOT,
   ) {
     this.limit = slots;
   }
@@ -213,7 +214,7 @@
   }
 
   private get queueBound(): number {
-    return Math.min(this.maxWaiting, this.slots * QUEUE_PER_SLOT);
+    return Math.min(this.maxWaiting, this.slots * this.queuedPerSlot);
   }
 
   /** Makes room in a full queue for a request that goes before one in it. */
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -23,6 +23,8 @@
   readonly scheduler: Scheduler;
   /** Requests that wait for one endpoint at most. */
   readonly maxQueuedPerEndpoint: number;
+  /** The same, for each slot of the endpoint; the default of admission when absent. */
+  readonly maxQueuedPerSlot?: number;
   readonly cancelLead: CancelLead;
   readonly requestLog?: RequestLog;
   /** Gets the time that an endpoint took for each whole answer, in milliseconds. */
@@ -45,7 +47,8 @@
     private slots: number,
     private readonly options: GateOptions,
   ) {
-    this.admission = new EndpointAdmission(slots, options.maxQueuedPerEndpoint);
+    const { maxQueuedPerEndpoint, maxQueuedPerSlot } = options;
+    this.admission = new EndpointAdmission(slots, maxQueuedPerEndpoint, maxQueuedPerSlot);
   }
 
   /** Whether no request waits or runs. */
--- a/src/proxy/proxy-limits.ts
+++ b/src/proxy/proxy-limits.ts
@@ -1,5 +1,6 @@
 /** Bounds of the request path, with defaults that fit small machines. */
 
+import { DEFAULT_QUEUED_PER_SLOT } from '../admission/endpoint-admission.js';
 import { DEFAULT_MAX_SAVED_RETRIES } from '../routing/retry-budget.js';
 import type { CancelLead } from './gated-call.js';
 import { DEFAULT_IDLE_CONNECTION_MS } from './http-exchange.js';
@@ -17,8 +18,10 @@
   readonly maxHeldBytes: number;
   /** Largest answer that is held until it is whole before its first byte goes out, in bytes. */
   readonly maxHeldAnswerBytes: number;
-  /** Requests that wait for one endpoint at most; never more than two for each of its slots. */
+  /** Requests that wait for one endpoint at most. */
   readonly maxQueuedPerEndpoint: number;
+  /** The same, for each slot of the endpoint. */
+  readonly maxQueuedPerSlot: number;
   /** Time without a byte of an answer's body after which it is given up, in milliseconds. */
   readonly answerIdleTimeoutMs: number;
   /** Callers' requests in flight at once; more are refused. */
@@ -27,6 +30,12 @@
   readonly maxRetries: number;
   /** Attempts after one that did not reach its endpoint, besides the retries. */
   readonly maxRedirects: number;
+  /**
+   * Such attempts that a request has left at least when it turns late, `maxRedirects` at most: without
+   * one, a request that spent its attempts on nodes that could not answer within its target fails beside
+   * endpoints with free slots.
+   */
+  readonly maxLateRedirects: number;
   /** Whether a repeatable request is sent again after an answer that reports the endpoint's fault. */
   readonly retriesFaults: boolean;
   /** Retries towards one service that may be saved up for a burst. */
@@ -49,10 +58,12 @@
   maxHeldBytes: 32 * 1024 * 1024,
   maxHeldAnswerBytes: 16 * 1024,
   maxQueuedPerEndpoint: 64,
+  maxQueuedPerSlot: DEFAULT_QUEUED_PER_SLOT,
   answerIdleTimeoutMs: 60_000,
   maxCallsInFlight: 4_096,
   maxRetries: 2,
   maxRedirects: 0,
+  maxLateRedirects: 1,
   retriesFaults: false,
   maxSavedRetries: DEFAULT_MAX_SAVED_RETRIES,
   maxIdleEndpointConnectionMs: DEFAULT_IDLE_CONNECTION_MS,
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -105,6 +105,7 @@
       requestLog: options.requestLog ?? NO_REQUEST_LOG,
       ...(options.onEndpointMs && { onEndpointMs: options.onEndpointMs }),
       maxQueuedPerEndpoint: this.limits.maxQueuedPerEndpoint,
+      maxQueuedPerSlot: this.limits.maxQueuedPerSlot,
       cancelLead: {
         cancelLeadShare: this.limits.cancelLeadShare,
         maxCancelLeadMs: this.limits.maxCancelLeadMs,
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -32,12 +32,6 @@
 const NO_ENDPOINT_RETRY_MS = 200;
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
-/**
- * Attempts that a request has left at least when it turns late, where these do not reach an endpoint:
- * without one, a request that spent its attempts on nodes that could not answer within its target fails
- * beside endpoints with free slots.
- */
-const LATE_REDIRECTS = 1;
 
 /** One caller's request under way. */
 export class RequestRunner implements AwaitedAttempt {
@@ -71,7 +65,7 @@
       retries: Math.min(services.limits.maxRetries, retries ?? Infinity, maxAttempts - 1),
       retryBudgetPercent: match.retryBudgetPercent,
       redirects: services.limits.maxRedirects,
-      lateRedirects: Math.min(services.limits.maxRedirects, LATE_REDIRECTS),
+      lateRedirects: Math.min(services.limits.maxRedirects, services.limits.maxLateRedirects),
     };
     const budget = services.retryBudgetOf(match.service);
     this.startedAtMs = services.scheduler.now();
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -39,6 +39,8 @@
   readonly scheduler: Scheduler;
   readonly requestLog?: RequestLog;
   readonly limits: ProxyLimits;
+  /** Cost of the way over another node in the choice of an endpoint; the default when absent. */
+  readonly hopCost?: number;
   /** Gets how long each request was held that was told an error, in milliseconds. */
   readonly onFailureMs?: (ms: number) => void;
   /** Whether the node is in a planned stop. */
@@ -65,7 +67,7 @@
   private readonly budgets = new Map<string, RetryBudget>();
 
   constructor(private readonly options: RequestServicesOptions) {
-    this.selector = new EndpointSelector(options.random);
+    this.selector = new EndpointSelector(options.random, options.hopCost);
     this.targets = new WeightedTargets(options.random);
     this.requestLog = options.requestLog ?? NO_REQUEST_LOG;
     this.limits = options.limits;
--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -53,10 +53,11 @@
   private readonly zoneFirst: EndpointStrategy;
   private readonly leastLatency: EndpointStrategy;
 
-  constructor(random: RandomSource) {
+  /** `hopCost` is that of the way over another node, in place of the default. */
+  constructor(random: RandomSource, hopCost?: number) {
     this.sample = new CandidateSample(random);
     this.zoneFirst = new ZoneFirstStrategy(random);
-    this.leastLatency = new LeastLatencyStrategy(random);
+    this.leastLatency = new LeastLatencyStrategy(random, hopCost);
   }
 
   /** The endpoint for the next attempt, or undefined when none takes new work. */
--- a/src/routing/least-latency-strategy.ts
+++ b/src/routing/least-latency-strategy.ts
@@ -19,7 +19,7 @@
 /** Cost of an expected latency as long as the target, besides the chance of being late. */
 const LATENCY_COST = 0.08;
 /** Cost of the way over another node: both nodes' processor time, besides the latency measured. */
-const HOP_COST = 0.04;
+export const DEFAULT_HOP_COST = 0.04;
 /** Cost of the bytes to another zone. */
 const ZONE_COST = 0.11;
 /** Cost of the bytes to another region. */
@@ -35,7 +35,10 @@
 
 /** The strategy. */
 export class LeastLatencyStrategy implements EndpointStrategy {
-  constructor(private readonly random: RandomSource) {}
+  constructor(
+    private readonly random: RandomSource,
+    private readonly hopCost = DEFAULT_HOP_COST,
+  ) {}
 
   choose(
     candidates: readonly Candidate[],
@@ -53,7 +56,7 @@
       const expectedMs = this.expectedMs(candidate, work, fallbackMs, nowMs);
       const cost =
         latencyCost(expectedMs / work.targetLatencyMs) +
-        distanceCost(candidate, context) +
+        distanceCost(candidate, context, this.hopCost) +
         failureCost(candidate.record.failureShare(nowMs));
       if (cost < bestCost) {
         bestCost = cost;
@@ -108,9 +111,9 @@
   return FAILURE_COST * Math.max(0, share - TOLERATED_FAILURE_SHARE);
 }
 
-function distanceCost({ endpoint }: Candidate, context: ChoiceContext): number {
+function distanceCost({ endpoint }: Candidate, context: ChoiceContext, costOfHop: number): number {
   const { machine, zone, region } = endpoint.spec;
-  const hopCost = machine === undefined || machine === context.machineId ? 0 : HOP_COST;
+  const hopCost = machine === undefined || machine === context.machineId ? 0 : costOfHop;
   if (zone === context.zone) {
     return hopCost;
   }
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -57,7 +57,8 @@
   return retry.percent * OWN_RETRY_SHARE;
 }
 
-const STORE_NODE_LIMITS: Partial<ProxyLimits> = {
+/** Bounds of the request path where the node's settings name none. */
+export const STORE_NODE_LIMITS: Partial<ProxyLimits> = {
   maxHeaderBytes: 64 * 1024,
   // Bodies that another node collects are sent at its pace, not at that of a slow caller.
   maxReplayBodyBytes: MAX_COLLECTED_BODY_BYTES,
