--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -247,7 +247,11 @@
  * A body that is here is not sent to another endpoint for want of a slot: that would carry it over a link
  * again. It waits for one until its target has passed, and then still takes one that comes free soon.
  */
-function collectedCall({ targetAtMs, ...call }: Call, body: RequestBody, nowMs: number): Call {
+export function collectedCall(
+  { targetAtMs, ...call }: Call,
+  body: RequestBody,
+  nowMs: number,
+): Call {
   const waitsUntilMs = targetAtMs ?? call.startByMs;
   return waitsUntilMs === undefined
     ? { ...call, body }
--- /dev/null
+++ b/test/experiment/emulated-fleet.test.ts
@@ -0,0 +1,110 @@
+import { expect } from 'chai';
+import { planArrivals } from '../../tools/experiment/call-plan.js';
+import { runScenario } from '../../tools/experiment/run-scenario.js';
+import type { RequestClass, Scenario } from '../../tools/experiment/scenario.js';
+import { READ, SMALL, scenarioOf } from './scenarios-for-tests.js';
+
+const STORE = { name: 'store', endpoints: 1, slots: 2 } as const;
+const LIST: RequestClass = {
+  ...READ,
+  name: 'list',
+  service: 'lists',
+  calls: ['read'],
+  repeatable: false,
+};
+
+/** Requests to lists, of which each reads the store once. */
+const LISTS: Scenario = {
+  ...SMALL,
+  services: [STORE, { name: 'lists', endpoints: 2, slots: 4 }],
+  classes: [LIST, { ...READ, ratePerSecond: 0 }],
+};
+
+describe('an emulated fleet', () => {
+  it('answers all in time when nothing is amiss', () => {
+    const { measures, outcomes } = runScenario(SMALL, {}, 1);
+    expect(outcomes.length).to.be.within(10, 30);
+    expect(measures).to.include({ worth: 1, refused: 0, failed: 0, attempts: 1, misreported: 0 });
+    // A head there, and a head and the answer back.
+    expect(measures['linkBytes']).to.equal(250 + 250 + 100);
+  });
+
+  it('plays the same run again by its seed, and another one by another seed', () => {
+    const burst = scenarioOf('burst');
+    const play = (seed: number) => runScenario(burst, {}, seed).measures;
+    const first = play(5);
+    expect(play(5)).to.deep.equal(first);
+    expect(play(6)).not.to.deep.equal(first);
+  });
+
+  it('fails a request whose call fails', () => {
+    const dead: Scenario = {
+      ...LISTS,
+      faults: [{ kind: 'crashed-node', service: 'store', fromMs: 0, untilMs: 10_000 }],
+    };
+    expect(runScenario(LISTS, {}, 1).measures).to.include({ worth: 1, attempts: 2 });
+    expect(runScenario(dead, {}, 1).measures).to.include({ worth: 0, failed: 1 });
+  });
+
+  it('holds the slot of a request while its calls are under way', () => {
+    const slowStore = (slots: number): number => {
+      const services = [STORE, { name: 'lists', endpoints: 1, slots }];
+      const faults = [
+        { kind: 'slow-endpoint', service: 'store', fromMs: 0, untilMs: 10_000, factor: 2 } as const,
+      ];
+      const { outcomes } = runScenario({ ...LISTS, services, faults }, {}, 1);
+      return Math.max(...outcomes.map(({ elapsedMs }) => elapsedMs));
+    };
+    expect(slowStore(1)).to.be.above(slowStore(8) * 1.2);
+  });
+
+  it('carries bodies once, by credit', () => {
+    const upload: RequestClass = {
+      ...READ,
+      name: 'upload',
+      ratePerSecond: 5,
+      uploadBytes: 60_000,
+      deadlineMs: 2_000,
+    };
+    const uploads: Scenario = { ...SMALL, classes: [upload] };
+    const { measures, outcomes } = runScenario(uploads, {}, 1);
+    const lengths = planArrivals(uploads, 1).map(({ request }) => request.uploadBytes);
+    const meanBytes = lengths.reduce((sum, bytes) => sum + bytes, 0) / lengths.length;
+    // Besides the body there are two heads, the answer, and a few words of credit.
+    expect(measures['linkBytes']).to.be.within(meanBytes + 600, meanBytes + 1_200);
+    expect(outcomes.every(({ end }) => end === 'answered')).to.equal(true);
+    expect(Math.min(...outcomes.map(({ elapsedMs }) => elapsedMs))).to.be.above(30);
+  });
+
+  it('serves on beside a node that dies, and by that node once it is back', () => {
+    const services = [{ ...STORE, endpoints: 2 }];
+    const lost: Scenario = {
+      ...SMALL,
+      durationMs: 3_000,
+      services,
+      faults: [{ kind: 'crashed-node', service: 'store', fromMs: 500, untilMs: 1_500 }],
+    };
+    const { measures } = runScenario(lost, {}, 1);
+    expect(measures['worth']).to.be.above(0.95);
+    const all: Scenario = { ...lost, services: [STORE] };
+    const { outcomes } = runScenario(all, {}, 1);
+    expect(outcomes.filter(({ end }) => end !== 'answered')).not.to.be.empty;
+    expect(outcomes.at(-1)?.end).to.equal('answered');
+  });
+
+  it('tells no gateway status for what no endpoint got, while links and processes are well', () => {
+    for (const name of ['calm', 'burst', 'slow', 'narrow']) {
+      expect(runScenario(scenarioOf(name), {}, 1).measures, name).to.include({ misreported: 0 });
+    }
+  });
+
+  it('tells every caller something in every scenario', () => {
+    for (const name of ['lost', 'silent', 'depth', 'beside']) {
+      const { outcomes } = runScenario(scenarioOf(name), {}, 1);
+      expect(
+        outcomes.filter(({ end }) => end === 'none'),
+        name,
+      ).to.be.empty;
+    }
+  });
+});
--- /dev/null
+++ b/test/experiment/worth.test.ts
@@ -0,0 +1,86 @@
+import { expect } from 'chai';
+import { VirtualScheduler } from '../../tools/emulator/virtual-scheduler.js';
+import { EmulatedCaller, worthOf } from '../../tools/experiment/emulated-caller.js';
+import type { Told } from '../../tools/experiment/emulated-reply.js';
+import { measuresOf } from '../../tools/experiment/measures.js';
+import { READ } from './scenarios-for-tests.js';
+
+const ANSWER: Told = { kind: 'answer', status: 200, isNotRun: false, retryAfterMs: undefined };
+const FAULT: Told = { ...ANSWER, status: 500 };
+const REFUSAL: Told = { kind: 'error', status: 503, isNotRun: true, retryAfterMs: 50 };
+const TIMEOUT: Told = { kind: 'error', status: 504, isNotRun: false, retryAfterMs: undefined };
+
+/** What each try of a caller is told, and after how long. */
+type Script = readonly (readonly [Told, number])[];
+
+function play(script: Script, isReached = true): EmulatedCaller {
+  const clock = new VirtualScheduler();
+  clock.runUntil(1_000);
+  const left = [...script];
+  const request = { id: 'r', requestClass: READ, workMs: 1, uploadBytes: 0, calls: [] };
+  const run = (_request: unknown, reply: { fail: unknown; hasBegun(): boolean }): void => {
+    const [told, afterMs] = left.shift() ?? [ANSWER, Infinity];
+    clock.schedule(clock.nowMs + afterMs, { run: () => tell(reply, told) });
+  };
+  const caller = new EmulatedCaller({ clock, run, wasReached: () => isReached }, request);
+  caller.start();
+  clock.runUntil(5_000);
+  return caller;
+}
+
+/** Tells a reply as its node would. */
+function tell(reply: unknown, told: Told): void {
+  (reply as { onTold: (told: Told) => void }).onTold(told);
+}
+
+describe('worth of callers requests', () => {
+  it('is whole in time, a part when late, and counted from the first try', () => {
+    const inTime = play([[ANSWER, 100]]).outcome;
+    const late = play([[ANSWER, 101]]).outcome;
+    // The second try is answered in 60 ms: 20 + 50 + 60 ms after the first one began.
+    const secondTry = play([
+      [REFUSAL, 20],
+      [ANSWER, 60],
+    ]).outcome;
+    expect([inTime, late, secondTry].map(worthOf)).to.deep.equal([2, 1, 1]);
+    expect(secondTry).to.include({ end: 'answered', elapsedMs: 130 });
+    const totals = { attempts: 6, linkBytes: 900 };
+    const measures = measuresOf([inTime, late, secondTry], totals);
+    expect(measures['worth']).to.equal(4 / 6);
+    expect(measures['worth.read']).to.equal(4 / 6);
+    expect(measures).to.include({ attempts: 2, linkBytes: 300, refused: 0, failed: 0 });
+    expect(measures).to.include({ heldP50Ms: 20, heldP99Ms: 20, misreported: 0 });
+  });
+
+  it('is nothing after the deadline, for a fault, and for a refusal', () => {
+    const outcomes = [
+      play([[ANSWER, 401]]),
+      play([[FAULT, 30]]),
+      play([
+        [REFUSAL, 10],
+        [REFUSAL, 30],
+      ]),
+      play([]),
+    ].map(({ outcome }) => outcome);
+    expect(outcomes.map(worthOf)).to.deep.equal([0, 0, 0, 0]);
+    expect(outcomes.map(({ end }) => end)).to.deep.equal(['answered', 'failed', 'refused', 'none']);
+    const measures = measuresOf(outcomes, { attempts: 0, linkBytes: 0 });
+    expect(measures).to.include({ worth: 0, failed: 0.5, refused: 0.25, heldP50Ms: 30 });
+  });
+
+  it('counts a gateway status for what no endpoint got', () => {
+    const misreported = (script: Script, isReached: boolean): number =>
+      play(script, isReached).outcome.misreported;
+    expect(misreported([[TIMEOUT, 400]], false)).to.equal(1);
+    expect(misreported([[TIMEOUT, 400]], true)).to.equal(0);
+    expect(misreported([[FAULT, 30]], false)).to.equal(0);
+  });
+
+  it('does not come back after the deadline', () => {
+    const { outcome } = play([
+      [REFUSAL, 360],
+      [ANSWER, 1],
+    ]);
+    expect(outcome).to.include({ end: 'refused', elapsedMs: 360 });
+  });
+});
--- /dev/null
+++ b/tools/experiment/emulated-endpoint.ts
@@ -0,0 +1,115 @@
+/**
+ * A back end: works on a request, then makes its calls one after the other, and answers. It ends the work
+ * when its connection is closed, and confirms no cancellation, like those of the platform.
+ */
+import type { Endpoint } from '../../src/model/resource.js';
+import type { Call } from '../../src/proxy/call.js';
+import type {
+  CancelOutcome,
+  EndpointObserver,
+  EndpointPort,
+} from '../../src/proxy/endpoint-client.js';
+import type { Exchange } from '../../src/proxy/http-exchange.js';
+import type { CancelTimer } from '../../src/proxy/scheduler.js';
+import type { VirtualProcess } from '../emulator/virtual-process.js';
+import type { PlannedRequest } from './call-plan.js';
+import { plannedOf } from './emulated-body.js';
+import { EmulatedReply } from './emulated-reply.js';
+
+/** Time for a word between a node and the endpoint beside it, in milliseconds. */
+const LOOPBACK_MS = 0.2;
+const OK_STATUS = 200;
+/** Status of the answer to a request of which a call failed. */
+const FAULT_STATUS = 500;
+const NO_BYTES = Buffer.alloc(0);
+
+/** What an endpoint needs of its node. */
+export interface EndpointHost {
+  readonly process: VirtualProcess;
+  /** Slots of the endpoint. */
+  readonly slots: number;
+  /** Makes a call for the work on `parent`. */
+  readonly call: (request: PlannedRequest, parent: Call, reply: EmulatedReply) => void;
+  /** The endpoint got an attempt. */
+  readonly reached: (requestId: string) => void;
+}
+
+/** Work under way. */
+interface Execution {
+  readonly call: Call;
+  readonly observer: EndpointObserver;
+  stop: () => void;
+}
+
+/** The endpoint, as its own node reaches it. */
+export class EmulatedEndpoint implements EndpointPort {
+  /** How many times as long as planned work takes. */
+  slowness = 1;
+  private running = new Map<string, Execution>();
+
+  constructor(private readonly host: EndpointHost) {}
+
+  /** All that ran is gone. */
+  die(): void {
+    const executions = [...this.running.values()];
+    this.running = new Map();
+    executions.forEach((execution) => execution.stop());
+  }
+
+  send(_endpoint: Endpoint, call: Call, _leftMs: number, observer: EndpointObserver): Exchange {
+    const { process, reached } = this.host;
+    reached(call.requestId);
+    const { workMs, calls } = plannedOf(call);
+    const takenMs = LOOPBACK_MS + workMs * this.slowness;
+    const cancelTimer: CancelTimer = process.schedule(takenMs, () =>
+      this.makeCalls(execution, calls),
+    );
+    const execution: Execution = { call, observer, stop: cancelTimer };
+    this.running.set(call.requestId, execution);
+    return { wasSent: () => true, abort: () => this.stop(call.requestId) };
+  }
+
+  cancel(
+    _endpoint: Endpoint,
+    _requestId: string,
+    _timeoutMs: number,
+    report: (outcome: CancelOutcome) => void,
+  ): void {
+    report('unconfirmed');
+  }
+
+  probeDraining(_endpoint: Endpoint, report: (isDraining: boolean | undefined) => void): void {
+    this.host.process.schedule(LOOPBACK_MS, () => report(false));
+  }
+
+  private makeCalls(execution: Execution, [next, ...others]: readonly PlannedRequest[]): void {
+    if (next === undefined) {
+      this.answer(execution, OK_STATUS);
+      return;
+    }
+    const reply = new EmulatedReply(({ kind, status }) => {
+      if (kind === 'answer' && status < FAULT_STATUS) {
+        this.makeCalls(execution, others);
+      } else {
+        this.answer(execution, FAULT_STATUS);
+      }
+    });
+    execution.stop = () => reply.leave();
+    this.host.call(next, execution.call, reply);
+  }
+
+  private answer({ call, observer }: Execution, status: number): void {
+    if (!this.running.delete(call.requestId)) {
+      return;
+    }
+    const load = { inFlight: this.running.size, slots: this.host.slots, draining: false };
+    const body = { kind: 'held', bytes: NO_BYTES } as const;
+    observer.answered({ status, headers: [], body, contentLength: 0, load });
+  }
+
+  private stop(requestId: string): void {
+    const execution = this.running.get(requestId);
+    this.running.delete(requestId);
+    execution?.stop();
+  }
+}
--- /dev/null
+++ b/tools/experiment/scenario.ts
@@ -0,0 +1,81 @@
+/** What an emulated fleet is made of, and what happens to it. */
+
+/** A service; each of its endpoints has a node beside it. */
+export interface ServiceShape {
+  readonly name: string;
+  readonly endpoints: number;
+  readonly slots: number;
+}
+
+/** A kind of request: of callers where it has a rate, else of endpoints that work on another one. */
+export interface RequestClass {
+  readonly name: string;
+  readonly service: string;
+  /** Requests a second of all callers together; 0 where only endpoints make them. */
+  readonly ratePerSecond: number;
+  /** Mean time of work at an endpoint, in milliseconds. */
+  readonly workMs: number;
+  /** Mean length of the body, in bytes; 0 for none. */
+  readonly uploadBytes: number;
+  readonly answerBytes: number;
+  readonly targetMs: number;
+  readonly deadlineMs: number;
+  readonly priority: number;
+  readonly repeatable: boolean;
+  /** Worth of an answer in time. */
+  readonly worth: number;
+  /** Part of it that an answer after the target, but before the deadline, is worth. */
+  readonly lateShare: number;
+  /** Times that a refused caller comes back. */
+  readonly callerRetries: number;
+  /** Classes of the calls that the work on a request makes, one after the other, holding its slot. */
+  readonly calls: readonly string[];
+}
+
+/** What befalls the callers, or one node beside an endpoint, drawn anew for each seed. */
+export type Fault =
+  /** One endpoint of the service takes `factor` times as long. */
+  | (FaultPeriod & {
+      readonly kind: 'slow-endpoint';
+      readonly service: string;
+      readonly factor: number;
+    })
+  /** The process of a node dies with its endpoint, and comes back. */
+  | (FaultPeriod & { readonly kind: 'crashed-node'; readonly service: string })
+  /** Callers of a class come `factor` times as often. */
+  | (FaultPeriod & {
+      readonly kind: 'burst';
+      readonly requestClass: string;
+      readonly factor: number;
+    })
+  /** The link of a node carries fewer bytes. */
+  | (FaultPeriod & {
+      readonly kind: 'narrow-link';
+      readonly service: string;
+      readonly bytesPerMs: number;
+    })
+  /** Nothing passes the link of a node; what was sent arrives once it is well. */
+  | (FaultPeriod & { readonly kind: 'silent-link'; readonly service: string });
+
+/** When a fault holds. */
+interface FaultPeriod {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** A fleet and its day. */
+export interface Scenario {
+  readonly name: string;
+  readonly title: string;
+  /** Time in which callers' requests arrive, in milliseconds. */
+  readonly durationMs: number;
+  /** Nodes without endpoints, at which callers' requests arrive unless they are beside endpoints. */
+  readonly edgeNodes: number;
+  /** The service on whose machines callers are. */
+  readonly callersBeside?: string;
+  readonly zones: number;
+  readonly linkBytesPerMs: number;
+  readonly services: readonly ServiceShape[];
+  readonly classes: readonly RequestClass[];
+  readonly faults: readonly Fault[];
+}
--- /dev/null
+++ b/tools/experiment/scenarios.ts
@@ -0,0 +1,151 @@
+/**
+ * The scenarios. Rates are per second of all callers together. `booking` and `lookup` share a service of 5
+ * endpoints with 4 slots each, which carries 400 lookups a second at most.
+ */
+import type { Fault, RequestClass, Scenario } from './scenario.js';
+
+const DURATION_MS = 12_000;
+/** When faults hold, so that the fleet is seen before, in and after them. */
+const TROUBLE = { fromMs: 3_000, untilMs: 8_000 } as const;
+/** 80 Mbit/s. */
+const WIDE_BYTES_PER_MS = 10_000;
+/** 4 Mbit/s. */
+const NARROW_BYTES_PER_MS = 500;
+
+const LOOKUP: RequestClass = {
+  name: 'lookup',
+  service: 'rooms',
+  ratePerSecond: 240,
+  workMs: 50,
+  uploadBytes: 0,
+  answerBytes: 1_000,
+  targetMs: 200,
+  deadlineMs: 800,
+  priority: 1,
+  repeatable: true,
+  worth: 1,
+  lateShare: 0.3,
+  callerRetries: 1,
+  calls: [],
+};
+
+const BOOKING: RequestClass = {
+  ...LOOKUP,
+  name: 'booking',
+  ratePerSecond: 40,
+  workMs: 80,
+  targetMs: 400,
+  deadlineMs: 1_500,
+  priority: 0,
+  repeatable: false,
+  worth: 3,
+  lateShare: 0.6,
+};
+
+const UPLOAD: RequestClass = {
+  ...BOOKING,
+  name: 'upload',
+  service: 'photos',
+  ratePerSecond: 40,
+  uploadBytes: 60_000,
+  workMs: 60,
+  targetMs: 600,
+  deadlineMs: 2_000,
+  priority: 1,
+  worth: 2,
+};
+
+const PRICE: RequestClass = {
+  ...LOOKUP,
+  name: 'price',
+  service: 'prices',
+  ratePerSecond: 0,
+  workMs: 20,
+  targetMs: 80,
+  deadlineMs: 400,
+};
+
+/** A call for a price that makes a call of its own. */
+const OFFER: RequestClass = {
+  ...PRICE,
+  name: 'offer',
+  service: 'offers',
+  workMs: 30,
+  targetMs: 150,
+  deadlineMs: 600,
+  calls: ['price'],
+};
+
+const JOURNEY: RequestClass = {
+  ...LOOKUP,
+  name: 'journey',
+  ratePerSecond: 150,
+  workMs: 30,
+  targetMs: 300,
+  deadlineMs: 1_200,
+  calls: ['offer', 'price'],
+};
+
+const ROOMS = { name: 'rooms', endpoints: 5, slots: 4 } as const;
+
+const CALM: Scenario = {
+  name: 'calm',
+  title: 'Lookups and bookings at three quarters of the capacity',
+  durationMs: DURATION_MS,
+  edgeNodes: 4,
+  zones: 2,
+  linkBytesPerMs: WIDE_BYTES_PER_MS,
+  services: [ROOMS],
+  classes: [LOOKUP, BOOKING],
+  faults: [],
+};
+
+/** All scenarios. */
+export const SCENARIOS: readonly Scenario[] = [
+  CALM,
+  withFaults('burst', 'Twice the lookups for five seconds', [
+    { kind: 'burst', ...TROUBLE, requestClass: 'lookup', factor: 2 },
+  ]),
+  {
+    ...withFaults(
+      'beside',
+      'Callers on the machines of the endpoints; some more lookups for a while',
+      [{ kind: 'burst', ...TROUBLE, requestClass: 'lookup', factor: 1.4 }],
+    ),
+    edgeNodes: 0,
+    callersBeside: 'rooms',
+  },
+  withFaults('slow', 'One endpoint takes six times as long for five seconds', [
+    { kind: 'slow-endpoint', ...TROUBLE, service: 'rooms', factor: 6 },
+  ]),
+  {
+    ...withFaults('narrow', 'Uploads beside lookups, while two links carry half of what they did', [
+      { kind: 'narrow-link', ...TROUBLE, service: 'photos', bytesPerMs: NARROW_BYTES_PER_MS },
+      { kind: 'narrow-link', ...TROUBLE, service: 'rooms', bytesPerMs: NARROW_BYTES_PER_MS },
+    ]),
+    linkBytesPerMs: 2 * NARROW_BYTES_PER_MS,
+    services: [ROOMS, { name: 'photos', endpoints: 3, slots: 4 }],
+    classes: [LOOKUP, UPLOAD],
+  },
+  withFaults('lost', 'A node dies with its endpoint, and comes back after five seconds', [
+    { kind: 'crashed-node', ...TROUBLE, service: 'rooms' },
+  ]),
+  withFaults('silent', 'Nothing passes the link of one node for five seconds', [
+    { kind: 'silent-link', ...TROUBLE, service: 'rooms' },
+  ]),
+  {
+    ...withFaults('depth', 'Calls that make calls, while one endpoint is slow', [
+      { kind: 'slow-endpoint', ...TROUBLE, service: 'prices', factor: 6 },
+    ]),
+    services: [
+      ROOMS,
+      { name: 'offers', endpoints: 3, slots: 4 },
+      { name: 'prices', endpoints: 3, slots: 3 },
+    ],
+    classes: [JOURNEY, OFFER, PRICE],
+  },
+];
+
+function withFaults(name: string, title: string, faults: readonly Fault[]): Scenario {
+  return { ...CALM, name, title, faults };
+}
