--- a/src/proxy/request-policy.ts
+++ b/src/proxy/request-policy.ts
@@ -3,13 +3,6 @@
 import type { RequestPolicy } from './request-lifecycle.js';
 import { refusalLeadMs } from './refusal-lead.js';
 
-/**
- * Attempts that a request has left at least when it turns late, where these do not reach an endpoint:
- * without one, a request that spent its attempts on nodes that could not answer within its target fails
- * beside endpoints with free slots.
- */
-const LATE_REDIRECTS = 1;
-
 /**
  * Time that an attempt needs for a refusal to be heard of, as a multiple of how long before the deadline
  * it comes: the way there and the way back.
@@ -28,6 +21,6 @@
     retries: Math.min(services.limits.maxRetries, retries ?? Infinity, maxAttempts - 1),
     retryBudgetPercent: match.retryBudgetPercent,
     redirects: services.limits.maxRedirects,
-    lateRedirects: Math.min(services.limits.maxRedirects, LATE_REDIRECTS),
+    lateRedirects: Math.min(services.limits.maxRedirects, services.limits.maxLateRedirects),
   };
 }
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -56,7 +56,8 @@
   return retry.percent * OWN_RETRY_SHARE;
 }
 
-const STORE_NODE_LIMITS: Partial<ProxyLimits> = {
+/** Bounds of the request path where the node's settings name none. */
+export const STORE_NODE_LIMITS: Partial<ProxyLimits> = {
   maxHeaderBytes: 64 * 1024,
   maxRetries: 3,
   maxRedirects: 1,
