--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -158,6 +158,10 @@
   private send(body: RequestBody): void {
     if (!this.request.destroyed) {
       this.connected = true;
+      if (!body.isWhole()) {
+        // A head that waits for the body's first bytes would tell of time that has gone by meanwhile.
+        this.request.flushHeaders();
+      }
       body.sendTo(this.request);
     }
   }
