--- a/test/proxy/relay/silent-connections.test.ts
+++ b/test/proxy/relay/silent-connections.test.ts
@@ -5,6 +5,7 @@
  * Each request on the silent connection waited until its deadline, and each later one took the same
  * connection.
  */
+import http from 'node:http';
 import { expect } from 'chai';
 import {
   call,
@@ -30,6 +31,8 @@
 /** The same where the peer opens no new connection: its machine may only stand still. */
 const LET_GO_UNPROVEN_WITHIN_MS = 6_500;
 const DEADLINE_MS = 8_000;
+/** Before any look at the connection finds it quiet. */
+const LEAVES_AFTER_MS = 30;
 
 const SILENCES: readonly Silence[] = ['both', 'towards', 'from'];
 
@@ -145,6 +148,29 @@
     expect(performance.now() - silentFromMs).to.be.below(GIVEN_UP_WITHIN_MS);
   }
 
+  /** A request whose caller leaves before there is any answer. */
+  async function sendAndLeave(): Promise<void> {
+    const { callerPort: port } = caller;
+    const request = http.request({ host: '127.0.0.1', port, method: 'POST', agent: false });
+    request.on('error', () => undefined);
+    request.end();
+    await new Promise((resolve) => setTimeout(resolve, LEAVES_AFTER_MS));
+    request.destroy();
+  }
+
+  for (const silence of SILENCES) {
+    it(`is found out by a request whose caller left, lost ${silence}, before the next one`, async () => {
+      configure('unsafe');
+      expect((await send('unsafe')).status).to.equal(200);
+      link.silence(silence);
+      await sendAndLeave();
+      await until(() => link.openedCount === 2);
+      const sentAtMs = performance.now();
+      expect((await send('unsafe')).status).to.equal(200);
+      expect(performance.now() - sentAtMs).to.be.below(300);
+    });
+  }
+
   for (const heldMs of [200, 600]) {
     it(`is not seen in a peer that is held up for ${heldMs} ms`, async () => {
       configure('safe');
