--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -97,6 +97,16 @@
     }
   }
 
+  /** Whether anything arrived at `atMs` or later; true where nobody watches. */
+  hasHeardSince(atMs: number): boolean {
+    if (this.watch === undefined) {
+      return true;
+    }
+    const { pulse, scheduler } = this.watch;
+    const nowMs = scheduler.now();
+    return nowMs - pulse.quietForMs(nowMs) >= atMs;
+  }
+
   /** Another connection to, or from, the same process was opened. */
   isProvenAlive(): void {
     if (this.watch !== undefined) {
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -73,6 +73,8 @@
   private lastStreamId = 0;
   private isOver = false;
   private isSuspect = false;
+  /** When the last request was sent. */
+  private sentAtMs = -Infinity;
 
   constructor(
     private readonly address: RelayAddress,
@@ -118,14 +120,14 @@
     });
     this.streams.set(streamId, attempt);
     if (this.connection !== undefined) {
-      attempt.send();
+      this.send(attempt);
     }
     return attempt;
   }
 
   /** To be called now and then. */
   look(): void {
-    this.connection?.look(this.streams.size > 0);
+    this.connection?.look(this.streams.size > 0 || this.isUnheard());
     if (this.isSuspect && this.streams.size > 0) {
       this.observer.suspect();
     }
@@ -172,7 +174,17 @@
     };
     this.connection = new RelayConnection(socket, head, observer, watch);
     this.observer.opened();
-    this.streams.forEach((attempt) => attempt.send());
+    this.streams.forEach((attempt) => this.send(attempt));
+  }
+
+  private send(attempt: RelayedAttempt): void {
+    this.sentAtMs = this.options.scheduler.now();
+    attempt.send();
+  }
+
+  /** A request whose caller left is owed nothing, but no word since then may mean that it was lost. */
+  private isUnheard(): boolean {
+    return this.connection?.hasHeardSince(this.sentAtMs) === false;
   }
 
   /** What may be sent again is given up first, the rest when nothing can be awaited any more. */
