--- a/test/soak/link-proxy.test.ts
+++ b/test/soak/link-proxy.test.ts
@@ -126,6 +126,47 @@
     expect(received).to.equal('');
   });
 
+  it('lets bytes of the dialled side pass in open-other-way, and loses the others', async () => {
+    const heard: string[] = [];
+    const accepted: Socket[] = [];
+    server.on('connection', (socket) => {
+      accepted.push(socket);
+      socket.on('data', (bytes) => heard.push(String(bytes)));
+    });
+    client = await connect();
+    client.write('a');
+    await untilReceived('a');
+    proxy.set('open-other-way');
+    client.write('b');
+    accepted.at(-1)?.write('c');
+    await untilReceived('ac');
+    await delay(SHORT_MS);
+    expect(heard).to.deep.equal(['a']);
+  });
+
+  it('tells of a silence which sides are lost, what the dialled side said, and who ended it', async () => {
+    const accepted: Socket[] = [];
+    server.on('connection', (socket) => accepted.push(socket));
+    client = await connect();
+    client.write('a');
+    await untilReceived('a');
+    proxy.set('open-one-way');
+    const silence = proxy.silences.find(({ diallerPort }) => diallerPort === client.localPort);
+    expect(silence).to.include.keys('sinceMs', 'dialledLostMs');
+    expect(silence?.opening).to.equal('a');
+    expect(silence).to.not.have.any.keys('diallerLostMs', 'dialledSaidMs', 'dialledEndedMs');
+    proxy.set('open-silence');
+    expect(silence?.diallerLostMs).to.be.at.least(silence?.dialledLostMs ?? Infinity);
+    accepted.at(-1)?.end('d');
+    await delay(SHORT_MS);
+    expect(silence).to.include.keys('dialledSaidMs', 'dialledEndedMs');
+    expect(silence).to.not.have.any.keys('diallerEndedMs');
+    client.destroy();
+    await delay(SHORT_MS);
+    expect(silence).to.include.keys('diallerEndedMs');
+    expect(received).to.equal('a');
+  });
+
   it('passes so many bytes a second, of all connections together', async () => {
     proxy.setBandwidth(1_000_000);
     const other = await connect();
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -27,6 +27,7 @@
   isSigned: true,
   answer: 'body q1',
   wasSent: true,
+  callerPort: 40_000,
   isGivenUp: false,
 };
 
@@ -54,17 +55,22 @@
 };
 
 const RECORD: SoakRecord = {
+  beganAt: '2000-01-01T00:00:00.000Z',
   calls: [CALL],
   arrivals: [ARRIVAL],
   windows: [],
   stops: [],
   reloads: [],
   silences: [],
+  callerSilences: [],
   configuredAtMs: new Map([[1, 0]]),
   drainedAtMs: new Map(),
   serviceOfMachine: ['reads', 'orders'],
+  pauses: [],
+  coreTimes: [],
   ownEnds: [],
   calmFromMs: 1_000,
+  endedAtMs: 100_000,
   terms: SOAK_TERMS,
 };
 
@@ -264,7 +270,7 @@
   });
 
   it('finds a connection that is used on although it is silent', () => {
-    const silence = { link: 'relay-link 1', atMs: 10_000, usedForMs: 5_100 };
+    const silence = { link: 'relay-link 1', opening: 'GET /', atMs: 10_000, usedForMs: 5_100 };
     expect(brokenIn({ silences: [silence] })).to.deep.equal(['silence-noticed']);
     expect(brokenIn({ silences: [{ ...silence, usedForMs: 4_900 }] })).to.deep.equal([]);
   });
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,4 +1,4 @@
-/** Short soaks of real processes in every build: one of single faults, one with series and uploads. */
+/** Short soaks of real processes in every build: single faults, series with uploads, and silences. */
 import { expectPromisesKept, SOAK_TEST_TIMEOUT_MS } from './soak-case.js';
 
 describe('a soak of real processes', () => {
@@ -9,4 +9,8 @@
   it('keeps every promise when stops and other faults come in series, beside uploads', async () => {
     await expectPromisesKept(23, 'series');
   }).timeout(SOAK_TEST_TIMEOUT_MS);
+
+  it('keeps every promise when every kind of link goes silent, of machines that stop too', async () => {
+    await expectPromisesKept(29, 'silences');
+  }).timeout(SOAK_TEST_TIMEOUT_MS);
 });
--- a/tools/soak/fault-injector.ts
+++ b/tools/soak/fault-injector.ts
@@ -18,6 +18,20 @@
 const DRAIN_SERVES_MS = SOAK_TERMS.drainMs + 1_500;
 const BUSY_STATUS = 503;
 
+/** Faults of what is behind the nodes. */
+type FaultBehindNodes = Extract<
+  SoakFault,
+  {
+    kind:
+      | 'store-outage'
+      | 'store-compact'
+      | 'backend-fault'
+      | 'backend-crash'
+      | 'backend-drain'
+      | 'configure';
+  }
+>;
+
 /** What the injector reports. */
 export interface InjectorParams {
   readonly fleet: SoakFleet;
@@ -54,9 +68,18 @@
       case 'relay-link':
       case 'store-link':
       case 'backend-link':
+      case 'caller-link':
         return this.harmLinks(fault);
       case 'narrow':
         return this.narrowLinks(fault);
+      default:
+        return this.performBehindNodes(fault);
+    }
+  }
+
+  /** What strikes the store, the back ends and the configuration. */
+  private async performBehindNodes(fault: FaultBehindNodes): Promise<void> {
+    switch (fault.kind) {
       case 'store-outage':
         return this.failStore(fault);
       case 'store-compact':
@@ -262,5 +285,7 @@
       return machine.storeLink;
     case 'backend-link':
       return machine.backendLink;
+    case 'caller-link':
+      return machine.callerLink;
   }
 }
--- a/tools/soak/fault-plan.ts
+++ b/tools/soak/fault-plan.ts
@@ -8,8 +8,8 @@
 /** How the store misbehaves towards all nodes. */
 export type StoreOutage = 'busy' | 'reset' | 'silent' | 'lag';
 
-/** Links that can be harmed: from other nodes, to the store, and to a back end where it has one. */
-export type LinkFaultKind = 'relay-link' | 'store-link' | 'backend-link';
+/** Links that can be harmed: from other nodes and callers, to the store and to a back end, where it has one. */
+export type LinkFaultKind = 'relay-link' | 'store-link' | 'backend-link' | 'caller-link';
 
 /** One thing that is done to the deployment; it ends after `forMs` where that makes sense. */
 export type SoakFault =
--- a/tools/soak/link-proxy.ts
+++ b/tools/soak/link-proxy.ts
@@ -11,9 +11,20 @@
  * - `refuse`: connections are reset, and new ones too.
  * - `open-silence`: connections that are open stay so and are silent for good; new ones work.
  * - `open-one-way`: the same, for what the dialled side says.
+ * - `open-other-way`: the same, for what the dialling side says.
  */
 export type LinkState =
-  'open' | 'delay' | 'silence' | 'one-way' | 'refuse' | 'open-silence' | 'open-one-way';
+  | 'open'
+  | 'delay'
+  | 'silence'
+  | 'one-way'
+  | 'refuse'
+  | 'open-silence'
+  | 'open-one-way'
+  | 'open-other-way';
+
+/** Longest first line that is kept, in bytes. */
+const MAX_OPENING_BYTES = 60;
 
 /** An address and a port. */
 export interface Place {
@@ -29,6 +40,8 @@
   readonly there: LinkDirection;
   /** What the dialled side says. */
   readonly back: LinkDirection;
+  readonly diallerPort: number;
+  opening: string;
   /** Set once it is silent for good. */
   silence: SilentConnection | undefined;
 }
@@ -36,9 +49,20 @@
 /** A connection that is silent for good, and whether its dialler goes on using it. */
 export interface SilentConnection {
   readonly sinceMs: number;
+  /** The port that its dialler has, and the first line that it said. */
+  readonly diallerPort: number;
+  readonly opening: string;
   /** First and last bytes of its dialler since then; undefined while there are none. */
-  firstUseMs: number | undefined;
-  lastUseMs: number | undefined;
+  firstUseMs?: number;
+  lastUseMs?: number;
+  /** From when on what each side says is lost; undefined while it is not. */
+  diallerLostMs?: number;
+  dialledLostMs?: number;
+  /** First bytes of the dialled side since then, lost or not; undefined while there are none. */
+  dialledSaidMs?: number;
+  /** When each side had ended it; undefined while it has not. */
+  diallerEndedMs?: number;
+  dialledEndedMs?: number;
 }
 
 /** The proxy in front of `target`. */
@@ -95,29 +119,42 @@
     }
     const far = net.connect({ host: this.target.address, port: this.target.port });
     const there = new LinkDirection(near, far, this.laneThere, (nowMs) => noteUse(pair, nowMs));
-    const back = new LinkDirection(far, near, this.laneBack);
-    const pair: Pair = { near, far, there, back, silence: undefined };
+    const back = new LinkDirection(far, near, this.laneBack, (nowMs) => noteAnswer(pair, nowMs));
+    const diallerPort = near.remotePort ?? 0;
+    const pair: Pair = { near, far, there, back, diallerPort, opening: '', silence: undefined };
     this.pairs.add(pair);
+    near.once('data', (bytes: Buffer) => {
+      pair.opening = firstLineOf(bytes);
+    });
     far.on('error', () => reset(pair));
     near.on('error', () => reset(pair));
     for (const socket of [near, far]) {
       socket.once('close', () => near.closed && far.closed && this.pairs.delete(pair));
     }
+    watchEnds(pair);
     this.apply(pair);
   }
 
   private silence(pair: Pair): void {
-    if (this.state !== 'open-silence' && this.state !== 'open-one-way') {
+    const losesThere = this.state === 'open-silence' || this.state === 'open-other-way';
+    const losesBack = this.state === 'open-silence' || this.state === 'open-one-way';
+    if (!losesThere && !losesBack) {
       return;
     }
-    if (this.state === 'open-silence') {
-      pair.there.lose();
-    }
-    pair.back.lose();
+    const sinceMs = performance.now();
     if (pair.silence === undefined) {
-      pair.silence = { sinceMs: performance.now(), firstUseMs: undefined, lastUseMs: undefined };
+      const { diallerPort, opening } = pair;
+      pair.silence = { sinceMs, diallerPort, opening };
       this.silences.push(pair.silence);
     }
+    if (losesThere) {
+      pair.there.lose();
+      pair.silence.diallerLostMs ??= sinceMs;
+    }
+    if (losesBack) {
+      pair.back.lose();
+      pair.silence.dialledLostMs ??= sinceMs;
+    }
   }
 
   private apply({ there, back }: Pair): void {
@@ -136,6 +173,32 @@
   }
 }
 
+function firstLineOf(bytes: Buffer): string {
+  return bytes.toString('latin1', 0, MAX_OPENING_BYTES).split('\r\n', 1)[0] ?? '';
+}
+
+function noteAnswer({ silence }: Pair, nowMs: number): void {
+  if (silence !== undefined) {
+    silence.dialledSaidMs ??= nowMs;
+  }
+}
+
+/** A side has ended the connection with its word for it, or by a reset. */
+function watchEnds(pair: Pair): void {
+  for (const event of ['end', 'close']) {
+    pair.near.once(event, () => {
+      if (pair.silence !== undefined) {
+        pair.silence.diallerEndedMs ??= performance.now();
+      }
+    });
+    pair.far.once(event, () => {
+      if (pair.silence !== undefined) {
+        pair.silence.dialledEndedMs ??= performance.now();
+      }
+    });
+  }
+}
+
 function reset({ near, far }: Pair): void {
   near.resetAndDestroy();
   far.resetAndDestroy();
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -27,7 +27,8 @@
     --rate      Requests a second (default 150)
     --plan      What happens: 'faults' are single ones, 'series' (default) also has rolling stops,
                 releases, silent connections, narrow links, uploads and kept connections
-    --uploads   Uploads a second, for 'series' (default 20)
+                'silences' are these, and silences on every kind of link and of machines that stop
+    --uploads   Uploads a second, for 'series' and 'silences' (default 20)
     --keep      Folder for the logs and records of a run that broke a promise
 
   Runs nodes on loopback addresses, delays, resets, silences and cuts their links through proxies,
@@ -66,6 +67,18 @@
   return [...counts].map(([name, count]) => `${name}: ${count}`).join(', ');
 }
 
+/** A soak that stood still itself, or whose nodes got no core, may have seen things late. */
+function describeMachine({ pauses, coreTimes }: SoakRecord): string {
+  const longestMs = Math.max(0, ...pauses.map(({ fromMs, untilMs }) => untilMs - fromMs));
+  const waits = coreTimes.map(({ waitedMs }) => waitedMs);
+  const runs = coreTimes.map(({ ranMs }) => ranMs);
+  return (
+    `the soak itself stood still ${pauses.length} times, for ${Math.round(longestMs)} ms at most; ` +
+    `of 250 ms, nodes waited for a core for ${Math.round(Math.max(0, ...waits))} ms at most, ` +
+    `and ran for ${Math.round(Math.max(0, ...runs))} ms at most`
+  );
+}
+
 function keep(
   folder: string,
   seed: number,
@@ -106,6 +119,7 @@
   });
   print(`${record.calls.length} requests (${countStatuses(record.calls)})`);
   print(`${record.arrivals.length} arrivals at back ends, ${record.windows.length} faults`);
+  print(describeMachine(record));
   broken
     .slice(0, MAX_SHOWN)
     .forEach(({ promise, detail }) => print(`BROKEN ${promise}: ${detail}`));
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -2,6 +2,7 @@
  * Judges a soak by what callers and back ends have seen. Pure: records in, broken promises out. Times
  * are in milliseconds on the clock of the soak.
  */
+import { isSilenced, judgeCallerSilences } from './caller-promises.js';
 import type { SoakFaultKind } from './fault-plan.js';
 import type { SoakArrival, SoakCall, SoakRecord, SoakSilence } from './soak-record.js';
 import { judgeReloads, judgeStops } from './stop-promises.js';
@@ -34,6 +35,8 @@
   | 'time-out'
   /** A connection that went silent for good is given up by who uses it. */
   | 'silence-noticed'
+  /** What a caller asked whose connection went silent is over at its time-out, and the connection is closed. */
+  | 'caller-silence'
   /** No program ends by itself. */
   | 'no-own-end'
   /** After the faults, requests are served again. */
@@ -73,6 +76,7 @@
     ...judgeStops(record, arrivalsById),
     ...judgeReloads(record, arrivalsById),
     ...record.silences.flatMap(judgeSilence),
+    ...judgeCallerSilences(record, arrivalsById),
     ...record.ownEnds.map((detail): BrokenPromise => ({ promise: 'no-own-end', detail })),
     ...judgeRecovery(record),
   ];
@@ -122,6 +126,7 @@
     !call.isGivenUp &&
     call.sentWholeAtMs <= dueAtMs &&
     call.endedAtMs > dueAtMs + SLACK_MS &&
+    !isSilenced(record, call) &&
     isInTouch(record, call.machine, call.sentAtMs, call.endedAtMs)
   );
 }
@@ -190,10 +195,11 @@
   );
 }
 
-/** Kinds that are planned work, or strike back ends alone. */
+/** Kinds that are planned work, or strike back ends or single callers alone. */
 function isHarmless(kind: SoakFaultKind): boolean {
   return (
     kind === 'configure' ||
+    kind === 'caller-link' ||
     kind === 'reload' ||
     kind === 'backend-drain' ||
     kind === 'backend-fault' ||
@@ -223,19 +229,23 @@
   return broken;
 }
 
-function judgeSilence({ link, atMs, usedForMs }: SoakSilence): BrokenPromise[] {
+function judgeSilence({ link, opening, atMs, usedForMs }: SoakSilence): BrokenPromise[] {
   if (usedForMs <= SILENCE_NOTICED_MS) {
     return [];
   }
   const [at, used] = [atMs, usedForMs].map((timeMs) => Math.round(timeMs));
-  const detail = `${link}: a connection that fell silent at ${at} was used for ${used} ms more`;
+  const detail = `${link}, ${opening}: a connection that fell silent at ${at} was used for ${used} ms more`;
   return [{ promise: 'silence-noticed', detail }];
 }
 
-function judgeRecovery({ calls, calmFromMs, terms }: SoakRecord): BrokenPromise[] {
+function judgeRecovery(record: SoakRecord): BrokenPromise[] {
+  const { calls, calmFromMs, terms } = record;
   const late = calls.filter(
-    ({ addedBy, isGivenUp, sentAtMs }) =>
-      addedBy === undefined && !isGivenUp && sentAtMs > calmFromMs + terms.recoveryMs,
+    (call) =>
+      call.addedBy === undefined &&
+      !call.isGivenUp &&
+      call.sentAtMs > calmFromMs + terms.recoveryMs &&
+      !isSilenced(record, call),
   );
   const served = late.filter(({ status }) => status === 200).length;
   if (late.length > 0 && served >= late.length * CALM_SERVED_SHARE) {
--- a/tools/soak/soak-client.ts
+++ b/tools/soak/soak-client.ts
@@ -1,5 +1,6 @@
 /** Callers of the soak: each sends one request, and notes what it got. */
 import http, { type IncomingMessage } from 'node:http';
+import type { Socket } from 'node:net';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { Place } from './link-proxy.js';
 import { markBody } from './body-mark.js';
@@ -44,6 +45,7 @@
   private response: IncomingMessage | undefined;
   private answer = '';
   private wasSent = false;
+  private callerPort: number | undefined;
   private sentWholeAtMs = Infinity;
   private isGivenUp = false;
   private isOver = false;
@@ -79,11 +81,9 @@
     });
     message.on('socket', (socket) => {
       if (socket.connecting) {
-        socket.once('connect', () => {
-          this.wasSent = true;
-        });
+        socket.once('connect', () => this.noteSocket(socket));
       } else {
-        this.wasSent = true;
+        this.noteSocket(socket);
       }
     });
     message.on('finish', () => {
@@ -96,6 +96,11 @@
     return message;
   }
 
+  private noteSocket({ localPort }: Socket): void {
+    this.wasSent = true;
+    this.callerPort = localPort;
+  }
+
   private send(message: http.ClientRequest, body: string): void {
     const { pace } = this.request;
     if (pace === undefined) {
@@ -148,6 +153,7 @@
       isSigned: this.response?.headers['server-signature'] !== undefined,
       answer: this.answer,
       wasSent: this.wasSent,
+      callerPort: this.callerPort,
       isGivenUp: this.isGivenUp,
     });
   }
--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -10,8 +10,9 @@
 import { LifeCycle } from '../../src/runtime/life-cycle.js';
 import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
 import { ChildGroup, type Child } from '../shared/child-process.js';
+import type { WatchedProcess } from './core-watch.js';
 import { LinkProxy, type Place } from './link-proxy.js';
-import type { SoakArrival, SoakSilence, SoakTerms } from './soak-record.js';
+import type { CallerSilence, SoakArrival, SoakSilence, SoakTerms } from './soak-record.js';
 import { BACKEND_SLOTS, SoakBackend } from './soak-backend.js';
 
 const PROGRAM = new URL('../../platform/main.js', import.meta.url).pathname;
@@ -19,6 +20,7 @@
 const BACKEND_PORT = 22_301;
 const READY_PORT = 22_302;
 const CALLER_PORT = 22_304;
+const LINKED_CALLER_PORT = 22_303;
 /** Of so many machines in a row, half have a link before their back end: one of each service. */
 const BACKEND_LINK_CYCLE = 4;
 /** What a node logs once it is up. */
@@ -62,6 +64,7 @@
   graceMs: 6_000,
   lossSlackMs: 200,
   recoveryMs: 5_000,
+  idleTimeoutMs: 15_000,
   maxAttempts: 2,
   routeLifeInConfigurations: 3,
 };
@@ -75,6 +78,8 @@
   readonly linkBytesPerS: number;
   /** Whether some back ends are behind a link that can be harmed. */
   readonly hasBackendLinks: boolean;
+  /** Whether callers also come through a link that can be harmed. */
+  readonly hasCallerLinks: boolean;
   readonly random: RandomSource;
   readonly nowMs: () => number;
   readonly onArrival: (arrival: SoakArrival) => void;
@@ -86,6 +91,9 @@
   readonly idx: number;
   readonly service: string;
   readonly caller: Place;
+  /** Where callers come through a link that can be harmed, and that link. */
+  readonly linkedCaller: Place | undefined;
+  readonly callerLink: LinkProxy | undefined;
   readonly relayLink: LinkProxy;
   readonly storeLink: LinkProxy;
   /** The link to its back end, where it can be harmed. */
@@ -145,6 +153,11 @@
     return this.startedLives.has(lifeName(idx, life));
   }
 
+  /** The process of each node. */
+  processes(): WatchedProcess[] {
+    return this.machines.map(({ idx, node }) => ({ machine: idx, processId: node.processId }));
+  }
+
   /** Connections through the links that went silent for good. */
   silences(): SoakSilence[] {
     const offsetMs = this.params.nowMs() - performance.now();
@@ -155,8 +168,9 @@
         'backend-link': backendLink,
       };
       return Object.entries(links).flatMap(([kind, link]) =>
-        (link?.silences ?? []).map(({ sinceMs, firstUseMs = 0, lastUseMs = 0 }) => ({
+        (link?.silences ?? []).map(({ sinceMs, opening, firstUseMs = 0, lastUseMs = 0 }) => ({
           link: `${kind} ${idx}`,
+          opening,
           atMs: sinceMs + offsetMs,
           usedForMs: lastUseMs - firstUseMs,
         })),
@@ -164,6 +178,24 @@
     });
   }
 
+  /** Connections of callers that went silent for good. */
+  callerSilences(): CallerSilence[] {
+    const offsetMs = this.params.nowMs() - performance.now();
+    const at = (timeMs: number | undefined): number => (timeMs ?? Infinity) + offsetMs;
+    return this.machines.flatMap(({ idx, callerLink }) =>
+      (callerLink?.silences ?? []).map((silence) => ({
+        machine: idx,
+        callerPort: silence.diallerPort,
+        atMs: at(silence.sinceMs),
+        callerLostAtMs: at(silence.diallerLostMs),
+        nodeLostAtMs: at(silence.dialledLostMs),
+        nodeSaidAtMs: at(silence.dialledSaidMs),
+        callerEndedAtMs: at(silence.diallerEndedMs),
+        nodeEndedAtMs: at(silence.dialledEndedMs),
+      })),
+    );
+  }
+
   /** Programs that ended although nobody told them to. */
   ownEnds(): string[] {
     return this.children.endedUnasked().map(({ name, output }) => `${name}: ${output.join(' ')}`);
@@ -191,7 +223,7 @@
         maxHeaderBytes: 16_384,
         maxBodyBytes: MAX_BODY_BYTES,
         headerTimeoutS: 3,
-        idleTimeoutS: 15,
+        idleTimeoutS: SOAK_TERMS.idleTimeoutMs / MS_PER_SECOND,
       },
       virtualHosts: [{ hostname: SOAK_HOST, paths }],
     });
@@ -248,10 +280,18 @@
     const settingsPath = join(this.folder, `${idx}.conf`);
     writeFileSync(settingsPath, settingsText({ idx, host, relay, toStore, service }));
     const backendLink = await this.startBackendLink(idx);
+    const caller = { address: host, port: CALLER_PORT };
+    const linkedCaller = this.params.hasCallerLinks
+      ? { address: host, port: LINKED_CALLER_PORT }
+      : undefined;
+    const callerLink = linkedCaller && (await LinkProxy.start(linkedCaller, caller));
+    this.lifeCycle.own('caller link', callerLink, (link) => link?.close());
     const machine: SoakMachine = {
       idx,
       service,
-      caller: { address: host, port: CALLER_PORT },
+      caller,
+      linkedCaller,
+      callerLink,
       relayLink,
       storeLink,
       backendLink,
--- a/tools/soak/soak-record.ts
+++ b/tools/soak/soak-record.ts
@@ -29,6 +29,8 @@
   readonly answer: string;
   /** Whether a connection was open, so that the node may have read the request. */
   readonly wasSent: boolean;
+  /** The port of its connection at the caller's side; undefined where none was open. */
+  readonly callerPort: number | undefined;
   /** Whether the caller left before the answer. */
   readonly isGivenUp: boolean;
 }
@@ -82,17 +84,51 @@
   readonly atMs: number;
 }
 
+/** A time in which the soak's own process stood still, so that it saw nothing. */
+export interface SoakPause {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
+
+/** A time in which a node's process waited long for a core, or did nothing but run. */
+export interface SoakCoreTime {
+  readonly machine: number;
+  readonly fromMs: number;
+  readonly untilMs: number;
+  readonly ranMs: number;
+  readonly waitedMs: number;
+}
+
 /** A connection through a link that went silent for good while new ones worked. */
 export interface SoakSilence {
   /** The link, by its kind and its machine. */
   readonly link: string;
+  /** The first line that its dialler said. */
+  readonly opening: string;
   readonly atMs: number;
   /** Time from the first to the last bytes of its dialler since then. */
   readonly usedForMs: number;
 }
 
+/** A caller's connection that went silent for good; times are Infinity for what never was. */
+export interface CallerSilence {
+  readonly machine: number;
+  /** Its port at the caller's side. */
+  readonly callerPort: number;
+  readonly atMs: number;
+  /** From when on what its caller, and what its node says is lost. */
+  readonly callerLostAtMs: number;
+  readonly nodeLostAtMs: number;
+  /** First bytes of the node since it went silent. */
+  readonly nodeSaidAtMs: number;
+  readonly callerEndedAtMs: number;
+  readonly nodeEndedAtMs: number;
+}
+
 /** All that a soak has seen. */
 export interface SoakRecord {
+  /** The time of day at which its clock began, by which the logs of its nodes can be read. */
+  readonly beganAt: string;
   readonly calls: readonly SoakCall[];
   readonly arrivals: readonly SoakArrival[];
   readonly windows: readonly FaultWindow[];
@@ -104,9 +140,13 @@
   readonly drainedAtMs: ReadonlyMap<string, number>;
   readonly serviceOfMachine: readonly string[];
   readonly silences: readonly SoakSilence[];
+  readonly callerSilences: readonly CallerSilence[];
+  readonly pauses: readonly SoakPause[];
+  readonly coreTimes: readonly SoakCoreTime[];
   readonly ownEnds: readonly string[];
   /** From when on nothing was harmed any more. */
   readonly calmFromMs: number;
+  readonly endedAtMs: number;
   readonly terms: SoakTerms;
 }
 
@@ -120,6 +160,8 @@
   /** Time from a request's last byte within which a connection may end as if it had not been read. */
   readonly lossSlackMs: number;
   readonly recoveryMs: number;
+  /** Time after which a node closes a caller's connection on which nothing comes. */
+  readonly idleTimeoutMs: number;
   readonly maxAttempts: number;
   /** Configurations after which a route that came with one is dropped. */
   readonly routeLifeInConfigurations: number;
--- a/tools/soak/soak-run.ts
+++ b/tools/soak/soak-run.ts
@@ -1,10 +1,13 @@
 /** One soak: start, faults under traffic, a calm end, and the verdict. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { seededRandom } from '../emulator/seeded-random.js';
+import { CoreWatch } from './core-watch.js';
 import { planSoak, type PlannedFault } from './fault-plan.js';
 import { SoakFaultInjector } from './fault-injector.js';
+import { PauseWatch } from './pause-watch.js';
 import { judgeSoak, type BrokenPromise } from './promises.js';
 import { planSeries } from './series-plan.js';
+import { planSilences } from './silence-plan.js';
 import { serviceOf, SOAK_TERMS, SoakFleet } from './soak-fleet.js';
 import type { SoakArrival, SoakRecord } from './soak-record.js';
 import { SoakTraffic } from './soak-traffic.js';
@@ -20,6 +23,7 @@
 const BACKEND_STREAM = 2;
 const SERIES_STREAM = 3;
 const UPLOAD_STREAM = 4;
+const SILENCE_STREAM = 5;
 /** What the link to a node passes each way: 7 Mbit/s, as machines of the users' deployments have. */
 const LINK_BYTES_PER_S = 875_000;
 
@@ -29,8 +33,10 @@
  * - `faults`: single faults, under short requests.
  * - `series`: the same faults, and beside them what comes in series, under uploads and callers that keep
  *   their connections too, over links that pass only so much.
+ * - `silences`: the same series, and beside them silences on every kind of link, callers' ones too, and on
+ *   the links of machines that stop.
  */
-export const SOAK_PLANS = ['faults', 'series'] as const;
+export const SOAK_PLANS = ['faults', 'series', 'silences'] as const;
 
 /** What happens in a soak. */
 export type SoakPlan = (typeof SOAK_PLANS)[number];
@@ -66,8 +72,9 @@
   const fleet = await SoakFleet.start({
     network: params.network,
     machines: params.machines,
-    linkBytesPerS: params.plan === 'series' ? LINK_BYTES_PER_S : Infinity,
-    hasBackendLinks: params.plan === 'series',
+    linkBytesPerS: hasSeries(params) ? LINK_BYTES_PER_S : Infinity,
+    hasBackendLinks: hasSeries(params),
+    hasCallerLinks: params.plan === 'silences',
     random: seededRandom(params.seed, BACKEND_STREAM),
     nowMs,
     onArrival: (arrival) => arrivals.push(arrival),
@@ -103,7 +110,9 @@
     untilMs: WARM_UP_MS,
   } as const;
   injector.windows.push(startWindow);
-  const sending = [traffic.run(), ...(params.plan === 'series' ? [uploads.run()] : [])];
+  const pauseWatch = new PauseWatch(nowMs);
+  const coreWatch = new CoreWatch({ processes: () => fleet.processes(), nowMs });
+  const sending = [traffic.run(), ...(hasSeries(params) ? [uploads.run()] : [])];
   await delay(WARM_UP_MS);
   await performAll(params, injector);
   const calmFromMs = nowMs();
@@ -111,7 +120,10 @@
   await delay(SOAK_TERMS.recoveryMs + CALM_MS);
   await Promise.all([traffic.stop(), uploads.stop()]);
   await Promise.all(sending);
+  pauseWatch.stop();
+  coreWatch.stop();
   const record: SoakRecord = {
+    beganAt: new Date(Date.now() - nowMs()).toISOString(),
     calls: [...traffic.calls, ...uploads.calls],
     arrivals,
     windows: injector.windows,
@@ -121,8 +133,12 @@
     drainedAtMs: fleet.drainedAtMs,
     serviceOfMachine: Array.from({ length: machines }, (_, idx) => serviceOf(idx)),
     silences: fleet.silences(),
+    callerSilences: fleet.callerSilences(),
     ownEnds: fleet.ownEnds(),
+    pauses: pauseWatch.pauses,
+    coreTimes: coreWatch.times,
     calmFromMs,
+    endedAtMs: nowMs(),
     terms: SOAK_TERMS,
   };
   return { record, broken: judgeSoak(record) };
@@ -145,5 +161,14 @@
     return single;
   }
   const series = planSeries({ ...common, random: seededRandom(seed, SERIES_STREAM) });
-  return [...single, ...series].sort((left, right) => left.atMs - right.atMs);
+  const both = [...single, ...series];
+  const silences =
+    plan === 'silences'
+      ? planSilences({ ...common, random: seededRandom(seed, SILENCE_STREAM) }, both)
+      : [];
+  return [...both, ...silences].sort((left, right) => left.atMs - right.atMs);
+}
+
+function hasSeries({ plan }: SoakParams): boolean {
+  return plan !== 'faults';
 }
--- a/tools/soak/stop-promises.ts
+++ b/tools/soak/stop-promises.ts
@@ -2,6 +2,7 @@
  * Judges planned stops and reloads: a node ends by itself within its grace time, and a request that it
  * has read gets a whole answer, whatever other machines and the store suffer meanwhile. Pure.
  */
+import { isSilenced } from './caller-promises.js';
 import type { SoakFaultKind } from './fault-plan.js';
 import type { BrokenPromise } from './promises.js';
 import type { SoakArrival, SoakCall, SoakRecord, SoakStop } from './soak-record.js';
@@ -85,6 +86,7 @@
     wasRead &&
     hadTime &&
     !arrivals.some(({ brokeOff }) => brokeOff) &&
+    !isSilenced(record, call) &&
     !isExcused(record, call)
   );
 }
--- a/tools/soak/upload-traffic.ts
+++ b/tools/soak/upload-traffic.ts
@@ -5,6 +5,7 @@
 import http from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { RandomSource } from '../../src/control/control-event.js';
+import type { Place } from './link-proxy.js';
 import { sendCall, type SendingPace, type SoakRequest } from './soak-client.js';
 import {
   ROUTE_TIMEOUT_MS,
@@ -42,6 +43,8 @@
 const KEPT_UPLOAD_SHARE = 0.4;
 const KEPT_UNSAFE_SHARE = 0.3;
 const FILLER_STEP = 16;
+/** Of so many requests and kept connections, one goes through the link of callers, where there is one. */
+const LINKED_CYCLE = 3;
 
 /** What the traffic is made with. */
 export interface UploadTrafficParams {
@@ -52,11 +55,18 @@
   readonly perSecond: number;
 }
 
+/** The way that a request takes to its node. */
+interface CallerRoute {
+  readonly machine: SoakMachine;
+  readonly place: Place;
+  readonly agent: http.Agent | undefined;
+}
+
 /** The traffic, from its start until it is stopped. */
 export class UploadTraffic {
   readonly calls: SoakCall[] = [];
   private readonly underWay = new Set<Promise<void>>();
-  private readonly shared = new Map<number, http.Agent>();
+  private readonly shared = new Map<string, http.Agent>();
   private readonly kept: http.Agent[] = [];
   private isStopped = false;
   private count = 0;
@@ -68,7 +78,9 @@
     await Promise.all([
       this.runUploads(),
       ...this.params.fleet.machines.flatMap((machine) =>
-        Array.from({ length: KEPT_CONNECTIONS }, () => this.runKeptConnection(machine)),
+        Array.from({ length: KEPT_CONNECTIONS }, (_, idx) =>
+          this.runKeptConnection(machine, placeOf(machine, idx)),
+        ),
       ),
     ]);
   }
@@ -87,19 +99,20 @@
       await this.rest(MS_PER_SECOND / perSecond);
       const machine = fleet.machines[Math.floor(random() * fleet.machines.length)];
       if (!this.isStopped && machine !== undefined) {
-        const agent = random() < NEW_CONNECTION_SHARE ? undefined : this.sharedAgent(machine.idx);
-        void this.send(this.drawUpload(machine, agent));
+        const place = placeOf(machine, this.count);
+        const agent = random() < NEW_CONNECTION_SHARE ? undefined : this.sharedAgent(place);
+        void this.send(this.drawUpload({ machine, place, agent }));
       }
     }
   }
 
-  private async runKeptConnection(machine: SoakMachine): Promise<void> {
+  private async runKeptConnection(machine: SoakMachine, place: Place): Promise<void> {
     const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
     this.kept.push(agent);
     while (!this.isStopped) {
       await this.rest(MEAN_REST_MS);
       if (!this.isStopped) {
-        await this.send(this.drawKept(machine, agent));
+        await this.send(this.drawKept({ machine, place, agent }));
       }
     }
   }
@@ -117,14 +130,14 @@
     return sent;
   }
 
-  private drawKept(machine: SoakMachine, agent: http.Agent): SoakRequest {
+  private drawKept(route: CallerRoute): SoakRequest {
     const { random } = this.params;
     const dice = random();
     if (dice < KEPT_UPLOAD_SHARE) {
-      return this.drawUpload(machine, agent);
+      return this.drawUpload(route);
     }
     const isSafe = dice >= KEPT_UPLOAD_SHARE + KEPT_UNSAFE_SHARE;
-    const common = this.drawCommon(machine, agent, CALL_DEADLINES_MS);
+    const common = this.drawCommon(route, CALL_DEADLINES_MS);
     return {
       ...common,
       isSafe,
@@ -135,9 +148,9 @@
     };
   }
 
-  private drawUpload(machine: SoakMachine, agent: http.Agent | undefined): SoakRequest {
+  private drawUpload(route: CallerRoute): SoakRequest {
     const { random } = this.params;
-    const common = this.drawCommon(machine, agent, UPLOAD_DEADLINES_MS);
+    const common = this.drawCommon(route, UPLOAD_DEADLINES_MS);
     const body = uploadBody(common.id, drawUploadBytes(random));
     const pace = random() < SLOW_SHARE ? drawPace(body.length, random) : undefined;
     const isStalled = pace !== undefined && pace.stallsAfter !== Infinity;
@@ -153,8 +166,7 @@
   }
 
   private drawCommon(
-    machine: SoakMachine,
-    agent: http.Agent | undefined,
+    { machine, place, agent }: CallerRoute,
     deadlinesMs: readonly number[],
   ): Pick<
     SoakRequest,
@@ -166,7 +178,7 @@
       id: `u${this.count}`,
       machine: machine.idx,
       life: machine.life,
-      place: machine.caller,
+      place,
       host: SOAK_HOST,
       addedBy: undefined,
       deadlineMs: deadlinesMs[Math.floor(random() * deadlinesMs.length)] ?? UPLOAD_TIMEOUT_MS,
@@ -175,13 +187,19 @@
     };
   }
 
-  private sharedAgent(idx: number): http.Agent {
-    const agent = this.shared.get(idx) ?? new http.Agent({ keepAlive: true });
-    this.shared.set(idx, agent);
+  private sharedAgent({ address, port }: Place): http.Agent {
+    const name = `${address}:${port}`;
+    const agent = this.shared.get(name) ?? new http.Agent({ keepAlive: true });
+    this.shared.set(name, agent);
     return agent;
   }
 }
 
+/** Where a request goes: the link of callers now and then, where the machine has one. */
+function placeOf({ caller, linkedCaller }: SoakMachine, idx: number): Place {
+  return idx % LINKED_CYCLE === 0 ? (linkedCaller ?? caller) : caller;
+}
+
 /** A size by Box and Muller. */
 function drawUploadBytes(random: RandomSource): number {
   const normal = Math.sqrt(-2 * Math.log(1 - random())) * Math.cos(2 * Math.PI * random());
