--- a/src/runtime/logger.ts
+++ b/src/runtime/logger.ts
@@ -1,5 +1,8 @@
-/** Structured logs: one JSON object a line, one line for each change of state. */
-import { createConsola, type ConsolaReporter, type LogType } from 'consola';
+/**
+ * Structured logs: one JSON object a line, one line for each change of state. The library's core is
+ * enough: its reporters for terminals are not used, and each start would pay for them.
+ */
+import { createConsola, type ConsolaReporter, type LogType } from 'consola/core';
 
 /** Least severe level that is written. */
 export type LogLevelName = 'error' | 'warn' | 'info' | 'debug';
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -1,5 +1,11 @@
-/** Counters, gauges and histograms of one node, in Prometheus text format. */
-import { Counter, Gauge, Histogram, Registry } from 'prom-client';
+/**
+ * Counters, gauges and histograms of one node, in Prometheus text format. The library's single modules
+ * are loaded: all of it loads TLS, clusters and a tracing API, which each start would pay for.
+ */
+import Counter from 'prom-client/lib/counter.js';
+import Gauge from 'prom-client/lib/gauge.js';
+import Histogram from 'prom-client/lib/histogram.js';
+import Registry from 'prom-client/lib/registry.js';
 import type { CounterSink } from '../control/control-event.js';
 
 /** One value of a gauge that has labels. */
