--- a/src/claims/claim-terms.ts
+++ b/src/claims/claim-terms.ts
@@ -1,5 +1,4 @@
 /** Terms of claims on idempotency keys: who holds them, for how long, how many. */
-import { createHash } from 'node:crypto';
 
 /** How long a holder keeps a claim, from its last step, in milliseconds. */
 export const CLAIM_KEEP_MS = 300_000;
@@ -24,14 +23,6 @@
 /** Longest idempotency key, in characters. */
 export const MAX_KEY_LENGTH = 255;
 
-const CLAIM_DIGEST_LENGTH = 32;
-
-/** Digest of a service's key, by which it is claimed. */
-export function claimDigest(service: string, key: string): string {
-  const digest = createHash('sha256').update(service).update('\0').update(key).digest('hex');
-  return digest.slice(0, CLAIM_DIGEST_LENGTH);
-}
-
 /** Grants that make a majority of `holders`. */
 export function majorityOf(holders: number): number {
   return Math.floor(holders / 2) + 1;
--- a/src/claims/control-plane-claims.ts
+++ b/src/claims/control-plane-claims.ts
@@ -2,7 +2,7 @@
 import type { ControlEvent } from '../control/control-event.js';
 import type { ClaimedAttempt, IdempotencyClaims } from '../proxy/idempotency-claims.js';
 import type { ClaimOutcome } from './claim-command.js';
-import { claimDigest } from './claim-terms.js';
+import { claimDigest } from './claim-digest.js';
 
 /** Claims of one node. */
 export class ControlPlaneClaims implements IdempotencyClaims {
--- a/src/proxy/relay/relay-token.ts
+++ b/src/proxy/relay/relay-token.ts
@@ -1,8 +1,9 @@
 /**
  * Proof, on each relayed request, that the sender holds the fleet key: a keyed hash over the
  * sender's machine identity and an expiry. Wall clocks of nodes may differ by up to the lifetime.
+ * Node's cryptography is loaded at its first use: a start without a fleet key would pay for it.
  */
-import { createHmac, timingSafeEqual } from 'node:crypto';
+import type crypto from 'node:crypto';
 
 /** How long a token is valid, in milliseconds; far above the differences between clocks. */
 export const TOKEN_LIFETIME_MS = 300_000;
@@ -48,7 +49,7 @@
   }
   const [, machineId = '', expiry = '', signature = ''] = match;
   const expected = sign(fleetKey, `${machineId}:${expiry}`);
-  if (!timingSafeEqual(expected, Buffer.from(signature, 'hex'))) {
+  if (!cryptography().timingSafeEqual(expected, Buffer.from(signature, 'hex'))) {
     return undefined;
   }
   const leftMs = Number(expiry) - wallClockMs;
@@ -57,5 +58,10 @@
 }
 
 function sign(fleetKey: Uint8Array, claim: string): Buffer {
-  return createHmac('sha256', fleetKey).update(PURPOSE).update('\0').update(claim).digest();
+  const hash = cryptography().createHmac('sha256', fleetKey);
+  return hash.update(PURPOSE).update('\0').update(claim).digest();
+}
+
+function cryptography(): typeof crypto {
+  return process.getBuiltinModule('node:crypto');
 }
--- a/test/claims/claim-component.test.ts
+++ b/test/claims/claim-component.test.ts
@@ -2,10 +2,10 @@
 import { ClaimComponent } from '../../src/claims/claim-component.js';
 import type { ClaimOutcome } from '../../src/claims/claim-command.js';
 import { ClaimTable } from '../../src/claims/claim-table.js';
+import { claimDigest } from '../../src/claims/claim-digest.js';
 import {
   CLAIM_KEEP_MS,
   CLAIM_ROUND_MS,
-  claimDigest,
   SETTLE_MS,
   SYNC_INTERVAL_MS,
 } from '../../src/claims/claim-terms.js';
