--- a/test/proxy/request-lifecycle.test.ts
+++ b/test/proxy/request-lifecycle.test.ts
@@ -264,6 +264,24 @@
     expect(outcomeAt(901)).to.deep.equal(['REFUSED not-run']);
   });
 
+  it('counts the back-off in the time that a refusal needs to be told', () => {
+    const policy = {
+      repeatable: true,
+      deadlineAtMs: 1_000,
+      refusableUntilMs: 900,
+      retries: 2,
+      retryBudgetPercent: 100,
+      redirects: 0,
+    };
+    const outcomeAt = (nowMs: number): string[] => {
+      const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
+      lifecycle.handle(START, 0);
+      return lifecycle.handle(failed(1, notRun), nowMs).map(describeEffect);
+    };
+    expect(outcomeAt(895)).to.deep.equal(['back-off']);
+    expect(outcomeAt(896)).to.deep.equal(['REFUSED not-run']);
+  });
+
   it('tries again until the deadline what may have run anyway', () => {
     const policy = {
       repeatable: true,
