--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -253,7 +253,10 @@
       return undefined;
     }
     const delayMs = this.random() * FIRST_BACK_OFF_MS * 2 ** (this.attempt - 1);
-    if (nowMs + delayMs >= this.policy.deadlineAtMs || !this.budget.take()) {
+    const beginsAtMs = nowMs + delayMs;
+    const isTooLate =
+      beginsAtMs >= this.policy.deadlineAtMs || this.isBestTold(failure, beginsAtMs);
+    if (isTooLate || !this.budget.take()) {
       return undefined;
     }
     this.retriesLeft -= 1;
