--- a/src/proxy/planned-stop.ts
+++ b/src/proxy/planned-stop.ts
@@ -24,6 +24,8 @@
 
 /** Bounds of a planned stop, in milliseconds. */
 export interface PlannedStopLimits extends StopLimits {
+  /** Time that callers need to notice the stop: until then it goes on taking however quiet it is. */
+  readonly stopNoticeMs: number;
   /** Time without a new request after which a stop ends early. */
   readonly stopQuietMs: number;
   /** Time for connections to close in, after all other bounds. */
--- a/src/proxy/proxy-limits.ts
+++ b/src/proxy/proxy-limits.ts
@@ -47,6 +47,8 @@
   readonly maxIdleEndpointConnectionMs: number;
   /** Time to open a connection, in milliseconds. */
   readonly connectTimeoutMs: number;
+  /** Time that callers need to notice a planned stop, in milliseconds; no stop ends before. */
+  readonly stopNoticeMs: number;
   /** Time without a new request after which a planned stop is over, in milliseconds. */
   readonly stopQuietMs: number;
 }
@@ -73,6 +75,7 @@
   connectTimeoutMs: 1_000,
   stopTimeoutMs: 30_000,
   stopAnswerMs: 250,
+  stopNoticeMs: 0,
   stopAcceptMs: 1_000,
   stopQuietMs: 300,
   cancelLeadShare: 0.1,
--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -29,6 +29,11 @@
  * up 750 ms before the grace time is over, and what it sends is read for 150 ms more.
  */
 const SENDS_UNTIL_MS = 5_380;
+/**
+ * Callers send no more new work to a node after two questions in vain whether it is ready, one a second,
+ * in milliseconds.
+ */
+const NOTICED_MS = 2_000;
 /** Requests that a back end of the fleet runs at once. */
 const SLOTS = 4;
 const SLOW_ROUTE = { kind: 'unsafe', timeoutS: 9, targetLatencyS: 9, maxAttempts: 1 } as const;
@@ -114,6 +119,16 @@
     expect(first.log.join('')).to.match(/drained to 0 in flight, [1-9]\d* given up/);
   });
 
+  it('takes callers who can not have noticed it yet, though no request came for a while', async () => {
+    const [first, second] = await twoMachines();
+    second.backend.behaviour = (_request, response, { requestId }) => answer(response, requestId);
+    const stopped = stop(first);
+    expect(await fleet.readiness(first)).to.equal(503);
+    await pause(NOTICED_MS);
+    expect((await fleet.call(first, { path: '/p1/x' })).status).to.equal(200);
+    expect(await stopped).to.be.lessThan(LAST_SIXTH_MS);
+  });
+
   it('tells its peers what became of their requests before it closes their connections', async () => {
     const [first, second] = await twoMachines();
     const calls = uploads(second, '/p/x', SLOTS + 1);
--- a/test/proxy/server-drain.test.ts
+++ b/test/proxy/server-drain.test.ts
@@ -7,6 +7,7 @@
 import { call, connect, readUntilClose } from '../standins/http-client.js';
 
 const LIMITS = {
+  stopNoticeMs: 0,
   stopQuietMs: 300,
   stopAcceptMs: 1_000,
   stopTimeoutMs: 29_750,
@@ -48,6 +49,15 @@
     });
   }
 
+  it('goes on taking until callers can have noticed, though it is quiet', () => {
+    const stop = new PlannedStop({ ...LIMITS, stopNoticeMs: 800 });
+    stop.handle({ type: 'stop' }, 0);
+    const look = { type: 'look', inFlight: 0, lastArrivalAtMs: -1_000 } as const;
+    expect(stop.handle(look, 799)).to.deep.equal([]);
+    expect(stop.state).to.equal('taking');
+    expect(stop.handle(look, 800)).to.deep.equal(['shut-listeners']);
+  });
+
   describe('on a real server', () => {
     let server: Server;
     let port: number;
--- a/test/proxy/stop/stop-world.ts
+++ b/test/proxy/stop/stop-world.ts
@@ -37,6 +37,7 @@
 
 /** Bounds of the stop, in milliseconds. */
 export const LIMITS = {
+  stopNoticeMs: 60,
   stopQuietMs: 40,
   stopAcceptMs: 100,
   stopTimeoutMs: 300,
