--- a/src/proxy/planned-stop.ts
+++ b/src/proxy/planned-stop.ts
@@ -145,7 +145,7 @@
     const isDue = nowMs >= this.nextBoundMs();
     switch (this.current) {
       case 'taking':
-        return isDue || this.isQuiet(seen, nowMs) ? this.shut() : [];
+        return isDue || this.areCallersGone(seen, nowMs) ? this.shut() : [];
       case 'refusing':
         return this.wait(seen, nowMs, isDue);
       case 'answering':
@@ -169,6 +169,11 @@
     return isDue ? this.enter('answering', ['give-up']) : [];
   }
 
+  /** Callers have had time to notice the stop, and none comes any more. */
+  private areCallersGone(seen: Look, nowMs: number): boolean {
+    return nowMs - this.startedAtMs >= this.limits.stopNoticeMs && this.isQuiet(seen, nowMs);
+  }
+
   /** Nothing is in flight and nothing has arrived for a while. */
   private isQuiet({ inFlight, lastArrivalAtMs }: Look, nowMs: number): boolean {
     const lastAtMs = Math.max(this.startedAtMs, lastArrivalAtMs, this.tookWaitingAtMs);
