--- a/src/proxy/caller-connections.ts
+++ b/src/proxy/caller-connections.ts
@@ -16,6 +16,8 @@
 export class CallerConnections {
   private readonly exchangesOf = new WeakMap<Duplex, OpenExchanges>();
   private readonly closing = new WeakSet<Duplex>();
+  /** What is done once the whole requests of a connection are answered. */
+  private readonly answeredListeners = new WeakMap<Duplex, () => void>();
 
   /** An exchange begins. */
   began(socket: Duplex, response: ServerResponse): void {
@@ -28,6 +30,17 @@
     return (this.exchangesOf.get(socket)?.size ?? 0) > 0;
   }
 
+  /** Whether a request of the connection that was read to its end waits for its answer. */
+  hasWholeRequest(socket: Duplex): boolean {
+    return [...(this.exchangesOf.get(socket)?.keys() ?? [])].some(({ req }) => req.complete);
+  }
+
+  /** Calls `action` once all requests that were read to their end are answered, or broken off. */
+  onceAnswered(socket: Duplex, action: () => void): void {
+    this.answeredListeners.set(socket, action);
+    this.tellAnswered(socket);
+  }
+
   /** Whether a request that came behind that of `response` waits for its answer. */
   hasRequestBehind(socket: Duplex, response: ServerResponse): boolean {
     const responses = [...(this.exchangesOf.get(socket)?.keys() ?? [])];
@@ -77,5 +90,14 @@
     for (const listener of listeners) {
       listener(response.writableFinished);
     }
+    this.tellAnswered(socket);
+  }
+
+  private tellAnswered(socket: Duplex): void {
+    const listener = this.answeredListeners.get(socket);
+    if (listener !== undefined && !this.hasWholeRequest(socket)) {
+      this.answeredListeners.delete(socket);
+      listener();
+    }
   }
 }
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -5,16 +5,16 @@
  * and `ferryspool-request-id`.
  */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
-import type { Duplex } from 'node:stream';
 import { MAX_KEY_LENGTH } from '../claims/claim-terms.js';
-import { VERDICT_HEADER, type Verdict } from '../model/verdict.js';
+import type { Verdict } from '../model/verdict.js';
 import { CallerConnections } from './caller-connections.js';
-import { errorBody, type CallerProtocol } from './caller-protocol.js';
+import type { CallerProtocol } from './caller-protocol.js';
 import { passAnswer, type AnswerObserver } from './answer-relay.js';
 import { ResponseSink } from './response-sink.js';
 import type { Answer } from './call.js';
 import { sendError } from './error-answer.js';
 import { headerValue, messageHeaders, parseMilliseconds, type HeaderList } from './headers.js';
+import { createMalformedListener } from './malformed-request.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import { BadRequestError, type RequestError } from './request-error.js';
 import type { CallerReply } from './request-context.js';
@@ -145,13 +145,13 @@
   };
   server.on('request', take);
   server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
-    response.writeContinue();
+    if (!connections.isClosing(request.socket)) {
+      response.writeContinue();
+    }
     take(request, response);
   });
   server.on('checkExpectation', take);
-  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-    answerMalformed(error, socket, connections.hasOpenRequest(socket));
-  });
+  server.on('clientError', createMalformedListener(connections));
   return server;
 }
 
@@ -219,36 +219,3 @@
 function optionalHeader(request: IncomingMessage, name: string | undefined): string | undefined {
   return name === undefined ? undefined : headerValue(request.rawHeaders, name);
 }
-
-/**
- * Answers bytes that are not HTTP. While an earlier request of the connection is open, its caller
- * would take the error for that request's answer, so the connection is only closed.
- */
-function answerMalformed(
-  error: NodeJS.ErrnoException,
-  socket: Duplex,
-  hasOpenRequest: boolean,
-): void {
-  if (!socket.writable || hasOpenRequest || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const status = malformedStatus(error.code);
-  const body = errorBody('BAD_REQUEST', `the request is malformed: ${error.code ?? ''}`, 'not-run');
-  socket.end(
-    `HTTP/1.1 ${status} ${http.STATUS_CODES[status] ?? ''}\r\n` +
-      `${VERDICT_HEADER}: not-run\r\nContent-Type: application/json\r\n` +
-      `Content-Length: ${Buffer.byteLength(body)}\r\nConnection: close\r\n\r\n${body}`,
-  );
-}
-
-function malformedStatus(code: string | undefined): number {
-  switch (code) {
-    case 'HPE_HEADER_OVERFLOW':
-      return 431;
-    case 'ERR_HTTP_REQUEST_TIMEOUT':
-      return 408;
-    default:
-      return 400;
-  }
-}
--- a/src/proxy/error-answer.ts
+++ b/src/proxy/error-answer.ts
@@ -7,7 +7,7 @@
  * that is closed with bytes unread is reset, and the reset takes an answer away that its caller has not
  * read yet.
  */
-const LINGER_MS = 150;
+export const LINGER_MS = 150;
 
 /** Sends `answer` whole; where the body of `request` is still arriving, the connection closes later. */
 export function sendError(
