--- a/src/api/client-error.ts
+++ b/src/api/client-error.ts
@@ -17,6 +17,8 @@
 
 /** Answers on a bare socket and closes it. */
 export function sendErrorOnSocket(socket: Duplex, error: ApiError): void {
+  // Node leaves the socket of a CONNECT to its new owner: a reset would end the process.
+  socket.on('error', () => socket.destroy());
   if (!socket.writable) {
     socket.destroy();
     return;
