--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -18,6 +18,8 @@
 const REPORT_LIFETIME_MS = 500;
 /** Least time after which a refused caller is told to come back, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 50;
+/** The same where the endpoint has no slots, so that no pace tells it, in milliseconds. */
+const NO_SLOT_RETRY_AFTER_MS = 1_000;
 
 /** Why a request is refused. Each is decided before the request is sent. */
 export type RefusalReason = 'queue-full' | 'cannot-finish-in-time' | 'deadline-passed' | 'draining';
@@ -91,7 +93,10 @@
     return Math.min(startByMs, this.lastUsefulStartMs(ticket));
   }
 
-  /** Takes a change of the endpoint's slots; running requests are left alone. */
+  /**
+   * Takes a change of the endpoint's slots; running requests are left alone. Without slots, what waits
+   * still runs, one at a time, and new requests are refused.
+   */
   setSlots(slots: number, nowMs: number): AdmissionEffect[] {
     this.slots = slots;
     this.limit = slots;
@@ -239,6 +244,10 @@
     if (ticket.deadlineAtMs <= nowMs) {
       return 'deadline-passed';
     }
+    // Callers would be told to come back after an infinite time, or after none that is a number.
+    if (this.slots === 0) {
+      return 'queue-full';
+    }
     const waitMs = this.expectedWaitMs(rankOf(ticket));
     const waitsTooLong = waitMs > 0 && nowMs + waitMs > (ticket.startByMs ?? Infinity);
     return waitsTooLong || this.isTooLate(ticket, nowMs + waitMs)
@@ -272,7 +281,8 @@
 
   /** `bodyWaitMs` is how much sooner the body would have to arrive. */
   private refusal(ticket: AdmissionTicket, reason: RefusalReason, bodyWaitMs = 0): Refusal {
-    const slotWaitMs = this.expectedWaitMs(rankOf(ticket));
+    const hasSlots = this.slots > 0;
+    const slotWaitMs = hasSlots ? this.expectedWaitMs(rankOf(ticket)) : NO_SLOT_RETRY_AFTER_MS;
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, slotWaitMs, bodyWaitMs);
     return { requestId: ticket.requestId, reason, retryAfterMs };
   }
