--- /dev/null
+++ b/test/proxy/expired-waiting.test.ts
@@ -0,0 +1,79 @@
+/**
+ * A request that waits for a slot until shortly before its deadline: what the log of the node beside
+ * the endpoint says of it.
+ *
+ * What happens: its caller is told a refusal, and the log of the node that refused it has no line.
+ */
+import { expect } from 'chai';
+import { resourceSchema, type Endpoint } from '../../src/model/resource.js';
+import type { Call } from '../../src/proxy/call.js';
+import type { EndpointPort } from '../../src/proxy/endpoint-client.js';
+import { EndpointGate } from '../../src/proxy/endpoint-gate.js';
+import { EMPTY_BODY } from '../../src/proxy/request-body.js';
+import type { RequestDecision } from '../../src/proxy/request-log.js';
+import { MACHINE_TIME } from '../../src/proxy/scheduler.js';
+import { echoEndpoint, until } from './rig.js';
+
+const DEADLINE_MS = 100;
+
+/** An endpoint that never answers. */
+const SILENT: EndpointPort = {
+  send: () => ({ wasSent: () => true, abort: () => undefined }),
+  cancel: () => undefined,
+  probeDraining: () => undefined,
+};
+
+function callOf(requestId: string, deadlineMs: number): Call {
+  return {
+    requestId,
+    method: 'POST',
+    target: '/',
+    headers: ['Host', 'a'],
+    body: EMPTY_BODY,
+    deadlineAtMs: MACHINE_TIME.now() + deadlineMs,
+    callerNode: 'n2',
+    retriesLeft: 0,
+    priority: 0,
+    workClass: 'all',
+    travelLostMs: 3,
+  };
+}
+
+describe('a request that waits until shortly before its deadline', () => {
+  it('has a line in the log of the node that refused it', async () => {
+    const lines: RequestDecision[] = [];
+    const gate = new EndpointGate(resourceSchema.parse(echoEndpoint('e1', 1)) as Endpoint, 1, {
+      client: SILENT,
+      counters: { add: () => undefined },
+      scheduler: MACHINE_TIME,
+      maxQueuedPerEndpoint: 10,
+      cancelLead: { cancelLeadShare: 0.1, maxCancelLeadMs: 10 },
+      requestLog: { record: (line) => lines.push(line) },
+      logStateChange: () => undefined,
+    });
+    const codes: string[] = [];
+    const observer = {
+      answered: () => undefined,
+      failed: ({ code }: { code: string }) => codes.push(code),
+    };
+    const running = gate.submit(callOf('running', 60_000), observer);
+    gate.submit(callOf('waiting', DEADLINE_MS), observer);
+    await until(() => codes.length > 0);
+    running.abort();
+    expect(codes).to.deep.equal(['CANNOT_FINISH_IN_TIME']);
+    const { deadlineLeftMs = NaN, startLeftMs = NaN, ...line } = lines[0] ?? {};
+    expect(line).to.deep.equal({
+      event: 'attempt-refused',
+      request: 'waiting',
+      endpoint: 'e1',
+      code: 'cannot-finish-in-time',
+      retryAfterMs: 1_000,
+      travelLostMs: 3,
+      running: 1,
+      waiting: 0,
+      slots: 1,
+    });
+    expect(deadlineLeftMs).to.be.within(0, DEADLINE_MS);
+    expect(startLeftMs).to.be.at.most(deadlineLeftMs);
+  });
+});
