--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -108,6 +108,11 @@
     return wasWaiting;
   }
 
+  recordExpiry(call: Call, retryAfterMs: number): void {
+    const { requestId } = call;
+    this.recordRefusal({ requestId, reason: 'cannot-finish-in-time', retryAfterMs }, call);
+  }
+
   release(call: Call, serviceMs: number | undefined): void {
     this.calls.delete(call.requestId);
     if (serviceMs !== undefined) {
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -41,6 +41,8 @@
   load(workClass: string): LoadReport;
   /** The request is given up; true when it was still waiting. */
   withdraw(call: Call): boolean;
+  /** A request that waited is refused, to come back after `retryAfterMs`; for the log. */
+  recordExpiry(call: Call, retryAfterMs: number): void;
   /** A dispatched request no longer occupies the endpoint; with its time when it was answered. */
   release(call: Call, serviceMs: number | undefined): void;
   /** The endpoint answered and told its load. */
@@ -130,6 +132,7 @@
 
   private expireWaiting(): void {
     if (this.attempt === undefined && this.gate.withdraw(this.call)) {
+      this.gate.recordExpiry(this.call, DEFAULT_RETRY_AFTER_MS);
       this.refuse(new CannotFinishInTimeError('no slot came free in time', DEFAULT_RETRY_AFTER_MS));
     }
   }
