--- a/test/proxy/rig.ts
+++ b/test/proxy/rig.ts
@@ -5,6 +5,7 @@
 import type { Resource } from '../../src/model/resource.js';
 import { resourceSchema } from '../../src/model/resource.js';
 import { buildSnapshot, NO_SNAPSHOT_VERSION, type Snapshot } from '../../src/model/snapshot.js';
+import type { IdempotencyClaims } from '../../src/proxy/idempotency-claims.js';
 import type { ProxyLimits } from '../../src/proxy/proxy-limits.js';
 import { RelayTokenIssuer } from '../../src/proxy/relay/relay-token.js';
 import type { RequestProxy } from '../../src/proxy/request-path.js';
@@ -120,7 +121,11 @@
     this.snapshot = buildSnapshot(NO_SNAPSHOT_VERSION, parsed);
   }
 
-  async addNode(id: string, limits: Partial<ProxyLimits> = {}): Promise<TestNode> {
+  async addNode(
+    id: string,
+    limits: Partial<ProxyLimits> = {},
+    claims?: IdempotencyClaims,
+  ): Promise<TestNode> {
     const counters = new Map<string, number>();
     const proxy = createRequestProxy({
       identity: identityOf(id),
@@ -134,6 +139,7 @@
       random: seededRandom(7),
       limits: { stopQuietMs: 30, ...limits },
       fleetKey: FLEET_KEY,
+      ...(claims && { claims }),
       logStateChange: () => undefined,
     });
     const callerPort = await listen(proxy.callerServer);
