--- a/src/proxy/request-intake.ts
+++ b/src/proxy/request-intake.ts
@@ -5,8 +5,8 @@
 import { HeldBytes, receiveBody } from './body-receiver.js';
 import type { CallMeter } from './call-meter.js';
 import type { CallerRequest, CallerResponse } from './caller-server.js';
-import { startWhenClaimed } from './claim-gate.js';
-import type { ClaimedAttempt } from './idempotency-claims.js';
+import { ClaimGate } from './claim-gate.js';
+import type { ClaimedAttempt, IdempotencyClaims } from './idempotency-claims.js';
 import type { PlannedStop } from './planned-stop.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import type { CallerReply } from './request-context.js';
@@ -19,7 +19,7 @@
   RequestError,
   RouteNotFoundError,
 } from './request-error.js';
-import { ATTEMPT_SEPARATOR } from './request-log.js';
+import { ATTEMPT_SEPARATOR, NO_REQUEST_LOG } from './request-log.js';
 import type { RequestProxyOptions } from './request-path.js';
 import { RequestRunner } from './request-runner.js';
 import type { RequestServices } from './request-services.js';
@@ -57,6 +57,8 @@
   private requestCount = 0;
   /** Callers' requests under way. */
   private readonly runners = new Set<RequestRunner>();
+  /** Callers' requests that came with a key to claim. */
+  private readonly claimGates = new Set<ClaimGate>();
 
   constructor(private readonly options: RequestIntakeOptions) {
     this.heldBytes = new HeldBytes(options.limits.maxHeldBytes);
@@ -64,7 +66,9 @@
 
   /** Gives every caller's request under way its final answer. Returns how many there were. */
   giveUp(): number {
-    return [...this.runners].filter((runner) => runner.giveUp()).length;
+    const log = this.options.node.requestLog ?? NO_REQUEST_LOG;
+    const waiting = [...this.claimGates].filter((gate) => gate.giveUp(log)).length;
+    return waiting + [...this.runners].filter((runner) => runner.giveUp()).length;
   }
 
   /** Unique in the fleet. */
@@ -132,10 +136,22 @@
     if (attempt === undefined || this.options.node.claims === undefined) {
       start(response);
     } else {
-      void startWhenClaimed(this.options.node.claims, attempt, response, start);
+      this.claim(this.options.node.claims, attempt, response, start);
     }
   }
 
+  private claim(
+    claims: IdempotencyClaims,
+    attempt: ClaimedAttempt,
+    response: CallerReply,
+    start: (reply: CallerReply) => void,
+  ): void {
+    const gate = new ClaimGate(claims, attempt, response);
+    this.claimGates.add(gate);
+    response.onClose(() => this.claimGates.delete(gate));
+    void gate.startWhenClaimed(start);
+  }
+
   /** What has to be claimed before the request may be sent on; undefined when nothing has to be. */
   private attemptToClaim(
     request: CallerRequest,
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -19,10 +19,11 @@
   | 'endpoint-failed';
 
 /**
- * What a request waits for: the rest of its `body`, a `slot` of an endpoint or a connection, the
- * `peer` beside the endpoint, the `endpoint`, or a pause before the next attempt (`back-off`).
+ * What a request waits for: the `claim` on its key, the rest of its `body`, a `slot` of an endpoint or a
+ * connection, the `peer` beside the endpoint, the `endpoint`, or a pause before the next attempt
+ * (`back-off`).
  */
-export type AwaitedThing = 'body' | 'slot' | 'peer' | 'endpoint' | 'back-off';
+export type AwaitedThing = 'claim' | 'body' | 'slot' | 'peer' | 'endpoint' | 'back-off';
 
 /** One decision. Times are in milliseconds. */
 export interface RequestDecision {
--- a/test/proxy/claim-gate.test.ts
+++ b/test/proxy/claim-gate.test.ts
@@ -1,7 +1,7 @@
 import { expect } from 'chai';
 import type { ClaimOutcome } from '../../src/claims/claim-command.js';
 import type { Answer } from '../../src/proxy/call.js';
-import { startWhenClaimed } from '../../src/proxy/claim-gate.js';
+import { ClaimGate } from '../../src/proxy/claim-gate.js';
 import type { ClaimedAttempt } from '../../src/proxy/idempotency-claims.js';
 import {
   NoEndpointError,
@@ -9,6 +9,7 @@
   type RequestError,
 } from '../../src/proxy/request-error.js';
 import type { CallerReply } from '../../src/proxy/request-context.js';
+import { NO_REQUEST_LOG } from '../../src/proxy/request-log.js';
 
 const ATTEMPT: ClaimedAttempt = { service: 'payments', key: 'k1', attempt: 'n1-1' };
 
@@ -31,7 +32,7 @@
     breakConnection: () => void told.push('break'),
     onClose: (action) => (isCallerGone ? action(false) : undefined),
   };
-  await startWhenClaimed(claims, ATTEMPT, reply, (claimed) => {
+  await new ClaimGate(claims, ATTEMPT, reply).startWhenClaimed((claimed) => {
     told.push('start');
     after(claimed);
   });
@@ -102,4 +103,37 @@
       expect(await run(outcome, after ?? (() => undefined), isCallerGone)).to.deep.equal(told);
     });
   }
+
+  it('is given up once, and only while it waits for its claim and its caller is there', async () => {
+    const told: string[] = [];
+    const claims = {
+      open: () => Promise.resolve(WON),
+      finish: () => void told.push('finish'),
+      release: () => void told.push('release'),
+    };
+    let leave = (): void => undefined;
+    const reply: CallerReply = {
+      answer: () => undefined,
+      hasBegun: () => false,
+      breakConnection: () => undefined,
+      fail: ({ code }: RequestError, verdict) => void told.push(`${code} ${verdict}`),
+      onClose: (action) => {
+        leave = () => action(false);
+      },
+    };
+    const gate = (): ClaimGate => new ClaimGate(claims, ATTEMPT, reply);
+
+    const waiting = gate();
+    expect([waiting.giveUp(NO_REQUEST_LOG), waiting.giveUp(NO_REQUEST_LOG)]).to.deep.equal([
+      true,
+      false,
+    ]);
+    const left = gate();
+    leave();
+    expect(left.giveUp(NO_REQUEST_LOG)).to.equal(false);
+    const started = gate();
+    await started.startWhenClaimed(() => void told.push('start'));
+    expect(started.giveUp(NO_REQUEST_LOG)).to.equal(false);
+    expect(told).to.deep.equal(['NODE_STOPPING not-run', 'start']);
+  });
 });
