--- a/test/platform/program.test.ts
+++ b/test/platform/program.test.ts
@@ -1,7 +1,8 @@
-/** The platform's program as real processes: start, service, metrics, signals, refused settings. */
-import { spawn, type ChildProcess } from 'node:child_process';
+/** The platform's program as real processes: start, service, metrics, signals (also at the start), refused settings. */
+import { execFileSync, spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, renameSync, rmSync, writeFileSync } from 'node:fs';
+import { open } from 'node:fs/promises';
 import http from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -19,6 +20,7 @@
 const FIRST_INTERNAL_PORT = 21_420;
 /** Time for an answer, in milliseconds. */
 const ANSWER_MS = 5_000;
+const SIGNALS_AT_START = 10;
 
 interface Program {
   readonly address: string;
@@ -92,6 +94,10 @@
   function start(address: string, text = settingsText(address, store.port)): Program {
     const file = join(folder, `${address}.conf`);
     writeFileSync(file, text);
+    return startWith(address, file);
+  }
+
+  function startWith(address: string, file: string): Program {
     const child = spawn(process.execPath, [MAIN], {
       env: { ...process.env, FERRYSPOOL_CONFIG: file },
       stdio: ['ignore', 'pipe', 'pipe'],
@@ -127,6 +133,26 @@
     return program;
   }
 
+  /** Sends the signal many times while the program reads its settings, which come through a pipe. */
+  async function signalAtStart(address: string, signal: 'SIGHUP' | 'SIGTERM'): Promise<Program> {
+    const pipe = join(folder, `${address}.conf`);
+    execFileSync('mkfifo', [pipe]);
+    const program = startWith(address, pipe);
+    // Opens once the program has opened the other end.
+    const writer = await open(pipe, 'w');
+    for (let count = 0; count < SIGNALS_AT_START; count += 1) {
+      program.process.kill(signal);
+      await pause(10);
+    }
+    // Whatever reads the settings again finds a file.
+    const file = `${pipe}.file`;
+    writeFileSync(file, settingsText(address, store.port));
+    renameSync(file, pipe);
+    await writer.writeFile(settingsText(address, store.port)).catch(() => undefined);
+    await writer.close();
+    return program;
+  }
+
   async function addBackend(address: string): Promise<void> {
     const backend = await BackendStandIn.start(`i-${address}`, address, BACKEND_PORT);
     backends.push(backend);
@@ -177,6 +203,21 @@
     expect([code, program.text().includes('node-stopped')]).to.deep.equal([0, true]);
   });
 
+  it('starts though it is told that its settings changed while it reads them', async () => {
+    const program = await signalAtStart(addressOf(5), 'SIGHUP');
+    await until(program, () => program.text().includes('"node-started"'));
+    await until(program, () => program.text().includes('settings-read-again'));
+  });
+
+  it('ends in order when it is told to stop while it reads its settings', async () => {
+    const program = await signalAtStart(addressOf(6), 'SIGTERM');
+    if (program.process.exitCode === null && program.process.signalCode === null) {
+      await once(program.process, 'close');
+    }
+    const { exitCode, signalCode } = program.process;
+    expect([exitCode, signalCode]).to.deep.equal([0, null]);
+  });
+
   it('says what is wrong with its settings, and ends', async () => {
     const program = start(addressOf(3), `self.ip=${addressOf(3)}`);
     const [code] = (await once(program.process, 'close')) as [number];
