--- a/src/peers/source-choice.ts
+++ b/src/peers/source-choice.ts
@@ -20,7 +20,8 @@
 const FEED_OPEN_MS = 450;
 /**
  * How much longer each feed gets to begin than the one before, after feeds that said nothing in their
- * time, and how often at most: a link that is full delays every feed, and the next one is no better.
+ * time, begun or not, and how often at most: a link that is full delays every feed, and the next one is no
+ * better.
  */
 const PATIENCE_FACTOR = 2;
 const MAX_PATIENCE_STEPS = 2;
@@ -92,7 +93,7 @@
   /** By reader. What was told before confirms nothing, so that no circle of feeds keeps itself fresh. */
   private readonly confirmations = new Map<string, Confirmation>();
   private followsFromMs = Infinity;
-  /** Feeds in a row that said nothing in their time. */
+  /** Feeds in a row that went silent, before they began or later: either may be a link that is full. */
   private silentFeeds = 0;
   private trialAtMs: number | undefined;
   private lastTickMs = NEVER_MS;
