--- a/test/soak/caller-promises.test.ts
+++ b/test/soak/caller-promises.test.ts
@@ -2,7 +2,7 @@
 import { expect } from 'chai';
 import { isSilenced, judgeCallerSilences } from '../../tools/soak/caller-promises.js';
 import { judgeSoak, type SoakPromise } from '../../tools/soak/promises.js';
-import { SOAK_TERMS } from '../../tools/soak/soak-fleet.js';
+import { SOAK_TERMS } from '../../tools/soak/soak-terms.js';
 import type {
   CallerSilence,
   SoakArrival,
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -1,7 +1,7 @@
 /** The judge of soaks: each promise, broken once and held once. */
 import { expect } from 'chai';
 import { judgeSoak, type SoakPromise } from '../../tools/soak/promises.js';
-import { SOAK_TERMS } from '../../tools/soak/soak-fleet.js';
+import { SOAK_TERMS } from '../../tools/soak/soak-terms.js';
 import type {
   FaultWindow,
   SoakArrival,
--- a/tools/soak/fault-injector.ts
+++ b/tools/soak/fault-injector.ts
@@ -8,7 +8,8 @@
 } from './fault-plan.js';
 import type { LinkProxy } from './link-proxy.js';
 import type { FaultWindow, SoakReload, SoakStop } from './soak-record.js';
-import { SOAK_TERMS, type SoakFleet, type SoakMachine } from './soak-fleet.js';
+import type { SoakFleet, SoakMachine } from './soak-fleet.js';
+import { SOAK_TERMS } from './soak-terms.js';
 
 /** A stop that takes longer than its grace time is ended by force after this much more. */
 const STOP_MARGIN_MS = 1_000;
--- /dev/null
+++ b/tools/soak/node-settings.ts
@@ -0,0 +1,55 @@
+/** The settings that a soak starts a node with, and the ports that they name. */
+import type { Place } from './link-proxy.js';
+import { SOAK_TERMS } from './soak-terms.js';
+
+/** Where a node listens for other nodes. */
+export const RELAY_PORT = 22_300;
+/** Where a node listens for callers. */
+export const CALLER_PORT = 22_304;
+const READY_PORT = 22_302;
+const FIRST_INTERNAL_PORT = 22_320;
+const INTERNAL_PORTS = 10;
+const MS_PER_SECOND = 1_000;
+const MACHINES_OF_FIRST_ZONE = 4;
+/** Retries towards one service, as a share of its first attempts. */
+const RETRY_RATIO = 0.2;
+/** Retries that the fleet may make whatever the share. */
+const MIN_RETRIES = 60;
+
+/** What a node's settings depend on. */
+export interface NodePlaces {
+  readonly idx: number;
+  readonly host: string;
+  readonly relay: Place;
+  readonly toStore: Place;
+  readonly service: string;
+}
+
+/** The settings file of a node. */
+export function settingsText({ idx, host, relay, toStore, service }: NodePlaces): string {
+  const lastInternalPort = FIRST_INTERNAL_PORT + INTERNAL_PORTS - 1;
+  return [
+    `self.nodeName=soak-${idx}`,
+    `self.ip=${host}`,
+    `self.zone=${zoneOf(idx)}`,
+    'self.region=r1',
+    `self.service=${service}`,
+    `network.listenAddrs.inbound=${relay.address}:${relay.port}`,
+    `network.listenAddrs.outbound=${host}:${CALLER_PORT}`,
+    `network.listenAddrs.ready=${host}:${READY_PORT}`,
+    `network.internalPortRange=${FIRST_INTERNAL_PORT},${lastInternalPort}`,
+    `network.zones.${zoneOf(idx)}=r1`,
+    `platform.platform.address=${toStore.address}:${toStore.port}`,
+    `terms.bounds.graceS=${SOAK_TERMS.graceMs / MS_PER_SECOND}`,
+    `terms.bounds.retryBudgetRatio=${RETRY_RATIO}`,
+    `terms.bounds.budgetMinRetries=${MIN_RETRIES}`,
+  ].join('\n');
+}
+
+/**
+ * The zone of a machine: four machines in the first one, one in each further one. Nine machines so have
+ * six zones, two readers each, and two nodes that follow others.
+ */
+export function zoneOf(idx: number): string {
+  return `z${Math.max(1, idx - MACHINES_OF_FIRST_ZONE + 2)}`;
+}
--- /dev/null
+++ b/tools/soak/soak-configuration.ts
@@ -0,0 +1,74 @@
+/**
+ * The configurations that a soak writes, by their numbers: routes that all of them have, and some that come
+ * with one configuration and go with a later one.
+ */
+import { SOAK_TERMS } from './soak-terms.js';
+
+const MS_PER_SECOND = 1_000;
+/** Versions are numbers as hexadecimal text of equal length; this much lies between two. */
+const CONFIGURATION_STEP = 3;
+const VERSION_RADIX = 16;
+const VERSION_DIGITS = 8;
+
+/** Host of all routes. */
+export const SOAK_HOST = 'soak.example';
+/** Services of the machines, in turn. */
+export const SOAK_SERVICES = ['reads', 'orders'] as const;
+/** Paths of the routes that every configuration has, the last one for long bodies. */
+export const SAFE_PREFIX = '/reads/';
+export const UNSAFE_PREFIX = '/orders/';
+export const UPLOAD_PREFIX = '/uploads/';
+
+/** Time-outs of the routes, in milliseconds. */
+export const ROUTE_TIMEOUT_MS = 1_500;
+export const UPLOAD_TIMEOUT_MS = 8_000;
+const TARGET_LATENCY_MS = 500;
+const UPLOAD_TARGET_LATENCY_MS = 1_200;
+/** Largest body that a node takes: above the largest upload. */
+const MAX_BODY_BYTES = 512 * 1_024;
+
+/** A configuration: it adds a route to the one before, and drops the oldest of those that were added. */
+export function configurationOf(number: number): object {
+  const added = Array.from(
+    { length: SOAK_TERMS.routeLifeInConfigurations },
+    (_, idx) => number - idx,
+  ).filter((addedBy) => addedBy > 0);
+  const paths = [
+    route('reads', SAFE_PREFIX, 'safe', 'reads'),
+    route('orders', UNSAFE_PREFIX, 'unsafe', 'orders'),
+    UPLOAD_ROUTE,
+    ...added.map((addedBy) => route(`added${addedBy}`, addedPrefix(addedBy), 'safe', 'reads')),
+  ];
+  return {
+    version: (number * CONFIGURATION_STEP).toString(VERSION_RADIX).padStart(VERSION_DIGITS, '0'),
+    services: SOAK_SERVICES.map((name) => ({ name })),
+    limits: {
+      maxHeaderBytes: 16_384,
+      maxBodyBytes: MAX_BODY_BYTES,
+      headerTimeoutS: 3,
+      idleTimeoutS: SOAK_TERMS.idleTimeoutMs / MS_PER_SECOND,
+    },
+    virtualHosts: [{ hostname: SOAK_HOST, paths }],
+  };
+}
+
+/** Path of the route that came with a configuration. */
+export function addedPrefix(number: number): string {
+  return `/added${number}/`;
+}
+
+function route(name: string, pathPrefix: string, kind: string, service: string): object {
+  return {
+    ...{ name, pathPrefix, kind, service },
+    timeoutS: ROUTE_TIMEOUT_MS / MS_PER_SECOND,
+    targetLatencyS: TARGET_LATENCY_MS / MS_PER_SECOND,
+    priority: 1,
+    maxAttempts: SOAK_TERMS.maxAttempts,
+  };
+}
+
+const UPLOAD_ROUTE = {
+  ...route('uploads', UPLOAD_PREFIX, 'unsafe', 'orders'),
+  timeoutS: UPLOAD_TIMEOUT_MS / MS_PER_SECOND,
+  targetLatencyS: UPLOAD_TARGET_LATENCY_MS / MS_PER_SECOND,
+};
--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -12,62 +12,19 @@
 import { ChildGroup, type Child } from '../shared/child-process.js';
 import type { WatchedProcess } from './core-watch.js';
 import { LinkProxy, type Place } from './link-proxy.js';
-import type { CallerSilence, SoakArrival, SoakSilence, SoakTerms } from './soak-record.js';
+import { CALLER_PORT, RELAY_PORT, settingsText, zoneOf } from './node-settings.js';
 import { BACKEND_SLOTS, SoakBackend } from './soak-backend.js';
+import { configurationOf, SOAK_SERVICES, UPLOAD_PREFIX } from './soak-configuration.js';
+import type { CallerSilence, SoakArrival, SoakSilence } from './soak-record.js';
 
 const PROGRAM = new URL('../../platform/main.js', import.meta.url).pathname;
-const RELAY_PORT = 22_300;
 const BACKEND_PORT = 22_301;
-const READY_PORT = 22_302;
-const CALLER_PORT = 22_304;
 const LINKED_CALLER_PORT = 22_303;
 /** Of so many machines in a row, half have a link before their back end: one of each service. */
 const BACKEND_LINK_CYCLE = 4;
 /** What a node logs once it is up. */
 const STARTED_LINE = 'node-started';
 const STORE_PORT = 22_305;
-const FIRST_INTERNAL_PORT = 22_320;
-const INTERNAL_PORTS = 10;
-const MS_PER_SECOND = 1_000;
-const RETRY_RATIO = 0.2;
-const MACHINES_OF_FIRST_ZONE = 4;
-const MIN_RETRIES = 60;
-const CONFIGURATION_STEP = 3;
-const VERSION_RADIX = 16;
-const VERSION_DIGITS = 8;
-
-/** Host of all routes. */
-export const SOAK_HOST = 'soak.example';
-/** Services of the machines, in turn. */
-export const SOAK_SERVICES = ['reads', 'orders'] as const;
-/** Paths of the routes that every configuration has. */
-export const SAFE_PREFIX = '/reads/';
-export const UNSAFE_PREFIX = '/orders/';
-
-/** Path of the route for long bodies. */
-export const UPLOAD_PREFIX = '/uploads/';
-
-/** Time-outs of the routes, in milliseconds. */
-export const ROUTE_TIMEOUT_MS = 1_500;
-export const UPLOAD_TIMEOUT_MS = 8_000;
-const TARGET_LATENCY_MS = 500;
-const UPLOAD_TARGET_LATENCY_MS = 1_200;
-/** Largest body that a node takes: above the largest upload. */
-const MAX_BODY_BYTES = 512 * 1_024;
-
-/** The bounds that the soak holds its nodes to, as the users' pages set them. */
-export const SOAK_TERMS: SoakTerms = {
-  contactMs: 3_000,
-  configApplyMs: 2_000,
-  rollbackSlackMs: 250,
-  drainMs: 2_000,
-  graceMs: 6_000,
-  lossSlackMs: 200,
-  recoveryMs: 5_000,
-  idleTimeoutMs: 15_000,
-  maxAttempts: 2,
-  routeLifeInConfigurations: 3,
-};
 
 /** What a fleet is started with. */
 export interface SoakFleetParams {
@@ -204,29 +161,7 @@
   /** Writes the next configuration: it adds a route, and drops the one added three before. */
   configure(): void {
     this.configuration += 1;
-    const numbers = Array.from(
-      { length: SOAK_TERMS.routeLifeInConfigurations },
-      (_, idx) => this.configuration - idx,
-    ).filter((number) => number > 0);
-    const paths = [
-      route('reads', SAFE_PREFIX, 'safe', 'reads'),
-      route('orders', UNSAFE_PREFIX, 'unsafe', 'orders'),
-      UPLOAD_ROUTE,
-      ...numbers.map((number) => route(`added${number}`, addedPrefix(number), 'safe', 'reads')),
-    ];
-    this.store.put('op/config', {
-      version: (this.configuration * CONFIGURATION_STEP)
-        .toString(VERSION_RADIX)
-        .padStart(VERSION_DIGITS, '0'),
-      services: SOAK_SERVICES.map((name) => ({ name })),
-      limits: {
-        maxHeaderBytes: 16_384,
-        maxBodyBytes: MAX_BODY_BYTES,
-        headerTimeoutS: 3,
-        idleTimeoutS: SOAK_TERMS.idleTimeoutMs / MS_PER_SECOND,
-      },
-      virtualHosts: [{ hostname: SOAK_HOST, paths }],
-    });
+    this.store.put('op/config', configurationOf(this.configuration));
     this.configuredAtMs.set(this.configuration, this.params.nowMs());
   }
 
@@ -359,63 +294,6 @@
   return SOAK_SERVICES[idx % SOAK_SERVICES.length] ?? SOAK_SERVICES[0];
 }
 
-/** Path of the route that came with a configuration. */
-export function addedPrefix(number: number): string {
-  return `/added${number}/`;
-}
-
 function lifeName(idx: number, life: number): string {
   return `${idx}/${life}`;
 }
-
-function route(name: string, pathPrefix: string, kind: string, service: string): object {
-  return {
-    ...{ name, pathPrefix, kind, service },
-    timeoutS: ROUTE_TIMEOUT_MS / MS_PER_SECOND,
-    targetLatencyS: TARGET_LATENCY_MS / MS_PER_SECOND,
-    priority: 1,
-    maxAttempts: SOAK_TERMS.maxAttempts,
-  };
-}
-
-const UPLOAD_ROUTE = {
-  ...route('uploads', UPLOAD_PREFIX, 'unsafe', 'orders'),
-  timeoutS: UPLOAD_TIMEOUT_MS / MS_PER_SECOND,
-  targetLatencyS: UPLOAD_TARGET_LATENCY_MS / MS_PER_SECOND,
-};
-
-/**
- * The zone of a machine: four machines in the first one, one in each further one. Nine machines so have
- * six zones, two readers each, and two nodes that follow others.
- */
-function zoneOf(idx: number): string {
-  return `z${Math.max(1, idx - MACHINES_OF_FIRST_ZONE + 2)}`;
-}
-
-interface NodePlaces {
-  readonly idx: number;
-  readonly host: string;
-  readonly relay: Place;
-  readonly toStore: Place;
-  readonly service: string;
-}
-
-function settingsText({ idx, host, relay, toStore, service }: NodePlaces): string {
-  const lastInternalPort = FIRST_INTERNAL_PORT + INTERNAL_PORTS - 1;
-  return [
-    `self.nodeName=soak-${idx}`,
-    `self.ip=${host}`,
-    `self.zone=${zoneOf(idx)}`,
-    'self.region=r1',
-    `self.service=${service}`,
-    `network.listenAddrs.inbound=${relay.address}:${relay.port}`,
-    `network.listenAddrs.outbound=${host}:${CALLER_PORT}`,
-    `network.listenAddrs.ready=${host}:${READY_PORT}`,
-    `network.internalPortRange=${FIRST_INTERNAL_PORT},${lastInternalPort}`,
-    `network.zones.${zoneOf(idx)}=r1`,
-    `platform.platform.address=${toStore.address}:${toStore.port}`,
-    `terms.bounds.graceS=${SOAK_TERMS.graceMs / MS_PER_SECOND}`,
-    `terms.bounds.retryBudgetRatio=${RETRY_RATIO}`,
-    `terms.bounds.budgetMinRetries=${MIN_RETRIES}`,
-  ].join('\n');
-}
--- a/tools/soak/soak-traffic.ts
+++ b/tools/soak/soak-traffic.ts
@@ -9,11 +9,10 @@
   ROUTE_TIMEOUT_MS,
   SAFE_PREFIX,
   SOAK_HOST,
-  SOAK_TERMS,
   UNSAFE_PREFIX,
-  type SoakFleet,
-  type SoakMachine,
-} from './soak-fleet.js';
+} from './soak-configuration.js';
+import type { SoakFleet, SoakMachine } from './soak-fleet.js';
+import { SOAK_TERMS } from './soak-terms.js';
 
 const MS_PER_SECOND = 1_000;
 const UNSAFE_SHARE = 0.3;
--- a/tools/soak/upload-traffic.ts
+++ b/tools/soak/upload-traffic.ts
@@ -14,9 +14,8 @@
   UNSAFE_PREFIX,
   UPLOAD_PREFIX,
   UPLOAD_TIMEOUT_MS,
-  type SoakFleet,
-  type SoakMachine,
-} from './soak-fleet.js';
+} from './soak-configuration.js';
+import type { SoakFleet, SoakMachine } from './soak-fleet.js';
 import type { SoakCall } from './soak-record.js';
 
 const MS_PER_SECOND = 1_000;
