--- a/test/proxy/request-lifecycle.test.ts
+++ b/test/proxy/request-lifecycle.test.ts
@@ -5,6 +5,7 @@
   RequestLifecycle,
   type RequestEffect,
   type RequestEvent,
+  type RequestPolicy,
 } from '../../src/proxy/request-lifecycle.js';
 import { RetryBudget } from '../../src/routing/retry-budget.js';
 
@@ -183,24 +184,10 @@
   },
 ];
 
-const ONCE_AGAIN = {
-  repeatable: true,
-  deadlineAtMs: 1_000,
-  retries: 1,
-  retryBudgetPercent: 100,
-  redirects: 0,
-};
-
 describe('life of a request', () => {
   for (const { name, repeatable = false, retries = 2, events, expected } of rows) {
     it(name, () => {
-      const policy = {
-        repeatable,
-        deadlineAtMs: 1_000,
-        retries,
-        retryBudgetPercent: 100,
-        redirects: 0,
-      };
+      const policy = policyOf({ repeatable, retries });
       const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
       const effects = events.map((event) => lifecycle.handle(event, 0)).at(-1) ?? [];
       expect(effects.map(describeEffect).join(', ')).to.equal(expected);
@@ -215,8 +202,9 @@
     const secondTry = [AGAIN, failed(2, notRun), answered(2), noEndpoint];
     const ends = [DEADLINE, gone, giveUp(true), giveUp(false)];
     const events = [...firstTry, ...secondTry, ...ends];
+    const policy = policyOf({ retries: 1 });
     for (const order of ordersOf(events, 4)) {
-      const lifecycle = new RequestLifecycle(ONCE_AGAIN, new RetryBudget(), () => 0.5);
+      const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
       let ended = 0;
       for (const event of order) {
         const wasOver = lifecycle.isOver;
@@ -233,27 +221,14 @@
   });
 
   it('does not back off past the deadline', () => {
-    const policy = {
-      repeatable: true,
-      deadlineAtMs: 10,
-      retries: 2,
-      retryBudgetPercent: 100,
-      redirects: 0,
-    };
+    const policy = policyOf({ deadlineAtMs: 10 });
     const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
     lifecycle.handle(START, 0);
     expect(lifecycle.handle(failed(1, notRun), 6)).to.have.nested.property('[0].type', 'report');
   });
 
   it('lets a proof that the request has not run stand where another refusal would come too late', () => {
-    const policy = {
-      repeatable: false,
-      deadlineAtMs: 1_000,
-      refusableUntilMs: 900,
-      retries: 2,
-      retryBudgetPercent: 100,
-      redirects: 1,
-    };
+    const policy = policyOf({ repeatable: false, refusableUntilMs: 900, redirects: 1 });
     const outcomeAt = (nowMs: number): string[] => {
       const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
       lifecycle.handle(START, 0);
@@ -265,14 +240,7 @@
   });
 
   it('counts the back-off in the time that a refusal needs to be told', () => {
-    const policy = {
-      repeatable: true,
-      deadlineAtMs: 1_000,
-      refusableUntilMs: 900,
-      retries: 2,
-      retryBudgetPercent: 100,
-      redirects: 0,
-    };
+    const policy = policyOf({ refusableUntilMs: 900 });
     const outcomeAt = (nowMs: number): string[] => {
       const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
       lifecycle.handle(START, 0);
@@ -283,14 +251,7 @@
   });
 
   it('tries again until the deadline what may have run anyway', () => {
-    const policy = {
-      repeatable: true,
-      deadlineAtMs: 1_000,
-      refusableUntilMs: 900,
-      retries: 2,
-      retryBudgetPercent: 100,
-      redirects: 1,
-    };
+    const policy = policyOf({ refusableUntilMs: 900, redirects: 1 });
     const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
     lifecycle.handle(START, 0);
     expect(lifecycle.handle(failed(1, lost), 950).map(describeEffect)).to.deep.equal(['back-off']);
@@ -300,13 +261,7 @@
     const budget = new RetryBudget();
     let retries = 0;
     for (let request = 0; request < 1_000; request += 1) {
-      const policy = {
-        repeatable: true,
-        deadlineAtMs: 1_000,
-        retries: 2,
-        retryBudgetPercent: 20,
-        redirects: 0,
-      };
+      const policy = policyOf({ retryBudgetPercent: 20 });
       const lifecycle = new RequestLifecycle(policy, budget, () => 0.5);
       lifecycle.handle(START, 0);
       for (
@@ -327,18 +282,24 @@
   });
 });
 
-/** Attempts at the deepest endpoint of a chain in which every attempt fails. */
-function attemptsOfChain(depth: number, retries: number): number {
-  if (depth === 0) {
-    return 1;
-  }
-  const policy = {
+/** A policy of two retries without a bound by their budget, but for `changes`. */
+function policyOf(changes: Partial<RequestPolicy> = {}): RequestPolicy {
+  return {
     repeatable: true,
     deadlineAtMs: 1_000,
-    retries,
+    retries: 2,
     retryBudgetPercent: 100,
     redirects: 0,
+    ...changes,
   };
+}
+
+/** Attempts at the deepest endpoint of a chain in which every attempt fails. */
+function attemptsOfChain(depth: number, retries: number): number {
+  if (depth === 0) {
+    return 1;
+  }
+  const policy = policyOf({ retries });
   const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
   let attempts = 0;
   let [effect] = lifecycle.handle(START, 0);
