--- a/tools/soak/fault-plan.ts
+++ b/tools/soak/fault-plan.ts
@@ -1,5 +1,6 @@
 /** Draws the faults of a soak from its seed. Pure: the same seed gives the same plan. */
 import type { RandomSource } from '../../src/control/control-event.js';
+import { between, pick } from './draws.js';
 import type { LinkState } from './link-proxy.js';
 
 /** How a back end misbehaves: by its answers, or not at all in time. */
@@ -119,15 +120,8 @@
 }
 
 function drawFault({ machines, random }: PlanParams): SoakFault {
-  const pick = <T>(items: readonly T[]): T => {
-    const item = items[Math.floor(random() * items.length)];
-    if (item === undefined) {
-      throw new RangeError('nothing to pick from');
-    }
-    return item;
-  };
-  const kind = pick(DRAWN_KINDS);
-  const forMs = MIN_FAULT_MS + random() * (MAX_FAULT_MS - MIN_FAULT_MS);
+  const kind = pick(DRAWN_KINDS, random);
+  const forMs = between(MIN_FAULT_MS, MAX_FAULT_MS, random);
   const one = [Math.floor(random() * machines)];
   switch (kind) {
     case 'kill':
@@ -142,14 +136,14 @@
       return {
         kind,
         machines: drawMachines(machines, random),
-        state: pick(LINK_STATES),
+        state: pick(LINK_STATES, random),
         delayMs: random() * MAX_LINK_DELAY_MS,
         forMs,
       };
     case 'store-outage':
-      return { kind, outage: pick(STORE_OUTAGES), forMs };
+      return { kind, outage: pick(STORE_OUTAGES, random), forMs };
     case 'backend-fault':
-      return { kind, machines: one, fault: pick(BACKEND_FAULTS), share: random(), forMs };
+      return { kind, machines: one, fault: pick(BACKEND_FAULTS, random), share: random(), forMs };
     case 'store-compact':
     case 'configure':
       return { kind, forMs };
--- a/tools/soak/series-plan.ts
+++ b/tools/soak/series-plan.ts
@@ -4,7 +4,7 @@
  * same seed gives the same plan. It has random numbers of its own, so that it leaves the plan of single
  * faults as it is.
  */
-import type { RandomSource } from '../../src/control/control-event.js';
+import { between, pick, shuffled } from './draws.js';
 import {
   drawMachines,
   type LinkFaultKind,
@@ -121,21 +121,3 @@
   const state = pick(SILENCES, random);
   return { kind, machines: drawMachines(machines, random), state, delayMs: 0, forMs: 0 };
 }
-
-function between(least: number, most: number, random: RandomSource): number {
-  return least + random() * (most - least);
-}
-
-function pick<T>(items: readonly T[], random: RandomSource): T {
-  const item = items[Math.floor(random() * items.length)];
-  if (item === undefined) {
-    throw new RangeError('nothing to pick from');
-  }
-  return item;
-}
-
-function shuffled(count: number, random: RandomSource): number[] {
-  return Array.from({ length: count }, (_, idx) => ({ idx, rank: random() }))
-    .sort((left, right) => left.rank - right.rank)
-    .map(({ idx }) => idx);
-}
--- a/tools/soak/silence-plan.ts
+++ b/tools/soak/silence-plan.ts
@@ -3,6 +3,7 @@
  * stop: silences of their own links, reloads, configurations, and the next stop while they start again.
  * Pure: the same seed gives the same plan, and leaves other plans as they are.
  */
+import { between, pick } from './draws.js';
 import {
   drawMachines,
   type LinkFaultKind,
@@ -70,7 +71,7 @@
     plan.push(beside({ kind: 'configure', forMs: 0 }));
   }
   if (random() < STOP_AGAIN_SHARE) {
-    const againMs = MIN_STOP_AGAIN_MS + random() * (MAX_STOP_AGAIN_MS - MIN_STOP_AGAIN_MS);
+    const againMs = between(MIN_STOP_AGAIN_MS, MAX_STOP_AGAIN_MS, random);
     plan.push({ atMs: stopAtMs + againMs, fault: { kind: 'stop', machines, forMs: 0 } });
   }
   return plan;
@@ -80,11 +81,3 @@
   const kind = pick(SILENCED_LINKS, random);
   return { kind, machines, state: pick(SILENCES, random), delayMs: 0, forMs: 0 };
 }
-
-function pick<T>(items: readonly T[], random: PlanParams['random']): T {
-  const item = items[Math.floor(random() * items.length)];
-  if (item === undefined) {
-    throw new RangeError('nothing to pick from');
-  }
-  return item;
-}
--- a/tools/soak/upload-traffic.ts
+++ b/tools/soak/upload-traffic.ts
@@ -5,6 +5,7 @@
 import http from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { RandomSource } from '../../src/control/control-event.js';
+import { between } from './draws.js';
 import type { Place } from './link-proxy.js';
 import { sendCall, type SendingPace, type SoakRequest } from './soak-client.js';
 import {
@@ -220,7 +221,3 @@
     stallsAfter: random() < STALL_SHARE ? Math.floor(random() * PIECES) : Infinity,
   };
 }
-
-function between(least: number, most: number, random: RandomSource): number {
-  return least + random() * (most - least);
-}
