--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -14,16 +14,13 @@
   pause,
   PlatformFleet,
   readWhole,
+  SLOTS,
+  untilArrivals,
   type ClientResult,
   type FleetMachine,
 } from './platform-fleet.js';
+import { LAST_SIXTH_MS, SLOW_ROUTE, STOP_OVER_MS, UPLOAD } from './stop-terms.js';
 
-/** The grace time of the fleet's settings, in milliseconds. */
-const GRACE_MS = 6_000;
-/** Kept of it for the end of the process, in milliseconds. */
-const EXIT_MS = 200;
-/** From here on a request at which an endpoint is at work may be ended, in milliseconds. */
-const LAST_SIXTH_MS = 5_000;
 /**
  * So long after the beginning of a stop a caller may go on sending, in milliseconds: its request is given
  * up 750 ms before the grace time is over, and what it sends is read for 150 ms more.
@@ -34,10 +31,6 @@
  * in milliseconds.
  */
 const NOTICED_MS = 2_000;
-/** Requests that a back end of the fleet runs at once. */
-const SLOTS = 4;
-const SLOW_ROUTE = { kind: 'unsafe', timeoutS: 9, targetLatencyS: 9, maxAttempts: 1 } as const;
-const UPLOAD = { method: 'POST', deadlineMs: 9_000, body: 'an upload' };
 
 /** An answer, and when it came, in milliseconds since the request was sent. */
 interface TimedResult extends ClientResult {
@@ -77,12 +70,6 @@
     return Promise.all(calls);
   }
 
-  async function untilArrivals({ backend }: FleetMachine, count: number): Promise<void> {
-    while (backend.arrivals.length < count) {
-      await pause(5);
-    }
-  }
-
   /** The stop, as the time that it took in milliseconds. */
   async function stop({ node }: FleetMachine): Promise<number> {
     const beganAtMs = performance.now();
@@ -103,7 +90,7 @@
     const during = uploads(first, '/p/x', 1);
     const relayed = uploads(first, '/p1/x', 1);
     const stalled = readWhole(fleet.beginUpload(first, 1_000, 10));
-    expect(await stopped).to.be.lessThan(GRACE_MS - EXIT_MS);
+    expect(await stopped).to.be.lessThan(STOP_OVER_MS);
     const results = await before;
     const waiting = results.filter(({ status }) => status === 503);
     const running = results.filter(({ status }) => status !== 503);
@@ -133,7 +120,7 @@
     const [first, second] = await twoMachines();
     const calls = uploads(second, '/p/x', SLOTS + 1);
     await untilArrivals(first, SLOTS);
-    expect(await stop(first)).to.be.lessThan(GRACE_MS - EXIT_MS);
+    expect(await stop(first)).to.be.lessThan(STOP_OVER_MS);
     const results = await calls;
     expect(results.map(({ status }) => status).sort()).to.deep.equal([502, 502, 502, 502, 503]);
     results.filter(({ status }) => status === 503).forEach(expectNotRun);
--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -16,6 +16,10 @@
 const BACKEND_PORT = 21_301;
 const FIRST_INTERNAL_PORT = 21_320;
 const HOST = 'h.example';
+/** The grace time of a planned stop, in milliseconds. */
+export const DRAIN_TIMEOUT_MS = 6_000;
+/** Requests that a back end of the fleet runs at once. */
+export const SLOTS = 4;
 /** Test files run in several processes at once: each has a loopback network of its own. */
 const NETWORK = `127.${1 + ((process.pid >> 8) % 200)}.${process.pid % 256}`;
 
@@ -123,7 +127,7 @@
         relay: { address, port: RELAY_PORT },
         readiness: { address, port: READY_PORT },
         internalPorts: { first: FIRST_INTERNAL_PORT, last: FIRST_INTERNAL_PORT + 5 },
-        drainTimeoutMs: 6_000,
+        drainTimeoutMs: DRAIN_TIMEOUT_MS,
         retry: { percent: 20, fleetBurst: 60 },
       },
       store: new StoreClient({ address: '127.0.0.1', port: this.store.port }),
@@ -138,7 +142,7 @@
   announce({ address, zone, backend }: FleetMachine, service: string, state: string): void {
     this.store.put(`servers/${backend.id}`, {
       address: `${address}:${BACKEND_PORT}`,
-      info: { service, version: 'v1', zone, slots: 4 },
+      info: { service, version: 'v1', zone, slots: SLOTS },
       status: { state, sequence: 1, coldRemainingS: 0 },
     });
   }
@@ -248,6 +252,13 @@
   return new Promise((resolve) => setTimeout(resolve, delayMs));
 }
 
+/** Resolves once the machine's back end has got so many requests; the test's timeout bounds it. */
+export async function untilArrivals({ backend }: FleetMachine, count: number): Promise<void> {
+  while (backend.arrivals.length < count) {
+    await pause(5);
+  }
+}
+
 /** Everything that the socket receives until it is closed or breaks. */
 export async function readWhole(socket: Socket): Promise<string> {
   let text = '';
--- a/test/platform/redirected-request.test.ts
+++ b/test/platform/redirected-request.test.ts
@@ -8,26 +8,18 @@
  */
 import { expect } from 'chai';
 import { answer, type Arrival } from '../../standins/store-platform/backend-stand-in.js';
-import { pause, PlatformFleet, type ClientResult, type FleetMachine } from './platform-fleet.js';
+import {
+  pause,
+  PlatformFleet,
+  SLOTS,
+  type ClientResult,
+  type FleetMachine,
+} from './platform-fleet.js';
+import { LAST_SIXTH_MS, SLOW_ROUTE, STOP_OVER_MS, UPLOAD } from './stop-terms.js';
 
-/** The grace time of the fleet's settings, in milliseconds. */
-const GRACE_MS = 6_000;
-/** Kept of it for the end of the process, in milliseconds. */
-const EXIT_MS = 200;
-/** From here on a request at which an endpoint is at work may be ended, in milliseconds. */
-const LAST_SIXTH_MS = 5_000;
-/** Requests that a back end of the fleet runs at once. */
-const SLOTS = 4;
-const PATIENT_ROUTE = {
-  kind: 'unsafe',
-  timeoutS: 9,
-  targetLatencyS: 9,
-  maxAttempts: 1,
-} as const;
-const PROMPT_ROUTE = { ...PATIENT_ROUTE, targetLatencyS: 0.4 };
+const PROMPT_ROUTE = { ...SLOW_ROUTE, targetLatencyS: 0.4 };
 /** What the first endpoint takes, in milliseconds: more than the target of the prompt route. */
 const SERVICE_MS = 500;
-const UPLOAD = { method: 'POST', deadlineMs: 9_000, body: 'an upload' };
 const REDIRECTED = { ...UPLOAD, headers: { 'Request-Id': 'redirected' } };
 /** Time in which a request, or its end, reaches a back end, in milliseconds. */
 const ARRIVAL_MS = 2_000;
@@ -41,7 +33,7 @@
 
   beforeEach(async () => {
     fleet = await PlatformFleet.start();
-    fleet.configure([PROMPT_ROUTE, PATIENT_ROUTE]);
+    fleet.configure([PROMPT_ROUTE, SLOW_ROUTE]);
     first = await fleet.addMachine('a');
     second = await fleet.addMachine('b');
     await measureFirst();
@@ -128,7 +120,7 @@
     expect([status, isWhole]).to.deep.equal([502, true]);
     await until(() => arrival.isCut);
     await stopped;
-    expect(performance.now() - beganAtMs).to.be.lessThan(GRACE_MS - EXIT_MS);
+    expect(performance.now() - beganAtMs).to.be.lessThan(STOP_OVER_MS);
     expect((await filling).map((filled) => filled.status)).to.deep.equal([502, 502, 502, 502]);
     expect(third.backend.arrivals).to.have.length(1);
   });
--- a/test/platform/stop-last-moment.test.ts
+++ b/test/platform/stop-last-moment.test.ts
@@ -11,19 +11,17 @@
   pause,
   PlatformFleet,
   readWhole,
+  untilArrivals,
   type FleetMachine,
 } from './platform-fleet.js';
+import { SLOW_ROUTE, STOP_OVER_MS } from './stop-terms.js';
 
-const GRACE_MS = 6_000;
-/** Kept of it for the end of the process, in milliseconds. */
-const EXIT_MS = 200;
 /** Time without a request after which a stop ends early, in milliseconds. */
 const QUIET_MS = 400;
 /** When a stop closes what is open at the latest, in milliseconds since it began. */
 const CLOSES_MS = 5_500;
 /** More than the system holds of an answer that nobody reads. */
 const LONG_ANSWER_BYTES = 16_000_000;
-const SLOW_ROUTE = { kind: 'unsafe', timeoutS: 9, targetLatencyS: 9, maxAttempts: 1 } as const;
 
 describe('the last moment of a planned stop', () => {
   let fleet: PlatformFleet;
@@ -71,9 +69,7 @@
     const slow = fleet.beginUpload(machine, 10, 10);
     const socket = fleet.connect(machine);
     await once(socket, 'connect');
-    while (machine.backend.arrivals.length === 0) {
-      await pause(5);
-    }
+    await untilArrivals(machine, 1);
     const beganAtMs = performance.now();
     const stopped = machine.node.stop().then(() => performance.now() - beganAtMs);
     const answered = readWhole(socket);
@@ -86,7 +82,7 @@
     }
     socket.resume();
     expect(await answered).to.match(/^HTTP\/1.1 503 [^]*not-run/);
-    expect(await stopped).to.be.lessThan(GRACE_MS - EXIT_MS);
+    expect(await stopped).to.be.lessThan(STOP_OVER_MS);
     slow.destroy();
   });
 
@@ -96,9 +92,7 @@
     };
     const socket = fleet.beginUpload(machine, 10, 10);
     const answered = readWhole(socket);
-    while (machine.backend.arrivals.length === 0) {
-      await pause(5);
-    }
+    await untilArrivals(machine, 1);
     const stopped = machine.node.stop();
     fleet.sendUpload(socket, 10, 5);
     await pause(QUIET_MS + 100);
