--- a/test/soak/caller-promises.test.ts
+++ b/test/soak/caller-promises.test.ts
@@ -2,13 +2,13 @@
 import { expect } from 'chai';
 import { isSilenced, judgeCallerSilences } from '../../tools/soak/caller-promises.js';
 import { judgeSoak, type SoakPromise } from '../../tools/soak/promises.js';
-import { SOAK_TERMS } from '../../tools/soak/soak-terms.js';
 import type {
   CallerSilence,
   SoakArrival,
   SoakCall,
   SoakRecord,
 } from '../../tools/soak/soak-record.js';
+import { soakRecordOf } from './soak-records.js';
 
 const DUE_MS = 25_000;
 
@@ -67,26 +67,7 @@
   silence: Partial<CallerSilence> = {},
   changes: Partial<SoakRecord> = {},
 ): SoakRecord {
-  return {
-    beganAt: '2000-01-01T00:00:00.000Z',
-    calls: [CALL],
-    arrivals: [],
-    windows: [],
-    stops: [],
-    reloads: [],
-    silences: [],
-    callerSilences: [{ ...SILENCE, ...silence }],
-    configuredAtMs: new Map(),
-    drainedAtMs: new Map(),
-    serviceOfMachine: ['reads', 'orders'],
-    pauses: [],
-    coreTimes: [],
-    ownEnds: [],
-    calmFromMs: 1_000,
-    endedAtMs: 60_000,
-    terms: SOAK_TERMS,
-    ...changes,
-  };
+  return soakRecordOf({ calls: [CALL], callerSilences: [{ ...SILENCE, ...silence }], ...changes });
 }
 
 function brokenIn(silence: Partial<CallerSilence>, changes: Partial<SoakRecord> = {}): number {
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -1,13 +1,13 @@
 /** The judge of soaks: each promise, broken once and held once. */
 import { expect } from 'chai';
 import { judgeSoak, type SoakPromise } from '../../tools/soak/promises.js';
-import { SOAK_TERMS } from '../../tools/soak/soak-terms.js';
 import type {
   FaultWindow,
   SoakArrival,
   SoakCall,
   SoakRecord,
 } from '../../tools/soak/soak-record.js';
+import { soakRecordOf } from './soak-records.js';
 
 const CALL: SoakCall = {
   id: 'q1',
@@ -54,25 +54,12 @@
   endedAtMs: 20_040,
 };
 
-const RECORD: SoakRecord = {
-  beganAt: '2000-01-01T00:00:00.000Z',
+const RECORD = soakRecordOf({
   calls: [CALL],
   arrivals: [ARRIVAL],
-  windows: [],
-  stops: [],
-  reloads: [],
-  silences: [],
-  callerSilences: [],
   configuredAtMs: new Map([[1, 0]]),
-  drainedAtMs: new Map(),
-  serviceOfMachine: ['reads', 'orders'],
-  pauses: [],
-  coreTimes: [],
-  ownEnds: [],
-  calmFromMs: 1_000,
   endedAtMs: 100_000,
-  terms: SOAK_TERMS,
-};
+});
 
 function brokenIn(changes: Partial<SoakRecord>): SoakPromise[] {
   return judgeSoak({ ...RECORD, ...changes }).map(({ promise }) => promise);
