--- a/test/proxy/fuzz/request-world.ts
+++ b/test/proxy/fuzz/request-world.ts
@@ -20,6 +20,7 @@
 import { VirtualEndpoint, type EndpointFaults, type Execution } from './virtual-endpoint.js';
 import { onceWhole, VirtualEndpointPort, VirtualRelay } from './virtual-paths.js';
 import { VirtualConnection, VirtualProcess } from '../../../tools/emulator/virtual-process.js';
+import { VIRTUAL_RELAY, virtualIdentity } from '../virtual-identity.js';
 
 /** Slots of each endpoint. */
 export const SLOTS = 2;
@@ -85,18 +86,10 @@
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
     });
     this.services = new RequestServices({
-      identity: {
-        id: this.name,
-        incarnation: this.process.generation,
-        address: '127.0.0.1',
-        controlPort: 1,
-        relayPort: 1,
-        zone: 'z1',
-        region: 'r1',
-      },
+      identity: virtualIdentity(this.name, this.process.generation),
       members: {
         status: (machineId) => world.statuses.get(machineId) ?? 'alive',
-        relayAddress: () => ({ address: '127.0.0.1', port: 1 }),
+        relayAddress: () => VIRTUAL_RELAY,
         count: () => NODE_NAMES.length,
       },
       counters,
--- a/test/proxy/late-requests.test.ts
+++ b/test/proxy/late-requests.test.ts
@@ -27,6 +27,7 @@
 import { RouteTable } from '../../src/routing/route-table.js';
 import { VirtualScheduler } from '../../tools/emulator/virtual-scheduler.js';
 import { echoEndpoint, echoService } from './rig.js';
+import { VIRTUAL_RELAY, virtualIdentity } from './virtual-identity.js';
 
 const TARGET_MS = 232;
 const DEADLINE_MS = 695;
@@ -204,18 +205,10 @@
 
   private createServices(): RequestServices {
     return new RequestServices({
-      identity: {
-        id: 'caller',
-        incarnation: 1,
-        address: '127.0.0.1',
-        controlPort: 1,
-        relayPort: 1,
-        zone: 'z1',
-        region: 'r1',
-      },
+      identity: virtualIdentity('caller'),
       members: {
         status: () => 'alive',
-        relayAddress: () => ({ address: '127.0.0.1', port: 1 }),
+        relayAddress: () => VIRTUAL_RELAY,
         count: () => ENDPOINT_NAMES.length + 1,
       },
       counters: { add: () => undefined },
--- a/test/proxy/stop/stop-world.ts
+++ b/test/proxy/stop/stop-world.ts
@@ -19,8 +19,7 @@
   type CallerRequest,
   type CallerResponse,
 } from '../../../src/proxy/caller-server.js';
-import type { PlannedStop } from '../../../src/proxy/planned-stop.js';
-import { type StopEffect, type StopEvent } from '../../../src/proxy/planned-stop.js';
+import type { PlannedStop, StopEffect, StopEvent } from '../../../src/proxy/planned-stop.js';
 import { DEFAULT_PROXY_LIMITS } from '../../../src/proxy/proxy-limits.js';
 import {
   ConnectionLostError,
@@ -33,6 +32,7 @@
 import { RouteTable } from '../../../src/routing/route-table.js';
 import { VirtualScheduler } from '../../../tools/emulator/virtual-scheduler.js';
 import { echoEndpoint, echoService } from '../rig.js';
+import { VIRTUAL_RELAY, virtualIdentity } from '../virtual-identity.js';
 import { FakeConnection, type FakeExchange, type FakeMessage } from './fake-connection.js';
 
 /** Bounds of the stop, in milliseconds. */
@@ -344,18 +344,10 @@
       submit: (_endpoint, call, observer) => this.submit(call, observer),
     };
     return new RequestServices({
-      identity: {
-        id: 'n0',
-        incarnation: 1,
-        address: '127.0.0.1',
-        controlPort: 1,
-        relayPort: 1,
-        zone: 'z1',
-        region: 'r1',
-      },
+      identity: virtualIdentity('n0'),
       members: {
         status: () => 'alive',
-        relayAddress: () => ({ address: '127.0.0.1', port: 1 }),
+        relayAddress: () => VIRTUAL_RELAY,
         count: () => 2,
       },
       counters: { add: () => undefined },
