--- a/src/admission/admission-queue.ts
+++ b/src/admission/admission-queue.ts
@@ -131,8 +131,8 @@
   }
 
   /**
-   * The tickets of which the last has to make room for `ticket`, where its node gets `ahead` places before;
-   * never empty.
+   * The tickets of which the last has to make room for `ticket`, whose node counts as having `ahead` tickets
+   * more; never empty.
    */
   private displaceableBy(ticket: AdmissionTicket, ahead = 0): Displaceable | undefined {
     const rank = this.extremeRank(Math.max);
--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -18,7 +18,10 @@
 const REPORT_LIFETIME_MS = 500;
 /** Least time after which a refused caller is told to come back, in milliseconds. */
 const MIN_RETRY_AFTER_MS = 50;
-/** The same where the endpoint has no slots, so that no pace tells it, in milliseconds. */
+/**
+ * The same where the endpoint has no slots, so that no pace tells it, in milliseconds: as for other refusals
+ * that know no time.
+ */
 const NO_SLOT_RETRY_AFTER_MS = 1_000;
 
 /** Why a request is refused. Each is decided before the request is sent. */
--- a/src/proxy/attempt-call.ts
+++ b/src/proxy/attempt-call.ts
@@ -16,7 +16,7 @@
   readonly isLate: boolean;
 }
 
-/** The call of the attempt. */
+/** The call that takes the attempt to its endpoint. */
 export function callOf(context: RequestContext, body: RequestBody, start: AttemptStart): Call {
   const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = context;
   const { attempt, retriesLeft, startedAtMs, attemptStartedAtMs, isLate } = start;
--- a/src/proxy/awaited-peer.ts
+++ b/src/proxy/awaited-peer.ts
@@ -3,7 +3,7 @@
 import type { AwaitedAttempt } from './awaited-attempts.js';
 import type { RequestServices } from './request-services.js';
 
-/** The awaiting of one request, from one attempt to the next. */
+/** Who owes the answer of one request, from one attempt to the next. */
 export class AwaitedPeer {
   /** The machine whose node owes the answer; undefined when no peer does. */
   private machineId: string | undefined;
--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -159,7 +159,7 @@
     if (!this.request.destroyed) {
       this.connected = true;
       if (!body.isWhole()) {
-        // A head that waits for the body's first bytes would tell of time that has gone by meanwhile.
+        // A head that waits for the body's first bytes would promise the endpoint time that is over by then.
         this.request.flushHeaders();
       }
       body.sendTo(this.request);
--- a/src/proxy/malformed-request.ts
+++ b/src/proxy/malformed-request.ts
@@ -6,6 +6,7 @@
 import { errorBody } from './caller-protocol.js';
 import { LINGER_MS } from './error-answer.js';
 
+/** Codes of the errors that Node's HTTP parser reports. */
 const PARSER_CODE = /^HPE_/;
 /** A head that has not arrived in time. */
 const LATE_CODE = 'ERR_HTTP_REQUEST_TIMEOUT';
@@ -21,13 +22,14 @@
  * their answer. Each has a deadline, which bounds the wait.
  */
 export function createMalformedListener(connections: CallerConnections): ConnectionErrorListener {
+  /** Connections whose first error has been taken. */
   const taken = new WeakSet<Duplex>();
   return ({ code = '' }, socket) => {
     if (isLost(code, connections.hasOpenRequest(socket))) {
       socket.destroy();
       return;
     }
-    // The parser reports every further piece.
+    // The parser reports each further piece that arrives: a second answer would follow the first.
     if (taken.has(socket)) {
       return;
     }
@@ -38,7 +40,7 @@
     }
     connections.closesAfterAnswer(socket);
     connections.onceAnswered(socket, () => {
-      // The broken body of a request that is open still: the answer would be taken for its own.
+      // A request whose body is broken is still open: it would take the answer for its own.
       endSoon(socket, connections.hasOpenRequest(socket) ? '' : answerTo(code));
     });
   };
--- a/src/proxy/planned-stop.ts
+++ b/src/proxy/planned-stop.ts
@@ -66,6 +66,7 @@
 
   constructor(private readonly limits: PlannedStopLimits) {}
 
+  /** How far the stop has come. */
   get state(): StopState {
     return this.current;
   }
--- a/src/proxy/request-intake.ts
+++ b/src/proxy/request-intake.ts
@@ -26,8 +26,12 @@
 import { withCredential } from './route-credential.js';
 import { MACHINE_TIME } from './scheduler.js';
 
+/** When to come back to a node that holds no configuration yet, in milliseconds. */
 const NOT_CONFIGURED_RETRY_MS = 1_000;
-/** When to come back to a node that is about to stop; callers are sent to another one by then. */
+/**
+ * When to come back to a node that is about to stop, in milliseconds; callers are sent to another one by
+ * then.
+ */
 const STOPPING_RETRY_MS = 50;
 
 /** What the intake needs of its node. */
@@ -71,7 +75,7 @@
     return waiting + [...this.runners].filter((runner) => runner.giveUp()).length;
   }
 
-  /** Unique in the fleet. */
+  /** An identity for a request, unique in the fleet. */
   nextRequestId(): string {
     this.requestCount += 1;
     const { id, incarnation } = this.options.node.identity;
--- a/src/proxy/server-drain.ts
+++ b/src/proxy/server-drain.ts
@@ -7,6 +7,7 @@
 import csp from 'js-csp';
 import type { PlannedStop, StopEffect, StopEvent } from './planned-stop.js';
 
+/** Time between two looks at what is in flight, in milliseconds. */
 const POLL_MS = 20;
 /** Connections that are taken from the system before a listener is shut, at most. */
 const MAX_ACCEPT_TURNS = 1_000;
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -65,7 +65,8 @@
   connectTimeoutMs: 300,
   // Endpoints may forget idle connections without a word after some hundred milliseconds.
   maxIdleEndpointConnectionMs: 200,
-  // Callers ask once a second whether a node is ready, and go elsewhere after two answers in vain.
+  // Callers ask once a second whether a node is ready, and go elsewhere after two answers that it is not:
+  // 2 s, and room for the second answer.
   stopNoticeMs: 2_200,
   stopAcceptMs: 2_800,
   stopAnswerMs: STOP_ANSWER_MS,
