--- a/test/admission/no-slots.test.ts
+++ b/test/admission/no-slots.test.ts
@@ -1,8 +1,7 @@
 /**
- * Admission to an endpoint that this node may not use any more: its slots are none.
+ * Admission to an endpoint that this node may not use any more: it has no slots left.
  *
- * What happens: the time until a slot is divided by none, so that callers are told to come back after an
- * infinite time, or after none that is a number; and new requests still go to the endpoint, one at a time.
+ * Without slots no pace tells when to come back: divided by them, the time would be infinite, or no number.
  */
 import { expect } from 'chai';
 import { EndpointAdmission, type AdmissionTicket } from '../../src/admission/endpoint-admission.js';
--- a/test/admission/refusal-ahead.test.ts
+++ b/test/admission/refusal-ahead.test.ts
@@ -1,8 +1,8 @@
 /**
  * Whether admission says the same of a request ahead of its body as on its arrival.
  *
- * What happens: the refusal ahead of a body knows a full queue only. A request that would take the place
- * of a less urgent one, or a free slot beside a queue that may hold nothing, is refused by its head.
+ * A request that takes the place of a less urgent one, or a free slot beside a queue that may hold nothing,
+ * must not be refused by its head because the queue is full.
  */
 import { expect } from 'chai';
 import fc from 'fast-check';
--- a/test/claims/claim-component.test.ts
+++ b/test/claims/claim-component.test.ts
@@ -1,3 +1,4 @@
+/** Claims on idempotency keys: rounds of claimants, holders, and second requests with a key. */
 import { expect } from 'chai';
 import { ClaimComponent } from '../../src/claims/claim-component.js';
 import type { ClaimOutcome } from '../../src/claims/claim-command.js';
--- a/test/experiment/emulated-fleet.test.ts
+++ b/test/experiment/emulated-fleet.test.ts
@@ -1,3 +1,4 @@
+/** Whole runs of small emulated fleets: what callers are told, and what it costs. */
 import { expect } from 'chai';
 import { planArrivals } from '../../tools/experiment/call-plan.js';
 import { runScenario } from '../../tools/experiment/run-scenario.js';
--- a/test/experiment/emulated-link.test.ts
+++ b/test/experiment/emulated-link.test.ts
@@ -1,3 +1,4 @@
+/** When messages over emulated links arrive, by their length and by what befalls the links. */
 import { expect } from 'chai';
 import { VirtualScheduler } from '../../tools/emulator/virtual-scheduler.js';
 import { EmulatedLink } from '../../tools/experiment/emulated-link.js';
--- a/test/experiment/experiment.test.ts
+++ b/test/experiment/experiment.test.ts
@@ -1,3 +1,4 @@
+/** Variants of the policy against the policy as shipped, over the same seeds. */
 import { expect } from 'chai';
 import { runExperiment } from '../../tools/experiment/experiment.js';
 import type { PairedDifference } from '../../tools/experiment/paired-difference.js';
--- a/test/experiment/paired-difference.test.ts
+++ b/test/experiment/paired-difference.test.ts
@@ -1,3 +1,4 @@
+/** Differences of two variants over pairs of runs, and the bounds of their intervals. */
 import { expect } from 'chai';
 import { plotDifferences } from '../../tools/experiment/difference-plot.js';
 import { formatCsv, formatTables } from '../../tools/experiment/experiment-report.js';
--- a/test/experiment/worth.test.ts
+++ b/test/experiment/worth.test.ts
@@ -1,3 +1,4 @@
+/** What a caller's request is worth, by what each of its tries is told and after how long. */
 import { expect } from 'chai';
 import { VirtualScheduler } from '../../tools/emulator/virtual-scheduler.js';
 import { EmulatedCaller, worthOf } from '../../tools/experiment/emulated-caller.js';
--- a/test/platform/mesh.test.ts
+++ b/test/platform/mesh.test.ts
@@ -227,7 +227,7 @@
     await fleet.untilStatus(first, 200, '/p1/x');
     backend.arrivals.length = 0;
     backend.behaviour = () => undefined;
-    // They outlast the request that waits for one of their slots, whenever it comes.
+    // They are answered after the deadline of the request that waits for one of their slots.
     const running = Array.from({ length: 4 }, () =>
       fleet.call(first, { path: '/p1/x', method: 'POST' }),
     );
--- a/test/platform/planned-stop.test.ts
+++ b/test/platform/planned-stop.test.ts
@@ -1,12 +1,7 @@
 /**
- * A node lost requests in its planned stop. It took an upload a second after it was told to stop, as it
- * has to, sent it on, and closed the connection 5.6 s after the beginning of the stop, without an answer;
- * others went the same way with it. Its last phase waits 5.3 s (6 s less 0.7 s) for requests in flight,
- * then 0.3 s for connections to peers, and then closed what was open, whatever it waited for: the log
- * says `drained to 3 in flight`, and the callers of just these got nothing. Nothing told a request under
- * way that the stop would end before its deadline. It is not the endpoint: the same happens to a request
- * whose body never comes, to one that waits for a slot, and to those of peers, which took the lost
- * connection for a request that may have run.
+ * A planned stop with nodes and back ends on sockets: every request that was read gets a whole answer
+ * before its connection is closed, whatever it waits for. That may be an endpoint at work, a slot, a body
+ * that never comes, or a peer, which takes a lost connection for a request that may have run.
  */
 import { expect } from 'chai';
 import { answer } from '../../standins/store-platform/backend-stand-in.js';
@@ -146,8 +141,8 @@
   });
 
   /**
-   * The first answer after the beginning of a stop closed its connection although requests behind it
-   * were under way: endpoints ran them, and their callers got nothing.
+   * The first answer after the beginning of a stop leaves its connection open while requests behind it are
+   * under way: endpoints would run them, and their callers get nothing.
    */
   it('answers all requests of a connection, in their order, before it closes it', async () => {
     const [first] = await twoMachines();
--- a/test/platform/program.test.ts
+++ b/test/platform/program.test.ts
@@ -1,4 +1,7 @@
-/** The platform's program as real processes: start, service, metrics, signals (also at the start), refused settings. */
+/**
+ * The platform's program as real processes: start, service, metrics, signals (those during the start too),
+ * refused settings.
+ */
 import { execFileSync, spawn, type ChildProcess } from 'node:child_process';
 import { once } from 'node:events';
 import { mkdtempSync, renameSync, rmSync, writeFileSync } from 'node:fs';
@@ -20,6 +23,7 @@
 const FIRST_INTERNAL_PORT = 21_420;
 /** Time for an answer, in milliseconds. */
 const ANSWER_MS = 5_000;
+/** Signals that are sent, one after the other, while the program starts. */
 const SIGNALS_AT_START = 10;
 
 interface Program {
--- a/test/platform/redirected-request.test.ts
+++ b/test/platform/redirected-request.test.ts
@@ -20,6 +20,7 @@
 const PROMPT_ROUTE = { ...SLOW_ROUTE, targetLatencyS: 0.4 };
 /** What the first endpoint takes, in milliseconds: more than the target of the prompt route. */
 const SERVICE_MS = 500;
+/** The request under test; its identity tells it from those that fill the first endpoint. */
 const REDIRECTED = { ...UPLOAD, headers: { 'Request-Id': 'redirected' } };
 /** Time in which a request, or its end, reaches a back end, in milliseconds. */
 const ARRIVAL_MS = 2_000;
--- a/test/proxy/claim-at-stop.test.ts
+++ b/test/proxy/claim-at-stop.test.ts
@@ -1,8 +1,8 @@
 /**
  * Requests that wait for the claim on their idempotency key when the bound of a planned stop comes.
  *
- * What happened: only requests that had started were given up. One that still waited for its claim got no
- * answer, and its connection was closed under it.
+ * They have not started: a stop that gives up only what has started would close their connections without
+ * an answer.
  */
 import { expect } from 'chai';
 import { VERDICT_HEADER } from '../../src/model/verdict.js';
--- a/test/proxy/claim-gate.test.ts
+++ b/test/proxy/claim-gate.test.ts
@@ -1,3 +1,4 @@
+/** What the claims and the caller of a request with a key are told, by the outcome of its claim. */
 import { expect } from 'chai';
 import type { ClaimOutcome } from '../../src/claims/claim-command.js';
 import type { Answer } from '../../src/proxy/call.js';
--- a/test/proxy/expired-waiting.test.ts
+++ b/test/proxy/expired-waiting.test.ts
@@ -1,8 +1,6 @@
 /**
- * A request that waits for a slot until shortly before its deadline: what the log of the node beside
- * the endpoint says of it.
- *
- * What happens: its caller is told a refusal, and the log of the node that refused it has no line.
+ * A request that waits for a slot until shortly before its deadline: the log of the node beside the
+ * endpoint has a line for its refusal, as for every other one.
  */
 import { expect } from 'chai';
 import { resourceSchema, type Endpoint } from '../../src/model/resource.js';
--- a/test/proxy/garbage-behind.test.ts
+++ b/test/proxy/garbage-behind.test.ts
@@ -2,8 +2,8 @@
  * Bytes that are no request behind requests that were read and are still in work, on one connection:
  * what their caller is told, and what becomes of the work.
  *
- * What happens: the connection is cut at once. The requests in work get no answer, and their work goes
- * on for nobody or is cancelled.
+ * If the connection were cut at once, the requests in work would get no answer, and their work would go
+ * on for nobody or be cancelled.
  */
 import net, { type Socket } from 'node:net';
 import { expect } from 'chai';
--- a/test/proxy/head-before-body.test.ts
+++ b/test/proxy/head-before-body.test.ts
@@ -1,9 +1,7 @@
 /**
  * The head of a request whose body is still to come goes to its endpoint at once: it tells the time that
- * is left, which runs on while the body is awaited.
- *
- * What happened: endpoints were told of up to 0.7 s more than their callers had left, since the head of a
- * long body went out together with its first bytes, which waited for their turn on the link.
+ * is left, which runs on while the body is awaited. Held back until the first bytes of the body get their
+ * turn on the link, it would promise the endpoint more time than the caller has.
  */
 import { once } from 'node:events';
 import http, { type IncomingMessage, type Server } from 'node:http';
--- a/test/proxy/planned-stop-model.test.ts
+++ b/test/proxy/planned-stop-model.test.ts
@@ -8,7 +8,9 @@
 import type { WorldOptions } from './stop/stop-world.js';
 
 const SEED = 20_261_202;
+/** Scripts by chance for each check. */
 const RUNS = 4_000;
+/** Steps of a script by chance, at most. */
 const LONGEST_SCRIPT = 25;
 /** Steps of each script of the bounded set. */
 const SHORT_SCRIPT = 5;
--- a/test/proxy/relay/relay-version.test.ts
+++ b/test/proxy/relay/relay-version.test.ts
@@ -1,10 +1,10 @@
 /**
- * Nodes of different versions of the relay protocol, as during a rolling upgrade.
+ * Nodes of different versions of the relay protocol, as during a rolling upgrade: both ends check the
+ * version that an upgrade names.
  *
- * What happens: the version that an upgrade names is checked at neither end. A sender that waits for
- * credit and a receiver of the version before, which gives none before the first bytes, wait for each
- * other until the deadline; and the sender then says that the request has not run, though a receiver of
- * that version passes its head on at once.
+ * Otherwise a sender that waits for credit and a receiver that gives none before the first bytes would
+ * wait for each other until the deadline; and the sender would say that the request has not run, though
+ * the receiver may have passed its head on.
  */
 import { once } from 'node:events';
 import http from 'node:http';
--- a/test/proxy/relay/silent-connections.test.ts
+++ b/test/proxy/relay/silent-connections.test.ts
@@ -1,9 +1,8 @@
 /**
  * Connections between two nodes that go silent for good, without a reset, while new ones work.
  *
- * What happened: the datagrams between the two machines passed, so that neither was taken for silent.
- * Each request on the silent connection waited until its deadline, and each later one took the same
- * connection.
+ * The datagrams between the two machines pass, so that neither is taken for silent: each request on the
+ * silent connection would wait until its deadline, and each later one take the same connection.
  */
 import http from 'node:http';
 import { expect } from 'chai';
--- a/test/proxy/server-drain.test.ts
+++ b/test/proxy/server-drain.test.ts
@@ -1,3 +1,4 @@
+/** A planned stop of HTTP servers: the states that it passes, and connections that wait or are idle. */
 import { once } from 'node:events';
 import { Agent, createServer, type Server } from 'node:http';
 import type { AddressInfo } from 'node:net';
--- a/test/proxy/stop/stop-script.ts
+++ b/test/proxy/stop/stop-script.ts
@@ -177,6 +177,7 @@
   }
 }
 
+/** A stop that refuses nothing. */
 class TakingStop extends PlannedStop {
   override refusesNewWork(): boolean {
     return false;
--- a/test/proxy/unsent-at-silence.test.ts
+++ b/test/proxy/unsent-at-silence.test.ts
@@ -2,11 +2,10 @@
  * Requests under way at a peer that has not asked for their bodies, so that they can have reached no
  * endpoint.
  *
- * What happens: a machine that has lost its power resets no connection. Peers notice its silence and send
- * elsewhere what may run twice; an upload that may not waited for its deadline beside endpoints with free
- * slots, though it had provably not run. And a caller that left meanwhile was not noticed where its body
- * was not read to its end: nothing reads its connection then, so that the upload goes on to an endpoint
- * once the peer asks for it.
+ * A machine that loses its power resets no connection; its peers notice its silence. A request that may
+ * run only once goes elsewhere then, since it has provably not run, instead of waiting for its deadline
+ * beside endpoints with free slots. A caller that leaves is noticed although nothing reads its connection
+ * while its body waits: else the upload would go on to an endpoint once the peer asks for it.
  */
 import { once } from 'node:events';
 import http from 'node:http';
--- a/test/runtime/reset-sockets.test.ts
+++ b/test/runtime/reset-sockets.test.ts
@@ -2,8 +2,8 @@
  * Peers that ask for another use of their connection, or send what is no request, and reset it: no
  * server of a node may leave a socket whose errors nobody takes.
  *
- * What happened: Node leaves the socket of an upgrade to its new owner. Without a listener for errors,
- * a reset ended the process.
+ * Node leaves the socket of an upgrade to its new owner: without a listener for errors, a reset ends the
+ * process.
  */
 import { once } from 'node:events';
 import type { Server } from 'node:http';
