--- a/tools/experiment/difference-plot.ts
+++ b/tools/experiment/difference-plot.ts
@@ -2,6 +2,7 @@
 import type { Comparison } from './experiment.js';
 import type { PairedDifference } from './paired-difference.js';
 
+/** Sizes of the drawing, in pixels. */
 const WIDTH = 900;
 /** Where the axis begins, right of the labels. */
 const AXIS_LEFT = 420;
--- a/tools/experiment/emulated-fleet.ts
+++ b/tools/experiment/emulated-fleet.ts
@@ -11,6 +11,7 @@
 /** Streams of random numbers under one seed; those of nodes follow one another. */
 const FAULT_STREAM = 2;
 const NODE_STREAM = 100;
+/** Endpoints' ports follow on it; nothing listens there. */
 const BASE_PORT = 1_000;
 /** Retries towards a service, as a percentage of first attempts. */
 const RETRY_BUDGET_PERCENT = 20;
--- a/tools/experiment/emulated-node.ts
+++ b/tools/experiment/emulated-node.ts
@@ -20,9 +20,12 @@
 import type { PolicySettings } from './policy-settings.js';
 import type { ReceivingNode } from './received-call.js';
 
+/** An address for all nodes: nothing connects to it. */
 const HOST = '127.0.0.1';
 const PORT = 1;
+/** The region of all machines. */
 export const REGION = 'r1';
+/** Time between two looks for peers that are silent, in milliseconds. */
 const LOOK_INTERVAL_MS = 150;
 /** Time after which a slot is free whose connection was closed, in milliseconds. */
 const CLOSE_NOTICE_MS = 20;
--- a/tools/experiment/policy-settings.ts
+++ b/tools/experiment/policy-settings.ts
@@ -18,6 +18,8 @@
   /** Retries towards one service that a node may save up. */
   'savedRetries',
 ] as const;
+
+/** The name of one. */
 export type SettingName = (typeof SETTING_NAMES)[number];
 
 /** Values that differ from those shipped. */
--- a/tools/experiment/scenarios.ts
+++ b/tools/experiment/scenarios.ts
@@ -4,6 +4,7 @@
  */
 import type { Fault, RequestClass, Scenario } from './scenario.js';
 
+/** Time in which callers' requests arrive, in milliseconds. */
 const DURATION_MS = 12_000;
 /** When faults hold, so that the fleet is seen before, in and after them. */
 const TROUBLE = { fromMs: 3_000, untilMs: 8_000 } as const;
--- a/tools/soak/caller-promises.ts
+++ b/tools/soak/caller-promises.ts
@@ -8,7 +8,7 @@
 
 /** Room for the two sides' clocks and turns, in milliseconds. */
 const SLACK_MS = 500;
-/** Longest time-out of a request that a silent connection may carry, with room for its end. */
+/** Longest time-out of a request that a silent connection may carry, with room for its end, in milliseconds. */
 const LONGEST_REQUEST_MS = 10_000;
 /** Kinds in which a node's process does nothing. */
 const HALTS = new Set<SoakFaultKind>(['freeze']);
--- a/tools/soak/core-watch.ts
+++ b/tools/soak/core-watch.ts
@@ -5,7 +5,8 @@
 import { readFileSync } from 'node:fs';
 import type { SoakCoreTime } from './soak-record.js';
 
-const LOOK_MS = 250;
+/** Time between two looks, in milliseconds. */
+export const CORE_LOOK_MS = 250;
 /** Shorter waits are the usual turns of a busy machine, in milliseconds. */
 const LEAST_WAIT_MS = 100;
 /** A process that runs for so much of the time between two looks does nothing but work, in milliseconds. */
@@ -43,7 +44,7 @@
   constructor(private readonly params: CoreWatchParams) {
     this.lookedAtMs = params.nowMs();
     this.look();
-    this.timer = setInterval(() => this.look(), LOOK_MS);
+    this.timer = setInterval(() => this.look(), CORE_LOOK_MS);
   }
 
   stop(): void {
@@ -74,7 +75,10 @@
   }
 }
 
-/** From the system's account of the process: time on a core, time ready without one, turns. */
+/**
+ * From the system's account of the process: time on a core and time ready without one, in nanoseconds, and
+ * turns.
+ */
 function readTimes(processId: number): CoreTimes | undefined {
   try {
     const [ranNs, waitedNs] = readFileSync(`/proc/${processId}/schedstat`, 'utf8').split(' ');
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -3,6 +3,7 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import meow from 'meow';
+import { CORE_LOOK_MS } from './core-watch.js';
 import { claimNetwork } from './loopback-network.js';
 import type { BrokenPromise } from './promises.js';
 import type { SoakFleet } from './soak-fleet.js';
@@ -26,8 +27,8 @@
     --machines  Nodes, each with a back end beside it (default 6)
     --rate      Requests a second (default 150)
     --plan      What happens: 'faults' are single ones, 'series' (default) also has rolling stops,
-                releases, silent connections, narrow links, uploads and kept connections
-                'silences' are these, and silences on every kind of link and of machines that stop
+                releases, silent connections, narrow links, uploads and kept connections;
+                'silences' has the same, and silences on every kind of link and of machines that stop
     --uploads   Uploads a second, for 'series' and 'silences' (default 20)
     --keep      Folder for the logs and records of a run that broke a promise
 
@@ -74,7 +75,7 @@
   const runs = coreTimes.map(({ ranMs }) => ranMs);
   return (
     `the soak itself stood still ${pauses.length} times, for ${Math.round(longestMs)} ms at most; ` +
-    `of 250 ms, nodes waited for a core for ${Math.round(Math.max(0, ...waits))} ms at most, ` +
+    `of ${CORE_LOOK_MS} ms, nodes waited for a core for ${Math.round(Math.max(0, ...waits))} ms at most, ` +
     `and ran for ${Math.round(Math.max(0, ...runs))} ms at most`
   );
 }
--- a/tools/soak/node-settings.ts
+++ b/tools/soak/node-settings.ts
@@ -11,9 +11,9 @@
 const INTERNAL_PORTS = 10;
 const MS_PER_SECOND = 1_000;
 const MACHINES_OF_FIRST_ZONE = 4;
-/** Retries towards one service, as a share of its first attempts. */
+/** Requests of a service that may be sent again, as a share of all, fleet-wide. */
 const RETRY_RATIO = 0.2;
-/** Retries that the fleet may make whatever the share. */
+/** Further ones that the fleet may send again in a burst. */
 const MIN_RETRIES = 60;
 
 /** What a node's settings depend on. */
--- a/tools/soak/pause-watch.ts
+++ b/tools/soak/pause-watch.ts
@@ -1,6 +1,7 @@
 /** Times at which the soak's own process stood still: what it saw then, it may have seen late. */
 import type { SoakPause } from './soak-record.js';
 
+/** Time between two looks, in milliseconds. */
 const LOOK_MS = 20;
 /** Shorter pauses are turns of a busy event loop, in milliseconds. */
 const LEAST_PAUSE_MS = 100;
--- a/tools/soak/silence-plan.ts
+++ b/tools/soak/silence-plan.ts
@@ -13,7 +13,7 @@
 } from './fault-plan.js';
 import type { LinkState } from './link-proxy.js';
 
-/** Mean time between two silences outside of stops. */
+/** Mean time between two silences outside of stops, in milliseconds. */
 const MEAN_GAP_MS = 2_500;
 /** Shares of the stops that have each thing beside them. */
 const SILENCE_SHARE = 0.6;
@@ -26,6 +26,7 @@
 const MIN_STOP_AGAIN_MS = 3_000;
 const MAX_STOP_AGAIN_MS = 8_000;
 
+/** Each as often as it is to be drawn. */
 const SILENCED_LINKS: readonly LinkFaultKind[] = [
   'relay-link',
   'store-link',
