--- a/tools/soak/silence-plan.ts
+++ b/tools/soak/silence-plan.ts
@@ -3,6 +3,7 @@
  * stop: silences of their own links, reloads, configurations, and the next stop while they start again.
  * Pure: the same seed gives the same plan, and leaves other plans as they are.
  */
+import { between, pick } from './draws.js';
 import {
   drawMachines,
   type LinkFaultKind,
@@ -12,7 +13,7 @@
 } from './fault-plan.js';
 import type { LinkState } from './link-proxy.js';
 
-/** Mean time between two silences outside of stops. */
+/** Mean time between two silences outside of stops, in milliseconds. */
 const MEAN_GAP_MS = 2_500;
 /** Shares of the stops that have each thing beside them. */
 const SILENCE_SHARE = 0.6;
@@ -25,6 +26,7 @@
 const MIN_STOP_AGAIN_MS = 3_000;
 const MAX_STOP_AGAIN_MS = 8_000;
 
+/** Each as often as it is to be drawn. */
 const SILENCED_LINKS: readonly LinkFaultKind[] = [
   'relay-link',
   'store-link',
@@ -70,7 +72,7 @@
     plan.push(beside({ kind: 'configure', forMs: 0 }));
   }
   if (random() < STOP_AGAIN_SHARE) {
-    const againMs = MIN_STOP_AGAIN_MS + random() * (MAX_STOP_AGAIN_MS - MIN_STOP_AGAIN_MS);
+    const againMs = between(MIN_STOP_AGAIN_MS, MAX_STOP_AGAIN_MS, random);
     plan.push({ atMs: stopAtMs + againMs, fault: { kind: 'stop', machines, forMs: 0 } });
   }
   return plan;
@@ -80,11 +82,3 @@
   const kind = pick(SILENCED_LINKS, random);
   return { kind, machines, state: pick(SILENCES, random), delayMs: 0, forMs: 0 };
 }
-
-function pick<T>(items: readonly T[], random: PlanParams['random']): T {
-  const item = items[Math.floor(random() * items.length)];
-  if (item === undefined) {
-    throw new RangeError('nothing to pick from');
-  }
-  return item;
-}
