--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -54,6 +54,8 @@
   private readonly plannedStop: PlannedStop;
   private readonly intake: RequestIntake;
   private isAborted = false;
+  /** Longest time for which a configuration has let idle connections be kept, in milliseconds. */
+  private longestKeptMs = 0;
 
   constructor(private readonly options: RequestProxyOptions) {
     this.limits = { ...DEFAULT_PROXY_LIMITS, ...options.limits };
@@ -124,12 +126,15 @@
 
   /**
    * Idle connections are kept for longer than callers may use them, so that none is closed under a
-   * request; one that has sent nothing yet counts as idle.
+   * request; one that has sent nothing yet counts as idle. A shorter time of a later configuration does not
+   * count, since callers may not know it yet, nor does the time before any configuration: connections that
+   * went silent for good would be kept for it.
    */
   applyCallerLimits(limits: CallerLimits | undefined): void {
     if (limits !== undefined) {
       const keptMs = limits.idleTimeoutMs * IDLE_MARGIN + IDLE_MARGIN_MS;
-      this.callerServer.keepAliveTimeout = Math.max(this.callerServer.keepAliveTimeout, keptMs);
+      this.longestKeptMs = Math.max(this.longestKeptMs, keptMs);
+      this.callerServer.keepAliveTimeout = this.longestKeptMs;
       this.callerServer.headersTimeout = Math.max(limits.headerTimeoutMs, keptMs);
     }
   }
--- a/test/proxy/resting-connection.test.ts
+++ b/test/proxy/resting-connection.test.ts
@@ -64,4 +64,13 @@
       expect(keptMs).to.be.within(IDLE_TIMEOUT_MS, GONE_MS);
     }).timeout(2 * GONE_MS);
   }
+
+  it('is kept for the longest idle time that callers may still count on', async () => {
+    node.proxy.applyCallerLimits({ ...LIMITS, idleTimeoutMs: GONE_MS });
+    node.proxy.applyCallerLimits({ ...LIMITS, idleTimeoutMs: IDLE_TIMEOUT_MS });
+    socket = net.connect(node.callerPort, '127.0.0.1').resume();
+    socket.write(WHOLE);
+    await new Promise((resolve) => setTimeout(resolve, GONE_MS));
+    expect(socket.readyState).to.equal('open');
+  }).timeout(2 * GONE_MS);
 });
