--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -43,7 +43,8 @@
   readonly address: string;
   readonly zone: string;
   readonly node: StoreNode;
-  readonly backend: BackendStandIn;
+  /** The back end of the moment; see {@link PlatformFleet.restartBackend}. */
+  backend: BackendStandIn;
   /** Lines of the node's log. */
   readonly log: string[];
 }
@@ -72,6 +73,7 @@
   readonly machines: FleetMachine[] = [];
   private version = 1;
   private requests = 0;
+  private restarts = 0;
 
   private constructor(readonly store: StoreStandIn) {}
 
@@ -118,6 +120,20 @@
     return machine;
   }
 
+  /** Starts the machine's back end anew, under an identity of its own, at the same address. */
+  async restartBackend(machine: FleetMachine, service = 'a'): Promise<void> {
+    const { id, behaviour } = machine.backend;
+    this.restarts += 1;
+    machine.backend = await BackendStandIn.start(
+      `${id.split('.')[0]}.${this.restarts}`,
+      machine.address,
+      BACKEND_PORT,
+    );
+    machine.backend.behaviour = behaviour;
+    this.store.remove(`servers/${id}`);
+    this.announce(machine, service, 'ready');
+  }
+
   /** A node for a machine that is there; not opened. */
   createNode(address: string, service: string, log: string[], zone = 'z1'): StoreNode {
     return new StoreNode({
