Contain requests that end each endpoint which runs them, in the whole fleet

Cause: what an attempt taught was kept for the endpoint and that request alone. The next copy, at any machine, was a new request, and nodes sent it, and all that had stood beside it, on to the next endpoint.

Change: the node beside an endpoint tells the end of its process (all connections gone, nothing listens) from single losses and blames what was at work there; nodes gossip what they know (union of crashes and of cleared ones, by a fingerprint of method, path, host, body and caller). One crash: the request stands beside few others under suspicion; two: alone, one at a time, at the same endpoint for all nodes, without a second attempt; three: it is refused at once, not-run, for five minutes, longer after each further crash. A success clears.

Gossip: 1,800 emulated nodes know within a second, at fewer than 16 datagrams a node.

--- /dev/null
+++ b/src/containment/suspicion-layout.ts
@@ -0,0 +1,28 @@
+/** How a suspicion is laid out between nodes. */
+import { hexDigest, list, PlainStruct, varint } from '../wire/field-types.js';
+import { FINGERPRINT_BYTES } from './request-fingerprint.js';
+import { CRASH_NAME_DIGITS, type Suspicion } from './suspicion.js';
+
+const DIGITS_PER_BYTE = 2;
+const crashName = hexDigest(CRASH_NAME_DIGITS / DIGITS_PER_BYTE);
+
+export const suspicionLayout = new PlainStruct<Suspicion>({
+  fingerprint: hexDigest(FINGERPRINT_BYTES),
+  ageMs: varint,
+  crashes: list(crashName),
+  cleared: list(crashName),
+});
+
+/** So many of the first suspicions as fit into `maxBytes`. */
+export function fitting(suspicions: readonly Suspicion[], maxBytes: number): readonly Suspicion[] {
+  let bytes = 0;
+  let count = 0;
+  for (const suspicion of suspicions) {
+    bytes += suspicionLayout.size(suspicion);
+    if (bytes > maxBytes) {
+      break;
+    }
+    count += 1;
+  }
+  return suspicions.slice(0, count);
+}
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -2,9 +2,12 @@
 import dgram from 'node:dgram';
 import http from 'node:http';
 import type { RandomSource } from '../control/control-event.js';
+import type { Containment } from '../containment/containment.js';
+import type { Suspicion } from '../containment/suspicion.js';
 import type { ReplicaDelta, StoreReplica } from '../store/store-replica.js';
 import { decodeDelta } from './feed-message.js';
 import { decodeDatagram, encodeDatagram, MAX_AGE_MS, type PeerDatagram } from './peer-datagram.js';
+import { SuspicionGossip, type SentNews } from './suspicion-gossip.js';
 import {
   PeerMonitor,
   type AwaitedPeer,
@@ -27,6 +30,8 @@
   /** Port that serves {@link CHANGES_PATH}, the same on every machine. */
   readonly changesPort: number;
   readonly replica: StoreReplica;
+  /** What is known of requests under which endpoints ended; told to peers, and learnt from them. */
+  readonly containment: Containment;
   readonly random: RandomSource;
   /** Time since a reader of the store confirmed the replica, in milliseconds. */
   readonly ageMs: () => number;
@@ -42,11 +47,20 @@
 /** The exchange of one node. */
 export class PeerExchange {
   private readonly monitor: PeerMonitor;
+  private readonly gossip: SuspicionGossip;
+  private peers: ReadonlySet<string> = new Set();
   private readonly socket = dgram.createSocket('udp4');
   private isFetching = false;
 
   constructor(private readonly options: PeerExchangeOptions) {
-    this.monitor = new PeerMonitor(options.random);
+    const { containment, random } = options;
+    this.monitor = new PeerMonitor(random);
+    this.gossip = new SuspicionGossip({
+      random,
+      digest: () => containment.digest,
+      list: () => containment.list(),
+    });
+    containment.subscribe(this.tellSuspicions);
     this.socket.on('error', () => undefined);
     this.socket.on('message', (bytes, { address }) => this.receive(address, bytes));
   }
@@ -69,7 +83,10 @@
 
   /** Takes the addresses of all machines; this one's is left out. */
   setMachines(machines: Iterable<string>): void {
-    this.monitor.setPeers([...machines].filter((machine) => machine !== this.options.address));
+    const peers = [...machines].filter((machine) => machine !== this.options.address);
+    this.peers = new Set(peers);
+    this.monitor.setPeers(peers);
+    this.gossip.setPeers(peers);
   }
 
   isSilent(peer: string): boolean {
@@ -89,15 +106,39 @@
 
   private receive(from: string, bytes: Uint8Array): void {
     const datagram = decodeDatagram(bytes);
-    if (datagram !== undefined) {
+    if (datagram?.kind === 'suspicions') {
+      this.takeSuspicions(from, datagram.suspicions);
+    } else if (datagram !== undefined) {
+      const nowMs = performance.now();
       this.options.onAge(from, datagram.ageMs);
-      this.execute(this.monitor.receive(from, datagram, this.ownState(), performance.now()));
+      this.execute(this.monitor.receive(from, datagram, this.ownState(), nowMs));
+      this.sendNews(this.gossip.heardDigest(from, datagram.suspicionDigest, nowMs));
+    }
+  }
+
+  /** Only machines of the fleet are believed: news from elsewhere could keep any request from being served. */
+  private takeSuspicions(from: string, suspicions: readonly Suspicion[]): void {
+    if (this.peers.has(from)) {
+      const isNew = this.options.containment.learn(suspicions, this.tellSuspicions);
+      this.sendNews(this.gossip.learned(isNew, from));
     }
   }
 
+  private readonly tellSuspicions = (changed: readonly Suspicion[]): void => {
+    this.sendNews(this.gossip.learned(changed));
+  };
+
+  private sendNews(news: readonly SentNews[]): void {
+    news.forEach(({ to, suspicions }) => this.send(to, { kind: 'suspicions', suspicions }));
+  }
+
   private ownState(): ReplicaState {
-    const { replica, ageMs } = this.options;
-    return { revision: replica.revision, ageMs: Math.round(Math.min(ageMs(), MAX_AGE_MS)) };
+    const { replica, ageMs, containment } = this.options;
+    return {
+      revision: replica.revision,
+      ageMs: Math.round(Math.min(ageMs(), MAX_AGE_MS)),
+      suspicionDigest: containment.digest,
+    };
   }
 
   private execute(effects: readonly PeerEffect[]): void {
--- a/src/peers/peer-monitor.ts
+++ b/src/peers/peer-monitor.ts
@@ -4,7 +4,7 @@
  * for a sign of life, so that a silent one is known long before its connections time out. Pure.
  */
 import type { RandomSource } from '../control/control-event.js';
-import type { PeerDatagram } from './peer-datagram.js';
+import type { SignOfLife } from './peer-datagram.js';
 
 /** Time between two pings to peers chosen at random, in milliseconds. */
 const GOSSIP_INTERVAL_MS = 700;
@@ -23,7 +23,7 @@
 
 /** Something to be done. */
 export type PeerEffect =
-  | { readonly type: 'send'; readonly to: string; readonly datagram: PeerDatagram }
+  | { readonly type: 'send'; readonly to: string; readonly datagram: SignOfLife }
   /** Fetch what the peer's replica has and this node's lacks. */
   | { readonly type: 'fetch'; readonly from: string }
   /** Nothing is heard of the peer. */
@@ -32,7 +32,7 @@
   | { readonly type: 'heard-again'; readonly peer: string };
 
 /** What a node tells of its replica. */
-export type ReplicaState = Pick<PeerDatagram, 'revision' | 'ageMs'>;
+export type ReplicaState = Pick<SignOfLife, 'revision' | 'ageMs' | 'suspicionDigest'>;
 
 /** A peer that owes this node an answer. */
 export interface AwaitedPeer {
@@ -97,11 +97,11 @@
   }
 
   /** A datagram arrived. */
-  receive(peer: string, datagram: PeerDatagram, own: ReplicaState, nowMs: number): PeerEffect[] {
+  receive(peer: string, datagram: SignOfLife, own: ReplicaState, nowMs: number): PeerEffect[] {
     const effects = this.heard(peer, nowMs);
     this.compare(peer, datagram.revision, own.revision, nowMs);
     if (datagram.kind === 'ping') {
-      const answer: PeerDatagram = { kind: 'acknowledgement', ...own };
+      const answer: SignOfLife = { kind: 'acknowledgement', ...own };
       effects.push({ type: 'send', to: peer, datagram: answer });
     }
     return effects;
@@ -109,7 +109,7 @@
 
   /** To be called often; `awaited` are the peers that owe this node an answer. */
   tick(nowMs: number, own: ReplicaState, awaited: Iterable<AwaitedPeer>): PeerEffect[] {
-    const ping: PeerDatagram = { kind: 'ping', ...own };
+    const ping: SignOfLife = { kind: 'ping', ...own };
     const effects: PeerEffect[] = [];
     for (const { peer, sinceMs } of awaited) {
       effects.push(...this.probe(peer, sinceMs, ping, nowMs));
@@ -123,7 +123,7 @@
     return [...effects, ...this.gossip(ping, nowMs), ...this.fetch(own.revision, nowMs)];
   }
 
-  private probe(peer: string, sinceMs: number, ping: PeerDatagram, nowMs: number): PeerEffect[] {
+  private probe(peer: string, sinceMs: number, ping: SignOfLife, nowMs: number): PeerEffect[] {
     const state = this.stateOf(peer);
     const quietSinceMs = Math.max(sinceMs, state.heardAtMs);
     const isQuiet = nowMs - quietSinceMs >= AWAITED_SILENCE_MS;
@@ -140,7 +140,7 @@
     return [{ type: 'send', to: peer, datagram: ping }];
   }
 
-  private gossip(ping: PeerDatagram, nowMs: number): PeerEffect[] {
+  private gossip(ping: SignOfLife, nowMs: number): PeerEffect[] {
     const to = this.peers[Math.floor(this.random() * this.peers.length)];
     if (nowMs < this.nextGossipAtMs || to === undefined) {
       return [];
--- a/src/proxy/attempt-errors.ts
+++ b/src/proxy/attempt-errors.ts
@@ -6,8 +6,10 @@
   CancelledError,
   CannotFinishInTimeError,
   ConnectionLostError,
+  ContainedError,
   DeadlinePassedError,
   EndpointDrainingError,
+  EndpointEndedError,
   EndpointRefusedError,
   LostBeforeStartError,
   MalformedAnswerError,
@@ -36,6 +38,8 @@
       return new LostBeforeStartError(`endpoint ${name} had not started the request`);
     case 'timed-out':
       return new TimedOutError(`endpoint ${name} did not answer before the deadline`);
+    case 'ended':
+      return new EndpointEndedError(`endpoint ${name} ended while it ran the request`);
     case 'lost':
       return new ConnectionLostError(`the connection to endpoint ${name} was lost`);
     case 'malformed':
@@ -68,13 +72,18 @@
   }
 }
 
+/** The refusal of a request under which endpoints ended. */
+export function containedError(retryAfterMs: number): RequestError {
+  return new ContainedError('endpoints ended while they ran this request', retryAfterMs);
+}
+
 /** What a failed attempt says of its endpoint. */
 export function outcomeOf(error: RequestError): AttemptOutcome {
+  if (error.code === 'ENDPOINT_GONE' || error.code === 'ENDPOINT_ENDED') {
+    return 'gone';
+  }
   if (error.verdict !== 'not-run') {
     return 'failed';
   }
-  if (error.code === 'ENDPOINT_GONE') {
-    return 'gone';
-  }
   return error.code === 'UNREACHABLE' ? 'unreachable' : 'refused';
 }
--- a/src/proxy/endpoint-attempt.ts
+++ b/src/proxy/endpoint-attempt.ts
@@ -11,6 +11,8 @@
   | { readonly type: 'answered' }
   | { readonly type: 'refused' }
   | { readonly type: 'failed'; readonly failure: ExchangeFailure }
+  /** The connection was lost since the endpoint's process ended. */
+  | { readonly type: 'ended' }
   /** The time left to the request is over; `wasSent` is whether bytes may have gone out. */
   | { readonly type: 'deadline'; readonly wasSent: boolean }
   /** Nobody waits for the answer any more. */
@@ -31,6 +33,8 @@
   | 'lost-before-start'
   | 'timed-out'
   | 'lost'
+  /** Lost with the endpoint's process. */
+  | 'ended'
   | 'malformed';
 
 /** Something to be done. */
@@ -70,6 +74,8 @@
         return this.end('refused');
       case 'failed':
         return this.fail(event.failure);
+      case 'ended':
+        return this.end('ended');
       case 'deadline':
         return this.expire(event.wasSent);
       case 'abandoned':
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -1,5 +1,6 @@
 /** Client of endpoints, in the words of an {@link EndpointProtocol}. */
 import http, { type IncomingMessage } from 'node:http';
+import net from 'node:net';
 import type { Endpoint } from '../model/resource.js';
 import type { Answer, Call, LoadReport } from './call.js';
 import type { AnswerReading, EndpointProtocol } from './endpoint-protocol.js';
@@ -61,6 +62,11 @@
    * it says of its health is not considered: requests show that.
    */
   probeDraining(endpoint: Endpoint, report: (isDraining: boolean | undefined) => void): void;
+  /**
+   * Asks whether a process listens at the endpoint's address, by a connection on which nothing is said;
+   * reports undefined where that can't be told in time.
+   */
+  probeListening(endpoint: Endpoint, report: (isListening: boolean | undefined) => void): void;
 }
 
 /** Bounds of the exchanges with endpoints, in milliseconds. */
@@ -176,6 +182,20 @@
     }, this.limits.connectTimeoutMs);
   }
 
+  probeListening({ spec }: Endpoint, report: (isListening: boolean | undefined) => void): void {
+    const settle = once((isListening: boolean | undefined) => {
+      clearTimeout(timer);
+      socket.destroy();
+      report(isListening);
+    });
+    const socket = net.connect({ host: spec.address, port: spec.port });
+    const timer = setTimeout(() => settle(undefined), this.limits.connectTimeoutMs);
+    socket.once('connect', () => settle(true));
+    socket.on('error', ({ code }: NodeJS.ErrnoException) => {
+      settle(code === 'ECONNREFUSED' ? false : undefined);
+    });
+  }
+
   /**
    * An endpoint that gave an answer to another request may have more of them on the way, and one that
    * dropped a kept connection may have dropped others: for a while, each of its requests gets a
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -5,13 +5,16 @@
   type BodyArrival,
   type Refusal,
 } from '../admission/endpoint-admission.js';
+import { NO_CONTAINMENT, type CallContainment } from '../containment/containment.js';
+import { SuspectLane } from '../containment/suspect-lane.js';
 import type { CounterSink } from '../control/control-event.js';
 import type { Endpoint } from '../model/resource.js';
 import { FailureShare } from '../routing/failure-share.js';
-import { admissionError } from './attempt-errors.js';
+import { admissionError, containedError } from './attempt-errors.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
 import type { EndpointPort } from './endpoint-client.js';
 import { GatedCall, type CallGate, type CancelLead } from './gated-call.js';
+import { LossJudge } from './loss-judge.js';
 import type { RequestError } from './request-error.js';
 import type { RequestLog } from './request-log.js';
 import type { Scheduler } from './scheduler.js';
@@ -21,6 +24,8 @@
   readonly client: EndpointPort;
   readonly counters: CounterSink;
   readonly scheduler: Scheduler;
+  /** What is known of requests under which endpoints ended; nothing is learnt of them when absent. */
+  readonly containment?: CallContainment;
   /** Requests that wait for one endpoint at most. */
   readonly maxQueuedPerEndpoint: number;
   /** The same, for each slot of the endpoint; the default of admission when absent. */
@@ -33,11 +38,21 @@
   readonly logStateChange: (what: string, detail: string) => void;
 }
 
+/** A refusal as the log has it. */
+type RecordedRefusal = Omit<Refusal, 'reason'> & {
+  readonly reason: Refusal['reason'] | 'contained';
+};
+
 /** The slots of one endpoint and the requests for them. */
 export class EndpointGate implements CallGate {
   private readonly admission: EndpointAdmission;
   private readonly calls = new Map<string, GatedCall>();
   private readonly failures = new FailureShare();
+  private readonly containment: CallContainment;
+  private readonly losses: LossJudge<GatedCall>;
+  private readonly lane = new SuspectLane();
+  /** Requests under suspicion that wait until others of them are over, in order. */
+  private readonly heldBack = new Set<GatedCall>();
   private isProbing = false;
   private isDrainedByEndpoint = false;
   private isDrainedByConfiguration = false;
@@ -49,6 +64,13 @@
   ) {
     const { maxQueuedPerEndpoint, maxQueuedPerSlot } = options;
     this.admission = new EndpointAdmission(slots, maxQueuedPerEndpoint, maxQueuedPerSlot);
+    this.containment = options.containment ?? NO_CONTAINMENT;
+    this.losses = new LossJudge({
+      atWork: () => [...this.calls.values()].filter((one) => one.isAtWork()).reverse(),
+      probeListening: (report) => options.client.probeListening(endpoint, report),
+      schedule: (delayMs, action) => options.scheduler.schedule(delayMs, action),
+      onEnd: (work) => this.takeEnd(work),
+    });
   }
 
   /** Whether no request waits or runs. */
@@ -58,12 +80,12 @@
 
   /** Requests that wait for a slot. */
   get waitingCount(): number {
-    return this.admission.waitingCount;
+    return this.admission.waitingCount + this.heldBack.size;
   }
 
   /** Requests that wait or run. */
   get inFlight(): number {
-    return this.admission.runningCount + this.admission.waitingCount;
+    return this.admission.runningCount + this.waitingCount;
   }
 
   load(workClass: string): LoadReport {
@@ -80,7 +102,7 @@
     const { client, scheduler, cancelLead } = this.options;
     const gated = new GatedCall(this, client, this.endpoint, call, observer, scheduler, cancelLead);
     this.calls.set(call.requestId, gated);
-    this.execute(this.admission.offer(call, scheduler.now()));
+    this.offer(gated);
     gated.waitUntil(this.admission.latestStartAtMs(call));
     return gated;
   }
@@ -101,9 +123,12 @@
   }
 
   withdraw(call: Call): boolean {
-    const wasWaiting = this.admission.withdraw(call.requestId, call.callerNode);
+    const gated = this.calls.get(call.requestId);
+    const wasHeldBack = gated !== undefined && this.heldBack.delete(gated);
+    const wasWaiting = wasHeldBack || this.admission.withdraw(call.requestId, call.callerNode);
     if (wasWaiting) {
       this.calls.delete(call.requestId);
+      this.leaveLane(call.requestId);
     }
     return wasWaiting;
   }
@@ -119,6 +144,19 @@
       this.options.onEndpointMs?.(serviceMs);
     }
     this.execute(this.admission.release(call.requestId, this.options.scheduler.now(), serviceMs));
+    this.leaveLane(call.requestId);
+  }
+
+  judgeLoss(gated: GatedCall, report: (hasEnded: boolean) => void): void {
+    this.losses.lost(gated, report);
+  }
+
+  /** A fault clears nobody: a request may fail in one place and end the process in another. */
+  answeredWhole(gated: GatedCall, isSuccess: boolean): void {
+    this.losses.answered(gated);
+    if (isSuccess) {
+      this.containment.answered(gated.call);
+    }
   }
 
   takeLoad(load: LoadReport | undefined): void {
@@ -169,6 +207,52 @@
     });
   }
 
+  /** A draining endpoint is expected to end: nothing is learnt from that. */
+  private takeEnd(work: readonly GatedCall[]): void {
+    if (!this.admission.isDraining) {
+      const calls = work.map(({ call }) => call);
+      this.containment.endpointEnded(this.endpoint.name, calls);
+    }
+  }
+
+  /** Admits a request, holds it back while others under suspicion are at work, or refuses it. */
+  private offer(gated: GatedCall): void {
+    const { call } = gated;
+    const { containment } = this;
+    const standing = containment.standingOf(call);
+    if (standing === 'contained') {
+      this.refuseContained(gated);
+      return;
+    }
+    const fingerprint = standing === 'clear' ? '' : containment.fingerprintOf(call);
+    const request = { standing, fingerprint };
+    if (this.lane.admits(request, this.slots)) {
+      this.lane.enter(call.requestId, request);
+      this.execute(this.admission.offer(call, this.options.scheduler.now()));
+    } else {
+      this.heldBack.add(gated);
+    }
+  }
+
+  /** Looks again at what is held back once a request under suspicion is over. */
+  private leaveLane(requestId: string): void {
+    if (this.lane.leave(requestId)) {
+      const waiting = [...this.heldBack];
+      this.heldBack.clear();
+      waiting.forEach((gated) => this.offer(gated));
+    }
+  }
+
+  private refuseContained(gated: GatedCall): void {
+    const { call } = gated;
+    const retryAfterMs = this.containment.containedForMs(call);
+    this.options.counters.add('ferryspool_contained_refusals_total');
+    this.recordRefusal({ requestId: call.requestId, reason: 'contained', retryAfterMs }, call);
+    this.calls.delete(call.requestId);
+    this.leaveLane(call.requestId);
+    gated.refuse(containedError(retryAfterMs));
+  }
+
   private updateDraining(): void {
     const isDraining = this.isDrainedByEndpoint || this.isDrainedByConfiguration;
     if (isDraining !== this.admission.isDraining) {
@@ -179,7 +263,7 @@
   }
 
   private recordRefusal(
-    { requestId, reason, retryAfterMs }: Refusal,
+    { requestId, reason, retryAfterMs }: RecordedRefusal,
     call: Call | undefined,
   ): void {
     const nowMs = this.options.scheduler.now();
@@ -218,6 +302,11 @@
     for (const effect of effects) {
       const gated = this.calls.get(effect.requestId);
       if (effect.type === 'dispatch') {
+        if (gated !== undefined && this.containment.standingOf(gated.call) === 'contained') {
+          this.refuseContained(gated);
+          this.execute(this.admission.release(effect.requestId, this.options.scheduler.now()));
+          continue;
+        }
         this.options.counters.add('ferryspool_endpoint_dispatches_total');
         gated?.dispatch();
       } else {
@@ -225,6 +314,7 @@
         this.recordRefusal(effect, gated?.call);
         this.calls.delete(effect.requestId);
         gated?.refuse(admissionError(effect.reason, effect.retryAfterMs));
+        this.leaveLane(effect.requestId);
       }
     }
   }
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -12,7 +12,8 @@
   type EndpointAttemptEvent,
 } from './endpoint-attempt.js';
 import type { EndpointPort } from './endpoint-client.js';
-import type { Exchange } from './http-exchange.js';
+import type { Exchange, ExchangeFailure } from './http-exchange.js';
+import type { EndpointWork } from './loss-judge.js';
 import { refusalLeadMs } from './refusal-lead.js';
 import type { CancelTimer, Scheduler } from './scheduler.js';
 import { CannotFinishInTimeError, EndpointGoneError, type RequestError } from './request-error.js';
@@ -53,10 +54,14 @@
   recordFailure(requestId: string, code: string, elapsedMs: number, detail: string): void;
   /** The endpoint refused before the start. */
   takeRefusal(load: LoadReport | undefined): void;
+  /** The connection was lost; `report` gets whether the endpoint's process ended. */
+  judgeLoss(gated: GatedCall, report: (hasEnded: boolean) => void): void;
+  /** The endpoint answered in whole; `isSuccess` unless the answer reports a fault of its own. */
+  answeredWhole(gated: GatedCall, isSuccess: boolean): void;
 }
 
 /** One request. */
-export class GatedCall implements Attempt {
+export class GatedCall implements Attempt, EndpointWork {
   private attempt: EndpointAttempt | undefined;
   private exchange: Exchange | undefined;
   private answer: Answer | undefined;
@@ -67,6 +72,8 @@
   private isOver = false;
   private isEndpointGone = false;
   private isAbandoned = false;
+  /** Whether the exchange is over, or was given up. */
+  private isExchangeOver = false;
 
   constructor(
     private readonly gate: CallGate,
@@ -93,6 +100,15 @@
     return this.attempt === undefined || this.exchange?.wasSent() === false;
   }
 
+  /** Whether the endpoint has got the request, so that it may be at work on it until its slot is free. */
+  isAtWork(): boolean {
+    return this.exchange?.wasSent() === true;
+  }
+
+  isConnected(): boolean {
+    return this.isAtWork() && !this.isExchangeOver;
+  }
+
   /** Refuses the request when it still waits at `latestStartAtMs`. */
   waitUntil(latestStartAtMs: number): void {
     if (this.attempt === undefined && !this.isOver) {
@@ -126,7 +142,18 @@
         this.isEndpointGone = isOtherEndpoint;
         this.takeRefusal(load, retryAfterMs);
       },
-      failed: (failure) => this.handle({ type: 'failed', failure }),
+      failed: (failure) => this.takeLoss(failure),
+    });
+  }
+
+  private takeLoss(failure: ExchangeFailure): void {
+    this.isExchangeOver = true;
+    if (failure !== 'lost') {
+      this.handle({ type: 'failed', failure });
+      return;
+    }
+    this.gate.judgeLoss(this, (hasEnded) => {
+      this.handle(hasEnded ? { type: 'ended' } : { type: 'failed', failure });
     });
   }
 
@@ -151,6 +178,12 @@
   }
 
   private endAnswer(status: number, isWhole: boolean): void {
+    this.isExchangeOver = true;
+    if (isWhole) {
+      this.gate.answeredWhole(this, status < FAULT_STATUS);
+    } else if (!this.isAbandoned) {
+      this.gate.judgeLoss(this, () => undefined);
+    }
     if (!this.isAbandoned) {
       this.gate.takeOutcome(!isWhole || status >= FAULT_STATUS);
     }
@@ -179,6 +212,7 @@
       case 'send-cancel':
         return this.sendCancel();
       case 'close-exchange':
+        this.isExchangeOver = true;
         return this.exchange?.abort();
       case 'hold-slot':
         return this.holdSlot();
--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -118,6 +118,12 @@
   }
 }
 
+/** Endpoints ended while they ran the same request: it is not sent on for a while. */
+export class ContainedError extends NotRunError {
+  override readonly code = 'CONTAINED';
+  override readonly status = 503;
+}
+
 /** The endpoint's node does not know the endpoint, or does not own it. */
 export class UnknownEndpointError extends NotRunError {
   override readonly code = 'UNKNOWN_ENDPOINT';
@@ -200,6 +206,13 @@
   override readonly retryable = true;
 }
 
+/** The endpoint's process ended while the request was at work there. */
+export class EndpointEndedError extends MayHaveRunError {
+  override readonly code = 'ENDPOINT_ENDED';
+  override readonly status = 502;
+  override readonly retryable = true;
+}
+
 /** The node had to stop before the answer to a request that it had sent on. */
 export class StoppedBeforeAnswerError extends MayHaveRunError {
   override readonly code = 'STOPPED_BEFORE_ANSWER';
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -59,6 +59,8 @@
     }
   /** No endpoint is left to try. */
   | { readonly type: 'no-endpoint'; readonly attempt: number; readonly failure: RequestFailure }
+  /** The request is not to be sent on: endpoints ended under it. */
+  | { readonly type: 'withheld'; readonly attempt: number; readonly failure: RequestFailure }
   | { readonly type: 'back-off-over' }
   /** The request can't be answered within its target latency any more, but before its deadline. */
   | { readonly type: 'target-missed' }
@@ -153,6 +155,8 @@
         return this.fail(event.failure, event.canReplay, nowMs);
       case 'no-endpoint':
         return this.report(this.lastFailure ?? event.failure);
+      case 'withheld':
+        return this.report(this.mayHaveRun ? (this.lastFailure ?? event.failure) : event.failure);
     }
   }
 
--- a/src/proxy/request-path.ts
+++ b/src/proxy/request-path.ts
@@ -1,5 +1,6 @@
 /** What the request path of a node needs, and what it offers. */
 import type http from 'node:http';
+import type { CallContainment } from '../containment/containment.js';
 import type { CounterSink, RandomSource } from '../control/control-event.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { CallerLimits, Snapshot } from '../model/snapshot.js';
@@ -20,6 +21,8 @@
   readonly counters: CounterSink;
   readonly random: RandomSource;
   readonly limits?: Partial<ProxyLimits>;
+  /** What is known of requests under which endpoints ended; nothing is learnt of them when absent. */
+  readonly containment?: CallContainment;
   /** Claims on idempotency keys; without them keys are passed on and mean nothing to the node. */
   readonly claims?: IdempotencyClaims;
   /** Shared secret of the fleet; without one, whoever reaches the relay port may use it. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -1,6 +1,7 @@
 /** The request path of a node: callers' port, relay port and everything between. */
 import type http from 'node:http';
 import type { Channel } from 'js-csp';
+import { NO_CONTAINMENT } from '../containment/containment.js';
 import type { CallerLimits } from '../model/snapshot.js';
 import type { AwaitedMachine } from './awaited-attempts.js';
 import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
@@ -60,7 +61,7 @@
   constructor(private readonly options: RequestProxyOptions) {
     this.limits = { ...DEFAULT_PROXY_LIMITS, ...options.limits };
     this.plannedStop = new PlannedStop({ ...this.limits, stopCloseMs: RELAY_CLOSE_TIMEOUT_MS });
-    const { callerProtocol, endpointProtocol } = options;
+    const { callerProtocol, endpointProtocol, containment = NO_CONTAINMENT } = options;
     this.callerProtocol = callerProtocol ?? NATIVE_CALLER_PROTOCOL;
     this.endpointProtocol = endpointProtocol ?? NATIVE_ENDPOINT_PROTOCOL;
     this.endpointClient = new EndpointClient(this.limits, this.endpointProtocol);
@@ -69,6 +70,7 @@
       client: this.endpointClient,
       counters: options.counters,
       scheduler: MACHINE_TIME,
+      containment,
       logStateChange: options.logStateChange,
       requestLog: options.requestLog ?? NO_REQUEST_LOG,
       ...(options.onEndpointMs && { onEndpointMs: options.onEndpointMs }),
@@ -85,6 +87,7 @@
     this.upkeep = startUpkeep(this.gateway);
     this.services = new RequestServices({
       ...options,
+      containment,
       requestLog: options.requestLog ?? NO_REQUEST_LOG,
       limits: this.limits,
       isStopping: () => this.plannedStop.isStopping,
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -1,4 +1,5 @@
 /** What the requests of a node share: choice of endpoints, ways to them, budgets. */
+import { NO_CONTAINMENT, type CallContainment } from '../containment/containment.js';
 import type { CounterSink, RandomSource } from '../control/control-event.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { Endpoint } from '../model/resource.js';
@@ -6,6 +7,7 @@
 import { orphanSlots, ownedSlots, sharedSlots } from '../routing/direct-access.js';
 import { EndpointSelector } from '../routing/endpoint-selector.js';
 import { RetryBudget } from '../routing/retry-budget.js';
+import { trialEndpoints } from '../routing/trial-endpoint.js';
 import type { RouteMatch } from '../routing/route-table.js';
 import { WeightedTargets } from '../routing/weighted-targets.js';
 import type { MemberStatus } from '../wire/message.js';
@@ -38,6 +40,8 @@
   readonly random: RandomSource;
   readonly scheduler: Scheduler;
   readonly requestLog?: RequestLog;
+  /** What is known of requests under which endpoints ended; nothing is known when absent. */
+  readonly containment?: CallContainment;
   readonly limits: ProxyLimits;
   /** Cost of the way over another node in the choice of an endpoint; the default when absent. */
   readonly hopCost?: number;
@@ -62,6 +66,7 @@
   readonly machineId: string;
   readonly requestLog: RequestLog;
   readonly targets: WeightedTargets;
+  readonly containment: CallContainment;
   readonly isStopping: () => boolean;
   readonly onFailureMs: (ms: number) => void;
   private readonly budgets = new Map<string, RetryBudget>();
@@ -70,6 +75,7 @@
     this.selector = new EndpointSelector(options.random, options.hopCost);
     this.targets = new WeightedTargets(options.random);
     this.requestLog = options.requestLog ?? NO_REQUEST_LOG;
+    this.containment = options.containment ?? NO_CONTAINMENT;
     this.limits = options.limits;
     this.isStopping = options.isStopping ?? (() => false);
     this.onFailureMs = options.onFailureMs ?? (() => undefined);
@@ -79,12 +85,16 @@
     this.machineId = options.identity.id;
   }
 
-  /** The endpoint for the next attempt, or undefined. */
+  /**
+   * The endpoint for the next attempt, or undefined. A request on `trial`, by its fingerprint, gets the
+   * same one at every node.
+   */
   chooseEndpoint(
     snapshot: Snapshot,
     match: RouteMatch,
     tried: ReadonlySet<string>,
     isLate: boolean,
+    trial?: string,
   ): Endpoint | undefined {
     const { zone, region } = this.options.identity;
     const context = {
@@ -96,7 +106,8 @@
       work: workProfileOf(match.route, isLate),
       mayReceive: (endpoint: Endpoint) => this.pathTo(endpoint) !== undefined,
     };
-    const endpoints = snapshot.endpointsByService.get(match.service) ?? [];
+    const all = snapshot.endpointsByService.get(match.service) ?? [];
+    const endpoints = trial === undefined ? all : trialEndpoints(all, trial, tried);
     return this.selector.choose(endpoints, context, this.scheduler.now());
   }
 
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -29,7 +29,7 @@
  * - `answered`: an answer that speaks for the endpoint.
  * - `failed`: no answer, a broken one, or one that reports a fault of the endpoint.
  * - `unreachable`: no connection.
- * - `gone`: another process answers at its address.
+ * - `gone`: its process ended, or another one answers at its address.
  * - `refused`: not started, for lack of room or because of a drain.
  * - `abandoned`: given up by the caller; says nothing of the endpoint.
  */
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -3,7 +3,9 @@
  * The store lists every endpoint with its machine, so the node needs no machine list of its own, and
  * nothing of the control plane runs here; see `docs/PLATFORM.md`.
  */
+import { randomUUID } from 'node:crypto';
 import type http from 'node:http';
+import { Containment } from '../containment/containment.js';
 import { PeerExchange } from '../peers/peer-exchange.js';
 import type { AwaitedPeer } from '../peers/peer-monitor.js';
 import type { CallerProtocol } from '../proxy/caller-protocol.js';
@@ -88,6 +90,7 @@
 export class StoreNode {
   private readonly metrics = new Metrics();
   private readonly replica = new StoreReplica();
+  private readonly containment: Containment;
   private readonly builder: SnapshotBuilder;
   private readonly source: ReplicaSource;
   private readonly proxy: RequestProxy;
@@ -106,6 +109,7 @@
       options.logger.warn('close-failed', { name, reason: String(err) });
     });
     this.builder = new SnapshotBuilder(options.readRecord);
+    this.containment = this.createContainment();
     this.source = this.services.own('store', this.createSource(), (one) => one.close());
     this.proxy = this.createProxy();
     const readiness = createReadinessServer(() => this.isReady);
@@ -152,6 +156,7 @@
   private tick(): void {
     this.source.tick();
     this.peers.tick();
+    this.containment.tick();
   }
 
   private get isReady(): boolean {
@@ -189,6 +194,11 @@
         () => this.source.feed.followerCount,
       ],
       ['machines', 'Machines that the endpoints name', () => this.machineCount],
+      [
+        'contained_requests',
+        'Requests that are not sent on, since endpoints ended under them',
+        () => this.containment.containedCount,
+      ],
     ];
     for (const [name, help, read] of gauges) {
       this.metrics.gauge(`ferryspool_${name}`, help, read);
@@ -199,6 +209,17 @@
     return this.options.settings.internalPorts.first + INTERNAL_SERVER_PORT_OFFSET;
   }
 
+  private createContainment(): Containment {
+    const { settings, callerProtocol, logger } = this.options;
+    return new Containment({
+      nodeName: `${settings.machine.address} ${randomUUID()}`,
+      identityHeaders: callerProtocol.identityHeaders,
+      nowMs: () => performance.now(),
+      counters: this.metrics,
+      logStateChange: (what, detail) => logger.warn(what, { detail }),
+    });
+  }
+
   private createPeers(): PeerExchange {
     const { settings, logger } = this.options;
     return new PeerExchange({
@@ -206,6 +227,7 @@
       datagramPort: settings.internalPorts.first,
       changesPort: this.internalPort,
       replica: this.replica,
+      containment: this.containment,
       random: Math.random,
       ageMs: () => this.source.ageMs,
       onAge: (peer, ageMs) => this.source.peerHeard(peer, ageMs),
@@ -268,6 +290,7 @@
         heard: (address) => this.peers.heard(address),
       },
       counters: this.metrics,
+      containment: this.containment,
       random: Math.random,
       limits: {
         ...STORE_NODE_LIMITS,
--- a/test/peers/peer-monitor.test.ts
+++ b/test/peers/peer-monitor.test.ts
@@ -4,9 +4,9 @@
 import { PeerMonitor, type PeerEffect } from '../../src/peers/peer-monitor.js';
 
 const TICK_MS = 50;
-const OWN = { revision: 10, ageMs: 20 };
-const CAUGHT_UP = { revision: 12, ageMs: 0 };
-const NOTHING = { revision: 0, ageMs: 0 };
+const OWN = { revision: 10, ageMs: 20, suspicionDigest: 7 };
+const CAUGHT_UP = { revision: 12, ageMs: 0, suspicionDigest: 0 };
+const NOTHING = { revision: 0, ageMs: 0, suspicionDigest: 0 };
 
 /** Ticks from `fromMs` to `toMs`; gives the effects with their times. */
 function run(
@@ -59,7 +59,12 @@
       const effects =
         sign === 'answer'
           ? monitor.heard('owes', 1_600)
-          : monitor.receive('owes', { kind: sign, revision: 1, ageMs: 0 }, OWN, 1_600);
+          : monitor.receive(
+              'owes',
+              { kind: sign, revision: 1, ageMs: 0, suspicionDigest: 0 },
+              OWN,
+              1_600,
+            );
       expect(effects.map(({ type }) => type)).to.include('heard-again');
       expect(monitor.isSilent('owes')).to.equal(false);
     });
@@ -85,7 +90,12 @@
   });
 
   it('acknowledges a ping with the revision of its own replica', () => {
-    const effects = monitorOf().receive('p', { kind: 'ping', revision: 3, ageMs: 0 }, OWN, 0);
+    const effects = monitorOf().receive(
+      'p',
+      { kind: 'ping', revision: 3, ageMs: 0, suspicionDigest: 0 },
+      OWN,
+      0,
+    );
     expect(effects).to.deep.equal([
       {
         type: 'send',
@@ -97,7 +107,7 @@
 
   it('fetches from a peer that stays ahead, not from one that it catches up with', () => {
     const monitor = monitorOf([]);
-    monitor.receive('p', { kind: 'ping', revision: 12, ageMs: 0 }, OWN, 0);
+    monitor.receive('p', { kind: 'ping', revision: 12, ageMs: 0, suspicionDigest: 0 }, OWN, 0);
     expect(firstOf(run(monitor, 50, 400), 'fetch')).to.equal(undefined);
     expect(firstOf(run(monitor, 450, 1_000), 'fetch')).to.be.within(500, 550);
     expect(monitor.tick(2_000, CAUGHT_UP, [])).to.deep.equal([]);
@@ -106,7 +116,7 @@
 
   it('fetches at once when it holds nothing', () => {
     const monitor = monitorOf([]);
-    monitor.receive('p', { kind: 'ping', revision: 12, ageMs: 0 }, NOTHING, 0);
+    monitor.receive('p', { kind: 'ping', revision: 12, ageMs: 0, suspicionDigest: 0 }, NOTHING, 0);
     expect(monitor.tick(0, NOTHING, [])).to.deep.equal([{ type: 'fetch', from: 'p' }]);
   });
 
@@ -120,7 +130,12 @@
 
 describe('datagrams between peers', () => {
   it('reads what it writes, and nothing else', () => {
-    const datagram = { kind: 'ping', revision: 123_456_789, ageMs: 1_500 } as const;
+    const datagram = {
+      kind: 'ping',
+      revision: 123_456_789,
+      ageMs: 1_500,
+      suspicionDigest: 4_000_000_000,
+    } as const;
     const bytes = encodeDatagram(datagram);
     expect(decodeDatagram(bytes)).to.deep.equal(datagram);
     const foreign = [
--- a/test/peers/source-world.ts
+++ b/test/peers/source-world.ts
@@ -178,7 +178,11 @@
   }
 
   private gossip(node: FleetNode): void {
-    const state = { revision: node.revision, ageMs: node.choice.freshness(this.nowMs).ageMs };
+    const state = {
+      revision: node.revision,
+      ageMs: node.choice.freshness(this.nowMs).ageMs,
+      suspicionDigest: 0,
+    };
     for (const effect of node.monitor.tick(this.nowMs, state, [])) {
       const peer = effect.type === 'send' ? this.byAddress.get(effect.to) : undefined;
       if (effect.type === 'fetch') {
@@ -194,6 +198,7 @@
     const own = (node: FleetNode) => ({
       revision: node.revision,
       ageMs: node.choice.freshness(this.nowMs).ageMs,
+      suspicionDigest: 0,
     });
     to.choice.peerHeard(from.address, own(from).ageMs, this.nowMs);
     to.monitor.receive(
--- /dev/null
+++ b/test/peers/suspicion-gossip.test.ts
@@ -0,0 +1,199 @@
+/** How soon all machines know of a request, by fleet size, lost datagrams, cuts and starts. */
+import { expect } from 'chai';
+import type { Suspicion } from '../../src/containment/suspicion.js';
+import { SuspicionTable } from '../../src/containment/suspicion-table.js';
+import { fitting, suspicionLayout } from '../../src/containment/suspicion-layout.js';
+import { SuspicionGossip, type SentNews } from '../../src/peers/suspicion-gossip.js';
+import { seededRandom } from '../proxy/rig.js';
+
+const GUILTY = 'c'.repeat(40);
+const HOP_MS = 2;
+const PING_INTERVAL_MS = 700;
+
+interface GossipNode {
+  readonly table: SuspicionTable;
+  readonly gossip: SuspicionGossip;
+  nextPingAtMs: number;
+  isUp: boolean;
+  knewAtMs: number | undefined;
+}
+
+/** Nodes that gossip over datagrams, of which some are lost. */
+class GossipWorld {
+  nowMs = 0;
+  sentCount = 0;
+  readonly nodes = new Map<string, GossipNode>();
+  private readonly random: () => number;
+  private waiting: (() => void)[] = [];
+
+  constructor(
+    size: number,
+    seed: number,
+    private readonly lossShare = 0,
+  ) {
+    this.random = seededRandom(seed);
+    for (let number = 0; number < size; number += 1) {
+      this.start(`n${number}`);
+    }
+    this.meet();
+  }
+
+  start(name: string): GossipNode {
+    const table = new SuspicionTable();
+    const gossip = new SuspicionGossip({
+      random: this.random,
+      digest: () => table.digest,
+      list: () => table.list(this.nowMs),
+    });
+    const nextPingAtMs = this.nowMs + this.random() * PING_INTERVAL_MS;
+    const node = { table, gossip, nextPingAtMs, isUp: true, knewAtMs: undefined };
+    this.nodes.set(name, node);
+    return node;
+  }
+
+  meet(): void {
+    for (const [name, { gossip }] of this.nodes) {
+      gossip.setPeers([...this.nodes.keys()].filter((peer) => peer !== name));
+    }
+  }
+
+  blame(name: string, crash: number): void {
+    const { table, gossip } = this.nodes.get(name) ?? expect.fail('no such node');
+    const changed = table.blame([GUILTY], crash.toString(16).padStart(12, '0'), this.nowMs);
+    this.send(gossip.learned(changed));
+  }
+
+  runFor(ms: number): void {
+    for (const untilMs = this.nowMs + ms; this.nowMs < untilMs; this.nowMs += HOP_MS) {
+      const arrived = this.waiting;
+      this.waiting = [];
+      arrived.forEach((take) => take());
+      this.ping();
+      this.note();
+    }
+  }
+
+  /** How many of the nodes that are up have contained the request. */
+  get knowing(): number {
+    return [...this.nodes.values()].filter(
+      ({ table, isUp }) => isUp && table.standingOf(GUILTY, this.nowMs) === 'contained',
+    ).length;
+  }
+
+  private note(): void {
+    for (const node of this.nodes.values()) {
+      const knows = node.table.standingOf(GUILTY, this.nowMs) === 'contained';
+      node.knewAtMs ??= knows ? this.nowMs : undefined;
+    }
+  }
+
+  /** Each node pings one other at its times; both learn the digest of the other. */
+  private ping(): void {
+    const names = [...this.nodes.keys()];
+    for (const [name, node] of this.nodes) {
+      const peer = names[Math.floor(this.random() * names.length)] ?? name;
+      if (node.isUp && this.nowMs >= node.nextPingAtMs) {
+        node.nextPingAtMs += PING_INTERVAL_MS;
+        const other = this.nodes.get(peer) ?? node;
+        this.deliver(peer, () => {
+          this.send(other.gossip.heardDigest(name, node.table.digest, this.nowMs));
+          this.deliver(name, () => {
+            this.send(node.gossip.heardDigest(peer, other.table.digest, this.nowMs));
+          });
+        });
+      }
+    }
+  }
+
+  private send(news: readonly SentNews[]): void {
+    for (const { to, suspicions } of news) {
+      this.sentCount += 1;
+      this.deliver(to, () => this.take(to, suspicions));
+    }
+  }
+
+  private take(name: string, suspicions: readonly Suspicion[]): void {
+    const { table, gossip } = this.nodes.get(name) ?? expect.fail('no such node');
+    this.send(gossip.learned(table.merge(suspicions, this.nowMs)));
+  }
+
+  private deliver(to: string, action: () => void): void {
+    if (this.random() >= this.lossShare) {
+      this.waiting.push(() => {
+        if (this.nodes.get(to)?.isUp === true) {
+          action();
+        }
+      });
+    }
+  }
+}
+
+describe('gossip of requests under suspicion', () => {
+  for (const size of [13, 74, 195, 1_800]) {
+    it(`reaches 99.9% of ${size} machines within a second, at the same cost for each`, () => {
+      const world = new GossipWorld(size, size);
+      [1, 2, 3].forEach((crash) => world.blame(`n${crash}`, crash));
+      world.runFor(1_000);
+      expect(world.knowing).to.be.at.least(Math.floor(size * 0.999));
+      world.runFor(1_000);
+      expect(world.knowing).to.equal(size);
+      // Three crashes, each told to four by each node, and the answers to digests that differ.
+      expect(world.sentCount / size).to.be.below(16);
+    }).timeout(60_000);
+  }
+
+  it('reaches all in two seconds where a fifth of the datagrams is lost', () => {
+    const world = new GossipWorld(195, 7, 0.2);
+    [1, 2, 3].forEach((crash) => world.blame(`n${crash}`, crash));
+    world.runFor(2_000);
+    expect(world.knowing).to.equal(195);
+  });
+
+  it('is caught up with by machines that were cut off or start later, within two seconds', () => {
+    const world = new GossipWorld(74, 8);
+    const cutOff = [...world.nodes.values()].slice(10, 30);
+    cutOff.forEach((node) => {
+      node.isUp = false;
+    });
+    [1, 2, 3].forEach((crash) => world.blame(`n${crash}`, crash));
+    world.runFor(3_000);
+    cutOff.forEach((node) => {
+      node.isUp = true;
+      node.nextPingAtMs = world.nowMs;
+    });
+    world.start('new');
+    world.meet();
+    world.runFor(2_000);
+    expect(world.knowing).to.equal(75);
+  });
+
+  it('says nothing more once all know the same', () => {
+    const world = new GossipWorld(13, 9);
+    [1, 2, 3].forEach((crash) => world.blame(`n${crash}`, crash));
+    world.runFor(2_000);
+    const { sentCount } = world;
+    world.runFor(5_000);
+    expect(world.sentCount).to.equal(sentCount);
+  });
+
+  it('keeps to its bound of bytes when there is much to tell', () => {
+    const table = new SuspicionTable();
+    for (let number = 0; number < 500; number += 1) {
+      table.blame(
+        [number.toString(16).padStart(32, '0') + '00000000'],
+        number.toString(16).padStart(12, '0'),
+        0,
+      );
+    }
+    const gossip = new SuspicionGossip({
+      random: () => 0.5,
+      digest: () => table.digest,
+      list: () => table.list(0),
+    });
+    const [answer = expect.fail('no answer')] = gossip.heardDigest('p', 1, 0);
+    const bytes = answer.suspicions.reduce((sum, one) => sum + suspicionLayout.size(one), 0);
+    expect(bytes).to.be.within(800, 1_200);
+    expect(gossip.heardDigest('p', 1, 100)).to.deep.equal([]);
+    expect(fitting(table.list(0), 100)).to.have.length(3);
+  });
+});
--- a/test/platform/crashing-request.test.ts
+++ b/test/platform/crashing-request.test.ts
@@ -11,6 +11,7 @@
 import {
   pause,
   PlatformFleet,
+  SLOTS,
   type ClientCall,
   type ClientResult,
   type FleetMachine,
@@ -34,7 +35,12 @@
     fleet.close();
   });
 
-  async function startFleet(route = {}, workMs = WORK_MS): Promise<FleetMachine[]> {
+  /** `crashesFor` is the service whose requests end back ends; any when absent. */
+  async function startFleet(
+    route = {},
+    workMs = WORK_MS,
+    crashesFor?: string,
+  ): Promise<FleetMachine[]> {
     fleet = await PlatformFleet.start({ timeoutS: 1.2, maxAttempts: 3, ...route });
     for (let count = 0; count < MACHINES; count += 1) {
       await fleet.addMachine('a');
@@ -47,7 +53,9 @@
     backends = new CrashingBackends({
       fleet,
       machines: fleet.machines,
-      isCrashing: ({ target }) => target.startsWith(CRASHING_PATH),
+      isCrashing: ({ target, headers }) =>
+        target.startsWith(CRASHING_PATH) &&
+        headers['caller-service'] === (crashesFor ?? headers['caller-service']),
       workMs,
       downMs: DOWN_MS,
     });
@@ -115,6 +123,72 @@
     }
     expect(crashingArrivals).to.have.length(3);
   }).timeout(20_000);
+
+  it('is the same one at machines of other services, as long as it ends back ends for all', async () => {
+    const [first = expect.fail('no machine')] = await startFleet({ kind: 'unsafe' });
+    const other = await fleet.addMachine('b');
+    await fleet.untilStatus(other, 200);
+    const call = { path: CRASHING_PATH, method: 'POST' };
+    for (const machine of [first, other, first]) {
+      expect((await fleet.call(machine, call)).status).to.equal(502);
+      await pause(KNOWN_AFTER_MS);
+    }
+    for (const machine of [first, other]) {
+      expect(JSON.parse((await fleet.call(machine, call)).body)).to.include({ code: 'CONTAINED' });
+    }
+    expect(crashing().crashingArrivals).to.have.length(3);
+  }).timeout(20_000);
+
+  it('is served to callers for whom it ends none', async () => {
+    const [first = expect.fail('no machine')] = await startFleet({ kind: 'unsafe' }, WORK_MS, 'a');
+    const other = await fleet.addMachine('b');
+    const call = { path: CRASHING_PATH, method: 'POST' };
+    await fleet.untilStatus(other, 200);
+    for (let crash = 0; crash < 3; crash += 1) {
+      expect((await fleet.call(first, call)).status).to.equal(502);
+      expect((await fleet.call(other, call)).status).to.equal(200);
+      await pause(KNOWN_AFTER_MS);
+    }
+    expect(JSON.parse((await fleet.call(first, call)).body)).to.include({ code: 'CONTAINED' });
+    expect((await fleet.call(other, call)).status).to.equal(200);
+    expect(crashing().crashingArrivals).to.have.length(3);
+  }).timeout(20_000);
+
+  it('is known to a machine that starts later', async () => {
+    const [first = expect.fail('no machine')] = await startFleet({ kind: 'unsafe' });
+    for (let crash = 0; crash < 3; crash += 1) {
+      await fleet.call(first, { path: CRASHING_PATH, method: 'POST' });
+      await pause(DOWN_MS);
+    }
+    const newcomer = await fleet.addMachine('a');
+    while ((await fleet.readiness(newcomer)) !== 200) {
+      await pause(10);
+    }
+    await pause(KNOWN_AFTER_MS);
+    const { crashingArrivals } = crashing();
+    const { body } = await fleet.call(newcomer, { path: CRASHING_PATH, method: 'POST' });
+    expect(JSON.parse(body)).to.include({ code: 'CONTAINED' });
+    expect(crashingArrivals).to.have.length(3);
+  }).timeout(20_000);
+
+  it('takes no request with it that stood beside it', async () => {
+    await startFleet({ kind: 'safe', timeoutS: 5, targetLatencyS: 3 }, 150);
+    const call = { deadlineMs: 5_000 };
+    const beside = Array.from({ length: SLOTS * MACHINES - 1 }, (_, index) => `/p/beside-${index}`);
+    const crashes = sendSeries(100, 3_000, () => ({ ...call, path: CRASHING_PATH }));
+    const others = sendSeries(60, 3_000, (index) => ({
+      ...call,
+      path: beside[index % beside.length] ?? '',
+    }));
+    const told = (await others).map(({ body }) => body).join();
+    await crashes;
+    expect(told).not.to.include('CONTAINED');
+    for (const path of beside) {
+      const [machine = expect.fail('no machine')] = fleet.machines;
+      expect((await fleet.call(machine, { ...call, path })).status).to.equal(200);
+    }
+    expect(crashing().endedAtMs.length).to.be.within(3, MAX_ENDS);
+  }).timeout(20_000);
 });
 
 describe('back ends that end without a guilty request', () => {
--- a/test/proxy/expired-waiting.test.ts
+++ b/test/proxy/expired-waiting.test.ts
@@ -19,6 +19,7 @@
   send: () => ({ wasSent: () => true, abort: () => undefined }),
   cancel: () => undefined,
   probeDraining: () => undefined,
+  probeListening: () => undefined,
 };
 
 function callOf(requestId: string, deadlineMs: number): Call {
--- a/test/proxy/fuzz/virtual-paths.ts
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -170,6 +170,11 @@
     const isAnswered = target.process.isAlive && !target.process.isFrozen;
     this.node.process.schedule(1, () => report(isAnswered ? target.isDraining : undefined));
   }
+
+  probeListening(endpoint: Endpoint, report: (isListening: boolean | undefined) => void): void {
+    const target = this.world.endpoint(endpoint.name);
+    this.node.process.schedule(1, () => report(target.process.isAlive));
+  }
 }
 
 /** The nodes beside endpoints as one node reaches them. */
--- a/test/proxy/late-requests.test.ts
+++ b/test/proxy/late-requests.test.ts
@@ -165,6 +165,8 @@
 
   probeDraining: EndpointPort['probeDraining'] = () => undefined;
 
+  probeListening: EndpointPort['probeListening'] = () => undefined;
+
   private get endpoints(): readonly Endpoint[] {
     return this.snapshot.endpointsByService.get('echo') ?? [];
   }
--- a/tools/experiment/emulated-endpoint.ts
+++ b/tools/experiment/emulated-endpoint.ts
@@ -82,6 +82,10 @@
     this.host.process.schedule(LOOPBACK_MS, () => report(false));
   }
 
+  probeListening(_endpoint: Endpoint, report: (isListening: boolean | undefined) => void): void {
+    this.host.process.schedule(LOOPBACK_MS, () => report(true));
+  }
+
   private makeCalls(execution: Execution, [next, ...others]: readonly PlannedRequest[]): void {
     if (next === undefined) {
       this.answer(execution, OK_STATUS);
