Contain crashing requests at nodes of the control plane too; list and release for operators

Cause: the mend held where nodes follow a store; nodes of the control plane learnt of nobody's crashes. Their fingerprints differed besides, since the Host of each caller port names another port: the port counts no more.

Change: a component floods what is new over the authenticated links and greets new peers with what is known; type numbers of messages go on beyond the head's four bits. GET /v1/suspicions, DELETE /v1/suspicions/ID on the admin port and the second internal port; ferryspool suspicions, ferryspool release.

The test (three back ends end, each beside another node; four nodes are asked then) failed before: 502, may-have-run.

--- a/src/api/admin-handler.ts
+++ b/src/api/admin-handler.ts
@@ -1,5 +1,6 @@
 /** Answers requests to the resource API: finds out what is asked, checks access, acts. */
 import type { IncomingMessage, ServerResponse } from 'node:http';
+import type { SuspicionView } from '../containment/suspicion.js';
 import type { CounterSink } from '../control/control-event.js';
 import { VERDICT_HEADER, type Verdict } from '../model/verdict.js';
 import type { AccessCheck } from './access-check.js';
@@ -27,6 +28,7 @@
   readonly watches: WatchRegistry;
   readonly writer: ResourceWriter;
   readonly status: StatusProvider;
+  readonly suspicions: SuspicionView;
   readonly metrics: MetricsSource;
   readonly counters: CounterSink;
   readonly checkAccess: AccessCheck;
@@ -68,6 +70,12 @@
       case 'status':
         sendJson(response, 200, { cursor: this.options.feed.cursor, ...this.options.status() });
         return;
+      case 'suspicions':
+        sendJson(response, 200, { items: this.options.suspicions.report() });
+        return;
+      case 'release':
+        this.release(response, order.fingerprint);
+        return;
       case 'list':
         await sendList(response, this.options.feed.cursor, this.options.feed.list(order.kind));
         return;
@@ -88,6 +96,13 @@
     response.end(text);
   }
 
+  private release(response: ServerResponse, fingerprint: string): void {
+    if (!this.options.suspicions.release(fingerprint)) {
+      throw new ApiError('NOT_FOUND', `nothing stands against a request ${fingerprint}`);
+    }
+    sendJson(response, 200, { released: fingerprint }, { [VERDICT_HEADER]: 'ran' });
+  }
+
   private sendResource(
     response: ServerResponse,
     { key }: Extract<ApiRequest, { type: 'get' }>,
--- a/src/api/admin-server.ts
+++ b/src/api/admin-server.ts
@@ -5,6 +5,7 @@
 import type { Metrics } from '../runtime/metrics.js';
 import type { Settings } from '../settings/settings.js';
 import { createAccessCheck } from './access-check.js';
+import type { SuspicionView } from '../containment/suspicion.js';
 import { AdminHandler } from './admin-handler.js';
 import { API_COUNTERS, declareApiCounters } from './api-counters.js';
 import { ApiError } from './api-error.js';
@@ -30,6 +31,7 @@
   readonly settings: Settings;
   readonly view: ConfigurationView;
   readonly status: StatusProvider;
+  readonly suspicions: SuspicionView;
   readonly writePort: WritePort;
   readonly metrics: Metrics;
   readonly logger: Logger;
@@ -86,7 +88,7 @@
 }
 
 function createHandler(
-  { settings, status, writePort, metrics, logger }: AdminServerOptions,
+  { settings, status, suspicions, writePort, metrics, logger }: AdminServerOptions,
   feed: ConfigurationFeed,
   watches: WatchRegistry,
 ): AdminHandler {
@@ -97,6 +99,7 @@
     watches,
     writer: new ResourceWriter(writePort, versionOf, settings.api.writeTimeoutMs),
     status: () => maskStatus(status(), maskDigest),
+    suspicions,
     metrics,
     counters: metrics,
     checkAccess: createAccessCheck(settings.adminToken),
--- a/src/api/api-request.ts
+++ b/src/api/api-request.ts
@@ -12,6 +12,8 @@
   | { readonly type: 'health' }
   | { readonly type: 'metrics' }
   | { readonly type: 'status' }
+  | { readonly type: 'suspicions' }
+  | { readonly type: 'release'; readonly fingerprint: string }
   | { readonly type: 'list'; readonly kind: ResourceKind }
   | { readonly type: 'watch'; readonly kind: ResourceKind; readonly from: string | undefined }
   | { readonly type: 'get'; readonly key: ResourceKey }
@@ -38,6 +40,9 @@
   secrets: 'secret',
 } as const satisfies Record<string, ResourceKind>;
 
+/** Path segment of requests under suspicion. */
+const SUSPICIONS_SEGMENT = 'suspicions';
+
 /** Whether a method asks for a write, whatever its path. */
 export function isWriteMethod(method: string): boolean {
   return method !== 'GET' && method !== 'HEAD' && method !== 'OPTIONS';
@@ -59,6 +64,10 @@
     requireParameters(searchParams, []);
     return fixed;
   }
+  if (first === 'v1' && second === SUSPICIONS_SEGMENT) {
+    requireParameters(searchParams, []);
+    return suspicionRequest(request.method, third);
+  }
   const kind = first === 'v1' ? kindOf(second) : undefined;
   if (kind === undefined) {
     throw notFound(pathname);
@@ -89,6 +98,15 @@
   }
 }
 
+function suspicionRequest(method: string, fingerprint: string | undefined): ApiRequest {
+  if (fingerprint === undefined) {
+    requireMethod(method, ['GET']);
+    return { type: 'suspicions' };
+  }
+  requireMethod(method, ['DELETE']);
+  return { type: 'release', fingerprint };
+}
+
 function kindOf(segment: string): ResourceKind | undefined {
   return Object.hasOwn(KIND_PATHS, segment)
     ? KIND_PATHS[segment as keyof typeof KIND_PATHS]
--- a/src/cli/admin-answer.ts
+++ b/src/cli/admin-answer.ts
@@ -25,6 +25,20 @@
   operatorRevision: z.number(),
 });
 
+/** Requests under suspicion. */
+export const suspicionsAnswerSchema = z.object({
+  items: z.array(
+    z.object({
+      fingerprint: z.string(),
+      standing: z.enum(['clear', 'suspect', 'accused', 'contained']),
+      ageMs: z.number(),
+      containedForMs: z.number(),
+      crashes: z.array(z.string()),
+      cleared: z.array(z.string()),
+    }),
+  ),
+});
+
 const versionSchema = z.object({ number: z.number(), digest: z.string() });
 
 /** The parts of a status that the text form shows. */
--- a/src/cli/help.ts
+++ b/src/cli/help.ts
@@ -11,6 +11,8 @@
     $ ferryspool watch KIND [--from CURSOR]     print changes until interrupted
     $ ferryspool apply FILE                     write resources
     $ ferryspool delete KIND NAME               delete a resource
+    $ ferryspool suspicions                     requests under which endpoints ended
+    $ ferryspool release FINGERPRINT            let such a request go
     $ ferryspool explain REQUEST-ID [FILE...]   what logs say of a request; reads standard input
 
   KIND is services, routes, endpoints or secrets. Values of secrets are never shown.
@@ -32,7 +34,7 @@
   Flags of check
     --print                  print the complete document, secrets masked
 
-  Flags of status, get, watch, apply and delete
+  Flags of status, get, watch, apply, delete, suspicions and release
     --address IP:PORT        admin address of a node; or FERRYSPOOL_ADDRESS
     --token TOKEN            admin token; or FERRYSPOOL_TOKEN
     --from CURSOR            watch: go on after this cursor
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -7,7 +7,9 @@
 import { explainCommand } from './commands/explain.js';
 import { deleteCommand } from './commands/delete.js';
 import { getCommand } from './commands/get.js';
+import { releaseCommand } from './commands/release.js';
 import { statusCommand } from './commands/status.js';
+import { suspicionsCommand } from './commands/suspicions.js';
 import { watchCommand } from './commands/watch.js';
 import { createNodeCommand } from './commands/node.js';
 import { runCli, type CommandTable } from './run-cli.js';
@@ -20,6 +22,8 @@
   ['apply', applyCommand],
   ['delete', deleteCommand],
   ['explain', explainCommand],
+  ['suspicions', suspicionsCommand],
+  ['release', releaseCommand],
   ['node', createNodeCommand(runNode, process)],
 ]);
 
--- a/src/containment/containment.ts
+++ b/src/containment/containment.ts
@@ -4,16 +4,13 @@
  */
 import { createHash } from 'node:crypto';
 import type { CounterSink } from '../control/control-event.js';
-import {
-  RequestFingerprint,
-  type FingerprintedParts,
-  type IdentityHeaders,
-} from './request-fingerprint.js';
+import { RequestFingerprint, type FingerprintedParts } from './request-fingerprint.js';
 import {
   CRASH_NAME_DIGITS,
   CRASHES_TO_CONTAIN,
   type Standing,
   type Suspicion,
+  type SuspicionReport,
 } from './suspicion.js';
 import { SuspicionTable } from './suspicion-table.js';
 
@@ -24,7 +21,8 @@
 export interface ContainmentOptions {
   /** Names the crashes that this node sees: no other process has the same. */
   readonly nodeName: string;
-  readonly identityHeaders: IdentityHeaders;
+  /** Header that names a request's caller, in lower case; undefined where none does. */
+  readonly callerHeader: string | undefined;
   /** The node's clock, in milliseconds. */
   readonly nowMs: () => number;
   readonly counters: CounterSink;
@@ -68,6 +66,11 @@
     return this.table.digest;
   }
 
+  /** Requests that are kept in mind, those among them that are cleared. */
+  get size(): number {
+    return this.table.size;
+  }
+
   get containedCount(): number {
     return this.table.containedCount(this.options.nowMs());
   }
@@ -122,6 +125,16 @@
     return this.table.list(this.options.nowMs());
   }
 
+  /** All that is known, as operators see it. */
+  report(): SuspicionReport[] {
+    const nowMs = this.options.nowMs();
+    return this.table.list(nowMs).map((suspicion) => ({
+      ...suspicion,
+      standing: this.table.standingOf(suspicion.fingerprint, nowMs),
+      containedForMs: Math.round(this.table.containedForMs(suspicion.fingerprint, nowMs)),
+    }));
+  }
+
   /** To be called now and then. */
   tick(): void {
     const nowMs = this.options.nowMs();
@@ -142,7 +155,7 @@
   private digestsOf(parts: FingerprintedParts): RequestFingerprint {
     let digests = this.fingerprints.get(parts);
     if (digests === undefined) {
-      digests = new RequestFingerprint(parts, this.options.identityHeaders);
+      digests = new RequestFingerprint(parts, this.options.callerHeader);
       this.fingerprints.set(parts, digests);
     }
     return digests;
--- a/src/containment/request-fingerprint.ts
+++ b/src/containment/request-fingerprint.ts
@@ -14,6 +14,8 @@
 const DIGITS_PER_BYTE = 2;
 /** Bytes of a fingerprint. */
 export const FINGERPRINT_BYTES = (2 * PART_DIGITS + CALLER_DIGITS) / DIGITS_PER_BYTE;
+/** The port of a host and port. */
+const PORT = /:[0-9]*$/;
 /** Stands between parts that hold no line ends. */
 const SEPARATOR = '\n';
 
@@ -26,27 +28,20 @@
   readonly body: RequestBody;
 }
 
-/** The headers that count, in lower case. */
-export interface IdentityHeaders {
-  /** Those that belong to what is asked for, such as the host. */
-  readonly request: readonly string[];
-  /** The one that names the caller; undefined where there is none. */
-  readonly caller: string | undefined;
-}
-
 /** The fingerprint of one request; digests are made when they are asked for, each once. */
 export class RequestFingerprint {
   private knownHead: string | undefined;
   private knownWhole: string | undefined;
 
+  /** `callerHeader` names the caller, in lower case; undefined where none does. */
   constructor(
     private readonly parts: FingerprintedParts,
-    private readonly identityHeaders: IdentityHeaders,
+    private readonly callerHeader: string | undefined,
   ) {}
 
   /** Digest of all but body and caller: the first digits of {@link whole}. */
   get head(): string {
-    this.knownHead ??= digestOf([textOf(this.parts, this.identityHeaders)]);
+    this.knownHead ??= digestOf([textOf(this.parts)]);
     return this.knownHead;
   }
 
@@ -57,9 +52,9 @@
   }
 
   private get caller(): string {
-    const { caller } = this.identityHeaders;
-    const name = caller === undefined ? '' : (headerValue(this.parts.headers, caller) ?? '');
-    return digestOf([name]).slice(0, CALLER_DIGITS);
+    const { callerHeader, parts } = this;
+    const name = callerHeader === undefined ? '' : headerValue(parts.headers, callerHeader);
+    return digestOf([name ?? '']).slice(0, CALLER_DIGITS);
   }
 }
 
@@ -73,10 +68,10 @@
   return fingerprint.slice(0, PART_DIGITS);
 }
 
-function textOf(parts: FingerprintedParts, identityHeaders: IdentityHeaders): string {
-  const { method, target, headers } = parts;
-  const values = identityHeaders.request.map((name) => headerValue(headers, name) ?? '');
-  return [method, target, ...values].join(SEPARATOR);
+/** The host without a port: nodes may listen on different ones. */
+function textOf({ method, target, headers }: FingerprintedParts): string {
+  const host = headerValue(headers, 'host') ?? '';
+  return [method, target, host.toLowerCase().replace(PORT, '')].join(SEPARATOR);
 }
 
 /**
--- a/src/containment/suspicion.ts
+++ b/src/containment/suspicion.ts
@@ -12,6 +12,20 @@
   readonly cleared: readonly string[];
 }
 
+/** A suspicion as operators see it. */
+export interface SuspicionReport extends Suspicion {
+  readonly standing: Standing;
+  /** How much longer the request is contained, in milliseconds; 0 when it is not. */
+  readonly containedForMs: number;
+}
+
+/** Requests under suspicion, as operators see them. */
+export interface SuspicionView {
+  report(): readonly SuspicionReport[];
+  /** Lets a request go; false when nothing stood against it. */
+  release(fingerprint: string): boolean;
+}
+
 /**
  * - `clear`: nothing stands against the request.
  * - `suspect`: an endpoint ended while it was at work.
--- a/src/control/control-event.ts
+++ b/src/control/control-event.ts
@@ -3,6 +3,7 @@
  * no clock: the runtime, the emulator and the fuzzer all drive it through these types.
  */
 import type { ClaimCommand } from '../claims/claim-command.js';
+import type { Suspicion } from '../containment/suspicion.js';
 import type { ConfigurationFault } from '../model/configuration-error.js';
 import type { Snapshot } from '../model/snapshot.js';
 import type { PeerAddress, PeerIdentity } from '../membership/peer-identity.js';
@@ -55,6 +56,8 @@
     }
   /** The request path claims an idempotency key, or tells how a claimed request ended. */
   | { readonly type: 'claim'; readonly command: ClaimCommand }
+  /** The request path has learnt something of requests under which endpoints ended. */
+  | { readonly type: 'suspicions'; readonly changed: readonly Suspicion[] }
   /** A planned stop: tell the fleet, give leases back. */
   | { readonly type: 'stop' };
 
--- a/src/control/control-plane.ts
+++ b/src/control/control-plane.ts
@@ -204,6 +204,7 @@
       case 'platform-answer':
       case 'operator-write':
       case 'claim':
+      case 'suspicions':
         break;
     }
   }
--- a/src/control/message-audience.ts
+++ b/src/control/message-audience.ts
@@ -10,6 +10,7 @@
     case 'delta':
     case 'members':
     case 'rejection':
+    case 'suspicions':
       return true;
     default:
       return false;
@@ -26,6 +27,8 @@
     case 'snapshot-chunk':
     case 'fetch-refused':
       return false;
+    case 'suspicions':
+      return true;
     default:
       return !isOverlayTraffic(event.message);
   }
--- a/src/proxy/caller-protocol.ts
+++ b/src/proxy/caller-protocol.ts
@@ -3,7 +3,6 @@
  * product's own protocol stands here; an adapter may bring another one. A protocol only names and
  * formats, it decides nothing.
  */
-import type { IdentityHeaders } from '../containment/request-fingerprint.js';
 import { VERDICT_HEADER, type Verdict } from '../model/verdict.js';
 import type { HeaderList } from './headers.js';
 import type { RequestError } from './request-error.js';
@@ -34,8 +33,8 @@
   readonly droppedHeaders: ReadonlySet<string>;
   /** Headers added to every request that is passed on: names and values, alternating. */
   readonly addedHeaders: HeaderList;
-  /** Headers that tell requests apart besides their line and body. */
-  readonly identityHeaders: IdentityHeaders;
+  /** Header of a request that is passed on which names its caller; undefined where none does. */
+  readonly callerHeader: string | undefined;
   /** Headers added to an endpoint's answer. */
   answerHeaders(requestId: string): HeaderList;
   /** How `error` is told under `verdict`, which covers all attempts. */
@@ -50,7 +49,7 @@
   requestIdHeader: undefined,
   droppedHeaders: new Set(['x-deadline-ms', 'x-request-id']),
   addedHeaders: [],
-  identityHeaders: { request: ['host'], caller: 'authorization' },
+  callerHeader: 'authorization',
   answerHeaders: (requestId) => [VERDICT_HEADER, 'ran', REQUEST_ID_HEADER, requestId],
   errorAnswer: (error, verdict, requestId) => ({
     status: error.status,
--- a/src/replication/replica.ts
+++ b/src/replication/replica.ts
@@ -90,6 +90,7 @@
       case 'dial-failed':
       case 'platform-answer':
       case 'claim':
+      case 'suspicions':
       case 'stop':
         break;
     }
--- a/src/runtime/internal-server.ts
+++ b/src/runtime/internal-server.ts
@@ -1,5 +1,9 @@
-/** Serves what peers and monitoring read of a node: changes of its replica, its feed, its metrics. */
+/**
+ * Serves what peers and monitoring read of a node: changes of its replica, its feed, its metrics, and the
+ * requests under suspicion, which operators may let go.
+ */
 import http, { type ServerResponse } from 'node:http';
+import type { SuspicionView } from '../containment/suspicion.js';
 import type { ChangeFeed } from '../peers/change-feed.js';
 import { FEED_PATH } from '../peers/feed-client.js';
 import { CHANGES_PATH } from '../peers/peer-exchange.js';
@@ -8,39 +12,61 @@
 
 const OK_STATUS = 200;
 const BAD_REQUEST_STATUS = 400;
+const NOT_FOUND_STATUS = 404;
 const FAULT_STATUS = 500;
+/** Path of the requests under suspicion; one that is to be let go follows it. */
+const SUSPICIONS_PATH = '/v1/suspicions';
 
 /** What the server serves. */
 export interface InternalServerOptions {
   readonly metrics: Metrics;
   readonly replica: StoreReplica;
   readonly feed: ChangeFeed;
+  readonly suspicions: SuspicionView;
 }
 
 /**
- * Makes the server; the caller listens on it. Every path but {@link CHANGES_PATH} and
- * {@link FEED_PATH} gives metrics.
+ * Makes the server; the caller listens on it. Every path but {@link CHANGES_PATH}, {@link FEED_PATH} and
+ * {@link SUSPICIONS_PATH} gives metrics.
  */
 export function createInternalServer(options: InternalServerOptions): http.Server {
-  const { metrics, replica, feed } = options;
+  const { metrics, replica, feed, suspicions } = options;
   return http.createServer((request, response) => {
     request.resume();
     const path = request.url ?? '';
     if (path.startsWith(CHANGES_PATH)) {
       withRevision(response, path.slice(CHANGES_PATH.length), (since) => {
-        response.writeHead(OK_STATUS, { 'Content-Type': 'application/json' });
-        response.end(JSON.stringify(replica.deltaSince(since)));
+        sendJson(response, OK_STATUS, replica.deltaSince(since));
       });
     } else if (path.startsWith(FEED_PATH)) {
       withRevision(response, path.slice(FEED_PATH.length), (since) => {
         feed.subscribe(response, since);
       });
+    } else if (path.startsWith(SUSPICIONS_PATH)) {
+      const fingerprint = path.slice(SUSPICIONS_PATH.length + 1);
+      answerSuspicions(response, suspicions, request.method ?? '', fingerprint);
     } else {
       sendMetrics(response, metrics);
     }
   });
 }
 
+function answerSuspicions(
+  response: ServerResponse,
+  suspicions: SuspicionView,
+  method: string,
+  fingerprint: string,
+): void {
+  if (method === 'GET' && fingerprint === '') {
+    sendJson(response, OK_STATUS, { items: suspicions.report() });
+  } else if (method === 'DELETE' && suspicions.release(fingerprint)) {
+    sendJson(response, OK_STATUS, { released: fingerprint });
+  } else {
+    const message = `nothing stands against a request ${fingerprint}`;
+    sendJson(response, NOT_FOUND_STATUS, { code: 'NOT_FOUND', message });
+  }
+}
+
 /** Answers with `send`, or refuses a text that is no revision. */
 function withRevision(
   response: ServerResponse,
@@ -61,3 +87,8 @@
     () => response.writeHead(FAULT_STATUS).end(),
   );
 }
+
+function sendJson(response: ServerResponse, status: number, body: unknown): void {
+  response.writeHead(status, { 'Content-Type': 'application/json' });
+  response.end(JSON.stringify(body));
+}
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -2,8 +2,11 @@
  * One node: control plane, request path and admin listener, opened from settings and stopped in
  * order. The same program runs on every machine.
  */
+import { randomUUID } from 'node:crypto';
 import type http from 'node:http';
 import type { AddressInfo } from 'node:net';
+import { Containment } from '../containment/containment.js';
+import { SuspicionFlood } from '../containment/suspicion-flood.js';
 import { AdminServer } from '../api/admin-server.js';
 import type { SnapshotListener } from '../api/configuration-view.js';
 import { ControlPlaneClaims } from '../claims/control-plane-claims.js';
@@ -12,6 +15,7 @@
 import type { NodePorts, RunningNode } from '../cli/running-node.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import { NO_SNAPSHOT_VERSION, buildSnapshot, type Snapshot } from '../model/snapshot.js';
+import { NATIVE_CALLER_PROTOCOL } from '../proxy/caller-protocol.js';
 import type { RequestProxy } from '../proxy/request-path.js';
 import { createRequestProxy } from '../proxy/request-proxy.js';
 import { ReplicatedWritePort } from '../replication/replicated-write-port.js';
@@ -23,6 +27,7 @@
 import { ControlNode } from './control-node.js';
 import { createElapsedClock } from './elapsed-clock.js';
 import { createLogger, type Logger } from './logger.js';
+import { declareContainmentMetrics } from './containment-metrics.js';
 import { Metrics } from './metrics.js';
 import { composeNodeStatus } from './node-status.js';
 
@@ -46,6 +51,7 @@
   private readonly metrics = new Metrics();
   private readonly now = createElapsedClock();
   private readonly startedAtMs = this.now();
+  private readonly containment: Containment;
   private readonly listeners = new Set<SnapshotListener>();
   private snapshot: Snapshot = buildSnapshot(NO_SNAPSHOT_VERSION, []);
   private proxy: RequestProxy | undefined;
@@ -57,6 +63,7 @@
 
   constructor(private readonly settings: Settings) {
     this.logger = createLogger(settings.log.level, { machine: settings.machine.id });
+    this.containment = this.createContainment();
     declareTransportCounters((name, help) => this.metrics.declareCounter(name, help));
     this.stopped = new Promise((resolve) => {
       this.markStopped = resolve;
@@ -121,6 +128,19 @@
     };
   }
 
+  private createContainment(): Containment {
+    const { machine } = this.settings;
+    const containment = new Containment({
+      nodeName: `${machine.id} ${randomUUID()}`,
+      callerHeader: NATIVE_CALLER_PROTOCOL.callerHeader,
+      nowMs: this.now,
+      counters: this.metrics,
+      logStateChange: (what, detail) => this.logger.warn(what, { detail }),
+    });
+    declareContainmentMetrics(this.metrics, containment);
+    return containment;
+  }
+
   private createProxy(): RequestProxy {
     return createRequestProxy({
       identity: this.identity(),
@@ -138,6 +158,7 @@
         maxCallsInFlight: this.settings.proxy.maxPendingRequests,
         stopTimeoutMs: this.settings.proxy.drainTimeoutMs,
       },
+      containment: this.containment,
       claims: new ControlPlaneClaims((event) => this.control?.offer(event) ?? false),
       fleetKey: Buffer.from(this.settings.fleetKey, 'utf8'),
       logStateChange: (what, detail) => this.logger.info(what, { detail }),
@@ -157,6 +178,7 @@
         (documents, electorate) => this.keepReader(documents, electorate),
         (documents, fleet) => createReplica(settings, this.metrics, documents, fleet),
         (_documents, fleet) => createClaims(settings, this.metrics, fleet),
+        () => new SuspicionFlood(this.containment, (event) => this.control?.offer(event)),
       ],
       counters: this.metrics,
       random: Math.random,
@@ -186,6 +208,7 @@
           isReader: () => (this.reader?.heldSlots(this.now()) ?? []).length > 0,
           endpoints: () => this.proxy?.endpointStates() ?? [],
         }),
+      suspicions: this.containment,
       writePort: new ReplicatedWritePort((event) => control.offer(event)),
       metrics: this.metrics,
       logger: this.logger,
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -19,6 +19,7 @@
 import type { KeyValueStore } from '../store/key-value-store.js';
 import { SnapshotBuilder } from '../store/snapshot-builder.js';
 import { StoreReplica } from '../store/store-replica.js';
+import { declareContainmentMetrics } from './containment-metrics.js';
 import { LifeCycle } from './life-cycle.js';
 import type { Logger } from './logger.js';
 import { ReplicaSource } from './replica-source.js';
@@ -118,6 +119,7 @@
       metrics: this.metrics,
       replica: this.replica,
       feed: this.source.feed,
+      suspicions: this.containment,
     });
     this.internalServer = this.services.own('internal server', internalServer, closeServer);
     this.peers = this.services.own('peers', this.createPeers(), (one) => one.close());
@@ -194,12 +196,8 @@
         () => this.source.feed.followerCount,
       ],
       ['machines', 'Machines that the endpoints name', () => this.machineCount],
-      [
-        'contained_requests',
-        'Requests that are not sent on, since endpoints ended under them',
-        () => this.containment.containedCount,
-      ],
     ];
+    declareContainmentMetrics(this.metrics, this.containment);
     for (const [name, help, read] of gauges) {
       this.metrics.gauge(`ferryspool_${name}`, help, read);
     }
@@ -213,7 +211,7 @@
     const { settings, callerProtocol, logger } = this.options;
     return new Containment({
       nodeName: `${settings.machine.address} ${randomUUID()}`,
-      identityHeaders: callerProtocol.identityHeaders,
+      callerHeader: callerProtocol.callerHeader,
       nowMs: () => performance.now(),
       counters: this.metrics,
       logStateChange: (what, detail) => logger.warn(what, { detail }),
--- a/src/source/source-reader.ts
+++ b/src/source/source-reader.ts
@@ -122,6 +122,7 @@
       case 'wake':
       case 'operator-write':
       case 'claim':
+      case 'suspicions':
         break;
     }
   }
--- a/src/wire/codec.ts
+++ b/src/wire/codec.ts
@@ -8,6 +8,7 @@
 import { FrameReader, LENGTH_PREFIX_BYTES, MAX_FRAME_BYTES } from './frame-reader.js';
 import type { PeerMessage } from './message.js';
 import {
+  FIRST_EXTENDED_TYPE_NUMBER,
   MESSAGE_LAYOUTS,
   MESSAGE_TYPE_NUMBERS,
   MESSAGE_TYPES,
@@ -19,21 +20,21 @@
   inflatePayload,
 } from './payload-compression.js';
 
+/** Bytes of the number of an extended type. */
+const EXTENSION_BYTES = 1;
 const FRAME_HEADER_BYTES = LENGTH_PREFIX_BYTES + HEAD_BYTES;
 
 /** The frame of a message. Throws {@link FrameError} `oversized`, or `malformed` for bad values. */
 export function encodeMessage(message: PeerMessage): Buffer {
-  const frame = encodeFrame(
-    MESSAGE_TYPE_NUMBERS[message.type],
-    MESSAGE_LAYOUTS[message.type] as FieldType<PeerMessage>,
-    message,
-  );
+  const typeNumber = MESSAGE_TYPE_NUMBERS[message.type];
+  const headNumber = Math.min(typeNumber, FIRST_EXTENDED_TYPE_NUMBER);
+  const frame = encodeFrame(headNumber, layoutOf(message.type), message);
   return isCompressible(message, frame.length) ? compressFrame(frame, message.type) : frame;
 }
 
 /** Bytes of {@link encodeMessage}'s frame; tags and records of the link's protection come on top. */
 export function encodedSize(message: PeerMessage): number {
-  const layout = MESSAGE_LAYOUTS[message.type] as FieldType<PeerMessage>;
+  const layout = layoutOf(message.type) as FieldType<PeerMessage>;
   const plainBytes = FRAME_HEADER_BYTES + layout.size(message);
   return isCompressible(message, plainBytes) ? encodeMessage(message).length : plainBytes;
 }
@@ -41,18 +42,48 @@
 /** The message in a frame's body. Throws {@link FrameError}; the body's memory is not kept. */
 export function decodeMessage(body: Uint8Array): PeerMessage {
   const head = decodeHead(body);
-  const type = MESSAGE_TYPES.find((name) => MESSAGE_TYPE_NUMBERS[name] === head.typeNumber);
-  if (type === undefined) {
-    throw new FrameError('unknown-type', `type number ${head.typeNumber}`);
-  }
   const payload = body.subarray(HEAD_BYTES);
   const plain = head.compressed ? inflatePayload(payload) : payload;
-  const layout = MESSAGE_LAYOUTS[type] as FieldType<object>;
+  const typeNumber = typeNumberOf(head.typeNumber, plain);
+  const type = MESSAGE_TYPES.find((name) => MESSAGE_TYPE_NUMBERS[name] === typeNumber);
+  if (type === undefined) {
+    throw new FrameError('unknown-type', `type number ${typeNumber}`);
+  }
+  const layout = layoutOf(type) as FieldType<object>;
   const message = { type, ...decodeWhole(layout, plain) } as PeerMessage;
   checkMessage(message);
   return message;
 }
 
+function typeNumberOf(headNumber: number, payload: Uint8Array): number {
+  return headNumber < FIRST_EXTENDED_TYPE_NUMBER
+    ? headNumber
+    : FIRST_EXTENDED_TYPE_NUMBER + (payload[0] ?? NaN);
+}
+
+function layoutOf(type: PeerMessageType): FieldType<never> {
+  const layout = MESSAGE_LAYOUTS[type] as FieldType<never>;
+  const typeNumber = MESSAGE_TYPE_NUMBERS[type];
+  return typeNumber < FIRST_EXTENDED_TYPE_NUMBER
+    ? layout
+    : extendedLayout(typeNumber - FIRST_EXTENDED_TYPE_NUMBER, layout);
+}
+
+/** The payload of an extended type, whose number is known before it is decoded. */
+function extendedLayout<T>(extension: number, layout: FieldType<T>): FieldType<T> {
+  return {
+    size: (value) => EXTENSION_BYTES + layout.size(value),
+    encode(stream, value) {
+      stream.writeUInt8(extension);
+      layout.encode(stream, value);
+    },
+    decode(stream) {
+      stream.pos += EXTENSION_BYTES;
+      return layout.decode(stream);
+    },
+  };
+}
+
 /** A frame of any layout: length, head and the uncompressed payload. */
 export function encodeFrame<T>(typeNumber: number, layout: FieldType<T>, value: T): Buffer {
   const bodyBytes = HEAD_BYTES + layout.size(value);
--- a/src/wire/message-layouts.ts
+++ b/src/wire/message-layouts.ts
@@ -1,6 +1,7 @@
 /** Binary layouts of the peer protocol's messages, one for each type, in the order of the fields. */
 import type { FieldType } from 'restructure';
 import { uint16 } from 'restructure';
+import { suspicionLayout } from '../containment/suspicion-layout.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { DocumentEntry } from '../model/document.js';
 import type { DocumentVersion } from '../model/version.js';
@@ -135,9 +136,16 @@
     count: varint,
     records: list(claimRecord),
   }),
+  suspicions: new PlainStruct({ suspicions: list(suspicionLayout) }),
 };
 
-/** Type numbers on the wire, from 0 to 15; a number is never given to another type. */
+/**
+ * From this number on a type stands in the first byte of the payload, as its distance from here: the head
+ * has room for no greater one.
+ */
+export const FIRST_EXTENDED_TYPE_NUMBER = 15;
+
+/** Type numbers on the wire; a number is never given to another type. */
 export const MESSAGE_TYPE_NUMBERS: Readonly<Record<PeerMessageType, number>> = {
   heartbeat: 0,
   versions: 1,
@@ -154,6 +162,7 @@
   claim: 12,
   'claim-sync-request': 13,
   'claim-sync': 14,
+  suspicions: 15,
 };
 
 /** Every type of message. */
--- a/src/wire/message.ts
+++ b/src/wire/message.ts
@@ -2,6 +2,7 @@
  * Messages of the peer protocol, after the handshake. Every message travels on a link between two
  * nodes that have proved to each other that they hold the fleet key.
  */
+import type { Suspicion } from '../containment/suspicion.js';
 import type { DocumentEntry } from '../model/document.js';
 import type { DocumentVersion } from '../model/version.js';
 import type { PeerIdentity } from '../membership/peer-identity.js';
@@ -189,6 +190,12 @@
   readonly records: readonly ClaimRecord[];
 }
 
+/** What the sender knows of requests under which endpoints ended; each is passed on once by a node. */
+export interface SuspicionsMessage {
+  readonly type: 'suspicions';
+  readonly suspicions: readonly Suspicion[];
+}
+
 /** Every message of the peer protocol. */
 export type PeerMessage =
   | HeartbeatMessage
@@ -205,4 +212,5 @@
   | ReplicationEnvelope
   | ClaimMessage
   | ClaimSyncRequestMessage
-  | ClaimSyncMessage;
+  | ClaimSyncMessage
+  | SuspicionsMessage;
--- a/test/api/api-fixture.ts
+++ b/test/api/api-fixture.ts
@@ -1,4 +1,5 @@
 /** An admin server over a configuration that the test sets, and a client for it. */
+import { Containment } from '../../src/containment/containment.js';
 import { request, type IncomingHttpHeaders } from 'node:http';
 import { connect } from 'node:net';
 import { AdminServer } from '../../src/api/admin-server.js';
@@ -95,9 +96,20 @@
   readonly logLines: string[];
   /** Writes that reached the port; `answer` decides on them. */
   readonly writes: WriteRequest[];
+  readonly suspicions: Containment;
   answer: (request: WriteRequest) => Promise<WriteOutcome>;
 }
 
+function createContainment(): Containment {
+  return new Containment({
+    nodeName: 'm1',
+    callerHeader: undefined,
+    nowMs: () => 1_000,
+    counters: { add: () => undefined },
+    logStateChange: () => undefined,
+  });
+}
+
 /** Opens a server on a free port of the loopback address. */
 export async function openApi(options: {
   readonly adminToken?: string;
@@ -115,17 +127,20 @@
   const metrics = new Metrics();
   const logLines: string[] = [];
   const writes: WriteRequest[] = [];
+  const suspicions = createContainment();
   const fixture: Omit<ApiFixture, 'server'> = {
     view,
     metrics,
     logLines,
     writes,
+    suspicions,
     answer: () => Promise.resolve({ outcome: 'accepted', operatorRevision: 1 }),
   };
   const server = await AdminServer.open({
     settings,
     view,
     status: () => STATUS,
+    suspicions,
     metrics,
     timeouts,
     logger: createLogger('info', {}, { write: (line) => logLines.push(line) }),
--- a/test/containment/request-fingerprint.test.ts
+++ b/test/containment/request-fingerprint.test.ts
@@ -6,7 +6,7 @@
 } from '../../src/containment/request-fingerprint.js';
 import { EMPTY_BODY, HeldBody } from '../../src/proxy/request-body.js';
 
-const IDENTITY = { request: ['host'], caller: 'caller' };
+const CALLER_HEADER = 'caller';
 const PARTS = {
   method: 'POST',
   target: '/a/b?c=1',
@@ -15,12 +15,12 @@
 };
 
 function wholeOf(parts: Partial<typeof PARTS>): string {
-  return new RequestFingerprint({ ...PARTS, ...parts }, IDENTITY).whole;
+  return new RequestFingerprint({ ...PARTS, ...parts }, CALLER_HEADER).whole;
 }
 
 describe('the fingerprint of a request', () => {
   it('is the same for every try, at any machine', () => {
-    const again = ['Request-Id', 'two', 'CALLER', 'shop', 'host', 'h.example', 'X-Trace', '7'];
+    const again = ['Request-Id', 'two', 'CALLER', 'shop', 'host', 'H.example:8080', 'X-Trace', '7'];
     const body = new HeldBody(Buffer.from('pay'));
     expect(wholeOf({ headers: again, body })).to.equal(wholeOf({}));
   });
@@ -47,7 +47,7 @@
   });
 
   it('begins with the digest of the head, which the body does not change', () => {
-    const one = new RequestFingerprint(PARTS, IDENTITY);
+    const one = new RequestFingerprint(PARTS, CALLER_HEADER);
     expect(headOf(one.whole)).to.equal(one.head);
     expect(headOf(wholeOf({ body: new HeldBody(Buffer.from('other')) }))).to.equal(one.head);
     expect(one.whole).to.match(/^[0-9a-f]{40}$/);
@@ -62,7 +62,7 @@
 
   it('knows a request without a body', () => {
     const parts = { ...PARTS, method: 'GET', body: EMPTY_BODY };
-    const one = new RequestFingerprint(parts, IDENTITY).whole;
-    expect(new RequestFingerprint({ ...parts }, IDENTITY).whole).to.equal(one);
+    const one = new RequestFingerprint(parts, CALLER_HEADER).whole;
+    expect(new RequestFingerprint({ ...parts }, CALLER_HEADER).whole).to.equal(one);
   });
 });
--- a/test/emulator/flooding-component.ts
+++ b/test/emulator/flooding-component.ts
@@ -56,6 +56,7 @@
       case 'dial-failed':
       case 'operator-write':
       case 'claim':
+      case 'suspicions':
       case 'stop':
         return [];
     }
--- a/test/runtime/reset-sockets.test.ts
+++ b/test/runtime/reset-sockets.test.ts
@@ -76,7 +76,8 @@
 function internal(): Promise<Served> {
   const replica = new StoreReplica();
   const feed = new ChangeFeed({ replica, freshness: () => ({ ageMs: 0 }) as never });
-  return listening(createInternalServer({ metrics: new Metrics(), replica, feed }));
+  const suspicions = { report: () => [], release: () => false };
+  return listening(createInternalServer({ metrics: new Metrics(), replica, feed, suspicions }));
 }
 
 const servers = [
--- a/test/support/local-fleet.ts
+++ b/test/support/local-fleet.ts
@@ -11,6 +11,9 @@
 
 const HOST = '127.0.0.1';
 const REGION = 'region-1';
+const DEFAULT_WORK_MS = 2;
+/** How long a back end that is started again is down, in milliseconds. */
+const DOWN_MS = 100;
 /** How often a condition is looked at, in milliseconds. */
 const POLL_MS = 10;
 
@@ -20,8 +23,8 @@
   readonly zone: string;
   readonly ports: { caller: number; relay: number; control: number; admin: number };
   readonly node: RunningNode;
-  /** The back end beside the node; edge machines have none. */
-  readonly backend: BackendStandIn | undefined;
+  /** The back end beside the node, as it is now; edge machines have none. */
+  backend: BackendStandIn | undefined;
 }
 
 /** Shape of a fleet. */
@@ -33,6 +36,10 @@
   readonly initialVoters?: readonly string[];
   /** Secret of operators; without one writes are refused. */
   readonly adminToken?: string;
+  /** How long back ends work on a request, in milliseconds. */
+  readonly workMs?: number;
+  /** Told when a back end begins to run a request, with the caller's name of it. */
+  readonly onWork?: (machineId: string, callId: string | undefined) => void;
   /** See the setting `claims.openWhenAllAreNew`. */
   readonly claimsOpenWhenAllAreNew?: boolean;
 }
@@ -42,11 +49,17 @@
   readonly machines: FleetMachine[] = [];
   private seeds: { address: string; controlPort: number }[] = [];
 
-  private constructor(readonly platform: PlatformStandIn) {}
+  private constructor(
+    readonly platform: PlatformStandIn,
+    private readonly plan: FleetPlan,
+  ) {}
 
   /** Starts everything: one edge machine in each zone besides those of the back ends. */
   static async start(plan: FleetPlan): Promise<LocalFleet> {
-    const fleet = new LocalFleet(await PlatformStandIn.start({ readerBound: plan.zones.length }));
+    const fleet = new LocalFleet(
+      await PlatformStandIn.start({ readerBound: plan.zones.length }),
+      plan,
+    );
     try {
       for (const zone of plan.zones) {
         await fleet.add(`edge-${zone}`, zone, plan, false);
@@ -90,6 +103,28 @@
     }
   }
 
+  /** Ends the machine's back end at once, and starts it again at the same address. */
+  async restartBackend(id: string): Promise<void> {
+    const machine = this.machine(id);
+    const port = machine.backend?.ports.port ?? 0;
+    await machine.backend?.stop();
+    await new Promise((resolve) => setTimeout(resolve, DOWN_MS));
+    machine.backend = await this.startBackend(id, port);
+  }
+
+  private startBackend(name: string, port = 0): Promise<BackendStandIn> {
+    return BackendStandIn.start({
+      name,
+      port,
+      settings: { work: { distribution: 'fixed', workMs: this.plan.workMs ?? DEFAULT_WORK_MS } },
+      ledgerListener: (_index, { outcome, callId }) => {
+        if (outcome === 'running') {
+          this.plan.onWork?.(name, callId);
+        }
+      },
+    });
+  }
+
   machine(id: string): FleetMachine {
     const found = this.machines.find((machine) => machine.id === id);
     if (found === undefined) {
@@ -131,7 +166,7 @@
       claims: { openWhenAllAreNew: plan.claimsOpenWhenAllAreNew ?? false },
       ...(plan.adminToken === undefined ? {} : { adminToken: plan.adminToken }),
     });
-    const backend = hasBackend ? await BackendStandIn.start({ name: id }) : undefined;
+    const backend = hasBackend ? await this.startBackend(id) : undefined;
     const node = await runNode(settings);
     this.machines.push({ id, zone, ports: node.ports, node, backend });
   }
--- a/test/wire/codec.test.ts
+++ b/test/wire/codec.test.ts
@@ -111,7 +111,12 @@
     ['version 0', frame(Buffer.from([0x00])), 'wrong-version'],
     ['next version', frame(Buffer.from([0x40, ...Buffer.alloc(8)])), 'wrong-version'],
     ['type without a message', frame(head(15)), 'unknown-type'],
-    ['last type number', frame(head(15)), 'unknown-type'],
+    [
+      'type number of no message',
+      frame(Buffer.concat([head(15), Buffer.from([1])])),
+      'unknown-type',
+    ],
+    ['last type number', frame(Buffer.concat([head(15), Buffer.from([255])])), 'unknown-type'],
     ['payload cut short', frame(bodyOf(HEARTBEAT).subarray(0, 5)), 'malformed'],
     ['payload too long', frame(Buffer.concat([bodyOf(HEARTBEAT), head(0)])), 'malformed'],
     ['more items than bytes', frame(Buffer.concat([head(6), longNumber.fill(0x7f)])), 'malformed'],
--- a/test/wire/message-arbitraries.ts
+++ b/test/wire/message-arbitraries.ts
@@ -99,6 +99,16 @@
       part,
     )
     .map(([body, position]) => ({ ...body, ...position })),
+  suspicions: fc.record({
+    suspicions: fc.array(
+      fc.record({
+        fingerprint: hex(40),
+        ageMs: integer,
+        crashes: fc.array(hex(12)),
+        cleared: fc.array(hex(12)),
+      }),
+    ),
+  }),
 };
 
 /** Arbitrary messages of one type. */
