--- a/test/platform/crashing-request.test.ts
+++ b/test/platform/crashing-request.test.ts
@@ -21,6 +21,8 @@
 const WORK_MS = 20;
 const DOWN_MS = 500;
 const MACHINES = 5;
+/** One of these ends each 0.7 s, and is back 2 s later: half of them are there. */
+const STORM_MACHINES = 6;
 /** Ends of back ends under one request that are allowed: the three that show it, and one on the way. */
 const MAX_ENDS = 4;
 /** Machines in touch know of a request within this time after its third crash, in milliseconds. */
@@ -192,6 +194,43 @@
 });
 
 describe('back ends that end without a guilty request', () => {
+  it('leave no request untold that another one could serve', async () => {
+    const fleet = await PlatformFleet.start({ timeoutS: 1.2, maxAttempts: 3 });
+    try {
+      for (let count = 0; count < STORM_MACHINES; count += 1) {
+        await fleet.addMachine('a');
+      }
+      const [first = expect.fail('no machine')] = fleet.machines;
+      await fleet.untilStatus(first, 200);
+      await pause(400);
+      const backends = new CrashingBackends({
+        fleet,
+        machines: fleet.machines,
+        isCrashing: () => false,
+        workMs: 35,
+        downMs: 2_000,
+      });
+      const results: Promise<ClientResult>[] = [];
+      for (let index = 0; index < 700; index += 1) {
+        const machine = fleet.machines[index % STORM_MACHINES] ?? first;
+        const path = index % 10 < 7 ? '/p/often' : `/p/${index}`;
+        results.push(fleet.call(machine, { path, deadlineMs: 1_200 }));
+        if (index % 70 === 0) {
+          void backends.crash(fleet.machines[(index / 70) % STORM_MACHINES] ?? first);
+        }
+        await pause(10);
+      }
+      const answers = await Promise.all(results);
+      backends.stop();
+      const unserved = answers.filter(({ status }) => status !== 200).map(({ body }) => body);
+      expect(1 - unserved.length / answers.length, unserved.join('')).to.be.at.least(0.98);
+      expect(unserved.join()).not.to.include('CONTAINED');
+      expect(unserved.filter((body) => body.includes('not-run'))).to.deep.equal([]);
+    } finally {
+      fleet.close();
+    }
+  }).timeout(30_000);
+
   it('put no harmless request under suspicion, however often it stood beside', async () => {
     const fleet = await PlatformFleet.start({ timeoutS: 1.2, maxAttempts: 3 });
     try {
