Soak: callers that repeat requests which end back ends, and judges of these

Promises: contained (no fourth send later than the time of contact after the third end, by machines in touch) and innocent (no other request told CONTAINED).

--- a/test/soak/soak-records.ts
+++ b/test/soak/soak-records.ts
@@ -11,6 +11,7 @@
     windows: [],
     stops: [],
     reloads: [],
+    crashes: [],
     silences: [],
     callerSilences: [],
     configuredAtMs: new Map(),
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -28,7 +28,8 @@
     --rate      Requests a second (default 150)
     --plan      What happens: 'faults' are single ones, 'series' (default) also has rolling stops,
                 releases, silent connections, narrow links, uploads and kept connections;
-                'silences' has the same, and silences on every kind of link and of machines that stop
+                'silences' has the same, and silences on every kind of link and of machines that stop;
+                'crashes' has the series, and requests that end each back end that runs them
     --uploads   Uploads a second, for 'series' and 'silences' (default 20)
     --keep      Folder for the logs and records of a run that broke a promise
 
@@ -68,6 +69,14 @@
   return [...counts].map(([name, count]) => `${name}: ${count}`).join(', ');
 }
 
+/** How many back ends ended under which request. */
+function countCrashes({ crashes }: SoakRecord): string {
+  const targets = [...new Set(crashes.map(({ target }) => target))].sort();
+  return targets
+    .map((target) => `${target}: ${crashes.filter((crash) => crash.target === target).length}`)
+    .join(', ');
+}
+
 /** A soak that stood still itself, or whose nodes got no core, may have seen things late. */
 function describeMachine({ pauses, coreTimes }: SoakRecord): string {
   const longestMs = Math.max(0, ...pauses.map(({ fromMs, untilMs }) => untilMs - fromMs));
@@ -120,6 +129,9 @@
   });
   print(`${record.calls.length} requests (${countStatuses(record.calls)})`);
   print(`${record.arrivals.length} arrivals at back ends, ${record.windows.length} faults`);
+  if (record.crashes.length > 0) {
+    print(`${record.crashes.length} back ends ended under requests (${countCrashes(record)})`);
+  }
   print(describeMachine(record));
   broken
     .slice(0, MAX_SHOWN)
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -3,6 +3,8 @@
  * are in milliseconds on the clock of the soak.
  */
 import { isSilenced, judgeCallerSilences } from './caller-promises.js';
+import { judgeCrashes } from './crash-promises.js';
+import { isCrashing } from './crash-traffic.js';
 import type { SoakFaultKind } from './fault-plan.js';
 import type { SoakArrival, SoakCall, SoakRecord, SoakSilence } from './soak-record.js';
 import { judgeReloads, judgeStops } from './stop-promises.js';
@@ -37,6 +39,10 @@
   | 'silence-noticed'
   /** What a caller asked whose connection went silent is over at its time-out, and the connection is closed. */
   | 'caller-silence'
+  /** A request that ends back ends is sent on no more once three have ended and all may know. */
+  | 'contained'
+  /** No other request is refused for having stood beside it. */
+  | 'innocent'
   /** No program ends by itself. */
   | 'no-own-end'
   /** After the faults, requests are served again. */
@@ -77,6 +83,9 @@
     ...judgeReloads(record, arrivalsById),
     ...record.silences.flatMap(judgeSilence),
     ...judgeCallerSilences(record, arrivalsById),
+    ...judgeCrashes(record, (machine, fromMs, untilMs) =>
+      isInTouch(record, machine, fromMs, untilMs),
+    ),
     ...record.ownEnds.map((detail): BrokenPromise => ({ promise: 'no-own-end', detail })),
     ...judgeRecovery(record),
   ];
@@ -243,6 +252,7 @@
   const late = calls.filter(
     (call) =>
       call.addedBy === undefined &&
+      !isCrashing(call.target) &&
       !call.isGivenUp &&
       call.sentAtMs > calmFromMs + terms.recoveryMs &&
       !isSilenced(record, call),
--- a/tools/soak/soak-backend.ts
+++ b/tools/soak/soak-backend.ts
@@ -11,6 +11,7 @@
 import type { BackendFault } from './fault-plan.js';
 import type { Place } from './link-proxy.js';
 import { markBody } from './body-mark.js';
+import { isCrashing } from './crash-traffic.js';
 import type { SoakArrival } from './soak-record.js';
 
 /** Requests that run at once. */
@@ -34,6 +35,8 @@
   readonly nowMs: () => number;
   readonly onArrival: (arrival: SoakArrival) => void;
   readonly isUpload: (target: string) => boolean;
+  /** A request is to end this back end. */
+  readonly onCrash: (backend: SoakBackend, target: string) => void;
 }
 
 /** One start of a back end. */
@@ -68,6 +71,11 @@
     this.faultShare = share;
   }
 
+  /** Whether it has ended. */
+  get hasEnded(): boolean {
+    return this.isClosed;
+  }
+
   /** Ends at once: connections are cut. */
   close(): void {
     this.isClosed = true;
@@ -98,7 +106,10 @@
     this.running += 1;
     const workMs = this.drawWorkMs(target);
     const timer = setTimeout(
-      () => this.finish(request, response, requestId, fault),
+      () =>
+        isCrashing(target)
+          ? this.params.onCrash(this, target)
+          : this.finish(request, response, requestId, fault),
       fault === 'slow' ? workMs * SLOW_FACTOR : workMs,
     );
     response.once('close', () => {
--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -6,6 +6,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
+import { setTimeout as delay } from 'node:timers/promises';
 import type { RandomSource } from '../../src/control/control-event.js';
 import { LifeCycle } from '../../src/runtime/life-cycle.js';
 import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
@@ -15,7 +16,7 @@
 import { CALLER_PORT, RELAY_PORT, settingsText, zoneOf } from './node-settings.js';
 import { BACKEND_SLOTS, SoakBackend } from './soak-backend.js';
 import { configurationOf, SOAK_SERVICES, UPLOAD_PREFIX } from './soak-configuration.js';
-import type { CallerSilence, SoakArrival, SoakSilence } from './soak-record.js';
+import type { CallerSilence, SoakArrival, SoakCrash, SoakSilence } from './soak-record.js';
 
 const PROGRAM = new URL('../../platform/main.js', import.meta.url).pathname;
 const BACKEND_PORT = 22_301;
@@ -25,6 +26,8 @@
 /** What a node logs once it is up. */
 const STARTED_LINE = 'node-started';
 const STORE_PORT = 22_305;
+/** How long a back end is down that a request has ended, in milliseconds. */
+const CRASHED_MS = 2_000;
 
 /** What a fleet is started with. */
 export interface SoakFleetParams {
@@ -69,6 +72,11 @@
   /** When each configuration was written, by its number. */
   readonly configuredAtMs = new Map<number, number>();
   readonly drainedAtMs = new Map<string, number>();
+  /** Ends of back ends under requests. */
+  readonly crashes: SoakCrash[] = [];
+  /** Starts of back ends that are under way, by machine. */
+  private readonly backendStarts = new Map<number, Promise<void>>();
+  private isClosed = false;
   private readonly startedLives = new Set<string>();
   private readonly lifeCycle = new LifeCycle();
   private readonly children: ChildGroup;
@@ -172,12 +180,36 @@
   }
 
   /** Starts a back end anew, under an identity of its own, at the same address. */
-  async restartBackend(machine: SoakMachine): Promise<void> {
+  restartBackend(machine: SoakMachine): Promise<void> {
+    const { idx } = machine;
+    const underWay = this.backendStarts.get(idx);
+    const start = underWay ?? this.startNextBackend(machine);
+    this.backendStarts.set(idx, start);
+    return start;
+  }
+
+  private async startNextBackend(machine: SoakMachine): Promise<void> {
     machine.backends += 1;
     machine.backend = await this.startBackend(machine.idx, machine.backends);
+    this.backendStarts.delete(machine.idx);
     this.announce(machine, 'ready');
   }
 
+  /** A request ends the back end, which is back after a while unless another fault has replaced it. */
+  private async crash(idx: number, backend: SoakBackend, target: string): Promise<void> {
+    const machine = this.machines[idx];
+    if (machine === undefined || backend.hasEnded) {
+      return;
+    }
+    backend.close();
+    this.crashes.push({ target, backend: backend.id, atMs: this.params.nowMs() });
+    await delay(CRASHED_MS);
+    if (machine.backend === backend && !this.isClosed) {
+      this.forgetBackend(machine);
+      await this.restartBackend(machine);
+    }
+  }
+
   /** Writes that the back end drains. */
   drainBackend(machine: SoakMachine): void {
     this.announce(machine, 'draining');
@@ -191,6 +223,7 @@
 
   /** Ends everything that was started. */
   async close(): Promise<void> {
+    this.isClosed = true;
     this.machines.forEach(({ backend }) => backend.close());
     await this.lifeCycle.close();
   }
@@ -272,7 +305,11 @@
     const place = { address, port: BACKEND_PORT };
     const id = `i-${idx}-${count}`;
     const isUpload = (target: string): boolean => target.startsWith(UPLOAD_PREFIX);
-    return SoakBackend.start({ id, machine: idx, place, random, nowMs, onArrival, isUpload });
+    const onCrash = (backend: SoakBackend, target: string): void => {
+      void this.crash(idx, backend, target);
+    };
+    const common = { id, machine: idx, place, random, nowMs, onArrival };
+    return SoakBackend.start({ ...common, isUpload, onCrash });
   }
 
   private announce({ idx, service, backend }: SoakMachine, state: string): void {
--- a/tools/soak/soak-record.ts
+++ b/tools/soak/soak-record.ts
@@ -78,6 +78,13 @@
   readonly hadStarted: boolean;
 }
 
+/** A back end ended under a request. */
+export interface SoakCrash {
+  readonly target: string;
+  readonly backend: string;
+  readonly atMs: number;
+}
+
 /** A node was told to read its settings again. */
 export interface SoakReload {
   readonly machine: number;
@@ -134,6 +141,7 @@
   readonly windows: readonly FaultWindow[];
   readonly stops: readonly SoakStop[];
   readonly reloads: readonly SoakReload[];
+  readonly crashes: readonly SoakCrash[];
   /** When each configuration was acknowledged, by its number; numbers rise by one. */
   readonly configuredAtMs: ReadonlyMap<number, number>;
   /** When the draining of each back end was acknowledged. */
--- a/tools/soak/soak-run.ts
+++ b/tools/soak/soak-run.ts
@@ -2,6 +2,7 @@
 import { setTimeout as delay } from 'node:timers/promises';
 import { seededRandom } from '../emulator/seeded-random.js';
 import { CoreWatch } from './core-watch.js';
+import { CrashTraffic } from './crash-traffic.js';
 import { planSoak, type PlannedFault } from './fault-plan.js';
 import { SoakFaultInjector } from './fault-injector.js';
 import { PauseWatch } from './pause-watch.js';
@@ -25,6 +26,7 @@
 const SERIES_STREAM = 3;
 const UPLOAD_STREAM = 4;
 const SILENCE_STREAM = 5;
+const CRASH_STREAM = 6;
 /** What the link to a node passes each way: 7 Mbit/s, as machines of the users' deployments have. */
 const LINK_BYTES_PER_S = 875_000;
 
@@ -36,8 +38,9 @@
  *   their connections too, over links that pass only so much.
  * - `silences`: the same series, and beside them silences on every kind of link, callers' ones too, and on
  *   the links of machines that stop.
+ * - `crashes`: the same series, and callers that send requests again and again which end back ends.
  */
-export const SOAK_PLANS = ['faults', 'series', 'silences'] as const;
+export const SOAK_PLANS = ['faults', 'series', 'silences', 'crashes'] as const;
 
 /** What happens in a soak. */
 export type SoakPlan = (typeof SOAK_PLANS)[number];
@@ -74,7 +77,8 @@
     network: params.network,
     machines: params.machines,
     linkBytesPerS: hasSeries(params) ? LINK_BYTES_PER_S : Infinity,
-    hasBackendLinks: hasSeries(params),
+    // What stands before a back end that is gone takes connections in its place, which hides its end.
+    hasBackendLinks: hasSeries(params) && params.plan !== 'crashes',
     hasCallerLinks: params.plan === 'silences',
     random: seededRandom(params.seed, BACKEND_STREAM),
     nowMs,
@@ -103,6 +107,7 @@
     ...{ fleet, nowMs, perSecond: params.uploadsPerSecond },
     random: seededRandom(seed, UPLOAD_STREAM),
   });
+  const crashing = new CrashTraffic({ fleet, nowMs, random: seededRandom(seed, CRASH_STREAM) });
   // Nodes that have just been started are no more in touch than those that start again.
   const startWindow = {
     kind: 'kill',
@@ -115,21 +120,23 @@
   const coreWatch = new CoreWatch({ processes: () => fleet.processes(), nowMs });
   const sending = [traffic.run(), ...(hasSeries(params) ? [uploads.run()] : [])];
   await delay(WARM_UP_MS);
+  sending.push(...(params.plan === 'crashes' ? [crashing.run()] : []));
   await performAll(params, injector);
   const calmFromMs = nowMs();
   say('nothing is harmed any more');
   await delay(SOAK_TERMS.recoveryMs + CALM_MS);
-  await Promise.all([traffic.stop(), uploads.stop()]);
+  await Promise.all([traffic.stop(), uploads.stop(), crashing.stop()]);
   await Promise.all(sending);
   pauseWatch.stop();
   coreWatch.stop();
   const record: SoakRecord = {
     beganAt: new Date(Date.now() - nowMs()).toISOString(),
-    calls: [...traffic.calls, ...uploads.calls],
+    calls: [...traffic.calls, ...uploads.calls, ...crashing.calls],
     arrivals,
     windows: injector.windows,
     stops: injector.stops,
     reloads: injector.reloads,
+    crashes: fleet.crashes,
     configuredAtMs: fleet.configuredAtMs,
     drainedAtMs: fleet.drainedAtMs,
     serviceOfMachine: Array.from({ length: machines }, (_, idx) => serviceOf(idx)),
