One clock for a node that counts suspensions of the machine

Cause: the monotonic clock stands still while a machine is suspended; state, deadlines, links and stops went by it. The wall clock alone doesn't decide, since it may be set.

Change: MACHINE_CLOCK adds what wall clock and time since boot show alike, and sets the timers of the request path anew after a suspension. A lint rule forbids direct reads of the monotonic clock in src and platform, but for the clocks of leases, which believe the wall clock on purpose.

Not shown: a machine that is really suspended; the tests move the clocks by hand.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -22,6 +22,22 @@
       '@typescript-eslint/restrict-template-expressions': ['error', { allowNumber: true }],
     },
   },
+  {
+    // The monotonic clock stands still while the machine is suspended: see src/clock/machine-clock.ts.
+    files: ['src/**/*.ts', 'platform/**/*.ts'],
+    ignores: [
+      'src/clock/machine-clock.ts',
+      'src/runtime/elapsed-clock.ts',
+      'src/runtime/control-components.ts',
+    ],
+    rules: {
+      'no-restricted-properties': [
+        'error',
+        { object: 'performance', property: 'now', message: 'Go by MACHINE_CLOCK.' },
+        { object: 'process', property: 'hrtime', message: 'Go by MACHINE_CLOCK.' },
+      ],
+    },
+  },
   {
     files: ['test/**/*.ts'],
     rules: { '@typescript-eslint/no-unused-expressions': 'off' },
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -1,6 +1,7 @@
 /** Executes what {@link PeerMonitor} decides: datagrams over UDP, changes over HTTP. */
 import dgram from 'node:dgram';
 import http from 'node:http';
+import { MACHINE_CLOCK } from '../clock/machine-clock.js';
 import type { RandomSource } from '../control/control-event.js';
 import type { Containment } from '../containment/containment.js';
 import type { Suspicion } from '../containment/suspicion.js';
@@ -95,13 +96,13 @@
 
   /** The peer answered a request. */
   heard(peer: string): void {
-    this.execute(this.monitor.heard(peer, performance.now()));
+    this.execute(this.monitor.heard(peer, MACHINE_CLOCK.now()));
   }
 
   /** To be called several times a second. */
   tick(): void {
     const { awaited } = this.options;
-    this.execute(this.monitor.tick(performance.now(), this.ownState(), awaited()));
+    this.execute(this.monitor.tick(MACHINE_CLOCK.now(), this.ownState(), awaited()));
   }
 
   private receive(from: string, bytes: Uint8Array): void {
@@ -109,7 +110,7 @@
     if (datagram?.kind === 'suspicions') {
       this.takeSuspicions(from, datagram.suspicions);
     } else if (datagram !== undefined) {
-      const nowMs = performance.now();
+      const nowMs = MACHINE_CLOCK.now();
       this.options.onAge(from, datagram.ageMs);
       this.execute(this.monitor.receive(from, datagram, this.ownState(), nowMs));
       this.sendNews(this.gossip.heardDigest(from, datagram.suspicionDigest, nowMs));
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -1,6 +1,7 @@
 /** Client of endpoints, in the words of an {@link EndpointProtocol}. */
 import http, { type IncomingMessage } from 'node:http';
 import net from 'node:net';
+import { MACHINE_CLOCK } from '../clock/machine-clock.js';
 import type { Endpoint } from '../model/resource.js';
 import type { Answer, Call, LoadReport } from './call.js';
 import type { AnswerReading, EndpointProtocol } from './endpoint-protocol.js';
@@ -202,7 +203,7 @@
    * connection of its own.
    */
   private distrust(endpoint: Endpoint): void {
-    this.distrustedUntilMs.set(endpoint.name, performance.now() + DISTRUST_MS);
+    this.distrustedUntilMs.set(endpoint.name, MACHINE_CLOCK.now() + DISTRUST_MS);
   }
 
   private agentFor(endpoint: Endpoint): http.Agent {
@@ -210,7 +211,7 @@
     if (untilMs === undefined) {
       return this.agent;
     }
-    if (performance.now() < untilMs) {
+    if (MACHINE_CLOCK.now() < untilMs) {
       return this.unsharedAgent;
     }
     this.distrustedUntilMs.delete(endpoint.name);
--- a/src/proxy/scheduler.ts
+++ b/src/proxy/scheduler.ts
@@ -1,4 +1,6 @@
 /** Time for the request path: the machine's in the product, a virtual one under the fuzzer. */
+import { MACHINE_CLOCK } from '../clock/machine-clock.js';
+import { SuspendableTimers } from '../clock/suspendable-timers.js';
 
 /** A monotonic clock with timers. */
 export interface Scheduler {
@@ -11,11 +13,11 @@
 /** Cancels a timer; nothing happens when it has run. */
 export type CancelTimer = () => void;
 
+const MACHINE_TIMERS = new SuspendableTimers(() => MACHINE_CLOCK.now());
+MACHINE_CLOCK.onSuspension(() => MACHINE_TIMERS.setAnew());
+
 /** The machine's time. */
 export const MACHINE_TIME: Scheduler = {
-  now: () => performance.now(),
-  schedule: (delayMs, action) => {
-    const timer = setTimeout(action, delayMs);
-    return () => clearTimeout(timer);
-  },
+  now: () => MACHINE_CLOCK.now(),
+  schedule: (delayMs, action) => MACHINE_TIMERS.schedule(delayMs, action),
 };
--- a/src/runtime/elapsed-clock.ts
+++ b/src/runtime/elapsed-clock.ts
@@ -1,12 +1,11 @@
 /**
- * A clock for leases and deadlines. Node's monotonic clock may stand still while a whole machine is
- * suspended, and the wall clock may be set back; this one follows the monotonic clock and adds any
- * jump by which the wall clock runs ahead of it. A holder that slept, or whose wall clock was set
- * forward, can only believe that more time has passed, never less.
+ * A clock for leases. Node's monotonic clock may stand still while a whole machine is suspended, and the wall
+ * clock may be set back; this one follows the monotonic clock and adds any jump by which the wall clock runs
+ * ahead of it. A holder that slept, or whose wall clock was set forward, can only believe that more time has
+ * passed, never less: a lease that ends too soon does no harm, while requests that did would be refused for
+ * a clock that was set, so that all else goes by `clock/machine-clock.ts`.
  */
-
-/** Reads a time in milliseconds. */
-export type TimeSource = () => number;
+import type { TimeSource } from '../clock/machine-clock.js';
 
 /** Advance of the wall clock beyond the monotonic one that is taken for a suspension, in ms. */
 export const SUSPENSION_THRESHOLD_MS = 250;
--- a/src/runtime/replica-source.ts
+++ b/src/runtime/replica-source.ts
@@ -2,6 +2,7 @@
  * Keeps a node's replica of the store up to date, from the store itself or from the feed of another
  * node, and feeds the nodes that follow this one. {@link SourceChoice} decides; this carries it out.
  */
+import { MACHINE_CLOCK } from '../clock/machine-clock.js';
 import type { CounterSink, RandomSource } from '../control/control-event.js';
 import { ChangeFeed } from '../peers/change-feed.js';
 import { FeedClient } from '../peers/feed-client.js';
@@ -55,7 +56,7 @@
     });
     this.choice = new SourceChoice(machine.address, random, Date.now());
     this.order = new ReaderOrder(machine);
-    const freshness = () => this.choice.freshness(performance.now());
+    const freshness = () => this.choice.freshness(MACHINE_CLOCK.now());
     const feed = new ChangeFeed({ replica, freshness });
     this.feed = this.lifeCycle.own('feed', feed, (one) => one.close());
     this.client = this.lifeCycle.own('feed client', this.createClient(), (one) => one.close());
@@ -69,7 +70,7 @@
 
   /** To be called several times a second. */
   tick(): void {
-    this.execute(this.choice.tick(performance.now()));
+    this.execute(this.choice.tick(MACHINE_CLOCK.now()));
   }
 
   close(): Promise<void> {
@@ -88,7 +89,7 @@
 
   /** Time since a reader confirmed the replica, in milliseconds; Infinity before the first time. */
   get ageMs(): number {
-    return this.choice.freshness(performance.now()).ageMs;
+    return this.choice.freshness(MACHINE_CLOCK.now()).ageMs;
   }
 
   /** Takes all machines that the endpoints name. */
@@ -98,7 +99,7 @@
 
   /** A peer told how old its replica is. */
   peerHeard(peer: string, ageMs: number): void {
-    this.choice.peerHeard(peer, ageMs, performance.now());
+    this.choice.peerHeard(peer, ageMs, MACHINE_CLOCK.now());
   }
 
   private createFollower(): StoreFollower {
@@ -110,10 +111,10 @@
       watchWaitMs: WATCH_WAIT_MS,
       onLearned: (hasChanged) => {
         this.isStoreAnswering = true;
-        this.choice.storeAnswered(performance.now());
+        this.choice.storeAnswered(MACHINE_CLOCK.now());
         this.learned(hasChanged);
       },
-      onFailed: () => this.execute(this.choice.storeFailed(performance.now())),
+      onFailed: () => this.execute(this.choice.storeFailed(MACHINE_CLOCK.now())),
       onConnection: (isConnected, reason) => {
         this.isStoreAnswering = isConnected;
         logger.info(isConnected ? 'store-regained' : 'store-lost', { reason });
@@ -128,7 +129,7 @@
       onMessage: (peer, message) => this.takeFeed(peer, message),
       onEnd: (peer, reason) => {
         logger.info('feed-ended', { peer, reason });
-        this.choice.feedEnded(peer, performance.now());
+        this.choice.feedEnded(peer, MACHINE_CLOCK.now());
       },
     });
   }
@@ -140,12 +141,12 @@
       logger.warn('feed-patch-refused', { peer, revision: replica.revision });
       this.needsWhole = true;
       this.client.close();
-      this.choice.feedEnded(peer, performance.now());
+      this.choice.feedEnded(peer, MACHINE_CLOCK.now());
       return;
     }
     const { revision } = replica;
     const hasChanged = delta !== undefined && replica.takeDelta(delta);
-    const isConfirmed = this.choice.feedHeard(peer, message, performance.now());
+    const isConfirmed = this.choice.feedHeard(peer, message, MACHINE_CLOCK.now());
     if (isConfirmed || hasChanged || replica.revision > revision) {
       this.learned(hasChanged);
     }
--- a/src/runtime/request-logger.ts
+++ b/src/runtime/request-logger.ts
@@ -2,6 +2,7 @@
  * Writes decisions on requests as log lines, at a bounded rate, so that a node under load does not
  * spend its time on its log. What goes beyond the rate is counted, and a line says how many.
  */
+import { MACHINE_CLOCK } from '../clock/machine-clock.js';
 import type { RequestDecision, RequestLog } from '../proxy/request-log.js';
 import type { Logger } from './logger.js';
 
@@ -22,7 +23,7 @@
 
   constructor(
     private readonly logger: Logger,
-    private readonly now: () => number = () => performance.now(),
+    private readonly now: () => number = () => MACHINE_CLOCK.now(),
   ) {
     this.countedAtMs = now();
   }
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -5,6 +5,7 @@
  */
 import { randomUUID } from 'node:crypto';
 import type http from 'node:http';
+import { MACHINE_CLOCK } from '../clock/machine-clock.js';
 import { Containment } from '../containment/containment.js';
 import { PeerExchange } from '../peers/peer-exchange.js';
 import type { AwaitedPeer } from '../peers/peer-monitor.js';
@@ -212,7 +213,7 @@
     return new Containment({
       nodeName: `${settings.machine.address} ${randomUUID()}`,
       callerHeader: callerProtocol.callerHeader,
-      nowMs: () => performance.now(),
+      nowMs: () => MACHINE_CLOCK.now(),
       counters: this.metrics,
       logStateChange: (what, detail) => logger.warn(what, { detail }),
     });
--- a/src/source/platform-client.ts
+++ b/src/source/platform-client.ts
@@ -7,8 +7,8 @@
  * lease has passed to another.
  */
 import { request, type ClientRequest, type IncomingMessage } from 'node:http';
-import { performance } from 'node:perf_hooks';
 import csp, { type Channel, type Process } from 'js-csp';
+import { MACHINE_CLOCK } from '../clock/machine-clock.js';
 import type { PlatformAnswer, PlatformDocument } from '../control/control-event.js';
 import { interpretResponse, invalidAnswer } from './platform-answer.js';
 
@@ -53,7 +53,7 @@
       machines: new URL(options.machinesUrl),
     };
     this.maxAnswerBytes = options.maxAnswerBytes ?? MAX_ANSWER_BYTES;
-    this.now = options.now ?? (() => performance.now());
+    this.now = options.now ?? (() => MACHINE_CLOCK.now());
     csp.go(serveReads, [this.waiting, (read: PlatformRead) => this.fetch(read)]);
   }
 
--- a/src/transport/deadline-queue.ts
+++ b/src/transport/deadline-queue.ts
@@ -1,4 +1,5 @@
 /** One timer for many things that all get the same time. */
+import { MACHINE_CLOCK } from '../clock/machine-clock.js';
 
 /** Items in the order in which they were added, each ended after `durationMs` unless removed. */
 export class DeadlineQueue<T> {
@@ -21,7 +22,7 @@
   }
 
   add(item: T): void {
-    this.deadlines.set(item, performance.now() + this.durationMs);
+    this.deadlines.set(item, MACHINE_CLOCK.now() + this.durationMs);
     this.arm();
   }
 
@@ -47,7 +48,7 @@
     if (this.timer !== undefined || next === undefined) {
       return;
     }
-    const delayMs = Math.max(0, Math.ceil(next - performance.now()));
+    const delayMs = Math.max(0, Math.ceil(next - MACHINE_CLOCK.now()));
     this.timer = setTimeout(() => {
       this.timer = undefined;
       this.expire();
@@ -56,7 +57,7 @@
   }
 
   private expire(): void {
-    const now = performance.now();
+    const now = MACHINE_CLOCK.now();
     for (const [item, deadline] of this.deadlines) {
       if (deadline > now) {
         return;
