Logs name the fingerprint of a request under which endpoints ended

Its copies have other ids: from the id of any of them the lines give the fingerprint, by which every node's lines, ferryspool suspicions and release go.

--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -16,7 +16,7 @@
 import { GatedCall, type CallGate, type CancelLead } from './gated-call.js';
 import { LossJudge } from './loss-judge.js';
 import type { RequestError } from './request-error.js';
-import type { RequestLog } from './request-log.js';
+import { namedFingerprint, type RequestLog } from './request-log.js';
 import type { Scheduler } from './scheduler.js';
 
 /** What gates share. */
@@ -277,6 +277,7 @@
         deadlineLeftMs: Math.round(call.deadlineAtMs - nowMs),
         startLeftMs: Math.round(this.admission.latestStartAtMs(call) - nowMs),
         travelLostMs: Math.round(call.travelLostMs ?? 0),
+        ...namedFingerprint(reason, () => this.containment.fingerprintOf(call)),
       }),
       running: this.admission.runningCount,
       waiting: this.admission.waitingCount,
@@ -284,12 +285,13 @@
     });
   }
 
-  recordFailure(requestId: string, code: string, elapsedMs: number, detail: string): void {
+  recordFailure(call: Call, code: string, elapsedMs: number, detail: string): void {
     this.options.requestLog?.record({
       event: 'endpoint-failed',
-      request: requestId,
+      request: call.requestId,
       endpoint: this.endpoint.name,
       code,
+      ...namedFingerprint(code, () => this.containment.fingerprintOf(call)),
       elapsedMs: Math.round(elapsedMs),
       detail,
       running: this.admission.runningCount,
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -51,7 +51,7 @@
   /** What a dispatched request came to, where that speaks for the endpoint. */
   takeOutcome(hasFailed: boolean): void;
   /** The endpoint got the request and did not answer it; for the log. */
-  recordFailure(requestId: string, code: string, elapsedMs: number, detail: string): void;
+  recordFailure(call: Call, code: string, elapsedMs: number, detail: string): void;
   /** The endpoint refused before the start. */
   takeRefusal(load: LoadReport | undefined): void;
   /** The connection was lost; `report` gets whether the endpoint's process ended. */
@@ -227,7 +227,7 @@
       this.gate.takeOutcome(true);
     }
     const elapsedMs = this.scheduler.now() - this.dispatchedAtMs;
-    this.gate.recordFailure(this.call.requestId, error.code, elapsedMs, this.describeLoad());
+    this.gate.recordFailure(this.call, error.code, elapsedMs, this.describeLoad());
     this.observer.failed(error, this.gate.load(this.call.workClass));
   }
 
--- a/src/proxy/request-decision.ts
+++ b/src/proxy/request-decision.ts
@@ -19,6 +19,8 @@
 export interface DecisionDetails {
   readonly load?: LoadReport | undefined;
   readonly waitedFor?: AwaitedThing;
+  /** What the request is known by at all machines. */
+  readonly fingerprint?: string | undefined;
 }
 
 /** What was decided, and why. */
@@ -31,7 +33,7 @@
 export function requestDecision(
   { requestId, match, snapshot, deadlineAtMs }: RequestContext,
   progress: RequestProgress,
-  { event, failure, verdict, load, waitedFor }: DecidedOutcome,
+  { event, failure, verdict, load, waitedFor, fingerprint }: DecidedOutcome,
 ): RequestDecision {
   const { attempt, endpoint, startedAtMs, attemptStartedAtMs, isLate, nowMs } = progress;
   const { code, retryAfterMs } = failure;
@@ -50,6 +52,7 @@
     configuration: snapshot.version.source.number,
     ...(retryAfterMs !== undefined && { retryAfterMs: Math.round(retryAfterMs) }),
     ...(waitedFor && { waitedFor }),
+    ...(fingerprint !== undefined && { fingerprint }),
     ...(load && { running: load.inFlight, slots: load.slots }),
   };
 }
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -56,9 +56,26 @@
   readonly travelLostMs?: number;
   /** What the request waited for. */
   readonly waitedFor?: AwaitedThing;
+  /** What the request is known by at all machines, where endpoints ended under it. */
+  readonly fingerprint?: string;
   readonly detail?: string;
 }
 
+/** Codes of failures for which the log names the request's fingerprint: its copies have other ids. */
+const FINGERPRINTED_CODES: ReadonlySet<string> = new Set([
+  'ENDPOINT_ENDED',
+  'CONTAINED',
+  'contained',
+]);
+
+/** The fingerprint for a line of the log; nothing where the failure has nothing to do with it. */
+export function namedFingerprint(
+  code: string,
+  fingerprintOf: () => string,
+): Pick<RequestDecision, 'fingerprint'> {
+  return FINGERPRINTED_CODES.has(code) ? { fingerprint: fingerprintOf() } : {};
+}
+
 /** Takes decisions; must not block. */
 export interface RequestLog {
   record(decision: RequestDecision): void;
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -24,7 +24,7 @@
   UnreachableError,
   type RequestFailure,
 } from './request-error.js';
-import type { AwaitedThing, RequestDecisionName } from './request-log.js';
+import { namedFingerprint, type AwaitedThing, type RequestDecisionName } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import { requestPolicyOf } from './request-policy.js';
 import type { CancelTimer } from './scheduler.js';
@@ -346,8 +346,11 @@
       isLate: this.choice.isLate,
       nowMs: services.scheduler.now(),
     };
+    const { parts } = this;
+    const named =
+      parts && namedFingerprint(failure.code, () => services.containment.fingerprintOf(parts));
     services.requestLog.record(
-      requestDecision(this.context, progress, { event, failure, verdict, ...details }),
+      requestDecision(this.context, progress, { event, failure, verdict, ...details, ...named }),
     );
   }
 
--- a/test/platform/crashing-request.test.ts
+++ b/test/platform/crashing-request.test.ts
@@ -124,6 +124,16 @@
       expect(performance.now() - sentAtMs).to.be.below(200);
     }
     expect(crashingArrivals).to.have.length(3);
+    const lines = machines.flatMap(({ log }) => log).join('');
+    const [fingerprint = ''] = /(?<="fingerprint":")[0-9a-f]{40}/.exec(lines) ?? [];
+    for (const pattern of [
+      `"endpoint-ended"`,
+      `"code":"ENDPOINT_ENDED","fingerprint":"${fingerprint}"`,
+      `${fingerprint} after [0-9a-f ]+","time":"[^"]+","level":"warn","event":"request-contained"`,
+      `"code":"CONTAINED"[^\n]*"fingerprint":"${fingerprint}"`,
+    ]) {
+      expect(lines, pattern).to.match(new RegExp(pattern));
+    }
   }).timeout(20_000);
 
   it('is the same one at machines of other services, as long as it ends back ends for all', async () => {
