--- a/test/proxy/fuzz/request-oracle.ts
+++ b/test/proxy/fuzz/request-oracle.ts
@@ -41,7 +41,7 @@
   if (call.told.length > 1) {
     return `told twice: ${JSON.stringify(call.told)}`;
   }
-  if (told?.kind === 'error' && told.code === 'CONTAINED' && !call.isCrashing) {
+  if (isWronglyContained(call)) {
     return 'refused for ends that are not its doing';
   }
   if (!call.repeatable && effective > 1) {
@@ -56,6 +56,10 @@
   return isLate(call, world) ? 'told nothing at its deadline' : undefined;
 }
 
+function isWronglyContained({ told: [told], isCrashing }: CallRecord): boolean {
+  return told?.kind === 'error' && told.code === 'CONTAINED' && !isCrashing;
+}
+
 function isLate(call: CallRecord, world: RequestWorld): boolean {
   const isDue = world.clock.nowMs > call.deadlineAtMs + DEADLINE_SLACK_MS;
   const isAnswering = call.told.length > 0 || world.ledger.some(({ call: id }) => id === call.id);
