--- /dev/null
+++ b/test/peers/closed-exchange.test.ts
@@ -0,0 +1,41 @@
+/**
+ * An endpoint's end that is judged just after its node has closed its datagrams: at the end of a stop, and
+ * beside other work that made the judgement late, the news was sent on a closed socket, and the process ended
+ * with ERR_SOCKET_DGRAM_NOT_RUNNING.
+ */
+import { expect } from 'chai';
+import { Containment } from '../../src/containment/containment.js';
+import { PeerExchange } from '../../src/peers/peer-exchange.js';
+import { EMPTY_BODY } from '../../src/proxy/request-body.js';
+import { StoreReplica } from '../../src/store/store-replica.js';
+
+describe('the exchange of a node with its peers', () => {
+  it('sends nothing after it was closed', async () => {
+    const containment = new Containment({
+      nodeName: 'n',
+      callerHeader: undefined,
+      nowMs: () => 0,
+      counters: { add: () => undefined },
+      logStateChange: () => undefined,
+    });
+    const exchange = new PeerExchange({
+      address: '127.0.0.1',
+      datagramPort: 0,
+      changesPort: 0,
+      replica: new StoreReplica(),
+      containment,
+      random: () => 0,
+      ageMs: () => 0,
+      awaited: () => [],
+      onAge: () => undefined,
+      onLearned: () => undefined,
+      onSilence: () => undefined,
+    });
+    await exchange.open();
+    exchange.setMachines(['127.0.0.2']);
+    exchange.close();
+    const parts = { method: 'GET', target: '/a', headers: ['Host', 'h'], body: EMPTY_BODY };
+    expect(() => containment.endpointEnded('e1', [parts])).not.to.throw();
+    expect(() => exchange.tick()).not.to.throw();
+  });
+});
