Send nothing on datagrams that are closed

Cause: the end of an endpoint is judged 5 ms and a connection later than its connections are lost; the node may have closed its datagrams by then, and news on them ended the process (ERR_SOCKET_DGRAM_NOT_RUNNING).

--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -52,6 +52,7 @@
   private peers: ReadonlySet<string> = new Set();
   private readonly socket = dgram.createSocket('udp4');
   private isFetching = false;
+  private isClosed = false;
 
   constructor(private readonly options: PeerExchangeOptions) {
     const { containment, random } = options;
@@ -79,6 +80,7 @@
   }
 
   close(): void {
+    this.isClosed = true;
     this.socket.close();
   }
 
@@ -161,7 +163,11 @@
     }
   }
 
+  /** The end of an endpoint may be judged after the close: a send then would end the process. */
   private send(to: string, datagram: PeerDatagram): void {
+    if (this.isClosed) {
+      return;
+    }
     this.socket.send(encodeDatagram(datagram), this.options.datagramPort, to, () => undefined);
   }
 
--- a/test/peers/closed-exchange.test.ts
+++ b/test/peers/closed-exchange.test.ts
@@ -20,7 +20,7 @@
     });
     const exchange = new PeerExchange({
       address: '127.0.0.1',
-      datagramPort: 0,
+      datagramPort: 24_871,
       changesPort: 0,
       replica: new StoreReplica(),
       containment,
