Soak: a back end that another fault has started again ends before the next start

Seed 10001 of the plan crashes (10 s, 4 machines) ended with EADDRINUSE: a crash under a request had started the back end that a drawn crash still held. The seed stays as a test; it holds now.

--- a/test/soak/soak-regressions.test.ts
+++ b/test/soak/soak-regressions.test.ts
@@ -22,6 +22,11 @@
     cause: 'a planned stop closed the connections of uploads that waited for an endpoint',
     plan: 'series',
   },
+  {
+    seed: 10_001,
+    cause: 'the harness started a back end anew beside one that another fault had started again',
+    plan: 'crashes',
+  },
 ];
 
 describe('seeds of soaks that once failed', () => {
--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -34,7 +34,7 @@
   'platform/stop-last-moment.test.js': 9,
   'soak/soak.test.js': 75,
   'platform/crashing-request.test.js': 45,
-  'soak/soak-regressions.test.js': 150,
+  'soak/soak-regressions.test.js': 175,
   'proxy/endpoint-faults.test.js': 6,
   'proxy/planned-stop-model.test.js': 8,
 };
--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -188,7 +188,9 @@
     return start;
   }
 
+  /** Two faults may have ended the back end, and the other one started it again meanwhile: that one ends. */
   private async startNextBackend(machine: SoakMachine): Promise<void> {
+    machine.backend.close();
     machine.backends += 1;
     machine.backend = await this.startBackend(machine.idx, machine.backends);
     this.backendStarts.delete(machine.idx);
