--- a/test/platform/crashing-request.test.ts
+++ b/test/platform/crashing-request.test.ts
@@ -15,6 +15,7 @@
   type ClientCall,
   type ClientResult,
   type FleetMachine,
+  type RouteFields,
 } from './platform-fleet.js';
 
 const CRASHING_PATH = '/p/crash';
@@ -39,19 +40,11 @@
 
   /** `crashesFor` is the service whose requests end back ends; any when absent. */
   async function startFleet(
-    route = {},
+    route: RouteFields = {},
     workMs = WORK_MS,
     crashesFor?: string,
   ): Promise<FleetMachine[]> {
-    fleet = await PlatformFleet.start({ timeoutS: 1.2, maxAttempts: 3, ...route });
-    for (let count = 0; count < MACHINES; count += 1) {
-      await fleet.addMachine('a');
-    }
-    for (const machine of fleet.machines) {
-      await fleet.untilStatus(machine, 200);
-    }
-    // Every node holds the whole list of back ends.
-    await pause(400);
+    fleet = await startServing(MACHINES, route);
     backends = new CrashingBackends({
       fleet,
       machines: fleet.machines,
@@ -203,77 +196,86 @@
   }).timeout(20_000);
 });
 
-describe('back ends that end without a guilty request', () => {
-  it('leave no request untold that another one could serve', async () => {
-    const fleet = await PlatformFleet.start({ timeoutS: 1.2, maxAttempts: 3 });
-    try {
-      for (let count = 0; count < STORM_MACHINES; count += 1) {
-        await fleet.addMachine('a');
-      }
-      const [first = expect.fail('no machine')] = fleet.machines;
-      await fleet.untilStatus(first, 200);
-      await pause(400);
-      const backends = new CrashingBackends({
-        fleet,
-        machines: fleet.machines,
-        isCrashing: () => false,
-        workMs: 35,
-        downMs: 2_000,
-      });
-      const results: Promise<ClientResult>[] = [];
-      for (let index = 0; index < 700; index += 1) {
-        const machine = fleet.machines[index % STORM_MACHINES] ?? first;
-        const path = index % 10 < 7 ? '/p/often' : `/p/${index}`;
-        results.push(fleet.call(machine, { path, deadlineMs: 1_200 }));
-        if (index % 70 === 0) {
-          void backends.crash(fleet.machines[(index / 70) % STORM_MACHINES] ?? first);
-        }
-        await pause(10);
+/** What happens while back ends end one after the other, without a guilty request. */
+interface Storm {
+  readonly machines: number;
+  /** Harmless requests, one each 10 ms. */
+  readonly requests: number;
+  /** Of so many requests, one comes with the end of a back end. */
+  readonly requestsPerEnd: number;
+  readonly workMs: number;
+  readonly downMs: number;
+  readonly pathOf: (index: number) => string;
+}
+
+/** Plays a storm; gives what the callers got, and how many back ends ended. */
+async function playStorm(storm: Storm): Promise<{ answers: ClientResult[]; ends: number }> {
+  const { machines, requests, requestsPerEnd, workMs, downMs, pathOf } = storm;
+  const fleet = await startServing(machines);
+  try {
+    const backends = new CrashingBackends({
+      ...{ fleet, workMs, downMs, machines: fleet.machines },
+      isCrashing: () => false,
+    });
+    const machineOf = (number: number): FleetMachine =>
+      fleet.machines[number % machines] ?? expect.fail('no machine');
+    const results: Promise<ClientResult>[] = [];
+    for (let index = 0; index < requests; index += 1) {
+      results.push(fleet.call(machineOf(index), { path: pathOf(index), deadlineMs: 1_200 }));
+      if (index % requestsPerEnd === 0) {
+        void backends.crash(machineOf(index / requestsPerEnd));
       }
-      const answers = await Promise.all(results);
-      backends.stop();
-      const unserved = answers.filter(({ status }) => status !== 200).map(({ body }) => body);
-      expect(1 - unserved.length / answers.length, unserved.join('')).to.be.at.least(0.98);
-      expect(unserved.join()).not.to.include('CONTAINED');
-      expect(unserved.filter((body) => body.includes('not-run'))).to.deep.equal([]);
-    } finally {
-      fleet.close();
+      await pause(10);
     }
+    const answers = await Promise.all(results);
+    backends.stop();
+    answers.push(await fleet.call(machineOf(0), { path: pathOf(0), deadlineMs: 1_200 }));
+    return { answers, ends: backends.endedAtMs.length };
+  } finally {
+    fleet.close();
+  }
+}
+
+describe('back ends that end without a guilty request', () => {
+  it('leave no request untold that another one could serve', async () => {
+    const { answers } = await playStorm({
+      machines: STORM_MACHINES,
+      requests: 700,
+      requestsPerEnd: 70,
+      workMs: 35,
+      downMs: 2_000,
+      pathOf: (index) => (index % 10 < 7 ? '/p/often' : `/p/${index}`),
+    });
+    const unserved = answers.filter(({ status }) => status !== 200).map(({ body }) => body);
+    expect(1 - unserved.length / answers.length, unserved.join('')).to.be.at.least(0.98);
+    expect(unserved.join()).not.to.include('CONTAINED');
+    expect(unserved.filter((body) => body.includes('not-run'))).to.deep.equal([]);
   }).timeout(30_000);
 
   it('put no harmless request under suspicion, however often it stood beside', async () => {
-    const fleet = await PlatformFleet.start({ timeoutS: 1.2, maxAttempts: 3 });
-    try {
-      for (let count = 0; count < MACHINES; count += 1) {
-        await fleet.addMachine('a');
-      }
-      const [first = expect.fail('no machine'), ...others] = fleet.machines;
-      await fleet.untilStatus(first, 200);
-      await pause(400);
-      const backends = new CrashingBackends({
-        fleet,
-        machines: fleet.machines,
-        isCrashing: () => false,
-        workMs: WORK_MS,
-        downMs: DOWN_MS,
-      });
-      const results: Promise<ClientResult>[] = [];
-      for (let index = 0; index < 300; index += 1) {
-        const machine = fleet.machines[index % MACHINES] ?? first;
-        results.push(fleet.call(machine, { path: '/p/often', deadlineMs: 1_200 }));
-        if (index % 30 === 15) {
-          const struck = others[((index - 15) / 30) % others.length] ?? first;
-          void backends.crash(struck);
-        }
-        await pause(10);
-      }
-      const answers = await Promise.all(results);
-      backends.stop();
-      expect(backends.endedAtMs).to.have.length(10);
-      expect(answers.map(({ body }) => body).join()).not.to.include('CONTAINED');
-      expect((await fleet.call(first, { path: '/p/often' })).status).to.equal(200);
-    } finally {
-      fleet.close();
-    }
+    const { answers, ends } = await playStorm({
+      machines: MACHINES,
+      requests: 300,
+      requestsPerEnd: 30,
+      workMs: WORK_MS,
+      downMs: DOWN_MS,
+      pathOf: () => '/p/often',
+    });
+    expect(ends).to.equal(10);
+    expect(answers.map(({ body }) => body).join()).not.to.include('CONTAINED');
+    expect(answers.at(-1)?.status).to.equal(200);
   }).timeout(20_000);
 });
+
+/** A fleet of machines with a back end each, every node of which holds the whole list of these. */
+async function startServing(machines: number, route: RouteFields = {}): Promise<PlatformFleet> {
+  const fleet = await PlatformFleet.start({ timeoutS: 1.2, maxAttempts: 3, ...route });
+  for (let count = 0; count < machines; count += 1) {
+    await fleet.addMachine('a');
+  }
+  for (const machine of fleet.machines) {
+    await fleet.untilStatus(machine, 200);
+  }
+  await pause(400);
+  return fleet;
+}
