Test: an attempt over a slow connection is given up though its endpoint is at work

Fails on the code as it is: 502 CONNECTION_LOST 0.3 s (safe) and 1.2 s (unsafe) after the connection between the nodes stalls, deadline 6 s, at a node that stops; the same without the stop.

--- a/test/proxy/relay/silent-link.ts
+++ b/test/proxy/relay/silent-link.ts
@@ -11,6 +11,8 @@
   readonly near: Socket;
   readonly far: Socket;
   silence: Silence | undefined;
+  /** Whether what it carries is kept back for a while. */
+  isStalled: boolean;
 }
 
 /** The link. New connections work at any time. */
@@ -51,6 +53,18 @@
     }, heldMs);
   }
 
+  /** The connections that are open carry nothing for so long, then all that was sent; new ones work. */
+  stall(stalledMs: number): void {
+    const stalled = [...this.pairs];
+    const setStalled = (isStalled: boolean): void =>
+      stalled.forEach((pair) => {
+        pair.isStalled = isStalled;
+        this.toggle(pair);
+      });
+    setStalled(true);
+    setTimeout(() => setStalled(false), stalledMs);
+  }
+
   close(): void {
     this.server.close();
     this.pairs.forEach(({ near, far }) => {
@@ -62,16 +76,16 @@
   private accept(near: Socket): void {
     this.openedCount += 1;
     const far = net.connect({ port: this.targetPort, host: HOST, allowHalfOpen: true });
-    const pair: Pair = { near, far, silence: undefined };
+    const pair: Pair = { near, far, silence: undefined, isStalled: false };
     this.pairs.add(pair);
     this.carry(pair, near, far, 'towards');
     this.carry(pair, far, near, 'from');
     this.toggle(pair);
   }
 
-  private toggle({ near, far }: Pair): void {
+  private toggle({ near, far, isStalled }: Pair): void {
     for (const socket of [near, far]) {
-      if (this.isHeld) {
+      if (this.isHeld || isStalled) {
         socket.pause();
       } else {
         socket.resume();
