Attempts: one of which nothing is heard is waited for until another one has its answer

Cause: each sign of silence ended the attempt itself (the link's after some 0.3 s, the datagrams' after 0.85 s, the link's loss after 1 s), and only then was another one looked for. Where it reached nobody (nodes leave, endpoints drain, retries are spent) or none was left, the caller was told 502 while its endpoint was at work behind a connection that was only slow.

Change: silence makes an attempt a suspect. Another one begins beside it where the route and the budget let it (in its place, where it has provably not reached its endpoint), and the first good answer wins; without another one it is waited for. A connection is lost after 3.1 s of silence, was 1 s: it can't be told before from one that has lost a packet four times, or whose peer had no core for 2 s. The log tells the sign, its age and what followed.

--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -72,10 +72,25 @@
   readonly load: LoadReport | undefined;
 }
 
-/** Gets the outcome of one attempt: exactly one of the two, once, unless the attempt is aborted. */
+/**
+ * Why an attempt's answer is in doubt: nothing arrives on the connection to the `peer` while a new one
+ * works (`connection`), or nothing at all is heard of it (`peer`).
+ */
+export type SilentThing = 'connection' | 'peer';
+
+/** A sign that the answer of an attempt may not come. */
+export interface SilenceSign {
+  readonly silent: SilentThing;
+  /** Time since anything was heard, in milliseconds; undefined where it is not known. */
+  readonly quietMs?: number;
+}
+
+/** Gets the outcome of one attempt: answered or failed, once, unless the attempt is aborted. */
 export interface AttemptObserver {
   answered(answer: Answer): void;
   failed(error: RequestError, load?: LoadReport): void;
+  /** The answer is in doubt; it may still come. */
+  suspected?(sign: SilenceSign): void;
 }
 
 /** An attempt under way. */
--- a/src/proxy/relay/link-pulse.ts
+++ b/src/proxy/relay/link-pulse.ts
@@ -13,10 +13,11 @@
 /** Time for a sign of life once a new connection works, in milliseconds: some turns of an event loop. */
 export const PROOF_GRACE_MS = 50;
 /**
- * Time from the question to the loss, in milliseconds: what may have run is given up then. A connection
- * that lost a packet or two is at work again by then.
+ * Time from the question to the loss, in milliseconds: nothing more is awaited then. TCP sends a lost packet
+ * again after 0.2 s, 0.6 s, 1.4 s and 3.0 s; at a loss of 3% one of a million is lost four times. At 1 s,
+ * answers that came 1.9 s late were thrown away, also of requests that may not be sent again.
  */
-export const LOSS_MS = 1_000;
+export const LOSS_MS = 3_100;
 /**
  * Time for an answer while other bytes arrive, in milliseconds: they may be answers to what was sent
  * before the way there went silent, or those that the answer has to wait behind.
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -4,7 +4,7 @@
 import type { Endpoint } from '../../model/resource.js';
 import type { Attempt, AttemptObserver, Call } from '../call.js';
 import type { Scheduler } from '../scheduler.js';
-import { LinkPulse, type PulseLimits } from './link-pulse.js';
+import { LinkPulse, LOSS_MS, type PulseLimits } from './link-pulse.js';
 import { RelayConnection } from './relay-connection.js';
 import type { StreamFrame } from './relay-frame.js';
 import { RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
@@ -15,10 +15,11 @@
 
 /**
  * A sender asks after a short quiet: a call that waits on a silent connection has some hundred
- * milliseconds. Without proof that the peer lives, what may have run waits until its deadline: the
- * machine may only stand still.
+ * milliseconds.
  */
-const SENDER_PULSE: PulseLimits = { quietMs: 100, unprovenLossMs: Infinity };
+const SENDER_PULSE: PulseLimits = { quietMs: 100, unprovenLossMs: LOSS_MS };
+/** Time in which a connection that is of no use any more sends what it has, in milliseconds. */
+const CLOSE_TIMEOUT_MS = 1_000;
 
 /** Where a peer takes relayed requests. */
 export interface RelayAddress {
@@ -73,6 +74,8 @@
   private lastStreamId = 0;
   private isOver = false;
   private isSuspect = false;
+  /** Whether it says nothing while a new connection works. */
+  private isSilent = false;
   /** When the last request was sent. */
   private sentAtMs = -Infinity;
 
@@ -187,16 +190,24 @@
     return this.connection?.hasHeardSince(this.sentAtMs) === false;
   }
 
-  /** What may be sent again is given up first, the rest when nothing can be awaited any more. */
+  /**
+   * A connection that says nothing may only be slow: its attempts are in doubt, and go on. None is answered
+   * any more once it has said nothing for long while a new one works; without a new one the peer's machine
+   * may only stand still, and what may not be sent again waits until its deadline.
+   */
   private takeSilence(step: 'suspect' | 'silent' | 'lost', quietMs: number): void {
+    const attempts = [...this.streams.values()];
     if (step === 'suspect') {
       this.isSuspect = true;
       this.observer.suspect();
     } else if (step === 'silent') {
-      this.options.onSilence?.(this.address, { awaitedCount: this.streams.size, quietMs });
-      [...this.streams.values()].forEach((attempt) => attempt.connectionIsSilent());
-    } else {
+      this.isSilent = true;
+      this.options.onSilence?.(this.address, { awaitedCount: attempts.length, quietMs });
+      attempts.forEach((attempt) => attempt.connectionIsSilent(quietMs));
+    } else if (this.isSilent) {
       this.connection?.destroy();
+    } else {
+      attempts.forEach((attempt) => attempt.peerIsGone());
     }
   }
 
@@ -205,6 +216,7 @@
     this.streams.delete(streamId);
     if (this.isSuspect && this.streams.size === 0) {
       this.connection?.end();
+      this.options.scheduler.schedule(CLOSE_TIMEOUT_MS, () => this.connection?.destroy());
     }
   }
 
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -107,11 +107,18 @@
     }
   }
 
+  /** Nothing has arrived on the connection for `quietMs`, while a new one works. */
+  connectionIsSilent(quietMs: number): void {
+    if (this.reader === undefined && !this.isOver) {
+      this.observer.suspected?.({ silent: 'connection', quietMs });
+    }
+  }
+
   /**
-   * Nothing arrives on the connection. What may run again is sent elsewhere, and so is what has provably
-   * not reached its endpoint; the rest may still be answered until the connection is closed.
+   * Nothing has been heard of the peer for long. What may run again is ended, for its caller to ask again,
+   * and so is what has provably not reached its endpoint; the rest may still be answered.
    */
-  connectionIsSilent(): void {
+  peerIsGone(): void {
     const isSafe = this.call.isRepeatable === true || !this.mayHaveReachedEndpoint;
     if (this.reader === undefined && isSafe && !this.isOver) {
       this.cancel();
--- a/src/proxy/request-body.ts
+++ b/src/proxy/request-body.ts
@@ -7,6 +7,8 @@
   readonly length: number | undefined;
   /** Whether the message declares a body, even an empty one. */
   readonly isDeclared: boolean;
+  /** Whether several attempts may send it at once. */
+  readonly isHeld: boolean;
   /** Whether the body can still be sent in whole. */
   isReplayable(): boolean;
   /** Whether it has arrived in full. */
@@ -25,6 +27,7 @@
 export const EMPTY_BODY: RequestBody = {
   length: 0,
   isDeclared: false,
+  isHeld: true,
   isReplayable: () => true,
   isWhole: () => true,
   sendTo: (destination) => destination.end(),
@@ -33,6 +36,7 @@
 /** A body that is held whole. */
 export class HeldBody implements RequestBody {
   readonly isDeclared = true;
+  readonly isHeld = true;
   readonly length: number;
 
   constructor(readonly bytes: Buffer) {
@@ -55,6 +59,7 @@
 /** A body passed on as it arrives, with back-pressure; it can be sent only once. */
 export class StreamedBody implements RequestBody {
   readonly isDeclared = true;
+  readonly isHeld = false;
   private wasSent = false;
 
   /** `received` is what was already read of `source`; `maxBytes` bounds the whole body. */
--- a/src/proxy/request-decision.ts
+++ b/src/proxy/request-decision.ts
@@ -1,9 +1,14 @@
 /** The line of the log for a decision on a request at its caller's node. Pure. */
 import type { Verdict } from '../model/verdict.js';
-import type { LoadReport } from './call.js';
+import type { LoadReport, SilenceSign } from './call.js';
 import type { RequestContext } from './request-context.js';
 import type { RequestFailure } from './request-error.js';
-import type { AwaitedThing, RequestDecision, RequestDecisionName } from './request-log.js';
+import type {
+  AwaitedThing,
+  RequestDecision,
+  RequestDecisionName,
+  SuspicionOutcome,
+} from './request-log.js';
 
 /** How far a request has come. Moments are on the node's clock, in milliseconds. */
 export interface RequestProgress {
@@ -21,6 +26,9 @@
   readonly waitedFor?: AwaitedThing;
   /** What the request is known by at all machines. */
   readonly fingerprint?: string | undefined;
+  /** Why the attempt's answer was in doubt. */
+  readonly sign?: SilenceSign | undefined;
+  readonly next?: SuspicionOutcome;
 }
 
 /** What was decided, and why. */
@@ -30,10 +38,17 @@
   readonly verdict: Verdict;
 }
 
+/** Decisions on one attempt, which tell the time that it took. */
+const ATTEMPT_EVENTS: ReadonlySet<RequestDecisionName> = new Set([
+  'attempt-failed',
+  'attempt-suspected',
+  'attempt-cancelled',
+]);
+
 export function requestDecision(
   { requestId, match, snapshot, deadlineAtMs }: RequestContext,
   progress: RequestProgress,
-  { event, failure, verdict, load, waitedFor, fingerprint }: DecidedOutcome,
+  { event, failure, verdict, load, waitedFor, fingerprint, sign, next }: DecidedOutcome,
 ): RequestDecision {
   const { attempt, endpoint, startedAtMs, attemptStartedAtMs, isLate, nowMs } = progress;
   const { code, retryAfterMs } = failure;
@@ -46,11 +61,14 @@
     code,
     verdict,
     elapsedMs: Math.round(nowMs - startedAtMs),
-    ...(event === 'attempt-failed' && { attemptMs: Math.round(nowMs - attemptStartedAtMs) }),
+    ...(ATTEMPT_EVENTS.has(event) && { attemptMs: Math.round(nowMs - attemptStartedAtMs) }),
     ...(isLate && { isLate }),
     deadlineLeftMs: Math.round(deadlineAtMs - nowMs),
     configuration: snapshot.version.source.number,
     ...(retryAfterMs !== undefined && { retryAfterMs: Math.round(retryAfterMs) }),
+    ...(sign && { silent: sign.silent }),
+    ...(sign?.quietMs !== undefined && { quietMs: Math.round(sign.quietMs) }),
+    ...(next && { next }),
     ...(waitedFor && { waitedFor }),
     ...(fingerprint !== undefined && { fingerprint }),
     ...(load && { running: load.inFlight, slots: load.slots }),
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -1,11 +1,17 @@
 /**
  * Life of one caller's request at the caller's node: attempts, retries, the verdict over all
  * attempts. Pure: events with the time in, effects out.
+ *
+ * An attempt of which nothing is heard is a suspect: another one may begin beside it, and the first good
+ * answer wins. Without another one it is waited for: only the loss of its connection, the deadline, the
+ * caller and the end of a planned stop end an attempt that no answer has replaced.
  */
-import type { Verdict } from '../model/verdict.js';
 import type { RandomSource } from '../control/control-event.js';
 import type { RetryBudget } from '../routing/retry-budget.js';
 import { isEndpointAbsent, reachedEndpoint, type RequestFailure } from './request-error.js';
+import type { AttemptEvent, RequestEffect, RequestEvent } from './request-event.js';
+
+export type { RequestEffect, RequestEvent } from './request-event.js';
 
 /** Upper bound of the first back-off, in milliseconds; doubles with each retry. */
 const FIRST_BACK_OFF_MS = 10;
@@ -32,80 +38,23 @@
   readonly refusableUntilMs?: number;
 }
 
-/** Something that happened; `attempt` counts from 1, and events of a past attempt have no effect. */
-export type RequestEvent =
-  | { readonly type: 'start' }
-  /** The head of an answer arrived. */
-  | {
-      readonly type: 'answered';
-      readonly attempt: number;
-      /** The failure that the answer reports, where another endpoint may do better. */
-      readonly fault?: RequestFailure;
-    }
-  | { readonly type: 'answer-whole'; readonly attempt: number }
-  /** The answer ended too early; `canReplay` as for `failed`. */
-  | {
-      readonly type: 'answer-broken';
-      readonly attempt: number;
-      readonly failure: RequestFailure;
-      /** Whether the caller got a part of it. */
-      readonly wasPassedOn: boolean;
-      readonly canReplay: boolean;
-    }
-  | {
-      readonly type: 'failed';
-      readonly attempt: number;
-      readonly failure: RequestFailure;
-      /** Whether the body can be sent again. */
-      readonly canReplay: boolean;
-    }
-  /** No endpoint is left to try. */
-  | { readonly type: 'no-endpoint'; readonly attempt: number; readonly failure: RequestFailure }
-  /** The request is not to be sent on: endpoints ended under it. */
-  | { readonly type: 'withheld'; readonly attempt: number; readonly failure: RequestFailure }
-  | { readonly type: 'back-off-over' }
-  /** The request can't be answered within its target latency any more, but before its deadline. */
-  | { readonly type: 'target-missed' }
-  /** The deadline passed; `failure` says so, and what is known of the attempt under way. */
-  | { readonly type: 'deadline'; readonly failure: RequestFailure }
-  /** The node stops: nothing more can be awaited. */
-  | {
-      readonly type: 'give-up';
-      readonly failure: RequestFailure;
-      /** Whether the attempt under way has provably not left the node. */
-      readonly isUnsent: boolean;
-      /** Whether the caller got a part of the answer. */
-      readonly wasPassedOn: boolean;
-    }
-  | { readonly type: 'caller-gone' };
-
-/** The events that tell of one attempt. */
-type AttemptEvent = Extract<RequestEvent, { attempt: number }>;
-
-/** Something to be done. */
-export type RequestEffect =
-  | {
-      readonly type: 'begin-attempt';
-      readonly attempt: number;
-      /** Attempts after the first that the receivers of this attempt may make among them. */
-      readonly retriesLeft: number;
-    }
-  | { readonly type: 'back-off'; readonly delayMs: number }
-  | { readonly type: 'abort-attempt' }
-  | { readonly type: 'pass-answer' }
-  /** The answer reports a fault, and the request is sent again. */
-  | { readonly type: 'discard-answer' }
-  /** Tell the caller; `verdict` covers all attempts. */
-  | { readonly type: 'report'; readonly failure: RequestFailure; readonly verdict: Verdict }
-  /** Break the caller's connection: its answer can't be completed. */
-  | { readonly type: 'break-connection' };
-
-type State = 'new' | 'attempting' | 'answering' | 'backing-off' | 'over';
+/**
+ * - `attempting`: the latest attempt is under way, and not suspected.
+ * - `answering`: an answer is passed on.
+ * - `backing-off`: another attempt follows after a pause.
+ * - `awaiting`: no other attempt follows; the suspects may still be answered.
+ */
+type State = 'new' | 'attempting' | 'answering' | 'backing-off' | 'awaiting' | 'over';
 
 /** One caller's request. */
 export class RequestLifecycle {
   private state: State = 'new';
+  /** The latest attempt. */
   private attempt = 0;
+  /** The attempt that is under way or passes its answer on. */
+  private current = 0;
+  /** Attempts of which nothing is heard, and that are waited for beside the current one. */
+  private readonly suspects = new Set<number>();
   private retriesLeft: number;
   private redirectsLeft: number;
   private absentRedirectsLeft: number;
@@ -128,12 +77,6 @@
     return this.state === 'over';
   }
 
-  /** Whether another attempt would follow if the one that is under way failed so now. */
-  wouldRetry(failure: RequestFailure, canReplay: boolean, nowMs: number): boolean {
-    const isRetried = this.mayRetry(failure, canReplay) && this.budget.hasRetry;
-    return !this.isBestTold(failure, nowMs) && (isRetried || this.mayRedirect(failure, canReplay));
-  }
-
   /** Takes an event; effects are to be executed in order. */
   handle(event: RequestEvent, nowMs: number): RequestEffect[] {
     if (this.state === 'over') {
@@ -144,23 +87,40 @@
 
   /** Takes what an attempt came to; nothing of one that is past counts. */
   private handleAttempt(event: AttemptEvent, nowMs: number): RequestEffect[] {
-    if (event.attempt !== this.attempt || !this.isUnderWay) {
-      return [];
+    if (event.attempt === this.current && this.isUnderWay) {
+      return this.handleCurrent(event, nowMs);
     }
+    return this.suspects.has(event.attempt) ? this.handleSuspect(event, nowMs) : [];
+  }
+
+  private handleCurrent(event: AttemptEvent, nowMs: number): RequestEffect[] {
     switch (event.type) {
       case 'answered':
         return this.takeAnswer(event.fault, nowMs);
       case 'answer-whole':
         this.state = 'over';
-        return [];
+        return this.abortSuspects();
       case 'answer-broken':
         return this.breakAnswer(event, nowMs);
       case 'failed':
         return this.fail(event.failure, event.canReplay, nowMs);
+      case 'suspected':
+        return this.suspect(event, nowMs);
       case 'no-endpoint':
-        return this.report(this.lastFailure ?? event.failure);
+        return this.settle(this.lastFailure ?? event.failure);
       case 'withheld':
-        return this.report(this.mayHaveRun ? (this.lastFailure ?? event.failure) : event.failure);
+        return this.settle(this.mayHaveRun ? (this.lastFailure ?? event.failure) : event.failure);
+    }
+  }
+
+  private handleSuspect(event: AttemptEvent, nowMs: number): RequestEffect[] {
+    switch (event.type) {
+      case 'answered':
+        return this.takeSuspectAnswer(event.attempt, event.fault, nowMs);
+      case 'failed':
+        return this.failSuspect(event, nowMs);
+      default:
+        return [];
     }
   }
 
@@ -185,6 +145,11 @@
     return this.state === 'attempting' || this.state === 'answering';
   }
 
+  /** Whether an attempt may have run, or be at work. */
+  private get isInDoubt(): boolean {
+    return this.mayHaveRun || this.suspects.size > 0;
+  }
+
   private start(): RequestEffect[] {
     if (this.state !== 'new') {
       return [];
@@ -200,6 +165,7 @@
   private beginAttempt(): RequestEffect[] {
     this.state = 'attempting';
     this.attempt += 1;
+    this.current = this.attempt;
     const forReceivers = Math.floor(this.retriesLeft / 2);
     this.retriesLeft -= forReceivers;
     return [{ type: 'begin-attempt', attempt: this.attempt, retriesLeft: forReceivers }];
@@ -216,25 +182,97 @@
     const backOff = fault && this.retry(fault, true, nowMs);
     if (fault === undefined || backOff === undefined) {
       this.state = 'answering';
-      return [{ type: 'pass-answer' }];
+      return [{ type: 'pass-answer', attempt: this.current }];
     }
     this.lastFailure = fault;
     this.mayHaveRun = true;
-    return [{ type: 'discard-answer' }, backOff];
+    return [{ type: 'discard-answer', attempt: this.current }, backOff];
+  }
+
+  /** An answer that still came is passed on, unless another one is, or it is a fault and more may come. */
+  private takeSuspectAnswer(
+    attempt: number,
+    fault: RequestFailure | undefined,
+    nowMs: number,
+  ): RequestEffect[] {
+    this.suspects.delete(attempt);
+    const mayDoBetter = this.state !== 'awaiting' || this.suspects.size > 0;
+    if (this.state === 'answering' || (fault !== undefined && mayDoBetter)) {
+      this.mayHaveRun = true;
+      this.lastFailure = fault ?? this.lastFailure;
+      return [{ type: 'discard-answer', attempt }];
+    }
+    if (this.state === 'attempting') {
+      this.suspects.add(this.current);
+    }
+    this.current = attempt;
+    return this.takeAnswer(fault, nowMs);
   }
 
   private fail(failure: RequestFailure, canReplay: boolean, nowMs: number): RequestEffect[] {
     this.lastFailure = failure;
     this.mayHaveRun ||= failure.verdict !== 'not-run';
+    return this.tryAgain(failure, canReplay, nowMs) ?? this.settle(failure);
+  }
+
+  private failSuspect(
+    { attempt, failure, canReplay }: Extract<RequestEvent, { type: 'failed' }>,
+    nowMs: number,
+  ): RequestEffect[] {
+    this.suspects.delete(attempt);
+    this.mayHaveRun ||= failure.verdict !== 'not-run';
+    const isLast = this.state === 'awaiting' && this.suspects.size === 0;
+    return isLast ? this.fail(failure, canReplay, nowMs) : [];
+  }
+
+  /**
+   * Begins another attempt beside one of which nothing is heard, or in place of one that has provably not
+   * reached its endpoint. Where none may follow, that one is waited for: ended at the first sign of silence,
+   * requests were told 502 while their endpoints were at work behind links that were only slow.
+   */
+  private suspect(
+    { attempt, failure, canReplay }: Extract<RequestEvent, { type: 'suspected' }>,
+    nowMs: number,
+  ): RequestEffect[] {
+    if (this.state !== 'attempting') {
+      return [];
+    }
+    const isUnsent = failure.verdict === 'not-run';
+    if (!isUnsent) {
+      this.suspects.add(attempt);
+    }
+    const next = this.tryAgain(failure, canReplay, nowMs);
+    if (next === undefined) {
+      this.suspects.delete(attempt);
+      return [];
+    }
+    return isUnsent ? [{ type: 'abort-attempt', attempt }, ...next] : next;
+  }
+
+  /** What begins another attempt; undefined when none may be made. */
+  private tryAgain(
+    failure: RequestFailure,
+    canReplay: boolean,
+    nowMs: number,
+  ): RequestEffect[] | undefined {
     if (this.isBestTold(failure, nowMs)) {
-      return this.report(failure);
+      return undefined;
     }
     if (this.mayRedirect(failure, canReplay)) {
       this.takeRedirect(failure);
       return this.beginAttempt();
     }
     const backOff = this.retry(failure, canReplay, nowMs);
-    return backOff === undefined ? this.report(failure) : [backOff];
+    return backOff && [backOff];
+  }
+
+  /** No other attempt follows: the caller is told, unless a suspect may still be answered. */
+  private settle(failure: RequestFailure): RequestEffect[] {
+    if (this.suspects.size === 0) {
+      return this.report(failure);
+    }
+    this.state = 'awaiting';
+    return [];
   }
 
   /**
@@ -243,7 +281,7 @@
    */
   private isBestTold(failure: RequestFailure, nowMs: number): boolean {
     const { refusableUntilMs = Infinity } = this.policy;
-    return !this.mayHaveRun && failure.verdict === 'not-run' && nowMs > refusableUntilMs;
+    return !this.isInDoubt && failure.verdict === 'not-run' && nowMs > refusableUntilMs;
   }
 
   private mayRedirect(failure: RequestFailure, canReplay: boolean): boolean {
@@ -299,7 +337,7 @@
   ): RequestEffect[] {
     if (event.wasPassedOn) {
       this.state = 'over';
-      return [{ type: 'break-connection' }];
+      return [...this.abortSuspects(), { type: 'break-connection' }];
     }
     return this.fail(event.failure, event.canReplay, nowMs);
   }
@@ -307,13 +345,13 @@
   /** An answer under way goes on: its head was in time. */
   private expire(failure: RequestFailure): RequestEffect[] {
     if (this.state === 'answering') {
-      return [];
+      return this.abortSuspects();
     }
-    if (this.state === 'backing-off' && this.lastFailure !== undefined) {
+    if (this.state === 'backing-off' && this.lastFailure !== undefined && !this.suspects.size) {
       return this.report(this.lastFailure);
     }
     this.mayHaveRun ||= this.state === 'attempting' && failure.verdict !== 'not-run';
-    return [{ type: 'abort-attempt' }, ...this.report(failure)];
+    return this.abortAndReport(failure);
   }
 
   /** An answer that has begun to go out can't be replaced; it goes on while its connection is open. */
@@ -322,19 +360,35 @@
     if (this.state === 'answering' && wasPassedOn) {
       return [];
     }
-    if (this.state === 'backing-off') {
+    if (this.state === 'backing-off' && this.suspects.size === 0) {
       return this.report(this.lastFailure ?? failure);
     }
-    const isUnderWay = this.isUnderWay;
-    this.mayHaveRun ||= isUnderWay && !isUnsent;
-    const aborts: RequestEffect[] = isUnderWay ? [{ type: 'abort-attempt' }] : [];
-    return [...aborts, ...this.report(failure)];
+    this.mayHaveRun ||= this.isUnderWay && !isUnsent;
+    return this.abortAndReport(failure);
   }
 
   private abandon(): RequestEffect[] {
-    const { isUnderWay } = this;
+    const aborts = this.abortAll();
     this.state = 'over';
-    return isUnderWay ? [{ type: 'abort-attempt' }] : [];
+    return aborts;
+  }
+
+  private abortAndReport(failure: RequestFailure): RequestEffect[] {
+    this.mayHaveRun = this.isInDoubt;
+    return [...this.abortAll(), ...this.report(failure)];
+  }
+
+  private abortAll(): RequestEffect[] {
+    const current: RequestEffect[] = this.isUnderWay
+      ? [{ type: 'abort-attempt', attempt: this.current }]
+      : [];
+    return [...current, ...this.abortSuspects()];
+  }
+
+  private abortSuspects(): RequestEffect[] {
+    const suspects = [...this.suspects];
+    this.suspects.clear();
+    return suspects.map((attempt) => ({ type: 'abort-attempt', attempt }));
   }
 
   private report(failure: RequestFailure): RequestEffect[] {
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -2,11 +2,16 @@
  * Decisions that touch a request, for the log: what was decided, the inputs that decided it, and the
  * outcome. Both nodes of a request's path name it alike, so that one search gives its whole path.
  */
+import type { SilentThing } from './call.js';
 
 /** What was decided. */
 export type RequestDecisionName =
-  /** An attempt did not bring an answer; `next` says what follows. */
+  /** An attempt did not bring an answer. */
   | 'attempt-failed'
+  /** The answer of an attempt is in doubt; `silent` and `quietMs` say why, `next` what follows. */
+  | 'attempt-suspected'
+  /** An attempt that was in doubt was given up: another one was answered, or nobody waits any more. */
+  | 'attempt-cancelled'
   /** The caller was told an error. */
   | 'request-failed'
   /** The planned stop of the node gave the request up. */
@@ -25,6 +30,12 @@
  */
 export type AwaitedThing = 'claim' | 'body' | 'slot' | 'peer' | 'endpoint' | 'back-off';
 
+/**
+ * What follows on the suspicion of an attempt: it is waited for alone (`wait`), another one begins beside
+ * it (`hedge`), or in its place since it has provably not reached its endpoint (`replace`).
+ */
+export type SuspicionOutcome = 'wait' | 'hedge' | 'replace';
+
 /** One decision. Times are in milliseconds. */
 export interface RequestDecision {
   readonly event: RequestDecisionName;
@@ -35,8 +46,11 @@
   readonly attempt?: number;
   readonly code?: string;
   readonly verdict?: string;
-  /** What follows: another attempt, or an answer to the caller. */
-  readonly next?: string;
+  /** What was silent, where the attempt's answer was in doubt. */
+  readonly silent?: SilentThing;
+  /** Time since anything was heard of it. */
+  readonly quietMs?: number;
+  readonly next?: SuspicionOutcome;
   readonly deadlineLeftMs?: number;
   readonly elapsedMs?: number;
   readonly retryAfterMs?: number;
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -1,15 +1,13 @@
 /** Runs one caller's request: executes the effects of {@link RequestLifecycle}. */
 import type { Endpoint } from '../model/resource.js';
 import type { Verdict } from '../model/verdict.js';
-import type { AttemptOutcome } from '../routing/endpoint-record.js';
 import { callOf } from './attempt-call.js';
+import type { AttemptOutcome } from '../routing/endpoint-record.js';
 import { outcomeOf } from './attempt-errors.js';
-import { AttemptedEndpoint } from './attempted-endpoint.js';
-import type { AwaitedAttempt } from './awaited-attempts.js';
-import { AwaitedPeer } from './awaited-peer.js';
-import type { Answer, Attempt, LoadReport } from './call.js';
+import type { Answer, LoadReport } from './call.js';
 import { EndpointChoice } from './endpoint-choice.js';
 import { expiryFailure } from './expiry-failure.js';
+import { RequestAttempt } from './request-attempt.js';
 import type { RequestBody } from './request-body.js';
 import {
   CallerGoneError,
@@ -22,7 +20,12 @@
   UnreachableError,
   type RequestFailure,
 } from './request-error.js';
-import { namedFingerprint, type AwaitedThing, type RequestDecisionName } from './request-log.js';
+import {
+  namedFingerprint,
+  type AwaitedThing,
+  type RequestDecisionName,
+  type SuspicionOutcome,
+} from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import { requestPolicyOf } from './request-policy.js';
 import { RequestStanding } from './request-standing.js';
@@ -37,15 +40,14 @@
 const FAULT_STATUS = 500;
 
 /** One caller's request under way. */
-export class RequestRunner implements AwaitedAttempt {
+export class RequestRunner {
   private readonly lifecycle: RequestLifecycle;
   private readonly choice: EndpointChoice;
   private isExpired = false;
-  private attempt: Attempt | undefined;
+  /** Number of the latest attempt. */
   private attemptNumber = 0;
-  private readonly endpoint: AttemptedEndpoint;
-  private readonly peer: AwaitedPeer;
-  private answer: Answer | undefined;
+  /** Those under way, by number. */
+  private readonly attempts = new Map<number, RequestAttempt>();
   private body: RequestBody | undefined;
   private standing: RequestStanding | undefined;
   private readonly startedAtMs: number;
@@ -54,8 +56,6 @@
 
   constructor(private readonly context: RequestContext) {
     const { services, match, deadlineAtMs } = context;
-    this.endpoint = new AttemptedEndpoint(context);
-    this.peer = new AwaitedPeer(services, this);
     const budget = services.retryBudgetOf(match.service);
     this.startedAtMs = services.scheduler.now();
     this.lifecycle = new RequestLifecycle(requestPolicyOf(context), budget, services.random);
@@ -81,26 +81,6 @@
     this.context.response.fail(error, error.verdict, this.context.requestId);
   }
 
-  /**
-   * A request that may run more than once is sent elsewhere, and so is one that has provably not reached
-   * its endpoint; another one goes on waiting. So does one that has no attempt left at a node that stops:
-   * its caller gets no second chance there, and the endpoint may be at work behind a link that is only
-   * full.
-   */
-  peerIsSilent(): void {
-    const isUnsent = this.attempt?.isUnsent() === true;
-    if ((!this.context.match.repeatable && !isUnsent) || this.answer !== undefined) {
-      return;
-    }
-    const error = silenceError(isUnsent);
-    const nowMs = this.context.services.scheduler.now();
-    const hasAttempt = this.lifecycle.wouldRetry(error, this.canReplay(), nowMs);
-    if (hasAttempt || !this.context.services.isStopping()) {
-      this.attempt?.abort();
-      this.takeFailure(this.attemptNumber, error, undefined);
-    }
-  }
-
   /** The node stops: the caller is told what is known. False when the answer has begun to go out. */
   giveUp(): boolean {
     const { response } = this.context;
@@ -108,7 +88,7 @@
     if (this.lifecycle.isOver || wasPassedOn) {
       return false;
     }
-    const isUnsent = this.attempt === undefined || this.attempt.isUnsent();
+    const isUnsent = this.isUnsent();
     const failure = stopFailure(isUnsent);
     this.record('request-given-up', failure, failure.verdict, { waitedFor: this.awaitedThing() });
     this.handle({ type: 'give-up', failure, isUnsent, wasPassedOn });
@@ -119,19 +99,27 @@
     if (this.body?.isWhole() !== true) {
       return 'body';
     }
-    if (this.endpoint.name === undefined) {
+    const latest = [...this.attempts.values()].at(-1);
+    if (latest === undefined) {
       return 'back-off';
     }
-    if (this.attempt?.isUnsent() === true) {
+    if (latest.isUnsent()) {
       return 'slot';
     }
-    return this.peer.isAwaited ? 'peer' : 'endpoint';
+    return latest.isPeerAwaited ? 'peer' : 'endpoint';
+  }
+
+  /** Whether no endpoint can have got the request from an attempt that is under way. */
+  private isUnsent(): boolean {
+    return [...this.attempts.values()].every((attempt) => attempt.isUnsent());
   }
 
   private handle(event: RequestEvent): void {
-    for (const effect of this.lifecycle.handle(event, this.context.services.scheduler.now())) {
-      this.execute(effect);
-    }
+    this.executeAll(this.lifecycle.handle(event, this.context.services.scheduler.now()));
+  }
+
+  private executeAll(effects: readonly RequestEffect[]): void {
+    effects.forEach((effect) => this.execute(effect));
   }
 
   private execute(effect: RequestEffect): void {
@@ -141,12 +129,11 @@
       case 'back-off':
         return this.backOff(effect.delayMs);
       case 'abort-attempt':
-        this.attempt?.abort();
-        return this.endAttempt(this.abortedOutcome());
+        return this.abortAttempt(effect.attempt);
       case 'pass-answer':
-        return this.passAnswer();
+        return this.passAnswer(effect.attempt);
       case 'discard-answer':
-        return this.discardAnswer();
+        return this.discardAnswer(effect.attempt);
       case 'report':
         this.finish();
         this.record('request-failed', effect.failure, effect.verdict);
@@ -186,25 +173,22 @@
       this.handle({ type: 'no-endpoint', attempt, failure });
       return;
     }
-    this.answer = undefined;
     this.choice.began(endpoint.name);
-    this.endpoint.began(endpoint);
-    this.peer.awaitFor(endpoint, this.endpoint.startedAtMs);
+    const begun = new RequestAttempt(attempt, this.context, endpoint, (one) => this.suspect(one));
+    this.attempts.set(attempt, begun);
     const call = callOf(this.context, this.body, {
       attempt,
       retriesLeft,
       startedAtMs: this.startedAtMs,
-      attemptStartedAtMs: this.endpoint.startedAtMs,
+      attemptStartedAtMs: begun.endpoint.startedAtMs,
       isLate: this.choice.isLate,
     });
     const submitted = path.submit(endpoint, call, {
-      answered: (answer) => this.takeAnswer(attempt, answer),
-      failed: (error, load) => this.takeFailure(attempt, error, load),
+      answered: (answer) => this.takeAnswer(begun, answer),
+      failed: (error, load) => this.takeFailure(begun, error, load),
+      suspected: (sign) => begun.suspected(sign),
     });
-    // An endpoint of this node may refuse before it returns: another attempt is under way then.
-    if (attempt === this.attemptNumber) {
-      this.attempt = submitted;
-    }
+    begun.wasSubmitted(submitted);
   }
 
   private chooseEndpoint(): Endpoint | undefined {
@@ -215,15 +199,45 @@
     );
   }
 
-  private takeAnswer(attempt: number, answer: Answer): void {
-    this.answer = answer;
-    this.peer.hasAnswered();
-    this.endpoint.observeLoad(answer.load, undefined);
+  /**
+   * What may run more than once is tried elsewhere too, and what has provably not reached its endpoint is
+   * tried there instead; a body that only one attempt can send leaves no choice.
+   */
+  private suspect(suspect: RequestAttempt): void {
+    const { number: attempt } = suspect;
+    const isUnsent = suspect.isUnsent();
+    const canReplay = this.canReplay() && (isUnsent || this.body?.isHeld === true);
+    const failure = silenceError(isUnsent);
+    const nowMs = this.context.services.scheduler.now();
+    const effects = this.lifecycle.handle(
+      { type: 'suspected', attempt, failure, canReplay },
+      nowMs,
+    );
+    this.recordSuspicion(suspect, failure, effects);
+    this.executeAll(effects);
+  }
+
+  private recordSuspicion(
+    suspect: RequestAttempt,
+    failure: RequestError,
+    effects: readonly RequestEffect[],
+  ): void {
+    const { sign } = suspect;
+    const next = nextOf(effects);
+    this.record('attempt-suspected', failure, failure.verdict, { attempt: suspect, sign, next });
+  }
+
+  private takeAnswer(attempt: RequestAttempt, answer: Answer): void {
+    attempt.answered(answer);
     if (answer.status < FAULT_STATUS) {
-      this.endpoint.measureLatency(this.choice.isLate);
+      attempt.endpoint.measureLatency(this.choice.isLate);
     }
     const fault = this.faultOf(answer);
-    this.handle({ type: 'answered', attempt, ...(fault !== undefined && { fault }) });
+    this.handle({
+      type: 'answered',
+      attempt: attempt.number,
+      ...(fault !== undefined && { fault }),
+    });
   }
 
   private faultOf(answer: Answer): RequestError | undefined {
@@ -234,53 +248,55 @@
   }
 
   /** What is left of the answer is read, so that its connection can be used again. */
-  private discardAnswer(): void {
-    if (this.answer?.body.kind === 'streamed') {
-      this.answer.body.stream.on('error', () => undefined).resume();
+  private discardAnswer(number: number): void {
+    const body = this.attempts.get(number)?.answer?.body;
+    if (body?.kind === 'streamed') {
+      body.stream.on('error', () => undefined).resume();
     }
-    this.answer = undefined;
-    this.endAttempt('failed');
+    this.endAttempt(number, 'failed');
   }
 
-  private takeFailure(attempt: number, error: RequestError, load: LoadReport | undefined): void {
-    this.endpoint.observeLoad(load, error);
-    if (load !== undefined) {
-      this.peer.hasAnswered();
-    }
-    this.record('attempt-failed', error, error.verdict, { load });
-    this.rememberRefusal(error);
+  private takeFailure(
+    attempt: RequestAttempt,
+    error: RequestError,
+    load: LoadReport | undefined,
+  ): void {
+    attempt.failed(error, load);
+    this.record('attempt-failed', error, error.verdict, { attempt, load, sign: attempt.sign });
+    this.rememberRefusal(attempt, error);
     this.standing?.attemptFailed(error);
-    this.endAttempt(outcomeOf(error));
+    this.endAttempt(attempt.number, outcomeOf(error));
     if (load?.serviceMs !== undefined) {
       this.choice.noteServiceMs(load.serviceMs);
     }
     this.choice.checkTarget(this.context.services.scheduler.now());
-    this.handle({ type: 'failed', attempt, failure: error, canReplay: this.canReplay() });
+    const canReplay = this.canReplay();
+    this.handle({ type: 'failed', attempt: attempt.number, failure: error, canReplay });
   }
 
-  private rememberRefusal(error: RequestError): void {
+  private rememberRefusal({ endpoint }: RequestAttempt, error: RequestError): void {
     const { code } = error;
     const isForLackOfRoom = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
-    if (this.endpoint.name !== undefined && isForLackOfRoom) {
-      this.choice.refusedBy(this.endpoint.name);
-      this.endpoint.refused(error, this.choice.isLate);
+    if (endpoint.name !== undefined && isForLackOfRoom) {
+      this.choice.refusedBy(endpoint.name);
+      endpoint.refused(error, this.choice.isLate);
     }
   }
 
-  private passAnswer(): void {
-    const { answer, attemptNumber: attempt } = this;
+  private passAnswer(attempt: number): void {
+    const answer = this.attempts.get(attempt)?.answer;
     if (answer === undefined) {
       return;
     }
     const { response, requestId, services } = this.context;
     response.answer(answer, requestId, services.limits.maxHeldAnswerBytes, {
       whole: () => {
-        this.endAttempt(answer.status >= FAULT_STATUS ? 'failed' : 'answered');
+        this.endAttempt(attempt, answer.status >= FAULT_STATUS ? 'failed' : 'answered');
         this.handle({ type: 'answer-whole', attempt });
         this.finish();
       },
       broken: (wasPassedOn) => {
-        this.endAttempt('failed');
+        this.endAttempt(attempt, 'failed');
         const failure = new TruncatedAnswerError('the answer broke off');
         const canReplay = this.canReplay();
         this.handle({ type: 'answer-broken', attempt, failure, wasPassedOn, canReplay });
@@ -288,31 +304,42 @@
     });
   }
 
-  /** An endpoint that let the deadline pass has failed; one that was given up before has not. */
-  private abortedOutcome(): AttemptOutcome {
-    if (this.answer !== undefined) {
-      return 'answered';
+  private abortAttempt(number: number): void {
+    const attempt = this.attempts.get(number);
+    if (attempt?.sign !== undefined && attempt.answer === undefined) {
+      this.recordCancelled(attempt);
     }
-    return this.isExpired ? 'failed' : 'abandoned';
+    attempt?.abort(this.isExpired);
+    this.attempts.delete(number);
+  }
+
+  /** One that was waited for although nothing was heard of it. */
+  private recordCancelled(attempt: RequestAttempt): void {
+    const error = silenceError(attempt.isUnsent());
+    this.record('attempt-cancelled', error, error.verdict, { attempt, sign: attempt.sign });
   }
 
-  private endAttempt(outcome: AttemptOutcome): void {
-    this.peer.stop();
-    this.endpoint.ended(outcome);
+  private endAttempt(number: number, outcome: AttemptOutcome): void {
+    this.attempts.get(number)?.ended(outcome);
+    this.attempts.delete(number);
   }
 
   private record(
     event: RequestDecisionName,
     failure: RequestFailure,
     verdict: Verdict,
-    details: DecisionDetails = {},
+    { attempt, ...details }: DecisionDetails & { readonly attempt?: RequestAttempt } = {},
   ): void {
     const { services } = this.context;
+    const { number, endpoint } = attempt ?? {
+      number: this.attemptNumber,
+      endpoint: this.attempts.get(this.attemptNumber)?.endpoint,
+    };
     const progress = {
-      attempt: this.attemptNumber,
-      endpoint: this.endpoint.name,
+      attempt: number,
+      endpoint: endpoint?.name,
       startedAtMs: this.startedAtMs,
-      attemptStartedAtMs: this.endpoint.startedAtMs,
+      attemptStartedAtMs: endpoint?.startedAtMs ?? this.startedAtMs,
       isLate: this.choice.isLate,
       nowMs: services.scheduler.now(),
     };
@@ -329,8 +356,9 @@
 
   private expire(): void {
     this.isExpired = true;
-    this.endpoint.measureLatency(this.choice.isLate);
-    const failure = expiryFailure(this.body !== undefined, this.attempt?.isUnsent() === true);
+    this.attempts.forEach(({ endpoint }) => endpoint.measureLatency(this.choice.isLate));
+    const isUnsent = this.attempts.size > 0 && this.isUnsent();
+    const failure = expiryFailure(this.body !== undefined, isUnsent);
     this.handle({ type: 'deadline', failure });
   }
 
@@ -348,12 +376,20 @@
   }
 
   private finish(): void {
-    this.peer.stop();
+    this.attempts.forEach((attempt) => attempt.stopAwaiting());
     this.cancelDeadline();
     this.cancelBackOff?.();
   }
 }
 
+/** What follows on the suspicion of an attempt. */
+function nextOf([first]: readonly RequestEffect[]): SuspicionOutcome {
+  if (first === undefined) {
+    return 'wait';
+  }
+  return first.type === 'abort-attempt' ? 'replace' : 'hedge';
+}
+
 function silenceError(isUnsent: boolean): RequestError {
   const message = 'nothing is heard of the node of the endpoint';
   return isUnsent ? new UnreachableError(message) : new ConnectionLostError(message);
--- a/tools/experiment/emulated-body.ts
+++ b/tools/experiment/emulated-body.ts
@@ -7,6 +7,7 @@
 export class EmulatedBody implements RequestBody {
   readonly length: number;
   readonly isDeclared: boolean;
+  readonly isHeld = true;
 
   constructor(readonly request: PlannedRequest) {
     this.length = request.uploadBytes;
