Stop: waits for peers that have yet to take answers

Cause: a request is over for the node beside its endpoint once its answer is handed to the connection; the stop then closed its connections to peers and ended 200 ms later, whatever these still held. Found by asking what else ends an answer on the sign that a connection is slow.

Change: connections with bytes left are waited for, up to the time that a slow connection may take (3.1 s) and within the bounds of the stop. A stop without a backlog is as long as it was.

--- a/src/proxy/planned-stop.ts
+++ b/src/proxy/planned-stop.ts
@@ -134,7 +134,9 @@
       case 'answering':
         return this.times.closesAtMs;
       case 'closing':
-        return this.closesByMs;
+        return this.arePeersClosed
+          ? this.closesByMs
+          : this.times.closesAtMs + this.limits.stopCloseMs;
       case 'serving':
       case 'closed':
         return Infinity;
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -9,8 +9,8 @@
 import type { ProxyLimits } from '../proxy-limits.js';
 import { NodeStoppingError, UnknownEndpointError } from '../request-error.js';
 import type { RequestLog } from '../request-log.js';
-import type { Scheduler } from '../scheduler.js';
-import { LinkPulse, type PulseLimits } from './link-pulse.js';
+import type { CancelTimer, Scheduler } from '../scheduler.js';
+import { LinkPulse, LOSS_MS, type PulseLimits } from './link-pulse.js';
 import { RelayConnection } from './relay-connection.js';
 import type { RequestFrame, StreamFrame } from './relay-frame.js';
 import { RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
@@ -21,7 +21,7 @@
 
 /** Time after a pause in which cancellations that came meanwhile are read, in milliseconds. */
 const WAKE_SETTLE_MS = 10;
-/** Time in which connections send what they still have at a planned stop, in milliseconds. */
+/** Time in which connections with nothing left to send are closed at a planned stop, in milliseconds. */
 export const RELAY_CLOSE_TIMEOUT_MS = 200;
 /**
  * A receiver asks later than senders do, whose questions are signs of life, and lets go later than they:
@@ -109,23 +109,39 @@
     this.peers.forEach((peer) => peer.look());
   }
 
-  /** Sends what waits and closes all connections; resolves when they are closed, or after a while. */
+  /**
+   * Sends what waits and closes all connections. Resolves when they are closed, or after a while for those that
+   * have sent all; answers that a slow connection still has to take are waited for as long as it may be slow.
+   */
   close(): Promise<void> {
+    const untilMs = this.options.scheduler.now() + LOSS_MS;
     return new Promise((resolve) => {
-      const timer = setTimeout(resolve, RELAY_CLOSE_TIMEOUT_MS);
+      let cancelTimer: CancelTimer | undefined;
       const check = (): void => {
         if (this.peers.size === 0) {
-          clearTimeout(timer);
+          cancelTimer?.();
           resolve();
         }
       };
-      for (const peer of this.peers) {
-        peer.close(check);
-      }
+      const lookLater = (): void => {
+        cancelTimer = this.options.scheduler.schedule(RELAY_CLOSE_TIMEOUT_MS, () => {
+          if (this.hasUnsent && this.options.scheduler.now() < untilMs) {
+            lookLater();
+          } else {
+            resolve();
+          }
+        });
+      };
+      lookLater();
+      this.peers.forEach((peer) => peer.close(check));
       check();
     });
   }
 
+  private get hasUnsent(): boolean {
+    return [...this.peers].some((peer) => peer.hasUnsent);
+  }
+
   /** Cuts all connections. */
   destroy(): void {
     this.peers.forEach((peer) => peer.destroy());
@@ -203,6 +219,11 @@
     return this.arrived.size;
   }
 
+  /** Whether answers wait here for the connection. */
+  get hasUnsent(): boolean {
+    return this.connection.hasUnsent;
+  }
+
   private get owedCount(): number {
     return this.requests.size + this.arrived.size;
   }
