Sight: which sign cast doubt on an attempt, how old it was, what followed, and who ended the run

The log told that a connection was silent, not which requests were judged by it, and nothing at the endpoint's node told a run that was cancelled from one whose connection was closed.

--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -280,7 +280,12 @@
     if (frame.kind === 'body' && this.arrived.has(frame.streamId)) {
       this.startArrived();
     }
-    this.requests.get(frame.streamId)?.take(frame);
+    const request = this.requests.get(frame.streamId);
+    if (frame.kind === 'cancel') {
+      request?.abandon('cancelled', this.options.requestLog);
+    } else {
+      request?.take(frame);
+    }
   }
 
   private startArrived(): void {
@@ -349,7 +354,7 @@
   private end(): void {
     this.arrived.clear();
     for (const request of [...this.requests.values()]) {
-      request.abandon();
+      request.abandon('connection-closed', this.options.requestLog);
     }
     this.forget();
     this.onClosed();
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -6,7 +6,7 @@
 import { EMPTY_BODY, HeldBody, StreamedBody, type RequestBody } from '../request-body.js';
 import { refusalLeadMs } from '../refusal-lead.js';
 import { DeadlinePassedError, TruncatedAnswerError, type RequestError } from '../request-error.js';
-import type { AwaitedThing, RequestLog } from '../request-log.js';
+import type { AbandonCause, AwaitedThing, RequestLog } from '../request-log.js';
 import { rankInTime } from '../request-work.js';
 import { stopFailure } from '../stop-failure.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
@@ -109,7 +109,6 @@
       case 'credit':
         return this.sink?.addCredit(frame.creditBytes);
       case 'cancel':
-        return this.abandon();
       case 'request':
       case 'answer':
       case 'failure':
@@ -117,9 +116,17 @@
     }
   }
 
-  /** Nobody waits for the answer any more. */
-  abandon(): void {
+  /** Nobody waits for the answer any more; told in the log where the endpoint may be at work. */
+  abandon(cause: AbandonCause, log: RequestLog): void {
     if (!this.isOver) {
+      if (this.attempt?.isUnsent() === false) {
+        log.record({
+          event: 'attempt-abandoned',
+          request: this.requestId,
+          cause,
+          elapsedMs: Math.round(this.scheduler.now() - this.arrivedAtMs),
+        });
+      }
       this.end();
       this.attempt?.abort();
       this.sink?.destroy();
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -21,7 +21,12 @@
   /** The node beside the endpoint did not send the attempt on. */
   | 'attempt-refused'
   /** The endpoint got the attempt and did not answer it. */
-  | 'endpoint-failed';
+  | 'endpoint-failed'
+  /** The node beside the endpoint ended the attempt at work there, since nobody waits for it. */
+  | 'attempt-abandoned';
+
+/** Why nobody waits: the caller's node said so, or its connection is over. */
+export type AbandonCause = 'cancelled' | 'connection-closed';
 
 /**
  * What a request waits for: the `claim` on its key, the rest of its `body`, a `slot` of an endpoint or a
@@ -51,6 +56,7 @@
   /** Time since anything was heard of it. */
   readonly quietMs?: number;
   readonly next?: SuspicionOutcome;
+  readonly cause?: AbandonCause;
   readonly deadlineLeftMs?: number;
   readonly elapsedMs?: number;
   readonly retryAfterMs?: number;
--- a/test/explain/explain.test.ts
+++ b/test/explain/explain.test.ts
@@ -4,6 +4,7 @@
 import { ExitCode } from '../../src/cli/exit-code.js';
 import { readLog } from '../../src/explain/log-entry.js';
 import { tellStory } from '../../src/explain/request-story.js';
+import { storyText } from '../../src/explain/story-text.js';
 import { runCommand, temporaryFiles } from '../cli/cli-fixture.js';
 
 function line(machine: string, time: string, event: string, fields: object = {}): string {
@@ -62,6 +63,40 @@
     });
   }
 
+  it('tells which sign cast doubt on an attempt, how old it was, what followed and what ended the run', () => {
+    const caller = [
+      line('caller', '05.400', 'attempt-suspected', {
+        request: 'id2',
+        attempt: 1,
+        silent: 'connection',
+        quietMs: 338,
+        next: 'hedge',
+      }),
+      line('caller', '05.410', 'attempt-failed', {
+        request: 'id2',
+        attempt: 2,
+        code: 'UNREACHABLE',
+      }),
+      line('caller', '05.900', 'attempt-cancelled', { request: 'id2', attempt: 1 }),
+      line('caller', '05.901', 'request-failed', { request: 'id2', code: 'TIMED_OUT' }),
+    ];
+    const endpoint = line('endpoint', '00.905', 'attempt-abandoned', {
+      request: 'id2/m-1.1',
+      cause: 'cancelled',
+    });
+    const text = [...caller, endpoint].join('\n');
+    expect(eventsOf(text, 'id2')).to.deep.equal([
+      'attempt-abandoned',
+      'attempt-suspected',
+      'attempt-cancelled',
+      'attempt-failed',
+      'request-failed',
+    ]);
+    const story = storyText('id2', tellStory(readLog(text).entries, 'id2'), 0);
+    expect(story).to.include('silent=connection quietMs=338 next=hedge');
+    expect(story).to.include('cause=cancelled');
+  });
+
   it('counts lines that it can not read, and reads on', () => {
     const cut = (CALLER_LOG[1] ?? '').slice(0, 40);
     const { entries, skippedLines } = readLog(
