--- a/test/platform/change-feed.test.ts
+++ b/test/platform/change-feed.test.ts
@@ -17,6 +17,11 @@
 const HOST = '127.0.0.1';
 const FRESHNESS = { ageMs: 12, reader: '10.0.0.1', confirmation: 7 };
 
+/** A line of a feed that tells one change. */
+function told(change: string): string {
+  return `{"ageMs":1,"reader":"a","confirmation":1,"delta":{"sinceRevision":0,"revision":1,"changes":[${change}]}}`;
+}
+
 describe('messages of a feed', () => {
   it('reads what it writes, removals among it', () => {
     const changes = [
@@ -48,9 +53,23 @@
     '{"ageMs":1,"reader":"a","confirmation":1,"delta":{}}',
     '{"ageMs":1,"reader":"a","confirmation":1,"delta":{"sinceRevision":0,"revision":1.5,"changes":[]}}',
     '{"ageMs":1,"reader":"a","confirmation":1,"delta":{"sinceRevision":0,"revision":1,"changes":[{"key":1,"revision":1}]}}',
+    '{"ageMs":1e999,"reader":"a","confirmation":1}',
+    '{"ageMs":1,"reader":"","confirmation":1}',
+    '{"ageMs":1,"reader":"a","confirmation":-1}',
+    `{"ageMs":1,"reader":"${'a'.repeat(300)}","confirmation":1}`,
+    told('{"key":"","revision":1}'),
+    told('{"key":"a","revision":1,"value":null}'),
+    told('{"key":"a","revision":1,"value":{}}'),
+    told('{"key":"a","revision":"1","value":"x"}'),
+    told(`{"key":"${'k'.repeat(300)}","revision":1}`),
+    told('{"key":"a","revision":1,"baseRevision":1,"patch":[[2,1]]}'),
+    told('{"key":"a","revision":1,"baseRevision":1,"patch":[[0,1,2]]}'),
+    told('{"key":"a","revision":1,"baseRevision":2,"patch":[]}'),
+    told('null'),
+    told('[]'),
   ];
   for (const line of foreign) {
-    it(`refuses ${line || 'an empty line'}`, () => {
+    it(`refuses ${line.slice(0, 200) || 'an empty line'}`, () => {
       expect(decodeFeedMessage(line)).to.equal(undefined);
     });
   }
--- a/test/store/snapshot-builder.test.ts
+++ b/test/store/snapshot-builder.test.ts
@@ -35,6 +35,8 @@
   return { kind: 'endpoint', endpoint: resource };
 }
 
+const UNREADABLE: StoreRecord = { kind: 'unused', fault: 'no address' };
+
 /** Items whose text is the name of a record. */
 class Items {
   private readonly records = new Map<string, StoreRecord>();
@@ -127,4 +129,39 @@
     expect(items.build().snapshot?.resources.size).to.equal(3);
     expect(items.remove('e').build().snapshot?.endpointsByService.get('echo')).to.have.length(0);
   });
+
+  it('says once that a configuration does not hold together, however often it is built again', () => {
+    const dangling = [{ kind: 'route', name: 'r', spec: { pathPrefix: '/', service: 'none' } }];
+    const items = new Items().put('c', configuration(4, dangling));
+    expect(items.build().faults).to.have.length(1);
+    items.put('e', endpoint('e1'));
+    expect(items.build().faults).to.have.length(0);
+    expect(items.put('c', configuration(4, dangling)).build().faults).to.have.length(1);
+  });
+
+  it('takes back the endpoint of an entry that was overwritten with one that can not be read', () => {
+    const items = new Items().put('c', configuration(1));
+    items
+      .put('e', endpoint('e1'))
+      .put('f', endpoint('f1', 'echo', 2))
+      .build();
+    items.put('e', UNREADABLE);
+    const endpoints = items.build().snapshot?.endpointsByService.get('echo') ?? [];
+    expect(endpoints.map(({ name }) => name)).to.deep.equal(['f1']);
+  });
+
+  it('keeps the configuration in force when it is overwritten with one that can not be read', () => {
+    const items = new Items().put('c', configuration(3));
+    items.build();
+    const { snapshot, faults } = items.put('c', UNREADABLE).build();
+    expect(snapshot?.version.source.number).to.equal(3);
+    expect(faults).to.have.length(1);
+  });
+
+  it('lets an endpoint of a service that is not configured take the address of no other', () => {
+    const items = new Items().put('c', configuration(1)).put('e', endpoint('held'));
+    items.put('f', endpoint('foreign', 'other'));
+    const endpoints = items.build().snapshot?.endpointsByService.get('echo') ?? [];
+    expect(endpoints.map(({ name }) => name)).to.deep.equal(['held']);
+  });
 });
--- a/test/store/store-watch.test.ts
+++ b/test/store/store-watch.test.ts
@@ -97,4 +97,31 @@
     watch.take(changes(11, []));
     expect(watch.isConnected).to.equal(true);
   });
+
+  it('counts a page that leads nowhere as a failure, so that no list goes on for ever', () => {
+    const watch = new StoreWatch(() => 0.5);
+    watch.take(page(10, 'a', true));
+    const { call, learning } = watch.take(page(10, 'a', true));
+    expect(call).to.deep.include({ type: 'list', afterKey: undefined });
+    expect(call.delayMs).to.be.greaterThan(0);
+    expect(learning).to.equal(undefined);
+  });
+
+  it('counts a page without a key that promises another one as a failure', () => {
+    const watch = new StoreWatch(() => 0.5);
+    const empty: StoreAnswer = { ...page(10, 'a', true), items: [] } as StoreAnswer;
+    const { call, learning } = watch.take(empty);
+    expect(call).to.deep.include({ type: 'list', afterKey: undefined });
+    expect(call.delayMs).to.be.greaterThan(0);
+    expect(learning).to.equal(undefined);
+  });
+
+  it('gives a list up that has more pages than a store can hold', () => {
+    const watch = new StoreWatch(() => 0.5);
+    let delayMs = 0;
+    for (let count = 0; count < 10_000 && delayMs === 0; count += 1) {
+      ({ delayMs } = watch.take(page(10, `key ${count}`, true)).call);
+    }
+    expect(delayMs).to.be.greaterThan(0);
+  });
 });
--- a/test/store/text-patch.test.ts
+++ b/test/store/text-patch.test.ts
@@ -37,4 +37,10 @@
     expect(applyPatch('short', [[0, 9]])).to.equal(undefined);
     expect(applyPatch('short', [[3, 1]])).to.equal(undefined);
   });
+
+  it('is refused when it makes a text that is too long out of many ranges', () => {
+    const text = 'x'.repeat(100_000);
+    const patch = Array.from({ length: 10_000 }, () => [0, text.length] as const);
+    expect(applyPatch(text, patch)).to.equal(undefined);
+  });
 });
