Take nothing from the store that its writer did not mean for nodes: schemas for answers, entries, configurations

Cause: items were cast to types, not checked, so entries of another writer became endpoints with NaN, undefined or text in typed fields; an answer without a list of items rejected; a list whose pages lead nowhere never ended; a configuration that does not hold together was validated and logged at each build; an entry of a service that is not configured took the address of one that is.

Refused items carry field, found and expected, and are counted (ferryspool_store_items_refused_total) and logged once a revision.

--- a/src/runtime/replica-source.ts
+++ b/src/runtime/replica-source.ts
@@ -10,6 +10,7 @@
 import type { FeedMessage } from '../peers/feed-message.js';
 import { ReaderOrder, type ReaderCandidate } from '../peers/reader-order.js';
 import { SourceChoice, type SourceEffect } from '../peers/source-choice.js';
+import type { RefusedItem } from '../store/item-fault.js';
 import type { KeyValueStore } from '../store/key-value-store.js';
 import { StoreFollower } from '../store/store-follower.js';
 import type { StoreReplica } from '../store/store-replica.js';
@@ -35,6 +36,8 @@
   readonly counters: CounterSink;
   /** The replica was confirmed; `hasChanged` when an item changed. */
   readonly onLearned: (hasChanged: boolean) => void;
+  /** The store told items that can't be taken. */
+  readonly onRefused: (items: readonly RefusedItem[]) => void;
 }
 
 /** The sources of one node. */
@@ -103,7 +106,7 @@
   }
 
   private createFollower(): StoreFollower {
-    const { store, replica, random, logger } = this.options;
+    const { store, replica, random, logger, onRefused } = this.options;
     return new StoreFollower({
       store,
       replica,
@@ -114,6 +117,7 @@
         this.choice.storeAnswered(MACHINE_CLOCK.now());
         this.learned(hasChanged);
       },
+      onRefused,
       onFailed: () => this.execute(this.choice.storeFailed(MACHINE_CLOCK.now())),
       onConnection: (isConnected, reason) => {
         this.isStoreAnswering = isConnected;
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -18,6 +18,7 @@
 import type { Snapshot } from '../model/snapshot.js';
 import type { RecordReader } from '../store/configuration-record.js';
 import type { KeyValueStore } from '../store/key-value-store.js';
+import { REFUSED_ITEMS_COUNTER, RefusedItemReporter } from '../store/refused-items.js';
 import { SnapshotBuilder } from '../store/snapshot-builder.js';
 import { StoreReplica } from '../store/store-replica.js';
 import { declareContainmentMetrics } from './containment-metrics.js';
@@ -94,6 +95,7 @@
   private readonly replica = new StoreReplica();
   private readonly containment: Containment;
   private readonly builder: SnapshotBuilder;
+  private readonly refusals: RefusedItemReporter;
   private readonly source: ReplicaSource;
   private readonly proxy: RequestProxy;
   private readonly readiness: http.Server;
@@ -111,6 +113,7 @@
       options.logger.warn('close-failed', { name, reason: String(err) });
     });
     this.builder = new SnapshotBuilder(options.readRecord);
+    this.refusals = this.createRefusals();
     this.containment = this.createContainment();
     this.source = this.services.own('store', this.createSource(), (one) => one.close());
     this.proxy = this.createProxy();
@@ -219,6 +222,15 @@
     });
   }
 
+  private createRefusals(): RefusedItemReporter {
+    this.metrics.declareCounter(REFUSED_ITEMS_COUNTER, 'Items of the store that are not valid');
+    const { logger } = this.options;
+    return new RefusedItemReporter({
+      counters: this.metrics,
+      log: (line) => logger.warn('store-item-refused', { ...line }),
+    });
+  }
+
   private createPeers(): PeerExchange {
     const { settings, logger } = this.options;
     return new PeerExchange({
@@ -265,6 +277,7 @@
       logger,
       counters: this.metrics,
       onLearned: (hasChanged) => this.takeLearned(hasChanged),
+      onRefused: (items) => this.refusals.report(items),
     });
   }
 
@@ -329,10 +342,8 @@
     if (!hasChanged && this.snapshot !== undefined) {
       return;
     }
-    const { snapshot, faults } = this.builder.build(this.replica.items());
-    for (const fault of faults) {
-      this.options.logger.warn('store-item-refused', { fault });
-    }
+    const { snapshot, refused } = this.builder.build(this.replica.items());
+    this.refusals.report(refused);
     if (snapshot !== undefined) {
       this.adopt(snapshot);
     }
--- a/src/store/configuration-record.ts
+++ b/src/store/configuration-record.ts
@@ -1,6 +1,7 @@
 /** What the items of a store say, in the product's own terms; an adapter reads them. */
 import type { Endpoint, Resource } from '../model/resource.js';
 import type { CallerLimits } from '../model/snapshot.js';
+import type { ItemFault } from './item-fault.js';
 
 /** A whole configuration. */
 export interface ConfigurationRecord {
@@ -22,7 +23,7 @@
 export interface UnusedRecord {
   readonly kind: 'unused';
   /** Why the item can't be read; undefined when it is of no concern. */
-  readonly fault: string | undefined;
+  readonly fault: ItemFault | undefined;
 }
 
 /** What one item says. */
--- a/src/store/key-value-store.ts
+++ b/src/store/key-value-store.ts
@@ -2,13 +2,20 @@
  * What a node needs of a key-value store that it can only read: lists, and watches by revision. Every
  * change of the store raises its one revision.
  */
+import type { RefusedItem } from './item-fault.js';
+
+/**
+ * Stands for the value of an item that is no text, or longer than any that a node reads: no such item is
+ * valid, and its bytes would cost every node that holds them.
+ */
+export const UNREADABLE_TEXT = '\uFFFD';
 
 /** An item as it was written, or its removal. */
 export interface StoreChange {
   readonly key: string;
   /** Revision of the store at which the item was written or removed. */
   readonly revision: number;
-  /** Text of the item; undefined when it was removed. */
+  /** Text of the item, or {@link UNREADABLE_TEXT}; undefined when it was removed. */
   readonly value: string | undefined;
 }
 
@@ -19,7 +26,11 @@
 export interface ListPage {
   readonly outcome: 'page';
   readonly items: readonly StoreChange[];
+  /** Items that are left out, since they have no key or no revision; absent where there are none. */
+  readonly refused?: readonly RefusedItem[];
   readonly hasMore: boolean;
+  /** Key that the next page begins after; absent where it is that of the last of `items`. */
+  readonly lastKey?: string | undefined;
   /** Revision of the store when the page was read. */
   readonly revision: number;
 }
@@ -28,6 +39,8 @@
 export interface WatchBatch {
   readonly outcome: 'changes';
   readonly changes: readonly StoreChange[];
+  /** Changes that are left out, since they have no key or no revision; absent where there are none. */
+  readonly refused?: readonly RefusedItem[];
   readonly revision: number;
 }
 
--- a/src/store/snapshot-builder.ts
+++ b/src/store/snapshot-builder.ts
@@ -8,6 +8,7 @@
 import { buildSnapshot, withEndpoints, type Snapshot } from '../model/snapshot.js';
 import { EMPTY_DIGEST, NO_VERSION } from '../model/version.js';
 import type { ConfigurationRecord, RecordReader, StoreRecord } from './configuration-record.js';
+import { shortKey, type ItemFault, type RefusedItem } from './item-fault.js';
 import type { StoreChange } from './key-value-store.js';
 
 /** An item, read once. */
@@ -16,12 +17,18 @@
   readonly record: StoreRecord;
 }
 
+/** An endpoint and the revision of its entry. */
+interface NamedEndpoint {
+  readonly endpoint: Endpoint;
+  readonly revision: number;
+}
+
 /** What came of the items. */
 export interface BuildResult {
   /** Undefined while no configuration is known. */
   readonly snapshot: Snapshot | undefined;
-  /** Faults that were met for the first time. */
-  readonly faults: readonly string[];
+  /** Items that are not used, each revision once. */
+  readonly refused: readonly RefusedItem[];
 }
 
 /**
@@ -29,7 +36,7 @@
  * one which has its address now: only the entry written last speaks for an address.
  */
 class AddressedEndpoints {
-  private readonly latest = new Map<string, { endpoint: Endpoint; revision: number }>();
+  private readonly latest = new Map<string, NamedEndpoint>();
 
   add(endpoint: Endpoint, revision: number): void {
     const address = `${endpoint.spec.address}:${endpoint.spec.port}`;
@@ -50,29 +57,32 @@
   /** The newest configuration, validated and indexed once, without endpoints. */
   private configured: Snapshot | undefined;
   private configuredNumber = 0;
+  /** The latest one that does not hold together, so that it is validated and told only once. */
+  private refusedCandidate: ConfigurationRecord | undefined;
   private latest: Snapshot | undefined;
 
   constructor(private readonly read: RecordReader) {}
 
   /** The snapshot of `items`; the configuration in force never gets an older number. */
   build(items: Iterable<StoreChange>): BuildResult {
-    const faults: string[] = [];
-    const endpoints = new AddressedEndpoints();
+    const refused: RefusedItem[] = [];
+    const named: NamedEndpoint[] = [];
     const seen = new Set<string>();
     for (const item of items) {
       seen.add(item.key);
-      const record = this.recordOf(item, faults);
+      const record = this.recordOf(item, refused);
       if (record.kind === 'endpoint') {
-        endpoints.add(record.endpoint, item.revision);
+        named.push({ endpoint: record.endpoint, revision: item.revision });
       } else if (record.kind === 'configuration') {
-        this.adopt(record, faults);
+        this.adopt(record, item, refused);
       }
     }
     this.forgetExcept(seen);
-    return { snapshot: this.snapshotWith(endpoints.current()), faults };
+    return { snapshot: this.snapshotWith(named), refused };
   }
 
-  private recordOf({ key, revision, value = '' }: StoreChange, faults: string[]): StoreRecord {
+  private recordOf(item: StoreChange, refused: RefusedItem[]): StoreRecord {
+    const { key, revision, value = '' } = item;
     const known = this.readItems.get(key);
     if (known?.revision === revision) {
       return known.record;
@@ -80,14 +90,14 @@
     const record = this.read(key, value);
     this.readItems.set(key, { revision, record });
     if (record.kind === 'unused' && record.fault !== undefined) {
-      faults.push(`${key}: ${record.fault}`);
+      refused.push(refusal(item, record.fault));
     }
     return record;
   }
 
-  private adopt(candidate: ConfigurationRecord, faults: string[]): void {
+  private adopt(candidate: ConfigurationRecord, item: StoreChange, refused: RefusedItem[]): void {
     const { number, resources, callerLimits } = candidate;
-    if (number <= this.configuredNumber) {
+    if (number <= this.configuredNumber || candidate === this.refusedCandidate) {
       return;
     }
     try {
@@ -97,15 +107,27 @@
       if (!(error instanceof InvalidConfigurationError)) {
         throw error;
       }
-      faults.push(`configuration ${number}: ${error.message}`);
+      this.refusedCandidate = candidate;
+      refused.push(refusal(item, faultOf(error)));
     }
   }
 
-  /** Endpoints of services that the configuration does not have are left out. */
-  private snapshotWith(endpoints: readonly Endpoint[]): Snapshot | undefined {
-    if (this.configured !== undefined) {
-      this.latest = withEndpoints(this.configured, endpoints, this.latest);
+  /**
+   * Endpoints of services that the configuration does not have are left out first, so that they take the
+   * address of no other.
+   */
+  private snapshotWith(named: readonly NamedEndpoint[]): Snapshot | undefined {
+    if (this.configured === undefined) {
+      return undefined;
     }
+    const { services } = this.configured;
+    const endpoints = new AddressedEndpoints();
+    for (const { endpoint, revision } of named) {
+      if (services.has(endpoint.spec.service)) {
+        endpoints.add(endpoint, revision);
+      }
+    }
+    this.latest = withEndpoints(this.configured, endpoints.current(), this.latest);
     return this.latest;
   }
 
@@ -121,3 +143,16 @@
 function versionOf({ number }: ConfigurationRecord): Snapshot['version'] {
   return { source: { number, digest: EMPTY_DIGEST }, operator: NO_VERSION };
 }
+
+function refusal({ key, revision }: StoreChange, fault: ItemFault): RefusedItem {
+  return { key: shortKey(key), revision, fault };
+}
+
+function faultOf({ faults }: InvalidConfigurationError): ItemFault {
+  const [first] = faults;
+  return {
+    path: first?.path ?? '',
+    found: first?.reason ?? '',
+    expected: 'a configuration that holds together',
+  };
+}
--- a/src/store/store-follower.ts
+++ b/src/store/store-follower.ts
@@ -4,6 +4,7 @@
  */
 import csp, { type Channel } from 'js-csp';
 import type { RandomSource } from '../control/control-event.js';
+import type { RefusedItem } from './item-fault.js';
 import type { KeyValueStore } from './key-value-store.js';
 import type { StoreReplica } from './store-replica.js';
 import { StoreWatch, type StoreAnswer, type StoreCall, type StoreLearning } from './store-watch.js';
@@ -17,6 +18,8 @@
   readonly watchWaitMs: number;
   /** Called after each answer that taught something; `hasChanged` when an item changed. */
   readonly onLearned: (hasChanged: boolean) => void;
+  /** Called with the items that an answer held and that can't be taken. */
+  readonly onRefused: (items: readonly RefusedItem[]) => void;
   /** Called after each call that failed. */
   readonly onFailed: () => void;
   /** Called when the store was lost or found again. */
@@ -88,6 +91,9 @@
     if (answer.outcome === 'unavailable') {
       this.options.onFailed();
     }
+    if ('refused' in answer && answer.refused !== undefined) {
+      this.options.onRefused(answer.refused);
+    }
     if (learning !== undefined) {
       this.options.onLearned(this.learn(learning));
     }
--- a/src/store/store-watch.ts
+++ b/src/store/store-watch.ts
@@ -20,6 +20,9 @@
 /** Pause between the answer of a watch and the next one, in milliseconds: changes gather meanwhile. */
 const GATHER_MS = 150;
 
+/** Pages of one list at most: hundreds of times the items of a large fleet. */
+const MAX_PAGES = 200;
+
 /** A call to the store, to be made after a pause. */
 export type StoreCall = { readonly delayMs: number } & (
   | {
@@ -58,6 +61,9 @@
   readonly items: StoreChange[];
   /** Least revision of the pages so far: what changed since must be watched for. */
   revision: number;
+  pageCount: number;
+  /** Key that the page under way begins after. */
+  afterKey: string | undefined;
 }
 
 /** One node's list and watches. */
@@ -90,7 +96,7 @@
 
   /** Takes the answer to the last call. */
   take(answer: StoreAnswer): StoreStep {
-    if (answer.outcome === 'unavailable') {
+    if (answer.outcome === 'unavailable' || this.leadsNowhere(answer)) {
       this.failures += 1;
       this.partial = undefined;
       return { call: this.nextCall(this.backOffMs()), learning: undefined };
@@ -108,12 +114,24 @@
     }
   }
 
+  /** A page that promises another one without a way on: such a list would never end. */
+  private leadsNowhere(answer: StoreAnswer): boolean {
+    if (answer.outcome !== 'page' || !answer.hasMore) {
+      return false;
+    }
+    const lastKey = lastKeyOf(answer);
+    const { afterKey, pageCount = 0 } = this.partial ?? {};
+    return lastKey === undefined || lastKey === afterKey || pageCount >= MAX_PAGES;
+  }
+
   private takePage(page: ListPage): StoreStep {
-    const partial = this.partial ?? { items: [], revision: page.revision };
+    const partial = this.partial ?? emptyList(page.revision);
     partial.items.push(...page.items);
     partial.revision = Math.min(partial.revision, page.revision);
-    const lastKey = page.items.at(-1)?.key;
-    if (page.hasMore && lastKey !== undefined) {
+    partial.pageCount += 1;
+    const lastKey = lastKeyOf(page);
+    if (page.hasMore) {
+      partial.afterKey = lastKey;
       this.partial = partial;
       const { listFreshness: freshness } = this;
       const call = { type: 'list', afterKey: lastKey, freshness, delayMs: 0 } as const;
@@ -121,12 +139,13 @@
     }
     this.partial = undefined;
     this.revision = partial.revision;
-    return { call: this.nextCall(0), learning: { type: 'list', ...partial } };
+    const { items, revision } = partial;
+    return { call: this.nextCall(0), learning: { type: 'list', items, revision } };
   }
 
-  private takeChanges({ changes, revision }: WatchBatch): StoreStep {
+  private takeChanges({ changes, refused, revision }: WatchBatch): StoreStep {
     this.revision = Math.max(this.revision ?? 0, revision);
-    const delayMs = changes.length > 0 ? GATHER_MS : 0;
+    const delayMs = changes.length > 0 || refused !== undefined ? GATHER_MS : 0;
     return { call: this.nextCall(delayMs), learning: { type: 'changes', changes, revision } };
   }
 
@@ -142,3 +161,11 @@
     return longest * (0.5 + this.random() / 2);
   }
 }
+
+function emptyList(revision: number): PartialList {
+  return { items: [], revision, pageCount: 0, afterKey: undefined };
+}
+
+function lastKeyOf({ items, lastKey }: ListPage): string | undefined {
+  return lastKey ?? items.at(-1)?.key;
+}
