Take no malformed message of a peer: feeds, patches and fetched changes are bounded and checked

Cause: a change that was a number or a text made the check of a feed's line throw (`in` on no object), which ended the process, and so did a patch of many ranges (a text beyond what a string may hold) and an answer to a fetch without an end; ages, readers, keys and texts had no bounds.

Change: src/peers/feed-message.ts checks objects, ages, lengths and ranges; patches make at most 4 MiB of text; the fetch has a module of its own and ends beyond 16 MiB.

--- /dev/null
+++ b/src/peers/delta-fetch.ts
@@ -0,0 +1,39 @@
+/** Fetches from a peer what changed after a revision. */
+import http from 'node:http';
+import type { ReplicaDelta } from '../store/store-replica.js';
+import { decodeDelta, MAX_MESSAGE_LENGTH } from './feed-message.js';
+
+/** Time after which a fetch is given up, in milliseconds. */
+const FETCH_TIMEOUT_MS = 800;
+const OK_STATUS = 200;
+/** Path of the changes since a revision, which follows it. */
+export const CHANGES_PATH = '/changes/';
+
+/** The changes after `revision` at a peer; undefined when they can't be had. */
+export function fetchDelta(
+  host: string,
+  port: number,
+  revision: number,
+): Promise<ReplicaDelta | undefined> {
+  return new Promise((resolve) => {
+    const path = `${CHANGES_PATH}${revision}`;
+    const request = http.get({ host, port, path, agent: false, timeout: FETCH_TIMEOUT_MS });
+    request.on('timeout', () => request.destroy());
+    request.on('error', () => resolve(undefined));
+    request.on('close', () => resolve(undefined));
+    request.on('response', (message) => {
+      let text = '';
+      message.setEncoding('utf8');
+      message.on('data', (chunk: string) => {
+        text += chunk;
+        if (text.length > MAX_MESSAGE_LENGTH) {
+          request.destroy();
+        }
+      });
+      message.on('error', () => resolve(undefined));
+      message.on('end', () => {
+        resolve(message.statusCode === OK_STATUS ? decodeDelta(text) : undefined);
+      });
+    });
+  });
+}
--- a/src/peers/feed-client.ts
+++ b/src/peers/feed-client.ts
@@ -1,12 +1,10 @@
 /** Follows the feed of one peer at a time. */
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
-import { decodeFeedMessage, type FeedMessage } from './feed-message.js';
+import { decodeFeedMessage, MAX_MESSAGE_LENGTH, type FeedMessage } from './feed-message.js';
 
 const OK_STATUS = 200;
 /** Path of a node's feed, after which the follower's revision follows. */
 export const FEED_PATH = '/feed/';
-/** Length of a line at most, in characters: beyond any whole state. */
-const MAX_LINE_LENGTH = 16 * 1024 * 1024;
 
 /** What a client needs of its node. */
 export interface FeedClientOptions {
@@ -75,7 +73,7 @@
       for (const line of lines) {
         this.take(peer, request, line);
       }
-      if (rest.length > MAX_LINE_LENGTH) {
+      if (rest.length > MAX_MESSAGE_LENGTH) {
         request.destroy(new Error('a line of the feed is too long'));
       }
     });
--- a/src/peers/feed-message.ts
+++ b/src/peers/feed-message.ts
@@ -4,11 +4,18 @@
  */
 import type { StoreChange } from '../store/key-value-store.js';
 import type { ReplicaDelta } from '../store/store-replica.js';
-import type { PatchPart } from '../store/text-patch.js';
+import { MAX_TEXT_LENGTH, type PatchPart } from '../store/text-patch.js';
 import type { FeedDelta, PatchedChange } from './feed-delta.js';
 import { MAX_AGE_MS } from './peer-datagram.js';
 import type { Freshness } from './source-choice.js';
 
+/** Longest line or delta, in characters: beyond any whole state. */
+export const MAX_MESSAGE_LENGTH = 16 * 1024 * 1024;
+/** Longest key of an item, in characters; a store bounds the bytes. */
+const MAX_KEY_LENGTH = 200;
+/** Longest address of a reader, in characters. */
+const MAX_READER_LENGTH = 128;
+
 /** One line of a feed. */
 export interface FeedMessage extends Freshness {
   /** What the follower lacks; left out where it lacks nothing. */
@@ -23,13 +30,15 @@
 
 /** Reads a line without its end; undefined when it is none. */
 export function decodeFeedMessage(line: string): FeedMessage | undefined {
-  const message = parseJson(line) as Partial<FeedMessage> | undefined;
-  const { ageMs, reader, confirmation, delta } = message ?? {};
+  const message = parseJson(line);
+  if (!isObject(message)) {
+    return undefined;
+  }
+  const { ageMs, reader, confirmation, delta } = message as Partial<FeedMessage>;
   const isMessage =
-    typeof ageMs === 'number' &&
-    ageMs >= 0 &&
-    typeof reader === 'string' &&
-    Number.isSafeInteger(confirmation) &&
+    isAge(ageMs) &&
+    isText(reader, MAX_READER_LENGTH) &&
+    isWhole(confirmation) &&
     (delta === undefined || isDelta(delta, (change) => isChange(change) || isPatched(change)));
   return isMessage ? (message as FeedMessage) : undefined;
 }
@@ -49,41 +58,74 @@
 }
 
 function isDelta(value: unknown, isKnownChange: (change: unknown) => boolean): value is FeedDelta {
-  const { sinceRevision, revision, changes } = (value ?? {}) as Partial<FeedDelta>;
+  if (!isObject(value)) {
+    return false;
+  }
+  const { sinceRevision, revision, changes } = value as Partial<FeedDelta>;
   return (
-    isRevision(sinceRevision) &&
-    isRevision(revision) &&
+    isWhole(sinceRevision) &&
+    isWhole(revision) &&
     Array.isArray(changes) &&
     changes.every(isKnownChange)
   );
 }
 
 function isChange(value: unknown): value is StoreChange {
-  const change = (value ?? {}) as Partial<StoreChange>;
+  if (!isObject(value) || 'patch' in value) {
+    return false;
+  }
+  const change = value as Partial<StoreChange>;
   return (
-    !('patch' in change) &&
-    typeof change.key === 'string' &&
-    isRevision(change.revision) &&
-    (change.value === undefined || typeof change.value === 'string')
+    isText(change.key, MAX_KEY_LENGTH) &&
+    isWhole(change.revision) &&
+    (change.value === undefined || isItemText(change.value))
   );
 }
 
 function isPatched(value: unknown): value is PatchedChange {
-  const { key, revision, baseRevision, patch } = (value ?? {}) as Partial<PatchedChange>;
+  if (!isObject(value)) {
+    return false;
+  }
+  const { key, revision, baseRevision, patch } = value as Partial<PatchedChange>;
   return (
-    typeof key === 'string' &&
-    isRevision(revision) &&
-    isRevision(baseRevision) &&
+    isText(key, MAX_KEY_LENGTH) &&
+    isWhole(revision) &&
+    isWhole(baseRevision) &&
+    baseRevision < revision &&
     Array.isArray(patch) &&
     patch.every(isPatchPart)
   );
 }
 
 function isPatchPart(value: unknown): value is PatchPart {
-  const isRange = Array.isArray(value) && value.length === 2 && value.every(isRevision);
-  return typeof value === 'string' || isRange;
+  return typeof value === 'string' || isRange(value);
+}
+
+function isRange(value: unknown): boolean {
+  if (!Array.isArray(value) || value.length !== 2) {
+    return false;
+  }
+  const [start, end] = value as unknown[];
+  return isWhole(start) && isWhole(end) && start <= end;
+}
+
+function isObject(value: unknown): value is object {
+  return typeof value === 'object' && value !== null;
+}
+
+/** Whether it is a text of some length; an item's own text may be empty. */
+function isText(value: unknown, maxLength: number): value is string {
+  return typeof value === 'string' && value !== '' && value.length <= maxLength;
+}
+
+function isItemText(value: unknown): value is string {
+  return typeof value === 'string' && value.length <= MAX_TEXT_LENGTH;
+}
+
+function isAge(value: unknown): value is number {
+  return typeof value === 'number' && value >= 0 && value <= MAX_AGE_MS;
 }
 
-function isRevision(value: unknown): value is number {
+function isWhole(value: unknown): value is number {
   return Number.isSafeInteger(value) && Number(value) >= 0;
 }
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -1,12 +1,11 @@
 /** Executes what {@link PeerMonitor} decides: datagrams over UDP, changes over HTTP. */
 import dgram from 'node:dgram';
-import http from 'node:http';
 import { MACHINE_CLOCK } from '../clock/machine-clock.js';
 import type { RandomSource } from '../control/control-event.js';
 import type { Containment } from '../containment/containment.js';
 import type { Suspicion } from '../containment/suspicion.js';
-import type { ReplicaDelta, StoreReplica } from '../store/store-replica.js';
-import { decodeDelta } from './feed-message.js';
+import type { StoreReplica } from '../store/store-replica.js';
+import { fetchDelta } from './delta-fetch.js';
 import { decodeDatagram, encodeDatagram, MAX_AGE_MS, type PeerDatagram } from './peer-datagram.js';
 import { SuspicionGossip, type SentNews } from './suspicion-gossip.js';
 import {
@@ -16,19 +15,13 @@
   type ReplicaState,
 } from './peer-monitor.js';
 
-/** Time after which a fetch is given up, in milliseconds. */
-const FETCH_TIMEOUT_MS = 800;
-const OK_STATUS = 200;
-/** Path of the changes since a revision, which follows it. */
-export const CHANGES_PATH = '/changes/';
-
 /** What the exchange needs of its node. */
 export interface PeerExchangeOptions {
   /** IP number of this machine; the peers' datagrams come from theirs. */
   readonly address: string;
   /** Port of the datagrams, the same on every machine. */
   readonly datagramPort: number;
-  /** Port that serves {@link CHANGES_PATH}, the same on every machine. */
+  /** Port that serves the changes since a revision, the same on every machine. */
   readonly changesPort: number;
   readonly replica: StoreReplica;
   /** What is known of requests under which endpoints ended; told to peers, and learnt from them. */
@@ -184,29 +177,3 @@
     }
   }
 }
-
-/** The changes after `revision` at a peer; undefined when they can't be had. */
-function fetchDelta(
-  host: string,
-  port: number,
-  revision: number,
-): Promise<ReplicaDelta | undefined> {
-  return new Promise((resolve) => {
-    const path = `${CHANGES_PATH}${revision}`;
-    const request = http.get({ host, port, path, agent: false, timeout: FETCH_TIMEOUT_MS });
-    request.on('timeout', () => request.destroy());
-    request.on('error', () => resolve(undefined));
-    request.on('close', () => resolve(undefined));
-    request.on('response', (message) => {
-      let text = '';
-      message.setEncoding('utf8');
-      message.on('data', (chunk: string) => {
-        text += chunk;
-      });
-      message.on('error', () => resolve(undefined));
-      message.on('end', () => {
-        resolve(message.statusCode === OK_STATUS ? decodeDelta(text) : undefined);
-      });
-    });
-  });
-}
--- a/src/runtime/internal-server.ts
+++ b/src/runtime/internal-server.ts
@@ -5,8 +5,8 @@
 import http, { type ServerResponse } from 'node:http';
 import type { SuspicionView } from '../containment/suspicion.js';
 import type { ChangeFeed } from '../peers/change-feed.js';
+import { CHANGES_PATH } from '../peers/delta-fetch.js';
 import { FEED_PATH } from '../peers/feed-client.js';
-import { CHANGES_PATH } from '../peers/peer-exchange.js';
 import type { StoreReplica } from '../store/store-replica.js';
 import type { Metrics } from './metrics.js';
 
--- a/src/store/text-patch.ts
+++ b/src/store/text-patch.ts
@@ -6,6 +6,12 @@
 /** Texts are cut before this character, which begins each object of a JSON text. */
 const CUT = '{';
 
+/**
+ * Longest text that a patch may make, in characters. Many ranges of a long text would make one that no
+ * process can hold.
+ */
+export const MAX_TEXT_LENGTH = 4 * 1024 * 1024;
+
 /** A part of the new text: a range of the old one, or a text of its own. */
 export type PatchPart = readonly [start: number, end: number] | string;
 
@@ -31,23 +37,27 @@
   return parts;
 }
 
-/** The new text; undefined when the patch does not fit the old one. */
+/** The new text; undefined when the patch does not fit the old one, or makes a text that is too long. */
 export function applyPatch(oldText: string, patch: TextPatch): string | undefined {
   let text = '';
   for (const part of patch) {
-    if (typeof part === 'string') {
-      text += part;
-      continue;
-    }
-    const [start, end] = part;
-    if (!(start >= 0 && start <= end && end <= oldText.length)) {
+    const piece = typeof part === 'string' ? part : rangeOf(oldText, part);
+    if (piece === undefined || text.length + piece.length > MAX_TEXT_LENGTH) {
       return undefined;
     }
-    text += oldText.slice(start, end);
+    text += piece;
   }
   return text;
 }
 
+function rangeOf(
+  oldText: string,
+  [start, end]: readonly [start: number, end: number],
+): string | undefined {
+  const isWithin = start >= 0 && start <= end && end <= oldText.length;
+  return isWithin ? oldText.slice(start, end) : undefined;
+}
+
 /** Joins a piece to the last part where it goes on from there. */
 function append(parts: PatchPart[], piece: string, start: number | undefined): void {
   const last = parts.at(-1);
--- /dev/null
+++ b/test/peers/delta-fetch.test.ts
@@ -0,0 +1,62 @@
+/**
+ * What a peer answers when it is asked for changes. An answer without an end was held whole: a process can hold
+ * no text of half a gigabyte, and ended with `Invalid string length` or out of memory.
+ */
+import http, { type ServerResponse } from 'node:http';
+import { once } from 'node:events';
+import type { AddressInfo } from 'node:net';
+import { expect } from 'chai';
+import { fetchDelta } from '../../src/peers/delta-fetch.js';
+import { MAX_MESSAGE_LENGTH } from '../../src/peers/feed-message.js';
+
+const HOST = '127.0.0.1';
+const CHUNK = ' '.repeat(1024 * 1024);
+
+describe('changes fetched from a peer', () => {
+  let answer: (response: ServerResponse) => void;
+  let server: http.Server;
+  let port: number;
+
+  beforeEach(async () => {
+    server = http.createServer((_request, response) => answer(response));
+    server.listen(0, HOST);
+    await once(server, 'listening');
+    ({ port } = server.address() as AddressInfo);
+  });
+
+  afterEach(() => {
+    server.close();
+    server.closeAllConnections();
+  });
+
+  it('are taken where they can be read', async () => {
+    const delta = { sinceRevision: 1, revision: 2, changes: [{ key: 'a', revision: 2 }] };
+    answer = (response) => response.end(JSON.stringify(delta));
+    expect(await fetchDelta(HOST, port, 1)).to.deep.equal(delta);
+  });
+
+  for (const text of ['', '[]', '7', '{"sinceRevision":0,"revision":1,"changes":[7]}']) {
+    it(`are none in ${text || 'an empty answer'}`, async () => {
+      answer = (response) => response.end(text);
+      expect(await fetchDelta(HOST, port, 1)).to.equal(undefined);
+    });
+  }
+
+  it('are given up when the answer goes on beyond any state', async () => {
+    let sentLength = 0;
+    let isCut = false;
+    answer = (response) => {
+      const send = (): void => {
+        sentLength += CHUNK.length;
+        if (!isCut && sentLength < 8 * MAX_MESSAGE_LENGTH) {
+          response.write(CHUNK, send);
+        }
+      };
+      response.on('error', () => undefined);
+      response.on('close', () => (isCut = true));
+      send();
+    };
+    expect(await fetchDelta(HOST, port, 1)).to.equal(undefined);
+    expect(sentLength).to.be.below(4 * MAX_MESSAGE_LENGTH);
+  });
+});
--- a/test/platform/change-feed.test.ts
+++ b/test/platform/change-feed.test.ts
@@ -65,6 +65,9 @@
     told('{"key":"a","revision":1,"baseRevision":1,"patch":[[2,1]]}'),
     told('{"key":"a","revision":1,"baseRevision":1,"patch":[[0,1,2]]}'),
     told('{"key":"a","revision":1,"baseRevision":2,"patch":[]}'),
+    told('7'),
+    told('"x"'),
+    told('true'),
     told('null'),
     told('[]'),
   ];
