--- a/test/proxy/request-lifecycle.test.ts
+++ b/test/proxy/request-lifecycle.test.ts
@@ -22,6 +22,13 @@
   failure,
   canReplay,
 });
+const suspected = (attempt: number, failure = lost): RequestEvent => ({
+  type: 'suspected',
+  attempt,
+  failure,
+  canReplay: true,
+});
+const whole = (attempt: number): RequestEvent => ({ type: 'answer-whole', attempt });
 const answered = (attempt: number): RequestEvent => ({ type: 'answered', attempt });
 const broken = (attempt: number, wasPassedOn: boolean): RequestEvent => ({
   type: 'answer-broken',
@@ -177,6 +184,114 @@
     events: [START, answered(1), giveUp(false, true)],
     expected: '',
   },
+  {
+    name: 'an attempt in doubt gets another one beside it',
+    repeatable: true,
+    events: [START, suspected(1)],
+    expected: 'back-off',
+  },
+  {
+    name: 'but not when it may run once',
+    events: [START, suspected(1)],
+    expected: '',
+  },
+  {
+    name: 'nor without retries',
+    repeatable: true,
+    retries: 0,
+    events: [START, suspected(1)],
+    expected: '',
+  },
+  {
+    name: 'one that has provably not been sent is replaced',
+    events: [START, suspected(1, notRun)],
+    expected: 'abort-attempt, back-off',
+  },
+  {
+    name: 'and goes on where nothing can replace it',
+    retries: 0,
+    events: [START, suspected(1, notRun)],
+    expected: '',
+  },
+  {
+    name: 'the answer of an attempt in doubt is passed on',
+    repeatable: true,
+    events: [START, suspected(1), AGAIN, answered(1)],
+    expected: 'pass-answer',
+  },
+  {
+    name: 'and the one beside it given up once that is whole',
+    repeatable: true,
+    events: [START, suspected(1), AGAIN, answered(1), whole(1)],
+    expected: 'abort-attempt',
+  },
+  {
+    name: 'also during the pause before another one, which does not begin then',
+    repeatable: true,
+    events: [START, suspected(1), answered(1), AGAIN],
+    expected: '',
+  },
+  {
+    name: 'a second answer is not passed on',
+    repeatable: true,
+    events: [START, suspected(1), AGAIN, answered(2), answered(1)],
+    expected: 'discard-answer',
+  },
+  {
+    name: 'an attempt in doubt is waited for when the one beside it fails for good',
+    repeatable: true,
+    events: [START, suspected(1), AGAIN, failed(2, final)],
+    expected: '',
+  },
+  {
+    name: 'or finds no endpoint',
+    repeatable: true,
+    events: [
+      START,
+      suspected(1),
+      AGAIN,
+      { type: 'no-endpoint', attempt: 2, failure: final },
+      answered(1),
+    ],
+    expected: 'pass-answer',
+  },
+  {
+    name: 'its loss is told once nothing else is left',
+    repeatable: true,
+    retries: 1,
+    events: [START, suspected(1), AGAIN, failed(2, final), failed(1, lost)],
+    expected: 'LOST may-have-run',
+  },
+  {
+    name: 'its loss ends nothing while another attempt is under way',
+    repeatable: true,
+    events: [START, suspected(1), AGAIN, failed(1, lost)],
+    expected: '',
+  },
+  {
+    name: 'the deadline ends both',
+    repeatable: true,
+    events: [START, suspected(1), AGAIN, DEADLINE],
+    expected: 'abort-attempt, abort-attempt, LATE may-have-run',
+  },
+  {
+    name: 'and tells of no refusal while one is in doubt',
+    repeatable: true,
+    events: [START, suspected(1), DEADLINE],
+    expected: 'abort-attempt, LATE may-have-run',
+  },
+  {
+    name: 'a stop ends both, and the one in doubt may have run',
+    repeatable: true,
+    events: [START, suspected(1), AGAIN, giveUp(true)],
+    expected: 'abort-attempt, abort-attempt, FINAL may-have-run',
+  },
+  {
+    name: 'a caller that leaves ends both',
+    repeatable: true,
+    events: [START, suspected(1), AGAIN, { type: 'caller-gone' }],
+    expected: 'abort-attempt, abort-attempt',
+  },
   {
     name: 'nothing begins after the caller left',
     events: [{ type: 'caller-gone' }, START],
@@ -195,10 +310,10 @@
   }
 
   it('ends with one answer in every order of events, and always when it is given up', () => {
-    const whole: RequestEvent = { type: 'answer-whole', attempt: 1 };
+    const firstWhole = whole(1);
     const noEndpoint: RequestEvent = { type: 'no-endpoint', attempt: 2, failure: final };
     const gone: RequestEvent = { type: 'caller-gone' };
-    const firstTry = [START, answered(1), whole, broken(1, false), failed(1, lost)];
+    const firstTry = [START, answered(1), firstWhole, broken(1, false), failed(1, lost)];
     const secondTry = [AGAIN, failed(2, notRun), answered(2), noEndpoint];
     const ends = [DEADLINE, gone, giveUp(true), giveUp(false)];
     const events = [...firstTry, ...secondTry, ...ends];
@@ -214,7 +329,7 @@
         expect(event.type !== 'give-up' || lifecycle.isOver, describeOrder(order)).to.equal(true);
       }
       expect(ended, describeOrder(order)).to.be.at.most(1);
-      const isSettled = order.some((event) => event === whole || event === gone);
+      const isSettled = order.some((event) => event === firstWhole || event === gone);
       const isGivenUp = order.some(({ type }) => type === 'give-up');
       expect(isSettled || !isGivenUp || ended === 1, describeOrder(order)).to.equal(true);
     }
