--- a/test/proxy/fuzz/virtual-paths.ts
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -22,13 +22,21 @@
 } from '../../../src/proxy/request-error.js';
 import { CRASHING_TARGET, type RequestWorld, type VirtualNode } from './request-world.js';
 
+/** A body without bytes. */
+class VirtualStream extends EventEmitter {
+  complete = false;
+
+  resume(): this {
+    return this;
+  }
+}
+
 /** An answer whose body ends when {@link end} is called. */
 export class VirtualAnswer {
   readonly answer: Answer;
-  private readonly stream = new EventEmitter() as EventEmitter & { complete: boolean };
+  private readonly stream = new VirtualStream();
 
   constructor(content: string) {
-    this.stream.complete = false;
     this.answer = {
       status: 200,
       headers: ['content', content],
--- a/test/proxy/request-fuzz.test.ts
+++ b/test/proxy/request-fuzz.test.ts
@@ -1,7 +1,7 @@
 /**
  * Stateful fuzzing of the request path under a virtual clock: the product's own code from the
- * caller's node to the endpoint, with kills, freezes, cuts, crossed and late messages, drains and
- * shed load, against an oracle that knows every execution. A mutant per invariant must be caught.
+ * caller's node to the endpoint, with kills, freezes, cuts, silences, crossed and late messages, drains
+ * and shed load, against an oracle that knows every execution. A mutant per invariant must be caught.
  */
 import { expect } from 'chai';
 import fc from 'fast-check';
@@ -33,7 +33,9 @@
 const index = fc.nat({ max: 2 });
 const flag = fc.boolean();
 
-const commandArbitrary: fc.Arbitrary<Command> = fc.oneof(
+type WeightedCommand = fc.WeightedArbitrary<Command>;
+
+const callCommands: readonly WeightedCommand[] = [
   {
     weight: 12,
     arbitrary: fc
@@ -51,6 +53,9 @@
         }),
       ),
   },
+];
+
+const crashCommands: readonly WeightedCommand[] = [
   {
     weight: 3,
     arbitrary: fc.tuple(index, flag, fc.constantFrom(1, 3)).map(([node, repeatable, count]) =>
@@ -74,6 +79,9 @@
         }),
       ),
   },
+];
+
+const faultCommands: readonly WeightedCommand[] = [
   {
     weight: 8,
     arbitrary: fc
@@ -198,40 +206,64 @@
       }),
     ),
   },
-);
+];
 
-const scenarioArbitrary = fc.record({
-  seed: fc.nat(),
-  faults: fc.record({
-    shed: fc.constantFrom(0, 0.3),
-    lost: fc.constantFrom(0, 0.3),
-    broken: fc.constantFrom(0, 0.3),
-    slow: fc.constantFrom(0, 0.3, 0.9),
-    late: fc.constantFrom(0.05, 0.4),
-  }),
-  commands: fc.array(commandArbitrary, { minLength: 5, maxLength: MAX_COMMANDS, size: 'max' }),
-});
+/** Signs of silence where nothing need be wrong. */
+const silenceCommand: WeightedCommand = {
+  weight: 8,
+  arbitrary: fc.tuple(index, index).map(([node, peer]) =>
+    command(`n${node} hears nothing of n${peer}`, (world) => {
+      const { process, services } = at(world.nodes, node);
+      if (process.isAlive && !process.isFrozen) {
+        services.awaited.machineIsSilent(`n${peer}`);
+      }
+    }),
+  ),
+};
 
-const property = fc.property(scenarioArbitrary, ({ seed, faults, commands }) => {
-  const world = new RequestWorld(faults, seededRandom(seed));
-  for (const step of commands) {
-    step.run(world);
-    world.advance(1);
-    failOn(findViolation(world), step.name);
-  }
-  world.disturb();
-  for (const { process } of [...world.nodes, ...world.endpoints]) {
-    process.thaw();
-  }
-  for (let settled = 0; settled < SETTLE_MS; settled += 500) {
-    world.advance(500);
-    failOn(findViolation(world), 'settling');
-  }
-  failOn(findUnsettled(world), 'the end');
-});
+const scenarioOf = (commands: readonly WeightedCommand[]) =>
+  fc.record({
+    seed: fc.nat(),
+    faults: fc.record({
+      shed: fc.constantFrom(0, 0.3),
+      lost: fc.constantFrom(0, 0.3),
+      broken: fc.constantFrom(0, 0.3),
+      slow: fc.constantFrom(0, 0.3, 0.9),
+      late: fc.constantFrom(0.05, 0.4),
+    }),
+    commands: fc.array(fc.oneof(...commands), {
+      minLength: 5,
+      maxLength: MAX_COMMANDS,
+      size: 'max',
+    }),
+  });
+
+const propertyOf = (arbitrary: ReturnType<typeof scenarioOf>) =>
+  fc.property(arbitrary, ({ seed, faults, commands }) => {
+    const world = new RequestWorld(faults, seededRandom(seed));
+    for (const step of commands) {
+      step.run(world);
+      world.advance(1);
+      failOn(findViolation(world), step.name);
+    }
+    world.disturb();
+    for (const { process } of [...world.nodes, ...world.endpoints]) {
+      process.thaw();
+    }
+    for (let settled = 0; settled < SETTLE_MS; settled += 500) {
+      world.advance(500);
+      failOn(findViolation(world), 'settling');
+    }
+    failOn(findUnsettled(world), 'the end');
+  });
+
+const property = propertyOf(scenarioOf([...callCommands, ...crashCommands, ...faultCommands]));
+const silenceProperty = propertyOf(scenarioOf([...callCommands, ...faultCommands, silenceCommand]));
 
 interface Mutant {
   readonly name: string;
+  /** What has to find it; the property without silences when absent. */
+  readonly property?: typeof property;
   readonly target: object;
   readonly method: string;
   /** Makes what stands in place of the method. */
@@ -258,6 +290,16 @@
         return original.call(this, failure);
       },
   },
+  {
+    name: 'a request is told of a refusal while an attempt is in doubt',
+    property: silenceProperty,
+    target: RequestLifecycle.prototype,
+    method: 'settle',
+    replace: () =>
+      function (this: { report: (failure: unknown) => unknown }, failure: unknown): unknown {
+        return this.report(failure);
+      },
+  },
   {
     name: 'a request that was sent counts as not sent at its deadline',
     target: EndpointAttempt.prototype,
@@ -353,13 +395,18 @@
     fc.assert(property, { seed: SEED, numRuns: RUNS });
   });
 
+  it('keeps every promise where peers seem silent', () => {
+    fc.assert(silenceProperty, { seed: SEED, numRuns: RUNS });
+  });
+
   for (const mutant of mutants) {
     it(`catches: ${mutant.name}`, () => {
       const original = Reflect.get(mutant.target, mutant.method) as () => unknown;
       expect(original).to.be.a('function');
       Reflect.set(mutant.target, mutant.method, mutant.replace(original));
       try {
-        const result = fc.check(property, { seed: SEED, numRuns: MUTANT_RUNS, endOnFailure: true });
+        const checked = mutant.property ?? property;
+        const result = fc.check(checked, { seed: SEED, numRuns: MUTANT_RUNS, endOnFailure: true });
         expect(result.failed).to.equal(true);
       } finally {
         Reflect.set(mutant.target, mutant.method, original);
