--- /dev/null
+++ b/test/proxy/relay/doubtful-attempts.test.ts
@@ -0,0 +1,130 @@
+/**
+ * What becomes of attempts that are in doubt, beside the plain cases: an answer that came second, a peer of
+ * which nothing is heard for longer than a slow connection takes, and a connection that was silent before.
+ *
+ * The answer that came second was read to its end, which a stream may never have, though its caller had
+ * left. A peer that was held up for longer than 3.1 s ended what its endpoint was at work on, although no
+ * other attempt was left; and a connection that had been silent once was closed under requests that may not
+ * be repeated.
+ */
+import { once } from 'node:events';
+import http from 'node:http';
+import type { Socket } from 'node:net';
+import { expect } from 'chai';
+import { LOSS_MS } from '../../../src/proxy/relay/link-pulse.js';
+import {
+  call,
+  echoEndpoint,
+  echoService,
+  rawAnswer,
+  startRawEndpoint,
+  TestMesh,
+  until,
+  type RawEndpoint,
+  type TestNode,
+} from '../rig.js';
+import { SilentLink } from './silent-link.js';
+
+const DEADLINE_MS = 8_000;
+const STALLED_MS = 900;
+/** Longer than nothing is heard of a peer until what may be repeated is ended. */
+const HELD_MS = LOSS_MS + 700;
+const WORK_MS = 150;
+/** Time in which an endpoint hears that its answer is not wanted, with room for a busy machine. */
+const ENDED_WITHIN_MS = 1_500;
+
+const STREAM_HEAD = 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n';
+const STREAM_PART = '4\r\npart\r\n';
+
+describe('an attempt in doubt', () => {
+  const mesh = new TestMesh();
+  let link: SilentLink;
+  let near: TestNode;
+  let slow: RawEndpoint;
+  let other: RawEndpoint;
+  let slowSockets: Socket[] = [];
+  let otherSockets: Socket[] = [];
+
+  beforeEach(async () => {
+    slowSockets = [];
+    otherSockets = [];
+    slow = await startRawEndpoint((socket) => slowSockets.push(socket));
+    other = await startRawEndpoint((socket) => otherSockets.push(socket));
+    const beside = await mesh.addNode('n2');
+    link = await SilentLink.start(beside.relayPort);
+    mesh.nodes[0] = { ...beside, relayPort: link.port };
+    await mesh.addNode('n3');
+  });
+
+  afterEach(() => {
+    mesh.close();
+    mesh.nodes.length = 0;
+    link.close();
+    slow.close();
+    other.close();
+  });
+
+  async function begin(method: 'GET' | 'POST', maxRetries: number): Promise<void> {
+    near = await mesh.addNode('n1', { maxRetries });
+    mesh.configure([
+      ...echoService({ timeoutMs: DEADLINE_MS, repeatable: method === 'GET' }),
+      echoEndpoint('e1', slow.port, { machine: 'n2' }),
+      echoEndpoint('e2', other.port, { machine: 'n3', zone: 'z9', region: 'r9' }),
+    ]);
+  }
+
+  const answerSlow = (): void => slowSockets.forEach((socket) => socket.write(rawAnswer('slow')));
+
+  it('whose answer comes second is ended, though that is a stream', async function () {
+    this.timeout(10_000);
+    await begin('GET', 2);
+    const request = http.get({ port: near.callerPort, host: '127.0.0.1', path: '/' });
+    await until(() => slow.heads.length === 1);
+    link.stall(STALLED_MS);
+    await until(() => other.heads.length === 1);
+    slowSockets.forEach((socket) => socket.write(STREAM_HEAD + STREAM_PART));
+    otherSockets.forEach((socket) => socket.write(STREAM_HEAD + STREAM_PART));
+    const [answer] = (await once(request, 'response')) as [http.IncomingMessage];
+    answer.on('error', () => undefined).resume();
+    await new Promise((resolve) => setTimeout(resolve, STALLED_MS + WORK_MS));
+    request.destroy();
+    await new Promise((resolve) => setTimeout(resolve, ENDED_WITHIN_MS));
+    const leftOpen = (sockets: readonly Socket[]): number =>
+      sockets.filter(({ destroyed }) => !destroyed).length;
+    expect({ slow: leftOpen(slowSockets), other: leftOpen(otherSockets) }).to.deep.equal({
+      slow: 0,
+      other: 0,
+    });
+  });
+
+  it('is waited for while its peer is held up and no other attempt is left', async function () {
+    this.timeout(10_000);
+    await begin('GET', 0);
+    const answer = call(near.callerPort, { method: 'GET' });
+    await until(() => slow.heads.length === 1);
+    link.hold(HELD_MS);
+    setTimeout(answerSlow, WORK_MS);
+    expect(await answer).to.include({ status: 200, body: 'slow' });
+  });
+
+  it('that may run only once is waited for while its peer is held up, though its connection was silent before', async function () {
+    this.timeout(10_000);
+    await begin('POST', 0);
+    const answer = call(near.callerPort, { method: 'POST' });
+    await until(() => slow.heads.length === 1);
+    link.stall(STALLED_MS);
+    setTimeout(() => link.hold(HELD_MS), STALLED_MS + 300);
+    setTimeout(answerSlow, STALLED_MS + 600);
+    expect(await answer).to.include({ status: 200, body: 'slow' });
+  });
+
+  it('that may run only once is waited for while its peer is held up', async function () {
+    this.timeout(10_000);
+    await begin('POST', 0);
+    const answer = call(near.callerPort, { method: 'POST' });
+    await until(() => slow.heads.length === 1);
+    link.hold(HELD_MS);
+    setTimeout(answerSlow, WORK_MS);
+    expect(await answer).to.include({ status: 200, body: 'slow' });
+  });
+});
