Test: four orders of events in which a suspect is forgotten (fail)

A suspect that was lost is not told where no endpoint is left or the request is withheld; an unsent one that was replaced leaves a doubt at the deadline; an answer that comes second is read, not ended.

--- a/test/proxy/request-lifecycle-model.test.ts
+++ b/test/proxy/request-lifecycle-model.test.ts
@@ -404,4 +404,51 @@
       expect(playAll(played)).to.be.at.least(LEAST_SITUATIONS);
     });
   }
+
+  /** What the caller is told once nobody else is left, after a suspect's connection was lost. */
+  function toldAfterLossOfSuspect(last: RequestEvent): string[] {
+    const lifecycle = new RequestLifecycle(policyOf({}), new RetryBudget(), () => 0);
+    const suspected = { type: 'suspected', attempt: 1, failure: lost, canReplay: true } as const;
+    const failed = { type: 'failed', attempt: 1, failure: lost, canReplay: true } as const;
+    const events: RequestEvent[] = [{ type: 'start' }, suspected, failed];
+    [...events, { type: 'back-off-over' } as const].forEach((event) => lifecycle.handle(event, 0));
+    return lifecycle
+      .handle(last, 0)
+      .map((effect) => (effect.type === 'report' ? effect.failure.code : effect.type));
+  }
+
+  it('tells what is known of a suspect that was lost, where no endpoint is left', () => {
+    const last = { type: 'no-endpoint', attempt: 2, failure: none } as const;
+    expect(toldAfterLossOfSuspect(last)).to.deep.equal([lost.code]);
+  });
+
+  it('tells what is known of a suspect that was lost, where the request is withheld', () => {
+    const last = { type: 'withheld', attempt: 2, failure: withheld } as const;
+    expect(toldAfterLossOfSuspect(last)).to.deep.equal([lost.code]);
+  });
+
+  it('tells that nothing ran at the deadline, after an attempt that was unsent was replaced', () => {
+    const lifecycle = new RequestLifecycle(policyOf({}), new RetryBudget(), () => 0);
+    const suspected = { type: 'suspected', attempt: 1, failure: absent, canReplay: true } as const;
+    lifecycle.handle({ type: 'start' }, 0);
+    expect(lifecycle.handle(suspected, 0)).to.have.length(2);
+    const effects = lifecycle.handle({ type: 'deadline', failure: late }, 0);
+    expect(effects).to.have.nested.property('[0].verdict', 'not-run');
+  });
+
+  it('ends a second answer that nobody waits for instead of reading it', () => {
+    const lifecycle = new RequestLifecycle(policyOf({}), new RetryBudget(), () => 0);
+    const suspected = { type: 'suspected', attempt: 1, failure: lost, canReplay: true } as const;
+    const events: RequestEvent[] = [
+      { type: 'start' },
+      suspected,
+      { type: 'back-off-over' },
+      { type: 'answered', attempt: 2 },
+    ];
+    const before = events.flatMap((event) => lifecycle.handle(event, 0));
+    const all = [...before, ...lifecycle.handle({ type: 'answered', attempt: 1 }, 0)];
+    expect(all.filter(({ type }) => type === 'abort-attempt')).to.deep.equal([
+      { type: 'abort-attempt', attempt: 1 },
+    ]);
+  });
 });
