--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -36,6 +36,8 @@
   readonly onConnect?: (address: RelayAddress, connectMs: number, isOpen: boolean) => void;
   /** Told that a connection is silent though a new one works, with what is awaited on it. */
   readonly onSilence?: (address: RelayAddress, silence: LinkSilence) => void;
+  /** Whether the configuration in force names the endpoint; it always does when absent. */
+  readonly isListed?: (endpoint: Endpoint) => boolean;
   /** A token that is valid now; undefined where the fleet has no key. */
   readonly token: () => string | undefined;
 }
@@ -76,6 +78,8 @@
   private isSuspect = false;
   /** Whether it says nothing while a new connection works. */
   private isSilent = false;
+  /** Since when nothing at all has been heard of the peer for long; undefined where that is not so. */
+  private peerLostAtMs: number | undefined;
   /** When the last request was sent. */
   private sentAtMs = -Infinity;
 
@@ -134,6 +138,7 @@
     if (this.isSuspect && this.streams.size > 0) {
       this.observer.suspect();
     }
+    this.endWithPeer();
   }
 
   /** Another connection to the peer was opened. */
@@ -193,12 +198,13 @@
   /**
    * A connection that says nothing may only be slow: its attempts are in doubt, and go on. None is answered
    * any more once it has said nothing for long while a new one works; without a new one the peer's machine
-   * may only stand still, and what may not be sent again waits until its deadline.
+   * may only stand still.
    */
   private takeSilence(step: 'suspect' | 'silent' | 'lost', quietMs: number): void {
     const attempts = [...this.streams.values()];
     if (step === 'suspect') {
       this.isSuspect = true;
+      this.isSilent = false;
       this.observer.suspect();
     } else if (step === 'silent') {
       this.isSilent = true;
@@ -207,7 +213,23 @@
     } else if (this.isSilent) {
       this.connection?.destroy();
     } else {
-      attempts.forEach((attempt) => attempt.peerIsGone());
+      this.peerLostAtMs = this.options.scheduler.now();
+    }
+  }
+
+  /** Ends attempts at endpoints that went with the peer; one that stands still keeps its entries for longer. */
+  private endWithPeer(): void {
+    if (this.peerLostAtMs === undefined) {
+      return;
+    }
+    if (this.connection?.hasHeardSince(this.peerLostAtMs) === true) {
+      this.peerLostAtMs = undefined;
+      return;
+    }
+    for (const attempt of [...this.streams.values()]) {
+      if (this.options.isListed?.(attempt.endpoint) === false) {
+        attempt.peerIsGone();
+      }
     }
   }
 
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -40,7 +40,7 @@
 
   constructor(
     private readonly streamId: number,
-    private readonly endpoint: Endpoint,
+    readonly endpoint: Endpoint,
     private readonly call: Call,
     private readonly observer: AttemptObserver,
     private readonly scheduler: Scheduler,
@@ -115,8 +115,9 @@
   }
 
   /**
-   * Nothing has been heard of the peer for long. What may run again is ended, for its caller to ask again,
-   * and so is what has provably not reached its endpoint; the rest may still be answered.
+   * Nothing has been heard of the peer for long, and its endpoint is not listed any more: its machine is gone.
+   * What may run again is ended, for its caller to ask again, and so is what has provably not reached the
+   * endpoint; the rest waits until its deadline.
    */
   peerIsGone(): void {
     const isSafe = this.call.isRepeatable === true || !this.mayHaveReachedEndpoint;
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -196,10 +196,13 @@
     nowMs: number,
   ): RequestEffect[] {
     this.suspects.delete(attempt);
-    const mayDoBetter = this.state !== 'awaiting' || this.suspects.size > 0;
-    if (this.state === 'answering' || (fault !== undefined && mayDoBetter)) {
+    if (this.state === 'answering') {
+      this.mayHaveRun = true;
+      return [{ type: 'abort-attempt', attempt }];
+    }
+    if (fault !== undefined && (this.state !== 'awaiting' || this.suspects.size > 0)) {
       this.mayHaveRun = true;
-      this.lastFailure = fault ?? this.lastFailure;
+      this.lastFailure = fault;
       return [{ type: 'discard-answer', attempt }];
     }
     if (this.state === 'attempting') {
@@ -220,6 +223,7 @@
     nowMs: number,
   ): RequestEffect[] {
     this.suspects.delete(attempt);
+    this.lastFailure = failure;
     this.mayHaveRun ||= failure.verdict !== 'not-run';
     const isLast = this.state === 'awaiting' && this.suspects.size === 0;
     return isLast ? this.fail(failure, canReplay, nowMs) : [];
@@ -246,7 +250,11 @@
       this.suspects.delete(attempt);
       return [];
     }
-    return isUnsent ? [{ type: 'abort-attempt', attempt }, ...next] : next;
+    if (!isUnsent) {
+      return next;
+    }
+    this.lastFailure = failure;
+    return [{ type: 'abort-attempt', attempt }, ...next];
   }
 
   /** What begins another attempt; undefined when none may be made. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import type { Channel } from 'js-csp';
 import { NO_CONTAINMENT } from '../containment/containment.js';
+import type { Endpoint } from '../model/resource.js';
 import type { CallerLimits } from '../model/snapshot.js';
 import type { AwaitedMachine } from './awaited-attempts.js';
 import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
@@ -226,11 +227,17 @@
         }
       },
       onSilence: ({ address }, silence) => this.takeRelaySilence(`to ${address}`, silence),
+      isListed: (endpoint) => this.isListed(endpoint),
       addressOf: ({ spec }) =>
         spec.machine === undefined ? undefined : members.relayAddress(spec.machine),
     });
   }
 
+  private isListed({ name, spec }: Endpoint): boolean {
+    const endpoints = this.options.snapshots.current()?.endpointsByService.get(spec.service);
+    return endpoints?.some((endpoint) => endpoint.name === name) === true;
+  }
+
   private makeCallerServer(): http.Server {
     return createCallerServer({
       protocol: this.callerProtocol,
--- a/test/proxy/relay/doubtful-attempts.test.ts
+++ b/test/proxy/relay/doubtful-attempts.test.ts
@@ -107,6 +107,21 @@
     expect(await answer).to.include({ status: 200, body: 'slow' });
   });
 
+  it('is ended once its endpoint is gone from the configuration with its peer', async function () {
+    this.timeout(10_000);
+    await begin('GET', 0);
+    const answer = call(near.callerPort, { method: 'GET' });
+    await until(() => slow.heads.length === 1);
+    const sentAtMs = performance.now();
+    link.hold(DEADLINE_MS);
+    mesh.configure([
+      ...echoService({ timeoutMs: DEADLINE_MS }),
+      echoEndpoint('e2', other.port, { machine: 'n3' }),
+    ]);
+    expect((await answer).status).to.equal(502);
+    expect(performance.now() - sentAtMs).to.be.within(LOSS_MS, LOSS_MS + ENDED_WITHIN_MS);
+  });
+
   it('that may run only once is waited for while its peer is held up, though its connection was silent before', async function () {
     this.timeout(10_000);
     await begin('POST', 0);
