--- a/src/store/store-follower.ts
+++ b/src/store/store-follower.ts
@@ -9,6 +9,9 @@
 import type { StoreReplica } from './store-replica.js';
 import { StoreWatch, type StoreAnswer, type StoreCall, type StoreLearning } from './store-watch.js';
 
+/** Why an answer counts as a failure that is none by itself. */
+const NO_WAY_ON_REASON = 'a list without a way on';
+
 /** What a follower needs of its node. */
 export interface StoreFollowerOptions {
   readonly store: KeyValueStore;
@@ -88,7 +91,7 @@
   take(answer: StoreAnswer): StoreCall {
     const { call, learning } = this.watch.take(answer);
     this.reportConnection(answer);
-    if (answer.outcome === 'unavailable') {
+    if (!this.watch.isConnected) {
       this.options.onFailed();
     }
     if ('refused' in answer && answer.refused !== undefined) {
@@ -108,14 +111,18 @@
   }
 
   private reportConnection(answer: StoreAnswer): void {
-    const isConnected = answer.outcome !== 'unavailable';
+    const { isConnected } = this.watch;
     if (isConnected !== this.isConnected) {
       this.isConnected = isConnected;
-      this.options.onConnection(isConnected, answer.outcome === 'unavailable' ? answer.reason : '');
+      this.options.onConnection(isConnected, isConnected ? '' : reasonOf(answer));
     }
   }
 }
 
+function reasonOf(answer: StoreAnswer): string {
+  return answer.outcome === 'unavailable' ? answer.reason : NO_WAY_ON_REASON;
+}
+
 function* follow(
   follower: StoreFollower,
   firstCall: StoreCall,
--- /dev/null
+++ b/test/store/store-follower.test.ts
@@ -0,0 +1,69 @@
+/** A node that follows a store whose answers hold what can't be taken, or lead nowhere. */
+import { expect } from 'chai';
+import type { RefusedItem } from '../../src/store/item-fault.js';
+import type { KeyValueStore, ListPage, WatchBatch } from '../../src/store/key-value-store.js';
+import { StoreFollower } from '../../src/store/store-follower.js';
+import { StoreReplica } from '../../src/store/store-replica.js';
+import { pause } from '../platform/platform-fleet.js';
+
+const REFUSED: RefusedItem = {
+  key: 'x',
+  revision: undefined,
+  fault: { path: 'revision', found: 'nothing', expected: 'a revision' },
+};
+const ENDLESS: ListPage = { outcome: 'page', items: [], hasMore: true, revision: 4 };
+const WHOLE: ListPage = {
+  outcome: 'page',
+  items: [{ key: 'a', revision: 3, value: '1' }],
+  refused: [REFUSED],
+  hasMore: false,
+  revision: 4,
+};
+
+describe('a node that follows a store', () => {
+  let follower: StoreFollower;
+  let events: string[];
+
+  afterEach(() => follower.close());
+
+  /** Follows a store that answers lists with these pages, the last one again and again. */
+  function follow(pages: readonly ListPage[]): StoreReplica {
+    const rest = [...pages];
+    const batch: WatchBatch = { outcome: 'changes', changes: [], revision: 4 };
+    const store: KeyValueStore = {
+      list: () => Promise.resolve(rest.length > 1 ? (rest.shift() ?? WHOLE) : (rest[0] ?? WHOLE)),
+      watch: () => pause(20).then(() => batch),
+      close: () => undefined,
+    };
+    const replica = new StoreReplica();
+    events = [];
+    follower = new StoreFollower({
+      store,
+      replica,
+      random: () => 0,
+      watchWaitMs: 10,
+      onLearned: () => events.push('learned'),
+      onRefused: (items) => events.push(`refused ${items.map(({ key }) => key).join()}`),
+      onFailed: () => events.push('failed'),
+      onConnection: (isConnected, reason) =>
+        events.push(isConnected ? 'regained' : `lost: ${reason}`),
+    });
+    follower.start();
+    return replica;
+  }
+
+  it('counts a list that leads nowhere as a failed call, and lists again', async () => {
+    const replica = follow([ENDLESS, WHOLE]);
+    await pause(300);
+    expect(events[0]).to.match(/^lost: .+/);
+    expect(events.slice(1, 4)).to.deep.equal(['failed', 'regained', 'refused x']);
+    expect(replica.revision).to.equal(4);
+  });
+
+  it('tells what an answer held that can not be taken, and takes the rest', async () => {
+    const replica = follow([WHOLE]);
+    await pause(100);
+    expect(events.slice(0, 2)).to.deep.equal(['refused x', 'learned']);
+    expect([...replica.items()].map(({ key }) => key)).to.deep.equal(['a']);
+  });
+});
