Attempts: what waits at a machine that is dark is ended, for its caller to ask again

Cause: without a word from the peer, a repeatable request without retries waited for its endpoint's entry to go, 4.5 s and more after a loss of power, or for its deadline; before, it was ended after 0.85 s like those at peers that only stand still.

Change: three connections in a row that are not answered (no SYN-ACK in 300 ms each) tell a dark machine from one whose process stands still or does not listen. Ruled out: refused connections as a sign, since a node that stops listens no more while it finishes its requests.

--- a/src/proxy/relay/relay-client.ts
+++ b/src/proxy/relay/relay-client.ts
@@ -11,12 +11,20 @@
   readonly addressOf: (endpoint: Endpoint) => RelayAddress | undefined;
 }
 
+/**
+ * Connections in a row that a machine does not answer until it is dark: without power, or cut off. At a loss of
+ * 3% of packets one opening in 17 is not answered in time, three in a row are one in 5,000.
+ */
+const UNANSWERED_TO_DARK = 3;
+
 /** Connections to the relay ports of peers. */
 export class RelayClient implements EndpointPath {
   /** The connection that new attempts to an address take. */
   private readonly links = new Map<string, RelayLink>();
   /** All connections, also those that get no new attempts any more. */
   private readonly open = new Set<RelayLink>();
+  /** Connections in a row that machines did not answer, by address; none while they do. */
+  private readonly unanswered = new Map<string, number>();
 
   constructor(private readonly options: RelayClientOptions) {}
 
@@ -63,6 +71,7 @@
         this.linkTo(address);
       },
       opened: () => this.proveAlive(key, link),
+      notOpened: (isAnswered) => this.countUnanswered(key, isAnswered),
       closed: () => this.open.delete(link),
     });
     this.links.set(key, link);
@@ -72,10 +81,29 @@
 
   /** A new connection works: older ones to the same address that say nothing are silent. */
   private proveAlive(key: string, opened: RelayLink): void {
-    for (const link of this.open) {
-      if (link !== opened && link.key === key) {
+    this.unanswered.delete(key);
+    for (const link of this.linksTo(key)) {
+      if (link !== opened) {
         link.isProvenAlive();
       }
     }
   }
+
+  /** What waits at a dark machine may be asked for again elsewhere; one that only stands still answers. */
+  private countUnanswered(key: string, isAnswered: boolean): void {
+    if (isAnswered) {
+      this.unanswered.delete(key);
+      return;
+    }
+    const count = (this.unanswered.get(key) ?? 0) + 1;
+    this.unanswered.set(key, count);
+    if (count >= UNANSWERED_TO_DARK) {
+      this.unanswered.delete(key);
+      this.linksTo(key).forEach((link) => link.peerIsDark());
+    }
+  }
+
+  private linksTo(key: string): RelayLink[] {
+    return [...this.open].filter((link) => link.key === key);
+  }
 }
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -58,6 +58,8 @@
   readonly suspect: () => void;
   /** It is open. */
   readonly opened: () => void;
+  /** It did not open. A machine that is there answers in time, if only that nothing listens. */
+  readonly notOpened: (isAnswered: boolean) => void;
   readonly closed: () => void;
 }
 
@@ -75,6 +77,8 @@
   private readonly beganAtMs: number;
   private lastStreamId = 0;
   private isOver = false;
+  /** Whether the peer's machine has answered, be it that nothing listens. */
+  private isMachineThere = false;
   private isSuspect = false;
   /** Whether it says nothing while a new connection works. */
   private isSilent = false;
@@ -107,12 +111,20 @@
       this.open(socket, head);
     });
     this.request.once('response', () => this.request.destroy());
-    this.request.on('error', () => undefined);
+    this.request.once('socket', (socket) =>
+      socket.once('connect', () => {
+        this.isMachineThere = true;
+      }),
+    );
+    this.request.on('error', ({ code }: NodeJS.ErrnoException) => {
+      this.isMachineThere ||= code === 'ECONNREFUSED';
+    });
     this.request.once('close', () => {
       clearTimeout(timer);
       if (this.connection === undefined) {
         this.reportConnect(false);
         this.end('never-sent');
+        this.observer.notOpened(this.isMachineThere);
       }
     });
     this.request.end();
@@ -146,6 +158,13 @@
     this.connection?.isProvenAlive();
   }
 
+  /** The peer's machine answers nothing. */
+  peerIsDark(): void {
+    if (this.isSuspect) {
+      [...this.streams.values()].forEach((attempt) => attempt.peerIsGone());
+    }
+  }
+
   destroy(): void {
     this.request.destroy();
     this.connection?.destroy();
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -115,9 +115,9 @@
   }
 
   /**
-   * Nothing has been heard of the peer for long, and its endpoint is not listed any more: its machine is gone.
-   * What may run again is ended, for its caller to ask again, and so is what has provably not reached the
-   * endpoint; the rest waits until its deadline.
+   * The peer's machine is dark, or nothing is heard of it and its endpoint is not listed any more. What may run
+   * again is ended, for its caller to ask again, and so is what has provably not reached the endpoint; the rest
+   * waits until its deadline.
    */
   peerIsGone(): void {
     const isSafe = this.call.isRepeatable === true || !this.mayHaveReachedEndpoint;
--- a/test/proxy/relay/doubtful-attempts.test.ts
+++ b/test/proxy/relay/doubtful-attempts.test.ts
@@ -23,6 +23,7 @@
   type RawEndpoint,
   type TestNode,
 } from '../rig.js';
+import { DarkLink } from './dark-link.js';
 import { SilentLink } from './silent-link.js';
 
 const DEADLINE_MS = 8_000;
@@ -30,6 +31,7 @@
 /** Longer than nothing is heard of a peer until what may be repeated is ended. */
 const HELD_MS = LOSS_MS + 700;
 const WORK_MS = 150;
+const CONNECT_TIMEOUT_MS = 300;
 /** Time in which an endpoint hears that its answer is not wanted, with room for a busy machine. */
 const ENDED_WITHIN_MS = 1_500;
 
@@ -122,6 +124,46 @@
     expect(performance.now() - sentAtMs).to.be.within(LOSS_MS, LOSS_MS + ENDED_WITHIN_MS);
   });
 
+  describe('at a machine that is dark', () => {
+    const DARK_MS = 5_000;
+    let dark: DarkLink;
+
+    beforeEach(async () => {
+      dark = await DarkLink.start((mesh.nodes[1] as TestNode).relayPort);
+      mesh.nodes[1] = { ...(mesh.nodes[1] as TestNode), relayPort: dark.port };
+    });
+
+    afterEach(() => dark.close());
+
+    /** A request that is at work at the dark machine, where no other attempt may follow. */
+    async function beginInTheDark(method: 'GET' | 'POST') {
+      near = await mesh.addNode('n1', { maxRetries: 0, connectTimeoutMs: CONNECT_TIMEOUT_MS });
+      mesh.configure([
+        ...echoService({ timeoutMs: DEADLINE_MS, repeatable: method === 'GET' }),
+        echoEndpoint('e2', other.port, { machine: 'n3' }),
+      ]);
+      const answer = call(near.callerPort, { method });
+      await until(() => other.heads.length === 1);
+      const darkAtMs = performance.now();
+      await dark.goDark(DARK_MS);
+      otherSockets.forEach((socket) => socket.write(rawAnswer('other')));
+      return { result: await answer, tookMs: performance.now() - darkAtMs };
+    }
+
+    it('is ended, for its caller to ask again', async function () {
+      this.timeout(10_000);
+      const { result, tookMs } = await beginInTheDark('GET');
+      expect(result.status).to.equal(502);
+      expect(tookMs).to.be.below(LOSS_MS);
+    });
+
+    it('is waited for where it may run only once', async function () {
+      this.timeout(10_000);
+      const { result } = await beginInTheDark('POST');
+      expect(result).to.include({ status: 200, body: 'other' });
+    });
+  });
+
   it('that may run only once is waited for while its peer is held up, though its connection was silent before', async function () {
     this.timeout(10_000);
     await begin('POST', 0);
