--- a/src/model/resource.ts
+++ b/src/model/resource.ts
@@ -96,6 +96,11 @@
   slots: z.number().int().min(1).max(100_000),
   /** Connections the endpoint accepts at once. */
   maxConnections: z.number().int().min(1).max(100_000),
+  /**
+   * When the endpoint's process started, in milliseconds since 1970; absent when it is not told. An endpoint
+   * that starts again under its name is another one, see {@link ./incarnation.ts}.
+   */
+  bornAtMs: z.number().int().min(0).optional(),
   state: z.enum(['active', 'draining']).default('active'),
 });
 
--- a/test/platform/formats.test.ts
+++ b/test/platform/formats.test.ts
@@ -43,6 +43,30 @@
     expect(record).to.have.nested.property('endpoint.spec.state', 'draining');
   });
 
+  const bareEntry = {
+    address: '10.1.0.8:8080',
+    info: { service: 'a', version: 'v1', zone: 'z1', slots: 9 },
+    status: { state: 'ready', sequence: 4, coldRemainingS: 0 },
+  };
+
+  it('reads when an endpoint was born, and nothing of it where it does not say', () => {
+    const told = readRecord(
+      'servers/i-1',
+      JSON.stringify({ ...bareEntry, born: 1_796_000_000_123 }),
+    );
+    expect(told).to.have.nested.property('endpoint.spec.bornAtMs', 1_796_000_000_123);
+    const untold = readRecord('servers/i-1', JSON.stringify(bareEntry));
+    expect(untold).to.not.have.nested.property('endpoint.spec.bornAtMs');
+  });
+
+  for (const born of ['1796000000123', 1.5, -1, null, {}]) {
+    it(`uses no endpoint that was born at ${JSON.stringify(born)}`, () => {
+      const record = readRecord('servers/i-1', JSON.stringify({ ...bareEntry, born }));
+      expect(record.kind).to.equal('unused');
+      expect(record).to.have.property('fault').that.is.a('string');
+    });
+  }
+
   for (const text of ['', '{', '{}', '[]', 'null', '{"virtualHosts":[{}]}']) {
     it(`says why it can't read ${JSON.stringify(text)}, and does not throw`, () => {
       const record = readRecord('op/config', text);
