Choice, pooled connections, distrust: by incarnation, not by name

Pooled connections go by a key of the process that they lead to; Node's agent keys them by host and port alone.

--- a/src/proxy/attempted-endpoint.ts
+++ b/src/proxy/attempted-endpoint.ts
@@ -1,4 +1,5 @@
 /** The endpoint of a request's attempt under way, and what later choices learn of it from the attempt. */
+import { incarnationOf } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
 import type { LoadReport } from './call.js';
@@ -19,6 +20,11 @@
     return this.endpoint?.name;
   }
 
+  /** The endpoint's incarnation; undefined when no attempt is under way. */
+  get incarnation(): string | undefined {
+    return this.endpoint && incarnationOf(this.endpoint);
+  }
+
   /** When the latest attempt began, on the node's clock. */
   get startedAtMs(): number {
     return this.beganAtMs;
--- a/src/proxy/endpoint-choice.ts
+++ b/src/proxy/endpoint-choice.ts
@@ -6,6 +6,7 @@
 
 /** The choices of one request. */
 export class EndpointChoice {
+  /** By incarnation, as all that is kept of endpoints. */
   private readonly tried = new Set<string>();
   /** Endpoints whose node found that the request can't be answered within its target latency. */
   private readonly refusers = new Set<string>();
@@ -39,13 +40,13 @@
   }
 
   /** An attempt at the endpoint begins. */
-  began(endpoint: string): void {
-    this.tried.add(endpoint);
+  began(incarnation: string): void {
+    this.tried.add(incarnation);
   }
 
   /** The endpoint's node refused for lack of room or time. */
-  refusedBy(endpoint: string): void {
-    this.refusers.add(endpoint);
+  refusedBy(incarnation: string): void {
+    this.refusers.add(incarnation);
   }
 
   /** An endpoint's node told how long this class of work takes there. */
@@ -67,7 +68,7 @@
   /** From now on attempts ask for late service, also of nodes that could not answer in time. */
   private becomeLate(): void {
     this.hasTurnedLate = true;
-    this.refusers.forEach((name) => this.tried.delete(name));
+    this.refusers.forEach((incarnation) => this.tried.delete(incarnation));
     this.onLate();
   }
 }
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -2,6 +2,7 @@
 import http, { type IncomingMessage } from 'node:http';
 import net from 'node:net';
 import { MACHINE_CLOCK } from '../clock/machine-clock.js';
+import { incarnationOf } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 import type { Answer, Call, LoadReport } from './call.js';
 import type { AnswerReading, EndpointProtocol } from './endpoint-protocol.js';
@@ -11,6 +12,7 @@
   type Exchange,
   type ExchangeFailure,
   type ExchangeLimits,
+  type ExchangeRequest,
 } from './http-exchange.js';
 import { EMPTY_BODY } from './request-body.js';
 
@@ -78,7 +80,7 @@
 
 /** Connections to the endpoints that a node reaches itself. */
 export class EndpointClient implements EndpointPort {
-  /** Until when each endpoint gets a new connection for each request, on the monotonic clock. */
+  /** Until when each incarnation gets a new connection for each request, on the monotonic clock. */
   private readonly distrustedUntilMs = new Map<string, number>();
   private readonly unsharedAgent = new http.Agent({ keepAlive: false });
   private readonly agent: ExchangeAgent;
@@ -95,8 +97,7 @@
   send(endpoint: Endpoint, call: Call, remainingMs: number, observer: EndpointObserver): Exchange {
     const added = this.protocol.requestHeaders(endpoint, call, remainingMs);
     const request = {
-      host: endpoint.spec.address,
-      port: endpoint.spec.port,
+      ...placeOf(endpoint),
       method: call.method,
       target: call.target,
       headers: call.headers.concat(added),
@@ -128,8 +129,7 @@
     }
     const { address, port } = endpoint.spec;
     const request = {
-      host: address,
-      port,
+      ...placeOf(endpoint),
       method: 'POST',
       target,
       headers: ['Host', `${address}:${port}`, 'Content-Length', '0'],
@@ -158,8 +158,7 @@
     }
     const { address, port } = endpoint.spec;
     const request = {
-      host: address,
-      port,
+      ...placeOf(endpoint),
       method: 'GET',
       target,
       headers: ['Host', `${address}:${port}`],
@@ -203,19 +202,18 @@
    * connection of its own.
    */
   private distrust(endpoint: Endpoint): void {
-    this.distrustedUntilMs.set(endpoint.name, MACHINE_CLOCK.now() + DISTRUST_MS);
+    const nowMs = MACHINE_CLOCK.now();
+    for (const [incarnation, untilMs] of this.distrustedUntilMs) {
+      if (untilMs <= nowMs) {
+        this.distrustedUntilMs.delete(incarnation);
+      }
+    }
+    this.distrustedUntilMs.set(incarnationOf(endpoint), nowMs + DISTRUST_MS);
   }
 
   private agentFor(endpoint: Endpoint): http.Agent {
-    const untilMs = this.distrustedUntilMs.get(endpoint.name);
-    if (untilMs === undefined) {
-      return this.agent;
-    }
-    if (MACHINE_CLOCK.now() < untilMs) {
-      return this.unsharedAgent;
-    }
-    this.distrustedUntilMs.delete(endpoint.name);
-    return this.agent;
+    const untilMs = this.distrustedUntilMs.get(incarnationOf(endpoint)) ?? -Infinity;
+    return MACHINE_CLOCK.now() < untilMs ? this.unsharedAgent : this.agent;
   }
 
   /** Closes all connections. */
@@ -259,6 +257,12 @@
   }
 }
 
+/** Where an endpoint is reached; connections to an incarnation before are not used for it. */
+function placeOf(endpoint: Endpoint): Pick<ExchangeRequest, 'host' | 'port' | 'peerProcess'> {
+  const { address: host, port } = endpoint.spec;
+  return { host, port, peerProcess: incarnationOf(endpoint) };
+}
+
 /** The declared length of an answer; undefined for a chunked one. */
 function contentLengthOf(message: IncomingMessage): number | undefined {
   const text = message.headers['content-length'];
--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -41,6 +41,8 @@
 export interface ExchangeRequest {
   readonly host: string;
   readonly port: number;
+  /** Names the process there: connections that are kept to another one are not used. */
+  readonly peerProcess?: string;
   readonly method: string;
   readonly target: string;
   /** Names and values, alternating; framing headers are added here. */
@@ -59,8 +61,15 @@
   abort(): void;
 }
 
+/** What the agent is told of a request, besides what Node's own agent uses. */
+interface PeerOptions extends http.RequestOptions {
+  readonly peerProcess?: string | undefined;
+}
+
 /**
- * Keeps connections for reuse. A connection on which bytes arrive while it is idle is closed: they
+ * Keeps connections for reuse, by the process that they lead to: one that ended without a word leaves
+ * connections that look sound, and what is sent on them to the next one at its address would be lost. A
+ * connection on which bytes arrive while it is idle is closed: they
  * could only be taken for the answer to a later request.
  */
 export class ExchangeAgent extends http.Agent {
@@ -77,6 +86,10 @@
     });
   }
 
+  override getName(options?: PeerOptions): string {
+    return `${super.getName(options)}:${options?.peerProcess ?? ''}`;
+  }
+
   override keepSocketAlive(socket: Duplex): void {
     socket.on('data', destroyConnection);
     return super.keepSocketAlive(socket);
@@ -111,16 +124,18 @@
     private readonly observer: ExchangeObserver,
   ) {
     addFraming(exchange.headers, exchange.body);
-    this.request = http.request({
+    const options: PeerOptions = {
       agent,
       host: exchange.host,
       port: exchange.port,
+      peerProcess: exchange.peerProcess,
       method: exchange.method,
       path: exchange.target,
       headers: exchange.headers,
       maxHeaderSize: MAX_ANSWER_HEADER_BYTES,
       setHost: false,
-    });
+    };
+    this.request = http.request(options);
     this.request.once('socket', (socket) => this.watchConnection(socket, exchange));
     this.request.on('response', (message) => this.takeAnswer(message));
     this.request.on('error', (error) => this.fail(error));
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -1,4 +1,5 @@
 /** Runs one caller's request: executes the effects of {@link RequestLifecycle}. */
+import { incarnationOf } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 import type { Verdict } from '../model/verdict.js';
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
@@ -187,7 +188,7 @@
       return;
     }
     this.answer = undefined;
-    this.choice.began(endpoint.name);
+    this.choice.began(incarnationOf(endpoint));
     this.endpoint.began(endpoint);
     this.peer.awaitFor(endpoint, this.endpoint.startedAtMs);
     const call = callOf(this.context, this.body, {
@@ -261,8 +262,9 @@
   private rememberRefusal(error: RequestError): void {
     const { code } = error;
     const isForLackOfRoom = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
-    if (this.endpoint.name !== undefined && isForLackOfRoom) {
-      this.choice.refusedBy(this.endpoint.name);
+    const { incarnation } = this.endpoint;
+    if (incarnation !== undefined && isForLackOfRoom) {
+      this.choice.refusedBy(incarnation);
       this.endpoint.refused(error, this.choice.isLate);
     }
   }
