Gates: what waits for an endpoint that starts again waits for its new process

Gates are kept by incarnation. What runs is left alone and counts no more: it is told as lost, may-have-run, once its connection goes, or answered. What is meant for the old incarnation later goes to the new one.

The judge of losses takes the rebirth for the end of the process, also up to 3 s after all connections were lost while something listened: a back end that is back before the probe would else end under one request again and again with nobody to blame.

Ruled out: cutting exchanges on the news, which could be answers on their way.

--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -156,6 +156,12 @@
     this.reserved.delete(requestId);
   }
 
+  /** The places that are kept for bodies are kept at `next` from now on. */
+  handOverPlaces(next: EndpointAdmission): void {
+    this.reserved.forEach((rank, requestId) => next.reserved.set(requestId, rank));
+    this.reserved.clear();
+  }
+
   /** A request arrives. */
   offer(offered: AdmissionTicket, nowMs: number): AdmissionEffect[] {
     const hadPlace = this.reserved.delete(offered.requestId);
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -43,7 +43,7 @@
   readonly reason: Refusal['reason'] | 'contained';
 };
 
-/** The slots of one endpoint and the requests for them. */
+/** The slots of one incarnation of an endpoint and the requests for them. */
 export class EndpointGate implements CallGate {
   private readonly admission: EndpointAdmission;
   private readonly calls = new Map<string, GatedCall>();
@@ -101,9 +101,7 @@
   submit(call: Call, observer: AttemptObserver): Attempt {
     const { client, scheduler, cancelLead } = this.options;
     const gated = new GatedCall(this, client, this.endpoint, call, observer, scheduler, cancelLead);
-    this.calls.set(call.requestId, gated);
-    this.offer(gated);
-    gated.waitUntil(this.admission.latestStartAtMs(call));
+    this.admit(gated);
     return gated;
   }
 
@@ -124,10 +122,8 @@
 
   withdraw(call: Call): boolean {
     const gated = this.calls.get(call.requestId);
-    const wasHeldBack = gated !== undefined && this.heldBack.delete(gated);
-    const wasWaiting = wasHeldBack || this.admission.withdraw(call.requestId, call.callerNode);
+    const wasWaiting = gated !== undefined && this.takeOut(gated);
     if (wasWaiting) {
-      this.calls.delete(call.requestId);
       this.leaveLane(call.requestId);
     }
     return wasWaiting;
@@ -184,6 +180,21 @@
     this.updateDraining();
   }
 
+  /**
+   * The endpoint has started again: what waits here has not run, and waits at the gate of the new incarnation
+   * from now on. What runs is left alone: the process that it was sent to takes its connections with it.
+   */
+  handOver(next: EndpointGate): void {
+    const waiting = [...this.calls.values()].filter((gated) => this.takeOut(gated));
+    this.admission.handOverPlaces(next.admission);
+    this.losses.succeeded();
+    for (const gated of waiting) {
+      this.lane.leave(gated.call.requestId);
+      gated.moveTo(next, next.endpoint);
+      next.admit(gated);
+    }
+  }
+
   /** Takes how many requests at once this node may send. */
   configureSlots(slots: number): void {
     if (slots !== this.slots) {
@@ -207,6 +218,24 @@
     });
   }
 
+  private admit(gated: GatedCall): void {
+    const { call } = gated;
+    this.calls.set(call.requestId, gated);
+    this.offer(gated);
+    gated.waitUntil(this.admission.latestStartAtMs(call));
+  }
+
+  /** Whether the request waited here; it does no more. */
+  private takeOut(gated: GatedCall): boolean {
+    const { requestId, callerNode } = gated.call;
+    const wasWaiting =
+      this.heldBack.delete(gated) || this.admission.withdraw(requestId, callerNode);
+    if (wasWaiting) {
+      this.calls.delete(requestId);
+    }
+    return wasWaiting;
+  }
+
   /** A draining endpoint is expected to end: nothing is learnt from that. */
   private takeEnd(work: readonly GatedCall[]): void {
     if (!this.admission.isDraining) {
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -2,6 +2,7 @@
 import csp from 'js-csp';
 import type { Channel, Instruction } from 'js-csp';
 import type { BodyArrival } from '../admission/endpoint-admission.js';
+import { incarnationOf } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
@@ -24,30 +25,29 @@
 
 /** The gates of one node. */
 export class EndpointGateway implements OwnedEndpoints {
+  /** By incarnation; those of earlier ones stay while something of them is under way. */
   private readonly gates = new Map<string, EndpointGate>();
+  /** The gates of the incarnations in force, by those of earlier ones. */
+  private readonly successors = new WeakMap<EndpointGate, EndpointGate>();
   /** The configuration that each gate was last compared with. */
   private readonly configuredFrom = new WeakMap<EndpointGate, Snapshot>();
 
   constructor(private readonly options: EndpointGatewayOptions) {}
 
   submit(endpoint: Endpoint, call: Call, observer: AttemptObserver): Attempt {
-    const gate = this.gateOf(endpoint);
-    this.configure(gate);
-    return gate.submit(call, observer);
+    return this.gateInForce(endpoint).submit(call, observer);
   }
 
   reserve(endpoint: Endpoint, call: Call, arrival: BodyArrival): RequestError | undefined {
-    const gate = this.gateOf(endpoint);
-    this.configure(gate);
-    return gate.reserve(call, arrival);
+    return this.gateInForce(endpoint).reserve(call, arrival);
   }
 
   unreserve(endpoint: Endpoint, call: Call): void {
-    this.gates.get(endpointKey(endpoint))?.unreserve(call);
+    this.gateInForce(endpoint).unreserve(call);
   }
 
   load(endpoint: Endpoint, workClass: string): LoadReport {
-    return this.gateOf(endpoint).load(workClass);
+    return this.gateInForce(endpoint).load(workClass);
   }
 
   /** Endpoints of which something is kept. */
@@ -62,7 +62,7 @@
 
   /** Requests that wait at this node for a slot of the endpoint. */
   waitingFor(endpoint: Endpoint): number {
-    return this.gates.get(endpointKey(endpoint))?.waitingCount ?? 0;
+    return this.gates.get(incarnationOf(endpoint))?.waitingCount ?? 0;
   }
 
   /** Compares every gate with the configuration, and asks draining endpoints whether they still are. */
@@ -81,6 +81,13 @@
     }
   }
 
+  /** The gate for what is meant for the endpoint; that of its new incarnation where it has started again. */
+  private gateInForce(endpoint: Endpoint): EndpointGate {
+    const gate = this.gateOf(endpoint);
+    this.configure(gate);
+    return this.successors.get(gate) ?? gate;
+  }
+
   /** Compares a gate with the configuration; an endpoint that is gone from it drains. */
   private configure(gate: EndpointGate): void {
     const snapshot = this.options.snapshot();
@@ -89,13 +96,41 @@
     }
     if (this.configuredFrom.get(gate) !== snapshot) {
       this.configuredFrom.set(gate, snapshot);
-      gate.configureDraining(currentEndpoint(snapshot, gate.endpoint)?.spec.state !== 'active');
+      this.configureFrom(snapshot, gate);
     }
     gate.configureSlots(this.options.slotsFor(gate.endpoint));
   }
 
+  private configureFrom(snapshot: Snapshot, gate: EndpointGate): void {
+    const named = namedAlike(snapshot, gate.endpoint);
+    if (named === undefined || named.spec.machine !== gate.endpoint.spec.machine) {
+      gate.configureDraining(true);
+    } else if (incarnationOf(named) === incarnationOf(gate.endpoint)) {
+      gate.configureDraining(named.spec.state !== 'active');
+      this.succeedOthers(gate);
+    } else {
+      const successor = this.gateOf(named);
+      this.configure(successor);
+      this.succeedOthers(successor);
+    }
+  }
+
+  /** What waits for earlier incarnations waits for this one, which holds nothing yet. */
+  private succeedOthers(gate: EndpointGate): void {
+    const { name, spec } = gate.endpoint;
+    this.successors.delete(gate);
+    for (const other of this.gates.values()) {
+      const isSame = other.endpoint.name === name && other.endpoint.spec.machine === spec.machine;
+      if (isSame && other !== gate && this.successors.get(other) !== gate) {
+        this.successors.set(other, gate);
+        this.options.logStateChange('endpoint', `${name} has started again`);
+        other.handOver(gate);
+      }
+    }
+  }
+
   private gateOf(endpoint: Endpoint): EndpointGate {
-    const key = endpointKey(endpoint);
+    const key = incarnationOf(endpoint);
     let gate = this.gates.get(key);
     if (gate === undefined) {
       gate = new EndpointGate(endpoint, this.options.slotsFor(endpoint), this.options);
@@ -122,11 +157,10 @@
 }
 
 function currentEndpoint(snapshot: Snapshot, endpoint: Endpoint): Endpoint | undefined {
-  const key = endpointKey(endpoint);
-  const peers = snapshot.endpointsByService.get(endpoint.spec.service) ?? [];
-  return peers.find((peer) => endpointKey(peer) === key);
+  const named = namedAlike(snapshot, endpoint);
+  return named && incarnationOf(named) === incarnationOf(endpoint) ? named : undefined;
 }
 
-function endpointKey(endpoint: Endpoint): string {
-  return `${endpoint.name} ${endpoint.spec.address}:${endpoint.spec.port}`;
+function namedAlike(snapshot: Snapshot, { name, spec }: Endpoint): Endpoint | undefined {
+  return snapshot.endpointsByService.get(spec.service)?.find((peer) => peer.name === name);
 }
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -76,9 +76,9 @@
   private isExchangeOver = false;
 
   constructor(
-    private readonly gate: CallGate,
+    private gate: CallGate,
     private readonly client: EndpointPort,
-    private readonly endpoint: Endpoint,
+    private endpoint: Endpoint,
     readonly call: Call,
     private readonly observer: AttemptObserver,
     private readonly scheduler: Scheduler,
@@ -96,6 +96,13 @@
     }
   }
 
+  /** The request waits at another gate from now on: it is sent to that one's endpoint. */
+  moveTo(gate: CallGate, endpoint: Endpoint): void {
+    this.cancelTimer?.();
+    this.gate = gate;
+    this.endpoint = endpoint;
+  }
+
   isUnsent(): boolean {
     return this.attempt === undefined || this.exchange?.wasSent() === false;
   }
--- a/src/proxy/loss-judge.ts
+++ b/src/proxy/loss-judge.ts
@@ -10,6 +10,12 @@
  * milliseconds: those of one that had nine requests at work came within 1.4 ms.
  */
 const SETTLE_MS = 5;
+/**
+ * Time after a loss of all connections in which the news that the endpoint has started again tells that its
+ * process had ended, in milliseconds. A process that is back before the probe would else end under one
+ * request again and again, and nobody would be blamed; news of a start comes within a second or two.
+ */
+const REBIRTH_NEWS_MS = 3_000;
 
 /** A request at the endpoint. */
 export interface EndpointWork {
@@ -36,9 +42,13 @@
   readonly waiting: ((hasEnded: boolean) => void)[];
 }
 
-/** The judge of one endpoint. */
+/** The judge of one incarnation of an endpoint. */
 export class LossJudge<W extends EndpointWork> {
   private judgement: Judgement<W> | undefined;
+  /** What was at work when all connections were lost though something listens. */
+  private unexplained: readonly W[] | undefined;
+  /** Whether the endpoint is known to have started again since. */
+  private hasSuccessor = false;
 
   constructor(private readonly options: LossJudgeOptions<W>) {}
 
@@ -63,6 +73,16 @@
     this.judgement?.answered.add(work);
   }
 
+  /** The endpoint has started again: the process that is judged here has ended, whatever listens. */
+  succeeded(): void {
+    const { unexplained } = this;
+    this.hasSuccessor = true;
+    this.unexplained = undefined;
+    if (unexplained !== undefined) {
+      this.options.onEnd(unexplained);
+    }
+  }
+
   private settle(): void {
     const { judgement } = this;
     if (judgement === undefined) {
@@ -71,17 +91,40 @@
     const { atWork, lost } = judgement;
     if (atWork.some((one) => !lost.has(one) && one.isConnected())) {
       this.conclude(false);
+    } else if (this.hasSuccessor) {
+      this.conclude(true);
     } else {
-      this.options.probeListening((isListening) => this.conclude(isListening === false));
+      this.options.probeListening((isListening) => this.takeProbe(judgement, isListening));
+    }
+  }
+
+  private takeProbe(judgement: Judgement<W>, isListening: boolean | undefined): void {
+    const hasEnded = isListening === false || this.hasSuccessor;
+    if (!hasEnded && isListening === true) {
+      this.keepUnexplained(unansweredOf(judgement));
     }
+    this.conclude(hasEnded);
+  }
+
+  private keepUnexplained(work: readonly W[]): void {
+    this.unexplained = work;
+    this.options.schedule(REBIRTH_NEWS_MS, () => {
+      if (this.unexplained === work) {
+        this.unexplained = undefined;
+      }
+    });
   }
 
   private conclude(hasEnded: boolean): void {
     const { judgement } = this;
     this.judgement = undefined;
     if (judgement !== undefined && hasEnded) {
-      this.options.onEnd(judgement.atWork.filter((one) => !judgement.answered.has(one)));
+      this.options.onEnd(unansweredOf(judgement));
     }
     judgement?.waiting.forEach((report) => report(hasEnded));
   }
 }
+
+function unansweredOf<W>({ atWork, answered }: Judgement<W>): W[] {
+  return atWork.filter((one) => !answered.has(one));
+}
--- a/test/proxy/reborn-endpoint.test.ts
+++ b/test/proxy/reborn-endpoint.test.ts
@@ -306,12 +306,15 @@
   });
 
   it('forgets the one before once nothing of it is under way', () => {
+    const before = world.current;
     world.rebear(2_000);
     world.gateway.upkeep();
     ['wait-1', 'wait-2', 'run-1', 'run-2'].forEach((id) => world.answer(id));
     world.gateway.upkeep();
     expect(world.gateway.inFlight).to.equal(0);
     expect(world.gateway.size).to.equal(1);
+    world.submit('late', before);
+    expect(world.sentTo(2_000)).to.include('late');
   });
 
   describe('where it listened again before anyone could ask', () => {
