Choice: attempts are made at the endpoints of the configuration in force

A request keeps the routes that it began with; its endpoints were those of that moment too, so that it never met the new process of one that had started again, and was told 503 where the service has no other. Ruled out: taking what was tried by name, with which the new process could not be chosen either. Change: the list of the service in force, unless the service is gone from it.

--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -36,6 +36,8 @@
 export interface RequestServicesOptions {
   readonly identity: PeerIdentity;
   readonly members: MemberDirectory;
+  /** The configuration in force; requests see the endpoints that they began with when absent. */
+  readonly snapshots?: { current(): Snapshot | undefined };
   readonly counters: CounterSink;
   readonly random: RandomSource;
   readonly scheduler: Scheduler;
@@ -106,11 +108,21 @@
       work: workProfileOf(match.route, isLate),
       mayReceive: (endpoint: Endpoint) => this.pathTo(endpoint) !== undefined,
     };
-    const all = snapshot.endpointsByService.get(match.service) ?? [];
+    const all = this.endpointsOf(snapshot, match.service);
     const endpoints = trial === undefined ? all : trialEndpoints(all, trial, tried);
     return this.selector.choose(endpoints, context, this.scheduler.now());
   }
 
+  /**
+   * A request keeps its routes, but an attempt is made at an endpoint that exists by then: one that has
+   * started again may get what it has not run.
+   */
+  private endpointsOf(snapshot: Snapshot, service: string): readonly Endpoint[] {
+    const current = this.options.snapshots?.current();
+    const { endpointsByService } = current?.services.has(service) === true ? current : snapshot;
+    return endpointsByService.get(service) ?? [];
+  }
+
   /** The way to an endpoint, or undefined when it may get no new work from this node. */
   pathTo(endpoint: Endpoint): EndpointPath | undefined {
     const { machine } = endpoint.spec;
