Request fuzz: nodes may hear that endpoints have started again under their names

The world revived endpoints under their names, with an empty memory, and told nobody: it still does, and a second run of the same scenarios tells the nodes 200 ms later. The check of slots counts what is meant for each incarnation by itself; what reached the new process before the news does not count against it. Nodes choose among the endpoints in force, as the product does.

--- a/test/proxy/fuzz/request-oracle.ts
+++ b/test/proxy/fuzz/request-oracle.ts
@@ -66,7 +66,10 @@
   return isDue && !isAnswering && !call.node.process.isFrozen;
 }
 
-/** Each life of a node keeps within its share, whatever happened to its connections. */
+/**
+ * Each life of a node keeps within its share, whatever happened to its connections. What was sent before the
+ * node knew that the endpoint had started again does not count against the new incarnation.
+ */
 function findOverrun(world: RequestWorld): string | undefined {
   for (const [index, endpoint] of world.endpoints.entries()) {
     for (const [sender, count] of endpoint.peaks) {
--- a/test/proxy/fuzz/request-world.ts
+++ b/test/proxy/fuzz/request-world.ts
@@ -39,6 +39,8 @@
 const UPKEEP_INTERVAL_MS = 250;
 /** Time after which every node that runs must know of a drain, in milliseconds. */
 const DRAIN_GRACE_MS = 300;
+/** Time from the birth of an endpoint's process to when the nodes' configuration tells of it. */
+const BIRTH_NEWS_MS = 200;
 
 /** What a caller was told. */
 export type Told =
@@ -113,6 +115,7 @@
         relayAddress: () => VIRTUAL_RELAY,
         count: () => NODE_NAMES.length,
       },
+      snapshots: { current: () => world.snapshot },
       counters,
       random: world.random,
       scheduler,
@@ -142,16 +145,21 @@
   readonly nodes: readonly VirtualNode[];
   readonly endpoints: readonly VirtualEndpoint[];
   snapshot: Snapshot;
+  private drains: ReadonlySet<string> = new Set();
+  /** When the process of each endpoint was born, where that was told. */
+  private readonly bornAtMs = new Map<string, number>();
   private readonly drainedAtMs = new Map<string, number>();
   private readonly connections = new Set<VirtualConnection>();
   /** Ends under the crashing request since a node was last disturbed, which may have lost the news. */
   private crashesAtMs: number[] = [];
 
+  /** `tellsBirths` says whether the configuration tells that an endpoint has started again. */
   constructor(
     private readonly faults: EndpointFaults,
     readonly random: RandomSource,
+    private readonly tellsBirths = false,
   ) {
-    this.snapshot = snapshotOf(new Set());
+    this.snapshot = snapshotOf(this.drains, this.bornAtMs);
     this.endpoints = ENDPOINT_NAMES.map(
       () => new VirtualEndpoint(new VirtualProcess(this.clock), this.ledger, faults, random),
     );
@@ -178,7 +186,7 @@
     this.killEndpoint(endpoint);
     const revive = (): void => {
       if (!endpoint.process.isAlive) {
-        endpoint.process.revive();
+        this.reviveEndpoint(endpoint);
       }
     };
     this.clock.schedule(this.clock.nowMs + CRASHED_MS, { run: revive });
@@ -297,6 +305,21 @@
     endpoint.kill();
   }
 
+  /** The endpoint starts again under its name, and knows nothing of before. */
+  reviveEndpoint(endpoint: VirtualEndpoint): void {
+    endpoint.process.revive();
+    if (!this.tellsBirths) {
+      return;
+    }
+    const name = ENDPOINT_NAMES[this.endpoints.indexOf(endpoint)] ?? '';
+    const bornAtMs = Math.floor(this.clock.nowMs);
+    const tell = (): void => {
+      this.bornAtMs.set(name, bornAtMs);
+      this.snapshot = snapshotOf(this.drains, this.bornAtMs);
+    };
+    this.clock.schedule(this.clock.nowMs + BIRTH_NEWS_MS, { run: tell });
+  }
+
   /** What must hold whenever a node sends a request to an endpoint. */
   checkDispatch(endpointName: string, call: Call, node: VirtualNode): void {
     const nowMs = this.clock.nowMs;
@@ -319,7 +342,8 @@
       const since = Math.min(this.drainedAtMs.get(name) ?? Infinity, this.clock.nowMs);
       this.drainedAtMs.set(name, names.has(name) ? since : Infinity);
     }
-    this.snapshot = snapshotOf(names);
+    this.drains = names;
+    this.snapshot = snapshotOf(names, this.bornAtMs);
   }
 
   advance(byMs: number): void {
@@ -373,9 +397,13 @@
   }
 }
 
-function snapshotOf(draining: ReadonlySet<string>): Snapshot {
+function snapshotOf(
+  draining: ReadonlySet<string>,
+  bornAtMs: ReadonlyMap<string, number>,
+): Snapshot {
   const endpoints = ENDPOINT_NAMES.map((name, index) =>
     echoEndpoint(name, 1_000 + index, {
+      ...(bornAtMs.has(name) && { bornAtMs: bornAtMs.get(name) }),
       machine: `n${index + 1}`,
       slots: SLOTS,
       state: draining.has(name) ? 'draining' : 'active',
--- a/test/proxy/fuzz/virtual-endpoint.ts
+++ b/test/proxy/fuzz/virtual-endpoint.ts
@@ -40,7 +40,7 @@
   readonly remainingMs: number;
   /** Whether the endpoint ends before it has done the work. */
   readonly isCrashing: boolean;
-  /** Node and life that sent it. */
+  /** Node and life that sent it, and the incarnation of the endpoint that it is meant for. */
   readonly sender: string;
 }
 
--- a/test/proxy/fuzz/virtual-paths.ts
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -100,7 +100,7 @@
         attempt: call.requestId,
         remainingMs,
         isCrashing: call.target === CRASHING_TARGET,
-        sender: node.identity,
+        sender: `${node.identity} ${endpoint.spec.bornAtMs ?? ''}`,
       };
       connection.toServer(() => {
         target.receive(request, {
--- a/test/proxy/request-fuzz.test.ts
+++ b/test/proxy/request-fuzz.test.ts
@@ -132,7 +132,7 @@
         if (endpoint.process.isAlive) {
           world.killEndpoint(endpoint);
         } else {
-          endpoint.process.revive();
+          world.reviveEndpoint(endpoint);
         }
       }),
     ),
@@ -156,7 +156,7 @@
     arbitrary: fc.nat({ max: 1 }).map((which) =>
       command(`restart e${which + 1}`, (world) => {
         world.killEndpoint(at(world.endpoints, which));
-        at(world.endpoints, which).process.revive();
+        world.reviveEndpoint(at(world.endpoints, which));
       }),
     ),
   },
@@ -212,23 +212,30 @@
   commands: fc.array(commandArbitrary, { minLength: 5, maxLength: MAX_COMMANDS, size: 'max' }),
 });
 
-const property = fc.property(scenarioArbitrary, ({ seed, faults, commands }) => {
-  const world = new RequestWorld(faults, seededRandom(seed));
-  for (const step of commands) {
-    step.run(world);
-    world.advance(1);
-    failOn(findViolation(world), step.name);
-  }
-  world.disturb();
-  for (const { process } of [...world.nodes, ...world.endpoints]) {
-    process.thaw();
-  }
-  for (let settled = 0; settled < SETTLE_MS; settled += 500) {
-    world.advance(500);
-    failOn(findViolation(world), 'settling');
-  }
-  failOn(findUnsettled(world), 'the end');
-});
+type Scenario = typeof scenarioArbitrary extends fc.Arbitrary<infer T> ? T : never;
+
+/** `tellsBirths` says whether nodes hear that an endpoint has started again under its name. */
+function propertyWith(tellsBirths: boolean): fc.IProperty<[Scenario]> {
+  return fc.property(scenarioArbitrary, ({ seed, faults, commands }) => {
+    const world = new RequestWorld(faults, seededRandom(seed), tellsBirths);
+    for (const step of commands) {
+      step.run(world);
+      world.advance(1);
+      failOn(findViolation(world), step.name);
+    }
+    world.disturb();
+    for (const { process } of [...world.nodes, ...world.endpoints]) {
+      process.thaw();
+    }
+    for (let settled = 0; settled < SETTLE_MS; settled += 500) {
+      world.advance(500);
+      failOn(findViolation(world), 'settling');
+    }
+    failOn(findUnsettled(world), 'the end');
+  });
+}
+
+const property = propertyWith(false);
 
 interface Mutant {
   readonly name: string;
@@ -353,6 +360,10 @@
     fc.assert(property, { seed: SEED, numRuns: RUNS });
   });
 
+  it('keeps every promise where nodes hear that endpoints have started again', () => {
+    fc.assert(propertyWith(true), { seed: SEED, numRuns: RUNS });
+  });
+
   for (const mutant of mutants) {
     it(`catches: ${mutant.name}`, () => {
       const original = Reflect.get(mutant.target, mutant.method) as () => unknown;
