Gates: a rebirth is learnt also where nothing is under way any more; back ends are born again

Upkeep dropped the idle gate of an endpoint that was gone before it had looked who had followed, and with it what had been lost there: of three crashes of one request, each with a back end that listened again under its id at once, the nodes counted one. Change: it looks first.

Back ends of the platform tests start again under their ids (rebearBackend), after a reset or in silence, at once or after a while, there or at another address, in a series.

--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -72,12 +72,12 @@
       return;
     }
     for (const [key, gate] of this.gates) {
+      this.configure(gate);
       if (gate.isIdle && currentEndpoint(snapshot, gate.endpoint) === undefined) {
         this.gates.delete(key);
-        continue;
+      } else {
+        gate.probeDraining();
       }
-      this.configure(gate);
-      gate.probeDraining();
     }
   }
 
--- a/standins/store-platform/backend-stand-in.ts
+++ b/standins/store-platform/backend-stand-in.ts
@@ -67,6 +67,12 @@
     this.server.closeAllConnections();
   }
 
+  /** Ends as with a loss of power: nothing listens, and who is connected hears nothing of it. */
+  vanish(): void {
+    this.server.close();
+    this.behaviour = () => undefined;
+  }
+
   private take(
     request: IncomingMessage,
     response: ServerResponse,
--- a/test/platform/crashing-backends.ts
+++ b/test/platform/crashing-backends.ts
@@ -14,6 +14,8 @@
   readonly workMs: number;
   /** How long a back end is down. */
   readonly downMs: number;
+  /** Whether a back end comes back under its identity, as soon as it may; false when absent. */
+  readonly isReborn?: boolean;
 }
 
 /** The back ends of some machines, and how often they ended. */
@@ -32,12 +34,14 @@
 
   /** The machine's back end ends, and is back after its time. */
   async crash(machine: FleetMachine): Promise<void> {
-    const { fleet, downMs } = this.params;
+    const { fleet, downMs, isReborn = false } = this.params;
     this.endedAtMs.push(performance.now());
     machine.backend.close();
-    await pause(downMs);
+    if (downMs > 0) {
+      await pause(downMs);
+    }
     if (!this.isOver) {
-      await fleet.restartBackend(machine);
+      await (isReborn ? fleet.rebearBackend(machine) : fleet.restartBackend(machine));
     }
   }
 
--- a/test/platform/crashing-request.test.ts
+++ b/test/platform/crashing-request.test.ts
@@ -129,6 +129,26 @@
     }
   }).timeout(20_000);
 
+  it('is known though each back end listens again under its identity before anyone can ask', async () => {
+    fleet = await startServing(3, { kind: 'unsafe' });
+    const crashes = new CrashingBackends({
+      ...{ fleet, machines: fleet.machines, workMs: WORK_MS, downMs: 0, isReborn: true },
+      isCrashing: ({ target }) => target === CRASHING_PATH,
+    });
+    backends = crashes;
+    const call = { path: CRASHING_PATH, method: 'POST', body: 'pay' };
+    for (const machine of fleet.machines) {
+      expect((await fleet.call(machine, call)).status).to.equal(502);
+      await pause(KNOWN_AFTER_MS);
+    }
+    expect(crashes.endedAtMs).to.have.length(3);
+    for (const machine of fleet.machines) {
+      expect(JSON.parse((await fleet.call(machine, call)).body)).to.include({ code: 'CONTAINED' });
+      expect((await fleet.call(machine, { ...call, path: '/p/other' })).status).to.equal(200);
+    }
+    expect(crashes.crashingArrivals).to.have.length(3);
+  }).timeout(20_000);
+
   it('is the same one at machines of other services, as long as it ends back ends for all', async () => {
     const [first = expect.fail('no machine')] = await startFleet({ kind: 'unsafe' });
     const other = await fleet.addMachine('b');
--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -74,6 +74,8 @@
   private version = 1;
   private requests = 0;
   private restarts = 0;
+  /** When the back ends were born that have started again under their identities, in Unix milliseconds. */
+  private readonly births = new Map<string, number>();
 
   private constructor(readonly store: StoreStandIn) {}
 
@@ -134,6 +136,16 @@
     this.announce(machine, service, 'ready');
   }
 
+  /** Starts the machine's back end again under its identity, at its address or at that of `place`. */
+  async rebearBackend(machine: FleetMachine, place = machine, service = 'a'): Promise<void> {
+    const { id, behaviour } = machine.backend;
+    const backend = await BackendStandIn.start(id, place.address, BACKEND_PORT);
+    backend.behaviour = behaviour;
+    place.backend = backend;
+    this.births.set(id, Math.max(Date.now(), (this.births.get(id) ?? 0) + 1));
+    this.announce(place, service, 'ready');
+  }
+
   /** A node for a machine that is there; not opened. */
   createNode(address: string, service: string, log: string[], zone = 'z1'): StoreNode {
     return new StoreNode({
@@ -156,7 +168,9 @@
 
   /** Writes a back end's entry. */
   announce({ address, zone, backend }: FleetMachine, service: string, state: string): void {
+    const born = this.births.get(backend.id);
     this.store.put(`servers/${backend.id}`, {
+      ...(born !== undefined && { born }),
       address: `${address}:${BACKEND_PORT}`,
       info: { service, version: 'v1', zone, slots: SLOTS },
       status: { state, sequence: 1, coldRemainingS: 0 },
--- a/test/proxy/reborn-endpoint.test.ts
+++ b/test/proxy/reborn-endpoint.test.ts
@@ -20,6 +20,8 @@
 const UPKEEP_MS = 500;
 /** A loss is judged within this time, in milliseconds. */
 const JUDGED_MS = 10;
+/** The slot of a lost request is held for so long, in milliseconds. */
+const SLOT_HELD_MS = 20;
 
 /** A request as the endpoint's port got it. */
 interface Sent {
@@ -58,7 +60,11 @@
         schedule: (delayMs, action) => this.schedule(delayMs, action),
       },
       maxQueuedPerEndpoint: 64,
-      cancelLead: { cancelLeadShare: 0.1, maxCancelLeadMs: 10, slotFreedAfterCloseMs: 20 },
+      cancelLead: {
+        cancelLeadShare: 0.1,
+        maxCancelLeadMs: 10,
+        slotFreedAfterCloseMs: SLOT_HELD_MS,
+      },
       logStateChange: () => undefined,
       snapshot: () => this.snapshot,
       slotsFor: ({ spec }) => spec.slots,
@@ -327,6 +333,16 @@
       expect(world.ends).to.deep.equal([['run-1', 'run-2']]);
     });
 
+    it('learns it though nothing is under way any more', () => {
+      ['run-1', 'run-2'].forEach((id) => world.lose(id));
+      world.advance(JUDGED_MS + SLOT_HELD_MS);
+      ['wait-1', 'wait-2'].forEach((id) => world.answer(id));
+      expect(world.gateway.inFlight).to.equal(0);
+      world.rebear(2_000);
+      world.gateway.upkeep();
+      expect(world.ends).to.deep.equal([['run-1', 'run-2']]);
+    });
+
     it('learns nothing from a rebirth long after', () => {
       ['run-1', 'run-2'].forEach((id) => world.lose(id));
       world.advance(4_000);
