--- a/test/routing/reborn-endpoint.test.ts
+++ b/test/routing/reborn-endpoint.test.ts
@@ -87,6 +87,21 @@
     expect(trial.shareOfCurrent(40)).to.be.above(0);
   });
 
+  it('believes a drain for a moment only while its node may speak of the one before', () => {
+    const trial = new Trial(born(1_000));
+    const reborn = trial.rebear(2_000);
+    trial.choose();
+    trial.nowMs = 300;
+    trial.selector.observedLoad(reborn, { inFlight: 0, draining: true }, trial.nowMs);
+    expect(trial.shareOfCurrent(40)).to.equal(0);
+    trial.nowMs = 1_000;
+    expect(trial.shareOfCurrent(40)).to.be.above(0);
+    trial.nowMs = 3_000;
+    trial.selector.observedLoad(reborn, { inFlight: 0, draining: true }, trial.nowMs);
+    trial.nowMs = 4_000;
+    expect(trial.shareOfCurrent(40)).to.equal(0);
+  });
+
   it('forgets what was under way at the one before, and ends of that change nothing', () => {
     const first = born(1_000);
     const trial = new Trial(first);
