Choice: a drain told soon after a rebirth holds for half a second, not for 30

Cause: a node that hears of a rebirth before the one beside the endpoint is told of the drain of the incarnation before, as the word of the new one. Ruled out: the incarnation in the frames between nodes, which makes nodes of two versions refuse each other's connections for a moment's doubt. Change: within 2 s of the rebirth such a word holds 0.5 s, after which the node is asked again.

--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -20,6 +20,13 @@
 const MAX_REFUSAL_HOLD_MS = 150;
 /** How long an endpoint that said that it is draining gets nothing, in milliseconds. */
 const DRAINING_HOLD_MS = 30_000;
+/**
+ * Time in which the node beside an endpoint that has started again may not have heard of it and speak of the
+ * incarnation before, in milliseconds; configurations are known to all within a second or two.
+ */
+const NEWS_SPREAD_MS = 2_000;
+/** How long an endpoint gets nothing whose node says in that time that it is draining, in milliseconds. */
+const DOUBTED_DRAINING_HOLD_MS = 500;
 /** How long an endpoint whose node is about to stop gets nothing, in milliseconds. */
 const NODE_STOPPING_HOLD_MS = 3_000;
 /** Added to the load of an endpoint that has refused, while it asked to be left alone. */
@@ -70,6 +77,8 @@
   private ejectedUntilMs: number | undefined;
   private ejectionMs = FIRST_EJECTION_MS;
   private startedAtMs: number;
+  /** Until when what is said of a drain may be meant for the incarnation before. */
+  private doubtsDrainUntilMs = -Infinity;
 
   /** `isCold` says that the endpoint has just appeared and gets few requests at first. */
   constructor(nowMs: number, isCold: boolean) {
@@ -120,6 +129,11 @@
     return Math.max(this.ownFailures.at(nowMs), this.reportedFailures.at(nowMs));
   }
 
+  /** The endpoint has started again, and this is the record of its new incarnation. */
+  succeedsAnother(nowMs: number): void {
+    this.doubtsDrainUntilMs = nowMs + NEWS_SPREAD_MS;
+  }
+
   began(): void {
     this.inFlight += 1;
   }
@@ -157,7 +171,8 @@
       this.latencies.told(load.serviceTime.workClass, load.serviceTime.meanMs, nowMs);
     }
     if (load.draining) {
-      this.drainingUntilMs = nowMs + DRAINING_HOLD_MS;
+      const isDoubtful = nowMs < this.doubtsDrainUntilMs;
+      this.drainingUntilMs = nowMs + (isDoubtful ? DOUBTED_DRAINING_HOLD_MS : DRAINING_HOLD_MS);
     } else if (load.isNodeStopping === true) {
       this.drainingUntilMs = Math.max(this.drainingUntilMs, nowMs + NODE_STOPPING_HOLD_MS);
     }
--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -223,7 +223,7 @@
     const isCold = unknown.length < endpoints.length;
     for (const endpoint of unknown) {
       this.dropIdleRecords();
-      this.keep(endpoint, new EndpointRecord(nowMs, isCold));
+      this.keep(endpoint, new EndpointRecord(nowMs, isCold), nowMs);
     }
   }
 
@@ -245,14 +245,14 @@
     let record = this.recordsOfObjects.get(endpoint);
     if (record === undefined) {
       record = this.records.get(incarnationOf(endpoint)) ?? new EndpointRecord(nowMs, true);
-      this.keep(endpoint, record);
+      this.keep(endpoint, record, nowMs);
       this.recordsOfObjects.set(endpoint, record);
     }
     return record;
   }
 
   /** Keeps the record, and none of the incarnation before: nothing is probed for its sake. */
-  private keep(endpoint: Endpoint, record: EndpointRecord): void {
+  private keep(endpoint: Endpoint, record: EndpointRecord, nowMs: number): void {
     const held = this.newest.get(endpoint.name);
     this.records.set(incarnationOf(endpoint), record);
     if (held !== undefined && startedBefore(endpoint, held)) {
@@ -260,6 +260,7 @@
     }
     this.newest.set(endpoint.name, endpoint);
     if (held !== undefined && incarnationOf(held) !== incarnationOf(endpoint)) {
+      record.succeedsAnother(nowMs);
       this.forget(held);
     }
   }
