--- a/src/proxy/request-path.ts
+++ b/src/proxy/request-path.ts
@@ -59,6 +59,8 @@
   endpointStates(): EndpointStateReport[];
   /** Takes the limits that the configuration sets; undefined leaves those of the node's settings. */
   applyCallerLimits(limits: CallerLimits | undefined): void;
+  /** The configuration in force has other endpoints: what waits for one that has started again is sent on. */
+  takeEndpoints(): void;
   /** Machines whose nodes owe this one an answer. */
   awaitedMachines(): Iterable<AwaitedMachine>;
   /** Nothing is heard of a machine: what may be sent elsewhere is. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -142,6 +142,10 @@
     }
   }
 
+  takeEndpoints(): void {
+    this.gateway.upkeep();
+  }
+
   awaitedMachines(): Iterable<AwaitedMachine> {
     return this.services.awaited.machines();
   }
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -351,6 +351,7 @@
     this.snapshot = snapshot;
     if (!hasSameEndpoints(snapshot, held)) {
       this.adoptMachines(machinesOf(snapshot));
+      this.proxy.takeEndpoints();
     }
     this.proxy.applyCallerLimits(snapshot.callerLimits);
     if (before !== number) {
