Soak: back ends start again under the identity that they had, three times, with born

The record names each start by itself; nodes and the store see one identity for three of them in a row.

--- a/tools/soak/soak-backend.ts
+++ b/tools/soak/soak-backend.ts
@@ -28,7 +28,10 @@
 
 /** What a back end is started with. */
 export interface SoakBackendParams {
+  /** Names this start in the record. */
   readonly id: string;
+  /** Identity to nodes and in the store, which several starts may have one after the other. */
+  readonly instance: string;
   readonly machine: number;
   readonly place: Place;
   readonly random: RandomSource;
@@ -47,6 +50,8 @@
   private faultShare = 0;
   /** Connections that a fault ended. */
   private readonly cut = new WeakSet<Socket>();
+  /** Unix time. */
+  readonly bornAtMs = Date.now();
 
   private constructor(
     private readonly server: BackendStandIn,
@@ -65,6 +70,10 @@
     return this.params.id;
   }
 
+  get instance(): string {
+    return this.params.instance;
+  }
+
   /** From now on a share of the requests meets the fault; none when it is undefined. */
   misbehave(fault: BackendFault | undefined, share = 0): void {
     this.fault = fault;
@@ -83,7 +92,7 @@
   }
 
   private take(request: IncomingMessage, response: ServerResponse, arrival: Arrival): void {
-    const isOther = arrival.headers['target-instance'] !== this.id;
+    const isOther = arrival.headers['target-instance'] !== this.instance;
     const isStruck = this.fault !== undefined && this.params.random() < this.faultShare;
     const isFull = this.running >= BACKEND_SLOTS || (isStruck && this.fault === 'refuse');
     const hasRun = !isOther && !isFull;
--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -28,6 +28,8 @@
 const STORE_PORT = 22_305;
 /** How long a back end is down that a request has ended, in milliseconds. */
 const CRASHED_MS = 2_000;
+/** Starts of a back end under one identity, after which it has a new one. */
+const STARTS_PER_INSTANCE = 3;
 
 /** What a fleet is started with. */
 export interface SoakFleetParams {
@@ -179,7 +181,7 @@
     machine.node = this.startNode(machine.idx, machine.life, machine.settingsPath);
   }
 
-  /** Starts a back end anew, under an identity of its own, at the same address. */
+  /** Starts a back end anew at the same address, mostly under the identity that it had. */
   restartBackend(machine: SoakMachine): Promise<void> {
     const { idx } = machine;
     const underWay = this.backendStarts.get(idx);
@@ -220,7 +222,7 @@
 
   /** Removes the entry of a back end that has ended. */
   forgetBackend({ backend }: SoakMachine): void {
-    this.store.remove(`servers/${backend.id}`);
+    this.store.remove(`servers/${backend.instance}`);
   }
 
   /** Ends everything that was started. */
@@ -306,16 +308,18 @@
     const address = this.addressOf(idx, this.isBackendLinked(idx) ? 1 : 0);
     const place = { address, port: BACKEND_PORT };
     const id = `i-${idx}-${count}`;
+    const instance = `i-${idx}-${Math.ceil(count / STARTS_PER_INSTANCE)}`;
     const isUpload = (target: string): boolean => target.startsWith(UPLOAD_PREFIX);
     const onCrash = (backend: SoakBackend, target: string): void => {
       void this.crash(idx, backend, target);
     };
-    const common = { id, machine: idx, place, random, nowMs, onArrival };
+    const common = { id, instance, machine: idx, place, random, nowMs, onArrival };
     return SoakBackend.start({ ...common, isUpload, onCrash });
   }
 
   private announce({ idx, service, backend }: SoakMachine, state: string): void {
-    this.store.put(`servers/${backend.id}`, {
+    this.store.put(`servers/${backend.instance}`, {
+      born: backend.bornAtMs,
       address: `${this.addressOf(idx, 0)}:${BACKEND_PORT}`,
       info: { service, version: 'v1', zone: zoneOf(idx), slots: BACKEND_SLOTS },
       status: { state, sequence: 1, coldRemainingS: 0 },
