--- a/test/store/store-replica.test.ts
+++ b/test/store/store-replica.test.ts
@@ -61,6 +61,19 @@
     expect(replica.deltaSince(2_090).sinceRevision).to.equal(2_090);
   });
 
+  it('does not bring back what is gone since removals that were forgotten', () => {
+    const replica = new StoreReplica();
+    const revisions = Array.from({ length: 2_100 }, (_, index) => index + 1);
+    replica.takeChanges(
+      revisions.map((revision) => removed(`r${revision}`, revision)),
+      2_100,
+    );
+    const behind = { sinceRevision: 1, revision: 9, changes: [written('r9', 8)] };
+    expect(replica.takeDelta(behind)).to.equal(false);
+    replica.takeList([written('r9', 8)], 8);
+    expect(valuesOf(replica)).to.deep.equal({});
+  });
+
   it('gives a delta across a list to a peer that is older than what it knew before the list', () => {
     const replica = new StoreReplica();
     replica.takeList([written('a', 4), written('b', 5)], 10);
