--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -2,6 +2,7 @@
 import type http from 'node:http';
 import type { Channel } from 'js-csp';
 import { NO_CONTAINMENT } from '../containment/containment.js';
+import { incarnationOf } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 import type { CallerLimits } from '../model/snapshot.js';
 import type { AwaitedMachine } from './awaited-attempts.js';
@@ -143,6 +144,10 @@
     }
   }
 
+  takeEndpoints(): void {
+    this.gateway.upkeep();
+  }
+
   awaitedMachines(): Iterable<AwaitedMachine> {
     return this.services.awaited.machines();
   }
@@ -233,9 +238,10 @@
     });
   }
 
-  private isListed({ name, spec }: Endpoint): boolean {
-    const endpoints = this.options.snapshots.current()?.endpointsByService.get(spec.service);
-    return endpoints?.some((endpoint) => endpoint.name === name) === true;
+  private isListed(endpoint: Endpoint): boolean {
+    const { endpointsByService } = this.options.snapshots.current() ?? {};
+    const listed = endpointsByService?.get(endpoint.spec.service) ?? [];
+    return listed.some((one) => incarnationOf(one) === incarnationOf(endpoint));
   }
 
   private makeCallerServer(): http.Server {
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -1,4 +1,5 @@
 /** Runs one caller's request: executes the effects of {@link RequestLifecycle}. */
+import { incarnationOf } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 import type { Verdict } from '../model/verdict.js';
 import { callOf } from './attempt-call.js';
@@ -173,7 +174,7 @@
       this.handle({ type: 'no-endpoint', attempt, failure });
       return;
     }
-    this.choice.began(endpoint.name);
+    this.choice.began(incarnationOf(endpoint));
     const begun = new RequestAttempt(attempt, this.context, endpoint, (one) => this.suspect(one));
     this.attempts.set(attempt, begun);
     const call = callOf(this.context, this.body, {
@@ -277,8 +278,9 @@
   private rememberRefusal({ endpoint }: RequestAttempt, error: RequestError): void {
     const { code } = error;
     const isForLackOfRoom = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
-    if (endpoint.name !== undefined && isForLackOfRoom) {
-      this.choice.refusedBy(endpoint.name);
+    const { incarnation } = endpoint;
+    if (incarnation !== undefined && isForLackOfRoom) {
+      this.choice.refusedBy(incarnation);
       endpoint.refused(error, this.choice.isLate);
     }
   }
