Answers: a fault that an endpoint told is passed on where no other attempt does better

A fault that comes while a suspect is at work waits for that one. Besides, from the review: an accused request is not hedged, since it may end a second endpoint; and a stop waits for connections to peers on which answers were sent lately, not only for bytes that the system has not taken, since a ping that arrives after the close resets what is on its way.

--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -115,12 +115,6 @@
     }
   }
 
-  /** Whether bytes wait here that the system has not taken yet. */
-  get hasUnsent(): boolean {
-    const isWaiting = this.urgent.length > 0 || this.bodies.length > 0;
-    return !this.isClosed && (isWaiting || this.socket.writableLength > 0);
-  }
-
   /** Sends what waits, then closes; takes as long as the peer needs to read it. */
   end(): void {
     this.isEnding = true;
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -110,36 +110,35 @@
   }
 
   /**
-   * Sends what waits and closes all connections. Resolves when they are closed, or after a while for those that
-   * have sent all; answers that a slow connection still has to take are waited for as long as it may be slow.
+   * Sends what waits and closes all connections. Resolves when they are closed, or after a while: answers that a
+   * slow connection still has to deliver are waited for as long as it may be slow.
    */
   close(): Promise<void> {
-    const untilMs = this.options.scheduler.now() + LOSS_MS;
     return new Promise((resolve) => {
-      let cancelTimer: CancelTimer | undefined;
+      let cancelLook: CancelTimer | undefined;
+      const look = (): void => {
+        if (this.owesAnswers) {
+          cancelLook = this.options.scheduler.schedule(RELAY_CLOSE_TIMEOUT_MS, look);
+        } else {
+          resolve();
+        }
+      };
+      cancelLook = this.options.scheduler.schedule(RELAY_CLOSE_TIMEOUT_MS, look);
       const check = (): void => {
         if (this.peers.size === 0) {
-          cancelTimer?.();
+          cancelLook?.();
           resolve();
         }
       };
-      const lookLater = (): void => {
-        cancelTimer = this.options.scheduler.schedule(RELAY_CLOSE_TIMEOUT_MS, () => {
-          if (this.hasUnsent && this.options.scheduler.now() < untilMs) {
-            lookLater();
-          } else {
-            resolve();
-          }
-        });
-      };
-      lookLater();
       this.peers.forEach((peer) => peer.close(check));
       check();
     });
   }
 
-  private get hasUnsent(): boolean {
-    return [...this.peers].some((peer) => peer.hasUnsent);
+  /** Whether answers to a peer may still be on their way: its process ends with what the system has not sent. */
+  private get owesAnswers(): boolean {
+    const sinceMs = this.options.scheduler.now() - LOSS_MS;
+    return [...this.peers].some(({ answeredAtMs }) => answeredAtMs > sinceMs);
   }
 
   /** Cuts all connections. */
@@ -183,6 +182,8 @@
   /** Requests that are not looked at yet, by stream. */
   private readonly arrived = new Map<number, RequestFrame>();
   private onClosed: () => void = () => undefined;
+  /** When a frame of an answer was sent last. */
+  answeredAtMs = -Infinity;
 
   constructor(
     private readonly sender: string,
@@ -219,11 +220,6 @@
     return this.arrived.size;
   }
 
-  /** Whether answers wait here for the connection. */
-  get hasUnsent(): boolean {
-    return this.connection.hasUnsent;
-  }
-
   private get owedCount(): number {
     return this.requests.size + this.arrived.size;
   }
@@ -295,12 +291,12 @@
   }
 
   private start(frame: RequestFrame): void {
-    const { options, connection } = this;
+    const { options } = this;
     options.counters.add('ferryspool_relayed_requests_total');
     const { streamId } = frame;
     const ended = options.began();
     const link = {
-      send: (sent: StreamFrame) => connection.send(sent),
+      send: (sent: StreamFrame) => this.send(sent),
       over: () => {
         this.requests.delete(streamId);
         ended();
@@ -322,6 +318,11 @@
     request.start(options.endpoints, endpoint, this.callOf(frame, request));
   }
 
+  private send(frame: StreamFrame): boolean {
+    this.answeredAtMs = this.options.scheduler.now();
+    return this.connection.send(frame);
+  }
+
   private callOf(frame: RequestFrame, request: RelayedRequest): Call {
     const nowMs = this.options.scheduler.now();
     const travelLostMs = this.travelTime.lostMs(frame.sentAtMs, nowMs);
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -11,33 +11,14 @@
 import { isEndpointAbsent, reachedEndpoint, type RequestFailure } from './request-error.js';
 import type { AttemptEvent, RequestEffect, RequestEvent } from './request-event.js';
 
+import type { RequestPolicy } from './request-policy.js';
+
 export type { RequestEffect, RequestEvent } from './request-event.js';
+export type { RequestPolicy } from './request-policy.js';
 
 /** Upper bound of the first back-off, in milliseconds; doubles with each retry. */
 const FIRST_BACK_OFF_MS = 10;
 
-/** What the route, the caller and the node allow. */
-export interface RequestPolicy {
-  /** Whether the request may run more than once. */
-  readonly repeatable: boolean;
-  readonly deadlineAtMs: number;
-  /** Attempts after the first, those of the receivers included. */
-  readonly retries: number;
-  /** What the first attempt earns for the service's retry budget, in percent. */
-  readonly retryBudgetPercent: number;
-  /**
-   * Further attempts that take nothing from the retries and their budget, since the failed one did
-   * not reach an endpoint.
-   */
-  readonly redirects: number;
-  /** The same, after attempts at endpoints that are absent: these are no sign of load. */
-  readonly absentRedirects?: number;
-  /** The same, from when the request can only be answered late: so many at least are left then. */
-  readonly lateRedirects?: number;
-  /** Until when an attempt may begin whose refusal is still heard of before the deadline; no bound if absent. */
-  readonly refusableUntilMs?: number;
-}
-
 /**
  * - `attempting`: the latest attempt is under way, and not suspected.
  * - `answering`: an answer is passed on.
@@ -177,16 +158,24 @@
     return [];
   }
 
-  /** An answer that reports a fault is passed on unless the request can be sent again. */
+  /** An answer that reports a fault is passed on unless the request can be sent again, or a suspect may do better. */
   private takeAnswer(fault: RequestFailure | undefined, nowMs: number): RequestEffect[] {
-    const backOff = fault && this.retry(fault, true, nowMs);
-    if (fault === undefined || backOff === undefined) {
+    const next = fault && this.doBetter(fault, nowMs);
+    if (fault === undefined || next === undefined) {
       this.state = 'answering';
       return [{ type: 'pass-answer', attempt: this.current }];
     }
     this.lastFailure = fault;
     this.mayHaveRun = true;
-    return [{ type: 'discard-answer', attempt: this.current }, backOff];
+    return [{ type: 'discard-answer', attempt: this.current }, ...next];
+  }
+
+  private doBetter(fault: RequestFailure, nowMs: number): RequestEffect[] | undefined {
+    const backOff = this.retry(fault, true, nowMs);
+    if (backOff !== undefined) {
+      return [backOff];
+    }
+    return this.suspects.size > 0 ? this.settle(fault) : undefined;
   }
 
   /** An answer that still came is passed on, unless another one is, or it is a fault and more may come. */
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -2,36 +2,32 @@
 import { incarnationOf } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 import type { Verdict } from '../model/verdict.js';
+import type { AnswerObserver } from './answer-relay.js';
 import { callOf } from './attempt-call.js';
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
 import { outcomeOf } from './attempt-errors.js';
 import type { Answer, LoadReport } from './call.js';
 import { EndpointChoice } from './endpoint-choice.js';
 import { expiryFailure } from './expiry-failure.js';
+import { keepAnswer } from './kept-answer.js';
 import { RequestAttempt } from './request-attempt.js';
 import type { RequestBody } from './request-body.js';
 import {
   CallerGoneError,
-  ConnectionLostError,
   EndpointFaultError,
   InternalError,
   NoEndpointError,
   RequestError,
   TruncatedAnswerError,
-  UnreachableError,
   type RequestFailure,
 } from './request-error.js';
-import {
-  namedFingerprint,
-  type AwaitedThing,
-  type RequestDecisionName,
-  type SuspicionOutcome,
-} from './request-log.js';
+import { namedFingerprint, type AwaitedThing, type RequestDecisionName } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import { requestPolicyOf } from './request-policy.js';
 import { RequestStanding } from './request-standing.js';
 import type { CancelTimer } from './scheduler.js';
 import { stopFailure } from './stop-failure.js';
+import { nextOf, silenceError } from './suspicion.js';
 import type { RequestContext } from './request-context.js';
 import { requestDecision, type DecisionDetails } from './request-decision.js';
 
@@ -39,6 +35,8 @@
 const NO_ENDPOINT_RETRY_MS = 200;
 /** Answers from this status on report a fault of the endpoint. */
 const FAULT_STATUS = 500;
+/** For an answer with which the request is over whatever becomes of it. */
+const IGNORED_END: AnswerObserver = { whole: () => undefined, broken: () => undefined };
 
 /** One caller's request under way. */
 export class RequestRunner {
@@ -49,6 +47,8 @@
   private attemptNumber = 0;
   /** Those under way, by number. */
   private readonly attempts = new Map<number, RequestAttempt>();
+  /** An answer that reports a fault, for the case that no other attempt does better. */
+  private keptFault: Answer | undefined;
   private body: RequestBody | undefined;
   private standing: RequestStanding | undefined;
   private readonly startedAtMs: number;
@@ -134,16 +134,9 @@
       case 'pass-answer':
         return this.passAnswer(effect.attempt);
       case 'discard-answer':
-        return this.discardAnswer(effect.attempt);
+        return this.keepFault(effect.attempt);
       case 'report':
-        this.finish();
-        this.record('request-failed', effect.failure, effect.verdict);
-        this.context.services.onFailureMs(this.context.services.scheduler.now() - this.startedAtMs);
-        return this.context.response.fail(
-          effect.failure instanceof RequestError ? effect.failure : new InternalError('no error'),
-          effect.verdict,
-          this.context.requestId,
-        );
+        return this.report(effect.failure, effect.verdict);
       case 'break-connection':
         this.finish();
         return this.context.response.breakConnection();
@@ -202,12 +195,14 @@
 
   /**
    * What may run more than once is tried elsewhere too, and what has provably not reached its endpoint is
-   * tried there instead; a body that only one attempt can send leaves no choice.
+   * tried there instead; a body that only one attempt can send leaves no choice, nor does a request that may
+   * end what runs it.
    */
   private suspect(suspect: RequestAttempt): void {
     const { number: attempt } = suspect;
     const isUnsent = suspect.isUnsent();
-    const canReplay = this.canReplay() && (isUnsent || this.body?.isHeld === true);
+    const isHedged = this.body?.isHeld === true && this.standing?.trial === undefined;
+    const canReplay = this.canReplay() && (isUnsent || isHedged);
     const failure = silenceError(isUnsent);
     const nowMs = this.context.services.scheduler.now();
     const effects = this.lifecycle.handle(
@@ -248,15 +243,31 @@
       : undefined;
   }
 
-  /** What is left of the answer is read, so that its connection can be used again. */
-  private discardAnswer(number: number): void {
-    const body = this.attempts.get(number)?.answer?.body;
-    if (body?.kind === 'streamed') {
-      body.stream.on('error', () => undefined).resume();
+  /** An answer that reports a fault is kept: no other attempt may do better. */
+  private keepFault(number: number): void {
+    const answer = this.attempts.get(number)?.answer;
+    if (answer !== undefined) {
+      keepAnswer(answer, this.context.services.limits.maxHeldAnswerBytes, (kept) => {
+        this.keptFault = kept;
+      });
     }
     this.endAttempt(number, 'failed');
   }
 
+  /** An answer that an endpoint made goes before an error of the node. */
+  private report(failure: RequestFailure, verdict: Verdict): void {
+    const { response, requestId, services } = this.context;
+    this.finish();
+    if (this.keptFault !== undefined) {
+      response.answer(this.keptFault, requestId, services.limits.maxHeldAnswerBytes, IGNORED_END);
+      return;
+    }
+    this.record('request-failed', failure, verdict);
+    services.onFailureMs(services.scheduler.now() - this.startedAtMs);
+    const error = failure instanceof RequestError ? failure : new InternalError('no error');
+    response.fail(error, verdict, requestId);
+  }
+
   private takeFailure(
     attempt: RequestAttempt,
     error: RequestError,
@@ -383,16 +394,3 @@
     this.cancelBackOff?.();
   }
 }
-
-/** What follows on the suspicion of an attempt. */
-function nextOf([first]: readonly RequestEffect[]): SuspicionOutcome {
-  if (first === undefined) {
-    return 'wait';
-  }
-  return first.type === 'abort-attempt' ? 'replace' : 'hedge';
-}
-
-function silenceError(isUnsent: boolean): RequestError {
-  const message = 'nothing is heard of the node of the endpoint';
-  return isUnsent ? new UnreachableError(message) : new ConnectionLostError(message);
-}
