Soak: plan `rolls` and promise `answer-delivered`

Cause: the soaks had no fault in which ONE connection between two nodes is slow and loses nothing while new ones work, stopped no large share of a fleet at once, and no judge asked whether what an endpoint did reached its caller.

Cuts stay with `planned-stop` and `reload`, 503 with `true-refusal`. Draws of the other plans are as before.

Changed test: promises.test.ts, 'requests are not served': its 502 had an endpoint's whole run beside it, which breaks the new promise too; it now has both cases, each with exactly what breaks.

--- a/test/soak/caller-promises.test.ts
+++ b/test/soak/caller-promises.test.ts
@@ -60,6 +60,7 @@
   deadlineMs: 4_500,
   hasRun: true,
   brokeOff: false,
+  outcome: 'answered',
   endedAtMs: 25_050,
 };
 
--- a/test/soak/crash-promises.test.ts
+++ b/test/soak/crash-promises.test.ts
@@ -28,6 +28,7 @@
     deadlineMs: 1_000,
     hasRun: true,
     brokeOff: true,
+    outcome: 'broke-off',
     endedAtMs: headAtMs + 20,
   }));
 }
--- a/test/soak/link-proxy.test.ts
+++ b/test/soak/link-proxy.test.ts
@@ -167,6 +167,64 @@
     expect(received).to.equal('a');
   });
 
+  for (const way of ['there', 'back', 'both'] as const) {
+    it(`holds one connection back (${way}) while others work, and loses nothing`, async () => {
+      const slow = client;
+      slow.write('a');
+      await untilReceived('a');
+      const end = proxy.stall({ way, delayMs: Infinity }, 0);
+      slow.write('b');
+      client = await connect();
+      client.write('c');
+      await untilReceived('ac');
+      await delay(SHORT_MS);
+      expect(received).to.equal('ac');
+      end?.();
+      await untilReceived('acb');
+      slow.destroy();
+    });
+  }
+
+  it('delays one connection, and keeps its bytes in order when that ends', async () => {
+    client.write('a');
+    await untilReceived('a');
+    const sentAtMs = performance.now();
+    const end = proxy.stall({ way: 'both', delayMs: SHORT_MS }, 0);
+    client.write('b');
+    await delay(1);
+    end?.();
+    client.write('c');
+    await untilReceived('abc');
+    expect(performance.now() - sentAtMs).to.be.at.least(SHORT_MS - 5);
+  });
+
+  it('slows down no connection twice, and none that is closed', async () => {
+    const used = client;
+    used.write('a');
+    await untilReceived('a');
+    const end = proxy.stall({ way: 'both', delayMs: Infinity }, 0.99);
+    expect(proxy.stall({ way: 'both', delayMs: Infinity }, 0)).to.equal(undefined);
+    end?.();
+    expect(proxy.stall({ way: 'both', delayMs: Infinity }, 0)).to.not.equal(undefined);
+    used.destroy();
+    await closed(used);
+    await delay(SHORT_MS);
+    expect(proxy.stall({ way: 'both', delayMs: Infinity }, 0)).to.equal(undefined);
+  });
+
+  it('stays slow when another fault of the link is over', async () => {
+    client.write('a');
+    await untilReceived('a');
+    const end = proxy.stall({ way: 'back', delayMs: Infinity }, 0);
+    proxy.set('silence');
+    client.write('b');
+    proxy.set('open');
+    await delay(SHORT_MS);
+    expect(received).to.equal('a');
+    end?.();
+    await untilReceived('ab');
+  });
+
   it('passes so many bytes a second, of all connections together', async () => {
     proxy.setBandwidth(1_000_000);
     const other = await connect();
--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -51,6 +51,7 @@
   deadlineMs: 990,
   hasRun: true,
   brokeOff: false,
+  outcome: 'answered',
   endedAtMs: 20_040,
 };
 
@@ -267,7 +268,9 @@
   });
 
   it('finds that requests are not served after the faults', () => {
-    expect(brokenIn({ calls: [{ ...CALL, status: 502 }] })).to.deep.equal(['recovery']);
+    const calls = [{ ...CALL, status: 502 }];
+    expect(brokenIn({ calls, arrivals: [] })).to.deep.equal(['recovery']);
+    expect(brokenIn({ calls })).to.deep.equal(['answer-delivered', 'recovery']);
     expect(brokenIn({ calls: [], arrivals: [] })).to.deep.equal(['recovery']);
   });
 });
--- a/tools/soak/fault-injector.ts
+++ b/tools/soak/fault-injector.ts
@@ -6,7 +6,7 @@
   type SoakFault,
   type StoreOutage,
 } from './fault-plan.js';
-import type { LinkProxy } from './link-proxy.js';
+import type { LinkProxy, LinkState } from './link-proxy.js';
 import type { FaultWindow, SoakReload, SoakStop } from './soak-record.js';
 import type { SoakFleet, SoakMachine } from './soak-fleet.js';
 import { SOAK_TERMS } from './soak-terms.js';
@@ -18,6 +18,13 @@
 /** A back end that drains serves for so long after the store knows it, in milliseconds. */
 const DRAIN_SERVES_MS = SOAK_TERMS.drainMs + 1_500;
 const BUSY_STATUS = 503;
+/** States of a link in which a connection is closed, or loses what is said on it. */
+const LOSING_STATES = new Set<LinkState>([
+  'refuse',
+  'open-silence',
+  'open-one-way',
+  'open-other-way',
+]);
 
 /** Faults of what is behind the nodes. */
 type FaultBehindNodes = Extract<
@@ -73,6 +80,8 @@
         return this.harmLinks(fault);
       case 'narrow':
         return this.narrowLinks(fault);
+      case 'stall':
+        return this.stallConnections(fault);
       default:
         return this.performBehindNodes(fault);
     }
@@ -155,7 +164,7 @@
       await delay(fault.forMs);
       links.forEach((link) => link.set('open'));
     };
-    await this.during(fault, struck, act, machines);
+    await this.during(fault, struck, act, machines, LOSING_STATES.has(state));
     this.releaseLinks(kind, machines);
   }
 
@@ -171,6 +180,17 @@
     this.releaseLinks('narrow', machines);
   }
 
+  /** Connections that are open when it ends get all that was said on them. */
+  private async stallConnections(fault: Extract<SoakFault, { kind: 'stall' }>): Promise<void> {
+    const { way, rank, delayMs } = fault;
+    const machines = this.machinesOf(fault.machines);
+    await this.during(fault, undefined, async () => {
+      const ends = machines.map(({ relayLink }) => relayLink.stall({ way, delayMs }, rank));
+      await delay(fault.forMs);
+      ends.forEach((end) => end?.());
+    });
+  }
+
   private holdLinks(kind: string, wanted: readonly number[]): SoakMachine[] {
     const free = wanted.filter((idx) => !this.heldLinks.has(`${kind} ${idx}`));
     free.forEach((idx) => this.heldLinks.add(`${kind} ${idx}`));
@@ -236,7 +256,8 @@
       machines.forEach(({ backend }) => backend.close());
       await delay(fault.forMs);
       machines.forEach((machine) => fleet.forgetBackend(machine));
-      await Promise.all(machines.map((machine) => fleet.restartBackend(machine)));
+      const moves = fault.kind === 'backend-drain' && fault.moves === true;
+      await Promise.all(machines.map((machine) => fleet.restartBackend(machine, moves)));
     });
     release(this.heldBackends, machines);
   }
@@ -246,11 +267,13 @@
     machines: readonly SoakMachine[] | undefined,
     act: () => Promise<void>,
     linksOf: readonly SoakMachine[] = [],
+    losesConnections = false,
   ): Promise<void> {
     const window = {
       kind,
       machines: machines?.map(({ idx }) => idx),
       ...(linksOf.length > 0 && { linksOf: linksOf.map(({ idx }) => idx) }),
+      ...(losesConnections && { losesConnections }),
       fromMs: this.params.nowMs(),
       untilMs: Infinity,
     };
--- a/tools/soak/fault-plan.ts
+++ b/tools/soak/fault-plan.ts
@@ -1,7 +1,7 @@
 /** Draws the faults of a soak from its seed. Pure: the same seed gives the same plan. */
 import type { RandomSource } from '../../src/control/control-event.js';
 import { between, pick } from './draws.js';
-import type { LinkState } from './link-proxy.js';
+import type { LinkState, StalledWay } from './link-proxy.js';
 
 /** How a back end misbehaves: by its answers, or not at all in time. */
 export type BackendFault = 'errors' | 'reset' | 'mute' | 'slow' | 'refuse' | 'cut-answer';
@@ -31,6 +31,15 @@
       readonly bytesPerS: number;
       readonly forMs: number;
     }
+  | {
+      /** One open connection to each machine's node is slow: its bytes are late, none is lost. */
+      readonly kind: 'stall';
+      readonly machines: readonly number[];
+      readonly way: StalledWay;
+      readonly rank: number;
+      readonly delayMs: number;
+      readonly forMs: number;
+    }
   | { readonly kind: 'store-outage'; readonly outage: StoreOutage; readonly forMs: number }
   | { readonly kind: 'store-compact'; readonly forMs: number }
   | {
@@ -41,7 +50,13 @@
       readonly forMs: number;
     }
   | { readonly kind: 'backend-crash'; readonly machines: readonly number[]; readonly forMs: number }
-  | { readonly kind: 'backend-drain'; readonly machines: readonly number[]; readonly forMs: number }
+  | {
+      readonly kind: 'backend-drain';
+      readonly machines: readonly number[];
+      /** Whether it comes back at another address; at the same one when absent. */
+      readonly moves?: boolean;
+      readonly forMs: number;
+    }
   | { readonly kind: 'configure'; readonly forMs: number };
 
 /** The kinds of faults. */
--- a/tools/soak/link-proxy.ts
+++ b/tools/soak/link-proxy.ts
@@ -23,8 +23,20 @@
   | 'open-one-way'
   | 'open-other-way';
 
+/** Ways of a connection: what the dialling side says, what the dialled side says, or both. */
+export type StalledWay = 'there' | 'back' | 'both';
+
+/** How one connection is slow: its bytes are late, or held back until the end. None is lost. */
+export interface Stall {
+  readonly way: StalledWay;
+  /** Added to the time of each piece, in milliseconds; Infinity where all is held back until the end. */
+  readonly delayMs: number;
+}
+
 /** Longest first line that is kept, in bytes. */
 const MAX_OPENING_BYTES = 60;
+/** A connection that carried bytes so lately is in use, in milliseconds. */
+const IN_USE_MS = 500;
 
 /** An address and a port. */
 export interface Place {
@@ -42,6 +54,10 @@
   readonly back: LinkDirection;
   readonly diallerPort: number;
   opening: string;
+  /** When it last carried bytes. */
+  usedAtMs: number;
+  /** Set while it alone is slow. */
+  stall: Stall | undefined;
   /** Set once it is silent for good. */
   silence: SilentConnection | undefined;
 }
@@ -106,6 +122,24 @@
     this.laneBack.bytesPerS = bytesPerS;
   }
 
+  /**
+   * Makes one open connection slow while all others, and new ones, work: one in use where there is any,
+   * the one at `rank` (from 0 on, below 1) among them. Ends by the returned function; undefined where none
+   * is open that is not slow already.
+   */
+  stall(stall: Stall, rank: number): (() => void) | undefined {
+    const pair = this.pairToStall(rank);
+    if (pair === undefined) {
+      return undefined;
+    }
+    pair.stall = stall;
+    this.apply(pair);
+    return () => {
+      pair.stall = undefined;
+      this.apply(pair);
+    };
+  }
+
   close(): void {
     this.server.close();
     this.pairs.forEach(reset);
@@ -120,8 +154,14 @@
     const far = net.connect({ host: this.target.address, port: this.target.port });
     const there = new LinkDirection(near, far, this.laneThere, (nowMs) => noteUse(pair, nowMs));
     const back = new LinkDirection(far, near, this.laneBack, (nowMs) => noteAnswer(pair, nowMs));
-    const diallerPort = near.remotePort ?? 0;
-    const pair: Pair = { near, far, there, back, diallerPort, opening: '', silence: undefined };
+    const pair: Pair = {
+      ...{ near, far, there, back },
+      diallerPort: near.remotePort ?? 0,
+      opening: '',
+      usedAtMs: performance.now(),
+      stall: undefined,
+      silence: undefined,
+    };
     this.pairs.add(pair);
     near.once('data', (bytes: Buffer) => {
       pair.opening = firstLineOf(bytes);
@@ -157,16 +197,32 @@
     }
   }
 
-  private apply({ there, back }: Pair): void {
+  private pairToStall(rank: number): Pair | undefined {
+    const free = [...this.pairs].filter(
+      ({ near, far, stall }) => stall === undefined && !near.destroyed && !far.destroyed,
+    );
+    const usedFromMs = performance.now() - IN_USE_MS;
+    const inUse = free.filter(({ usedAtMs }) => usedAtMs >= usedFromMs);
+    const among = inUse.length > 0 ? inUse : free;
+    return among[Math.floor(rank * among.length)];
+  }
+
+  private apply({ there, back, stall }: Pair): void {
     const delayMs = this.state === 'delay' ? this.delayMs : 0;
-    there.delayMs = delayMs;
-    back.delayMs = delayMs;
-    there.hold(this.state === 'silence');
-    back.hold(this.state === 'silence' || this.state === 'one-way');
+    const lateMs = stall === undefined || stall.delayMs === Infinity ? 0 : stall.delayMs;
+    const isHeld = stall?.delayMs === Infinity;
+    const isSlowThere = stall !== undefined && stall.way !== 'back';
+    const isSlowBack = stall !== undefined && stall.way !== 'there';
+    there.delayMs = delayMs + (isSlowThere ? lateMs : 0);
+    back.delayMs = delayMs + (isSlowBack ? lateMs : 0);
+    there.hold(this.state === 'silence' || (isSlowThere && isHeld));
+    back.hold(this.state === 'silence' || this.state === 'one-way' || (isSlowBack && isHeld));
   }
 }
 
-function noteUse({ silence }: Pair, nowMs: number): void {
+function noteUse(pair: Pair, nowMs: number): void {
+  pair.usedAtMs = nowMs;
+  const { silence } = pair;
   if (silence !== undefined) {
     silence.firstUseMs ??= nowMs;
     silence.lastUseMs = nowMs;
@@ -177,7 +233,9 @@
   return bytes.toString('latin1', 0, MAX_OPENING_BYTES).split('\r\n', 1)[0] ?? '';
 }
 
-function noteAnswer({ silence }: Pair, nowMs: number): void {
+function noteAnswer(pair: Pair, nowMs: number): void {
+  pair.usedAtMs = nowMs;
+  const { silence } = pair;
   if (silence !== undefined) {
     silence.dialledSaidMs ??= nowMs;
   }
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -29,8 +29,10 @@
     --plan      What happens: 'faults' are single ones, 'series' (default) also has rolling stops,
                 releases, silent connections, narrow links, uploads and kept connections;
                 'silences' has the same, and silences on every kind of link and of machines that stop;
-                'crashes' has the series, and requests that end each back end that runs them
-    --uploads   Uploads a second, for 'series' and 'silences' (default 20)
+                'crashes' has the series, and requests that end each back end that runs them;
+                'rolls' has planned stops of many nodes at a time and connections that are slow,
+                and loses nothing
+    --uploads   Uploads a second, for all plans but 'faults' (default 20)
     --keep      Folder for the logs and records of a run that broke a promise
 
   Runs nodes on loopback addresses, delays, resets, silences and cuts their links through proxies,
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -5,6 +5,7 @@
 import { isSilenced, judgeCallerSilences } from './caller-promises.js';
 import { judgeCrashes } from './crash-promises.js';
 import { isCrashing } from './crash-traffic.js';
+import { judgeDeliveries } from './delivery-promises.js';
 import type { SoakFaultKind } from './fault-plan.js';
 import type { SoakArrival, SoakCall, SoakRecord, SoakSilence } from './soak-record.js';
 import { judgeReloads, judgeStops } from './stop-promises.js';
@@ -31,6 +32,8 @@
   | 'drain'
   /** A planned stop ends in time, and what the node had read gets a whole answer. */
   | 'planned-stop'
+  /** No node tells its caller of an error of its own where an endpoint answered, or was at work. */
+  | 'answer-delivered'
   /** What a node had read gets a whole answer although it reads its settings again. */
   | 'reload'
   /** A request is answered at its route's time-out. */
@@ -81,6 +84,7 @@
     ...judgeRegressions(record),
     ...judgeStops(record, arrivalsById),
     ...judgeReloads(record, arrivalsById),
+    ...judgeDeliveries(record, arrivalsById),
     ...record.silences.flatMap(judgeSilence),
     ...judgeCallerSilences(record, arrivalsById),
     ...judgeCrashes(record, (machine, fromMs, untilMs) =>
@@ -204,13 +208,14 @@
   );
 }
 
-/** Kinds that are planned work, or strike back ends or single callers alone. */
+/** Kinds that are planned work, or strike back ends, single callers or single connections alone. */
 function isHarmless(kind: SoakFaultKind): boolean {
   return (
     kind === 'configure' ||
     kind === 'caller-link' ||
     kind === 'reload' ||
     kind === 'backend-drain' ||
+    kind === 'stall' ||
     kind === 'backend-fault' ||
     kind === 'backend-crash'
   );
--- a/tools/soak/soak-backend.ts
+++ b/tools/soak/soak-backend.ts
@@ -10,21 +10,18 @@
 } from '../../standins/store-platform/backend-stand-in.js';
 import type { BackendFault } from './fault-plan.js';
 import type { Place } from './link-proxy.js';
+import type { WorkRange } from './soak-configuration.js';
 import { markBody } from './body-mark.js';
 import { isCrashing } from './crash-traffic.js';
-import type { SoakArrival } from './soak-record.js';
+import type { ArrivalOutcome, SoakArrival } from './soak-record.js';
 
 /** Requests that run at once. */
 export const BACKEND_SLOTS = 8;
-const MIN_WORK_MS = 5;
-const MAX_WORK_MS = 60;
-/** An upload's work, in milliseconds. */
-const MIN_UPLOAD_WORK_MS = 100;
-const MAX_UPLOAD_WORK_MS = 400;
 /** A slow back end takes so many times as long. */
 const SLOW_FACTOR = 8;
 const MISDIRECTED_STATUS = 421;
 const ERROR_STATUS = 500;
+const LEAST_FAILURE_STATUS = 400;
 
 /** What a back end is started with. */
 export interface SoakBackendParams {
@@ -34,7 +31,8 @@
   readonly random: RandomSource;
   readonly nowMs: () => number;
   readonly onArrival: (arrival: SoakArrival) => void;
-  readonly isUpload: (target: string) => boolean;
+  /** Least and longest work of a request, in milliseconds. */
+  readonly workOf: (target: string) => WorkRange;
   /** A request is to end this back end. */
   readonly onCrash: (backend: SoakBackend, target: string) => void;
 }
@@ -119,10 +117,8 @@
   }
 
   private drawWorkMs(target: string): number {
-    const [least, most] = this.params.isUpload(target)
-      ? [MIN_UPLOAD_WORK_MS, MAX_UPLOAD_WORK_MS]
-      : [MIN_WORK_MS, MAX_WORK_MS];
-    return least + this.params.random() * (most - least);
+    const { leastMs, mostMs } = this.params.workOf(target);
+    return leastMs + this.params.random() * (mostMs - leastMs);
   }
 
   private finish(
@@ -173,6 +169,7 @@
       deadlineMs: Number(headers['deadline-ms']),
       hasRun,
       brokeOff: false,
+      outcome: 'open',
       endedAtMs: Infinity,
     };
     onArrival(noted);
@@ -180,6 +177,7 @@
     response.once('close', () => {
       noted.endedAtMs = nowMs();
       noted.brokeOff = !response.writableFinished && this.hasBrokenOff(socket);
+      noted.outcome = outcomeOf(response, noted.brokeOff);
     });
   }
 
@@ -193,3 +191,10 @@
     act();
   }
 }
+
+function outcomeOf(response: ServerResponse, brokeOff: boolean): ArrivalOutcome {
+  if (!response.writableFinished) {
+    return brokeOff ? 'broke-off' : 'cut';
+  }
+  return response.statusCode < LEAST_FAILURE_STATUS ? 'answered' : 'failed';
+}
--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -15,11 +15,13 @@
 import { LinkProxy, type Place } from './link-proxy.js';
 import { CALLER_PORT, RELAY_PORT, settingsText, zoneOf } from './node-settings.js';
 import { BACKEND_SLOTS, SoakBackend } from './soak-backend.js';
-import { configurationOf, SOAK_SERVICES, UPLOAD_PREFIX } from './soak-configuration.js';
+import { configurationOf, SOAK_SERVICES, workOf } from './soak-configuration.js';
 import type { CallerSilence, SoakArrival, SoakCrash, SoakSilence } from './soak-record.js';
 
 const PROGRAM = new URL('../../platform/main.js', import.meta.url).pathname;
 const BACKEND_PORT = 22_301;
+/** Where a back end without a link comes back that moves: there, and at the first port again. */
+const MOVED_BACKEND_PORT = 22_306;
 const LINKED_CALLER_PORT = 22_303;
 /** Of so many machines in a row, half have a link before their back end: one of each service. */
 const BACKEND_LINK_CYCLE = 4;
@@ -64,6 +66,7 @@
   /** Number of the node's process. */
   life: number;
   backends: number;
+  backendPort: number;
 }
 
 /** The deployment. */
@@ -179,20 +182,25 @@
     machine.node = this.startNode(machine.idx, machine.life, machine.settingsPath);
   }
 
-  /** Starts a back end anew, under an identity of its own, at the same address. */
-  restartBackend(machine: SoakMachine): Promise<void> {
+  /** Starts a back end anew, under an identity of its own, at the same address unless it moves. */
+  restartBackend(machine: SoakMachine, moves = false): Promise<void> {
     const { idx } = machine;
     const underWay = this.backendStarts.get(idx);
-    const start = underWay ?? this.startNextBackend(machine);
+    const start = underWay ?? this.startNextBackend(machine, moves);
     this.backendStarts.set(idx, start);
     return start;
   }
 
   /** Two faults may have ended the back end, and the other one started it again meanwhile: that one ends. */
-  private async startNextBackend(machine: SoakMachine): Promise<void> {
+  private async startNextBackend(machine: SoakMachine, moves: boolean): Promise<void> {
     machine.backend.close();
     machine.backends += 1;
-    machine.backend = await this.startBackend(machine.idx, machine.backends);
+    if (moves && !this.isBackendLinked(machine.idx)) {
+      machine.backendPort =
+        machine.backendPort === BACKEND_PORT ? MOVED_BACKEND_PORT : BACKEND_PORT;
+    }
+    const { idx, backends, backendPort } = machine;
+    machine.backend = await this.startBackend(idx, backends, backendPort);
     this.backendStarts.delete(machine.idx);
     this.announce(machine, 'ready');
   }
@@ -270,6 +278,7 @@
       node: this.startNode(idx, 1, settingsPath),
       life: 1,
       backends: 1,
+      backendPort: BACKEND_PORT,
     };
     this.announce(machine, 'ready');
     return machine;
@@ -301,22 +310,22 @@
     return this.params.hasBackendLinks && idx % BACKEND_LINK_CYCLE >= BACKEND_LINK_CYCLE / 2;
   }
 
-  private startBackend(idx: number, count: number): Promise<SoakBackend> {
+  private startBackend(idx: number, count: number, port = BACKEND_PORT): Promise<SoakBackend> {
     const { random, nowMs, onArrival } = this.params;
     const address = this.addressOf(idx, this.isBackendLinked(idx) ? 1 : 0);
-    const place = { address, port: BACKEND_PORT };
+    const place = { address, port };
     const id = `i-${idx}-${count}`;
-    const isUpload = (target: string): boolean => target.startsWith(UPLOAD_PREFIX);
     const onCrash = (backend: SoakBackend, target: string): void => {
       void this.crash(idx, backend, target);
     };
     const common = { id, machine: idx, place, random, nowMs, onArrival };
-    return SoakBackend.start({ ...common, isUpload, onCrash });
+    return SoakBackend.start({ ...common, workOf, onCrash });
   }
 
-  private announce({ idx, service, backend }: SoakMachine, state: string): void {
+  private announce(machine: SoakMachine, state: string): void {
+    const { idx, service, backend, backendPort } = machine;
     this.store.put(`servers/${backend.id}`, {
-      address: `${this.addressOf(idx, 0)}:${BACKEND_PORT}`,
+      address: `${this.addressOf(idx, 0)}:${backendPort}`,
       info: { service, version: 'v1', zone: zoneOf(idx), slots: BACKEND_SLOTS },
       status: { state, sequence: 1, coldRemainingS: 0 },
     });
--- a/tools/soak/soak-record.ts
+++ b/tools/soak/soak-record.ts
@@ -35,6 +35,15 @@
   readonly isGivenUp: boolean;
 }
 
+/**
+ * - `open`: it has not ended.
+ * - `answered`: the whole answer that the request asked for went out.
+ * - `failed`: another whole answer went out: a refusal, or a fault of the back end.
+ * - `broke-off`: the back end ended its connection before.
+ * - `cut`: the other side closed it before, so the mesh ended what may have been at work.
+ */
+export type ArrivalOutcome = 'open' | 'answered' | 'failed' | 'broke-off' | 'cut';
+
 /** A request that reached a back end. */
 export interface SoakArrival {
   readonly id: string;
@@ -53,6 +62,8 @@
   readonly hasRun: boolean;
   /** Whether the back end ended its connection without a whole answer. */
   brokeOff: boolean;
+  /** How its exchange with the back end ended. */
+  outcome: ArrivalOutcome;
   /** When its exchange with the back end ended; Infinity while it has not. */
   endedAtMs: number;
 }
@@ -64,6 +75,8 @@
   readonly machines: readonly number[] | undefined;
   /** Machines whose own links it harmed; none when absent. */
   readonly linksOf?: readonly number[];
+  /** Whether connections through these links were closed, or lost what was said on them. */
+  readonly losesConnections?: boolean;
   readonly fromMs: number;
   readonly untilMs: number;
 }
--- a/tools/soak/soak-run.ts
+++ b/tools/soak/soak-run.ts
@@ -7,6 +7,7 @@
 import { SoakFaultInjector } from './fault-injector.js';
 import { PauseWatch } from './pause-watch.js';
 import { judgeSoak, type BrokenPromise } from './promises.js';
+import { planRolls } from './roll-plan.js';
 import { planSeries } from './series-plan.js';
 import { planSilences } from './silence-plan.js';
 import { serviceOf, SoakFleet } from './soak-fleet.js';
@@ -27,6 +28,9 @@
 const UPLOAD_STREAM = 4;
 const SILENCE_STREAM = 5;
 const CRASH_STREAM = 6;
+const ROLL_STREAM = 7;
+/** Share of the short requests that work for long, beside rolls. */
+const LONG_SHARE = 0.1;
 /** What the link to a node passes each way: 7 Mbit/s, as machines of the users' deployments have. */
 const LINK_BYTES_PER_S = 875_000;
 
@@ -39,8 +43,11 @@
  * - `silences`: the same series, and beside them silences on every kind of link, callers' ones too, and on
  *   the links of machines that stop.
  * - `crashes`: the same series, and callers that send requests again and again which end back ends.
+ * - `rolls`: planned stops of many machines at a time, beside releases, storms of configurations, single
+ *   connections that are slow and processes that stand still for a moment, under uploads, long requests and
+ *   callers that keep their connections. Nothing is killed or lost.
  */
-export const SOAK_PLANS = ['faults', 'series', 'silences', 'crashes'] as const;
+export const SOAK_PLANS = ['faults', 'series', 'silences', 'crashes', 'rolls'] as const;
 
 /** What happens in a soak. */
 export type SoakPlan = (typeof SOAK_PLANS)[number];
@@ -78,7 +85,7 @@
     machines: params.machines,
     linkBytesPerS: hasSeries(params) ? LINK_BYTES_PER_S : Infinity,
     // What stands before a back end that is gone takes connections in its place, which hides its end.
-    hasBackendLinks: hasSeries(params) && params.plan !== 'crashes',
+    hasBackendLinks: params.plan === 'series' || params.plan === 'silences',
     hasCallerLinks: params.plan === 'silences',
     random: seededRandom(params.seed, BACKEND_STREAM),
     nowMs,
@@ -102,7 +109,10 @@
   const { seed, say, machines, perSecond } = params;
   const random = seededRandom(seed, TRAFFIC_STREAM);
   const injector = new SoakFaultInjector({ fleet, nowMs, say });
-  const traffic = new SoakTraffic({ fleet, random, nowMs, perSecond });
+  const traffic = new SoakTraffic({
+    ...{ fleet, random, nowMs, perSecond },
+    longShare: params.plan === 'rolls' ? LONG_SHARE : 0,
+  });
   const uploads = new UploadTraffic({
     ...{ fleet, nowMs, perSecond: params.uploadsPerSecond },
     random: seededRandom(seed, UPLOAD_STREAM),
@@ -164,6 +174,9 @@
 
 function planFaults({ seed, faultsMs, machines, plan }: SoakParams): PlannedFault[] {
   const common = { machines, durationMs: faultsMs };
+  if (plan === 'rolls') {
+    return planRolls({ ...common, random: seededRandom(seed, ROLL_STREAM) });
+  }
   const single = planSoak({ ...common, random: seededRandom(seed, PLAN_STREAM) });
   if (plan === 'faults') {
     return single;
--- a/tools/soak/soak-traffic.ts
+++ b/tools/soak/soak-traffic.ts
@@ -2,12 +2,16 @@
 import http from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { RandomSource } from '../../src/control/control-event.js';
+import { pick } from './draws.js';
 import type { SoakCall } from './soak-record.js';
 import { sendCall, type SoakRequest } from './soak-client.js';
 import {
   addedPrefix,
+  JOB_PREFIX,
+  LONG_TIMEOUT_MS,
   ROUTE_TIMEOUT_MS,
   SAFE_PREFIX,
+  SCAN_PREFIX,
   SOAK_HOST,
   UNSAFE_PREFIX,
 } from './soak-configuration.js';
@@ -21,6 +25,8 @@
 const LEAVES_SHARE = 0.05;
 const MAX_LEAVES_AFTER_MS = 200;
 const DEADLINES_MS = [400, 1_000, 2_000, 3_000] as const;
+/** Time that callers give to requests that work for long. */
+const LONG_DEADLINES_MS = [3_000, 6_000] as const;
 
 /** What the traffic is made with. */
 export interface TrafficParams {
@@ -29,8 +35,12 @@
   readonly nowMs: () => number;
   /** Requests a second, of all machines together. */
   readonly perSecond: number;
+  /** Share of the requests that work for long. */
+  readonly longShare: number;
 }
 
+type DrawnRoute = Pick<SoakRequest, 'isSafe' | 'target' | 'body' | 'addedBy'>;
+
 /** The traffic, from its start until it is stopped. */
 export class SoakTraffic {
   readonly calls: SoakCall[] = [];
@@ -78,23 +88,37 @@
     const { random, nowMs } = this.params;
     this.count += 1;
     const id = `q${this.count}`;
-    const deadlineIdx = Math.floor(random() * DEADLINES_MS.length);
     return {
-      ...this.drawRoute(id),
+      ...this.drawRequest(id),
       id,
       machine: machine.idx,
       life: machine.life,
       place: machine.caller,
       host: SOAK_HOST,
-      deadlineMs: DEADLINES_MS[deadlineIdx] ?? DEADLINES_MS[0],
-      timeoutMs: ROUTE_TIMEOUT_MS,
       agent: random() < NEW_CONNECTION_SHARE ? undefined : this.agentOf(machine.idx),
       leavesAfterMs: random() < LEAVES_SHARE ? random() * MAX_LEAVES_AFTER_MS : Infinity,
       nowMs,
     };
   }
 
-  private drawRoute(id: string): Pick<SoakRequest, 'isSafe' | 'target' | 'body' | 'addedBy'> {
+  private drawRequest(id: string): DrawnRoute & Pick<SoakRequest, 'deadlineMs' | 'timeoutMs'> {
+    const { random, longShare } = this.params;
+    if (longShare > 0 && random() < longShare) {
+      const isSafe = random() >= UNSAFE_SHARE;
+      return {
+        isSafe,
+        target: `${isSafe ? SCAN_PREFIX : JOB_PREFIX}${id}`,
+        body: isSafe ? '' : `order of ${id}`,
+        addedBy: undefined,
+        deadlineMs: pick(LONG_DEADLINES_MS, random),
+        timeoutMs: LONG_TIMEOUT_MS,
+      };
+    }
+    const deadlineMs = pick(DEADLINES_MS, random);
+    return { ...this.drawRoute(id), deadlineMs, timeoutMs: ROUTE_TIMEOUT_MS };
+  }
+
+  private drawRoute(id: string): DrawnRoute {
     const { fleet, random } = this.params;
     if (random() < PROBE_SHARE) {
       const back = Math.floor(random() * (SOAK_TERMS.routeLifeInConfigurations + 1));
