--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -4,7 +4,7 @@
 import type { Endpoint } from '../../model/resource.js';
 import type { Attempt, AttemptObserver, Call } from '../call.js';
 import type { Scheduler } from '../scheduler.js';
-import { LinkPulse, type PulseLimits } from './link-pulse.js';
+import { LinkPulse, LOSS_MS, type PulseLimits } from './link-pulse.js';
 import { RelayConnection } from './relay-connection.js';
 import type { StreamFrame } from './relay-frame.js';
 import { RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
@@ -15,10 +15,11 @@
 
 /**
  * A sender asks after a short quiet: a call that waits on a silent connection has some hundred
- * milliseconds. Without proof that the peer lives, what may have run waits until its deadline: the
- * machine may only stand still.
+ * milliseconds.
  */
-const SENDER_PULSE: PulseLimits = { quietMs: 100, unprovenLossMs: Infinity };
+const SENDER_PULSE: PulseLimits = { quietMs: 100, unprovenLossMs: LOSS_MS };
+/** Time in which a connection that is of no use any more sends what it has, in milliseconds. */
+const CLOSE_TIMEOUT_MS = 1_000;
 
 /** Where a peer takes relayed requests. */
 export interface RelayAddress {
@@ -35,6 +36,8 @@
   readonly onConnect?: (address: RelayAddress, connectMs: number, isOpen: boolean) => void;
   /** Told that a connection is silent though a new one works, with what is awaited on it. */
   readonly onSilence?: (address: RelayAddress, silence: LinkSilence) => void;
+  /** Whether the configuration in force names the endpoint; it always does when absent. */
+  readonly isListed?: (endpoint: Endpoint) => boolean;
   /** A token that is valid now; undefined where the fleet has no key. */
   readonly token: () => string | undefined;
 }
@@ -73,6 +76,10 @@
   private lastStreamId = 0;
   private isOver = false;
   private isSuspect = false;
+  /** Whether it says nothing while a new connection works. */
+  private isSilent = false;
+  /** Since when nothing at all has been heard of the peer for long; undefined where that is not so. */
+  private peerLostAtMs: number | undefined;
   /** When the last request was sent. */
   private sentAtMs = -Infinity;
 
@@ -131,6 +138,7 @@
     if (this.isSuspect && this.streams.size > 0) {
       this.observer.suspect();
     }
+    this.endWithPeer();
   }
 
   /** Another connection to the peer was opened. */
@@ -187,16 +195,41 @@
     return this.connection?.hasHeardSince(this.sentAtMs) === false;
   }
 
-  /** What may be sent again is given up first, the rest when nothing can be awaited any more. */
+  /**
+   * A connection that says nothing may only be slow: its attempts are in doubt, and go on. None is answered
+   * any more once it has said nothing for long while a new one works; without a new one the peer's machine
+   * may only stand still.
+   */
   private takeSilence(step: 'suspect' | 'silent' | 'lost', quietMs: number): void {
+    const attempts = [...this.streams.values()];
     if (step === 'suspect') {
       this.isSuspect = true;
+      this.isSilent = false;
       this.observer.suspect();
     } else if (step === 'silent') {
-      this.options.onSilence?.(this.address, { awaitedCount: this.streams.size, quietMs });
-      [...this.streams.values()].forEach((attempt) => attempt.connectionIsSilent());
-    } else {
+      this.isSilent = true;
+      this.options.onSilence?.(this.address, { awaitedCount: attempts.length, quietMs });
+      attempts.forEach((attempt) => attempt.connectionIsSilent(quietMs));
+    } else if (this.isSilent) {
       this.connection?.destroy();
+    } else {
+      this.peerLostAtMs = this.options.scheduler.now();
+    }
+  }
+
+  /** Ends attempts at endpoints that went with the peer; one that stands still keeps its entries for longer. */
+  private endWithPeer(): void {
+    if (this.peerLostAtMs === undefined) {
+      return;
+    }
+    if (this.connection?.hasHeardSince(this.peerLostAtMs) === true) {
+      this.peerLostAtMs = undefined;
+      return;
+    }
+    for (const attempt of [...this.streams.values()]) {
+      if (this.options.isListed?.(attempt.endpoint) === false) {
+        attempt.peerIsGone();
+      }
     }
   }
 
@@ -205,6 +238,7 @@
     this.streams.delete(streamId);
     if (this.isSuspect && this.streams.size === 0) {
       this.connection?.end();
+      this.options.scheduler.schedule(CLOSE_TIMEOUT_MS, () => this.connection?.destroy());
     }
   }
 
--- a/src/store/store-follower.ts
+++ b/src/store/store-follower.ts
@@ -4,10 +4,14 @@
  */
 import csp, { type Channel } from 'js-csp';
 import type { RandomSource } from '../control/control-event.js';
+import type { RefusedItem } from './item-fault.js';
 import type { KeyValueStore } from './key-value-store.js';
 import type { StoreReplica } from './store-replica.js';
 import { StoreWatch, type StoreAnswer, type StoreCall, type StoreLearning } from './store-watch.js';
 
+/** Why an answer counts as a failure that is none by itself. */
+const NO_WAY_ON_REASON = 'a list without a way on';
+
 /** What a follower needs of its node. */
 export interface StoreFollowerOptions {
   readonly store: KeyValueStore;
@@ -17,6 +21,8 @@
   readonly watchWaitMs: number;
   /** Called after each answer that taught something; `hasChanged` when an item changed. */
   readonly onLearned: (hasChanged: boolean) => void;
+  /** Called with the items that an answer held and that can't be taken. */
+  readonly onRefused: (items: readonly RefusedItem[]) => void;
   /** Called after each call that failed. */
   readonly onFailed: () => void;
   /** Called when the store was lost or found again. */
@@ -85,9 +91,12 @@
   take(answer: StoreAnswer): StoreCall {
     const { call, learning } = this.watch.take(answer);
     this.reportConnection(answer);
-    if (answer.outcome === 'unavailable') {
+    if (!this.watch.isConnected) {
       this.options.onFailed();
     }
+    if ('refused' in answer && answer.refused !== undefined) {
+      this.options.onRefused(answer.refused);
+    }
     if (learning !== undefined) {
       this.options.onLearned(this.learn(learning));
     }
@@ -102,14 +111,18 @@
   }
 
   private reportConnection(answer: StoreAnswer): void {
-    const isConnected = answer.outcome !== 'unavailable';
+    const { isConnected } = this.watch;
     if (isConnected !== this.isConnected) {
       this.isConnected = isConnected;
-      this.options.onConnection(isConnected, answer.outcome === 'unavailable' ? answer.reason : '');
+      this.options.onConnection(isConnected, isConnected ? '' : reasonOf(answer));
     }
   }
 }
 
+function reasonOf(answer: StoreAnswer): string {
+  return answer.outcome === 'unavailable' ? answer.reason : NO_WAY_ON_REASON;
+}
+
 function* follow(
   follower: StoreFollower,
   firstCall: StoreCall,
