--- a/test/containment/request-fingerprint.test.ts
+++ b/test/containment/request-fingerprint.test.ts
@@ -40,6 +40,13 @@
     expect(new Set(all)).to.have.property('size', all.length);
   });
 
+  it('is the same at nodes that callers name by their addresses', () => {
+    const hosts = ['10.1.0.8', '10.2.0.7:8080', '[fd00::1]:8080', '[fd00::2]'];
+    const all = hosts.map((host) => wholeOf({ headers: ['Host', host, 'Caller', 'shop'] }));
+    expect(new Set(all)).to.have.property('size', 1);
+    expect(all).not.to.include(wholeOf({}));
+  });
+
   it('keeps the parts apart', () => {
     expect(wholeOf({ method: 'GET', target: '/a' })).not.to.equal(
       wholeOf({ method: 'GE', target: 'T/a' }),
--- a/tools/crashes/main.ts
+++ b/tools/crashes/main.ts
@@ -17,7 +17,7 @@
   Options
     --seconds   Length of each scenario (default 14)
     --seed      Seed of the arrivals (default 1)
-    --scenario  One of them alone: none, get, post, two, storm
+    --scenario  One of them alone: none, get, post, two, get-by-address, two-by-address, storm
 
   Three nodes with two back ends of 8 slots each; 100 harmless requests a second with 1.2 s each. Crashing
   requests come each 150 ms and end their back end, which is back after 2 s; in a storm one back end ends each
@@ -50,6 +50,8 @@
   /** How many different crashing requests come by turns. */
   readonly crashing: number;
   readonly isStorm: boolean;
+  /** Whether callers name each node by its address; a name that is the same everywhere when absent. */
+  readonly isByAddress?: boolean;
 }
 
 const SCENARIOS: readonly Scenario[] = [
@@ -57,6 +59,8 @@
   { name: 'get', method: 'GET', crashing: 1, isStorm: false },
   { name: 'post', method: 'POST', crashing: 1, isStorm: false },
   { name: 'two', method: 'GET', crashing: 2, isStorm: false },
+  { name: 'get-by-address', method: 'GET', crashing: 1, isStorm: false, isByAddress: true },
+  { name: 'two-by-address', method: 'GET', crashing: 2, isStorm: false, isByAddress: true },
   { name: 'storm', method: 'GET', crashing: 0, isStorm: true },
 ];
 
@@ -72,6 +76,7 @@
   place: { host: string; port: number },
   path: string,
   method: string,
+  host: string,
 ): Promise<Outcome> {
   const sentAtMs = performance.now();
   return new Promise((resolve) => {
@@ -82,7 +87,7 @@
         tookMs: performance.now() - sentAtMs,
         isContained: text.includes('CONTAINED'),
       });
-    const headers = { host: 'lookups', 'x-deadline-ms': String(DEADLINE_MS) };
+    const headers = { host, 'x-deadline-ms': String(DEADLINE_MS) };
     const request = http.request({ ...place, path, method, headers, agent: false });
     request.on('error', () => end(0, undefined, ''));
     request.on('response', (response) => {
@@ -100,15 +105,20 @@
   });
 }
 
+function hostOf({ isByAddress }: Scenario, { host, port }: { host: string; port: number }): string {
+  return isByAddress === true ? `${host}:${port}` : 'lookups';
+}
+
 async function repeatCrashing(
   fleet: CrashFleet,
-  { method, crashing }: Scenario,
+  scenario: Scenario,
   endsAtMs: number,
 ): Promise<void> {
+  const { method, crashing } = scenario;
   for (let count = 0; crashing > 0 && performance.now() < endsAtMs; count += 1) {
     const place = fleet.callers[randomInt(fleet.callers.length)];
     if (place !== undefined) {
-      void send(place, crashingPath(count % crashing), method);
+      void send(place, crashingPath(count % crashing), method, hostOf(scenario, place));
     }
     await delay(CRASHING_GAP_MS);
   }
@@ -138,7 +148,8 @@
         const place = fleet.callers[Math.floor(random() * fleet.callers.length)];
         const isSame = scenario.isStorm && random() < SAME_SHARE;
         if (place !== undefined) {
-          outcomes.push(await send(place, isSame ? '/often' : `/one-${index}`, scenario.method));
+          const path = isSame ? '/often' : `/one-${index}`;
+          outcomes.push(await send(place, path, scenario.method, hostOf(scenario, place)));
         }
       },
     });
