Containment: an address in Host is no part of what tells two requests apart

Cause: callers that name each node by its IP number made another request of the same one at each node. Change: a host that is an address is left out of the fingerprint; a name stays, since it may choose the route. Ruled out: the route's name in its place (a route may have several hosts, which are several requests).

--- a/src/containment/request-fingerprint.ts
+++ b/src/containment/request-fingerprint.ts
@@ -4,6 +4,7 @@
  * shows only once one caller is served where another is not.
  */
 import { createHash } from 'node:crypto';
+import { isIP } from 'node:net';
 import { headerValue, type HeaderList } from '../proxy/headers.js';
 import { HeldBody, type RequestBody } from '../proxy/request-body.js';
 
@@ -16,6 +17,8 @@
 export const FINGERPRINT_BYTES = (2 * PART_DIGITS + CALLER_DIGITS) / DIGITS_PER_BYTE;
 /** The port of a host and port. */
 const PORT = /:[0-9]*$/;
+/** Around an IPv6 address. */
+const BRACKETS = /^\[|\]$/g;
 /** Stands between parts that hold no line ends. */
 const SEPARATOR = '\n';
 
@@ -68,10 +71,18 @@
   return fingerprint.slice(0, PART_DIGITS);
 }
 
-/** The host without a port: nodes may listen on different ones. */
 function textOf({ method, target, headers }: FingerprintedParts): string {
-  const host = headerValue(headers, 'host') ?? '';
-  return [method, target, host.toLowerCase().replace(PORT, '')].join(SEPARATOR);
+  return [method, target, hostOf(headers)].join(SEPARATOR);
+}
+
+/**
+ * The host without a port: nodes may listen on different ones. An address names the node that is asked, not what
+ * it is asked for: as a part of what tells requests apart, one that three nodes were asked for ended three
+ * endpoints for each (9 in all).
+ */
+function hostOf(headers: HeaderList): string {
+  const host = (headerValue(headers, 'host') ?? '').toLowerCase().replace(PORT, '');
+  return isIP(host.replace(BRACKETS, '')) === 0 ? host : '';
 }
 
 /**
