Start: load Node's cryptography at its first use again

Cause: names of a node's life and fingerprints of requests loaded it with the program; 17 modules of Node for what only a node needs whose endpoint has ended. Change: one module hands it out at its first use, for tokens, fingerprints and names of ends; a node's own name takes its address, the wall clock and a random number.

--- a/src/containment/containment.ts
+++ b/src/containment/containment.ts
@@ -5,8 +5,8 @@
  * Without it each copy of such a request was a new one: seven a second, at three nodes with six endpoints,
  * ended 32 of these in 14 s and left 0.26 of all other requests served; now 3, and 1.00 (`npm run crashes`).
  */
-import { createHash } from 'node:crypto';
 import type { CounterSink } from '../control/control-event.js';
+import { cryptography } from '../model/cryptography.js';
 import { RequestFingerprint, type FingerprintedParts } from './request-fingerprint.js';
 import {
   CRASH_NAME_DIGITS,
@@ -191,7 +191,7 @@
 }
 
 function crashNameOf(text: string): string {
-  return createHash('sha256').update(text).digest('hex').slice(0, CRASH_NAME_DIGITS);
+  return cryptography().createHash('sha256').update(text).digest('hex').slice(0, CRASH_NAME_DIGITS);
 }
 
 /** Knows nothing and learns nothing. */
--- a/src/containment/request-fingerprint.ts
+++ b/src/containment/request-fingerprint.ts
@@ -3,7 +3,7 @@
  * Names that callers give to each try are left out. The caller stands apart, at the end: whether it matters
  * shows only once one caller is served where another is not.
  */
-import { createHash } from 'node:crypto';
+import { cryptography } from '../model/cryptography.js';
 import { headerValue, type HeaderList } from '../proxy/headers.js';
 import { HeldBody, type RequestBody } from '../proxy/request-body.js';
 
@@ -83,7 +83,7 @@
 }
 
 function digestOf(parts: readonly (string | Buffer)[]): string {
-  const hash = createHash('sha256');
+  const hash = cryptography().createHash('sha256');
   parts.forEach((part) => hash.update(part));
   return hash.digest('hex').slice(0, PART_DIGITS);
 }
--- a/src/proxy/relay/relay-token.ts
+++ b/src/proxy/relay/relay-token.ts
@@ -1,9 +1,8 @@
 /**
  * Proof, on each relayed request, that the sender holds the fleet key: a keyed hash over the
  * sender's machine identity and an expiry. Wall clocks of nodes may differ by up to the lifetime.
- * Node's cryptography is loaded at its first use: a start without a fleet key would pay for it.
  */
-import type crypto from 'node:crypto';
+import { cryptography } from '../../model/cryptography.js';
 
 /** How long a token is valid, in milliseconds; far above the differences between clocks. */
 export const TOKEN_LIFETIME_MS = 300_000;
@@ -61,7 +60,3 @@
   const hash = cryptography().createHmac('sha256', fleetKey);
   return hash.update(PURPOSE).update('\0').update(claim).digest();
 }
-
-function cryptography(): typeof crypto {
-  return process.getBuiltinModule('node:crypto');
-}
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -3,7 +3,6 @@
  * The store lists every endpoint with its machine, so the node needs no machine list of its own, and
  * nothing of the control plane runs here; see `docs/PLATFORM.md`.
  */
-import { randomUUID } from 'node:crypto';
 import type http from 'node:http';
 import { MACHINE_CLOCK } from '../clock/machine-clock.js';
 import { Containment } from '../containment/containment.js';
@@ -211,7 +210,7 @@
   private createContainment(): Containment {
     const { settings, callerProtocol, logger } = this.options;
     return new Containment({
-      nodeName: `${settings.machine.address} ${randomUUID()}`,
+      nodeName: nameOfLife(settings.machine.address),
       callerHeader: callerProtocol.callerHeader,
       nowMs: () => MACHINE_CLOCK.now(),
       counters: this.metrics,
@@ -370,6 +369,11 @@
   return held?.endpointsByService.size === snapshot.endpointsByService.size;
 }
 
+/** A name that no other node has, nor this one after a start, without loading cryptography. */
+function nameOfLife(address: string): string {
+  return `${address} ${Date.now()} ${Math.random()}`;
+}
+
 function closeServer(server: http.Server): void {
   server.close();
   server.closeAllConnections();
