--- a/tools/bench/bench-fleet.ts
+++ b/tools/bench/bench-fleet.ts
@@ -3,7 +3,7 @@
  * other machines are entries alone, in zones of their own, so that no node waits for any of them.
  */
 import { spawn, type ChildProcess } from 'node:child_process';
-import { mkdtempSync, rmSync, writeFileSync } from 'node:fs';
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs';
 import http from 'node:http';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
@@ -19,13 +19,15 @@
 export const SENDER = 0;
 export const RECEIVER = 1;
 const PORTS = { relay: 21_900, ready: 21_902, caller: 21_904, backend: 21_901, internal: 21_920 };
-const FLAGS = ['--always-sparkplug', '--no-memory-reducer', '--max-old-space-size=160'];
 const HOST = 'bench.example';
 const ZONES = 6;
 const SLOTS = 8;
 const DEADLINE_MS = 2_000;
 const POLL_MS = 20;
 const OK_STATUS = 200;
+/** What the deployment starts: the engine's flags stand between the two. */
+const DEPLOY_FILE = 'deploy/system.toml';
+const RUN_LINE = /^run = "node (.*) target\/start\.cjs"$/m;
 
 /** What the store lists. */
 export interface FleetSize {
@@ -156,7 +158,7 @@
   private startNode(idx: number): Promise<void> {
     const path = join(this.folder, `node-${idx}.conf`);
     writeFileSync(path, this.settingsOf(idx));
-    const child = spawn(process.execPath, [...FLAGS, this.program], {
+    const child = spawn(process.execPath, [...deployedFlags(), this.program], {
       stdio: ['ignore', 'pipe', 'inherit'],
       env: { PATH: process.env.PATH, HOME: process.env.HOME, FERRYSPOOL_CONFIG: path },
     });
@@ -205,6 +207,11 @@
   }
 }
 
+function deployedFlags(): readonly string[] {
+  const [, flags = ''] = RUN_LINE.exec(readFileSync(DEPLOY_FILE, 'utf8')) ?? [];
+  return flags.split(' ').filter((flag) => flag !== '');
+}
+
 /** The receiver's back end is the only one of its service. */
 function serviceOf(idx: number): string {
   return idx === RECEIVER ? 'a' : 'b';
