Relay: ask whether a request arrived after it was sent, and seldom once that is known

Cause: a connection with one request at a time was asked for a sign of life at each look, 200 ms apart, and at the first one already if it had been idle before: two to three questions for a request of 0.5 s. Each costs both nodes a wake-up, a read and a write. Change: the first question comes once a frame was on its way for 100 ms with nothing heard; once a question is answered that went out behind all frames, the next one comes after 350 ms of quiet, since only the answer can still be lost. Connections that owe nothing are looked at and no more.

--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -17,6 +17,17 @@
 
 /** Bytes that the socket may hold before frames of bodies wait here. */
 const MAX_SOCKET_BACKLOG_BYTES = 64 * 1024;
+/**
+ * Time after which the peer is asked whether a frame has arrived, in milliseconds, where nothing was heard
+ * since: the silence before it was sent says nothing of it.
+ */
+const UNHEARD_MS = 100;
+/**
+ * Silence after which the peer is asked again, in milliseconds, once it has shown that all that was sent has
+ * arrived: only what is still to come can be lost. On a connection with one request at a time, each question
+ * costs both nodes a tenth of a request, and most endpoints take longer than the first one waits.
+ */
+const ARRIVED_QUIET_MS = 350;
 
 /** Gets what happens on a connection. */
 export interface RelayConnectionObserver {
@@ -43,6 +54,12 @@
   private isEnding = false;
   private isClosed = false;
   private cancelLook: CancelTimer | undefined;
+  /** When the first frame was sent since anything was heard; undefined where none was. */
+  private unheardSinceMs: number | undefined;
+  /** When the question was asked that went out behind all that was sent; undefined where none did. */
+  private allAskedAtMs: number | undefined;
+  /** Whether it was answered: all that was sent has arrived. */
+  private hasAllArrived = false;
 
   /** `head` is what was already read of the socket. */
   constructor(
@@ -70,6 +87,9 @@
     if (bytes === undefined) {
       return false;
     }
+    if (frame.kind !== 'ping' && frame.kind !== 'acknowledgement') {
+      this.noteSent();
+    }
     const queue = frame.kind === 'body' ? this.bodies : this.urgent;
     queue.push(bytes);
     if (!this.isFlushDue) {
@@ -86,9 +106,14 @@
     }
     const { pulse, scheduler, onSilence } = this.watch;
     const nowMs = scheduler.now();
-    const step = pulse.look(isOwed, nowMs);
+    const step = pulse.look(isOwed && this.isQuestionDue(pulse, nowMs), nowMs);
+    if (step === 'none' && this.cancelLook === undefined) {
+      return;
+    }
     if (step === 'ask') {
-      this.send({ kind: 'ping', askedAtMs: Math.floor(nowMs) });
+      const askedAtMs = Math.floor(nowMs);
+      this.allAskedAtMs = this.bodies.length === 0 ? askedAtMs : undefined;
+      this.send({ kind: 'ping', askedAtMs });
       this.flush();
     }
     this.lookAgainInTime(this.watch);
@@ -125,6 +150,19 @@
     this.socket.destroy();
   }
 
+  private isQuestionDue(pulse: LinkPulse, nowMs: number): boolean {
+    if (this.hasAllArrived) {
+      return pulse.quietForMs(nowMs) >= ARRIVED_QUIET_MS;
+    }
+    return this.unheardSinceMs === undefined || nowMs - this.unheardSinceMs >= UNHEARD_MS;
+  }
+
+  private noteSent(): void {
+    this.allAskedAtMs = undefined;
+    this.hasAllArrived = false;
+    this.unheardSinceMs ??= this.watch?.scheduler.now();
+  }
+
   /** What arrived meanwhile is read before the look. */
   private lookAgainInTime({ pulse, scheduler }: ConnectionWatch): void {
     this.cancelLook?.();
@@ -167,6 +205,7 @@
   private read(chunk: Buffer): void {
     const frames: StreamFrame[] = [];
     this.watch?.pulse.heard(this.watch.scheduler.now());
+    this.unheardSinceMs = undefined;
     try {
       this.reader.push(chunk);
       for (let body = this.reader.next(); body !== undefined; body = this.reader.next()) {
@@ -190,6 +229,7 @@
 
   private takeAcknowledgement(askedAtMs: number): void {
     if (this.watch !== undefined) {
+      this.hasAllArrived ||= askedAtMs === this.allAskedAtMs;
       this.watch.pulse.answered(askedAtMs, this.watch.scheduler.now());
       this.lookAgainInTime(this.watch);
     }
--- a/test/proxy/relay/relay-connection.test.ts
+++ b/test/proxy/relay/relay-connection.test.ts
@@ -7,6 +7,7 @@
   RelayBodyReader,
   RelayBodyWriter,
 } from '../../../src/proxy/relay/relay-body.js';
+import { LinkPulse } from '../../../src/proxy/relay/link-pulse.js';
 import { RelayConnection } from '../../../src/proxy/relay/relay-connection.js';
 import {
   decodeRelayFrame,
@@ -65,6 +66,52 @@
     expect(received).to.deep.equal([{ kind: 'cancel', streamId: 7 }]);
   });
 
+  /**
+   * On a connection with one request at a time, a question each look cost both nodes more than a third of
+   * the request: endpoints take half a second, and the peer had shown at the first question that it has it.
+   */
+  it('asks soon whether a request arrived, and seldom once that is known', async () => {
+    let nowMs = 1_000;
+    const socket = new PassThrough();
+    const asked: number[] = [];
+    const limits = { quietMs: 100, unprovenLossMs: Infinity };
+    const connection = new RelayConnection(socket, Buffer.alloc(0), NOBODY, {
+      pulse: new LinkPulse(limits, 1, nowMs),
+      scheduler: { now: () => nowMs, schedule: () => () => undefined },
+      onSilence: (step) => expect.fail(step),
+    });
+    socket.write = (bytes: Buffer) => {
+      for (const frame of framesIn([bytes])) {
+        if (frame.kind === 'ping') {
+          asked.push(nowMs);
+          socket.push(encodeRelayFrame({ kind: 'acknowledgement', askedAtMs: frame.askedAtMs }));
+        }
+      }
+      return true;
+    };
+    const look = async (timesMs: readonly number[]): Promise<number[]> => {
+      asked.length = 0;
+      for (const atMs of timesMs) {
+        nowMs = atMs;
+        connection.look(true);
+        await endOfTurn();
+        await endOfTurn();
+      }
+      return [...asked];
+    };
+    connection.send({ kind: 'cancel', streamId: 1 });
+    await endOfTurn();
+    const timesMs = Array.from({ length: 8 }, (_, idx) => 1_200 + 200 * idx);
+    expect(await look(timesMs)).to.deep.equal([1_200, 1_600, 2_000, 2_400]);
+    connection.send({ kind: 'cancel', streamId: 2 });
+    await endOfTurn();
+    expect(await look([2_800, 3_000, 3_200])).to.deep.equal([2_800, 3_200]);
+    nowMs = 3_350;
+    connection.send({ kind: 'cancel', streamId: 3 });
+    await endOfTurn();
+    expect(await look([3_400, 3_600])).to.deep.equal([3_600]);
+  });
+
   it('holds bodies back while the socket is full, and still sends a cancellation at once', async () => {
     const written: Buffer[] = [];
     const stalled = new Writable({
