One timer for all regular looks of a node

Cause: a node woke 6.7 times a second for peers and sources, 5 times for pauses and relay connections and twice for its gates, each at times of its own; wake-ups are most of what an idle node costs. Change: regular actions of one interval run in one turn of the event loop (src/clock/shared-interval.ts): peers and sources, pauses and relay connections each 150 ms, gates at each third look (450 ms in place of 500).

--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -1,6 +1,4 @@
 /** The way to endpoints that this node reaches itself: a gate for each, kept up with configuration. */
-import csp from 'js-csp';
-import type { Channel, Instruction } from 'js-csp';
 import type { BodyArrival } from '../admission/endpoint-admission.js';
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
@@ -10,10 +8,10 @@
 import type { RequestError } from './request-error.js';
 
 /**
- * How often gates are compared with the configuration, in milliseconds. A request that arrives compares
+ * Looks from one comparison of the gates with the configuration to the next. A request that arrives compares
  * its own gate at once, so this is only for those that wait.
  */
-const UPKEEP_INTERVAL_MS = 500;
+const LOOKS_TO_UPKEEP = 3;
 
 /** What the gateway needs of its node. */
 export interface EndpointGatewayOptions extends GateOptions {
@@ -27,6 +25,7 @@
   private readonly gates = new Map<string, EndpointGate>();
   /** The configuration that each gate was last compared with. */
   private readonly configuredFrom = new WeakMap<EndpointGate, Snapshot>();
+  private looks = 0;
 
   constructor(private readonly options: EndpointGatewayOptions) {}
 
@@ -60,6 +59,14 @@
     return this.gates.get(endpointKey(endpoint))?.waitingCount ?? 0;
   }
 
+  /** To be called several times a second. */
+  look(): void {
+    this.looks += 1;
+    if (this.looks % LOOKS_TO_UPKEEP === 0) {
+      this.upkeep();
+    }
+  }
+
   /** Compares every gate with the configuration, and asks draining endpoints whether they still are. */
   upkeep(): void {
     const snapshot = this.options.snapshot();
@@ -100,22 +107,6 @@
   }
 }
 
-/** Starts the process that keeps `gateway` up; closing the channel ends it. */
-export function startUpkeep(gateway: EndpointGateway): Channel<boolean> {
-  const closed: Channel<boolean> = csp.chan();
-  csp.go(keepUp, [gateway, closed]);
-  return closed;
-}
-
-function* keepUp(gateway: EndpointGateway, closed: Channel<boolean>): Generator<Instruction, void> {
-  while (!closed.isClosed()) {
-    yield csp.alts([closed, csp.timeout(UPKEEP_INTERVAL_MS)]);
-    if (!closed.isClosed()) {
-      gateway.upkeep();
-    }
-  }
-}
-
 function currentEndpoint(snapshot: Snapshot, endpoint: Endpoint): Endpoint | undefined {
   const key = endpointKey(endpoint);
   const peers = snapshot.endpointsByService.get(endpoint.spec.service) ?? [];
--- a/src/proxy/pause-detector.ts
+++ b/src/proxy/pause-detector.ts
@@ -2,9 +2,8 @@
  * Tells whether the process has just woken from a pause. What it then reads from its sockets may be
  * old: its senders may have given up long ago, which shows only when their closing is read too.
  */
+import { LOOK_INTERVAL_MS } from '../clock/shared-interval.js';
 
-/** How often the detector looks at the clock, in milliseconds. */
-export const PAUSE_CHECK_INTERVAL_MS = 200;
 /** A gap between two looks that counts as a pause, in milliseconds. */
 const PAUSE_MS = 400;
 /** For this long after a pause, what arrives may be old, in milliseconds. */
@@ -23,12 +22,12 @@
 
   /** The regular look. */
   tick(nowMs: number): void {
-    this.onDelayMs?.(Math.max(0, nowMs - this.lastTickMs - PAUSE_CHECK_INTERVAL_MS));
+    this.onDelayMs?.(Math.max(0, nowMs - this.lastTickMs - LOOK_INTERVAL_MS));
     this.lastTickMs = nowMs;
     this.look(nowMs);
   }
 
-  /** Looks at the clock; to be called at least every {@link PAUSE_CHECK_INTERVAL_MS}. */
+  /** Looks at the clock; to be called at least every {@link LOOK_INTERVAL_MS}. */
   look(nowMs: number): void {
     if (nowMs - this.lastLookMs > PAUSE_MS) {
       this.wokenAtMs = nowMs;
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -1,6 +1,6 @@
 /** The request path of a node: callers' port, relay port and everything between. */
 import type http from 'node:http';
-import type { Channel } from 'js-csp';
+import { LOOKS, type EndAction } from '../clock/shared-interval.js';
 import { NO_CONTAINMENT } from '../containment/containment.js';
 import type { CallerLimits } from '../model/snapshot.js';
 import type { AwaitedMachine } from './awaited-attempts.js';
@@ -10,8 +10,8 @@
 import { EndpointClient } from './endpoint-client.js';
 import { NATIVE_ENDPOINT_PROTOCOL, type EndpointProtocol } from './endpoint-protocol.js';
 import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
-import { EndpointGateway, startUpkeep } from './endpoint-gateway.js';
-import { PAUSE_CHECK_INTERVAL_MS, PauseDetector } from './pause-detector.js';
+import { EndpointGateway } from './endpoint-gateway.js';
+import { PauseDetector } from './pause-detector.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
 import { RelayClient } from './relay/relay-client.js';
 import type { LinkSilence } from './relay/relay-link.js';
@@ -46,11 +46,10 @@
   private readonly endpointProtocol: EndpointProtocol;
   private readonly services: RequestServices;
   private readonly gateway: EndpointGateway;
-  private readonly upkeep: Channel<boolean>;
   private readonly endpointClient: EndpointClient;
   private readonly relayClient: RelayClient;
   private readonly pauses: PauseDetector;
-  private readonly pauseTimer: NodeJS.Timeout;
+  private readonly endLooks: EndAction;
   private readonly meter = new CallMeter(() => MACHINE_TIME.now());
   private readonly plannedStop: PlannedStop;
   private readonly intake: RequestIntake;
@@ -84,7 +83,6 @@
       snapshot: () => options.snapshots.current(),
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
     });
-    this.upkeep = startUpkeep(this.gateway);
     this.services = new RequestServices({
       ...options,
       containment,
@@ -103,7 +101,7 @@
       stop: this.plannedStop,
     });
     this.pauses = new PauseDetector(MACHINE_TIME.now(), (ms) => this.takeLoopDelay(ms));
-    this.pauseTimer = setInterval(() => this.tick(), PAUSE_CHECK_INTERVAL_MS);
+    this.endLooks = LOOKS.add(() => this.look());
     this.callerServer = this.makeCallerServer();
     this.relay = this.makeRelayServer();
   }
@@ -186,8 +184,7 @@
       server.closeAllConnections();
     }
     this.relay.destroy();
-    clearInterval(this.pauseTimer);
-    this.upkeep.close();
+    this.endLooks();
     this.endpointClient.close();
     this.relayClient.close();
     this.options.logStateChange('request-path', 'stopped');
@@ -199,10 +196,11 @@
     return givenUp;
   }
 
-  private tick(): void {
+  private look(): void {
     this.pauses.tick(MACHINE_TIME.now());
     this.relayClient.look();
     this.relay.look();
+    this.gateway.look();
   }
 
   private takeRelaySilence(where: string, { awaitedCount, quietMs }: LinkSilence): void {
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -5,6 +5,7 @@
  */
 import type http from 'node:http';
 import { MACHINE_CLOCK } from '../clock/machine-clock.js';
+import { LOOKS } from '../clock/shared-interval.js';
 import { Containment } from '../containment/containment.js';
 import { PeerExchange } from '../peers/peer-exchange.js';
 import type { AwaitedPeer } from '../peers/peer-monitor.js';
@@ -30,11 +31,6 @@
 import type { SocketAddress, StoreNodeSettings } from './store-node-settings.js';
 
 const MS_PER_SECOND = 1_000;
-/**
- * Time between two looks at peers and sources, in milliseconds. A silent peer is known in a second at
- * this pace; each look wakes the process, which costs an idle fleet more than anything else.
- */
-const TICK_INTERVAL_MS = 150;
 /** Time of a planned stop in which the answers to what it gives up go out, in milliseconds. */
 const STOP_ANSWER_MS = 250;
 /** Time that is kept for the end of the process, in milliseconds: it may be late on a busy machine. */
@@ -136,9 +132,9 @@
     await listen(this.internalServer, { address: machine.address, port: this.internalPort });
     await this.peers.open();
     this.services.own(
-      'ticks',
-      setInterval(() => this.tick(), TICK_INTERVAL_MS),
-      clearInterval,
+      'looks',
+      LOOKS.add(() => this.look()),
+      (end) => end(),
     );
   }
 
@@ -155,7 +151,7 @@
     void this.services.close();
   }
 
-  private tick(): void {
+  private look(): void {
     this.source.tick();
     this.peers.tick();
     this.containment.tick();
