Endpoints: machines are put in order anew only when one came, went or moved

Change: the machines are compared with those known; the builder looks for keys that are gone only where there are fewer items than it has read.

--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -96,6 +96,8 @@
   private readonly peers: PeerExchange;
   private snapshot: Snapshot | undefined;
   private machineCount = 1;
+  /** The zone of each machine, as peers and sources know them. */
+  private zones: ReadonlyMap<string, string> = new Map();
   private isStopping = false;
   private stopped: Promise<void> | undefined;
   /** What goes on while a planned stop drains the request path. */
@@ -333,7 +335,12 @@
     }
   }
 
+  /** Most changes of endpoints are of their state: the machines stay, and with them all orders of them. */
   private adoptMachines(zones: ReadonlyMap<string, string>): void {
+    if (hasSameEntries(zones, this.zones)) {
+      return;
+    }
+    this.zones = zones;
     this.machineCount = Math.max(1, zones.size);
     this.peers.setMachines(zones.keys());
     this.source.setMachines([...zones].map(([address, zone]) => ({ address, zone })));
@@ -370,6 +377,21 @@
   return `${address} ${Date.now()} ${Math.random()}`;
 }
 
+function hasSameEntries(
+  left: ReadonlyMap<string, string>,
+  right: ReadonlyMap<string, string>,
+): boolean {
+  if (left.size !== right.size) {
+    return false;
+  }
+  for (const [key, value] of left) {
+    if (right.get(key) !== value) {
+      return false;
+    }
+  }
+  return true;
+}
+
 function closeServer(server: http.Server): void {
   server.close();
   server.closeAllConnections();
--- a/src/store/snapshot-builder.ts
+++ b/src/store/snapshot-builder.ts
@@ -109,7 +109,11 @@
     return this.latest;
   }
 
+  /** All of `keys` have been read: where there are as many as read ones, none is to be forgotten. */
   private forgetExcept(keys: ReadonlySet<string>): void {
+    if (keys.size === this.readItems.size) {
+      return;
+    }
     for (const key of [...this.readItems.keys()]) {
       if (!keys.has(key)) {
         this.readItems.delete(key);
