--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -3,9 +3,9 @@
  * The store lists every endpoint with its machine, so the node needs no machine list of its own, and
  * nothing of the control plane runs here; see `docs/PLATFORM.md`.
  */
-import { randomUUID } from 'node:crypto';
 import type http from 'node:http';
 import { MACHINE_CLOCK } from '../clock/machine-clock.js';
+import { LOOKS } from '../clock/shared-interval.js';
 import { Containment } from '../containment/containment.js';
 import { PeerExchange } from '../peers/peer-exchange.js';
 import type { AwaitedPeer } from '../peers/peer-monitor.js';
@@ -32,11 +32,6 @@
 import type { SocketAddress, StoreNodeSettings } from './store-node-settings.js';
 
 const MS_PER_SECOND = 1_000;
-/**
- * Time between two looks at peers and sources, in milliseconds. A silent peer is known in a second at
- * this pace; each look wakes the process, which costs an idle fleet more than anything else.
- */
-const TICK_INTERVAL_MS = 150;
 /** Time of a planned stop in which the answers to what it gives up go out, in milliseconds. */
 const STOP_ANSWER_MS = 250;
 /** Time that is kept for the end of the process, in milliseconds: it may be late on a busy machine. */
@@ -103,6 +98,8 @@
   private readonly peers: PeerExchange;
   private snapshot: Snapshot | undefined;
   private machineCount = 1;
+  /** The zone of each machine, as peers and sources know them. */
+  private zones: ReadonlyMap<string, string> = new Map();
   private isStopping = false;
   private stopped: Promise<void> | undefined;
   /** What goes on while a planned stop drains the request path. */
@@ -140,9 +137,9 @@
     await listen(this.internalServer, { address: machine.address, port: this.internalPort });
     await this.peers.open();
     this.services.own(
-      'ticks',
-      setInterval(() => this.tick(), TICK_INTERVAL_MS),
-      clearInterval,
+      'looks',
+      LOOKS.add(() => this.look()),
+      (end) => end(),
     );
   }
 
@@ -159,7 +156,7 @@
     void this.services.close();
   }
 
-  private tick(): void {
+  private look(): void {
     this.source.tick();
     this.peers.tick();
     this.containment.tick();
@@ -214,7 +211,7 @@
   private createContainment(): Containment {
     const { settings, callerProtocol, logger } = this.options;
     return new Containment({
-      nodeName: `${settings.machine.address} ${randomUUID()}`,
+      nodeName: nameOfLife(settings.machine.address),
       callerHeader: callerProtocol.callerHeader,
       nowMs: () => MACHINE_CLOCK.now(),
       counters: this.metrics,
@@ -349,7 +346,12 @@
     }
   }
 
+  /** Most changes of endpoints are of their state: the machines stay, and with them all orders of them. */
   private adoptMachines(zones: ReadonlyMap<string, string>): void {
+    if (hasSameEntries(zones, this.zones)) {
+      return;
+    }
+    this.zones = zones;
     this.machineCount = Math.max(1, zones.size);
     this.peers.setMachines(zones.keys());
     this.source.setMachines([...zones].map(([address, zone]) => ({ address, zone })));
@@ -382,6 +384,26 @@
   return held?.endpointsByService.size === snapshot.endpointsByService.size;
 }
 
+/** A name that no other node has, nor this one after a start, without loading cryptography. */
+function nameOfLife(address: string): string {
+  return `${address} ${Date.now()} ${Math.random()}`;
+}
+
+function hasSameEntries(
+  left: ReadonlyMap<string, string>,
+  right: ReadonlyMap<string, string>,
+): boolean {
+  if (left.size !== right.size) {
+    return false;
+  }
+  for (const [key, value] of left) {
+    if (right.get(key) !== value) {
+      return false;
+    }
+  }
+  return true;
+}
+
 function closeServer(server: http.Server): void {
   server.close();
   server.closeAllConnections();
