--- a/src/proxy/attempted-endpoint.ts
+++ b/src/proxy/attempted-endpoint.ts
@@ -72,7 +72,7 @@
   ended(outcome: AttemptOutcome): void {
     const { services, snapshot, match } = this.context;
     if (this.endpoint !== undefined) {
-      const peers = snapshot.endpointsByService.get(match.service) ?? [];
+      const peers = services.endpointsOf(snapshot, match.service);
       services.selector.ended(this.endpoint, outcome, peers, services.scheduler.now());
       this.endpoint = undefined;
     }
--- a/src/proxy/request-context.ts
+++ b/src/proxy/request-context.ts
@@ -25,7 +25,7 @@
 /** What one request is run with. */
 export interface RequestContext {
   readonly services: RequestServices;
-  /** The configuration that the request started with, and keeps. */
+  /** The configuration that the request started with; it keeps the routes, see {@link RequestServices.endpointsOf}. */
   readonly snapshot: Snapshot;
   readonly match: RouteMatch;
   readonly method: string;
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -117,7 +117,7 @@
    * A request keeps its routes, but an attempt is made at an endpoint that exists by then: one that has
    * started again may get what it has not run.
    */
-  private endpointsOf(snapshot: Snapshot, service: string): readonly Endpoint[] {
+  endpointsOf(snapshot: Snapshot, service: string): readonly Endpoint[] {
     const current = this.options.snapshots?.current();
     const { endpointsByService } = current?.services.has(service) === true ? current : snapshot;
     return endpointsByService.get(service) ?? [];
