--- a/test/proxy/reborn-endpoint.test.ts
+++ b/test/proxy/reborn-endpoint.test.ts
@@ -72,7 +72,7 @@
   }
 
   /** The endpoint's entry says that it was born at `bornAtMs`. */
-  rebear(bornAtMs: number, spec: Record<string, unknown> = {}): Endpoint {
+  rebear(bornAtMs: number | undefined, spec: Record<string, unknown> = {}): Endpoint {
     this.current = endpointBorn(bornAtMs, spec);
     this.configure([this.current]);
     return this.current;
@@ -94,7 +94,7 @@
   }
 
   /** Identities of what was sent to the incarnation. */
-  sentTo(bornAtMs: number): string[] {
+  sentTo(bornAtMs: number | undefined): string[] {
     return this.sent.filter((one) => one.bornAtMs === bornAtMs).map(({ requestId }) => requestId);
   }
 
@@ -149,8 +149,9 @@
   }
 }
 
-function endpointBorn(bornAtMs: number, spec: Record<string, unknown> = {}): Endpoint {
-  const whole = { machine: 'n1', slots: SLOTS, bornAtMs, ...spec };
+function endpointBorn(bornAtMs: number | undefined, spec: Record<string, unknown> = {}): Endpoint {
+  const birth = bornAtMs === undefined ? {} : { bornAtMs };
+  const whole = { machine: 'n1', slots: SLOTS, ...birth, ...spec };
   return resourceSchema.parse(echoEndpoint('e1', 1, whole)) as Endpoint;
 }
 
@@ -323,6 +324,17 @@
     expect(world.sentTo(2_000)).to.include('late');
   });
 
+  it('takes no entry that leaves the birth out for the end of the process', () => {
+    world.rebear(undefined);
+    world.gateway.upkeep();
+    expect(world.sentTo(undefined)).to.deep.equal(['wait-1', 'wait-2']);
+    world.lose('run-1');
+    world.lose('run-2');
+    world.advance(JUDGED_MS);
+    expect(world.told['run-1']).to.equal('CONNECTION_LOST may-have-run');
+    expect(world.ends).to.deep.equal([]);
+  });
+
   describe('where it listened again before anyone could ask', () => {
     it('learns from the rebirth that the process had ended under what ran', () => {
       ['run-1', 'run-2'].forEach((id) => world.lose(id));
