Judge of losses: only a later birth, told of both, is the end of the process before

An entry that leaves the birth out, as another writer's may, made another incarnation and so an end of the process that runs on: a request that was reset would have been blamed.

--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -8,6 +8,7 @@
 import { NO_CONTAINMENT, type CallContainment } from '../containment/containment.js';
 import { SuspectLane } from '../containment/suspect-lane.js';
 import type { CounterSink } from '../control/control-event.js';
+import { startedBefore } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 import { FailureShare } from '../routing/failure-share.js';
 import { admissionError, containedError } from './attempt-errors.js';
@@ -187,7 +188,9 @@
   handOver(next: EndpointGate): void {
     const waiting = [...this.calls.values()].filter((gated) => this.takeOut(gated));
     this.admission.handOverPlaces(next.admission);
-    this.losses.succeeded();
+    if (startedBefore(this.endpoint, next.endpoint)) {
+      this.losses.succeeded();
+    }
     for (const gated of waiting) {
       this.lane.leave(gated.call.requestId);
       gated.moveTo(next, next.endpoint);
