--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -74,7 +74,7 @@
   private version = 1;
   private requests = 0;
   private restarts = 0;
-  /** When the back ends were born that have started again under their identities, in Unix milliseconds. */
+  /** When the process of each back end's identity was born, in Unix milliseconds. */
   private readonly births = new Map<string, number>();
 
   private constructor(readonly store: StoreStandIn) {}
@@ -168,9 +168,10 @@
 
   /** Writes a back end's entry. */
   announce({ address, zone, backend }: FleetMachine, service: string, state: string): void {
-    const born = this.births.get(backend.id);
+    const born = this.births.get(backend.id) ?? Date.now();
+    this.births.set(backend.id, born);
     this.store.put(`servers/${backend.id}`, {
-      ...(born !== undefined && { born }),
+      born,
       address: `${address}:${BACKEND_PORT}`,
       info: { service, version: 'v1', zone, slots: SLOTS },
       status: { state, sequence: 1, coldRemainingS: 0 },
