Soak: what a back end wrote in the moment of its own end counts as broken off

Trace: i-2-1 ended itself (another request crashed it) 73 ms after q662 was sent; the response closed at 74 ms with its bytes handed to the system, its connections were cut in the same call, and its node logs ENDPOINT_ENDED; the next two endpoints had crashed 0.2 and 0.3 s before (UNREACHABLE). No node gave anything up. Ruled out: a sign of silence (no relay-silent, peer-silent or attempt-suspected of that request).

Change: the outcome is `broke-off` where the back end had ended, or cut this connection, when the exchange was over; `brokeOff`, by which the other promises go, is as before.

--- a/test/soak/soak-regressions.test.ts
+++ b/test/soak/soak-regressions.test.ts
@@ -29,6 +29,11 @@
     cause: 'the harness started a back end anew beside one that another fault had started again',
     plan: 'crashes',
   },
+  {
+    seed: 3_304,
+    cause: 'the judge took an answer for sent that a back end wrote in the moment of its end',
+    plan: 'crashes',
+  },
   { seed: 1_001, cause: SLOW_FOR_SILENT, plan: 'rolls' },
   { seed: 1_004, cause: SLOW_FOR_SILENT, plan: 'rolls' },
 ];
--- a/tools/soak/soak-backend.ts
+++ b/tools/soak/soak-backend.ts
@@ -176,8 +176,9 @@
     const { socket } = response;
     response.once('close', () => {
       noted.endedAtMs = nowMs();
-      noted.brokeOff = !response.writableFinished && this.hasBrokenOff(socket);
-      noted.outcome = outcomeOf(response, noted.brokeOff);
+      const hasBrokenOff = this.hasBrokenOff(socket);
+      noted.brokeOff = !response.writableFinished && hasBrokenOff;
+      noted.outcome = outcomeOf(response, hasBrokenOff);
     });
   }
 
@@ -192,9 +193,13 @@
   }
 }
 
-function outcomeOf(response: ServerResponse, brokeOff: boolean): ArrivalOutcome {
+/** What a back end wrote in the moment of its own end is not sure to have left it. */
+function outcomeOf(response: ServerResponse, hasBrokenOff: boolean): ArrivalOutcome {
+  if (hasBrokenOff) {
+    return 'broke-off';
+  }
   if (!response.writableFinished) {
-    return brokeOff ? 'broke-off' : 'cut';
+    return 'cut';
   }
   return response.statusCode < LEAST_FAILURE_STATUS ? 'answered' : 'failed';
 }
--- a/tools/soak/soak-record.ts
+++ b/tools/soak/soak-record.ts
@@ -39,7 +39,7 @@
  * - `open`: it has not ended.
  * - `answered`: the whole answer that the request asked for went out.
  * - `failed`: another whole answer went out: a refusal, or a fault of the back end.
- * - `broke-off`: the back end ended its connection before.
+ * - `broke-off`: the back end ended its connection before, or in the same moment.
  * - `cut`: the other side closed it before, so the mesh ended what may have been at work.
  */
 export type ArrivalOutcome = 'open' | 'answered' | 'failed' | 'broke-off' | 'cut';
