--- a/test/proxy/request-fuzz.test.ts
+++ b/test/proxy/request-fuzz.test.ts
@@ -140,7 +140,7 @@
         if (endpoint.process.isAlive) {
           world.killEndpoint(endpoint);
         } else {
-          endpoint.process.revive();
+          world.reviveEndpoint(endpoint);
         }
       }),
     ),
@@ -164,7 +164,7 @@
     arbitrary: fc.nat({ max: 1 }).map((which) =>
       command(`restart e${which + 1}`, (world) => {
         world.killEndpoint(at(world.endpoints, which));
-        at(world.endpoints, which).process.revive();
+        world.reviveEndpoint(at(world.endpoints, which));
       }),
     ),
   },
@@ -238,9 +238,10 @@
     }),
   });
 
-const propertyOf = (arbitrary: ReturnType<typeof scenarioOf>) =>
+/** `tellsBirths` says whether nodes hear that an endpoint has started again under its name. */
+const propertyOf = (arbitrary: ReturnType<typeof scenarioOf>, tellsBirths = false) =>
   fc.property(arbitrary, ({ seed, faults, commands }) => {
-    const world = new RequestWorld(faults, seededRandom(seed));
+    const world = new RequestWorld(faults, seededRandom(seed), tellsBirths);
     for (const step of commands) {
       step.run(world);
       world.advance(1);
@@ -257,7 +258,9 @@
     failOn(findUnsettled(world), 'the end');
   });
 
-const property = propertyOf(scenarioOf([...callCommands, ...crashCommands, ...faultCommands]));
+const scenarios = scenarioOf([...callCommands, ...crashCommands, ...faultCommands]);
+const property = propertyOf(scenarios);
+const birthsProperty = propertyOf(scenarios, true);
 const silenceProperty = propertyOf(scenarioOf([...callCommands, ...faultCommands, silenceCommand]));
 
 interface Mutant {
@@ -399,6 +402,10 @@
     fc.assert(silenceProperty, { seed: SEED, numRuns: RUNS });
   });
 
+  it('keeps every promise where nodes hear that endpoints have started again', () => {
+    fc.assert(birthsProperty, { seed: SEED, numRuns: RUNS });
+  });
+
   for (const mutant of mutants) {
     it(`catches: ${mutant.name}`, () => {
       const original = Reflect.get(mutant.target, mutant.method) as () => unknown;
--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -30,6 +30,8 @@
 const STORE_PORT = 22_305;
 /** How long a back end is down that a request has ended, in milliseconds. */
 const CRASHED_MS = 2_000;
+/** Starts of a back end under one identity, after which it has a new one. */
+const STARTS_PER_INSTANCE = 3;
 
 /** What a fleet is started with. */
 export interface SoakFleetParams {
@@ -182,7 +184,7 @@
     machine.node = this.startNode(machine.idx, machine.life, machine.settingsPath);
   }
 
-  /** Starts a back end anew, under an identity of its own, at the same address unless it moves. */
+  /** Starts a back end anew, mostly under the identity that it had, at the same address unless it moves. */
   restartBackend(machine: SoakMachine, moves = false): Promise<void> {
     const { idx } = machine;
     const underWay = this.backendStarts.get(idx);
@@ -228,7 +230,7 @@
 
   /** Removes the entry of a back end that has ended. */
   forgetBackend({ backend }: SoakMachine): void {
-    this.store.remove(`servers/${backend.id}`);
+    this.store.remove(`servers/${backend.instance}`);
   }
 
   /** Ends everything that was started. */
@@ -315,16 +317,17 @@
     const address = this.addressOf(idx, this.isBackendLinked(idx) ? 1 : 0);
     const place = { address, port };
     const id = `i-${idx}-${count}`;
+    const instance = `i-${idx}-${Math.ceil(count / STARTS_PER_INSTANCE)}`;
     const onCrash = (backend: SoakBackend, target: string): void => {
       void this.crash(idx, backend, target);
     };
-    const common = { id, machine: idx, place, random, nowMs, onArrival };
+    const common = { id, instance, machine: idx, place, random, nowMs, onArrival };
     return SoakBackend.start({ ...common, workOf, onCrash });
   }
 
-  private announce(machine: SoakMachine, state: string): void {
-    const { idx, service, backend, backendPort } = machine;
-    this.store.put(`servers/${backend.id}`, {
+  private announce({ idx, service, backend, backendPort }: SoakMachine, state: string): void {
+    this.store.put(`servers/${backend.instance}`, {
+      born: backend.bornAtMs,
       address: `${this.addressOf(idx, 0)}:${backendPort}`,
       info: { service, version: 'v1', zone: zoneOf(idx), slots: BACKEND_SLOTS },
       status: { state, sequence: 1, coldRemainingS: 0 },
