--- a/test/soak/soak-backend.test.ts
+++ b/test/soak/soak-backend.test.ts
@@ -20,6 +20,7 @@
     arrivals = [];
     backend = await SoakBackend.start({
       id: ID,
+      instance: ID,
       machine: 0,
       place: PLACE,
       random: () => 0,
