--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -28,6 +28,7 @@
   'replication/replica-fuzz.test.js': 15,
   'source/reader-fuzz.test.js': 15,
   'emulator/emulator.test.js': 8,
+  'platform/foreign-writer.test.js': 6,
   'platform/mesh.test.js': 7,
   'platform/planned-stop.test.js': 17,
   'platform/redirected-request.test.js': 15,
