--- a/tools/experiment/policy-settings.ts
+++ b/tools/experiment/policy-settings.ts
@@ -1,7 +1,7 @@
 /** What two variants of the policy may differ in; the rest is as the product ships it. */
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from '../../src/proxy/proxy-limits.js';
 import { DEFAULT_HOP_COST } from '../../src/routing/least-latency-strategy.js';
-import { STORE_NODE_LIMITS } from '../../src/runtime/store-node.js';
+import { STORE_NODE_LIMITS } from '../../src/runtime/store-node-limits.js';
 
 /** Settings that a variant may change. */
 export const SETTING_NAMES = [
