--- a/test/proxy/relay/doubtful-attempts.test.ts
+++ b/test/proxy/relay/doubtful-attempts.test.ts
@@ -12,19 +12,9 @@
 import type { Socket } from 'node:net';
 import { expect } from 'chai';
 import { LOSS_MS } from '../../../src/proxy/relay/link-pulse.js';
-import {
-  call,
-  echoEndpoint,
-  echoService,
-  rawAnswer,
-  startRawEndpoint,
-  TestMesh,
-  until,
-  type RawEndpoint,
-  type TestNode,
-} from '../rig.js';
+import { call, echoEndpoint, echoService, until, type TestNode } from '../rig.js';
 import { DarkLink } from './dark-link.js';
-import { SilentLink } from './silent-link.js';
+import { SlowMesh } from './slow-mesh.js';
 
 const DEADLINE_MS = 8_000;
 const STALLED_MS = 900;
@@ -39,53 +29,29 @@
 const STREAM_PART = '4\r\npart\r\n';
 
 describe('an attempt in doubt', () => {
-  const mesh = new TestMesh();
-  let link: SilentLink;
+  let world: SlowMesh;
   let near: TestNode;
-  let slow: RawEndpoint;
-  let other: RawEndpoint;
-  let slowSockets: Socket[] = [];
-  let otherSockets: Socket[] = [];
 
   beforeEach(async () => {
-    slowSockets = [];
-    otherSockets = [];
-    slow = await startRawEndpoint((socket) => slowSockets.push(socket));
-    other = await startRawEndpoint((socket) => otherSockets.push(socket));
-    const beside = await mesh.addNode('n2');
-    link = await SilentLink.start(beside.relayPort);
-    mesh.nodes[0] = { ...beside, relayPort: link.port };
-    await mesh.addNode('n3');
+    world = await SlowMesh.start();
   });
 
-  afterEach(() => {
-    mesh.close();
-    mesh.nodes.length = 0;
-    link.close();
-    slow.close();
-    other.close();
-  });
+  afterEach(() => world.close());
 
   async function begin(method: 'GET' | 'POST', maxRetries: number): Promise<void> {
-    near = await mesh.addNode('n1', { maxRetries });
-    mesh.configure([
-      ...echoService({ timeoutMs: DEADLINE_MS, repeatable: method === 'GET' }),
-      echoEndpoint('e1', slow.port, { machine: 'n2' }),
-      echoEndpoint('e2', other.port, { machine: 'n3', zone: 'z9', region: 'r9' }),
-    ]);
+    near = await world.mesh.addNode('n1', { maxRetries });
+    world.configure(method === 'GET' ? 'safe' : 'unsafe', DEADLINE_MS);
   }
 
-  const answerSlow = (): void => slowSockets.forEach((socket) => socket.write(rawAnswer('slow')));
-
   it('whose answer comes second is ended, though that is a stream', async function () {
     this.timeout(10_000);
     await begin('GET', 2);
     const request = http.get({ port: near.callerPort, host: '127.0.0.1', path: '/' });
-    await until(() => slow.heads.length === 1);
-    link.stall(STALLED_MS);
-    await until(() => other.heads.length === 1);
-    slowSockets.forEach((socket) => socket.write(STREAM_HEAD + STREAM_PART));
-    otherSockets.forEach((socket) => socket.write(STREAM_HEAD + STREAM_PART));
+    await until(() => world.slow.heads.length === 1);
+    world.link.stall(STALLED_MS);
+    await until(() => world.other.heads.length === 1);
+    world.slowSockets.forEach((socket) => socket.write(STREAM_HEAD + STREAM_PART));
+    world.otherSockets.forEach((socket) => socket.write(STREAM_HEAD + STREAM_PART));
     const [answer] = (await once(request, 'response')) as [http.IncomingMessage];
     answer.on('error', () => undefined).resume();
     await new Promise((resolve) => setTimeout(resolve, STALLED_MS + WORK_MS));
@@ -93,7 +59,10 @@
     await new Promise((resolve) => setTimeout(resolve, ENDED_WITHIN_MS));
     const leftOpen = (sockets: readonly Socket[]): number =>
       sockets.filter(({ destroyed }) => !destroyed).length;
-    expect({ slow: leftOpen(slowSockets), other: leftOpen(otherSockets) }).to.deep.equal({
+    expect({
+      slow: leftOpen(world.slowSockets),
+      other: leftOpen(world.otherSockets),
+    }).to.deep.equal({
       slow: 0,
       other: 0,
     });
@@ -103,9 +72,9 @@
     this.timeout(10_000);
     await begin('GET', 0);
     const answer = call(near.callerPort, { method: 'GET' });
-    await until(() => slow.heads.length === 1);
-    link.hold(HELD_MS);
-    setTimeout(answerSlow, WORK_MS);
+    await until(() => world.slow.heads.length === 1);
+    world.link.hold(HELD_MS);
+    setTimeout(() => world.answerSlow(), WORK_MS);
     expect(await answer).to.include({ status: 200, body: 'slow' });
   });
 
@@ -113,12 +82,12 @@
     this.timeout(10_000);
     await begin('GET', 0);
     const answer = call(near.callerPort, { method: 'GET' });
-    await until(() => slow.heads.length === 1);
+    await until(() => world.slow.heads.length === 1);
     const sentAtMs = performance.now();
-    link.hold(DEADLINE_MS);
-    mesh.configure([
+    world.link.hold(DEADLINE_MS);
+    world.mesh.configure([
       ...echoService({ timeoutMs: DEADLINE_MS }),
-      echoEndpoint('e2', other.port, { machine: 'n3' }),
+      echoEndpoint('e2', world.other.port, { machine: 'n3' }),
     ]);
     expect((await answer).status).to.equal(502);
     expect(performance.now() - sentAtMs).to.be.within(LOSS_MS, LOSS_MS + ENDED_WITHIN_MS);
@@ -129,24 +98,27 @@
     let dark: DarkLink;
 
     beforeEach(async () => {
-      dark = await DarkLink.start((mesh.nodes[1] as TestNode).relayPort);
-      mesh.nodes[1] = { ...(mesh.nodes[1] as TestNode), relayPort: dark.port };
+      dark = await DarkLink.start(world.otherNode.relayPort);
+      world.moveOtherNode(dark.port);
     });
 
     afterEach(() => dark.close());
 
     /** A request that is at work at the dark machine, where no other attempt may follow. */
     async function beginInTheDark(method: 'GET' | 'POST') {
-      near = await mesh.addNode('n1', { maxRetries: 0, connectTimeoutMs: CONNECT_TIMEOUT_MS });
-      mesh.configure([
+      near = await world.mesh.addNode('n1', {
+        maxRetries: 0,
+        connectTimeoutMs: CONNECT_TIMEOUT_MS,
+      });
+      world.mesh.configure([
         ...echoService({ timeoutMs: DEADLINE_MS, repeatable: method === 'GET' }),
-        echoEndpoint('e2', other.port, { machine: 'n3' }),
+        echoEndpoint('e2', world.other.port, { machine: 'n3' }),
       ]);
       const answer = call(near.callerPort, { method });
-      await until(() => other.heads.length === 1);
+      await until(() => world.other.heads.length === 1);
       const darkAtMs = performance.now();
       await dark.goDark(DARK_MS);
-      otherSockets.forEach((socket) => socket.write(rawAnswer('other')));
+      world.answerOther();
       return { result: await answer, tookMs: performance.now() - darkAtMs };
     }
 
@@ -168,10 +140,10 @@
     this.timeout(10_000);
     await begin('POST', 0);
     const answer = call(near.callerPort, { method: 'POST' });
-    await until(() => slow.heads.length === 1);
-    link.stall(STALLED_MS);
-    setTimeout(() => link.hold(HELD_MS), STALLED_MS + 300);
-    setTimeout(answerSlow, STALLED_MS + 600);
+    await until(() => world.slow.heads.length === 1);
+    world.link.stall(STALLED_MS);
+    setTimeout(() => world.link.hold(HELD_MS), STALLED_MS + 300);
+    setTimeout(() => world.answerSlow(), STALLED_MS + 600);
     expect(await answer).to.include({ status: 200, body: 'slow' });
   });
 
@@ -179,9 +151,9 @@
     this.timeout(10_000);
     await begin('POST', 0);
     const answer = call(near.callerPort, { method: 'POST' });
-    await until(() => slow.heads.length === 1);
-    link.hold(HELD_MS);
-    setTimeout(answerSlow, WORK_MS);
+    await until(() => world.slow.heads.length === 1);
+    world.link.hold(HELD_MS);
+    setTimeout(() => world.answerSlow(), WORK_MS);
     expect(await answer).to.include({ status: 200, body: 'slow' });
   });
 });
