Soak: an answer that passed just before its connection fell silent is an answer

Trace: u61 was sent at 2881 ms, its endpoint answered at 3992 ms, its caller had the whole signed 200 at 4370 ms; the connection fell silent at 4369.2 ms, while that answer was past the proxy. The judge looked only for bytes of the node after the silence. Ruled out: a node that keeps a request (it was over; the connection was closed 20.7 s later, within the bound for those).

Change: a request whose caller has a whole answer is answered; a part of one is still none.

--- a/test/soak/caller-promises.test.ts
+++ b/test/soak/caller-promises.test.ts
@@ -102,6 +102,13 @@
     expect(brokenIn({ ...idle, callerLostAtMs: Infinity })).to.equal(1);
   });
 
+  it('finds nothing where the whole answer passed just before, but where a part of it did', () => {
+    const got = { ...CALL, status: 200, isWhole: true, endedAtMs: 21_001 };
+    const said = { ...NO_ANSWER, nodeEndedAtMs: 44_000 };
+    expect(brokenIn(said, { calls: [got] })).to.equal(0);
+    expect(brokenIn(said, { calls: [{ ...got, isWhole: false }] })).to.equal(1);
+  });
+
   it('goes by the connection of the request', () => {
     expect(brokenIn({ ...NO_ANSWER, callerPort: 40_001 })).to.equal(0);
     expect(brokenIn({ ...NO_ANSWER, machine: 1 })).to.equal(0);
--- a/test/soak/soak-regressions.test.ts
+++ b/test/soak/soak-regressions.test.ts
@@ -34,6 +34,11 @@
     cause: 'the judge took an answer for sent that a back end wrote in the moment of its end',
     plan: 'crashes',
   },
+  {
+    seed: 8_204,
+    cause: 'the judge missed an answer that passed just before its connection fell silent',
+    plan: 'silences',
+  },
   { seed: 1_001, cause: SLOW_FOR_SILENT, plan: 'rolls' },
   { seed: 1_004, cause: SLOW_FOR_SILENT, plan: 'rolls' },
 ];
--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -34,7 +34,7 @@
   'platform/stop-last-moment.test.js': 9,
   'soak/soak.test.js': 100,
   'platform/crashing-request.test.js': 45,
-  'soak/soak-regressions.test.js': 225,
+  'soak/soak-regressions.test.js': 275,
   'proxy/endpoint-faults.test.js': 6,
   'proxy/planned-stop-model.test.js': 8,
 };
--- a/tools/soak/caller-promises.ts
+++ b/tools/soak/caller-promises.ts
@@ -54,13 +54,23 @@
   const readsHead = call.sentAtMs + record.terms.lossSlackMs < silence.callerLostAtMs;
   const saidAtMs = Math.min(silence.nodeSaidAtMs, silence.nodeEndedAtMs);
   const lateMs = Math.min(saidAtMs, record.endedAtMs) - dueOf(call);
-  if (!readsHead || lateMs <= SLACK_MS || isHalted(record, call.machine, call.sentAtMs, saidAtMs)) {
+  if (
+    hasAnswer(call) ||
+    !readsHead ||
+    lateMs <= SLACK_MS ||
+    isHalted(record, call.machine, call.sentAtMs, saidAtMs)
+  ) {
     return [];
   }
   const detail = `${call.id} ${call.target} at machine ${call.machine}: no answer ${Math.round(lateMs)} ms after its time-out`;
   return [{ promise: 'caller-silence', detail }];
 }
 
+/** What was on its way when the connection fell silent may reach the caller a moment later. */
+function hasAnswer({ status, isWhole }: SoakCall): boolean {
+  return status !== 0 && isWhole;
+}
+
 /** No back end gets or keeps it after its time-out. */
 function judgeEnds(
   record: SoakRecord,
