--- a/src/proxy/relay/relay-client.ts
+++ b/src/proxy/relay/relay-client.ts
@@ -23,7 +23,7 @@
   private readonly links = new Map<string, RelayLink>();
   /** All connections, also those that get no new attempts any more. */
   private readonly open = new Set<RelayLink>();
-  /** Connections in a row that machines did not answer, by address; none while they do. */
+  /** Connections in a row that machines did not answer, by address, while older ones to it are open. */
   private readonly unanswered = new Map<string, number>();
 
   constructor(private readonly options: RelayClientOptions) {}
@@ -91,7 +91,8 @@
 
   /** What waits at a dark machine may be asked for again elsewhere; one that only stands still answers. */
   private countUnanswered(key: string, isAnswered: boolean): void {
-    if (isAnswered) {
+    const links = this.linksTo(key);
+    if (isAnswered || links.length === 0) {
       this.unanswered.delete(key);
       return;
     }
@@ -99,7 +100,7 @@
     this.unanswered.set(key, count);
     if (count >= UNANSWERED_TO_DARK) {
       this.unanswered.delete(key);
-      this.linksTo(key).forEach((link) => link.peerIsDark());
+      links.forEach((link) => link.peerIsDark());
     }
   }
 
