--- a/src/peers/feed-client.ts
+++ b/src/peers/feed-client.ts
@@ -19,9 +19,21 @@
 export class FeedClient {
   private request: ClientRequest | undefined;
   private openPeer: string | undefined;
+  private unfinishedBytes = 0;
+  private receivedBytes = 0;
 
   constructor(private readonly options: FeedClientOptions) {}
 
+  /** Bytes that arrived of a message whose end is missing. */
+  get partialBytes(): number {
+    return this.unfinishedBytes;
+  }
+
+  /** Bytes of all feeds so far, messages that were never whole among them. */
+  get totalBytes(): number {
+    return this.receivedBytes;
+  }
+
   /** The peer whose feed was opened last; undefined once it is closed. */
   get peer(): string | undefined {
     return this.openPeer;
@@ -60,6 +72,7 @@
     const { request } = this;
     this.request = undefined;
     this.openPeer = undefined;
+    this.unfinishedBytes = 0;
     request?.destroy();
   }
 
@@ -70,6 +83,7 @@
     message.on('data', (chunk: string) => {
       const lines = (rest + chunk).split('\n');
       rest = lines.pop() ?? '';
+      this.noteArrival(request, Buffer.byteLength(chunk), Buffer.byteLength(rest));
       for (const line of lines) {
         this.take(peer, request, line);
       }
@@ -79,6 +93,13 @@
     });
   }
 
+  private noteArrival(request: ClientRequest, bytes: number, unfinishedBytes: number): void {
+    this.receivedBytes += bytes;
+    if (this.request === request) {
+      this.unfinishedBytes = unfinishedBytes;
+    }
+  }
+
   private take(peer: string, request: ClientRequest, line: string): void {
     if (this.request !== request) {
       return;
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -85,6 +85,15 @@
     this.gossip.setPeers(peers);
   }
 
+  /**
+   * For how long a peer has been known to be ahead, in milliseconds; 0 where none is. What it is ahead by may
+   * have come since the last tick.
+   */
+  get behindMs(): number {
+    const { behindSinceMs } = this.monitor;
+    return behindSinceMs === undefined ? 0 : MACHINE_CLOCK.now() - behindSinceMs;
+  }
+
   isSilent(peer: string): boolean {
     return this.monitor.isSilent(peer);
   }
--- a/src/peers/peer-monitor.ts
+++ b/src/peers/peer-monitor.ts
@@ -80,6 +80,11 @@
     }
   }
 
+  /** Since when a peer is known to be ahead, in milliseconds; undefined while none is. */
+  get behindSinceMs(): number | undefined {
+    return this.ahead?.sinceMs;
+  }
+
   /** Whether nothing is heard of the peer. */
   isSilent(peer: string): boolean {
     return this.states.get(peer)?.isSilent === true;
--- a/src/runtime/replica-source.ts
+++ b/src/runtime/replica-source.ts
@@ -23,6 +23,15 @@
  */
 const WATCH_WAIT_MS = 600;
 
+/** By which way changes came: from the store, over the feed of a peer, or as a peer was asked for them. */
+export interface ChangeOrigin {
+  readonly path: 'store' | 'feed' | 'fetch';
+  /** The peer; undefined where the store told. */
+  readonly peer?: string;
+}
+
+const FROM_STORE: ChangeOrigin = { path: 'store' };
+
 /** What a source needs of its node. */
 export interface ReplicaSourceOptions {
   /** This machine. */
@@ -35,7 +44,7 @@
   readonly logger: Logger;
   readonly counters: CounterSink;
   /** The replica was confirmed; `hasChanged` when an item changed. */
-  readonly onLearned: (hasChanged: boolean) => void;
+  readonly onLearned: (hasChanged: boolean, origin: ChangeOrigin) => void;
   /** The store told items that can't be taken. */
   readonly onRefused: (items: readonly RefusedItem[]) => void;
 }
@@ -90,6 +99,11 @@
     return this.isStoreAnswering;
   }
 
+  /** Bytes that came over feeds so far. */
+  get feedBytes(): number {
+    return this.client.totalBytes;
+  }
+
   /** Time since a reader confirmed the replica, in milliseconds; Infinity before the first time. */
   get ageMs(): number {
     return this.choice.freshness(MACHINE_CLOCK.now()).ageMs;
@@ -115,7 +129,7 @@
       onLearned: (hasChanged) => {
         this.isStoreAnswering = true;
         this.choice.storeAnswered(MACHINE_CLOCK.now());
-        this.learned(hasChanged);
+        this.learned(hasChanged, FROM_STORE);
       },
       onRefused,
       onFailed: () => this.execute(this.choice.storeFailed(MACHINE_CLOCK.now())),
@@ -132,7 +146,7 @@
       port: feedPort,
       onMessage: (peer, message) => this.takeFeed(peer, message),
       onEnd: (peer, reason) => {
-        logger.info('feed-ended', { peer, reason });
+        logger.info('feed-ended', { peer, reason, partialBytes: this.client.partialBytes });
         this.choice.feedEnded(peer, MACHINE_CLOCK.now());
       },
     });
@@ -152,14 +166,14 @@
     const hasChanged = delta !== undefined && replica.takeDelta(delta);
     const isConfirmed = this.choice.feedHeard(peer, message, MACHINE_CLOCK.now());
     if (isConfirmed || hasChanged || replica.revision > revision) {
-      this.learned(hasChanged);
+      this.learned(hasChanged, { path: 'feed', peer });
     }
   }
 
   /** Followers are told first: what this node makes of a change takes longer. */
-  private learned(hasChanged: boolean): void {
+  private learned(hasChanged: boolean, origin: ChangeOrigin): void {
     this.feed.publish();
-    this.options.onLearned(hasChanged);
+    this.options.onLearned(hasChanged, origin);
   }
 
   private execute(effects: readonly SourceEffect[]): void {
@@ -180,11 +194,15 @@
   }
 
   private closeFeed(silentMs: number | undefined): void {
-    const { peer } = this.client;
+    const { peer, partialBytes } = this.client;
     if (silentMs !== undefined) {
-      const ageMs = Math.round(this.ageMs);
       this.options.counters.add('ferryspool_feed_silent_total');
-      this.options.logger.info('feed-silent', { peer, silentMs: Math.round(silentMs), ageMs });
+      this.options.logger.info('feed-silent', {
+        peer,
+        silentMs: Math.round(silentMs),
+        ageMs: Math.round(this.ageMs),
+        partialBytes,
+      });
     }
     this.client.close();
   }
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -22,7 +22,7 @@
 import { declareContainmentMetrics } from './containment-metrics.js';
 import { LifeCycle } from './life-cycle.js';
 import type { Logger } from './logger.js';
-import { ReplicaSource } from './replica-source.js';
+import { ReplicaSource, type ChangeOrigin } from './replica-source.js';
 import { Metrics } from './metrics.js';
 import { createInternalServer } from './internal-server.js';
 import { createReadinessServer } from './readiness-server.js';
@@ -151,6 +151,11 @@
         'Time since a reader of the store confirmed the replica',
         () => this.source.ageMs / MS_PER_SECOND,
       ],
+      [
+        'feed_received_bytes',
+        'Bytes that came over feeds, those of messages that were never whole among them',
+        () => this.source.feedBytes,
+      ],
       [
         'feed_followers',
         'Nodes that follow the feed of this one',
@@ -203,7 +208,7 @@
       onLearned: (from) => {
         logger.info('changes-from-peer', { from, revision: this.replica.revision });
         this.source.feed.publish();
-        this.takeLearned(true);
+        this.takeLearned(true, { path: 'fetch', peer: from });
       },
       onSilence: (peer, isSilent) => this.takeSilence(peer, isSilent),
     });
@@ -233,7 +238,7 @@
       random: Math.random,
       logger,
       counters: this.metrics,
-      onLearned: (hasChanged) => this.takeLearned(hasChanged),
+      onLearned: (hasChanged, origin) => this.takeLearned(hasChanged, origin),
       onRefused: (items) => this.refusals.report(items),
     });
   }
@@ -291,14 +296,14 @@
     return (ms) => histogram.observe(ms / MS_PER_SECOND);
   }
 
-  private takeLearned(hasChanged: boolean): void {
+  private takeLearned(hasChanged: boolean, origin: ChangeOrigin): void {
     if (!hasChanged && this.snapshot !== undefined) {
       return;
     }
     const { snapshot, refused } = this.builder.build(this.replica.items());
     this.refusals.report(refused);
     if (snapshot !== undefined) {
-      this.adopt(snapshot);
+      this.adopt(snapshot, origin);
     }
   }
 
@@ -313,7 +318,7 @@
     this.source.setMachines([...zones].map(([address, zone]) => ({ address, zone })));
   }
 
-  private adopt(snapshot: Snapshot): void {
+  private adopt(snapshot: Snapshot, origin: ChangeOrigin): void {
     const held = this.snapshot;
     const before = held?.version.source.number;
     const { number } = snapshot.version.source;
@@ -324,8 +329,13 @@
     }
     this.proxy.applyCallerLimits(snapshot.callerLimits);
     if (before !== number) {
-      const { revision } = this.replica;
-      this.options.logger.info('configuration-in-force', { number, before, revision });
+      this.options.logger.info('configuration-in-force', {
+        number,
+        before,
+        revision: this.replica.revision,
+        ...origin,
+        behindMs: Math.round(this.peers.behindMs),
+      });
     }
   }
 }
