--- /dev/null
+++ b/test/peers/delivery-fleet.ts
@@ -0,0 +1,141 @@
+/**
+ * The way of a change from the store to every node: sources and replicas of many machines in one process,
+ * each behind a link of its own rate that all its followers share.
+ */
+import { once } from 'node:events';
+import type http from 'node:http';
+import { StoreClient } from '../../platform/store-client.js';
+import { CONFIGURATION_KEY } from '../../platform/names.js';
+import { createLogger } from '../../src/runtime/logger.js';
+import { createInternalServer } from '../../src/runtime/internal-server.js';
+import { LifeCycle } from '../../src/runtime/life-cycle.js';
+import { Metrics } from '../../src/runtime/metrics.js';
+import { ReplicaSource } from '../../src/runtime/replica-source.js';
+import type { ReaderCandidate } from '../../src/peers/reader-order.js';
+import { StoreReplica } from '../../src/store/store-replica.js';
+import { LOOK_INTERVAL_MS } from '../../src/clock/shared-interval.js';
+import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
+import { LinkProxy } from '../../tools/soak/link-proxy.js';
+
+const FEED_PORT = 21_421;
+const BEHIND_LINK_PORT = 21_422;
+const ZONE = 'z1';
+/** With one machine each, so that the zone under test has two readers. */
+const OTHER_ZONES = ['z2', 'z3', 'z4', 'z5', 'z6'];
+const READERS = 2;
+const POLL_MS = 5;
+/** A loopback network for each process: test files run in several at once. */
+const NETWORK = `127.${1 + ((process.pid >> 8) % 200)}.${process.pid % 256}`;
+
+/** What a fleet is started with. */
+export interface DeliveryPlan {
+  readonly machines: number;
+  /** What the link of each machine passes each way, in bytes a second. */
+  readonly linkBytesPerS: number;
+}
+
+/** One machine. */
+export interface DeliveryMachine {
+  readonly address: string;
+  readonly replica: StoreReplica;
+  readonly source: ReplicaSource;
+  readonly link: LinkProxy;
+  /** Lines of its log. */
+  readonly log: string[];
+}
+
+/** The machines of one test. */
+export class DeliveryFleet {
+  readonly machines: DeliveryMachine[] = [];
+  private readonly lifeCycle = new LifeCycle();
+
+  private constructor(readonly store: StoreStandIn) {}
+
+  /** Starts the machines; resolves once all but the readers follow others. */
+  static async start(plan: DeliveryPlan): Promise<DeliveryFleet> {
+    const fleet = new DeliveryFleet(await StoreStandIn.start());
+    fleet.lifeCycle.own('store', fleet.store, (one) => one.close());
+    fleet.store.put(CONFIGURATION_KEY, 'first');
+    for (let idx = 0; idx < plan.machines; idx += 1) {
+      fleet.machines.push(await fleet.startMachine(idx, plan));
+    }
+    const place = fleet.machines.map(({ address }) => ({ address, zone: ZONE }));
+    const elsewhere = OTHER_ZONES.map((zone, idx) => ({ address: `10.9.9.${idx}`, zone }));
+    fleet.place([...place, ...elsewhere]);
+    while (fleet.machines.filter(({ source }) => source.isReading).length > READERS) {
+      await pause(POLL_MS);
+    }
+    return fleet;
+  }
+
+  /**
+   * Writes an item, the configuration where no key is given; resolves with the time until every machine
+   * holds it, in milliseconds.
+   */
+  async deliver(text: string, key = CONFIGURATION_KEY): Promise<number> {
+    const startMs = performance.now();
+    this.store.put(key, text);
+    while (!this.machines.every(({ replica }) => replica.changeOf(key)?.value === text)) {
+      await pause(POLL_MS);
+    }
+    return performance.now() - startMs;
+  }
+
+  /** Lines of all logs that name the event. */
+  logged(event: string): string[] {
+    return this.machines.flatMap(({ log }) => log.filter((line) => line.includes(event)));
+  }
+
+  async close(): Promise<void> {
+    await this.lifeCycle.close();
+  }
+
+  private place(candidates: readonly ReaderCandidate[]): void {
+    this.machines.forEach(({ source }) => source.setMachines(candidates));
+  }
+
+  private async startMachine(idx: number, plan: DeliveryPlan): Promise<DeliveryMachine> {
+    const address = `${NETWORK}.${idx + 1}`;
+    const replica = new StoreReplica();
+    const metrics = new Metrics();
+    const log: string[] = [];
+    const store = new StoreClient({ address: '127.0.0.1', port: this.store.port });
+    const source = new ReplicaSource({
+      machine: { address, zone: ZONE },
+      feedPort: FEED_PORT,
+      store,
+      replica,
+      random: Math.random,
+      logger: createLogger('info', {}, { write: (line) => log.push(line) }),
+      counters: metrics,
+      onLearned: () => undefined,
+      onRefused: () => undefined,
+    });
+    const suspicions = { report: () => [], release: () => false };
+    const server = createInternalServer({ metrics, replica, feed: source.feed, suspicions });
+    server.listen(BEHIND_LINK_PORT, address);
+    await once(server, 'listening');
+    const link = await LinkProxy.start(
+      { address, port: FEED_PORT },
+      { address, port: BEHIND_LINK_PORT },
+    );
+    link.setBandwidth(plan.linkBytesPerS);
+    const ticks = setInterval(() => source.tick(), LOOK_INTERVAL_MS);
+    this.lifeCycle.own('ticks', ticks, (one) => clearInterval(one));
+    this.lifeCycle.own('server', server, closeServer);
+    this.lifeCycle.own('link', link, (one) => one.close());
+    this.lifeCycle.own('source', source, (one) => one.close());
+    source.start();
+    return { address, replica, source, link, log };
+  }
+}
+
+function closeServer(server: http.Server): void {
+  server.close();
+  server.closeAllConnections();
+}
+
+/** Resolves after `delayMs`. */
+export function pause(delayMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, delayMs));
+}
