Feeds: any byte is a sign of life, and what is on its way is not given up for what is only hoped for

Cause: a feed was given up after 1.1 s without a whole message; a message of 1.5 MB on 7 Mbit/s was thrown away before its end. A node that has to read in the place of others closed its feed before the store had answered it. Now bytes end a silence, a feed with a message on its way is kept while the store is asked beside it, for 5 s at most, and a reader by place keeps its feed until the store has served it.

--- a/src/peers/feed-client.ts
+++ b/src/peers/feed-client.ts
@@ -1,6 +1,7 @@
 /** Follows the feed of one peer at a time. */
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
 import { decodeFeedMessage, MAX_MESSAGE_LENGTH, type FeedMessage } from './feed-message.js';
+import { LineAssembler } from './line-assembler.js';
 
 const OK_STATUS = 200;
 /** Path of a node's feed, after which the follower's revision follows. */
@@ -11,6 +12,8 @@
   /** Port that serves {@link FEED_PATH}, the same on every machine. */
   readonly port: number;
   readonly onMessage: (peer: string, message: FeedMessage) => void;
+  /** Bytes came, or the head; `isPartial` while the end of a message is missing. */
+  readonly onProgress: (peer: string, isPartial: boolean) => void;
   /** The feed could not be opened, or ended; not called after {@link FeedClient.close}. */
   readonly onEnd: (peer: string, reason: string) => void;
 }
@@ -77,26 +80,27 @@
   }
 
   private follow(peer: string, request: ClientRequest, message: IncomingMessage): void {
-    let rest = '';
+    const assembler = new LineAssembler();
+    this.noteProgress(peer, request, 0);
     message.setEncoding('utf8');
     message.on('error', (error) => request.destroy(error));
     message.on('data', (chunk: string) => {
-      const lines = (rest + chunk).split('\n');
-      rest = lines.pop() ?? '';
-      this.noteArrival(request, Buffer.byteLength(chunk), Buffer.byteLength(rest));
+      this.receivedBytes += Buffer.byteLength(chunk);
+      const lines = assembler.take(chunk);
+      this.noteProgress(peer, request, assembler.partialBytes);
       for (const line of lines) {
         this.take(peer, request, line);
       }
-      if (rest.length > MAX_MESSAGE_LENGTH) {
+      if (assembler.partialBytes > MAX_MESSAGE_LENGTH) {
         request.destroy(new Error('a line of the feed is too long'));
       }
     });
   }
 
-  private noteArrival(request: ClientRequest, bytes: number, unfinishedBytes: number): void {
-    this.receivedBytes += bytes;
+  private noteProgress(peer: string, request: ClientRequest, unfinishedBytes: number): void {
     if (this.request === request) {
       this.unfinishedBytes = unfinishedBytes;
+      this.options.onProgress(peer, unfinishedBytes > 0);
     }
   }
 
--- a/src/peers/source-choice.ts
+++ b/src/peers/source-choice.ts
@@ -14,8 +14,17 @@
  * way down the tree. A configuration has to be in force within 2 s, the least that users ask for.
  */
 export const STALE_AGE_MS = 1_500;
-/** Silence of a feed after which it is given up, in milliseconds: a reader's round is 600 ms. */
+/**
+ * Silence of a feed after which it is given up, in milliseconds: a reader's round is 600 ms. Any byte ends a
+ * silence: when only whole messages did, a message of 1.5 MB on a link of 7 Mbit/s was thrown away shortly
+ * before its end and asked for anew.
+ */
 const FEED_SILENCE_MS = 1_100;
+/**
+ * Time within which a message that is on its way has to be whole, in milliseconds: a peer that sends a byte
+ * now and then is not to hold a node for ever. Twice the time that a configuration may take.
+ */
+const MAX_DELIVERY_MS = 5_000;
 /** Time in which a feed has to begin, in milliseconds: two nodes are a few away from each other. */
 const FEED_OPEN_MS = 450;
 /**
@@ -47,8 +56,19 @@
   | { readonly type: 'stop-reading' }
   /** Open the feed of a peer; there is none open. */
   | { readonly type: 'follow'; readonly peer: string }
-  /** Close the feed; with `silentMs` where it said nothing for so long. */
-  | { readonly type: 'stop-following'; readonly silentMs?: number };
+  /** Close the feed; with a failure where it is given up. */
+  | { readonly type: 'stop-following'; readonly failure?: FeedFailure };
+
+/** Why a feed is given up. */
+export interface FeedFailure {
+  /**
+   * - `silent`: nothing came of it.
+   * - `slow`: a message did not become whole.
+   */
+  readonly reason: 'silent' | 'slow';
+  /** How long that was so, in milliseconds. */
+  readonly afterMs: number;
+}
 
 /** How up to date a node's state is: which answer of the store to which reader confirmed it. */
 export interface Freshness {
@@ -64,6 +84,8 @@
   readonly peer: string;
   readonly openedAtMs: number;
   heardAtMs: number;
+  /** Since when a message has been on its way whose end is missing; undefined while none is. */
+  deliveringSinceMs: number | undefined;
   /** When the reader behind the feed last heard from the store. */
   confirmedAtMs: number;
   reader: string;
@@ -87,6 +109,7 @@
   /** When peers elsewhere were last confirmed to be up to date, by what they say. */
   private readonly confirmedPeersAtMs = new Map<string, number>();
   private confirmedAtMs = NEVER_MS;
+  private storeAnsweredAtMs = NEVER_MS;
   private confirmedBy: string;
   private confirmation: number;
   private ownConfirmation: number;
@@ -137,6 +160,7 @@
       this.followsFromMs = nowMs + SETTLE_MS * (0.5 + this.random() / 2);
     }
     this.ownConfirmation += 1;
+    this.storeAnsweredAtMs = nowMs;
     this.confirm(nowMs, this.address, this.ownConfirmation);
   }
 
@@ -149,6 +173,15 @@
     return this.setReading(false);
   }
 
+  /** Bytes came over the open feed; `isPartial` while the end of a message is missing. */
+  feedProgressed(peer: string, isPartial: boolean, nowMs: number): void {
+    const { feed } = this;
+    if (feed?.peer === peer) {
+      feed.heardAtMs = nowMs;
+      feed.deliveringSinceMs = isPartial ? (feed.deliveringSinceMs ?? nowMs) : undefined;
+    }
+  }
+
   /** The open feed told something; true when it confirms this node's state anew. */
   feedHeard(peer: string, told: Freshness, nowMs: number): boolean {
     if (this.feed?.peer !== peer) {
@@ -203,22 +236,30 @@
     if (this.feed === undefined) {
       return [];
     }
-    const silentMs = nowMs - this.feed.heardAtMs;
-    if (silentMs < this.feedPatienceMs(this.feed)) {
+    const failure = this.failureOf(this.feed, nowMs);
+    if (failure === undefined) {
       this.endPatience(this.feed, nowMs);
       return [];
     }
     this.avoid(this.feed.peer, nowMs);
     this.feed = undefined;
     this.silentFeeds = Math.min(MAX_PATIENCE_STEPS, this.silentFeeds + 1);
-    return [{ type: 'stop-following', silentMs }];
+    return [{ type: 'stop-following', failure }];
+  }
+
+  private failureOf(feed: Feed, nowMs: number): FeedFailure | undefined {
+    const silentMs = nowMs - feed.heardAtMs;
+    if (silentMs >= this.feedPatienceMs(feed)) {
+      return { reason: 'silent', afterMs: silentMs };
+    }
+    const deliveringMs = nowMs - (feed.deliveringSinceMs ?? nowMs);
+    return deliveringMs >= MAX_DELIVERY_MS ? { reason: 'slow', afterMs: deliveringMs } : undefined;
   }
 
   /** How long a feed may say nothing, in milliseconds. */
-  private feedPatienceMs({ confirmedAtMs }: Feed): number {
-    return confirmedAtMs === NEVER_MS
-      ? FEED_OPEN_MS * PATIENCE_FACTOR ** this.silentFeeds
-      : FEED_SILENCE_MS;
+  private feedPatienceMs({ confirmedAtMs, deliveringSinceMs }: Feed): number {
+    const hasBegun = confirmedAtMs !== NEVER_MS || deliveringSinceMs !== undefined;
+    return hasBegun ? FEED_SILENCE_MS : FEED_OPEN_MS * PATIENCE_FACTOR ** this.silentFeeds;
   }
 
   private endPatience({ openedAtMs, confirmedAtMs }: Feed, nowMs: number): void {
@@ -229,11 +270,10 @@
 
   private chooseFeed(nowMs: number): SourceEffect[] {
     const isStale = this.isStale(nowMs);
-    const needsNone = this.isReaderByPlace(nowMs) && !isStale;
-    if (needsNone) {
+    if (this.isReaderByPlace(nowMs) && this.isServedByStore(nowMs)) {
       return this.stopFollowing();
     }
-    const hasFeed = this.isFeedFresh(nowMs) && !this.isForeignForLong(nowMs);
+    const hasFeed = this.isDelivering || (this.isFeedFresh(nowMs) && !this.isForeignForLong(nowMs));
     if (nowMs < this.followsFromMs || hasFeed) {
       return [];
     }
@@ -247,6 +287,7 @@
       peer,
       openedAtMs: nowMs,
       heardAtMs: nowMs,
+      deliveringSinceMs: undefined,
       confirmedAtMs: NEVER_MS,
       reader: peer,
     };
@@ -343,6 +384,15 @@
     );
   }
 
+  /** What is on its way is not given up for a feed that has brought nothing yet. */
+  private get isDelivering(): boolean {
+    return this.feed?.deliveringSinceMs !== undefined;
+  }
+
+  private isServedByStore(nowMs: number): boolean {
+    return nowMs - this.storeAnsweredAtMs < STALE_AGE_MS;
+  }
+
   private isStale(nowMs: number): boolean {
     return nowMs - this.confirmedAtMs >= STALE_AGE_MS;
   }
--- a/src/runtime/replica-source.ts
+++ b/src/runtime/replica-source.ts
@@ -9,7 +9,7 @@
 import { resolveFeedDelta } from '../peers/feed-delta.js';
 import type { FeedMessage } from '../peers/feed-message.js';
 import { ReaderOrder, type ReaderCandidate } from '../peers/reader-order.js';
-import { SourceChoice, type SourceEffect } from '../peers/source-choice.js';
+import { SourceChoice, type FeedFailure, type SourceEffect } from '../peers/source-choice.js';
 import type { DeltaTexts } from '../peers/told-delta.js';
 import type { RefusedItem } from '../store/item-fault.js';
 import type { KeyValueStore } from '../store/key-value-store.js';
@@ -148,6 +148,9 @@
     return new FeedClient({
       port: feedPort,
       onMessage: (peer, message) => this.takeFeed(peer, message),
+      onProgress: (peer, isPartial) => {
+        this.choice.feedProgressed(peer, isPartial, MACHINE_CLOCK.now());
+      },
       onEnd: (peer, reason) => {
         logger.info('feed-ended', { peer, reason, partialBytes: this.client.partialBytes });
         this.choice.feedEnded(peer, MACHINE_CLOCK.now());
@@ -190,19 +193,20 @@
           this.openFeed(effect.peer);
           break;
         case 'stop-following':
-          this.closeFeed(effect.silentMs);
+          this.closeFeed(effect.failure);
           break;
       }
     }
   }
 
-  private closeFeed(silentMs: number | undefined): void {
-    const { peer, partialBytes } = this.client;
-    if (silentMs !== undefined) {
-      this.options.counters.add('ferryspool_feed_silent_total');
-      this.options.logger.info('feed-silent', {
+  private closeFeed(failure: FeedFailure | undefined): void {
+    if (failure !== undefined) {
+      const { peer, partialBytes } = this.client;
+      const { reason, afterMs } = failure;
+      this.options.counters.add(`ferryspool_feed_${reason}_total`);
+      this.options.logger.info(`feed-${reason}`, {
         peer,
-        silentMs: Math.round(silentMs),
+        afterMs: Math.round(afterMs),
         ageMs: Math.round(this.ageMs),
         partialBytes,
       });
--- a/test/peers/feed-fuzz.test.ts
+++ b/test/peers/feed-fuzz.test.ts
@@ -114,6 +114,7 @@
         const client = new FeedClient({
           port,
           onMessage: () => (messageCount += 1),
+          onProgress: () => undefined,
           onEnd: () => resolve(),
         });
         client.open(HOST, 1);
--- a/test/peers/slow-feeds.test.ts
+++ b/test/peers/slow-feeds.test.ts
@@ -105,3 +105,78 @@
     expect(follower.openedAtMs - 5_000).to.be.below(1_500);
   });
 });
+
+describe('a node whose feed has a message on its way', () => {
+  const OTHER = PEERS[8] ?? '';
+  let choice: SourceChoice;
+  let peer: string;
+  let nowMs: number;
+
+  /** Time passes; bytes of one message come each tick where `hasBytes`. Gives what was done. */
+  function run(durationMs: number, hasBytes: boolean): SourceEffect[] {
+    const effects: SourceEffect[] = [];
+    for (const endMs = nowMs + durationMs; nowMs < endMs;) {
+      nowMs += TICK_MS;
+      choice.peerHeard(OTHER, 0, nowMs);
+      if (hasBytes) {
+        choice.feedProgressed(peer, true, nowMs);
+      }
+      effects.push(...choice.tick(nowMs));
+    }
+    return effects;
+  }
+
+  beforeEach(() => {
+    choice = new SourceChoice(SELF, () => 0.99, 1);
+    choice.setPlace({ ahead: PEERS, neighbours: new Set(PEERS), readers: 4, zoneSize: 24 });
+    choice.storeAnswered(0);
+    nowMs = 2_100;
+    choice.tick(nowMs);
+    peer = choice.followed ?? '';
+    choice.feedHeard(peer, { ageMs: 0, reader: PEERS[0] ?? '', confirmation: 1 }, nowMs);
+    choice.tick(nowMs);
+  });
+
+  it('keeps it while bytes come, though its state grows old and another peer is fresh', () => {
+    const effects = run(4_500, true);
+    expect(choice.freshness(nowMs).ageMs).to.be.above(4_000);
+    expect(choice.followed).to.equal(peer);
+    expect(effects.filter(({ type }) => type === 'stop-following')).to.deep.equal([]);
+  });
+
+  it('asks the store beside it once its state is old', () => {
+    const zoneSize = 2;
+    choice.setPlace({ ahead: PEERS, neighbours: new Set(PEERS), readers: 4, zoneSize });
+    expect(run(4_500, true)).to.deep.include({ type: 'read' });
+  });
+
+  it('leaves it once no bytes come any more', () => {
+    run(900, true);
+    const effects = run(1_200, false);
+    expect(effects[0]).to.have.nested.property('failure.reason', 'silent');
+    expect(effects[1]).to.deep.equal({ type: 'follow', peer: OTHER });
+  });
+
+  it('leaves it when the message does not become whole for long', () => {
+    const effects = run(5_400, true);
+    expect(effects[0]).to.have.nested.property('failure.reason', 'slow');
+    expect(choice.followed).to.equal(OTHER);
+  });
+});
+
+describe('a node that has to read in the place of those before it', () => {
+  it('keeps its feed until the store has answered', () => {
+    const choice = new SourceChoice(SELF, () => 0.99, 1);
+    choice.setPlace({ ahead: PEERS, neighbours: new Set(PEERS), readers: 4, zoneSize: 24 });
+    choice.storeAnswered(0);
+    choice.tick(2_100);
+    const peer = choice.followed ?? '';
+    choice.feedHeard(peer, { ageMs: 0, reader: PEERS[0] ?? '', confirmation: 1 }, 2_110);
+    choice.tick(2_250);
+    expect(choice.reads).to.equal(false);
+    choice.setPlace({ ahead: [], neighbours: new Set(PEERS), readers: 4, zoneSize: 24 });
+    expect(choice.tick(2_400)).to.deep.equal([{ type: 'read' }]);
+    choice.storeAnswered(2_500);
+    expect(choice.tick(2_550)).to.deep.equal([{ type: 'stop-following' }]);
+  });
+});
--- a/test/platform/change-feed.test.ts
+++ b/test/platform/change-feed.test.ts
@@ -114,6 +114,7 @@
     const client = new FeedClient({
       port,
       onMessage: (_peer, message) => events.push(message),
+      onProgress: () => undefined,
       onEnd: (_peer, reason) => events.push(reason),
     });
     client.open(HOST, revision);
