--- a/src/peers/delta-fetch.ts
+++ b/src/peers/delta-fetch.ts
@@ -1,10 +1,11 @@
 /** Fetches from a peer what changed after a revision. */
 import http from 'node:http';
+import { ProgressTimer, type ProgressBounds } from '../clock/progress-timer.js';
 import type { FeedDelta } from './feed-delta.js';
 import { decodeDelta, MAX_MESSAGE_LENGTH } from './feed-message.js';
 
-/** Time after which a fetch is given up, in milliseconds. */
-const FETCH_TIMEOUT_MS = 800;
+/** How long an answer may take: one that never ends would keep this node from asking anybody else. */
+const FETCH_BOUNDS: ProgressBounds = { beginMs: 800, idleMs: 800, wholeMs: 5_000 };
 const OK_STATUS = 200;
 /** Path of the changes since a revision, which follows it. */
 export const CHANGES_PATH = '/changes/';
@@ -17,14 +18,19 @@
 ): Promise<FeedDelta | undefined> {
   return new Promise((resolve) => {
     const path = `${CHANGES_PATH}${revision}`;
-    const request = http.get({ host, port, path, agent: false, timeout: FETCH_TIMEOUT_MS });
-    request.on('timeout', () => request.destroy());
+    const request = http.get({ host, port, path, agent: false });
+    const timer = new ProgressTimer(FETCH_BOUNDS, () => request.destroy());
     request.on('error', () => resolve(undefined));
-    request.on('close', () => resolve(undefined));
+    request.on('close', () => {
+      timer.end();
+      resolve(undefined);
+    });
     request.on('response', (message) => {
       let text = '';
+      timer.progressed();
       message.setEncoding('utf8');
       message.on('data', (chunk: string) => {
+        timer.progressed();
         text += chunk;
         if (text.length > MAX_MESSAGE_LENGTH) {
           request.destroy();
--- a/test/peers/delta-fetch.test.ts
+++ b/test/peers/delta-fetch.test.ts
@@ -42,6 +42,16 @@
     });
   }
 
+  it('are given up when the answer does not become whole', async () => {
+    answer = (response) => {
+      const timer = setInterval(() => response.write(' '), 100);
+      response.on('close', () => clearInterval(timer));
+    };
+    const beganAtMs = performance.now();
+    expect(await fetchDelta(HOST, port, 1)).to.equal(undefined);
+    expect(performance.now() - beganAtMs).to.be.below(6_000);
+  }).timeout(10_000);
+
   it('are given up when the answer goes on beyond any state', async () => {
     let sentLength = 0;
     let isCut = false;
