--- a/tools/bench/main.ts
+++ b/tools/bench/main.ts
@@ -5,6 +5,7 @@
 import { startOpenLoop } from '../shared/open-loop.js';
 import { BenchFleet, REAL_NODES, RECEIVER, SENDER, type FleetSize } from './bench-fleet.js';
 import { choiceUs, configurationUs, endpointChangeUs } from './decision-figures.js';
+import { deliveryFigures, fanOutMs } from './delivery-figures.js';
 
 const cli = meow(
   `
@@ -16,6 +17,7 @@
     --routes     Routes of the configuration (default 600)
     --seconds    Length of each phase (default 10)
     --starts     Starts that are measured (default 9)
+    --delivery   Print only what a configuration that grows costs on its way
     --program    First file of the bundled program (default target/start.cjs)
 
   Three nodes as processes, and a store that lists a whole fleet. Figures of single nodes are means of
@@ -28,6 +30,7 @@
       endpoints: { type: 'number', default: 195 },
       routes: { type: 'number', default: 600 },
       seconds: { type: 'number', default: 10 },
+      delivery: { type: 'boolean', default: false },
       starts: { type: 'number', default: 9 },
       program: { type: 'string', default: 'target/start.cjs' },
     },
@@ -44,6 +47,11 @@
 /** Time after a start in which a node settles, in milliseconds. */
 const SETTLE_MS = 2_000;
 
+const ADDED_ROUTES = [100, 300, 1_000, 3_000, 10_000];
+const BYTES_PER_KB = 1_000;
+/** 7 Mbit/s, the thinnest link that users have. */
+const THIN_LINK_BYTES_PER_S = 875_000;
+
 interface PhaseResult {
   /** Processor time of each node in the phase, in milliseconds. */
   readonly nodesMs: readonly number[];
@@ -51,7 +59,11 @@
 }
 
 async function main(): Promise<void> {
-  const { endpoints, routes, seconds, starts, program } = cli.flags;
+  const { endpoints, routes, seconds, starts, program, delivery } = cli.flags;
+  if (delivery) {
+    printDelivery();
+    return;
+  }
   const size = { endpoints, routes };
   const fleet = await BenchFleet.start(`127.${1 + (process.pid % 200)}.7`, program, size);
   try {
@@ -68,6 +80,22 @@
   printDecisions(size);
 }
 
+function printDelivery(): void {
+  process.stdout.write(
+    'routes added, KB plain, KB told, ms encode, decode, build, ms to eight on 7 Mbit/s\n',
+  );
+  for (const added of ADDED_ROUTES) {
+    const { plainBytes, toldBytes, encodeMs, decodeMs, buildMs } = deliveryFigures(added);
+    const bytes = [plainBytes / BYTES_PER_KB, toldBytes / BYTES_PER_KB];
+    const times = [encodeMs, decodeMs, buildMs, fanOutMs(toldBytes, THIN_LINK_BYTES_PER_S)];
+    process.stdout.write(`${[added, ...bytes.map(round), ...times.map(round)].join(', ')}\n`);
+  }
+}
+
+function round(value: number): number {
+  return Math.round(value * 10) / 10;
+}
+
 async function printPhases(fleet: BenchFleet, lengthMs: number): Promise<void> {
   const idle = await measure(fleet, () => delay(lengthMs));
   print('an idle second', (mean(idle.nodesMs) / idle.lengthMs) * MS_PER_SECOND * US_PER_MS);
