--- a/test/peers/feed-fuzz.test.ts
+++ b/test/peers/feed-fuzz.test.ts
@@ -5,6 +5,7 @@
 import http, { type ServerResponse } from 'node:http';
 import { once } from 'node:events';
 import type { AddressInfo } from 'node:net';
+import { deflateSync } from 'node:zlib';
 import { expect } from 'chai';
 import fc from 'fast-check';
 import { FeedClient } from '../../src/peers/feed-client.js';
@@ -33,9 +34,23 @@
   },
 };
 
+/** A delta that is deflated, whole or with some bytes changed. */
+const deflated = fc
+  .tuple(changedItem(MESSAGE.delta), fc.option(fc.tuple(fc.nat(200), fc.nat(255))))
+  .map(([value, change]) => {
+    const bytes = deflateSync(JSON.stringify(value) ?? '');
+    if (change !== null) {
+      const [offset, byte] = change;
+      bytes[offset % bytes.length] = byte;
+    }
+    return { deflated: bytes.toString('base64') };
+  });
+
 /** A line without its end. */
 const line = fc
   .oneof(
+    deflated.map((delta) => JSON.stringify({ ...MESSAGE, delta })),
+    deflated.map((delta) => JSON.stringify(delta)),
     fc.json(),
     fc.string({ unit: 'binary' }),
     changedItem(MESSAGE).map((value) => JSON.stringify(value) ?? ''),
