Peers: a fetch that failed is tried at another peer, and a pause of the process ends no delivery

Read once more for the same cause elsewhere: the peer that is ahead was kept after its fetch had failed, a process that had stood still for 5 s gave up the message that lay in its socket, and a failed fetch forgot that the whole state was needed. One bound for all transfers, one union for what is late. Tests: the next peer is asked (p again before), a pause of 10 s keeps the feed.

--- a/src/clock/progress-timer.ts
+++ b/src/clock/progress-timer.ts
@@ -5,14 +5,18 @@
  */
 import { MACHINE_CLOCK } from './machine-clock.js';
 
+/**
+ * Time from the first byte of an answer or a message to its last, in milliseconds: who sends a byte now and then is
+ * not to hold a node for ever. Twice the time that a configuration may take.
+ */
+export const MAX_TRANSFER_MS = 5_000;
+
 /** How long an answer may take, in milliseconds. */
 export interface ProgressBounds {
   /** Until its first byte. */
   readonly beginMs: number;
   /** Between two bytes. */
   readonly idleMs: number;
-  /** From its first byte to its last, so that a byte now and then does not hold its reader for ever. */
-  readonly wholeMs: number;
 }
 
 /**
@@ -37,8 +41,8 @@
   progressed(): void {
     const nowMs = MACHINE_CLOCK.now();
     this.beganAtMs ??= nowMs;
-    const { idleMs, wholeMs } = this.bounds;
-    const leftMs = this.beganAtMs + wholeMs - nowMs;
+    const { idleMs } = this.bounds;
+    const leftMs = this.beganAtMs + MAX_TRANSFER_MS - nowMs;
     clearTimeout(this.timer);
     this.timer =
       leftMs < idleMs
--- a/src/peers/delta-fetch.ts
+++ b/src/peers/delta-fetch.ts
@@ -4,8 +4,8 @@
 import type { FeedDelta } from './feed-delta.js';
 import { decodeDelta, MAX_MESSAGE_LENGTH } from './feed-message.js';
 
-/** How long an answer may take: one that never ends would keep this node from asking anybody else. */
-const FETCH_BOUNDS: ProgressBounds = { beginMs: 800, idleMs: 800, wholeMs: 5_000 };
+/** How long an answer may take; one that never ends would keep this node from asking anybody else. */
+const FETCH_BOUNDS: ProgressBounds = { beginMs: 800, idleMs: 800 };
 const OK_STATUS = 200;
 /** Path of the changes since a revision, which follows it. */
 export const CHANGES_PATH = '/changes/';
--- a/src/peers/peer-exchange.ts
+++ b/src/peers/peer-exchange.ts
@@ -184,8 +184,12 @@
     const { replica, changesPort, onLearned } = this.options;
     const told = await fetchDelta(from, changesPort, this.needsWhole ? 0 : replica.revision);
     this.isFetching = false;
-    const delta = told && resolveFeedDelta(replica, told);
-    this.needsWhole = told !== undefined && delta === undefined;
+    if (told === undefined) {
+      this.monitor.fetchFailed(from);
+      return;
+    }
+    const delta = resolveFeedDelta(replica, told);
+    this.needsWhole = delta === undefined;
     if (delta !== undefined && replica.takeDelta(delta)) {
       onLearned(from);
     }
--- a/src/peers/peer-monitor.ts
+++ b/src/peers/peer-monitor.ts
@@ -54,6 +54,8 @@
   readonly peer: string;
   readonly revision: number;
   readonly sinceMs: number;
+  /** Its changes could not be had: the next peer that is as far takes its place. */
+  readonly hasFailed: boolean;
 }
 
 /** The peers of one node. */
@@ -101,6 +103,13 @@
     return wasSilent ? [{ type: 'heard-again', peer }] : [];
   }
 
+  /** The changes of a peer that is ahead could not be had. */
+  fetchFailed(peer: string): void {
+    if (this.ahead?.peer === peer) {
+      this.ahead = { ...this.ahead, hasFailed: true };
+    }
+  }
+
   /** A datagram arrived. */
   receive(peer: string, datagram: SignOfLife, own: ReplicaState, nowMs: number): PeerEffect[] {
     const effects = this.heard(peer, nowMs);
@@ -155,8 +164,10 @@
   }
 
   private compare(peer: string, revision: number, ownRevision: number, nowMs: number): void {
-    if (revision > ownRevision && revision > (this.ahead?.revision ?? 0)) {
-      this.ahead = { peer, revision, sinceMs: this.ahead?.sinceMs ?? nowMs };
+    const { ahead } = this;
+    const takesPlace = ahead?.hasFailed === true && revision === ahead.revision;
+    if (revision > ownRevision && (revision > (ahead?.revision ?? 0) || takesPlace)) {
+      this.ahead = { peer, revision, sinceMs: ahead?.sinceMs ?? nowMs, hasFailed: false };
     }
   }
 
--- a/src/peers/source-choice.ts
+++ b/src/peers/source-choice.ts
@@ -6,6 +6,7 @@
  * be up to date, and asks the store itself after a random wait, so that a fleet that the store fails
  * asks it a bounded number of times a second, whatever its size. Pure: events in, effects out.
  */
+import { MAX_TRANSFER_MS, type Lateness } from '../clock/progress-timer.js';
 import type { RandomSource } from '../control/control-event.js';
 import { FOLLOWERS_PER_NODE, type ReaderPlace } from './reader-order.js';
 
@@ -20,11 +21,6 @@
  * before its end and asked for anew.
  */
 const FEED_SILENCE_MS = 1_100;
-/**
- * Time within which a message that is on its way has to be whole, in milliseconds: a peer that sends a byte
- * now and then is not to hold a node for ever. Twice the time that a configuration may take.
- */
-const MAX_DELIVERY_MS = 5_000;
 /** Time in which a feed has to begin, in milliseconds: two nodes are a few away from each other. */
 const FEED_OPEN_MS = 450;
 /**
@@ -61,11 +57,7 @@
 
 /** Why a feed is given up. */
 export interface FeedFailure {
-  /**
-   * - `silent`: nothing came of it.
-   * - `slow`: a message did not become whole.
-   */
-  readonly reason: 'silent' | 'slow';
+  readonly reason: Lateness;
   /** How long that was so, in milliseconds. */
   readonly afterMs: number;
 }
@@ -226,8 +218,10 @@
 
   /** What arrived while the process stood still is not read yet. */
   private bearPause(nowMs: number): SourceEffect[] {
-    if (this.feed !== undefined) {
-      this.feed.heardAtMs = nowMs;
+    const { feed } = this;
+    if (feed !== undefined) {
+      feed.heardAtMs = nowMs;
+      feed.deliveringSinceMs = feed.deliveringSinceMs === undefined ? undefined : nowMs;
     }
     return [];
   }
@@ -253,7 +247,7 @@
       return { reason: 'silent', afterMs: silentMs };
     }
     const deliveringMs = nowMs - (feed.deliveringSinceMs ?? nowMs);
-    return deliveringMs >= MAX_DELIVERY_MS ? { reason: 'slow', afterMs: deliveringMs } : undefined;
+    return deliveringMs >= MAX_TRANSFER_MS ? { reason: 'slow', afterMs: deliveringMs } : undefined;
   }
 
   /** How long a feed may say nothing, in milliseconds. */
--- a/test/peers/peer-monitor.test.ts
+++ b/test/peers/peer-monitor.test.ts
@@ -114,6 +114,16 @@
     expect(monitor.tick(2_500, CAUGHT_UP, [])).to.deep.equal([]);
   });
 
+  it('fetches from the next peer that is as far once a fetch has failed', () => {
+    const monitor = monitorOf(['p', 'q']);
+    monitor.receive('p', { kind: 'acknowledgement', ...CAUGHT_UP }, OWN, 0);
+    monitor.receive('q', { kind: 'acknowledgement', ...CAUGHT_UP }, OWN, 100);
+    expect(run(monitor, 550, 550).at(-1)?.effect).to.deep.equal({ type: 'fetch', from: 'p' });
+    monitor.fetchFailed('p');
+    monitor.receive('q', { kind: 'acknowledgement', ...CAUGHT_UP }, OWN, 900);
+    expect(run(monitor, 1_100, 1_100).at(-1)?.effect).to.deep.equal({ type: 'fetch', from: 'q' });
+  });
+
   it('fetches at once when it holds nothing', () => {
     const monitor = monitorOf([]);
     monitor.receive('p', { kind: 'ping', revision: 12, ageMs: 0, suspicionDigest: 0 }, NOTHING, 0);
--- a/test/peers/slow-feeds.test.ts
+++ b/test/peers/slow-feeds.test.ts
@@ -157,6 +157,12 @@
     expect(effects[1]).to.deep.equal({ type: 'follow', peer: OTHER });
   });
 
+  it('keeps it after a pause of the process that outlasts all bounds', () => {
+    run(900, true);
+    nowMs += 10_000;
+    expect(choice.tick(nowMs).filter(({ type }) => type === 'stop-following')).to.deep.equal([]);
+  });
+
   it('leaves it when the message does not become whole for long', () => {
     const effects = run(5_400, true);
     expect(effects[0]).to.have.nested.property('failure.reason', 'slow');
