--- a/src/store/key-value-store.ts
+++ b/src/store/key-value-store.ts
@@ -56,7 +56,7 @@
   readonly reason: string;
 }
 
-/** Told when bytes of an answer came, whole or not. */
+/** Told when bytes of an answer came, whole or not; not of a refusal. */
 export type ProgressListener = () => void;
 
 /** A store, over its adapter. Calls never reject. */
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -81,6 +81,17 @@
     });
   }
 
+  it('tells of the bytes of an answer, not of those of a refusal', async () => {
+    let told = 0;
+    store.put('a', '1');
+    store.fault = { type: 'status', status: 503 };
+    await client.watch(0, 10, () => (told += 1));
+    expect(told).to.equal(0);
+    store.fault = undefined;
+    await client.watch(0, 10, () => (told += 1));
+    expect(told).to.be.above(0);
+  });
+
   it('leaves a watch whose connection is silent soon, and works on a new one at once', async () => {
     store.put('a', '1');
     expect((await linked.watch(1, 100)).outcome).to.equal('changes');
