--- a/tools/soak/fault-injector.ts
+++ b/tools/soak/fault-injector.ts
@@ -102,7 +102,7 @@
       case 'backend-drain':
         return this.replaceBackends(fault, true);
       case 'configure':
-        this.params.fleet.configure();
+        this.params.fleet.configure(fault.fillers);
     }
   }
 
@@ -117,6 +117,11 @@
         ...machines.map((machine) => this.endNode(machine, signal)),
       ]);
       machines.forEach((machine) => this.params.fleet.restartNode(machine));
+      if (fault.kind === 'stop' && fault.againAfterMs !== undefined) {
+        await delay(fault.againAfterMs);
+        await Promise.all(machines.map((machine) => this.endNode(machine, signal)));
+        machines.forEach((machine) => this.params.fleet.restartNode(machine));
+      }
     });
     release(this.heldNodes, machines);
   }
--- a/tools/soak/fault-plan.ts
+++ b/tools/soak/fault-plan.ts
@@ -15,7 +15,13 @@
 /** One thing that is done to the deployment; it ends after `forMs` where that makes sense. */
 export type SoakFault =
   | { readonly kind: 'kill'; readonly machines: readonly number[]; readonly forMs: number }
-  | { readonly kind: 'stop'; readonly machines: readonly number[]; readonly forMs: number }
+  | {
+      readonly kind: 'stop';
+      readonly machines: readonly number[];
+      /** Time from its next start to a second stop; there is none when absent. */
+      readonly againAfterMs?: number;
+      readonly forMs: number;
+    }
   | { readonly kind: 'freeze'; readonly machines: readonly number[]; readonly forMs: number }
   | { readonly kind: 'reload'; readonly machines: readonly number[]; readonly forMs: number }
   | {
@@ -57,7 +63,12 @@
       readonly moves?: boolean;
       readonly forMs: number;
     }
-  | { readonly kind: 'configure'; readonly forMs: number };
+  | {
+      readonly kind: 'configure';
+      /** Routes that nobody uses, in this configuration and those after it; as many as before when absent. */
+      readonly fillers?: number;
+      readonly forMs: number;
+    };
 
 /** The kinds of faults. */
 export type SoakFaultKind = SoakFault['kind'];
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -8,6 +8,7 @@
 import type { BrokenPromise } from './promises.js';
 import type { SoakFleet } from './soak-fleet.js';
 import type { SoakCall, SoakRecord } from './soak-record.js';
+import { loadShape } from './soak-shape.js';
 import { runSoak, SOAK_PLANS, type SoakPlan } from './soak-run.js';
 
 const MS_PER_SECOND = 1_000;
@@ -31,7 +32,11 @@
                 'silences' has the same, and silences on every kind of link and of machines that stop;
                 'crashes' has the series, and requests that end each back end that runs them;
                 'rolls' has planned stops of many nodes at a time and connections that are slow,
-                and loses nothing
+                and loses nothing;
+                'planned' has planned work alone, of all kinds, and a loss of power at the end
+    --shape     File with the shape of a deployment (deploy/shapes): callers that send reads behind each
+                other, answers, calls of back ends, and the processor of the nodes
+    --deployed  Runs the bundle, started as it is deployed, in place of the compiled program
     --uploads   Uploads a second, for all plans but 'faults' (default 20)
     --keep      Folder for the logs and records of a run that broke a promise
 
@@ -50,6 +55,8 @@
       rate: { type: 'number', default: 150 },
       plan: { type: 'string', choices: [...SOAK_PLANS], default: 'series' },
       uploads: { type: 'number', default: 20 },
+      shape: { type: 'string' },
+      deployed: { type: 'boolean', default: false },
       keep: { type: 'string' },
     },
   },
@@ -111,7 +118,7 @@
 }
 
 async function main(): Promise<number> {
-  const { seconds, machines, rate, plan, uploads, keep: folder } = cli.flags;
+  const { seconds, machines, rate, plan, uploads, shape, deployed, keep: folder } = cli.flags;
   const seed = cli.flags.seed ?? randomInt(MAX_SEED);
   const log: string[] = [];
   print(`soak: seed ${seed}, plan ${plan}, ${machines} machines, faults for ${seconds} s`);
@@ -122,6 +129,8 @@
     perSecond: rate,
     plan: plan as SoakPlan,
     uploadsPerSecond: uploads,
+    shape: shape === undefined ? undefined : loadShape(shape),
+    isDeployed: deployed,
     network: await claimNetwork(randomInt(MAX_SEED)),
     say: (text) => log.push(`soak ${text}`) && print(`  ${text}`),
     onLogLine: (machine, line) => log.push(`${machine} ${line}`),
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -9,6 +9,8 @@
 import type { SoakFaultKind } from './fault-plan.js';
 import type { SoakArrival, SoakCall, SoakRecord, SoakSilence } from './soak-record.js';
 import { judgeReloads, judgeStops } from './stop-promises.js';
+import { markBody } from './body-mark.js';
+import { answerBody } from './work-demand.js';
 
 /** The promises that are checked. */
 export type SoakPromise =
@@ -129,7 +131,9 @@
 
 /** An answer that was broken off does not look whole, so it deceives nobody. */
 function isOwnWholeAnswer(call: SoakCall): boolean {
-  return !call.isWhole || (call.isSigned && call.answer === `body ${call.id}`);
+  return (
+    !call.isWhole || (call.isSigned && call.answer === markBody(answerBody(call.id, call.target)))
+  );
 }
 
 function isUnanswered(record: SoakRecord, call: SoakCall): boolean {
--- a/tools/soak/roll-plan.ts
+++ b/tools/soak/roll-plan.ts
@@ -76,7 +76,11 @@
 }
 
 /** Stops groups of machines one after the other, with slow connections to each of these meanwhile. */
-function drawRoll(fromMs: number, params: PlanParams): PlannedFault[] {
+export function drawRoll(
+  fromMs: number,
+  params: PlanParams,
+  stallsBeside = STALLS_BESIDE_STOP,
+): PlannedFault[] {
   const { machines, random } = params;
   const share = between(MIN_ROLLED_SHARE, MAX_ROLLED_SHARE, random);
   const struck = shuffled(machines, random).slice(0, Math.ceil(machines * share));
@@ -90,14 +94,15 @@
     const atMs = groupAtMs + random() * MAX_APART_MS;
     const forMs = between(MIN_DOWN_MS, MAX_DOWN_MS, random);
     plan.push({ atMs, fault: { kind: 'stop', machines: [idx], forMs } });
-    for (let count = 0; count < STALLS_BESIDE_STOP; count += 1) {
+    for (let count = 0; count < stallsBeside; count += 1) {
       plan.push({ atMs: atMs + random() * MAX_BESIDE_MS, fault: drawStall([idx], params) });
     }
   });
   return plan;
 }
 
-function drawBeside(fromMs: number, params: PlanParams): PlannedFault[] {
+/** What comes beside a roll: back ends that are released or leave, and a storm of configurations. */
+export function drawBeside(fromMs: number, params: PlanParams): PlannedFault[] {
   const { random } = params;
   return [
     ...(random() < RELEASE_SHARE ? drawRelease(fromMs, params) : []),
@@ -161,7 +166,7 @@
 }
 
 /** Times by chance, so far apart on the mean. */
-function drawTimes(meanGapMs: number, { durationMs, random }: PlanParams): number[] {
+export function drawTimes(meanGapMs: number, { durationMs, random }: PlanParams): number[] {
   const times: number[] = [];
   let atMs = -Math.log(1 - random()) * meanGapMs;
   while (atMs < durationMs) {
--- a/tools/soak/soak-backend.ts
+++ b/tools/soak/soak-backend.ts
@@ -13,10 +13,14 @@
 import type { WorkRange } from './soak-configuration.js';
 import { markBody } from './body-mark.js';
 import { isCrashing } from './crash-traffic.js';
+import type { CallingRun } from './backend-calls.js';
+import { answerBody, demandOf } from './work-demand.js';
 import type { ArrivalOutcome, SoakArrival } from './soak-record.js';
 
 /** Requests that run at once. */
 export const BACKEND_SLOTS = 8;
+/** Time between two pieces of an answer without a length, in milliseconds. */
+const PIECE_GAP_MS = 20;
 /** A slow back end takes so many times as long. */
 const SLOW_FACTOR = 8;
 const MISDIRECTED_STATUS = 421;
@@ -36,6 +40,8 @@
   readonly onArrival: (arrival: SoakArrival) => void;
   /** Least and longest work of a request, in milliseconds. */
   readonly workOf: (target: string) => WorkRange;
+  /** Makes the calls of a run; tells whether all were served. None are made when it is absent. */
+  readonly onCalls?: (run: CallingRun) => Promise<boolean>;
   /** A request is to end this back end. */
   readonly onCrash: (backend: SoakBackend, target: string) => void;
 }
@@ -107,16 +113,19 @@
   private run(
     request: IncomingMessage,
     response: ServerResponse,
-    { requestId, target }: Arrival,
+    { requestId, target, headers }: Arrival,
     fault: BackendFault | undefined,
   ): void {
     this.running += 1;
+    const calls = this.beginCalls(requestId, target, Number(headers['deadline-ms']), response);
     const workMs = this.drawWorkMs(target);
     const timer = setTimeout(
       () =>
         isCrashing(target)
           ? this.params.onCrash(this, target)
-          : this.finish(request, response, requestId, fault),
+          : void calls.then((areServed) =>
+              this.finish(request, response, { requestId, target }, areServed ? fault : 'errors'),
+            ),
       fault === 'slow' ? workMs * SLOW_FACTOR : workMs,
     );
     response.once('close', () => {
@@ -125,7 +134,27 @@
     });
   }
 
+  /** Calls that a run makes from its start on; nobody waits for them once its exchange is over. */
+  private async beginCalls(
+    id: string,
+    target: string,
+    leftMs: number,
+    response: ServerResponse,
+  ): Promise<boolean> {
+    const count = demandOf(target)?.calls ?? 0;
+    if (count === 0 || this.params.onCalls === undefined) {
+      return true;
+    }
+    const aborting = new AbortController();
+    response.once('close', () => aborting.abort());
+    return this.params.onCalls({ id, count, leftMs, signal: aborting.signal });
+  }
+
   private drawWorkMs(target: string): number {
+    const demanded = demandOf(target);
+    if (demanded !== undefined) {
+      return demanded.workMs;
+    }
     const { leastMs, mostMs } = this.params.workOf(target);
     return leastMs + this.params.random() * (mostMs - leastMs);
   }
@@ -133,7 +162,7 @@
   private finish(
     request: IncomingMessage,
     response: ServerResponse,
-    id: string,
+    { requestId: id, target }: Pick<Arrival, 'requestId' | 'target'>,
     fault: BackendFault | undefined,
   ): void {
     switch (fault) {
@@ -155,7 +184,7 @@
         response.writeHead(ERROR_STATUS, { 'Request-Id': id, 'Content-Length': 0 }).end();
         return;
       default:
-        answer(response, id);
+        sendAnswer(response, id, target);
     }
   }
 
@@ -202,6 +231,19 @@
   }
 }
 
+/** A whole answer; in pieces and without a length before them where the request asks for that. */
+function sendAnswer(response: ServerResponse, id: string, target: string): void {
+  const body = answerBody(id, target);
+  if (demandOf(target)?.isChunked !== true) {
+    answer(response, id, body);
+    return;
+  }
+  response.writeHead(200, { 'Request-Id': id, 'Server-Signature': `signature ${id}` });
+  const half = Math.ceil(body.length / 2);
+  response.write(body.slice(0, half));
+  setTimeout(() => response.end(body.slice(half)), PIECE_GAP_MS);
+}
+
 /** What a back end wrote in the moment of its own end is not sure to have left it. */
 function outcomeOf(response: ServerResponse, hasBrokenOff: boolean): ArrivalOutcome {
   if (hasBrokenOff) {
--- a/tools/soak/soak-client.ts
+++ b/tools/soak/soak-client.ts
@@ -20,6 +20,8 @@
   /** When the caller leaves, after it began; Infinity when it waits. */
   readonly leavesAfterMs: number;
   readonly nowMs: () => number;
+  /** Makes the caller leave when it is aborted. */
+  readonly signal?: AbortSignal;
 }
 
 /** A body that is sent in pieces. */
@@ -62,8 +64,15 @@
       this.message.destroy();
       this.end();
     }, listensMs);
+    request.signal?.addEventListener('abort', this.leave, { once: true });
   }
 
+  private readonly leave = (): void => {
+    this.isGivenUp = true;
+    this.message.destroy();
+    this.end();
+  };
+
   private open(): http.ClientRequest {
     const { place, host, id, isSafe, target, body, deadlineMs, agent } = this.request;
     const message = http.request({
@@ -141,6 +150,7 @@
     }
     this.isOver = true;
     clearTimeout(this.timer);
+    this.request.signal?.removeEventListener('abort', this.leave);
     const { id, machine, life, isSafe, target, addedBy, deadlineMs, timeoutMs } = this.request;
     this.resolve({
       ...{ id, machine, life, isSafe, target, addedBy, deadlineMs, timeoutMs },
@@ -151,7 +161,7 @@
       status: this.response?.statusCode ?? 0,
       isWhole: this.response?.complete === true,
       isSigned: this.response?.headers['server-signature'] !== undefined,
-      answer: this.answer,
+      answer: markBody(this.answer),
       wasSent: this.wasSent,
       callerPort: this.callerPort,
       isGivenUp: this.isGivenUp,
--- a/tools/soak/soak-configuration.ts
+++ b/tools/soak/soak-configuration.ts
@@ -18,6 +18,8 @@
 export const SAFE_PREFIX = '/reads/';
 export const UNSAFE_PREFIX = '/orders/';
 export const UPLOAD_PREFIX = '/uploads/';
+/** Path of the route of calls that back ends make, which are safe. */
+export const CALLED_PREFIX = '/called/';
 /** Paths of the routes whose requests work for long: safe ones and others. */
 export const SCAN_PREFIX = '/scans/';
 export const JOB_PREFIX = '/jobs/';
@@ -42,8 +44,11 @@
 const UPLOAD_WORK: WorkRange = { leastMs: 100, mostMs: 400 };
 const LONG_WORK: WorkRange = { leastMs: 150, mostMs: 1_500 };
 
-/** A configuration: it adds a route to the one before, and drops the oldest of those that were added. */
-export function configurationOf(number: number): object {
+/**
+ * A configuration: it adds a route to the one before, and drops the oldest of those that were added. It has
+ * `fillers` further routes that nobody uses.
+ */
+export function configurationOf(number: number, fillers = 0): object {
   const added = Array.from(
     { length: SOAK_TERMS.routeLifeInConfigurations },
     (_, idx) => number - idx,
@@ -54,6 +59,10 @@
     UPLOAD_ROUTE,
     longRoute('scans', SCAN_PREFIX, 'safe', 'reads'),
     longRoute('jobs', JOB_PREFIX, 'unsafe', 'orders'),
+    route('called', CALLED_PREFIX, 'safe', 'orders'),
+    ...Array.from({ length: fillers }, (_, idx) =>
+      route(`filler${idx}`, `/filler${idx}/`, 'safe', 'reads'),
+    ),
     ...added.map((addedBy) => route(`added${addedBy}`, addedPrefix(addedBy), 'safe', 'reads')),
   ];
   return {
--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -11,6 +11,7 @@
 import { LifeCycle } from '../../src/runtime/life-cycle.js';
 import { StoreStandIn } from '../../standins/store-platform/store-stand-in.js';
 import { ChildGroup, type Child } from '../shared/child-process.js';
+import type { CallingRun } from './backend-calls.js';
 import type { WatchedProcess } from './core-watch.js';
 import { LinkProxy, type Place } from './link-proxy.js';
 import { CALLER_PORT, RELAY_PORT, settingsText, zoneOf } from './node-settings.js';
@@ -18,7 +19,9 @@
 import { configurationOf, SOAK_SERVICES, workOf } from './soak-configuration.js';
 import type { CallerSilence, SoakArrival, SoakCrash, SoakSilence } from './soak-record.js';
 
-const PROGRAM = new URL('../../platform/main.js', import.meta.url).pathname;
+/** The program as it is compiled; the deployed one is bundled, and starts with these arguments. */
+const COMPILED_PROGRAM = [new URL('../../platform/main.js', import.meta.url).pathname];
+const DEPLOYED_PROGRAM = ['--no-memory-reducer', 'target/start.cjs'];
 const BACKEND_PORT = 22_301;
 /** Where a back end without a link comes back that moves: there, and at the first port again. */
 const MOVED_BACKEND_PORT = 22_306;
@@ -44,6 +47,10 @@
   readonly hasBackendLinks: boolean;
   /** Whether callers also come through a link that can be harmed. */
   readonly hasCallerLinks: boolean;
+  /** Whether the nodes run the bundle, started as it is deployed. */
+  readonly isDeployed: boolean;
+  /** Makes the calls of a run through the node beside the back end; tells whether all were served. */
+  readonly onCalls: (machine: SoakMachine, run: CallingRun) => Promise<boolean>;
   readonly random: RandomSource;
   readonly nowMs: () => number;
   readonly onArrival: (arrival: SoakArrival) => void;
@@ -87,6 +94,7 @@
   private readonly children: ChildGroup;
   private readonly folder: string;
   private configuration = 0;
+  private fillers = 0;
 
   private constructor(
     readonly store: StoreStandIn,
@@ -171,10 +179,11 @@
     return this.children.endedUnasked().map(({ name, output }) => `${name}: ${output.join(' ')}`);
   }
 
-  /** Writes the next configuration: it adds a route, and drops the one added three before. */
-  configure(): void {
+  /** Writes the next configuration: it adds a route, drops the one added three before, and has idle ones. */
+  configure(fillers = this.fillers): void {
     this.configuration += 1;
-    this.store.put('op/config', configurationOf(this.configuration));
+    this.fillers = fillers;
+    this.store.put('op/config', configurationOf(this.configuration, fillers));
     this.configuredAtMs.set(this.configuration, this.params.nowMs());
   }
 
@@ -288,7 +297,8 @@
 
   private startNode(idx: number, life: number, settingsPath: string): Child {
     const env = { FERRYSPOOL_CONFIG: settingsPath };
-    const node = this.children.start(`node ${idx}, life ${life}`, PROGRAM, [], env);
+    const [program = '', ...args] = this.params.isDeployed ? DEPLOYED_PROGRAM : COMPILED_PROGRAM;
+    const node = this.children.start(`node ${idx}, life ${life}`, program, args, env);
     node.onLine((line) => {
       if (line.includes(STARTED_LINE)) {
         this.startedLives.add(lifeName(idx, life));
@@ -322,7 +332,11 @@
       void this.crash(idx, backend, target);
     };
     const common = { id, instance, machine: idx, place, random, nowMs, onArrival };
-    return SoakBackend.start({ ...common, workOf, onCrash });
+    const onCalls = (run: CallingRun): Promise<boolean> => {
+      const machine = this.machines[idx];
+      return machine === undefined ? Promise.resolve(false) : this.params.onCalls(machine, run);
+    };
+    return SoakBackend.start({ ...common, workOf, onCrash, onCalls });
   }
 
   private announce({ idx, service, backend, backendPort }: SoakMachine, state: string): void {
--- a/tools/soak/soak-record.ts
+++ b/tools/soak/soak-record.ts
@@ -33,8 +33,23 @@
   readonly callerPort: number | undefined;
   /** Whether the caller left before the answer. */
   readonly isGivenUp: boolean;
+  /** Requests that waited before it on its connection as it was sent; none when absent. */
+  readonly aheadCount?: number;
+  /** How its connection stood when it ended; undefined where the caller does not see that. */
+  readonly connectionEnd?: ConnectionEnd;
 }
 
+/**
+ * - `answered`: its answer came.
+ * - `behind-close`: an answer before its own closed the connection.
+ * - `closed`: the connection ended in good order, or its caller left.
+ * - `reset`: the connection was reset, or broke as it was written to.
+ * - `malformed`: bytes came that are no answer.
+ * - `failed`: there was no connection.
+ */
+export type ConnectionEnd =
+  'answered' | 'behind-close' | 'closed' | 'reset' | 'malformed' | 'failed';
+
 /**
  * - `open`: it has not ended.
  * - `answered`: the whole answer that the request asked for went out.
--- a/tools/soak/soak-run.ts
+++ b/tools/soak/soak-run.ts
@@ -1,18 +1,23 @@
 /** One soak: start, faults under traffic, a calm end, and the verdict. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { seededRandom } from '../emulator/seeded-random.js';
+import { BackendCalls } from './backend-calls.js';
 import { CoreWatch } from './core-watch.js';
 import { CrashTraffic } from './crash-traffic.js';
 import { planSoak, type PlannedFault } from './fault-plan.js';
 import { SoakFaultInjector } from './fault-injector.js';
 import { PauseWatch } from './pause-watch.js';
+import { PipelinedTraffic } from './pipelined-traffic.js';
+import { planPlannedWork } from './planned-plan.js';
+import { ProcessorTurns } from './processor-turns.js';
+import type { SoakShape } from './soak-shape.js';
 import { judgeSoak, type BrokenPromise } from './promises.js';
 import { planRolls } from './roll-plan.js';
 import { planSeries } from './series-plan.js';
 import { planSilences } from './silence-plan.js';
 import { serviceOf, SoakFleet } from './soak-fleet.js';
 import { SOAK_TERMS } from './soak-terms.js';
-import type { SoakArrival, SoakRecord } from './soak-record.js';
+import type { SoakArrival, SoakCall, SoakRecord } from './soak-record.js';
 import { SoakTraffic } from './soak-traffic.js';
 import { UploadTraffic } from './upload-traffic.js';
 
@@ -29,6 +34,9 @@
 const SILENCE_STREAM = 5;
 const CRASH_STREAM = 6;
 const ROLL_STREAM = 7;
+const PLANNED_STREAM = 8;
+const PIPELINE_STREAM = 9;
+const PROCESSOR_STREAM = 10;
 /** Share of the short requests that work for long, beside rolls. */
 const LONG_SHARE = 0.1;
 /** What the link to a node passes each way: 7 Mbit/s, as machines of the users' deployments have. */
@@ -46,8 +54,10 @@
  * - `rolls`: planned stops of many machines at a time, beside releases, storms of configurations, single
  *   connections that are slow and processes that stand still for a moment, under uploads, long requests and
  *   callers that keep their connections. Nothing is killed or lost.
+ * - `planned`: planned work alone, under the same callers: stops, also just after a start, reloads, releases,
+ *   storms and large configurations; in the end all nodes lose power right after a configuration.
  */
-export const SOAK_PLANS = ['faults', 'series', 'silences', 'crashes', 'rolls'] as const;
+export const SOAK_PLANS = ['faults', 'series', 'silences', 'crashes', 'rolls', 'planned'] as const;
 
 /** What happens in a soak. */
 export type SoakPlan = (typeof SOAK_PLANS)[number];
@@ -61,6 +71,10 @@
   readonly plan: SoakPlan;
   /** Uploads a second, of all machines together, in a soak with series. */
   readonly uploadsPerSecond: number;
+  /** The shape of a deployment; callers send one request at a time on a connection when it is absent. */
+  readonly shape?: SoakShape | undefined;
+  /** Whether the nodes run the bundle, started as it is deployed; the compiled program when absent. */
+  readonly isDeployed?: boolean;
   /** The first two numbers of the loopback network. */
   readonly network: string;
   readonly say: (text: string) => void;
@@ -69,6 +83,12 @@
   readonly onFleet?: (fleet: SoakFleet) => void;
 }
 
+/** What back ends have seen, and asked in turn. */
+interface SeenAtBackends {
+  readonly arrivals: readonly SoakArrival[];
+  readonly backendCalls: BackendCalls;
+}
+
 /** What a soak came to. */
 export interface SoakResult {
   readonly broken: readonly BrokenPromise[];
@@ -80,6 +100,7 @@
   const beganAtMs = performance.now();
   const nowMs = (): number => performance.now() - beganAtMs;
   const arrivals: SoakArrival[] = [];
+  const backendCalls = new BackendCalls(nowMs);
   const fleet = await SoakFleet.start({
     network: params.network,
     machines: params.machines,
@@ -87,6 +108,8 @@
     // What stands before a back end that is gone takes connections in its place, which hides its end.
     hasBackendLinks: params.plan === 'series' || params.plan === 'silences',
     hasCallerLinks: params.plan === 'silences',
+    isDeployed: params.isDeployed === true,
+    onCalls: (machine, run) => backendCalls.make(machine, run),
     random: seededRandom(params.seed, BACKEND_STREAM),
     nowMs,
     onArrival: (arrival) => arrivals.push(arrival),
@@ -94,8 +117,9 @@
   });
   params.onFleet?.(fleet);
   try {
-    return await soakFleet(params, fleet, arrivals, nowMs);
+    return await soakFleet(params, fleet, { arrivals, backendCalls }, nowMs);
   } finally {
+    backendCalls.close();
     await fleet.close();
   }
 }
@@ -103,7 +127,7 @@
 async function soakFleet(
   params: SoakParams,
   fleet: SoakFleet,
-  arrivals: readonly SoakArrival[],
+  { arrivals, backendCalls }: SeenAtBackends,
   nowMs: () => number,
 ): Promise<SoakResult> {
   const { seed, say, machines, perSecond } = params;
@@ -111,13 +135,14 @@
   const injector = new SoakFaultInjector({ fleet, nowMs, say });
   const traffic = new SoakTraffic({
     ...{ fleet, random, nowMs, perSecond },
-    longShare: params.plan === 'rolls' ? LONG_SHARE : 0,
+    longShare: hasLongRequests(params) ? LONG_SHARE : 0,
   });
   const uploads = new UploadTraffic({
     ...{ fleet, nowMs, perSecond: params.uploadsPerSecond },
     random: seededRandom(seed, UPLOAD_STREAM),
   });
   const crashing = new CrashTraffic({ fleet, nowMs, random: seededRandom(seed, CRASH_STREAM) });
+  const shaped = startShape(params, fleet, nowMs);
   // Nodes that have just been started are no more in touch than those that start again.
   const startWindow = {
     kind: 'kill',
@@ -135,13 +160,20 @@
   const calmFromMs = nowMs();
   say('nothing is harmed any more');
   await delay(SOAK_TERMS.recoveryMs + CALM_MS);
+  await shaped?.stop();
   await Promise.all([traffic.stop(), uploads.stop(), crashing.stop()]);
   await Promise.all(sending);
   pauseWatch.stop();
   coreWatch.stop();
   const record: SoakRecord = {
     beganAt: new Date(Date.now() - nowMs()).toISOString(),
-    calls: [...traffic.calls, ...uploads.calls, ...crashing.calls],
+    calls: [
+      ...traffic.calls,
+      ...uploads.calls,
+      ...crashing.calls,
+      ...(shaped?.calls ?? []),
+      ...backendCalls.calls,
+    ],
     arrivals,
     windows: injector.windows,
     stops: injector.stops,
@@ -177,6 +209,9 @@
   if (plan === 'rolls') {
     return planRolls({ ...common, random: seededRandom(seed, ROLL_STREAM) });
   }
+  if (plan === 'planned') {
+    return planPlannedWork({ ...common, random: seededRandom(seed, PLANNED_STREAM) });
+  }
   const single = planSoak({ ...common, random: seededRandom(seed, PLAN_STREAM) });
   if (plan === 'faults') {
     return single;
@@ -190,6 +225,42 @@
   return [...both, ...silences].sort((left, right) => left.atMs - right.atMs);
 }
 
+/** What has the shape of a deployment, from its start until it is stopped. */
+interface ShapedTraffic {
+  readonly calls: readonly SoakCall[];
+  readonly stop: () => Promise<void>;
+}
+
+function startShape(
+  { seed, shape }: SoakParams,
+  fleet: SoakFleet,
+  nowMs: () => number,
+): ShapedTraffic | undefined {
+  if (shape === undefined) {
+    return undefined;
+  }
+  const random = seededRandom(seed, PIPELINE_STREAM);
+  const pipelined = new PipelinedTraffic({ fleet, nowMs, shape, random });
+  const turns = new ProcessorTurns({
+    fleet,
+    processor: shape.processor,
+    random: seededRandom(seed, PROCESSOR_STREAM),
+  });
+  const running = Promise.all([pipelined.run(), turns.run()]);
+  return {
+    calls: pipelined.calls,
+    stop: async () => {
+      await pipelined.stop();
+      turns.stop();
+      await running;
+    },
+  };
+}
+
+function hasLongRequests({ plan }: SoakParams): boolean {
+  return plan === 'rolls' || plan === 'planned';
+}
+
 function hasSeries({ plan }: SoakParams): boolean {
   return plan !== 'faults';
 }
--- a/tools/soak/stop-promises.ts
+++ b/tools/soak/stop-promises.ts
@@ -77,6 +77,10 @@
 /** Whether a request that its node had read got no whole answer, with nothing to excuse it. */
 function isCut(record: SoakRecord, call: SoakCall, arrivals: readonly SoakArrival[]): boolean {
   const { sentAtMs, sentWholeAtMs, endedAtMs, deadlineMs, timeoutMs } = call;
+  // What came behind another request and was never passed on counts as not read.
+  if ((call.aheadCount ?? 0) > 0 && arrivals.length === 0) {
+    return false;
+  }
   const wasRead = arrivals.length > 0 || sentWholeAtMs + record.terms.lossSlackMs < endedAtMs;
   const hadTime = endedAtMs < sentAtMs + Math.min(deadlineMs, timeoutMs);
   return (
