Logs: why a caller's connection ended, and what it cut

An answer that was lost left no line: the node took it for sent. The end of each connection of callers now has a reason (caller, last-answer, broken-answer, malformed, idle, stop, stop-bound), counted in ferryspool_caller_connections_ended_REASON_total, with the requests that it cut in ferryspool_requests_cut_REASON_total; request-abandoned names it as endedBy. No logic is changed.

--- a/src/proxy/caller-connections.ts
+++ b/src/proxy/caller-connections.ts
@@ -5,9 +5,10 @@
  */
 import type { ServerResponse } from 'node:http';
 import type { Duplex } from 'node:stream';
+import type { ConnectionEndListener, ConnectionEndReason } from './connection-end.js';
 
-/** Told of the end of one exchange; `isWhole` when its answer went out in full. */
-type CloseListener = (isWhole: boolean) => void;
+/** Told of the end of one exchange; `isWhole` when its answer went out in full, `reason` says why it did not. */
+type CloseListener = (isWhole: boolean, reason?: ConnectionEndReason) => void;
 
 /** The open exchanges of one connection. */
 type OpenExchanges = Map<ServerResponse, CloseListener[]>;
@@ -18,6 +19,40 @@
   private readonly closing = new WeakSet<Duplex>();
   /** What is done once the whole requests of a connection are answered. */
   private readonly answeredListeners = new WeakMap<Duplex, () => void>();
+  private readonly open = new Set<Duplex>();
+  /** Why connections are being ended; by their callers where nothing is said. */
+  private readonly endReasons = new WeakMap<Duplex, ConnectionEndReason>();
+
+  constructor(private readonly onEnd: ConnectionEndListener = () => undefined) {}
+
+  /** The node ends a connection for this reason; the first one counts. */
+  endsFor(socket: Duplex, reason: ConnectionEndReason): void {
+    if (!this.endReasons.has(socket)) {
+      this.endReasons.set(socket, reason);
+    }
+  }
+
+  /** Every connection that is open ends now, for this reason. */
+  allEndFor(reason: ConnectionEndReason): void {
+    this.open.forEach((socket) => this.endsFor(socket, reason));
+  }
+
+  /** The connections on which nothing is under way end now, for this reason. */
+  idleEndFor(reason: ConnectionEndReason): void {
+    const idle = [...this.open].filter((socket) => !this.hasOpenRequest(socket));
+    idle.forEach((socket) => this.endsFor(socket, reason));
+  }
+
+  /** A connection was taken. */
+  opened(socket: Duplex): void {
+    this.open.add(socket);
+    // Listeners of the exchanges on it come after this one.
+    socket.once('close', () => {
+      this.open.delete(socket);
+      const cutCount = this.exchangesOf.get(socket)?.size ?? 0;
+      this.onEnd({ reason: this.reasonOf(socket), cutCount });
+    });
+  }
 
   /** An exchange begins. */
   began(socket: Duplex, response: ServerResponse): void {
@@ -61,12 +96,16 @@
   onClose(socket: Duplex, response: ServerResponse, action: CloseListener): void {
     const listeners = this.exchangesOf.get(socket)?.get(response);
     if (listeners === undefined) {
-      action(response.writableFinished);
+      action(response.writableFinished, this.reasonOf(socket));
     } else {
       listeners.push(action);
     }
   }
 
+  private reasonOf(socket: Duplex): ConnectionEndReason {
+    return this.endReasons.get(socket) ?? 'caller';
+  }
+
   private openExchanges(socket: Duplex): OpenExchanges {
     let exchanges = this.exchangesOf.get(socket);
     if (exchanges === undefined) {
@@ -88,7 +127,7 @@
     const listeners = exchanges?.get(response) ?? [];
     exchanges?.delete(response);
     for (const listener of listeners) {
-      listener(response.writableFinished);
+      listener(response.writableFinished, this.reasonOf(socket));
     }
     this.tellAnswered(socket);
   }
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -15,6 +15,7 @@
 import { sendError } from './error-answer.js';
 import { headerValue, messageHeaders, parseMilliseconds, type HeaderList } from './headers.js';
 import { createMalformedListener } from './malformed-request.js';
+import type { ConnectionEndReason } from './connection-end.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import { BadRequestError, type RequestError } from './request-error.js';
 import type { CallerReply } from './request-context.js';
@@ -66,7 +67,7 @@
   /** Reports an error. A body that is still arriving ends with the connection. */
   fail(error: RequestError, verdict: Verdict, requestId: string): void {
     if (this.response.headersSent || this.response.destroyed) {
-      this.response.destroy();
+      this.breakConnection();
       return;
     }
     this.closeWhenStopping();
@@ -84,6 +85,7 @@
 
   /** Breaks the connection, so that the caller can't take the answer for a whole one. */
   breakConnection(): void {
+    this.connections.endsFor(this.request.socket, 'broken-answer');
     this.response.destroy();
   }
 
@@ -99,12 +101,14 @@
   }
 
   private closeAfterAnswer(): void {
+    const { socket } = this.request;
     this.response.shouldKeepAlive = false;
-    this.connections.closesAfterAnswer(this.request.socket);
+    this.connections.closesAfterAnswer(socket);
+    this.response.once('finish', () => this.connections.endsFor(socket, 'last-answer'));
   }
 
   /** Calls `action` once the exchange is over; `isWhole` when the answer went out in full. */
-  onClose(action: (isWhole: boolean) => void): void {
+  onClose(action: (isWhole: boolean, reason?: ConnectionEndReason) => void): void {
     this.connections.onClose(this.request.socket, this.response, action);
   }
 }
@@ -117,6 +121,8 @@
   readonly isStopping: () => boolean;
   /** Told the code of every error answer. */
   readonly onError: (code: string) => void;
+  /** The connections of the server; its owner may end them. */
+  readonly connections?: CallerConnections;
   readonly handle: (request: CallerRequest, response: CallerResponse) => void;
   /** The identity of a request that is refused before it reaches `handle`. */
   readonly nextRequestId: () => string;
@@ -133,7 +139,8 @@
     // Checked in `faultOf`, so that the answer carries a verdict.
     requireHostHeader: false,
   });
-  const connections = new CallerConnections();
+  const { connections = new CallerConnections() } = options;
+  server.on('connection', (socket) => connections.opened(socket));
   const take = (request: IncomingMessage, response: ServerResponse): void => {
     if (connections.isClosing(request.socket)) {
       // It must not run: nobody could be told.
@@ -151,6 +158,10 @@
     take(request, response);
   });
   server.on('checkExpectation', take);
+  server.on('timeout', (socket) => {
+    connections.endsFor(socket, 'idle');
+    socket.destroy();
+  });
   server.on('clientError', createMalformedListener(connections));
   return server;
 }
--- a/src/proxy/claimed-reply.ts
+++ b/src/proxy/claimed-reply.ts
@@ -3,6 +3,7 @@
 import type { AnswerObserver } from './answer-relay.js';
 import type { Answer } from './call.js';
 import type { ClaimedAttempt, IdempotencyClaims } from './idempotency-claims.js';
+import type { ConnectionEndReason } from './connection-end.js';
 import type { RequestError } from './request-error.js';
 import type { CallerReply } from './request-context.js';
 
@@ -37,7 +38,7 @@
     this.reply.breakConnection();
   }
 
-  onClose(action: (isWhole: boolean) => void): void {
+  onClose(action: (isWhole: boolean, reason?: ConnectionEndReason) => void): void {
     this.reply.onClose(action);
   }
 }
--- a/src/proxy/malformed-request.ts
+++ b/src/proxy/malformed-request.ts
@@ -34,6 +34,7 @@
       return;
     }
     taken.add(socket);
+    connections.endsFor(socket, 'malformed');
     if (connections.hasOpenRequest(socket) && !connections.hasWholeRequest(socket)) {
       socket.destroy();
       return;
--- a/src/proxy/request-context.ts
+++ b/src/proxy/request-context.ts
@@ -4,6 +4,7 @@
 import type { RouteMatch } from '../routing/route-table.js';
 import type { AnswerObserver } from './answer-relay.js';
 import type { Answer } from './call.js';
+import type { ConnectionEndReason } from './connection-end.js';
 import type { HeaderList } from './headers.js';
 import type { RequestError } from './request-error.js';
 import type { RequestServices } from './request-services.js';
@@ -18,8 +19,8 @@
   fail(error: RequestError, verdict: Verdict, requestId: string): void;
   /** Breaks the connection, so that the caller can't take the answer for a whole one. */
   breakConnection(): void;
-  /** Calls `action` once the exchange is over; `isWhole` when the answer went out in full. */
-  onClose(action: (isWhole: boolean) => void): void;
+  /** Calls `action` once the exchange is over; `isWhole` when the answer went out in full, `reason` says why not. */
+  onClose(action: (isWhole: boolean, reason?: ConnectionEndReason) => void): void;
 }
 
 /** What one request is run with. */
--- a/src/proxy/request-decision.ts
+++ b/src/proxy/request-decision.ts
@@ -1,5 +1,6 @@
 /** The line of the log for a decision on a request at its caller's node. Pure. */
 import type { Verdict } from '../model/verdict.js';
+import type { ConnectionEndReason } from './connection-end.js';
 import type { LoadReport, SilenceSign } from './call.js';
 import type { RequestContext } from './request-context.js';
 import type { RequestFailure } from './request-error.js';
@@ -29,6 +30,8 @@
   /** Why the attempt's answer was in doubt. */
   readonly sign?: SilenceSign | undefined;
   readonly next?: SuspicionOutcome;
+  /** Why the connection of its caller ended. */
+  readonly endedBy?: ConnectionEndReason | undefined;
 }
 
 /** What was decided, and why. */
@@ -48,7 +51,7 @@
 export function requestDecision(
   { requestId, match, snapshot, deadlineAtMs }: RequestContext,
   progress: RequestProgress,
-  { event, failure, verdict, load, waitedFor, fingerprint, sign, next }: DecidedOutcome,
+  { event, failure, verdict, load, waitedFor, fingerprint, sign, next, endedBy }: DecidedOutcome,
 ): RequestDecision {
   const { attempt, endpoint, startedAtMs, attemptStartedAtMs, isLate, nowMs } = progress;
   const { code, retryAfterMs } = failure;
@@ -69,6 +72,7 @@
     ...(sign && { silent: sign.silent }),
     ...(sign?.quietMs !== undefined && { quietMs: Math.round(sign.quietMs) }),
     ...(next && { next }),
+    ...(endedBy && { endedBy }),
     ...(waitedFor && { waitedFor }),
     ...(fingerprint !== undefined && { fingerprint }),
     ...(load && { running: load.inFlight, slots: load.slots }),
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -3,6 +3,7 @@
  * outcome. Both nodes of a request's path name it alike, so that one search gives its whole path.
  */
 import type { SilentThing } from './call.js';
+import type { ConnectionEndReason } from './connection-end.js';
 
 /** What was decided. */
 export type RequestDecisionName =
@@ -16,7 +17,7 @@
   | 'request-failed'
   /** The planned stop of the node gave the request up. */
   | 'request-given-up'
-  /** The caller went away before its answer. */
+  /** The connection of the caller ended before its answer; `endedBy` says why. */
   | 'request-abandoned'
   /** The node beside the endpoint did not send the attempt on. */
   | 'attempt-refused'
@@ -57,6 +58,8 @@
   readonly quietMs?: number;
   readonly next?: SuspicionOutcome;
   readonly cause?: AbandonCause;
+  /** Why the connection of its caller ended. */
+  readonly endedBy?: ConnectionEndReason;
   readonly deadlineLeftMs?: number;
   readonly elapsedMs?: number;
   readonly retryAfterMs?: number;
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -7,8 +7,10 @@
 import type { CallerLimits } from '../model/snapshot.js';
 import type { AwaitedMachine } from './awaited-attempts.js';
 import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
+import { CallerConnections } from './caller-connections.js';
 import { createCallerServer } from './caller-server.js';
 import { CallMeter } from './call-meter.js';
+import type { ConnectionEnd } from './connection-end.js';
 import { EndpointClient } from './endpoint-client.js';
 import { NATIVE_ENDPOINT_PROTOCOL, type EndpointProtocol } from './endpoint-protocol.js';
 import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
@@ -42,6 +44,7 @@
 
 class NodeRequestProxy implements RequestProxy {
   readonly callerServer: http.Server;
+  private readonly callerConnections = new CallerConnections((end) => this.countConnectionEnd(end));
   private readonly relay: RelayServer;
   private readonly limits: ProxyLimits;
   private readonly callerProtocol: CallerProtocol;
@@ -170,6 +173,11 @@
       giveUp: () => {
         givenUp = this.giveUpAll();
       },
+      closeIdle: () => {
+        this.callerConnections.idleEndFor('stop');
+        this.callerServer.closeIdleConnections();
+        this.relayServer.closeIdleConnections();
+      },
       closePeers: () => {
         const outcome = `drained to ${this.meter.inFlight} in flight, ${givenUp} given up`;
         logStateChange('request-path', outcome);
@@ -184,6 +192,7 @@
       return;
     }
     this.isAborted = true;
+    this.callerConnections.allEndFor('stop-bound');
     this.plannedStop.handle({ type: 'abort' }, MACHINE_TIME.now());
     for (const server of [this.callerServer, this.relayServer]) {
       server.close();
@@ -251,10 +260,19 @@
       onError: (code) => {
         this.options.counters.add(`ferryspool_request_errors_${code.toLowerCase()}_total`);
       },
+      connections: this.callerConnections,
       handle: (request, response) => this.intake.handle(request, response),
     });
   }
 
+  private countConnectionEnd({ reason, cutCount }: ConnectionEnd): void {
+    const name = reason.replaceAll('-', '_');
+    this.options.counters.add(`ferryspool_caller_connections_ended_${name}_total`);
+    if (cutCount > 0) {
+      this.options.counters.add(`ferryspool_requests_cut_${name}_total`, cutCount);
+    }
+  }
+
   private makeRelayServer(): RelayServer {
     return new RelayServer({
       machineId: this.options.identity.id,
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -7,6 +7,7 @@
 import type { AttemptOutcome } from '../routing/endpoint-record.js';
 import { outcomeOf } from './attempt-errors.js';
 import type { Answer, LoadReport } from './call.js';
+import type { ConnectionEndReason } from './connection-end.js';
 import { EndpointChoice } from './endpoint-choice.js';
 import { expiryFailure } from './expiry-failure.js';
 import { keepAnswer } from './kept-answer.js';
@@ -66,7 +67,7 @@
     this.choice = new EndpointChoice(targetAtMs, () => this.handle({ type: 'target-missed' }));
     const remainingMs = deadlineAtMs - services.scheduler.now();
     this.cancelDeadline = services.scheduler.schedule(remainingMs, () => this.expire());
-    context.response.onClose((isWhole) => this.close(isWhole));
+    context.response.onClose((isWhole, reason) => this.close(isWhole, reason));
   }
 
   /** Begins the first attempt, unless the request is over already. */
@@ -375,17 +376,17 @@
     this.handle({ type: 'deadline', failure });
   }
 
-  private close(isWhole: boolean): void {
+  private close(isWhole: boolean, reason?: ConnectionEndReason): void {
     if (!isWhole && !this.lifecycle.isOver) {
-      this.recordAbandoned();
+      this.recordAbandoned(reason);
       this.handle({ type: 'caller-gone' });
     }
     this.finish();
   }
 
-  private recordAbandoned(): void {
-    const error = new CallerGoneError('the caller went away');
-    this.record('request-abandoned', error, error.verdict);
+  private recordAbandoned(endedBy?: ConnectionEndReason): void {
+    const error = new CallerGoneError('the connection of the caller ended');
+    this.record('request-abandoned', error, error.verdict, { endedBy });
   }
 
   private finish(): void {
--- a/src/proxy/server-drain.ts
+++ b/src/proxy/server-drain.ts
@@ -20,6 +20,8 @@
   readonly clock: () => number;
   /** Gives every request under way its final answer. */
   readonly giveUp: () => void;
+  /** Closes connections on which nothing is under way. */
+  readonly closeIdle: () => void;
   /** Resolves once connections to peers have sent what they had and are closed. */
   readonly closePeers: () => Promise<void>;
   /** Closes what is still open. */
@@ -73,11 +75,8 @@
     case 'give-up':
       return options.giveUp();
     case 'close-idle':
-      servers.forEach((server) => {
-        server.close();
-        server.closeIdleConnections();
-      });
-      return;
+      servers.forEach((server) => server.close());
+      return options.closeIdle();
     case 'close-peers':
       void options.closePeers().then(() => handle({ type: 'peers-closed' }));
       return;
--- a/test/proxy/server-drain.test.ts
+++ b/test/proxy/server-drain.test.ts
@@ -98,6 +98,7 @@
         inFlight: () => inFlight,
         clock: () => performance.now(),
         giveUp: () => undefined,
+        closeIdle: () => server.closeIdleConnections(),
         closePeers: () => Promise.resolve(),
         closeAll: () => server.closeAllConnections(),
       });
