Callers: connections are closed so that their callers can still read what was answered

Callers that read late and go on sending got ECONNRESET or EPIPE in place of answers that a node had written: when it stopped, refused an upload, closed an idle connection or broke off a later answer.

Cause: the socket was closed with bytes of its caller unread, or got some afterwards; the system answers with a reset, which throws away what is still to be sent, and a caller that is writing gets the error first. It showed under a stop, because a stop closes connections under callers that send reads behind each other.

Change: each end of a caller's connection goes through one place, which shuts its own side, reads and drops what comes until the caller has closed, 2 s at most (0.5 s behind bytes that are no request); a stop waits for it where it has the time left. http.Server.close cut such connections, so that a stop shuts listeners alone. Fakes of the stop's model learn whose turn it is on a connection, since an answer behind others breaks off in its turn.

--- a/src/proxy/caller-connections.ts
+++ b/src/proxy/caller-connections.ts
@@ -1,11 +1,14 @@
 /**
  * Callers' connections and the exchanges that are open on each. A caller may send further requests
  * before the first is answered; Node tells only the response that is being written of the end of
- * its connection, so the others are told here.
+ * its connection, so the others are told here. Whatever ends a caller's connection but its caller, or the
+ * bound of a stop, does so here: after the last answer its caller may still read.
  */
 import type { ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
 import type { ConnectionEndListener, ConnectionEndReason } from './connection-end.js';
+import { LINGER_MS, LingeringCloses } from './lingering-close.js';
 
 /** Told of the end of one exchange; `isWhole` when its answer went out in full, `reason` says why it did not. */
 type CloseListener = (isWhole: boolean, reason?: ConnectionEndReason) => void;
@@ -22,30 +25,24 @@
   private readonly open = new Set<Duplex>();
   /** Why connections are being ended; by their callers where nothing is said. */
   private readonly endReasons = new WeakMap<Duplex, ConnectionEndReason>();
+  private readonly lingering = new LingeringCloses();
 
-  constructor(private readonly onEnd: ConnectionEndListener = () => undefined) {}
+  /** `afterFlush` calls its action once Node has handed what it holds of a response to the connection. */
+  constructor(
+    private readonly onEnd: ConnectionEndListener = () => undefined,
+    private readonly afterFlush: (action: () => void) => void = setImmediate,
+  ) {}
 
-  /** The node ends a connection for this reason; the first one counts. */
-  endsFor(socket: Duplex, reason: ConnectionEndReason): void {
-    if (!this.endReasons.has(socket)) {
-      this.endReasons.set(socket, reason);
-    }
-  }
-
-  /** Every connection that is open ends now, for this reason. */
-  allEndFor(reason: ConnectionEndReason): void {
-    this.open.forEach((socket) => this.endsFor(socket, reason));
-  }
-
-  /** The connections on which nothing is under way end now, for this reason. */
-  idleEndFor(reason: ConnectionEndReason): void {
-    const idle = [...this.open].filter((socket) => !this.hasOpenRequest(socket));
-    idle.forEach((socket) => this.endsFor(socket, reason));
+  /** Connections that are closed here, and not by their callers yet. */
+  get lingeringCount(): number {
+    return this.lingering.count;
   }
 
   /** A connection was taken. */
-  opened(socket: Duplex): void {
+  opened(socket: Socket): void {
     this.open.add(socket);
+    // What Node calls once the last answer is written.
+    socket.destroySoon = () => this.close(socket, 'last-answer');
     // Listeners of the exchanges on it come after this one.
     socket.once('close', () => {
       this.open.delete(socket);
@@ -54,6 +51,41 @@
     });
   }
 
+  /**
+   * Closes a connection on which nothing more is to be sent. Its caller can still read what was, for `lingerMs` at
+   * most; what it sends is dropped.
+   */
+  close(socket: Duplex, reason: ConnectionEndReason, lingerMs = LINGER_MS): void {
+    this.endsFor(socket, reason);
+    this.closing.add(socket);
+    this.lingering.begin(socket, lingerMs);
+  }
+
+  /** Closes the connections on which nothing is under way. */
+  closeIdle(): void {
+    const idle = [...this.open].filter((socket) => !this.hasOpenRequest(socket));
+    idle.forEach((socket) => this.close(socket, 'stop'));
+  }
+
+  /** Every connection that is open is about to be cut. */
+  allEndFor(reason: ConnectionEndReason): void {
+    this.open.forEach((socket) => this.endsFor(socket, reason));
+  }
+
+  /**
+   * Ends a connection in the middle of an answer, so that its caller can't take it for a whole one; what went
+   * before it can still be read. Nothing behind it can be answered.
+   */
+  breakOff(socket: Duplex, response: ServerResponse): void {
+    this.closing.add(socket);
+    if (response.socket === null && !response.destroyed) {
+      // Answers before it are still going out; what was written of it follows them.
+      response.once('socket', () => this.afterFlush(() => this.breakNow(socket)));
+    } else {
+      this.breakNow(socket);
+    }
+  }
+
   /** An exchange begins. */
   began(socket: Duplex, response: ServerResponse): void {
     this.openExchanges(socket).set(response, []);
@@ -102,10 +134,22 @@
     }
   }
 
+  /** Notes why a connection ends; the first reason counts. */
+  private endsFor(socket: Duplex, reason: ConnectionEndReason): void {
+    if (!this.endReasons.has(socket)) {
+      this.endReasons.set(socket, reason);
+    }
+  }
+
   private reasonOf(socket: Duplex): ConnectionEndReason {
     return this.endReasons.get(socket) ?? 'caller';
   }
 
+  private breakNow(socket: Duplex): void {
+    this.close(socket, 'broken-answer');
+    this.endAll(socket);
+  }
+
   private openExchanges(socket: Duplex): OpenExchanges {
     let exchanges = this.exchangesOf.get(socket);
     if (exchanges === undefined) {
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -5,6 +5,7 @@
  * and `ferryspool-request-id`.
  */
 import http, { type IncomingMessage, type ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
 import { MAX_KEY_LENGTH } from '../claims/claim-terms.js';
 import type { Verdict } from '../model/verdict.js';
 import { CallerConnections } from './caller-connections.js';
@@ -76,7 +77,7 @@
     }
     this.options.onError(error.code);
     const answer = this.options.protocol.errorAnswer(error, verdict, requestId);
-    sendError(this.response, this.request, answer);
+    sendError(this.response, answer);
   }
 
   hasBegun(): boolean {
@@ -85,8 +86,7 @@
 
   /** Breaks the connection, so that the caller can't take the answer for a whole one. */
   breakConnection(): void {
-    this.connections.endsFor(this.request.socket, 'broken-answer');
-    this.response.destroy();
+    this.connections.breakOff(this.request.socket, this.response);
   }
 
   /**
@@ -104,7 +104,6 @@
     const { socket } = this.request;
     this.response.shouldKeepAlive = false;
     this.connections.closesAfterAnswer(socket);
-    this.response.once('finish', () => this.connections.endsFor(socket, 'last-answer'));
   }
 
   /** Calls `action` once the exchange is over; `isWhole` when the answer went out in full. */
@@ -158,10 +157,7 @@
     take(request, response);
   });
   server.on('checkExpectation', take);
-  server.on('timeout', (socket) => {
-    connections.endsFor(socket, 'idle');
-    socket.destroy();
-  });
+  server.on('timeout', (socket: Socket) => connections.close(socket, 'idle'));
   server.on('clientError', createMalformedListener(connections));
   return server;
 }
--- a/src/proxy/malformed-request.ts
+++ b/src/proxy/malformed-request.ts
@@ -4,8 +4,9 @@
 import { VERDICT_HEADER } from '../model/verdict.js';
 import type { CallerConnections } from './caller-connections.js';
 import { errorBody } from './caller-protocol.js';
-import { LINGER_MS } from './error-answer.js';
 
+/** Time for which a caller may read what it was told whose bytes were no request, in milliseconds. */
+const MALFORMED_LINGER_MS = 500;
 /** Codes of the errors that Node's HTTP parser reports. */
 const PARSER_CODE = /^HPE_/;
 /** A head that has not arrived in time. */
@@ -34,7 +35,6 @@
       return;
     }
     taken.add(socket);
-    connections.endsFor(socket, 'malformed');
     if (connections.hasOpenRequest(socket) && !connections.hasWholeRequest(socket)) {
       socket.destroy();
       return;
@@ -42,7 +42,10 @@
     connections.closesAfterAnswer(socket);
     connections.onceAnswered(socket, () => {
       // A request whose body is broken is still open: it would take the answer for its own.
-      endSoon(socket, connections.hasOpenRequest(socket) ? '' : answerTo(code));
+      if (!connections.hasOpenRequest(socket) && socket.writable) {
+        socket.write(answerTo(code));
+      }
+      connections.close(socket, 'malformed', MALFORMED_LINGER_MS);
     });
   };
 }
@@ -53,18 +56,6 @@
   return !isMalformed || (code === ENDED_CODE && hasOpenRequest);
 }
 
-/**
- * Sends `text` where it still fits, and closes. What the caller sends meanwhile is read and dropped for a
- * while: a reset would take answers away that it has not read yet.
- */
-function endSoon(socket: Duplex, text: string): void {
-  if (socket.writable) {
-    socket.end(text);
-  }
-  const timer = setTimeout(() => socket.destroy(), LINGER_MS);
-  socket.once('close', () => clearTimeout(timer));
-}
-
 function answerTo(code: string): string {
   const status = statusOf(code);
   const body = errorBody('BAD_REQUEST', `the request is malformed: ${code}`, 'not-run');
--- a/src/proxy/planned-stop.ts
+++ b/src/proxy/planned-stop.ts
@@ -30,6 +30,11 @@
   readonly stopQuietMs: number;
   /** Time for connections to close in, after all other bounds. */
   readonly stopCloseMs: number;
+  /**
+   * Time for which callers may still read what was answered before their connections are cut, where a stop has
+   * that much left; none when absent.
+   */
+  readonly stopLingerMs?: number;
 }
 
 /** Something that happened. */
@@ -40,6 +45,8 @@
       readonly type: 'look';
       /** Requests that wait for their answer, or whose answer is going out. */
       readonly inFlight: number;
+      /** Connections that are closed here and not by their callers yet; none when absent. */
+      readonly lingering?: number;
       readonly lastArrivalAtMs: number;
     }
   /** The listeners are shut; so many connections that waited were taken before. */
@@ -188,13 +195,14 @@
     return this.areListenersShut && this.isQuiet(seen, nowMs);
   }
 
-  /** The last refusals have gone out, and peers' connections are closed. */
-  private isEmpty({ inFlight }: Look): boolean {
-    return this.arePeersClosed && inFlight === 0;
+  /** The last refusals have gone out, and the connections of peers and callers are closed. */
+  private isEmpty({ inFlight, lingering = 0 }: Look): boolean {
+    return this.arePeersClosed && inFlight === 0 && lingering === 0;
   }
 
   private beginClosing(nowMs: number): StopEffect[] {
-    this.closesByMs = Math.min(nowMs, this.times.closesAtMs) + this.limits.stopCloseMs;
+    const { stopLingerMs = 0, stopCloseMs } = this.limits;
+    this.closesByMs = Math.min(nowMs + stopLingerMs, this.times.closesAtMs) + stopCloseMs;
     return this.enter('closing', ['close-idle', 'close-peers']);
   }
 
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -6,6 +6,7 @@
 import type { Endpoint } from '../model/resource.js';
 import type { CallerLimits } from '../model/snapshot.js';
 import type { AwaitedMachine } from './awaited-attempts.js';
+import { LINGER_MS } from './lingering-close.js';
 import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
 import { CallerConnections } from './caller-connections.js';
 import { createCallerServer } from './caller-server.js';
@@ -64,7 +65,11 @@
 
   constructor(private readonly options: RequestProxyOptions) {
     this.limits = { ...DEFAULT_PROXY_LIMITS, ...options.limits };
-    this.plannedStop = new PlannedStop({ ...this.limits, stopCloseMs: RELAY_CLOSE_TIMEOUT_MS });
+    this.plannedStop = new PlannedStop({
+      ...this.limits,
+      stopCloseMs: RELAY_CLOSE_TIMEOUT_MS,
+      stopLingerMs: LINGER_MS,
+    });
     const { callerProtocol, endpointProtocol, containment = NO_CONTAINMENT } = options;
     this.callerProtocol = callerProtocol ?? NATIVE_CALLER_PROTOCOL;
     this.endpointProtocol = endpointProtocol ?? NATIVE_ENDPOINT_PROTOCOL;
@@ -169,13 +174,13 @@
       stop: this.plannedStop,
       lastArrivalAtMs: () => this.meter.lastArrivalAtMs,
       inFlight: () => this.meter.inFlight + this.relay.unstartedCount,
+      lingering: () => this.callerConnections.lingeringCount,
       clock: () => MACHINE_TIME.now(),
       giveUp: () => {
         givenUp = this.giveUpAll();
       },
       closeIdle: () => {
-        this.callerConnections.idleEndFor('stop');
-        this.callerServer.closeIdleConnections();
+        this.callerConnections.closeIdle();
         this.relayServer.closeIdleConnections();
       },
       closePeers: () => {
--- a/src/proxy/server-drain.ts
+++ b/src/proxy/server-drain.ts
@@ -17,6 +17,8 @@
   readonly stop: PlannedStop;
   readonly lastArrivalAtMs: () => number;
   readonly inFlight: () => number;
+  /** Connections that are closed here and not by the other side yet; none when absent. */
+  readonly lingering?: () => number;
   readonly clock: () => number;
   /** Gives every request under way its final answer. */
   readonly giveUp: () => void;
@@ -43,7 +45,7 @@
   options: DrainOptions,
   done: () => void,
 ): Generator<unknown, void> {
-  const { stop, clock, inFlight, lastArrivalAtMs } = options;
+  const { stop, clock, inFlight, lastArrivalAtMs, lingering = () => 0 } = options;
   const handle = (event: StopEvent): void => {
     for (const effect of stop.handle(event, clock())) {
       execute(effect, servers, options, handle);
@@ -55,7 +57,12 @@
     // Timers run before what waits in the system is read: without this, a stop ends under a request that
     // came while the process was busy.
     yield afterPolling();
-    handle({ type: 'look', inFlight: inFlight(), lastArrivalAtMs: lastArrivalAtMs() });
+    handle({
+      type: 'look',
+      inFlight: inFlight(),
+      lingering: lingering(),
+      lastArrivalAtMs: lastArrivalAtMs(),
+    });
   }
   done();
 }
@@ -75,7 +82,7 @@
     case 'give-up':
       return options.giveUp();
     case 'close-idle':
-      servers.forEach((server) => server.close());
+      servers.forEach(shutListener);
       return options.closeIdle();
     case 'close-peers':
       void options.closePeers().then(() => handle({ type: 'peers-closed' }));
@@ -95,15 +102,22 @@
 }
 
 /**
- * Shuts listeners alone. `http.Server.close` would close idle connections too, and with them a
- * request that a caller is just sending. Resolves with the connections that were taken before.
+ * Shuts a listener alone. `http.Server.close` would cut idle connections too, and with them a request that a
+ * caller is just sending, or an answer that it has not read yet.
  */
+function shutListener(server: http.Server): void {
+  if (server.listening) {
+    SocketServer.prototype.close.call(server);
+  }
+}
+
+/** Resolves with the connections that were taken before. */
 async function shutListeners(servers: readonly http.Server[]): Promise<number> {
   let takenCount = 0;
   for (const server of servers) {
     if (server.listening) {
       takenCount += await takeWaitingConnections(server);
-      SocketServer.prototype.close.call(server);
+      shutListener(server);
     }
   }
   return takenCount;
--- a/test/proxy/stop/fake-connection.ts
+++ b/test/proxy/stop/fake-connection.ts
@@ -65,6 +65,7 @@
   /** Answers that were ended, or destroyed, take effect as soon as those before them have gone out. */
   flush(): void {
     for (const { response } of this.exchanges) {
+      response.takeTurn();
       if (response.isBroken) {
         this.destroy();
       }
@@ -80,6 +81,24 @@
     }
   }
 
+  get destroyed(): boolean {
+    return this.isClosed;
+  }
+
+  get writable(): boolean {
+    return !this.isClosed;
+  }
+
+  /** Its caller closes as soon as it has read all. */
+  end(): void {
+    this.destroy();
+  }
+
+  /** Whether all answers before this one have gone out. */
+  isTurnOf(response: FakeResponse): boolean {
+    return this.exchanges.find((one) => !one.response.writableFinished)?.response === response;
+  }
+
   destroy(): void {
     if (this.isClosed) {
       return;
@@ -138,12 +157,26 @@
   isEnded = false;
   isBroken = false;
   headCount = 0;
+  private hasTurn = false;
   status = 0;
 
   constructor(private readonly connection: FakeConnection) {
     super();
   }
 
+  /** As with Node, one behind others has no connection yet. */
+  get socket(): FakeConnection | null {
+    return this.connection.isTurnOf(this) ? this.connection : null;
+  }
+
+  /** The answers before it have gone out. */
+  takeTurn(): void {
+    if (!this.hasTurn) {
+      this.hasTurn = true;
+      this.emit('socket', this.connection);
+    }
+  }
+
   writeHead(status: number): void {
     this.headersSent = true;
     this.headCount += 1;
--- a/test/proxy/stop/stop-world.ts
+++ b/test/proxy/stop/stop-world.ts
@@ -14,6 +14,7 @@
 import { CallMeter } from '../../../src/proxy/call-meter.js';
 import { HeldBytes, receiveBody } from '../../../src/proxy/body-receiver.js';
 import { NATIVE_CALLER_PROTOCOL } from '../../../src/proxy/caller-protocol.js';
+import { CallerConnections } from '../../../src/proxy/caller-connections.js';
 import {
   createCallerServer,
   type CallerRequest,
@@ -110,6 +111,7 @@
       },
       limits: DEFAULT_PROXY_LIMITS,
       isStopping: () => stop.isStopping,
+      connections: new CallerConnections(undefined, (action) => action()),
       onError: () => undefined,
       handle: (request, response) => this.handle(request, response),
       nextRequestId: () => 'refused',
