--- a/tools/soak/delivery-promises.ts
+++ b/tools/soak/delivery-promises.ts
@@ -14,6 +14,8 @@
 const LEAD_MS = 150;
 /** How long before the end of its grace time a stopping node may do so, in milliseconds. */
 const STOP_LEAD_MS = 1_000;
+/** Time from the signal until which a request was sent for which a stopping node may do so, in milliseconds. */
+const STOP_TAKES_MS = 3_000;
 /** Time for which a connection may go on being used that has lost what is said on it, in milliseconds. */
 const LOST_USE_MS = 5_000;
 
@@ -48,7 +50,8 @@
       ({ machine, atMs }) =>
         [call.machine, arrival.machine].includes(machine) &&
         atMs <= call.endedAtMs &&
-        call.endedAtMs >= atMs + record.terms.graceMs - STOP_LEAD_MS,
+        call.endedAtMs >= atMs + record.terms.graceMs - STOP_LEAD_MS &&
+        call.sentAtMs <= atMs + STOP_TAKES_MS,
     )
   );
 }
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -5,6 +5,7 @@
 import { isSilenced, judgeCallerSilences } from './caller-promises.js';
 import { judgeCrashes } from './crash-promises.js';
 import { isCrashing } from './crash-traffic.js';
+import { judgeConfigurationCuts, judgeCuts } from './cut-promises.js';
 import { judgeDeliveries } from './delivery-promises.js';
 import type { SoakFaultKind } from './fault-plan.js';
 import type { SoakArrival, SoakCall, SoakRecord, SoakSilence } from './soak-record.js';
@@ -38,6 +39,10 @@
   | 'answer-delivered'
   /** What a node had read gets a whole answer although it reads its settings again. */
   | 'reload'
+  /** Nodes end no requests that they have read, but for a few that cross a close. */
+  | 'kept-connection'
+  /** No node ends more of them beside a configuration than at other times. */
+  | 'configuration'
   /** A request is answered at its route's time-out. */
   | 'time-out'
   /** A connection that went silent for good is given up by who uses it. */
@@ -86,6 +91,8 @@
     ...judgeRegressions(record),
     ...judgeStops(record, arrivalsById),
     ...judgeReloads(record, arrivalsById),
+    ...judgeCuts(record, arrivalsById),
+    ...judgeConfigurationCuts(record, arrivalsById),
     ...judgeDeliveries(record, arrivalsById),
     ...record.silences.flatMap(judgeSilence),
     ...judgeCallerSilences(record, arrivalsById),
--- a/tools/soak/stop-promises.ts
+++ b/tools/soak/stop-promises.ts
@@ -47,6 +47,14 @@
   });
 }
 
+/** Whether the request ended while its node was told to stop, or had just ended. */
+export function isDuringStop({ stops }: SoakRecord, call: SoakCall): boolean {
+  return stops.some(
+    (stop) =>
+      stop.machine === call.machine && stop.atMs <= call.endedAtMs && call.endedAtMs <= endOf(stop),
+  );
+}
+
 /** Until when a cut belongs to a stop. */
 function endOf({ atMs, tookMs }: SoakStop): number {
   return atMs + tookMs + SLACK_MS;
@@ -75,7 +83,11 @@
 }
 
 /** Whether a request that its node had read got no whole answer, with nothing to excuse it. */
-function isCut(record: SoakRecord, call: SoakCall, arrivals: readonly SoakArrival[]): boolean {
+export function isCut(
+  record: SoakRecord,
+  call: SoakCall,
+  arrivals: readonly SoakArrival[],
+): boolean {
   const { sentAtMs, sentWholeAtMs, endedAtMs, deadlineMs, timeoutMs } = call;
   // What came behind another request and was never passed on counts as not read.
   if ((call.aheadCount ?? 0) > 0 && arrivals.length === 0) {
