Stops under requests behind each other: beginning nothing behind others was tried and is not kept

Hypothesis: what comes behind others on a connection lengthens a stop, since the connection closes only once nothing is behind; not beginning it would end stops sooner. Trial on a scratch copy: the last answer that is owed closes the connection, whatever comes behind is left to its caller.

The soak prints the times of stops and the ends of pipelined connections.

--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -86,6 +86,23 @@
     .join(', ');
 }
 
+/** How long planned stops took, and how the connections of callers that send reads behind each other ended. */
+function describeStops({ stops, calls }: SoakRecord): string {
+  const tookMs = stops.map((stop) => Math.round(stop.tookMs)).sort((left, right) => left - right);
+  const median = tookMs[Math.floor(tookMs.length / 2)] ?? 0;
+  const ends = new Map<string, number>();
+  for (const { connectionEnd } of calls) {
+    if (connectionEnd !== undefined && connectionEnd !== 'answered') {
+      ends.set(connectionEnd, (ends.get(connectionEnd) ?? 0) + 1);
+    }
+  }
+  const unanswered = [...ends].map(([end, count]) => `${end}: ${count}`).join(', ');
+  return (
+    `${stops.length} planned stops, ${median} ms in the median, ${tookMs.at(-1) ?? 0} ms at most; ` +
+    `requests without an answer behind each other: ${unanswered || 'none'}`
+  );
+}
+
 /** A soak that stood still itself, or whose nodes got no core, may have seen things late. */
 function describeMachine({ pauses, coreTimes }: SoakRecord): string {
   const longestMs = Math.max(0, ...pauses.map(({ fromMs, untilMs }) => untilMs - fromMs));
@@ -143,6 +160,7 @@
   if (record.crashes.length > 0) {
     print(`${record.crashes.length} back ends ended under requests (${countCrashes(record)})`);
   }
+  print(describeStops(record));
   print(describeMachine(record));
   broken
     .slice(0, MAX_SHOWN)
