--- a/test/proxy/relay/silent-connections.test.ts
+++ b/test/proxy/relay/silent-connections.test.ts
@@ -18,7 +18,7 @@
   type RawEndpoint,
   type TestNode,
 } from '../rig.js';
-import { LOSS_MS } from '../../../src/proxy/relay/link-pulse.js';
+import { LOSS_MS, MAX_WAIT_MS } from '../../../src/proxy/relay/link-pulse.js';
 import { openRelay, type RelaySender } from '../relay-sender.js';
 import { SilentLink, type Silence } from './silent-link.js';
 
@@ -31,6 +31,10 @@
 /** The same where the peer opens no new connection: its machine may only stand still. */
 const LET_GO_UNPROVEN_WITHIN_MS = 6_500;
 const DEADLINE_MS = 8_000;
+/** Time for which no new connection works: longer than a connection is awaited without one. */
+const NO_NEW_CONNECTION_MS = LOSS_MS + 700;
+/** Time from a new connection that works to the end of what the silent one carried, with the same room. */
+const GIVEN_UP_AGAIN_WITHIN_MS = MAX_WAIT_MS + 800;
 /** Before any look at the connection finds it quiet. */
 const LEAVES_AFTER_MS = 30;
 
@@ -103,6 +107,29 @@
     return { result, tookMs: performance.now() - silentFromMs, runs: target.heads.length - before };
   }
 
+  /**
+   * A node that stops takes no new connections, and the next process at its address does. While none worked, the
+   * silence was taken for a peer that may only stand still; when one worked again, nobody looked at the old
+   * connection any more, and what it carried was awaited to its deadline. In a soak, a connection to a node that
+   * was told to stop 2.8 s before was used for 6.3 s after it had fallen silent.
+   */
+  it('gives up what it carried soon after new connections work again', async () => {
+    configure('unsafe');
+    expect((await send('unsafe')).status).to.equal(200);
+    isHeld = true;
+    const before = target.heads.length;
+    const answer = send('unsafe');
+    await until(() => target.heads.length > before);
+    isHeld = false;
+    link.silence('both');
+    link.hold(NO_NEW_CONNECTION_MS);
+    await new Promise((resolve) => setTimeout(resolve, NO_NEW_CONNECTION_MS));
+    expect((await send('unsafe')).status).to.equal(200);
+    const workedAtMs = performance.now();
+    expect((await answer).status).to.equal(502);
+    expect(performance.now() - workedAtMs).to.be.below(GIVEN_UP_AGAIN_WITHIN_MS);
+  }).timeout(2 * DEADLINE_MS);
+
   it('loses no request that may be repeated, and serves later ones at once', async () => {
     for (const silence of SILENCES) {
       const { result, tookMs } = await interrupt('safe', silence);
