Links: a silent connection is given up once a new one works, also where none did for a while

Cause: while no new connection works, a peer may only stand still, so after 3.1 s the connection counted as lost without being ended; that was the last step, and a new connection that worked later changed nothing. It takes a node that stops: it refuses new connections from 2.8 s on, and its next process takes them.

Change: once a new connection works, the old one has 1 s to say anything, is silent then, and lost. Test: 504 at the deadline of 8 s before; 502 within 1.8 s of the new connection now.

--- a/src/proxy/relay/link-pulse.ts
+++ b/src/proxy/relay/link-pulse.ts
@@ -40,7 +40,8 @@
  * - `ask`: ask for a sign of life.
  * - `suspect`: none came; nothing new is to be sent on the connection, and a new one is to be opened.
  * - `silent`: the new one works. What may be sent again is given up here.
- * - `lost`: nothing came for longer still. Nothing more is awaited.
+ * - `lost`: nothing came for longer still. Nothing more is awaited. Where no new connection works, the peer may
+ *   stand still: once one works, the connection is taken for silent and then for lost, unless anything comes.
  */
 export type PulseStep = 'none' | 'ask' | 'suspect' | 'silent' | 'lost';
 
@@ -119,6 +120,11 @@
   /** Another connection to, or from, the same process was opened. */
   proven(nowMs: number): void {
     this.provenAtMs = nowMs;
+    // Without this, what a connection carried that fell silent before its peer's restart was awaited to its deadline.
+    if (this.question?.stage === 'lost') {
+      this.question.stage = 'suspect';
+      this.question.dueAtMs = nowMs + MAX_WAIT_MS;
+    }
   }
 
   /** To be called now and then while something is owed, and after {@link msToNextLook}. */
@@ -147,20 +153,20 @@
       question.dueAtMs = nowMs + this.waitMs;
       return 'none';
     }
-    question.stage = stageAfter(question.stage, nowMs >= this.unprovenLossAtMs(question));
+    const isUnprovenLoss = !this.isProven(question) && nowMs >= this.unprovenLossAtMs(question);
+    question.stage = stageAfter(question.stage, isUnprovenLoss);
     return question.stage === 'asked' ? 'none' : question.stage;
   }
 
   /** When the question's next step is due, as far as is known. */
   private nextStepAtMs(question: Question): number {
     const { stage, dueAtMs, askedAtMs } = question;
-    const isProven = this.provenAtMs > Math.min(this.heardAtMs, askedAtMs);
     const unprovenAtMs = this.unprovenLossAtMs(question);
     switch (stage) {
       case 'asked':
         return dueAtMs;
       case 'suspect': {
-        const provenAtMs = isProven ? this.provenAtMs + PROOF_GRACE_MS : Infinity;
+        const provenAtMs = this.isProven(question) ? this.provenAtMs + PROOF_GRACE_MS : Infinity;
         return Math.max(dueAtMs, Math.min(provenAtMs, unprovenAtMs));
       }
       case 'silent':
@@ -170,6 +176,11 @@
     }
   }
 
+  /** Whether a new connection has worked since the peer was heard or asked. */
+  private isProven({ askedAtMs }: Question): boolean {
+    return this.provenAtMs > Math.min(this.heardAtMs, askedAtMs);
+  }
+
   private unprovenLossAtMs({ askedAtMs }: Question): number {
     return Math.max(askedAtMs, this.heardAtMs) + this.limits.unprovenLossMs;
   }
