--- a/tools/soak/pipelined-traffic.ts
+++ b/tools/soak/pipelined-traffic.ts
@@ -8,6 +8,9 @@
 import type { SoakShape } from './soak-shape.js';
 import { demandQuery, type WorkDemand } from './work-demand.js';
 
+/** Time between two looks whether answers are still awaited, in milliseconds. */
+const LOOK_MS = 100;
+
 /** What the traffic is made with. */
 export interface PipelinedTrafficParams {
   readonly fleet: SoakFleet;
@@ -41,8 +44,8 @@
     const { deadlineMs } = this.params.shape;
     const isBusy = (): boolean =>
       [...this.connections].some(({ waitingCount }) => waitingCount > 0);
-    for (let waitedMs = 0; waitedMs < deadlineMs && isBusy(); waitedMs += 100) {
-      await delay(100);
+    for (let waitedMs = 0; waitedMs < deadlineMs && isBusy(); waitedMs += LOOK_MS) {
+      await delay(LOOK_MS);
     }
     this.connections.forEach((connection) => connection.close());
   }
@@ -63,6 +66,7 @@
     }
   }
 
+  /** Opens a connection in the place of one that can't be used any more. */
   private openAnew(machine: SoakMachine, before?: PipelinedConnection): PipelinedConnection {
     if (before !== undefined) {
       this.connections.delete(before);
