Soak: a caller's pause between pieces lasts as long as its clock says

A test saw 39.9 ms where two pauses of 20 ms had to be 40 at least: Node's timers go by whole milliseconds of the loop's time and may be up to one early by the clock that the caller's times are taken from. The pause now goes on until that clock has moved on; the test is unchanged.

--- a/tools/soak/soak-client.ts
+++ b/tools/soak/soak-client.ts
@@ -128,7 +128,7 @@
     const lastIdx = Math.ceil(body.length / pieceBytes) - 1;
     for (let idx = 0; idx < Math.min(lastIdx, stallsAfter) && !this.isOver; idx += 1) {
       message.write(body.slice(idx * pieceBytes, (idx + 1) * pieceBytes));
-      await delay(gapMs);
+      await pause(gapMs, this.request.nowMs);
     }
     if (lastIdx < stallsAfter && !this.isOver) {
       message.end(body.slice(lastIdx * pieceBytes));
@@ -168,3 +168,11 @@
     });
   }
 }
+
+/** Waits until the clock has moved on by `delayMs`: a timer goes by whole milliseconds and may be early. */
+async function pause(delayMs: number, nowMs: () => number): Promise<void> {
+  const endAtMs = nowMs() + delayMs;
+  for (let leftMs = delayMs; leftMs > 0; leftMs = endAtMs - nowMs()) {
+    await delay(Math.ceil(leftMs));
+  }
+}
