--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -3,6 +3,7 @@
  * once; a short queue waits for them, by rank and fair among the callers' nodes; a request that can't
  * finish in time is refused at once. Pure: time is passed in.
  */
+import { ColdMeter } from './cold-meter.js';
 import { AdmissionQueue, rankOf, type AdmissionTicket } from './admission-queue.js';
 import { ServiceTimes } from './service-times.js';
 
@@ -25,7 +26,16 @@
 const NO_SLOT_RETRY_AFTER_MS = 1_000;
 
 /** Why a request is refused. Each is decided before the request is sent. */
-export type RefusalReason = 'queue-full' | 'cannot-finish-in-time' | 'deadline-passed' | 'draining';
+export type RefusalReason =
+  'queue-full' | 'cannot-finish-in-time' | 'deadline-passed' | ClosedReason;
+
+/**
+ * Why an endpoint takes no new work.
+ *
+ * - `draining`: it is about to end.
+ * - `evacuated`: its zone gets none for a while.
+ */
+export type ClosedReason = 'draining' | 'evacuated';
 
 /** A request that is refused, and when to come back. */
 export interface Refusal {
@@ -53,7 +63,7 @@
   /** Ranks of the requests whose bodies are on their way, and that have a place in the queue or a slot. */
   private readonly reserved = new Map<string, number>();
   private readonly serviceTimes = new ServiceTimes();
-  private draining = false;
+  private closedFor: ClosedReason | undefined;
   /** Requests at the endpoint that are not counted here, by its last report. */
   private hidden = 0;
   private reportedAtMs = -Infinity;
@@ -66,6 +76,7 @@
     private slots: number,
     private readonly maxWaiting = Infinity,
     private readonly queuedPerSlot = DEFAULT_QUEUED_PER_SLOT,
+    private readonly meter = new ColdMeter(-Infinity),
   ) {
     this.limit = slots;
   }
@@ -80,9 +91,9 @@
     return this.queue.size;
   }
 
-  /** Whether new work is refused. */
-  get isDraining(): boolean {
-    return this.draining;
+  /** Why new work is refused; undefined while it is taken. */
+  get closedReason(): ClosedReason | undefined {
+    return this.closedFor;
   }
 
   /** Mean time that the endpoint takes for a class of work; undefined before a measurement. */
@@ -106,13 +117,27 @@
     return this.fillSlots(nowMs);
   }
 
-  /** Takes no new work while `draining`; what waits has not started and is refused. */
-  setDraining(draining: boolean): AdmissionEffect[] {
-    this.draining = draining;
-    if (!draining) {
+  /** Takes no new work while there is a reason; what waits has not started and is refused. */
+  close(reason: ClosedReason | undefined, nowMs: number): AdmissionEffect[] {
+    this.closedFor = reason;
+    if (reason === undefined) {
       return [];
     }
-    return this.queue.removeAll().map((ticket) => this.refuse(ticket, 'draining'));
+    return this.queue.removeAll().map((ticket) => this.refuse(ticket, reason, nowMs));
+  }
+
+  /**
+   * Time until something may be sent that waits for the sake of a cold endpoint, to call {@link resume}
+   * then; undefined when nothing does.
+   */
+  resumesInMs(nowMs: number): number | undefined {
+    const isHeld = this.queue.size > 0 && this.meter.roomAt(nowMs) === 0;
+    return isHeld ? this.meter.untilRoomMs(nowMs) : undefined;
+  }
+
+  /** Sends what may be sent by now. */
+  resume(nowMs: number): AdmissionEffect[] {
+    return this.fillSlots(nowMs);
   }
 
   /**
@@ -140,7 +165,7 @@
   reserve(ticket: AdmissionTicket, arrival: BodyArrival, nowMs: number): Refusal | undefined {
     const { beginsAtMs, endsAtMs } = arrival;
     if (beginsAtMs > nowMs && beginsAtMs > (ticket.startByMs ?? Infinity)) {
-      return this.refusal(ticket, 'cannot-finish-in-time', beginsAtMs - nowMs);
+      return this.refusal(ticket, 'cannot-finish-in-time', nowMs, beginsAtMs - nowMs);
     }
     const offered = this.withoutMissedTarget(ticket, nowMs);
     const reason = this.refusalOf(offered, endsAtMs) ?? this.lackOfRoom(offered, nowMs);
@@ -148,7 +173,7 @@
       this.reserved.set(ticket.requestId, rankOf(ticket));
       return undefined;
     }
-    return this.refusal(ticket, reason, endsAtMs - this.latestStartAtMs(offered));
+    return this.refusal(ticket, reason, nowMs, endsAtMs - this.latestStartAtMs(offered));
   }
 
   /** The place that was kept for a request is free. */
@@ -170,9 +195,9 @@
     const reason =
       this.refusalOf(ticket, nowMs) ?? (hasPlace ? undefined : this.lackOfRoom(ticket, nowMs));
     if (reason !== undefined) {
-      return [this.refuse(ticket, reason)];
+      return [this.refuse(ticket, reason, nowMs)];
     }
-    const displaced = this.displaceFor(ticket);
+    const displaced = this.displaceFor(ticket, nowMs);
     this.queue.push(ticket);
     return [...displaced, ...this.fillSlots(nowMs)];
   }
@@ -201,7 +226,8 @@
   /** At least one request may run, so that the next report comes. */
   private limitAt(nowMs: number): number {
     const isRecent = nowMs - this.reportedAtMs < REPORT_LIFETIME_MS;
-    return Math.max(1, Math.floor(this.limit) - (isRecent ? this.hidden : 0));
+    const limit = Math.max(1, Math.floor(this.limit) - (isRecent ? this.hidden : 0));
+    return Math.min(limit, this.running.size + this.meter.roomAt(nowMs));
   }
 
   /** Whether a request could start at once, and none waits. */
@@ -240,15 +266,15 @@
   }
 
   /** Makes room in a full queue for a request that goes before one in it. */
-  private displaceFor(ticket: AdmissionTicket): AdmissionEffect[] {
+  private displaceFor(ticket: AdmissionTicket, nowMs: number): AdmissionEffect[] {
     const isFull = this.queue.size >= this.queueBound;
     const displaced = isFull ? this.queue.displaceFor(ticket) : undefined;
-    return displaced === undefined ? [] : [this.refuse(displaced, 'queue-full')];
+    return displaced === undefined ? [] : [this.refuse(displaced, 'queue-full', nowMs)];
   }
 
   private refusalOf(ticket: AdmissionTicket, nowMs: number): RefusalReason | undefined {
-    if (this.draining) {
-      return 'draining';
+    if (this.closedFor !== undefined) {
+      return this.closedFor;
     }
     if (ticket.deadlineAtMs <= nowMs) {
       return 'deadline-passed';
@@ -257,9 +283,9 @@
     if (this.slots === 0) {
       return 'queue-full';
     }
-    const waitMs = this.expectedWaitMs(rankOf(ticket));
+    const waitMs = this.expectedWaitMs(rankOf(ticket), nowMs);
     const waitsTooLong = waitMs > 0 && nowMs + waitMs > (ticket.startByMs ?? Infinity);
-    return waitsTooLong || this.isTooLate(ticket, nowMs + waitMs)
+    return waitsTooLong || this.isTooLate(ticket, nowMs + waitMs, waitMs > 0)
       ? 'cannot-finish-in-time'
       : undefined;
   }
@@ -274,24 +300,34 @@
    * An idle endpoint gets the request all the same, so that its pace is measured anew. How long the
    * request may wait is no reason to leave a slot free that it can have at once.
    */
-  private isTooLate(ticket: AdmissionTicket, startAtMs: number): boolean {
-    return this.running.size > 0 && startAtMs > this.lastUsefulStartMs(ticket);
+  private isTooLate(ticket: AdmissionTicket, startAtMs: number, hasToWait = false): boolean {
+    const isIdle = this.running.size === 0 && !hasToWait;
+    return !isIdle && startAtMs > this.lastUsefulStartMs(ticket);
   }
 
   /** Time until a request of the rank that arrives now gets a slot, at the measured pace. */
-  private expectedWaitMs(rank: number): number {
-    const ahead = this.running.size + this.queue.countUpTo(rank) - this.limit + 1;
-    return ahead <= 0 ? 0 : (ahead * this.serviceTimes.overallMs) / this.limit;
+  private expectedWaitMs(rank: number, nowMs: number): number {
+    const waiting = this.queue.countUpTo(rank);
+    const ahead = this.running.size + waiting - this.limit + 1;
+    const slotWaitMs = ahead <= 0 ? 0 : (ahead * this.serviceTimes.overallMs) / this.limit;
+    return Math.max(slotWaitMs, this.meter.waitMs(waiting + 1, nowMs));
   }
 
-  private refuse(ticket: AdmissionTicket, reason: RefusalReason): AdmissionEffect {
-    return { type: 'refuse', ...this.refusal(ticket, reason) };
+  private refuse(ticket: AdmissionTicket, reason: RefusalReason, nowMs: number): AdmissionEffect {
+    return { type: 'refuse', ...this.refusal(ticket, reason, nowMs) };
   }
 
   /** `bodyWaitMs` is how much sooner the body would have to arrive. */
-  private refusal(ticket: AdmissionTicket, reason: RefusalReason, bodyWaitMs = 0): Refusal {
+  private refusal(
+    ticket: AdmissionTicket,
+    reason: RefusalReason,
+    nowMs: number,
+    bodyWaitMs = 0,
+  ): Refusal {
     const hasSlots = this.slots > 0;
-    const slotWaitMs = hasSlots ? this.expectedWaitMs(rankOf(ticket)) : NO_SLOT_RETRY_AFTER_MS;
+    const slotWaitMs = hasSlots
+      ? this.expectedWaitMs(rankOf(ticket), nowMs)
+      : NO_SLOT_RETRY_AFTER_MS;
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, slotWaitMs, bodyWaitMs);
     return { requestId: ticket.requestId, reason, retryAfterMs };
   }
@@ -311,12 +347,13 @@
   /** The clock is checked again: the process may have been paused while the request waited. */
   private dispatchOrRefuse(ticket: AdmissionTicket, nowMs: number): AdmissionEffect {
     if (ticket.deadlineAtMs <= nowMs) {
-      return this.refuse(ticket, 'deadline-passed');
+      return this.refuse(ticket, 'deadline-passed', nowMs);
     }
     if (this.isTooLate(ticket, nowMs)) {
-      return this.refuse(ticket, 'cannot-finish-in-time');
+      return this.refuse(ticket, 'cannot-finish-in-time', nowMs);
     }
     this.running.set(ticket.requestId, ticket.workClass);
+    this.meter.sent(nowMs);
     return { type: 'dispatch', requestId: ticket.requestId };
   }
 }
--- a/src/api/api-request.ts
+++ b/src/api/api-request.ts
@@ -38,6 +38,7 @@
   routes: 'route',
   endpoints: 'endpoint',
   secrets: 'secret',
+  evacuations: 'evacuation',
 } as const satisfies Record<string, ResourceKind>;
 
 /** Path segment of requests under suspicion. */
--- a/src/explain/request-story.ts
+++ b/src/explain/request-story.ts
@@ -12,6 +12,8 @@
   readonly configuration: number | undefined;
   /** Whether the store answered. */
   readonly isStoreReached: boolean;
+  /** Zones whose endpoints got no new work. */
+  readonly evacuatedZones: readonly string[];
   /** Machines of which nothing was heard. */
   readonly silentPeers: readonly string[];
   /** Whether the node was about to stop. */
@@ -52,6 +54,7 @@
 const INITIAL_STATE: MachineState = {
   configuration: undefined,
   isStoreReached: true,
+  evacuatedZones: [],
   silentPeers: [],
   isStopping: false,
 };
@@ -62,6 +65,13 @@
       return { ...INITIAL_STATE, configuration: state.configuration };
     case 'configuration-in-force':
       return { ...state, configuration: Number(fields.number) };
+    case 'zone-evacuated':
+      return { ...state, evacuatedZones: [...state.evacuatedZones, String(fields.zone)] };
+    case 'zone-taken-back':
+      return {
+        ...state,
+        evacuatedZones: state.evacuatedZones.filter((zone) => zone !== fields.zone),
+      };
     case 'store-lost':
       return { ...state, isStoreReached: false };
     case 'store-regained':
--- a/src/explain/story-text.ts
+++ b/src/explain/story-text.ts
@@ -33,12 +33,14 @@
 function stateText({
   configuration,
   isStoreReached,
+  evacuatedZones,
   silentPeers,
   isStopping,
 }: MachineState): string {
   const parts = [
     `configuration ${configuration ?? 'none'}`,
     `store ${isStoreReached ? 'reached' : 'lost'}`,
+    ...(evacuatedZones.length > 0 ? [`evacuated zones ${evacuatedZones.join(', ')}`] : []),
     ...(silentPeers.length > 0 ? [`silent peers ${silentPeers.join(', ')}`] : []),
     ...(isStopping ? ['about to stop'] : []),
   ];
--- /dev/null
+++ b/src/model/evacuation.ts
@@ -0,0 +1,26 @@
+/**
+ * Zones whose endpoints get no new work: what runs there is left alone, what waits is refused and sent
+ * elsewhere. Unlike a drain it says nothing of the endpoints themselves, and it may end at any moment.
+ */
+import type { Endpoint } from './resource.js';
+
+/** Each endpoint's evacuated copy, so that it stays the same object from snapshot to snapshot. */
+const evacuatedCopies = new WeakMap<Endpoint, Endpoint>();
+
+/** The endpoint as the zones in `evacuatedZones` leave it. */
+export function underEvacuation(endpoint: Endpoint, evacuatedZones: ReadonlySet<string>): Endpoint {
+  if (!evacuatedZones.has(endpoint.spec.zone)) {
+    return endpoint;
+  }
+  let copy = evacuatedCopies.get(endpoint);
+  if (copy === undefined) {
+    copy = { ...endpoint, isEvacuated: true };
+    evacuatedCopies.set(endpoint, copy);
+  }
+  return copy;
+}
+
+/** Whether the configuration lets the endpoint have new work. */
+export function isInService({ spec, isEvacuated }: Endpoint): boolean {
+  return spec.state === 'active' && isEvacuated !== true;
+}
--- a/src/model/resource-key.ts
+++ b/src/model/resource-key.ts
@@ -8,7 +8,13 @@
 export const DEFAULT_REQUEST_TIMEOUT_MS = 5_000;
 
 /** Every kind, in the order in which references point: a kind refers only to others in this list. */
-export const RESOURCE_KINDS: readonly ResourceKind[] = ['service', 'secret', 'route', 'endpoint'];
+export const RESOURCE_KINDS: readonly ResourceKind[] = [
+  'service',
+  'secret',
+  'route',
+  'endpoint',
+  'evacuation',
+];
 
 /** `kind/name`, unique in a configuration. */
 export type ResourceKey = `${ResourceKind}/${string}`;
--- a/src/model/resource.ts
+++ b/src/model/resource.ts
@@ -26,6 +26,9 @@
   .max(MAX_NAME_LENGTH)
   .regex(/^[a-z0-9]([a-z0-9._-]*[a-z0-9])?$/, 'expected lower-case letters, digits, ".", "_", "-"');
 
+/** Longest time for which a service may say that its endpoints are cold, in milliseconds. */
+const MAX_COLD_START_MS = 3_600_000;
+const MAX_RATE_PER_S = 1_000_000;
 /** Most targets of one route. */
 const MAX_ROUTE_TARGETS = 16;
 /** Largest rank of a route: the least urgent. */
@@ -35,12 +38,29 @@
 
 const timeoutSchema = z.number().int().min(1).max(MAX_REQUEST_TIMEOUT_MS);
 
+/** How an endpoint that has just started, or has been idle for long, may be loaded at first. */
+export const coldStartSchema = z
+  .strictObject({
+    /** How long an endpoint stays cold, in milliseconds. */
+    durationMs: z.number().min(0).max(MAX_COLD_START_MS),
+    /** Requests that a cold endpoint bears in a second, for as long as it is cold. */
+    ratePerS: z.number().gt(0).max(MAX_RATE_PER_S),
+    /** Requests that a cold endpoint may be sent within any one second, by all nodes together. */
+    maxInSecond: z.number().min(1).max(MAX_RATE_PER_S),
+  })
+  .refine(({ ratePerS, maxInSecond }) => ratePerS <= maxInSecond, {
+    path: ['maxInSecond'],
+    error: 'expected the rate at least',
+  });
+
 /** A named group of interchangeable endpoints. */
 export const serviceSpecSchema = z.strictObject({
   /** Time a request may take when the caller gives no deadline, in milliseconds. */
   requestTimeoutMs: timeoutSchema.default(DEFAULT_REQUEST_TIMEOUT_MS),
   /** Retries allowed, as a percentage of first attempts. */
   retryBudgetPercent: z.number().min(0).max(100).default(20),
+  /** Absent for a service whose endpoints start warm. */
+  coldStart: coldStartSchema.optional(),
 });
 
 /** Adds a credential to every request of a route, from a secret. */
@@ -101,6 +121,8 @@
    * that starts again under its name is another one, see {@link ./incarnation.ts}.
    */
   bornAtMs: z.number().int().min(0).optional(),
+  /** For how much longer the endpoint is cold, in milliseconds, from when this was told; 0 when it is warm. */
+  coldForMs: z.number().min(0).max(MAX_COLD_START_MS).optional(),
   state: z.enum(['active', 'draining']).default('active'),
 });
 
@@ -109,15 +131,20 @@
   value: z.string().min(1).max(MAX_SECRET_LENGTH),
 });
 
+/** A zone whose endpoints get no new work while the resource stands; it has the zone's name. */
+export const evacuationSpecSchema = z.strictObject({});
+
 /** One resource of any kind, told apart by `kind`. */
 export const resourceSchema = z.discriminatedUnion('kind', [
   z.strictObject({ kind: z.literal('service'), name: nameSchema, spec: serviceSpecSchema }),
   z.strictObject({ kind: z.literal('route'), name: nameSchema, spec: routeSpecSchema }),
   z.strictObject({ kind: z.literal('endpoint'), name: nameSchema, spec: endpointSpecSchema }),
   z.strictObject({ kind: z.literal('secret'), name: nameSchema, spec: secretSpecSchema }),
+  z.strictObject({ kind: z.literal('evacuation'), name: nameSchema, spec: evacuationSpecSchema }),
 ]);
 
 export type ServiceSpec = z.infer<typeof serviceSpecSchema>;
+export type ColdStart = z.infer<typeof coldStartSchema>;
 export type RouteTarget = z.infer<typeof routeTargetSchema>;
 export type RouteSpec = z.infer<typeof routeSpecSchema>;
 export type EndpointSpec = z.infer<typeof endpointSpecSchema>;
@@ -126,5 +153,8 @@
 export type ResourceKind = Resource['kind'];
 export type Service = Extract<Resource, { kind: 'service' }>;
 export type Route = Extract<Resource, { kind: 'route' }>;
-export type Endpoint = Extract<Resource, { kind: 'endpoint' }>;
+export type Endpoint = Extract<Resource, { kind: 'endpoint' }> & {
+  /** Whether the endpoint's zone is evacuated; set where a snapshot indexes its endpoints. */
+  readonly isEvacuated?: boolean;
+};
 export type Secret = Extract<Resource, { kind: 'secret' }>;
--- a/src/model/snapshot.ts
+++ b/src/model/snapshot.ts
@@ -3,6 +3,7 @@
  * swapped in. A request keeps the snapshot that it started with.
  */
 import { InvalidConfigurationError, type ConfigurationFault } from './configuration-error.js';
+import { underEvacuation } from './evacuation.js';
 import type { Endpoint, Resource, Route, Secret, Service } from './resource.js';
 import { resourceKey, type ResourceKey } from './resource-key.js';
 import { NO_VERSION, type DocumentVersion } from './version.js';
@@ -42,6 +43,8 @@
   readonly secrets: ReadonlyMap<string, Secret>;
   /** Endpoints by the name of their service; every service has a list, perhaps an empty one. */
   readonly endpointsByService: ReadonlyMap<string, readonly Endpoint[]>;
+  /** Zones whose endpoints get no new work; see {@link ./evacuation.ts}. */
+  readonly evacuatedZones: ReadonlySet<string>;
   /** Limits that the configuration sets; undefined where it leaves them to the node's settings. */
   readonly callerLimits: CallerLimits | undefined;
 }
@@ -75,6 +78,12 @@
   return { ...indexSnapshot(version, byKey), callerLimits };
 }
 
+/** What a snapshot gets besides its routes. */
+export interface PlacedEndpoints {
+  readonly endpoints: readonly Endpoint[];
+  readonly evacuatedZones: ReadonlySet<string>;
+}
+
 /**
  * The snapshot `base`, which has no endpoints, with `endpoints`; those of unknown services are left
  * out. `before` is an earlier snapshot: lists of endpoints that did not change are taken from it. Costs
@@ -82,7 +91,7 @@
  */
 export function withEndpoints(
   base: Snapshot,
-  endpoints: readonly Endpoint[],
+  { endpoints, evacuatedZones }: PlacedEndpoints,
   before?: Snapshot,
 ): Snapshot {
   const endpointsByService = new Map<string, readonly Endpoint[]>();
@@ -91,13 +100,13 @@
     lists.set(service, []);
   }
   for (const endpoint of endpoints) {
-    lists.get(endpoint.spec.service)?.push(endpoint);
+    lists.get(endpoint.spec.service)?.push(underEvacuation(endpoint, evacuatedZones));
   }
   for (const [service, list] of lists) {
     const held = before?.endpointsByService.get(service);
     endpointsByService.set(service, held !== undefined && isSameList(held, list) ? held : list);
   }
-  return new SnapshotWithEndpoints(base, endpointsByService);
+  return new SnapshotWithEndpoints(base, endpointsByService, evacuatedZones);
 }
 
 /** Joins the resources of both parts only when they are asked for. */
@@ -111,6 +120,7 @@
   constructor(
     private readonly base: Snapshot,
     readonly endpointsByService: ReadonlyMap<string, readonly Endpoint[]>,
+    readonly evacuatedZones: ReadonlySet<string>,
   ) {
     ({
       version: this.version,
@@ -163,6 +173,7 @@
       return [`service/${resource.spec.service}`];
     case 'service':
     case 'secret':
+    case 'evacuation':
       return [];
   }
 }
@@ -175,10 +186,13 @@
   const routes: Route[] = [];
   const secrets = new Map<string, Secret>();
   const endpointsByService = new Map<string, Endpoint[]>();
+  const evacuatedZones = new Set<string>();
   for (const resource of resources.values()) {
     if (resource.kind === 'service') {
       services.set(resource.name, resource);
       endpointsByService.set(resource.name, []);
+    } else if (resource.kind === 'evacuation') {
+      evacuatedZones.add(resource.name);
     }
   }
   for (const resource of resources.values()) {
@@ -190,11 +204,14 @@
         secrets.set(resource.name, resource);
         break;
       case 'endpoint':
-        endpointsByService.get(resource.spec.service)?.push(resource);
+        endpointsByService
+          .get(resource.spec.service)
+          ?.push(underEvacuation(resource, evacuatedZones));
         break;
       case 'service':
+      case 'evacuation':
         break;
     }
   }
-  return { version, resources, services, routes, secrets, endpointsByService };
+  return { version, resources, services, routes, secrets, endpointsByService, evacuatedZones };
 }
--- a/src/proxy/attempt-errors.ts
+++ b/src/proxy/attempt-errors.ts
@@ -10,6 +10,7 @@
   DeadlinePassedError,
   EndpointDrainingError,
   EndpointEndedError,
+  EndpointEvacuatedError,
   EndpointRefusedError,
   LostBeforeStartError,
   MalformedAnswerError,
@@ -69,6 +70,8 @@
       return new DeadlinePassedError('the deadline passed while the request waited', retryAfterMs);
     case 'draining':
       return new EndpointDrainingError('the endpoint is draining', retryAfterMs);
+    case 'evacuated':
+      return new EndpointEvacuatedError('the zone of the endpoint is evacuated', retryAfterMs);
   }
 }
 
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -1,15 +1,17 @@
 /** Admission to one endpoint. Executes the effects of {@link EndpointAdmission}. */
+import { ColdMeter } from '../admission/cold-meter.js';
 import {
   EndpointAdmission,
   type AdmissionEffect,
   type BodyArrival,
+  type ClosedReason,
   type Refusal,
 } from '../admission/endpoint-admission.js';
 import { NO_CONTAINMENT, type CallContainment } from '../containment/containment.js';
 import { SuspectLane } from '../containment/suspect-lane.js';
 import type { CounterSink } from '../control/control-event.js';
 import { startedBefore } from '../model/incarnation.js';
-import type { Endpoint } from '../model/resource.js';
+import type { ColdStart, Endpoint } from '../model/resource.js';
 import { FailureShare } from '../routing/failure-share.js';
 import { admissionError, containedError } from './attempt-errors.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
@@ -18,7 +20,7 @@
 import { LossJudge } from './loss-judge.js';
 import type { RequestError } from './request-error.js';
 import { namedFingerprint, type RequestLog } from './request-log.js';
-import type { Scheduler } from './scheduler.js';
+import type { CancelTimer, Scheduler } from './scheduler.js';
 
 /** What gates share. */
 export interface GateOptions {
@@ -39,6 +41,17 @@
   readonly logStateChange: (what: string, detail: string) => void;
 }
 
+/** What the configuration says of an endpoint. */
+export interface EndpointTerms {
+  /** The endpoint as it stands there; undefined once it is gone. */
+  readonly endpoint: Endpoint | undefined;
+  /** Requests at once that this node may send. */
+  readonly slots: number;
+  readonly coldStart: ColdStart | undefined;
+  /** Part of what a cold endpoint bears that this node may send. */
+  readonly coldShare: number;
+}
+
 /** A refusal as the log has it. */
 type RecordedRefusal = Omit<Refusal, 'reason'> & {
   readonly reason: Refusal['reason'] | 'contained';
@@ -47,6 +60,10 @@
 /** The slots of one incarnation of an endpoint and the requests for them. */
 export class EndpointGate implements CallGate {
   private readonly admission: EndpointAdmission;
+  private readonly meter: ColdMeter;
+  private cancelResume: CancelTimer | undefined;
+  /** The endpoint as the configuration had it last. */
+  private configured: Endpoint | undefined;
   private readonly calls = new Map<string, GatedCall>();
   private readonly failures = new FailureShare();
   private readonly containment: CallContainment;
@@ -56,15 +73,23 @@
   private readonly heldBack = new Set<GatedCall>();
   private isProbing = false;
   private isDrainedByEndpoint = false;
-  private isDrainedByConfiguration = false;
+  private closedByConfiguration: ClosedReason | undefined;
 
+  /** `startedAtMs` is when this node began. */
   constructor(
     readonly endpoint: Endpoint,
     private slots: number,
     private readonly options: GateOptions,
+    startedAtMs = -Infinity,
   ) {
     const { maxQueuedPerEndpoint, maxQueuedPerSlot } = options;
-    this.admission = new EndpointAdmission(slots, maxQueuedPerEndpoint, maxQueuedPerSlot);
+    this.meter = new ColdMeter(startedAtMs);
+    this.admission = new EndpointAdmission(
+      slots,
+      maxQueuedPerEndpoint,
+      maxQueuedPerSlot,
+      this.meter,
+    );
     this.containment = options.containment ?? NO_CONTAINMENT;
     this.losses = new LossJudge({
       atWork: () => [...this.calls.values()].filter((one) => one.isAtWork()).reverse(),
@@ -93,7 +118,7 @@
     return {
       inFlight: this.inFlight,
       slots: this.slots,
-      draining: this.admission.isDraining,
+      draining: this.admission.closedReason === 'draining',
       failureShare: this.failures.at(this.options.scheduler.now()),
       serviceMs: this.admission.serviceMs(workClass),
     };
@@ -162,7 +187,7 @@
     }
     if (load?.draining === true && !this.isDrainedByEndpoint) {
       this.isDrainedByEndpoint = true;
-      this.updateDraining();
+      this.updateClosed();
     }
   }
 
@@ -175,10 +200,24 @@
     this.admission.endpointRefused();
   }
 
-  /** Takes whether the configuration drains the endpoint. */
-  configureDraining(isDraining: boolean): void {
-    this.isDrainedByConfiguration = isDraining;
-    this.updateDraining();
+  /** Takes what the configuration says; an endpoint that is gone from it drains. */
+  configure({ endpoint, slots, coldStart, coldShare }: EndpointTerms): void {
+    this.meter.configure(coldStart, coldShare);
+    if (endpoint !== this.configured) {
+      this.takeColdNews(endpoint);
+      this.configured = endpoint;
+      this.closedByConfiguration = closedReasonOf(endpoint);
+      this.updateClosed();
+    }
+    if (slots !== this.slots) {
+      this.slots = slots;
+      this.execute(this.admission.setSlots(slots, this.options.scheduler.now()));
+    }
+  }
+
+  /** Whether the endpoint is cold, as far as this node knows. */
+  get isCold(): boolean {
+    return this.options.scheduler.now() < this.meter.coldUntil;
   }
 
   /**
@@ -198,14 +237,6 @@
     }
   }
 
-  /** Takes how many requests at once this node may send. */
-  configureSlots(slots: number): void {
-    if (slots !== this.slots) {
-      this.slots = slots;
-      this.execute(this.admission.setSlots(slots, this.options.scheduler.now()));
-    }
-  }
-
   /** Asks an endpoint that said that it drains whether it still does. */
   probeDraining(): void {
     if (!this.isDrainedByEndpoint || this.isProbing) {
@@ -216,7 +247,7 @@
       this.isProbing = false;
       if (isDraining === false) {
         this.isDrainedByEndpoint = false;
-        this.updateDraining();
+        this.updateClosed();
       }
     });
   }
@@ -241,7 +272,7 @@
 
   /** A draining endpoint is expected to end: nothing is learnt from that. */
   private takeEnd(work: readonly GatedCall[]): void {
-    if (!this.admission.isDraining) {
+    if (this.admission.closedReason !== 'draining') {
       const calls = work.map(({ call }) => call);
       this.containment.endpointEnded(this.endpoint.name, calls);
     }
@@ -285,15 +316,42 @@
     gated.refuse(containedError(retryAfterMs));
   }
 
-  private updateDraining(): void {
-    const isDraining = this.isDrainedByEndpoint || this.isDrainedByConfiguration;
-    if (isDraining !== this.admission.isDraining) {
-      const detail = `${this.endpoint.name} ${isDraining ? 'draining' : 'open'}`;
-      this.options.logStateChange('endpoint', detail);
-      this.execute(this.admission.setDraining(isDraining));
+  private updateClosed(): void {
+    const reason = this.isDrainedByEndpoint ? 'draining' : this.closedByConfiguration;
+    if (reason !== this.admission.closedReason) {
+      this.options.logStateChange('endpoint', `${this.endpoint.name} ${reason ?? 'open'}`);
+      this.execute(this.admission.close(reason, this.options.scheduler.now()));
     }
   }
 
+  /**
+   * An entry that was written anew tells whether the endpoint is cold. One that comes back from an evacuation
+   * may have become cold unseen.
+   */
+  private takeColdNews(endpoint: Endpoint | undefined): void {
+    const nowMs = this.options.scheduler.now();
+    const hasComeBack = this.configured?.isEvacuated === true && endpoint?.isEvacuated !== true;
+    const isSameEntry = endpoint?.spec === this.configured?.spec;
+    if (endpoint?.spec.coldForMs !== undefined && !isSameEntry) {
+      this.meter.takeNews(endpoint.spec.coldForMs, nowMs);
+    } else if (hasComeBack) {
+      this.meter.presumeCold(nowMs);
+    }
+  }
+
+  /** What waits for the sake of a cold endpoint is sent as soon as that bears it. */
+  private scheduleResume(): void {
+    this.cancelResume?.();
+    const { scheduler } = this.options;
+    const delayMs = this.admission.resumesInMs(scheduler.now());
+    this.cancelResume =
+      delayMs === undefined
+        ? undefined
+        : scheduler.schedule(delayMs, () => {
+            this.execute(this.admission.resume(scheduler.now()));
+          });
+  }
+
   private recordRefusal(
     { requestId, reason, retryAfterMs }: RecordedRefusal,
     call: Call | undefined,
@@ -351,5 +409,19 @@
         this.leaveLane(effect.requestId);
       }
     }
+    if (this.isHeldForCold || this.cancelResume !== undefined) {
+      this.scheduleResume();
+    }
+  }
+
+  private get isHeldForCold(): boolean {
+    return this.admission.resumesInMs(this.options.scheduler.now()) !== undefined;
+  }
+}
+
+function closedReasonOf(endpoint: Endpoint | undefined): ClosedReason | undefined {
+  if (endpoint === undefined || endpoint.spec.state !== 'active') {
+    return 'draining';
   }
+  return endpoint.isEvacuated === true ? 'evacuated' : undefined;
 }
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -4,7 +4,7 @@
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
-import { EndpointGate, type GateOptions } from './endpoint-gate.js';
+import { EndpointGate, type EndpointTerms, type GateOptions } from './endpoint-gate.js';
 import type { OwnedEndpoints } from './relay/relayed-request.js';
 import type { RequestError } from './request-error.js';
 
@@ -19,6 +19,8 @@
   readonly snapshot: () => Snapshot | undefined;
   /** How many requests at once this node may send to an endpoint. */
   readonly slotsFor: (endpoint: Endpoint) => number;
+  /** Which part of what a cold endpoint bears this node may send; all of it when absent. */
+  readonly coldShareFor?: (endpoint: Endpoint) => number;
 }
 
 /** The gates of one node. */
@@ -29,9 +31,12 @@
   private readonly successors = new WeakMap<EndpointGate, EndpointGate>();
   /** The configuration that each gate was last compared with. */
   private readonly configuredFrom = new WeakMap<EndpointGate, Snapshot>();
+  private readonly startedAtMs: number;
   private looks = 0;
 
-  constructor(private readonly options: EndpointGatewayOptions) {}
+  constructor(private readonly options: EndpointGatewayOptions) {
+    this.startedAtMs = options.scheduler.now();
+  }
 
   submit(endpoint: Endpoint, call: Call, observer: AttemptObserver): Attempt {
     return this.gateInForce(endpoint).submit(call, observer);
@@ -59,6 +64,11 @@
     return [...this.gates.values()].reduce((sum, gate) => sum + gate.inFlight, 0);
   }
 
+  /** Endpoints that are cold, as far as this node knows. */
+  get coldCount(): number {
+    return [...this.gates.values()].filter(({ isCold }) => isCold).length;
+  }
+
   /** Requests that wait at this node for a slot of the endpoint. */
   waitingFor(endpoint: Endpoint): number {
     return this.gates.get(incarnationOf(endpoint))?.waitingCount ?? 0;
@@ -72,6 +82,17 @@
     }
   }
 
+  /**
+   * The endpoints beside this node, as the configuration has them from now on: for how long one is cold is told
+   * as of now, whenever its first request comes.
+   */
+  takeOwn(endpoints: Iterable<Endpoint>): void {
+    for (const endpoint of endpoints) {
+      this.gateInForce(endpoint);
+    }
+    this.upkeep();
+  }
+
   /** Compares every gate with the configuration, and asks draining endpoints whether they still are. */
   upkeep(): void {
     const snapshot = this.options.snapshot();
@@ -105,15 +126,29 @@
       this.configuredFrom.set(gate, snapshot);
       this.configureFrom(snapshot, gate);
     }
-    gate.configureSlots(this.options.slotsFor(gate.endpoint));
+    gate.configure(this.termsOf(snapshot, gate));
+  }
+
+  /** What a gate was told of an incarnation that has been succeeded stays as it is. */
+  private termsOf(snapshot: Snapshot, gate: EndpointGate): EndpointTerms {
+    const { endpoint } = gate;
+    const isSucceeded = this.successors.has(gate);
+    const { slotsFor, coldShareFor } = this.options;
+    const { service } = endpoint.spec;
+    return {
+      endpoint: isSucceeded ? endpoint : placedEndpoint(snapshot, endpoint),
+      slots: slotsFor(endpoint),
+      coldStart: snapshot.services.get(service)?.spec.coldStart,
+      coldShare: coldShareFor?.(endpoint) ?? 1,
+    };
   }
 
   private configureFrom(snapshot: Snapshot, gate: EndpointGate): void {
     const named = namedAlike(snapshot, gate.endpoint);
     if (named === undefined || named.spec.machine !== gate.endpoint.spec.machine) {
-      gate.configureDraining(true);
-    } else if (incarnationOf(named) === incarnationOf(gate.endpoint)) {
-      gate.configureDraining(named.spec.state !== 'active');
+      return;
+    }
+    if (incarnationOf(named) === incarnationOf(gate.endpoint)) {
       this.succeedOthers(gate);
     } else {
       const successor = this.gateOf(named);
@@ -140,7 +175,12 @@
     const key = incarnationOf(endpoint);
     let gate = this.gates.get(key);
     if (gate === undefined) {
-      gate = new EndpointGate(endpoint, this.options.slotsFor(endpoint), this.options);
+      gate = new EndpointGate(
+        endpoint,
+        this.options.slotsFor(endpoint),
+        this.options,
+        this.startedAtMs,
+      );
       this.gates.set(key, gate);
     }
     return gate;
@@ -152,6 +192,12 @@
   return named && incarnationOf(named) === incarnationOf(endpoint) ? named : undefined;
 }
 
+/** The endpoint where it is still beside the same node. */
+function placedEndpoint(snapshot: Snapshot, endpoint: Endpoint): Endpoint | undefined {
+  const current = currentEndpoint(snapshot, endpoint);
+  return current?.spec.machine === endpoint.spec.machine ? current : undefined;
+}
+
 function namedAlike(snapshot: Snapshot, { name, spec }: Endpoint): Endpoint | undefined {
   return snapshot.endpointsByService.get(spec.service)?.find((peer) => peer.name === name);
 }
--- a/src/proxy/endpoint-states.ts
+++ b/src/proxy/endpoint-states.ts
@@ -6,10 +6,11 @@
 /**
  * - `ready`: may get new work.
  * - `draining`: by configuration, by its own word, or because its machine is leaving.
+ * - `evacuated`: its zone gets no new work.
  * - `ejected`: it failed this node's requests; it is probed.
  * - `unreachable`: its node is dead or unknown, and this node has no share of it.
  */
-export type EndpointState = 'ready' | 'draining' | 'ejected' | 'unreachable';
+export type EndpointState = 'ready' | 'draining' | 'evacuated' | 'ejected' | 'unreachable';
 
 /** One endpoint's state at this node. */
 export interface EndpointStateReport {
@@ -52,6 +53,9 @@
   if (isDrained || knowledge.isLeaving(endpoint)) {
     return 'draining';
   }
+  if (endpoint.isEvacuated === true) {
+    return 'evacuated';
+  }
   if (!knowledge.isReachable(endpoint)) {
     return 'unreachable';
   }
--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -152,6 +152,13 @@
   override readonly retryable = true;
 }
 
+/** The endpoint's zone is evacuated: it gets no new work until that ends. */
+export class EndpointEvacuatedError extends NotRunError {
+  override readonly code = 'ENDPOINT_EVACUATED';
+  override readonly status = 503;
+  override readonly retryable = true;
+}
+
 /** The endpoint refused the request before it started. */
 export class EndpointRefusedError extends NotRunError {
   override readonly code = 'ENDPOINT_REFUSED';
@@ -280,13 +287,14 @@
 ]);
 
 /**
- * Codes of failures at endpoints that are not there, or whose node is about to stop, before anything
- * arrived at one: an arrival that is refused counts among a service's retries, like one that runs.
+ * Codes of failures at endpoints that are not there, whose node is about to stop or whose zone is evacuated,
+ * before anything arrived at one: an arrival that is refused counts among a service's retries, like one that runs.
  */
 const ABSENT_ENDPOINT: ReadonlySet<string> = new Set([
   'UNREACHABLE',
   'UNKNOWN_ENDPOINT',
   'NODE_STOPPING',
+  'ENDPOINT_EVACUATED',
 ]);
 
 /** Whether the endpoint is absent, which says nothing of the load of others. */
--- a/src/proxy/request-path.ts
+++ b/src/proxy/request-path.ts
@@ -57,6 +57,8 @@
   readonly relayServer: http.Server;
   /** Every endpoint of the configuration in force, as this node sees it. */
   endpointStates(): EndpointStateReport[];
+  /** Endpoints beside this node that are cold, as far as it knows. */
+  coldEndpointCount(): number;
   /** Takes the limits that the configuration sets; undefined leaves those of the node's settings. */
   applyCallerLimits(limits: CallerLimits | undefined): void;
   /** The configuration in force has other endpoints: what waits for one that has started again is sent on. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -92,6 +92,7 @@
       },
       snapshot: () => options.snapshots.current(),
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
+      coldShareFor: (endpoint) => this.services.coldShareFor(endpoint),
     });
     this.services = new RequestServices({
       ...options,
@@ -150,8 +151,23 @@
     }
   }
 
+  coldEndpointCount(): number {
+    return this.gateway.coldCount;
+  }
+
   takeEndpoints(): void {
-    this.gateway.upkeep();
+    this.gateway.takeOwn(this.ownEndpoints());
+  }
+
+  private *ownEndpoints(): IterableIterator<Endpoint> {
+    const { identity, snapshots } = this.options;
+    for (const endpoints of snapshots.current()?.endpointsByService.values() ?? []) {
+      for (const endpoint of endpoints) {
+        if (endpoint.spec.machine === identity.id) {
+          yield endpoint;
+        }
+      }
+    }
   }
 
   awaitedMachines(): Iterable<AwaitedMachine> {
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -293,6 +293,8 @@
     const { incarnation } = endpoint;
     if (incarnation !== undefined && isForLackOfRoom) {
       this.choice.refusedBy(incarnation);
+    }
+    if (isForLackOfRoom || code === 'ENDPOINT_EVACUATED') {
       endpoint.refused(error, this.choice.isLate);
     }
   }
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -4,7 +4,7 @@
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
-import { orphanSlots, ownedSlots, sharedSlots } from '../routing/direct-access.js';
+import { coldShare, orphanSlots, ownedSlots, sharedSlots } from '../routing/direct-access.js';
 import { EndpointSelector } from '../routing/endpoint-selector.js';
 import { RetryBudget } from '../routing/retry-budget.js';
 import { trialEndpoints } from '../routing/trial-endpoint.js';
@@ -152,6 +152,11 @@
       : orphanSlots(endpoint, this.machineId, nodeCount);
   }
 
+  /** Which part of what a cold endpoint bears this node may send. */
+  coldShareFor(endpoint: Endpoint): number {
+    return coldShare(endpoint, this.machineId, this.options.members.count());
+  }
+
   /** This node's part of the retries that may be saved up; a tenth is kept for nodes that join. */
   private savedRetries(): number {
     const { maxSavedRetries, fleetSavedRetries = Infinity } = this.limits;
--- a/src/routing/direct-access.ts
+++ b/src/routing/direct-access.ts
@@ -21,6 +21,17 @@
   return Math.max(1, Math.floor(ownedSlots(endpoint) / Math.max(1, nodeCount)));
 }
 
+/**
+ * Part of what a cold endpoint bears for the node `machineId`: all of it beside the endpoint, an even one where it
+ * has no node, none where its own node is gone, which may still send.
+ */
+export function coldShare({ spec }: Endpoint, machineId: string, nodeCount: number): number {
+  if (spec.machine === undefined) {
+    return 1 / Math.max(1, nodeCount);
+  }
+  return spec.machine === machineId ? 1 : 0;
+}
+
 /**
  * Requests at once for the node `machineId`, where the endpoint's own node is gone: one for the
  * nodes that a hash of both names chooses, about half as many nodes as there are slots; none for the
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -7,6 +7,8 @@
 const SLOW_START_MS = 10_000;
 /** Share of its slots that a new endpoint counts with at first. */
 const SLOW_START_SHARE = 0.1;
+/** Share of its slots that an endpoint counts with which says that it is cold: its node bounds what it gets. */
+const COLD_SHARE = 0.25;
 /** A report of load loses half of its weight in this time, in milliseconds. */
 const LOAD_HALF_LIFE_MS = 1_000;
 /** Failures in a row after which an endpoint is ejected. */
@@ -77,6 +79,7 @@
   private ejectedUntilMs: number | undefined;
   private ejectionMs = FIRST_EJECTION_MS;
   private startedAtMs: number;
+  private coldUntilMs = -Infinity;
   /** Until when what is said of a drain may be meant for the incarnation before. */
   private doubtsDrainUntilMs = -Infinity;
 
@@ -85,6 +88,12 @@
     this.startedAtMs = isCold ? nowMs : -Infinity;
   }
 
+  /** Takes for how much longer the endpoint is cold, by its own word; nothing needs to be guessed then. */
+  takeColdNews(coldForMs: number, nowMs: number): void {
+    this.coldUntilMs = nowMs + coldForMs;
+    this.startedAtMs = -Infinity;
+  }
+
   /** Requests of this node that are under way at the endpoint. */
   get requestsInFlight(): number {
     return this.inFlight;
@@ -220,6 +229,9 @@
   }
 
   private warmth(nowMs: number): number {
+    if (nowMs < this.coldUntilMs) {
+      return COLD_SHARE;
+    }
     const grown = (nowMs - this.startedAtMs) / SLOW_START_MS;
     return Math.min(1, Math.max(SLOW_START_SHARE, grown));
   }
--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -3,6 +3,7 @@
  * is known, else by zone and load. Pure: time and random numbers are passed in.
  */
 import type { RandomSource } from '../control/control-event.js';
+import { isInService } from '../model/evacuation.js';
 import { incarnationOf, startedBefore } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 import { CandidateSample } from './candidate-sample.js';
@@ -229,7 +230,7 @@
 
   private isOpen(endpoint: Endpoint, context: SelectionContext, nowMs: number): boolean {
     return (
-      endpoint.spec.state === 'active' &&
+      isInService(endpoint) &&
       !context.tried.has(incarnationOf(endpoint)) &&
       !this.recordOf(endpoint, nowMs).isDraining(nowMs) &&
       context.mayReceive(endpoint)
@@ -247,6 +248,10 @@
       record = this.records.get(incarnationOf(endpoint)) ?? new EndpointRecord(nowMs, true);
       this.keep(endpoint, record, nowMs);
       this.recordsOfObjects.set(endpoint, record);
+      const { coldForMs } = endpoint.spec;
+      if (coldForMs !== undefined) {
+        record.takeColdNews(coldForMs, nowMs);
+      }
     }
     return record;
   }
--- a/src/routing/trial-endpoint.ts
+++ b/src/routing/trial-endpoint.ts
@@ -1,4 +1,5 @@
 /** Where a request is tried that may end the endpoint which runs it. Pure. */
+import { isInService } from '../model/evacuation.js';
 import { incarnationOf } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 import { hashFraction } from './hash-fraction.js';
@@ -16,7 +17,7 @@
   let chosen: Endpoint | undefined;
   let highest = -1;
   for (const endpoint of endpoints) {
-    if (endpoint.spec.state === 'active' && !tried.has(incarnationOf(endpoint))) {
+    if (isInService(endpoint) && !tried.has(incarnationOf(endpoint))) {
       const rank = hashFraction(`${fingerprint} ${endpoint.name}`);
       if (rank > highest) {
         highest = rank;
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -164,6 +164,16 @@
         () => this.source.feed.followerCount,
       ],
       ['machines', 'Machines that the endpoints name', () => this.machineCount],
+      [
+        'evacuated_zones',
+        'Zones whose endpoints get no new work',
+        () => this.snapshot?.evacuatedZones.size ?? 0,
+      ],
+      [
+        'cold_endpoints',
+        'Endpoints beside this node that are cold',
+        () => this.proxy.coldEndpointCount(),
+      ],
     ];
     declareContainmentMetrics(this.metrics, this.containment);
     for (const [name, help, read] of gauges) {
@@ -321,6 +331,28 @@
     this.source.setMachines([...zones].map(([address, zone]) => ({ address, zone })));
   }
 
+  private reportEvacuations(
+    zones: ReadonlySet<string>,
+    before: ReadonlySet<string>,
+    origin: ChangeOrigin,
+  ): void {
+    const { revision } = this.replica;
+    const report = (event: string, zone: string): void => {
+      const details = { zone, revision, ...origin, behindMs: Math.round(this.peers.behindMs) };
+      this.options.logger.info(event, details);
+    };
+    for (const zone of zones) {
+      if (!before.has(zone)) {
+        report('zone-evacuated', zone);
+      }
+    }
+    for (const zone of before) {
+      if (!zones.has(zone)) {
+        report('zone-taken-back', zone);
+      }
+    }
+  }
+
   private adopt(snapshot: Snapshot, origin: ChangeOrigin): void {
     const held = this.snapshot;
     const before = held?.version.source.number;
@@ -330,6 +362,7 @@
       this.adoptMachines(machinesOf(snapshot));
       this.proxy.takeEndpoints();
     }
+    this.reportEvacuations(snapshot.evacuatedZones, held?.evacuatedZones ?? new Set(), origin);
     this.proxy.applyCallerLimits(snapshot.callerLimits);
     if (before !== number) {
       this.options.logger.info('configuration-in-force', {
--- a/src/store/configuration-record.ts
+++ b/src/store/configuration-record.ts
@@ -19,6 +19,12 @@
   readonly endpoint: Endpoint;
 }
 
+/** A zone whose endpoints get no new work while the item exists. */
+export interface EvacuationRecord {
+  readonly kind: 'evacuation';
+  readonly zone: string;
+}
+
 /** An item that the node does not use, or can't read. */
 export interface UnusedRecord {
   readonly kind: 'unused';
@@ -27,7 +33,8 @@
 }
 
 /** What one item says. */
-export type StoreRecord = ConfigurationRecord | EndpointRecordOfStore | UnusedRecord;
+export type StoreRecord =
+  ConfigurationRecord | EndpointRecordOfStore | EvacuationRecord | UnusedRecord;
 
 /** Reads an item; never throws. */
 export type RecordReader = (key: string, value: string) => StoreRecord;
--- a/src/store/snapshot-builder.ts
+++ b/src/store/snapshot-builder.ts
@@ -67,18 +67,21 @@
   build(items: Iterable<StoreChange>): BuildResult {
     const refused: RefusedItem[] = [];
     const named: NamedEndpoint[] = [];
+    const evacuatedZones = new Set<string>();
     const seen = new Set<string>();
     for (const item of items) {
       seen.add(item.key);
       const record = this.recordOf(item, refused);
       if (record.kind === 'endpoint') {
         named.push({ endpoint: record.endpoint, revision: item.revision });
+      } else if (record.kind === 'evacuation') {
+        evacuatedZones.add(record.zone);
       } else if (record.kind === 'configuration') {
         this.adopt(record, item, refused);
       }
     }
     this.forgetExcept(seen);
-    return { snapshot: this.snapshotWith(named), refused };
+    return { snapshot: this.snapshotWith(named, evacuatedZones), refused };
   }
 
   private recordOf(item: StoreChange, refused: RefusedItem[]): StoreRecord {
@@ -116,7 +119,10 @@
    * Endpoints of services that the configuration does not have are left out first, so that they take the
    * address of no other.
    */
-  private snapshotWith(named: readonly NamedEndpoint[]): Snapshot | undefined {
+  private snapshotWith(
+    named: readonly NamedEndpoint[],
+    evacuatedZones: ReadonlySet<string>,
+  ): Snapshot | undefined {
     if (this.configured === undefined) {
       return undefined;
     }
@@ -127,7 +133,11 @@
         endpoints.add(endpoint, revision);
       }
     }
-    this.latest = withEndpoints(this.configured, endpoints.current(), this.latest);
+    this.latest = withEndpoints(
+      this.configured,
+      { endpoints: endpoints.current(), evacuatedZones },
+      this.latest,
+    );
     return this.latest;
   }
 
--- a/standins/store-platform/backend-stand-in.ts
+++ b/standins/store-platform/backend-stand-in.ts
@@ -12,6 +12,8 @@
   readonly body: string;
   /** Time from its head to the end of its body, in milliseconds. */
   readonly readForMs: number;
+  /** When its head arrived, on the process's monotonic clock, in milliseconds. */
+  readonly arrivedAtMs: number;
   /** Whether its connection was closed before the answer. */
   isCut: boolean;
 }
@@ -86,6 +88,7 @@
       target: request.url ?? '',
       body,
       readForMs: performance.now() - headAtMs,
+      arrivedAtMs: headAtMs,
       isCut: response.destroyed,
     };
     response.on('close', () => {
--- a/test/admission/endpoint-admission.test.ts
+++ b/test/admission/endpoint-admission.test.ts
@@ -57,6 +57,11 @@
   private readonly waiting = new Map<string, { node: string; deadlineAtMs: number }>();
   private readonly running = new Map<string, number>();
 
+  private drain(isDraining: boolean): void {
+    this.isDraining = isDraining;
+    this.take(this.admission.close(isDraining ? 'draining' : undefined, this.nowMs));
+  }
+
   apply(step: Step): void {
     switch (step.type) {
       case 'offer':
@@ -77,8 +82,7 @@
       case 'refused-by-endpoint':
         return this.admission.endpointRefused();
       case 'drain':
-        this.isDraining = step.isDraining;
-        return this.take(this.admission.setDraining(step.isDraining));
+        return this.drain(step.isDraining);
       case 'wait':
         this.nowMs += step.forMs;
         return;
@@ -133,7 +137,7 @@
     method: 'dispatchOrRefuse',
     broken: ({ requestId }: { requestId: string }) => ({ type: 'dispatch', requestId }),
   },
-  { name: 'a drain is ignored', method: 'setDraining', broken: () => [] },
+  { name: 'a drain is ignored', method: 'close', broken: () => [] },
   {
     name: 'a late request is dispatched',
     method: 'dispatchOrRefuse',
--- a/test/admission/no-slots.test.ts
+++ b/test/admission/no-slots.test.ts
@@ -52,7 +52,7 @@
 
       for (const reason of ['draining', 'deadline-passed'] as const) {
         it(`tells the default time with another reason: ${reason}`, () => {
-          admission.setDraining(reason === 'draining');
+          admission.close(reason === 'draining' ? reason : undefined, 0);
           const [effect] = admission.offer(ticket('a', 0), 0);
           expect(effect).to.deep.equal({ type: 'refuse', ...refusal('a'), reason });
         });
--- a/test/explain/explain.test.ts
+++ b/test/explain/explain.test.ts
@@ -120,6 +120,20 @@
     });
   });
 
+  it('tells which zones were evacuated, as far as the node knew', () => {
+    const evacuated = (event: string, zone: string): string =>
+      (CALLER_LOG[0] ?? '').replace(/"event":"[^"]*"/, `"event":"${event}","zone":"${zone}"`);
+    const lines = [
+      evacuated('zone-evacuated', 'z1'),
+      evacuated('zone-evacuated', 'z2'),
+      evacuated('zone-taken-back', 'z1'),
+      ...CALLER_LOG,
+    ];
+    const steps = tellStory(readLog(lines.join('\n')).entries, 'id1');
+    expect(steps[0]?.state.evacuatedZones).to.deep.equal(['z2']);
+    expect(storyText('id1', steps, 0)).to.include('evacuated zones z2');
+  });
+
   it('prints the story from files, and says when there is none', async () => {
     const files = temporaryFiles({
       'a.log': CALLER_LOG.join('\n'),
--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -20,6 +20,8 @@
 export const DRAIN_TIMEOUT_MS = 6_000;
 /** Requests that a back end of the fleet runs at once. */
 export const SLOTS = 4;
+/** Requests that a cold back end may get in any second: its own rate times the factor, and some more. */
+export const COLD_BOUND = { factor: 1.5, extraRequests: 4 };
 /** Test files run in several processes at once: each has a loopback network of its own. */
 const NETWORK = `127.${1 + ((process.pid >> 8) % 200)}.${process.pid % 256}`;
 
@@ -79,6 +81,10 @@
 
   private constructor(readonly store: StoreStandIn) {}
 
+  private readonly nodes: StoreNode[] = [];
+  /** What services say of back ends that have just started; nothing when absent. */
+  coldStart: { readonly coldStartS: number; readonly coldPerS: number } | undefined;
+
   /** Starts a store with a configuration of one route `/p/` to the service `a`. */
   static async start(route: RouteFields = {}): Promise<PlatformFleet> {
     const fleet = new PlatformFleet(await StoreStandIn.start());
@@ -102,7 +108,7 @@
     }));
     this.store.put('op/config', {
       version: version.toString(16).padStart(8, '0'),
-      services: [{ name: 'a' }, { name: 'b' }],
+      services: ['a', 'b'].map((name) => ({ name, ...this.coldStart })),
       limits: { maxHeaderBytes: 16_384, maxBodyBytes: 65_536, headerTimeoutS: 3, idleTimeoutS: 15 },
       virtualHosts: [{ hostname: HOST, paths }],
     });
@@ -123,7 +129,7 @@
   }
 
   /** Starts the machine's back end anew, under an identity of its own, at the same address. */
-  async restartBackend(machine: FleetMachine, service = 'a'): Promise<void> {
+  async restartBackend(machine: FleetMachine, service = 'a', coldRemainingS = 0): Promise<void> {
     const { id, behaviour } = machine.backend;
     this.restarts += 1;
     machine.backend = await BackendStandIn.start(
@@ -133,7 +139,7 @@
     );
     machine.backend.behaviour = behaviour;
     this.store.remove(`servers/${id}`);
-    this.announce(machine, service, 'ready');
+    this.announce(machine, service, 'ready', coldRemainingS);
   }
 
   /** Starts the machine's back end again under its identity, at its address or at that of `place`. */
@@ -148,7 +154,7 @@
 
   /** A node for a machine that is there; not opened. */
   createNode(address: string, service: string, log: string[], zone = 'z1'): StoreNode {
-    return new StoreNode({
+    const node = new StoreNode({
       settings: {
         machine: { name: address, address, zone, region: 'r1' },
         caller: { address, port: CALLER_PORT },
@@ -159,22 +165,33 @@
         retry: { percent: 20, fleetBurst: 60 },
       },
       store: new StoreClient({ address: '127.0.0.1', port: this.store.port }),
-      readRecord: createRecordReader({ retryBudgetPercent: 20, regionOfZone: () => 'r1' }),
+      readRecord: createRecordReader({
+        retryBudgetPercent: 20,
+        regionOfZone: () => 'r1',
+        coldBound: COLD_BOUND,
+      }),
       callerProtocol: createCallerProtocol(service),
       endpointProtocol: ENDPOINT_PROTOCOL,
       logger: createLogger('info', {}, { write: (line) => log.push(line) }),
     });
+    this.nodes.push(node);
+    return node;
   }
 
   /** Writes a back end's entry. */
-  announce({ address, zone, backend }: FleetMachine, service: string, state: string): void {
+  announce(
+    { address, zone, backend }: FleetMachine,
+    service: string,
+    state: string,
+    coldRemainingS = 0,
+  ): void {
     const born = this.births.get(backend.id) ?? Date.now();
     this.births.set(backend.id, born);
     this.store.put(`servers/${backend.id}`, {
       born,
       address: `${address}:${BACKEND_PORT}`,
       info: { service, version: 'v1', zone, slots: SLOTS },
-      status: { state, sequence: 1, coldRemainingS: 0 },
+      status: { state, sequence: 1, coldRemainingS },
     });
   }
 
@@ -250,6 +267,12 @@
     return socket;
   }
 
+  /** The metrics of the machine's node. */
+  async metrics({ address }: FleetMachine): Promise<string> {
+    const response = await fetch(`http://${address}:${FIRST_INTERNAL_PORT + 1}/metrics`);
+    return response.text();
+  }
+
   /** What the readiness address of the machine answers; 0 when it does not. */
   readiness({ address }: FleetMachine): Promise<number> {
     return new Promise((resolve) => {
@@ -271,10 +294,8 @@
 
   close(): void {
     this.store.close();
-    for (const { node, backend } of this.machines) {
-      node.abort();
-      backend.close();
-    }
+    this.nodes.forEach((node) => node.abort());
+    this.machines.forEach(({ backend }) => backend.close());
   }
 }
 
--- a/test/platform/store-fuzz.test.ts
+++ b/test/platform/store-fuzz.test.ts
@@ -108,6 +108,8 @@
     } catch (error) {
       expect(error).to.be.instanceOf(InvalidConfigurationError);
     }
+  } else if (record.kind === 'evacuation') {
+    expect(record.zone).to.match(/^[\x21-\x2e\x30-\x7e]+$/);
   } else if (record.fault !== undefined) {
     expect(JSON.stringify(record.fault).length).to.be.below(600);
   }
--- a/test/proxy/request-fuzz.test.ts
+++ b/test/proxy/request-fuzz.test.ts
@@ -386,7 +386,7 @@
   {
     name: 'a drain does not reach admission',
     target: EndpointAdmission.prototype,
-    method: 'setDraining',
+    method: 'close',
     replace: () => () => [],
   },
 ];
