Late work waits within its priority for as long as the pace says; short late work goes in time

Cause: what could not be in time any more ranked behind all other work of an endpoint, for 50 ms at each of two.

Change: late work ranks behind what is in time of its own priority, and waits for three times the expected wait at most (two fifths of its target where no pace is known). Work that takes less than 0.6 of the endpoint's mean keeps its rank, late or not. A request that is given up while its endpoint is at work counts for the endpoint's pace: without it the slowest endpoints never looked slow, since only what they finished was measured.

--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -6,6 +6,7 @@
 import { ColdMeter } from './cold-meter.js';
 import { AdmissionQueue, rankOf, type AdmissionTicket } from './admission-queue.js';
 import { ServiceTimes } from './service-times.js';
+import { isLateRank, rankInTime } from './work-rank.js';
 
 export type { AdmissionTicket } from './admission-queue.js';
 
@@ -25,6 +26,14 @@
  */
 const NO_SLOT_RETRY_AFTER_MS = 1_000;
 
+/**
+ * Work that takes less than this part of the endpoint's mean is short: it holds the others up for little, and its
+ * caller may hold a slot of another endpoint meanwhile.
+ */
+const SHORT_WORK_PART = 0.6;
+/** Late work waits for this many times the expected wait at most. */
+const LATE_WAIT_FACTOR = 3;
+
 /** Why a request is refused. Each is decided before the request is sent. */
 export type RefusalReason =
   'queue-full' | 'cannot-finish-in-time' | 'deadline-passed' | ClosedReason;
@@ -102,7 +111,8 @@
   }
 
   /** Until when a request may wait for a slot. */
-  latestStartAtMs(ticket: AdmissionTicket): number {
+  latestStartAtMs(offered: AdmissionTicket, nowMs: number): number {
+    const ticket = this.withLateTerms(offered, nowMs);
     const { startByMs = Infinity } = ticket;
     return Math.min(startByMs, this.lastUsefulStartMs(ticket));
   }
@@ -167,13 +177,13 @@
     if (beginsAtMs > nowMs && beginsAtMs > (ticket.startByMs ?? Infinity)) {
       return this.refusal(ticket, 'cannot-finish-in-time', nowMs, beginsAtMs - nowMs);
     }
-    const offered = this.withoutMissedTarget(ticket, nowMs);
+    const offered = this.withoutMissedTarget(this.withLateTerms(ticket, nowMs), nowMs);
     const reason = this.refusalOf(offered, endsAtMs) ?? this.lackOfRoom(offered, nowMs);
     if (reason === undefined) {
       this.reserved.set(ticket.requestId, rankOf(ticket));
       return undefined;
     }
-    return this.refusal(ticket, reason, nowMs, endsAtMs - this.latestStartAtMs(offered));
+    return this.refusal(ticket, reason, nowMs, endsAtMs - this.latestStartAtMs(offered, nowMs));
   }
 
   /** The place that was kept for a request is free. */
@@ -190,7 +200,7 @@
   /** A request arrives. */
   offer(offered: AdmissionTicket, nowMs: number): AdmissionEffect[] {
     const hadPlace = this.reserved.delete(offered.requestId);
-    const ticket = this.withoutMissedTarget(offered, nowMs);
+    const ticket = this.withoutMissedTarget(this.withLateTerms(offered, nowMs), nowMs);
     const hasPlace = hadPlace || this.hasFreeSlot(nowMs);
     const reason =
       this.refusalOf(ticket, nowMs) ?? (hasPlace ? undefined : this.lackOfRoom(ticket, nowMs));
@@ -218,6 +228,11 @@
     return this.fillSlots(nowMs);
   }
 
+  /** A request of the class was given up, `elapsedMs` after it was sent, without an answer. */
+  unfinished(workClass: string, elapsedMs: number): void {
+    this.serviceTimes.measureUnfinished(workClass, elapsedMs);
+  }
+
   /** Whether a waiting request was taken out: its caller gave up, and it will not be dispatched. */
   withdraw(requestId: string, callerNode: string): boolean {
     return this.queue.remove(requestId, callerNode);
@@ -246,6 +261,23 @@
       : ticket;
   }
 
+  /**
+   * Short late work goes with the work in time. Late work waits for some times as long as the pace says that a
+   * slot takes, or for as long as its node allows: after that, the pace is not what it was.
+   */
+  private withLateTerms(ticket: AdmissionTicket, nowMs: number): AdmissionTicket {
+    const rank = rankOf(ticket);
+    if (!isLateRank(rank)) {
+      return ticket;
+    }
+    const { workClass, startByMs = Infinity } = ticket;
+    const { overallMs } = this.serviceTimes;
+    const isShort = this.serviceTimes.meanMs(workClass) < SHORT_WORK_PART * overallMs;
+    const priority = isShort ? rankInTime(rank) : rank;
+    const patienceMs = LATE_WAIT_FACTOR * this.expectedWaitMs(priority, nowMs);
+    return { ...ticket, priority, startByMs: Math.max(startByMs, nowMs + patienceMs) };
+  }
+
   /**
    * A full queue has no place for what goes before nothing in it, unless a slot is free. Places that are
    * kept for bodies count as those of the queue do: they keep out nothing more urgent, and take no more
--- a/src/admission/service-times.ts
+++ b/src/admission/service-times.ts
@@ -2,6 +2,8 @@
 
 /** Weight of a new measurement in a running mean. */
 const MEASUREMENT_WEIGHT = 0.1;
+/** The same of a time that was only a part of what the request would have taken: it is lost already. */
+const UNFINISHED_WEIGHT = 0.3;
 /** Classes remembered; beyond that, the one that was measured first is forgotten. */
 const MAX_CLASSES = 1_000;
 
@@ -27,11 +29,22 @@
 
   /** Takes a measurement. */
   measure(workClass: string | undefined, serviceMs: number): void {
-    this.meanOfAll = weigh(this.meanOfAll, serviceMs);
+    this.take(workClass, serviceMs, MEASUREMENT_WEIGHT);
+  }
+
+  /** A request was given up after `elapsedMs`, which is less than it would have taken. */
+  measureUnfinished(workClass: string | undefined, elapsedMs: number): void {
+    if (elapsedMs > this.meanMs(workClass)) {
+      this.take(workClass, elapsedMs, UNFINISHED_WEIGHT);
+    }
+  }
+
+  private take(workClass: string | undefined, ms: number, weight: number): void {
+    this.meanOfAll = weigh(this.meanOfAll, ms, weight);
     if (workClass === undefined) {
       return;
     }
-    this.meanOfClasses.set(workClass, weigh(this.meanOfClasses.get(workClass), serviceMs));
+    this.meanOfClasses.set(workClass, weigh(this.meanOfClasses.get(workClass), ms, weight));
     if (this.meanOfClasses.size > MAX_CLASSES) {
       const [first = ''] = this.meanOfClasses.keys();
       this.meanOfClasses.delete(first);
@@ -39,6 +52,6 @@
   }
 }
 
-function weigh(previous: number | undefined, measured: number): number {
-  return previous === undefined ? measured : previous + (measured - previous) * MEASUREMENT_WEIGHT;
+function weigh(previous: number | undefined, measured: number, weight: number): number {
+  return previous === undefined ? measured : previous + (measured - previous) * weight;
 }
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -169,6 +169,10 @@
     this.leaveLane(call.requestId);
   }
 
+  gaveUp({ workClass }: Call, elapsedMs: number): void {
+    this.admission.unfinished(workClass, elapsedMs);
+  }
+
   judgeLoss(gated: GatedCall, report: (hasEnded: boolean) => void): void {
     this.losses.lost(gated, report);
   }
@@ -256,7 +260,7 @@
     const { call } = gated;
     this.calls.set(call.requestId, gated);
     this.offer(gated);
-    gated.waitUntil(this.admission.latestStartAtMs(call));
+    gated.waitUntil(this.admission.latestStartAtMs(call, this.options.scheduler.now()));
   }
 
   /** Whether the request waited here; it does no more. */
@@ -365,7 +369,7 @@
       retryAfterMs: Math.round(retryAfterMs),
       ...(call && {
         deadlineLeftMs: Math.round(call.deadlineAtMs - nowMs),
-        startLeftMs: Math.round(this.admission.latestStartAtMs(call) - nowMs),
+        startLeftMs: Math.round(this.admission.latestStartAtMs(call, nowMs) - nowMs),
         travelLostMs: Math.round(call.travelLostMs ?? 0),
         ...namedFingerprint(reason, () => this.containment.fingerprintOf(call)),
       }),
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -46,6 +46,8 @@
   recordExpiry(call: Call, retryAfterMs: number): void;
   /** A dispatched request no longer occupies the endpoint; with its time when it was answered. */
   release(call: Call, serviceMs: number | undefined): void;
+  /** A dispatched request is given up while the endpoint is at work on it, for `elapsedMs` so far. */
+  gaveUp(call: Call, elapsedMs: number): void;
   /** The endpoint answered and told its load. */
   takeLoad(load: LoadReport | undefined): void;
   /** What a dispatched request came to, where that speaks for the endpoint. */
@@ -88,6 +90,7 @@
   abort(): void {
     this.isAbandoned = true;
     if (this.attempt !== undefined) {
+      this.noteUnfinished();
       this.handle({ type: 'abandoned', wasSent: this.exchange?.wasSent() === true });
     } else if (!this.isOver) {
       this.isOver = true;
@@ -141,6 +144,7 @@
     const remainingMs = this.call.deadlineAtMs - this.dispatchedAtMs;
     const workMs = remainingMs - this.cancelLeadMs(this.dispatchedAtMs);
     this.cancelTimer = this.scheduler.schedule(workMs, () => {
+      this.noteUnfinished();
       this.handle({ type: 'deadline', wasSent: this.exchange?.wasSent() === true });
     });
     this.exchange = this.client.send(this.endpoint, this.call, workMs, {
@@ -153,6 +157,13 @@
     });
   }
 
+  /** Without such times only what an endpoint finished would count: the slower it is, the less of it. */
+  private noteUnfinished(): void {
+    if (this.answer === undefined && this.isConnected()) {
+      this.gate.gaveUp(this.call, this.scheduler.now() - this.dispatchedAtMs);
+    }
+  }
+
   private takeLoss(failure: ExchangeFailure): void {
     this.isExchangeOver = true;
     if (failure !== 'lost') {
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -7,7 +7,7 @@
 import { refusalLeadMs } from '../refusal-lead.js';
 import { DeadlinePassedError, TruncatedAnswerError, type RequestError } from '../request-error.js';
 import type { AbandonCause, AwaitedThing, RequestLog } from '../request-log.js';
-import { rankInTime } from '../request-work.js';
+import { rankInTime } from '../../admission/work-rank.js';
 import { stopFailure } from '../stop-failure.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
 import { collectBody, isCollected } from './collected-body.js';
--- a/src/proxy/request-work.ts
+++ b/src/proxy/request-work.ts
@@ -1,4 +1,5 @@
 /** Rank, class and times that admission goes by for a request of a route. Pure. */
+import { lateRank, rankOfWork } from '../admission/work-rank.js';
 import type { Route } from '../model/resource.js';
 import type { WorkProfile } from '../routing/endpoint-strategy.js';
 import type { Call } from './call.js';
@@ -6,23 +7,11 @@
 /** The part of a call that admission goes by. */
 export type CallWork = Pick<Call, 'priority' | 'workClass' | 'targetAtMs' | 'startByMs'>;
 
-/** Ranks between two priorities: among equals, what has the shorter target latency goes first. */
-const RANKS_PER_PRIORITY = 1_000_000;
-/** Added to the rank of a request that will be answered late, so that it goes after all others. */
-const LATE_RANK_OFFSET = 1_000_000_000;
-/**
- * How long such a request waits for a slot at one endpoint at most, in milliseconds: two turns of an
- * endpoint with 8 slots and 200 ms of work. It takes a slot that is free without regard to this bound.
- */
-const LATE_WAIT_MS = 50;
+/** Part of its target latency for which late work waits for a slot at one endpoint at most. */
+const LATE_WAIT_PART = 0.4;
 /** Ends the name by which endpoints turn late work away: it has room where work in time has none. */
 const LATE_CLASS_SUFFIX = ' late';
 
-/** The rank that a request would have if it were not late. */
-export function rankInTime(rank: number): number {
-  return rank % LATE_RANK_OFFSET;
-}
-
 /** The class by which endpoints turn work of the route away. */
 export function refusalClassOf({ name }: Route, isLate: boolean): string {
   return isLate ? `${name}${LATE_CLASS_SUFFIX}` : name;
@@ -42,9 +31,9 @@
 }
 
 /**
- * What admission goes by for an attempt that begins now. The target latency decides the order of work,
- * and whether an attempt is made for an answer in time; one that `isLate` is refused by its deadline
- * only, or for lack of a slot.
+ * What admission goes by for an attempt. The target latency decides the order of work, and whether an attempt is
+ * made for an answer in time; one that `isLate` waits behind what can be in time of its priority, and is refused by
+ * its deadline only, or for lack of room.
  */
 export function workOf(
   { name, spec }: Route,
@@ -56,8 +45,12 @@
   if (targetLatencyMs === undefined) {
     return { priority, workClass: name };
   }
-  const rank = priority * RANKS_PER_PRIORITY + Math.round(targetLatencyMs);
+  const rank = rankOfWork(priority, targetLatencyMs);
   return isLate
-    ? { priority: rank + LATE_RANK_OFFSET, workClass: name, startByMs: nowMs + LATE_WAIT_MS }
+    ? {
+        priority: lateRank(rank),
+        workClass: name,
+        startByMs: nowMs + targetLatencyMs * LATE_WAIT_PART,
+      }
     : { priority: rank, workClass: name, targetAtMs: startedAtMs + targetLatencyMs };
 }
--- a/tools/experiment/received-call.ts
+++ b/tools/experiment/received-call.ts
@@ -6,7 +6,7 @@
 import type { Answer, Attempt, AttemptObserver, Call, LoadReport } from '../../src/proxy/call.js';
 import { refusalLeadMs } from '../../src/proxy/refusal-lead.js';
 import { DeadlinePassedError, type RequestError } from '../../src/proxy/request-error.js';
-import { rankInTime } from '../../src/proxy/request-work.js';
+import { rankInTime } from '../../src/admission/work-rank.js';
 import type { CancelTimer, Scheduler } from '../../src/proxy/scheduler.js';
 import type { BodyCredit, CreditPool } from '../../src/proxy/relay/credit-pool.js';
 import { collectedCall, type OwnedEndpoints } from '../../src/proxy/relay/relayed-request.js';
