Gates: one made after its endpoint has gone drains at once; terms of endpoints in a module of their own

Test: reborn-endpoint.test.ts, a gate made late sends nothing. The change of evacuated zones and what it says of cold endpoints are pure functions now.

--- a/src/model/evacuation.ts
+++ b/src/model/evacuation.ts
@@ -24,3 +24,22 @@
 export function isInService({ spec, isEvacuated }: Endpoint): boolean {
   return spec.state === 'active' && isEvacuated !== true;
 }
+
+/** A zone whose evacuation began, or ended. */
+export interface EvacuationChange {
+  readonly kind: 'zone-evacuated' | 'zone-taken-back';
+  readonly zone: string;
+}
+
+/** How the evacuated zones differ from those before. */
+export function evacuationChanges(
+  zones: ReadonlySet<string>,
+  before: ReadonlySet<string>,
+): readonly EvacuationChange[] {
+  const begun = [...zones].filter((zone) => !before.has(zone));
+  const ended = [...before].filter((zone) => !zones.has(zone));
+  return [
+    ...begun.map((zone) => ({ kind: 'zone-evacuated' as const, zone })),
+    ...ended.map((zone) => ({ kind: 'zone-taken-back' as const, zone })),
+  ];
+}
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -11,11 +11,12 @@
 import { SuspectLane } from '../containment/suspect-lane.js';
 import type { CounterSink } from '../control/control-event.js';
 import { startedBefore } from '../model/incarnation.js';
-import type { ColdStart, Endpoint } from '../model/resource.js';
+import type { Endpoint } from '../model/resource.js';
 import { FailureShare } from '../routing/failure-share.js';
 import { admissionError, containedError } from './attempt-errors.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
 import type { EndpointPort } from './endpoint-client.js';
+import { closedReasonOf, coldNewsOf, type EndpointTerms } from './endpoint-terms.js';
 import { GatedCall, type CallGate, type CancelLead } from './gated-call.js';
 import { LossJudge } from './loss-judge.js';
 import type { RequestError } from './request-error.js';
@@ -41,17 +42,6 @@
   readonly logStateChange: (what: string, detail: string) => void;
 }
 
-/** What the configuration says of an endpoint. */
-export interface EndpointTerms {
-  /** The endpoint as it stands there; undefined once it is gone. */
-  readonly endpoint: Endpoint | undefined;
-  /** Requests at once that this node may send. */
-  readonly slots: number;
-  readonly coldStart: ColdStart | undefined;
-  /** Part of what a cold endpoint bears that this node may send. */
-  readonly coldShare: number;
-}
-
 /** A refusal as the log has it. */
 type RecordedRefusal = Omit<Refusal, 'reason'> & {
   readonly reason: Refusal['reason'] | 'contained';
@@ -210,9 +200,9 @@
     if (endpoint !== this.configured) {
       this.takeColdNews(endpoint);
       this.configured = endpoint;
-      this.closedByConfiguration = closedReasonOf(endpoint);
-      this.updateClosed();
     }
+    this.closedByConfiguration = closedReasonOf(endpoint);
+    this.updateClosed();
     if (slots !== this.slots) {
       this.slots = slots;
       this.execute(this.admission.setSlots(slots, this.options.scheduler.now()));
@@ -328,17 +318,12 @@
     }
   }
 
-  /**
-   * An entry that was written anew tells whether the endpoint is cold. One that comes back from an evacuation
-   * may have become cold unseen.
-   */
   private takeColdNews(endpoint: Endpoint | undefined): void {
+    const news = coldNewsOf(endpoint, this.configured);
     const nowMs = this.options.scheduler.now();
-    const hasComeBack = this.configured?.isEvacuated === true && endpoint?.isEvacuated !== true;
-    const isSameEntry = endpoint?.spec === this.configured?.spec;
-    if (endpoint?.spec.coldForMs !== undefined && !isSameEntry) {
-      this.meter.takeNews(endpoint.spec.coldForMs, nowMs);
-    } else if (hasComeBack) {
+    if (news?.kind === 'told') {
+      this.meter.takeNews(news.coldForMs, nowMs);
+    } else if (news !== undefined) {
       this.meter.presumeCold(nowMs);
     }
   }
@@ -422,10 +407,3 @@
     return this.admission.resumesInMs(this.options.scheduler.now()) !== undefined;
   }
 }
-
-function closedReasonOf(endpoint: Endpoint | undefined): ClosedReason | undefined {
-  if (endpoint === undefined || endpoint.spec.state !== 'active') {
-    return 'draining';
-  }
-  return endpoint.isEvacuated === true ? 'evacuated' : undefined;
-}
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -4,7 +4,8 @@
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
-import { EndpointGate, type EndpointTerms, type GateOptions } from './endpoint-gate.js';
+import { EndpointGate, type GateOptions } from './endpoint-gate.js';
+import type { EndpointTerms } from './endpoint-terms.js';
 import type { OwnedEndpoints } from './relay/relayed-request.js';
 import type { RequestError } from './request-error.js';
 
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -14,6 +14,7 @@
 import type { EndpointProtocol } from '../proxy/endpoint-protocol.js';
 import type { RequestProxy } from '../proxy/request-path.js';
 import { createRequestProxy } from '../proxy/request-proxy.js';
+import { evacuationChanges } from '../model/evacuation.js';
 import type { Snapshot } from '../model/snapshot.js';
 import type { RecordReader } from '../store/configuration-record.js';
 import type { KeyValueStore } from '../store/key-value-store.js';
@@ -331,28 +332,6 @@
     this.source.setMachines([...zones].map(([address, zone]) => ({ address, zone })));
   }
 
-  private reportEvacuations(
-    zones: ReadonlySet<string>,
-    before: ReadonlySet<string>,
-    origin: ChangeOrigin,
-  ): void {
-    const { revision } = this.replica;
-    const report = (event: string, zone: string): void => {
-      const details = { zone, revision, ...origin, behindMs: Math.round(this.peers.behindMs) };
-      this.options.logger.info(event, details);
-    };
-    for (const zone of zones) {
-      if (!before.has(zone)) {
-        report('zone-evacuated', zone);
-      }
-    }
-    for (const zone of before) {
-      if (!zones.has(zone)) {
-        report('zone-taken-back', zone);
-      }
-    }
-  }
-
   private adopt(snapshot: Snapshot, origin: ChangeOrigin): void {
     const held = this.snapshot;
     const before = held?.version.source.number;
@@ -362,7 +341,12 @@
       this.adoptMachines(machinesOf(snapshot));
       this.proxy.takeEndpoints();
     }
-    this.reportEvacuations(snapshot.evacuatedZones, held?.evacuatedZones ?? new Set(), origin);
+    const evacuatedBefore = held?.evacuatedZones ?? new Set<string>();
+    const behindMs = Math.round(this.peers.behindMs);
+    for (const { kind, zone } of evacuationChanges(snapshot.evacuatedZones, evacuatedBefore)) {
+      const { revision } = this.replica;
+      this.options.logger.info(kind, { zone, revision, ...origin, behindMs });
+    }
     this.proxy.applyCallerLimits(snapshot.callerLimits);
     if (before !== number) {
       this.options.logger.info('configuration-in-force', {
@@ -370,7 +354,7 @@
         before,
         revision: this.replica.revision,
         ...origin,
-        behindMs: Math.round(this.peers.behindMs),
+        behindMs,
       });
     }
   }
--- a/test/proxy/reborn-endpoint.test.ts
+++ b/test/proxy/reborn-endpoint.test.ts
@@ -373,4 +373,13 @@
       expect(world.ends).to.deep.equal([]);
     });
   });
+
+  it('is sent nothing at a gate that is only made after its endpoint has gone from the configuration', () => {
+    const world = new World();
+    const { current } = world;
+    world.configure([]);
+    world.submit('late', current);
+    expect(world.sent).to.have.length(0);
+    expect(world.told.late).to.equal('ENDPOINT_DRAINING not-run');
+  });
 });
