--- a/src/proxy/request-work.ts
+++ b/src/proxy/request-work.ts
@@ -7,7 +7,7 @@
 /** The part of a call that admission goes by. */
 export type CallWork = Pick<Call, 'priority' | 'workClass' | 'targetAtMs' | 'startByMs'>;
 
-/** Part of its target latency for which late work waits for a slot at one endpoint at most. */
+/** Part of its target latency for which late work waits for a slot at one endpoint; more where its pace says so. */
 const LATE_WAIT_PART = 0.4;
 /** Ends the name by which endpoints turn late work away: it has room where work in time has none. */
 const LATE_CLASS_SUFFIX = ' late';
