--- a/standins/store-platform/store-stand-in.ts
+++ b/standins/store-platform/store-stand-in.ts
@@ -11,12 +11,19 @@
   /** Calls end with their connection. */
   | { readonly type: 'reset' };
 
-interface StoredItem {
+/** An item, or its removal where it has no value. */
+export interface StoredItem {
   readonly key: string;
   readonly value: string | Buffer | undefined;
   readonly revision: number;
 }
 
+/** What a store held at some moment. */
+export interface StoreCopy {
+  readonly items: ReadonlyMap<string, StoredItem>;
+  readonly revision: number;
+}
+
 interface WaitingWatch {
   readonly after: number;
   readonly response: ServerResponse;
@@ -32,12 +39,14 @@
   pageSize = 500;
   /** Time by which watches are behind, in milliseconds. */
   watchLagMs = 0;
-  private readonly items = new Map<string, StoredItem>();
+  private items = new Map<string, StoredItem>();
   private readonly watches = new Set<WaitingWatch>();
   private revision = 0;
   private historyFrom = 0;
+  private currentEra = 1;
   private readonly server = http.createServer((request, response) => {
     this.calls.push(request.url ?? '');
+    response.setHeader('Store-Era', this.currentEra);
     this.answer(new URL(request.url ?? '', 'http://store'), response);
   });
 
@@ -63,6 +72,24 @@
     this.change(key, undefined);
   }
 
+  /** Rises each time that the store comes back from a copy. */
+  get era(): number {
+    return this.currentEra;
+  }
+
+  /** A copy of what the store holds now. */
+  copy(): StoreCopy {
+    return { items: new Map(this.items), revision: this.revision };
+  }
+
+  /** Comes back from a copy: what was written since is lost, and its revisions are given out again. */
+  restore({ items, revision }: StoreCopy): void {
+    this.items = new Map(items);
+    this.revision = revision;
+    this.currentEra += 1;
+    this.cutWatches();
+  }
+
   /** Forgets what changed so far, and cuts the watches that wait. */
   compact(): void {
     this.historyFrom = this.revision;
@@ -129,7 +156,7 @@
 
   private beginWatch(query: URLSearchParams, response: ServerResponse): void {
     const after = Number(query.get('after'));
-    if (after < this.historyFrom) {
+    if (after < this.historyFrom || after > this.revision) {
       response.writeHead(410).end('{}');
       return;
     }
--- /dev/null
+++ b/test/peers/restored-feed.test.ts
@@ -0,0 +1,31 @@
+/** Feeds of a zone whose store comes back from an older copy. */
+import { expect } from 'chai';
+import { DeliveryFleet, pause } from './delivery-fleet.js';
+
+/** Half of the 2.5 s that users allow: the other half is for the load beside it. */
+const BOUND_MS = 1_250;
+const MACHINES = 6;
+const LINK_BYTES_PER_S = 10_000_000;
+const KEY = 'servers/i-1';
+
+describe('feeds of nodes whose store comes back from an older copy', () => {
+  let fleet: DeliveryFleet;
+
+  afterEach(() => fleet.close());
+
+  // Followers at a higher revision of the lost history are told nothing.
+  it('tell that an endpoint drains, at a revision that was given out before the copy came back', async () => {
+    fleet = await DeliveryFleet.start({ machines: MACHINES, linkBytesPerS: LINK_BYTES_PER_S });
+    await fleet.deliver('ready', KEY);
+    const copy = fleet.store.copy();
+    for (const version of ['second', 'third', 'fourth']) {
+      await fleet.deliver(version);
+    }
+    fleet.store.restore(copy);
+    await pause(BOUND_MS);
+    fleet.store.put(KEY, 'draining');
+    await pause(BOUND_MS);
+    const held = fleet.machines.map(({ replica }) => replica.changeOf(KEY)?.value);
+    expect(new Set(held)).to.deep.equal(new Set(['draining']));
+  });
+});
