Add soak plan for store restores; test store eras in the client

The plan `restores` takes the store down and restores it from a backup. The drain check now holds nodes to what they had to know before the store went down, even if it has since been restored from a backup.

--- a/standins/store-platform/store-stand-in.ts
+++ b/standins/store-platform/store-stand-in.ts
@@ -11,14 +11,14 @@
   /** Calls end with their connection. */
   | { readonly type: 'reset' };
 
-/** An item, or its removal when `value` is undefined. */
+/** A stored item; an undefined `value` marks a removal. */
 export interface StoredItem {
   readonly key: string;
   readonly value: string | Buffer | undefined;
   readonly revision: number;
 }
 
-/** The contents of a store at one revision. */
+/** Snapshot of the store at one revision. */
 export interface StoreBackup {
   readonly items: ReadonlyMap<string, StoredItem>;
   readonly revision: number;
@@ -43,10 +43,13 @@
   private readonly watches = new Set<WaitingWatch>();
   private revision = 0;
   private historyFrom = 0;
-  private currentEra = 0;
+  /** Value of the `Store-Era` response header; the header is omitted when undefined. */
+  eraHeader: string | undefined = '0';
   private readonly server = http.createServer((request, response) => {
     this.calls.push(request.url ?? '');
-    response.setHeader('Store-Era', this.currentEra);
+    if (this.eraHeader !== undefined) {
+      response.setHeader('Store-Era', this.eraHeader);
+    }
     this.answer(new URL(request.url ?? '', 'http://store'), response);
   });
 
@@ -64,28 +67,28 @@
 
   /** Writes an item; objects are written as JSON, bytes as they are. */
   put(key: string, value: unknown): void {
-    const isPlain = typeof value === 'string' || Buffer.isBuffer(value);
-    this.change(key, isPlain ? value : JSON.stringify(value));
+    this.change(key, serializeValue(value));
   }
 
-  remove(key: string): void {
-    this.change(key, undefined);
+  /** Whether `key` has this value; undefined matches a missing or removed item. */
+  hasValue(key: string, value: unknown): boolean {
+    return this.items.get(key)?.value === (value === undefined ? undefined : serializeValue(value));
   }
 
-  /** Increases with each restore. */
-  get era(): number {
-    return this.currentEra;
+  remove(key: string): void {
+    this.change(key, undefined);
   }
 
   backup(): StoreBackup {
     return { items: new Map(this.items), revision: this.revision };
   }
 
-  /** Restores a backup: later writes are lost, and their revisions are reissued in a new era. */
+  /** Restores a backup in a new era: later writes are lost, and their revisions are reissued. */
   restore({ items, revision }: StoreBackup): void {
     this.items = new Map(items);
     this.revision = revision;
-    this.currentEra += 1;
+    this.historyFrom = Math.min(this.historyFrom, revision);
+    this.eraHeader = String(Number(this.eraHeader ?? 0) + 1);
     this.cutWatches();
   }
 
@@ -178,6 +181,11 @@
   }
 }
 
+function serializeValue(value: unknown): string | Buffer {
+  const isPlain = typeof value === 'string' || Buffer.isBuffer(value);
+  return isPlain ? value : JSON.stringify(value);
+}
+
 function itemBody({ key, value, revision }: StoredItem): Record<string, unknown> {
   return value === undefined
     ? { key, revision, gone: true }
--- a/test/platform/store-client.test.ts
+++ b/test/platform/store-client.test.ts
@@ -4,6 +4,7 @@
 import type { AddressInfo } from 'node:net';
 import { expect } from 'chai';
 import { StoreClient } from '../../platform/store-client.js';
+import { MAX_ERA, revisionOf } from '../../src/store/store-revision.js';
 import { SilentLink } from '../proxy/relay/silent-link.js';
 import { pause } from './platform-fleet.js';
 import { StoreStandIn, type StoreFault } from '../../standins/store-platform/store-stand-in.js';
@@ -57,6 +58,43 @@
     expect(answer).to.deep.equal({ outcome: 'changes', changes: [], revision: 1 });
   });
 
+  it('includes the era of the store in revisions', async () => {
+    store.put('a', '1');
+    store.restore(store.backup());
+    const page = await client.list(undefined, 'current');
+    expect(page).to.deep.include({ outcome: 'page', revision: revisionOf(1, 1) });
+    expect(page).to.have.nested.property('items[0].revision', revisionOf(1, 1));
+    const watch = client.watch(revisionOf(1, 1), 5_000);
+    setTimeout(() => store.put('a', '2'), 20);
+    expect(await watch).to.deep.include({ outcome: 'changes', revision: revisionOf(1, 2) });
+  });
+
+  it('reports lost history to a watch from an earlier era whose revision was reissued', async () => {
+    store.put('a', '1');
+    store.restore(store.backup());
+    store.put('a', '2');
+    expect(await client.watch(1, 10)).to.deep.equal({ outcome: 'history-lost' });
+  });
+
+  it('discards a watch response from an earlier era', async () => {
+    store.put('a', '1');
+    const answer = await client.watch(revisionOf(1, 1), 10);
+    expect(answer.outcome).to.equal('unavailable');
+  });
+
+  for (const era of ['', '-1', '1.5', 'x', '99999999999', String(MAX_ERA + 1)]) {
+    it(`rejects responses with the invalid era "${era}"`, async () => {
+      store.eraHeader = era;
+      expect((await client.list(undefined, 'current')).outcome).to.equal('unavailable');
+    });
+  }
+
+  it('treats a missing era header as era 0', async () => {
+    store.eraHeader = undefined;
+    store.put('a', '1');
+    expect(await client.list(undefined, 'current')).to.deep.include({ revision: 1 });
+  });
+
   it('is told when the history is lost', async () => {
     store.put('a', '1');
     store.put('a', '2');
--- a/test/soak/soak-regressions.test.ts
+++ b/test/soak/soak-regressions.test.ts
@@ -39,6 +39,11 @@
     cause: 'the judge missed an answer that passed just before its connection fell silent',
     plan: 'silences',
   },
+  {
+    seed: 54_002,
+    cause: 'a configuration with a reissued revision was dropped after the store was restored',
+    plan: 'restores',
+  },
   { seed: 1_001, cause: SLOW_FOR_SILENT, plan: 'rolls' },
   { seed: 1_004, cause: SLOW_FOR_SILENT, plan: 'rolls' },
 ];
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -25,6 +25,10 @@
     await expectPromisesKept(41, 'planned', 'deploy/shapes/pipelined.yaml');
   }).timeout(SHAPED_TEST_TIMEOUT_MS);
 
+  it('keeps every promise when the store is restored from backups', async () => {
+    await expectPromisesKept(43, 'restores');
+  }).timeout(SHAPED_TEST_TIMEOUT_MS);
+
   it('keeps every promise when many nodes stop at a time beside connections that are slow', async () => {
     await expectPromisesKept(37, 'rolls');
   }).timeout(SOAK_TEST_TIMEOUT_MS);
--- a/test/store/store-watch.test.ts
+++ b/test/store/store-watch.test.ts
@@ -1,6 +1,7 @@
 /** What a node asks of the store next: pages, watches, lost history, failures. */
 import { expect } from 'chai';
 import type { StoreChange } from '../../src/store/key-value-store.js';
+import { revisionOf } from '../../src/store/store-revision.js';
 import { StoreWatch, type StoreAnswer, type StoreCall } from '../../src/store/store-watch.js';
 
 const ITEM: StoreChange = { key: 'a', revision: 4, value: '1' };
@@ -71,6 +72,16 @@
     expect(learning).to.deep.include({ type: 'list', revision: 7 });
   });
 
+  it('discards a list whose pages span two eras, and lists again with current freshness', () => {
+    const watch = new StoreWatch(() => 0.5);
+    watch.take(page(10, 'a', true));
+    const { call, learning } = watch.take(page(revisionOf(1, 7), 'b'));
+    expect(call).to.deep.include({ type: 'list', afterKey: undefined, freshness: 'current' });
+    expect(learning).to.equal(undefined);
+    const { learning: next } = watch.take(page(revisionOf(1, 7), 'a'));
+    expect(next).to.have.property('items').with.length(1);
+  });
+
   it('goes on after a pause from what the replica learned meanwhile', () => {
     expect(listed(10).resume(25)).to.deep.equal({ type: 'watch', afterRevision: 25, delayMs: 0 });
     expect(listed(10).resume(4)).to.deep.include({ type: 'watch', afterRevision: 10 });
--- a/tools/soak/fault-injector.ts
+++ b/tools/soak/fault-injector.ts
@@ -33,6 +33,7 @@
     kind:
       | 'store-outage'
       | 'store-compact'
+      | 'store-restore'
       | 'backend-fault'
       | 'backend-crash'
       | 'backend-drain'
@@ -95,6 +96,8 @@
       case 'store-compact':
         this.params.fleet.store.compact();
         return;
+      case 'store-restore':
+        return this.restoreStore(fault);
       case 'backend-fault':
         return this.failBackends(fault);
       case 'backend-crash':
@@ -219,6 +222,26 @@
     this.isStoreHeld = false;
   }
 
+  /** Restores a backup taken `lostMs` before an outage, then repeats the lost writes. */
+  private async restoreStore(fault: Extract<SoakFault, { kind: 'store-restore' }>): Promise<void> {
+    if (this.isStoreHeld) {
+      return;
+    }
+    this.isStoreHeld = true;
+    const { fleet } = this.params;
+    const backup = fleet.store.backup();
+    await delay(fault.lostMs);
+    await this.during(fault, undefined, async () => {
+      this.setStore('reset');
+      await delay(fault.forMs);
+      fleet.store.restore(backup);
+      this.setStore(undefined);
+      await delay(fault.rewriteMs);
+      fleet.rewriteLostItems();
+    });
+    this.isStoreHeld = false;
+  }
+
   private setStore(outage: StoreOutage | undefined): void {
     const { store } = this.params.fleet;
     store.watchLagMs = outage === 'lag' ? STORE_LAG_MS : 0;
--- a/tools/soak/fault-plan.ts
+++ b/tools/soak/fault-plan.ts
@@ -48,6 +48,14 @@
     }
   | { readonly kind: 'store-outage'; readonly outage: StoreOutage; readonly forMs: number }
   | { readonly kind: 'store-compact'; readonly forMs: number }
+  | {
+      /** The store is down for `forMs`, then restored from a backup taken `lostMs` before the outage. */
+      readonly kind: 'store-restore';
+      readonly lostMs: number;
+      readonly forMs: number;
+      /** Time from the restore until the lost writes are repeated. */
+      readonly rewriteMs: number;
+    }
   | {
       readonly kind: 'backend-fault';
       readonly machines: readonly number[];
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -202,12 +202,37 @@
   }
   const drainedAtMs = record.drainedAtMs.get(arrival.backend) ?? Infinity;
   const isLate = arrival.hasRun && arrival.headAtMs > drainedAtMs + record.terms.drainMs + SLACK_MS;
-  if (isLate && isInTouchFrom(drainedAtMs)) {
+  const mustKnowDrain =
+    isInTouchFrom(drainedAtMs) || mustKnowDrainBeforeRestores(record, call, arrival);
+  if (isLate && mustKnowDrain) {
     say('drain', `${Math.round(arrival.headAtMs - drainedAtMs)} ms after its draining was known`);
   }
   return broken;
 }
 
+/**
+ * Whether both machines were in touch until the draining had to be known, and only store restores affected
+ * them afterwards. A restore must not make a node forget a draining that it already knows.
+ */
+function mustKnowDrainBeforeRestores(
+  record: SoakRecord,
+  call: SoakCall,
+  arrival: SoakArrival,
+): boolean {
+  const { windows, terms } = record;
+  const drainedAtMs = record.drainedAtMs.get(arrival.backend) ?? Infinity;
+  const knownByMs = drainedAtMs + terms.drainMs + SLACK_MS;
+  const withoutRestores = {
+    ...record,
+    windows: windows.filter(({ kind }) => kind !== 'store-restore'),
+  };
+  return [call.machine, arrival.machine].every(
+    (idx) =>
+      isInTouch(record, idx, drainedAtMs, knownByMs) &&
+      isInTouch(withoutRestores, idx, drainedAtMs, arrival.headAtMs),
+  );
+}
+
 /** Whether nothing but planned work touched the machine from shortly before until the end. */
 function isInTouch(record: SoakRecord, machine: number, fromMs: number, untilMs: number): boolean {
   return !record.windows.some(
--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -93,6 +93,8 @@
   private readonly lifeCycle = new LifeCycle();
   private readonly children: ChildGroup;
   private readonly folder: string;
+  /** Last value written by the operator or a back end, by key; undefined marks a removal. */
+  private readonly lastWrites = new Map<string, unknown>();
   private configuration = 0;
   private fillers = 0;
 
@@ -183,7 +185,7 @@
   configure(fillers = this.fillers): void {
     this.configuration += 1;
     this.fillers = fillers;
-    this.store.put('op/config', configurationOf(this.configuration, fillers));
+    this.write('op/config', configurationOf(this.configuration, fillers));
     this.configuredAtMs.set(this.configuration, this.params.nowMs());
   }
 
@@ -239,7 +241,16 @@
 
   /** Removes the entry of a back end that has ended. */
   forgetBackend({ backend }: SoakMachine): void {
-    this.store.remove(`servers/${backend.instance}`);
+    this.write(`servers/${backend.instance}`, undefined);
+  }
+
+  /** Repeats the writes and removals that a restore of the store has lost. */
+  rewriteLostItems(): void {
+    for (const [key, value] of this.lastWrites) {
+      if (!this.store.hasValue(key, value)) {
+        this.write(key, value);
+      }
+    }
   }
 
   /** Ends everything that was started. */
@@ -340,7 +351,7 @@
   }
 
   private announce({ idx, service, backend, backendPort }: SoakMachine, state: string): void {
-    this.store.put(`servers/${backend.instance}`, {
+    this.write(`servers/${backend.instance}`, {
       born: backend.bornAtMs,
       address: `${this.addressOf(idx, 0)}:${backendPort}`,
       info: { service, version: 'v1', zone: zoneOf(idx), slots: BACKEND_SLOTS },
@@ -348,6 +359,16 @@
     });
   }
 
+  /** Writes an item, or removes it when `value` is undefined. */
+  private write(key: string, value: unknown): void {
+    this.lastWrites.set(key, value);
+    if (value === undefined) {
+      this.store.remove(key);
+    } else {
+      this.store.put(key, value);
+    }
+  }
+
   /** `side` 0 is what others know of the machine, 1 what is behind its proxies. */
   private addressOf(idx: number, side: number): string {
     return `${this.params.network}.${side}.${idx + 1}`;
--- a/tools/soak/soak-run.ts
+++ b/tools/soak/soak-run.ts
@@ -12,6 +12,7 @@
 import { ProcessorTurns } from './processor-turns.js';
 import type { SoakShape } from './soak-shape.js';
 import { judgeSoak, type BrokenPromise } from './promises.js';
+import { planRestores } from './restore-plan.js';
 import { planRolls } from './roll-plan.js';
 import { planSeries } from './series-plan.js';
 import { planSilences } from './silence-plan.js';
@@ -37,6 +38,7 @@
 const PLANNED_STREAM = 8;
 const PIPELINE_STREAM = 9;
 const PROCESSOR_STREAM = 10;
+const RESTORE_STREAM = 11;
 /** Share of the short requests that work for long, beside rolls. */
 const LONG_SHARE = 0.1;
 /** What the link to a node passes each way: 7 Mbit/s, as machines of the users' deployments have. */
@@ -56,8 +58,18 @@
  *   callers that keep their connections. Nothing is killed or lost.
  * - `planned`: planned work alone, under the same callers: stops, also just after a start, reloads, releases,
  *   storms and large configurations; in the end all nodes lose power right after a configuration.
+ * - `restores`: the store is restored from backups; configuration changes, drains of back ends and planned
+ *   stops take place before and after each restore.
  */
-export const SOAK_PLANS = ['faults', 'series', 'silences', 'crashes', 'rolls', 'planned'] as const;
+export const SOAK_PLANS = [
+  'faults',
+  'series',
+  'silences',
+  'crashes',
+  'rolls',
+  'planned',
+  'restores',
+] as const;
 
 /** What happens in a soak. */
 export type SoakPlan = (typeof SOAK_PLANS)[number];
@@ -212,6 +224,9 @@
   if (plan === 'planned') {
     return planPlannedWork({ ...common, random: seededRandom(seed, PLANNED_STREAM) });
   }
+  if (plan === 'restores') {
+    return planRestores({ ...common, random: seededRandom(seed, RESTORE_STREAM) });
+  }
   const single = planSoak({ ...common, random: seededRandom(seed, PLAN_STREAM) });
   if (plan === 'faults') {
     return single;
