--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -16,6 +16,7 @@
 import { createRequestProxy } from '../proxy/request-proxy.js';
 import { evacuationChanges } from '../model/evacuation.js';
 import type { Snapshot } from '../model/snapshot.js';
+import { hasSameEndpoints, hasSameEntries, machinesOf } from '../model/machine-zones.js';
 import type { RecordReader } from '../store/configuration-record.js';
 import { MISSING_ENDPOINT_RETENTION_MS, REWRITE_PERIOD_MS } from '../store/carried-changes.js';
 import type { KeyValueStore, StoreChange } from '../store/key-value-store.js';
@@ -32,6 +33,7 @@
 import { createReadinessServer } from './readiness-server.js';
 import { RequestLogger } from './request-logger.js';
 import { storeNodeLimits } from './store-node-limits.js';
+import { declareStoreNodeMetrics } from './store-node-metrics.js';
 import type { SocketAddress, StoreNodeSettings } from './store-node-settings.js';
 
 const MS_PER_SECOND = 1_000;
@@ -62,7 +64,7 @@
   private readonly internalServer: http.Server;
   private readonly peers: PeerExchange;
   private snapshot: Snapshot | undefined;
-  /** Store era of the replica; undefined before the first list. */
+  /** Store era at the latest snapshot build; undefined before the first build. */
   private era: number | undefined;
   private machineCount = 1;
   /** The zone of each machine, as peers and sources know them. */
@@ -93,7 +95,14 @@
     });
     this.internalServer = this.services.own('internal server', internalServer, closeServer);
     this.peers = this.services.own('peers', this.createPeers(), (one) => one.close());
-    this.defineGauges();
+    declareContainmentMetrics(this.metrics, this.containment);
+    declareStoreNodeMetrics(this.metrics, {
+      replica: this.replica,
+      source: this.source,
+      proxy: this.proxy,
+      snapshot: () => this.snapshot,
+      machineCount: () => this.machineCount,
+    });
   }
 
   /** Opens the listeners and begins to follow the store; rejects when a listener can't be opened. */
@@ -142,63 +151,6 @@
     await this.services.close();
   }
 
-  private defineGauges(): void {
-    const gauges: readonly [name: string, help: string, read: () => number][] = [
-      [
-        'configuration_number',
-        'Number of the configuration in force, 0 before the first',
-        () => this.snapshot?.version.source.number ?? 0,
-      ],
-      [
-        'store_revision',
-        'Revision up to which the replica is complete',
-        () => revisionInEra(this.replica.revision),
-      ],
-      [
-        'store_era',
-        'Times that the store has come back from a copy, by its own count',
-        () => eraOf(this.replica.revision),
-      ],
-      [
-        'carried_changes',
-        'Changes of earlier eras of the store that it has not told anew',
-        () => this.replica.carriedChanges.length,
-      ],
-      ['store_connected', '1 while the store answers', () => Number(this.source.isStoreConnected)],
-      ['store_reading', '1 while this node reads the store', () => Number(this.source.isReading)],
-      [
-        'replica_age_seconds',
-        'Time since a reader of the store confirmed the replica',
-        () => this.source.ageMs / MS_PER_SECOND,
-      ],
-      [
-        'feed_received_bytes',
-        'Bytes that came over feeds, those of messages that were never whole among them',
-        () => this.source.feedBytes,
-      ],
-      [
-        'feed_followers',
-        'Nodes that follow the feed of this one',
-        () => this.source.feed.followerCount,
-      ],
-      ['machines', 'Machines that the endpoints name', () => this.machineCount],
-      [
-        'evacuated_zones',
-        'Zones whose endpoints get no new work',
-        () => this.snapshot?.evacuatedZones.size ?? 0,
-      ],
-      [
-        'cold_endpoints',
-        'Endpoints beside this node that are cold',
-        () => this.proxy.coldEndpointCount(),
-      ],
-    ];
-    declareContainmentMetrics(this.metrics, this.containment);
-    for (const [name, help, read] of gauges) {
-      this.metrics.gauge(`ferryspool_${name}`, help, read);
-    }
-  }
-
   private get internalPort(): number {
     return this.options.settings.internalPorts.first + INTERNAL_SERVER_PORT_OFFSET;
   }
@@ -409,52 +361,16 @@
   }
 }
 
-/** Lists of endpoints that did not change are the same objects in both snapshots. */
-function hasSameEndpoints(snapshot: Snapshot, held: Snapshot | undefined): boolean {
-  for (const [service, endpoints] of snapshot.endpointsByService) {
-    if (held?.endpointsByService.get(service) !== endpoints) {
-      return false;
-    }
-  }
-  return held?.endpointsByService.size === snapshot.endpointsByService.size;
-}
-
 /** A name that no other node has, nor this one after a start, without loading cryptography. */
 function nameOfLife(address: string): string {
   return `${address} ${Date.now()} ${Math.random()}`;
 }
 
-function hasSameEntries(
-  left: ReadonlyMap<string, string>,
-  right: ReadonlyMap<string, string>,
-): boolean {
-  if (left.size !== right.size) {
-    return false;
-  }
-  for (const [key, value] of left) {
-    if (right.get(key) !== value) {
-      return false;
-    }
-  }
-  return true;
-}
-
 function closeServer(server: http.Server): void {
   server.close();
   server.closeAllConnections();
 }
 
-/** The zone of each machine that an endpoint names, by the machine's address. */
-function machinesOf(snapshot: Snapshot): ReadonlyMap<string, string> {
-  const zones = new Map<string, string>();
-  for (const endpoints of snapshot.endpointsByService.values()) {
-    for (const { spec } of endpoints) {
-      zones.set(spec.machine ?? spec.address, spec.zone ?? '');
-    }
-  }
-  return zones;
-}
-
 function listen(server: http.Server, { address, port }: SocketAddress): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
