--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -172,6 +172,16 @@
     expect(brokenIn({ drainedAtMs: new Map([['i-1', 18_000]]) })).to.deep.equal([]);
   });
 
+  it('finds late work after a store restore if nodes had to know of the draining before it', () => {
+    const windows: FaultWindow[] = [
+      { kind: 'store-restore', machines: undefined, fromMs: 17_000, untilMs: 18_000 },
+    ];
+    const drainedAtMs = new Map([['i-1', 10_000]]);
+    expect(brokenIn({ drainedAtMs, windows })).to.deep.equal(['drain']);
+    expect(brokenIn({ drainedAtMs, windows: [...windows, FROZEN] })).to.deep.equal([]);
+    expect(brokenIn({ drainedAtMs: new Map([['i-1', 16_000]]), windows })).to.deep.equal([]);
+  });
+
   it('finds a planned stop that fails, is slow, or cuts a request, unless a fault is near', () => {
     const stop = { machine: 0, atMs: 20_020, tookMs: 900, code: 0, hadStarted: true };
     const stopWindow = { kind: 'stop', machines: [0], fromMs: 20_020, untilMs: 21_000 } as const;
