Log answers and connections that a node cuts at the end of a stop

A request whose endpoint had answered, but whose answer was still in the node, ended with the process without a line: its lifecycle was over. answer-cut names it, caller-connection-cut gives the bytes that the node held, and each stop says how many requests it gave up.

--- a/src/proxy/caller-connections.ts
+++ b/src/proxy/caller-connections.ts
@@ -7,7 +7,11 @@
 import type { ServerResponse } from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
-import type { ConnectionEndListener, ConnectionEndReason } from './connection-end.js';
+import type {
+  ConnectionEnd,
+  ConnectionEndListener,
+  ConnectionEndReason,
+} from './connection-end.js';
 import { ReadingPause } from './reading-pause.js';
 import { MACHINE_TIME } from './scheduler.js';
 import { LINGER_MS, LingeringCloses } from './lingering-close.js';
@@ -15,6 +19,9 @@
 /** Told of the end of one exchange; `isWhole` when its answer went out in full, `reason` says why it did not. */
 type CloseListener = (isWhole: boolean, reason?: ConnectionEndReason) => void;
 
+/** The end of a connection, from the moment at which it began. */
+type BegunEnd = Pick<ConnectionEnd, 'reason' | 'unsentBytes'>;
+
 /** The open exchanges of one connection. */
 type OpenExchanges = Map<ServerResponse, CloseListener[]>;
 
@@ -25,8 +32,8 @@
   /** What is done once the whole requests of a connection are answered. */
   private readonly answeredListeners = new WeakMap<Duplex, () => void>();
   private readonly open = new Set<Duplex>();
-  /** Why connections are being ended; by their callers where nothing is said. */
-  private readonly endReasons = new WeakMap<Duplex, ConnectionEndReason>();
+  /** How connections are being ended; by their callers where nothing is said. */
+  private readonly ends = new WeakMap<Duplex, BegunEnd>();
   private readonly lingering = new LingeringCloses();
   private readonly pauses = new WeakMap<Duplex, ReadingPause>();
 
@@ -51,7 +58,8 @@
     socket.once('close', () => {
       this.open.delete(socket);
       const cutCount = this.exchangesOf.get(socket)?.size ?? 0;
-      this.onEnd({ reason: this.reasonOf(socket), cutCount });
+      const { unsentBytes = 0 } = this.ends.get(socket) ?? {};
+      this.onEnd({ reason: this.reasonOf(socket), cutCount, unsentBytes });
     });
   }
 
@@ -145,13 +153,23 @@
 
   /** Notes why a connection ends; the first reason counts. */
   private endsFor(socket: Duplex, reason: ConnectionEndReason): void {
-    if (!this.endReasons.has(socket)) {
-      this.endReasons.set(socket, reason);
+    if (!this.ends.has(socket)) {
+      this.ends.set(socket, { reason, unsentBytes: this.unsentBytes(socket) });
     }
   }
 
   private reasonOf(socket: Duplex): ConnectionEndReason {
-    return this.endReasons.get(socket) ?? 'caller';
+    return this.ends.get(socket)?.reason ?? 'caller';
+  }
+
+  /** What Node holds of the answers of a connection, those that wait for their turn included. */
+  private unsentBytes(socket: Duplex): number {
+    const responses = [...(this.exchangesOf.get(socket)?.keys() ?? [])];
+    const waiting = responses.filter((response) => response.socket === null);
+    return waiting.reduce(
+      (bytes, response) => bytes + response.writableLength,
+      socket.writableLength,
+    );
   }
 
   private breakNow(socket: Duplex): void {
--- a/src/proxy/connection-end.ts
+++ b/src/proxy/connection-end.ts
@@ -19,6 +19,8 @@
   readonly reason: ConnectionEndReason;
   /** Requests on it that had no whole answer. */
   readonly cutCount: number;
+  /** Bytes of answers that the node still held for it when the end began. */
+  readonly unsentBytes: number;
 }
 
 /** Told of the end of each connection of callers. */
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -19,6 +19,8 @@
   | 'request-given-up'
   /** The connection of the caller ended before its answer; `endedBy` says why. */
   | 'request-abandoned'
+  /** The connection of the caller ended before an answer that was there had gone out; `endedBy` says why. */
+  | 'answer-cut'
   /** The node beside the endpoint did not send the attempt on. */
   | 'attempt-refused'
   /** The endpoint got the attempt and did not answer it. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -227,7 +227,9 @@
   }
 
   private giveUpAll(): number {
+    const { inFlight } = this.meter;
     const givenUp = this.intake.giveUp() + this.relay.giveUp();
+    this.options.logStateChange('request-path', `gave up ${givenUp} of ${inFlight} in flight`);
     this.options.counters.add('ferryspool_requests_given_up_total', givenUp);
     return givenUp;
   }
@@ -286,12 +288,16 @@
     });
   }
 
-  private countConnectionEnd({ reason, cutCount }: ConnectionEnd): void {
+  private countConnectionEnd({ reason, cutCount, unsentBytes }: ConnectionEnd): void {
     const name = reason.replaceAll('-', '_');
     this.options.counters.add(`ferryspool_caller_connections_ended_${name}_total`);
     if (cutCount > 0) {
       this.options.counters.add(`ferryspool_requests_cut_${name}_total`, cutCount);
     }
+    if (cutCount > 0 && reason !== 'caller') {
+      const detail = `${reason}: ${cutCount} requests, ${unsentBytes} bytes unsent`;
+      this.options.logStateChange('caller-connection-cut', detail);
+    }
   }
 
   private makeRelayServer(): RelayServer {
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -380,15 +380,20 @@
 
   private close(isWhole: boolean, reason?: ConnectionEndReason): void {
     if (!isWhole && !this.lifecycle.isOver) {
-      this.recordAbandoned(reason);
+      this.recordEnd('request-abandoned', reason);
       this.handle({ type: 'caller-gone' });
+    } else if (!isWhole && reason !== 'caller') {
+      this.recordEnd('answer-cut', reason);
     }
     this.finish();
   }
 
-  private recordAbandoned(endedBy?: ConnectionEndReason): void {
+  private recordEnd(
+    event: 'request-abandoned' | 'answer-cut',
+    endedBy?: ConnectionEndReason,
+  ): void {
     const error = new CallerGoneError('the connection of the caller ended');
-    this.record('request-abandoned', error, error.verdict, { endedBy });
+    this.record(event, error, error.verdict, { endedBy });
   }
 
   private finish(): void {
--- a/test/proxy/rig.ts
+++ b/test/proxy/rig.ts
@@ -8,6 +8,7 @@
 import type { IdempotencyClaims } from '../../src/proxy/idempotency-claims.js';
 import type { ProxyLimits } from '../../src/proxy/proxy-limits.js';
 import { RelayTokenIssuer } from '../../src/proxy/relay/relay-token.js';
+import type { RequestLog } from '../../src/proxy/request-log.js';
 import type { RequestProxy } from '../../src/proxy/request-path.js';
 import { createRequestProxy } from '../../src/proxy/request-proxy.js';
 import type { PeerIdentity } from '../../src/membership/peer-identity.js';
@@ -125,6 +126,7 @@
     id: string,
     limits: Partial<ProxyLimits> = {},
     claims?: IdempotencyClaims,
+    requestLog?: RequestLog,
   ): Promise<TestNode> {
     const counters = new Map<string, number>();
     const proxy = createRequestProxy({
@@ -140,6 +142,7 @@
       limits: { stopQuietMs: 30, ...limits },
       fleetKey: FLEET_KEY,
       ...(claims && { claims }),
+      ...(requestLog && { requestLog }),
       logStateChange: () => undefined,
     });
     const callerPort = await listen(proxy.callerServer);
