--- /dev/null
+++ b/test/proxy/relay/delayed-link.ts
@@ -0,0 +1,47 @@
+/** A link towards one port that passes bytes late, both ways, as between processes that wait for a core. */
+import { once } from 'node:events';
+import net, { type AddressInfo, type Socket } from 'node:net';
+
+const HOST = '127.0.0.1';
+
+/** The link; any number of bytes pass at once. */
+export class DelayedLink {
+  private readonly sockets = new Set<Socket>();
+  private readonly server = net.createServer((near) => this.accept(near));
+
+  private constructor(
+    private readonly targetPort: number,
+    private readonly delayMs: number,
+  ) {}
+
+  static async start(targetPort: number, delayMs: number): Promise<DelayedLink> {
+    const link = new DelayedLink(targetPort, delayMs);
+    link.server.listen(0, HOST);
+    await once(link.server, 'listening');
+    return link;
+  }
+
+  get port(): number {
+    return (this.server.address() as AddressInfo).port;
+  }
+
+  close(): void {
+    this.server.close();
+    this.sockets.forEach((socket) => socket.destroy());
+  }
+
+  private accept(near: Socket): void {
+    const far = net.connect(this.targetPort, HOST);
+    this.pass(near, far);
+    this.pass(far, near);
+  }
+
+  private pass(from: Socket, to: Socket): void {
+    this.sockets.add(from);
+    from.setNoDelay();
+    from.on('error', () => from.destroy());
+    from.on('data', (bytes) => setTimeout(() => to.write(bytes), this.delayMs));
+    from.on('end', () => setTimeout(() => to.end(), this.delayMs));
+    from.on('close', () => this.sockets.delete(from));
+  }
+}
