Collect answers whole while a node stops

The large answer came from another machine in windows of 64 KB, each of which takes a round trip and a turn of both processes; 400 KB took 1.4 s to 3.5 s. The rest waited in the node's memory for the end of the large one.

From the beginning of a stop, the node asks for the rest of each answer at once and holds new answers whole before their first byte goes out, within maxHeldBytes for all together. An answer that is not whole when the stop gives requests up is replaced by an error, so that those behind it still go out. A node gives a peer that is about to stop 512 KB more as well.

--- a/src/proxy/answer-relay.ts
+++ b/src/proxy/answer-relay.ts
@@ -2,6 +2,7 @@
  * Passes an answer on, with back-pressure. An answer is completed towards the receiver only when it
  * arrived whole; small ones are held until then, so that nothing of a broken one goes out.
  */
+import type { AnswerCollection } from './answer-collection.js';
 import type { Answer, AnswerBody } from './call.js';
 
 /** Where an answer goes. */
@@ -26,12 +27,20 @@
   broken(wasPassedOn: boolean): void;
 }
 
-/** Passes `answer` to `sink` with `headers`; holds it whole where it has up to `holdBytes`. */
+/** How much of an answer is held before its first byte goes out. */
+export interface AnswerHolding {
+  /** Largest answer with a length that is held whole, in bytes. */
+  readonly holdBytes: number;
+  /** Reads answers to their ends while the node stops; none does when absent. */
+  readonly collection?: AnswerCollection;
+}
+
+/** Passes `answer` to `sink` with `headers`; holds it whole where `holding` says so. */
 export function passAnswer(
   answer: Answer,
   sink: AnswerSink,
   headers: string[],
-  holdBytes: number,
+  { holdBytes, collection }: AnswerHolding,
   observer: AnswerObserver,
 ): void {
   const { body, contentLength, status } = answer;
@@ -39,10 +48,19 @@
   if (body.kind === 'held') {
     sendWhole(sink, head, body.bytes);
     observer.whole();
-  } else if (contentLength !== undefined && contentLength <= holdBytes) {
-    passHeld(body, sink, head, observer);
+    return;
+  }
+  const passing = { body, sink, head, observer, collection };
+  if (contentLength !== undefined && contentLength <= holdBytes) {
+    passHeld(passing, contentLength);
+    return;
+  }
+  const roomBytes = collection?.takeRoom(contentLength) ?? 0;
+  if (roomBytes > 0) {
+    body.collect?.(roomBytes);
+    passHeld(passing, roomBytes);
   } else {
-    passStreamed(body, sink, head, observer);
+    passStreamed(passing, []);
   }
 }
 
@@ -52,21 +70,36 @@
   readonly contentLength: number | undefined;
 }
 
+/** A streamed answer on its way. */
+interface PassingAnswer {
+  readonly body: StreamedBody;
+  readonly sink: AnswerSink;
+  readonly head: AnswerHead;
+  readonly observer: AnswerObserver;
+  readonly collection: AnswerCollection | undefined;
+}
+
 function sendWhole(sink: AnswerSink, head: AnswerHead, bytes: Buffer): void {
   sink.writeHead(head.status, head.headers, head.contentLength);
   sink.end(bytes);
 }
 
-function passHeld(
-  { stream, isWhole }: StreamedBody,
-  sink: AnswerSink,
-  head: AnswerHead,
-  observer: AnswerObserver,
-): void {
+/** Sends nothing before the body is whole, or longer than `mostBytes`. */
+function passHeld(passing: PassingAnswer, mostBytes: number): void {
+  const { body, sink, head, observer } = passing;
+  const { stream, isWhole } = body;
   const chunks: Buffer[] = [];
-  stream.on('data', (chunk: Buffer) => chunks.push(chunk));
-  stream.on('error', ignoreError);
-  stream.once('close', () => {
+  let heldBytes = 0;
+  const take = (chunk: Buffer): void => {
+    chunks.push(chunk);
+    heldBytes += chunk.length;
+    if (heldBytes > mostBytes && !sink.headersSent) {
+      stream.off('data', take);
+      stream.off('close', end);
+      passStreamed(passing, chunks);
+    }
+  };
+  const end = (): void => {
     // A request that was given up meanwhile has its answer.
     if (!isWhole() || sink.headersSent) {
       observer.broken(false);
@@ -75,32 +108,44 @@
     const [first] = chunks;
     sendWhole(sink, head, chunks.length === 1 && first ? first : Buffer.concat(chunks));
     observer.whole();
-  });
+  };
+  stream.on('data', take);
+  stream.on('error', ignoreError);
+  stream.once('close', end);
 }
 
+/** Sends `held` and what comes after it, at the pace of the receiver until the node stops. */
 function passStreamed(
-  { stream, isWhole }: StreamedBody,
-  sink: AnswerSink,
-  { status, headers, contentLength }: AnswerHead,
-  observer: AnswerObserver,
+  { body, sink, head, observer, collection }: PassingAnswer,
+  held: readonly Buffer[],
 ): void {
+  const { stream, isWhole } = body;
+  let isPaced = true;
   const sendHead = (): void => {
     if (!sink.headersSent) {
-      sink.writeHead(status, headers, contentLength);
+      sink.writeHead(head.status, head.headers, head.contentLength);
     }
   };
   const resume = (): void => {
     stream.resume();
   };
-  stream.on('data', (chunk: Buffer) => {
+  const pass = (chunk: Buffer): void => {
     sendHead();
-    if (!sink.write(chunk)) {
+    if (!sink.write(chunk) && isPaced) {
       stream.pause();
     }
+  };
+  const endWatch = collection?.watch(head.contentLength, (mostBytes) => {
+    isPaced = false;
+    body.collect?.(mostBytes);
+    resume();
   });
+  held.forEach(pass);
+  stream.on('data', pass);
   stream.on('error', ignoreError);
   sink.on('drain', resume);
   stream.once('close', () => {
+    endWatch?.();
     sink.off('drain', resume);
     if (!isWhole()) {
       observer.broken(sink.headersSent);
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -60,6 +60,8 @@
       readonly stream: Readable;
       /** Whether the body arrived in full; to be asked once the stream has closed. */
       readonly isWhole: () => boolean;
+      /** Asks a sender that waits for its receiver to send so many bytes more; none waits when absent. */
+      readonly collect?: (bytes: number) => void;
     };
 
 /** An answer. */
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -8,6 +8,7 @@
 import type { Socket } from 'node:net';
 import { MAX_KEY_LENGTH } from '../claims/claim-terms.js';
 import type { Verdict } from '../model/verdict.js';
+import type { AnswerCollection } from './answer-collection.js';
 import { CallerConnections } from './caller-connections.js';
 import type { CallerProtocol } from './caller-protocol.js';
 import { passAnswer, type AnswerObserver } from './answer-relay.js';
@@ -64,7 +65,9 @@
   answer(answer: Answer, requestId: string, holdBytes: number, observer: AnswerObserver): void {
     this.closeWhenStopping();
     const headers = answer.headers.concat(this.options.protocol.answerHeaders(requestId));
-    passAnswer(answer, new ResponseSink(this.response), headers, holdBytes, observer);
+    const { collection } = this.options;
+    const holding = { holdBytes, ...(collection && { collection }) };
+    passAnswer(answer, new ResponseSink(this.response), headers, holding, observer);
   }
 
   /** Reports an error. A body that is still arriving ends with the connection. */
@@ -120,6 +123,8 @@
   readonly limits: ProxyLimits;
   /** Whether connections should be closed after their answer. */
   readonly isStopping: () => boolean;
+  /** Reads answers to their ends while the node stops; none does when absent. */
+  readonly collection?: AnswerCollection;
   /** Told the code of every error answer. */
   readonly onError: (code: string) => void;
   /** The connections of the server; its owner may end them. */
--- a/src/proxy/relay/relay-body.ts
+++ b/src/proxy/relay/relay-body.ts
@@ -62,6 +62,7 @@
 /** The receiving end. */
 export class RelayBodyReader extends Readable {
   private unreportedBytes = 0;
+  private windowBytes = BODY_WINDOW_BYTES;
   private isEnded = false;
 
   /**
@@ -80,10 +81,18 @@
     return this.isEnded;
   }
 
+  /** Lets the sender have so many bytes more on their way, or unread here. */
+  widen(bytes: number): void {
+    if (!this.isEnded && !this.destroyed) {
+      this.windowBytes += bytes;
+      this.sendCredit(bytes);
+    }
+  }
+
   /** Takes a part that arrived. A sender that goes beyond its window breaks the body off. */
   receive(bytes: Buffer, isLast: boolean): void {
     this.unreportedBytes += bytes.length;
-    if (this.unreportedBytes > BODY_WINDOW_BYTES) {
+    if (this.unreportedBytes > this.windowBytes) {
       this.destroy();
       return;
     }
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -21,6 +21,9 @@
 /** A body of up to this length, in bytes, goes with the head of its request: some three packets. */
 const MAX_INLINE_BODY_BYTES = 4 * 1024;
 
+/** Bytes beyond the usual window that a peer may send at once which is about to stop. */
+const MAX_LAST_BYTES = 512 * 1024;
+
 /** What an attempt needs of its link. */
 export interface AttemptLink {
   /** False when the frame can't be built, or there is no connection. */
@@ -176,6 +179,9 @@
     }
     const { status, headers, isHeld, bytes, contentLengthBytes: contentLength } = frame;
     const body: AnswerBody = isHeld ? { kind: 'held', bytes } : this.openReader();
+    if (body.kind === 'streamed' && frame.isNodeStopping) {
+      body.collect?.(Math.min(contentLength ?? MAX_LAST_BYTES, MAX_LAST_BYTES));
+    }
     const answer: Answer = { status, headers, body, contentLength, load: loadOf(frame) };
     if (isHeld) {
       this.end();
@@ -188,7 +194,12 @@
       this.link.send({ kind: 'credit', streamId: this.streamId, creditBytes });
     });
     this.reader = reader;
-    return { kind: 'streamed', stream: reader, isWhole: () => reader.complete };
+    return {
+      kind: 'streamed',
+      stream: reader,
+      isWhole: () => reader.complete,
+      collect: (bytes) => reader.widen(bytes),
+    };
   }
 
   private takeBody(bytes: Buffer, isLast: boolean): void {
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -168,13 +168,19 @@
     const load = answer.load && this.withBodyTime(answer.load);
     const sink = new FrameSink(this.streamId, { ...answer, load }, this.link);
     this.sink = sink;
-    passAnswer(answer, sink, [...answer.headers], 0, {
-      whole: () => sink.whenSent(() => this.end()),
-      broken: (wasPassedOn) => {
-        sink.destroy();
-        this.breakAnswer(wasPassedOn, answer.load);
+    passAnswer(
+      answer,
+      sink,
+      [...answer.headers],
+      { holdBytes: 0 },
+      {
+        whole: () => sink.whenSent(() => this.end()),
+        broken: (wasPassedOn) => {
+          sink.destroy();
+          this.breakAnswer(wasPassedOn, answer.load);
+        },
       },
-    });
+    );
   }
 
   failed(error: RequestError, load?: LoadReport): void {
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -8,6 +8,7 @@
 import type { AwaitedMachine } from './awaited-attempts.js';
 import { LINGER_MS } from './lingering-close.js';
 import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
+import { AnswerCollection } from './answer-collection.js';
 import { CallerConnections } from './caller-connections.js';
 import { createCallerServer } from './caller-server.js';
 import { CallMeter } from './call-meter.js';
@@ -46,6 +47,7 @@
 class NodeRequestProxy implements RequestProxy {
   readonly callerServer: http.Server;
   private readonly callerConnections = new CallerConnections((end) => this.countConnectionEnd(end));
+  private readonly answers: AnswerCollection;
   private readonly relay: RelayServer;
   private readonly limits: ProxyLimits;
   private readonly callerProtocol: CallerProtocol;
@@ -65,6 +67,7 @@
 
   constructor(private readonly options: RequestProxyOptions) {
     this.limits = { ...DEFAULT_PROXY_LIMITS, ...options.limits };
+    this.answers = new AnswerCollection(this.limits.maxHeldBytes);
     this.plannedStop = new PlannedStop({
       ...this.limits,
       stopCloseMs: RELAY_CLOSE_TIMEOUT_MS,
@@ -185,6 +188,7 @@
   async stop(): Promise<void> {
     const { logStateChange } = this.options;
     let givenUp = 0;
+    this.answers.begin();
     logStateChange('request-path', `stopping with ${this.meter.inFlight} in flight`);
     await drainServers([this.callerServer, this.relayServer], {
       stop: this.plannedStop,
@@ -284,6 +288,7 @@
         this.options.counters.add(`ferryspool_request_errors_${code.toLowerCase()}_total`);
       },
       connections: this.callerConnections,
+      collection: this.answers,
       handle: (request, response) => this.intake.handle(request, response),
     });
   }
--- a/test/proxy/stop-behind-large-answer.test.ts
+++ b/test/proxy/stop-behind-large-answer.test.ts
@@ -1,5 +1,6 @@
 /** Guards against finished answers that are cut at the end of a stop behind a large one that is fetched slowly. */
 import net, { type Socket } from 'node:net';
+import { setTimeout as delay } from 'node:timers/promises';
 import { expect } from 'chai';
 import {
   echoEndpoint,
@@ -7,6 +8,7 @@
   rawAnswer,
   startRawEndpoint,
   TestMesh,
+  until,
   type RawEndpoint,
   type TestNode,
 } from './rig.js';
@@ -23,6 +25,8 @@
   stopAnswerMs: 250,
   stopQuietMs: 30,
 };
+/** A caller that reads late begins within the stop, in milliseconds. */
+const READS_LATE_MS = 1_000;
 const REQUESTS = ['/large', '/small', '/small']
   .map((path) => `GET ${path} HTTP/1.1\r\nHost: a\r\n\r\n`)
   .join('');
@@ -93,7 +97,21 @@
 
   const whole = { large: LARGE_BYTES, small: 2 };
 
-  for (const [framing, chunked] of [['with a length', false]] as const) {
+  it('come whole where the large one is on its way as the stop begins', async () => {
+    node = await mesh.addNode('n1', { ...LIMITS, stopTimeoutMs: 700 });
+    socket.destroy();
+    socket = connect();
+    read();
+    socket.write(REQUESTS);
+    await until(() => text.includes('..'));
+    await node.proxy.stop();
+    expect(received()).to.deep.equal(whole);
+  });
+
+  for (const [framing, chunked] of [
+    ['with a length', false],
+    ['without a length', true],
+  ] as const) {
     it(`come whole where the requests come after the stop began, ${framing}`, async () => {
       isChunked = chunked;
       read();
@@ -103,4 +121,14 @@
       expect(received()).to.deep.equal(whole);
     });
   }
+
+  it('come whole to a caller that reads nothing for most of the stop', async () => {
+    socket.write(REQUESTS);
+    await until(() => target.heads.length === 3);
+    const stopped = node.proxy.stop();
+    await delay(READS_LATE_MS);
+    read();
+    await stopped;
+    expect(received()).to.deep.equal(whole);
+  });
 });
