Close connections only on a current read of their sockets

A stop reads all sockets, finds a connection idle and closes it. When the process loses the processor in between, a request that has arrived meanwhile is lost. An idle time-out that fires first after a pause does the same.

SocketPoll tells by the clock whether the last read is at most 50 ms old. A stop decides only on a current read, checks it again before each connection, and before it shuts a listener or the connections to its peers. What it could not close is closed at one of the next looks. An idle time-out closes a connection only if nothing was read on it by a new read.

stop-after-pause.test.ts stops the thread for 300 ms between the look and the close, and over the end of the idle time: both requests ended without an answer before, and are answered now.

--- a/src/proxy/caller-connections.ts
+++ b/src/proxy/caller-connections.ts
@@ -14,6 +14,7 @@
 } from './connection-end.js';
 import { ReadingPause } from './reading-pause.js';
 import { MACHINE_TIME } from './scheduler.js';
+import { SocketPoll } from './socket-poll.js';
 import { LINGER_MS, LingeringCloses } from './lingering-close.js';
 
 /** Told of the end of one exchange; `isWhole` when its answer went out in full, `reason` says why it did not. */
@@ -35,6 +36,7 @@
   /** How connections are being ended; by their callers where nothing is said. */
   private readonly ends = new WeakMap<Duplex, BegunEnd>();
   private readonly lingering = new LingeringCloses();
+  private readonly poll = new SocketPoll();
   private readonly pauses = new WeakMap<Duplex, ReadingPause>();
 
   /** `afterFlush` calls its action once Node has handed what it holds of a response to the connection. */
@@ -73,10 +75,34 @@
     this.lingering.begin(socket, lingerMs);
   }
 
-  /** Closes the connections on which nothing is under way. */
-  closeIdle(): void {
-    const idle = [...this.open].filter((socket) => !this.hasOpenRequest(socket));
-    idle.forEach((socket) => this.close(socket, 'stop'));
+  /** Connections on which nothing is under way and that are not being closed. */
+  get idleCount(): number {
+    return this.idle().length;
+  }
+
+  /** Closes the connections on which nothing is under way, as long as `mayClose` says so. */
+  closeIdle(mayClose: () => boolean = () => true): void {
+    for (const socket of this.idle()) {
+      if (!mayClose()) {
+        return;
+      }
+      this.close(socket, 'stop');
+    }
+  }
+
+  /** Closes a connection whose idle time is over, unless its caller has sent something that was not read yet. */
+  async closeUnused(socket: Socket): Promise<void> {
+    const { bytesRead } = socket;
+    await this.poll.renew();
+    if (socket.bytesRead === bytesRead && !this.hasOpenRequest(socket)) {
+      this.close(socket, 'idle');
+    }
+  }
+
+  private idle(): Duplex[] {
+    return [...this.open].filter(
+      (socket) => !this.hasOpenRequest(socket) && !this.lingering.has(socket),
+    );
   }
 
   /** Every connection that is open is about to be cut. */
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -164,7 +164,7 @@
     take(request, response);
   });
   server.on('checkExpectation', take);
-  server.on('timeout', (socket: Socket) => connections.close(socket, 'idle'));
+  server.on('timeout', (socket: Socket) => void connections.closeUnused(socket));
   server.on('clientError', createMalformedListener(connections));
   return server;
 }
--- a/src/proxy/lingering-close.ts
+++ b/src/proxy/lingering-close.ts
@@ -23,6 +23,11 @@
     return this.timers.size;
   }
 
+  /** Whether the connection is being closed. */
+  has(socket: Duplex): boolean {
+    return this.timers.has(socket);
+  }
+
   /** Sends nothing more; the socket is destroyed once the other side has closed, or after `lingerMs`. */
   begin(socket: Duplex, lingerMs: number): void {
     if (socket.destroyed || this.timers.has(socket)) {
--- a/src/proxy/planned-stop.ts
+++ b/src/proxy/planned-stop.ts
@@ -47,6 +47,8 @@
       readonly inFlight: number;
       /** Connections that are closed here and not by their callers yet; none when absent. */
       readonly lingering?: number;
+      /** Connections of callers on which nothing is under way and that are not closed yet; none when absent. */
+      readonly idle?: number;
       readonly lastArrivalAtMs: number;
     }
   /** The listeners are shut; so many connections that waited were taken before. */
@@ -161,7 +163,7 @@
       case 'answering':
         return isDue || this.isDrained(seen, nowMs) ? this.beginClosing(nowMs) : [];
       case 'closing':
-        return isDue || this.isEmpty(seen) ? this.close() : [];
+        return isDue || this.isEmpty(seen) ? this.close() : this.closeRest(seen);
       case 'serving':
       case 'closed':
         return [];
@@ -196,8 +198,13 @@
   }
 
   /** The last refusals have gone out, and the connections of peers and callers are closed. */
-  private isEmpty({ inFlight, lingering = 0 }: Look): boolean {
-    return this.arePeersClosed && inFlight === 0 && lingering === 0;
+  private isEmpty({ inFlight, lingering = 0, idle = 0 }: Look): boolean {
+    return this.arePeersClosed && inFlight === 0 && lingering === 0 && idle === 0;
+  }
+
+  /** Connections that a pause of the process kept open, or that have become idle since. */
+  private closeRest({ idle = 0 }: Look): StopEffect[] {
+    return idle > 0 ? ['close-idle'] : [];
   }
 
   private beginClosing(nowMs: number): StopEffect[] {
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -195,12 +195,13 @@
       lastArrivalAtMs: () => this.meter.lastArrivalAtMs,
       inFlight: () => this.meter.inFlight + this.relay.unstartedCount,
       lingering: () => this.callerConnections.lingeringCount,
+      idle: () => this.callerConnections.idleCount,
       clock: () => MACHINE_TIME.now(),
       giveUp: () => {
         givenUp = this.giveUpAll();
       },
-      closeIdle: () => {
-        this.callerConnections.closeIdle();
+      closeIdle: (mayClose) => {
+        this.callerConnections.closeIdle(mayClose);
         this.relayServer.closeIdleConnections();
       },
       closePeers: () => {
--- a/src/proxy/server-drain.ts
+++ b/src/proxy/server-drain.ts
@@ -6,11 +6,14 @@
 import { Server as SocketServer } from 'node:net';
 import csp from 'js-csp';
 import type { PlannedStop, StopEffect, StopEvent } from './planned-stop.js';
+import { SocketPoll } from './socket-poll.js';
 
 /** Time between two looks at what is in flight, in milliseconds. */
 const POLL_MS = 20;
-/** Connections that are taken from the system before a listener is shut, at most. */
-const MAX_ACCEPT_TURNS = 1_000;
+/** Reads of a listener before it is shut, at most, while connections wait there. */
+const MAX_ACCEPT_READS = 500;
+/** Looks in a row that are given up since the process stood still after its read. */
+const MAX_STALE_LOOKS = 10;
 
 /** What a planned stop needs to know of its servers, and does beside them. */
 export interface DrainOptions {
@@ -19,11 +22,13 @@
   readonly inFlight: () => number;
   /** Connections that are closed here and not by the other side yet; none when absent. */
   readonly lingering?: () => number;
+  /** Connections of callers on which nothing is under way and that are not closed yet; none when absent. */
+  readonly idle?: () => number;
   readonly clock: () => number;
   /** Gives every request under way its final answer. */
   readonly giveUp: () => void;
-  /** Closes connections on which nothing is under way. */
-  readonly closeIdle: () => void;
+  /** Closes connections on which nothing is under way, as long as `mayClose` says so. */
+  readonly closeIdle: (mayClose: () => boolean) => void;
   /** Resolves once connections to peers have sent what they had and are closed. */
   readonly closePeers: () => Promise<void>;
   /** Closes what is still open. */
@@ -45,37 +50,52 @@
   options: DrainOptions,
   done: () => void,
 ): Generator<unknown, void> {
-  const { stop, clock, inFlight, lastArrivalAtMs, lingering = () => 0 } = options;
+  const { stop, clock } = options;
+  const poll = new SocketPoll(clock);
   const handle = (event: StopEvent): void => {
     for (const effect of stop.handle(event, clock())) {
-      execute(effect, servers, options, handle);
+      execute(effect, { servers, options, poll, handle });
     }
   };
+  let staleLooks = 0;
   handle({ type: 'stop' });
   while (stop.state !== 'closed') {
     yield csp.timeout(Math.min(POLL_MS, Math.ceil(stop.msToNextBound(clock()))));
-    // Timers run before what waits in the system is read: without this, a stop ends under a request that
-    // came while the process was busy.
-    yield afterPolling();
-    handle({
-      type: 'look',
-      inFlight: inFlight(),
-      lingering: lingering(),
-      lastArrivalAtMs: lastArrivalAtMs(),
-    });
+    yield renewed(poll);
+    const look = lookAt(options);
+    if (poll.isCurrent || staleLooks >= MAX_STALE_LOOKS) {
+      staleLooks = 0;
+      handle(look);
+    } else {
+      staleLooks += 1;
+    }
   }
   done();
 }
 
-function execute(
-  effect: StopEffect,
-  servers: readonly http.Server[],
-  options: DrainOptions,
-  handle: (event: StopEvent) => void,
-): void {
+/** What a planned stop goes by, after the event loop has read what waits in the system. */
+function lookAt({ inFlight, lingering, idle, lastArrivalAtMs }: DrainOptions): StopEvent {
+  return {
+    type: 'look',
+    inFlight: inFlight(),
+    lingering: lingering?.() ?? 0,
+    idle: idle?.() ?? 0,
+    lastArrivalAtMs: lastArrivalAtMs(),
+  };
+}
+
+/** What the effects of a stop are carried out with. */
+interface StopExecution {
+  readonly servers: readonly http.Server[];
+  readonly options: DrainOptions;
+  readonly poll: SocketPoll;
+  readonly handle: (event: StopEvent) => void;
+}
+
+function execute(effect: StopEffect, { servers, options, poll, handle }: StopExecution): void {
   switch (effect) {
     case 'shut-listeners':
-      void shutListeners(servers).then((takenCount) =>
+      void shutListeners(servers, poll).then((takenCount) =>
         handle({ type: 'listeners-shut', takenCount }),
       );
       return;
@@ -83,21 +103,22 @@
       return options.giveUp();
     case 'close-idle':
       servers.forEach(shutListener);
-      return options.closeIdle();
+      return options.closeIdle(() => poll.isCurrent);
     case 'close-peers':
-      void options.closePeers().then(() => handle({ type: 'peers-closed' }));
+      void poll
+        .renew()
+        .then(() => options.closePeers())
+        .then(() => handle({ type: 'peers-closed' }));
       return;
     case 'close-all':
       return options.closeAll();
   }
 }
 
-/** A channel that gets a value once the event loop has polled in a whole turn. */
-function afterPolling(): unknown {
+/** A channel that gets a value once the event loop has read all sockets. */
+function renewed(poll: SocketPoll): unknown {
   const polled = csp.chan<true>(csp.buffers.fixed(1));
-  void endOfTurn()
-    .then(endOfTurn)
-    .then(() => csp.offer(polled, true));
+  void poll.renew().then(() => csp.offer(polled, true));
   return polled;
 }
 
@@ -112,11 +133,11 @@
 }
 
 /** Resolves with the connections that were taken before. */
-async function shutListeners(servers: readonly http.Server[]): Promise<number> {
+async function shutListeners(servers: readonly http.Server[], poll: SocketPoll): Promise<number> {
   let takenCount = 0;
   for (const server of servers) {
     if (server.listening) {
-      takenCount += await takeWaitingConnections(server);
+      takenCount += await takeWaitingConnections(server, poll);
       shutListener(server);
     }
   }
@@ -127,25 +148,19 @@
  * Takes the connections that the system has set up and that wait to be accepted: it would reset them
  * with the listener. At least one is accepted in each whole turn of the event loop while any waits.
  */
-async function takeWaitingConnections(server: http.Server): Promise<number> {
+async function takeWaitingConnections(server: http.Server, poll: SocketPoll): Promise<number> {
   let accepted = 0;
   const count = (): void => {
     accepted += 1;
   };
   server.on('connection', count);
   let acceptedBefore: number;
-  let turns = 0;
-  await endOfTurn();
+  let reads = 0;
   do {
     acceptedBefore = accepted;
-    await endOfTurn();
-    turns += 1;
-  } while (accepted > acceptedBefore && turns < MAX_ACCEPT_TURNS);
+    await poll.renew();
+    reads += 1;
+  } while ((accepted > acceptedBefore || !poll.isCurrent) && reads < MAX_ACCEPT_READS);
   server.off('connection', count);
   return accepted;
 }
-
-/** Resolves after the event loop has polled; after a second call, it has polled in a whole turn. */
-function endOfTurn(): Promise<void> {
-  return new Promise(setImmediate);
-}
--- a/test/proxy/stop-after-pause.test.ts
+++ b/test/proxy/stop-after-pause.test.ts
@@ -1,5 +1,5 @@
 /** Guards against connections that are closed under a request which arrived while the process stood still. */
-import http from 'node:http';
+import type http from 'node:http';
 import type { AddressInfo } from 'node:net';
 import { once } from 'node:events';
 import { expect } from 'chai';
@@ -15,6 +15,7 @@
 const QUIET_MS = 50;
 /** For so long the process stands still, in milliseconds: longer than a request may lie unread. */
 const STILL_MS = 300;
+const IDLE_TIMEOUT_MS = 200;
 const REQUEST = 'GET / HTTP/1.1\r\nHost: a\r\n\r\n';
 const LIMITS = {
   stopNoticeMs: 0,
@@ -82,10 +83,24 @@
       },
       clock: () => performance.now(),
       giveUp: () => undefined,
-      closeIdle: () => connections.closeIdle(),
+      closeIdle: (mayClose) => connections.closeIdle(mayClose),
+      idle: () => connections.idleCount,
       closePeers: () => Promise.resolve(),
       closeAll: () => server.closeAllConnections(),
     });
     expect((await result)?.text).to.match(/^HTTP\/1.1 200 [^]*whole$/);
   });
+
+  it('is answered where the pause lasts over the end of its idle time', async () => {
+    server.keepAliveTimeout = IDLE_TIMEOUT_MS;
+    // The time-out is set as the answer goes out.
+    const first = caller;
+    const { port } = server.address() as AddressInfo;
+    caller = await LateCaller.start({ host: HOST, port, first: REQUEST, request: REQUEST });
+    await first.close();
+    // Timers come next after this callback, and only then what waits in the system.
+    await new Promise(setImmediate);
+    const { text } = await caller.sendWhileStill(IDLE_TIMEOUT_MS * 6);
+    expect(text).to.match(/^HTTP\/1.1 200 [^]*whole$/);
+  });
 });
