Test: a request that comes shortly before a paused connection is read again; it fails

Reading of a connection is paused for 800 ms while large answers wait on it. A request with 400 ms comes 350 ms before the end of the pause and is told that its time is over as soon as it is read.

--- a/test/proxy/paused-reading.test.ts
+++ b/test/proxy/paused-reading.test.ts
@@ -52,8 +52,8 @@
     target.close();
   });
 
-  function send(path: string): void {
-    socket.write(`GET ${path} HTTP/1.1\r\nHost: a\r\nx-deadline-ms: ${DEADLINE_MS}\r\n\r\n`);
+  function send(path: string, deadlineMs = DEADLINE_MS): void {
+    socket.write(`GET ${path} HTTP/1.1\r\nHost: a\r\nx-deadline-ms: ${deadlineMs}\r\n\r\n`);
   }
 
   /** The time that the endpoint was given for a request, in milliseconds; undefined while it has not got it. */
@@ -76,6 +76,20 @@
     expect(givenMs('/unread')).to.be.below(leftMs + SLACK_MS);
   });
 
+  /** Guards against a request that is told 504 for time in which it can't have lain unread. */
+  it('has all of its time where it came shortly before the end of the pause', async () => {
+    send('/first');
+    send('/large');
+    await until(() => target.heads.length === 2);
+    await delay(SLACK_MS);
+    send('/paused-behind');
+    await delay(FIRST_WORK_MS - 3 * SLACK_MS);
+    send('/late', FIRST_WORK_MS / 2);
+    const sentAtMs = performance.now();
+    await until(() => givenMs('/late') !== undefined || performance.now() > sentAtMs + DEADLINE_MS);
+    expect(givenMs('/late')).to.be.above(FIRST_WORK_MS / 2 - 3 * SLACK_MS);
+  });
+
   it('has all of its time where it came after the pause', async () => {
     send('/first');
     send('/large');
