Soak: print a count for each broken promise, losses first; judges without import cycles

Each promise now gets a line with its count and up to 20 cases of its own, losses first. The time after which a run is given up grows with the number of nodes: a run of 74 took longer than the two minutes that it had.

BrokenPromise, isInTouch, isSilenced and isCut move to modules below the judges, which imported each other in a circle.

--- a/test/soak/caller-promises.test.ts
+++ b/test/soak/caller-promises.test.ts
@@ -1,7 +1,9 @@
 /** The judge of callers whose connections went silent: what must hold, and what a silence excuses. */
 import { expect } from 'chai';
-import { isSilenced, judgeCallerSilences } from '../../tools/soak/caller-promises.js';
-import { judgeSoak, type SoakPromise } from '../../tools/soak/promises.js';
+import { judgeCallerSilences } from '../../tools/soak/caller-promises.js';
+import { isSilenced } from '../../tools/soak/caller-silence.js';
+import type { SoakPromise } from '../../tools/soak/broken-promise.js';
+import { judgeSoak } from '../../tools/soak/promises.js';
 import type {
   CallerSilence,
   SoakArrival,
--- a/test/soak/cut-promises.test.ts
+++ b/test/soak/cut-promises.test.ts
@@ -1,6 +1,7 @@
 /** Judging requests that nodes cut outside of stops, and beside configurations. */
 import { expect } from 'chai';
-import { judgeSoak, type SoakPromise } from '../../tools/soak/promises.js';
+import type { SoakPromise } from '../../tools/soak/broken-promise.js';
+import { judgeSoak } from '../../tools/soak/promises.js';
 import type { SoakArrival, SoakCall } from '../../tools/soak/soak-record.js';
 import { soakRecordOf } from './soak-records.js';
 
--- a/tools/soak/caller-promises.ts
+++ b/tools/soak/caller-promises.ts
@@ -3,7 +3,8 @@
  * their time-outs, sends nothing of them to back ends afterwards, and closes their connections. Pure.
  */
 import type { SoakFaultKind } from './fault-plan.js';
-import type { BrokenPromise } from './promises.js';
+import type { BrokenPromise } from './broken-promise.js';
+import { silenceOf } from './caller-silence.js';
 import type { CallerSilence, SoakArrival, SoakCall, SoakRecord } from './soak-record.js';
 
 /** Room for the two sides' clocks and turns, in milliseconds. */
@@ -28,27 +29,6 @@
   ];
 }
 
-/** Whether a silence on its own connection kept the request from its node, or the answer from it. */
-export function isSilenced(record: SoakRecord, call: SoakCall): boolean {
-  const silence = silenceOf(record, call);
-  return (
-    silence !== undefined &&
-    (silence.nodeLostAtMs <= call.endedAtMs ||
-      silence.callerLostAtMs <= call.sentWholeAtMs + record.terms.lossSlackMs)
-  );
-}
-
-/** The silence that its connection fell into before it ended. */
-function silenceOf({ callerSilences }: SoakRecord, call: SoakCall): CallerSilence | undefined {
-  return callerSilences.find(
-    ({ machine, callerPort, atMs, callerEndedAtMs }) =>
-      callerPort === call.callerPort &&
-      machine === call.machine &&
-      atMs <= call.endedAtMs &&
-      callerEndedAtMs >= call.sentAtMs,
-  );
-}
-
 /** The node answers what it has read the head of, or ends the connection, although nobody hears it. */
 function judgeAnswer(record: SoakRecord, call: SoakCall, silence: CallerSilence): BrokenPromise[] {
   const readsHead = call.sentAtMs + record.terms.lossSlackMs < silence.callerLostAtMs;
--- a/tools/soak/crash-promises.ts
+++ b/tools/soak/crash-promises.ts
@@ -1,6 +1,6 @@
 /** Judges what became of requests that end back ends, and of those beside them. Pure. */
 import { isCrashing } from './crash-traffic.js';
-import type { BrokenPromise } from './promises.js';
+import type { BrokenPromise } from './broken-promise.js';
 import type { SoakArrival, SoakRecord } from './soak-record.js';
 
 /** Ends of back ends under one request after which it is known to all machines in touch, after a while. */
--- a/tools/soak/cut-promises.ts
+++ b/tools/soak/cut-promises.ts
@@ -3,9 +3,10 @@
  * on kept connections, whatever the time; beside a configuration they count only at a machine that cuts three
  * times as often then as at other times, and not for requests that have used seven tenths of their time.
  */
-import type { BrokenPromise } from './promises.js';
+import type { BrokenPromise } from './broken-promise.js';
+import { isCut } from './cut-calls.js';
 import type { SoakArrival, SoakCall, SoakRecord } from './soak-record.js';
-import { isCut, isDuringStop } from './stop-promises.js';
+import { isDuringStop } from './stop-promises.js';
 
 /** Requests that nodes may cut while nothing disturbs them. */
 const MAX_CUTS = 3;
--- a/tools/soak/delivery-promises.ts
+++ b/tools/soak/delivery-promises.ts
@@ -5,7 +5,7 @@
  * loses what is said on them. A link that is only slow, and a process that stands still for a moment, excuse
  * nothing. Connections that end without an answer, and refusals of what ran, are judged by others. Pure.
  */
-import type { BrokenPromise } from './promises.js';
+import type { BrokenPromise } from './broken-promise.js';
 import type { FaultWindow, SoakArrival, SoakCall, SoakRecord } from './soak-record.js';
 
 /** Statuses of a node's own errors about what may have run. */
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -5,7 +5,7 @@
 import meow from 'meow';
 import { CORE_LOOK_MS } from './core-watch.js';
 import { claimNetwork } from './loopback-network.js';
-import type { BrokenPromise } from './promises.js';
+import { summarize, type BrokenPromise } from './broken-promise.js';
 import type { SoakFleet } from './soak-fleet.js';
 import type { SoakCall, SoakRecord } from './soak-record.js';
 import { loadShape } from './soak-shape.js';
@@ -13,9 +13,11 @@
 
 const MS_PER_SECOND = 1_000;
 const MAX_SEED = 2 ** 31;
+/** Cases that are shown of each promise, at most. */
 const MAX_SHOWN = 20;
-/** Time beyond the faults after which the run is given up, in milliseconds. */
+/** Time beyond the faults after which the run is given up, in milliseconds: start, recovery and judging. */
 const WATCHDOG_MARGIN_MS = 60_000;
+const WATCHDOG_MS_PER_MACHINE = 2_000;
 
 const cli = meow(
   `
@@ -116,6 +118,17 @@
   );
 }
 
+/** Counts first, so that a few losses are not hidden by many cases of another promise. */
+function printBroken(broken: readonly BrokenPromise[]): void {
+  const summaries = summarize(broken);
+  for (const { promise, isLoss, details } of summaries) {
+    print(`BROKEN ${promise}${isLoss ? ' (loss)' : ''}: ${details.length} times`);
+  }
+  for (const { promise, details } of summaries) {
+    details.slice(0, MAX_SHOWN).forEach((detail) => print(`  ${promise}: ${detail}`));
+  }
+}
+
 function keep(
   folder: string,
   seed: number,
@@ -163,9 +176,7 @@
   }
   print(describeStops(record));
   print(describeMachine(record));
-  broken
-    .slice(0, MAX_SHOWN)
-    .forEach(({ promise, detail }) => print(`BROKEN ${promise}: ${detail}`));
+  printBroken(broken);
   if (broken.length > 0 && folder !== undefined) {
     keep(folder, seed, record, broken, log);
   }
@@ -181,7 +192,9 @@
     process.stderr.write('the soak took too long and was given up\n');
     process.exit(2);
   },
-  cli.flags.seconds * MS_PER_SECOND + WATCHDOG_MARGIN_MS,
+  cli.flags.seconds * MS_PER_SECOND +
+    WATCHDOG_MARGIN_MS +
+    cli.flags.machines * WATCHDOG_MS_PER_MACHINE,
 ).unref();
 
 main().then(
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -2,68 +2,19 @@
  * Judges a soak by what callers and back ends have seen. Pure: records in, broken promises out. Times
  * are in milliseconds on the clock of the soak.
  */
-import { isSilenced, judgeCallerSilences } from './caller-promises.js';
+import type { BrokenPromise, SoakPromise } from './broken-promise.js';
+import { judgeCallerSilences } from './caller-promises.js';
+import { isSilenced } from './caller-silence.js';
+import { isInTouch } from './contact.js';
 import { judgeCrashes } from './crash-promises.js';
 import { isCrashing } from './crash-traffic.js';
 import { judgeConfigurationCuts, judgeCuts } from './cut-promises.js';
 import { judgeDeliveries } from './delivery-promises.js';
-import type { SoakFaultKind } from './fault-plan.js';
 import type { SoakArrival, SoakCall, SoakRecord, SoakSilence } from './soak-record.js';
 import { judgeReloads, judgeStops } from './stop-promises.js';
 import { markBody } from './body-mark.js';
 import { answerBody } from './work-demand.js';
 
-/** The promises that are checked. */
-export type SoakPromise =
-  /** What may not be repeated runs at most once. */
-  | 'at-most-once'
-  /** What is told not to have run has not run, and never does. */
-  | 'true-refusal'
-  /** A success is the whole answer of a back end to this very request. */
-  | 'own-whole-answer'
-  /** A back end gets what a caller sent, unaltered, under the service of the caller's machine. */
-  | 'unaltered'
-  /** A request is sent to no more back ends than its route allows. */
-  | 'attempt-limit'
-  /** A back end is given no more time than the caller has left. */
-  | 'deadline'
-  /** A configuration is in force on a machine in touch within its bound. */
-  | 'in-force'
-  /** No node goes back to an older configuration within one life. */
-  | 'never-back'
-  /** A back end that leaves gets nothing new after its bound. */
-  | 'drain'
-  /** A planned stop ends in time, and what the node had read gets a whole answer. */
-  | 'planned-stop'
-  /** No node tells its caller of an error of its own where an endpoint answered, or was at work. */
-  | 'answer-delivered'
-  /** What a node had read gets a whole answer although it reads its settings again. */
-  | 'reload'
-  /** Nodes end no requests that they have read, but for a few that cross a close. */
-  | 'kept-connection'
-  /** No node ends more of them beside a configuration than at other times. */
-  | 'configuration'
-  /** A request is answered at its route's time-out. */
-  | 'time-out'
-  /** A connection that went silent for good is given up by who uses it. */
-  | 'silence-noticed'
-  /** What a caller asked whose connection went silent is over at its time-out, and the connection is closed. */
-  | 'caller-silence'
-  /** A request that ends back ends is sent on no more once three have ended and all may know. */
-  | 'contained'
-  /** No other request is refused for having stood beside it. */
-  | 'innocent'
-  /** No program ends by itself. */
-  | 'no-own-end'
-  /** After the faults, requests are served again. */
-  | 'recovery';
-
-/** A promise that broke, with what showed it. */
-export interface BrokenPromise {
-  readonly promise: SoakPromise;
-  readonly detail: string;
-}
-
 /** Statuses that promise that the request has not run and never will. */
 const PROMISES = new Set([408, 421, 429, 503]);
 const NOT_FOUND = 404;
@@ -233,30 +184,6 @@
   );
 }
 
-/** Whether nothing but planned work touched the machine from shortly before until the end. */
-function isInTouch(record: SoakRecord, machine: number, fromMs: number, untilMs: number): boolean {
-  return !record.windows.some(
-    (window) =>
-      !isHarmless(window.kind) &&
-      (window.machines === undefined || window.machines.includes(machine)) &&
-      window.fromMs <= untilMs &&
-      window.untilMs + record.terms.contactMs >= fromMs,
-  );
-}
-
-/** Kinds that are planned work, or strike back ends, single callers or single connections alone. */
-function isHarmless(kind: SoakFaultKind): boolean {
-  return (
-    kind === 'configure' ||
-    kind === 'caller-link' ||
-    kind === 'reload' ||
-    kind === 'backend-drain' ||
-    kind === 'stall' ||
-    kind === 'backend-fault' ||
-    kind === 'backend-crash'
-  );
-}
-
 /** Within one life, a route that was known is known until a later configuration drops it. */
 function judgeRegressions({ calls, configuredAtMs, terms }: SoakRecord): BrokenPromise[] {
   const broken: BrokenPromise[] = [];
--- a/tools/soak/stop-promises.ts
+++ b/tools/soak/stop-promises.ts
@@ -2,19 +2,12 @@
  * Judges planned stops and reloads: a node ends by itself within its grace time, and a request that it
  * has read gets a whole answer, whatever other machines and the store suffer meanwhile. Pure.
  */
-import { isSilenced } from './caller-promises.js';
-import type { SoakFaultKind } from './fault-plan.js';
-import type { BrokenPromise } from './promises.js';
+import type { BrokenPromise } from './broken-promise.js';
+import { isCut } from './cut-calls.js';
 import type { SoakArrival, SoakCall, SoakRecord, SoakStop } from './soak-record.js';
 
 /** Room for the end of a process to be seen by its callers, in milliseconds. */
 const SLACK_MS = 500;
-/**
- * Kinds that end or halt a process, or harm its links. A disturbed store is none: what a node has read
- * does not wait for it.
- */
-const EXCUSES = new Set<SoakFaultKind>(['kill', 'freeze', 'relay-link', 'backend-link', 'narrow']);
-
 type ArrivalsById = ReadonlyMap<string, readonly SoakArrival[]>;
 
 /** Planned work on a machine, and the time within which it may cut nothing. */
@@ -67,7 +60,7 @@
     return [];
   }
   const detail = `machine ${machine} ended with ${String(code)} after ${Math.round(tookMs)} ms`;
-  return [{ promise: 'planned-stop', detail }];
+  return [{ promise: 'stop-in-time', detail }];
 }
 
 function findCuts(
@@ -82,42 +75,6 @@
     .map((call) => ({ promise, detail: describeCut(call, fromMs, arrivals.get(call.id) ?? []) }));
 }
 
-/** Whether a request that its node had read got no whole answer, with nothing to excuse it. */
-export function isCut(
-  record: SoakRecord,
-  call: SoakCall,
-  arrivals: readonly SoakArrival[],
-): boolean {
-  const { sentAtMs, sentWholeAtMs, endedAtMs, deadlineMs, timeoutMs } = call;
-  // What came behind another request and was never passed on counts as not read.
-  if ((call.aheadCount ?? 0) > 0 && arrivals.length === 0) {
-    return false;
-  }
-  const wasRead = arrivals.length > 0 || sentWholeAtMs + record.terms.lossSlackMs < endedAtMs;
-  const hadTime = endedAtMs < sentAtMs + Math.min(deadlineMs, timeoutMs);
-  return (
-    call.wasSent &&
-    !call.isWhole &&
-    !call.isGivenUp &&
-    wasRead &&
-    hadTime &&
-    !arrivals.some(({ brokeOff }) => brokeOff) &&
-    !isSilenced(record, call) &&
-    !isExcused(record, call)
-  );
-}
-
-/** Whether the process was ended or halted by force, or its own links were harmed. */
-function isExcused({ windows, terms }: SoakRecord, call: SoakCall): boolean {
-  return windows.some(
-    ({ kind, machines, linksOf, fromMs, untilMs }) =>
-      EXCUSES.has(kind) &&
-      (linksOf ?? machines ?? [call.machine]).includes(call.machine) &&
-      fromMs <= call.endedAtMs &&
-      untilMs + terms.contactMs >= call.sentAtMs,
-  );
-}
-
 function describeCut(call: SoakCall, fromMs: number, arrivals: readonly SoakArrival[]): string {
   const [sentMs, wholeMs, endedMs] = [call.sentAtMs, call.sentWholeAtMs, call.endedAtMs].map(
     (atMs) => Math.round(atMs - fromMs),
