Keep answers that wait for their turn out of Node's responses

Node stops reading a connection while responses that wait for their turn hold more than 16 KB. What comes meanwhile is read later, and the length of the pause, which is the longest time for which it may have lain unread, was taken off its time.

ResponseSink keeps such an answer until its turn, so that the connection is read on. A paused connection is left with callers that read their answers slowly. Whether an answer closes its connection is decided when its head goes out.

The model of planned stops asked Node's response whether an answer has been given; it asks the caller's side of the exchange now, which also knows of those that wait. It is as strict: an answer that was not given is still found.

--- a/src/proxy/caller-connections.ts
+++ b/src/proxy/caller-connections.ts
@@ -35,6 +35,7 @@
   private readonly open = new Set<Duplex>();
   /** How connections are being ended; by their callers where nothing is said. */
   private readonly ends = new WeakMap<Duplex, BegunEnd>();
+  private readonly waitingBytesOf = new WeakMap<ServerResponse, () => number>();
   private readonly lingering = new LingeringCloses();
   private readonly poll = new SocketPoll();
   private readonly pauses = new WeakMap<Duplex, ReadingPause>();
@@ -135,6 +136,11 @@
     response.once('close', () => this.end(socket, response));
   }
 
+  /** An answer is passed to `response`; `waitingBytes` tells how much of it waits for its turn. */
+  answerWaits(response: ServerResponse, waitingBytes: () => number): void {
+    this.waitingBytesOf.set(response, waitingBytes);
+  }
+
   /** Whether a request of the connection waits for its answer. */
   hasOpenRequest(socket: Duplex): boolean {
     return (this.exchangesOf.get(socket)?.size ?? 0) > 0;
@@ -188,12 +194,11 @@
     return this.ends.get(socket)?.reason ?? 'caller';
   }
 
-  /** What Node holds of the answers of a connection, those that wait for their turn included. */
+  /** What is held of the answers of a connection, those that wait for their turn included. */
   private unsentBytes(socket: Duplex): number {
     const responses = [...(this.exchangesOf.get(socket)?.keys() ?? [])];
-    const waiting = responses.filter((response) => response.socket === null);
-    return waiting.reduce(
-      (bytes, response) => bytes + response.writableLength,
+    return responses.reduce(
+      (bytes, response) => bytes + (this.waitingBytesOf.get(response)?.() ?? 0),
       socket.writableLength,
     );
   }
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -54,6 +54,8 @@
 
 /** The caller's side of one exchange. */
 export class CallerResponse implements CallerReply {
+  private sink: ResponseSink | undefined;
+
   constructor(
     private readonly response: ServerResponse,
     private readonly request: IncomingMessage,
@@ -63,16 +65,18 @@
 
   /** Passes an endpoint's answer on; holds it whole where it has up to `holdBytes`. */
   answer(answer: Answer, requestId: string, holdBytes: number, observer: AnswerObserver): void {
-    this.closeWhenStopping();
     const headers = answer.headers.concat(this.options.protocol.answerHeaders(requestId));
     const { collection } = this.options;
     const holding = { holdBytes, ...(collection && { collection }) };
-    passAnswer(answer, new ResponseSink(this.response), headers, holding, observer);
+    const sink = new ResponseSink(this.response, () => this.closeWhenStopping());
+    this.sink = sink;
+    this.connections.answerWaits(this.response, () => sink.waitingBytes);
+    passAnswer(answer, sink, headers, holding, observer);
   }
 
   /** Reports an error. A body that is still arriving ends with the connection. */
   fail(error: RequestError, verdict: Verdict, requestId: string): void {
-    if (this.response.headersSent || this.response.destroyed) {
+    if (this.hasBegun() || this.response.destroyed) {
       this.breakConnection();
       return;
     }
@@ -86,7 +90,7 @@
   }
 
   hasBegun(): boolean {
-    return this.response.headersSent;
+    return this.sink?.headersSent ?? this.response.headersSent;
   }
 
   /** Breaks the connection, so that the caller can't take the answer for a whole one. */
--- a/test/proxy/stop/stop-world.ts
+++ b/test/proxy/stop/stop-world.ts
@@ -87,6 +87,8 @@
   stoppedAtMs: number | undefined;
   private isListening = true;
   private readonly runners = new Set<RequestRunner>();
+  /** The callers' sides of exchanges, by the request's id. */
+  private readonly responses = new Map<string, CallerResponse>();
   private readonly meter = new CallMeter(() => this.clock.nowMs);
   private readonly heldBytes = new HeldBytes(1_000_000);
   private readonly snapshot: Snapshot;
@@ -284,7 +286,9 @@
   /** A connection is closed only when nothing that was read on it is owed an answer. */
   private checkOwed(): void {
     for (const { id, connection, response, cameBehindLast } of this.exchanges()) {
-      if (!connection.isClosed && !response.headersSent && !cameBehindLast) {
+      // An answer that waits for its turn has been given, though Node's response has nothing of it yet.
+      const isAnswered = this.responses.get(id)?.hasBegun() ?? response.headersSent;
+      if (!connection.isClosed && !isAnswered && !cameBehindLast) {
         this.violations.push(`${id} is owed an answer as its connection is closed`);
       }
     }
@@ -293,6 +297,7 @@
   /** As the node does it; what is decided is the product's. */
   private handle(request: CallerRequest, response: CallerResponse): void {
     const requestId = (request.message as unknown as FakeMessage).rawHeaders.at(-1) ?? '';
+    this.responses.set(requestId, response);
     this.meter.count({ once: (_event, end) => response.onClose(end) });
     if (this.stop.refusesNewWork(this.clock.nowMs)) {
       response.fail(new NodeStoppingError('the node is about to stop'), 'not-run', requestId);
