--- a/test/platform/program.test.ts
+++ b/test/platform/program.test.ts
@@ -25,6 +25,11 @@
 const ANSWER_MS = 5_000;
 /** Signals that are sent, one after the other, while the program starts. */
 const SIGNALS_AT_START = 10;
+/** The grace time of the settings, and time for which a signal waits, in milliseconds. */
+const GRACE_MS = 6_000;
+const SIGNAL_WAITS_MS = 1_000;
+/** Longer than a planned stop. */
+const LONG_TIMEOUT_S = 9;
 
 interface Program {
   readonly address: string;
@@ -58,9 +63,15 @@
 }
 
 /** Status 0 without a whole answer. */
-function get(host: string, port: number, path: string, headers = {}): Promise<Answered> {
+function get(
+  host: string,
+  port: number,
+  path: string,
+  headers = {},
+  timeoutMs = ANSWER_MS,
+): Promise<Answered> {
   return new Promise((resolve) => {
-    const signal = AbortSignal.timeout(ANSWER_MS);
+    const signal = AbortSignal.timeout(timeoutMs);
     const request = http.get({ host, port, path, headers, agent: false, signal });
     request.on('error', () => resolve({ status: 0, body: '' }));
     request.on('response', (message) => {
@@ -76,6 +87,24 @@
   });
 }
 
+/** A configuration whose requests of h1 go to service b alone and may take that long. */
+function configurationWithTimeout(timeoutS: number): unknown {
+  const path = {
+    name: 'r1',
+    pathPrefix: '/p/',
+    kind: 'safe',
+    timeoutS,
+    targetLatencyS: timeoutS,
+    priority: 1,
+    service: 'b',
+    maxAttempts: 1,
+  };
+  return {
+    ...(platformConfiguration('00000003') as object),
+    virtualHosts: [{ hostname: 'h1.example', paths: [path] }],
+  };
+}
+
 describe('the platform program', () => {
   let folder: string;
   let store: StoreStandIn;
@@ -207,6 +236,30 @@
     expect([code, program.text().includes('node-stopped')]).to.deep.equal([0, true]);
   });
 
+  /** Guards against a process that is killed since it counts its grace time from when it heard of the signal. */
+  it('ends within its grace time though the signal waits for the processor', async () => {
+    store.put('op/config', configurationWithTimeout(LONG_TIMEOUT_S));
+    const program = await startReady(addressOf(7));
+    await addBackend(program.address);
+    const backend = backends[0] as BackendStandIn;
+    const headers = { Host: 'h1.example', 'Request-Id': 'q', 'Deadline-Ms': '1000' };
+    while ((await get(program.address, CALLER_PORT, '/p/1', headers)).status !== 200) {
+      await pause(20);
+    }
+    backend.behaviour = () => undefined;
+    const long = { ...headers, 'Request-Id': 'long', 'Deadline-Ms': '9000' };
+    const answered = get(program.address, CALLER_PORT, '/p/2', long, 2 * GRACE_MS);
+    await until(program, () => backend.arrivals.some(({ requestId }) => requestId === 'long'));
+    program.process.kill('SIGSTOP');
+    program.process.kill('SIGTERM');
+    const signalledAtMs = performance.now();
+    await pause(SIGNAL_WAITS_MS);
+    program.process.kill('SIGCONT');
+    const [code] = (await once(program.process, 'close')) as [number];
+    expect(performance.now() - signalledAtMs).to.be.below(GRACE_MS);
+    expect([code, (await answered).status]).to.deep.equal([0, 502]);
+  }).timeout(3 * GRACE_MS);
+
   it('starts though it is told that its settings changed while it reads them', async () => {
     const program = await signalAtStart(addressOf(5), 'SIGHUP');
     await until(program, () => program.text().includes('"node-started"'));
