Count a planned stop from its signal, and end it earlier in a late process

The stop counted from when its handler ran, and each of its phases came late by a turn of the process.

A look that is late bounds the age of a signal that is heard of right after it, and the end of the stop goes by that. Work is given up no earlier than five sixths of the grace time after the handler, in case the signal was sent just then, as long as half of the time for answers is left. The longest delay of the last seconds, 250 ms at most, is taken off the end.

Stops of a process that runs in time are as long as before.

--- a/src/proxy/pause-detector.ts
+++ b/src/proxy/pause-detector.ts
@@ -1,6 +1,7 @@
 /**
  * Tells whether the process has just woken from a pause. What it then reads from its sockets may be
- * old: its senders may have given up long ago, which shows only when their closing is read too.
+ * old: its senders may have given up long ago, which shows only when their closing is read too. A signal that it
+ * hears of then may be as old as the pause.
  */
 import { LOOK_INTERVAL_MS } from '../clock/shared-interval.js';
 
@@ -8,11 +9,22 @@
 const PAUSE_MS = 400;
 /** For this long after a pause, what arrives may be old, in milliseconds. */
 const WAKE_PERIOD_MS = 50;
+/** A look that is late by more shows that the process did not run, in milliseconds. */
+const USUAL_LATENESS_MS = 30;
+/** For this long after a late look, a signal that is heard of may have come before it, in milliseconds. */
+const SIGNAL_PERIOD_MS = 20;
+
+/** A time between two looks in which the process did not run for a while. */
+interface LateLook {
+  readonly fromMs: number;
+  readonly untilMs: number;
+}
 
 /** Decides from the times at which it was called. */
 export class PauseDetector {
   private wokenAtMs = -Infinity;
   private lastTickMs = Infinity;
+  private lateLook: LateLook = { fromMs: -Infinity, untilMs: -Infinity };
 
   /** `onDelayMs` gets how late each look was, in milliseconds: other work kept the process busy. */
   constructor(
@@ -32,6 +44,9 @@
     if (nowMs - this.lastLookMs > PAUSE_MS) {
       this.wokenAtMs = nowMs;
     }
+    if (this.isLate(nowMs)) {
+      this.lateLook = { fromMs: this.lastLookMs, untilMs: nowMs };
+    }
     this.lastLookMs = nowMs;
   }
 
@@ -40,4 +55,15 @@
     this.look(nowMs);
     return nowMs - this.wokenAtMs < WAKE_PERIOD_MS;
   }
+
+  /** Longest time for which a signal may have waited that is heard of now, in milliseconds. */
+  signalAgeMs(nowMs: number): number {
+    this.look(nowMs);
+    const { fromMs, untilMs } = this.lateLook;
+    return nowMs - untilMs <= SIGNAL_PERIOD_MS ? nowMs - fromMs : 0;
+  }
+
+  private isLate(nowMs: number): boolean {
+    return nowMs - this.lastLookMs > LOOK_INTERVAL_MS + USUAL_LATENESS_MS;
+  }
 }
--- a/src/proxy/planned-stop.ts
+++ b/src/proxy/planned-stop.ts
@@ -6,8 +6,10 @@
  */
 import {
   deadlineWithin,
+  NO_DELAYS,
   NO_STOP,
   stopTimes,
+  type StopDelays,
   type StopLimits,
   type StopTimes,
 } from './stop-times.js';
@@ -28,8 +30,9 @@
   readonly stopNoticeMs: number;
   /** Time without a new request after which a stop ends early. */
   readonly stopQuietMs: number;
-  /** Time for connections to close in, after all other bounds. */
   readonly stopCloseMs: number;
+  /** Lateness of the process by which a stop ends earlier, at most; none when absent. */
+  readonly maxLatenessMs?: number;
   /**
    * Time for which callers may still read what was answered before their connections are cut, where a stop has
    * that much left; none when absent.
@@ -39,7 +42,11 @@
 
 /** Something that happened. */
 export type StopEvent =
-  | { readonly type: 'stop' }
+  | {
+      readonly type: 'stop';
+      /** Longest time for which the signal may have waited, in milliseconds; 0 when absent. */
+      readonly signalAgeMs?: number;
+    }
   /** A regular look, after what waited in the system has been read. */
   | {
       readonly type: 'look';
@@ -50,6 +57,8 @@
       /** Connections of callers on which nothing is under way and that are not closed yet; none when absent. */
       readonly idle?: number;
       readonly lastArrivalAtMs: number;
+      /** How late the process has lately been, in milliseconds; 0 when absent. */
+      readonly latenessMs?: number;
     }
   /** The listeners are shut; so many connections that waited were taken before. */
   | { readonly type: 'listeners-shut'; readonly takenCount: number }
@@ -66,6 +75,7 @@
 export class PlannedStop {
   private current: StopState = 'serving';
   private times: StopTimes = NO_STOP;
+  private delays: StopDelays = NO_DELAYS;
   private startedAtMs = -Infinity;
   private closesByMs = Infinity;
   private areListenersShut = false;
@@ -110,7 +120,7 @@
   handle(event: StopEvent, nowMs: number): StopEffect[] {
     switch (event.type) {
       case 'stop':
-        this.begin(nowMs);
+        this.begin(nowMs, event.signalAgeMs ?? 0);
         return [];
       case 'look':
         return this.look(event, nowMs);
@@ -126,11 +136,25 @@
     }
   }
 
-  private begin(nowMs: number): void {
+  private begin(nowMs: number, signalAgeMs: number): void {
     if (this.current === 'serving') {
       this.current = 'taking';
       this.startedAtMs = nowMs;
-      this.times = stopTimes(nowMs, this.limits);
+      this.setDelays({ signalAgeMs, latenessMs: 0 });
+    }
+  }
+
+  private setDelays(delays: StopDelays): void {
+    this.delays = delays;
+    this.times = stopTimes(this.startedAtMs, this.limits, delays);
+  }
+
+  /** A process that was late may be so again: what is left of the stop goes by the longest delay. */
+  private noteLateness(latenessMs: number): void {
+    const { maxLatenessMs = 0 } = this.limits;
+    const countedMs = Math.min(latenessMs, maxLatenessMs);
+    if (countedMs > this.delays.latenessMs) {
+      this.setDelays({ ...this.delays, latenessMs: countedMs });
     }
   }
 
@@ -144,8 +168,8 @@
         return this.times.closesAtMs;
       case 'closing':
         return this.arePeersClosed
-          ? this.closesByMs
-          : this.times.closesAtMs + this.limits.stopCloseMs;
+          ? Math.min(this.closesByMs, this.times.endsByMs)
+          : this.times.endsByMs;
       case 'serving':
       case 'closed':
         return Infinity;
@@ -154,6 +178,7 @@
 
   /** Passes one bound at most: answers that were just given go out before the next. */
   private look(seen: Look, nowMs: number): StopEffect[] {
+    this.noteLateness(seen.latenessMs ?? 0);
     const isDue = nowMs >= this.nextBoundMs();
     switch (this.current) {
       case 'taking':
--- a/src/proxy/proxy-limits.ts
+++ b/src/proxy/proxy-limits.ts
@@ -57,6 +57,8 @@
   readonly stopNoticeMs: number;
   /** Time without a new request after which a planned stop is over, in milliseconds. */
   readonly stopQuietMs: number;
+  /** Lateness of the process by which a planned stop ends earlier, at most, in milliseconds; none when absent. */
+  readonly maxLatenessMs?: number;
 }
 
 /** Bounds where settings name none. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -17,6 +17,7 @@
 import { NATIVE_ENDPOINT_PROTOCOL, type EndpointProtocol } from './endpoint-protocol.js';
 import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
 import { EndpointGateway } from './endpoint-gateway.js';
+import { LoopLateness } from './loop-lateness.js';
 import { PauseDetector } from './pause-detector.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
 import { RelayClient } from './relay/relay-client.js';
@@ -36,6 +37,8 @@
 const IDLE_MARGIN_MS = 1_000;
 /** A delay of the event loop that is told in the log, in milliseconds: half of a usual target. */
 const LOGGED_LOOP_DELAY_MS = 100;
+/** A signal that waited for longer came while the process was frozen, in milliseconds. */
+const MAX_SIGNAL_AGE_MS = 1_500;
 /** Stands for the sender of a relayed request that proves no identity. */
 const UNNAMED_PEER = 'peer';
 
@@ -57,6 +60,7 @@
   private readonly endpointClient: EndpointClient;
   private readonly relayClient: RelayClient;
   private readonly pauses: PauseDetector;
+  private readonly lateness = new LoopLateness();
   private readonly endLooks: EndAction;
   private readonly meter = new CallMeter(() => MACHINE_TIME.now());
   private readonly plannedStop: PlannedStop;
@@ -188,10 +192,14 @@
   async stop(): Promise<void> {
     const { logStateChange } = this.options;
     let givenUp = 0;
+    const signalAgeMs = Math.min(this.pauses.signalAgeMs(MACHINE_TIME.now()), MAX_SIGNAL_AGE_MS);
     this.answers.begin();
-    logStateChange('request-path', `stopping with ${this.meter.inFlight} in flight`);
+    const heard = `heard of at most ${Math.round(signalAgeMs)} ms after its signal`;
+    logStateChange('request-path', `stopping with ${this.meter.inFlight} in flight, ${heard}`);
     await drainServers([this.callerServer, this.relayServer], {
       stop: this.plannedStop,
+      signalAgeMs,
+      latenessMs: () => this.lateness.recentMs(MACHINE_TIME.now()),
       lastArrivalAtMs: () => this.meter.lastArrivalAtMs,
       inFlight: () => this.meter.inFlight + this.relay.unstartedCount,
       lingering: () => this.callerConnections.lingeringCount,
@@ -328,6 +336,7 @@
   }
 
   private takeLoopDelay(delayMs: number): void {
+    this.lateness.add(delayMs, MACHINE_TIME.now());
     this.options.onLoopDelayMs?.(delayMs);
     if (delayMs >= LOGGED_LOOP_DELAY_MS) {
       this.options.logStateChange('event-loop-late', `${Math.round(delayMs)} ms`);
--- a/src/proxy/server-drain.ts
+++ b/src/proxy/server-drain.ts
@@ -18,6 +18,10 @@
 /** What a planned stop needs to know of its servers, and does beside them. */
 export interface DrainOptions {
   readonly stop: PlannedStop;
+  /** Longest time for which the signal may have waited for the process, in milliseconds; 0 when absent. */
+  readonly signalAgeMs?: number;
+  /** How late the process has lately been, in milliseconds; never when absent. */
+  readonly latenessMs?: () => number;
   readonly lastArrivalAtMs: () => number;
   readonly inFlight: () => number;
   /** Connections that are closed here and not by the other side yet; none when absent. */
@@ -58,7 +62,7 @@
     }
   };
   let staleLooks = 0;
-  handle({ type: 'stop' });
+  handle({ type: 'stop', signalAgeMs: options.signalAgeMs ?? 0 });
   while (stop.state !== 'closed') {
     yield csp.timeout(Math.min(POLL_MS, Math.ceil(stop.msToNextBound(clock()))));
     yield renewed(poll);
@@ -74,13 +78,15 @@
 }
 
 /** What a planned stop goes by, after the event loop has read what waits in the system. */
-function lookAt({ inFlight, lingering, idle, lastArrivalAtMs }: DrainOptions): StopEvent {
+function lookAt(options: DrainOptions): StopEvent {
+  const { inFlight, lingering, idle, lastArrivalAtMs, latenessMs } = options;
   return {
     type: 'look',
     inFlight: inFlight(),
     lingering: lingering?.() ?? 0,
     idle: idle?.() ?? 0,
     lastArrivalAtMs: lastArrivalAtMs(),
+    latenessMs: latenessMs?.() ?? 0,
   };
 }
 
--- a/src/proxy/stop-times.ts
+++ b/src/proxy/stop-times.ts
@@ -1,6 +1,6 @@
 /** The moments of a planned stop, on the node's monotonic clock in milliseconds. Pure. */
 
-/** Bounds of a planned stop, in milliseconds since it began. */
+/** Bounds of a planned stop, in milliseconds since its signal. */
 export interface StopLimits {
   /** Time for which new requests are taken at most. */
   readonly stopAcceptMs: number;
@@ -8,6 +8,21 @@
   readonly stopTimeoutMs: number;
   /** Time after that in which the answers to requests that were given up go out. */
   readonly stopAnswerMs: number;
+  /** Time for connections to close in, after all other bounds; none when absent. */
+  readonly stopCloseMs?: number;
+  /**
+   * Time for which requests in flight are waited for at least, wherever the rest of the stop can be made shorter for
+   * it; `stopTimeoutMs` when absent.
+   */
+  readonly stopLeastTimeoutMs?: number;
+}
+
+/** What makes a process late. Times are in milliseconds. */
+export interface StopDelays {
+  /** Longest time for which the signal may have waited for the process. */
+  readonly signalAgeMs: number;
+  /** How late the process has lately been. */
+  readonly latenessMs: number;
 }
 
 /** When the phases of a planned stop begin. */
@@ -18,6 +33,8 @@
   readonly givesUpAtMs: number;
   /** What is still open is closed. */
   readonly closesAtMs: number;
+  /** The stop is over, whatever is still open. */
+  readonly endsByMs: number;
 }
 
 /** No stop has begun. */
@@ -25,7 +42,10 @@
   refusesFromMs: Infinity,
   givesUpAtMs: Infinity,
   closesAtMs: Infinity,
+  endsByMs: Infinity,
 };
+/** A process that runs at once. */
+export const NO_DELAYS: StopDelays = { signalAgeMs: 0, latenessMs: 0 };
 
 /**
  * Deadlines lie this much after the moment at which requests are given up, in milliseconds: what is
@@ -33,14 +53,33 @@
  * comes 60 ms before a deadline, so it still comes before that moment.
  */
 const DEADLINE_LAG_MS = 20;
+/** Part of the time for answers that is kept where requests are waited for at its cost. */
+const LEAST_ANSWER_SHARE = 0.5;
 
-/** The moments of a stop that begins now. */
-export function stopTimes(nowMs: number, limits: StopLimits): StopTimes {
-  const givesUpAtMs = nowMs + limits.stopTimeoutMs;
+/**
+ * The moments of a stop that is heard of now. The signal may be as old as `signalAgeMs`, which bounds the end, or new,
+ * which bounds from below how long requests are waited for. A late process ends earlier by as much as it may be late.
+ */
+export function stopTimes(
+  nowMs: number,
+  limits: StopLimits,
+  { signalAgeMs, latenessMs }: StopDelays = NO_DELAYS,
+): StopTimes {
+  const { stopTimeoutMs, stopAnswerMs, stopCloseMs = 0 } = limits;
+  const { stopLeastTimeoutMs = stopTimeoutMs } = limits;
+  const firstAtMs = nowMs - signalAgeMs;
+  const endsByMs = Math.max(
+    nowMs,
+    firstAtMs + stopTimeoutMs + stopAnswerMs + stopCloseMs - latenessMs,
+  );
+  const plannedMs = endsByMs - stopCloseMs - stopAnswerMs;
+  const latestMs = endsByMs - stopAnswerMs * LEAST_ANSWER_SHARE;
+  const givesUpAtMs = Math.max(nowMs, plannedMs, Math.min(nowMs + stopLeastTimeoutMs, latestMs));
   return {
-    refusesFromMs: Math.min(nowMs + limits.stopAcceptMs, givesUpAtMs),
+    refusesFromMs: Math.max(nowMs, Math.min(firstAtMs + limits.stopAcceptMs, givesUpAtMs)),
     givesUpAtMs,
-    closesAtMs: givesUpAtMs + limits.stopAnswerMs,
+    closesAtMs: Math.min(givesUpAtMs + stopAnswerMs, endsByMs),
+    endsByMs,
   };
 }
 
--- a/src/runtime/store-node-limits.ts
+++ b/src/runtime/store-node-limits.ts
@@ -7,6 +7,10 @@
 const STOP_ANSWER_MS = 250;
 /** Time that is kept for the end of the process, in milliseconds: it may be late on a busy machine. */
 const STOP_EXIT_MS = 300;
+/** Lateness of the process by which a stop ends earlier, at most, in milliseconds. */
+const STOP_MAX_LATENESS_MS = 250;
+/** Share of the grace time before whose end an endpoint's work is not ended. */
+const STOP_WORK_SHARE = 5 / 6;
 /**
  * The end of a planned stop, in milliseconds: answers, connections to peers, the process. Requests are
  * given up as late as these allow, well into the last sixth of 6 s: an endpoint may be at work on
@@ -50,6 +54,8 @@
   return {
     ...STORE_NODE_LIMITS,
     stopTimeoutMs: Math.max(0, drainTimeoutMs - STOP_RESERVE_MS),
+    stopLeastTimeoutMs: drainTimeoutMs * STOP_WORK_SHARE,
+    maxLatenessMs: STOP_MAX_LATENESS_MS,
     fleetSavedRetries: retry.fleetBurst,
   };
 }
--- /dev/null
+++ b/test/proxy/signal-age.test.ts
@@ -0,0 +1,40 @@
+/** Guards against a planned stop that counts from when its handler ran instead of from its signal. */
+import { expect } from 'chai';
+import { LOOK_INTERVAL_MS } from '../../src/clock/shared-interval.js';
+import { LoopLateness } from '../../src/proxy/loop-lateness.js';
+import { PauseDetector } from '../../src/proxy/pause-detector.js';
+
+describe('the age of a signal', () => {
+  it('is nothing in a process that looks in time', () => {
+    const pauses = new PauseDetector(0);
+    pauses.tick(LOOK_INTERVAL_MS);
+    expect(pauses.signalAgeMs(2 * LOOK_INTERVAL_MS)).to.equal(0);
+  });
+
+  it('is the time since the last look where the process did not run since', () => {
+    const pauses = new PauseDetector(0);
+    pauses.tick(100);
+    expect(pauses.signalAgeMs(900)).to.equal(800);
+  });
+
+  it('is the same where a late look came just before', () => {
+    const pauses = new PauseDetector(0);
+    pauses.tick(100);
+    pauses.tick(900);
+    expect(pauses.signalAgeMs(905)).to.equal(805);
+    expect(pauses.signalAgeMs(1_000)).to.equal(0);
+  });
+});
+
+describe('the lateness of a process', () => {
+  it('is its longest delay of the last seconds', () => {
+    const lateness = new LoopLateness();
+    lateness.add(120, 10_000);
+    lateness.add(5, 11_000);
+    expect(lateness.recentMs(12_900)).to.equal(120);
+    lateness.add(40, 13_500);
+    expect(lateness.recentMs(15_900)).to.equal(120);
+    expect(lateness.recentMs(16_600)).to.equal(40);
+    expect(lateness.recentMs(30_000)).to.equal(0);
+  });
+});
