Soak: a caller that leaves gives up what it sent behind its oldest request

Those behind it are given up by their caller now; the oldest one is judged as before. pipelined-connection.test.ts fails without the change (isGivenUp false).

--- a/tools/soak/pipelined-connection.ts
+++ b/tools/soak/pipelined-connection.ts
@@ -102,10 +102,24 @@
     const [oldest] = this.waiting;
     if (oldest !== undefined) {
       const untilMs = oldest.sentAtMs + oldest.request.deadlineMs + LISTEN_MARGIN_MS;
-      this.listening = setTimeout(() => this.socket.destroy(), untilMs - this.params.nowMs());
+      const leave = (): void => this.leaveAfter(oldest);
+      // What has arrived is read first.
+      this.listening = setTimeout(() => setImmediate(leave), untilMs - this.params.nowMs());
     }
   }
 
+  /** The caller goes away since its oldest request has no whole answer; it gives up those behind itself. */
+  private leaveAfter(oldest: WaitingRequest): void {
+    if (this.isOver || this.waiting[0] !== oldest) {
+      return;
+    }
+    this.waiting.shift();
+    this.report(oldest, undefined, 'closed', this.parser.openStatus);
+    this.hasLeft = true;
+    this.socket.destroy();
+    this.end('closed', 0);
+  }
+
   private read(bytes: Buffer): void {
     try {
       this.parser.take(bytes).forEach((answer) => this.takeAnswer(answer));
@@ -135,14 +149,14 @@
     }
   }
 
-  private end(how: ConnectionEnd): void {
+  private end(how: ConnectionEnd, openStatus = this.parser.openStatus): void {
     if (this.isOver) {
       return;
     }
     this.isOver = true;
     clearTimeout(this.listening);
     this.waiting.splice(0).forEach((waiting, idx) => {
-      this.report(waiting, undefined, how, idx === 0 ? this.parser.openStatus : 0);
+      this.report(waiting, undefined, how, idx === 0 ? openStatus : 0);
     });
   }
 
