Read what has arrived before a lingering connection is destroyed

A connection whose caller has not closed it within 2 s is destroyed by a timer. After a pause of the process the timer comes before the read: bytes of the caller are unread then, and the system answers with a reset, which takes away what the caller has not read yet.

--- a/src/proxy/caller-connections.ts
+++ b/src/proxy/caller-connections.ts
@@ -36,8 +36,8 @@
   /** How connections are being ended; by their callers where nothing is said. */
   private readonly ends = new WeakMap<Duplex, BegunEnd>();
   private readonly waitingBytesOf = new WeakMap<ServerResponse, () => number>();
-  private readonly lingering = new LingeringCloses();
   private readonly poll = new SocketPoll();
+  private readonly lingering = new LingeringCloses(this.poll);
   private readonly pauses = new WeakMap<Duplex, ReadingPause>();
 
   /** `afterFlush` calls its action once Node has handed what it holds of a response to the connection. */
--- a/src/proxy/lingering-close.ts
+++ b/src/proxy/lingering-close.ts
@@ -6,6 +6,7 @@
  * answers of stopping nodes to callers that read late and go on sending, 18 in five soaks were lost, and none with it.
  */
 import type { Duplex } from 'node:stream';
+import type { SocketPoll } from './socket-poll.js';
 
 /**
  * Time for which the other side may go on reading, in milliseconds. The answer to a slow reader has been handed
@@ -18,6 +19,9 @@
 export class LingeringCloses {
   private readonly timers = new Map<Duplex, NodeJS.Timeout>();
 
+  /** `poll` reads what has arrived before a connection is destroyed. */
+  constructor(private readonly poll: Pick<SocketPoll, 'renew'>) {}
+
   /** Connections whose other side has not closed yet. */
   get count(): number {
     return this.timers.size;
@@ -33,7 +37,7 @@
     if (socket.destroyed || this.timers.has(socket)) {
       return;
     }
-    const timer = setTimeout(() => socket.destroy(), lingerMs);
+    const timer = setTimeout(() => void this.destroy(socket), lingerMs);
     this.timers.set(socket, timer);
     socket.once('close', () => {
       clearTimeout(timer);
@@ -43,4 +47,10 @@
       socket.end();
     }
   }
+
+  /** Bytes that are unread as the socket is destroyed would reset the connection. */
+  private async destroy(socket: Duplex): Promise<void> {
+    await this.poll.renew();
+    socket.destroy();
+  }
 }
