Wait for a whole read after a pause before relayed requests begin

After a pause, relayed requests wait for the cancellations that came meanwhile, for 50 ms by the clock. A process that is paused again before it has read them takes the request for a new one.

The time after a pause now lasts until the sockets have been read, and a request that waited begins after another read. The new test pauses the process for 100 ms between the first look after a pause and the read: r1 ran in each of three runs before and does not now.

--- a/src/proxy/pause-detector.ts
+++ b/src/proxy/pause-detector.ts
@@ -23,13 +23,19 @@
 /** Decides from the times at which it was called. */
 export class PauseDetector {
   private wokenAtMs = -Infinity;
+  /** Whether what came during the latest pause has been read. */
+  private hasReadAll = true;
   private lastTickMs = Infinity;
   private lateLook: LateLook = { fromMs: -Infinity, untilMs: -Infinity };
 
-  /** `onDelayMs` gets how late each look was, in milliseconds: other work kept the process busy. */
+  /**
+   * `onDelayMs` gets how late each look was, in milliseconds: other work kept the process busy. `readAll` calls its
+   * action once the process has read what has arrived.
+   */
   constructor(
     private lastLookMs: number,
     private readonly onDelayMs?: (delayMs: number) => void,
+    private readonly readAll: (action: () => void) => void = (action) => action(),
   ) {}
 
   /** The regular look. */
@@ -43,6 +49,8 @@
   look(nowMs: number): void {
     if (nowMs - this.lastLookMs > PAUSE_MS) {
       this.wokenAtMs = nowMs;
+      this.hasReadAll = false;
+      this.readAll(() => (this.hasReadAll = true));
     }
     if (this.isLate(nowMs)) {
       this.lateLook = { fromMs: this.lastLookMs, untilMs: nowMs };
@@ -50,10 +58,10 @@
     this.lastLookMs = nowMs;
   }
 
-  /** Whether the process has just woken. */
+  /** Whether the process has just woken, or has not read yet what came during the pause. */
   hasJustWoken(nowMs: number): boolean {
     this.look(nowMs);
-    return nowMs - this.wokenAtMs < WAKE_PERIOD_MS;
+    return !this.hasReadAll || nowMs - this.wokenAtMs < WAKE_PERIOD_MS;
   }
 
   /** Longest time for which a signal may have waited that is heard of now, in milliseconds. */
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -50,6 +50,8 @@
   readonly endpoints: OwnedEndpoints;
   /** Whether the process was paused until just now; see {@link ../pause-detector.ts}. */
   readonly hasJustWoken: () => boolean;
+  /** Calls its action once the process has read what has arrived. */
+  readonly afterRead: (action: () => void) => void;
   /** Whether peers are told that the node is about to stop. */
   readonly isStopping: () => boolean;
   /** Whether new requests are refused, since the node is about to stop. */
@@ -259,7 +261,8 @@
       return;
     }
     if (this.options.hasJustWoken()) {
-      this.options.scheduler.schedule(WAKE_SETTLE_MS, () => this.startArrived());
+      const { scheduler, afterRead } = this.options;
+      scheduler.schedule(WAKE_SETTLE_MS, () => afterRead(() => this.startArrived()));
     } else {
       this.startArrived();
     }
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -31,6 +31,7 @@
 import { RequestServices } from './request-services.js';
 import { MACHINE_TIME } from './scheduler.js';
 import { drainServers } from './server-drain.js';
+import { SocketPoll } from './socket-poll.js';
 
 /** Idle connections of callers are kept this much longer than the configuration says. */
 const IDLE_MARGIN = 1.25;
@@ -61,6 +62,7 @@
   private readonly relayClient: RelayClient;
   private readonly pauses: PauseDetector;
   private readonly lateness = new LoopLateness();
+  private readonly poll = new SocketPoll();
   private readonly endLooks: EndAction;
   private readonly meter = new CallMeter(() => MACHINE_TIME.now());
   private readonly plannedStop: PlannedStop;
@@ -118,7 +120,11 @@
       meter: this.meter,
       stop: this.plannedStop,
     });
-    this.pauses = new PauseDetector(MACHINE_TIME.now(), (ms) => this.takeLoopDelay(ms));
+    this.pauses = new PauseDetector(
+      MACHINE_TIME.now(),
+      (ms) => this.takeLoopDelay(ms),
+      (action) => this.afterRead(action),
+    );
     this.endLooks = LOOKS.add(() => this.look());
     this.callerServer = this.makeCallerServer();
     this.relay = this.makeRelayServer();
@@ -324,6 +330,7 @@
       snapshot: () => this.options.snapshots.current(),
       endpoints: this.gateway,
       hasJustWoken: () => this.pauses.hasJustWoken(MACHINE_TIME.now()),
+      afterRead: (action) => this.afterRead(action),
       isStopping: () => this.plannedStop.isStopping,
       refusesNewWork: () => this.plannedStop.refusesNewWork(MACHINE_TIME.now()),
       deadlineWithin: (deadlineAtMs) => this.plannedStop.deadlineWithin(deadlineAtMs),
@@ -335,6 +342,10 @@
     });
   }
 
+  private afterRead(action: () => void): void {
+    void this.poll.renew().then(action);
+  }
+
   private takeLoopDelay(delayMs: number): void {
     this.lateness.add(delayMs, MACHINE_TIME.now());
     this.options.onLoopDelayMs?.(delayMs);
--- a/test/proxy/request-proxy.test.ts
+++ b/test/proxy/request-proxy.test.ts
@@ -263,6 +263,27 @@
     other.destroy();
   });
 
+  /** Guards against a process that is paused a second time before it has read what came in the first pause. */
+  it('does not run what its sender gave up while the process was paused twice', async () => {
+    const target = await oneEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
+    const { relayPort } = await mesh.addNode('n2');
+    const sender = await connectRelay(relayPort);
+    await sender.outcome(sender.request({ requestId: 'r0' }));
+    sender.request({ requestId: 'r1' });
+    setImmediate(() => sender.destroy());
+    const standStill = (stillMs: number): void => {
+      const wakeAtMs = performance.now() + stillMs;
+      while (performance.now() < wakeAtMs);
+    };
+    // Due during the first pause, it comes right after the looks at the clock and before what waits is read.
+    setTimeout(() => standStill(100), 400);
+    setImmediate(() => standStill(500));
+    const other = await connectRelay(relayPort);
+    await other.outcome(other.request({ requestId: 'r2' }));
+    expect(target.heads.map((head) => /x-request-id: (\S+)/.exec(head)?.[1])).to.not.include('r1');
+    other.destroy();
+  });
+
   it('sends the rest of a large answer whenever its receiver makes room', async () => {
     const body = 'x'.repeat(BODY_WINDOW_BYTES + 3_000);
     await oneEndpoint('n2', (socket) => socket.write(rawAnswer(body)));
