Relay links: keep a connection that a late node has taken

The machine had taken the connection; its node was late. A new connection costs both nodes as much again and is no sooner, so that the load kept itself up.

Attempts still leave a connection that is not open in time and go elsewhere. The connection is kept for those that come later, up to 3 s, where the peer's machine has taken it; one that nobody takes is opened anew as before, since a lost packet would cost a second. The timer reads what has arrived before it judges.

--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -27,9 +27,12 @@
   readonly port: number;
 }
 
+/** Time after which a connection is given up whose peer's machine took it and whose node said nothing, in milliseconds. */
+const MAX_CONNECT_MS = 3_000;
+
 /** What a link needs of its node. */
 export interface RelayLinkOptions {
-  /** Time to open a connection. */
+  /** Time for which attempts wait for a connection to open. */
   readonly connectTimeoutMs: number;
   readonly scheduler: Scheduler;
   /** Told how long a connection took to open, or to fail, in milliseconds. */
@@ -73,6 +76,7 @@
   readonly key: string;
   private readonly streams = new Map<number, RelayedAttempt>();
   private readonly request: http.ClientRequest;
+  private connectTimer: NodeJS.Timeout;
   private connection: RelayConnection | undefined;
   private readonly beganAtMs: number;
   private lastStreamId = 0;
@@ -100,9 +104,9 @@
       agent: false,
       headers: this.upgradeHeaders(),
     });
-    const timer = setTimeout(() => this.request.destroy(), options.connectTimeoutMs);
+    this.connectTimer = this.startConnectTimer();
     this.request.once('upgrade', (message, socket, head) => {
-      clearTimeout(timer);
+      clearTimeout(this.connectTimer);
       if (message.headers.upgrade !== RELAY_PROTOCOL) {
         socket.destroy();
         return;
@@ -120,7 +124,7 @@
       this.isMachineThere ||= code === 'ECONNREFUSED';
     });
     this.request.once('close', () => {
-      clearTimeout(timer);
+      clearTimeout(this.connectTimer);
       if (this.connection === undefined) {
         this.reportConnect(false);
         this.end('never-sent');
@@ -170,6 +174,33 @@
     this.connection?.destroy();
   }
 
+  /** What has arrived is read first. */
+  private startConnectTimer(): NodeJS.Timeout {
+    return setTimeout(
+      () => setImmediate(() => this.connectIsLate()),
+      this.options.connectTimeoutMs,
+    );
+  }
+
+  /**
+   * Attempts go elsewhere. Where the machine has taken the connection, its node is only late: a new connection would
+   * be no sooner, and cost both nodes more. It is kept for those that come later.
+   */
+  private connectIsLate(): void {
+    if (this.isOver || this.connection !== undefined) {
+      return;
+    }
+    const connectMs = this.options.scheduler.now() - this.beganAtMs;
+    if (!this.isMachineThere || connectMs >= MAX_CONNECT_MS) {
+      this.request.destroy();
+      return;
+    }
+    this.connectTimer = this.startConnectTimer();
+    this.reportConnect(false);
+    this.observer.notOpened(true);
+    [...this.streams.values()].forEach((attempt) => attempt.connectionClosed('never-sent'));
+  }
+
   private reportConnect(isOpen: boolean): void {
     const connectMs = this.options.scheduler.now() - this.beganAtMs;
     this.options.onConnect?.(this.address, connectMs, isOpen);
