Soak: take its own pauses off the end of a stop

A stop whose end was seen within 50 ms after a pause of the soak counts up to the beginning of the pause; any other as before.

--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -249,6 +249,19 @@
     expect(brokenIn({ windows, stops: [stop] })).to.deep.equal(['stop-in-time']);
   });
 
+  it('finds a late stop whose end the soak did not miss', () => {
+    const stop = { machine: 0, atMs: 20_000, tookMs: 6_100, code: 0, hadStarted: true };
+    const pausesOf = (...spans: [number, number][]): SoakRecord['pauses'] =>
+      spans.map(([fromMs, untilMs]) => ({ fromMs, untilMs }));
+    const brokenWith = (pauses: SoakRecord['pauses']): string[] =>
+      brokenIn({ stops: [stop], pauses });
+    expect(brokenWith(pausesOf([25_700, 26_090]))).to.deep.equal([]);
+    expect(brokenWith(pausesOf([25_700, 26_040], [26_040, 26_300]))).to.deep.equal([]);
+    expect(brokenWith(pausesOf([25_700, 25_900]))).to.deep.equal(['stop-in-time']);
+    expect(brokenWith(pausesOf([26_050, 26_300]))).to.deep.equal(['stop-in-time']);
+    expect(brokenWith([])).to.deep.equal(['stop-in-time']);
+  });
+
   it('finds a cut beside a reload', () => {
     const cut = { status: 0, isWhole: false };
     expect(withCall(cut, { reloads: [{ machine: 0, atMs: 20_020 }] })).to.deep.equal(['reload']);
--- a/tools/soak/stop-promises.ts
+++ b/tools/soak/stop-promises.ts
@@ -8,6 +8,8 @@
 
 /** Room for the end of a process to be seen by its callers, in milliseconds. */
 const SLACK_MS = 500;
+/** After a pause of its own the soak sees what came meanwhile within this time, in milliseconds. */
+const SEEN_AFTER_PAUSE_MS = 50;
 type ArrivalsById = ReadonlyMap<string, readonly SoakArrival[]>;
 
 /** Planned work on a machine, and the time within which it may cut nothing. */
@@ -53,16 +55,27 @@
   return atMs + tookMs + SLACK_MS;
 }
 
-function judgeEnd({ terms }: SoakRecord, stop: SoakStop): BrokenPromise[] {
+function judgeEnd(record: SoakRecord, stop: SoakStop): BrokenPromise[] {
   const { machine, tookMs, code, hadStarted } = stop;
   const hasFailed = hadStarted && code !== 0;
-  if (!hasFailed && tookMs <= terms.graceMs) {
+  if (!hasFailed && leastTookMs(record, stop) <= record.terms.graceMs) {
     return [];
   }
   const detail = `machine ${machine} ended with ${String(code)} after ${Math.round(tookMs)} ms`;
   return [{ promise: 'stop-in-time', detail }];
 }
 
+/** How long a stop took at least: the soak sees no end of a process while it stands still itself. */
+function leastTookMs({ pauses }: SoakRecord, { atMs, tookMs }: SoakStop): number {
+  let endedAtMs = atMs + tookMs;
+  for (const { fromMs, untilMs } of [...pauses].reverse()) {
+    if (fromMs < endedAtMs && endedAtMs <= untilMs + SEEN_AFTER_PAUSE_MS) {
+      endedAtMs = fromMs;
+    }
+  }
+  return endedAtMs - atMs;
+}
+
 function findCuts(
   record: SoakRecord,
   arrivals: ArrivalsById,
