Read what has arrived before a connection to an endpoint is given up

A process that stands still for longer than the 300 ms that a connection may take to open runs its timer before it reads that the connection is open, and takes the endpoint for unreachable. late-connect.test.ts (300 ms without a read): never-sent before, answered now.

--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -163,13 +163,24 @@
       this.send(exchange.body);
       return;
     }
-    this.connectTimer = setTimeout(() => this.request.destroy(), exchange.limits.connectTimeoutMs);
+    const { connectTimeoutMs } = exchange.limits;
+    // After a pause of the process the connection may be open, and the timer come before that is read.
+    this.connectTimer = setTimeout(
+      () => setImmediate(() => this.endUnconnected()),
+      connectTimeoutMs,
+    );
     socket.once('connect', () => {
       clearTimeout(this.connectTimer);
       this.send(exchange.body);
     });
   }
 
+  private endUnconnected(): void {
+    if (!this.connected) {
+      this.request.destroy();
+    }
+  }
+
   private send(body: RequestBody): void {
     if (!this.request.destroyed) {
       this.connected = true;
