--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -27,12 +27,9 @@
   readonly port: number;
 }
 
-/** Time after which a connection is given up whose peer's machine took it and whose node said nothing, in milliseconds. */
-const MAX_CONNECT_MS = 3_000;
-
 /** What a link needs of its node. */
 export interface RelayLinkOptions {
-  /** Time for which attempts wait for a connection to open. */
+  /** Time to open a connection. */
   readonly connectTimeoutMs: number;
   readonly scheduler: Scheduler;
   /** Told how long a connection took to open, or to fail, in milliseconds. */
@@ -76,7 +73,6 @@
   readonly key: string;
   private readonly streams = new Map<number, RelayedAttempt>();
   private readonly request: http.ClientRequest;
-  private connectTimer: NodeJS.Timeout;
   private connection: RelayConnection | undefined;
   private readonly beganAtMs: number;
   private lastStreamId = 0;
@@ -104,9 +100,13 @@
       agent: false,
       headers: this.upgradeHeaders(),
     });
-    this.connectTimer = this.startConnectTimer();
+    // After a pause of the process the connection may be open, and the timer come before that is read.
+    const timer = setTimeout(
+      () => setImmediate(() => this.endUnopened()),
+      options.connectTimeoutMs,
+    );
     this.request.once('upgrade', (message, socket, head) => {
-      clearTimeout(this.connectTimer);
+      clearTimeout(timer);
       if (message.headers.upgrade !== RELAY_PROTOCOL) {
         socket.destroy();
         return;
@@ -124,7 +124,7 @@
       this.isMachineThere ||= code === 'ECONNREFUSED';
     });
     this.request.once('close', () => {
-      clearTimeout(this.connectTimer);
+      clearTimeout(timer);
       if (this.connection === undefined) {
         this.reportConnect(false);
         this.end('never-sent');
@@ -174,31 +174,10 @@
     this.connection?.destroy();
   }
 
-  /** What has arrived is read first. */
-  private startConnectTimer(): NodeJS.Timeout {
-    return setTimeout(
-      () => setImmediate(() => this.connectIsLate()),
-      this.options.connectTimeoutMs,
-    );
-  }
-
-  /**
-   * Attempts go elsewhere. Where the machine has taken the connection, its node is only late: a new connection would
-   * be no sooner, and cost both nodes more. It is kept for those that come later.
-   */
-  private connectIsLate(): void {
-    if (this.isOver || this.connection !== undefined) {
-      return;
-    }
-    const connectMs = this.options.scheduler.now() - this.beganAtMs;
-    if (!this.isMachineThere || connectMs >= MAX_CONNECT_MS) {
+  private endUnopened(): void {
+    if (this.connection === undefined) {
       this.request.destroy();
-      return;
     }
-    this.connectTimer = this.startConnectTimer();
-    this.reportConnect(false);
-    this.observer.notOpened(true);
-    [...this.streams.values()].forEach((attempt) => attempt.connectionClosed('never-sent'));
   }
 
   private reportConnect(isOpen: boolean): void {
