--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -35,6 +35,8 @@
   'platform/stop-last-moment.test.js': 9,
   'soak/soak.test.js': 145,
   'soak/late-readers.test.js': 90,
+  'soak/long-turns.test.js': 45,
+  'proxy/stop-behind-large-answer.test.js': 6,
   'platform/crashing-request.test.js': 45,
   'soak/soak-regressions.test.js': 275,
   'proxy/endpoint-faults.test.js': 6,
