Soak: a back end that ends as it writes has broken off

Its back end closed for a planned end in the middle of a chunked answer, in the moment in which it had handed the rest to its connection: the record has the outcome broke-off, and the node says broken-answer. The judge of cuts went by the flag of unfinished writes alone; it goes by the outcome as well, as the judge of deliveries does.

--- a/test/soak/promises.test.ts
+++ b/test/soak/promises.test.ts
@@ -240,6 +240,8 @@
     }
     const arrivals = [{ ...ARRIVAL, brokeOff: true }];
     expect(withCall(cut, { stops: [stop], arrivals })).to.be.empty;
+    const endedAsItWrote = [{ ...ARRIVAL, outcome: 'broke-off' as const }];
+    expect(withCall(cut, { stops: [stop], arrivals: endedAsItWrote })).to.be.empty;
   });
 
   it('finds a stop that takes too long, whatever befalls the machine', () => {
--- a/tools/soak/cut-calls.ts
+++ b/tools/soak/cut-calls.ts
@@ -28,12 +28,17 @@
     !call.isGivenUp &&
     wasRead &&
     hadTime &&
-    !arrivals.some(({ brokeOff }) => brokeOff) &&
+    !arrivals.some(hasBrokenOff) &&
     !isSilenced(record, call) &&
     !isExcused(record, call)
   );
 }
 
+/** What a back end wrote in the moment of its own end may not have left it. */
+function hasBrokenOff({ brokeOff, outcome }: SoakArrival): boolean {
+  return brokeOff || outcome === 'broke-off';
+}
+
 /** Whether the process was ended or halted by force, or its own links were harmed. */
 function isExcused({ windows, terms }: SoakRecord, call: SoakCall): boolean {
   return windows.some(
