Let requests wait behind 16 KB of answers that wait for their turn

Since answers that wait for their turn are kept out of Node's responses, a caller that sends ahead of what it reads had all of its requests begun at once; before, Node stopped reading its connection. Such requests are read now, so that their time is known, and begin in their order once fewer bytes wait; not after the connection has ended.

paused-reading.test.ts: a request behind 400 KB that wait is not begun before they have gone out, nor after its caller has left.

--- a/src/proxy/caller-connections.ts
+++ b/src/proxy/caller-connections.ts
@@ -17,6 +17,12 @@
 import { SocketPoll } from './socket-poll.js';
 import { LINGER_MS, LingeringCloses } from './lingering-close.js';
 
+/**
+ * Bytes of answers that wait for their turn on a connection from which on its next requests wait too: who sends them
+ * is ahead of what it reads.
+ */
+const MAX_WAITING_BYTES = 16 * 1024;
+
 /** Told of the end of one exchange; `isWhole` when its answer went out in full, `reason` says why it did not. */
 type CloseListener = (isWhole: boolean, reason?: ConnectionEndReason) => void;
 
@@ -36,6 +42,8 @@
   /** How connections are being ended; by their callers where nothing is said. */
   private readonly ends = new WeakMap<Duplex, BegunEnd>();
   private readonly waitingBytesOf = new WeakMap<ServerResponse, () => number>();
+  /** What begins the requests of a connection that wait, in their order. */
+  private readonly deferred = new WeakMap<Duplex, (() => void)[]>();
   private readonly poll = new SocketPoll();
   private readonly lingering = new LingeringCloses(this.poll);
   private readonly pauses = new WeakMap<Duplex, ReadingPause>();
@@ -141,6 +149,21 @@
     this.waitingBytesOf.set(response, waitingBytes);
   }
 
+  /** Calls `begin` once fewer bytes of answers wait on the connection, and no request before this one does. */
+  whenRoom(socket: Duplex, begin: () => void): void {
+    const queue = this.deferred.get(socket) ?? [];
+    this.deferred.set(socket, queue);
+    queue.push(begin);
+    this.beginDeferred(socket);
+  }
+
+  private beginDeferred(socket: Duplex): void {
+    const queue = this.deferred.get(socket) ?? [];
+    while (queue.length > 0 && !socket.destroyed && this.waitingBytes(socket) < MAX_WAITING_BYTES) {
+      queue.shift()?.();
+    }
+  }
+
   /** Whether a request of the connection waits for its answer. */
   hasOpenRequest(socket: Duplex): boolean {
     return (this.exchangesOf.get(socket)?.size ?? 0) > 0;
@@ -196,11 +219,15 @@
 
   /** What is held of the answers of a connection, those that wait for their turn included. */
   private unsentBytes(socket: Duplex): number {
-    const responses = [...(this.exchangesOf.get(socket)?.keys() ?? [])];
-    return responses.reduce(
-      (bytes, response) => bytes + (this.waitingBytesOf.get(response)?.() ?? 0),
-      socket.writableLength,
-    );
+    return socket.writableLength + this.waitingBytes(socket);
+  }
+
+  private waitingBytes(socket: Duplex): number {
+    let bytes = 0;
+    for (const response of this.exchangesOf.get(socket)?.keys() ?? []) {
+      bytes += this.waitingBytesOf.get(response)?.() ?? 0;
+    }
+    return bytes;
   }
 
   private breakNow(socket: Duplex): void {
@@ -232,6 +259,7 @@
       listener(response.writableFinished, this.reasonOf(socket));
     }
     this.tellAnswered(socket);
+    this.beginDeferred(socket);
   }
 
   private tellAnswered(socket: Duplex): void {
--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -20,6 +20,7 @@
 import type { ConnectionEndReason } from './connection-end.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import { BadRequestError, type RequestError } from './request-error.js';
+import { MACHINE_TIME } from './scheduler.js';
 import type { CallerReply } from './request-context.js';
 
 /** Most time between two looks for connections that are over a time limit, in milliseconds. */
@@ -42,8 +43,11 @@
   readonly headers: HeaderList;
   /** Time left by the caller's word, in milliseconds; undefined when it names none. */
   readonly timeoutMs: number | undefined;
-  /** Time for which it may have lain unread, in milliseconds: it has that much less left. */
-  readonly unreadMs: number;
+  /**
+   * Time for which it waited behind answers of its connection, in milliseconds: it has that much less left. Where the
+   * connection was not read, the longest time for which it may have lain there.
+   */
+  readonly waitedMs: number;
   /** Attempts after the first by the caller's word; undefined when it names none. */
   readonly retries: number | undefined;
   /** The caller's idempotency key; undefined when it names none. */
@@ -158,7 +162,17 @@
       return;
     }
     connections.began(request.socket, response);
-    handleRequest(options, connections, request, response);
+    const { socket } = request;
+    const unreadMs = connections.unreadMs(socket);
+    const readAtMs = MACHINE_TIME.now();
+    connections.whenRoom(socket, () => {
+      if (connections.isClosing(socket)) {
+        request.resume();
+        return;
+      }
+      const waitedMs = unreadMs + MACHINE_TIME.now() - readAtMs;
+      handleRequest(options, connections, request, response, waitedMs);
+    });
   };
   server.on('request', take);
   server.on('checkContinue', (request: IncomingMessage, response: ServerResponse) => {
@@ -178,6 +192,7 @@
   connections: CallerConnections,
   request: IncomingMessage,
   response: ServerResponse,
+  waitedMs: number,
 ): void {
   response.on('error', () => response.destroy());
   const callerResponse = new CallerResponse(response, request, options, connections);
@@ -187,8 +202,7 @@
     callerResponse.fail(fault, fault.verdict, options.nextRequestId());
     return;
   }
-  const unreadMs = connections.unreadMs(request.socket);
-  options.handle(readRequest(request, options.protocol, unreadMs), callerResponse);
+  options.handle(readRequest(request, options.protocol, waitedMs), callerResponse);
 }
 
 /** What makes the request unfit to be passed on. */
@@ -220,7 +234,7 @@
 function readRequest(
   request: IncomingMessage,
   protocol: CallerProtocol,
-  unreadMs: number,
+  waitedMs: number,
 ): CallerRequest {
   const { rawHeaders } = request;
   const target = request.url ?? '/';
@@ -233,7 +247,7 @@
     requestId: optionalHeader(request, protocol.requestIdHeader),
     headers: messageHeaders(rawHeaders, protocol.droppedHeaders).concat(protocol.addedHeaders),
     timeoutMs: parseMilliseconds(headerValue(rawHeaders, protocol.deadlineHeader)),
-    unreadMs,
+    waitedMs,
     retries: parseMilliseconds(optionalHeader(request, protocol.retriesHeader)),
     idempotencyKey: optionalHeader(request, protocol.idempotencyKeyHeader),
     message: request,
--- a/src/proxy/request-intake.ts
+++ b/src/proxy/request-intake.ts
@@ -224,9 +224,8 @@
 /** Time for the request from now on, in milliseconds; throws when none is left. */
 function timeLeftMs(request: CallerRequest, match: RouteMatch, isClaimed: boolean): number {
   const mostMs = isClaimed ? MAX_CLAIMED_REQUEST_MS : Infinity;
-  const { timeoutMs: namedMs = Infinity, unreadMs } = request;
-  // Endpoints were told 4,928 ms for a request that had 3,998 ms left, in a soak of real processes.
-  const timeoutMs = Math.min(Math.min(match.timeoutMs, namedMs) - unreadMs, mostMs);
+  const { timeoutMs: namedMs = Infinity, waitedMs } = request;
+  const timeoutMs = Math.min(Math.min(match.timeoutMs, namedMs) - waitedMs, mostMs);
   if (timeoutMs <= 0) {
     throw new DeadlinePassedError('the deadline has passed');
   }
--- a/test/proxy/paused-reading.test.ts
+++ b/test/proxy/paused-reading.test.ts
@@ -90,6 +90,20 @@
     expect(givenMs('/late')).to.be.above(FIRST_WORK_MS / 2 - 3 * SLACK_MS);
   });
 
+  /** Guards against callers that have more work begun than they read answers. */
+  it('is not begun before the answers that wait have gone out, nor after its caller has left', async () => {
+    send('/first');
+    send('/large');
+    await until(() => target.heads.length === 2);
+    await delay(SLACK_MS);
+    send('/behind');
+    await delay(FIRST_WORK_MS / 4);
+    expect(givenMs('/behind')).to.equal(undefined);
+    socket.destroy();
+    await delay(FIRST_WORK_MS);
+    expect(givenMs('/behind')).to.equal(undefined);
+  });
+
   it('has all of its time where it came after the pause', async () => {
     send('/first');
     send('/large');
