--- a/src/proxy/caller-connections.ts
+++ b/src/proxy/caller-connections.ts
@@ -13,16 +13,11 @@
   ConnectionEndReason,
 } from './connection-end.js';
 import { ReadingPause } from './reading-pause.js';
+import { MAX_WAITING_BYTES } from './response-sink.js';
 import { MACHINE_TIME } from './scheduler.js';
 import { SocketPoll } from './socket-poll.js';
 import { LINGER_MS, LingeringCloses } from './lingering-close.js';
 
-/**
- * Bytes of answers that wait for their turn on a connection from which on its next requests wait too: who sends them
- * is ahead of what it reads.
- */
-const MAX_WAITING_BYTES = 16 * 1024;
-
 /** Told of the end of one exchange; `isWhole` when its answer went out in full, `reason` says why it did not. */
 type CloseListener = (isWhole: boolean, reason?: ConnectionEndReason) => void;
 
@@ -149,7 +144,10 @@
     this.waitingBytesOf.set(response, waitingBytes);
   }
 
-  /** Calls `begin` once fewer bytes of answers wait on the connection, and no request before this one does. */
+  /**
+   * Calls `begin` once fewer bytes of answers wait on the connection, and no request before this one does: a caller
+   * that sends ahead of what it reads has no more work begun.
+   */
   whenRoom(socket: Duplex, begin: () => void): void {
     const queue = this.deferred.get(socket) ?? [];
     this.deferred.set(socket, queue);
--- a/src/proxy/response-sink.ts
+++ b/src/proxy/response-sink.ts
@@ -6,8 +6,11 @@
 import type { ServerResponse } from 'node:http';
 import type { AnswerSink } from './answer-relay.js';
 
-/** Bytes of a body that wait for their turn before its sender is asked to wait. */
-const MAX_WAITING_BYTES = 16 * 1024;
+/**
+ * Bytes of answers that wait for their turn on a connection before the sender of a body is asked to wait, and before
+ * the next requests of the connection do.
+ */
+export const MAX_WAITING_BYTES = 16 * 1024;
 
 interface ResponseHead {
   readonly status: number;
