--- a/tools/soak/backend-calls.ts
+++ b/tools/soak/backend-calls.ts
@@ -1,5 +1,6 @@
 /** Calls that back ends make through the nodes beside them while they work on a request. */
-import http from 'node:http';
+import type http from 'node:http';
+import { callerAgent } from './caller-agent.js';
 import { sendCall } from './soak-client.js';
 import { CALLED_PREFIX, ROUTE_TIMEOUT_MS, SOAK_HOST } from './soak-configuration.js';
 import type { SoakMachine } from './soak-fleet.js';
@@ -74,7 +75,7 @@
   }
 
   private agentOf(idx: number): http.Agent {
-    const agent = this.agents.get(idx) ?? new http.Agent({ keepAlive: true });
+    const agent = this.agents.get(idx) ?? callerAgent();
     this.agents.set(idx, agent);
     return agent;
   }
--- a/tools/soak/soak-traffic.ts
+++ b/tools/soak/soak-traffic.ts
@@ -1,7 +1,8 @@
 /** Callers of all machines of a soak, at a steady rate, and probes of the newest routes. */
-import http from 'node:http';
+import type http from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { RandomSource } from '../../src/control/control-event.js';
+import { callerAgent } from './caller-agent.js';
 import { pick } from './draws.js';
 import type { SoakCall } from './soak-record.js';
 import { sendCall, type SoakRequest } from './soak-client.js';
@@ -132,7 +133,7 @@
   }
 
   private agentOf(idx: number): http.Agent {
-    const agent = this.agents.get(idx) ?? new http.Agent({ keepAlive: true });
+    const agent = this.agents.get(idx) ?? callerAgent();
     this.agents.set(idx, agent);
     return agent;
   }
--- a/tools/soak/upload-traffic.ts
+++ b/tools/soak/upload-traffic.ts
@@ -2,9 +2,10 @@
  * Callers with long bodies, and callers that keep one connection each: they go on using it until the node
  * closes it, also after the node was told to stop.
  */
-import http from 'node:http';
+import type http from 'node:http';
 import { setTimeout as delay } from 'node:timers/promises';
 import type { RandomSource } from '../../src/control/control-event.js';
+import { callerAgent } from './caller-agent.js';
 import { between } from './draws.js';
 import type { Place } from './link-proxy.js';
 import { sendCall, type SendingPace, type SoakRequest } from './soak-client.js';
@@ -107,7 +108,7 @@
   }
 
   private async runKeptConnection(machine: SoakMachine, place: Place): Promise<void> {
-    const agent = new http.Agent({ keepAlive: true, maxSockets: 1 });
+    const agent = callerAgent(1);
     this.kept.push(agent);
     while (!this.isStopped) {
       await this.rest(MEAN_REST_MS);
@@ -189,7 +190,7 @@
 
   private sharedAgent({ address, port }: Place): http.Agent {
     const name = `${address}:${port}`;
-    const agent = this.shared.get(name) ?? new http.Agent({ keepAlive: true });
+    const agent = this.shared.get(name) ?? callerAgent();
     this.shared.set(name, agent);
     return agent;
   }
