Count the age of a signal for a look interval after a late look

A process that gets the processor in short turns reads other things before the signal. The age of a signal goes by a late look for 150 ms now.

--- a/src/proxy/pause-detector.ts
+++ b/src/proxy/pause-detector.ts
@@ -11,8 +11,11 @@
 const WAKE_PERIOD_MS = 50;
 /** A look that is late by more shows that the process did not run, in milliseconds. */
 const USUAL_LATENESS_MS = 30;
-/** For this long after a late look, a signal that is heard of may have come before it, in milliseconds. */
-const SIGNAL_PERIOD_MS = 20;
+/**
+ * For this long after a late look, a signal that is heard of may have come before it, in milliseconds: a process that
+ * gets the processor in short turns reads other things first.
+ */
+const SIGNAL_PERIOD_MS = LOOK_INTERVAL_MS;
 
 /** A time between two looks in which the process did not run for a while. */
 interface LateLook {
--- a/test/proxy/signal-age.test.ts
+++ b/test/proxy/signal-age.test.ts
@@ -17,12 +17,13 @@
     expect(pauses.signalAgeMs(900)).to.equal(800);
   });
 
-  it('is the same where a late look came just before', () => {
+  it('is the same where a late look came within a look interval before', () => {
     const pauses = new PauseDetector(0);
     pauses.tick(100);
     pauses.tick(900);
     expect(pauses.signalAgeMs(905)).to.equal(805);
-    expect(pauses.signalAgeMs(1_000)).to.equal(0);
+    expect(pauses.signalAgeMs(1_050)).to.equal(950);
+    expect(pauses.signalAgeMs(1_051)).to.equal(0);
   });
 });
 
