Read the rate limit that a back end names, and show it

Nothing recorded which rate limit a node knows and since when, so a limit that is not known could not be told from one that is not held. The header is now read from whole answers and from refusals of the back end itself, kept for each incarnation, logged when it changes, counted, and shown as the gauge limited_endpoints. An answer to a request that was sent before the limit arrived does not lift it. Text that is no decimal number is counted, and logged once. Answers of another back end at the address (421) say nothing about this one.

--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -4,6 +4,7 @@
 import { MACHINE_CLOCK } from '../clock/machine-clock.js';
 import { incarnationOf } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
+import type { AnswerStatement } from './answer-statement.js';
 import type { Answer, Call, LoadReport } from './call.js';
 import type { ParsedAnswer, EndpointProtocol } from './endpoint-protocol.js';
 import {
@@ -37,8 +38,10 @@
   /** The endpoint did not confirm any outcome. */
   | 'unconfirmed';
 
-/** Receives exactly one of the three calls, once, unless the exchange is aborted. */
+/** Receives exactly one of `answered`, `refused` and `failed`, once, unless the exchange is aborted. */
 export interface EndpointObserver {
+  /** Called before `answered` or `refused` with what the answer states about the endpoint. */
+  stated?(statement: AnswerStatement): void;
   answered(answer: Answer): void;
   /** The endpoint refused the request before it started. */
   refused(
@@ -243,9 +246,13 @@
         return;
       case 'refused':
         message.resume();
+        if (parsed.statement !== undefined) {
+          observer.stated?.(parsed.statement);
+        }
         observer.refused(parsed.load, parsed.retryAfterMs, parsed.isOtherEndpoint);
         return;
       case 'answer':
+        observer.stated?.(parsed.statement);
         observer.answered({
           status: message.statusCode ?? 0,
           headers: parsed.headers,
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -12,7 +12,10 @@
 import type { CounterSink } from '../control/control-event.js';
 import { startedBefore } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
+import type { EndpointStatement } from '../routing/endpoint-statement.js';
+import { EndpointStatements } from '../routing/endpoint-statements.js';
 import { FailureShare } from '../routing/failure-share.js';
+import type { AnswerStatement } from './answer-statement.js';
 import { admissionError, containedError } from './attempt-errors.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
 import type { EndpointConnector } from './endpoint-client.js';
@@ -39,6 +42,8 @@
   /** Maximum number of queued requests per slot of the endpoint; the default of admission when absent. */
   readonly maxQueuedPerSlot?: number;
   readonly cancelLead: CancelLead;
+  /** What endpoints have stated about themselves; empty when absent. */
+  readonly statements?: EndpointStatements;
   readonly requestLog?: RequestLog;
   /** Called with the service time of each complete answer, in milliseconds. */
   readonly onEndpointMs?: (ms: number) => void;
@@ -55,6 +60,7 @@
 export class EndpointGate implements CallGate {
   private readonly admission: EndpointAdmission;
   private readonly coldStartLimiter: ColdStartLimiter;
+  private readonly statement: EndpointStatement;
   private cancelResume: CancelTimer | undefined;
   /** The endpoint as last configured. */
   private lastConfigured: Endpoint | undefined;
@@ -67,6 +73,7 @@
   private readonly deferredSuspects = new Set<GatedCall>();
   private isProbing = false;
   private isDrainedByEndpoint = false;
+  private hasUnreadableRateLimit = false;
   private closedByConfiguration: ClosedReason | undefined;
 
   /** `startedAtMs` is when this node started. */
@@ -84,6 +91,7 @@
       maxQueuedPerSlot,
       this.coldStartLimiter,
     );
+    this.statement = (options.statements ?? new EndpointStatements()).of(endpoint);
     this.containment = options.containment ?? NO_CONTAINMENT;
     this.exitDetector = new ProcessExitDetector({
       inProgress: () => [...this.calls.values()].filter((gated) => gated.isInProgress()).reverse(),
@@ -179,6 +187,16 @@
     }
   }
 
+  applyStatement({ maxRatePerS }: AnswerStatement, sentAtMs: number): void {
+    if (maxRatePerS === undefined) {
+      this.recordUnreadableRateLimit();
+      return;
+    }
+    if (this.statement.applyAnswer(maxRatePerS, sentAtMs, this.options.scheduler.now())) {
+      this.recordRateLimit(maxRatePerS);
+    }
+  }
+
   applyLoadReport(load: LoadReport | undefined): void {
     if (load !== undefined && load.slots > 0) {
       this.admission.endpointReported(load.inFlight, this.options.scheduler.now());
@@ -332,6 +350,22 @@
     }
   }
 
+  private recordRateLimit(maxRatePerS: number): void {
+    this.options.counters.add('ferryspool_endpoint_rate_limit_changes_total');
+    const limit = maxRatePerS === Infinity ? 'no rate limit' : `a limit of ${maxRatePerS}/s`;
+    this.options.logStateChange('endpoint', `${this.endpoint.name} names ${limit}`);
+  }
+
+  /** Counts each occurrence and logs the first. */
+  private recordUnreadableRateLimit(): void {
+    this.options.counters.add('ferryspool_endpoint_rate_limits_unreadable_total');
+    if (!this.hasUnreadableRateLimit) {
+      this.hasUnreadableRateLimit = true;
+      const detail = `${this.endpoint.name} names a rate limit that is not a number`;
+      this.options.logStateChange('endpoint', detail);
+    }
+  }
+
   /** Schedules the dispatch of requests that are queued because the endpoint is cold. */
   private scheduleResume(): void {
     this.cancelResume?.();
--- a/src/proxy/endpoint-protocol.ts
+++ b/src/proxy/endpoint-protocol.ts
@@ -5,6 +5,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 import type { Endpoint } from '../model/resource.js';
+import { readStatement, type AnswerStatement } from './answer-statement.js';
 import type { Call, LoadReport } from './call.js';
 import { messageHeaders, parseMilliseconds, type HeaderList } from './headers.js';
 
@@ -14,6 +15,7 @@
 const NOT_STARTED_HEADER = 'x-not-started';
 const LOAD_HEADER = 'x-load';
 const DRAINING_HEADER = 'x-draining';
+const RATE_LIMIT_HEADER = 'x-rate-limit';
 const RETRY_AFTER_HEADER = 'retry-after';
 /** Headers of answers that are meant only for the node. */
 const NODE_HEADERS: ReadonlySet<string> = new Set([
@@ -32,11 +34,14 @@
       readonly kind: 'answer';
       readonly headers: HeaderList;
       readonly load: LoadReport | undefined;
+      readonly statement: AnswerStatement;
     }
   /** The endpoint refused the request before it started. */
   | {
       readonly kind: 'refused';
       readonly load: LoadReport | undefined;
+      /** Undefined if a different process answers at the endpoint's address. */
+      readonly statement: AnswerStatement | undefined;
       readonly retryAfterMs: number | undefined;
       /** Whether a different process answers at the endpoint's address: the endpoint no longer exists. */
       readonly isOtherEndpoint: boolean;
@@ -89,11 +94,17 @@
     return { kind: 'malformed' };
   }
   const load = readLoad(message);
+  const statement = readStatement(headers[RATE_LIMIT_HEADER]);
   if (REFUSED_STATUSES.has(message.statusCode ?? 0) && headers[NOT_STARTED_HEADER] === '1') {
     const retryAfterMs = parseRetryAfter(headers[RETRY_AFTER_HEADER]);
-    return { kind: 'refused', load, retryAfterMs, isOtherEndpoint: false };
+    return { kind: 'refused', load, statement, retryAfterMs, isOtherEndpoint: false };
   }
-  return { kind: 'answer', headers: messageHeaders(message.rawHeaders, NODE_HEADERS), load };
+  return {
+    kind: 'answer',
+    headers: messageHeaders(message.rawHeaders, NODE_HEADERS),
+    load,
+    statement,
+  };
 }
 
 /** `Retry-After` in milliseconds; dates are not supported. */
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -3,6 +3,7 @@
  * effects of {@link EndpointAttempt}.
  */
 import type { Endpoint } from '../model/resource.js';
+import type { AnswerStatement } from './answer-statement.js';
 import { attemptError, DEFAULT_RETRY_AFTER_MS, endpointRefusedError } from './attempt-errors.js';
 import type { Answer, Attempt, AttemptObserver, Call, LoadReport } from './call.js';
 import {
@@ -59,6 +60,8 @@
    * processing it.
    */
   recordUnfinished(call: Call, elapsedMs: number): void;
+  /** Applies what the endpoint stated with the response to a request that was sent at `sentAtMs`. */
+  applyStatement(statement: AnswerStatement, sentAtMs: number): void;
   /** Applies the load that the endpoint reported with a response. */
   applyLoadReport(load: LoadReport | undefined): void;
   /** Records whether a dispatched request failed, where its outcome reflects on the endpoint. */
@@ -165,6 +168,7 @@
       this.handle({ type: 'deadline', wasSent: this.exchange?.wasSent() === true });
     });
     this.exchange = this.client.send(this.endpoint, this.call, workMs, {
+      stated: (statement) => this.gate.applyStatement(statement, this.dispatchedAtMs),
       answered: (answer) => this.handleAnswer(answer),
       refused: (load, retryAfterMs, isOtherEndpoint) => {
         this.isEndpointGone = isOtherEndpoint;
--- a/src/proxy/request-path.ts
+++ b/src/proxy/request-path.ts
@@ -59,6 +59,8 @@
   endpointStates(): EndpointStateReport[];
   /** Number of endpoints owned by this node that it considers cold. */
   coldEndpointCount(): number;
+  /** Number of endpoints that name a rate limit, to the knowledge of this node. */
+  limitedEndpointCount(): number;
   /** Applies the limits that the configuration sets; undefined leaves the limits unchanged. */
   applyCallerLimits(limits: CallerLimits | undefined): void;
   /** Applies changed endpoints of the configuration: requests waiting for one that has restarted are forwarded. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -17,6 +17,7 @@
 import { NATIVE_ENDPOINT_PROTOCOL, type EndpointProtocol } from './endpoint-protocol.js';
 import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
 import { EndpointGateway } from './endpoint-gateway.js';
+import { EndpointStatements } from '../routing/endpoint-statements.js';
 import { EventLoopLag } from './loop-lateness.js';
 import { PauseDetector } from './pause-detector.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
@@ -60,6 +61,7 @@
   private readonly services: RequestServices;
   private readonly gateway: EndpointGateway;
   private readonly endpointClient: EndpointClient;
+  private readonly statements = new EndpointStatements();
   private readonly relayClient: RelayClient;
   private readonly pauseDetector: PauseDetector;
   private readonly eventLoopLag = new EventLoopLag();
@@ -90,6 +92,7 @@
       counters: options.counters,
       scheduler: MACHINE_TIME,
       containment,
+      statements: this.statements,
       logStateChange: options.logStateChange,
       requestLog: options.requestLog ?? NO_REQUEST_LOG,
       ...(options.onEndpointMs && { onEndpointMs: options.onEndpointMs }),
@@ -170,6 +173,10 @@
     return this.gateway.coldCount;
   }
 
+  limitedEndpointCount(): number {
+    return this.statements.limitedCount;
+  }
+
   applyEndpoints(): void {
     this.gateway.configureLocal(this.ownEndpoints());
   }
--- a/src/runtime/store-node-metrics.ts
+++ b/src/runtime/store-node-metrics.ts
@@ -41,6 +41,11 @@
       () => snapshot()?.evacuatedZones.size ?? 0,
     ],
     ['cold_endpoints', 'Endpoints beside this node that are cold', () => proxy.coldEndpointCount()],
+    [
+      'limited_endpoints',
+      'Endpoints that name a rate limit, to the knowledge of this node',
+      () => proxy.limitedEndpointCount(),
+    ],
   ];
 }
 
