Tests that fail: a back end gets more than the rate limit that it names

Callers on three machines send 60 requests a second to a back end that names 3.3 a second, and one that names 0.4 a second whose node restarts.

--- a/standins/store-platform/backend-stand-in.ts
+++ b/standins/store-platform/backend-stand-in.ts
@@ -31,6 +31,8 @@
   behaviour: BackendBehaviour = (_request, response, arrival) => {
     answer(response, arrival.requestId);
   };
+  /** Value of the `Server-Limit` header of its answers; undefined if it names no rate limit. */
+  rateLimit: string | undefined;
   /** A connection that rested longer is forgotten: what is next sent on it is reset. */
   forgetsIdleAfterMs = Infinity;
   private readonly restingSinceMs = new WeakMap<object, number>();
@@ -95,6 +97,9 @@
       arrival.isCut = !response.writableFinished;
     });
     this.arrivals.push(arrival);
+    if (this.rateLimit !== undefined) {
+      response.setHeader('Server-Limit', this.rateLimit);
+    }
     this.behaviour(request, response, arrival);
   }
 }
