--- a/src/admission/cold-start-limiter.ts
+++ b/src/admission/cold-start-limiter.ts
@@ -7,6 +7,7 @@
  * after that node has started, its previous incarnation is assumed to have used up the limit.
  */
 import type { ColdStart } from '../model/resource.js';
+import type { RateLimiter } from './rate-limiter.js';
 
 /** Length of the window: one second plus the time for which a request may be in transit, in milliseconds. */
 const WINDOW_MS = 1_100;
@@ -18,7 +19,7 @@
 const RAMP_FACTOR = 4;
 
 /** Limits the requests that one node sends to one endpoint. */
-export class ColdStartLimiter {
+export class ColdStartLimiter implements RateLimiter {
   private coldStart: ColdStart | undefined;
   private share = 1;
   private coldUntilMs = -Infinity;
@@ -55,7 +56,6 @@
     this.sentAtMs.push(nowMs);
   }
 
-  /** Number of requests that may be sent now; Infinity for a warm endpoint. */
   availableAt(nowMs: number): number {
     const limit = this.limitAt(nowMs);
     if (limit === Infinity) {
@@ -68,7 +68,6 @@
     return Math.max(0, limit - this.sentAtMs.length);
   }
 
-  /** Upper bound on the time until `count` more requests have been sent; 0 for a warm endpoint. */
   maxDelayMs(count: number, nowMs: number): number {
     const limit = this.limitAt(nowMs);
     if (limit === Infinity || count <= this.availableAt(nowMs)) {
@@ -81,7 +80,6 @@
     return this.nextAvailableInMs(nowMs) + fullWindows * WINDOW_MS;
   }
 
-  /** Time until the next request may be sent. */
   nextAvailableInMs(nowMs: number): number {
     if (this.availableAt(nowMs) > 0) {
       return 0;
--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -3,8 +3,8 @@
  * concurrently; a short queue orders waiting requests by rank, with fairness among the callers' nodes; a request
  * that cannot finish in time is refused immediately. Pure: time is passed in.
  */
-import { ColdStartLimiter } from './cold-start-limiter.js';
 import { AdmissionQueue, rankOf, type AdmissionTicket } from './admission-queue.js';
+import { combineRateLimits, NO_RATE_LIMIT, type RateLimiter } from './rate-limiter.js';
 import { ServiceTimes } from './service-times.js';
 import { isLateRank, onTimeRank } from './work-rank.js';
 
@@ -34,9 +34,12 @@
 /** Maximum wait of late work, as a multiple of the expected wait. */
 const LATE_WAIT_FACTOR = 3;
 
-/** Why a request is refused; always decided before the request is sent. */
+/**
+ * Why a request is refused; always decided before the request is sent. `rate-limited`: the endpoint's own rate limit
+ * allows it only too late.
+ */
 export type RefusalReason =
-  'queue-full' | 'cannot-finish-in-time' | 'deadline-passed' | ClosedReason;
+  'queue-full' | 'cannot-finish-in-time' | 'deadline-passed' | 'rate-limited' | ClosedReason;
 
 /**
  * Why an endpoint accepts no new requests.
@@ -76,17 +79,24 @@
   /** Requests in flight at the endpoint, according to its last report, that this node does not count. */
   private unaccountedInFlight = 0;
   private reportedAtMs = -Infinity;
+  /** All limits on the rate of requests. */
+  private readonly rateLimiter: RateLimiter;
 
   /** Concurrency limit: at most the slots, lower while the endpoint refuses requests. */
   private limit: number;
 
-  /** The queue holds at most `maxWaiting` requests, and at most `queuedPerSlot` for each slot. */
+  /**
+   * The queue holds at most `maxWaiting` requests, and at most `queuedPerSlot` for each slot. `endpointLimiter`
+   * enforces the rate limit that the endpoint itself has stated.
+   */
   constructor(
     private slots: number,
     private readonly maxWaiting = Infinity,
     private readonly queuedPerSlot = DEFAULT_QUEUED_PER_SLOT,
-    private readonly coldStartLimiter = new ColdStartLimiter(-Infinity),
+    private readonly coldStartLimiter: RateLimiter = NO_RATE_LIMIT,
+    private readonly endpointLimiter: RateLimiter = NO_RATE_LIMIT,
   ) {
+    this.rateLimiter = combineRateLimits([coldStartLimiter, endpointLimiter]);
     this.limit = slots;
   }
 
@@ -137,12 +147,18 @@
   }
 
   /**
-   * Time until a request that is queued because of the cold-start limit may be sent, at which to call
-   * {@link resume}; undefined when there is none.
+   * Time until a request that is queued because of a rate limit may be sent, at which to call {@link resume};
+   * undefined when there is none.
    */
   resumeDelayMs(nowMs: number): number | undefined {
-    const isRateLimited = this.queue.size > 0 && this.coldStartLimiter.availableAt(nowMs) === 0;
-    return isRateLimited ? this.coldStartLimiter.nextAvailableInMs(nowMs) : undefined;
+    const isRateLimited = this.queue.size > 0 && this.rateLimiter.availableAt(nowMs) === 0;
+    return isRateLimited ? this.rateLimiter.nextAvailableInMs(nowMs) : undefined;
+  }
+
+  /** Decides again on the queued requests after a rate limit has changed; the most urgent ones first. */
+  rateLimitChanged(nowMs: number): AdmissionEffect[] {
+    const tickets = this.queue.removeAll().sort((one, other) => rankOf(one) - rankOf(other));
+    return tickets.flatMap((ticket) => this.offer(ticket, nowMs));
   }
 
   /** Dispatches queued requests as far as the limits allow. */
@@ -246,7 +262,7 @@
   private limitAt(nowMs: number): number {
     const isRecent = nowMs - this.reportedAtMs < REPORT_LIFETIME_MS;
     const limit = Math.max(1, Math.floor(this.limit) - (isRecent ? this.unaccountedInFlight : 0));
-    return Math.min(limit, this.running.size + this.coldStartLimiter.availableAt(nowMs));
+    return Math.min(limit, this.running.size + this.rateLimiter.availableAt(nowMs));
   }
 
   /** Whether a slot is free and no request is queued. */
@@ -268,7 +284,8 @@
   /**
    * Applies the rules for late work. Short late work is ranked with on-time work. Late work may wait for
    * {@link LATE_WAIT_FACTOR} times the expected wait, or for as long as its node allows if that is longer; when that
-   * time is exceeded, the endpoint has become slower than the estimate.
+   * time is exceeded, the endpoint has become slower than the estimate. The endpoint's own rate limit does not extend
+   * the wait.
    */
   private applyLateWorkRules(ticket: AdmissionTicket, nowMs: number): AdmissionTicket {
     const rank = rankOf(ticket);
@@ -279,7 +296,7 @@
     const { overallMs } = this.serviceTimes;
     const isShort = this.serviceTimes.meanMs(workClass) < SHORT_WORK_RATIO * overallMs;
     const priority = isShort ? onTimeRank(rank) : rank;
-    const maxWaitMs = LATE_WAIT_FACTOR * this.expectedWaitMs(priority, nowMs);
+    const maxWaitMs = LATE_WAIT_FACTOR * this.expectedSlotWaitMs(priority, nowMs);
     return { ...ticket, priority, startByMs: Math.max(startByMs, nowMs + maxWaitMs) };
   }
 
@@ -321,11 +338,18 @@
     if (this.slots === 0) {
       return 'queue-full';
     }
-    const waitMs = this.expectedWaitMs(rankOf(ticket), nowMs);
-    const waitsTooLong = waitMs > 0 && nowMs + waitMs > (ticket.startByMs ?? Infinity);
-    return waitsTooLong || this.isTooLate(ticket, nowMs + waitMs, waitMs > 0)
-      ? 'cannot-finish-in-time'
-      : undefined;
+    const rank = rankOf(ticket);
+    const slotWaitMs = this.expectedSlotWaitMs(rank, nowMs);
+    if (this.waitsTooLong(ticket, slotWaitMs, nowMs)) {
+      return 'cannot-finish-in-time';
+    }
+    const waitMs = Math.max(slotWaitMs, this.endpointLimitWaitMs(rank, nowMs));
+    return this.waitsTooLong(ticket, waitMs, nowMs) ? 'rate-limited' : undefined;
+  }
+
+  private waitsTooLong(ticket: AdmissionTicket, waitMs: number, nowMs: number): boolean {
+    const startsTooLate = waitMs > 0 && nowMs + waitMs > (ticket.startByMs ?? Infinity);
+    return startsTooLate || this.isTooLate(ticket, nowMs + waitMs, waitMs > 0);
   }
 
   /** Latest time at which a request can start and still finish in time. */
@@ -344,8 +368,19 @@
     return !isIdle && startAtMs > this.lastUsefulStartMs(ticket);
   }
 
-  /** Expected wait for a slot of a request of the rank that arrives now, by the measured service times. */
+  /** Expected wait of a request of the rank that arrives now. */
   private expectedWaitMs(rank: number, nowMs: number): number {
+    return Math.max(this.expectedSlotWaitMs(rank, nowMs), this.endpointLimitWaitMs(rank, nowMs));
+  }
+
+  /** Wait because of the rate limit that the endpoint has stated. */
+  private endpointLimitWaitMs(rank: number, nowMs: number): number {
+    const waiting = this.queue.countAtLeastAsUrgent(rank);
+    return this.endpointLimiter.maxDelayMs(waiting + 1, nowMs);
+  }
+
+  /** Expected wait for a slot, by the measured service times, and until a cold endpoint may get the request. */
+  private expectedSlotWaitMs(rank: number, nowMs: number): number {
     const waiting = this.queue.countAtLeastAsUrgent(rank);
     const ahead = this.running.size + waiting - this.limit + 1;
     const slotWaitMs = ahead <= 0 ? 0 : (ahead * this.serviceTimes.overallMs) / this.limit;
@@ -392,7 +427,7 @@
       return this.refuse(ticket, 'cannot-finish-in-time', nowMs);
     }
     this.running.set(ticket.requestId, ticket.workClass);
-    this.coldStartLimiter.recordSent(nowMs);
+    this.rateLimiter.recordSent(nowMs);
     return { type: 'dispatch', requestId: ticket.requestId };
   }
 }
--- a/src/proxy/attempt-call.ts
+++ b/src/proxy/attempt-call.ts
@@ -14,12 +14,14 @@
   readonly startedAtMs: number;
   readonly attemptStartedAtMs: number;
   readonly isLate: boolean;
+  /** Rate limit of the endpoint; undefined if this node knows none. */
+  readonly knownMaxRatePerS: number | undefined;
 }
 
 /** The call that is sent to the attempt's endpoint. */
 export function callOf(context: RequestContext, body: RequestBody, start: AttemptStart): Call {
   const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = context;
-  const { attempt, retriesLeft, startedAtMs, attemptStartedAtMs, isLate } = start;
+  const { attempt, retriesLeft, startedAtMs, attemptStartedAtMs, isLate, knownMaxRatePerS } = start;
   return {
     ...workOf(match.route, startedAtMs, attemptStartedAtMs, isLate),
     requestId: `${attemptPrefix}.${attempt}`,
@@ -31,5 +33,6 @@
     callerNode: services.machineId,
     isRepeatable: match.repeatable,
     retriesLeft,
+    ...(knownMaxRatePerS !== undefined && { knownMaxRatePerS }),
   };
 }
--- a/src/proxy/attempt-errors.ts
+++ b/src/proxy/attempt-errors.ts
@@ -15,6 +15,7 @@
   LostBeforeStartError,
   MalformedAnswerError,
   OverloadedError,
+  RateLimitedError,
   TimedOutError,
   UnreachableError,
   type RequestError,
@@ -73,6 +74,8 @@
         'the deadline passed while the request was queued',
         retryAfterMs,
       );
+    case 'rate-limited':
+      return new RateLimitedError('the endpoint limits its rate of requests', retryAfterMs);
     case 'draining':
       return new EndpointDrainingError('the endpoint is draining', retryAfterMs);
     case 'evacuated':
--- a/src/proxy/attempted-endpoint.ts
+++ b/src/proxy/attempted-endpoint.ts
@@ -50,19 +50,30 @@
 
   /** Records the load that an answer or a refusal reported. */
   observeLoad(load: LoadReport | undefined, error: RequestError | undefined): void {
-    const { selector, scheduler } = this.context.services;
+    const { selector, scheduler, statements } = this.context.services;
+    const nowMs = scheduler.now();
     const observation = loadObservationOf(load, error, this.workClass);
-    if (this.endpoint !== undefined && observation !== undefined) {
-      selector.loadObserved(this.endpoint, observation, scheduler.now());
+    if (this.endpoint === undefined || observation === undefined) {
+      return;
+    }
+    selector.loadObserved(this.endpoint, observation, nowMs);
+    if (load?.maxRatePerS !== undefined) {
+      statements.of(this.endpoint).applyAnswer(load.maxRatePerS, this.attemptStartedAtMs, nowMs);
     }
   }
 
   /** Records that the endpoint's node has no capacity for this class of work. */
-  workRefused({ retryAfterMs = 0 }: RequestError, isLate: boolean): void {
-    if (this.endpoint !== undefined) {
-      const { services, match } = this.context;
-      const refusalClass = refusalClassOf(match.route, isLate);
-      const nowMs = services.scheduler.now();
+  workRefused(error: RequestError, isLate: boolean): void {
+    if (this.endpoint === undefined) {
+      return;
+    }
+    const { services, match } = this.context;
+    const { retryAfterMs = 0 } = error;
+    const refusalClass = refusalClassOf(match.route, isLate);
+    const nowMs = services.scheduler.now();
+    if (error.code === 'RATE_LIMITED') {
+      services.selector.rateLimited(this.endpoint, refusalClass, retryAfterMs, nowMs);
+    } else {
       services.selector.workRefused(this.endpoint, refusalClass, retryAfterMs, nowMs);
     }
   }
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -31,6 +31,8 @@
   readonly targetAtMs?: number | undefined;
   /** Until when the request may wait for a slot of the endpoint. On the node's clock. */
   readonly startByMs?: number | undefined;
+  /** Rate limit of the endpoint that the caller's node knows; undefined if it knows none. */
+  readonly knownMaxRatePerS?: number | undefined;
   /** How much longer than usual the call took to reach this node, in milliseconds. */
   readonly travelLostMs?: number;
 }
@@ -47,6 +49,8 @@
   readonly failureShare?: number;
   /** Mean service time of the request's class of work, in milliseconds; reported by the endpoint's node. */
   readonly serviceMs?: number | undefined;
+  /** Rate limit that the endpoint has stated; Infinity for none, undefined if it is not known. */
+  readonly maxRatePerS?: number | undefined;
 }
 
 /**
--- a/src/proxy/endpoint-gate-config.ts
+++ b/src/proxy/endpoint-gate-config.ts
@@ -11,6 +11,8 @@
   readonly coldStart: ColdStart | undefined;
   /** Share of a cold endpoint's request limit that this node may use. */
   readonly coldShare: number;
+  /** Share of the endpoint's own rate limit that this node may use. */
+  readonly rateShare: number;
 }
 
 /**
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -85,13 +85,14 @@
   ) {
     const { maxQueuedPerEndpoint, maxQueuedPerSlot } = options;
     this.coldStartLimiter = new ColdStartLimiter(startedAtMs);
+    this.statement = (options.statements ?? new EndpointStatements()).of(endpoint);
     this.admission = new EndpointAdmission(
       slots,
       maxQueuedPerEndpoint,
       maxQueuedPerSlot,
       this.coldStartLimiter,
+      this.statement.bucket,
     );
-    this.statement = (options.statements ?? new EndpointStatements()).of(endpoint);
     this.containment = options.containment ?? NO_CONTAINMENT;
     this.exitDetector = new ProcessExitDetector({
       inProgress: () => [...this.calls.values()].filter((gated) => gated.isInProgress()).reverse(),
@@ -123,6 +124,7 @@
       draining: this.admission.closedReason === 'draining',
       failureShare: this.failureShare.at(this.options.scheduler.now()),
       serviceMs: this.admission.serviceMs(workClass),
+      maxRatePerS: this.statement.maxRatePerS,
     };
   }
 
@@ -193,7 +195,14 @@
       return;
     }
     if (this.statement.applyAnswer(maxRatePerS, sentAtMs, this.options.scheduler.now())) {
-      this.recordRateLimit(maxRatePerS);
+      this.rateLimitChanged(`names ${rateLimitText(maxRatePerS)}`);
+    }
+  }
+
+  /** Applies the rate limit that a caller's node knows; see {@link EndpointStatement.applyReport}. */
+  applyReportedRateLimit(maxRatePerS: number): void {
+    if (this.statement.applyReport(maxRatePerS, this.options.scheduler.now())) {
+      this.rateLimitChanged(`has ${rateLimitText(maxRatePerS)}, as reported by a peer`);
     }
   }
 
@@ -217,8 +226,9 @@
   }
 
   /** Applies the configuration; a removed endpoint is drained. */
-  configure({ endpoint, slots, coldStart, coldShare }: EndpointGateConfig): void {
+  configure({ endpoint, slots, coldStart, coldShare, rateShare }: EndpointGateConfig): void {
     this.coldStartLimiter.configure(coldStart, coldShare);
+    this.statement.setRateShare(rateShare, this.options.scheduler.now());
     if (endpoint !== this.lastConfigured) {
       this.applyColdStateUpdate(endpoint);
       this.lastConfigured = endpoint;
@@ -350,10 +360,11 @@
     }
   }
 
-  private recordRateLimit(maxRatePerS: number): void {
-    this.options.counters.add('ferryspool_endpoint_rate_limit_changes_total');
-    const limit = maxRatePerS === Infinity ? 'no rate limit' : `a limit of ${maxRatePerS}/s`;
-    this.options.logStateChange('endpoint', `${this.endpoint.name} names ${limit}`);
+  private rateLimitChanged(change: string): void {
+    const { counters, logStateChange, scheduler } = this.options;
+    counters.add('ferryspool_endpoint_rate_limit_changes_total');
+    logStateChange('endpoint', `${this.endpoint.name} ${change}`);
+    this.execute(this.admission.rateLimitChanged(scheduler.now()));
   }
 
   /** Counts each occurrence and logs the first. */
@@ -366,7 +377,7 @@
     }
   }
 
-  /** Schedules the dispatch of requests that are queued because the endpoint is cold. */
+  /** Schedules the dispatch of requests that are queued because of a rate limit. */
   private scheduleResume(): void {
     this.cancelResume?.();
     const { scheduler } = this.options;
@@ -436,12 +447,17 @@
         this.releaseSuspect(effect.requestId);
       }
     }
-    if (this.isThrottledByColdStart || this.cancelResume !== undefined) {
+    if (this.isRateLimited || this.cancelResume !== undefined) {
       this.scheduleResume();
     }
   }
 
-  private get isThrottledByColdStart(): boolean {
+  /** Whether a request waits because of a rate limit. */
+  private get isRateLimited(): boolean {
     return this.admission.resumeDelayMs(this.options.scheduler.now()) !== undefined;
   }
 }
+
+function rateLimitText(maxRatePerS: number): string {
+  return maxRatePerS === Infinity ? 'no rate limit' : `a limit of ${maxRatePerS}/s`;
+}
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -22,6 +22,8 @@
   readonly slotsFor: (endpoint: Endpoint) => number;
   /** Share of a cold endpoint's request limit that this node may use; the full limit when absent. */
   readonly coldShareFor?: (endpoint: Endpoint) => number;
+  /** Share of the endpoint's own rate limit that this node may use; the full limit when absent. */
+  readonly rateShareFor?: (endpoint: Endpoint) => number;
 }
 
 /** The gates of one node. */
@@ -51,6 +53,10 @@
     this.currentGate(endpoint).unreserve(call);
   }
 
+  rateLimitReported(endpoint: Endpoint, maxRatePerS: number): void {
+    this.currentGate(endpoint).applyReportedRateLimit(maxRatePerS);
+  }
+
   load(endpoint: Endpoint, workClass: string): LoadReport {
     return this.currentGate(endpoint).load(workClass);
   }
@@ -134,13 +140,14 @@
   private configOf(snapshot: Snapshot, gate: EndpointGate): EndpointGateConfig {
     const { endpoint } = gate;
     const isSuperseded = this.successors.has(gate);
-    const { slotsFor, coldShareFor } = this.options;
+    const { slotsFor, coldShareFor, rateShareFor } = this.options;
     const { service } = endpoint.spec;
     return {
       endpoint: isSuperseded ? endpoint : endpointOnSameMachine(snapshot, endpoint),
       slots: slotsFor(endpoint),
       coldStart: snapshot.services.get(service)?.spec.coldStart,
       coldShare: coldShareFor?.(endpoint) ?? 1,
+      rateShare: rateShareFor?.(endpoint) ?? 1,
     };
   }
 
--- a/src/proxy/load-observation.ts
+++ b/src/proxy/load-observation.ts
@@ -13,7 +13,7 @@
   if (load === undefined && !draining) {
     return undefined;
   }
-  const { inFlight = 0, isNodeStopping, failureShare, serviceMs } = load ?? {};
+  const { inFlight = 0, isNodeStopping, failureShare, serviceMs, maxRatePerS } = load ?? {};
   const retryAfterMs = error?.status === 503 ? error.retryAfterMs : undefined;
   return {
     inFlight,
@@ -21,6 +21,7 @@
     isNodeStopping: isNodeStopping === true,
     ...(failureShare !== undefined && { failureShare }),
     ...(serviceMs !== undefined && { serviceTime: { workClass, meanMs: serviceMs } }),
+    ...(maxRatePerS !== undefined && { maxRatePerS }),
     ...(retryAfterMs !== undefined && { retryAfterMs }),
   };
 }
--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -38,6 +38,8 @@
   readonly targetLeftMs: number | undefined;
   /** Time until the endpoint should have started on the request. */
   readonly startLeftMs: number | undefined;
+  /** Rate limit of the endpoint that the sender knows, in requests per 1,000 s. */
+  readonly knownMaxRatePerKs: number | undefined;
   readonly bodyForm: BodyForm;
   /** Length of a `sized` body; 0 for other forms. */
   readonly bodyBytes: number;
@@ -53,8 +55,13 @@
   readonly failedPercent: number;
   /** Mean service time of the request's work class at the endpoint; undefined before the first measurement. */
   readonly serviceMs: number | undefined;
+  /** Rate limit that the endpoint has stated, in requests per 1,000 s; {@link NO_RATE_LIMIT} for none. */
+  readonly maxRatePerKs: number | undefined;
 }
 
+/** Value of {@link FrameLoad.maxRatePerKs} for an endpoint that has stated that it has no limit. */
+export const NO_RATE_LIMIT = -1;
+
 /** Head of an answer, with its body if `isHeld`. */
 export interface AnswerFrame extends FrameLoad {
   readonly kind: 'answer';
@@ -195,6 +202,7 @@
   isNodeStopping: flag,
   failedPercent: varint,
   serviceMs: optionalInteger,
+  maxRatePerKs: optionalInteger,
 };
 
 type Layout<F extends RelayFrame> = FieldType<Omit<F, 'kind'>>;
@@ -215,6 +223,7 @@
     workClass: longText,
     targetLeftMs: optionalInteger,
     startLeftMs: optionalInteger,
+    knownMaxRatePerKs: optionalInteger,
     bodyForm,
     bodyBytes: varint,
     bytes: remainingBytes,
--- a/src/proxy/relay/relay-load.ts
+++ b/src/proxy/relay/relay-load.ts
@@ -1,8 +1,9 @@
 /** Conversion between load reports and the load fields of frames. */
 import type { LoadReport } from '../call.js';
-import type { FrameLoad } from './relay-frame.js';
+import { NO_RATE_LIMIT, type FrameLoad } from './relay-frame.js';
 
 const PERCENT = 100;
+const SECONDS_PER_KS = 1_000;
 /** Reported if the load is unknown. */
 export const UNKNOWN_LOAD: LoadReport = { inFlight: 0, slots: 0, draining: false };
 
@@ -14,11 +15,28 @@
     isNodeStopping,
     failedPercent: Math.round((load.failureShare ?? 0) * PERCENT),
     serviceMs: load.serviceMs === undefined ? undefined : Math.round(load.serviceMs),
+    maxRatePerKs: ratePerKsOf(load.maxRatePerS),
   };
 }
 
+/** The rate limit as sent in frames; undefined if it is not known. */
+export function ratePerKsOf(maxRatePerS: number | undefined): number | undefined {
+  if (maxRatePerS === undefined) {
+    return undefined;
+  }
+  return maxRatePerS === Infinity ? NO_RATE_LIMIT : Math.round(maxRatePerS * SECONDS_PER_KS);
+}
+
+export function ratePerSOf(ratePerKs: number | undefined): number | undefined {
+  if (ratePerKs === undefined) {
+    return undefined;
+  }
+  return ratePerKs < 0 ? Infinity : ratePerKs / SECONDS_PER_KS;
+}
+
 export function loadOf(frame: FrameLoad): LoadReport {
   const { inFlight, slots, isDraining: draining, isNodeStopping, serviceMs } = frame;
   const failureShare = Math.min(1, frame.failedPercent / PERCENT);
-  return { inFlight, slots, draining, isNodeStopping, failureShare, serviceMs };
+  const maxRatePerS = ratePerSOf(frame.maxRatePerKs);
+  return { inFlight, slots, draining, isNodeStopping, failureShare, serviceMs, maxRatePerS };
 }
--- a/src/proxy/relay/relay-protocol.ts
+++ b/src/proxy/relay/relay-protocol.ts
@@ -4,6 +4,6 @@
  * Name and version of the protocol in the `Upgrade` header. Nodes with different versions do not open relay
  * connections to each other: a receiver waiting for a body and a sender waiting for credit would deadlock.
  */
-export const RELAY_PROTOCOL = 'ferryspool-relay/3';
+export const RELAY_PROTOCOL = 'ferryspool-relay/4';
 /** Authenticates the sender as a node of the fleet; see {@link ./relay-token.ts}. */
 export const RELAY_TOKEN_HEADER = 'ferryspool-relay-token';
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -13,6 +13,7 @@
 import { ConnectionLiveness, LOSS_TIMEOUT_MS, type LivenessLimits } from './link-pulse.js';
 import { RelayConnection } from './relay-connection.js';
 import type { RequestFrame, StreamFrame } from './relay-frame.js';
+import { ratePerSOf } from './relay-load.js';
 import { RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
 import { CreditPool } from './credit-pool.js';
 import type { UnresponsiveConnection } from './relay-link.js';
@@ -318,6 +319,10 @@
       request.failed(new UnknownEndpointError('this node does not own the endpoint'));
       return;
     }
+    const maxRatePerS = ratePerSOf(frame.knownMaxRatePerKs);
+    if (maxRatePerS !== undefined) {
+      options.endpoints.rateLimitReported(endpoint, maxRatePerS);
+    }
     request.start(options.endpoints, endpoint, this.callOf(frame, request));
   }
 
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -15,7 +15,7 @@
 import { isBuffered } from './collected-body.js';
 import { RelayBodyReader, RelayBodyWriter } from './relay-body.js';
 import type { AnswerFrame, BodyForm, FailureFrame, StreamFrame } from './relay-frame.js';
-import { loadOf } from './relay-load.js';
+import { loadOf, ratePerKsOf } from './relay-load.js';
 
 const HEAD_TOO_LARGE_STATUS = 431;
 /** Maximum length of a body sent in the request frame, in bytes: about three packets. */
@@ -83,6 +83,7 @@
       workClass: call.workClass,
       targetLeftMs: remainingMs(call.targetAtMs, nowMs),
       startLeftMs: remainingMs(call.startByMs, nowMs),
+      knownMaxRatePerKs: ratePerKsOf(call.knownMaxRatePerS),
       bodyForm: bodyFormOf(call.body),
       bodyBytes: inline === undefined ? (call.body.length ?? 0) : 0,
       bytes: inline ?? Buffer.alloc(0),
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -28,6 +28,8 @@
   /** Releases the reservation of a request that is not submitted. */
   unreserve(endpoint: Endpoint, call: Call): void;
   load(endpoint: Endpoint, workClass: string): LoadReport;
+  /** Applies the rate limit of the endpoint that a caller's node knows. */
+  rateLimitReported(endpoint: Endpoint, maxRatePerS: number): void;
 }
 
 /** A request received over a relay connection. */
--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -138,6 +138,13 @@
   override readonly retryable = true;
 }
 
+/** The endpoint's own rate limit allows the request only too late. */
+export class RateLimitedError extends NotRunError {
+  override readonly code = 'RATE_LIMITED';
+  override readonly status = 503;
+  override readonly retryable = true;
+}
+
 /** The request can't finish before its deadline, given the endpoint's measured service times. */
 export class CannotFinishInTimeError extends NotRunError {
   override readonly code = 'CANNOT_FINISH_IN_TIME';
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -106,12 +106,14 @@
       snapshot: () => options.snapshots.current(),
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
       coldShareFor: (endpoint) => this.services.coldShareFor(endpoint),
+      rateShareFor: (endpoint) => this.services.rateShareFor(endpoint),
     });
     this.services = new RequestServices({
       ...options,
       containment,
       requestLog: options.requestLog ?? NO_REQUEST_LOG,
       limits: this.limits,
+      statements: this.statements,
       isStopping: () => this.plannedStop.isStopping,
       scheduler: MACHINE_TIME,
       direct: this.gateway,
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -169,7 +169,7 @@
     if (endpoint === undefined || path === undefined || this.body === undefined) {
       const failure = new NoEndpointError(
         `no endpoint of service ${match.service} takes new work`,
-        NO_ENDPOINT_RETRY_MS,
+        this.noEndpointRetryMs(),
       );
       this.handle({ type: 'no-endpoint', attempt, failure });
       return;
@@ -185,6 +185,7 @@
       startedAtMs: this.startedAtMs,
       attemptStartedAtMs: requestAttempt.endpoint.startedAtMs,
       isLate: this.endpointChoice.isLate,
+      knownMaxRatePerS: services.rateLimitOf(endpoint),
     });
     const submission = path.submit(endpoint, call, {
       answered: (answer) => this.handleAnswer(requestAttempt, answer),
@@ -194,6 +195,14 @@
     requestAttempt.setSubmission(submission);
   }
 
+  /** Retry delay for the caller: until the first endpoint that is only rate limited may take work again. */
+  private noEndpointRetryMs(): number {
+    const { services, snapshot, match } = this.context;
+    const endpoints = services.endpointsOf(snapshot, match.service);
+    const delayMs = services.selector.rateLimitedForMs(endpoints, services.scheduler.now());
+    return Math.max(NO_ENDPOINT_RETRY_MS, delayMs ?? 0);
+  }
+
   private chooseEndpoint(): Endpoint | undefined {
     const { services, snapshot, match } = this.context;
     const trialFingerprint = this.standing?.trialFingerprint;
@@ -316,7 +325,7 @@
     if (incarnation !== undefined && isCapacityRefusal) {
       this.endpointChoice.markRefused(incarnation);
     }
-    if (isCapacityRefusal || code === 'ENDPOINT_EVACUATED') {
+    if (isCapacityRefusal || code === 'ENDPOINT_EVACUATED' || code === 'RATE_LIMITED') {
       endpoint.workRefused(error, this.endpointChoice.isLate);
     }
   }
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -6,6 +6,8 @@
 import type { Snapshot } from '../model/snapshot.js';
 import { coldShare, orphanSlots, ownedSlots, sharedSlots } from '../routing/direct-access.js';
 import { EndpointSelector } from '../routing/endpoint-selector.js';
+import { EndpointStatements } from '../routing/endpoint-statements.js';
+import { LimitedSenders } from '../routing/limited-senders.js';
 import { RetryBudget } from '../routing/retry-budget.js';
 import { trialEndpoints } from '../routing/trial-endpoint.js';
 import type { RouteMatch } from '../routing/route-table.js';
@@ -28,6 +30,8 @@
   relayAddress(machineId: string): RelayAddress | undefined;
   /** Number of members not known to be dead, including this node. */
   count(): number;
+  /** Machines of the members not known to be dead, with or without this node. */
+  machineIds(): Iterable<string>;
   /** Records a response of the machine's node, even if it is only a refusal. */
   recordResponse?(machineId: string): void;
 }
@@ -41,6 +45,8 @@
   readonly counters: CounterSink;
   readonly random: RandomSource;
   readonly scheduler: Scheduler;
+  /** What endpoints have stated about themselves; empty if absent. */
+  readonly statements?: EndpointStatements;
   readonly requestLog?: RequestLog;
   /** Tracks requests during which endpoint processes ended; not tracked if absent. */
   readonly containment?: CallContainment;
@@ -67,9 +73,11 @@
   readonly machineId: string;
   readonly requestLog: RequestLog;
   readonly targets: WeightedTargets;
+  readonly statements: EndpointStatements;
   readonly containment: CallContainment;
   readonly isStopping: () => boolean;
   readonly onFailureMs: (ms: number) => void;
+  private readonly limitedSenders: LimitedSenders;
   private readonly budgets = new Map<string, RetryBudget>();
 
   constructor(private readonly options: RequestServicesOptions) {
@@ -84,6 +92,8 @@
     this.random = options.random;
     this.scheduler = options.scheduler;
     this.machineId = options.identity.id;
+    this.statements = options.statements ?? new EndpointStatements();
+    this.limitedSenders = new LimitedSenders(this.machineId, () => options.members.machineIds());
   }
 
   /**
@@ -126,9 +136,12 @@
   /** Returns the path to an endpoint, or undefined if this node may not send it new requests. */
   pathTo(endpoint: Endpoint): EndpointPath | undefined {
     const { machine } = endpoint.spec;
-    if (machine === undefined || machine === this.machineId) {
+    if (machine === this.machineId) {
       return this.options.direct;
     }
+    if (machine === undefined) {
+      return this.directPathTo(endpoint);
+    }
     const { members } = this.options;
     const status = members.status(machine);
     if (status === 'leaving') {
@@ -137,6 +150,10 @@
     if (status !== 'dead' && members.relayAddress(machine) !== undefined) {
       return this.options.relay;
     }
+    return this.directPathTo(endpoint);
+  }
+
+  private directPathTo(endpoint: Endpoint): EndpointPath | undefined {
     return this.slotsFor(endpoint) > 0 ? this.options.direct : undefined;
   }
 
@@ -147,11 +164,28 @@
       return ownedSlots(endpoint);
     }
     const nodeCount = this.options.members.count();
+    if (this.statements.of(endpoint).isLimited) {
+      return this.rateShareFor(endpoint) > 0 ? sharedSlots(endpoint, nodeCount) : 0;
+    }
     return machine === undefined
       ? sharedSlots(endpoint, nodeCount)
       : orphanSlots(endpoint, this.machineId, nodeCount);
   }
 
+  /** This node's share of the rate limit that the endpoint has stated, from 0 to 1. */
+  rateShareFor(endpoint: Endpoint): number {
+    const { maxRatePerS = Infinity } = this.statements.of(endpoint);
+    return maxRatePerS === Infinity
+      ? 1
+      : this.limitedSenders.shareOf(endpoint, maxRatePerS, this.scheduler.now());
+  }
+
+  /** Rate limit of the endpoint, in requests per second; undefined if this node knows none. */
+  rateLimitOf(endpoint: Endpoint): number | undefined {
+    const { isLimited, maxRatePerS } = this.statements.of(endpoint);
+    return isLimited ? maxRatePerS : undefined;
+  }
+
   /** This node's share of the load that a cold endpoint can handle, from 0 to 1. */
   coldShareFor(endpoint: Endpoint): number {
     return coldShare(endpoint, this.machineId, this.options.members.count());
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -31,6 +31,15 @@
 const UNCONFIRMED_DRAINING_HOLD_MS = 500;
 /** Time for which an endpoint whose node is about to stop receives no requests, in milliseconds. */
 const NODE_STOPPING_HOLD_MS = 3_000;
+/** Maximum time for which an endpoint that refused work because of its rate limit receives none, in milliseconds. */
+const MAX_RATE_LIMIT_HOLD_MS = 5_000;
+/** Time for which a reported rate limit lowers the weight of the endpoint, in milliseconds. */
+const RATE_LIMIT_LIFETIME_MS = 10_000;
+/** Service time by which a rate limit is converted to slots if none is known, in milliseconds. */
+const DEFAULT_SERVICE_MS = 100;
+/** Minimum number of slots to which a rate limit is converted. */
+const MIN_LIMITED_SLOTS = 0.05;
+const MS_PER_SECOND = 1_000;
 /** Added to the load of an endpoint during the retry delay that it requested. */
 const REFUSAL_PENALTY = 1;
 
@@ -56,6 +65,8 @@
   readonly failureShare?: number;
   /** Mean service time of a class of work, in milliseconds, reported by the endpoint's node. */
   readonly serviceTime?: { readonly workClass: string; readonly meanMs: number };
+  /** Rate limit that the endpoint has stated, in requests per second; Infinity for none. */
+  readonly maxRatePerS?: number;
   /** Retry delay requested by the endpoint, in milliseconds. */
   readonly retryAfterMs?: number;
 }
@@ -68,6 +79,11 @@
   private observedAtMs = 0;
   private busyUntilMs = 0;
   private drainingUntilMs = 0;
+  private rateLimitedUntilMs = -Infinity;
+  private maxRatePerS = Infinity;
+  private maxRateReportedAtMs = -Infinity;
+  /** Service time as last reported, of any class of work. */
+  private serviceMs = DEFAULT_SERVICE_MS;
   /** Time until which each class of work is expected to be refused. */
   private readonly refusesUntilMs = new Map<string, number>();
   /** Failures among this node's own attempts. */
@@ -120,17 +136,30 @@
     return nowMs < this.drainingUntilMs;
   }
 
-  /** Load as a share of the slots, weighted down for a new or cold endpoint. */
+  /**
+   * The slots that the endpoint can use: no more than its rate limit keeps occupied, if it has stated one. Then the
+   * result may be a fraction.
+   */
+  usableSlots(slots: number, nowMs: number): number {
+    if (nowMs >= this.maxRateReportedAtMs + RATE_LIMIT_LIFETIME_MS) {
+      return slots;
+    }
+    const limitedSlots = (this.maxRatePerS * this.serviceMs) / MS_PER_SECOND;
+    return Math.min(slots, Math.max(MIN_LIMITED_SLOTS, limitedSlots));
+  }
+
+  /** Load as a share of the usable slots, weighted down for a new or cold endpoint. */
   load(slots: number, nowMs: number): number {
     const ageMs = Math.max(0, nowMs - this.observedAtMs);
     const otherInFlight = this.otherInFlight * 0.5 ** (ageMs / LOAD_HALF_LIFE_MS);
     const penalty = nowMs < this.busyUntilMs ? REFUSAL_PENALTY : 0;
-    return (this.inFlight + otherInFlight) / (slots * this.capacityShare(nowMs)) + penalty;
+    const usableSlots = this.usableSlots(slots, nowMs) * this.capacityShare(nowMs);
+    return (this.inFlight + otherInFlight) / usableSlots + penalty;
   }
 
   /** Whether one more request may find a free slot, according to the known load. */
   mayHaveFreeSlot(slots: number, nowMs: number): boolean {
-    return this.load(slots, nowMs) + 1 / slots <= 1;
+    return this.load(slots, nowMs) + 1 / this.usableSlots(slots, nowMs) <= 1;
   }
 
   /** Share of the endpoint's recent requests that failed; the greater of the own and the reported share. */
@@ -178,6 +207,11 @@
     this.reportedFailures.set(load.failureShare ?? 0, nowMs);
     if (load.serviceTime !== undefined) {
       this.latencies.setReported(load.serviceTime.workClass, load.serviceTime.meanMs, nowMs);
+      this.serviceMs = load.serviceTime.meanMs;
+    }
+    if (load.maxRatePerS !== undefined) {
+      this.maxRatePerS = load.maxRatePerS;
+      this.maxRateReportedAtMs = nowMs;
     }
     if (load.draining) {
       const isUnconfirmed = nowMs < this.unconfirmedDrainUntilMs;
@@ -196,6 +230,17 @@
     this.refusesUntilMs.set(workClass, nowMs + Math.min(holdMs, MAX_REFUSAL_HOLD_MS));
   }
 
+  /** Records that the endpoint's rate limit allows no request of the class of work for `holdMs`. */
+  rateLimited(workClass: string, holdMs: number, nowMs: number): void {
+    this.rateLimitedUntilMs = nowMs + Math.min(holdMs, MAX_RATE_LIMIT_HOLD_MS);
+    this.refusesUntilMs.set(workClass, this.rateLimitedUntilMs);
+  }
+
+  /** Time until the endpoint is expected to accept a request by its rate limit, in milliseconds. */
+  rateLimitedForMs(nowMs: number): number {
+    return Math.max(0, this.rateLimitedUntilMs - nowMs);
+  }
+
   /** Whether the class of work was refused recently enough to be refused again. */
   isRefusing(workClass: string, nowMs: number): boolean {
     return nowMs < (this.refusesUntilMs.get(workClass) ?? 0);
--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -119,6 +119,22 @@
     this.recordOf(endpoint, nowMs).workRefused(workClass, holdMs, nowMs);
   }
 
+  /** Records that the endpoint's rate limit allows no request of the class of work for `holdMs`. */
+  rateLimited(endpoint: Endpoint, workClass: string, holdMs: number, nowMs: number): void {
+    this.recordOf(endpoint, nowMs).rateLimited(workClass, holdMs, nowMs);
+  }
+
+  /**
+   * Time until the first of the endpoints is expected to accept a request again by its rate limit, in milliseconds;
+   * undefined if none of them has refused one because of it.
+   */
+  rateLimitedForMs(endpoints: readonly Endpoint[], nowMs: number): number | undefined {
+    const delaysMs = endpoints
+      .map((endpoint) => this.recordOf(endpoint, nowMs).rateLimitedForMs(nowMs))
+      .filter((delayMs) => delayMs > 0);
+    return delaysMs.length === 0 ? undefined : Math.min(...delaysMs);
+  }
+
   /** Records the load reported with a response or a refusal. */
   loadObserved(endpoint: Endpoint, load: LoadObservation, nowMs: number): void {
     this.recordOf(endpoint, nowMs).observeLoad(load, nowMs);
--- a/src/routing/endpoint-statement.ts
+++ b/src/routing/endpoint-statement.ts
@@ -3,12 +3,24 @@
  * endpoint, independently of its configuration entry, which may be removed and listed again meanwhile. Pure: time is
  * passed in.
  */
+import { TokenBucket } from '../admission/token-bucket.js';
+
+/**
+ * Lowest rate at which requests are sent, in requests per second: without any request, no answer could raise or lift
+ * the limit.
+ */
+const MIN_RATE_PER_S = 0.2;
 
 /** The latest statements of one endpoint. */
 export class EndpointStatement {
+  /** Enforces this node's share of the rate limit. Kept here, so that a new gate does not start with new tokens. */
+  readonly bucket = new TokenBucket();
   private limitPerS: number | undefined;
   /** When the statement in force arrived. */
   private statedAtMs = -Infinity;
+  /** Whether the limit is known only from another node. */
+  private isReported = false;
+  private rateShare = 1;
 
   /**
    * Maximum rate of requests from all nodes together, in requests per second: Infinity if the endpoint states no
@@ -33,13 +45,44 @@
     if (!isNewer && maxRatePerS >= (this.limitPerS ?? Infinity)) {
       return false;
     }
+    this.isReported = false;
+    return this.setLimit(maxRatePerS, nowMs);
+  }
+
+  /**
+   * Applies the limit that another node knows, unless this node has received an answer of the endpoint itself. Of
+   * several such limits, the lowest holds. Returns whether the limit has changed.
+   */
+  applyReport(maxRatePerS: number, nowMs: number): boolean {
+    const isUnknown = this.limitPerS === undefined;
+    if (!isUnknown && !(this.isReported && maxRatePerS < (this.limitPerS ?? Infinity))) {
+      return false;
+    }
+    this.isReported = true;
     return this.setLimit(maxRatePerS, nowMs);
   }
 
+  /** Sets the share of the limit that this node may use, from 0 to 1. */
+  setRateShare(share: number, nowMs: number): void {
+    if (share !== this.rateShare) {
+      this.rateShare = share;
+      this.updateBucket(nowMs);
+    }
+  }
+
   private setLimit(maxRatePerS: number, nowMs: number): boolean {
     const isChanged = (this.limitPerS ?? Infinity) !== maxRatePerS;
     this.limitPerS = maxRatePerS;
     this.statedAtMs = nowMs;
+    if (isChanged) {
+      this.updateBucket(nowMs);
+    }
     return isChanged;
   }
+
+  private updateBucket(nowMs: number): void {
+    const { limitPerS = Infinity } = this;
+    const ratePerS = Math.max(MIN_RATE_PER_S, limitPerS);
+    this.bucket.setRate(ratePerS === Infinity ? Infinity : ratePerS * this.rateShare, nowMs);
+  }
 }
--- a/src/routing/least-latency-strategy.ts
+++ b/src/routing/least-latency-strategy.ts
@@ -74,7 +74,8 @@
   ): number {
     const latencyMs = record.latencies.expectedMs(workClass, fallbackMs, nowMs);
     const { slots } = endpoint.spec;
-    const waiting = Math.max(0, record.load(slots, nowMs) + 1 / slots - WAITING_LOAD);
+    const loadWithThis = record.load(slots, nowMs) + 1 / record.usableSlots(slots, nowMs);
+    const waiting = Math.max(0, loadWithThis - WAITING_LOAD);
     return (latencyMs + waiting * Math.max(1, latencyMs)) * (1 + JITTER * this.random());
   }
 }
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -149,6 +149,7 @@
         status: (machineId) => this.control?.plane.memberStatus(machineId) ?? 'unknown',
         relayAddress: (machineId) => this.relayAddress(machineId),
         count: () => this.memberCount(),
+        machineIds: () => this.memberIds(),
       },
       counters: this.metrics,
       random: Math.random,
@@ -246,6 +247,14 @@
   private memberCount(): number {
     return Math.max(1, this.control?.plane.status().machines ?? 1);
   }
+
+  private *memberIds(): IterableIterator<string> {
+    for (const { member, status } of this.control?.plane.members() ?? []) {
+      if (status !== 'dead') {
+        yield member.id;
+      }
+    }
+  }
 }
 
 function portOf(server: http.Server | undefined): number {
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -243,6 +243,7 @@
         status: (address) => (this.peers.isUnresponsive(address) ? 'leaving' : 'unknown'),
         relayAddress: (address) => ({ address, port: relay.port }),
         count: () => this.machineCount,
+        machineIds: () => this.zones.keys(),
         recordResponse: (address) => this.peers.recordReceived(address),
       },
       counters: this.metrics,
--- a/test/platform/rate-limited-backend.test.ts
+++ b/test/platform/rate-limited-backend.test.ts
@@ -3,6 +3,7 @@
  * that gets more than its limit from all machines that have passed on such an answer.
  */
 import { expect } from 'chai';
+import { answer, refuse } from '../../standins/store-platform/backend-stand-in.js';
 import { pause, PlatformFleet, type ClientResult, type FleetMachine } from './platform-fleet.js';
 
 const ROUTE = { kind: 'safe', timeoutS: 2, targetLatencyS: 0.5, maxAttempts: 2 } as const;
@@ -12,6 +13,10 @@
 /** Time after a machine's first such answer from which its requests count, in milliseconds. */
 const TOLD_MS = 500;
 const WINDOW_MS = 4_000;
+/** Half of the target latency: a refusal that takes longer came after a wait, in milliseconds. */
+const IMMEDIATE_MS = 250;
+/** Time in which all nodes know a change of the store, in milliseconds. */
+const KNOWN_AFTER_MS = 900;
 /** Requests allowed in any window of {@link WINDOW_MS}. */
 function allowedInWindow(limitPerS: number): number {
   return (1.5 * limitPerS * WINDOW_MS) / MS_PER_SECOND + 5;
@@ -83,4 +88,107 @@
     await load(3.5);
     expect(busiestWindow(arrivalTimes(toldAtMs))).to.be.at.most(allowedInWindow(0.4));
   }).timeout(15_000);
+
+  it('keeps to the limit when its entry is removed from the store and listed again', async () => {
+    home.backend.rateLimit = '0.4';
+    await load(TOLD_MS / MS_PER_SECOND);
+    const toldAtMs = performance.now();
+    fleet.store.remove(`servers/${home.backend.id}`);
+    await pause(KNOWN_AFTER_MS);
+    fleet.announce(home, 'a', 'ready');
+    await pause(KNOWN_AFTER_MS);
+    await load(3);
+    expect(busiestWindow(arrivalTimes(toldAtMs))).to.be.at.most(allowedInWindow(0.4));
+  }).timeout(15_000);
+
+  it('gets all requests again once its answers name no limit', async () => {
+    home.backend.rateLimit = '3.3';
+    await load(1);
+    home.backend.rateLimit = undefined;
+    await load(1);
+    const liftedAtMs = performance.now();
+    const results = await load(1);
+    expect(arrivalTimes(liftedAtMs).length).to.be.at.least(RATE_PER_S * 0.9);
+    expect(results.filter(({ status }) => status === 200).length).to.be.at.least(RATE_PER_S * 0.9);
+  }).timeout(15_000);
+
+  it('gets a request now and then at a limit of 0, so that the limit can be lifted', async () => {
+    home.backend.rateLimit = '0';
+    await load(TOLD_MS / MS_PER_SECOND);
+    const toldAtMs = performance.now();
+    const before = load(3);
+    await pause(1_000);
+    home.backend.rateLimit = undefined;
+    await before;
+    await load(4);
+    expect(arrivalTimes(toldAtMs).length).to.be.at.least(RATE_PER_S);
+  }).timeout(15_000);
+
+  it('is not limited as a new incarnation, which has named no limit', async () => {
+    home.backend.rateLimit = '0.4';
+    await load(1);
+    home.backend.rateLimit = undefined;
+    home.backend.close();
+    await fleet.restartBackend(home);
+    await pause(KNOWN_AFTER_MS);
+    await load(1);
+    expect(arrivalTimes().length).to.be.at.least(RATE_PER_S * 0.9);
+  }).timeout(15_000);
+
+  it('gets no less because of a limit in the answer of another back end at its address', async () => {
+    home.backend.rateLimit = '0.4';
+    home.backend.behaviour = (_request, response, { requestId }) => {
+      refuse(response, requestId, 421);
+    };
+    await load(0.3);
+    home.backend.rateLimit = undefined;
+    home.backend.behaviour = (_request, response, { requestId }) => answer(response, requestId);
+    await pause(2_000);
+    home.backend.arrivals.length = 0;
+    await load(1);
+    expect(arrivalTimes().length).to.be.at.least(RATE_PER_S * 0.9);
+  }).timeout(15_000);
+
+  it('has its answers served although the limit in them is not a number, which is logged once', async () => {
+    home.backend.rateLimit = '-1';
+    const results = await load(1);
+    expect(new Set(results.map(({ status }) => status))).to.deep.equal(new Set([200]));
+    const lines = home.log.filter((line) => line.includes('rate limit that is not a number'));
+    expect(lines).to.have.length(1);
+    const unreadable = /ferryspool_endpoint_rate_limits_unreadable_total (\d+)/;
+    const [, count] = unreadable.exec(await fleet.metrics(home)) ?? [];
+    expect(Number(count)).to.be.at.least(RATE_PER_S * 0.9);
+  }).timeout(15_000);
+
+  it('has the rest refused at once with a time to come back, as not run', async () => {
+    home.backend.rateLimit = '3.3';
+    await load(TOLD_MS / MS_PER_SECOND);
+    const results = await load(1);
+    const refused = results.filter(({ status }) => status === 503);
+    expect(refused.length).to.be.at.least(RATE_PER_S * 0.8);
+    for (const { headers } of refused) {
+      expect(Number(headers['retry-after'])).to.be.within(0.05, 6);
+    }
+    for (let call = 0; call < 10; call += 1) {
+      const startedAtMs = performance.now();
+      const { status } = await fleet.call(home, { deadlineMs: 1_000 });
+      const elapsedMs = performance.now() - startedAtMs;
+      expect(status === 503 ? elapsedMs : 0).to.be.lessThan(IMMEDIATE_MS);
+    }
+    const codes = home.log.filter((line) => line.includes('"code":"rate-limited"'));
+    expect(codes.length).to.be.at.least(1);
+  }).timeout(15_000);
+
+  it('leaves the rest to the other back ends of its service', async () => {
+    const second = await fleet.addMachine('a');
+    senders = [...senders, second];
+    await pause(KNOWN_AFTER_MS);
+    home.backend.rateLimit = '3.3';
+    await load(TOLD_MS / MS_PER_SECOND);
+    const toldAtMs = performance.now();
+    const results = await load(3);
+    const served = results.filter(({ status }) => status === 200);
+    expect(served.length).to.be.at.least(results.length * 0.95);
+    expect(busiestWindow(arrivalTimes(toldAtMs))).to.be.at.most(allowedInWindow(3.3));
+  }).timeout(15_000);
 });
--- a/test/proxy/fuzz/request-world.ts
+++ b/test/proxy/fuzz/request-world.ts
@@ -113,6 +113,7 @@
         status: (machineId) => world.statuses.get(machineId) ?? 'alive',
         relayAddress: () => VIRTUAL_RELAY,
         count: () => NODE_NAMES.length,
+        machineIds: () => NODE_NAMES,
       },
       snapshots: { current: () => world.snapshot },
       counters,
--- a/test/proxy/late-requests.test.ts
+++ b/test/proxy/late-requests.test.ts
@@ -213,6 +213,7 @@
         status: () => 'alive',
         relayAddress: () => VIRTUAL_RELAY,
         count: () => ENDPOINT_NAMES.length + 1,
+        machineIds: () => [],
       },
       counters: { add: () => undefined },
       random: () => 0,
--- a/test/proxy/redirected-attempt.test.ts
+++ b/test/proxy/redirected-attempt.test.ts
@@ -87,6 +87,7 @@
         status: () => 'alive',
         relayAddress: () => ({ address: '127.0.0.1', port: 1 }),
         count: () => 2,
+        machineIds: () => [],
       },
       counters: { add: () => undefined },
       random: () => 0.5,
--- a/test/proxy/relay-sender.ts
+++ b/test/proxy/relay-sender.ts
@@ -73,6 +73,7 @@
       headers: ['Host', 'a'],
       remainingMs: 1_000,
       retriesLeft: 0,
+      knownMaxRatePerKs: undefined,
       priority: 0,
       workClass: '',
       targetLeftMs: undefined,
--- a/test/proxy/relay/relay-frame.test.ts
+++ b/test/proxy/relay/relay-frame.test.ts
@@ -21,6 +21,7 @@
   isNodeStopping: fc.boolean(),
   failedPercent: fc.integer({ min: 0, max: 100 }),
   serviceMs: fc.option(fc.integer({ min: 0, max: 1_000_000 }), { nil: undefined }),
+  maxRatePerKs: fc.option(fc.integer({ min: -1, max: 1e12 }), { nil: undefined }),
 };
 
 const frames: fc.Arbitrary<RelayFrame> = fc.oneof(
@@ -40,6 +41,7 @@
     workClass: shortText,
     targetLeftMs: optionalMs,
     startLeftMs: optionalMs,
+    knownMaxRatePerKs: fc.option(fc.integer({ min: -1, max: 1e12 }), { nil: undefined }),
     bodyForm: fc.constantFrom(
       'none' as const,
       'held' as const,
--- a/test/proxy/rig.ts
+++ b/test/proxy/rig.ts
@@ -135,6 +135,7 @@
         status: (machineId) => this.statuses.get(machineId) ?? 'alive',
         relayAddress: (machineId) => this.relayAddressOf(machineId),
         count: () => this.nodes.length,
+        machineIds: () => this.nodes.map((node) => node.id),
       },
       counters: { add: (name, by = 1) => counters.set(name, (counters.get(name) ?? 0) + by) },
       random: seededRandom(7),
--- a/test/proxy/stop/stop-world.ts
+++ b/test/proxy/stop/stop-world.ts
@@ -357,6 +357,7 @@
         status: () => 'alive',
         relayAddress: () => VIRTUAL_RELAY,
         count: () => 2,
+        machineIds: () => [],
       },
       counters: { add: () => undefined },
       random: () => 0.5,
--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -33,6 +33,8 @@
   'platform/planned-stop.test.js': 17,
   'platform/redirected-request.test.js': 15,
   'platform/stop-last-moment.test.js': 9,
+  'platform/rate-limited-backend.test.js': 42,
+  'proxy/rate-limit-senders.test.js': 62,
   'soak/soak.test.js': 145,
   'soak/late-readers.test.js': 90,
   'soak/long-turns.test.js': 45,
--- a/tools/experiment/emulated-fleet.ts
+++ b/tools/experiment/emulated-fleet.ts
@@ -58,6 +58,10 @@
     return this.nodes.size;
   }
 
+  get machineIds(): Iterable<string> {
+    return this.nodes.keys();
+  }
+
   /** Bytes that left machines. */
   get linkBytes(): number {
     return [...this.nodes.values()].reduce((bytes, { link }) => bytes + link.sentBytes, 0);
--- a/tools/experiment/emulated-node.ts
+++ b/tools/experiment/emulated-node.ts
@@ -48,6 +48,7 @@
   readonly snapshot: Snapshot;
   readonly routes: RouteTable;
   readonly nodeCount: number;
+  readonly machineIds: Iterable<string>;
   /** An attempt is made. */
   readonly attempted: () => void;
   /** An endpoint got an attempt. */
@@ -180,6 +181,7 @@
         status: (machine) => (this.watch.isSilent(machine) ? 'leaving' : 'unknown'),
         relayAddress: () => ({ address: HOST, port: PORT }),
         count: () => fleet.nodeCount,
+        machineIds: () => fleet.machineIds,
         recordResponse: (machine) => this.hear(machine),
       },
       counters: { add: () => undefined },
