--- a/test/soak/soak-case.ts
+++ b/test/soak/soak-case.ts
@@ -41,10 +41,17 @@
   expect(losses).to.deep.equal([]);
 }
 
+/** Runs a soak whose back ends do not name their rate limits, so that the judge must find them exceeded. */
+export async function expectHiddenLimitsExceeded(seed: number): Promise<void> {
+  const broken = await brokenIn(seed, 'limits', undefined, true);
+  expect(broken.map(({ promise }) => promise)).to.include('rate-limit');
+}
+
 async function brokenIn(
   seed: number,
   plan: SoakPlan,
   shapePath?: string,
+  hidesLimits = false,
 ): Promise<readonly BrokenPromise[]> {
   const log: string[] = [];
   const { broken, record } = await runSoak({
@@ -54,6 +61,7 @@
     perSecond: CALLS_PER_SECOND,
     plan,
     uploadsPerSecond: UPLOADS_PER_SECOND,
+    hidesLimits,
     ...(shapePath !== undefined && { shape: loadShape(shapePath) }),
     network: await claimNetwork(seed),
     say: (text) => log.push(`soak ${text}`),
@@ -63,7 +71,7 @@
       }
     },
   });
-  if (broken.length > 0) {
+  if (broken.length > 0 && !hidesLimits) {
     process.stdout.write(`${log.slice(-MAX_PRINTED_LINES).join('\n')}\n`);
   }
   expect(record.calls.length).to.be.greaterThan(LEAST_CALLS);
--- a/test/soak/soak-records.ts
+++ b/test/soak/soak-records.ts
@@ -12,6 +12,7 @@
     stops: [],
     reloads: [],
     crashes: [],
+    limits: [],
     silences: [],
     callerSilences: [],
     configuredAtMs: new Map(),
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,8 +1,14 @@
 /**
  * Short soaks of real processes in every build: single faults, series with uploads, silences, requests
- * that end back ends, rolls beside connections that are slow, and planned work in the shape of a deployment.
+ * that end back ends, rolls beside connections that are slow, planned work in the shape of a deployment, and back
+ * ends that name rate limits.
  */
-import { expectPromisesKept, SHAPED_TEST_TIMEOUT_MS, SOAK_TEST_TIMEOUT_MS } from './soak-case.js';
+import {
+  expectHiddenLimitsExceeded,
+  expectPromisesKept,
+  SHAPED_TEST_TIMEOUT_MS,
+  SOAK_TEST_TIMEOUT_MS,
+} from './soak-case.js';
 
 describe('a soak of real processes', () => {
   it('keeps every promise', async () => {
@@ -29,6 +35,14 @@
     await expectPromisesKept(43, 'restores');
   }).timeout(SHAPED_TEST_TIMEOUT_MS);
 
+  it('keeps every promise when back ends name rate limits, and faults strike the nodes beside them', async () => {
+    await expectPromisesKept(64, 'limits');
+  }).timeout(SOAK_TEST_TIMEOUT_MS);
+
+  it('finds rate limits exceeded that back ends have but do not name', async () => {
+    await expectHiddenLimitsExceeded(64);
+  }).timeout(SOAK_TEST_TIMEOUT_MS);
+
   it('keeps every promise when many nodes stop at a time beside connections that are slow', async () => {
     await expectPromisesKept(37, 'rolls');
   }).timeout(SOAK_TEST_TIMEOUT_MS);
--- a/tools/soak/broken-promise.ts
+++ b/tools/soak/broken-promise.ts
@@ -20,6 +20,8 @@
   | 'never-back'
   /** A back end that leaves gets nothing new after its bound. */
   | 'drain'
+  /** A back end that names a rate limit gets no more requests than that from machines that know it. */
+  | 'rate-limit'
   /** What a node had read gets a whole answer although it is told to stop. */
   | 'planned-stop'
   /** A planned stop ends by itself, in time and without an error. */
--- a/tools/soak/contact.ts
+++ b/tools/soak/contact.ts
@@ -27,6 +27,7 @@
     kind === 'backend-drain' ||
     kind === 'stall' ||
     kind === 'backend-fault' ||
+    kind === 'backend-limit' ||
     kind === 'backend-crash'
   );
 }
--- a/tools/soak/fault-injector.ts
+++ b/tools/soak/fault-injector.ts
@@ -7,7 +7,7 @@
   type StoreOutage,
 } from './fault-plan.js';
 import type { LinkProxy, LinkState } from './link-proxy.js';
-import type { FaultWindow, SoakReload, SoakStop } from './soak-record.js';
+import type { FaultWindow, SoakLimit, SoakReload, SoakStop } from './soak-record.js';
 import type { SoakFleet, SoakMachine } from './soak-fleet.js';
 import { SOAK_TERMS } from './soak-terms.js';
 
@@ -35,6 +35,7 @@
       | 'store-compact'
       | 'store-restore'
       | 'backend-fault'
+      | 'backend-limit'
       | 'backend-crash'
       | 'backend-drain'
       | 'configure';
@@ -46,6 +47,8 @@
   readonly fleet: SoakFleet;
   readonly nowMs: () => number;
   readonly say: (text: string) => void;
+  /** Whether back ends record their rate limits but do not name them; false when absent. */
+  readonly hidesLimits?: boolean;
 }
 
 /** The injector; faults may overlap, but a machine's process is held by one at a time. */
@@ -53,6 +56,7 @@
   readonly windows: FaultWindow[] = [];
   readonly stops: SoakStop[] = [];
   readonly reloads: SoakReload[] = [];
+  readonly limits: SoakLimit[] = [];
   /** Machines whose node or back end a fault holds. */
   private readonly heldNodes = new Set<number>();
   private readonly heldBackends = new Set<number>();
@@ -100,6 +104,8 @@
         return this.restoreStore(fault);
       case 'backend-fault':
         return this.failBackends(fault);
+      case 'backend-limit':
+        return this.limitBackends(fault);
       case 'backend-crash':
         return this.replaceBackends(fault, false);
       case 'backend-drain':
@@ -269,6 +275,24 @@
     release(this.heldBackends, machines);
   }
 
+  /** Back ends name rate limits one after the other, then none. */
+  private async limitBackends(fault: Extract<SoakFault, { kind: 'backend-limit' }>): Promise<void> {
+    const { ratesPerS, forMs } = fault;
+    const machines = this.hold(this.heldBackends, fault.machines);
+    await this.during(fault, machines, async () => {
+      for (const ratePerS of [...ratesPerS, undefined]) {
+        machines.forEach((machine) => this.nameLimit(machine, ratePerS));
+        await delay(ratePerS === undefined ? 0 : forMs / ratesPerS.length);
+      }
+    });
+    release(this.heldBackends, machines);
+  }
+
+  private nameLimit({ backend }: SoakMachine, ratePerS: number | undefined): void {
+    backend.nameLimit(ratePerS, this.params.hidesLimits === true);
+    this.limits.push({ backend: backend.id, atMs: this.params.nowMs(), ratePerS });
+  }
+
   /** A planned end is announced and serves on for a while; a crash is neither. */
   private async replaceBackends(
     fault: Extract<SoakFault, { kind: 'backend-crash' | 'backend-drain' }>,
--- a/tools/soak/fault-plan.ts
+++ b/tools/soak/fault-plan.ts
@@ -63,6 +63,13 @@
       readonly share: number;
       readonly forMs: number;
     }
+  | {
+      readonly kind: 'backend-limit';
+      readonly machines: readonly number[];
+      /** Limits that the back end names one after the other, in requests per second; each for an equal time. */
+      readonly ratesPerS: readonly number[];
+      readonly forMs: number;
+    }
   | { readonly kind: 'backend-crash'; readonly machines: readonly number[]; readonly forMs: number }
   | {
       readonly kind: 'backend-drain';
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -36,7 +36,8 @@
                 'rolls' has planned stops of many nodes at a time and connections that are slow,
                 and loses nothing;
                 'planned' has planned work alone, of all kinds, and a loss of power at the end;
-                'restores' restores the store from backups during planned work
+                'restores' restores the store from backups during planned work;
+                'limits' has back ends that name rate limits, and faults of the nodes beside them
     --shape     File with the shape of a deployment (deploy/shapes): callers that send reads behind each
                 other, answers, calls of back ends, and the processor of the nodes
     --deployed  Runs the bundle, started as it is deployed, in place of the compiled program
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -10,6 +10,7 @@
 import { isCrashing } from './crash-traffic.js';
 import { judgeConfigurationCuts, judgeCuts } from './cut-promises.js';
 import { judgeDeliveries } from './delivery-promises.js';
+import { judgeLimits } from './limit-promises.js';
 import type { SoakArrival, SoakCall, SoakRecord, SoakSilence } from './soak-record.js';
 import { judgeReloads, judgeStops } from './stop-promises.js';
 import { markBody } from './body-mark.js';
@@ -45,6 +46,7 @@
     ...judgeCuts(record, arrivalsById),
     ...judgeConfigurationCuts(record, arrivalsById),
     ...judgeDeliveries(record, arrivalsById),
+    ...judgeLimits(record),
     ...record.silences.flatMap(judgeSilence),
     ...judgeCallerSilences(record, arrivalsById),
     ...judgeCrashes(record, (machine, fromMs, untilMs) =>
--- a/tools/soak/soak-backend.ts
+++ b/tools/soak/soak-backend.ts
@@ -50,6 +50,7 @@
 export class SoakBackend {
   private running = 0;
   private isClosed = false;
+  private isLimited = false;
   private fault: BackendFault | undefined;
   private faultShare = 0;
   /** Connections that a fault ended. */
@@ -84,6 +85,12 @@
     this.faultShare = share;
   }
 
+  /** Names a rate limit in its answers; none when it is undefined. A hidden limit is only recorded. */
+  nameLimit(ratePerS: number | undefined, isHidden: boolean): void {
+    this.isLimited = ratePerS !== undefined;
+    this.server.rateLimit = ratePerS === undefined || isHidden ? undefined : String(ratePerS);
+  }
+
   /** Whether it has ended. */
   get hasEnded(): boolean {
     return this.isClosed;
@@ -206,6 +213,7 @@
       callerService: String(headers['caller-service']),
       deadlineMs: Number(headers['deadline-ms']),
       hasRun,
+      namesLimit: this.isLimited,
       brokeOff: false,
       outcome: 'open',
       endedAtMs: Infinity,
--- a/tools/soak/soak-record.ts
+++ b/tools/soak/soak-record.ts
@@ -75,6 +75,8 @@
   readonly deadlineMs: number;
   /** Whether the back end began to work on it. */
   readonly hasRun: boolean;
+  /** Whether its answer names a rate limit; false when absent. */
+  readonly namesLimit?: boolean;
   /** Whether the back end ended its connection without a whole answer. */
   brokeOff: boolean;
   /** How its exchange with the back end ended. */
@@ -113,6 +115,14 @@
   readonly atMs: number;
 }
 
+/** From when on a back end names a rate limit. */
+export interface SoakLimit {
+  readonly backend: string;
+  readonly atMs: number;
+  /** Undefined when it names none any more. */
+  readonly ratePerS: number | undefined;
+}
+
 /** A node was told to read its settings again. */
 export interface SoakReload {
   readonly machine: number;
@@ -170,6 +180,8 @@
   readonly stops: readonly SoakStop[];
   readonly reloads: readonly SoakReload[];
   readonly crashes: readonly SoakCrash[];
+  /** In the order of their times. */
+  readonly limits: readonly SoakLimit[];
   /** When each configuration was acknowledged, by its number; numbers rise by one. */
   readonly configuredAtMs: ReadonlyMap<number, number>;
   /** When the draining of each back end was acknowledged. */
