Show what a node sends and refuses under a rate limit

The status of a node, and ferryspool status, list each endpoint with a rate limit: the limit, the requests that the node sent in the last 4 s and those that it refused.

--- a/src/cli/admin-answer.ts
+++ b/src/cli/admin-answer.ts
@@ -55,7 +55,16 @@
   }),
   suspended: z.array(z.object({ path: z.string(), reason: z.string() })),
   members: z.array(z.object({ status: z.string() })),
-  endpoints: z.array(z.object({ name: z.string(), service: z.string(), state: z.string() })),
+  endpoints: z.array(
+    z.object({
+      name: z.string(),
+      service: z.string(),
+      state: z.string(),
+      rateLimit: z
+        .object({ maxRatePerS: z.number(), recentlySent: z.number(), refused: z.number() })
+        .optional(),
+    }),
+  ),
   convergence: z.object({ neighbours: z.number(), neighboursAtHeldVersions: z.number() }),
 });
 
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -31,10 +31,22 @@
     `members      ${countText(rest.members.map(({ status }) => status))}`,
     `endpoints    ${countText(endpoints)}`,
     `convergence  ${convergence.neighboursAtHeldVersions} of ${convergence.neighbours} neighbours`,
+    ...rest.endpoints.flatMap(limitLines),
     ...rest.suspended.map(({ path, reason }) => `suspended    ${path}: ${reason}`),
   ];
 }
 
+/** A line for an endpoint that names a rate limit. */
+function limitLines({ name, rateLimit }: Status['endpoints'][number]): string[] {
+  if (rateLimit === undefined) {
+    return [];
+  }
+  const { maxRatePerS, recentlySent, refused } = rateLimit;
+  return [
+    `limited      ${name}: ${maxRatePerS} requests/s, ${recentlySent} sent in 4 s, ${refused} refused`,
+  ];
+}
+
 function sourceText({ isReader, sinceLastAnswerMs, isStale, rejected }: Status['source']): string {
   const parts = [isReader ? 'read by this node' : 'not read by this node'];
   if (sinceLastAnswerMs !== undefined) {
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -7,6 +7,7 @@
   type ClosedReason,
   type Refusal,
 } from '../admission/endpoint-admission.js';
+import { RecentCount } from '../admission/recent-count.js';
 import { NO_CONTAINMENT, type CallContainment } from '../containment/containment.js';
 import { SuspectLane } from '../containment/suspect-lane.js';
 import type { CounterSink } from '../control/control-event.js';
@@ -24,6 +25,7 @@
   coldStateUpdateOf,
   type EndpointGateConfig,
 } from './endpoint-gate-config.js';
+import type { RateLimitReport } from './endpoint-states.js';
 import { GatedCall, type CallGate, type CancelLead } from './gated-call.js';
 import { ProcessExitDetector } from './loss-judge.js';
 import type { RequestError } from './request-error.js';
@@ -51,6 +53,12 @@
   readonly logStateChange: (what: string, detail: string) => void;
 }
 
+/** Time over which the requests to an endpoint are counted, in milliseconds. */
+const SENT_WINDOW_MS = 4_000;
+
+/** How much of the endpoint's rate limit this node uses. */
+export type RateLimitUse = Omit<RateLimitReport, 'maxRatePerS'>;
+
 /** A refusal as written to the log. */
 type RecordedRefusal = Omit<Refusal, 'reason'> & {
   readonly reason: Refusal['reason'] | 'contained';
@@ -74,6 +82,8 @@
   private isProbing = false;
   private isDrainedByEndpoint = false;
   private hasUnreadableRateLimit = false;
+  private readonly sent = new RecentCount(SENT_WINDOW_MS);
+  private rateLimitRefusals = 0;
   private closedByConfiguration: ClosedReason | undefined;
 
   /** `startedAtMs` is when this node started. */
@@ -117,6 +127,11 @@
     return this.admission.runningCount + this.waitingCount;
   }
 
+  get rateLimitUse(): RateLimitUse {
+    const recentlySent = this.sent.at(this.options.scheduler.now());
+    return { recentlySent, refused: this.rateLimitRefusals };
+  }
+
   load(workClass: string): LoadReport {
     return {
       inFlight: this.inFlight,
@@ -395,6 +410,11 @@
     call: Call | undefined,
   ): void {
     const nowMs = this.options.scheduler.now();
+    const { isLimited, maxRatePerS } = this.statement;
+    if (reason === 'rate-limited') {
+      this.rateLimitRefusals += 1;
+      this.options.counters.add('ferryspool_rate_limit_refusals_total');
+    }
     this.options.requestLog?.record({
       event: 'attempt-refused',
       request: requestId,
@@ -407,6 +427,7 @@
         travelLostMs: Math.round(call.travelLostMs ?? 0),
         ...fingerprintField(reason, () => this.containment.fingerprintOf(call)),
       }),
+      ...(isLimited && { maxRatePerS }),
       running: this.admission.runningCount,
       waiting: this.admission.waitingCount,
       slots: this.slots,
@@ -438,6 +459,7 @@
           continue;
         }
         this.options.counters.add('ferryspool_endpoint_dispatches_total');
+        this.sent.record(this.options.scheduler.now());
         gated?.dispatch();
       } else {
         this.options.counters.add('ferryspool_endpoint_refusals_total');
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -4,7 +4,7 @@
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
-import { EndpointGate, type GateOptions } from './endpoint-gate.js';
+import { EndpointGate, type GateOptions, type RateLimitUse } from './endpoint-gate.js';
 import type { EndpointGateConfig } from './endpoint-gate-config.js';
 import type { OwnedEndpoints } from './relay/relayed-request.js';
 import type { RequestError } from './request-error.js';
@@ -81,6 +81,12 @@
     return this.gates.get(incarnationOf(endpoint))?.waitingCount ?? 0;
   }
 
+  /** How much of the endpoint's rate limit this node uses. */
+  rateLimitUseOf(endpoint: Endpoint): RateLimitUse {
+    const gate = this.gates.get(incarnationOf(endpoint));
+    return gate?.rateLimitUse ?? { recentlySent: 0, refused: 0 };
+  }
+
   /** To be called several times a second. */
   tick(): void {
     this.ticks += 1;
--- a/src/proxy/endpoint-states.ts
+++ b/src/proxy/endpoint-states.ts
@@ -21,6 +21,18 @@
   readonly inFlight: number;
   /** Requests that are queued for the endpoint at this node. */
   readonly queued: number;
+  /** Absent if the endpoint names no rate limit. */
+  readonly rateLimit?: RateLimitReport;
+}
+
+/** An endpoint's rate limit at this node. */
+export interface RateLimitReport {
+  /** Requests per second that the endpoint accepts from all nodes together. */
+  readonly maxRatePerS: number;
+  /** Requests that this node has sent to the endpoint within the last four seconds. */
+  readonly recentlySent: number;
+  /** Requests that this node has refused because of the limit. */
+  readonly refused: number;
 }
 
 /** What the components of the request path know about an endpoint. */
@@ -31,6 +43,8 @@
   /** Whether this node can reach the endpoint, directly or through another node. */
   isReachable(endpoint: Endpoint): boolean;
   waitingFor(endpoint: Endpoint): number;
+  /** Undefined if the endpoint names no rate limit. */
+  rateLimitOf(endpoint: Endpoint): RateLimitReport | undefined;
 }
 
 /** Reports the state of every endpoint of a snapshot. */
@@ -38,13 +52,17 @@
   snapshot: Snapshot,
   source: EndpointStateSource,
 ): EndpointStateReport[] {
-  return [...snapshot.endpointsByService.values()].flat().map((endpoint) => ({
-    name: endpoint.name,
-    service: endpoint.spec.service,
-    state: stateOf(endpoint, source),
-    inFlight: source.observationOf(endpoint)?.inFlight ?? 0,
-    queued: source.waitingFor(endpoint),
-  }));
+  return [...snapshot.endpointsByService.values()].flat().map((endpoint) => {
+    const rateLimit = source.rateLimitOf(endpoint);
+    return {
+      name: endpoint.name,
+      service: endpoint.spec.service,
+      state: stateOf(endpoint, source),
+      inFlight: source.observationOf(endpoint)?.inFlight ?? 0,
+      queued: source.waitingFor(endpoint),
+      ...(rateLimit !== undefined && { rateLimit }),
+    };
+  });
 }
 
 function stateOf(endpoint: Endpoint, source: EndpointStateSource): EndpointState {
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -70,6 +70,8 @@
   readonly running?: number;
   readonly waiting?: number;
   readonly slots?: number;
+  /** Rate limit that the endpoint names, in requests per second. */
+  readonly maxRatePerS?: number | undefined;
   /** Whether the request is late: no endpoint had capacity to answer it within its target latency. */
   readonly isLate?: boolean;
   /** Duration of this attempt. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -15,7 +15,11 @@
 import type { ConnectionEnd } from './connection-end.js';
 import { EndpointClient } from './endpoint-client.js';
 import { NATIVE_ENDPOINT_PROTOCOL, type EndpointProtocol } from './endpoint-protocol.js';
-import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
+import {
+  reportEndpointStates,
+  type EndpointStateReport,
+  type RateLimitReport,
+} from './endpoint-states.js';
 import { EndpointGateway } from './endpoint-gateway.js';
 import { EndpointStatements } from '../routing/endpoint-statements.js';
 import { EventLoopLag } from './loop-lateness.js';
@@ -153,9 +157,17 @@
         spec.machine !== undefined && members.status(spec.machine) === 'leaving',
       isReachable: (endpoint) => this.services.pathTo(endpoint) !== undefined,
       waitingFor: (endpoint) => this.gateway.waitingFor(endpoint),
+      rateLimitOf: (endpoint) => this.rateLimitOf(endpoint),
     });
   }
 
+  private rateLimitOf(endpoint: Endpoint): RateLimitReport | undefined {
+    const maxRatePerS = this.services.rateLimitOf(endpoint);
+    return maxRatePerS === undefined
+      ? undefined
+      : { maxRatePerS, ...this.gateway.rateLimitUseOf(endpoint) };
+  }
+
   /**
    * Idle connections are kept open for longer than callers may reuse them, so that none is closed while a request
    * arrives on it; a connection that has sent nothing yet counts as idle. A later configuration can't shorten the
--- a/test/api/api-fixture.ts
+++ b/test/api/api-fixture.ts
@@ -84,7 +84,12 @@
       held: { source: HELD, operator: NO_VERSION, machines: HELD },
     },
   ],
-  endpoints: [],
+  endpoints: [
+    {
+      ...{ name: 'e1', service: 'tiles', state: 'ready', inFlight: 1, queued: 2 },
+      rateLimit: { maxRatePerS: 3.3, recentlySent: 12, refused: 30 },
+    },
+  ],
   convergence: { neighbours: 0, neighboursAtHeldVersions: 0 },
 };
 
--- a/test/cli/admin-commands.test.ts
+++ b/test/cli/admin-commands.test.ts
@@ -77,6 +77,7 @@
     expect(exitCode).to.equal(ExitCode.Success);
     expect(output).to.match(/^node +m1 at 127\.0\.0\.1, zone a/);
     expect(output).to.match(/refused version 9: route\/r: dangling/);
+    expect(output).to.match(/^limited +e1: 3\.3 requests\/s, 12 sent in 4 s, 30 refused$/m);
     expect(JSON.parse((await run('status', '--json')).output)).to.have.property('held');
   });
 
--- a/test/platform/rate-limited-backend.test.ts
+++ b/test/platform/rate-limited-backend.test.ts
@@ -175,8 +175,10 @@
       const elapsedMs = performance.now() - startedAtMs;
       expect(status === 503 ? elapsedMs : 0).to.be.lessThan(IMMEDIATE_MS);
     }
-    const codes = home.log.filter((line) => line.includes('"code":"rate-limited"'));
-    expect(codes.length).to.be.at.least(1);
+    const logged = home.log.filter((line) => line.includes('"code":"rate-limited"'));
+    expect(logged.length).to.be.at.least(1);
+    expect(logged[0]).to.contain('"maxRatePerS":3.3');
+    expect(await fleet.metrics(home)).to.contain('ferryspool_limited_endpoints 1');
   }).timeout(15_000);
 
   it('leaves the rest to the other back ends of its service', async () => {
--- a/test/proxy/rate-limit-senders.test.ts
+++ b/test/proxy/rate-limit-senders.test.ts
@@ -72,6 +72,19 @@
     return Math.max(0, ...counts);
   }
 
+  it('is in the status of the nodes, with what they sent and refused', async () => {
+    limitPerS = 3.3;
+    configure('n1');
+    await load(2);
+    const [first, second] = mesh.nodes.map(({ proxy }) => proxy.endpointStates()[0]?.rateLimit);
+    expect(first?.maxRatePerS).to.equal(3.3);
+    expect(first?.recentlySent).to.be.within(3, 40);
+    expect(first?.refused).to.be.greaterThan(10);
+    expect(second).to.deep.equal({ maxRatePerS: 3.3, recentlySent: 0, refused: 0 });
+    const { counters } = mesh.nodes[0] ?? { counters: new Map<string, number>() };
+    expect(counters.get('ferryspool_rate_limit_refusals_total')).to.equal(first?.refused);
+  }).timeout(15_000);
+
   for (const limit of [0.4, 3.3, 17.2]) {
     const allowed = 1.5 * limit * 4 + 5;
 
