Emulator: endpoints that name rate limits

The policy could not be tried under rate limits. An emulated endpoint names a limit for some time; the measure peakLimitUse is the highest number of requests in 4 s as a multiple of the limit.

--- a/test/experiment/emulated-fleet.test.ts
+++ b/test/experiment/emulated-fleet.test.ts
@@ -93,6 +93,22 @@
     expect(outcomes.at(-1)?.end).to.equal('answered');
   });
 
+  it('keeps to the rate limits that endpoints name, and serves elsewhere what they do not take', () => {
+    for (const seed of [1, 2, 3]) {
+      const { measures } = runScenario(scenarioOf('limited'), {}, seed);
+      expect(measures['peakLimitUse']).to.be.within(0.5, 1.25);
+      expect(measures['worth']).to.be.above(0.98);
+    }
+  });
+
+  it('keeps to a low rate limit while the node beside the endpoint restarts', () => {
+    for (const seed of [1, 2, 3]) {
+      const { measures, outcomes } = runScenario(scenarioOf('limited-low'), {}, seed);
+      expect(measures['peakLimitUse']).to.be.within(0.25, 1.25);
+      expect(outcomes.at(-1)?.end).to.equal('answered');
+    }
+  });
+
   it('tells no gateway status for what no endpoint got, while links and processes are well', () => {
     for (const name of ['calm', 'burst', 'slow', 'narrow']) {
       expect(runScenario(scenarioOf(name), {}, 1).measures, name).to.include({ misreported: 0 });
--- a/test/experiment/worth.test.ts
+++ b/test/experiment/worth.test.ts
@@ -45,11 +45,17 @@
     ]).outcome;
     expect([inTime, late, secondTry].map(worthOf)).to.deep.equal([2, 1, 1]);
     expect(secondTry).to.include({ end: 'answered', elapsedMs: 130 });
-    const totals = { attempts: 6, linkBytes: 900 };
+    const totals = { attempts: 6, linkBytes: 900, peakLimitUse: 0 };
     const measures = measuresOf([inTime, late, secondTry], totals);
     expect(measures['worth']).to.equal(4 / 6);
     expect(measures['worth.read']).to.equal(4 / 6);
-    expect(measures).to.include({ attempts: 2, linkBytes: 300, refused: 0, failed: 0 });
+    expect(measures).to.include({
+      attempts: 2,
+      linkBytes: 300,
+      refused: 0,
+      failed: 0,
+      peakLimitUse: 0,
+    });
     expect(measures).to.include({ heldP50Ms: 20, heldP99Ms: 20, misreported: 0 });
   });
 
@@ -65,7 +71,7 @@
     ].map(({ outcome }) => outcome);
     expect(outcomes.map(worthOf)).to.deep.equal([0, 0, 0, 0]);
     expect(outcomes.map(({ end }) => end)).to.deep.equal(['answered', 'failed', 'refused', 'none']);
-    const measures = measuresOf(outcomes, { attempts: 0, linkBytes: 0 });
+    const measures = measuresOf(outcomes, { attempts: 0, linkBytes: 0, peakLimitUse: 0 });
     expect(measures).to.include({ worth: 0, failed: 0.5, refused: 0.25, heldP50Ms: 30 });
   });
 
--- a/tools/experiment/emulated-endpoint.ts
+++ b/tools/experiment/emulated-endpoint.ts
@@ -15,6 +15,7 @@
 import type { PlannedRequest } from './call-plan.js';
 import { plannedOf } from './emulated-body.js';
 import { EmulatedReply } from './emulated-reply.js';
+import { LimitMeter } from './limit-meter.js';
 
 /** Time for a word between a node and the endpoint beside it, in milliseconds. */
 const LOOPBACK_MS = 0.2;
@@ -45,10 +46,18 @@
 export class EmulatedEndpoint implements EndpointConnector {
   /** How many times as long as planned work takes. */
   slowness = 1;
+  readonly limitMeter = new LimitMeter();
+  private maxRatePerS = Infinity;
   private running = new Map<string, Execution>();
 
   constructor(private readonly host: EndpointHost) {}
 
+  /** Names a rate limit in its answers from now on; none if it is Infinity. */
+  nameLimit(maxRatePerS: number): void {
+    this.maxRatePerS = maxRatePerS;
+    this.limitMeter.setLimit(maxRatePerS, this.host.process.now());
+  }
+
   /** All that ran is gone. */
   die(): void {
     const executions = [...this.running.values()];
@@ -59,6 +68,7 @@
   send(_endpoint: Endpoint, call: Call, _leftMs: number, observer: EndpointObserver): Exchange {
     const { process, reached } = this.host;
     reached(call.requestId);
+    this.limitMeter.record(process.now());
     const { workMs, calls } = plannedOf(call);
     const takenMs = LOOPBACK_MS + workMs * this.slowness;
     const cancelTimer: CancelTimer = process.schedule(takenMs, () =>
@@ -108,6 +118,7 @@
     }
     const load = { inFlight: this.running.size, slots: this.host.slots, draining: false };
     const body = { kind: 'held', bytes: NO_BYTES } as const;
+    observer.stated?.({ maxRatePerS: this.maxRatePerS });
     observer.answered({ status, headers: [], body, contentLength: 0, load });
   }
 
--- a/tools/experiment/emulated-fleet.ts
+++ b/tools/experiment/emulated-fleet.ts
@@ -67,6 +67,11 @@
     return [...this.nodes.values()].reduce((bytes, { link }) => bytes + link.sentBytes, 0);
   }
 
+  /** Requests in 4 s to an endpoint with a rate limit, as a multiple of the limit; the highest of all endpoints. */
+  get peakLimitUse(): number {
+    return Math.max(0, ...this.backs.map(({ endpoint }) => endpoint.limitMeter.peakUse));
+  }
+
   readonly nodeOf = (machine: string): EmulatedNode => {
     const node = this.nodes.get(machine);
     if (node === undefined) {
@@ -123,6 +128,8 @@
       case 'slow-endpoint':
         node.endpoint.slowness = fault.factor;
         return;
+      case 'limited-endpoint':
+        return node.endpoint.nameLimit(fault.maxRatePerS);
       case 'narrow-link':
         node.link.bytesPerMs = fault.bytesPerMs;
         return;
@@ -142,6 +149,8 @@
       case 'narrow-link':
         node.link.bytesPerMs = this.scenario.linkBytesPerMs;
         return;
+      case 'limited-endpoint':
+        return node.endpoint.nameLimit(Infinity);
       case 'silent-link':
         return;
       case 'crashed-node':
--- a/tools/experiment/emulated-node.ts
+++ b/tools/experiment/emulated-node.ts
@@ -3,6 +3,7 @@
 import type { Snapshot } from '../../src/model/snapshot.js';
 import type { Call } from '../../src/proxy/call.js';
 import { EndpointGateway } from '../../src/proxy/endpoint-gateway.js';
+import { EndpointStatements } from '../../src/routing/endpoint-statements.js';
 import { CreditPool } from '../../src/proxy/relay/credit-pool.js';
 import { RequestRunner } from '../../src/proxy/request-runner.js';
 import { RequestServices } from '../../src/proxy/request-services.js';
@@ -94,11 +95,12 @@
   /** Begins a new life: nothing of the last one is kept. */
   start(): void {
     this.process.revive();
-    const gateway = this.createGateway();
+    const statements = new EndpointStatements();
+    const gateway = this.createGateway(statements);
     const { process: scheduler } = this;
     this.receiver = { scheduler, gateway, credits: new CreditPool(scheduler) };
     this.watch = new PeerWatch((machine) => this.isReachable(machine));
-    this.services = this.createServices(gateway);
+    this.services = this.createServices(gateway, statements);
     this.lookLater(gateway);
   }
 
@@ -156,11 +158,12 @@
     });
   }
 
-  private createGateway(): EndpointGateway {
+  private createGateway(statements: EndpointStatements): EndpointGateway {
     const { settings, fleet } = this.options;
     const { limits } = settings;
     return new EndpointGateway({
       client: this.endpoint,
+      statements,
       counters: { add: () => undefined },
       scheduler: this.process,
       maxQueuedPerEndpoint: limits.maxQueuedPerEndpoint,
@@ -169,10 +172,14 @@
       logStateChange: () => undefined,
       snapshot: () => fleet.snapshot,
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
+      rateShareFor: (endpoint) => this.services.rateShareFor(endpoint),
     });
   }
 
-  private createServices(gateway: EndpointGateway): RequestServices {
+  private createServices(
+    gateway: EndpointGateway,
+    statements: EndpointStatements,
+  ): RequestServices {
     const { name, zone, random, settings, fleet } = this.options;
     const place = { address: HOST, controlPort: PORT, relayPort: PORT, zone, region: REGION };
     return new RequestServices({
@@ -187,6 +194,7 @@
       counters: { add: () => undefined },
       random,
       scheduler: this.process,
+      statements,
       limits: settings.limits,
       hopCost: settings.hopCost,
       direct: this.counted(gateway),
--- a/tools/experiment/measures.ts
+++ b/tools/experiment/measures.ts
@@ -9,6 +9,8 @@
 export interface RunTotals {
   readonly attempts: number;
   readonly linkBytes: number;
+  /** See {@link EmulatedFleet.peakLimitUse}. */
+  readonly peakLimitUse: number;
 }
 
 /** The measures of a run. */
@@ -26,6 +28,7 @@
     misreported: outcomes.reduce((sum, { misreported }) => sum + misreported, 0),
     attempts: ratio(totals.attempts, outcomes.length),
     linkBytes: ratio(totals.linkBytes, outcomes.length),
+    peakLimitUse: totals.peakLimitUse,
   };
 }
 
--- a/tools/experiment/received-call.ts
+++ b/tools/experiment/received-call.ts
@@ -40,6 +40,10 @@
 
   /** The head has arrived; `bodyBytes` are still to come. */
   start(bodyBytes: number): void {
+    const { knownMaxRatePerS } = this.call;
+    if (knownMaxRatePerS !== undefined) {
+      this.node.gateway.rateLimitReported(this.endpoint, knownMaxRatePerS);
+    }
     if (bodyBytes === 0) {
       this.submit(this.call);
       return;
--- a/tools/experiment/run-scenario.ts
+++ b/tools/experiment/run-scenario.ts
@@ -22,8 +22,8 @@
   const longestMs = Math.max(...scenario.classes.map(({ deadlineMs }) => deadlineMs));
   fleet.clock.runUntil(scenario.durationMs + longestMs + REST_MS);
   const outcomes = callers.map(({ outcome }) => outcome);
-  const { attempts, linkBytes } = fleet;
-  return { outcomes, measures: measuresOf(outcomes, { attempts, linkBytes }) };
+  const { attempts, linkBytes, peakLimitUse } = fleet;
+  return { outcomes, measures: measuresOf(outcomes, { attempts, linkBytes, peakLimitUse }) };
 }
 
 function callerOf(fleet: EmulatedFleet, { atMs, place, request }: Arrival): EmulatedCaller {
--- a/tools/experiment/scenario.ts
+++ b/tools/experiment/scenario.ts
@@ -40,6 +40,12 @@
       readonly service: string;
       readonly factor: number;
     })
+  /** One endpoint of the service names a rate limit. */
+  | (FaultPeriod & {
+      readonly kind: 'limited-endpoint';
+      readonly service: string;
+      readonly maxRatePerS: number;
+    })
   /** The process of a node dies with its endpoint, and comes back. */
   | (FaultPeriod & { readonly kind: 'crashed-node'; readonly service: string })
   /** Callers of a class come `factor` times as often. */
--- a/tools/experiment/scenarios.ts
+++ b/tools/experiment/scenarios.ts
@@ -134,6 +134,22 @@
   withFaults('silent', 'Nothing passes the link of one node for five seconds', [
     { kind: 'silent-link', ...TROUBLE, service: 'rooms' },
   ]),
+  {
+    ...withFaults('limited', 'Two of four endpoints name rate limits for five seconds', [
+      { kind: 'limited-endpoint', ...TROUBLE, service: 'rooms', maxRatePerS: 3.3 },
+      { kind: 'limited-endpoint', ...TROUBLE, service: 'rooms', maxRatePerS: 17.2 },
+    ]),
+    services: [{ name: 'rooms', endpoints: 4, slots: 9 }],
+    classes: [LOOKUP],
+  },
+  {
+    ...withFaults('limited-low', 'One endpoint names a low rate limit, and its node restarts', [
+      { kind: 'limited-endpoint', ...TROUBLE, service: 'rooms', maxRatePerS: 1 },
+      { kind: 'crashed-node', fromMs: 5_000, untilMs: 5_500, service: 'rooms' },
+    ]),
+    services: [{ name: 'rooms', endpoints: 1, slots: 9 }],
+    classes: [{ ...LOOKUP, ratePerSecond: 60 }],
+  },
   {
     ...withFaults('depth', 'Calls that make calls, while one endpoint is slow', [
       { kind: 'slow-endpoint', ...TROUBLE, service: 'prices', factor: 6 },
