Spend a rate-limited request on one that can finish

Emulated callers that come back when they are told arrive when the limit allows the next request, some of them with 6 to 60 ms left.

Two unit tests; the first fails without the change.

--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -31,6 +31,13 @@
  * its caller may occupy a slot of another endpoint in the meantime.
  */
 const SHORT_WORK_RATIO = 0.6;
+/**
+ * Time after the last request to an endpoint with a rate limit after which a request is sent although it is not expected
+ * to finish, in milliseconds.
+ */
+const LIMITED_TRIAL_INTERVAL_MS = 10_000;
+/** Time that a request to such an endpoint must have left, as a multiple of the mean service time. */
+const LIMITED_TIME_FACTOR = 2;
 /** Maximum wait of late work, as a multiple of the expected wait. */
 const LATE_WAIT_FACTOR = 3;
 
@@ -79,6 +86,8 @@
   /** Requests in flight at the endpoint, according to its last report, that this node does not count. */
   private unaccountedInFlight = 0;
   private reportedAtMs = -Infinity;
+  /** When the last request was sent; when the first was offered, before that. */
+  private lastSentAtMs = Infinity;
   /** All limits on the rate of requests. */
   private readonly rateLimiter: RateLimiter;
 
@@ -218,6 +227,7 @@
 
   /** Dispatches, queues or refuses a request that has arrived. */
   offer(offered: AdmissionTicket, nowMs: number): AdmissionEffect[] {
+    this.lastSentAtMs = Math.min(this.lastSentAtMs, nowMs);
     const hadReservation = this.reserved.delete(offered.requestId);
     const ticket = this.withoutMissedTarget(this.applyLateWorkRules(offered, nowMs), nowMs);
     const hasCapacity = hadReservation || this.hasFreeSlot(nowMs);
@@ -365,7 +375,23 @@
    */
   private isTooLate(ticket: AdmissionTicket, startAtMs: number, hasToWait = false): boolean {
     const isIdle = this.running.size === 0 && !hasToWait;
-    return !isIdle && startAtMs > this.lastUsefulStartMs(ticket);
+    return isIdle
+      ? this.wastesLimitedRequest(ticket, startAtMs)
+      : startAtMs > this.lastUsefulStartMs(ticket);
+  }
+
+  /**
+   * Whether a request that the endpoint's own rate limit allows now would take the place of another one although it
+   * will probably not finish before its deadline. Never true some time after the last request, so that the service
+   * time is measured again, and the limit heard.
+   */
+  private wastesLimitedRequest(ticket: AdmissionTicket, startAtMs: number): boolean {
+    const isLimited = this.endpointLimiter.availableAt(startAtMs) < Infinity;
+    const isRecent = startAtMs < this.lastSentAtMs + LIMITED_TRIAL_INTERVAL_MS;
+    const { deadlineAtMs, targetAtMs = startAtMs } = ticket;
+    const meanMs = this.serviceTimes.meanMs(ticket.workClass);
+    const neededMs = meanMs > 0 ? meanMs * LIMITED_TIME_FACTOR : targetAtMs - startAtMs;
+    return isLimited && isRecent && startAtMs + neededMs > deadlineAtMs;
   }
 
   /** Expected wait of a request of the rank that arrives now. */
@@ -427,6 +453,7 @@
       return this.refuse(ticket, 'cannot-finish-in-time', nowMs);
     }
     this.running.set(ticket.requestId, ticket.workClass);
+    this.lastSentAtMs = nowMs;
     this.rateLimiter.recordSent(nowMs);
     return { type: 'dispatch', requestId: ticket.requestId };
   }
--- a/test/admission/rate-limited-admission.test.ts
+++ b/test/admission/rate-limited-admission.test.ts
@@ -87,4 +87,29 @@
     bucket.setRate(Infinity, 10);
     expect(outcomesOf(admission.rateLimitChanged(10))).to.deep.equal(['a']);
   });
+
+  describe('that is idle', () => {
+    const SERVICE_MS = 100;
+
+    beforeEach(() => {
+      bucket.setRate(Infinity, 0);
+      admission.offer(ticket('measured'), 0);
+      admission.release('measured', SERVICE_MS, SERVICE_MS);
+      bucket.setRate(LIMIT_PER_S, SERVICE_MS);
+    });
+
+    it('refuses what the limit allows now but will hardly finish, and sends what will', () => {
+      const short = admission.offer(ticket('short', { deadlineAtMs: 700 }), 600);
+      expect(outcomesOf(short)[0]).to.match(/^short: cannot-finish-in-time/);
+      expect(outcomesOf(admission.offer(ticket('long', { deadlineAtMs: 900 }), 600))).to.deep.equal(
+        ['long'],
+      );
+    });
+
+    it('sends a request nevertheless when none was sent for a long time, to hear the limit again', () => {
+      const nowMs = 20_000;
+      const effects = admission.offer(ticket('short', { deadlineAtMs: nowMs + 50 }), nowMs);
+      expect(outcomesOf(effects)).to.deep.equal(['short']);
+    });
+  });
 });
