--- a/standins/store-platform/backend-stand-in.ts
+++ b/standins/store-platform/backend-stand-in.ts
@@ -33,6 +33,8 @@
   };
   /** Value of the `Server-Limit` header of its answers; undefined if it names no rate limit. */
   rateLimit: string | undefined;
+  /** Whether its answers say that it leaves. */
+  isLeaving = false;
   /** A connection that rested longer is forgotten: what is next sent on it is reset. */
   forgetsIdleAfterMs = Infinity;
   private readonly restingSinceMs = new WeakMap<object, number>();
@@ -100,6 +102,9 @@
     if (this.rateLimit !== undefined) {
       response.setHeader('Server-Limit', this.rateLimit);
     }
+    if (this.isLeaving) {
+      response.setHeader('Server-Leaving', '1');
+    }
     this.behaviour(request, response, arrival);
   }
 }
