Send nothing more to a back end that says that it leaves

A back end whose answers say that it leaves, while the store lists it as ready, went on getting requests: 120 in 2 s from machines that had passed on its word. The header was not read.

It now closes the gate of that incarnation for good, and is told to other nodes with each answer and refusal; a node that knows it has no path to the endpoint, so neither a probe, a retry, a hedge nor a choice of last resort sends anything. It is kept apart from gates and entries, as rate limits are, so a removed and relisted entry does not reopen it. The report names the incarnation in full: the node beside the endpoint may not know yet that it has started again. Connection: close alone changes nothing.

What applies, logs and counts statements moves out of the gate into a module of its own.

--- a/src/proxy/answer-statement.ts
+++ b/src/proxy/answer-statement.ts
@@ -9,13 +9,18 @@
    * undefined if the limit that it names can't be parsed.
    */
   readonly maxRatePerS: number | undefined;
+  /** Whether the endpoint will end and accepts no new requests; cannot be withdrawn. */
+  readonly isLeaving: boolean;
 }
 
-/** Parses the header that names the rate limit; it must occur once and be a decimal number. */
-export function readStatement(rateLimit: string | string[] | undefined): AnswerStatement {
-  if (rateLimit === undefined) {
-    return { maxRatePerS: Infinity };
+/**
+ * Parses the header that names the rate limit, which must occur once and be a decimal number. Returns Infinity without
+ * the header, and undefined if it can't be parsed.
+ */
+export function readRateLimit(header: string | string[] | undefined): number | undefined {
+  if (header === undefined) {
+    return Infinity;
   }
-  const isRate = typeof rateLimit === 'string' && RATE_FORMAT.test(rateLimit);
-  return { maxRatePerS: isRate ? Number(rateLimit) : undefined };
+  const isRate = typeof header === 'string' && RATE_FORMAT.test(header);
+  return isRate ? Number(header) : undefined;
 }
--- a/src/proxy/attempted-endpoint.ts
+++ b/src/proxy/attempted-endpoint.ts
@@ -57,8 +57,12 @@
       return;
     }
     selector.loadObserved(this.endpoint, observation, nowMs);
+    const statement = statements.of(this.endpoint);
     if (load?.maxRatePerS !== undefined) {
-      statements.of(this.endpoint).applyAnswer(load.maxRatePerS, this.attemptStartedAtMs, nowMs);
+      statement.applyAnswer(load.maxRatePerS, this.attemptStartedAtMs, nowMs);
+    }
+    if (load?.leavingIncarnation === this.incarnation) {
+      statement.markLeaving();
     }
   }
 
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -49,6 +49,8 @@
   readonly failureShare?: number;
   /** Mean service time of the request's class of work, in milliseconds; reported by the endpoint's node. */
   readonly serviceMs?: number | undefined;
+  /** The incarnation of the endpoint, if it has stated that it leaves. */
+  readonly leavingIncarnation?: string | undefined;
   /** Rate limit that the endpoint has stated; Infinity for none, undefined if it is not known. */
   readonly maxRatePerS?: number | undefined;
 }
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -7,11 +7,10 @@
   type ClosedReason,
   type Refusal,
 } from '../admission/endpoint-admission.js';
-import { RecentCount } from '../admission/recent-count.js';
 import { NO_CONTAINMENT, type CallContainment } from '../containment/containment.js';
 import { SuspectLane } from '../containment/suspect-lane.js';
 import type { CounterSink } from '../control/control-event.js';
-import { startedBefore } from '../model/incarnation.js';
+import { incarnationOf, startedBefore } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 import type { EndpointStatement } from '../routing/endpoint-statement.js';
 import { EndpointStatements } from '../routing/endpoint-statements.js';
@@ -25,7 +24,7 @@
   coldStateUpdateOf,
   type EndpointGateConfig,
 } from './endpoint-gate-config.js';
-import type { RateLimitReport } from './endpoint-states.js';
+import { GateStatements, type RateLimitUse } from './gate-statements.js';
 import { GatedCall, type CallGate, type CancelLead } from './gated-call.js';
 import { ProcessExitDetector } from './loss-judge.js';
 import type { RequestError } from './request-error.js';
@@ -53,12 +52,6 @@
   readonly logStateChange: (what: string, detail: string) => void;
 }
 
-/** Time over which the requests to an endpoint are counted, in milliseconds. */
-const SENT_WINDOW_MS = 4_000;
-
-/** How much of the endpoint's rate limit this node uses. */
-export type RateLimitUse = Omit<RateLimitReport, 'maxRatePerS'>;
-
 /** A refusal as written to the log. */
 type RecordedRefusal = Omit<Refusal, 'reason'> & {
   readonly reason: Refusal['reason'] | 'contained';
@@ -69,6 +62,7 @@
   private readonly admission: EndpointAdmission;
   private readonly coldStartLimiter: ColdStartLimiter;
   private readonly statement: EndpointStatement;
+  private readonly statements: GateStatements;
   private cancelResume: CancelTimer | undefined;
   /** The endpoint as last configured. */
   private lastConfigured: Endpoint | undefined;
@@ -81,9 +75,6 @@
   private readonly deferredSuspects = new Set<GatedCall>();
   private isProbing = false;
   private isDrainedByEndpoint = false;
-  private hasUnreadableRateLimit = false;
-  private readonly sent = new RecentCount(SENT_WINDOW_MS);
-  private rateLimitRefusals = 0;
   private closedByConfiguration: ClosedReason | undefined;
 
   /** `startedAtMs` is when this node started. */
@@ -103,6 +94,15 @@
       this.coldStartLimiter,
       this.statement.bucket,
     );
+    this.statements = new GateStatements({
+      endpointName: endpoint.name,
+      statement: this.statement,
+      counters: options.counters,
+      nowMs: () => options.scheduler.now(),
+      logStateChange: options.logStateChange,
+      onRateLimit: () => this.execute(this.admission.rateLimitChanged(options.scheduler.now())),
+      onLeaving: () => this.updateClosed(),
+    });
     this.containment = options.containment ?? NO_CONTAINMENT;
     this.exitDetector = new ProcessExitDetector({
       inProgress: () => [...this.calls.values()].filter((gated) => gated.isInProgress()).reverse(),
@@ -128,8 +128,7 @@
   }
 
   get rateLimitUse(): RateLimitUse {
-    const recentlySent = this.sent.at(this.options.scheduler.now());
-    return { recentlySent, refused: this.rateLimitRefusals };
+    return this.statements.rateLimitUse;
   }
 
   load(workClass: string): LoadReport {
@@ -140,6 +139,7 @@
       failureShare: this.failureShare.at(this.options.scheduler.now()),
       serviceMs: this.admission.serviceMs(workClass),
       maxRatePerS: this.statement.maxRatePerS,
+      leavingIncarnation: this.statement.isLeaving ? incarnationOf(this.endpoint) : undefined,
     };
   }
 
@@ -204,21 +204,13 @@
     }
   }
 
-  applyStatement({ maxRatePerS }: AnswerStatement, sentAtMs: number): void {
-    if (maxRatePerS === undefined) {
-      this.recordUnreadableRateLimit();
-      return;
-    }
-    if (this.statement.applyAnswer(maxRatePerS, sentAtMs, this.options.scheduler.now())) {
-      this.rateLimitChanged(`names ${rateLimitText(maxRatePerS)}`);
-    }
+  applyStatement(statement: AnswerStatement, sentAtMs: number): void {
+    this.statements.applyAnswer(statement, sentAtMs);
   }
 
-  /** Applies the rate limit that a caller's node knows; see {@link EndpointStatement.applyReport}. */
+  /** Applies the rate limit that a caller's node knows. */
   applyReportedRateLimit(maxRatePerS: number): void {
-    if (this.statement.applyReport(maxRatePerS, this.options.scheduler.now())) {
-      this.rateLimitChanged(`has ${rateLimitText(maxRatePerS)}, as reported by a peer`);
-    }
+    this.statements.applyReport(maxRatePerS);
   }
 
   applyLoadReport(load: LoadReport | undefined): void {
@@ -358,7 +350,8 @@
   }
 
   private updateClosed(): void {
-    const reason = this.isDrainedByEndpoint ? 'draining' : this.closedByConfiguration;
+    const isDrained = this.isDrainedByEndpoint || this.statement.isLeaving;
+    const reason = isDrained ? 'draining' : this.closedByConfiguration;
     if (reason !== this.admission.closedReason) {
       this.options.logStateChange('endpoint', `${this.endpoint.name} ${reason ?? 'open'}`);
       this.execute(this.admission.close(reason, this.options.scheduler.now()));
@@ -375,23 +368,6 @@
     }
   }
 
-  private rateLimitChanged(change: string): void {
-    const { counters, logStateChange, scheduler } = this.options;
-    counters.add('ferryspool_endpoint_rate_limit_changes_total');
-    logStateChange('endpoint', `${this.endpoint.name} ${change}`);
-    this.execute(this.admission.rateLimitChanged(scheduler.now()));
-  }
-
-  /** Counts each occurrence and logs the first. */
-  private recordUnreadableRateLimit(): void {
-    this.options.counters.add('ferryspool_endpoint_rate_limits_unreadable_total');
-    if (!this.hasUnreadableRateLimit) {
-      this.hasUnreadableRateLimit = true;
-      const detail = `${this.endpoint.name} names a rate limit that is not a number`;
-      this.options.logStateChange('endpoint', detail);
-    }
-  }
-
   /** Schedules the dispatch of requests that are queued because of a rate limit. */
   private scheduleResume(): void {
     this.cancelResume?.();
@@ -412,8 +388,7 @@
     const nowMs = this.options.scheduler.now();
     const { isLimited, maxRatePerS } = this.statement;
     if (reason === 'rate-limited') {
-      this.rateLimitRefusals += 1;
-      this.options.counters.add('ferryspool_rate_limit_refusals_total');
+      this.statements.recordRefusal();
     }
     this.options.requestLog?.record({
       event: 'attempt-refused',
@@ -459,7 +434,7 @@
           continue;
         }
         this.options.counters.add('ferryspool_endpoint_dispatches_total');
-        this.sent.record(this.options.scheduler.now());
+        this.statements.recordSent();
         gated?.dispatch();
       } else {
         this.options.counters.add('ferryspool_endpoint_refusals_total');
@@ -479,7 +454,3 @@
     return this.admission.resumeDelayMs(this.options.scheduler.now()) !== undefined;
   }
 }
-
-function rateLimitText(maxRatePerS: number): string {
-  return maxRatePerS === Infinity ? 'no rate limit' : `a limit of ${maxRatePerS}/s`;
-}
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -4,8 +4,9 @@
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
 import type { Attempt, AttemptObserver, Call, LoadReport } from './call.js';
-import { EndpointGate, type GateOptions, type RateLimitUse } from './endpoint-gate.js';
+import { EndpointGate, type GateOptions } from './endpoint-gate.js';
 import type { EndpointGateConfig } from './endpoint-gate-config.js';
+import type { RateLimitUse } from './gate-statements.js';
 import type { OwnedEndpoints } from './relay/relayed-request.js';
 import type { RequestError } from './request-error.js';
 
--- a/src/proxy/endpoint-states.ts
+++ b/src/proxy/endpoint-states.ts
@@ -38,7 +38,7 @@
 /** What the components of the request path know about an endpoint. */
 export interface EndpointStateSource {
   observationOf(endpoint: Endpoint): EndpointObservation | undefined;
-  /** Whether the machine's node has announced that it is leaving the fleet. */
+  /** Whether the endpoint has stated that it leaves, or its machine's node that it is leaving the fleet. */
   isLeaving(endpoint: Endpoint): boolean;
   /** Whether this node can reach the endpoint, directly or through another node. */
   isReachable(endpoint: Endpoint): boolean;
--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -52,6 +52,11 @@
   readonly slots: number;
   readonly isDraining: boolean;
   readonly isNodeStopping: boolean;
+  /**
+   * The incarnation of the endpoint, if it has stated that it leaves; empty otherwise. The sender of the request may
+   * know another incarnation under the same name.
+   */
+  readonly leavingIncarnation: string;
   readonly failedPercent: number;
   /** Mean service time of the request's work class at the endpoint; undefined before the first measurement. */
   readonly serviceMs: number | undefined;
@@ -200,6 +205,7 @@
   slots: varint,
   isDraining: flag,
   isNodeStopping: flag,
+  leavingIncarnation: shortText,
   failedPercent: varint,
   serviceMs: optionalInteger,
   maxRatePerKs: optionalInteger,
--- a/src/proxy/relay/relay-load.ts
+++ b/src/proxy/relay/relay-load.ts
@@ -13,6 +13,7 @@
     slots: Math.round(load.slots),
     isDraining: load.draining,
     isNodeStopping,
+    leavingIncarnation: load.leavingIncarnation ?? '',
     failedPercent: Math.round((load.failureShare ?? 0) * PERCENT),
     serviceMs: load.serviceMs === undefined ? undefined : Math.round(load.serviceMs),
     maxRatePerKs: ratePerKsOf(load.maxRatePerS),
@@ -38,5 +39,9 @@
   const { inFlight, slots, isDraining: draining, isNodeStopping, serviceMs } = frame;
   const failureShare = Math.min(1, frame.failedPercent / PERCENT);
   const maxRatePerS = ratePerSOf(frame.maxRatePerKs);
-  return { inFlight, slots, draining, isNodeStopping, failureShare, serviceMs, maxRatePerS };
+  const leavingIncarnation = frame.leavingIncarnation || undefined;
+  return {
+    ...{ inFlight, slots, draining, isNodeStopping, leavingIncarnation },
+    ...{ failureShare, serviceMs, maxRatePerS },
+  };
 }
--- a/src/proxy/request-path.ts
+++ b/src/proxy/request-path.ts
@@ -59,7 +59,9 @@
   endpointStates(): EndpointStateReport[];
   /** Number of endpoints owned by this node that it considers cold. */
   coldEndpointCount(): number;
-  /** Number of endpoints that name a rate limit, to the knowledge of this node. */
+  /** Number of listed endpoints that have stated that they leave, to the knowledge of this node. */
+  leavingEndpointCount(): number;
+  /** Number of listed endpoints that name a rate limit, to the knowledge of this node. */
   limitedEndpointCount(): number;
   /** Applies the limits that the configuration sets; undefined leaves the limits unchanged. */
   applyCallerLimits(limits: CallerLimits | undefined): void;
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -33,7 +33,7 @@
 import { PlannedStop } from './planned-stop.js';
 import { RequestIntake } from './request-intake.js';
 import type { RequestProxy, RequestProxyOptions } from './request-path.js';
-import { RequestServices } from './request-services.js';
+import { RequestServices, type MemberDirectory } from './request-services.js';
 import { MACHINE_TIME } from './scheduler.js';
 import { drainServers } from './server-drain.js';
 import { SocketPoll } from './socket-poll.js';
@@ -153,8 +153,8 @@
     return reportEndpointStates(snapshot, {
       observationOf: (endpoint) =>
         this.services.selector.observationOf(endpoint, MACHINE_TIME.now()),
-      isLeaving: ({ spec }) =>
-        spec.machine !== undefined && members.status(spec.machine) === 'leaving',
+      isLeaving: (endpoint) =>
+        this.statements.of(endpoint).isLeaving || isOnLeavingMachine(endpoint, members),
       isReachable: (endpoint) => this.services.pathTo(endpoint) !== undefined,
       waitingFor: (endpoint) => this.gateway.waitingFor(endpoint),
       rateLimitOf: (endpoint) => this.rateLimitOf(endpoint),
@@ -187,8 +187,19 @@
     return this.gateway.coldCount;
   }
 
+  leavingEndpointCount(): number {
+    return this.countEndpoints((endpoint) => this.statements.of(endpoint).isLeaving);
+  }
+
   limitedEndpointCount(): number {
-    return this.statements.limitedCount;
+    return this.countEndpoints((endpoint) => this.statements.of(endpoint).isLimited);
+  }
+
+  /** Number of listed endpoints that match. */
+  private countEndpoints(matches: (endpoint: Endpoint) => boolean): number {
+    const snapshot = this.options.snapshots.current();
+    const endpoints = [...(snapshot?.endpointsByService.values() ?? [])].flat();
+    return endpoints.filter(matches).length;
   }
 
   applyEndpoints(): void {
@@ -394,3 +405,7 @@
     return fleetKey === undefined ? ANONYMOUS_PEER : verifyRelayToken(fleetKey, token, Date.now());
   }
 }
+
+function isOnLeavingMachine({ spec }: Endpoint, members: MemberDirectory): boolean {
+  return spec.machine !== undefined && members.status(spec.machine) === 'leaving';
+}
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -135,6 +135,9 @@
 
   /** Returns the path to an endpoint, or undefined if this node may not send it new requests. */
   pathTo(endpoint: Endpoint): EndpointPath | undefined {
+    if (this.statements.of(endpoint).isLeaving) {
+      return undefined;
+    }
     const { machine } = endpoint.spec;
     if (machine === this.machineId) {
       return this.options.direct;
--- a/src/routing/endpoint-statement.ts
+++ b/src/routing/endpoint-statement.ts
@@ -21,6 +21,7 @@
   /** Whether the limit is known only from another node. */
   private isReported = false;
   private rateShare = 1;
+  private hasLeft = false;
 
   /**
    * Maximum rate of requests from all nodes together, in requests per second: Infinity if the endpoint states no
@@ -34,6 +35,18 @@
     return this.limitPerS !== undefined && this.limitPerS < Infinity;
   }
 
+  /** Whether the endpoint has stated that it leaves: it accepts no requests until the end of its process. */
+  get isLeaving(): boolean {
+    return this.hasLeft;
+  }
+
+  /** Records that the endpoint leaves; returns whether that is new. */
+  markLeaving(): boolean {
+    const isNew = !this.hasLeft;
+    this.hasLeft = true;
+    return isNew;
+  }
+
   /**
    * Applies the rate limit of an answer to a request that was sent at `sentAtMs`; Infinity if the answer names none.
    * The answer to a request sent after the arrival of the statement in force is newer and replaces it. The order of
--- a/src/routing/endpoint-statements.ts
+++ b/src/routing/endpoint-statements.ts
@@ -21,11 +21,6 @@
     return statement;
   }
 
-  /** Number of endpoints with a rate limit. */
-  get limitedCount(): number {
-    return [...this.byIncarnation.values()].filter(({ isLimited }) => isLimited).length;
-  }
-
   private ofIncarnation(incarnation: string): EndpointStatement {
     let statement = this.byIncarnation.get(incarnation);
     if (statement === undefined) {
@@ -41,7 +36,9 @@
       return;
     }
     const [oldest] = this.byIncarnation;
-    const [unneeded = oldest] = [...this.byIncarnation].filter(([, { isLimited }]) => !isLimited);
+    const [unneeded = oldest] = [...this.byIncarnation].filter(
+      ([, { isLimited, isLeaving }]) => !isLimited && !isLeaving,
+    );
     if (unneeded !== undefined) {
       this.byIncarnation.delete(unneeded[0]);
     }
--- a/src/runtime/store-node-metrics.ts
+++ b/src/runtime/store-node-metrics.ts
@@ -41,9 +41,14 @@
       () => snapshot()?.evacuatedZones.size ?? 0,
     ],
     ['cold_endpoints', 'Endpoints beside this node that are cold', () => proxy.coldEndpointCount()],
+    [
+      'leaving_endpoints',
+      'Listed endpoints that have said in their answers that they leave',
+      () => proxy.leavingEndpointCount(),
+    ],
     [
       'limited_endpoints',
-      'Endpoints that name a rate limit, to the knowledge of this node',
+      'Listed endpoints that name a rate limit, to the knowledge of this node',
       () => proxy.limitedEndpointCount(),
     ],
   ];
--- a/test/platform/leaving-backend.test.ts
+++ b/test/platform/leaving-backend.test.ts
@@ -58,6 +58,26 @@
     expect(home.backend.arrivals.length).to.equal(0);
   }).timeout(10_000);
 
+  it('gets nothing more when its entry is removed from the store and listed again', async () => {
+    await leave();
+    fleet.store.remove(`servers/${home.backend.id}`);
+    await pause(KNOWN_AFTER_MS);
+    fleet.announce(home, 'a', 'ready');
+    await pause(KNOWN_AFTER_MS);
+    await load(1);
+    expect(home.backend.arrivals.length).to.equal(0);
+  }).timeout(10_000);
+
+  it('leaves its requests to the other back ends of its service', async () => {
+    const second = await fleet.addMachine('a');
+    await fleet.untilStatus(second, 200);
+    await pause(KNOWN_AFTER_MS);
+    await leave();
+    const results = await load(1);
+    expect(home.backend.arrivals.length).to.equal(0);
+    expect(results.filter(({ status }) => status === 200)).to.have.length(results.length);
+  }).timeout(10_000);
+
   it('has a successor at its address that gets all requests', async () => {
     await leave();
     home.backend.close();
--- a/test/proxy/answer-statement.test.ts
+++ b/test/proxy/answer-statement.test.ts
@@ -1,6 +1,6 @@
 /** Rate limits in the headers of answers: a text that is no decimal number must not be taken for a limit or for none. */
 import { expect } from 'chai';
-import { readStatement } from '../../src/proxy/answer-statement.js';
+import { readRateLimit } from '../../src/proxy/answer-statement.js';
 
 describe('the rate limit of an answer', () => {
   const limits: readonly [text: string, perS: number][] = [
@@ -13,12 +13,12 @@
   ];
   for (const [text, perS] of limits) {
     it(`is ${perS} for "${text}"`, () => {
-      expect(readStatement(text)).to.deep.equal({ maxRatePerS: perS });
+      expect(readRateLimit(text)).to.equal(perS);
     });
   }
 
   it('is unlimited without the header', () => {
-    expect(readStatement(undefined)).to.deep.equal({ maxRatePerS: Infinity });
+    expect(readRateLimit(undefined)).to.equal(Infinity);
   });
 
   // Node.js joins the values of repeated headers with ", ".
@@ -36,11 +36,11 @@
     '5.',
   ]) {
     it(`is unreadable for "${text}"`, () => {
-      expect(readStatement(text)).to.deep.equal({ maxRatePerS: undefined });
+      expect(readRateLimit(text)).to.equal(undefined);
     });
   }
 
   it('is unreadable for several headers', () => {
-    expect(readStatement(['3', '5'])).to.deep.equal({ maxRatePerS: undefined });
+    expect(readRateLimit(['3', '5'])).to.equal(undefined);
   });
 });
--- a/test/proxy/relay/relay-frame.test.ts
+++ b/test/proxy/relay/relay-frame.test.ts
@@ -19,6 +19,7 @@
   slots: count,
   isDraining: fc.boolean(),
   isNodeStopping: fc.boolean(),
+  leavingIncarnation: shortText,
   failedPercent: fc.integer({ min: 0, max: 100 }),
   serviceMs: fc.option(fc.integer({ min: 0, max: 1_000_000 }), { nil: undefined }),
   maxRatePerKs: fc.option(fc.integer({ min: -1, max: 1e12 }), { nil: undefined }),
--- a/tools/experiment/emulated-endpoint.ts
+++ b/tools/experiment/emulated-endpoint.ts
@@ -118,7 +118,7 @@
     }
     const load = { inFlight: this.running.size, slots: this.host.slots, draining: false };
     const body = { kind: 'held', bytes: NO_BYTES } as const;
-    observer.stated?.({ maxRatePerS: this.maxRatePerS });
+    observer.stated?.({ maxRatePerS: this.maxRatePerS, isLeaving: false });
     observer.answered({ status, headers: [], body, contentLength: 0, load });
   }
 
