Request fuzzer: endpoints that name rate limits and leave

Scripts now also have endpoints that name, change and lift limits and say that they leave, and series of calls.

The mutant that skips the deadline check failed by its own error, a call of add on a Map; it now sets the entry and is detected as meant.

--- a/test/proxy/fuzz/request-world.ts
+++ b/test/proxy/fuzz/request-world.ts
@@ -15,12 +15,14 @@
 import type { CallerReply } from '../../../src/proxy/request-context.js';
 import { RequestRunner } from '../../../src/proxy/request-runner.js';
 import { RequestServices } from '../../../src/proxy/request-services.js';
+import { EndpointStatements } from '../../../src/routing/endpoint-statements.js';
 import { RouteTable } from '../../../src/routing/route-table.js';
 import type { MemberStatus } from '../../../src/wire/message.js';
 import { VirtualScheduler } from '../../../tools/emulator/virtual-scheduler.js';
 import { echoEndpoint, echoService } from '../rig.js';
+import { StatementOracle } from './statement-oracle.js';
 import { VirtualEndpoint, type EndpointFaults, type Execution } from './virtual-endpoint.js';
-import { onBodyEnd, VirtualEndpointPort, VirtualRelay } from './virtual-paths.js';
+import { callOf, onBodyEnd, VirtualEndpointPort, VirtualRelay } from './virtual-paths.js';
 import { VirtualConnection, VirtualProcess } from '../../../tools/emulator/virtual-process.js';
 import { VIRTUAL_RELAY, virtualIdentity } from '../virtual-identity.js';
 
@@ -49,11 +51,20 @@
   /** The caller disconnected, or its node was killed. */
   | { readonly kind: 'nothing' };
 
+/** What an answer states about its endpoint. */
+interface AnswerStatementRecord {
+  /** The endpoint's process. */
+  readonly endpoint: string;
+  readonly isLimited: boolean;
+  readonly isLeaving: boolean;
+}
+
 /** One caller's request. */
 export interface CallRecord {
   readonly id: string;
   readonly isCrashing: boolean;
   readonly repeatable: boolean;
+  readonly startedAtMs: number;
   readonly deadlineAtMs: number;
   readonly node: VirtualNode;
   readonly generation: number;
@@ -94,17 +105,20 @@
       counters,
       logStateChange: () => undefined,
     });
+    const statements = new EndpointStatements();
     this.containment.subscribe((changed) => world.notifyPeers(this, changed));
     this.gateway = new EndpointGateway({
       containment: this.containment,
       client: new VirtualEndpointPort(world, this),
       counters,
       scheduler,
+      statements,
       maxQueuedPerEndpoint: 64,
       cancelLead: DEFAULT_PROXY_LIMITS,
       logStateChange: () => undefined,
       snapshot: () => world.snapshot,
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
+      rateShareFor: (endpoint) => this.services.rateShareFor(endpoint),
     });
     this.services = new RequestServices({
       containment: this.containment,
@@ -119,6 +133,7 @@
       counters,
       random: world.random,
       scheduler,
+      statements,
       limits: DEFAULT_PROXY_LIMITS,
       direct: this.gateway,
       relay: new VirtualRelay(world, this),
@@ -150,6 +165,9 @@
   private readonly bornAtMs = new Map<string, number>();
   private readonly drainedAtMs = new Map<string, number>();
   private readonly connections = new Set<VirtualConnection>();
+  private readonly statementOracle = new StatementOracle();
+  /** What the answer to each attempt states, by attempt. */
+  private readonly answerStatements = new Map<string, AnswerStatementRecord>();
   /**
    * Times of the crashes since a node was last killed, frozen or thawed: such a node may have missed the
    * suspicions that earlier crashes raised.
@@ -184,6 +202,40 @@
     this.crashTimesMs = [];
   }
 
+  /** The endpoint names a rate limit from now on; Infinity for none. */
+  nameLimit(endpoint: VirtualEndpoint, maxRatePerS: number): void {
+    endpoint.maxRatePerS = maxRatePerS;
+    this.statementOracle.limitNamed(this.processOf(endpoint), maxRatePerS, this.clock.nowMs);
+  }
+
+  /** The endpoint answers an attempt. */
+  answerStated({ requestId }: Call, endpointName: string): void {
+    const endpoint = this.endpoint(endpointName);
+    this.answerStatements.set(requestId, {
+      endpoint: this.processOf(endpoint),
+      isLimited: endpoint.maxRatePerS < Infinity,
+      isLeaving: endpoint.isLeaving,
+    });
+  }
+
+  /** A node passes the answer to an attempt on to its caller. */
+  private answerPassedOn(attempt: string, callerNode: string): void {
+    const stated = this.answerStatements.get(attempt);
+    if (stated !== undefined) {
+      this.statementOracle.passedOn(stated.endpoint, callerNode, stated, this.clock.nowMs);
+    }
+  }
+
+  /** A node is frozen: it is excused from what it was told. */
+  nodeInterrupted({ identity }: VirtualNode): void {
+    this.statementOracle.interrupted(identity);
+  }
+
+  private processOf(endpoint: VirtualEndpoint): string {
+    const name = ENDPOINT_NAMES[this.endpoints.indexOf(endpoint)] ?? '';
+    return `${name}/${endpoint.process.generation}`;
+  }
+
   private crash(endpoint: VirtualEndpoint): void {
     this.crashTimesMs.push(this.clock.nowMs);
     this.killEndpoint(endpoint);
@@ -233,7 +285,10 @@
       return;
     }
     const id = `c${this.calls.length}`;
-    const reply = new VirtualReply(this.random);
+    const { identity } = node;
+    const reply = new VirtualReply(this.random, (attempt) =>
+      this.answerPassedOn(attempt, identity),
+    );
     const { outcomes, close } = reply;
     const deadlineAtMs = this.clock.nowMs + timeoutMs;
     const { generation } = node.process;
@@ -242,6 +297,7 @@
       id,
       isCrashing,
       repeatable,
+      startedAtMs: this.clock.nowMs,
       deadlineAtMs,
       node,
       generation,
@@ -333,6 +389,7 @@
     if (call.target === CRASHING_TARGET && nowMs > thirdAtMs + CONTAINMENT_DELAY_MS) {
       this.violations.push(`${call.requestId} was sent after ${this.crashTimesMs.length} crashes`);
     }
+    this.checkStatements(endpointName, call);
     const drainedAtMs = this.drainedAtMs.get(endpointName) ?? Infinity;
     const knownSinceMs = Math.max(drainedAtMs, node.process.thawedAtMs) + DRAIN_GRACE_MS;
     if (nowMs > knownSinceMs) {
@@ -340,6 +397,21 @@
     }
   }
 
+  private checkStatements(endpointName: string, call: Call): void {
+    const record = this.calls.find(({ id }) => id === callOf(call));
+    if (record === undefined) {
+      return;
+    }
+    const { node, generation, startedAtMs } = record;
+    const dispatch = {
+      attempt: call.requestId,
+      endpoint: this.processOf(this.endpoint(endpointName)),
+      callerNode: `${node.name}/${generation}`,
+      startedAtMs,
+    };
+    this.violations.push(...this.statementOracle.check(dispatch, this.clock.nowMs));
+  }
+
   configureDrain(names: ReadonlySet<string>): void {
     for (const name of ENDPOINT_NAMES) {
       const since = Math.min(this.drainedAtMs.get(name) ?? Infinity, this.clock.nowMs);
@@ -359,7 +431,11 @@
   readonly outcomes: CallOutcome[] = [];
   private readonly listeners: ((isComplete: boolean) => void)[] = [];
 
-  constructor(private readonly random: RandomSource) {}
+  /** `onPassedOn` is called with the attempt of an answer that the caller gets whole. */
+  constructor(
+    private readonly random: RandomSource,
+    private readonly onPassedOn: (attempt: string) => void,
+  ) {}
 
   readonly close = (isComplete: boolean): void => {
     this.listeners.splice(0).forEach((listener) => listener(isComplete));
@@ -375,7 +451,9 @@
         observer.truncated(this.random() < 0.5);
         return;
       }
-      this.outcomes.push({ kind: 'answer', content: answer.headers[1] ?? '' });
+      const attempt = answer.headers[1] ?? '';
+      this.onPassedOn(attempt);
+      this.outcomes.push({ kind: 'answer', content: attempt });
       observer.completed();
       this.close(true);
     });
--- a/test/proxy/fuzz/virtual-endpoint.ts
+++ b/test/proxy/fuzz/virtual-endpoint.ts
@@ -54,6 +54,10 @@
 
 export class VirtualEndpoint {
   isDraining = false;
+  /** Rate limit that its answers name; Infinity for none. */
+  maxRatePerS = Infinity;
+  /** Whether its answers say that it leaves. */
+  isLeaving = false;
   /** Maximum number of requests that ran concurrently, by sender. */
   readonly peakConcurrency = new Map<string, number>();
   private readonly running = new Map<string, Running>();
@@ -116,6 +120,8 @@
     this.process.kill();
     this.running.clear();
     this.phases = new Map();
+    this.maxRatePerS = Infinity;
+    this.isLeaving = false;
   }
 
   private stop(attempt: string): void {
--- a/test/proxy/fuzz/virtual-paths.ts
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -112,12 +112,18 @@
       };
       connection.toServer(() => {
         target.receive(request, {
-          answer: (content) =>
+          answer: (content) => {
+            const { maxRatePerS, isLeaving } = target;
+            world.answerStated(call, endpoint.name);
             connection.toClient(() => {
               const answer = new VirtualAnswer(content);
               answers.push(answer);
-              settle(() => observer.answered(answer.answer));
-            }),
+              settle(() => {
+                observer.stated?.({ maxRatePerS, isLeaving });
+                observer.answered(answer.answer);
+              });
+            });
+          },
           endAnswer: (isComplete) => connection.toClient(() => answers[0]?.end(isComplete)),
           refuse: (draining) =>
             connection.toClient(() => {
@@ -221,6 +227,10 @@
     const remainingMs = call.deadlineAtMs - node.process.now();
     connection.toServer(() => {
       const deadlineAtMs = peer.process.now() + remainingMs;
+      const { knownMaxRatePerS } = call;
+      if (knownMaxRatePerS !== undefined) {
+        peer.gateway.rateLimitReported(endpoint, knownMaxRatePerS);
+      }
       relayed = peer.gateway.submit(
         endpoint,
         { ...call, deadlineAtMs },
--- a/test/proxy/request-fuzz.test.ts
+++ b/test/proxy/request-fuzz.test.ts
@@ -12,6 +12,7 @@
 import { EndpointAttempt } from '../../src/proxy/endpoint-attempt.js';
 import { GatedCall } from '../../src/proxy/gated-call.js';
 import { RequestLifecycle } from '../../src/proxy/request-lifecycle.js';
+import { EndpointStatement } from '../../src/routing/endpoint-statement.js';
 import { seededRandom } from '../../tools/emulator/seeded-random.js';
 import { findUnsettled, findViolation } from './fuzz/request-oracle.js';
 import { RequestWorld } from './fuzz/request-world.js';
@@ -23,6 +24,8 @@
 const MAX_COMMANDS = 60;
 /** Number of calls in a series that repeats a crashing request. */
 const CRASHING_CALL_COUNT = 12;
+/** Number of calls in a series that finds rate limits exceeded. */
+const SERIES_CALL_COUNT = 30;
 /** Exceeds the duration of any request, slot occupation or delayed message, in milliseconds. */
 const SETTLE_MS = 20_000;
 
@@ -123,6 +126,9 @@
     arbitrary: fc.nat({ max: 4 }).map((which) =>
       command(`freeze or thaw process ${which}`, (world) => {
         const { process } = which < 3 ? at(world.nodes, which) : at(world.endpoints, which - 3);
+        if (which < 3) {
+          world.nodeInterrupted(at(world.nodes, which));
+        }
         if (process.isFrozen) {
           world.resetCrashTimes();
           process.thaw();
@@ -157,6 +163,9 @@
           world.advance(durationMs);
           world.resetCrashTimes();
           process.thaw();
+          if (which < 3) {
+            world.nodeInterrupted(at(world.nodes, which));
+          }
         }),
       ),
   },
@@ -222,6 +231,39 @@
   ),
 };
 
+/** Endpoints name rate limits, change and lift them, and say that they leave, while callers send many requests. */
+const statementCommands: readonly WeightedCommand[] = [
+  {
+    weight: 4,
+    arbitrary: fc
+      .tuple(fc.nat({ max: 1 }), fc.constantFrom(0, 0.4, 1, 3.3, Infinity))
+      .map(([which, maxRatePerS]) =>
+        command(`e${which + 1} names limit ${maxRatePerS}`, (world) =>
+          world.nameLimit(at(world.endpoints, which), maxRatePerS),
+        ),
+      ),
+  },
+  {
+    weight: 1,
+    arbitrary: fc.nat({ max: 1 }).map((which) =>
+      command(`e${which + 1} says that it leaves`, (world) => {
+        at(world.endpoints, which).isLeaving = true;
+      }),
+    ),
+  },
+  {
+    weight: 6,
+    arbitrary: fc.tuple(index, fc.integer({ min: 20, max: 120 })).map(([first, gapMs]) =>
+      command(`series of calls from n${first}, one in ${gapMs} ms`, (world) => {
+        for (let i = 0; i < SERIES_CALL_COUNT; i += 1) {
+          world.call(at(world.nodes, (first + i) % 3), true, 600);
+          world.advance(gapMs);
+        }
+      }),
+    ),
+  },
+];
+
 const scenarioOf = (commands: readonly WeightedCommand[]) =>
   fc.record({
     seed: fc.nat(),
@@ -265,6 +307,10 @@
 const suspicionProperty = propertyOf(
   scenarioOf([...callCommands, ...faultCommands, suspicionCommand]),
 );
+const statementProperty = propertyOf(
+  scenarioOf([...callCommands, ...faultCommands, ...statementCommands]),
+  true,
+);
 
 interface Mutant {
   readonly name: string;
@@ -369,8 +415,11 @@
     target: EndpointAdmission.prototype,
     method: 'dispatchOrRefuse',
     replace: () =>
-      function (this: { running: Set<string> }, ticket: { requestId: string }): unknown {
-        this.running.add(ticket.requestId);
+      function (
+        this: { running: Map<string, string | undefined> },
+        ticket: { requestId: string },
+      ): unknown {
+        this.running.set(ticket.requestId, undefined);
         return { type: 'dispatch', requestId: ticket.requestId };
       },
   },
@@ -392,6 +441,20 @@
     method: 'close',
     replace: () => () => [],
   },
+  {
+    name: 'a rate limit is known but not enforced',
+    property: statementProperty,
+    target: EndpointStatement.prototype,
+    method: 'updateBucket',
+    replace: () => () => undefined,
+  },
+  {
+    name: 'an endpoint that says that it leaves is not remembered',
+    property: statementProperty,
+    target: EndpointStatement.prototype,
+    method: 'markLeaving',
+    replace: () => () => false,
+  },
 ];
 
 describe('request path under fuzzing', function () {
@@ -409,6 +472,10 @@
     fc.assert(restartProperty, { seed: SEED, numRuns: RUNS });
   });
 
+  it('preserves all invariants while endpoints name rate limits and leave', () => {
+    fc.assert(statementProperty, { seed: SEED, numRuns: RUNS });
+  });
+
   for (const mutant of mutants) {
     it(`detects the mutant: ${mutant.name}`, () => {
       const original = Reflect.get(mutant.target, mutant.method) as () => unknown;
