--- a/test/platform/rate-limited-backend.test.ts
+++ b/test/platform/rate-limited-backend.test.ts
@@ -13,6 +13,8 @@
 /** Time after a machine's first such answer from which its requests count, in milliseconds. */
 const TOLD_MS = 500;
 const WINDOW_MS = 4_000;
+/** Longest time for which nodes do not ask a back end that has refused because of its limit, in milliseconds. */
+const REFUSAL_HOLD_MS = 5_000;
 /** Half of the target latency: a refusal that takes longer came after a wait, in milliseconds. */
 const IMMEDIATE_MS = 250;
 /** Time in which all nodes know a change of the store, in milliseconds. */
@@ -89,6 +91,21 @@
     expect(busiestWindow(arrivalTimes(toldAtMs))).to.be.at.most(allowedInWindow(0.4));
   }).timeout(15_000);
 
+  it('has its limit told to a restarted node by the first request of another one', async () => {
+    home.backend.rateLimit = '0.4';
+    await load(TOLD_MS / MS_PER_SECOND);
+    home.node.abort();
+    home.backend.behaviour = () => undefined;
+    const node = fleet.createNode(home.address, 'a', home.log);
+    await node.open();
+    await pause(REFUSAL_HOLD_MS);
+    home.backend.arrivals.length = 0;
+    senders = senders.filter((sender) => sender !== home);
+    await load(1);
+    expect(arrivalTimes().length).to.equal(0);
+    expect(home.log.join()).to.contain('has a limit of 0.4/s, as reported by a peer');
+  }).timeout(15_000);
+
   it('keeps to the limit when its entry is removed from the store and listed again', async () => {
     home.backend.rateLimit = '0.4';
     await load(TOLD_MS / MS_PER_SECOND);
