Split admission: effects, and the choice of requests under a rate limit

endpoint-admission.ts had grown to 460 lines; its types and what concerns the endpoint's own rate limit are modules of their own now. No behaviour changes: the tests of admission pass.

--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -3,12 +3,27 @@
  * concurrently; a short queue orders waiting requests by rank, with fairness among the callers' nodes; a request
  * that cannot finish in time is refused immediately. Pure: time is passed in.
  */
+import type {
+  AdmissionEffect,
+  BodyArrival,
+  ClosedReason,
+  Refusal,
+  RefusalReason,
+} from './admission-effect.js';
+import { LimitedRequests } from './limited-requests.js';
 import { AdmissionQueue, rankOf, type AdmissionTicket } from './admission-queue.js';
 import { combineRateLimits, NO_RATE_LIMIT, type RateLimiter } from './rate-limiter.js';
 import { ServiceTimes } from './service-times.js';
 import { isLateRank, onTimeRank } from './work-rank.js';
 
 export type { AdmissionTicket } from './admission-queue.js';
+export type {
+  AdmissionEffect,
+  BodyArrival,
+  ClosedReason,
+  Refusal,
+  RefusalReason,
+} from './admission-effect.js';
 
 /** Default queue capacity per slot. */
 export const DEFAULT_QUEUED_PER_SLOT = 2;
@@ -31,49 +46,9 @@
  * its caller may occupy a slot of another endpoint in the meantime.
  */
 const SHORT_WORK_RATIO = 0.6;
-/**
- * Time after the last request to an endpoint with a rate limit after which a request is sent although it is not expected
- * to finish, in milliseconds.
- */
-const LIMITED_TRIAL_INTERVAL_MS = 10_000;
-/** Time that a request to such an endpoint must have left, as a multiple of the mean service time. */
-const LIMITED_TIME_FACTOR = 2;
 /** Maximum wait of late work, as a multiple of the expected wait. */
 const LATE_WAIT_FACTOR = 3;
 
-/**
- * Why a request is refused; always decided before the request is sent. `rate-limited`: the endpoint's own rate limit
- * allows it only too late.
- */
-export type RefusalReason =
-  'queue-full' | 'cannot-finish-in-time' | 'deadline-passed' | 'rate-limited' | ClosedReason;
-
-/**
- * Why an endpoint accepts no new requests.
- *
- * - `draining`: it is shutting down.
- * - `evacuated`: its zone temporarily receives no traffic.
- */
-export type ClosedReason = 'draining' | 'evacuated';
-
-/** The refusal of a request, with the delay before a retry. */
-export interface Refusal {
-  readonly requestId: string;
-  readonly reason: RefusalReason;
-  readonly retryAfterMs: number;
-}
-
-/** When the body of a request is expected, estimated from the transfer rate of earlier bodies. */
-export interface BodyArrival {
-  readonly beginsAtMs: number;
-  readonly endsAtMs: number;
-}
-
-/** An action that the caller of {@link EndpointAdmission} carries out for a request. */
-export type AdmissionEffect =
-  | { readonly type: 'dispatch'; readonly requestId: string }
-  | ({ readonly type: 'refuse' } & Refusal);
-
 /** Slots and queue of one endpoint. */
 export class EndpointAdmission {
   private readonly queue = new AdmissionQueue();
@@ -86,8 +61,7 @@
   /** Requests in flight at the endpoint, according to its last report, that this node does not count. */
   private unaccountedInFlight = 0;
   private reportedAtMs = -Infinity;
-  /** When the last request was sent; when the first was offered, before that. */
-  private lastSentAtMs = Infinity;
+  private readonly limitedRequests: LimitedRequests;
   /** All limits on the rate of requests. */
   private readonly rateLimiter: RateLimiter;
 
@@ -103,8 +77,9 @@
     private readonly maxWaiting = Infinity,
     private readonly queuedPerSlot = DEFAULT_QUEUED_PER_SLOT,
     private readonly coldStartLimiter: RateLimiter = NO_RATE_LIMIT,
-    private readonly endpointLimiter: RateLimiter = NO_RATE_LIMIT,
+    endpointLimiter: RateLimiter = NO_RATE_LIMIT,
   ) {
+    this.limitedRequests = new LimitedRequests(endpointLimiter);
     this.rateLimiter = combineRateLimits([coldStartLimiter, endpointLimiter]);
     this.limit = slots;
   }
@@ -227,7 +202,7 @@
 
   /** Dispatches, queues or refuses a request that has arrived. */
   offer(offered: AdmissionTicket, nowMs: number): AdmissionEffect[] {
-    this.lastSentAtMs = Math.min(this.lastSentAtMs, nowMs);
+    this.limitedRequests.recordOffer(nowMs);
     const hadReservation = this.reserved.delete(offered.requestId);
     const ticket = this.withoutMissedTarget(this.applyLateWorkRules(offered, nowMs), nowMs);
     const hasCapacity = hadReservation || this.hasFreeSlot(nowMs);
@@ -369,31 +344,17 @@
   }
 
   /**
-   * Whether a request that starts at `startAtMs` cannot finish in time. Never true for an idle endpoint, so that
-   * its service time is measured again. `startByMs` is not considered, since it does not restrict a request that
-   * gets a free slot immediately.
+   * Whether a request that starts at `startAtMs` cannot finish in time. For an idle endpoint this is true only under its
+   * own rate limit, so that its service time is measured again. `startByMs` is not considered, since it does not
+   * restrict a request that gets a free slot immediately.
    */
   private isTooLate(ticket: AdmissionTicket, startAtMs: number, hasToWait = false): boolean {
     const isIdle = this.running.size === 0 && !hasToWait;
     return isIdle
-      ? this.wastesLimitedRequest(ticket, startAtMs)
+      ? this.limitedRequests.isWasted(ticket, this.serviceTimes.meanMs(ticket.workClass), startAtMs)
       : startAtMs > this.lastUsefulStartMs(ticket);
   }
 
-  /**
-   * Whether a request that the endpoint's own rate limit allows now would take the place of another one although it
-   * will probably not finish before its deadline. Never true some time after the last request, so that the service
-   * time is measured again, and the limit heard.
-   */
-  private wastesLimitedRequest(ticket: AdmissionTicket, startAtMs: number): boolean {
-    const isLimited = this.endpointLimiter.availableAt(startAtMs) < Infinity;
-    const isRecent = startAtMs < this.lastSentAtMs + LIMITED_TRIAL_INTERVAL_MS;
-    const { deadlineAtMs, targetAtMs = startAtMs } = ticket;
-    const meanMs = this.serviceTimes.meanMs(ticket.workClass);
-    const neededMs = meanMs > 0 ? meanMs * LIMITED_TIME_FACTOR : targetAtMs - startAtMs;
-    return isLimited && isRecent && startAtMs + neededMs > deadlineAtMs;
-  }
-
   /** Expected wait of a request of the rank that arrives now. */
   private expectedWaitMs(rank: number, nowMs: number): number {
     return Math.max(this.expectedSlotWaitMs(rank, nowMs), this.endpointLimitWaitMs(rank, nowMs));
@@ -401,8 +362,7 @@
 
   /** Wait because of the rate limit that the endpoint has stated. */
   private endpointLimitWaitMs(rank: number, nowMs: number): number {
-    const waiting = this.queue.countAtLeastAsUrgent(rank);
-    return this.endpointLimiter.maxDelayMs(waiting + 1, nowMs);
+    return this.limitedRequests.waitMs(this.queue.countAtLeastAsUrgent(rank), nowMs);
   }
 
   /** Expected wait for a slot, by the measured service times, and until a cold endpoint may get the request. */
@@ -453,7 +413,7 @@
       return this.refuse(ticket, 'cannot-finish-in-time', nowMs);
     }
     this.running.set(ticket.requestId, ticket.workClass);
-    this.lastSentAtMs = nowMs;
+    this.limitedRequests.recordSent(nowMs);
     this.rateLimiter.recordSent(nowMs);
     return { type: 'dispatch', requestId: ticket.requestId };
   }
