--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -5,7 +5,6 @@
   type AdmissionEffect,
   type BodyArrival,
   type ClosedReason,
-  type Refusal,
 } from '../admission/endpoint-admission.js';
 import { NO_CONTAINMENT, type CallContainment } from '../containment/containment.js';
 import { SuspectLane } from '../containment/suspect-lane.js';
@@ -24,11 +23,12 @@
   coldStateUpdateOf,
   type EndpointGateConfig,
 } from './endpoint-gate-config.js';
+import { failureEntry, refusalEntry, type GateLogState, type RecordedRefusal } from './gate-log.js';
 import { GateStatements, type RateLimitUse } from './gate-statements.js';
 import { GatedCall, type CallGate, type CancelLead } from './gated-call.js';
 import { ProcessExitDetector } from './loss-judge.js';
 import type { RequestError } from './request-error.js';
-import { fingerprintField, type RequestLog } from './request-log.js';
+import type { RequestLog } from './request-log.js';
 import type { CancelTimer, Scheduler } from './scheduler.js';
 
 /** Options shared by all gates of a node. */
@@ -52,11 +52,6 @@
   readonly logStateChange: (what: string, detail: string) => void;
 }
 
-/** A refusal as written to the log. */
-type RecordedRefusal = Omit<Refusal, 'reason'> & {
-  readonly reason: Refusal['reason'] | 'contained';
-};
-
 /** The slots of one incarnation of an endpoint and the requests that are queued for or occupy them. */
 export class EndpointGate implements CallGate {
   private readonly admission: EndpointAdmission;
@@ -381,47 +376,36 @@
           });
   }
 
-  private recordRefusal(
-    { requestId, reason, retryAfterMs }: RecordedRefusal,
-    call: Call | undefined,
-  ): void {
+  private recordRefusal(refusal: RecordedRefusal, call: Call | undefined): void {
     const nowMs = this.options.scheduler.now();
-    const { isLimited, maxRatePerS } = this.statement;
-    if (reason === 'rate-limited') {
+    if (refusal.reason === 'rate-limited') {
       this.statements.recordRefusal();
     }
-    this.options.requestLog?.record({
-      event: 'attempt-refused',
-      request: requestId,
-      endpoint: this.endpoint.name,
-      code: reason,
-      retryAfterMs: Math.round(retryAfterMs),
-      ...(call && {
-        deadlineLeftMs: Math.round(call.deadlineAtMs - nowMs),
-        startLeftMs: Math.round(this.admission.latestStartAtMs(call, nowMs) - nowMs),
-        travelLostMs: Math.round(call.travelLostMs ?? 0),
-        ...fingerprintField(reason, () => this.containment.fingerprintOf(call)),
-      }),
-      ...(isLimited && { maxRatePerS }),
-      running: this.admission.runningCount,
-      waiting: this.admission.waitingCount,
-      slots: this.slots,
-    });
+    const refused = call && {
+      call,
+      latestStartAtMs: this.admission.latestStartAtMs(call, nowMs),
+      fingerprintOf: () => this.containment.fingerprintOf(call),
+    };
+    this.options.requestLog?.record(
+      refusalEntry(refusal, refused, this.statement, this.logState, nowMs),
+    );
   }
 
   recordFailure(call: Call, code: string, elapsedMs: number, detail: string): void {
-    this.options.requestLog?.record({
-      event: 'endpoint-failed',
-      request: call.requestId,
+    const { requestId } = call;
+    const fingerprintOf = (): string => this.containment.fingerprintOf(call);
+    this.options.requestLog?.record(
+      failureEntry({ requestId, code, elapsedMs, detail, fingerprintOf }, this.logState),
+    );
+  }
+
+  private get logState(): GateLogState {
+    return {
       endpoint: this.endpoint.name,
-      code,
-      ...fingerprintField(code, () => this.containment.fingerprintOf(call)),
-      elapsedMs: Math.round(elapsedMs),
-      detail,
       running: this.admission.runningCount,
       waiting: this.admission.waitingCount,
       slots: this.slots,
-    });
+    };
   }
 
   private execute(effects: readonly AdmissionEffect[]): void {
