Soak: back ends that say that they leave

The plan limits becomes statements: back ends also say in their answers that they leave, while the store lists them as ready, serve on and are replaced. The judge leaving holds machines to what they passed on, also out of touch; a stop, kill or freeze excuses them.

--- a/tools/soak/broken-promise.ts
+++ b/tools/soak/broken-promise.ts
@@ -22,6 +22,8 @@
   | 'drain'
   /** A back end that names a rate limit gets no more requests than that from machines that know it. */
   | 'rate-limit'
+  /** A back end whose answers say that it leaves gets nothing more from a machine that passed one on. */
+  | 'leaving'
   /** What a node had read gets a whole answer although it is told to stop. */
   | 'planned-stop'
   /** A planned stop ends by itself, in time and without an error. */
--- a/tools/soak/contact.ts
+++ b/tools/soak/contact.ts
@@ -28,6 +28,7 @@
     kind === 'stall' ||
     kind === 'backend-fault' ||
     kind === 'backend-limit' ||
+    kind === 'backend-leave' ||
     kind === 'backend-crash'
   );
 }
--- a/tools/soak/fault-injector.ts
+++ b/tools/soak/fault-injector.ts
@@ -36,6 +36,7 @@
       | 'store-restore'
       | 'backend-fault'
       | 'backend-limit'
+      | 'backend-leave'
       | 'backend-crash'
       | 'backend-drain'
       | 'configure';
@@ -47,8 +48,8 @@
   readonly fleet: SoakFleet;
   readonly nowMs: () => number;
   readonly say: (text: string) => void;
-  /** Whether back ends record their rate limits but do not name them; false when absent. */
-  readonly hidesLimits?: boolean;
+  /** Whether back ends record their rate limits and that they leave, but do not state it; false when absent. */
+  readonly hidesStatements?: boolean;
 }
 
 /** The injector; faults may overlap, but a machine's process is held by one at a time. */
@@ -106,6 +107,8 @@
         return this.failBackends(fault);
       case 'backend-limit':
         return this.limitBackends(fault);
+      case 'backend-leave':
+        return this.leaveBackends(fault);
       case 'backend-crash':
         return this.replaceBackends(fault, false);
       case 'backend-drain':
@@ -289,10 +292,25 @@
   }
 
   private nameLimit({ backend }: SoakMachine, ratePerS: number | undefined): void {
-    backend.nameLimit(ratePerS, this.params.hidesLimits === true);
+    backend.nameLimit(ratePerS, this.params.hidesStatements === true);
     this.limits.push({ backend: backend.id, atMs: this.params.nowMs(), ratePerS });
   }
 
+  /** Back ends say in answers that they leave, serve on, end, and are replaced. */
+  private async leaveBackends(fault: Extract<SoakFault, { kind: 'backend-leave' }>): Promise<void> {
+    const { fleet, hidesStatements = false } = this.params;
+    const machines = this.hold(this.heldBackends, fault.machines);
+    await this.during(fault, machines, async () => {
+      machines.forEach(({ backend }) => backend.leave(hidesStatements));
+      await delay(fault.servesMs);
+      machines.forEach(({ backend }) => backend.close());
+      await delay(fault.forMs);
+      machines.forEach((machine) => fleet.forgetBackend(machine));
+      await Promise.all(machines.map((machine) => fleet.restartBackend(machine)));
+    });
+    release(this.heldBackends, machines);
+  }
+
   /** A planned end is announced and serves on for a while; a crash is neither. */
   private async replaceBackends(
     fault: Extract<SoakFault, { kind: 'backend-crash' | 'backend-drain' }>,
--- a/tools/soak/fault-plan.ts
+++ b/tools/soak/fault-plan.ts
@@ -70,6 +70,13 @@
       readonly ratesPerS: readonly number[];
       readonly forMs: number;
     }
+  | {
+      /** The back end says in its answers that it leaves, serves on and ends; the store lists it as ready. */
+      readonly kind: 'backend-leave';
+      readonly machines: readonly number[];
+      readonly servesMs: number;
+      readonly forMs: number;
+    }
   | { readonly kind: 'backend-crash'; readonly machines: readonly number[]; readonly forMs: number }
   | {
       readonly kind: 'backend-drain';
--- a/tools/soak/limit-promises.ts
+++ b/tools/soak/limit-promises.ts
@@ -4,6 +4,7 @@
  */
 import type { BrokenPromise } from './broken-promise.js';
 import type { SoakArrival, SoakCall, SoakLimit, SoakRecord } from './soak-record.js';
+import { toldTimesOf, wasCut, wasInterrupted, type ToldTimes } from './told-machines.js';
 
 /** Length of the window in which requests are counted, in milliseconds. */
 const WINDOW_MS = 4_000;
@@ -44,7 +45,7 @@
     (arrival) =>
       arrival.backend === backend && arrival.headAtMs >= fromMs && arrival.headAtMs < untilMs,
   );
-  const toldAtMs = toldTimes(arrivals, callsById);
+  const toldAtMs = toldTimesOf(arrivals, callsById, ({ namesLimit }) => namesLimit === true);
   const counted = arrivals
     .filter((arrival) => isCounted(record, arrival, callsById, toldAtMs))
     .map(({ headAtMs }) => headAtMs)
@@ -62,32 +63,12 @@
   return [{ promise: 'rate-limit', detail }];
 }
 
-/** When each machine had passed on an answer with the limit, by the ends of its calls. */
-function toldTimes(
-  arrivals: readonly SoakArrival[],
-  callsById: ReadonlyMap<string, SoakCall>,
-): ReadonlyMap<number, readonly number[]> {
-  const times = new Map<number, number[]>();
-  for (const { id, namesLimit, outcome } of arrivals) {
-    const call = callsById.get(id);
-    if (
-      call !== undefined &&
-      namesLimit === true &&
-      outcome === 'answered' &&
-      call.status === 200
-    ) {
-      times.set(call.machine, [...(times.get(call.machine) ?? []), call.endedAtMs]);
-    }
-  }
-  return times;
-}
-
 /** Whether the request began at a machine that knew the limit and that no fault has struck since then. */
 function isCounted(
   record: SoakRecord,
   { id, headAtMs }: SoakArrival,
   callsById: ReadonlyMap<string, SoakCall>,
-  toldAtMs: ReadonlyMap<number, readonly number[]>,
+  toldAtMs: ToldTimes,
 ): boolean {
   const machine = callsById.get(id)?.machine;
   const times = machine === undefined ? [] : (toldAtMs.get(machine) ?? []);
@@ -98,12 +79,9 @@
 
 /** A restart, freeze or cut of a machine excuses its requests until it is told again. */
 function isExcused(record: SoakRecord, machine: number, fromMs: number, untilMs: number): boolean {
-  return record.windows.some(({ kind, machines, linksOf, ...window }) => {
-    const isEnd = kind === 'kill' || kind === 'stop' || kind === 'freeze';
-    const isStruck = isEnd && (machines === undefined || machines.includes(machine));
-    const isCut = linksOf?.includes(machine) === true;
-    return (isStruck || isCut) && window.fromMs <= untilMs && window.untilMs >= fromMs;
-  });
+  return (
+    wasInterrupted(record, machine, fromMs, untilMs) || wasCut(record, machine, fromMs, untilMs)
+  );
 }
 
 function limitedTimesOf(limits: readonly SoakLimit[]): LimitedTime[] {
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -37,7 +37,8 @@
                 and loses nothing;
                 'planned' has planned work alone, of all kinds, and a loss of power at the end;
                 'restores' restores the store from backups during planned work;
-                'limits' has back ends that name rate limits, and faults of the nodes beside them
+                'statements' has back ends that name rate limits and say that they leave, and faults of
+                the nodes beside them
     --shape     File with the shape of a deployment (deploy/shapes): callers that send reads behind each
                 other, answers, calls of back ends, and the processor of the nodes
     --deployed  Runs the bundle, started as it is deployed, in place of the compiled program
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -10,6 +10,7 @@
 import { isCrashing } from './crash-traffic.js';
 import { judgeConfigurationCuts, judgeCuts } from './cut-promises.js';
 import { judgeDeliveries } from './delivery-promises.js';
+import { judgeLeaving } from './leaving-promises.js';
 import { judgeLimits } from './limit-promises.js';
 import type { SoakArrival, SoakCall, SoakRecord, SoakSilence } from './soak-record.js';
 import { judgeReloads, judgeStops } from './stop-promises.js';
@@ -47,6 +48,7 @@
     ...judgeConfigurationCuts(record, arrivalsById),
     ...judgeDeliveries(record, arrivalsById),
     ...judgeLimits(record),
+    ...judgeLeaving(record),
     ...record.silences.flatMap(judgeSilence),
     ...judgeCallerSilences(record, arrivalsById),
     ...judgeCrashes(record, (machine, fromMs, untilMs) =>
--- a/tools/soak/soak-backend.ts
+++ b/tools/soak/soak-backend.ts
@@ -51,6 +51,7 @@
   private running = 0;
   private isClosed = false;
   private isLimited = false;
+  private isLeaving = false;
   private fault: BackendFault | undefined;
   private faultShare = 0;
   /** Connections that a fault ended. */
@@ -91,6 +92,12 @@
     this.server.rateLimit = ratePerS === undefined || isHidden ? undefined : String(ratePerS);
   }
 
+  /** Says in its answers that it leaves. Does not say it, but records it, if `isHidden`. */
+  leave(isHidden: boolean): void {
+    this.isLeaving = true;
+    this.server.isLeaving = !isHidden;
+  }
+
   /** Whether it has ended. */
   get hasEnded(): boolean {
     return this.isClosed;
@@ -214,6 +221,7 @@
       deadlineMs: Number(headers['deadline-ms']),
       hasRun,
       namesLimit: this.isLimited,
+      saysLeaving: this.isLeaving,
       brokeOff: false,
       outcome: 'open',
       endedAtMs: Infinity,
--- a/tools/soak/soak-record.ts
+++ b/tools/soak/soak-record.ts
@@ -77,6 +77,8 @@
   readonly hasRun: boolean;
   /** Whether its answer names a rate limit; false when absent. */
   readonly namesLimit?: boolean;
+  /** Whether its answer says that the back end leaves; false when absent. */
+  readonly saysLeaving?: boolean;
   /** Whether the back end ended its connection without a whole answer. */
   brokeOff: boolean;
   /** How its exchange with the back end ended. */
--- a/tools/soak/soak-run.ts
+++ b/tools/soak/soak-run.ts
@@ -8,7 +8,7 @@
 import { SoakFaultInjector } from './fault-injector.js';
 import { PauseWatch } from './pause-watch.js';
 import { PipelinedTraffic } from './pipelined-traffic.js';
-import { planLimits } from './limit-plan.js';
+import { planStatements } from './statement-plan.js';
 import { planPlannedWork } from './planned-plan.js';
 import { ProcessorTurns } from './processor-turns.js';
 import type { SoakShape } from './soak-shape.js';
@@ -41,7 +41,7 @@
 const PIPELINE_STREAM = 9;
 const PROCESSOR_STREAM = 10;
 const RESTORE_STREAM = 11;
-const LIMIT_STREAM = 12;
+const STATEMENT_STREAM = 12;
 /** Share of the short requests that work for long, beside rolls. */
 const LONG_SHARE = 0.1;
 /** What the link to a node passes each way: 7 Mbit/s, as machines of the users' deployments have. */
@@ -63,8 +63,8 @@
  *   storms and large configurations; in the end all nodes lose power right after a configuration.
  * - `restores`: the store is restored from backups; configuration changes, drains of back ends and planned
  *   stops take place before and after each restore.
- * - `limits`: back ends name rate limits, which change and end; the nodes beside them are stopped, killed, frozen and
- *   cut off meanwhile.
+ * - `statements`: back ends name rate limits, which change and end, and say that they leave; the nodes beside them are
+ *   stopped, killed, frozen and cut off meanwhile.
  */
 export const SOAK_PLANS = [
   'faults',
@@ -74,7 +74,7 @@
   'rolls',
   'planned',
   'restores',
-  'limits',
+  'statements',
 ] as const;
 
 /** What happens in a soak. */
@@ -93,8 +93,11 @@
   readonly shape?: SoakShape | undefined;
   /** Whether the nodes run the bundle, started as it is deployed; the compiled program when absent. */
   readonly isDeployed?: boolean;
-  /** Whether back ends record their rate limits but do not name them, so that the promise breaks; false when absent. */
-  readonly hidesLimits?: boolean;
+  /**
+   * Whether back ends record their rate limits and that they leave, but do not state it, so that the promises break;
+   * false when absent.
+   */
+  readonly hidesStatements?: boolean;
   /** The first two numbers of the loopback network. */
   readonly network: string;
   readonly say: (text: string) => void;
@@ -152,8 +155,8 @@
 ): Promise<SoakResult> {
   const { seed, say, machines, perSecond } = params;
   const random = seededRandom(seed, TRAFFIC_STREAM);
-  const { hidesLimits = false } = params;
-  const injector = new SoakFaultInjector({ fleet, nowMs, say, hidesLimits });
+  const { hidesStatements = false } = params;
+  const injector = new SoakFaultInjector({ fleet, nowMs, say, hidesStatements });
   const traffic = new SoakTraffic({
     ...{ fleet, random, nowMs, perSecond },
     longShare: hasLongRequests(params) ? LONG_SHARE : 0,
@@ -234,8 +237,8 @@
   if (plan === 'planned') {
     return planPlannedWork({ ...common, random: seededRandom(seed, PLANNED_STREAM) });
   }
-  if (plan === 'limits') {
-    return planLimits({ ...common, random: seededRandom(seed, LIMIT_STREAM) });
+  if (plan === 'statements') {
+    return planStatements({ ...common, random: seededRandom(seed, STATEMENT_STREAM) });
   }
   if (plan === 'restores') {
     return planRestores({ ...common, random: seededRandom(seed, RESTORE_STREAM) });
