--- a/test/soak/soak-case.ts
+++ b/test/soak/soak-case.ts
@@ -2,6 +2,7 @@
 import { expect } from 'chai';
 import { summarize, type BrokenPromise } from '../../tools/soak/broken-promise.js';
 import { claimNetwork } from '../../tools/soak/loopback-network.js';
+import { describeStarvation } from '../../tools/soak/machine-report.js';
 import { loadShape } from '../../tools/soak/soak-shape.js';
 import { runSoak, type SoakPlan } from '../../tools/soak/soak-run.js';
 
@@ -73,6 +74,7 @@
   });
   if (broken.length > 0 && !hidesStatements) {
     process.stdout.write(`${log.slice(-MAX_PRINTED_LINES).join('\n')}\n`);
+    process.stdout.write(`began at ${record.beganAt}\n${describeStarvation(record).join('\n')}\n`);
   }
   expect(record.calls.length).to.be.greaterThan(LEAST_CALLS);
   return broken;
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -3,8 +3,8 @@
 import { mkdirSync, writeFileSync } from 'node:fs';
 import { join } from 'node:path';
 import meow from 'meow';
-import { CORE_LOOK_MS } from './core-watch.js';
 import { claimNetwork } from './loopback-network.js';
+import { describeMachine, describeStarvation } from './machine-report.js';
 import { summarize, type BrokenPromise } from './broken-promise.js';
 import type { SoakFleet } from './soak-fleet.js';
 import type { SoakCall, SoakRecord } from './soak-record.js';
@@ -108,18 +108,6 @@
   );
 }
 
-/** A soak that stood still itself, or whose nodes got no core, may have seen things late. */
-function describeMachine({ pauses, coreTimes }: SoakRecord): string {
-  const longestMs = Math.max(0, ...pauses.map(({ fromMs, untilMs }) => untilMs - fromMs));
-  const waits = coreTimes.map(({ waitedMs }) => waitedMs);
-  const runs = coreTimes.map(({ ranMs }) => ranMs);
-  return (
-    `the soak itself stood still ${pauses.length} times, for ${Math.round(longestMs)} ms at most; ` +
-    `of ${CORE_LOOK_MS} ms, nodes waited for a core for ${Math.round(Math.max(0, ...waits))} ms at most, ` +
-    `and ran for ${Math.round(Math.max(0, ...runs))} ms at most`
-  );
-}
-
 /** Counts first, so that a few losses are not hidden by many cases of another promise. */
 function printBroken(broken: readonly BrokenPromise[]): void {
   const summaries = summarize(broken);
@@ -179,6 +167,9 @@
   print(describeStops(record));
   print(describeMachine(record));
   printBroken(broken);
+  if (broken.length > 0) {
+    describeStarvation(record).forEach((line) => print(`  ${line}`));
+  }
   if (broken.length > 0 && folder !== undefined) {
     keep(folder, seed, record, broken, log);
   }
