Tell callers when a limited endpoint is free only if all endpoints are limited

Where one endpoint had refused a request because of its rate limit, and others for lack of a slot, callers without an endpoint were told to wait for the limit, up to 5 s. The time is now told only if all endpoints of the service have refused a request because of their limits.

--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -60,12 +60,12 @@
   readonly failedPercent: number;
   /** Mean service time of the request's work class at the endpoint; undefined before the first measurement. */
   readonly serviceMs: number | undefined;
-  /** Rate limit that the endpoint has stated, in requests per 1,000 s; {@link NO_RATE_LIMIT} for none. */
+  /** Rate limit that the endpoint has stated, in requests per 1,000 s; {@link UNLIMITED_RATE} for none. */
   readonly maxRatePerKs: number | undefined;
 }
 
 /** Value of {@link FrameLoad.maxRatePerKs} for an endpoint that has stated that it has no limit. */
-export const NO_RATE_LIMIT = -1;
+export const UNLIMITED_RATE = -1;
 
 /** Head of an answer, with its body if `isHeld`. */
 export interface AnswerFrame extends FrameLoad {
--- a/src/proxy/relay/relay-load.ts
+++ b/src/proxy/relay/relay-load.ts
@@ -1,6 +1,6 @@
 /** Conversion between load reports and the load fields of frames. */
 import type { LoadReport } from '../call.js';
-import { NO_RATE_LIMIT, type FrameLoad } from './relay-frame.js';
+import { UNLIMITED_RATE, type FrameLoad } from './relay-frame.js';
 
 const PERCENT = 100;
 const SECONDS_PER_KS = 1_000;
@@ -25,7 +25,7 @@
   if (maxRatePerS === undefined) {
     return undefined;
   }
-  return maxRatePerS === Infinity ? NO_RATE_LIMIT : Math.round(maxRatePerS * SECONDS_PER_KS);
+  return maxRatePerS === Infinity ? UNLIMITED_RATE : Math.round(maxRatePerS * SECONDS_PER_KS);
 }
 
 export function ratePerSOf(ratePerKs: number | undefined): number | undefined {
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -195,12 +195,12 @@
     requestAttempt.setSubmission(submission);
   }
 
-  /** Retry delay for the caller: until the first endpoint that is only rate limited may take work again. */
+  /** Retry delay for the caller: if all endpoints are rate limited, until the first of them may accept a request. */
   private noEndpointRetryMs(): number {
     const { services, snapshot, match } = this.context;
     const endpoints = services.endpointsOf(snapshot, match.service);
     const delayMs = services.selector.rateLimitedForMs(endpoints, services.scheduler.now());
-    return Math.max(NO_ENDPOINT_RETRY_MS, delayMs ?? 0);
+    return Math.max(NO_ENDPOINT_RETRY_MS, delayMs);
   }
 
   private chooseEndpoint(): Endpoint | undefined {
--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -125,14 +125,14 @@
   }
 
   /**
-   * Time until the first of the endpoints is expected to accept a request again by its rate limit, in milliseconds;
-   * undefined if none of them has refused one because of it.
+   * Time until the first of the endpoints is expected to accept a request again by its rate limit, in milliseconds; 0
+   * if there is one that has not refused a request because of its limit.
    */
-  rateLimitedForMs(endpoints: readonly Endpoint[], nowMs: number): number | undefined {
+  rateLimitedForMs(endpoints: readonly Endpoint[], nowMs: number): number {
     const delaysMs = endpoints
-      .map((endpoint) => this.recordOf(endpoint, nowMs).rateLimitedForMs(nowMs))
-      .filter((delayMs) => delayMs > 0);
-    return delaysMs.length === 0 ? undefined : Math.min(...delaysMs);
+      .filter(isInService)
+      .map((endpoint) => this.recordOf(endpoint, nowMs).rateLimitedForMs(nowMs));
+    return delaysMs.length === 0 ? 0 : Math.min(...delaysMs);
   }
 
   /** Records the load reported with a response or a refusal. */
