--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -15,7 +15,11 @@
 import type { ConnectionEnd } from './connection-end.js';
 import { EndpointClient } from './endpoint-client.js';
 import { NATIVE_ENDPOINT_PROTOCOL, type EndpointProtocol } from './endpoint-protocol.js';
-import { reportEndpointStates, type EndpointStateReport } from './endpoint-states.js';
+import {
+  reportEndpointStates,
+  type EndpointStateReport,
+  type RateLimitReport,
+} from './endpoint-states.js';
 import { EndpointGateway } from './endpoint-gateway.js';
 import { EndpointStatements } from '../routing/endpoint-statements.js';
 import { EventLoopLag } from './loop-lateness.js';
@@ -29,7 +33,7 @@
 import { PlannedStop } from './planned-stop.js';
 import { RequestIntake } from './request-intake.js';
 import type { RequestProxy, RequestProxyOptions } from './request-path.js';
-import { RequestServices } from './request-services.js';
+import { RequestServices, type MemberDirectory } from './request-services.js';
 import { MACHINE_TIME } from './scheduler.js';
 import { drainServers } from './server-drain.js';
 import { SocketPoll } from './socket-poll.js';
@@ -149,13 +153,21 @@
     return reportEndpointStates(snapshot, {
       observationOf: (endpoint) =>
         this.services.selector.observationOf(endpoint, MACHINE_TIME.now()),
-      isLeaving: ({ spec }) =>
-        spec.machine !== undefined && members.status(spec.machine) === 'leaving',
+      isLeaving: (endpoint) =>
+        this.statements.of(endpoint).isLeaving || isOnLeavingMachine(endpoint, members),
       isReachable: (endpoint) => this.services.pathTo(endpoint) !== undefined,
       waitingFor: (endpoint) => this.gateway.waitingFor(endpoint),
+      rateLimitOf: (endpoint) => this.rateLimitOf(endpoint),
     });
   }
 
+  private rateLimitOf(endpoint: Endpoint): RateLimitReport | undefined {
+    const maxRatePerS = this.services.rateLimitOf(endpoint);
+    return maxRatePerS === undefined
+      ? undefined
+      : { maxRatePerS, ...this.gateway.rateLimitUseOf(endpoint) };
+  }
+
   /**
    * Idle connections are kept open for longer than callers may reuse them, so that none is closed while a request
    * arrives on it; a connection that has sent nothing yet counts as idle. A later configuration can't shorten the
@@ -175,8 +187,19 @@
     return this.gateway.coldCount;
   }
 
+  leavingEndpointCount(): number {
+    return this.countEndpoints((endpoint) => this.statements.of(endpoint).isLeaving);
+  }
+
   limitedEndpointCount(): number {
-    return this.statements.limitedCount;
+    return this.countEndpoints((endpoint) => this.statements.of(endpoint).isLimited);
+  }
+
+  /** Number of listed endpoints that match. */
+  private countEndpoints(matches: (endpoint: Endpoint) => boolean): number {
+    const snapshot = this.options.snapshots.current();
+    const endpoints = [...(snapshot?.endpointsByService.values() ?? [])].flat();
+    return endpoints.filter(matches).length;
   }
 
   applyEndpoints(): void {
@@ -382,3 +405,7 @@
     return fleetKey === undefined ? ANONYMOUS_PEER : verifyRelayToken(fleetKey, token, Date.now());
   }
 }
+
+function isOnLeavingMachine({ spec }: Endpoint, members: MemberDirectory): boolean {
+  return spec.machine !== undefined && members.status(spec.machine) === 'leaving';
+}
