A limit is lifted only by a successful answer

A refusal or an error of a back end without the header was taken for an answer that names no limit, and lifted it. They may be written by a part of the back end that does not know the limit, for example while it is full. Without the header only a success now says that there is no limit; a refusal or an error may still name one. A test with refusals and errors that do not name the limit: without the change every request reaches the back end (by reading), with it 3.3 a second.

--- a/src/proxy/endpoint-protocol.ts
+++ b/src/proxy/endpoint-protocol.ts
@@ -5,7 +5,7 @@
  */
 import type { IncomingMessage } from 'node:http';
 import type { Endpoint } from '../model/resource.js';
-import { readRateLimit, type AnswerStatement } from './answer-statement.js';
+import { isSuccessStatus, readRateLimit, type AnswerStatement } from './answer-statement.js';
 import type { Call, LoadReport } from './call.js';
 import { messageHeaders, parseMilliseconds, type HeaderList } from './headers.js';
 
@@ -94,8 +94,9 @@
     return { kind: 'malformed' };
   }
   const load = readLoad(message);
-  const maxRatePerS = readRateLimit(headers[RATE_LIMIT_HEADER]);
-  const statement = { maxRatePerS, isLeaving: false };
+  const isSuccess = isSuccessStatus(message.statusCode);
+  const rateLimit = readRateLimit(headers[RATE_LIMIT_HEADER], isSuccess);
+  const statement = { rateLimit, isLeaving: false };
   if (REFUSED_STATUSES.has(message.statusCode ?? 0) && headers[NOT_STARTED_HEADER] === '1') {
     const retryAfterMs = parseRetryAfter(headers[RETRY_AFTER_HEADER]);
     return { kind: 'refused', load, statement, retryAfterMs, isOtherEndpoint: false };
--- a/src/proxy/gate-statements.ts
+++ b/src/proxy/gate-statements.ts
@@ -36,16 +36,26 @@
   }
 
   /** Applies the statement of an answer to a request that was sent at `sentAtMs`. */
-  applyAnswer({ maxRatePerS, isLeaving }: AnswerStatement, sentAtMs: number): void {
-    const { statement, counters, nowMs, onLeaving } = this.options;
+  applyAnswer({ rateLimit, isLeaving }: AnswerStatement, sentAtMs: number): void {
+    const { statement, counters, onLeaving } = this.options;
     if (isLeaving && statement.markLeaving()) {
       counters.add('ferryspool_endpoints_leaving_total');
       this.log('leaves');
       onLeaving();
     }
-    if (maxRatePerS === undefined) {
-      this.recordUnreadableRateLimit();
-    } else if (statement.applyAnswer(maxRatePerS, sentAtMs, nowMs())) {
+    switch (rateLimit.kind) {
+      case 'stated':
+        return this.applyRateLimit(rateLimit.maxRatePerS, sentAtMs);
+      case 'unreadable':
+        return this.recordUnreadableRateLimit();
+      case 'unstated':
+        return;
+    }
+  }
+
+  private applyRateLimit(maxRatePerS: number, sentAtMs: number): void {
+    const { statement, nowMs } = this.options;
+    if (statement.applyAnswer(maxRatePerS, sentAtMs, nowMs())) {
       this.recordRateLimit(`names ${rateLimitText(maxRatePerS)}`);
     }
   }
--- a/test/platform/leaving-backend.test.ts
+++ b/test/platform/leaving-backend.test.ts
@@ -12,6 +12,16 @@
 /** Time in which all nodes know a change of the store, and in which all have passed on an answer, in milliseconds. */
 const KNOWN_AFTER_MS = 900;
 
+/** How many results there are of each status, with the code of an error. */
+function outcomesOf(results: readonly ClientResult[]): Record<string, number> {
+  const counts: Record<string, number> = {};
+  for (const { status, body } of results) {
+    const outcome = status === 200 ? '200' : `${status} ${body}`;
+    counts[outcome] = (counts[outcome] ?? 0) + 1;
+  }
+  return counts;
+}
+
 describe('a back end that says that it leaves', () => {
   let fleet: PlatformFleet;
   let home: FleetMachine;
@@ -75,7 +85,7 @@
     await leave();
     const results = await load(1);
     expect(home.backend.arrivals.length).to.equal(0);
-    expect(results.filter(({ status }) => status === 200)).to.have.length(results.length);
+    expect(outcomesOf(results)).to.deep.equal({ '200': results.length });
   }).timeout(10_000);
 
   it('has a successor at its address that gets all requests', async () => {
@@ -84,7 +94,7 @@
     await fleet.restartBackend(home);
     await pause(KNOWN_AFTER_MS);
     const results = await load(1);
-    expect(results.filter(({ status }) => status === 200)).to.have.length(results.length);
+    expect(outcomesOf(results)).to.deep.equal({ '200': results.length });
   }).timeout(10_000);
 
   it('is another process than one that starts again under its identity', async () => {
@@ -93,7 +103,7 @@
     await fleet.rebearBackend(home);
     await pause(KNOWN_AFTER_MS);
     const results = await load(1);
-    expect(results.filter(({ status }) => status === 200)).to.have.length(results.length);
+    expect(outcomesOf(results)).to.deep.equal({ '200': results.length });
   }).timeout(10_000);
 
   it('is not one that only closes connections', async () => {
@@ -103,6 +113,6 @@
     };
     await load(0.5);
     const results = await load(1);
-    expect(results.filter(({ status }) => status === 200)).to.have.length(results.length);
+    expect(outcomesOf(results)).to.deep.equal({ '200': results.length });
   }).timeout(10_000);
 });
--- a/test/platform/mesh.test.ts
+++ b/test/platform/mesh.test.ts
@@ -68,7 +68,8 @@
     await pause(400);
     second.backend.arrivals.length = 0;
     for (let request = 0; request < 20; request += 1) {
-      expect((await fleet.call(first)).status).to.equal(200);
+      const { status, body } = await fleet.call(first);
+      expect(status, `request ${request}: ${body}`).to.equal(200);
     }
     expect(second.backend.arrivals).to.have.length(0);
     expect(third.backend.arrivals.length).to.be.at.least(20);
--- a/test/platform/rate-limited-backend.test.ts
+++ b/test/platform/rate-limited-backend.test.ts
@@ -129,6 +129,26 @@
     expect(results.filter(({ status }) => status === 200).length).to.be.at.least(RATE_PER_S * 0.9);
   }).timeout(15_000);
 
+  it('keeps to the limit while its refusals and errors do not name it', async () => {
+    home.backend.rateLimit = '3.3';
+    await load(1);
+    home.backend.rateLimit = undefined;
+    for (const status of [503, 500]) {
+      home.backend.behaviour = (_request, response, { requestId }) => {
+        const isRefusal = status === 503;
+        response.writeHead(status, {
+          'Request-Id': requestId,
+          'Content-Length': 0,
+          ...(isRefusal && { 'Not-Executed': '1' }),
+        });
+        response.end();
+      };
+      home.backend.arrivals.length = 0;
+      await load(1.5);
+      expect(arrivalTimes().length).to.be.at.most(3.3 * 1.5 + 2);
+    }
+  }).timeout(15_000);
+
   it('gets a request now and then at a limit of 0, so that the limit can be lifted', async () => {
     home.backend.rateLimit = '0';
     await load(TOLD_MS / MS_PER_SECOND);
--- a/test/proxy/answer-statement.test.ts
+++ b/test/proxy/answer-statement.test.ts
@@ -2,6 +2,8 @@
 import { expect } from 'chai';
 import { readRateLimit } from '../../src/proxy/answer-statement.js';
 
+const UNLIMITED = { kind: 'stated', maxRatePerS: Infinity };
+
 describe('the rate limit of an answer', () => {
   const limits: readonly [text: string, perS: number][] = [
     ['0', 0],
@@ -13,12 +15,17 @@
   ];
   for (const [text, perS] of limits) {
     it(`is ${perS} for "${text}"`, () => {
-      expect(readRateLimit(text)).to.equal(perS);
+      expect(readRateLimit(text, true)).to.deep.equal({ kind: 'stated', maxRatePerS: perS });
     });
   }
 
-  it('is unlimited without the header', () => {
-    expect(readRateLimit(undefined)).to.equal(Infinity);
+  it('is unstated in a refusal or an error without the header, so that these do not lift a limit', () => {
+    expect(readRateLimit(undefined, false)).to.deep.equal({ kind: 'unstated' });
+    expect(readRateLimit('3', false)).to.deep.equal({ kind: 'stated', maxRatePerS: 3 });
+  });
+
+  it('is unlimited in a success without the header', () => {
+    expect(readRateLimit(undefined, true)).to.deep.equal(UNLIMITED);
   });
 
   // Node.js joins the values of repeated headers with ", ".
@@ -36,11 +43,11 @@
     '5.',
   ]) {
     it(`is unreadable for "${text}"`, () => {
-      expect(readRateLimit(text)).to.equal(undefined);
+      expect(readRateLimit(text, true)).to.deep.equal({ kind: 'unreadable' });
     });
   }
 
   it('is unreadable for several headers', () => {
-    expect(readRateLimit(['3', '5'])).to.equal(undefined);
+    expect(readRateLimit(['3', '5'], true)).to.deep.equal({ kind: 'unreadable' });
   });
 });
--- a/test/proxy/fuzz/virtual-paths.ts
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -119,7 +119,7 @@
               const answer = new VirtualAnswer(content);
               answers.push(answer);
               settle(() => {
-                observer.stated?.({ maxRatePerS, isLeaving });
+                observer.stated?.({ rateLimit: { kind: 'stated', maxRatePerS }, isLeaving });
                 observer.answered(answer.answer);
               });
             });
--- a/tools/experiment/emulated-endpoint.ts
+++ b/tools/experiment/emulated-endpoint.ts
@@ -118,7 +118,8 @@
     }
     const load = { inFlight: this.running.size, slots: this.host.slots, draining: false };
     const body = { kind: 'held', bytes: NO_BYTES } as const;
-    observer.stated?.({ maxRatePerS: this.maxRatePerS, isLeaving: false });
+    const rateLimit = { kind: 'stated', maxRatePerS: this.maxRatePerS } as const;
+    observer.stated?.({ rateLimit, isLeaving: false });
     observer.answered({ status, headers: [], body, contentLength: 0, load });
   }
 
