Log for how long a caller's leave may have been unread, and what its request waited for

request-abandoned told only why the connection ended. It now tells how late the node may have read the end (unreadMs, from the periodic checks) and how far the request was (waitedFor), counted by that; attempt-abandoned tells at the node beside the endpoint what the attempt waited for and how late it had arrived (travelLostMs), also for attempts that were not sent on. No decision has changed.

--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -45,6 +45,7 @@
   private attempt: Attempt | undefined;
   private sink: FrameSink | undefined;
   private isEnded = false;
+  private travelLostMs = 0;
 
   constructor(
     frame: RequestFrame,
@@ -68,6 +69,7 @@
    * and takes a slot only once its body is complete.
    */
   start(endpoints: OwnedEndpoints, endpoint: Endpoint, call: Call): void {
+    this.travelLostMs = call.travelLostMs ?? 0;
     const { reader, credit } = this;
     if (reader === undefined || credit === undefined || !isBuffered(this.body.length)) {
       this.submit(endpoints, endpoint, call);
@@ -121,17 +123,17 @@
     }
   }
 
-  /** The answer is no longer awaited; logged if the endpoint may already be running the request. */
+  /** The answer is no longer awaited. */
   abandon(cause: AbandonCause, log: RequestLog): void {
     if (!this.isEnded) {
-      if (this.attempt?.isUnsent() === false) {
-        log.record({
-          event: 'attempt-abandoned',
-          request: this.requestId,
-          cause,
-          elapsedMs: Math.round(this.scheduler.now() - this.arrivedAtMs),
-        });
-      }
+      log.record({
+        event: 'attempt-abandoned',
+        request: this.requestId,
+        cause,
+        waitedFor: this.awaitedResource(this.isUnsent),
+        travelLostMs: Math.round(this.travelLostMs),
+        elapsedMs: Math.round(this.scheduler.now() - this.arrivedAtMs),
+      });
       this.end();
       this.attempt?.abort();
       this.sink?.destroy();
@@ -146,7 +148,7 @@
     if (this.isEnded || this.sink?.headersSent === true) {
       return false;
     }
-    const isUnsent = this.attempt === undefined || this.attempt.isUnsent();
+    const { isUnsent } = this;
     const error = stopFailure(isUnsent);
     log.record({
       event: 'request-given-up',
@@ -162,6 +164,11 @@
     return true;
   }
 
+  /** Whether the endpoint has provably not received the request. */
+  private get isUnsent(): boolean {
+    return this.attempt === undefined || this.attempt.isUnsent();
+  }
+
   private awaitedResource(isUnsent: boolean): AwaitedResource {
     if (!this.body.isComplete()) {
       return 'body';
--- a/src/proxy/request-decision.ts
+++ b/src/proxy/request-decision.ts
@@ -32,6 +32,8 @@
   readonly next?: SuspicionOutcome;
   /** Why the caller's connection ended. */
   readonly endedBy?: ConnectionEndReason | undefined;
+  /** Longest time for which the event may have been unread, in milliseconds. */
+  readonly unreadMs?: number;
 }
 
 /** A decision and its cause. */
@@ -61,6 +63,7 @@
     suspicion,
     next,
     endedBy,
+    unreadMs,
   }: DecidedOutcome,
 ): RequestDecision {
   const { attempt, endpoint, startedAtMs, attemptStartedAtMs, isLate, nowMs } = progress;
@@ -83,6 +86,7 @@
     ...(suspicion?.quietMs !== undefined && { quietMs: Math.round(suspicion.quietMs) }),
     ...(next && { next }),
     ...(endedBy && { endedBy }),
+    ...(unreadMs !== undefined && { unreadMs: Math.round(unreadMs) }),
     ...(waitedFor && { waitedFor }),
     ...(fingerprint !== undefined && { fingerprint }),
     ...(load && { running: load.inFlight, slots: load.slots }),
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -16,7 +16,10 @@
   | 'request-failed'
   /** The request was given up during the node's planned stop. */
   | 'request-given-up'
-  /** The caller's connection ended before the answer arrived; `endedBy` gives the reason. */
+  /**
+   * The caller's connection ended before the answer arrived; `endedBy` gives the reason, `waitedFor` how far the request
+   * was, and `unreadMs` for how long the end may have been unread.
+   */
   | 'request-abandoned'
   /** The caller's connection ended before an available answer was sent in full; `endedBy` gives the reason. */
   | 'answer-cut'
@@ -24,7 +27,10 @@
   | 'attempt-refused'
   /** The endpoint received the attempt but did not answer it. */
   | 'endpoint-failed'
-  /** The endpoint's node cancelled the running attempt because its answer is no longer awaited. */
+  /**
+   * The endpoint's node cancelled the attempt because its answer is no longer awaited; `waitedFor` tells whether it was
+   * already running.
+   */
   | 'attempt-abandoned';
 
 /** Why an answer is no longer awaited: the caller's node cancelled the attempt, or its connection was closed. */
@@ -78,6 +84,8 @@
   readonly attemptMs?: number;
   /** Time left until the latest possible start of the request; negative if that had passed. */
   readonly startLeftMs?: number;
+  /** Longest time for which the handled event may have been unread in its socket. */
+  readonly unreadMs?: number;
   /** By how much the transit time of the request between the nodes exceeded the usual one. */
   readonly travelLostMs?: number;
   readonly waitedFor?: AwaitedResource;
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -22,6 +22,7 @@
 } from './endpoint-states.js';
 import { EndpointGateway } from './endpoint-gateway.js';
 import { EndpointStatements } from '../routing/endpoint-statements.js';
+import { InputAge } from './input-age.js';
 import { EventLoopLag } from './loop-lateness.js';
 import { PauseDetector } from './pause-detector.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
@@ -69,6 +70,7 @@
   private readonly relayClient: RelayClient;
   private readonly pauseDetector: PauseDetector;
   private readonly eventLoopLag = new EventLoopLag();
+  private readonly inputAge = new InputAge(MACHINE_TIME.now());
   private readonly socketPoll = new SocketPoll();
   private readonly stopTicking: StopAction;
   private readonly meter = new CallMeter(() => MACHINE_TIME.now());
@@ -119,6 +121,7 @@
       limits: this.limits,
       statements: this.statements,
       isStopping: () => this.plannedStop.isStopping,
+      maxUnreadMs: () => this.inputAge.maxUnreadMs(MACHINE_TIME.now()),
       scheduler: MACHINE_TIME,
       direct: this.gateway,
       relay: this.relayClient,
@@ -294,12 +297,21 @@
   }
 
   private tick(): void {
+    this.checkInputAge();
     this.pauseDetector.tick(MACHINE_TIME.now());
     this.relayClient.checkLiveness();
     this.relay.checkLiveness();
     this.gateway.tick();
   }
 
+  private checkInputAge(): void {
+    const nowMs = MACHINE_TIME.now();
+    this.inputAge.check(nowMs);
+    if (this.inputAge.isLate(nowMs)) {
+      this.afterRead(() => this.inputAge.caughtUp(nowMs));
+    }
+  }
+
   private reportUnresponsiveRelay(
     where: string,
     { awaitedCount, quietMs }: UnresponsiveConnection,
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -426,20 +426,31 @@
 
   private handleClose(isComplete: boolean, reason?: ConnectionEndReason): void {
     if (!isComplete && !this.lifecycle.isOver) {
-      this.recordConnectionEnd('request-abandoned', reason);
+      this.recordAbandonment(reason);
       this.handle({ type: 'caller-gone' });
     } else if (!isComplete && reason !== 'caller') {
-      this.recordConnectionEnd('answer-cut', reason);
+      this.recordConnectionEnd('answer-cut', { endedBy: reason });
     }
     this.cleanUp();
   }
 
+  private recordAbandonment(endedBy?: ConnectionEndReason): void {
+    const { services } = this.context;
+    const waitedFor = this.awaitedResource();
+    services.counters.add(`ferryspool_requests_abandoned_${waitedFor.replaceAll('-', '_')}_total`);
+    this.recordConnectionEnd('request-abandoned', {
+      endedBy,
+      waitedFor,
+      unreadMs: services.maxUnreadMs(),
+    });
+  }
+
   private recordConnectionEnd(
     event: 'request-abandoned' | 'answer-cut',
-    endedBy?: ConnectionEndReason,
+    details: DecisionDetails,
   ): void {
     const error = new CallerGoneError('the connection of the caller ended');
-    this.record(event, error, error.verdict, { endedBy });
+    this.record(event, error, error.verdict, details);
   }
 
   private cleanUp(): void {
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -57,6 +57,8 @@
   readonly onFailureMs?: (ms: number) => void;
   /** Whether the node is in a planned stop; never if absent. */
   readonly isStopping?: () => boolean;
+  /** Longest time for which input may be unread, in milliseconds; 0 if absent. */
+  readonly maxUnreadMs?: () => number;
   /** Path to endpoints that this node connects to directly. */
   readonly direct: EndpointPath;
   /** Path through the node that owns the endpoint. */
@@ -77,6 +79,7 @@
   readonly containment: CallContainment;
   readonly isStopping: () => boolean;
   readonly onFailureMs: (ms: number) => void;
+  readonly maxUnreadMs: () => number;
   private readonly limitedSenders: LimitedSenders;
   private readonly budgets = new Map<string, RetryBudget>();
 
@@ -88,6 +91,7 @@
     this.limits = options.limits;
     this.isStopping = options.isStopping ?? (() => false);
     this.onFailureMs = options.onFailureMs ?? (() => undefined);
+    this.maxUnreadMs = options.maxUnreadMs ?? (() => 0);
     this.counters = options.counters;
     this.random = options.random;
     this.scheduler = options.scheduler;
