A late node sends a request on only once it has read what arrived before

What callers saw: back ends ran requests of callers that had left a second before. A node whose event loop was late read a request, or a slot, a retry, an opened connection that it waited for, and sent it on at once; the end of the caller's connection, or its cancellation, lay behind it and was read one iteration later.

Each request now passes an input barrier at the two places where it leaves a node: when it is written to an open connection to a back end, and when it is written to the connection to another node.

--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -10,6 +10,7 @@
 import {
   ExchangeAgent,
   startExchange,
+  type BeforeSend,
   type Exchange,
   type ExchangeFailure,
   type ExchangeLimits,
@@ -93,6 +94,7 @@
   constructor(
     private readonly limits: EndpointClientLimits,
     private readonly protocol: EndpointProtocol,
+    private readonly beforeSend?: BeforeSend,
   ) {
     this.agent = new ExchangeAgent(Infinity, limits.maxIdleEndpointConnectionMs);
   }
@@ -107,6 +109,7 @@
       body: call.body,
       limits: this.limits,
       allowsUnframedAnswer: this.protocol.allowsUnframedAnswers,
+      ...(this.beforeSend && { beforeSend: this.beforeSend }),
     };
     return startExchange(this.agentFor(endpoint), request, {
       answered: (message, isComplete) =>
--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -60,8 +60,16 @@
    * absent.
    */
   readonly allowsUnframedAnswer?: boolean;
+  /**
+   * Runs its action, which sends the request over an open connection, at once or later; at once when
+   * absent.
+   */
+  readonly beforeSend?: BeforeSend;
 }
 
+/** Runs `send` at once, or once nothing that has arrived can make it unnecessary. */
+export type BeforeSend = (send: () => void) => void;
+
 /** An exchange in progress. */
 export interface Exchange {
   /** Whether the connection was established, so that bytes may have been sent. */
@@ -170,7 +178,7 @@
 
   private sendWhenConnected(socket: Socket, exchange: ExchangeRequest): void {
     if (!socket.connecting) {
-      this.send(exchange.body);
+      this.passBarrier(exchange);
       return;
     }
     const { connectTimeoutMs } = exchange.limits;
@@ -182,10 +190,19 @@
     );
     socket.once('connect', () => {
       clearTimeout(this.connectTimer);
-      this.send(exchange.body);
+      this.passBarrier(exchange);
     });
   }
 
+  private passBarrier({ beforeSend, body }: ExchangeRequest): void {
+    const send = (): void => this.send(body);
+    if (beforeSend === undefined) {
+      send();
+    } else {
+      beforeSend(send);
+    }
+  }
+
   private handleConnectTimeout(): void {
     if (!this.connected) {
       this.request.destroy();
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import type { Endpoint } from '../../model/resource.js';
 import type { Attempt, AttemptObserver, Call } from '../call.js';
+import type { BeforeSend } from '../http-exchange.js';
 import type { Scheduler } from '../scheduler.js';
 import { ConnectionLiveness, LOSS_TIMEOUT_MS, type LivenessLimits } from './link-pulse.js';
 import { RelayConnection } from './relay-connection.js';
@@ -40,6 +41,8 @@
   readonly isListed?: (endpoint: Endpoint) => boolean;
   /** Returns a currently valid token; undefined if the fleet has no key. */
   readonly token: () => string | undefined;
+  /** Runs the sending of each request at once or later; at once if absent. */
+  readonly beforeSend?: BeforeSend;
 }
 
 /** State of an unresponsive connection. */
@@ -140,7 +143,7 @@
     });
     this.streams.set(streamId, attempt);
     if (this.connection !== undefined) {
-      this.send(attempt);
+      this.passBarrier(streamId, attempt);
     }
     return attempt;
   }
@@ -209,7 +212,20 @@
     };
     this.connection = new RelayConnection(socket, head, observer, watch);
     this.observer.opened();
-    this.streams.forEach((attempt) => this.send(attempt));
+    this.streams.forEach((attempt, streamId) => this.passBarrier(streamId, attempt));
+  }
+
+  private passBarrier(streamId: number, attempt: RelayedAttempt): void {
+    const send = (): void => {
+      if (this.streams.has(streamId)) {
+        this.send(attempt);
+      }
+    };
+    if (this.options.beforeSend === undefined) {
+      send();
+    } else {
+      this.options.beforeSend(send);
+    }
   }
 
   private send(attempt: RelayedAttempt): void {
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -22,7 +22,7 @@
 } from './endpoint-states.js';
 import { EndpointGateway } from './endpoint-gateway.js';
 import { EndpointStatements } from '../routing/endpoint-statements.js';
-import { InputAge } from './input-age.js';
+import { InputBarrier } from './input-barrier.js';
 import { EventLoopLag } from './loop-lateness.js';
 import { PauseDetector } from './pause-detector.js';
 import { DEFAULT_PROXY_LIMITS, type ProxyLimits } from './proxy-limits.js';
@@ -70,7 +70,7 @@
   private readonly relayClient: RelayClient;
   private readonly pauseDetector: PauseDetector;
   private readonly eventLoopLag = new EventLoopLag();
-  private readonly inputAge = new InputAge(MACHINE_TIME.now());
+  private readonly inputBarrier = new InputBarrier(() => MACHINE_TIME.now());
   private readonly socketPoll = new SocketPoll();
   private readonly stopTicking: StopAction;
   private readonly meter = new CallMeter(() => MACHINE_TIME.now());
@@ -91,7 +91,9 @@
     const { callerProtocol, endpointProtocol, containment = NO_CONTAINMENT } = options;
     this.callerProtocol = callerProtocol ?? NATIVE_CALLER_PROTOCOL;
     this.endpointProtocol = endpointProtocol ?? NATIVE_ENDPOINT_PROTOCOL;
-    this.endpointClient = new EndpointClient(this.limits, this.endpointProtocol);
+    this.endpointClient = new EndpointClient(this.limits, this.endpointProtocol, (send) =>
+      this.inputBarrier.pass(send),
+    );
     this.relayClient = this.makeRelayClient();
     this.gateway = new EndpointGateway({
       client: this.endpointClient,
@@ -121,7 +123,7 @@
       limits: this.limits,
       statements: this.statements,
       isStopping: () => this.plannedStop.isStopping,
-      maxUnreadMs: () => this.inputAge.maxUnreadMs(MACHINE_TIME.now()),
+      maxUnreadMs: () => this.inputBarrier.maxUnreadMs,
       scheduler: MACHINE_TIME,
       direct: this.gateway,
       relay: this.relayClient,
@@ -297,21 +299,13 @@
   }
 
   private tick(): void {
-    this.checkInputAge();
+    this.inputBarrier.check();
     this.pauseDetector.tick(MACHINE_TIME.now());
     this.relayClient.checkLiveness();
     this.relay.checkLiveness();
     this.gateway.tick();
   }
 
-  private checkInputAge(): void {
-    const nowMs = MACHINE_TIME.now();
-    this.inputAge.check(nowMs);
-    if (this.inputAge.isLate(nowMs)) {
-      this.afterRead(() => this.inputAge.caughtUp(nowMs));
-    }
-  }
-
   private reportUnresponsiveRelay(
     where: string,
     { awaitedCount, quietMs }: UnresponsiveConnection,
@@ -327,6 +321,7 @@
     return new RelayClient({
       connectTimeoutMs: this.limits.connectTimeoutMs,
       scheduler: MACHINE_TIME,
+      beforeSend: (send) => this.inputBarrier.pass(send),
       token: () => tokens?.current(Date.now()),
       onConnect: ({ address }, connectMs, isOpen) => {
         this.options.onRelayConnectMs?.(connectMs);
