A caller's leave is handled when the end of its connection is read

Node closes a connection whose caller has closed its side, and emits its close event some iterations of the event loop after the end was read: the write side is shut down and both sides are released first. Requests of the caller were ended on that event only, so a request that passed the input barrier in between was sent on. No answer can be written after the end (the server does not allow half-open connections), so requests without a complete answer are now ended on the end itself, and requests behind it are not begun.

--- a/src/proxy/caller-connections.ts
+++ b/src/proxy/caller-connections.ts
@@ -60,6 +60,7 @@
     this.readingPauses.set(socket, new ReadingPause(socket, () => MACHINE_TIME.now()));
     // Node calls this once the last answer is written.
     socket.destroySoon = () => this.close(socket, 'last-answer');
+    socket.once('end', () => this.handleEnd(socket));
     // Listeners of the exchanges on the connection are registered later, so they run after this one.
     socket.once('close', () => {
       this.openSockets.delete(socket);
@@ -69,6 +70,19 @@
     });
   }
 
+  /**
+   * The caller has closed its side, so it gets no answer that is not complete by now. Node closes the connection and
+   * emits `close` some iterations of the event loop later.
+   */
+  private handleEnd(socket: Duplex): void {
+    this.closing.add(socket);
+    for (const response of [...(this.exchangesOf.get(socket)?.keys() ?? [])]) {
+      if (!response.writableEnded) {
+        this.endExchange(socket, response);
+      }
+    }
+  }
+
   /**
    * Closes a connection on which nothing more will be sent. Its caller can still read sent data for up to `lingerMs`;
    * data that it sends is discarded.
