A request that was in transit for long starts once its sender has confirmed it

The receiving node knew that the request had been under way for longer than usual and took the time off its deadline, but sent it on at once; the cancellation was right behind it.

A request that was under way for more than 250 ms longer than usual, apart from the time in the receiver's own sockets, is held. The receiver pings the sender; cancellations come before the acknowledgement on the same connection, so the request starts with it. Without an acknowledgement it starts after the part of its delay beyond 250 ms, or a quarter of the time that is left to it: until then the cancellation of a caller that left half a second before its request arrived must have come. Other requests start as before, after all frames that have arrived are read; that is now left to the input barrier, and the special case of a process that paused for 400 ms is removed.

--- a/src/proxy/pause-detector.ts
+++ b/src/proxy/pause-detector.ts
@@ -1,14 +1,9 @@
 /**
- * Detects that the process has just resumed after a pause. Data that it then reads from its sockets
- * may be stale: the senders may have given up long ago, which is known only once the end of their
- * connections has been read too. A signal that is handled then may be as old as the pause.
+ * Detects that the process has just resumed after a pause. A signal that is handled then may be as
+ * old as the pause.
  */
 import { CHECK_INTERVAL_MS } from '../clock/shared-interval.js';
 
-/** Minimum gap between two checks that counts as a pause, in milliseconds. */
-const MIN_PAUSE_MS = 400;
-/** Time after a pause in which incoming data may be stale, in milliseconds. */
-const RESUME_PERIOD_MS = 50;
 /**
  * Delay above which a late check shows that the process did not run for some time, in milliseconds.
  */
@@ -28,21 +23,16 @@
 
 /** Derives pauses from the times of its calls. */
 export class PauseDetector {
-  private resumedAtMs = -Infinity;
-  /** Whether the data that arrived during the latest pause has been read. */
-  private hasReadBacklog = true;
   private lastTickMs = Infinity;
   private lateCheck: LateCheck = { fromMs: -Infinity, untilMs: -Infinity };
 
   /**
    * `onDelayMs` receives the delay of each tick in milliseconds, caused by other work of the
-   * process. `afterSocketsRead` runs its action once the process has read the data that has
-   * arrived.
+   * process.
    */
   constructor(
     private lastCheckMs: number,
     private readonly onDelayMs?: (delayMs: number) => void,
-    private readonly afterSocketsRead: (action: () => void) => void = (action) => action(),
   ) {}
 
   /** Performs the periodic check and reports its delay. */
@@ -57,26 +47,12 @@
    * {@link CHECK_INTERVAL_MS}.
    */
   check(nowMs: number): void {
-    if (nowMs - this.lastCheckMs > MIN_PAUSE_MS) {
-      this.resumedAtMs = nowMs;
-      this.hasReadBacklog = false;
-      this.afterSocketsRead(() => (this.hasReadBacklog = true));
-    }
     if (this.isLate(nowMs)) {
       this.lateCheck = { fromMs: this.lastCheckMs, untilMs: nowMs };
     }
     this.lastCheckMs = nowMs;
   }
 
-  /**
-   * Whether the process has just resumed, or has not yet read the data that arrived during the
-   * pause.
-   */
-  hasJustResumed(nowMs: number): boolean {
-    this.check(nowMs);
-    return !this.hasReadBacklog || nowMs - this.resumedAtMs < RESUME_PERIOD_MS;
-  }
-
   /** Maximum age of a signal that is handled now, in milliseconds. */
   signalAgeMs(nowMs: number): number {
     this.check(nowMs);
--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -60,6 +60,9 @@
   private deliveryPingAtMs: number | undefined;
   /** Whether that ping was acknowledged, which shows that everything sent before it has arrived. */
   private isAllDelivered = false;
+  /** Actions that wait until the peer acknowledges a ping. */
+  private readonly peerReadWaits: { readonly pingSentAtMs: number; readonly run: () => void }[] =
+    [];
 
   /** `head` holds the bytes already read from the socket. */
   constructor(
@@ -99,6 +102,18 @@
     return true;
   }
 
+  /**
+   * Pings the peer, and runs the action after the frames that it had sent when it read the ping. Never runs it without
+   * liveness monitoring, or if the ping is not acknowledged.
+   */
+  whenPeerHasRead(run: () => void): void {
+    if (this.watch !== undefined) {
+      const pingSentAtMs = Math.floor(this.watch.scheduler.now());
+      this.peerReadWaits.push({ pingSentAtMs, run });
+      this.send({ kind: 'ping', pingSentAtMs });
+    }
+  }
+
   /** Must be called periodically; `isAwaiting` tells whether work is pending on the connection. */
   checkLiveness(isAwaiting: boolean): void {
     if (this.watch === undefined || this.isClosed) {
@@ -206,6 +221,7 @@
 
   private read(chunk: Buffer): void {
     const frames: StreamFrame[] = [];
+    let acknowledgedMs = -Infinity;
     this.watch?.liveness.recordReceived(this.watch.scheduler.now());
     this.unackedSinceMs = undefined;
     try {
@@ -216,6 +232,7 @@
           this.send({ kind: 'acknowledgement', pingSentAtMs: frame.pingSentAtMs });
         } else if (frame.kind === 'acknowledgement') {
           this.handleAcknowledgement(frame.pingSentAtMs);
+          acknowledgedMs = Math.max(acknowledgedMs, frame.pingSentAtMs);
         } else {
           frames.push(frame);
         }
@@ -227,6 +244,13 @@
       this.socket.destroy();
     }
     this.observer.received(frames);
+    this.runPeerReadWaits(acknowledgedMs);
+  }
+
+  private runPeerReadWaits(acknowledgedMs: number): void {
+    while ((this.peerReadWaits[0]?.pingSentAtMs ?? Infinity) <= acknowledgedMs) {
+      this.peerReadWaits.shift()?.run();
+    }
   }
 
   private handleAcknowledgement(pingSentAtMs: number): void {
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -11,6 +11,7 @@
 import type { RequestLog } from '../request-log.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
 import { ConnectionLiveness, LOSS_TIMEOUT_MS, type LivenessLimits } from './link-pulse.js';
+import { PendingRequests } from './pending-requests.js';
 import { RelayConnection } from './relay-connection.js';
 import type { RequestFrame, StreamFrame } from './relay-frame.js';
 import { ratePerSOf } from './relay-load.js';
@@ -20,8 +21,6 @@
 import { RelayedRequest, type OwnedEndpoints } from './relayed-request.js';
 import { TravelTime } from './travel-time.js';
 
-/** Time after a pause of the process for reading cancellations that arrived during it, in milliseconds. */
-const RESUME_SETTLE_MS = 10;
 /** Time for connections with nothing left to send to close during a planned stop, in milliseconds. */
 export const RELAY_CLOSE_TIMEOUT_MS = 200;
 /**
@@ -49,10 +48,10 @@
   readonly verifyToken: (token: string | undefined) => string | undefined;
   readonly snapshot: () => Snapshot | undefined;
   readonly endpoints: OwnedEndpoints;
-  /** Whether the process has just resumed from a pause; see {@link ../pause-detector.ts}. */
-  readonly hasJustWoken: () => boolean;
-  /** Calls the action once the process has read all bytes that have arrived. */
-  readonly afterRead: (action: () => void) => void;
+  /** Runs the action once the process has read what had arrived; at once if the process is on time. */
+  readonly whenInputRead: (action: () => void) => void;
+  /** Longest time for which input may be unread, in milliseconds; 0 if the process is on time. */
+  readonly maxUnreadMs: () => number;
   /** Whether answers tell peers that the node is about to stop. */
   readonly isStopping: () => boolean;
   /** Whether new requests are refused because the node is about to stop. */
@@ -182,8 +181,7 @@
   private readonly requests = new Map<number, RelayedRequest>();
   private readonly connection: RelayConnection;
   private readonly travelTime = new TravelTime();
-  /** Requests that were read but not started, by stream. */
-  private readonly pendingRequests = new Map<number, RequestFrame>();
+  private readonly pendingRequests: PendingRequests;
   private onClosed: () => void = () => undefined;
   /** When the last frame was sent to the peer in response to a request. */
   lastAnswerSentAtMs = -Infinity;
@@ -208,6 +206,15 @@
       closed: () => this.end(),
     };
     this.connection = new RelayConnection(socket, head, observer, watch);
+    this.pendingRequests = new PendingRequests({
+      scheduler,
+      whenInputRead: options.whenInputRead,
+      whenPeerHasRead: (action) => this.connection.whenPeerHasRead(action),
+      transitDelayMs: ({ sentAtMs }) =>
+        this.travelTime.lostMs(sentAtMs, scheduler.now()) - options.maxUnreadMs(),
+      start: (frame) => this.start(frame),
+      onHeld: () => options.counters.add('ferryspool_relayed_requests_held_total'),
+    });
   }
 
   checkLiveness(): void {
@@ -252,34 +259,19 @@
     return [...this.requests.values()].filter((request) => request.giveUp(requestLog)).length;
   }
 
-  /**
-   * Starts requests only after all frames received with them are read, so that a request that was cancelled in
-   * the meantime is not run. After a pause of the process, more frames may be waiting in the socket buffers.
-   */
   private receive(frames: readonly StreamFrame[]): void {
     frames.forEach((frame) => this.handleFrame(frame));
-    if (this.pendingRequests.size === 0) {
-      return;
-    }
-    if (this.options.hasJustWoken()) {
-      const { scheduler, afterRead } = this.options;
-      scheduler.schedule(RESUME_SETTLE_MS, () => afterRead(() => this.startPending()));
-    } else {
-      this.startPending();
-    }
+    this.pendingRequests.startWhenRead();
   }
 
   private handleFrame(frame: StreamFrame): void {
     if (frame.kind === 'request') {
-      this.pendingRequests.set(frame.streamId, frame);
+      this.pendingRequests.add(frame);
       return;
     }
-    if (frame.kind === 'cancel' && this.pendingRequests.delete(frame.streamId)) {
+    if (frame.kind === 'cancel' && this.pendingRequests.remove(frame.streamId)) {
       return;
     }
-    if (frame.kind === 'body' && this.pendingRequests.has(frame.streamId)) {
-      this.startPending();
-    }
     const request = this.requests.get(frame.streamId);
     if (frame.kind === 'cancel') {
       request?.abandon('cancelled', this.options.requestLog);
@@ -288,12 +280,6 @@
     }
   }
 
-  private startPending(): void {
-    const frames = [...this.pendingRequests.values()];
-    this.pendingRequests.clear();
-    frames.forEach((frame) => this.start(frame));
-  }
-
   private start(frame: RequestFrame): void {
     const { options } = this;
     options.counters.add('ferryspool_relayed_requests_total');
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -37,7 +37,6 @@
 import { RequestServices, type MemberDirectory } from './request-services.js';
 import { MACHINE_TIME } from './scheduler.js';
 import { drainServers } from './server-drain.js';
-import { SocketPoll } from './socket-poll.js';
 
 /** Idle connections of callers are kept open longer than configured, by this factor and this constant. */
 const IDLE_MARGIN_FACTOR = 1.25;
@@ -71,7 +70,6 @@
   private readonly pauseDetector: PauseDetector;
   private readonly eventLoopLag = new EventLoopLag();
   private readonly inputBarrier = new InputBarrier(() => MACHINE_TIME.now());
-  private readonly socketPoll = new SocketPoll();
   private readonly stopTicking: StopAction;
   private readonly meter = new CallMeter(() => MACHINE_TIME.now());
   private readonly plannedStop: PlannedStop;
@@ -135,11 +133,7 @@
       meter: this.meter,
       stop: this.plannedStop,
     });
-    this.pauseDetector = new PauseDetector(
-      MACHINE_TIME.now(),
-      (ms) => this.recordEventLoopLag(ms),
-      (action) => this.afterRead(action),
-    );
+    this.pauseDetector = new PauseDetector(MACHINE_TIME.now(), (ms) => this.recordEventLoopLag(ms));
     this.stopTicking = PERIODIC_CHECKS.add(() => this.tick());
     this.callerServer = this.makeCallerServer();
     this.relay = this.makeRelayServer();
@@ -380,8 +374,8 @@
       verifyToken: (token) => this.verifyToken(token),
       snapshot: () => this.options.snapshots.current(),
       endpoints: this.gateway,
-      hasJustWoken: () => this.pauseDetector.hasJustResumed(MACHINE_TIME.now()),
-      afterRead: (action) => this.afterRead(action),
+      whenInputRead: (action) => this.inputBarrier.pass(action),
+      maxUnreadMs: () => this.inputBarrier.maxUnreadMs,
       isStopping: () => this.plannedStop.isStopping,
       refusesNewWork: () => this.plannedStop.refusesNewWork(MACHINE_TIME.now()),
       deadlineWithin: (deadlineAtMs) => this.plannedStop.deadlineWithin(deadlineAtMs),
@@ -394,10 +388,6 @@
     });
   }
 
-  private afterRead(action: () => void): void {
-    void this.socketPoll.renew().then(action);
-  }
-
   private recordEventLoopLag(lagMs: number): void {
     this.eventLoopLag.record(lagMs, MACHINE_TIME.now());
     this.options.onEventLoopLagMs?.(lagMs);
