The transit delay of the first request on a connection between nodes is known

What callers saw: as before, for the first request on a connection. The receiver compares the clocks of both nodes by the fastest frame on the connection, so the first frame was never late, whatever it took: neither was the delay taken off its deadline nor was the request held for its sender's confirmation. The opening request of the connection now carries the sender's clock, so that the offset is known before the first frame. A slow opening gives a larger offset, which only underestimates delays, until a faster frame arrives.

--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -8,7 +8,7 @@
 import { ConnectionLiveness, LOSS_TIMEOUT_MS, type LivenessLimits } from './link-pulse.js';
 import { RelayConnection } from './relay-connection.js';
 import type { StreamFrame } from './relay-frame.js';
-import { RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
+import { RELAY_CLOCK_HEADER, RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
 import { RelayedAttempt } from './relayed-attempt.js';
 
 /** Time after which an idle connection is closed, in milliseconds. */
@@ -190,6 +190,7 @@
     return {
       Connection: 'Upgrade',
       Upgrade: RELAY_PROTOCOL,
+      [RELAY_CLOCK_HEADER]: Math.floor(this.connectStartedAtMs),
       ...(token !== undefined && { [RELAY_TOKEN_HEADER]: token }),
     };
   }
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -5,7 +5,7 @@
 import type { Endpoint } from '../../model/resource.js';
 import type { Snapshot } from '../../model/snapshot.js';
 import type { Call } from '../call.js';
-import { headerValue } from '../headers.js';
+import { headerValue, parseMilliseconds } from '../headers.js';
 import type { ProxyLimits } from '../proxy-limits.js';
 import { NodeStoppingError, UnknownEndpointError } from '../request-error.js';
 import type { RequestLog } from '../request-log.js';
@@ -15,7 +15,7 @@
 import { RelayConnection } from './relay-connection.js';
 import type { RequestFrame, StreamFrame } from './relay-frame.js';
 import { ratePerSOf } from './relay-load.js';
-import { RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
+import { RELAY_CLOCK_HEADER, RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
 import { CreditPool } from './credit-pool.js';
 import type { UnresponsiveConnection } from './relay-link.js';
 import { RelayedRequest, type OwnedEndpoints } from './relayed-request.js';
@@ -91,7 +91,8 @@
       }
       const token = headerValue(request.rawHeaders, RELAY_TOKEN_HEADER);
       const remoteAddress = request.socket.remoteAddress;
-      this.accept(options.verifyToken(token), { socket, head, remoteAddress });
+      const openedAtMs = parseMilliseconds(headerValue(request.rawHeaders, RELAY_CLOCK_HEADER));
+      this.accept(options.verifyToken(token), { socket, head, remoteAddress, openedAtMs });
     });
     this.http.on('clientError', (_error, socket) => socket.destroy());
   }
@@ -173,6 +174,8 @@
   readonly head: Buffer;
   /** IP address of the peer's machine. */
   readonly remoteAddress: string | undefined;
+  /** When the peer began to open it, on the peer's clock; undefined if the peer does not tell. */
+  readonly openedAtMs: number | undefined;
 }
 
 /** Connection of one peer with its requests. */
@@ -188,7 +191,7 @@
 
   constructor(
     private readonly sender: string,
-    { socket, head, remoteAddress }: PeerConnectionRequest,
+    { socket, head, remoteAddress, openedAtMs }: PeerConnectionRequest,
     private readonly options: RelayServerOptions,
     private readonly credits: CreditPool,
     private readonly onRemove: () => void,
@@ -206,6 +209,9 @@
       closed: () => this.end(),
     };
     this.connection = new RelayConnection(socket, head, observer, watch);
+    if (openedAtMs !== undefined) {
+      this.travelTime.lostMs(openedAtMs, scheduler.now());
+    }
     this.pendingRequests = new PendingRequests({
       scheduler,
       whenInputRead: options.whenInputRead,
