Cancellations are repeated on another connection if their own does not deliver them

What callers saw: where a connection between two nodes lost its bytes, the node beside the endpoint sent requests on, and endpoints worked, for up to 5 s after the callers had left, until that node gave the connection up.

A cancellation now counts as sent data, so its connection is watched until something arrives after it; before, an attempt that had ended was not. No attempt is cancelled that its sender still awaits.

--- a/src/proxy/relay/relay-client.ts
+++ b/src/proxy/relay/relay-client.ts
@@ -74,6 +74,7 @@
       opened: () => this.confirmPeerAlive(key, link),
       openFailed: (isAnswered) => this.countUnanswered(key, isAnswered),
       closed: () => this.openLinks.delete(link),
+      cancelsUnheard: (requestIds) => this.repeatCancels(key, requestIds),
     });
     this.links.set(key, link);
     this.openLinks.add(link);
@@ -86,10 +87,16 @@
     for (const link of this.linksTo(key)) {
       if (link !== opened) {
         link.confirmPeerAlive();
+        opened.repeatCancels(link.unheardCancelIds);
       }
     }
   }
 
+  /** If no connection is open, the next one that opens repeats the cancellations of connections that are still open. */
+  private repeatCancels(key: string, requestIds: readonly string[]): void {
+    this.linksTo(key).find((link) => link.repeatCancels(requestIds));
+  }
+
   /** Requests at an unreachable machine may be retried elsewhere; a machine that is only paused still answers. */
   private countUnanswered(key: string, isAnswered: boolean): void {
     const links = this.linksTo(key);
--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -33,6 +33,8 @@
 export interface RelayConnectionObserver {
   /** Frames that arrived in one read, in order. */
   received(frames: readonly StreamFrame[]): void;
+  /** The peer cancels an attempt whose request it sent on another connection. */
+  attemptCancelled?(requestId: string): void;
   /** The connection was closed; called once. */
   closed(): void;
 }
@@ -60,6 +62,8 @@
   private deliveryPingAtMs: number | undefined;
   /** Whether that ping was acknowledged, which shows that everything sent before it has arrived. */
   private isAllDelivered = false;
+  /** Everything sent before this time has provably arrived. */
+  private latestDeliveredMs = -Infinity;
   /** Actions that wait until the peer acknowledges a ping. */
   private readonly peerReadWaits: { readonly pingSentAtMs: number; readonly run: () => void }[] =
     [];
@@ -137,6 +141,11 @@
     }
   }
 
+  /** The peer has received everything that was sent before this time. */
+  get deliveredMs(): number {
+    return this.latestDeliveredMs;
+  }
+
   /** Whether bytes arrived at `atMs` or later; always true without liveness monitoring. */
   hasReceivedSince(atMs: number): boolean {
     if (this.watch === undefined) {
@@ -233,6 +242,8 @@
         } else if (frame.kind === 'acknowledgement') {
           this.handleAcknowledgement(frame.pingSentAtMs);
           acknowledgedMs = Math.max(acknowledgedMs, frame.pingSentAtMs);
+        } else if (frame.kind === 'cancel-attempt') {
+          this.observer.attemptCancelled?.(frame.requestId);
         } else {
           frames.push(frame);
         }
@@ -254,6 +265,7 @@
   }
 
   private handleAcknowledgement(pingSentAtMs: number): void {
+    this.latestDeliveredMs = Math.max(this.latestDeliveredMs, pingSentAtMs);
     if (this.watch !== undefined) {
       this.isAllDelivered ||= pingSentAtMs === this.deliveryPingAtMs;
       this.watch.liveness.recordAcknowledgement(pingSentAtMs, this.watch.scheduler.now());
--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -112,6 +112,12 @@
   readonly streamId: number;
 }
 
+/** Cancels an attempt whose request was sent on another connection to the same node. */
+export interface CancelAttemptFrame {
+  readonly kind: 'cancel-attempt';
+  readonly requestId: string;
+}
+
 /** Liveness check, acknowledged immediately. */
 export interface PingFrame {
   readonly kind: 'ping';
@@ -130,7 +136,7 @@
   RequestFrame | AnswerFrame | FailureFrame | BodyFrame | CreditFrame | CancelFrame;
 
 /** Any frame of the protocol. */
-export type RelayFrame = StreamFrame | PingFrame | AcknowledgementFrame;
+export type RelayFrame = StreamFrame | CancelAttemptFrame | PingFrame | AcknowledgementFrame;
 
 /** Frame kinds, indexed by their number on the wire; positions must never change. */
 const KINDS = [
@@ -142,6 +148,7 @@
   'cancel',
   'ping',
   'acknowledgement',
+  'cancel-attempt',
 ] as const;
 const KIND_BYTES = 1;
 /** Allows for a head of 64 KiB whose bytes each take two in UTF-8, and for fields that nodes add to it. */
@@ -257,6 +264,7 @@
   cancel: new PlainStruct({ streamId: varint }),
   ping: new PlainStruct({ pingSentAtMs: varint }),
   acknowledgement: new PlainStruct({ pingSentAtMs: varint }),
+  'cancel-attempt': new PlainStruct({ requestId: text(MAX_REQUEST_ID_BYTES) }),
 };
 
 /** Encodes a frame with its length prefix. Throws {@link FrameError} if a value does not fit its field. */
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -10,6 +10,7 @@
 import type { StreamFrame } from './relay-frame.js';
 import { RELAY_CLOCK_HEADER, RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
 import { RelayedAttempt } from './relayed-attempt.js';
+import { UnheardCancellations } from './unheard-cancellations.js';
 
 /** Time after which an idle connection is closed, in milliseconds. */
 const IDLE_CONNECTION_MS = 30_000;
@@ -63,6 +64,8 @@
   /** The connection could not be opened. A reachable machine answers in time, even if only by refusing it. */
   readonly openFailed: (isAnswered: boolean) => void;
   readonly closed: () => void;
+  /** Cancellations should be repeated on another connection, since this one may not deliver them. */
+  readonly cancelsUnheard: (requestIds: readonly string[]) => void;
 }
 
 export function keyOf({ address, port }: RelayAddress): string {
@@ -86,6 +89,7 @@
   /** When the connection was lost without a working new one; undefined if it was not. */
   private peerLostAtMs: number | undefined;
   private lastSentAtMs = -Infinity;
+  private readonly unheardCancels = new UnheardCancellations();
 
   constructor(
     private readonly address: RelayAddress,
@@ -139,6 +143,7 @@
     const streamId = this.lastStreamId;
     const attempt = new RelayedAttempt(streamId, endpoint, call, observer, this.options.scheduler, {
       send: (frame) => this.connection?.send(frame) === true,
+      cancelled: (requestId) => this.recordCancel(requestId),
       ended: () => this.handleStreamEnd(streamId),
     });
     this.streams.set(streamId, attempt);
@@ -148,6 +153,21 @@
     return attempt;
   }
 
+  /** Cancellations on this connection that the peer may not receive; none while the connection is not suspect. */
+  get unheardCancelIds(): readonly string[] {
+    return this.isSuspect ? this.unheardCancels.requestIds : [];
+  }
+
+  /** Cancels attempts whose requests were sent on other connections to the peer; returns false if it is not open. */
+  repeatCancels(requestIds: readonly string[]): boolean {
+    const { connection } = this;
+    if (connection === undefined || this.isSuspect) {
+      return false;
+    }
+    requestIds.forEach((requestId) => connection.send({ kind: 'cancel-attempt', requestId }));
+    return true;
+  }
+
   /** Must be called periodically. */
   checkLiveness(): void {
     this.connection?.checkLiveness(this.streams.size > 0 || this.isUnansweredSinceSend());
@@ -234,6 +254,15 @@
     attempt.send();
   }
 
+  private recordCancel(requestId: string): void {
+    this.lastSentAtMs = this.options.scheduler.now();
+    this.unheardCancels.delivered(this.connection?.deliveredMs ?? -Infinity);
+    this.unheardCancels.add(requestId, this.lastSentAtMs);
+    if (this.isSuspect) {
+      this.observer.cancelsUnheard([requestId]);
+    }
+  }
+
   /** An aborted request awaits no answer, but receiving nothing since it was sent may mean that it was lost. */
   private isUnansweredSinceSend(): boolean {
     return this.connection?.hasReceivedSince(this.lastSentAtMs) === false;
@@ -247,6 +276,7 @@
   private handleLivenessStep(step: 'suspect' | 'silent' | 'lost', quietMs: number): void {
     const attempts = [...this.streams.values()];
     if (step === 'suspect') {
+      this.unheardCancels.delivered(this.connection?.deliveredMs ?? -Infinity);
       this.isSuspect = true;
       this.isUnresponsive = false;
       this.observer.suspect();
@@ -286,6 +316,15 @@
     }
   }
 
+  /** A suspect connection may close on this side only, and the peer would go on with its requests. */
+  private cancelUnheardAttempts(): void {
+    const attempted = [...this.streams.values()].filter((attempt) => attempt.wasSent);
+    const unheard = [...this.unheardCancelIds, ...attempted.map(({ requestId }) => requestId)];
+    if (this.isSuspect && unheard.length > 0) {
+      this.observer.cancelsUnheard(unheard);
+    }
+  }
+
   private closeIdle(): void {
     if (this.streams.size === 0) {
       this.observer.retired();
@@ -304,6 +343,7 @@
     this.isClosed = true;
     this.observer.retired();
     this.observer.closed();
+    this.cancelUnheardAttempts();
     for (const attempt of [...this.streams.values()]) {
       attempt.connectionClosed(cause);
     }
--- a/src/proxy/relay/relay-server.ts
+++ b/src/proxy/relay/relay-server.ts
@@ -11,6 +11,7 @@
 import type { RequestLog } from '../request-log.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
 import { ConnectionLiveness, LOSS_TIMEOUT_MS, type LivenessLimits } from './link-pulse.js';
+import { CancelledAttempts } from './cancelled-attempts.js';
 import { PendingRequests } from './pending-requests.js';
 import { RelayConnection } from './relay-connection.js';
 import type { RequestFrame, StreamFrame } from './relay-frame.js';
@@ -75,6 +76,7 @@
   readonly http: http.Server;
   private readonly peers = new Set<RelayPeer>();
   private readonly credits: CreditPool;
+  private readonly cancelledAttempts = new CancelledAttempts();
 
   constructor(private readonly options: RelayServerOptions) {
     this.credits = new CreditPool(options.scheduler, options.onBodyMs);
@@ -149,6 +151,14 @@
     this.peers.forEach((peer) => peer.destroy());
   }
 
+  private cancelAttempt(sender: string, requestId: string): void {
+    this.options.counters.add('ferryspool_relay_cancellations_repeated_total');
+    const ofSender = [...this.peers].filter((peer) => peer.sender === sender);
+    if (!ofSender.some((peer) => peer.cancelAttempt(requestId))) {
+      this.cancelledAttempts.add(requestId, this.options.scheduler.now());
+    }
+  }
+
   private accept(sender: string | undefined, request: PeerConnectionRequest): void {
     const { socket, remoteAddress } = request;
     if (sender === undefined) {
@@ -158,7 +168,12 @@
     }
     socket.write(SWITCHED);
     const remove = (): unknown => this.peers.delete(peer);
-    const peer = new RelayPeer(sender, request, this.options, this.credits, remove);
+    const peer = new RelayPeer(sender, request, this.options, {
+      credits: this.credits,
+      onRemove: remove,
+      cancelAttempt: (requestId) => this.cancelAttempt(sender, requestId),
+      wasCancelled: (requestId) => this.cancelledAttempts.take(requestId),
+    });
     for (const other of this.peers) {
       if (other.remoteAddress === remoteAddress) {
         other.confirmPeerAlive();
@@ -168,6 +183,16 @@
   }
 }
 
+/** What the connections of one server share. */
+interface SharedState {
+  readonly credits: CreditPool;
+  readonly onRemove: () => void;
+  /** Cancels an attempt of the same sender whose request arrived, or will arrive, on another connection. */
+  readonly cancelAttempt: (requestId: string) => void;
+  /** Whether an attempt was cancelled before its request arrived. */
+  readonly wasCancelled: (requestId: string) => boolean;
+}
+
 /** Upgrade of a connection opened by a peer. */
 interface PeerConnectionRequest {
   readonly socket: Duplex;
@@ -190,11 +215,10 @@
   lastAnswerSentAtMs = -Infinity;
 
   constructor(
-    private readonly sender: string,
+    readonly sender: string,
     { socket, head, remoteAddress, openedAtMs }: PeerConnectionRequest,
     private readonly options: RelayServerOptions,
-    private readonly credits: CreditPool,
-    private readonly onRemove: () => void,
+    private readonly shared: SharedState,
   ) {
     this.remoteAddress = remoteAddress;
     const { scheduler } = options;
@@ -206,6 +230,7 @@
     };
     const observer = {
       received: (frames: readonly StreamFrame[]) => this.receive(frames),
+      attemptCancelled: (requestId: string) => shared.cancelAttempt(requestId),
       closed: () => this.end(),
     };
     this.connection = new RelayConnection(socket, head, observer, watch);
@@ -265,6 +290,16 @@
     return [...this.requests.values()].filter((request) => request.giveUp(requestLog)).length;
   }
 
+  /** Cancels a request of this connection; returns false if there is none with the id. */
+  cancelAttempt(requestId: string): boolean {
+    if (this.pendingRequests.removeById(requestId)) {
+      return true;
+    }
+    const found = [...this.requests.values()].find((request) => request.requestId === requestId);
+    found?.abandon('cancelled', this.options.requestLog);
+    return found !== undefined;
+  }
+
   private receive(frames: readonly StreamFrame[]): void {
     frames.forEach((frame) => this.handleFrame(frame));
     this.pendingRequests.startWhenRead();
@@ -272,7 +307,9 @@
 
   private handleFrame(frame: StreamFrame): void {
     if (frame.kind === 'request') {
-      this.pendingRequests.add(frame);
+      if (!this.shared.wasCancelled(frame.requestId)) {
+        this.pendingRequests.add(frame);
+      }
       return;
     }
     if (frame.kind === 'cancel' && this.pendingRequests.remove(frame.streamId)) {
@@ -300,7 +337,13 @@
       isStopping: options.isStopping,
     };
     const { limits, scheduler } = options;
-    const request = new RelayedRequest(frame, limits.maxBodyBytes, link, this.credits, scheduler);
+    const request = new RelayedRequest(
+      frame,
+      limits.maxBodyBytes,
+      link,
+      this.shared.credits,
+      scheduler,
+    );
     this.requests.set(streamId, request);
     if (options.refusesNewWork()) {
       request.failed(new NodeStoppingError('the node is about to stop'));
@@ -357,7 +400,7 @@
     for (const request of [...this.requests.values()]) {
       request.abandon('connection-closed', this.options.requestLog);
     }
-    this.onRemove();
+    this.shared.onRemove();
     this.onClosed();
   }
 }
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -28,6 +28,8 @@
 export interface AttemptLink {
   /** Returns false if the frame cannot be encoded or there is no connection. */
   readonly send: (frame: StreamFrame) => boolean;
+  /** The attempt's request was cancelled after it had been sent. */
+  readonly cancelled: (requestId: string) => void;
   /** The attempt has ended and expects no more frames. */
   readonly ended: () => void;
 }
@@ -58,6 +60,16 @@
     }
   }
 
+  /** Whether the head of the request was sent. */
+  get wasSent(): boolean {
+    return this.isSent;
+  }
+
+  /** Identifies the attempt on other connections to the same node. */
+  get requestId(): string {
+    return this.call.requestId;
+  }
+
   isUnsent(): boolean {
     return !this.mayHaveReachedEndpoint;
   }
@@ -245,6 +257,7 @@
   private cancel(): void {
     if (this.isSent) {
       this.link.send({ kind: 'cancel', streamId: this.streamId });
+      this.link.cancelled(this.call.requestId);
     }
   }
 
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -40,7 +40,7 @@
   private readonly streamId: number;
   private cancelBodyTimeout: CancelTimer | undefined;
   private unreserve: () => void = () => undefined;
-  private readonly requestId: string;
+  readonly requestId: string;
   private readonly arrivedAtMs: number;
   private attempt: Attempt | undefined;
   private sink: FrameSink | undefined;
