Soak: callers that leave, at nodes that are late, judged by the users' rule

Two promises: no more than a few (three) requests reach a back end half a second after their caller has left, and no more than a quarter of the runs of repeatable requests that would last so long go on by then; machines out of touch are excused, late processes are not. A plan 'abandons': groups of up to 24 callers that leave within 300 ms, on new and kept connections, with bodies of up to 120 KB; processes that run 8 ms of every 158 to 428 ms, slow connections, narrow links and slow back ends. Callers that leave without closing their connections show that both promises can break.

--- a/test/soak/soak-case.ts
+++ b/test/soak/soak-case.ts
@@ -28,7 +28,9 @@
   plan: SoakPlan,
   shapePath?: string,
 ): Promise<void> {
-  expect(await brokenIn(seed, plan, shapePath)).to.deep.equal([]);
+  expect(await brokenIn(seed, plan, shapePath === undefined ? {} : { shapePath })).to.deep.equal(
+    [],
+  );
 }
 
 /** The same, for processes that get so little processor that only losses are judged. */
@@ -37,22 +39,37 @@
   plan: SoakPlan,
   shapePath: string,
 ): Promise<void> {
-  const broken = await brokenIn(seed, plan, shapePath);
+  const broken = await brokenIn(seed, plan, { shapePath });
   const losses = summarize(broken).filter(({ isLoss }) => isLoss);
   expect(losses).to.deep.equal([]);
 }
 
+/** Runs a soak whose callers keep their connections when they leave, so that the judges must find what goes on. */
+export async function expectHiddenLeavesFound(seed: number): Promise<void> {
+  const broken = await brokenIn(seed, 'abandons', { hidesLeaves: true });
+  expect(broken.map(({ promise }) => promise)).to.include.members([
+    'abandoned-not-sent',
+    'abandoned-not-run',
+  ]);
+}
+
 /** Runs a soak whose back ends do not state their limits nor that they leave, so that the judges must find both. */
 export async function expectHiddenStatementsFound(seed: number): Promise<void> {
-  const broken = await brokenIn(seed, 'statements', undefined, true);
+  const broken = await brokenIn(seed, 'statements', { hidesStatements: true });
   expect(broken.map(({ promise }) => promise)).to.include.members(['rate-limit', 'leaving']);
 }
 
+/** What a soak is run with besides its seed and plan; hidden things make promises break. */
+interface SoakCaseOptions {
+  readonly shapePath?: string;
+  readonly hidesStatements?: boolean;
+  readonly hidesLeaves?: boolean;
+}
+
 async function brokenIn(
   seed: number,
   plan: SoakPlan,
-  shapePath?: string,
-  hidesStatements = false,
+  { shapePath, hidesStatements = false, hidesLeaves = false }: SoakCaseOptions = {},
 ): Promise<readonly BrokenPromise[]> {
   const log: string[] = [];
   const { broken, record } = await runSoak({
@@ -63,6 +80,7 @@
     plan,
     uploadsPerSecond: UPLOADS_PER_SECOND,
     hidesStatements,
+    hidesLeaves,
     ...(shapePath !== undefined && { shape: loadShape(shapePath) }),
     network: await claimNetwork(seed),
     say: (text) => log.push(`soak ${text}`),
@@ -72,7 +90,7 @@
       }
     },
   });
-  if (broken.length > 0 && !hidesStatements) {
+  if (broken.length > 0 && !hidesStatements && !hidesLeaves) {
     process.stdout.write(`${log.slice(-MAX_PRINTED_LINES).join('\n')}\n`);
     process.stdout.write(`began at ${record.beganAt}\n${describeStarvation(record).join('\n')}\n`);
   }
--- a/test/soak/soak.test.ts
+++ b/test/soak/soak.test.ts
@@ -1,9 +1,10 @@
 /**
  * Short soaks of real processes in every build: single faults, series with uploads, silences, requests
- * that end back ends, rolls beside connections that are slow, planned work in the shape of a deployment, and back
- * ends that name rate limits and leave.
+ * that end back ends, rolls beside connections that are slow, planned work in the shape of a deployment, back ends that
+ * name rate limits and leave, and callers that leave.
  */
 import {
+  expectHiddenLeavesFound,
   expectHiddenStatementsFound,
   expectPromisesKept,
   SHAPED_TEST_TIMEOUT_MS,
@@ -43,6 +44,14 @@
     await expectHiddenStatementsFound(6596);
   }).timeout(SOAK_TEST_TIMEOUT_MS);
 
+  it('keeps every promise when callers leave in groups, at nodes that are late', async () => {
+    await expectPromisesKept(67001, 'abandons');
+  }).timeout(SOAK_TEST_TIMEOUT_MS);
+
+  it('finds requests of callers that leave without closing their connections', async () => {
+    await expectHiddenLeavesFound(67001);
+  }).timeout(SOAK_TEST_TIMEOUT_MS);
+
   it('keeps every promise when many nodes stop at a time beside connections that are slow', async () => {
     await expectPromisesKept(37, 'rolls');
   }).timeout(SOAK_TEST_TIMEOUT_MS);
--- a/tools/soak/broken-promise.ts
+++ b/tools/soak/broken-promise.ts
@@ -46,6 +46,10 @@
   | 'contained'
   /** No other request is refused for having stood beside it. */
   | 'innocent'
+  /** No back end gets a request half a second after its caller has left, but for a few. */
+  | 'abandoned-not-sent'
+  /** No back end goes on for half a second with what may be repeated once its caller has left, but for a quarter. */
+  | 'abandoned-not-run'
   /** No program ends by itself. */
   | 'no-own-end'
   /** After the faults, requests are served again. */
--- a/tools/soak/fault-injector.ts
+++ b/tools/soak/fault-injector.ts
@@ -76,6 +76,8 @@
         return this.endNodes(fault, 'SIGTERM');
       case 'freeze':
         return this.freeze(fault);
+      case 'late':
+        return this.delayNodes(fault);
       case 'reload':
         this.reload(fault);
         return;
@@ -160,6 +162,20 @@
     }
   }
 
+  private async delayNodes(fault: Extract<SoakFault, { kind: 'late' }>): Promise<void> {
+    const machines = this.hold(this.heldNodes, fault.machines);
+    const untilMs = this.params.nowMs() + fault.forMs;
+    await this.during(fault, machines, async () => {
+      while (this.params.nowMs() < untilMs) {
+        machines.forEach(({ node }) => node.signal('SIGSTOP'));
+        await delay(fault.restMs);
+        machines.forEach(({ node }) => node.signal('SIGCONT'));
+        await delay(fault.runMs);
+      }
+    });
+    release(this.heldNodes, machines);
+  }
+
   private async freeze(fault: Extract<SoakFault, { kind: 'freeze' }>): Promise<void> {
     const machines = this.hold(this.heldNodes, fault.machines);
     await this.during(fault, machines, async () => {
--- a/tools/soak/fault-plan.ts
+++ b/tools/soak/fault-plan.ts
@@ -23,6 +23,14 @@
       readonly forMs: number;
     }
   | { readonly kind: 'freeze'; readonly machines: readonly number[]; readonly forMs: number }
+  | {
+      /** The node's process gets the processor in short turns only. */
+      readonly kind: 'late';
+      readonly machines: readonly number[];
+      readonly runMs: number;
+      readonly restMs: number;
+      readonly forMs: number;
+    }
   | { readonly kind: 'reload'; readonly machines: readonly number[]; readonly forMs: number }
   | {
       readonly kind: LinkFaultKind;
--- a/tools/soak/main.ts
+++ b/tools/soak/main.ts
@@ -38,7 +38,9 @@
                 'planned' has planned work alone, of all kinds, and a loss of power at the end;
                 'restores' restores the store from backups during planned work;
                 'statements' has back ends that name rate limits and say that they leave, and faults of
-                the nodes beside them
+                the nodes beside them;
+                'abandons' has callers that leave in groups, at nodes that are late, beside slow
+                connections and back ends
     --shape     File with the shape of a deployment (deploy/shapes): callers that send reads behind each
                 other, answers, calls of back ends, and the processor of the nodes
     --deployed  Runs the bundle, started as it is deployed, in place of the compiled program
--- a/tools/soak/promises.ts
+++ b/tools/soak/promises.ts
@@ -2,6 +2,7 @@
  * Judges a soak by what callers and back ends have seen. Pure: records in, broken promises out. Times
  * are in milliseconds on the clock of the soak.
  */
+import { judgeAbandoned } from './abandon-promises.js';
 import type { BrokenPromise, SoakPromise } from './broken-promise.js';
 import { judgeCallerSilences } from './caller-promises.js';
 import { isSilenced } from './caller-silence.js';
@@ -49,6 +50,7 @@
     ...judgeDeliveries(record, arrivalsById),
     ...judgeLimits(record),
     ...judgeLeaving(record),
+    ...judgeAbandoned(record),
     ...record.silences.flatMap(judgeSilence),
     ...judgeCallerSilences(record, arrivalsById),
     ...judgeCrashes(record, (machine, fromMs, untilMs) =>
--- a/tools/soak/soak-backend.ts
+++ b/tools/soak/soak-backend.ts
@@ -114,25 +114,26 @@
     const isStruck = this.fault !== undefined && this.params.random() < this.faultShare;
     const isFull = this.running >= BACKEND_SLOTS || (isStruck && this.fault === 'refuse');
     const hasRun = !isOther && !isFull;
-    this.note(arrival, response, hasRun);
+    const noted = this.note(arrival, response, hasRun);
     if (isOther) {
       refuse(response, arrival.requestId, MISDIRECTED_STATUS);
     } else if (isFull) {
       refuse(response, arrival.requestId);
     } else {
-      this.run(request, response, arrival, isStruck ? this.fault : undefined);
+      noted.workMs = this.run(request, response, arrival, isStruck ? this.fault : undefined);
     }
   }
 
+  /** Begins to work on a request; returns for how long, in milliseconds. */
   private run(
     request: IncomingMessage,
     response: ServerResponse,
     { requestId, target, headers }: Arrival,
     fault: BackendFault | undefined,
-  ): void {
+  ): number {
     this.running += 1;
     const calls = this.beginCalls(requestId, target, Number(headers['deadline-ms']), response);
-    const workMs = this.drawWorkMs(target);
+    const workMs = this.drawWorkMs(target) * (fault === 'slow' ? SLOW_FACTOR : 1);
     const timer = setTimeout(
       () =>
         isCrashing(target)
@@ -140,12 +141,13 @@
           : void calls.then((areServed) =>
               this.finish(request, response, { requestId, target }, areServed ? fault : 'errors'),
             ),
-      fault === 'slow' ? workMs * SLOW_FACTOR : workMs,
+      workMs,
     );
     response.once('close', () => {
       clearTimeout(timer);
       this.running -= 1;
     });
+    return workMs;
   }
 
   /** Calls that a run makes from its start on; nobody waits for them once its exchange is over. */
@@ -206,7 +208,7 @@
     { requestId, headers, method, target, body, readForMs }: Arrival,
     response: ServerResponse,
     hasRun: boolean,
-  ): void {
+  ): SoakArrival {
     const { id: backend, machine, nowMs, onArrival } = this.params;
     const noted: SoakArrival = {
       id: requestId,
@@ -234,6 +236,7 @@
       noted.brokeOff = !response.writableFinished && hasBrokenOff;
       noted.outcome = outcomeOf(response, hasBrokenOff);
     });
+    return noted;
   }
 
   /** Whether the connection was ended here, and not by the node. */
--- a/tools/soak/soak-client.ts
+++ b/tools/soak/soak-client.ts
@@ -19,6 +19,8 @@
   readonly agent: http.Agent | undefined;
   /** When the caller leaves, after it began; Infinity when it waits. */
   readonly leavesAfterMs: number;
+  /** Whether a caller that leaves keeps its connection open, so that its node can't know; false when absent. */
+  readonly hidesLeave?: boolean;
   readonly nowMs: () => number;
   /** Makes the caller leave when it is aborted. */
   readonly signal?: AbortSignal;
@@ -61,8 +63,10 @@
     const listensMs = Math.min(request.leavesAfterMs, request.deadlineMs + LISTEN_MARGIN_MS);
     this.timer = setTimeout(() => {
       this.isGivenUp = listensMs === request.leavesAfterMs;
-      this.message.destroy();
       this.end();
+      if (!this.isGivenUp || request.hidesLeave !== true) {
+        this.message.destroy();
+      }
     }, listensMs);
     request.signal?.addEventListener('abort', this.leave, { once: true });
   }
--- a/tools/soak/soak-record.ts
+++ b/tools/soak/soak-record.ts
@@ -75,6 +75,8 @@
   readonly deadlineMs: number;
   /** Whether the back end began to work on it. */
   readonly hasRun: boolean;
+  /** How long the back end works on it if nothing ends that before, in milliseconds; 0 where it does not run. */
+  workMs?: number;
   /** Whether its answer names a rate limit; false when absent. */
   readonly namesLimit?: boolean;
   /** Whether its answer says that the back end leaves; false when absent. */
--- a/tools/soak/soak-run.ts
+++ b/tools/soak/soak-run.ts
@@ -1,6 +1,8 @@
 /** One soak: start, faults under traffic, a calm end, and the verdict. */
 import { setTimeout as delay } from 'node:timers/promises';
 import { seededRandom } from '../emulator/seeded-random.js';
+import { AbandonTraffic } from './abandon-traffic.js';
+import { planAbandons } from './abandon-plan.js';
 import { BackendCalls } from './backend-calls.js';
 import { CoreWatch } from './core-watch.js';
 import { CrashTraffic } from './crash-traffic.js';
@@ -42,6 +44,8 @@
 const PROCESSOR_STREAM = 10;
 const RESTORE_STREAM = 11;
 const STATEMENT_STREAM = 12;
+const ABANDON_STREAM = 13;
+const ABANDON_TRAFFIC_STREAM = 14;
 /** Share of the short requests that work for long, beside rolls. */
 const LONG_SHARE = 0.1;
 /** What the link to a node passes each way: 7 Mbit/s, as machines of the users' deployments have. */
@@ -65,6 +69,8 @@
  *   stops take place before and after each restore.
  * - `statements`: back ends name rate limits, which change and end, and say that they leave; the nodes beside them are
  *   stopped, killed, frozen and cut off meanwhile.
+ * - `abandons`: callers leave in groups before they are answered, at processes that are late, beside connections and back
+ *   ends that are slow.
  */
 export const SOAK_PLANS = [
   'faults',
@@ -75,6 +81,7 @@
   'planned',
   'restores',
   'statements',
+  'abandons',
 ] as const;
 
 /** What happens in a soak. */
@@ -98,6 +105,8 @@
    * false when absent.
    */
   readonly hidesStatements?: boolean;
+  /** Whether callers that leave keep their connections open, so that the promises break; false when absent. */
+  readonly hidesLeaves?: boolean;
   /** The first two numbers of the loopback network. */
   readonly network: string;
   readonly say: (text: string) => void;
@@ -166,6 +175,10 @@
     random: seededRandom(seed, UPLOAD_STREAM),
   });
   const crashing = new CrashTraffic({ fleet, nowMs, random: seededRandom(seed, CRASH_STREAM) });
+  const abandoning = new AbandonTraffic({
+    ...{ fleet, nowMs, hidesLeaves: params.hidesLeaves === true },
+    random: seededRandom(seed, ABANDON_TRAFFIC_STREAM),
+  });
   const shaped = startShape(params, fleet, nowMs);
   // Nodes that have just been started are no more in touch than those that start again.
   const startWindow = {
@@ -180,7 +193,9 @@
   const sending = [traffic.run(), ...(hasSeries(params) ? [uploads.run()] : [])];
   await delay(WARM_UP_MS);
   sending.push(...(params.plan === 'crashes' ? [crashing.run()] : []));
+  sending.push(...(params.plan === 'abandons' ? [abandoning.run()] : []));
   await performAll(params, injector);
+  await abandoning.stop();
   const calmFromMs = nowMs();
   say('nothing is harmed any more');
   await delay(SOAK_TERMS.recoveryMs + CALM_MS);
@@ -195,6 +210,7 @@
       ...traffic.calls,
       ...uploads.calls,
       ...crashing.calls,
+      ...abandoning.calls,
       ...(shaped?.calls ?? []),
       ...backendCalls.calls,
     ],
@@ -240,6 +256,9 @@
   if (plan === 'statements') {
     return planStatements({ ...common, random: seededRandom(seed, STATEMENT_STREAM) });
   }
+  if (plan === 'abandons') {
+    return planAbandons({ ...common, random: seededRandom(seed, ABANDON_STREAM) });
+  }
   if (plan === 'restores') {
     return planRestores({ ...common, random: seededRandom(seed, RESTORE_STREAM) });
   }
