Long bodies are read ahead while their requests wait, so that the end of the connection is seen

What callers saw: an upload of more than 256 KiB whose caller had left still waited for a slot, and was sent on, at its own node as at another one. The body was read only once the request had its slot, and a connection that is not read does not show its end.

A body that is streamed is now read ahead by up to 1 MiB while its request waits, within the memory that the node keeps for bodies of requests (32 MiB); the rest of a body that is not sent is read and dropped once its request is over, so that its caller can still read the answer. What the receive buffer holds behind 1 MiB, or while the 32 MiB are in use, stays unread as before.

--- a/src/proxy/body-receiver.ts
+++ b/src/proxy/body-receiver.ts
@@ -4,6 +4,9 @@
 import { EMPTY_BODY, BufferedBody, StreamedBody, type RequestBody } from './request-body.js';
 import { BodyTooLargeError } from './request-error.js';
 
+/** Maximum number of bytes of a streamed body that are read before the body is sent. */
+const MAX_READ_AHEAD_BYTES = 1024 * 1024;
+
 /** Memory budget of a node for all buffered request bodies. */
 export class BodyBufferBudget {
   private reservedBytes = 0;
@@ -24,6 +27,27 @@
   }
 }
 
+/** What one request has reserved of the budget. */
+class BodyReservation {
+  private bytes = 0;
+  private isReleased = false;
+
+  constructor(private readonly budget: BodyBufferBudget) {}
+
+  /** Reserves `bytes` more; returns false when they exceed the remaining budget, or the request is over. */
+  add(bytes: number): boolean {
+    const isReserved = !this.isReleased && this.budget.reserve(bytes);
+    this.bytes += isReserved ? bytes : 0;
+    return isReserved;
+  }
+
+  release(): void {
+    this.isReleased = true;
+    this.budget.release(this.bytes);
+    this.bytes = 0;
+  }
+}
+
 /** Receives the body once it can be forwarded; not called when the caller aborts before. */
 export type BodyConsumer = (body: RequestBody) => void;
 
@@ -47,14 +71,24 @@
   if (length !== undefined && length > limits.maxBodyBytes) {
     throw new BodyTooLargeError(`the request body exceeds ${limits.maxBodyBytes} bytes`);
   }
-  const reserved = Math.min(length ?? Infinity, limits.maxReplayBodyBytes);
+  const reservation = new BodyReservation(bufferBudget);
   const isSmall = length === undefined || length <= limits.maxReplayBodyBytes;
-  if (!isSmall || !bufferBudget.reserve(reserved)) {
-    consume(new StreamedBody(request, length, [], limits.maxBodyBytes));
-    return () => undefined;
+  let streamed: StreamedBody | undefined;
+  const stream = (chunks: readonly Buffer[]): void => {
+    const maxAheadBytes = Math.min(length ?? Infinity, MAX_READ_AHEAD_BYTES);
+    const aheadBytes = reservation.add(maxAheadBytes) ? maxAheadBytes : 0;
+    streamed = new StreamedBody(request, length, chunks, limits.maxBodyBytes, aheadBytes);
+    consume(streamed);
+  };
+  if (isSmall && reservation.add(Math.min(length ?? Infinity, limits.maxReplayBodyBytes))) {
+    bufferBody(request, limits.maxReplayBodyBytes, consume, stream);
+  } else {
+    stream([]);
   }
-  bufferBody(request, length, limits, consume);
-  return () => bufferBudget.release(reserved);
+  return () => {
+    reservation.release();
+    streamed?.discard();
+  };
 }
 
 /** The length that the headers declare: 0 without a body, undefined for a chunked body. */
@@ -65,23 +99,23 @@
   return Number(request.headers['content-length'] ?? 0);
 }
 
-/** Buffers the body until its end; a body that exceeds the buffer limit is streamed instead. */
+/** Buffers the body until its end; a body that exceeds `maxBytes` is passed to `stream` with the chunks read so far. */
 function bufferBody(
   request: IncomingMessage,
-  length: number | undefined,
-  limits: ProxyLimits,
+  maxBytes: number,
   consume: BodyConsumer,
+  stream: (chunks: readonly Buffer[]) => void,
 ): void {
   const chunks: Buffer[] = [];
   let receivedBytes = 0;
   const onData = (chunk: Buffer): void => {
     chunks.push(chunk);
     receivedBytes += chunk.length;
-    if (receivedBytes > limits.maxReplayBodyBytes) {
+    if (receivedBytes > maxBytes) {
       request.off('data', onData);
       request.off('end', onEnd);
       request.pause();
-      consume(new StreamedBody(request, length, chunks, limits.maxBodyBytes));
+      stream(chunks);
     }
   };
   const onEnd = (): void => {
--- a/src/proxy/request-body.ts
+++ b/src/proxy/request-body.ts
@@ -60,14 +60,34 @@
   readonly isDeclared = true;
   readonly isBuffered = false;
   private wasSent = false;
+  private readonly receivedChunks: Buffer[];
+  private readonly readAhead: (chunk: Buffer) => void;
 
-  /** `receivedChunks` were already read from `source`; `maxBytes` limits the complete body, including them. */
+  /**
+   * `receivedChunks` were already read from `source`; `maxBytes` limits the complete body, including them. Up to
+   * `maxAheadBytes` more are read before the body is sent: the end of a connection is not seen while it is not read.
+   */
   constructor(
     private readonly source: BodySource,
     readonly length: number | undefined,
-    private readonly receivedChunks: readonly Buffer[],
+    receivedChunks: readonly Buffer[],
     private readonly maxBytes: number,
-  ) {}
+    maxAheadBytes = 0,
+  ) {
+    this.receivedChunks = [...receivedChunks];
+    let aheadBytes = 0;
+    this.readAhead = (chunk) => {
+      this.receivedChunks.push(chunk);
+      aheadBytes += chunk.length;
+      if (aheadBytes >= maxAheadBytes) {
+        source.pause();
+      }
+    };
+    if (maxAheadBytes > 0) {
+      source.on('data', this.readAhead);
+      source.resume();
+    }
+  }
 
   isReplayable(): boolean {
     return !this.wasSent;
@@ -77,9 +97,19 @@
     return this.source.complete;
   }
 
+  /** Drops the body unless it was sent, and reads the rest, so that the connection can be closed or used again. */
+  discard(): void {
+    if (!this.wasSent) {
+      this.source.off('data', this.readAhead);
+      this.receivedChunks.length = 0;
+      this.source.resume();
+    }
+  }
+
   sendTo(destination: Writable): void {
     this.wasSent = true;
     const { source } = this;
+    source.off('data', this.readAhead);
     let forwardedBytes = 0;
     const forward = (chunk: Buffer): void => {
       forwardedBytes += chunk.length;
@@ -101,7 +131,13 @@
       source.off('data', forward);
       source.resume();
     });
-    this.receivedChunks.forEach(forward);
-    source.resume();
+    this.receivedChunks.splice(0).forEach(forward);
+    if (source.readableEnded) {
+      destination.end();
+    } else if (source.destroyed) {
+      destination.destroy();
+    } else {
+      source.resume();
+    }
   }
 }
--- a/test/proxy/abandoned-uploads.test.ts
+++ b/test/proxy/abandoned-uploads.test.ts
@@ -110,4 +110,26 @@
     }
     expect(sent).to.deep.equal(Object.fromEntries(UPLOADS.map(({ name }) => [name, 0])));
   });
+
+  /** Guards against a refusal that its caller can't read because the rest of the body is left unread. */
+  it('is answered if it is refused while a long body is still arriving', async () => {
+    await startMesh('n1');
+    const busy = connect();
+    busy.write('GET /busy HTTP/1.1\r\nHost: a\r\n\r\n');
+    await until(() => target.heads.length === 1);
+    const upload = connect();
+    let answer = '';
+    upload.on('data', (chunk: Buffer) => (answer += chunk.toString('latin1')));
+    const length = 20 * BODY_BYTES;
+    upload.write(
+      `POST /long HTTP/1.1\r\nHost: a\r\nx-deadline-ms: 300\r\nContent-Length: ${length}\r\n\r\n`,
+    );
+    upload.write('x'.repeat(length));
+    await until(() => answer.includes('\r\n\r\n'));
+    expect(answer).to.match(/^HTTP\/1.1 5/);
+    await until(() => upload.destroyed);
+    busy.destroy();
+    mesh.close();
+    target.close();
+  });
 });
