Cancellations that nobody waits for are not given up while they queue

What callers of the native protocol saw: of 40 callers that left at the same moment, 14 had their work ended; the others' cancellations were given up after 50 ms while they queued for the four connections that an endpoint has for cancellations, and it worked on. The 50 ms are the time that a cancellation has before the deadline of a waiting caller. With no caller left, it now has up to a second.

--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -21,6 +21,11 @@
 
 /** Minimum timeout of a cancellation, in milliseconds. */
 const MIN_CANCEL_TIMEOUT_MS = 20;
+/**
+ * Timeout of a cancellation that nobody waits for, in milliseconds: many of them may queue for the
+ * connections.
+ */
+const ABANDONED_CANCEL_TIMEOUT_MS = 1_000;
 /**
  * Time past the deadline after which the slot of a request with an unknown outcome is freed, in
  * milliseconds.
@@ -292,10 +297,8 @@
   private sendCancel(): void {
     this.cancelTimer?.();
     const remainingMs = this.call.deadlineAtMs - this.scheduler.now();
-    const timeoutMs = Math.max(
-      MIN_CANCEL_TIMEOUT_MS,
-      Math.min(this.cancelLead.maxCancelLeadMs, remainingMs),
-    );
+    const maxMs = this.isAbandoned ? ABANDONED_CANCEL_TIMEOUT_MS : this.cancelLead.maxCancelLeadMs;
+    const timeoutMs = Math.max(MIN_CANCEL_TIMEOUT_MS, Math.min(maxMs, remainingMs));
     this.client.cancel(this.endpoint, this.call.requestId, timeoutMs, (outcome) => {
       this.handle({ type: 'cancel-answered', outcome });
     });
--- a/test/proxy/rig.ts
+++ b/test/proxy/rig.ts
@@ -32,10 +32,14 @@
   close(): void;
 }
 
-/** Starts an endpoint that answers cancellations with `cancelOutcome()`, or not at all if that is undefined. */
+/**
+ * Starts an endpoint that answers cancellations with `cancelOutcome()` after `cancelMs`, or not at all if that is
+ * undefined.
+ */
 export async function startRawEndpoint(
   handle: RawHandler,
   cancelOutcome: () => string | undefined = () => 'unknown',
+  cancelMs = 0,
 ): Promise<RawEndpoint> {
   const heads: string[] = [];
   const cancelled: string[] = [];
@@ -59,7 +63,11 @@
         pending = pending.slice(requestBytes);
         if (cancel) {
           cancelled.push(cancel[1] ?? '');
-          answerCancel(socket, cancelOutcome());
+          if (cancelMs > 0) {
+            setTimeout(() => answerCancel(socket, cancelOutcome()), cancelMs);
+          } else {
+            answerCancel(socket, cancelOutcome());
+          }
         } else {
           received.push(request);
           heads.push(head);
