--- a/test/proxy/fuzz/request-oracle.ts
+++ b/test/proxy/fuzz/request-oracle.ts
@@ -3,6 +3,8 @@
 
 /** Time by which an answer may be late because of the node's own processing, in milliseconds. */
 const DEADLINE_SLACK_MS = 1;
+/** Time within which the leave of a caller takes effect at the endpoints, in milliseconds. */
+const LEAVE_TAKES_EFFECT_MS = 500;
 
 /** Returns the first violated invariant, or undefined. */
 export function findViolation(world: RequestWorld): string | undefined {
@@ -21,6 +23,20 @@
   return world.violations[0] ?? findConcurrencyViolation(world);
 }
 
+/**
+ * Finds a request that reached an endpoint, or is still running there, half a second after its caller had left. Only for
+ * worlds whose processes run and whose connections deliver.
+ */
+export function findAbandonedRun(world: RequestWorld): string | undefined {
+  const { nowMs } = world.clock;
+  const leftAtMs = new Map(world.calls.map(({ id, leftAtMs: atMs }) => [id, atMs]));
+  const abandoned = world.ledger.find(({ call, startedAtMs, isRunning }) => {
+    const dueAtMs = (leftAtMs.get(call) ?? Infinity) + LEAVE_TAKES_EFFECT_MS;
+    return startedAtMs > dueAtMs || (isRunning && nowMs > dueAtMs);
+  });
+  return abandoned && `${abandoned.attempt} runs although its caller has left`;
+}
+
 /** Finds a call without an outcome, or a request still in flight, once no event is left to run. */
 export function findUnsettled(world: RequestWorld): string | undefined {
   const unanswered = world.calls.find((call) => call.outcomes.length === 0);
--- a/test/proxy/fuzz/request-world.ts
+++ b/test/proxy/fuzz/request-world.ts
@@ -71,6 +71,8 @@
   readonly outcomes: CallOutcome[];
   readonly close: (isComplete: boolean) => void;
   giveUp: () => void;
+  /** When its caller disconnected; Infinity while it has not. */
+  leftAtMs: number;
 }
 
 /** One node, which can be killed and started again. */
@@ -304,6 +306,7 @@
       outcomes,
       close,
       giveUp,
+      leftAtMs: Infinity,
     };
     this.calls.push(record);
     const { snapshot } = this;
--- a/test/proxy/fuzz/virtual-endpoint.ts
+++ b/test/proxy/fuzz/virtual-endpoint.ts
@@ -22,6 +22,8 @@
 export interface Execution {
   readonly call: string;
   readonly attempt: string;
+  readonly startedAtMs: number;
+  isRunning: boolean;
   hasEffect: boolean;
 }
 
@@ -78,7 +80,8 @@
       reply.refuse(this.isDraining);
       return;
     }
-    const execution = { call, attempt, hasEffect: true };
+    const startedAtMs = this.process.now();
+    const execution = { call, attempt, startedAtMs, isRunning: true, hasEffect: true };
     this.ledger.push(execution);
     const isSlow = this.random() < this.faults.slow;
     const workMs = isSlow ? 200 + this.random() * 3_000 : 1 + this.random() * 40;
@@ -118,6 +121,7 @@
   /** Kills the process with its state; the requests that were running may have taken effect. */
   kill(): void {
     this.process.kill();
+    this.running.forEach(({ execution }) => (execution.isRunning = false));
     this.running.clear();
     this.phases = new Map();
     this.maxRatePerS = Infinity;
@@ -130,6 +134,7 @@
     this.running.delete(attempt);
     this.phases.set(attempt, 'cancelled');
     if (running !== undefined) {
+      running.execution.isRunning = false;
       running.execution.hasEffect = false;
       running.reply.answer(attempt);
       running.reply.endAnswer(true);
@@ -144,6 +149,7 @@
     if (running === undefined) {
       return;
     }
+    running.execution.isRunning = false;
     if (sample < this.faults.lost) {
       running.reply.dropConnection();
       return;
--- a/test/proxy/request-fuzz.test.ts
+++ b/test/proxy/request-fuzz.test.ts
@@ -14,7 +14,7 @@
 import { RequestLifecycle } from '../../src/proxy/request-lifecycle.js';
 import { EndpointStatement } from '../../src/routing/endpoint-statement.js';
 import { seededRandom } from '../../tools/emulator/seeded-random.js';
-import { findUnsettled, findViolation } from './fuzz/request-oracle.js';
+import { findAbandonedRun, findUnsettled, findViolation } from './fuzz/request-oracle.js';
 import { RequestWorld } from './fuzz/request-world.js';
 
 const SEED = Number(process.env.FERRYSPOOL_FUZZ_SEED ?? 20_260_101);
@@ -85,13 +85,32 @@
   },
 ];
 
+/** Lets time pass. */
+const advanceCommand: WeightedCommand = {
+  weight: 8,
+  arbitrary: fc
+    .integer({ min: 1, max: 400 })
+    .map((durationMs) => command(`advance ${durationMs}`, (world) => world.advance(durationMs))),
+};
+
+function disconnectCommand(weight: number): WeightedCommand {
+  return {
+    weight,
+    arbitrary: fc.nat({ max: 50 }).map((call) =>
+      command(`caller ${call} disconnects`, (world) => {
+        const record = world.calls[call];
+        if (record !== undefined && record.outcomes.length === 0 && !record.node.process.isFrozen) {
+          record.outcomes.push({ kind: 'nothing' });
+          record.leftAtMs = world.clock.nowMs;
+          record.close(false);
+        }
+      }),
+    ),
+  };
+}
+
 const faultCommands: readonly WeightedCommand[] = [
-  {
-    weight: 8,
-    arbitrary: fc
-      .integer({ min: 1, max: 400 })
-      .map((durationMs) => command(`advance ${durationMs}`, (world) => world.advance(durationMs))),
-  },
+  advanceCommand,
   {
     weight: 2,
     arbitrary: fc
@@ -204,18 +223,7 @@
         command(`member n${node} is ${status}`, (world) => world.statuses.set(`n${node}`, status)),
       ),
   },
-  {
-    weight: 1,
-    arbitrary: fc.nat({ max: 50 }).map((call) =>
-      command(`caller ${call} disconnects`, (world) => {
-        const record = world.calls[call];
-        if (record !== undefined && record.outcomes.length === 0 && !record.node.process.isFrozen) {
-          record.outcomes.push({ kind: 'nothing' });
-          record.close(false);
-        }
-      }),
-    ),
-  },
+  disconnectCommand(1),
 ];
 
 /** Reports a peer as unresponsive, although it may be working. */
@@ -282,13 +290,17 @@
   });
 
 /** With `publishesStartTimes`, nodes are notified that an endpoint has restarted under the same name. */
-const propertyOf = (arbitrary: ReturnType<typeof scenarioOf>, publishesStartTimes = false) =>
+const propertyOf = (
+  arbitrary: ReturnType<typeof scenarioOf>,
+  publishesStartTimes = false,
+  findFurther: (world: RequestWorld) => string | undefined = () => undefined,
+) =>
   fc.property(arbitrary, ({ seed, faults, commands }) => {
     const world = new RequestWorld(faults, seededRandom(seed), publishesStartTimes);
     for (const step of commands) {
       step.run(world);
       world.advance(1);
-      failOn(findViolation(world), step.name);
+      failOn(findViolation(world) ?? findFurther(world), step.name);
     }
     world.resetCrashTimes();
     for (const { process } of [...world.nodes, ...world.endpoints]) {
@@ -296,7 +308,7 @@
     }
     for (let settledMs = 0; settledMs < SETTLE_MS; settledMs += 500) {
       world.advance(500);
-      failOn(findViolation(world), 'settling');
+      failOn(findViolation(world) ?? findFurther(world), 'settling');
     }
     failOn(findUnsettled(world), 'the end of the run');
   });
@@ -311,6 +323,11 @@
   scenarioOf([...callCommands, ...faultCommands, ...statementCommands]),
   true,
 );
+const abandonProperty = propertyOf(
+  scenarioOf([...callCommands, advanceCommand, disconnectCommand(12)]),
+  false,
+  findAbandonedRun,
+);
 
 interface Mutant {
   readonly name: string;
@@ -448,6 +465,17 @@
     method: 'updateBucket',
     replace: () => () => undefined,
   },
+  {
+    name: 'a request whose caller has left is not aborted',
+    property: abandonProperty,
+    target: RequestLifecycle.prototype,
+    method: 'abandon',
+    replace: () =>
+      function (this: { state: string }): unknown[] {
+        this.state = 'over';
+        return [];
+      },
+  },
   {
     name: 'an endpoint that says that it leaves is not remembered',
     property: statementProperty,
@@ -476,6 +504,10 @@
     fc.assert(statementProperty, { seed: SEED, numRuns: RUNS });
   });
 
+  it('ends the requests of callers that disconnect', () => {
+    fc.assert(abandonProperty, { seed: SEED, numRuns: RUNS });
+  });
+
   for (const mutant of mutants) {
     it(`detects the mutant: ${mutant.name}`, () => {
       const original = Reflect.get(mutant.target, mutant.method) as () => unknown;
