An endpoint whose service time is reported as 0 ms is chosen again

What callers saw: 503 NO_ENDPOINT for up to 10 s although an endpoint was ready and idle. The slots that a rate limit leaves to an endpoint are its rate times its mean service time. A node reports the mean in whole milliseconds, and an endpoint without a limit reports an infinite rate: infinity times 0 is no number, so the cost of the endpoint was none either, and no comparison chose it. As nothing was sent to it, nothing corrected its mean until the report was too old. Seen with fast endpoints; under load the mean of the first answers rounds to 0 or not.

The new test of the selection failed before.

--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -141,7 +141,8 @@
    * result may be a fraction.
    */
   usableSlots(slots: number, nowMs: number): number {
-    if (nowMs >= this.maxRateReportedAtMs + RATE_LIMIT_LIFETIME_MS) {
+    const isUnlimited = this.maxRatePerS === Infinity;
+    if (isUnlimited || nowMs >= this.maxRateReportedAtMs + RATE_LIMIT_LIFETIME_MS) {
       return slots;
     }
     const limitedSlots = (this.maxRatePerS * this.serviceMs) / MS_PER_SECOND;
--- a/test/routing/rate-limited-endpoint.test.ts
+++ b/test/routing/rate-limited-endpoint.test.ts
@@ -35,8 +35,14 @@
   });
 
   /** The node of the endpoint reports its load, service time and limit. */
-  function observe(endpoint: Endpoint, inFlight: number, maxRatePerS: number, nowMs = 0): void {
-    const serviceTime = { workClass: WORK.workClass, meanMs: 100 };
+  function observe(
+    endpoint: Endpoint,
+    inFlight: number,
+    maxRatePerS: number,
+    nowMs = 0,
+    meanMs = 100,
+  ): void {
+    const serviceTime = { workClass: WORK.workClass, meanMs };
     selector.loadObserved(endpoint, { inFlight, draining: false, serviceTime, maxRatePerS }, nowMs);
   }
 
@@ -55,6 +61,15 @@
     expect(shareOfLimited()).to.equal(0);
   });
 
+  /** Guards against an endpoint that is never chosen because its load is not a number. */
+  it('chooses an endpoint without a limit whose service time is reported as 0 ms', () => {
+    const alone = (): string | undefined => selector.choose([other], CONTEXT, 0)?.name;
+    observe(other, 0, Infinity, 0, 0);
+    expect(alone()).to.equal('other');
+    observe(other, 0, 3.3, 0, 0);
+    expect(alone()).to.equal('other');
+  });
+
   it('weighs it by its slots again when it names no limit, or was not heard of for a while', () => {
     observe(limited, 0, 3.3);
     observe(limited, 0, Infinity);
