--- a/src/proxy/relay/pending-requests.ts
+++ b/src/proxy/relay/pending-requests.ts
@@ -6,7 +6,10 @@
 import type { CancelTimer, Scheduler } from '../scheduler.js';
 import type { RequestFrame } from './relay-frame.js';
 
-/** Transit delay in milliseconds up to which a request starts at once: half of the time for a leave to take effect. */
+/**
+ * Transit delay in milliseconds up to which a request starts at once: half of the time within which a caller's disconnect
+ * must take effect.
+ */
 const MAX_UNCONFIRMED_DELAY_MS = 250;
 /** Largest share of the time left to a request for which it is held. */
 const MAX_HOLD_SHARE = 0.25;
@@ -116,7 +119,7 @@
     });
   }
 
-  /** A caller that leaves in good time for its cancellation to matter is known after this time at the latest. */
+  /** If the caller disconnected half a second before the request arrived, its cancellation arrives within this time. */
   private holdMs(frame: RequestFrame): number {
     const delayMs = this.options.transitDelayMs(frame);
     const leftMs = Math.max(0, frame.remainingMs - delayMs);
--- a/src/proxy/relay/relay-client.ts
+++ b/src/proxy/relay/relay-client.ts
@@ -74,7 +74,7 @@
       opened: () => this.confirmPeerAlive(key, link),
       openFailed: (isAnswered) => this.countUnanswered(key, isAnswered),
       closed: () => this.openLinks.delete(link),
-      cancelsUnheard: (requestIds) => this.repeatCancels(key, requestIds),
+      cancelsUnacknowledged: (requestIds) => this.repeatCancels(key, requestIds),
     });
     this.links.set(key, link);
     this.openLinks.add(link);
@@ -87,7 +87,7 @@
     for (const link of this.linksTo(key)) {
       if (link !== opened) {
         link.confirmPeerAlive();
-        opened.repeatCancels(link.unheardCancelIds);
+        opened.repeatCancels(link.unacknowledgedCancelIds);
       }
     }
   }
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -10,7 +10,7 @@
 import type { StreamFrame } from './relay-frame.js';
 import { RELAY_CLOCK_HEADER, RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
 import { RelayedAttempt } from './relayed-attempt.js';
-import { UnheardCancellations } from './unheard-cancellations.js';
+import { UnacknowledgedCancellations } from './unacknowledged-cancellations.js';
 
 /** Time after which an idle connection is closed, in milliseconds. */
 const IDLE_CONNECTION_MS = 30_000;
@@ -65,7 +65,7 @@
   readonly openFailed: (isAnswered: boolean) => void;
   readonly closed: () => void;
   /** Cancellations should be repeated on another connection, since this one may not deliver them. */
-  readonly cancelsUnheard: (requestIds: readonly string[]) => void;
+  readonly cancelsUnacknowledged: (requestIds: readonly string[]) => void;
 }
 
 export function keyOf({ address, port }: RelayAddress): string {
@@ -89,7 +89,7 @@
   /** When the connection was lost without a working new one; undefined if it was not. */
   private peerLostAtMs: number | undefined;
   private lastSentAtMs = -Infinity;
-  private readonly unheardCancels = new UnheardCancellations();
+  private readonly unacknowledgedCancels = new UnacknowledgedCancellations();
 
   constructor(
     private readonly address: RelayAddress,
@@ -154,8 +154,8 @@
   }
 
   /** Cancellations on this connection that the peer may not receive; none while the connection is not suspect. */
-  get unheardCancelIds(): readonly string[] {
-    return this.isSuspect ? this.unheardCancels.requestIds : [];
+  get unacknowledgedCancelIds(): readonly string[] {
+    return this.isSuspect ? this.unacknowledgedCancels.requestIds : [];
   }
 
   /** Cancels attempts whose requests were sent on other connections to the peer; returns false if it is not open. */
@@ -256,10 +256,10 @@
 
   private recordCancel(requestId: string): void {
     this.lastSentAtMs = this.options.scheduler.now();
-    this.unheardCancels.delivered(this.connection?.deliveredMs ?? -Infinity);
-    this.unheardCancels.add(requestId, this.lastSentAtMs);
+    this.unacknowledgedCancels.delivered(this.connection?.deliveredMs ?? -Infinity);
+    this.unacknowledgedCancels.add(requestId, this.lastSentAtMs);
     if (this.isSuspect) {
-      this.observer.cancelsUnheard([requestId]);
+      this.observer.cancelsUnacknowledged([requestId]);
     }
   }
 
@@ -276,7 +276,7 @@
   private handleLivenessStep(step: 'suspect' | 'silent' | 'lost', quietMs: number): void {
     const attempts = [...this.streams.values()];
     if (step === 'suspect') {
-      this.unheardCancels.delivered(this.connection?.deliveredMs ?? -Infinity);
+      this.unacknowledgedCancels.delivered(this.connection?.deliveredMs ?? -Infinity);
       this.isSuspect = true;
       this.isUnresponsive = false;
       this.observer.suspect();
@@ -317,11 +317,14 @@
   }
 
   /** A suspect connection may close on this side only, and the peer would go on with its requests. */
-  private cancelUnheardAttempts(): void {
+  private repeatCancelsAtClose(): void {
     const attempted = [...this.streams.values()].filter((attempt) => attempt.wasSent);
-    const unheard = [...this.unheardCancelIds, ...attempted.map(({ requestId }) => requestId)];
-    if (this.isSuspect && unheard.length > 0) {
-      this.observer.cancelsUnheard(unheard);
+    const requestIds = [
+      ...this.unacknowledgedCancelIds,
+      ...attempted.map(({ requestId }) => requestId),
+    ];
+    if (this.isSuspect && requestIds.length > 0) {
+      this.observer.cancelsUnacknowledged(requestIds);
     }
   }
 
@@ -343,7 +346,7 @@
     this.isClosed = true;
     this.observer.retired();
     this.observer.closed();
-    this.cancelUnheardAttempts();
+    this.repeatCancelsAtClose();
     for (const attempt of [...this.streams.values()]) {
       attempt.connectionClosed(cause);
     }
--- a/src/proxy/relay/unheard-cancellations.ts
+++ b/src/proxy/relay/unacknowledged-cancellations.ts
@@ -2,7 +2,7 @@
 
 const MAX_ENTRIES = 256;
 
-export class UnheardCancellations {
+export class UnacknowledgedCancellations {
   /** When each was sent, in milliseconds, by the id of its attempt, oldest first. */
   private readonly sentAtMs = new Map<string, number>();
 
