A late node has caught up only once no more connections wait to be accepted

The event loop accepts one connection in each iteration (40 connections in 40 iterations, measured), so the barrier counted three short polls as caught up while connections with requests and ends still waited. Each accepted connection now starts the count anew.

late-node-abandoned-requests.test.ts has a variant with 20 connections that are refused in front of 20 that leave, and open connections to the endpoint: 20 of 20 sent on before (the new call disabled), 0 now.

--- a/src/proxy/input-barrier.ts
+++ b/src/proxy/input-barrier.ts
@@ -12,8 +12,8 @@
 /** Number of polls after which a held action runs although none of them was current. */
 const MAX_POLLS = 3;
 /**
- * Number of current polls in a row after which the process has caught up: the first accepts connections, the next
- * reads their requests, the last the ends behind them.
+ * Number of current polls in a row, without an accepted connection, after which the process has caught up: a request is
+ * read one poll after its connection was accepted, and the end behind it in the next one.
  */
 const SETTLED_POLLS = 3;
 
@@ -27,6 +27,8 @@
   private held: HeldAction[] = [];
   private isCatchingUp = false;
   private currentPolls = 0;
+  /** Whether a connection was accepted in this poll; the event loop accepts one in each. */
+  private hasAccepted = false;
   private settledFromMs = 0;
 
   /** `afterPoll` runs its action after the current or next poll of the sockets. */
@@ -63,6 +65,11 @@
     this.catchUp();
   }
 
+  /** Must be called for each accepted connection: more may be waiting, with requests and ends that are unread. */
+  connectionAccepted(): void {
+    this.hasAccepted = true;
+  }
+
   private catchUp(): void {
     if (!this.isCatchingUp) {
       this.isCatchingUp = true;
@@ -96,7 +103,8 @@
     if (this.currentPolls === 0) {
       this.settledFromMs = startedAtMs;
     }
-    this.currentPolls = isCurrent ? this.currentPolls + 1 : 0;
+    this.currentPolls = isCurrent && !this.hasAccepted ? this.currentPolls + 1 : 0;
+    this.hasAccepted = false;
   }
 
   /** Runs the actions that may run after this poll; returns the others. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -137,6 +137,9 @@
     this.stopTicking = PERIODIC_CHECKS.add(() => this.tick());
     this.callerServer = this.makeCallerServer();
     this.relay = this.makeRelayServer();
+    for (const server of [this.callerServer, this.relayServer]) {
+      server.on('connection', () => this.inputBarrier.connectionAccepted());
+    }
   }
 
   get relayServer(): http.Server {
--- a/test/proxy/input-barrier.test.ts
+++ b/test/proxy/input-barrier.test.ts
@@ -70,6 +70,20 @@
     expect(ran).to.have.length(1);
   });
 
+  it('stays late while connections that had waited are accepted one at a time', () => {
+    nowMs = 1_000;
+    barrier.check();
+    for (let idx = 0; idx < 20; idx += 1) {
+      poll();
+      barrier.connectionAccepted();
+    }
+    pass('a');
+    expect(ran).to.deep.equal([]);
+    poll();
+    poll();
+    expect(ran).to.have.length(1);
+  });
+
   it('polls again if the process lost time during the poll, and runs the action after three', () => {
     nowMs = 1_000;
     pass('a');
--- a/test/proxy/late-node-abandoned-requests.test.ts
+++ b/test/proxy/late-node-abandoned-requests.test.ts
@@ -6,6 +6,7 @@
 import { expect } from 'chai';
 import { LeavingCallers, type LeavingCallersParams } from '../support/leaving-callers.js';
 import {
+  call,
   echoEndpoint,
   echoService,
   rawAnswer,
@@ -19,6 +20,8 @@
 const CALLERS = 20;
 const LEAVE_AFTER_MS = 90;
 const SETTLE_MS = 150;
+/** Work of the requests that open the connections to the endpoint, in milliseconds. */
+const WARM_UP_MS = 50;
 const LEFT_PATH = '/left';
 
 /** Requests of callers that leave. */
@@ -31,6 +34,12 @@
   );
 }
 
+/** Requests that are answered without being sent on; Node accepts one connection in each iteration of its loop. */
+const REFUSED_REQUESTS = Array.from(
+  { length: CALLERS },
+  () => 'GET /refused HTTP/1.1\r\nHost: a\r\nx-deadline-ms: 0\r\n\r\n',
+);
+
 const FIRST = 'GET /first HTTP/1.1\r\nHost: a\r\n\r\n';
 
 describe('a request whose caller disconnected while its node was late', () => {
@@ -76,6 +85,12 @@
     { name: 'own back end, in pieces', machine: 'n1', blocksMs: inPieces, ...kept },
     { name: 'own back end, reset', machine: 'n1', blocksMs: [350], leave: 'reset', ...kept },
     { name: 'own back end, new connections', machine: 'n1', blocksMs: [350] },
+    {
+      name: 'own back end, new connections behind others that are refused',
+      machine: 'n1',
+      blocksMs: [350],
+      requests: [...REFUSED_REQUESTS, ...requestsOf(CALLERS)],
+    },
     {
       name: 'own back end, small bodies',
       machine: 'n1',
@@ -111,11 +126,15 @@
 
   async function countSent({ machine, blocksMs, ...params }: Variant): Promise<number> {
     target = await startRawEndpoint((socket, head) => {
-      if (!head.includes('/slow')) {
+      if (head.includes('/warm-up')) {
+        setTimeout(() => socket.write(rawAnswer('done')), WARM_UP_MS);
+      } else if (!head.includes('/slow')) {
         socket.write(rawAnswer('done'));
       }
     });
     const port = await startMesh(machine, { slots: 2 * CALLERS });
+    // Leaves idle connections to the endpoint, so that no request waits for a new one.
+    await Promise.all(Array.from({ length: CALLERS }, () => call(port, { path: '/warm-up' })));
     const callers = await LeavingCallers.start({
       port,
       requests: requestsOf(CALLERS),
