--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -4,6 +4,7 @@
 import type { HeaderList } from './headers.js';
 import type { RequestBody } from './request-body.js';
 import type { RequestError } from './request-error.js';
+import type { EndpointNodeTimes } from './request-times.js';
 
 /** One attempt's request, as sent to an endpoint or to its node. */
 export interface Call {
@@ -77,6 +78,8 @@
   /** Declared length in bytes; undefined for a chunked body. */
   readonly contentLength: number | undefined;
   readonly load: LoadReport | undefined;
+  /** Times of the attempt at the endpoint's node; undefined if they are not known. */
+  readonly nodeTimes?: EndpointNodeTimes | undefined;
 }
 
 /**
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -17,6 +17,7 @@
 import type { EndpointRequest } from './loss-judge.js';
 import { refusalLeadMs } from './refusal-lead.js';
 import type { CancelTimer, Scheduler } from './scheduler.js';
+import type { EndpointNodeTimes } from './request-times.js';
 import { CannotFinishInTimeError, EndpointGoneError, type RequestError } from './request-error.js';
 
 /** Minimum timeout of a cancellation, in milliseconds. */
@@ -91,6 +92,7 @@
   private exchange: Exchange | undefined;
   private answer: Answer | undefined;
   private cancelTimer: CancelTimer | undefined;
+  private readonly submittedAtMs: number;
   private dispatchedAtMs = 0;
   private retryAfterMs: number | undefined;
   private load: LoadReport | undefined;
@@ -108,7 +110,9 @@
     private readonly observer: AttemptObserver,
     private readonly scheduler: Scheduler,
     private readonly cancelLead: CancelLead,
-  ) {}
+  ) {
+    this.submittedAtMs = scheduler.now();
+  }
 
   abort(): void {
     this.isAbandoned = true;
@@ -290,10 +294,15 @@
       this.cancelTimer?.();
       const draining = this.answer.load?.draining === true;
       const load = { ...this.gate.load(this.call.workClass), draining };
-      this.observer.answered({ ...this.answer, load });
+      this.observer.answered({ ...this.answer, load, nodeTimes: this.nodeTimes() });
     }
   }
 
+  private nodeTimes(): EndpointNodeTimes {
+    const endpointMs = this.scheduler.now() - this.dispatchedAtMs;
+    return { bodyMs: 0, queueMs: this.dispatchedAtMs - this.submittedAtMs, endpointMs };
+  }
+
   private sendCancel(): void {
     this.cancelTimer?.();
     const remainingMs = this.call.deadlineAtMs - this.scheduler.now();
--- a/src/proxy/relay/frame-sink.ts
+++ b/src/proxy/relay/frame-sink.ts
@@ -95,7 +95,7 @@
   private sendHead(isHeld: boolean, bytes: Buffer): void {
     clearTimeout(this.bufferingTimer);
     this.headersSent = true;
-    const { status, headers, contentLength, load } = this.answer;
+    const { status, headers, contentLength, load, nodeTimes } = this.answer;
     this.link.send({
       kind: 'answer',
       streamId: this.streamId,
@@ -103,6 +103,9 @@
       headers,
       contentLengthBytes: contentLength,
       ...frameLoadOf(load ?? UNKNOWN_LOAD, this.link.isStopping()),
+      bodyMs: Math.round(nodeTimes?.bodyMs ?? 0),
+      queueMs: Math.round(nodeTimes?.queueMs ?? 0),
+      endpointMs: Math.round(nodeTimes?.endpointMs ?? 0),
       isHeld,
       bytes,
     });
--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -73,6 +73,10 @@
   readonly streamId: number;
   readonly status: number;
   readonly headers: HeaderList;
+  /** Times of the request at the endpoint's node, in milliseconds; 0 if they are not known. */
+  readonly bodyMs: number;
+  readonly queueMs: number;
+  readonly endpointMs: number;
   /** Declared length of the body; undefined if it is chunked. */
   readonly contentLengthBytes: number | undefined;
   /** Whether the frame contains the whole body; otherwise body frames follow. */
@@ -246,6 +250,9 @@
     status: varint,
     headers: headerList,
     ...loadFields,
+    bodyMs: varint,
+    queueMs: varint,
+    endpointMs: varint,
     contentLengthBytes: optionalInteger,
     isHeld: flag,
     bytes: remainingBytes,
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -197,7 +197,10 @@
         Math.min(contentLength ?? MAX_STOPPING_WINDOW_BYTES, MAX_STOPPING_WINDOW_BYTES),
       );
     }
-    const answer: Answer = { status, headers, body, contentLength, load: loadOf(frame) };
+    const { bodyMs, queueMs, endpointMs } = frame;
+    const nodeTimes = { bodyMs, queueMs, endpointMs };
+    const load = loadOf(frame);
+    const answer: Answer = { status, headers, body, contentLength, load, nodeTimes };
     if (isHeld) {
       this.end();
     }
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -42,6 +42,7 @@
   private unreserve: () => void = () => undefined;
   readonly requestId: string;
   private readonly arrivedAtMs: number;
+  private submittedAtMs: number;
   private attempt: Attempt | undefined;
   private sink: FrameSink | undefined;
   private isEnded = false;
@@ -57,6 +58,7 @@
     this.streamId = frame.streamId;
     this.requestId = frame.requestId;
     this.arrivedAtMs = scheduler.now();
+    this.submittedAtMs = this.arrivedAtMs;
     if (isStreamed(frame)) {
       this.credit = this.openCredit(frame);
       this.reader = new RelayBodyReader((bytes) => this.credit?.addDemand(bytes), false);
@@ -91,6 +93,7 @@
   }
 
   private submit(path: EndpointPath, endpoint: Endpoint, call: Call): void {
+    this.submittedAtMs = this.scheduler.now();
     const attempt = path.submit(endpoint, call, this);
     if (!this.isEnded) {
       this.attempt = attempt;
@@ -181,7 +184,9 @@
       return;
     }
     const load = answer.load && this.withBodyTime(answer.load);
-    const sink = new FrameSink(this.streamId, { ...answer, load }, this.link);
+    const bodyMs = this.submittedAtMs - this.arrivedAtMs;
+    const nodeTimes = answer.nodeTimes && { ...answer.nodeTimes, bodyMs };
+    const sink = new FrameSink(this.streamId, { ...answer, load, nodeTimes }, this.link);
     this.sink = sink;
     forwardAnswer(
       answer,
--- a/src/proxy/request-attempt.ts
+++ b/src/proxy/request-attempt.ts
@@ -11,6 +11,8 @@
 export class RequestAttempt implements AwaitedAttempt {
   readonly endpoint: AttemptedEndpoint;
   answer: Answer | undefined;
+  /** When the head of the answer arrived; 0 before that. */
+  answeredAtMs = 0;
   /** Cause of the latest suspicion; undefined if the attempt was never suspected. */
   suspicion: AttemptSuspicion | undefined;
   private readonly peer: AwaitedPeer;
@@ -19,7 +21,7 @@
   /** `onSuspected` is called each time the attempt becomes suspect: its answer may not arrive. */
   constructor(
     readonly number: number,
-    context: RequestContext,
+    private readonly context: RequestContext,
     endpoint: Endpoint,
     private readonly onSuspected: (attempt: RequestAttempt) => void,
   ) {
@@ -56,6 +58,7 @@
 
   recordAnswer(answer: Answer): void {
     this.answer = answer;
+    this.answeredAtMs = this.context.services.scheduler.now();
     this.peer.answerReceived();
     this.endpoint.observeLoad(answer.load, undefined);
   }
--- a/src/proxy/request-context.ts
+++ b/src/proxy/request-context.ts
@@ -46,4 +46,8 @@
   /** Unique in the fleet; prefix of the ids that identify the request's attempts between nodes. */
   readonly attemptPrefix: string;
   readonly deadlineAtMs: number;
+  /** When the caller stops waiting by its own statement; undefined if it states no deadline. */
+  readonly callerDeadlineAtMs?: number | undefined;
+  /** Time for which the request waited on its connection before it was started, in milliseconds; 0 if absent. */
+  readonly unreadMs?: number;
 }
--- a/src/proxy/request-intake.ts
+++ b/src/proxy/request-intake.ts
@@ -178,6 +178,8 @@
       requestId,
       attemptPrefix,
       deadlineAtMs,
+      callerDeadlineAtMs: callerDeadlineAtMs(request),
+      unreadMs: request.waitedMs,
     });
     this.runners.add(runner);
     response.onClose(() => this.runners.delete(runner));
@@ -217,6 +219,10 @@
   }
 }
 
+function callerDeadlineAtMs({ timeoutMs, waitedMs }: CallerRequest): number | undefined {
+  return timeoutMs === undefined ? undefined : MACHINE_TIME.now() + timeoutMs - waitedMs;
+}
+
 /** Time left for the request, in milliseconds; throws if none is left. */
 function timeLeftMs(request: CallerRequest, match: RouteMatch, isClaimed: boolean): number {
   const maxClaimedMs = isClaimed ? MAX_CLAIMED_REQUEST_MS : Infinity;
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -4,6 +4,7 @@
  */
 import type { UnresponsiveTarget } from './call.js';
 import type { ConnectionEndReason } from './connection-end.js';
+import type { RequestTimes } from './request-times.js';
 
 export type RequestDecisionName =
   /** An attempt ended without an answer. */
@@ -12,6 +13,8 @@
   | 'attempt-suspected'
   /** A suspected attempt was cancelled: another one was answered, or the answer is no longer needed. */
   | 'attempt-cancelled'
+  /** An answer missed the target latency of its route; the entry has the request's time in each place. */
+  | 'answer-late'
   /** An error was reported to the caller. */
   | 'request-failed'
   /** The request was given up during the node's planned stop. */
@@ -89,6 +92,10 @@
   /** By how much the transit time of the request between the nodes exceeded the usual one. */
   readonly travelLostMs?: number;
   readonly waitedFor?: AwaitedResource;
+  /** Number of the caller's tries for the request that this node has received, including this one. */
+  readonly tries?: number;
+  /** Time that the request spent in each place; see {@link RequestPlace}. */
+  readonly times?: RequestTimes;
   /** Identifies the request on all machines, if endpoint processes ended while running it. */
   readonly fingerprint?: string;
   readonly detail?: string;
--- a/src/proxy/request-path.ts
+++ b/src/proxy/request-path.ts
@@ -12,6 +12,7 @@
 import type { ProxyLimits } from './proxy-limits.js';
 import type { RequestLog } from './request-log.js';
 import type { MemberDirectory } from './request-services.js';
+import type { RequestTimes } from './request-times.js';
 
 /** Dependencies and settings of {@link RequestProxy}. */
 export interface RequestProxyOptions {
@@ -45,6 +46,8 @@
   readonly onBodyMs?: (ms: number) => void;
   /** Receives the time until an error was reported for each failed request, in milliseconds. */
   readonly onFailureMs?: (ms: number) => void;
+  /** Receives the times of each answer that missed the target latency of its route. */
+  readonly onLateAnswer?: (service: string, times: RequestTimes) => void;
   /** Receives the time that each connection to a peer took to open or to fail, in milliseconds. */
   readonly onRelayConnectMs?: (ms: number) => void;
   /** Receives the event-loop lag measured at each periodic check, in milliseconds. */
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -9,6 +9,8 @@
 import type { Answer, LoadReport } from './call.js';
 import type { ConnectionEndReason } from './connection-end.js';
 import { EndpointChoice } from './endpoint-choice.js';
+import { CallerTries } from './caller-tries.js';
+import { recordIfLate } from './late-answer-record.js';
 import { expiryFailure } from './expiry-failure.js';
 import { bufferAnswer } from './buffered-answer.js';
 import { RequestAttempt } from './request-attempt.js';
@@ -52,6 +54,7 @@
   private body: RequestBody | undefined;
   private standing: RequestStanding | undefined;
   private readonly startedAtMs: number;
+  private readonly tries: CallerTries;
   private readonly cancelDeadline: CancelTimer;
   private cancelBackOff: CancelTimer | undefined;
 
@@ -59,6 +62,7 @@
     const { services, match, deadlineAtMs } = context;
     const budget = services.retryBudgetOf(match.service);
     this.startedAtMs = services.scheduler.now();
+    this.tries = new CallerTries(context, this.startedAtMs);
     this.lifecycle = new RequestLifecycle(requestPolicyOf(context), budget, services.random);
     const { targetLatencyMs } = match.route.spec;
     const targetAtMs =
@@ -281,6 +285,7 @@
   private report(failure: RequestFailure, verdict: Verdict): void {
     const { response, requestId, services } = this.context;
     this.cleanUp();
+    this.tries.endUnserved();
     if (this.bufferedFault !== undefined) {
       response.answer(
         this.bufferedFault,
@@ -338,6 +343,7 @@
     const { response, requestId, services } = this.context;
     response.answer(answer, requestId, services.limits.maxHeldAnswerBytes, {
       completed: () => {
+        this.recordCompletion(attempt, answer);
         this.endAttempt(attempt, answer.status >= MIN_SERVER_ERROR_STATUS ? 'failed' : 'answered');
         this.handle({ type: 'answer-whole', attempt });
         this.cleanUp();
@@ -357,6 +363,23 @@
     });
   }
 
+  private recordCompletion(number: number, { status, nodeTimes }: Answer): void {
+    if (status >= MIN_SERVER_ERROR_STATUS) {
+      this.tries.endUnserved();
+      return;
+    }
+    const attempt = this.attempts.get(number);
+    if (attempt !== undefined) {
+      recordIfLate(this.context, this.tries, {
+        startedAtMs: this.startedAtMs,
+        attemptStartedAtMs: attempt.endpoint.startedAtMs,
+        answeredAtMs: attempt.answeredAtMs,
+        endpoint: attempt.endpoint.name,
+        nodeTimes,
+      });
+    }
+  }
+
   private abortAttempt(number: number): void {
     const attempt = this.attempts.get(number);
     if (attempt?.suspicion !== undefined && attempt.answer === undefined) {
@@ -427,6 +450,7 @@
   private handleClose(isComplete: boolean, reason?: ConnectionEndReason): void {
     if (!isComplete && !this.lifecycle.isOver) {
       this.recordAbandonment(reason);
+      this.tries.endUnserved();
       this.handle({ type: 'caller-gone' });
     } else if (!isComplete && reason !== 'caller') {
       this.recordConnectionEnd('answer-cut', { endedBy: reason });
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -18,8 +18,10 @@
 import type { ProxyLimits } from './proxy-limits.js';
 import type { RelayAddress } from './relay/relay-client.js';
 import { NO_REQUEST_LOG, type RequestLog } from './request-log.js';
+import type { RequestTimes } from './request-times.js';
 import { workProfileOf } from './request-work.js';
 import type { Scheduler } from './scheduler.js';
+import { UnservedRequests } from './unserved-requests.js';
 
 /** Share of the fleet's saved retries that is divided among the known nodes. */
 const SAVED_RETRIES_SHARE = 0.9;
@@ -55,6 +57,8 @@
   readonly hopCost?: number;
   /** Receives the time until an error was reported for each failed request, in milliseconds. */
   readonly onFailureMs?: (ms: number) => void;
+  /** Receives the times of each answer that missed the target latency of its route. */
+  readonly onLateAnswer?: (service: string, times: RequestTimes) => void;
   /** Whether the node is in a planned stop; never if absent. */
   readonly isStopping?: () => boolean;
   /** Longest time for which input may be unread, in milliseconds; 0 if absent. */
@@ -68,6 +72,7 @@
 export class RequestServices {
   readonly selector: EndpointSelector;
   readonly awaited = new AwaitedAttempts();
+  readonly unserved = new UnservedRequests();
   readonly limits: ProxyLimits;
   readonly counters: CounterSink;
   readonly random: RandomSource;
@@ -79,6 +84,7 @@
   readonly containment: CallContainment;
   readonly isStopping: () => boolean;
   readonly onFailureMs: (ms: number) => void;
+  readonly onLateAnswer: (service: string, times: RequestTimes) => void;
   readonly maxUnreadMs: () => number;
   private readonly limitedSenders: LimitedSenders;
   private readonly budgets = new Map<string, RetryBudget>();
@@ -91,6 +97,7 @@
     this.limits = options.limits;
     this.isStopping = options.isStopping ?? (() => false);
     this.onFailureMs = options.onFailureMs ?? (() => undefined);
+    this.onLateAnswer = options.onLateAnswer ?? (() => undefined);
     this.maxUnreadMs = options.maxUnreadMs ?? (() => 0);
     this.counters = options.counters;
     this.random = options.random;
--- a/src/runtime/metrics.ts
+++ b/src/runtime/metrics.ts
@@ -9,7 +9,7 @@
 import Registry from 'prom-client/lib/registry.js';
 import type { CounterSink } from '../control/control-event.js';
 
-/** One value of a labelled gauge. */
+/** One value of a labelled metric. */
 export interface LabelledValue {
   readonly labels: Readonly<Record<string, string>>;
   readonly value: number;
@@ -98,6 +98,27 @@
     });
   }
 
+  /** Creates a counter with labels; `read` returns all its totals whenever the metrics are exported. */
+  labelledCounter(
+    name: string,
+    help: string,
+    labelNames: readonly string[],
+    read: () => Iterable<LabelledValue>,
+  ): void {
+    const counter: Counter = new Counter({
+      name,
+      help,
+      labelNames: [...labelNames],
+      registers: [this.registry],
+      collect: () => {
+        counter.reset();
+        for (const { labels, value } of read()) {
+          counter.inc(labels, value);
+        }
+      },
+    });
+  }
+
   /** Creates a histogram; durations are in seconds and their names end in `_seconds`. */
   histogram(
     name: string,
--- a/src/runtime/node.ts
+++ b/src/runtime/node.ts
@@ -27,7 +27,9 @@
 import { ControlNode } from './control-node.js';
 import { createElapsedClock } from './elapsed-clock.js';
 import { createLogger, type Logger } from './logger.js';
+import { LateAnswers } from '../proxy/late-answers.js';
 import { declareContainmentMetrics } from './containment-metrics.js';
+import { declareLateAnswerMetrics } from './late-answer-metrics.js';
 import { Metrics } from './metrics.js';
 import { composeNodeStatus } from './node-status.js';
 
@@ -142,7 +144,10 @@
   }
 
   private createProxy(): RequestProxy {
+    const lateAnswers = new LateAnswers();
+    declareLateAnswerMetrics(this.metrics, lateAnswers);
     return createRequestProxy({
+      onLateAnswer: (service, times) => lateAnswers.record(service, times),
       identity: this.identity(),
       snapshots: { current: () => this.servedSnapshot() },
       members: {
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -12,6 +12,7 @@
 import type { AwaitedPeer } from '../peers/peer-monitor.js';
 import type { CallerProtocol } from '../proxy/caller-protocol.js';
 import type { EndpointProtocol } from '../proxy/endpoint-protocol.js';
+import { LateAnswers } from '../proxy/late-answers.js';
 import type { RequestProxy } from '../proxy/request-path.js';
 import { createRequestProxy } from '../proxy/request-proxy.js';
 import { evacuationChanges } from '../model/evacuation.js';
@@ -28,6 +29,7 @@
 import { LifeCycle } from './life-cycle.js';
 import type { Logger } from './logger.js';
 import { FROM_STORE, ReplicaSource, type ChangeOrigin } from './replica-source.js';
+import { declareLateAnswerMetrics } from './late-answer-metrics.js';
 import { Metrics } from './metrics.js';
 import { createInternalServer } from './internal-server.js';
 import { createReadinessServer } from './readiness-server.js';
@@ -52,6 +54,7 @@
 
 export class StoreNode {
   private readonly metrics = new Metrics();
+  private readonly lateAnswers = new LateAnswers();
   private readonly replica: StoreReplica;
   private readonly deltas: DeltaCache;
   private readonly containment: Containment;
@@ -95,6 +98,7 @@
     this.internalServer = this.services.own('internal server', internalServer, closeServer);
     this.peers = this.services.own('peers', this.createPeers(), (peers) => peers.close());
     declareContainmentMetrics(this.metrics, this.containment);
+    declareLateAnswerMetrics(this.metrics, this.lateAnswers);
     declareStoreNodeMetrics(this.metrics, {
       replica: this.replica,
       source: this.source,
@@ -254,6 +258,7 @@
       endpointProtocol,
       logStateChange: (event, detail) => logger.info(event, { detail }),
       requestLog: new RequestLogger(logger),
+      onLateAnswer: (service, times) => this.lateAnswers.record(service, times),
       onRequestMs: this.durationObserver(
         'request',
         'Time from the arrival of a request to its end',
--- a/test/experiment/emulated-fleet.test.ts
+++ b/test/experiment/emulated-fleet.test.ts
@@ -21,6 +21,13 @@
   classes: [LIST, { ...READ, ratePerSecond: 0 }],
 };
 
+/** The measure of the place that most late answers waited in longest. */
+function mostFrequentLatePlace(scenario: Scenario): string | undefined {
+  const { measures } = runScenario(scenario, {}, 1);
+  const places = Object.entries(measures).filter(([name]) => name.startsWith('late.'));
+  return places.sort(([, left], [, right]) => right - left)[0]?.[0];
+}
+
 describe('an emulated fleet', () => {
   it('answers all in time when nothing is amiss', () => {
     const { measures, outcomes } = runScenario(SMALL, {}, 1);
@@ -59,6 +66,19 @@
     expect(slowStore(1)).to.be.above(slowStore(8) * 1.2);
   });
 
+  it('counts late answers by the place in which they waited', () => {
+    const busy: Scenario = {
+      ...SMALL,
+      services: [{ ...STORE, slots: 4 }],
+      classes: [{ ...READ, ratePerSecond: 100, workMs: 60, callerRetries: 0 }],
+    };
+    expect(mostFrequentLatePlace(busy)).to.equal('late.queue');
+    const slow: Scenario = { ...SMALL, classes: [{ ...READ, ratePerSecond: 4, workMs: 150 }] };
+    expect(mostFrequentLatePlace(slow)).to.equal('late.endpoint');
+    const remote: Scenario = { ...SMALL, classes: [{ ...READ, answerBytes: 150_000 }] };
+    expect(mostFrequentLatePlace(remote)).to.equal('late.transit');
+  });
+
   it('carries bodies once, by credit', () => {
     const upload: RequestClass = {
       ...READ,
--- a/test/experiment/worth.test.ts
+++ b/test/experiment/worth.test.ts
@@ -1,9 +1,10 @@
 /** What a caller's request is worth, by what each of its tries is told and after how long. */
 import { expect } from 'chai';
+import { LateAnswers } from '../../src/proxy/late-answers.js';
 import { VirtualScheduler } from '../../tools/emulator/virtual-scheduler.js';
 import { EmulatedCaller, worthOf } from '../../tools/experiment/emulated-caller.js';
 import type { Told } from '../../tools/experiment/emulated-reply.js';
-import { measuresOf } from '../../tools/experiment/measures.js';
+import { measuresOf, type RunTotals } from '../../tools/experiment/measures.js';
 import { READ } from './scenarios-for-tests.js';
 
 const ANSWER: Told = { kind: 'answer', status: 200, isNotRun: false, retryAfterMs: undefined };
@@ -34,6 +35,15 @@
   (reply as { onTold: (told: Told) => void }).onTold(told);
 }
 
+const NO_TOTALS: RunTotals = {
+  attempts: 0,
+  lateAnswers: new LateAnswers(),
+  linkBytes: 0,
+  peakLimitUse: 0,
+  answers: 0,
+  faultAnswers: 0,
+};
+
 describe('worth of callers requests', () => {
   it('is whole in time, a part when late, and counted from the first try', () => {
     const inTime = play([[ANSWER, 100]]).outcome;
@@ -45,13 +55,16 @@
     ]).outcome;
     expect([inTime, late, secondTry].map(worthOf)).to.deep.equal([2, 1, 1]);
     expect(secondTry).to.include({ end: 'answered', elapsedMs: 130 });
-    const totals = { attempts: 6, linkBytes: 900, peakLimitUse: 0 };
+    const totals = { ...NO_TOTALS, attempts: 6, linkBytes: 900, answers: 4, faultAnswers: 1 };
     const measures = measuresOf([inTime, late, secondTry], totals);
     expect(measures['worth']).to.equal(4 / 6);
     expect(measures['worth.read']).to.equal(4 / 6);
     expect(measures).to.include({
       attempts: 2,
       linkBytes: 300,
+      inTime: 1 / 3,
+      refusals: 1 / 3,
+      faultAnswers: 1 / 4,
       refused: 0,
       failed: 0,
       peakLimitUse: 0,
@@ -71,8 +84,10 @@
     ].map(({ outcome }) => outcome);
     expect(outcomes.map(worthOf)).to.deep.equal([0, 0, 0, 0]);
     expect(outcomes.map(({ end }) => end)).to.deep.equal(['answered', 'failed', 'refused', 'none']);
-    const measures = measuresOf(outcomes, { attempts: 0, linkBytes: 0, peakLimitUse: 0 });
+    const measures = measuresOf(outcomes, NO_TOTALS);
     expect(measures).to.include({ worth: 0, failed: 0.5, refused: 0.25, heldP50Ms: 30 });
+    // Both tries of the request that ended refused.
+    expect(measures).to.include({ inTime: 0, refusals: 2 / 4 });
   });
 
   it('counts a gateway status for what no endpoint got', () => {
--- a/tools/experiment/call-plan.ts
+++ b/tools/experiment/call-plan.ts
@@ -17,7 +17,7 @@
   /** Time of work at an endpoint that is well, in milliseconds. */
   readonly workMs: number;
   readonly uploadBytes: number;
-  /** Calls that its work makes, one after the other. */
+  /** Calls that its work makes. */
   readonly calls: readonly PlannedRequest[];
 }
 
@@ -59,13 +59,14 @@
   id: string,
   random: RandomSource,
 ): PlannedRequest {
-  const { workMs, uploadBytes, calls } = requestClass;
+  const { workMs, uploadBytes, calls, callShare } = requestClass;
+  const makesCalls = callShare === undefined || random() < callShare;
   return {
     id,
     requestClass,
     workMs: workMs * spread(random),
     uploadBytes: Math.min(MAX_BUFFERED_BODY_BYTES, Math.round(uploadBytes * spread(random))),
-    calls: calls.map((name, index) =>
+    calls: (makesCalls ? calls : []).map((name, index) =>
       planRequest(scenario, classOf(scenario, name), `${id}-${index}`, random),
     ),
   };
--- a/tools/experiment/emulated-caller.ts
+++ b/tools/experiment/emulated-caller.ts
@@ -1,14 +1,13 @@
 /** A caller: makes a request, comes back when it is refused, and keeps what it came to. */
 import type { VirtualScheduler } from '../emulator/virtual-scheduler.js';
 import type { PlannedRequest } from './call-plan.js';
+import { FAULT_STATUS } from './emulated-endpoint.js';
 import type { NodeRequest } from './emulated-node.js';
 import { EmulatedReply, type Told } from './emulated-reply.js';
 import type { RequestClass } from './scenario.js';
 
 /** Status of a refusal. */
 const REFUSED_STATUS = 503;
-/** Answers from this status on report a fault. */
-const FAULT_STATUS = 500;
 /** Statuses that say that an endpoint may have got the request. */
 const GATEWAY_STATUSES: readonly number[] = [502, 504];
 
@@ -21,6 +20,7 @@
   readonly elapsedMs: number;
   /** How long each try was held that was told an error or a fault. */
   readonly heldMs: readonly number[];
+  readonly tries: number;
   /** Tries that were told 502 or 504 although no endpoint got them. */
   readonly misreported: number;
 }
@@ -63,9 +63,10 @@
   }
 
   get outcome(): CallerOutcome {
-    const { end, heldMs, misreported } = this;
+    const { end, heldMs, misreported, tries } = this;
     const { requestClass } = this.request;
-    return { requestClass, end, elapsedMs: this.endedAtMs - this.startedAtMs, heldMs, misreported };
+    const elapsedMs = this.endedAtMs - this.startedAtMs;
+    return { requestClass, end, elapsedMs, heldMs, tries, misreported };
   }
 
   private get deadlineAtMs(): number {
@@ -102,7 +103,10 @@
     if (!mayRetry || retryAfterMs === undefined) {
       return false;
     }
-    const atMs = this.world.clock.nowMs + retryAfterMs;
+    const { nowMs } = this.world.clock;
+    const { maxRetryWaitShare = Infinity } = this.request.requestClass;
+    const maxWaitMs = (this.deadlineAtMs - nowMs) * maxRetryWaitShare;
+    const atMs = nowMs + Math.min(retryAfterMs, maxWaitMs);
     if (atMs >= this.deadlineAtMs) {
       return false;
     }
--- a/tools/experiment/emulated-fleet.ts
+++ b/tools/experiment/emulated-fleet.ts
@@ -1,10 +1,12 @@
 /** A fleet under the virtual clock: its nodes, its configuration, and the faults that befall it. */
 import { resourceSchema } from '../../src/model/resource.js';
 import { buildSnapshot, NO_SNAPSHOT_VERSION, type Snapshot } from '../../src/model/snapshot.js';
+import { LateAnswers } from '../../src/proxy/late-answers.js';
 import { RouteTable } from '../../src/routing/route-table.js';
 import { seededRandom } from '../emulator/seeded-random.js';
 import { VirtualScheduler } from '../emulator/virtual-scheduler.js';
-import { EmulatedNode, REGION, type NodeFleet } from './emulated-node.js';
+import { FAULT_STATUS } from './emulated-endpoint.js';
+import { EmulatedNode, REGION, type EndpointShape, type NodeFleet } from './emulated-node.js';
 import type { PolicySettings } from './policy-settings.js';
 import type { Fault, RequestClass, Scenario, ServiceShape } from './scenario.js';
 
@@ -15,6 +17,8 @@
 const BASE_PORT = 1_000;
 /** Retries towards a service, as a percentage of first attempts. */
 const RETRY_BUDGET_PERCENT = 20;
+/** The shape of a node without an endpoint. */
+const NO_ENDPOINT: EndpointShape = { slots: 0, speed: 1 };
 /** Connections of an endpoint besides those for its slots. */
 const SPARE_CONNECTIONS = 100;
 
@@ -23,7 +27,12 @@
   readonly clock = new VirtualScheduler();
   readonly snapshot: Snapshot;
   readonly routes: RouteTable;
+  readonly lateAnswers = new LateAnswers();
   attempts = 0;
+  /** Answers of endpoints. */
+  answers = 0;
+  /** Answers of endpoints that report a fault: the work on the request was for nothing. */
+  faultAnswers = 0;
   /** Nodes at which callers' requests arrive. */
   private readonly entries: readonly EmulatedNode[];
   private readonly backs: readonly EmulatedNode[];
@@ -39,13 +48,16 @@
     this.snapshot = snapshotOf(scenario);
     this.routes = new RouteTable(this.snapshot);
     this.backs = scenario.services.flatMap((service) =>
-      machinesOf(service).map((name, index) => this.addNode(name, index, service.slots)),
+      machinesOf(service).map((name, index) => {
+        const speed = service.speeds?.[index % service.speeds.length] ?? 1;
+        return this.addNode(name, index, { slots: service.slots, speed });
+      }),
     );
     const edges = Array.from({ length: scenario.edgeNodes }, (_, index) =>
-      this.addNode(`edge-${index}`, index, 0),
+      this.addNode(`edge-${index}`, index, NO_ENDPOINT),
     );
     const { callersBeside } = scenario;
-    this.entries = callersBeside === undefined ? edges : this.nodesOf(callersBeside);
+    this.entries = callersBeside?.flatMap((service) => this.nodesOf(service)) ?? edges;
     this.scheduleFaults();
   }
 
@@ -88,17 +100,23 @@
     this.reachedIds.add(requestId.replace(/\.[0-9]+$/, ''));
   };
 
+  readonly answered = (status: number): void => {
+    this.answers += 1;
+    this.faultAnswers += Number(status >= FAULT_STATUS);
+  };
+
   wasReached(id: string): boolean {
     return this.reachedIds.has(id);
   }
 
-  private addNode(name: string, index: number, slots: number): EmulatedNode {
+  private addNode(name: string, index: number, endpoint: EndpointShape): EmulatedNode {
     const { scenario, clock, settings } = this;
     const node = new EmulatedNode({
       name,
       zone: zoneOf(scenario, index),
-      slots,
+      endpoint,
       linkBytesPerMs: scenario.linkBytesPerMs,
+      messageCostMs: scenario.messageCostMs ?? 0,
       clock,
       random: seededRandom(this.seed, NODE_STREAM + this.nodes.size),
       settings,
--- a/tools/experiment/emulated-node.ts
+++ b/tools/experiment/emulated-node.ts
@@ -4,6 +4,7 @@
 import type { Call } from '../../src/proxy/call.js';
 import { EndpointGateway } from '../../src/proxy/endpoint-gateway.js';
 import { EndpointStatements } from '../../src/routing/endpoint-statements.js';
+import type { LateAnswers } from '../../src/proxy/late-answers.js';
 import { CreditPool } from '../../src/proxy/relay/credit-pool.js';
 import { RequestRunner } from '../../src/proxy/request-runner.js';
 import { RequestServices } from '../../src/proxy/request-services.js';
@@ -15,6 +16,7 @@
 import { EmulatedBody } from './emulated-body.js';
 import { EmulatedEndpoint } from './emulated-endpoint.js';
 import { EmulatedLink } from './emulated-link.js';
+import { EmulatedProcessor } from './emulated-processor.js';
 import { EmulatedRelay, type RelayFleet } from './emulated-relay.js';
 import type { EmulatedReply } from './emulated-reply.js';
 import { PeerWatch } from './peer-watch.js';
@@ -31,13 +33,21 @@
 /** Time after which a slot is free whose connection was closed, in milliseconds. */
 const CLOSE_NOTICE_MS = 20;
 
+/** The endpoint beside a node. */
+export interface EndpointShape {
+  /** 0 if there is no endpoint. */
+  readonly slots: number;
+  readonly speed: number;
+}
+
 /** What a node is made of. */
 export interface EmulatedNodeOptions {
   readonly name: string;
   readonly zone: string;
-  /** Of the endpoint beside it; 0 for none. */
-  readonly slots: number;
+  readonly endpoint: EndpointShape;
   readonly linkBytesPerMs: number;
+  /** Processor time for each message that the node receives, in milliseconds. */
+  readonly messageCostMs: number;
   readonly clock: VirtualScheduler;
   readonly random: RandomSource;
   readonly settings: PolicySettings;
@@ -50,10 +60,13 @@
   readonly routes: RouteTable;
   readonly nodeCount: number;
   readonly machineIds: Iterable<string>;
+  readonly lateAnswers: LateAnswers;
   /** An attempt is made. */
   readonly attempted: () => void;
   /** An endpoint got an attempt. */
   readonly reached: (requestId: string) => void;
+  /** An endpoint has answered an attempt. */
+  readonly answered: (status: number) => void;
 }
 
 /** One request that a node is to run. */
@@ -70,6 +83,7 @@
 export class EmulatedNode {
   readonly name: string;
   readonly process: VirtualProcess;
+  readonly processor: EmulatedProcessor;
   readonly link: EmulatedLink;
   readonly endpoint: EmulatedEndpoint;
   readonly relay: EmulatedRelay;
@@ -78,16 +92,21 @@
   private watch!: PeerWatch;
 
   constructor(private readonly options: EmulatedNodeOptions) {
-    const { name, clock, linkBytesPerMs, slots, fleet } = options;
+    const { name, clock, linkBytesPerMs, messageCostMs, fleet } = options;
+    const { slots, speed } = options.endpoint;
     this.name = name;
     this.process = new VirtualProcess(clock);
+    this.processor = new EmulatedProcessor(clock, messageCostMs);
     this.link = new EmulatedLink(clock, linkBytesPerMs);
     this.relay = new EmulatedRelay(this, fleet);
     this.endpoint = new EmulatedEndpoint({
       process: this.process,
+      processor: this.processor,
       slots,
+      speed,
       call: (request, parent, reply) => this.callFor(request, parent, reply),
       reached: fleet.reached,
+      answered: fleet.answered,
     });
     this.start();
   }
@@ -116,7 +135,7 @@
 
   run({ request, id, deadlineAtMs, retries }: NodeRequest, reply: EmulatedReply): void {
     const { snapshot, routes } = this.options.fleet;
-    const target = `/${request.requestClass.name}`;
+    const target = `/${request.requestClass.name}/${request.id}`;
     const match = routes.match('', target, 'GET');
     if (match === undefined) {
       throw new Error(`no route for ${target}`);
@@ -133,6 +152,7 @@
       requestId: id,
       attemptPrefix: id,
       deadlineAtMs,
+      callerDeadlineAtMs: deadlineAtMs,
     });
     runner.start(new EmulatedBody(request));
   }
@@ -192,6 +212,7 @@
         recordResponse: (machine) => this.hear(machine),
       },
       counters: { add: () => undefined },
+      onLateAnswer: (service, times) => fleet.lateAnswers.record(service, times),
       random,
       scheduler: this.process,
       statements,
--- a/tools/experiment/emulated-relay.ts
+++ b/tools/experiment/emulated-relay.ts
@@ -142,7 +142,8 @@
 
   private toPeer(bytes: number, deliver: () => void): void {
     const { node, peer } = this;
-    node.link.carry(peer.link, bytes, peer.process.ofLife(this.peerLife, deliver));
+    const arrive = peer.process.ofLife(this.peerLife, deliver);
+    node.link.carry(peer.link, bytes, () => peer.processor.handle(arrive));
   }
 
   /** What comes after the end of the attempt is dropped. */
@@ -154,6 +155,6 @@
         deliver();
       }
     });
-    peer.link.carry(node.link, bytes, arrive);
+    peer.link.carry(node.link, bytes, () => node.processor.handle(arrive));
   }
 }
--- a/tools/experiment/run-scenario.ts
+++ b/tools/experiment/run-scenario.ts
@@ -22,15 +22,17 @@
   const longestMs = Math.max(...scenario.classes.map(({ deadlineMs }) => deadlineMs));
   fleet.clock.runUntil(scenario.durationMs + longestMs + REST_MS);
   const outcomes = callers.map(({ outcome }) => outcome);
-  const { attempts, linkBytes, peakLimitUse } = fleet;
-  return { outcomes, measures: measuresOf(outcomes, { attempts, linkBytes, peakLimitUse }) };
+  return { outcomes, measures: measuresOf(outcomes, fleet) };
 }
 
 function callerOf(fleet: EmulatedFleet, { atMs, place, request }: Arrival): EmulatedCaller {
   const caller = new EmulatedCaller(
     {
       clock: fleet.clock,
-      run: (nodeRequest, reply) => fleet.entryAt(place).run(nodeRequest, reply),
+      run: (nodeRequest, reply) => {
+        const node = fleet.entryAt(place);
+        node.processor.handle(() => node.run(nodeRequest, reply));
+      },
       wasReached: (id) => fleet.wasReached(id),
     },
     request,
--- a/tools/experiment/scenario.ts
+++ b/tools/experiment/scenario.ts
@@ -5,6 +5,8 @@
   readonly name: string;
   readonly endpoints: number;
   readonly slots: number;
+  /** Speeds of the endpoints, assigned in turn; 1 is the speed at which work takes its planned time. All 1 if absent. */
+  readonly speeds?: readonly number[];
 }
 
 /** A kind of request: of callers where it has a rate, else of endpoints that work on another one. */
@@ -28,8 +30,14 @@
   readonly lateShare: number;
   /** Times that a refused caller comes back. */
   readonly callerRetries: number;
-  /** Classes of the calls that the work on a request makes, one after the other, holding its slot. */
+  /** Share of its remaining time for which a refused caller waits at most before its next try; no maximum if absent. */
+  readonly maxRetryWaitShare?: number;
+  /** Classes of the calls that the work on a request makes, holding its slot. */
   readonly calls: readonly string[];
+  /** Share of the requests that make the calls; all if absent. */
+  readonly callShare?: number;
+  /** Whether the calls are made at the same time; one after the other if absent. */
+  readonly hasParallelCalls?: boolean;
 }
 
 /** What befalls the callers, or one node beside an endpoint, drawn anew for each seed. */
@@ -77,10 +85,12 @@
   readonly durationMs: number;
   /** Nodes without endpoints, at which callers' requests arrive unless they are beside endpoints. */
   readonly edgeNodes: number;
-  /** The service on whose machines callers are. */
-  readonly callersBeside?: string;
+  /** The services on whose machines callers are. */
+  readonly callersBeside?: readonly string[];
   readonly zones: number;
   readonly linkBytesPerMs: number;
+  /** Processor time of a node for each message that it receives, in milliseconds; none if absent. */
+  readonly messageCostMs?: number;
   readonly services: readonly ServiceShape[];
   readonly classes: readonly RequestClass[];
   readonly faults: readonly Fault[];
--- a/tools/experiment/scenarios.ts
+++ b/tools/experiment/scenarios.ts
@@ -87,6 +87,71 @@
   calls: ['offer', 'price'],
 };
 
+/** A search makes two calls to the service of orders, which they share with the orders of callers. */
+const QUOTE: RequestClass = {
+  ...PRICE,
+  name: 'quote',
+  service: 'orders',
+  workMs: 30,
+  targetMs: 120,
+  deadlineMs: 400,
+  priority: 0,
+  callerRetries: 0,
+};
+
+const STOCK: RequestClass = { ...QUOTE, name: 'stock', service: 'stores' };
+
+/** At 360 a second, searches need 0.97 of the slots of their service, and orders with all calls 0.7 of theirs. */
+const SEARCH: RequestClass = {
+  ...LOOKUP,
+  name: 'search',
+  service: 'searches',
+  ratePerSecond: 360,
+  workMs: 120,
+  targetMs: 400,
+  deadlineMs: 2_500,
+  priority: 2,
+  lateShare: 0.1,
+  callerRetries: 2,
+  maxRetryWaitShare: 1 / 3,
+  calls: ['quote', 'quote'],
+  callShare: 0.7,
+  hasParallelCalls: true,
+};
+
+const ORDER: RequestClass = {
+  ...SEARCH,
+  name: 'order',
+  service: 'orders',
+  ratePerSecond: 110,
+  workMs: 160,
+  targetMs: 500,
+  deadlineMs: 3_000,
+  priority: 1,
+  repeatable: false,
+  worth: 2,
+  calls: ['stock'],
+};
+
+/** Callers on all machines, unequal endpoints, and messages that cost processor time. */
+const SHARED: Scenario = {
+  name: 'shared',
+  title: 'Searches whose calls share a service with orders, at the capacity',
+  durationMs: DURATION_MS,
+  edgeNodes: 0,
+  callersBeside: ['searches', 'orders', 'stores'],
+  zones: 3,
+  linkBytesPerMs: 10 * WIDE_BYTES_PER_MS,
+  messageCostMs: 1,
+  services: [
+    { name: 'searches', endpoints: 6, slots: 12, speeds: [0.5, 1, 1, 1.5] },
+    { name: 'orders', endpoints: 4, slots: 12, speeds: [0.5, 1, 1, 1.5] },
+    { name: 'stores', endpoints: 3, slots: 12, speeds: [0.7, 0.7, 1.6] },
+  ],
+  classes: [SEARCH, ORDER, QUOTE, STOCK],
+  faults: [],
+};
+
 const ROOMS = { name: 'rooms', endpoints: 5, slots: 4 } as const;
 
 const CALM: Scenario = {
@@ -114,7 +179,7 @@
       [{ kind: 'burst', ...TROUBLE, requestClass: 'lookup', factor: 1.4 }],
     ),
     edgeNodes: 0,
-    callersBeside: 'rooms',
+    callersBeside: ['rooms'],
   },
   withFaults('slow', 'One endpoint takes six times as long for five seconds', [
     { kind: 'slow-endpoint', ...TROUBLE, service: 'rooms', factor: 6 },
@@ -161,8 +226,30 @@
     ],
     classes: [JOURNEY, OFFER, PRICE],
   },
+  SHARED,
+  {
+    ...SHARED,
+    name: 'shared-burst',
+    title: 'The same with 1.7 times as many callers for five seconds',
+    faults: [
+      { kind: 'burst', ...TROUBLE, requestClass: 'search', factor: 1.7 },
+      { kind: 'burst', ...TROUBLE, requestClass: 'order', factor: 1.7 },
+    ],
+  },
+  sharedAt('shared-more', 'The same with 1.25 times as many callers throughout', 1.25),
+  sharedAt('shared-twice', 'The same with twice as many callers throughout', 2),
+  sharedAt('shared-thrice', 'The same with three times as many callers throughout', 3),
 ];
 
+/** The shared scenario with `factor` times as many callers throughout. */
+function sharedAt(name: string, title: string, factor: number): Scenario {
+  const classes = SHARED.classes.map((requestClass) => ({
+    ...requestClass,
+    ratePerSecond: requestClass.ratePerSecond * factor,
+  }));
+  return { ...SHARED, name, title, classes };
+}
+
 function withFaults(name: string, title: string, faults: readonly Fault[]): Scenario {
   return { ...CALM, name, title, faults };
 }
