--- a/tools/experiment/emulated-caller.ts
+++ b/tools/experiment/emulated-caller.ts
@@ -16,6 +16,8 @@
   readonly requestClass: RequestClass;
   /** `none` when the run was over before the caller was told anything. */
   readonly end: 'answered' | 'refused' | 'failed' | 'none';
+  /** When the first try was made. */
+  readonly startedAtMs: number;
   /** From the first try to the end. */
   readonly elapsedMs: number;
   /** How long each try was held that was told an error or a fault. */
@@ -63,10 +65,10 @@
   }
 
   get outcome(): CallerOutcome {
-    const { end, heldMs, misreported, tries } = this;
+    const { end, heldMs, misreported, startedAtMs, tries } = this;
     const { requestClass } = this.request;
-    const elapsedMs = this.endedAtMs - this.startedAtMs;
-    return { requestClass, end, elapsedMs, heldMs, tries, misreported };
+    const elapsedMs = this.endedAtMs - startedAtMs;
+    return { requestClass, end, startedAtMs, elapsedMs, heldMs, tries, misreported };
   }
 
   private get deadlineAtMs(): number {
