--- a/src/proxy/attempt-call.ts
+++ b/src/proxy/attempt-call.ts
@@ -10,8 +10,8 @@
   readonly attempt: number;
   /** Retries that the receivers of this attempt may make in total. */
   readonly retriesLeft: number;
-  /** When the request started. */
-  readonly startedAtMs: number;
+  /** When the caller's first known try arrived. */
+  readonly firstArrivedAtMs: number;
   readonly attemptStartedAtMs: number;
   readonly isLate: boolean;
   /** Rate limit of the endpoint; undefined if this node knows none. */
@@ -21,9 +21,10 @@
 /** The call that is sent to the attempt's endpoint. */
 export function callOf(context: RequestContext, body: RequestBody, start: AttemptStart): Call {
   const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = context;
-  const { attempt, retriesLeft, startedAtMs, attemptStartedAtMs, isLate, knownMaxRatePerS } = start;
+  const { attempt, retriesLeft, firstArrivedAtMs, attemptStartedAtMs, isLate, knownMaxRatePerS } =
+    start;
   return {
-    ...workOf(match.route, startedAtMs, attemptStartedAtMs, isLate),
+    ...workOf(match.route, firstArrivedAtMs, attemptStartedAtMs, isLate),
     requestId: `${attemptPrefix}.${attempt}`,
     method,
     target,
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -66,7 +66,7 @@
     this.lifecycle = new RequestLifecycle(requestPolicyOf(context), budget, services.random);
     const { targetLatencyMs } = match.route.spec;
     const targetAtMs =
-      targetLatencyMs === undefined ? undefined : this.startedAtMs + targetLatencyMs;
+      targetLatencyMs === undefined ? undefined : this.tries.firstArrivedAtMs + targetLatencyMs;
     this.endpointChoice = new EndpointChoice(targetAtMs, () =>
       this.handle({ type: 'target-missed' }),
     );
@@ -186,7 +186,7 @@
     const call = callOf(this.context, this.body, {
       attempt,
       retriesLeft,
-      startedAtMs: this.startedAtMs,
+      firstArrivedAtMs: this.tries.firstArrivedAtMs,
       attemptStartedAtMs: requestAttempt.endpoint.startedAtMs,
       isLate: this.endpointChoice.isLate,
       knownMaxRatePerS: services.rateLimitOf(endpoint),
--- a/src/proxy/request-work.ts
+++ b/src/proxy/request-work.ts
@@ -40,7 +40,7 @@
  */
 export function workOf(
   { name, spec }: Route,
-  startedAtMs: number,
+  firstArrivedAtMs: number,
   nowMs: number,
   isLate: boolean,
 ): CallWork {
@@ -55,5 +55,5 @@
         workClass: name,
         startByMs: nowMs + targetLatencyMs * LATE_SLOT_WAIT_SHARE,
       }
-    : { priority: rank, workClass: name, targetAtMs: startedAtMs + targetLatencyMs };
+    : { priority: rank, workClass: name, targetAtMs: firstArrivedAtMs + targetLatencyMs };
 }
