--- a/src/proxy/caller-tries.ts
+++ b/src/proxy/caller-tries.ts
@@ -13,7 +13,7 @@
   ) {
     this.identity = identityOf(context);
     const { unserved, counters } = context.services;
-    this.earlier = this.identity && unserved.takeEarlierTries(this.identity);
+    this.earlier = this.identity && unserved.takeEarlierTries(this.identity, startedAtMs);
     if (this.earlier !== undefined) {
       counters.add('ferryspool_repeated_requests_total');
     }
--- a/src/proxy/request-attempt.ts
+++ b/src/proxy/request-attempt.ts
@@ -21,6 +21,8 @@
   /** `onSuspected` is called each time the attempt becomes suspect: its answer may not arrive. */
   constructor(
     readonly number: number,
+    /** Class of work as which it is throttled. */
+    readonly workClass: string,
     private readonly context: RequestContext,
     endpoint: Endpoint,
     private readonly onSuspected: (attempt: RequestAttempt) => void,
--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -98,6 +98,12 @@
   override readonly status = 503;
 }
 
+/** Endpoints have refused most of the recent work of this class, so that none was asked. */
+export class ThrottledError extends NotRunError {
+  override readonly code = 'THROTTLED';
+  override readonly status = 503;
+}
+
 /** It could not be determined whether the idempotency key was used before; nothing was forwarded. */
 export class ClaimUnavailableError extends NotRunError {
   override readonly code = 'CLAIM_UNAVAILABLE';
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -21,12 +21,14 @@
   InternalError,
   NoEndpointError,
   RequestError,
+  ThrottledError,
   TruncatedAnswerError,
   type RequestFailure,
 } from './request-error.js';
 import { fingerprintField, type AwaitedResource, type RequestDecisionName } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import { requestPolicyOf } from './request-policy.js';
+import { refusalClassOf } from './request-work.js';
 import { RequestStanding } from './request-standing.js';
 import type { CancelTimer } from './scheduler.js';
 import { stopFailure } from './stop-failure.js';
@@ -51,6 +53,8 @@
   private readonly attempts = new Map<number, RequestAttempt>();
   /** An answer that reports an endpoint error; sent if no other attempt succeeds. */
   private bufferedFault: Answer | undefined;
+  /** Whether all attempts so far were refused for lack of capacity; true before the first. */
+  private wasOnlyRefused = true;
   private body: RequestBody | undefined;
   private standing: RequestStanding | undefined;
   private readonly startedAtMs: number;
@@ -168,6 +172,15 @@
       this.handle({ type: 'withheld', attempt, failure: refusal });
       return;
     }
+    const workClass = this.currentWorkClass();
+    if (this.isThrottled(workClass)) {
+      const failure = new ThrottledError(
+        `endpoints of service ${match.service} refuse most requests`,
+        this.noEndpointRetryMs(),
+      );
+      this.handle({ type: 'no-endpoint', attempt, failure });
+      return;
+    }
     const endpoint = this.chooseEndpoint();
     const path = endpoint && services.pathTo(endpoint);
     if (endpoint === undefined || path === undefined || this.body === undefined) {
@@ -179,8 +192,12 @@
       return;
     }
     this.endpointChoice.markTried(incarnationOf(endpoint));
-    const requestAttempt = new RequestAttempt(attempt, this.context, endpoint, (suspect) =>
-      this.handleSuspicion(suspect),
+    const requestAttempt = new RequestAttempt(
+      attempt,
+      workClass,
+      this.context,
+      endpoint,
+      (suspect) => this.handleSuspicion(suspect),
     );
     this.attempts.set(attempt, requestAttempt);
     const call = callOf(this.context, this.body, {
@@ -199,6 +216,29 @@
     requestAttempt.setSubmission(submission);
   }
 
+  /** Class of work of an attempt that begins now. */
+  private currentWorkClass(): string {
+    const { services, match } = this.context;
+    this.endpointChoice.checkTarget(services.scheduler.now());
+    return refusalClassOf(match.route, this.endpointChoice.isLate);
+  }
+
+  /**
+   * A request is throttled only while callers of its route come back: for others, each refusal is final. A request that
+   * an endpoint may have run is not throttled either, since its retry may still turn the failure into an answer.
+   */
+  private isThrottled(workClass: string): boolean {
+    const { match, services } = this.context;
+    const { throttle, unserved, counters } = services;
+    const nowMs = services.scheduler.now();
+    const mayThrottle = this.wasOnlyRefused && unserved.hasRecentRepeats(match.route.name, nowMs);
+    const isThrottled = mayThrottle && !throttle.admits(workClass, nowMs);
+    if (isThrottled) {
+      counters.add('ferryspool_throttled_requests_total');
+    }
+    return isThrottled;
+  }
+
   /** Retry delay for the caller: if all endpoints are rate limited, until the first of them may accept a request. */
   private noEndpointRetryMs(): number {
     const { services, snapshot, match } = this.context;
@@ -251,6 +291,8 @@
   }
 
   private handleAnswer(attempt: RequestAttempt, answer: Answer): void {
+    const { throttle, scheduler } = this.context.services;
+    throttle.accepted(attempt.workClass, scheduler.now());
     attempt.recordAnswer(answer);
     if (answer.status < MIN_SERVER_ERROR_STATUS) {
       attempt.endpoint.recordLatency(this.endpointChoice.isLate);
@@ -323,13 +365,19 @@
     this.handle({ type: 'failed', attempt: attempt.number, failure: error, canReplay });
   }
 
-  private recordRefusal({ endpoint }: RequestAttempt, error: RequestError): void {
+  private recordRefusal({ endpoint, workClass }: RequestAttempt, error: RequestError): void {
     const { code } = error;
+    const { throttle, scheduler } = this.context.services;
     const isCapacityRefusal = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
     const { incarnation } = endpoint;
     if (incarnation !== undefined && isCapacityRefusal) {
       this.endpointChoice.markRefused(incarnation);
     }
+    if (isCapacityRefusal) {
+      throttle.refused(workClass, scheduler.now());
+    } else {
+      this.wasOnlyRefused = false;
+    }
     if (isCapacityRefusal || code === 'ENDPOINT_EVACUATED' || code === 'RATE_LIMITED') {
       endpoint.workRefused(error, this.endpointChoice.isLate);
     }
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -4,6 +4,7 @@
 import type { PeerIdentity } from '../membership/peer-identity.js';
 import type { Endpoint } from '../model/resource.js';
 import type { Snapshot } from '../model/snapshot.js';
+import { AdaptiveThrottle } from '../routing/adaptive-throttle.js';
 import { coldShare, orphanSlots, ownedSlots, sharedSlots } from '../routing/direct-access.js';
 import { EndpointSelector } from '../routing/endpoint-selector.js';
 import { EndpointStatements } from '../routing/endpoint-statements.js';
@@ -73,6 +74,7 @@
   readonly selector: EndpointSelector;
   readonly awaited = new AwaitedAttempts();
   readonly unserved = new UnservedRequests();
+  readonly throttle: AdaptiveThrottle;
   readonly limits: ProxyLimits;
   readonly counters: CounterSink;
   readonly random: RandomSource;
@@ -101,6 +103,7 @@
     this.maxUnreadMs = options.maxUnreadMs ?? (() => 0);
     this.counters = options.counters;
     this.random = options.random;
+    this.throttle = new AdaptiveThrottle(options.random);
     this.scheduler = options.scheduler;
     this.machineId = options.identity.id;
     this.statements = options.statements ?? new EndpointStatements();
--- a/src/proxy/unserved-requests.ts
+++ b/src/proxy/unserved-requests.ts
@@ -29,12 +29,18 @@
 
 /** Maximum number of requests that are remembered; beyond it, the oldest is forgotten. */
 const MAX_REQUESTS = 2_048;
+/** Time after a repeat for which callers of its route are expected to come back, in milliseconds. */
+const REPEAT_MEMORY_MS = 10_000;
+/** Maximum number of routes with known repeats; beyond it, the first one is forgotten. */
+const MAX_ROUTES = 1_000;
 /** Maximum difference of the deadlines of two tries, in milliseconds: a busy node reads its sockets late. */
 const DEADLINE_TOLERANCE_MS = 100;
 
 export class UnservedRequests {
   /** By route, method and target; the oldest first. */
   private readonly requests = new Map<string, UnservedRequest>();
+  /** When the last repeat on each route arrived, by the name of the route. */
+  private readonly lastRepeatsAtMs = new Map<string, number>();
 
   /** Remembers a request that has ended; `earlier` are the tries before it. */
   remember(
@@ -57,7 +63,7 @@
   }
 
   /** Returns the earlier tries of a request that has arrived, and forgets them; undefined for a first try. */
-  takeEarlierTries(identity: RequestIdentity): EarlierTries | undefined {
+  takeEarlierTries(identity: RequestIdentity, nowMs: number): EarlierTries | undefined {
     const key = keyOf(identity);
     const request = this.requests.get(key);
     if (
@@ -67,10 +73,24 @@
       return undefined;
     }
     this.requests.delete(key);
+    this.recordRepeat(identity.route, nowMs);
     const { count, firstArrivedAtMs } = request;
     return { count, firstArrivedAtMs };
   }
 
+  /** Whether callers of the route have recently come back. Callers such as endpoints that work on a request never do. */
+  hasRecentRepeats(route: string, nowMs: number): boolean {
+    return nowMs < (this.lastRepeatsAtMs.get(route) ?? -Infinity) + REPEAT_MEMORY_MS;
+  }
+
+  private recordRepeat(route: string, nowMs: number): void {
+    this.lastRepeatsAtMs.set(route, nowMs);
+    if (this.lastRepeatsAtMs.size > MAX_ROUTES) {
+      const [first = ''] = this.lastRepeatsAtMs.keys();
+      this.lastRepeatsAtMs.delete(first);
+    }
+  }
+
   private dropOldest(nowMs: number): void {
     for (const [key, { deadlineAtMs }] of this.requests) {
       if (deadlineAtMs > nowMs && this.requests.size <= MAX_REQUESTS) {
--- /dev/null
+++ b/src/routing/adaptive-throttle.ts
@@ -0,0 +1,69 @@
+/**
+ * Adaptive throttling at the caller's node: while endpoints refuse most of a class of work, the node refuses a share of
+ * it itself, without the messages of an attempt. A fixed share keeps being sent, so that recovery is noticed. Pure: time
+ * and random numbers are passed in.
+ */
+import type { RandomSource } from '../control/control-event.js';
+
+/** Half-life of the weight of an attempt, in milliseconds. */
+const HALF_LIFE_MS = 500;
+/** Refused attempts for each accepted one up to which nothing is throttled. */
+const REFUSED_PER_ACCEPTED = 1;
+/** Refused attempts up to which nothing is throttled, so that a node with few requests draws no conclusion from them. */
+const MIN_REFUSED = 2;
+/** Maximum number of classes; beyond it, the one that was used first is evicted. */
+const MAX_CLASSES = 1_000;
+
+/** Recent attempts of one class, weighted by their age. */
+interface ClassAttempts {
+  refused: number;
+  accepted: number;
+  updatedAtMs: number;
+}
+
+export class AdaptiveThrottle {
+  private readonly classes = new Map<string, ClassAttempts>();
+
+  constructor(private readonly random: RandomSource) {}
+
+  /** Whether an attempt may be sent; one that may not counts as refused. */
+  admits(workClass: string, nowMs: number): boolean {
+    const { refused, accepted } = this.attemptsOf(workClass, nowMs);
+    const excess = refused - accepted * REFUSED_PER_ACCEPTED - MIN_REFUSED;
+    const rejectedShare = excess / (refused + accepted + 1);
+    if (this.random() >= rejectedShare) {
+      return true;
+    }
+    this.refused(workClass, nowMs);
+    return false;
+  }
+
+  /** Records that an endpoint's node refused an attempt for lack of capacity. */
+  refused(workClass: string, nowMs: number): void {
+    this.attemptsOf(workClass, nowMs).refused += 1;
+  }
+
+  /** Records that an endpoint answered an attempt. */
+  accepted(workClass: string, nowMs: number): void {
+    this.attemptsOf(workClass, nowMs).accepted += 1;
+  }
+
+  private attemptsOf(workClass: string, nowMs: number): ClassAttempts {
+    const attempts = this.classes.get(workClass) ?? this.addClass(workClass, nowMs);
+    const weight = 0.5 ** ((nowMs - attempts.updatedAtMs) / HALF_LIFE_MS);
+    attempts.refused *= weight;
+    attempts.accepted *= weight;
+    attempts.updatedAtMs = nowMs;
+    return attempts;
+  }
+
+  private addClass(workClass: string, nowMs: number): ClassAttempts {
+    const attempts = { refused: 0, accepted: 0, updatedAtMs: nowMs };
+    this.classes.set(workClass, attempts);
+    if (this.classes.size > MAX_CLASSES) {
+      const [first = ''] = this.classes.keys();
+      this.classes.delete(first);
+    }
+    return attempts;
+  }
+}
--- a/test/proxy/unserved-requests.test.ts
+++ b/test/proxy/unserved-requests.test.ts
@@ -15,18 +15,18 @@
   it('recognise a repeat by its deadline, once', () => {
     const unserved = refused(READ);
     const repeat = { ...READ, deadlineAtMs: 2_502 };
-    expect(unserved.takeEarlierTries(repeat)).to.deep.equal({ count: 1, firstArrivedAtMs: 0 });
-    expect(unserved.takeEarlierTries(repeat)).to.equal(undefined);
+    expect(unserved.takeEarlierTries(repeat, 700)).to.deep.equal({ count: 1, firstArrivedAtMs: 0 });
+    expect(unserved.takeEarlierTries(repeat, 700)).to.equal(undefined);
   });
 
   it('count from the first of several tries', () => {
     const unserved = refused(READ);
-    unserved.remember(READ, 700, unserved.takeEarlierTries(READ), 705);
-    expect(unserved.takeEarlierTries(READ)).to.deep.equal({ count: 2, firstArrivedAtMs: 0 });
+    unserved.remember(READ, 700, unserved.takeEarlierTries(READ, 700), 705);
+    expect(unserved.takeEarlierTries(READ, 700)).to.deep.equal({ count: 2, firstArrivedAtMs: 0 });
   });
 
   it('take a first try with a short deadline for no repeat', () => {
-    expect(refused(READ).takeEarlierTries({ ...READ, deadlineAtMs: 900 })).to.equal(undefined);
+    expect(refused(READ).takeEarlierTries({ ...READ, deadlineAtMs: 900 }, 700)).to.equal(undefined);
   });
 
   it('take another request for no repeat', () => {
@@ -36,19 +36,19 @@
       { ...READ, route: 'lists' },
     ];
     for (const other of others) {
-      expect(refused(READ).takeEarlierTries(other)).to.equal(undefined);
+      expect(refused(READ).takeEarlierTries(other, 700)).to.equal(undefined);
     }
   });
 
   it('are bounded, and forgotten after their deadline', () => {
     const unserved = refused(READ);
     unserved.remember({ ...READ, target: '/b', deadlineAtMs: 9_000 }, 2_600, undefined, 2_600);
-    expect(unserved.takeEarlierTries(READ)).to.equal(undefined);
+    expect(unserved.takeEarlierTries(READ, 700)).to.equal(undefined);
     for (let number = 0; number < 10_000; number += 1) {
       unserved.remember({ ...READ, target: `/${number}` }, 0, undefined, 0);
     }
     const kept = Array.from({ length: 10_000 }, (_, number) => number).filter(
-      (number) => unserved.takeEarlierTries({ ...READ, target: `/${number}` }) !== undefined,
+      (number) => unserved.takeEarlierTries({ ...READ, target: `/${number}` }, 700) !== undefined,
     );
     expect(kept.length).to.equal(2_048);
     expect(kept.at(-1)).to.equal(9_999);
