--- a/src/proxy/attempt-call.ts
+++ b/src/proxy/attempt-call.ts
@@ -14,6 +14,8 @@
   readonly firstArrivedAtMs: number;
   readonly attemptStartedAtMs: number;
   readonly isLate: boolean;
+  /** Whether a late attempt may wait for a slot until its deadline. */
+  readonly waitsUntilDeadline: boolean;
   /** Rate limit of the endpoint; undefined if this node knows none. */
   readonly knownMaxRatePerS: number | undefined;
 }
@@ -21,10 +23,10 @@
 /** The call that is sent to the attempt's endpoint. */
 export function callOf(context: RequestContext, body: RequestBody, start: AttemptStart): Call {
   const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = context;
-  const { attempt, retriesLeft, firstArrivedAtMs, attemptStartedAtMs, isLate, knownMaxRatePerS } =
-    start;
+  const { attempt, retriesLeft, firstArrivedAtMs, attemptStartedAtMs } = start;
+  const { isLate, waitsUntilDeadline, knownMaxRatePerS } = start;
   return {
-    ...workOf(match.route, firstArrivedAtMs, attemptStartedAtMs, isLate),
+    ...workOf(match.route, firstArrivedAtMs, attemptStartedAtMs, isLate, waitsUntilDeadline),
     requestId: `${attemptPrefix}.${attempt}`,
     method,
     target,
--- a/src/proxy/endpoint-choice.ts
+++ b/src/proxy/endpoint-choice.ts
@@ -67,6 +67,13 @@
     }
   }
 
+  /** Makes the request late once this many endpoints have refused it for lack of capacity or time. */
+  giveUpTargetAfter(refusals: number): void {
+    if (!this.isLate && this.targetAtMs !== undefined && this.refusingEndpoints.size >= refusals) {
+      this.turnLate();
+    }
+  }
+
   /** Makes the request late; nodes that could not answer in time may be tried again. */
   private turnLate(): void {
     this.hasTurnedLate = true;
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -172,8 +172,7 @@
       this.handle({ type: 'withheld', attempt, failure: refusal });
       return;
     }
-    const workClass = this.currentWorkClass();
-    if (this.isThrottled(workClass)) {
+    if (this.isThrottled()) {
       const failure = new ThrottledError(
         `endpoints of service ${match.service} refuse most requests`,
         this.noEndpointRetryMs(),
@@ -194,7 +193,7 @@
     this.endpointChoice.markTried(incarnationOf(endpoint));
     const requestAttempt = new RequestAttempt(
       attempt,
-      workClass,
+      this.workClass,
       this.context,
       endpoint,
       (suspect) => this.handleSuspicion(suspect),
@@ -206,6 +205,7 @@
       firstArrivedAtMs: this.tries.firstArrivedAtMs,
       attemptStartedAtMs: requestAttempt.endpoint.startedAtMs,
       isLate: this.endpointChoice.isLate,
+      waitsUntilDeadline: !this.mayCallerComeBack(),
       knownMaxRatePerS: services.rateLimitOf(endpoint),
     });
     const submission = path.submit(endpoint, call, {
@@ -217,22 +217,26 @@
   }
 
   /** Class of work of an attempt that begins now. */
-  private currentWorkClass(): string {
-    const { services, match } = this.context;
-    this.endpointChoice.checkTarget(services.scheduler.now());
-    return refusalClassOf(match.route, this.endpointChoice.isLate);
+  private get workClass(): string {
+    return refusalClassOf(this.context.match.route, this.endpointChoice.isLate);
+  }
+
+  /** Whether a refusal may be followed by another try of the caller. */
+  private mayCallerComeBack(): boolean {
+    const { match, services } = this.context;
+    return services.unserved.hasRecentRepeats(match.route.name, services.scheduler.now());
   }
 
   /**
    * A request is throttled only while callers of its route come back: for others, each refusal is final. A request that
    * an endpoint may have run is not throttled either, since its retry may still turn the failure into an answer.
    */
-  private isThrottled(workClass: string): boolean {
-    const { match, services } = this.context;
-    const { throttle, unserved, counters } = services;
-    const nowMs = services.scheduler.now();
-    const mayThrottle = this.wasOnlyRefused && unserved.hasRecentRepeats(match.route.name, nowMs);
-    const isThrottled = mayThrottle && !throttle.admits(workClass, nowMs);
+  private isThrottled(): boolean {
+    const { throttle, counters, scheduler } = this.context.services;
+    const nowMs = scheduler.now();
+    this.endpointChoice.checkTarget(nowMs);
+    const mayThrottle = this.wasOnlyRefused && this.mayCallerComeBack();
+    const isThrottled = mayThrottle && !throttle.admits(this.workClass, nowMs);
     if (isThrottled) {
       counters.add('ferryspool_throttled_requests_total');
     }
@@ -361,6 +365,9 @@
       this.endpointChoice.recordServiceMs(load.serviceMs);
     }
     this.endpointChoice.checkTarget(this.context.services.scheduler.now());
+    if (!this.mayCallerComeBack()) {
+      this.endpointChoice.giveUpTargetAfter(this.context.services.limits.maxRedirects + 1);
+    }
     const canReplay = this.canReplay();
     this.handle({ type: 'failed', attempt: attempt.number, failure: error, canReplay });
   }
