--- a/src/proxy/attempt-call.ts
+++ b/src/proxy/attempt-call.ts
@@ -14,8 +14,6 @@
   readonly firstArrivedAtMs: number;
   readonly attemptStartedAtMs: number;
   readonly isLate: boolean;
-  /** Whether a late attempt may wait for a slot until its deadline. */
-  readonly waitsUntilDeadline: boolean;
   /** Rate limit of the endpoint; undefined if this node knows none. */
   readonly knownMaxRatePerS: number | undefined;
 }
@@ -24,9 +22,9 @@
 export function callOf(context: RequestContext, body: RequestBody, start: AttemptStart): Call {
   const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = context;
   const { attempt, retriesLeft, firstArrivedAtMs, attemptStartedAtMs } = start;
-  const { isLate, waitsUntilDeadline, knownMaxRatePerS } = start;
+  const { isLate, knownMaxRatePerS } = start;
   return {
-    ...workOf(match.route, firstArrivedAtMs, attemptStartedAtMs, isLate, waitsUntilDeadline),
+    ...workOf(match.route, firstArrivedAtMs, attemptStartedAtMs, isLate),
     requestId: `${attemptPrefix}.${attempt}`,
     method,
     target,
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -205,7 +205,6 @@
       firstArrivedAtMs: this.tries.firstArrivedAtMs,
       attemptStartedAtMs: requestAttempt.endpoint.startedAtMs,
       isLate: this.endpointChoice.isLate,
-      waitsUntilDeadline: !this.mayCallerComeBack(),
       knownMaxRatePerS: services.rateLimitOf(endpoint),
     });
     const submission = path.submit(endpoint, call, {
--- a/src/proxy/request-work.ts
+++ b/src/proxy/request-work.ts
@@ -36,27 +36,24 @@
 /**
  * Priority, work class and time limits of an attempt for admission. The target latency determines the order of requests
  * and whether an attempt must be answered in time. An attempt that `isLate` waits behind requests of its priority that
- * can still be in time, and is refused only because of its deadline or a lack of capacity. With `waitsUntilDeadline`, such
- * an attempt may wait for a slot as long as its deadline allows.
+ * can still be in time, and is refused only because of its deadline or a lack of capacity.
  */
 export function workOf(
   { name, spec }: Route,
   firstArrivedAtMs: number,
   nowMs: number,
   isLate: boolean,
-  waitsUntilDeadline = false,
 ): CallWork {
   const { priority = 0, targetLatencyMs } = spec;
   if (targetLatencyMs === undefined) {
     return { priority, workClass: name };
   }
   const rank = rankOfWork(priority, targetLatencyMs);
-  const lateWaitMs = waitsUntilDeadline ? Infinity : targetLatencyMs * LATE_SLOT_WAIT_SHARE;
   return isLate
     ? {
         priority: lateRank(rank),
         workClass: name,
-        ...(lateWaitMs < Infinity && { startByMs: nowMs + lateWaitMs }),
+        startByMs: nowMs + targetLatencyMs * LATE_SLOT_WAIT_SHARE,
       }
     : { priority: rank, workClass: name, targetAtMs: firstArrivedAtMs + targetLatencyMs };
 }
