--- a/src/proxy/proxy-limits.ts
+++ b/src/proxy/proxy-limits.ts
@@ -1,6 +1,5 @@
 /** Limits of the request path, with defaults that suit small machines. */
 
-import { DEFAULT_QUEUED_PER_SLOT } from '../admission/endpoint-admission.js';
 import { DEFAULT_MAX_SAVED_RETRIES } from '../routing/retry-budget.js';
 import type { CancelLead } from './gated-call.js';
 import { DEFAULT_IDLE_CONNECTION_MS } from './http-exchange.js';
@@ -84,7 +83,8 @@
   maxHeldBytes: 32 * 1024 * 1024,
   maxHeldAnswerBytes: 16 * 1024,
   maxQueuedPerEndpoint: 64,
-  maxQueuedPerSlot: DEFAULT_QUEUED_PER_SLOT,
+  // A longer queue takes the time that a request has until its target latency.
+  maxQueuedPerSlot: 1,
   answerIdleTimeoutMs: 60_000,
   maxCallsInFlight: 4_096,
   maxRetries: 2,
