--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -16,7 +16,6 @@
 import { RequestAttempt } from './request-attempt.js';
 import type { RequestBody } from './request-body.js';
 import {
-  CallerGoneError,
   EndpointFaultError,
   InternalError,
   NoEndpointError,
@@ -25,16 +24,16 @@
   TruncatedAnswerError,
   type RequestFailure,
 } from './request-error.js';
-import { fingerprintField, type AwaitedResource, type RequestDecisionName } from './request-log.js';
+import type { AwaitedResource } from './request-log.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import { requestPolicyOf } from './request-policy.js';
-import { refusalClassOf } from './request-work.js';
+import { RequestRecorder, type RecordedState } from './request-recorder.js';
 import { RequestStanding } from './request-standing.js';
+import { RequestThrottling } from './request-throttling.js';
 import type { CancelTimer } from './scheduler.js';
 import { stopFailure } from './stop-failure.js';
 import { suspicionOutcomeOf, unresponsiveNodeError } from './suspicion.js';
 import type { RequestContext } from './request-context.js';
-import { requestDecision, type DecisionDetails } from './request-decision.js';
 
 /** Retry delay for callers when no endpoint has capacity, in milliseconds. */
 const NO_ENDPOINT_RETRY_MS = 200;
@@ -53,12 +52,12 @@
   private readonly attempts = new Map<number, RequestAttempt>();
   /** An answer that reports an endpoint error; sent if no other attempt succeeds. */
   private bufferedFault: Answer | undefined;
-  /** Whether all attempts so far were refused for lack of capacity; true before the first. */
-  private wasOnlyRefused = true;
   private body: RequestBody | undefined;
   private standing: RequestStanding | undefined;
   private readonly startedAtMs: number;
   private readonly tries: CallerTries;
+  private readonly throttling: RequestThrottling;
+  private readonly recorder: RequestRecorder;
   private readonly cancelDeadline: CancelTimer;
   private cancelBackOff: CancelTimer | undefined;
 
@@ -74,6 +73,8 @@
     this.endpointChoice = new EndpointChoice(targetAtMs, () =>
       this.handle({ type: 'target-missed' }),
     );
+    this.throttling = new RequestThrottling(context, this.endpointChoice);
+    this.recorder = new RequestRecorder(context, this.startedAtMs, () => this.recordedState());
     const remainingMs = deadlineAtMs - services.scheduler.now();
     this.cancelDeadline = services.scheduler.schedule(remainingMs, () => this.handleDeadline());
     context.response.onClose((isComplete, reason) => this.handleClose(isComplete, reason));
@@ -104,13 +105,19 @@
     }
     const isUnsent = this.isUnsent();
     const failure = stopFailure(isUnsent);
-    this.record('request-given-up', failure, failure.verdict, {
+    this.recorder.record('request-given-up', failure, failure.verdict, {
       waitedFor: this.awaitedResource(),
     });
     this.handle({ type: 'give-up', failure, isUnsent, wasPassedOn });
     return true;
   }
 
+  private recordedState(): RecordedState {
+    const { attemptNumber, standing } = this;
+    const latestAttempt = this.attempts.get(attemptNumber);
+    return { attemptNumber, latestAttempt, isLate: this.endpointChoice.isLate, standing };
+  }
+
   private awaitedResource(): AwaitedResource {
     if (this.body?.isComplete() !== true) {
       return 'body';
@@ -172,7 +179,7 @@
       this.handle({ type: 'withheld', attempt, failure: refusal });
       return;
     }
-    if (this.isThrottled()) {
+    if (this.throttling.refusesAttempt()) {
       const failure = new ThrottledError(
         `endpoints of service ${match.service} refuse most requests`,
         this.noEndpointRetryMs(),
@@ -193,7 +200,7 @@
     this.endpointChoice.markTried(incarnationOf(endpoint));
     const requestAttempt = new RequestAttempt(
       attempt,
-      this.workClass,
+      this.throttling.workClass,
       this.context,
       endpoint,
       (suspect) => this.handleSuspicion(suspect),
@@ -215,33 +222,6 @@
     requestAttempt.setSubmission(submission);
   }
 
-  /** Class of work of an attempt that begins now. */
-  private get workClass(): string {
-    return refusalClassOf(this.context.match.route, this.endpointChoice.isLate);
-  }
-
-  /** Whether a refusal may be followed by another try of the caller. */
-  private mayCallerComeBack(): boolean {
-    const { match, services } = this.context;
-    return services.unserved.hasRecentRepeats(match.route.name, services.scheduler.now());
-  }
-
-  /**
-   * A request is throttled only while callers of its route come back: for others, each refusal is final. A request that
-   * an endpoint may have run is not throttled either, since its retry may still turn the failure into an answer.
-   */
-  private isThrottled(): boolean {
-    const { throttle, counters, scheduler } = this.context.services;
-    const nowMs = scheduler.now();
-    this.endpointChoice.checkTarget(nowMs);
-    const mayThrottle = this.wasOnlyRefused && this.mayCallerComeBack();
-    const isThrottled = mayThrottle && !throttle.admits(this.workClass, nowMs);
-    if (isThrottled) {
-      counters.add('ferryspool_throttled_requests_total');
-    }
-    return isThrottled;
-  }
-
   /** Retry delay for the caller: if all endpoints are rate limited, until the first of them may accept a request. */
   private noEndpointRetryMs(): number {
     const { services, snapshot, match } = this.context;
@@ -286,7 +266,7 @@
   ): void {
     const { suspicion } = suspect;
     const next = suspicionOutcomeOf(effects);
-    this.record('attempt-suspected', failure, failure.verdict, {
+    this.recorder.record('attempt-suspected', failure, failure.verdict, {
       attempt: suspect,
       suspicion,
       next,
@@ -294,8 +274,7 @@
   }
 
   private handleAnswer(attempt: RequestAttempt, answer: Answer): void {
-    const { throttle, scheduler } = this.context.services;
-    throttle.accepted(attempt.workClass, scheduler.now());
+    this.throttling.attemptAnswered(attempt.workClass);
     attempt.recordAnswer(answer);
     if (answer.status < MIN_SERVER_ERROR_STATUS) {
       attempt.endpoint.recordLatency(this.endpointChoice.isLate);
@@ -340,7 +319,7 @@
       );
       return;
     }
-    this.record('request-failed', failure, verdict);
+    this.recorder.record('request-failed', failure, verdict);
     services.onFailureMs(services.scheduler.now() - this.startedAtMs);
     const error = failure instanceof RequestError ? failure : new InternalError('no error');
     response.fail(error, verdict, requestId);
@@ -352,7 +331,7 @@
     load: LoadReport | undefined,
   ): void {
     attempt.recordFailure(error, load);
-    this.record('attempt-failed', error, error.verdict, {
+    this.recorder.record('attempt-failed', error, error.verdict, {
       attempt,
       load,
       suspicion: attempt.suspicion,
@@ -364,7 +343,7 @@
       this.endpointChoice.recordServiceMs(load.serviceMs);
     }
     this.endpointChoice.checkTarget(this.context.services.scheduler.now());
-    if (!this.mayCallerComeBack()) {
+    if (!this.throttling.mayCallerComeBack) {
       this.endpointChoice.giveUpTargetAfter(this.context.services.limits.maxRedirects + 1);
     }
     const canReplay = this.canReplay();
@@ -373,17 +352,12 @@
 
   private recordRefusal({ endpoint, workClass }: RequestAttempt, error: RequestError): void {
     const { code } = error;
-    const { throttle, scheduler } = this.context.services;
     const isCapacityRefusal = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
     const { incarnation } = endpoint;
     if (incarnation !== undefined && isCapacityRefusal) {
       this.endpointChoice.markRefused(incarnation);
     }
-    if (isCapacityRefusal) {
-      throttle.refused(workClass, scheduler.now());
-    } else {
-      this.wasOnlyRefused = false;
-    }
+    this.throttling.attemptFailed(workClass, isCapacityRefusal);
     if (isCapacityRefusal || code === 'ENDPOINT_EVACUATED' || code === 'RATE_LIMITED') {
       endpoint.workRefused(error, this.endpointChoice.isLate);
     }
@@ -437,58 +411,17 @@
   private abortAttempt(number: number): void {
     const attempt = this.attempts.get(number);
     if (attempt?.suspicion !== undefined && attempt.answer === undefined) {
-      this.recordCancelled(attempt);
+      this.recorder.recordCancelled(attempt);
     }
     attempt?.abort(this.isExpired);
     this.attempts.delete(number);
   }
 
-  /** Logs the cancellation of an attempt that was still awaited although it was suspected. */
-  private recordCancelled(attempt: RequestAttempt): void {
-    const error = unresponsiveNodeError(attempt.isUnsent());
-    this.record('attempt-cancelled', error, error.verdict, {
-      attempt,
-      suspicion: attempt.suspicion,
-    });
-  }
-
   private endAttempt(number: number, outcome: AttemptOutcome): void {
     this.attempts.get(number)?.end(outcome);
     this.attempts.delete(number);
   }
 
-  private record(
-    event: RequestDecisionName,
-    failure: RequestFailure,
-    verdict: Verdict,
-    { attempt, ...details }: DecisionDetails & { readonly attempt?: RequestAttempt } = {},
-  ): void {
-    const { services } = this.context;
-    const { number, endpoint } = attempt ?? {
-      number: this.attemptNumber,
-      endpoint: this.attempts.get(this.attemptNumber)?.endpoint,
-    };
-    const progress = {
-      attempt: number,
-      endpoint: endpoint?.name,
-      startedAtMs: this.startedAtMs,
-      attemptStartedAtMs: endpoint?.startedAtMs ?? this.startedAtMs,
-      isLate: this.endpointChoice.isLate,
-      nowMs: services.scheduler.now(),
-    };
-    const { standing } = this;
-    const fingerprint = standing && fingerprintField(failure.code, () => standing.fingerprint);
-    services.requestLog.record(
-      requestDecision(this.context, progress, {
-        event,
-        failure,
-        verdict,
-        ...details,
-        ...fingerprint,
-      }),
-    );
-  }
-
   private canReplay(): boolean {
     return this.body?.isReplayable() === true;
   }
@@ -503,34 +436,15 @@
 
   private handleClose(isComplete: boolean, reason?: ConnectionEndReason): void {
     if (!isComplete && !this.lifecycle.isOver) {
-      this.recordAbandonment(reason);
+      this.recorder.recordAbandonment(this.awaitedResource(), reason);
       this.tries.endUnserved();
       this.handle({ type: 'caller-gone' });
     } else if (!isComplete && reason !== 'caller') {
-      this.recordConnectionEnd('answer-cut', { endedBy: reason });
+      this.recorder.recordCutAnswer(reason);
     }
     this.cleanUp();
   }
 
-  private recordAbandonment(endedBy?: ConnectionEndReason): void {
-    const { services } = this.context;
-    const waitedFor = this.awaitedResource();
-    services.counters.add(`ferryspool_requests_abandoned_${waitedFor.replaceAll('-', '_')}_total`);
-    this.recordConnectionEnd('request-abandoned', {
-      endedBy,
-      waitedFor,
-      unreadMs: services.maxUnreadMs(),
-    });
-  }
-
-  private recordConnectionEnd(
-    event: 'request-abandoned' | 'answer-cut',
-    details: DecisionDetails,
-  ): void {
-    const error = new CallerGoneError('the connection of the caller ended');
-    this.record(event, error, error.verdict, details);
-  }
-
   private cleanUp(): void {
     this.attempts.forEach((attempt) => attempt.stopAwaitingPeer());
     this.cancelDeadline();
--- /dev/null
+++ b/src/proxy/request-throttling.ts
@@ -0,0 +1,57 @@
+/** Throttling of one request at its caller's node; see {@link AdaptiveThrottle}. */
+import type { EndpointChoice } from './endpoint-choice.js';
+import type { RequestContext } from './request-context.js';
+import { refusalClassOf } from './request-work.js';
+
+export class RequestThrottling {
+  /** Whether all attempts so far were refused for lack of capacity; true before the first. */
+  private wasOnlyRefused = true;
+
+  constructor(
+    private readonly context: RequestContext,
+    private readonly endpointChoice: EndpointChoice,
+  ) {}
+
+  /** Class of work of an attempt that begins now. */
+  get workClass(): string {
+    return refusalClassOf(this.context.match.route, this.endpointChoice.isLate);
+  }
+
+  /** Whether a refusal may be followed by another try of the caller. */
+  get mayCallerComeBack(): boolean {
+    const { match, services } = this.context;
+    return services.unserved.hasRecentRepeats(match.route.name, services.scheduler.now());
+  }
+
+  /**
+   * Whether no attempt may begin now. Only routes whose callers come back are throttled: for others, each refusal is
+   * final. A request that an endpoint may have run is not throttled either, since its retry may still be answered.
+   */
+  refusesAttempt(): boolean {
+    const { throttle, counters, scheduler } = this.context.services;
+    const nowMs = scheduler.now();
+    this.endpointChoice.checkTarget(nowMs);
+    const mayThrottle = this.wasOnlyRefused && this.mayCallerComeBack;
+    const isRefused = mayThrottle && !throttle.admits(this.workClass, nowMs);
+    if (isRefused) {
+      counters.add('ferryspool_throttled_requests_total');
+    }
+    return isRefused;
+  }
+
+  /** Records that an endpoint answered an attempt of the class. */
+  attemptAnswered(workClass: string): void {
+    const { throttle, scheduler } = this.context.services;
+    throttle.accepted(workClass, scheduler.now());
+  }
+
+  /** Records that an attempt of the class failed; `isRefusal` if it was refused for lack of capacity. */
+  attemptFailed(workClass: string, isRefusal: boolean): void {
+    const { throttle, scheduler } = this.context.services;
+    if (isRefusal) {
+      throttle.refused(workClass, scheduler.now());
+    } else {
+      this.wasOnlyRefused = false;
+    }
+  }
+}
