--- a/src/admission/admission-queue.ts
+++ b/src/admission/admission-queue.ts
@@ -11,6 +11,8 @@
   readonly deadlineAtMs: number;
   /** Rank; 0, the default, is the most urgent. */
   readonly priority?: number;
+  /** Whether the work is so short that it takes no place of other work in the queue. */
+  readonly isShort?: boolean;
   /** Class of work; requests of one class have similar service times. */
   readonly workClass?: string;
   /** Time by which the response should have arrived; the deadline when absent. */
@@ -36,24 +38,21 @@
 /** Priority queue of one endpoint. */
 export class AdmissionQueue {
   private readonly ranks = new Map<number, RankQueues>();
-  private count = 0;
+  private queuedCount = 0;
 
   /** Number of queued requests. */
   get size(): number {
-    return this.count;
+    return this.queuedCount;
   }
 
   /** Number of queued requests that are at least as urgent as `rank`. */
   countAtLeastAsUrgent(rank: number): number {
-    let count = 0;
-    for (const [other, queues] of this.ranks) {
-      if (other <= rank) {
-        queues.forEach((tickets) => {
-          count += tickets.length;
-        });
-      }
-    }
-    return count;
+    return this.count(rank, (tickets) => tickets.length);
+  }
+
+  /** Number of queued requests that take places in the queue and are at least as urgent as `rank`. */
+  placesTaken(rank = Infinity): number {
+    return this.count(rank, (tickets) => tickets.filter(({ isShort }) => isShort !== true).length);
   }
 
   /** Appends a ticket to the queue of its rank and node. */
@@ -64,7 +63,7 @@
     tickets.push(ticket);
     queues.set(ticket.callerNode, tickets);
     this.ranks.set(rank, queues);
-    this.count += 1;
+    this.queuedCount += 1;
   }
 
   /** Removes and returns the next ticket; its node moves to the end of the round-robin order. */
@@ -82,7 +81,7 @@
       queues.set(callerNode, tickets);
     }
     this.dropEmptyRank(rank, queues);
-    this.count -= 1;
+    this.queuedCount -= 1;
     return ticket;
   }
 
@@ -94,7 +93,7 @@
       if (tickets !== undefined && index >= 0) {
         tickets.splice(index, 1);
         this.dropEmptyNode(rank, queues, callerNode);
-        this.count -= 1;
+        this.queuedCount -= 1;
         return true;
       }
     }
@@ -105,7 +104,7 @@
   removeAll(): AdmissionTicket[] {
     const tickets = [...this.ranks.values()].flatMap((queues) => [...queues.values()].flat());
     this.ranks.clear();
-    this.count = 0;
+    this.queuedCount = 0;
     return tickets;
   }
 
@@ -127,7 +126,7 @@
     const displaced = found?.tickets.pop();
     if (found !== undefined && displaced !== undefined) {
       this.dropEmptyNode(found.rank, found.queues, displaced.callerNode);
-      this.count -= 1;
+      this.queuedCount -= 1;
     }
     return displaced;
   }
@@ -151,6 +150,18 @@
     return isLessUrgent || tickets.length > ownLength + 1 ? { rank, queues, tickets } : undefined;
   }
 
+  private count(rank: number, countOf: (tickets: readonly AdmissionTicket[]) => number): number {
+    let count = 0;
+    for (const [other, queues] of this.ranks) {
+      if (other <= rank) {
+        queues.forEach((tickets) => {
+          count += countOf(tickets);
+        });
+      }
+    }
+    return count;
+  }
+
   private extremeRank(pick: (...ranks: number[]) => number): number | undefined {
     return this.ranks.size === 0 ? undefined : pick(...this.ranks.keys());
   }
--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -213,7 +213,7 @@
       return [this.refuse(ticket, reason, nowMs)];
     }
     const displaced = this.displaceFor(ticket, nowMs);
-    this.queue.enqueue(ticket);
+    this.queue.enqueue({ ...ticket, isShort: this.isShort(ticket) });
     return [...displaced, ...this.fillSlots(nowMs)];
   }
 
@@ -277,24 +277,31 @@
     if (!isLateRank(rank)) {
       return ticket;
     }
-    const { workClass, startByMs = Infinity } = ticket;
-    const { overallMs } = this.serviceTimes;
-    const isShort = this.serviceTimes.meanMs(workClass) < SHORT_WORK_RATIO * overallMs;
-    const priority = isShort ? onTimeRank(rank) : rank;
+    const { startByMs = Infinity } = ticket;
+    const priority = this.isShort(ticket) ? onTimeRank(rank) : rank;
     const maxWaitMs = LATE_WAIT_FACTOR * this.expectedSlotWaitMs(priority, nowMs);
     return { ...ticket, priority, startByMs: Math.max(startByMs, nowMs + maxWaitMs) };
   }
 
+  private isShort({ workClass }: AdmissionTicket): boolean {
+    const { overallMs } = this.serviceTimes;
+    return this.serviceTimes.meanMs(workClass) < SHORT_WORK_RATIO * overallMs;
+  }
+
   /**
    * Returns 'queue-full' when the queue is full, no slot is free and the request would displace no queued one.
    * Reservations count as queued requests do: they do not keep out more urgent requests, and displace no more
-   * queued requests than there are.
+   * queued requests than there are. Short work takes no place: while it is more urgent than other work, it would keep
+   * all of that out.
    */
   private queueFullReasonFor(ticket: AdmissionTicket, nowMs: number): RefusalReason | undefined {
+    if (this.isShort(ticket)) {
+      return this.queue.size < this.maxWaiting ? undefined : 'queue-full';
+    }
     const freeSlots = Math.max(0, this.limitAt(nowMs) - this.running.size);
     const rank = rankOf(ticket);
     const reservedAhead = [...this.reserved.values()].filter((other) => other <= rank).length;
-    const occupied = this.queue.countAtLeastAsUrgent(rank) + reservedAhead;
+    const occupied = this.queue.placesTaken(rank) + reservedAhead;
     const hasCapacity =
       occupied < this.queueBound + freeSlots ||
       this.queue.canDisplacePeerFor(ticket, reservedAhead);
@@ -307,7 +314,7 @@
 
   /** Displaces a request from a full queue in favour of one that is preferred to it. */
   private displaceFor(ticket: AdmissionTicket, nowMs: number): AdmissionEffect[] {
-    const isFull = this.queue.size >= this.queueBound;
+    const isFull = !this.isShort(ticket) && this.queue.placesTaken() >= this.queueBound;
     const displaced = isFull ? this.queue.displaceFor(ticket) : undefined;
     return displaced === undefined ? [] : [this.refuse(displaced, 'queue-full', nowMs)];
   }
