--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -42,8 +42,8 @@
 const NO_SLOT_RETRY_AFTER_MS = 1_000;
 
 /**
- * Work whose service time is below this share of the endpoint's mean is short: it delays other requests little, and
- * its caller may occupy a slot of another endpoint in the meantime.
+ * Work is short if its service time is below this share of that of the work which occupies the endpoint's slots: it
+ * delays other requests little, and its caller may occupy a slot of another endpoint in the meantime.
  */
 const SHORT_WORK_RATIO = 0.6;
 /** Maximum wait of late work, as a multiple of the expected wait. */
@@ -284,8 +284,8 @@
   }
 
   private isShort({ workClass }: AdmissionTicket): boolean {
-    const { overallMs } = this.serviceTimes;
-    return this.serviceTimes.meanMs(workClass) < SHORT_WORK_RATIO * overallMs;
+    const { occupyingMs } = this.serviceTimes;
+    return this.serviceTimes.meanMs(workClass) < SHORT_WORK_RATIO * occupyingMs;
   }
 
   /**
--- a/src/admission/service-times.ts
+++ b/src/admission/service-times.ts
@@ -7,6 +7,8 @@
  * measurement, because a request has already been lost.
  */
 const UNFINISHED_WEIGHT = 0.3;
+/** Weight of a new measurement in the means for all classes; low, since long work may be rare. */
+const OCCUPANCY_WEIGHT = 0.02;
 /** Maximum number of classes; beyond it, the class that was measured first is evicted. */
 const MAX_CLASSES = 1_000;
 
@@ -14,12 +16,23 @@
 export class ServiceTimes {
   private readonly meansByClass = new Map<string, number>();
   private overallMean: number | undefined;
+  /** Means over all measurements of the mean of their class, and of its square. */
+  private classMean = 0;
+  private squaredClassMean = 0;
 
   /** Mean over all classes; 0 before the first measurement. */
   get overallMs(): number {
     return this.overallMean ?? 0;
   }
 
+  /**
+   * Mean service time of the work that occupies a slot at any moment; 0 before the first measurement. Frequent short work
+   * lowers the mean over all requests, but occupies few slots.
+   */
+  get occupyingMs(): number {
+    return this.classMean === 0 ? 0 : this.squaredClassMean / this.classMean;
+  }
+
   /** Mean of a class; the mean over all classes while the class has no measurement. */
   meanMs(workClass: string | undefined): number {
     return this.meansByClass.get(workClass ?? '') ?? this.overallMs;
@@ -46,12 +59,22 @@
     if (workClass === undefined) {
       return;
     }
-    this.meansByClass.set(workClass, updatedMean(this.meansByClass.get(workClass), ms, weight));
+    const mean = updatedMean(this.meansByClass.get(workClass), ms, weight);
+    this.meansByClass.set(workClass, mean);
+    this.updateOccupancy(mean);
     if (this.meansByClass.size > MAX_CLASSES) {
       const [first = ''] = this.meansByClass.keys();
       this.meansByClass.delete(first);
     }
   }
+
+  private updateOccupancy(ms: number): void {
+    const isFirst = this.classMean === 0;
+    this.classMean = isFirst ? ms : updatedMean(this.classMean, ms, OCCUPANCY_WEIGHT);
+    this.squaredClassMean = isFirst
+      ? ms ** 2
+      : updatedMean(this.squaredClassMean, ms ** 2, OCCUPANCY_WEIGHT);
+  }
 }
 
 function updatedMean(previous: number | undefined, measured: number, weight: number): number {
--- a/test/admission/short-work-queue.test.ts
+++ b/test/admission/short-work-queue.test.ts
@@ -18,13 +18,15 @@
 }
 
 /** Admission to an endpoint with one slot, which is taken; an order takes 200 ms there, a query 20 ms. */
-function busyAdmission(): EndpointAdmission {
+function busyAdmission(queriesPerOrder = 1): EndpointAdmission {
   const admission = new EndpointAdmission(1, MAX_WAITING, QUEUED_PER_SLOT);
   for (let round = 0; round < 60; round += 1) {
-    admission.offer(ticket('query', QUERY), 0);
-    admission.release('query', 0, 20);
     admission.offer(ticket('order', ORDER), 0);
     admission.release('order', 0, 200);
+    for (let query = 0; query < queriesPerOrder; query += 1) {
+      admission.offer(ticket('query', QUERY), 0);
+      admission.release('query', 0, 20);
+    }
   }
   admission.offer(ticket('running', ORDER), 0);
   return admission;
@@ -53,6 +55,13 @@
     expect(admission.waitingCount).to.equal(QUEUED_PER_SLOT + 3);
   });
 
+  // Guards against work that counts as long since there is so much of it.
+  it('does so too where nearly all requests are short', () => {
+    const admission = busyAdmission(20);
+    offer(admission, 'order', QUEUED_PER_SLOT, ORDER);
+    expect(offer(admission, 'query', 3, QUERY)).to.deep.equal([]);
+  });
+
   it('has places for long work while short work waits', () => {
     const admission = busyAdmission();
     offer(admission, 'query', 3, QUERY);
