--- a/test/proxy/repeated-requests.test.ts
+++ b/test/proxy/repeated-requests.test.ts
@@ -1,20 +1,15 @@
 /** The place of requests whose callers come back after a refusal, among those of callers that come for the first time. */
 import { expect } from 'chai';
 import { isLateRank } from '../../src/admission/work-rank.js';
-import { resourceSchema } from '../../src/model/resource.js';
-import { buildSnapshot, NO_SNAPSHOT_VERSION } from '../../src/model/snapshot.js';
 import type { AttemptObserver, Call, EndpointPath } from '../../src/proxy/call.js';
 import { DEFAULT_PROXY_LIMITS } from '../../src/proxy/proxy-limits.js';
 import { EMPTY_BODY } from '../../src/proxy/request-body.js';
 import type { CallerReply } from '../../src/proxy/request-context.js';
 import { OverloadedError } from '../../src/proxy/request-error.js';
 import { RequestRunner } from '../../src/proxy/request-runner.js';
-import { RequestServices } from '../../src/proxy/request-services.js';
-import { RouteTable } from '../../src/routing/route-table.js';
 import { VirtualProcess } from '../../tools/emulator/virtual-process.js';
 import { VirtualScheduler } from '../../tools/emulator/virtual-scheduler.js';
-import { echoEndpoint, echoService } from './rig.js';
-import { VIRTUAL_RELAY, virtualIdentity } from './virtual-identity.js';
+import { echoSnapshot, loneNodeServices, matchOf } from './lone-node.js';
 
 const TARGET_MS = 400;
 const DEADLINE_MS = 2_500;
@@ -36,27 +31,9 @@
   private readonly clock = new VirtualScheduler();
   private readonly process = new VirtualProcess(this.clock);
   private readonly calls: Call[] = [];
-  private readonly snapshot = buildSnapshot(
-    NO_SNAPSHOT_VERSION,
-    [
-      ...echoService({ targetLatencyMs: TARGET_MS }),
-      ...ENDPOINTS.map((name, idx) => echoEndpoint(name, 1_000 + idx)),
-    ].map((resource) => resourceSchema.parse(resource)),
-  );
-  private readonly services = new RequestServices({
-    identity: virtualIdentity('caller'),
-    members: {
-      status: () => 'alive',
-      relayAddress: () => VIRTUAL_RELAY,
-      count: () => 1,
-      machineIds: () => [],
-    },
-    counters: { add: () => undefined },
-    random: () => 0.5,
-    scheduler: this.process,
+  private readonly snapshot = echoSnapshot(TARGET_MS, ENDPOINTS);
+  private readonly services = loneNodeServices(this.process, this, {
     limits: { ...DEFAULT_PROXY_LIMITS, maxRetries: 0, maxRedirects: 1 },
-    direct: this,
-    relay: this,
   });
 
   /** A try at `atMs`; returns the first attempt that was made for it. */
@@ -67,15 +44,11 @@
   /** A try at `atMs`; returns its attempts. */
   attemptsAt(atMs: number, target: string, deadlineAtMs: number): readonly Call[] {
     this.clock.runUntil(atMs);
-    const match = new RouteTable(this.snapshot).match('', target, 'GET');
-    if (match === undefined) {
-      throw new Error('no route');
-    }
     this.calls.splice(0);
     new RequestRunner({
       services: this.services,
       snapshot: this.snapshot,
-      match,
+      match: matchOf(this.snapshot, target),
       method: 'GET',
       target,
       headers: [],
