--- a/src/proxy/late-answers.ts
+++ b/src/proxy/late-answers.ts
@@ -26,11 +26,12 @@
 
   record(service: string, times: RequestTimes): void {
     const totals = this.totalsOf(service);
+    const longest = longestPlace(times);
     for (const place of REQUEST_PLACES) {
       const total = totals?.get(place);
       if (total !== undefined) {
         total.ms += times[place];
-        total.count += Number(place === longestPlace(times));
+        total.count += Number(place === longest);
       }
     }
   }
--- a/src/proxy/unserved-requests.ts
+++ b/src/proxy/unserved-requests.ts
@@ -29,6 +29,8 @@
 
 /** Maximum number of requests that are remembered; beyond it, the oldest is forgotten. */
 const MAX_REQUESTS = 2_048;
+/** Maximum length of the target of a remembered request; bounds the memory that clients can make the node use. */
+const MAX_TARGET_LENGTH = 512;
 /** Time after a repeat for which callers of its route are expected to come back, in milliseconds. */
 const REPEAT_MEMORY_MS = 10_000;
 /** Maximum number of routes with known repeats; beyond it, the first one is forgotten. */
@@ -49,7 +51,7 @@
     earlier: EarlierTries | undefined,
     nowMs: number,
   ): void {
-    if (identity.deadlineAtMs <= nowMs) {
+    if (identity.deadlineAtMs <= nowMs || identity.target.length > MAX_TARGET_LENGTH) {
       return;
     }
     const key = keyOf(identity);
--- a/test/proxy/unserved-requests.test.ts
+++ b/test/proxy/unserved-requests.test.ts
@@ -40,6 +40,11 @@
     }
   });
 
+  it('are not remembered with targets that are very long', () => {
+    const long: RequestIdentity = { ...READ, target: `/${'a'.repeat(600)}` };
+    expect(refused(long).takeEarlierTries(long, 700)).to.equal(undefined);
+  });
+
   it('are bounded, and forgotten after their deadline', () => {
     const unserved = refused(READ);
     unserved.remember({ ...READ, target: '/b', deadlineAtMs: 9_000 }, 2_600, undefined, 2_600);
