--- a/src/proxy/request-throttling.ts
+++ b/src/proxy/request-throttling.ts
@@ -20,7 +20,7 @@
   /** Whether a refusal may be followed by another try of the caller. */
   get mayCallerComeBack(): boolean {
     const { match, services } = this.context;
-    return services.unserved.hasRecentRepeats(match.route.name, services.scheduler.now());
+    return services.unserved.hasRepeats(match.route.name, services.scheduler.now());
   }
 
   /**
--- a/src/proxy/unserved-requests.ts
+++ b/src/proxy/unserved-requests.ts
@@ -5,6 +5,8 @@
  * try with a short deadline. Pure: time is passed in.
  */
 
+import { DecayingCount } from '../routing/decaying-count.js';
+
 /** One request, as far as it has to match its repeats. */
 export interface RequestIdentity {
   /** Name of the route. */
@@ -31,18 +33,26 @@
 const MAX_REQUESTS = 2_048;
 /** Maximum length of the target of a remembered request; bounds the memory that clients can make the node use. */
 const MAX_TARGET_LENGTH = 512;
-/** Time after a repeat for which callers of its route are expected to come back, in milliseconds. */
-const REPEAT_MEMORY_MS = 10_000;
-/** Maximum number of routes with known repeats; beyond it, the first one is forgotten. */
+/** Half-life of the weight of a request in the share of repeats, in milliseconds. */
+const SHARE_HALF_LIFE_MS = 5_000;
+/** Repeats for each unserved request from which the callers of a route count as coming back. */
+const MIN_REPEAT_SHARE = 0.2;
+/** Maximum number of routes with known shares; beyond it, the first one is forgotten. */
 const MAX_ROUTES = 1_000;
 /** Maximum difference of the deadlines of two tries, in milliseconds: a busy node reads its sockets late. */
 const DEADLINE_TOLERANCE_MS = 100;
 
+/** Recent requests of one route. */
+class RouteCounts {
+  readonly unserved = new DecayingCount(SHARE_HALF_LIFE_MS);
+  readonly repeats = new DecayingCount(SHARE_HALF_LIFE_MS);
+}
+
 export class UnservedRequests {
   /** By route, method and target; the oldest first. */
   private readonly requests = new Map<string, UnservedRequest>();
-  /** When the last repeat on each route arrived, by the name of the route. */
-  private readonly lastRepeatsAtMs = new Map<string, number>();
+  /** By the name of the route. */
+  private readonly routes = new Map<string, RouteCounts>();
 
   /** Remembers a request that has ended; `earlier` are the tries before it. */
   remember(
@@ -61,6 +71,7 @@
       firstArrivedAtMs: earlier?.firstArrivedAtMs ?? arrivedAtMs,
       deadlineAtMs: identity.deadlineAtMs,
     });
+    this.countsOf(identity.route).unserved.add(nowMs);
     this.dropOldest(nowMs);
   }
 
@@ -75,22 +86,32 @@
       return undefined;
     }
     this.requests.delete(key);
-    this.recordRepeat(identity.route, nowMs);
+    this.countsOf(identity.route).repeats.add(nowMs);
     const { count, firstArrivedAtMs } = request;
     return { count, firstArrivedAtMs };
   }
 
-  /** Whether callers of the route have recently come back. Callers such as endpoints that work on a request never do. */
-  hasRecentRepeats(route: string, nowMs: number): boolean {
-    return nowMs < (this.lastRepeatsAtMs.get(route) ?? -Infinity) + REPEAT_MEMORY_MS;
+  /**
+   * Whether callers of the route usually come back. Callers such as endpoints that work on a request do not, but two of
+   * their requests may be alike by chance.
+   */
+  hasRepeats(route: string, nowMs: number): boolean {
+    const { unserved, repeats } = this.countsOf(route);
+    return repeats.at(nowMs) > unserved.at(nowMs) * MIN_REPEAT_SHARE;
   }
 
-  private recordRepeat(route: string, nowMs: number): void {
-    this.lastRepeatsAtMs.set(route, nowMs);
-    if (this.lastRepeatsAtMs.size > MAX_ROUTES) {
-      const [first = ''] = this.lastRepeatsAtMs.keys();
-      this.lastRepeatsAtMs.delete(first);
+  private countsOf(route: string): RouteCounts {
+    const known = this.routes.get(route);
+    if (known !== undefined) {
+      return known;
+    }
+    const counts = new RouteCounts();
+    this.routes.set(route, counts);
+    if (this.routes.size > MAX_ROUTES) {
+      const [first = ''] = this.routes.keys();
+      this.routes.delete(first);
     }
+    return counts;
   }
 
   private dropOldest(nowMs: number): void {
--- a/src/routing/adaptive-throttle.ts
+++ b/src/routing/adaptive-throttle.ts
@@ -4,6 +4,7 @@
  * and random numbers are passed in.
  */
 import type { RandomSource } from '../control/control-event.js';
+import { DecayingCount } from './decaying-count.js';
 
 /** Half-life of the weight of an attempt, in milliseconds. */
 const HALF_LIFE_MS = 500;
@@ -14,11 +15,10 @@
 /** Maximum number of classes; beyond it, the one that was used first is evicted. */
 const MAX_CLASSES = 1_000;
 
-/** Recent attempts of one class, weighted by their age. */
-interface ClassAttempts {
-  refused: number;
-  accepted: number;
-  updatedAtMs: number;
+/** Recent attempts of one class. */
+class ClassAttempts {
+  readonly refused = new DecayingCount(HALF_LIFE_MS);
+  readonly accepted = new DecayingCount(HALF_LIFE_MS);
 }
 
 export class AdaptiveThrottle {
@@ -28,37 +28,34 @@
 
   /** Whether an attempt may be sent; one that may not counts as refused. */
   admits(workClass: string, nowMs: number): boolean {
-    const { refused, accepted } = this.attemptsOf(workClass, nowMs);
+    const attempts = this.attemptsOf(workClass);
+    const refused = attempts.refused.at(nowMs);
+    const accepted = attempts.accepted.at(nowMs);
     const excess = refused - accepted * REFUSED_PER_ACCEPTED - MIN_REFUSED;
     const rejectedShare = excess / (refused + accepted + 1);
     if (this.random() >= rejectedShare) {
       return true;
     }
-    this.refused(workClass, nowMs);
+    attempts.refused.add(nowMs);
     return false;
   }
 
   /** Records that an endpoint's node refused an attempt for lack of capacity. */
   refused(workClass: string, nowMs: number): void {
-    this.attemptsOf(workClass, nowMs).refused += 1;
+    this.attemptsOf(workClass).refused.add(nowMs);
   }
 
   /** Records that an endpoint answered an attempt. */
   accepted(workClass: string, nowMs: number): void {
-    this.attemptsOf(workClass, nowMs).accepted += 1;
+    this.attemptsOf(workClass).accepted.add(nowMs);
   }
 
-  private attemptsOf(workClass: string, nowMs: number): ClassAttempts {
-    const attempts = this.classes.get(workClass) ?? this.addClass(workClass, nowMs);
-    const weight = 0.5 ** ((nowMs - attempts.updatedAtMs) / HALF_LIFE_MS);
-    attempts.refused *= weight;
-    attempts.accepted *= weight;
-    attempts.updatedAtMs = nowMs;
-    return attempts;
-  }
-
-  private addClass(workClass: string, nowMs: number): ClassAttempts {
-    const attempts = { refused: 0, accepted: 0, updatedAtMs: nowMs };
+  private attemptsOf(workClass: string): ClassAttempts {
+    const known = this.classes.get(workClass);
+    if (known !== undefined) {
+      return known;
+    }
+    const attempts = new ClassAttempts();
     this.classes.set(workClass, attempts);
     if (this.classes.size > MAX_CLASSES) {
       const [first = ''] = this.classes.keys();
--- a/test/proxy/unserved-requests.test.ts
+++ b/test/proxy/unserved-requests.test.ts
@@ -40,6 +40,20 @@
     }
   });
 
+  // Guards against calls of endpoints that count as requests whose callers come back, since two of them were alike.
+  it('tell routes whose callers come back from those on which two requests were alike', () => {
+    const unserved = new UnservedRequests();
+    const end = (target: string): void => unserved.remember({ ...READ, target }, 0, undefined, 100);
+    const targets = Array.from({ length: 20 }, (_, number) => `/${number}`);
+    targets.forEach(end);
+    expect(unserved.hasRepeats('reads', 200)).to.equal(false);
+    unserved.takeEarlierTries({ ...READ, target: '/0' }, 200);
+    expect(unserved.hasRepeats('reads', 200)).to.equal(false);
+    targets.forEach((target) => unserved.takeEarlierTries({ ...READ, target }, 200));
+    expect(unserved.hasRepeats('reads', 200)).to.equal(true);
+    expect(unserved.hasRepeats('writes', 200)).to.equal(false);
+  });
+
   it('are not remembered with targets that are very long', () => {
     const long: RequestIdentity = { ...READ, target: `/${'a'.repeat(600)}` };
     expect(refused(long).takeEarlierTries(long, 700)).to.equal(undefined);
