Count retries over the window that operators set, so that all earned ones are available at once

Cause: answers lost at many endpoints for some seconds need more retries than a node may save: its share of the fleet's savings is two in a fleet of ninety, and what it earns in a second at 15 requests is three. Requests ended with 502 after one attempt although the budget over ten seconds was not used.

Change: with a window in the settings, a node may make what its first attempts earned within the window, and its share, less what it sent again in the window. Without one, it saves as before.

--- a/src/proxy/proxy-limits.ts
+++ b/src/proxy/proxy-limits.ts
@@ -58,6 +58,11 @@
    * unlimited when absent.
    */
   readonly fleetSavedRetries?: number;
+  /**
+   * Window within which all earned retries towards one service may be made, in milliseconds; if absent, only as many
+   * as may be saved can be made at once.
+   */
+  readonly retryWindowMs?: number;
   /** Time after which an idle connection to an endpoint is closed, in milliseconds. */
   readonly maxIdleEndpointConnectionMs: number;
   /** Timeout for establishing a connection, in milliseconds. */
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -9,7 +9,7 @@
 import { EndpointSelector } from '../routing/endpoint-selector.js';
 import { EndpointStatements } from '../routing/endpoint-statements.js';
 import { LimitedSenders } from '../routing/limited-senders.js';
-import { RetryBudget } from '../routing/retry-budget.js';
+import { RetryBudget, type RetryWindow } from '../routing/retry-budget.js';
 import { trialEndpoints } from '../routing/trial-endpoint.js';
 import type { RouteMatch } from '../routing/route-table.js';
 import { WeightedTargets } from '../routing/weighted-targets.js';
@@ -215,6 +215,13 @@
     return Math.min(maxSavedRetries, Math.max(1, Math.floor(share)));
   }
 
+  private retryWindow(): RetryWindow | undefined {
+    const { retryWindowMs } = this.limits;
+    return retryWindowMs === undefined
+      ? undefined
+      : { lengthMs: retryWindowMs, nowMs: () => this.scheduler.now() };
+  }
+
   /** The machine whose node relays attempts to the endpoint; undefined for endpoints on this node's machine. */
   relayMachineOf({ spec }: Endpoint): string | undefined {
     return spec.machine === this.machineId ? undefined : spec.machine;
@@ -227,7 +234,9 @@
   retryBudgetOf(service: string): RetryBudget {
     let budget = this.budgets.get(service);
     if (budget === undefined) {
-      budget = new RetryBudget(this.savedRetries());
+      budget = new RetryBudget(this.savedRetries(), this.retryWindow(), () =>
+        this.counters.add('ferryspool_retry_budget_exhausted_total'),
+      );
       this.budgets.set(service, budget);
     }
     return budget;
--- a/src/routing/retry-budget.ts
+++ b/src/routing/retry-budget.ts
@@ -1,35 +1,112 @@
-/** Limits a service's retries to a share of its first attempts, so that retries cannot multiply the load. */
+/**
+ * Limits a service's retries to a share of its first attempts, so that retries cannot multiply the load.
+ *
+ * With a window, all retries that the first attempts of the window have earned may be made at any time within it: many
+ * answers may be lost within a few seconds, followed by minutes without a failure. Without one, only as many as may be
+ * saved can be made at once.
+ */
+import { WindowedSum } from './windowed-sum.js';
 
 /** Default number of retries that may be saved up for a burst. */
 export const DEFAULT_MAX_SAVED_RETRIES = 20;
 /** Retries available to a service before its first attempts. */
 const INITIAL_RETRIES = 3;
 
+/** The sliding window over which retries are limited. */
+export interface RetryWindow {
+  readonly lengthMs: number;
+  readonly nowMs: () => number;
+}
+
+/** What counts as available between earning and taking. */
+interface RetryAccount {
+  available(): number;
+  earn(retries: number): void;
+  take(): void;
+}
+
 /** Retry budget of one node for one service. */
 export class RetryBudget {
-  private retries: number;
+  private readonly account: RetryAccount;
 
-  /** `maxSaved` is how many retries may be saved up for a burst. */
-  constructor(private readonly maxSaved = DEFAULT_MAX_SAVED_RETRIES) {
-    this.retries = Math.min(INITIAL_RETRIES, maxSaved);
+  /**
+   * `maxSaved` is how many retries may be saved up for a burst, or made in addition to those that were earned in the
+   * window. `onExhausted` is called for each retry that is not available.
+   */
+  constructor(
+    maxSaved = DEFAULT_MAX_SAVED_RETRIES,
+    window?: RetryWindow,
+    private readonly onExhausted: () => void = () => undefined,
+  ) {
+    this.account =
+      window === undefined ? new SavedRetries(maxSaved) : new WindowedRetries(maxSaved, window);
   }
 
   /** Counts a first attempt, which earns `percent` of a retry. */
   earn(percent: number): void {
-    this.retries = Math.min(this.maxSaved, this.retries + percent / 100);
+    this.account.earn(percent / 100);
   }
 
   /** Whether a retry is available. */
   get hasRetry(): boolean {
-    return this.retries >= 1;
+    return this.account.available() >= 1;
   }
 
   /** Consumes one retry; false when none is available. */
   take(): boolean {
     if (!this.hasRetry) {
+      this.onExhausted();
       return false;
     }
-    this.retries -= 1;
+    this.account.take();
     return true;
   }
 }
+
+/** Retries are saved up to a maximum. */
+class SavedRetries implements RetryAccount {
+  private saved: number;
+
+  constructor(private readonly maxSaved: number) {
+    this.saved = Math.min(INITIAL_RETRIES, maxSaved);
+  }
+
+  available(): number {
+    return this.saved;
+  }
+
+  earn(retries: number): void {
+    this.saved = Math.min(this.maxSaved, this.saved + retries);
+  }
+
+  take(): void {
+    this.saved -= 1;
+  }
+}
+
+/** Retries are available until the window in which they were earned has passed. */
+class WindowedRetries implements RetryAccount {
+  private readonly earned: WindowedSum;
+  private readonly taken: WindowedSum;
+
+  constructor(
+    private readonly extra: number,
+    private readonly window: RetryWindow,
+  ) {
+    this.earned = new WindowedSum(window.lengthMs);
+    this.taken = new WindowedSum(window.lengthMs);
+  }
+
+  available(): number {
+    const nowMs = this.window.nowMs();
+    return this.extra + this.earned.at(nowMs).min - this.taken.at(nowMs).max;
+  }
+
+  earn(retries: number): void {
+    this.earned.add(retries, this.window.nowMs());
+  }
+
+  take(): void {
+    this.taken.add(1, this.window.nowMs());
+  }
+}
--- a/src/runtime/store-node-limits.ts
+++ b/src/runtime/store-node-limits.ts
@@ -57,5 +57,6 @@
     stopMinTimeoutMs: drainTimeoutMs * STOP_WORK_SHARE,
     maxEventLoopLagMs: STOP_MAX_LATENESS_MS,
     fleetSavedRetries: retry.fleetBurst,
+    ...(retry.windowMs !== undefined && { retryWindowMs: retry.windowMs }),
   };
 }
--- a/src/runtime/store-node-settings.ts
+++ b/src/runtime/store-node-settings.ts
@@ -32,5 +32,7 @@
     readonly percent: number;
     /** Additional retries that the fleet may send in a burst. */
     readonly fleetBurst: number;
+    /** Window over which the retries are counted, in milliseconds; retries are only saved up if absent. */
+    readonly windowMs?: number | undefined;
   };
 }
--- a/test/platform/fixtures.ts
+++ b/test/platform/fixtures.ts
@@ -17,7 +17,8 @@
 platform.platform.address=10.200.1.7:8309
 terms.bounds.graceS=6
 terms.bounds.retryBudgetRatio=0.2
-terms.bounds.budgetMinRetries=62`;
+terms.bounds.budgetMinRetries=62
+terms.bounds.budgetWindowS=10`;
 
 /** A configuration of two services; \`safe\` requests of host h1 are divided, h2 takes unsafe ones. */
 export function platformConfiguration(version: string): unknown {
--- a/test/platform/formats.test.ts
+++ b/test/platform/formats.test.ts
@@ -87,7 +87,7 @@
     expect(node.caller).to.deep.equal({ address: '10.1.0.8', port: 8304 });
     expect(node.internalPorts).to.deep.equal({ first: 7620, last: 7635 });
     expect(node.drainTimeoutMs).to.equal(6_000);
-    expect(node.retry).to.deep.equal({ percent: 20, fleetBurst: 62 });
+    expect(node.retry).to.deep.equal({ percent: 20, fleetBurst: 62, windowMs: 10_000 });
     expect(store).to.deep.equal({ address: '10.200.1.7', port: 8309 });
     expect(service).to.equal('huvo11a');
     expect(regions.get('cr-central-b')).to.equal('cr-central');
--- a/test/platform/platform-fleet.ts
+++ b/test/platform/platform-fleet.ts
@@ -162,7 +162,7 @@
         readiness: { address, port: READY_PORT },
         internalPorts: { first: FIRST_INTERNAL_PORT, last: FIRST_INTERNAL_PORT + 5 },
         drainTimeoutMs: DRAIN_TIMEOUT_MS,
-        retry: { percent: 20, fleetBurst: 60 },
+        retry: { percent: 20, fleetBurst: 60, windowMs: 10_000 },
       },
       store: new StoreClient({ address: '127.0.0.1', port: this.store.port }),
       readRecord: createRecordReader({
--- a/test/platform/program.test.ts
+++ b/test/platform/program.test.ts
@@ -54,6 +54,7 @@
     'terms.bounds.graceS=6',
     'terms.bounds.retryBudgetRatio=0.2',
     'terms.bounds.budgetMinRetries=60',
+    'terms.bounds.budgetWindowS=10',
   ].join('\n');
 }
 
--- a/tools/soak/node-settings.ts
+++ b/tools/soak/node-settings.ts
@@ -15,6 +15,8 @@
 const RETRY_RATIO = 0.2;
 /** Further ones that the fleet may send again in a burst. */
 const MIN_RETRIES = 60;
+/** Window over which retries are counted, in seconds. */
+const RETRY_WINDOW_S = 10;
 
 /** What a node's settings depend on. */
 export interface NodePlaces {
@@ -43,6 +45,7 @@
     `terms.bounds.graceS=${SOAK_TERMS.graceMs / MS_PER_SECOND}`,
     `terms.bounds.retryBudgetRatio=${RETRY_RATIO}`,
     `terms.bounds.budgetMinRetries=${MIN_RETRIES}`,
+    `terms.bounds.budgetWindowS=${RETRY_WINDOW_S}`,
   ].join('\n');
 }
 
