Speed that endpoints report is applied to expected service times and latencies

Cause: the fourth figure of the load header, how long work takes at present, was dropped, so that an endpoint that is 2.5 times slower for half a second was estimated by means over many seconds.

A report has half its weight after 300 ms and none after 2 s. Endpoints without the figure are treated as before. Counters of reports and of slow ones.

--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -13,6 +13,7 @@
 import { LimitedRequests } from './limited-requests.js';
 import { AdmissionQueue, rankOf, type AdmissionTicket } from './admission-queue.js';
 import { combineRateLimits, NO_RATE_LIMIT, type RateLimiter } from './rate-limiter.js';
+import { ReportedSlowness, type SlownessReport } from './reported-slowness.js';
 import { ServiceTimes } from './service-times.js';
 import { isLateRank, onTimeRank } from './work-rank.js';
 
@@ -56,7 +57,9 @@
   private readonly running = new Map<string, string | undefined>();
   /** Ranks of the requests that hold a reservation while their bodies are in transit, by request id. */
   private readonly reserved = new Map<string, number>();
+  /** Service times at the endpoint's usual speed. */
   private readonly serviceTimes = new ServiceTimes();
+  private readonly slowness = new ReportedSlowness();
   private closedFor: ClosedReason | undefined;
   /** Requests in flight at the endpoint, according to its last report, that this node does not count. */
   private unaccountedInFlight = 0;
@@ -99,7 +102,7 @@
     return this.closedFor;
   }
 
-  /** Mean service time of a class of work; undefined before the first measurement. */
+  /** Mean service time of a class of work at the usual speed; undefined before the first measurement. */
   serviceMs(workClass: string): number | undefined {
     return this.serviceTimes.measuredMs(workClass);
   }
@@ -169,6 +172,16 @@
     this.reportedAtMs = nowMs;
   }
 
+  /** Records how long work takes at the endpoint at present, according to its report. */
+  slownessReported(report: SlownessReport, nowMs: number): void {
+    this.slowness.record(report, nowMs);
+  }
+
+  /** The endpoint's latest report of how long work takes; undefined if there is none that is recent. */
+  slownessAt(nowMs: number): SlownessReport | undefined {
+    return this.slowness.reportAt(nowMs);
+  }
+
   /**
    * Decides on a request whose body has yet to arrive. Applies the rules of {@link offer} as of the expected
    * arrival of the body; if it passes, reserves a slot or a place in the queue until the request is offered or
@@ -227,15 +240,15 @@
       return [];
     }
     if (serviceMs !== undefined) {
-      this.serviceTimes.measure(workClass, serviceMs);
+      this.serviceTimes.measure(workClass, this.atUsualSpeed(serviceMs, nowMs));
       this.limit = Math.min(this.slots, this.limit + 1 / this.limit);
     }
     return this.fillSlots(nowMs);
   }
 
   /** Records a request of the class that was abandoned without a response, `elapsedMs` after it was sent. */
-  recordUnfinished(workClass: string, elapsedMs: number): void {
-    this.serviceTimes.measureUnfinished(workClass, elapsedMs);
+  recordUnfinished(workClass: string, elapsedMs: number, nowMs: number): void {
+    this.serviceTimes.measureUnfinished(workClass, this.atUsualSpeed(elapsedMs, nowMs));
   }
 
   /** Removes a queued request whose caller has given up; false when it is not queued. */
@@ -243,6 +256,16 @@
     return this.queue.remove(requestId, callerNode);
   }
 
+  /** The service time that work which ran until now would have had at the endpoint's usual speed. */
+  private atUsualSpeed(serviceMs: number, nowMs: number): number {
+    return serviceMs / this.slowness.meanFactor(nowMs - serviceMs, nowMs);
+  }
+
+  /** Expected service time of work that starts at `startAtMs`. */
+  private expectedServiceMs(workClass: string | undefined, startAtMs: number): number {
+    return this.serviceTimes.meanMs(workClass) * this.slowness.factorAt(startAtMs);
+  }
+
   /** Current concurrency limit. At least one request may run, so that the next load report arrives. */
   private limitAt(nowMs: number): number {
     const isRecent = nowMs - this.reportedAtMs < REPORT_LIFETIME_MS;
@@ -344,10 +367,9 @@
     return startsTooLate || this.isTooLate(ticket, nowMs + waitMs, waitMs > 0);
   }
 
-  /** Latest time at which a request can start and still finish in time. */
+  /** Latest time at which a request can start and still finish in time, at the usual speed. */
   private lastUsefulStartMs(ticket: AdmissionTicket): number {
-    const { deadlineAtMs, targetAtMs = Infinity, workClass } = ticket;
-    return Math.min(deadlineAtMs, targetAtMs) - this.serviceTimes.meanMs(workClass);
+    return usefulUntilMs(ticket) - this.serviceTimes.meanMs(ticket.workClass);
   }
 
   /**
@@ -357,9 +379,10 @@
    */
   private isTooLate(ticket: AdmissionTicket, startAtMs: number, hasToWait = false): boolean {
     const isIdle = this.running.size === 0 && !hasToWait;
+    const serviceMs = this.expectedServiceMs(ticket.workClass, startAtMs);
     return isIdle
-      ? this.limitedRequests.isWasted(ticket, this.serviceTimes.meanMs(ticket.workClass), startAtMs)
-      : startAtMs > this.lastUsefulStartMs(ticket);
+      ? this.limitedRequests.isWasted(ticket, serviceMs, startAtMs)
+      : startAtMs + serviceMs > usefulUntilMs(ticket);
   }
 
   /** Expected wait of a request of the rank that arrives now. */
@@ -376,7 +399,8 @@
   private expectedSlotWaitMs(rank: number, nowMs: number): number {
     const waiting = this.queue.countAtLeastAsUrgent(rank);
     const ahead = this.running.size + waiting - this.limit + 1;
-    const slotWaitMs = ahead <= 0 ? 0 : (ahead * this.serviceTimes.overallMs) / this.limit;
+    const serviceMs = this.serviceTimes.overallMs * this.slowness.factorAt(nowMs);
+    const slotWaitMs = ahead <= 0 ? 0 : (ahead * serviceMs) / this.limit;
     return Math.max(slotWaitMs, this.coldStartLimiter.maxDelayMs(waiting + 1, nowMs));
   }
 
@@ -425,3 +449,8 @@
     return { type: 'dispatch', requestId: ticket.requestId };
   }
 }
+
+/** Until when an answer is of use. */
+function usefulUntilMs({ deadlineAtMs, targetAtMs = Infinity }: AdmissionTicket): number {
+  return Math.min(deadlineAtMs, targetAtMs);
+}
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -1,5 +1,6 @@
 /** Requests that a node forwards, the answers to them, and the attempts that obtain an answer. */
 import type { Readable } from 'node:stream';
+import type { SlownessReport } from '../admission/reported-slowness.js';
 import type { Endpoint } from '../model/resource.js';
 import type { HeaderList } from './headers.js';
 import type { RequestBody } from './request-body.js';
@@ -54,6 +55,8 @@
   readonly leavingIncarnation?: string | undefined;
   /** Rate limit that the endpoint has stated; Infinity for none, undefined if it is not known. */
   readonly maxRatePerS?: number | undefined;
+  /** How long work takes at present; undefined if the endpoint does not report it. */
+  readonly slowness?: SlownessReport | undefined;
 }
 
 /**
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -6,6 +6,7 @@
   type BodyArrival,
   type ClosedReason,
 } from '../admission/endpoint-admission.js';
+import type { SlownessReport } from '../admission/reported-slowness.js';
 import { NO_CONTAINMENT, type CallContainment } from '../containment/containment.js';
 import { SuspectLane } from '../containment/suspect-lane.js';
 import type { CounterSink } from '../control/control-event.js';
@@ -31,6 +32,9 @@
 import type { RequestLog } from './request-log.js';
 import type { CancelTimer, Scheduler } from './scheduler.js';
 
+/** Reported slowness from which a report is counted as slow, in percent of usual. */
+const SLOW_PERCENT = 150;
+
 /** Options shared by all gates of a node. */
 export interface GateOptions {
   readonly client: EndpointConnector;
@@ -134,6 +138,7 @@
       failureShare: this.failureShare.at(this.options.scheduler.now()),
       serviceMs: this.admission.serviceMs(workClass),
       maxRatePerS: this.statement.maxRatePerS,
+      slowness: this.admission.slownessAt(this.options.scheduler.now()),
       leavingIncarnation: this.statement.isLeaving ? incarnationOf(this.endpoint) : undefined,
     };
   }
@@ -184,7 +189,7 @@
   }
 
   recordUnfinished({ workClass }: Call, elapsedMs: number): void {
-    this.admission.recordUnfinished(workClass, elapsedMs);
+    this.admission.recordUnfinished(workClass, elapsedMs, this.options.scheduler.now());
   }
 
   classifyLoss(gated: GatedCall, report: (hasExited: boolean) => void): void {
@@ -212,12 +217,23 @@
     if (load !== undefined && load.slots > 0) {
       this.admission.endpointReported(load.inFlight, this.options.scheduler.now());
     }
+    if (load?.slowness !== undefined) {
+      this.applySlowness(load.slowness);
+    }
     if (load?.draining === true && !this.isDrainedByEndpoint) {
       this.isDrainedByEndpoint = true;
       this.updateClosed();
     }
   }
 
+  private applySlowness(report: SlownessReport): void {
+    this.options.counters.add('ferryspool_endpoint_speed_reports_total');
+    if (report.percent >= SLOW_PERCENT) {
+      this.options.counters.add('ferryspool_endpoint_slow_reports_total');
+    }
+    this.admission.slownessReported(report, this.options.scheduler.now());
+  }
+
   recordOutcome(hasFailed: boolean): void {
     this.failureShare.record(hasFailed, this.options.scheduler.now());
   }
--- a/src/proxy/load-observation.ts
+++ b/src/proxy/load-observation.ts
@@ -13,7 +13,14 @@
   if (load === undefined && !draining) {
     return undefined;
   }
-  const { inFlight = 0, isNodeStopping, failureShare, serviceMs, maxRatePerS } = load ?? {};
+  const {
+    inFlight = 0,
+    isNodeStopping,
+    failureShare,
+    serviceMs,
+    maxRatePerS,
+    slowness,
+  } = load ?? {};
   const retryAfterMs = error?.status === 503 ? error.retryAfterMs : undefined;
   return {
     inFlight,
@@ -22,6 +29,7 @@
     ...(failureShare !== undefined && { failureShare }),
     ...(serviceMs !== undefined && { serviceTime: { workClass, meanMs: serviceMs } }),
     ...(maxRatePerS !== undefined && { maxRatePerS }),
+    ...(slowness !== undefined && { slowness }),
     ...(retryAfterMs !== undefined && { retryAfterMs }),
   };
 }
--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -62,6 +62,10 @@
   readonly serviceMs: number | undefined;
   /** Rate limit that the endpoint has stated, in requests per 1,000 s; {@link UNLIMITED_RATE} for none. */
   readonly maxRatePerKs: number | undefined;
+  /** How long work takes, in percent of usual; undefined if the endpoint does not report it. */
+  readonly slownessPercent: number | undefined;
+  /** Time since the endpoint reported it; 0 without a report. */
+  readonly slownessAgeMs: number;
 }
 
 /** Value of {@link FrameLoad.maxRatePerKs} for an endpoint that has stated that it has no limit. */
@@ -220,6 +224,8 @@
   failedPercent: varint,
   serviceMs: optionalInteger,
   maxRatePerKs: optionalInteger,
+  slownessPercent: optionalInteger,
+  slownessAgeMs: varint,
 };
 
 type Layout<F extends RelayFrame> = FieldType<Omit<F, 'kind'>>;
--- a/src/proxy/relay/relay-load.ts
+++ b/src/proxy/relay/relay-load.ts
@@ -1,4 +1,5 @@
 /** Conversion between load reports and the load fields of frames. */
+import type { SlownessReport } from '../../admission/reported-slowness.js';
 import type { LoadReport } from '../call.js';
 import { UNLIMITED_RATE, type FrameLoad } from './relay-frame.js';
 
@@ -17,6 +18,8 @@
     failedPercent: Math.round((load.failureShare ?? 0) * PERCENT),
     serviceMs: load.serviceMs === undefined ? undefined : Math.round(load.serviceMs),
     maxRatePerKs: ratePerKsOf(load.maxRatePerS),
+    slownessPercent: load.slowness?.percent,
+    slownessAgeMs: Math.round(load.slowness?.ageMs ?? 0),
   };
 }
 
@@ -39,9 +42,16 @@
   const { inFlight, slots, isDraining: draining, isNodeStopping, serviceMs } = frame;
   const failureShare = Math.min(1, frame.failedPercent / PERCENT);
   const maxRatePerS = ratePerSOf(frame.maxRatePerKs);
+  const slowness = slownessOf(frame);
   const leavingIncarnation = frame.leavingIncarnation || undefined;
   return {
     ...{ inFlight, slots, draining, isNodeStopping, leavingIncarnation },
-    ...{ failureShare, serviceMs, maxRatePerS },
+    ...{ failureShare, serviceMs, maxRatePerS, slowness },
   };
 }
+
+function slownessOf({ slownessPercent, slownessAgeMs }: FrameLoad): SlownessReport | undefined {
+  return slownessPercent === undefined
+    ? undefined
+    : { percent: slownessPercent, ageMs: slownessAgeMs };
+}
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -1,5 +1,6 @@
 /** Load, failures and draining of one endpoint as observed by one node (passive health checking). */
 
+import { ReportedSlowness, type SlownessReport } from '../admission/reported-slowness.js';
 import { FailureShare } from './failure-share.js';
 import { LatencyEstimates } from './latency-estimates.js';
 
@@ -67,13 +68,17 @@
   readonly serviceTime?: { readonly workClass: string; readonly meanMs: number };
   /** Rate limit that the endpoint has stated, in requests per second; Infinity for none. */
   readonly maxRatePerS?: number;
+  /** How long work takes at the endpoint at present. */
+  readonly slowness?: SlownessReport;
   /** Retry delay requested by the endpoint, in milliseconds. */
   readonly retryAfterMs?: number;
 }
 
 /** Observations of one endpoint. */
 export class EndpointRecord {
+  /** Latencies at the endpoint's usual speed. */
   readonly latencies = new LatencyEstimates();
+  private readonly slowness = new ReportedSlowness();
   private inFlight = 0;
   private otherInFlight = 0;
   private observedAtMs = 0;
@@ -210,6 +215,9 @@
       this.latencies.setReported(load.serviceTime.workClass, load.serviceTime.meanMs, nowMs);
       this.serviceMs = load.serviceTime.meanMs;
     }
+    if (load.slowness !== undefined) {
+      this.slowness.record(load.slowness, nowMs);
+    }
     if (load.maxRatePerS !== undefined) {
       this.maxRatePerS = load.maxRatePerS;
       this.maxRateReportedAtMs = nowMs;
@@ -226,6 +234,17 @@
     }
   }
 
+  /** Records the time after which an attempt was answered or given up. */
+  measureLatency(workClass: string, latencyMs: number, nowMs: number): void {
+    this.latencies.measure(workClass, latencyMs / this.slowness.factorAt(nowMs), nowMs);
+  }
+
+  /** Expected latency of the class of work without waiting, at the endpoint's present speed. */
+  expectedLatencyMs(workClass: string, fallbackMs: number, nowMs: number): number {
+    const usualMs = this.latencies.expectedMs(workClass, fallbackMs, nowMs);
+    return usualMs * this.slowness.factorAt(nowMs);
+  }
+
   /** Records that the endpoint's node refused the class of work for lack of capacity. */
   workRefused(workClass: string, holdMs: number, nowMs: number): void {
     this.refusesUntilMs.set(workClass, nowMs + Math.min(holdMs, MAX_REFUSAL_HOLD_MS));
--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -111,7 +111,7 @@
 
   /** Records the time after which an attempt was answered or given up. */
   latencyMeasured(endpoint: Endpoint, workClass: string, latencyMs: number, nowMs: number): void {
-    this.recordOf(endpoint, nowMs).latencies.measure(workClass, latencyMs, nowMs);
+    this.recordOf(endpoint, nowMs).measureLatency(workClass, latencyMs, nowMs);
   }
 
   /** Records that the endpoint's node refused the class of work and may have capacity again after `holdMs`. */
--- a/src/routing/least-latency-strategy.ts
+++ b/src/routing/least-latency-strategy.ts
@@ -72,7 +72,7 @@
     fallbackMs: number,
     nowMs: number,
   ): number {
-    const latencyMs = record.latencies.expectedMs(workClass, fallbackMs, nowMs);
+    const latencyMs = record.expectedLatencyMs(workClass, fallbackMs, nowMs);
     const { slots } = endpoint.spec;
     const loadWithThis = record.load(slots, nowMs) + 1 / record.usableSlots(slots, nowMs);
     const waiting = Math.max(0, loadWithThis - WAITING_LOAD);
--- a/standins/store-platform/backend-stand-in.ts
+++ b/standins/store-platform/backend-stand-in.ts
@@ -18,6 +18,9 @@
   isCut: boolean;
 }
 
+/** One request runs, none waits, four slots. */
+const DEFAULT_LOAD = '1,0,4';
+
 /** What becomes of a request; the stand-in answers it when this is left out. */
 export type BackendBehaviour = (
   request: IncomingMessage,
@@ -29,8 +32,10 @@
 export class BackendStandIn {
   readonly arrivals: Arrival[] = [];
   behaviour: BackendBehaviour = (_request, response, arrival) => {
-    answer(response, arrival.requestId);
+    answer(response, arrival.requestId, undefined, this.load);
   };
+  /** Value of the `Server-Load` header of its usual answers. */
+  load = DEFAULT_LOAD;
   /** Value of the `Server-Limit` header of its answers; undefined if it names no rate limit. */
   rateLimit: string | undefined;
   /** Whether its answers say that it leaves. */
@@ -114,11 +119,12 @@
   response: ServerResponse,
   requestId: string,
   body = `body ${requestId}`,
+  load = DEFAULT_LOAD,
 ): void {
   response.writeHead(200, {
     'Request-Id': requestId,
     'Server-Signature': `signature ${requestId}`,
-    'Server-Load': '1,0,4',
+    'Server-Load': load,
     'Content-Length': Buffer.byteLength(body),
   });
   response.end(body);
--- a/test/admission/unfinished-work.test.ts
+++ b/test/admission/unfinished-work.test.ts
@@ -34,7 +34,7 @@
     }
     nowMs += abandonedAfterMs;
     for (const requestId of sent) {
-      admission.recordUnfinished('call', abandonedAfterMs);
+      admission.recordUnfinished('call', abandonedAfterMs, nowMs);
       admission.release(requestId, nowMs);
     }
     return sent.length;
--- a/test/platform/formats.test.ts
+++ b/test/platform/formats.test.ts
@@ -178,6 +178,20 @@
     });
   }
 
+  it('reads how long work takes at present, and the load without it if it is no usable number', () => {
+    const loadOf = (text: string): unknown => {
+      const headers = { 'server-signature': 's', 'server-load': text };
+      const reading = ENDPOINT_PROTOCOL.readAnswer(message(200, headers), call);
+      return reading.kind === 'answer' ? reading.load : undefined;
+    };
+    const load = { inFlight: 5, slots: 8, draining: false };
+    expect(loadOf('3,2,8,250')).to.deep.equal({ ...load, slowness: { percent: 250, ageMs: 0 } });
+    expect(loadOf('3,2,8,99999')).to.have.nested.property('slowness.percent', 2_000);
+    for (const unusable of ['3,2,8', '3,2,8,', '3,2,8,x', '3,2,8,-1', '3,2,8,0']) {
+      expect(loadOf(unusable), unusable).to.deep.equal(load);
+    }
+  });
+
   it('reads the load, and keeps it from the client', () => {
     const reading = ENDPOINT_PROTOCOL.readAnswer(
       message(200, { 'server-signature': 's', 'server-load': '3,2,8' }),
--- a/test/proxy/relay/relay-frame.test.ts
+++ b/test/proxy/relay/relay-frame.test.ts
@@ -23,6 +23,8 @@
   failedPercent: fc.integer({ min: 0, max: 100 }),
   serviceMs: fc.option(fc.integer({ min: 0, max: 1_000_000 }), { nil: undefined }),
   maxRatePerKs: fc.option(fc.integer({ min: -1, max: 1e12 }), { nil: undefined }),
+  slownessPercent: fc.option(fc.integer({ min: 1, max: 10_000 }), { nil: undefined }),
+  slownessAgeMs: count,
 };
 
 const frames: fc.Arbitrary<RelayFrame> = fc.oneof(
