--- a/src/model/resource.ts
+++ b/src/model/resource.ts
@@ -92,6 +92,8 @@
   targets: z.array(routeTargetSchema).min(1).max(MAX_ROUTE_TARGETS).optional(),
   /** Whether a request may run more than once; absent means by method (GET, HEAD, OPTIONS may). */
   repeatable: z.boolean().optional(),
+  /** Whether answers are usually much larger than those of other routes; false when absent. */
+  largeAnswers: z.boolean().optional(),
   timeoutMs: timeoutSchema.optional(),
   /** Response time after which an answer is worth less to the caller, in milliseconds. */
   targetLatencyMs: timeoutSchema.optional(),
--- a/test/platform/formats.test.ts
+++ b/test/platform/formats.test.ts
@@ -30,6 +30,15 @@
     expect(record).to.have.nested.property('resources[3].spec.repeatable', false);
   });
 
+  /** Guards against a failed download that is not tried again. */
+  it('lets requests of routes with large answers run more than once', () => {
+    const text = JSON.stringify(platformConfiguration('1')).replace('"safe"', '"download"');
+    const record = readRecord('op/config', text);
+    expect(record).to.have.nested.property('resources[2].spec.repeatable', true);
+    expect(record).to.have.nested.property('resources[2].spec.largeAnswers', true);
+    expect(record).to.not.have.nested.property('resources[3].spec.largeAnswers');
+  });
+
   it('reads an endpoint, its machine and its state', () => {
     const entry = {
       address: '10.1.0.8:8080',
