Refuse a request that reached no endpoint before its deadline

Cause: a request that waited for a connection or for its body to be accepted was ended at its deadline, when its caller may have no time to try again; in the native protocol with 504. Change: shortly before the deadline, after the refusals of the endpoint's node have arrived, the caller's node refuses such a request with 503 and a retry delay. One timer for each request as before.

--- a/src/proxy/expiry-failure.ts
+++ b/src/proxy/expiry-failure.ts
@@ -1,6 +1,7 @@
-/** The error for a request whose deadline has passed. */
+/** Errors for requests that run out of time. */
 import {
   BodyTooSlowError,
+  CannotFinishInTimeError,
   DeadlinePassedError,
   TimedOutError,
   type RequestError,
@@ -15,3 +16,8 @@
     ? new DeadlinePassedError('the deadline passed before the request was forwarded')
     : new TimedOutError('no answer was received before the deadline');
 }
+
+/** The error for a request that has reached no endpoint shortly before its deadline. */
+export function unsentFailure(retryAfterMs: number): RequestError {
+  return new CannotFinishInTimeError('no endpoint was reached in time', retryAfterMs);
+}
--- a/src/proxy/request-event.ts
+++ b/src/proxy/request-event.ts
@@ -44,6 +44,8 @@
   | { readonly type: 'back-off-over' }
   /** The request can no longer be answered within its target latency, but may be before its deadline. */
   | { readonly type: 'target-missed' }
+  /** The deadline is near, and no attempt in flight can have reached an endpoint. */
+  | { readonly type: 'unsent-expiring'; readonly failure: RequestFailure }
   /** The deadline passed; `failure` reports it, and what is known about the attempts in flight. */
   | { readonly type: 'deadline'; readonly failure: RequestFailure }
   /** The node is stopping and can't wait any longer. */
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -11,7 +11,6 @@
 import type { RetryBudget } from '../routing/retry-budget.js';
 import { isEndpointAbsent, reachedEndpoint, type RequestFailure } from './request-error.js';
 import type { AttemptEvent, RequestEffect, RequestEvent } from './request-event.js';
-
 import type { RequestPolicy } from './request-policy.js';
 
 export type { RequestEffect, RequestEvent } from './request-event.js';
@@ -115,6 +114,8 @@
         return this.handleTargetMissed();
       case 'back-off-over':
         return this.state === 'backing-off' ? this.beginAttempt() : [];
+      case 'unsent-expiring':
+        return this.handleUnsentExpiry(event.failure);
       case 'deadline':
         return this.handleDeadline(event.failure);
       case 'give-up':
@@ -345,6 +346,17 @@
     return this.handleFailure(event.failure, event.canReplay, nowMs);
   }
 
+  /** Ends a request that has provably not run while its caller can still be told so before the deadline. */
+  private handleUnsentExpiry(failure: RequestFailure): RequestEffect[] {
+    const mayEnd = this.state === 'attempting' || this.state === 'backing-off';
+    if (!mayEnd || this.isInDoubt) {
+      return [];
+    }
+    return this.state === 'backing-off'
+      ? this.report(this.lastFailure ?? failure)
+      : this.abortAndReport(failure);
+  }
+
   /** An answer that is being forwarded continues, because its head arrived in time. */
   private handleDeadline(failure: RequestFailure): RequestEffect[] {
     if (this.state === 'answering') {
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -11,7 +11,7 @@
 import { EndpointChoice } from './endpoint-choice.js';
 import { CallerTries } from './caller-tries.js';
 import { recordIfLate } from './late-answer-record.js';
-import { expiryFailure } from './expiry-failure.js';
+import { expiryFailure, unsentFailure } from './expiry-failure.js';
 import { bufferAnswer } from './buffered-answer.js';
 import { RequestAttempt } from './request-attempt.js';
 import type { RequestBody } from './request-body.js';
@@ -25,6 +25,7 @@
   type RequestFailure,
 } from './request-error.js';
 import type { AwaitedResource } from './request-log.js';
+import { RequestExpiry } from './request-expiry.js';
 import { RequestLifecycle, type RequestEffect, type RequestEvent } from './request-lifecycle.js';
 import { requestPolicyOf } from './request-policy.js';
 import { RequestRecorder, type RecordedState } from './request-recorder.js';
@@ -58,7 +59,7 @@
   private readonly tries: CallerTries;
   private readonly throttling: RequestThrottling;
   private readonly recorder: RequestRecorder;
-  private readonly cancelDeadline: CancelTimer;
+  private readonly expiry: RequestExpiry;
   private cancelBackOff: CancelTimer | undefined;
 
   constructor(private readonly context: RequestContext) {
@@ -75,8 +76,12 @@
     );
     this.throttling = new RequestThrottling(context, this.endpointChoice);
     this.recorder = new RequestRecorder(context, this.startedAtMs, () => this.recordedState());
-    const remainingMs = deadlineAtMs - services.scheduler.now();
-    this.cancelDeadline = services.scheduler.schedule(remainingMs, () => this.handleDeadline());
+    this.expiry = new RequestExpiry({
+      scheduler: services.scheduler,
+      deadlineAtMs,
+      onExpiring: () => this.refuseIfUnsent(),
+      onExpired: () => this.handleDeadline(),
+    });
     context.response.onClose((isComplete, reason) => this.handleClose(isComplete, reason));
   }
 
@@ -426,9 +431,28 @@
     return this.body?.isReplayable() === true;
   }
 
-  private handleDeadline(): void {
+  /** A request whose body has yet to arrive waits for it until its deadline. */
+  private refuseIfUnsent(): void {
+    if (this.body === undefined || !this.isUnsent()) {
+      return;
+    }
+    const { counters, scheduler } = this.context.services;
+    const failure = unsentFailure(NO_ENDPOINT_RETRY_MS);
+    const effects = this.lifecycle.handle({ type: 'unsent-expiring', failure }, scheduler.now());
+    if (effects.length > 0) {
+      counters.add('ferryspool_unsent_requests_refused_total');
+      this.recordExpiry();
+      this.executeAll(effects);
+    }
+  }
+
+  private recordExpiry(): void {
     this.isExpired = true;
     this.attempts.forEach(({ endpoint }) => endpoint.recordLatency(this.endpointChoice.isLate));
+  }
+
+  private handleDeadline(): void {
+    this.recordExpiry();
     const isUnsent = this.attempts.size > 0 && this.isUnsent();
     const failure = expiryFailure(this.body !== undefined, isUnsent);
     this.handle({ type: 'deadline', failure });
@@ -447,7 +471,7 @@
 
   private cleanUp(): void {
     this.attempts.forEach((attempt) => attempt.stopAwaitingPeer());
-    this.cancelDeadline();
+    this.expiry.cancel();
     this.cancelBackOff?.();
   }
 }
--- a/test/proxy/request-lifecycle.test.ts
+++ b/test/proxy/request-lifecycle.test.ts
@@ -39,6 +39,8 @@
 });
 const DEADLINE: RequestEvent = { type: 'deadline', failure: late };
 
+const UNSENT_EXPIRING: RequestEvent = { type: 'unsent-expiring', failure: final };
+
 const giveUp = (isUnsent: boolean, wasPassedOn = false): RequestEvent => ({
   type: 'give-up',
   failure: isUnsent ? final : late,
@@ -74,6 +76,22 @@
     events: [START, failed(1, notRun, false)],
     expected: 'REFUSED not-run',
   },
+  {
+    name: 'refuses a request that reached no endpoint shortly before its deadline',
+    events: [START, UNSENT_EXPIRING],
+    expected: 'abort-attempt, FINAL not-run',
+  },
+  {
+    name: 'keeps a request that may have run until its deadline',
+    repeatable: true,
+    events: [START, failed(1, lost), BACK_OFF_OVER, UNSENT_EXPIRING],
+    expected: '',
+  },
+  {
+    name: 'keeps the answer of a request that is answered shortly before its deadline',
+    events: [START, answered(1), UNSENT_EXPIRING],
+    expected: '',
+  },
   {
     name: 'does not retry if no retries are left',
     retries: 0,
