Keep slots free for short, urgent work beside long work

Cause: slots are given by rank when one becomes free, but long work of low priority may occupy all slots of an endpoint; short calls, on which requests at other endpoints wait, then start after their deadline or are refused. Change: long, less urgent work may occupy the slots but a headroom, which follows from the recent arrivals and service times of more urgent, shorter work. Expected waits count with the lower number of slots.

--- a/src/admission/admission-queue.ts
+++ b/src/admission/admission-queue.ts
@@ -21,6 +21,8 @@
   readonly startByMs?: number | undefined;
 }
 
+type TicketFilter = (ticket: AdmissionTicket) => boolean;
+
 /** Tickets of one rank by caller's node, in round-robin order. */
 type RankQueues = Map<string, AdmissionTicket[]>;
 
@@ -45,9 +47,11 @@
     return this.queuedCount;
   }
 
-  /** Number of queued requests that are at least as urgent as `rank`. */
-  countAtLeastAsUrgent(rank: number): number {
-    return this.count(rank, (tickets) => tickets.length);
+  /** Number of queued requests that are at least as urgent as `rank` and match. */
+  countAtLeastAsUrgent(rank: number, matches?: TicketFilter): number {
+    return this.count(rank, (tickets) =>
+      matches === undefined ? tickets.length : tickets.filter(matches).length,
+    );
   }
 
   /** Number of queued requests that take places in the queue and are at least as urgent as `rank`. */
@@ -66,23 +70,42 @@
     this.queuedCount += 1;
   }
 
-  /** Removes and returns the next ticket; its node moves to the end of the round-robin order. */
-  dequeue(): AdmissionTicket | undefined {
-    const rank = this.extremeRank(Math.min);
-    const queues = rank === undefined ? undefined : this.ranks.get(rank);
-    const [first] = queues ?? [];
-    if (queues === undefined || rank === undefined || first === undefined) {
-      return undefined;
+  /**
+   * Removes and returns the next ticket that `canStart`; its node moves to the end of the round-robin order. Tickets that
+   * cannot start stay in their places.
+   */
+  dequeue(canStart: TicketFilter = () => true): AdmissionTicket | undefined {
+    const ranks = [...this.ranks.keys()].sort((one, other) => one - other);
+    for (const rank of ranks) {
+      const ticket = this.dequeueOfRank(rank, canStart);
+      if (ticket !== undefined) {
+        return ticket;
+      }
     }
-    const [callerNode, tickets] = first;
-    const ticket = tickets.shift();
-    queues.delete(callerNode);
-    if (tickets.length > 0) {
-      queues.set(callerNode, tickets);
+    return undefined;
+  }
+
+  private dequeueOfRank(rank: number, canStart: TicketFilter): AdmissionTicket | undefined {
+    const queues: RankQueues = this.ranks.get(rank) ?? new Map<string, AdmissionTicket[]>();
+    for (const [callerNode, tickets] of queues) {
+      const index = tickets.findIndex(canStart);
+      const [ticket] = index < 0 ? [] : tickets.splice(index, 1);
+      if (ticket !== undefined) {
+        queues.delete(callerNode);
+        if (tickets.length > 0) {
+          queues.set(callerNode, tickets);
+        }
+        this.dropEmptyRank(rank, queues);
+        this.queuedCount -= 1;
+        return ticket;
+      }
     }
-    this.dropEmptyRank(rank, queues);
-    this.queuedCount -= 1;
-    return ticket;
+    return undefined;
+  }
+
+  /** Whether a queued ticket matches. */
+  has(matches: TicketFilter): boolean {
+    return this.countAtLeastAsUrgent(Infinity, matches) > 0;
   }
 
   /** Removes a ticket; false when it is not queued. */
--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -14,6 +14,14 @@
 import { AdmissionQueue, rankOf, type AdmissionTicket } from './admission-queue.js';
 import { combineRateLimits, NO_RATE_LIMIT, type RateLimiter } from './rate-limiter.js';
 import { ServiceTimes } from './service-times.js';
+import {
+  restricts,
+  SHORT_WORK_RATIO,
+  SlotHeadroom,
+  slotsBeside,
+  type Headroom,
+  type RankedWork,
+} from './slot-headroom.js';
 import { isLateRank, onTimeRank } from './work-rank.js';
 
 export type { AdmissionTicket } from './admission-queue.js';
@@ -41,22 +49,29 @@
  */
 const NO_SLOT_RETRY_AFTER_MS = 1_000;
 
-/**
- * Work is short if its service time is below this share of that of the work which occupies the endpoint's slots: it
- * delays other requests little, and its caller may occupy a slot of another endpoint in the meantime.
- */
-const SHORT_WORK_RATIO = 0.6;
+/** Interval at which a request that headroom holds back is considered again, in milliseconds. */
+const HEADROOM_CHECK_MS = 500;
 /** Maximum wait of late work, as a multiple of the expected wait. */
 const LATE_WAIT_FACTOR = 3;
 
+/** A request that occupies a slot. */
+interface RunningWork {
+  readonly rank: number;
+  readonly workClass: string | undefined;
+}
+
 /** Slots and queue of one endpoint. */
 export class EndpointAdmission {
   private readonly queue = new AdmissionQueue();
-  /** Work classes of the running requests, by request id. */
-  private readonly running = new Map<string, string | undefined>();
+  /** The running requests by request id. */
+  private readonly running = new Map<string, RunningWork>();
   /** Ranks of the requests that hold a reservation while their bodies are in transit, by request id. */
   private readonly reserved = new Map<string, number>();
   private readonly serviceTimes = new ServiceTimes();
+  private readonly slotHeadroom = new SlotHeadroom();
+  /** The queued requests that headroom has kept from starting. */
+  private readonly delayedByHeadroom = new WeakSet<AdmissionTicket>();
+  private headroomDelayCount = 0;
   private closedFor: ClosedReason | undefined;
   /** Requests in flight at the endpoint, according to its last report, that this node does not count. */
   private unaccountedInFlight = 0;
@@ -70,7 +85,8 @@
 
   /**
    * The queue holds at most `maxWaiting` requests, and at most `queuedPerSlot` for each slot. `endpointLimiter`
-   * enforces the rate limit that the endpoint itself has stated.
+   * enforces the rate limit that the endpoint itself has stated. With `keepsHeadroom`, long work leaves slots free for
+   * more urgent work.
    */
   constructor(
     private slots: number,
@@ -78,6 +94,7 @@
     private readonly queuedPerSlot = DEFAULT_QUEUED_PER_SLOT,
     private readonly coldStartLimiter: RateLimiter = NO_RATE_LIMIT,
     endpointLimiter: RateLimiter = NO_RATE_LIMIT,
+    private readonly keepsHeadroom = true,
   ) {
     this.limitedRequests = new LimitedRequests(endpointLimiter);
     this.rateLimiter = combineRateLimits([coldStartLimiter, endpointLimiter]);
@@ -94,6 +111,21 @@
     return this.queue.size;
   }
 
+  /** Number of requests whose start headroom has delayed. */
+  get delayedByHeadroomCount(): number {
+    return this.headroomDelayCount;
+  }
+
+  /** Number of slots that long work leaves free for more urgent work. */
+  headroomSlots(nowMs: number): number {
+    const headrooms = this.headroomsAt(nowMs);
+    if (headrooms.length === 0) {
+      return 0;
+    }
+    const limit = this.limitAt(nowMs);
+    return Math.max(...headrooms.map((headroom) => limit - slotsBeside(headroom, limit)));
+  }
+
   /** Why new requests are refused; undefined while they are accepted. */
   get closedReason(): ClosedReason | undefined {
     return this.closedFor;
@@ -131,18 +163,23 @@
   }
 
   /**
-   * Time until a request that is queued because of a rate limit may be sent, at which to call {@link resume};
-   * undefined when there is none.
+   * Time until a request that is queued because of a rate limit or headroom may be sent, at which to call
+   * {@link resume}; undefined when there is none.
    */
   resumeDelayMs(nowMs: number): number | undefined {
-    const isRateLimited = this.queue.size > 0 && this.rateLimiter.availableAt(nowMs) === 0;
-    return isRateLimited ? this.rateLimiter.nextAvailableInMs(nowMs) : undefined;
+    if (this.queue.size === 0) {
+      return undefined;
+    }
+    if (this.rateLimiter.availableAt(nowMs) === 0) {
+      return this.rateLimiter.nextAvailableInMs(nowMs);
+    }
+    return this.running.size < this.limitAt(nowMs) ? HEADROOM_CHECK_MS : undefined;
   }
 
   /** Decides again on the queued requests after a rate limit has changed; the most urgent ones first. */
   rateLimitChanged(nowMs: number): AdmissionEffect[] {
     const tickets = this.queue.removeAll().sort((one, other) => rankOf(one) - rankOf(other));
-    return tickets.flatMap((ticket) => this.offer(ticket, nowMs));
+    return tickets.flatMap((ticket) => this.admit(ticket, nowMs));
   }
 
   /** Dispatches queued requests as far as the limits allow. */
@@ -203,14 +240,19 @@
   /** Dispatches, queues or refuses a request that has arrived. */
   offer(offered: AdmissionTicket, nowMs: number): AdmissionEffect[] {
     this.limitedRequests.recordOffer(nowMs);
+    this.slotHeadroom.recordArrival(this.rankedWorkOf(offered), nowMs);
+    return this.admit(offered, nowMs);
+  }
+
+  private admit(offered: AdmissionTicket, nowMs: number): AdmissionEffect[] {
     const hadReservation = this.reserved.delete(offered.requestId);
     const ticket = this.withoutMissedTarget(this.applyLateWorkRules(offered, nowMs), nowMs);
-    const hasCapacity = hadReservation || this.hasFreeSlot(nowMs);
+    const hasCapacity = hadReservation || this.hasFreeSlotFor(ticket, nowMs);
     const reason =
       this.refusalReasonFor(ticket, nowMs) ??
       (hasCapacity ? undefined : this.queueFullReasonFor(ticket, nowMs));
     if (reason !== undefined) {
-      return [this.refuse(ticket, reason, nowMs)];
+      return [this.refuse(ticket, reason, nowMs), ...this.fillSlots(nowMs)];
     }
     const displaced = this.displaceFor(ticket, nowMs);
     this.queue.enqueue({ ...ticket, isShort: this.isShort(ticket) });
@@ -222,12 +264,13 @@
    * answered.
    */
   release(requestId: string, nowMs: number, serviceMs?: number): AdmissionEffect[] {
-    const workClass = this.running.get(requestId);
-    if (!this.running.delete(requestId)) {
+    const ended = this.running.get(requestId);
+    if (ended === undefined) {
       return [];
     }
+    this.running.delete(requestId);
     if (serviceMs !== undefined) {
-      this.serviceTimes.measure(workClass, serviceMs);
+      this.serviceTimes.measure(ended.workClass, serviceMs);
       this.limit = Math.min(this.slots, this.limit + 1 / this.limit);
     }
     return this.fillSlots(nowMs);
@@ -250,9 +293,43 @@
     return Math.min(limit, this.running.size + this.rateLimiter.availableAt(nowMs));
   }
 
-  /** Whether a slot is free and no request is queued. */
-  private hasFreeSlot(nowMs: number): boolean {
-    return this.queue.size === 0 && this.running.size < this.limitAt(nowMs);
+  /** Whether a slot is free for the request, and for no queued one. */
+  private hasFreeSlotFor(ticket: AdmissionTicket, nowMs: number): boolean {
+    return (
+      this.running.size < this.limitAt(nowMs) &&
+      !this.isHeldBack(ticket, nowMs) &&
+      !this.queue.has((queued) => !this.isHeldBack(queued, nowMs))
+    );
+  }
+
+  private headroomsAt(nowMs: number): readonly Headroom[] {
+    const { slots } = this;
+    const { occupyingMs } = this.serviceTimes;
+    return this.keepsHeadroom ? this.slotHeadroom.at({ slots, occupyingMs }, nowMs) : [];
+  }
+
+  /** The headrooms that restrict the request. */
+  private headroomsFor(ticket: AdmissionTicket, nowMs: number): Headroom[] {
+    const work = this.rankedWorkOf(ticket);
+    return this.headroomsAt(nowMs).filter((headroom) => restricts(headroom, work));
+  }
+
+  /** Whether headroom keeps the request from starting. */
+  private isHeldBack(ticket: AdmissionTicket, nowMs: number): boolean {
+    return this.headroomsFor(ticket, nowMs).some(
+      (headroom) =>
+        this.restrictedRunning(headroom).length >= slotsBeside(headroom, this.limitAt(nowMs)),
+    );
+  }
+
+  private restrictedRunning(headroom: Headroom): RankedWork[] {
+    return [...this.running.values()]
+      .map(({ rank, workClass }) => ({ rank, serviceMs: this.serviceTimes.meanMs(workClass) }))
+      .filter((work) => restricts(headroom, work));
+  }
+
+  private rankedWorkOf(ticket: AdmissionTicket): RankedWork {
+    return { rank: rankOf(ticket), serviceMs: this.serviceTimes.meanMs(ticket.workClass) };
   }
 
   /**
@@ -261,7 +338,7 @@
    */
   private withoutMissedTarget(ticket: AdmissionTicket, nowMs: number): AdmissionTicket {
     const { targetAtMs = Infinity } = ticket;
-    return targetAtMs <= nowMs && this.hasFreeSlot(nowMs)
+    return targetAtMs <= nowMs && this.hasFreeSlotFor(ticket, nowMs)
       ? { ...ticket, targetAtMs: undefined }
       : ticket;
   }
@@ -278,9 +355,9 @@
       return ticket;
     }
     const { startByMs = Infinity } = ticket;
-    const priority = this.isShort(ticket) ? onTimeRank(rank) : rank;
-    const maxWaitMs = LATE_WAIT_FACTOR * this.expectedSlotWaitMs(priority, nowMs);
-    return { ...ticket, priority, startByMs: Math.max(startByMs, nowMs + maxWaitMs) };
+    const ranked = { ...ticket, priority: this.isShort(ticket) ? onTimeRank(rank) : rank };
+    const maxWaitMs = LATE_WAIT_FACTOR * this.expectedSlotWaitMs(ranked, nowMs);
+    return { ...ranked, startByMs: Math.max(startByMs, nowMs + maxWaitMs) };
   }
 
   private isShort({ workClass }: AdmissionTicket): boolean {
@@ -298,7 +375,7 @@
     if (this.isShort(ticket)) {
       return this.queue.size < this.maxWaiting ? undefined : 'queue-full';
     }
-    const freeSlots = Math.max(0, this.limitAt(nowMs) - this.running.size);
+    const freeSlots = this.freeSlotsFor(ticket, nowMs);
     const rank = rankOf(ticket);
     const reservedAhead = [...this.reserved.values()].filter((other) => other <= rank).length;
     const occupied = this.queue.placesTaken(rank) + reservedAhead;
@@ -308,13 +385,23 @@
     return hasCapacity ? undefined : 'queue-full';
   }
 
+  /** Number of free slots that the request may use. */
+  private freeSlotsFor(ticket: AdmissionTicket, nowMs: number): number {
+    const limit = this.limitAt(nowMs);
+    const freeBeside = this.headroomsFor(ticket, nowMs).map(
+      (headroom) => slotsBeside(headroom, limit) - this.restrictedRunning(headroom).length,
+    );
+    return Math.max(0, Math.min(limit - this.running.size, ...freeBeside));
+  }
+
   private get queueBound(): number {
     return Math.min(this.maxWaiting, this.slots * this.queuedPerSlot);
   }
 
   /** Displaces a request from a full queue in favour of one that is preferred to it. */
   private displaceFor(ticket: AdmissionTicket, nowMs: number): AdmissionEffect[] {
-    const isFull = !this.isShort(ticket) && this.queue.placesTaken() >= this.queueBound;
+    const needsPlace = !this.isShort(ticket) && !this.hasFreeSlotFor(ticket, nowMs);
+    const isFull = needsPlace && this.queue.placesTaken() >= this.queueBound;
     const displaced = isFull ? this.queue.displaceFor(ticket) : undefined;
     return displaced === undefined ? [] : [this.refuse(displaced, 'queue-full', nowMs)];
   }
@@ -331,7 +418,7 @@
       return 'queue-full';
     }
     const rank = rankOf(ticket);
-    const slotWaitMs = this.expectedSlotWaitMs(rank, nowMs);
+    const slotWaitMs = this.expectedSlotWaitMs(ticket, nowMs);
     if (this.waitsTooLong(ticket, slotWaitMs, nowMs)) {
       return 'cannot-finish-in-time';
     }
@@ -362,9 +449,10 @@
       : startAtMs > this.lastUsefulStartMs(ticket);
   }
 
-  /** Expected wait of a request of the rank that arrives now. */
-  private expectedWaitMs(rank: number, nowMs: number): number {
-    return Math.max(this.expectedSlotWaitMs(rank, nowMs), this.endpointLimitWaitMs(rank, nowMs));
+  /** Expected wait of the request if it arrives now. */
+  private expectedWaitMs(ticket: AdmissionTicket, nowMs: number): number {
+    const limitWaitMs = this.endpointLimitWaitMs(rankOf(ticket), nowMs);
+    return Math.max(this.expectedSlotWaitMs(ticket, nowMs), limitWaitMs);
   }
 
   /** Wait because of the rate limit that the endpoint has stated. */
@@ -373,11 +461,27 @@
   }
 
   /** Expected wait for a slot, by the measured service times, and until a cold endpoint may get the request. */
-  private expectedSlotWaitMs(rank: number, nowMs: number): number {
-    const waiting = this.queue.countAtLeastAsUrgent(rank);
+  private expectedSlotWaitMs(ticket: AdmissionTicket, nowMs: number): number {
+    const waiting = this.queue.countAtLeastAsUrgent(rankOf(ticket));
     const ahead = this.running.size + waiting - this.limit + 1;
     const slotWaitMs = ahead <= 0 ? 0 : (ahead * this.serviceTimes.overallMs) / this.limit;
-    return Math.max(slotWaitMs, this.coldStartLimiter.maxDelayMs(waiting + 1, nowMs));
+    return Math.max(
+      slotWaitMs,
+      this.coldStartLimiter.maxDelayMs(waiting + 1, nowMs),
+      ...this.headroomsFor(ticket, nowMs).map((headroom) => this.waitBesideMs(headroom, ticket)),
+    );
+  }
+
+  /** Expected wait of restricted work for one of the slots that the headroom leaves to it. */
+  private waitBesideMs(headroom: Headroom, ticket: AdmissionTicket): number {
+    const running = this.restrictedRunning(headroom);
+    const waiting = this.queue.countAtLeastAsUrgent(rankOf(ticket), (queued) =>
+      restricts(headroom, this.rankedWorkOf(queued)),
+    );
+    const slots = slotsBeside(headroom, Math.floor(this.limit));
+    const ahead = running.length + waiting - slots + 1;
+    const totalMs = running.reduce((sum, { serviceMs }) => sum + serviceMs, 0);
+    return ahead <= 0 ? 0 : (ahead * totalMs) / Math.max(1, running.length) / slots;
   }
 
   private refuse(ticket: AdmissionTicket, reason: RefusalReason, nowMs: number): AdmissionEffect {
@@ -392,9 +496,7 @@
     bodyWaitMs = 0,
   ): Refusal {
     const hasSlots = this.slots > 0;
-    const slotWaitMs = hasSlots
-      ? this.expectedWaitMs(rankOf(ticket), nowMs)
-      : NO_SLOT_RETRY_AFTER_MS;
+    const slotWaitMs = hasSlots ? this.expectedWaitMs(ticket, nowMs) : NO_SLOT_RETRY_AFTER_MS;
     const retryAfterMs = Math.max(MIN_RETRY_AFTER_MS, slotWaitMs, bodyWaitMs);
     return { requestId: ticket.requestId, reason, retryAfterMs };
   }
@@ -402,7 +504,7 @@
   private fillSlots(nowMs: number): AdmissionEffect[] {
     const effects: AdmissionEffect[] = [];
     while (this.running.size < this.limitAt(nowMs)) {
-      const ticket = this.queue.dequeue();
+      const ticket = this.queue.dequeue((queued) => this.mayStart(queued, nowMs));
       if (ticket === undefined) {
         break;
       }
@@ -411,6 +513,16 @@
     return effects;
   }
 
+  /** Whether headroom lets the queued request start; counts it the first time that it does not. */
+  private mayStart(queued: AdmissionTicket, nowMs: number): boolean {
+    const isHeldBack = this.isHeldBack(queued, nowMs);
+    if (isHeldBack && !this.delayedByHeadroom.has(queued)) {
+      this.delayedByHeadroom.add(queued);
+      this.headroomDelayCount += 1;
+    }
+    return !isHeldBack;
+  }
+
   /** Checks the deadline again, since the process may have been paused while the request was queued. */
   private dispatchOrRefuse(ticket: AdmissionTicket, nowMs: number): AdmissionEffect {
     if (ticket.deadlineAtMs <= nowMs) {
@@ -419,7 +531,7 @@
     if (this.isTooLate(ticket, nowMs)) {
       return this.refuse(ticket, 'cannot-finish-in-time', nowMs);
     }
-    this.running.set(ticket.requestId, ticket.workClass);
+    this.running.set(ticket.requestId, { rank: rankOf(ticket), workClass: ticket.workClass });
     this.limitedRequests.recordSent(nowMs);
     this.rateLimiter.recordSent(nowMs);
     return { type: 'dispatch', requestId: ticket.requestId };
--- a/src/admission/work-rank.ts
+++ b/src/admission/work-rank.ts
@@ -26,3 +26,13 @@
 export function onTimeRank(rank: number): number {
   return isLateRank(rank) ? rank - LATE_RANK_OFFSET : rank;
 }
+
+/** The priority of a rank; 0 is the most urgent. */
+export function priorityOf(rank: number): number {
+  return Math.floor(rank / RANKS_PER_PRIORITY);
+}
+
+/** The target latency of a rank, in milliseconds. */
+export function targetLatencyOf(rank: number): number {
+  return onTimeRank(rank) % RANKS_PER_PRIORITY;
+}
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -23,6 +23,7 @@
   coldStateUpdateOf,
   type EndpointGateConfig,
 } from './endpoint-gate-config.js';
+import { GateHeadroom } from './gate-headroom.js';
 import { failureEntry, refusalEntry, type GateLogState, type RecordedRefusal } from './gate-log.js';
 import { GateStatements, type RateLimitUse } from './gate-statements.js';
 import { GatedCall, type CallGate, type CancelLead } from './gated-call.js';
@@ -42,6 +43,8 @@
   readonly maxQueuedPerEndpoint: number;
   /** Maximum number of queued requests per slot of the endpoint; the default of admission when absent. */
   readonly maxQueuedPerSlot?: number;
+  /** Whether long work leaves slots free for more urgent work; it does when absent. */
+  readonly keepsHeadroom?: boolean;
   readonly cancelLead: CancelLead;
   /** What endpoints have stated about themselves; empty when absent. */
   readonly statements?: EndpointStatements;
@@ -58,6 +61,7 @@
   private readonly coldStartLimiter: ColdStartLimiter;
   private readonly statement: EndpointStatement;
   private readonly statements: GateStatements;
+  private readonly headroom: GateHeadroom;
   private cancelResume: CancelTimer | undefined;
   /** The endpoint as last configured. */
   private lastConfigured: Endpoint | undefined;
@@ -79,7 +83,7 @@
     private readonly options: GateOptions,
     startedAtMs = -Infinity,
   ) {
-    const { maxQueuedPerEndpoint, maxQueuedPerSlot } = options;
+    const { maxQueuedPerEndpoint, maxQueuedPerSlot, keepsHeadroom } = options;
     this.coldStartLimiter = new ColdStartLimiter(startedAtMs);
     this.statement = (options.statements ?? new EndpointStatements()).of(endpoint);
     this.admission = new EndpointAdmission(
@@ -88,6 +92,7 @@
       maxQueuedPerSlot,
       this.coldStartLimiter,
       this.statement.bucket,
+      keepsHeadroom,
     );
     this.statements = new GateStatements({
       endpointName: endpoint.name,
@@ -98,6 +103,7 @@
       onRateLimit: () => this.execute(this.admission.rateLimitChanged(options.scheduler.now())),
       onLeaving: () => this.updateClosed(),
     });
+    this.headroom = new GateHeadroom({ ...options, endpointName: endpoint.name });
     this.containment = options.containment ?? NO_CONTAINMENT;
     this.exitDetector = new ProcessExitDetector({
       inProgress: () => [...this.calls.values()].filter((gated) => gated.isInProgress()).reverse(),
@@ -122,6 +128,11 @@
     return this.admission.runningCount + this.waitingCount;
   }
 
+  /** Slots that long work leaves free for more urgent work. */
+  get headroomSlots(): number {
+    return this.admission.headroomSlots(this.options.scheduler.now());
+  }
+
   get rateLimitUse(): RateLimitUse {
     return this.statements.rateLimitUse;
   }
@@ -363,7 +374,7 @@
     }
   }
 
-  /** Schedules the dispatch of requests that are queued because of a rate limit. */
+  /** Schedules the dispatch of requests that are queued because of a rate limit or headroom. */
   private scheduleResume(): void {
     this.cancelResume?.();
     const { scheduler } = this.options;
@@ -428,13 +439,20 @@
         this.releaseSuspect(effect.requestId);
       }
     }
-    if (this.isRateLimited || this.cancelResume !== undefined) {
+    this.updateHeadroom();
+    if (this.needsResume || this.cancelResume !== undefined) {
       this.scheduleResume();
     }
   }
 
-  /** Whether a request waits because of a rate limit. */
-  private get isRateLimited(): boolean {
+  private updateHeadroom(): void {
+    const { headroomSlots, slots } = this;
+    const delayedCount = this.admission.delayedByHeadroomCount;
+    this.headroom.update({ headroomSlots, slots, delayedCount }, this.options.scheduler.now());
+  }
+
+  /** Whether a request waits because of a rate limit or headroom. */
+  private get needsResume(): boolean {
     return this.admission.resumeDelayMs(this.options.scheduler.now()) !== undefined;
   }
 }
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -77,6 +77,11 @@
     return [...this.gates.values()].filter(({ isCold }) => isCold).length;
   }
 
+  /** The number of slots, over all gates, that long work leaves free for more urgent work. */
+  get headroomSlots(): number {
+    return [...this.gates.values()].reduce((sum, gate) => sum + gate.headroomSlots, 0);
+  }
+
   /** The number of requests that wait at this node for a slot of the endpoint. */
   waitingFor(endpoint: Endpoint): number {
     return this.gates.get(incarnationOf(endpoint))?.waitingCount ?? 0;
--- a/src/proxy/proxy-limits.ts
+++ b/src/proxy/proxy-limits.ts
@@ -22,6 +22,8 @@
   readonly maxQueuedPerEndpoint: number;
   /** Maximum number of requests that wait for one endpoint, per slot of the endpoint. */
   readonly maxQueuedPerSlot: number;
+  /** Whether long work leaves slots of an endpoint free for more urgent work. */
+  readonly keepsHeadroom: boolean;
   /**
    * Time without a byte of a response body after which the exchange is aborted, in milliseconds.
    */
@@ -85,6 +87,7 @@
   maxQueuedPerEndpoint: 64,
   // A longer queue takes the time that a request has until its target latency.
   maxQueuedPerSlot: 1,
+  keepsHeadroom: true,
   answerIdleTimeoutMs: 60_000,
   maxCallsInFlight: 4_096,
   maxRetries: 2,
--- a/src/proxy/request-path.ts
+++ b/src/proxy/request-path.ts
@@ -62,6 +62,8 @@
   endpointStates(): EndpointStateReport[];
   /** Number of endpoints owned by this node that it considers cold. */
   coldEndpointCount(): number;
+  /** Number of slots of endpoints owned by this node that long work leaves free for more urgent work. */
+  headroomSlotCount(): number;
   /** Number of listed endpoints that have stated that they leave, to the knowledge of this node. */
   leavingEndpointCount(): number;
   /** Number of listed endpoints that name a rate limit, to the knowledge of this node. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -104,6 +104,7 @@
       ...(options.onEndpointMs && { onEndpointMs: options.onEndpointMs }),
       maxQueuedPerEndpoint: this.limits.maxQueuedPerEndpoint,
       maxQueuedPerSlot: this.limits.maxQueuedPerSlot,
+      keepsHeadroom: this.limits.keepsHeadroom,
       cancelLead: {
         cancelLeadShare: this.limits.cancelLeadShare,
         maxCancelLeadMs: this.limits.maxCancelLeadMs,
@@ -189,6 +190,10 @@
     return this.gateway.coldCount;
   }
 
+  headroomSlotCount(): number {
+    return this.gateway.headroomSlots;
+  }
+
   leavingEndpointCount(): number {
     return this.countEndpoints((endpoint) => this.statements.of(endpoint).isLeaving);
   }
--- a/src/routing/decaying-count.ts
+++ b/src/routing/decaying-count.ts
@@ -6,8 +6,9 @@
   /** `halfLifeMs` is the time after which an event has half of its weight. */
   constructor(private readonly halfLifeMs: number) {}
 
-  add(nowMs: number): void {
-    this.count = this.at(nowMs) + 1;
+  /** Adds an event; its weight is 1 unless given. */
+  add(nowMs: number, weight = 1): void {
+    this.count = this.at(nowMs) + weight;
     this.updatedAtMs = nowMs;
   }
 
--- a/src/runtime/store-node-metrics.ts
+++ b/src/runtime/store-node-metrics.ts
@@ -41,6 +41,11 @@
       () => snapshot()?.evacuatedZones.size ?? 0,
     ],
     ['cold_endpoints', 'Endpoints beside this node that are cold', () => proxy.coldEndpointCount()],
+    [
+      'headroom_slots',
+      'Slots of endpoints beside this node that long work leaves free for more urgent work',
+      () => proxy.headroomSlotCount(),
+    ],
     [
       'leaving_endpoints',
       'Listed endpoints that have said in their answers that they leave',
--- a/tools/experiment/emulated-node.ts
+++ b/tools/experiment/emulated-node.ts
@@ -188,6 +188,7 @@
       scheduler: this.process,
       maxQueuedPerEndpoint: limits.maxQueuedPerEndpoint,
       maxQueuedPerSlot: limits.maxQueuedPerSlot,
+      keepsHeadroom: limits.keepsHeadroom,
       cancelLead: { ...limits, slotFreedAfterCloseMs: CLOSE_NOTICE_MS },
       logStateChange: () => undefined,
       snapshot: () => fleet.snapshot,
