Refuse waiting requests earlier where timers or messages are late

Cause: the endpoint's node refused a waiting request 60 ms before its deadline. Where the event loop or the link is late by more, the refusal arrives after the deadline, and the caller's node has to report that the request may have run. Change: the recent delay of the node's timers and the excess transit time of the request are added to the lead, up to 150 ms, within the share of the remaining time. Evidence: test/proxy/expired-waiting.test.ts, three of four rows fail without the addition (refused 60 ms before the deadline).

--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -43,6 +43,8 @@
   /** Maximum number of queued requests per slot of the endpoint; the default of admission when absent. */
   readonly maxQueuedPerSlot?: number;
   readonly cancelLead: CancelLead;
+  /** Longest recent delay of the timers of this node, in milliseconds; 0 when absent. */
+  readonly eventLoopLagMs?: () => number;
   /** What endpoints have stated about themselves; empty when absent. */
   readonly statements?: EndpointStatements;
   readonly requestLog?: RequestLog;
@@ -138,6 +140,10 @@
     };
   }
 
+  eventLoopLagMs(): number {
+    return this.options.eventLoopLagMs?.() ?? 0;
+  }
+
   submit(call: Call, observer: AttemptObserver): Attempt {
     const { client, scheduler, cancelLead } = this.options;
     const gated = new GatedCall(this, client, this.endpoint, call, observer, scheduler, cancelLead);
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -53,6 +53,8 @@
 export interface CallGate {
   /** Load of the endpoint, with the mean service time of the work class. */
   load(workClass: string): LoadReport;
+  /** Longest recent delay of the timers of this node, in milliseconds. */
+  eventLoopLagMs(): number;
   /** Withdraws a request; returns true when it was still waiting. */
   withdraw(call: Call): boolean;
   /** Logs that a waiting request was refused and should be retried after `retryAfterMs`. */
@@ -152,9 +154,7 @@
   scheduleExpiry(latestStartAtMs: number): void {
     if (this.attempt === undefined && !this.isOver) {
       const nowMs = this.scheduler.now();
-      const remainingMs = this.call.deadlineAtMs - nowMs;
-      const leadMs = Math.max(this.cancelLeadMs(nowMs), refusalLeadMs(remainingMs));
-      const latestExpiryAtMs = this.call.deadlineAtMs - leadMs;
+      const latestExpiryAtMs = this.call.deadlineAtMs - this.unsentLeadMs(nowMs);
       const delayMs = Math.min(latestStartAtMs, latestExpiryAtMs) - nowMs;
       this.cancelTimer = this.scheduler.schedule(delayMs, () => this.expireWaiting());
     }
@@ -318,6 +318,16 @@
     return Math.min(maxCancelLeadMs, (this.call.deadlineAtMs - nowMs) * cancelLeadShare);
   }
 
+  /**
+   * Time before the deadline at which a request that was not sent is refused. The way back to the
+   * caller's node is expected to take as long as the way here.
+   */
+  private unsentLeadMs(nowMs: number): number {
+    const latenessMs = this.gate.eventLoopLagMs() + (this.call.travelLostMs ?? 0);
+    const leadMs = refusalLeadMs(this.call.deadlineAtMs - nowMs, latenessMs);
+    return Math.max(this.cancelLeadMs(nowMs), leadMs);
+  }
+
   private holdSlot(): void {
     const untilDeadlineMs = Math.max(0, this.call.deadlineAtMs - this.scheduler.now());
     const holdMs = this.cancelLead.slotFreedAfterCloseMs ?? untilDeadlineMs + ORPHAN_HOLD_MS;
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -109,6 +109,7 @@
         maxCancelLeadMs: this.limits.maxCancelLeadMs,
         slotFreedAfterCloseMs: this.endpointProtocol.slotFreedAfterCloseMs,
       },
+      eventLoopLagMs: () => this.eventLoopLag.recentMaxMs(MACHINE_TIME.now()),
       snapshot: () => options.snapshots.current(),
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
       coldShareFor: (endpoint) => this.services.coldShareFor(endpoint),
--- a/test/proxy/expired-waiting.test.ts
+++ b/test/proxy/expired-waiting.test.ts
@@ -10,6 +10,8 @@
 import { EMPTY_BODY } from '../../src/proxy/request-body.js';
 import type { RequestDecision } from '../../src/proxy/request-log.js';
 import { MACHINE_TIME } from '../../src/proxy/scheduler.js';
+import type { Scheduler } from '../../src/proxy/scheduler.js';
+import { VirtualScheduler } from '../../tools/emulator/virtual-scheduler.js';
 import { echoEndpoint, until } from './rig.js';
 
 const DEADLINE_MS = 100;
@@ -38,6 +40,20 @@
   };
 }
 
+function schedulerOf(clock: VirtualScheduler): Scheduler {
+  return {
+    now: () => clock.nowMs,
+    schedule: (delayMs, action) => {
+      let isCancelled = false;
+      const run = (): void => (isCancelled ? undefined : action());
+      clock.schedule(clock.nowMs + delayMs, { run });
+      return () => {
+        isCancelled = true;
+      };
+    },
+  };
+}
+
 describe('a request that waits until shortly before its deadline', () => {
   it('is logged by the node that refuses it', async () => {
     const decisions: RequestDecision[] = [];
@@ -75,4 +91,32 @@
     expect(deadlineLeftMs).to.be.within(0, DEADLINE_MS);
     expect(startLeftMs).to.be.at.most(deadlineLeftMs);
   });
+
+  /** Guards against refusals that reach the caller's node after the deadline, where they prove nothing any more. */
+  for (const { name, lagMs, travelLostMs, refusedAtMs } of [
+    { name: 'on a node that is on time', lagMs: 0, travelLostMs: 0, refusedAtMs: 1_440 },
+    { name: 'on a node whose timers are late', lagMs: 80, travelLostMs: 0, refusedAtMs: 1_360 },
+    { name: 'over a slow link', lagMs: 0, travelLostMs: 50, refusedAtMs: 1_390 },
+    { name: 'on a node that stands still', lagMs: 5_000, travelLostMs: 0, refusedAtMs: 1_290 },
+  ]) {
+    it(`is refused ${1_500 - refusedAtMs} ms before it ${name}`, () => {
+      const clock = new VirtualScheduler();
+      const gate = new EndpointGate(resourceSchema.parse(echoEndpoint('e1', 1)) as Endpoint, 1, {
+        client: UNRESPONSIVE_ENDPOINT,
+        counters: { add: () => undefined },
+        scheduler: schedulerOf(clock),
+        maxQueuedPerEndpoint: 10,
+        cancelLead: { cancelLeadShare: 0.1, maxCancelLeadMs: 10 },
+        eventLoopLagMs: () => lagMs,
+        logStateChange: () => undefined,
+      });
+      let failedAtMs: number | undefined;
+      const observer = { answered: () => undefined, failed: () => (failedAtMs ??= clock.nowMs) };
+      const call = { ...callOf('running', 0), deadlineAtMs: 60_000, travelLostMs };
+      gate.submit(call, { answered: () => undefined, failed: () => undefined });
+      gate.submit({ ...call, requestId: 'waiting', deadlineAtMs: 1_500 }, observer);
+      clock.runUntil(2_000);
+      expect(failedAtMs).to.equal(refusedAtMs);
+    });
+  }
 });
