--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -50,6 +50,8 @@
   /** Whether long work leaves slots free for more urgent work; it does when absent. */
   readonly keepsHeadroom?: boolean;
   readonly cancelLead: CancelLead;
+  /** Longest recent delay of the timers of this node, in milliseconds; 0 when absent. */
+  readonly eventLoopLagMs?: () => number;
   /** What endpoints have stated about themselves; empty when absent. */
   readonly statements?: EndpointStatements;
   readonly requestLog?: RequestLog;
@@ -154,6 +156,10 @@
     };
   }
 
+  eventLoopLagMs(): number {
+    return this.options.eventLoopLagMs?.() ?? 0;
+  }
+
   submit(call: Call, observer: AttemptObserver): Attempt {
     const { client, scheduler, cancelLead } = this.options;
     const gated = new GatedCall(this, client, this.endpoint, call, observer, scheduler, cancelLead);
