Refuse work at an idle endpoint that has too little time left

Cause: an idle endpoint starts every request so that its service time is measured anew, also one that arrives a few milliseconds before its deadline. It ends unserved, and its caller may not try again. Change: with less than half of the class's mean service time left, a request is refused at once, unless none of its class was started there for a second.

--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -10,6 +10,7 @@
   Refusal,
   RefusalReason,
 } from './admission-effect.js';
+import { IdleStarts } from './idle-starts.js';
 import { LimitedRequests } from './limited-requests.js';
 import { AdmissionQueue, rankOf, type AdmissionTicket } from './admission-queue.js';
 import { combineRateLimits, NO_RATE_LIMIT, type RateLimiter } from './rate-limiter.js';
@@ -57,6 +58,7 @@
   /** Ranks of the requests that hold a reservation while their bodies are in transit, by request id. */
   private readonly reserved = new Map<string, number>();
   private readonly serviceTimes = new ServiceTimes();
+  private readonly idleStarts = new IdleStarts();
   private closedFor: ClosedReason | undefined;
   /** Requests in flight at the endpoint, according to its last report, that this node does not count. */
   private unaccountedInFlight = 0;
@@ -352,16 +354,25 @@
 
   /**
    * Whether a request that starts at `startAtMs` cannot finish in time. For an idle endpoint this is true only under its
-   * own rate limit, so that its service time is measured again. `startByMs` is not considered, since it does not
+   * own rate limit or if little time is left, so that its service time is measured again. `startByMs` is not considered, since it does not
    * restrict a request that gets a free slot immediately.
    */
   private isTooLate(ticket: AdmissionTicket, startAtMs: number, hasToWait = false): boolean {
     const isIdle = this.running.size === 0 && !hasToWait;
     return isIdle
-      ? this.limitedRequests.isWasted(ticket, this.serviceTimes.meanMs(ticket.workClass), startAtMs)
+      ? this.isWastedOnIdle(ticket, startAtMs)
       : startAtMs > this.lastUsefulStartMs(ticket);
   }
 
+  private isWastedOnIdle(ticket: AdmissionTicket, nowMs: number): boolean {
+    const { workClass = '', deadlineAtMs } = ticket;
+    const meanMs = this.serviceTimes.meanMs(workClass);
+    return (
+      this.limitedRequests.isWasted(ticket, meanMs, nowMs) ||
+      this.idleStarts.isWasted({ workClass, deadlineAtMs, meanMs }, nowMs)
+    );
+  }
+
   /** Expected wait of a request of the rank that arrives now. */
   private expectedWaitMs(rank: number, nowMs: number): number {
     return Math.max(this.expectedSlotWaitMs(rank, nowMs), this.endpointLimitWaitMs(rank, nowMs));
@@ -421,6 +432,7 @@
     }
     this.running.set(ticket.requestId, ticket.workClass);
     this.limitedRequests.recordSent(nowMs);
+    this.idleStarts.recordStart(ticket.workClass ?? '', nowMs);
     this.rateLimiter.recordSent(nowMs);
     return { type: 'dispatch', requestId: ticket.requestId };
   }
