--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -10,6 +10,7 @@
   Refusal,
   RefusalReason,
 } from './admission-effect.js';
+import { IdleStarts } from './idle-starts.js';
 import { LimitedRequests } from './limited-requests.js';
 import { AdmissionQueue, rankOf, type AdmissionTicket } from './admission-queue.js';
 import { combineRateLimits, NO_RATE_LIMIT, type RateLimiter } from './rate-limiter.js';
@@ -75,6 +76,7 @@
   /** The queued requests that headroom has kept from starting. */
   private readonly delayedByHeadroom = new WeakSet<AdmissionTicket>();
   private headroomDelayCount = 0;
+  private readonly idleStarts = new IdleStarts();
   private closedFor: ClosedReason | undefined;
   /** Requests in flight at the endpoint, according to its last report, that this node does not count. */
   private unaccountedInFlight = 0;
@@ -461,17 +463,25 @@
 
   /**
    * Whether a request that starts at `startAtMs` cannot finish in time. For an idle endpoint this is true only under its
-   * own rate limit, so that its service time is measured again. `startByMs` is not considered, since it does not
-   * restrict a request that gets a free slot immediately.
+   * own rate limit or if little time is left, so that its service time is measured again. `startByMs` is not
+   * considered, since it does not restrict a request that gets a free slot immediately.
    */
   private isTooLate(ticket: AdmissionTicket, startAtMs: number, hasToWait = false): boolean {
     const isIdle = this.running.size === 0 && !hasToWait;
     const serviceMs = this.expectedServiceMs(ticket.workClass, startAtMs);
     return isIdle
-      ? this.limitedRequests.isWasted(ticket, serviceMs, startAtMs)
+      ? this.isWastedOnIdle(ticket, serviceMs, startAtMs)
       : startAtMs + serviceMs > usefulUntilMs(ticket);
   }
 
+  private isWastedOnIdle(ticket: AdmissionTicket, meanMs: number, nowMs: number): boolean {
+    const { workClass = '', deadlineAtMs } = ticket;
+    return (
+      this.limitedRequests.isWasted(ticket, meanMs, nowMs) ||
+      this.idleStarts.isWasted({ workClass, deadlineAtMs, meanMs }, nowMs)
+    );
+  }
+
   /** Expected wait of the request if it arrives now. */
   private expectedWaitMs(ticket: AdmissionTicket, nowMs: number): number {
     const limitWaitMs = this.endpointLimitWaitMs(rankOf(ticket), nowMs);
@@ -560,6 +570,7 @@
     }
     this.running.set(ticket.requestId, { rank: rankOf(ticket), workClass: ticket.workClass });
     this.limitedRequests.recordSent(nowMs);
+    this.idleStarts.recordStart(ticket.workClass ?? '', nowMs);
     this.rateLimiter.recordSent(nowMs);
     return { type: 'dispatch', requestId: ticket.requestId };
   }
