Owners announce free slots of their endpoints to recent senders

Cause: a node hears of an endpoint every few seconds, so that requests wait at endpoints chosen by old news while others have free slots.

Change: owners of endpoints that report their speed announce free slots to at most three recent senders, at a bounded rate (maxSlotAnnouncementsPerS, 5; 0 turns it off), in frames of the kind free-slots. Announced endpoints join the sampled candidates, are expected not to wait, and are used up by the requests sent on them. Counters of announcements sent, received, used and expired.

On sockets, slow-backend.test.ts.

--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -142,6 +142,13 @@
     return isRateLimited ? this.rateLimiter.nextAvailableInMs(nowMs) : undefined;
   }
 
+  /** Slots that a request could have at once; 0 while any request is queued or new requests are refused. */
+  freeSlotsAt(nowMs: number): number {
+    const isOpen = this.closedFor === undefined && this.slots > 0 && this.queue.size === 0;
+    const taken = this.running.size + this.reserved.size;
+    return isOpen ? Math.max(0, this.limitAt(nowMs) - taken) : 0;
+  }
+
   /** Decides again on the queued requests after a rate limit has changed; the most urgent ones first. */
   rateLimitChanged(nowMs: number): AdmissionEffect[] {
     const tickets = this.queue.removeAll().sort((one, other) => rankOf(one) - rankOf(other));
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -30,6 +30,11 @@
 import { ProcessExitDetector } from './loss-judge.js';
 import type { RequestError } from './request-error.js';
 import type { RequestLog } from './request-log.js';
+import {
+  SlotAnnouncements,
+  type AnnouncementReceiver,
+  type SlotAnnouncementOptions,
+} from './slot-announcements.js';
 import type { CancelTimer, Scheduler } from './scheduler.js';
 
 /** Reported slowness from which a report is counted as slow, in percent of usual. */
@@ -50,6 +55,8 @@
   /** What endpoints have stated about themselves; empty when absent. */
   readonly statements?: EndpointStatements;
   readonly requestLog?: RequestLog;
+  /** Announces free slots to senders; not announced when absent. */
+  readonly announcements?: SlotAnnouncementOptions;
   /** Called with the service time of each complete answer, in milliseconds. */
   readonly onEndpointMs?: (ms: number) => void;
   /** Logs a change of state. */
@@ -62,6 +69,7 @@
   private readonly coldStartLimiter: ColdStartLimiter;
   private readonly statement: EndpointStatement;
   private readonly statements: GateStatements;
+  private readonly announcements: SlotAnnouncements | undefined;
   private cancelResume: CancelTimer | undefined;
   /** The endpoint as last configured. */
   private lastConfigured: Endpoint | undefined;
@@ -93,6 +101,8 @@
       this.coldStartLimiter,
       this.statement.bucket,
     );
+    this.announcements =
+      options.announcements && new SlotAnnouncements(endpoint, options.announcements);
     this.statements = new GateStatements({
       endpointName: endpoint.name,
       statement: this.statement,
@@ -165,6 +175,22 @@
     this.admission.unreserve(call.requestId);
   }
 
+  /** Records a request that arrived from the receiver of announcements. */
+  senderSeen(sender: AnnouncementReceiver): void {
+    this.announcements?.senderSeen(sender, this.options.scheduler.now());
+  }
+
+  /** Announces free slots, if it is time to. */
+  announceFreeSlots(): void {
+    const nowMs = this.options.scheduler.now();
+    this.announcements?.announce(
+      this.admission.freeSlotsAt(nowMs),
+      this.admission.slownessAt(nowMs),
+      this.failureShare.at(nowMs),
+      nowMs,
+    );
+  }
+
   withdraw(call: Call): boolean {
     const gated = this.calls.get(call.requestId);
     const wasWaiting = gated !== undefined && this.removeWaiting(gated);
@@ -186,6 +212,7 @@
     }
     this.execute(this.admission.release(call.requestId, this.options.scheduler.now(), serviceMs));
     this.releaseSuspect(call.requestId);
+    this.announceFreeSlots();
   }
 
   recordUnfinished({ workClass }: Call, elapsedMs: number): void {
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -8,6 +8,7 @@
 import type { EndpointGateConfig } from './endpoint-gate-config.js';
 import type { RateLimitUse } from './gate-statements.js';
 import type { OwnedEndpoints } from './relay/relayed-request.js';
+import type { AnnouncementReceiver } from './slot-announcements.js';
 import type { RequestError } from './request-error.js';
 
 /**
@@ -58,6 +59,10 @@
     this.currentGate(endpoint).applyReportedRateLimit(maxRatePerS);
   }
 
+  senderSeen(endpoint: Endpoint, sender: AnnouncementReceiver): void {
+    this.currentGate(endpoint).senderSeen(sender);
+  }
+
   load(endpoint: Endpoint, workClass: string): LoadReport {
     return this.currentGate(endpoint).load(workClass);
   }
@@ -91,6 +96,7 @@
   /** To be called several times a second. */
   tick(): void {
     this.ticks += 1;
+    this.gates.forEach((gate) => gate.announceFreeSlots());
     if (this.ticks % TICKS_PER_RECONCILIATION === 0) {
       this.reconcile();
     }
--- a/src/proxy/proxy-limits.ts
+++ b/src/proxy/proxy-limits.ts
@@ -26,6 +26,8 @@
    * Time without a byte of a response body after which the exchange is aborted, in milliseconds.
    */
   readonly answerIdleTimeoutMs: number;
+  /** Maximum number of announcements of free slots of one endpoint per second; 0 for none. */
+  readonly maxSlotAnnouncementsPerS: number;
   /** Maximum number of callers' requests in flight; further requests are refused. */
   readonly maxCallsInFlight: number;
   /** Maximum number of attempts after the first for one request. */
@@ -85,6 +87,8 @@
   maxQueuedPerEndpoint: 64,
   // A longer queue takes the time that a request has until its target latency.
   maxQueuedPerSlot: 1,
+  // One a service time of some hundred milliseconds: a slot that is announced later has been taken.
+  maxSlotAnnouncementsPerS: 5,
   answerIdleTimeoutMs: 60_000,
   maxCallsInFlight: 4_096,
   maxRetries: 2,
--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -11,10 +11,17 @@
 import {
   decodeRelayFrame,
   encodeRelayFrame,
+  type FreeSlotsFrame,
   type RelayFrame,
   type StreamFrame,
 } from './relay-frame.js';
 
+/** Kinds of frames whose delivery is not checked. */
+const UNTRACKED_KINDS: ReadonlySet<RelayFrame['kind']> = new Set([
+  'ping',
+  'acknowledgement',
+  'free-slots',
+]);
 /** Maximum number of bytes queued in the socket; further body frames are queued by the connection. */
 const MAX_SOCKET_BACKLOG_BYTES = 64 * 1024;
 /**
@@ -35,6 +42,8 @@
   received(frames: readonly StreamFrame[]): void;
   /** The peer cancels an attempt whose request it sent on another connection. */
   attemptCancelled?(requestId: string): void;
+  /** The peer announces free slots of one of its endpoints. */
+  slotsAnnounced?(frame: FreeSlotsFrame): void;
   /** The connection was closed; called once. */
   closed(): void;
 }
@@ -94,7 +103,7 @@
     if (bytes === undefined) {
       return false;
     }
-    if (frame.kind !== 'ping' && frame.kind !== 'acknowledgement') {
+    if (!UNTRACKED_KINDS.has(frame.kind)) {
       this.recordSent();
     }
     const queue = frame.kind === 'body' ? this.bodyFrames : this.urgentFrames;
@@ -244,6 +253,8 @@
           acknowledgedMs = Math.max(acknowledgedMs, frame.pingSentAtMs);
         } else if (frame.kind === 'cancel-attempt') {
           this.observer.attemptCancelled?.(frame.requestId);
+        } else if (frame.kind === 'free-slots') {
+          this.observer.slotsAnnounced?.(frame);
         } else {
           frames.push(frame);
         }
--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -139,12 +139,25 @@
   readonly pingSentAtMs: number;
 }
 
+/** Announces free slots of an endpoint that the sender of the frame owns. */
+export interface FreeSlotsFrame {
+  readonly kind: 'free-slots';
+  readonly service: string;
+  /** See {@link ../../model/incarnation.ts}. */
+  readonly incarnation: string;
+  readonly freeSlots: number;
+  /** As in {@link FrameLoad}. */
+  readonly slownessPercent: number | undefined;
+  readonly slownessAgeMs: number;
+}
+
 /** A frame that belongs to one request. */
 export type StreamFrame =
   RequestFrame | AnswerFrame | FailureFrame | BodyFrame | CreditFrame | CancelFrame;
 
 /** Any frame of the protocol. */
-export type RelayFrame = StreamFrame | CancelAttemptFrame | PingFrame | AcknowledgementFrame;
+export type RelayFrame =
+  StreamFrame | CancelAttemptFrame | PingFrame | AcknowledgementFrame | FreeSlotsFrame;
 
 /** Frame kinds, indexed by their number on the wire; positions must never change. */
 const KINDS = [
@@ -157,6 +170,7 @@
   'ping',
   'acknowledgement',
   'cancel-attempt',
+  'free-slots',
 ] as const;
 const KIND_BYTES = 1;
 /** Allows for a head of 64 KiB whose bytes each take two in UTF-8, and for fields that nodes add to it. */
@@ -278,6 +292,13 @@
   ping: new PlainStruct({ pingSentAtMs: varint }),
   acknowledgement: new PlainStruct({ pingSentAtMs: varint }),
   'cancel-attempt': new PlainStruct({ requestId: text(MAX_REQUEST_ID_BYTES) }),
+  'free-slots': new PlainStruct({
+    service: shortText,
+    incarnation: longText,
+    freeSlots: varint,
+    slownessPercent: optionalInteger,
+    slownessAgeMs: varint,
+  }),
 };
 
 /** Encodes a frame with its length prefix. Throws {@link FrameError} if a value does not fit its field. */
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -2,12 +2,14 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
 import type { Endpoint } from '../../model/resource.js';
+import type { FreeSlotAnnouncement } from '../../routing/free-slot-announcements.js';
 import type { Attempt, AttemptObserver, Call } from '../call.js';
 import type { BeforeSend } from '../http-exchange.js';
 import type { Scheduler } from '../scheduler.js';
 import { ConnectionLiveness, LOSS_TIMEOUT_MS, type LivenessLimits } from './link-pulse.js';
 import { RelayConnection } from './relay-connection.js';
-import type { StreamFrame } from './relay-frame.js';
+import type { FreeSlotsFrame, StreamFrame } from './relay-frame.js';
+import { announcementOf } from './relay-load.js';
 import { RELAY_CLOCK_HEADER, RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
 import { RelayedAttempt } from './relayed-attempt.js';
 import { UnacknowledgedCancellations } from './unacknowledged-cancellations.js';
@@ -42,6 +44,8 @@
   readonly isListed?: (endpoint: Endpoint) => boolean;
   /** Returns a currently valid token; undefined if the fleet has no key. */
   readonly token: () => string | undefined;
+  /** Called when the peer announces free slots of one of its endpoints. */
+  readonly onFreeSlots?: (announcement: FreeSlotAnnouncement) => void;
   /** Runs the sending of each request at once or later; at once if absent. */
   readonly beforeSend?: BeforeSend;
 }
@@ -229,6 +233,7 @@
     const observer = {
       received: (frames: readonly StreamFrame[]) =>
         frames.forEach((frame) => this.handleFrame(frame)),
+      slotsAnnounced: (frame: FreeSlotsFrame) => this.options.onFreeSlots?.(announcementOf(frame)),
       closed: () => this.end('lost'),
     };
     this.connection = new RelayConnection(socket, head, observer, watch);
--- a/src/proxy/relay/relay-load.ts
+++ b/src/proxy/relay/relay-load.ts
@@ -1,7 +1,8 @@
 /** Conversion between load reports and the load fields of frames. */
 import type { SlownessReport } from '../../admission/reported-slowness.js';
+import type { FreeSlotAnnouncement } from '../../routing/free-slot-announcements.js';
 import type { LoadReport } from '../call.js';
-import { UNLIMITED_RATE, type FrameLoad } from './relay-frame.js';
+import { UNLIMITED_RATE, type FrameLoad, type FreeSlotsFrame } from './relay-frame.js';
 
 const PERCENT = 100;
 const SECONDS_PER_KS = 1_000;
@@ -23,6 +24,21 @@
   };
 }
 
+export function freeSlotsFrameOf(announcement: FreeSlotAnnouncement): FreeSlotsFrame {
+  const { service, incarnation, freeSlots, slowness } = announcement;
+  return {
+    kind: 'free-slots',
+    ...{ service, incarnation, freeSlots },
+    slownessPercent: slowness?.percent,
+    slownessAgeMs: Math.round(slowness?.ageMs ?? 0),
+  };
+}
+
+export function announcementOf(frame: FreeSlotsFrame): FreeSlotAnnouncement {
+  const { service, incarnation, freeSlots } = frame;
+  return { service, incarnation, freeSlots, slowness: slownessOf(frame) };
+}
+
 /** The rate limit as sent in frames; undefined if it is not known. */
 export function ratePerKsOf(maxRatePerS: number | undefined): number | undefined {
   if (maxRatePerS === undefined) {
@@ -50,7 +66,10 @@
   };
 }
 
-function slownessOf({ slownessPercent, slownessAgeMs }: FrameLoad): SlownessReport | undefined {
+function slownessOf({
+  slownessPercent,
+  slownessAgeMs,
+}: FrameLoad | FreeSlotsFrame): SlownessReport | undefined {
   return slownessPercent === undefined
     ? undefined
     : { percent: slownessPercent, ageMs: slownessAgeMs };
--- a/src/proxy/relay/relay-peer.ts
+++ b/src/proxy/relay/relay-peer.ts
@@ -3,6 +3,7 @@
 import type { CounterSink } from '../../control/control-event.js';
 import type { Endpoint } from '../../model/resource.js';
 import type { Snapshot } from '../../model/snapshot.js';
+import type { FreeSlotAnnouncement } from '../../routing/free-slot-announcements.js';
 import type { Call } from '../call.js';
 import type { ProxyLimits } from '../proxy-limits.js';
 import { NodeStoppingError, UnknownEndpointError } from '../request-error.js';
@@ -14,7 +15,8 @@
 import { RelayConnection } from './relay-connection.js';
 import type { RequestFrame, StreamFrame } from './relay-frame.js';
 import type { UnresponsiveConnection } from './relay-link.js';
-import { ratePerSOf } from './relay-load.js';
+import { freeSlotsFrameOf, ratePerSOf } from './relay-load.js';
+import type { AnnouncementReceiver } from '../slot-announcements.js';
 import { RelayedRequest, type OwnedEndpoints } from './relayed-request.js';
 import { TravelTime } from './travel-time.js';
 
@@ -77,12 +79,13 @@
 }
 
 /** Connection of one peer with its requests. */
-export class RelayPeer {
+export class RelayPeer implements AnnouncementReceiver {
   readonly remoteAddress: string | undefined;
   private readonly requests = new Map<number, RelayedRequest>();
   private readonly connection: RelayConnection;
   private readonly travelTime = new TravelTime();
   private readonly pendingRequests: PendingRequests;
+  private isEnded = false;
   private onClosed: () => void = () => undefined;
   /** When the last frame was sent to the peer in response to a request. */
   lastAnswerSentAtMs = -Infinity;
@@ -163,6 +166,12 @@
     return [...this.requests.values()].filter((request) => request.giveUp(requestLog)).length;
   }
 
+  announceSlots(announcement: FreeSlotAnnouncement): void {
+    if (!this.isEnded) {
+      this.connection.send(freeSlotsFrameOf(announcement));
+    }
+  }
+
   /** Cancels a request of this connection; returns false if there is none with the id. */
   cancelAttempt(requestId: string): boolean {
     if (this.pendingRequests.removeById(requestId)) {
@@ -231,6 +240,7 @@
     if (maxRatePerS !== undefined) {
       options.endpoints.rateLimitReported(endpoint, maxRatePerS);
     }
+    options.endpoints.senderSeen?.(endpoint, this);
     request.start(options.endpoints, endpoint, this.callOf(frame, request));
   }
 
@@ -269,6 +279,7 @@
   }
 
   private end(): void {
+    this.isEnded = true;
     this.pendingRequests.clear();
     for (const request of [...this.requests.values()]) {
       request.abandon('connection-closed', this.options.requestLog);
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -6,6 +6,7 @@
 import { EMPTY_BODY, BufferedBody, StreamedBody, type RequestBody } from '../request-body.js';
 import { refusalLeadMs } from '../refusal-lead.js';
 import { DeadlinePassedError, TruncatedAnswerError, type RequestError } from '../request-error.js';
+import type { AnnouncementReceiver } from '../slot-announcements.js';
 import type { AbandonCause, AwaitedResource, RequestLog } from '../request-log.js';
 import { onTimeRank } from '../../admission/work-rank.js';
 import { stopFailure } from '../stop-failure.js';
@@ -30,6 +31,8 @@
   load(endpoint: Endpoint, workClass: string): LoadReport;
   /** Applies the rate limit of the endpoint that a caller's node knows. */
   rateLimitReported(endpoint: Endpoint, maxRatePerS: number): void;
+  /** Records a request for the endpoint that arrived from the receiver of announcements. */
+  senderSeen?(endpoint: Endpoint, sender: AnnouncementReceiver): void;
 }
 
 /** A request received over a relay connection. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -22,6 +22,7 @@
 } from './endpoint-states.js';
 import { EndpointGateway } from './endpoint-gateway.js';
 import { EndpointStatements } from '../routing/endpoint-statements.js';
+import type { FreeSlotAnnouncement } from '../routing/free-slot-announcements.js';
 import { InputBarrier } from './input-barrier.js';
 import { EventLoopLag } from './loop-lateness.js';
 import { PauseDetector } from './pause-detector.js';
@@ -110,6 +111,14 @@
         slotFreedAfterCloseMs: this.endpointProtocol.slotFreedAfterCloseMs,
       },
       snapshot: () => options.snapshots.current(),
+      announcements: {
+        machineId: options.identity.id,
+        maxPerS: this.limits.maxSlotAnnouncementsPerS,
+        random: options.random,
+        counters: options.counters,
+        isStopping: () => this.plannedStop.isStopping,
+        announceHere: (announcement) => this.receiveAnnouncement(announcement),
+      },
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
       coldShareFor: (endpoint) => this.services.coldShareFor(endpoint),
       rateShareFor: (endpoint) => this.services.rateShareFor(endpoint),
@@ -329,12 +338,17 @@
       },
       onUnresponsive: ({ address }, connection) =>
         this.reportUnresponsiveRelay(`to ${address}`, connection),
+      onFreeSlots: (announcement) => this.receiveAnnouncement(announcement),
       isListed: (endpoint) => this.isListed(endpoint),
       addressOf: ({ spec }) =>
         spec.machine === undefined ? undefined : members.relayAddress(spec.machine),
     });
   }
 
+  private receiveAnnouncement(announcement: FreeSlotAnnouncement): void {
+    this.services.selector.slotsAnnounced(announcement, MACHINE_TIME.now());
+  }
+
   private isListed(endpoint: Endpoint): boolean {
     const { endpointsByService } = this.options.snapshots.current() ?? {};
     const listed = endpointsByService?.get(endpoint.spec.service) ?? [];
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -92,7 +92,7 @@
   private readonly budgets = new Map<string, RetryBudget>();
 
   constructor(private readonly options: RequestServicesOptions) {
-    this.selector = new EndpointSelector(options.random, options.hopCost);
+    this.selector = new EndpointSelector(options.random, options.hopCost, options.counters);
     this.targets = new WeightedTargets(options.random);
     this.requestLog = options.requestLog ?? NO_REQUEST_LOG;
     this.containment = options.containment ?? NO_CONTAINMENT;
--- a/src/routing/candidate-sample.ts
+++ b/src/routing/candidate-sample.ts
@@ -4,6 +4,7 @@
  * in.
  */
 import type { RandomSource } from '../control/control-event.js';
+import { incarnationOf } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
 
 /** Maximum number of sampled endpoints, besides those on the node's machine. */
@@ -16,6 +17,7 @@
   /** In the node's zone. */
   readonly sameZone: readonly Endpoint[];
   readonly all: readonly Endpoint[];
+  readonly byIncarnation: ReadonlyMap<string, Endpoint>;
 }
 
 /** Location of the node. */
@@ -49,6 +51,15 @@
     return drawn;
   }
 
+  /** The endpoint of the list; undefined if it is not in it. */
+  find(
+    endpoints: readonly Endpoint[],
+    incarnation: string,
+    location: SampleLocation,
+  ): Endpoint | undefined {
+    return this.partition(endpoints, location).byIncarnation.get(incarnation);
+  }
+
   private partition(
     endpoints: readonly Endpoint[],
     location: SampleLocation,
@@ -60,6 +71,7 @@
         local: endpoints.filter(({ spec }) => spec.machine === (machineId ?? '')),
         sameZone: endpoints.filter(({ spec }) => spec.zone === zone),
         all: endpoints,
+        byIncarnation: new Map(endpoints.map((one) => [incarnationOf(one), one])),
       };
       this.partitionedLists.set(endpoints, partitioned);
     }
--- a/src/routing/endpoint-record.ts
+++ b/src/routing/endpoint-record.ts
@@ -2,6 +2,7 @@
 
 import { ReportedSlowness, type SlownessReport } from '../admission/reported-slowness.js';
 import { FailureShare } from './failure-share.js';
+import type { ReceivedAnnouncement } from './free-slot-announcements.js';
 import { LatencyEstimates } from './latency-estimates.js';
 
 /** Duration of the slow start, over which a new endpoint's share of requests grows to the full share, in ms. */
@@ -163,6 +164,21 @@
     return (this.inFlight + otherInFlight) / usableSlots + penalty;
   }
 
+  /** Applies an announcement of free slots, which is newer than the latest load report. */
+  observeAnnouncement(
+    { receivedAtMs, slotsLeft, slowness }: ReceivedAnnouncement,
+    slots: number,
+  ): void {
+    if (receivedAtMs <= this.observedAtMs) {
+      return;
+    }
+    this.otherInFlight = Math.max(0, slots - slotsLeft - this.inFlight);
+    this.observedAtMs = receivedAtMs;
+    if (slowness !== undefined) {
+      this.slowness.record(slowness, receivedAtMs);
+    }
+  }
+
   /** Whether one more request may find a free slot, according to the known load. */
   mayHaveFreeSlot(slots: number, nowMs: number): boolean {
     return this.load(slots, nowMs) + 1 / this.usableSlots(slots, nowMs) <= 1;
--- a/src/routing/endpoint-selector.ts
+++ b/src/routing/endpoint-selector.ts
@@ -2,7 +2,7 @@
  * Selects the endpoint of an attempt among the eligible ones: by expected latency if the kind of work is known,
  * otherwise by zone and load. Pure: time and random numbers are passed in.
  */
-import type { RandomSource } from '../control/control-event.js';
+import type { CounterSink, RandomSource } from '../control/control-event.js';
 import { isInService } from '../model/evacuation.js';
 import { incarnationOf, startedBefore } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
@@ -14,10 +14,13 @@
   EndpointStrategy,
   WorkProfile,
 } from './endpoint-strategy.js';
+import { FreeSlotAnnouncements, type FreeSlotAnnouncement } from './free-slot-announcements.js';
 import { LeastLatencyStrategy } from './least-latency-strategy.js';
+import { WaitShares } from './wait-shares.js';
 import { ZoneFirstStrategy } from './zone-first-strategy.js';
 import type { AttemptOutcome, LoadObservation } from './endpoint-record.js';
 
+const NO_COUNTERS: CounterSink = { add: () => undefined };
 /** Maximum share of a service's endpoints that is ejected at the same time. */
 const MAX_EJECTED_SHARE = 0.5;
 /** Number of records from which idle ones are dropped. */
@@ -58,8 +61,13 @@
   private readonly zoneFirst: EndpointStrategy;
   private readonly leastLatency: EndpointStrategy;
 
+  private readonly announcements: FreeSlotAnnouncements;
+  /** By service, the share of recently reported loads of full endpoints. */
+  private readonly waitShares = new WaitShares();
+
   /** `hopCost` overrides the default cost of a hop over another node. */
-  constructor(random: RandomSource, hopCost?: number) {
+  constructor(random: RandomSource, hopCost?: number, counters: CounterSink = NO_COUNTERS) {
+    this.announcements = new FreeSlotAnnouncements(counters);
     this.sample = new CandidateSample(random);
     this.zoneFirst = new ZoneFirstStrategy(random);
     this.leastLatency = new LeastLatencyStrategy(random, hopCost);
@@ -82,11 +90,14 @@
       return this.zoneFirst.choose(healthyOf(eligible), context, nowMs)?.endpoint;
     }
     const candidates = this.candidatesFor(endpoints, context, work, nowMs);
-    return this.leastLatency.choose(candidates, context, nowMs)?.endpoint;
+    const hasAnnounced = candidates.some(({ isAnnounced }) => isAnnounced === true);
+    const waitShare = hasAnnounced ? this.waitShares.of(serviceOf(endpoints)) : 0;
+    return this.leastLatency.choose(candidates, { ...context, waitShare }, nowMs)?.endpoint;
   }
 
   attemptStarted(endpoint: Endpoint, nowMs: number): void {
     this.recordOf(endpoint, nowMs).attemptStarted();
+    this.announcements.use(endpoint.spec.service, incarnationOf(endpoint), nowMs);
   }
 
   /** Records the outcome of an attempt. `peers` are the endpoints of its service. */
@@ -138,6 +149,12 @@
   /** Records the load reported with a response or a refusal. */
   loadObserved(endpoint: Endpoint, load: LoadObservation, nowMs: number): void {
     this.recordOf(endpoint, nowMs).observeLoad(load, nowMs);
+    this.waitShares.record(endpoint.spec.service, load.inFlight > endpoint.spec.slots);
+  }
+
+  /** Records that the endpoint's node has announced free slots. */
+  slotsAnnounced(announcement: FreeSlotAnnouncement, nowMs: number): void {
+    this.announcements.add(announcement, nowMs);
   }
 
   /** Whether this node has ejected the endpoint because of failures. */
@@ -208,14 +225,38 @@
         this.isEligible(endpoint, context, nowMs)
       );
     };
+    const announced = this.announcedOf(endpoints, context, nowMs).filter(isCandidate);
     const sampled = this.sample.draw(endpoints, context, isCandidate);
-    if (sampled.length > 0) {
-      return sampled.map((endpoint) => ({ endpoint, record: this.recordOf(endpoint, nowMs) }));
+    const candidates = new Set([...announced, ...sampled]);
+    if (candidates.size > 0) {
+      return [...candidates].map((endpoint) => ({
+        endpoint,
+        record: this.recordOf(endpoint, nowMs),
+        isAnnounced: announced.includes(endpoint),
+      }));
     }
     const usable = healthyOf(this.eligibleOf(endpoints, context, nowMs));
     return usable.filter(({ record }) => !record.isRefusing(refusalClass, nowMs));
   }
 
+  /** The endpoints of the list whose free slots were announced. */
+  private announcedOf(
+    endpoints: readonly Endpoint[],
+    context: SelectionContext,
+    nowMs: number,
+  ): readonly Endpoint[] {
+    const service = serviceOf(endpoints);
+    const announced: Endpoint[] = [];
+    for (const announcement of this.announcements.current(service, nowMs)) {
+      const endpoint = this.sample.find(endpoints, announcement.incarnation, context);
+      if (endpoint !== undefined) {
+        this.recordOf(endpoint, nowMs).observeAnnouncement(announcement, endpoint.spec.slots);
+        announced.push(endpoint);
+      }
+    }
+    return announced;
+  }
+
   private eligibleOf(
     endpoints: readonly Endpoint[],
     context: SelectionContext,
@@ -311,6 +352,11 @@
   }
 }
 
+/** The service of a list of endpoints. */
+function serviceOf([first]: readonly Endpoint[]): string {
+  return first?.spec.service ?? '';
+}
+
 /** The candidates that are not ejected; all candidates if every one is ejected. */
 function healthyOf(candidates: readonly Candidate[]): readonly Candidate[] {
   const healthy = candidates.filter(({ record }) => !record.isEjected);
--- a/src/routing/endpoint-strategy.ts
+++ b/src/routing/endpoint-strategy.ts
@@ -6,6 +6,8 @@
 export interface Candidate {
   readonly endpoint: Endpoint;
   readonly record: EndpointRecord;
+  /** Whether the endpoint's node has just announced a free slot. */
+  readonly isAnnounced?: boolean;
 }
 
 /** The kind of work that a request causes. */
@@ -27,6 +29,11 @@
   readonly region: string;
   /** The machine that this node runs on; endpoints on other machines cost a hop. */
   readonly machineId?: string;
+  /**
+   * Probability that a request has to wait at an endpoint that has not announced a free slot, from 0 to 1; 0 if no
+   * candidate has.
+   */
+  readonly waitShare?: number;
   /** Undefined when the kind of work is not known. */
   readonly work?: WorkProfile | undefined;
 }
--- a/src/routing/least-latency-strategy.ts
+++ b/src/routing/least-latency-strategy.ts
@@ -30,6 +30,8 @@
 const TOLERATED_FAILURE_SHARE = 0.1;
 /** Load, as a share of the slots, above which requests are expected to wait. */
 const WAITING_LOAD = 0.85;
+/** Mean wait at an endpoint without a free slot, as a share of the latency. */
+const WAIT_IF_FULL = 2;
 /** Maximum share added at random to the expected latency, so that nodes with the same information choose differently. */
 const JITTER = 0.1;
 
@@ -53,7 +55,7 @@
     let best: Candidate | undefined;
     let bestCost = Infinity;
     for (const candidate of candidates) {
-      const expectedMs = this.expectedMs(candidate, work, fallbackMs, nowMs);
+      const expectedMs = this.expectedMs(candidate, work, fallbackMs, context, nowMs);
       const cost =
         latencyCost(expectedMs / work.targetLatencyMs) +
         distanceCost(candidate, context, this.hopCost) +
@@ -67,19 +69,29 @@
   }
 
   private expectedMs(
-    { endpoint, record }: Candidate,
+    candidate: Candidate,
     { workClass }: WorkProfile,
     fallbackMs: number,
+    context: ChoiceContext,
     nowMs: number,
   ): number {
-    const latencyMs = record.expectedLatencyMs(workClass, fallbackMs, nowMs);
-    const { slots } = endpoint.spec;
-    const loadWithThis = record.load(slots, nowMs) + 1 / record.usableSlots(slots, nowMs);
-    const waiting = Math.max(0, loadWithThis - WAITING_LOAD);
+    const latencyMs = candidate.record.expectedLatencyMs(workClass, fallbackMs, nowMs);
+    const waiting = candidate.isAnnounced === true ? 0 : expectedWait(candidate, context, nowMs);
     return (latencyMs + waiting * Math.max(1, latencyMs)) * (1 + JITTER * this.random());
   }
 }
 
+/** Expected wait as a share of the latency. */
+function expectedWait(
+  { endpoint, record }: Candidate,
+  { waitShare = 0 }: ChoiceContext,
+  nowMs: number,
+): number {
+  const { slots } = endpoint.spec;
+  const loadWithThis = record.load(slots, nowMs) + 1 / record.usableSlots(slots, nowMs);
+  return Math.max(0, loadWithThis - WAITING_LOAD) + waitShare * WAIT_IF_FULL;
+}
+
 /**
  * Expected latency of an endpoint without any estimate: the mean of the values reported for the other candidates,
  * so that it is preferred to slower ones, or the lowest measured value if none was reported.
--- a/test/platform/slow-backend.test.ts
+++ b/test/platform/slow-backend.test.ts
@@ -48,4 +48,16 @@
     const reported = /ferryspool_endpoint_slow_reports_total (\d+)/.exec(metrics);
     expect(Number(reported?.[1])).to.be.within(1, 6);
   }).timeout(15_000);
+
+  it('has its free slots announced to another node that sends requests', async () => {
+    owners.forEach(({ backend }) => (backend.load = '1,0,4,100'));
+    await receivedOf(20);
+    const metrics = await fleet.metrics(caller);
+    for (const event of ['received', 'used']) {
+      const counted = new RegExp(`ferryspool_slot_announcements_${event}_total (\\d+)`).exec(
+        metrics,
+      );
+      expect(Number(counted?.[1]), event).to.be.above(1);
+    }
+  }).timeout(15_000);
 });
--- a/test/proxy/relay/relay-frame.test.ts
+++ b/test/proxy/relay/relay-frame.test.ts
@@ -84,6 +84,14 @@
     bytes,
   }),
   fc.record({ kind: fc.constant('credit' as const), streamId: count, creditBytes: count }),
+  fc.record({
+    kind: fc.constant('free-slots' as const),
+    service: shortText,
+    incarnation: shortText,
+    freeSlots: count,
+    slownessPercent: load.slownessPercent,
+    slownessAgeMs: count,
+  }),
   fc.record({ kind: fc.constant('cancel' as const), streamId: count }),
   fc.record({
     kind: fc.constantFrom('ping' as const, 'acknowledgement' as const),
