Bound the bytes of an answer that are not part of its body

Cause: the HTTP parser reads empty lines, interim answers and the digits of a chunk size without a limit and reports none of them, so that nothing ended an endpoint, a store or a peer that sends them without end. With chunk-size digits, slow trailers and extensions the request outlived its deadline. The body of a refusal, of a health check and of an error answer that is kept was read without a bound as well.

Change: ResponseOverhead decides on each read of a response, from the bytes read and those that the parser added to the body. Unused bodies are discarded within bounds.

Not changed: a valid body whose head came in time is read until its receiver leaves or it is silent for answerIdleTimeoutMs.

--- a/src/peers/delta-fetch.ts
+++ b/src/peers/delta-fetch.ts
@@ -1,5 +1,6 @@
 /** Fetches the changes after a revision from a peer. */
 import http from 'node:http';
+import { boundResponse } from '../wire/bounded-response.js';
 import { ProgressTimer, type ProgressTimeouts } from '../clock/progress-timer.js';
 import type { FeedDelta } from './feed-delta.js';
 import { decodeDelta, MAX_MESSAGE_LENGTH } from './feed-message.js';
@@ -19,6 +20,7 @@
   return new Promise((resolve) => {
     const path = `${CHANGES_PATH}${revision}`;
     const request = http.get({ host, port, path, agent: false });
+    boundResponse(request);
     const timer = new ProgressTimer(FETCH_TIMEOUTS, () => request.destroy());
     request.on('error', () => resolve(undefined));
     request.on('close', () => {
--- a/src/peers/feed-client.ts
+++ b/src/peers/feed-client.ts
@@ -1,5 +1,6 @@
 /** Receives the feed of one peer at a time. */
 import http, { type ClientRequest, type IncomingMessage } from 'node:http';
+import { boundResponse } from '../wire/bounded-response.js';
 import { decodeFeedMessage, MAX_MESSAGE_LENGTH, type FeedMessage } from './feed-message.js';
 import { LineAssembler } from './line-assembler.js';
 
@@ -48,6 +49,7 @@
     const { port } = this.options;
     const path = `${FEED_PATH}${revision}`;
     const request = http.get({ host: peer, port, path, agent: false });
+    boundResponse(request);
     this.request = request;
     this.openPeer = peer;
     let reason = 'closed by the peer';
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -4,6 +4,8 @@
 import { MACHINE_CLOCK } from '../clock/machine-clock.js';
 import { incarnationOf } from '../model/incarnation.js';
 import type { Endpoint } from '../model/resource.js';
+import { discardBody } from '../wire/bounded-response.js';
+import type { OverheadFault } from '../wire/response-overhead.js';
 import type { AnswerStatement } from './answer-statement.js';
 import type { Answer, Call, LoadReport } from './call.js';
 import type { ParsedAnswer, EndpointProtocol } from './endpoint-protocol.js';
@@ -82,6 +84,14 @@
   readonly maxIdleEndpointConnectionMs: number;
 }
 
+/** Optional behaviour of the client. */
+export interface EndpointClientOptions {
+  /** See {@link ExchangeRequest.beforeSend}. */
+  readonly beforeSend?: BeforeSend;
+  /** Called when an answer is cut off because of bytes that are not part of its body. */
+  readonly onOverhead?: (endpoint: Endpoint, fault: OverheadFault) => void;
+}
+
 /** Connections to the endpoints that a node reaches directly. */
 export class EndpointClient implements EndpointConnector {
   /** By incarnation, until when each request gets a new connection, on the monotonic clock. */
@@ -94,13 +104,14 @@
   constructor(
     private readonly limits: EndpointClientLimits,
     private readonly protocol: EndpointProtocol,
-    private readonly beforeSend?: BeforeSend,
+    private readonly options: EndpointClientOptions = {},
   ) {
     this.agent = new ExchangeAgent(Infinity, limits.maxIdleEndpointConnectionMs);
   }
 
   send(endpoint: Endpoint, call: Call, remainingMs: number, observer: EndpointObserver): Exchange {
     const added = this.protocol.requestHeaders(endpoint, call, remainingMs);
+    const { beforeSend, onOverhead } = this.options;
     const request = {
       ...destinationOf(endpoint),
       method: call.method,
@@ -108,8 +119,10 @@
       headers: call.headers.concat(added),
       body: call.body,
       limits: this.limits,
+      remainingMs,
+      onOverhead: (fault: OverheadFault) => onOverhead?.(endpoint, fault),
       allowsUnframedAnswer: this.protocol.allowsUnframedAnswers,
-      ...(this.beforeSend && { beforeSend: this.beforeSend }),
+      ...(beforeSend && { beforeSend }),
     };
     return startExchange(this.agentFor(endpoint), request, {
       answered: (message, isComplete) =>
@@ -175,7 +188,7 @@
     const exchange = startExchange(this.controlAgent, request, {
       answered: (message) => {
         clearTimeout(timer);
-        message.resume();
+        discardBody(message);
         report(this.protocol.readDraining(message));
       },
       failed: () => {
@@ -248,7 +261,7 @@
         observer.failed('malformed');
         return;
       case 'refused':
-        message.resume();
+        discardBody(message);
         if (parsed.statement !== undefined) {
           observer.stated?.(parsed.statement);
         }
--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -5,6 +5,9 @@
 import http from 'node:http';
 import type { Socket } from 'node:net';
 import type { Duplex } from 'node:stream';
+import { MACHINE_CLOCK } from '../clock/machine-clock.js';
+import { boundResponse } from '../wire/bounded-response.js';
+import type { OverheadFault, ResponseTimes } from '../wire/response-overhead.js';
 import type { RequestBody } from './request-body.js';
 
 /**
@@ -55,6 +58,10 @@
   readonly headers: string[];
   readonly body: RequestBody;
   readonly limits: ExchangeLimits;
+  /** Time left for the response, in milliseconds; unlimited when absent. */
+  readonly remainingMs?: number;
+  /** Called when the response is cut off because of bytes that are not part of its body. */
+  readonly onOverhead?: (fault: OverheadFault) => void;
   /**
    * Whether a response without a length may be delimited by the end of its connection; false when
    * absent.
@@ -154,6 +161,7 @@
       setHost: false,
     };
     this.request = http.request(options);
+    boundResponse(this.request, this.responseTimes(), (fault) => this.handleOverhead(fault));
     this.request.once('socket', (socket) => this.sendWhenConnected(socket, exchange));
     this.request.on('response', (message) => this.handleResponse(message));
     this.request.on('error', (error) => this.fail(error));
@@ -176,6 +184,19 @@
     this.request.destroy();
   }
 
+  private responseTimes(): ResponseTimes {
+    const { remainingMs = Infinity, limits } = this.exchange;
+    return {
+      deadlineAtMs: MACHINE_CLOCK.now() + remainingMs,
+      bodyIdleTimeoutMs: limits.answerIdleTimeoutMs,
+    };
+  }
+
+  private handleOverhead(fault: OverheadFault): void {
+    this.exchange.onOverhead?.(fault);
+    this.settle('malformed');
+  }
+
   private sendWhenConnected(socket: Socket, exchange: ExchangeRequest): void {
     if (!socket.connecting) {
       this.passBarrier(exchange);
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -8,6 +8,7 @@
 import type { AwaitedMachine } from './awaited-attempts.js';
 import { LINGER_MS } from './lingering-close.js';
 import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
+import { recordAnswerOverhead } from './answer-overhead-record.js';
 import { ShutdownBuffering } from './answer-collection.js';
 import { CallerConnections } from './caller-connections.js';
 import { createCallerServer } from './caller-server.js';
@@ -89,9 +90,10 @@
     const { callerProtocol, endpointProtocol, containment = NO_CONTAINMENT } = options;
     this.callerProtocol = callerProtocol ?? NATIVE_CALLER_PROTOCOL;
     this.endpointProtocol = endpointProtocol ?? NATIVE_ENDPOINT_PROTOCOL;
-    this.endpointClient = new EndpointClient(this.limits, this.endpointProtocol, (send) =>
-      this.inputBarrier.pass(send),
-    );
+    this.endpointClient = new EndpointClient(this.limits, this.endpointProtocol, {
+      beforeSend: (send) => this.inputBarrier.pass(send),
+      onOverhead: (endpoint, fault) => recordAnswerOverhead(options, endpoint, fault),
+    });
     this.relayClient = this.makeRelayClient();
     this.gateway = new EndpointGateway({
       client: this.endpointClient,
