Back off before a repeat by the share of errors of the class

Cause: a repeatable request whose endpoint failed because one of its own calls was refused was sent again within 10 ms, failed again, and took the room that calls lack. Change: the back-off after an endpoint error grows with the share of errors among the recent answers of the class at this node, up to a quarter of the remaining time, with jitter. A single error has nearly no delay. The next endpoint is an untried one as before. The delay is a function of its own, apart from the lifecycle. Evidence: test/proxy/request-lifecycle.test.ts, 'backs off for longer the more requests of its class fail', fails without the added delay.

--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -13,6 +13,8 @@
   readonly retryable: boolean;
   /** Delay after which the caller should retry, in milliseconds; absent if a retry does not help. */
   readonly retryAfterMs?: number;
+  /** For endpoint errors: their share of the recent answers of the request's class, from 0 to 1. */
+  readonly faultShare?: number;
 }
 
 /** Base of every error of the request path. */
@@ -259,6 +261,13 @@
   override readonly code = 'ENDPOINT_FAULT';
   override readonly status = 502;
   override readonly retryable = true;
+
+  constructor(
+    message: string,
+    readonly faultShare = 0,
+  ) {
+    super(message);
+  }
 }
 
 /** The caller's connection ended before the answer was sent. */
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -12,13 +12,11 @@
 import { isEndpointAbsent, reachedEndpoint, type RequestFailure } from './request-error.js';
 import type { AttemptEvent, RequestEffect, RequestEvent } from './request-event.js';
 import type { RequestPolicy } from './request-policy.js';
+import { retryBackOffMs } from './retry-back-off.js';
 
 export type { RequestEffect, RequestEvent } from './request-event.js';
 export type { RequestPolicy } from './request-policy.js';
 
-/** Upper bound of the first back-off, in milliseconds; doubles with each attempt. */
-const FIRST_BACK_OFF_MS = 10;
-
 /**
  * - `attempting`: the current attempt is in flight and not among the suspects.
  * - `answering`: an answer is being forwarded.
@@ -318,7 +316,9 @@
     if (!this.mayRetry(failure, canReplay)) {
       return undefined;
     }
-    const delayMs = this.random() * FIRST_BACK_OFF_MS * 2 ** (this.attempt - 1);
+    const remainingMs = this.policy.deadlineAtMs - nowMs;
+    const { faultShare } = failure;
+    const delayMs = retryBackOffMs({ attempt: this.attempt, faultShare, remainingMs }, this.random);
     const beginsAtMs = nowMs + delayMs;
     const isTooLate =
       beginsAtMs >= this.policy.deadlineAtMs || this.mustReportNow(failure, beginsAtMs);
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -284,6 +284,9 @@
     if (answer.status < MIN_SERVER_ERROR_STATUS) {
       attempt.endpoint.recordLatency(this.endpointChoice.isLate);
     }
+    const { services, match } = this.context;
+    const isFault = answer.status >= MIN_SERVER_ERROR_STATUS;
+    services.faultShares.record(match.route.name, isFault, services.scheduler.now());
     const fault = this.faultOf(answer);
     this.handle({
       type: 'answered',
@@ -293,10 +296,13 @@
   }
 
   private faultOf(answer: Answer): RequestError | undefined {
-    const mayRetry = this.context.services.limits.retriesFaults && this.canReplay();
-    return mayRetry && answer.status >= MIN_SERVER_ERROR_STATUS
-      ? new EndpointFaultError(`the endpoint answered ${answer.status}`)
-      : undefined;
+    const { services, match } = this.context;
+    const mayRetry = services.limits.retriesFaults && this.canReplay();
+    if (!mayRetry || answer.status < MIN_SERVER_ERROR_STATUS) {
+      return undefined;
+    }
+    const faultShare = services.faultShares.shareOf(match.route.name, services.scheduler.now());
+    return new EndpointFaultError(`the endpoint answered ${answer.status}`, faultShare);
   }
 
   /** Buffers an answer that reports an endpoint error, in case no other attempt succeeds. */
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -16,6 +16,7 @@
 import type { MemberStatus } from '../wire/message.js';
 import { AwaitedAttempts } from './awaited-attempts.js';
 import type { EndpointPath } from './call.js';
+import { FaultShares } from './fault-shares.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import type { RelayAddress } from './relay/relay-client.js';
 import { NO_REQUEST_LOG, type RequestLog } from './request-log.js';
@@ -74,6 +75,7 @@
   readonly selector: EndpointSelector;
   readonly awaited = new AwaitedAttempts();
   readonly unserved = new UnservedRequests();
+  readonly faultShares = new FaultShares();
   readonly throttle: AdaptiveThrottle;
   readonly limits: ProxyLimits;
   readonly counters: CounterSink;
--- a/test/proxy/request-lifecycle.test.ts
+++ b/test/proxy/request-lifecycle.test.ts
@@ -358,6 +358,22 @@
     }
   });
 
+  /** Guards against repeats at once while most requests of a class fail, which fail again. */
+  it('backs off for longer the more requests of its class fail', () => {
+    const delayMs = (faultShare: number): number => {
+      const policy = policyOf({ deadlineAtMs: 4_000 });
+      const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
+      lifecycle.handle(START, 0);
+      const fault = { ...lost, faultShare };
+      const effects = lifecycle.handle({ type: 'answered', attempt: 1, fault }, 0);
+      return effects.reduce(
+        (ms, effect) => ms + (effect.type === 'back-off' ? effect.delayMs : 0),
+        0,
+      );
+    };
+    expect([delayMs(0), delayMs(0.1), delayMs(0.8)]).to.deep.equal([5, 80, 605]);
+  });
+
   it('does not back off past the deadline', () => {
     const policy = policyOf({ deadlineAtMs: 10 });
     const lifecycle = new RequestLifecycle(policy, new RetryBudget(), () => 0.5);
