Read what has arrived before a deadline is reported as may-have-run

Cause: on a late process the timer of the deadline runs before its sockets are read. A refusal that had arrived in time was unread then, and the caller was told that the request may have run, after which it may not try again. Change: the deadline is handled once the process has read what had arrived, as requests are sent; at once on a process that is on time. Evidence: test/proxy/unread-refusal.test.ts fails before (TIMED_OUT may-have-run).

--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -123,6 +123,7 @@
       statements: this.statements,
       isStopping: () => this.plannedStop.isStopping,
       maxUnreadMs: () => this.inputBarrier.maxUnreadMs,
+      whenInputRead: (action) => this.inputBarrier.pass(action),
       scheduler: MACHINE_TIME,
       direct: this.gateway,
       relay: this.relayClient,
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -80,7 +80,7 @@
       scheduler: services.scheduler,
       deadlineAtMs,
       onExpiring: () => this.refuseIfUnsent(),
-      onExpired: () => this.handleDeadline(),
+      onExpired: () => services.whenInputRead(() => this.handleDeadline()),
     });
     context.response.onClose((isComplete, reason) => this.handleClose(isComplete, reason));
   }
@@ -457,7 +457,11 @@
     this.attempts.forEach(({ endpoint }) => endpoint.recordLatency(this.endpointChoice.isLate));
   }
 
+  /** Called after the input that arrived before the deadline was read, which may hold a refusal or an answer. */
   private handleDeadline(): void {
+    if (this.lifecycle.isOver) {
+      return;
+    }
     this.recordExpiry();
     const isUnsent = this.attempts.size > 0 && this.isUnsent();
     const failure = expiryFailure(this.body !== undefined, isUnsent);
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -65,6 +65,8 @@
   readonly isStopping?: () => boolean;
   /** Longest time for which input may be unread, in milliseconds; 0 if absent. */
   readonly maxUnreadMs?: () => number;
+  /** Runs the action once the process has read what had arrived; at once if it is on time, or if absent. */
+  readonly whenInputRead?: (action: () => void) => void;
   /** Path to endpoints that this node connects to directly. */
   readonly direct: EndpointPath;
   /** Path through the node that owns the endpoint. */
@@ -90,6 +92,7 @@
   readonly onFailureMs: (ms: number) => void;
   readonly onLateAnswer: (service: string, times: RequestTimes) => void;
   readonly maxUnreadMs: () => number;
+  readonly whenInputRead: (action: () => void) => void;
   private readonly limitedSenders: LimitedSenders;
   private readonly budgets = new Map<string, RetryBudget>();
 
@@ -103,6 +106,7 @@
     this.onFailureMs = options.onFailureMs ?? (() => undefined);
     this.onLateAnswer = options.onLateAnswer ?? (() => undefined);
     this.maxUnreadMs = options.maxUnreadMs ?? (() => 0);
+    this.whenInputRead = options.whenInputRead ?? ((action) => action());
     this.counters = options.counters;
     this.random = options.random;
     this.throttle = new AdaptiveThrottle(options.random);
