--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -16,6 +16,7 @@
 import type { MemberStatus } from '../wire/message.js';
 import { AwaitedAttempts } from './awaited-attempts.js';
 import type { EndpointPath } from './call.js';
+import { FaultShares } from './fault-shares.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import type { RelayAddress } from './relay/relay-client.js';
 import { NO_REQUEST_LOG, type RequestLog } from './request-log.js';
@@ -64,6 +65,8 @@
   readonly isStopping?: () => boolean;
   /** Longest time for which input may be unread, in milliseconds; 0 if absent. */
   readonly maxUnreadMs?: () => number;
+  /** Runs the action once the process has read what had arrived; at once if it is on time, or if absent. */
+  readonly whenInputRead?: (action: () => void) => void;
   /** Path to endpoints that this node connects to directly. */
   readonly direct: EndpointPath;
   /** Path through the node that owns the endpoint. */
@@ -74,6 +77,7 @@
   readonly selector: EndpointSelector;
   readonly awaited = new AwaitedAttempts();
   readonly unserved = new UnservedRequests();
+  readonly faultShares = new FaultShares();
   readonly throttle: AdaptiveThrottle;
   readonly limits: ProxyLimits;
   readonly counters: CounterSink;
@@ -88,6 +92,7 @@
   readonly onFailureMs: (ms: number) => void;
   readonly onLateAnswer: (service: string, times: RequestTimes) => void;
   readonly maxUnreadMs: () => number;
+  readonly whenInputRead: (action: () => void) => void;
   private readonly limitedSenders: LimitedSenders;
   private readonly budgets = new Map<string, RetryBudget>();
 
@@ -101,6 +106,7 @@
     this.onFailureMs = options.onFailureMs ?? (() => undefined);
     this.onLateAnswer = options.onLateAnswer ?? (() => undefined);
     this.maxUnreadMs = options.maxUnreadMs ?? (() => 0);
+    this.whenInputRead = options.whenInputRead ?? ((action) => action());
     this.counters = options.counters;
     this.random = options.random;
     this.throttle = new AdaptiveThrottle(options.random);
