Send the bodies of a relay connection in turn

Cause: body frames of all streams were queued in order of arrival, and up to 64 KiB of them were passed to the socket ahead of time. An answer of some frames waited for everything that was queued of a large one.

Change: BodySchedule sends one frame of each stream in turn, and the socket takes further body frames only below 16 KiB, so that the turn is decided late.

--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -1,12 +1,13 @@
 /**
  * Framed connection between two nodes. Frames sent within one event loop iteration are combined into a single
  * write, and body frames are queued behind all others, so that a cancellation or a refusal does not wait for an
- * upload.
+ * upload. Bodies take turns; see {@link BodySchedule}.
  */
 import type { Duplex } from 'node:stream';
 import { FrameError } from '../../wire/frame-error.js';
 import { FrameReader } from '../../wire/frame-reader.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
+import { BodySchedule } from './body-schedule.js';
 import type { ConnectionLiveness } from './link-pulse.js';
 import {
   decodeRelayFrame,
@@ -15,8 +16,11 @@
   type StreamFrame,
 } from './relay-frame.js';
 
-/** Maximum number of bytes queued in the socket; further body frames are queued by the connection. */
-const MAX_SOCKET_BACKLOG_BYTES = 64 * 1024;
+/**
+ * Number of bytes queued in the socket from which on body frames are queued by the connection, which decides late
+ * whose turn it is: one frame of a body.
+ */
+const MAX_SOCKET_BACKLOG_BYTES = 16 * 1024;
 /**
  * Time after the first unacknowledged frame until a ping checks its delivery, in milliseconds, if nothing has been
  * received since. Idle time before the frame was sent does not count: it does not show whether the frame arrived.
@@ -51,7 +55,7 @@
 export class RelayConnection {
   private readonly reader = new FrameReader();
   private urgentFrames: Buffer[] = [];
-  private bodyFrames: Buffer[] = [];
+  private readonly bodyFrames = new BodySchedule();
   private isFlushDue = false;
   private isEnding = false;
   private isClosed = false;
@@ -97,8 +101,11 @@
     if (frame.kind !== 'ping' && frame.kind !== 'acknowledgement') {
       this.recordSent();
     }
-    const queue = frame.kind === 'body' ? this.bodyFrames : this.urgentFrames;
-    queue.push(bytes);
+    if (frame.kind === 'body') {
+      this.bodyFrames.enqueue(frame.streamId, bytes);
+    } else {
+      this.urgentFrames.push(bytes);
+    }
     if (!this.isFlushDue) {
       this.isFlushDue = true;
       setImmediate(() => this.flush());
@@ -131,7 +138,7 @@
     }
     if (step === 'ping') {
       const pingSentAtMs = Math.floor(nowMs);
-      this.deliveryPingAtMs = this.bodyFrames.length === 0 ? pingSentAtMs : undefined;
+      this.deliveryPingAtMs = this.bodyFrames.isEmpty ? pingSentAtMs : undefined;
       this.send({ kind: 'ping', pingSentAtMs });
       this.flush();
     }
@@ -207,8 +214,11 @@
     const due = this.urgentFrames;
     this.urgentFrames = [];
     let dueBytes = this.socket.writableLength + byteLengthOf(due);
-    while (this.bodyFrames.length > 0 && dueBytes < MAX_SOCKET_BACKLOG_BYTES) {
-      const next = this.bodyFrames.shift() ?? Buffer.alloc(0);
+    while (dueBytes < MAX_SOCKET_BACKLOG_BYTES) {
+      const next = this.bodyFrames.next();
+      if (next === undefined) {
+        break;
+      }
       due.push(next);
       dueBytes += next.length;
     }
@@ -216,14 +226,14 @@
       const bytes = due.length === 1 ? due[0] : Buffer.concat(due);
       this.socket.write(bytes, () => this.flushBodies());
     }
-    if (this.isEnding && this.bodyFrames.length === 0) {
+    if (this.isEnding && this.bodyFrames.isEmpty) {
       this.socket.end();
     }
   }
 
   /** Continues with queued body frames once the previous write completes, whether or not `drain` is emitted. */
   private flushBodies(): void {
-    if (this.bodyFrames.length > 0) {
+    if (!this.bodyFrames.isEmpty) {
       this.flush();
     }
   }
