--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -94,6 +94,23 @@
     return this.queue.size;
   }
 
+  /** Number of slots that no request needs: free, not reserved and with no request queued. */
+  unusedSlots(nowMs: number): number {
+    const isOpen = this.closedFor === undefined && this.slots > 0;
+    const used = this.running.size + this.reserved.size;
+    return isOpen && this.hasFreeSlot(nowMs) ? Math.max(0, this.limitAt(nowMs) - used) : 0;
+  }
+
+  /** Whether the request holds a reservation. */
+  hasReservation(requestId: string): boolean {
+    return this.reserved.has(requestId);
+  }
+
+  /** The refusal of a request that has to wait for others although the queue has a place for it. */
+  refuseInFavourOfOthers(ticket: AdmissionTicket, nowMs: number): Refusal {
+    return this.refusal(ticket, 'queue-full', nowMs);
+  }
+
   /** Why new requests are refused; undefined while they are accepted. */
   get closedReason(): ClosedReason | undefined {
     return this.closedFor;
--- a/src/proxy/attempt-call.ts
+++ b/src/proxy/attempt-call.ts
@@ -2,7 +2,8 @@
 import type { Call } from './call.js';
 import type { RequestBody } from './request-body.js';
 import type { RequestContext } from './request-context.js';
-import { workOf } from './request-work.js';
+import { offeredWork, workOf } from './request-work.js';
+import type { SlotWish } from './waiting/slot-offer.js';
 
 /** The start of one attempt. Times are on the node's clock, in milliseconds. */
 export interface AttemptStart {
@@ -16,15 +17,20 @@
   readonly isLate: boolean;
   /** Rate limit of the endpoint; undefined if this node knows none. */
   readonly knownMaxRatePerS: number | undefined;
+  /** Present if the request would wait for a slot. */
+  readonly slotWish: SlotWish | undefined;
+  /** The offered slot that the attempt is for; undefined if there is none. */
+  readonly offerId: number | undefined;
 }
 
 /** The call that is sent to the attempt's endpoint. */
 export function callOf(context: RequestContext, body: RequestBody, start: AttemptStart): Call {
   const { method, target, headers, attemptPrefix, deadlineAtMs, services, match } = context;
   const { attempt, retriesLeft, firstArrivedAtMs, attemptStartedAtMs } = start;
-  const { isLate, knownMaxRatePerS } = start;
+  const { isLate, knownMaxRatePerS, slotWish, offerId } = start;
+  const work = workOf(match.route, firstArrivedAtMs, attemptStartedAtMs, isLate);
   return {
-    ...workOf(match.route, firstArrivedAtMs, attemptStartedAtMs, isLate),
+    ...(offerId === undefined ? work : offeredWork(work, match.route, attemptStartedAtMs)),
     requestId: `${attemptPrefix}.${attempt}`,
     method,
     target,
@@ -35,5 +41,7 @@
     isRepeatable: match.repeatable,
     retriesLeft,
     ...(knownMaxRatePerS !== undefined && { knownMaxRatePerS }),
+    ...(slotWish !== undefined && { slotWish }),
+    ...(offerId !== undefined && { offerId }),
   };
 }
--- a/src/proxy/attempt-errors.ts
+++ b/src/proxy/attempt-errors.ts
@@ -62,13 +62,21 @@
     : new EndpointRefusedError(`endpoint ${name} refused the request`, retryAfterMs);
 }
 
-/** The error for a refusal by admission. */
-export function admissionError(reason: RefusalReason, retryAfterMs: number): RequestError {
+/** The error for a refusal by admission; `slotWaitMs` as in {@link RequestError}. */
+export function admissionError(
+  reason: RefusalReason,
+  retryAfterMs: number,
+  slotWaitMs?: number,
+): RequestError {
   switch (reason) {
     case 'queue-full':
-      return new OverloadedError('the queue of the endpoint is full', retryAfterMs);
+      return new OverloadedError('the queue of the endpoint is full', retryAfterMs, slotWaitMs);
     case 'cannot-finish-in-time':
-      return new CannotFinishInTimeError('the request cannot finish in time', retryAfterMs);
+      return new CannotFinishInTimeError(
+        'the request cannot finish in time',
+        retryAfterMs,
+        slotWaitMs,
+      );
     case 'deadline-passed':
       return new DeadlinePassedError(
         'the deadline passed while the request was queued',
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -5,6 +5,7 @@
 import type { RequestBody } from './request-body.js';
 import type { RequestError } from './request-error.js';
 import type { EndpointNodeTimes } from './request-times.js';
+import type { SlotListener, SlotOffer, SlotWish } from './waiting/slot-offer.js';
 
 /** One attempt's request, as sent to an endpoint or to its node. */
 export interface Call {
@@ -36,6 +37,10 @@
   readonly knownMaxRatePerS?: number | undefined;
   /** How much longer than usual the call took to reach this node, in milliseconds. */
   readonly travelLostMs?: number;
+  /** Present if the request would wait for a slot after a refusal for lack of capacity. */
+  readonly slotWish?: SlotWish | undefined;
+  /** The offered slot that the request is sent for; undefined if there is none. */
+  readonly offerId?: number | undefined;
 }
 
 /** The load of an endpoint, as reported by the endpoint and by the node that owns it. */
@@ -116,4 +121,6 @@
 /** Submits calls to endpoints, directly or through another node. */
 export interface EndpointPath {
   submit(endpoint: Endpoint, call: Call, observer: AttemptObserver): Attempt;
+  /** Declines a slot that this node offered to `listener`. */
+  slotDeclined?(offer: SlotOffer, listener: SlotListener): void;
 }
--- a/src/proxy/endpoint-choice.ts
+++ b/src/proxy/endpoint-choice.ts
@@ -46,6 +46,16 @@
     this.tried.add(incarnation);
   }
 
+  /** Lowest service time that an endpoint's node reported for this class of work; undefined if none did. */
+  get serviceMs(): number | undefined {
+    return this.minServiceMs;
+  }
+
+  /** Allows the endpoints that refused for lack of capacity or time to be chosen again. */
+  retryRefused(): void {
+    this.refusingEndpoints.forEach((incarnation) => this.tried.delete(incarnation));
+  }
+
   /** Records that the endpoint's node refused for lack of capacity or time. */
   markRefused(incarnation: string): void {
     this.refusingEndpoints.add(incarnation);
@@ -77,7 +87,7 @@
   /** Makes the request late; nodes that could not answer in time may be tried again. */
   private turnLate(): void {
     this.hasTurnedLate = true;
-    this.refusingEndpoints.forEach((incarnation) => this.tried.delete(incarnation));
+    this.retryRefused();
     this.onLate();
   }
 }
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -5,6 +5,7 @@
   type AdmissionEffect,
   type BodyArrival,
   type ClosedReason,
+  type Refusal,
 } from '../admission/endpoint-admission.js';
 import { NO_CONTAINMENT, type CallContainment } from '../containment/containment.js';
 import { SuspectLane } from '../containment/suspect-lane.js';
@@ -30,6 +31,8 @@
 import type { RequestError } from './request-error.js';
 import type { RequestLog } from './request-log.js';
 import type { CancelTimer, Scheduler } from './scheduler.js';
+import type { SlotListener } from './waiting/slot-offer.js';
+import { SlotOffers } from './waiting/slot-offers.js';
 
 /** Options shared by all gates of a node. */
 export interface GateOptions {
@@ -48,6 +51,8 @@
   readonly requestLog?: RequestLog;
   /** Called with the service time of each complete answer, in milliseconds. */
   readonly onEndpointMs?: (ms: number) => void;
+  /** Whether the node is in a planned stop, so that it offers no slots; never if absent. */
+  readonly isStopping?: () => boolean;
   /** Logs a change of state. */
   readonly logStateChange: (what: string, detail: string) => void;
 }
@@ -66,6 +71,7 @@
   private readonly containment: CallContainment;
   private readonly exitDetector: ProcessExitDetector<GatedCall>;
   private readonly suspectLimiter = new SuspectLane();
+  private readonly slotOffers: SlotOffers;
   /** Suspected requests that wait until other suspected requests have ended. */
   private readonly deferredSuspects = new Set<GatedCall>();
   private isProbing = false;
@@ -98,6 +104,12 @@
       onRateLimit: () => this.execute(this.admission.rateLimitChanged(options.scheduler.now())),
       onLeaving: () => this.updateClosed(),
     });
+    this.slotOffers = new SlotOffers({
+      endpoint,
+      scheduler: options.scheduler,
+      counters: options.counters,
+      freeSlots: () => this.unusedSlots,
+    });
     this.containment = options.containment ?? NO_CONTAINMENT;
     this.exitDetector = new ProcessExitDetector({
       inProgress: () => [...this.calls.values()].filter((gated) => gated.isInProgress()).reverse(),
@@ -147,17 +159,34 @@
 
   /** Reserves capacity for a call whose body has yet to arrive; without capacity, logs and returns the refusal. */
   reserve(call: Call, arrival: BodyArrival): RequestError | undefined {
-    const refusal = this.admission.reserve(call, arrival, this.options.scheduler.now());
+    const refusal =
+      this.refusalInFavourOfWaiters(call) ??
+      this.admission.reserve(call, arrival, this.options.scheduler.now());
     if (refusal === undefined) {
       return undefined;
     }
     this.options.counters.add('ferryspool_endpoint_refusals_total');
     this.recordRefusal(refusal, call);
-    return admissionError(refusal.reason, refusal.retryAfterMs);
+    return this.refusalError(refusal, call);
   }
 
   unreserve(call: Call): void {
     this.admission.unreserve(call.requestId);
+    this.offerFreeSlots();
+  }
+
+  /** Offers free slots to nodes whose requests wait; to be called periodically, since limits rise with time. */
+  offerFreeSlots(): void {
+    this.slotOffers.offerFreeSlots();
+  }
+
+  slotDeclined(offerId: number, listener: SlotListener): void {
+    this.slotOffers.declined(offerId, listener);
+  }
+
+  /** The connection to a node whose requests may wait has ended. */
+  removeListener(listener: SlotListener): void {
+    this.slotOffers.removeListener(listener);
   }
 
   withdraw(call: Call): boolean {
@@ -169,9 +198,15 @@
     return wasWaiting;
   }
 
-  recordExpiry(call: Call, retryAfterMs: number): void {
+  recordExpiry(call: Call, retryAfterMs: number): number | undefined {
     const { requestId } = call;
-    this.recordRefusal({ requestId, reason: 'cannot-finish-in-time', retryAfterMs }, call);
+    const refusal = { requestId, reason: 'cannot-finish-in-time', retryAfterMs } as const;
+    this.recordRefusal(refusal, call);
+    const { retryAfterMs: waitMs } = this.admission.refuseInFavourOfOthers(
+      call,
+      this.options.scheduler.now(),
+    );
+    return this.slotOffers.register(call, { ...refusal, retryAfterMs: waitMs });
   }
 
   release(call: Call, serviceMs: number | undefined): void {
@@ -253,6 +288,7 @@
    * restarted. Running requests stay, since their connections close with the process that they were sent to.
    */
   handOver(next: EndpointGate): void {
+    this.slotOffers.clear();
     const waiting = [...this.calls.values()].filter((gated) => this.removeWaiting(gated));
     this.admission.transferReservations(next.admission);
     if (startedBefore(this.endpoint, next.endpoint)) {
@@ -280,9 +316,36 @@
     });
   }
 
+  private get unusedSlots(): number {
+    const isStopping = this.options.isStopping?.() === true;
+    return isStopping ? 0 : this.admission.unusedSlots(this.options.scheduler.now());
+  }
+
+  /** Refuses late work while requests wait that were refused before it. One with a reservation has been decided on. */
+  private refusalInFavourOfWaiters(call: Call): Refusal | undefined {
+    if (this.admission.hasReservation(call.requestId)) {
+      return undefined;
+    }
+    this.slotOffers.requestArrived(call);
+    return this.slotOffers.yieldsToWaiters(call)
+      ? this.admission.refuseInFavourOfOthers(call, this.options.scheduler.now())
+      : undefined;
+  }
+
+  /** The error for a refusal; registers the request if its sender waits for a slot. */
+  private refusalError(refusal: Refusal, call: Call | undefined): RequestError {
+    const slotWaitMs = this.slotOffers.register(call, refusal);
+    return admissionError(refusal.reason, refusal.retryAfterMs, slotWaitMs);
+  }
+
   private admit(gated: GatedCall): void {
     const { call } = gated;
     this.calls.set(call.requestId, gated);
+    const refusal = this.refusalInFavourOfWaiters(call);
+    if (refusal !== undefined) {
+      this.execute([{ type: 'refuse', ...refusal }]);
+      return;
+    }
     this.offer(gated);
     gated.scheduleExpiry(this.admission.latestStartAtMs(call, this.options.scheduler.now()));
   }
@@ -349,6 +412,7 @@
     const reason = isDrained ? 'draining' : this.closedByConfiguration;
     if (reason !== this.admission.closedReason) {
       this.options.logStateChange('endpoint', `${this.endpoint.name} ${reason ?? 'open'}`);
+      this.slotOffers.clear();
       this.execute(this.admission.close(reason, this.options.scheduler.now()));
     }
   }
@@ -424,13 +488,14 @@
         this.options.counters.add('ferryspool_endpoint_refusals_total');
         this.recordRefusal(effect, gated?.call);
         this.calls.delete(effect.requestId);
-        gated?.refuse(admissionError(effect.reason, effect.retryAfterMs));
+        gated?.refuse(this.refusalError(effect, gated.call));
         this.releaseSuspect(effect.requestId);
       }
     }
     if (this.isRateLimited || this.cancelResume !== undefined) {
       this.scheduleResume();
     }
+    this.offerFreeSlots();
   }
 
   /** Whether a request waits because of a rate limit. */
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -9,6 +9,7 @@
 import type { RateLimitUse } from './gate-statements.js';
 import type { OwnedEndpoints } from './relay/relayed-request.js';
 import type { RequestError } from './request-error.js';
+import type { SlotListener, SlotOffer } from './waiting/slot-offer.js';
 
 /**
  * Ticks between two reconciliations of the gates with the configuration. An arriving request reconciles its own gate
@@ -58,6 +59,20 @@
     this.currentGate(endpoint).applyReportedRateLimit(maxRatePerS);
   }
 
+  slotDeclined({ offerId, service, endpoint }: SlotOffer, listener: SlotListener): void {
+    for (const gate of this.gates.values()) {
+      const { name, spec } = gate.endpoint;
+      if (name === endpoint && spec.service === service) {
+        gate.slotDeclined(offerId, listener);
+      }
+    }
+  }
+
+  /** The connection to a node whose requests may wait for slots has ended. */
+  listenerGone(listener: SlotListener): void {
+    this.gates.forEach((gate) => gate.removeListener(listener));
+  }
+
   load(endpoint: Endpoint, workClass: string): LoadReport {
     return this.currentGate(endpoint).load(workClass);
   }
@@ -91,6 +106,7 @@
   /** To be called several times a second. */
   tick(): void {
     this.ticks += 1;
+    this.gates.forEach((gate) => gate.offerFreeSlots());
     if (this.ticks % TICKS_PER_RECONCILIATION === 0) {
       this.reconcile();
     }
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -55,8 +55,11 @@
   load(workClass: string): LoadReport;
   /** Withdraws a request; returns true when it was still waiting. */
   withdraw(call: Call): boolean;
-  /** Logs that a waiting request was refused and should be retried after `retryAfterMs`. */
-  recordExpiry(call: Call, retryAfterMs: number): void;
+  /**
+   * Logs that a waiting request was refused and should be retried after `retryAfterMs`. Returns the time in which a slot
+   * is expected to be offered to its sender; undefined if none will be.
+   */
+  recordExpiry(call: Call, retryAfterMs: number): number | undefined;
   /**
    * Frees the slot of a dispatched request; `serviceMs` is its service time when it was answered.
    */
@@ -210,9 +213,10 @@
 
   private expireWaiting(): void {
     if (this.attempt === undefined && this.gate.withdraw(this.call)) {
-      this.gate.recordExpiry(this.call, DEFAULT_RETRY_AFTER_MS);
+      const retryAfterMs = DEFAULT_RETRY_AFTER_MS;
+      const slotWaitMs = this.gate.recordExpiry(this.call, retryAfterMs);
       this.refuse(
-        new CannotFinishInTimeError('no slot became free in time', DEFAULT_RETRY_AFTER_MS),
+        new CannotFinishInTimeError('no slot became free in time', retryAfterMs, slotWaitMs),
       );
     }
   }
--- a/src/proxy/proxy-limits.ts
+++ b/src/proxy/proxy-limits.ts
@@ -47,6 +47,13 @@
    * answer within its target fails although other endpoints have free slots.
    */
   readonly maxLateRedirects: number;
+  /**
+   * Maximum number of requests that wait at their caller's node for a slot; 0 switches waiting off. Applies to routes
+   * with a target latency and a time-out well above it.
+   */
+  readonly maxWaitingRequests: number;
+  /** Maximum total size of the bodies of requests that wait for a slot, in bytes. */
+  readonly maxWaitingBytes: number;
   /**
    * Whether a repeatable request is retried after a response that reports a fault of the endpoint.
    */
@@ -91,6 +98,8 @@
   maxRedirects: 0,
   maxAbsentRedirects: 8,
   maxLateRedirects: 1,
+  maxWaitingRequests: 64,
+  maxWaitingBytes: 4 * 1024 * 1024,
   retriesFaults: false,
   maxSavedRetries: DEFAULT_MAX_SAVED_RETRIES,
   maxIdleEndpointConnectionMs: DEFAULT_IDLE_CONNECTION_MS,
--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -12,6 +12,8 @@
   decodeRelayFrame,
   encodeRelayFrame,
   type RelayFrame,
+  type SlotDeclineFrame,
+  type SlotOfferFrame,
   type StreamFrame,
 } from './relay-frame.js';
 
@@ -35,6 +37,8 @@
   received(frames: readonly StreamFrame[]): void;
   /** The peer cancels an attempt whose request it sent on another connection. */
   attemptCancelled?(requestId: string): void;
+  /** The peer offers a slot, or declines one that was offered to it. */
+  slotFrameReceived?(frame: SlotOfferFrame | SlotDeclineFrame): void;
   /** The connection was closed; called once. */
   closed(): void;
 }
@@ -244,6 +248,8 @@
           acknowledgedMs = Math.max(acknowledgedMs, frame.pingSentAtMs);
         } else if (frame.kind === 'cancel-attempt') {
           this.observer.attemptCancelled?.(frame.requestId);
+        } else if (frame.kind === 'slot-offer' || frame.kind === 'slot-decline') {
+          this.observer.slotFrameReceived?.(frame);
         } else {
           frames.push(frame);
         }
--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -9,6 +9,7 @@
 import { LENGTH_PREFIX_BYTES } from '../../wire/frame-reader.js';
 import { oneOf, PlainStruct, shortText, text, varint } from '../../wire/field-types.js';
 import type { HeaderList } from '../headers.js';
+import type { SlotOffer } from '../waiting/slot-offer.js';
 
 /**
  * - `none`: the message has no body.
@@ -43,6 +44,10 @@
   readonly bodyForm: BodyForm;
   /** Length of a `sized` body; 0 for other forms. */
   readonly bodyBytes: number;
+  /** Time for which the request would wait for a slot after a refusal for lack of capacity; undefined for none. */
+  readonly slotWishLeftMs: number | undefined;
+  /** The offered slot that the request is sent for; undefined if there is none. */
+  readonly offerId: number | undefined;
   readonly bytes: Buffer;
 }
 
@@ -93,6 +98,8 @@
   readonly verdict: Verdict;
   readonly isRetryable: boolean;
   readonly retryAfterMs: number | undefined;
+  /** Expected time until the node offers a slot of the endpoint; undefined if it will not. */
+  readonly slotWaitMs: number | undefined;
 }
 
 /** Part of the body of a request or an answer. */
@@ -122,6 +129,16 @@
   readonly requestId: string;
 }
 
+/** A slot of an endpoint is free for a request that waits at the receiver's node. */
+export interface SlotOfferFrame extends SlotOffer {
+  readonly kind: 'slot-offer';
+}
+
+/** No request waits for the offered slot. */
+export interface SlotDeclineFrame extends SlotOffer {
+  readonly kind: 'slot-decline';
+}
+
 /** Liveness check, acknowledged immediately. */
 export interface PingFrame {
   readonly kind: 'ping';
@@ -140,7 +157,13 @@
   RequestFrame | AnswerFrame | FailureFrame | BodyFrame | CreditFrame | CancelFrame;
 
 /** Any frame of the protocol. */
-export type RelayFrame = StreamFrame | CancelAttemptFrame | PingFrame | AcknowledgementFrame;
+export type RelayFrame =
+  | StreamFrame
+  | CancelAttemptFrame
+  | PingFrame
+  | AcknowledgementFrame
+  | SlotOfferFrame
+  | SlotDeclineFrame;
 
 /** Frame kinds, indexed by their number on the wire; positions must never change. */
 const KINDS = [
@@ -153,6 +176,8 @@
   'ping',
   'acknowledgement',
   'cancel-attempt',
+  'slot-offer',
+  'slot-decline',
 ] as const;
 const KIND_BYTES = 1;
 /** Allows for a head of 64 KiB whose bytes each take two in UTF-8, and for fields that nodes add to it. */
@@ -222,6 +247,8 @@
   maxRatePerKs: optionalInteger,
 };
 
+const slotFields = { offerId: varint, service: shortText, endpoint: shortText };
+
 type Layout<F extends RelayFrame> = FieldType<Omit<F, 'kind'>>;
 
 const LAYOUTS: { readonly [K in RelayFrame['kind']]: Layout<Extract<RelayFrame, { kind: K }>> } = {
@@ -243,6 +270,8 @@
     knownMaxRatePerKs: optionalInteger,
     bodyForm,
     bodyBytes: varint,
+    slotWishLeftMs: optionalInteger,
+    offerId: optionalInteger,
     bytes: remainingBytes,
   }),
   answer: new PlainStruct({
@@ -265,6 +294,7 @@
     isRetryable: flag,
     retryAfterMs: optionalInteger,
     ...loadFields,
+    slotWaitMs: optionalInteger,
   }),
   body: new PlainStruct({ streamId: varint, isLast: flag, bytes: remainingBytes }),
   credit: new PlainStruct({ streamId: varint, creditBytes: varint }),
@@ -272,6 +302,8 @@
   ping: new PlainStruct({ pingSentAtMs: varint }),
   acknowledgement: new PlainStruct({ pingSentAtMs: varint }),
   'cancel-attempt': new PlainStruct({ requestId: text(MAX_REQUEST_ID_BYTES) }),
+  'slot-offer': new PlainStruct(slotFields),
+  'slot-decline': new PlainStruct(slotFields),
 };
 
 /** Encodes a frame with its length prefix. Throws {@link FrameError} if a value does not fit its field. */
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -5,9 +5,10 @@
 import type { Attempt, AttemptObserver, Call } from '../call.js';
 import type { BeforeSend } from '../http-exchange.js';
 import type { Scheduler } from '../scheduler.js';
+import type { SlotOffer } from '../waiting/slot-offer.js';
 import { ConnectionLiveness, LOSS_TIMEOUT_MS, type LivenessLimits } from './link-pulse.js';
 import { RelayConnection } from './relay-connection.js';
-import type { StreamFrame } from './relay-frame.js';
+import type { SlotDeclineFrame, SlotOfferFrame, StreamFrame } from './relay-frame.js';
 import { RELAY_CLOCK_HEADER, RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
 import { RelayedAttempt } from './relayed-attempt.js';
 import { UnacknowledgedCancellations } from './unacknowledged-cancellations.js';
@@ -44,6 +45,8 @@
   readonly token: () => string | undefined;
   /** Runs the sending of each request at once or later; at once if absent. */
   readonly beforeSend?: BeforeSend;
+  /** Uses a slot that a peer offers; returns false if no request waits for it. Declines all if absent. */
+  readonly onSlotOffer?: (offer: SlotOffer) => boolean;
 }
 
 /** State of an unresponsive connection. */
@@ -229,6 +232,7 @@
     const observer = {
       received: (frames: readonly StreamFrame[]) =>
         frames.forEach((frame) => this.handleFrame(frame)),
+      slotFrameReceived: (frame: SlotOfferFrame | SlotDeclineFrame) => this.handleSlotFrame(frame),
       closed: () => this.end('lost'),
     };
     this.connection = new RelayConnection(socket, head, observer, watch);
@@ -335,6 +339,12 @@
     }
   }
 
+  private handleSlotFrame(frame: SlotOfferFrame | SlotDeclineFrame): void {
+    if (frame.kind === 'slot-offer' && this.options.onSlotOffer?.(frame) !== true) {
+      this.connection?.send({ ...frame, kind: 'slot-decline' });
+    }
+  }
+
   private handleFrame(frame: StreamFrame): void {
     this.streams.get(frame.streamId)?.handleFrame(frame);
   }
--- a/src/proxy/relay/relay-peer.ts
+++ b/src/proxy/relay/relay-peer.ts
@@ -8,11 +8,12 @@
 import { NodeStoppingError, UnknownEndpointError } from '../request-error.js';
 import type { RequestLog } from '../request-log.js';
 import type { Scheduler } from '../scheduler.js';
+import type { SlotListener } from '../waiting/slot-offer.js';
 import type { CreditPool } from './credit-pool.js';
 import { ConnectionLiveness, type LivenessLimits } from './link-pulse.js';
 import { PendingRequests } from './pending-requests.js';
 import { RelayConnection } from './relay-connection.js';
-import type { RequestFrame, StreamFrame } from './relay-frame.js';
+import type { RequestFrame, SlotDeclineFrame, SlotOfferFrame, StreamFrame } from './relay-frame.js';
 import type { UnresponsiveConnection } from './relay-link.js';
 import { ratePerSOf } from './relay-load.js';
 import { RelayedRequest, type OwnedEndpoints } from './relayed-request.js';
@@ -83,6 +84,9 @@
   private readonly connection: RelayConnection;
   private readonly travelTime = new TravelTime();
   private readonly pendingRequests: PendingRequests;
+  private readonly slotListener: SlotListener = {
+    slotOffered: (offer) => void this.connection.send({ kind: 'slot-offer', ...offer }),
+  };
   private onClosed: () => void = () => undefined;
   /** When the last frame was sent to the peer in response to a request. */
   lastAnswerSentAtMs = -Infinity;
@@ -104,6 +108,7 @@
     const observer = {
       received: (frames: readonly StreamFrame[]) => this.receive(frames),
       attemptCancelled: (requestId: string) => shared.cancelAttempt(requestId),
+      slotFrameReceived: (frame: SlotOfferFrame | SlotDeclineFrame) => this.handleSlotFrame(frame),
       closed: () => this.end(),
     };
     this.connection = new RelayConnection(socket, head, observer, watch);
@@ -178,6 +183,12 @@
     this.pendingRequests.startWhenRead();
   }
 
+  private handleSlotFrame(frame: SlotOfferFrame | SlotDeclineFrame): void {
+    if (frame.kind === 'slot-decline') {
+      this.options.endpoints.slotDeclined(frame, this.slotListener);
+    }
+  }
+
   private handleFrame(frame: StreamFrame): void {
     if (frame.kind === 'request') {
       if (!this.shared.wasCancelled(frame.requestId)) {
@@ -244,7 +255,7 @@
     const travelLostMs = this.travelTime.lostMs(frame.sentAtMs, nowMs);
     const sentAtMs = nowMs - travelLostMs;
     this.options.onTravelLostMs?.(travelLostMs);
-    const { targetLeftMs, startLeftMs } = frame;
+    const { targetLeftMs, startLeftMs, slotWishLeftMs, offerId } = frame;
     return {
       requestId: frame.requestId,
       method: frame.method,
@@ -259,6 +270,10 @@
       travelLostMs,
       ...(targetLeftMs !== undefined && { targetAtMs: sentAtMs + targetLeftMs }),
       ...(startLeftMs !== undefined && { startByMs: sentAtMs + startLeftMs }),
+      ...(slotWishLeftMs !== undefined && {
+        slotWish: { listener: this.slotListener, untilMs: sentAtMs + slotWishLeftMs },
+      }),
+      ...(offerId !== undefined && { offerId }),
     };
   }
 
@@ -270,6 +285,7 @@
 
   private end(): void {
     this.pendingRequests.clear();
+    this.options.endpoints.listenerGone(this.slotListener);
     for (const request of [...this.requests.values()]) {
       request.abandon('connection-closed', this.options.requestLog);
     }
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -98,6 +98,8 @@
       knownMaxRatePerKs: ratePerKsOf(call.knownMaxRatePerS),
       bodyForm: bodyFormOf(call.body),
       bodyBytes: inline === undefined ? (call.body.length ?? 0) : 0,
+      slotWishLeftMs: remainingMs(call.slotWish?.untilMs, nowMs),
+      offerId: call.offerId,
       bytes: inline ?? Buffer.alloc(0),
     });
     this.isFullySent = inline !== undefined || !call.body.isDeclared;
@@ -228,12 +230,13 @@
   }
 
   private handleFailure(frame: FailureFrame): void {
-    const { code, verdict, isRetryable: retryable, retryAfterMs, status } = frame;
+    const { code, verdict, isRetryable: retryable, retryAfterMs, slotWaitMs, status } = frame;
     const failure = {
       code,
       verdict,
       retryable,
       ...(retryAfterMs !== undefined && { retryAfterMs }),
+      ...(slotWaitMs !== undefined && { slotWaitMs }),
     };
     const error = new RelayedError(failure, status, `the endpoint's node reports ${code}`);
     this.end();
--- a/src/proxy/relay/relayed-request.ts
+++ b/src/proxy/relay/relayed-request.ts
@@ -10,6 +10,7 @@
 import { onTimeRank } from '../../admission/work-rank.js';
 import { stopFailure } from '../stop-failure.js';
 import type { CancelTimer, Scheduler } from '../scheduler.js';
+import type { SlotListener, SlotOffer } from '../waiting/slot-offer.js';
 import { bufferBody, isBuffered } from './collected-body.js';
 import type { BodyCredit, CreditPool } from './credit-pool.js';
 import { FrameSink } from './frame-sink.js';
@@ -30,6 +31,10 @@
   load(endpoint: Endpoint, workClass: string): LoadReport;
   /** Applies the rate limit of the endpoint that a caller's node knows. */
   rateLimitReported(endpoint: Endpoint, maxRatePerS: number): void;
+  /** Declines a slot that was offered to the listener. */
+  slotDeclined(offer: SlotOffer, listener: SlotListener): void;
+  /** No more slots can be offered to the listener. */
+  listenerGone(listener: SlotListener): void;
 }
 
 /** A request received over a relay connection. */
@@ -216,6 +221,7 @@
       verdict: error.verdict,
       isRetryable: error.retryable,
       retryAfterMs: error.retryAfterMs === undefined ? undefined : Math.ceil(error.retryAfterMs),
+      slotWaitMs: error.slotWaitMs === undefined ? undefined : Math.ceil(error.slotWaitMs),
       ...frameLoadOf(
         load === undefined ? UNKNOWN_LOAD : this.withBodyTime(load),
         this.link.isStopping(),
--- a/src/proxy/request-error.ts
+++ b/src/proxy/request-error.ts
@@ -13,6 +13,8 @@
   readonly retryable: boolean;
   /** Delay after which the caller should retry, in milliseconds; absent if a retry does not help. */
   readonly retryAfterMs?: number;
+  /** Expected time until the endpoint's node offers a slot, in milliseconds; absent if it will not. */
+  readonly slotWaitMs?: number;
 }
 
 /** Base of every error of the request path. */
@@ -23,13 +25,17 @@
   abstract readonly status: number;
   readonly retryable: boolean = false;
   readonly retryAfterMs?: number;
+  readonly slotWaitMs?: number;
 
-  constructor(message: string, retryAfterMs?: number) {
+  constructor(message: string, retryAfterMs?: number, slotWaitMs?: number) {
     super(message);
     this.name = new.target.name;
     if (retryAfterMs !== undefined) {
       this.retryAfterMs = retryAfterMs;
     }
+    if (slotWaitMs !== undefined) {
+      this.slotWaitMs = slotWaitMs;
+    }
   }
 }
 
@@ -284,7 +290,7 @@
     override readonly status: number,
     message: string,
   ) {
-    super(message, failure.retryAfterMs);
+    super(message, failure.retryAfterMs, failure.slotWaitMs);
     this.code = failure.code;
     this.verdict = failure.verdict;
     this.retryable = failure.retryable;
@@ -311,6 +317,24 @@
   'ENDPOINT_EVACUATED',
 ]);
 
+/** Codes of refusals for lack of capacity. */
+const CAPACITY_REFUSAL_CODES: ReadonlySet<string> = new Set([
+  'CANNOT_FINISH_IN_TIME',
+  'OVERLOADED',
+]);
+
+/** Whether the endpoint's node refused the request for lack of capacity or time. */
+export function isCapacityRefusal({ code }: RequestFailure): boolean {
+  return CAPACITY_REFUSAL_CODES.has(code);
+}
+
+/** Whether the request failed for lack of capacity, at an endpoint's node or before it was sent to one. */
+export function isLackOfCapacity(failure: RequestFailure): boolean {
+  return (
+    isCapacityRefusal(failure) || failure.code === 'THROTTLED' || failure.code === 'NO_ENDPOINT'
+  );
+}
+
 /** Whether the endpoint is absent; this does not indicate that other endpoints are overloaded. */
 export function isEndpointAbsent({ verdict, code }: RequestFailure): boolean {
   return verdict === 'not-run' && ABSENT_ENDPOINT_CODES.has(code);
--- a/src/proxy/request-event.ts
+++ b/src/proxy/request-event.ts
@@ -28,6 +28,8 @@
       readonly failure: RequestFailure;
       /** Whether the body can be sent again. */
       readonly canReplay: boolean;
+      /** How long the request may wait for a slot if no other attempt follows; undefined if it may not. */
+      readonly waitMs?: number | undefined;
     }
   /** The peer or connection from which the answer is awaited is unresponsive; the answer may still arrive. */
   | {
@@ -38,10 +40,18 @@
       readonly canReplay: boolean;
     }
   /** No endpoint is left to try. */
-  | { readonly type: 'no-endpoint'; readonly attempt: number; readonly failure: RequestFailure }
+  | {
+      readonly type: 'no-endpoint';
+      readonly attempt: number;
+      readonly failure: RequestFailure;
+      /** As for `failed`. */
+      readonly waitMs?: number | undefined;
+    }
   /** The request is not forwarded because endpoint processes ended while running it. */
   | { readonly type: 'withheld'; readonly attempt: number; readonly failure: RequestFailure }
   | { readonly type: 'back-off-over' }
+  /** The wait for a slot is over; another attempt follows if `mayAttempt`. */
+  | { readonly type: 'wait-over'; readonly mayAttempt: boolean }
   /** The request can no longer be answered within its target latency, but may be before its deadline. */
   | { readonly type: 'target-missed' }
   /** The deadline passed; `failure` reports it, and what is known about the attempts in flight. */
@@ -67,7 +77,11 @@
       readonly attempt: number;
       /** Retry allowance that is passed on to the receivers of this attempt, for all of them together. */
       readonly retriesLeft: number;
+      /** Whether no other attempt may follow one that is refused for lack of capacity. */
+      readonly isLast: boolean;
     }
+  /** Wait for a slot for up to `delayMs`. */
+  | { readonly type: 'wait'; readonly delayMs: number }
   | { readonly type: 'back-off'; readonly delayMs: number }
   | { readonly type: 'abort-attempt'; readonly attempt: number }
   | { readonly type: 'pass-answer'; readonly attempt: number }
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -24,9 +24,10 @@
  * - `attempting`: the current attempt is in flight and not among the suspects.
  * - `answering`: an answer is being forwarded.
  * - `backing-off`: another attempt follows after a delay.
+ * - `waiting`: no attempt is in flight and none has run; another one follows when a slot is offered, or after a delay.
  * - `awaiting`: no other attempt follows, but suspects may still be answered.
  */
-type State = 'new' | 'attempting' | 'answering' | 'backing-off' | 'awaiting' | 'over';
+type State = 'new' | 'attempting' | 'answering' | 'backing-off' | 'waiting' | 'awaiting' | 'over';
 
 export class RequestLifecycle {
   private state: State = 'new';
@@ -86,11 +87,11 @@
       case 'answer-broken':
         return this.handleBrokenAnswer(event, nowMs);
       case 'failed':
-        return this.handleFailure(event.failure, event.canReplay, nowMs);
+        return this.handleFailure(event.failure, event.canReplay, nowMs, event.waitMs);
       case 'suspected':
         return this.handleSuspicion(event, nowMs);
       case 'no-endpoint':
-        return this.settle(this.lastFailure ?? event.failure);
+        return this.handleNoEndpoint(event, nowMs);
       case 'withheld':
         return this.settle(this.mayHaveRun ? (this.lastFailure ?? event.failure) : event.failure);
     }
@@ -115,6 +116,8 @@
         return this.handleTargetMissed();
       case 'back-off-over':
         return this.state === 'backing-off' ? this.beginAttempt() : [];
+      case 'wait-over':
+        return this.handleWaitOver(event.mayAttempt);
       case 'deadline':
         return this.handleDeadline(event.failure);
       case 'give-up':
@@ -128,6 +131,12 @@
     return this.state === 'attempting' || this.state === 'answering';
   }
 
+  /** Whether no attempt is in flight, and another one may follow. */
+  private get isBetweenAttempts(): boolean {
+    const isDelayed = this.state === 'backing-off' || this.state === 'waiting';
+    return isDelayed && this.suspects.size === 0;
+  }
+
   /** Whether any attempt may have run or may still be running. */
   private get isInDoubt(): boolean {
     return this.mayHaveRun || this.suspects.size > 0;
@@ -151,7 +160,8 @@
     this.current = this.attempt;
     const receiverRetries = Math.floor(this.retriesLeft / 2);
     this.retriesLeft -= receiverRetries;
-    return [{ type: 'begin-attempt', attempt: this.attempt, retriesLeft: receiverRetries }];
+    const isLast = this.redirectsLeft === 0;
+    return [{ type: 'begin-attempt', attempt: this.attempt, retriesLeft: receiverRetries, isLast }];
   }
 
   /** Ensures a minimum of redirects: refusals because of the target latency don't apply to a late request. */
@@ -207,10 +217,43 @@
     failure: RequestFailure,
     canReplay: boolean,
     nowMs: number,
+    waitMs?: number,
   ): RequestEffect[] {
     this.lastFailure = failure;
     this.mayHaveRun ||= failure.verdict !== 'not-run';
-    return this.startNextAttempt(failure, canReplay, nowMs) ?? this.settle(failure);
+    return (
+      this.startNextAttempt(failure, canReplay, nowMs) ??
+      this.waitForSlot(waitMs, nowMs) ??
+      this.settle(failure)
+    );
+  }
+
+  private handleNoEndpoint(
+    { failure, waitMs }: Extract<RequestEvent, { type: 'no-endpoint' }>,
+    nowMs: number,
+  ): RequestEffect[] {
+    this.lastFailure ??= failure;
+    return this.waitForSlot(waitMs, nowMs) ?? this.settle(this.lastFailure);
+  }
+
+  /** Waits for a slot, if the request has provably not run and can still be refused in time after the wait. */
+  private waitForSlot(waitMs: number | undefined, nowMs: number): RequestEffect[] | undefined {
+    const { refusableUntilMs = Infinity } = this.policy;
+    if (waitMs === undefined || this.isInDoubt || nowMs + waitMs > refusableUntilMs) {
+      return undefined;
+    }
+    this.state = 'waiting';
+    return [{ type: 'wait', delayMs: waitMs }];
+  }
+
+  private handleWaitOver(mayAttempt: boolean): RequestEffect[] {
+    if (this.state !== 'waiting') {
+      return [];
+    }
+    if (mayAttempt || this.lastFailure === undefined) {
+      return this.beginAttempt();
+    }
+    return this.report(this.lastFailure);
   }
 
   private handleSuspectFailure(
@@ -350,7 +393,7 @@
     if (this.state === 'answering') {
       return this.abortSuspects();
     }
-    if (this.state === 'backing-off' && this.lastFailure !== undefined && !this.suspects.size) {
+    if (this.isBetweenAttempts && this.lastFailure !== undefined) {
       return this.report(this.lastFailure);
     }
     this.mayHaveRun ||= this.state === 'attempting' && failure.verdict !== 'not-run';
@@ -363,7 +406,7 @@
     if (this.state === 'answering' && wasPassedOn) {
       return [];
     }
-    if (this.state === 'backing-off' && this.suspects.size === 0) {
+    if (this.isBetweenAttempts) {
       return this.report(this.lastFailure ?? failure);
     }
     this.mayHaveRun ||= this.hasActiveAttempt && !isUnsent;
--- a/src/proxy/request-path.ts
+++ b/src/proxy/request-path.ts
@@ -66,6 +66,8 @@
   leavingEndpointCount(): number;
   /** Number of listed endpoints that name a rate limit, to the knowledge of this node. */
   limitedEndpointCount(): number;
+  /** Number of callers' requests that wait for a slot of an endpoint. */
+  waitingRequestCount(): number;
   /** Applies the limits that the configuration sets; undefined leaves the limits unchanged. */
   applyCallerLimits(limits: CallerLimits | undefined): void;
   /** Applies changed endpoints of the configuration: requests waiting for one that has restarted are forwarded. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -110,6 +110,7 @@
         slotFreedAfterCloseMs: this.endpointProtocol.slotFreedAfterCloseMs,
       },
       snapshot: () => options.snapshots.current(),
+      isStopping: () => this.plannedStop.isStopping,
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
       coldShareFor: (endpoint) => this.services.coldShareFor(endpoint),
       rateShareFor: (endpoint) => this.services.rateShareFor(endpoint),
@@ -197,6 +198,10 @@
     return this.countEndpoints((endpoint) => this.statements.of(endpoint).isLimited);
   }
 
+  waitingRequestCount(): number {
+    return this.services.waiting.size;
+  }
+
   /** Number of listed endpoints that match. */
   private countEndpoints(matches: (endpoint: Endpoint) => boolean): number {
     const snapshot = this.options.snapshots.current();
@@ -244,7 +249,7 @@
       'request-path',
       `stopping with ${this.meter.inFlight} in flight, ${signalDelay}`,
     );
-    await drainServers([this.callerServer, this.relayServer], {
+    const drained = drainServers([this.callerServer, this.relayServer], {
       stop: this.plannedStop,
       signalAgeMs,
       eventLoopLagMs: () => this.eventLoopLag.recentMaxMs(MACHINE_TIME.now()),
@@ -267,6 +272,19 @@
       },
       closeAll: () => this.abort(),
     });
+    this.refuseWaiting();
+    await drained;
+  }
+
+  /** Callers whose requests wait for a slot can be served by another node in time. */
+  private refuseWaiting(): void {
+    const count = this.services.waiting.refuseAll();
+    if (count > 0) {
+      this.options.logStateChange(
+        'request-path',
+        `refused ${count} requests that waited for slots`,
+      );
+    }
   }
 
   abort(): void {
@@ -330,6 +348,7 @@
       onUnresponsive: ({ address }, connection) =>
         this.reportUnresponsiveRelay(`to ${address}`, connection),
       isListed: (endpoint) => this.isListed(endpoint),
+      onSlotOffer: (offer) => this.services.useOffer(offer),
       addressOf: ({ spec }) =>
         spec.machine === undefined ? undefined : members.relayAddress(spec.machine),
     });
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -13,15 +13,16 @@
 import { recordIfLate } from './late-answer-record.js';
 import { expiryFailure } from './expiry-failure.js';
 import { bufferAnswer } from './buffered-answer.js';
+import { noEndpointError, throttledError } from './no-endpoint.js';
 import { RequestAttempt } from './request-attempt.js';
 import type { RequestBody } from './request-body.js';
 import {
   EndpointFaultError,
   InternalError,
-  NoEndpointError,
   RequestError,
-  ThrottledError,
   TruncatedAnswerError,
+  isCapacityRefusal,
+  isLackOfCapacity,
   type RequestFailure,
 } from './request-error.js';
 import type { AwaitedResource } from './request-log.js';
@@ -34,14 +35,17 @@
 import { stopFailure } from './stop-failure.js';
 import { suspicionOutcomeOf, unresponsiveNodeError } from './suspicion.js';
 import type { RequestContext } from './request-context.js';
+import type { SlotWish } from './waiting/slot-offer.js';
+import { RequestWaiting, type WaitOutcome } from './waiting/request-waiting.js';
+import { withRoomExpected } from './waiting/retry-delay.js';
 
-/** Retry delay for callers when no endpoint has capacity, in milliseconds. */
-const NO_ENDPOINT_RETRY_MS = 200;
 /** Answers with this HTTP status or a higher one report an endpoint error. */
 const MIN_SERVER_ERROR_STATUS = 500;
 /** Observer for an answer that ends the request whether or not it is sent completely. */
 const IGNORE_END: AnswerObserver = { completed: () => undefined, truncated: () => undefined };
 
+type AttemptStartEffect = Extract<RequestEffect, { type: 'begin-attempt' }>;
+
 export class RequestRunner {
   private readonly lifecycle: RequestLifecycle;
   private readonly endpointChoice: EndpointChoice;
@@ -57,6 +61,7 @@
   private readonly startedAtMs: number;
   private readonly tries: CallerTries;
   private readonly throttling: RequestThrottling;
+  private readonly waiting: RequestWaiting;
   private readonly recorder: RequestRecorder;
   private readonly cancelDeadline: CancelTimer;
   private cancelBackOff: CancelTimer | undefined;
@@ -74,6 +79,13 @@
       this.handle({ type: 'target-missed' }),
     );
     this.throttling = new RequestThrottling(context, this.endpointChoice);
+    this.waiting = new RequestWaiting(
+      context,
+      this.endpointChoice,
+      this.startedAtMs,
+      this.tries.firstArrivedAtMs,
+      (outcome) => this.handleWaitOutcome(outcome),
+    );
     this.recorder = new RequestRecorder(context, this.startedAtMs, () => this.recordedState());
     const remainingMs = deadlineAtMs - services.scheduler.now();
     this.cancelDeadline = services.scheduler.schedule(remainingMs, () => this.handleDeadline());
@@ -148,7 +160,9 @@
   private execute(effect: RequestEffect): void {
     switch (effect.type) {
       case 'begin-attempt':
-        return this.beginAttempt(effect.attempt, effect.retriesLeft);
+        return this.beginAttempt(effect);
+      case 'wait':
+        return this.body && this.waiting.begin(effect.delayMs, this.body);
       case 'back-off':
         return this.backOff(effect.delayMs);
       case 'abort-attempt':
@@ -171,30 +185,30 @@
     this.cancelBackOff = scheduler.schedule(delayMs, () => this.handle({ type: 'back-off-over' }));
   }
 
-  private beginAttempt(attempt: number, retriesLeft: number): void {
-    const { services, match } = this.context;
+  private handleWaitOutcome(outcome: WaitOutcome): void {
+    this.handle({ type: 'wait-over', mayAttempt: outcome !== 'ended' });
+  }
+
+  private beginAttempt({ attempt, retriesLeft, isLast }: AttemptStartEffect): void {
+    const { services } = this.context;
+    const offer = this.waiting.takeOffer();
     this.attemptNumber = attempt;
     const refusal = this.standing?.refusal();
     if (refusal !== undefined) {
       this.handle({ type: 'withheld', attempt, failure: refusal });
       return;
     }
-    if (this.throttling.refusesAttempt()) {
-      const failure = new ThrottledError(
-        `endpoints of service ${match.service} refuse most requests`,
-        this.noEndpointRetryMs(),
-      );
-      this.handle({ type: 'no-endpoint', attempt, failure });
+    const isRoomExpected = (): boolean =>
+      offer !== undefined || this.waiting.isRoomExpected(this.body);
+    if (this.throttling.refusesAttempt(isRoomExpected)) {
+      this.handle({ type: 'no-endpoint', attempt, failure: throttledError(this.context) });
       return;
     }
-    const endpoint = this.chooseEndpoint();
+    const endpoint = offer?.endpoint ?? this.chooseEndpoint();
     const path = endpoint && services.pathTo(endpoint);
     if (endpoint === undefined || path === undefined || this.body === undefined) {
-      const failure = new NoEndpointError(
-        `no endpoint of service ${match.service} takes new work`,
-        this.noEndpointRetryMs(),
-      );
-      this.handle({ type: 'no-endpoint', attempt, failure });
+      const failure = noEndpointError(this.context);
+      this.handle({ type: 'no-endpoint', attempt, failure, waitMs: this.allowedWaitMs() });
       return;
     }
     this.endpointChoice.markTried(incarnationOf(endpoint));
@@ -213,6 +227,8 @@
       attemptStartedAtMs: requestAttempt.endpoint.startedAtMs,
       isLate: this.endpointChoice.isLate,
       knownMaxRatePerS: services.rateLimitOf(endpoint),
+      slotWish: isLast ? this.slotWish(this.body) : undefined,
+      offerId: offer?.offerId,
     });
     const submission = path.submit(endpoint, call, {
       answered: (answer) => this.handleAnswer(requestAttempt, answer),
@@ -222,12 +238,13 @@
     requestAttempt.setSubmission(submission);
   }
 
-  /** Retry delay for the caller: if all endpoints are rate limited, until the first of them may accept a request. */
-  private noEndpointRetryMs(): number {
-    const { services, snapshot, match } = this.context;
-    const endpoints = services.endpointsOf(snapshot, match.service);
-    const delayMs = services.selector.rateLimitedForMs(endpoints, services.scheduler.now());
-    return Math.max(NO_ENDPOINT_RETRY_MS, delayMs);
+  /** A request that is accused of ending the endpoint processes that run it does not wait. */
+  private slotWish(body: RequestBody): SlotWish | undefined {
+    return this.standing?.trialFingerprint === undefined ? this.waiting.wish(body) : undefined;
+  }
+
+  private allowedWaitMs(): number | undefined {
+    return this.waiting.allowedWaitMs(this.body);
   }
 
   private chooseEndpoint(): Endpoint | undefined {
@@ -319,12 +336,26 @@
       );
       return;
     }
-    this.recorder.record('request-failed', failure, verdict);
+    const error = this.reportedError(failure);
+    if (isLackOfCapacity(failure)) {
+      this.waiting.recordEnd(false);
+    }
+    this.recorder.record('request-failed', error, verdict);
     services.onFailureMs(services.scheduler.now() - this.startedAtMs);
-    const error = failure instanceof RequestError ? failure : new InternalError('no error');
     response.fail(error, verdict, requestId);
   }
 
+  /** The error that is sent to the caller; one for lack of capacity tells when room is expected. */
+  private reportedError(failure: RequestFailure): RequestError {
+    if (!(failure instanceof RequestError)) {
+      return new InternalError('no error');
+    }
+    const roomInMs = isLackOfCapacity(failure) ? this.waiting.roomInMs() : undefined;
+    return roomInMs === undefined
+      ? failure
+      : withRoomExpected(failure, roomInMs, this.context.services.random);
+  }
+
   private handleFailure(
     attempt: RequestAttempt,
     error: RequestError,
@@ -347,18 +378,20 @@
       this.endpointChoice.giveUpTargetAfter(this.context.services.limits.maxRedirects + 1);
     }
     const canReplay = this.canReplay();
-    this.handle({ type: 'failed', attempt: attempt.number, failure: error, canReplay });
+    const waitMs = isCapacityRefusal(error) ? this.allowedWaitMs() : undefined;
+    this.handle({ type: 'failed', attempt: attempt.number, failure: error, canReplay, waitMs });
   }
 
   private recordRefusal({ endpoint, workClass }: RequestAttempt, error: RequestError): void {
     const { code } = error;
-    const isCapacityRefusal = code === 'CANNOT_FINISH_IN_TIME' || code === 'OVERLOADED';
+    const isForCapacity = isCapacityRefusal(error);
     const { incarnation } = endpoint;
-    if (incarnation !== undefined && isCapacityRefusal) {
+    if (incarnation !== undefined && isForCapacity) {
       this.endpointChoice.markRefused(incarnation);
     }
-    this.throttling.attemptFailed(workClass, isCapacityRefusal);
-    if (isCapacityRefusal || code === 'ENDPOINT_EVACUATED' || code === 'RATE_LIMITED') {
+    this.waiting.recordRefusal(error);
+    this.throttling.attemptFailed(workClass, isForCapacity);
+    if (isForCapacity || code === 'ENDPOINT_EVACUATED' || code === 'RATE_LIMITED') {
       endpoint.workRefused(error, this.endpointChoice.isLate);
     }
   }
@@ -396,6 +429,7 @@
       this.tries.endUnserved();
       return;
     }
+    this.waiting.recordEnd(true);
     const attempt = this.attempts.get(number);
     if (attempt !== undefined) {
       recordIfLate(this.context, this.tries, {
@@ -449,5 +483,6 @@
     this.attempts.forEach((attempt) => attempt.stopAwaitingPeer());
     this.cancelDeadline();
     this.cancelBackOff?.();
+    this.waiting.stop();
   }
 }
--- a/src/proxy/request-services.ts
+++ b/src/proxy/request-services.ts
@@ -23,6 +23,9 @@
 import { workProfileOf } from './request-work.js';
 import type { Scheduler } from './scheduler.js';
 import { UnservedRequests } from './unserved-requests.js';
+import { CapacityOutlook } from './waiting/capacity-outlook.js';
+import type { SlotListener, SlotOffer } from './waiting/slot-offer.js';
+import { WaitingRequests } from './waiting/waiting-requests.js';
 
 /** Share of the fleet's saved retries that is divided among the known nodes. */
 const SAVED_RETRIES_SHARE = 0.9;
@@ -75,6 +78,13 @@
   readonly awaited = new AwaitedAttempts();
   readonly unserved = new UnservedRequests();
   readonly throttle: AdaptiveThrottle;
+  /** Requests of this node's callers that wait for a slot. */
+  readonly waiting: WaitingRequests;
+  readonly outlook = new CapacityOutlook();
+  /** Receives the slots that this node offers to itself. */
+  readonly slotListener: SlotListener = {
+    slotOffered: (offer) => void this.scheduler.schedule(0, () => this.useOwnOffer(offer)),
+  };
   readonly limits: ProxyLimits;
   readonly counters: CounterSink;
   readonly random: RandomSource;
@@ -105,6 +115,7 @@
     this.random = options.random;
     this.throttle = new AdaptiveThrottle(options.random);
     this.scheduler = options.scheduler;
+    this.waiting = new WaitingRequests(options.limits);
     this.machineId = options.identity.id;
     this.statements = options.statements ?? new EndpointStatements();
     this.limitedSenders = new LimitedSenders(this.machineId, () => options.members.machineIds());
@@ -189,6 +200,17 @@
       : orphanSlots(endpoint, this.machineId, nodeCount);
   }
 
+  /** Uses a slot that the owner of an endpoint offers; returns false if no request waits for it. */
+  useOffer(offer: SlotOffer): boolean {
+    return this.waiting.useOffer(offer, this.scheduler.now());
+  }
+
+  private useOwnOffer(offer: SlotOffer): void {
+    if (!this.useOffer(offer)) {
+      this.options.direct.slotDeclined?.(offer, this.slotListener);
+    }
+  }
+
   /** This node's share of the rate limit that the endpoint has stated, from 0 to 1. */
   rateShareFor(endpoint: Endpoint): number {
     const { maxRatePerS = Infinity } = this.statements.of(endpoint);
--- a/src/proxy/request-throttling.ts
+++ b/src/proxy/request-throttling.ts
@@ -25,14 +25,16 @@
 
   /**
    * Whether no attempt may begin now. Only routes whose callers come back are throttled: for others, each refusal is
-   * final. A request that an endpoint may have run is not throttled either, since its retry may still be answered.
+   * final. A request that an endpoint may have run is not throttled either, since its retry may still be answered; nor is
+   * one that is expected to get a slot after some wait (`isRoomExpected`).
    */
-  refusesAttempt(): boolean {
+  refusesAttempt(isRoomExpected: () => boolean): boolean {
     const { throttle, counters, scheduler } = this.context.services;
     const nowMs = scheduler.now();
     this.endpointChoice.checkTarget(nowMs);
     const mayThrottle = this.wasOnlyRefused && this.mayCallerComeBack;
-    const isRefused = mayThrottle && !throttle.admits(this.workClass, nowMs);
+    const isThrottled = mayThrottle && !throttle.admits(this.workClass, nowMs);
+    const isRefused = isThrottled && !isRoomExpected();
     if (isRefused) {
       counters.add('ferryspool_throttled_requests_total');
     }
--- a/src/proxy/request-work.ts
+++ b/src/proxy/request-work.ts
@@ -33,6 +33,19 @@
       };
 }
 
+/**
+ * The work of a request for which a slot is on offer: it is refused only because of its deadline, or if work in time has
+ * taken the slot.
+ */
+export function offeredWork(work: CallWork, { spec }: Route, nowMs: number): CallWork {
+  const { targetLatencyMs = 0 } = spec;
+  return {
+    ...work,
+    targetAtMs: undefined,
+    startByMs: nowMs + targetLatencyMs * LATE_SLOT_WAIT_SHARE,
+  };
+}
+
 /**
  * Priority, work class and time limits of an attempt for admission. The target latency determines the order of requests
  * and whether an attempt must be answered in time. An attempt that `isLate` waits behind requests of its priority that
--- a/src/runtime/store-node-metrics.ts
+++ b/src/runtime/store-node-metrics.ts
@@ -51,6 +51,11 @@
       'Listed endpoints that name a rate limit, to the knowledge of this node',
       () => proxy.limitedEndpointCount(),
     ],
+    [
+      'waiting_requests',
+      'Requests of callers of this node that wait for a slot of an endpoint',
+      () => proxy.waitingRequestCount(),
+    ],
   ];
 }
 
--- a/test/proxy/relay-sender.ts
+++ b/test/proxy/relay-sender.ts
@@ -78,6 +78,8 @@
       workClass: '',
       targetLeftMs: undefined,
       startLeftMs: undefined,
+      slotWishLeftMs: undefined,
+      offerId: undefined,
       bodyForm: 'none',
       bodyBytes: 0,
       bytes: Buffer.alloc(0),
--- a/test/proxy/relay/relay-frame.test.ts
+++ b/test/proxy/relay/relay-frame.test.ts
@@ -50,6 +50,8 @@
       'chunked' as const,
     ),
     bodyBytes: count,
+    slotWishLeftMs: optionalMs,
+    offerId: fc.option(count, { nil: undefined }),
     bytes,
   }),
   fc.record({
@@ -73,6 +75,7 @@
     verdict: fc.constantFrom('not-run' as const, 'may-have-run' as const, 'ran' as const),
     isRetryable: fc.boolean(),
     retryAfterMs: fc.option(count, { nil: undefined }),
+    slotWaitMs: fc.option(count, { nil: undefined }),
     ...load,
   }),
   fc.record({
@@ -87,6 +90,13 @@
     kind: fc.constantFrom('ping' as const, 'acknowledgement' as const),
     pingSentAtMs: count,
   }),
+  fc.record({ kind: fc.constant('cancel-attempt' as const), requestId: shortText }),
+  fc.record({
+    kind: fc.constantFrom('slot-offer' as const, 'slot-decline' as const),
+    offerId: count,
+    service: shortText,
+    endpoint: shortText,
+  }),
 );
 
 /** The frame without undefined fields. */
@@ -134,7 +144,7 @@
       }),
       { numRuns: 300, seed: 25 },
     );
-    expect(() => decodeRelayFrame(Buffer.from([9]))).to.throw(FrameError);
+    expect(() => decodeRelayFrame(Buffer.from([11]))).to.throw(FrameError);
     expect(() => decodeRelayFrame(Buffer.alloc(0))).to.throw(FrameError);
   });
 });
--- a/test/proxy/request-lifecycle-model.test.ts
+++ b/test/proxy/request-lifecycle-model.test.ts
@@ -26,6 +26,8 @@
 const late: RequestFailure = { code: 'LATE', verdict: 'may-have-run', retryable: false };
 const unsentLate: RequestFailure = { code: 'LATE', verdict: 'not-run', retryable: false };
 
+/** Time for which a request may wait for a slot, in milliseconds. */
+const WAIT_MS = 100;
 /** Maximum number of suspicions per attempt. */
 const MAX_SUSPICIONS = 2;
 /** Exceeds the length of every script, so that all states are explored. */
@@ -52,11 +54,15 @@
 interface ModelState {
   readonly policy: RequestPolicy;
   readonly replay: Replay;
+  readonly maxWaits: number;
   readonly attempts: AttemptState[];
   readonly suspicionCounts: number[];
   /** The attempt for which no endpoint has been selected yet. */
   pendingAttempt: number | undefined;
   isBackingOff: boolean;
+  /** Whether the request waits for a slot. */
+  isWaiting: boolean;
+  waitCount: number;
   /** Final outcome for the caller. */
   outcome: string | undefined;
   forwardedCount: number;
@@ -68,6 +74,8 @@
   readonly replay: Replay;
   /** Number of retries in the budget. */
   readonly budget?: number;
+  /** Maximum number of times that the request may wait for a slot; 0 if absent. */
+  readonly maxWaits?: number;
 }
 
 const CASES: readonly Case[] = [
@@ -92,6 +100,13 @@
     policy: { repeatable: false, retries: 1, redirects: 1, absentRedirects: 1 },
     replay: 'always',
   },
+  { name: 'may wait for a slot', policy: { retries: 1 }, replay: 'always', maxWaits: 2 },
+  {
+    name: 'is not repeatable and may wait for a slot',
+    policy: { repeatable: false, retries: 1, redirects: 1 },
+    replay: 'until-sent',
+    maxWaits: 1,
+  },
   {
     name: 'is past the time limit for refusals',
     policy: { refusableUntilMs: -1 },
@@ -110,14 +125,17 @@
   };
 }
 
-function initialState({ policy, replay }: Case): ModelState {
+function initialState({ policy, replay, maxWaits = 0 }: Case): ModelState {
   return {
     policy: policyOf(policy),
     replay,
+    maxWaits,
     attempts: [],
     suspicionCounts: [],
     pendingAttempt: undefined,
     isBackingOff: false,
+    isWaiting: false,
+    waitCount: 0,
     outcome: undefined,
     forwardedCount: 0,
   };
@@ -145,19 +163,36 @@
   if (attempt !== undefined) {
     return [
       { type: 'sent', attempt },
-      { type: 'no-endpoint', attempt, failure: noEndpoint },
+      { type: 'no-endpoint', attempt, failure: noEndpoint, waitMs: waitMsOf(model) },
       { type: 'withheld', attempt, failure: withheld },
-      { type: 'failed', attempt, failure: refused, canReplay: canReplayBody(model) },
+      refusal(model, attempt),
     ];
   }
   const backOffSteps: Step[] = model.isBackingOff ? [{ type: 'back-off-over' }] : [];
+  const waitSteps: Step[] = model.isWaiting
+    ? [
+        { type: 'wait-over', mayAttempt: true },
+        { type: 'wait-over', mayAttempt: false },
+      ]
+    : [];
   return [
     ...backOffSteps,
+    ...waitSteps,
     ...model.attempts.flatMap((state, index) => attemptSteps(model, state, index + 1)),
     ...requestSteps,
   ];
 }
 
+function waitMsOf({ waitCount, maxWaits }: ModelState): number | undefined {
+  return waitCount < maxWaits ? WAIT_MS : undefined;
+}
+
+/** The attempt is refused for lack of capacity. */
+function refusal(model: ModelState, attempt: number): Step {
+  const canReplay = canReplayBody(model);
+  return { type: 'failed', attempt, failure: refused, canReplay, waitMs: waitMsOf(model) };
+}
+
 function terminationSteps(model: ModelState): Step[] {
   const open = model.attempts.filter(isOpen);
   const isUnsent = open.every((state) => state === 'unsent');
@@ -193,7 +228,7 @@
     case 'unsent':
       return [
         { type: 'sent', attempt },
-        failed(refused),
+        refusal(model, attempt),
         failed(final),
         failed(absent),
         ...suspicionSteps,
@@ -203,7 +238,7 @@
       return [
         { type: 'answered', attempt },
         ...faults,
-        failed(refused),
+        refusal(model, attempt),
         failed(lost),
         ...suspicionSteps,
       ];
@@ -271,6 +306,9 @@
       case 'back-off-over':
         model.isBackingOff = false;
         return;
+      case 'wait-over':
+        model.isWaiting = false;
+        return;
       case 'sent':
         return this.setAttempt(step.attempt, 'sent');
       case 'suspected':
@@ -308,6 +346,11 @@
         model.pendingAttempt = effect.attempt;
         model.attempts.push('unsent');
         return this.checkAttemptStart();
+      case 'wait':
+        expect(this.canWait, 'waits although an attempt may have run').to.equal(true);
+        model.isWaiting = true;
+        model.waitCount += 1;
+        return;
       case 'back-off':
         expect(model.isBackingOff, 'backs off twice at the same time').to.equal(false);
         model.isBackingOff = true;
@@ -346,6 +389,11 @@
     }
   }
 
+  private get canWait(): boolean {
+    const { attempts, isWaiting, isBackingOff } = this.model;
+    return !isWaiting && !isBackingOff && attempts.every((state) => state === 'not-run');
+  }
+
   private checkAttemptStart(): void {
     const { policy, attempts } = this.model;
     const others = attempts.slice(0, -1);
@@ -372,14 +420,15 @@
   }
 
   private check(step: RequestEvent, effects: readonly RequestEffect[], wasPassing: boolean): void {
-    const { attempts, outcome, isBackingOff, pendingAttempt } = this.model;
+    const { attempts, outcome, isBackingOff, isWaiting, pendingAttempt } = this.model;
     const open = attempts.filter(isOpen);
     expect(this.lifecycle.isOver).to.equal(outcome !== undefined);
     if (outcome !== undefined) {
       expect(open, 'attempts still open after the end').to.deep.equal([]);
       return;
     }
-    const isInProgress = open.length > 0 || isBackingOff || pendingAttempt !== undefined;
+    const isInProgress =
+      open.length > 0 || isBackingOff || isWaiting || pendingAttempt !== undefined;
     expect(isInProgress, 'the request is open, but nothing is in progress').to.equal(true);
     const isSuccess = step.type === 'answered' && step.fault === undefined;
     if (isSuccess && !wasPassing) {
