--- a/src/proxy/request-event.ts
+++ b/src/proxy/request-event.ts
@@ -80,8 +80,8 @@
       /** Whether no other attempt may follow one that is refused for lack of capacity. */
       readonly isLast: boolean;
     }
-  /** Wait for a slot for up to `delayMs`. */
-  | { readonly type: 'wait'; readonly delayMs: number }
+  /** Wait for a slot for up to `delayMs`; `failure` is the latest refusal. */
+  | { readonly type: 'wait'; readonly delayMs: number; readonly failure: RequestFailure }
   | { readonly type: 'back-off'; readonly delayMs: number }
   | { readonly type: 'abort-attempt'; readonly attempt: number }
   | { readonly type: 'pass-answer'; readonly attempt: number }
--- a/src/proxy/request-lifecycle.ts
+++ b/src/proxy/request-lifecycle.ts
@@ -223,7 +223,7 @@
     this.mayHaveRun ||= failure.verdict !== 'not-run';
     return (
       this.startNextAttempt(failure, canReplay, nowMs) ??
-      this.waitForSlot(waitMs, nowMs) ??
+      this.waitForSlot(failure, waitMs, nowMs) ??
       this.settle(failure)
     );
   }
@@ -233,17 +233,21 @@
     nowMs: number,
   ): RequestEffect[] {
     this.lastFailure ??= failure;
-    return this.waitForSlot(waitMs, nowMs) ?? this.settle(this.lastFailure);
+    return this.waitForSlot(this.lastFailure, waitMs, nowMs) ?? this.settle(this.lastFailure);
   }
 
   /** Waits for a slot, if the request has provably not run and can still be refused in time after the wait. */
-  private waitForSlot(waitMs: number | undefined, nowMs: number): RequestEffect[] | undefined {
+  private waitForSlot(
+    failure: RequestFailure,
+    waitMs: number | undefined,
+    nowMs: number,
+  ): RequestEffect[] | undefined {
     const { refusableUntilMs = Infinity } = this.policy;
     if (waitMs === undefined || this.isInDoubt || nowMs + waitMs > refusableUntilMs) {
       return undefined;
     }
     this.state = 'waiting';
-    return [{ type: 'wait', delayMs: waitMs }];
+    return [{ type: 'wait', delayMs: waitMs, failure }];
   }
 
   private handleWaitOver(mayAttempt: boolean): RequestEffect[] {
--- a/src/proxy/request-log.ts
+++ b/src/proxy/request-log.ts
@@ -15,6 +15,8 @@
   | 'attempt-cancelled'
   /** An answer missed the target latency of its route; the entry has the request's time in each place. */
   | 'answer-late'
+  /** The request waits for a slot after refusals for lack of capacity; `code` is that of the latest one. */
+  | 'request-waiting'
   /** An error was reported to the caller. */
   | 'request-failed'
   /** The request was given up during the node's planned stop. */
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -44,6 +44,7 @@
 /** Observer for an answer that ends the request whether or not it is sent completely. */
 const IGNORE_END: AnswerObserver = { completed: () => undefined, truncated: () => undefined };
 
+type WaitEffect = Extract<RequestEffect, { type: 'wait' }>;
 type AttemptStartEffect = Extract<RequestEffect, { type: 'begin-attempt' }>;
 
 export class RequestRunner {
@@ -136,7 +137,7 @@
     }
     const latest = [...this.attempts.values()].at(-1);
     if (latest === undefined) {
-      return 'back-off';
+      return this.waiting.isWaiting ? 'slot' : 'back-off';
     }
     if (latest.isUnsent()) {
       return 'slot';
@@ -162,7 +163,7 @@
       case 'begin-attempt':
         return this.beginAttempt(effect);
       case 'wait':
-        return this.body && this.waiting.begin(effect.delayMs, this.body);
+        return this.waitForSlot(effect);
       case 'back-off':
         return this.backOff(effect.delayMs);
       case 'abort-attempt':
@@ -185,6 +186,13 @@
     this.cancelBackOff = scheduler.schedule(delayMs, () => this.handle({ type: 'back-off-over' }));
   }
 
+  private waitForSlot({ delayMs, failure }: WaitEffect): void {
+    if (this.body !== undefined) {
+      this.recorder.record('request-waiting', failure, failure.verdict);
+      this.waiting.begin(delayMs, this.body);
+    }
+  }
+
   private handleWaitOutcome(outcome: WaitOutcome): void {
     this.handle({ type: 'wait-over', mayAttempt: outcome !== 'ended' });
   }
--- a/src/proxy/waiting/request-waiting.ts
+++ b/src/proxy/waiting/request-waiting.ts
@@ -44,6 +44,11 @@
     private readonly onOutcome: (outcome: WaitOutcome) => void,
   ) {}
 
+  /** Whether the request waits now. */
+  get isWaiting(): boolean {
+    return this.leave !== undefined;
+  }
+
   /** Whether the request has waited before its current attempt. */
   get hasWaited(): boolean {
     return this.waitCount > 0;
--- a/test/proxy/fuzz/request-world.ts
+++ b/test/proxy/fuzz/request-world.ts
@@ -99,7 +99,11 @@
   start(): void {
     this.process.revive();
     const { world, process: scheduler } = this;
-    const counters = { add: () => undefined };
+    const counters = {
+      add: (name: string) => {
+        world.startedWaits += Number(name === 'ferryspool_waiting_started_total');
+      },
+    };
     this.containment = new Containment({
       nodeName: this.identity,
       callerHeader: undefined,
@@ -158,6 +162,8 @@
   readonly calls: CallRecord[] = [];
   /** Invariants that were violated during the run. */
   readonly violations: string[] = [];
+  /** Number of requests that waited for a slot. */
+  startedWaits = 0;
   readonly statuses = new Map<string, MemberStatus>();
   readonly nodes: readonly VirtualNode[];
   readonly endpoints: readonly VirtualEndpoint[];
@@ -176,13 +182,17 @@
    */
   private crashTimesMs: number[] = [];
 
-  /** `publishesStartTimes` says whether the configuration contains the start times of restarted endpoints. */
+  /**
+   * `publishesStartTimes` says whether the configuration contains the start times of restarted endpoints; `route` are
+   * further fields of the route.
+   */
   constructor(
     private readonly faults: EndpointFaults,
     readonly random: RandomSource,
     private readonly publishesStartTimes = false,
+    private readonly route: Readonly<Record<string, unknown>> = {},
   ) {
-    this.snapshot = snapshotOf(this.drainingNames, this.bornAtMs);
+    this.snapshot = this.currentSnapshot();
     this.endpoints = ENDPOINT_NAMES.map(
       () => new VirtualEndpoint(new VirtualProcess(this.clock), this.ledger, faults, random),
     );
@@ -377,7 +387,7 @@
     const bornAtMs = Math.floor(this.clock.nowMs);
     const publish = (): void => {
       this.bornAtMs.set(name, bornAtMs);
-      this.snapshot = snapshotOf(this.drainingNames, this.bornAtMs);
+      this.snapshot = this.currentSnapshot();
     };
     this.clock.schedule(this.clock.nowMs + START_TIME_DELAY_MS, { run: publish });
   }
@@ -421,7 +431,11 @@
       this.drainedAtMs.set(name, names.has(name) ? since : Infinity);
     }
     this.drainingNames = names;
-    this.snapshot = snapshotOf(names, this.bornAtMs);
+    this.snapshot = this.currentSnapshot();
+  }
+
+  private currentSnapshot(): Snapshot {
+    return snapshotOf(this.drainingNames, this.bornAtMs, this.route);
   }
 
   advance(byMs: number): void {
@@ -484,6 +498,7 @@
 function snapshotOf(
   draining: ReadonlySet<string>,
   bornAtMs: ReadonlyMap<string, number>,
+  route: Readonly<Record<string, unknown>>,
 ): Snapshot {
   const endpoints = ENDPOINT_NAMES.map((name, index) =>
     echoEndpoint(name, 1_000 + index, {
@@ -493,7 +508,7 @@
       state: draining.has(name) ? 'draining' : 'active',
     }),
   );
-  const resources = [...echoService({}, { retryBudgetPercent: 100 }), ...endpoints];
+  const resources = [...echoService(route, { retryBudgetPercent: 100 }), ...endpoints];
   return buildSnapshot(
     NO_SNAPSHOT_VERSION,
     resources.map((resource) => resourceSchema.parse(resource)),
--- a/test/proxy/fuzz/virtual-paths.ts
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -20,6 +20,7 @@
   RelayedError,
   UnreachableError,
 } from '../../../src/proxy/request-error.js';
+import type { SlotListener } from '../../../src/proxy/waiting/slot-offer.js';
 import { CRASHING_TARGET, type RequestWorld, type VirtualNode } from './request-world.js';
 
 /** A body stream that carries no bytes. */
@@ -194,6 +195,9 @@
 
 /** Relays requests of one node to the nodes on the endpoints' machines. */
 export class VirtualRelay implements EndpointPath {
+  /** Receive the slots that a node offers, by its identity. */
+  private readonly listeners = new Map<string, SlotListener>();
+
   constructor(
     private readonly world: RequestWorld,
     private readonly node: VirtualNode,
@@ -225,6 +229,8 @@
       () => relayed?.abort(),
     );
     const remainingMs = call.deadlineAtMs - node.process.now();
+    const { slotWish } = call;
+    const listener = this.listenerTo(peer);
     connection.toServer(() => {
       const deadlineAtMs = peer.process.now() + remainingMs;
       const { knownMaxRatePerS } = call;
@@ -233,7 +239,7 @@
       }
       relayed = peer.gateway.submit(
         endpoint,
-        { ...call, deadlineAtMs },
+        { ...call, deadlineAtMs, ...(slotWish && { slotWish: { ...slotWish, listener } }) },
         {
           answered: (answer) => {
             connection.toClient(() => {
@@ -264,6 +270,27 @@
       isUnsent: () => false,
     };
   }
+
+  /** Offers and their answers may be late or overtake each other. */
+  private listenerTo(peer: VirtualNode): SlotListener {
+    const { world, node } = this;
+    const key = `${peer.identity} ${node.identity}`;
+    const listener: SlotListener = this.listeners.get(key) ?? {
+      slotOffered: (offer) => {
+        const decline = (): void => {
+          const run = (): void => peer.gateway.slotDeclined(offer, listener);
+          peer.process.schedule(world.delayMs(), run);
+        };
+        node.process.schedule(world.delayMs(), () => {
+          if (!node.services.useOffer(offer)) {
+            decline();
+          }
+        });
+      },
+    };
+    this.listeners.set(key, listener);
+    return listener;
+  }
 }
 
 /** Returns the id of the caller's request that an attempt belongs to: the attempt's id without its number. */
--- a/test/proxy/request-fuzz.test.ts
+++ b/test/proxy/request-fuzz.test.ts
@@ -24,6 +24,9 @@
 const MAX_COMMANDS = 60;
 /** Number of calls in a series that repeats a crashing request. */
 const CRASHING_CALL_COUNT = 12;
+/** Number of calls in a burst, and the target latency of their route, in milliseconds. */
+const BURST_CALL_COUNT = 12;
+const BURST_TARGET_MS = 60;
 /** Number of calls in a series that finds rate limits exceeded. */
 const SERIES_CALL_COUNT = 30;
 /** Exceeds the duration of any request, slot occupation or delayed message, in milliseconds. */
@@ -59,6 +62,21 @@
   },
 ];
 
+const burstCommands: readonly WeightedCommand[] = [
+  {
+    weight: 10,
+    arbitrary: fc
+      .tuple(index, flag, fc.integer({ min: 4 * BURST_TARGET_MS, max: 1_500 }))
+      .map(([node, repeatable, timeoutMs]) =>
+        command(`burst n${node} ${repeatable} ${timeoutMs}`, (world) => {
+          for (let i = 0; i < BURST_CALL_COUNT; i += 1) {
+            world.call(at(world.nodes, node), repeatable, timeoutMs);
+          }
+        }),
+      ),
+  },
+];
+
 const crashCommands: readonly WeightedCommand[] = [
   {
     weight: 3,
@@ -289,14 +307,18 @@
     }),
   });
 
+/** Number of requests that waited for a slot in all runs. */
+let startedWaits = 0;
+
 /** With `publishesStartTimes`, nodes are notified that an endpoint has restarted under the same name. */
 const propertyOf = (
   arbitrary: ReturnType<typeof scenarioOf>,
   publishesStartTimes = false,
   findFurther: (world: RequestWorld) => string | undefined = () => undefined,
+  route: Readonly<Record<string, unknown>> = {},
 ) =>
   fc.property(arbitrary, ({ seed, faults, commands }) => {
-    const world = new RequestWorld(faults, seededRandom(seed), publishesStartTimes);
+    const world = new RequestWorld(faults, seededRandom(seed), publishesStartTimes, route);
     for (const step of commands) {
       step.run(world);
       world.advance(1);
@@ -311,6 +333,7 @@
       failOn(findViolation(world) ?? findFurther(world), 'settling');
     }
     failOn(findUnsettled(world), 'the end of the run');
+    startedWaits += world.startedWaits;
   });
 
 const scenarios = scenarioOf([...callCommands, ...crashCommands, ...faultCommands]);
@@ -329,6 +352,14 @@
   findAbandonedRun,
 );
 
+/** Bursts on a route with a target latency: requests that are refused for lack of capacity wait for a slot. */
+const waitingProperty = propertyOf(
+  scenarioOf([...burstCommands, advanceCommand, ...faultCommands, disconnectCommand(3)]),
+  true,
+  undefined,
+  { targetLatencyMs: BURST_TARGET_MS },
+);
+
 interface Mutant {
   readonly name: string;
   /** The property that must detect the mutant; by default the one without unresponsive peers. */
@@ -340,6 +371,17 @@
 }
 
 const mutants: readonly Mutant[] = [
+  {
+    name: 'a request waits for a slot although it may have run',
+    property: waitingProperty,
+    target: RequestLifecycle.prototype,
+    method: 'waitForSlot',
+    replace: () =>
+      function (this: { state: string; lastFailure: unknown }): unknown[] {
+        this.state = 'waiting';
+        return [{ type: 'wait', delayMs: 50, failure: this.lastFailure }];
+      },
+  },
   {
     name: 'requests that are not repeatable are retried without proof that they have not run',
     target: RequestLifecycle.prototype,
@@ -504,6 +546,12 @@
     fc.assert(statementProperty, { seed: SEED, numRuns: RUNS });
   });
 
+  it('preserves all invariants while requests wait for slots', () => {
+    startedWaits = 0;
+    fc.assert(waitingProperty, { seed: SEED, numRuns: RUNS });
+    expect(startedWaits).to.be.above(RUNS);
+  });
+
   it('ends the requests of callers that disconnect', () => {
     fc.assert(abandonProperty, { seed: SEED, numRuns: RUNS });
   });
--- a/test/proxy/waiting/overloaded-fleet.ts
+++ b/test/proxy/waiting/overloaded-fleet.ts
@@ -42,6 +42,9 @@
   readonly arrivedAtMs: number;
   readonly tries: TryRecord[];
   answeredAtMs: number | undefined;
+  hasLeft: boolean;
+  /** Closes the caller's connection. */
+  leave: () => void;
 }
 
 /** One try. */
@@ -186,6 +189,8 @@
       arrivedAtMs: this.clock.nowMs,
       tries: [],
       answeredAtMs: undefined,
+      hasLeft: false,
+      leave: () => undefined,
     };
     this.callers.push(caller);
     this.tryRequest(caller, this.callers.length, node);
@@ -222,7 +227,12 @@
       },
       breakConnection: () => end('may-have-run'),
       hasBegun: () => false,
-      onClose: () => undefined,
+      onClose: (action) => {
+        caller.leave = () => {
+          caller.hasLeft = true;
+          action(false);
+        };
+      },
     };
     const prefix = `r${id}/${caller.tries.length}`;
     new RequestRunner({
@@ -243,7 +253,7 @@
 
   private comeBack(caller: CallerRecord, id: number, node: FleetNode, retryAfterMs: number): void {
     const leftMs = caller.arrivedAtMs + CALLER_DEADLINE_MS - this.clock.nowMs;
-    if (caller.tries.length <= CALLER_RETRIES && leftMs > 0) {
+    if (caller.tries.length <= CALLER_RETRIES && leftMs > 0 && !caller.hasLeft) {
       const delayMs = Math.min(retryAfterMs, leftMs * MAX_RETRY_DELAY_SHARE);
       const run = (): void => this.tryRequest(caller, id, node);
       this.clock.schedule(this.clock.nowMs + delayMs, { run });
