Waiting requests: an owner states no shorter wait than the time since a slot was last released

Cause: test/proxy/late-requests.test.ts failed with waiting: a request waited for endpoints whose requests never ended.

Change: the expected wait in a refusal is at least the time since the endpoint's last release.

--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -75,6 +75,7 @@
   /** Suspected requests that wait until other suspected requests have ended. */
   private readonly deferredSuspects = new Set<GatedCall>();
   private isProbing = false;
+  private lastReleaseAtMs: number;
   private isDrainedByEndpoint = false;
   private closedByConfiguration: ClosedReason | undefined;
 
@@ -86,6 +87,7 @@
     startedAtMs = -Infinity,
   ) {
     const { maxQueuedPerEndpoint, maxQueuedPerSlot } = options;
+    this.lastReleaseAtMs = options.scheduler.now();
     this.coldStartLimiter = new ColdStartLimiter(startedAtMs);
     this.statement = (options.statements ?? new EndpointStatements()).of(endpoint);
     this.admission = new EndpointAdmission(
@@ -206,11 +208,12 @@
       call,
       this.options.scheduler.now(),
     );
-    return this.slotOffers.register(call, { ...refusal, retryAfterMs: waitMs });
+    return this.registerRefused(call, { ...refusal, retryAfterMs: waitMs });
   }
 
   release(call: Call, serviceMs: number | undefined): void {
     this.calls.delete(call.requestId);
+    this.lastReleaseAtMs = this.options.scheduler.now();
     if (serviceMs !== undefined) {
       this.options.onEndpointMs?.(serviceMs);
     }
@@ -334,10 +337,17 @@
 
   /** The error for a refusal; registers the request if its sender waits for a slot. */
   private refusalError(refusal: Refusal, call: Call | undefined): RequestError {
-    const slotWaitMs = this.slotOffers.register(call, refusal);
+    const slotWaitMs = this.registerRefused(call, refusal);
     return admissionError(refusal.reason, refusal.retryAfterMs, slotWaitMs);
   }
 
+  /** Returns the time in which a slot is expected to be offered: no less than that since one was last released. */
+  private registerRefused(call: Call | undefined, refusal: Refusal): number | undefined {
+    const sinceReleaseMs = this.options.scheduler.now() - this.lastReleaseAtMs;
+    const waitMs = Math.max(refusal.retryAfterMs, sinceReleaseMs);
+    return this.slotOffers.register(call, { ...refusal, retryAfterMs: waitMs });
+  }
+
   private admit(gated: GatedCall): void {
     const { call } = gated;
     this.calls.set(call.requestId, gated);
