--- a/src/proxy/relay/relay-connection.ts
+++ b/src/proxy/relay/relay-connection.ts
@@ -13,6 +13,8 @@
   encodeRelayFrame,
   type FreeSlotsFrame,
   type RelayFrame,
+  type SlotDeclineFrame,
+  type SlotOfferFrame,
   type StreamFrame,
 } from './relay-frame.js';
 
@@ -44,6 +46,8 @@
   attemptCancelled?(requestId: string): void;
   /** The peer announces free slots of one of its endpoints. */
   slotsAnnounced?(frame: FreeSlotsFrame): void;
+  /** The peer offers a slot, or declines one that was offered to it. */
+  slotFrameReceived?(frame: SlotOfferFrame | SlotDeclineFrame): void;
   /** The connection was closed; called once. */
   closed(): void;
 }
@@ -255,6 +259,8 @@
           this.observer.attemptCancelled?.(frame.requestId);
         } else if (frame.kind === 'free-slots') {
           this.observer.slotsAnnounced?.(frame);
+        } else if (frame.kind === 'slot-offer' || frame.kind === 'slot-decline') {
+          this.observer.slotFrameReceived?.(frame);
         } else {
           frames.push(frame);
         }
--- a/src/proxy/relay/relay-peer.ts
+++ b/src/proxy/relay/relay-peer.ts
@@ -9,11 +9,12 @@
 import { NodeStoppingError, UnknownEndpointError } from '../request-error.js';
 import type { RequestLog } from '../request-log.js';
 import type { Scheduler } from '../scheduler.js';
+import type { SlotListener } from '../waiting/slot-offer.js';
 import type { CreditPool } from './credit-pool.js';
 import { ConnectionLiveness, type LivenessLimits } from './link-pulse.js';
 import { PendingRequests } from './pending-requests.js';
 import { RelayConnection } from './relay-connection.js';
-import type { RequestFrame, StreamFrame } from './relay-frame.js';
+import type { RequestFrame, SlotDeclineFrame, SlotOfferFrame, StreamFrame } from './relay-frame.js';
 import type { UnresponsiveConnection } from './relay-link.js';
 import { freeSlotsFrameOf, ratePerSOf } from './relay-load.js';
 import type { AnnouncementReceiver } from '../slot-announcements.js';
@@ -86,6 +87,9 @@
   private readonly travelTime = new TravelTime();
   private readonly pendingRequests: PendingRequests;
   private isEnded = false;
+  private readonly slotListener: SlotListener = {
+    slotOffered: (offer) => void this.connection.send({ kind: 'slot-offer', ...offer }),
+  };
   private onClosed: () => void = () => undefined;
   /** When the last frame was sent to the peer in response to a request. */
   lastAnswerSentAtMs = -Infinity;
@@ -107,6 +111,7 @@
     const observer = {
       received: (frames: readonly StreamFrame[]) => this.receive(frames),
       attemptCancelled: (requestId: string) => shared.cancelAttempt(requestId),
+      slotFrameReceived: (frame: SlotOfferFrame | SlotDeclineFrame) => this.handleSlotFrame(frame),
       closed: () => this.end(),
     };
     this.connection = new RelayConnection(socket, head, observer, watch);
@@ -187,6 +192,12 @@
     this.pendingRequests.startWhenRead();
   }
 
+  private handleSlotFrame(frame: SlotOfferFrame | SlotDeclineFrame): void {
+    if (frame.kind === 'slot-decline') {
+      this.options.endpoints.slotDeclined(frame, this.slotListener);
+    }
+  }
+
   private handleFrame(frame: StreamFrame): void {
     if (frame.kind === 'request') {
       if (!this.shared.wasCancelled(frame.requestId)) {
@@ -254,7 +265,7 @@
     const travelLostMs = this.travelTime.lostMs(frame.sentAtMs, nowMs);
     const sentAtMs = nowMs - travelLostMs;
     this.options.onTravelLostMs?.(travelLostMs);
-    const { targetLeftMs, startLeftMs } = frame;
+    const { targetLeftMs, startLeftMs, slotWishLeftMs, offerId } = frame;
     return {
       requestId: frame.requestId,
       method: frame.method,
@@ -269,6 +280,10 @@
       travelLostMs,
       ...(targetLeftMs !== undefined && { targetAtMs: sentAtMs + targetLeftMs }),
       ...(startLeftMs !== undefined && { startByMs: sentAtMs + startLeftMs }),
+      ...(slotWishLeftMs !== undefined && {
+        slotWish: { listener: this.slotListener, untilMs: sentAtMs + slotWishLeftMs },
+      }),
+      ...(offerId !== undefined && { offerId }),
     };
   }
 
@@ -281,6 +296,7 @@
   private end(): void {
     this.isEnded = true;
     this.pendingRequests.clear();
+    this.options.endpoints.listenerGone(this.slotListener);
     for (const request of [...this.requests.values()]) {
       request.abandon('connection-closed', this.options.requestLog);
     }
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -123,6 +123,7 @@
         isStopping: () => this.plannedStop.isStopping,
         announceHere: (announcement) => this.receiveAnnouncement(announcement),
       },
+      isStopping: () => this.plannedStop.isStopping,
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
       coldShareFor: (endpoint) => this.services.coldShareFor(endpoint),
       rateShareFor: (endpoint) => this.services.rateShareFor(endpoint),
@@ -215,6 +216,10 @@
     return this.countEndpoints((endpoint) => this.statements.of(endpoint).isLimited);
   }
 
+  waitingRequestCount(): number {
+    return this.services.waiting.size;
+  }
+
   /** Number of listed endpoints that match. */
   private countEndpoints(matches: (endpoint: Endpoint) => boolean): number {
     const snapshot = this.options.snapshots.current();
@@ -262,7 +267,7 @@
       'request-path',
       `stopping with ${this.meter.inFlight} in flight, ${signalDelay}`,
     );
-    await drainServers([this.callerServer, this.relayServer], {
+    const drained = drainServers([this.callerServer, this.relayServer], {
       stop: this.plannedStop,
       signalAgeMs,
       eventLoopLagMs: () => this.eventLoopLag.recentMaxMs(MACHINE_TIME.now()),
@@ -285,6 +290,19 @@
       },
       closeAll: () => this.abort(),
     });
+    this.refuseWaiting();
+    await drained;
+  }
+
+  /** Callers whose requests wait for a slot can be served by another node in time. */
+  private refuseWaiting(): void {
+    const count = this.services.waiting.refuseAll();
+    if (count > 0) {
+      this.options.logStateChange(
+        'request-path',
+        `refused ${count} requests that waited for slots`,
+      );
+    }
   }
 
   abort(): void {
@@ -349,6 +367,7 @@
         this.reportUnresponsiveRelay(`to ${address}`, connection),
       onFreeSlots: (announcement) => this.receiveAnnouncement(announcement),
       isListed: (endpoint) => this.isListed(endpoint),
+      onSlotOffer: (offer) => this.services.useOffer(offer),
       addressOf: ({ spec }) =>
         spec.machine === undefined ? undefined : members.relayAddress(spec.machine),
     });
