--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -131,6 +131,16 @@
     return Math.max(...headrooms.map((headroom) => limit - slotsBeside(headroom, limit)));
   }
 
+  /** Whether the request holds a reservation. */
+  hasReservation(requestId: string): boolean {
+    return this.reserved.has(requestId);
+  }
+
+  /** The refusal of a request that has to wait for others although the queue has a place for it. */
+  refuseInFavourOfOthers(ticket: AdmissionTicket, nowMs: number): Refusal {
+    return this.refusal(ticket, 'queue-full', nowMs);
+  }
+
   /** Why new requests are refused; undefined while they are accepted. */
   get closedReason(): ClosedReason | undefined {
     return this.closedFor;
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -5,6 +5,7 @@
   type AdmissionEffect,
   type BodyArrival,
   type ClosedReason,
+  type Refusal,
 } from '../admission/endpoint-admission.js';
 import type { SlownessReport } from '../admission/reported-slowness.js';
 import { NO_CONTAINMENT, type CallContainment } from '../containment/containment.js';
@@ -37,6 +38,8 @@
   type SlotAnnouncementOptions,
 } from './slot-announcements.js';
 import type { CancelTimer, Scheduler } from './scheduler.js';
+import type { SlotListener } from './waiting/slot-offer.js';
+import { SlotOffers } from './waiting/slot-offers.js';
 
 /** Reported slowness from which a report is counted as slow, in percent of usual. */
 const SLOW_PERCENT = 150;
@@ -64,6 +67,8 @@
   readonly announcements?: SlotAnnouncementOptions;
   /** Called with the service time of each complete answer, in milliseconds. */
   readonly onEndpointMs?: (ms: number) => void;
+  /** Whether the node is in a planned stop, so that it offers no slots; never if absent. */
+  readonly isStopping?: () => boolean;
   /** Logs a change of state. */
   readonly logStateChange: (what: string, detail: string) => void;
 }
@@ -84,9 +89,11 @@
   private readonly containment: CallContainment;
   private readonly exitDetector: ProcessExitDetector<GatedCall>;
   private readonly suspectLimiter = new SuspectLane();
+  private readonly slotOffers: SlotOffers;
   /** Suspected requests that wait until other suspected requests have ended. */
   private readonly deferredSuspects = new Set<GatedCall>();
   private isProbing = false;
+  private lastReleaseAtMs: number;
   private isDrainedByEndpoint = false;
   private closedByConfiguration: ClosedReason | undefined;
 
@@ -98,6 +105,7 @@
     startedAtMs = -Infinity,
   ) {
     const { maxQueuedPerEndpoint, maxQueuedPerSlot, keepsHeadroom } = options;
+    this.lastReleaseAtMs = options.scheduler.now();
     this.coldStartLimiter = new ColdStartLimiter(startedAtMs);
     this.statement = (options.statements ?? new EndpointStatements()).of(endpoint);
     this.admission = new EndpointAdmission(
@@ -120,6 +128,12 @@
       onLeaving: () => this.updateClosed(),
     });
     this.headroom = new GateHeadroom({ ...options, endpointName: endpoint.name });
+    this.slotOffers = new SlotOffers({
+      endpoint,
+      scheduler: options.scheduler,
+      counters: options.counters,
+      freeSlots: () => this.unusedSlots,
+    });
     this.containment = options.containment ?? NO_CONTAINMENT;
     this.exitDetector = new ProcessExitDetector({
       inProgress: () => [...this.calls.values()].filter((gated) => gated.isInProgress()).reverse(),
@@ -179,17 +193,34 @@
 
   /** Reserves capacity for a call whose body has yet to arrive; without capacity, logs and returns the refusal. */
   reserve(call: Call, arrival: BodyArrival): RequestError | undefined {
-    const refusal = this.admission.reserve(call, arrival, this.options.scheduler.now());
+    const refusal =
+      this.refusalInFavourOfWaiters(call) ??
+      this.admission.reserve(call, arrival, this.options.scheduler.now());
     if (refusal === undefined) {
       return undefined;
     }
     this.options.counters.add('ferryspool_endpoint_refusals_total');
     this.recordRefusal(refusal, call);
-    return admissionError(refusal.reason, refusal.retryAfterMs);
+    return this.refusalError(refusal, call);
   }
 
   unreserve(call: Call): void {
     this.admission.unreserve(call.requestId);
+    this.offerFreeSlots();
+  }
+
+  /** Offers free slots to nodes whose requests wait; to be called periodically, since limits rise with time. */
+  offerFreeSlots(): void {
+    this.slotOffers.offerFreeSlots();
+  }
+
+  slotDeclined(offerId: number, listener: SlotListener): void {
+    this.slotOffers.declined(offerId, listener);
+  }
+
+  /** The connection to a node whose requests may wait has ended. */
+  removeListener(listener: SlotListener): void {
+    this.slotOffers.removeListener(listener);
   }
 
   /** Records a request that arrived from the receiver of announcements. */
@@ -217,13 +248,20 @@
     return wasWaiting;
   }
 
-  recordExpiry(call: Call, retryAfterMs: number): void {
+  recordExpiry(call: Call, retryAfterMs: number): number | undefined {
     const { requestId } = call;
-    this.recordRefusal({ requestId, reason: 'cannot-finish-in-time', retryAfterMs }, call);
+    const refusal = { requestId, reason: 'cannot-finish-in-time', retryAfterMs } as const;
+    this.recordRefusal(refusal, call);
+    const { retryAfterMs: waitMs } = this.admission.refuseInFavourOfOthers(
+      call,
+      this.options.scheduler.now(),
+    );
+    return this.registerRefused(call, { ...refusal, retryAfterMs: waitMs });
   }
 
   release(call: Call, serviceMs: number | undefined): void {
     this.calls.delete(call.requestId);
+    this.lastReleaseAtMs = this.options.scheduler.now();
     if (serviceMs !== undefined) {
       this.options.onEndpointMs?.(serviceMs);
     }
@@ -313,6 +351,7 @@
    * restarted. Running requests stay, since their connections close with the process that they were sent to.
    */
   handOver(next: EndpointGate): void {
+    this.slotOffers.clear();
     const waiting = [...this.calls.values()].filter((gated) => this.removeWaiting(gated));
     this.admission.transferReservations(next.admission);
     if (startedBefore(this.endpoint, next.endpoint)) {
@@ -340,9 +379,43 @@
     });
   }
 
+  private get unusedSlots(): number {
+    const isStopping = this.options.isStopping?.() === true;
+    return isStopping ? 0 : this.admission.freeSlotsAt(this.options.scheduler.now());
+  }
+
+  /** Refuses late work while requests wait that were refused before it. One with a reservation has been decided on. */
+  private refusalInFavourOfWaiters(call: Call): Refusal | undefined {
+    if (this.admission.hasReservation(call.requestId)) {
+      return undefined;
+    }
+    this.slotOffers.requestArrived(call);
+    return this.slotOffers.yieldsToWaiters(call)
+      ? this.admission.refuseInFavourOfOthers(call, this.options.scheduler.now())
+      : undefined;
+  }
+
+  /** The error for a refusal; registers the request if its sender waits for a slot. */
+  private refusalError(refusal: Refusal, call: Call | undefined): RequestError {
+    const slotWaitMs = this.registerRefused(call, refusal);
+    return admissionError(refusal.reason, refusal.retryAfterMs, slotWaitMs);
+  }
+
+  /** Returns the time in which a slot is expected to be offered: no less than that since one was last released. */
+  private registerRefused(call: Call | undefined, refusal: Refusal): number | undefined {
+    const sinceReleaseMs = this.options.scheduler.now() - this.lastReleaseAtMs;
+    const waitMs = Math.max(refusal.retryAfterMs, sinceReleaseMs);
+    return this.slotOffers.register(call, { ...refusal, retryAfterMs: waitMs });
+  }
+
   private admit(gated: GatedCall): void {
     const { call } = gated;
     this.calls.set(call.requestId, gated);
+    const refusal = this.refusalInFavourOfWaiters(call);
+    if (refusal !== undefined) {
+      this.execute([{ type: 'refuse', ...refusal }]);
+      return;
+    }
     this.offer(gated);
     gated.scheduleExpiry(this.admission.latestStartAtMs(call, this.options.scheduler.now()));
   }
@@ -409,6 +482,7 @@
     const reason = isDrained ? 'draining' : this.closedByConfiguration;
     if (reason !== this.admission.closedReason) {
       this.options.logStateChange('endpoint', `${this.endpoint.name} ${reason ?? 'open'}`);
+      this.slotOffers.clear();
       this.execute(this.admission.close(reason, this.options.scheduler.now()));
     }
   }
@@ -484,7 +558,7 @@
         this.options.counters.add('ferryspool_endpoint_refusals_total');
         this.recordRefusal(effect, gated?.call);
         this.calls.delete(effect.requestId);
-        gated?.refuse(admissionError(effect.reason, effect.retryAfterMs));
+        gated?.refuse(this.refusalError(effect, gated.call));
         this.releaseSuspect(effect.requestId);
       }
     }
@@ -492,6 +566,7 @@
     if (this.needsResume || this.cancelResume !== undefined) {
       this.scheduleResume();
     }
+    this.offerFreeSlots();
   }
 
   private updateHeadroom(): void {
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -6,9 +6,15 @@
 import type { Attempt, AttemptObserver, Call } from '../call.js';
 import type { BeforeSend } from '../http-exchange.js';
 import type { Scheduler } from '../scheduler.js';
+import type { SlotOffer } from '../waiting/slot-offer.js';
 import { ConnectionLiveness, LOSS_TIMEOUT_MS, type LivenessLimits } from './link-pulse.js';
 import { RelayConnection } from './relay-connection.js';
-import type { FreeSlotsFrame, StreamFrame } from './relay-frame.js';
+import type {
+  FreeSlotsFrame,
+  SlotDeclineFrame,
+  SlotOfferFrame,
+  StreamFrame,
+} from './relay-frame.js';
 import { announcementOf } from './relay-load.js';
 import { RELAY_CLOCK_HEADER, RELAY_PROTOCOL, RELAY_TOKEN_HEADER } from './relay-protocol.js';
 import { RelayedAttempt } from './relayed-attempt.js';
@@ -48,6 +54,8 @@
   readonly onFreeSlots?: (announcement: FreeSlotAnnouncement) => void;
   /** Runs the sending of each request at once or later; at once if absent. */
   readonly beforeSend?: BeforeSend;
+  /** Uses a slot that a peer offers; returns false if no request waits for it. Declines all if absent. */
+  readonly onSlotOffer?: (offer: SlotOffer) => boolean;
 }
 
 /** State of an unresponsive connection. */
@@ -234,6 +242,7 @@
       received: (frames: readonly StreamFrame[]) =>
         frames.forEach((frame) => this.handleFrame(frame)),
       slotsAnnounced: (frame: FreeSlotsFrame) => this.options.onFreeSlots?.(announcementOf(frame)),
+      slotFrameReceived: (frame: SlotOfferFrame | SlotDeclineFrame) => this.handleSlotFrame(frame),
       closed: () => this.end('lost'),
     };
     this.connection = new RelayConnection(socket, head, observer, watch);
@@ -340,6 +349,12 @@
     }
   }
 
+  private handleSlotFrame(frame: SlotOfferFrame | SlotDeclineFrame): void {
+    if (frame.kind === 'slot-offer' && this.options.onSlotOffer?.(frame) !== true) {
+      this.connection?.send({ ...frame, kind: 'slot-decline' });
+    }
+  }
+
   private handleFrame(frame: StreamFrame): void {
     this.streams.get(frame.streamId)?.handleFrame(frame);
   }
