--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -10,20 +10,13 @@
   Refusal,
   RefusalReason,
 } from './admission-effect.js';
+import { ExpectedServiceTimes } from './expected-service-times.js';
+import { HeadroomLimits, type RunningWork } from './headroom-limits.js';
 import { IdleStarts } from './idle-starts.js';
 import { LimitedRequests } from './limited-requests.js';
 import { AdmissionQueue, rankOf, type AdmissionTicket } from './admission-queue.js';
 import { combineRateLimits, NO_RATE_LIMIT, type RateLimiter } from './rate-limiter.js';
-import { ReportedSlowness, type SlownessReport } from './reported-slowness.js';
-import { ServiceTimes } from './service-times.js';
-import {
-  restricts,
-  SHORT_WORK_RATIO,
-  SlotHeadroom,
-  slotsBeside,
-  type Headroom,
-  type RankedWork,
-} from './slot-headroom.js';
+import type { SlownessReport } from './reported-slowness.js';
 import { isLateRank, onTimeRank } from './work-rank.js';
 
 export type { AdmissionTicket } from './admission-queue.js';
@@ -56,12 +49,6 @@
 /** Maximum wait of late work, as a multiple of the expected wait. */
 const LATE_WAIT_FACTOR = 3;
 
-/** A request that occupies a slot. */
-interface RunningWork {
-  readonly rank: number;
-  readonly workClass: string | undefined;
-}
-
 /** Slots and queue of one endpoint. */
 export class EndpointAdmission {
   private readonly queue = new AdmissionQueue();
@@ -69,13 +56,8 @@
   private readonly running = new Map<string, RunningWork>();
   /** Ranks of the requests that hold a reservation while their bodies are in transit, by request id. */
   private readonly reserved = new Map<string, number>();
-  /** Service times at the endpoint's usual speed. */
-  private readonly serviceTimes = new ServiceTimes();
-  private readonly slowness = new ReportedSlowness();
-  private readonly slotHeadroom = new SlotHeadroom();
-  /** The queued requests that headroom has kept from starting. */
-  private readonly delayedByHeadroom = new WeakSet<AdmissionTicket>();
-  private headroomDelayCount = 0;
+  private readonly serviceTimes = new ExpectedServiceTimes();
+  private readonly headroom: HeadroomLimits;
   private readonly idleStarts = new IdleStarts();
   private closedFor: ClosedReason | undefined;
   /** Requests in flight at the endpoint, according to its last report, that this node does not count. */
@@ -99,11 +81,15 @@
     private readonly queuedPerSlot = DEFAULT_QUEUED_PER_SLOT,
     private readonly coldStartLimiter: RateLimiter = NO_RATE_LIMIT,
     endpointLimiter: RateLimiter = NO_RATE_LIMIT,
-    private readonly keepsHeadroom = true,
+    keepsHeadroom = true,
   ) {
     this.limitedRequests = new LimitedRequests(endpointLimiter);
     this.rateLimiter = combineRateLimits([coldStartLimiter, endpointLimiter]);
     this.limit = slots;
+    this.headroom = new HeadroomLimits(
+      { serviceTimes: this.serviceTimes, running: this.running, slots: () => this.slots },
+      keepsHeadroom,
+    );
   }
 
   /** Number of running requests. */
@@ -118,17 +104,12 @@
 
   /** Number of requests whose start headroom has delayed. */
   get delayedByHeadroomCount(): number {
-    return this.headroomDelayCount;
+    return this.headroom.delayedCount;
   }
 
   /** Number of slots that long work leaves free for more urgent work. */
   headroomSlots(nowMs: number): number {
-    const headrooms = this.headroomsAt(nowMs);
-    if (headrooms.length === 0) {
-      return 0;
-    }
-    const limit = this.limitAt(nowMs);
-    return Math.max(...headrooms.map((headroom) => limit - slotsBeside(headroom, limit)));
+    return this.headroom.keptSlots(this.limitAt(nowMs), nowMs);
   }
 
   /** Whether the request holds a reservation. */
@@ -230,12 +211,12 @@
 
   /** Records how long work takes at the endpoint at present, according to its report. */
   slownessReported(report: SlownessReport, nowMs: number): void {
-    this.slowness.record(report, nowMs);
+    this.serviceTimes.reported(report, nowMs);
   }
 
   /** The endpoint's latest report of how long work takes; undefined if there is none that is recent. */
   slownessAt(nowMs: number): SlownessReport | undefined {
-    return this.slowness.reportAt(nowMs);
+    return this.serviceTimes.reportAt(nowMs);
   }
 
   /**
@@ -272,7 +253,7 @@
   /** Dispatches, queues or refuses a request that has arrived. */
   offer(offered: AdmissionTicket, nowMs: number): AdmissionEffect[] {
     this.limitedRequests.recordOffer(nowMs);
-    this.slotHeadroom.recordArrival(this.rankedWorkOf(offered), nowMs);
+    this.headroom.recordArrival(offered, nowMs);
     return this.admit(offered, nowMs);
   }
 
@@ -287,7 +268,7 @@
       return [this.refuse(ticket, reason, nowMs), ...this.fillSlots(nowMs)];
     }
     const displaced = this.displaceFor(ticket, nowMs);
-    this.queue.enqueue({ ...ticket, isShort: this.isShort(ticket) });
+    this.queue.enqueue({ ...ticket, isShort: this.serviceTimes.isShort(ticket.workClass) });
     return [...displaced, ...this.fillSlots(nowMs)];
   }
 
@@ -302,7 +283,7 @@
     }
     this.running.delete(requestId);
     if (serviceMs !== undefined) {
-      this.serviceTimes.measure(ended.workClass, this.atUsualSpeed(serviceMs, nowMs));
+      this.serviceTimes.measure(ended.workClass, serviceMs, nowMs);
       this.limit = Math.min(this.slots, this.limit + 1 / this.limit);
     }
     return this.fillSlots(nowMs);
@@ -310,7 +291,7 @@
 
   /** Records a request of the class that was abandoned without a response, `elapsedMs` after it was sent. */
   recordUnfinished(workClass: string, elapsedMs: number, nowMs: number): void {
-    this.serviceTimes.measureUnfinished(workClass, this.atUsualSpeed(elapsedMs, nowMs));
+    this.serviceTimes.measureUnfinished(workClass, elapsedMs, nowMs);
   }
 
   /** Removes a queued request whose caller has given up; false when it is not queued. */
@@ -318,16 +299,6 @@
     return this.queue.remove(requestId, callerNode);
   }
 
-  /** The service time that work which ran until now would have had at the endpoint's usual speed. */
-  private atUsualSpeed(serviceMs: number, nowMs: number): number {
-    return serviceMs / this.slowness.meanFactor(nowMs - serviceMs, nowMs);
-  }
-
-  /** Expected service time of work that starts at `startAtMs`. */
-  private expectedServiceMs(workClass: string | undefined, startAtMs: number): number {
-    return this.serviceTimes.meanMs(workClass) * this.slowness.factorAt(startAtMs);
-  }
-
   /** Current concurrency limit. At least one request may run, so that the next load report arrives. */
   private limitAt(nowMs: number): number {
     const isRecent = nowMs - this.reportedAtMs < REPORT_LIFETIME_MS;
@@ -344,34 +315,8 @@
     );
   }
 
-  private headroomsAt(nowMs: number): readonly Headroom[] {
-    const { slots } = this;
-    const { occupyingMs } = this.serviceTimes;
-    return this.keepsHeadroom ? this.slotHeadroom.at({ slots, occupyingMs }, nowMs) : [];
-  }
-
-  /** The headrooms that restrict the request. */
-  private headroomsFor(ticket: AdmissionTicket, nowMs: number): Headroom[] {
-    const work = this.rankedWorkOf(ticket);
-    return this.headroomsAt(nowMs).filter((headroom) => restricts(headroom, work));
-  }
-
-  /** Whether headroom keeps the request from starting. */
   private isHeldBack(ticket: AdmissionTicket, nowMs: number): boolean {
-    return this.headroomsFor(ticket, nowMs).some(
-      (headroom) =>
-        this.restrictedRunning(headroom).length >= slotsBeside(headroom, this.limitAt(nowMs)),
-    );
-  }
-
-  private restrictedRunning(headroom: Headroom): RankedWork[] {
-    return [...this.running.values()]
-      .map(({ rank, workClass }) => ({ rank, serviceMs: this.serviceTimes.meanMs(workClass) }))
-      .filter((work) => restricts(headroom, work));
-  }
-
-  private rankedWorkOf(ticket: AdmissionTicket): RankedWork {
-    return { rank: rankOf(ticket), serviceMs: this.serviceTimes.meanMs(ticket.workClass) };
+    return this.headroom.holdsBack(ticket, this.limitAt(nowMs), nowMs);
   }
 
   /**
@@ -397,16 +342,14 @@
       return ticket;
     }
     const { startByMs = Infinity } = ticket;
-    const ranked = { ...ticket, priority: this.isShort(ticket) ? onTimeRank(rank) : rank };
+    const ranked = {
+      ...ticket,
+      priority: this.serviceTimes.isShort(ticket.workClass) ? onTimeRank(rank) : rank,
+    };
     const maxWaitMs = LATE_WAIT_FACTOR * this.expectedSlotWaitMs(ranked, nowMs);
     return { ...ranked, startByMs: Math.max(startByMs, nowMs + maxWaitMs) };
   }
 
-  private isShort({ workClass }: AdmissionTicket): boolean {
-    const { occupyingMs } = this.serviceTimes;
-    return this.serviceTimes.meanMs(workClass) < SHORT_WORK_RATIO * occupyingMs;
-  }
-
   /**
    * Returns 'queue-full' when the queue is full, no slot is free and the request would displace no queued one.
    * Reservations count as queued requests do: they do not keep out more urgent requests, and displace no more
@@ -414,7 +357,7 @@
    * all of that out.
    */
   private queueFullReasonFor(ticket: AdmissionTicket, nowMs: number): RefusalReason | undefined {
-    if (this.isShort(ticket)) {
+    if (this.serviceTimes.isShort(ticket.workClass)) {
       return this.queue.size < this.maxWaiting ? undefined : 'queue-full';
     }
     const freeSlots = this.freeSlotsFor(ticket, nowMs);
@@ -430,10 +373,8 @@
   /** Number of free slots that the request may use. */
   private freeSlotsFor(ticket: AdmissionTicket, nowMs: number): number {
     const limit = this.limitAt(nowMs);
-    const freeBeside = this.headroomsFor(ticket, nowMs).map(
-      (headroom) => slotsBeside(headroom, limit) - this.restrictedRunning(headroom).length,
-    );
-    return Math.max(0, Math.min(limit - this.running.size, ...freeBeside));
+    const freeBeside = this.headroom.freeSlotsBeside(ticket, limit, nowMs);
+    return Math.max(0, Math.min(limit - this.running.size, freeBeside));
   }
 
   private get queueBound(): number {
@@ -442,7 +383,8 @@
 
   /** Displaces a request from a full queue in favour of one that is preferred to it. */
   private displaceFor(ticket: AdmissionTicket, nowMs: number): AdmissionEffect[] {
-    const needsPlace = !this.isShort(ticket) && !this.hasFreeSlotFor(ticket, nowMs);
+    const isShort = this.serviceTimes.isShort(ticket.workClass);
+    const needsPlace = !isShort && !this.hasFreeSlotFor(ticket, nowMs);
     const isFull = needsPlace && this.queue.placesTaken() >= this.queueBound;
     const displaced = isFull ? this.queue.displaceFor(ticket) : undefined;
     return displaced === undefined ? [] : [this.refuse(displaced, 'queue-full', nowMs)];
@@ -475,7 +417,7 @@
 
   /** Latest time at which a request can start and still finish in time, at the usual speed. */
   private lastUsefulStartMs(ticket: AdmissionTicket): number {
-    return usefulUntilMs(ticket) - this.serviceTimes.meanMs(ticket.workClass);
+    return usefulUntilMs(ticket) - this.serviceTimes.usualMs(ticket.workClass);
   }
 
   /**
@@ -485,7 +427,7 @@
    */
   private isTooLate(ticket: AdmissionTicket, startAtMs: number, hasToWait = false): boolean {
     const isIdle = this.running.size === 0 && !hasToWait;
-    const serviceMs = this.expectedServiceMs(ticket.workClass, startAtMs);
+    const serviceMs = this.serviceTimes.expectedMs(ticket.workClass, startAtMs);
     return isIdle
       ? this.isWastedOnIdle(ticket, serviceMs, startAtMs)
       : startAtMs + serviceMs > usefulUntilMs(ticket);
@@ -514,28 +456,19 @@
   private expectedSlotWaitMs(ticket: AdmissionTicket, nowMs: number): number {
     const waiting = this.queue.countAtLeastAsUrgent(rankOf(ticket));
     const ahead = this.running.size + waiting - this.limit + 1;
-    const slownessFactor = this.slowness.factorAt(nowMs);
-    const serviceMs = this.serviceTimes.overallMs * slownessFactor;
+    const serviceMs = this.serviceTimes.expectedOverallMs(nowMs);
     const slotWaitMs = ahead <= 0 ? 0 : (ahead * serviceMs) / this.limit;
     return Math.max(
       slotWaitMs,
       this.coldStartLimiter.maxDelayMs(waiting + 1, nowMs),
-      ...this.headroomsFor(ticket, nowMs).map(
-        (headroom) => this.waitBesideMs(headroom, ticket) * slownessFactor,
-      ),
+      this.headroomWaitMs(ticket, nowMs),
     );
   }
 
-  /** Expected wait of restricted work for one of the slots that the headroom leaves to it. */
-  private waitBesideMs(headroom: Headroom, ticket: AdmissionTicket): number {
-    const running = this.restrictedRunning(headroom);
-    const waiting = this.queue.countAtLeastAsUrgent(rankOf(ticket), (queued) =>
-      restricts(headroom, this.rankedWorkOf(queued)),
-    );
-    const slots = slotsBeside(headroom, Math.floor(this.limit));
-    const ahead = running.length + waiting - slots + 1;
-    const totalMs = running.reduce((sum, { serviceMs }) => sum + serviceMs, 0);
-    return ahead <= 0 ? 0 : (ahead * totalMs) / Math.max(1, running.length) / slots;
+  private headroomWaitMs(ticket: AdmissionTicket, nowMs: number): number {
+    const countWaiting = (matches: (queued: AdmissionTicket) => boolean): number =>
+      this.queue.countAtLeastAsUrgent(rankOf(ticket), matches);
+    return this.headroom.waitMs(ticket, this.limit, countWaiting, nowMs);
   }
 
   private refuse(ticket: AdmissionTicket, reason: RefusalReason, nowMs: number): AdmissionEffect {
@@ -558,7 +491,9 @@
   private fillSlots(nowMs: number): AdmissionEffect[] {
     const effects: AdmissionEffect[] = [];
     while (this.running.size < this.limitAt(nowMs)) {
-      const ticket = this.queue.dequeue((queued) => this.mayStart(queued, nowMs));
+      const ticket = this.queue.dequeue((queued) =>
+        this.headroom.letsStart(queued, this.limitAt(nowMs), nowMs),
+      );
       if (ticket === undefined) {
         break;
       }
@@ -567,16 +502,6 @@
     return effects;
   }
 
-  /** Whether headroom lets the queued request start; counts it the first time that it does not. */
-  private mayStart(queued: AdmissionTicket, nowMs: number): boolean {
-    const isHeldBack = this.isHeldBack(queued, nowMs);
-    if (isHeldBack && !this.delayedByHeadroom.has(queued)) {
-      this.delayedByHeadroom.add(queued);
-      this.headroomDelayCount += 1;
-    }
-    return !isHeldBack;
-  }
-
   /** Checks the deadline again, since the process may have been paused while the request was queued. */
   private dispatchOrRefuse(ticket: AdmissionTicket, nowMs: number): AdmissionEffect {
     if (ticket.deadlineAtMs <= nowMs) {
