Tests of relay tokens issue their token when they run

Cause: tokens were issued when the file was loaded and expire after 300 s, so that a process that had run other tests for longer got 403 (8 of 34 tests, seen in one run of all of test/proxy in one process). The checks are the same.

--- a/test/proxy/request-proxy.test.ts
+++ b/test/proxy/request-proxy.test.ts
@@ -180,9 +180,10 @@
     });
   }
 
-  const validToken = new RelayTokenIssuer(FLEET_KEY, 'n9').current(Date.now());
+  /** A token expires some minutes after it was issued, which may be before the last tests of a run. */
+  const validToken = (): string => new RelayTokenIssuer(FLEET_KEY, 'n9').current(Date.now());
   async function connectRelay(port: number): Promise<RelaySender> {
-    const opening = await openRelay(port, validToken);
+    const opening = await openRelay(port, validToken());
     if (opening.kind === 'refused') {
       throw new Error(`refused with ${opening.status}`);
     }
@@ -190,17 +191,17 @@
   }
 
   const tokens = [
-    { name: 'no token', token: undefined },
-    { name: 'a malformed token', token: 'x' },
+    { name: 'no token', token: () => undefined },
+    { name: 'a malformed token', token: () => 'x' },
     {
       name: 'a token signed with another key',
-      token: new RelayTokenIssuer(Buffer.alloc(32), 'n9').current(Date.now()),
+      token: () => new RelayTokenIssuer(Buffer.alloc(32), 'n9').current(Date.now()),
     },
-    { name: 'a token for another machine', token: validToken.replace('n9', 'n8') },
-    { name: 'an expired token', token: new RelayTokenIssuer(FLEET_KEY, 'n9').current(1) },
+    { name: 'a token for another machine', token: () => validToken().replace('n9', 'n8') },
+    { name: 'an expired token', token: () => new RelayTokenIssuer(FLEET_KEY, 'n9').current(1) },
     {
       name: 'a token from the far future',
-      token: new RelayTokenIssuer(FLEET_KEY, 'n9').current(Date.now() + 1e9),
+      token: () => new RelayTokenIssuer(FLEET_KEY, 'n9').current(Date.now() + 1e9),
     },
     { name: 'a valid token', token: validToken, status: 200 },
   ];
@@ -208,7 +209,7 @@
     it(`answers ${status} on the relay port to ${name}`, async () => {
       const target = await configureEndpoint('n2', (socket) => socket.write(rawAnswer('ran')));
       const { relayPort } = await mesh.addNode('n2');
-      const opening = await openRelay(relayPort, token);
+      const opening = await openRelay(relayPort, token());
       const answered =
         opening.kind === 'open' ? await opening.sender.outcome(opening.sender.request()) : opening;
       expect(answered.status).to.equal(status);
@@ -221,7 +222,7 @@
 
   it('answers 426 on the relay port to a request without an upgrade', async () => {
     const { relayPort } = await mesh.addNode('n2');
-    const headers = { 'ferryspool-relay-token': validToken };
+    const headers = { 'ferryspool-relay-token': validToken() };
     expect((await call(relayPort, { headers })).status).to.equal(426);
   });
 
