Check that fuzzed requests reported as not run never arrived

Change: a request reported as not run must not be among those that the endpoint received, and more than half of all requests must have reached it, so that the check can't pass on refusals alone.

--- a/test/proxy/answer-bytes-fuzz.test.ts
+++ b/test/proxy/answer-bytes-fuzz.test.ts
@@ -11,6 +11,7 @@
   seededRandom,
   startRawEndpoint,
   TestMesh,
+  type RawEndpoint,
 } from './rig.js';
 
 const SEED = Number(process.env.FERRYSPOOL_FUZZ_SEED ?? 20_260_101);
@@ -58,19 +59,24 @@
     const { callerPort } = await mesh.addNode('n1');
     try {
       for (let run = 0; run < RUNS; run += PARALLEL_RUNS) {
-        await Promise.all(Array.from({ length: PARALLEL_RUNS }, () => expectEnd(callerPort)));
+        const paths = Array.from({ length: PARALLEL_RUNS }, (_, idx) => `/run-${run + idx}`);
+        await Promise.all(paths.map((path) => expectEnd(callerPort, path, target)));
       }
+      expect(target.heads.length).to.be.greaterThan(RUNS / 2);
     } finally {
       mesh.close();
       target.close();
     }
   });
 
-  async function expectEnd(port: number): Promise<void> {
+  /** A request may be refused as not run, if the endpoint never received it. */
+  async function expectEnd(port: number, path: string, target: RawEndpoint): Promise<void> {
     const startedAtMs = performance.now();
-    const { body } = await call(port, { method: 'POST' });
+    const { body } = await call(port, { method: 'POST', path });
     expect(performance.now() - startedAtMs).to.be.lessThan(DEADLINE_MS + MARGIN_MS);
-    expect(body).not.to.contain('"verdict":"not-run"');
+    if (body.includes('"verdict":"not-run"')) {
+      expect(target.heads.filter((head) => head.startsWith(`POST ${path} `))).to.deep.equal([]);
+    }
   }
 });
 
