Check the heads of messages before they are passed on

One spoilt answer with status 000 ended the node of its caller and everything on it.

Cause: Node's parser accepts heads that Node's writer throws on, and the writer is called from stream listeners, where nothing catches the exception. A probe of every byte at every place of a head, through a parser and a writer of Node 20.19, found three differences: statuses below 100, a space within a header name (from back ends and callers), and a tab or form feed in a request target (from callers). Frames of other nodes could hold any status, method, target, header and failure code; the code becomes part of a counter's name, which the metrics library refuses by throwing.

Change: src/proxy/message-head.ts checks heads with Node's own validators where they enter a node: from an endpoint, from a peer (requests, answers, failures), from a caller. An endpoint's answer that fails the check is malformed, and nothing in it is believed. An answer that no frame can hold ends its request at the peer at once instead of at its deadline. A counter and a log line name the endpoint and the fault.

Ruled out: the relay and the time-outs, as the exceptions name the writer.

--- a/src/proxy/caller-server.ts
+++ b/src/proxy/caller-server.ts
@@ -17,6 +17,7 @@
 import { headerValue, messageHeaders, parseMilliseconds, type HeaderList } from './headers.js';
 import { createMalformedRequestListener } from './malformed-request.js';
 import type { ConnectionEndReason } from './connection-end.js';
+import { areHeadersWritable, isTargetWritable } from './message-head.js';
 import type { ProxyLimits } from './proxy-limits.js';
 import { BadRequestError, type RequestError } from './request-error.js';
 import { MACHINE_TIME } from './scheduler.js';
@@ -224,9 +225,12 @@
   if (expect !== undefined && expect.toLowerCase() !== '100-continue') {
     return new BadRequestError('expected 100-continue as the only expectation', 417);
   }
-  if (request.url?.startsWith('/') !== true) {
+  if (!isTargetWritable(request.url ?? '')) {
     return new BadRequestError('expected a request target that is a path');
   }
+  if (!areHeadersWritable(request.rawHeaders)) {
+    return new BadRequestError('expected header names without spaces');
+  }
   const deadline = headerValue(request.rawHeaders, protocol.deadlineHeader);
   if (deadline !== undefined && parseMilliseconds(deadline) === undefined) {
     return new BadRequestError(`expected whole milliseconds in ${protocol.deadlineHeader}`);
--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -18,6 +18,7 @@
   type ExchangeLimits,
   type ExchangeRequest,
 } from './http-exchange.js';
+import { answerHeadFault, type HeadFault } from './message-head.js';
 import { EMPTY_BODY } from './request-body.js';
 
 /** How long pooled connections to an endpoint are not reused after a fault on one of them, in milliseconds. */
@@ -90,6 +91,8 @@
   readonly beforeSend?: BeforeSend;
   /** Called when an answer is cut off because of bytes that are not part of its body. */
   readonly onOverhead?: (endpoint: Endpoint, fault: OverheadFault) => void;
+  /** Called when the head of an answer is not one that can be passed on. */
+  readonly onUnusableHead?: (endpoint: Endpoint, fault: HeadFault) => void;
 }
 
 /** Connections to the endpoints that a node reaches directly. */
@@ -251,7 +254,8 @@
   ): void {
     const contentLength = contentLengthOf(message);
     const isTooLarge = contentLength !== undefined && contentLength > MAX_ANSWER_BYTES;
-    const parsed: ParsedAnswer = isTooLarge
+    const isUnusable = isTooLarge || this.hasUnusableHead(message, endpoint);
+    const parsed: ParsedAnswer = isUnusable
       ? { kind: 'malformed' }
       : this.protocol.readAnswer(message, call);
     switch (parsed.kind) {
@@ -278,6 +282,14 @@
         });
     }
   }
+
+  private hasUnusableHead(message: IncomingMessage, endpoint: Endpoint): boolean {
+    const fault = answerHeadFault(message.statusCode ?? 0, message.rawHeaders);
+    if (fault !== undefined) {
+      this.options.onUnusableHead?.(endpoint, fault);
+    }
+    return fault !== undefined;
+  }
 }
 
 /** The network destination of an endpoint; connections to earlier incarnations are not reused for it. */
--- a/src/proxy/headers.ts
+++ b/src/proxy/headers.ts
@@ -45,6 +45,11 @@
   return kept;
 }
 
+/** Whether the header concerns one connection only and is set anew for each hop. */
+export function isConnectionHeader(name: string): boolean {
+  return CONNECTION_HEADERS.has(name.toLowerCase());
+}
+
 /** The first value of the header `lowerName`, or undefined. */
 export function headerValue(raw: HeaderList, lowerName: string): string | undefined {
   for (let index = 0; index + 1 < raw.length; index += 2) {
--- a/src/proxy/relay/frame-sink.ts
+++ b/src/proxy/relay/frame-sink.ts
@@ -96,7 +96,7 @@
     clearTimeout(this.bufferingTimer);
     this.headersSent = true;
     const { status, headers, contentLength, load, nodeTimes } = this.answer;
-    this.link.send({
+    const isSent = this.link.send({
       kind: 'answer',
       streamId: this.streamId,
       status,
@@ -109,5 +109,9 @@
       isHeld,
       bytes,
     });
+    if (!isSent) {
+      // The peer must not wait until the deadline for an answer that no frame can hold.
+      this.link.send({ kind: 'cancel', streamId: this.streamId });
+    }
   }
 }
--- a/src/proxy/relay/relay-peer.ts
+++ b/src/proxy/relay/relay-peer.ts
@@ -5,8 +5,9 @@
 import type { Snapshot } from '../../model/snapshot.js';
 import type { FreeSlotAnnouncement } from '../../routing/free-slot-announcements.js';
 import type { Call } from '../call.js';
+import { relayedRequestFault } from '../message-head.js';
 import type { ProxyLimits } from '../proxy-limits.js';
-import { NodeStoppingError, UnknownEndpointError } from '../request-error.js';
+import { BadRequestError, NodeStoppingError, UnknownEndpointError } from '../request-error.js';
 import type { RequestLog } from '../request-log.js';
 import type { Scheduler } from '../scheduler.js';
 import type { SlotListener } from '../waiting/slot-offer.js';
@@ -242,6 +243,11 @@
       request.failed(new NodeStoppingError('the node is about to stop'));
       return;
     }
+    const fault = relayedRequestFault(frame);
+    if (fault !== undefined) {
+      request.failed(new BadRequestError(`the request cannot be sent on: ${fault}`));
+      return;
+    }
     const endpoint = this.ownedEndpoint(frame);
     if (endpoint === undefined) {
       request.failed(new UnknownEndpointError('this node does not own the endpoint'));
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -1,6 +1,7 @@
 /** One attempt that this node sends to the node of an endpoint. */
 import type { Endpoint } from '../../model/resource.js';
 import type { Answer, AnswerBody, Attempt, AttemptObserver, Call } from '../call.js';
+import { isFinalStatus, relayedAnswerFault } from '../message-head.js';
 import { BufferedBody, type RequestBody } from '../request-body.js';
 import {
   BadRequestError,
@@ -18,6 +19,8 @@
 import { loadOf, ratePerKsOf } from './relay-load.js';
 
 const HEAD_TOO_LARGE_STATUS = 431;
+/** Codes are part of the names of counters. */
+const FAILURE_CODE_FORMAT = /^[A-Z][A-Z_]{0,63}$/;
 /** Maximum length of a body sent in the request frame, in bytes: about three packets. */
 const MAX_INLINE_BODY_BYTES = 4 * 1024;
 
@@ -193,6 +196,12 @@
       return;
     }
     const { status, headers, isHeld, bytes, contentLengthBytes: contentLength } = frame;
+    const fault = relayedAnswerFault(status, headers);
+    if (fault !== undefined || (contentLength ?? 0) < 0) {
+      this.cancel();
+      this.fail(new MalformedAnswerError(`unusable answer head: ${fault ?? 'length'}`));
+      return;
+    }
     const body: AnswerBody = isHeld ? { kind: 'held', bytes } : this.openReader();
     if (body.kind === 'streamed' && frame.isNodeStopping) {
       body.extendWindow?.(
@@ -231,6 +240,10 @@
 
   private handleFailure(frame: FailureFrame): void {
     const { code, verdict, isRetryable: retryable, retryAfterMs, slotWaitMs, status } = frame;
+    if (!isFinalStatus(status) || !FAILURE_CODE_FORMAT.test(code)) {
+      this.fail(new MalformedAnswerError('the failure that the peer reports is malformed'));
+      return;
+    }
     const failure = {
       code,
       verdict,
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -8,7 +8,7 @@
 import type { AwaitedMachine } from './awaited-attempts.js';
 import { LINGER_MS } from './lingering-close.js';
 import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
-import { recordAnswerOverhead } from './answer-overhead-record.js';
+import { recordAnswerOverhead, recordUnusableHead } from './answer-fault-record.js';
 import { ShutdownBuffering } from './answer-collection.js';
 import { CallerConnections } from './caller-connections.js';
 import { createCallerServer } from './caller-server.js';
@@ -94,6 +94,7 @@
     this.endpointClient = new EndpointClient(this.limits, this.endpointProtocol, {
       beforeSend: (send) => this.inputBarrier.pass(send),
       onOverhead: (endpoint, fault) => recordAnswerOverhead(options, endpoint, fault),
+      onUnusableHead: (endpoint, fault) => recordUnusableHead(options, endpoint, fault),
     });
     this.relayClient = this.makeRelayClient();
     this.gateway = new EndpointGateway({
