Confirm a node's state by current reads of the store only

Cause: every watch and the first list asked for a read that may lag, and each answer, however old, counted as a confirmation that the node's state is fresh.

Change: only a current answer confirms a state. Two nodes of the fleet read the store, with current reads; the first machine of each zone follows them, and its zone follows it. A reader that the store fails for 0.3 s, or does not answer for 1.0 s, follows the first machines of other zones in turn. The first three machines of a zone read for themselves at 1.0 to 1.3 s of age. A started node lists with reads that may lag, confirms by one short current watch and is not ready before a reader has confirmed its state (or 3 s have passed). Counters tell both kinds of calls.

Cost in calls a second (model): 3.4 at 79, 300 and 1,800 nodes while nothing changes, at the price of 3.4 current reads; before, 20 calls at the price of 2.0 (worked out). Twelve current readers would cost 20, one in each zone 6.7 to 11.7.

--- a/src/peers/reader-order.ts
+++ b/src/peers/reader-order.ts
@@ -1,15 +1,17 @@
 /**
- * Determines which nodes of a zone read the store and which peers the others follow. Each node computes
- * this from the list of machines by rendezvous hashing, without messages or consensus. The machines of a
- * zone are ordered by a hash of their addresses. The first ones read the store, and each other one follows
- * a predecessor, so that the followers form a tree without cycles. Pure.
+ * Determines which nodes read the store and which peers the others follow. Each node computes this from the list of
+ * machines by rendezvous hashing, without messages or consensus. The machines of a zone are ordered by a hash of their
+ * addresses; the first one leads its zone. The leaders are ordered in the same way: the first ones read the store, and
+ * the other leaders follow them. Every other machine follows a predecessor in its zone, so that all form trees without
+ * cycles. Pure.
  */
 import { hashFraction } from '../routing/hash-fraction.js';
 
-/** Readers of the whole fleet, divided evenly among zones, so that the store's load is independent of its size. */
-const FLEET_READERS = 12;
-/** Minimum number of readers in a zone, so that one remains if another fails. */
-const MIN_ZONE_READERS = 2;
+/**
+ * Readers of the whole fleet, so that the store's load is independent of its size. Their reads are current, which
+ * costs ten times as much as one that may lag; the second one takes over when the first one fails.
+ */
+const FLEET_READERS = 2;
 /** Planned number of followers per node. A tree of three levels covers a zone of 300 nodes. */
 export const FOLLOWERS_PER_NODE = 8;
 
@@ -20,9 +22,9 @@
   readonly zone: string;
 }
 
-/** A node's position in the reader order of its zone. */
+/** A node's position in the order of its zone, or of the leaders if it leads its zone. */
 export interface ReaderPosition {
-  /** Machines of the zone that precede this one, in order. */
+  /** Machines that precede this one, in order. */
   readonly predecessors: readonly string[];
   /** All other machines of the zone. */
   readonly neighbours: ReadonlySet<string>;
@@ -30,45 +32,67 @@
   readonly readerCount: number;
   /** Number of machines in the zone, including this one. */
   readonly zoneSize: number;
+  /** Number of machines of the zone that precede this one. */
+  readonly zoneRank: number;
+  /** Machines that a reader follows while the store does not serve it, in order: their state comes from other readers. */
+  readonly alternates: readonly string[];
 }
 
-/** Computes a node's position in its zone and caches the hashes of the zone's machines. */
+/** Computes a node's position and caches the hashes of the machines. */
 export class ReaderOrder {
   private readonly hashes = new Map<string, number>();
-  private readonly ownHash: number;
 
-  constructor(private readonly self: ReaderCandidate) {
-    this.ownHash = hashFraction(self.address);
-  }
+  constructor(private readonly self: ReaderCandidate) {}
 
   /** Returns the position of this node among `machines`, which need not include it. */
   positionAmong(machines: Iterable<ReaderCandidate>): ReaderPosition {
-    const zones = new Set([this.self.zone]);
-    const neighbours = new Set<string>();
+    const zones = this.zonesOf(machines);
+    this.retainOnly(new Set([...zones.values()].flat()));
+    const members = this.inOrder(zones.get(this.self.zone) ?? []);
+    const zoneRank = members.indexOf(this.self.address);
+    const leaders = this.inOrder([...zones.values()].map((zone) => this.firstOf(zone)));
+    const isOnlyZone = leaders.length < FLEET_READERS;
+    const order = zoneRank === 0 && !isOnlyZone ? leaders : members;
+    const others = isOnlyZone ? members.slice(0, FLEET_READERS + 1) : leaders;
+    return {
+      predecessors: order.slice(0, order.indexOf(this.self.address)),
+      neighbours: new Set(members.filter((address) => address !== this.self.address)),
+      readerCount: isOnlyZone || zoneRank === 0 ? FLEET_READERS : 1,
+      zoneSize: members.length,
+      zoneRank,
+      alternates: others.filter((address) => address !== this.self.address),
+    };
+  }
+
+  /** The addresses of each zone's machines, this one included. */
+  private zonesOf(machines: Iterable<ReaderCandidate>): Map<string, string[]> {
+    const { self } = this;
+    const zones = new Map([[self.zone, [self.address]]]);
     for (const { address, zone } of machines) {
-      zones.add(zone);
-      if (zone === this.self.zone && address !== this.self.address) {
-        neighbours.add(address);
+      if (address !== self.address) {
+        const members = zones.get(zone);
+        if (members === undefined) {
+          zones.set(zone, [address]);
+        } else {
+          members.push(address);
+        }
       }
     }
-    this.retainOnly(neighbours);
-    return {
-      predecessors: this.predecessorsAmong([...neighbours]),
-      neighbours,
-      readerCount: Math.max(MIN_ZONE_READERS, Math.ceil(FLEET_READERS / zones.size)),
-      zoneSize: neighbours.size + 1,
-    };
+    return zones;
+  }
+
+  private inOrder(addresses: readonly string[]): string[] {
+    return [...addresses].sort((left, right) => this.compare(left, right));
   }
 
-  private predecessorsAmong(neighbours: readonly string[]): string[] {
-    return neighbours
-      .filter((address) => this.precedes(address))
-      .sort((left, right) => this.hashOf(left) - this.hashOf(right) || compareTexts(left, right));
+  private firstOf(addresses: readonly string[]): string {
+    return addresses.reduce((first, address) =>
+      this.compare(address, first) < 0 ? address : first,
+    );
   }
 
-  private precedes(address: string): boolean {
-    const hash = this.hashOf(address);
-    return hash < this.ownHash || (hash === this.ownHash && address < this.self.address);
+  private compare(left: string, right: string): number {
+    return this.hashOf(left) - this.hashOf(right) || compareTexts(left, right);
   }
 
   private hashOf(address: string): number {
@@ -90,5 +114,5 @@
 }
 
 function compareTexts(left: string, right: string): number {
-  return left < right ? -1 : 1;
+  return left < right ? -1 : Number(left > right);
 }
--- a/src/peers/source-choice.ts
+++ b/src/peers/source-choice.ts
@@ -1,13 +1,16 @@
 /**
  * Chooses the source of the store's changes for a node: the store itself, or the feed of another node.
- * A few nodes of each zone read the store; the others follow a predecessor ({@link ReaderOrder}). The
- * choice depends on the age of a node's state, not on liveness reports: each feed reports when a reader
- * last received an answer from the store. A node with stale state follows any peer known to be up to date,
- * and reads the store itself after a random delay. During a store outage, the fleet therefore sends a
- * bounded number of requests per second, whatever its size. Pure: events in, effects out.
+ * Two nodes read the store; the others follow a predecessor ({@link ReaderOrder}). The choice depends on
+ * the age of a node's state, not on liveness reports: each feed reports when a reader last received a
+ * current answer from the store. An answer that may lag confirms nothing. A node with stale state follows
+ * any peer known to be up to date; the first nodes of its zone then read the store themselves at once, the
+ * others after a random delay. During a store outage, the fleet therefore sends a bounded number of requests
+ * per second, whatever its size. Pure: events in, effects out.
  */
 import { MAX_TRANSFER_MS, type TimeoutReason } from '../clock/progress-timer.js';
 import type { RandomSource } from '../control/control-event.js';
+import type { ReadFreshness } from '../store/key-value-store.js';
+import { MAX_AGE_MS } from './peer-datagram.js';
 import { FOLLOWERS_PER_NODE, type ReaderPosition } from './reader-order.js';
 
 /**
@@ -15,6 +18,15 @@
  * propagation through the tree. The strictest users require a configuration to be in force within 2 s.
  */
 export const STALE_AGE_MS = 1_500;
+/** Machines of each zone that read the store as soon as their state is stale, before the others. */
+const STANDBY_COUNT = 3;
+/** Age from which the state of the first standby is stale, in milliseconds, and how much later that of each next one. */
+const STANDBY_STALE_AGE_MS = 1_000;
+const STANDBY_STEP_MS = 150;
+/** Time for which the store must have failed a reader before it follows a peer, in milliseconds. */
+const READER_FAILOVER_MS = 300;
+/** Time after which a reader leaves an alternate whose feed has not confirmed its state, in milliseconds. */
+const ALTERNATE_TRIAL_MS = 400;
 /**
  * Idle time after which a feed is closed, in milliseconds; a reader's round is 600 ms. Any received byte
  * resets it: if only complete messages did, a message of 1.5 MB on a link of 7 Mbit/s would be discarded
@@ -42,7 +54,7 @@
  * Maximum time for which a started node follows no peer, in milliseconds. Otherwise, if a whole fleet starts
  * at once, every feed would begin with the full state.
  */
-const MAX_FOLLOW_DELAY_MS = 2_000;
+const MAX_FOLLOW_DELAY_MS = 1_400;
 /** Time after which a reader's last confirmation is discarded, in milliseconds; the reader may have restarted. */
 const CONFIRMATION_RETENTION_MS = 10_000;
 /** Gap between two ticks that indicates that this process was suspended, in milliseconds. */
@@ -97,6 +109,8 @@
   neighbours: new Set(),
   readerCount: 1,
   zoneSize: 1,
+  zoneRank: 0,
+  alternates: [],
 };
 
 /** The source of one node. The node reads the store until it has a feed. */
@@ -108,7 +122,10 @@
   /** When peers were last confirmed to be up to date, according to the age that they report. */
   private readonly confirmedPeersAtMs = new Map<string, number>();
   private confirmedAtMs = NEVER_MS;
-  private storeAnsweredAtMs = NEVER_MS;
+  /** When the store last answered a current read of this node. */
+  private storeConfirmedAtMs = NEVER_MS;
+  /** When the first of the consecutive failed reads failed; undefined after an answer. */
+  private storeFailingSinceMs: number | undefined;
   private confirmedBy: string;
   private confirmation: number;
   private ownConfirmation: number;
@@ -118,6 +135,8 @@
   /** Consecutive feeds that timed out before or after their first message; a full link may cause either. */
   private timedOutFeeds = 0;
   private trialAtMs: number | undefined;
+  /** Whether a read has failed since the node's state was last fresh. */
+  private hasTrialFailed = false;
   private lastTickMs = NEVER_MS;
 
   /** `firstConfirmation` must be higher than any confirmation of an earlier process of this machine. */
@@ -150,19 +169,45 @@
     this.position = position;
   }
 
-  /** Records that the store has answered this node. */
-  storeAnswered(nowMs: number): void {
-    this.trialAtMs = undefined;
+  /** Records that the store has answered this node. Only a current answer confirms the node's state. */
+  storeAnswered(nowMs: number, freshness: ReadFreshness): void {
+    this.storeFailingSinceMs = undefined;
     if (this.followsFromMs === Infinity) {
       this.followsFromMs = nowMs + MAX_FOLLOW_DELAY_MS * (0.5 + this.random() / 2);
     }
+    if (freshness === 'lagging') {
+      return;
+    }
+    this.trialAtMs = undefined;
+    this.hasTrialFailed = false;
     this.ownConfirmation += 1;
-    this.storeAnsweredAtMs = nowMs;
+    this.storeConfirmedAtMs = nowMs;
     this.confirm(nowMs, this.address, this.ownConfirmation);
   }
 
+  /** Records that this node, which the store has not answered yet, has state from a peer. */
+  stateFetched(nowMs: number): void {
+    this.followsFromMs = Math.min(this.followsFromMs, nowMs);
+  }
+
+  /** Whether a reader has ever confirmed this node's state. */
+  get isConfirmed(): boolean {
+    return this.confirmedAtMs !== NEVER_MS;
+  }
+
+  /**
+   * How up to date the next read of the store must be. A started node that waits to follow a peer reads what may lag,
+   * since its state stays fresh enough until then.
+   */
+  readFreshness(nowMs: number): ReadFreshness {
+    const waitsToFollow = nowMs < this.followsFromMs && !this.isReaderByPosition(nowMs);
+    return waitsToFollow && !this.isStale(nowMs) ? 'lagging' : 'current';
+  }
+
   /** Handles a failed read of the store. A node that is not a reader by its position then pauses its reads. */
   storeFailed(nowMs: number): SourceEffect[] {
+    this.storeFailingSinceMs ??= nowMs;
+    this.hasTrialFailed = true;
     if (this.isReaderByPosition(nowMs) || this.confirmedAtMs === NEVER_MS || !this.isReading) {
       return [];
     }
@@ -190,7 +235,9 @@
     this.feed.lastReceivedAtMs = nowMs;
     this.feed.confirmedAtMs = Math.max(this.feed.confirmedAtMs, atMs);
     this.feed.reader = message.reader;
-    if (!isNew || message.reader === this.address) {
+    // The age of a peer's state that no reader has confirmed is sent as the upper limit.
+    const isUnconfirmed = message.ageMs >= MAX_AGE_MS;
+    if (!isNew || isUnconfirmed || message.reader === this.address) {
       return false;
     }
     this.confirmations.set(message.reader, { sequence: message.confirmation, atMs });
@@ -270,16 +317,16 @@
   }
 
   private chooseFeed(nowMs: number): SourceEffect[] {
-    const isStale = this.isStale(nowMs);
     if (this.isReaderByPosition(nowMs) && this.isServedByStore(nowMs)) {
       return this.stopFollowing();
     }
+    this.leaveUnconfirmedAlternate(nowMs);
     const hasFeed =
       this.isReceiving || (this.isFeedFresh(nowMs) && !this.isOtherZoneFeedExpired(nowMs));
     if (nowMs < this.followsFromMs || hasFeed) {
       return [];
     }
-    const peer = (isStale ? this.freshestPeer(nowMs) : undefined) ?? this.peerByPosition(nowMs);
+    const peer = this.nextPeer(nowMs);
     const isOpening = this.feed !== undefined && this.feed.confirmedAtMs === NEVER_MS;
     if (peer === undefined || peer === this.feed?.peer || isOpening) {
       return [];
@@ -296,6 +343,33 @@
     return [...effects, { type: 'follow', peer }];
   }
 
+  /**
+   * A reader whose reads fail cannot learn from its followers, so it follows an alternate. Another node follows a
+   * predecessor, or the freshest known peer if its state is stale.
+   */
+  private nextPeer(nowMs: number): string | undefined {
+    const freshest = this.isStale(nowMs) ? this.freshestPeer(nowMs) : undefined;
+    if (!this.isReaderByPosition(nowMs)) {
+      return freshest ?? this.peerByPosition(nowMs);
+    }
+    const { alternates } = this.position;
+    return alternates.find((peer) => !this.avoidedUntilMs.has(peer)) ?? freshest;
+  }
+
+  /** An alternate that lacks a reader too must not keep this node from the next one. */
+  private leaveUnconfirmedAlternate(nowMs: number): void {
+    const { feed } = this;
+    const isTried = feed !== undefined && nowMs - feed.openedAtMs >= ALTERNATE_TRIAL_MS;
+    if (
+      isTried &&
+      this.isReaderByPosition(nowMs) &&
+      !this.isFeedFresh(nowMs) &&
+      !this.isReceiving
+    ) {
+      this.avoid(feed.peer, nowMs);
+    }
+  }
+
   private stopFollowing(): SourceEffect[] {
     if (this.feed === undefined) {
       return [];
@@ -310,6 +384,7 @@
     }
     if (this.isFeedFresh(nowMs)) {
       this.trialAtMs = undefined;
+      this.hasTrialFailed = false;
       return this.setReading(false);
     }
     return this.isReading || !this.isTrialDue(nowMs) ? [] : this.setReading(true);
@@ -320,7 +395,8 @@
     if (!this.isStale(nowMs)) {
       return false;
     }
-    const spreadMs = this.position.zoneSize * READ_TRIAL_INTERVAL_MS;
+    const isStandby = this.position.zoneRank < STANDBY_COUNT && !this.hasTrialFailed;
+    const spreadMs = isStandby ? 0 : this.position.zoneSize * READ_TRIAL_INTERVAL_MS;
     this.trialAtMs ??= nowMs + this.random() * spreadMs * 2;
     return nowMs >= this.trialAtMs;
   }
@@ -371,6 +447,7 @@
     return (
       feed !== undefined &&
       !this.position.neighbours.has(feed.peer) &&
+      !this.position.predecessors.includes(feed.peer) &&
       nowMs - feed.openedAtMs >= OTHER_ZONE_FEED_MS &&
       this.usablePredecessors(nowMs).length > 0
     );
@@ -382,7 +459,7 @@
     return (
       feed !== undefined &&
       feed.reader !== this.address &&
-      nowMs - feed.confirmedAtMs < STALE_AGE_MS
+      nowMs - feed.confirmedAtMs < this.staleAgeMs
     );
   }
 
@@ -392,11 +469,19 @@
   }
 
   private isServedByStore(nowMs: number): boolean {
-    return nowMs - this.storeAnsweredAtMs < STALE_AGE_MS;
+    const failingMs = nowMs - (this.storeFailingSinceMs ?? nowMs);
+    return nowMs - this.storeConfirmedAtMs < this.staleAgeMs && failingMs < READER_FAILOVER_MS;
   }
 
   private isStale(nowMs: number): boolean {
-    return nowMs - this.confirmedAtMs >= STALE_AGE_MS;
+    return nowMs - this.confirmedAtMs >= this.staleAgeMs;
+  }
+
+  private get staleAgeMs(): number {
+    const { zoneRank } = this.position;
+    return zoneRank < STANDBY_COUNT
+      ? STANDBY_STALE_AGE_MS + zoneRank * STANDBY_STEP_MS
+      : STALE_AGE_MS;
   }
 
   private confirm(atMs: number, reader: string, confirmation: number): boolean {
--- a/src/runtime/replica-source.ts
+++ b/src/runtime/replica-source.ts
@@ -12,8 +12,8 @@
 import { SourceChoice, type FeedFailure, type SourceEffect } from '../peers/source-choice.js';
 import type { DeltaCache } from '../peers/delta-codec.js';
 import type { RefusedItem } from '../store/item-fault.js';
-import type { KeyValueStore } from '../store/key-value-store.js';
-import { StoreFollower } from '../store/store-follower.js';
+import type { KeyValueStore, ReadFreshness } from '../store/key-value-store.js';
+import { StoreFollower, type WatchTerms } from '../store/store-follower.js';
 import { revisionInEra } from '../store/store-revision.js';
 import type { StoreReplica } from '../store/store-replica.js';
 import { LifeCycle } from './life-cycle.js';
@@ -24,6 +24,8 @@
  * replica of a reader and of all its followers, so this bounds the delay until a lost reader is detected.
  */
 const WATCH_WAIT_MS = 600;
+/** The same while a confirmation is awaited: before the first one, and after a failed call, in milliseconds. */
+const SHORT_WATCH_WAIT_MS = 20;
 
 /**
  * Interval of keep-alive messages to followers while this node is receiving data, in milliseconds. It is
@@ -33,6 +35,12 @@
  */
 const KEEP_ALIVE_MS = 800;
 
+/** Counters of the calls to the store. */
+const READ_COUNTERS: Readonly<Record<ReadFreshness, string>> = {
+  current: 'ferryspool_store_current_reads_total',
+  lagging: 'ferryspool_store_lagging_reads_total',
+};
+
 /** Origin of a change: the store, the feed of a peer, or a fetch from a peer. */
 export interface ChangeOrigin {
   readonly path: 'store' | 'feed' | 'fetch';
@@ -115,6 +123,11 @@
     return this.isStoreAnswering;
   }
 
+  /** Whether a reader of the store has ever confirmed the replica. */
+  get isConfirmed(): boolean {
+    return this.sourceChoice.isConfirmed;
+  }
+
   /** Total bytes received over feeds. */
   get feedBytes(): number {
     return this.client.totalBytes;
@@ -130,6 +143,12 @@
     this.sourceChoice.setPosition(this.readerOrder.positionAmong(machines));
   }
 
+  /** Records that the replica was updated by a fetch from a peer. */
+  stateFetched(): void {
+    this.sourceChoice.stateFetched(MACHINE_CLOCK.now());
+    this.feed.publish();
+  }
+
   /** Records the replica age that a peer reported. */
   peerAgeReported(peer: string, ageMs: number): void {
     this.sourceChoice.recordPeerAge(peer, ageMs, MACHINE_CLOCK.now());
@@ -141,10 +160,11 @@
       store,
       replica,
       random,
-      watchWaitMs: WATCH_WAIT_MS,
-      onUpdate: (hasChanged) => {
+      watchTerms: () => this.watchTerms(),
+      onCall: (freshness) => this.options.counters.add(READ_COUNTERS[freshness]),
+      onUpdate: (hasChanged, freshness) => {
         this.isStoreAnswering = true;
-        this.sourceChoice.storeAnswered(MACHINE_CLOCK.now());
+        this.sourceChoice.storeAnswered(MACHINE_CLOCK.now(), freshness);
         this.replicaUpdated(hasChanged, FROM_STORE);
       },
       onProgress: () => this.keepAlive(),
@@ -157,6 +177,13 @@
     });
   }
 
+  private watchTerms(): WatchTerms {
+    return {
+      freshness: this.sourceChoice.readFreshness(MACHINE_CLOCK.now()),
+      waitMs: this.isConfirmed && this.isStoreAnswering ? WATCH_WAIT_MS : SHORT_WATCH_WAIT_MS,
+    };
+  }
+
   private createClient(): FeedClient {
     const { feedPort, logger } = this.options;
     return new FeedClient({
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -41,6 +41,8 @@
 const MS_PER_SECOND = 1_000;
 /** Offset of the HTTP port for peers and monitoring from the first internal port, which receives datagrams. */
 const INTERNAL_SERVER_PORT_OFFSET = 1;
+/** Time after which a started node uses a replica that no reader has confirmed, in milliseconds. */
+const MAX_UNCONFIRMED_WAIT_MS = 3_000;
 
 /** Settings and dependencies of a node. */
 export interface StoreNodeOptions {
@@ -66,6 +68,8 @@
   private readonly internalServer: http.Server;
   private readonly peers: PeerExchange;
   private snapshot: Snapshot | undefined;
+  /** When the replica first held a configuration; undefined before. */
+  private unconfirmedSinceMs: number | undefined;
   /** Store era at the latest snapshot build; undefined before the first build. */
   private era: number | undefined;
   private machineCount = 1;
@@ -139,6 +143,7 @@
 
   private runPeriodicChecks(): void {
     this.source.tick();
+    this.useUnconfirmedReplica();
     this.expireCarried();
     this.peers.tick();
     this.containment.tick();
@@ -192,7 +197,7 @@
       awaited: () => this.awaitedPeers(),
       onDeltaApplied: (from) => {
         logger.info('changes-from-peer', { from, ...this.revisionFields });
-        this.source.feed.publish();
+        this.source.stateFetched();
         this.handleReplicaUpdate(true, { path: 'fetch', peer: from });
       },
       onUnresponsive: (peer, isSilent) => this.handlePeerSilence(peer, isSilent),
@@ -304,11 +309,34 @@
     this.logEraChange(origin);
     const { snapshot, refused } = this.builder.build(replica.items(), replica.carriedChanges);
     this.refusalReporter.report(refused);
-    if (snapshot !== undefined) {
+    if (snapshot === undefined) {
+      return;
+    }
+    this.unconfirmedSinceMs ??= MACHINE_CLOCK.now();
+    const isUsable = this.snapshot !== undefined || this.source.isConfirmed;
+    if (isUsable || this.hasWaitedForReader) {
       this.adopt(snapshot, origin);
+    } else {
+      this.adoptMachines(machinesOf(snapshot));
     }
   }
 
+  /**
+   * The first answer of the store may be seconds old, so a node that has just started waits until a reader has confirmed
+   * its replica, but not for ever: the store may refuse current reads.
+   */
+  private useUnconfirmedReplica(): void {
+    if (this.snapshot === undefined && this.hasWaitedForReader) {
+      this.options.logger.warn('unconfirmed-replica-used', { ...this.revisionFields });
+      this.handleReplicaUpdate(true, FROM_STORE);
+    }
+  }
+
+  private get hasWaitedForReader(): boolean {
+    const sinceMs = this.unconfirmedSinceMs ?? Infinity;
+    return MACHINE_CLOCK.now() - sinceMs >= MAX_UNCONFIRMED_WAIT_MS;
+  }
+
   /** Log fields with the era and revision of the replica. */
   private get revisionFields(): { readonly era: number; readonly revision: number } {
     const { revision } = this.replica;
--- a/src/store/key-value-store.ts
+++ b/src/store/key-value-store.ts
@@ -19,8 +19,11 @@
   readonly value: string | undefined;
 }
 
-/** Whether a list must contain every write that the store has acknowledged. */
-export type ListFreshness = 'current' | 'lagging';
+/**
+ * Whether an answer must contain every write that the store has acknowledged. A `lagging` answer may be seconds old at
+ * any time, costs the store a tenth as much as a `current` one, and does not count against its limits.
+ */
+export type ReadFreshness = 'current' | 'lagging';
 
 /** A page of a list; pages of the same list may have different revisions. */
 export interface ListPage {
@@ -64,22 +67,17 @@
 
 /** A store, accessed through its adapter. Promises never reject. */
 export interface KeyValueStore {
-  /**
-   * Items in key order, after `afterKey`. A `lagging` page may be seconds old, like the answer to a watch, and costs
-   * the store a tenth as much as a `current` one.
-   */
+  /** Items in key order, after `afterKey`. */
   list(
     afterKey: string | undefined,
-    freshness: ListFreshness,
+    freshness: ReadFreshness,
     onProgress?: ProgressListener,
   ): Promise<ListPage | StoreUnavailable>;
-  /**
-   * Waits up to `waitMs` for a change after `afterRevision`. The answer may lag behind the store during a
-   * disturbance of the store; in return, the call does not count against the store's limits.
-   */
+  /** Waits up to `waitMs` for a change after `afterRevision`. */
   watch(
     afterRevision: number,
     waitMs: number,
+    freshness: ReadFreshness,
     onProgress?: ProgressListener,
   ): Promise<WatchBatch | HistoryLost | StoreUnavailable>;
   /** Closes all connections. */
--- a/src/store/store-follower.ts
+++ b/src/store/store-follower.ts
@@ -5,21 +5,30 @@
 import csp, { type Channel } from 'js-csp';
 import type { RandomSource } from '../control/control-event.js';
 import type { RefusedItem } from './item-fault.js';
-import type { KeyValueStore, ProgressListener } from './key-value-store.js';
+import type { KeyValueStore, ProgressListener, ReadFreshness } from './key-value-store.js';
 import type { StoreReplica } from './store-replica.js';
 import { StoreWatch, type StoreAnswer, type StoreCall, type StoreUpdate } from './store-watch.js';
 
 /** Logged for a page that counts as a failed call because it makes no progress. */
 const NO_CONTINUATION_REASON = 'list page makes no progress';
 
+/** How a watch is made. */
+export interface WatchTerms {
+  readonly freshness: ReadFreshness;
+  /** Maximum time that it waits for a change, in milliseconds. */
+  readonly waitMs: number;
+}
+
 export interface StoreFollowerOptions {
   readonly store: KeyValueStore;
   readonly replica: StoreReplica;
   readonly random: RandomSource;
-  /** Maximum time that a watch waits for a change, in milliseconds. */
-  readonly watchWaitMs: number;
+  /** How the next watch is made; asked before each one. */
+  readonly watchTerms: () => WatchTerms;
+  /** Called before each call. */
+  readonly onCall?: (freshness: ReadFreshness) => void;
   /** Called after each answer that was applied to the replica; `hasChanged` is whether an item changed. */
-  readonly onUpdate: (hasChanged: boolean) => void;
+  readonly onUpdate: (hasChanged: boolean, freshness: ReadFreshness) => void;
   readonly onProgress: ProgressListener;
   /** Called with the rejected items of an answer. */
   readonly onRefused: (items: readonly RefusedItem[]) => void;
@@ -35,6 +44,8 @@
   private readonly resumed: Channel<boolean> = csp.chan(csp.buffers.sliding(1));
   private isConnected = true;
   private isReading = true;
+  /** Of the latest call. */
+  private freshness: ReadFreshness = 'lagging';
 
   constructor(private readonly options: StoreFollowerOptions) {
     this.watch = new StoreWatch(options.random);
@@ -76,11 +87,14 @@
   /** Executes a call; the returned channel receives its answer. */
   call(call: StoreCall): Channel<StoreAnswer> {
     const answers: Channel<StoreAnswer> = csp.chan(1);
-    const { store, watchWaitMs, onProgress } = this.options;
+    const { store, onProgress } = this.options;
+    const { freshness, waitMs } = this.termsOf(call);
+    this.freshness = freshness;
+    this.options.onCall?.(freshness);
     const answer =
       call.type === 'list'
-        ? store.list(call.afterKey, call.freshness, onProgress)
-        : store.watch(call.afterRevision, watchWaitMs, onProgress);
+        ? store.list(call.afterKey, freshness, onProgress)
+        : store.watch(call.afterRevision, waitMs, freshness, onProgress);
     void answer.then((value) => csp.putAsync(answers, value));
     return answers;
   }
@@ -96,11 +110,17 @@
       this.options.onRefused(answer.refused);
     }
     if (update !== undefined) {
-      this.options.onUpdate(this.applyUpdate(update));
+      this.options.onUpdate(this.applyUpdate(update), this.freshness);
     }
     return call;
   }
 
+  private termsOf(call: StoreCall): WatchTerms {
+    return call.type === 'list'
+      ? { freshness: call.freshness, waitMs: 0 }
+      : this.options.watchTerms();
+  }
+
   private applyUpdate(update: StoreUpdate): boolean {
     const { replica } = this.options;
     return update.type === 'list'
--- a/src/store/store-watch.ts
+++ b/src/store/store-watch.ts
@@ -6,8 +6,8 @@
 import { eraOf } from './store-revision.js';
 import type {
   HistoryLost,
-  ListFreshness,
   ListPage,
+  ReadFreshness,
   StoreChange,
   StoreUnavailable,
   WatchBatch,
@@ -28,7 +28,7 @@
   | {
       readonly type: 'list';
       readonly afterKey: string | undefined;
-      readonly freshness: ListFreshness;
+      readonly freshness: ReadFreshness;
     }
   | { readonly type: 'watch'; readonly afterRevision: number }
 );
@@ -70,8 +70,8 @@
 export class StoreWatch {
   private pending: PendingList | undefined;
   private revision: number | undefined;
-  /** The first list may lag, since the watch supplies later changes; after lost history the list must be current. */
-  private listFreshness: ListFreshness = 'lagging';
+  /** The first list may lag, since a current watch supplies later changes; after lost history it must be current. */
+  private listFreshness: ReadFreshness = 'lagging';
   private failures = 0;
 
   constructor(private readonly random: RandomSource) {}
--- a/standins/store-platform/store-stand-in.ts
+++ b/standins/store-platform/store-stand-in.ts
@@ -26,6 +26,7 @@
 
 interface WaitingWatch {
   readonly after: number;
+  readonly isStale: boolean;
   readonly response: ServerResponse;
   readonly timer: NodeJS.Timeout;
 }
@@ -39,7 +40,11 @@
   pageSize = 500;
   /** Time by which watches are behind, in milliseconds. */
   watchLagMs = 0;
+  /** Time by which reads with `stale=1` are behind, in milliseconds; lists and watches alike. */
+  staleLagMs = 0;
   private items = new Map<string, StoredItem>();
+  /** What the items were before each change, for reads that are behind. */
+  private past: { readonly untilMs: number; readonly backup: StoreBackup }[] = [];
   private readonly watches = new Set<WaitingWatch>();
   private revision = 0;
   private historyFrom = 0;
@@ -87,6 +92,7 @@
   restore({ items, revision }: StoreBackup): void {
     this.items = new Map(items);
     this.revision = revision;
+    this.past = [];
     this.historyFrom = Math.min(this.historyFrom, revision);
     this.eraHeader = String(Number(this.eraHeader ?? 0) + 1);
     this.cutWatches();
@@ -114,6 +120,7 @@
   }
 
   private change(key: string, value: string | Buffer | undefined): void {
+    this.recordPast();
     this.revision += 1;
     this.items.set(key, { key, value, revision: this.revision });
     for (const watch of [...this.watches]) {
@@ -121,7 +128,34 @@
     }
   }
 
+  private recordPast(): void {
+    if (this.staleLagMs > 0) {
+      const untilMs = Date.now();
+      this.past = this.past.filter((one) => one.untilMs > untilMs - this.staleLagMs);
+      this.past.push({ untilMs, backup: this.backup() });
+      setTimeout(() => this.answerStaleWatches(), this.staleLagMs);
+    }
+  }
+
+  /** The content that a read sees. */
+  private seen(isStale: boolean): StoreBackup {
+    const atMs = Date.now() - this.staleLagMs;
+    const past = isStale ? this.past.find(({ untilMs }) => untilMs > atMs) : undefined;
+    return past?.backup ?? this.backup();
+  }
+
+  private answerStaleWatches(): void {
+    for (const watch of [...this.watches]) {
+      if (watch.isStale && this.seen(true).revision > watch.after) {
+        this.answerWatch(watch);
+      }
+    }
+  }
+
   private answerLate(watch: WaitingWatch): void {
+    if (this.seen(watch.isStale).revision <= watch.after) {
+      return;
+    }
     if (this.watchLagMs === 0) {
       this.answerWatch(watch);
     } else {
@@ -133,7 +167,7 @@
     if (this.fault !== undefined) {
       this.misbehave(this.fault, response);
     } else if (url.pathname === '/kv-range') {
-      this.answerList(url.searchParams.get('after') ?? '', response);
+      this.answerList(url.searchParams, response);
     } else {
       this.beginWatch(url.searchParams, response);
     }
@@ -147,13 +181,15 @@
     }
   }
 
-  private answerList(after: string, response: ServerResponse): void {
-    const existing = [...this.items.values()]
+  private answerList(query: URLSearchParams, response: ServerResponse): void {
+    const after = query.get('after') ?? '';
+    const seen = this.seen(isStale(query));
+    const existing = [...seen.items.values()]
       .filter(({ key, value }) => value !== undefined && key > after)
       .sort((left, right) => (left.key < right.key ? -1 : 1));
     const items = existing.slice(0, this.pageSize).map(itemBody);
     const hasMore = existing.length > this.pageSize;
-    response.end(JSON.stringify({ items, hasMore, at: this.revision }));
+    response.end(JSON.stringify({ items, hasMore, at: seen.revision }));
   }
 
   private beginWatch(query: URLSearchParams, response: ServerResponse): void {
@@ -163,7 +199,7 @@
       return;
     }
     const timer = setTimeout(() => this.answerWatch(watch), Number(query.get('waitMs')));
-    const watch: WaitingWatch = { after, response, timer };
+    const watch: WaitingWatch = { after, isStale: isStale(query), response, timer };
     this.watches.add(watch);
     if (this.revision > after) {
       this.answerLate(watch);
@@ -173,14 +209,19 @@
   private answerWatch(watch: WaitingWatch): void {
     clearTimeout(watch.timer);
     this.watches.delete(watch);
-    const events = [...this.items.values()]
+    const seen = this.seen(watch.isStale);
+    const events = [...seen.items.values()]
       .filter(({ revision }) => revision > watch.after)
       .sort((left, right) => left.revision - right.revision)
       .map(itemBody);
-    watch.response.end(JSON.stringify({ events, at: this.revision }));
+    watch.response.end(JSON.stringify({ events, at: Math.max(watch.after, seen.revision) }));
   }
 }
 
+function isStale(query: URLSearchParams): boolean {
+  return query.get('stale') === '1';
+}
+
 function serializeValue(value: unknown): string | Buffer {
   const isPlain = typeof value === 'string' || Buffer.isBuffer(value);
   return isPlain ? value : JSON.stringify(value);
