--- a/tools/soak/soak-fleet.ts
+++ b/tools/soak/soak-fleet.ts
@@ -31,6 +31,8 @@
 /** What a node logs once it is up. */
 const STARTED_LINE = 'node-started';
 const STORE_PORT = 22_305;
+/** How far behind the store reads are that may lag, in milliseconds: longer than any promise allows. */
+const STALE_READ_LAG_MS = 3_000;
 /** How long a back end is down that a request has ended, in milliseconds. */
 const CRASHED_MS = 2_000;
 /** Starts of a back end under one identity, after which it has a new one. */
@@ -111,6 +113,7 @@
   /** Starts everything; nodes may not be ready yet. */
   static async start(params: SoakFleetParams): Promise<SoakFleet> {
     const fleet = new SoakFleet(await StoreStandIn.start(), params);
+    fleet.store.staleLagMs = STALE_READ_LAG_MS;
     fleet.configure();
     for (let idx = 0; idx < params.machines; idx += 1) {
       fleet.machines.push(await fleet.createMachine(idx));
