--- a/src/proxy/endpoint-client.ts
+++ b/src/proxy/endpoint-client.ts
@@ -44,6 +44,8 @@
 
 /** Receives exactly one of `answered`, `refused` and `failed`, once, unless the exchange is aborted. */
 export interface EndpointObserver {
+  /** Called when the request is written to its connection. */
+  sent?(): void;
   /** Called before `answered` or `refused` with what the answer states about the endpoint. */
   stated?(statement: AnswerStatement): void;
   answered(answer: Answer): void;
@@ -128,6 +130,7 @@
       ...(beforeSend && { beforeSend }),
     };
     return startExchange(this.agentFor(endpoint), request, {
+      sent: () => observer.sent?.(),
       answered: (message, isComplete) =>
         this.handleAnswer(message, isComplete, endpoint, call, observer),
       failed: (failure, wasReused) => {
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -23,6 +23,7 @@
 import {
   closedReasonOf,
   coldStateUpdateOf,
+  type ColdStateUpdate,
   type EndpointGateConfig,
 } from './endpoint-gate-config.js';
 import { GateHeadroom } from './gate-headroom.js';
@@ -67,6 +68,8 @@
   readonly announcements?: SlotAnnouncementOptions;
   /** Called with the service time of each complete answer, in milliseconds. */
   readonly onEndpointMs?: (ms: number) => void;
+  /** Called with the time from the dispatch of each request until it was written, in milliseconds. */
+  readonly onSendDelayMs?: (ms: number) => void;
   /** Whether the node is in a planned stop, so that it offers no slots; never if absent. */
   readonly isStopping?: () => boolean;
   /** Logs a change of state. */
@@ -270,6 +273,10 @@
     this.announceFreeSlots();
   }
 
+  recordSent(delayMs: number): void {
+    this.options.onSendDelayMs?.(delayMs);
+  }
+
   recordUnfinished({ workClass }: Call, elapsedMs: number): void {
     this.admission.recordUnfinished(workClass, elapsedMs, this.options.scheduler.now());
   }
@@ -490,11 +497,25 @@
   private applyColdStateUpdate(endpoint: Endpoint | undefined): void {
     const update = coldStateUpdateOf(endpoint, this.lastConfigured);
     const nowMs = this.options.scheduler.now();
-    if (update?.kind === 'told') {
+    if (update === undefined) {
+      return;
+    }
+    const wasCold = this.isCold;
+    if (update.kind === 'told') {
       this.coldStartLimiter.updateColdPeriod(update.coldForMs, nowMs);
-    } else if (update !== undefined) {
+    } else {
       this.coldStartLimiter.assumeCold(nowMs);
     }
+    this.logColdState(wasCold, update.kind);
+  }
+
+  /** Logs for how long the endpoint is cold and how that is known, unless it was and is warm. */
+  private logColdState(wasCold: boolean, source: ColdStateUpdate['kind']): void {
+    if (wasCold || this.isCold) {
+      const coldForMs = Math.max(0, this.coldStartLimiter.coldUntil - this.options.scheduler.now());
+      const detail = `${this.endpoint.name} cold for ${Math.round(coldForMs)} ms, ${source}`;
+      this.options.logStateChange('endpoint', detail);
+    }
   }
 
   /** Schedules the dispatch of requests that are queued because of a rate limit or headroom. */
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -66,6 +66,8 @@
    * Frees the slot of a dispatched request; `serviceMs` is its service time when it was answered.
    */
   release(call: Call, serviceMs: number | undefined): void;
+  /** Records that a request was written to its connection `delayMs` after its dispatch. */
+  recordSent(delayMs: number): void;
   /**
    * Records that a dispatched request was given up after `elapsedMs`, while the endpoint was
    * processing it.
@@ -180,6 +182,7 @@
       this.handle({ type: 'deadline', wasSent: this.exchange?.wasSent() === true });
     });
     this.exchange = this.client.send(this.endpoint, this.call, workMs, {
+      sent: () => this.gate.recordSent(this.scheduler.now() - this.dispatchedAtMs),
       stated: (statement) => this.gate.applyStatement(statement, this.dispatchedAtMs),
       answered: (answer) => this.handleAnswer(answer),
       refused: (load, retryAfterMs, isOtherEndpoint) => {
--- a/src/proxy/http-exchange.ts
+++ b/src/proxy/http-exchange.ts
@@ -28,8 +28,10 @@
   /** The response can't be parsed, or its completeness can't be verified. */
   | 'malformed';
 
-/** Receives the outcome: exactly one of the two methods is called, once. */
+/** Receives the outcome: exactly one of `answered` and `failed` is called, once. */
 export interface ExchangeObserver {
+  /** Called when the request is written to its connection. */
+  sent?(): void;
   /** `isComplete` returns, once the message has closed, whether its body arrived in full. */
   answered(message: http.IncomingMessage, isComplete: () => boolean): void;
   /** `wasReused` is true when the connection had carried a request before. */
@@ -233,6 +235,7 @@
   private send(body: RequestBody): void {
     if (!this.request.destroyed) {
       this.connected = true;
+      this.observer.sent?.();
       if (!body.isComplete()) {
         // The head tells the endpoint how much time is left. If it waited for the first bytes of
         // the body, a part of that time would have passed when it is sent.
--- a/src/proxy/request-path.ts
+++ b/src/proxy/request-path.ts
@@ -40,6 +40,8 @@
   readonly onRequestMs?: (ms: number) => void;
   /** Receives the time that an endpoint took for each complete answer, in milliseconds. */
   readonly onEndpointMs?: (ms: number) => void;
+  /** Receives the time from the dispatch of each request until it was written to its connection, in milliseconds. */
+  readonly onSendDelayMs?: (ms: number) => void;
   /** Receives by how much the transit time of each relayed request exceeded the usual one, in milliseconds. */
   readonly onTravelLostMs?: (ms: number) => void;
   /** Receives the time from the head of each relayed request to the end of its body, in milliseconds. */
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -106,6 +106,7 @@
       logStateChange: options.logStateChange,
       requestLog: options.requestLog ?? NO_REQUEST_LOG,
       ...(options.onEndpointMs && { onEndpointMs: options.onEndpointMs }),
+      ...(options.onSendDelayMs && { onSendDelayMs: options.onSendDelayMs }),
       maxQueuedPerEndpoint: this.limits.maxQueuedPerEndpoint,
       maxQueuedPerSlot: this.limits.maxQueuedPerSlot,
       keepsHeadroom: this.limits.keepsHeadroom,
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -272,6 +272,10 @@
         'endpoint',
         'Time that the endpoint here took for a whole answer',
       ),
+      onSendDelayMs: this.durationObserver(
+        'endpoint_send_delay',
+        'Time for which dispatched requests were held before they were written to the endpoint',
+      ),
       onBodyMs: this.durationObserver(
         'relay_body',
         'Time from the head of a relayed request to its whole body',
