--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -513,7 +513,7 @@
     this.running.set(ticket.requestId, { rank: rankOf(ticket), workClass: ticket.workClass });
     this.limitedRequests.recordSent(nowMs);
     this.idleStarts.recordStart(ticket.workClass ?? '', nowMs);
-    this.rateLimiter.recordSent(nowMs);
+    this.rateLimiter.recordSent(ticket.requestId, nowMs);
     return { type: 'dispatch', requestId: ticket.requestId };
   }
 }
--- a/src/admission/rate-limiter.ts
+++ b/src/admission/rate-limiter.ts
@@ -1,7 +1,8 @@
 /** Limits on the rate at which one node sends requests to one endpoint. Pure: time is passed in. */
 
 export interface RateLimiter {
-  recordSent(nowMs: number): void;
+  /** Records that the request was dispatched; it arrives at the endpoint then or later. */
+  recordSent(requestId: string, nowMs: number): void;
   /** Number of requests that may be sent now; Infinity if the rate is not limited. */
   availableAt(nowMs: number): number;
   /** Upper bound on the time until `count` more requests have been sent, in milliseconds. */
@@ -21,7 +22,8 @@
 /** Enforces all of the given limits. */
 export function combineRateLimits(limiters: readonly RateLimiter[]): RateLimiter {
   return {
-    recordSent: (nowMs) => limiters.forEach((limiter) => limiter.recordSent(nowMs)),
+    recordSent: (requestId, nowMs) =>
+      limiters.forEach((limiter) => limiter.recordSent(requestId, nowMs)),
     availableAt: (nowMs) => Math.min(...limiters.map((limiter) => limiter.availableAt(nowMs))),
     maxDelayMs: (count, nowMs) =>
       Math.max(...limiters.map((limiter) => limiter.maxDelayMs(count, nowMs))),
--- a/src/admission/token-bucket.ts
+++ b/src/admission/token-bucket.ts
@@ -27,7 +27,7 @@
     }
   }
 
-  recordSent(nowMs: number): void {
+  recordSent(_requestId: string, nowMs: number): void {
     if (this.isLimited) {
       this.refill(nowMs);
       this.tokens -= 1;
--- a/src/proxy/endpoint-gate-config.ts
+++ b/src/proxy/endpoint-gate-config.ts
@@ -22,17 +22,23 @@
 export type ColdStateUpdate =
   { readonly kind: 'told'; readonly coldForMs: number } | { readonly kind: 'presumed' };
 
-/** The cold state that follows from a change of the configured endpoint; undefined if the change does not affect it. */
-export function coldStateUpdateOf(
+/**
+ * What follows for the cold state from a change of the configured endpoint. An entry that arrives with the end of an
+ * evacuation may have been written before it, so that both updates apply.
+ */
+export function coldStateUpdatesOf(
   endpoint: Endpoint | undefined,
   before: Endpoint | undefined,
-): ColdStateUpdate | undefined {
+): readonly ColdStateUpdate[] {
+  const updates: ColdStateUpdate[] = [];
   const coldForMs = endpoint?.spec.coldForMs;
   if (coldForMs !== undefined && endpoint?.spec !== before?.spec) {
-    return { kind: 'told', coldForMs };
+    updates.push({ kind: 'told', coldForMs });
+  }
+  if (before?.isEvacuated === true && endpoint?.isEvacuated !== true) {
+    updates.push({ kind: 'presumed' });
   }
-  const isReinstated = before?.isEvacuated === true && endpoint?.isEvacuated !== true;
-  return isReinstated ? { kind: 'presumed' } : undefined;
+  return updates;
 }
 
 /** Why the configuration allows no new work for the endpoint; a removed endpoint is draining. */
--- a/src/proxy/endpoint-gate.ts
+++ b/src/proxy/endpoint-gate.ts
@@ -1,4 +1,5 @@
 /** Admission to one endpoint. Executes the effects of {@link EndpointAdmission}. */
+import type { ArrivalEvidence } from '../admission/arrival-window.js';
 import { ColdStartLimiter } from '../admission/cold-start-limiter.js';
 import {
   EndpointAdmission,
@@ -22,7 +23,7 @@
 import type { EndpointConnector } from './endpoint-client.js';
 import {
   closedReasonOf,
-  coldStateUpdateOf,
+  coldStateUpdatesOf,
   type ColdStateUpdate,
   type EndpointGateConfig,
 } from './endpoint-gate-config.js';
@@ -151,6 +152,14 @@
     return this.calls.size === 0;
   }
 
+  /**
+   * Whether the gate can be dropped without losing state: requests that have ended count towards the limit of a cold
+   * endpoint for a while.
+   */
+  get isDroppable(): boolean {
+    return this.isIdle && !this.coldStartLimiter.hasRecentRequests(this.options.scheduler.now());
+  }
+
   /** The number of requests that wait for a slot. */
   get waitingCount(): number {
     return this.admission.waitingCount + this.deferredSuspects.size;
@@ -273,6 +282,10 @@
     this.announceFreeSlots();
   }
 
+  recordArrival({ requestId }: Call, evidence: ArrivalEvidence): void {
+    this.coldStartLimiter.recordArrival(requestId, evidence, this.options.scheduler.now());
+  }
+
   recordSent(delayMs: number): void {
     this.options.onSendDelayMs?.(delayMs);
   }
@@ -337,7 +350,9 @@
     this.coldStartLimiter.configure(coldStart, coldShare);
     this.statement.setRateShare(rateShare, this.options.scheduler.now());
     if (endpoint !== this.lastConfigured) {
-      this.applyColdStateUpdate(endpoint);
+      coldStateUpdatesOf(endpoint, this.lastConfigured).forEach((update) => {
+        this.applyColdStateUpdate(update);
+      });
       this.lastConfigured = endpoint;
     }
     this.closedByConfiguration = closedReasonOf(endpoint);
@@ -494,12 +509,8 @@
     }
   }
 
-  private applyColdStateUpdate(endpoint: Endpoint | undefined): void {
-    const update = coldStateUpdateOf(endpoint, this.lastConfigured);
+  private applyColdStateUpdate(update: ColdStateUpdate): void {
     const nowMs = this.options.scheduler.now();
-    if (update === undefined) {
-      return;
-    }
     const wasCold = this.isCold;
     if (update.kind === 'told') {
       this.coldStartLimiter.updateColdPeriod(update.coldForMs, nowMs);
@@ -569,6 +580,7 @@
       if (effect.type === 'dispatch') {
         if (gated !== undefined && this.containment.standingOf(gated.call) === 'contained') {
           this.refuseContained(gated);
+          this.recordArrival(gated.call, 'never-sent');
           this.execute(this.admission.release(effect.requestId, this.options.scheduler.now()));
           continue;
         }
--- a/src/proxy/endpoint-gateway.ts
+++ b/src/proxy/endpoint-gateway.ts
@@ -142,7 +142,7 @@
     }
     for (const [key, gate] of this.gates) {
       this.configure(gate);
-      if (gate.isIdle && currentEndpoint(snapshot, gate.endpoint) === undefined) {
+      if (gate.isDroppable && currentEndpoint(snapshot, gate.endpoint) === undefined) {
         this.gates.delete(key);
       } else {
         gate.probeDraining();
--- a/src/proxy/gated-call.ts
+++ b/src/proxy/gated-call.ts
@@ -2,6 +2,7 @@
  * A request that waits in the queue of one endpoint and is then dispatched to it. Executes the
  * effects of {@link EndpointAttempt}.
  */
+import type { ArrivalEvidence } from '../admission/arrival-window.js';
 import type { Endpoint } from '../model/resource.js';
 import type { AnswerStatement } from './answer-statement.js';
 import { attemptError, DEFAULT_RETRY_AFTER_MS, endpointRefusedError } from './attempt-errors.js';
@@ -66,6 +67,8 @@
    * Frees the slot of a dispatched request; `serviceMs` is its service time when it was answered.
    */
   release(call: Call, serviceMs: number | undefined): void;
+  /** Records what is known of the arrival of a dispatched request at the endpoint; only the first evidence counts. */
+  recordArrival(call: Call, evidence: ArrivalEvidence): void;
   /** Records that a request was written to its connection `delayMs` after its dispatch. */
   recordSent(delayMs: number): void;
   /**
@@ -226,6 +229,7 @@
 
   private handleAnswer(answer: Answer): void {
     this.answer = answer;
+    this.gate.recordArrival(this.call, 'arrived');
     this.gate.applyLoadReport(answer.load);
     const { body } = answer;
     if (body.kind === 'held') {
@@ -253,6 +257,7 @@
   private handleRefusal(load: LoadReport | undefined, retryAfterMs: number | undefined): void {
     this.load = load;
     this.retryAfterMs = retryAfterMs;
+    this.gate.recordArrival(this.call, 'arrived');
     this.gate.applyRefusal(load);
     this.handle({ type: 'refused' });
   }
@@ -344,6 +349,8 @@
   private releaseSlot(isMeasured: boolean): void {
     this.cancelTimer?.();
     const serviceMs = isMeasured ? this.scheduler.now() - this.dispatchedAtMs : undefined;
+    const wasSent = this.exchange?.wasSent() === true;
+    this.gate.recordArrival(this.call, wasSent ? 'may-arrive' : 'never-sent');
     this.gate.release(this.call, serviceMs);
   }
 
--- a/test/admission/cold-start-limiter.test.ts
+++ b/test/admission/cold-start-limiter.test.ts
@@ -69,7 +69,9 @@
       limiter.updateColdPeriod(ALWAYS_COLD_MS, nowMs);
     } else {
       for (let sends = Math.min(step.count, limiter.availableAt(nowMs)); sends > 0; sends -= 1) {
-        limiter.recordSent(nowMs);
+        const requestId = `r${sent.length}`;
+        limiter.recordSent(requestId);
+        limiter.recordArrival(requestId, 'arrived', nowMs);
         sent.push(nowMs);
       }
     }
@@ -127,7 +129,8 @@
   it('counts requests sent before the endpoint was reported cold', () => {
     const limiter = createLimiter();
     for (let sends = 0; sends < 20; sends += 1) {
-      limiter.recordSent(0);
+      limiter.recordSent(`r${sends}`);
+      limiter.recordArrival(`r${sends}`, 'arrived', 0);
     }
     limiter.updateColdPeriod(3_000, 100);
     expect(limiter.availableAt(100)).to.equal(0);
@@ -156,6 +159,7 @@
     const available = limiter.availableAt(0);
     for (let count = 0; count < available; count += 1) {
       expect(admission.offer(ticket(`r${count}`, 9_000), 0)).to.have.length(1);
+      limiter.recordArrival(`r${count}`, 'arrived', 0);
     }
     expect(admission.resumeDelayMs(0)).to.equal(undefined);
     expect(admission.offer(ticket('last', 9_000), 0)).to.deep.equal([]);
--- a/test/admission/token-bucket.test.ts
+++ b/test/admission/token-bucket.test.ts
@@ -15,7 +15,7 @@
   return timesMs.flatMap((nowMs) => {
     const count = Math.min(demand, bucket.availableAt(nowMs));
     for (let sent = 0; sent < count; sent += 1) {
-      bucket.recordSent(nowMs);
+      bucket.recordSent('', nowMs);
     }
     return Array.from({ length: count }, () => nowMs);
   });
--- a/test/experiment/emulated-fleet.test.ts
+++ b/test/experiment/emulated-fleet.test.ts
@@ -122,6 +122,14 @@
     }
   });
 
+  it('sends no more than allowed in a second to cold endpoints, however they turned cold', () => {
+    for (let seed = 1; seed <= 10; seed += 1) {
+      const { measures } = runScenario(scenarioOf('cold'), {}, seed);
+      expect(measures['peakColdCount'], `seed ${seed}`).to.be.within(8.4, 20.6);
+      expect(measures['worth'], `seed ${seed}`).to.be.above(0.4);
+    }
+  }).timeout(20_000);
+
   it('keeps to a low rate limit while the node beside the endpoint restarts', () => {
     for (const seed of [1, 2, 3]) {
       const { measures, outcomes } = runScenario(scenarioOf('limited-low'), {}, seed);
--- a/test/experiment/worth.test.ts
+++ b/test/experiment/worth.test.ts
@@ -40,6 +40,7 @@
   lateAnswers: new LateAnswers(),
   linkBytes: 0,
   peakLimitUse: 0,
+  peakColdCount: 0,
   answers: 0,
   faultAnswers: 0,
 };
--- a/tools/experiment/emulated-endpoint.ts
+++ b/tools/experiment/emulated-endpoint.ts
@@ -10,17 +10,19 @@
   EndpointConnector,
 } from '../../src/proxy/endpoint-client.js';
 import type { Exchange } from '../../src/proxy/http-exchange.js';
-import type { CancelTimer } from '../../src/proxy/scheduler.js';
 import type { VirtualProcess } from '../emulator/virtual-process.js';
 import type { PlannedRequest } from './call-plan.js';
 import { plannedOf } from './emulated-body.js';
 import type { EmulatedProcessor } from './emulated-processor.js';
+import { ColdMeter } from './cold-meter.js';
 import { EmulatedReply } from './emulated-reply.js';
 import { LimitMeter } from './limit-meter.js';
 
 /** Time for a word between a node and the endpoint beside it, in milliseconds. */
 const LOOPBACK_MS = 0.2;
 const OK_STATUS = 200;
+/** How many times as long work takes at a cold endpoint. */
+const COLD_SLOWNESS = 2;
 /** Status of the answer to a request of which a call failed. */
 export const FAULT_STATUS = 500;
 const NO_BYTES = Buffer.alloc(0);
@@ -53,6 +55,11 @@
   /** How many times as long as planned work takes. */
   slowness = 1;
   readonly limitMeter = new LimitMeter();
+  readonly coldMeter = new ColdMeter();
+  /** Returns the time for which a request is held before it arrives, in milliseconds. */
+  holdMs = (): number => 0;
+  /** When the current process started, as its entry tells; undefined before the first restart. */
+  private bornAtMs: number | undefined;
   private maxRatePerS = Infinity;
   private running = new Map<string, Execution>();
 
@@ -71,16 +78,58 @@
     executions.forEach((execution) => execution.stop());
   }
 
-  send(_endpoint: Endpoint, call: Call, _leftMs: number, observer: EndpointObserver): Exchange {
-    const { process, reached } = this.host;
-    reached(call.requestId);
-    this.limitMeter.record(process.now());
-    const { workMs } = plannedOf(call);
-    const takenMs = LOOPBACK_MS + (workMs * this.slowness) / this.host.speed;
-    const cancelTimer: CancelTimer = process.schedule(takenMs, () => this.makeCalls(execution));
-    const execution: Execution = { call, observer, stop: cancelTimer };
+  /** Is cold for `forMs` from now on. */
+  becomeCold(forMs: number): void {
+    const nowMs = this.host.process.now();
+    this.coldMeter.becomeCold(nowMs, nowMs + forMs);
+  }
+
+  /** Its process ends and starts again; connections are lost, and requests for the earlier process are refused. */
+  restart(bornAtMs: number): void {
+    const lost = [...this.running.values()];
+    this.running = new Map();
+    lost.forEach((execution) => {
+      execution.stop();
+      this.host.processor.handle(() => execution.observer.failed('lost'));
+    });
+    this.bornAtMs = bornAtMs;
+  }
+
+  send({ spec }: Endpoint, call: Call, _leftMs: number, observer: EndpointObserver): Exchange {
+    const { process, processor } = this.host;
+    if (spec.bornAtMs !== this.bornAtMs) {
+      process.schedule(LOOPBACK_MS, () => {
+        processor.handle(() => observer.refused(undefined, undefined, true));
+      });
+      return { wasSent: () => true, abort: () => undefined };
+    }
+    const execution: Execution = { call, observer, stop: () => undefined };
+    const holdMs = this.holdMs();
+    let hasArrived = holdMs === 0;
     this.running.set(call.requestId, execution);
-    return { wasSent: () => true, abort: () => this.stop(call.requestId) };
+    if (hasArrived) {
+      this.arrive(execution);
+    } else {
+      execution.stop = process.schedule(holdMs, () => {
+        hasArrived = true;
+        this.arrive(execution);
+      });
+    }
+    return { wasSent: () => hasArrived, abort: () => this.stop(call.requestId) };
+  }
+
+  private arrive(execution: Execution): void {
+    const { process, reached, speed } = this.host;
+    const { call } = execution;
+    const nowMs = process.now();
+    reached(call.requestId);
+    this.limitMeter.record(nowMs);
+    this.coldMeter.record(nowMs);
+    const coldSlowness = this.coldMeter.isCold(nowMs) ? COLD_SLOWNESS : 1;
+    const workMs = plannedOf(call).workMs * this.slowness * coldSlowness;
+    execution.stop = process.schedule(LOOPBACK_MS + workMs / speed, () => {
+      this.makeCalls(execution);
+    });
   }
 
   cancel(
--- a/tools/experiment/emulated-node.ts
+++ b/tools/experiment/emulated-node.ts
@@ -56,6 +56,7 @@
 
 /** What a node needs of the fleet. */
 export interface NodeFleet extends RelayFleet {
+  /** The snapshot that a node has when it starts. */
   readonly snapshot: Snapshot;
   readonly routes: RouteTable;
   readonly nodeCount: number;
@@ -82,6 +83,7 @@
 /** The machine. */
 export class EmulatedNode {
   readonly name: string;
+  readonly zone: string;
   readonly process: VirtualProcess;
   readonly processor: EmulatedProcessor;
   readonly link: EmulatedLink;
@@ -89,12 +91,15 @@
   readonly relay: EmulatedRelay;
   receiver!: ReceivingNode;
   private services!: RequestServices;
+  private gateway!: EndpointGateway;
+  private snapshot!: Snapshot;
   private watch!: PeerWatch;
 
   constructor(private readonly options: EmulatedNodeOptions) {
     const { name, clock, linkBytesPerMs, messageCostMs, fleet } = options;
     const { slots, speed } = options.endpoint;
     this.name = name;
+    this.zone = options.zone;
     this.process = new VirtualProcess(clock);
     this.processor = new EmulatedProcessor(clock, messageCostMs);
     this.link = new EmulatedLink(clock, linkBytesPerMs);
@@ -114,8 +119,10 @@
   /** Begins a new life: nothing of the last one is kept. */
   start(): void {
     this.process.revive();
+    this.snapshot = this.options.fleet.snapshot;
     const statements = new EndpointStatements();
     const gateway = this.createGateway(statements);
+    this.gateway = gateway;
     const { process: scheduler } = this;
     this.receiver = { scheduler, gateway, credits: new CreditPool(scheduler) };
     this.watch = new PeerWatch((machine) => this.isReachable(machine));
@@ -123,6 +130,19 @@
     this.lookLater(gateway);
   }
 
+  /** A snapshot has arrived; the gates of the endpoints on this machine are configured at once. */
+  learn(snapshot: Snapshot): void {
+    if (this.process.isAlive) {
+      this.snapshot = snapshot;
+      this.configureGates();
+    }
+  }
+
+  private configureGates(): void {
+    const listed = [...this.snapshot.endpointsByService.values()].flat();
+    this.gateway.configureLocal(listed.filter(({ spec }) => spec.machine === this.name));
+  }
+
   kill(): void {
     this.endpoint.die();
     this.process.kill();
@@ -134,7 +154,8 @@
   }
 
   run({ request, id, deadlineAtMs, retries }: NodeRequest, reply: EmulatedReply): void {
-    const { snapshot, routes } = this.options.fleet;
+    const { snapshot } = this;
+    const { routes } = this.options.fleet;
     const target = `/${request.requestClass.name}/${request.id}`;
     const match = routes.match('', target, 'GET');
     if (match === undefined) {
@@ -179,8 +200,7 @@
   }
 
   private createGateway(statements: EndpointStatements): EndpointGateway {
-    const { settings, fleet } = this.options;
-    const { limits } = settings;
+    const { limits } = this.options.settings;
     return new EndpointGateway({
       client: this.endpoint,
       statements,
@@ -191,7 +211,8 @@
       keepsHeadroom: limits.keepsHeadroom,
       cancelLead: { ...limits, slotFreedAfterCloseMs: CLOSE_NOTICE_MS },
       logStateChange: () => undefined,
-      snapshot: () => fleet.snapshot,
+      snapshot: () => this.snapshot,
+      coldShareFor: (endpoint) => this.services.coldShareFor(endpoint),
       slotsFor: (endpoint) => this.services.slotsFor(endpoint),
       rateShareFor: (endpoint) => this.services.rateShareFor(endpoint),
     });
@@ -212,6 +233,7 @@
         machineIds: () => fleet.machineIds,
         recordResponse: (machine) => this.hear(machine),
       },
+      snapshots: { current: () => this.snapshot },
       counters: { add: () => undefined },
       onLateAnswer: (service, times) => fleet.lateAnswers.record(service, times),
       random,
--- a/tools/experiment/measures.ts
+++ b/tools/experiment/measures.ts
@@ -17,6 +17,8 @@
   readonly linkBytes: number;
   /** See {@link EmulatedFleet.peakLimitUse}. */
   readonly peakLimitUse: number;
+  /** See {@link EmulatedFleet.peakColdCount}. */
+  readonly peakColdCount: number;
 }
 
 /** The measures of a run. */
@@ -39,6 +41,7 @@
     attempts: ratio(totals.attempts, outcomes.length),
     linkBytes: ratio(totals.linkBytes, outcomes.length),
     peakLimitUse: totals.peakLimitUse,
+    peakColdCount: totals.peakColdCount,
   };
 }
 
--- a/tools/experiment/scenario.ts
+++ b/tools/experiment/scenario.ts
@@ -1,4 +1,5 @@
 /** What an emulated fleet is made of, and what happens to it. */
+import type { ColdStart } from '../../src/model/resource.js';
 
 /** A service; each of its endpoints has a node beside it. */
 export interface ServiceShape {
@@ -7,6 +8,8 @@
   readonly slots: number;
   /** Speeds of the endpoints, assigned in turn; 1 is the speed at which work takes its planned time. All 1 if absent. */
   readonly speeds?: readonly number[];
+  /** What an endpoint can handle while it is cold; its endpoints are never cold if absent. */
+  readonly coldStart?: ColdStart;
 }
 
 /** A kind of request: of callers where it has a rate, else of endpoints that work on another one. */
@@ -56,6 +59,16 @@
     })
   /** The process of a node dies with its endpoint, and comes back. */
   | (FaultPeriod & { readonly kind: 'crashed-node'; readonly service: string })
+  /** The process of one endpoint ends and starts again, cold, while its node goes on. */
+  | (FaultPeriod & { readonly kind: 'restarted-endpoint'; readonly service: string })
+  /** A zone is evacuated; its endpoints are cold when it is taken back. */
+  | (FaultPeriod & { readonly kind: 'evacuated-zone'; readonly zone: string })
+  /** What is sent to the endpoints of a service is held before it arrives, up to `holdMs`. */
+  | (FaultPeriod & {
+      readonly kind: 'held-requests';
+      readonly service: string;
+      readonly holdMs: number;
+    })
   /** Callers of a class come `factor` times as often. */
   | (FaultPeriod & {
       readonly kind: 'burst';
@@ -91,6 +104,8 @@
   readonly linkBytesPerMs: number;
   /** Processor time of a node for each message that it receives, in milliseconds; none if absent. */
   readonly messageCostMs?: number;
+  /** Longest time until a node knows of a changed entry or an evacuation, in milliseconds; 0 if absent. */
+  readonly newsDelayMs?: number;
   readonly services: readonly ServiceShape[];
   readonly classes: readonly RequestClass[];
   readonly faults: readonly Fault[];
--- a/tools/experiment/scenarios.ts
+++ b/tools/experiment/scenarios.ts
@@ -215,6 +215,18 @@
     services: [{ name: 'rooms', endpoints: 1, slots: 9 }],
     classes: [{ ...LOOKUP, ratePerSecond: 60 }],
   },
+  {
+    ...withFaults('cold', 'Endpoints turn cold by a restart and an evacuation; requests are held', [
+      { kind: 'evacuated-zone', fromMs: 2_000, untilMs: 4_500, zone: 'z1' },
+      { kind: 'restarted-endpoint', fromMs: 3_000, untilMs: 3_000, service: 'rooms' },
+      { kind: 'restarted-endpoint', fromMs: 8_000, untilMs: 8_000, service: 'rooms' },
+      { kind: 'crashed-node', fromMs: 9_000, untilMs: 9_300, service: 'rooms' },
+      { kind: 'held-requests', ...TROUBLE, service: 'rooms', holdMs: 250 },
+    ]),
+    newsDelayMs: 800,
+    services: [{ ...ROOMS, coldStart: { durationMs: 3_000, ratePerS: 8.4, maxInSecond: 20.6 } }],
+    classes: [{ ...LOOKUP, workMs: 20 }],
+  },
   {
     ...withFaults('depth', 'Calls that make calls, while one endpoint is slow', [
       { kind: 'slow-endpoint', ...TROUBLE, service: 'prices', factor: 6 },
