--- a/src/admission/arrival-window.ts
+++ b/src/admission/arrival-window.ts
@@ -33,20 +33,18 @@
     if (!this.pending.delete(requestId) || evidence === 'never-sent') {
       return;
     }
-    this.prune(nowMs);
+    this.arrivedByMs.splice(0, this.expiredCount(nowMs));
     this.insert(evidence === 'arrived' ? nowMs : nowMs + TRANSIT_MS);
   }
 
-  /** Number of requests that may arrive within one second of one that is dispatched now. */
+  /** Number of requests that may arrive within one second of one that is dispatched at `nowMs`, which may be later. */
   countAt(nowMs: number): number {
-    this.prune(nowMs);
-    return this.pending.size + this.arrivedByMs.length;
+    return this.pending.size + this.arrivedByMs.length - this.expiredCount(nowMs);
   }
 
-  /** Time until `count` of the requests no longer count, in milliseconds, if all pending ones arrive now. */
+  /** Time until `count` of the requests no longer count, in milliseconds, if all pending ones arrive at `nowMs`. */
   expiryMs(count: number, nowMs: number): number {
-    this.prune(nowMs);
-    const arrivedByMs = this.arrivedByMs[count - 1] ?? nowMs;
+    const arrivedByMs = this.arrivedByMs[this.expiredCount(nowMs) + count - 1] ?? nowMs;
     return Math.max(1, arrivedByMs + ARRIVAL_WINDOW_MS - nowMs);
   }
 
@@ -55,8 +53,8 @@
     this.arrivedByMs.splice(idx + 1, 0, arrivedByMs);
   }
 
-  private prune(nowMs: number): void {
+  private expiredCount(nowMs: number): number {
     const firstKept = this.arrivedByMs.findIndex((atMs) => atMs + ARRIVAL_WINDOW_MS > nowMs);
-    this.arrivedByMs.splice(0, firstKept < 0 ? this.arrivedByMs.length : firstKept);
+    return firstKept < 0 ? this.arrivedByMs.length : firstKept;
   }
 }
--- a/src/admission/endpoint-admission.ts
+++ b/src/admission/endpoint-admission.ts
@@ -231,7 +231,7 @@
     }
     const offered = this.withoutMissedTarget(this.applyLateWorkRules(ticket, nowMs), nowMs);
     const reason =
-      this.refusalReasonFor(offered, endsAtMs) ?? this.queueFullReasonFor(offered, nowMs);
+      this.refusalReasonFor(offered, nowMs, endsAtMs) ?? this.queueFullReasonFor(offered, nowMs);
     if (reason === undefined) {
       this.reserved.set(ticket.requestId, rankOf(ticket));
       return undefined;
@@ -390,11 +390,19 @@
     return displaced === undefined ? [] : [this.refuse(displaced, 'queue-full', nowMs)];
   }
 
-  private refusalReasonFor(ticket: AdmissionTicket, nowMs: number): RefusalReason | undefined {
+  /**
+   * `startAtMs` is the earliest time at which the request can start, when its body has arrived. Waits are estimated as of
+   * now: what is measured over the last moments says nothing of a later time.
+   */
+  private refusalReasonFor(
+    ticket: AdmissionTicket,
+    nowMs: number,
+    startAtMs = nowMs,
+  ): RefusalReason | undefined {
     if (this.closedFor !== undefined) {
       return this.closedFor;
     }
-    if (ticket.deadlineAtMs <= nowMs) {
+    if (ticket.deadlineAtMs <= startAtMs) {
       return 'deadline-passed';
     }
     // The expected wait would be infinite or NaN, and so would the retry delay.
@@ -402,12 +410,13 @@
       return 'queue-full';
     }
     const rank = rankOf(ticket);
-    const slotWaitMs = this.expectedSlotWaitMs(ticket, nowMs);
-    if (this.waitsTooLong(ticket, slotWaitMs, nowMs)) {
+    const leadMs = startAtMs - nowMs;
+    const slotWaitMs = this.expectedSlotWaitMs(ticket, nowMs, leadMs);
+    if (this.waitsTooLong(ticket, slotWaitMs, startAtMs)) {
       return 'cannot-finish-in-time';
     }
-    const waitMs = Math.max(slotWaitMs, this.endpointLimitWaitMs(rank, nowMs));
-    return this.waitsTooLong(ticket, waitMs, nowMs) ? 'rate-limited' : undefined;
+    const waitMs = Math.max(slotWaitMs, this.endpointLimitWaitMs(rank, nowMs) - leadMs);
+    return this.waitsTooLong(ticket, waitMs, startAtMs) ? 'rate-limited' : undefined;
   }
 
   private waitsTooLong(ticket: AdmissionTicket, waitMs: number, nowMs: number): boolean {
@@ -452,15 +461,18 @@
     return this.limitedRequests.waitMs(this.queue.countAtLeastAsUrgent(rank), nowMs);
   }
 
-  /** Expected wait for a slot, by the measured service times, and until a cold endpoint may get the request. */
-  private expectedSlotWaitMs(ticket: AdmissionTicket, nowMs: number): number {
+  /**
+   * Expected wait for a slot, by the measured service times, and until a cold endpoint may get the request. The rate
+   * limit of a cold endpoint is waited for while the body arrives, `leadMs` from now.
+   */
+  private expectedSlotWaitMs(ticket: AdmissionTicket, nowMs: number, leadMs = 0): number {
     const waiting = this.queue.countAtLeastAsUrgent(rankOf(ticket));
     const ahead = this.running.size + waiting - this.limit + 1;
     const serviceMs = this.serviceTimes.expectedOverallMs(nowMs);
     const slotWaitMs = ahead <= 0 ? 0 : (ahead * serviceMs) / this.limit;
     return Math.max(
       slotWaitMs,
-      this.coldStartLimiter.maxDelayMs(waiting + 1, nowMs),
+      this.coldStartLimiter.maxDelayMs(waiting + 1, nowMs) - leadMs,
       this.headroomWaitMs(ticket, nowMs),
     );
   }
--- a/src/admission/rate-limiter.ts
+++ b/src/admission/rate-limiter.ts
@@ -1,5 +1,6 @@
 /** Limits on the rate at which one node sends requests to one endpoint. Pure: time is passed in. */
 
+/** Only {@link recordSent} changes the state: the times that the other methods are asked about may lie in the future. */
 export interface RateLimiter {
   /** Records that the request was dispatched; it arrives at the endpoint then or later. */
   recordSent(requestId: string, nowMs: number): void;
--- a/src/admission/token-bucket.ts
+++ b/src/admission/token-bucket.ts
@@ -38,8 +38,7 @@
     if (!this.isLimited) {
       return Infinity;
     }
-    this.refill(nowMs);
-    return Math.max(0, Math.floor(this.tokens + ROUNDING_TOLERANCE));
+    return Math.max(0, Math.floor(this.tokensAt(nowMs) + ROUNDING_TOLERANCE));
   }
 
   maxDelayMs(count: number, nowMs: number): number {
@@ -48,7 +47,7 @@
     }
     return this.ratePerS === 0
       ? ZERO_RATE_DELAY_MS
-      : ((count - this.tokens) / this.ratePerS) * MS_PER_SECOND;
+      : ((count - this.tokensAt(nowMs)) / this.ratePerS) * MS_PER_SECOND;
   }
 
   nextAvailableInMs(nowMs: number): number {
@@ -64,10 +63,14 @@
   }
 
   private refill(nowMs: number): void {
-    const elapsedS = Math.max(0, nowMs - this.refilledAtMs) / MS_PER_SECOND;
-    if (this.isLimited && elapsedS > 0) {
-      this.tokens = Math.min(this.capacity, this.tokens + elapsedS * this.ratePerS);
-    }
+    this.tokens = this.tokensAt(nowMs);
     this.refilledAtMs = Math.max(this.refilledAtMs, nowMs);
   }
+
+  private tokensAt(nowMs: number): number {
+    const elapsedS = Math.max(0, nowMs - this.refilledAtMs) / MS_PER_SECOND;
+    return this.isLimited && elapsedS > 0
+      ? Math.min(this.capacity, this.tokens + elapsedS * this.ratePerS)
+      : this.tokens;
+  }
 }
--- a/test/admission/token-bucket.test.ts
+++ b/test/admission/token-bucket.test.ts
@@ -40,6 +40,14 @@
     expect(bucket.maxDelayMs(1_000, 0)).to.equal(0);
   });
 
+  it('grants nothing early because it was asked about a later time', () => {
+    const bucket = new TokenBucket();
+    bucket.setRate(1, 0);
+    expect(bucket.availableAt(5_000)).to.equal(1);
+    expect(bucket.availableAt(500)).to.equal(0);
+    expect(bucket.maxDelayMs(1, 500)).to.be.closeTo(500, 1);
+  });
+
   it('has no token when a limit follows an unlimited rate', () => {
     const bucket = new TokenBucket();
     bucket.setRate(0.4, 10_000);
--- a/test/proxy/cold-endpoint-arrivals.test.ts
+++ b/test/proxy/cold-endpoint-arrivals.test.ts
@@ -81,6 +81,17 @@
     }
   }
 
+  /** Reserves a place for a request whose body is expected in `bodyMs`; the reservation is withdrawn at once. */
+  reserve(bodyMs: number): void {
+    const { entry, nowMs } = this;
+    if (entry !== undefined) {
+      this.offeredCount += 1;
+      const call = this.callOf(`u${this.offeredCount}`);
+      this.gateway.reserve(entry, call, { beginsAtMs: nowMs, endsAtMs: nowMs + bodyMs });
+      this.gateway.unreserve(entry, call);
+    }
+  }
+
   /** Offers a request each `gapMs` for `forMs`. */
   load(forMs: number, gapMs = 5): void {
     for (let passedMs = 0; passedMs < forMs; passedMs += gapMs) {
@@ -191,6 +202,7 @@
   | { readonly kind: 'load'; readonly forMs: number }
   | { readonly kind: 'wait'; readonly forMs: number }
   | { readonly kind: 'hold'; readonly hold: Hold; readonly forMs: number }
+  | { readonly kind: 'reserve'; readonly bodyMs: number }
   | { readonly kind: 'relist'; readonly afterMs: number };
 
 const durations = fc.integer({ min: 0, max: 900 });
@@ -203,6 +215,10 @@
       hold: fc.constantFrom<Hold>('unwritten', 'in-transit'),
       forMs: fc.integer({ min: 0, max: 600 }),
     }),
+    fc.record({
+      kind: fc.constant('reserve' as const),
+      bodyMs: fc.integer({ min: 0, max: 4_000 }),
+    }),
     fc.record({ kind: fc.constant('relist' as const), afterMs: durations }),
   ),
   { minLength: 4, maxLength: 20 },
@@ -221,6 +237,9 @@
         world.hold = step.hold;
         world.holdMs = step.forMs;
         break;
+      case 'reserve':
+        world.reserve(step.bodyMs);
+        break;
       case 'relist':
         world.publish(undefined);
         world.advance(step.afterMs);
@@ -240,6 +259,14 @@
     expect(world.arrivedAtMs.length).to.be.at.least(2.5 * COLD_START.ratePerS);
   });
 
+  it('when a place is reserved for a request whose body arrives later', () => {
+    const world = new ColdEndpointWorld(COLD_FOR_MS);
+    world.load(400);
+    world.reserve(3_000);
+    world.load(400);
+    expect(world.busiestSecond()).to.be.at.most(COLD_START.maxInSecond);
+  });
+
   it('when its entry is removed and listed again while nothing is in flight', () => {
     const world = new ColdEndpointWorld(COLD_FOR_MS);
     world.load(400);
--- a/tools/experiment/scenarios.ts
+++ b/tools/experiment/scenarios.ts
@@ -225,7 +225,10 @@
     ]),
     newsDelayMs: 800,
     services: [{ ...ROOMS, coldStart: { durationMs: 3_000, ratePerS: 8.4, maxInSecond: 20.6 } }],
-    classes: [{ ...LOOKUP, workMs: 20 }],
+    classes: [
+      { ...LOOKUP, workMs: 20 },
+      { ...UPLOAD, service: 'rooms', ratePerSecond: 20 },
+    ],
   },
   {
     ...withFaults('depth', 'Calls that make calls, while one endpoint is slow', [
