--- a/src/proxy/request-policy.ts
+++ b/src/proxy/request-policy.ts
@@ -1,5 +1,6 @@
 /** Limits on the attempts of a request, set by its route, its caller and its node. Pure. */
 import type { RequestContext } from './request-context.js';
+import { refusalClassOf } from './request-work.js';
 import { refusalLeadMs } from './refusal-lead.js';
 
 /** Retry and redirect limits of one request. */
@@ -24,6 +25,11 @@
   readonly refusableUntilMs?: number;
 }
 
+/**
+ * Share of refused attempts of a class of work from which a refused request is not redirected if its caller comes back:
+ * the next endpoint would most likely refuse it as well, at the same cost to both nodes.
+ */
+const MAX_REDIRECT_REFUSED_SHARE = 0.2;
 /**
  * Time that an attempt needs to be sent and its refusal to arrive, as a multiple of the lead before the deadline with
  * which the endpoint's node refuses requests: one lead for each direction.
@@ -33,6 +39,7 @@
 export function requestPolicyOf(context: RequestContext): RequestPolicy {
   const { services, match, retries, deadlineAtMs } = context;
   const { maxAttempts = Infinity } = match.route.spec;
+  const maxRedirects = mayRedirect(context) ? services.limits.maxRedirects : 0;
   const leadMs = REFUSAL_LEAD_FACTOR * refusalLeadMs(deadlineAtMs - services.scheduler.now());
   return {
     refusableUntilMs: deadlineAtMs - leadMs,
@@ -40,8 +47,17 @@
     deadlineAtMs,
     retries: Math.min(services.limits.maxRetries, retries ?? Infinity, maxAttempts - 1),
     retryBudgetPercent: match.retryBudgetPercent,
-    redirects: services.limits.maxRedirects,
+    redirects: maxRedirects,
     absentRedirects: services.limits.maxAbsentRedirects,
-    lateRedirects: Math.min(services.limits.maxRedirects, services.limits.maxLateRedirects),
+    lateRedirects: Math.min(maxRedirects, services.limits.maxLateRedirects),
   };
 }
+
+function mayRedirect({ services, match }: RequestContext): boolean {
+  const nowMs = services.scheduler.now();
+  const workClass = refusalClassOf(match.route, false);
+  return (
+    !services.unserved.hasRepeats(match.route.name, nowMs) ||
+    services.throttle.refusedShare(workClass, nowMs) < MAX_REDIRECT_REFUSED_SHARE
+  );
+}
--- a/src/proxy/request-runner.ts
+++ b/src/proxy/request-runner.ts
@@ -370,10 +370,11 @@
     if (!(failure instanceof RequestError)) {
       return new InternalError('no error');
     }
-    const roomInMs = isLackOfCapacity(failure) ? this.waiting.roomInMs() : undefined;
-    return roomInMs === undefined
-      ? failure
-      : withRoomExpected(failure, roomInMs, this.context.services.random);
+    if (!isLackOfCapacity(failure)) {
+      return failure;
+    }
+    const roomInMs = Math.max(this.waiting.roomInMs() ?? 0, this.throttling.returnDelayMs);
+    return withRoomExpected(failure, roomInMs, this.context.services.random);
   }
 
   private handleFailure(
--- a/src/proxy/request-throttling.ts
+++ b/src/proxy/request-throttling.ts
@@ -3,6 +3,12 @@
 import type { RequestContext } from './request-context.js';
 import { refusalClassOf } from './request-work.js';
 
+/**
+ * Time after which refused callers come back if all attempts were refused lately, in milliseconds; less by the share of
+ * attempts that were accepted. A caller has few tries, and one that comes back at once mostly meets the same shortage.
+ */
+const MAX_RETURN_DELAY_MS = 1_500;
+
 export class RequestThrottling {
   /** Whether all attempts so far were refused for lack of capacity; true before the first. */
   private wasOnlyRefused = true;
@@ -41,6 +47,12 @@
     return isRefused;
   }
 
+  /** Time after which a refused caller is to come back, by the share of attempts that were refused lately. */
+  get returnDelayMs(): number {
+    const { throttle, scheduler } = this.context.services;
+    return throttle.refusedShare(this.workClass, scheduler.now()) * MAX_RETURN_DELAY_MS;
+  }
+
   /** Records that an endpoint answered an attempt of the class. */
   attemptAnswered(workClass: string): void {
     const { throttle, scheduler } = this.context.services;
--- a/src/routing/adaptive-throttle.ts
+++ b/src/routing/adaptive-throttle.ts
@@ -40,6 +40,13 @@
     return false;
   }
 
+  /** Share of the recent attempts of the class that were refused; 0 while there are too few to tell. */
+  refusedShare(workClass: string, nowMs: number): number {
+    const attempts = this.attemptsOf(workClass);
+    const refused = attempts.refused.at(nowMs);
+    return refused < MIN_REFUSED ? 0 : refused / (refused + attempts.accepted.at(nowMs));
+  }
+
   /** Records that an endpoint's node refused an attempt for lack of capacity. */
   refused(workClass: string, nowMs: number): void {
     this.attemptsOf(workClass).refused.add(nowMs);
