--- a/tools/experiment/emulated-entries.ts
+++ b/tools/experiment/emulated-entries.ts
@@ -17,6 +17,12 @@
   readonly coldForMs: number;
 }
 
+/** A snapshot with its number; later ones have higher numbers. */
+export interface PublishedSnapshot {
+  readonly number: number;
+  readonly snapshot: Snapshot;
+}
+
 /** What the entries need of the fleet. */
 export interface EntriesOptions {
   /** Parsed services and routes. */
@@ -26,8 +32,8 @@
   readonly random: RandomSource;
   /** Longest time until a node knows of a change, in milliseconds. */
   readonly maxDelayMs: number;
-  /** Hands a snapshot to each node, by its own call of `deliver`. */
-  readonly forEachNode: (deliver: (learn: (snapshot: Snapshot) => void) => void) => void;
+  /** Calls `deliver` for each node with a function that hands it a snapshot. */
+  readonly forEachNode: (deliver: (learn: (published: PublishedSnapshot) => void) => void) => void;
 }
 
 /** The platform's list. */
@@ -35,12 +41,12 @@
   private readonly base: Snapshot;
   private readonly endpoints = new Map<string, Endpoint>();
   private readonly evacuatedZones = new Set<string>();
-  current: Snapshot;
+  current: PublishedSnapshot;
 
   constructor(private readonly options: EntriesOptions) {
     this.base = buildSnapshot(NO_SNAPSHOT_VERSION, options.resources);
     options.endpoints.forEach((endpoint) => this.endpoints.set(endpoint.name, endpoint));
-    this.current = this.build();
+    this.current = { number: 0, snapshot: this.build() };
   }
 
   change(name: string, change: EntryChange): void {
@@ -68,13 +74,13 @@
     return endpoint;
   }
 
-  /** Each node learns of it after a time of its own. A later snapshot that arrives first is not undone. */
+  /** Each node learns of it after a time of its own, so that a later snapshot may arrive first. */
   private publish(): void {
-    const snapshot = this.build();
-    this.current = snapshot;
+    const published = { number: this.current.number + 1, snapshot: this.build() };
+    this.current = published;
     const { clock, random, maxDelayMs, forEachNode } = this.options;
     forEachNode((learn) => {
-      clock.schedule(clock.nowMs + random() * maxDelayMs, { run: () => learn(snapshot) });
+      clock.schedule(clock.nowMs + random() * maxDelayMs, { run: () => learn(published) });
     });
   }
 
--- a/tools/experiment/emulated-fleet.ts
+++ b/tools/experiment/emulated-fleet.ts
@@ -1,12 +1,11 @@
 /** A fleet under the virtual clock: its nodes, its configuration, and the faults that befall it. */
 import { resourceSchema, type Endpoint, type Resource } from '../../src/model/resource.js';
-import type { Snapshot } from '../../src/model/snapshot.js';
 import { LateAnswers } from '../../src/proxy/late-answers.js';
 import { RouteTable } from '../../src/routing/route-table.js';
 import { seededRandom } from '../emulator/seeded-random.js';
 import { VirtualScheduler } from '../emulator/virtual-scheduler.js';
 import { FAULT_STATUS } from './emulated-endpoint.js';
-import { EmulatedEntries } from './emulated-entries.js';
+import { EmulatedEntries, type PublishedSnapshot } from './emulated-entries.js';
 import { EmulatedNode, REGION, type EndpointShape, type NodeFleet } from './emulated-node.js';
 import type { PolicySettings } from './policy-settings.js';
 import type { Fault, RequestClass, Scenario, ServiceShape } from './scenario.js';
@@ -59,7 +58,7 @@
     private readonly settings: PolicySettings,
   ) {
     this.listed = this.createEntries();
-    this.routes = new RouteTable(this.snapshot);
+    this.routes = new RouteTable(this.published.snapshot);
     this.backs = scenario.services.flatMap((service) =>
       machinesOf(service).map((name, index) => {
         const speed = service.speeds?.[index % service.speeds.length] ?? 1;
@@ -74,7 +73,7 @@
     this.scheduleFaults();
   }
 
-  get snapshot(): Snapshot {
+  get published(): PublishedSnapshot {
     return this.listed.current;
   }
 
@@ -160,7 +159,7 @@
       random: seededRandom(seed, ENTRY_STREAM),
       maxDelayMs: scenario.newsDelayMs ?? 0,
       forEachNode: (deliver) =>
-        this.nodes.forEach((node) => deliver((snapshot) => node.learn(snapshot))),
+        this.nodes.forEach((node) => deliver((published) => node.learn(published))),
     });
   }
 
--- a/tools/experiment/emulated-node.ts
+++ b/tools/experiment/emulated-node.ts
@@ -14,6 +14,7 @@
 import { VirtualProcess } from '../emulator/virtual-process.js';
 import type { PlannedRequest } from './call-plan.js';
 import { EmulatedBody } from './emulated-body.js';
+import type { PublishedSnapshot } from './emulated-entries.js';
 import { EmulatedEndpoint } from './emulated-endpoint.js';
 import { EmulatedLink } from './emulated-link.js';
 import { EmulatedProcessor } from './emulated-processor.js';
@@ -56,8 +57,8 @@
 
 /** What a node needs of the fleet. */
 export interface NodeFleet extends RelayFleet {
-  /** The snapshot that a node has when it starts. */
-  readonly snapshot: Snapshot;
+  /** What a node knows when it starts. */
+  readonly published: PublishedSnapshot;
   readonly routes: RouteTable;
   readonly nodeCount: number;
   readonly machineIds: Iterable<string>;
@@ -92,7 +93,7 @@
   receiver!: ReceivingNode;
   private services!: RequestServices;
   private gateway!: EndpointGateway;
-  private snapshot!: Snapshot;
+  private known!: PublishedSnapshot;
   private watch!: PeerWatch;
 
   constructor(private readonly options: EmulatedNodeOptions) {
@@ -119,7 +120,7 @@
   /** Begins a new life: nothing of the last one is kept. */
   start(): void {
     this.process.revive();
-    this.snapshot = this.options.fleet.snapshot;
+    this.known = this.options.fleet.published;
     const statements = new EndpointStatements();
     const gateway = this.createGateway(statements);
     this.gateway = gateway;
@@ -130,14 +131,18 @@
     this.lookLater(gateway);
   }
 
-  /** A snapshot has arrived; the gates of the endpoints on this machine are configured at once. */
-  learn(snapshot: Snapshot): void {
-    if (this.process.isAlive) {
-      this.snapshot = snapshot;
+  /** A snapshot has arrived; if it is a later one, the gates of the endpoints on this machine are configured at once. */
+  learn(published: PublishedSnapshot): void {
+    if (this.process.isAlive && published.number > this.known.number) {
+      this.known = published;
       this.configureGates();
     }
   }
 
+  private get snapshot(): Snapshot {
+    return this.known.snapshot;
+  }
+
   private configureGates(): void {
     const listed = [...this.snapshot.endpointsByService.values()].flat();
     this.gateway.configureLocal(listed.filter(({ spec }) => spec.machine === this.name));
