--- a/review/lib-2/fleet.ts
+++ b/review/lib-2/fleet.ts
@@ -175,11 +175,9 @@
 
   static async start(addresses: readonly string[], record: CaseRecord): Promise<Fleet> {
     const fleet = new Fleet(await StoreStandIn.start(), await freePorts(addresses), record);
+    process.once('exit', () => fleet.close());
     // The case runs too long.
-    process.once('SIGTERM', () => {
-      fleet.close();
-      process.exit(2);
-    });
+    process.once('SIGTERM', () => process.exit(2));
     return fleet;
   }
 
@@ -386,11 +384,11 @@
 
 /** Runs a case and ends the process with its exit code; 2 if it could not run. */
 export function runCase(play: () => Promise<number>): void {
-  play().then(
-    (code) => process.exit(code),
-    (error: unknown) => {
-      process.stderr.write(`${error instanceof Error ? (error.stack ?? '') : String(error)}\n`);
-      process.exit(2);
-    },
-  );
+  process.once('uncaughtException', endUnplayed);
+  play().then((code) => process.exit(code), endUnplayed);
+}
+
+function endUnplayed(error: unknown): void {
+  process.stderr.write(`${error instanceof Error ? (error.stack ?? '') : String(error)}\n`);
+  process.exit(2);
 }
