Bound what a stopping node holds of an answer by the memory reserved for it

Callers saw: in a planned stop, requests of other callers ended without an answer, since the node was killed over its memory while a back end sent without end.

Cause: once the stop began, an answer in progress was read without back-pressure for good; the size that was reserved for it only went into the flow-control window, which stayed extended. Now that many bytes are read regardless of the receiver's pace, once, and back-pressure holds again. Windows extended for answers of stopping peers share one budget.

--- a/src/proxy/answer-forwarding.ts
+++ b/src/proxy/answer-forwarding.ts
@@ -114,13 +114,16 @@
   stream.once('close', onClose);
 }
 
-/** Sends the `buffered` chunks and all later ones, at the receiver's pace until the node shuts down. */
+/**
+ * Sends the `buffered` chunks and all later ones at the receiver's pace. Once the node shuts down, as many further bytes
+ * as were reserved for the answer are read regardless of that pace.
+ */
 function forwardStreamed(
   { body, sink, head, observer, shutdownBuffering }: ForwardedAnswer,
   buffered: readonly Buffer[],
 ): void {
   const { stream, isComplete } = body;
-  let hasBackpressure = true;
+  let unpacedBytes = 0;
   const sendHead = (): void => {
     if (!sink.headersSent) {
       sink.writeHead(head.status, head.headers, head.contentLength);
@@ -131,12 +134,13 @@
   };
   const forward = (chunk: Buffer): void => {
     sendHead();
-    if (!sink.write(chunk) && hasBackpressure) {
+    unpacedBytes = Math.max(0, unpacedBytes - chunk.length);
+    if (!sink.write(chunk) && unpacedBytes === 0) {
       stream.pause();
     }
   };
   const unregister = shutdownBuffering?.register(head.contentLength, (maxBytes) => {
-    hasBackpressure = false;
+    unpacedBytes = maxBytes;
     body.extendWindow?.(maxBytes);
     resume();
   });
--- a/src/proxy/body-receiver.ts
+++ b/src/proxy/body-receiver.ts
@@ -7,7 +7,7 @@
 /** Maximum number of bytes of a streamed body that are read before the body is sent. */
 const MAX_READ_AHEAD_BYTES = 1024 * 1024;
 
-/** Memory budget of a node for all buffered request bodies. */
+/** Memory budget of a node for bodies that it buffers. */
 export class BodyBufferBudget {
   private reservedBytes = 0;
 
--- a/src/proxy/call.ts
+++ b/src/proxy/call.ts
@@ -75,7 +75,7 @@
       readonly stream: Readable;
       /** Whether the body arrived in full; valid once the stream has closed. */
       readonly isComplete: () => boolean;
-      /** Extends the sender's flow-control window by `bytes`; absent when the sender has no such window. */
+      /** Lets the sender send `bytes` more than its window, once; absent when the sender has no such window. */
       readonly extendWindow?: (bytes: number) => void;
     };
 
--- a/src/proxy/relay/relay-body.ts
+++ b/src/proxy/relay/relay-body.ts
@@ -63,6 +63,8 @@
 export class RelayBodyReader extends Readable {
   private uncreditedBytes = 0;
   private windowBytes = BODY_WINDOW_BYTES;
+  /** The part of the window that is withdrawn as it is read. */
+  private extensionBytes = 0;
   private isEnded = false;
 
   /**
@@ -81,10 +83,11 @@
     return this.isEnded;
   }
 
-  /** Allows `bytes` more to be in flight or unread. */
+  /** Allows the sender to send `bytes` more, once: no credit is returned for as many of the bytes that are read. */
   extendWindow(bytes: number): void {
     if (!this.isEnded && !this.destroyed) {
       this.windowBytes += bytes;
+      this.extensionBytes += bytes;
       this.sendCredit(bytes);
     }
   }
@@ -113,8 +116,18 @@
       return;
     }
     if (this.uncreditedBytes >= MIN_CREDIT_BYTES && !this.isEnded) {
-      this.sendCredit(this.uncreditedBytes);
-      this.uncreditedBytes = 0;
+      this.returnCredit();
+    }
+  }
+
+  private returnCredit(): void {
+    const withdrawnBytes = Math.min(this.extensionBytes, this.uncreditedBytes);
+    const creditBytes = this.uncreditedBytes - withdrawnBytes;
+    this.extensionBytes -= withdrawnBytes;
+    this.windowBytes -= withdrawnBytes;
+    this.uncreditedBytes = 0;
+    if (creditBytes > 0) {
+      this.sendCredit(creditBytes);
     }
   }
 }
--- a/src/proxy/relay/relay-link.ts
+++ b/src/proxy/relay/relay-link.ts
@@ -3,6 +3,7 @@
 import type { Socket } from 'node:net';
 import type { Endpoint } from '../../model/resource.js';
 import type { FreeSlotAnnouncement } from '../../routing/free-slot-announcements.js';
+import type { BodyBufferBudget } from '../body-receiver.js';
 import type { Attempt, AttemptObserver, Call } from '../call.js';
 import type { BeforeSend } from '../http-exchange.js';
 import type { Scheduler } from '../scheduler.js';
@@ -54,6 +55,8 @@
   readonly onFreeSlots?: (announcement: FreeSlotAnnouncement) => void;
   /** Runs the sending of each request at once or later; at once if absent. */
   readonly beforeSend?: BeforeSend;
+  /** Memory for answers of stopping peers, shared by all links of the node; they get no extended window if absent. */
+  readonly windowBudget?: BodyBufferBudget;
   /** Uses a slot that a peer offers; returns false if no request waits for it. Declines all if absent. */
   readonly onSlotOffer?: (offer: SlotOffer) => boolean;
 }
@@ -156,6 +159,7 @@
     const attempt = new RelayedAttempt(streamId, endpoint, call, observer, this.options.scheduler, {
       send: (frame) => this.connection?.send(frame) === true,
       cancelled: (requestId) => this.recordCancel(requestId),
+      windowBudget: this.options.windowBudget,
       ended: () => this.handleStreamEnd(streamId),
     });
     this.streams.set(streamId, attempt);
--- a/src/proxy/relay/relayed-attempt.ts
+++ b/src/proxy/relay/relayed-attempt.ts
@@ -1,5 +1,6 @@
 /** One attempt that this node sends to the node of an endpoint. */
 import type { Endpoint } from '../../model/resource.js';
+import type { BodyBufferBudget } from '../body-receiver.js';
 import type { Answer, AnswerBody, Attempt, AttemptObserver, Call } from '../call.js';
 import { isFinalStatus, relayedAnswerFault } from '../message-head.js';
 import { BufferedBody, type RequestBody } from '../request-body.js';
@@ -35,6 +36,8 @@
   readonly cancelled: (requestId: string) => void;
   /** The attempt has ended and expects no more frames. */
   readonly ended: () => void;
+  /** Memory for extended windows, shared by all attempts of the node; no window is extended if absent. */
+  readonly windowBudget?: BodyBufferBudget | undefined;
 }
 
 /** An attempt sent over a relay connection. */
@@ -203,10 +206,8 @@
       return;
     }
     const body: AnswerBody = isHeld ? { kind: 'held', bytes } : this.openReader();
-    if (body.kind === 'streamed' && frame.isNodeStopping) {
-      body.extendWindow?.(
-        Math.min(contentLength ?? MAX_STOPPING_WINDOW_BYTES, MAX_STOPPING_WINDOW_BYTES),
-      );
+    if (frame.isNodeStopping) {
+      this.extendWindow(contentLength);
     }
     const { bodyMs, queueMs, endpointMs } = frame;
     const nodeTimes = { bodyMs, queueMs, endpointMs };
@@ -218,6 +219,17 @@
     this.observer.answered(answer);
   }
 
+  /** Lets a stopping peer send a short answer at once, if there is memory for it. */
+  private extendWindow(contentLength: number | undefined): void {
+    const { reader } = this;
+    const { windowBudget } = this.link;
+    const bytes = Math.min(contentLength ?? Infinity, MAX_STOPPING_WINDOW_BYTES);
+    if (reader !== undefined && windowBudget?.reserve(bytes) === true) {
+      reader.once('close', () => windowBudget.release(bytes));
+      reader.extendWindow(bytes);
+    }
+  }
+
   private openReader(): AnswerBody {
     const reader = new RelayBodyReader((creditBytes) => {
       this.link.send({ kind: 'credit', streamId: this.streamId, creditBytes });
--- a/src/proxy/request-proxy.ts
+++ b/src/proxy/request-proxy.ts
@@ -10,6 +10,7 @@
 import { NATIVE_CALLER_PROTOCOL, type CallerProtocol } from './caller-protocol.js';
 import { recordAnswerOverhead, recordUnusableHead } from './answer-fault-record.js';
 import { ShutdownBuffering } from './answer-collection.js';
+import { BodyBufferBudget } from './body-receiver.js';
 import { CallerConnections } from './caller-connections.js';
 import { createCallerServer } from './caller-server.js';
 import { CallMeter } from './call-meter.js';
@@ -47,6 +48,8 @@
 const MIN_LOGGED_EVENT_LOOP_LAG_MS = 100;
 /** Upper bound for the age of a stop signal, in milliseconds; an older one arrived while the process was frozen. */
 const MAX_SIGNAL_AGE_MS = 1_500;
+/** Memory for answers that stopping peers may send regardless of how fast callers read them, in bytes. */
+const MAX_EXTENDED_WINDOW_BYTES = 16 * 1024 * 1024;
 /** Sender of a relayed request if the fleet has no key to authenticate it with. */
 const ANONYMOUS_PEER = 'peer';
 
@@ -357,6 +360,7 @@
       connectTimeoutMs: this.limits.connectTimeoutMs,
       scheduler: MACHINE_TIME,
       beforeSend: (send) => this.inputBarrier.pass(send),
+      windowBudget: new BodyBufferBudget(MAX_EXTENDED_WINDOW_BYTES),
       token: () => tokens?.current(Date.now()),
       onConnect: ({ address }, connectMs, isOpen) => {
         this.options.onRelayConnectMs?.(connectMs);
