Take a list of the store for as long as its keys grow, and read answers as they arrive

Callers saw: after a kill of all nodes nothing was served while another writer's entries filled more than 200 pages; behind a burst of such entries no configuration came into force.

Cause: bounds of our own on the pages of a list, the bytes of an answer and its time ended the reading, which then began at the same place. Progress of a list is now that its keys grow; a failed page is repeated and the pages before it are kept; items are converted one by one, and their text is dropped; a watch that is too large is followed by a list.

--- a/src/store/key-value-store.ts
+++ b/src/store/key-value-store.ts
@@ -55,11 +55,13 @@
   readonly outcome: 'history-lost';
 }
 
-/** The store was unreachable, was too slow, or refused the call. */
+/** The store was unreachable, was too slow, refused the call, or sent no answer that the node can take. */
 export interface StoreUnavailable {
   readonly outcome: 'unavailable';
   /** For the log. */
   readonly reason: string;
+  /** Whether the answer was in progress, but had more items than a node takes at once or took too long. */
+  readonly isTooLarge?: boolean;
 }
 
 /** Called when bytes of an answer arrive, whether or not the answer is complete; not called for refusals. */
--- a/src/store/store-watch.ts
+++ b/src/store/store-watch.ts
@@ -20,8 +20,8 @@
 /** Delay between a watch that returned changes and the next one, so that changes are batched, in milliseconds. */
 const BATCH_DELAY_MS = 150;
 
-/** Maximum number of pages of a list, enough for hundreds of times the items of a large fleet. */
-const MAX_PAGES = 200;
+/** Consecutive failures of one page after which the list begins again: the pages before it are seconds old by then. */
+const MAX_PAGE_FAILURES = 8;
 
 /** A call to the store, to be made after `delayMs`. */
 export type StoreCall = { readonly delayMs: number } & (
@@ -61,7 +61,6 @@
   readonly items: StoreChange[];
   /** Lowest revision of the pages received so far; the watch must start from it. */
   revision: number;
-  pageCount: number;
   /** Key after which the requested page begins. */
   afterKey: string | undefined;
 }
@@ -94,7 +93,10 @@
   }
 
   handleAnswer(answer: StoreAnswer): StoreStep {
-    if (answer.outcome === 'unavailable' || this.makesNoProgress(answer)) {
+    if (answer.outcome === 'unavailable') {
+      return this.handleFailure(answer);
+    }
+    if (this.makesNoProgress(answer)) {
       this.failures += 1;
       this.pending = undefined;
       return { call: this.nextCall(this.backOffMs()), update: undefined };
@@ -118,14 +120,30 @@
     return { call: this.nextCall(0), update: undefined };
   }
 
-  /** Whether a page has a next page that cannot be requested, or exceeds the page limit; the list would never end. */
+  /**
+   * Repeats the call. The pages of a list that were received stay valid, since the watch starts from their revision. A
+   * watch whose answer is too large is replaced by a list, whose pages the store keeps small: the same watch would be
+   * answered in the same way again.
+   */
+  private handleFailure({ isTooLarge }: StoreUnavailable): StoreStep {
+    this.failures += 1;
+    if (this.failures > MAX_PAGE_FAILURES) {
+      this.pending = undefined;
+    }
+    if (isTooLarge === true && this.revision !== undefined) {
+      this.restartList();
+    }
+    return { call: this.nextCall(this.backOffMs()), update: undefined };
+  }
+
+  /** Whether a page has a next page that cannot be requested, or that was requested before; the list would never end. */
   private makesNoProgress(answer: StoreAnswer): boolean {
     if (answer.outcome !== 'page' || !answer.hasMore) {
       return false;
     }
     const lastKey = lastKeyOf(answer);
-    const { afterKey, pageCount = 0 } = this.pending ?? {};
-    return lastKey === undefined || lastKey === afterKey || pageCount >= MAX_PAGES;
+    const afterKey = this.pending?.afterKey;
+    return lastKey === undefined || (afterKey !== undefined && !isAfter(lastKey, afterKey));
   }
 
   private handlePage(page: ListPage): StoreStep {
@@ -133,16 +151,13 @@
     if (eraOf(page.revision) !== eraOf(pending.revision)) {
       return this.restartList();
     }
-    pending.items.push(...page.items);
+    page.items.forEach((item) => pending.items.push(item));
     pending.revision = Math.min(pending.revision, page.revision);
-    pending.pageCount += 1;
     const lastKey = lastKeyOf(page);
     if (page.hasMore) {
       pending.afterKey = lastKey;
       this.pending = pending;
-      const { listFreshness: freshness } = this;
-      const call = { type: 'list', afterKey: lastKey, freshness, delayMs: 0 } as const;
-      return { call, update: undefined };
+      return { call: this.nextCall(0), update: undefined };
     }
     this.pending = undefined;
     this.revision = pending.revision;
@@ -158,7 +173,12 @@
 
   private nextCall(delayMs: number): StoreCall {
     return this.revision === undefined
-      ? { type: 'list', afterKey: undefined, freshness: this.listFreshness, delayMs }
+      ? {
+          type: 'list',
+          afterKey: this.pending?.afterKey,
+          freshness: this.listFreshness,
+          delayMs,
+        }
       : { type: 'watch', afterRevision: this.revision, delayMs };
   }
 
@@ -170,7 +190,12 @@
 }
 
 function emptyList(revision: number): PendingList {
-  return { items: [], revision, pageCount: 0, afterKey: undefined };
+  return { items: [], revision, afterKey: undefined };
+}
+
+/** Whether a key follows another one in the order of the store, which is that of their bytes. */
+function isAfter(key: string, other: string): boolean {
+  return Buffer.compare(Buffer.from(key), Buffer.from(other)) > 0;
 }
 
 function lastKeyOf({ items, lastKey }: ListPage): string | undefined {
--- a/standins/store-platform/store-stand-in.ts
+++ b/standins/store-platform/store-stand-in.ts
@@ -53,6 +53,8 @@
   fault: StoreFault | undefined;
   /** Items on one page of a list. */
   pageSize = 500;
+  /** Every call whose number is a multiple of this is refused; none is when 0. */
+  refusedCallInterval = 0;
   /** Time by which watches are behind, in milliseconds. */
   watchLagMs = 0;
   /** Time by which reads with `stale=1` are behind, in milliseconds; lists and watches alike. */
@@ -195,7 +197,7 @@
       response.setHeader('Store-Era', this.eraHeader);
     }
     const url = new URL(request.url ?? '', 'http://store');
-    const fault = this.fault ?? entry?.fault;
+    const fault = this.fault ?? entry?.fault ?? this.intervalFault();
     switch (fault?.type) {
       case 'status':
         response.writeHead(fault.status).end('{}');
@@ -213,6 +215,12 @@
     }
   }
 
+  private intervalFault(): StoreFault | undefined {
+    const isRefused =
+      this.refusedCallInterval > 0 && this.calls.length % this.refusedCallInterval === 0;
+    return isRefused ? { type: 'status', status: 503 } : undefined;
+  }
+
   private answer(url: URL, response: ServerResponse, entry: StoreEntry | undefined): void {
     if (url.pathname === '/kv-range') {
       this.answerList(url.searchParams, response);
--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -34,6 +34,8 @@
   'peers/source-choice.test.js': 20,
   'platform/foreign-writer.test.js': 6,
   'platform/mesh.test.js': 7,
+  'platform/endless-store-answers.test.js': 18,
+  'platform/store-client.test.js': 18,
   'platform/planned-stop.test.js': 17,
   'platform/redirected-request.test.js': 15,
   'platform/stop-last-moment.test.js': 9,
