Take confirmed values beyond our bounds, or cut them, in place of refusing the whole item

Callers saw: a confirmed configuration with one large value (a route of priority 128) came into force at no node; nodes that started had none. Back ends with such a value in their entry got nothing.

Cause: the schemas had upper bounds that the platform doesn't set.

--- a/src/admission/work-rank.ts
+++ b/src/admission/work-rank.ts
@@ -8,9 +8,13 @@
 /** Added to the rank of a request that will miss its target latency. */
 const LATE_RANK_OFFSET = 1_000_000;
 
-/** The rank of a request that can meet its target latency, which is in milliseconds. */
+/**
+ * The rank of a request that can meet its target latency, which is in milliseconds. Target latencies of 1,000 s and more
+ * rank alike, so that they fall into no other priority.
+ */
 export function rankOfWork(priority: number, targetLatencyMs: number): number {
-  return priority * RANKS_PER_PRIORITY + Math.round(targetLatencyMs);
+  const latencyMs = Math.min(LATE_RANK_OFFSET - 1, Math.round(targetLatencyMs));
+  return priority * RANKS_PER_PRIORITY + latencyMs;
 }
 
 /** Returns the late rank that corresponds to an on-time rank. */
--- a/src/proxy/relay/relay-frame.ts
+++ b/src/proxy/relay/relay-frame.ts
@@ -267,7 +267,7 @@
   slownessAgeMs: varint,
 };
 
-const slotFields = { offerId: varint, service: shortText, endpoint: shortText };
+const slotFields = { offerId: varint, service: longText, endpoint: shortText };
 
 type Layout<F extends RelayFrame> = FieldType<Omit<F, 'kind'>>;
 
@@ -276,7 +276,7 @@
     streamId: varint,
     sentAtMs: varint,
     requestId: text(MAX_REQUEST_ID_BYTES),
-    service: shortText,
+    service: longText,
     endpoint: shortText,
     method: shortText,
     target: longText,
@@ -323,7 +323,7 @@
   acknowledgement: new PlainStruct({ pingSentAtMs: varint }),
   'cancel-attempt': new PlainStruct({ requestId: text(MAX_REQUEST_ID_BYTES) }),
   'free-slots': new PlainStruct({
-    service: shortText,
+    service: longText,
     incarnation: longText,
     freeSlots: varint,
     slownessPercent: optionalInteger,
--- a/src/runtime/store-node-limits.ts
+++ b/src/runtime/store-node-limits.ts
@@ -31,6 +31,8 @@
 /** Limits of the request path that the node's settings do not specify. */
 export const STORE_NODE_LIMITS: Partial<ProxyLimits> = {
   maxHeaderBytes: 64 * 1024,
+  // The configuration may allow bodies of any length; long ones are forwarded as they arrive.
+  maxBodyBytes: Number.MAX_SAFE_INTEGER,
   maxRetries: 3,
   maxRedirects: 1,
   retriesFaults: true,
--- a/src/runtime/store-node.ts
+++ b/src/runtime/store-node.ts
@@ -24,7 +24,11 @@
 import type { RecordReader } from '../store/configuration-record.js';
 import { createCarryPolicy } from '../store/carry-policy.js';
 import type { KeyValueStore } from '../store/key-value-store.js';
-import { REFUSED_ITEMS_COUNTER, RefusedItemReporter } from '../store/refused-items.js';
+import {
+  LIMITED_VALUES_COUNTER,
+  REFUSED_ITEMS_COUNTER,
+  RefusedItemReporter,
+} from '../store/refused-items.js';
 import { eraOf, revisionInEra } from '../store/store-revision.js';
 import { SnapshotBuilder } from '../store/snapshot-builder.js';
 import { StoreReplica } from '../store/store-replica.js';
@@ -66,6 +70,7 @@
   private readonly containment: Containment;
   private readonly builder: SnapshotBuilder;
   private readonly refusalReporter: RefusedItemReporter;
+  private readonly limitReporter: RefusedItemReporter;
   private readonly source: ReplicaSource;
   private readonly proxy: RequestProxy;
   private readonly readiness: http.Server;
@@ -93,6 +98,7 @@
     this.deltas = new DeltaCache(this.replica);
     this.builder = new SnapshotBuilder(options.readRecord);
     this.refusalReporter = this.createRefusalReporter();
+    this.limitReporter = this.createLimitReporter();
     this.containment = this.createContainment();
     this.source = this.services.own('store', this.createSource(), (source) => source.close());
     this.proxy = this.createProxy();
@@ -187,12 +193,24 @@
   private createRefusalReporter(): RefusedItemReporter {
     this.metrics.declareCounter(REFUSED_ITEMS_COUNTER, 'Items of the store that are not valid');
     const { logger } = this.options;
-    return new RefusedItemReporter({
+    return new RefusedItemReporter(REFUSED_ITEMS_COUNTER, {
       counters: this.metrics,
       log: (line) => logger.warn('store-item-refused', { ...line }),
     });
   }
 
+  private createLimitReporter(): RefusedItemReporter {
+    this.metrics.declareCounter(
+      LIMITED_VALUES_COUNTER,
+      'Values of the store that were cut to what a node can do',
+    );
+    const { logger } = this.options;
+    return new RefusedItemReporter(LIMITED_VALUES_COUNTER, {
+      counters: this.metrics,
+      log: (line) => logger.warn('store-value-limited', { ...line }),
+    });
+  }
+
   private createPeers(): PeerExchange {
     const { settings, logger } = this.options;
     return new PeerExchange({
@@ -355,8 +373,12 @@
     }
     const { replica } = this;
     this.logEraChange(origin);
-    const { snapshot, refused } = this.builder.build(replica.items(), replica.carriedChanges);
+    const { snapshot, refused, limited } = this.builder.build(
+      replica.items(),
+      replica.carriedChanges,
+    );
     this.refusalReporter.report(refused);
+    this.limitReporter.report(limited);
     if (snapshot === undefined) {
       return;
     }
--- a/src/store/configuration-record.ts
+++ b/src/store/configuration-record.ts
@@ -11,6 +11,8 @@
   /** Services and routes. */
   readonly resources: readonly Resource[];
   readonly callerLimits: CallerLimits;
+  /** Values that were cut to what a node can do; absent if there are none. */
+  readonly limited?: readonly ItemFault[];
 }
 
 /** One endpoint. */
@@ -19,6 +21,8 @@
   readonly endpoint: Endpoint;
   /** Increases with each write of the entry by its endpoint; absent when the entry has none. */
   readonly sequence?: number;
+  /** Values that were cut to what a node can do; absent if there are none. */
+  readonly limited?: readonly ItemFault[];
 }
 
 /** A zone whose endpoints receive no new requests while the item exists. */
--- a/src/store/snapshot-builder.ts
+++ b/src/store/snapshot-builder.ts
@@ -33,6 +33,8 @@
   readonly snapshot: Snapshot | undefined;
   /** Rejected items; each revision is reported once. */
   readonly refused: readonly RefusedItem[];
+  /** Values of accepted items that were cut to what a node can do; each revision of an item is reported once. */
+  readonly limited: readonly RefusedItem[];
 }
 
 /**
@@ -67,6 +69,8 @@
   /** The latest inconsistent configuration, kept so that it is validated and reported only once. */
   private refusedCandidate: ConfigurationRecord | undefined;
   private latest: Snapshot | undefined;
+  /** Values of the items that are being built from that were cut. */
+  private limitedValues: RefusedItem[] = [];
 
   constructor(private readonly read: RecordReader) {}
 
@@ -76,6 +80,7 @@
    */
   build(items: Iterable<StoreChange>, carried: readonly StoreChange[] = []): BuildResult {
     const refused: RefusedItem[] = [];
+    this.limitedValues = [];
     const state: EndpointState = { endpoints: new Map(), evacuatedZones: new Set() };
     const keys = new Set<string>();
     carried.forEach((change) => this.cacheCarriedRecord(change));
@@ -91,7 +96,8 @@
     this.retainOnly(keys);
     carried.forEach((change) => this.applyCarried(state, change, refused));
     const { endpoints, evacuatedZones } = state;
-    return { snapshot: this.snapshotWith([...endpoints.values()], evacuatedZones), refused };
+    const snapshot = this.snapshotWith([...endpoints.values()], evacuatedZones);
+    return { snapshot, refused, limited: this.limitedValues };
   }
 
   /** Caches the record of a carried change; must run before the item that replaces it is parsed. */
@@ -138,6 +144,9 @@
     if (record.kind === 'unused' && record.fault !== undefined) {
       refused.push(refusedItem(item, record.fault));
     }
+    if ('limited' in record && record !== cached?.record) {
+      record.limited?.forEach((fault) => this.limitedValues.push(refusedItem(item, fault)));
+    }
     return record;
   }
 
--- a/tools/ci/run-tests.ts
+++ b/tools/ci/run-tests.ts
@@ -34,6 +34,7 @@
   'peers/source-choice.test.js': 20,
   'platform/foreign-writer.test.js': 6,
   'platform/mesh.test.js': 7,
+  'platform/large-values.test.js': 12,
   'platform/endless-store-answers.test.js': 18,
   'platform/store-client.test.js': 18,
   'platform/planned-stop.test.js': 17,
