--- a/src/proxy/request-decision.ts
+++ b/src/proxy/request-decision.ts
@@ -48,6 +48,17 @@
   readonly verdict: Verdict;
 }
 
+/** The fields that tell how far the answer was. */
+function answerFields(
+  answer: AnswerState | undefined,
+  answerQuietMs: number | undefined,
+): Pick<RequestDecision, 'answer' | 'quietMs'> {
+  return {
+    ...(answer && { answer }),
+    ...(answerQuietMs !== undefined && { quietMs: Math.round(answerQuietMs) }),
+  };
+}
+
 /** Decisions on a single attempt; their log entries contain its duration. */
 const ATTEMPT_EVENTS: ReadonlySet<RequestDecisionName> = new Set([
   'attempt-failed',
@@ -95,8 +106,7 @@
     ...(endedBy && { endedBy }),
     ...(unreadMs !== undefined && { unreadMs: Math.round(unreadMs) }),
     ...(waitedFor && { waitedFor }),
-    ...(answer && { answer }),
-    ...(answerQuietMs !== undefined && { quietMs: Math.round(answerQuietMs) }),
+    ...answerFields(answer, answerQuietMs),
     ...(fingerprint !== undefined && { fingerprint }),
     ...(load && { running: load.inFlight, slots: load.slots }),
   };
--- a/standins/store-platform/backend-stand-in.ts
+++ b/standins/store-platform/backend-stand-in.ts
@@ -130,6 +130,16 @@
   response.end(body);
 }
 
+/** The head and half of a signed answer, whose rest does not come. */
+export function beginAnswer(response: ServerResponse, requestId: string, sizeBytes: number): void {
+  response.writeHead(200, {
+    'Request-Id': requestId,
+    'Server-Signature': `signature ${requestId}`,
+    'Content-Length': sizeBytes,
+  });
+  response.write('x'.repeat(sizeBytes / 2));
+}
+
 /** Says that the request was not run. */
 export function refuse(response: ServerResponse, requestId: string, status = 503): void {
   response.writeHead(status, { 'Request-Id': requestId, 'Not-Executed': '1', 'Content-Length': 0 });
--- a/test/proxy/fuzz/request-oracle.ts
+++ b/test/proxy/fuzz/request-oracle.ts
@@ -3,6 +3,8 @@
 
 /** Time by which an answer may be late because of the node's own processing, in milliseconds. */
 const DEADLINE_SLACK_MS = 1;
+/** Time after the deadline within which an answer that has begun is completed or ended, in milliseconds. */
+const ANSWER_SLACK_MS = 500;
 /** Time within which the leave of a caller takes effect at the endpoints, in milliseconds. */
 const LEAVE_TAKES_EFFECT_MS = 500;
 
@@ -79,10 +81,10 @@
 }
 
 function isLate(call: CallRecord, world: RequestWorld): boolean {
-  const isDue = world.clock.nowMs > call.deadlineAtMs + DEADLINE_SLACK_MS;
-  const isAnswering =
-    call.outcomes.length > 0 || world.ledger.some(({ call: id }) => id === call.id);
-  return isDue && !isAnswering && !call.node.process.isFrozen;
+  const mayHaveAnswer = world.ledger.some(({ call: id }) => id === call.id);
+  const slackMs = mayHaveAnswer ? ANSWER_SLACK_MS : DEADLINE_SLACK_MS;
+  const isDue = world.clock.nowMs > call.deadlineAtMs + slackMs;
+  return isDue && call.outcomes.length === 0 && !call.node.process.isFrozen;
 }
 
 /**
--- a/test/proxy/fuzz/virtual-endpoint.ts
+++ b/test/proxy/fuzz/virtual-endpoint.ts
@@ -12,6 +12,8 @@
   readonly lost: number;
   /** The answer is truncated. */
   readonly broken: number;
+  /** The answer begins and does not end; 0 when absent. */
+  readonly silent?: number;
   /** The work takes longer than the timeout of most callers. */
   readonly slow: number;
   /** A message is delayed long enough for later messages to overtake it. */
@@ -154,7 +156,10 @@
       running.reply.dropConnection();
       return;
     }
+    const { lost, broken, silent = 0 } = this.faults;
     running.reply.answer(attempt);
-    running.reply.endAnswer(sample >= this.faults.lost + this.faults.broken);
+    if (sample < lost + broken || sample >= lost + broken + silent) {
+      running.reply.endAnswer(sample >= lost + broken);
+    }
   }
 }
--- a/test/proxy/fuzz/virtual-paths.ts
+++ b/test/proxy/fuzz/virtual-paths.ts
@@ -30,6 +30,10 @@
   resume(): this {
     return this;
   }
+
+  isPaused(): boolean {
+    return false;
+  }
 }
 
 /** An answer whose body ends when {@link VirtualAnswer.end} is called. */
--- a/test/proxy/request-fuzz.test.ts
+++ b/test/proxy/request-fuzz.test.ts
@@ -290,7 +290,10 @@
   },
 ];
 
-const scenarioOf = (commands: readonly WeightedCommand[]) =>
+const scenarioOf = (
+  commands: readonly WeightedCommand[],
+  silentShares: fc.Arbitrary<number> = fc.constant(0),
+) =>
   fc.record({
     seed: fc.nat(),
     faults: fc.record({
@@ -299,6 +302,7 @@
       broken: fc.constantFrom(0, 0.3),
       slow: fc.constantFrom(0, 0.3, 0.9),
       late: fc.constantFrom(0.05, 0.4),
+      silent: silentShares,
     }),
     commands: fc.array(fc.oneof(...commands), {
       minLength: 5,
@@ -342,6 +346,14 @@
 const suspicionProperty = propertyOf(
   scenarioOf([...callCommands, ...faultCommands, suspicionCommand]),
 );
+/** Endpoints fall silent inside their answers. */
+const silentShares = fc.constantFrom(0, 0.2);
+const silenceProperty = propertyOf(
+  scenarioOf([...callCommands, ...faultCommands, suspicionCommand], silentShares),
+);
+const crashAndSilenceProperty = propertyOf(
+  scenarioOf([...callCommands, ...crashCommands, ...faultCommands], silentShares),
+);
 const statementProperty = propertyOf(
   scenarioOf([...callCommands, ...faultCommands, ...statementCommands]),
   true,
@@ -538,6 +550,14 @@
     fc.assert(suspicionProperty, { seed: SEED, numRuns: RUNS });
   });
 
+  it('gives every request a final outcome while endpoints fall silent inside their answers', () => {
+    fc.assert(silenceProperty, { seed: SEED, numRuns: RUNS });
+  });
+
+  it('preserves all invariants while endpoints crash or fall silent inside their answers', () => {
+    fc.assert(crashAndSilenceProperty, { seed: SEED, numRuns: RUNS });
+  });
+
   it('preserves all invariants while nodes are notified of endpoint restarts', () => {
     fc.assert(restartProperty, { seed: SEED, numRuns: RUNS });
   });
--- a/tools/soak/fault-plan.ts
+++ b/tools/soak/fault-plan.ts
@@ -4,7 +4,7 @@
 import type { LinkState, StalledWay } from './link-proxy.js';
 import type { InvalidVariant } from './soak-configuration.js';
 
-/** How a back end misbehaves: by its answers, or not at all in time. */
+/** How a back end misbehaves. `mute`: nothing comes, or the first half of an answer and nothing more. */
 export type BackendFault = 'errors' | 'reset' | 'mute' | 'slow' | 'refuse' | 'cut-answer';
 
 /** How the store misbehaves towards all nodes. */
--- a/tools/soak/soak-backend.ts
+++ b/tools/soak/soak-backend.ts
@@ -5,6 +5,7 @@
 import {
   answer,
   BackendStandIn,
+  beginAnswer,
   refuse,
   type Arrival,
 } from '../../standins/store-platform/backend-stand-in.js';
@@ -21,6 +22,8 @@
 export const BACKEND_SLOTS = 8;
 /** Time between two pieces of an answer without a length, in milliseconds. */
 const PIECE_GAP_MS = 20;
+/** Lengths of the answers in which a mute back end falls silent; 0 where it sends nothing. */
+const SILENT_ANSWER_BYTES = [0, 9_000, 60_000];
 /** A slow back end takes so many times as long. */
 const SLOW_FACTOR = 8;
 const MISDIRECTED_STATUS = 421;
@@ -183,6 +186,7 @@
   ): void {
     switch (fault) {
       case 'mute':
+        this.fallSilent(response, id);
         return;
       case 'reset':
         this.cutOff(request.socket, () => request.socket.resetAndDestroy());
@@ -204,6 +208,14 @@
     }
   }
 
+  /** Sends nothing at all, or the first half of a short or of a long answer; the id decides, so that no draw is used. */
+  private fallSilent(response: ServerResponse, id: string): void {
+    const sizeBytes = SILENT_ANSWER_BYTES[hashOf(id) % SILENT_ANSWER_BYTES.length] ?? 0;
+    if (sizeBytes > 0) {
+      beginAnswer(response, id, sizeBytes);
+    }
+  }
+
   private note(
     { requestId, headers, method, target, body, readForMs }: Arrival,
     response: ServerResponse,
@@ -273,3 +285,8 @@
   }
   return response.statusCode < LEAST_FAILURE_STATUS ? 'answered' : 'failed';
 }
+
+/** A number that depends on all characters of `text`. */
+function hashOf(text: string): number {
+  return [...text].reduce((hash, sign) => (hash * 31 + sign.charCodeAt(0)) % 1_000_003, 7);
+}
