Play answers that begin and do not end in the emulator

The emulated endpoint of the fault 'silent-answers' sends the head of an answer alone. On such a request never ends in the emulator (elapsed time without a bound); now it ends within 500 ms of its deadline, its slot is freed, and the fleet serves on (emulated-fleet.test.ts).

--- a/test/experiment/emulated-fleet.test.ts
+++ b/test/experiment/emulated-fleet.test.ts
@@ -55,6 +55,22 @@
     expect(runScenario(dead, {}, 1).measures).to.include({ worth: 0, failed: 1 });
   });
 
+  it('ends requests at their deadline whose answers begin and do not end, and frees their slots', () => {
+    const silent: Scenario = {
+      ...SMALL,
+      durationMs: 2_000,
+      faults: [{ kind: 'silent-answers', service: 'store', fromMs: 0, untilMs: 1_000 }],
+    };
+    const { outcomes, measures } = runScenario(silent, {}, 1);
+    const unserved = outcomes.filter(({ elapsedMs }) => elapsedMs >= READ.deadlineMs);
+    expect(unserved.length).to.be.above(1);
+    expect(Math.max(...outcomes.map(({ elapsedMs }) => elapsedMs))).to.be.at.most(
+      READ.deadlineMs + 500,
+    );
+    expect(measures['misreported']).to.equal(0);
+    expect(measures['worth']).to.be.above(0.2);
+  });
+
   it('holds the slot of a request while its calls are under way', () => {
     const slowStore = (slots: number): number => {
       const services = [STORE, { name: 'lists', endpoints: 1, slots }];
--- a/tools/experiment/emulated-endpoint.ts
+++ b/tools/experiment/emulated-endpoint.ts
@@ -2,8 +2,9 @@
  * A back end: works on a request, then makes its calls one after the other, and answers. It ends the work
  * when its connection is closed, and confirms no cancellation, like those of the platform.
  */
+import { Readable } from 'node:stream';
 import type { Endpoint } from '../../src/model/resource.js';
-import type { Call } from '../../src/proxy/call.js';
+import type { AnswerBody, Call } from '../../src/proxy/call.js';
 import type {
   CancelOutcome,
   EndpointObserver,
@@ -25,7 +26,7 @@
 const COLD_SLOWNESS = 2;
 /** Status of the answer to a request of which a call failed. */
 export const FAULT_STATUS = 500;
-const NO_BYTES = Buffer.alloc(0);
+const HELD_BODY: AnswerBody = { kind: 'held', bytes: Buffer.alloc(0) };
 
 /** What an endpoint needs of its node. */
 export interface EndpointHost {
@@ -52,6 +53,8 @@
 
 /** The endpoint, as its own node reaches it. */
 export class EmulatedEndpoint implements EndpointConnector {
+  /** Whether its answers begin and do not end. */
+  isSilent = false;
   /** How many times as long as planned work takes. */
   slowness = 1;
   readonly limitMeter = new LimitMeter();
@@ -201,15 +204,17 @@
 
   /** The slot is free at once; the node handles the answer once its processor gets to it. */
   private answer(execution: Execution, status: number): void {
-    if (this.running.delete(execution.call.requestId)) {
+    const { requestId } = execution.call;
+    if (this.isSilent && this.running.has(requestId)) {
+      this.host.processor.handle('answer', () => this.deliver(execution, status, silentBody()));
+    } else if (this.running.delete(requestId)) {
       this.host.answered(status);
       this.host.processor.handle('answer', () => this.deliver(execution, status));
     }
   }
 
-  private deliver({ observer }: Execution, status: number): void {
+  private deliver({ observer }: Execution, status: number, body: AnswerBody = HELD_BODY): void {
     const load = { inFlight: this.running.size, slots: this.host.slots, draining: false };
-    const body = { kind: 'held', bytes: NO_BYTES } as const;
     const rateLimit = { kind: 'stated', maxRatePerS: this.maxRatePerS } as const;
     observer.stated?.({ rateLimit, isLeaving: false });
     observer.answered({ status, headers: [], body, contentLength: 0, load });
@@ -221,3 +226,9 @@
     execution?.stop();
   }
 }
+
+/** The body of an answer that has begun and does not end. */
+function silentBody(): AnswerBody {
+  const stream = new Readable({ read: () => undefined });
+  return { kind: 'streamed', stream, isComplete: () => false };
+}
--- a/tools/experiment/emulated-fleet.ts
+++ b/tools/experiment/emulated-fleet.ts
@@ -231,6 +231,9 @@
       case 'slow-endpoint':
         node.endpoint.slowness = fault.factor;
         return;
+      case 'silent-answers':
+        node.endpoint.isSilent = true;
+        return;
       case 'limited-endpoint':
         return node.endpoint.nameLimit(fault.maxRatePerS);
       case 'narrow-link':
@@ -251,6 +254,9 @@
       case 'slow-endpoint':
         node.endpoint.slowness = 1;
         return;
+      case 'silent-answers':
+        node.endpoint.isSilent = false;
+        return;
       case 'narrow-link':
         node.link.bytesPerMs = this.scenario.linkBytesPerMs;
         return;
--- a/tools/experiment/emulated-relay.ts
+++ b/tools/experiment/emulated-relay.ts
@@ -113,7 +113,9 @@
       granted: (bytes) => this.toNode('other', WORD_BYTES, () => this.sendBody(bytes)),
       answered: (answer) =>
         this.toNode('answer', HEAD_BYTES + answerBytes, () => {
-          this.end();
+          if (answer.body.kind === 'held') {
+            this.end();
+          }
           this.observer.answered(answer);
         }),
       failed: (error, load) =>
--- a/tools/experiment/emulated-reply.ts
+++ b/tools/experiment/emulated-reply.ts
@@ -26,8 +26,9 @@
 
   constructor(private readonly onTold: (told: Told) => void) {}
 
+  /** An answer that does not end is never told; its request ends otherwise. */
   answer(
-    { status }: Answer,
+    { status, body }: Answer,
     _requestId: string,
     _holdBytes: number,
     observer: AnswerObserver,
@@ -36,6 +37,9 @@
       observer.truncated(false);
       return;
     }
+    if (body.kind === 'streamed') {
+      return;
+    }
     this.isTold = true;
     observer.completed();
     this.close(true);
--- a/tools/experiment/received-call.ts
+++ b/tools/experiment/received-call.ts
@@ -88,7 +88,9 @@
 
   answered(answer: Answer): void {
     if (!this.isOver) {
-      this.end();
+      if (answer.body.kind === 'held') {
+        this.end();
+      }
       this.sender.answered({ ...answer, load: answer.load && this.withBodyTime(answer.load) });
     }
   }
--- a/tools/experiment/scenario.ts
+++ b/tools/experiment/scenario.ts
@@ -52,6 +52,8 @@
       readonly service: string;
       readonly factor: number;
     })
+  /** One endpoint of the service begins its answers and does not end them. */
+  | (FaultPeriod & { readonly kind: 'silent-answers'; readonly service: string })
   /** One endpoint of the service names a rate limit. */
   | (FaultPeriod & {
       readonly kind: 'limited-endpoint';
