--- a/test/proxy/stop/stop-world.ts
+++ b/test/proxy/stop/stop-world.ts
@@ -220,7 +220,11 @@
   private beginAnswer(attempt: FakeAttempt): void {
     attempt.state = 'answering';
     const stream: FakeAttempt['stream'] = new EventEmitter();
-    attempt.stream = Object.assign(stream, { pause: () => undefined, resume: () => undefined });
+    attempt.stream = Object.assign(stream, {
+      pause: () => undefined,
+      resume: () => undefined,
+      isPaused: () => false,
+    });
     const body = {
       kind: 'streamed',
       stream: stream as unknown as Readable,
